--- a/starlingrill/wirehost.py
+++ b/gladewalk/wirehost.py
@@ -377,7 +377,7 @@
     try:
         run(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"starlingrill: {error}", file=sys.stderr)
+        print(f"gladewalk: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from starlingrill import Dispatcher, logic
-from starlingrill import interface as api
-from starlingrill.logic import MEMORY_MS
+from gladewalk import Dispatcher, logic
+from gladewalk import interface as api
+from gladewalk.logic import MEMORY_MS
 
 from .world import ALL, CACHES, ORIGIN, PARENTS, SETTINGS, SIBLINGS, World
 
@@ -41,7 +41,7 @@
 
 
 def _open(world: World, key: int):  # type: ignore[no-untyped-def]
-    from starlingrill.logic import _Open
+    from gladewalk.logic import _Open
 
     return _Open(api.Request(10_000 + key, "page", key, 1000.0), SETTINGS.classes[0], world.now)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from starlingrill import interface as api
+from gladewalk import interface as api
 
 from .world import ALL, CACHES, ORIGIN, PAGE, PARENTS, SIBLINGS, World
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from starlingrill import Dispatcher
-from starlingrill import interface as api
+from gladewalk import Dispatcher
+from gladewalk import interface as api
 
 PAGE = api.RequestClass("page", aim_ms=400.0, deadline_ms=3000.0, aim_stretch=2.0)
 SETTINGS = api.Settings(
