The real director: HTTP front, upstream pool and coordinator feed round the module

The module gains two points: the first byte on its way to the client cancels the other attempts, and may_write is asked as an attempt's first byte is written, so that a wait for a connection can't outlast a drain or a purge.

--- /dev/null
+++ b/gladewalk/config.py
@@ -0,0 +1,111 @@
+"""What a director is told at its start: the file named by `NODE_CONFIG`, checked once."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from . import interface as api
+from .settings import SettingsError, either, need, read_roles, read_settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why in one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    coordinator: Address
+    seed: int
+    sockets: int
+    connect_timeout_ms: float
+    conn_idle_ms: float
+    settings: api.Settings
+    roles: dict[Any, api.Role]
+    known_index: int
+    known: tuple[dict[str, Any], ...]
+
+
+def read_address(text: Any) -> Address:
+    """`HOST:PORT`, the host a literal address or a name, IPv6 in brackets."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"not an address of the form HOST:PORT: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    path = environ.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG is not set")
+    try:
+        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror or error}") from error
+    except ValueError as error:
+        raise ConfigError(f"{path}: not valid JSON: {error}") from error
+    try:
+        return read(raw, environ)
+    except (SettingsError, ConfigError, ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+def read(raw: Any, environ: Mapping[str, str]) -> Config:
+    """The parsed file as a `Config`; the environment's name and address go first."""
+    if not isinstance(raw, dict):
+        raise ConfigError("not a JSON object")
+    settings, known = need(raw, "settings", (dict,)), either(raw.get("known"), {})
+    limits, own_limits = either(settings.get("limits"), {}), either(raw.get("limits"), {})
+    events = either(known.get("updates"), [])
+    if not isinstance(events, list) or not all(isinstance(event, dict) for event in events):
+        raise ConfigError("known: 'updates' is not a list of objects")
+    return Config(
+        name=environ.get("NODE_NAME") or str(raw.get("name", "director")),
+        listen=read_address(environ.get("NODE_LISTEN") or raw.get("listen")),
+        coordinator=read_address(raw.get("coordinator")),
+        seed=int(str(either(raw.get("seed"), "0")), 16),
+        sockets=int(either(own_limits.get("sockets"), 1024)),
+        connect_timeout_ms=float(either(limits.get("connect_timeout_ms"), 400.0)),
+        conn_idle_ms=float(either(limits.get("conn_idle_ms"), 15_000.0)),
+        # HTTP has a field for advice to a refused client, whatever the simulator's clients are given.
+        settings=replace(read_settings(settings), retry_advice=True),
+        roles=read_roles(settings),
+        known_index=int(either(known.get("index"), 0)),
+        known=tuple(events),
+    )
+
+
+STATES = {
+    "SERVING": api.ServerState.READY,
+    "DRAINING": api.ServerState.DRAINING,
+    "DELETED": api.ServerState.GONE,
+}
+
+
+def read_server(entry: Any, roles: Mapping[Any, api.Role]) -> tuple[api.Server, Address | None]:
+    """One entry of the coordinator's list: the server under its lasting `uid`, and where to dial it."""
+    if not isinstance(entry, dict):
+        raise ConfigError("an entry of the list is not an object")
+    state = STATES.get(entry.get("state", ""))
+    if state is None:
+        raise ConfigError(f"unknown state {entry.get('state')!r}")
+    gone = state is api.ServerState.GONE
+    server = api.Server(
+        name=need(entry, "uid", (str,)),
+        role=roles.get(entry.get("model"), api.Role.CACHE),
+        zone=str(either(entry.get("az"), "")),
+        size=float(either(entry.get("capacity_hint"), 1.0)),
+        state=state,
+        started_ms=float(either(entry.get("boot_ms"), 0.0)),
+        cell=int(either(entry.get("pod_group"), 0)),
+    )
+    return server, None if gone and not entry.get("endpoint") else read_address(entry.get("endpoint"))
+
+
--- /dev/null
+++ b/gladewalk/director.py
@@ -0,0 +1,99 @@
+"""The program put together: the parts, the loop's turn, and the two ways in which it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable
+
+import structlog
+
+from .config import Config
+from .counters import Counters
+from .deadlines import Deadlines
+from .exchange import Exchange
+from .net.caches import Caches
+from .net.clients import ClientConnection, ClientFront
+from .net.coordinator import Feed, Follower
+
+ACCEPT_MS = 700.0  # after SIGTERM requests keep coming for this long
+LINGER_MS = 20.0  # lets the last answers leave before the process ends
+
+
+def unix_ms() -> float:
+    return time.time() * 1000.0
+
+
+class Turn:
+    """Arms the loop's one timer for the earliest deadline."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float]) -> None:
+        self.loop, self.clock = loop, clock
+        self.deadlines = Deadlines(self.arm)
+        self._handle: asyncio.TimerHandle | None = None
+
+    def arm(self, when_ms: float) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+        self._handle = self.loop.call_later(max(0.0, when_ms - self.clock()) / 1000.0, self._sweep)
+
+    def _sweep(self) -> None:
+        self.deadlines.sweep(self.clock())
+
+
+class Director:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.config, self.loop, self.counters = config, loop, Counters()
+        self.log = structlog.get_logger().bind(node=config.name)
+        self.deadlines = Turn(loop, unix_ms).deadlines
+        self.exchange = Exchange(config, unix_ms, self.deadlines, self.counters, self._module_says)
+        self.caches = Caches(self.exchange, config, unix_ms, self.deadlines, self.counters)
+        self.exchange.upstreams = self.caches
+        self.front = ClientFront(self.exchange, self.counters)
+        self.feed = Feed(self.exchange, config, unix_ms, self.counters)
+        self.follower = Follower(self.feed, config.coordinator, self.deadlines, self.log.info)
+        self._ended: asyncio.Future[None] = loop.create_future()
+        self._stopping = False
+        self._server: asyncio.Server | None = None
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then answer all that was taken."""
+        self.feed.known(self.config.known_index, self.config.known)
+        self.follower.connect()
+        host, port = self.config.listen
+        self._server = await self.loop.create_server(
+            lambda: ClientConnection(self.front), host, port, backlog=1024
+        )
+        self.loop.add_signal_handler(signal.SIGTERM, self.stop)
+        self.loop.add_signal_handler(signal.SIGINT, self.stop)
+        self.loop.add_signal_handler(signal.SIGUSR1, self.report)
+        self.log.info("serving", listen=f"{host}:{port}", servers=len(self.caches.upstreams))
+        await self._ended
+        self.report()
+
+    def stop(self) -> None:
+        if not self._stopping:
+            self._stopping = True
+            self.log.info("stopping", owed=self.exchange.owed)
+            self.deadlines.add(unix_ms() + ACCEPT_MS, self._close)
+
+    def report(self) -> None:
+        self.log.info("counters", **self.counters.report())
+
+    def _module_says(self, line: str) -> None:
+        self.log.info("module", line=line)
+
+    def _close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        self.front.close()
+        self._wait_for_last()
+
+    def _wait_for_last(self) -> None:
+        """Every open request has a deadline of its own, so this ends."""
+        if self.exchange.owed:
+            self.deadlines.add(unix_ms() + LINGER_MS, self._wait_for_last)
+        else:
+            self.follower.close()
+            self.deadlines.add(unix_ms() + LINGER_MS, lambda: self._ended.set_result(None))
--- /dev/null
+++ b/gladewalk/exchange.py
@@ -0,0 +1,343 @@
+"""Where client side and server side meet: open requests, their attempts, and the decision module's turn.
+
+The exchange knows no wire. It gives the module its events, carries out the module's actions, holds the
+deadlines, and keeps one promise by itself: every request that was taken gets one final answer, never two.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from . import interface as api
+from .config import Address, Config
+from .counters import Counters
+from .deadlines import Deadlines, Key
+from .logic import Dispatcher
+
+LAST_RESORT_MS = 15.0  # past its deadline a request still open is failed; the rules give 58 ms
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """A client's request as it was read; what is passed on unchanged is kept as it came."""
+
+    trace: str
+    method: str
+    class_name: str
+    object_name: str
+    key: int
+    part: int
+    wait_ms: float
+    size_kb: float = 0.0
+    group: int = 0
+    tag: str | None = None  # of the copy that the client holds
+    body: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class Head:
+    """The start of a good answer: `length` is None where the cache did not tell it."""
+
+    unchanged: bool
+    length: int | None
+    tag: str | None
+
+
+class Final(Enum):
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Client(Protocol):
+    """What the exchange asks of the client side, for one request."""
+
+    def begin(self, head: Head) -> None: ...
+    def body(self, data: bytes) -> None: ...
+    def end(self) -> None: ...
+    def cut(self) -> None:
+        """An answer that has begun cannot be finished: let the client see that."""
+
+    def finish(self, final: Final, retry_after_ms: float) -> None: ...
+
+
+class Upstreams(Protocol):
+    """What the exchange asks of the server side."""
+
+    def locate(self, name: str, address: Address | None) -> None: ...
+    def start(self, attempt: Attempt) -> None: ...
+    def stop(self, attempt: Attempt) -> None:
+        """Give an attempt up without a word; nothing of it is heard any more."""
+
+    def flow(self, attempt: Attempt, on: bool) -> None: ...
+    def probe(self, name: str, done: Callable[[api.Status, float, Any], None]) -> None: ...
+    def close_idle(self, name: str) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One request to one cache, parent or origin."""
+
+    taken: Taken
+    number: int
+    order: api.Lookup | api.Fetch
+    sent_ms: float
+    deadline_ms: float
+    due: Key | None = None
+    carrier: Any = None  # the server side's own
+
+
+@dataclass(slots=True, eq=False)
+class Taken:
+    """A request that was taken; it stays until all its attempts have ended."""
+
+    number: int
+    ask: Ask
+    client: Client
+    deadline_ms: float
+    due: Key | None = None
+    answered: bool = False
+    winner: Attempt | None = None  # whose answer is being passed on
+    sends: int = 0
+    out: dict[int, Attempt] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class End:
+    """How an attempt ended, as the server side saw it."""
+
+    status: api.Status
+    note: api.Note = api.Note.NONE
+    waited_ms: float | None = None
+    load: dict[str, float] | None = None
+
+
+class Exchange:
+    def __init__(
+        self,
+        config: Config,
+        clock: Callable[[], float],
+        deadlines: Deadlines,
+        counters: Counters,
+        log: Callable[[str], None],
+    ) -> None:
+        self.core = Dispatcher(config.settings, config.seed)
+        self.clock, self.deadlines, self.counters, self.log = clock, deadlines, counters, log
+        self.upstreams: Upstreams | None = None
+        self.taken: dict[int, Taken] = {}
+        self.owed = 0  # requests without their final answer
+        self._numbers = 0
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+        self._over: list[int] = []
+
+    # What the client side says.
+
+    def take(self, ask: Ask, client: Client) -> int:
+        self._numbers += 1
+        now, number = self.clock(), self._numbers
+        taken = self.taken[number] = Taken(number, ask, client, now + ask.wait_ms)
+        self.owed += 1
+        self.counters.add("requests.taken")
+        # Guards against a request that nobody answers: whatever the module does, it ends here.
+        taken.due = self.deadlines.add(taken.deadline_ms + LAST_RESORT_MS, lambda: self._last_resort(taken))
+        self.feed(
+            api.Request(
+                id=number,
+                class_name=ask.class_name,
+                key=ask.key,
+                time_left_ms=ask.wait_ms,
+                size_kb=ask.size_kb,
+                group=ask.group,
+                part=ask.part,
+                is_write=ask.method == "PUT",
+            )
+        )
+        return number
+
+    def gone(self, number: int) -> None:
+        """The client stopped waiting: nothing is owed, and no work shall go on for it."""
+        taken = self.taken.get(number)
+        if taken is None or taken.answered:
+            return
+        self.counters.add("requests.left_by_client")
+        self._close(taken)
+        self._forget(taken)
+        self.feed(api.ClientGone(number))
+        for attempt in list(taken.out.values()):
+            self._cancel(attempt)
+
+    def flow(self, number: int, on: bool) -> None:
+        """The client's connection is full, or has room again: so the cache's answer waits, or goes on."""
+        taken = self.taken.get(number)
+        if taken is not None and taken.winner is not None and self.upstreams is not None:
+            self.upstreams.flow(taken.winner, on)
+
+    # What the server side says.
+
+    def may_write(self, attempt: Attempt) -> bool:
+        return not attempt.taken.answered and self.core.may_write(attempt.taken.number, attempt.number)
+
+    def head(self, attempt: Attempt, head: Head) -> bool:
+        """A good answer begins. False: it is not wanted, and the attempt has been ended."""
+        taken = attempt.taken
+        if taken.answered or taken.winner is not None:
+            self._cancel(attempt)
+            return False
+        taken.winner = attempt
+        taken.client.begin(head)
+        self.feed(
+            api.FirstByte(taken.number, attempt.number, attempt.order.server, self.clock() - attempt.sent_ms)
+        )
+        return True
+
+    def body(self, attempt: Attempt, data: bytes) -> None:
+        if attempt.taken.winner is attempt and not attempt.taken.answered:
+            attempt.taken.client.body(data)
+
+    def ended(self, attempt: Attempt, end: End) -> None:
+        taken = attempt.taken
+        if taken.out.pop(attempt.number, None) is None:
+            return
+        self.deadlines.drop(attempt.due)
+        self.counters.add(f"attempts.{end.status.value}")
+        if taken.winner is attempt and not taken.answered:
+            whole = end.status is api.Status.OK
+            self.counters.add("answers.served" if whole else "answers.cut")
+            self._close(taken)
+            if whole:
+                taken.client.end()
+            else:
+                taken.client.cut()
+        self._forget(taken)
+        self.feed(
+            api.Outcome(
+                id=taken.number,
+                attempt=attempt.number,
+                server=attempt.order.server,
+                status=end.status,
+                took_ms=self.clock() - attempt.sent_ms,
+                closed=taken.answered,
+                note=end.note,
+                waited_ms=end.waited_ms,
+                load=end.load,
+            )
+        )
+
+    # What the coordinator says.
+
+    def listed(self, event: api.ServerList, addresses: dict[str, Address | None]) -> None:
+        if self.upstreams is not None:
+            for name, address in addresses.items():
+                self.upstreams.locate(name, address)
+        self.feed(event)
+
+    def purged(self, purge: api.Purge) -> None:
+        self.feed(purge)
+
+    # The module's turn.
+
+    def feed(self, event: api.Event) -> None:
+        """Give the module an event; what its actions bring about at once waits until they are done."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                for action in self.core.handle(self.clock(), self._events.popleft()):
+                    self._carry_out(action)
+        finally:
+            self._busy = False
+        while self._over:
+            self.taken.pop(self._over.pop(), None)
+
+    def _carry_out(self, action: api.Action) -> None:
+        assert self.upstreams is not None
+        match action:
+            case api.Lookup() | api.Fetch():
+                self._start(action)
+            case api.Refuse():
+                self._finish(action.id, Final.REFUSED, action.retry_after_ms)
+            case api.Fail():
+                self._finish(action.id, Final.FAILED)
+            case api.Cancel():
+                taken = self.taken.get(action.id)
+                if taken is not None and action.attempt in taken.out:
+                    self._cancel(taken.out[action.attempt])
+            case api.SetTimer():
+                token = action.token
+                self.deadlines.add(self.clock() + action.delay_ms, lambda: self.feed(api.Timer(token)))
+            case api.Probe():
+                name = action.server
+                self.counters.add("probes.sent")
+                self.upstreams.probe(
+                    name, lambda status, took, load: self.feed(api.ProbeResult(name, status, took, load))
+                )
+            case api.CloseIdle():
+                self.upstreams.close_idle(action.server)
+            case api.Log():
+                self.log(action.line)
+            case api.Tell() | api.Watch() | api.FetchList():
+                self.counters.add("module.action_without_use")  # no peers here, and the list is pushed
+
+    def _start(self, order: api.Lookup | api.Fetch) -> None:
+        assert self.upstreams is not None
+        taken, now = self.taken[order.id], self.clock()
+        deadline = taken.deadline_ms
+        if order.timeout_ms:
+            deadline = min(deadline, now + order.timeout_ms)
+        attempt = Attempt(taken, taken.sends, order, now, deadline)
+        taken.sends += 1
+        taken.out[attempt.number] = attempt
+        if taken.answered:  # its end is among the events that the module has yet to see
+            return self.ended(attempt, End(api.Status.NOT_SENT))
+        attempt.due = self.deadlines.add(deadline, lambda: self._time_out(attempt))
+        self.upstreams.start(attempt)
+
+    def _time_out(self, attempt: Attempt) -> None:
+        self._stop(attempt, api.Status.TIMEOUT)
+
+    def _cancel(self, attempt: Attempt) -> None:
+        self._stop(attempt, api.Status.CANCELLED)
+
+    def _stop(self, attempt: Attempt, status: api.Status) -> None:
+        assert self.upstreams is not None
+        self.upstreams.stop(attempt)
+        self.ended(attempt, End(status))
+
+    # The end of a request.
+
+    def _finish(self, number: int, final: Final, retry_after_ms: float = 0.0) -> None:
+        taken = self.taken.get(number)
+        if taken is None or taken.answered:
+            return
+        self._close(taken)
+        if taken.winner is not None:
+            self.counters.add("answers.cut")
+            taken.client.cut()
+        else:
+            self.counters.add(f"answers.{final.value}")
+            taken.client.finish(final, retry_after_ms)
+        self._forget(taken)
+
+    def _last_resort(self, taken: Taken) -> None:
+        if not taken.answered:
+            self.counters.add("requests.ended_as_last_resort")
+            self._finish(taken.number, Final.FAILED)
+            self.feed(api.ClientGone(taken.number))
+            for attempt in list(taken.out.values()):
+                self._cancel(attempt)
+
+    def _close(self, taken: Taken) -> None:
+        taken.answered = True
+        self.owed -= 1
+        self.deadlines.drop(taken.due)
+
+    def _forget(self, taken: Taken) -> None:
+        """All is over; kept until the module has heard of it, as it may still send for the request."""
+        if taken.answered and not taken.out:
+            self._over.append(taken.number)
--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -92,6 +92,7 @@
     host: str
     source: str | None
     sent_ms: float
+    purge_ms: float  # the purge that its age bound heeds
 
 
 class _Open:
@@ -162,8 +163,7 @@
             case api.Purge():
                 self._on_purge(event)
             case api.FirstByte():
-                if event.id in self.open:
-                    self.open[event.id].begun = True
+                self._on_first_byte(event)
             case api.ClientGone():
                 self._close(event.id)
         return self.actions
@@ -309,7 +309,8 @@
         number = r.sent
         r.sent += 1
         r.parked = False
-        flight = _Flight(host.info.name, source.info.name if source else None, self.now)
+        asked = source.info.name if source else None
+        flight = _Flight(host.info.name, asked, self.now, self._purged_at(r))
         key = (r.request.id, number)
         r.out[number] = flight
         self.flights[key] = (flight, r)
@@ -570,6 +571,25 @@
                 r.missed.append(flight.host)
             self._place(r)
 
+    def _on_first_byte(self, first: api.FirstByte) -> None:
+        """The answer is on its way to the client: no other attempt can serve this request now."""
+        r = self.open.get(first.id)
+        if r is not None:
+            r.begun = True
+            for attempt in r.out if self.settings.may_cancel else ():
+                if attempt != first.attempt:
+                    self._do(api.Cancel(first.id, attempt))
+
+    def may_write(self, number: int, attempt: int) -> bool:
+        """Asked as an attempt's first byte is written, which may be later than it was decided.
+
+        Guards against a send that waited for its connection past a drain or a purge told meanwhile.
+        """
+        flight, r = self.flights[number, attempt]
+        named = (self.servers.get(name) for name in (flight.host, flight.source) if name)
+        ready = all(s is not None and s.info.state is ServerState.READY for s in named)
+        return ready and self._purged_at(r) == flight.purge_ms
+
     # The end of a request.
 
     def _may_send(self, r: _Open) -> bool:
--- /dev/null
+++ b/gladewalk/net/caches.py
@@ -0,0 +1,391 @@
+"""The server side: connections to caches, parents and the origin, and the attempts that they carry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Any, cast
+
+import httptools
+
+from .. import interface as api
+from ..config import Address, Config
+from ..counters import Counters
+from ..deadlines import Deadlines, Key
+from ..exchange import Attempt, End, Exchange, Head
+from ..settings import DETAILS, read_load
+
+OWN_DESCRIPTORS = 48  # left to the program itself: listeners, the coordinator, logs, connects that overlap
+UPSTREAM_PART = 0.6  # of the descriptors; clients hold up to a third
+IDLE_PART = 0.6  # of the time after which a cache closes an idle connection: ours closes first
+PROBE_TIMEOUT_MS = 250.0
+REMARKS = dict(
+    zip(
+        (
+            "mem", "parent", "origin", "shared", "old",
+            "denied", "unreached", "absent", "crowded", "behind",
+        ),
+        DETAILS[1:],
+        strict=True,
+    )
+)  # fmt: skip
+
+
+def write_request(attempt: Attempt, now_ms: float) -> bytes:
+    """An attempt in the words of the caches' protocol."""
+    ask, order = attempt.taken.ask, attempt.order
+    lines = [
+        f"{ask.method} /o/{ask.class_name}/{ask.object_name}/{ask.part} HTTP/1.1",
+        "Host: app.svc",
+        f"X-Ticket: {ask.trace}",
+        f"X-Max-Ms: {max(1, round(attempt.deadline_ms - now_ms))}",
+    ]
+    if isinstance(order, api.Fetch):
+        if order.source != order.server:  # the server itself as the source means no fill
+            lines.append(f"Miss-To: {order.source}")
+        if order.rank:
+            lines.append(f"Store-As: {order.rank}")
+        if order.max_age_ms > 0:
+            lines.append(f"No-Older-Than: {max(1, int(order.max_age_ms))}")
+        words = [
+            word
+            for word, on in (
+                ("ride", order.join),
+                ("have-only", order.held_only),
+                ("through", not order.parent_keeps),
+                ("update", order.renew),
+            )
+            if on
+        ]
+        if words:
+            lines.append(f"Handling: {'+'.join(words)}")
+    if ask.tag is not None:
+        lines.append(f"Have: {ask.tag}")
+    if ask.method == "PUT" or ask.body:
+        lines.append(f"Content-Length: {len(ask.body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + ask.body
+
+
+def read_meter(text: str | None) -> dict[str, float] | None:
+    """`inflight:7;util:0.61` under the module's names; a value that is no number is left out."""
+    load = {}
+    for field in (text or "").split(";"):
+        name, _, value = field.partition(":")
+        try:
+            load[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return read_load(load) if load else None
+
+
+def read_end(status: int, headers: dict[str, str]) -> End:
+    """What a whole answer of a cache says of its attempt."""
+    shed = headers.get("x-shed") == "1"
+    if status in (200, 304):
+        outcome = api.Status.OK
+    elif status == 404:
+        outcome = api.Status.MISS
+    elif shed and status in (503, 504):
+        outcome = api.Status.REFUSED if status == 503 else api.Status.NOT_SENT
+    else:
+        outcome = api.Status.ERROR
+    try:
+        waited = float(headers["fill-wait"])
+    except (KeyError, ValueError):
+        waited = None
+    note = REMARKS.get(headers.get("x-remark", "").strip(), api.Note.NONE)
+    return End(outcome, note, waited, read_meter(headers.get("x-meter")))
+
+
+class Probing:
+    """A probe in the place of an attempt."""
+
+    def __init__(self, done: Callable[[api.Status, float, Any], None], started_ms: float) -> None:
+        self.done, self.started_ms = done, started_ms
+        self.carrier: CacheConnection | Dial | None = None
+        self.due: Key | None = None
+
+
+class CacheConnection(asyncio.Protocol):
+    """One connection, carrying one attempt or probe at a time, or idle."""
+
+    def __init__(self, upstream: Upstream) -> None:
+        self.upstream, self.pool = upstream, upstream.pool
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.job: Attempt | Probing | None = None
+        self.idle_due: Key | None = None
+        self.status, self.passing = 0, False
+        self.headers: dict[str, str] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
+        self.pool.live.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        transport, self.transport = self.transport, None
+        self.pool.live.discard(self)
+        self.pool.deadlines.drop(self.idle_due)
+        if self in self.upstream.idle:
+            self.upstream.idle.remove(self)
+        job, self.job = self.job, None
+        if job is not None:
+            # What was not written whole never ran; after that it may have, whatever the connection says.
+            whole = transport is not None and transport.get_write_buffer_size() == 0
+            self.pool.over(job, End(api.Status.RESET if whole else api.Status.CONNECT_FAILED))
+        self.pool.pump()
+
+    def carry(self, job: Attempt | Probing, request: bytes) -> None:
+        assert self.transport is not None
+        self.job, self.status, self.passing, self.headers = job, 0, False, {}
+        self.transport.write(request)
+
+    def close(self) -> None:
+        """Give up what is carried, if anything, without a word."""
+        self.job = None
+        if self.transport is not None:
+            self.transport.abort()
+
+    def flow(self, on: bool) -> None:
+        if self.transport is not None:
+            if on:
+                self.transport.resume_reading()
+            else:
+                self.transport.pause_reading()
+
+    def data_received(self, data: bytes) -> None:
+        if self.job is None:  # nothing was asked: no peer that keeps the protocol says anything now
+            return self.close()
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.pool.counters.add("caches.unreadable_answer")
+            job = self.job
+            self.close()
+            if job is not None:
+                self.pool.over(job, End(api.Status.ERROR))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+        if self.status in (200, 304) and isinstance(self.job, Attempt):
+            length = self.headers.get("content-length", "")
+            known = int(length) if length.isascii() and length.isdigit() else None
+            head = Head(self.status == 304, known, self.headers.get("tag"))
+            self.passing = self.pool.exchange.head(self.job, head)
+
+    def on_body(self, body: bytes) -> None:
+        if self.passing and isinstance(self.job, Attempt):
+            self.pool.exchange.body(self.job, body)
+
+    def on_message_complete(self) -> None:
+        job, self.job = self.job, None
+        if self.status < 200:  # an interim answer: the real one follows
+            self.job, self.headers = job, {}
+            return
+        if self.parser.should_keep_alive() and self.transport is not None:
+            self.transport.resume_reading()
+            self.upstream.rest(self)
+        else:
+            self.close()
+        if job is not None:
+            self.pool.over(job, read_end(self.status, self.headers))
+
+
+class Upstream:
+    """One server of the list under its lasting name; its address is only where to dial."""
+
+    def __init__(self, pool: Caches, name: str, address: Address) -> None:
+        self.pool, self.name, self.address = pool, name, address
+        self.idle: list[CacheConnection] = []
+
+    def rest(self, connection: CacheConnection) -> None:
+        pool = self.pool
+        self.idle.append(connection)
+        until = pool.clock() + pool.config.conn_idle_ms * IDLE_PART
+        connection.idle_due = pool.deadlines.add(until, connection.close)
+        pool.pump()
+
+    def wake(self) -> CacheConnection | None:
+        """The connection that was used last, if one is idle and its other end has not closed."""
+        while self.idle:
+            connection = self.idle.pop()
+            self.pool.deadlines.drop(connection.idle_due)
+            if connection.transport is not None and not connection.transport.is_closing():
+                return connection
+        return None
+
+    def close_idle(self) -> None:
+        for connection in list(self.idle):
+            connection.close()
+        self.idle.clear()
+
+
+class Dial:
+    """A job that waits for its connection."""
+
+    def __init__(self, job: Attempt | Probing, upstream: Upstream) -> None:
+        self.job, self.upstream = job, upstream
+        self.task: asyncio.Task[None] | None = None
+        self.due: Key | None = None
+
+
+class Caches:
+    """All upstream connections, within this process's part of the descriptors."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        config: Config,
+        clock: Callable[[], float],
+        deadlines: Deadlines,
+        counters: Counters,
+    ) -> None:
+        self.exchange, self.config, self.clock = exchange, config, clock
+        self.deadlines, self.counters = deadlines, counters
+        self.upstreams: dict[str, Upstream] = {}
+        self.most = max(8, int(config.sockets * UPSTREAM_PART) - OWN_DESCRIPTORS)
+        self.live: set[CacheConnection] = set()
+        self.dialling: set[Dial] = set()
+        self.queue: deque[Dial] = deque()  # dials that wait until a connection may be opened
+
+    # The exchange's calls.
+
+    def locate(self, name: str, address: Address | None) -> None:
+        known = self.upstreams.get(name)
+        if known is not None and (address is None or known.address != address):
+            known.close_idle()
+        if address is None:
+            return
+        if known is None:
+            self.upstreams[name] = Upstream(self, name, address)
+        else:
+            known.address = address
+
+    def start(self, attempt: Attempt) -> None:
+        self._begin(attempt, attempt.order.server)
+
+    def stop(self, attempt: Attempt) -> None:
+        self._release(attempt)
+
+    def flow(self, attempt: Attempt, on: bool) -> None:
+        if isinstance(attempt.carrier, CacheConnection):
+            attempt.carrier.flow(on)
+
+    def probe(self, name: str, done: Callable[[api.Status, float, Any], None]) -> None:
+        probing = Probing(done, self.clock())
+        probing.due = self.deadlines.add(probing.started_ms + PROBE_TIMEOUT_MS, lambda: self._late(probing))
+        self._begin(probing, name)
+
+    def close_idle(self, name: str) -> None:
+        if name in self.upstreams:
+            self.upstreams[name].close_idle()
+
+    # Jobs and their connections.
+
+    def over(self, job: Attempt | Probing, end: End) -> None:
+        job.carrier = None
+        if isinstance(job, Attempt):
+            return self.exchange.ended(job, end)
+        self.deadlines.drop(job.due)
+        status = api.Status.ERROR if end.status is api.Status.MISS else end.status
+        job.done(status, self.clock() - job.started_ms, end.load)
+
+    def pump(self) -> None:
+        """Give waiting jobs what connections there are now, first come first served."""
+        while self.queue:
+            dial = self.queue[0]
+            connection = dial.upstream.wake()
+            if connection is not None:
+                self.queue.popleft()
+                self.deadlines.drop(dial.due)
+                self._write(connection, dial.job)
+            elif len(self.live) + len(self.dialling) < self.most:
+                self.queue.popleft()
+                self._dial(dial)
+            else:
+                return self._close_an_idle_one()
+
+    def _late(self, probing: Probing) -> None:
+        self._release(probing)
+        self.over(probing, End(api.Status.TIMEOUT))
+
+    def _release(self, job: Attempt | Probing) -> None:
+        carrier, job.carrier = job.carrier, None
+        if isinstance(carrier, CacheConnection):
+            carrier.close()
+        elif isinstance(carrier, Dial):
+            self._hang_up(carrier)
+
+    def _begin(self, job: Attempt | Probing, name: str) -> None:
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return self.over(job, End(api.Status.CONNECT_FAILED))
+        connection = upstream.wake()
+        if connection is not None:
+            return self._write(connection, job)
+        dial = job.carrier = Dial(job, upstream)
+        until = self.clock() + self.config.connect_timeout_ms
+        dial.due = self.deadlines.add(until, lambda: self._no_connection(dial))
+        self.queue.append(dial)
+        self.pump()
+
+    def _dial(self, dial: Dial) -> None:
+        self.counters.add("caches.connects")
+        self.dialling.add(dial)
+        dial.task = asyncio.get_running_loop().create_task(self._connect(dial))
+
+    async def _connect(self, dial: Dial) -> None:
+        try:
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: CacheConnection(dial.upstream), *dial.upstream.address
+            )
+        except OSError:
+            connection = None
+        finally:
+            self.dialling.discard(dial)
+            self.pump()
+        if dial.job.carrier is not dial:  # given up meanwhile: the connection may serve another
+            if connection is not None and connection.transport is not None:
+                dial.upstream.rest(connection)
+        elif connection is None or connection.transport is None:
+            self._no_connection(dial)
+        else:
+            self.deadlines.drop(dial.due)
+            self._write(connection, dial.job)
+
+    def _no_connection(self, dial: Dial) -> None:
+        """Refused, unreachable, too slow, or no descriptor left for it: nothing of the job ran."""
+        queued = dial.task is None
+        self.counters.add("caches.no_descriptor" if queued else "caches.connects_failed")
+        self._hang_up(dial)
+        self.over(dial.job, End(api.Status.NOT_SENT if queued else api.Status.CONNECT_FAILED))
+
+    def _hang_up(self, dial: Dial) -> None:
+        self.deadlines.drop(dial.due)
+        if dial.task is None:
+            self.queue.remove(dial)
+        elif dial.task is not asyncio.current_task():
+            dial.task.cancel()
+
+    def _write(self, connection: CacheConnection, job: Attempt | Probing) -> None:
+        if isinstance(job, Attempt) and not self.exchange.may_write(job):
+            # Guards against a drain or purge that was told while the attempt waited for its connection.
+            connection.upstream.rest(connection)
+            self.counters.add("attempts.held_back")
+            return self.over(job, End(api.Status.NOT_SENT))
+        job.carrier = connection
+        if isinstance(job, Attempt):
+            self.counters.add("attempts.written")
+            connection.carry(job, write_request(job, self.clock()))
+        else:
+            connection.carry(job, b"GET /load HTTP/1.1\r\nHost: app.svc\r\n\r\n")
+
+    def _close_an_idle_one(self) -> None:
+        """Make room for a connection elsewhere: the one that has been idle longest goes."""
+        idle = [u.idle[0] for u in self.upstreams.values() if u.idle]
+        if idle:
+            min(idle, key=lambda c: c.idle_due or (0.0, 0)).close()
--- /dev/null
+++ b/gladewalk/net/coordinator.py
@@ -0,0 +1,169 @@
+"""The coordinator's feed: numbered events, followed from the last one that this director has."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, cast
+
+from .. import interface as api
+from ..config import Address, Config, ConfigError, read_server
+from ..counters import Counters
+from ..deadlines import Deadlines, Key
+from ..exchange import Exchange
+from ..settings import SettingsError
+
+SILENCE_MS = 2_500.0  # a line comes each second: after this long without one the connection is taken for dead
+CONNECT_MS = 1_000.0
+BACKOFF_MS = 50.0  # first wait before a new connection, doubled up to the most; what it tells counts as told
+BACKOFF_MOST_MS = 1_000.0  # 7 s later even if it did not arrive, so the waits stay short
+LINE_MOST = 4 * 1024 * 1024
+
+
+class Feed:
+    """The events in their order, each once, however often a connection brings them."""
+
+    def __init__(
+        self, exchange: Exchange, config: Config, clock: Callable[[], float], counters: Counters
+    ) -> None:
+        self.exchange, self.roles, self.clock, self.counters = exchange, config.roles, clock, counters
+        self.last = 0
+        self._listed = False
+
+    def known(self, index: int, events: Iterable[dict[str, Any]]) -> None:
+        """The events of the start, out of the configuration."""
+        for event in events:
+            self.event(event)
+        self.last = max(self.last, index)
+
+    def line(self, data: bytes) -> bool:
+        """One line of the feed; False when an event is missing before it or it makes no sense."""
+        try:
+            message = json.loads(data)
+        except ValueError:
+            self.counters.add("coordinator.bad_lines")
+            return False
+        if isinstance(message, int):
+            return True
+        if not isinstance(message, dict) or not isinstance(message.get("index"), int):
+            self.counters.add("coordinator.bad_lines")
+            return False
+        if len(message) == 1 or message["index"] <= self.last:
+            return True
+        if message["index"] != self.last + 1:
+            self.counters.add("coordinator.gaps")
+            return False
+        self.last = message["index"]
+        self.event(message)
+        return True
+
+    def event(self, event: dict[str, Any]) -> None:
+        """Guards against an event of a form not known here: it is counted, and the feed goes on."""
+        try:
+            if "endpoints" in event:
+                self._list(event["endpoints"])
+            if "evict" in event:
+                self._purge(event["evict"])
+        except (ConfigError, SettingsError, TypeError, ValueError, KeyError, AttributeError):
+            self.counters.add("coordinator.bad_events")
+        else:
+            self.counters.add("coordinator.events")
+
+    def _list(self, change: dict[str, Any]) -> None:
+        read = [read_server(entry, self.roles) for entry in change["targets"]]
+        kind = api.ListKind.CHANGES
+        if not self._listed or change.get("all"):
+            kind = api.ListKind.WHOLE if self._listed else api.ListKind.LAST
+        self._listed = True
+        addresses = {server.name: address for server, address in read}
+        self.exchange.listed(api.ServerList(kind, tuple(server for server, _ in read)), addresses)
+
+    def _purge(self, evict: dict[str, Any]) -> None:
+        key = int(evict["ref"], 16) if "ref" in evict else None
+        age = max(0.0, self.clock() - float(evict["unix_ms"]))
+        self.exchange.purged(api.Purge(key, int(evict.get("shard", -1)), age))
+
+
+class CoordinatorConnection(asyncio.Protocol):
+    def __init__(self, follower: Follower) -> None:
+        self.follower = follower
+        self.transport: asyncio.Transport | None = None
+        self.rest = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
+        self.transport.write(f"follow {self.follower.feed.last}\n".encode())
+
+    def data_received(self, data: bytes) -> None:
+        self.follower.heard()
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        good = all(self.follower.feed.line(line) for line in lines if line.strip())
+        if (not good or len(self.rest) > LINE_MOST) and self.transport is not None:
+            self.transport.abort()  # asked for again from the last event that is known
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.transport = None
+        self.follower.lost()
+
+
+class Follower:
+    """Keeps a connection to the coordinator, and replaces it when it ends or falls silent."""
+
+    def __init__(
+        self, feed: Feed, address: Address, deadlines: Deadlines, log: Callable[[str], None]
+    ) -> None:
+        self.feed, self.address, self.deadlines, self.log = feed, address, deadlines, log
+        self.connection: CoordinatorConnection | None = None
+        self.wait_ms = BACKOFF_MS
+        self.closing = False
+        self._due: Key | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def connect(self) -> None:
+        if not self.closing:
+            self.feed.counters.add("coordinator.connects")
+            self._task = asyncio.get_running_loop().create_task(self._connect())
+
+    async def _connect(self) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_MS / 1000.0):
+                _, self.connection = await asyncio.get_running_loop().create_connection(
+                    lambda: CoordinatorConnection(self), *self.address
+                )
+        except OSError:  # a time-out is one too
+            self.lost()
+        else:
+            if self.connection.transport is not None:
+                self._watch()
+
+    def heard(self) -> None:
+        self.wait_ms = BACKOFF_MS
+        self._watch()
+
+    def lost(self) -> None:
+        self.connection = None
+        self.deadlines.drop(self._due)
+        if self.closing:
+            return
+        self.log("coordinator lost")
+        wait, self.wait_ms = self.wait_ms, min(BACKOFF_MOST_MS, self.wait_ms * 2.0)
+        # Spread, so that directors cut off together don't all come back in one moment.
+        self._due = self.deadlines.add(self.feed.clock() + wait * (0.5 + random.random()), self.connect)
+
+    def close(self) -> None:
+        self.closing = True
+        self.deadlines.drop(self._due)
+        if self._task is not None:
+            self._task.cancel()
+        if self.connection is not None and self.connection.transport is not None:
+            self.connection.transport.abort()
+
+    def _watch(self) -> None:
+        self.deadlines.drop(self._due)
+        self._due = self.deadlines.add(self.feed.clock() + SILENCE_MS, self._silent)
+
+    def _silent(self) -> None:
+        if self.connection is not None and self.connection.transport is not None:
+            self.connection.transport.abort()
