--- a/gladewalk/__main__.py
+++ b/gladewalk/__main__.py
@@ -39,6 +39,7 @@
         print(f"gladewalk: {error}", file=sys.stderr)
         return 2
     gc.freeze()  # what was loaded stays: a collection need not look at it again
+    gc.set_threshold(50_000, 20, 100)  # hardly a cycle is made: rare collections, no pauses under load
     try:
         uvloop.run(serve(config))
     except OSError as error:
--- a/gladewalk/deadlines.py
+++ b/gladewalk/deadlines.py
@@ -16,6 +16,7 @@
         self._due: SortedDict[Key, Callable[[], None]] = SortedDict()
         self._rearm = rearm
         self._count = 0
+        self.late_ms = 0.0  # the longest that anything has waited past its time
 
     def add(self, when_ms: float, call: Callable[[], None]) -> Key:
         self._count += 1
@@ -31,6 +32,8 @@
 
     def sweep(self, now_ms: float) -> None:
         """Run all that is due by now; what a call adds waits for the next turn even if it is due."""
+        if self._due and (late := now_ms - self._due.peekitem(0)[0][0]) > self.late_ms:
+            self.late_ms = late
         for key in list(self._due.irange(maximum=(now_ms, self._count))):
             call = self._due.pop(key, None)
             if call is not None:  # else dropped by one that ran before it
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -61,6 +61,7 @@
         """Serve until SIGTERM, then answer all that was taken."""
         self.feed.known(self.config.known_index, self.config.known)
         self.follower.connect()
+        self.caches.sweep()
         host, port = self.config.listen
         self._server = await self.loop.create_server(
             lambda: ClientConnection(self.front), host, port, backlog=1024
@@ -79,7 +80,7 @@
             self.deadlines.add(unix_ms() + ACCEPT_MS, self._close)
 
     def report(self) -> None:
-        self.log.info("counters", **self.counters.report())
+        self.log.info("counters", late_ms=round(self.deadlines.late_ms, 1), **self.counters.report())
 
     def _module_says(self, line: str) -> None:
         self.log.info("module", line=line)
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -18,10 +18,10 @@
 from .deadlines import Deadlines, Key
 from .logic import Dispatcher
 
-LAST_RESORT_MS = 15.0  # past its deadline a request still open is failed; the rules give 58 ms
+MARGIN_MS = 25.0  # a final answer leaves this long before its deadline: a busy turn of the loop takes as long
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Ask:
     """A client's request as it was read; what is passed on unchanged is kept as it came."""
 
@@ -38,7 +38,7 @@
     body: bytes = b""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Head:
     """The start of a good answer: `length` is None where the cache did not tell it."""
 
@@ -105,7 +105,7 @@
     out: dict[int, Attempt] = field(default_factory=dict)
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class End:
     """How an attempt ended, as the server side saw it."""
 
@@ -142,14 +142,14 @@
         taken = self.taken[number] = Taken(number, ask, client, now + ask.wait_ms)
         self.owed += 1
         self.counters.add("requests.taken")
-        # Guards against a request that nobody answers: whatever the module does, it ends here.
-        taken.due = self.deadlines.add(taken.deadline_ms + LAST_RESORT_MS, lambda: self._last_resort(taken))
+        taken.deadline_ms -= min(MARGIN_MS, ask.wait_ms / 8.0)
+        taken.due = self.deadlines.add(taken.deadline_ms, lambda: self._time_up(taken))
         self.feed(
             api.Request(
                 id=number,
                 class_name=ask.class_name,
                 key=ask.key,
-                time_left_ms=ask.wait_ms,
+                time_left_ms=taken.deadline_ms - now,
                 size_kb=ask.size_kb,
                 group=ask.group,
                 part=ask.part,
@@ -288,19 +288,18 @@
         assert self.upstreams is not None
         taken, now = self.taken[order.id], self.clock()
         deadline = taken.deadline_ms
-        if order.timeout_ms:
-            deadline = min(deadline, now + order.timeout_ms)
+        own_limit = 0.0 < order.timeout_ms < deadline - now
+        if own_limit:
+            deadline = now + order.timeout_ms
         attempt = Attempt(taken, taken.sends, order, now, deadline)
         taken.sends += 1
         taken.out[attempt.number] = attempt
         if taken.answered:  # its end is among the events that the module has yet to see
             return self.ended(attempt, End(api.Status.NOT_SENT))
-        attempt.due = self.deadlines.add(deadline, lambda: self._time_out(attempt))
+        if own_limit:  # else the request's own deadline ends it
+            attempt.due = self.deadlines.add(deadline, lambda: self._stop(attempt, api.Status.TIMEOUT))
         self.upstreams.start(attempt)
 
-    def _time_out(self, attempt: Attempt) -> None:
-        self._stop(attempt, api.Status.TIMEOUT)
-
     def _cancel(self, attempt: Attempt) -> None:
         self._stop(attempt, api.Status.CANCELLED)
 
@@ -324,13 +323,17 @@
             taken.client.finish(final, retry_after_ms)
         self._forget(taken)
 
-    def _last_resort(self, taken: Taken) -> None:
+    def _time_up(self, taken: Taken) -> None:
+        """The client's deadline: what is out ends as late, on which the module gives its final answer.
+
+        Guards against a request that nobody answers: one that is still open then is failed here.
+        """
+        for attempt in list(taken.out.values()):
+            self._stop(attempt, api.Status.TIMEOUT)
         if not taken.answered:
             self.counters.add("requests.ended_as_last_resort")
             self._finish(taken.number, Final.FAILED)
             self.feed(api.ClientGone(taken.number))
-            for attempt in list(taken.out.values()):
-                self._cancel(attempt)
 
     def _close(self, taken: Taken) -> None:
         taken.answered = True
@@ -340,4 +343,5 @@
     def _forget(self, taken: Taken) -> None:
         """All is over; kept until the module has heard of it, as it may still send for the request."""
         if taken.answered and not taken.out:
+            taken.winner = None  # the two refer to each other: no work for the collector
             self._over.append(taken.number)
--- a/gladewalk/interface.py
+++ b/gladewalk/interface.py
@@ -168,7 +168,7 @@
     cell: int = 0
 
 
-# events
+# events; those made for every request are not frozen, which would double the time to make one
 
 
 @dataclass(slots=True, frozen=True)
@@ -177,7 +177,7 @@
     servers: tuple[Server, ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Request:
     id: int
     class_name: str
@@ -191,7 +191,7 @@
     is_write: bool = False
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class FirstByte:
     id: int
     attempt: int
@@ -199,7 +199,7 @@
     took_ms: float
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Outcome:
     id: int
     attempt: int
@@ -253,7 +253,7 @@
 # actions
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Lookup:
     """Ask a server for a fresh copy that it holds."""
 
@@ -262,7 +262,7 @@
     timeout_ms: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Fetch:
     """Ask a server, naming the source of a fill (the server itself: no fill) and how old a copy may be."""
 
--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from functools import lru_cache
 
 from . import interface as api
 from .interface import Effect, Note, Role, Scope, ServerState, Status
@@ -49,6 +50,7 @@
 CROWD_SPREAD = 0.8  # standard deviations that our part of its traffic may lie over the mean (ours)
 SIZES_KNOWN = 8192  # objects whose sending time is remembered at most; bounds memory (ours)
 YOUNG_MS = 300.0  # an age bound under this makes a lookup pointless: nothing can be so young (ms, ours)
+DRAWS_KEPT = 32_768  # hash draws kept, some 8 MB: popular objects are drawn for again and again (ours)
 SPARE_MS = 60.0  # a request with less time than this gets its final answer now (ms): over one sweep (ours)
 
 Object = tuple[int, int]
@@ -63,6 +65,13 @@
     return value ^ (value >> 31)
 
 
+@lru_cache(DRAWS_KEPT)
+def draw(obj: Object, salt: int) -> float:
+    """The exponential draw of an object at a server; the least draw over weight is the object's home."""
+    unit = (mix(mix(obj[0] * 1_000_003 + obj[1]) ^ salt) + 0.5) / 2.0**64
+    return -math.log(min(unit, 1.0 - 2.0**-53))
+
+
 class _Server:
     """What this dispatcher knows and has inferred of a cache, a parent or the origin."""
 
@@ -232,11 +241,9 @@
 
     def _ranked(self, servers: Iterable[_Server], obj: Object) -> list[_Server]:
         """Weighted rendezvous order: listed size x warm-up share."""
-        seed = mix(obj[0] * 1_000_003 + obj[1])
 
         def score(s: _Server) -> float:
-            unit = (mix(seed ^ s.salt) + 0.5) / 2.0**64
-            return s.info.size * s.weight * self._warmth(s, self.now) / -math.log(min(unit, 1.0 - 2.0**-53))
+            return s.info.size * s.weight * self._warmth(s, self.now) / draw(obj, s.salt)
 
         return sorted(servers, key=lambda s: (-score(s), s.info.name))
 
@@ -343,18 +350,15 @@
 
     def _pump(self) -> None:
         """Let waiting requests go where room has come up, first come first served, none held up."""
-        tries = PUMP_TRIES
-        for _ in range(len(self.parked)):
-            number = self.parked.popleft()
-            r = self.open.get(number)
-            if r is None or not r.parked:
-                continue
-            if tries > 0:
+        waiting, back = len(self.parked), 0
+        while waiting and back < PUMP_TRIES:
+            waiting -= 1
+            r = self.open.get(self.parked.popleft())
+            if r is not None and r.parked:
                 r.parked = False
                 self._place(r)
-                tries -= r.parked
-            else:
-                self.parked.append(number)
+                back += r.parked
+        self.parked.rotate(back)  # those that found none are still the first; the rest was not touched
 
     # What answers tell: health, shares, memories, the next attempt.
 
--- a/gladewalk/net/caches.py
+++ b/gladewalk/net/caches.py
@@ -19,12 +19,13 @@
 OWN_DESCRIPTORS = 48  # left to the program itself: listeners, the coordinator, logs, connects that overlap
 UPSTREAM_PART = 0.6  # of the descriptors; clients hold up to a third
 IDLE_PART = 0.6  # of the time after which a cache closes an idle connection: ours closes first
+IDLE_SWEEP_MS = 1_000.0
 PROBE_TIMEOUT_MS = 250.0
 REMARKS = dict(
     zip(
         (
-            "mem", "parent", "origin", "shared", "old",
-            "denied", "unreached", "absent", "crowded", "behind",
+            b"mem", b"parent", b"origin", b"shared", b"old",
+            b"denied", b"unreached", b"absent", b"crowded", b"behind",
         ),
         DETAILS[1:],
         strict=True,
@@ -67,21 +68,29 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + ask.body
 
 
-def read_meter(text: str | None) -> dict[str, float] | None:
+def read_number(text: bytes | None) -> float | None:
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
+
+
+def read_meter(text: bytes | None) -> dict[str, float] | None:
     """`inflight:7;util:0.61` under the module's names; a value that is no number is left out."""
+    if not text:
+        return None
     load = {}
-    for field in (text or "").split(";"):
+    for field in text.decode("latin-1").split(";"):
         name, _, value = field.partition(":")
-        try:
-            load[name.strip()] = float(value)
-        except ValueError:
-            continue
-    return read_load(load) if load else None
+        number = read_number(value.encode())
+        if number is not None:
+            load[name.strip()] = number
+    return read_load(load)
 
 
-def read_end(status: int, headers: dict[str, str]) -> End:
+def read_end(status: int, headers: dict[bytes, bytes]) -> End:
     """What a whole answer of a cache says of its attempt."""
-    shed = headers.get("x-shed") == "1"
+    shed = headers.get(b"x-shed") == b"1"
     if status in (200, 304):
         outcome = api.Status.OK
     elif status == 404:
@@ -90,12 +99,8 @@
         outcome = api.Status.REFUSED if status == 503 else api.Status.NOT_SENT
     else:
         outcome = api.Status.ERROR
-    try:
-        waited = float(headers["fill-wait"])
-    except (KeyError, ValueError):
-        waited = None
-    note = REMARKS.get(headers.get("x-remark", "").strip(), api.Note.NONE)
-    return End(outcome, note, waited, read_meter(headers.get("x-meter")))
+    note = REMARKS.get(headers.get(b"x-remark", b""), api.Note.NONE)
+    return End(outcome, note, read_number(headers.get(b"fill-wait")), read_meter(headers.get(b"x-meter")))
 
 
 class Probing:
@@ -115,9 +120,9 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.job: Attempt | Probing | None = None
-        self.idle_due: Key | None = None
+        self.idle_until = 0.0
         self.status, self.passing = 0, False
-        self.headers: dict[str, str] = {}
+        self.headers: dict[bytes, bytes] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
@@ -126,7 +131,6 @@
     def connection_lost(self, error: Exception | None) -> None:
         transport, self.transport = self.transport, None
         self.pool.live.discard(self)
-        self.pool.deadlines.drop(self.idle_due)
         if self in self.upstream.idle:
             self.upstream.idle.remove(self)
         job, self.job = self.job, None
@@ -167,14 +171,14 @@
                 self.pool.over(job, End(api.Status.ERROR))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         self.status = self.parser.get_status_code()
         if self.status in (200, 304) and isinstance(self.job, Attempt):
-            length = self.headers.get("content-length", "")
-            known = int(length) if length.isascii() and length.isdigit() else None
-            head = Head(self.status == 304, known, self.headers.get("tag"))
+            length, tag = self.headers.get(b"content-length", b""), self.headers.get(b"tag")
+            known = int(length) if length.isdigit() else None
+            head = Head(self.status == 304, known, tag.decode("latin-1") if tag else None)
             self.passing = self.pool.exchange.head(self.job, head)
 
     def on_body(self, body: bytes) -> None:
@@ -205,19 +209,24 @@
     def rest(self, connection: CacheConnection) -> None:
         pool = self.pool
         self.idle.append(connection)
-        until = pool.clock() + pool.config.conn_idle_ms * IDLE_PART
-        connection.idle_due = pool.deadlines.add(until, connection.close)
+        connection.idle_until = pool.clock() + pool.config.conn_idle_ms * IDLE_PART
         pool.pump()
 
     def wake(self) -> CacheConnection | None:
         """The connection that was used last, if one is idle and its other end has not closed."""
+        now = self.pool.clock()
         while self.idle:
             connection = self.idle.pop()
-            self.pool.deadlines.drop(connection.idle_due)
-            if connection.transport is not None and not connection.transport.is_closing():
+            if connection.idle_until < now:  # its other end may be closing it just now
+                connection.close()
+            elif connection.transport is not None and not connection.transport.is_closing():
                 return connection
         return None
 
+    def close_stale(self, now_ms: float) -> None:
+        while self.idle and self.idle[0].idle_until < now_ms:
+            self.idle.pop(0).close()
+
     def close_idle(self) -> None:
         for connection in list(self.idle):
             connection.close()
@@ -252,6 +261,13 @@
         self.dialling: set[Dial] = set()
         self.queue: deque[Dial] = deque()  # dials that wait until a connection may be opened
 
+    def sweep(self) -> None:
+        """Once a second: what has been idle for long closes from this side first."""
+        now = self.clock()
+        for upstream in self.upstreams.values():
+            upstream.close_stale(now)
+        self.deadlines.add(now + IDLE_SWEEP_MS, self.sweep)
+
     # The exchange's calls.
 
     def locate(self, name: str, address: Address | None) -> None:
@@ -388,4 +404,4 @@
         """Make room for a connection elsewhere: the one that has been idle longest goes."""
         idle = [u.idle[0] for u in self.upstreams.values() if u.idle]
         if idle:
-            min(idle, key=lambda c: c.idle_due or (0.0, 0)).close()
+            min(idle, key=lambda c: c.idle_until).close()
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -7,7 +7,6 @@
 import re
 from collections import deque
 from typing import cast
-from urllib.parse import parse_qs
 
 import httptools
 
@@ -38,12 +37,12 @@
         self.status = status
 
 
-def _number(headers: dict[str, str], name: str, most: float, default: float | None = None) -> float:
+def _number(headers: dict[bytes, bytes], name: bytes, most: float, default: float | None = None) -> float:
     text = headers.get(name)
     if text is None and default is not None:
         return default
     try:
-        value = float(text or "")
+        value = float(text or b"")
     except ValueError:
         raise BadRequest(400) from None
     if not math.isfinite(value) or not 0.0 <= value <= most:
@@ -51,19 +50,23 @@
     return value
 
 
-def read_ask(method: str, path: str, query: str, headers: dict[str, str], body: bytes) -> Ask:
+def read_ask(method: str, path: str, query: str, headers: dict[bytes, bytes], body: bytes) -> Ask:
     """A request as `PROTOCOL` describes it, or `BadRequest` with the status that says what is wrong."""
     if method not in ("GET", "PUT"):
         raise BadRequest(405)
     parts = path.split("/")
     if len(parts) != 4 or parts[:2] != ["", "invoke"]:
         raise BadRequest(404)
-    part = (parse_qs(query, keep_blank_values=True).get("nth") or ["0"])[-1]
-    trace, group = headers.get("trace-id", ""), _number(headers, "x-batch", 65_535, 0.0)
+    part = "0"
+    for pair in query.split("&"):
+        if pair.startswith("nth="):
+            part = pair[4:]
+    trace, group = headers.get(b"trace-id", b"").decode("latin-1"), _number(headers, b"x-batch", 65_535, 0.0)
     good = CLASS.match(parts[2]) and OBJECT.match(parts[3]) and TRACE.match(trace)
     if not good or not (part.isascii() and part.isdigit() and len(part) < 10) or group % 1.0:
         raise BadRequest(400)
-    tag = TAG.match(headers.get("if-none-match", "").strip())
+    held = headers.get(b"if-none-match")
+    tag = TAG.match(held.decode("latin-1").strip()) if held else None
     return Ask(
         trace=trace,
         method=method,
@@ -71,8 +74,8 @@
         object_name=parts[3],
         key=int(parts[3], 16),
         part=int(part),
-        wait_ms=_number(headers, "max-wait-ms", 86_400_000.0),
-        size_kb=_number(headers, "reserve-kb", 1e9, 0.0),
+        wait_ms=_number(headers, b"max-wait-ms", 86_400_000.0),
+        size_kb=_number(headers, b"reserve-kb", 1e9, 0.0),
         group=int(group),
         tag=tag.group(1) if tag else None,
         body=body,
@@ -90,7 +93,7 @@
         self.number: int | None = None  # the request that is open
         self.chunked = self.last = self.taking = False
         self.url, self.size = b"", 0
-        self.headers: dict[str, str] = {}
+        self.headers: dict[bytes, bytes] = {}
         self.content: list[bytes] = []
 
     # asyncio's calls
@@ -144,11 +147,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._grow(len(name) + len(value), HEADERS_MOST, 431)
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         self.size = 0
-        if self.headers.get("expect", "").lower() == "100-continue" and self.transport is not None:
+        if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -160,6 +160,7 @@
         world.trials(True)
         monkeypatch.setattr(logic, "mix", counted)
         hashes.clear()
+        logic.draw.cache_clear()
         for key in range(20):
             world.end(world.fill(key), OK, 1, note=api.Note.FILLED)
         monkeypatch.undo()
