Accept every waiting client in one turn of the loop: no request lies unread

Logged at the moment the client left: Max-Wait-Ms 843, only 45 to 55 ms after we had read the request, while no deadline was swept more than 43 ms late. So they lay unread for some 790 ms; a stalled loop and late timers are ruled out, and so is the module, which had just sent its first lookup. At fault: create_server in director.py. The loop's server accepts one connection a turn, and 341 clients come at once while a turn takes milliseconds. The front now owns its listening socket and accepts until none waits.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -14,7 +14,7 @@
 from .deadlines import Deadlines
 from .exchange import Exchange
 from .net.caches import Caches
-from .net.clients import ClientConnection, ClientFront
+from .net.clients import ClientFront
 from .net.coordinator import Feed, Follower
 
 ACCEPT_MS = 700.0  # after SIGTERM requests keep coming for this long
@@ -55,21 +55,17 @@
         self.follower = Follower(self.feed, config.coordinator, self.deadlines, self.log.info)
         self._ended: asyncio.Future[None] = loop.create_future()
         self._stopping = False
-        self._server: asyncio.Server | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM, then answer all that was taken."""
         self.feed.known(self.config.known_index, self.config.known)
         self.follower.connect()
         self.caches.sweep()
-        host, port = self.config.listen
-        self._server = await self.loop.create_server(
-            lambda: ClientConnection(self.front), host, port, backlog=1024
-        )
+        self.front.listen(self.config.listen)
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
         self.loop.add_signal_handler(signal.SIGINT, self.stop)
         self.loop.add_signal_handler(signal.SIGUSR1, self.report)
-        self.log.info("serving", listen=f"{host}:{port}", servers=len(self.caches.upstreams))
+        self.log.info("serving", listen=":".join(map(str, self.config.listen)), servers=len(self.caches.upstreams))
         await self._ended
         self.report()
 
@@ -86,8 +82,6 @@
         self.log.info("module", line=line)
 
     def _close(self) -> None:
-        assert self._server is not None
-        self._server.close()
         self.front.close()
         self._wait_for_last()
 
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -5,16 +5,19 @@
 import asyncio
 import math
 import re
+import socket
 from collections import deque
 from typing import cast
 
 import httptools
 
+from ..config import Address
 from ..counters import Counters
 from ..exchange import Ask, Exchange, Final, Head
 
 BODY_MOST = 64 * 1024  # a write carries at most 48,000 bytes
 HEADERS_MOST = 16 * 1024
+BACKLOG = 1024
 WAITING_MOST = 8  # requests that a client may have sent ahead on one connection
 CLASS = re.compile(r"[A-Za-z0-9._~-]{1,64}\Z")
 OBJECT = re.compile(r"[0-9A-Fa-f]{1,16}\Z")
@@ -268,9 +271,40 @@
         self.exchange, self.counters = exchange, counters
         self.connections: set[ClientConnection] = set()
         self.closing = False
+        self._listener: socket.socket | None = None
+        self._opening: set[asyncio.Task[object]] = set()
+
+    def listen(self, address: Address) -> None:
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._listener = socket.create_server(address, family=family, backlog=BACKLOG)
+        self._listener.setblocking(False)
+        asyncio.get_running_loop().add_reader(self._listener, self.accept)
+
+    def accept(self) -> None:
+        """Take every connection that waits.
+
+        Guards against the loop's own server, which takes one a turn: with hundreds of clients coming at once
+        and turns of some milliseconds, a request lay unread for most of a second, past its client's patience.
+        """
+        loop = asyncio.get_running_loop()
+        while self._listener is not None:
+            try:
+                peer, _ = self._listener.accept()
+            except BlockingIOError:
+                return
+            except OSError:  # no descriptor left, or the peer has gone: the next turn tries again
+                return self.counters.add("clients.accept_failed")
+            peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            task = loop.create_task(loop.connect_accepted_socket(lambda: ClientConnection(self), peer))
+            self._opening.add(task)
+            task.add_done_callback(self._opening.discard)
 
     def close(self) -> None:
         self.closing = True
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
         for connection in list(self.connections):
             if connection.number is None and not connection.waiting and connection.transport is not None:
                 connection.transport.close()
