DNS front on the same core, with leases bounded for a cold restart; rehearsal kit

A question becomes Locate, the core answers with Name (a box, or the director itself); what can't be served waits and ends in SERVFAIL at its deadline. Answers count as leases on the box's place for five minutes, and all directors' leases of a place together fill at most half of its cold budget; sends to a cold box get the rest.

Rehearsal kit (scripted caches, coordinator, resolver) with the network stories that use it: one for each failure met so far, and the real program from start to SIGTERM.

--- a/gladewalk/__main__.py
+++ b/gladewalk/__main__.py
@@ -1,7 +1,11 @@
-"""The real director: `python -m gladewalk`, configured by `NODE_CONFIG`, `NODE_LISTEN` and `NODE_NAME`."""
+"""The real director: `python -m gladewalk`, configured by `NODE_CONFIG`, `NODE_LISTEN` and `NODE_NAME`.
+
+`--dns FILE` turns the DNS front on, where the file says that it listens.
+"""
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import gc
 import json
@@ -13,6 +17,7 @@
 
 from .config import Config, ConfigError, load
 from .director import Director
+from .dns.names import DnsConfig, load_dns
 
 
 def set_up_logs() -> None:
@@ -27,23 +32,27 @@
     )
 
 
-async def serve(config: Config) -> None:
-    await Director(config, asyncio.get_running_loop()).run()
+async def serve(config: Config, dns: DnsConfig | None) -> None:
+    await Director(config, asyncio.get_running_loop(), dns).run()
 
 
 def main() -> int:
     set_up_logs()
+    parser = argparse.ArgumentParser(prog="gladewalk", description="A director in front of caches.")
+    parser.add_argument("--dns", metavar="FILE", help="turn the DNS front on as this file says")
+    arguments = parser.parse_args()
     try:
         config = load(os.environ)
+        dns = load_dns(arguments.dns, config.listen[0]) if arguments.dns else None
     except ConfigError as error:
         print(f"gladewalk: {error}", file=sys.stderr)
         return 2
     gc.freeze()  # what was loaded stays: a collection need not look at it again
     gc.set_threshold(50_000, 20, 100)  # hardly a cycle is made: rare collections, no pauses under load
     try:
-        uvloop.run(serve(config))
+        uvloop.run(serve(config, dns))
     except OSError as error:
-        print(f"gladewalk: cannot listen at {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
+        print(f"gladewalk: cannot listen: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/gladewalk/config.py
+++ b/gladewalk/config.py
@@ -105,6 +105,7 @@
         state=state,
         started_ms=float(either(entry.get("boot_ms"), 0.0)),
         cell=int(either(entry.get("pod_group"), 0)),
+        place=str(either(entry.get("endpoint"), "")),
     )
     return server, None if gone and not entry.get("endpoint") else read_address(entry.get("endpoint"))
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -12,6 +12,8 @@
 from .config import Config
 from .counters import Counters
 from .deadlines import Deadlines
+from .dns.front import DnsFront
+from .dns.names import DnsConfig
 from .exchange import Exchange
 from .net.caches import Caches
 from .net.clients import ClientFront
@@ -43,7 +45,9 @@
 
 
 class Director:
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, dns: DnsConfig | None = None
+    ) -> None:
         self.config, self.loop, self.counters = config, loop, Counters()
         self.log = structlog.get_logger().bind(node=config.name)
         self.deadlines = Turn(loop, unix_ms).deadlines
@@ -55,17 +59,24 @@
         self.follower = Follower(self.feed, config.coordinator, self.deadlines, self.log.info)
         self._ended: asyncio.Future[None] = loop.create_future()
         self._stopping = False
+        self.dns = DnsFront(self.exchange, dns, self.counters) if dns is not None else None
 
-    async def run(self) -> None:
-        """Serve until SIGTERM, then answer all that was taken."""
+    async def start(self) -> None:
         self.feed.known(self.config.known_index, self.config.known)
         self.follower.connect()
         self.caches.sweep()
         self.front.listen(self.config.listen)
+        if self.dns is not None:
+            await self.dns.listen()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then answer all that was taken."""
+        await self.start()
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
         self.loop.add_signal_handler(signal.SIGINT, self.stop)
         self.loop.add_signal_handler(signal.SIGUSR1, self.report)
-        self.log.info("serving", listen=":".join(map(str, self.config.listen)), servers=len(self.caches.upstreams))
+        listening = {"listen": self.front.address, "dns": self.dns.address if self.dns is not None else None}
+        self.log.info("serving", servers=len(self.caches.upstreams), **listening)
         await self._ended
         self.report()
 
@@ -87,8 +98,10 @@
 
     def _wait_for_last(self) -> None:
         """Every open request has a deadline of its own, so this ends."""
-        if self.exchange.owed:
+        if self.exchange.owed or self.exchange.asked:
             self.deadlines.add(unix_ms() + LINGER_MS, self._wait_for_last)
         else:
             self.follower.close()
+            if self.dns is not None:
+                self.dns.close()
             self.deadlines.add(unix_ms() + LINGER_MS, lambda: self._ended.set_result(None))
--- /dev/null
+++ b/gladewalk/dns/__init__.py
@@ -0,0 +1,1 @@
+"""The second front: DNS-based request routing, decided by the same core as HTTP."""
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -64,9 +64,19 @@
     def finish(self, final: Final, retry_after_ms: float) -> None: ...
 
 
+class Asker(Protocol):
+    """What the exchange asks of the client side, for one question where to fetch an object."""
+
+    def named(self, address: Address | None, ttl_ms: float) -> None:
+        """The address of a cache; None: the director's own."""
+
+    def refused(self) -> None: ...
+
+
 class Upstreams(Protocol):
     """What the exchange asks of the server side."""
 
+    def address(self, name: str) -> Address | None: ...
     def locate(self, name: str, address: Address | None) -> None: ...
     def start(self, attempt: Attempt) -> None: ...
     def stop(self, attempt: Attempt) -> None:
@@ -129,6 +139,7 @@
         self.upstreams: Upstreams | None = None
         self.taken: dict[int, Taken] = {}
         self.owed = 0  # requests without their final answer
+        self.asked: dict[int, tuple[api.Locate, Asker, Key]] = {}  # questions without their answer
         self._numbers = 0
         self._events: deque[api.Event] = deque()
         self._busy = False
@@ -176,6 +187,38 @@
         if taken is not None and taken.winner is not None and self.upstreams is not None:
             self.upstreams.flow(taken.winner, on)
 
+    def locate(self, asker: Asker, wait_ms: float, ask: Callable[[int], api.Locate]) -> None:
+        """Where to fetch an object: one answer, at once or by the deadline."""
+        self._numbers += 1
+        number, question = self._numbers, ask(self._numbers)
+        self.counters.add("locates.taken")
+        due = self.deadlines.add(self.clock() + wait_ms, lambda: self._locate_late(number))
+        self.asked[number] = (question, asker, due)
+        self.feed(question)
+
+    def _locate_late(self, number: int) -> None:
+        self.counters.add("locates.late")
+        self._refuse_locate(number)
+        self.feed(api.ClientGone(number))
+
+    def _refuse_locate(self, number: int) -> None:
+        _, asker, due = self.asked.pop(number)
+        self.deadlines.drop(due)
+        asker.refused()
+
+    def _name(self, action: api.Name) -> None:
+        assert self.upstreams is not None
+        question, asker, due = self.asked[action.id]
+        address = None
+        if action.server is not None:
+            if not self.core.may_name(question, action.server):
+                return self.feed(question)  # a drain or a purge was told since: it is decided anew
+            address = self.upstreams.address(action.server)
+        del self.asked[action.id]
+        self.deadlines.drop(due)
+        self.counters.add("locates.named")
+        asker.named(address, action.ttl_ms)
+
     # What the server side says.
 
     def may_write(self, attempt: Attempt) -> bool:
@@ -260,6 +303,11 @@
         match action:
             case api.Lookup() | api.Fetch():
                 self._start(action)
+            case api.Name():
+                if action.id in self.asked:
+                    self._name(action)
+            case api.Refuse() if action.id in self.asked:
+                self._refuse_locate(action.id)
             case api.Refuse():
                 self._finish(action.id, Final.REFUSED, action.retry_after_ms)
             case api.Fail():
--- a/gladewalk/interface.py
+++ b/gladewalk/interface.py
@@ -166,6 +166,7 @@
     state: ServerState = ServerState.READY
     started_ms: float = 0.0
     cell: int = 0
+    place: str = ""  # where it is reached, if that is told: another server may come to stand there later
 
 
 # events; those made for every request are not frozen, which would double the time to make one
@@ -191,6 +192,23 @@
     is_write: bool = False
 
 
+@dataclass(slots=True)
+class Locate:
+    """Somebody asks where to fetch an object by itself, and may hold the answer for longer than it is told.
+
+    `holder` is who asks, `weight` how many transfers at a time its held answer may bring to a server.
+    """
+
+    id: int
+    class_name: str
+    key: int
+    time_left_ms: float
+    holder: str
+    part: int = 0
+    group: int | None = None
+    weight: float = 1.0
+
+
 @dataclass(slots=True)
 class FirstByte:
     id: int
@@ -246,7 +264,7 @@
 
 
 Event = (
-    ServerList | Request | FirstByte | Outcome | ProbeResult | ClientGone | PeerNote | Purge | Timer
+    ServerList | Request | Locate | FirstByte | Outcome | ProbeResult | ClientGone | PeerNote | Purge | Timer
 )
 
 
@@ -289,6 +307,15 @@
     id: int
 
 
+@dataclass(slots=True)
+class Name:
+    """The answer to a `Locate`: this server, or with None this dispatcher itself."""
+
+    id: int
+    server: str | None
+    ttl_ms: float
+
+
 @dataclass(slots=True, frozen=True)
 class Cancel:
     id: int
@@ -333,5 +360,17 @@
 
 
 Action = (
-    Lookup | Fetch | Refuse | Fail | Cancel | Probe | CloseIdle | Tell | SetTimer | Watch | FetchList | Log
+    Lookup
+    | Fetch
+    | Refuse
+    | Fail
+    | Name
+    | Cancel
+    | Probe
+    | CloseIdle
+    | Tell
+    | SetTimer
+    | Watch
+    | FetchList
+    | Log
 )
--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -51,6 +51,9 @@
 SIZES_KNOWN = 8192  # objects whose sending time is remembered at most; bounds memory (ours)
 YOUNG_MS = 300.0  # an age bound under this makes a lookup pointless: nothing can be so young (ms, ours)
 DRAWS_KEPT = 32_768  # hash draws kept, some 8 MB: popular objects are drawn for again and again (ours)
+NAME_TTL_MS = 2_000.0  # how long a named server may be held by those who heed it (ms, ours)
+LEASE_MS = 300_000.0  # how long an answer is taken to be held, whatever its time to live said (ms, ours)
+LEASE_PART = 0.5  # part of a cold server's budget that held answers may fill; the rest is for sends (ours)
 SPARE_MS = 60.0  # a request with less time than this gets its final answer now (ms): over one sweep (ours)
 
 Object = tuple[int, int]
@@ -142,6 +145,8 @@
         self.sizes: dict[Object, float] = {}  # sending times seen (ms), at the least
         self.purged: dict[tuple[str, int], float] = {}  # ("key" | "group", number) -> when it was purged
         self.parked: deque[int] = deque()
+        self.unnamed: dict[int, api.Locate] = {}  # asked while nothing can serve
+        self.leases: dict[str, dict[tuple[str, Object], tuple[float, float]]] = {}  # place -> until, weight
         self.outside = 0  # fills out from outside this location
         self.link_in = self.calm_until = 0.0  # transfers that its link in bears at full pace; 0: not known
         self.retries = RETRY_MOST
@@ -171,9 +176,12 @@
                 self._on_list(event)
             case api.Purge():
                 self._on_purge(event)
+            case api.Locate():
+                self._on_locate(event)
             case api.FirstByte():
                 self._on_first_byte(event)
             case api.ClientGone():
+                self.unnamed.pop(event.id, None)
                 self._close(event.id)
         return self.actions
 
@@ -350,6 +358,8 @@
 
     def _pump(self) -> None:
         """Let waiting requests go where room has come up, first come first served, none held up."""
+        for q in list(self.unnamed.values()):
+            self._on_locate(q)
         waiting, back = len(self.parked), 0
         while waiting and back < PUMP_TRIES:
             waiting -= 1
@@ -666,11 +676,67 @@
             s.credit, s.credit_ms = self.random.random() * mean, self.now
         capacity = (s.info.size if self.settings.sizes_listed else 1.0) * self._warmth(s, s.credit_ms)
         rate = COLD_MARGIN * self._figures(s)[2] * capacity / senders
+        if self.leases:  # held answers draw on the same budget
+            rate = max(0.0, rate - sum(weight for _, weight in self._held(s).values()))
         most = max(mean, rate * self.settings.fall_window_ms * COLD_BURST)
         s.credit = min(most, s.credit + rate * (self.now - s.credit_ms))
         s.credit_ms = self.now
         return s.credit >= self.work_ms[cls.name]
 
+    # Names: where to fetch an object by oneself, by the same home and the same rules.
+
+    def _on_locate(self, q: api.Locate) -> None:
+        cls = self.classes.get(q.class_name)
+        if cls is None:
+            return self._do(api.Refuse(q.id))
+        r = _Open(api.Request(q.id, q.class_name, q.key, q.time_left_ms, part=q.part), cls, self.now)
+        homes = self._homes(r)
+        if not homes and not any(map(self._usable, (*self.hub_parents, *self.far_parents, *self.origins))):
+            self.unnamed[q.id] = q  # waits for a server; its end is told as the client's going
+            return None
+        self.unnamed.pop(q.id, None)
+        open_to_all = bool(homes) and not cls.write and not self._is_unsettled(q)
+        named = open_to_all and not self._is_crowded(homes[0], r) and self._lease(homes[0], q, cls)
+        self._do(api.Name(q.id, homes[0].info.name if named else None, NAME_TTL_MS))
+
+    def may_name(self, q: api.Locate, name: str) -> bool:
+        """Asked as the answer is written: guards against a drain or a purge told since it was decided."""
+        s = self.servers.get(name)
+        return s is not None and s.info.state is ServerState.READY and not self._is_unsettled(q)
+
+    def _is_unsettled(self, q: api.Locate) -> bool:
+        """Purged so lately that a cache may still hold a copy from before, which nobody else can refuse."""
+        since = self.now - self.settings.purge_settle_ms - PURGE_KEEP_MS
+        ours = ("key", q.key), ("group", q.group)
+        lately = (what for what, at in self.purged.items() if at > since)
+        return any(what in ours or (q.group is None and what[0] == "group") for what in lately)
+
+    def _lease(self, s: _Server, q: api.Locate, cls: api.RequestClass) -> bool:
+        """Count an answer as held; False if held answers would be too many for the server started cold.
+
+        Guards against resolvers that keep answers past their time: what they hold can't be called back when
+        the server restarts, so it is bounded beforehand, for this dispatcher's part of the cold budget.
+        """
+        held = self._held(s)
+        share, _, multiple = self._figures(s)
+        size = s.info.size if self.settings.sizes_listed else 1.0
+        most = LEASE_PART * COLD_MARGIN * multiple * share * size / self.here
+        key = (q.holder, (q.key, q.part))
+        others = sum(weight for other, (_, weight) in held.items() if other != key)
+        if others + q.weight > most or not self._has_cold_room(s, cls):
+            return False
+        if self._is_cold(s):
+            s.credit -= self.work_ms[cls.name]
+        held[key] = (self.now + LEASE_MS, q.weight)
+        return True
+
+    def _held(self, s: _Server) -> dict[tuple[str, Object], tuple[float, float]]:
+        """The answers held for a server's place: they outlive it, as who holds one goes on dialling."""
+        held = self.leases.setdefault(s.info.place or s.info.name, {})
+        for key in [key for key, (until, _) in held.items() if until <= self.now]:
+            del held[key]
+        return held
+
     # Purges and the list.
 
     def _on_purge(self, purge: api.Purge) -> None:
--- a/gladewalk/net/caches.py
+++ b/gladewalk/net/caches.py
@@ -281,6 +281,9 @@
         else:
             known.address = address
 
+    def address(self, name: str) -> Address | None:
+        return self.upstreams[name].address if name in self.upstreams else None
+
     def start(self, attempt: Attempt) -> None:
         self._begin(attempt, attempt.order.server)
 
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -271,6 +271,7 @@
         self.exchange, self.counters = exchange, counters
         self.connections: set[ClientConnection] = set()
         self.closing = False
+        self.address: Address = ("", 0)
         self._listener: socket.socket | None = None
         self._opening: set[asyncio.Task[object]] = set()
 
@@ -278,6 +279,8 @@
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self._listener = socket.create_server(address, family=family, backlog=BACKLOG)
         self._listener.setblocking(False)
+        host, port = self._listener.getsockname()[:2]
+        self.address = (host, port)
         asyncio.get_running_loop().add_reader(self._listener, self.accept)
 
     def accept(self) -> None:
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,225 @@
+"""Stories over loopback: a director in this process, or as a process, against scripted peers."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from gladewalk.net.clients import BadRequest, read_ask
+from gladewalk.rehearsal.peers import (
+    Coordinator,
+    Heard,
+    Rehearsal,
+    ScriptedPeer,
+    config_for,
+    read_message,
+    request,
+    until,
+)
+
+ROOT = Path(__file__).parent.parent
+BYTES = bytes(range(256)) * 64
+
+
+async def hit(heard: Heard) -> None:
+    fields = {"X_Remark": "mem", "Tag": "4be0", "Made_At": "1764576000123", "X_Meter": "util:0.2;x0:0.7"}
+    await heard.answer(200, BYTES, **fields)
+
+
+async def miss_then_fill(heard: Heard) -> None:
+    if "miss-to" in heard.headers:
+        await heard.answer(200, BYTES, X_Remark="parent", Fill_Wait="3.5")
+    else:
+        await heard.answer(404)
+
+
+async def silent(heard: Heard) -> None:
+    await asyncio.Event().wait()
+
+
+async def half(heard: Heard) -> None:
+    heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + b"x" * 300)
+    await heard.writer.drain()
+    heard.writer.transport.abort()
+
+
+async def reset(heard: Heard) -> None:
+    heard.writer.transport.abort()
+
+
+class Stories(unittest.IsolatedAsyncioTestCase):
+    async def test_a_miss_is_filled_from_the_parent_and_passed_on_unchanged(self) -> None:
+        cache, parent = ScriptedPeer(miss_then_fill), ScriptedPeer(hit, "p1", "parent", "north")
+        async with Rehearsal([cache, parent]) as world:
+            path = "/invoke/lot-page/7f3a9c21e0b4d655?nth=3"
+            status, _, body = await world.ask(path, trace="00c0ffee00c0ffee")
+        self.assertEqual((status, body), (200, BYTES))
+        lookup, fill = cache.heard
+        self.assertEqual({heard.path for heard in cache.heard}, {"/o/lot-page/7f3a9c21e0b4d655/3"})
+        self.assertEqual(lookup.headers["x-ticket"], "00c0ffee00c0ffee")
+        self.assertNotIn("miss-to", lookup.headers)
+        self.assertEqual((fill.headers["miss-to"], fill.headers["store-as"]), ("p1", "1"))
+        self.assertEqual(cache.connections, 1)  # the second attempt took the first one's connection
+
+    async def test_a_copy_that_the_client_holds_is_confirmed_without_bytes(self) -> None:
+        async def script(heard: Heard) -> None:
+            await heard.answer(304 if heard.headers.get("have") == "4be0" else 500, Tag="4be0")
+
+        async with Rehearsal([ScriptedPeer(script)]) as world:
+            status, fields, body = await world.ask(If_None_Match='"4be0"')
+        self.assertEqual((status, fields["etag"], body), (304, '"4be0"', b""))
+
+    async def test_an_answer_that_breaks_off_is_seen_as_cut_by_the_client(self) -> None:
+        cache = ScriptedPeer(half)
+        async with Rehearsal([cache]) as world:
+            with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+                await world.ask()
+            assert world.director is not None
+            self.assertEqual(world.director.counters["answers.cut"], 1)
+        self.assertEqual(len(cache.heard), 1)  # begun, so nobody else may serve it
+
+    async def test_a_bid_that_may_have_run_is_never_sent_again(self) -> None:
+        cache, origin = ScriptedPeer(reset), ScriptedPeer(reset, "o", "origin", "north")
+        async with Rehearsal([cache, origin]) as world:
+            status, _, _ = await world.ask("/invoke/bid/b1", method="PUT", body=b"10 boxes of hake")
+        self.assertEqual(status, 502)
+        self.assertEqual([heard.body for heard in cache.heard + origin.heard], [b"10 boxes of hake"])
+
+    async def test_a_refusal_comes_with_the_time_to_come_back(self) -> None:
+        async with Rehearsal([ScriptedPeer(hit, state="DRAINING")]) as world:
+            status, fields, _ = await world.ask()
+            assert world.director is not None
+            self.assertEqual(world.director.exchange.owed, 0)
+        self.assertEqual((status, fields["retry-after"]), (503, "1"))
+
+    async def test_a_silent_cache_costs_no_request_its_final_answer(self) -> None:
+        async with Rehearsal([ScriptedPeer(silent)]) as world:
+            status, _, _ = await world.ask(wait_ms=300.0)
+        self.assertEqual(status, 502)
+
+    async def test_a_client_that_leaves_takes_its_attempt_with_it(self) -> None:
+        cache = ScriptedPeer(silent)
+        async with Rehearsal([cache]) as world:
+            _, writer = await world.client()
+            writer.write(request("/invoke/lot-video/a1"))
+            await until(lambda: len(cache.heard) == 1)
+            writer.transport.abort()
+            assert world.director is not None
+            exchange, counters = world.director.exchange, world.director.counters
+            await until(lambda: not exchange.taken)
+            self.assertEqual((counters["requests.left_by_client"], counters["attempts.cancelled"]), (1, 1))
+            self.assertFalse(exchange.core.open or exchange.core.flights)
+
+    async def test_all_clients_that_wait_are_accepted_at_once(self) -> None:
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            assert world.director is not None
+            front = world.director.front
+            waiting = [socket.create_connection(front.address) for _ in range(50)]  # no turn of the loop yet
+            front.accept()
+            await until(lambda: len(front.connections) == 50, 5.0)
+            self.assertEqual(front.counters["clients.connected"], 50)
+            for client in waiting:
+                client.close()
+
+    async def test_one_trace_may_come_twice_and_requests_ahead_wait_their_turn(self) -> None:
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            reader, writer = await world.client()
+            ask = request("/invoke/lot-page/a1")
+            writer.write(ask + request("/_health") + ask)
+            answers = [await read_message(reader) for _ in range(3)]
+            writer.close()
+        self.assertEqual([len(body) for _, _, body in answers], [len(BYTES), 0, len(BYTES)])
+
+    async def test_the_feed_goes_on_from_the_last_event_after_a_cut(self) -> None:
+        old, new = ScriptedPeer(hit), ScriptedPeer(hit, "c2")
+        async with Rehearsal([old, new]) as world:
+            assert world.director is not None
+            feed = world.director.feed
+            await until(lambda: world.coordinator.follows == [1])
+            old.state, new.address = "DELETED", old.address  # the newcomer stands where the old one stood
+            world.coordinator.cut()
+            world.coordinator.tell_list(old, new)
+            await until(lambda: feed.last == 2)
+            self.assertEqual(world.coordinator.follows[:2], [1, 1])
+            for key in range(8):
+                self.assertEqual((await world.ask(f"/invoke/lot-page/{key:x}"))[0], 200)
+            self.assertNotIn("c1", world.director.exchange.core.servers)
+
+    async def test_bad_input_is_answered_and_counted(self) -> None:
+        bad = {
+            "/invoke/lot-page/xyz": 400,
+            "/invoke/lot-page/a1?nth=-1": 400,
+            "/elsewhere": 404,
+            "/invoke/lot-page/a1?nth=1&x=" + "y" * 20_000: 431,
+        }
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            for path, status in bad.items():
+                self.assertEqual((await world.ask(path))[0], status, path[:40])
+            self.assertEqual((await world.ask(wait_ms=float("nan")))[0], 400)
+            self.assertEqual((await world.ask(method="DELETE"))[0], 405)
+            self.assertEqual((await world.ask(method="PUT", body=b"x" * 70_000))[0], 413)
+            reader, writer = await world.client()
+            writer.write(b"\x16\x03\x01\r\n\r\n")
+            self.assertIn("400", (await read_message(reader))[0])
+            writer.close()
+            assert world.director is not None
+            self.assertEqual(world.director.counters["clients.bad_input_400"], 4)
+
+    def test_a_number_of_no_use_is_bad_input(self) -> None:
+        for value in (b"", b"-1", b"inf", b"1e300"):
+            with self.assertRaises(BadRequest):
+                read_ask("GET", "/invoke/c/1", "", {b"trace-id": b"1f", b"max-wait-ms": value}, b"")
+
+
+class Program(unittest.IsolatedAsyncioTestCase):
+    async def start(self, config: object) -> asyncio.subprocess.Process:
+        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+            json.dump(config, file)
+        self.addCleanup(os.unlink, file.name)
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "gladewalk", cwd=ROOT, env={**os.environ, "NODE_CONFIG": file.name},
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+
+    async def test_it_serves_answers_all_it_took_after_sigterm_and_ends_well(self) -> None:
+        release = asyncio.Event()
+
+        async def held(heard: Heard) -> None:
+            await release.wait()
+            await hit(heard)
+
+        cache, coordinator = await ScriptedPeer(held).start(), await Coordinator().start()
+        program = await self.start(config_for([cache], coordinator))
+        assert program.stderr is not None
+        while (said := json.loads(await program.stderr.readline()))["event"] != "serving":
+            pass
+        reader, writer = await asyncio.open_connection(*said["listen"])
+        writer.write(request("/_health"))
+        self.assertIn(" 200 ", (await read_message(reader))[0])
+        writer.write(request("/invoke/lot-video/a1"))
+        await until(lambda: len(cache.heard) == 1)
+        program.send_signal(signal.SIGTERM)
+        while json.loads(await program.stderr.readline())["event"] != "stopping":
+            pass
+        release.set()
+        self.assertEqual((await read_message(reader))[2], BYTES)
+        _, rest = await program.communicate()
+        counters = json.loads(rest.splitlines()[-1])
+        self.assertEqual(program.returncode, 0)
+        self.assertEqual((counters["requests.taken"], counters["answers.served"]), (1, 1))
+        writer.close()
+        cache.stop()
+        coordinator.stop()
+
+    async def test_a_bad_configuration_is_one_line_and_exit_2(self) -> None:
+        no_class = {"settings": {"classes": []}, "listen": "127.0.0.1:0", "coordinator": "x"}
+        configs: list[object] = [{}, [], no_class]
+        for config in configs:
+            program = await self.start(config)
+            _, said = await program.communicate()
+            self.assertEqual((program.returncode, len(said.splitlines())), (2, 1), said)
