Keep home orders till a weight changes; wake waiting requests only when a place is freed

At fault: _homes ranked all caches for each placing, _on_outcome pumped after plain hits, which free nothing.

--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -137,6 +137,7 @@
         self.open: dict[int, _Open] = {}
         self.flights: dict[tuple[int, int], tuple[_Flight, _Open]] = {}
         self.caches: list[_Server] = []  # this location's, listed ready; so are all of the next four
+        self.orders: dict[Object, list[_Server]] = {}  # of this location's caches, till a weight changes
         self.hub_parents: list[_Server] = []
         self.far_parents: list[_Server] = []
         self.origins: list[_Server] = []
@@ -244,8 +245,11 @@
 
     def _homes(self, r: _Open, resting: bool = False) -> list[_Server]:
         """The location's usable caches in the order of the object's weighted rendezvous hash."""
-        fit = (s for s in self.caches if s.info.name not in r.bad_hosts and self._in_scope(r, s))
-        return self._ranked((s for s in fit if resting or self._usable(s)), r.obj)
+        order = self.orders.get(r.obj)
+        if order is None:
+            order = self.orders[r.obj] = self._ranked(self.caches, r.obj)
+        fit = [s for s in order if (resting or self._usable(s)) and s.info.name not in r.bad_hosts]
+        return fit if r.ran_at is None else [s for s in fit if self._in_scope(r, s)]
 
     def _ranked(self, servers: Iterable[_Server], obj: Object) -> list[_Server]:
         """Weighted rendezvous order: listed size x warm-up share."""
@@ -378,6 +382,8 @@
             return
         flight, r = known
         r.out.pop(o.attempt, None)
+        # A source's place, or a rest that this ends: for a plain hit nobody can have been waiting.
+        wakes = flight.source is not None or any(s.blocked_until for s in self.caches)
         self._learn(o, flight, r)
         if o.id not in self.open:
             return
@@ -391,7 +397,8 @@
             self._finish(r, api.Fail(o.id))
         elif o.status is Status.MISS or not r.out:
             self._again(o, flight, r)
-        self._pump()
+        if wakes:
+            self._pump()
 
     def _again(self, o: api.Outcome, flight: _Flight, r: _Open) -> None:
         """Note what is ruled out for this request and try on."""
@@ -558,10 +565,13 @@
 
     def _weigh(self) -> None:
         """A cache far slower than its neighbours counts for less, before it costs answers (ageing)."""
+        changed = any(s.weight < 1.0 or self._is_cold(s) for s in self.caches)
         paces = sorted(s.pace for s in self.caches)
         for s in self.caches:
             slower = math.exp(s.pace - paces[(len(paces) - 1) // 2])
             s.weight = 1.0 if slower < SLOW else 1.0 / slower
+        if changed or len(self.orders) > DRAWS_KEPT or any(s.weight < 1.0 for s in self.caches):
+            self.orders.clear()
 
     def _is_silent(self, s: _Server) -> bool:
         """Work is out at it and nothing has come back for long: hung, vanished or cut off."""
@@ -794,6 +804,7 @@
             if s.info.role is Role.CACHE:
                 by_zone.setdefault(s.info.zone, []).append(s)
         self.caches = by_zone.pop(self.settings.zone, [])
+        self.orders.clear()
         t = self.settings
         told = dict(zip(t.zones, t.link_in_kb_per_s, strict=False)).get(t.zone, 0.0)
         guess = LINK_GUESS * sum(s.info.size for s in self.caches) if t.sizes_listed else 0.0
--- a/gladewalk/net/caches.py
+++ b/gladewalk/net/caches.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from functools import lru_cache
 from typing import Any, cast
 
 import httptools
@@ -75,6 +76,7 @@
         return None
 
 
+@lru_cache(1024)  # a cache repeats its report until it makes a new one, every few hundred answers
 def read_meter(text: bytes | None) -> dict[str, float] | None:
     """`inflight:7;util:0.61` under the module's names; a value that is no number is left out."""
     if not text:
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -149,7 +149,9 @@
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._grow(len(name) + len(value), HEADERS_MOST, 431)
+        self.size += len(name) + len(value)
+        if self.size > HEADERS_MOST:
+            raise BadRequest(431)
         self.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
