--- a/gladewalk/rehearsal/__main__.py
+++ b/gladewalk/rehearsal/__main__.py
@@ -25,6 +25,7 @@
 
 ZONE = dns.name.from_text("rehearsal.example.")
 OWN = "127.0.0.1"
+LIGHT = 0.1  # transfers that an answer brings: a weight of 1 is a small box, and it shall be named now and then
 
 
 async def serve(heard: Heard) -> None:
@@ -45,7 +46,7 @@
 
 async def rehearse(raw: dict[str, Any], paths: list[str]) -> list[str]:
     routes, peers = Routes.read(raw["locations"]), peers_of(raw)
-    front = DnsConfig(("127.0.0.1", 0), ZONE, OWN, 1.0, 1000.0)
+    front = DnsConfig(("127.0.0.1", 0), ZONE, OWN, LIGHT, 1000.0)
     lines = []
     async with Rehearsal(peers, settings=raw["settings"], dns=front) as world:
         assert world.director is not None and world.director.dns is not None
--- a/gladewalk/rehearsal/peers.py
+++ b/gladewalk/rehearsal/peers.py
@@ -87,7 +87,7 @@
                 heard = Heard(method, path, fields, body, self, writer)
                 self.heard.append(heard)
                 await self.script(heard)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
