--- a/gladewalk/rehearsal/__main__.py
+++ b/gladewalk/rehearsal/__main__.py
@@ -25,7 +25,7 @@
 
 ZONE = dns.name.from_text("rehearsal.example.")
 OWN = "127.0.0.1"
-LIGHT = 0.1  # transfers that an answer brings: a weight of 1 is a small box, and it shall be named now and then
+LIGHT = 0.1  # transfers that an answer brings: a weight of 1 is a small box, to be named now and then
 
 
 async def serve(heard: Heard) -> None:
