--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -18,7 +18,7 @@
 from .deadlines import Deadlines, Key
 from .logic import Dispatcher
 
-MARGIN_MS = 25.0  # a final answer leaves this long before its deadline: a busy turn of the loop takes as long
+MARGIN_MS = 60.0  # a final answer leaves this long before its deadline: a busy turn of the loop takes as long
 
 
 @dataclass(slots=True)
--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -547,11 +547,11 @@
         self._do(api.SetTimer(SWEEP_MS, "sweep"))
         busy = {name for flight, _ in self.flights.values() for name in (flight.host, flight.source) if name}
         for s in [self.servers[name] for name in sorted(busy) if name in self.servers]:
-            if s.flights and (self.price > PRICE_LEAST or self.now >= s.blocked_until) and self._is_silent(s):
-                if self.now >= s.blocked_until:  # a silence has lasted: it needs no second one
-                    s.fails, s.share = s.fails + 1, max(SHARE_FLOOR, s.share / 2)
-                    self._strike(s, hard=False)
-                self._rescue(s)  # where places run out on each sweep: else most hang to their deadline
+            if s.flights and self.now >= s.blocked_until and self._is_silent(s):
+                s.fails += 1  # a silence has lasted: it needs no second one
+                self._strike(s, hard=False)
+                s.share = max(SHARE_FLOOR, s.share / 2)
+                self._rescue(s)
         for r in [self.open[number] for number in self.parked if number in self.open]:
             if r.parked and self.now > min(r.arrived_ms + r.cls.aim_ms, r.deadline_ms - SPARE_MS):
                 if not r.cls.grace_ms or r.stale:
