Read a cache's bytes to the end of each read before its connection carries another job

At fault: on_message_complete rested the connection and pumped the next attempt onto it while bytes of the same read were still to be parsed.

--- a/gladewalk/config.py
+++ b/gladewalk/config.py
@@ -109,6 +109,4 @@
         cell=int(either(entry.get("pod_group"), 0)),
         place=str(either(entry.get("endpoint"), "")),
     )
-    return server, None if gone and not entry.get("endpoint") else read_address(entry.get("endpoint"))
-
-
+    return server, None if gone else read_address(entry.get("endpoint"))
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol
@@ -77,7 +77,10 @@
     """What the exchange asks of the server side."""
 
     def address(self, name: str) -> Address | None: ...
-    def locate(self, name: str, address: Address | None) -> None: ...
+    def locate(self, name: str, address: Address | None) -> None:
+        """Where to dial a server from now on; None: it is gone."""
+
+    def keep_only(self, names: Collection[str]) -> None: ...
     def start(self, attempt: Attempt) -> None: ...
     def stop(self, attempt: Attempt) -> None:
         """Give an attempt up without a word; nothing of it is heard any more."""
@@ -274,6 +277,8 @@
 
     def listed(self, event: api.ServerList, addresses: dict[str, Address | None]) -> None:
         if self.upstreams is not None:
+            if event.kind is not api.ListKind.CHANGES:
+                self.upstreams.keep_only(addresses)
             for name, address in addresses.items():
                 self.upstreams.locate(name, address)
         self.feed(event)
--- a/gladewalk/net/caches.py
+++ b/gladewalk/net/caches.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import lru_cache
 from typing import Any, cast
 
@@ -22,6 +23,9 @@
 IDLE_PART = 0.6  # of the time after which a cache closes an idle connection: ours closes first
 IDLE_SWEEP_MS = 1_000.0
 PROBE_TIMEOUT_MS = 250.0
+HEAD_MOST = 16 * 1024  # bytes before an answer's body, interim answers among them
+OBJECT_MOST = 240_000  # bytes of an object: an answer that claims more is none
+READY = select.POLLIN | select.POLLERR | select.POLLHUP
 REMARKS = dict(
     zip(
         (
@@ -114,17 +118,24 @@
         self.due: Key | None = None
 
 
+class Spoilt(Exception):
+    """What came cannot be a good answer, or does not belong to the one that was asked for."""
+
+
 class CacheConnection(asyncio.Protocol):
     """One connection, carrying one attempt or probe at a time, or idle."""
 
     def __init__(self, upstream: Upstream) -> None:
-        self.upstream, self.pool = upstream, upstream.pool
+        self.upstream, self.pool, self.address = upstream, upstream.pool, upstream.address
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.job: Attempt | Probing | None = None
         self.idle_until = 0.0
-        self.status, self.passing = 0, False
+        self.status = self.size = 0  # bytes of the head, then of the body
+        self.headed = self.passing = self.whole = self.lasts = False
         self.headers: dict[bytes, bytes] = {}
+        self.begun: Head | None = None  # read, but not yet passed on; and so the bytes of its body
+        self.read: list[bytes] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
@@ -144,7 +155,9 @@
 
     def carry(self, job: Attempt | Probing, request: bytes) -> None:
         assert self.transport is not None
-        self.job, self.status, self.passing, self.headers = job, 0, False, {}
+        self.job, self.status, self.size, self.headers = job, 0, 0, {}
+        self.headed = self.passing = self.whole = self.lasts = False
+        self.begun, self.read = None, []
         self.transport.write(request)
 
     def close(self) -> None:
@@ -160,45 +173,111 @@
             else:
                 self.transport.pause_reading()
 
+    def is_quiet(self) -> bool:
+        """Whether the other end has neither said anything since its last answer nor closed.
+
+        Guards against bytes behind an answer that still lie unread: they would be taken for the next one's.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), READY)
+        return not poll.poll(0)
+
     def data_received(self, data: bytes) -> None:
         if self.job is None:  # nothing was asked: no peer that keeps the protocol says anything now
+            self.pool.counters.add("caches.surplus")
             return self.close()
+        surplus = False
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.pool.counters.add("caches.unreadable_answer")
-            job = self.job
+            if not self.headed:
+                self._grow(len(data), HEAD_MOST)
+        except (Spoilt, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if isinstance(error, httptools.HttpParserCallbackError) and not isinstance(
+                error.__context__, Spoilt
+            ):
+                raise
+            surplus = self.whole
+            if not surplus:
+                return self._spoilt()
+        self._pass_on()
+        if self.whole and self.job is not None:
+            self._over(surplus)
+
+    def _pass_on(self) -> None:
+        """Guards against an answer that a read shows to be spoilt: of that read the client gets nothing."""
+        read, self.read = self.read, []
+        if self.begun is not None and isinstance(self.job, Attempt):
+            head, self.begun = self.begun, None
+            self.passing = self.pool.exchange.head(self.job, head)
+        for body in read:
+            if self.passing and isinstance(self.job, Attempt):  # a client that leaves ends it in between
+                self.pool.exchange.body(self.job, body)
+
+    def _spoilt(self) -> None:
+        job = self.job
+        self.pool.counters.add("caches.unreadable_answer")
+        self.close()
+        if job is not None:
+            self.pool.over(job, End(api.Status.ERROR))
+
+    def _over(self, surplus: bool) -> None:
+        """The whole read has been looked at: only now may the connection carry another job."""
+        job, self.job = self.job, None
+        assert job is not None
+        if surplus:
+            self.pool.counters.add("caches.surplus")
+        if self.transport is not None and self.lasts and not surplus:
+            self.transport.resume_reading()
+            self.upstream.rest(self)
+        else:
             self.close()
-            if job is not None:
-                self.pool.over(job, End(api.Status.ERROR))
+        self.pool.over(job, read_end(self.status, self.headers))
+
+    def _grow(self, by: int, most: int) -> None:
+        self.size += by
+        if self.size > most:
+            raise Spoilt
+
+    # httptools' calls
+
+    def on_message_begin(self) -> None:
+        if self.whole:  # a second answer, or noise that looks like one
+            raise Spoilt
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.lower()] = value
+        name = name.lower()
+        if name == b"content-length" and name in self.headers:
+            raise Spoilt
+        self.headers[name] = value
 
     def on_headers_complete(self) -> None:
         self.status = self.parser.get_status_code()
+        if self.status < 200:
+            return
+        length = self.headers.get(b"content-length", b"")
+        known = int(length) if length.isdigit() and len(length) < 10 else None
+        chunked = self.headers.get(b"transfer-encoding", b"").lower() == b"chunked"
+        # Guards against an answer whose end cannot be told: before anything of it reaches the client.
+        if self.status != 304 and (known is None) != chunked:
+            raise Spoilt
+        if known is not None and known > OBJECT_MOST:
+            raise Spoilt
+        self.headed, self.size = True, 0
         if self.status in (200, 304) and isinstance(self.job, Attempt):
-            length, tag = self.headers.get(b"content-length", b""), self.headers.get(b"tag")
-            known = int(length) if length.isdigit() else None
-            head = Head(self.status == 304, known, tag.decode("latin-1") if tag else None)
-            self.passing = self.pool.exchange.head(self.job, head)
+            tag = self.headers.get(b"tag")
+            self.begun = Head(self.status == 304, known, tag.decode("latin-1") if tag else None)
 
     def on_body(self, body: bytes) -> None:
-        if self.passing and isinstance(self.job, Attempt):
-            self.pool.exchange.body(self.job, body)
+        self._grow(len(body), OBJECT_MOST)
+        self.read.append(body)
 
     def on_message_complete(self) -> None:
-        job, self.job = self.job, None
         if self.status < 200:  # an interim answer: the real one follows
-            self.job, self.headers = job, {}
-            return
-        if self.parser.should_keep_alive() and self.transport is not None:
-            self.transport.resume_reading()
-            self.upstream.rest(self)
+            self.headers = {}
         else:
-            self.close()
-        if job is not None:
-            self.pool.over(job, read_end(self.status, self.headers))
+            self.whole, self.lasts = True, self.parser.should_keep_alive()
 
 
 class Upstream:
@@ -207,22 +286,24 @@
     def __init__(self, pool: Caches, name: str, address: Address) -> None:
         self.pool, self.name, self.address = pool, name, address
         self.idle: list[CacheConnection] = []
+        self.gone = False
 
     def rest(self, connection: CacheConnection) -> None:
         pool = self.pool
+        if self.gone or connection.address != self.address:  # it leads to where this server was
+            return connection.close()
         self.idle.append(connection)
         connection.idle_until = pool.clock() + pool.config.conn_idle_ms * IDLE_PART
         pool.pump()
 
     def wake(self) -> CacheConnection | None:
-        """The connection that was used last, if one is idle and its other end has not closed."""
+        """The connection that was used last, if one is idle and its other end is still quiet."""
         now = self.pool.clock()
         while self.idle:
             connection = self.idle.pop()
-            if connection.idle_until < now:  # its other end may be closing it just now
-                connection.close()
-            elif connection.transport is not None and not connection.transport.is_closing():
+            if connection.idle_until >= now and connection.is_quiet():
                 return connection
+            connection.close()  # its other end has closed or spoken, or may be closing it just now
         return None
 
     def close_stale(self, now_ms: float) -> None:
@@ -274,14 +355,19 @@
 
     def locate(self, name: str, address: Address | None) -> None:
         known = self.upstreams.get(name)
-        if known is not None and (address is None or known.address != address):
+        if known is not None and known.address != address:
             known.close_idle()
-        if address is None:
-            return
-        if known is None:
+        if known is None and address is not None:
             self.upstreams[name] = Upstream(self, name, address)
-        else:
+        elif known is not None and address is not None:
             known.address = address
+        elif known is not None:
+            known.gone = True  # what it still carries goes on; nothing rests there any more
+            del self.upstreams[name]
+
+    def keep_only(self, names: Collection[str]) -> None:
+        for name in [name for name in self.upstreams if name not in names]:
+            self.locate(name, None)
 
     def address(self, name: str) -> Address | None:
         return self.upstreams[name].address if name in self.upstreams else None
@@ -360,10 +446,16 @@
         dial.task = asyncio.get_running_loop().create_task(self._connect(dial))
 
     async def _connect(self, dial: Dial) -> None:
+        connection: CacheConnection | None = None
+        upstream = dial.upstream
         try:
-            _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: CacheConnection(dial.upstream), *dial.upstream.address
-            )
+            # Guards against a server that was given another address while its old one was being dialled.
+            while connection is None or connection.address != upstream.address:
+                if connection is not None:
+                    connection.close()
+                _, connection = await asyncio.get_running_loop().create_connection(
+                    lambda: CacheConnection(upstream), *upstream.address
+                )
         except OSError:
             connection = None
         finally:
@@ -371,7 +463,7 @@
             self.pump()
         if dial.job.carrier is not dial:  # given up meanwhile: the connection may serve another
             if connection is not None and connection.transport is not None:
-                dial.upstream.rest(connection)
+                upstream.rest(connection)
         elif connection is None or connection.transport is None:
             self._no_connection(dial)
         else:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,6 +10,7 @@
 import unittest
 from pathlib import Path
 
+from gladewalk.counters import Counters
 from gladewalk.net.clients import BadRequest, read_ask
 from gladewalk.rehearsal.peers import (
     Coordinator,
@@ -83,6 +84,75 @@
             self.assertEqual(world.director.counters["answers.cut"], 1)
         self.assertEqual(len(cache.heard), 1)  # begun, so nobody else may serve it
 
+    async def spoilt_by(self, raw: bytes) -> tuple[Counters, ScriptedPeer]:
+        """One request while its home answers with these bytes, and the other cache as it should."""
+
+        async def script(heard: Heard) -> None:
+            heard.writer.write(raw)
+            await heard.writer.drain()
+            await asyncio.Event().wait()  # the connection stays open
+
+        bad, good = ScriptedPeer(script), ScriptedPeer(hit, "c2", size=1e-6)
+        async with Rehearsal([bad, good]) as world:
+            assert world.director is not None
+            status, _, body = await world.ask()
+            self.assertEqual((status, body), (200, BYTES))
+            return world.director.counters, bad
+
+    async def test_a_spoilt_answer_reaches_no_client_and_another_cache_is_asked(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\n"
+        for raw in (
+            head + b"Content-Length: 5\r\nContent-Length: 9\r\n\r\nabcde",
+            head + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            head + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 1000,
+            head + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nnoise\r\n",
+            head + b"\r\nno length, so no end that can be told",
+            head + b"X-Pad: pppppppppppppppppppp\r\n" * 2_000,
+            b"\x00\x01 noise",
+        ):
+            with self.subTest(raw[:70]):
+                counters, bad = await self.spoilt_by(raw)
+                self.assertEqual(len(bad.heard), 1)
+                self.assertEqual((counters["caches.unreadable_answer"], counters["answers.cut"]), (1, 0))
+
+    async def test_what_lies_behind_an_answer_is_never_taken_for_the_next_one(self) -> None:
+        copy = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"
+        for behind in (copy, b"noise", b"\r\n\r\nHTTP/1.1 200"):
+
+            async def script(heard: Heard, behind: bytes = behind) -> None:
+                heard.writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n")
+                raw = f"HTTP/1.1 200 OK\r\nContent-Length: {len(heard.path)}\r\n\r\n{heard.path}".encode()
+                heard.writer.write(raw + behind)
+
+            cache = ScriptedPeer(script)
+            async with Rehearsal([cache]) as world:
+                reader, writer = await world.client()
+                paths = [f"/lot-page/{key:x}/0" for key in range(4)]
+                for path in paths:  # all at once: the next attempt is ready as soon as a connection is free
+                    writer.write(request(f"/invoke{path[:-2]}"))
+                answers = [await read_message(reader) for _ in paths]
+                writer.close()
+            self.assertEqual([body.decode() for _, _, body in answers], [f"/o{path}" for path in paths])
+            self.assertEqual(cache.connections, 4)
+
+    async def test_what_was_dialled_at_an_old_address_carries_nothing_for_the_new_one(self) -> None:
+        old, new = ScriptedPeer(hit), await ScriptedPeer(hit).start()
+        async with Rehearsal([old]) as world:
+            assert world.director is not None
+            caches = world.director.caches
+            await world.ask()
+            (connection,) = caches.upstreams["c1"].idle
+            caches.upstreams["c1"].idle.clear()
+            world.coordinator.tell_list(new)  # the same server at another place
+            await until(lambda: world.director is not None and world.director.feed.last == 2)
+            caches.upstreams["c1"].rest(connection)
+            await world.ask()
+            gone = ScriptedPeer(hit, state="DELETED", address=new.address)
+            world.coordinator.tell_list(gone)
+            await until(lambda: not caches.upstreams)
+        new.stop()
+        self.assertEqual((len(old.heard), len(new.heard)), (1, 1))
+
     async def test_a_bid_that_may_have_run_is_never_sent_again(self) -> None:
         cache, origin = ScriptedPeer(reset), ScriptedPeer(reset, "o", "origin", "north")
         async with Rehearsal([cache, origin]) as world:
