--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -54,7 +54,8 @@
         self.exchange = Exchange(config, unix_ms, self.deadlines, self.counters, self._module_says)
         self.caches = Caches(self.exchange, config, unix_ms, self.deadlines, self.counters)
         self.exchange.upstreams = self.caches
-        self.front = ClientFront(self.exchange, self.counters)
+        places = config.settings.places
+        self.front = ClientFront(self.exchange, places, unix_ms, self.deadlines, self.counters)
         self.feed = Feed(self.exchange, config, unix_ms, self.counters)
         self.follower = Follower(self.feed, config.coordinator, self.deadlines, self.log.info)
         self._ended: asyncio.Future[None] = loop.create_future()
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -7,26 +7,39 @@
 import re
 import socket
 from collections import deque
+from collections.abc import Callable
 from typing import cast
 
 import httptools
 
 from ..config import Address
 from ..counters import Counters
+from ..deadlines import Deadlines
 from ..exchange import Ask, Exchange, Final, Head
 
 BODY_MOST = 64 * 1024  # a write carries at most 48,000 bytes
 HEADERS_MOST = 16 * 1024
+WAIT_MOST_MS = 600_000.0  # no class has patience for as long
 BACKLOG = 1024
 WAITING_MOST = 8  # requests that a client may have sent ahead on one connection
+ASK_MS = 2_000.0  # a whole request must have come this long after its connection, or its first byte
+REST_MS = 4_500.0  # clients close a connection that was idle for 4 s; one that does not is closed here
+LINGER_MS = 1_000.0  # how long a refused client's input is read and dropped, so that it sees the refusal
+SPEAK_MS = 50.0  # a new connection has this long to speak before it may make room for another
+SWEEP_MS = 100.0
+SPARE_PLACES = 32  # connections over the clients' part of the descriptors, while others are on their way out
 CLASS = re.compile(r"[A-Za-z0-9._~-]{1,64}\Z")
 OBJECT = re.compile(r"[0-9A-Fa-f]{1,16}\Z")
-TRACE = re.compile(r"[0-9A-Fa-f]{1,32}\Z")
+TRACE = re.compile(r"[0-9A-Fa-f]{16}\Z")
+NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,20})?\Z")
+SINGLE = {b"host", b"content-length", b"transfer-encoding", b"trace-id", b"max-wait-ms", b"x-batch"}
 TAG = re.compile(r'(?:W/)?"([\x21\x23-\x7e]*)"\Z')
 REASONS = {
     400: b"Bad Request",
     404: b"Not Found",
     405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
     502: b"Bad Gateway",
@@ -44,11 +57,7 @@
     text = headers.get(name)
     if text is None and default is not None:
         return default
-    try:
-        value = float(text or b"")
-    except ValueError:
-        raise BadRequest(400) from None
-    if not math.isfinite(value) or not 0.0 <= value <= most:
+    if text is None or not NUMBER.match(text) or not 0.0 <= (value := float(text)) <= most:
         raise BadRequest(400)
     return value
 
@@ -64,7 +73,9 @@
     for pair in query.split("&"):
         if pair.startswith("nth="):
             part = pair[4:]
-    trace, group = headers.get(b"trace-id", b"").decode("latin-1"), _number(headers, b"x-batch", 65_535, 0.0)
+    trace, group = headers.get(b"trace-id", b"").decode("latin-1"), _number(headers, b"x-batch", 255, 0.0)
+    if body and method == "GET":
+        raise BadRequest(400)
     good = CLASS.match(parts[2]) and OBJECT.match(parts[3]) and TRACE.match(trace)
     if not good or not (part.isascii() and part.isdigit() and len(part) < 10) or group % 1.0:
         raise BadRequest(400)
@@ -77,7 +88,7 @@
         object_name=parts[3],
         key=int(parts[3], 16),
         part=int(part),
-        wait_ms=_number(headers, b"max-wait-ms", 86_400_000.0),
+        wait_ms=_number(headers, b"max-wait-ms", WAIT_MOST_MS),
         size_kb=_number(headers, b"reserve-kb", 1e9, 0.0),
         group=int(group),
         tag=tag.group(1) if tag else None,
@@ -94,7 +105,11 @@
         self.parser = httptools.HttpRequestParser(self)
         self.waiting: deque[Ask | int] = deque()  # read, but not yet begun: an int is a status to answer
         self.number: int | None = None  # the request that is open
+        self.ask: Ask | None = None
         self.chunked = self.last = self.taking = False
+        self.refused = self.leaving = False  # its input is dropped; it makes room for another
+        self.asked = False  # a whole request has ever come
+        self.partial = self.headed = False  # a request is half read; its head is whole
         self.url, self.size = b"", 0
         self.headers: dict[bytes, bytes] = {}
         self.content: list[bytes] = []
@@ -103,22 +118,27 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
-        self.front.connections.add(self)
-        self.front.counters.add("clients.connected")
+        self.front.arrived(self)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.front.connections.discard(self)
         self.transport = None
         self.waiting.clear()
         if self.number is not None:
             number, self.number = self.number, None
+            self._release()
             self.front.exchange.gone(number)
+        self.front.left(self)
 
     def data_received(self, data: bytes) -> None:
         if self.last:
             return
+        in_head = self.partial and not self.headed
         try:
             self.parser.feed_data(data)
+            if in_head and self.partial and not self.headed:  # none of its fields may ever end
+                self._grow(len(data), HEADERS_MOST, 431)
+        except BadRequest as error:
+            self._refuse_input(error.status)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__ or error.__cause__
             if not isinstance(cause, BadRequest):
@@ -127,6 +147,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse_input(400)
         self._next()
+        if self.waiting and self.transport is not None:  # guards memory: requests ahead stay with the client
+            self.transport.pause_reading()
 
     def eof_received(self) -> bool:
         return False  # a client that has closed its side waits for nothing
@@ -143,18 +165,28 @@
 
     def on_message_begin(self) -> None:
         self.url, self.size, self.headers, self.content = b"", 0, {}, []
+        self.partial, self.headed = True, False
 
     def on_url(self, url: bytes) -> None:
         self._grow(len(url), HEADERS_MOST, 431)
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.size += len(name) + len(value)
-        if self.size > HEADERS_MOST:
-            raise BadRequest(431)
-        self.headers[name.lower()] = value
+        self._grow(len(name) + len(value), HEADERS_MOST, 431)
+        name = name.lower()
+        if name in self.headers and name in SINGLE:  # which of the two counts, others may see otherwise
+            raise BadRequest(400)
+        self.headers[name] = value
 
     def on_headers_complete(self) -> None:
+        self.size, self.headed = 0, True
+        length, coding = self.headers.get(b"content-length"), self.headers.get(b"transfer-encoding")
+        # Guards against a body whose end can be seen in two ways: it may hide another request.
+        if coding is not None and (length is not None or coding.lower() != b"chunked"):
+            raise BadRequest(400)
+        if length is not None and (not length.isdigit() or len(length) > 15):
+            raise BadRequest(400)
+        self._grow(int(length or b"0"), BODY_MOST, 413)
         self.size = 0
         if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -164,7 +196,7 @@
         self.content.append(body)
 
     def on_message_complete(self) -> None:
-        self.last = not self.parser.should_keep_alive()
+        self.last, self.partial, self.asked = not self.parser.should_keep_alive(), False, True
         try:
             url = httptools.parse_url(self.url)
             path, query = (url.path or b"").decode("latin-1"), (url.query or b"").decode("latin-1")
@@ -172,7 +204,8 @@
             if path == "/_health" and method == "GET":
                 self.waiting.append(200)
             else:
-                self.waiting.append(read_ask(method, path, query, self.headers, b"".join(self.content)))
+                ask = read_ask(method, path, query, self.headers, b"".join(self.content))
+                self.waiting.append(self.front.status_of(ask) or ask)
         except BadRequest as error:
             self.waiting.append(error.status)
         except httptools.HttpParserError:
@@ -188,7 +221,17 @@
     def _refuse_input(self, status: int) -> None:
         """What came can't be read on from here: one answer more, then the connection closes."""
         self.waiting.append(status)
-        self.last = True
+        self.last = self.refused = True
+
+    def time_up(self) -> None:
+        """The request that has begun to come has not come whole in its time."""
+        self._refuse_input(408)
+        self._next()
+
+    def leave(self) -> None:
+        self.leaving = True
+        if self.transport is not None:
+            self.transport.abort()
 
     def _next(self) -> None:
         """Take requests in their order, one at a time."""
@@ -197,17 +240,26 @@
         self.taking = True  # an answer at once comes back here
         while self.number is None and self.waiting and self.transport is not None:
             ask = self.waiting.popleft()
+            if not isinstance(ask, int) and not self.front.claim(ask):
+                ask = 409
             if isinstance(ask, int):
                 if ask != 200:
                     self.front.counters.add(f"clients.bad_input_{ask}")
                 self._write_status(ask)
                 self._after_answer()
             else:
+                self.ask = ask
                 self.number = -1  # stands for the number until it is known: an answer may come before it
                 number = self.front.exchange.take(ask, self)
                 if self.number == -1:
                     self.number = number
         self.taking = False
+        self.front.settle(self)
+
+    def _release(self) -> None:
+        ask, self.ask = self.ask, None
+        if ask is not None:
+            self.front.release(ask)
 
     # The exchange's calls
 
@@ -232,6 +284,7 @@
 
     def cut(self) -> None:
         self.number = None
+        self._release()
         if self.transport is not None:
             self.transport.abort()
 
@@ -261,20 +314,45 @@
 
     def _after_answer(self) -> None:
         self.number = None
-        if self.transport is not None and self._ends_here():
-            self.transport.close()
+        self._release()
+        if self.transport is not None and not self.waiting:
+            if self.refused:
+                self.front.linger(self)
+            elif self._ends_here():
+                self.transport.close()
+            else:
+                self.transport.resume_reading()
         self._next()
 
 
 class ClientFront:
-    """Listens for clients; once `closing`, connections end with the answer they have open."""
-
-    def __init__(self, exchange: Exchange, counters: Counters) -> None:
-        self.exchange, self.counters = exchange, counters
+    """Listens for clients; once `closing`, connections end with the answer they have open.
+
+    Clients may hold their part of the descriptors. Whoever owes a request or rests has a limit of time, and
+    makes room when others come: first who was refused, then who rests, then who has come and says nothing.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        places: int,
+        clock: Callable[[], float],
+        deadlines: Deadlines,
+        counters: Counters,
+    ) -> None:
+        self.exchange, self.places, self.clock = exchange, places, clock
+        self.deadlines, self.counters = deadlines, counters
         self.connections: set[ClientConnection] = set()
+        # Connections without an open request, each kind in the order of time since when it is so.
+        self.owing: dict[ClientConnection, float] = {}
+        self.resting: dict[ClientConnection, float] = {}
+        self.lingering: dict[ClientConnection, float] = {}
+        self.leaving = 0  # connections told to end that still hold their descriptor
+        self.open: dict[str, tuple[str, str, int, int]] = {}  # by id: what is asked for, and how often
         self.closing = False
         self.address: Address = ("", 0)
         self._listener: socket.socket | None = None
+        self._listening = False
         self._opening: set[asyncio.Task[object]] = set()
 
     def listen(self, address: Address) -> None:
@@ -283,31 +361,138 @@
         self._listener.setblocking(False)
         host, port = self._listener.getsockname()[:2]
         self.address = (host, port)
-        asyncio.get_running_loop().add_reader(self._listener, self.accept)
+        self._resume()
+        self.sweep()
 
     def accept(self) -> None:
-        """Take every connection that waits.
+        """Take every connection that waits, as long as there is room.
 
         Guards against the loop's own server, which takes one a turn: with hundreds of clients coming at once
         and turns of some milliseconds, a request lay unread for most of a second, past its client's patience.
+        Guards, too, against taking what there is no descriptor for, which would spin: who finds no room waits
+        unaccepted until somebody has left.
         """
         loop = asyncio.get_running_loop()
         while self._listener is not None:
+            held = len(self.connections) + len(self._opening)
+            if held >= self.places + SPARE_PLACES:
+                return self._pause()
             try:
                 peer, _ = self._listener.accept()
             except BlockingIOError:
                 return
-            except OSError:  # no descriptor left, or the peer has gone: the next turn tries again
-                return self.counters.add("clients.accept_failed")
+            except OSError:  # no descriptor left, or the peer has gone: the next sweep tries again
+                self.counters.add("clients.accept_failed")
+                return self._pause()
+            if held - self.leaving >= self.places:
+                self._make_room()
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = loop.create_task(loop.connect_accepted_socket(lambda: ClientConnection(self), peer))
             self._opening.add(task)
             task.add_done_callback(self._opening.discard)
 
+    def _make_room(self) -> None:
+        """The longest idle goes; one with an open request never does."""
+        for kind, patience in ((self.lingering, 0.0), (self.resting, 0.0), (self.owing, SPEAK_MS)):
+            for connection, since in kind.items():
+                if self.clock() - since >= patience:
+                    self.counters.add("clients.made_room")
+                    return self._end(connection)
+                break  # the others of its kind have been so for less
+
+    def _end(self, connection: ClientConnection) -> None:
+        self._no_kind(connection)
+        if not connection.leaving:
+            self.leaving += 1
+            connection.leave()
+
+    def _pause(self) -> None:
+        if self._listening and self._listener is not None:
+            self._listening = False
+            asyncio.get_running_loop().remove_reader(self._listener)
+
+    def _resume(self) -> None:
+        if not self._listening and self._listener is not None:
+            self._listening = True
+            asyncio.get_running_loop().add_reader(self._listener, self.accept)
+
+    def sweep(self) -> None:
+        """Ten times a second: who has owed a request, rested or been drained for too long."""
+        now = self.clock()
+        for connection in [c for c, since in self.owing.items() if now - since > ASK_MS]:
+            self.counters.add("clients.asked_nothing")
+            if connection.partial:
+                connection.time_up()
+            else:
+                self._end(connection)
+        for kind, most in ((self.resting, REST_MS), (self.lingering, LINGER_MS)):
+            for connection in [c for c, since in kind.items() if now - since > most]:
+                self._end(connection)
+        self._resume()
+        self.deadlines.add(now + SWEEP_MS, self.sweep)
+
+    # The connections' calls.
+
+    def arrived(self, connection: ClientConnection) -> None:
+        self.connections.add(connection)
+        self.counters.add("clients.connected")
+        self.settle(connection)
+
+    def left(self, connection: ClientConnection) -> None:
+        self.connections.discard(connection)
+        self._no_kind(connection)
+        self.leaving -= connection.leaving
+        self._resume()
+
+    def settle(self, connection: ClientConnection) -> None:
+        """Note whether a connection has a request open, owes one or rests."""
+        if connection not in self.connections or connection.refused or connection.leaving:
+            return
+        if connection.number is not None or connection.waiting:
+            self._no_kind(connection)
+        elif connection.partial or not connection.asked:
+            self.resting.pop(connection, None)
+            self.owing.setdefault(connection, self.clock())
+        else:
+            self.owing.pop(connection, None)
+            self.resting.setdefault(connection, self.clock())
+
+    def linger(self, connection: ClientConnection) -> None:
+        """Guards against a close over unread input, which would reset the refusal just written away."""
+        self._no_kind(connection)
+        assert connection.transport is not None
+        connection.transport.resume_reading()
+        connection.transport.write_eof()
+        self.lingering.setdefault(connection, self.clock())
+
+    def _no_kind(self, connection: ClientConnection) -> None:
+        for kind in (self.owing, self.resting, self.lingering):
+            kind.pop(connection, None)
+
+    def status_of(self, ask: Ask) -> int | None:
+        """What a request is answered that no cache could use: it is not passed on."""
+        cls = self.exchange.core.classes.get(ask.class_name)
+        if cls is None:
+            return 404
+        return 405 if cls.write and ask.method != "PUT" else None
+
+    def claim(self, ask: Ask) -> bool:
+        """Guards against the id of an open request with another object: caches know a request by its id."""
+        name, target, part, count = self.open.get(ask.trace, (ask.class_name, ask.object_name, ask.part, 0))
+        if (name, target, part) != (ask.class_name, ask.object_name, ask.part):
+            return False
+        self.open[ask.trace] = (name, target, part, count + 1)
+        return True
+
+    def release(self, ask: Ask) -> None:
+        name, target, part, count = self.open.pop(ask.trace)
+        if count > 1:
+            self.open[ask.trace] = (name, target, part, count - 1)
+
     def close(self) -> None:
         self.closing = True
         if self._listener is not None:
-            asyncio.get_running_loop().remove_reader(self._listener)
+            self._pause()
             self._listener.close()
             self._listener = None
         for connection in list(self.connections):
