SIGHUP takes a new configuration and moves the feed; unread input never makes room

Now director.py reads and checks the file again; a bad one is one log line. Each part takes its values, open requests live on, and the feed follows at the new address from its last number. The coordinator's waits stay within 400 ms; a number ahead of the last event, or half a line, is asked for again.

--- a/gladewalk/config.py
+++ b/gladewalk/config.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from . import interface as api
+from .logic import check
 from .settings import SettingsError, either, need, read_roles, read_settings
 
 Address = tuple[str, int]
@@ -67,6 +68,10 @@
     if not isinstance(events, list) or not all(isinstance(event, dict) for event in events):
         raise ConfigError("known: 'updates' is not a list of objects")
     sockets = int(either(own_limits.get("sockets"), 1024))
+    # HTTP has a field for advice to a refused client, whatever the simulator's clients are given.
+    # Clients hold a third of the descriptors at most, with one request on each.
+    module = replace(read_settings(settings), retry_advice=True, places=sockets // 3)
+    check(module)
     return Config(
         name=environ.get("NODE_NAME") or str(raw.get("name", "director")),
         listen=read_address(environ.get("NODE_LISTEN") or raw.get("listen")),
@@ -75,9 +80,7 @@
         sockets=sockets,
         connect_timeout_ms=float(either(limits.get("connect_timeout_ms"), 400.0)),
         conn_idle_ms=float(either(limits.get("conn_idle_ms"), 15_000.0)),
-        # HTTP has a field for advice to a refused client, whatever the simulator's clients are given.
-        # Clients hold a third of the descriptors at most, with one request on each.
-        settings=replace(read_settings(settings), retry_advice=True, places=sockets // 3),
+        settings=module,
         roles=read_roles(settings),
         known_index=int(either(known.get("index"), 0)),
         known=tuple(events),
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -1,15 +1,16 @@
-"""The program put together: the parts, the loop's turn, and the two ways in which it ends."""
+"""The program put together: the parts, the loop's turn, a new configuration, and the end."""
 
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import time
 from collections.abc import Callable
 
 import structlog
 
-from .config import Config
+from .config import Config, ConfigError, load
 from .counters import Counters
 from .deadlines import Deadlines
 from .dns.front import DnsFront
@@ -72,6 +73,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then answer all that was taken."""
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)  # unheeded, it would end the process
         await self.start()
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
         self.loop.add_signal_handler(signal.SIGINT, self.stop)
@@ -81,6 +83,29 @@
         await self._ended
         self.report()
 
+    def reload(self) -> None:
+        """SIGHUP: read the configuration file again; one that cannot be used leaves the old one in force."""
+        try:
+            config = load(os.environ)
+        except ConfigError as error:
+            self.counters.add("reloads.refused")
+            self.log.error("configuration kept", why=str(error))
+        else:
+            self.counters.add("reloads.done")
+            self.apply(config)
+
+    def apply(self, config: Config) -> None:
+        """Every part takes what it can while it runs; open requests live on under the old terms."""
+        if config.listen != self.config.listen:
+            self.log.warning("another address to listen at is taken up at a restart", listen=config.listen)
+        self.config = config
+        self.exchange.core.configure(config.settings)
+        self.caches.configure(config)
+        self.front.places = config.settings.places
+        self.feed.roles = config.roles
+        self.follower.move(config.coordinator)
+        self.log.info("configuration taken", coordinator=config.coordinator, last=self.feed.last)
+
     def stop(self) -> None:
         if not self._stopping:
             self._stopping = True
--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -2,8 +2,7 @@
 
 Events come in, actions go out; both are the small types of `interface.py`, read that first. A request goes to
 the one cache of its location that its object hashes to (the home). What the home lacks is filled from a
-remembered holder, else from the hub's parent, spilling to other parents and last to the origin, each within a
-measured share of concurrent fills. The mechanism is that of the paper cited in docs/design.md.
+remembered holder, else from the hub's parent, then others and the origin, each within a measured share.
 """
 
 from __future__ import annotations
@@ -13,13 +12,14 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from typing import Any
 
 from . import interface as api
 from .interface import Effect, Note, Role, Scope, ServerState, Status
 
 # Constants: unit, reason, source.
 MEMORY_MS = 30_000.0  # a holder's memory fades in this (ms); the design page
-MEMORY_OBJECTS = 8192  # objects remembered at most; bounds memory (ours)
+OBJECTS_KNOWN = 8192  # objects whose holders, or whose sending time, are known at most (ours)
 SHARE_START = 2.0  # concurrent fills a source gets at first; the design page
 SHARE_FLOOR = 1.0  # one trial is always allowed; the design page
 SHARE_MOST = 64.0  # fills; keeps a share from growing past what a halving can undo (ours)
@@ -47,9 +47,8 @@
 PATIENCE = 0.25  # part of the aim that a fill waits for a busy parent before the origin may take it (ours)
 LINK_GUESS = 0.5  # an untold link in over its caches' links: about what misses draw at full load (ours)
 CROWD_SPREAD = 0.8  # standard deviations that our part of its traffic may lie over the mean (ours)
-SIZES_KNOWN = 8192  # objects whose sending time is remembered at most; bounds memory (ours)
 YOUNG_MS = 300.0  # an age bound under this makes a lookup pointless: nothing can be so young (ms, ours)
-ORDERS_KEPT = 32_768  # objects whose order of homes is kept at most; bounds memory (ours)
+ORDERS_KEPT = 8_192  # objects whose order of homes is kept at most; bounds memory (ours)
 PLACES_PART = 0.9  # part of the places for clients that we fill by choice: the rest takes bursts (ours)
 PRICE_LEAST = 2e-3  # worth a ms that a place costs at first, at which nothing is shed (ours)
 PRICE_MOST = 0.01  # and at the most: small requests pass even while silent servers hold all places (ours)
@@ -71,6 +70,14 @@
     return value ^ (value >> 31)
 
 
+def _keep(store: dict[Object, Any], obj: Object, value: Any) -> None:
+    """Put last what is known of an object; what was put longest ago goes when there is too much."""
+    store.pop(obj, None)
+    store[obj] = value
+    if len(store) > OBJECTS_KNOWN:
+        del store[next(iter(store))]
+
+
 class _Server:
     """What this dispatcher knows and has inferred of a cache, a parent or the origin."""
 
@@ -124,11 +131,8 @@
     """One dispatcher's decisions. `handle` takes an event and gives the actions that answer it."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        _check(settings)
-        self.settings = settings
         self.random = random.Random(seed)
-        self.classes = {cls.name: cls for cls in settings.classes}
-        self.work_ms = {cls.name: cls.aim_ms for cls in settings.classes}  # mean sending time, learned
+        self.work_ms: dict[str, float] = {}  # mean sending time by class, learned
         self.servers: dict[str, _Server] = {}
         self.open: dict[int, _Open] = {}
         self.flights: dict[tuple[int, int], tuple[_Flight, _Open]] = {}
@@ -150,11 +154,19 @@
         self.price = PRICE_LEAST  # worth that a ms of a client's place costs
         self.born_ms, self.now = -1.0, 0.0
         self.actions: list[api.Action] = []
-        zones = settings.zones
+        self.configure(settings)
+
+    def configure(self, settings: api.Settings) -> None:
+        """Take settings, at the start or later; what was learned stays, open requests keep their class."""
+        check(settings)
+        self.settings, zones = settings, settings.zones
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.work_ms = {cls.name: cls.aim_ms for cls in settings.classes} | self.work_ms
         self.hub = self._hub_of(settings.zone)
         counts = settings.dispatchers_by_zone or (settings.dispatchers,) * len(zones)
         self.here = max(1, counts[zones.index(settings.zone)] if settings.zone in zones else 1)
         self.near = max(1, sum(n for n, z in zip(counts, zones, strict=False) if self._hub_of(z) == self.hub))
+        self._index()
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         self.now, self.actions = max(now_ms, self.now), []
@@ -195,7 +207,8 @@
         if cls is None:  # never sent anywhere, so trying again is harmless
             return self._do(api.Refuse(request.id))
         if request.size_kb and self.settings.client_kb_per_s:
-            self._learn_work(cls, request.size_kb / self.settings.client_kb_per_s * 1000.0)
+            took = request.size_kb / self.settings.client_kb_per_s * 1000.0
+            self._learn_work(cls, min(took, cls.deadline_ms))  # nobody's claim of more counts
         self.retries = min(RETRY_MOST, self.retries + RETRY_RATE)
         entry = self.open[request.id] = _Open(request, cls, self.now)
         # While the origin rests no fill comes in time: a copy in its grace does.
@@ -467,7 +480,7 @@
             if not r.request.size_kb:
                 took = o.took_ms / max(1.0, len(host.flights) * self.here / max(1.0, host.info.size))
                 self._learn_work(r.cls, took)
-                self._learn_size(r.obj, took)
+                _keep(self.sizes, r.obj, took)
         if host.info.role is not Role.ORIGIN and not r.cls.write:
             self._remember(r, host.info.name)
         if source is None:
@@ -485,11 +498,8 @@
                 self._remember(r, source.info.name)
 
     def _remember(self, r: _Open, name: str) -> None:
-        holders = self.memory.pop(r.obj, {})
-        holders[name] = self.now
-        self.memory[r.obj] = holders
-        if len(self.memory) > MEMORY_OBJECTS:
-            del self.memory[next(iter(self.memory))]
+        lately = {n: at for n, at in self.memory.get(r.obj, {}).items() if self.now - at < MEMORY_MS}
+        _keep(self.memory, r.obj, lately | {name: self.now})
 
     def _holders(self, r: _Open) -> list[_Server]:
         """Remembered holders: seen after the object's last purge and their own last start, not faded."""
@@ -510,12 +520,6 @@
             return r.request.size_kb / pace * 1000.0
         return self.sizes.get(r.obj, self.work_ms[r.cls.name])
 
-    def _learn_size(self, obj: Object, least_ms: float) -> None:
-        self.sizes.pop(obj, None)
-        self.sizes[obj] = least_ms
-        if len(self.sizes) > SIZES_KNOWN:
-            del self.sizes[next(iter(self.sizes))]
-
     def _heard(self, s: _Server) -> None:
         if s.heard_ms:
             s.gap_ms += SMOOTH * (min(self.now - s.heard_ms, 1_000.0) - s.gap_ms)
@@ -640,11 +644,8 @@
             return  # an attempt is still out and may answer
         everywhere = r.cls.effect is Effect.KEYED and r.cls.scope is Scope.ALL
         harmless = r.cls.effect is Effect.SAFE or r.ran_at is None or everywhere
-        self._finish(r, self._refusal(r) if harmless else api.Fail(r.request.id))
-
-    def _refusal(self, r: _Open) -> api.Refuse:
         advice = min(ADVICE_MS, self.settings.max_retry_after_ms) if self.settings.retry_advice else 0.0
-        return api.Refuse(r.request.id, advice)
+        self._finish(r, api.Refuse(r.request.id, advice) if harmless else api.Fail(r.request.id))
 
     def _finish(self, r: _Open, action: api.Refuse | api.Fail) -> None:
         self._do(action)
@@ -821,7 +822,7 @@
         return min(steps, ring - steps)
 
 
-def _check(settings: api.Settings) -> None:
+def check(settings: api.Settings) -> None:
     """Settings that cannot be: named at once, not found out later."""
     if not settings.classes:
         raise ValueError("classes: at least one is needed")
--- a/gladewalk/net/caches.py
+++ b/gladewalk/net/caches.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections import deque
 from collections.abc import Callable, Collection
 from functools import lru_cache
@@ -17,6 +16,7 @@
 from ..deadlines import Deadlines, Key
 from ..exchange import Attempt, End, Exchange, Head
 from ..settings import DETAILS, read_load
+from .sockets import is_quiet
 
 OWN_DESCRIPTORS = 48  # left to the program itself: listeners, the coordinator, logs, connects that overlap
 UPSTREAM_PART = 0.6  # of the descriptors; clients hold up to a third
@@ -25,7 +25,6 @@
 PROBE_TIMEOUT_MS = 250.0
 HEAD_MOST = 16 * 1024  # bytes before an answer's body, interim answers among them
 OBJECT_MOST = 240_000  # bytes of an object: an answer that claims more is none
-READY = select.POLLIN | select.POLLERR | select.POLLHUP
 REMARKS = dict(
     zip(
         (
@@ -178,11 +177,7 @@
 
         Guards against bytes behind an answer that still lie unread: they would be taken for the next one's.
         """
-        if self.transport is None or self.transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), READY)
-        return not poll.poll(0)
+        return self.transport is not None and is_quiet(self.transport)
 
     def data_received(self, data: bytes) -> None:
         if self.job is None:  # nothing was asked: no peer that keeps the protocol says anything now
@@ -336,14 +331,18 @@
         deadlines: Deadlines,
         counters: Counters,
     ) -> None:
-        self.exchange, self.config, self.clock = exchange, config, clock
+        self.exchange, self.clock = exchange, clock
         self.deadlines, self.counters = deadlines, counters
         self.upstreams: dict[str, Upstream] = {}
-        self.most = max(8, int(config.sockets * UPSTREAM_PART) - OWN_DESCRIPTORS)
+        self.configure(config)
         self.live: set[CacheConnection] = set()
         self.dialling: set[Dial] = set()
         self.queue: deque[Dial] = deque()  # dials that wait until a connection may be opened
 
+    def configure(self, config: Config) -> None:
+        self.config = config
+        self.most = max(8, int(config.sockets * UPSTREAM_PART) - OWN_DESCRIPTORS)
+
     def sweep(self) -> None:
         """Once a second: what has been idle for long closes from this side first."""
         now = self.clock()
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import re
 import socket
@@ -16,6 +17,7 @@
 from ..counters import Counters
 from ..deadlines import Deadlines
 from ..exchange import Ask, Exchange, Final, Head
+from .sockets import is_quiet
 
 BODY_MOST = 64 * 1024  # a write carries at most 48,000 bytes
 HEADERS_MOST = 16 * 1024
@@ -25,7 +27,8 @@
 ASK_MS = 2_000.0  # a whole request must have come this long after its connection, or its first byte
 REST_MS = 4_500.0  # clients close a connection that was idle for 4 s; one that does not is closed here
 LINGER_MS = 1_000.0  # how long a refused client's input is read and dropped, so that it sees the refusal
-SPEAK_MS = 50.0  # a new connection has this long to speak before it may make room for another
+SPEAK_MS = 100.0  # a new connection has this long to speak before it may make room for another
+ROOM_TRIES = 8  # connections looked at for one that may make room
 SWEEP_MS = 100.0
 SPARE_PLACES = 32  # connections over the clients' part of the descriptors, while others are on their way out
 CLASS = re.compile(r"[A-Za-z0-9._~-]{1,64}\Z")
@@ -107,6 +110,8 @@
         self.number: int | None = None  # the request that is open
         self.ask: Ask | None = None
         self.chunked = self.last = self.taking = False
+        self.paused = False
+        self.kind: dict[ClientConnection, float] | None = None  # of the front's kinds without an open request
         self.refused = self.leaving = False  # its input is dropped; it makes room for another
         self.asked = False  # a whole request has ever come
         self.partial = self.headed = False  # a request is half read; its head is whole
@@ -148,6 +153,7 @@
             self._refuse_input(400)
         self._next()
         if self.waiting and self.transport is not None:  # guards memory: requests ahead stay with the client
+            self.paused = True
             self.transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -228,6 +234,10 @@
         self._refuse_input(408)
         self._next()
 
+    def is_quiet(self) -> bool:
+        """Whether nothing that the client has sent lies unread."""
+        return self.transport is None or is_quiet(self.transport)
+
     def leave(self) -> None:
         self.leaving = True
         if self.transport is not None:
@@ -320,7 +330,8 @@
                 self.front.linger(self)
             elif self._ends_here():
                 self.transport.close()
-            else:
+            elif self.paused:
+                self.paused = False
                 self.transport.resume_reading()
         self._next()
 
@@ -384,7 +395,7 @@
             except OSError:  # no descriptor left, or the peer has gone: the next sweep tries again
                 self.counters.add("clients.accept_failed")
                 return self._pause()
-            if held - self.leaving >= self.places:
+            if held - self.leaving >= self.places + SPARE_PLACES // 2:
                 self._make_room()
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = loop.create_task(loop.connect_accepted_socket(lambda: ClientConnection(self), peer))
@@ -392,16 +403,16 @@
             task.add_done_callback(self._opening.discard)
 
     def _make_room(self) -> None:
-        """The longest idle goes; one with an open request never does."""
+        """The longest idle goes; one with a request open, or lying unread, never does."""
+        now = self.clock()
         for kind, patience in ((self.lingering, 0.0), (self.resting, 0.0), (self.owing, SPEAK_MS)):
-            for connection, since in kind.items():
-                if self.clock() - since >= patience:
+            for connection, since in itertools.islice(kind.items(), ROOM_TRIES):
+                if now - since >= patience and (kind is self.lingering or connection.is_quiet()):
                     self.counters.add("clients.made_room")
                     return self._end(connection)
-                break  # the others of its kind have been so for less
 
     def _end(self, connection: ClientConnection) -> None:
-        self._no_kind(connection)
+        self._put(connection, None)
         if not connection.leaving:
             self.leaving += 1
             connection.leave()
@@ -440,34 +451,32 @@
 
     def left(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
-        self._no_kind(connection)
+        self._put(connection, None)
         self.leaving -= connection.leaving
         self._resume()
 
     def settle(self, connection: ClientConnection) -> None:
         """Note whether a connection has a request open, owes one or rests."""
+        if connection.number is not None or connection.waiting:
+            return self._put(connection, None)
         if connection not in self.connections or connection.refused or connection.leaving:
             return
-        if connection.number is not None or connection.waiting:
-            self._no_kind(connection)
-        elif connection.partial or not connection.asked:
-            self.resting.pop(connection, None)
-            self.owing.setdefault(connection, self.clock())
-        else:
-            self.owing.pop(connection, None)
-            self.resting.setdefault(connection, self.clock())
+        self._put(connection, self.owing if connection.partial or not connection.asked else self.resting)
 
     def linger(self, connection: ClientConnection) -> None:
         """Guards against a close over unread input, which would reset the refusal just written away."""
-        self._no_kind(connection)
+        self._put(connection, self.lingering)
         assert connection.transport is not None
         connection.transport.resume_reading()
         connection.transport.write_eof()
-        self.lingering.setdefault(connection, self.clock())
 
-    def _no_kind(self, connection: ClientConnection) -> None:
-        for kind in (self.owing, self.resting, self.lingering):
-            kind.pop(connection, None)
+    def _put(self, connection: ClientConnection, kind: dict[ClientConnection, float] | None) -> None:
+        if connection.kind is not kind:
+            if connection.kind is not None:
+                del connection.kind[connection]
+            connection.kind = kind
+            if kind is not None:
+                kind[connection] = self.clock()
 
     def status_of(self, ask: Ask) -> int | None:
         """What a request is answered that no cache could use: it is not passed on."""
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -18,7 +18,7 @@
 SILENCE_MS = 2_500.0  # a line comes each second: after this long without one the connection is taken for dead
 CONNECT_MS = 1_000.0
 BACKOFF_MS = 50.0  # first wait before a new connection, doubled up to the most; what it tells counts as told
-BACKOFF_MOST_MS = 1_000.0  # 7 s later even if it did not arrive, so the waits stay short
+BACKOFF_MOST_MS = 400.0  # 2 s after a break even if it did not arrive, so the waits stay short
 LINE_MOST = 4 * 1024 * 1024
 
 
@@ -46,13 +46,13 @@
             self.counters.add("coordinator.bad_lines")
             return False
         if isinstance(message, int):
-            return True
+            message = {"index": message}
         if not isinstance(message, dict) or not isinstance(message.get("index"), int):
             self.counters.add("coordinator.bad_lines")
             return False
-        if len(message) == 1 or message["index"] <= self.last:
+        if message["index"] <= self.last:  # one told twice, or the number of the last
             return True
-        if message["index"] != self.last + 1:
+        if len(message) == 1 or message["index"] != self.last + 1:
             self.counters.add("coordinator.gaps")
             return False
         self.last = message["index"]
@@ -87,17 +87,20 @@
 
 
 class CoordinatorConnection(asyncio.Protocol):
-    def __init__(self, follower: Follower) -> None:
-        self.follower = follower
+    def __init__(self, follower: Follower, address: Address) -> None:
+        self.follower, self.address = follower, address
         self.transport: asyncio.Transport | None = None
         self.rest = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
+        if not self.follower.begins(self):
+            return self.transport.abort()
         self.transport.write(f"follow {self.follower.feed.last}\n".encode())
 
     def data_received(self, data: bytes) -> None:
-        self.follower.heard()
+        if not self.follower.heard(self):
+            return
         *lines, self.rest = (self.rest + data).split(b"\n")
         good = all(self.follower.feed.line(line) for line in lines if line.strip())
         if (not good or len(self.rest) > LINE_MOST) and self.transport is not None:
@@ -105,11 +108,14 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
-        self.follower.lost()
+        self.follower.lost(self)
 
 
 class Follower:
-    """Keeps a connection to the coordinator, and replaces it when it ends or falls silent."""
+    """Keeps a connection to the coordinator, and replaces it when it ends or falls silent.
+
+    One connection counts at a time: what an earlier one still says, or its end, is heard no more.
+    """
 
     def __init__(
         self, feed: Feed, address: Address, deadlines: Deadlines, log: Callable[[str], None]
@@ -124,46 +130,72 @@
     def connect(self) -> None:
         if not self.closing:
             self.feed.counters.add("coordinator.connects")
-            self._task = asyncio.get_running_loop().create_task(self._connect())
+            self._task = asyncio.get_running_loop().create_task(self._connect(self.address))
 
-    async def _connect(self) -> None:
+    async def _connect(self, address: Address) -> None:
         try:
             async with asyncio.timeout(CONNECT_MS / 1000.0):
-                _, self.connection = await asyncio.get_running_loop().create_connection(
-                    lambda: CoordinatorConnection(self), *self.address
+                await asyncio.get_running_loop().create_connection(
+                    lambda: CoordinatorConnection(self, address), *address
                 )
         except OSError:  # a time-out is one too
-            self.lost()
-        else:
-            if self.connection.transport is not None:
-                self._watch()
+            self._again()
 
-    def heard(self) -> None:
+    def move(self, address: Address) -> None:
+        """The coordinator has another address from now on: ask there for what comes after the last event."""
+        if address == self.address:
+            return
+        self.address, self.wait_ms = address, BACKOFF_MS
+        self._leave()
+        self.connect()
+
+    # The connection's calls.
+
+    def begins(self, connection: CoordinatorConnection) -> bool:
+        if self.closing or connection.address != self.address:  # dialled before it was moved
+            return False
+        self.connection = connection
+        self._watch()
+        return True
+
+    def heard(self, connection: CoordinatorConnection) -> bool:
+        if connection is not self.connection:
+            return False
         self.wait_ms = BACKOFF_MS
         self._watch()
+        return True
 
-    def lost(self) -> None:
-        self.connection = None
-        self.deadlines.drop(self._due)
-        if self.closing:
-            return
-        self.log("coordinator lost")
-        wait, self.wait_ms = self.wait_ms, min(BACKOFF_MOST_MS, self.wait_ms * 2.0)
-        # Spread, so that directors cut off together don't all come back in one moment.
-        self._due = self.deadlines.add(self.feed.clock() + wait * (0.5 + random.random()), self.connect)
+    def lost(self, connection: CoordinatorConnection) -> None:
+        if connection is self.connection:
+            self.connection = None
+            self.log("coordinator lost")
+            self._again()
 
     def close(self) -> None:
         self.closing = True
+        self._leave()
+
+    def _leave(self) -> None:
         self.deadlines.drop(self._due)
         if self._task is not None:
             self._task.cancel()
-        if self.connection is not None and self.connection.transport is not None:
-            self.connection.transport.abort()
+        connection, self.connection = self.connection, None
+        if connection is not None and connection.transport is not None:
+            connection.transport.abort()
+
+    def _again(self) -> None:
+        self.deadlines.drop(self._due)
+        if self.closing:
+            return
+        wait, self.wait_ms = self.wait_ms, min(BACKOFF_MOST_MS, self.wait_ms * 2.0)
+        # Spread, so that directors cut off together don't all come back in one moment.
+        self._due = self.deadlines.add(self.feed.clock() + wait * (0.5 + random.random()), self.connect)
 
     def _watch(self) -> None:
         self.deadlines.drop(self._due)
         self._due = self.deadlines.add(self.feed.clock() + SILENCE_MS, self._silent)
 
     def _silent(self) -> None:
+        self.feed.counters.add("coordinator.silent")
         if self.connection is not None and self.connection.transport is not None:
             self.connection.transport.abort()
--- a/gladewalk/rehearsal/peers.py
+++ b/gladewalk/rehearsal/peers.py
@@ -110,8 +110,12 @@
 
     def tell(self, **event: Any) -> None:
         self.events.append({"index": len(self.events) + 1, **event})
+        self.write(json.dumps(self.events[-1]).encode() + b"\n")
+
+    def write(self, data: bytes) -> None:
+        """Whatever a coordinator may put on its connections, lines or not."""
         for writer in self._writers:
-            writer.write(json.dumps(self.events[-1]).encode() + b"\n")
+            writer.write(data)
 
     def tell_list(self, *peers: ScriptedPeer, whole: bool = False) -> None:
         self.tell(endpoints={"rev": 1, "all": whole, "targets": [peer.target() for peer in peers]})
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,6 +10,7 @@
 import unittest
 from pathlib import Path
 
+from gladewalk.config import read
 from gladewalk.counters import Counters
 from gladewalk.net.clients import ASK_MS, REST_MS, SPARE_PLACES, BadRequest, read_ask
 from gladewalk.rehearsal.peers import (
@@ -209,16 +210,33 @@
             for _ in range(front.places):
                 self.assertEqual((await world.ask())[0], 200)
             self.assertLessEqual(len(front.connections), front.places + SPARE_PLACES)
-            self.assertGreater(front.counters["clients.made_room"], 0)
             crowd = [await world.client() for _ in range(3 * front.places)]  # more than there is room for
             self.assertLessEqual(len(front.connections), front.places + SPARE_PLACES)
             self.assertEqual((await world.ask())[0], 200)
             self.assertLessEqual(len(front.connections), front.places + SPARE_PLACES)
+            self.assertGreater(front.counters["clients.made_room"], 0)
             for _, writer in crowd:
                 writers.append(writer)
             for writer in writers:
                 writer.close()
 
+    async def test_a_request_that_lies_unread_keeps_its_connection(self) -> None:
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            assert world.director is not None
+            front = world.director.front
+            reader, writer = await world.client()
+            writer.write(request("/invoke/lot-page/a1"))
+            await read_message(reader)
+            (connection,) = front.resting
+            sock = writer.get_extra_info("socket")
+            os.write(sock.fileno(), request("/invoke/lot-page/a1"))  # at once: no turn of the loop in between
+            front._make_room()
+            self.assertFalse(connection.leaving)
+            self.assertIn(" 200 ", (await read_message(reader))[0])
+            front._make_room()
+            self.assertTrue(connection.leaving)
+            writer.close()
+
     async def test_who_owes_a_request_or_rests_has_a_limit_of_time(self) -> None:
         async with Rehearsal([ScriptedPeer(hit)]) as world:
             assert world.director is not None
@@ -355,10 +373,63 @@
                 read_ask("GET", "/invoke/c/1", "", {b"trace-id": b"1f", b"max-wait-ms": value}, b"")
 
 
+class Following(unittest.IsolatedAsyncioTestCase):
+    async def test_a_moved_coordinator_is_asked_at_once_and_the_old_one_heard_no_more(self) -> None:
+        old_cache, new_cache = ScriptedPeer(hit), await ScriptedPeer(hit, "c2").start()
+        other = await Coordinator().start()
+        async with Rehearsal([old_cache]) as world:
+            assert world.director is not None
+            director, feed = world.director, world.director.feed
+            await until(lambda: world.coordinator.follows == [1])
+            other.events = list(world.coordinator.events)
+            other.tell_list(new_cache)
+            raw = config_for([old_cache], world.coordinator)
+            director.apply(read({**raw, "coordinator": other.address}, {}))
+            await until(lambda: feed.last == 2)
+            self.assertEqual(other.follows, [1])
+            world.coordinator.tell_list(old_cache)  # its number 2 is not the one that counts
+            world.coordinator.cut()
+            other.tell_list(ScriptedPeer(hit, "c3", address=new_cache.address))
+            await until(lambda: feed.last == 3)
+            self.assertEqual(set(director.caches.upstreams), {"c1", "c2", "c3"})
+            self.assertEqual((other.follows, len(world.coordinator.follows)), ([1], 1))
+        new_cache.stop()
+        other.stop()
+
+    async def test_half_a_line_a_repeat_and_a_number_ahead_are_made_good(self) -> None:
+        cache = ScriptedPeer(hit)
+        async with Rehearsal([cache]) as world:
+            assert world.director is not None
+            feed, coordinator = world.director.feed, world.coordinator
+            await until(lambda: coordinator.follows == [1])
+            purge = {"evict": {"ref": "a1", "unix_ms": 1.0}}
+            line = json.dumps({"index": 2, **purge}).encode() + b"\n"
+            coordinator.events.append({"index": 2, **purge})
+            coordinator.write(line[:20])
+            coordinator.cut()
+            await until(lambda: feed.last == 2 and coordinator.follows == [1, 1])
+            coordinator.write(line + line)
+            coordinator.tell(**purge)
+            await until(lambda: feed.last == 3)
+            self.assertEqual(feed.counters["coordinator.events"], 3)  # the list, and two purges
+            coordinator.events.append({"index": 4, **purge})
+            coordinator.write(b"4\n")  # the number of one that never came
+            await until(lambda: feed.last == 4)
+            self.assertEqual(coordinator.follows, [1, 1, 3])
+
+    async def test_a_silent_coordinator_is_asked_again(self) -> None:
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            assert world.director is not None
+            await until(lambda: world.coordinator.follows == [1])
+            world.director.follower._silent()  # what the deadline calls
+            await until(lambda: world.coordinator.follows == [1, 1])
+
+
 class Program(unittest.IsolatedAsyncioTestCase):
     async def start(self, config: object) -> asyncio.subprocess.Process:
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             json.dump(config, file)
+        self.file = file.name
         self.addCleanup(os.unlink, file.name)
         return await asyncio.create_subprocess_exec(
             sys.executable, "-m", "gladewalk", cwd=ROOT, env={**os.environ, "NODE_CONFIG": file.name},
@@ -395,6 +466,48 @@
         cache.stop()
         coordinator.stop()
 
+    async def test_sighup_takes_a_new_configuration_and_a_bad_one_changes_nothing(self) -> None:
+        release = asyncio.Event()
+
+        async def held(heard: Heard) -> None:
+            await release.wait()
+            await hit(heard)
+
+        cache = await ScriptedPeer(held).start()
+        coordinator, other = await Coordinator().start(), await Coordinator().start()
+        config = config_for([cache], coordinator)
+        program = await self.start(config)
+        stderr = program.stderr
+        assert stderr is not None
+
+        async def said(event: str) -> dict[str, object]:
+            while (line := json.loads(await stderr.readline()))["event"] != event:
+                pass
+            return dict(line)
+
+        listen = (await said("serving"))["listen"]
+        assert isinstance(listen, list)
+        reader, writer = await asyncio.open_connection(*listen)
+        writer.write(request("/invoke/lot-video/a1"))
+        await until(lambda: len(cache.heard) == 1)
+        for bad in ("{", json.dumps({**config, "settings": {"classes": []}})):
+            Path(self.file).write_text(bad)
+            program.send_signal(signal.SIGHUP)
+            await said("configuration kept")
+        other.events = list(coordinator.events)
+        Path(self.file).write_text(json.dumps({**config, "coordinator": other.address}))
+        program.send_signal(signal.SIGHUP)
+        await said("configuration taken")
+        await until(lambda: other.follows == [1])
+        release.set()
+        self.assertEqual((await read_message(reader))[2], BYTES)  # the open request lived on
+        program.send_signal(signal.SIGTERM)
+        await program.communicate()
+        self.assertEqual(program.returncode, 0)
+        writer.close()
+        for peer in (cache, coordinator, other):
+            peer.stop()
+
     async def test_a_bad_configuration_is_one_line_and_exit_2(self) -> None:
         no_class = {"settings": {"classes": []}, "listen": "127.0.0.1:0", "coordinator": "x"}
         configs: list[object] = [{}, [], no_class]
