A server whose one trial told nothing is tried again; parents are ranked once a request

Checked: counting who gave up showed all of it to be requests parked past their aim for want of a source; the sources' state showed one of two parents with no fill out and its rest over for 10.6 s. Its one trial had ended as cancelled, its client having left, and _usable waits for a trial's word for ever. Ruled out: shares (64 at the other parent) and the price of places (at its least). Now another trial may go once none is out. A sampling profile had 21 % of the core in _pump, mostly ranking the hub's parents anew for each waiting request: that is done once a request.

--- a/gladewalk/__main__.py
+++ b/gladewalk/__main__.py
@@ -7,10 +7,12 @@
 
 import argparse
 import asyncio
+import contextlib
 import gc
 import json
 import os
 import sys
+from typing import TextIO, cast
 
 import structlog
 import uvloop
@@ -20,6 +22,18 @@
 from .dns.names import DnsConfig, load_dns
 
 
+class Quiet:
+    """Guards against a log whose reader has gone: a line that cannot be written is no reason to stay."""
+
+    def write(self, text: str) -> None:
+        with contextlib.suppress(OSError, ValueError):
+            sys.stderr.write(text)
+
+    def flush(self) -> None:
+        with contextlib.suppress(OSError, ValueError):
+            sys.stderr.flush()
+
+
 def set_up_logs() -> None:
     structlog.configure(
         processors=[
@@ -27,7 +41,7 @@
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.JSONRenderer(serializer=json.dumps),
         ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(cast(TextIO, Quiet())),
         cache_logger_on_first_use=True,
     )
 
--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -125,6 +125,7 @@
         self.ran_at: api.Server | None = None  # where it may have run first, and when it was sent there
         self.ran_ms = 0.0
         self.parked = self.begun = self.stale = False
+        self.ranked: tuple[list[_Server], list[_Server]] = [], []  # the hub's parents, and in its order
 
 
 class Dispatcher:
@@ -316,9 +317,10 @@
 
     def _parents(self, r: _Open) -> list[_Server]:
         """The hub's parents in hash order, then the others, soonest first bytes first."""
-        hub = self._ranked([s for s in self.hub_parents if self._usable(s)], r.obj)
-        others = [s for s in self.far_parents if self._usable(s)]
-        return hub + sorted(others, key=lambda s: (s.first_byte_ms, s.info.name))
+        if r.ranked[0] is not self.hub_parents:  # once a request, however often it is tried
+            r.ranked = self.hub_parents, self._ranked(self.hub_parents, r.obj)
+        far = sorted(self.far_parents, key=lambda s: (s.first_byte_ms, s.info.name))
+        return [s for s in (*r.ranked[1], *far) if self._usable(s)]
 
     def _siblings(self, r: _Open) -> list[_Server]:
         """The object's home in one other location, mostly of the own hub: each trial asks another one."""
@@ -540,10 +542,10 @@
             s.blocked_until = self.now + min(BACKOFF_MOST_MS, rest)
 
     def _usable(self, s: _Server) -> bool:
-        """Listed ready and not resting; after its rest one trial at a time."""
+        """Listed ready and not resting; after its rest one trial at a time, another if it told nothing."""
         if s.info.state is not ServerState.READY or self.now < s.blocked_until:
             return False
-        return s.blocked_until == 0.0 or s.last_sent < s.blocked_until
+        return s.blocked_until == 0.0 or s.last_sent < s.blocked_until or not s.flights
 
     def _on_timer(self, timer: api.Timer) -> None:
         if timer.token != "sweep":
@@ -589,11 +591,10 @@
 
     def _rescue(self, s: _Server) -> None:
         """Second copies, elsewhere and within the retry budget, of what waits for a silent server."""
-        for key in list(s.flights):
+        for key in list(s.flights) if self.settings.second_copies else ():
             flight, r = self.flights[key]
-            if key[0] not in self.open or len(r.out) > 1 or r.begun or r.cls.effect is not Effect.SAFE:
-                continue
-            if not self.settings.second_copies or self.retries < 1.0:
+            spoken_for = key[0] not in self.open or len(r.out) > 1 or r.begun
+            if spoken_for or r.cls.effect is not Effect.SAFE or self.retries < 1.0:
                 continue
             self.retries -= 1.0
             if flight.host == s.info.name:
@@ -772,9 +773,8 @@
     def _on_list(self, event: api.ServerList) -> None:
         if event.kind is api.ListKind.FAILED:
             return self._do(api.SetTimer(BACKOFF_MS, "watch"))
-        named = set()
+        named = {info.name for info in event.servers}
         for info in event.servers:
-            named.add(info.name)
             s = self.servers.get(info.name)
             if s is None:
                 s = self.servers[info.name] = _Server(info, 20.0)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -508,6 +508,19 @@
         for peer in (cache, coordinator, other):
             peer.stop()
 
+    async def test_it_ends_well_though_nobody_reads_its_log(self) -> None:
+        cache, coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
+        program = await self.start(config_for([cache], coordinator))
+        assert program.stderr is not None
+        while json.loads(await program.stderr.readline())["event"] != "serving":
+            pass
+        program._transport.get_pipe_transport(2).close()  # type: ignore[attr-defined]
+        program.send_signal(signal.SIGHUP)
+        program.send_signal(signal.SIGTERM)
+        self.assertEqual(await asyncio.wait_for(program.wait(), 20.0), 0)
+        cache.stop()
+        coordinator.stop()
+
     async def test_a_bad_configuration_is_one_line_and_exit_2(self) -> None:
         no_class = {"settings": {"classes": []}, "listen": "127.0.0.1:0", "coordinator": "x"}
         configs: list[object] = [{}, [], no_class]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gladewalk import interface as api
+from gladewalk.logic import BACKOFF_MOST_MS
 
 from .world import ALL, CACHES, ORIGIN, PAGE, PARENTS, SIBLINGS, World
 
@@ -196,6 +197,18 @@
     assert len(copies) >= 3 and all(a.server != home for a in copies[:3])
 
 
+def test_a_trial_whose_client_left_is_followed_by_another() -> None:
+    world = World(ALL[:1])
+    (sent,) = world.ask(1)
+    world.end(sent, api.Status.CONNECT_FAILED)
+    (trial,) = world.ask(2, after_ms=BACKOFF_MOST_MS)
+    world.put(api.ClientGone(trial.id))
+    world.end(trial, api.Status.CANCELLED, closed=True)
+    (again,) = world.ask(3)
+    assert again.server == trial.server == "c0"
+    assert world.ask(4) == []  # still one at a time
+
+
 def test_a_server_that_failed_comes_back_with_one_trial() -> None:
     world = World((*CACHES[:1], ORIGIN))
     (lookup,) = world.ask(1)
