A reset strikes no server heard lately; each client's descriptor is counted once

In the burst every connection was counted twice until its transport's task was done, so resting ones had to make room.

--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -48,7 +48,7 @@
 LINK_GUESS = 0.5  # an untold link in over its caches' links: about what misses draw at full load (ours)
 CROWD_SPREAD = 0.8  # standard deviations that our part of its traffic may lie over the mean (ours)
 YOUNG_MS = 300.0  # an age bound under this makes a lookup pointless: nothing can be so young (ms, ours)
-ORDERS_KEPT = 8_192  # objects whose order of homes is kept at most; bounds memory (ours)
+ORDERS_KEPT = 16_384  # objects whose order of homes is kept at most; bounds memory (ours)
 PLACES_PART = 0.9  # part of the places for clients that we fill by choice: the rest takes bursts (ours)
 PRICE_LEAST = 2e-3  # worth a ms that a place costs at first, at which nothing is shed (ours)
 PRICE_MOST = 0.01  # and at the most: small requests pass even while silent servers hold all places (ours)
@@ -82,15 +82,15 @@
     """What this dispatcher knows and has inferred of a cache, a parent or the origin."""
 
     def __init__(self, info: api.Server, first_byte_ms: float) -> None:
-        self.info = info
         self.salt = mix(int.from_bytes(info.name.encode(), "big") & MASK ^ mix(len(info.name)))
         self.first_byte_ms = first_byte_ms
         self.flights: dict[tuple[int, int], float] = {}  # attempts out at it or filled from it: when sent
         self.fills = 0
-        self.reset()
+        self.reset(info)
 
-    def reset(self) -> None:
+    def reset(self, info: api.Server) -> None:
         """Forget what was measured before a restart: health and share start again."""
+        self.info = info
         self.share, self.fails = SHARE_START, 0
         self.pace, self.weight = 0.0, 1.0  # log of hits' time over the usual; what its size counts
         self.blocked_until = self.last_sent = self.heard_ms = 0.0
@@ -119,9 +119,8 @@
         self.arrived_ms, self.deadline_ms = now_ms, now_ms + request.time_left_ms
         self.sent = 0
         self.out: dict[int, _Flight] = {}
-        self.missed: list[str] = []  # caches that said they lack it
-        self.bad_hosts: list[str] = []
-        self.bad_sources: list[str] = []
+        self.missed, self.bad_sources = list[str](), list[str]()  # caches that lack it; sources that failed
+        self.shaken, self.bad_hosts = list[str](), list[str]()  # caches that failed it once, and for good
         self.ran_at: api.Server | None = None  # where it may have run first, and when it was sent there
         self.ran_ms = 0.0
         self.parked = self.begun = self.stale = False
@@ -411,7 +410,8 @@
         if o.closed:
             self._close(o.id)
         elif o.status is Status.TIMEOUT and self.now >= r.deadline_ms - SPARE_MS:
-            self._finish(r, api.Fail(o.id))
+            self._do(api.Fail(o.id))
+            self._close(o.id)
         elif o.status is Status.MISS or not r.out:
             self._again(o, flight, r)
         if wakes:
@@ -426,6 +426,8 @@
         if flight.source is not None and (o.status is Status.MISS or hop_failed):
             r.bad_sources.append(flight.source)
             r.missed.append(flight.host)
+        elif o.status is Status.RESET and flight.host not in r.shaken:
+            r.shaken.append(flight.host)  # an answer was lost on its way: the home still holds the object
         else:
             r.bad_hosts.append(flight.host)
         if o.status is not Status.MISS:
@@ -448,8 +450,10 @@
             self._learn_load(host, o.load or {})
             if o.status in (Status.OK, Status.MISS, Status.REFUSED):
                 self._heard(host)
-            elif o.status in (Status.RESET, Status.CONNECT_FAILED, Status.ERROR):
-                self._strike(host, hard=o.status is Status.CONNECT_FAILED)  # a reset may be a lost answer
+            elif o.status in (Status.CONNECT_FAILED, Status.ERROR) or (
+                o.status is Status.RESET and self.now - host.heard_ms > DOWN_MS  # else the connection's fault
+            ):
+                self._strike(host, hard=o.status is Status.CONNECT_FAILED)
         if o.status is Status.OK and host is not None:
             self._learn_holders(o, r, host, source)
         elif source is not None and source is not host and o.status is not Status.OK:
@@ -538,8 +542,7 @@
         if hard and self.now - s.heard_ms > DOWN_MS and s.info.role is not Role.ORIGIN:
             s.started_ms = self.now  # down: cold and empty when it comes back, which the list tells late
         if hard or s.fails > 1:
-            rest = BACKOFF_MS * 2.0 ** min(s.fails - 1, 8)
-            s.blocked_until = self.now + min(BACKOFF_MOST_MS, rest)
+            s.blocked_until = self.now + min(BACKOFF_MOST_MS, BACKOFF_MS * 2.0 ** min(s.fails - 1, 8))
 
     def _usable(self, s: _Server) -> bool:
         """Listed ready and not resting; after its rest one trial at a time, another if it told nothing."""
@@ -646,10 +649,7 @@
         everywhere = r.cls.effect is Effect.KEYED and r.cls.scope is Scope.ALL
         harmless = r.cls.effect is Effect.SAFE or r.ran_at is None or everywhere
         advice = min(ADVICE_MS, self.settings.max_retry_after_ms) if self.settings.retry_advice else 0.0
-        self._finish(r, api.Refuse(r.request.id, advice) if harmless else api.Fail(r.request.id))
-
-    def _finish(self, r: _Open, action: api.Refuse | api.Fail) -> None:
-        self._do(action)
+        self._do(api.Refuse(r.request.id, advice) if harmless else api.Fail(r.request.id))
         self._close(r.request.id)
 
     def _close(self, number: int) -> None:
@@ -780,8 +780,7 @@
                 s = self.servers[info.name] = _Server(info, 20.0)
                 s.first_byte_ms += 30.0 * self._distance(s)
             elif info.started_ms != s.info.started_ms:
-                s.info = info
-                s.reset()
+                s.reset(info)
             s.info = info
         if event.kind is not api.ListKind.CHANGES:
             for name, s in self.servers.items():
--- a/gladewalk/net/caches.py
+++ b/gladewalk/net/caches.py
@@ -16,7 +16,7 @@
 from ..deadlines import Deadlines, Key
 from ..exchange import Attempt, End, Exchange, Head
 from ..settings import DETAILS, read_load
-from .sockets import is_quiet
+from .sockets import watch
 
 OWN_DESCRIPTORS = 48  # left to the program itself: listeners, the coordinator, logs, connects that overlap
 UPSTREAM_PART = 0.6  # of the descriptors; clients hold up to a third
@@ -138,6 +138,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
+        self.unread = watch(self.transport)
         self.pool.live.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -156,7 +157,8 @@
         assert self.transport is not None
         self.job, self.status, self.size, self.headers = job, 0, 0, {}
         self.headed = self.passing = self.whole = self.lasts = False
-        self.begun, self.read = None, []
+        self.begun = None
+        self.read.clear()
         self.transport.write(request)
 
     def close(self) -> None:
@@ -177,7 +179,7 @@
 
         Guards against bytes behind an answer that still lie unread: they would be taken for the next one's.
         """
-        return self.transport is not None and is_quiet(self.transport)
+        return self.transport is not None and not self.transport.is_closing() and not self.unread.poll(0)
 
     def data_received(self, data: bytes) -> None:
         if self.job is None:  # nothing was asked: no peer that keeps the protocol says anything now
@@ -196,19 +198,20 @@
             surplus = self.whole
             if not surplus:
                 return self._spoilt()
-        self._pass_on()
+        if self.read or self.begun is not None:
+            self._pass_on()
         if self.whole and self.job is not None:
             self._over(surplus)
 
     def _pass_on(self) -> None:
         """Guards against an answer that a read shows to be spoilt: of that read the client gets nothing."""
-        read, self.read = self.read, []
-        if self.begun is not None and isinstance(self.job, Attempt):
-            head, self.begun = self.begun, None
+        head, self.begun = self.begun, None
+        if head is not None and isinstance(self.job, Attempt):
             self.passing = self.pool.exchange.head(self.job, head)
-        for body in read:
+        for body in self.read:
             if self.passing and isinstance(self.job, Attempt):  # a client that leaves ends it in between
                 self.pool.exchange.body(self.job, body)
+        self.read.clear()
 
     def _spoilt(self) -> None:
         job = self.job
@@ -265,7 +268,9 @@
             self.begun = Head(self.status == 304, known, tag.decode("latin-1") if tag else None)
 
     def on_body(self, body: bytes) -> None:
-        self._grow(len(body), OBJECT_MOST)
+        self.size += len(body)
+        if self.size > OBJECT_MOST:
+            raise Spoilt
         self.read.append(body)
 
     def on_message_complete(self) -> None:
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -9,6 +9,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import cast
 
 import httptools
@@ -17,7 +18,7 @@
 from ..counters import Counters
 from ..deadlines import Deadlines
 from ..exchange import Ask, Exchange, Final, Head
-from .sockets import is_quiet
+from .sockets import watch
 
 BODY_MOST = 64 * 1024  # a write carries at most 48,000 bytes
 HEADERS_MOST = 16 * 1024
@@ -112,6 +113,7 @@
         self.chunked = self.last = self.taking = False
         self.paused = False
         self.kind: dict[ClientConnection, float] | None = None  # of the front's kinds without an open request
+        self.came = False  # its transport has been made
         self.refused = self.leaving = False  # its input is dropped; it makes room for another
         self.asked = False  # a whole request has ever come
         self.partial = self.headed = False  # a request is half read; its head is whole
@@ -178,7 +180,9 @@
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._grow(len(name) + len(value), HEADERS_MOST, 431)
+        self.size += len(name) + len(value)
+        if self.size > HEADERS_MOST:
+            raise BadRequest(431)
         name = name.lower()
         if name in self.headers and name in SINGLE:  # which of the two counts, others may see otherwise
             raise BadRequest(400)
@@ -236,7 +240,7 @@
 
     def is_quiet(self) -> bool:
         """Whether nothing that the client has sent lies unread."""
-        return self.transport is None or is_quiet(self.transport)
+        return self.transport is None or self.transport.is_closing() or not watch(self.transport).poll(0)
 
     def leave(self) -> None:
         self.leaving = True
@@ -336,6 +340,10 @@
         self._next()
 
 
+def _itself(connection: ClientConnection) -> ClientConnection:
+    return connection
+
+
 class ClientFront:
     """Listens for clients; once `closing`, connections end with the answer they have open.
 
@@ -358,13 +366,14 @@
         self.owing: dict[ClientConnection, float] = {}
         self.resting: dict[ClientConnection, float] = {}
         self.lingering: dict[ClientConnection, float] = {}
-        self.leaving = 0  # connections told to end that still hold their descriptor
-        self.open: dict[str, tuple[str, str, int, int]] = {}  # by id: what is asked for, and how often
+        self.held = 0  # descriptors that clients hold, each counted once from accept to its connection's end
+        self.leaving = 0  # of these, connections told to end
+        self.open: dict[str, Ask] = {}  # by id: the request that came with it first
         self.closing = False
         self.address: Address = ("", 0)
         self._listener: socket.socket | None = None
         self._listening = False
-        self._opening: set[asyncio.Task[object]] = set()
+        self._opening: dict[asyncio.Task[object], ClientConnection] = {}
 
     def listen(self, address: Address) -> None:
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -385,8 +394,7 @@
         """
         loop = asyncio.get_running_loop()
         while self._listener is not None:
-            held = len(self.connections) + len(self._opening)
-            if held >= self.places + SPARE_PLACES:
+            if self.held >= self.places + SPARE_PLACES:
                 return self._pause()
             try:
                 peer, _ = self._listener.accept()
@@ -395,12 +403,20 @@
             except OSError:  # no descriptor left, or the peer has gone: the next sweep tries again
                 self.counters.add("clients.accept_failed")
                 return self._pause()
-            if held - self.leaving >= self.places + SPARE_PLACES // 2:
+            self.held += 1
+            if self.held - self.leaving > self.places + SPARE_PLACES // 2:
                 self._make_room()
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            task = loop.create_task(loop.connect_accepted_socket(lambda: ClientConnection(self), peer))
-            self._opening.add(task)
-            task.add_done_callback(self._opening.discard)
+            connection = ClientConnection(self)
+            task = loop.create_task(loop.connect_accepted_socket(partial(_itself, connection), peer))
+            self._opening[task] = connection
+            task.add_done_callback(self._opened)
+
+    def _opened(self, task: asyncio.Task[object]) -> None:
+        failed = task.cancelled() or task.exception() is not None
+        if not self._opening.pop(task).came and failed:  # else it is counted until it is lost
+            self.held -= 1
+            self._resume()
 
     def _make_room(self) -> None:
         """The longest idle goes; one with a request open, or lying unread, never does."""
@@ -436,8 +452,10 @@
                 connection.time_up()
             else:
                 self._end(connection)
-        for kind, most in ((self.resting, REST_MS), (self.lingering, LINGER_MS)):
-            for connection in [c for c, since in kind.items() if now - since > most]:
+        for connection in [c for c, since in self.lingering.items() if now - since > LINGER_MS]:
+            self._end(connection)
+        for connection in [c for c, since in self.resting.items() if now - since > REST_MS]:
+            if connection.is_quiet():  # else it is about to ask
                 self._end(connection)
         self._resume()
         self.deadlines.add(now + SWEEP_MS, self.sweep)
@@ -445,6 +463,7 @@
     # The connections' calls.
 
     def arrived(self, connection: ClientConnection) -> None:
+        connection.came = True
         self.connections.add(connection)
         self.counters.add("clients.connected")
         self.settle(connection)
@@ -452,6 +471,7 @@
     def left(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
         self._put(connection, None)
+        self.held -= 1
         self.leaving -= connection.leaving
         self._resume()
 
@@ -487,16 +507,12 @@
 
     def claim(self, ask: Ask) -> bool:
         """Guards against the id of an open request with another object: caches know a request by its id."""
-        name, target, part, count = self.open.get(ask.trace, (ask.class_name, ask.object_name, ask.part, 0))
-        if (name, target, part) != (ask.class_name, ask.object_name, ask.part):
-            return False
-        self.open[ask.trace] = (name, target, part, count + 1)
-        return True
+        held = self.open.setdefault(ask.trace, ask)
+        return held is ask or (held.object_name, held.part) == (ask.object_name, ask.part)
 
     def release(self, ask: Ask) -> None:
-        name, target, part, count = self.open.pop(ask.trace)
-        if count > 1:
-            self.open[ask.trace] = (name, target, part, count - 1)
+        if self.open.get(ask.trace) is ask:
+            del self.open[ask.trace]
 
     def close(self) -> None:
         self.closing = True
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -8,10 +8,8 @@
 READY = select.POLLIN | select.POLLERR | select.POLLHUP
 
 
-def is_quiet(transport: asyncio.Transport) -> bool:
-    """Whether the other end has neither said anything that lies unread nor closed."""
-    if transport.is_closing():
-        return False
+def watch(transport: asyncio.Transport) -> select.poll:
+    """Asked with `poll(0)`, it tells whether the other end has said what lies unread, or closed."""
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), READY)
-    return not poll.poll(0)
+    return poll
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -193,7 +193,18 @@
             waiting = [socket.create_connection(front.address) for _ in range(50)]  # no turn of the loop yet
             front.accept()
             await until(lambda: len(front.connections) == 50, 5.0)
-            self.assertEqual(front.counters["clients.connected"], 50)
+            self.assertEqual((front.counters["clients.connected"], front.held), (50, 50))
+            for client in waiting:
+                client.sendall(request("/invoke/lot-page/a1"))
+            await until(lambda: len(front.resting) == 50)
+            more = [socket.create_connection(front.address) for _ in range(front.places - 50)]
+            front.accept()
+            for _ in range(4):  # as long as the loop takes to make their transports
+                front.accept()
+                await asyncio.sleep(0)
+            await until(lambda: len(front.connections) == front.places, 5.0)
+            self.assertEqual((front.held, front.counters["clients.made_room"]), (front.places, 0))
+            waiting += more
             for client in waiting:
                 client.close()
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gladewalk import interface as api
-from gladewalk.logic import BACKOFF_MOST_MS
+from gladewalk.logic import BACKOFF_MOST_MS, DOWN_MS
 
 from .world import ALL, CACHES, ORIGIN, PAGE, PARENTS, SIBLINGS, World
 
@@ -197,6 +197,28 @@
     assert len(copies) >= 3 and all(a.server != home for a in copies[:3])
 
 
+def test_a_lost_answer_is_asked_of_its_home_once_more_and_then_elsewhere() -> None:
+    world = World()
+    (first,) = world.ask(1)
+    (again,) = world.end(first, api.Status.RESET)
+    assert again.server == first.server  # it holds the object still
+    (other,) = world.end(again, api.Status.RESET, 1)
+    assert other.server != first.server
+
+
+def test_resets_rest_no_server_that_was_heard_lately() -> None:
+    world = World((*CACHES[:1], ORIGIN))
+    server = world.dispatcher.servers["c0"]
+    for after_ms, usable in ((0.0, True), (10 * DOWN_MS, False)):
+        (held,) = world.ask(1)
+        world.end(held, OK, note=api.Note.HIT)
+        world.now += after_ms
+        for key in (2, 3):
+            (sent,) = world.ask(key)
+            world.dispatcher.handle(world.now, api.Outcome(sent.id, 0, "c0", api.Status.RESET, 1.0, True))
+        assert world.dispatcher._usable(server) is usable
+
+
 def test_a_trial_whose_client_left_is_followed_by_another() -> None:
     world = World((*CACHES[:1], ORIGIN))
     (sent,) = world.ask(1)
