--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -103,6 +103,8 @@
         self.caches.configure(config)
         self.front.places = config.settings.places
         self.feed.roles = config.roles
+        if self.dns is not None:
+            self.dns.classes = frozenset(self.exchange.core.classes)
         self.follower.move(config.coordinator)
         self.log.info("configuration taken", coordinator=config.coordinator, last=self.feed.last)
 
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -14,10 +14,11 @@
 import dns.rrset
 
 from gladewalk import interface as api
+from gladewalk.config import read
 from gladewalk.dns.front import udp_wire
 from gladewalk.dns.names import DnsConfig, Wanted, read_name, write_name
 from gladewalk.logic import Dispatcher
-from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, until
+from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, config_for, until
 from gladewalk.rehearsal.resolver import Resolver
 from tests.world import CACHES, PARENTS, World
 
@@ -62,6 +63,14 @@
         self.assertEqual(([item.to_text() for item in reply.answer[0]], reply.answer[0].ttl), ([BOX], 2))
         self.assertEqual(await self.resolver.resolve(name(cls="bid")), [OWN])
 
+    async def test_a_class_of_a_new_configuration_is_known_here_too(self) -> None:
+        missing = await self.rcode(dns.message.make_query(name(cls="lot-map"), "A").to_wire())
+        self.assertEqual(missing, dns.rcode.NXDOMAIN)
+        settings = copy.deepcopy(SETTINGS)
+        settings["classes"].append({**settings["classes"][1], "name": "lot-map"})
+        self.director.apply(read(config_for([self.cache], self.world.coordinator, settings), {}))
+        self.assertEqual(await self.resolver.resolve(name(cls="lot-map")), [BOX])
+
     async def test_each_kind_of_error_has_its_code(self) -> None:
         def ask(text: str, kind: str = "A", **more: Any) -> bytes:
             return dns.message.make_query(text, kind, **more).to_wire()
