--- /dev/null
+++ b/benchmarks/h2_engine.py
@@ -0,0 +1,68 @@
+"""What the protocol library itself costs: one request and its answer through the engine, without sockets.
+
+    python -m benchmarks.h2_engine [--count 3000] [--bytes 16384]
+
+The server's side is played by the same library, and only the client's calls are timed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from h2.events import RequestReceived
+from hpack import NeverIndexedHeaderTuple
+
+from gladewalk.options import Http2
+from gladewalk.rehearsal.h2box import HEAD
+from gladewalk.upstream.engine import Engine
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="What one request costs in the protocol library.")
+    parser.add_argument("--count", type=int, default=3_000)
+    parser.add_argument("--bytes", type=int, default=16_384)
+    given = parser.parse_args()
+    client = Engine(Http2(), lambda: 0.0, lambda name: None)
+    server = H2Connection(H2Configuration(client_side=False, header_encoding="utf-8"))
+    server.initiate_connection()
+    body = bytes(given.bytes)
+    spent = {"request": 0.0, "answer": 0.0}
+    server.receive_data(client.data_to_send())
+    client.receive_data(server.data_to_send())
+    for n in range(given.count):
+        stream = 2 * n + 1
+        started = time.perf_counter()
+        client.send_headers(
+            stream,
+            [(":method", "GET"), (":scheme", "http"), (":authority", "app.svc"),
+             NeverIndexedHeaderTuple(":path", f"/o/lot-page/{n:x}/0"),
+             NeverIndexedHeaderTuple("X-Ticket".lower(), f"{n:016x}"),
+             NeverIndexedHeaderTuple("x-max-ms", "2940")],
+            end_stream=True,
+        )  # fmt: skip
+        out = client.data_to_send()
+        spent["request"] += time.perf_counter() - started
+        for event in server.receive_data(out):
+            if isinstance(event, RequestReceived):
+                head = [(":status", "200"), *HEAD.items(), ("content-length", str(len(body)))]
+                server.send_headers(stream, head)
+                for start in range(0, len(body), 16_384):
+                    piece = body[start : start + 16_384]
+                    server.send_data(stream, piece, end_stream=start + 16_384 >= len(body))
+        data = server.data_to_send()
+        started = time.perf_counter()
+        client.receive_data(data)
+        client.increment_flow_control_window(len(body))
+        spent["answer"] += time.perf_counter() - started
+        server.receive_data(client.data_to_send())
+    for part, seconds in spent.items():
+        print(f"{part}: {seconds / given.count * 1e6:.0f} us")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/http2_cost.py
+++ b/benchmarks/http2_cost.py
@@ -3,8 +3,8 @@
     python -m benchmarks.http2_cost [--seconds 4] [--open 16,128,512] [--bytes 16384]
 
 Each is a process of its own in front of three boxes that answer after 25 ms; a closed loop holds so many
-requests open. The four take turns within the run, twice, so that the machine's drift falls on all. CPU is the measured
-process's alone (user and system, from /proc), as a ratio to the relay's. Linux only.
+requests open. The four take turns within the run, twice, so that the machine's drift falls on all. CPU is the
+measured process's alone (user and system, from /proc), as a ratio to the relay's. Linux only.
 """
 
 from __future__ import annotations
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -31,7 +31,8 @@
     def data_received(self, data: bytes) -> None:
         client = self.client
         assert client is not None
-        client.transport.write(data)  # type: ignore[attr-defined]
+        if not client.transport.is_closing():
+            client.transport.write(data)  # type: ignore[attr-defined]
         self.parser.feed_data(data)
 
     def on_message_complete(self) -> None:
--- a/gladewalk/rehearsal/h2box.py
+++ b/gladewalk/rehearsal/h2box.py
@@ -153,13 +153,13 @@
             case StreamEnded():
                 asked = self.asked[event.stream_id or 0]
                 asked.whole = True
-                if not self.box.keeps:
-                    del self.asked[asked.stream]
                 if not asked.over and not self.closed:
                     self.box.script(asked)
             case StreamReset():
                 if event.stream_id in self.asked:
                     self.asked[event.stream_id].over = True
+                    if not self.box.keeps:
+                        del self.asked[event.stream_id]
                 self.unsent.pop(event.stream_id, None)
                 self.box.resets_heard += 1
 
@@ -177,6 +177,8 @@
                 break
             last = end and size == len(body)
             asked.over = last
+            if last and not self.box.keeps:
+                del self.asked[asked.stream]
             self.engine.send_data(asked.stream, body[:size], end_stream=last)
             body = body[size:]
         self.flush()
--- a/gladewalk/streams/sharing.py
+++ b/gladewalk/streams/sharing.py
@@ -34,6 +34,7 @@
     next_id: int = 1
     draining_since: float | None = None  # takes nothing new, and goes when its last stream has ended
     idle_since: float = 0.0
+    stalled: bool = False  # its server takes no more bytes for now
     abandoned: int = 0  # open streams that nobody wants, which were not reset
 
 
@@ -127,7 +128,7 @@
         return shared.draining_since is None and shared.next_id <= IDS_END
 
     def has_room(self, shared: Shared) -> bool:
-        return shared.open < shared.limit and self.usable(shared)
+        return shared.open < shared.limit and not shared.stalled and self.usable(shared)
 
     def to_close(self, now_ms: float, idle_ms: float) -> list[Shared]:
         """Connections that are over: done with draining or too long at it, out of ids, or idle for long."""
--- a/gladewalk/upstream/engine.py
+++ b/gladewalk/upstream/engine.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from h2.config import H2Configuration
 from h2.connection import H2Connection
@@ -11,6 +12,7 @@
 from h2.events import ConnectionTerminated, Event
 from h2.exceptions import DenialOfServiceError, FrameTooLargeError, ProtocolError
 from h2.settings import SettingCodes, Settings
+from hpack import Encoder
 from hyperframe.frame import DataFrame, Frame, GoAwayFrame, HeadersFrame
 
 from ..options import Http2
@@ -20,6 +22,7 @@
 if TYPE_CHECKING:
     from h2._typing import Buffer
 
+logging.getLogger("hpack.hpack").disabled = True  # it has a line for each field, written or not
 CLOSED_REMEMBERED = 4_096  # closed streams whose late frames are told from lies; bounds memory
 
 
@@ -29,6 +32,13 @@
     error_code = ErrorCodes.ENHANCE_YOUR_CALM
 
 
+class PlainEncoder(Encoder):
+    """The library's encoder without Huffman's code, which costs more time than its bytes are worth here."""
+
+    def encode(self, headers: Any, huffman: bool = False) -> bytes:
+        return super().encode(headers, huffman=False)
+
+
 class Engine(H2Connection):
     """`h2` as a client of a cache: no push, bounded heads, bounded noise.
 
@@ -45,8 +55,10 @@
                 header_encoding=None,
                 validate_outbound_headers=False,  # ours are made in one place, in the right order and case
                 normalize_outbound_headers=False,
+                normalize_inbound_headers=False,  # it joins cookies, and caches set none
             )
         )
+        self.encoder = PlainEncoder()
         self.clock, self.count = clock, count
         self.noise = Bucket(terms.control_burst, terms.control_per_s, clock())
         self.local_settings = Settings(
@@ -112,6 +124,10 @@
                 self.count("h2.stray_frames")  # on a stream that has ended, or never was
             if not self.noise.take(self.clock()):
                 raise Flood(f"too many frames without content, the last of them {type(frame).__name__}")
+        elif isinstance(frame, DataFrame):  # the library's own way begins with all its bytes in hexadecimal
+            frames, events = self._receive_data_frame(frame)
+            self._prepare_for_sending(frames)
+            return events
         return super()._receive_frame(frame)
 
     def _receive_goaway_frame(self, frame: GoAwayFrame) -> tuple[list[Frame], list[Event]]:
--- a/gladewalk/upstream/http2.py
+++ b/gladewalk/upstream/http2.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from h2 import events as ev
 from h2.errors import ErrorCodes
 from h2.exceptions import ProtocolError
+from hpack import NeverIndexedHeaderTuple
 
 from .. import interface as api
 from ..exchange import Attempt, End, Head
@@ -31,7 +32,10 @@
     from .lane import Lane
 
 SLICE = 16 * 1024  # bytes that are read between two looks at what they brought about
-WRITE_HIGH = 64 * 1024  # bytes that wait to be written, over which request bodies wait too
+# Different with each request: in the table of fields (RFC 7541, 7.1.3) they would push out what is not.
+OWN_FIELDS = frozenset(("X-Ticket", "X-Max-Ms", "No-Older-Than", "Have", "Content-Length"))
+WRITE_HIGH = 64 * 1024  # bytes that wait to be written, over which nothing more is added
+WRITE_LOW = 16 * 1024  # until they are fewer than this
 STATUSES = {  # of an attempt whose stream ended without an answer, where nothing proves that it never ran
     Reason.RESET: api.Status.RESET,
     Reason.LOST: api.Status.RESET,
@@ -106,6 +110,7 @@
         self.written = 0  # bytes handed to the transport
         self.out = bytearray()  # and those that are about to be
         self.writable = True
+        self.taken_in_the_end: int | None = None  # of the bytes written, where we ended it ourselves
         self.heard_any = False
         self.reason = Reason.LOST  # why it ends, once it does
         self.window_step = terms.stream_window // 2
@@ -116,12 +121,12 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
-        self.transport.set_write_buffer_limits(WRITE_HIGH)
+        self.transport.set_write_buffer_limits(WRITE_HIGH, WRITE_LOW)
         self.pool.live.add(self)
         self.flush()
 
     def connection_lost(self, error: Exception | None) -> None:
-        taken = self.taken()
+        taken = self.taken() if self.taken_in_the_end is None else self.taken_in_the_end
         self.transport = None
         self.pool.live.discard(self)
         self.lane.left(self)
@@ -133,11 +138,16 @@
 
     def pause_writing(self) -> None:
         self.writable = False
+        if self.shared is not None:
+            self.shared.stalled = True
 
     def resume_writing(self) -> None:
         self.writable = True
+        if self.shared is not None:
+            self.shared.stalled = False
         self.upload()
         self.flush()
+        self.lane.pump()
 
     def eof_received(self) -> bool:
         return False
@@ -286,12 +296,14 @@
         """The server broke the protocol: its connection goes, with the code that says why (RFC 9113, 5.4)."""
         self.pool.counters.add("h2.broke_rules")
         self.pool.counters.add(f"h2.broke_rules.{type(error).__name__}")
-        self.reason = Reason.BROKE_RULES
         if not self.heard_any or self.shared is None:  # no settings, so no HTTP/2
             self.lane.speaks_http1("no HTTP/2 preface")
         self.flush()  # the engine has put its GOAWAY there
-        if self.transport is not None:
-            self.transport.close() if not self.transport.get_write_buffer_size() else self.transport.abort()
+        self.reason = Reason.BROKE_RULES
+        if self.transport is not None and self.writable:
+            self.transport.close()
+        else:  # nobody reads what would be said
+            self.abort(Reason.BROKE_RULES)
 
     def spoilt(self, stream: Stream) -> None:
         """What came on a stream is no good answer: it costs the stream."""
@@ -322,13 +334,17 @@
         number = self.lane.sharing.started(self.shared)
         stream = self.streams[number] = Stream(self, number, job)
         job.carrier = stream
-        method, path, fields, body = "GET", PROBE_PATH, [], b""
+        method, path, body = "GET", PROBE_PATH, b""
+        fields: list[Any] = []
         if isinstance(job, Attempt):
             method, path, body = job.taken.ask.method, request_path(job), job.taken.ask.body
-            fields = [(n.lower(), v) for n, v in request_fields(job, self.pool.clock())]
-        head = [
+            fields = [
+                NeverIndexedHeaderTuple(name.lower(), value) if name in OWN_FIELDS else (name.lower(), value)
+                for name, value in request_fields(job, self.pool.clock())
+            ]
+        head: list[Any] = [
             (":method", method), (":scheme", "https" if self.secure else "http"), (":authority", AUTHORITY),
-            (":path", path), *fields,
+            NeverIndexedHeaderTuple(":path", path), *fields,
         ]  # fmt: skip
         start = self.position()
         self.liveness.woke(self.pool.clock())
@@ -418,17 +434,27 @@
         """Bytes that the kernel has taken, at the most.
 
         Over TLS what the transport still holds is not told, so all that was written counts as taken: that
-        proves less, and nothing that is not so.
+        proves less, and nothing that is not so. The same where a transport is lost and has thrown its buffer
+        away: it tells of none. What waits here, in `out`, was never handed over at all.
         """
         if self.transport is None or self.secure:
             return self.written
         return self.written - self.transport.get_write_buffer_size()
 
+    def abort(self, reason: Reason) -> None:
+        """End at once: what the kernel has not taken by now it never will."""
+        self.reason, self.taken_in_the_end = reason, self.taken()
+        if self.transport is not None:
+            self.transport.abort()
+
     def flush(self) -> None:
         if not self.busy:
             self.write_out()
 
     def write_out(self) -> None:
+        if not self.writable:  # it stays in our hands: so it is known that the server can't have seen it
+            self.out += self.engine.data_to_send()
+            return
         data = bytes(self.out) + self.engine.data_to_send() if self.out else self.engine.data_to_send()
         self.out.clear()
         if data and self.transport is not None:
@@ -446,9 +472,7 @@
                 self.flush()
             case Pulse.DEAD:
                 self.pool.counters.add("h2.silent")
-                self.reason = Reason.SILENT
-                if self.transport is not None:
-                    self.transport.abort()
+                self.abort(Reason.SILENT)
             case Pulse.QUIET:
                 pass
 
@@ -462,6 +486,6 @@
         self.engine.close_connection(code)
         self.write_out()
         if self.streams:
-            self.transport.abort()
+            self.abort(Reason.LOST)
         else:
             self.transport.close()
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -1,13 +1,21 @@
 """Stories of HTTP/2 upstream over loopback: one for each failure that the transport is for."""
 
 import asyncio
+import json
+import os
 import random
+import signal
+import socket
+import sys
 import tempfile
 import unittest
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 from unittest import mock
 
+import trustme
 import uvloop
 from h2.errors import ErrorCodes
 from h2.settings import SettingCodes
@@ -24,11 +32,23 @@
 
 from gladewalk.rehearsal.bidsoak import play_h2, ticket
 from gladewalk.rehearsal.h2box import GRACEFUL, Asked, H2Box, Script
-from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, request, until
+from gladewalk.rehearsal.peers import (
+    Coordinator,
+    Heard,
+    Rehearsal,
+    ScriptedPeer,
+    config_for,
+    read_message,
+    request,
+    until,
+)
 from gladewalk.streams import sharing
-from gladewalk.streams.ledger import PROOFS
+from gladewalk.streams.ledger import PROOFS, Finding, Reason
+from gladewalk.upstream.secure import Shapes
 from tests.h2world import BYTES, authority, bid, options_for, page, serve, server_context, world
 
+ROOT = Path(__file__).parent.parent
+
 
 async def hit(heard: Heard) -> None:
     await heard.answer(200, BYTES, X_Remark="mem")
@@ -364,7 +384,7 @@
         HeadersFrame(1, data=b"\x88\x00\x01a\x7f\xa1\x9c\x01" + b"x" * 16_000),
         ContinuationFrame(1, data=b"x" * 16_000),
         ContinuationFrame(1, data=b"x" * 16_000, flags=["END_HEADERS"]),
-    ),  # noqa: E501
+    ),
     "a flood of SETTINGS": frames(*(SettingsFrame(0, settings={1: 4_096}) for _ in range(600))),
     "a flood of PING": frames(*(PingFrame(0, opaque_data=b"12345678") for _ in range(600))),
     "a flood of empty DATA": frames(OK_HEAD, *(DataFrame(1) for _ in range(600))),
@@ -414,6 +434,68 @@
             self.assertEqual(counters(w)["h2.broke_rules.Flood"], 1)
 
 
+class Budget(unittest.IsolatedAsyncioTestCase):
+    async def test_one_budget_of_descriptors_holds_for_both_transports(self) -> None:
+        shared, single = H2Box(serve), ScriptedPeer(hit, "c2", size=1_000.0)
+        async with world(shared, single, options=options_for("h2c", by_uid={"c2": "off"})) as w:
+            assert w.director is not None
+            w.director.caches.most = 1
+            for n in range(10):  # some have their home here, some there: each time the idle one makes room
+                self.assertEqual((await page(w, n))[2], BYTES)
+                self.assertLessEqual(len(w.director.caches.live), 1)
+        self.assertGreater(min(shared.connections, single.connections), 0)
+
+    async def test_other_terms_on_a_reload_drain_what_is_open(self) -> None:
+        held: list[Asked] = []
+        box = H2Box(held.append)
+        async with world(box) as w:
+            assert w.director is not None
+            asking = asyncio.create_task(page(w, 1))
+            await until(lambda: len(held) == 1)
+            w.director.caches.shape(Shapes(options_for("h2c", streams_most=1)))
+            later = asyncio.create_task(page(w, 2))
+            await until(lambda: len(held) == 2)
+            self.assertIsNot(held[0].line, held[1].line)
+            for asked in held:
+                asked.answer(200, BYTES)
+            self.assertEqual([(await asking)[0], (await later)[0]], [200, 200])
+            await until(lambda: len(box.lines) == 1)
+
+    async def test_what_a_stalled_server_never_took_is_sent_again(self) -> None:
+        def stall(asked: Asked) -> None:
+            assert asked.line.transport is not None
+            asked.line.transport.pause_reading()
+
+        large: dict[SettingCodes | int, int] = {SettingCodes.INITIAL_WINDOW_SIZE: 2**24}
+        box, origin = H2Box(serve, settings=large, on_head=stall), H2Box(serve, "o", "origin", "north")
+        found: list[Finding] = []
+        terms = options_for("h2c", connections_most=1, ping_after_ms=1_500.0, ping_wait_ms=500.0)
+        async with world(box, origin, options=terms, wait_ms=20_000.0) as w:
+            assert w.director is not None
+            w.director.caches.witness = lambda _, finding: found.append(finding)
+            asking = [asyncio.create_task(bid(w, 0, body=b"x" * 48_000, wait_ms=20_000.0))]
+            await until(lambda: len(box.heard) == 1)
+            (connection,) = w.director.caches.lanes[0].connections.values()
+            for transport in (box.lines[0].transport, connection.transport):
+                assert transport is not None
+                for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, option, 4_096)
+            box.lines[0].put(WindowUpdateFrame(0, window_increment=2**30))
+            while connection.writable and len(asking) < 80:
+                asking.append(asyncio.create_task(bid(w, len(asking), body=b"x" * 48_000, wait_ms=20_000.0)))
+                await asyncio.sleep(0.01)
+            self.assertFalse(connection.writable)
+            self.assertTrue(connection.shared is not None and connection.shared.stalled)
+            box.on_head = None
+            statuses = await asyncio.gather(*asking)
+            self.assertEqual(statuses.count(200) + statuses.count(502), len(asking))
+        self.assertIn(Reason.SILENT, {f.reason for f in found})
+        self.assertTrue({Reason.NOT_TAKEN, Reason.HEAD_NOT_WHOLE} & {f.reason for f in found}, found)
+        runs = Counter(asked.ticket for asked in (*box.ran, *origin.ran))
+        self.assertEqual({name: times for name, times in runs.items() if times > 1}, {})
+        self.assertEqual(len(runs), statuses.count(200))
+
+
 class Negotiating(unittest.IsolatedAsyncioTestCase):
     async def test_a_box_that_knows_http1_alone_is_found_out_before_anything_is_asked(self) -> None:
         box, origin = ScriptedPeer(hit), ScriptedPeer(hit, "o", "origin", "north")
@@ -488,6 +570,53 @@
             async with world(box, options=options_for("tls", tls), wait_ms=1_000.0) as w:
                 self.assertEqual((await w.ask(wait_ms=20_000.0))[0], status)
 
+    async def test_sighup_reads_the_files_again_and_a_bad_one_changes_nothing(self) -> None:
+        box = await H2Box(serve, tls=server_context("c1.boxes.example")).start()
+        coordinator = await Coordinator().start()
+        (self.folder / "config.json").write_text(json.dumps(config_for([box], coordinator)))
+        own, other = self.folder / "own.toml", trustme.CA()
+        own.write_text("[http2]\nmode = 'tls'\n[tls]\nca = 'ca.pem'\nname = '{uid}.boxes.example'\n")
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "gladewalk", "run", "--config", str(own), cwd=ROOT,
+            env={**os.environ, "NODE_CONFIG": str(self.folder / "config.json")},
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        stderr = program.stderr
+        assert stderr is not None
+
+        async def said(event: str) -> dict[str, Any]:
+            while (line := json.loads(await stderr.readline()))["event"] != event:
+                pass
+            return dict(line)
+
+        host, port = (await said("serving"))["listen"]
+
+        async def status(number: int) -> int:
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(request(f"/invoke/lot-page/{number:x}", trace=ticket(number)))
+            found = int((await read_message(reader))[0].split(" ")[1])
+            writer.close()
+            return found
+
+        self.assertEqual(await status(1), 200)
+        for bad, why in ((b"no certificate", "tls.ca"), (b"", "tls.ca")):
+            self.ca.write_bytes(bad)
+            program.send_signal(signal.SIGHUP)
+            self.assertIn(why, (await said("configuration kept"))["why"])
+            self.assertEqual(await status(2), 200)
+        self.assertEqual(box.connections, 1)  # the old files are in force, and so is the connection
+        other.cert_pem.write_to_path(str(self.ca))  # good, and not the box's
+        program.send_signal(signal.SIGHUP)
+        await said("configuration taken")
+        self.assertEqual(await status(3), 503)
+        program.send_signal(signal.SIGTERM)
+        counters = await said("counters")
+        self.assertEqual(await program.wait(), 0)
+        self.assertEqual((counters["reloads.refused"], counters["reloads.done"]), (2, 1))
+        self.assertGreaterEqual(counters["tls.certificates_refused"], 1)
+        box.stop()
+        coordinator.stop()
+
     async def test_bids_over_tls_are_resent_only_with_proof(self) -> None:
         def run_and_drop(asked: Asked) -> None:
             asked.run()
