--- a/benchmarks/bids.py
+++ b/benchmarks/bids.py
@@ -25,7 +25,7 @@
 
 def options() -> Options:
     tables = read_tables({"http2": {"mode": "h2c"}})
-    return Options("benchmark", Path("."), tables.http2, tables.tls, tables.dns)
+    return Options("benchmark", Path("."), tables.http2, tables.tls, tables.dns, None, tables.duties)
 
 
 def play(run: Coroutine[Any, Any, Report]) -> Report:
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -57,6 +57,10 @@
 
         options = load_options(options_path)
         shapes_of(options)  # certificates and keys are files of their own: a bad one shows at the start
+        if options.members is not None:
+            from .duties.start import checked
+
+            checked(options)
         if options.dns is not None:
             import msgspec
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -21,6 +21,8 @@
 
 if TYPE_CHECKING:  # what is off is not imported
     from .dns.names import DnsConfig
+    from .duties.runner import Runner
+    from .members.seal import Key
     from .options import Options
     from .upstream.secure import Shapes
 
@@ -88,6 +90,14 @@
 
             self.dns = DnsFront(self.exchange, dns, self.counters)
 
+        self.duties: Runner | None = None
+        if options is not None and options.members is not None:
+            from .duties.start import start
+
+            self.duties = start(
+                config.name, options, self.exchange, self.caches, self.deadlines, self.counters
+            )
+
     async def start(self) -> None:
         self.feed.known(self.config.known_index, self.config.known)
         self.follower.connect()
@@ -95,6 +105,9 @@
         self.front.listen(self.config.listen)
         if self.dns is not None:
             await self.dns.listen()
+        if self.duties is not None:
+            await self.duties.members.listen()
+            self.duties.sweep()
 
     async def run(self) -> None:
         """Serve until SIGTERM, then answer all that was taken."""
@@ -110,6 +123,7 @@
 
     def reload(self) -> None:
         """SIGHUP: read the configuration file again; one that cannot be used leaves the old one in force."""
+        keys: tuple[Key, ...] = ()
         try:
             config, options, shapes = load(os.environ), self.options, self.caches.shapes
             if options is not None:
@@ -117,6 +131,7 @@
 
                 options = load_options(options.path)
                 shapes = shapes_of(options, shapes)
+                keys = self._keys_of(options)
         except ConfigError as error:
             self.counters.add("reloads.refused")
             self.log.error("configuration kept", why=str(error))
@@ -126,6 +141,16 @@
             self.apply(config)
             if options is not None:
                 self.caches.shape(shapes)
+                if self.duties is not None and keys:
+                    self.duties.members.seal.rekey(keys)
+
+    def _keys_of(self, options: Options) -> tuple[Key, ...]:
+        """The members' keys as their file has them now; none where members are off."""
+        if self.duties is None or options.members is None:
+            return ()
+        from .members.seal import load_keys
+
+        return load_keys(options.file(options.members.keys))
 
     def apply(self, config: Config) -> None:
         """Every part takes what it can while it runs; open requests live on under the old terms."""
@@ -171,6 +196,8 @@
             self.deadlines.add(unix_ms() + LINGER_MS, self._wait_for_last)
         else:
             self.follower.close()
+            if self.duties is not None:
+                self.duties.members.leave()
             if self.dns is not None:
                 self.dns.close()
             self.deadlines.add(unix_ms() + LINGER_MS, lambda: self._ended.set_result(None))
--- /dev/null
+++ b/gladewalk/duties/start.py
@@ -0,0 +1,55 @@
+"""Members and duties of one director, put together as its settings say."""
+
+from __future__ import annotations
+
+import ipaddress
+import random
+
+from ..config import ConfigError, read_address
+from ..counters import Counters
+from ..deadlines import Deadlines
+from ..exchange import Exchange
+from ..members.seal import Seal, load_keys
+from ..members.swim import Address, Membership, Terms
+from ..members.transport import Members, Network
+from ..options import Options
+from ..upstream.pool import Caches
+from .kinds import CheckSources, ProbeBoxes
+from .runner import Duty, Runner
+
+
+def checked(options: Options) -> tuple[Address, tuple[Address, ...], tuple[Network, ...], Seal]:
+    """What `[members]` says, or `ConfigError` with the key that cannot be used."""
+    table = options.members
+    assert table is not None
+    key = "listen"
+    try:
+        listen = read_address(table.listen)
+        key = "seeds"
+        seeds = tuple(read_address(seed) for seed in table.seeds)
+        key = "networks"
+        networks = tuple(ipaddress.ip_network(network) for network in table.networks)
+    except (ConfigError, ValueError) as error:
+        raise ConfigError(f"{options.path}: members.{key}: {error}") from error
+    return listen, seeds, networks, Seal(load_keys(options.file(table.keys)), table.window_ms)
+
+
+def start(
+    name: str, options: Options, exchange: Exchange, pool: Caches, deadlines: Deadlines, counters: Counters
+) -> Runner:
+    """All that stands behind `[members]` and `[duties]`; `Members.listen` and `Runner.sweep` set it going."""
+    table, duties = options.members, options.duties
+    assert table is not None
+    listen, seeds, networks, seal = checked(options)
+    terms = Terms(
+        period_ms=table.period_ms, timeout_ms=0.4 * table.period_ms, suspicion_least_ms=table.suspicion_ms
+    )
+    rng = random.Random(random.SystemRandom().getrandbits(64))
+    core = Membership(name, listen, seeds, terms, rng, exchange.clock(), table.weight)
+    members = Members(core, seal, networks, exchange.clock, deadlines, counters)
+    kinds: list[Duty] = []
+    if duties.probe_ms:
+        kinds.append(ProbeBoxes(exchange, pool, duties.probe_ms))
+    if duties.check_ms:
+        kinds.append(CheckSources(exchange, pool, duties.check_ms))
+    return Runner(members, kinds, exchange.clock, deadlines, counters, rng, duties.fresh_ms)
--- a/gladewalk/interface.py
+++ b/gladewalk/interface.py
@@ -233,10 +233,13 @@
 
 @dataclass(slots=True, frozen=True)
 class ProbeResult:
+    """What a probe found `age_ms` ago, ours or that of another dispatcher."""
+
     server: str
     status: Status
     took_ms: float
     load: dict[str, float] | None = None
+    age_ms: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -190,6 +190,8 @@
                 self._on_locate(event)
             case api.FirstByte():
                 self._on_first_byte(event)
+            case api.ProbeResult() if event.server in self.servers:
+                self._on_probe(event, self.servers[event.server])
             case api.ClientGone():
                 self.unnamed.pop(event.id, None)
                 self._close(event.id)
@@ -341,13 +343,11 @@
         return self._usable(s) and s.fills < int(s.share) and self._has_cold_room(s, r.cls)
 
     def _send(self, r: _Open, host: _Server, source: _Server | None, age: float) -> None:
-        number = r.sent
+        number, r.parked = r.sent, False
         r.sent += 1
-        r.parked = False
         asked = source.info.name if source else None
-        flight = _Flight(host.info.name, asked, self.now, self._purged_at(r))
+        flight = r.out[number] = _Flight(host.info.name, asked, self.now, self._purged_at(r))
         key = (r.request.id, number)
-        r.out[number] = flight
         self.flights[key] = (flight, r)
         for s in {id(s): s for s in (host, source or host)}.values():
             s.flights[key] = s.last_sent = self.now
@@ -517,12 +517,10 @@
         return found
 
     def _learn_work(self, cls: api.RequestClass, took_ms: float) -> None:
-        mean = self.work_ms[cls.name]
-        self.work_ms[cls.name] = mean + SMOOTH * 0.5 * (took_ms - mean)
+        self.work_ms[cls.name] += SMOOTH * 0.5 * (took_ms - self.work_ms[cls.name])
 
     def _own_work(self, r: _Open) -> float:
-        pace = self.settings.client_kb_per_s
-        if r.request.size_kb and pace:
+        if r.request.size_kb and (pace := self.settings.client_kb_per_s):
             return r.request.size_kb / pace * 1000.0
         return self.sizes.get(r.obj, self.work_ms[r.cls.name])
 
@@ -544,6 +542,13 @@
         if hard or s.fails > 1:
             s.blocked_until = self.now + min(BACKOFF_MOST_MS, BACKOFF_MS * 2.0 ** min(s.fails - 1, 8))
 
+    def _on_probe(self, p: api.ProbeResult, s: _Server) -> None:
+        """A probe proves that a process runs, or is out of reach; not that it serves what it is asked."""
+        if p.status is Status.OK and p.age_ms < LOAD_FRESH_MS:
+            self._learn_load(s, p.load or {})
+        elif p.status in (Status.CONNECT_FAILED, Status.TIMEOUT) and s.heard_ms < self.now - p.age_ms:
+            self._strike(s, hard=p.status is Status.CONNECT_FAILED)
+
     def _usable(self, s: _Server) -> bool:
         """Listed ready and not resting; after its rest one trial at a time, another if it told nothing."""
         if s.info.state is not ServerState.READY or self.now < s.blocked_until:
@@ -639,8 +644,7 @@
         """A keyed request that may have run goes only where its repeat is dropped."""
         if r.cls.effect is not Effect.KEYED or r.ran_at is None or r.cls.scope is Scope.ALL:
             return True
-        same_zone = s.info.zone == r.ran_at.zone
-        return same_zone and (r.cls.scope is Scope.ZONE or s.info.cell == r.ran_at.cell)
+        return s.info.zone == r.ran_at.zone and (r.cls.scope is Scope.ZONE or s.info.cell == r.ran_at.cell)
 
     def _give_up(self, r: _Open) -> None:
         """Nothing can work now: the final answer at once, with advice where a repeat is harmless."""
@@ -682,11 +686,10 @@
         """The budget of a cold server: each dispatcher that may send to it earns its part as time goes by."""
         if not self._is_cold(s):
             return True
-        senders, mean = self.here, max(self.work_ms.values())
-        if s.info.role is Role.PARENT:
-            if self._hub_of(s.info.zone) != self.hub:
-                return False  # left to the dispatchers of its own hub
-            senders = self.near
+        if s.info.role is Role.PARENT and self._hub_of(s.info.zone) != self.hub:
+            return False  # left to the dispatchers of its own hub
+        senders = self.near if s.info.role is Role.PARENT else self.here
+        mean = max(self.work_ms.values())
         if math.isnan(s.credit):  # starts apart, so that many senders take turns
             s.credit, s.credit_ms = self.random.random() * mean, self.now
         capacity = (s.info.size if self.settings.sizes_listed else 1.0) * self._warmth(s, s.credit_ms)
@@ -782,11 +785,9 @@
             elif info.started_ms != s.info.started_ms:
                 s.reset(info)
             s.info = info
-        if event.kind is not api.ListKind.CHANGES:
-            for name, s in self.servers.items():
-                if name not in named:
-                    s.info = replace(s.info, state=ServerState.GONE)
         for name, s in list(self.servers.items()):
+            if event.kind is not api.ListKind.CHANGES and name not in named:
+                s.info = replace(s.info, state=ServerState.GONE)
             if s.info.state is ServerState.GONE and not s.flights:
                 del self.servers[name]
         self._index()
--- /dev/null
+++ b/gladewalk/members/swim.py
@@ -0,0 +1,569 @@
+"""Membership without I/O: messages and the time go in, messages and changes come out.
+
+SWIM (Das, Gupta, Motivala 2002): each period one member, in a shuffled round, is pinged; if it does not
+answer, some others are asked to ping it; if they hear nothing either it is suspected, and dead once nobody
+has refuted that in time. What is known rides on these messages, each rumour a bounded number of times.
+Lifeguard (Dadgar, Phillips, Currey 2017): who misses answers doubts itself first and gives others more
+time; a suspicion that several confirm runs out sooner. `Roster`s, now and then to one member, repair what
+was lost.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from .messages import Ack, Join, Message, Nack, News, Ping, PingFor, Roster, Rumour, Said, State, size_of
+
+Address = tuple[str, int]
+GOSSIP_BYTES = 1_000  # of rumours in a message: the rest is for the message itself and its seal
+HEALTH_MOST = 8  # how far a member that misses answers may stretch its times (Lifeguard)
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """Times in ms. Detection takes about two periods, the time of a suspicion and a spread of gossip."""
+
+    period_ms: float = 200.0  # between pings
+    timeout_ms: float = 80.0  # for a direct answer; go-betweens have the rest of the period
+    helpers: int = 3  # go-betweens
+    suspicion_least_ms: float = 500.0  # a suspicion that enough others confirmed
+    suspicion_most: float = 2.0  # times that, for one that nobody confirms
+    confirmations: int = 2  # from which on it is the least
+    retransmit: float = 3.0  # times log10(members + 1) that a rumour is sent on
+    roster_ms: float = 5_000.0  # between full exchanges with one member
+    dead_kept_ms: float = 60_000.0  # how long the dead are remembered, so that no old rumour revives them
+    members_most: int = 2_048  # bounds memory
+    news_most: int = 8_192  # duties of which news are kept
+
+
+class Change(Enum):
+    JOINED = "joined"
+    SUSPECTED = "suspected"
+    CLEARED = "cleared"  # it was suspected, and lives
+    DIED = "died"
+    LEFT = "left"
+    NAME_TAKEN = "name_taken"  # another runs under our name, and has done so for longer
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    to: Address
+    message: Said
+
+
+@dataclass(slots=True, frozen=True)
+class Changed:
+    change: Change
+    name: str
+
+
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """News from another member, told once for each that is later than what was known."""
+
+    news: News
+
+
+Out = Send | Changed | Heard
+
+
+@dataclass(slots=True)
+class Member:
+    """What is known of another member."""
+
+    rumour: Rumour
+    since_ms: float  # in this state
+    heard_ms: float  # last directly
+    accusers: set[str] = field(default_factory=set)  # who said that it is suspect
+    dead_at_ms: float = math.inf  # when a suspicion runs out
+
+    @property
+    def address(self) -> Address:
+        return self.rumour.host, self.rumour.port
+
+    @property
+    def live(self) -> bool:
+        """Taken to live: a suspect is, until it is found dead."""
+        return self.rumour.state in (State.ALIVE, State.SUSPECT)
+
+
+@dataclass(slots=True)
+class Asking:
+    """A ping whose answer is awaited."""
+
+    name: str
+    number: int
+    sent_ms: float
+    helped: bool = False  # go-betweens have been asked
+    helpers: int = 0
+    nacks: int = 0
+
+
+@dataclass(slots=True)
+class Errand:
+    """A ping for another member."""
+
+    asker: Address
+    number: int
+    due_ms: float
+
+
+class Membership:
+    """One member's view, and its part in the others'."""
+
+    def __init__(
+        self, name: str, address: Address, seeds: tuple[Address, ...], terms: Terms, rng: random.Random,
+        now_ms: float, weight: float = 1.0,
+    ) -> None:  # fmt: skip
+        self.terms, self.random, self.seeds = terms, rng, seeds
+        # A later start has the higher incarnation where clocks agree; where not, it refutes what it hears of
+        # itself. Runs are in the order of starts, too, which tells of two with one name who was there first.
+        run = (int(now_ms) << 20 | rng.getrandbits(20)) % 2**63
+        self.me = Rumour(name, *address, run, int(now_ms), State.ALIVE, weight)
+        self.members: dict[str, Member] = {}
+        self.health = 0  # 0: well; each missed answer adds to it, each answer takes from it
+        self.round: list[str] = []
+        self.asking: Asking | None = None
+        self.errands: dict[int, Errand] = {}
+        self.rumours: dict[
+            str, tuple[Rumour, int]
+        ] = {}  # by member: what is new of it, how often it was sent
+        self.news: dict[str, News] = {}  # the latest of each duty
+        self.fresh: dict[str, int] = {}  # duties whose latest news is still told, and how often it was
+        self.numbers = 0
+        self.next_ping_ms = now_ms + rng.random() * terms.period_ms
+        self.next_roster_ms = now_ms + terms.roster_ms * rng.random()
+        self.next_seed_ms = self.next_challenge_ms = now_ms
+        self.last_ms = now_ms
+        self.active = True  # False: it left, or its name is taken
+        self.out: list[Out] = []
+        self._spread(self.me)
+
+    # What comes in.
+
+    def tick(self, now_ms: float) -> list[Out]:
+        """Whatever is due by now. To be called at `due()`, or now and then."""
+        self._keep_time(now_ms)
+        if self.active:
+            self._end_errands(now_ms)
+            self._await_answer(now_ms)
+            self._end_suspicions(now_ms)
+            if now_ms >= self.next_ping_ms:
+                self._begin_period(now_ms)
+            if now_ms >= self.next_challenge_ms:
+                self._challenge_accused(now_ms)
+            if now_ms >= self.next_seed_ms:
+                self._seek(now_ms)
+            if now_ms >= self.next_roster_ms:
+                self._exchange(now_ms)
+        return self._take()
+
+    def due(self) -> float:
+        """When `tick` has something to do next."""
+        if not self.active:
+            return math.inf
+        times = [
+            self.next_ping_ms,
+            self.next_roster_ms,
+            self.next_seed_ms,
+            self.next_challenge_ms,
+            *(e.due_ms for e in self.errands.values()),
+        ]
+        times += [m.dead_at_ms for m in self.members.values() if m.rumour.state is State.SUSPECT]
+        if self.asking is not None and not self.asking.helped:
+            times.append(self.asking.sent_ms + self._timeout())
+        return min(times)
+
+    def receive(self, message: Said, source: Address, now_ms: float) -> list[Out]:
+        if not self.active:
+            return []
+        self._keep_time(now_ms)
+        if message.sender == self.me.name:
+            if message.run != self.me.run:
+                self._same_name(message, source)
+            return self._take()
+        sender = self.members.get(message.sender)
+        if sender is not None and sender.rumour.run == message.run:
+            sender.heard_ms = now_ms
+        elif sender is None and isinstance(message, Ping):  # it knows us, and we have forgotten it
+            self._send(source, Join)
+        for rumour in message.gossip:
+            self.hear(rumour, now_ms)
+        for news in message.news:
+            if self._learn(news):
+                self._put(Heard(news))
+        match message:
+            case Ping() if message.target == self.me.name and message.target_run in (self.me.run, 0):
+                self._tell_suspect(message.sender)
+                self._send(source, Ack, number=message.number)
+            case PingFor():
+                self._run_errand(message, source, now_ms)
+            case Ack():
+                self._answered(message, now_ms)
+            case Nack() if self.asking is not None and message.number == self.asking.number:
+                self.asking.nacks += 1
+            case Join():
+                self._tell_all(source, False)
+            case Roster(reply=True):
+                self._tell_all(source, False)
+        return self._take()
+
+    def bound(self, port: int) -> None:
+        """The port that the system chose, where 0 was asked for."""
+        self.me = msgspec.structs.replace(self.me, port=port)
+        self._spread(self.me)
+
+    def tell(self, news: News) -> None:
+        """Let all members know, by what is sent in any case."""
+        self._learn(news)
+
+    def forget_news(self, duty: str) -> None:
+        self.news.pop(duty, None)
+        self.fresh.pop(duty, None)
+
+    def _learn(self, news: News) -> bool:
+        known = self.news.get(news.duty)
+        if known is not None and news.rank <= known.rank:
+            return False
+        if known is None and len(self.news) >= self.terms.news_most:
+            return False
+        self.news[news.duty] = news
+        self.fresh[news.duty] = 0
+        return True
+
+    def leave(self, now_ms: float) -> list[Out]:
+        """Say so to some of the others, who tell the rest."""
+        self.me = msgspec.structs.replace(self.me, incarnation=self.me.incarnation + 1, state=State.LEFT)
+        live = [member for member in self.members.values() if member.live]
+        for member in self.random.sample(live, min(len(live), 2 * self.terms.helpers)):
+            self._put(Send(member.address, Roster(sender=self.me.name, run=self.me.run, gossip=[self.me])))
+        self.active = False
+        return self._take()
+
+    # What is heard of members.
+
+    def hear(self, rumour: Rumour, now_ms: float) -> None:
+        """One rumour: believed if it outweighs what is known."""
+        if rumour.name == self.me.name:
+            return self._hear_of_me(rumour)
+        known = self.members.get(rumour.name)
+        if known is None:
+            if len(self.members) < self.terms.members_most:
+                self._meet(rumour, now_ms)
+            return
+        if rumour.state is State.SUSPECT and self._confirms(known, rumour):
+            return
+        if self._outweighs(rumour, known.rumour):
+            self._believe(known, rumour, now_ms)
+
+    def _outweighs(self, new: Rumour, old: Rumour) -> bool:
+        """The later incarnation; at the same one the worse state. Only a later one revives a dead run."""
+        if new.incarnation != old.incarnation:
+            return new.incarnation > old.incarnation
+        return new.run == old.run and new.state > old.state
+
+    def _meet(self, rumour: Rumour, now_ms: float) -> None:
+        self.members[rumour.name] = member = Member(rumour, now_ms, now_ms)
+        if rumour.state is State.SUSPECT:
+            member.accusers.add(rumour.by)
+            self._set_suspicion(member, now_ms)
+        if member.live:
+            self._put(Changed(Change.JOINED, rumour.name))
+            # Somewhere in the rest of the round, as SWIM has it: nobody waits for longer than a round.
+            self.round.insert(self.random.randrange(len(self.round) + 1), rumour.name)
+        self._spread(rumour)
+
+    def _believe(self, known: Member, rumour: Rumour, now_ms: float) -> None:
+        was, was_live = known.rumour.state, known.live
+        known.rumour, known.since_ms = rumour, now_ms
+        known.accusers, known.dead_at_ms = set(), math.inf
+        if rumour.state is State.SUSPECT:
+            known.accusers.add(rumour.by)
+            self._set_suspicion(known, now_ms)
+        self._spread(rumour)
+        if rumour.state is State.ALIVE and not was_live:
+            known.heard_ms = now_ms
+            self._put(Changed(Change.JOINED, rumour.name))
+        elif rumour.state is State.ALIVE and was is State.SUSPECT:
+            self._put(Changed(Change.CLEARED, rumour.name))
+        elif rumour.state is State.SUSPECT and was is not State.SUSPECT:
+            self._put(Changed(Change.SUSPECTED, rumour.name))
+        elif was_live and rumour.state in (State.DEAD, State.LEFT):
+            self._put(Changed(Change.DIED if rumour.state is State.DEAD else Change.LEFT, rumour.name))
+
+    def _confirms(self, known: Member, rumour: Rumour) -> bool:
+        """Whether we have this suspicion already: one more who holds it shortens its time (Lifeguard)."""
+        same = known.rumour.state is State.SUSPECT and known.rumour.incarnation == rumour.incarnation
+        if same and rumour.by not in known.accusers and len(known.accusers) <= self.terms.confirmations:
+            known.accusers.add(rumour.by)
+            self._set_suspicion(known, known.since_ms)
+            self._spread(rumour)
+        return same
+
+    def _set_suspicion(self, member: Member, since_ms: float) -> None:
+        """When a suspicion runs out: from the most down to the least as others confirm it (Lifeguard)."""
+        count = sum(m.live for m in self.members.values()) + 1
+        least = self.terms.suspicion_least_ms * max(1.0, math.log10(count))
+        most = least * self.terms.suspicion_most * (1.0 + 0.15 * self.health)
+        wanted = min(self.terms.confirmations, max(1, count - 2))
+        share = math.log(max(1, len(member.accusers))) / math.log(wanted + 1) if wanted else 1.0
+        member.dead_at_ms = since_ms + max(least, most - (most - least) * min(1.0, share))
+
+    def _hear_of_me(self, rumour: Rumour) -> None:
+        """Refute what is untrue: with a higher incarnation than it was said with."""
+        stale = rumour.run != self.me.run
+        if rumour.incarnation < self.me.incarnation:
+            if rumour.state is not State.ALIVE:  # refuted long since, and somebody has missed it
+                self._spread(self.me)
+            return
+        if rumour.state is State.ALIVE and not stale:
+            return
+        self.me = msgspec.structs.replace(self.me, incarnation=rumour.incarnation + 1)
+        self._spread(self.me)
+        if (
+            stale
+            and rumour.state is State.ALIVE
+            and (rumour.host, rumour.port) != (self.me.host, self.me.port)
+        ):
+            self._send(
+                (rumour.host, rumour.port), Join
+            )  # our last run, or another under our name: it will tell
+        if rumour.state is not State.ALIVE and not stale:
+            self._ail(1)  # others can't hear us: perhaps it is we who are slow
+
+    def _same_name(self, message: Message, source: Address) -> None:
+        """Another speaks under our name right now. The one that started first keeps it."""
+        if message.run < self.me.run:
+            self.active = False
+            self._put(Changed(Change.NAME_TAKEN, self.me.name))
+        else:  # it hears of us by this, and goes
+            self._put(Send(source, Roster(sender=self.me.name, run=self.me.run, gossip=[self.me])))
+
+    # Pings.
+
+    def _begin_period(self, now_ms: float) -> None:
+        self._judge_answer(now_ms)
+        while self.next_ping_ms <= now_ms:
+            self.next_ping_ms += self.terms.period_ms * (1 + self.health)
+        target = self._next_target()
+        if target is None:
+            return
+        self.numbers += 1
+        self.asking = Asking(target.rumour.name, self.numbers, now_ms)
+        self._ping(target, self.numbers)
+
+    def _next_target(self) -> Member | None:
+        """Members in turn, each round in another order."""
+        for _ in range(2):
+            while self.round:
+                member = self.members.get(self.round.pop())
+                if member is not None and member.live:
+                    return member
+            self.round = [name for name, member in self.members.items() if member.live]
+            self.random.shuffle(self.round)
+        return None
+
+    def _ping(self, member: Member, number: int) -> None:
+        rumour = member.rumour
+        self._tell_suspect(rumour.name)
+        self._send(member.address, Ping, number=number, target=rumour.name, target_run=rumour.run)
+
+    def _challenge_accused(self, now_ms: float) -> None:
+        """Whom we accuse hears so each period, however slow we have made ourselves: to refute it in time."""
+        self.next_challenge_ms = now_ms + self.terms.period_ms
+        for member in self.members.values():
+            if member.rumour.state is State.SUSPECT and self.me.name in member.accusers:
+                self._challenge(member)
+
+    def _challenge(self, member: Member) -> None:
+        """A ping that tells it what is said of it, beside all other gossip."""
+        known = member.rumour
+        ping = Ping(
+            sender=self.me.name, run=self.me.run, gossip=[known], target=known.name, target_run=known.run
+        )
+        self._put(Send(member.address, ping))
+
+    def _await_answer(self, now_ms: float) -> None:
+        asking = self.asking
+        if asking is None or asking.helped or now_ms < asking.sent_ms + self._timeout():
+            return
+        asking.helped = True
+        target = self.members[asking.name]
+        others = [m for n, m in self.members.items() if m.rumour.state is State.ALIVE and n != asking.name]
+        chosen = self.random.sample(others, min(len(others), self.terms.helpers))
+        asking.helpers = len(chosen)
+        for helper in chosen:
+            self._send(
+                helper.address, PingFor, number=asking.number, target=asking.name,
+                target_run=target.rumour.run, host=target.rumour.host, port=target.rumour.port,
+            )  # fmt: skip
+
+    def _judge_answer(self, now_ms: float) -> None:
+        """The period is over without an answer: suspected, unless the fault may be ours."""
+        asking, self.asking = self.asking, None
+        if asking is None:
+            return
+        # Go-betweens that did not even say that they heard nothing: our own messages may be what is lost.
+        self._ail(1 + max(0, asking.helpers - asking.nacks))
+        member = self.members.get(asking.name)
+        if member is not None and member.live:
+            self.hear(msgspec.structs.replace(member.rumour, state=State.SUSPECT, by=self.me.name), now_ms)
+
+    def _answered(self, message: Ack, now_ms: float) -> None:
+        errand = self.errands.pop(message.number, None)
+        if errand is not None:
+            self._send(errand.asker, Ack, number=errand.number)
+        if self.asking is not None and message.number == self.asking.number:
+            self.asking = None
+            self.health = max(0, self.health - 1)
+
+    def _run_errand(self, message: PingFor, source: Address, now_ms: float) -> None:
+        self.numbers += 1
+        due = now_ms + self.terms.timeout_ms
+        if len(self.errands) < self.terms.members_most:
+            self.errands[self.numbers] = Errand(source, message.number, due)
+        self._send(
+            (message.host, message.port), Ping, number=self.numbers, target=message.target,
+            target_run=message.target_run,
+        )  # fmt: skip
+
+    def _end_errands(self, now_ms: float) -> None:
+        for number in [n for n, errand in self.errands.items() if now_ms >= errand.due_ms]:
+            errand = self.errands.pop(number)
+            self._send(errand.asker, Nack, number=errand.number)
+
+    def _end_suspicions(self, now_ms: float) -> None:
+        for name, member in list(self.members.items()):
+            if member.rumour.state is State.SUSPECT and now_ms >= member.dead_at_ms:
+                self.hear(msgspec.structs.replace(member.rumour, state=State.DEAD), now_ms)
+            elif not member.live and now_ms - member.since_ms > self.terms.dead_kept_ms:
+                del self.members[name]
+                self.rumours.pop(name, None)
+
+    def _tell_suspect(self, name: str) -> None:
+        """Who is thought dead or suspect hears so first (Lifeguard's buddies), and can refute it."""
+        member = self.members.get(name)
+        if member is not None and member.rumour.state is not State.ALIVE:
+            self.rumours[name] = (member.rumour, 0)
+
+    # Full exchanges.
+
+    def _exchange(self, now_ms: float) -> None:
+        """With one member, so that what was lost is made good."""
+        self.next_roster_ms = now_ms + self.terms.roster_ms * (0.75 + 0.5 * self.random.random())
+        live = [m.address for m in self.members.values() if m.live]
+        if live:
+            self._tell_all(self.random.choice(live), True)
+
+    def _seek(self, now_ms: float) -> None:
+        """Ask the seeds that are not among the live, one at a time; all of them while nobody is known.
+
+        Guards against a partition that both sides took for deaths: someone must go on asking.
+        """
+        live = {m.address for m in self.members.values() if m.live}
+        self.next_seed_ms = now_ms + self.terms.period_ms * (5 if live else 2)
+        lost = [seed for seed in self.seeds if seed not in live and seed != (self.me.host, self.me.port)]
+        for seed in self.random.sample(lost, min(len(lost), 1 if live else len(lost))):
+            self._send(seed, Join)
+
+    def _tell_all(self, to: Address, reply: bool) -> None:
+        """All that is known, in as many messages as it takes."""
+        rest = [self.me, *(member.rumour for member in self.members.values())]
+        while rest:
+            part: list[Rumour] = []
+            room = GOSSIP_BYTES
+            while rest and (room := room - size_of(rest[-1])) >= 0:
+                part.append(rest.pop())
+            message = Roster(sender=self.me.name, run=self.me.run, gossip=part, reply=reply and not rest)
+            self._put(Send(to, message))
+
+    # Small things.
+
+    def _keep_time(self, now_ms: float) -> None:
+        """Guards against a clock that was set back, and a loop that stalled: what is due moves along.
+
+        Whoever slept must not find that all others are dead; it doubts itself.
+        """
+        by_ms = now_ms - self.last_ms
+        self.last_ms = now_ms
+        if by_ms < 0.0:
+            self._shift(by_ms)
+        elif by_ms > self.terms.period_ms * 3:
+            self._shift(by_ms - self.terms.period_ms)
+            self._ail(2)
+
+    def _timeout(self) -> float:
+        return self.terms.timeout_ms * (1 + self.health)
+
+    def _ail(self, by: int) -> None:
+        self.health = min(HEALTH_MOST, self.health + by)
+
+    def _shift(self, by_ms: float) -> None:
+        """Move all that is due, when our own time has stood still or gone astray."""
+        self.next_ping_ms += by_ms
+        self.next_roster_ms += by_ms
+        self.next_seed_ms += by_ms
+        self.next_challenge_ms += by_ms
+        if self.asking is not None:
+            self.asking.sent_ms += by_ms
+        for errand in self.errands.values():
+            errand.due_ms += by_ms
+        for member in self.members.values():
+            member.since_ms += by_ms
+            member.heard_ms += by_ms
+            member.dead_at_ms += by_ms
+
+    def _spread(self, rumour: Rumour) -> None:
+        self.rumours[rumour.name] = (rumour, 0)
+
+    def _often(self) -> int:
+        """How often each piece of news is sent on: so often that mostly all have it (SWIM, 4.1)."""
+        return math.ceil(self.terms.retransmit * math.log10(len(self.members) + 2))
+
+    def _tidings(self, room: int) -> list[News]:
+        """News sent least often, as many as fit beside the rumours."""
+        often, chosen = self._often(), []
+        for duty in sorted(self.fresh, key=self.fresh.__getitem__):
+            room -= size_of(self.news[duty])
+            if room < 0:
+                break
+            chosen.append(self.news[duty])
+            self.fresh[duty] += 1
+            if self.fresh[duty] >= often:
+                del self.fresh[duty]
+        return chosen
+
+    def _gossip(self) -> list[Rumour]:
+        """The rumours sent least often, as many as fit; each is dropped once it was sent often enough."""
+        often = self._often()
+        chosen, room = [], GOSSIP_BYTES
+        for name, (rumour, sent) in sorted(self.rumours.items(), key=lambda item: item[1][1]):
+            room -= size_of(rumour)
+            if room < 0:
+                break
+            chosen.append(rumour)
+            if sent + 1 >= often:
+                del self.rumours[name]
+            else:
+                self.rumours[name] = (rumour, sent + 1)
+        return chosen
+
+    def _send(self, to: Address, kind: type[Said], **more: object) -> None:
+        gossip = self._gossip()
+        if self.me not in gossip and kind is Join:
+            gossip.append(self.me)
+        news = self._tidings(GOSSIP_BYTES - sum(map(size_of, gossip))) if self.fresh else []
+        message = kind(sender=self.me.name, run=self.me.run, gossip=gossip, news=news, **more)  # type: ignore[arg-type]
+        self._put(Send(to, message))
+
+    def _put(self, out: Out) -> None:
+        self.out.append(out)
+
+    def _take(self) -> list[Out]:
+        out, self.out = self.out, []
+        return out
--- a/gladewalk/options.py
+++ b/gladewalk/options.py
@@ -74,10 +74,33 @@
     wait_ms: Annotated[float, Meta(gt=0.0)] = 1_000.0
 
 
+class Members(Table, frozen=True):
+    """`[members]`: where this director meets others, and who they are."""
+
+    listen: str
+    keys: str  # a file: one key a line in hexadecimal, for its owner's eyes alone
+    seeds: list[str] = []
+    networks: tuple[str, ...] = ("127.0.0.0/8",)  # from which datagrams are read at all
+    window_ms: Span = 30_000.0  # how far the members' clocks may differ
+    period_ms: Annotated[float, Meta(ge=20.0, le=60_000.0)] = 200.0
+    suspicion_ms: Annotated[float, Meta(ge=50.0, le=600_000.0)] = 500.0
+    weight: Annotated[float, Meta(gt=0.0, le=1e6)] = 1.0  # this director's part of the duties
+
+
+class Duties(Table, frozen=True):
+    """`[duties]`: what is divided among the members."""
+
+    probe_ms: Annotated[float, Meta(ge=0.0, le=3_600_000.0)] = 1_000.0  # GET /load of each box; 0: never
+    check_ms: Annotated[float, Meta(ge=0.0, le=3_600_000.0)] = 1_000.0  # GET /alive of parents and origin
+    fresh_ms: Span = 3_000.0  # how old a finding may be that the module is told of
+
+
 class Tables(Table, frozen=True):
     http2: Http2 = Http2()
     tls: Tls = Tls()
     dns: Dns | None = None
+    members: Members | None = None
+    duties: Duties = Duties()
 
 
 @dataclass(slots=True, frozen=True)
@@ -89,6 +112,8 @@
     http2: Http2
     tls: Tls
     dns: Dns | None
+    members: Members | None
+    duties: Duties
 
     def file(self, name: str) -> Path:
         return self.folder / name
@@ -143,4 +168,6 @@
         raise ConfigError(f"{path}: not valid TOML: {error}") from error
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from error
-    return Options(path, Path(path).parent, tables.http2, tables.tls, tables.dns)
+    return Options(
+        path, Path(path).parent, tables.http2, tables.tls, tables.dns, tables.members, tables.duties
+    )
--- /dev/null
+++ b/gladewalk/rehearsal/membernet.py
@@ -0,0 +1,187 @@
+"""A network in memory with virtual time, for members: it loses, delays, doubles, parts, stops and restarts.
+
+Everything is drawn from one seed: two runs of a seed are the same, event by event. Members run the real
+`Membership`, their messages the real encoding and seal.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..members.messages import News, decode, encode
+from ..members.seal import Key, Refused, Seal, make_key
+from ..members.swim import Address, Change, Heard, Membership, Out, Send, Terms
+
+KEY = make_key(b"a key of the rehearsal's own, 32 bytes or more")
+START_MS = 1_764_576_000_000.0
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    """One member: up or down, running or stopped, its clock off by so much."""
+
+    name: str
+    address: Address
+    core: Membership
+    seal: Seal
+    up: bool = True
+    stopped_until: float = 0.0  # its loop stalls, or it was sent SIGSTOP: what comes waits
+    clock_off: float = 0.0
+    waiting: list[tuple[bytes, Address]] = field(default_factory=list)
+    wake: int = 0  # the number of its last timer: older ones are void
+
+
+@dataclass(slots=True)
+class Seen:
+    at_ms: float
+    by: str
+    change: Change
+    name: str
+
+
+class Net:
+    """Nodes and what lies between them."""
+
+    def __init__(self, seed: int, terms: Terms | None = None) -> None:
+        self.random = random.Random(seed)
+        self.terms = terms or Terms()
+        self.now = START_MS
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.nodes: dict[str, Node] = {}
+        self.by_address: dict[Address, Node] = {}
+        self.seen: list[Seen] = []
+        self.bytes: Counter[str] = Counter()
+        self.sent: Counter[str] = Counter()
+        self.refused: Counter[Refused] = Counter()
+        self.loss = self.double = 0.0
+        self.delay_ms = (0.2, 2.0)
+        self.blocked: Callable[[str, str], bool] = lambda source, target: False
+        self.on_news: Callable[[Node, News], None] | None = None
+
+    def after(self, ms: float, call: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.queue, (self.now + ms, self.count, call))
+
+    def run(self, ms: float) -> None:
+        """Let so much virtual time pass."""
+        end = self.now + ms
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, call = heapq.heappop(self.queue)
+            call()
+        self.now = end
+
+    # Nodes.
+
+    def start(
+        self, name: str, seeds: tuple[str, ...] = (), keys: tuple[Key, ...] = (KEY,), port: int = 0,
+        clock_off: float = 0.0,
+    ) -> Node:  # fmt: skip
+        """A node starts, or starts again under its name, knowing no more than its seeds."""
+        old = self.nodes.get(name)
+        address = old.address if old is not None else ("10.0.0.1", port or 1_000 + len(self.nodes))
+        known = tuple(self.nodes[seed].address for seed in seeds)
+        core = Membership(
+            name, address, known, self.terms, random.Random(self.random.random()), self.now + clock_off
+        )
+        node = Node(name, address, core, Seal(keys, 30_000.0), clock_off=clock_off)
+        self.by_address[address] = node
+        self.nodes[name if old is not None or name not in self.nodes else f"{name}'"] = node
+        self.wake(node)
+        return node
+
+    def kill(self, name: str) -> None:
+        self.nodes[name].up = False
+
+    def stop(self, name: str, ms: float) -> None:
+        """SIGSTOP and, later, SIGCONT; or a loop that stalls."""
+        node = self.nodes[name]
+        node.stopped_until = self.now + ms
+        self.after(ms, lambda: self.resume(node))
+
+    def resume(self, node: Node) -> None:
+        waiting, node.waiting = node.waiting, []
+        if node.up:
+            self.wake(node)  # a loop that comes back runs its timers first
+            for data, source in waiting:
+                self.take(node, data, source)
+
+    def wake(self, node: Node) -> None:
+        if not node.up or self.now < node.stopped_until:
+            return
+        self.carry_out(node, node.core.tick(self.now + node.clock_off))
+
+    def carry_out(self, node: Node, out: list[Out]) -> None:
+        for action in out:
+            if isinstance(action, Send):
+                data = node.seal.seal(
+                    encode(action.message), self.now + node.clock_off, self.random.getrandbits(64)
+                )
+                self.post(node, data, action.to)
+            elif isinstance(action, Heard):
+                if self.on_news is not None:
+                    self.on_news(node, action.news)
+            else:
+                self.seen.append(Seen(self.now, node.name, action.change, action.name))
+        node.wake += 1
+        number = node.wake
+        ms = max(0.05, node.core.due() - (self.now + node.clock_off))
+        if ms < 1e9:
+            self.after(ms, lambda: self.wake(node) if node.wake == number else None)
+
+    # Datagrams.
+
+    def post(self, node: Node, data: bytes, to: Address) -> None:
+        self.bytes[node.name] += len(data)
+        self.sent[node.name] += 1
+        target = self.by_address.get(to)
+        if target is None or self.blocked(node.name, target.name) or self.random.random() < self.loss:
+            return
+        for _ in range(2 if self.random.random() < self.double else 1):
+            self.after(self.random.uniform(*self.delay_ms), lambda: self.deliver(to, data, node.address))
+
+    def deliver(self, to: Address, data: bytes, source: Address) -> None:
+        node = self.by_address[to]
+        if not node.up:
+            return
+        if self.now < node.stopped_until:
+            node.waiting.append((data, source))
+            return
+        self.take(node, data, source)
+
+    def take(self, node: Node, data: bytes, source: Address) -> None:
+        opened = node.seal.open(data, self.now + node.clock_off)
+        if isinstance(opened, Refused):
+            self.refused[opened] += 1
+            return
+        self.carry_out(node, node.core.receive(decode(opened), source, self.now + node.clock_off))
+
+    # What is to be seen.
+
+    def live_as_seen_by(self, name: str) -> set[str]:
+        return {other for other, member in self.nodes[name].core.members.items() if member.live}
+
+    def agreed(self) -> bool:
+        """Whether every running member sees just the running members."""
+        up = {name for name, node in self.nodes.items() if node.up and node.core.active}
+        return all(self.live_as_seen_by(name) == up - {name} for name in up)
+
+    def changes(self, change: Change, name: str | None = None, since_ms: float = 0.0) -> list[Seen]:
+        return [
+            seen
+            for seen in self.seen
+            if seen.change is change and seen.at_ms >= since_ms and name in (None, seen.name)
+        ]
+
+
+def cluster(count: int, seed: int, terms: Terms | None = None, settle_ms: float = 5_000.0) -> Net:
+    """Members `m0` to `mN`, who know the first two as seeds, after some time to find one another."""
+    net = Net(seed, terms)
+    for n in range(count):
+        net.start(f"m{n}", tuple(f"m{seed}" for seed in range(min(n, 2))))
+    net.run(settle_ms)
+    return net
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -15,7 +15,6 @@
     AUTHORITY,
     HEAD_MOST,
     OBJECT_MOST,
-    PROBE_PATH,
     Spoilt,
     read_end,
     read_length,
@@ -26,7 +25,9 @@
 if TYPE_CHECKING:
     from .pool import Upstream
 
-PROBE = f"GET {PROBE_PATH} HTTP/1.1\r\nHost: {AUTHORITY}\r\n\r\n".encode()
+
+def write_probe(probing: Probing) -> bytes:
+    return f"GET {probing.path} HTTP/1.1\r\nHost: {AUTHORITY}\r\n\r\n".encode()
 
 
 def write_request(attempt: Attempt, now_ms: float) -> bytes:
@@ -72,7 +73,8 @@
     def carry(self, job: Attempt | Probing) -> None:
         assert self.transport is not None
         job.carrier = self
-        request = write_request(job, self.pool.clock()) if isinstance(job, Attempt) else PROBE
+        now = self.pool.clock()
+        request = write_request(job, now) if isinstance(job, Attempt) else write_probe(job)
         self.job, self.status, self.size, self.headers = job, 0, 0, {}
         self.headed = self.passing = self.whole = self.lasts = False
         self.begun = None
--- a/gladewalk/upstream/http2.py
+++ b/gladewalk/upstream/http2.py
@@ -20,7 +20,6 @@
 from .words import (
     AUTHORITY,
     OBJECT_MOST,
-    PROBE_PATH,
     Spoilt,
     read_end,
     read_length,
@@ -334,7 +333,7 @@
         number = self.lane.sharing.started(self.shared)
         stream = self.streams[number] = Stream(self, number, job)
         job.carrier = stream
-        method, path, body = "GET", PROBE_PATH, b""
+        method, path, body = "GET", "", b""
         fields: list[Any] = []
         if isinstance(job, Attempt):
             method, path, body = job.taken.ask.method, request_path(job), job.taken.ask.body
@@ -342,6 +341,8 @@
                 NeverIndexedHeaderTuple(name.lower(), value) if name in OWN_FIELDS else (name.lower(), value)
                 for name, value in request_fields(job, self.pool.clock())
             ]
+        else:
+            path = job.path
         head: list[Any] = [
             (":method", method), (":scheme", "https" if self.secure else "http"), (":authority", AUTHORITY),
             NeverIndexedHeaderTuple(":path", path), *fields,
--- a/gladewalk/upstream/jobs.py
+++ b/gladewalk/upstream/jobs.py
@@ -13,8 +13,8 @@
 class Probing:
     """A probe in the place of an attempt."""
 
-    def __init__(self, done: Callable[[api.Status, float, Any], None], started_ms: float) -> None:
-        self.done, self.started_ms = done, started_ms
+    def __init__(self, done: Callable[[api.Status, float, Any], None], started_ms: float, path: str) -> None:
+        self.done, self.started_ms, self.path = done, started_ms, path
         self.carrier: Carrier | None = None
         self.due: Key | None = None
 
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -19,6 +19,7 @@
 from ..exchange import Attempt, End, Exchange
 from .http1 import CacheConnection
 from .jobs import Job, Probing
+from .words import PROBE_PATH
 
 if TYPE_CHECKING:  # what is off is not imported
     from ..streams.ledger import Finding
@@ -180,8 +181,10 @@
         if attempt.carrier is not None:
             attempt.carrier.flow(attempt, on)
 
-    def probe(self, name: str, done: Callable[[api.Status, float, Any], None]) -> None:
-        probing = Probing(done, self.clock())
+    def probe(
+        self, name: str, done: Callable[[api.Status, float, Any], None], path: str = PROBE_PATH
+    ) -> None:
+        probing = Probing(done, self.clock(), path)
         probing.due = self.deadlines.add(probing.started_ms + PROBE_TIMEOUT_MS, lambda: self._late(probing))
         self._begin(probing, name)
 
--- a/tests/h2world.py
+++ b/tests/h2world.py
@@ -19,7 +19,7 @@
 
 def options_for(mode: str = "h2c", tls: dict[str, Any] | None = None, **http2: Any) -> Options:
     tables = read_tables({"http2": {"mode": mode, **http2}, "tls": tls or {}})
-    return Options("test.toml", Path("."), tables.http2, tables.tls, tables.dns)
+    return Options("test.toml", Path("."), tables.http2, tables.tls, tables.dns, None, tables.duties)
 
 
 def world(*peers: Peer, options: Options | None = None, wait_ms: float = 2_000.0, **http2: Any) -> Rehearsal:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -189,3 +189,28 @@
     world.dispatcher._is_silent = lambda s: bool(looked.append(s.info.name))  # type: ignore[func-returns-value,method-assign]
     world.sweep()
     assert len(looked) == 1
+
+
+def test_a_probe_that_failed_rests_its_cache_unless_it_was_heard_since() -> None:
+    world = World()
+    home = world.home(5)
+    probe = api.ProbeResult(home, api.Status.CONNECT_FAILED, 1.0, None, age_ms=500.0)
+    world.put(probe, after_ms=100.0)  # it answered 100 ms ago, after the probe
+    assert world.home(5) == home
+    world.put(replace(probe, age_ms=10.0), after_ms=600.0)
+    (sent,) = world.ask(5)
+    assert sent.server != home
+
+
+def test_a_probe_that_succeeds_tells_the_load_and_proves_no_more() -> None:
+    world = World()
+    home = world.home(5)
+    server = world.dispatcher.servers[home]
+    world.put(api.ProbeResult(home, api.Status.TIMEOUT, 250.0), after_ms=100.0)
+    world.put(api.ProbeResult(home, api.Status.TIMEOUT, 250.0), after_ms=200.0)
+    assert world.now < server.blocked_until  # two in a row
+    world.put(api.ProbeResult(home, api.Status.OK, 1.0, {"util": 0.1}), after_ms=10.0)
+    assert world.now < server.blocked_until and server.calm_until > world.now
+    world.put(api.ProbeResult(home, api.Status.OK, 1.0, {"util": 0.1}, age_ms=60_000.0), after_ms=9_000.0)
+    assert server.calm_until < world.now  # too old to tell of now
+    world.put(api.ProbeResult("nobody", api.Status.TIMEOUT, 1.0))
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,350 @@
+"""Membership on a network in memory: one story for each trouble, and seeded schedules of many at a time."""
+
+import asyncio
+import ipaddress
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+from gladewalk.config import ConfigError
+from gladewalk.counters import Counters
+from gladewalk.director import Turn, unix_ms
+from gladewalk.members.messages import DATAGRAM_MOST, Malformed, News, Ping, Rumour, State, decode, encode
+from gladewalk.members.seal import OVERHEAD, Refused, Seal, load_keys, make_key
+from gladewalk.members.swim import Change, Membership, Terms
+from gladewalk.members.transport import Members
+from gladewalk.rehearsal.membernet import START_MS, Net, Node, cluster
+from gladewalk.rehearsal.peers import until
+
+TAKEOVER_MS = 2_000.0  # wished: by then a death is known to all
+
+
+class Stories(unittest.TestCase):
+    def settle(self, net: Net, ms: float = 15_000.0) -> None:
+        net.run(ms)
+        self.assertTrue(net.agreed(), {name: net.live_as_seen_by(name) for name in net.nodes})
+
+    def assert_no_deaths(self, net: Net, since_ms: float = 0.0) -> None:
+        self.assertEqual(net.changes(Change.DIED, since_ms=since_ms), [])
+
+    def test_members_find_one_another_and_nobody_is_doubted(self) -> None:
+        for count in (2, 3, 5, 8, 24):
+            net = cluster(count, seed=count)
+            self.assertTrue(net.agreed(), count)
+            net.run(20_000.0)
+            self.assertEqual(net.changes(Change.SUSPECTED), [])
+
+    def test_a_death_is_known_to_all_within_2_s(self) -> None:
+        for count in (2, 3, 4, 8):
+            for seed in range(25):
+                net = cluster(count, seed, settle_ms=2_500.0 + 37.0 * seed)
+                killed = net.now
+                net.kill("m1")
+                net.run(TAKEOVER_MS)
+                found = net.changes(Change.DIED, "m1", killed)
+                self.assertEqual(len(found), count - 1, (count, seed))
+                self.assertTrue(net.agreed())
+
+    def test_a_member_that_was_stopped_comes_back_and_takes_nobody_for_dead(self) -> None:
+        for seed in range(20):
+            net = cluster(4, seed)
+            net.stop("m2", 6_000.0)
+            net.run(5_900.0)
+            self.assertEqual(len(net.changes(Change.DIED, "m2")), 3)
+            self.settle(net)
+            self.assertEqual([s for s in net.changes(Change.DIED) if s.by == "m2"], [])
+
+    def test_a_loop_that_stalls_for_less_than_a_suspicion_costs_nobody_his_place(self) -> None:
+        for seed in range(20):
+            net = cluster(4, seed)
+            net.stop("m2", 450.0)
+            self.settle(net, 8_000.0)
+            self.assert_no_deaths(net)
+
+    def test_a_leave_is_no_failure(self) -> None:
+        net = cluster(5, 3)
+        node = net.nodes["m3"]
+        net.carry_out(node, node.core.leave(net.now))
+        net.kill("m3")
+        net.run(1_000.0)
+        self.assertEqual(len(net.changes(Change.LEFT, "m3")), 4)
+        self.settle(net)
+        self.assert_no_deaths(net)
+
+    def test_one_way_loss_is_got_round_by_go_betweens(self) -> None:
+        for seed in range(10):
+            net = cluster(5, seed)
+            net.blocked = lambda source, target: (source, target) == ("m0", "m1")
+            self.settle(net, 20_000.0)
+            self.assert_no_deaths(net)
+
+    def test_a_partition_of_2_and_2_heals(self) -> None:
+        for seed in range(10):
+            net = cluster(4, seed)
+            sides = {"m0": 0, "m2": 0, "m1": 1, "m3": 1}
+            net.blocked = lambda source, target, sides=sides: sides[source] != sides[target]  # type: ignore[misc]
+            net.run(10_000.0)
+            self.assertEqual(net.live_as_seen_by("m0"), {"m2"})
+            self.assertEqual(net.live_as_seen_by("m3"), {"m1"})
+            net.blocked = lambda source, target: False
+            self.settle(net)
+
+    def test_all_restart_one_after_the_other(self) -> None:
+        net = cluster(4, 5)
+        for n in range(4):
+            net.kill(f"m{n}")
+            net.run(300.0)  # before anybody has found it dead: its new run must not be taken for the old one
+            net.start(f"m{n}", ("m0", "m1"))
+            net.run(3_000.0)
+        self.settle(net)
+
+    def test_one_that_joins_and_dies_within_a_second_is_forgotten(self) -> None:
+        net = cluster(4, 6)
+        net.start("m4", ("m0",))
+        net.run(700.0)
+        net.kill("m4")
+        self.settle(net)
+        self.assertEqual(net.live_as_seen_by("m2"), {"m0", "m1", "m3"})
+
+    def test_a_clock_that_jumps_within_the_window_costs_nothing(self) -> None:
+        for jump in (-10_000.0, 10_000.0):
+            net = cluster(4, 7)
+            net.nodes["m1"].clock_off = jump
+            self.settle(net, 20_000.0)
+            self.assert_no_deaths(net)
+
+    def test_a_clock_beyond_the_window_cuts_its_member_off_until_it_is_right(self) -> None:
+        net = cluster(4, 8)
+        net.nodes["m1"].clock_off = 3_600_000.0
+        net.run(10_000.0)
+        self.assertNotIn("m1", net.live_as_seen_by("m0"))
+        self.assertGreater(net.refused[Refused.STALE], 0)
+        net.nodes["m1"].clock_off = 0.0
+        self.settle(net, 30_000.0)
+
+    def test_of_two_with_one_name_the_first_keeps_it(self) -> None:
+        net = cluster(4, 9)
+        second = net.start("m2", ("m0", "m1"))
+        self.assertIs(net.nodes["m2"], second)  # it stands at the same address: a restart
+        net.run(5_000.0)
+        other = Net.start(net, "m9", ("m0",), port=7_777)
+        net.run(3_000.0)
+        twin = self.twin(net, "m9")
+        net.run(10_000.0)
+        self.assertEqual((other.core.active, twin.core.active), (True, False))
+        self.assertEqual([seen.change for seen in net.changes(Change.NAME_TAKEN)], [Change.NAME_TAKEN])
+        self.assertEqual(net.nodes["m0"].core.members["m9"].address, other.address)
+
+    def twin(self, net: Net, name: str) -> Node:
+        """Another member under a name that is in use, at another address."""
+        first = net.nodes.pop(name)
+        twin = net.start(name, ("m0",), port=8_888)
+        net.nodes[name], net.nodes["twin"] = first, twin
+        return twin
+
+    def test_loss_doubles_and_reordering(self) -> None:
+        for seed in range(8):
+            net = cluster(5, seed)
+            net.loss, net.double, net.delay_ms = 0.1, 0.2, (0.2, 12.0)
+            net.run(30_000.0)
+            self.assert_no_deaths(net)
+            self.assertGreater(net.refused[Refused.REPLAYED], 0)
+            net.loss = 0.3
+            net.run(30_000.0)
+            net.loss = 0.0
+            self.settle(net)
+
+    def test_keys_are_rotated_under_loss_without_a_death(self) -> None:
+        old, new = make_key(b"o" * 32), make_key(b"n" * 32)
+        net = Net(4)
+        for n in range(4):
+            net.start(f"m{n}", ("m0",) if n else (), keys=(old,))
+        net.run(4_000.0)
+        net.loss = 0.1
+        for ring in ((old, new), (new, old), (new,)):  # known to all, then sealing, then alone
+            for node in net.nodes.values():
+                node.seal.rekey(ring)
+                net.run(1_500.0)
+        self.settle(net)
+        self.assert_no_deaths(net)
+        self.assertEqual(net.refused[Refused.UNKNOWN_KEY], 0)
+
+    def test_two_runs_of_a_seed_are_the_same(self) -> None:
+        def story(seed: int) -> list[str]:
+            net = cluster(6, seed)
+            net.loss = 0.2
+            net.kill("m1")
+            net.run(10_000.0)
+            return [*map(repr, net.seen), repr(net.bytes)]
+
+        self.assertEqual(story(5), story(5))
+        self.assertNotEqual(story(5), story(6))
+
+
+class Schedules(unittest.TestCase):
+    def test_after_any_schedule_of_troubles_all_agree_again(self) -> None:
+        for seed in range(150):
+            net = self.play(seed)
+            self.assertTrue(net.agreed(), (seed, {n: net.live_as_seen_by(n) for n in net.nodes}))
+
+    def play(self, seed: int) -> Net:
+        draw = random.Random(seed)
+        net = cluster(draw.choice((3, 4, 5)), seed, settle_ms=2_000.0)
+        names = list(net.nodes)
+        for _ in range(draw.randrange(3, 9)):
+            name = draw.choice(names)
+            match draw.randrange(7):
+                case 0:
+                    net.kill(name)
+                case 1:
+                    net.start(name, ("m0", "m1"))
+                case 2:
+                    net.stop(name, draw.uniform(10.0, 4_000.0))
+                case 3:
+                    net.loss = draw.choice((0.0, 0.1, 0.3))
+                case 4:
+                    one_way = draw.random() < 0.5
+                    net.blocked = lambda s, t, name=name, one_way=one_way: (  # type: ignore[misc]
+                        s == name or (t == name and not one_way)
+                    )
+                case 5:
+                    net.blocked = lambda s, t: False
+                case 6:
+                    net.nodes[name].clock_off = draw.uniform(-5_000.0, 5_000.0)
+            net.run(draw.uniform(0.0, 3_000.0))
+        net.loss, net.blocked = 0.0, lambda s, t: False
+        net.run(25_000.0)
+        return net
+
+
+class Seals(unittest.TestCase):
+    def setUp(self) -> None:
+        self.key = make_key(b"k" * 32)
+        self.seal, self.other = Seal((self.key,), 1_000.0), Seal((self.key,), 1_000.0)
+        self.ping = encode(Ping(sender="a", run=1, number=2, target="b", target_run=3))
+
+    def test_what_was_changed_at_any_byte_is_dropped(self) -> None:
+        good = self.seal.seal(self.ping, START_MS, 7)
+        for place in range(len(good)):
+            bad = good[:place] + bytes([good[place] ^ 1]) + good[place + 1 :]
+            self.assertIsInstance(self.other.open(bad, START_MS), Refused, place)
+        for length in range(len(good)):
+            self.assertIsInstance(self.other.open(good[:length], START_MS), Refused, length)
+        self.assertEqual(self.other.open(good, START_MS), self.ping)
+
+    def test_old_future_and_repeated_datagrams_are_dropped(self) -> None:
+        good = self.seal.seal(self.ping, START_MS, 7)
+        self.assertIs(self.other.open(good, START_MS + 1_001.0), Refused.STALE)
+        self.assertIs(self.other.open(good, START_MS - 1_001.0), Refused.STALE)
+        self.assertEqual(self.other.open(good, START_MS + 999.0), self.ping)
+        self.assertIs(self.other.open(good, START_MS + 999.0), Refused.REPLAYED)
+        self.assertIs(self.other.open(bytes(DATAGRAM_MOST + 1), START_MS), Refused.OVERSIZED)
+        again = self.seal.seal(self.ping, START_MS, 8)  # the same words anew are no replay
+        self.assertEqual(self.other.open(again, START_MS), self.ping)
+
+    def test_a_full_memory_of_replays_lets_none_through(self) -> None:
+        small = Seal((self.key,), 1_000.0, remembered=2)
+        sealed = [self.seal.seal(self.ping, START_MS, n) for n in range(3)]
+        found = [small.open(data, START_MS) for data in (*sealed, sealed[0])]
+        self.assertEqual(found, [self.ping, self.ping, Refused.REPLAYED, Refused.REPLAYED])
+        late = self.seal.seal(self.ping, START_MS + 2_500.0, 9)
+        self.assertEqual(small.open(late, START_MS + 2_500.0), self.ping)
+
+    def test_no_datagram_is_too_large_whatever_is_known(self) -> None:
+        net = cluster(40, 2, settle_ms=4_000.0)
+        for node in net.nodes.values():
+            node.core._tell_all(("10.0.0.1", 1), True)
+            for out in node.core._take():
+                size = len(encode(out.message)) + OVERHEAD  # type: ignore[union-attr]
+                self.assertLessEqual(size, DATAGRAM_MOST)
+
+    def test_noise_is_malformed_and_never_more_than_that(self) -> None:
+        draw = random.Random(1)
+        rumour = Rumour("b", "10.0.0.1", 1, 2, 3, State.ALIVE)
+        good = encode(Ping(sender="a", run=1, target="b", target_run=3, gossip=[rumour]))
+        for _ in range(3_000):
+            data = bytearray(good)
+            for _ in range(draw.randrange(1, 4)):
+                data[draw.randrange(len(data))] = draw.randrange(256)
+            try:
+                decode(bytes(data[: draw.randrange(1, len(data) + 1)]))
+            except Malformed:
+                continue
+
+    def test_a_key_file_is_checked_and_no_key_is_told(self) -> None:
+        secret = "ab" * 32
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "keys"
+            for text, mode, why in (
+                (secret, 0o644, "others than its owner may read it"),
+                ("", 0o600, "no key"),
+                ("zz" * 32, 0o600, "key 1 is not"),
+                ("ab" * 31, 0o600, "key 1 is not"),
+                (f"{secret}\n{secret}", 0o600, "twice"),
+            ):
+                path.write_text(text)
+                path.chmod(mode)
+                with self.assertRaises(ConfigError) as caught:
+                    load_keys(path)
+                self.assertIn(why, str(caught.exception))
+                self.assertNotIn(secret[:8], str(caught.exception))
+            path.write_text(f"# the second one is on its way out\n{secret}\n{'cd' * 40}\n")
+            path.chmod(0o600)
+            keys = load_keys(path)
+        self.assertEqual([len(key.secret) for key in keys], [32, 40])
+        self.assertNotIn(secret[:8], repr(keys) + str(keys[0]))
+
+
+class Awareness(unittest.TestCase):
+    def test_who_misses_answers_doubts_itself_first(self) -> None:
+        """One whose messages are lost both ways slows down, and accuses later than it would."""
+        net = cluster(6, 3, Terms())
+        net.blocked = lambda source, target: "m0" in (source, target)
+        net.run(1_500.0)
+        self.assertGreater(net.nodes["m0"].core.health, 2)
+        self.assertEqual(net.nodes["m3"].core.health, 0)
+
+
+class Loopback(unittest.IsolatedAsyncioTestCase):
+    async def start(self, name: str, seeds: tuple[tuple[str, int], ...], key: bytes = b"k" * 32) -> Members:
+        deadlines = Turn(asyncio.get_running_loop(), unix_ms).deadlines
+        address = ("127.0.0.1", 0)
+        core = Membership(name, address, seeds, Terms(), random.Random(name), unix_ms())
+        networks = (ipaddress.ip_network("127.0.0.0/8"),)
+        seal = Seal((make_key(key),), 30_000.0)
+        members = Members(core, seal, networks, unix_ms, deadlines, Counters())
+        await members.listen()
+        return members
+
+    async def test_members_meet_tell_news_and_see_a_leave_and_a_death(self) -> None:
+        first = await self.start("a", ())
+        seeds = (("127.0.0.1", first.core.me.port),)
+        second, third = await self.start("b", seeds), await self.start("c", seeds)
+        all_three = {"a": 1.0, "b": 1.0, "c": 1.0}
+        await until(lambda: all(m.live() == all_three for m in (first, second, third)))
+        told: list[News] = []
+        third.heard = told.append
+        first.tell(News("load/box-1", "a", 1, unix_ms(), "ok", 1.5, {"util": 0.25}))
+        await until(lambda: bool(told))
+        self.assertEqual((told[0].duty, told[0].load), ("load/box-1", {"util": 0.25}))
+        second.leave()
+        await until(lambda: first.live() == third.live() == {"a": 1.0, "c": 1.0})
+        self.assertEqual(first.counters["members.left"], 1)
+        assert third.transport is not None
+        third.deadlines.drop(third.timer)
+        third.transport.abort()
+        await until(lambda: first.live() == {"a": 1.0})
+        self.assertEqual(first.counters["members.died"], 1)
+        first.leave()
+
+    async def test_who_has_no_key_or_another_network_is_counted_and_answered_by_nothing(self) -> None:
+        member = await self.start("a", ())
+        stranger = await self.start("b", (("127.0.0.1", member.core.me.port),), key=b"x" * 32)
+        await until(lambda: member.counters["members.dropped.unknown_key"] > 0)
+        member.networks = (ipaddress.ip_network("10.0.0.0/8"),)
+        await until(lambda: member.counters["members.dropped.network"] > 0)
+        self.assertEqual(stranger.counters["members.datagrams"], 0)
+        self.assertEqual(member.live(), {"a": 1.0})
+        member.leave()
+        stranger.leave()
