--- a/gladewalk/rehearsal/h2box.py
+++ b/gladewalk/rehearsal/h2box.py
@@ -316,7 +316,9 @@
         asked.line.abort()
 
     def cut_within(self, asked: Asked) -> None:
-        asked.line.cut_after = self.random.randrange(1, 120)
+        after = self.random.randrange(1, 120)
+        if asked.line.cut_after is None:  # else bytes are missing already, and what follows would be noise
+            asked.line.cut_after = after
         self.answer(asked)
 
     def drop_after(self, asked: Asked) -> None:
