Simplify after a second reading: one way to build options, to heed an error code, to tell of oneself

A stream had a list that nothing used, Join and a wanted Roster had one answer in two branches, and two lines of swim.py had been broken up by the formatter around their comments.

Each is one piece now.

--- a/benchmarks/bids.py
+++ b/benchmarks/bids.py
@@ -18,14 +18,14 @@
 import structlog
 import uvloop
 
-from gladewalk.options import Options, read_tables
+from gladewalk.options import Options, options_of, read_tables
 from gladewalk.rehearsal.bidsoak import Report, play_h2, play_http1
 from gladewalk.streams.ledger import PROOFS
 
 
 def options() -> Options:
     tables = read_tables({"http2": {"mode": "h2c"}})
-    return Options("benchmark", Path("."), tables.http2, tables.tls, tables.dns, None, tables.duties)
+    return options_of(tables, "benchmark", Path("."))
 
 
 def play(run: Coroutine[Any, Any, Report]) -> Report:
--- a/benchmarks/h2_engine.py
+++ b/benchmarks/h2_engine.py
@@ -40,7 +40,7 @@
             stream,
             [(":method", "GET"), (":scheme", "http"), (":authority", "app.svc"),
              NeverIndexedHeaderTuple(":path", f"/o/lot-page/{n:x}/0"),
-             NeverIndexedHeaderTuple("X-Ticket".lower(), f"{n:016x}"),
+             NeverIndexedHeaderTuple("x-ticket", f"{n:016x}"),
              NeverIndexedHeaderTuple("x-max-ms", "2940")],
             end_stream=True,
         )  # fmt: skip
--- a/gladewalk/members/swim.py
+++ b/gladewalk/members/swim.py
@@ -130,9 +130,8 @@
         self.round: list[str] = []
         self.asking: Asking | None = None
         self.errands: dict[int, Errand] = {}
-        self.rumours: dict[
-            str, tuple[Rumour, int]
-        ] = {}  # by member: what is new of it, how often it was sent
+        # By member: what is new of it, and how often it was sent.
+        self.rumours: dict[str, tuple[Rumour, int]] = {}
         self.news: dict[str, News] = {}  # the latest of each duty
         self.fresh: dict[str, int] = {}  # duties whose latest news is still told, and how often it was
         self.numbers = 0
@@ -207,9 +206,7 @@
                 self._answered(message, now_ms)
             case Nack() if self.asking is not None and message.number == self.asking.number:
                 self.asking.nacks += 1
-            case Join():
-                self._tell_all(source, False)
-            case Roster(reply=True):
+            case Join() | Roster(reply=True):
                 self._tell_all(source, False)
         return self._take()
 
@@ -241,7 +238,7 @@
         self.me = msgspec.structs.replace(self.me, incarnation=self.me.incarnation + 1, state=State.LEFT)
         live = [member for member in self.members.values() if member.live]
         for member in self.random.sample(live, min(len(live), 2 * self.terms.helpers)):
-            self._put(Send(member.address, Roster(sender=self.me.name, run=self.me.run, gossip=[self.me])))
+            self._tell_of_me(member.address)
         self.active = False
         return self._take()
 
@@ -325,14 +322,9 @@
             return
         self.me = msgspec.structs.replace(self.me, incarnation=rumour.incarnation + 1)
         self._spread(self.me)
-        if (
-            stale
-            and rumour.state is State.ALIVE
-            and (rumour.host, rumour.port) != (self.me.host, self.me.port)
-        ):
-            self._send(
-                (rumour.host, rumour.port), Join
-            )  # our last run, or another under our name: it will tell
+        address = rumour.host, rumour.port
+        if stale and rumour.state is State.ALIVE and address != (self.me.host, self.me.port):
+            self._send(address, Join)  # our last run, or another under our name: it will tell
         if rumour.state is not State.ALIVE and not stale:
             self._ail(1)  # others can't hear us: perhaps it is we who are slow
 
@@ -342,7 +334,7 @@
             self.active = False
             self._put(Changed(Change.NAME_TAKEN, self.me.name))
         else:  # it hears of us by this, and goes
-            self._put(Send(source, Roster(sender=self.me.name, run=self.me.run, gossip=[self.me])))
+            self._tell_of_me(source)
 
     # Pings.
 
@@ -471,6 +463,9 @@
         for seed in self.random.sample(lost, min(len(lost), 1 if live else len(lost))):
             self._send(seed, Join)
 
+    def _tell_of_me(self, to: Address) -> None:
+        self._put(Send(to, Roster(sender=self.me.name, run=self.me.run, gossip=[self.me])))
+
     def _tell_all(self, to: Address, reply: bool) -> None:
         """All that is known, in as many messages as it takes."""
         rest = [self.me, *(member.rumour for member in self.members.values())]
--- a/gladewalk/options.py
+++ b/gladewalk/options.py
@@ -153,6 +153,11 @@
     return tables
 
 
+def options_of(tables: Tables, path: str, folder: Path) -> Options:
+    """Tables that were read, and where the paths in them begin."""
+    return Options(path, folder, tables.http2, tables.tls, tables.dns, tables.members, tables.duties)
+
+
 def load_options(path: str) -> Options:
     """The file's settings, or `ConfigError` with the one line that says what is wrong."""
     import tomllib
@@ -168,6 +173,4 @@
         raise ConfigError(f"{path}: not valid TOML: {error}") from error
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from error
-    return Options(
-        path, Path(path).parent, tables.http2, tables.tls, tables.dns, tables.members, tables.duties
-    )
+    return options_of(tables, path, Path(path).parent)
--- a/gladewalk/upstream/http2.py
+++ b/gladewalk/upstream/http2.py
@@ -59,7 +59,7 @@
     """One request and its answer."""
 
     __slots__ = (
-        "body", "connection", "headers", "job", "number", "passing", "read", "size", "status", "uncredited",
+        "body", "connection", "headers", "job", "number", "passing", "size", "status", "uncredited",
         "withheld",
     )  # fmt: skip
 
@@ -70,7 +70,6 @@
         self.status = self.size = 0
         self.headers: dict[bytes, bytes] = {}
         self.passing = False
-        self.read: list[bytes] = []
         self.withheld = False  # the client is slow: its window is not opened again
         self.uncredited = 0  # bytes received for which the window has not been opened again
 
@@ -259,12 +258,16 @@
     def on_reset(self, number: int, code: int) -> None:
         finding = self.ledger.reset(number, code, self.taken())
         self.pool.counters.add("h2.resets_heard")
+        self.heed(code)
+        if finding is not None:
+            self.ended_without_answer(finding)
+
+    def heed(self, code: int) -> None:
+        """What an error code asks for beside the end that it tells of, on a stream or in a GOAWAY."""
         if code == ENHANCE_YOUR_CALM:
             self.lane.calm()
         if code == HTTP_1_1_REQUIRED:
             self.lane.speaks_http1("HTTP_1_1_REQUIRED")
-        if finding is not None:
-            self.ended_without_answer(finding)
 
     def on_own_reset(self, number: int) -> None:
         """The engine reset a stream on which the server broke a rule that costs no more than that."""
@@ -276,10 +279,7 @@
 
     def on_goaway(self, last: int, code: int) -> None:
         self.pool.counters.add("h2.goaways")
-        if code == ENHANCE_YOUR_CALM:
-            self.lane.calm()
-        if code == HTTP_1_1_REQUIRED:
-            self.lane.speaks_http1("HTTP_1_1_REQUIRED")
+        self.heed(code)
         raised = self.ledger.raised
         found = self.ledger.goaway(last, code, self.taken())
         if self.shared is not None:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -11,7 +11,7 @@
 from gladewalk.config import read
 from gladewalk.director import Director
 from gladewalk.duties.ownership import Claim, Ownership, owner_of
-from gladewalk.options import Options, read_tables
+from gladewalk.options import Options, options_of, read_tables
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for, until
 
 INTERVAL_MS = 1_000.0
@@ -126,7 +126,7 @@
             "members": {"listen": "127.0.0.1:0", "seeds": seeds, "keys": "keys"},
             "duties": {"probe_ms": 200.0, "check_ms": 300.0},
         })  # fmt: skip
-        return Options("t", folder, tables.http2, tables.tls, None, tables.members, tables.duties)
+        return options_of(tables, "t", folder)
 
     async def test_one_probe_serves_all_and_a_dead_directors_share_is_taken_over(self) -> None:
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
