--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -2,11 +2,11 @@
 
     python -m benchmarks.duties [--directors 4] [--boxes 12] [--kills 100] [--interval 500] [--loss 0]
 
-Every director is a process of its own. First they are left alone for a while: suspicions and deaths of members
-that live, and bytes a second, as each tells at its control socket. Then comes one kill after the other. Probes
-a box and interval are counted over all of that, kills, takeovers and restarts among it. A takeover is the time
-from SIGKILL to the first probe of a box by another director than the killed one, which is known by its
-connection. `--loss` is the part of all datagrams that is lost. 100 kills take some eight minutes.
+Every director is a process of its own. First they are left alone for a while: suspicions and deaths of
+members that live, and bytes a second, as each tells at its control socket. Then comes one kill after the
+other. Probes a box and interval are counted over all of that, kills, takeovers and restarts among it. A
+takeover is the time from SIGKILL to the first probe of a box by another director than the killed one, which is
+known by its connection. `--loss` is the part of all datagrams that is lost. 100 kills take eight minutes.
 """
 
 from __future__ import annotations
@@ -61,7 +61,8 @@
             f"[control]\nsocket = 'n{number}.sock'\n"
         )
         path.write_text(json.dumps({**self.config, "name": f"n{number}"}))
-        words = ["gladewalk", "run", "--config"] if not self.loss else ["benchmarks.lossy_director", str(self.loss)]
+        lossy = ["benchmarks.lossy_director", str(self.loss)]
+        words = lossy if self.loss else ["gladewalk", "run", "--config"]
         self.running[number] = await asyncio.create_subprocess_exec(
             sys.executable, "-m", *words, str(own),
             env={**os.environ, "NODE_CONFIG": str(path)}, stderr=asyncio.subprocess.DEVNULL,
@@ -127,8 +128,8 @@
     member_seconds = spent * len(fleet.running)
     minutes = member_seconds / 60.0
     print(
-        f"{fleet.loss:.0%} lost, {spent:.0f} s: for each member and minute {after['members.suspected'] / minutes:.2f} "
-        f"suspicions, {after['members.died'] / minutes:.2f} deaths, of members that live; "
+        f"{fleet.loss:.0%} lost, {spent:.0f} s: for each member and minute "
+        f"{after['members.suspected'] / minutes:.2f} suspicions, {after['members.died'] / minutes:.2f} deaths, of members that live; "
         f"{after['members.sent_bytes'] / member_seconds:.0f} bytes/s and "
         f"{after['members.sent'] / member_seconds:.1f} messages/s a member",
         flush=True,
--- a/benchmarks/duties_at_size.py
+++ b/benchmarks/duties_at_size.py
@@ -4,8 +4,8 @@
 
 The director's own membership, ownership and runner, on a network in memory. There are three boxes for each
 member, probed once a second. Printed are, over some kills, the time until a box that the killed one probed is
-probed by its heir, the probes a box sees an interval, kills among them, and what each member sends. The seed is
-the size. 1,024 members take some minutes. `--plot` needs matplotlib.
+probed by its heir, the probes a box sees an interval, kills among them, and what each member sends. The seed
+is the size. 1,024 members take some minutes. `--plot` needs matplotlib.
 """
 
 from __future__ import annotations
@@ -34,8 +34,9 @@
     def __str__(self) -> str:
         t, r = self.takeovers, self.rates
         return (
-            f"{self.members:7}  {t[len(t) // 2]:10.0f}  {t[int(len(t) * 0.99)]:8.0f}  {t[-1]:8.0f}  {r[0]:6.3f}  "
-            f"{sum(r) / len(r):6.3f}  {r[-1]:6.3f}  {self.bytes_s:8.0f}  {self.messages_s:6.1f}  {self.spent_s:5.0f}"
+            f"{self.members:7}  {t[len(t) // 2]:10.0f}  {t[int(len(t) * 0.99)]:8.0f}  {t[-1]:8.0f}  "
+            f"{r[0]:6.3f}  {sum(r) / len(r):6.3f}  {r[-1]:6.3f}  "
+            f"{self.bytes_s:8.0f}  {self.messages_s:6.1f}  {self.spent_s:5.0f}"
         )
 
 
--- a/benchmarks/silent_box.py
+++ b/benchmarks/silent_box.py
@@ -3,9 +3,9 @@
     python -m benchmarks.silent_box [--rounds 10] [--directors 4] [--rate 4] [--seed 1]
 
 Four directors in one process, twelve boxes; each director is asked `rate` times a second for objects of its
-own. At a drawn moment one box takes connections and answers nothing any more. Counted from then on, with shared
-duties and without, in turn: requests whose first attempt went to the silent box, those that came late or not at
-all for it, and the time until no director sends it any. Boxes are probed each 250 ms by one director of all.
+own. At a drawn moment one box takes connections and answers nothing any more. Counted from then on, with
+shared duties and without, in turn: attempts sent to the silent box, requests answered late or not at all, and
+when a director last sent it any. Boxes are probed each 250 ms by one director of all.
 """
 
 from __future__ import annotations
@@ -23,7 +23,15 @@
 from gladewalk.config import read
 from gladewalk.director import Director
 from gladewalk.options import options_of, read_tables
-from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for, read_message, request, until
+from gladewalk.rehearsal.peers import (
+    Coordinator,
+    Heard,
+    ScriptedPeer,
+    config_for,
+    read_message,
+    request,
+    until,
+)
 
 BOXES = 12
 AIM_MS = 250.0  # as the rehearsal's settings have it for `lot-page`
@@ -143,8 +151,8 @@
         part = [r for r in rounds if r.shared is shared]
         mean = {name: statistics.mean(getattr(r, name) for r in part)
                 for name in ("asked", "sent", "late", "lost", "sent_last", "probes")}  # fmt: skip
-        print(f"{'shared duties' if shared else 'each alone':>14}: asked {mean['asked']:.0f}, sent to the silent box "
-              f"{mean['sent']:.1f}, late {mean['late']:.1f}, lost {mean['lost']:.2f}, last sent to it after "
+        print(f"{'shared duties' if shared else 'each alone':>14}: asked {mean['asked']:.0f}, sent to the silent "
+              f"box {mean['sent']:.1f}, late {mean['late']:.1f}, lost {mean['lost']:.2f}, last sent to it after "
               f"{mean['sent_last']:.2f} s; {mean['probes']:.0f} probes")  # fmt: skip
     return 0
 
