--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -5,8 +5,8 @@
 Every director is a process of its own. First they are left alone for a while: suspicions and deaths of
 members that live, and bytes a second, as each tells at its control socket. Then comes one kill after the
 other. Probes a box and interval are counted over all of that, kills, takeovers and restarts among it. A
-takeover is the time from SIGKILL to the first probe of a box by another director than the killed one, which is
-known by its connection. `--loss` is the part of all datagrams that is lost. 100 kills take eight minutes.
+takeover is the time from SIGKILL to the first probe of a box by another director than the killed one, which
+is known by its connection. `--loss` is the part of all datagrams that is lost. 100 kills take eight minutes.
 """
 
 from __future__ import annotations
@@ -129,7 +129,8 @@
     minutes = member_seconds / 60.0
     print(
         f"{fleet.loss:.0%} lost, {spent:.0f} s: for each member and minute "
-        f"{after['members.suspected'] / minutes:.2f} suspicions, {after['members.died'] / minutes:.2f} deaths, of members that live; "
+        f"{after['members.suspected'] / minutes:.2f} suspicions, {after['members.died'] / minutes:.2f} deaths, "
+        f"of members that live; "
         f"{after['members.sent_bytes'] / member_seconds:.0f} bytes/s and "
         f"{after['members.sent'] / member_seconds:.1f} messages/s a member",
         flush=True,
--- a/benchmarks/duties_at_size.py
+++ b/benchmarks/duties_at_size.py
@@ -4,8 +4,9 @@
 
 The director's own membership, ownership and runner, on a network in memory. There are three boxes for each
 member, probed once a second. Printed are, over some kills, the time until a box that the killed one probed is
-probed by its heir, the probes a box sees an interval, kills among them, and what each member sends. The seed
-is the size. 1,024 members take some minutes. `--plot` needs matplotlib.
+probed by its heir, the probes a box sees an interval, kills among them, what each member sends, and how old
+the latest finding is that a member has of a box (median). The seed is the size. 1,024 members take some
+minutes. `--plot` needs matplotlib.
 """
 
 from __future__ import annotations
@@ -29,6 +30,7 @@
     rates: list[float]
     bytes_s: float
     messages_s: float
+    known_ms: list[float]
     spent_s: float
 
     def __str__(self) -> str:
@@ -36,7 +38,8 @@
         return (
             f"{self.members:7}  {t[len(t) // 2]:10.0f}  {t[int(len(t) * 0.99)]:8.0f}  {t[-1]:8.0f}  "
             f"{r[0]:6.3f}  {sum(r) / len(r):6.3f}  {r[-1]:6.3f}  "
-            f"{self.bytes_s:8.0f}  {self.messages_s:6.1f}  {self.spent_s:5.0f}"
+            f"{self.bytes_s:8.0f}  {self.messages_s:6.1f}  "
+            f"{self.known_ms[len(self.known_ms) // 2]:7.0f}  {self.spent_s:5.0f}"
         )
 
 
@@ -61,11 +64,13 @@
     seconds = size * 5.0
     bytes_s = (sum(net.bytes.values()) - size_before) / seconds
     messages_s = (sum(net.sent.values()) - sent) / seconds
+    boxes = draw.sample(net.boxes, min(64, len(net.boxes)))
+    known = sorted(net.now - net.learned.get((name, box), started) for name in net.nodes for box in boxes)
     takeovers: list[float] = []
     for name in draw.sample(sorted(net.nodes), min(kills, size - 1)):
         net.run(draw.uniform(0.0, 1_000.0))
         takeovers += kill(net, name)
-    return Row(size, sorted(takeovers), net.rates(started), bytes_s, messages_s, time.monotonic() - began)
+    return Row(size, sorted(takeovers), net.rates(started), bytes_s, messages_s, known, time.monotonic() - began)
 
 
 def main() -> int:
@@ -74,7 +79,7 @@
     parser.add_argument("--kills", type=int, default=5)
     parser.add_argument("--plot")
     given = parser.parse_args()
-    print("members  takeover ms p50     p99       max  probes: least, mean, most   bytes/s  msgs/s      s")
+    print("members  takeover ms p50     p99       max  probes: least, mean, most   bytes/s  msgs/s  known ms      s")
     rows = []
     for size in map(int, given.sizes.split(",")):
         rows.append(measure(size, given.kills))
--- a/benchmarks/silent_box.py
+++ b/benchmarks/silent_box.py
@@ -12,6 +12,7 @@
 
 import argparse
 import asyncio
+import logging
 import random
 import statistics
 import sys
@@ -20,6 +21,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import structlog
+
 from gladewalk.config import read
 from gladewalk.director import Director
 from gladewalk.options import options_of, read_tables
@@ -141,6 +144,7 @@
     parser.add_argument("--rate", type=float, default=4.0)
     parser.add_argument("--seed", type=int, default=1)
     given = parser.parse_args()
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
     rounds = [
         asyncio.run(play(shared, given.directors, given.rate, given.seed + number))
         for number in range(given.rounds)
@@ -151,9 +155,11 @@
         part = [r for r in rounds if r.shared is shared]
         mean = {name: statistics.mean(getattr(r, name) for r in part)
                 for name in ("asked", "sent", "late", "lost", "sent_last", "probes")}  # fmt: skip
-        print(f"{'shared duties' if shared else 'each alone':>14}: asked {mean['asked']:.0f}, sent to the silent "
-              f"box {mean['sent']:.1f}, late {mean['late']:.1f}, lost {mean['lost']:.2f}, last sent to it after "
-              f"{mean['sent_last']:.2f} s; {mean['probes']:.0f} probes")  # fmt: skip
+        print(
+            f"{'shared duties' if shared else 'each alone':>14}: asked {mean['asked']:.0f}, "
+            f"sent to the silent box {mean['sent']:.1f}, late {mean['late']:.1f}, lost {mean['lost']:.2f}, "
+            f"last sent to it after {mean['sent_last']:.2f} s; {mean['probes']:.0f} probes"
+        )
     return 0
 
 
