--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -129,8 +129,8 @@
     minutes = member_seconds / 60.0
     print(
         f"{fleet.loss:.0%} lost, {spent:.0f} s: for each member and minute "
-        f"{after['members.suspected'] / minutes:.2f} suspicions, {after['members.died'] / minutes:.2f} deaths, "
-        f"of members that live; "
+        f"{after['members.suspected'] / minutes:.2f} suspicions, "
+        f"{after['members.died'] / minutes:.2f} deaths, of members that live; "
         f"{after['members.sent_bytes'] / member_seconds:.0f} bytes/s and "
         f"{after['members.sent'] / member_seconds:.1f} messages/s a member",
         flush=True,
--- a/benchmarks/duties_at_size.py
+++ b/benchmarks/duties_at_size.py
@@ -70,7 +70,8 @@
     for name in draw.sample(sorted(net.nodes), min(kills, size - 1)):
         net.run(draw.uniform(0.0, 1_000.0))
         takeovers += kill(net, name)
-    return Row(size, sorted(takeovers), net.rates(started), bytes_s, messages_s, known, time.monotonic() - began)
+    spent = time.monotonic() - began
+    return Row(size, sorted(takeovers), net.rates(started), bytes_s, messages_s, known, spent)
 
 
 def main() -> int:
@@ -79,7 +80,10 @@
     parser.add_argument("--kills", type=int, default=5)
     parser.add_argument("--plot")
     given = parser.parse_args()
-    print("members  takeover ms p50     p99       max  probes: least, mean, most   bytes/s  msgs/s  known ms      s")
+    print(
+        "members  takeover ms p50     p99       max  "
+        "probes: least, mean, most   bytes/s  msgs/s  known ms      s"
+    )
     rows = []
     for size in map(int, given.sizes.split(",")):
         rows.append(measure(size, given.kills))
--- a/gladewalk/rehearsal/ownerwalk.py
+++ b/gladewalk/rehearsal/ownerwalk.py
@@ -119,8 +119,9 @@
         left = world.left
         for post in world.posts:
             rest = replace(world, posts=world.posts - {post})
-            yield f"{post.to} hears {post.claim.owner}'s claim {post.claim.epoch} to {post.duty}", self._hear(
-                rest, post
+            yield (
+                f"{post.to} hears {post.claim.owner}'s claim {post.claim.epoch} to {post.duty}",
+                self._hear(rest, post),
             )
             if left.losses:
                 less = replace(left, losses=left.losses - 1)
