--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -15,7 +15,9 @@
 import asyncio
 import json
 import os
+import random
 import secrets
+import socket
 import sys
 import tempfile
 import time
@@ -96,11 +98,19 @@
 
 
 def free_port() -> int:
-    import socket
-
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """A port that is free for datagrams and streams, outside the range that the system gives to others."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as streams,
+        ):
+            try:
+                datagrams.bind(("127.0.0.1", port))
+                streams.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 async def takeover(fleet: Fleet, watch: Watch, victim: int, interval_s: float) -> list[float]:
@@ -128,9 +138,9 @@
     member_seconds = spent * len(fleet.running)
     minutes = member_seconds / 60.0
     print(
-        f"{fleet.loss:.0%} lost, {spent:.0f} s: for each member and minute "
-        f"{after['members.suspected'] / minutes:.2f} suspicions, "
-        f"{after['members.died'] / minutes:.2f} deaths, of members that live; "
+        f"{fleet.loss:.0%} lost, {spent:.0f} s: each member sees a minute "
+        f"{after['members.suspected'] / minutes:.2f} suspicions and "
+        f"{after['members.died'] / minutes:.2f} deaths of members that live; "
         f"{after['members.sent_bytes'] / member_seconds:.0f} bytes/s and "
         f"{after['members.sent'] / member_seconds:.1f} messages/s a member",
         flush=True,
