A front that runs imported routing: each upstream with a core of its own; shared duties whole

nginx's files could be read and explained, but no director ran them; what was imported before went through the platform's protocol, which a plain request does not speak.

[front.http] listens where its table says, reads any HTTP/1.1 request under the guards of the platform's front (now shared by both), routes it and sends it to an upstream. Each upstream has a core, so logic.py chooses the server and the retries; web/standby.py decides, without I/O, whom the core sees as ready: down, max_fails, max_conns, backups. proxy_next_upstream ends at once what may not be tried again; a POST that may have run is not resent. error_page sends failures on; SIGHUP takes another table from one request to the next. gladewalk rehearse plays a site on loopback.

The core weighed servers by the time of hits: one that answered first got all there was. What servers make is now told as made, not held.

--- a/benchmarks/duties_at_size.py
+++ b/benchmarks/duties_at_size.py
@@ -56,9 +56,9 @@
     return [first.get(box, float("inf")) for box in owned]
 
 
-def measure(size: int, kills: int) -> Row:
+def measure(size: int, kills: int, settle_ms: float) -> Row:
     began, draw = time.monotonic(), random.Random(size)
-    net = duty_cluster(size, size, boxes=BOXES_EACH * size, settle_ms=12_000.0)
+    net = duty_cluster(size, size, boxes=BOXES_EACH * size, settle_ms=settle_ms)
     started, sent, size_before = net.now, sum(net.sent.values()), sum(net.bytes.values())
     net.run(5_000.0)
     seconds = size * 5.0
@@ -78,6 +78,7 @@
     parser = argparse.ArgumentParser(description="Shared duties in virtual time.")
     parser.add_argument("--sizes", default="4,16,64,256,1024")
     parser.add_argument("--kills", type=int, default=5)
+    parser.add_argument("--settle", type=float, default=12.0, help="seconds that members have to meet")
     parser.add_argument("--plot")
     given = parser.parse_args()
     print(
@@ -86,7 +87,7 @@
     )
     rows = []
     for size in map(int, given.sizes.split(",")):
-        rows.append(measure(size, given.kills))
+        rows.append(measure(size, given.kills, given.settle * 1_000.0))
         print(rows[-1], flush=True)
     if given.plot:
         draw_plot(rows, given.plot)
--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -199,14 +199,25 @@
 
 
 @gladewalk.command("rehearse")
-@click.argument("config", type=FILE)
-@click.argument("paths", nargs=-1, required=True, metavar="PATH...")
+@click.argument("file", type=FILE)
+@click.argument("uris", nargs=-1, required=True, metavar="URI...")
+@click.option("--host", default="", help="The Host field.")
 @click.pass_context
-def rehearse_command(context: click.Context, config: str, paths: tuple[str, ...]) -> None:
-    """Play every server of an imported configuration on loopback and ask for each path."""
+def rehearse_command(context: click.Context, file: str, uris: tuple[str, ...], host: str) -> None:
+    """Play every server of an imported site on loopback, with the front before them, and ask for each URI.
+
+    FILE is nginx's own or a table (.toml). Exit code 1 if an answer comes from elsewhere than the table says.
+    """
+    from .nginx.explain import Asked, load_any
     from .rehearsal.__main__ import run
 
-    context.exit(run(config, list(paths)))
+    try:
+        lines, good = run(load_any(file), [Asked(uri, host) for uri in uris])
+    except ConfigError as error:
+        click.echo(str(error), err=True)
+        context.exit(2)
+    click.echo("\n".join(lines))
+    context.exit(0 if good else 1)
 
 
 def main() -> int:
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -61,6 +61,10 @@
             from .duties.start import checked
 
             checked(options)
+        if options.front.http is not None:
+            from .web.start import checked as check_front
+
+            check_front(options)
         if options.control is not None:
             from .control.server import check_path
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -25,8 +25,10 @@
     from .duties.runner import Runner
     from .members.seal import Key
     from .members.transport import Members
+    from .nginx.router import Router
     from .options import Options
     from .upstream.secure import Shapes
+    from .web.start import Web
 
 ACCEPT_MS = 700.0  # after SIGTERM requests keep coming for this long
 LINGER_MS = 20.0  # lets the last answers leave before the process ends
@@ -100,6 +102,13 @@
             self.members, self.duties = start(
                 config.name, options, self.exchange, self.caches, self.deadlines, self.counters
             )
+        self.web: Web | None = None
+        if options is not None and options.front.http is not None:
+            from .web.start import Web
+
+            self.web = Web(
+                options, config.name, config.seed, unix_ms, self.deadlines, self.counters, self._module_says
+            )
         self.control: Control | None = None
         if options is not None and options.control is not None:
             self.control = self._control(options)
@@ -114,6 +123,8 @@
         if self.members is not None and self.duties is not None:
             await self.members.listen()
             self.duties.sweep()
+        if self.web is not None:
+            self.web.start()
         if self.control is not None:
             await self.control.listen()
 
@@ -137,7 +148,12 @@
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
         self.loop.add_signal_handler(signal.SIGINT, self.stop)
         self.loop.add_signal_handler(signal.SIGUSR1, self.report)
-        listening = {"listen": self.front.address, "dns": self.dns.address if self.dns is not None else None}
+        listening: dict[str, object] = {
+            "listen": self.front.address,
+            "dns": self.dns.address if self.dns is not None else None,
+        }
+        if self.web is not None:
+            listening["web"] = [front.address for front in self.web.fronts]
         self.log.info("serving", servers=len(self.caches.upstreams), **listening)
         await self._ended
         self.report()
@@ -145,6 +161,7 @@
     def reload(self) -> None:
         """SIGHUP: read the configuration file again; one that cannot be used leaves the old one in force."""
         keys: tuple[Key, ...] = ()
+        router: Router | None = None
         try:
             config, options, shapes = load(os.environ), self.options, self.caches.shapes
             if options is not None:
@@ -153,6 +170,7 @@
                 options = load_options(options.path)
                 shapes = shapes_of(options, shapes)
                 keys = self._keys_of(options)
+                router = self._router_of(options)
         except ConfigError as error:
             self.counters.add("reloads.refused")
             self.log.error("configuration kept", why=str(error))
@@ -162,6 +180,8 @@
             self.apply(config)
             if options is not None:
                 self.caches.shape(shapes)
+                if self.web is not None and router is not None:
+                    self.web.reload(options, router)
                 if self.members is not None and keys:
                     self.members.seal.rekey(keys)
 
@@ -173,6 +193,14 @@
 
         return load_keys(options.file(options.members.keys))
 
+    def _router_of(self, options: Options) -> Router | None:
+        """The imported table as its file has it now; None where the front is off."""
+        if self.web is None or options.front.http is None:
+            return None
+        from .web.start import checked
+
+        return checked(options)[0]
+
     def apply(self, config: Config) -> None:
         """Every part takes what it can while it runs; open requests live on under the old terms."""
         if config.listen != self.config.listen:
@@ -209,11 +237,13 @@
 
     def _close(self) -> None:
         self.front.close()
+        if self.web is not None:
+            self.web.close()
         self._wait_for_last()
 
     def _wait_for_last(self) -> None:
         """Every open request has a deadline of its own, so this ends."""
-        if self.exchange.owed or self.exchange.asked:
+        if self.exchange.owed or self.exchange.asked or (self.web is not None and self.web.owed):
             self.deadlines.add(unix_ms() + LINGER_MS, self._wait_for_last)
         else:
             self.follower.close()
--- a/gladewalk/duties/ownership.py
+++ b/gladewalk/duties/ownership.py
@@ -32,9 +32,17 @@
     return weight / -math.log(min(unit, 1.0 - 2.0**-53))
 
 
+Rank = tuple[float, str]  # a member's score for a duty, and its name: the greatest owns
+
+
+def rank_of(duty: str, members: Mapping[str, float]) -> Rank:
+    """The best of some members, given with their weights."""
+    return max((score(duty, name, weight), name) for name, weight in members.items())
+
+
 def owner_of(duty: str, members: Mapping[str, float]) -> str | None:
     """Who of the members, given with their weights, owns a duty; None if there is nobody."""
-    return max(members, key=lambda member: (score(duty, member, members[member]), member), default=None)
+    return rank_of(duty, members)[1] if members else None
 
 
 @dataclass(slots=True, frozen=True, order=True)
@@ -60,6 +68,7 @@
         self.me, self.interval_ms, self.random = me, interval_ms, rng
         self.members: dict[str, float] = {me: 1.0}
         self.duties: set[str] = set()
+        self.ranks: dict[str, Rank] = {}  # of the duties' owners by the hash, once they were asked for
         self.best: dict[str, Claim] = {}  # the best claim heard of, ours among them
         self.done_ms: dict[str, float] = {}  # when each was last done, as far as heard
         self.held: dict[str, Held] = {}
@@ -70,16 +79,37 @@
     def set_duties(self, duties: Iterable[str], now_ms: float) -> None:
         """The duties that there are; what is no longer one is forgotten."""
         self.duties = set(duties)
-        for known in (self.best, self.done_ms, self.held):
+        for known in (self.best, self.done_ms, self.held, self.ranks):
             for duty in [duty for duty in known if duty not in self.duties]:
                 del known[duty]
         self.review(now_ms)
 
     def set_members(self, members: Mapping[str, float], now_ms: float) -> None:
         """The members that are taken to live, ourselves among them, with their weights."""
-        self.members = {**members, self.me: members.get(self.me, 1.0)}
+        before, self.members = self.members, {**members, self.me: members.get(self.me, 1.0)}
+        gone = {name for name, weight in before.items() if self.members.get(name) != weight}
+        came = {name: weight for name, weight in self.members.items() if before.get(name) != weight}
+        self._rerank(gone, came)
         self.review(now_ms)
 
+    def _rerank(self, gone: set[str], came: Mapping[str, float]) -> None:
+        """A member's death concerns its own duties alone, and one that came is compared with the owners.
+
+        Guards against a hash of every duty with every member at each change: with a thousand of both that is
+        a second of a core.
+        """
+        for duty, rank in list(self.ranks.items()):
+            if rank[1] in gone:
+                del self.ranks[duty]
+            elif came:
+                self.ranks[duty] = max(rank, rank_of(duty, came))
+
+    def _owner(self, duty: str) -> str:
+        rank = self.ranks.get(duty)
+        if rank is None:
+            rank = self.ranks[duty] = rank_of(duty, self.members)
+        return rank[1]
+
     def hear(self, duty: str, claim: Claim, done_ms: float | None, now_ms: float) -> bool:
         """A claim, perhaps with the time of a finding made under it. False: it is an older one.
 
@@ -115,7 +145,7 @@
         return made
 
     def _review(self, duty: str, now_ms: float) -> None:
-        if duty in self.held or owner_of(duty, self.members) != self.me:
+        if duty in self.held or self._owner(duty) != self.me:
             return
         best = self.best.get(duty)
         self._claim(duty, best.epoch + 1 if best is not None else 1, self._first_due(duty, best, now_ms))
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -71,6 +71,7 @@
         self.duties = {duty.kind: duty for duty in duties}
         self.owned = {kind: Ownership(me, duty.interval_ms, rng) for kind, duty in self.duties.items()}
         members.changed, members.heard = self.changed, self.heard
+        self.moved = True  # who is there has changed since the last sweep: a fleet that joins is one change
         self.alone_until = clock() + (JOIN_MS if members.core.seeds else 0.0)
         self.known: dict[str, frozenset[str]] = dict.fromkeys(self.duties, frozenset())
 
@@ -79,6 +80,10 @@
         now = self.clock()
         if now < self.alone_until and len(self.members.core.live()) == 1:
             return self._again(now)
+        if self.moved and self.members.core.active:
+            self.moved, live = False, self.members.core.live()
+            for owned in self.owned.values():
+                owned.set_members(live, now)
         for kind, duty in self.duties.items():
             self._list(kind, frozenset(duty.names()), now)
         wanted = sum(len(self.known[k]) * 1_000.0 / duty.interval_ms for k, duty in self.duties.items())
@@ -109,14 +114,11 @@
 
     def changed(self, change: Change, name: str) -> None:
         """Who is there has changed; a suspect still counts, so that no duty moves for a short silence."""
-        live, now = self.members.core.live(), self.clock()
-        if not live:  # our name is another's: nothing is ours any more
+        if not self.members.core.active:  # our name is another's: nothing is ours any more
             for owned in self.owned.values():
                 owned.held.clear()
             return
-        for kind, owned in self.owned.items():
-            owned.set_members(live, now)
-            self._tell_claims(kind)
+        self.moved = True
 
     def heard(self, news: News) -> None:
         kind, _, name = news.duty.partition("/")
--- a/gladewalk/members/gossip.py
+++ b/gladewalk/members/gossip.py
@@ -8,11 +8,56 @@
 
 import math
 from collections.abc import Callable
+from itertools import chain
+from typing import Generic, TypeVar
 
 from .messages import News, Rumour, size_of
 from .terms import Terms
 
 GOSSIP_BYTES = 1_000  # of rumours in a message: the rest is for the message itself and its seal
+T = TypeVar("T", Rumour, News)
+
+
+class Told(Generic[T]):
+    """What is still being told, by key: least often told first, and of these the oldest.
+
+    One ordered level for each number of times, so that a message costs what it carries and not what waits:
+    with thousands of duties there are thousands of pieces.
+    """
+
+    def __init__(self) -> None:
+        self.levels: list[dict[str, T]] = [{}]
+        self.level_of: dict[str, int] = {}
+
+    def put(self, key: str, piece: T) -> None:
+        """New, or something newer of the same: told from the beginning."""
+        self.drop(key)
+        self.levels[0][key] = piece
+        self.level_of[key] = 0
+
+    def drop(self, key: str) -> None:
+        level = self.level_of.pop(key, None)
+        if level is not None:
+            del self.levels[level][key]
+
+    def take(self, room: int, often: int) -> list[T]:
+        """As many as fit into so many bytes; each is dropped once it was told often enough."""
+        chosen: list[tuple[str, T]] = []
+        for key, piece in chain.from_iterable(level.items() for level in self.levels):
+            room -= size_of(piece)
+            if room < 0:
+                break
+            chosen.append((key, piece))
+        for key, piece in chosen:
+            level = self.level_of[key] + 1
+            self.drop(key)
+            if level >= often:
+                continue
+            if level == len(self.levels):
+                self.levels.append({})
+            self.levels[level][key] = piece
+            self.level_of[key] = level
+        return [piece for _, piece in chosen]
 
 
 class Gossip:
@@ -20,16 +65,15 @@
 
     def __init__(self, terms: Terms, members: Callable[[], int]) -> None:
         self.terms, self.members = terms, members
-        # By member: what is new of it, and how often it was sent.
-        self.rumours: dict[str, tuple[Rumour, int]] = {}
-        self.news: dict[str, News] = {}  # the latest of each duty
-        self.fresh: dict[str, int] = {}  # duties whose latest news is still told, and how often it was
+        self.rumours: Told[Rumour] = Told()
+        self.fresh: Told[News] = Told()
+        self.news: dict[str, News] = {}  # the latest of each duty, told or not
 
     def spread(self, rumour: Rumour) -> None:
-        self.rumours[rumour.name] = (rumour, 0)
+        self.rumours.put(rumour.name, rumour)
 
     def forget_member(self, name: str) -> None:
-        self.rumours.pop(name, None)
+        self.rumours.drop(name)
 
     def learn(self, news: News) -> bool:
         """Whether it is later than what was known of its duty; then it is told on."""
@@ -39,43 +83,21 @@
         if known is None and len(self.news) >= self.terms.news_most:
             return False
         self.news[news.duty] = news
-        self.fresh[news.duty] = 0
+        self.fresh.put(news.duty, news)
         return True
 
     def forget_news(self, duty: str) -> None:
         self.news.pop(duty, None)
-        self.fresh.pop(duty, None)
+        self.fresh.drop(duty)
 
     def take_rumours(self) -> list[Rumour]:
-        """The rumours sent least often, as many as fit; each is dropped once it was sent often enough."""
-        often = self._often()
-        chosen, room = [], GOSSIP_BYTES
-        for name, (rumour, sent) in sorted(self.rumours.items(), key=lambda item: item[1][1]):
-            room -= size_of(rumour)
-            if room < 0:
-                break
-            chosen.append(rumour)
-            if sent + 1 >= often:
-                del self.rumours[name]
-            else:
-                self.rumours[name] = (rumour, sent + 1)
-        return chosen
+        return self.rumours.take(GOSSIP_BYTES, self._often())
 
     def take_news(self, beside: list[Rumour]) -> list[News]:
-        """News sent least often, as many as fit beside these rumours."""
-        if not self.fresh:
+        """News that fit beside these rumours."""
+        if not self.fresh.level_of:
             return []
-        room = GOSSIP_BYTES - sum(map(size_of, beside))
-        often, chosen = self._often(), []
-        for duty in sorted(self.fresh, key=self.fresh.__getitem__):
-            room -= size_of(self.news[duty])
-            if room < 0:
-                break
-            chosen.append(self.news[duty])
-            self.fresh[duty] += 1
-            if self.fresh[duty] >= often:
-                del self.fresh[duty]
-        return chosen
+        return self.fresh.take(GOSSIP_BYTES - sum(map(size_of, beside)), self._often())
 
     def _often(self) -> int:
         return math.ceil(self.terms.retransmit * math.log10(self.members() + 2))
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -107,6 +107,7 @@
         self.front = front
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
+        self.exchange = front.exchange  # whose the open request is
         self.waiting: deque[Ask | int] = deque()  # read, but not yet begun: an int is a status to answer
         self.number: int | None = None  # the request that is open
         self.ask: Ask | None = None
@@ -133,7 +134,7 @@
         if self.number is not None:
             number, self.number = self.number, None
             self._release()
-            self.front.exchange.gone(number)
+            self.exchange.gone(number)
         self.front.left(self)
 
     def data_received(self, data: bytes) -> None:
@@ -163,11 +164,11 @@
 
     def pause_writing(self) -> None:
         if self.number is not None:
-            self.front.exchange.flow(self.number, False)
+            self.exchange.flow(self.number, False)
 
     def resume_writing(self) -> None:
         if self.number is not None:
-            self.front.exchange.flow(self.number, True)
+            self.exchange.flow(self.number, True)
 
     # httptools' calls
 
@@ -196,26 +197,19 @@
             raise BadRequest(400)
         if length is not None and (not length.isdigit() or len(length) > 15):
             raise BadRequest(400)
-        self._grow(int(length or b"0"), BODY_MOST, 413)
+        self._grow(int(length or b"0"), self.front.body_most, 413)
         self.size = 0
         if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        self._grow(len(body), BODY_MOST, 413)
+        self._grow(len(body), self.front.body_most, 413)
         self.content.append(body)
 
     def on_message_complete(self) -> None:
         self.last, self.partial, self.asked = not self.parser.should_keep_alive(), False, True
         try:
-            url = httptools.parse_url(self.url)
-            path, query = (url.path or b"").decode("latin-1"), (url.query or b"").decode("latin-1")
-            method = self.parser.get_method().decode("latin-1")
-            if path == "/_health" and method == "GET":
-                self.waiting.append(200)
-            else:
-                ask = read_ask(method, path, query, self.headers, b"".join(self.content))
-                self.waiting.append(self.front.status_of(ask) or ask)
+            self.waiting.append(self._read())
         except BadRequest as error:
             self.waiting.append(error.status)
         except httptools.HttpParserError:
@@ -223,6 +217,16 @@
         if len(self.waiting) > WAITING_MOST:
             raise BadRequest(400)
 
+    def _read(self) -> Ask | int:
+        """The request that has come whole, or a status that answers it; `BadRequest` for a bad one."""
+        url = httptools.parse_url(self.url)
+        path, query = (url.path or b"").decode("latin-1"), (url.query or b"").decode("latin-1")
+        method = self.parser.get_method().decode("latin-1")
+        if path == "/_health" and method == "GET":
+            return 200
+        ask = read_ask(method, path, query, self.headers, b"".join(self.content))
+        return self.front.status_of(ask) or ask
+
     def _grow(self, by: int, most: int, status: int) -> None:
         self.size += by
         if self.size > most:
@@ -262,14 +266,17 @@
                 self._write_status(ask)
                 self._after_answer()
             else:
-                self.ask = ask
-                self.number = -1  # stands for the number until it is known: an answer may come before it
-                number = self.front.exchange.take(ask, self)
-                if self.number == -1:
-                    self.number = number
+                self._begin(ask)
         self.taking = False
         self.front.settle(self)
 
+    def _begin(self, ask: Ask) -> None:
+        self.ask = ask
+        self.number = -1  # stands for the number until it is known: an answer may come before it
+        number = self.exchange.take(ask, self)
+        if self.number == -1:
+            self.number = number
+
     def _release(self) -> None:
         ask, self.ask = self.ask, None
         if ask is not None:
@@ -361,6 +368,7 @@
     ) -> None:
         self.exchange, self.places, self.clock = exchange, places, clock
         self.deadlines, self.counters = deadlines, counters
+        self.connection, self.body_most = ClientConnection, BODY_MOST
         self.connections: set[ClientConnection] = set()
         # Connections without an open request, each kind in the order of time since when it is so.
         self.owing: dict[ClientConnection, float] = {}
@@ -407,7 +415,7 @@
             if self.held - self.leaving > self.places + SPARE_PLACES // 2:
                 self._make_room()
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = ClientConnection(self)
+            connection = self.connection(self)
             task = loop.create_task(loop.connect_accepted_socket(partial(_itself, connection), peer))
             self._opening[task] = connection
             task.add_done_callback(self._opened)
--- a/gladewalk/nginx/locations.py
+++ b/gladewalk/nginx/locations.py
@@ -81,7 +81,8 @@
         methods, methods_access = self._excepted(excepts, scope) if excepts else ([], [])
         places = self.level(block, scope, (kind, pattern))
         denied = bool(access) and not access[0].allow and access[0].network == "all"
-        if not passes and not ends(steps, kind, pattern) and not denied:
+        fallback = self._fallback(block)
+        if not passes and not fallback and not ends(steps, kind, pattern) and not denied:
             self.t.refuse(node, TARGETLESS, "files")
         for found in (inner for inner in block if inner.name == "satisfy"):
             check_satisfy(found)
@@ -93,10 +94,21 @@
         return Place(
             at=node.where, kind=kind, pattern=pattern, upstream=upstream, uri=uri, steps=steps, access=access,
             methods=methods, methods_access=methods_access,
-            internal=any(inner.name == "internal" for inner in block), terms=terms,
+            internal=any(inner.name == "internal" for inner in block), fallback=fallback, terms=terms,
             errors=errors_of(scope), places=places,
         )  # fmt: skip
 
+    def _fallback(self, block: tuple[Node, ...]) -> str:
+        """Where an accepted `try_files` leads once none of its files is there."""
+        for node in block:
+            if node.name == "try_files" and node.name in self.t.allowed:
+                if len(node.args) < 2 or not node.args[-1].startswith(("@", "/", "=")):
+                    raise Refusal(node, "takes files and where to go without them")
+                if node.args[-1].startswith("="):
+                    code_of(node, node.args[-1][1:])
+                return self.t.template(node, node.args[-1])
+        return ""
+
     def _excepted(self, nodes: list[Node], scope: Scope) -> tuple[list[str], list]:  # type: ignore[type-arg]
         node = nodes[0]
         if len(nodes) > 1 or not node.args:
--- a/gladewalk/nginx/router.py
+++ b/gladewalk/nginx/router.py
@@ -75,6 +75,7 @@
     methods_gate: Gate
     upstream: Template
     uri: Template | None
+    fallback: Template | None
     errors: dict[int, tuple[ErrorPage, Template]]
     fields: tuple[tuple[str, Template], ...] = ()
     added: tuple[tuple[str, Template, bool], ...] = ()
@@ -152,6 +153,7 @@
             methods_gate=gate_of(place.methods_access),
             upstream=read_template(place.upstream, own),
             uri=read_template(place.uri, own) if place.uri is not None else None,
+            fallback=read_template(place.fallback, own) if place.fallback else None,
             errors=self._errors(place.errors),
             fields=tuple((name, read_template(value, own)) for name, value in terms.set_fields),
             added=tuple((name, read_template(value, own), kind == "always")
@@ -241,9 +243,33 @@
         if not gate.lets(state.request.client):
             self._replied(landing, Reply(403), trace)
             return False
+        if location.place.fallback:
+            return self._fall_back(landing, rules, trace)
         self._pass(landing, rules, course.whole, trace)
         return False
 
+    def _fall_back(self, landing: Landing, rules: Rules, trace: list[str] | None) -> bool:
+        """ngx_http_core_module, try_files: an internal redirect to the last, or its code."""
+        assert rules.fallback is not None
+        to, state = rules.fallback.fill(landing.state), landing.state
+        if trace is not None:
+            trace.append(f"try_files -> {to}")
+        if to.startswith("="):
+            self._replied(landing, Reply(int(to[1:])), trace)
+            return False
+        landing.changes -= 1
+        if landing.changes < 0:
+            self._replied(landing, Reply(500), trace, final=True)
+            return False
+        state.internal = True
+        if to.startswith("@"):
+            self._to_named(landing, to, trace)
+            return False
+        state.unparsed = False
+        state.uri, question, args = to.partition("?")
+        state.args = args if question else state.args
+        return True
+
     def _too_large(self, landing: Landing) -> bool:
         most = landing.terms.body_most
         length = landing.state.request.fields.get("content-length", "0")
@@ -304,6 +330,7 @@
                 return self._to_named(landing, to, trace)
             if state.request.method != "HEAD":
                 state.request.method = "GET"
+            state.unparsed = False
             state.uri, _, args = to.partition("?")
             state.args = args
             return self._from_server(landing, trace)
@@ -323,7 +350,7 @@
     """What the upstream is asked for (`ngx_http_proxy_create_request`)."""
     args = f"?{state.args}" if state.args else ""
     if rules.uri is None or (not rules.uri.plain and rules.uri.text == ""):
-        if not state.internal:
+        if state.unparsed:
             return state.request.target.raw.partition("#")[0]
         return escape(state.uri) + args
     if not rules.uri.plain or not rules.upstream.plain:  # with variables it is passed as it comes out
--- a/gladewalk/nginx/rules.py
+++ b/gladewalk/nginx/rules.py
@@ -91,7 +91,7 @@
         if not state.uri:
             course.reply = Reply(500)
             return
-        state.internal = True
+        state.internal, state.unparsed = True, False
         course.stopped = self.step.flag in ("last", "break")
         course.changed = self.step.flag != "break"
         course.whole = course.whole or self.step.flag == "break"
--- a/gladewalk/nginx/table.py
+++ b/gladewalk/nginx/table.py
@@ -107,6 +107,7 @@
     methods: list[str] = []  # limit_except: which methods the rules behind it don't hold for
     methods_access: list[Access] = []
     internal: bool = False
+    fallback: str = ""  # the last of an accepted try_files, whose files are taken not to be there
     terms: Terms = Terms()
     errors: list[ErrorPage] = []
     places: list[Place] = []
--- a/gladewalk/nginx/translate.py
+++ b/gladewalk/nginx/translate.py
@@ -40,6 +40,7 @@
     "location": ("server", "location"), "limit_except": ("location",), "internal": ("location",),
     "proxy_pass": ("location",), "rewrite": REWRITES, "return": REWRITES, "set": REWRITES, "break": REWRITES,
     "if": ("server", "location"), "merge_slashes": ("main", "http", "server"),
+    "try_files": ("location",),
 }  # fmt: skip
 
 
--- a/gladewalk/nginx/variables.py
+++ b/gladewalk/nginx/variables.py
@@ -54,6 +54,7 @@
     server_name: str = ""
     proxy_host: str = ""
     internal: bool = False
+    unparsed: bool = True  # the target as it came still stands for the URI: no rule has changed that
     own: dict[str, str] = field(default_factory=dict)  # by `set`, and named captures
     captures: tuple[str, ...] = ()  # $0, $1 ... of the last regex that matched
     maps: Mapping[str, MapRule] = field(default_factory=dict)
--- a/gladewalk/options.py
+++ b/gladewalk/options.py
@@ -74,6 +74,20 @@
     wait_ms: Annotated[float, Meta(gt=0.0)] = 1_000.0
 
 
+class FrontHttp(Table, frozen=True):
+    """`[front.http]`: ordinary requests, routed as an imported table says."""
+
+    site: Annotated[str, Meta(min_length=1)]  # a table of `gladewalk import`
+    listen: dict[str, str]  # our address -> which listen of the table it stands for
+    clients_most: Annotated[int, Meta(ge=1, le=1_000_000)] = 256  # connections of clients at a time
+    upstream_most: Annotated[int, Meta(ge=1, le=1_000_000)] = 256  # connections to all upstreams together
+    body_most: Annotated[int, Meta(ge=0, le=1_073_741_824)] = 1_048_576  # bytes of a request, held in memory
+
+
+class Front(Table, frozen=True):
+    http: FrontHttp | None = None
+
+
 class Members(Table, frozen=True):
     """`[members]`: where this director meets others, and who they are."""
 
@@ -109,6 +123,7 @@
     members: Members | None = None
     duties: Duties = Duties()
     control: Control | None = None
+    front: Front = Front()
 
 
 @dataclass(slots=True, frozen=True)
@@ -123,6 +138,7 @@
     members: Members | None
     duties: Duties
     control: Control | None
+    front: Front
 
     def file(self, name: str) -> Path:
         return self.folder / name
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -74,13 +74,17 @@
         assert self.transport is not None
         job.carrier = self
         now = self.pool.clock()
-        request = write_request(job, now) if isinstance(job, Attempt) else write_probe(job)
+        request = self.written(job, now) if isinstance(job, Attempt) else write_probe(job)
         self.job, self.status, self.size, self.headers = job, 0, 0, {}
         self.headed = self.passing = self.whole = self.lasts = False
         self.begun = None
         self.read.clear()
         self.transport.write(request)
 
+    def written(self, attempt: Attempt, now_ms: float) -> bytes:
+        """What an attempt's request looks like here; another front's servers may want another."""
+        return write_request(attempt, now_ms)
+
     def drop(self, job: Attempt | Probing) -> None:
         self.close()
 
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -120,6 +120,8 @@
         self.dialling: set[Dial | LaneDial] = set()
         self.queue: deque[Dial | LaneDial] = deque()  # until a connection may be opened
         self.lanes: list[Lane] = []  # of servers spoken to over HTTP/2, or that were until lately
+        self.closing = False  # nothing new comes: it ends with its last request
+        self.connection: type[CacheConnection] = CacheConnection  # what speaks HTTP/1.1 to a server
         self.witness: Callable[[Attempt, Finding], None] | None = None  # hears each verdict of a ledger
 
     def configure(self, config: Config) -> None:
@@ -137,6 +139,8 @@
     def sweep(self) -> None:
         """Once a second: what has been idle for long closes from this side first."""
         now = self.clock()
+        if self.closing and not self.exchange.taken:
+            return self.keep_only(())
         idle_ms = self.config.conn_idle_ms * IDLE_PART
         for upstream in self.upstreams.values():
             upstream.close_stale(now)
@@ -268,7 +272,7 @@
                 if connection is not None:
                     connection.close()
                 _, connection = await asyncio.get_running_loop().create_connection(
-                    lambda: CacheConnection(upstream), *upstream.address, **self._security(upstream)
+                    lambda: self.connection(upstream), *upstream.address, **self._security(upstream)
                 )
         except OSError as error:
             connection = None
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -10,6 +10,7 @@
 from gladewalk.config import ConfigError
 from gladewalk.counters import Counters
 from gladewalk.director import Turn, unix_ms
+from gladewalk.members.gossip import Told
 from gladewalk.members.messages import (
     DATAGRAM_MOST,
     Digest,
@@ -368,7 +369,7 @@
         await until(lambda: not second.streams.begun and not first.streams.begun)
         for n in range(300):  # far more than a datagram holds; none of it is ever gossiped
             first.core.gossip.learn(News(f"load/box-{n}", "a", 1, unix_ms(), "ok", 1.0))
-        first.core.gossip.fresh.clear()
+        first.core.gossip.fresh = Told()
         told: list[News] = []
         second.heard = told.append
         second.streams.begin(Exchange(("127.0.0.1", first.core.me.port)))
--- a/tests/test_nginx.py
+++ b/tests/test_nginx.py
@@ -14,7 +14,7 @@
 
 from gladewalk.config import ConfigError
 from gladewalk.nginx.directives import DIRECTIVES, Answer, page
-from gladewalk.nginx.explain import Asked, diff, explain, read_requests, told
+from gladewalk.nginx.explain import Asked, diff, explain, land, read_requests, told
 from gladewalk.nginx.maps import murmur2
 from gladewalk.nginx.matching import Search
 from gladewalk.nginx.reading import NginxError
@@ -248,6 +248,14 @@
         site = import_site(str(path), ["files", "expires"])
         assert sorted(loss.partition(": ")[0][-2:] for loss in site.losses) == [":3", ":4"]
         assert "expires 1d" in write_site(site)
+        path.write_text(
+            "upstream a { server 127.0.0.1:1; }\nserver {\n location @app { proxy_pass http://a; }\n"
+            " location / { try_files $uri @app; }\n location /c { try_files $uri =410; }\n"
+            " location /d { try_files $uri /x?y=$uri; }\n location /x { proxy_pass http://a/z; }\n}\n"
+        )
+        router = Router(import_site(str(path), ["try_files"]))
+        ends = [told(land(router, Asked(uri))) for uri in ("/q?r=1", "/c", "/d")]
+        assert ends == ["upstream a /q?r=1", "answer 410", "upstream a /z?y=/d"]
         path.write_text("server {\n location / { auth_basic x; return 200; }\n}\n")
         with pytest.raises(NginxError, match="its loss can't be accepted"):
             import_site(str(path), ["auth_basic"])
@@ -337,6 +345,13 @@
     code, out, err = run("import", str(CORPUS / "53-auth-refused.conf"))
     assert (code, out) == (2, "") and "53-auth-refused.conf:5: auth_basic" in err
     assert run("route", file, "no-uri")[0] == 2
+    code, out, _ = run(
+        "rehearse", file, "/lots/7/a.mp4", "/lots/raw/x", "/health", "--host", "auction.example"
+    )
+    assert code == 0
+    assert [line.rpartition("; ")[2][:14] for line in out.splitlines()] == [
+        "200 from media", "403 from the d", "200 from the d",
+    ]  # fmt: skip
 
 
 _ = replace
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,401 @@
+"""The front for imported routing, end to end: the corpus on loopback, failures, backups, bad manners."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+import pytest
+
+from gladewalk.nginx.table import Box, Site
+from gladewalk.nginx.translate import import_site
+from gladewalk.options import options_of, read_tables
+from gladewalk.rehearsal.peers import Heard, until
+from gladewalk.rehearsal.webworld import Answer, WebWorld
+from gladewalk.web.standby import Standby
+from gladewalk.web.start import checked
+
+from .test_nginx import CORPUS, FILES, expectations
+
+
+def site_of(text: str) -> Site:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "f.conf"
+        path.write_text(text)
+        return import_site(str(path))
+
+
+def told(answer: Answer) -> str:
+    """An answer as the corpus writes landings."""
+    if answer.by:
+        _, _, target = answer.body.decode().split(" ", 2)
+        return f"upstream {answer.by.rpartition('/')[0]} {target}"
+    return f"answer {answer.status} {answer.fields.get('location') or answer.body.decode()}".rstrip()
+
+
+@pytest.mark.parametrize("path", [p for p in FILES if list(expectations(p))], ids=lambda path: path.stem)
+def test_the_corpus_lands_at_its_stand_in_servers(path: Path) -> None:
+    """Every expectation that a client on loopback can make: from its own address, with a body if any."""
+
+    async def play() -> None:
+        site = import_site(str(path))
+        async with WebWorld(site) as world:
+            for each in expectations(path):
+                asked = each.asked
+                if asked.client != "127.0.0.1" or "content-length" in each.fields:
+                    continue
+                if asked.method == "HEAD":
+                    continue
+                if asked.host == "":
+                    data = f"{asked.method} {asked.uri} HTTP/1.0\r\n".encode()
+                    data += b"".join(f"{k}: {v}\r\n".encode() for k, v in each.fields.items()) + b"\r\n"
+                    call = world.say(data, listen=asked.listen)
+                else:
+                    call = world.ask(asked.uri, asked.host, asked.method, b"", asked.listen, **each.fields)
+                if each.landing == "answer 444":
+                    with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                        await call
+                    continue
+                assert told(await call) == each.landing, str(asked)
+
+    asyncio.run(play())
+
+
+TWO = """upstream a { server 127.0.0.1:1; server 127.0.0.1:2; }
+server { listen 8080; server_name example.com; location / { proxy_pass http://a; %s } }"""
+
+
+class Failures(unittest.IsolatedAsyncioTestCase):
+    def answering(self, status: int, body: bytes = b"", **fields: str):  # type: ignore[no-untyped-def]
+        async def script(heard: Heard) -> None:
+            await heard.answer(status, body, X_Server=heard.peer.uid, **fields)
+
+        return script
+
+    async def refuse(self, heard: Heard) -> None:
+        heard.writer.transport.abort()
+
+    async def hang(self, heard: Heard) -> None:
+        await asyncio.sleep(30.0)
+
+    async def test_a_failure_is_tried_elsewhere_once_and_each_request_gets_one_answer(self) -> None:
+        async with WebWorld(site_of(TWO % ""), {"a/0": self.refuse}) as world:
+            answers = [await world.ask(f"/{n}") for n in range(24)]
+            self.assertEqual({(answer.status, answer.by) for answer in answers}, {(200, "a/1")})
+            self.assertGreater(len(world.servers["a/0"].heard), 0)
+
+    async def test_what_may_have_run_is_not_sent_again_and_what_never_ran_is(self) -> None:
+        async with WebWorld(site_of(TWO % "")) as world:
+            world.servers["a/0"].script = self.refuse
+            statuses = [(await world.ask(f"/{n}", method="POST", body=b"bid")).status for n in range(12)]
+            ran = len(world.servers["a/0"].heard)
+            self.assertEqual(statuses.count(502), ran)
+            self.assertGreater(ran, 0)
+            self.assertEqual(len(world.servers["a/1"].heard), 12 - ran)
+            world.servers["a/0"].stop()
+            for connection in list(world.director.web.upstreams["a"].upstreams.live):  # type: ignore
+                connection.close()
+            statuses = [(await world.ask(f"/x{n}", method="POST", body=b"bid")).status for n in range(12)]
+            self.assertEqual(set(statuses), {200})
+
+    async def test_next_upstream_off_and_a_list_without_the_condition_end_it_at_once(self) -> None:
+        for words, status in (("proxy_next_upstream off;", 502), ("proxy_next_upstream http_500;", 502)):
+            async with WebWorld(site_of(TWO % words), {"a/0": self.refuse, "a/1": self.refuse}) as world:
+                self.assertEqual((await world.ask("/x")).status, status)
+                self.assertEqual(sum(len(server.heard) for server in world.servers.values()), 1)
+
+    async def test_a_status_is_tried_elsewhere_only_where_the_file_says(self) -> None:
+        busy = self.answering(503, b"busy")
+        async with WebWorld(site_of(TWO % ""), {"a/0": busy, "a/1": busy}) as world:
+            answer = await world.ask("/x")
+            self.assertEqual((answer.status, answer.body), (503, b"busy"))
+        async with WebWorld(site_of(TWO % "proxy_next_upstream http_503;"), {"a/0": busy}) as world:
+            answers = {(await world.ask(f"/{n}")).by for n in range(12)}
+            self.assertEqual(answers, {"a/1"})
+        both = {"a/0": busy, "a/1": busy}
+        async with WebWorld(site_of(TWO % "proxy_next_upstream http_503;"), both) as world:
+            self.assertEqual((await world.ask("/x")).status, 503)  # the last answer, when all were tried
+
+    async def test_a_silent_server_runs_into_the_locations_own_time(self) -> None:
+        words = "proxy_read_timeout 150ms; proxy_next_upstream off;"
+        async with WebWorld(site_of(TWO % words), {"a/0": self.hang, "a/1": self.hang}) as world:
+            self.assertEqual((await world.ask("/x")).status, 504)
+
+    async def test_an_answer_that_breaks_off_is_cut_for_the_client_too(self) -> None:
+        async def half(heard: Heard) -> None:
+            heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+            await heard.writer.drain()
+            heard.writer.transport.abort()
+
+        async with WebWorld(site_of(TWO % ""), {"a/0": half, "a/1": half}) as world:
+            with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+                await world.ask("/x")
+
+    async def test_a_backup_takes_over_and_gives_back(self) -> None:
+        site = site_of("""upstream a { server 127.0.0.1:1 max_fails=1 fail_timeout=400ms;
+            server 127.0.0.1:2 max_fails=1 fail_timeout=400ms; server 127.0.0.1:3 backup;
+            server 127.0.0.1:4 down; }
+            server { location / { proxy_pass http://a; } }""")
+        async with WebWorld(site) as world:
+            first = {(await world.ask(f"/{n}")).by for n in range(16)}
+            self.assertEqual(first, {"a/0", "a/1"})
+            world.servers["a/0"].script = world.servers["a/1"].script = self.refuse
+            answers = [await world.ask(f"/b{n}") for n in range(8)]
+            self.assertEqual({answer.by for answer in answers}, {"a/2"})
+            for number in (0, 1):
+                world.servers[f"a/{number}"].script = world.servers["a/2"].script
+
+            async def back() -> set[str]:
+                return {(await world.ask(f"/c{n}")).by for n in range(8)}
+
+            for _ in range(200):
+                if await back() == {"a/0", "a/1"}:
+                    break
+                await asyncio.sleep(0.05)
+            self.assertEqual(await back(), {"a/0", "a/1"})
+            self.assertEqual(len(world.servers["a/3"].heard), 0)
+
+    async def test_all_down_is_refused_at_once_with_retry_after(self) -> None:
+        site = site_of("upstream a { server 127.0.0.1:1 down; server 127.0.0.1:2 down; }\n"
+                       "server { location / { proxy_pass http://a; } }")  # fmt: skip
+        async with WebWorld(site) as world:
+            answer = await world.ask("/x")
+            self.assertEqual((answer.status, answer.fields["retry-after"]), (503, "1"))
+            self.assertEqual(sum(len(server.heard) for server in world.servers.values()), 0)
+
+    async def test_max_conns_sends_the_rest_elsewhere(self) -> None:
+        gate = asyncio.Event()
+
+        async def wait(heard: Heard) -> None:
+            await gate.wait()
+            await heard.answer(200, b"", X_Server=heard.peer.uid)
+
+        site = site_of("upstream a { server 127.0.0.1:1 max_conns=2; server 127.0.0.1:2; }\n"
+                       "server { location / { proxy_pass http://a; } }")  # fmt: skip
+        async with WebWorld(site, {"a/0": wait, "a/1": wait}) as world:
+            tasks = [asyncio.create_task(world.ask(f"/{n}")) for n in range(16)]
+            await until(lambda: sum(len(server.heard) for server in world.servers.values()) == 16)
+            self.assertEqual(len(world.servers["a/0"].heard), 2)
+            gate.set()
+            self.assertEqual({(await task).status for task in tasks}, {200})
+
+    async def test_an_error_page_sends_a_failure_elsewhere(self) -> None:
+        site = site_of("""upstream a { server 127.0.0.1:1; } upstream b { server 127.0.0.1:2; }
+            server { server_name example.com;
+              location / { proxy_pass http://a; error_page 502 504 = @over; }
+              location @over { proxy_pass http://b; }
+              location /kept { proxy_pass http://a; error_page 502 /sorry; }
+              location /sorry { internal; proxy_pass http://b; } }""")
+        async with WebWorld(site, {"a/0": self.refuse}) as world:
+            answer = await world.ask("/x?y=1")
+            self.assertEqual((answer.status, answer.body), (200, b"b/0 GET /x?y=1"))
+            answer = await world.ask("/kept")
+            self.assertEqual((answer.status, answer.body), (502, b"b/0 GET /sorry"))
+
+
+class Shares(unittest.IsolatedAsyncioTestCase):
+    async def test_a_server_that_answers_faster_is_not_given_all(self) -> None:
+        """The core weighs caches by the time that hits take; what servers make has no such measure."""
+
+        async def slow(heard: Heard) -> None:
+            await asyncio.sleep(0.02)
+            await heard.answer(200, b"", X_Server=heard.peer.uid)
+
+        async with WebWorld(site_of(TWO % ""), {"a/0": slow}) as world:
+            for n in range(60):
+                await world.ask(f"/{n}")
+            shares = sorted(len(server.heard) for server in world.servers.values())
+            self.assertGreater(shares[0], 10)
+            balanced = world.director.web.upstreams["a"]  # type: ignore[union-attr]
+            self.assertEqual({server.weight for server in balanced.core.servers.values()}, {1.0})
+
+
+class Messages(unittest.IsolatedAsyncioTestCase):
+    async def test_fields_bodies_and_ranges_pass_as_http_asks(self) -> None:
+        seen: list[Heard] = []
+
+        async def answer(heard: Heard) -> None:
+            seen.append(heard)
+            if heard.path == "/chunked":
+                heard.writer.write(
+                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+                )
+            elif heard.path == "/close":
+                heard.writer.write(b"HTTP/1.0 200 OK\r\n\r\nto the end")
+                await heard.writer.drain()
+                heard.writer.close()
+            elif "range" in heard.headers:
+                await heard.answer(206, b"part", Content_Range="bytes 0-3/9", Connection="X-Hop", X_Hop="1")
+            elif "if-none-match" in heard.headers:
+                heard.writer.write(b'HTTP/1.1 304 Not Modified\r\nETag: "e"\r\n\r\n')
+            elif heard.method == "HEAD":
+                heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n")
+            else:
+                await heard.answer(201, heard.body, Set_Cookie="a=1", Server="x", Location="http://a/s/there")
+
+        site = site_of("""upstream a { server 127.0.0.1:1; }
+            server { listen 8080; server_name example.com; client_max_body_size 1k;
+              add_header X-From "$host" always;
+              location / { proxy_pass http://a; proxy_set_header Host $host;
+                proxy_set_header X-Real $remote_addr;
+                proxy_set_header X-Forwarded-For $proxy_add_x_forwarded_for; proxy_set_header Accept ""; }
+              location /p/ { proxy_pass http://a/s/; } }""")
+        async with WebWorld(site, {"a/0": answer}) as world:
+            got = await world.ask("/x", method="PUT", body=b"body", Accept="a/b", Cookie="c=d", TE="trailers",
+                                  X_Forwarded_For="10.0.0.9")  # fmt: skip
+            heard = seen[-1]
+            self.assertEqual((got.status, got.body, got.fields["set-cookie"]), (201, b"body", "a=1"))
+            self.assertEqual((got.fields["x-from"], "server" in got.fields), ("example.com", False))
+            wanted = {"host": "example.com", "x-real": "127.0.0.1", "x-forwarded-for": "10.0.0.9, 127.0.0.1",
+                      "cookie": "c=d", "content-length": "4"}  # fmt: skip
+            self.assertEqual(heard.headers, wanted)
+            got = await world.ask("/p/y", method="POST", body=b"z")
+            self.assertEqual((seen[-1].path, seen[-1].headers["host"]), ("/s/y", "a"))
+            self.assertEqual(got.fields["location"], "http://example.com:8080/p/there")
+            got = await world.ask("/x", Range="bytes=0-3")
+            self.assertEqual(
+                (got.status, got.body, got.fields["content-range"]), (206, b"part", "bytes 0-3/9")
+            )
+            self.assertNotIn("x-hop", got.fields)
+            got = await world.ask("/x", If_None_Match='"e"')
+            self.assertEqual((got.status, got.fields["etag"], got.body), (304, '"e"', b""))
+            got = await world.ask("/x", method="HEAD")
+            self.assertEqual((got.status, got.fields["content-length"], got.body), (200, "7", b""))
+            self.assertEqual((await world.ask("/chunked")).body, b"abc")
+            self.assertEqual((await world.ask("/close")).body, b"to the end")
+            self.assertEqual((await world.ask("/x", method="POST", body=b"x" * 1_025)).status, 413)
+
+    async def test_a_large_answer_streams_at_the_clients_pace(self) -> None:
+        sent = 0
+
+        async def pour(heard: Heard) -> None:
+            nonlocal sent
+            heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n")
+            for _ in range(300):
+                heard.writer.write(bytes(100_000))
+                await heard.writer.drain()
+                sent += 100_000
+
+        async with WebWorld(site_of(TWO % ""), {"a/0": pour, "a/1": pour}) as world:
+            reader, writer = await asyncio.open_connection(*world.address())
+            writer.write(b"GET /x HTTP/1.1\r\nHost: example.com\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            before = -1
+            while sent != before:  # it stands still long before all is sent: nobody reads it
+                before = sent
+                await asyncio.sleep(0.3)
+            self.assertLess(sent, 25_000_000)
+            self.assertEqual(len(await reader.readexactly(30_000_000)), 30_000_000)
+            writer.close()
+
+    async def test_noise_and_doubtful_messages_get_a_4xx_and_reach_no_server(self) -> None:
+        async with WebWorld(site_of(TWO % "")) as world:
+            for data, status in (
+                (b"GET /x HTTP/1.1\r\n\r\n", 400),  # no Host
+                (b"GET /x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+                (b"GET /../x HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+                (b"GET /%zz HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+                (b"GET /x HTTP/1.1\r\nHost: a/b\r\n\r\n", 400),
+                (
+                    b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    400,
+                ),
+                (b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000\r\n\r\n", 413),
+                (b"GET /" + b"x" * 20_000 + b" HTTP/1.1\r\nHost: a\r\n\r\n", 431),
+                (b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n", 405),
+                (b"\x16\x03\x01\x02\x00\x01", 400),
+            ):
+                self.assertEqual((await world.say(data)).status, status, data[:60])
+            self.assertEqual(sum(len(server.heard) for server in world.servers.values()), 0)
+            answer = await world.say(b"GET http://example.com/abs?q HTTP/1.1\r\nHost: other\r\n\r\n")
+            self.assertTrue(answer.body.endswith(b"GET /abs?q"), answer.body)
+
+    async def test_requests_behind_one_another_on_a_connection_are_answered_in_order(self) -> None:
+        async with WebWorld(site_of(TWO % "")) as world:
+            reader, writer = await asyncio.open_connection(*world.address())
+            writer.write(b"".join(b"GET /%d HTTP/1.1\r\nHost: example.com\r\n\r\n" % n for n in range(6)))
+            for n in range(6):
+                await reader.readuntil(b"\r\n\r\n")
+                self.assertTrue((await reader.readexactly(len("a/0 GET /0"))).endswith(b"GET /%d" % n))
+            writer.close()
+            self.assertLessEqual(sum(server.connections for server in world.servers.values()), 2)
+
+
+def test_standby_counts_failures_in_their_time_and_gives_back() -> None:
+    def box(n: int, **more: object) -> Box:
+        return Box(address=f"s{n}", at="-", **more)  # type: ignore[arg-type]
+
+    def ready(now: float) -> list[str]:
+        return [address for address, on in standby.ready(now).items() if on]
+
+    standby = Standby([box(1, max_fails=2, fail_ms=1_000.0), box(2, max_fails=0), box(3, backup=True)])
+    assert ready(0.0) == ["s1", "s2"]
+    standby.note("s1", True, 0.0)
+    standby.note("s1", True, 1_500.0)  # not within its time of the first
+    assert ready(1_500.0) == ["s1", "s2"]
+    standby.note("s1", True, 1_600.0)
+    assert (ready(1_600.0), standby.next_ms(1_600.0)) == (["s2"], 2_600.0)
+    for _ in range(9):
+        standby.note("s2", True, 1_700.0)  # max_fails=0: never
+    assert ready(1_700.0) == ["s2"]
+    assert ready(2_600.0) == ["s1", "s2"]
+    both = Standby([box(1), box(2, backup=True)])
+    both.note("s1", True, 0.0)
+    assert [a for a, on in both.ready(1.0).items() if on] == ["s2"]
+    assert both.changes(1.0) == {"s1": False, "s2": True} and both.changes(2.0) == {}
+    alone = Standby([box(1)])
+    alone.note("s1", True, 0.0)
+    assert alone.ready(1.0) == {"s1": True}
+
+
+def test_a_front_that_cannot_be_is_one_line(tmp_path: Path) -> None:
+    from gladewalk.config import ConfigError
+    from gladewalk.nginx.table import write_site
+
+    (tmp_path / "site.toml").write_text(write_site(import_site(str(CORPUS / "26-listens-apart.conf"))))
+    for front, why in (
+        ({"site": "none.toml", "listen": {}}, "none.toml: No such file"),
+        ({"site": "site.toml", "listen": {}}, "front.http.listen: names no address"),
+        ({"site": "site.toml", "listen": {"x": "*:8081"}}, "front.http.listen: not an address"),
+        ({"site": "site.toml", "listen": {"127.0.0.1:0": "*:1"}}, r"\*:1 is none of the table's: \*:8081"),
+    ):
+        with pytest.raises(ConfigError, match=why):
+            checked(options_of(read_tables({"front": {"http": front}}), "t.toml", tmp_path))
+
+
+class Reloads(unittest.IsolatedAsyncioTestCase):
+    async def test_another_table_holds_from_the_next_request_on_and_a_bad_one_changes_nothing(self) -> None:
+        from gladewalk.nginx.router import Router
+
+        site = site_of("""upstream a { server 127.0.0.1:1; } upstream b { server 127.0.0.1:2; }
+            server { location / { proxy_pass http://a; } location /b { proxy_pass http://b; } }""")
+        gate = asyncio.Event()
+
+        async def wait(heard: Heard) -> None:
+            await gate.wait()
+            await heard.answer(200, b"old", X_Server=heard.peer.uid)
+
+        async with WebWorld(site, {"b/0": wait}) as world:
+            director = world.director
+            assert director is not None and director.web is not None and director.options is not None
+            self.assertEqual((await world.ask("/x")).by, "a/0")
+            task = asyncio.create_task(world.ask("/b"))
+            await until(lambda: len(world.servers["b/0"].heard) == 1)
+            path = Path(world._folder.name) / "site.toml"  # type: ignore[union-attr]
+            kept, old = director.web.upstreams["a"], director.web.upstreams["b"]
+            table = path.read_text()
+            other = table.replace('pattern = "/b"', 'pattern = "/c"').replace('name = "b"', 'name = "b2"')
+            path.write_text(other.replace('upstream = "b"', 'upstream = "b2"'))
+            router = director._router_of(director.options)
+            assert isinstance(router, Router)
+            director.web.reload(director.options, router)
+            self.assertEqual((await world.ask("/b")).by, "a/0")
+            self.assertIs(director.web.upstreams["a"], kept)
+            gate.set()
+            self.assertEqual((await task).body, b"old")  # what was open is answered
+            await until(lambda: not old.taken and not old.upstreams.live)  # type: ignore[union-attr]
+            self.assertEqual((await world.ask("/c")).by, "b/0")
+            path.write_text(table.replace("[[servers]]", "[[serverz]]"))
+            with self.assertRaisesRegex(Exception, "serverz: no such setting"):
+                director._router_of(director.options)
+            self.assertEqual((await world.ask("/c")).by, "b/0")
