An embedded store: purges, drains, leases and a warm start outlive a restart

A director started from nothing: purges, drains and the leases of the DNS front depended on luck, and a restarted one had forgotten every holder.

gladewalk/store/ is a log in segments whose framing, recovery, state and choices do no I/O. Kept are purges, the coordinator's entries, DNS leases (an answer leaves once its lease is durable) and what the module has learned. gladewalk store check, dump, compact, repair.

--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `gladewalk run | check | members | import | route | rehearse`.
+"""The command line: `gladewalk run | check | members | import | route | rehearse | store`.
 
 Exit codes: 0 done, 1 done with a finding, 2 what was given cannot be used (one line says why). Of a running
 director: 3 there is none, 4 it is of another version, 5 it hangs.
@@ -8,6 +8,7 @@
 
 import json
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import TextIO
 
@@ -220,6 +221,73 @@
     context.exit(0 if good else 1)
 
 
+FOLDER = click.Path(exists=True, file_okay=False, path_type=Path)
+
+
+@gladewalk.group("store")
+def store_group() -> None:
+    """Look at a store that no director has open, compact it, repair it."""
+
+
+@store_group.command("check")
+@click.argument("folder", type=FOLDER)
+@click.pass_context
+def store_check(context: click.Context, folder: Path) -> None:
+    """Tell what each file holds. Exit code 1: a write was cut; 2: damaged."""
+    from .store.tools import check
+
+    context.exit(on_store(lambda: check(folder, click.echo)))
+
+
+@store_group.command("dump")
+@click.argument("folder", type=FOLDER)
+@click.pass_context
+def store_dump(context: click.Context, folder: Path) -> None:
+    """Print every key as one JSON object a line."""
+    from .store.tools import dump
+
+    def tell() -> int:
+        for line in dump(folder):
+            click.echo(line)
+        return 0
+
+    context.exit(on_store(tell))
+
+
+@store_group.command("compact")
+@click.argument("folder", type=FOLDER)
+@click.pass_context
+def store_compact(context: click.Context, folder: Path) -> None:
+    """Write all that counts into one segment."""
+    from .store.tools import compact
+
+    context.exit(on_store(lambda: compact(folder, click.echo)))
+
+
+@store_group.command("repair")
+@click.argument("folder", type=FOLDER)
+@click.option(
+    "--accept-loss", is_flag=True, help="Make a store of what is left; the old files are kept beside."
+)
+@click.pass_context
+def store_repair(context: click.Context, folder: Path, accept_loss: bool) -> None:
+    """Tell what a damaged store has lost and what is left of it."""
+    from .store.tools import repair
+
+    context.exit(on_store(lambda: repair(folder, accept_loss, click.echo)))
+
+
+def on_store(call: Callable[[], int]) -> int:
+    """Whatever a store can't do is one line and exit code 2."""
+    from .store.frames import Fault
+
+    try:
+        return call()
+    except (Fault, OSError) as error:
+        click.echo(f"gladewalk: {error}", err=True)
+        return 2
+
+
 def main() -> int:
     """The command line as a process: its exit code."""
     try:
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -101,6 +101,9 @@
     gc.set_threshold(50_000, 20, 100)  # hardly a cycle is made: rare collections, no pauses under load
     try:
         uvloop.run(serve(*told))
+    except ConfigError as error:  # the store, which is opened with the director
+        print(f"gladewalk: {error}", file=sys.stderr)
+        return 2
     except OSError as error:
         print(f"gladewalk: cannot listen: {error}", file=sys.stderr)
         return 2
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -27,6 +27,7 @@
     from .members.transport import Members
     from .nginx.router import Router
     from .options import Options
+    from .store.keeper import Keeper
     from .upstream.secure import Shapes
     from .web.start import Web
 
@@ -109,12 +110,27 @@
             self.web = Web(
                 options, config.name, config.seed, unix_ms, self.deadlines, self.counters, self._module_says
             )
+        self.keeper: Keeper | None = None
+        if options is not None and options.store is not None:
+            from .store.keeper import Keeper
+
+            self.keeper = Keeper(
+                options,
+                config.settings.purge_settle_ms,
+                unix_ms,
+                self.counters,
+                self._store_says,
+                self.deadlines,
+            )
         self.control: Control | None = None
         if options is not None and options.control is not None:
             self.control = self._control(options)
 
     async def start(self) -> None:
         self.feed.known(self.config.known_index, self.config.known)
+        if self.keeper is not None:
+            self.keeper.restore(self.feed)
+            self.keeper.start(self.feed)
         self.follower.connect()
         self.caches.sweep()
         self.front.listen(self.config.listen)
@@ -139,6 +155,8 @@
 
             duties = self.duties
             control.views["members"] = lambda given: view_of(duties)
+        if self.keeper is not None:
+            control.views["store"] = self.keeper.view
         return control
 
     async def run(self) -> None:
@@ -156,6 +174,8 @@
             listening["web"] = [front.address for front in self.web.fronts]
         self.log.info("serving", servers=len(self.caches.upstreams), **listening)
         await self._ended
+        if self.keeper is not None:
+            await self.keeper.close()
         self.report()
 
     def reload(self) -> None:
@@ -232,6 +252,9 @@
         }
         self.log.info("counters", **now, **self.counters.report())
 
+    def _store_says(self, event: str, why: str) -> None:
+        self.log.warning(event, why=why)
+
     def _module_says(self, line: str) -> None:
         self.log.info("module", line=line)
 
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -140,6 +140,8 @@
         self.core = Dispatcher(config.settings, config.seed)
         self.clock, self.deadlines, self.counters, self.log = clock, deadlines, counters, log
         self.upstreams: Upstreams | None = None
+        # Goes on with an answer to a question once what it promises lasts; None: at once.
+        self.lasting: Callable[[api.Locate, str, Callable[[], None]], None] | None = None
         self.taken: dict[int, Taken] = {}
         self.owed = 0  # requests without their final answer
         self.asked: dict[int, tuple[api.Locate, Asker, Key]] = {}  # questions without their answer
@@ -210,6 +212,13 @@
         asker.refused()
 
     def _name(self, action: api.Name) -> None:
+        if self.lasting is not None and action.server is not None:
+            return self.lasting(self.asked[action.id][0], action.server, lambda: self._answer_named(action))
+        self._answer_named(action)
+
+    def _answer_named(self, action: api.Name) -> None:
+        if action.id not in self.asked:  # its time was up while its lease was written
+            return
         assert self.upstreams is not None
         question, asker, due = self.asked[action.id]
         address = None
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -31,6 +31,7 @@
         self.exchange, self.roles, self.clock, self.counters = exchange, config.roles, clock, counters
         self.last = 0
         self._listed = False
+        self.noted: Callable[[int, dict[str, Any]], None] | None = None  # hears each good event of the feed
 
     def known(self, index: int, events: Iterable[dict[str, Any]]) -> None:
         """The events of the start, out of the configuration."""
@@ -56,10 +57,11 @@
             self.counters.add("coordinator.gaps")
             return False
         self.last = message["index"]
-        self.event(message)
+        if self.event(message) and self.noted is not None:
+            self.noted(self.last, message)
         return True
 
-    def event(self, event: dict[str, Any]) -> None:
+    def event(self, event: dict[str, Any]) -> bool:
         """Guards against an event of a form not known here: it is counted, and the feed goes on."""
         try:
             if "endpoints" in event:
@@ -68,8 +70,9 @@
                 self._purge(event["evict"])
         except (ConfigError, SettingsError, TypeError, ValueError, KeyError, AttributeError):
             self.counters.add("coordinator.bad_events")
-        else:
-            self.counters.add("coordinator.events")
+            return False
+        self.counters.add("coordinator.events")
+        return True
 
     def _list(self, change: dict[str, Any]) -> None:
         read = [read_server(entry, self.roles) for entry in change["targets"]]
--- a/gladewalk/options.py
+++ b/gladewalk/options.py
@@ -74,6 +74,19 @@
     wait_ms: Annotated[float, Meta(gt=0.0)] = 1_000.0
 
 
+class Store(Table, frozen=True):
+    """`[store]`: what outlives a restart, and how surely."""
+
+    folder: Annotated[str, Meta(min_length=1)]
+    policy: Literal["each", "group", "none"] = "each"  # when a put is acknowledged
+    group_ms: Annotated[float, Meta(gt=0.0, le=1_000.0)] = 5.0  # how long `group` waits for others
+    limit_bytes: Annotated[int, Meta(ge=1_048_576, le=2**40)] = 64 * 1024 * 1024  # on disk, by compaction
+    warm_ms: Annotated[float, Meta(ge=0.0, le=600_000.0)] = (
+        5_000.0  # all that was learned, once in this; 0: never
+    )
+    segment_bytes: Annotated[int, Meta(ge=65_536, le=2**30)] = 1024 * 1024
+
+
 class FrontHttp(Table, frozen=True):
     """`[front.http]`: ordinary requests, routed as an imported table says."""
 
@@ -124,6 +137,7 @@
     duties: Duties = Duties()
     control: Control | None = None
     front: Front = Front()
+    store: Store | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -139,6 +153,7 @@
     duties: Duties
     control: Control | None
     front: Front
+    store: Store | None
 
     def file(self, name: str) -> Path:
         return self.folder / name
