--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import math
-import re
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -18,11 +17,11 @@
 from ..counters import Counters
 from ..deadlines import Deadlines
 from ..exchange import Ask, Exchange, Final, Head
+from .requests import REASONS, SINGLE, BadRequest, read_ask
 from .sockets import watch
 
 BODY_MOST = 64 * 1024  # a write carries at most 48,000 bytes
 HEADERS_MOST = 16 * 1024
-WAIT_MOST_MS = 600_000.0  # no class has patience for as long
 BACKLOG = 1024
 WAITING_MOST = 8  # requests that a client may have sent ahead on one connection
 ASK_MS = 2_000.0  # a whole request must have come this long after its connection, or its first byte
@@ -32,72 +31,6 @@
 ROOM_TRIES = 8  # connections looked at for one that may make room
 SWEEP_MS = 100.0
 SPARE_PLACES = 32  # connections over the clients' part of the descriptors, while others are on their way out
-CLASS = re.compile(r"[A-Za-z0-9._~-]{1,64}\Z")
-OBJECT = re.compile(r"[0-9A-Fa-f]{1,16}\Z")
-TRACE = re.compile(r"[0-9A-Fa-f]{16}\Z")
-NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,20})?\Z")
-SINGLE = {b"host", b"content-length", b"transfer-encoding", b"trace-id", b"max-wait-ms", b"x-batch"}
-TAG = re.compile(r'(?:W/)?"([\x21\x23-\x7e]*)"\Z')
-REASONS = {
-    400: b"Bad Request",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    431: b"Request Header Fields Too Large",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-}
-
-
-class BadRequest(Exception):
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
-def _number(headers: dict[bytes, bytes], name: bytes, most: float, default: float | None = None) -> float:
-    text = headers.get(name)
-    if text is None and default is not None:
-        return default
-    if text is None or not NUMBER.match(text) or not 0.0 <= (value := float(text)) <= most:
-        raise BadRequest(400)
-    return value
-
-
-def read_ask(method: str, path: str, query: str, headers: dict[bytes, bytes], body: bytes) -> Ask:
-    """A request as `PROTOCOL` describes it, or `BadRequest` with the status that says what is wrong."""
-    if method not in ("GET", "PUT"):
-        raise BadRequest(405)
-    parts = path.split("/")
-    if len(parts) != 4 or parts[:2] != ["", "invoke"]:
-        raise BadRequest(404)
-    part = "0"
-    for pair in query.split("&"):
-        if pair.startswith("nth="):
-            part = pair[4:]
-    trace, group = headers.get(b"trace-id", b"").decode("latin-1"), _number(headers, b"x-batch", 255, 0.0)
-    if body and method == "GET":
-        raise BadRequest(400)
-    good = CLASS.match(parts[2]) and OBJECT.match(parts[3]) and TRACE.match(trace)
-    if not good or not (part.isascii() and part.isdigit() and len(part) < 10) or group % 1.0:
-        raise BadRequest(400)
-    held = headers.get(b"if-none-match")
-    tag = TAG.match(held.decode("latin-1").strip()) if held else None
-    return Ask(
-        trace=trace,
-        method=method,
-        class_name=parts[2],
-        object_name=parts[3],
-        key=int(parts[3], 16),
-        part=int(part),
-        wait_ms=_number(headers, b"max-wait-ms", WAIT_MOST_MS),
-        size_kb=_number(headers, b"reserve-kb", 1e9, 0.0),
-        group=int(group),
-        tag=tag.group(1) if tag else None,
-        body=body,
-    )
 
 
 class ClientConnection(asyncio.Protocol):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,8 @@
 
 from gladewalk.config import read
 from gladewalk.counters import Counters
-from gladewalk.net.clients import ASK_MS, REST_MS, SPARE_PLACES, BadRequest, read_ask
+from gladewalk.net.clients import ASK_MS, REST_MS, SPARE_PLACES
+from gladewalk.net.requests import BadRequest, read_ask
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
