A director leaves rich out of its memory; fields of a server without a location

structlog imports rich wherever it is installed, which the new tables had brought: 30.1 MB resident at the start in place of 26.1. A process that becomes a director now leaves it out, and a test holds that nothing that is off is imported. add_header of a server holds for its answers that come to no location.

--- a/gladewalk/__main__.py
+++ b/gladewalk/__main__.py
@@ -7,6 +7,9 @@
 
 def main() -> int:
     if len(sys.argv) == 1:  # the platform's way: the command line's library is not even imported
+        from .lean import without_tables
+
+        without_tables()
         from .daemon import run
 
         return run()
--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -32,9 +32,7 @@
     NODE_LISTEN go before what it says.
     """
     if context.invoked_subcommand is None:
-        from .daemon import run
-
-        context.exit(run(options_path, dns_path))
+        run_director(context, options_path, dns_path)
     if options_path or dns_path:
         raise click.UsageError("--config and --dns stand behind the command")
 
@@ -45,6 +43,13 @@
 @click.pass_context
 def run_command(context: click.Context, options_path: str | None, dns_path: str | None) -> None:
     """Run one director until SIGTERM."""
+    run_director(context, options_path, dns_path)
+
+
+def run_director(context: click.Context, options_path: str | None, dns_path: str | None) -> None:
+    from .lean import without_tables
+
+    without_tables()
     from .daemon import run
 
     context.exit(run(options_path, dns_path))
--- a/gladewalk/nginx/router.py
+++ b/gladewalk/nginx/router.py
@@ -89,6 +89,7 @@
     named: dict[str, Location]
     steps: tuple[Rule, ...]
     errors: dict[int, tuple[ErrorPage, Template]]
+    added: tuple[tuple[str, Template, bool], ...] = ()
     name: str = ""
 
 
@@ -124,6 +125,7 @@
         server = VirtualServer(
             row, level, named, compile_steps(row.steps, self.own), self._errors(row.errors)
         )
+        server.added = self._added(row.add_fields, self.own)
         server.name = next((name for name in row.names if not name.startswith(("~", "*"))), "")
         for listen in row.listens:
             listener = self.listeners.setdefault(listen.address, Listener())
@@ -156,11 +158,13 @@
             fallback=read_template(place.fallback, own) if place.fallback else None,
             errors=self._errors(place.errors),
             fields=tuple((name, read_template(value, own)) for name, value in terms.set_fields),
-            added=tuple((name, read_template(value, own), kind == "always")
-                        for name, value, kind in terms.add_fields),
+            added=self._added(terms.add_fields, own),
             key=read_template(terms.key, own) if terms.key else None,
         )  # fmt: skip
 
+    def _added(self, rows: list[list[str]], own: frozenset[str]) -> tuple[tuple[str, Template, bool], ...]:
+        return tuple((name, read_template(value, own), kind == "always") for name, value, kind in rows)
+
     def _errors(self, rows: list[ErrorPage]) -> dict[int, tuple[ErrorPage, Template]]:
         found: dict[int, tuple[ErrorPage, Template]] = {}
         for row in rows:
--- a/gladewalk/web/wire.py
+++ b/gladewalk/web/wire.py
@@ -108,12 +108,10 @@
 
 
 def added_fields(landing: Landing, status: int) -> Fields:
-    """`add_header` of the place where the request landed."""
+    """`add_header` of the location where the request landed, or of its server if it came to none."""
     rules = landing.location.rules if landing.location is not None else None
-    if not isinstance(rules, Rules):
-        return []
     found = []
-    for name, template, always in rules.added:
+    for name, template, always in rules.added if isinstance(rules, Rules) else landing.server.added:
         value = clean(template.fill(landing.state))
         if value and (always or status in ADDED_ON):
             found.append((name, value))
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -2,7 +2,10 @@
 
 import contextlib
 import io
+import os
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -20,3 +23,30 @@
     with contextlib.redirect_stdout(out):
         exec(code, {})
     assert out.getvalue() == "cache-1:80\ncache-1:80 parent-1:80\n"
+
+
+def test_a_director_on_the_platform_imports_nothing_that_is_off() -> None:
+    environ = {name: value for name, value in os.environ.items() if name != "NODE_CONFIG"}
+    words = [sys.executable, "-X", "importtime", "-m", "gladewalk"]
+    done = subprocess.run(
+        words, cwd=ROOT, env=environ, capture_output=True, text=True, timeout=60, check=False
+    )
+    assert done.returncode == 2 and done.stderr.rstrip().endswith("gladewalk: NODE_CONFIG is not set")
+    loaded = {line.rpartition("|")[2].strip() for line in done.stderr.splitlines() if "|" in line}
+    assert "gladewalk.director" in loaded
+    ours = (
+        "members",
+        "duties",
+        "control",
+        "console",
+        "nginx",
+        "web",
+        "store",
+        "streams",
+        "dns",
+        "options",
+        "cli",
+    )
+    off = {f"gladewalk.{name}" for name in ours}
+    off |= {"rich.console", "click", "msgspec", "pcre2", "crc32c", "xxhash", "crossplane", "h2", "tomli_w"}
+    assert not {name for name in loaded if name in off}
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -179,6 +179,16 @@
             gate.set()
             self.assertEqual({(await task).status for task in tasks}, {200})
 
+    async def test_fields_are_added_by_the_place_where_a_request_lands(self) -> None:
+        site = site_of("""server { server_name old.net; add_header X-Where server always;
+              return 301 http://a.net/; }
+            server { server_name b; add_header X-Where outer; location /in { return 200 x; }
+              location /own { add_header X-Where own; return 200 x; } location /no { return 404; } }""")
+        async with WebWorld(site) as world:
+            for uri, host, where in (("/", "old.net", "server"), ("/in", "b", "outer"), ("/own", "b", "own")):
+                self.assertEqual((await world.ask(uri, host)).fields["x-where"], where)
+            self.assertNotIn("x-where", (await world.ask("/no", "b")).fields)  # not on a 404 without always
+
     async def test_an_error_page_sends_a_failure_elsewhere(self) -> None:
         site = site_of("""upstream a { server 127.0.0.1:1; } upstream b { server 127.0.0.1:2; }
             server { server_name example.com;
