--- a/gladewalk/web/plan.py
+++ b/gladewalk/web/plan.py
@@ -82,7 +82,7 @@
     settings = api.Settings(
         classes=tuple(classes), zone=ZONE, zones=(ZONE,), hub_of=(0,), sizes_listed=False, places=places,
         max_attempts=max([count, *(place.terms.tries for place in ours)]), may_cancel=True, retry_advice=True,
-        max_retry_after_ms=1_000.0,
+        max_retry_after_ms=1_000.0, joins=any(place.terms.join for place in ours),
     )  # fmt: skip
     addresses = {box.address: read_address(box.address) for box in upstream.boxes}
     config = Config(
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -211,13 +211,18 @@
             await asyncio.sleep(0.02)
             await heard.answer(200, b"", X_Server=heard.peer.uid)
 
-        async with WebWorld(site_of(TWO % ""), {"a/0": slow}) as world:
+        words = "proxy_cache_lock on; proxy_cache_valid 200 1m; proxy_cache_use_stale error;"
+        async with WebWorld(site_of(TWO % words), {"a/0": slow}) as world:
             for n in range(60):
-                await world.ask(f"/{n}")
+                self.assertEqual((await world.ask(f"/{n}")).status, 200)
             shares = sorted(len(server.heard) for server in world.servers.values())
             self.assertGreater(shares[0], 10)
             balanced = world.director.web.upstreams["a"]  # type: ignore[union-attr]
             self.assertEqual({server.weight for server in balanced.core.servers.values()}, {1.0})
+            told = balanced.core.settings
+            self.assertEqual(
+                (told.joins, told.classes[0].fresh_ms, told.classes[0].grace_ms), (True, 6e4, 6e4)
+            )
 
 
 class Messages(unittest.IsolatedAsyncioTestCase):
