--- a/gladewalk/store/keeping.py
+++ b/gladewalk/store/keeping.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -93,14 +93,3 @@
         if row.index > known_index:
             found.append(row)
     return [row.entry for row in sorted(found, key=lambda row: row.index)]
-
-
-def last_index(rows: Iterable[bytes]) -> int:
-    """The highest event number of any stored server, for those who look."""
-    numbers = [0]
-    for value in rows:
-        try:
-            numbers.append(_rows.decode(value).index)
-        except msgspec.MsgspecError:
-            continue
-    return max(numbers)
--- a/gladewalk/web/wire.py
+++ b/gladewalk/web/wire.py
@@ -11,8 +11,7 @@
 from typing import Any
 
 from ..exchange import Ask, End, Head
-from ..nginx.router import Landing, Rules
-from ..nginx.variables import State
+from ..nginx.router import Landing, Rules, redirect_of
 
 Fields = list[tuple[str, str]]
 HOP = frozenset({
@@ -127,16 +126,7 @@
     if not location.startswith(begin) or (not place.uri and location[len(begin) :][:1] not in ("/", "")):
         return location
     path = (place.pattern if place.uri else "") + location[len(begin) :]
-    if not landing.server.row.absolute_redirect:
-        return path
-    return absolute(landing.state, path, landing.server.row.port_in_redirect)
-
-
-def absolute(state: State, path: str, with_port: bool) -> str:
-    request = state.request
-    usual = 443 if request.scheme == "https" else 80
-    port = f":{request.server_port}" if with_port and request.server_port != usual else ""
-    return f"{request.scheme}://{request.host or state.server_name}{port}{path}"
+    return redirect_of(landing, path)
 
 
 def condition_of(status: int) -> str:
