Members cost the same however many; warm start and cold budgets measured; the feed resumes

Duties at 1,024 members could not be seen, since each tick, message and exchange looked at every member; the store had no figure for its warm start and for cold budgets under kills, and could not go on after a coordinator's last event.

The network in memory left a restarted member's first run alive: no longer.

[store] resume: the feed is followed from the last event kept, whole lists take out what they lack, another coordinator's lower numbers are told apart. gladewalk store status asks a running director.

--- a/benchmarks/duties_at_size.py
+++ b/benchmarks/duties_at_size.py
@@ -56,9 +56,9 @@
     return [first.get(box, float("inf")) for box in owned]
 
 
-def measure(size: int, kills: int, settle_ms: float) -> Row:
+def measure(size: int, kills: int, settle_ms: float, met: bool) -> Row:
     began, draw = time.monotonic(), random.Random(size)
-    net = duty_cluster(size, size, boxes=BOXES_EACH * size, settle_ms=settle_ms)
+    net = duty_cluster(size, size, boxes=BOXES_EACH * size, settle_ms=settle_ms, met=met)
     started, sent, size_before = net.now, sum(net.sent.values()), sum(net.bytes.values())
     net.run(5_000.0)
     seconds = size * 5.0
@@ -79,6 +79,7 @@
     parser.add_argument("--sizes", default="4,16,64,256,1024")
     parser.add_argument("--kills", type=int, default=5)
     parser.add_argument("--settle", type=float, default=12.0, help="seconds that members have to meet")
+    parser.add_argument("--join-most", type=int, default=256, help="larger fleets have met when it begins")
     parser.add_argument("--plot")
     given = parser.parse_args()
     print(
@@ -87,7 +88,7 @@
     )
     rows = []
     for size in map(int, given.sizes.split(",")):
-        rows.append(measure(size, given.kills, given.settle * 1_000.0))
+        rows.append(measure(size, given.kills, given.settle * 1_000.0, size > given.join_most))
         print(rows[-1], flush=True)
     if given.plot:
         draw_plot(rows, given.plot)
--- a/benchmarks/store_kills.py
+++ b/benchmarks/store_kills.py
@@ -65,7 +65,8 @@
             f"[store]\nfolder = 'store'\npolicy = '{policy}'\n[control]\nsocket = 'control'\n"
         )
         self.process: asyncio.subprocess.Process | None = None
-        self.address = ("", 0)
+        self.address = self.dns = ("", 0)
+        self.up = False  # who loops on it looks here: a cancelled wait can end well at the same moment
 
     async def start(self, config: dict[str, object]) -> float:
         (self.folder / "node.json").write_text(json.dumps(config))
@@ -78,12 +79,14 @@
         while line := await self.process.stderr.readline():
             said = json.loads(line)
             if said["event"] == "serving":
-                self.address = tuple(said["listen"])
+                self.address, self.dns = tuple(said["listen"]), tuple(said["dns"] or ("", 0))
+                self.up = True
                 return time.monotonic() - began
         raise RuntimeError("the director did not start")
 
     async def kill(self) -> None:
         assert self.process is not None
+        self.up = False
         self.process.kill()
         await self.process.wait()
 
@@ -106,7 +109,7 @@
 
 async def load(run: Run, draw: random.Random) -> None:
     number = draw.getrandbits(40)
-    while True:
+    while run.up:
         number += 1
         await run.ask(f"{draw.randrange(OBJECTS):x}", number)
 
--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -10,7 +10,7 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from typing import TextIO
+from typing import Any, TextIO
 
 import click
 
@@ -79,6 +79,7 @@
         "dns": list(dns.listen) if dns is not None else None,
         "members": options.members.listen if options is not None and options.members is not None else None,
         "control": options.control.socket if options is not None and options.control is not None else None,
+        "store": options.store.folder if options is not None and options.store is not None else None,
         "http2": options.http2.mode if options is not None and options.http2.used else "off",
     }
     if as_json:
@@ -102,13 +103,7 @@
     Example:
       gladewalk members --config deploy/gladewalk.toml --json
     """
-    from .control.client import ControlError, ask
-
-    try:
-        told = ask(control_path(options_path, socket_path), "members")
-    except (ConfigError, ControlError) as error:
-        click.echo(f"gladewalk: {error}", err=True)
-        context.exit(getattr(error, "code", 2))
+    told = ask_director(context, options_path, socket_path, "members")
     if as_json:
         click.echo(json.dumps(told))
         return
@@ -117,6 +112,20 @@
     members_table(told)
 
 
+def ask_director(
+    context: click.Context, options_path: str | None, socket_path: str | None, view: str
+) -> dict[str, Any]:
+    """A running director's answer; whatever keeps it from us is one line and an exit code of its own."""
+    from .control.client import ControlError, ask
+
+    try:
+        told: dict[str, Any] = ask(control_path(options_path, socket_path), view)
+    except (ConfigError, ControlError) as error:
+        click.echo(f"gladewalk: {error}", err=True)
+        context.exit(getattr(error, "code", 2))
+    return told
+
+
 def control_path(options_path: str | None, socket_path: str | None) -> Path:
     """The socket that is named, or that of the settings; `ConfigError` if neither tells."""
     from .options import load_options
@@ -231,7 +240,26 @@
 
 @gladewalk.group("store")
 def store_group() -> None:
-    """Look at a store that no director has open, compact it, repair it."""
+    """Ask a running director for its store; look at one that nobody has open, compact it, repair it."""
+
+
+@store_group.command("status")
+@click.option("--config", "options_path", type=FILE, help="The director's settings, in TOML.")
+@click.option("--socket", "socket_path", type=FILE, help="Its control socket, in place of --config.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+@click.pass_context
+def store_status(
+    context: click.Context, options_path: str | None, socket_path: str | None, as_json: bool
+) -> None:
+    """Show what a running director keeps and whether its disk takes it. Exit code 1: it does not."""
+    told = ask_director(context, options_path, socket_path, "store")
+    if as_json:
+        click.echo(json.dumps(told))
+    else:
+        from .console import store_table
+
+        store_table(told)
+    context.exit(1 if told["refused_by_disk"] else 0)
 
 
 @store_group.command("check")
--- a/gladewalk/console.py
+++ b/gladewalk/console.py
@@ -41,3 +41,26 @@
         console.print(f"it misses answers and doubts itself: its times are {times}-fold", style="yellow")
     if not told["active"]:
         console.print("another director runs under this name: this one takes no part", style="bold red")
+
+
+def store_table(told: dict[str, Any]) -> None:
+    console = Console(highlight=False)
+    table = Table(title="store", title_justify="left", show_header=False)
+    table.add_column("what")
+    table.add_column("figure", justify="right")
+    behind = told["sequence"] - told["durable"]
+    for what, figure in (
+        ("acknowledged when", told["policy"]),
+        ("records written", str(told["sequence"])),
+        ("not durable yet", str(behind)),
+        ("keys", str(told["keys"])),
+        ("bytes on disk", str(told["bytes"])),
+        ("segments", str(told["segments"])),
+        ("compactions", str(told["compactions"])),
+        ("purges in force", str(len(told["purges"]))),
+        ("feed kept up to event", str(told["feed"]) if told["feed"] else "not kept"),
+    ):
+        table.add_row(what, figure)
+    console.print(table)
+    if told["refused_by_disk"]:
+        console.print("the disk refuses: nothing new outlives a restart until it has room", style="bold red")
--- a/gladewalk/duties/ownership.py
+++ b/gladewalk/duties/ownership.py
@@ -68,6 +68,7 @@
         self.me, self.interval_ms, self.random = me, interval_ms, rng
         self.members: dict[str, float] = {me: 1.0}
         self.duties: set[str] = set()
+        self.rank = rank_of  # many members in one process may share what this costs
         self.ranks: dict[str, Rank] = {}  # of the duties' owners by the hash, once they were asked for
         self.best: dict[str, Claim] = {}  # the best claim heard of, ours among them
         self.done_ms: dict[str, float] = {}  # when each was last done, as far as heard
@@ -102,12 +103,12 @@
             if rank[1] in gone:
                 del self.ranks[duty]
             elif came:
-                self.ranks[duty] = max(rank, rank_of(duty, came))
+                self.ranks[duty] = max(rank, self.rank(duty, came))
 
     def _owner(self, duty: str) -> str:
         rank = self.ranks.get(duty)
         if rank is None:
-            rank = self.ranks[duty] = rank_of(duty, self.members)
+            rank = self.ranks[duty] = self.rank(duty, self.members)
         return rank[1]
 
     def hear(self, duty: str, claim: Claim, done_ms: float | None, now_ms: float) -> bool:
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -105,7 +105,7 @@
 
     def _list(self, kind: str, names: frozenset[str], now: float) -> None:
         """The servers that there is a duty for, as the coordinator lists them now."""
-        if names == self.known[kind]:
+        if names is self.known[kind] or names == self.known[kind]:
             return
         for gone in self.known[kind] - names:
             self.members.core.gossip.forget_news(f"{kind}/{gone}")
--- a/gladewalk/members/gossip.py
+++ b/gladewalk/members/gossip.py
@@ -11,6 +11,8 @@
 from itertools import chain
 from typing import Generic, TypeVar
 
+import xxhash
+
 from .messages import News, Rumour, size_of
 from .terms import Terms
 
@@ -60,6 +62,11 @@
         return [piece for _, piece in chosen]
 
 
+def claim_hash(news: News) -> int:
+    """63 bits of who holds a duty, under which claim."""
+    return xxhash.xxh3_64_intdigest(repr((news.duty, news.epoch, news.owner)).encode()) >> 1
+
+
 class Gossip:
     """Rumours and news that are still being told, and the latest news of each duty."""
 
@@ -68,6 +75,7 @@
         self.rumours: Told[Rumour] = Told()
         self.fresh: Told[News] = Told()
         self.news: dict[str, News] = {}  # the latest of each duty, told or not
+        self.digest = 0  # of who claims what, in whatever order it came
 
     def spread(self, rumour: Rumour) -> None:
         self.rumours.put(rumour.name, rumour)
@@ -82,12 +90,15 @@
             return False
         if known is None and len(self.news) >= self.terms.news_most:
             return False
+        if known is None or (known.epoch, known.owner) != (news.epoch, news.owner):
+            self.digest ^= claim_hash(news) ^ (claim_hash(known) if known is not None else 0)
         self.news[news.duty] = news
         self.fresh.put(news.duty, news)
         return True
 
     def forget_news(self, duty: str) -> None:
-        self.news.pop(duty, None)
+        if (known := self.news.pop(duty, None)) is not None:
+            self.digest ^= claim_hash(known)
         self.fresh.drop(duty)
 
     def take_rumours(self) -> list[Rumour]:
--- a/gladewalk/members/swim.py
+++ b/gladewalk/members/swim.py
@@ -12,37 +12,19 @@
 
 import math
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
 from .gossip import GOSSIP_BYTES, Gossip
 from .messages import Ack, Join, Message, Nack, News, Ping, PingFor, Roster, Rumour, Said, State, size_of
+from .roll import Member, Roll
 from .terms import Address, Change, Changed, Exchange, Heard, Out, Send, Terms
 
+RUMOUR_LEAST = 20  # bytes: no more of them than so fit into a datagram
 HEALTH_MOST = 8  # how far a member that misses answers may stretch its times (Lifeguard)
 
 
-@dataclass(slots=True)
-class Member:
-    """What is known of another member."""
-
-    rumour: Rumour
-    since_ms: float  # in this state
-    heard_ms: float  # last directly
-    accusers: set[str] = field(default_factory=set)  # who said that it is suspect
-    dead_at_ms: float = math.inf  # when a suspicion runs out
-
-    @property
-    def address(self) -> Address:
-        return self.rumour.host, self.rumour.port
-
-    @property
-    def live(self) -> bool:
-        """Taken to live: a suspect is, until it is found dead."""
-        return self.rumour.state in (State.ALIVE, State.SUSPECT)
-
-
 @dataclass(slots=True)
 class Asking:
     """A ping whose answer is awaited."""
@@ -76,7 +58,8 @@
         # itself. Runs are in the order of starts, too, which tells of two with one name who was there first.
         run = (int(now_ms) << 20 | rng.getrandbits(20)) % 2**63
         self.me = Rumour(name, *address, run, int(now_ms), State.ALIVE, weight)
-        self.members: dict[str, Member] = {}
+        self.roll = Roll()
+        self.members = self.roll.members  # to be read; `roll` alone changes it
         self.health = 0  # 0: well; each missed answer adds to it, each answer takes from it
         self.round: list[str] = []
         self.asking: Asking | None = None
@@ -120,9 +103,9 @@
             self.next_exchange_ms,
             self.next_seed_ms,
             self.next_challenge_ms,
+            self.roll.suspicion_ends_ms(),
             *(e.due_ms for e in self.errands.values()),
         ]
-        times += [m.dead_at_ms for m in self.members.values() if m.rumour.state is State.SUSPECT]
         if self.asking is not None and not self.asking.helped:
             times.append(self.asking.sent_ms + self._timeout())
         return min(times)
@@ -185,13 +168,13 @@
         """The members that are taken to live, ourselves among them, by weight; none where we have no part."""
         if not self.active:
             return {}
-        others = {name: m.rumour.weight for name, m in self.members.items() if m.live}
+        others = {member.rumour.name: member.rumour.weight for member in self.roll.live()}
         return {**others, self.me.name: self.me.weight}
 
     def leave(self, now_ms: float) -> list[Out]:
         """Say so to some of the others, who tell the rest."""
         self.me = msgspec.structs.replace(self.me, incarnation=self.me.incarnation + 1, state=State.LEFT)
-        live = [member for member in self.members.values() if member.live]
+        live = list(self.roll.live())
         for member in self.random.sample(live, min(len(live), 2 * self.terms.helpers)):
             self._tell_of_me(member.address)
         self.active = False
@@ -220,7 +203,7 @@
         return new.run == old.run and new.state > old.state
 
     def _meet(self, rumour: Rumour, now_ms: float) -> None:
-        self.members[rumour.name] = member = Member(rumour, now_ms, now_ms)
+        member = self.roll.add(rumour, now_ms)
         if rumour.state is State.SUSPECT:
             member.accusers.add(rumour.by)
             self._set_suspicion(member, now_ms)
@@ -232,8 +215,7 @@
 
     def _believe(self, known: Member, rumour: Rumour, now_ms: float) -> None:
         was, was_live = known.rumour.state, known.live
-        known.rumour, known.since_ms = rumour, now_ms
-        known.accusers, known.dead_at_ms = set(), math.inf
+        self.roll.set(known, rumour, now_ms)
         if rumour.state is State.SUSPECT:
             known.accusers.add(rumour.by)
             self._set_suspicion(known, now_ms)
@@ -259,7 +241,7 @@
 
     def _set_suspicion(self, member: Member, since_ms: float) -> None:
         """When a suspicion runs out: from the most down to the least as others confirm it (Lifeguard)."""
-        count = sum(m.live for m in self.members.values()) + 1
+        count = self.roll.live_count + 1
         least = self.terms.suspicion_least_ms * max(1.0, math.log10(count))
         most = least * self.terms.suspicion_most * (1.0 + 0.15 * self.health)
         wanted = min(self.terms.confirmations, max(1, count - 2))
@@ -311,7 +293,7 @@
                 member = self.members.get(self.round.pop())
                 if member is not None and member.live:
                     return member
-            self.round = [name for name, member in self.members.items() if member.live]
+            self.round = [member.rumour.name for member in self.roll.live()]
             self.random.shuffle(self.round)
         return None
 
@@ -323,8 +305,8 @@
     def _challenge_accused(self, now_ms: float) -> None:
         """Whom we accuse hears so each period, however slow we have made ourselves: to refute it in time."""
         self.next_challenge_ms = now_ms + self.terms.period_ms
-        for member in self.members.values():
-            if member.rumour.state is State.SUSPECT and self.me.name in member.accusers:
+        for member in self.roll.suspects.values():
+            if self.me.name in member.accusers:
                 self._challenge(member)
 
     def _challenge(self, member: Member) -> None:
@@ -385,12 +367,11 @@
             self._send(errand.asker, Nack, number=errand.number)
 
     def _end_suspicions(self, now_ms: float) -> None:
-        for name, member in list(self.members.items()):
-            if member.rumour.state is State.SUSPECT and now_ms >= member.dead_at_ms:
-                self.hear(msgspec.structs.replace(member.rumour, state=State.DEAD), now_ms)
-            elif not member.live and now_ms - member.since_ms > self.terms.dead_kept_ms:
-                del self.members[name]
-                self.gossip.forget_member(name)
+        for member in [m for m in self.roll.suspects.values() if now_ms >= m.dead_at_ms]:
+            self.hear(msgspec.structs.replace(member.rumour, state=State.DEAD), now_ms)
+        for name in self.roll.long_gone(now_ms - self.terms.dead_kept_ms):
+            self.roll.remove(name)
+            self.gossip.forget_member(name)
 
     def _tell_suspect(self, name: str) -> None:
         """Who is thought dead or suspect hears so first (Lifeguard's buddies), and can refute it."""
@@ -402,7 +383,7 @@
 
     def _exchange(self, now_ms: float) -> None:
         """With one member, so that what was lost is made good."""
-        live = [m.address for m in self.members.values() if m.live]
+        live = [member.address for member in self.roll.live()]
         self._exchange_with(self.random.choice(live) if live else None, now_ms)
 
     def _exchange_with(self, to: Address | None, now_ms: float) -> None:
@@ -420,13 +401,17 @@
     def _seek(self, now_ms: float) -> None:
         """Ask the seeds that are not among the live, one at a time; all of them while nobody is known.
 
-        Guards against a partition that both sides took for deaths: someone must go on asking.
+        Guards against a partition that both sides took for deaths: someone must go on asking. One of the dead
+        is asked, too, as long as it is remembered: the seeds may all be dead in truth.
         """
-        live = {m.address for m in self.members.values() if m.live}
-        self.next_seed_ms = now_ms + self.terms.period_ms * (5 if live else 2)
-        lost = [seed for seed in self.seeds if seed not in live and seed != (self.me.host, self.me.port)]
-        for seed in self.random.sample(lost, min(len(lost), 1 if live else len(lost))):
+        others, me = self.roll.live_count, (self.me.host, self.me.port)
+        self.next_seed_ms = now_ms + self.terms.period_ms * (5 if others else 2)
+        lost = [seed for seed in self.seeds if seed != me and not self.roll.lives_at(seed)]
+        for seed in self.random.sample(lost, min(len(lost), 1 if others else len(lost))):
             self._send(seed, Join)
+        dead = [member.address for member in self.roll.gone.values() if member.rumour.state is State.DEAD]
+        if dead:
+            self._send(self.random.choice(dead), Join)
 
     def _tell_of_me(self, to: Address) -> None:
         self._put(Send(to, Roster(sender=self.me.name, run=self.me.run, gossip=[self.me])))
@@ -434,9 +419,9 @@
     def _tell_some(self, to: Address, reply: bool = False) -> None:
         """As much of what is known as a datagram holds, ourselves first, another part each time."""
         others = [member.rumour for member in self.members.values()]
-        self.random.shuffle(others)
+        drawn = self.random.sample(others, min(len(others), GOSSIP_BYTES // RUMOUR_LEAST))
         part, room = [self.me], GOSSIP_BYTES - size_of(self.me)
-        for rumour in others:
+        for rumour in drawn:
             if (room := room - size_of(rumour)) < 0:
                 break
             part.append(rumour)
@@ -476,10 +461,7 @@
             self.asking.sent_ms += by_ms
         for errand in self.errands.values():
             errand.due_ms += by_ms
-        for member in self.members.values():
-            member.since_ms += by_ms
-            member.heard_ms += by_ms
-            member.dead_at_ms += by_ms
+        self.roll.shift(by_ms)
 
     def _send(self, to: Address, kind: type[Said], **more: object) -> None:
         gossip = self.gossip.take_rumours()
--- a/gladewalk/members/sync.py
+++ b/gladewalk/members/sync.py
@@ -11,23 +11,15 @@
 
 from __future__ import annotations
 
-import xxhash
-
 from .messages import Digest, Streamed, Whole
+from .roll import hash_of
 from .swim import Membership
 from .terms import Out
 
 
 def digest_of(core: Membership) -> int:
-    """A 63-bit hash of all members and of who claims what; findings, which are ever new, don't count."""
-    known = xxhash.xxh3_64()
-    rumours = [core.me, *(member.rumour for member in core.members.values())]
-    for rumour in sorted(rumours, key=lambda rumour: rumour.name):
-        said = (rumour.name, rumour.run, rumour.incarnation, int(rumour.state), rumour.host, rumour.port)
-        known.update(repr(said).encode())
-    for duty, news in sorted(core.gossip.news.items()):
-        known.update(repr((duty, news.epoch, news.owner)).encode())
-    return known.intdigest() >> 1  # msgspec checks whole numbers up to 63 bits
+    """63 bits of all members and of who claims what; findings, which are ever new, don't count."""
+    return core.roll.digest ^ hash_of(core.me) ^ core.gossip.digest
 
 
 def whole_of(core: Membership) -> Whole:
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -29,7 +29,8 @@
         self, exchange: Exchange, config: Config, clock: Callable[[], float], counters: Counters
     ) -> None:
         self.exchange, self.roles, self.clock, self.counters = exchange, config.roles, clock, counters
-        self.last = 0
+        self.last = self.begun = 0
+        self.resumed = False  # `last` is from before our start
         self._listed = False
         self.noted: Callable[[int, dict[str, Any]], None] | None = None  # hears each good event of the feed
 
@@ -37,7 +38,12 @@
         """The events of the start, out of the configuration."""
         for event in events:
             self.event(event)
-        self.last = max(self.last, index)
+        self.last = self.begun = max(self.last, index)
+
+    def resume(self, index: int) -> None:
+        """An earlier run had followed so far, and all that it heard is known again."""
+        if index > self.last:
+            self.last, self.resumed = index, True
 
     def line(self, data: bytes) -> bool:
         """One line of the feed; False when an event is missing before it or it makes no sense."""
@@ -51,6 +57,11 @@
         if not isinstance(message, dict) or not isinstance(message.get("index"), int):
             self.counters.add("coordinator.bad_lines")
             return False
+        if self.resumed and len(message) == 1 and message["index"] < self.last:
+            # Guards against another coordinator than the one we knew: its numbers are its own.
+            self.last, self.resumed = self.begun, False
+            self.counters.add("coordinator.numbering_back")
+            return False
         if message["index"] <= self.last:  # one told twice, or the number of the last
             return True
         if len(message) == 1 or message["index"] != self.last + 1:
--- a/gladewalk/options.py
+++ b/gladewalk/options.py
@@ -84,6 +84,7 @@
     warm_ms: Annotated[float, Meta(ge=0.0, le=600_000.0)] = (
         5_000.0  # all that was learned, once in this; 0: never
     )
+    resume: bool = False  # ask the coordinator only for events after the last that is kept
     segment_bytes: Annotated[int, Meta(ge=65_536, le=2**30)] = 1024 * 1024
 
 
--- a/gladewalk/rehearsal/dutynet.py
+++ b/gladewalk/rehearsal/dutynet.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from .. import interface as api
 from ..counters import Counters
+from ..duties.ownership import Rank, rank_of, score
 from ..duties.runner import Found, Runner
+from ..members.gossip import Told
 from ..members.messages import News
 from ..members.terms import Change, Terms
 from .membernet import Net, Node
@@ -58,6 +60,28 @@
             call()
 
 
+class SharedRanks:
+    """The nodes' rendezvous hash, done once for all of them: a thousand nodes would each do millions.
+
+    Kept are the first few of each duty; where none of them is among those asked for, it is hashed anew. All
+    weigh the same.
+    """
+
+    def __init__(self, names: Iterable[str], first: int = 24) -> None:
+        self.names, self.first = list(names), first
+        self.tops: dict[str, list[Rank]] = {}
+
+    def best(self, duty: str, members: Mapping[str, float]) -> Rank:
+        top = self.tops.get(duty)
+        if top is None:
+            ranked = sorted(((score(duty, name, 1.0), name) for name in self.names), reverse=True)
+            top = self.tops[duty] = ranked[: self.first]
+        for rank in top:
+            if rank[1] in members:
+                return rank
+        return rank_of(duty, members)
+
+
 class Probe:
     """A duty of the rehearsal: every box answers."""
 
@@ -67,7 +91,7 @@
         self.net, self.node, self.interval_ms = net, node, net.interval_ms
 
     def names(self) -> Iterable[str]:
-        return self.net.boxes
+        return self.net.listed
 
     def do(self, name: str, found: Found) -> None:
         self.net.done.append(Done(self.net.now, self.node.name, name))
@@ -88,6 +112,8 @@
     ) -> None:  # fmt: skip
         super().__init__(seed, terms)
         self.boxes, self.interval_ms, self.per_s = tuple(boxes), interval_ms, per_s
+        self.listed = frozenset(self.boxes)
+        self.ranks: SharedRanks | None = None
         self.runners: dict[str, Runner] = {}
         self.done: list[Done] = []
         self.learned: dict[tuple[str, str], float] = {}
@@ -108,6 +134,9 @@
             fellow, [Probe(self, node)], lambda: self.now + node.clock_off, Agenda(self, node), Counters(),
             random.Random(self.random.random()), 3_000.0, self.per_s,
         )  # fmt: skip
+        if self.ranks is not None:
+            for owned in runner.owned.values():
+                owned.rank = self.ranks.best
         self.runners[name] = runner
         runner.sweep()
         return node
@@ -146,11 +175,31 @@
 
 def duty_cluster(
     count: int, seed: int, boxes: int = 12, interval_ms: float = 1_000.0, settle_ms: float = 6_000.0,
-    per_s: float = 0.0, terms: Terms | None = None,
+    per_s: float = 0.0, terms: Terms | None = None, met: bool = False,
 ) -> DutyNet:  # fmt: skip
-    """Members `m0` to `mN`, who know the first two as seeds, once they have divided their boxes."""
+    """Members `m0` to `mN`, who know the first two as seeds, once they have divided their boxes.
+
+    `met`: they know one another from the start, as if a full exchange lay long behind them, and begin with
+    dividing the boxes.
+    """
     net = DutyNet(seed, [f"b{n}" for n in range(boxes)], interval_ms, terms, per_s)
+    if met:
+        net.ranks = SharedRanks(f"m{n}" for n in range(count))
     for n in range(count):
         net.join(f"m{n}", tuple(f"m{s}" for s in range(min(n, 2))))
+    if met:
+        _introduce(net)
     net.run(settle_ms)
     return net
+
+
+def _introduce(net: DutyNet) -> None:
+    """All know all, and nobody has anything of it left to tell."""
+    rumours = [node.core.me for node in net.nodes.values()]
+    for node in net.nodes.values():
+        for rumour in rumours:
+            if rumour.name != node.name:
+                node.core.hear(rumour, net.now)
+        node.core.gossip.rumours = Told()
+        node.core.out.clear()
+        net.runners[node.name].moved = True
--- a/gladewalk/rehearsal/membernet.py
+++ b/gladewalk/rehearsal/membernet.py
@@ -92,6 +92,8 @@
     ) -> Node:  # fmt: skip
         """A node starts, or starts again under its name, knowing no more than its seeds."""
         old = self.nodes.get(name)
+        if old is not None:
+            old.up = False  # its address is free again: no two processes have one
         address = old.address if old is not None else ("10.0.0.1", port or 1_000 + len(self.nodes))
         known = tuple(self.nodes[seed].address for seed in seeds)
         core = Membership(
--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -15,7 +16,20 @@
 from . import leases, warm
 from .files import Folder
 from .frames import PAYLOAD_MOST, Fault
-from .keeping import PURGES, SERVERS, Row, purges_of, rows_of, servers_of
+from .keeping import (
+    FEED,
+    PURGES,
+    SERVERS,
+    Position,
+    Row,
+    is_whole,
+    position_of,
+    position_row,
+    purges_of,
+    rows_of,
+    servers_of,
+    unlisted,
+)
 from .log import Log, Terms
 from .writer import Writer
 
@@ -31,6 +45,7 @@
         assert table is not None
         self.deadlines, self.warm_ms, self.part = deadlines, table.warm_ms, -1
         self.exchange: Exchange | None = None
+        self.resume, self.position, self.holes = table.resume, Position(0), False
         self.settle_ms, self.clock, self.counters, self.say = settle_ms, clock, counters, say
         path = options.file(table.folder)
         try:
@@ -48,9 +63,13 @@
         purges = purges_of(self.log.items(PURGES), now)
         for purge in purges:
             feed.exchange.purged(purge)
-        entries = servers_of(self.log.items(SERVERS), feed.last)
+        if self.resume:
+            self.position = position_of(self.log.items(FEED))
+        whole = self.position.whole if self.position.whole > feed.last else 0
+        entries = servers_of(self.log.items(SERVERS), feed.last, whole)
         if entries:
-            feed.event({"endpoints": {"all": False, "targets": entries}})
+            feed.event({"endpoints": {"all": bool(whole), "targets": entries}})
+        feed.resume(self.position.index)
         core = feed.exchange.core
         leases_back = leases.restore(core, self.log.items(leases.SPACE), now)
         objects, sources = warm.restore(core, self.log.items(warm.SPACE), now)
@@ -98,6 +117,7 @@
             if space == PURGES and not held.deleted and held.sequence <= log.durable
         ]
         return {
+            "policy": self.writer.policy, "feed": self.position.index,
             "durable": log.durable, "sequence": log.state.sequence, "keys": len(log.state.held),
             "bytes": log.size, "segments": len(log.sizes), "compactions": log.compactions,
             "refused_by_disk": self.writer.failing, "purges": sorted(purges),
@@ -105,14 +125,23 @@
 
     def note(self, index: int, event: dict[str, Any]) -> None:
         """An event of the feed that was found to be good."""
-        for row in rows_of(index, event, self.settle_ms, self.clock()):
-            self._put(row)
+        rows = rows_of(index, event, self.settle_ms, self.clock(), self.resume)
+        if self.resume:
+            rows += unlisted(event, self.log.items(SERVERS) if is_whole(event) else ())
+        kept = [self._put(row) for row in rows]
+        if not self.resume:
+            return
+        # A refused row must be told again after a restart: from here on the position stands still.
+        self.holes = self.holes or any(told.done() and not told.result() for told in kept)
+        if self.holes:
+            return self.counters.add("store.position_held")
+        row, self.position = position_row(index, event, self.position)
+        self._put(row)
 
-    def _put(self, row: Row) -> None:
+    def _put(self, row: Row) -> asyncio.Future[bool]:
         if row.value is None:
-            self.writer.delete(row.space, row.key)
-        else:
-            self.writer.put(row.space, row.key, row.value, row.until_ms)
+            return self.writer.delete(row.space, row.key)
+        return self.writer.put(row.space, row.key, row.value, row.until_ms)
 
     async def close(self) -> None:
         await self.writer.close()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -103,6 +103,17 @@
             net.blocked = lambda source, target: False
             self.settle(net)
 
+    def test_a_partition_heals_though_all_seeds_have_died_meanwhile(self) -> None:
+        for seed in range(10):
+            net = cluster(4, seed)
+            net.blocked = lambda source, target: "m3" in (source, target)
+            net.kill("m0")
+            net.kill("m1")
+            net.run(10_000.0)
+            self.assertEqual(net.live_as_seen_by("m3") | net.live_as_seen_by("m2"), set())
+            net.blocked = lambda source, target: False
+            self.settle(net)
+
     def test_all_restart_one_after_the_other(self) -> None:
         net = cluster(4, 5)
         for n in range(4):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,7 +1,9 @@
 """The store: cut at every byte, spoilt at every byte, refused at every call, killed and without power."""
 
 import asyncio
+import dataclasses
 import errno
+import json
 import random
 import tempfile
 import unittest
@@ -9,13 +11,15 @@
 
 import dns.name
 import pytest
+from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
 
 from gladewalk import interface as api
-from gladewalk.config import ConfigError, read
+from gladewalk.cli import gladewalk
+from gladewalk.config import Config, ConfigError, read, read_address
 from gladewalk.counters import Counters
 from gladewalk.director import Director, unix_ms
 from gladewalk.dns.names import DnsConfig
@@ -500,6 +504,10 @@
         )
 
 
+async def nothing(heard: Heard) -> None:
+    await heard.answer(200, b"copy", X_Remark="mem")
+
+
 class Kept(unittest.IsolatedAsyncioTestCase):
     """What a director was told before it was killed is in force after its restart."""
 
@@ -552,6 +560,62 @@
         for peer in (*boxes, origin):
             peer.stop()
 
+    async def test_the_feed_goes_on_after_the_last_event_kept_and_not_with_another_coordinator(self) -> None:
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        options = options_of(
+            read_tables({"store": {"folder": "s", "resume": True}, "control": {"socket": "c"}}),
+            "t.toml",
+            folder,
+        )
+        boxes = [await ScriptedPeer(nothing, f"c{n}").start() for n in range(4)]
+        coordinator = await Coordinator().start()
+        config = read(config_for(boxes[:3], coordinator), {})
+        loop = asyncio.get_running_loop()
+
+        async def run(config: Config) -> Director:
+            director = Director(config, loop, None, options)
+            await director.start()
+            return director
+
+        async def end(director: Director) -> None:
+            director.front.close()
+            director.follower.close()
+            assert director.keeper is not None
+            await director.keeper.close()
+
+        first = await run(config)
+        coordinator.tell_list(boxes[0], boxes[3], whole=True)  # the others are listed no more
+        boxes[3].state = "DRAINING"
+        coordinator.tell_list(boxes[3])
+        coordinator.tell(evict={"ref": "a1", "unix_ms": unix_ms()})
+        await until(lambda: first.feed.last == 4)
+        shown = ["store", "status", "--socket", str(folder / "c")]
+        told = await asyncio.to_thread(CliRunner().invoke, gladewalk, [*shown, "--json"])
+        self.assertEqual((told.exit_code, json.loads(told.output)["feed"]), (0, 4))
+        told = await asyncio.to_thread(CliRunner().invoke, gladewalk, shown)
+        self.assertRegex(told.output, r"feed kept up to event\W+4")
+        await end(first)
+        again = await run(config)
+        servers = again.exchange.core.servers
+        ready = {n for n, server in servers.items() if server.info.state is api.ServerState.READY}
+        self.assertEqual((ready, servers["c3"].info.state), ({"c0"}, api.ServerState.DRAINING))
+        await until(lambda: len(coordinator.follows) == 2)
+        self.assertEqual(coordinator.follows, [1, 4])
+        await end(again)
+        other = await Coordinator().start()  # it counts from the beginning, and knows of three boxes
+        other.tell_list(*boxes[:3], whole=True)
+        other.tell_list(boxes[1])
+        lost = await run(dataclasses.replace(config, coordinator=read_address(other.address)))
+        await until(lambda: other.follows == [4])
+        other.write(b"2\n")
+        await until(lambda: lost.feed.last == 2)
+        self.assertEqual((other.follows, lost.counters["coordinator.numbering_back"]), ([4, 1], 1))
+        await end(lost)
+        coordinator.stop()
+        other.stop()
+        for peer in boxes:
+            peer.stop()
+
     async def test_a_held_answer_counts_over_a_restart_and_what_was_learned_is_there(self) -> None:
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         tables = read_tables({"store": {"folder": "store", "warm_ms": 50.0}})
