A store of an older format is read, gone on with and turned into the new one by compaction

The format version was a refusal and no path. Each segment's own version is checked against those that a program reads; what it writes is its own. A test plays format 1 under a program that writes 2.

--- a/gladewalk/store/frames.py
+++ b/gladewalk/store/frames.py
@@ -17,7 +17,8 @@
 import crc32c
 
 MAGIC = b"GLWSTORE"
-VERSION = 1
+VERSION = 1  # written; each segment has its own, so that a store turns into the next by compaction
+READS = frozenset((1,))  # a later program goes on reading these, and their records by these rules
 HEADER = struct.Struct("<8sHHQQQQI")
 HEADER_BODY = struct.Struct("<8sHHQQQQ")
 RECORD = struct.Struct("<2sBIQQI")
@@ -96,8 +97,9 @@
         raise BadHead(file, 0, "no segment of a store")
     if crc32c.crc32c(data[: HEADER.size - 4]) != crc:
         raise BadHead(file, 0, "its header is spoilt")
-    if version != VERSION:
-        raise Fault(file, 8, f"written in format {version}, this program reads {VERSION}")
+    if version not in READS:
+        reads = ", ".join(map(str, sorted(READS)))
+        raise Fault(file, 8, f"written in format {version}, this program reads {reads}")
     return Head(number, covers, first, count)
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -8,6 +8,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest.mock import patch
 
 import dns.name
 import pytest
@@ -36,7 +37,7 @@
     until,
 )
 from gladewalk.rehearsal.resolver import Resolver
-from gladewalk.store import leases, warm
+from gladewalk.store import frames, leases, warm
 from gladewalk.store.choices import Segment, prefix_to_compact
 from gladewalk.store.files import Folder
 from gladewalk.store.frames import HEADER, Fault, Head, read_head, write_head
@@ -402,6 +403,27 @@
         with self.assertRaisesRegex(Fault, "f: at byte 8: written in format 2, this program reads 1"):
             read_head(bytes(good), "f")
 
+    def test_a_store_of_an_older_format_is_read_gone_on_with_and_turned_into_the_new_one(self) -> None:
+        disk = BadDisk()
+        old = Log(disk, lambda: NOW, SMALL)
+        for n in range(20):
+            old.put("purge", f"k{n}", b"old")
+            old.commit()
+        with patch.multiple(frames, VERSION=2, READS=frozenset((1, 2))):
+            grown = disk_of(files_of(disk))
+            new = Log(grown, lambda: NOW, SMALL)
+            new.put("purge", "k0", b"new")
+            new.commit()
+            self.assertEqual(len(held(new)), 20)
+            both = disk_of(files_of(grown))
+            mixed = Log(both, lambda: NOW, SMALL)
+            self.assertEqual(held(mixed), held(new))
+            mixed.compact(max(mixed.sizes))
+        with self.assertRaisesRegex(Fault, "written in format 2, this program reads 1"):
+            Log(disk_of(files_of(both)), lambda: NOW, SMALL)
+        with patch.multiple(frames, VERSION=2, READS=frozenset((2,))):  # nothing of the old is left
+            self.assertEqual(held(Log(disk_of(files_of(both)), lambda: NOW, SMALL)), held(new))
+
     def test_the_tools_look_dump_and_repair_only_when_told_to(self) -> None:
         from click.testing import CliRunner
 
