--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `gladewalk run | check | members | import | route | rehearse | store`.
+"""The command line: `gladewalk run | check | members | import | route | rehearse | store | dns`.
 
 Exit codes: 0 done, 1 done with a finding, 2 what was given cannot be used (one line says why). Of a running
 director: 3 there is none, 4 it is of another version, 5 it hangs.
@@ -310,6 +310,49 @@
     context.exit(on_store(lambda: repair(folder, accept_loss, click.echo)))
 
 
+@gladewalk.group("dns")
+def dns_group() -> None:
+    """The DNS front, and others like it."""
+
+
+@dns_group.command("conform")
+@click.argument("address")
+@click.argument("zone")
+@click.option("--class", "class_name", required=True, help="A class of its names: 0.OBJECT.CLASS.ZONE.")
+@click.option("--object", "object_name", default="a1", show_default=True, help="An object, in hexadecimal.")
+@click.option("--tls", default="", help="HOST:PORT for DNS over TLS.")
+@click.option("--only", multiple=True, metavar="NAME", help="Cases of this name, or that begin so.")
+@click.option("--list", "as_list", is_flag=True, help="Name the cases and run none.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
+@click.pass_context
+def dns_conform(
+    context: click.Context, address: str, zone: str, class_name: str, object_name: str, tls: str,
+    only: tuple[str, ...], as_list: bool, as_json: bool,
+) -> None:  # fmt: skip
+    """Put a server to the RFCs' test. Exit code 1: a case failed.
+
+    \b
+    Example:
+      gladewalk dns conform 127.0.0.1:5353 cdn.example. --class lot-page
+    """
+    from .dns.conform.report import told_by, told_of
+    from .dns.conform.suite import Verdict, run_cases, the_cases
+
+    if as_list:
+        for one in the_cases(only):
+            click.echo(f"{one.name}: RFC {one.rfc} {one.section}: {one.says}")
+        return
+    try:
+        target = told_of(address, zone, class_name, object_name, tls)
+    except (ConfigError, ValueError) as error:
+        click.echo(f"gladewalk: {error}", err=True)
+        context.exit(2)
+    results = run_cases(target, only)
+    for line in told_by(results, as_json):
+        click.echo(line)
+    context.exit(1 if any(result.verdict is Verdict.FAILED for result in results) else 0)
+
+
 def on_store(call: Callable[[], int]) -> int:
     """Whatever a store can't do is one line and exit code 2."""
     from .store.frames import Fault
--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -164,12 +164,12 @@
             self.counters.add("dns.dropped")
             return sender.drop()
         now = self.exchange.clock()
-        if self.all is not None and not self.all.take("", now):
-            self.counters.add("dns.over_all")
-            return sender.drop()
         if self.networks is not None and not self.networks.take(network_of(sender.peer), now):
             self.counters.add("dns.over_network")
             return sender.drop()
+        if self.all is not None and not self.all.take("", now):
+            self.counters.add("dns.over_all")
+            return sender.drop()
         self.counters.add("dns.taken")
         if wire[2] >> 3 & 0x0F != dns.opcode.QUERY:
             return self._fail_unread(wire, sender, dns.rcode.NOTIMP)
--- a/gladewalk/dns/limits.py
+++ b/gladewalk/dns/limits.py
@@ -12,10 +12,12 @@
 from collections.abc import Hashable
 from dataclasses import dataclass
 from enum import Enum
+from functools import lru_cache
 
 KEYS_MOST = 16_384  # networks, or network and answer, that are counted at a time; the longest unseen go first
 
 
+@lru_cache(4_096)
 def network_of(address: str, v4_bits: int = 24, v6_bits: int = 56) -> str:
     """The network that an address is counted by: one client can have many addresses of it."""
     at = ipaddress.ip_address(address)
--- a/gladewalk/dns/settings.py
+++ b/gladewalk/dns/settings.py
@@ -14,7 +14,7 @@
 import dns.name
 import dns.rdatatype
 import dns.rrset
-import dns.zonefile
+import dns.zone
 import msgspec
 
 from ..config import Address, ConfigError, read_address
@@ -143,20 +143,18 @@
     found = []
     for origin in origins:
         try:
-            rrsets = dns.zonefile.read_rrsets(text, origin=origin, default_ttl=300)
+            # Read below the root: the library drops what is not below its origin without a word.
+            whole = f"$ORIGIN {origin}\n$TTL 300\n{text}"
+            zone = dns.zone.from_text(whole, origin=".", relativize=False, check_origin=False)
         except (dns.exception.DNSException, ValueError) as error:
             raise ConfigError(f"{path}: dns.records: {error}") from error
-        names: dict[dns.name.Name, set[dns.rdatatype.RdataType]] = {}
-        for rrset in rrsets:
+        for name, rdataset in zone.iterate_rdatasets():
+            rrset = dns.rrset.from_rdata_list(name, rdataset.ttl, list(rdataset))
             if not rrset.name.is_subdomain(origin):
                 raise ConfigError(f"{path}: dns.records: {rrset.name} is not below {origin}")
             if rrset.name == origin and rrset.rdtype in (dns.rdatatype.SOA, dns.rdatatype.NS):
                 raise ConfigError(f"{path}: dns.records: the apex has its SOA and NS from the settings")
-            names.setdefault(rrset.name, set()).add(rrset.rdtype)
             found.append((origin, rrset))
-        for name, kinds in names.items():
-            if dns.rdatatype.CNAME in kinds and len(kinds) > 1:
-                raise ConfigError(f"{path}: dns.records: {name} is a CNAME and has other records")
     return found
 
 
--- a/gladewalk/dns/stream.py
+++ b/gladewalk/dns/stream.py
@@ -82,14 +82,15 @@
         self.transport: asyncio.Transport | None = None
         self.waiting: deque[bytes] = deque()  # not looked at yet
         self.open = 0  # with the core
-        self.full = self.taking = False
+        self.full = self.taking = self.ended = False
         self.peer = ""
         self.last_ms = 0.0  # when the last whole question came: one that is dribbled does not count
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.peer = str(self.transport.get_extra_info("peername")[0])
-        self.transport.set_write_buffer_limits(high=0)
+        # Over TLS a limit of 0 would pause for good; its own buffer is what is bounded there.
+        self.transport.set_write_buffer_limits(high=1 if self.via is Via.TLS else 0)
         if not self.streams.enter(self):
             return self.close()
         self.last_ms = self.front.exchange.clock()
@@ -115,6 +116,16 @@
             self.last_ms = self.front.exchange.clock()
         self._next()
 
+    def eof_received(self) -> bool:
+        """Its client has said all: what is owed is written first (RFC 7766, 6.2.4)."""
+        self.ended = True
+        self._end()
+        return True
+
+    def _end(self) -> None:
+        if self.ended and not self.open and not self.waiting and self.transport is not None:
+            self.transport.close()
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -135,6 +146,7 @@
                 self.transport.pause_reading()
             else:
                 self.transport.resume_reading()
+            self._end()
 
     def answered(self, pending: Pending, wire: bytes | None) -> None:
         if pending.ended:
@@ -145,7 +157,7 @@
             return
         if wire is not None and self.full:
             self.waiting.appendleft(pending.wire)
-        elif wire is not None:
+        elif wire is not None and not self.transport.is_closing():
             self.transport.write(len(wire).to_bytes(2, "big") + wire)
         self._next()
 
--- /dev/null
+++ b/tests/test_zone.py
@@ -0,0 +1,332 @@
+"""The zone, cookies and limits without sockets; and a front fed with whatever bytes there are."""
+
+import dataclasses
+import ipaddress
+import random
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import dns.flags
+import dns.message
+import dns.name
+import dns.rcode
+import dns.rdatatype
+from hypothesis import given
+from hypothesis import settings as profile
+from hypothesis import strategies as st
+
+from gladewalk import interface as api
+from gladewalk.config import ConfigError, read
+from gladewalk.counters import Counters
+from gladewalk.deadlines import Deadlines
+from gladewalk.dns.answers import Via, fit
+from gladewalk.dns.cookies import OLDEST_S, Cookies, Shown
+from gladewalk.dns.front import DnsFront
+from gladewalk.dns.limits import Buckets, Fate, ResponseLimit, network_of
+from gladewalk.dns.names import Rules, box_name
+from gladewalk.dns.settings import DnsConfig, load_dns, load_records
+from gladewalk.dns.zone import Found, Kind, Zone, zone_of
+from gladewalk.exchange import Exchange
+from gladewalk.rehearsal.peers import Coordinator, config_for
+
+ORIGIN = dns.name.from_text("cdn.example.")
+RECORDS = """
+www     60 IN A 192.0.2.1
+www     60 IN A 192.0.2.2
+alias   60 IN CNAME www
+far     60 IN CNAME www.elsewhere.example.
+loop1   60 IN CNAME loop2
+loop2   60 IN CNAME loop1
+to-lot  60 IN CNAME 0.a1.lot-page
+sub     60 IN NS ns.sub
+sub     60 IN DS 1 8 2 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
+ns.sub  60 IN A 192.0.2.53
+deep.er.still 60 IN TXT "x"
+*.wild  60 IN TXT "any"
+*.wild  60 IN A 192.0.2.9
+real.wild 60 IN A 192.0.2.8
+a.b.wild 60 IN A 192.0.2.7
+lot-page 60 IN TXT "a class"
+"""
+
+
+def make_zone(origin: dns.name.Name = ORIGIN) -> Zone:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "zone"
+        path.write_text(RECORDS)
+        records = [rrset for _, rrset in load_records(path, (origin,))]
+    rules = Rules(frozenset({"lot-page", "bid"}), frozenset({"bid"}), lambda address: address == "192.0.2.77")
+    servers = {"ns1": ["192.0.2.53", "2001:db8::53"], "ns.other.example.": []}
+    return Zone(origin, rules, "192.0.2.99", servers, "hostmaster", 7, 5, records)
+
+
+class Looked(unittest.TestCase):
+    zone = make_zone()
+
+    def find(self, text: str, kind: str = "A") -> Found:
+        return self.zone.find(dns.name.from_text(text, ORIGIN), dns.rdatatype.from_text(kind))
+
+    def texts(self, found: Found) -> list[str]:
+        return [f"{r.name.relativize(ORIGIN)} {rdata}" for r in found.answer for rdata in r]
+
+    def test_names_come_to_what_rfc_1034_says(self) -> None:
+        for text, kind, wanted in (
+            ("www", "A", Kind.ANSWER),
+            ("www", "MX", Kind.NODATA),
+            ("er.still", "A", Kind.NODATA),
+            ("still", "A", Kind.NODATA),
+            ("nothing.still", "A", Kind.NXDOMAIN),
+            ("lot-page", "TXT", Kind.ANSWER),
+            ("lot-page", "A", Kind.NODATA),
+            ("a1.lot-page", "A", Kind.NODATA),
+            ("0.a1.lot-page", "A", Kind.ROUTED),
+            ("_http._tcp.0.a1.lot-page", "SRV", Kind.ROUTED),
+            ("0.zz.lot-page", "A", Kind.NXDOMAIN),
+            ("anything.bid", "A", Kind.ANSWER),
+            ("deeper.anything.bid", "A", Kind.ANSWER),
+            ("a1.bid", "A", Kind.NODATA),
+            ("x.a1.bid", "A", Kind.NXDOMAIN),
+            ("b-c000024d", "A", Kind.ANSWER),
+            ("b-c000024e", "A", Kind.NXDOMAIN),
+            ("sub", "A", Kind.REFERRAL),
+            ("a.b.sub", "TXT", Kind.REFERRAL),
+            ("sub", "NS", Kind.REFERRAL),
+            ("sub", "DS", Kind.ANSWER),
+            ("loop1", "A", Kind.ANSWER),
+            ("www", "ANY", Kind.ANSWER),
+        ):
+            self.assertEqual(self.find(text, kind).kind, wanted, (text, kind))
+
+    def test_a_delegation_names_its_servers_with_glue(self) -> None:
+        found = self.find("x.sub")
+        self.assertEqual([str(r.name) for r in found.authority], ["sub.cdn.example."])
+        self.assertEqual([str(r.name) for r in found.additional], ["ns.sub.cdn.example."])
+
+    def test_a_wildcard_speaks_below_its_closest_encloser_and_nowhere_else(self) -> None:
+        self.assertEqual(self.texts(self.find("some.wild")), ["some.wild 192.0.2.9"])
+        self.assertEqual(self.texts(self.find("more.some.wild")), ["more.some.wild 192.0.2.9"])
+        self.assertEqual(self.find("real.wild", "TXT").kind, Kind.NODATA)  # it exists itself
+        self.assertEqual(self.find("b.wild").kind, Kind.NODATA)  # empty, and exists
+        self.assertEqual(self.find("x.b.wild").kind, Kind.NXDOMAIN)  # its closest encloser has no wildcard
+        self.assertEqual(self.find("some.wild", "MX").kind, Kind.NODATA)
+
+    def test_aliases_are_followed_within_the_zone_and_no_further(self) -> None:
+        www = ["www 192.0.2.1", "www 192.0.2.2"]
+        self.assertEqual(self.texts(self.find("alias"))[:1] + sorted(self.texts(self.find("alias"))[1:]),
+                         ["alias www.cdn.example.", *www])  # fmt: skip
+        self.assertEqual(self.texts(self.find("far")), ["far www.elsewhere.example."])
+        self.assertEqual(self.texts(self.find("alias", "CNAME")), ["alias www.cdn.example."])
+        self.assertLessEqual(len(self.find("loop1").answer), 9)
+        routed = self.find("to-lot")
+        self.assertEqual((routed.kind, len(routed.answer)), (Kind.ROUTED, 1))
+        self.assertEqual(str(routed.owner), "0.a1.lot-page.cdn.example.")
+
+    def test_the_apex_has_its_servers_and_the_deepest_zone_a_name(self) -> None:
+        found = self.find("@", "NS")
+        self.assertEqual((len(found.answer[0]), len(found.additional)), (2, 2))
+        inner = make_zone(dns.name.from_text("in.cdn.example."))
+        self.assertIs(zone_of([self.zone, inner], dns.name.from_text("x.in.cdn.example.")), inner)
+        self.assertIsNone(zone_of([self.zone], dns.name.from_text("example.")))
+
+    def test_a_bad_file_of_records_is_one_line(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "zone"
+            for text, why in (
+                ("www IN A 1.2.3", "dns.records: "),
+                ("@ 60 IN NS x", "the apex has its SOA and NS"),
+                ("x.other. 60 IN A 192.0.2.1", "is not below"),
+                ("x 60 IN CNAME y\nx 60 IN A 192.0.2.1", "dns.records: "),
+            ):
+                path.write_text(text + "\n")
+                with self.assertRaisesRegex(ConfigError, why):
+                    load_records(path, (ORIGIN,))
+            own = Path(folder) / "dns.toml"
+            for text, why in (
+                ("listen = '127.0.0.1:0'\nzone = 'a..b'", "dns.zone: "),
+                ("listen = '127.0.0.1:0'\nzone = 'z.'\nslip = -1", "slip: "),
+                ("listen = '127.0.0.1:0'\nzone = 'z.'\nzones = ['z.']", "dns.zones: "),
+                ("listen = '127.0.0.1:0'\nzone = 'z.'\ncookies = 'none'", "dns.cookies: "),
+                ("listen = '127.0.0.1:0'\nzone = 'z.'\ntls_listen = '127.0.0.1:0'", "dns.tls_certificate: "),
+                ("listen = '127.0.0.1:0'\nzone = 'z.'\necs_from = ['x']", "dns.ecs_from: "),
+                ("listen = '127.0.0.1:0'\nzone = 'z.'\n[nameservers]\nns = ['x']", "dns.nameservers: "),
+            ):
+                own.write_text(text + "\n")
+                with self.assertRaisesRegex(ConfigError, why):
+                    load_dns(str(own), "127.0.0.1")
+
+
+class CookiesAndLimits(unittest.TestCase):
+    def test_the_cookie_of_rfc_9018_is_made_and_taken(self) -> None:
+        """Appendix A.1: client 2464c4abcf10c957, 198.51.100.100, 1559731985."""
+        cookies = Cookies((bytes.fromhex("e5e973e5a6b2a43f48e7dc849e37bfcf"),))
+        client, at, where = bytes.fromhex("2464c4abcf10c957"), 1_559_731_985.0, "198.51.100.100"
+        made = cookies.make(client, where, at)
+        self.assertEqual(made.hex(), "010000005cf79f111f8130c3eee29480")
+        self.assertIs(cookies.judge(client, made, where, at + OLDEST_S), Shown.GOOD)
+        self.assertIs(cookies.judge(client, made, where, at + OLDEST_S + 1), Shown.BAD)
+        self.assertIs(cookies.judge(client, made, where, at - 301), Shown.BAD)
+        self.assertIs(cookies.judge(client, made, "198.51.100.101", at), Shown.BAD)
+        self.assertIs(cookies.judge(client[::-1], made, where, at), Shown.BAD)
+        self.assertEqual(cookies.answer(client, made, Shown.GOOD, where, at + 60), made)
+        self.assertNotEqual(cookies.answer(client, made, Shown.GOOD, where, at + 2_000), made)
+        rotated = Cookies((b"n" * 16, *cookies.keys))
+        self.assertIs(rotated.judge(client, made, where, at), Shown.GOOD)
+        self.assertNotEqual(rotated.make(client, where, at), made)
+        self.assertIs(Cookies((b"n" * 16,)).judge(client, made, where, at), Shown.BAD)
+
+    def test_a_bucket_holds_its_rate_over_any_time(self) -> None:
+        draw, buckets, now = random.Random(1), Buckets(10.0, 5.0, 3), 0.0
+        taken = 0
+        for _ in range(5_000):
+            now += draw.expovariate(0.05)
+            taken += buckets.take("a", now)
+        self.assertLessEqual(taken, 5 + now / 100.0)
+        self.assertGreater(taken, 0.9 * now / 100.0)
+        for n in range(10):
+            buckets.take(n, now)
+        self.assertEqual(len(buckets.buckets), 3)
+
+    def test_like_answers_above_the_rate_are_dropped_and_some_slip(self) -> None:
+        limit = ResponseLimit(5.0, 2)
+        fates = [limit.judge("n", "x", 0.0) for _ in range(9)]
+        self.assertEqual(fates[:5], [Fate.SEND] * 5)
+        self.assertEqual(fates[5:], [Fate.DROP, Fate.SLIP, Fate.DROP, Fate.SLIP])
+        self.assertIs(limit.judge("n", "y", 0.0), Fate.SEND)
+        self.assertIs(limit.judge("m", "x", 0.0), Fate.SEND)
+        self.assertEqual(network_of("192.0.2.200"), "192.0.2.0/24")
+        self.assertEqual(network_of("2001:db8:1:2ff::1"), "2001:db8:1:200::/56")
+
+
+class Sent:
+    def __init__(self, peer: str = "127.0.0.1", via: Via = Via.UDP) -> None:
+        self.peer, self.via, self.sent, self.dropped = peer, via, list[bytes](), 0
+
+    def send(self, wire: bytes) -> None:
+        self.sent.append(wire)
+
+    def drop(self) -> None:
+        self.dropped += 1
+
+
+class Nowhere:
+    """No servers: each question is answered by the front itself, or waits."""
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *args, **more: None
+
+
+def front(clock: Any = lambda: 1_000.0, **more: Any) -> DnsFront:
+    config = read(config_for([], Coordinator(address="127.0.0.1:9")), {})
+    counters = Counters()
+    exchange = Exchange(config, clock, Deadlines(lambda due: None), counters, lambda line: None)
+    exchange.upstreams = Nowhere()
+    exchange.feed(api.ServerList(api.ListKind.LAST, ()))
+    terms = DnsConfig(("127.0.0.1", 0), ORIGIN, "127.0.0.9", 1.0, 1_000.0)
+    return DnsFront(exchange, dataclasses.replace(terms, **more), counters)
+
+
+FRONT = front(cookies=Cookies((b"k" * 16,)), amplification_most=4.0)
+NAMES = ("cdn.example.", "0.a1.lot-page.cdn.example.", "x.cdn.example.", "example.", "lot-page.cdn.example.")
+
+
+def check(wire: bytes) -> None:
+    """No exception; the id and question as asked; never longer than the bounds."""
+    sender = Sent()
+    FRONT.receive(wire, sender)
+    if not sender.sent:
+        return
+    (answer,) = sender.sent
+    assert answer[:2] == wire[:2] and answer[2] & 0x80
+    assert len(answer) <= max(FRONT.config.amplification_most * len(wire), 12)
+    reply = dns.message.from_wire(answer)
+    if reply.question:
+        asked = dns.message.from_wire(wire).question[0]
+        assert reply.question[0].name.labels == asked.name.labels
+        assert reply.question[0].rdtype == asked.rdtype
+
+
+@given(st.binary(max_size=200))
+@profile(max_examples=400, deadline=None, derandomize=True)
+def test_noise_ends_in_an_answer_or_a_counter(data: bytes) -> None:
+    check(data)
+
+
+@given(
+    st.sampled_from(NAMES), st.integers(0, 65_535), st.integers(-1, 3), st.randoms(use_true_random=False),
+    st.integers(0, 4),
+)  # fmt: skip
+@profile(max_examples=800, deadline=None, derandomize=True)
+def test_good_questions_with_bytes_changed_do_so_too(
+    name: str, kind: int, edns: int, draw: random.Random, changes: int
+) -> None:
+    query = dns.message.make_query(name, dns.rdatatype.RdataType.make(kind), use_edns=edns)
+    wire = bytearray(query.to_wire())
+    for _ in range(changes):
+        place = draw.randrange(len(wire))
+        match draw.randrange(3):
+            case 0:
+                wire[place] = draw.randrange(256)
+            case 1:
+                del wire[place]
+            case 2:
+                wire.insert(place, draw.randrange(256))
+    check(bytes(wire))
+
+
+class Abuse(unittest.TestCase):
+    def ask(self, at: DnsFront, peer: str = "127.0.0.1", name: str = "x.cdn.example.", **more: Any) -> Sent:
+        sender = Sent(peer)
+        at.receive(dns.message.make_query(name, "A", **more).to_wire(), sender)
+        return sender
+
+    def test_a_forgers_victim_hears_little_and_a_cookie_or_tcp_passes(self) -> None:
+        cookies = Cookies((b"k" * 16,))
+        at = front(answers_per_s=5.0, slip=2, cookies=cookies)
+        heard = [self.ask(at) for _ in range(105)]
+        self.assertEqual(sum(bool(one.sent) for one in heard), 5 + 50)
+        self.assertTrue(dns.message.from_wire(heard[-1].sent[0]).flags & dns.flags.TC)
+        self.assertEqual(at.counters["dns.limited_dropped"], 50)
+        client = b"c" * 8
+        alone = dns.edns.CookieOption(client, b"")
+        told = [self.ask(at, use_edns=0, options=[alone]) for _ in range(2)]
+        (bad,) = [dns.message.from_wire(one.sent[0]) for one in told if one.sent]
+        self.assertEqual(bad.rcode(), dns.rcode.BADCOOKIE)
+        shown = [self.ask(at, use_edns=0, options=[bad.options[0]]) for _ in range(50)]
+        self.assertTrue(all(one.sent and dns.message.from_wire(one.sent[0]).authority for one in shown))
+
+    def test_budgets_of_a_network_and_of_all_are_kept(self) -> None:
+        at = front(network_per_s=10.0, all_per_s=25.0)
+        counts = [sum(bool(self.ask(at, f"192.0.{n}.1").sent) for _ in range(20)) for n in range(4)]
+        self.assertEqual(counts, [10, 10, 5, 0])
+        self.assertEqual((at.counters["dns.over_network"], at.counters["dns.over_all"]), (40, 15))
+
+    def test_a_question_that_waits_is_ended_by_its_time(self) -> None:
+        now = 1_000.0
+        at = front(lambda: now)
+        waiting = self.ask(at, name="0.a1.lot-page.cdn.example.", use_edns=0)
+        self.assertFalse(waiting.sent)
+        now += 1_001.0
+        at.exchange.deadlines.sweep(now)
+        reply = dns.message.from_wire(waiting.sent[0])
+        self.assertEqual((reply.rcode(), int(reply.options[0].otype)), (dns.rcode.SERVFAIL, 15))
+
+    def test_a_subnet_is_heard_of_trusted_resolvers_alone(self) -> None:
+        at = front(ecs_from=(ipaddress.ip_network("192.0.2.0/24"),))
+        subnet = dns.edns.ECSOption("203.0.113.0", 24)
+        for peer, heard in (("192.0.2.1", 1), ("198.51.100.1", 0)):
+            reply = dns.message.from_wire(self.ask(at, peer, use_edns=0, options=[subnet]).sent[0])
+            self.assertEqual(len(reply.options), heard)
+
+    def test_what_does_not_fit_is_cut_and_what_is_only_additional_goes_first(self) -> None:
+        zone = make_zone()
+        query = dns.message.make_query(ORIGIN, "NS")
+        reply = dns.message.make_response(query)
+        found = zone.find(ORIGIN, dns.rdatatype.NS)
+        reply.answer, reply.additional = found.answer, found.additional * 30
+        self.assertFalse(dns.message.from_wire(fit(reply, 512)).flags & dns.flags.TC)
+        reply.answer = [dns.rrset.from_text(box_name(f"192.0.2.{n}", ORIGIN), 1, "IN", "TXT", "x" * 40)
+                        for n in range(20)]  # fmt: skip
+        cut = dns.message.from_wire(fit(reply, 512))
+        self.assertTrue(cut.flags & dns.flags.TC and not cut.answer)
