Held answers in a ledger of their own; resolvers weigh what they bring; several boxes in an answer

Leases were a dictionary in the module that each answer went through whole; transfers_per_answer was guessed for all resolvers; a crowded home left the director's own address as the only answer; a director that starts without a store took nothing to be held; a flood of questions took the loop from the HTTP front.

The core names the home and a second box that holds the object, or a hot object's second home; TTLs go down as a box nears its bound. UDP is read a few questions a turn and takes a share of the loop's time.

--- a/benchmarks/store_kills.py
+++ b/benchmarks/store_kills.py
@@ -65,7 +65,7 @@
             f"[store]\nfolder = 'store'\npolicy = '{policy}'\n[control]\nsocket = 'control'\n"
         )
         self.process: asyncio.subprocess.Process | None = None
-        self.address = self.dns = ("", 0)
+        self.address = self.dns = self.dns_tls = ("", 0)
         self.up = False  # who loops on it looks here: a cancelled wait can end well at the same moment
 
     async def start(self, config: dict[str, object]) -> float:
@@ -80,6 +80,7 @@
             said = json.loads(line)
             if said["event"] == "serving":
                 self.address, self.dns = tuple(said["listen"]), tuple(said["dns"] or ("", 0))
+                self.dns_tls = tuple(said.get("dns_tls") or ("", 0))
                 self.up = True
                 return time.monotonic() - began
         raise RuntimeError("the director did not start")
--- a/gladewalk/config.py
+++ b/gladewalk/config.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from . import interface as api
-from .logic import check
+from .interface import check
 from .settings import SettingsError, either, need, read_roles, read_settings
 
 Address = tuple[str, int]
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -171,6 +171,8 @@
             "listen": self.front.address,
             "dns": self.dns.address if self.dns is not None else None,
         }
+        if self.dns is not None and self.dns.tls_address is not None:
+            listening["dns_tls"] = self.dns.tls_address
         if self.web is not None:
             listening["web"] = [front.address for front in self.web.fronts]
         self.log.info("serving", servers=len(self.caches.upstreams), **listening)
--- a/gladewalk/dns/answers.py
+++ b/gladewalk/dns/answers.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import ipaddress
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -64,12 +65,11 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Pointed:
-    """Where the core points: addresses with their port, by TLS and ALPN where the box speaks so."""
+class Point:
+    """Where the core points: an address and port, by TLS and ALPN where the box speaks so."""
 
-    addresses: tuple[str, ...]
+    address: str
     port: int
-    ttl_s: int
     secure: bool = False
     alpn: tuple[str, ...] = ()
 
@@ -92,31 +92,39 @@
         reply.additional = list(found.additional)
         return reply
 
-    def of_box(self, asked: Asked, found: Found, zone: Zone, to: Pointed) -> dns.message.Message:
+    def of_box(
+        self, asked: Asked, found: Found, zone: Zone, points: Sequence[Point], ttl_s: int
+    ) -> dns.message.Message:
         """What the core has decided, for each type that can say it; else no data."""
         reply = self._begin(asked.query)
         reply.answer = list(found.answer)
         match asked.rdtype:
             case dns.rdatatype.SRV:
-                self._service(reply, found.owner, zone, to)
-            case dns.rdatatype.HTTPS if to.secure:
-                reply.answer.append(binding(found.owner, "HTTPS", to))
-            case dns.rdatatype.SVCB if to.alpn:
-                reply.answer.append(binding(found.owner, "SVCB", to))
+                self._service(reply, found.owner, zone, points, ttl_s)
+            case dns.rdatatype.HTTPS:
+                reply.answer += bindings(found.owner, "HTTPS", [p for p in points if p.secure], ttl_s)
+            case dns.rdatatype.SVCB:
+                reply.answer += bindings(found.owner, "SVCB", points, ttl_s)
             case dns.rdatatype.A | dns.rdatatype.AAAA:
-                mine = address_rrsets(found.owner, to.addresses, to.ttl_s)
+                mine = address_rrsets(found.owner, [point.address for point in points], ttl_s)
                 reply.answer += [rrset for rrset in mine if rrset.rdtype == asked.rdtype]
         if len(reply.answer) == len(found.answer):
             reply.authority = [zone.soa]
         return reply
 
-    def _service(self, reply: dns.message.Message, owner: dns.name.Name, zone: Zone, to: Pointed) -> None:
+    def _service(
+        self,
+        reply: dns.message.Message,
+        owner: dns.name.Name,
+        zone: Zone,
+        points: Sequence[Point],
+        ttl_s: int,
+    ) -> None:
         """RFC 2782: a name for each address, whose address goes along."""
-        targets = {address: box_name(address, zone.origin) for address in to.addresses}
-        texts = [f"0 1 {to.port} {target}" for target in targets.values()]
-        reply.answer.append(dns.rrset.from_text(owner, to.ttl_s, "IN", "SRV", *texts))
-        for address, target in targets.items():
-            reply.additional += address_rrsets(target, [address], to.ttl_s)
+        texts = [f"0 1 {point.port} {box_name(point.address, zone.origin)}" for point in points]
+        reply.answer.append(dns.rrset.from_text(owner, ttl_s, "IN", "SRV", *texts))
+        for address in dict.fromkeys(point.address for point in points):
+            reply.additional += address_rrsets(box_name(address, zone.origin), [address], ttl_s)
 
     def error(self, query: dns.message.Message, rcode: dns.rcode.Rcode) -> dns.message.Message:
         reply = self._begin(query)
@@ -208,13 +216,11 @@
     return reply.to_wire(max_size=65_535)
 
 
-def binding(owner: dns.name.Name, kind: str, to: Pointed) -> dns.rrset.RRset:
-    """RFC 9460: this very name, at that port, spoken to so; with hints, which save a second question."""
-    params = [f"port={to.port}"]
-    if to.alpn:
-        params.insert(0, f"alpn={','.join(to.alpn)}")
-    for version, key in ((4, "ipv4hint"), (6, "ipv6hint")):
-        hints = [address for address in to.addresses if ipaddress.ip_address(address).version == version]
-        if hints:
-            params.append(f"{key}={','.join(hints)}")
-    return dns.rrset.from_text(owner, to.ttl_s, "IN", kind, f"1 . {' '.join(params)}")
+def bindings(owner: dns.name.Name, kind: str, points: Sequence[Point], ttl_s: int) -> list[dns.rrset.RRset]:
+    """RFC 9460: this very name, at each port, spoken to so; with hints, which save a second question."""
+    texts = []
+    for point in points:
+        hint = "ipv6hint" if ipaddress.ip_address(point.address).version == 6 else "ipv4hint"
+        alpn = f"alpn={','.join(point.alpn)} " if point.alpn else ""
+        texts.append(f"1 . {alpn}port={point.port} {hint}={point.address}")
+    return [dns.rrset.from_text(owner, ttl_s, "IN", kind, *texts)] if texts else []
--- /dev/null
+++ b/gladewalk/dns/datagrams.py
@@ -0,0 +1,88 @@
+"""DNS over UDP: a socket that is read a few questions a turn, and not while its share of time is spent.
+
+What comes meanwhile waits in the kernel's buffer, and is dropped there when that is full: a flood then costs
+the loop nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from typing import TYPE_CHECKING
+
+from ..config import Address
+from .answers import Via
+from .limits import TimeShare
+
+if TYPE_CHECKING:
+    from .front import DnsFront
+
+TURN_MOST = 4  # questions read in one turn of the loop: so much others wait for at the most
+DATAGRAM_MOST = 4_096
+
+
+class Datagram:
+    """One question by UDP."""
+
+    via = Via.UDP
+
+    def __init__(self, sockets: UdpSocket, address: Address) -> None:
+        self.socket, self.address, self.peer = sockets, address, address[0]
+
+    def send(self, wire: bytes) -> None:
+        self.socket.send(wire, self.address)
+
+    def drop(self) -> None: ...
+
+
+class UdpSocket:
+    def __init__(self, front: DnsFront, address: Address) -> None:
+        self.front, self.loop = front, asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.socket = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            self.socket.setblocking(False)
+            self.socket.bind(address)
+        except OSError:
+            self.socket.close()
+            raise
+        self.share = TimeShare(front.config.loop_share)
+        self.closed = False
+        self.loop.add_reader(self.socket, self._read)
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.loop.remove_reader(self.socket)
+            self.socket.close()
+
+    def send(self, wire: bytes, address: Address) -> None:
+        if self.closed:
+            return
+        try:
+            self.socket.sendto(wire, address)
+        except OSError:  # its buffer is full, or the asker has gone: nothing is owed by UDP
+            self.front.counters.add("dns.udp_errors")
+
+    def _read(self) -> None:
+        began = time.perf_counter()
+        for _ in range(TURN_MOST):
+            try:
+                data, address = self.socket.recvfrom(DATAGRAM_MOST)
+            except BlockingIOError:
+                break
+            except OSError:  # an answer that could not be delivered is told here
+                self.front.counters.add("dns.udp_errors")
+                continue
+            self.front.receive(data, Datagram(self, address[:2] if len(address) == 2 else address))
+        ended = time.perf_counter()
+        rest = self.share.spend((ended - began) * 1_000.0, ended * 1_000.0)
+        if rest > 0.0 and not self.closed:
+            self.front.counters.add("dns.rests")
+            self.loop.remove_reader(self.socket)
+            self.loop.call_later(rest / 1_000.0, self._resume)
+
+    def _resume(self) -> None:
+        if not self.closed:
+            self.loop.add_reader(self.socket, self._read)
--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -9,9 +9,9 @@
 import asyncio
 import ipaddress
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
-from typing import Protocol, cast
+from typing import Protocol
 
 import dns.exception
 import dns.flags
@@ -26,13 +26,16 @@
 from ..config import Address
 from ..counters import Counters
 from ..exchange import Exchange
-from .answers import HEAD, Answers, Asked, Pointed, Via
+from ..logic import LEASE_MS
+from .answers import HEAD, Answers, Asked, Point, Via
 from .cookies import Shown
+from .datagrams import UdpSocket
 from .edns import read_edns, trusted_subnet
 from .limits import Buckets, network_of
 from .names import Rules
 from .settings import DnsConfig
 from .stream import Streams
+from .weights import Weights
 from .zone import Found, Kind, Zone, zone_of
 
 OPEN_MOST = 2_048  # questions that wait for the core at a time
@@ -56,11 +59,14 @@
 class Question:
     """One question that waits for the core; it is the asker that the exchange knows."""
 
-    def __init__(self, front: DnsFront, asked: Asked, found: Found, zone: Zone, sender: Sender) -> None:
+    def __init__(
+        self, front: DnsFront, asked: Asked, found: Found, zone: Zone, sender: Sender, name: int
+    ) -> None:
         self.front, self.asked, self.found, self.zone, self.sender = front, asked, found, zone, sender
+        self.name = name
 
-    def named(self, address: Address | None, ttl_ms: float, server: str | None = None) -> None:
-        self.front.pointed(self, address, ttl_ms, server)
+    def named(self, boxes: Sequence[tuple[str, Address]], ttl_ms: float) -> None:
+        self.front.pointed(self, boxes, ttl_ms)
 
     def refused(self) -> None:
         self.asked.why = NOT_READY, ""
@@ -79,7 +85,7 @@
         self.streams = Streams(self)
         self.address: Address = config.listen
         self.tls_address: Address | None = None
-        self._udp: asyncio.DatagramTransport | None = None
+        self._udp: UdpSocket | None = None
         self._servers: list[asyncio.Server] = []
         self.config = config
 
@@ -91,6 +97,9 @@
     def config(self, config: DnsConfig) -> None:
         """Settings that were read anew; addresses to listen at are taken up at a restart."""
         self._config, self.answers = config, Answers(config)
+        self.weights = Weights(config.transfers_per_answer, config.transfers_most)
+        ledger = self.exchange.core.names()
+        ledger.ttl_least_ms, ledger.ttl_most_ms = config.ttl_ms
         self.networks = Buckets(config.network_per_s, config.network_per_s) if config.network_per_s else None
         self.all = Buckets(config.all_per_s, config.all_per_s, 1) if config.all_per_s else None
         self._make_zones()
@@ -128,11 +137,13 @@
 
     async def listen(self) -> None:
         loop, config = asyncio.get_running_loop(), self._config
+        if config.assume_worst and self.exchange.lasting is None:  # nobody knows what our last run gave out
+            self.exchange.core.names().assume_the_worst(self.exchange.clock() + LEASE_MS)
         tcp = await loop.create_server(lambda: self.streams.connection(Via.TCP), *config.listen)
         host, port = tcp.sockets[0].getsockname()[:2]
         self.address = (host, port)  # port 0 is chosen once, and UDP takes the same
         self._servers.append(tcp)
-        self._udp, _ = await loop.create_datagram_endpoint(lambda: UdpSocket(self), local_addr=(host, port))
+        self._udp = UdpSocket(self, (host, port))
         if config.tls_listen is not None:
             tls = await loop.create_server(
                 lambda: self.streams.connection(Via.TLS), *config.tls_listen, ssl=config.tls
@@ -213,29 +224,36 @@
             asked.why = NOT_READY, ""
             return self.fail(asked, sender, dns.rcode.SERVFAIL)
         assert found.routed is not None
-        wanted, config = found.routed.wanted, self._config
+        wanted, config, now = found.routed.wanted, self._config, self.exchange.clock()
+        name = hash((wanted.class_name, wanted.key, wanted.part))
+        self.weights.ask(asked.peer, name, now)
+        transfer_ms = self.exchange.core.work_ms[wanted.class_name]
+        weight = self.weights.weight(asked.peer, transfer_ms, now)
         self.exchange.locate(
-            Question(self, asked, found, zone, sender),
+            Question(self, asked, found, zone, sender, name),
             config.wait_ms,
             lambda number: api.Locate(
                 number, wanted.class_name, wanted.key, config.wait_ms, asked.peer, wanted.part, wanted.group,
-                config.transfers_per_answer,
+                weight,
             ),
         )  # fmt: skip
 
-    def pointed(self, question: Question, address: Address | None, ttl_ms: float, server: str | None) -> None:
-        """The core has decided."""
-        asked, found = question.asked, question.found
-        box = address is not None and is_literal(address[0])  # a host's name is nothing that A can hold
-        self.counters.add("dns.named_box" if box else "dns.named_self")
-        ttl_s = int(ttl_ms / 1_000.0)
-        if box and address is not None:
-            secure, alpn = self.alpn_of(server) if server is not None else (False, ())
-            to = Pointed((address[0],), address[1], ttl_s, secure, alpn)
-        else:
-            to = Pointed((self._config.own_address,), self.own_port, ttl_s, False, ("http/1.1",))
-        reply = self.answers.of_box(asked, found, question.zone, to)
-        self.reply(asked, question.sender, reply)
+    def pointed(self, question: Question, boxes: Sequence[tuple[str, Address]], ttl_ms: float) -> None:
+        """The core has decided. A host's name instead of an address is nothing that A can hold."""
+        ttl_s = max(1, round(ttl_ms / 1_000.0))
+        points = [
+            Point(address[0], address[1], *self.alpn_of(name))
+            for name, address in boxes
+            if is_literal(address[0])
+        ]
+        self.counters.add("dns.named_box" if points else "dns.named_self")
+        if len(points) > 1:
+            self.counters.add("dns.named_several")
+        if not points:
+            points = [Point(self._config.own_address, self.own_port, False, ("http/1.1",))]
+        self.weights.answered(question.asked.peer, question.name, ttl_s * 1_000.0, self.exchange.clock())
+        reply = self.answers.of_box(question.asked, question.found, question.zone, points, ttl_s)
+        self.reply(question.asked, question.sender, reply)
 
     # Answers.
 
@@ -269,34 +287,3 @@
     except ValueError:
         return False
     return True
-
-
-class Datagram:
-    """One question by UDP."""
-
-    via = Via.UDP
-
-    def __init__(self, socket: UdpSocket, address: tuple[str, int]) -> None:
-        self.socket, self.address, self.peer = socket, address, address[0]
-
-    def send(self, wire: bytes) -> None:
-        transport = self.socket.transport
-        if transport is not None and not transport.is_closing():
-            transport.sendto(wire, self.address)
-
-    def drop(self) -> None: ...
-
-
-class UdpSocket(asyncio.DatagramProtocol):
-    def __init__(self, front: DnsFront) -> None:
-        self.front = front
-        self.transport: asyncio.DatagramTransport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.DatagramTransport, transport)
-
-    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
-        self.front.receive(data, Datagram(self, address))
-
-    def error_received(self, error: Exception) -> None:
-        self.front.counters.add("dns.udp_errors")  # an asker that has gone: nothing is owed
--- a/gladewalk/dns/limits.py
+++ b/gladewalk/dns/limits.py
@@ -79,3 +79,22 @@
         if len(self.over) > self.buckets.most:
             self.over.popitem(last=False)
         return Fate.SLIP if self.slip and count % self.slip == 0 else Fate.DROP
+
+
+class TimeShare:
+    """How much of the loop's time one kind of work may take: a bucket of ms, filled at a share of time.
+
+    Guards against a flood that costs little each and much together: whoever else lives on the loop keeps the
+    rest of it, whatever a question costs on this machine.
+    """
+
+    def __init__(self, share: float, burst_ms: float = 10.0) -> None:
+        self.share, self.burst_ms = share, burst_ms
+        self.left_ms, self.at_ms = burst_ms, 0.0
+
+    def spend(self, took_ms: float, now_ms: float) -> float:
+        """Note some work that has just ended; for how many ms there may be no more of it."""
+        gone = max(0.0, now_ms - self.at_ms)
+        self.left_ms = min(self.burst_ms, self.left_ms + gone * self.share) - took_ms
+        self.at_ms = now_ms
+        return max(0.0, -self.left_ms / self.share)
--- a/gladewalk/dns/settings.py
+++ b/gladewalk/dns/settings.py
@@ -53,6 +53,10 @@
     ecs_from: tuple[Network, ...] = ()
     tls_listen: Address | None = None
     tls: ssl.SSLContext | None = None
+    transfers_most: float = 100.0
+    ttl_ms: tuple[float, float] = (1_000.0, 2_000.0)  # least, most
+    assume_worst: bool = False
+    loop_share: float = 1.0
     certificate: tuple[Path, Path] | None = None  # and its key: what `tls` was made of
 
     @property
@@ -87,6 +91,9 @@
         records = tuple(load_records(folder / table.records, (zone, *zones))) if table.records else ()
         key = "cookies"
         cookies = read_cookies(folder / table.cookies) if table.cookies else None
+        key = "ttl_most_ms"
+        if table.ttl_most_ms < table.ttl_least_ms:
+            raise ValueError("less than ttl_least_ms")
         key = "tls_listen"
         tls_listen = read_address(table.tls_listen) if table.tls_listen else None
         key = "tls_certificate"
@@ -101,7 +108,9 @@
         table.negative_ttl_s, records, frozenset(table.open_classes), table.nsid, table.udp_most,
         table.amplification_most, cookies, table.answers_per_s, table.slip, table.network_per_s,
         table.all_per_s, table.tcp_most, table.tcp_each, table.tcp_open, table.tcp_idle_ms, ecs_from,
-        tls_listen, tls, (folder / table.tls_certificate, folder / table.tls_key) if tls else None,
+        tls_listen, tls, table.transfers_most, (table.ttl_least_ms, table.ttl_most_ms),
+        table.after_restart == "worst", table.loop_share,
+        (folder / table.tls_certificate, folder / table.tls_key) if tls else None,
     )  # fmt: skip
 
 
--- a/gladewalk/dns/zone.py
+++ b/gladewalk/dns/zone.py
@@ -14,8 +14,10 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import lru_cache
 
 import dns.name
+import dns.rdata
 import dns.rdatatype
 import dns.rrset
 
@@ -52,10 +54,17 @@
 
 def address_rrsets(owner: dns.name.Name, addresses: Iterable[str], ttl_s: int) -> list[RRset]:
     """A and AAAA, whichever there are."""
-    by_type: dict[str, list[str]] = {}
+    by_type: dict[Type, list[dns.rdata.Rdata]] = {}
     for address in addresses:
-        by_type.setdefault("AAAA" if ":" in address else "A", []).append(address)
-    return [dns.rrset.from_text(owner, ttl_s, "IN", kind, *texts) for kind, texts in by_type.items()]
+        rdata = address_rdata(address)
+        by_type.setdefault(rdata.rdtype, []).append(rdata)
+    return [dns.rrset.from_rdata_list(owner, ttl_s, rdatas) for rdatas in by_type.values()]
+
+
+@lru_cache(4_096)
+def address_rdata(address: str) -> dns.rdata.Rdata:
+    """Boxes are few, and read from text once each."""
+    return dns.rdata.from_text("IN", "AAAA" if ":" in address else "A", address)
 
 
 class Zone:
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol
@@ -67,8 +67,8 @@
 class Asker(Protocol):
     """What the exchange asks of the client side, for one question where to fetch an object."""
 
-    def named(self, address: Address | None, ttl_ms: float, server: str | None = None) -> None:
-        """A cache and its address; None: the director itself."""
+    def named(self, boxes: Sequence[tuple[str, Address]], ttl_ms: float) -> None:
+        """Caches and their addresses; none: the director itself."""
 
     def refused(self) -> None: ...
 
@@ -141,7 +141,7 @@
         self.clock, self.deadlines, self.counters, self.log = clock, deadlines, counters, log
         self.upstreams: Upstreams | None = None
         # Goes on with an answer to a question once what it promises lasts; None: at once.
-        self.lasting: Callable[[api.Locate, str, Callable[[], None]], None] | None = None
+        self.lasting: Callable[[api.Locate, Sequence[str], Callable[[], None]], None] | None = None
         self.taken: dict[int, Taken] = {}
         self.owed = 0  # requests without their final answer
         self.asked: dict[int, tuple[api.Locate, Asker, Key]] = {}  # questions without their answer
@@ -212,8 +212,8 @@
         asker.refused()
 
     def _name(self, action: api.Name) -> None:
-        if self.lasting is not None and action.server is not None:
-            return self.lasting(self.asked[action.id][0], action.server, lambda: self._answer_named(action))
+        if self.lasting is not None and action.servers:
+            return self.lasting(self.asked[action.id][0], action.servers, lambda: self._answer_named(action))
         self._answer_named(action)
 
     def _answer_named(self, action: api.Name) -> None:
@@ -221,15 +221,16 @@
             return
         assert self.upstreams is not None
         question, asker, due = self.asked[action.id]
-        address = None
-        if action.server is not None:
-            if not self.core.may_name(question, action.server):
+        boxes = []
+        for server in action.servers:
+            if not self.core.may_name(question, server):
                 return self.feed(question)  # a drain or a purge was told since: it is decided anew
-            address = self.upstreams.address(action.server)
+            if (address := self.upstreams.address(server)) is not None:
+                boxes.append((server, address))
         del self.asked[action.id]
         self.deadlines.drop(due)
         self.counters.add("locates.named")
-        asker.named(address, action.ttl_ms, action.server)
+        asker.named(boxes, action.ttl_ms)
 
     # What the server side says.
 
--- a/gladewalk/interface.py
+++ b/gladewalk/interface.py
@@ -313,10 +313,10 @@
 
 @dataclass(slots=True)
 class Name:
-    """The answer to a `Locate`: this server, or with None this dispatcher itself."""
+    """The answer to a `Locate`: these servers, each as good; none stands for this dispatcher itself."""
 
     id: int
-    server: str | None
+    servers: tuple[str, ...]
     ttl_ms: float
 
 
@@ -378,3 +378,16 @@
     | FetchList
     | Log
 )
+
+
+def check(settings: Settings) -> None:
+    """Settings that cannot be: named at once, not found out later."""
+    if not settings.classes:
+        raise ValueError("classes: at least one is needed")
+    holders: tuple[RequestClass | Settings, ...] = (*settings.classes, settings)
+    for holder in holders:
+        for name in holder.__dataclass_fields__:
+            if name.endswith("_ms") and getattr(holder, name) < 0:
+                raise ValueError(f"{name}: may not be negative")
+    if settings.max_attempts < 1:
+        raise ValueError("max_attempts: at least one is needed")
--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -12,11 +12,14 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from . import interface as api
 from .interface import Effect, Note, Role, Scope, ServerState, Status
 
+if TYPE_CHECKING:
+    from .ledger import Ledger
+
 # Constants: unit, reason, source.
 MEMORY_MS = 30_000.0  # a holder's memory fades in this (ms); the design page
 OBJECTS_KNOWN = 8192  # objects whose holders, or whose sending time, are known at most (ours)
@@ -53,7 +56,6 @@
 PRICE_LEAST = 2e-3  # worth a ms that a place costs at first, at which nothing is shed (ours)
 PRICE_MOST = 0.01  # and at the most: small requests pass even while silent servers hold all places (ours)
 PLACE_MS = 20.0  # what a request holds its place beside its sending time: as measured on sockets (ms, ours)
-NAME_TTL_MS = 2_000.0  # how long a named server may be held by those who heed it (ms, ours)
 LEASE_MS = 300_000.0  # how long an answer is taken to be held, whatever its time to live said (ms, ours)
 LEASE_PART = 0.5  # part of a cold server's budget that held answers may fill; the rest is for sends (ours)
 SPARE_MS = 60.0  # a request with less time than this gets its final answer now (ms): over one sweep (ours)
@@ -78,6 +80,11 @@
         del store[next(iter(store))]
 
 
+def _place(s: _Server) -> str:
+    """Held answers outlive a server: who holds one goes on dialling its place."""
+    return s.info.place or s.info.name
+
+
 class _Server:
     """What this dispatcher knows and has inferred of a cache, a parent or the origin."""
 
@@ -147,7 +154,7 @@
         self.purged: dict[tuple[str, int], float] = {}  # ("key" | "group", number) -> when it was purged
         self.parked: deque[int] = deque()
         self.unnamed: dict[int, api.Locate] = {}  # asked while nothing can serve
-        self.leases: dict[str, dict[tuple[str, Object], tuple[float, float]]] = {}  # place -> until, weight
+        self.ledger: Ledger | None = None  # answers that are held, by place
         self.outside = 0  # fills out from outside this location
         self.link_in = self.calm_until = 0.0  # transfers that its link in bears at full pace; 0: not known
         self.retries = RETRY_MOST
@@ -158,7 +165,7 @@
 
     def configure(self, settings: api.Settings) -> None:
         """Take settings, at the start or later; what was learned stays, open requests keep their class."""
-        check(settings)
+        api.check(settings)
         self.settings, zones = settings, settings.zones
         self.classes = {cls.name: cls for cls in settings.classes}
         self.work_ms = {cls.name: cls.aim_ms for cls in settings.classes} | self.work_ms
@@ -694,8 +701,8 @@
             s.credit, s.credit_ms = self.random.random() * mean, self.now
         capacity = (s.info.size if self.settings.sizes_listed else 1.0) * self._warmth(s, s.credit_ms)
         rate = COLD_MARGIN * self._figures(s)[2] * capacity / senders
-        if self.leases:  # held answers draw on the same budget
-            rate = max(0.0, rate - sum(weight for _, weight in self._held(s).values()))
+        if self.ledger:  # held answers draw on the same budget
+            rate = max(0.0, rate - self.ledger.total(_place(s), self._lease_most(s), self.now))
         most = max(mean, rate * self.settings.fall_window_ms * COLD_BURST)
         s.credit = min(most, s.credit + rate * (self.now - s.credit_ms))
         s.credit_ms = self.now
@@ -712,9 +719,25 @@
         if not homes and not any(map(self._usable, (*self.hub_parents, *self.far_parents, *self.origins))):
             return self.unnamed.update({q.id: q})  # waits for a server, or its client's going
         self.unnamed.pop(q.id, None)
-        open_to_all = bool(homes) and not cls.write and not self._is_unsettled(q)
-        named = open_to_all and not self._is_crowded(homes[0], r) and self._lease(homes[0], q, cls)
-        self._do(api.Name(q.id, homes[0].info.name if named else None, NAME_TTL_MS))
+        ledger = self.names()
+        named = [] if not homes or cls.write or self._is_unsettled(q) else self._nameable(q, r, homes, ledger)
+        ttls = [ledger.ttl_ms(_place(s), self._lease_most(s), self._is_cold(s), self.now) for s in named]
+        self._do(api.Name(q.id, tuple(s.info.name for s in named), min(ttls, default=ledger.ttl_most_ms)))
+
+    def names(self) -> Ledger:
+        """What resolvers hold; a dispatcher that nobody asks for names does without it."""
+        if self.ledger is None:
+            from .ledger import Ledger
+
+            self.ledger = Ledger()
+        return self.ledger
+
+    def _nameable(self, q: api.Locate, r: _Open, homes: list[_Server], ledger: Ledger) -> list[_Server]:
+        """The home, and the next cache if that holds the object, too; else where a crowded one's goes."""
+        second = self._second_home(r, homes)
+        both = [homes[0], second] if second and second in self._holders(r) else [homes[0]]
+        named = [s for s in both if self._lease(s, q, r, ledger, 1.0 / len(both))]
+        return named or [s for s in (second,) if s and s not in both and self._lease(s, q, r, ledger, 1.0)]
 
     def may_name(self, q: api.Locate, name: str) -> bool:
         """Asked as the answer is written: guards against a drain or a purge told since it was decided."""
@@ -727,30 +750,24 @@
         lately = (what for what, at in self.purged.items() if at > since)
         return any(what in ours or (q.group is None and what[0] == "group") for what in lately)
 
-    def _lease(self, s: _Server, q: api.Locate, cls: api.RequestClass) -> bool:
+    def _lease(self, s: _Server, q: api.Locate, r: _Open, ledger: Ledger, part: float) -> bool:
         """Count an answer as held; False if that were too many for the server started cold.
 
         Guards against resolvers that keep answers past their time: none can be called back at a restart.
         """
-        held = self._held(s)
-        share, _, multiple = self._figures(s)
-        capacity = share * (s.info.size if self.settings.sizes_listed else 1.0)
-        most = LEASE_PART * COLD_MARGIN * multiple * capacity / self.here
-        key = (q.holder, (q.key, q.part))
-        others = sum(weight for other, (_, weight) in held.items() if other != key)
-        if others + q.weight > most or not self._has_cold_room(s, cls):
+        place, most = (_place(s), q.holder, r.obj), self._lease_most(s)
+        full = q.weight * part > ledger.room(*place, most, self.now)
+        if full or self._is_crowded(s, r) or not self._has_cold_room(s, r.cls):
             return False
         if self._is_cold(s):
-            s.credit -= self.work_ms[cls.name]
-        held[key] = (self.now + LEASE_MS, q.weight)
+            s.credit -= self.work_ms[r.cls.name]
+        ledger.hold(*place, self.now + LEASE_MS, q.weight * part)
         return True
 
-    def _held(self, s: _Server) -> dict[tuple[str, Object], tuple[float, float]]:
-        """The answers held for a server's place: they outlive it, as who holds one goes on dialling."""
-        held = self.leases.setdefault(s.info.place or s.info.name, {})
-        for key in [key for key, (until, _) in held.items() if until <= self.now]:
-            del held[key]
-        return held
+    def _lease_most(self, s: _Server) -> float:
+        share, _, multiple = self._figures(s)
+        capacity = share * (s.info.size if self.settings.sizes_listed else 1.0)
+        return LEASE_PART * COLD_MARGIN * multiple * capacity / self.here
 
     # Purges and the list.
 
@@ -820,16 +837,3 @@
         ring = max(1, len(set(self.settings.hub_of)))
         steps = abs(self._hub_of(s.info.zone) - self.hub) % ring
         return min(steps, ring - steps)
-
-
-def check(settings: api.Settings) -> None:
-    """Settings that cannot be: named at once, not found out later."""
-    if not settings.classes:
-        raise ValueError("classes: at least one is needed")
-    holders: tuple[api.RequestClass | api.Settings, ...] = (*settings.classes, settings)
-    for holder in holders:
-        for name in holder.__dataclass_fields__:
-            if name.endswith("_ms") and getattr(holder, name) < 0:
-                raise ValueError(f"{name}: may not be negative")
-    if settings.max_attempts < 1:
-        raise ValueError("max_attempts: at least one is needed")
--- a/gladewalk/options.py
+++ b/gladewalk/options.py
@@ -86,10 +86,15 @@
     slip: Annotated[int, Meta(ge=0, le=100)] = 2  # each so many of those over it is sent cut; 0: none
     network_per_s: Annotated[float, Meta(ge=0.0, le=1e6)] = 0.0  # questions of one network; 0: no limit
     all_per_s: Annotated[float, Meta(ge=0.0, le=1e6)] = 0.0  # questions of all; 0: no limit
+    loop_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.3  # of the loop's time, that UDP may take
     tcp_most: Annotated[int, Meta(ge=1, le=65_536)] = 64  # connections, TLS among them
     tcp_each: Annotated[int, Meta(ge=1, le=65_536)] = 16  # of one client
     tcp_open: Annotated[int, Meta(ge=1, le=1_024)] = 32  # questions of a connection that wait at a time
     tcp_idle_ms: Span = 10_000.0
+    transfers_most: Annotated[float, Meta(gt=0.0, le=1e6)] = 100.0  # of one answer, whatever is measured
+    ttl_least_ms: Annotated[float, Meta(ge=1_000.0, le=3_600_000.0)] = 1_000.0  # of a cold or full box
+    ttl_most_ms: Annotated[float, Meta(ge=1_000.0, le=3_600_000.0)] = 2_000.0
+    after_restart: Literal["worst", "none"] = "worst"  # what a start without [store] takes to be held
     ecs_from: list[str] = []  # resolvers that may speak for their clients' networks
     tls_listen: str = ""  # DNS over TLS
     tls_certificate: str = ""
--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/keeper.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from .. import interface as api
@@ -86,14 +86,18 @@
         if self.warm_ms:
             self._keep_warm()
 
-    def lease(self, question: api.Locate, server: str, then: Callable[[], None]) -> None:
-        """Go on with an answer once its lease lasts, or cannot."""
+    def lease(self, question: api.Locate, servers: Sequence[str], then: Callable[[], None]) -> None:
+        """Go on with an answer once its leases last, or cannot."""
         assert self.exchange is not None
-        held = leases.lease_of(self.exchange.core, question, server)
-        if held is None:
+        told = []
+        for server in servers:
+            held = leases.lease_of(self.exchange.core, question, server)
+            if held is not None:
+                row = leases.key_of(held), leases.pack(held), held.until_ms
+                told.append(self.writer.put(leases.SPACE, *row))
+        if not told:
             return then()
-        told = self.writer.put(leases.SPACE, leases.key_of(held), leases.pack(held), held.until_ms)
-        told.add_done_callback(lambda _: then())
+        asyncio.gather(*told).add_done_callback(lambda _: then())
 
     def _keep_warm(self) -> None:
         """One part of what the module has learned, and now and then its sources; the next comes later."""
--- a/gladewalk/store/leases.py
+++ b/gladewalk/store/leases.py
@@ -30,10 +30,10 @@
 def lease_of(core: Dispatcher, question: api.Locate, server: str) -> Lease | None:
     """The lease that the core has counted for an answer; None if there is none."""
     known = core.servers.get(server)
-    if known is None:
+    if known is None or core.ledger is None:
         return None
     place = known.info.place or known.info.name
-    held = core.leases.get(place, {}).get((question.holder, (question.key, question.part)))
+    held = core.ledger.find(place, question.holder, (question.key, question.part))
     if held is None:
         return None
     return Lease(place, question.holder, question.key, question.part, *held)
@@ -58,7 +58,6 @@
         until = min(lease.until_ms, now_ms + LEASE_MS)
         if until <= now_ms or not 0.0 < lease.weight < 1e9:
             continue
-        held = core.leases.setdefault(lease.place, {})
-        held[lease.holder, (lease.key, lease.part)] = (until, lease.weight)
+        core.names().hold(lease.place, lease.holder, (lease.key, lease.part), until, lease.weight)
         count += 1
     return count
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -193,14 +193,14 @@
     def test_held_answers_stay_with_the_place_when_another_box_takes_it(self) -> None:
         places = tuple(api.Server(f"c{n}", api.Role.CACHE, "e1", 8.0, place=f"p{n}") for n in range(1))
         world = World(places, cold_share=0.5)
-        named = sum(self.locate(world, key).server is not None for key in range(9))
+        named = sum(bool(self.locate(world, key).servers) for key in range(9))
         self.assertEqual(named, 4)  # half of 0.8 x 3 x 0.5 x 8
         gone = api.Server("c0", api.Role.CACHE, "e1", 8.0, api.ServerState.GONE, place="p0")
         world.listed(gone, api.Server("c9", api.Role.CACHE, "e1", 8.0, started_ms=world.now, place="p0"))
-        self.assertEqual([self.locate(world, key).server for key in (99, 0)], [None, None])
+        self.assertEqual([self.locate(world, key).servers for key in (99, 0)], [(), ()])
         world.now += 1_000.0  # the cold box's budget has room again
-        self.assertEqual(self.locate(world, 99).server, None)
-        self.assertEqual(self.locate(world, 0).server, "c9")  # who holds it already may be told again
+        self.assertEqual(self.locate(world, 99).servers, ())
+        self.assertEqual(self.locate(world, 0).servers, ("c9",))  # who holds it already may be told again
 
     def test_held_answers_leave_less_of_a_cold_box_to_sends(self) -> None:
         def sends(leases: int) -> int:
@@ -221,11 +221,11 @@
     def test_a_name_without_a_group_is_in_every_group_that_was_purged(self) -> None:
         world = World()
         world.put(api.Purge(None, 7, 10.0))
-        self.assertIsNone(self.locate(world, 1).server)
-        self.assertIsNone(self.locate(world, 1, group=7).server)
-        self.assertIsNotNone(self.locate(world, 1, group=8).server)
+        self.assertFalse(self.locate(world, 1).servers)
+        self.assertFalse(self.locate(world, 1, group=7).servers)
+        self.assertTrue(self.locate(world, 1, group=8).servers)
         world.now += 8_000.0
-        self.assertIsNotNone(self.locate(world, 2).server)
+        self.assertTrue(self.locate(world, 2).servers)
 
     def test_names_are_read_as_they_are_written(self) -> None:
         rules = Rules(frozenset({"lot-page"}))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -719,14 +719,17 @@
 def test_leases_count_again_after_a_restart_until_their_time() -> None:
     core = core_with(NOW)
     question = api.Locate(1, "page", 7, 3_000.0, "resolver", weight=0.25)
-    core.leases["a"] = {("resolver", (7, 0)): (NOW + 200_000.0, 0.25), ("r2", (8, 0)): (NOW + 100.0, 1.0)}
+    core.names().hold("a", "resolver", (7, 0), NOW + 200_000.0, 0.25)
+    core.names().hold("a", "r2", (8, 0), NOW + 100.0, 1.0)
     lease = leases.lease_of(core, question, "a")
     assert lease is not None and leases.lease_of(core, question, "b") is None
     rows = {leases.key_of(lease): leases.pack(lease), "noise": b"x"}
     again = core_with(NOW + 1_000.0)
     assert leases.restore(again, rows, NOW + 1_000.0) == 1
-    assert again.leases["a"] == {("resolver", (7, 0)): (NOW + 200_000.0, 0.25)}
+    assert again.names().find("a", "resolver", (7, 0)) == (NOW + 200_000.0, 0.25)
+    assert len(again.names()) == 1
     assert leases.restore(core_with(NOW), rows, NOW + 200_000.0) == 0
     back = core_with(NOW)
     assert leases.restore(back, rows, NOW - 1e9) == 1  # no clock makes a lease longer than a lease
-    assert back.leases["a"]["resolver", (7, 0)][0] == NOW - 1e9 + 300_000.0
+    found = back.names().find("a", "resolver", (7, 0))
+    assert found is not None and found[0] == NOW - 1e9 + 300_000.0
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -24,11 +24,13 @@
 from gladewalk.dns.answers import Via, fit
 from gladewalk.dns.cookies import OLDEST_S, Cookies, Shown
 from gladewalk.dns.front import DnsFront
-from gladewalk.dns.limits import Buckets, Fate, ResponseLimit, network_of
+from gladewalk.dns.limits import Buckets, Fate, ResponseLimit, TimeShare, network_of
 from gladewalk.dns.names import Rules, box_name
 from gladewalk.dns.settings import DnsConfig, load_dns, load_records
+from gladewalk.dns.weights import Weights
 from gladewalk.dns.zone import Found, Kind, Zone, zone_of
 from gladewalk.exchange import Exchange
+from gladewalk.ledger import Ledger
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
 ORIGIN = dns.name.from_text("cdn.example.")
@@ -188,6 +190,17 @@
             buckets.take(n, now)
         self.assertEqual(len(buckets.buckets), 3)
 
+    def test_a_flood_takes_its_share_of_the_time_and_no_more(self) -> None:
+        for cost in (0.1, 0.7, 5.0):
+            share, now, worked = TimeShare(0.3), 1e6, 0.0
+            for _ in range(2_000):
+                now += cost
+                worked += cost
+                now += share.spend(cost, now)
+            self.assertTrue(0.28 < worked / (now - 1e6) < 0.32, cost)
+        share = TimeShare(0.3)
+        self.assertTrue(all(share.spend(0.7, 1e6 + n * 10.0) == 0.0 for n in range(1_000)))
+
     def test_like_answers_above_the_rate_are_dropped_and_some_slip(self) -> None:
         limit = ResponseLimit(5.0, 2)
         fates = [limit.judge("n", "x", 0.0) for _ in range(9)]
@@ -330,3 +343,52 @@
                         for n in range(20)]  # fmt: skip
         cut = dns.message.from_wire(fit(reply, 512))
         self.assertTrue(cut.flags & dns.flags.TC and not cut.answer)
+
+
+class Held(unittest.TestCase):
+    def test_sums_are_those_of_what_has_not_ended_whatever_the_order(self) -> None:
+        draw, ledger, now = random.Random(5), Ledger(), 1e12
+        held: dict[tuple[str, str, int], tuple[float, float]] = {}
+        for _ in range(4_000):
+            now += draw.expovariate(0.01)
+            place, holder, key = draw.choice("ab"), draw.choice("xyz"), draw.randrange(40)
+            until, weight = now + draw.choice((900.0, 5_000.0, 60_000.0)), draw.choice((0.5, 1.0))
+            ledger.hold(place, holder, (key, 0), until, weight)
+            held[place, holder, key] = (-(-until // 1_000.0) * 1_000.0, weight)
+            held = {k: v for k, v in held.items() if v[0] // 1_000.0 > now // 1_000.0}
+            for at in "ab":
+                wanted = sum(weight for (p, _, _), (_, weight) in held.items() if p == at)
+                self.assertAlmostEqual(ledger.total(at, 0.0, now), wanted)
+        self.assertEqual(len(ledger), len(held))
+        ledger.total("a", 0.0, now + 1e6)
+        self.assertEqual((len(ledger), ledger.ends), (0, {}))
+
+    def test_a_start_that_knows_nothing_takes_the_bound_for_used_up(self) -> None:
+        ledger = Ledger()
+        ledger.assume_the_worst(10_000.0)
+        self.assertEqual(ledger.room("a", "x", (1, 0), 5.0, 9_000.0), 0.0)
+        self.assertEqual(ledger.room("a", "x", (1, 0), 5.0, 10_000.0), 5.0)
+        self.assertEqual(ledger.ttl_ms("a", 5.0, False, 9_000.0), ledger.ttl_least_ms)
+        self.assertEqual(ledger.ttl_ms("a", 5.0, False, 10_000.0), ledger.ttl_most_ms)
+        self.assertEqual(ledger.ttl_ms("a", 5.0, True, 10_000.0), ledger.ttl_least_ms)
+
+    def measured(self, clients: float, names: int, heeds: bool = True, farm: int = 1) -> float:
+        """The weight of a resolver whose clients want each name so often a second, at 400 ms a transfer."""
+        draw, weights, now, ttl = random.Random(7), Weights(0.02, 100.0), 0.0, 2_000.0
+        until: dict[tuple[int, int], float] = {}
+        while now < 600_000.0:
+            now += draw.expovariate(clients * names) * 1_000.0
+            name, member = draw.randrange(names), draw.randrange(farm)
+            if until.get((name, member), 0.0) <= now:
+                weights.ask("r", name, now)
+                weights.answered("r", name, ttl, now)
+                until[name, member] = now + (ttl if heeds else 300_000.0)
+        return weights.weight("r", 400.0, now)
+
+    def test_a_resolver_weighs_what_its_clients_bring(self) -> None:
+        for clients in (0.02, 0.2, 2.0):  # of each name, a second; a transfer takes 0.4 s
+            wanted = max(0.02, clients * 0.4)
+            self.assertTrue(0.6 * wanted < self.measured(clients, 50) < 1.6 * wanted, clients)
+        self.assertGreater(self.measured(2.0, 50, farm=8), 3.0)  # each of its members holds its own
+        self.assertEqual(self.measured(0.001, 50, heeds=False), 0.02)  # nothing is seen: as it is set
+        self.assertEqual(Weights(0.02, 100.0).weight("new", 400.0, 0.0), 0.02)
