--- a/gladewalk/dns/datagrams.py
+++ b/gladewalk/dns/datagrams.py
@@ -1,7 +1,7 @@
-"""DNS over UDP: a socket that is read a few questions a turn, and not while its share of time is spent.
+"""DNS over UDP: a socket that is read a question a turn, and not while its share of time is spent.
 
-What comes meanwhile waits in the kernel's buffer, and is dropped there when that is full: a flood then costs
-the loop nothing.
+The share counts while the HTTP front has had requests open lately. What comes meanwhile waits in the kernel's
+buffer, and is dropped there when that is full: a flood then costs the loop nothing.
 """
 
 from __future__ import annotations
@@ -18,8 +18,9 @@
 if TYPE_CHECKING:
     from .front import DnsFront
 
-TURN_MOST = 4  # questions read in one turn of the loop: so much others wait for at the most
+TURN_MOST = 1  # questions read in one turn of the loop: so much others wait for at the most
 DATAGRAM_MOST = 4_096
+BUSY_S = 0.25  # how long after a request of the HTTP front the share still counts
 
 
 class Datagram:
@@ -48,7 +49,7 @@
             self.socket.close()
             raise
         self.share = TimeShare(front.config.loop_share)
-        self.closed = False
+        self.closed, self.busy_until = False, 0.0
         self.loop.add_reader(self.socket, self._read)
 
     def close(self) -> None:
@@ -78,7 +79,11 @@
             self.front.receive(data, Datagram(self, address[:2] if len(address) == 2 else address))
         ended = time.perf_counter()
         rest = self.share.spend((ended - began) * 1_000.0, ended * 1_000.0)
-        if rest > 0.0 and not self.closed:
+        if self.front.exchange.owed:
+            self.busy_until = ended + BUSY_S
+        if rest > 0.0 and ended > self.busy_until:  # nobody else wants the time
+            self.share.forgive()
+        elif rest > 0.0 and not self.closed:
             self.front.counters.add("dns.rests")
             self.loop.remove_reader(self.socket)
             self.loop.call_later(rest / 1_000.0, self._resume)
--- a/gladewalk/dns/limits.py
+++ b/gladewalk/dns/limits.py
@@ -98,3 +98,7 @@
         self.left_ms = min(self.burst_ms, self.left_ms + gone * self.share) - took_ms
         self.at_ms = now_ms
         return max(0.0, -self.left_ms / self.share)
+
+    def forgive(self) -> None:
+        """Nobody else wanted that time."""
+        self.left_ms = max(0.0, self.left_ms)
--- a/gladewalk/options.py
+++ b/gladewalk/options.py
@@ -86,7 +86,7 @@
     slip: Annotated[int, Meta(ge=0, le=100)] = 2  # each so many of those over it is sent cut; 0: none
     network_per_s: Annotated[float, Meta(ge=0.0, le=1e6)] = 0.0  # questions of one network; 0: no limit
     all_per_s: Annotated[float, Meta(ge=0.0, le=1e6)] = 0.0  # questions of all; 0: no limit
-    loop_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.3  # of the loop's time, that UDP may take
+    loop_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.2  # of the loop's time, that UDP may take
     tcp_most: Annotated[int, Meta(ge=1, le=65_536)] = 64  # connections, TLS among them
     tcp_each: Annotated[int, Meta(ge=1, le=65_536)] = 16  # of one client
     tcp_open: Annotated[int, Meta(ge=1, le=1_024)] = 32  # questions of a connection that wait at a time
