Twins made one: place_of, digest_of_one, configured, of_running, refuse; dead code goes

Read once more as a whole. Where a server's answers are held for, the 63-bit digest, [dns] as it is read at the start and on SIGHUP, the options and refusals of commands that ask a running director, the SRV name of the conformance cases and three scripted boxes stood twice each. A read loop of one turn, a function that nobody called, a field that the query tells, a second table of refusals beside the buckets, and a copy of all of a wildcard's sets at each look-up are gone.

--- a/benchmarks/dns_load.py
+++ b/benchmarks/dns_load.py
@@ -30,9 +30,10 @@
 import dns.message
 import trustme
 
-from gladewalk.rehearsal.peers import SETTINGS, Coordinator, Heard, ScriptedPeer, config_for
+from gladewalk.rehearsal.peers import SETTINGS, Coordinator, ScriptedPeer, config_for
 
 from .store_kills import Run
+from .store_served import serve
 
 ZONE = "cdn.example."
 OPEN = 16  # questions of one client at a time
@@ -185,10 +186,6 @@
     return sorted(waits)
 
 
-async def serve(heard: Heard) -> None:
-    await heard.answer(200, b"copy", X_Remark="mem")
-
-
 async def with_director(folder: Path, more: str) -> tuple[Run, list[ScriptedPeer], Coordinator]:
     coordinator = await Coordinator().start()
     peers = [await ScriptedPeer(serve, f"c{n}", size=1e6, host=f"127.0.0.{n + 2}").start() for n in range(3)]
--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -10,7 +10,7 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, TextIO
+from typing import Any, NoReturn, TextIO, TypeVar
 
 import click
 
@@ -19,6 +19,18 @@
 FILE = click.Path(dir_okay=False)
 CONTEXT = {"help_option_names": ["-h", "--help"], "max_content_width": 100}
 
+Command = TypeVar("Command", bound=Callable[..., Any])
+
+
+def of_running(command: Command) -> Command:
+    """Where a running director is, and how its answer is to be shown."""
+    command = click.option("--json", "as_json", is_flag=True, help="One JSON object.")(command)
+    where = "Its control socket, in place of --config."
+    command = click.option("--socket", "socket_path", type=FILE, help=where)(command)
+    return click.option("--config", "options_path", type=FILE, help="The director's settings, in TOML.")(
+        command
+    )
+
 
 @click.group(invoke_without_command=True, context_settings=CONTEXT)
 @click.option("--config", "options_path", type=FILE, help="Our own settings, in TOML.")
@@ -69,8 +81,7 @@
     try:
         config, options, dns = read_all(options_path, dns_path)
     except ConfigError as error:
-        click.echo(f"gladewalk: {error}", err=True)
-        context.exit(2)
+        refuse(context, error)
     said = {
         "name": config.name,
         "listen": list(config.listen),
@@ -90,9 +101,7 @@
 
 
 @gladewalk.command("members")
-@click.option("--config", "options_path", type=FILE, help="The director's settings, in TOML.")
-@click.option("--socket", "socket_path", type=FILE, help="Its control socket, in place of --config.")
-@click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+@of_running
 @click.pass_context
 def members_command(
     context: click.Context, options_path: str | None, socket_path: str | None, as_json: bool
@@ -112,6 +121,12 @@
     members_table(told)
 
 
+def refuse(context: click.Context, error: Exception) -> NoReturn:
+    """One line, and 2 for what cannot be used, or the code that the error has of its own."""
+    click.echo(f"gladewalk: {error}", err=True)
+    context.exit(getattr(error, "code", 2))
+
+
 def ask_director(
     context: click.Context, options_path: str | None, socket_path: str | None, view: str
 ) -> dict[str, Any]:
@@ -121,8 +136,7 @@
     try:
         told: dict[str, Any] = ask(control_path(options_path, socket_path), view)
     except (ConfigError, ControlError) as error:
-        click.echo(f"gladewalk: {error}", err=True)
-        context.exit(getattr(error, "code", 2))
+        refuse(context, error)
     return told
 
 
@@ -244,9 +258,7 @@
 
 
 @store_group.command("status")
-@click.option("--config", "options_path", type=FILE, help="The director's settings, in TOML.")
-@click.option("--socket", "socket_path", type=FILE, help="Its control socket, in place of --config.")
-@click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+@of_running
 @click.pass_context
 def store_status(
     context: click.Context, options_path: str | None, socket_path: str | None, as_json: bool
@@ -345,8 +357,7 @@
     try:
         target = told_of(address, zone, class_name, object_name, tls)
     except (ConfigError, ValueError) as error:
-        click.echo(f"gladewalk: {error}", err=True)
-        context.exit(2)
+        refuse(context, error)
     results = run_cases(target, only)
     for line in told_by(results, as_json):
         click.echo(line)
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -73,9 +73,9 @@
             except ConfigError as error:
                 raise ConfigError(f"{options_path}: {error}") from error
         if options.dns is not None:
-            from .dns.settings import read_dns
+            from .dns.settings import configured
 
-            dns = read_dns(options.dns, config.listen[0], options.folder, f"{options_path}: dns")
+            dns = configured(options, config.listen[0])
     if dns_path:
         from .dns.settings import load_dns
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -224,11 +224,11 @@
 
     def _dns_of(self, options: Options, config: Config) -> DnsConfig | None:
         """The DNS front's settings as `[dns]` has them now; None where they came from a file of their own."""
-        if self.dns is None or options.dns is None:
+        if self.dns is None:
             return None
-        from .dns.settings import read_dns
+        from .dns.settings import configured
 
-        return read_dns(options.dns, config.listen[0], options.folder, f"{options.path}: dns")
+        return configured(options, config.listen[0])
 
     def _keys_of(self, options: Options) -> tuple[Key, ...]:
         """The members' keys as their file has them now; none where members are off."""
--- a/gladewalk/dns/answers.py
+++ b/gladewalk/dns/answers.py
@@ -53,7 +53,7 @@
     size: int  # bytes of the question
     subnet: dns.edns.ECSOption | None = None
     scope: int = 0
-    why: tuple[int, str] | None = None  # an extended error (RFC 8914)
+    why: int | None = None  # an extended error (RFC 8914)
 
     @property
     def name(self) -> dns.name.Name:
@@ -161,7 +161,7 @@
         if edns.keepalive and asked.via is not Via.UDP:
             options.append(keepalive_answer(self.config.tcp_idle_ms))
         if asked.why is not None:
-            options.append(dns.edns.EDEOption(dns.edns.EDECode(asked.why[0]), asked.why[1] or None))
+            options.append(dns.edns.EDEOption(dns.edns.EDECode(asked.why)))
         return options
 
     def wire(self, asked: Asked, reply: dns.message.Message, now_ms: float) -> bytes | None:
@@ -182,7 +182,7 @@
         fate = self._fate(asked, reply, now_ms)
         if fate is Fate.DROP:
             return None
-        told = asked.query.payload if asked.edns.present else 0
+        told = asked.query.payload if asked.query.edns >= 0 else 0
         wire = fit(reply, max(UDP_LEAST, min(told, self.config.udp_most)))
         most = self.config.amplification_most * asked.size
         if fate is Fate.SLIP or (asked.shown is not Shown.GOOD and len(wire) > most):
--- a/gladewalk/dns/conform/cases_zone.py
+++ b/gladewalk/dns/conform/cases_zone.py
@@ -344,8 +344,7 @@
 
 
 def service(target: Target) -> dns.message.Message:
-    name = dns.name.Name((b"_http", b"_tcp", *target.routed.labels))
-    reply = target.ask(name, "SRV")
+    reply = target.ask(target.service, "SRV")
     expect(section_types(reply.answer) == {"SRV"}, f"{reply.rcode().name}, {section_types(reply.answer)}")
     return reply
 
@@ -371,8 +370,7 @@
 @case(2782, "")
 def srv_name_has_no_address(target: Target) -> None:
     """The SRV name itself has no address: NODATA."""
-    name = dns.name.Name((b"_http", b"_tcp", *target.routed.labels))
-    negative(target.ask(name, "A"), dns.rcode.NOERROR)
+    negative(target.ask(target.service, "A"), dns.rcode.NOERROR)
 
 
 @case(2782, "")
--- a/gladewalk/dns/conform/target.py
+++ b/gladewalk/dns/conform/target.py
@@ -53,6 +53,11 @@
     def routed(self) -> dns.name.Name:
         return self.below(f"0.{self.object_name}.{self.class_name}")
 
+    @property
+    def service(self) -> dns.name.Name:
+        """Where its SRV is."""
+        return dns.name.Name((b"_http", b"_tcp", *self.routed.labels))
+
     # Questions.
 
     def query(self, name: dns.name.Name, kind: str = "A", **more: Any) -> dns.message.Message:
--- a/gladewalk/dns/datagrams.py
+++ b/gladewalk/dns/datagrams.py
@@ -18,7 +18,6 @@
 if TYPE_CHECKING:
     from .front import DnsFront
 
-TURN_MOST = 1  # questions read in one turn of the loop: so much others wait for at the most
 DATAGRAM_MOST = 4_096
 BUSY_S = 0.25  # how long after a request of the HTTP front the share still counts
 
@@ -68,15 +67,13 @@
 
     def _read(self) -> None:
         began = time.perf_counter()
-        for _ in range(TURN_MOST):
-            try:
-                data, address = self.socket.recvfrom(DATAGRAM_MOST)
-            except BlockingIOError:
-                break
-            except OSError:  # an answer that could not be delivered is told here
-                self.front.counters.add("dns.udp_errors")
-                continue
-            self.front.receive(data, Datagram(self, address[:2] if len(address) == 2 else address))
+        try:
+            data, address = self.socket.recvfrom(DATAGRAM_MOST)
+        except BlockingIOError:
+            return
+        except OSError:  # an answer that could not be delivered is told here
+            return self.front.counters.add("dns.udp_errors")
+        self.front.receive(data, Datagram(self, address))
         ended = time.perf_counter()
         rest = self.share.spend((ended - began) * 1_000.0, ended * 1_000.0)
         if self.front.exchange.owed:
--- a/gladewalk/dns/edns.py
+++ b/gladewalk/dns/edns.py
@@ -30,7 +30,6 @@
 class Edns:
     """`client` and `server`: the two parts of a cookie."""
 
-    present: bool = False
     do: bool = False
     nsid: bool = False
     subnet: dns.edns.ECSOption | None = None
@@ -55,7 +54,6 @@
         if server and not 8 <= len(server) <= 32:
             raise Malformed("a server's cookie has 8 to 32 bytes (RFC 7873, 4)")
     return Edns(
-        True,
         bool(query.ednsflags & dns.flags.DO),
         3 in first,
         subnet if isinstance(subnet, dns.edns.ECSOption) else None,
--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -69,7 +69,7 @@
         self.front.pointed(self, boxes, ttl_ms)
 
     def refused(self) -> None:
-        self.asked.why = NOT_READY, ""
+        self.asked.why = NOT_READY
         self.front.fail(self.asked, self.sender, dns.rcode.SERVFAIL)
 
 
@@ -207,10 +207,10 @@
             return self.fail(asked, sender, dns.rcode.FORMERR)
         zone = zone_of(self.zones, asked.name)
         if query.question[0].rdclass != dns.rdataclass.IN or zone is None:
-            asked.why = NOT_AUTHORITATIVE, ""
+            asked.why = NOT_AUTHORITATIVE
             return self.fail(asked, sender, dns.rcode.REFUSED)
         if asked.rdtype in TRANSFERS:
-            asked.why = PROHIBITED, ""
+            asked.why = PROHIBITED
             return self.fail(asked, sender, dns.rcode.REFUSED)
         asked.subnet = trusted_subnet(asked.edns, asked.peer, self._config.ecs_from)
         found = zone.find(asked.name, asked.rdtype)
@@ -221,7 +221,7 @@
     def _locate(self, asked: Asked, found: Found, zone: Zone, sender: Sender) -> None:
         if len(self.exchange.asked) >= OPEN_MOST:
             self.counters.add("dns.open_most")
-            asked.why = NOT_READY, ""
+            asked.why = NOT_READY
             return self.fail(asked, sender, dns.rcode.SERVFAIL)
         assert found.routed is not None
         wanted, config, now = found.routed.wanted, self._config, self.exchange.clock()
--- a/gladewalk/dns/limits.py
+++ b/gladewalk/dns/limits.py
@@ -29,6 +29,7 @@
 class Bucket:
     left: float
     at_ms: float
+    refused: int = 0  # since it last gave a token
 
 
 class Buckets:
@@ -50,8 +51,9 @@
         gone_s = max(0.0, now_ms - bucket.at_ms) / 1_000.0  # a clock that was set back earns nothing
         bucket.left, bucket.at_ms = min(self.burst, bucket.left + gone_s * self.per_s), now_ms
         if bucket.left < 1.0:
+            bucket.refused += 1
             return False
-        bucket.left -= 1.0
+        bucket.left, bucket.refused = bucket.left - 1.0, 0
         return True
 
 
@@ -68,16 +70,12 @@
 
     def __init__(self, per_s: float, slip: int) -> None:
         self.buckets, self.slip = Buckets(per_s, per_s), slip
-        self.over: OrderedDict[Hashable, int] = OrderedDict()
 
     def judge(self, network: str, what: Hashable, now_ms: float) -> Fate:
         key = (network, what)
         if self.buckets.take(key, now_ms):
-            self.over.pop(key, None)
             return Fate.SEND
-        count = self.over[key] = self.over.get(key, 0) + 1
-        if len(self.over) > self.buckets.most:
-            self.over.popitem(last=False)
+        count = self.buckets.buckets[key].refused
         return Fate.SLIP if self.slip and count % self.slip == 0 else Fate.DROP
 
 
--- a/gladewalk/dns/settings.py
+++ b/gladewalk/dns/settings.py
@@ -8,7 +8,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
 import dns.exception
 import dns.name
@@ -19,7 +18,7 @@
 
 from ..config import Address, ConfigError, read_address
 from ..keyfile import load_hex_keys
-from ..options import Dns, explain
+from ..options import Dns, Options, explain
 from .cookies import KEY_BYTES, Cookies
 
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
@@ -114,6 +113,13 @@
     )  # fmt: skip
 
 
+def configured(options: Options, own_host: str) -> DnsConfig | None:
+    """What `[dns]` says; None where there is none, or it is off."""
+    if options.dns is None:
+        return None
+    return read_dns(options.dns, own_host, options.folder, f"{options.path}: dns")
+
+
 def checked_ip(text: str) -> str:
     return str(ipaddress.ip_address(text))
 
@@ -178,8 +184,3 @@
     except ValueError as error:
         raise ConfigError(f"{path}: {error}") from error
     return read_dns(table, own_host, Path(path).parent, path + ": dns")
-
-
-def describe(config: DnsConfig) -> dict[str, Any]:
-    """For `gladewalk check`."""
-    return {"listen": list(config.listen), "zones": [str(origin) for origin in config.origins]}
--- a/gladewalk/dns/zone.py
+++ b/gladewalk/dns/zone.py
@@ -138,8 +138,7 @@
         encloser = next(labels[n:] for n in range(1, len(labels) + 1) if self._exists(labels[n:]))
         wild = self.data.get((WILD, *encloser))
         if wild is not None:
-            synthesized = {kind: copy_as(rrset, name) for kind, rrset in wild.items()}
-            return self._at(name, synthesized, rdtype, None)
+            return self._at(name, wild, rdtype, None)
         if virtual is not None:
             return self._by_rule(name, virtual, rdtype)
         return Found(Kind.NXDOMAIN, name, authority=[self.soa])
--- a/gladewalk/logic.py
+++ b/gladewalk/logic.py
@@ -80,7 +80,7 @@
         del store[next(iter(store))]
 
 
-def _place(s: _Server) -> str:
+def place_of(s: _Server) -> str:
     """Held answers outlive a server: who holds one goes on dialling its place."""
     return s.info.place or s.info.name
 
@@ -702,7 +702,7 @@
         capacity = (s.info.size if self.settings.sizes_listed else 1.0) * self._warmth(s, s.credit_ms)
         rate = COLD_MARGIN * self._figures(s)[2] * capacity / senders
         if self.ledger is not None:  # held answers draw on the same budget
-            rate = max(0.0, rate - self.ledger.total(_place(s), self._lease_most(s), self.now))
+            rate = max(0.0, rate - self.ledger.total(place_of(s), self._lease_most(s), self.now))
         most = max(mean, rate * self.settings.fall_window_ms * COLD_BURST)
         s.credit = min(most, s.credit + rate * (self.now - s.credit_ms))
         s.credit_ms = self.now
@@ -721,7 +721,7 @@
         self.unnamed.pop(q.id, None)
         ledger = self.names()
         named = [] if not homes or cls.write or self._is_unsettled(q) else self._nameable(q, r, homes, ledger)
-        ttls = [ledger.ttl_ms(_place(s), self._lease_most(s), self._is_cold(s), self.now) for s in named]
+        ttls = [ledger.ttl_ms(place_of(s), self._lease_most(s), self._is_cold(s), self.now) for s in named]
         self._do(api.Name(q.id, tuple(s.info.name for s in named), min(ttls, default=ledger.ttl_most_ms)))
 
     def names(self) -> Ledger:
@@ -755,7 +755,7 @@
 
         Guards against resolvers that keep answers past their time: none can be called back at a restart.
         """
-        place, most = (_place(s), q.holder, r.obj), self._lease_most(s)
+        place, most = (place_of(s), q.holder, r.obj), self._lease_most(s)
         full = q.weight * part > ledger.room(*place, most, self.now)
         if full or self._is_crowded(s, r) or not self._has_cold_room(s, r.cls):
             return False
--- a/gladewalk/members/gossip.py
+++ b/gladewalk/members/gossip.py
@@ -11,9 +11,7 @@
 from itertools import chain
 from typing import Generic, TypeVar
 
-import xxhash
-
-from .messages import News, Rumour, size_of
+from .messages import News, Rumour, digest_of_one, size_of
 from .terms import Terms
 
 GOSSIP_BYTES = 1_000  # of rumours in a message: the rest is for the message itself and its seal
@@ -64,7 +62,7 @@
 
 def claim_hash(news: News) -> int:
     """63 bits of who holds a duty, under which claim."""
-    return xxhash.xxh3_64_intdigest(repr((news.duty, news.epoch, news.owner)).encode()) >> 1
+    return digest_of_one((news.duty, news.epoch, news.owner))
 
 
 class Gossip:
--- a/gladewalk/members/messages.py
+++ b/gladewalk/members/messages.py
@@ -10,6 +10,7 @@
 from typing import Annotated, Any
 
 import msgspec
+import xxhash
 from msgspec import Meta
 
 STREAM_MOST = 2 * 1024 * 1024  # bytes of a message over a stream: 2,048 members and 8,192 duties fit
@@ -155,6 +156,11 @@
         raise Malformed(str(error)) from error
 
 
+def digest_of_one(said: tuple[object, ...]) -> int:
+    """63 bits of one thing that two members must agree on: `Number` goes no further."""
+    return xxhash.xxh3_64_intdigest(repr(said).encode()) >> 1
+
+
 def size_of(item: Rumour | News) -> int:
     """Bytes that it takes in a message."""
     return len(_encoder.encode(item))
--- a/gladewalk/members/roll.py
+++ b/gladewalk/members/roll.py
@@ -11,9 +11,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-import xxhash
-
-from .messages import Rumour, State
+from .messages import Rumour, State, digest_of_one
 from .terms import Address
 
 
@@ -40,7 +38,7 @@
 def hash_of(rumour: Rumour) -> int:
     """63 bits of what two members must agree on: neither the weight nor who accuses it."""
     said = (rumour.name, rumour.run, rumour.incarnation, int(rumour.state), rumour.host, rumour.port)
-    return xxhash.xxh3_64_intdigest(repr(said).encode()) >> 1  # msgspec checks whole numbers up to 63 bits
+    return digest_of_one(said)
 
 
 class Roll:
--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/keeper.py
@@ -130,8 +130,8 @@
     def note(self, index: int, event: dict[str, Any]) -> None:
         """An event of the feed that was found to be good."""
         rows = rows_of(index, event, self.settle_ms, self.clock(), self.resume)
-        if self.resume:
-            rows += unlisted(event, self.log.items(SERVERS) if is_whole(event) else ())
+        if self.resume and is_whole(event):
+            rows += unlisted(event, self.log.items(SERVERS))
         kept = [self._put(row) for row in rows]
         if not self.resume:
             return
--- a/gladewalk/store/keeping.py
+++ b/gladewalk/store/keeping.py
@@ -93,8 +93,8 @@
 
 def unlisted(event: Mapping[str, Any], held: Iterable[str]) -> list[Row]:
     """Deletions of the servers that a whole list no longer has."""
-    listed = {str(entry["uid"]) for entry in event["endpoints"]["targets"]} if is_whole(event) else None
-    return [Row(SERVERS, uid, None) for uid in held if listed is not None and uid not in listed]
+    listed = {str(entry["uid"]) for entry in event["endpoints"]["targets"]}
+    return [Row(SERVERS, uid, None) for uid in held if uid not in listed]
 
 
 def position_row(index: int, event: Mapping[str, Any], before: Position) -> tuple[Row, Position]:
--- a/gladewalk/store/leases.py
+++ b/gladewalk/store/leases.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from .. import interface as api
-from ..logic import LEASE_MS, Dispatcher
+from ..logic import LEASE_MS, Dispatcher, place_of
 
 SPACE = "lease"
 
@@ -32,7 +32,7 @@
     known = core.servers.get(server)
     if known is None or core.ledger is None:
         return None
-    place = known.info.place or known.info.name
+    place = place_of(known)
     held = core.ledger.find(place, question.holder, (question.key, question.part))
     if held is None:
         return None
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -526,7 +526,7 @@
         )
 
 
-async def nothing(heard: Heard) -> None:
+async def hit(heard: Heard) -> None:
     await heard.answer(200, b"copy", X_Remark="mem")
 
 
@@ -539,11 +539,8 @@
     async def test_a_purge_and_a_drain_outlive_a_kill_though_the_coordinator_is_gone(self) -> None:
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
 
-        async def serve(heard: Heard) -> None:
-            await heard.answer(200, b"copy", X_Remark="mem")
-
-        boxes = [await ScriptedPeer(serve, f"c{n}").start() for n in range(3)]
-        origin = await ScriptedPeer(serve, "o", "origin", "north").start()
+        boxes = [await ScriptedPeer(hit, f"c{n}").start() for n in range(3)]
+        origin = await ScriptedPeer(hit, "o", "origin", "north").start()
         coordinator = await Coordinator().start()
         config = read(config_for([*boxes, origin], coordinator), {})
         loop = asyncio.get_running_loop()
@@ -589,7 +586,7 @@
             "t.toml",
             folder,
         )
-        boxes = [await ScriptedPeer(nothing, f"c{n}").start() for n in range(4)]
+        boxes = [await ScriptedPeer(hit, f"c{n}").start() for n in range(4)]
         coordinator = await Coordinator().start()
         config = read(config_for(boxes[:3], coordinator), {})
         loop = asyncio.get_running_loop()
@@ -643,10 +640,7 @@
         tables = read_tables({"store": {"folder": "store", "warm_ms": 50.0}})
         options = options_of(tables, "t.toml", folder)
 
-        async def serve(heard: Heard) -> None:
-            await heard.answer(200, b"copy", X_Remark="mem")
-
-        boxes = [ScriptedPeer(serve, f"c{n}", host=f"127.0.3.{n + 1}") for n in range(3)]
+        boxes = [ScriptedPeer(hit, f"c{n}", host=f"127.0.3.{n + 1}") for n in range(3)]
         front = DnsConfig(("127.0.0.1", 0), dns.name.from_text("cdn.example."), "127.0.0.1", 0.01, 1_000.0)
         async with Rehearsal(boxes, dns=front, options=options) as world:
             director = world.director
