Listener inheritance, the second address, readiness, drain and figures

Tests: a silent and a half caller, a drain with kept connections, figures against what the client saw, a hand-over of descriptor 3 between two processes (all 200).

--- a/gladewalk/config.py
+++ b/gladewalk/config.py
@@ -32,6 +32,8 @@
     roles: dict[Any, api.Role]
     known_index: int
     known: tuple[dict[str, Any], ...]
+    admin: Address | None = None  # the second address, for operators' calls
+    inherited_fd: int | None = None  # the clients' listening socket, held by the platform
 
 
 def read_address(text: Any) -> Address:
@@ -84,9 +86,24 @@
         roles=read_roles(settings),
         known_index=int(either(known.get("index"), 0)),
         known=tuple(events),
+        admin=_admin_of(environ.get("NODE_ADMIN_ADDR") or raw.get("admin_addr")),
+        inherited_fd=_descriptor_of(environ.get("NODE_FD")),
     )
 
 
+def _admin_of(text: Any) -> Address | None:
+    return None if text in (None, "") else read_address(text)
+
+
+def _descriptor_of(text: str | None) -> int | None:
+    """`$NODE_FD`: the number of an inherited descriptor, 3 where the platform holds the listener."""
+    if not text:
+        return None
+    if not text.isdigit() or int(text) < 3:
+        raise ConfigError(f"NODE_FD: not a descriptor of the listener: {text!r}")
+    return int(text)
+
+
 STATES = {
     "SERVING": api.ServerState.READY,
     "DRAINING": api.ServerState.DRAINING,
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -17,6 +17,7 @@
 from .exchange import Exchange
 from .net.clients import ClientFront
 from .net.coordinator import Feed, Follower
+from .ops.readiness import Readiness
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -25,6 +26,7 @@
     from .duties.runner import Runner
     from .members.seal import Key
     from .members.transport import Members
+    from .net.admin import AdminFront
     from .nginx.router import Router
     from .options import Options
     from .store.keeper import Keeper
@@ -85,6 +87,12 @@
         self.exchange.upstreams = self.caches
         places = config.settings.places
         self.front = ClientFront(self.exchange, places, unix_ms, self.deadlines, self.counters)
+        self.readiness = self.front.readiness = Readiness()
+        self.admin: AdminFront | None = None
+        if config.admin is not None:
+            from .ops.calls import admin_front
+
+            self.admin = admin_front(self)
         self.feed = Feed(self.exchange, config, unix_ms, self.counters)
         self.follower = Follower(self.feed, config.coordinator, self.deadlines, self.log.info)
         self._ended: asyncio.Future[None] = loop.create_future()
@@ -133,7 +141,7 @@
             self.keeper.start(self.feed)
         self.follower.connect()
         self.caches.sweep()
-        self.front.listen(self.config.listen)
+        self.front.listen(self.config.listen, self.config.inherited_fd)
         if self.dns is not None:
             self.dns.own_port = self.front.address[1]
             await self.dns.listen()
@@ -144,6 +152,9 @@
             self.web.start()
         if self.control is not None:
             await self.control.listen()
+        if self.admin is not None and self.config.admin is not None:
+            await self.admin.listen(self.config.admin)
+        self.readiness.started = True
 
     def _control(self, options: Options) -> Control:
         """The socket for operators, with a view for each part that is on."""
@@ -175,6 +186,8 @@
             listening["dns_tls"] = self.dns.tls_address
         if self.web is not None:
             listening["web"] = [front.address for front in self.web.fronts]
+        if self.admin is not None:
+            listening["admin"] = self.admin.address
         self.log.info("serving", servers=len(self.caches.upstreams), **listening)
         await self._ended
         if self.keeper is not None:
@@ -264,6 +277,10 @@
         if not self._stopping:
             self._stopping = True
             self.log.info("stopping", owed=self.exchange.owed)
+            self.readiness.stopping = True
+            self.readiness.start_drain(unix_ms())
+            if self.config.inherited_fd is not None:  # the listener's other holders take what comes now
+                self.front.stop_taking()
             self.deadlines.add(unix_ms() + ACCEPT_MS, self._close)
 
     def report(self) -> None:
@@ -299,6 +316,8 @@
                 self.members.leave()
             if self.control is not None:
                 self.control.close()
+            if self.admin is not None:
+                self.admin.close()
             if self.dns is not None:
                 self.dns.close()
             self.deadlines.add(unix_ms() + LINGER_MS, lambda: self._ended.set_result(None))
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -17,6 +17,7 @@
 from .counters import Counters
 from .deadlines import Deadlines, Key
 from .logic import Dispatcher
+from .ops.figures import final_counter
 
 MARGIN_MS = 60.0  # a final answer leaves this long before its deadline: a busy turn of the loop takes as long
 
@@ -263,6 +264,7 @@
         if taken.winner is attempt and not taken.answered:
             whole = end.status is api.Status.OK
             self.counters.add("answers.served" if whole else "answers.cut")
+            self.counters.add(final_counter(taken.ask.class_name, "completed" if whole else "failed"))
             self._close(taken)
             if whole:
                 taken.client.end()
@@ -382,9 +384,12 @@
         self._close(taken)
         if taken.winner is not None:
             self.counters.add("answers.cut")
+            self.counters.add(final_counter(taken.ask.class_name, "failed"))
             taken.client.cut()
         else:
             self.counters.add(f"answers.{final.value}")
+            end = "rejected" if final is Final.REFUSED else "failed"
+            self.counters.add(final_counter(taken.ask.class_name, end))
             taken.client.finish(final, retry_after_ms)
         self._forget(taken)
 
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -17,6 +17,7 @@
 from ..counters import Counters
 from ..deadlines import Deadlines
 from ..exchange import Ask, Exchange, Final, Head
+from ..ops.readiness import Readiness
 from .requests import REASONS, SINGLE, BadRequest, read_ask
 from .sockets import watch
 
@@ -259,7 +260,7 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
     def _ends_here(self) -> bool:
-        return (self.last or self.front.closing) and not self.waiting
+        return (self.last or self.front.closing or self.front.readiness.draining) and not self.waiting
 
     def _write_status(self, status: int, more: list[str] | None = None) -> None:
         reason = b"OK" if status == 200 else REASONS[status]
@@ -311,14 +312,19 @@
         self.leaving = 0  # of these, connections told to end
         self.open: dict[str, Ask] = {}  # by id: the request that came with it first
         self.closing = False
+        self.readiness = Readiness()  # the director's own, once it has one; in a drain answers close
         self.address: Address = ("", 0)
         self._listener: socket.socket | None = None
         self._listening = False
         self._opening: dict[asyncio.Task[object], ClientConnection] = {}
 
-    def listen(self, address: Address) -> None:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._listener = socket.create_server(address, family=family, backlog=BACKLOG)
+    def listen(self, address: Address, inherited_fd: int | None = None) -> None:
+        """Bind `address`, or take up the listener inherited as `inherited_fd`, which is never bound anew."""
+        if inherited_fd is not None:
+            self._listener = socket.socket(fileno=inherited_fd)
+        else:
+            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+            self._listener = socket.create_server(address, family=family, backlog=BACKLOG)
         self._listener.setblocking(False)
         host, port = self._listener.getsockname()[:2]
         self.address = (host, port)
@@ -374,6 +380,19 @@
             self.leaving += 1
             connection.leave()
 
+    def _end_gently(self, connection: ClientConnection) -> None:
+        """A close, not a reset: the client sees its connection end after the last answer it was given."""
+        self._put(connection, None)
+        if connection.transport is not None:
+            connection.transport.close()
+
+    def stop_taking(self) -> None:
+        """No more connections are taken; the listener's other holders go on taking from its queue."""
+        if self._listener is not None:
+            self._pause()
+            self._listener.close()
+            self._listener = None
+
     def _pause(self) -> None:
         if self._listening and self._listener is not None:
             self._listening = False
@@ -398,6 +417,10 @@
         for connection in [c for c, since in self.resting.items() if now - since > REST_MS]:
             if connection.is_quiet():  # else it is about to ask
                 self._end(connection)
+        if self.readiness.draining:
+            for connection in [c for c in self.resting if self.readiness.closes_resting(now, c.is_quiet())]:
+                self.counters.add("clients.drained")
+                self._end_gently(connection)
         self._resume()
         self.deadlines.add(now + SWEEP_MS, self.sweep)
 
@@ -457,10 +480,7 @@
 
     def close(self) -> None:
         self.closing = True
-        if self._listener is not None:
-            self._pause()
-            self._listener.close()
-            self._listener = None
+        self.stop_taking()
         for connection in list(self.connections):
             if connection.number is None and not connection.waiting and connection.transport is not None:
                 connection.transport.close()
--- /dev/null
+++ b/gladewalk/ops/calls.py
@@ -0,0 +1,54 @@
+"""The operators' calls at the second address, each answered from the director's own state."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from ..interface import ServerState
+from ..net.admin import AdminFront, Answer
+from .figures import Now, stats
+
+if TYPE_CHECKING:
+    from ..director import Director
+
+
+def now_of(director: Director) -> Now:
+    """What is so now: requests owed; caches listed, and those the module rests or that drain."""
+    core, now_ms = director.exchange.core, time.time() * 1000.0
+    listed = [s for s in core.servers.values() if s.info.state is not ServerState.GONE]
+    avoided = sum(s.info.state is not ServerState.READY or now_ms < s.blocked_until for s in listed)
+    return Now(pending=director.exchange.owed, members=len(listed), members_unavailable=avoided)
+
+
+def admin_front(director: Director) -> AdminFront:
+    """The second address's routes: readiness, figures and the drain."""
+    readiness = director.readiness
+
+    def ready() -> tuple[int, bytes]:
+        return (200, b"ready\n") if readiness.ready() else (503, b"not ready\n")
+
+    def figures() -> tuple[int, bytes]:
+        return 200, stats(director.counters, director.exchange.core.classes, now_of(director))
+
+    def drain_start() -> tuple[int, bytes]:
+        readiness.start_drain(time.time() * 1000.0)
+        director.log.info("drain", on=True)
+        return 200, b"draining\n"
+
+    def drain_stop() -> tuple[int, bytes]:
+        readiness.stop_drain()
+        director.log.info("drain", on=False)
+        return 200, b"ready\n" if readiness.ready() else b"not ready\n"
+
+    routes: dict[str, dict[str, Answer]] = {
+        "/ops/readiness": {"GET": ready},
+        "/ops/stats": {"GET": figures},
+        "/ops/drain/start": {"PUT": drain_start},
+        "/ops/drain/stop": {"PUT": drain_stop},
+    }
+    return AdminFront(routes, _clock, director.deadlines, director.counters)
+
+
+def _clock() -> float:
+    return time.time() * 1000.0
--- /dev/null
+++ b/gladewalk/ops/readiness.py
@@ -0,0 +1,52 @@
+"""Whether a director is ready, and how a drain ends its kept connections; no I/O, time given in Unix ms."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+KEPT_GRACE_MS = 500.0  # a connection resting this long into a drain is closed once nothing lies unread
+KEPT_LAST_MS = 2_500.0  # after this long into a drain no resting connection is kept, read or not
+
+
+@dataclass(slots=True)
+class Readiness:
+    """The state that readiness answers from.
+
+    `started`: the director serves. `drain_since_ms`: when the drain began, None while there is none.
+    `stopping`: SIGTERM was heard; it never ends.
+    """
+
+    started: bool = False
+    drain_since_ms: float | None = None
+    stopping: bool = False
+
+    def ready(self) -> bool:
+        """Yes only for a process that has started and is neither draining nor stopping."""
+        return self.started and self.drain_since_ms is None and not self.stopping
+
+    def start_drain(self, now_ms: float) -> None:
+        """A drain that is already on keeps its beginning: the front's clock for it does not start again."""
+        if self.drain_since_ms is None:
+            self.drain_since_ms = now_ms
+
+    def stop_drain(self) -> None:
+        self.drain_since_ms = None
+
+    @property
+    def draining(self) -> bool:
+        return self.drain_since_ms is not None or self.stopping
+
+    def keeps_connections(self) -> bool:
+        """Whether an answer may leave its connection open: not while draining or stopping."""
+        return not self.draining
+
+    def closes_resting(self, now_ms: float, quiet: bool) -> bool:
+        """Whether a resting connection is closed now: in a drain, once quiet after a grace; all at last.
+
+        Guards against a close over a request already on its way, which the grace and `quiet` make rare, and
+        against a connection held idle when the front stops coming.
+        """
+        if self.drain_since_ms is None:
+            return False
+        into = now_ms - self.drain_since_ms
+        return into >= KEPT_LAST_MS or (into >= KEPT_GRACE_MS and quiet)
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,245 @@
+"""The operators' days: readiness and drain decided without I/O, the second address, figures, a hand-over."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from gladewalk.counters import Counters
+from gladewalk.deadlines import Deadlines
+from gladewalk.net.admin import CALL_MS, CALLERS_MOST, AdminFront
+from gladewalk.ops.figures import Now, final_counter, stats
+from gladewalk.ops.readiness import KEPT_GRACE_MS, KEPT_LAST_MS, Readiness
+from gladewalk.rehearsal.peers import (
+    Coordinator,
+    Heard,
+    ScriptedPeer,
+    config_for,
+    read_message,
+    request,
+    until,
+)
+
+ROOT = Path(__file__).parent.parent
+BODY = b"fish" * 100
+
+
+async def hit(heard: Heard) -> None:
+    await heard.answer(200, BODY, X_Remark="mem")
+
+
+class Decisions(unittest.TestCase):
+    def test_ready_only_once_started_and_neither_draining_nor_stopping(self) -> None:
+        readiness = Readiness()
+        self.assertFalse(readiness.ready())
+        readiness.started = True
+        self.assertTrue(readiness.ready())
+        readiness.start_drain(1_000.0)
+        self.assertFalse(readiness.ready())
+        self.assertFalse(readiness.keeps_connections())
+        readiness.stop_drain()
+        self.assertTrue(readiness.ready() and readiness.keeps_connections())
+        readiness.stopping = True
+        self.assertFalse(readiness.ready())
+        readiness.stop_drain()  # a drain's end does not undo a SIGTERM
+        self.assertFalse(readiness.ready() or readiness.keeps_connections())
+
+    def test_a_drain_keeps_its_beginning_and_closes_resting_connections_in_time(self) -> None:
+        readiness = Readiness(started=True)
+        self.assertFalse(readiness.closes_resting(0.0, quiet=True))
+        readiness.start_drain(10_000.0)
+        readiness.start_drain(11_000.0)
+        self.assertEqual(readiness.drain_since_ms, 10_000.0)
+        self.assertFalse(readiness.closes_resting(10_000.0 + KEPT_GRACE_MS - 1, quiet=True))
+        self.assertTrue(readiness.closes_resting(10_000.0 + KEPT_GRACE_MS, quiet=True))
+        self.assertFalse(readiness.closes_resting(10_000.0 + KEPT_GRACE_MS, quiet=False))
+        self.assertTrue(readiness.closes_resting(10_000.0 + KEPT_LAST_MS, quiet=False))
+        self.assertLess(KEPT_LAST_MS, 4_000.0)  # none is held idle when the front stops coming
+
+
+class Figures(unittest.TestCase):
+    def test_every_class_in_use_or_counted_has_each_end(self) -> None:
+        counters = Counters()
+        counters.add(final_counter("bid", "completed"), 7)
+        counters.add(final_counter("gone-class", "failed"))
+        counters.add("attempts.written", 9)
+        counters.add("reloads.refused", 2)
+        text = stats(counters, ["bid", "lot-page"], Now(pending=3, members=5, members_unavailable=1)).decode()
+        lines = dict(line.split("=") for line in text.splitlines())
+        self.assertEqual(lines["svc.downstream_requests.bid.completed"], "7")
+        self.assertEqual(lines["svc.downstream_requests.lot-page.rejected"], "0")
+        self.assertEqual(lines["svc.downstream_requests.gone-class.failed"], "1")
+        self.assertEqual(
+            [
+                lines[f"svc.{name}"]
+                for name in ("upstream_requests", "pending", "members", "members_unavailable")
+            ],
+            ["9", "3", "5", "1"],
+        )
+        self.assertEqual((lines["svc.config_reloads"], lines["svc.config_reload_errors"]), ("0", "2"))
+
+
+async def call(address: Any, line: bytes) -> tuple[int, bytes]:
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(line)
+    first, _, body = await read_message(reader)
+    writer.close()
+    return int(first.split(" ")[1]), body
+
+
+class SecondAddress(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.now = 0.0
+        self.deadlines = Deadlines(lambda when: None)
+        self.counters = Counters()
+        routes = {"/ops/readiness": {"GET": lambda: (200, b"ready\n")}}
+        self.admin = AdminFront(routes, lambda: self.now, self.deadlines, self.counters)
+        await self.admin.listen(("127.0.0.1", 0))
+        self.loop = loop
+
+    async def asyncTearDown(self) -> None:
+        self.admin.close()
+
+    async def test_calls_are_answered_by_path_and_method_and_bad_ones_are_refused(self) -> None:
+        address = self.admin.address
+        self.assertEqual(await call(address, request("/ops/readiness")), (200, b"ready\n"))
+        self.assertEqual((await call(address, request("/ops/nothing")))[0], 404)
+        self.assertEqual((await call(address, request("/ops/readiness", method="PUT")))[0], 405)
+        self.assertEqual((await call(address, b"\x00\x01 nonsense\r\n\r\n"))[0], 400)
+        self.assertEqual((self.counters["admin.unknown_path"], self.counters["admin.wrong_method"]), (1, 1))
+
+    async def test_silent_callers_cost_a_bounded_descriptor_and_timer_and_block_nobody(self) -> None:
+        silent = [await asyncio.open_connection(*self.admin.address) for _ in range(CALLERS_MOST + 8)]
+        half = silent[0][1]
+        half.write(b"GET /ops/read")
+        self.assertEqual(await call(self.admin.address, request("/ops/readiness")), (200, b"ready\n"))
+        await until(lambda: len(self.admin.calls) <= CALLERS_MOST)
+        self.now += CALL_MS
+        self.deadlines.sweep(self.now)
+        await until(lambda: not self.admin.calls)
+        for reader, writer in silent:
+            self.assertEqual(await reader.read(), b"")  # closed, unanswered
+            writer.close()
+        self.assertGreaterEqual(self.counters["admin.calls_unfinished"], CALLERS_MOST)
+
+
+def start(
+    config: dict[str, Any], file: str, listener: int | None = None
+) -> "asyncio.Future[asyncio.subprocess.Process]":
+    """The program as the platform starts it; a `listener` given is its descriptor 3, named in `$NODE_FD`."""
+    Path(file).write_text(json.dumps(config))
+    env = {**os.environ, "NODE_CONFIG": file}
+    if listener is not None:
+        env["NODE_FD"] = "3"
+    handed = None if listener is None else lambda: os.dup2(listener, 3)
+    program = asyncio.create_subprocess_exec(
+        sys.executable, "-m", "gladewalk", cwd=ROOT, stderr=asyncio.subprocess.PIPE, env=env,
+        close_fds=listener is None, preexec_fn=handed,
+    )  # fmt: skip
+    return asyncio.ensure_future(program)
+
+
+async def said(program: asyncio.subprocess.Process, event: str) -> dict[str, Any]:
+    assert program.stderr is not None
+    while (line := json.loads(await program.stderr.readline()))["event"] != event:
+        pass
+    return dict(line)
+
+
+class Program(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cache, self.coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
+        self.config = {**config_for([self.cache], self.coordinator), "admin_addr": "127.0.0.1:0"}
+        handle, self.file = tempfile.mkstemp(suffix=".json")
+        os.close(handle)
+        self.addCleanup(os.unlink, self.file)
+
+    async def asyncTearDown(self) -> None:
+        self.cache.stop()
+        self.coordinator.stop()
+
+    async def test_a_drain_says_no_serves_kept_connections_closes_them_and_ends_with_a_yes(self) -> None:
+        program = await start(self.config, self.file)
+        serving = await said(program, "serving")
+        admin, listen = serving["admin"], serving["listen"]
+        self.assertEqual(await call(admin, request("/ops/readiness")), (200, b"ready\n"))
+        kept_reader, kept = await asyncio.open_connection(*listen)
+        resting_reader, resting = await asyncio.open_connection(*listen)
+        for writer, reader in ((kept, kept_reader), (resting, resting_reader)):
+            writer.write(request("/invoke/lot-page/a1?nth=0"))
+            self.assertEqual((await read_message(reader))[2], BODY)
+        self.assertEqual((await call(admin, request("/ops/drain/start", method="PUT")))[0], 200)
+        self.assertEqual((await call(admin, request("/ops/readiness")))[0], 503)
+        kept.write(request("/invoke/lot-page/a1?nth=0"))  # a kept connection is still served, then closed
+        first, fields, body = await read_message(kept_reader)
+        self.assertEqual((" 200 " in first, fields.get("connection"), body), (True, "close", BODY))
+        self.assertEqual(await kept_reader.read(), b"")
+        self.assertEqual(await resting_reader.read(), b"")  # one at rest is closed within the drain
+        status, fields, body = await read_message_on(listen)  # a new connection is served, too
+        self.assertEqual((status, body), (200, BODY))
+        self.assertEqual((await call(admin, request("/ops/drain/stop", method="PUT")))[0], 200)
+        self.assertEqual(await call(admin, request("/ops/readiness")), (200, b"ready\n"))
+        text = (await call(admin, request("/ops/stats")))[1].decode()
+        figures = dict(line.split("=") for line in text.splitlines())
+        self.assertEqual(figures["svc.downstream_requests.lot-page.completed"], "4")  # as the client saw
+        self.assertEqual(figures["svc.upstream_requests"], str(len(self.cache.heard)))
+        self.assertEqual((figures["svc.pending"], figures["svc.members"]), ("0", "1"))
+        program.send_signal(signal.SIGTERM)
+        await program.communicate()
+        self.assertEqual(program.returncode, 0)
+        for writer in (kept, resting):
+            writer.close()
+
+    async def test_the_listener_is_handed_over_as_descriptor_3_and_no_request_is_refused(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.addCleanup(listener.close)
+        address = listener.getsockname()
+        old = await start({**self.config, "listen": "127.0.0.1:1"}, self.file, listener.fileno())
+        await said(old, "serving")
+        asking = asyncio.ensure_future(keep_asking(address))
+        await until(lambda: len(self.cache.heard) >= 5)
+        new = await start({**self.config, "listen": "127.0.0.1:1"}, self.file, listener.fileno())
+        serving = await said(new, "serving")
+        self.assertEqual(await call(serving["admin"], request("/ops/readiness")), (200, b"ready\n"))
+        old.send_signal(signal.SIGTERM)
+        await old.communicate()
+        self.assertEqual(old.returncode, 0)
+        seen = len(self.cache.heard)
+        await until(lambda: len(self.cache.heard) >= seen + 5)  # the new one serves from the same queue
+        statuses = await stop_asking(asking)
+        self.assertEqual(set(statuses), {200})
+        new.send_signal(signal.SIGTERM)
+        await new.communicate()
+
+
+async def read_message_on(address: Any) -> tuple[int, dict[str, str], bytes]:
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(request("/invoke/lot-page/a1?nth=0"))
+    first, fields, body = await read_message(reader)
+    writer.close()
+    return int(first.split(" ")[1]), fields, body
+
+
+STOP = asyncio.Event()
+
+
+async def keep_asking(address: Any) -> list[int]:
+    statuses: list[int] = []
+    while not STOP.is_set() and len(statuses) < 5_000:
+        statuses.append((await read_message_on(address))[0])
+    return statuses
+
+
+async def stop_asking(asking: "asyncio.Future[list[int]]") -> list[int]:
+    STOP.set()
+    try:
+        return await asking
+    finally:
+        STOP.clear()
