The front's /_health says no while draining or stopping

Now it answers as readiness does, 503 with Retry-After: 1, counted as clients.health_unready. Resting connections are closed 0.1 s into a drain once quiet: the protocol lets a director close one.

--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -31,6 +31,7 @@
 SPEAK_MS = 100.0  # a new connection has this long to speak before it may make room for another
 ROOM_TRIES = 8  # connections looked at for one that may make room
 SWEEP_MS = 100.0
+HEALTHY, UNREADY = 200, -503  # what a health check is answered; the second is no status of bad input
 SPARE_PLACES = 32  # connections over the clients' part of the descriptors, while others are on their way out
 
 
@@ -156,8 +157,8 @@
         url = httptools.parse_url(self.url)
         path, query = (url.path or b"").decode("latin-1"), (url.query or b"").decode("latin-1")
         method = self.parser.get_method().decode("latin-1")
-        if path == "/_health" and method == "GET":
-            return 200
+        if path == "/_health" and method == "GET":  # the front asks for readiness: no in a drain or a stop
+            return HEALTHY if self.front.readiness.ready() else UNREADY
         ask = read_ask(method, path, query, self.headers, b"".join(self.content))
         return self.front.status_of(ask) or ask
 
@@ -194,8 +195,12 @@
             ask = self.waiting.popleft()
             if not isinstance(ask, int) and not self.front.claim(ask):
                 ask = 409
-            if isinstance(ask, int):
-                if ask != 200:
+            if ask == UNREADY:
+                self.front.counters.add("clients.health_unready")
+                self._write_status(503, ["Retry-After: 1"])
+                self._after_answer()
+            elif isinstance(ask, int):
+                if ask != HEALTHY:
                     self.front.counters.add(f"clients.bad_input_{ask}")
                 self._write_status(ask)
                 self._after_answer()
@@ -312,7 +317,7 @@
         self.leaving = 0  # of these, connections told to end
         self.open: dict[str, Ask] = {}  # by id: the request that came with it first
         self.closing = False
-        self.readiness = Readiness()  # the director's own, once it has one; in a drain answers close
+        self.readiness = Readiness(started=True)  # the director's own, once it has one
         self.address: Address = ("", 0)
         self._listener: socket.socket | None = None
         self._listening = False
--- a/gladewalk/ops/readiness.py
+++ b/gladewalk/ops/readiness.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-KEPT_GRACE_MS = 500.0  # a connection resting this long into a drain is closed once nothing lies unread
+KEPT_GRACE_MS = 100.0  # a connection resting this long into a drain is closed once nothing lies unread
 KEPT_LAST_MS = 2_500.0  # after this long into a drain no resting connection is kept, read or not
 
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -177,6 +177,11 @@
             self.assertEqual((await read_message(reader))[2], BODY)
         self.assertEqual((await call(admin, request("/ops/drain/start", method="PUT")))[0], 200)
         self.assertEqual((await call(admin, request("/ops/readiness")))[0], 503)
+        health_reader, health = await asyncio.open_connection(*listen)
+        health.write(request("/_health"))  # the front's own check says no as well, and when to ask again
+        first, fields, _ = await read_message(health_reader)
+        self.assertEqual((first.split(" ")[1], fields.get("retry-after")), ("503", "1"))
+        health.close()
         kept.write(request("/invoke/lot-page/a1?nth=0"))  # a kept connection is still served, then closed
         first, fields, body = await read_message(kept_reader)
         self.assertEqual((" 200 " in first, fields.get("connection"), body), (True, "close", BODY))
@@ -186,6 +191,7 @@
         self.assertEqual((status, body), (200, BODY))
         self.assertEqual((await call(admin, request("/ops/drain/stop", method="PUT")))[0], 200)
         self.assertEqual(await call(admin, request("/ops/readiness")), (200, b"ready\n"))
+        self.assertEqual((await call(listen, request("/_health")))[0], 200)
         text = (await call(admin, request("/ops/stats")))[1].decode()
         figures = dict(line.split("=") for line in text.splitlines())
         self.assertEqual(figures["svc.downstream_requests.lot-page.completed"], "4")  # as the client saw
