A deadline or a number of attempts that is not positive turns the file down

Test: six broken files (empty, cut short, no settings, give_up_ms 0 and "3s", most_tries -1) change nothing and count 6 in config_reload_errors; a good one brings a new class at once, the old class's requests get 404, its figures stay.

--- a/gladewalk/settings.py
+++ b/gladewalk/settings.py
@@ -46,6 +46,14 @@
     return value
 
 
+def positive(message: dict[str, Any], key: str, where: str, default: Any = None) -> Any:
+    """A deadline or a count that has to be a number over 0; `where` names the key in the file."""
+    value = either(message.get(key), default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not value > 0:
+        raise SettingsError(f"{where}.{key}: not a positive number: {value!r}")
+    return value
+
+
 def word(table: dict[str, Any], message: dict[str, Any], key: str) -> Any:
     found = need(message, key, (str,))
     if found not in table:
@@ -73,7 +81,7 @@
             api.RequestClass(
                 name=need(entry, "name", (str,)),
                 aim_ms=need(entry, "promise_ms"),
-                deadline_ms=need(entry, "give_up_ms"),
+                deadline_ms=positive(entry, "give_up_ms", f"settings.classes[{index}]"),
                 aim_stretch=either(entry.get("aim_stretch"), 0.0),
                 worth=either(entry.get("importance"), 1.0),
                 late_worth=either(entry.get("late_worth"), 0.0),
@@ -100,7 +108,7 @@
         link_in_kb_per_s=tuple(either(details.get("link_in_kb_per_s"), ())),
         client_kb_per_s=either(details.get("client_kb_per_s"), 0.0),
         sizes_listed=raw.get("weights") != "silent",
-        max_attempts=either(limits.get("most_tries"), 1),
+        max_attempts=positive(limits, "most_tries", "settings.limits", 1),
         second_copies=bool(limits.get("may_duplicate")),
         may_cancel=bool(limits.get("cancel")),
         may_probe=bool(limits.get("may_probe")),
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -225,9 +225,11 @@
         await new.communicate()
 
 
-async def read_message_on(address: Any) -> tuple[int, dict[str, str], bytes]:
+async def read_message_on(
+    address: Any, path: str = "/invoke/lot-page/a1?nth=0"
+) -> tuple[int, dict[str, str], bytes]:
     reader, writer = await asyncio.open_connection(*address)
-    writer.write(request("/invoke/lot-page/a1?nth=0"))
+    writer.write(request(path))
     first, fields, body = await read_message(reader)
     writer.close()
     return int(first.split(" ")[1]), fields, body
@@ -249,3 +251,59 @@
         return await asking
     finally:
         STOP.clear()
+
+
+def figures_of(text: bytes) -> dict[str, str]:
+    return dict(line.split("=") for line in text.decode().splitlines())
+
+
+class Reload(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cache, self.coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
+        self.config = {**config_for([self.cache], self.coordinator), "admin_addr": "127.0.0.1:0"}
+        handle, self.file = tempfile.mkstemp(suffix=".json")
+        os.close(handle)
+        self.addCleanup(os.unlink, self.file)
+
+    async def asyncTearDown(self) -> None:
+        self.cache.stop()
+        self.coordinator.stop()
+
+    async def test_a_broken_file_is_taken_from_not_at_all_and_a_good_one_brings_its_classes(self) -> None:
+        program = await start(self.config, self.file)
+        serving = await said(program, "serving")
+        admin, listen = serving["admin"], serving["listen"]
+        settings = self.config["settings"]
+        page = settings["classes"][1]
+        broken = [
+            "",
+            json.dumps(self.config)[:-40],
+            json.dumps({key: value for key, value in self.config.items() if key != "settings"}),
+            json.dumps({**self.config, "settings": {**settings, "classes": [{**page, "give_up_ms": 0}]}}),
+            json.dumps({**self.config, "settings": {**settings, "limits": {"most_tries": -1}}}),
+            json.dumps({**self.config, "settings": {**settings, "classes": [{**page, "give_up_ms": "3s"}]}}),
+        ]
+        whys = []
+        for text in broken:
+            Path(self.file).write_text(text)
+            program.send_signal(signal.SIGHUP)
+            whys.append((await said(program, "configuration kept"))["why"])
+        self.assertTrue(all(why.startswith(f"{self.file}: ") for why in whys))
+        self.assertIn("settings.classes[0].give_up_ms: not a positive number", whys[3])
+        self.assertIn("settings.limits.most_tries: not a positive number", whys[4])
+        self.assertEqual((await read_message_on(listen))[0], 200)  # lot-page, as before
+        figures = figures_of((await call(admin, request("/ops/stats")))[1])
+        self.assertEqual((figures["svc.config_reloads"], figures["svc.config_reload_errors"]), ("0", "6"))
+        fish = {**page, "name": "fish-auction"}
+        Path(self.file).write_text(json.dumps({**self.config, "settings": {**settings, "classes": [fish]}}))
+        program.send_signal(signal.SIGHUP)
+        await said(program, "configuration taken")
+        self.assertEqual((await read_message_on(listen, "/invoke/fish-auction/a1?nth=0"))[0], 200)
+        self.assertEqual((await read_message_on(listen))[0], 404)  # lot-page is gone
+        figures = figures_of((await call(admin, request("/ops/stats")))[1])
+        self.assertEqual((figures["svc.config_reloads"], figures["svc.config_reload_errors"]), ("1", "6"))
+        self.assertEqual(figures["svc.downstream_requests.fish-auction.completed"], "1")
+        self.assertEqual(figures["svc.downstream_requests.lot-page.completed"], "1")  # gone, and kept
+        program.send_signal(signal.SIGTERM)
+        await program.communicate()
+        self.assertEqual(program.returncode, 0)
