A DNS reload keeps resolvers' weights and rate buckets, and takes loop_share up

The DNS front made its weights and buckets anew at every SIGHUP, so what it had measured of resolvers was lost with any reload; loop_share was read only when the UDP socket was made, at a start; a reload that changed no class made the zones twice. Now weights and buckets are kept while the settings they are measured under stay the same, the UDP socket's share follows the settings, and zones are made once unless the classes change as well. Test: a resolver's answer watched before a reload is watched after it, the share reads 0.25, and another prior weight begins anew.

--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -95,13 +95,24 @@
 
     @config.setter
     def config(self, config: DnsConfig) -> None:
-        """Settings that were read anew; addresses to listen at are taken up at a restart."""
+        """Settings that were read anew; addresses to listen at are taken up at a restart.
+
+        What was measured under settings that stay the same is kept: resolvers' weights, the buckets of rates.
+        """
+        old: DnsConfig | None = getattr(self, "_config", None)
         self._config, self.answers = config, Answers(config)
-        self.weights = Weights(config.transfers_per_answer, config.transfers_most)
+        weighs = (config.transfers_per_answer, config.transfers_most)
+        if old is None or (old.transfers_per_answer, old.transfers_most) != weighs:
+            self.weights = Weights(*weighs)
         ledger = self.exchange.core.names()
         ledger.ttl_least_ms, ledger.ttl_most_ms = config.ttl_ms
-        self.networks = Buckets(config.network_per_s, config.network_per_s) if config.network_per_s else None
-        self.all = Buckets(config.all_per_s, config.all_per_s, 1) if config.all_per_s else None
+        if old is None or old.network_per_s != config.network_per_s:
+            per_s = config.network_per_s
+            self.networks = Buckets(per_s, per_s) if per_s else None
+        if old is None or old.all_per_s != config.all_per_s:
+            self.all = Buckets(config.all_per_s, config.all_per_s, 1) if config.all_per_s else None
+        if self._udp is not None:
+            self._udp.share.share = config.loop_share
         self._make_zones()
 
     @property
@@ -110,8 +121,9 @@
 
     @classes.setter
     def classes(self, classes: frozenset[str]) -> None:
-        self._classes = classes
-        self._make_zones()
+        if classes != self._classes:  # else the zones made at the reload stand
+            self._classes = classes
+            self._make_zones()
 
     def _make_zones(self) -> None:
         config, serial = self._config, int(time.time()) % 2**32
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 import unittest
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
@@ -72,6 +73,22 @@
         self.director.apply(read(config_for([self.cache], self.world.coordinator, settings), {}))
         self.assertEqual(await self.resolver.resolve(name(cls="lot-map")), [BOX])
 
+    async def test_a_reload_keeps_what_was_measured_and_takes_the_loop_share(self) -> None:
+        self.assertEqual(await self.resolver.resolve(name()), [BOX])
+        weights, zones = self.front.weights, self.front.zones
+        self.assertTrue(weights.until)  # the answer given is watched for the question that comes again
+        udp = self.front._udp
+        assert udp is not None
+        self.front.reload(replace(front(), loop_share=0.25))
+        self.assertIs(self.front.weights, weights)
+        self.assertEqual(udp.share.share, 0.25)
+        self.assertIsNot(self.front.zones, zones)  # made anew, once
+        zones = self.front.zones
+        self.front.classes = self.front.classes
+        self.assertIs(self.front.zones, zones)
+        self.front.reload(front(weight=2.0))
+        self.assertIsNot(self.front.weights, weights)  # measured against another prior: begun anew
+
     async def test_each_kind_of_error_has_its_code(self) -> None:
         def ask(text: str, kind: str = "A", **more: Any) -> bytes:
             return dns.message.make_query(text, kind, **more).to_wire()
