--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -17,7 +17,7 @@
 from .exchange import Exchange
 from .net.clients import ClientFront
 from .net.coordinator import Feed, Follower
-from .ops.readiness import Readiness
+from .ops.readiness import SYNC_MOST_MS, Readiness
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -70,6 +70,8 @@
 class Director:
     """The parts of one director; `options` are our own settings, None where all they turn on is off."""
 
+    sync_most_ms = SYNC_MOST_MS  # how long requests wait at the start for the coordinator's first answer
+
     def __init__(
         self,
         config: Config,
@@ -87,7 +89,7 @@
         self.exchange.upstreams = self.caches
         places = config.settings.places
         self.front = ClientFront(self.exchange, places, unix_ms, self.deadlines, self.counters)
-        self.readiness = self.front.readiness = Readiness()
+        self.readiness = self.front.readiness = Readiness(synced=False)
         self.admin: AdminFront | None = None
         if config.admin is not None:
             from .ops.calls import admin_front
@@ -139,6 +141,9 @@
         if self.keeper is not None:
             self.keeper.restore(self.feed)
             self.keeper.start(self.feed)
+        self.follower.on_settled = self._synced
+        self.exchange.hold()
+        self.deadlines.add(unix_ms() + self.sync_most_ms, self._synced)
         self.follower.connect()
         self.caches.sweep()
         self.front.listen(self.config.listen, self.config.inherited_fd)
@@ -294,6 +299,13 @@
         }
         self.log.info("counters", **now, **self.counters.report())
 
+    def _synced(self) -> None:
+        if not self.readiness.synced:
+            self.readiness.synced = True
+            self.exchange.release()
+            heard = self.follower.on_settled is None
+            self.counters.add("coordinator.heard_at_start" if heard else "coordinator.late_at_start")
+
     def _store_says(self, event: str, why: str) -> None:
         self.log.warning(event, why=why)
 
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -150,6 +150,7 @@
         self._events: deque[api.Event] = deque()
         self._busy = False
         self._over: list[int] = []
+        self.held: list[Taken] | None = None  # requests taken that the module is not yet to see
 
     # What the client side says.
 
@@ -161,9 +162,33 @@
         self.counters.add("requests.taken")
         taken.deadline_ms -= min(MARGIN_MS, ask.wait_ms / 8.0)
         taken.due = self.deadlines.add(taken.deadline_ms, lambda: self._time_up(taken))
+        if self.held is not None:
+            self.held.append(taken)
+        else:
+            self._offer(taken, now)
+        return number
+
+    def hold(self) -> None:
+        """Requests wait for `release` before the module sees them: it may know less than has been told.
+
+        Their deadlines run meanwhile; one that falls due is failed as ever.
+        """
+        if self.held is None:
+            self.held = []
+
+    def release(self) -> None:
+        """The module sees the requests held, in their order, with the time that they have left now."""
+        held, self.held = self.held or [], None
+        now = self.clock()
+        for taken in held:
+            if not taken.answered:
+                self._offer(taken, now)
+
+    def _offer(self, taken: Taken, now: float) -> None:
+        ask = taken.ask
         self.feed(
             api.Request(
-                id=number,
+                id=taken.number,
                 class_name=ask.class_name,
                 key=ask.key,
                 time_left_ms=taken.deadline_ms - now,
@@ -173,7 +198,6 @@
                 is_write=ask.method == "PUT",
             )
         )
-        return number
 
     def gone(self, number: int) -> None:
         """The client stopped waiting: nothing is owed, and no work shall go on for it."""
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -118,6 +118,8 @@
             return
         *lines, self.rest = (self.rest + data).split(b"\n")
         good = all(self.follower.feed.line(line) for line in lines if line.strip())
+        if good and lines:
+            self.follower.settled()
         if (not good or len(self.rest) > LINE_MOST) and self.transport is not None:
             self.transport.abort()  # asked for again from the last event that is known
 
@@ -141,6 +143,7 @@
         self.closing = False
         self._due: Key | None = None
         self._task: asyncio.Task[None] | None = None
+        self.on_settled: Callable[[], None] | None = None  # called once, at the first whole lines
 
     def connect(self) -> None:
         if not self.closing:
@@ -173,6 +176,12 @@
         self._watch()
         return True
 
+    def settled(self) -> None:
+        """Whole lines came from the coordinator: whatever it held at our start is known by now."""
+        if self.on_settled is not None:
+            call, self.on_settled = self.on_settled, None
+            call()
+
     def heard(self, connection: CoordinatorConnection) -> bool:
         if connection is not self.connection:
             return False
--- a/gladewalk/ops/readiness.py
+++ b/gladewalk/ops/readiness.py
@@ -6,23 +6,30 @@
 
 KEPT_GRACE_MS = 100.0  # a connection resting this long into a drain is closed once nothing lies unread
 KEPT_LAST_MS = 2_500.0  # after this long into a drain no resting connection is kept, read or not
+SYNC_MOST_MS = 1_000.0  # a coordinator that has not answered by this long after the start is not waited for
 
 
 @dataclass(slots=True)
 class Readiness:
     """The state that readiness answers from.
 
-    `started`: the director serves. `drain_since_ms`: when the drain began, None while there is none.
-    `stopping`: SIGTERM was heard; it never ends.
+    `started`: the director serves. `synced`: the coordinator has answered once, or was waited for long
+    enough. `drain_since_ms`: when the drain began, None while there is none. `stopping`: SIGTERM was heard;
+    it never ends.
     """
 
     started: bool = False
+    synced: bool = True
     drain_since_ms: float | None = None
     stopping: bool = False
 
     def ready(self) -> bool:
-        """Yes only for a process that has started and is neither draining nor stopping."""
-        return self.started and self.drain_since_ms is None and not self.stopping
+        """Yes only for a process that has started and heard the coordinator, and neither drains nor stops.
+
+        Guards against a start whose configuration is older than the coordinator: what it told meanwhile, a
+        cache that drains among it, counts as told, and comes with the coordinator's first answer.
+        """
+        return self.started and self.synced and self.drain_since_ms is None and not self.stopping
 
     def start_drain(self, now_ms: float) -> None:
         """A drain that is already on keeps its beginning: the front's clock for it does not start again."""
--- a/gladewalk/rehearsal/peers.py
+++ b/gladewalk/rehearsal/peers.py
@@ -128,6 +128,7 @@
     address: str = ""
     _writers: list[asyncio.StreamWriter] = field(default_factory=list)
     _server: asyncio.Server | None = None
+    answering: asyncio.Event | None = None  # where set, a follower is answered once it is set
 
     async def start(self) -> Coordinator:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -159,8 +160,11 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         last = int((await reader.readline()).split()[1])
         self.follows.append(last)
+        if self.answering is not None:
+            await self.answering.wait()
         for event in self.events[last:]:
             writer.write(json.dumps(event).encode() + b"\n")
+        writer.write(b"%d\n" % len(self.events))  # the last one's number, which comes each second as well
         self._writers.append(writer)
 
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -11,8 +11,10 @@
 from pathlib import Path
 from typing import Any
 
+from gladewalk.config import read
 from gladewalk.counters import Counters
 from gladewalk.deadlines import Deadlines
+from gladewalk.director import Director
 from gladewalk.net.admin import CALL_MS, CALLERS_MOST, AdminFront
 from gladewalk.ops.figures import Now, final_counter, stats
 from gladewalk.ops.readiness import KEPT_GRACE_MS, KEPT_LAST_MS, Readiness
@@ -50,6 +52,12 @@
         readiness.stop_drain()  # a drain's end does not undo a SIGTERM
         self.assertFalse(readiness.ready() or readiness.keeps_connections())
 
+    def test_no_yes_before_the_coordinator_has_answered_once(self) -> None:
+        readiness = Readiness(started=True, synced=False)
+        self.assertFalse(readiness.ready())
+        readiness.synced = True
+        self.assertTrue(readiness.ready())
+
     def test_a_drain_keeps_its_beginning_and_closes_resting_connections_in_time(self) -> None:
         readiness = Readiness(started=True)
         self.assertFalse(readiness.closes_resting(0.0, quiet=True))
@@ -307,3 +315,35 @@
         program.send_signal(signal.SIGTERM)
         await program.communicate()
         self.assertEqual(program.returncode, 0)
+
+
+class Start(unittest.IsolatedAsyncioTestCase):
+    async def test_requests_wait_for_the_coordinator_and_miss_a_cache_drained_meanwhile(self) -> None:
+        first, second = ScriptedPeer(hit, "c1"), ScriptedPeer(hit, "c2")
+        coordinator = await Coordinator(answering=asyncio.Event()).start()
+        for peer in (first, second):
+            await peer.start()
+        config = read(config_for([first, second], coordinator), {})  # it knows both as ready
+        drained = {**first.target(), "state": "DRAINING"}
+        coordinator.events.append({"index": 2, "endpoints": {"rev": 2, "all": False, "targets": [drained]}})
+        director = Director(config, asyncio.get_running_loop())
+        director.sync_most_ms = 600_000.0  # the coordinator's answer, not a time, ends the wait here
+        await director.start()
+        self.assertFalse(director.readiness.ready())
+        clients = [await asyncio.open_connection(*director.front.address) for _ in range(8)]
+        for key, (_, writer) in enumerate(clients, 1):  # homes on both caches, by hash
+            writer.write(request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
+        await until(lambda: director.exchange.held is not None and len(director.exchange.held) == 8)
+        self.assertEqual((first.heard, second.heard), ([], []))
+        assert coordinator.answering is not None
+        coordinator.answering.set()
+        for reader, writer in clients:
+            self.assertEqual((await read_message(reader))[2], BODY)
+            writer.close()
+        self.assertEqual((len(first.heard), len(second.heard)), (0, 8))
+        self.assertTrue(director.readiness.ready())
+        director.front.close()
+        director.follower.close()
+        coordinator.stop()
+        for peer in (first, second):
+            peer.stop()
