One clock for the operators' calls; dead keeps_connections goes; test twins made one

Read once more: ops/calls.py took the time three ways beside the exchange's clock, which is the same Unix ms; it now uses exchange.clock.

--- a/gladewalk/ops/calls.py
+++ b/gladewalk/ops/calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 from ..interface import ServerState
@@ -15,7 +14,7 @@
 
 def now_of(director: Director) -> Now:
     """What is so now: requests owed; caches listed, and those the module rests or that drain."""
-    core, now_ms = director.exchange.core, time.time() * 1000.0
+    core, now_ms = director.exchange.core, director.exchange.clock()
     listed = [s for s in core.servers.values() if s.info.state is not ServerState.GONE]
     avoided = sum(s.info.state is not ServerState.READY or now_ms < s.blocked_until for s in listed)
     return Now(pending=director.exchange.owed, members=len(listed), members_unavailable=avoided)
@@ -32,7 +31,7 @@
         return 200, stats(director.counters, director.exchange.core.classes, now_of(director))
 
     def drain_start() -> tuple[int, bytes]:
-        readiness.start_drain(time.time() * 1000.0)
+        readiness.start_drain(director.exchange.clock())
         director.log.info("drain", on=True)
         return 200, b"draining\n"
 
@@ -47,8 +46,4 @@
         "/ops/drain/start": {"PUT": drain_start},
         "/ops/drain/stop": {"PUT": drain_stop},
     }
-    return AdminFront(routes, _clock, director.deadlines, director.counters)
-
-
-def _clock() -> float:
-    return time.time() * 1000.0
+    return AdminFront(routes, director.exchange.clock, director.deadlines, director.counters)
--- a/gladewalk/ops/readiness.py
+++ b/gladewalk/ops/readiness.py
@@ -41,12 +41,9 @@
 
     @property
     def draining(self) -> bool:
+        """Whether answers close their connections: in a drain, and after SIGTERM."""
         return self.drain_since_ms is not None or self.stopping
 
-    def keeps_connections(self) -> bool:
-        """Whether an answer may leave its connection open: not while draining or stopping."""
-        return not self.draining
-
     def closes_resting(self, now_ms: float, quiet: bool) -> bool:
         """Whether a resting connection is closed now: in a drain, once quiet after a grace; all at last.
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -36,6 +36,11 @@
     await heard.answer(200, BODY, X_Remark="mem")
 
 
+def figures_of(text: bytes) -> dict[str, str]:
+    """The lines `svc.NAME=VALUE` of `GET /ops/stats`, by name."""
+    return dict(line.split("=") for line in text.decode().splitlines())
+
+
 class Decisions(unittest.TestCase):
     def test_ready_only_once_started_and_neither_draining_nor_stopping(self) -> None:
         readiness = Readiness()
@@ -44,13 +49,14 @@
         self.assertTrue(readiness.ready())
         readiness.start_drain(1_000.0)
         self.assertFalse(readiness.ready())
-        self.assertFalse(readiness.keeps_connections())
+        self.assertTrue(readiness.draining)
         readiness.stop_drain()
-        self.assertTrue(readiness.ready() and readiness.keeps_connections())
+        self.assertTrue(readiness.ready() and not readiness.draining)
         readiness.stopping = True
         self.assertFalse(readiness.ready())
         readiness.stop_drain()  # a drain's end does not undo a SIGTERM
-        self.assertFalse(readiness.ready() or readiness.keeps_connections())
+        self.assertFalse(readiness.ready())
+        self.assertTrue(readiness.draining)
 
     def test_no_yes_before_the_coordinator_has_answered_once(self) -> None:
         readiness = Readiness(started=True, synced=False)
@@ -78,8 +84,8 @@
         counters.add(final_counter("gone-class", "failed"))
         counters.add("attempts.written", 9)
         counters.add("reloads.refused", 2)
-        text = stats(counters, ["bid", "lot-page"], Now(pending=3, members=5, members_unavailable=1)).decode()
-        lines = dict(line.split("=") for line in text.splitlines())
+        text = stats(counters, ["bid", "lot-page"], Now(pending=3, members=5, members_unavailable=1))
+        lines = figures_of(text)
         self.assertEqual(lines["svc.downstream_requests.bid.completed"], "7")
         self.assertEqual(lines["svc.downstream_requests.lot-page.rejected"], "0")
         self.assertEqual(lines["svc.downstream_requests.gone-class.failed"], "1")
@@ -93,12 +99,18 @@
         self.assertEqual((lines["svc.config_reloads"], lines["svc.config_reload_errors"]), ("0", "2"))
 
 
-async def call(address: Any, line: bytes) -> tuple[int, bytes]:
+async def exchange(address: Any, line: bytes) -> tuple[int, dict[str, str], bytes]:
+    """One call on a connection of its own: status, fields, body."""
     reader, writer = await asyncio.open_connection(*address)
     writer.write(line)
-    first, _, body = await read_message(reader)
+    first, fields, body = await read_message(reader)
     writer.close()
-    return int(first.split(" ")[1]), body
+    return int(first.split(" ")[1]), fields, body
+
+
+async def call(address: Any, line: bytes) -> tuple[int, bytes]:
+    status, _, body = await exchange(address, line)
+    return status, body
 
 
 class SecondAddress(unittest.IsolatedAsyncioTestCase):
@@ -200,8 +212,7 @@
         self.assertEqual((await call(admin, request("/ops/drain/stop", method="PUT")))[0], 200)
         self.assertEqual(await call(admin, request("/ops/readiness")), (200, b"ready\n"))
         self.assertEqual((await call(listen, request("/_health")))[0], 200)
-        text = (await call(admin, request("/ops/stats")))[1].decode()
-        figures = dict(line.split("=") for line in text.splitlines())
+        figures = figures_of((await call(admin, request("/ops/stats")))[1])
         self.assertEqual(figures["svc.downstream_requests.lot-page.completed"], "4")  # as the client saw
         self.assertEqual(figures["svc.upstream_requests"], str(len(self.cache.heard)))
         self.assertEqual((figures["svc.pending"], figures["svc.members"]), ("0", "1"))
@@ -211,6 +222,45 @@
         for writer in (kept, resting):
             writer.close()
 
+    async def test_a_broken_file_is_taken_from_not_at_all_and_a_good_one_brings_its_classes(self) -> None:
+        program = await start(self.config, self.file)
+        serving = await said(program, "serving")
+        admin, listen = serving["admin"], serving["listen"]
+        settings = self.config["settings"]
+        page = settings["classes"][1]
+        broken = [
+            "",
+            json.dumps(self.config)[:-40],
+            json.dumps({key: value for key, value in self.config.items() if key != "settings"}),
+            json.dumps({**self.config, "settings": {**settings, "classes": [{**page, "give_up_ms": 0}]}}),
+            json.dumps({**self.config, "settings": {**settings, "limits": {"most_tries": -1}}}),
+            json.dumps({**self.config, "settings": {**settings, "classes": [{**page, "give_up_ms": "3s"}]}}),
+        ]
+        whys = []
+        for text in broken:
+            Path(self.file).write_text(text)
+            program.send_signal(signal.SIGHUP)
+            whys.append((await said(program, "configuration kept"))["why"])
+        self.assertTrue(all(why.startswith(f"{self.file}: ") for why in whys))
+        self.assertIn("settings.classes[0].give_up_ms: not a positive number", whys[3])
+        self.assertIn("settings.limits.most_tries: not a positive number", whys[4])
+        self.assertEqual((await read_message_on(listen))[0], 200)  # lot-page, as before
+        figures = figures_of((await call(admin, request("/ops/stats")))[1])
+        self.assertEqual((figures["svc.config_reloads"], figures["svc.config_reload_errors"]), ("0", "6"))
+        fish = {**page, "name": "fish-auction"}
+        Path(self.file).write_text(json.dumps({**self.config, "settings": {**settings, "classes": [fish]}}))
+        program.send_signal(signal.SIGHUP)
+        await said(program, "configuration taken")
+        self.assertEqual((await read_message_on(listen, "/invoke/fish-auction/a1?nth=0"))[0], 200)
+        self.assertEqual((await read_message_on(listen))[0], 404)  # lot-page is gone
+        figures = figures_of((await call(admin, request("/ops/stats")))[1])
+        self.assertEqual((figures["svc.config_reloads"], figures["svc.config_reload_errors"]), ("1", "6"))
+        self.assertEqual(figures["svc.downstream_requests.fish-auction.completed"], "1")
+        self.assertEqual(figures["svc.downstream_requests.lot-page.completed"], "1")  # gone, and kept
+        program.send_signal(signal.SIGTERM)
+        await program.communicate()
+        self.assertEqual(program.returncode, 0)
+
     async def test_the_listener_is_handed_over_as_descriptor_3_and_no_request_is_refused(self) -> None:
         listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.addCleanup(listener.close)
@@ -236,11 +286,7 @@
 async def read_message_on(
     address: Any, path: str = "/invoke/lot-page/a1?nth=0"
 ) -> tuple[int, dict[str, str], bytes]:
-    reader, writer = await asyncio.open_connection(*address)
-    writer.write(request(path))
-    first, fields, body = await read_message(reader)
-    writer.close()
-    return int(first.split(" ")[1]), fields, body
+    return await exchange(address, request(path))
 
 
 STOP = asyncio.Event()
@@ -261,62 +307,6 @@
         STOP.clear()
 
 
-def figures_of(text: bytes) -> dict[str, str]:
-    return dict(line.split("=") for line in text.decode().splitlines())
-
-
-class Reload(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self) -> None:
-        self.cache, self.coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
-        self.config = {**config_for([self.cache], self.coordinator), "admin_addr": "127.0.0.1:0"}
-        handle, self.file = tempfile.mkstemp(suffix=".json")
-        os.close(handle)
-        self.addCleanup(os.unlink, self.file)
-
-    async def asyncTearDown(self) -> None:
-        self.cache.stop()
-        self.coordinator.stop()
-
-    async def test_a_broken_file_is_taken_from_not_at_all_and_a_good_one_brings_its_classes(self) -> None:
-        program = await start(self.config, self.file)
-        serving = await said(program, "serving")
-        admin, listen = serving["admin"], serving["listen"]
-        settings = self.config["settings"]
-        page = settings["classes"][1]
-        broken = [
-            "",
-            json.dumps(self.config)[:-40],
-            json.dumps({key: value for key, value in self.config.items() if key != "settings"}),
-            json.dumps({**self.config, "settings": {**settings, "classes": [{**page, "give_up_ms": 0}]}}),
-            json.dumps({**self.config, "settings": {**settings, "limits": {"most_tries": -1}}}),
-            json.dumps({**self.config, "settings": {**settings, "classes": [{**page, "give_up_ms": "3s"}]}}),
-        ]
-        whys = []
-        for text in broken:
-            Path(self.file).write_text(text)
-            program.send_signal(signal.SIGHUP)
-            whys.append((await said(program, "configuration kept"))["why"])
-        self.assertTrue(all(why.startswith(f"{self.file}: ") for why in whys))
-        self.assertIn("settings.classes[0].give_up_ms: not a positive number", whys[3])
-        self.assertIn("settings.limits.most_tries: not a positive number", whys[4])
-        self.assertEqual((await read_message_on(listen))[0], 200)  # lot-page, as before
-        figures = figures_of((await call(admin, request("/ops/stats")))[1])
-        self.assertEqual((figures["svc.config_reloads"], figures["svc.config_reload_errors"]), ("0", "6"))
-        fish = {**page, "name": "fish-auction"}
-        Path(self.file).write_text(json.dumps({**self.config, "settings": {**settings, "classes": [fish]}}))
-        program.send_signal(signal.SIGHUP)
-        await said(program, "configuration taken")
-        self.assertEqual((await read_message_on(listen, "/invoke/fish-auction/a1?nth=0"))[0], 200)
-        self.assertEqual((await read_message_on(listen))[0], 404)  # lot-page is gone
-        figures = figures_of((await call(admin, request("/ops/stats")))[1])
-        self.assertEqual((figures["svc.config_reloads"], figures["svc.config_reload_errors"]), ("1", "6"))
-        self.assertEqual(figures["svc.downstream_requests.fish-auction.completed"], "1")
-        self.assertEqual(figures["svc.downstream_requests.lot-page.completed"], "1")  # gone, and kept
-        program.send_signal(signal.SIGTERM)
-        await program.communicate()
-        self.assertEqual(program.returncode, 0)
-
-
 class Start(unittest.IsolatedAsyncioTestCase):
     async def test_requests_wait_for_the_coordinator_and_miss_a_cache_drained_meanwhile(self) -> None:
         first, second = ScriptedPeer(hit, "c1"), ScriptedPeer(hit, "c2")
