Leases between processes, and a fault network of our own to prove them

Change: [leases] in the settings (off when absent, not imported then); leases/transport.py runs elector and candidate on UDP with the members' seal, a monotonic clock at a rate of its own for rehearsals, acts as datagrams with their token to each duty's sink; keep.py syncs each save before its grant; SIGTERM hands every duty on; 'gladewalk leases' shows tokens and promises. gladewalk/faultnet/: a relay for each ordered pair (loss, delay with jitter, a cut one way), a fencing sink, a launcher of real processes, a nemesis with seeded TOML schedules and SIGSTOP, SIGCONT, SIGKILL, SIGTERM. free_port of the duties benchmark moves there.

--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -15,9 +15,7 @@
 import asyncio
 import json
 import os
-import random
 import secrets
-import socket
 import sys
 import tempfile
 import time
@@ -25,6 +23,7 @@
 from pathlib import Path
 
 from gladewalk.control.client import ask
+from gladewalk.faultnet.relay import free_port
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
 
 QUIET_S = 30.0
@@ -96,22 +95,6 @@
         return found
 
 
-def free_port() -> int:
-    """A port that is free for datagrams and streams, outside the range that the system gives to others."""
-    while True:
-        port = random.randrange(20_000, 32_000)
-        with (
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as streams,
-        ):
-            try:
-                datagrams.bind(("127.0.0.1", port))
-                streams.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
 def port_of(writer: asyncio.StreamWriter) -> int:
     return int(writer.get_extra_info("peername")[1])
 
--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -121,6 +121,29 @@
     members_table(told)
 
 
+@gladewalk.command("leases")
+@of_running
+@click.pass_context
+def leases_command(
+    context: click.Context, options_path: str | None, socket_path: str | None, as_json: bool
+) -> None:
+    """Show which duties a running director holds under which token, and what its elector promised.
+
+    \b
+    Example:
+      gladewalk leases --config deploy/gladewalk.toml
+    """
+    told = ask_director(context, options_path, socket_path, "leases")
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    for duty, held in told.get("holding", {}).items():
+        granted = told.get("granting", {}).get(duty, {})
+        token, left, highest = held["token"] or "-", held["left_ms"], held["highest"]
+        promised = f"promised to {granted.get('holder') or '-'} term {granted.get('term', 0)}"
+        click.echo(f"{duty}: token {token} left {left:.0f} ms, highest {highest}; {promised}")
+
+
 def refuse(context: click.Context, error: Exception) -> NoReturn:
     """One line, and 2 for what cannot be used, or the code that the error has of its own."""
     click.echo(f"gladewalk: {error}", err=True)
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -61,6 +61,10 @@
             from .duties.start import checked
 
             checked(options)
+        if options.leases is not None:
+            from .leases.start import checked as check_leases
+
+            check_leases(options, config.name)
         if options.front.http is not None:
             from .web.start import checked as check_front
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -24,6 +24,7 @@
     from .control.server import Control
     from .dns.settings import DnsConfig
     from .duties.runner import Runner
+    from .leases.transport import Address, Leases
     from .members.seal import Key
     from .members.transport import Members
     from .net.admin import AdminFront
@@ -113,6 +114,11 @@
             self.members, self.duties = start(
                 config.name, options, self.exchange, self.caches, self.deadlines, self.counters
             )
+        self.leases: tuple[Leases, Address] | None = None
+        if options is not None and options.leases is not None:
+            from .leases.start import start as start_leases
+
+            self.leases = start_leases(config.name, options, unix_ms, self.deadlines, self.counters)
         self.web: Web | None = None
         if options is not None and options.front.http is not None:
             from .web.start import Web
@@ -153,6 +159,8 @@
         if self.members is not None and self.duties is not None:
             await self.members.listen()
             self.duties.sweep()
+        if self.leases is not None:
+            await self.leases[0].listen(self.leases[1])
         if self.web is not None:
             self.web.start()
         if self.control is not None:
@@ -174,6 +182,9 @@
             control.views["members"] = lambda given: view_of(duties)
         if self.keeper is not None:
             control.views["store"] = self.keeper.view
+        if self.leases is not None:
+            leases = self.leases[0]
+            control.views["leases"] = lambda given: leases.view()
         return control
 
     async def run(self) -> None:
@@ -284,6 +295,8 @@
             self.log.info("stopping", owed=self.exchange.owed)
             self.readiness.stopping = True
             self.readiness.start_drain(unix_ms())
+            if self.leases is not None:  # handed on at once: another may act while this one finishes
+                self.leases[0].stop()
             if self.config.inherited_fd is not None:  # the listener's other holders take what comes now
                 self.front.stop_taking()
             self.deadlines.add(unix_ms() + ACCEPT_MS, self._close)
--- a/gladewalk/options.py
+++ b/gladewalk/options.py
@@ -151,6 +151,23 @@
     probes_per_s: Annotated[float, Meta(ge=0.0, le=1e6)] = 0.0  # of all members together; 0: no cap
 
 
+class Leases(Table, frozen=True):
+    """`[leases]`: duties that one director alone holds at a time, granted by a majority of `peers`."""
+
+    listen: str
+    keys: str  # as `[members]`: one key a line in hexadecimal
+    peers: dict[str, str]  # every elector by name, this director among them -> where it is dialled
+    duties: dict[str, str]  # duty -> where its acts land (HOST:PORT of the duty's sink)
+    window_ms: Span = 30_000.0
+    lease_ms: Annotated[float, Meta(ge=100.0, le=600_000.0)] = 1_000.0
+    drift: Annotated[float, Meta(ge=0.0, lt=0.5)] = 0.02
+    stop_margin_ms: Annotated[float, Meta(ge=0.0)] = 100.0
+    grant_margin_ms: Annotated[float, Meta(ge=0.0)] = 50.0
+    act_ms: Annotated[float, Meta(ge=1.0, le=600_000.0)] = 100.0  # how often a holder acts under a duty
+    saves: str = ""  # a file for what outlives a start; empty: promises are forgotten at a start
+    clock_rate: Annotated[float, Meta(gt=0.5, lt=1.5)] = 1.0  # for rehearsals: a clock that runs fast or slow
+
+
 class Control(Table, frozen=True):
     """`[control]`: where `gladewalk members` and its like find a running director."""
 
@@ -164,6 +181,7 @@
     members: Members | None = None
     duties: Duties = Duties()
     control: Control | None = None
+    leases: Leases | None = None
     front: Front = Front()
     store: Store | None = None
 
@@ -180,6 +198,7 @@
     members: Members | None
     duties: Duties
     control: Control | None
+    leases: Leases | None
     front: Front
     store: Store | None
 
