--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -1,88 +1,151 @@
 """Exclusive duties across processes under seeded faults: overlaps, stale tokens, longest orphaned span.
 
-    python -m benchmarks.fleet_faults [--quick] [--directors 3 5] [--runs N] [--seed S]
+    python -m benchmarks.fleet_faults [--quick] [--directors 3 5 7] [--runs N] [--seed S] [--plot FILE.png]
 
 Each run starts its directors on loopback with relays between every ordered pair, waits for a holder, then
 plays one fault after the other from a seeded schedule (pause, kill, clean stop, one-way cuts, a minority
-side, loss, delay), each followed by a pause to settle, and checks the sink's record. A line a run with its
-figures and the handover time of each fault kind; the last line sums them up. `--quick` is 2 runs a size.
+side, loss, delay), each followed by a pause to settle, and orders a purge at a director that is not hit while
+each fault lasts. The sinks' records are checked, and every acknowledged purge must be done at every hub. A
+line a run; then the handover time of each kind of fault at each size (from the fault until another acts; a
+clean stop is handed on at once); the last line sums up. `--quick` is 2 runs of 6 faults at 3 and 5.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import dataclasses
 import tempfile
 import time
 from collections import defaultdict
 from pathlib import Path
 
+from gladewalk.control.client import ControlError
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.nemesis import apply, generate
-from gladewalk.leases.history import check
+from gladewalk.faultnet.nemesis import Fault, apply, generate
+from gladewalk.leases.history import Verdict
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
 SETTLE_S = 2.0
 FAULT_MS = 2_500.0
+WAIT_S = 10.0  # for a first holder, and for every purge at the end
+Times = dict[tuple[str, int], list[float]]  # (kind, directors) -> handover times, ms
+
+
+def holder_of(fleet: Fleet) -> str:
+    acts = [act for act in fleet.hubs[0].fence.acts if act.accepted]
+    return acts[-1].actor if acts else ""
 
 
 async def handover_ms(fleet: Fleet, since_ms: float, victim: str) -> float:
-    """From `since_ms` until another than `victim` acts under the first duty, or nan."""
+    """From `since_ms` until another than `victim` acts under the purge duty, or nan."""
     ends = time.monotonic() + 6.0
     while time.monotonic() < ends:
-        for act in fleet.sink.fence.acts:
-            if act.duty == "purge" and act.accepted and act.at_ms > since_ms and act.actor != victim:
-                return act.at_ms - since_ms
+        for act in reversed(fleet.hubs[0].fence.acts):
+            if act.at_ms <= since_ms:
+                break
+            if act.accepted and act.actor != victim:
+                first = min(a.at_ms for a in fleet.hubs[0].fence.acts
+                            if a.accepted and a.actor != victim and a.at_ms > since_ms)  # fmt: skip
+                return first - since_ms
         await asyncio.sleep(0.02)
     return float("nan")
 
 
-async def one(n: int, seed: int, faults: int, by_kind: dict[str, list[float]]) -> tuple[int, int, float]:
+async def order(fleet: Fleet, name: str) -> str:
+    """A purge's id once it is acknowledged; empty if it is not in time."""
+    try:
+        id = str((await fleet.ask(name, "purge", what="o:1"))["id"])
+        for _ in range(100):
+            if (await fleet.ask(name, "order", id=id))["acknowledged"]:
+                return id
+            await asyncio.sleep(0.05)
+    except ControlError:
+        pass
+    return ""
+
+
+async def play_one(fleet: Fleet, fault: Fault, times: Times, acknowledged: list[str]) -> None:
+    """One fault on the holder, for its whole length."""
+    holder = holder_of(fleet)
+    who = fault.who if fault.kind == "partition" and holder in fault.who else (holder, *fault.who[1:])
+    fault = dataclasses.replace(fault, at_ms=0.0, ms=FAULT_MS, who=who)
+    begun = time.time() * 1000.0
+    applied = asyncio.ensure_future(apply(fleet, fault))
+    well = next(name for name in fleet.names if name not in who)
+    ordered = asyncio.ensure_future(order(fleet, well))
+    if fault.kind not in ("loss", "delay"):
+        times[fault.kind, len(fleet.names)].append(await handover_ms(fleet, begun, holder))
+    await applied
+    acknowledged.append(await ordered)
+    await asyncio.sleep(SETTLE_S)
+
+
+async def one(n: int, seed: int, faults: int, times: Times) -> Verdict:
     coordinator = await Coordinator().start()
     names = tuple(f"n{i}" for i in range(n))
+    acknowledged: list[str] = []
     with tempfile.TemporaryDirectory() as folder:
-        fleet = await Fleet(Path(folder), names, config_for([], coordinator), seed).open()
+        fleet = await Fleet(Path(folder), names, config_for([], coordinator), seed, {}).open()
         try:
             for name in names:
                 await fleet.start(name)
-            await asyncio.sleep(4.0)
+            ends = time.monotonic() + WAIT_S
+            while not holder_of(fleet) and time.monotonic() < ends:
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(1.0)
             for fault in generate(seed, names, 60_000.0, faults):
-                acts = [a for a in fleet.sink.fence.acts if a.duty == "purge" and a.accepted]
-                holder = acts[-1].actor if acts else ""
-                who = (holder,) if holder and fault.kind != "partition" else fault.who
-                if fault.kind == "partition" and holder and holder not in who:
-                    who = (holder, *who[1:])
-                fault = type(fault)(0.0, FAULT_MS, fault.kind, who, fault.amount)
-                begun = time.time() * 1000.0
-                applied = asyncio.ensure_future(apply(fleet, fault))
-                if fault.kind not in ("loss", "delay"):
-                    by_kind[fault.kind].append(await handover_ms(fleet, begun, holder))
-                await applied
-                await asyncio.sleep(SETTLE_S)
-            verdict = check(fleet.sink.fence.acts, time.time() * 1000.0)
+                await play_one(fleet, fault, times, acknowledged)
+            verdict = fleet.verdict(time.time() * 1000.0)
+            ids = {id for id in acknowledged if id}
+            ends = time.monotonic() + WAIT_S
+            while (lost := [id for id in ids if any(id not in hub.purged for hub in fleet.hubs)]):
+                if time.monotonic() > ends:
+                    break
+                await asyncio.sleep(0.05)
         finally:
             await fleet.close()
             coordinator.stop()
-    print(
-        f"{n} directors seed {seed}: {verdict.line(1)} acts={verdict.acts} refused={verdict.refused}",
-        flush=True,
-    )
-    return verdict.overlaps, verdict.stale_accepted, verdict.orphan_max_ms
-
-
-async def main_async(sizes: list[int], runs: int, seed: int, faults: int) -> None:
-    by_kind: dict[str, list[float]] = defaultdict(list)
-    overlaps = stale = 0
-    orphan = 0.0
-    for n in sizes:
-        for run in range(runs):
-            o, s, gap = await one(n, seed + run, faults, by_kind)
-            overlaps, stale, orphan = overlaps + o, stale + s, max(orphan, gap)
-    for kind, times in sorted(by_kind.items()):
-        got = sorted(t for t in times if t == t)
+    print(f"{n} directors seed {seed}: {verdict.line(1)} acts={verdict.acts} refused={verdict.refused} "
+          f"purges={len(acknowledged)} acknowledged={len(ids)} lost={len(lost)}", flush=True)  # fmt: skip
+    return verdict
+
+
+async def main_async(sizes: list[int], runs: int, seed: int, faults: int, plot: str | None) -> None:
+    times: Times = defaultdict(list)
+    verdicts = [await one(n, seed + run, faults, times) for n in sizes for run in range(runs)]
+    for (kind, n), all_of_them in sorted(times.items()):
+        got = sorted(t for t in all_of_them if t == t)
         told = f"median {got[len(got) // 2]:.0f} most {got[-1]:.0f}" if got else "none"
-        print(f"handover after {kind}: {len(got)} of {len(times)} taken on, ms {told}")
-    print(f"overlaps={overlaps} stale_accepted={stale} orphan_max_ms={orphan:.0f} runs={runs * len(sizes)}")
+        print(f"handover after {kind} at {n}: {len(got)} of {len(all_of_them)} taken on, ms {told}")
+    if plot:
+        draw(times, plot)
+    overlaps, stale = sum(v.overlaps for v in verdicts), sum(v.stale_accepted for v in verdicts)
+    orphan = max(v.orphan_max_ms for v in verdicts)
+    print(f"overlaps={overlaps} stale_accepted={stale} orphan_max_ms={orphan:.0f} runs={len(verdicts)}")
+
+
+def draw(times: Times, path: str) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    kinds = sorted({kind for kind, _ in times})
+    sizes = sorted({n for _, n in times})
+    figure, axes = pyplot.subplots(figsize=(9, 4))
+    for offset, n in enumerate(sizes):
+        for at, kind in enumerate(kinds):
+            got = [t for t in times.get((kind, n), []) if t == t]
+            place = at + 0.22 * (offset - (len(sizes) - 1) / 2)
+            label = f"{n} directors" if at == 0 else None
+            axes.plot([place] * len(got), got, "o", color=f"C{offset}", alpha=0.6, label=label)
+    axes.axhline(2_000.0, color="grey", linestyle=":")
+    axes.set_xticks(range(len(kinds)), kinds)
+    axes.set(ylabel="ms until another acts", ylim=(0, None))
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
 
 
 def main() -> int:
@@ -92,10 +155,11 @@
     parser.add_argument("--runs", type=int, default=4)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--faults", type=int, default=12)
+    parser.add_argument("--plot")
     given = parser.parse_args()
     sizes = [3, 5] if given.quick else given.directors
     runs, faults = (2, 6) if given.quick else (given.runs, given.faults)
-    asyncio.run(main_async(sizes, runs, given.seed, faults))
+    asyncio.run(main_async(sizes, runs, given.seed, faults, given.plot))
     return 0
 
 
--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -1,4 +1,5 @@
-"""The command line: `gladewalk run | check | members | import | route | rehearse | store | dns`.
+"""The command line: `gladewalk run | check | members | leases | hand-on | purge | import | route | rehearse |
+store | dns`.
 
 Exit codes: 0 done, 1 done with a finding, 2 what was given cannot be used (one line says why). Of a running
 director: 3 there is none, 4 it is of another version, 5 it hangs.
@@ -137,11 +138,65 @@
     if as_json:
         click.echo(json.dumps(told))
         return
-    for duty, held in told.get("holding", {}).items():
-        granted = told.get("granting", {}).get(duty, {})
-        token, left, highest = held["token"] or "-", held["left_ms"], held["highest"]
-        promised = f"promised to {granted.get('holder') or '-'} term {granted.get('term', 0)}"
-        click.echo(f"{duty}: token {token} left {left:.0f} ms, highest {highest}; {promised}")
+    from .console import leases_table
+
+    leases_table(told)
+
+
+@gladewalk.command("hand-on")
+@click.argument("duty")
+@click.option("--to", default="", metavar="NAME", help="Who may take it first; anybody if not given.")
+@of_running
+@click.pass_context
+def hand_on_command(
+    context: click.Context, duty: str, to: str, options_path: str | None, socket_path: str | None,
+    as_json: bool,
+) -> None:  # fmt: skip
+    """Make a running director give up DUTY now, so that another takes it. Exit code 2: it does not hold it.
+
+    \b
+    Example:
+      gladewalk hand-on purge --to n2 --config deploy/gladewalk.toml
+    """
+    told = ask_director(context, options_path, socket_path, "hand_on", duty=duty, to=to)
+    said = f"{duty}: given up at term {told['term']}, to {to or 'anybody'}"
+    click.echo(json.dumps(told) if as_json else said)
+
+
+@gladewalk.command("purge")
+@click.argument("what")
+@click.option("--wait-s", default=3.0, show_default=True, help="How long to wait for a majority to keep it.")
+@of_running
+@click.pass_context
+def purge_command(
+    context: click.Context, what: str, wait_s: float, options_path: str | None, socket_path: str | None,
+    as_json: bool,
+) -> None:  # fmt: skip
+    """Order a purge of WHAT at every hub cache, forwarded by whichever director holds that duty.
+
+    It is acknowledged once a majority of the directors keeps it: then it is forwarded whoever dies. Exit code
+    1: no majority has said so in time; it is tried further, and may be lost with this director.
+
+    \b
+    Example:
+      gladewalk purge o:7f3a9c21e0b4d655 --config deploy/gladewalk.toml
+    """
+    import time
+
+    id = ask_director(context, options_path, socket_path, "purge", what=what)["id"]
+    ends = time.monotonic() + wait_s
+    while True:
+        told = ask_director(context, options_path, socket_path, "order", id=id)
+        if told["acknowledged"] or time.monotonic() > ends:
+            break
+        time.sleep(0.05)
+    if as_json:
+        click.echo(json.dumps(told))
+    elif told["state"] == "finished":
+        click.echo(f"{id}: every hub has taken it, under token {told['token']}")
+    else:
+        click.echo(f"{id}: kept by {', '.join(told['keepers']) or 'nobody'}, on its way to the hubs")
+    context.exit(0 if told["acknowledged"] else 1)
 
 
 def refuse(context: click.Context, error: Exception) -> NoReturn:
@@ -151,13 +206,13 @@
 
 
 def ask_director(
-    context: click.Context, options_path: str | None, socket_path: str | None, view: str
+    context: click.Context, options_path: str | None, socket_path: str | None, view: str, **given: Any
 ) -> dict[str, Any]:
     """A running director's answer; whatever keeps it from us is one line and an exit code of its own."""
     from .control.client import ControlError, ask
 
     try:
-        told: dict[str, Any] = ask(control_path(options_path, socket_path), view)
+        told: dict[str, Any] = ask(control_path(options_path, socket_path), view, **given)
     except (ConfigError, ControlError) as error:
         refuse(context, error)
     return told
--- a/gladewalk/console.py
+++ b/gladewalk/console.py
@@ -43,6 +43,29 @@
         console.print("another director runs under this name: this one takes no part", style="bold red")
 
 
+def leases_table(told: dict[str, Any]) -> None:
+    console = Console(highlight=False)
+    table = Table(title=f"duties, as {told['name']} sees them", title_justify="left")
+    table.add_column("duty")
+    for name in ("token held here", "left", "highest term"):
+        table.add_column(name, justify="right")
+    table.add_column("promised here to")
+    for duty, held in told["holding"].items():
+        granted = told["granting"].get(duty, {"holder": "", "term": 0, "left_ms": 0.0})
+        whose = f"{granted['holder'] or '-'}, term {granted['term']}"
+        table.add_row(
+            duty, Text(str(held["token"]), "bold green") if held["token"] else Text("-", "dim"),
+            ago(held["left_ms"]) if held["token"] else "", str(held["highest"]),
+            f"{whose}, {ago(granted['left_ms'])} left" if granted["left_ms"] else f"{whose}, lapsed",
+        )  # fmt: skip
+    console.print(table)
+    works = told["works"]
+    console.print(
+        f"orders: {works['orders_open']} open, {works['orders_finished']} finished; "
+        f"acts that wait for their sinks: {works['acts_waiting']}"
+    )
+
+
 def store_table(told: dict[str, Any]) -> None:
     console = Console(highlight=False)
     table = Table(title="store", title_justify="left", show_header=False)
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -114,11 +114,6 @@
             self.members, self.duties = start(
                 config.name, options, self.exchange, self.caches, self.deadlines, self.counters
             )
-        self.leases: tuple[Leases, Address] | None = None
-        if options is not None and options.leases is not None:
-            from .leases.start import start as start_leases
-
-            self.leases = start_leases(config.name, options, unix_ms, self.deadlines, self.counters)
         self.web: Web | None = None
         if options is not None and options.front.http is not None:
             from .web.start import Web
@@ -138,6 +133,13 @@
                 self._store_says,
                 self.deadlines,
             )
+        self.leases: tuple[Leases, Address] | None = None
+        if options is not None and options.leases is not None and self.keeper is not None:
+            from .leases.start import start as start_leases
+
+            self.leases = start_leases(
+                config.name, options, self.keeper, unix_ms, self.deadlines, self.counters
+            )
         self.control: Control | None = None
         if options is not None and options.control is not None:
             self.control = self._control(options)
@@ -183,8 +185,9 @@
         if self.keeper is not None:
             control.views["store"] = self.keeper.view
         if self.leases is not None:
-            leases = self.leases[0]
-            control.views["leases"] = lambda given: leases.view()
+            from .leases.view import add_views
+
+            add_views(control, self.leases[0])
         return control
 
     async def run(self) -> None:
--- a/gladewalk/faultnet/nemesis.py
+++ b/gladewalk/faultnet/nemesis.py
@@ -3,12 +3,17 @@
     [[fault]]
     at_ms = 3000.0      # from the start of the play
     ms = 2500.0         # how long it lasts
-    kind = "pause"      # pause, kill, stop, cut_out, cut_in, partition, loss, delay
+    kind = "pause"      # see KINDS
     who = ["n0"]
-    amount = 0.3        # loss: the part dropped; delay: ms, with as much jitter
+    amount = 0.3        # loss, double: the part concerned; delay: ms, with as much jitter; flap: ms a half
 
-The same seed gives the same schedule; a pause is SIGSTOP then SIGCONT, a kill SIGKILL then a start again
-under the same name, a stop SIGTERM then a start again.
+    pause       SIGSTOP, then SIGCONT          cut_out    it hears all, nobody hears it
+    kill        SIGKILL, then a start          cut_in     all hear it, it hears nobody
+    stop        SIGTERM, then a start          link       from the first of `who` to the second, one way
+    partition   `who` against the others       flap       the same, both ways, cut and whole by turns
+    loss, double, delay   on every path
+
+The same seed gives the same schedule. Faults may overlap: each ends by itself.
 """
 
 from __future__ import annotations
@@ -23,9 +28,11 @@
 
 import tomli_w
 
-from .fleet import Fleet
+from .fleet import Fleet, Pair
+from .relay import Effect
 
 KINDS = ("pause", "kill", "stop", "cut_out", "cut_in", "partition", "loss", "delay")
+LINKS = ("link", "flap", "double")
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,8 +50,11 @@
     faults = []
     for _ in range(count):
         kind = rng.choice(kinds)
-        who = tuple(rng.sample(names, rng.randint(1, (len(names) - 1) // 2) if kind == "partition" else 1))
-        amount = rng.uniform(0.05, 0.3) if kind == "loss" else rng.uniform(20.0, 200.0)
+        concerned = 2 if kind in ("link", "flap") else 1
+        if kind == "partition":
+            concerned = rng.randint(1, (len(names) - 1) // 2)
+        who = tuple(rng.sample(names, concerned))
+        amount = rng.uniform(0.05, 0.3) if kind in ("loss", "double") else rng.uniform(20.0, 200.0)
         faults.append(Fault(rng.uniform(2_000.0, length_ms - 4_000.0), rng.uniform(500.0, 3_000.0), kind, who,
                             round(amount, 3)))  # fmt: skip
     return sorted(faults, key=lambda fault: fault.at_ms)
@@ -59,39 +69,69 @@
     table = tomllib.loads(path.read_text(encoding="utf-8"))
     faults = [Fault(float(f["at_ms"]), float(f["ms"]), str(f["kind"]), tuple(map(str, f["who"])),
                     float(f.get("amount", 0.0))) for f in table.get("fault", [])]  # fmt: skip
-    if unknown := {fault.kind for fault in faults} - set(KINDS):
+    if unknown := {fault.kind for fault in faults} - {*KINDS, *LINKS}:
         raise ValueError(f"no such kind of fault: {sorted(unknown)}")
     return sorted(faults, key=lambda fault: fault.at_ms)
 
 
+def pairs_of(fleet: Fleet, fault: Fault) -> set[Pair]:
+    """The paths that a fault is on."""
+    who = fault.who
+    match fault.kind:
+        case "cut_out":
+            return fleet.cut_out(who[0])
+        case "cut_in":
+            return fleet.cut_in(who[0])
+        case "partition":
+            return fleet.parted(who)
+        case "link":
+            return {(who[0], who[1])}
+        case "flap":
+            return {(who[0], who[1]), (who[1], who[0])}
+        case "loss" | "double" | "delay":
+            return fleet.every()
+    return set()
+
+
+def effect_of(fault: Fault) -> Effect:
+    if fault.kind == "loss":
+        return Effect(loss=fault.amount)
+    if fault.kind == "double":
+        return Effect(double=fault.amount)
+    if fault.kind == "delay":
+        return Effect(delay_ms=fault.amount, jitter_ms=fault.amount)
+    return Effect(cut=True)
+
+
 async def apply(fleet: Fleet, fault: Fault) -> None:
     """One fault, from its start to its end."""
-    pairs: set[tuple[str, str]] = set()
+    name = fault.who[0] if fault.who else ""
     if fault.kind == "pause":
-        fleet.signal(fault.who[0], signal.SIGSTOP)
-    elif fault.kind in ("kill", "stop"):
-        await (fleet.kill(fault.who[0]) if fault.kind == "kill" else fleet.stop(fault.who[0]))
-    elif fault.kind == "cut_out":
-        pairs = fleet.cut_out(fault.who[0])
-    elif fault.kind == "cut_in":
-        pairs = fleet.cut_in(fault.who[0])
-    elif fault.kind == "partition":
-        pairs = fleet.parted(fault.who)
-    paths = fleet.paths(pairs if pairs else fleet.every() if fault.kind in ("loss", "delay") else set())
-    for path in paths:
-        if fault.kind == "loss":
-            path.path.loss = fault.amount
-        elif fault.kind == "delay":
-            path.path.delay_ms = path.path.jitter_ms = fault.amount
-        else:
-            path.path.cut = True
-    await asyncio.sleep(fault.ms / 1000.0)
-    for path in paths:
-        path.path.cut, path.path.loss, path.path.delay_ms, path.path.jitter_ms = False, 0.0, 0.0, 0.0
+        fleet.signal(name, signal.SIGSTOP)
+    elif fault.kind == "kill":
+        await fleet.kill(name)
+    elif fault.kind == "stop":
+        await fleet.stop(name)
+    paths, effect = fleet.paths(pairs_of(fleet, fault)), effect_of(fault)
+    ends = time.monotonic() + fault.ms / 1000.0
+    on = False
+    while (left_s := ends - time.monotonic()) > 0.0 or not on:
+        on = not on
+        for path in paths:
+            if on:
+                path.effects.append(effect)
+            else:
+                path.effects.remove(effect)
+        await asyncio.sleep(min(max(left_s, 0.0), fault.amount / 1000.0 if fault.kind == "flap" else left_s))
+        if fault.kind != "flap":
+            break
+    if on:
+        for path in paths:
+            path.effects.remove(effect)
     if fault.kind == "pause":
-        fleet.signal(fault.who[0], signal.SIGCONT)
+        fleet.signal(name, signal.SIGCONT)
     elif fault.kind in ("kill", "stop"):
-        await fleet.start(fault.who[0])
+        await fleet.start(name)
 
 
 async def play(fleet: Fleet, faults: list[Fault]) -> None:
--- a/gladewalk/faultnet/relay.py
+++ b/gladewalk/faultnet/relay.py
@@ -1,38 +1,59 @@
-"""One ordered pair's path: datagrams sent to the relay's port go on to the target, or are dropped, delayed
-or held back as the relay is set. A cut in one direction alone is a relay set to pass nothing."""
+"""One ordered pair's path: what is sent to a relay's port goes on to the target, or is dropped, doubled,
+delayed or held back as the faults in force on the path say. A cut in one direction alone is one path's."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, cast
 
 Address = tuple[str, int]
 
 
-@dataclass(slots=True)
-class Path:
-    """How a path behaves now; the nemesis changes it."""
+@dataclass(slots=True, frozen=True)
+class Effect:
+    """What one fault does to a path. Faults that overlap on a path add up and end each by itself."""
 
+    cut: bool = False
     loss: float = 0.0  # a part of datagrams dropped
+    double: float = 0.0  # a part of datagrams sent twice
     delay_ms: float = 0.0
     jitter_ms: float = 0.0  # drawn anew for each datagram, so that some pass others
-    cut: bool = False
+
+
+@dataclass(slots=True)
+class Path:
+    """How one direction between two directors behaves now, for all that passes between them."""
+
+    effects: list[Effect] = field(default_factory=list)
+
+    @property
+    def cut(self) -> bool:
+        return any(effect.cut for effect in self.effects)
+
+    def drops(self, rng: random.Random) -> bool:
+        return any(effect.cut or rng.random() < effect.loss for effect in self.effects)
+
+    def copies(self, rng: random.Random) -> int:
+        return 1 + sum(rng.random() < effect.double for effect in self.effects)
+
+    def wait_ms(self, rng: random.Random) -> float:
+        return sum(effect.delay_ms + rng.uniform(0.0, effect.jitter_ms) for effect in self.effects)
 
 
 class Relay(asyncio.DatagramProtocol):
     """Listens at a port of its own and sends on to `target` from it."""
 
-    def __init__(self, target: Address, rng: random.Random) -> None:
-        self.target, self.random, self.path = target, rng, Path()
+    def __init__(self, target: Address, rng: random.Random, path: Path) -> None:
+        self.target, self.random, self.path = target, rng, path
         self.transport: asyncio.DatagramTransport | None = None
-        self.passed = self.dropped = 0
+        self.passed = self.dropped = self.bytes = 0
 
-    async def open(self) -> Address:
+    async def open(self, port: int = 0) -> Address:
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", 0))
+        await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", port))
         assert self.transport is not None
         return cast(Address, self.transport.get_extra_info("sockname")[:2])
 
@@ -40,14 +61,16 @@
         self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
-        path = self.path
-        if path.cut or self.random.random() < path.loss:
+        self.bytes += len(data)
+        if self.path.drops(self.random):
             self.dropped += 1
             return
-        wait = path.delay_ms + self.random.uniform(0.0, path.jitter_ms)
-        if wait <= 0.0:
-            return self._send(data)
-        asyncio.get_running_loop().call_later(wait / 1000.0, self._send, data)
+        for _ in range(self.path.copies(self.random)):
+            wait = self.path.wait_ms(self.random)
+            if wait <= 0.0:
+                self._send(data)
+            else:
+                asyncio.get_running_loop().call_later(wait / 1000.0, self._send, data)
 
     def _send(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
@@ -59,6 +82,59 @@
             self.transport.close()
 
 
+class StreamRelay:
+    """Connections from one director to another: each direction's bytes obey that direction's path.
+
+    A cut holds bytes back and loses none, as TCP does; who waits for them gives up by itself. A connection
+    that is begun while a direction is cut is accepted and stays silent.
+    """
+
+    def __init__(self, target: Address, there: Path, back: Path, rng: random.Random) -> None:
+        self.target, self.there, self.back, self.random = target, there, back, rng
+        self.server: asyncio.Server | None = None
+        self.open_tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self, port: int) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.open_tasks.add(task)
+        onward: asyncio.StreamWriter | None = None
+        try:
+            await self._passable(self.there)
+            answers, onward = await asyncio.open_connection(*self.target)
+            await asyncio.gather(
+                self._pump(reader, onward, self.there), self._pump(answers, writer, self.back)
+            )
+        except (OSError, asyncio.CancelledError):
+            pass  # either end has gone, or the fleet is closed
+        finally:
+            self.open_tasks.discard(task)
+            writer.close()
+            if onward is not None:
+                onward.close()
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, path: Path) -> None:
+        while data := await reader.read(65_536):
+            await self._passable(path)
+            await asyncio.sleep(path.wait_ms(self.random) / 1000.0)
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    async def _passable(self, path: Path) -> None:
+        while path.cut:
+            await asyncio.sleep(0.02)
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for task in self.open_tasks:
+            task.cancel()
+
+
 def free_port() -> int:
     """A port free for datagrams and streams, outside the range that the system gives to others."""
     rng = random.SystemRandom()
--- a/gladewalk/leases/history.py
+++ b/gladewalk/leases/history.py
@@ -80,3 +80,14 @@
         accepted = [act.at_ms for act in duty_acts if act.accepted]
         orphan = max(orphan, longest_gap(accepted, end_ms, excused))
     return Verdict(overlaps, stale, unaccounted, orphan, count, refused)
+
+
+def check_sinks(sinks: Sequence[Sequence[Act]], end_ms: float | None = None,
+                excused: Sequence[tuple[float, float]] = ()) -> Verdict:  # fmt: skip
+    """The verdict over several sinks. Each has a fence of its own, so tokens are judged sink by sink; holders
+    are judged over all, since two that act at two sinks at once are two holders."""
+    each = [check(acts, end_ms, excused) for acts in sinks]
+    crossing = check(sorted((act for acts in sinks for act in acts), key=lambda act: act.at_ms))
+    return Verdict(crossing.overlaps, sum(v.stale_accepted for v in each), sum(v.unaccounted for v in each),
+                   max((v.orphan_max_ms for v in each), default=0.0), crossing.acts,
+                   sum(v.refused for v in each))  # fmt: skip
--- a/gladewalk/leases/outs.py
+++ b/gladewalk/leases/outs.py
@@ -1,30 +1,46 @@
-"""What the lease core asks its driver to do, in order: a `Save` before the `Send` that follows it."""
+"""What the lease core asks its driver to do: sends, saves with what may follow them, events for the log."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from .messages import Message
+import msgspec
 
+from .messages import Message
 
-@dataclass(slots=True, frozen=True)
-class Send:
-    to: str  # a director's name; where it is dialled is the driver's business
-    message: Message
+GRANTS, ORDERS = "grant", "order"  # the spaces of the embedded store that leases use
 
 
-@dataclass(slots=True, frozen=True)
-class Save:
-    """Make durable that `term` of `duty` went to `holder`, before anything after it is sent."""
+class Granted(msgspec.Struct, frozen=True, array_like=True):
+    """What an elector must not forget of a duty (its key): the highest term granted, and to whom."""
 
-    duty: str
     term: int
     holder: str
 
 
+_encoder = msgspec.msgpack.Encoder()
+_granted = msgspec.msgpack.Decoder(Granted)
+
+
+def pack(value: msgspec.Struct) -> bytes:
+    return _encoder.encode(value)
+
+
+def granted_of(row: bytes) -> Granted:
+    """`msgspec.DecodeError` for what is none."""
+    granted: Granted = _granted.decode(row)
+    return granted
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    to: str  # a director's name, or a sink's ("@duty/n"); where it is dialled is the driver's business
+    message: Message
+
+
 @dataclass(slots=True, frozen=True)
 class Event:
-    """For the log: granted, refused, won, renewed, expired, released, fenced."""
+    """For the log: granted, refused, won, raised, expired, released, fenced, and what befalls orders."""
 
     kind: str
     duty: str
@@ -32,4 +48,14 @@
     who: str
 
 
+@dataclass(slots=True, frozen=True)
+class Save:
+    """Make a row durable (None: take it out); `then` is done once it lasts, and never if it does not."""
+
+    space: str
+    key: str
+    value: bytes | None
+    then: tuple[Out, ...] = field(default=())
+
+
 Out = Send | Save | Event
--- a/gladewalk/options.py
+++ b/gladewalk/options.py
@@ -157,14 +157,16 @@
     listen: str
     keys: str  # as `[members]`: one key a line in hexadecimal
     peers: dict[str, str]  # every elector by name, this director among them -> where it is dialled
-    duties: dict[str, str]  # duty -> where its acts land (HOST:PORT of the duty's sink)
+    duties: dict[str, str] = {}  # further duties -> the sink (HOST:PORT) that is told each one's token
+    hubs: list[str] = []  # the purge duty: where an operator's purges are forwarded to
+    report_to: str = ""  # the report duty: the collector that the fleet's report is written to
+    report_ms: Span = 1_000.0  # how often
     window_ms: Span = 30_000.0
     lease_ms: Annotated[float, Meta(ge=100.0, le=600_000.0)] = 1_000.0
     drift: Annotated[float, Meta(ge=0.0, lt=0.5)] = 0.02
     stop_margin_ms: Annotated[float, Meta(ge=0.0)] = 100.0
     grant_margin_ms: Annotated[float, Meta(ge=0.0)] = 50.0
-    act_ms: Annotated[float, Meta(ge=1.0, le=600_000.0)] = 100.0  # how often a holder acts under a duty
-    saves: str = ""  # a file for what outlives a start; empty: promises are forgotten at a start
+    act_ms: Annotated[float, Meta(ge=1.0, le=600_000.0)] = 100.0  # how often a holder tells sinks its token
     clock_rate: Annotated[float, Meta(gt=0.5, lt=1.5)] = 1.0  # for rehearsals: a clock that runs fast or slow
 
 
--- a/gladewalk/rehearsal/leasenet.py
+++ b/gladewalk/rehearsal/leasenet.py
@@ -20,8 +20,9 @@
 from ..leases.elector import Elector
 from ..leases.fence import Fence
 from ..leases.history import Verdict, check
-from ..leases.messages import Ask, Grant, Message, Refuse, decode, encode
-from ..leases.outs import Out, Save, Send
+from ..leases.messages import Vote, decode, encode
+from ..leases.outs import Granted, Out, Save, Send, granted_of
+from ..leases.route import hear
 from ..leases.terms import LeaseTerms, majority
 
 DUTIES = ("purge", "report")
@@ -35,7 +36,7 @@
     offset: float
     elector: Elector
     candidate: Candidate
-    disk: dict[str, tuple[int, str]] = field(default_factory=dict)  # what `Save` made durable
+    disk: dict[str, Granted] = field(default_factory=dict)  # what `Save` made durable
     up: bool = True
     paused_until: float = 0.0
     run: int = 0  # a timer of an older run, or of before a pause, is void
@@ -78,7 +79,7 @@
         self.beliefs: dict[tuple[str, int], list[float]] = {}  # (duty, token) -> first, last real ms held
         self.believers: dict[tuple[str, int], str] = {}
 
-    def boot(self, name: str, disk: dict[str, tuple[int, str]] | None = None) -> Director:
+    def boot(self, name: str, disk: dict[str, Granted] | None = None) -> Director:
         rate = 1.0 + self.random.uniform(-self.drift, self.drift)
         offset = self.random.uniform(0.0, 1e6)
         rng = random.Random(self.random.random())
@@ -149,13 +150,16 @@
 
         self.after(delay, land)
 
-    def carry_out(self, director: Director, out: list[Out]) -> None:
+    def carry_out(self, director: Director, out: list[Out] | tuple[Out, ...]) -> None:
         for action in out:
             if isinstance(action, Save):
-                director.disk[action.duty] = (action.term, action.holder)
+                assert action.value is not None
+                director.disk[action.key] = granted_of(action.value)
+                director.elector.saved(action.key, action.value)
                 if director.torn_ms:  # killed between a save and its grant: the save stands, no grant is sent
                     self.kill(director.name, director.torn_ms)
                     return
+                self.carry_out(director, action.then)
             elif isinstance(action, Send):
                 self.post(director.name, action.to, encode(action.message))
 
@@ -173,16 +177,9 @@
         if self.now < director.paused_until:
             director.waiting.append((target, data))
             return
-        message: Message = decode(data)
-        local = director.clock(self.now)
-        if isinstance(message, Ask):
-            out = director.elector.ask(message, local)
-        elif isinstance(message, Grant):
-            out = director.candidate.grant(message, local)
-        elif isinstance(message, Refuse):
-            out = director.candidate.refuse(message, local)
-        else:
-            out = director.elector.release(message, local) + director.candidate.released(message, local)
+        message = decode(data)
+        assert isinstance(message, Vote)
+        out = hear(director.elector, director.candidate, message, director.clock(self.now))
         self.carry_out(director, out)
 
     # Faults.
@@ -233,6 +230,14 @@
         self.disbelieve(name)
         self.kill(name, ms)
 
+    def hand_on(self) -> None:
+        """Whoever holds a duty gives it up to anybody."""
+        for director in self.directors.values():
+            if director.up and self.now >= director.paused_until:
+                for duty in DUTIES:
+                    self.carry_out(director, director.candidate.step_down(duty, director.clock(self.now)))
+                self.disbelieve(director.name)
+
     def apply(self, fault: Fault) -> None:
         end = fault.at_ms + fault.ms
         pairs: set[tuple[str, str]] = set()
@@ -242,6 +247,7 @@
             self.kill(fault.who[0], fault.ms)
         elif fault.kind == "torn":
             self.directors[fault.who[0]].torn_ms = fault.ms
+            self.hand_on()  # saves come with a new term alone
         elif fault.kind == "stop":
             self.clean_stop(fault.who[0], fault.ms)
         elif fault.kind == "clock":  # runs fast or slow by the whole bound from now on, without a jump
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -8,64 +8,15 @@
 import asyncio
 import signal
 import tempfile
-import time
-import unittest
 from pathlib import Path
 
-from gladewalk.faultnet.fleet import DUTIES, Fleet
+from gladewalk.faultnet.fleet import DUTIES
 from gladewalk.faultnet.nemesis import Fault, apply, dump, generate, load, play
-from gladewalk.leases.history import Verdict, check
-from gladewalk.rehearsal.peers import Coordinator, config_for
+from gladewalk.store.tools import dump as dump_store
+from tests.fleetworld import Fleets, wall_ms
 
-SETTLE_S = 8.0  # at most, until each duty is held: a start is quiet for a promise, then votes may split
-
-
-def wall_ms() -> float:
-    return time.time() * 1000.0
-
-
-class Fleets(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self) -> None:
-        self.coordinator = await Coordinator().start()
-        self.folder = tempfile.TemporaryDirectory()
-        self.fleet: Fleet | None = None
-
-    async def asyncTearDown(self) -> None:
-        if self.fleet is not None:
-            await self.fleet.close()
-        self.coordinator.stop()
-        self.folder.cleanup()
-
-    async def start(self, n: int, rates: dict[str, float] | None = None) -> Fleet:
-        names = tuple(f"n{i}" for i in range(n))
-        self.fleet = await Fleet(Path(self.folder.name), names, config_for([], self.coordinator), n).open()
-        for name in names:
-            await self.fleet.start(name, (rates or {}).get(name, 1.0))
-        await self.held_since(wall_ms())
-        return self.fleet
-
-    async def held_since(self, since_ms: float, duty: str = "purge", within_s: float = SETTLE_S) -> str:
-        """Who acts under `duty` after `since_ms`, waiting at most so long; '' if nobody does."""
-        assert self.fleet is not None
-        ends = time.monotonic() + within_s
-        while time.monotonic() < ends:
-            late = [
-                a for a in self.fleet.sink.fence.acts if a.duty == duty and a.accepted and a.at_ms > since_ms
-            ]
-            if late:
-                return late[-1].actor
-            await asyncio.sleep(0.05)
-        return ""
-
-    def verdict(self) -> Verdict:
-        assert self.fleet is not None
-        return check(self.fleet.sink.fence.acts)
-
-    def actors(self, after_ms: float, before_ms: float) -> set[str]:
-        assert self.fleet is not None
-        acts = self.fleet.sink.fence.acts
-        return {a.actor for a in acts if a.accepted and after_ms < a.at_ms < before_ms}
 
+class Leases(Fleets):
     async def test_a_holder_paused_past_its_lease_is_fenced_and_another_takes_the_duty(self) -> None:
         fleet = await self.start(3)
         victim = await self.held_since(0.0)
@@ -124,8 +75,9 @@
         await fleet.start(victim)
         await asyncio.sleep(1.0)
         await fleet.kill(other)  # an elector that granted: its saves are read again at its start
+        kept = [line for line in dump_store(Path(self.folder.name) / f"{other}.store") if '"grant"' in line]
+        assert len(kept) == len(DUTIES), kept
         await fleet.start(other)
-        assert (Path(self.folder.name) / f"{other}.saves").read_text()
         assert await self.held_since(wall_ms())
         assert self.verdict().safe, self.verdict()
 
@@ -145,7 +97,7 @@
         assert await self.held_since(wall_ms())
         verdict = self.verdict()
         assert verdict.safe and verdict.acts > 200, verdict
-        assert set(DUTIES) == {a.duty for a in fleet.sink.fence.acts}
+        assert set(DUTIES) == {a.duty for sink in fleet.sinks for a in sink.fence.acts}
 
 
 def test_a_lease_setting_that_cannot_be_used_is_one_line_naming_its_key() -> None:
@@ -153,27 +105,27 @@
     from gladewalk.leases.start import checked
     from gladewalk.options import load_options
 
+    base = "[leases]\nlisten = '127.0.0.1:1'\nkeys = 'k'\nhubs = ['127.0.0.1:2']\n{}"
+    base += "[leases.peers]\na = '127.0.0.1:1'\n{}[store]\nfolder = 's'\n{}"
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "g.toml"
-        base = "[leases]\nlisten = '127.0.0.1:1'\nkeys = 'k'\n"
-        base += "[leases.peers]\na = '127.0.0.1:1'\n[leases.duties]\n"
-        for extra, told in (
-            ("", "leases.peers: this director (b) is not among them"),
-            ("[leases.x]\n", "leases.x: no such setting"),
-        ):
-            path.write_text(base + extra)
+        for name, text, told in (
+            ("b", base.format("", "", ""), "leases.peers: this director (b) is not among them"),
+            ("a", base.format("", "[leases.x]\n", ""), "leases.x: no such setting"),
+            ("a", base.format("grant_margin_ms = 0.0\nstop_margin_ms = 0.0\n", "", ""),
+             "leases.grant_margin_ms: too small for the drift; another could be promised while"),
+            ("a", base.format("", "[leases.duties]\npurge = '127.0.0.1:3'\n", ""),
+             "leases.duties: purge is a duty of the director's own: see hubs and report_to"),
+            ("a", base.format("", "", "policy = 'none'\n"),
+             "store.policy: 'none' would forget what [leases] promised"),
+            ("a", base.format("", "", "").partition("[store]")[0],
+             "store.folder: is missing, and [leases] keeps its promises there"),
+            ("a", base.format("", "", "").replace(":2'", "'"), "leases.hubs: "),
+        ):  # fmt: skip
+            path.write_text(text)
             try:
-                checked(load_options(str(path)), "b")
+                checked(load_options(str(path)), name)
             except ConfigError as error:
-                assert str(error) == f"{path}: {told}", error
+                assert str(error).startswith(f"{path}: {told}"), error
             else:
-                raise AssertionError(extra)
-        path.write_text(
-            base.replace("[leases.peers]", "grant_margin_ms = 0.0\nstop_margin_ms = 0.0\n[leases.peers]")
-        )
-        try:
-            checked(load_options(str(path)), "a")
-        except ConfigError as error:
-            assert "leases.grant_margin_ms: too small for the drift" in str(error)
-        else:
-            raise AssertionError("margins of 0 were taken")
+                raise AssertionError(told)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -7,8 +7,19 @@
 from gladewalk.leases.elector import Elector
 from gladewalk.leases.fence import Act, Fence
 from gladewalk.leases.history import Verdict, check
-from gladewalk.leases.messages import Ask, Grant, Refuse, Release, decode, encode
-from gladewalk.leases.outs import Save, Send
+from gladewalk.leases.messages import (
+    Ask,
+    Grant,
+    Refuse,
+    Release,
+    Sound,
+    Standing,
+    Vote,
+    decode,
+    encode,
+)
+from gladewalk.leases.outs import GRANTS, Granted, Out, Save, Send, granted_of, pack
+from gladewalk.leases.route import hear
 from gladewalk.leases.terms import LeaseTerms
 from gladewalk.rehearsal.leasenet import Fault, World, play, play_skewed
 
@@ -16,20 +27,44 @@
 SCHEDULES = 10_000
 
 
+def granted(out: list[Out]) -> Granted:
+    """What is saved before a grant that follows."""
+    (save,) = out
+    assert isinstance(save, Save) and save.space == GRANTS and save.value is not None
+    assert isinstance(save.then[0], Send) and isinstance(save.then[0].message, Grant)
+    return granted_of(save.value)
+
+
+def lasting(elector: Elector, out: list[Out]) -> list[Out]:
+    """What is done on a disk that takes all at once."""
+    done: list[Out] = []
+    for action in out:
+        if isinstance(action, Save) and action.value is not None:
+            elector.saved(action.key, action.value)
+            done += action.then
+        else:
+            done.append(action)
+    return done
+
+
 def test_an_elector_grants_a_term_once_and_another_only_after_the_promise_and_its_margin() -> None:
     elector = Elector("e", TERMS, 0.0, {})
     assert isinstance(elector.ask(Ask("d", 1, "a", 1), 10.0)[0].message, Refuse)  # type: ignore[union-attr]
     out = elector.ask(Ask("d", 1, "a", 1), TERMS.promise_ms)
-    assert out[0] == Save("d", 1, "a") and isinstance(out[1], Send) and isinstance(out[1].message, Grant)
+    assert granted(out) == Granted(1, "a")  # the grant is what follows the save, and nothing else is sent
+    assert granted(elector.ask(Ask("d", 1, "a", 2), TERMS.promise_ms)) == Granted(1, "a")  # nor again before
+    elector.saved("d", pack(Granted(1, "a")))
+    (again,) = elector.ask(Ask("d", 1, "a", 3), TERMS.promise_ms)
+    assert isinstance(again, Send) and isinstance(again.message, Grant)
     refused = elector.ask(Ask("d", 2, "b", 1), 2 * TERMS.promise_ms - 1.0)[0]
     assert isinstance(refused, Send) and isinstance(refused.message, Refuse)
     assert refused.message.highest == 1 and refused.message.holder == "a" and refused.message.left_ms == 1.0
     assert isinstance(elector.ask(Ask("d", 1, "b", 2), 2 * TERMS.promise_ms)[0].message, Refuse)  # type: ignore[union-attr]
-    assert isinstance(elector.ask(Ask("d", 2, "b", 2), 2 * TERMS.promise_ms)[1], Send)
+    assert granted(elector.ask(Ask("d", 2, "b", 2), 2 * TERMS.promise_ms)) == Granted(2, "b")
 
 
 def test_a_restarted_elector_keeps_its_terms_and_promises_nothing_new_for_a_whole_promise() -> None:
-    elector = Elector("e", TERMS, 0.0, {"d": (7, "a")})
+    elector = Elector("e", TERMS, 0.0, {"d": Granted(7, "a")})
     refused = elector.ask(Ask("d", 8, "b", 1), TERMS.promise_ms - 1.0)[0]
     assert isinstance(refused, Send) and isinstance(refused.message, Refuse) and refused.message.highest == 7
     renewed = elector.ask(Ask("d", 7, "a", 1), 1.0)[0]  # its one possible promise was to a: no harm in it
@@ -43,54 +78,110 @@
     assert elector.release(Release("d", 1, "x"), 1.0) == []  # not the holder: nothing
     elector.release(Release("d", 1, "a", to="c"), 1.0)
     assert isinstance(elector.ask(Ask("d", 2, "b", 1), 2.0)[0].message, Refuse)  # type: ignore[union-attr]
-    assert isinstance(elector.ask(Ask("d", 2, "c", 1), 2.0)[1], Send)
+    assert granted(elector.ask(Ask("d", 2, "c", 1), 2.0)) == Granted(2, "c")
 
 
-def elect(candidate: Candidate, electors: list[Elector], now: float) -> None:
-    for action in candidate.tick(now):
-        assert isinstance(action, Send) and isinstance(action.message, Ask)
+def settle(candidate: Candidate, electors: list[Elector], out: list[Out], now: float) -> None:
+    """Every message and answer, without loss or delay."""
+    waiting = list(out)
+    while waiting:
+        action = waiting.pop(0)
+        if not isinstance(action, Send) or isinstance(action.message, Release):
+            continue
         elector = next((e for e in electors if e.name == action.to), None)
-        for answer in [] if elector is None else elector.ask(action.message, now):
-            if isinstance(answer, Send) and isinstance(answer.message, Grant):
-                candidate.grant(answer.message, now + 1.0)
-            elif isinstance(answer, Send) and isinstance(answer.message, Refuse):
-                candidate.refuse(answer.message, now + 1.0)
+        if isinstance(action.message, Ask | Sound):
+            if elector is not None:
+                waiting += lasting(elector, hear(elector, candidate, action.message, now))
+        else:
+            assert isinstance(action.message, Vote)
+            waiting += hear(electors[0], candidate, action.message, now + 1.0)
 
 
 def test_a_majority_gives_a_token_that_ends_a_margin_before_the_promises_and_renewals_keep_it() -> None:
     names = ("a", "b", "c")
     electors = [Elector(name, TERMS, -TERMS.promise_ms, {}) for name in names]
     candidate = Candidate("a", names, ("d",), TERMS, random.Random(1), 0.0)
-    elect(candidate, electors[:2], TERMS.retry_ms)  # c is away: two of three suffice
+    settle(candidate, electors[:2], candidate.tick(TERMS.retry_ms), TERMS.retry_ms)  # c is away: two suffice
     assert candidate.token("d", TERMS.retry_ms + 2.0) == 1
-    assert candidate.token("d", TERMS.retry_ms + TERMS.hold_ms) is None
+    assert candidate.token("d", TERMS.retry_ms + TERMS.hold_ms + 2.0) is None
     now = TERMS.retry_ms
     for _ in range(10):
         now += TERMS.renew_every_ms
-        elect(candidate, electors[:2], now)
+        settle(candidate, electors[:2], candidate.tick(now), now)
     assert candidate.token("d", now + TERMS.hold_ms - 1.0) == 1
+    assert candidate.token("d", now + TERMS.hold_ms + 2.0) is None
 
 
-def test_a_round_without_a_majority_hands_its_grants_back_and_asks_next_under_a_higher_term() -> None:
+def test_sounding_out_binds_nobody_and_no_one_is_asked_while_a_majority_is_bound() -> None:
     names = ("a", "b", "c")
     candidate = Candidate("a", names, ("d",), TERMS, random.Random(1), 0.0)
-    (asked, *_) = candidate.tick(TERMS.retry_ms)
+    electors = [Elector(name, TERMS, -TERMS.promise_ms, {}) for name in names]
+    for elector in electors[:2]:
+        lasting(elector, elector.ask(Ask("d", 6, "z", 1), 0.0))
+    settle(candidate, electors, candidate.tick(TERMS.retry_ms), TERMS.retry_ms)
+    assert [e.promises["d"].holder for e in electors[:2]] == ["z", "z"] and not electors[2].promises
+    left = TERMS.promise_ms - TERMS.retry_ms  # of both; no later than half a lease is it tried again
+    assert left > TERMS.lease_ms / 2.0 and candidate.duties["d"].highest == 6
+    later = candidate.next_due_ms()
+    assert TERMS.lease_ms / 2.0 <= later - TERMS.retry_ms <= TERMS.lease_ms / 2.0 + TERMS.retry_ms
+    settle(candidate, electors, candidate.tick(TERMS.promise_ms + TERMS.retry_ms), TERMS.promise_ms + 1.0)
+    assert candidate.token("d", TERMS.promise_ms + TERMS.retry_ms + 2.0) == 7
+
+
+def asked_of(candidate: Candidate, now: float) -> Ask:
+    """A candidate's ask, after a majority said that it would grant it."""
+    (sound, *_) = candidate.tick(now)
+    assert isinstance(sound, Send) and isinstance(sound.message, Sound)
+    number = sound.message.number
+    assert candidate.standing(Standing("d", number, "a", 0, "", 0.0), now) == []
+    (asked, *_) = candidate.standing(Standing("d", number, "b", 0, "", 0.0), now)
     assert isinstance(asked, Send) and isinstance(asked.message, Ask)
-    candidate.grant(Grant("d", 1, "a", asked.message.number, "a"), TERMS.retry_ms)
-    candidate.refuse(Refuse("d", asked.message.number, "b", 1, "b", 0.0), TERMS.retry_ms)
+    return asked.message
+
+
+def test_a_round_without_a_majority_hands_its_grants_back_and_asks_next_under_a_higher_term() -> None:
+    names = ("a", "b", "c")
+    candidate = Candidate("a", names, ("d",), TERMS, random.Random(1), 0.0)
+    asked = asked_of(candidate, TERMS.retry_ms)
+    candidate.grant(Grant("d", 1, "a", asked.number, "a"), TERMS.retry_ms)
+    candidate.refuse(Refuse("d", asked.number, "b", 1, "b", 0.0), TERMS.retry_ms)
     back = candidate.tick(TERMS.retry_ms + TERMS.round_ms)
     assert back == [Send(e, Release("d", 1, "a")) for e in ("a", "c")]  # c may have granted, unheard
-    again = candidate.tick(TERMS.retry_ms * 2 + TERMS.round_ms)
-    assert again and all(isinstance(a, Send) and a.message.term == 2 for a in again)  # type: ignore[union-attr]
+    assert asked_of(candidate, TERMS.retry_ms * 3 + TERMS.round_ms).term == 2
 
 
-def test_a_candidate_that_hears_nobody_but_itself_stands_back_two_promises() -> None:
+def test_a_holders_renewal_counts_however_late_its_answers_come_and_never_after_its_lease() -> None:
+    names = ("a", "b", "c")
+    candidate = Candidate("a", names, ("d",), TERMS, random.Random(1), 0.0)
+    asked, now = asked_of(candidate, TERMS.retry_ms), TERMS.retry_ms
+    for elector in ("a", "b"):
+        candidate.grant(Grant("d", 1, "a", asked.number, elector), now)
+    numbers = []
+    for turn in (1, 2):
+        (renewal, *_) = candidate.tick(now + turn * TERMS.renew_every_ms)
+        assert isinstance(renewal, Send) and isinstance(renewal.message, Ask)
+        numbers.append(renewal.message.number)
+    for elector in ("b", "c"):  # answers to the first, after the second was sent
+        candidate.grant(Grant("d", 1, "a", numbers[0], elector), now + 650.0)
+    until = now + TERMS.renew_every_ms + TERMS.hold_ms
+    assert candidate.token("d", until - 1.0) == 1
+    out = candidate.tick(until)  # over: it has stopped, and frees who still hears it
+    assert Send("b", Release("d", 1, "a")) in out
+    candidate.grant(Grant("d", 1, "a", numbers[1], "b"), until + 1.0)
+    candidate.grant(Grant("d", 1, "a", numbers[1], "c"), until + 1.0)
+    assert candidate.token("d", until + 2.0) is None
+
+
+def test_where_answers_take_long_rounds_wait_longer_but_never_a_whole_lease() -> None:
     candidate = Candidate("a", ("a", "b", "c"), ("d",), TERMS, random.Random(1), 0.0)
-    (asked, *_) = candidate.tick(TERMS.retry_ms)
-    assert isinstance(asked, Send) and isinstance(asked.message, Ask)
-    candidate.grant(Grant("d", 1, "a", asked.message.number, "a"), TERMS.retry_ms)
-    assert len(candidate.tick(TERMS.retry_ms + TERMS.round_ms)) == 3
-    assert candidate.next_due_ms() >= TERMS.retry_ms + TERMS.round_ms + 2 * TERMS.promise_ms
+    (sound, *_) = candidate.tick(TERMS.retry_ms)
+    assert isinstance(sound, Send) and isinstance(sound.message, Sound)
+    late = TERMS.retry_ms + 300.0
+    assert not [a for a in candidate.tick(late) if isinstance(a, Send) and isinstance(a.message, Ask)]
+    candidate.standing(Standing("d", sound.message.number, "b", 0, "", 0.0), late)
+    assert candidate._round_ms() == 450.0
+    candidate.standing(Standing("d", sound.message.number, "c", 0, "", 0.0), late + 5_000.0)
+    assert candidate._round_ms() == 0.6 * TERMS.lease_ms
 
 
 def test_terms_that_let_a_grantor_promise_another_while_one_still_holds_are_refused() -> None:
@@ -103,7 +194,8 @@
 
 def test_messages_go_through_their_encoding_unchanged() -> None:
     for message in (Ask("d", 3, "a", 9), Grant("d", 3, "a", 9, "b"), Refuse("d", 9, "b", 4, "c", 12.5),
-                    Release("d", 3, "a", "c")):  # fmt: skip
+                    Release("d", 3, "a", "c"), Sound("d", "a", 9),
+                    Standing("d", 9, "b", 4, "c", 12.5)):  # fmt: skip
         assert decode(encode(message)) == message
 
 
