Membership that bears pauses, loss and one-sided cuts: knocks at a suspect's door before a verdict

A silence has four causes that datagrams alone cannot tell apart.

Now whoever suspects a member knocks at its stream's port: here (its datagrams are lost: told, it refutes), gone (the system refuses: dead once the least suspicion is over), silent (the system accepts, the process does not speak: it keeps its place for stall_ms, 10 s, and others do its duties meanwhile), unreachable (dead when the suspicion runs out). Whom we heard from is not accused; another's word of a death is a suspicion first, unless we find no life there either; one that doubts itself (health, now on every message) confirms nothing; who hears nobody keeps its verdicts to itself; a dead one that speaks is told at once and both sides exchange all they know. How long answers take is learned, so that slow paths cost nobody his place. The detector is in three modules more without I/O (pings, verdicts, speaker), the checker in members/history.py.

The way not taken: a phi-accrual detector, which tells a slow path from a silent one, but not a stopped process from a dead one; longer suspicions for all, which would miss 2 s for crashes.

--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -22,7 +22,8 @@
 
 from gladewalk.control.client import ControlError
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.nemesis import Fault, apply, generate
+from gladewalk.faultnet.nemesis import apply
+from gladewalk.faultnet.schedule import Fault, generate
 from gladewalk.leases.history import Verdict
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
--- a/gladewalk/console.py
+++ b/gladewalk/console.py
@@ -9,7 +9,7 @@
 from rich.text import Text
 
 STATES = {"alive": "green", "self": "bold green", "suspect": "yellow", "dead": "red", "left": "dim",
-          "name taken": "bold red"}  # fmt: skip
+          "stalled": "bold yellow", "name taken": "bold red"}  # fmt: skip
 
 
 def ago(ms: float) -> str:
@@ -24,12 +24,13 @@
     table = Table(title=f"members, as {told['name']} sees them", title_justify="left")
     for name in ("member", "address", "state"):
         table.add_column(name)
-    for name in ("incarnation", "weight", "duties", "heard"):
+    for name in ("incarnation", "doubts itself", "weight", "duties", "heard"):
         table.add_column(name, justify="right")
     for row in told["members"]:
+        state = "stalled" if row["stalled"] else row["state"]
         table.add_row(
-            row["name"], row["address"], Text(row["state"], STATES.get(row["state"], "")),
-            str(row["incarnation"]), f"{row['weight']:g}", str(row["duties"]),
+            row["name"], row["address"], Text(state, STATES.get(state, "")),
+            str(row["incarnation"]), str(row["health"] or ""), f"{row['weight']:g}", str(row["duties"]),
             "" if row["state"] == "self" else ago(row["heard_ms"]),
         )  # fmt: skip
     console.print(table)
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -81,9 +81,9 @@
         if now < self.alone_until and len(self.members.core.live()) == 1:
             return self._again(now)
         if self.moved and self.members.core.active:
-            self.moved, live = False, self.members.core.live()
+            self.moved, fit = False, self.members.core.fit()
             for owned in self.owned.values():
-                owned.set_members(live, now)
+                owned.set_members(fit, now)
         for kind, duty in self.duties.items():
             self._list(kind, frozenset(duty.names()), now)
         wanted = sum(len(self.known[k]) * 1_000.0 / duty.interval_ms for k, duty in self.duties.items())
@@ -113,7 +113,8 @@
         self.owned[kind].set_duties(names, now)
 
     def changed(self, change: Change, name: str) -> None:
-        """Who is there has changed; a suspect still counts, so that no duty moves for a short silence."""
+        """Who is there has changed; a suspect still counts, so that no duty moves for a short silence. One
+        that has stalled does not, though it keeps its place: its duties are done by others meanwhile."""
         if not self.members.core.active:  # our name is another's: nothing is ours any more
             for owned in self.owned.values():
                 owned.held.clear()
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -19,7 +19,9 @@
 from .runner import Duty, Runner
 
 
-def checked(options: Options) -> tuple[Address, tuple[Address, ...], tuple[Network, ...], Seal]:
+def checked(
+    options: Options,
+) -> tuple[Address, tuple[Address, ...], tuple[Network, ...], Seal, dict[Address, Address]]:
     """What `[members]` says, or `ConfigError` with the key that cannot be used."""
     table = options.members
     assert table is not None
@@ -30,9 +32,11 @@
         seeds = tuple(read_address(seed) for seed in table.seeds)
         key = "networks"
         networks = tuple(ipaddress.ip_network(network) for network in table.networks)
+        key = "dial"
+        dial = {read_address(said): read_address(at) for said, at in table.dial.items()}
     except (ConfigError, ValueError) as error:
         raise ConfigError(f"{options.path}: members.{key}: {error}") from error
-    return listen, seeds, networks, Seal(load_keys(options.file(table.keys)), table.window_ms)
+    return listen, seeds, networks, Seal(load_keys(options.file(table.keys)), table.window_ms), dial
 
 
 def start(
@@ -41,13 +45,14 @@
     """All that stands behind `[members]` and `[duties]`; `Members.listen` and `Runner.sweep` set it going."""
     table, duties = options.members, options.duties
     assert table is not None
-    listen, seeds, networks, seal = checked(options)
+    listen, seeds, networks, seal, dial = checked(options)
     terms = Terms(
-        period_ms=table.period_ms, timeout_ms=0.4 * table.period_ms, suspicion_least_ms=table.suspicion_ms
-    )
+        period_ms=table.period_ms, timeout_ms=0.4 * table.period_ms, suspicion_least_ms=table.suspicion_ms,
+        stall_ms=table.stall_ms,
+    )  # fmt: skip
     rng = random.Random(random.SystemRandom().getrandbits(64))
     core = Membership(name, listen, seeds, terms, rng, exchange.clock(), table.weight)
-    members = Members(core, seal, networks, exchange.clock, deadlines, counters)
+    members = Members(core, seal, networks, exchange.clock, deadlines, counters, dial)
     kinds: list[Duty] = []
     if duties.probe_ms:
         kinds.append(ProbeBoxes(exchange, pool, duties.probe_ms))
--- a/gladewalk/duties/view.py
+++ b/gladewalk/duties/view.py
@@ -18,14 +18,15 @@
     rows = [
         {"name": me.name, "address": f"{me.host}:{me.port}", "state": "self" if core.active else "name taken",
          "incarnation": me.incarnation, "run": me.run, "weight": me.weight, "heard_ms": 0.0,
-         "duties": holders[me.name]},
+         "duties": holders[me.name], "health": core.health, "stalled": False, "knocked": None},
     ]  # fmt: skip
     for name, member in core.members.items():
         known = member.rumour
         rows.append({
             "name": name, "address": f"{known.host}:{known.port}", "state": known.state.name.lower(),
             "incarnation": known.incarnation, "run": known.run, "weight": known.weight,
-            "heard_ms": round(now - member.heard_ms, 1), "duties": holders[name],
+            "heard_ms": round(now - member.heard_ms, 1), "duties": holders[name], "health": member.health,
+            "stalled": member.stalled, "knocked": member.outcome.value if member.outcome else None,
         })  # fmt: skip
     own = [
         {"duty": f"{kind}/{name}", "epoch": held.claim.epoch, "due_ms": round(held.due_ms - now, 1)}
--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -23,14 +23,15 @@
 
 from ..control.client import ask
 from ..leases.history import Verdict, check_sinks
+from ..members.history import Seen, from_log
 from ..members.seal import load_keys
 from . import relay
 from .relay import Address, Relay, StreamRelay, free_port
+from .schedule import Pair
 from .sink import Sink
 
 DUTIES = ("purge", "report")
 HUBS = 2
-Pair = tuple[str, str]
 
 
 @dataclass(slots=True)
@@ -179,19 +180,6 @@
     def paths(self, pairs: set[Pair]) -> list[relay.Path]:
         return [self.links[pair].path for pair in sorted(pairs) if pair in self.links]
 
-    def cut_out(self, name: str) -> set[Pair]:
-        """It hears all, nobody hears it."""
-        return {(name, other) for other in self.names if other != name}
-
-    def cut_in(self, name: str) -> set[Pair]:
-        return {(other, name) for other in self.names if other != name}
-
-    def parted(self, side: tuple[str, ...]) -> set[Pair]:
-        return {(a, b) for a in self.names for b in self.names if a != b and (a in side) != (b in side)}
-
-    def every(self) -> set[Pair]:
-        return set(self.links)
-
     # What is to be seen.
 
     @property
@@ -201,6 +189,10 @@
     def verdict(self, end_ms: float | None = None, excused: tuple[tuple[float, float], ...] = ()) -> Verdict:
         return check_sinks([sink.fence.acts for sink in self.sinks], end_ms, excused)
 
+    def members_seen(self) -> list[Seen]:
+        """What all directors noted of one another, out of their logs."""
+        return [one for name in self.names for one in from_log(name, self.log_of(name))]
+
     async def close(self) -> None:
         for name in list(self.running):
             await self.kill(name)
--- a/gladewalk/members/messages.py
+++ b/gladewalk/members/messages.py
@@ -64,11 +64,12 @@
 class Message(
     msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, tag_field="kind", kw_only=True
 ):
-    """`sender` and `run` tell who speaks; `gossip` rides along."""
+    """`sender` and `run` tell who speaks, `health` how far it doubts itself; `gossip` rides along."""
 
     sender: Name
     run: Number
     number: Number = 0
+    health: Annotated[int, Meta(ge=0, le=64)] = 0
     gossip: list[Rumour] = []
     news: list[News] = []
 
@@ -124,8 +125,16 @@
     same: bool = False
 
 
+class Knock(Message, frozen=True, array_like=True, tag=9, kw_only=True):
+    """Over a stream, to one that is suspected, which `gossip` tells it. The answer is a `Here`."""
+
+
+class Here(Message, frozen=True, array_like=True, tag=10, kw_only=True):
+    """I am, and this refutes it."""
+
+
 Said = Ping | Ack | Nack | PingFor | Join | Roster
-Streamed = Digest | Whole
+Streamed = Digest | Whole | Knock | Here
 _decoder = msgspec.msgpack.Decoder(Said)
 _streamed = msgspec.msgpack.Decoder(Streamed)
 _encoder = msgspec.msgpack.Encoder()
--- a/gladewalk/members/roll.py
+++ b/gladewalk/members/roll.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from .messages import Rumour, State, digest_of_one
-from .terms import Address
+from .terms import Address, Outcome
 
 
 @dataclass(slots=True)
@@ -24,11 +24,21 @@
     heard_ms: float  # last directly
     accusers: set[str] = field(default_factory=set)  # who said that it is suspect
     dead_at_ms: float = math.inf  # when a suspicion runs out
+    knocking: bool = False  # what came of knocking at it is not known yet
+    outcome: Outcome | None = None  # of the last knock since it was suspected
+    doubted: bool = False  # another's word of its death was not taken: we knock ourselves before it is dead
+    stalled: bool = False  # a suspect that keeps its place and does none of its duties
+    challenged_ms: float = -math.inf  # when it was last told what is said of it
+    health: int = 0  # how far it doubts itself, as it said last
 
     @property
     def address(self) -> Address:
         return self.rumour.host, self.rumour.port
 
+    @property
+    def suspect(self) -> bool:
+        return self.rumour.state is State.SUSPECT
+
     @property
     def live(self) -> bool:
         """Taken to live: a suspect is, until it is found dead."""
@@ -73,6 +83,7 @@
         self._strike(member)
         member.rumour, member.since_ms = rumour, now_ms
         member.accusers, member.dead_at_ms = set(), math.inf
+        member.outcome, member.stalled, member.doubted = None, False, False
         self._enter(member)
 
     def remove(self, name: str) -> None:
--- a/gladewalk/members/stream.py
+++ b/gladewalk/members/stream.py
@@ -1,4 +1,4 @@
-"""Full exchanges over TCP: sealed messages behind their length, each exchange on a connection of its own.
+"""Full exchanges and knocks over TCP: sealed messages behind their length, each on a connection of its own.
 
     length (4)  sealed message        as in `seal`, up to `STREAM_MOST`
 
@@ -13,16 +13,28 @@
 from typing import TYPE_CHECKING
 
 from . import sync
-from .messages import STREAM_MOST, Digest, Malformed, Streamed, Whole, decode_streamed, encode
+from .messages import (
+    STREAM_MOST,
+    Digest,
+    Here,
+    Knock,
+    Malformed,
+    Streamed,
+    Whole,
+    decode_streamed,
+    encode,
+)
 from .seal import Refused
-from .terms import Address, Exchange
+from .terms import Address, Exchange, Knocking, Outcome
 
 if TYPE_CHECKING:
     from .transport import Members
 
 LENGTH = struct.Struct(">I")
+BACKLOG = 1_024  # knocks at a process that is paused wait with the system, as many as all members make
 EXCHANGE_S = 2.0  # for all of one exchange
 ASKED_MOST = 16  # exchanges that others have open with us at a time: bounds memory and descriptors
+KNOCKS_MOST = 64  # connections in all: beyond the exchanges, only knocks are answered
 
 
 class Dropped(Exception):
@@ -37,10 +49,11 @@
         self.server: asyncio.Server | None = None
         self.asked: set[asyncio.StreamWriter] = set()
         self.begun: dict[Address, asyncio.Task[None]] = {}
+        self.knocks: set[asyncio.Task[None]] = set()
 
     async def listen(self, host: str, port: int) -> int:
         """The port, which the system chooses for 0."""
-        self.server = await asyncio.start_server(self._serve, host, port, limit=STREAM_MOST)
+        self.server = await asyncio.start_server(self._serve, host, port, limit=STREAM_MOST, backlog=BACKLOG)
         return int(self.server.sockets[0].getsockname()[1])
 
     def begin(self, wanted: Exchange) -> None:
@@ -53,16 +66,47 @@
     def close(self) -> None:
         if self.server is not None:
             self.server.close()
-        for task in self.begun.values():
+        for task in (*self.begun.values(), *self.knocks):
             task.cancel()
         for writer in self.asked:
             writer.close()
 
+    def knock(self, wanted: Knocking) -> None:
+        task = asyncio.get_running_loop().create_task(self._knock(wanted))
+        self.knocks.add(task)
+        task.add_done_callback(self.knocks.discard)
+
+    async def _knock(self, wanted: Knocking) -> None:
+        """Who answers at a suspect's port: its process, its system alone, or nobody (`verdicts`)."""
+        members, writer, outcome = self.members, None, Outcome.UNREACHABLE
+        try:
+            async with asyncio.timeout(wanted.wait_ms / 1_000.0):
+                reader, writer = await self._connect(wanted.to)
+                outcome = Outcome.SILENT
+                self._write(writer, wanted.message)
+                if isinstance(here := await self._read(reader), Here):
+                    members.carry_out(members.core.take_in(here, members.clock()))
+                    outcome = Outcome.HERE
+        except TimeoutError:
+            pass  # as far as it came
+        except (ConnectionRefusedError, ConnectionResetError, BrokenPipeError, asyncio.IncompleteReadError):
+            outcome = Outcome.GONE
+        except (OSError, Dropped):  # no way there, or somebody else is at that port
+            outcome = Outcome.UNREACHABLE
+        finally:
+            if writer is not None:
+                writer.close()
+        members.counters.add(f"members.knock_{outcome.value}")
+        members.carry_out(members.core.knocked(wanted.name, wanted.run, outcome, members.clock()))
+
+    async def _connect(self, to: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(*self.members.dial.get(to, to), limit=STREAM_MOST)
+
     async def _ask(self, to: Address) -> None:
         members, writer = self.members, None
         try:
             async with asyncio.timeout(EXCHANGE_S):
-                reader, writer = await asyncio.open_connection(*to, limit=STREAM_MOST)
+                reader, writer = await self._connect(to)
                 self._write(writer, sync.ask(members.core))
                 told = await self._read(reader)
                 mine, out = sync.take(members.core, told, members.clock())
@@ -85,15 +129,21 @@
         try:
             if not members.allowed(writer.get_extra_info("peername")[0]):
                 raise Dropped("network")
-            if len(self.asked) >= ASKED_MOST:
+            if len(self.asked) >= KNOCKS_MOST:
                 raise Dropped("crowded")
             self.asked.add(writer)
             async with asyncio.timeout(EXCHANGE_S):
                 asked = await self._read(reader)
-                if not isinstance(asked, Digest):
-                    raise Dropped("malformed")
                 if not members.core.active:
                     return
+                if isinstance(asked, Knock):
+                    here, out = members.core.answer_knock(asked, members.clock())
+                    self._write(writer, here)
+                    return members.carry_out(out)
+                if not isinstance(asked, Digest):
+                    raise Dropped("malformed")
+                if len(self.asked) > ASKED_MOST:
+                    raise Dropped("crowded")
                 mine = sync.answer(members.core, asked)
                 self._write(writer, mine)
                 if not mine.same:
--- a/gladewalk/members/swim.py
+++ b/gladewalk/members/swim.py
@@ -12,67 +12,51 @@
 
 import math
 import random
-from dataclasses import dataclass
 
 import msgspec
 
-from .gossip import GOSSIP_BYTES, Gossip
-from .messages import Ack, Join, Message, Nack, News, Ping, PingFor, Roster, Rumour, Said, State, size_of
-from .roll import Member, Roll
-from .terms import Address, Change, Changed, Exchange, Heard, Out, Send, Terms
+from .messages import (
+    Ack,
+    Here,
+    Join,
+    Knock,
+    Message,
+    Nack,
+    News,
+    Ping,
+    PingFor,
+    Roster,
+    Rumour,
+    Said,
+    State,
+)
+from .roll import Member
+from .speaker import Speaker
+from .terms import Address, Change, Changed, Exchange, Heard, Knocking, Out, Outcome, Send, Terms
+from .verdicts import DOUBTFUL, Verdict, believes_death, knocks, least_ms, runs_out_ms, verdict_of
 
-RUMOUR_LEAST = 20  # bytes: no more of them than so fit into a datagram
 HEALTH_MOST = 8  # how far a member that misses answers may stretch its times (Lifeguard)
 
 
-@dataclass(slots=True)
-class Asking:
-    """A ping whose answer is awaited."""
-
-    name: str
-    number: int
-    sent_ms: float
-    helped: bool = False  # go-betweens have been asked
-    helpers: int = 0
-    nacks: int = 0
-
-
-@dataclass(slots=True)
-class Errand:
-    """A ping for another member."""
-
-    asker: Address
-    number: int
-    due_ms: float
-
-
-class Membership:
+class Membership(Speaker):
     """One member's view, and its part in the others'."""
 
     def __init__(
         self, name: str, address: Address, seeds: tuple[Address, ...], terms: Terms, rng: random.Random,
         now_ms: float, weight: float = 1.0,
     ) -> None:  # fmt: skip
-        self.terms, self.random, self.seeds = terms, rng, seeds
+        self.seeds = seeds
         # A later start has the higher incarnation where clocks agree; where not, it refutes what it hears of
         # itself. Runs are in the order of starts, too, which tells of two with one name who was there first.
         run = (int(now_ms) << 20 | rng.getrandbits(20)) % 2**63
-        self.me = Rumour(name, *address, run, int(now_ms), State.ALIVE, weight)
-        self.roll = Roll()
-        self.members = self.roll.members  # to be read; `roll` alone changes it
-        self.health = 0  # 0: well; each missed answer adds to it, each answer takes from it
+        super().__init__(Rumour(name, *address, run, int(now_ms), State.ALIVE, weight), terms, rng)
         self.round: list[str] = []
-        self.asking: Asking | None = None
-        self.errands: dict[int, Errand] = {}
-        self.gossip = Gossip(terms, lambda: len(self.members))
-        self.numbers = 0
         self.next_ping_ms = now_ms + rng.random() * terms.period_ms
         self.next_exchange_ms = now_ms + terms.exchange_ms * rng.random()
         self.exchanged_ms = -math.inf  # when an exchange was last begun
         self.next_seed_ms = self.next_challenge_ms = now_ms
-        self.last_ms = now_ms
+        self.last_ms = self.heard_any_ms = now_ms
         self.active = True  # False: it left, or its name is taken
-        self.out: list[Out] = []
         self.gossip.spread(self.me)
 
     # What comes in.
@@ -104,10 +88,8 @@
             self.next_seed_ms,
             self.next_challenge_ms,
             self.roll.suspicion_ends_ms(),
-            *(e.due_ms for e in self.errands.values()),
+            *self.pings.due_ms(self.health),
         ]
-        if self.asking is not None and not self.asking.helped:
-            times.append(self.asking.sent_ms + self._timeout())
         return min(times)
 
     def take_in(self, message: Message, now_ms: float) -> list[Out]:
@@ -117,6 +99,27 @@
             self._take_in(message, now_ms)
         return self._take()
 
+    def answer_knock(self, message: Knock, now_ms: float) -> tuple[Here, list[Out]]:
+        """Somebody wants to know whether we live: what it has heard of us is refuted in the answer."""
+        out = self.take_in(message, now_ms)
+        return Here(sender=self.me.name, run=self.me.run, health=self.health, gossip=[self.me]), out
+
+    def knocked(self, name: str, run: int, outcome: Outcome, now_ms: float) -> list[Out]:
+        """What came of knocking at a suspect; a `Here` has been taken in before."""
+        self._keep_time(now_ms)
+        member = self.members.get(name)
+        if member is None:
+            return []
+        member.knocking = False
+        if member.rumour.run == run and member.suspect:
+            member.outcome = outcome
+            if outcome is Outcome.HERE:
+                member.heard_ms = now_ms
+            elif outcome is Outcome.GONE:
+                least = least_ms(self.terms, self.roll.live_count + 1, self.pings.answer_ms)
+                member.dead_at_ms = min(member.dead_at_ms, member.since_ms + least)
+        return self._take()
+
     def receive(self, message: Said, source: Address, now_ms: float) -> list[Out]:
         if not self.active:
             return []
@@ -126,8 +129,11 @@
                 self._same_name(message, source)
             return self._take()
         sender = self.members.get(message.sender)
+        self.heard_any_ms = now_ms
         if sender is not None and sender.rumour.run == message.run:
-            sender.heard_ms = now_ms
+            sender.heard_ms, sender.health = now_ms, message.health
+            if sender.rumour.state is State.DEAD:
+                self._meet_again(sender, now_ms)
         elif sender is None and isinstance(message, Ping):  # it knows us, and we have forgotten it
             self._send(source, Join)
         self._take_in(message, now_ms)
@@ -139,8 +145,8 @@
                 self._run_errand(message, source, now_ms)
             case Ack():
                 self._answered(message, now_ms)
-            case Nack() if self.asking is not None and message.number == self.asking.number:
-                self.asking.nacks += 1
+            case Nack() if (asking := self.pings.asking) is not None and message.number == asking.number:
+                asking.nacks += 1
             case Join() | Roster(reply=True):
                 self._tell_some(source)
             case Roster(whole=False) if now_ms >= self.exchanged_ms + self.terms.exchange_ms / 2:
@@ -149,8 +155,9 @@
 
     def _take_in(self, message: Message, now_ms: float) -> None:
         """What rides along."""
+        doubtful = message.health >= DOUBTFUL
         for rumour in message.gossip:
-            self.hear(rumour, now_ms)
+            self.hear(rumour, now_ms, message.sender, doubtful)
         for news in message.news:
             if self.gossip.learn(news):
                 self._put(Heard(news))
@@ -171,6 +178,11 @@
         others = {member.rumour.name: member.rumour.weight for member in self.roll.live()}
         return {**others, self.me.name: self.me.weight}
 
+    def fit(self) -> dict[str, float]:
+        """Those of `live` that do what they have to do: without the stalled."""
+        stalled = {name for name, member in self.roll.suspects.items() if member.stalled}
+        return {name: weight for name, weight in self.live().items() if name not in stalled}
+
     def leave(self, now_ms: float) -> list[Out]:
         """Say so to some of the others, who tell the rest."""
         self.me = msgspec.structs.replace(self.me, incarnation=self.me.incarnation + 1, state=State.LEFT)
@@ -182,8 +194,8 @@
 
     # What is heard of members.
 
-    def hear(self, rumour: Rumour, now_ms: float) -> None:
-        """One rumour: believed if it outweighs what is known."""
+    def hear(self, rumour: Rumour, now_ms: float, sender: str = "", doubtful: bool = False) -> None:
+        """One rumour: believed if it outweighs what is known. `sender`: who told it, if not ourselves."""
         if rumour.name == self.me.name:
             return self._hear_of_me(rumour)
         known = self.members.get(rumour.name)
@@ -191,11 +203,35 @@
             if len(self.members) < self.terms.members_most:
                 self._meet(rumour, now_ms)
             return
-        if rumour.state is State.SUSPECT and self._confirms(known, rumour):
+        if (
+            sender and rumour.state is State.DEAD and known.live and self._outweighs(rumour, known.rumour)
+            and not believes_death(known, self.terms, doubtful, now_ms)
+        ):  # fmt: skip
+            return self._doubt_death(known, rumour, sender, now_ms)
+        if rumour.state is State.SUSPECT and self._confirms(known, rumour, doubtful):
             return
         if self._outweighs(rumour, known.rumour):
             self._believe(known, rumour, now_ms)
 
+    def _doubt_death(self, known: Member, rumour: Rumour, sender: str, now_ms: float) -> None:
+        """Another's word against ours, or from one that doubts itself: the member is asked, not buried."""
+        suspicion = msgspec.structs.replace(rumour, state=State.SUSPECT, by=rumour.by or sender)
+        if not self._confirms(known, suspicion) and self._outweighs(suspicion, known.rumour):
+            self._believe(known, suspicion, now_ms)
+        known.doubted = True
+        if now_ms >= known.challenged_ms + self.terms.period_ms:
+            self._challenge(known, now_ms)
+        if known.outcome is Outcome.SILENT:  # it may have been killed since we knocked
+            self._knock(known)
+
+    def _meet_again(self, member: Member, now_ms: float) -> None:
+        """One that is held dead speaks: it hears so at once, and both sides tell all that they know."""
+        if now_ms < member.challenged_ms + self.terms.period_ms:
+            return
+        self._challenge(member, now_ms)
+        if now_ms >= self.exchanged_ms + self.terms.period_ms:
+            self._exchange_with(member.address, now_ms)
+
     def _outweighs(self, new: Rumour, old: Rumour) -> bool:
         """The later incarnation; at the same one the worse state. Only a later one revives a dead run."""
         if new.incarnation != old.incarnation:
@@ -205,8 +241,7 @@
     def _meet(self, rumour: Rumour, now_ms: float) -> None:
         member = self.roll.add(rumour, now_ms)
         if rumour.state is State.SUSPECT:
-            member.accusers.add(rumour.by)
-            self._set_suspicion(member, now_ms)
+            self._accuse(member, rumour)
         if member.live:
             self._put(Changed(Change.JOINED, rumour.name))
             # Somewhere in the rest of the round, as SWIM has it: nobody waits for longer than a round.
@@ -217,8 +252,7 @@
         was, was_live = known.rumour.state, known.live
         self.roll.set(known, rumour, now_ms)
         if rumour.state is State.SUSPECT:
-            known.accusers.add(rumour.by)
-            self._set_suspicion(known, now_ms)
+            self._accuse(known, rumour)
         self.gossip.spread(rumour)
         if rumour.state is State.ALIVE and not was_live:
             known.heard_ms = now_ms
@@ -230,23 +264,31 @@
         elif was_live and rumour.state in (State.DEAD, State.LEFT):
             self._put(Changed(Change.DIED if rumour.state is State.DEAD else Change.LEFT, rumour.name))
 
-    def _confirms(self, known: Member, rumour: Rumour) -> bool:
+    def _confirms(self, known: Member, rumour: Rumour, doubtful: bool = False) -> bool:
         """Whether we have this suspicion already: one more who holds it shortens its time (Lifeguard)."""
-        same = known.rumour.state is State.SUSPECT and known.rumour.incarnation == rumour.incarnation
-        if same and rumour.by not in known.accusers and len(known.accusers) <= self.terms.confirmations:
-            known.accusers.add(rumour.by)
-            self._set_suspicion(known, known.since_ms)
+        same = known.suspect and known.rumour.incarnation == rumour.incarnation
+        new = rumour.by not in known.accusers and len(known.accusers) <= self.terms.confirmations
+        if same and new and not doubtful:
+            self._accuse(known, rumour)
             self.gossip.spread(rumour)
         return same
 
-    def _set_suspicion(self, member: Member, since_ms: float) -> None:
-        """When a suspicion runs out: from the most down to the least as others confirm it (Lifeguard)."""
+    def _accuse(self, member: Member, rumour: Rumour) -> None:
+        """One more who suspects it: when that runs out, and a knock if we have not knocked yet."""
+        member.accusers.add(rumour.by)
         count = self.roll.live_count + 1
-        least = self.terms.suspicion_least_ms * max(1.0, math.log10(count))
-        most = least * self.terms.suspicion_most * (1.0 + 0.15 * self.health)
-        wanted = min(self.terms.confirmations, max(1, count - 2))
-        share = math.log(max(1, len(member.accusers))) / math.log(wanted + 1) if wanted else 1.0
-        member.dead_at_ms = since_ms + max(least, most - (most - least) * min(1.0, share))
+        member.dead_at_ms = runs_out_ms(member, self.terms, count, self.health, self.pings.answer_ms)
+        if member.outcome is None:
+            self._knock(member)
+
+    def _knock(self, member: Member) -> None:
+        count, rumour = self.roll.live_count + 1, member.rumour
+        if member.knocking or not (member.doubted or knocks(member, self.me.name, count)):
+            return
+        member.knocking = True
+        message = Knock(sender=self.me.name, run=self.me.run, health=self.health, gossip=[rumour])
+        wait_ms = least_ms(self.terms, 1, self.pings.answer_ms)
+        self._put(Knocking(member.address, rumour.name, rumour.run, wait_ms, message))
 
     def _hear_of_me(self, rumour: Rumour) -> None:
         """Refute what is untrue: with a higher incarnation than it was said with."""
@@ -263,6 +305,7 @@
         if stale and rumour.state is State.ALIVE and address != (self.me.host, self.me.port):
             self._send(address, Join)  # our last run, or another under our name: it will tell
         if rumour.state is not State.ALIVE and not stale:
+            self._put(Changed(Change.REFUTED, self.me.name))
             self._ail(1)  # others can't hear us: perhaps it is we who are slow
 
     def _same_name(self, message: Message, source: Address) -> None:
@@ -278,13 +321,10 @@
     def _begin_period(self, now_ms: float) -> None:
         self._judge_answer(now_ms)
         while self.next_ping_ms <= now_ms:
-            self.next_ping_ms += self.terms.period_ms * (1 + self.health)
+            self.next_ping_ms += self.pings.period_ms(self.health)
         target = self._next_target()
-        if target is None:
-            return
-        self.numbers += 1
-        self.asking = Asking(target.rumour.name, self.numbers, now_ms)
-        self._ping(target, self.numbers)
+        if target is not None:
+            self._ping(target, self.pings.ask(target.rumour.name, now_ms))
 
     def _next_target(self) -> Member | None:
         """Members in turn, each round in another order."""
@@ -307,19 +347,11 @@
         self.next_challenge_ms = now_ms + self.terms.period_ms
         for member in self.roll.suspects.values():
             if self.me.name in member.accusers:
-                self._challenge(member)
-
-    def _challenge(self, member: Member) -> None:
-        """A ping that tells it what is said of it, beside all other gossip."""
-        known = member.rumour
-        ping = Ping(
-            sender=self.me.name, run=self.me.run, gossip=[known], target=known.name, target_run=known.run
-        )
-        self._put(Send(member.address, ping))
+                self._challenge(member, now_ms)
 
     def _await_answer(self, now_ms: float) -> None:
-        asking = self.asking
-        if asking is None or asking.helped or now_ms < asking.sent_ms + self._timeout():
+        asking = self.pings.asking
+        if asking is None or asking.helped or now_ms < asking.sent_ms + self.pings.timeout_ms(self.health):
             return
         asking.helped = True
         target = self.members[asking.name]
@@ -334,50 +366,62 @@
 
     def _judge_answer(self, now_ms: float) -> None:
         """The period is over without an answer: suspected, unless the fault may be ours."""
-        asking, self.asking = self.asking, None
+        asking, self.pings.asking = self.pings.asking, None
         if asking is None:
             return
+        member = self.members.get(asking.name)
+        if member is not None and member.heard_ms >= asking.sent_ms:
+            return self._ail(1)  # we hear it: what is lost is what we say, or its answer
         # Go-betweens that did not even say that they heard nothing: our own messages may be what is lost.
         self._ail(1 + max(0, asking.helpers - asking.nacks))
-        member = self.members.get(asking.name)
         if member is not None and member.live:
             self.hear(msgspec.structs.replace(member.rumour, state=State.SUSPECT, by=self.me.name), now_ms)
 
     def _answered(self, message: Ack, now_ms: float) -> None:
-        errand = self.errands.pop(message.number, None)
+        errand = self.pings.errands.pop(message.number, None)
         if errand is not None:
             self._send(errand.asker, Ack, number=errand.number)
-        if self.asking is not None and message.number == self.asking.number:
-            self.asking = None
+        if self.pings.answered(message.number, now_ms):
             self.health = max(0, self.health - 1)
 
     def _run_errand(self, message: PingFor, source: Address, now_ms: float) -> None:
-        self.numbers += 1
-        due = now_ms + self.terms.timeout_ms
-        if len(self.errands) < self.terms.members_most:
-            self.errands[self.numbers] = Errand(source, message.number, due)
+        number = self.pings.run_errand(source, message.number, now_ms)
         self._send(
-            (message.host, message.port), Ping, number=self.numbers, target=message.target,
+            (message.host, message.port), Ping, number=number, target=message.target,
             target_run=message.target_run,
         )  # fmt: skip
 
     def _end_errands(self, now_ms: float) -> None:
-        for number in [n for n, errand in self.errands.items() if now_ms >= errand.due_ms]:
-            errand = self.errands.pop(number)
+        for errand in self.pings.ended_errands(now_ms):
             self._send(errand.asker, Nack, number=errand.number)
 
     def _end_suspicions(self, now_ms: float) -> None:
         for member in [m for m in self.roll.suspects.values() if now_ms >= m.dead_at_ms]:
-            self.hear(msgspec.structs.replace(member.rumour, state=State.DEAD), now_ms)
+            self._judge(member, now_ms)
         for name in self.roll.long_gone(now_ms - self.terms.dead_kept_ms):
             self.roll.remove(name)
             self.gossip.forget_member(name)
 
-    def _tell_suspect(self, name: str) -> None:
-        """Who is thought dead or suspect hears so first (Lifeguard's buddies), and can refute it."""
-        member = self.members.get(name)
-        if member is not None and member.rumour.state is not State.ALIVE:
-            self.gossip.spread(member.rumour)
+    def _judge(self, member: Member, now_ms: float) -> None:
+        """A suspicion has run out."""
+        count = self.roll.live_count + 1
+        verdict, again_ms = verdict_of(member, self.terms, self.me.name, count, now_ms)
+        member.dead_at_ms = now_ms + again_ms
+        if verdict is Verdict.TELL:
+            member.since_ms, member.outcome = now_ms, None  # what speaks for it must be heard anew
+            self._challenge(member, now_ms)
+            self._knock(member)
+        elif verdict is Verdict.KNOCK:
+            self._knock(member)
+        elif verdict is Verdict.STALLED:
+            if not member.stalled:
+                member.stalled = True
+                self._put(Changed(Change.STALLED, member.rumour.name))
+            self._knock(member)
+        elif verdict is Verdict.DEAD:
+            self.hear(msgspec.structs.replace(member.rumour, state=State.DEAD), now_ms)
+            if count > 2 and now_ms > self.heard_any_ms + 2.0 * self.pings.period_ms(self.health):
+                self.gossip.forget_member(member.rumour.name)  # it may be we who are cut off: told to nobody
 
     # Full exchanges.
 
@@ -405,29 +449,18 @@
         is asked, too, as long as it is remembered: the seeds may all be dead in truth.
         """
         others, me = self.roll.live_count, (self.me.host, self.me.port)
-        self.next_seed_ms = now_ms + self.terms.period_ms * (5 if others else 2)
+        dead = [member for member in self.roll.gone.values() if member.rumour.state is State.DEAD]
+        # All who live share the asking of the dead: the larger the fleet, the seldomer each.
+        periods = max(2.0, others / 8.0) if dead else 5.0
+        self.next_seed_ms = now_ms + self.terms.period_ms * (periods if others else 2.0)
         lost = [seed for seed in self.seeds if seed != me and not self.roll.lives_at(seed)]
         for seed in self.random.sample(lost, min(len(lost), 1 if others else len(lost))):
             self._send(seed, Join)
-        dead = [member.address for member in self.roll.gone.values() if member.rumour.state is State.DEAD]
-        if dead:
-            self._send(self.random.choice(dead), Join)
-
-    def _tell_of_me(self, to: Address) -> None:
-        self._put(Send(to, Roster(sender=self.me.name, run=self.me.run, gossip=[self.me])))
-
-    def _tell_some(self, to: Address, reply: bool = False) -> None:
-        """As much of what is known as a datagram holds, ourselves first, another part each time."""
-        others = [member.rumour for member in self.members.values()]
-        drawn = self.random.sample(others, min(len(others), GOSSIP_BYTES // RUMOUR_LEAST))
-        part, room = [self.me], GOSSIP_BYTES - size_of(self.me)
-        for rumour in drawn:
-            if (room := room - size_of(rumour)) < 0:
-                break
-            part.append(rumour)
-        whole = len(part) > len(others)
-        roster = Roster(sender=self.me.name, run=self.me.run, gossip=part, reply=reply, whole=whole)
-        self._put(Send(to, roster))
+        if dead:  # it hears what is said of it in the same breath, and can refute it at once
+            one = self.random.choice(dead)
+            told = [self.me, one.rumour]
+            join = Join(sender=self.me.name, run=self.me.run, health=self.health, gossip=told)
+            self._put(Send(one.address, join))
 
     # Small things.
 
@@ -444,9 +477,6 @@
             self._shift(by_ms - self.terms.period_ms)
             self._ail(2)
 
-    def _timeout(self) -> float:
-        return self.terms.timeout_ms * (1 + self.health)
-
     def _ail(self, by: int) -> None:
         self.health = min(HEALTH_MOST, self.health + by)
 
@@ -457,23 +487,6 @@
         self.exchanged_ms += by_ms
         self.next_seed_ms += by_ms
         self.next_challenge_ms += by_ms
-        if self.asking is not None:
-            self.asking.sent_ms += by_ms
-        for errand in self.errands.values():
-            errand.due_ms += by_ms
+        self.heard_any_ms += by_ms
+        self.pings.shift(by_ms)
         self.roll.shift(by_ms)
-
-    def _send(self, to: Address, kind: type[Said], **more: object) -> None:
-        gossip = self.gossip.take_rumours()
-        if self.me not in gossip and kind is Join:
-            gossip.append(self.me)
-        news = self.gossip.take_news(gossip)
-        message = kind(sender=self.me.name, run=self.me.run, gossip=gossip, news=news, **more)  # type: ignore[arg-type]
-        self._put(Send(to, message))
-
-    def _put(self, out: Out) -> None:
-        self.out.append(out)
-
-    def _take(self) -> list[Out]:
-        out, self.out = self.out, []
-        return out
--- a/gladewalk/members/sync.py
+++ b/gladewalk/members/sync.py
@@ -26,7 +26,7 @@
     """All that a member knows."""
     rumours = [core.me, *(member.rumour for member in core.members.values())]
     news = list(core.gossip.news.values())
-    return Whole(sender=core.me.name, run=core.me.run, gossip=rumours, news=news)
+    return Whole(sender=core.me.name, run=core.me.run, health=core.health, gossip=rumours, news=news)
 
 
 def ask(core: Membership) -> Digest:
--- a/gladewalk/members/terms.py
+++ b/gladewalk/members/terms.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .messages import News, Said
+from .messages import Knock, News, Said
 
 Address = tuple[str, int]
 
@@ -19,6 +19,7 @@
     helpers: int = 3  # go-betweens
     suspicion_least_ms: float = 500.0  # a suspicion that enough others confirmed
     suspicion_most: float = 2.0  # times that, for one that nobody confirms
+    stall_ms: float = 10_000.0  # how long one is kept whose system answers for it and which says nothing
     confirmations: int = 2  # from which on it is the least
     retransmit: float = 3.0  # times log10(members + 1) that a rumour is sent on
     exchange_ms: float = 5_000.0  # between full exchanges with one member
@@ -31,11 +32,22 @@
     JOINED = "joined"
     SUSPECTED = "suspected"
     CLEARED = "cleared"  # it was suspected, and lives
+    STALLED = "stalled"  # its system answers for it, itself it does not: others do what it had to do
+    REFUTED = "refuted"  # we were said to be suspect or dead, and have said otherwise
     DIED = "died"
     LEFT = "left"
     NAME_TAKEN = "name_taken"  # another runs under our name, and has done so for longer
 
 
+class Outcome(Enum):
+    """What came of knocking."""
+
+    HERE = "here"
+    GONE = "gone"
+    SILENT = "silent"
+    UNREACHABLE = "unreachable"
+
+
 @dataclass(slots=True, frozen=True)
 class Send:
     to: Address
@@ -49,6 +61,17 @@
     to: Address
 
 
+@dataclass(slots=True, frozen=True)
+class Knocking:
+    """Knock at a suspect's stream, with this message; what comes of it goes to `Membership.knocked`."""
+
+    to: Address
+    name: str
+    run: int
+    wait_ms: float
+    message: Knock
+
+
 @dataclass(slots=True, frozen=True)
 class Changed:
     change: Change
@@ -62,4 +85,4 @@
     news: News
 
 
-Out = Send | Exchange | Changed | Heard
+Out = Send | Exchange | Knocking | Changed | Heard
--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -8,15 +8,18 @@
 from collections.abc import Callable
 from typing import Any, cast
 
+import structlog
+
 from ..counters import Counters
 from ..deadlines import Deadlines, Key
 from .messages import DATAGRAM_MOST, Malformed, News, decode, encode
 from .seal import Refused, Seal
 from .stream import Streams
 from .swim import Membership
-from .terms import Address, Change, Changed, Exchange, Heard, Out, Send
+from .terms import Address, Change, Changed, Exchange, Heard, Knocking, Out, Send
 
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
+log = structlog.get_logger("gladewalk.members")
 PORT_TRIES = 16  # where the system chooses: it must be free for datagrams and for streams
 
 
@@ -25,8 +28,9 @@
 
     def __init__(
         self, core: Membership, seal: Seal, networks: tuple[Network, ...], clock: Callable[[], float],
-        deadlines: Deadlines, counters: Counters,
+        deadlines: Deadlines, counters: Counters, dial: dict[Address, Address] | None = None,
     ) -> None:  # fmt: skip
+        self.dial = dial or {}  # addresses that are reached elsewhere than where they say they are
         self.core, self.seal, self.networks = core, seal, networks
         self.clock, self.deadlines, self.counters = clock, deadlines, counters
         self.random = random.SystemRandom()
@@ -51,6 +55,8 @@
                 if port or tries == PORT_TRIES - 1:
                     raise
         self.core.bound(chosen)
+        me = self.core.me
+        log.info("members_listening", by=me.name, host=me.host, port=me.port, run=me.run)
         self._tick()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -110,8 +116,11 @@
                     self._send(to, encode(message))
                 case Exchange():
                     self.streams.begin(action)
+                case Knocking():
+                    self.streams.knock(action)
                 case Changed(change, name):
                     self.counters.add(f"members.{change.value}")
+                    self._note(change, name)
                     self.changed(change, name)
                 case Heard(news):
                     self.heard(news)
@@ -122,4 +131,17 @@
     def _send(self, to: Address, message: bytes) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        self.transport.sendto(self.sealed(message, DATAGRAM_MOST), to)
+        self.transport.sendto(self.sealed(message, DATAGRAM_MOST), self.dial.get(to, to))
+
+    def _note(self, change: Change, name: str) -> None:
+        """One line of the log for each change, with what speaks for it."""
+        me, member = self.core.me, self.core.members.get(name)
+        if member is None:
+            log.info(f"member_{change.value}", member=name, by=me.name, incarnation=me.incarnation,
+                     health=self.core.health)  # fmt: skip
+            return
+        log.info(
+            f"member_{change.value}", member=name, by=me.name, incarnation=member.rumour.incarnation,
+            accusers=sorted(member.accusers), knocked=member.outcome.value if member.outcome else None,
+            heard_ms=round(self.clock() - member.heard_ms), health=self.core.health,
+        )  # fmt: skip
--- a/gladewalk/options.py
+++ b/gladewalk/options.py
@@ -137,7 +137,9 @@
     seeds: list[str] = []
     networks: tuple[str, ...] = ("127.0.0.0/8",)  # from which datagrams are read at all
     window_ms: Span = 30_000.0  # how far the members' clocks may differ
+    dial: dict[str, str] = {}  # addresses that are reached elsewhere than where they say they are
     period_ms: Annotated[float, Meta(ge=20.0, le=60_000.0)] = 200.0
+    stall_ms: Annotated[float, Meta(ge=50.0, le=3_600_000.0)] = 10_000.0  # how long a paused one is kept
     suspicion_ms: Annotated[float, Meta(ge=50.0, le=600_000.0)] = 500.0
     weight: Annotated[float, Meta(gt=0.0, le=1e6)] = 1.0  # this director's part of the duties
 
--- /dev/null
+++ b/tests/test_fleet_members.py
@@ -0,0 +1,144 @@
+"""Membership across processes: five directors with relays between them for each hard case of its schedule.
+
+Fleets run beside one another, so that all cases take little longer than the longest. Bounds are of seconds
+where a quiet machine takes tenths: what is checked is who was found dead, and that all agree again.
+"""
+
+import asyncio
+import json
+import tempfile
+import time
+from pathlib import Path
+
+from gladewalk.faultnet.causes import causes_of
+from gladewalk.faultnet.fleet import Fleet
+from gladewalk.faultnet.membercases import CASES, Case
+from gladewalk.faultnet.nemesis import play
+from gladewalk.members.history import Cause, Seen, agreed_ms, detected_ms, from_log, wrong_deaths
+from gladewalk.members.terms import Change, Terms
+from gladewalk.rehearsal.membernet import cluster
+from gladewalk.rehearsal.membernet import play as play_in_memory
+from gladewalk.rehearsal.peers import Coordinator, config_for
+from tests.fleetworld import Fleets, until_true
+from tests.test_fleet_works import command
+
+STALL_MS = Terms().stall_ms
+NAMES = tuple(f"n{i}" for i in range(5))
+
+
+def all_met(fleet: Fleet) -> bool:
+    return agreed_ms(fleet.members_seen(), 0.0, fleet.names) is not None
+
+
+async def run_case(case: Case, n: int = 5) -> str:
+    """What went wrong in it; empty if nothing did."""
+    coordinator = await Coordinator().start()
+    with tempfile.TemporaryDirectory() as folder:
+        config = config_for([], coordinator)
+        fleet = await Fleet(Path(folder), NAMES[:n], config, 1, None, {}).open()
+        try:
+            for name in fleet.names:
+                await fleet.start(name)
+            if not await until_true(lambda: all_met(fleet), 30.0):
+                return f"{case.name}: they never met"
+            await asyncio.sleep(1.0)
+            begun, faults = time.time() * 1000.0, case.faults(fleet.names)
+            await play(fleet, faults)
+            if not await until_true(lambda: all_met(fleet), 30.0):
+                return f"{case.name}: no one roster afterwards: {told(fleet.members_seen())}"
+            await asyncio.sleep(1.0)  # and it stays so
+            seen = fleet.members_seen()
+            wrong = wrong_deaths(seen, causes_of(faults, fleet.names, begun, STALL_MS))
+            victim = faults[0].who[0] if faults[0].who else ""
+            found = detected_ms(seen, victim, begun, set(fleet.names) - {victim})
+            if wrong or (case.found_dead and len(found) < n - 1) or not all_met(fleet):
+                return f"{case.name}: wrong {wrong}, found dead by {found}: {told(seen)}"
+        finally:
+            await fleet.close()
+            coordinator.stop()
+    return ""
+
+
+def told(seen: list[Seen]) -> str:
+    lines = sorted((one.at_ms, f"{one.by} {one.change.value} {one.name}") for one in seen)
+    return "; ".join(f"{at_ms - lines[0][0]:.0f} {text}" for at_ms, text in lines)
+
+
+def test_every_hard_case_between_processes() -> None:
+    async def all_of_them() -> list[str]:
+        return [wrong for wrong in await asyncio.gather(*map(run_case, CASES)) if wrong]
+
+    assert asyncio.run(all_of_them()) == []
+
+
+class Shown(Fleets):
+    async def test_a_paused_member_is_shown_as_stalled_its_log_says_why_and_its_place_is_kept(self) -> None:
+        import signal
+
+        fleet = await self.begin(3, None, {})
+        assert await until_true(lambda: all_met(fleet), 30.0)
+        fleet.signal("n2", signal.SIGSTOP)
+        try:
+            assert await until_true(
+                lambda: any(s.change is Change.STALLED and s.by == "n0" for s in fleet.members_seen())
+            )
+            code, said = await asyncio.to_thread(command, fleet, "members", "--json", "n0")
+            (row,) = [row for row in json.loads(said)["members"] if row["name"] == "n2"]
+            assert code == 0 and row["state"] == "suspect" and row["stalled"], row
+            assert row["knocked"] == "silent" and row["heard_ms"] > 0.0 and "health" in row
+        finally:
+            fleet.signal("n2", signal.SIGCONT)
+        cleared = [Change.CLEARED]
+        assert await until_true(
+            lambda: [s.change for s in fleet.members_seen() if (s.by, s.name) == ("n0", "n2")][-1:] == cleared
+        )
+        (line,) = [x for x in fleet.log_of("n0") if x["event"] == "member_stalled" and x["member"] == "n2"]
+        assert line["knocked"] == "silent" and "n0" in line["accusers"] + ["n0"]
+
+
+def test_the_same_schedules_in_memory_at_five_and_at_forty_members() -> None:
+    for case in CASES:
+        for size, seeds in ((5, range(4)), (40, range(1))):
+            for seed in seeds:
+                net = cluster(size, seed)
+                begun, names = net.now, tuple(net.nodes)
+                faults = case.faults(names)
+                play_in_memory(net, faults)
+                net.run(15_000.0)
+                wrong = wrong_deaths(net.seen, causes_of(faults, names, begun, STALL_MS))
+                assert not wrong, (case.name, size, seed, wrong[:4])
+                assert agreed_ms(net.seen, begun, names) is not None, (case.name, size, seed)
+                if case.found_dead:
+                    victim = faults[0].who[0]
+                    found = detected_ms(net.seen, victim, begun, set(names) - {victim})
+                    assert len(found) == size - 1, (case.name, size, seed, found)
+
+
+def test_the_checker_finds_a_wrong_death_a_late_one_and_a_roster_that_never_agrees() -> None:
+    joined = [Seen(0.0, by, Change.JOINED, name) for by in "abc" for name in "abc" if by != name]
+    assert agreed_ms(joined, 0.0, "abc") == 0.0 and agreed_ms(joined[:-1], 0.0, "abc") is None
+    death = Seen(5_000.0, "a", Change.DIED, "b")
+    assert wrong_deaths([*joined, death], []) == [death]
+    right = Cause(4_000.0, 6_000.0, frozenset("ac"), frozenset("b"))
+    assert wrong_deaths([death], [right]) == []
+    late = Seen(6_001.0, "c", Change.DIED, "b")
+    assert wrong_deaths([death, late], [right]) == [late]
+    assert detected_ms([death, late], "b", 4_500.0, "ac") == {"a": 500.0, "c": 1_501.0}
+    back = [Seen(7_000.0, "a", Change.JOINED, "b"), Seen(8_000.0, "c", Change.JOINED, "b")]
+    assert agreed_ms([*joined, death, late], 4_000.0, "abc") is None
+    assert agreed_ms([*joined, death, late, *back], 7_500.0, "abc") == 500.0
+    assert agreed_ms([*joined, Seen(9.0, "a", Change.SUSPECTED, "b")], 0.0, "abc") == 0.0  # a member still
+
+
+def test_a_start_in_a_log_forgets_what_the_run_before_knew() -> None:
+    def line(second: int, event: str, member: str = "") -> dict[str, str]:
+        stamp = f"2026-01-01T00:00:{second:02}.000000Z"
+        return {"timestamp": stamp, "event": event, "by": "a", "member": member}
+
+    log = [line(1, "members_listening"), line(2, "member_joined", "b"), line(5, "members_listening"),
+           line(6, "member_joined", "b"), {"event": "serving"}, line(7, "module")]  # fmt: skip
+    seen = from_log("a", log)
+    assert [(s.change, s.name) for s in seen] == [
+        (Change.JOINED, "b"), (Change.LEFT, "b"), (Change.JOINED, "b"),
+    ]  # fmt: skip
+    assert seen[2].at_ms - seen[0].at_ms == 4_000.0
--- a/tests/test_fleet_works.py
+++ b/tests/test_fleet_works.py
@@ -8,7 +8,8 @@
 
 from gladewalk.control.client import ControlError
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.nemesis import Fault, apply
+from gladewalk.faultnet.nemesis import apply
+from gladewalk.faultnet.schedule import Fault
 from gladewalk.leases.acts import Acts
 from gladewalk.leases.messages import BODY_MOST, Acked, Act, Figures, Finished, Kept, Open, Order, Wanted
 from gladewalk.leases.orders import OPEN_MOST, PAGE, Orders
