--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import signal
-import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -17,6 +16,7 @@
 from .exchange import Exchange
 from .net.clients import ClientFront
 from .net.coordinator import Feed, Follower
+from .net.outside import REAL, Outside
 from .ops.readiness import SYNC_MOST_MS, Readiness
 from .upstream.pool import Caches
 
@@ -38,10 +38,6 @@
 LINGER_MS = 20.0  # lets the last answers leave before the process ends
 
 
-def unix_ms() -> float:
-    return time.time() * 1000.0
-
-
 class Turn:
     """Arms the loop's one timer for the earliest deadline."""
 
@@ -79,25 +75,31 @@
         loop: asyncio.AbstractEventLoop,
         dns: DnsConfig | None = None,
         options: Options | None = None,
+        outside: Outside = REAL,
     ) -> None:
+        self.clock = clock = outside.clock
         self.config, self.loop, self.counters = config, loop, Counters()
         self.log = structlog.get_logger().bind(node=config.name)
-        self.deadlines = Turn(loop, unix_ms).deadlines
-        self.exchange = Exchange(config, unix_ms, self.deadlines, self.counters, self._module_says)
+        self.deadlines = Turn(loop, clock).deadlines
+        self.exchange = Exchange(config, clock, self.deadlines, self.counters, self._module_says)
         self.options = options
         shapes = shapes_of(options)
-        self.caches = Caches(self.exchange, config, unix_ms, self.deadlines, self.counters, shapes)
+        self.caches = Caches(self.exchange, config, clock, self.deadlines, self.counters, shapes)
         self.exchange.upstreams = self.caches
         places = config.settings.places
-        self.front = ClientFront(self.exchange, places, unix_ms, self.deadlines, self.counters)
+        self.front = ClientFront(
+            self.exchange, places, clock, self.deadlines, self.counters, outside.listen
+        )
         self.readiness = self.front.readiness = Readiness(synced=False)
         self.admin: AdminFront | None = None
         if config.admin is not None:
             from .ops.calls import admin_front
 
             self.admin = admin_front(self)
-        self.feed = Feed(self.exchange, config, unix_ms, self.counters)
-        self.follower = Follower(self.feed, config.coordinator, self.deadlines, self.log.info)
+        self.feed = Feed(self.exchange, config, clock, self.counters)
+        self.follower = Follower(
+            self.feed, config.coordinator, self.deadlines, self.log.info, outside.fresh()
+        )
         self._ended: asyncio.Future[None] = loop.create_future()
         self._stopping = False
         self.dns = None
@@ -119,7 +121,7 @@
             from .web.start import Web
 
             self.web = Web(
-                options, config.name, config.seed, unix_ms, self.deadlines, self.counters, self._module_says
+                options, config.name, config.seed, clock, self.deadlines, self.counters, self._module_says
             )
         self.keeper: Keeper | None = None
         if options is not None and options.store is not None:
@@ -128,7 +130,7 @@
             self.keeper = Keeper(
                 options,
                 config.settings.purge_settle_ms,
-                unix_ms,
+                clock,
                 self.counters,
                 self._store_says,
                 self.deadlines,
@@ -138,7 +140,7 @@
             from .leases.start import start as start_leases
 
             self.leases = start_leases(
-                config.name, options, self.keeper, unix_ms, self.deadlines, self.counters
+                config.name, options, self.keeper, clock, self.deadlines, self.counters
             )
         self.control: Control | None = None
         if options is not None and options.control is not None:
@@ -151,7 +153,7 @@
             self.keeper.start(self.feed)
         self.follower.on_settled = self._synced
         self.exchange.hold()
-        self.deadlines.add(unix_ms() + self.sync_most_ms, self._synced)
+        self.deadlines.add(self.clock() + self.sync_most_ms, self._synced)
         self.follower.connect()
         self.caches.sweep()
         self.front.listen(self.config.listen, self.config.inherited_fd)
@@ -249,7 +251,7 @@
         shapes, upstream = self.caches.shapes, self.caches.upstreams.get(name)
         if shapes is None or upstream is None:
             return False, ("http/1.1",)
-        offer = shapes.offer(upstream, unix_ms())
+        offer = shapes.offer(upstream, self.clock())
         if offer.secure:
             return True, ("h2", "http/1.1") if offer.shared else ("http/1.1",)
         return False, ("h2c",) if offer.shared else ("http/1.1",)
@@ -297,12 +299,12 @@
             self._stopping = True
             self.log.info("stopping", owed=self.exchange.owed)
             self.readiness.stopping = True
-            self.readiness.start_drain(unix_ms())
+            self.readiness.start_drain(self.clock())
             if self.leases is not None:  # handed on at once: another may act while this one finishes
                 self.leases[0].stop()
             if self.config.inherited_fd is not None:  # the listener's other holders take what comes now
                 self.front.stop_taking()
-            self.deadlines.add(unix_ms() + ACCEPT_MS, self._close)
+            self.deadlines.add(self.clock() + ACCEPT_MS, self._close)
 
     def report(self) -> None:
         now = {
@@ -337,7 +339,7 @@
     def _wait_for_last(self) -> None:
         """Every open request has a deadline of its own, so this ends."""
         if self.exchange.owed or self.exchange.asked or (self.web is not None and self.web.owed):
-            self.deadlines.add(unix_ms() + LINGER_MS, self._wait_for_last)
+            self.deadlines.add(self.clock() + LINGER_MS, self._wait_for_last)
         else:
             self.follower.close()
             if self.members is not None:
@@ -348,4 +350,4 @@
                 self.admin.close()
             if self.dns is not None:
                 self.dns.close()
-            self.deadlines.add(unix_ms() + LINGER_MS, lambda: self._ended.set_result(None))
+            self.deadlines.add(self.clock() + LINGER_MS, lambda: self._ended.set_result(None))
--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -55,14 +55,16 @@
     """`names` directors in `folder`; `config` is the director's own file (`NODE_CONFIG`) less its name.
 
     `leases` and `members` are what their tables get beside what the fleet sets itself; None: that is off.
+    `more`: further tables of the directors' settings, as they are.
     """
 
     def __init__(
         self, folder: Path, names: tuple[str, ...], config: dict[str, Any], seed: int,
         leases: dict[str, Any] | None, members: dict[str, Any] | None = None,
+        more: dict[str, Any] | None = None,
     ) -> None:  # fmt: skip
         self.folder, self.names, self.config = folder, names, config
-        self.leases, self.members = leases, members
+        self.leases, self.members, self.more = leases, members, more or {}
         self.random = random.Random(seed)
         (folder / "keys").write_text(secrets.token_hex(32))
         (folder / "keys").chmod(0o600)
@@ -98,7 +100,7 @@
     # Directors.
 
     def options_of(self, name: str, clock_rate: float) -> dict[str, Any]:
-        options: dict[str, Any] = {"control": {"socket": f"{name}.sock"}}
+        options: dict[str, Any] = {"control": {"socket": f"{name}.sock"}, **self.more}
         if self.leases is not None:
             options["store"] = {"folder": f"{name}.store", "warm_ms": 0.0}
             options["leases"] = self._leases_of(name, clock_rate)
--- a/gladewalk/members/swim.py
+++ b/gladewalk/members/swim.py
@@ -229,7 +229,8 @@
         if now_ms < member.challenged_ms + self.terms.period_ms:
             return
         self._challenge(member, now_ms)
-        if now_ms >= self.exchanged_ms + self.terms.period_ms:
+        # A whole exchange costs by the members: in a large fleet the first few that meet tell the rest.
+        if now_ms >= self.exchanged_ms + self.terms.period_ms * max(1.0, self.roll.live_count / 32.0):
             self._exchange_with(member.address, now_ms)
 
     def _outweighs(self, new: Rumour, old: Rumour) -> bool:
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -18,6 +18,7 @@
 from ..deadlines import Deadlines
 from ..exchange import Ask, Exchange, Final, Head
 from ..ops.readiness import Readiness
+from .outside import Listener, listen_at
 from .requests import REASONS, SINGLE, BadRequest, read_ask
 from .sockets import watch
 
@@ -304,11 +305,12 @@
         clock: Callable[[], float],
         deadlines: Deadlines,
         counters: Counters,
+        listen: Callable[[Address, int, int | None], Listener] = listen_at,
     ) -> None:
-        self.exchange, self.places, self.clock = exchange, places, clock
+        self.exchange, self.places, self.clock, self.listen_at = exchange, places, clock, listen
         self.deadlines, self.counters = deadlines, counters
         self.connection, self.body_most = ClientConnection, BODY_MOST
-        self.connections: set[ClientConnection] = set()
+        self.connections: dict[ClientConnection, None] = {}  # in the order they came, so that runs repeat
         # Connections without an open request, each kind in the order of time since when it is so.
         self.owing: dict[ClientConnection, float] = {}
         self.resting: dict[ClientConnection, float] = {}
@@ -319,18 +321,13 @@
         self.closing = False
         self.readiness = Readiness(started=True)  # the director's own, once it has one
         self.address: Address = ("", 0)
-        self._listener: socket.socket | None = None
+        self._listener: Listener | None = None
         self._listening = False
         self._opening: dict[asyncio.Task[object], ClientConnection] = {}
 
     def listen(self, address: Address, inherited_fd: int | None = None) -> None:
         """Bind `address`, or take up the listener inherited as `inherited_fd`, which is never bound anew."""
-        if inherited_fd is not None:
-            self._listener = socket.socket(fileno=inherited_fd)
-        else:
-            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-            self._listener = socket.create_server(address, family=family, backlog=BACKLOG)
-        self._listener.setblocking(False)
+        self._listener = self.listen_at(address, BACKLOG, inherited_fd)
         host, port = self._listener.getsockname()[:2]
         self.address = (host, port)
         self._resume()
@@ -433,12 +430,12 @@
 
     def arrived(self, connection: ClientConnection) -> None:
         connection.came = True
-        self.connections.add(connection)
+        self.connections[connection] = None
         self.counters.add("clients.connected")
         self.settle(connection)
 
     def left(self, connection: ClientConnection) -> None:
-        self.connections.discard(connection)
+        self.connections.pop(connection, None)
         self._put(connection, None)
         self.held -= 1
         self.leaving -= connection.leaving
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -135,8 +135,10 @@
     """
 
     def __init__(
-        self, feed: Feed, address: Address, deadlines: Deadlines, log: Callable[[str], None]
-    ) -> None:
+        self, feed: Feed, address: Address, deadlines: Deadlines, log: Callable[[str], None],
+        rng: random.Random,
+    ) -> None:  # fmt: skip
+        self.random = rng
         self.feed, self.address, self.deadlines, self.log = feed, address, deadlines, log
         self.connection: CoordinatorConnection | None = None
         self.wait_ms = BACKOFF_MS
@@ -213,7 +215,7 @@
             return
         wait, self.wait_ms = self.wait_ms, min(BACKOFF_MOST_MS, self.wait_ms * 2.0)
         # Spread, so that directors cut off together don't all come back in one moment.
-        self._due = self.deadlines.add(self.feed.clock() + wait * (0.5 + random.random()), self.connect)
+        self._due = self.deadlines.add(self.feed.clock() + wait * (0.5 + self.random.random()), self.connect)
 
     def _watch(self) -> None:
         self.deadlines.drop(self._due)
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -4,12 +4,22 @@
 
 import asyncio
 import select
+from typing import Protocol
 
 READY = select.POLLIN | select.POLLERR | select.POLLHUP
 
 
-def watch(transport: asyncio.Transport) -> select.poll:
+class Unread(Protocol):
     """Asked with `poll(0)`, it tells whether the other end has said what lies unread, or closed."""
+
+    def poll(self, timeout: float | None = ..., /) -> list[tuple[int, int]]: ...
+
+
+def watch(transport: asyncio.Transport) -> Unread:
+    """Of a socket, by the system; a transport that has none tells by itself (`unread`)."""
+    unread: Unread | None = transport.get_extra_info("unread")
+    if unread is not None:
+        return unread
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), READY)
     return poll
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -44,9 +44,10 @@
     async def begin(
         self, n: int, leases: dict[str, Any] | None, members: dict[str, Any] | None = None,
         rates: dict[str, float] | None = None, peers: tuple[Peer, ...] = (),
+        more: dict[str, Any] | None = None,
     ) -> Fleet:  # fmt: skip
         names, config = tuple(f"n{i}" for i in range(n)), config_for(peers, self.coordinator)
-        self.fleet = await Fleet(Path(self.folder.name), names, config, n, leases, members).open()
+        self.fleet = await Fleet(Path(self.folder.name), names, config, n, leases, members, more).open()
         for name in names:
             await self.fleet.start(name, (rates or {}).get(name, 1.0))
         return self.fleet
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import itertools
 import json
+import signal
 import tempfile
 import time
 from pathlib import Path
@@ -14,11 +16,12 @@
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.membercases import CASES, Case
 from gladewalk.faultnet.nemesis import play
+from gladewalk.faultnet.schedule import Fault
 from gladewalk.members.history import Cause, Seen, agreed_ms, detected_ms, from_log, wrong_deaths
 from gladewalk.members.terms import Change, Terms
 from gladewalk.rehearsal.membernet import cluster
 from gladewalk.rehearsal.membernet import play as play_in_memory
-from gladewalk.rehearsal.peers import Coordinator, config_for
+from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
 from tests.fleetworld import Fleets, until_true
 from tests.test_fleet_works import command
 
@@ -73,8 +76,6 @@
 
 class Shown(Fleets):
     async def test_a_paused_member_is_shown_as_stalled_its_log_says_why_and_its_place_is_kept(self) -> None:
-        import signal
-
         fleet = await self.begin(3, None, {})
         assert await until_true(lambda: all_met(fleet), 30.0)
         fleet.signal("n2", signal.SIGSTOP)
@@ -96,6 +97,44 @@
         assert line["knocked"] == "silent" and "n0" in line["accusers"] + ["n0"]
 
 
+PROBE_MS = 300.0
+ORPHAN_MS = 4_000.0  # a stall is found after some 1.2 s, and what it leaves is spread over a quarter interval
+
+
+class Duties(Fleets):
+    async def test_no_box_goes_unprobed_while_a_member_is_paused_killed_or_cut_off(self) -> None:
+        probed: dict[str, list[float]] = {}
+
+        async def load(heard: Heard) -> None:
+            probed.setdefault(heard.peer.uid, []).append(time.monotonic() * 1000.0)
+            await heard.answer(200, b"", X_Load="util=0.1")
+
+        boxes = tuple([await ScriptedPeer(load, uid=f"c{n}").start() for n in range(8)])
+        try:
+            more = {"duties": {"probe_ms": PROBE_MS, "check_ms": 0.0}}
+            fleet = await self.begin(3, None, {}, peers=boxes, more=more)
+            assert await until_true(lambda: all_met(fleet) and len(probed) == len(boxes), 30.0)
+            await asyncio.sleep(2.0)
+            begun = time.monotonic() * 1000.0
+            for kind in ("pause", "kill", "cut_out"):
+                await play(fleet, [Fault(0.0, 5_000.0, kind, ("n2",))])
+                assert await until_true(lambda: all_met(fleet), 30.0), kind
+            ended = time.monotonic() * 1000.0
+            gaps = {uid: max(b - a for a, b in itertools.pairwise([begun, *since(times, begun), ended]))
+                    for uid, times in probed.items()}  # fmt: skip
+            assert max(gaps.values()) < ORPHAN_MS, gaps
+            # Nor does each probe for itself meanwhile: two may overlap for a moment, not for a whole fault.
+            wanted = len(boxes) * (ended - begun) / PROBE_MS
+            assert sum(len(since(times, begun)) for times in probed.values()) < 1.8 * wanted
+        finally:
+            for box in boxes:
+                box.stop()
+
+
+def since(times: list[float], begun: float) -> list[float]:
+    return [at for at in times if at >= begun]
+
+
 def test_the_same_schedules_in_memory_at_five_and_at_forty_members() -> None:
     for case in CASES:
         for size, seeds in ((5, range(4)), (40, range(1))):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,7 +9,7 @@
 
 from gladewalk.config import ConfigError
 from gladewalk.counters import Counters
-from gladewalk.director import Turn, unix_ms
+from gladewalk.director import Turn
 from gladewalk.members.gossip import Told
 from gladewalk.members.messages import (
     DATAGRAM_MOST,
@@ -27,6 +27,7 @@
 from gladewalk.members.swim import Membership
 from gladewalk.members.terms import Change, Exchange, Terms
 from gladewalk.members.transport import Members
+from gladewalk.net.outside import unix_ms
 from gladewalk.rehearsal.membernet import START_MS, Net, Node, cluster
 from gladewalk.rehearsal.peers import until
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -22,9 +22,10 @@
 from gladewalk.cli import gladewalk
 from gladewalk.config import Config, ConfigError, read, read_address
 from gladewalk.counters import Counters
-from gladewalk.director import Director, unix_ms
+from gladewalk.director import Director
 from gladewalk.dns.settings import DnsConfig
 from gladewalk.logic import Dispatcher, _Open
+from gladewalk.net.outside import unix_ms
 from gladewalk.options import Options, options_of, read_tables
 from gladewalk.rehearsal.baddisk import BadDisk, File
 from gladewalk.rehearsal.peers import (
