--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -37,6 +37,9 @@
     ours = (
         "members",
         "duties",
+        "leases",
+        "faultnet",
+        "rehearsal",
         "control",
         "console",
         "nginx",
