The restart case waits until the director has started again before it asks for one roster

Observed: with eight processes of another test beside it, "a restart at once" ended with the restarted director dead for all others. The checker had found one roster at once, since nobody had noticed the kill yet, and a second later it was noticed while the start was still under way. The detector was right; the case asked too soon.

Now the case waits for the second start in the director's log (tests/test_fleet_members.py). Seen: the twelve cases pass in 29 s; files and rehearsal tests pass beside them.

--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -33,6 +33,10 @@
     return agreed_ms(fleet.members_seen(), 0.0, fleet.names) is not None
 
 
+def starts(fleet: Fleet, name: str) -> int:
+    return sum(line["event"] == "members_listening" for line in fleet.log_of(name))
+
+
 async def run_case(case: Case, n: int = 5) -> str:
     """What went wrong in it; empty if nothing did."""
     coordinator = await Coordinator().start()
@@ -47,6 +51,8 @@
             await asyncio.sleep(1.0)
             begun, faults = time.time() * 1000.0, case.faults(fleet.names)
             await play(fleet, faults)
+            if case.kind == "kill":  # a busy machine takes its time to start it; until then all agree
+                await until_true(lambda: starts(fleet, faults[0].who[0]) == 2, 60.0)
             if not await until_true(lambda: all_met(fleet), 30.0):
                 return f"{case.name}: no one roster afterwards: {told(fleet.members_seen())}"
             await asyncio.sleep(1.0)  # and it stays so
