Read once more: a fault's effect is held in one place; dead code of the kit goes

Found: nemesis.apply put effects on and off in a loop that every kind of fault went through for the sake of flapping; benchmarks/fleet_faults.py looked through the acts twice for the first of another holder; the virtual loop kept events for nobody, scenario.py had a pattern that nothing used, a verdict summed counters that nobody read.

Changed: `nemesis.hold` is an effect on some paths for a time, and a flapping link calls it again and again; the rest is gone. No file of the node is touched, and behaviour stays as it was.

Seen: ruff, mypy, the tests of the kit, of the virtual loop, of leases between processes and the twelve hard cases of membership between processes pass.

--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -42,13 +42,9 @@
     """From `since_ms` until another than `victim` acts under the purge duty, or nan."""
     ends = time.monotonic() + 6.0
     while time.monotonic() < ends:
-        for act in reversed(fleet.hubs[0].fence.acts):
-            if act.at_ms <= since_ms:
-                break
-            if act.accepted and act.actor != victim:
-                first = min(a.at_ms for a in fleet.hubs[0].fence.acts
-                            if a.accepted and a.actor != victim and a.at_ms > since_ms)  # fmt: skip
-                return first - since_ms
+        for act in fleet.hubs[0].fence.acts:  # in the order they arrived
+            if act.accepted and act.actor != victim and act.at_ms > since_ms:
+                return act.at_ms - since_ms
         await asyncio.sleep(0.02)
     return float("nan")
 
--- a/gladewalk/faultnet/nemesis.py
+++ b/gladewalk/faultnet/nemesis.py
@@ -7,7 +7,7 @@
 import time
 
 from .fleet import Fleet
-from .relay import Effect
+from .relay import Effect, Path
 from .schedule import Fault, pairs_of
 
 
@@ -21,6 +21,15 @@
     return Effect(cut=True)
 
 
+async def hold(paths: list[Path], effect: Effect, for_s: float) -> None:
+    """One effect on some paths, for so long."""
+    for path in paths:
+        path.effects.append(effect)
+    await asyncio.sleep(for_s)
+    for path in paths:
+        path.effects.remove(effect)
+
+
 async def apply(fleet: Fleet, fault: Fault) -> None:
     """One fault, from its start to its end."""
     name = fault.who[0] if fault.who else ""
@@ -30,22 +39,14 @@
         await fleet.kill(name)
     elif fault.kind == "stop":
         await fleet.stop(name)
-    paths, effect = fleet.paths(pairs_of(fault, fleet.names)), effect_of(fault)
-    ends = time.monotonic() + fault.ms / 1000.0
-    on = False
-    while (left_s := ends - time.monotonic()) > 0.0 or not on:
-        on = not on
-        for path in paths:
-            if on:
-                path.effects.append(effect)
-            else:
-                path.effects.remove(effect)
-        await asyncio.sleep(min(max(left_s, 0.0), fault.amount / 1000.0 if fault.kind == "flap" else left_s))
-        if fault.kind != "flap":
-            break
-    if on:
-        for path in paths:
-            path.effects.remove(effect)
+    paths, ends = fleet.paths(pairs_of(fault, fleet.names)), time.monotonic() + fault.ms / 1000.0
+    if fault.kind == "flap":
+        half_s = fault.amount / 1000.0
+        while (left_s := ends - time.monotonic()) > 0.0:
+            await hold(paths, effect_of(fault), min(half_s, left_s))
+            await asyncio.sleep(min(half_s, max(0.0, ends - time.monotonic())))
+    else:
+        await hold(paths, effect_of(fault), fault.ms / 1000.0)
     if fault.kind == "pause":
         fleet.signal(name, signal.SIGCONT)
     elif fault.kind in ("kill", "stop"):
--- a/gladewalk/rehearsal/virtual/loop.py
+++ b/gladewalk/rehearsal/virtual/loop.py
@@ -19,7 +19,7 @@
 from ...config import Address
 from ...net.outside import Outside
 from .paths import Paths
-from .streams import Piece, VirtualListener, VirtualTransport, Waiting, connect
+from .streams import Piece, VirtualListener, Waiting, connect
 
 START_MS = 1_764_576_000_000.0  # Unix ms at which every rehearsal begins
 FIRST_PORT = 10_000
@@ -84,7 +84,6 @@
         self.hash = hashlib.sha256()
         self.over = False  # what is left is being swept away, in no order
         self.events = self.connections = 0
-        self.kept: list[tuple[int, str, int, str, str, Piece]] | None = None  # the events, where wanted
         self.port = FIRST_PORT
 
     def time(self) -> float:
@@ -106,8 +105,6 @@
         self.hash.update(f"{at_us} {kind} {number} {here} {there} ".encode())
         self.hash.update(piece if isinstance(piece, bytes) else piece.encode())
         self.hash.update(b"\n")
-        if self.kept is not None:
-            self.kept.append((at_us, kind, number, here, there, piece))
 
     def trace(self) -> str:
         return self.hash.hexdigest()
@@ -236,6 +233,3 @@
     finally:
         asyncio.set_event_loop(None)
         loop.close()
-
-
-__all__ = ["Stuck", "VirtualLoop", "VirtualTransport", "party", "rehearse"]
--- a/gladewalk/rehearsal/virtual/play.py
+++ b/gladewalk/rehearsal/virtual/play.py
@@ -9,7 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from ...config import read
@@ -37,7 +37,6 @@
     virtual_s: float
     wall_s: float
     record: Record
-    counters: Counter[str] = field(default_factory=Counter)
 
     @property
     def passed(self) -> bool:
@@ -80,12 +79,9 @@
         await self._traffic()
         await asyncio.gather(*faults)
         beats.cancel()
-        counters: Counter[str] = Counter()
-        for director in self.directors.values():
-            counters.update(director.counters)
         return Verdict(
             broken_rules(self.record), self._outcomes(), self.loop.trace(), self.loop.events,
-            self.loop.time(), time.perf_counter() - began, self.record, counters,
+            self.loop.time(), time.perf_counter() - began, self.record,
         )  # fmt: skip
 
     async def _start(self) -> None:
--- a/gladewalk/rehearsal/virtual/scenario.py
+++ b/gladewalk/rehearsal/virtual/scenario.py
@@ -23,7 +23,6 @@
 from __future__ import annotations
 
 import random
-import re
 import tomllib
 from pathlib import Path
 from typing import Annotated, Literal, get_args
@@ -38,7 +37,6 @@
 KINDS: tuple[Kind, ...] = get_args(Kind)
 AT_SERVERS = ("silent", "drain", "restart", "cut", "slow", "spoil", "reset")
 PARTS = ("purge", "spoil", "reset")  # whose amount is a part of the whole
-SERVER = re.compile(r"(box|hub)-([0-9]+)\Z|store\Z")
 GROUPS = 256
 SHARES = {"lot-video": 0.5, "lot-page": 0.45, "bid": 0.05}
 
