A stop answers all who are here, a close resets no answer, and who has left is sent nothing

Connections now part: their side ends, what still comes is dropped, and the client has a second to close. - _make_room, and the limit on rest, dropped connections with unsent bytes of an answer. - While reading is paused (requests ahead), and before a request that waited unaccepted was taken, nobody saw that the client had gone: the socket is asked (POLLRDHUP), every 50 ms while paused and once as a request is taken. - `100 Continue` was written into the middle of another request's answer. - SIGHUP or SIGUSR1 killed a process that was still importing or reading its file, SIGTERM one that listened already, and any of them one whose loop had ended: they are blocked until the handlers are there, and again at the end. Ruled out by a passing test: a client that leaves while its request is held at the start.

--- a/gladewalk/__main__.py
+++ b/gladewalk/__main__.py
@@ -4,9 +4,12 @@
 
 import sys
 
+from . import signals
+
 
 def main() -> int:
     if len(sys.argv) == 1:  # the platform's way: the command line's library is not even imported
+        signals.hold()  # before all that takes time to import
         from .lean import without_tables
 
         without_tables()
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -13,6 +13,7 @@
 import structlog
 import uvloop
 
+from . import signals
 from .config import Config, ConfigError, load
 from .director import Director, shapes_of
 
@@ -93,6 +94,7 @@
 
 def run(options_path: str | None = None, dns_path: str | None = None) -> int:
     """Serve until SIGTERM; the process's exit code, 2 for what cannot be used."""
+    signals.hold()
     set_up_logs()
     try:
         told = read_all(options_path, dns_path)
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from . import signals
 from .config import Config, ConfigError, load
 from .counters import Counters
 from .deadlines import Deadlines
@@ -102,7 +103,7 @@
             self.feed, config.coordinator, self.deadlines, self.log.info, outside.fresh()
         )
         self._ended: asyncio.Future[None] = loop.create_future()
-        self._stopping = False
+        self._stopping, self._last_ms = False, 0.0
         self.dns = None
         if dns is not None:
             from .dns.front import DnsFront
@@ -195,11 +196,12 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then answer all that was taken."""
-        self.loop.add_signal_handler(signal.SIGHUP, self.reload)  # unheeded, it would end the process
+        signals.hold()  # one that comes now finds all parts there, or comes when they are
+        handlers = {signal.SIGHUP: self.reload, signal.SIGTERM: self.stop, signal.SIGINT: self.stop}
+        for number, handler in {**handlers, signal.SIGUSR1: self.report}.items():
+            self.loop.add_signal_handler(number, handler)
         await self.start()
-        self.loop.add_signal_handler(signal.SIGTERM, self.stop)
-        self.loop.add_signal_handler(signal.SIGINT, self.stop)
-        self.loop.add_signal_handler(signal.SIGUSR1, self.report)
+        signals.release()
         listening: dict[str, object] = {
             "listen": self.front.address,
             "dns": self.dns.address if self.dns is not None else None,
@@ -212,6 +214,7 @@
             listening["admin"] = self.admin.address
         self.log.info("serving", servers=len(self.caches.upstreams), **listening)
         await self._ended
+        signals.hold()  # the loop takes its handlers away before the process has ended
         if self.keeper is not None:
             await self.keeper.close()
         self.report()
@@ -335,11 +338,16 @@
         self.front.close()
         if self.web is not None:
             self.web.close()
+        # The longest that anybody may still wait here; guards against clients that never let it end.
+        patience = max(cls.deadline_ms for cls in self.exchange.core.classes.values())
+        self._last_ms = self.clock() + patience + ACCEPT_MS
         self._wait_for_last()
 
     def _wait_for_last(self) -> None:
-        """Every open request has a deadline of its own, so this ends."""
-        if self.exchange.owed or self.exchange.asked or (self.web is not None and self.web.owed):
+        """Every open request has a deadline of its own, and so has the whole: this ends."""
+        web_owes = self.web is not None and self.web.owed
+        owed = self.exchange.owed or self.exchange.asked or web_owes
+        if owed or (not self.front.is_done() and self.clock() < self._last_ms):
             self.deadlines.add(self.clock() + LINGER_MS, self._wait_for_last)
         else:
             self.follower.close()
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -25,6 +25,8 @@
 SPEAK_MS = 100.0  # a new connection has this long to speak before it may make room for another
 ROOM_TRIES = 8  # connections looked at for one that may make room
 SWEEP_MS = 100.0
+PAUSED_MS = 50.0  # so often who is not read at the moment is asked whether it has left
+PARTED_MS = 100.0  # at the end: what crosses the end of a connection for this long meets no reset
 SPARE_PLACES = 32  # connections over the clients' part of the descriptors, while others are on their way out
 
 
@@ -66,6 +68,7 @@
         self._listener: Listener | None = None
         self._listening = False
         self._opening: dict[asyncio.Task[object], ClientConnection] = {}
+        self._paused: dict[ClientConnection, None] = {}  # not read at the moment: nothing tells of their end
 
     def listen(self, address: Address, inherited_fd: int | None = None) -> None:
         """Bind `address`, or take up the listener inherited as `inherited_fd`, which is never bound anew."""
@@ -90,7 +93,7 @@
             try:
                 peer, _ = self._listener.accept()
             except BlockingIOError:
-                return
+                return self._all_accepted()
             except OSError:  # no descriptor left, or the peer has gone: the next sweep tries again
                 self.counters.add("clients.accept_failed")
                 return self._pause()
@@ -114,7 +117,8 @@
         now = self.clock()
         for kind, patience in ((self.lingering, 0.0), (self.resting, 0.0), (self.owing, SPEAK_MS)):
             for connection, since in itertools.islice(kind.items(), ROOM_TRIES):
-                if now - since >= patience and (kind is self.lingering or connection.is_quiet()):
+                idle = (kind is self.lingering or connection.is_quiet()) and not connection.is_sending(now)
+                if now - since >= patience and idle:
                     self.counters.add("clients.made_room")
                     return self._end(connection)
 
@@ -124,11 +128,10 @@
             self.leaving += 1
             connection.leave()
 
-    def _end_gently(self, connection: ClientConnection) -> None:
-        """A close, not a reset: the client sees its connection end after the last answer it was given."""
-        self._put(connection, None)
-        if connection.transport is not None:
-            connection.transport.close()
+    def _all_accepted(self) -> None:
+        """Nobody waits at the listener: once closing, only now may it go, else who waits is reset with it."""
+        if self.closing:
+            self.stop_taking()
 
     def stop_taking(self) -> None:
         """No more connections are taken; the listener's other holders go on taking from its queue."""
@@ -157,14 +160,19 @@
             else:
                 self._end(connection)
         for connection in [c for c, since in self.lingering.items() if now - since > LINGER_MS]:
-            self._end(connection)
-        for connection in [c for c, since in self.resting.items() if now - since > REST_MS]:
-            if connection.is_quiet():  # else it is about to ask
+            if not connection.is_sending(now):
                 self._end(connection)
+        for connection in [c for c, since in self.resting.items() if now - since > REST_MS]:
+            if connection.is_quiet() and not connection.is_sending(now):  # else it is about to ask
+                connection.part()
         if self.readiness.draining:
             for connection in [c for c in self.resting if self.readiness.closes_resting(now, c.is_quiet())]:
-                self.counters.add("clients.drained")
-                self._end_gently(connection)
+                if connection.is_quiet():  # else it asks within this turn, and that answer is its last
+                    self.counters.add("clients.drained")
+                    connection.part()
+        if self.closing:
+            self.accept()  # who found no room before
+            self._part_idle()
         self._resume()
         self.deadlines.add(now + SWEEP_MS, self.sweep)
 
@@ -178,6 +186,7 @@
 
     def left(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
+        self._paused.pop(connection, None)
         self._put(connection, None)
         self.held -= 1
         self.leaving -= connection.leaving
@@ -187,16 +196,29 @@
         """Note whether a connection has a request open, owes one or rests."""
         if connection.number is not None or connection.waiting:
             return self._put(connection, None)
-        if connection not in self.connections or connection.refused or connection.leaving:
+        if connection not in self.connections or connection.last or connection.leaving:
             return
         self._put(connection, self.owing if connection.partial or not connection.asked else self.resting)
 
-    def linger(self, connection: ClientConnection) -> None:
-        """Guards against a close over unread input, which would reset the refusal just written away."""
+    def parting(self, connection: ClientConnection) -> None:
+        """Its last answer is written, its input is dropped: it has a while to close by itself."""
         self._put(connection, self.lingering)
-        assert connection.transport is not None
-        connection.transport.resume_reading()
-        connection.transport.write_eof()
+
+    def watch_paused(self, connection: ClientConnection) -> None:
+        if not self._paused:
+            self.deadlines.add(self.clock() + PAUSED_MS, self._look_at_paused)
+        self._paused[connection] = None
+
+    def _look_at_paused(self) -> None:
+        for connection in list(self._paused):
+            if not connection.paused:
+                del self._paused[connection]
+            elif connection.has_left():
+                del self._paused[connection]
+                self.counters.add("clients.left_unread")
+                connection.drop()
+        if self._paused:
+            self.deadlines.add(self.clock() + PAUSED_MS, self._look_at_paused)
 
     def _put(self, connection: ClientConnection, kind: dict[ClientConnection, float] | None) -> None:
         if connection.kind is not kind:
@@ -228,8 +250,25 @@
             del self.open[ask.trace]
 
     def close(self) -> None:
+        """Take who is already here, and nobody else; `is_done` once all of them have had their answers."""
         self.closing = True
-        self.stop_taking()
+        self.accept()
+        self._part_idle()
+
+    def _part_idle(self) -> None:
+        now = self.clock()
         for connection in list(self.connections):
-            if connection.number is None and not connection.waiting and connection.transport is not None:
-                connection.transport.close()
+            if not connection.last and not connection.owes(now):
+                connection.part()
+
+    def is_done(self) -> bool:
+        """Whether nobody is owed anything, and the last of those who left were not cut short.
+
+        Guards against an end between a request's coming and its being read, and over an answer that lies
+        in this process's own buffers, since its client reads slowly.
+        """
+        self._part_idle()
+        now = self.clock()
+        here = any(c.owes(now) or not c.last for c in self.connections)
+        lately = any(now - since < PARTED_MS for since in self.lingering.values())
+        return self._listener is None and not self._opening and not here and not lately
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -11,7 +11,7 @@
 
 from ..exchange import Ask, Final, Head
 from .requests import REASONS, SINGLE, BadRequest, read_ask
-from .sockets import watch
+from .sockets import Unread, has_ended, watch
 
 if TYPE_CHECKING:
     from .clients import ClientFront
@@ -27,12 +27,15 @@
     def __init__(self, front: ClientFront) -> None:
         self.front = front
         self.transport: asyncio.Transport | None = None
+        self.unread: Unread | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.exchange = front.exchange  # whose the open request is
         self.waiting: deque[Ask | int] = deque()  # read, but not yet begun: an int is a status to answer
         self.number: int | None = None  # the request that is open
         self.ask: Ask | None = None
-        self.chunked = self.last = self.taking = False
+        self.patience_ms = 0.0  # until when the client of the last request waits for its answer
+        self.chunked = self.taking = False
+        self.last = False  # the last request or answer of this connection: what comes now is dropped
         self.paused = False
         self.kind: dict[ClientConnection, float] | None = None  # of the front's kinds without an open request
         self.came = False  # its transport has been made
@@ -47,6 +50,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
+        self.unread = watch(self.transport)
         self.front.arrived(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -79,6 +83,7 @@
         if self.waiting and self.transport is not None:  # guards memory: requests ahead stay with the client
             self.paused = True
             self.transport.pause_reading()
+            self.front.watch_paused(self)
 
     def eof_received(self) -> bool:
         return False  # a client that has closed its side waits for nothing
@@ -120,8 +125,9 @@
             raise BadRequest(400)
         self._grow(int(length or b"0"), self.front.body_most, 413)
         self.size = 0
-        if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        alone = self.number is None and not self.waiting  # else it would land within another's answer
+        if alone and self.headers.get(b"expect", b"").lower() == b"100-continue":
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         self._grow(len(body), self.front.body_most, 413)
@@ -165,10 +171,50 @@
 
     def is_quiet(self) -> bool:
         """Whether nothing that the client has sent lies unread."""
-        return self.transport is None or self.transport.is_closing() or not watch(self.transport).poll(0)
+        return self._is_over() or self.unread is None or not self.unread.poll(0)
+
+    def has_left(self) -> bool:
+        """Whether the client has closed, though what it sent before may still lie unread.
+
+        Guards against work for a client that has gone: nothing tells of its end while reading is paused, nor
+        before a request that waited long to be read has been taken.
+        """
+        return self._is_over() or (self.unread is not None and has_ended(self.unread))
+
+    def _is_over(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def is_sending(self, now_ms: float) -> bool:
+        """Whether some of the last answer has not even left this process, and its client may still wait."""
+        if self.transport is None or now_ms >= self.patience_ms:
+            return False
+        return self.transport.get_write_buffer_size() > 0
+
+    def owes(self, now_ms: float) -> bool:
+        """Whether an answer is owed here, or would be for what has begun to come."""
+        if self._is_over():
+            return False
+        open_or_coming = self.number is not None or bool(self.waiting) or (self.partial and not self.last)
+        return open_or_coming or self.is_sending(now_ms) or not (self.last or self.is_quiet())
+
+    def part(self) -> None:
+        """End the connection from this side: the client sees its end, and what it still sends is dropped.
+
+        Guards against a close over unread bytes, which would reset the answer just written away; and against
+        taking a request that crosses the end: its answer would find nobody.
+        """
+        self.last = True
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+            self.transport.write_eof()
+            self.front.parting(self)
 
     def leave(self) -> None:
         self.leaving = True
+        self.drop()
+
+    def drop(self) -> None:
+        """An end without a word, for who has left or makes room; what is open here ends with it."""
         if self.transport is not None:
             self.transport.abort()
 
@@ -178,6 +224,11 @@
             return
         self.taking = True  # an answer at once comes back here
         while self.number is None and self.waiting and self.transport is not None:
+            if self.has_left():
+                self.front.counters.add("clients.left_unread")
+                self.waiting.clear()
+                self.drop()
+                break
             ask = self.waiting.popleft()
             if not isinstance(ask, int) and not self.front.claim(ask):
                 ask = 409
@@ -191,6 +242,7 @@
                 self._write_status(ask)
                 self._after_answer()
             else:
+                self.patience_ms = self.front.clock() + ask.wait_ms
                 self._begin(ask)
         self.taking = False
         self.front.settle(self)
@@ -231,8 +283,7 @@
     def cut(self) -> None:
         self.number = None
         self._release()
-        if self.transport is not None:
-            self.transport.abort()
+        self.drop()
 
     def finish(self, final: Final, retry_after_ms: float) -> None:
         if final is Final.REFUSED:  # whole seconds are what HTTP has; under one would read as 'at once'
@@ -250,11 +301,16 @@
 
     def _with_close(self, lines: list[str]) -> bytes:
         if self._ends_here():
+            self.last = True  # who is told so sends no more here: a request that crosses it is not taken
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
     def _ends_here(self) -> bool:
-        return (self.last or self.front.closing or self.front.readiness.draining) and not self.waiting
+        """Whether this answer is the last; not while another request has come, or has begun to."""
+        if self.waiting or self.last:
+            return self.last and not self.waiting
+        ends = self.front.closing or self.front.readiness.draining
+        return ends and not self.partial and self.is_quiet()
 
     def _write_status(self, status: int, more: list[str] | None = None) -> None:
         reason = b"OK" if status == 200 else REASONS[status]
@@ -265,10 +321,8 @@
         self.number = None
         self._release()
         if self.transport is not None and not self.waiting:
-            if self.refused:
-                self.front.linger(self)
-            elif self._ends_here():
-                self.transport.close()
+            if self.last:
+                self.part()
             elif self.paused:
                 self.paused = False
                 self.transport.resume_reading()
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -6,7 +6,8 @@
 import select
 from typing import Protocol
 
-READY = select.POLLIN | select.POLLERR | select.POLLHUP
+ENDED = select.POLLERR | select.POLLHUP | getattr(select, "POLLRDHUP", 0)  # of the other end
+READY = select.POLLIN | ENDED
 
 
 class Unread(Protocol):
@@ -23,3 +24,8 @@
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), READY)
     return poll
+
+
+def has_ended(unread: Unread) -> bool:
+    """Whether the other end has closed or reset, though what it said before may still lie unread."""
+    return any(events & ENDED for _, events in unread.poll(0))
--- a/gladewalk/rehearsal/virtual/streams.py
+++ b/gladewalk/rehearsal/virtual/streams.py
@@ -8,10 +8,13 @@
 
 import asyncio
 import contextvars
+import select
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, cast
 
+from ...net.sockets import READY
+
 if TYPE_CHECKING:
     from .loop import VirtualLoop
 
@@ -32,7 +35,10 @@
         self.transport = transport
 
     def poll(self, timeout: float | None = None, /) -> list[tuple[int, int]]:
-        return [(0, 1)] if self.transport.inbox or self.transport.ended else []
+        inbox = self.transport.inbox
+        if self.transport.ended or EOF in inbox or RESET in inbox:
+            return [(0, READY)]
+        return [(0, select.POLLIN)] if inbox else []
 
 
 class VirtualTransport(asyncio.Transport):
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,329 @@
+"""What comes between two lines: requests, ends and signals that cross a stop or a close, each forced.
+
+Nothing is waited for by guess: bytes are written with no turn of the loop in between, scripted caches hold
+their answers until told, and the end of the accepting time is called as its deadline calls it.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from gladewalk.director import LINGER_MS, Director
+from gladewalk.net.clients import PARTED_MS
+from gladewalk.rehearsal.peers import (
+    Coordinator,
+    Heard,
+    Rehearsal,
+    ScriptedPeer,
+    config_for,
+    read_message,
+    request,
+    until,
+)
+
+from .test_net import BYTES, ROOT, hit
+
+LARGE = bytes(range(256)) * 192  # more than small socket buffers hold, less than makes a writer wait
+
+
+def held_until(release: asyncio.Event) -> Callable[[Heard], Awaitable[None]]:
+    async def script(heard: Heard) -> None:
+        await release.wait()
+        await hit(heard)
+
+    return script
+
+
+async def long_after(director: Director) -> None:
+    """So long that a director which does not wait would have ended."""
+    start = director.clock()
+    await until(lambda: director.clock() > start + PARTED_MS + 10 * LINGER_MS)
+
+
+def ask_at_once(client: socket.socket, data: bytes = b"") -> None:
+    """Written with no turn of the loop in between: it lies with the system, unread."""
+    client.sendall(data or request("/invoke/lot-page/a1"))
+
+
+async def stream_of(client: socket.socket) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    client.setblocking(False)
+    return await asyncio.open_connection(sock=client)
+
+
+class Stop(unittest.IsolatedAsyncioTestCase):
+    """Once the time for accepting is over: who is here is answered, and the process ends after that."""
+
+    async def asked_at_the_end(self, before: Callable[[Director, socket.socket], None]) -> None:
+        """`before` is called in the moment in which the accepting time ends, with a client's socket."""
+        release = asyncio.Event()
+        cache = ScriptedPeer(held_until(release))
+        async with Rehearsal([cache]) as world:
+            director = world.director
+            assert director is not None
+            client = socket.create_connection(director.front.address)
+            before(director, client)
+            director._close()
+            reader, writer = await stream_of(client)
+            await until(lambda: len(cache.heard) == 1)
+            await long_after(director)
+            self.assertFalse(director._ended.done())
+            release.set()
+            first, fields, body = await read_message(reader)
+            self.assertEqual((first.split(" ")[1], fields["connection"], body), ("200", "close", BYTES))
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+            await director._ended
+
+    async def test_who_waits_unaccepted_is_answered(self) -> None:
+        await self.asked_at_the_end(lambda director, client: ask_at_once(client))
+
+    async def test_who_is_accepted_but_not_set_up_is_answered(self) -> None:
+        def before(director: Director, client: socket.socket) -> None:
+            ask_at_once(client)
+            director.front.accept()
+
+        await self.asked_at_the_end(before)
+
+    async def test_a_request_that_lies_unread_is_answered(self) -> None:
+        cache = ScriptedPeer(hit)
+        async with Rehearsal([cache]) as world:
+            director = world.director
+            assert director is not None
+            reader, writer = await world.client()
+            writer.write(request("/invoke/lot-page/a1"))
+            await read_message(reader)
+            os.write(writer.get_extra_info("socket").fileno(), request("/invoke/lot-page/a2"))
+            director._close()
+            first, fields, body = await read_message(reader)
+            self.assertEqual((first.split(" ")[1], fields["connection"], body), ("200", "close", BYTES))
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+            await director._ended
+
+    async def test_half_a_request_has_its_time_to_come_whole(self) -> None:
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            director = world.director
+            assert director is not None
+            reader, writer = await world.client()
+            whole = request("/invoke/lot-page/a1")
+            writer.write(whole[:-9])
+            await until(lambda: any(connection.partial for connection in director.front.owing))
+            director._close()
+            await long_after(director)
+            self.assertFalse(director._ended.done())
+            writer.write(whole[-9:])
+            self.assertIn(" 200 ", (await read_message(reader))[0])
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+            await director._ended
+
+    async def test_who_rests_sees_an_end_and_what_crosses_it_is_not_taken(self) -> None:
+        cache = ScriptedPeer(hit)
+        async with Rehearsal([cache]) as world:
+            director = world.director
+            assert director is not None
+            reader, writer = await world.client()
+            writer.write(request("/invoke/lot-page/a1"))
+            await read_message(reader)
+            director._close()
+            writer.write(request("/invoke/lot-page/a2"))
+            self.assertEqual(await reader.read(), b"")  # an end, and no reset
+            writer.close()
+            await director._ended
+            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
+
+    async def test_who_says_nothing_more_holds_no_process_up(self) -> None:
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            director = world.director
+            assert director is not None
+            clients = [await world.client() for _ in range(3)]
+            await until(lambda: len(director.front.owing) == 3)
+            director._close()
+            await director._ended
+            for reader, writer in clients:
+                self.assertEqual(await reader.read(), b"")
+                writer.close()
+
+    async def test_an_answer_that_its_client_reads_slowly_comes_whole(self) -> None:
+        async def large(heard: Heard) -> None:
+            await heard.answer(200, LARGE)
+
+        async with Rehearsal([ScriptedPeer(large)]) as world:
+            director = world.director
+            assert director is not None
+            front, client = director.front, socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(client, front.address)
+            await until(lambda: len(front.connections) == 1)
+            (connection,) = front.connections
+            assert connection.transport is not None
+            sock = connection.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            ask_at_once(client)
+            await until(lambda: director.counters["answers.served"] == 1)
+            self.assertGreater(connection.transport.get_write_buffer_size(), 0)  # owed to nobody's knowledge
+            front._make_room()
+            self.assertFalse(connection.leaving)
+            director._close()
+            await long_after(director)
+            self.assertFalse(director._ended.done())
+            reader, writer = await stream_of(client)
+            self.assertEqual((await read_message(reader))[2], LARGE)
+            writer.close()
+            await director._ended
+
+
+class Ends(unittest.IsolatedAsyncioTestCase):
+    """Ends of connections, from either side, that cross requests and answers."""
+
+    async def test_a_request_behind_a_last_answer_is_not_taken_and_resets_nothing(self) -> None:
+        release = asyncio.Event()
+
+        async def in_two_pieces(heard: Heard) -> None:
+            heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
+            await release.wait()
+            heard.writer.write(b"def")
+
+        cache = ScriptedPeer(in_two_pieces)
+        async with Rehearsal([cache]) as world:
+            director = world.director
+            assert director is not None
+            director.readiness.start_drain(director.clock())
+            reader, writer = await world.client()
+            writer.write(request("/invoke/lot-page/a1"))
+            self.assertIn(b"Connection: close", await reader.readuntil(b"\r\n\r\n"))
+            writer.write(request("/invoke/lot-page/a2"))
+            (connection,) = director.front.connections
+            await until(connection.is_quiet)  # it has come, and been read
+            release.set()
+            self.assertEqual(await reader.read(), b"abcdef")
+            writer.close()
+            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
+
+    async def test_a_client_that_leaves_is_seen_though_it_is_not_read(self) -> None:
+        release = asyncio.Event()
+        cache = ScriptedPeer(held_until(release))
+        async with Rehearsal([cache]) as world:
+            director = world.director
+            assert director is not None
+            _, writer = await world.client()
+            for name in ("a1", "a2", "a3"):
+                writer.write(request(f"/invoke/lot-page/{name}"))
+            await until(lambda: any(c.paused for c in director.front.connections) and len(cache.heard) == 1)
+            writer.close()
+            await until(lambda: not director.exchange.taken, 2.0)  # and not once its time is up
+            self.assertEqual(director.counters["requests.left_by_client"], 1)
+            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
+
+    async def test_a_request_whose_client_has_left_before_it_was_read_is_not_sent_on(self) -> None:
+        cache = ScriptedPeer(hit)
+        async with Rehearsal([cache]) as world:
+            director = world.director
+            assert director is not None
+            with socket.create_connection(director.front.address) as client:
+                ask_at_once(client)  # it waits unaccepted, and is closed before the loop's next turn
+            await until(lambda: director.counters["clients.left_unread"] == 1)
+            await until(lambda: not director.front.connections)
+            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (0, 0))
+            self.assertEqual(director.front.held, 0)
+
+    async def test_a_client_that_leaves_while_its_request_is_held_or_dialled_is_not_sent_on(self) -> None:
+        cache = ScriptedPeer(hit)
+        async with Rehearsal([cache], coordinator=Coordinator(answering=asyncio.Event())) as world:
+            director = world.director
+            assert director is not None
+            _, writer = await world.client()
+            writer.write(request("/invoke/lot-page/a1"))
+            await until(lambda: director.exchange.held is not None and len(director.exchange.held) == 1)
+            writer.close()
+            await until(lambda: not director.front.connections)
+            assert world.coordinator.answering is not None
+            world.coordinator.answering.set()
+            await until(lambda: director.exchange.held is None)
+            await until(lambda: not director.exchange.taken)
+            self.assertEqual((len(cache.heard), director.counters["attempts.written"]), (0, 0))
+
+    async def test_nothing_is_said_within_another_answer(self) -> None:
+        release = asyncio.Event()
+
+        async def in_two_pieces(heard: Heard) -> None:
+            heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
+            await release.wait()
+            heard.writer.write(b"def")
+
+        async with Rehearsal([ScriptedPeer(in_two_pieces)]) as world:
+            director = world.director
+            assert director is not None
+            reader, writer = await world.client()
+            writer.write(request("/invoke/lot-page/a1"))
+            await reader.readuntil(b"abc")
+            behind = request("/invoke/bid/b1", method="PUT", body=b"12", Expect="100-continue")
+            writer.write(behind[:-2])
+            (connection,) = director.front.connections
+            await until(lambda: connection.partial and connection.headed)
+            release.set()
+            self.assertEqual(await reader.readexactly(3), b"def")
+            writer.close()
+
+
+class Signals(unittest.IsolatedAsyncioTestCase):
+    """A signal finds its handler, whenever it comes."""
+
+    async def test_what_comes_while_the_configuration_is_read_waits_for_its_handler(self) -> None:
+        cache, coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "config.json")
+            os.mkfifo(path)
+            program = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "gladewalk", cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(path)},
+                stderr=asyncio.subprocess.PIPE,
+            )  # fmt: skip
+            assert program.stderr is not None
+            pipe = await asyncio.to_thread(open, path, "w")  # opened: it is about to read
+            config = json.dumps(config_for([cache], coordinator))
+            Path(folder, "next").write_text(config)
+            os.replace(Path(folder, "next"), path)
+            for number in (signal.SIGHUP, signal.SIGUSR1):
+                program.send_signal(number)
+            with pipe:
+                pipe.write(config)
+            events: list[str] = []
+            while "serving" not in events:
+                line = await program.stderr.readline()
+                self.assertTrue(line, f"ended with {program.returncode} after {events}")
+                events.append(json.loads(line)["event"])
+            program.send_signal(signal.SIGTERM)
+            rest = (await program.communicate())[1].splitlines()
+            events += [json.loads(line)["event"] for line in rest]
+            self.assertEqual(program.returncode, 0)
+            self.assertIn("configuration taken", events)
+            self.assertIn("stopping", events)
+        cache.stop()
+        coordinator.stop()
+
+    async def test_what_comes_once_a_stop_is_through_does_not_end_the_process_otherwise(self) -> None:
+        before = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        self.addCleanup(signal.pthread_sigmask, signal.SIG_SETMASK, before)
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            director = world.director
+            assert director is not None
+            director._ended.set_result(None)
+            asyncio.get_running_loop().call_soon(director.stop)
+            director.start = _nothing  # type: ignore[method-assign]  # it has started
+            await director.run()
+            mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+            self.assertTrue({signal.SIGHUP, signal.SIGTERM} <= mask - before)
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+                asyncio.get_running_loop().remove_signal_handler(number)
+
+
+async def _nothing() -> None:
+    pass
