What the feed lost is asked for again, an unusable entry costs only itself, half a line keeps nothing alive

Read, then proven (5 of the 6 tests in tests/test_feed.py fail without this): - Feed.line moved the number on though the event could not be used, so that a change was lost for good: it is asked for again, three times at most with the growing waits, once where asking has not helped. - Feed._list dropped a whole change for one bad entry: the others are in force, each bad one counts (`coordinator.bad_entries`); a list that claims to be whole removes nobody while part of it was not understood. - Follower.heard took any byte for a sign of life: only lines of use shorten the waits, and half a line keeps a connection for 5 s since the last whole one. - A deeply nested line raised RecursionError out of data_received; infinite and negative sizes, times without number and truth values as numbers went into the module. Ruled out by a passing test: idle clients that fill their places while discovery is down leave the feed its descriptor.

--- a/gladewalk/config.py
+++ b/gladewalk/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -53,11 +54,11 @@
         raw = json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror or error}") from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: not valid JSON: {error}") from error
     try:
         return read(raw, environ)
-    except (SettingsError, ConfigError, ValueError, TypeError, AttributeError) as error:
+    except (SettingsError, ConfigError, ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from error
 
 
@@ -114,6 +115,13 @@
 }
 
 
+def finite(value: Any) -> float:
+    """A figure that can be reckoned with; JSON as it is read here has infinities, and what is no number."""
+    if not math.isfinite(number := float(value)):
+        raise ConfigError(f"not a finite number: {value!r}")
+    return number
+
+
 def read_server(entry: Any, roles: Mapping[Any, api.Role]) -> tuple[api.Server, Address | None]:
     """One entry of the coordinator's list: the server under its lasting `uid`, and where to dial it."""
     if not isinstance(entry, dict):
@@ -122,13 +130,16 @@
     if state is None:
         raise ConfigError(f"unknown state {entry.get('state')!r}")
     gone = state is api.ServerState.GONE
+    size = finite(either(entry.get("capacity_hint"), 1.0))
+    if size < 0.0:
+        raise ConfigError(f"a size under 0: {size}")
     server = api.Server(
         name=need(entry, "uid", (str,)),
         role=roles.get(entry.get("model"), api.Role.CACHE),
         zone=str(either(entry.get("az"), "")),
-        size=float(either(entry.get("capacity_hint"), 1.0)),
+        size=size,
         state=state,
-        started_ms=float(either(entry.get("boot_ms"), 0.0)),
+        started_ms=finite(either(entry.get("boot_ms"), 0.0)),
         cell=int(either(entry.get("pod_group"), 0)),
         place=str(either(entry.get("endpoint"), "")),
     )
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -9,7 +9,7 @@
 from typing import Any, cast
 
 from .. import interface as api
-from ..config import Address, Config, ConfigError, read_server
+from ..config import Address, Config, ConfigError, finite, read_server
 from ..counters import Counters
 from ..deadlines import Deadlines, Key
 from ..exchange import Exchange
@@ -19,7 +19,11 @@
 CONNECT_MS = 1_000.0
 BACKOFF_MS = 50.0  # first wait before a new connection, doubled up to the most; what it tells counts as told
 BACKOFF_MOST_MS = 400.0  # 2 s after a break even if it did not arrive, so the waits stay short
+LINE_MS = 5_000.0  # a line that has begun may keep a connection alive for as long since the last whole one
+ASKED_MOST = 3  # times that an event is asked for again of which something could not be used
+ASKED_LEAST = 1  # and while asking again has not helped
 LINE_MOST = 4 * 1024 * 1024
+UNUSABLE = (ConfigError, SettingsError, TypeError, ValueError, KeyError, AttributeError, OverflowError)
 
 
 class Feed:
@@ -30,6 +34,8 @@
     ) -> None:
         self.exchange, self.roles, self.clock, self.counters = exchange, config.roles, clock, counters
         self.last = self.begun = 0
+        self._asked = (0, 0)  # an event of which something was lost; how often it was asked for again
+        self._ask_most = ASKED_MOST
         self.resumed = False  # `last` is from before our start
         self._listed = False
         self.noted: Callable[[int, dict[str, Any]], None] | None = None  # hears each good event of the feed
@@ -37,7 +43,7 @@
     def known(self, index: int, events: Iterable[dict[str, Any]]) -> None:
         """The events of the start, out of the configuration."""
         for event in events:
-            self.event(event)
+            self.event(event)  # what it is is all there is: nobody can be asked for more than the file has
         self.last = self.begun = max(self.last, index)
 
     def resume(self, index: int) -> None:
@@ -49,12 +55,12 @@
         """One line of the feed; False when an event is missing before it or it makes no sense."""
         try:
             message = json.loads(data)
-        except ValueError:
+        except (ValueError, RecursionError):
             self.counters.add("coordinator.bad_lines")
             return False
-        if isinstance(message, int):
+        if type(message) is int:  # a truth value is none
             message = {"index": message}
-        if not isinstance(message, dict) or not isinstance(message.get("index"), int):
+        if not isinstance(message, dict) or type(message.get("index")) is not int:
             self.counters.add("coordinator.bad_lines")
             return False
         if self.resumed and len(message) == 1 and message["index"] < self.last:
@@ -67,37 +73,71 @@
         if len(message) == 1 or message["index"] != self.last + 1:
             self.counters.add("coordinator.gaps")
             return False
+        whole = self.event(message)
+        if not whole and self._asks_again(message["index"]):
+            return False
+        if whole and self._asked[0] == message["index"]:
+            self._ask_most = ASKED_MOST  # it was only spoilt on its way
         self.last = message["index"]
-        if self.event(message) and self.noted is not None:
+        if whole and self.noted is not None:
             self.noted(self.last, message)
         return True
 
+    def _asks_again(self, index: int) -> bool:
+        """Whether an event of which something was lost is asked for once more, with what comes behind it.
+
+        Guards against a change lost for good since its line was spoilt on its way; and, being bounded,
+        against a feed that never gets past an event that nobody here can use. Where many are such, each
+        costs the others one wait and no more.
+        """
+        before, asked = self._asked
+        asked = asked + 1 if before == index else 1
+        self._asked = index, asked
+        if asked <= self._ask_most:
+            return True
+        self._ask_most = ASKED_LEAST
+        self.counters.add("coordinator.given_up")
+        return False
+
     def event(self, event: dict[str, Any]) -> bool:
-        """Guards against an event of a form not known here: it is counted, and the feed goes on."""
+        """Guards against an event of a form not known here: it is counted, and what can be used is.
+
+        False: something of it was lost.
+        """
+        bad_entries = 0
         try:
             if "endpoints" in event:
-                self._list(event["endpoints"])
+                bad_entries = self._list(event["endpoints"])
             if "evict" in event:
                 self._purge(event["evict"])
-        except (ConfigError, SettingsError, TypeError, ValueError, KeyError, AttributeError):
+        except UNUSABLE:
             self.counters.add("coordinator.bad_events")
             return False
         self.counters.add("coordinator.events")
-        return True
-
-    def _list(self, change: dict[str, Any]) -> None:
-        read = [read_server(entry, self.roles) for entry in change["targets"]]
+        return not bad_entries
+
+    def _list(self, change: dict[str, Any]) -> int:
+        """Take a change of the list; how many entries could not be used. They cost the others nothing."""
+        read: list[tuple[api.Server, Address | None]] = []
+        models: dict[str, str] = {}
+        for entry in change["targets"]:
+            try:
+                read.append(read_server(entry, self.roles))
+                models[str(entry["uid"])] = str(entry.get("model", ""))
+            except UNUSABLE:
+                self.counters.add("coordinator.bad_entries")
+        bad_entries = len(change["targets"]) - len(read)
         kind = api.ListKind.CHANGES
-        if not self._listed or change.get("all"):
+        if not self._listed or (change.get("all") and not bad_entries):  # else one not understood would go
             kind = api.ListKind.WHOLE if self._listed else api.ListKind.LAST
         self._listed = True
         addresses = {server.name: address for server, address in read}
-        models = {str(entry["uid"]): str(entry.get("model", "")) for entry in change["targets"]}
         self.exchange.listed(api.ServerList(kind, tuple(server for server, _ in read)), addresses, models)
+        return bad_entries
 
     def _purge(self, evict: dict[str, Any]) -> None:
         key = int(evict["ref"], 16) if "ref" in evict else None
-        age = max(0.0, self.clock() - float(evict["unix_ms"]))
+        age = max(0.0, self.clock() - finite(evict["unix_ms"]))
         self.exchange.purged(api.Purge(key, int(evict.get("shard", -1)), age))
 
 
@@ -114,10 +154,11 @@
         self.transport.write(f"follow {self.follower.feed.last}\n".encode())
 
     def data_received(self, data: bytes) -> None:
-        if not self.follower.heard(self):
-            return
         *lines, self.rest = (self.rest + data).split(b"\n")
+        if not self.follower.hears(self):
+            return
         good = all(self.follower.feed.line(line) for line in lines if line.strip())
+        self.follower.heard(whole=good and bool(lines))
         if good and lines:
             self.follower.settled()
         if (not good or len(self.rest) > LINE_MOST) and self.transport is not None:
@@ -143,6 +184,7 @@
         self.connection: CoordinatorConnection | None = None
         self.wait_ms = BACKOFF_MS
         self.closing = False
+        self._whole_ms = 0.0  # when the connection began, or last brought a whole line of use
         self._due: Key | None = None
         self._task: asyncio.Task[None] | None = None
         self.on_settled: Callable[[], None] | None = None  # called once, at the first whole lines
@@ -174,7 +216,7 @@
     def begins(self, connection: CoordinatorConnection) -> bool:
         if self.closing or connection.address != self.address:  # dialled before it was moved
             return False
-        self.connection = connection
+        self.connection, self._whole_ms = connection, self.feed.clock()
         self._watch()
         return True
 
@@ -184,12 +226,18 @@
             call, self.on_settled = self.on_settled, None
             call()
 
-    def heard(self, connection: CoordinatorConnection) -> bool:
-        if connection is not self.connection:
-            return False
-        self.wait_ms = BACKOFF_MS
+    def hears(self, connection: CoordinatorConnection) -> bool:
+        return connection is self.connection
+
+    def heard(self, whole: bool) -> None:
+        """Something came; `whole`: lines of use, and nothing else.
+
+        Guards against a coordinator that takes connections and brings nothing: only lines of use shorten the
+        waits again, and half a line keeps a connection alive no longer than `LINE_MS`.
+        """
+        if whole:
+            self.wait_ms, self._whole_ms = BACKOFF_MS, self.feed.clock()
         self._watch()
-        return True
 
     def lost(self, connection: CoordinatorConnection) -> None:
         if connection is self.connection:
@@ -219,7 +267,8 @@
 
     def _watch(self) -> None:
         self.deadlines.drop(self._due)
-        self._due = self.deadlines.add(self.feed.clock() + SILENCE_MS, self._silent)
+        until = min(self.feed.clock() + SILENCE_MS, self._whole_ms + LINE_MS)
+        self._due = self.deadlines.add(until, self._silent)
 
     def _silent(self) -> None:
         self.feed.counters.add("coordinator.silent")
--- a/gladewalk/rehearsal/peers.py
+++ b/gladewalk/rehearsal/peers.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol, Self
 
 from ..config import Config, read
 from ..director import Director
@@ -213,7 +213,7 @@
     options: Options | None = None
     director: Director | None = None
 
-    async def __aenter__(self) -> Rehearsal:
+    async def __aenter__(self) -> Self:
         await self.coordinator.start()
         for peer in self.peers:
             await peer.start()
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,157 @@
+"""The coordinator's feed on real sockets: spoilt lines, half lines, lines of no use, and what they cost."""
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+from gladewalk.interface import ServerState
+from gladewalk.net.coordinator import ASKED_MOST, BACKOFF_MOST_MS, BACKOFF_MS, LINE_MS, SILENCE_MS
+from gladewalk.rehearsal.peers import Coordinator, Rehearsal, ScriptedPeer, until
+
+from .test_net import hit
+
+
+def whole_list(*targets: Any) -> dict[str, Any]:
+    return {"endpoints": {"rev": 2, "all": False, "targets": list(targets)}}
+
+
+async def answer_with_noise(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.readline()
+    writer.write(b"noise\n")
+
+
+class World(Rehearsal):
+    """A director that follows, with one cache."""
+
+    def __init__(self) -> None:
+        self.cache = ScriptedPeer(hit)
+        super().__init__([self.cache])
+
+    @property
+    def known(self) -> dict[str, ServerState]:
+        assert self.director is not None
+        return {name: s.info.state for name, s in self.director.exchange.core.servers.items()}
+
+    async def following(self, times: int) -> None:
+        await until(lambda: len(self.coordinator.follows) >= times)
+
+
+class Spoilt(unittest.IsolatedAsyncioTestCase):
+    async def test_an_entry_of_no_use_costs_the_others_nothing(self) -> None:
+        async with World() as world:
+            assert world.director is not None
+            await world.following(1)
+            good = {**world.cache.target(), "uid": "c2"}
+            drains = {**world.cache.target(), "state": "DRAINING"}
+            bad: list[Any] = [
+                {**good, "uid": "x1", "state": "NAPPING"}, {**good, "uid": "x2", "endpoint": "nowhere"}, 7,
+                {**good, "uid": "x3", "capacity_hint": "much"}, {**good, "uid": "x4", "capacity_hint": -1},
+                {**good, "uid": "x5", "boot_ms": float("inf")}, {**good, "uid": 3}, None,
+            ]  # fmt: skip
+            world.coordinator.tell(**whole_list(*bad, good, drains))
+            await until(lambda: set(world.known) == {"c1", "c2"})
+            self.assertEqual(world.known["c1"], ServerState.DRAINING)
+            counters = world.director.counters
+            await until(lambda: counters["coordinator.given_up"] == 1)
+            self.assertEqual(counters["coordinator.bad_entries"], len(bad) * (1 + ASKED_MOST))
+            self.assertEqual(world.coordinator.follows, [1] * (1 + ASKED_MOST))
+            # Asking again did not help: the next such event is asked for once more, not three times.
+            world.coordinator.tell(**whole_list(bad[0]))
+            await until(lambda: counters["coordinator.given_up"] == 2)
+            self.assertEqual(world.coordinator.follows[1 + ASKED_MOST :], [2])
+            world.coordinator.tell(**whole_list({**good, "uid": "c3"}))
+            await until(lambda: "c3" in world.known)
+            self.assertEqual(world.director.feed.last, 4)
+
+    async def test_a_change_spoilt_on_its_way_is_asked_for_again_and_not_lost(self) -> None:
+        async with World() as world:
+            assert world.director is not None
+            await world.following(1)
+            event = {"index": 2, **whole_list({**world.cache.target(), "uid": "c2"})}
+            for spoilt in (
+                {"index": 2, "endpoints": {"rev": 2}},
+                {"index": 2, "endpoints": {"rev": 2, "targets": [{"uid": "c2"}]}},
+                {"index": 2, "evict": {"ref": "xyz", "unix_ms": 1.0}},
+                {"index": 2, "evict": {"shard": 3, "unix_ms": float("nan")}},
+            ):
+                before = len(world.coordinator.follows)
+                world.director.feed._asked = (0, 0)
+                world.coordinator.write(json.dumps(spoilt).encode() + b"\n")
+                await world.following(before + 1)
+            self.assertEqual(set(world.coordinator.follows), {1})
+            self.assertNotIn("c2", world.known)
+            world.coordinator.events.append(event)
+            world.coordinator.cut()
+            await until(lambda: "c2" in world.known)
+            self.assertEqual(world.director.feed.last, 2)
+
+    async def test_lines_that_are_none_leave_the_last_list_in_force(self) -> None:
+        async with World() as world:
+            assert world.director is not None
+            await world.following(1)
+            lines = [b"[" * 200_000, b"{}", b"true", b'{"index":true}', b'{"index":"2"}', b"\xff\xfe", b'"x"']
+            for number, line in enumerate(lines):
+                world.coordinator.write(line + b"\n")
+                await world.following(number + 2)
+            self.assertEqual(world.known, {"c1": ServerState.READY})
+            self.assertEqual(world.director.counters["coordinator.bad_lines"], len(lines))
+            self.assertEqual((await world.ask())[0], 200)
+
+
+class Nothing(unittest.IsolatedAsyncioTestCase):
+    """A coordinator that takes connections and brings nothing of use."""
+
+    async def test_bytes_without_a_line_of_use_shorten_no_wait(self) -> None:
+        async with World() as world:
+            assert world.director is not None
+            follower = world.director.follower
+            await world.following(1)
+            noise = await asyncio.start_server(answer_with_noise, "127.0.0.1", 0)
+            follower.move(noise.sockets[0].getsockname()[:2])
+            await until(lambda: follower.wait_ms == BACKOFF_MOST_MS)
+            noise.close()
+            host, _, port = world.coordinator.address.rpartition(":")
+            follower.address = (host, int(port))  # and not `move`, which begins anew
+            await world.following(2)
+            await until(lambda: follower.wait_ms == BACKOFF_MS)
+
+    async def test_half_a_line_keeps_a_connection_alive_for_a_while_only(self) -> None:
+        async with World() as world:
+            assert world.director is not None
+            director, follower = world.director, world.director.follower
+            await world.following(1)
+            await until(lambda: director.readiness.synced)
+            real, ahead, written = director.feed.clock, 0.0, [0]
+            director.feed.clock = lambda: real() + ahead
+            begun = real()
+            for step in range(1, 4):  # half a line goes on and on, always before the time of a silence
+                ahead = step * 0.9 * SILENCE_MS
+                world.coordinator.write(b" ")
+                written[0] = step
+                await until(lambda: (c := follower.connection) is None or len(c.rest) >= written[0])
+                if follower._due is not None:
+                    self.assertLessEqual(follower._due[0], max(real(), begun) + LINE_MS)
+            world.director.feed.clock = real
+
+
+class Down(unittest.IsolatedAsyncioTestCase):
+    async def test_idle_clients_that_fill_their_places_leave_the_feed_its_descriptor(self) -> None:
+        coordinator = Coordinator()
+        async with Rehearsal([ScriptedPeer(hit)], coordinator=coordinator) as world:
+            assert world.director is not None
+            director = world.director
+            await until(lambda: len(coordinator.follows) == 1)
+            assert coordinator._server is not None
+            port = int(coordinator.address.rpartition(":")[2])
+            coordinator._server.close()
+            coordinator.cut()  # discovery is down
+            clients = [await world.client() for _ in range(2 * director.front.places)]
+            await until(lambda: director.counters["coordinator.connects"] >= 3)
+            self.assertLessEqual(director.front.held, director.config.sockets)
+            again = await asyncio.start_server(coordinator._serve, "127.0.0.1", port)
+            await until(lambda: len(coordinator.follows) == 2)
+            self.assertEqual((await world.ask())[0], 200)
+            again.close()
+            for _, writer in clients:
+                writer.close()
