A dial given up before its first step gives its place back: each such took one for good

A request whose client leaves, or whose other copy answers, in the turn in which its connection is first dialled thus held one of the pool's places for as long as the process lived; once `dialling` had grown to the limit nothing could be dialled any more. The place is now given back as the task ends, however it ends.

Ruled out: the same of the coordinator's dial (nothing is counted there), and of a connection that comes up as its dial is given up (it serves another, or is closed within create_connection).

--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -9,7 +9,7 @@
 
 from .. import interface as api
 from ..exchange import Attempt, End, Head
-from ..net.sockets import watch
+from ..net.sockets import FRAMING_MOST, watch
 from .jobs import Probing
 from .words import (
     AUTHORITY,
--- a/gladewalk/upstream/lane.py
+++ b/gladewalk/upstream/lane.py
@@ -13,7 +13,8 @@
 from .jobs import Job
 
 if TYPE_CHECKING:
-    from .pool import Caches, Dial, Upstream
+    from .pool import Caches
+    from .targets import Dial, Upstream
 
 
 UNHEARD_MOST = 2  # once may be a restart; a server that does it again does not know our preface
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -15,10 +15,11 @@
 from .. import interface as api
 from ..config import Address, Config
 from ..counters import Counters
-from ..deadlines import Deadlines, Key
+from ..deadlines import Deadlines
 from ..exchange import Attempt, End, Exchange
 from .http1 import CacheConnection
 from .jobs import Job, Probing
+from .targets import IDLE_PART, Dial, LaneDial, Upstream
 from .words import PROBE_PATH
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -29,76 +30,11 @@
 
 OWN_DESCRIPTORS = 48  # left to the program itself: listeners, the coordinator, logs, connects that overlap
 UPSTREAM_PART = 0.6  # of the descriptors; clients hold up to a third
-IDLE_PART = 0.6  # of the time after which a cache closes an idle connection: ours closes first
 IDLE_SWEEP_MS = 1_000.0
 LANE_SWEEP_MS = 100.0  # while there are shared connections: so exact are the times for a silent one
 PROBE_TIMEOUT_MS = 250.0
 
 
-class Upstream:
-    """One server of the list under its lasting name; its address is only where to dial."""
-
-    def __init__(self, pool: Caches, name: str, address: Address) -> None:
-        self.pool, self.name, self.address = pool, name, address
-        self.model = ""
-        self.idle: list[CacheConnection] = []
-        self.lane: Lane | None = None  # its shared connections, where it is spoken to over HTTP/2
-        self.gone = False
-
-    def rest(self, connection: CacheConnection) -> None:
-        pool = self.pool
-        if self.gone or connection.address != self.address:  # it leads to where this server was
-            return connection.close()
-        self.idle.append(connection)
-        connection.idle_until = pool.clock() + pool.config.conn_idle_ms * IDLE_PART
-        pool.pump()
-
-    def wake(self) -> CacheConnection | None:
-        """The connection that was used last, if one is idle and its other end is still quiet."""
-        now = self.pool.clock()
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.idle_until >= now and connection.is_quiet():
-                return connection
-            connection.close()  # its other end has closed or spoken, or may be closing it just now
-        return None
-
-    def close_stale(self, now_ms: float) -> None:
-        while self.idle and self.idle[0].idle_until < now_ms:
-            self.idle.pop(0).close()
-
-    def close_idle(self) -> None:
-        for connection in list(self.idle):
-            connection.close()
-        self.idle.clear()
-        if self.lane is not None:
-            self.lane.close_idle()
-
-
-class Dial:
-    """A job that waits for its connection; it waits in a queue, or its connection is being opened."""
-
-    def __init__(self, pool: Caches, job: Job, upstream: Upstream, queue: deque[Dial]) -> None:
-        self.pool, self.job, self.upstream = pool, job, upstream
-        self.queue: deque[Dial] | None = queue
-        self.task: asyncio.Task[None] | None = None
-        self.due: Key | None = None
-
-    def drop(self, job: Job) -> None:
-        self.pool.hang_up(self)
-
-    def flow(self, job: Job, on: bool) -> None:
-        pass
-
-
-class LaneDial:
-    """A connection that a lane wants, and that no job waits for by itself."""
-
-    def __init__(self, lane: Lane) -> None:
-        self.lane, self.upstream = lane, lane.upstream
-        self.task: asyncio.Task[None] | None = None
-
-
 class Caches:
     """All upstream connections."""
 
@@ -259,9 +195,16 @@
         self.dialling.add(dial)
         if isinstance(dial, Dial):
             dial.queue = None
-            dial.task = asyncio.get_running_loop().create_task(self._connect(dial))
-        else:
-            dial.task = asyncio.get_running_loop().create_task(self._connect_lane(dial))
+        steps = self._connect(dial) if isinstance(dial, Dial) else self._connect_lane(dial)
+        dial.task = asyncio.get_running_loop().create_task(steps)
+        # Guards against a place that is never given back: a task called off before its first step runs none.
+        dial.task.add_done_callback(lambda _: self._dialled(dial))
+
+    def _dialled(self, dial: Dial | LaneDial) -> None:
+        """Its connection is open, or none is being opened any more."""
+        if dial in self.dialling:
+            self.dialling.remove(dial)
+            self.pump()
 
     async def _connect(self, dial: Dial) -> None:
         connection: CacheConnection | None = None
@@ -278,8 +221,7 @@
             connection = None
             self._note_tls(upstream, error)
         finally:
-            self.dialling.discard(dial)
-            self.pump()
+            self._dialled(dial)
         if dial.job.carrier is not dial:  # given up meanwhile: the connection may serve another
             if connection is not None and connection.transport is not None:
                 upstream.rest(connection)
@@ -304,8 +246,7 @@
         except OSError as error:
             self._note_tls(upstream, error)
         finally:
-            self.dialling.discard(dial)
-            self.pump()
+            self._dialled(dial)
         if opened is None or opened.transport is None:
             self.counters.add("caches.connects_failed")
             lane.failed()
--- a/gladewalk/upstream/secure.py
+++ b/gladewalk/upstream/secure.py
@@ -14,7 +14,8 @@
 from .lane import Lane
 
 if TYPE_CHECKING:
-    from .pool import Caches, Upstream
+    from .pool import Caches
+    from .targets import Upstream
 
 ALPN = {Offer.TLS: ["h2", "http/1.1"], Offer.TLS_HTTP1: ["http/1.1"]}
 
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -9,7 +9,7 @@
 from ..exchange import Attempt
 from ..upstream.http1 import CacheConnection
 from ..upstream.jobs import Probing
-from ..upstream.pool import Upstream
+from ..upstream.targets import Upstream
 from ..upstream.words import OBJECT_MOST, Spoilt, read_length
 from .balanced import Balanced
 from .wire import NOBODY, Fields, WebAsk, WebEnd, WebHead, condition_of, request_bytes
