What a client or a cache sends without end is bounded in a trailer and a chunk's frame, too

All bytes behind a head are now held against the body's, eight to one. - A cache's trailer of many fields filled the table of headers; a chunk's extension without end kept a place for free. - A client that asks ahead and reads nothing was answered on and on: the transport calls pause_writing once, in the first answer, and none of the later ones was held back (381 kB for eight answers of 48 kB). Its next request now waits until it has read, and who has not read by a second after its patience is parted from (`clients.never_read`).

--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -217,6 +217,10 @@
                 del self._paused[connection]
                 self.counters.add("clients.left_unread")
                 connection.drop()
+            elif connection.full and self.clock() > connection.patience_ms + LINGER_MS:
+                del self._paused[connection]
+                self.counters.add("clients.never_read")
+                connection.drop()
         if self._paused:
             self.deadlines.add(self.clock() + PAUSED_MS, self._look_at_paused)
 
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -11,7 +11,7 @@
 
 from ..exchange import Ask, Final, Head
 from .requests import REASONS, SINGLE, BadRequest, read_ask
-from .sockets import Unread, has_ended, watch
+from .sockets import FRAMING_MOST, Unread, has_ended, watch
 
 if TYPE_CHECKING:
     from .clients import ClientFront
@@ -36,13 +36,13 @@
         self.patience_ms = 0.0  # until when the client of the last request waits for its answer
         self.chunked = self.taking = False
         self.last = False  # the last request or answer of this connection: what comes now is dropped
-        self.paused = False
+        self.paused = self.full = False  # not read at the moment; the client does not read
         self.kind: dict[ClientConnection, float] | None = None  # of the front's kinds without an open request
         self.came = False  # its transport has been made
         self.refused = self.leaving = False  # its input is dropped; it makes room for another
         self.asked = False  # a whole request has ever come
         self.partial = self.headed = False  # a request is half read; its head is whole
-        self.url, self.size = b"", 0
+        self.url, self.size, self.raw = b"", 0, 0  # `raw`: all bytes of the request behind its first read
         self.headers: dict[bytes, bytes] = {}
         self.content: list[bytes] = []
 
@@ -65,11 +65,15 @@
     def data_received(self, data: bytes) -> None:
         if self.last:
             return
-        in_head = self.partial and not self.headed
+        in_request, in_head = self.partial, self.partial and not self.headed
         try:
             self.parser.feed_data(data)
             if in_head and self.partial and not self.headed:  # none of its fields may ever end
                 self._grow(len(data), HEADERS_MOST, 431)
+            self.raw = self.raw + len(data) if in_request else 0
+            # Guards against what the parser holds and tells nobody: a trailer, or a chunk's frame, without end.
+            if self.partial and self.raw > 2 * HEADERS_MOST + FRAMING_MOST * self.size:
+                raise BadRequest(413)
         except BadRequest as error:
             self._refuse_input(error.status)
         except httptools.HttpParserCallbackError as error:
@@ -89,17 +93,20 @@
         return False  # a client that has closed its side waits for nothing
 
     def pause_writing(self) -> None:
+        self.full = True
         if self.number is not None:
             self.exchange.flow(self.number, False)
 
     def resume_writing(self) -> None:
+        self.full = False
         if self.number is not None:
             self.exchange.flow(self.number, True)
+        self._next()
 
     # httptools' calls
 
     def on_message_begin(self) -> None:
-        self.url, self.size, self.headers, self.content = b"", 0, {}, []
+        self.url, self.size, self.raw, self.headers, self.content = b"", 0, 0, {}, []
         self.partial, self.headed = True, False
 
     def on_url(self, url: bytes) -> None:
@@ -219,11 +226,14 @@
             self.transport.abort()
 
     def _next(self) -> None:
-        """Take requests in their order, one at a time."""
+        """Take requests in their order, one at a time, and none while the client leaves answers unread.
+
+        Guards against answers made ahead for a client that asks on and on and reads nothing.
+        """
         if self.taking:
             return
         self.taking = True  # an answer at once comes back here
-        while self.number is None and self.waiting and self.transport is not None:
+        while self.number is None and self.waiting and not self.full and self.transport is not None:
             if self.has_left():
                 self.front.counters.add("clients.left_unread")
                 self.waiting.clear()
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 ENDED = select.POLLERR | select.POLLHUP | getattr(select, "POLLRDHUP", 0)  # of the other end
+FRAMING_MOST = 8  # bytes on the wire for one of a body: a chunk of a single byte takes six
 READY = select.POLLIN | ENDED
 
 
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -23,7 +23,7 @@
 )
 
 if TYPE_CHECKING:
-    from .pool import Upstream
+    from .targets import Upstream
 
 
 def write_probe(probing: Probing) -> bytes:
@@ -47,7 +47,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.job: Attempt | Probing | None = None
         self.idle_until = 0.0
-        self.status = self.size = 0  # bytes of the head, then of the body
+        self.status = self.size = self.raw = 0  # bytes of the head, then of the body; all bytes
         self.headed = self.passing = self.whole = self.lasts = False
         self.headers: dict[bytes, bytes] = {}
         self.begun: Head | None = None  # read, but not yet passed on; and so the bytes of its body
@@ -75,7 +75,7 @@
         job.carrier = self
         now = self.pool.clock()
         request = self.written(job, now) if isinstance(job, Attempt) else write_probe(job)
-        self.job, self.status, self.size, self.headers = job, 0, 0, {}
+        self.job, self.status, self.size, self.raw, self.headers = job, 0, 0, 0, {}
         self.headed = self.passing = self.whole = self.lasts = False
         self.begun = None
         self.read.clear()
@@ -117,6 +117,10 @@
             self.parser.feed_data(data)
             if not self.headed:
                 self._grow(len(data), HEAD_MOST)
+            self.raw += len(data)
+            # Guards against what the parser holds and tells nobody: a trailer, or a chunk's frame, without end.
+            if self.headed and not self.whole and self.raw > 2 * HEAD_MOST + FRAMING_MOST * self.size:
+                raise Spoilt
         except (Spoilt, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if isinstance(error, httptools.HttpParserCallbackError) and not isinstance(
                 error.__context__, Spoilt
--- /dev/null
+++ b/tests/test_endless.py
@@ -0,0 +1,163 @@
+"""Bytes without end: what a client or a cache may make a director hold is bounded, and costs nobody else."""
+
+import asyncio
+import contextlib
+import socket
+import unittest
+
+from gladewalk.director import Director
+from gladewalk.net.clients import BODY_MOST
+from gladewalk.net.connection import HEADERS_MOST, ClientConnection
+from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, read_message, request, until
+from gladewalk.upstream.words import HEAD_MOST, OBJECT_MOST
+
+from .test_net import hit
+
+PIECE = b"x" * 4096
+AHEAD = 8  # requests that a client sends without reading
+LARGE = bytes(48 * 1024)  # more than small socket buffers hold, less than makes a writer wait by itself
+
+
+async def large(heard: Heard) -> None:
+    await heard.answer(200, LARGE)
+
+
+def ahead(number: int, wait_ms: float) -> bytes:
+    asks = (
+        request(f"/invoke/lot-page/{n + 1:x}", trace=f"{n + 1:016x}", wait_ms=wait_ms) for n in range(number)
+    )
+    return b"".join(asks)
+
+
+class FromClients(unittest.IsolatedAsyncioTestCase):
+    async def endless(self, start: bytes, piece: bytes, most: int, status: int) -> None:
+        """`piece` comes again and again behind `start`: the client is told `status` before `most` bytes."""
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            director = world.director
+            assert director is not None
+            reader, writer = await world.client()
+            writer.write(start)
+            sent = 0
+            answer = asyncio.ensure_future(read_message(reader))
+            while not answer.done() and sent <= 4 * most:
+                writer.write(piece)
+                sent += len(piece)
+                with contextlib.suppress(ConnectionError):
+                    await writer.drain()
+                (connection,) = director.front.connections
+                await until(lambda c=connection: c.last or c.is_quiet())  # type: ignore[misc]
+                await asyncio.sleep(0)
+            self.assertLessEqual(sent, most + 2 * len(piece))
+            self.assertIn(f" {status} ", (await answer)[0])
+            self.assertEqual(director.counters[f"clients.bad_input_{status}"], 1)
+            writer.close()
+            self.assertEqual((await world.ask())[0], 200)
+
+    async def test_a_trailer_without_end(self) -> None:
+        head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
+        most = 2 * HEADERS_MOST + 8 * BODY_MOST
+        await self.endless(head + b"2\r\nab\r\n0\r\nX: ", PIECE, most, 413)
+
+    async def test_many_fields_of_a_trailer(self) -> None:
+        head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
+        await self.endless(head + b"2\r\nab\r\n0\r\n", b"x-y: z\r\n" * 500, 2 * HEADERS_MOST, 431)
+
+    async def test_a_chunks_extension_without_end(self) -> None:
+        head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
+        most = 2 * HEADERS_MOST + 8 * BODY_MOST
+        await self.endless(head + b"2;", PIECE, most, 413)
+
+    async def unread(self, director: Director, ahead: bytes) -> tuple[socket.socket, ClientConnection]:
+        """A client that asks all of `ahead` and reads nothing, with small buffers between the two."""
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(client, director.front.address)
+        await until(lambda: len(director.front.connections) == 1)
+        (connection,) = director.front.connections
+        assert connection.transport is not None
+        sock = connection.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.sendall(ahead)
+        return client, connection
+
+    async def test_answers_that_a_client_leaves_unread_are_not_made_ahead(self) -> None:
+        """A client that asks on and on and reads nothing: its next request waits until it reads."""
+        cache = ScriptedPeer(large)
+        async with Rehearsal([cache]) as world:
+            director = world.director
+            assert director is not None
+            client, connection = await self.unread(director, ahead(AHEAD, 3000.0))
+            await until(lambda: director.counters["answers.served"] >= 2 and not director.exchange.taken)
+            assert connection.transport is not None
+            self.assertLess(connection.transport.get_write_buffer_size(), 3 * len(LARGE))
+            self.assertLess(len(cache.heard), AHEAD)
+            reader, writer = await asyncio.open_connection(sock=client)
+            for _ in range(AHEAD):
+                self.assertEqual((await read_message(reader))[2], LARGE)
+            self.assertEqual(director.counters["answers.served"], AHEAD)
+            writer.close()
+
+    async def test_who_never_reads_is_parted_from_once_its_patience_is_over(self) -> None:
+        async with Rehearsal([ScriptedPeer(large)]) as world:
+            director = world.director
+            assert director is not None
+            client, _ = await self.unread(director, ahead(AHEAD, 400.0))
+            await until(lambda: director.counters["clients.never_read"] == 1)
+            await until(lambda: not director.front.connections)
+            self.assertEqual(director.front.held, 0)
+            client.close()
+
+
+class FromCaches(unittest.IsolatedAsyncioTestCase):
+    async def spoilt(self, start: bytes, piece: bytes) -> None:
+        sent = [0]
+
+        async def endless(heard: Heard) -> None:
+            heard.writer.write(start)
+            with contextlib.suppress(ConnectionError):
+                while sent[0] <= 8 * OBJECT_MOST:
+                    heard.writer.write(piece)
+                    sent[0] += len(piece)
+                    await heard.writer.drain()
+
+        async with Rehearsal([ScriptedPeer(endless)]) as world:
+            director = world.director
+            assert director is not None
+            reader, writer = await world.client()
+            writer.write(request("/invoke/lot-page/a1", Connection="close"))
+            with contextlib.suppress(ConnectionError):
+                while await reader.read(65536):
+                    pass
+            self.assertGreaterEqual(director.counters["caches.unreadable_answer"], 1)
+            counters = director.counters  # cut once it had begun, else failed or refused
+            ends = ("answers.cut", "answers.failed", "answers.refused")
+            self.assertEqual([counters["answers.served"], sum(counters[end] for end in ends)], [0, 1])
+            writer.close()
+
+    async def test_a_trailer_without_end(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX: "
+        await self.spoilt(head, PIECE)
+
+    async def test_many_fields_of_a_trailer(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+        await self.spoilt(head, b"".join(b"x-%d: z\r\n" % n for n in range(500)))
+
+    async def test_a_chunks_extension_without_end(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;"
+        await self.spoilt(head, PIECE)
+
+    async def test_small_chunks_are_an_answer_like_any_other(self) -> None:
+        async def small(heard: Heard) -> None:
+            heard.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            heard.writer.write(b"1\r\nx\r\n" * HEAD_MOST + b"0\r\n\r\n")
+
+        async with Rehearsal([ScriptedPeer(small)]) as world:
+            reader, writer = await world.client()
+            writer.write(request("/invoke/lot-page/a1"))
+            await reader.readuntil(b"\r\n\r\n")
+            whole = 0
+            while size := int((await reader.readline()).strip(), 16):
+                whole += len((await reader.readexactly(size + 2))[:-2])
+            self.assertEqual(whole, HEAD_MOST)
+            writer.close()
