--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -11,7 +11,7 @@
 
 from ..exchange import Ask, Final, Head
 from .requests import REASONS, SINGLE, BadRequest, read_ask
-from .sockets import FRAMING_MOST, Unread, has_ended, watch
+from .sockets import FRAME_MOST, Unread, has_ended, watch
 
 if TYPE_CHECKING:
     from .clients import ClientFront
@@ -42,7 +42,7 @@
         self.refused = self.leaving = False  # its input is dropped; it makes room for another
         self.asked = False  # a whole request has ever come
         self.partial = self.headed = False  # a request is half read; its head is whole
-        self.url, self.size, self.raw = b"", 0, 0  # `raw`: all bytes of the request behind its first read
+        self.url, self.size, self.frame = b"", 0, 0  # `frame`: bytes read since the last of a body
         self.headers: dict[bytes, bytes] = {}
         self.content: list[bytes] = []
 
@@ -65,14 +65,13 @@
     def data_received(self, data: bytes) -> None:
         if self.last:
             return
-        in_request, in_head = self.partial, self.partial and not self.headed
+        in_head = self.partial and not self.headed
+        self.frame += len(data)
         try:
             self.parser.feed_data(data)
             if in_head and self.partial and not self.headed:  # none of its fields may ever end
                 self._grow(len(data), HEADERS_MOST, 431)
-            self.raw = self.raw + len(data) if in_request else 0
-            # Guards against what the parser holds and tells nobody: a trailer, or a chunk's frame, without end.
-            if self.partial and self.raw > 2 * HEADERS_MOST + FRAMING_MOST * self.size:
+            if self.partial and self.frame > FRAME_MOST:
                 raise BadRequest(413)
         except BadRequest as error:
             self._refuse_input(error.status)
@@ -106,7 +105,7 @@
     # httptools' calls
 
     def on_message_begin(self) -> None:
-        self.url, self.size, self.raw, self.headers, self.content = b"", 0, 0, {}, []
+        self.url, self.size, self.frame, self.headers, self.content = b"", 0, 0, {}, []
         self.partial, self.headed = True, False
 
     def on_url(self, url: bytes) -> None:
@@ -138,6 +137,7 @@
 
     def on_body(self, body: bytes) -> None:
         self._grow(len(body), self.front.body_most, 413)
+        self.frame = 0
         self.content.append(body)
 
     def on_message_complete(self) -> None:
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -7,7 +7,9 @@
 from typing import Protocol
 
 ENDED = select.POLLERR | select.POLLHUP | getattr(select, "POLLRDHUP", 0)  # of the other end
-FRAMING_MOST = 8  # bytes on the wire for one of a body: a chunk of a single byte takes six
+# Bytes that may come without one of a body among them, of a chunk's frame or a trailer. Guards against what
+# the parser holds of them and tells nobody, where they never end.
+FRAME_MOST = 32 * 1024
 READY = select.POLLIN | ENDED
 
 
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -9,7 +9,7 @@
 
 from .. import interface as api
 from ..exchange import Attempt, End, Head
-from ..net.sockets import FRAMING_MOST, watch
+from ..net.sockets import FRAME_MOST, watch
 from .jobs import Probing
 from .words import (
     AUTHORITY,
@@ -47,7 +47,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.job: Attempt | Probing | None = None
         self.idle_until = 0.0
-        self.status = self.size = self.raw = 0  # bytes of the head, then of the body; all bytes
+        self.status = self.size = 0  # bytes of the head, then of the body
+        self.frame = 0  # bytes read since the last of a body
         self.headed = self.passing = self.whole = self.lasts = False
         self.headers: dict[bytes, bytes] = {}
         self.begun: Head | None = None  # read, but not yet passed on; and so the bytes of its body
@@ -75,7 +76,7 @@
         job.carrier = self
         now = self.pool.clock()
         request = self.written(job, now) if isinstance(job, Attempt) else write_probe(job)
-        self.job, self.status, self.size, self.raw, self.headers = job, 0, 0, 0, {}
+        self.job, self.status, self.size, self.frame, self.headers = job, 0, 0, 0, {}
         self.headed = self.passing = self.whole = self.lasts = False
         self.begun = None
         self.read.clear()
@@ -113,13 +114,12 @@
             self.pool.counters.add("caches.surplus")
             return self.close()
         surplus = False
+        self.frame += len(data)
         try:
             self.parser.feed_data(data)
             if not self.headed:
                 self._grow(len(data), HEAD_MOST)
-            self.raw += len(data)
-            # Guards against what the parser holds and tells nobody: a trailer, or a chunk's frame, without end.
-            if self.headed and not self.whole and self.raw > 2 * HEAD_MOST + FRAMING_MOST * self.size:
+            if self.headed and not self.whole and self.frame > FRAME_MOST:
                 raise Spoilt
         except (Spoilt, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if isinstance(error, httptools.HttpParserCallbackError) and not isinstance(
@@ -198,6 +198,7 @@
             self.begun = Head(self.status == 304, known, tag.decode("latin-1") if tag else None)
 
     def on_body(self, body: bytes) -> None:
+        self.frame = 0
         self.size += len(body)
         if self.size > OBJECT_MOST:
             raise Spoilt
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -114,6 +114,7 @@
         self.whole = self.bodiless
 
     def on_body(self, body: bytes) -> None:
+        self.frame = 0
         if self.bodiless:
             raise Spoilt  # bytes that no HEAD, 204 or 304 has: surplus
         if self.begun is not None or self.passing:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -6,8 +6,8 @@
 import unittest
 
 from gladewalk.director import Director
-from gladewalk.net.clients import BODY_MOST
 from gladewalk.net.connection import HEADERS_MOST, ClientConnection
+from gladewalk.net.sockets import FRAME_MOST
 from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, read_message, request, until
 from gladewalk.upstream.words import HEAD_MOST, OBJECT_MOST
 
@@ -55,7 +55,7 @@
 
     async def test_a_trailer_without_end(self) -> None:
         head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
-        most = 2 * HEADERS_MOST + 8 * BODY_MOST
+        most = FRAME_MOST
         await self.endless(head + b"2\r\nab\r\n0\r\nX: ", PIECE, most, 413)
 
     async def test_many_fields_of_a_trailer(self) -> None:
@@ -64,7 +64,7 @@
 
     async def test_a_chunks_extension_without_end(self) -> None:
         head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
-        most = 2 * HEADERS_MOST + 8 * BODY_MOST
+        most = FRAME_MOST
         await self.endless(head + b"2;", PIECE, most, 413)
 
     async def unread(self, director: Director, ahead: bytes) -> tuple[socket.socket, ClientConnection]:
