As an attempt is written its client is asked for, the time is the present one, and a begun answer counts

Read, then proven (4 tests fail without this, tests/test_dials.py and tests/test_deployments.py): - A client's end may lie unread behind a long turn of the loop, or behind a dial that comes up in the same turn: the attempt was written all the same.

--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -21,6 +21,7 @@
     "Ask", "Asker", "Attempt", "Client", "End", "Exchange", "Final", "Head", "Taken", "Upstreams",
 ]  # fmt: skip
 
+TURN_MS = 20.0  # a turn of the loop takes no longer, as a rule: what came before it has been read
 MARGIN_MS = 60.0  # a final answer leaves this long before its deadline: a busy turn of the loop takes as long
 
 
@@ -52,7 +53,7 @@
     def take(self, ask: Ask, client: Client) -> int:
         self._numbers += 1
         now, number = self.clock(), self._numbers
-        taken = self.taken[number] = Taken(number, ask, client, now + ask.wait_ms)
+        taken = self.taken[number] = Taken(number, ask, client, now, now + ask.wait_ms)
         self.owed += 1
         self.counters.add("requests.taken")
         taken.deadline_ms -= min(MARGIN_MS, ask.wait_ms / 8.0)
@@ -157,7 +158,15 @@
     # What the server side says.
 
     def may_write(self, attempt: Attempt) -> bool:
-        return not attempt.taken.answered and self.core.may_write(attempt.taken.number, attempt.number)
+        """Asked as an attempt's first byte is written.
+
+        Guards against work for a client that left while its request waited: its end may lie unread behind a
+        long turn of the loop, so that who waited longer than a turn takes is asked.
+        """
+        taken, now = attempt.taken, self.clock()
+        if not taken.answered and now > taken.since_ms + TURN_MS and taken.client.has_left():
+            self.gone(taken.number)
+        return not taken.answered and self.core.may_write(taken.number, attempt.number, now)
 
     def head(self, attempt: Attempt, head: Head) -> bool:
         """A good answer begins. False: it is not wanted, and the attempt has been ended."""
--- a/gladewalk/parties.py
+++ b/gladewalk/parties.py
@@ -55,6 +55,8 @@
         """An answer that has begun cannot be finished: let the client see that."""
 
     def finish(self, final: Final, retry_after_ms: float) -> None: ...
+    def has_left(self) -> bool:
+        """Whether it has closed, though nothing has told of its end yet."""
 
 
 class Asker(Protocol):
@@ -103,6 +105,7 @@
     number: int
     ask: Ask
     client: Client
+    since_ms: float
     deadline_ms: float
     due: Key | None = None
     answered: bool = False
--- a/gladewalk/policy/dispatcher.py
+++ b/gladewalk/policy/dispatcher.py
@@ -238,9 +238,10 @@
                 if attempt != first.attempt:
                     self._do(api.Cancel(first.id, attempt))
 
-    def may_write(self, number: int, attempt: int) -> bool:
-        """Asked as an attempt's first byte is written: guards against a wait past a drain or a purge."""
+    def may_write(self, number: int, attempt: int, now_ms: float) -> bool:
+        """Asked as an attempt's first byte is written: what was told or has begun meanwhile counts."""
+        self.now = max(now_ms, self.now)
         flight, r = self.flights[number, attempt]
         ready = all(self._is_ready(name) for name in (flight.host, flight.source) if name)
-        dropped = r.cls.effect is Effect.SAFE or r.ran is None or self._repeat_is_dropped(r)
-        return ready and dropped and self._purged_at(r) == flight.purge_ms
+        harmless = r.cls.effect is Effect.SAFE or r.ran is None or self._repeat_is_dropped(r)
+        return ready and harmless and not r.begun and self._purged_at(r) == flight.purge_ms
--- a/gladewalk/policy/known.py
+++ b/gladewalk/policy/known.py
@@ -103,8 +103,7 @@
         self.outside = 0  # fills out from outside this location
         self.link_in = self.calm_until = 0.0  # transfers that its link in bears at full pace; 0: not known
         self.usual: dict[str, Usual] = {}  # time of a class's answers
-        self.retries, self.ageing = RetryBudget(), Ageing()
-        self.places = Places()
+        self.retries, self.ageing, self.places = RetryBudget(), Ageing(), Places()
         self.born_ms, self.now = -1.0, 0.0
         self.actions: list[api.Action] = []
         self.configure(settings)
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -120,9 +120,20 @@
     world = World(classes=(KEYED,))
     (first,) = keyed(world)
     (second,) = world.end(first, ERROR, after_ms=100.0)
-    assert world.dispatcher.may_write(second.id, 1)
-    world.put(api.Timer("x"), 2_950.0)
-    assert not world.dispatcher.may_write(second.id, 1)
+    sent = world.now
+    assert world.dispatcher.may_write(second.id, 1, sent + KEYED.key_window_ms - 150.0)
+    assert not world.dispatcher.may_write(second.id, 1, sent + KEYED.key_window_ms)  # no event has come since
+
+
+def test_an_attempt_that_waits_while_another_s_answer_begins_is_not_written() -> None:
+    world = World(may_cancel=False)  # what was written can't be taken back; what was not need not go
+    (first,), _ = world.ask(), world.ask()
+    sent = (a for _ in range(56) for a in world.sweep() if isinstance(a, api.Lookup | api.Fetch))
+    second = next(a for a in sent if a.id == first.id)
+    assert (second.id, second.server != first.server) == (first.id, True)  # silent for so long
+    assert world.dispatcher.may_write(first.id, 1, world.now)
+    world.put(api.FirstByte(first.id, 0, first.server, 20.0))
+    assert not world.dispatcher.may_write(first.id, 1, world.now)
 
 
 def test_a_refusal_never_sends_a_keyed_client_back_past_the_store_s_time() -> None:
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -1,8 +1,14 @@
 """Dials: those given up before they begin, and what a leaving client does to what is not yet written."""
 
+import asyncio
+import socket
 import unittest
+from typing import Any
 
+from gladewalk.exchange import TURN_MS
 from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer, request, until
+from gladewalk.upstream.http1 import CacheConnection
+from gladewalk.upstream.targets import Dial
 
 from .test_net import hit
 
@@ -28,3 +34,63 @@
             await until(lambda: not director.caches.dialling, 2.0)
             writer.close()
             self.assertEqual((await world.ask())[0], 200)
+
+
+class Left(unittest.IsolatedAsyncioTestCase):
+    async def test_a_client_whose_end_lies_unread_is_sent_nothing_more(self) -> None:
+        """Its end has come to the machine, and the loop has not read it when the next attempt is due."""
+        cache = ScriptedPeer(hit)
+        async with Rehearsal([cache]) as world:
+            director = world.director
+            assert director is not None
+            await until(lambda: director.readiness.synced)
+            self.assertEqual((await world.ask())[0], 200)  # its connection to the cache rests
+            await until(lambda: not director.front.connections)
+            client = socket.create_connection(director.front.address)
+            await until(lambda: len(director.front.connections) == 1)
+            director.exchange.hold()
+            client.sendall(request("/invoke/lot-page/a1"))
+            await until(lambda: bool(director.exchange.held))
+            real = director.clock
+            director.exchange.clock = lambda: real() + TURN_MS + 1.0  # it has waited for more than a turn
+            (connection,) = director.front.connections
+            client.close()  # and no turn of the loop from here on
+            self.assertTrue(connection.has_left())
+            director.exchange.release()
+            await until(lambda: not director.exchange.taken and not director.caches.dialling)
+            counters = director.counters
+            self.assertEqual((counters["attempts.written"], counters["requests.left_by_client"]), (1, 1))
+            self.assertEqual(len(cache.heard), 1)
+            self.assertEqual((await world.ask())[0], 200)
+
+    async def test_who_leaves_while_its_dial_is_late_is_sent_nothing(self) -> None:
+        cache = ScriptedPeer(hit)
+        async with Rehearsal([cache]) as world:
+            director = world.director
+            assert director is not None
+            await until(lambda: director.readiness.synced)
+            loop, up = asyncio.get_running_loop(), asyncio.Event()
+            real_connect, real = loop.create_connection, director.clock
+
+            async def late(*args: Any, **more: Any) -> Any:
+                opened = await real_connect(*args, **more)
+                await up.wait()
+                return opened
+
+            client = socket.create_connection(director.front.address)
+            await until(lambda: len(director.front.connections) == 1)
+            (connection,) = director.front.connections
+            loop.create_connection = late  # type: ignore[method-assign]
+            client.sendall(request("/invoke/lot-page/a1"))
+            await until(lambda: len(director.caches.live) == 1)  # it is up, and its dial has not heard of it
+            (upstream,) = director.caches.live
+            (dial,) = director.caches.dialling
+            assert isinstance(dial, Dial) and isinstance(upstream, CacheConnection)
+            director.exchange.clock = lambda: real() + TURN_MS + 1.0
+            client.close()
+            self.assertTrue(connection.has_left())
+            director.caches.write(upstream, dial.job)  # as the dial's next step does
+            up.set()
+            await until(lambda: not director.exchange.taken and not director.caches.dialling)
+            self.assertEqual(director.counters["attempts.written"], 0)
+            self.assertEqual(len(cache.heard), 0)
