How long a request may come, and by when a stop has answered all, follow the settings and the platform

It now counts from a request's first byte, up to the longest deadline of the settings; who says nothing has 2 s, as before. `clients.came_too_slowly` counts the former. - Director._close gave every open request its whole deadline and itself 0.7 s more: a SIGKILL, which may come 3 s + 0.7 s after SIGTERM however long deadlines are, found requests with more patience unanswered. At a stop every deadline is now cut to 80 ms before that (`requests.ended_by_stop`); what was never sent or may be repeated is still the module's to refuse, since it is told the time that is left.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import signal
 from collections.abc import Callable
@@ -15,10 +16,10 @@
 from .counters import Counters
 from .deadlines import Deadlines
 from .exchange import Exchange
-from .net.clients import ClientFront
+from .net.clients import ASK_MS, ClientFront
 from .net.coordinator import Feed, Follower
 from .net.outside import REAL, Outside
-from .ops.readiness import SYNC_MOST_MS, Readiness
+from .ops.readiness import ACCEPT_MS, SYNC_MOST_MS, Readiness, answered_by_ms
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -35,7 +36,6 @@
     from .upstream.secure import Shapes
     from .web.start import Web
 
-ACCEPT_MS = 700.0  # after SIGTERM requests keep coming for this long
 LINGER_MS = 20.0  # lets the last answers leave before the process ends
 
 
@@ -91,7 +91,7 @@
         self.front = ClientFront(
             self.exchange, places, clock, self.deadlines, self.counters, outside.listen
         )
-        self.front.hold_off = config.hold_off
+        self._set_front(config)
         self.readiness = self.front.readiness = Readiness(synced=False)
         self.admin: AdminFront | None = None
         if config.admin is not None:
@@ -103,7 +103,7 @@
             self.feed, config.coordinator, self.deadlines, self.log.info, outside.fresh()
         )
         self._ended: asyncio.Future[None] = loop.create_future()
-        self._stopping, self._last_ms = False, 0.0
+        self._stopping, self._last_ms = False, math.inf  # by when a stop ends, whatever clients do
         self.dns = None
         if dns is not None:
             from .dns.front import DnsFront
@@ -291,13 +291,21 @@
         self.config = config
         self.exchange.core.configure(config.settings)
         self.caches.configure(config)
-        self.front.places, self.front.hold_off = config.settings.places, config.hold_off
+        self._set_front(config)
         self.feed.roles = config.roles
         if self.dns is not None:
             self.dns.classes = frozenset(self.exchange.core.classes)
         self.follower.move(config.coordinator)
         self.log.info("configuration taken", coordinator=config.coordinator, last=self.feed.last)
 
+    def _set_front(self, config: Config) -> None:
+        self.front.places, self.front.hold_off = config.settings.places, config.hold_off
+        self.front.arrive_ms = max(ASK_MS, self._patience_ms())
+
+    def _patience_ms(self) -> float:
+        """The longest that any client waits here, as the settings have it."""
+        return max(cls.deadline_ms for cls in self.exchange.core.classes.values())
+
     def stop(self) -> None:
         if not self._stopping:
             self._stopping = True
@@ -308,6 +316,8 @@
                 self.leases[0].stop()
             if self.config.inherited_fd is not None:  # the listener's other holders take what comes now
                 self.front.stop_taking()
+            self._last_ms = answered_by_ms(self.clock(), self._patience_ms())
+            self.exchange.end_by(self._last_ms)
             self.deadlines.add(self.clock() + ACCEPT_MS, self._close)
 
     def report(self) -> None:
@@ -338,9 +348,6 @@
         self.front.close()
         if self.web is not None:
             self.web.close()
-        # The longest that anybody may still wait here; guards against clients that never let it end.
-        patience = max(cls.deadline_ms for cls in self.exchange.core.classes.values())
-        self._last_ms = self.clock() + patience + ACCEPT_MS
         self._wait_for_last()
 
     def _wait_for_last(self) -> None:
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 
@@ -46,6 +47,7 @@
         self._events: deque[api.Event] = deque()
         self._busy = False
         self._over: list[int] = []
+        self.last_ms = math.inf  # by when every request has its final answer, whatever its client's patience
         self.held: list[Taken] | None = None  # requests taken that the module is not yet to see
 
     # What the client side says.
@@ -56,7 +58,7 @@
         taken = self.taken[number] = Taken(number, ask, client, now, now + ask.wait_ms)
         self.owed += 1
         self.counters.add("requests.taken")
-        taken.deadline_ms -= min(MARGIN_MS, ask.wait_ms / 8.0)
+        taken.deadline_ms = min(self.last_ms, taken.deadline_ms - min(MARGIN_MS, ask.wait_ms / 8.0))
         taken.due = self.deadlines.add(taken.deadline_ms, lambda: self._time_up(taken))
         if self.held is not None:
             self.held.append(taken)
@@ -64,6 +66,15 @@
             self._offer(taken, now)
         return number
 
+    def end_by(self, when_ms: float) -> None:
+        """All that is open, and what comes yet, has its final answer by then."""
+        self.last_ms = when_ms
+        for taken in [taken for taken in self.taken.values() if not taken.answered]:
+            if taken.deadline_ms > when_ms:
+                taken.deadline_ms = when_ms
+                self.deadlines.drop(taken.due)
+                taken.due = self.deadlines.add(when_ms, lambda taken=taken: self._cut_short(taken))  # type: ignore[misc]
+
     def hold(self) -> None:
         """Requests wait for `release` before the module sees them: it may know less than has been told.
 
@@ -105,9 +116,7 @@
         self.counters.add("requests.left_by_client")
         self._close(taken)
         self._forget(taken)
-        self.feed(api.ClientGone(number))
-        for attempt in list(taken.out.values()):
-            self._cancel(attempt)
+        self._call_off(taken)
 
     def flow(self, number: int, on: bool) -> None:
         """The client's connection is full, or has room again: so the cache's answer waits, or goes on."""
@@ -326,6 +335,19 @@
             taken.client.finish(final, retry_after_ms)
         self._forget(taken)
 
+    def _cut_short(self, taken: Taken) -> None:
+        """The director's own end comes before the deadline that the module knows: it would try on."""
+        if not taken.answered:
+            self.counters.add("requests.ended_by_stop")
+            self._finish(taken.number, Final.FAILED)
+            self._call_off(taken)
+
+    def _call_off(self, taken: Taken) -> None:
+        """No work shall go on for a request that is over."""
+        self.feed(api.ClientGone(taken.number))
+        for attempt in list(taken.out.values()):
+            self._cancel(attempt)
+
     def _time_up(self, taken: Taken) -> None:
         """The client's deadline: what is out ends as late, on which the module gives its final answer.
 
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -19,7 +19,7 @@
 
 BODY_MOST = 64 * 1024  # a write carries at most 48,000 bytes
 BACKLOG = 1024
-ASK_MS = 2_000.0  # a whole request must have come this long after its connection, or its first byte
+ASK_MS = 2_000.0  # a request must have begun to come this long after its connection
 REST_MS = 4_500.0  # clients close a connection that was idle for 4 s; one that does not is closed here
 LINGER_MS = 1_000.0  # how long a refused client's input is read and dropped, so that it sees the refusal
 SPEAK_MS = 100.0  # a new connection has this long to speak before it may make room for another
@@ -53,6 +53,7 @@
         self.exchange, self.places, self.clock, self.listen_at = exchange, places, clock, listen
         self.deadlines, self.counters = deadlines, counters
         self.connection, self.body_most = ClientConnection, BODY_MOST
+        self.arrive_ms = ASK_MS  # how long a request may take to come, from its first byte to its last
         self.hold_off = False  # whether a refusal names its wait in ms, beside HTTP's field
         self.connections: dict[ClientConnection, None] = {}  # in the order they came, so that runs repeat
         # Connections without an open request, each kind in the order of time since when it is so.
@@ -154,11 +155,12 @@
         """Ten times a second: who has owed a request, rested or been drained for too long."""
         now = self.clock()
         for connection in [c for c, since in self.owing.items() if now - since > ASK_MS]:
-            self.counters.add("clients.asked_nothing")
-            if connection.partial:
-                connection.time_up()
-            else:
+            if not connection.partial:
+                self.counters.add("clients.asked_nothing")
                 self._end(connection)
+            elif now - connection.began_ms > self.arrive_ms:
+                self.counters.add("clients.came_too_slowly")
+                connection.time_up()
         for connection in [c for c, since in self.lingering.items() if now - since > LINGER_MS]:
             if not connection.is_sending(now):
                 self._end(connection)
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -42,6 +42,7 @@
         self.refused = self.leaving = False  # its input is dropped; it makes room for another
         self.asked = False  # a whole request has ever come
         self.partial = self.headed = False  # a request is half read; its head is whole
+        self.began_ms = 0.0  # when its first byte was read
         self.url, self.size, self.frame = b"", 0, 0  # `frame`: bytes read since the last of a body
         self.headers: dict[bytes, bytes] = {}
         self.content: list[bytes] = []
@@ -106,7 +107,7 @@
 
     def on_message_begin(self) -> None:
         self.url, self.size, self.frame, self.headers, self.content = b"", 0, 0, {}, []
-        self.partial, self.headed = True, False
+        self.partial, self.headed, self.began_ms = True, False, self.front.clock()
 
     def on_url(self, url: bytes) -> None:
         self._grow(len(url), HEADERS_MOST, 431)
--- a/gladewalk/ops/readiness.py
+++ b/gladewalk/ops/readiness.py
@@ -6,9 +6,20 @@
 
 KEPT_GRACE_MS = 100.0  # a connection resting this long into a drain is closed once nothing lies unread
 KEPT_LAST_MS = 2_500.0  # after this long into a drain no resting connection is kept, read or not
+ACCEPT_MS = 700.0  # after SIGTERM requests keep coming for this long
+KILL_MOST_MS = 3_000.0  # SIGKILL may come that much later, or after the longest deadline if that is shorter
+KILL_SPARE_MS = 80.0  # the last answers are given this long before, so that they leave and the process ends
 SYNC_MOST_MS = 1_000.0  # a coordinator that has not answered by this long after the start is not waited for
 
 
+def answered_by_ms(stop_ms: float, longest_ms: float) -> float:
+    """By when all that was taken has its final answer, after a SIGTERM at `stop_ms`.
+
+    Guards against requests with more patience than the platform, whose SIGKILL would find them unanswered.
+    """
+    return stop_ms + ACCEPT_MS + min(longest_ms, KILL_MOST_MS) - KILL_SPARE_MS
+
+
 @dataclass(slots=True)
 class Readiness:
     """The state that readiness answers from.
--- /dev/null
+++ b/tests/test_patience.py
@@ -0,0 +1,105 @@
+"""Times that stand for a setting: how long a request may take to come, by when a stop has answered."""
+
+import asyncio
+import unittest
+
+from gladewalk.net.clients import ASK_MS
+from gladewalk.ops.readiness import ACCEPT_MS, KILL_MOST_MS, answered_by_ms
+from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request, until
+
+from .test_crossings import held_until
+from .test_net import BYTES, hit
+
+LONGEST_MS = max(cls["give_up_ms"] for cls in SETTINGS["classes"])
+WHOLE = request("/invoke/lot-video/a1", wait_ms=LONGEST_MS)
+
+
+class Arrivals(unittest.IsolatedAsyncioTestCase):
+    async def half(self, idle_ms: float, coming_ms: float) -> tuple[str, bytes]:
+        """A request that begins `idle_ms` after its connection and takes `coming_ms`; what it is answered."""
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            director = world.director
+            assert director is not None
+            front, real = director.front, director.front.clock
+            reader, writer = await world.client()
+            await until(lambda: len(front.owing) == 1)
+            front.clock = lambda: real() + idle_ms
+            writer.write(WHOLE[:-9])
+            await until(lambda: any(connection.partial for connection in front.owing))
+            front.clock = lambda: real() + idle_ms + coming_ms
+            front.sweep()  # as its deadline calls it
+            writer.write(WHOLE[-9:])
+            first, _, body = await read_message(reader)
+            writer.close()
+            return first.split(" ")[1], body
+
+    async def test_a_request_may_take_as_long_to_come_as_the_settings_have_patience(self) -> None:
+        self.assertGreater(LONGEST_MS, ASK_MS)
+        self.assertEqual(await self.half(0.0, LONGEST_MS - 100.0), ("200", BYTES))
+
+    async def test_its_time_begins_with_its_first_byte_and_not_with_its_connection(self) -> None:
+        self.assertEqual(await self.half(ASK_MS - 100.0, LONGEST_MS - 100.0), ("200", BYTES))
+
+    async def test_one_that_takes_longer_is_told(self) -> None:
+        self.assertEqual((await self.half(0.0, LONGEST_MS + 1.0))[0], "408")
+
+    async def test_other_settings_are_other_times(self) -> None:
+        async with Rehearsal([ScriptedPeer(hit)]) as world:
+            director = world.director
+            assert director is not None
+            self.assertEqual(director.front.arrive_ms, LONGEST_MS)
+
+
+class Stop(unittest.IsolatedAsyncioTestCase):
+    async def test_who_has_more_patience_than_the_platform_has_an_answer_before_its_kill(self) -> None:
+        held = asyncio.Event()
+        cache = ScriptedPeer(held_until(held))
+        async with Rehearsal([cache]) as world:
+            director = world.director
+            assert director is not None
+            reader, writer = await world.client()
+            writer.write(WHOLE)
+            await until(lambda: len(cache.heard) == 1)
+            director.stop()
+            kill_ms = director.clock() + ACCEPT_MS + KILL_MOST_MS
+            (taken,) = director.exchange.taken.values()
+            self.assertGreater(LONGEST_MS, KILL_MOST_MS)
+            self.assertLess(taken.deadline_ms, kill_ms)
+            late = await world.client()  # it comes in the last moment, with all its patience
+            late[1].write(request("/invoke/lot-video/a2", trace="00000000000000a2", wait_ms=LONGEST_MS))
+            await until(lambda: len(director.exchange.taken) == 2)
+            self.assertTrue(all(t.deadline_ms < kill_ms for t in director.exchange.taken.values()))
+            director._close()
+            director.exchange.end_by(director.clock())  # that time has come
+            for one in (reader, late[0]):
+                first, fields, _ = await read_message(one)
+                self.assertEqual((first.split(" ")[1], fields["connection"]), ("502", "close"))
+            self.assertEqual((director.exchange.owed, director.exchange.core.open), (0, {}))
+            writer.close()
+            late[1].close()
+            await director._ended
+            held.set()
+
+    def test_a_stop_leaves_short_requests_all_their_time(self) -> None:
+        self.assertLess(answered_by_ms(0.0, 1_500.0), ACCEPT_MS + 1_500.0)
+        self.assertGreater(answered_by_ms(0.0, 1_500.0), 1_500.0)
+        self.assertEqual(answered_by_ms(0.0, 8_000.0), answered_by_ms(0.0, KILL_MOST_MS))
+
+    async def test_a_write_that_may_have_run_is_failed_and_not_refused_then(self) -> None:
+        held = asyncio.Event()
+
+        async def never(heard: Heard) -> None:
+            await held.wait()
+
+        origin = ScriptedPeer(never, uid="o1", model="origin", zone="north")
+        async with Rehearsal([origin]) as world:
+            director = world.director
+            assert director is not None
+            reader, writer = await world.client()
+            writer.write(request("/invoke/bid/b1", method="PUT", body=b"12"))
+            await until(lambda: len(origin.heard) == 1)
+            director.exchange.end_by(director.clock())
+            self.assertIn(" 502 ", (await read_message(reader))[0])
+            self.assertEqual(len(origin.heard), 1)
+            writer.close()
+            held.set()
