A cold server's budget is shared by as many senders as it bears at one time, one behind the other

Causes, both in limits/cold.py: each sender began with up to a whole request of the *largest* class saved up, which is several of a small class; and each could save up a whole request over a lull, so that thirty sent thirty at once.

Now as many take part as the server bears at one time (subsetting by an even lot from the sender's number and the server's name, more as it warms up), each with so much more of the budget; they begin one behind the other, and a request goes into debt instead of being saved for, so that large requests are let in as often as small ones. The unit is the mean work of what is asked, learned, and no longer the largest class's.

`me` is -1 where the settings do not tell it.

tests/test_limits.py: the case of `Credit.earn` is replaced by two of `has_room`, as strict. tests/test_deployments.py sets the learned mean beside the learned work.

--- a/gladewalk/interface.py
+++ b/gladewalk/interface.py
@@ -118,7 +118,7 @@
 @dataclass(slots=True, frozen=True)
 class Settings:
     classes: tuple[RequestClass, ...]
-    me: int = 0
+    me: int = -1  # this dispatcher's number among all; -1: not told
     dispatchers: int = 1
     zone: str = ""
     zones: tuple[str, ...] = ()
--- a/gladewalk/limits/cold.py
+++ b/gladewalk/limits/cold.py
@@ -6,14 +6,15 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+import random
 from dataclasses import dataclass
 
 from .. import interface as api
 from ..interface import Role
 
 COLD_MARGIN = 0.8  # part of a cold server's budget that we plan with; sizes and means are estimates (ours)
-COLD_BURST = 0.3  # part of a fall window's budget that may be saved up, at least one request (ours)
+GOLDEN = 0.6180339887498949  # multiples of it fill a circle evenly, wherever one begins and ends
+COLD_BURST = 0.3  # part of a fall window's budget that a sender may save up over one request (ours)
 
 
 @dataclass(slots=True, frozen=True)
@@ -50,27 +51,47 @@
     }
 
 
+def drawn(me: int, salt: int, rng: random.Random) -> float:
+    """From [0, 1): a sender's lot at one server. Numbered senders spread evenly, others by chance."""
+    return (me * GOLDEN + salt / 2.0**64) % 1.0 if me >= 0 else rng.random()
+
+
 class Credit:
-    """One sender's part of a cold server's budget: earned as time goes by, spent with each attempt."""
+    """One sender's part of a cold server's budget: earned as time goes by, spent with each attempt.
+
+    No sender knows what the others do. Guards against the sum of many, each of which may save up no more
+    than one request: thirty that get work at once, after a lull or at the server's start, would send thirty.
+    So only as many take part as the server bears at one time, each by its own lot and with so much more of
+    the budget, more of them as it warms up (subsetting); and they begin one behind the other.
+    """
 
-    __slots__ = ("at_ms", "left")
+    __slots__ = ("at_ms", "left", "lot")
 
     def __init__(self) -> None:
         self.left, self.at_ms = math.nan, 0.0  # nothing earned yet
+        self.lot = math.nan
 
-    def earn(
-        self, now_ms: float, rate: float, window_ms: float, mean_ms: float, chance: Callable[[], float]
-    ) -> float:
-        """Work that may be sent now. It starts anywhere up to one request, so that many senders take turns.
+    def has_room(
+        self, now_ms: float, rate: float, senders: int, window_ms: float, mean_ms: float, lot: float
+    ) -> bool:
+        """Whether one more request may be sent now; what it takes is spent afterwards, into debt if need be.
 
-        `rate` is this sender's work a ms, `window_ms` the time in which a server falls, `chance` from [0, 1).
+        `rate` is the work a ms of all `senders` together, `window_ms` the time in which a server falls,
+        `mean_ms` the work of a usual request; the first `lot` from [0, 1) is kept.
         """
+        if math.isnan(self.lot):
+            self.lot = lot
+        few = min(senders, max(1.0, rate * window_ms / mean_ms))
+        place = self.lot * senders / few
+        if place >= 1.0:
+            self.left = math.nan  # who takes part later begins anew
+            return False
         if math.isnan(self.left):
-            self.left, self.at_ms = chance() * mean_ms, now_ms
-        most = max(mean_ms, rate * window_ms * COLD_BURST)
-        self.left = min(most, self.left + rate * (now_ms - self.at_ms))
+            self.left, self.at_ms = -place * mean_ms, now_ms
+        saved = max(0.0, rate / few * window_ms * COLD_BURST - mean_ms)
+        self.left = min(saved, self.left + rate / few * (now_ms - self.at_ms))
         self.at_ms = now_ms
-        return self.left
+        return self.left >= 0.0
 
     def spend(self, work_ms: float) -> None:
         self.left -= work_ms
--- a/gladewalk/policy/dispatcher.py
+++ b/gladewalk/policy/dispatcher.py
@@ -59,20 +59,20 @@
         cls = self.classes.get(request.class_name)
         if request.id in self.open:
             return None
-        if cls is None:  # never sent anywhere, so trying again is harmless
-            return self._do(api.Refuse(request.id))
+        if cls is None:
+            return self._do(api.Refuse(request.id))  # never sent anywhere, so trying again is harmless
         if request.size_kb and self.settings.client_kb_per_s:
-            took = request.size_kb / self.settings.client_kb_per_s * 1000.0
-            self._learn_work(cls, min(took, cls.deadline_ms))  # nobody's claim of more counts
+            own_ms = request.size_kb / self.settings.client_kb_per_s * 1000.0
+            self._learn_work(cls, min(own_ms, cls.deadline_ms))  # nobody's claim of more counts
+        self.usual_ms += SMOOTH * 0.5 * (self.work_ms[cls.name] - self.usual_ms)
         self.retries.earn()
         entry = self.open[request.id] = Pending(request, cls, self.now)
         if cls.effect is Effect.KEYED and request.replay_key:
             entry.ran = self.keys.first(request.replay_key, self.now, cls.key_window_ms + cls.deadline_ms)
         # While the origin rests no fill comes in time: a copy in its grace does.
         entry.stale = cls.grace_ms > 0 and any(self.now < s.blocked_until for s in self.origins)
-        if self.places.is_too_dear(cls.worth, self._own_work(entry)):
-            return self._give_up(entry)
-        self._place(entry)
+        too_dear = self.places.is_too_dear(cls.worth, self._own_work(entry))
+        return self._give_up(entry) if too_dear else self._place(entry)
 
     def _pump(self) -> None:
         """Let waiting requests go where room has come up, first come first served, none held up."""
--- a/gladewalk/policy/health.py
+++ b/gladewalk/policy/health.py
@@ -6,6 +6,7 @@
 
 from .. import interface as api
 from ..interface import Role, ServerState, Status
+from ..limits.cold import drawn
 from ..limits.recovery import rest_ms, silence_ms
 from ..limits.room import Usual, is_over
 from .known import SMOOTH, Known, Pending, Target, place_of
@@ -118,21 +119,19 @@
     def _is_cold(self, s: Target) -> bool:
         return self.warming[s.info.role].is_cold(s.started_ms, self.now)
 
-    def _has_cold_room(self, s: Target, cls: api.RequestClass) -> bool:
+    def _has_cold_room(self, s: Target) -> bool:
         """The budget of a cold server: each dispatcher that may send to it earns its part as time goes by."""
         if not self._is_cold(s):
             return True
         if s.info.role is Role.PARENT and not self.where.is_ours(s.info.zone):
             return False  # left to the dispatchers of its own hub
-        warming = self.warming[s.info.role]
+        ramp = self.warming[s.info.role]
         senders = self.where.near if s.info.role is Role.PARENT else self.here
-        capacity = self._size_at_least(s) * warming.warmth(s.started_ms, s.credit.at_ms or self.now)
-        rate = warming.bears(capacity) / senders
+        rate = ramp.bears(self._size_at_least(s) * ramp.warmth(s.started_ms, s.credit.at_ms or self.now))
         if self.ledger is not None:  # held answers draw on the same budget
-            rate = max(0.0, rate - self.ledger.total(place_of(s), self._lease_most(s), self.now))
-        mean, chance = max(self.work_ms.values()), self.random.random
-        left = s.credit.earn(self.now, rate, self.settings.fall_window_ms, mean, chance)
-        return left >= self.work_ms[cls.name]
+            rate = max(0.0, rate - senders * self.ledger.total(place_of(s), self._lease_most(s), self.now))
+        window, lot = self.settings.fall_window_ms, drawn(self.settings.me, s.salt, self.random)
+        return s.credit.has_room(self.now, rate, senders, window, self.usual_ms, lot)
 
     def _size_at_least(self, s: Target) -> float:
         told = s.info.size if self.settings.sizes_listed else 1.0
--- a/gladewalk/policy/known.py
+++ b/gladewalk/policy/known.py
@@ -104,7 +104,7 @@
         self.link_in = self.calm_until = 0.0  # transfers that its link in bears at full pace; 0: not known
         self.usual: dict[str, Usual] = {}  # time of a class's answers
         self.retries, self.ageing, self.places = RetryBudget(), Ageing(), Places()
-        self.born_ms, self.now = -1.0, 0.0
+        self.born_ms, self.now, self.usual_ms = -1.0, 0.0, 0.0  # the last: a usual request's work
         self.actions: list[api.Action] = []
         self.configure(settings)
 
@@ -114,6 +114,7 @@
         self.settings = settings
         self.classes = {cls.name: cls for cls in settings.classes}
         self.work_ms = {cls.name: cls.aim_ms for cls in settings.classes} | self.work_ms
+        self.usual_ms = self.usual_ms or sum(self.work_ms.values()) / len(self.work_ms)
         self.warming, self.where = warming_of(settings), Geography(settings)
         self.here, self.each = self.where.here, 0.0  # transfers that each cache is first taken to bear
         self._index()
--- a/gladewalk/policy/ladder.py
+++ b/gladewalk/policy/ladder.py
@@ -30,7 +30,7 @@
         if r.sent >= self.settings.max_attempts or r.deadline_ms - self.now < 1.0 or not self._may_send(r):
             return self._give_up(r)
         max_age = self._max_age(r)
-        homes = [s for s in self._homes(r) if self._has_cold_room(s, r.cls)]
+        homes = [s for s in self._homes(r) if self._has_cold_room(s)]
         if homes:
             host = homes[0]
             if self._is_crowded(host, r):  # an answer would come late and make others late
@@ -96,7 +96,7 @@
         ladder = (*near, *holders, *trial, *parents)
         found = next((s for s in ladder if self._has_room(s, r)), None)
         patience = r.arrived_ms + PATIENCE * r.cls.aim_ms - self.now
-        if found or link_over or (patience > 0 and any(self._has_cold_room(s, r.cls) for s in parents)):
+        if found or link_over or (patience > 0 and any(self._has_cold_room(s) for s in parents)):
             return found  # a busy parent is waited for: the origin is for when none can be used in time
         fresh = (s for s in self.origins if s.info.name not in r.bad_sources)
         return next((s for s in fresh if self._has_room(s, r)), None)
@@ -134,7 +134,7 @@
         return found
 
     def _has_room(self, s: Target, r: Pending) -> bool:
-        return self._usable(s) and s.fills < int(s.share) and self._has_cold_room(s, r.cls)
+        return self._usable(s) and s.fills < int(s.share) and self._has_cold_room(s)
 
     def _send(self, r: Pending, host: Target, source: Target | None, age: float) -> None:
         number, r.parked = r.sent, False
--- a/gladewalk/policy/naming.py
+++ b/gladewalk/policy/naming.py
@@ -62,7 +62,7 @@
         """
         place, most = (place_of(s), q.holder, r.obj), self._lease_most(s)
         full = q.weight * part > ledger.room(*place, most, self.now)
-        if full or self._is_crowded(s, r) or not self._has_cold_room(s, r.cls):
+        if full or self._is_crowded(s, r) or not self._has_cold_room(s):
             return False
         if self._is_cold(s):
             s.credit.spend(self.work_ms[r.cls.name])
--- a/gladewalk/settings.py
+++ b/gladewalk/settings.py
@@ -99,7 +99,7 @@
     feedback = either(raw.get("feedback"), {})
     return api.Settings(
         classes=tuple(classes),
-        me=either(raw.get("me"), 0),
+        me=either(raw.get("me"), -1),
         dispatchers=either(raw.get("n_instances"), 1),
         zone=either(raw.get("my_zone"), ""),
         zones=tuple(either(raw.get("zones"), ())),
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -190,7 +190,7 @@
     world.now += 1_500.0
     world.end(world.fill(2), api.Status.REFUSED, 1, note=api.Note.SOURCE_FAILED)
     assert not world.dispatcher._usable(parent)  # not reached: at rest at once
-    assert world.dispatcher._is_cold(parent) and not world.dispatcher._has_cold_room(parent, PAGE)
+    assert world.dispatcher._is_cold(parent) and not world.dispatcher._has_cold_room(parent)
     world.sweep(20_000.0)
     assert not world.dispatcher._is_cold(parent)
 
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -321,7 +321,7 @@
     def sent(**settings: Any) -> int:
         cold = tuple(replace(s, started_ms=99_000.0) for s in BARE)
         world = World((*cold, *PARENTS, ORIGIN), direct=False, **settings)
-        world.dispatcher.work_ms["page"] = 100.0
+        world.dispatcher.work_ms["page"] = world.dispatcher.usual_ms = 100.0  # as learned
         for s in world.dispatcher.servers.values():
             s.share = 500.0
         actions = [a for key in range(400) for a in world.ask(key, after_ms=2.0)]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from gladewalk.limits.ageing import LEAST_MS, Ageing
-from gladewalk.limits.cold import Credit, Warming
+from gladewalk.limits.cold import Credit, Warming, drawn
 from gladewalk.limits.keys import Keys
 from gladewalk.limits.places import PRICE_LEAST, PRICE_MOST, Places
 from gladewalk.limits.recovery import BACKOFF_MOST_MS, SHARE_FLOOR, grown, halved, rest_ms, silence_ms
@@ -68,10 +68,36 @@
     assert warming.is_cold(1_000.0, 10_999.0) and not warming.is_cold(1_000.0, 11_000.0)
     assert warming.warmth(0.0, 5.0) == 1.0 and not Warming().is_cold(5.0, 5.0)
     credit = Credit()
-    assert credit.earn(0.0, 1.0, 1_000.0, 400.0, lambda: 0.5) == 200.0
-    credit.spend(200.0)
-    assert credit.earn(100.0, 1.0, 1_000.0, 400.0, lambda: 0.0) == 100.0
-    assert credit.earn(1e6, 1.0, 1_000.0, 400.0, lambda: 0.0) == 400.0
+
+    def room(now_ms: float, rate: float = 1.0, senders: int = 2, lot: float = 0.25) -> bool:
+        return credit.has_room(now_ms, rate, senders, 1_000.0, 400.0, lot)
+
+    assert [room(at) for at in (0.0, 199.0, 200.0)] == [False, False, True]  # a quarter of a turn of 800 ms
+    credit.spend(400.0)
+    assert [room(at) for at in (201.0, 999.0, 1_000.0)] == [False, False, True]
+    assert room(1e6)  # long at rest, it may send one request, and no second
+    credit.spend(400.0)
+    assert not room(1e6)
+
+
+def test_as_many_senders_share_a_cold_budget_as_the_server_bears() -> None:
+    """Eight requests a window for thirty senders: eight or so take part, and others as it warms up."""
+    window, mean, rng = 1_000.0, 100.0, random.Random(1)
+    lots = [drawn(number, 0, rng) for number in range(30)]
+    credits = [Credit() for _ in lots]
+
+    def taking(now_ms: float, rate: float) -> list[bool]:
+        pairs = zip(credits, lots, strict=True)
+        return [credit.has_room(now_ms, rate, 30, window, mean, lot) for credit, lot in pairs]
+
+    assert sum(taking(0.0, 0.8)) <= 1  # they begin one behind the other
+    assert 7 <= sum(taking(5_000.0, 0.8)) <= 9  # after a lull: one each, and of the few only
+    assert max(c.left for c in credits if not math.isnan(c.left)) == 0.0
+    before = sum(taking(5_000.0, 0.8))
+    assert sum(taking(5_000.0, 1.6)) <= before + 1  # who takes part from now on begins anew
+    assert 15 <= sum(taking(9_000.0, 1.6)) <= 17
+    by_chance = [drawn(-1, 0, rng) for _ in range(1_000)]
+    assert 0.45 < sum(by_chance) / 1_000 < 0.55 and len(set(by_chance)) == 1_000
 
 
 def test_a_key_is_known_from_its_first_send_and_forgotten_by_proof_and_by_age() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -126,7 +126,7 @@
             one.dispatcher.now = one.now
             parent = one.dispatcher.servers["p1"]
             for _ in range(max(1, 8 // senders)):
-                if (step + number) % 2 == 0 and one.dispatcher._has_cold_room(parent, PAGE):
+                if (step + number) % 2 == 0 and one.dispatcher._has_cold_room(parent):
                     parent.credit.spend(400.0)
                     sent.append(one.now - 100_000.0)
     for start in range(0, 3001, 100):
