Two processes of a hand-over hold no more connections to caches than one director may

Ruled out: clients (the platform holds them to a third over both; ClientFront's own bound adds 32).

Who has its listener from the platform may at any time be one of two, and takes half of the pool's part.

--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -62,7 +62,10 @@
 
     def configure(self, config: Config) -> None:
         self.config = config
-        self.most = max(8, int(config.sockets * UPSTREAM_PART) - OWN_DESCRIPTORS)
+        # Guards against two processes of a hand-over that hold more than the limit together, which is one
+        # director's: who has its listener from the platform may at any time be one of two.
+        sharers = 1 if config.inherited_fd is None else 2
+        self.most = max(8, (int(config.sockets * UPSTREAM_PART) - OWN_DESCRIPTORS) // sharers)
 
     def shape(self, shapes: Shapes | None) -> None:
         """Other terms for protocols: what is open goes on under the old ones and takes nothing new."""
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,81 @@
+"""Two processes of a hand-over keep to the one limit that a director has."""
+
+import asyncio
+import os
+import socket
+import unittest
+
+from gladewalk.config import Config, read
+from gladewalk.director import Director
+from gladewalk.net.clients import SPARE_PLACES
+from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for, read_message, request, until
+from gladewalk.upstream.pool import OWN_DESCRIPTORS, UPSTREAM_PART
+
+from .test_crossings import held_until
+
+SOCKETS = 256
+
+
+class HandOver(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.release = asyncio.Event()
+        self.cache, self.coordinator = ScriptedPeer(held_until(self.release), size=4000.0), Coordinator()
+        await self.coordinator.start()
+        await self.cache.start()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.listener.setblocking(False)
+        self.directors: list[Director] = []
+
+    async def asyncTearDown(self) -> None:
+        for director in self.directors:
+            director.front.close()
+            director.follower.close()
+        self.listener.close()
+        self.cache.stop()
+        self.coordinator.stop()
+
+    async def director(self) -> Director:
+        """A director as a process of its own would be: it has the listener from the platform."""
+        told = config_for([self.cache], self.coordinator)
+        config: Config = read(told, {"NODE_FD": str(os.dup(self.listener.fileno()))})
+        director = Director(config, asyncio.get_running_loop())
+        self.directors.append(director)
+        await director.start()
+        await until(lambda: director.readiness.synced)
+        return director
+
+    async def test_both_together_hold_no_more_connections_to_caches_than_one_may(self) -> None:
+        clients: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        for number in range(2):
+            director = await self.director()
+            for other in self.directors[:-1]:
+                other.front.stop_taking()  # as once told to end: the next clients come to the new process
+            for n in range(director.front.places):
+                reader, writer = await asyncio.open_connection(*self.listener.getsockname()[:2])
+                trace = f"{number:08x}{n:08x}"
+                writer.write(request(f"/invoke/lot-page/{number * 1000 + n + 1:x}", trace=trace))
+                clients.append((reader, writer))
+            asked = director.counters
+            await until(lambda c=asked, d=director: c["requests.taken"] == d.front.places)  # type: ignore[misc]
+        most = int(SOCKETS * UPSTREAM_PART) - OWN_DESCRIPTORS
+        await until(lambda: self.cache.connections >= most - 1)
+        held = sum(len(d.caches.live) for d in self.directors)
+        self.assertLessEqual(held, most)
+        self.assertLessEqual(self.cache.connections, most)
+        self.release.set()
+        answers = [(await read_message(reader))[0].split(" ")[1] for reader, _ in clients]
+        self.assertLessEqual(set(answers), {"200", "503"})
+        self.assertLessEqual(sum(len(d.caches.live) for d in self.directors), most)
+        for _, writer in clients:
+            writer.close()
+
+    async def test_the_parts_of_the_limit_add_up_to_no_more_than_it(self) -> None:
+        """Clients hold a third in all, as the platform promises; each process has its own few besides."""
+        director = await self.director()
+        for sockets in (256, 384, 640, 1024):
+            limit = read({**config_for([self.cache], self.coordinator), "limits": {"sockets": sockets}}, {
+                "NODE_FD": "3"
+            })  # fmt: skip
+            director.caches.configure(limit)
+            both = 2 * director.caches.most + limit.settings.places + SPARE_PLACES
+            self.assertLessEqual(both + 2 * 16, sockets)  # listeners, the coordinator, calls, the loop's own
