A log that stands still, a failed call and a name of no use cost nobody else anything

It is no address (`ConfigError`, a bad entry of the list), and a dial that fails so is a failed one.

--- a/gladewalk/config.py
+++ b/gladewalk/config.py
@@ -43,6 +43,12 @@
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
         raise ConfigError(f"not an address of the form HOST:PORT: {text!r}")
+    try:  # else it is found out only as it is dialled
+        host.encode("idna")
+    except UnicodeError as error:
+        raise ConfigError(f"not a name of a host: {text!r}") from error
+    if not host.isprintable():
+        raise ConfigError(f"not a name of a host: {text!r}")
     return host.strip("[]"), int(port)
 
 
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import gc
 import json
 import os
+import select
 import sys
 from typing import TYPE_CHECKING, TextIO, cast
 
@@ -23,15 +23,26 @@
 
 
 class Quiet:
-    """Guards against a log whose reader has gone: a line that cannot be written is no reason to stay."""
+    """Guards against a log whose reader has gone or stands still: no line is a reason to stay, or to wait."""
+
+    def __init__(self, fd: int = 2) -> None:
+        self.fd, self.lost = fd, 0
+        self.room = select.poll()
+        self.room.register(fd, select.POLLOUT)
 
     def write(self, text: str) -> None:
-        with contextlib.suppress(OSError, ValueError):
-            sys.stderr.write(text)
+        data = text.encode("utf-8", "backslashreplace")
+        try:
+            for start in range(0, len(data), select.PIPE_BUF):  # so much never waits where there is room
+                if not self.room.poll(0):
+                    self.lost += 1
+                    return
+                os.write(self.fd, data[start : start + select.PIPE_BUF])
+        except OSError:
+            self.lost += 1
 
     def flush(self) -> None:
-        with contextlib.suppress(OSError, ValueError):
-            sys.stderr.flush()
+        pass  # nothing is held back
 
 
 def set_up_logs() -> None:
--- a/gladewalk/deadlines.py
+++ b/gladewalk/deadlines.py
@@ -31,12 +31,17 @@
             self._due.pop(key, None)
 
     def sweep(self, now_ms: float) -> None:
-        """Run all that is due by now; what a call adds waits for the next turn even if it is due."""
+        """Run all that is due by now; what a call adds waits for the next turn even if it is due.
+
+        Guards against one call that fails: the others, and the timer for what comes, are not lost with it.
+        """
         if self._due and (late := now_ms - self._due.peekitem(0)[0][0]) > self.late_ms:
             self.late_ms = late
-        for key in list(self._due.irange(maximum=(now_ms, self._count))):
-            call = self._due.pop(key, None)
-            if call is not None:  # else dropped by one that ran before it
-                call()
-        if self._due:
-            self._rearm(self._due.peekitem(0)[0][0])
+        try:
+            for key in list(self._due.irange(maximum=(now_ms, self._count))):
+                call = self._due.pop(key, None)
+                if call is not None:  # else dropped by one that ran before it
+                    call()
+        finally:
+            if self._due:
+                self._rearm(self._due.peekitem(0)[0][0])
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -200,7 +200,7 @@
                 await asyncio.get_running_loop().create_connection(
                     lambda: CoordinatorConnection(self, address), *address
                 )
-        except OSError:  # a time-out is one too
+        except (OSError, ValueError):  # a time-out is one too; the latter: no name that can be looked up
             self._again()
 
     def move(self, address: Address) -> None:
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -220,7 +220,7 @@
                 _, connection = await asyncio.get_running_loop().create_connection(
                     lambda: self.connection(upstream), *upstream.address, **self._security(upstream)
                 )
-        except OSError as error:
+        except (OSError, ValueError) as error:  # the latter: no name that can be looked up
             connection = None
             self._note_tls(upstream, error)
         finally:
@@ -246,7 +246,7 @@
                     *upstream.address, **self._security(upstream),
                 )  # fmt: skip
             opened = getattr(first, "chosen", None)
-        except OSError as error:
+        except (OSError, ValueError) as error:
             self._note_tls(upstream, error)
         finally:
             self._dialled(dial)
@@ -262,7 +262,7 @@
         """What `create_connection` is told of TLS, if the server is spoken to over it."""
         return {} if self.shapes is None else self.shapes.security(upstream, self.clock())
 
-    def _note_tls(self, upstream: Upstream, error: OSError) -> None:
+    def _note_tls(self, upstream: Upstream, error: Exception) -> None:
         if isinstance(error, ssl.SSLError):
             self.counters.add("tls.handshakes_failed")
             if isinstance(error, ssl.SSLCertVerificationError):
