--- a/gladewalk/config.py
+++ b/gladewalk/config.py
@@ -81,7 +81,7 @@
     # HTTP has a field for advice to a refused client, whatever the simulator's clients are given.
     # Clients hold a third of the descriptors at most, with one request on each.
     told = read_settings(settings)
-    module = replace(told, retry_advice=True, places=sockets // 3)
+    module = replace(told, retry_advice=True, connection_limit=sockets // 3)
     check(module)
     return Config(
         name=environ.get("NODE_NAME") or str(raw.get("name", "director")),
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -87,9 +87,9 @@
         shapes = shapes_of(options)
         self.caches = Caches(self.exchange, config, clock, self.deadlines, self.counters, shapes)
         self.exchange.upstreams = self.caches
-        places = config.settings.places
         self.front = ClientFront(
-            self.exchange, places, clock, self.deadlines, self.counters, outside.listen
+            self.exchange, config.settings.connection_limit, clock, self.deadlines, self.counters,
+            outside.listen,
         )
         self._set_front(config)
         self.readiness = self.front.readiness = Readiness(synced=False)
@@ -299,7 +299,8 @@
         self.log.info("configuration taken", coordinator=config.coordinator, last=self.feed.last)
 
     def _set_front(self, config: Config) -> None:
-        self.front.places, self.front.hold_off = config.settings.places, config.hold_off
+        self.front.connection_limit = config.settings.connection_limit
+        self.front.hold_off = config.hold_off
         self.front.arrive_ms = max(ASK_MS, self._patience_ms())
 
     def _patience_ms(self) -> float:
--- a/gladewalk/interface.py
+++ b/gladewalk/interface.py
@@ -128,7 +128,7 @@
     client_kb_per_s: float = 0.0
     sizes_listed: bool = True
     infers_room: bool = False  # where no size is listed: what a cache bears is learned from its answers
-    places: int = 0  # requests that clients can have open here at a time; 0: not known
+    connection_limit: int = 0  # requests that clients can have open here at a time; 0: not known
     max_attempts: int = 1
     second_copies: bool = False
     may_cancel: bool = False
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -27,7 +27,7 @@
 SWEEP_MS = 100.0
 PAUSED_MS = 50.0  # so often who is not read at the moment is asked whether it has left
 PARTED_MS = 100.0  # at the end: what crosses the end of a connection for this long meets no reset
-SPARE_PLACES = 32  # connections over the clients' part of the descriptors, while others are on their way out
+SPARE_CONNECTIONS = 32  # over the clients' part of the descriptors, while others are on their way out
 
 
 def _itself(connection: ClientConnection) -> ClientConnection:
@@ -44,13 +44,14 @@
     def __init__(
         self,
         exchange: Exchange,
-        places: int,
+        connection_limit: int,
         clock: Callable[[], float],
         deadlines: Deadlines,
         counters: Counters,
         listen: Callable[[Address, int, int | None], Listener] = listen_at,
     ) -> None:
-        self.exchange, self.places, self.clock, self.listen_at = exchange, places, clock, listen
+        self.exchange, self.clock, self.listen_at = exchange, clock, listen
+        self.connection_limit = connection_limit
         self.deadlines, self.counters = deadlines, counters
         self.connection, self.body_most = ClientConnection, BODY_MOST
         self.arrive_ms = ASK_MS  # how long a request may take to come, from its first byte to its last
@@ -89,7 +90,7 @@
         """
         loop = asyncio.get_running_loop()
         while self._listener is not None:
-            if self.held >= self.places + SPARE_PLACES:
+            if self.held >= self.connection_limit + SPARE_CONNECTIONS:
                 return self._pause()
             try:
                 peer, _ = self._listener.accept()
@@ -99,7 +100,7 @@
                 self.counters.add("clients.accept_failed")
                 return self._pause()
             self.held += 1
-            if self.held - self.leaving > self.places + SPARE_PLACES // 2:
+            if self.held - self.leaving > self.connection_limit + SPARE_CONNECTIONS // 2:
                 self._make_room()
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             connection = self.connection(self)
--- a/gladewalk/policy/dispatcher.py
+++ b/gladewalk/policy/dispatcher.py
@@ -71,7 +71,7 @@
             entry.ran = self.keys.first(request.replay_key, self.now, cls.key_window_ms + cls.deadline_ms)
         # While the origin rests no fill comes in time: a copy in its grace does.
         entry.stale = cls.grace_ms > 0 and any(self.now < s.blocked_until for s in self.origins)
-        too_dear = self.places.is_too_dear(cls.worth, self._own_work(entry))
+        too_dear = self.admission.is_too_dear(cls.worth, self._own_work(entry))
         return self._give_up(entry) if too_dear else self._place(entry)
 
     def _pump(self) -> None:
@@ -207,7 +207,7 @@
                 else:  # no fill in time: a copy in its grace is worth something (a slow or stopped origin)
                     r.stale, r.missed = True, []
                     self._place(r)
-        self.places.taken(len(self.open) / (self.settings.places or math.inf))
+        self.admission.taken(len(self.open) / (self.settings.connection_limit or math.inf))
         self._weigh()
         self._pump()
         self.purged.forget(self.now - max(self.settings.purge_settle_ms + PURGE_KEEP_MS, MEMORY_MS))
--- a/gladewalk/policy/known.py
+++ b/gladewalk/policy/known.py
@@ -10,10 +10,10 @@
 from .. import interface as api
 from ..geography import Geography
 from ..interface import Role, ServerState
+from ..limits.admission import AdmissionPrice
 from ..limits.ageing import Ageing
 from ..limits.cold import Credit, warming_of
 from ..limits.keys import Keys
-from ..limits.places import Places
 from ..limits.recovery import GAP_START_MS, SHARE_START
 from ..limits.retries import RetryBudget
 from ..limits.room import Room, Usual
@@ -103,7 +103,7 @@
         self.outside = 0  # fills out from outside this location
         self.link_in = self.calm_until = 0.0  # transfers that its link in bears at full pace; 0: not known
         self.usual: dict[str, Usual] = {}  # time of a class's answers
-        self.retries, self.ageing, self.places = RetryBudget(), Ageing(), Places()
+        self.retries, self.ageing, self.admission = RetryBudget(), Ageing(), AdmissionPrice()
         self.born_ms, self.now, self.usual_ms = -1.0, 0.0, 0.0  # the last: a usual request's work
         self.actions: list[api.Action] = []
         self.configure(settings)
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -1,7 +1,8 @@
 """The front's clients: any HTTP/1.1 request, routed by an imported table, answered by an upstream or here.
 
 The guards against what clients may send are those of the platform's front (`net/clients.py`), which this one
-is made of: bounds on heads, bodies and requests ahead, times to ask in, places, one answer to each request.
+are made of: bounds on heads, bodies and requests ahead, times to ask in, a connection limit, one answer to
+each request.
 """
 
 from __future__ import annotations
@@ -189,11 +190,12 @@
     """One of our listeners, which stands for one of the table's."""
 
     def __init__(
-        self, router: Router, listen_key: str, upstreams: Mapping[str, Balanced], places: int, body_most: int,
+        self, router: Router, listen_key: str, upstreams: Mapping[str, Balanced],
+        connection_limit: int, body_most: int,
         clock: Callable[[], float], deadlines: Deadlines, counters: Counters,
     ) -> None:  # fmt: skip
         first = next(iter(upstreams.values()))
-        super().__init__(first, places, clock, deadlines, counters)
+        super().__init__(first, connection_limit, clock, deadlines, counters)
         self.router, self.listen_key, self.upstreams = router, listen_key, upstreams
         self.connection, self.body_most = WebClient, body_most
         self.port_told = int(listen_key.rpartition(":")[2])
--- a/gladewalk/web/plan.py
+++ b/gladewalk/web/plan.py
@@ -67,8 +67,10 @@
     return f"{place.at} {place.said}"
 
 
-def plan_of(site: Site, upstream: Upstream, name: str, seed: int, places: int, sockets: int) -> Plan:
-    """`places`: connections of clients; `sockets`: connections to this upstream at the most."""
+def plan_of(
+    site: Site, upstream: Upstream, name: str, seed: int, connection_limit: int, sockets: int
+) -> Plan:
+    """`connection_limit`: connections of clients; `sockets`: connections to this upstream at the most."""
     ours = [place for place in places_of(site) if place.upstream == upstream.name or "$" in place.upstream]
     classes: list[api.RequestClass] = []
     names: dict[str, str] = {}
@@ -80,7 +82,8 @@
     connect = max((place.terms.connect_ms for place in ours), default=60_000.0)
     count = len(upstream.boxes)
     settings = api.Settings(
-        classes=tuple(classes), zone=ZONE, zones=(ZONE,), hub_of=(0,), sizes_listed=False, places=places,
+        classes=tuple(classes), zone=ZONE, zones=(ZONE,), hub_of=(0,), sizes_listed=False,
+        connection_limit=connection_limit,
         max_attempts=max([count, *(place.terms.tries for place in ours)]), may_cancel=True, retry_advice=True,
         max_retry_after_ms=1_000.0, joins=any(place.terms.join for place in ours),
     )  # fmt: skip
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -7,7 +7,7 @@
 
 from gladewalk.config import Config, read
 from gladewalk.director import Director
-from gladewalk.net.clients import SPARE_PLACES
+from gladewalk.net.clients import SPARE_CONNECTIONS
 from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for, read_message, request, until
 from gladewalk.upstream.pool import OWN_DESCRIPTORS, UPSTREAM_PART
 
@@ -50,13 +50,13 @@
             director = await self.director()
             for other in self.directors[:-1]:
                 other.front.stop_taking()  # as once told to end: the next clients come to the new process
-            for n in range(director.front.places):
+            for n in range(director.front.connection_limit):
                 reader, writer = await asyncio.open_connection(*self.listener.getsockname()[:2])
                 trace = f"{number:08x}{n:08x}"
                 writer.write(request(f"/invoke/lot-page/{number * 1000 + n + 1:x}", trace=trace))
                 clients.append((reader, writer))
             asked = director.counters
-            await until(lambda c=asked, d=director: c["requests.taken"] == d.front.places)  # type: ignore[misc]
+            await until(lambda c=asked, d=director: c["requests.taken"] == d.front.connection_limit)  # type: ignore[misc]
         most = int(SOCKETS * UPSTREAM_PART) - OWN_DESCRIPTORS
         await until(lambda: self.cache.connections >= most - 1)
         held = sum(len(d.caches.live) for d in self.directors)
@@ -77,5 +77,5 @@
                 "NODE_FD": "3"
             })  # fmt: skip
             director.caches.configure(limit)
-            both = 2 * director.caches.most + limit.settings.places + SPARE_PLACES
+            both = 2 * director.caches.most + limit.settings.connection_limit + SPARE_CONNECTIONS
             self.assertLessEqual(both + 2 * 16, sockets)  # listeners, the coordinator, calls, the loop's own
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -146,7 +146,7 @@
             port = int(coordinator.address.rpartition(":")[2])
             coordinator._server.close()
             coordinator.cut()  # discovery is down
-            clients = [await world.client() for _ in range(2 * director.front.places)]
+            clients = [await world.client() for _ in range(2 * director.front.connection_limit)]
             await until(lambda: director.counters["coordinator.connects"] >= 3)
             self.assertLessEqual(director.front.held, director.config.sockets)
             again = await asyncio.start_server(coordinator._serve, "127.0.0.1", port)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,10 +7,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gladewalk.limits.admission import PRICE_LEAST, PRICE_MOST, AdmissionPrice
 from gladewalk.limits.ageing import LEAST_MS, Ageing
 from gladewalk.limits.cold import Credit, Warming, drawn
 from gladewalk.limits.keys import Keys
-from gladewalk.limits.places import PRICE_LEAST, PRICE_MOST, Places
 from gladewalk.limits.recovery import BACKOFF_MOST_MS, SHARE_FLOOR, grown, halved, rest_ms, silence_ms
 from gladewalk.limits.retries import RETRY_MOST, RetryBudget
 from gladewalk.limits.room import FULL_MS, SPAN, Room, Usual, is_over
@@ -127,15 +127,15 @@
 
 
 def test_places_cost_more_while_they_are_taken_and_small_requests_always_pass() -> None:
-    places = Places()
-    assert not places.is_too_dear(0.0, 1e9)
+    admission = AdmissionPrice()
+    assert not admission.is_too_dear(0.0, 1e9)
     for _ in range(200):
-        places.taken(1.0)
-    assert places.price == PRICE_MOST and places.is_too_dear(1.0, 400.0)
-    assert not places.is_too_dear(1.0, 50.0)
+        admission.taken(1.0)
+    assert admission.price == PRICE_MOST and admission.is_too_dear(1.0, 400.0)
+    assert not admission.is_too_dear(1.0, 50.0)
     for _ in range(200):
-        places.taken(0.3)
-    assert places.price == PRICE_LEAST
+        admission.taken(0.3)
+    assert admission.price == PRICE_LEAST
 
 
 def test_rests_double_up_to_a_most_and_shares_move_between_their_bounds() -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -169,7 +169,7 @@
 
 
 def test_when_places_run_out_the_longest_for_their_worth_are_shed_at_once() -> None:
-    world = World(places=20, client_kb_per_s=1000.0)
+    world = World(connection_limit=20, client_kb_per_s=1000.0)
     assert world.ask(99, size_kb=9_000.0)  # long, but there is room
     held = [world.ask(key, size_kb=100.0)[0] for key in range(18)]
     for _ in range(20):  # 19 of 20 open, over the part that is filled by choice
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,7 +12,7 @@
 
 from gladewalk.config import read
 from gladewalk.counters import Counters
-from gladewalk.net.clients import ASK_MS, REST_MS, SPARE_PLACES
+from gladewalk.net.clients import ASK_MS, REST_MS, SPARE_CONNECTIONS
 from gladewalk.net.requests import BadRequest, read_ask
 from gladewalk.rehearsal.peers import (
     Coordinator,
@@ -198,13 +198,13 @@
             for client in waiting:
                 client.sendall(request("/invoke/lot-page/a1"))
             await until(lambda: len(front.resting) == 50)
-            more = [socket.create_connection(front.address) for _ in range(front.places - 50)]
+            more = [socket.create_connection(front.address) for _ in range(front.connection_limit - 50)]
             front.accept()
             for _ in range(4):  # as long as the loop takes to make their transports
                 front.accept()
                 await asyncio.sleep(0)
-            await until(lambda: len(front.connections) == front.places, 5.0)
-            self.assertEqual((front.held, front.counters["clients.made_room"]), (front.places, 0))
+            await until(lambda: len(front.connections) == front.connection_limit, 5.0)
+            self.assertEqual((front.held, front.counters["clients.made_room"]), (front.connection_limit, 0))
             waiting += more
             for client in waiting:
                 client.close()
@@ -213,19 +213,19 @@
         async with Rehearsal([ScriptedPeer(hit)]) as world:
             assert world.director is not None
             front, writers = world.director.front, []
-            for number in range(front.places):
+            for number in range(front.connection_limit):
                 reader, writer = await world.client()
                 writers.append(writer)
                 if number % 2:
                     writer.write(request("/invoke/lot-page/a1"))
                     await read_message(reader)
-            for _ in range(front.places):
+            for _ in range(front.connection_limit):
                 self.assertEqual((await world.ask())[0], 200)
-            self.assertLessEqual(len(front.connections), front.places + SPARE_PLACES)
-            crowd = [await world.client() for _ in range(3 * front.places)]  # more than there is room for
-            self.assertLessEqual(len(front.connections), front.places + SPARE_PLACES)
+            self.assertLessEqual(len(front.connections), front.connection_limit + SPARE_CONNECTIONS)
+            crowd = [await world.client() for _ in range(3 * front.connection_limit)]
+            self.assertLessEqual(len(front.connections), front.connection_limit + SPARE_CONNECTIONS)
             self.assertEqual((await world.ask())[0], 200)
-            self.assertLessEqual(len(front.connections), front.places + SPARE_PLACES)
+            self.assertLessEqual(len(front.connections), front.connection_limit + SPARE_CONNECTIONS)
             self.assertGreater(front.counters["clients.made_room"], 0)
             for _, writer in crowd:
                 writers.append(writer)
