While the origin fails, one fill a rest may reach it, and writes pass

Lines at fault: Ladder._send held fills back only while `blocked_until` ran, and let all of them through together once it had, since a fill by way of a parent is no flight of the origin's; a write refused at the origin counted as a word from it and ended the rest at once (`_heard`); the rest of 4 s at most is 50 fills a second from 200 directors, and as many again by the parents' own retries; a refused write was not sent again though it ran nowhere, and one that rest found was never sent.

Now limits/origin.py adapts a rate: after two failures in a row one fill a rest may reach the origin, rests double up to 4 s or 0.1 s for each director, an answer in time halves the count. ORIGIN_FAILED no more rests the origin for writes. A write that was refused is tried once more within the retry budget.

--- a/gladewalk/interface.py
+++ b/gladewalk/interface.py
@@ -96,6 +96,9 @@
     ORIGIN_FAILED = "origin_failed"
 
 
+SOURCE_SPOKE = (Note.SOURCE_LACKS, Note.SOURCE_REFUSED, Note.ORIGIN_FAILED)  # the source itself said so
+
+
 @dataclass(slots=True, frozen=True)
 class RequestClass:
     name: str
--- a/gladewalk/policy/dispatcher.py
+++ b/gladewalk/policy/dispatcher.py
@@ -69,8 +69,7 @@
         entry = self.open[request.id] = Pending(request, cls, self.now)
         if cls.effect is Effect.KEYED and request.replay_key:
             entry.ran = self.keys.first(request.replay_key, self.now, cls.key_window_ms + cls.deadline_ms)
-        # While the origin rests no fill comes in time: a copy in its grace does.
-        entry.stale = cls.grace_ms > 0 and any(self.now < s.blocked_until for s in self.origins)
+        entry.stale = cls.grace_ms > 0 and not self._may_reach_origin()  # no fill comes in time: a copy does
         too_dear = self.admission.is_too_dear(cls.worth, self._own_work(entry))
         return self._give_up(entry) if too_dear else self._place(entry)
 
@@ -119,6 +118,8 @@
 
     def _again(self, o: api.Outcome, flight: Flight, r: Pending) -> None:
         """Note what is ruled out for this request and try on."""
+        if r.write and o.status is Status.REFUSED and self.retries.take():
+            return self._park(r)  # the origin was full just then: once more, as room comes up
         if flight.source is None and o.status is Status.MISS:
             r.missed.append(flight.host)
             return self._place(r)
@@ -137,9 +138,11 @@
     def _learn(self, o: api.Outcome, flight: Flight, r: Pending) -> None:
         """Health of the hop that an outcome speaks of, the source's share, and who holds the object."""
         host, source = self.servers.get(flight.host), self.servers.get(flight.source or "")
-        for s in (host, source):
-            if s is not None:
-                s.flights.pop((o.id, o.attempt), None)
+        hops = [s for s in (host, source) if s is not None]
+        for s in hops:
+            s.flights.pop((o.id, o.attempt), None)
+        if o.note in (Note.ORIGIN_FAILED, Note.FILLED_BY_ORIGIN) or any(s in self.origins for s in hops):
+            self.gate.learn(self.now, o.status, self.now - r.arrived_ms <= self._aim(r))
         if source is not None:
             source.fills -= 1
             self.outside -= source.info.zone != self.settings.zone
@@ -156,20 +159,15 @@
         if o.status is Status.OK and host is not None:
             self._learn_holders(o, r, host, source)
         elif source is not None and source is not host and o.status is not Status.OK:
-            if o.note is Note.SOURCE_LACKS or o.status is Status.MISS:
+            if o.status is Status.MISS or o.note in api.SOURCE_SPOKE:
                 self._heard(source)
+            if o.note is Note.SOURCE_LACKS or o.status is Status.MISS:
                 self.memory.lacks(r.obj, source.info.name)
             elif o.note in (Note.SOURCE_REFUSED, Note.SOURCE_FAILED) or o.status is Status.TIMEOUT:
                 source.share = halved(source.share)
-                if o.note is Note.SOURCE_REFUSED:
-                    self._heard(source)
-                elif o.status is not Status.TIMEOUT or self.now >= r.deadline_ms - SPARE_MS:  # else cut by us
+                cut = o.status is Status.TIMEOUT and self.now < r.deadline_ms - SPARE_MS  # by us, for its age
+                if not cut and o.note is not Note.SOURCE_REFUSED:
                     self._strike(source, hard=o.status is Status.REFUSED)  # refused: it was not even reached
-            elif o.note is Note.ORIGIN_FAILED:
-                self._heard(source)
-                for origin in self.origins:
-                    origin.share = halved(origin.share)
-                    self._strike(origin, hard=False)
 
     def _learn_holders(self, o: api.Outcome, r: Pending, host: Target, source: Target | None) -> None:
         if source is None and o.note in (Note.HIT, Note.NONE):
@@ -196,9 +194,8 @@
         busy = {name for flight, _ in self.flights.values() for name in (flight.host, flight.source) if name}
         for s in [self.servers[name] for name in sorted(busy) if name in self.servers]:
             if s.flights and self.now >= s.blocked_until and self._is_silent(s):
-                s.fails += 1  # a silence has lasted: it needs no second one
+                s.fails, s.share = s.fails + 1, halved(s.share)  # a silence has lasted: no second one
                 self._strike(s, hard=False)
-                s.share = halved(s.share)
                 self._rescue(s)
         for r in [self.open[number] for number in self.parked if number in self.open]:
             if r.parked and self.now > min(r.arrived_ms + r.cls.aim_ms, r.deadline_ms - SPARE_MS):
--- a/gladewalk/policy/health.py
+++ b/gladewalk/policy/health.py
@@ -53,6 +53,9 @@
             return False
         return s.blocked_until == 0.0 or s.last_sent < s.blocked_until or not s.flights
 
+    def _may_reach_origin(self) -> bool:
+        return self.gate.is_open(self.now) and all(self.now >= s.blocked_until for s in self.origins)
+
     def _is_ready(self, name: str) -> bool:
         return name in self.servers and self.servers[name].info.state is ServerState.READY
 
--- a/gladewalk/policy/known.py
+++ b/gladewalk/policy/known.py
@@ -14,6 +14,7 @@
 from ..limits.ageing import Ageing
 from ..limits.cold import Credit, warming_of
 from ..limits.keys import Keys
+from ..limits.origin import OriginGate
 from ..limits.recovery import GAP_START_MS, SHARE_START
 from ..limits.retries import RetryBudget
 from ..limits.room import Room, Usual
@@ -94,7 +95,7 @@
         self.open: dict[int, Pending] = {}
         self.flights: dict[tuple[int, int], tuple[Flight, Pending]] = {}
         self.orders: dict[Object, list[Target]] = {}  # of this location's caches, till a weight changes
-        self.memory, self.purged = Holders(), Purges()
+        self.memory, self.purged, self.admission = Holders(), Purges(), AdmissionPrice()
         self.sizes: Bounded[float] = Bounded()  # sending times seen (ms), at the least
         self.keys: Keys[api.Server] = Keys()
         self.parked: deque[int] = deque()
@@ -103,7 +104,7 @@
         self.outside = 0  # fills out from outside this location
         self.link_in = self.calm_until = 0.0  # transfers that its link in bears at full pace; 0: not known
         self.usual: dict[str, Usual] = {}  # time of a class's answers
-        self.retries, self.ageing, self.admission = RetryBudget(), Ageing(), AdmissionPrice()
+        self.retries, self.ageing, self.gate = RetryBudget(), Ageing(), OriginGate(settings.dispatchers)
         self.born_ms, self.now, self.usual_ms = -1.0, 0.0, 0.0  # the last: a usual request's work
         self.actions: list[api.Action] = []
         self.configure(settings)
--- a/gladewalk/policy/ladder.py
+++ b/gladewalk/policy/ladder.py
@@ -49,13 +49,13 @@
 
     def _second_home(self, r: Pending, homes: list[Target]) -> Target | None:
         """Where a crowded home's object goes if it is hot, or known to be held there already."""
-        last_seen = self.memory.last_seen(r.obj, homes[0].info.name)
-        held = self._holders(r) if self.now - last_seen > HOT_MS else homes
+        hot = self.now - self.memory.last_seen(r.obj, homes[0].info.name) <= HOT_MS
+        held = homes if hot else self._holders(r)
         return next((s for s in homes[1:2] if s in held and not self._is_crowded(s, r)), None)
 
     def _pass_by(self, r: Pending, max_age: float) -> bool:
         """Straight to a parent, or the origin, when no cache of this location can take a request in time."""
-        if self.settings.direct and (r.write or not self._is_link_over(r)):
+        if self.settings.direct and (r.write or (self._may_reach_origin() and not self._is_link_over(r))):
             for source in (not r.write and self._parents(r)) or self.origins:
                 fit = self._usable(source) if r.write else self._has_room(source, r)
                 if fit and self._in_scope(r, source) and source.info.name not in r.bad_hosts:
@@ -98,7 +98,7 @@
         patience = r.arrived_ms + PATIENCE * r.cls.aim_ms - self.now
         if found or link_over or (patience > 0 and any(self._has_cold_room(s) for s in parents)):
             return found  # a busy parent is waited for: the origin is for when none can be used in time
-        fresh = (s for s in self.origins if s.info.name not in r.bad_sources)
+        fresh = [s for s in self.origins if s.info.name not in r.bad_sources and self._may_reach_origin()]
         return next((s for s in fresh if self._has_room(s, r)), None)
 
     def _parents(self, r: Pending) -> list[Target]:
@@ -159,9 +159,9 @@
         named = (source or host).info
         if host.info.role is Role.PARENT and self.origins:  # named itself, it would give only what it holds
             named = self.origins[0].info
-        # While the origin rests, a parent gives what it holds: more asks would keep a stopped origin down.
-        rests = named.role is Role.PARENT and any(self.now < s.blocked_until for s in self.origins)
+        rests = named.role is Role.PARENT and not self._may_reach_origin()  # more asks would keep it down
         held_only = source is not None and rank > 0 and (named.role is Role.CACHE or rests)
+        self.gate.sent(self.now, source is not None and rank > 0 and not held_only)
         fetch = api.Fetch(r.request.id, host.info.name, named.name, age, rank, join, held_only)
         if source is not None and not r.write:
             fetch.timeout_ms = self.ageing.cap_ms(self._aim(r), r.arrived_ms, r.deadline_ms, self.now)
--- /dev/null
+++ b/tests/test_origin_gate.py
@@ -0,0 +1,108 @@
+"""While the origin fails: one fill a rest may reach it, parents give what they hold, writes pass."""
+
+from typing import Any
+
+from gladewalk import interface as api
+from gladewalk.interface import Note, Status
+from gladewalk.limits.origin import TRY_MS, OriginGate
+from gladewalk.limits.recovery import BACKOFF_MOST_MS, BACKOFF_MS
+
+from .world import ALL, CACHES, ORIGIN, PAGE, World, finals
+
+WRITE = api.RequestClass(
+    "bid", aim_ms=800.0, deadline_ms=3000.0, effect=api.Effect.KEYED, key_window_ms=2_000.0, write=True
+)
+
+
+def failing(**settings: Any) -> World:
+    """A dispatcher for which the origin has failed twice, behind parents that work."""
+    world = World(ALL, **settings)
+    for key in range(2):
+        world.end(world.fill(key), Status.REFUSED, 1, note=Note.ORIGIN_FAILED)
+    return world
+
+
+def write(world: World, key: int, after_ms: float = 0.0) -> list[Any]:
+    world.next_id += 1
+    ask = api.Request(world.next_id, "bid", key, 3000.0, is_write=True, replay_key=f"k{world.next_id}")
+    return world.put(ask, after_ms)
+
+
+def test_after_a_rest_one_fill_tries_and_the_others_wait_for_what_it_tells() -> None:
+    world = failing()
+    assert world.fill(50).held_only
+    world.now += BACKOFF_MS + 1.0
+    trial = world.fill(51)
+    assert not trial.held_only
+    for key in range(52, 56):  # before, all of them reached it
+        other = world.fill(key)
+        assert other.held_only
+        world.end(other, Status.OK, 1, note=Note.FILLED, after_ms=1.0)
+    world.end(trial, Status.REFUSED, 1, note=Note.ORIGIN_FAILED, after_ms=BACKOFF_MS + 1.0)
+    world.now += BACKOFF_MS + 1.0
+    assert world.fill(60).held_only  # rests grow
+    world.now += BACKOFF_MS
+    trial = world.fill(61)
+    assert not trial.held_only
+    world.end(trial, Status.OK, 1, note=Note.FILLED_BY_ORIGIN)
+    world.end(world.fill(62), Status.OK, 1, note=Note.FILLED_BY_ORIGIN)
+    for key in range(63, 67):
+        other = world.fill(key)
+        assert not other.held_only
+        world.end(other, Status.OK, 1, note=Note.FILLED, after_ms=1.0)
+
+
+def test_late_answers_open_nothing() -> None:
+    world = failing()
+    world.now += BACKOFF_MS + 1.0
+    world.end(world.fill(51), Status.OK, 1, note=Note.FILLED_BY_ORIGIN, after_ms=2_500.0)
+    assert world.dispatcher.gate.fails == 2
+
+
+def test_writes_pass_while_fills_rest() -> None:
+    world = failing(classes=(PAGE, WRITE))
+    (sent,) = write(world, 7)
+    assert isinstance(sent, api.Fetch) and sent.source == "o"
+    assert world.fill(50).held_only
+
+
+def test_an_origin_that_turns_writes_away_is_full_for_fills_too() -> None:
+    world = World(ALL, classes=(PAGE, WRITE))
+    for key in (7, 8):
+        (sent,) = write(world, key)
+        world.end(sent, Status.REFUSED, note=Note.SOURCE_REFUSED)
+    assert world.fill(50).held_only
+
+
+def test_a_write_that_the_origin_had_no_room_for_is_sent_once_more_within_the_retry_budget() -> None:
+    world = World((*CACHES, ORIGIN), classes=(PAGE, WRITE))
+    (first,) = write(world, 7)
+    (again,) = world.end(first, Status.REFUSED, note=Note.SOURCE_REFUSED)  # it ran nowhere
+    assert isinstance(again, api.Fetch) and (again.id, again.source) == (first.id, "o")
+    assert world.end(again, Status.OK, 1, note=Note.FILLED_BY_ORIGIN) == []
+    world.dispatcher.retries.left = 0.0
+    (other,) = write(world, 8)
+    assert finals(world.end(other, Status.REFUSED, note=Note.SOURCE_REFUSED))
+
+
+def test_tries_of_all_together_are_bounded_however_many_they_are() -> None:
+    for senders, most in ((3, BACKOFF_MOST_MS), (200, TRY_MS * 200)):
+        gate, now = OriginGate(senders), 0.0
+        for _ in range(30):
+            gate.learn(now, Status.REFUSED, True)
+            now = max(now, gate.until_ms)
+        before = now
+        gate.sent(now)
+        assert gate.until_ms - before == most
+        for _ in range(6):
+            gate.learn(now, Status.OK, True)
+        assert gate.is_open(now)
+
+
+def test_what_was_sent_together_says_it_once() -> None:
+    gate = OriginGate()
+    for _ in range(20):
+        gate.learn(100.0, Status.ERROR, True)
+    assert gate.fails == 2
+    gate.learn(100.0, Status.CANCELLED, True)  # called off by us: it tells nothing of the origin
+    assert gate.fails == 2
