--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -28,7 +28,7 @@
     until,
 )
 
-from .test_net import BYTES, ROOT, hit
+from .peers import BYTES, ROOT, hit
 
 LARGE = bytes(range(256)) * 192  # more than small socket buffers hold, less than makes a writer wait
 
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -10,7 +10,7 @@
 from gladewalk.upstream.http1 import CacheConnection
 from gladewalk.upstream.targets import Dial
 
-from .test_net import hit
+from .peers import hit
 
 
 class SameTurn(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -11,7 +11,7 @@
 from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, read_message, request, until
 from gladewalk.upstream.words import HEAD_MOST, OBJECT_MOST
 
-from .test_net import hit
+from .peers import hit
 
 PIECE = b"x" * 4096
 AHEAD = 8  # requests that a client sends without reading
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -9,7 +9,7 @@
 from gladewalk.net.coordinator import ASKED_MOST, BACKOFF_MOST_MS, BACKOFF_MS, LINE_MS, SILENCE_MS
 from gladewalk.rehearsal.peers import Coordinator, Rehearsal, ScriptedPeer, until
 
-from .test_net import hit
+from .peers import hit
 
 
 def whole_list(*targets: Any) -> dict[str, Any]:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -23,7 +23,7 @@
     until,
 )
 
-from .test_net import BYTES, ROOT, hit
+from .peers import BYTES, ROOT, hit
 
 
 def filled() -> tuple[int, int]:
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -7,8 +7,8 @@
 from gladewalk.ops.readiness import ACCEPT_MS, KILL_MOST_MS, answered_by_ms
 from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request, until
 
+from .peers import BYTES, hit
 from .test_crossings import held_until
-from .test_net import BYTES, hit
 
 LONGEST_MS = max(cls["give_up_ms"] for cls in SETTINGS["classes"])
 WHOLE = request("/invoke/lot-video/a1", wait_ms=LONGEST_MS)
