--- a/gladewalk/limits/origin.py
+++ b/gladewalk/limits/origin.py
@@ -12,6 +12,8 @@
 from .recovery import BACKOFF_MOST_MS, BACKOFF_MS
 
 CHANCE = 1  # failures in a row that close nothing (ours)
+SOON = 0.5  # part of its aim after which an answer tells of a queue: it comes before refusals do (ours)
+FAILED = (Status.OK, Status.REFUSED, Status.ERROR, Status.TIMEOUT)  # an answer too late among them
 TRY_MS = 100.0  # time for one try of all dispatchers together, at the longest rests (ours)
 
 
@@ -29,11 +31,10 @@
             rest = BACKOFF_MS * 2.0 ** min(self.fails - CHANCE - 1, 10)
             self.until_ms = now_ms + min(self.most_ms, rest)
 
-    def learn(self, now_ms: float, status: Status, in_time: bool) -> None:
-        """What came of work that reached it, a write or a fill."""
-        if status is Status.OK:
-            if in_time:
-                self.fails //= 2  # by steps, so that not all come back at one moment
-        elif status in (Status.REFUSED, Status.ERROR, Status.TIMEOUT) and now_ms >= self.until_ms:
+    def learn(self, now_ms: float, status: Status, took_ms: float, aim_ms: float) -> None:
+        """What came of work that reached it, a write or a fill, and how long its client has waited."""
+        if status is Status.OK and took_ms <= SOON * aim_ms:
+            self.fails //= 2  # by steps, so that not all come back at one moment
+        elif status in FAILED and now_ms >= self.until_ms:
             self.fails += 1  # what was sent together says it once
             self.sent(now_ms)
--- a/gladewalk/policy/dispatcher.py
+++ b/gladewalk/policy/dispatcher.py
@@ -142,7 +142,7 @@
         for s in hops:
             s.flights.pop((o.id, o.attempt), None)
         if o.note in (Note.ORIGIN_FAILED, Note.FILLED_BY_ORIGIN) or any(s in self.origins for s in hops):
-            self.gate.learn(self.now, o.status, self.now - r.arrived_ms <= self._aim(r))
+            self.gate.learn(self.now, o.status, self.now - r.arrived_ms, self._aim(r))
         if source is not None:
             source.fills -= 1
             self.outside -= source.info.zone != self.settings.zone
--- a/tests/test_origin_gate.py
+++ b/tests/test_origin_gate.py
@@ -52,11 +52,15 @@
         world.end(other, Status.OK, 1, note=Note.FILLED, after_ms=1.0)
 
 
-def test_late_answers_open_nothing() -> None:
-    world = failing()
+def test_late_answers_tell_of_a_queue_and_open_nothing() -> None:
+    world = World(ALL)
+    for key, fails in ((50, 1), (51, 2)):
+        world.end(world.fill(key), Status.OK, 1, note=Note.FILLED_BY_ORIGIN, after_ms=2_500.0)
+        assert world.dispatcher.gate.fails == fails
+    assert world.fill(52).held_only
     world.now += BACKOFF_MS + 1.0
-    world.end(world.fill(51), Status.OK, 1, note=Note.FILLED_BY_ORIGIN, after_ms=2_500.0)
-    assert world.dispatcher.gate.fails == 2
+    world.end(world.fill(53), Status.OK, 1, note=Note.FILLED_BY_ORIGIN, after_ms=50.0)
+    assert world.dispatcher.gate.fails == 1  # soon: the queue is gone
 
 
 def test_writes_pass_while_fills_rest() -> None:
@@ -89,20 +93,20 @@
     for senders, most in ((3, BACKOFF_MOST_MS), (200, TRY_MS * 200)):
         gate, now = OriginGate(senders), 0.0
         for _ in range(30):
-            gate.learn(now, Status.REFUSED, True)
+            gate.learn(now, Status.REFUSED, 0.0, 1.0)
             now = max(now, gate.until_ms)
         before = now
         gate.sent(now)
         assert gate.until_ms - before == most
         for _ in range(6):
-            gate.learn(now, Status.OK, True)
+            gate.learn(now, Status.OK, 0.0, 1.0)
         assert gate.is_open(now)
 
 
 def test_what_was_sent_together_says_it_once() -> None:
     gate = OriginGate()
     for _ in range(20):
-        gate.learn(100.0, Status.ERROR, True)
+        gate.learn(100.0, Status.ERROR, 0.0, 1.0)
     assert gate.fails == 2
-    gate.learn(100.0, Status.CANCELLED, True)  # called off by us: it tells nothing of the origin
+    gate.learn(100.0, Status.CANCELLED, 0.0, 1.0)  # called off by us: it tells nothing of the origin
     assert gate.fails == 2
