--- a/gladewalk/limits/origin.py
+++ b/gladewalk/limits/origin.py
@@ -12,7 +12,6 @@
 from .recovery import BACKOFF_MOST_MS, BACKOFF_MS
 
 CHANCE = 1  # failures in a row that close nothing (ours)
-SOON = 0.5  # part of its aim after which an answer tells of a queue: it comes before refusals do (ours)
 FAILED = (Status.OK, Status.REFUSED, Status.ERROR, Status.TIMEOUT)  # an answer too late among them
 TRY_MS = 100.0  # time for one try of all dispatchers together, at the longest rests (ours)
 
@@ -33,7 +32,7 @@
 
     def learn(self, now_ms: float, status: Status, took_ms: float, aim_ms: float) -> None:
         """What came of work that reached it, a write or a fill, and how long its client has waited."""
-        if status is Status.OK and took_ms <= SOON * aim_ms:
+        if status is Status.OK and took_ms <= aim_ms:
             self.fails //= 2  # by steps, so that not all come back at one moment
         elif status in FAILED and now_ms >= self.until_ms:
             self.fails += 1  # what was sent together says it once
