A request that stops half-way behind answers unread ends with its time; a SIGHUP within a stop is shown to end nothing

Read, then proven (tests/test_endless.py fails without this): since answers left unread hold the next one back, a refusal with 408 could wait behind them for as long as the client stayed. Who has not read its answers is not told; its connection ends.

Ruled out by a passing test: a new configuration, a report and a second SIGTERM within a stop (tests/test_program.py).

--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -176,6 +176,8 @@
         """The request that has begun to come has not come whole in its time."""
         self._refuse_input(408)
         self._next()
+        if self.waiting:  # it has not even read its answers: nothing else would ever end it
+            self.drop()
 
     def is_quiet(self) -> bool:
         """Whether nothing that the client has sent lies unread."""
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -109,6 +109,25 @@
             client.close()
 
 
+    async def test_half_a_request_behind_answers_unread_ends_with_its_time(self) -> None:
+        async with Rehearsal([ScriptedPeer(large)]) as world:
+            director = world.director
+            assert director is not None
+            front, real = director.front, director.front.clock
+            client, connection = await self.unread(director, ahead(3, 3000.0) + ahead(1, 3000.0)[:-9])
+            await until(lambda: director.counters["answers.served"] >= 2 and not director.exchange.taken)
+            self.assertTrue(connection.full)
+            connection.waiting.clear()  # as once the last whole one has been answered, and reading goes on
+            connection.paused, connection.partial, connection.began_ms = False, True, real()
+            front._paused.clear()
+            front.settle(connection)
+            front.clock = lambda: real() + front.arrive_ms + 1.0
+            front.sweep()  # as its deadline calls it
+            await until(lambda: not front.connections)
+            self.assertEqual((front.held, director.counters["clients.came_too_slowly"]), (0, 1))
+            client.close()
+
+
 class FromCaches(unittest.IsolatedAsyncioTestCase):
     async def spoilt(self, start: bytes, piece: bytes) -> None:
         sent = [0]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,6 +8,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Any
 
 from gladewalk.config import read
 from gladewalk.rehearsal.peers import (
@@ -135,6 +136,45 @@
         cache.stop()
         coordinator.stop()
 
+    async def test_a_new_configuration_within_a_stop_is_taken_and_ends_nothing(self) -> None:
+        release = asyncio.Event()
+
+        async def held(heard: Heard) -> None:
+            await release.wait()
+            await hit(heard)
+
+        cache = await ScriptedPeer(held).start()
+        coordinator, other = await Coordinator().start(), await Coordinator().start()
+        config = config_for([cache], coordinator)
+        program = await self.start(config)
+        assert program.stderr is not None
+        events: list[dict[str, Any]] = []
+
+        async def said(event: str) -> dict[str, Any]:
+            assert program.stderr is not None
+            while not events or events[-1]["event"] != event:
+                events.append(json.loads(await program.stderr.readline()))
+            return events[-1]
+
+        reader, writer = await asyncio.open_connection(*(await said("serving"))["listen"])
+        writer.write(request("/invoke/lot-video/a1", wait_ms=5000.0))
+        await until(lambda: len(cache.heard) == 1)
+        program.send_signal(signal.SIGTERM)
+        await said("stopping")
+        other.events = coordinator.events
+        Path(self.file).write_text(json.dumps({**config, "coordinator": other.address}))
+        for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM):  # and a second SIGTERM
+            program.send_signal(number)
+        await said("configuration taken")
+        release.set()
+        first, fields, body = await read_message(reader)
+        self.assertEqual((" 200 " in first, fields["connection"], body), (True, "close", BYTES))
+        await program.communicate()
+        self.assertEqual(program.returncode, 0)
+        writer.close()
+        for part in (cache, coordinator, other):
+            part.stop()
+
     async def test_sighup_takes_a_new_configuration_and_a_bad_one_changes_nothing(self) -> None:
         release = asyncio.Event()
 
