--- a/gladewalk/policy/dispatcher.py
+++ b/gladewalk/policy/dispatcher.py
@@ -118,7 +118,7 @@
 
     def _again(self, o: api.Outcome, flight: Flight, r: Pending) -> None:
         """Note what is ruled out for this request and try on."""
-        if r.write and o.status is Status.REFUSED and self.retries.take():
+        if r.write and o.note is Note.SOURCE_REFUSED and self.retries.take():
             return self._park(r)  # the origin was full just then: once more, as room comes up
         if flight.source is None and o.status is Status.MISS:
             r.missed.append(flight.host)
--- a/tests/test_origin_gate.py
+++ b/tests/test_origin_gate.py
@@ -89,6 +89,13 @@
     assert finals(world.end(other, Status.REFUSED, note=Note.SOURCE_REFUSED))
 
 
+def test_a_write_that_a_cache_turned_away_goes_to_another_one() -> None:
+    world = World((*CACHES, ORIGIN), classes=(PAGE, WRITE))
+    (first,) = write(world, 7)
+    (second,) = world.end(first, Status.REFUSED)  # the cache itself, which is not asked again
+    assert second.server != first.server
+
+
 def test_tries_of_all_together_are_bounded_however_many_they_are() -> None:
     for senders, most in ((3, BACKOFF_MOST_MS), (200, TRY_MS * 200)):
         gate, now = OriginGate(senders), 0.0
