--- a/gladewalk/config.py
+++ b/gladewalk/config.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from . import interface as api
-from .interface import check
+from .interface import validate_settings
 from .settings import SettingsError, either, need, read_roles, read_settings
 
 Address = tuple[str, int]
@@ -81,8 +81,8 @@
     # HTTP has a field for advice to a refused client, whatever the simulator's clients are given.
     # Clients hold a third of the descriptors at most, with one request on each.
     told = read_settings(settings)
-    module = replace(told, retry_advice=True, connection_limit=sockets // 3)
-    check(module)
+    module = replace(told, sends_retry_after=True, client_connection_limit=sockets // 3)
+    validate_settings(module)
     return Config(
         name=environ.get("NODE_NAME") or str(raw.get("name", "director")),
         listen=read_address(environ.get("NODE_LISTEN") or raw.get("listen")),
@@ -97,7 +97,7 @@
         known=tuple(events),
         admin=_admin_of(environ.get("NODE_ADMIN_ADDR") or raw.get("admin_addr")),
         inherited_fd=_descriptor_of(environ.get("NODE_FD")),
-        hold_off=told.retry_advice,
+        hold_off=told.sends_retry_after,
     )
 
 
@@ -143,10 +143,10 @@
         name=need(entry, "uid", (str,)),
         role=roles.get(entry.get("model"), api.Role.CACHE),
         zone=str(either(entry.get("az"), "")),
-        size=size,
+        capacity=size,
         state=state,
         started_ms=finite(either(entry.get("boot_ms"), 0.0)),
         cell=int(either(entry.get("pod_group"), 0)),
-        place=str(either(entry.get("endpoint"), "")),
+        address=str(either(entry.get("endpoint"), "")),
     )
     return server, None if gone else read_address(entry.get("endpoint"))
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -88,7 +88,11 @@
         self.caches = Caches(self.exchange, config, clock, self.deadlines, self.counters, shapes)
         self.exchange.upstreams = self.caches
         self.front = ClientFront(
-            self.exchange, config.settings.connection_limit, clock, self.deadlines, self.counters,
+            self.exchange,
+            config.settings.client_connection_limit,
+            clock,
+            self.deadlines,
+            self.counters,
             outside.listen,
         )
         self._set_front(config)
@@ -299,7 +303,7 @@
         self.log.info("configuration taken", coordinator=config.coordinator, last=self.feed.last)
 
     def _set_front(self, config: Config) -> None:
-        self.front.connection_limit = config.settings.connection_limit
+        self.front.connection_limit = config.settings.client_connection_limit
         self.front.hold_off = config.hold_off
         self.front.arrive_ms = max(ASK_MS, self._patience_ms())
 
--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -1,4 +1,4 @@
-"""DNS on sockets: a question becomes an answer of the zone's, or a `Locate` for the core and then its answer.
+"""DNS on sockets: a question becomes an answer of the zone's, or a `ResolveRequest` for the core.
 
 What is answered is decided in `zone`, `answers`, `cookies` and `limits`; here are the sockets, the counters
 and the way between them. Whatever comes in ends in an answer or a counter, not in an exception.
@@ -244,7 +244,7 @@
         self.exchange.locate(
             Question(self, asked, found, zone, sender, name),
             config.wait_ms,
-            lambda number: api.Locate(
+            lambda number: api.ResolveRequest(
                 number, wanted.class_name, wanted.key, config.wait_ms, asked.peer, wanted.part, wanted.group,
                 weight,
             ),
--- a/gladewalk/duties/kinds.py
+++ b/gladewalk/duties/kinds.py
@@ -32,7 +32,7 @@
     def learn(
         self, name: str, status: api.Status, took_ms: float, load: dict[str, float] | None, age_ms: float
     ) -> None:
-        self.exchange.feed(api.ProbeResult(name, status, took_ms, load, age_ms))
+        self.exchange.feed(api.HealthCheckResult(name, status, took_ms, load, age_ms))
 
 
 class ProbeBoxes(Asked):
@@ -41,7 +41,7 @@
     kind, path, roles = "load", "/load", frozenset((api.Role.CACHE,))
 
     def names(self) -> Iterable[str]:
-        return super().names() if self.exchange.core.settings.may_probe else ()
+        return super().names() if self.exchange.core.settings.may_check_health else ()
 
 
 class CheckSources(Asked):
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -39,10 +39,10 @@
         self.clock, self.deadlines, self.counters, self.log = clock, deadlines, counters, log
         self.upstreams: Upstreams | None = None
         # Goes on with an answer to a question once what it promises lasts; None: at once.
-        self.lasting: Callable[[api.Locate, Sequence[str], Callable[[], None]], None] | None = None
+        self.lasting: Callable[[api.ResolveRequest, Sequence[str], Callable[[], None]], None] | None = None
         self.taken: dict[int, Taken] = {}
         self.owed = 0  # requests without their final answer
-        self.asked: dict[int, tuple[api.Locate, Asker, Key]] = {}  # questions without their answer
+        self.asked: dict[int, tuple[api.ResolveRequest, Asker, Key]] = {}  # questions without their answer
         self._numbers = 0
         self._events: deque[api.Event] = deque()
         self._busy = False
@@ -102,9 +102,9 @@
                 size_kb=ask.size_kb,
                 group=ask.group,
                 part=ask.part,
-                is_repeat=ask.is_retry,
+                is_client_retry=ask.is_retry,
                 is_write=ask.method == "PUT",
-                replay_key=ask.replay_key,
+                idempotency_key=ask.replay_key,
             )
         )
 
@@ -124,7 +124,7 @@
         if taken is not None and taken.winner is not None and self.upstreams is not None:
             self.upstreams.flow(taken.winner, on)
 
-    def locate(self, asker: Asker, wait_ms: float, ask: Callable[[int], api.Locate]) -> None:
+    def locate(self, asker: Asker, wait_ms: float, ask: Callable[[int], api.ResolveRequest]) -> None:
         """Where to fetch an object: one answer, at once or by the deadline."""
         self._numbers += 1
         number, question = self._numbers, ask(self._numbers)
@@ -136,19 +136,19 @@
     def _locate_late(self, number: int) -> None:
         self.counters.add("locates.late")
         self._refuse_locate(number)
-        self.feed(api.ClientGone(number))
+        self.feed(api.ClientDisconnected(number))
 
     def _refuse_locate(self, number: int) -> None:
         _, asker, due = self.asked.pop(number)
         self.deadlines.drop(due)
         asker.refused()
 
-    def _name(self, action: api.Name) -> None:
+    def _name(self, action: api.Resolved) -> None:
         if self.lasting is not None and action.servers:
             return self.lasting(self.asked[action.id][0], action.servers, lambda: self._answer_named(action))
         self._answer_named(action)
 
-    def _answer_named(self, action: api.Name) -> None:
+    def _answer_named(self, action: api.Resolved) -> None:
         if action.id not in self.asked:  # its time was up while its lease was written
             return
         assert self.upstreams is not None
@@ -219,21 +219,21 @@
                 attempt=attempt.number,
                 server=attempt.order.server,
                 status=end.status,
-                took_ms=self.clock() - attempt.sent_ms,
-                closed=taken.answered,
-                note=end.note,
-                waited_ms=end.waited_ms,
-                load=end.load,
+                elapsed_ms=self.clock() - attempt.sent_ms,
+                is_answered=taken.answered,
+                detail=end.note,
+                source_wait_ms=end.waited_ms,
+                load_report=end.load,
             )
         )
 
     # What the coordinator says.
 
     def listed(
-        self, event: api.ServerList, addresses: dict[str, Address | None], models: Mapping[str, str]
+        self, event: api.EndpointList, addresses: dict[str, Address | None], models: Mapping[str, str]
     ) -> None:
         if self.upstreams is not None:
-            if event.kind is not api.ListKind.CHANGES:
+            if event.kind is not api.EndpointListKind.DELTA:
                 self.upstreams.keep_only(addresses)
             for name, address in addresses.items():
                 self.upstreams.locate(name, address, models.get(name, ""))
@@ -264,12 +264,12 @@
         match action:
             case api.Lookup() | api.Fetch():
                 self._start(action)
-            case api.Name():
+            case api.Resolved():
                 if action.id in self.asked:
                     self._name(action)
-            case api.Refuse() if action.id in self.asked:
+            case api.Reject() if action.id in self.asked:
                 self._refuse_locate(action.id)
-            case api.Refuse():
+            case api.Reject():
                 self._finish(action.id, Final.REFUSED, action.retry_after_ms)
             case api.Fail():
                 self._finish(action.id, Final.FAILED)
@@ -280,17 +280,18 @@
             case api.SetTimer():
                 token = action.token
                 self.deadlines.add(self.clock() + action.delay_ms, lambda: self.feed(api.Timer(token)))
-            case api.Probe():
+            case api.HealthCheck():
                 name = action.server
                 self.counters.add("probes.sent")
                 self.upstreams.probe(
-                    name, lambda status, took, load: self.feed(api.ProbeResult(name, status, took, load))
+                    name,
+                    lambda status, took, load: self.feed(api.HealthCheckResult(name, status, took, load)),
                 )
             case api.CloseIdle():
                 self.upstreams.close_idle(action.server)
             case api.Log():
                 self.log(action.line)
-            case api.Tell() | api.Watch() | api.FetchList():
+            case api.NotifyPeers() | api.Watch() | api.FetchEndpoints():
                 self.counters.add("module.action_without_use")  # no peers here, and the list is pushed
 
     def _start(self, order: api.Lookup | api.Fetch) -> None:
@@ -344,7 +345,7 @@
 
     def _call_off(self, taken: Taken) -> None:
         """No work shall go on for a request that is over."""
-        self.feed(api.ClientGone(taken.number))
+        self.feed(api.ClientDisconnected(taken.number))
         for attempt in list(taken.out.values()):
             self._cancel(attempt)
 
@@ -358,7 +359,7 @@
         if not taken.answered:
             self.counters.add("requests.ended_as_last_resort")
             self._finish(taken.number, Final.FAILED)
-            self.feed(api.ClientGone(taken.number))
+            self.feed(api.ClientDisconnected(taken.number))
 
     def _close(self, taken: Taken) -> None:
         taken.answered = True
--- a/gladewalk/limits/cold.py
+++ b/gladewalk/limits/cold.py
@@ -45,8 +45,10 @@
     """How the servers of each role warm up; an origin never starts."""
     t = settings
     return {
-        Role.CACHE: Warming(t.cold_share, t.ramp_ms, t.fall_multiple),
-        Role.PARENT: Warming(t.parent_cold_share, t.parent_ramp_ms, t.parent_fall_multiple),
+        Role.CACHE: Warming(t.slow_start_fraction, t.slow_start_ms, t.overload_multiple),
+        Role.PARENT: Warming(
+            t.parent_slow_start_fraction, t.parent_slow_start_ms, t.parent_overload_multiple
+        ),
         Role.ORIGIN: Warming(),
     }
 
--- a/gladewalk/limits/origin.py
+++ b/gladewalk/limits/origin.py
@@ -12,7 +12,7 @@
 from .recovery import BACKOFF_MOST_MS, BACKOFF_MS
 
 CHANCE = 1  # failures in a row that close nothing (ours)
-FAILED = (Status.OK, Status.REFUSED, Status.ERROR, Status.TIMEOUT)  # an answer too late among them
+FAILED = (Status.OK, Status.REJECTED, Status.ERROR, Status.TIMEOUT)  # an answer too late among them
 TRY_MS = 100.0  # time for one try of all dispatchers together, at the longest rests (ours)
 
 
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -12,7 +12,7 @@
 from ..counters import Counters
 from ..deadlines import Deadlines
 from ..exchange import Ask, Exchange
-from ..interface import Effect
+from ..interface import Idempotency
 from ..ops.readiness import Readiness
 from .connection import ClientConnection
 from .outside import Listener, listen_at
@@ -240,9 +240,11 @@
         cls = self.exchange.core.classes.get(ask.class_name)
         if cls is None:
             return 404
-        if cls.write and ask.method != "PUT":
+        if cls.is_write and ask.method != "PUT":
             return 405
-        if cls.effect is Effect.KEYED and not ask.replay_key:  # its repeats could not be told from others
+        if (
+            cls.idempotency is Idempotency.KEYED and not ask.replay_key
+        ):  # its repeats could not be told from others
             self.counters.add("clients.key_missing")
             return 400
         return None
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -127,12 +127,12 @@
             except UNUSABLE:
                 self.counters.add("coordinator.bad_entries")
         bad_entries = len(change["targets"]) - len(read)
-        kind = api.ListKind.CHANGES
+        kind = api.EndpointListKind.DELTA
         if not self._listed or (change.get("all") and not bad_entries):  # else one not understood would go
-            kind = api.ListKind.WHOLE if self._listed else api.ListKind.LAST
+            kind = api.EndpointListKind.COMPLETE if self._listed else api.EndpointListKind.PERSISTED
         self._listed = True
         addresses = {server.name: address for server, address in read}
-        self.exchange.listed(api.ServerList(kind, tuple(server for server, _ in read)), addresses, models)
+        self.exchange.listed(api.EndpointList(kind, tuple(server for server, _ in read)), addresses, models)
         return bad_entries
 
     def _purge(self, evict: dict[str, Any]) -> None:
--- a/gladewalk/ops/calls.py
+++ b/gladewalk/ops/calls.py
@@ -16,7 +16,7 @@
     """What is so now: requests owed; caches listed, and those the module rests or that drain."""
     core, now_ms = director.exchange.core, director.exchange.clock()
     listed = [s for s in core.servers.values() if s.info.state is not ServerState.GONE]
-    avoided = sum(s.info.state is not ServerState.READY or now_ms < s.blocked_until for s in listed)
+    avoided = sum(s.info.state is not ServerState.READY or now_ms < s.backoff_until_ms for s in listed)
     return Now(pending=director.exchange.owed, members=len(listed), members_unavailable=avoided)
 
 
--- a/gladewalk/parties.py
+++ b/gladewalk/parties.py
@@ -119,6 +119,6 @@
     """How an attempt ended, as the server side saw it."""
 
     status: api.Status
-    note: api.Note = api.Note.NONE
+    note: api.OutcomeDetail = api.OutcomeDetail.NONE
     waited_ms: float | None = None
     load: dict[str, float] | None = None
--- a/gladewalk/simhost.py
+++ b/gladewalk/simhost.py
@@ -24,15 +24,15 @@
     "removed": api.ServerState.GONE,
 }
 LISTS = {
-    "Partial": api.ListKind.CHANGES,
-    "Complete": api.ListKind.WHOLE,
-    "Persisted": api.ListKind.LAST,
-    "Error": api.ListKind.FAILED,
+    "Partial": api.EndpointListKind.DELTA,
+    "Complete": api.EndpointListKind.COMPLETE,
+    "Persisted": api.EndpointListKind.PERSISTED,
+    "Error": api.EndpointListKind.FAILED,
 }
 STATUSES = {
     "GOOD": api.Status.OK,
     "BAD": api.Status.ERROR,
-    "FULL": api.Status.REFUSED,
+    "FULL": api.Status.REJECTED,
     "LATE": api.Status.TIMEOUT,
     "NOCONN": api.Status.CONNECT_FAILED,
     "RST": api.Status.RESET,
@@ -56,7 +56,7 @@
             name=need(entry, "host", (str,)),
             role=self.roles.get(entry.get("model"), api.Role.CACHE),
             zone=need(entry, "site", (str,)),
-            size=either(entry.get("scale"), 1.0),
+            capacity=either(entry.get("scale"), 1.0),
             state=word(STATES, entry, "lifecycle"),
             started_ms=either(entry.get("start_time_ms"), 0.0),
             cell=either(entry.get("block"), 0),
@@ -68,7 +68,7 @@
     entries = either(m.get("elements"), [])
     if not isinstance(entries, list) or not all(isinstance(entry, dict) for entry in entries):
         raise SettingsError("directory_update: field 'elements' is not a list of objects")
-    return api.ServerList(kind, tuple(host.server(entry) for entry in entries))
+    return api.EndpointList(kind, tuple(host.server(entry) for entry in entries))
 
 
 def _request(_: Host, m: dict[str, Any]) -> api.Event:
@@ -82,7 +82,7 @@
         group=int(either(m.get("purge_group"), 0)),
         part=int(either(m.get("range_no"), 0)),
         tenant=m.get("client_group") or None,
-        is_repeat=bool(flags & 2),
+        is_client_retry=bool(flags & 2),
         is_write=bool(flags & 4),
     )
 
@@ -94,11 +94,11 @@
         attempt=need(m, "hop"),
         server=need(m, "host", (str,)),
         status=word(STATUSES, m, "result"),
-        took_ms=either(m.get("time_taken_ms"), 0.0),
-        closed=bool(m.get("done_flag")),
-        note=DETAILS[detail] if 0 <= detail < len(DETAILS) else api.Note.NONE,
-        waited_ms=m.get("source_wait_ms"),
-        load=read_load(m.get("telemetry")),
+        elapsed_ms=either(m.get("time_taken_ms"), 0.0),
+        is_answered=bool(m.get("done_flag")),
+        detail=DETAILS[detail] if 0 <= detail < len(DETAILS) else api.OutcomeDetail.NONE,
+        source_wait_ms=m.get("source_wait_ms"),
+        load_report=read_load(m.get("telemetry")),
     )
 
 
@@ -110,7 +110,7 @@
 
 def _probed(_: Host, m: dict[str, Any]) -> api.Event:
     took_ms, load = either(m.get("time_taken_ms"), 0.0), read_load(m.get("telemetry"))
-    return api.ProbeResult(need(m, "host", (str,)), word(STATUSES, m, "result"), took_ms, load)
+    return api.HealthCheckResult(need(m, "host", (str,)), word(STATUSES, m, "result"), took_ms, load)
 
 
 def _peer_note(_: Host, m: dict[str, Any]) -> api.Event:
@@ -118,7 +118,7 @@
         content = base64.b64decode(either(m.get("content"), ""), validate=True)
     except ValueError as error:
         raise SettingsError("note_from: field 'content' is not base64") from error
-    return api.PeerNote(need(m, "by", (int,)), content)
+    return api.PeerMessage(need(m, "by", (int,)), content)
 
 
 def _purge(_: Host, m: dict[str, Any]) -> api.Event:
@@ -133,20 +133,20 @@
     "health_result": _probed,
     "note_from": _peer_note,
     "replaced": _purge,
-    "client_gone": lambda _, m: api.ClientGone(need(m, "call")),
+    "client_gone": lambda _, m: api.ClientDisconnected(need(m, "call")),
     "timer": lambda _, m: api.Timer(need(m, "token", (str,))),
 }
 
 
 def _fetch(a: api.Fetch) -> dict[str, Any]:
-    bits = a.join * 1 + a.held_only * 2 + (not a.parent_keeps) * 4 + a.renew * 8
+    bits = a.join_fill * 1 + a.cached_only * 2 + (not a.parent_caches) * 4 + a.revalidate * 8
     return {
         "op": "fetch_through",
         "call": a.id,
         "copy_age_ms": a.max_age_ms,
         "cap_ms": a.timeout_ms,
         "switches": bits,
-        "rank": a.rank,
+        "rank": a.cache_rank,
         "fill_from": a.source,
         "host": a.server,
     }
@@ -155,19 +155,19 @@
 WRITERS: dict[type, Callable[[Any], dict[str, Any]]] = {
     api.Lookup: lambda a: {"op": "place", "call": a.id, "host": a.server, "cap_ms": a.timeout_ms},
     api.Fetch: _fetch,
-    api.Refuse: lambda a: {"op": "not_now", "call": a.id, "come_back_ms": a.retry_after_ms},
+    api.Reject: lambda a: {"op": "not_now", "call": a.id, "come_back_ms": a.retry_after_ms},
     api.Fail: lambda a: {"op": "end_failed", "call": a.id},
     api.Cancel: lambda a: {"op": "revoke", "call": a.id, "hop": a.attempt},
-    api.Probe: lambda a: {"op": "ping", "host": a.server},
+    api.HealthCheck: lambda a: {"op": "ping", "host": a.server},
     api.CloseIdle: lambda a: {"op": "free_links", "host": a.server},
-    api.Tell: lambda a: {
+    api.NotifyPeers: lambda a: {
         "op": "memo_to",
         "recipient": a.peer,
         "content": base64.b64encode(a.content).decode(),
     },
     api.SetTimer: lambda a: {"op": "defer", "sleep_for_ms": a.delay_ms, "token": a.token},
-    api.Watch: lambda a: {"op": "stream_changes", "want": a.on},
-    api.FetchList: lambda a: {"op": "resolve"},
+    api.Watch: lambda a: {"op": "stream_changes", "want": a.enabled},
+    api.FetchEndpoints: lambda a: {"op": "resolve"},
     api.Log: lambda a: {"op": "write_log", "line": a.line},
 }
 
--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/keeper.py
@@ -86,7 +86,7 @@
         if self.warm_ms:
             self._keep_warm()
 
-    def lease(self, question: api.Locate, servers: Sequence[str], then: Callable[[], None]) -> None:
+    def lease(self, question: api.ResolveRequest, servers: Sequence[str], then: Callable[[], None]) -> None:
         """Go on with an answer once its leases last, or cannot."""
         assert self.exchange is not None
         told = []
--- a/gladewalk/store/leases.py
+++ b/gladewalk/store/leases.py
@@ -10,7 +10,6 @@
 
 from .. import interface as api
 from ..policy import Dispatcher
-from ..policy.known import place_of
 from ..policy.naming import LEASE_MS
 
 SPACE = "lease"
@@ -29,16 +28,16 @@
 _decoder = msgspec.msgpack.Decoder(Lease)
 
 
-def lease_of(core: Dispatcher, question: api.Locate, server: str) -> Lease | None:
+def lease_of(core: Dispatcher, question: api.ResolveRequest, server: str) -> Lease | None:
     """The lease that the core has counted for an answer; None if there is none."""
     known = core.servers.get(server)
     if known is None or core.ledger is None:
         return None
-    place = place_of(known)
-    held = core.ledger.find(place, question.holder, (question.key, question.part))
+    place = known.address
+    held = core.ledger.find(place, question.resolver, (question.key, question.part))
     if held is None:
         return None
-    return Lease(place, question.holder, question.key, question.part, *held)
+    return Lease(place, question.resolver, question.key, question.part, *held)
 
 
 def key_of(lease: Lease) -> str:
--- a/gladewalk/store/warm.py
+++ b/gladewalk/store/warm.py
@@ -13,8 +13,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import msgspec
 
 from ..limits.recovery import SHARE_FLOOR, SHARE_MOST
@@ -70,7 +68,7 @@
 
 def sources_row(core: Dispatcher, now_ms: float) -> bytes:
     rows = [
-        Source(name, server.started_ms, server.share, server.first_byte_ms)
+        Source(name, server.started_ms, server.fill_quota, server.first_byte_ms)
         for name, server in core.servers.items()
     ]
     return _encoder.encode(Sources(now_ms, rows))
@@ -110,10 +108,10 @@
         return 0
     count = 0
     for source in row.sources:
-        server: Any = core.servers.get(source.name)
+        server = core.servers.get(source.name)
         if server is None or server.started_ms > source.started_ms:  # it has started since: as good as new
             continue
-        server.share = min(SHARE_MOST, max(SHARE_FLOOR, source.share))
+        server.fill_quota = min(SHARE_MOST, max(SHARE_FLOOR, source.share))
         server.first_byte_ms = min(10_000.0, max(0.0, source.first_byte_ms))
         count += 1
     return count
--- a/gladewalk/upstream/lane.py
+++ b/gladewalk/upstream/lane.py
@@ -55,7 +55,7 @@
                     self.pool.write(self.connections[found.number], dial.job)
                 else:  # the server wants calm, and hears nothing of this one
                     self.pool.counters.add("h2.calm_kept")
-                    self.pool.over(dial.job, End(api.Status.REFUSED))
+                    self.pool.over(dial.job, End(api.Status.REJECTED))
         finally:
             self._pumping = False
 
--- a/gladewalk/upstream/stream.py
+++ b/gladewalk/upstream/stream.py
@@ -25,7 +25,7 @@
 def status_of(finding: Finding) -> api.Status:
     """How an attempt has ended, in the module's words: with proof, it never ran and may be sent anew."""
     if finding.reason is Reason.REFUSED:
-        return api.Status.REFUSED  # the server lives, and has no room
+        return api.Status.REJECTED  # the server lives, and has no room
     if finding.never_ran:
         return api.Status.NOT_SENT
     if finding.reason is Reason.RESET and finding.code == ErrorCodes.INTERNAL_ERROR:
--- a/gladewalk/upstream/words.py
+++ b/gladewalk/upstream/words.py
@@ -42,17 +42,17 @@
     if isinstance(order, api.Fetch):
         if order.source != order.server:  # the server itself as the source means no fill
             fields.append(("Miss-To", order.source))
-        if order.rank:
-            fields.append(("Store-As", str(order.rank)))
+        if order.cache_rank:
+            fields.append(("Store-As", str(order.cache_rank)))
         if order.max_age_ms > 0:
             fields.append(("No-Older-Than", str(max(1, int(order.max_age_ms)))))
         words = [
             word
             for word, on in (
-                ("ride", order.join),
-                ("have-only", order.held_only),
-                ("through", not order.parent_keeps),
-                ("update", order.renew),
+                ("ride", order.join_fill),
+                ("have-only", order.cached_only),
+                ("through", not order.parent_caches),
+                ("update", order.revalidate),
             )
             if on
         ]
@@ -100,8 +100,8 @@
     elif status == 404:
         outcome = api.Status.MISS
     elif shed and status in (503, 504):
-        outcome = api.Status.REFUSED if status == 503 else api.Status.NOT_SENT
+        outcome = api.Status.REJECTED if status == 503 else api.Status.NOT_SENT
     else:
         outcome = api.Status.ERROR
-    note = REMARKS.get(headers.get(b"x-remark", b""), api.Note.NONE)
+    note = REMARKS.get(headers.get(b"x-remark", b""), api.OutcomeDetail.NONE)
     return End(outcome, note, read_number(headers.get(b"fill-wait")), read_meter(headers.get(b"x-meter")))
--- a/gladewalk/web/balanced.py
+++ b/gladewalk/web/balanced.py
@@ -39,7 +39,7 @@
         assert isinstance(self.upstreams, Caches)
         ready = self.plan.standby.changes(self.clock())
         servers = self.plan.servers(ready)
-        self.listed(api.ServerList(api.ListKind.LAST, servers), dict(self.plan.addresses), {})
+        self.listed(api.EndpointList(api.EndpointListKind.PERSISTED, servers), dict(self.plan.addresses), {})
         self.upstreams.sweep()
 
     def retire(self) -> None:
@@ -137,7 +137,7 @@
         if changed:
             servers = self.plan.servers(changed)
             places = {server.name: self.plan.addresses[server.name] for server in servers}
-            self.listed(api.ServerList(api.ListKind.CHANGES, servers), dict(places), {})
+            self.listed(api.EndpointList(api.EndpointListKind.DELTA, servers), dict(places), {})
         self.deadlines.drop(self._due)
         back = self.plan.standby.next_ms(now)
         self._due = self.deadlines.add(back, self._relist) if back is not None else None
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -148,7 +148,7 @@
             return WebEnd(api.Status.ERROR, condition=condition, code=self.status)
         # Made, not held: how long it took says what was asked for and not how well the server does, so the
         # core must not weigh servers by it. Guards against one that answers first being given all there is.
-        return WebEnd(api.Status.OK, api.Note.FILLED, condition=condition, code=self.status)
+        return WebEnd(api.Status.OK, api.OutcomeDetail.FILLED, condition=condition, code=self.status)
 
     def _spoilt(self) -> None:
         job = self.job
--- a/gladewalk/web/plan.py
+++ b/gladewalk/web/plan.py
@@ -43,7 +43,7 @@
 def server_of(box: Box, ready: bool) -> api.Server:
     state = api.ServerState.READY if ready else api.ServerState.DRAINING
     return api.Server(
-        box.address, api.Role.CACHE, ZONE, size=float(box.weight), state=state, place=box.address
+        box.address, api.Role.CACHE, ZONE, capacity=float(box.weight), state=state, address=box.address
     )
 
 
@@ -82,10 +82,11 @@
     connect = max((place.terms.connect_ms for place in ours), default=60_000.0)
     count = len(upstream.boxes)
     settings = api.Settings(
-        classes=tuple(classes), zone=ZONE, zones=(ZONE,), hub_of=(0,), sizes_listed=False,
-        connection_limit=connection_limit,
-        max_attempts=max([count, *(place.terms.tries for place in ours)]), may_cancel=True, retry_advice=True,
-        max_retry_after_ms=1_000.0, joins=any(place.terms.join for place in ours),
+        classes=tuple(classes), zone=ZONE, zones=(ZONE,), hub_of_zone=(0,), capacities_listed=False,
+        client_connection_limit=connection_limit,
+        max_attempts=max([count, *(place.terms.tries for place in ours)]), may_cancel=True,
+        sends_retry_after=True,
+        max_retry_after_ms=1_000.0, may_join_fills=any(place.terms.join for place in ours),
     )  # fmt: skip
     addresses = {box.address: read_address(box.address) for box in upstream.boxes}
     config = Config(
@@ -100,12 +101,12 @@
     aim = min(PARK_MOST_MS, place.terms.read_ms)
     grace = place.terms.fresh_ms if place.terms.stale_on else 0.0
     both = []
-    for suffix, effect in (("", api.Effect.SAFE), ("!", api.Effect.UNSAFE)):
+    for suffix, effect in (("", api.Idempotency.IDEMPOTENT), ("!", api.Idempotency.NON_IDEMPOTENT)):
         if suffix and "non_idempotent" in place.terms.again_on:
-            effect = api.Effect.SAFE
+            effect = api.Idempotency.IDEMPOTENT
         both.append(api.RequestClass(
-            name + suffix, aim, WHOLE_MOST_MS, worth=WORTH, effect=effect, fresh_ms=place.terms.fresh_ms,
-            grace_ms=grace,
+            name + suffix, aim, WHOLE_MOST_MS, priority_weight=WORTH, idempotency=effect,
+            freshness_lifetime_ms=place.terms.fresh_ms, stale_grace_ms=grace,
         ))  # fmt: skip
     return both
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -52,14 +52,14 @@
     return change
 
 
-def listing(change: Callable[[api.ServerList], api.ServerList], late_s: float = 0.0) -> Change:
+def listing(change: Callable[[api.EndpointList], api.EndpointList], late_s: float = 0.0) -> Change:
     """What is told of servers, changed or late."""
 
     def patch(director: Director) -> None:
         told = director.exchange.listed
 
-        def listed(servers: api.ServerList, *more: Any) -> None:
-            if late_s and servers.kind is not api.ListKind.LAST:
+        def listed(servers: api.EndpointList, *more: Any) -> None:
+            if late_s and servers.kind is not api.EndpointListKind.PERSISTED:
                 asyncio.get_running_loop().call_later(late_s, told, change(servers), *more)
             else:
                 told(change(servers), *more)
@@ -69,7 +69,7 @@
     return patch
 
 
-def all_ready(told: api.ServerList) -> api.ServerList:
+def all_ready(told: api.EndpointList) -> api.EndpointList:
     servers = tuple(dataclasses.replace(s, state=api.ServerState.READY) for s in told.servers)
     return dataclasses.replace(told, servers=servers)
 
@@ -158,9 +158,9 @@
     """A drain that is taken back a second after it was told."""
     told = director.exchange.listed
 
-    def listed(servers: api.ServerList, *more: Any) -> None:
+    def listed(servers: api.EndpointList, *more: Any) -> None:
         told(servers, *more)
-        if servers.kind is not api.ListKind.LAST:
+        if servers.kind is not api.EndpointListKind.PERSISTED:
             asyncio.get_running_loop().call_later(1.0, told, all_ready(servers), *more)
 
     director.exchange.listed = listed  # type: ignore[method-assign, assignment]
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -20,7 +20,10 @@
 
 from .world import CACHES, ORIGIN, PAGE, PARENTS, SETTINGS
 
-CLASSES = (replace(PAGE, aim_ms=300.0), api.RequestClass("video", aim_ms=600.0, deadline_ms=5000.0))
+CLASSES = (
+    replace(PAGE, latency_objective_ms=300.0),
+    api.RequestClass("video", latency_objective_ms=600.0, deadline_ms=5000.0),
+)
 MIX = (*(("page", 50.0),) * 4, ("video", 400.0))  # classes and their work
 MEAN_MS = sum(work for _, work in MIX) / len(MIX)
 WARM_MS, LENGTH_MS, RAMP_MS, WINDOW_MS = 3_000.0, 4_000.0, 10_000.0, 1_000.0
@@ -45,13 +48,14 @@
         self.chance = 2.0 if self.numbered else 3.0
         self.start = self.now + WARM_MS
         settings = replace(
-            SETTINGS, classes=CLASSES, client_kb_per_s=1_000.0, dispatchers=self.senders, cold_share=SHARE,
-            dispatchers_by_zone=(0, 0, self.senders, 1), ramp_ms=RAMP_MS, fall_multiple=FALL,
-            fall_window_ms=WINDOW_MS,
+            SETTINGS, classes=CLASSES, client_rate_kb_per_s=1_000.0, dispatcher_count=self.senders,
+            slow_start_fraction=SHARE,
+            dispatchers_by_zone=(0, 0, self.senders, 1), slow_start_ms=RAMP_MS, overload_multiple=FALL,
+            overload_window_ms=WINDOW_MS,
         )  # fmt: skip
-        self.caches = tuple(replace(s, size=self.size) for s in CACHES)
+        self.caches = tuple(replace(s, capacity=self.size) for s in CACHES)
         self.dispatchers = [
-            Dispatcher(replace(settings, me=n if self.numbered else -1), self.seed * 1_000 + n)
+            Dispatcher(replace(settings, dispatcher_index=n if self.numbered else -1), self.seed * 1_000 + n)
             for n in range(self.senders)
         ]
         self.works: dict[tuple[int, int], float] = {}
@@ -59,10 +63,12 @@
         self.due: list[tuple[float, int, int, api.Event]] = []
         self.count = 0
         for number, dispatcher in enumerate(self.dispatchers):
-            known = api.ServerList(api.ListKind.LAST, (*self.caches, *PARENTS, ORIGIN))
+            known = api.EndpointList(api.EndpointListKind.PERSISTED, (*self.caches, *PARENTS, ORIGIN))
             dispatcher.handle(self.now, known)
             self.later(self.random.random() * 50.0, number, api.Timer("sweep"))
-            cold = api.ServerList(api.ListKind.CHANGES, (replace(self.caches[0], started_ms=self.start),))
+            cold = api.EndpointList(
+                api.EndpointListKind.DELTA, (replace(self.caches[0], started_ms=self.start),)
+            )
             self.later(WARM_MS, number, cold)
             at = 0.0
             while (at := at + self.random.expovariate(self.each_per_s / 1_000.0)) < WARM_MS + LENGTH_MS:
@@ -96,9 +102,9 @@
         attempt = self.tries[key] = self.tries.get(key, -1) + 1
         if order.server == "c0" and self.now >= self.start:
             self.sent.append((self.now, self.works[key] / MEAN_MS))
-        note = api.Note.HIT if isinstance(order, api.Lookup) else api.Note.FILLED
+        note = api.OutcomeDetail.HIT if isinstance(order, api.Lookup) else api.OutcomeDetail.FILLED
         took = self.works[key]
-        outcome = api.Outcome(order.id, attempt, order.server, api.Status.OK, took, True, note=note)
+        outcome = api.Outcome(order.id, attempt, order.server, api.Status.OK, took, True, detail=note)
         self.later(took, number, outcome)
 
     def budget(self, at_ms: float) -> float:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -13,19 +13,19 @@
 
 def test_a_request_of_a_crowded_home_is_refused_not_moved() -> None:
     """The next cache of the hash mostly lacks the object: moving there turned overload into misses."""
-    world = World(CACHES, second_copies=False)
+    world = World(CACHES, hedging=False)
     world.dispatcher.work_ms["page"] = 400.0  # aim 400 + 2 x 400: three times the time still meets it
     seen = [world.ask(1)[0] for _ in range(80)]
     sent = [a.server for a in seen if isinstance(a, api.Lookup)]
     assert len(set(sent)) == 1 and 4 < len(sent) <= 8 * 3
-    assert isinstance(seen[-1], api.Refuse) and seen[-1].retry_after_ms > 0
+    assert isinstance(seen[-1], api.Reject) and seen[-1].retry_after_ms > 0
 
 
 def test_a_cold_home_without_room_passes_to_the_next_cache() -> None:
     cold = tuple(replace(s, started_ms=99_999.0) for s in CACHES[:1])
     world = World((*cold, *CACHES[1:], *PARENTS, ORIGIN))
     for s in world.dispatcher.servers.values():
-        s.share = 50.0
+        s.fill_quota = 50.0
     asked = [a for key in range(60) for a in world.ask(key, after_ms=5.0)]
     hosts = [a.server for a in asked if isinstance(a, api.Lookup | api.Fetch)]
     assert 0 < hosts.count("c0") < 10 and {"c1", "c2"} <= set(hosts)
@@ -33,21 +33,21 @@
 
 def test_fills_wait_when_the_link_in_is_crowded() -> None:
     links = (0.0, 0.0, 20_000.0, 0.0)  # four transfers at a client's pace of 5,000 KB a second
-    world = World(link_in_kb_per_s=links, client_kb_per_s=5_000.0, second_copies=False)
+    world = World(inbound_link_kb_per_s=links, client_rate_kb_per_s=5_000.0, hedging=False)
     for s in world.dispatcher.servers.values():
-        s.share = 50.0
+        s.fill_quota = 50.0
     fills = []
     for key in range(30):
         (lookup,) = world.ask(key)
         fills += world.end(lookup, MISS)
     assert 4 <= len(fills) <= 4 * 3
     assert world.dispatcher.outside == len(fills)
-    freed = world.end(fills[0], OK, 1, note=api.Note.FILLED)
+    freed = world.end(fills[0], OK, 1, detail=api.OutcomeDetail.FILLED)
     assert [a.source for a in freed if isinstance(a, api.Fetch)]
 
 
 def test_a_request_passes_crowded_caches_by_where_that_is_allowed() -> None:
-    world = World((*CACHES[:1], *PARENTS, ORIGIN), direct=True)
+    world = World((*CACHES[:1], *PARENTS, ORIGIN), may_bypass_caches=True)
     first = [world.ask(1)[0] for _ in range(40)]
     straight = [a.server for a in first if isinstance(a, api.Fetch) and a.server != "c0"]
     assert straight[0] in ("p1", "p1b")
@@ -56,7 +56,7 @@
 
 
 def test_a_copy_in_its_grace_is_asked_for_when_no_fill_can_come_in_time() -> None:
-    aged = replace(PAGE, fresh_ms=8_000.0, grace_ms=30_000.0, stale_worth=0.5)
+    aged = replace(PAGE, freshness_lifetime_ms=8_000.0, stale_grace_ms=30_000.0, stale_priority_weight=0.5)
     world = World(CACHES, classes=(aged,))
     world.put(api.Purge(2, 0, 100.0))
     (lookup,) = world.ask(1)
@@ -84,8 +84,8 @@
     fills = [world.fill(key) for key in range(4)]
     first, second = (world.ask(key)[0] for key in (50, 51))
     assert world.end(first, MISS) == [] and world.end(second, MISS) == []
-    world.dispatcher.open[first.id].bad_sources += ["p1", "p1b", "o"]  # nothing that frees is any use to it
-    (freed,) = world.end(fills[0], OK, 1, note=api.Note.FILLED)
+    world.dispatcher.open[first.id].failed_sources += ["p1", "p1b", "o"]  # all that frees
+    (freed,) = world.end(fills[0], OK, 1, detail=api.OutcomeDetail.FILLED)
     assert freed.id == second.id
 
 
@@ -98,18 +98,18 @@
     """Fills that wait for a slow origin use no link, but stand in our own count of attempts."""
     world = World(CACHES[:1], may_cancel=False)
     held = [a for a in crowd(world) if isinstance(a, api.Lookup)]
-    world.end(held[0], OK, note=api.Note.HIT, load={"util": 0.3})
+    world.end(held[0], OK, detail=api.OutcomeDetail.HIT, load_report={"util": 0.3})
     assert all(isinstance(a, api.Lookup) for a in crowd(world))
     world.now += 5_000.0
-    assert isinstance(world.ask(99)[0], api.Refuse)
+    assert isinstance(world.ask(99)[0], api.Reject)
 
 
 @pytest.mark.parametrize("value", [-1.0, float("nan"), float("inf"), "0.1", None, 0.97])
 def test_a_report_that_is_unsound_or_full_overrules_nothing(value: object) -> None:
     world = World(CACHES[:1], may_cancel=False)
     held = [a for a in crowd(world) if isinstance(a, api.Lookup)]
-    world.end(held[0], OK, note=api.Note.HIT, load={"util": value, "x9": 1.0})
-    assert isinstance(crowd(world)[-1], api.Refuse)
+    world.end(held[0], OK, detail=api.OutcomeDetail.HIT, load_report={"util": value, "x9": 1.0})
+    assert isinstance(crowd(world)[-1], api.Reject)
 
 
 def test_a_cache_far_slower_than_its_neighbours_draws_fewer_objects() -> None:
@@ -118,7 +118,7 @@
     for key in range(300):
         (sent,) = world.ask(key)
         slow = 12.0 if sent.server == "c0" else 1.0
-        world.end(sent, OK, note=api.Note.HIT, after_ms=50.0 * slow)
+        world.end(sent, OK, detail=api.OutcomeDetail.HIT, after_ms=50.0 * slow)
     world.sweep()
     assert world.dispatcher.servers["c0"].weight < 0.5
     assert world.dispatcher.servers["c1"].weight == world.dispatcher.servers["c2"].weight == 1.0
@@ -143,7 +143,7 @@
 
 def test_a_request_straight_to_a_parent_names_the_origin_so_that_the_parent_fetches_what_it_lacks() -> None:
     """A parent that is named as its own source gives only what it holds."""
-    world = World((*PARENTS, ORIGIN), direct=True)
+    world = World((*PARENTS, ORIGIN), may_bypass_caches=True)
     (fetch,) = world.ask(1)
     assert fetch.server in ("p1", "p1b") and fetch.source == "o"
 
@@ -171,24 +171,24 @@
     world = World()
     for key in range(2):
         fetch = world.fill(key)
-        assert not fetch.held_only
-        world.end(fetch, api.Status.REFUSED, 1, note=api.Note.ORIGIN_FAILED)
-    assert world.fill(50).held_only
+        assert not fetch.cached_only
+        world.end(fetch, api.Status.REJECTED, 1, detail=api.OutcomeDetail.ORIGIN_FAILED)
+    assert world.fill(50).cached_only
     assert world.dispatcher._usable(world.dispatcher.servers[fetch.source])  # the parent itself works
     world.now += 5_000.0
     after = world.fill(51)
-    assert not after.held_only
-    world.end(after, OK, 1, note=api.Note.FILLED_BY_ORIGIN)
-    assert world.dispatcher.servers["o"].blocked_until == 0.0
+    assert not after.cached_only
+    world.end(after, OK, 1, detail=api.OutcomeDetail.FILLED_BY_ORIGIN)
+    assert world.dispatcher.servers["o"].backoff_until_ms == 0.0
 
 
 def test_a_parent_back_from_an_outage_is_cold_before_the_list_tells() -> None:
     """Parents died and came back unseen by the list; all dispatchers together pushed them over (i8f0867)."""
     world = World((*CACHES, PARENTS[0], ORIGIN))
     parent = world.dispatcher.servers["p1"]
-    world.end(world.fill(1), OK, 1, note=api.Note.FILLED)
+    world.end(world.fill(1), OK, 1, detail=api.OutcomeDetail.FILLED)
     world.now += 1_500.0
-    world.end(world.fill(2), api.Status.REFUSED, 1, note=api.Note.SOURCE_FAILED)
+    world.end(world.fill(2), api.Status.REJECTED, 1, detail=api.OutcomeDetail.SOURCE_FAILED)
     assert not world.dispatcher._usable(parent)  # not reached: at rest at once
     assert world.dispatcher._is_cold(parent) and not world.dispatcher._has_cold_room(parent)
     world.sweep(20_000.0)
@@ -197,11 +197,11 @@
 
 def test_copies_in_their_grace_are_taken_at_once_while_the_origin_rests() -> None:
     """No fill comes in time then, and asking for one keeps a stopped origin down."""
-    aged = replace(PAGE, fresh_ms=8_000.0, grace_ms=30_000.0, stale_worth=0.5)
+    aged = replace(PAGE, freshness_lifetime_ms=8_000.0, stale_grace_ms=30_000.0, stale_priority_weight=0.5)
     world = World(classes=(aged,))
     for key in range(2):
         assert isinstance(world.ask(key + 20)[0], api.Lookup)  # fresh copies only
-        world.end(world.fill(key), api.Status.REFUSED, 1, note=api.Note.ORIGIN_FAILED)
+        world.end(world.fill(key), api.Status.REJECTED, 1, detail=api.OutcomeDetail.ORIGIN_FAILED)
     (stale,) = world.ask(100)
     assert (stale.source, stale.max_age_ms) == (stale.server, 38_000.0)
 
@@ -211,10 +211,11 @@
     world.dispatcher.ageing.late = 1.0
     fill = world.fill(1)
     assert fill.timeout_ms > 0
-    before = world.dispatcher.servers[fill.source].fails
+    before = world.dispatcher.servers[fill.source].consecutive_failures
     (final,) = world.end(fill, TIMEOUT, 1, after_ms=fill.timeout_ms)
-    assert isinstance(final, api.Refuse) and final.id == fill.id
+    assert isinstance(final, api.Reject) and final.id == fill.id
     source = world.dispatcher.servers[fill.source]
-    assert source.fails == before and source.blocked_until == 0.0 and source.share == 1.0
+    assert source.consecutive_failures == before and source.backoff_until_ms == 0.0
+    assert source.fill_quota == 1.0
     world.dispatcher.ageing.late = 0.0
     assert world.fill(2).timeout_ms == 0.0
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -15,13 +15,18 @@
 
 from .world import CACHES, ORIGIN, PAGE, PARENTS, World, finals
 
-OK, ERROR, REFUSED = api.Status.OK, api.Status.ERROR, api.Status.REFUSED
+OK, ERROR, REFUSED = api.Status.OK, api.Status.ERROR, api.Status.REJECTED
 KEYED = replace(
-    PAGE, effect=api.Effect.KEYED, key_window_ms=3_000.0, write=True, aim_ms=800.0, aim_stretch=0.0
+    PAGE,
+    idempotency=api.Idempotency.KEYED,
+    deduplication_window_ms=3_000.0,
+    is_write=True,
+    latency_objective_ms=800.0,
+    latency_objective_stretch=0.0,
 )
-BARE = tuple(replace(s, size=1.0) for s in CACHES)
-TOLD_LINK = {"link_in_kb_per_s": (0.0, 0.0, 12_000.0, 0.0), "client_kb_per_s": 1_000.0}  # 8 a cache
-SILENT: dict[str, Any] = {"sizes_listed": False, "infers_room": True, **TOLD_LINK}
+BARE = tuple(replace(s, capacity=1.0) for s in CACHES)
+TOLD_LINK = {"inbound_link_kb_per_s": (0.0, 0.0, 12_000.0, 0.0), "client_rate_kb_per_s": 1_000.0}  # 8 a cache
+SILENT: dict[str, Any] = {"capacities_listed": False, "infers_capacity": True, **TOLD_LINK}
 
 
 def silent_world(**more: Any) -> World:
@@ -38,24 +43,29 @@
 
 
 def test_boxes_of_which_nothing_is_told_are_not_filled_past_what_meets_the_aim() -> None:
-    assert sent_at_once(World((*BARE, *PARENTS, ORIGIN), sizes_listed=False, direct=False), 400) == 400
-    silent = sent_at_once(silent_world(direct=False), 400)
-    told = sent_at_once(World((*CACHES, *PARENTS, ORIGIN), direct=False), 400)
+    assert (
+        sent_at_once(World((*BARE, *PARENTS, ORIGIN), capacities_listed=False, may_bypass_caches=False), 400)
+        == 400
+    )
+    silent = sent_at_once(silent_world(may_bypass_caches=False), 400)
+    told = sent_at_once(World((*CACHES, *PARENTS, ORIGIN), may_bypass_caches=False), 400)
     assert abs(silent - told) <= 3 and silent < 150  # the guess is what a list would tell
 
 
 def test_the_room_learned_of_a_slow_box_shrinks_and_what_is_over_it_is_refused_at_once() -> None:
     def told(bears: float) -> int:
         """What is sent at once, after twelve transfers at a time shared links of so much room."""
-        world = silent_world(direct=False)
+        world = silent_world(may_bypass_caches=False)
         for key in range(100):  # alone, a transfer takes 100 ms
             (sent,) = world.ask(key)
-            world.end(sent, OK, note=api.Note.HIT, after_ms=100.0)
+            world.end(sent, OK, detail=api.OutcomeDetail.HIT, after_ms=100.0)
         out = [sent for key in range(12) for sent in world.ask(key)]
         for key in range(600):
             sent, share = out[0], sum(other.server == out[0].server for other in out)
             took_ms = 100.0 * max(1.0, share / bears)
-            world.put(api.Outcome(sent.id, 0, sent.server, OK, took_ms, True, note=api.Note.HIT), 10.0)
+            world.put(
+                api.Outcome(sent.id, 0, sent.server, OK, took_ms, True, detail=api.OutcomeDetail.HIT), 10.0
+            )
             out = [*out[1:], *(a for a in world.ask(key) if isinstance(a, api.Lookup))]
         for sent in out:
             world.put(api.Outcome(sent.id, 0, sent.server, api.Status.CANCELLED, 1.0, True))
@@ -65,19 +75,19 @@
 
 
 def test_a_full_box_is_not_knocked_at_again_and_again() -> None:
-    world = silent_world(direct=False)
+    world = silent_world(may_bypass_caches=False)
     (first,) = world.ask(1)
     world.end(first, REFUSED, after_ms=1.0)
     (again,) = world.ask(1)
-    assert isinstance(again, api.Refuse)
+    assert isinstance(again, api.Reject)
     (later,) = world.ask(1, after_ms=500.0)
     assert isinstance(later, api.Lookup) and later.server == first.server
 
 
 def test_a_marked_repeat_gets_only_room_that_nobody_in_time_needs() -> None:
-    first, repeat = silent_world(direct=False), silent_world(direct=False)
-    sent = sum(isinstance(a, api.Lookup) for n in range(200) for a in first.ask(n, is_repeat=False))
-    again = sum(isinstance(a, api.Lookup) for n in range(200) for a in repeat.ask(n, is_repeat=True))
+    first, repeat = silent_world(may_bypass_caches=False), silent_world(may_bypass_caches=False)
+    sent = sum(isinstance(a, api.Lookup) for n in range(200) for a in first.ask(n, is_client_retry=False))
+    again = sum(isinstance(a, api.Lookup) for n in range(200) for a in repeat.ask(n, is_client_retry=True))
     assert 0 < again < sent
 
 
@@ -85,7 +95,7 @@
 
 
 def keyed(world: World, key: str = "k1", after_ms: float = 0.0) -> list[Any]:
-    return world.ask(1, after_ms, is_write=True, replay_key=key)
+    return world.ask(1, after_ms, is_write=True, idempotency_key=key)
 
 
 def test_a_client_s_own_retry_is_the_same_request_to_whoever_decides_on_resends() -> None:
@@ -111,8 +121,8 @@
 def test_a_client_that_leaves_mid_attempt_leaves_its_key_behind() -> None:
     world = World(classes=(KEYED,))
     (first,) = keyed(world)
-    world.put(api.ClientGone(first.id), 50.0)
-    world.end(first, api.Status.CANCELLED, closed=True)
+    world.put(api.ClientDisconnected(first.id), 50.0)
+    world.end(first, api.Status.CANCELLED, is_answered=True)
     assert keyed(world, after_ms=3_100.0) == [api.Fail(2)]
 
 
@@ -121,8 +131,10 @@
     (first,) = keyed(world)
     (second,) = world.end(first, ERROR, after_ms=100.0)
     sent = world.now
-    assert world.dispatcher.may_write(second.id, 1, sent + KEYED.key_window_ms - 150.0)
-    assert not world.dispatcher.may_write(second.id, 1, sent + KEYED.key_window_ms)  # no event has come since
+    assert world.dispatcher.may_write(second.id, 1, sent + KEYED.deduplication_window_ms - 150.0)
+    assert not world.dispatcher.may_write(
+        second.id, 1, sent + KEYED.deduplication_window_ms
+    )  # no event has come since
 
 
 def test_an_attempt_that_waits_while_another_s_answer_begins_is_not_written() -> None:
@@ -137,7 +149,7 @@
 
 
 def test_a_refusal_never_sends_a_keyed_client_back_past_the_store_s_time() -> None:
-    for after_ms, kind in ((100.0, api.Refuse), (2_700.0, api.Fail)):  # its wait would be 500 ms
+    for after_ms, kind in ((100.0, api.Reject), (2_700.0, api.Fail)):  # its wait would be 500 ms
         world = World(classes=(KEYED,), max_attempts=1)
         (first,) = keyed(world)
         (final,) = finals(world.end(first, ERROR, after_ms=after_ms))
@@ -145,11 +157,11 @@
 
 
 def test_a_write_is_no_transfer_and_goes_straight_where_its_box_is_crowded() -> None:
-    world = silent_world(direct=True, classes=(PAGE, replace(KEYED, name="booking")))
+    world = silent_world(may_bypass_caches=True, classes=(PAGE, replace(KEYED, name="booking")))
     world.put(api.Request(9_000, "page", 1, 3_000.0))
     for key in range(300):
         world.ask(key)
-    write = api.Request(9_001, "booking", 1, 3_000.0, is_write=True, replay_key="k")
+    write = api.Request(9_001, "booking", 1, 3_000.0, is_write=True, idempotency_key="k")
     (sent,) = world.put(write)
     assert sent.server == "o" or sent.source == "o"
 
@@ -157,12 +169,12 @@
 def test_a_write_waits_while_the_origin_rests_and_is_never_asked_for_as_held() -> None:
     world = World(classes=(PAGE, replace(KEYED, name="booking")))
     origin = world.dispatcher.servers["o"]
-    origin.blocked_until, origin.last_sent = world.now + 100.0, world.now
-    write = api.Request(9_001, "booking", 1, 3_000.0, is_write=True, replay_key="k")
+    origin.backoff_until_ms, origin.last_sent_ms = world.now + 100.0, world.now
+    write = api.Request(9_001, "booking", 1, 3_000.0, is_write=True, idempotency_key="k")
     assert world.put(write) == []
-    origin.blocked_until = 0.0
+    origin.backoff_until_ms = 0.0
     (sent,) = world.sweep()
-    assert sent.source == "o" and not sent.held_only
+    assert sent.source == "o" and not sent.cached_only
 
 
 # What the settings tell.
@@ -173,15 +185,18 @@
     raw["classes"][2] |= {"repeat": "by_key", "window_ms": 3_000.0, "key_scope": "all"}
     raw["weights"] = "silent"
     raw["limits"]["retry_after"] = True
-    raw["invariants"] |= {"drain_grace_ms": 2_000.0, "fall_multiple": 2.5, "tip_after_ms": 1_500.0}
+    raw["invariants"] |= {"drain_grace_ms": 2_000.0, "overload_multiple": 2.5, "tip_after_ms": 1_500.0}
     return raw | changes
 
 
 def test_only_the_settings_tell_two_deployments_apart() -> None:
     first, second = read_settings(SETTINGS), read_settings(shaped())
-    assert (first.sizes_listed, first.infers_room, first.retry_advice) == (True, False, False)
-    assert (second.sizes_listed, second.infers_room, second.retry_advice) == (False, True, True)
-    assert second.classes[2].effect is api.Effect.KEYED and second.classes[2].key_window_ms == 3_000.0
+    assert (first.capacities_listed, first.infers_capacity, first.sends_retry_after) == (True, False, False)
+    assert (second.capacities_listed, second.infers_capacity, second.sends_retry_after) == (False, True, True)
+    assert (
+        second.classes[2].idempotency is api.Idempotency.KEYED
+        and second.classes[2].deduplication_window_ms == 3_000.0
+    )
 
 
 # On sockets.
@@ -267,7 +282,7 @@
             peers[0].script = peers[1].script = good
             assert world.director is not None
             for server in world.director.exchange.core.servers.values():
-                server.fails, server.blocked_until = 0, 0.0
+                server.consecutive_failures, server.backoff_until_ms = 0, 0.0
             again, _, _ = await world.ask(
                 BID, method="PUT", body=b"x", trace="1" * 16, Replay_Key=KEY, Is_Retry="1"
             )
@@ -293,18 +308,18 @@
 
 
 def test_where_no_second_copy_may_be_out_a_silent_box_s_work_is_called_off_and_sent_anew() -> None:
-    world = World(second_copies=False)
+    world = World(hedging=False)
     (first,) = world.ask(1)
-    world.dispatcher.servers[first.server].gap_ms = 50.0
+    world.dispatcher.servers[first.server].answer_gap_ms = 50.0
     assert swept(world) == [api.Cancel(first.id, 0)]
     (again,) = world.end(first, api.Status.CANCELLED)
     assert again.id == first.id and again.server != first.server
 
 
 def test_a_silent_source_is_called_off_and_its_box_asked_again_by_another_way() -> None:
-    world = World(second_copies=False)
+    world = World(hedging=False)
     fill = world.fill(1)
-    world.dispatcher.servers[fill.source].gap_ms = 50.0
+    world.dispatcher.servers[fill.source].answer_gap_ms = 50.0
     (cancel,) = swept(world)
     (again,) = world.end(fill, api.Status.CANCELLED, cancel.attempt)
     assert again.server == fill.server and again.source != fill.source
@@ -312,20 +327,20 @@
 
 def test_the_guess_of_each_box_s_room_stays_when_a_neighbour_leaves() -> None:
     world = silent_world()
-    before = [s.room.guess for s in world.dispatcher.caches]
+    before = [s.concurrency_limit.guess for s in world.dispatcher.caches]
     world.listed(replace(BARE[0], state=api.ServerState.DRAINING))
-    assert before == [8.0] * 3 and [s.room.guess for s in world.dispatcher.caches] == [8.0] * 2
+    assert before == [8.0] * 3 and [s.concurrency_limit.guess for s in world.dispatcher.caches] == [8.0] * 2
 
 
 def test_a_cold_box_of_unlisted_size_gets_half_of_the_guess_as_its_budget() -> None:
     def sent(**settings: Any) -> int:
         cold = tuple(replace(s, started_ms=99_000.0) for s in BARE)
-        world = World((*cold, *PARENTS, ORIGIN), direct=False, **settings)
+        world = World((*cold, *PARENTS, ORIGIN), may_bypass_caches=False, **settings)
         world.dispatcher.work_ms["page"] = world.dispatcher.usual_ms = 100.0  # as learned
         for s in world.dispatcher.servers.values():
-            s.share = 500.0
+            s.fill_quota = 500.0
         actions = [a for key in range(400) for a in world.ask(key, after_ms=2.0)]
         return sum(isinstance(a, api.Lookup | api.Fetch) for a in actions)
 
-    blind, guessed = sent(sizes_listed=False), sent(**SILENT)
+    blind, guessed = sent(capacities_listed=False), sent(**SILENT)
     assert 2 * blind < guessed <= 4.5 * blind  # four transfers a box in the place of one
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -78,5 +78,5 @@
                 "NODE_FD": "3"
             })  # fmt: skip
             director.caches.configure(limit)
-            both = 2 * director.caches.most + limit.settings.connection_limit + SPARE_CONNECTIONS
+            both = 2 * director.caches.most + limit.settings.client_connection_limit + SPARE_CONNECTIONS
             self.assertLessEqual(both + 2 * 16, sockets)  # listeners, the coordinator, calls, the loop's own
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -153,7 +153,7 @@
 
         def handle(now_ms: float, event: api.Event) -> list[api.Action]:
             actions = decide(now_ms, event)
-            if isinstance(event, api.Locate) and not told:  # decided, not yet written
+            if isinstance(event, api.ResolveRequest) and not told:  # decided, not yet written
                 told.append(event)
                 decide(now_ms, api.Purge(event.key, 3, 1.0))
             return actions
@@ -204,16 +204,18 @@
 
 class Core(unittest.TestCase):
     def locate(self, world: World, key: int, **more: Any) -> Any:
-        (action,) = world.put(api.Locate(1000 + key, "page", key, 1000.0, more.pop("holder", "r"), **more))
+        (action,) = world.put(
+            api.ResolveRequest(1000 + key, "page", key, 1000.0, more.pop("holder", "r"), **more)
+        )
         return action
 
     def test_held_answers_stay_with_the_place_when_another_box_takes_it(self) -> None:
-        places = tuple(api.Server(f"c{n}", api.Role.CACHE, "e1", 8.0, place=f"p{n}") for n in range(1))
-        world = World(places, cold_share=0.5)
+        places = tuple(api.Server(f"c{n}", api.Role.CACHE, "e1", 8.0, address=f"p{n}") for n in range(1))
+        world = World(places, slow_start_fraction=0.5)
         named = sum(bool(self.locate(world, key).servers) for key in range(9))
         self.assertEqual(named, 4)  # half of 0.8 x 3 x 0.5 x 8
-        gone = api.Server("c0", api.Role.CACHE, "e1", 8.0, api.ServerState.GONE, place="p0")
-        world.listed(gone, api.Server("c9", api.Role.CACHE, "e1", 8.0, started_ms=world.now, place="p0"))
+        gone = api.Server("c0", api.Role.CACHE, "e1", 8.0, api.ServerState.GONE, address="p0")
+        world.listed(gone, api.Server("c9", api.Role.CACHE, "e1", 8.0, started_ms=world.now, address="p0"))
         self.assertEqual([self.locate(world, key).servers for key in (99, 0)], [(), ()])
         world.now += 1_000.0  # the cold box's budget has room again
         self.assertEqual(self.locate(world, 99).servers, ())
@@ -221,7 +223,7 @@
 
     def test_held_answers_leave_less_of_a_cold_box_to_sends(self) -> None:
         def sends(leases: int, unknown: bool = False) -> int:
-            world = World((CACHES[0], *PARENTS), cold_share=0.5)
+            world = World((CACHES[0], *PARENTS), slow_start_fraction=0.5)
             for key in range(leases):
                 self.locate(world, key)
             if unknown:  # what the last run gave out
@@ -231,7 +233,9 @@
             for n in range(60):
                 while sent:
                     count += 1
-                    sent += world.end(sent.pop(), api.Status.OK, note=api.Note.FILLED, after_ms=0.0)
+                    sent += world.end(
+                        sent.pop(), api.Status.OK, detail=api.OutcomeDetail.FILLED, after_ms=0.0
+                    )
                 sent = world.ask(101 + n, after_ms=40.0)
             return count
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -380,7 +380,7 @@
             await box.start()
         config = config_for([*boxes, parent], coordinator)
         loop, directors, seeds = asyncio.get_running_loop(), [], list[str]()
-        found: dict[str, list[api.ProbeResult]] = {}
+        found: dict[str, list[api.HealthCheckResult]] = {}
         for name in ("n0", "n1", "n2"):
             options = self.options(folder, seeds)
             director = Director(read({**config, "name": name}, {}), loop, None, options)
@@ -403,7 +403,7 @@
         self.assertLess(max(heard.values()), 2 * 1_500.0 / 200.0)  # three directors would ask thrice as often
         for results in found.values():  # and all of them know
             self.assertEqual({result.server for result in results}, {"c0", "c1", "c2", "c3", "p"})
-            self.assertIn({"util": 0.25, "x0": 0.5}, [result.load for result in results])
+            self.assertIn({"util": 0.25, "x0": 0.5}, [result.load_report for result in results])
         loser = max(range(3), key=lambda n: len(runners[n].owned_names()))
         lost = runners[loser]
         members = directors[loser].members
@@ -424,11 +424,11 @@
             peer.stop()
         coordinator.stop()
 
-    def note_results(self, director: Director, results: list[api.ProbeResult]) -> None:
+    def note_results(self, director: Director, results: list[api.HealthCheckResult]) -> None:
         feed = director.exchange.feed
 
         def note(event: api.Event) -> None:
-            if isinstance(event, api.ProbeResult):
+            if isinstance(event, api.HealthCheckResult):
                 results.append(event)
             feed(event)
 
--- a/tests/test_golden_policy.py
+++ b/tests/test_golden_policy.py
@@ -1,4 +1,4 @@
-"""Decisions and the simulator's wire as they stood before names and shape were changed: equal byte for byte."""
+"""Decisions and the simulator's wire as recorded before the renaming: equal byte for byte."""
 
 import hashlib
 import json
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -7,12 +7,12 @@
 
 from gladewalk import Dispatcher, spread
 from gladewalk import interface as api
-from gladewalk.policy.known import Pending
+from gladewalk.registry.records import PendingRequest
 from gladewalk.remembered import MEMORY_MS
 
 from .world import ALL, CACHES, ORIGIN, PARENTS, SETTINGS, SIBLINGS, World
 
-OK, MISS, REFUSED = api.Status.OK, api.Status.MISS, api.Status.REFUSED
+OK, MISS, REFUSED = api.Status.OK, api.Status.MISS, api.Status.REJECTED
 
 
 def test_each_object_has_one_home_that_dispatchers_agree_on() -> None:
@@ -33,7 +33,7 @@
 
 
 def test_a_cold_cache_draws_a_smaller_share_that_rises() -> None:
-    world = World((replace(CACHES[0], started_ms=99_999.0, size=50.0), *ALL[1:]))
+    world = World((replace(CACHES[0], started_ms=99_999.0, capacity=50.0), *ALL[1:]))
     homes = [world.dispatcher._homes(_open(world, key))[0].info.name for key in range(600)]
     world.now += 5_000.0
     world.sweep(0.0)
@@ -43,8 +43,7 @@
 
 def _open(world: World, key: int):  # type: ignore[no-untyped-def]
 
-
-    return Pending(api.Request(10_000 + key, "page", key, 1000.0), SETTINGS.classes[0], world.now)
+    return PendingRequest(api.Request(10_000 + key, "page", key, 1000.0), SETTINGS.classes[0], world.now)
 
 
 def test_a_miss_is_filled_from_the_hub_parent_of_the_hash() -> None:
@@ -77,46 +76,46 @@
     fills = [world.fill(key) for key in range(6)]
     (lookup,) = world.ask(99)
     assert world.end(lookup, MISS) == []
-    (freed,) = world.end(fills[0], OK, 1, note=api.Note.FILLED)
+    (freed,) = world.end(fills[0], OK, 1, detail=api.OutcomeDetail.FILLED)
     assert (freed.id, freed.source) == (lookup.id, fills[0].source)
 
 
 def test_a_share_grows_by_one_per_fill_in_time_and_halves_on_failure() -> None:
     world = World((*CACHES, PARENTS[0], ORIGIN))
     parent = world.dispatcher.servers["p1"]
-    world.end(world.fill(1), OK, 1, note=api.Note.FILLED)
-    assert parent.share == 3.0
-    world.end(world.fill(2), OK, 1, note=api.Note.FILLED)
-    assert parent.share == 3.0  # less than half of it was in use: a share that is not tried does not grow
-    parent.share = 6.0
-    world.end(world.fill(50), REFUSED, 1, note=api.Note.SOURCE_REFUSED)
-    assert parent.share == 3.0
+    world.end(world.fill(1), OK, 1, detail=api.OutcomeDetail.FILLED)
+    assert parent.fill_quota == 3.0
+    world.end(world.fill(2), OK, 1, detail=api.OutcomeDetail.FILLED)
+    assert parent.fill_quota == 3.0  # less than half of it was in use: an untried quota does not grow
+    parent.fill_quota = 6.0
+    world.end(world.fill(50), REFUSED, 1, detail=api.OutcomeDetail.SOURCE_REJECTED)
+    assert parent.fill_quota == 3.0
     slow = world.fill(51)
-    world.end(slow, OK, 1, note=api.Note.FILLED, after_ms=2000.0)
-    assert parent.share == 3.0  # a slow fill is no failure, nor does it earn
+    world.end(slow, OK, 1, detail=api.OutcomeDetail.FILLED, after_ms=2000.0)
+    assert parent.fill_quota == 3.0  # a slow fill is no failure, nor does it earn
 
 
 def test_a_restart_starts_the_share_again() -> None:
     world = World()
-    world.dispatcher.servers["p1"].share = 17.0
+    world.dispatcher.servers["p1"].fill_quota = 17.0
     world.listed(replace(PARENTS[0], started_ms=world.now - 1.0))
-    assert world.dispatcher.servers["p1"].share == 2.0
+    assert world.dispatcher.servers["p1"].fill_quota == 2.0
 
 
 def test_a_sibling_trial_asks_only_for_what_is_held_and_a_lack_goes_to_the_hub_parent() -> None:
     world = World()
     world.trials(True)
     trial = world.fill(5)
-    assert trial.source in ("s0", "s1") and trial.held_only
-    (after,) = world.end(trial, MISS, 1, note=api.Note.SOURCE_LACKS)
-    assert after.source in ("p1", "p1b") and not after.held_only
+    assert trial.source in ("s0", "s1") and trial.cached_only
+    (after,) = world.end(trial, MISS, 1, detail=api.OutcomeDetail.SOURCE_LACKS)
+    assert after.source in ("p1", "p1b") and not after.cached_only
 
 
 def test_a_sibling_that_held_is_remembered_until_the_memory_fades() -> None:
     world = World((*CACHES[:1], *SIBLINGS, *PARENTS, ORIGIN))
     world.trials(True)
     first = world.fill(5)
-    world.end(first, OK, 1, note=api.Note.FILLED)
+    world.end(first, OK, 1, detail=api.OutcomeDetail.FILLED)
     world.trials(False)
     assert world.fill(5).source == first.source
     world.now += MEMORY_MS + 1.0
@@ -133,12 +132,12 @@
     world = World()
     for key in range(9_000):
         (lookup,) = world.ask(key)
-        world.end(lookup, OK, note=api.Note.HIT)
+        world.end(lookup, OK, detail=api.OutcomeDetail.HIT)
     assert len(world.dispatcher.memory) <= 8192
     assert not world.dispatcher.open and not world.dispatcher.flights
 
 
-@pytest.mark.parametrize("change", [{"classes": ()}, {"ramp_ms": -1.0}, {"max_attempts": 0}])
+@pytest.mark.parametrize("change", [{"classes": ()}, {"slow_start_ms": -1.0}, {"max_attempts": 0}])
 def test_impossible_settings_name_the_field(change: dict[str, object]) -> None:
     with pytest.raises(ValueError, match=next(iter(change))):
         Dispatcher(replace(SETTINGS, **change), 1)  # type: ignore[arg-type]
@@ -162,22 +161,22 @@
         monkeypatch.setattr("gladewalk.spread.mix", counted)
         hashes.clear()
         for key in range(20):
-            world.end(world.fill(key), OK, 1, note=api.Note.FILLED)
+            world.end(world.fill(key), OK, 1, detail=api.OutcomeDetail.FILLED)
         monkeypatch.undo()
         seen.append(sum(hashes.values()))
     assert 0 < seen[1] <= seen[0]
 
 
 def test_when_places_run_out_the_longest_for_their_worth_are_shed_at_once() -> None:
-    world = World(connection_limit=20, client_kb_per_s=1000.0)
+    world = World(client_connection_limit=20, client_rate_kb_per_s=1000.0)
     assert world.ask(99, size_kb=9_000.0)  # long, but there is room
     held = [world.ask(key, size_kb=100.0)[0] for key in range(18)]
     for _ in range(20):  # 19 of 20 open, over the part that is filled by choice
         world.dispatcher.handle(world.now, api.Timer("sweep"))
-    assert [type(action) for action in world.ask(50, size_kb=2000.0)] == [api.Refuse]
+    assert [type(action) for action in world.ask(50, size_kb=2000.0)] == [api.Reject]
     assert [type(action) for action in world.ask(51, size_kb=10.0)] == [api.Lookup]
     for lookup in held:
-        world.end(lookup, OK, note=api.Note.HIT, after_ms=0.0)
+        world.end(lookup, OK, detail=api.OutcomeDetail.HIT, after_ms=0.0)
     for _ in range(20):
         world.dispatcher.handle(world.now, api.Timer("sweep"))
     assert [type(action) for action in world.ask(50, size_kb=2000.0)] == [api.Lookup]
@@ -195,7 +194,7 @@
 def test_a_probe_that_failed_rests_its_cache_unless_it_was_heard_since() -> None:
     world = World()
     home = world.home(5)
-    probe = api.ProbeResult(home, api.Status.CONNECT_FAILED, 1.0, None, age_ms=500.0)
+    probe = api.HealthCheckResult(home, api.Status.CONNECT_FAILED, 1.0, None, age_ms=500.0)
     world.put(probe, after_ms=100.0)  # it answered 100 ms ago, after the probe
     assert world.home(5) == home
     world.put(replace(probe, age_ms=10.0), after_ms=600.0)
@@ -207,11 +206,13 @@
     world = World()
     home = world.home(5)
     server = world.dispatcher.servers[home]
-    world.put(api.ProbeResult(home, api.Status.TIMEOUT, 250.0), after_ms=100.0)
-    world.put(api.ProbeResult(home, api.Status.TIMEOUT, 250.0), after_ms=200.0)
-    assert world.now < server.blocked_until  # two in a row
-    world.put(api.ProbeResult(home, api.Status.OK, 1.0, {"util": 0.1}), after_ms=10.0)
-    assert world.now < server.blocked_until and server.calm_until > world.now
-    world.put(api.ProbeResult(home, api.Status.OK, 1.0, {"util": 0.1}, age_ms=60_000.0), after_ms=9_000.0)
-    assert server.calm_until < world.now  # too old to tell of now
-    world.put(api.ProbeResult("nobody", api.Status.TIMEOUT, 1.0))
+    world.put(api.HealthCheckResult(home, api.Status.TIMEOUT, 250.0), after_ms=100.0)
+    world.put(api.HealthCheckResult(home, api.Status.TIMEOUT, 250.0), after_ms=200.0)
+    assert world.now < server.backoff_until_ms  # two in a row
+    world.put(api.HealthCheckResult(home, api.Status.OK, 1.0, {"util": 0.1}), after_ms=10.0)
+    assert world.now < server.backoff_until_ms and server.spare_capacity_until_ms > world.now
+    world.put(
+        api.HealthCheckResult(home, api.Status.OK, 1.0, {"util": 0.1}, age_ms=60_000.0), after_ms=9_000.0
+    )
+    assert server.spare_capacity_until_ms < world.now  # too old to tell of now
+    world.put(api.HealthCheckResult("nobody", api.Status.TIMEOUT, 1.0))
--- a/tests/test_origin_gate.py
+++ b/tests/test_origin_gate.py
@@ -3,14 +3,19 @@
 from typing import Any
 
 from gladewalk import interface as api
-from gladewalk.interface import Note, Status
+from gladewalk.interface import OutcomeDetail, Status
 from gladewalk.limits.origin import TRY_MS, OriginGate
 from gladewalk.limits.recovery import BACKOFF_MOST_MS, BACKOFF_MS
 
 from .world import ALL, CACHES, ORIGIN, PAGE, World, finals
 
 WRITE = api.RequestClass(
-    "bid", aim_ms=800.0, deadline_ms=3000.0, effect=api.Effect.KEYED, key_window_ms=2_000.0, write=True
+    "bid",
+    latency_objective_ms=800.0,
+    deadline_ms=3000.0,
+    idempotency=api.Idempotency.KEYED,
+    deduplication_window_ms=2_000.0,
+    is_write=True,
 )
 
 
@@ -18,48 +23,48 @@
     """A dispatcher for which the origin has failed twice, behind parents that work."""
     world = World(ALL, **settings)
     for key in range(2):
-        world.end(world.fill(key), Status.REFUSED, 1, note=Note.ORIGIN_FAILED)
+        world.end(world.fill(key), Status.REJECTED, 1, detail=OutcomeDetail.ORIGIN_FAILED)
     return world
 
 
 def write(world: World, key: int, after_ms: float = 0.0) -> list[Any]:
     world.next_id += 1
-    ask = api.Request(world.next_id, "bid", key, 3000.0, is_write=True, replay_key=f"k{world.next_id}")
+    ask = api.Request(world.next_id, "bid", key, 3000.0, is_write=True, idempotency_key=f"k{world.next_id}")
     return world.put(ask, after_ms)
 
 
 def test_after_a_rest_one_fill_tries_and_the_others_wait_for_what_it_tells() -> None:
     world = failing()
-    assert world.fill(50).held_only
+    assert world.fill(50).cached_only
     world.now += BACKOFF_MS + 1.0
     trial = world.fill(51)
-    assert not trial.held_only
+    assert not trial.cached_only
     for key in range(52, 56):  # before, all of them reached it
         other = world.fill(key)
-        assert other.held_only
-        world.end(other, Status.OK, 1, note=Note.FILLED, after_ms=1.0)
-    world.end(trial, Status.REFUSED, 1, note=Note.ORIGIN_FAILED, after_ms=BACKOFF_MS + 1.0)
+        assert other.cached_only
+        world.end(other, Status.OK, 1, detail=OutcomeDetail.FILLED, after_ms=1.0)
+    world.end(trial, Status.REJECTED, 1, detail=OutcomeDetail.ORIGIN_FAILED, after_ms=BACKOFF_MS + 1.0)
     world.now += BACKOFF_MS + 1.0
-    assert world.fill(60).held_only  # rests grow
+    assert world.fill(60).cached_only  # rests grow
     world.now += BACKOFF_MS
     trial = world.fill(61)
-    assert not trial.held_only
-    world.end(trial, Status.OK, 1, note=Note.FILLED_BY_ORIGIN)
-    world.end(world.fill(62), Status.OK, 1, note=Note.FILLED_BY_ORIGIN)
+    assert not trial.cached_only
+    world.end(trial, Status.OK, 1, detail=OutcomeDetail.FILLED_BY_ORIGIN)
+    world.end(world.fill(62), Status.OK, 1, detail=OutcomeDetail.FILLED_BY_ORIGIN)
     for key in range(63, 67):
         other = world.fill(key)
-        assert not other.held_only
-        world.end(other, Status.OK, 1, note=Note.FILLED, after_ms=1.0)
+        assert not other.cached_only
+        world.end(other, Status.OK, 1, detail=OutcomeDetail.FILLED, after_ms=1.0)
 
 
 def test_late_answers_tell_of_a_queue_and_open_nothing() -> None:
     world = World(ALL)
     for key, fails in ((50, 1), (51, 2)):
-        world.end(world.fill(key), Status.OK, 1, note=Note.FILLED_BY_ORIGIN, after_ms=2_500.0)
+        world.end(world.fill(key), Status.OK, 1, detail=OutcomeDetail.FILLED_BY_ORIGIN, after_ms=2_500.0)
         assert world.dispatcher.gate.fails == fails
-    assert world.fill(52).held_only
+    assert world.fill(52).cached_only
     world.now += BACKOFF_MS + 1.0
-    world.end(world.fill(53), Status.OK, 1, note=Note.FILLED_BY_ORIGIN, after_ms=50.0)
+    world.end(world.fill(53), Status.OK, 1, detail=OutcomeDetail.FILLED_BY_ORIGIN, after_ms=50.0)
     assert world.dispatcher.gate.fails == 1  # soon: the queue is gone
 
 
@@ -67,32 +72,32 @@
     world = failing(classes=(PAGE, WRITE))
     (sent,) = write(world, 7)
     assert isinstance(sent, api.Fetch) and sent.source == "o"
-    assert world.fill(50).held_only
+    assert world.fill(50).cached_only
 
 
 def test_an_origin_that_turns_writes_away_is_full_for_fills_too() -> None:
     world = World(ALL, classes=(PAGE, WRITE))
     for key in (7, 8):
         (sent,) = write(world, key)
-        world.end(sent, Status.REFUSED, note=Note.SOURCE_REFUSED)
-    assert world.fill(50).held_only
+        world.end(sent, Status.REJECTED, detail=OutcomeDetail.SOURCE_REJECTED)
+    assert world.fill(50).cached_only
 
 
 def test_a_write_that_the_origin_had_no_room_for_is_sent_once_more_within_the_retry_budget() -> None:
     world = World((*CACHES, ORIGIN), classes=(PAGE, WRITE))
     (first,) = write(world, 7)
-    (again,) = world.end(first, Status.REFUSED, note=Note.SOURCE_REFUSED)  # it ran nowhere
+    (again,) = world.end(first, Status.REJECTED, detail=OutcomeDetail.SOURCE_REJECTED)  # it ran nowhere
     assert isinstance(again, api.Fetch) and (again.id, again.source) == (first.id, "o")
-    assert world.end(again, Status.OK, 1, note=Note.FILLED_BY_ORIGIN) == []
+    assert world.end(again, Status.OK, 1, detail=OutcomeDetail.FILLED_BY_ORIGIN) == []
     world.dispatcher.retries.left = 0.0
     (other,) = write(world, 8)
-    assert finals(world.end(other, Status.REFUSED, note=Note.SOURCE_REFUSED))
+    assert finals(world.end(other, Status.REJECTED, detail=OutcomeDetail.SOURCE_REJECTED))
 
 
 def test_a_write_that_a_cache_turned_away_goes_to_another_one() -> None:
     world = World((*CACHES, ORIGIN), classes=(PAGE, WRITE))
     (first,) = write(world, 7)
-    (second,) = world.end(first, Status.REFUSED)  # the cache itself, which is not asked again
+    (second,) = world.end(first, Status.REJECTED)  # the cache itself, which is not asked again
     assert second.server != first.server
 
 
@@ -100,7 +105,7 @@
     for senders, most in ((3, BACKOFF_MOST_MS), (200, TRY_MS * 200)):
         gate, now = OriginGate(senders), 0.0
         for _ in range(30):
-            gate.learn(now, Status.REFUSED, 0.0, 1.0)
+            gate.learn(now, Status.REJECTED, 0.0, 1.0)
             now = max(now, gate.until_ms)
         before = now
         gate.sent(now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,8 +12,13 @@
 from .world import ALL, CACHES, ORIGIN, PAGE, PARENTS, SIBLINGS, World, finals
 
 OK, MISS, RESET, TIMEOUT = api.Status.OK, api.Status.MISS, api.Status.RESET, api.Status.TIMEOUT
-KEYED = replace(PAGE, effect=api.Effect.KEYED, scope=api.Scope.CELL, key_window_ms=1000.0)
-UNSAFE = replace(PAGE, effect=api.Effect.UNSAFE)
+KEYED = replace(
+    PAGE,
+    idempotency=api.Idempotency.KEYED,
+    deduplication_scope=api.DeduplicationScope.CELL,
+    deduplication_window_ms=1000.0,
+)
+UNSAFE = replace(PAGE, idempotency=api.Idempotency.NON_IDEMPOTENT)
 
 
 def test_a_timeout_at_the_deadline_gets_its_final_answer_at_once() -> None:
@@ -25,7 +30,7 @@
 def test_no_server_at_all_is_refused_at_once_with_advice() -> None:
     world = World(())
     (refusal,) = world.ask(1)
-    assert isinstance(refusal, api.Refuse) and refusal.retry_after_ms > 0
+    assert isinstance(refusal, api.Reject) and refusal.retry_after_ms > 0
 
 
 def test_a_waiting_fill_is_given_up_in_time() -> None:
@@ -46,9 +51,9 @@
 def test_a_finished_request_gets_nothing_more() -> None:
     world = World()
     (lookup,) = world.ask(1)
-    world.end(lookup, OK, note=api.Note.HIT)
+    world.end(lookup, OK, detail=api.OutcomeDetail.HIT)
     assert world.end(lookup, MISS) == []
-    assert world.put(api.ClientGone(lookup.id)) == []
+    assert world.put(api.ClientDisconnected(lookup.id)) == []
 
 
 @pytest.mark.parametrize("state", [api.ServerState.DRAINING, api.ServerState.GONE])
@@ -64,7 +69,7 @@
 
 def test_a_server_missing_from_a_whole_list_is_gone() -> None:
     world = World()
-    world.listed(*CACHES[1:], *PARENTS, ORIGIN, kind=api.ListKind.WHOLE)
+    world.listed(*CACHES[1:], *PARENTS, ORIGIN, kind=api.EndpointListKind.COMPLETE)
     assert all(world.home(key) != "c0" for key in range(50))
 
 
@@ -87,8 +92,8 @@
             assert cell[then.server] == cell[first.server] and then.server != first.server
         else:
             assert isinstance(then, api.Fail)
-        world.dispatcher.servers[first.server].fails = 0
-        world.dispatcher.servers[first.server].blocked_until = 0.0
+        world.dispatcher.servers[first.server].consecutive_failures = 0
+        world.dispatcher.servers[first.server].backoff_until_ms = 0.0
         world.dispatcher.retries.left = 5.0
     (first,) = world.ask(77)
     assert world.end(first, api.Status.ERROR, after_ms=1500.0) == [api.Fail(first.id)]
@@ -108,11 +113,11 @@
 @pytest.mark.parametrize("senders", [1, 7, 60])
 def test_a_cold_budget_is_kept_by_the_sum_of_many_senders_and_not_left_unused(senders: int) -> None:
     """Parts of under one request each: neither nobody sends nor everybody at once, restarts included."""
-    cold = replace(PARENTS[0], started_ms=100_000.0, size=40.0)
+    cold = replace(PARENTS[0], started_ms=100_000.0, capacity=40.0)
     counts = (0, 0, senders, 0)
 
     def world(seed: int) -> World:
-        made = World((*CACHES, cold, ORIGIN), seed, dispatchers_by_zone=counts, fall_window_ms=3000.0)
+        made = World((*CACHES, cold, ORIGIN), seed, dispatchers_by_zone=counts, overload_window_ms=3000.0)
         made.dispatcher.random = random.Random(seed)
         return made
 
@@ -127,7 +132,7 @@
             parent = one.dispatcher.servers["p1"]
             for _ in range(max(1, 8 // senders)):
                 if (step + number) % 2 == 0 and one.dispatcher._has_cold_room(parent):
-                    parent.credit.spend(400.0)
+                    parent.slow_start_budget.spend(400.0)
                     sent.append(one.now - 100_000.0)
     for start in range(0, 3001, 100):
         window = [at for at in sent if start <= at < start + 3000.0]
@@ -137,10 +142,10 @@
 
 
 def test_a_cold_parent_counts_fills_and_is_left_to_its_own_hub() -> None:
-    cold = tuple(replace(s, started_ms=99_000.0, size=10.0) for s in PARENTS)
+    cold = tuple(replace(s, started_ms=99_000.0, capacity=10.0) for s in PARENTS)
     world = World((*CACHES, *cold, ORIGIN))
     for s in world.dispatcher.servers.values():
-        s.share = 50.0
+        s.fill_quota = 50.0
     sources = [world.fill(key).source for key in range(20)]
     assert "p2" not in sources
     assert 0 < len([s for s in sources if s != "o"]) <= 2 * 10.0 * 0.15 * 2.0 * 1000.0 / 400.0
@@ -161,7 +166,7 @@
     world = World()
     request = world.ask(1, group=7)[0]
     entry = world.dispatcher.open[request.id]
-    world.end(request, OK, note=api.Note.HIT)
+    world.end(request, OK, detail=api.OutcomeDetail.HIT)
     assert world.dispatcher._holders(entry)
     world.put(api.Purge(None, 7, 0.0), after_ms=1.0)
     assert not world.dispatcher._holders(entry)
@@ -214,7 +219,7 @@
     server = world.dispatcher.servers["c0"]
     for after_ms, usable in ((0.0, True), (10 * DOWN_MS, False)):
         (held,) = world.ask(1)
-        world.end(held, OK, note=api.Note.HIT)
+        world.end(held, OK, detail=api.OutcomeDetail.HIT)
         world.now += after_ms
         for key in (2, 3):
             (sent,) = world.ask(key)
@@ -225,11 +230,11 @@
 def test_a_trial_whose_client_left_is_followed_by_another() -> None:
     world = World((*CACHES[:1], ORIGIN))
     (sent,) = world.ask(1)
-    world.dispatcher.servers["c0"].heard_ms = world.now
+    world.dispatcher.servers["c0"].last_answer_ms = world.now
     world.end(sent, api.Status.CONNECT_FAILED)
     (trial,) = world.ask(2, after_ms=BACKOFF_MOST_MS)
-    world.put(api.ClientGone(trial.id))
-    world.end(trial, api.Status.CANCELLED, closed=True)
+    world.put(api.ClientDisconnected(trial.id))
+    world.end(trial, api.Status.CANCELLED, is_answered=True)
     (again,) = world.ask(3)
     assert again.server == trial.server == "c0"
     assert world.ask(4) == []  # still one at a time
@@ -238,20 +243,22 @@
 def test_a_server_that_failed_comes_back_with_one_trial() -> None:
     world = World((*CACHES[:1], ORIGIN))
     (lookup,) = world.ask(1)
-    world.dispatcher.servers["c0"].heard_ms = world.now
+    world.dispatcher.servers["c0"].last_answer_ms = world.now
     world.end(lookup, api.Status.CONNECT_FAILED)
     assert world.dispatcher._usable(world.dispatcher.servers["c0"]) is False
     world.now += 5_000.0
     (trial,) = world.ask(2)
     assert trial.server == "c0"
     assert world.ask(3) == []  # waits for the trial
-    assert [a.server for a in world.end(trial, OK, note=api.Note.HIT) if isinstance(a, api.Lookup)] == ["c0"]
+    assert [
+        a.server for a in world.end(trial, OK, detail=api.OutcomeDetail.HIT) if isinstance(a, api.Lookup)
+    ] == ["c0"]
 
 
 def test_a_failed_source_is_not_named_again_for_the_request() -> None:
     world = World()
     fetch = world.fill(1)
-    (again,) = world.end(fetch, api.Status.REFUSED, 1, note=api.Note.SOURCE_FAILED)
+    (again,) = world.end(fetch, api.Status.REJECTED, 1, detail=api.OutcomeDetail.SOURCE_FAILED)
     assert again.server == fetch.server and again.source != fetch.source
 
 
@@ -265,13 +272,13 @@
 
 
 def test_a_write_runs_at_the_origin_and_is_not_kept() -> None:
-    world = World(classes=(replace(PAGE, write=True),))
+    world = World(classes=(replace(PAGE, is_write=True),))
     (fetch,) = world.ask(1)
-    assert (fetch.source, fetch.rank) == ("o", 0)
+    assert (fetch.source, fetch.cache_rank) == ("o", 0)
 
 
 def test_no_ready_cache_goes_straight_to_a_parent_where_that_is_allowed() -> None:
-    world = World((*PARENTS, ORIGIN), direct=True)
+    world = World((*PARENTS, ORIGIN), may_bypass_caches=True)
     (fetch,) = world.ask(1)
     assert fetch.server in ("p1", "p1b")
 
@@ -282,14 +289,14 @@
     for key in range(60):
         (lookup,) = world.ask(key)
         for s in world.dispatcher.servers.values():
-            s.fails, s.blocked_until = 0, 0.0
-        again = world.end(lookup, api.Status.REFUSED)
+            s.consecutive_failures, s.backoff_until_ms = 0, 0.0
+        again = world.end(lookup, api.Status.REJECTED)
         tries += sum(isinstance(a, api.Lookup | api.Fetch) for a in again)
     assert 10 <= tries <= 25
 
 
 def test_a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure() -> None:
-    world = World(ask_for_list=True)
-    world.listed(kind=api.ListKind.FAILED)
+    world = World(watches_endpoints=True)
+    world.listed(kind=api.EndpointListKind.FAILED)
     assert world.put(api.Timer("watch")) == [api.Watch(True)]
     assert len(world.dispatcher.servers) == len(ALL)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -27,7 +27,7 @@
 from gladewalk.net.outside import unix_ms
 from gladewalk.options import Options, options_of, read_tables
 from gladewalk.policy import Dispatcher
-from gladewalk.policy.known import Pending
+from gladewalk.registry.records import PendingRequest
 from gladewalk.rehearsal.baddisk import BadDisk, File
 from gladewalk.rehearsal.peers import (
     Coordinator,
@@ -665,17 +665,19 @@
         self.assertIn(lease, again.items(leases.SPACE).values())
         core = Dispatcher(director.exchange.core.settings, 1)
         servers = tuple(server.info for server in director.exchange.core.servers.values())
-        core.handle(unix_ms(), api.ServerList(api.ListKind.LAST, servers))
+        core.handle(unix_ms(), api.EndpointList(api.EndpointListKind.PERSISTED, servers))
         self.assertEqual(leases.restore(core, again.items(leases.SPACE), unix_ms()), 1)
         objects, _ = warm.restore(core, again.items(warm.SPACE), unix_ms())
         self.assertGreater(objects, 4)
 
 
 def core_with(now: float, started_ms: float = 0.0) -> Dispatcher:
-    page = api.RequestClass("page", aim_ms=400.0, deadline_ms=3_000.0)
-    core = Dispatcher(api.Settings(classes=(page,), zone="e", zones=("e",), hub_of=(0,)), 1)
-    servers = tuple(api.Server(name, api.Role.CACHE, "e", started_ms=started_ms, place=name) for name in "ab")
-    core.handle(now, api.ServerList(api.ListKind.LAST, servers))
+    page = api.RequestClass("page", latency_objective_ms=400.0, deadline_ms=3_000.0)
+    core = Dispatcher(api.Settings(classes=(page,), zone="e", zones=("e",), hub_of_zone=(0,)), 1)
+    servers = tuple(
+        api.Server(name, api.Role.CACHE, "e", started_ms=started_ms, address=name) for name in "ab"
+    )
+    core.handle(now, api.EndpointList(api.EndpointListKind.PERSISTED, servers))
     return core
 
 
@@ -684,13 +686,13 @@
     core.memory[7, 0] = {"a": NOW - 1_000.0, "b": NOW - 29_000.0, "gone": NOW}
     core.memory[8, 0] = {"b": NOW - 40_000.0}
     core.sizes[7, 0] = 55.0
-    core.servers["a"].share, core.servers["b"].share = 9.0, 1e9
+    core.servers["a"].fill_quota, core.servers["b"].fill_quota = 9.0, 1e9
     rows = {f"objects-{n}": warm.objects_row(core, n, NOW) for n in range(warm.PARTS)}
     rows |= {warm.SOURCES: warm.sources_row(core, NOW), "objects-x": b"noise"}
     later = core_with(NOW + 2_000.0)
     assert warm.restore(later, rows, NOW + 2_000.0) == (1, 2)
     assert later.memory == {(7, 0): {"a": NOW - 1_000.0}} and later.sizes == {(7, 0): 55.0}
-    assert (later.servers["a"].share, later.servers["b"].share) == (9.0, 64.0)
+    assert (later.servers["a"].fill_quota, later.servers["b"].fill_quota) == (9.0, 64.0)
     old, back = core_with(NOW + 700_000.0), core_with(NOW - 60_000.0)
     assert warm.restore(old, rows, NOW + 700_000.0) == (0, 0) and not old.sizes
     assert warm.restore(back, rows, NOW - 60_000.0) == (
@@ -700,19 +702,20 @@
     started = core_with(NOW + 2_000.0, started_ms=NOW + 500.0)
     assert warm.restore(started, rows, NOW + 2_000.0)[1] == 0
     request_ = api.Request(1, "page", 7, 3_000.0)
-    opened = Pending(request_, started.classes["page"], NOW + 2_000.0)
+    opened = PendingRequest(request_, started.classes["page"], NOW + 2_000.0)
     started.now = NOW + 2_000.0
     assert [
         s.info.name for s in started._holders(opened)
     ] == []  # seen before its start: the core's own check
     later.now = NOW + 2_000.0
     later.handle(NOW + 2_000.0, api.Purge(7, -1, 100.0))
-    assert later._holders(Pending(request_, later.classes["page"], NOW + 2_000.0)) == []  # and before a purge
+    purged = PendingRequest(request_, later.classes["page"], NOW + 2_000.0)
+    assert later._holders(purged) == []  # and before a purge
 
 
 def test_leases_count_again_after_a_restart_until_their_time() -> None:
     core = core_with(NOW)
-    question = api.Locate(1, "page", 7, 3_000.0, "resolver", weight=0.25)
+    question = api.ResolveRequest(1, "page", 7, 3_000.0, "resolver", transfers=0.25)
     core.names().hold("a", "resolver", (7, 0), NOW + 200_000.0, 0.25)
     core.names().hold("a", "r2", (8, 0), NOW + 100.0, 1.0)
     lease = leases.lease_of(core, question, "a")
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -83,7 +83,8 @@
             self.assertEqual({server.weight for server in balanced.core.servers.values()}, {1.0})
             told = balanced.core.settings
             self.assertEqual(
-                (told.joins, told.classes[0].fresh_ms, told.classes[0].grace_ms), (True, 6e4, 6e4)
+                (told.may_join_fills, told.classes[0].freshness_lifetime_ms, told.classes[0].stale_grace_ms),
+                (True, 6e4, 6e4),
             )
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,28 +8,28 @@
 from gladewalk import Dispatcher
 from gladewalk import interface as api
 
-PAGE = api.RequestClass("page", aim_ms=400.0, deadline_ms=3000.0, aim_stretch=2.0)
+PAGE = api.RequestClass("page", latency_objective_ms=400.0, deadline_ms=3000.0, latency_objective_stretch=2.0)
 SETTINGS = api.Settings(
     classes=(PAGE,),
-    dispatchers=2,
+    dispatcher_count=2,
     zone="e1",
     zones=("h1", "h2", "e1", "e2"),
-    hub_of=(0, 1, 0, 1),
+    hub_of_zone=(0, 1, 0, 1),
     dispatchers_by_zone=(0, 0, 1, 1),
     max_attempts=6,
-    second_copies=True,
+    hedging=True,
     may_cancel=True,
-    retry_advice=True,
+    sends_retry_after=True,
     max_retry_after_ms=1000.0,
-    siblings=api.Siblings.ANY,
-    notes=api.Notes.ALL,
-    cold_share=0.2,
-    ramp_ms=10_000.0,
-    fall_multiple=3.0,
-    fall_window_ms=1000.0,
-    parent_cold_share=0.1,
-    parent_ramp_ms=20_000.0,
-    parent_fall_multiple=2.0,
+    sibling_sources=api.SiblingSources.ANY,
+    detail_level=api.DetailLevel.ALL,
+    slow_start_fraction=0.2,
+    slow_start_ms=10_000.0,
+    overload_multiple=3.0,
+    overload_window_ms=1000.0,
+    parent_slow_start_fraction=0.1,
+    parent_slow_start_ms=20_000.0,
+    parent_overload_multiple=2.0,
     purge_grace_ms=500.0,
     purge_settle_ms=6000.0,
 )
@@ -45,7 +45,7 @@
 
 
 def finals(actions: list[Any]) -> list[Any]:
-    return [a for a in actions if isinstance(a, api.Refuse | api.Fail)]
+    return [a for a in actions if isinstance(a, api.Reject | api.Fail)]
 
 
 class World:
@@ -56,7 +56,7 @@
         self.dispatcher = Dispatcher(replace(SETTINGS, **changes), seed)
         self.next_id = 0
         self.dispatcher.random.random = lambda: 0.99  # type: ignore[method-assign]  # no sibling trial
-        self.listed(*servers, kind=api.ListKind.LAST)
+        self.listed(*servers, kind=api.EndpointListKind.PERSISTED)
 
     def trials(self, on: bool) -> None:
         self.dispatcher.random.random = lambda: 0.0 if on else 0.99  # type: ignore[method-assign]
@@ -66,8 +66,10 @@
         actions = self.dispatcher.handle(self.now, event)
         return [a for a in actions if not isinstance(a, api.SetTimer | api.Log)]
 
-    def listed(self, *servers: api.Server, kind: api.ListKind = api.ListKind.CHANGES) -> list[Any]:
-        return self.put(api.ServerList(kind, servers))
+    def listed(
+        self, *servers: api.Server, kind: api.EndpointListKind = api.EndpointListKind.DELTA
+    ) -> list[Any]:
+        return self.put(api.EndpointList(kind, servers))
 
     def ask(self, key: int = 1, after_ms: float = 0.0, left_ms: float = 3000.0, **more: Any) -> list[Any]:
         self.next_id += 1
@@ -76,12 +78,12 @@
     def home(self, key: int) -> str:
         """Where a request for an object goes, when it is answered before the next."""
         (sent,) = self.ask(key)
-        self.end(sent, api.Status.OK, note=api.Note.HIT)
+        self.end(sent, api.Status.OK, detail=api.OutcomeDetail.HIT)
         return str(sent.server)
 
     def end(self, sent: Any, status: api.Status, attempt: int = 0, **more: Any) -> list[Any]:
         after = more.pop("after_ms", 20.0)
-        closed = more.pop("closed", status is api.Status.OK)
+        closed = more.pop("is_answered", status is api.Status.OK)
         return self.put(api.Outcome(sent.id, attempt, sent.server, status, after, closed, **more), after)
 
     def fill(self, key: int, **more: Any) -> Any:
