--- a/benchmarks/bids.py
+++ b/benchmarks/bids.py
@@ -18,7 +18,7 @@
 import structlog
 import uvloop
 
-from gladewalk.options import Options, options_of, read_tables
+from gladewalk.config.options import Options, options_of, read_tables
 from gladewalk.rehearsal.bidsoak import Report, play_h2, play_http1
 from gladewalk.streams.ledger import PROOFS
 
--- a/benchmarks/h2_engine.py
+++ b/benchmarks/h2_engine.py
@@ -16,7 +16,7 @@
 from h2.events import RequestReceived
 from hpack import NeverIndexedHeaderTuple
 
-from gladewalk.options import Http2
+from gladewalk.config.options import Http2
 from gladewalk.rehearsal.h2box import HEAD
 from gladewalk.upstream.engine import Engine
 
--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -15,7 +15,7 @@
 import time
 import tracemalloc
 
-from gladewalk.ledger import Ledger
+from gladewalk.registry.dns_leases import Ledger
 
 LEASE_MS = 300_000.0
 START_MS = 1.7e12
--- a/benchmarks/silent_box.py
+++ b/benchmarks/silent_box.py
@@ -23,9 +23,9 @@
 
 import structlog
 
-from gladewalk.config import read
+from gladewalk.config.options import options_of, read_tables
+from gladewalk.config.platform import read
 from gladewalk.director import Director
-from gladewalk.options import options_of, read_tables
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -25,7 +25,7 @@
 
 import lmdb
 
-from gladewalk.counters import Counters
+from gladewalk.core.counters import Counters
 from gladewalk.store.files import Folder
 from gladewalk.store.log import Log, Terms
 from gladewalk.store.tools import now_ms
--- a/gladewalk/__main__.py
+++ b/gladewalk/__main__.py
@@ -10,13 +10,13 @@
 def main() -> int:
     if len(sys.argv) == 1:  # the platform's way: the command line's library is not even imported
         signals.hold()  # before all that takes time to import
-        from .lean import without_tables
+        from .core.memory_tuning import without_tables
 
         without_tables()
         from .daemon import run
 
         return run()
-    from .cli import main as command_line
+    from .cli.commands import main as command_line
 
     return command_line()
 
--- /dev/null
+++ b/gladewalk/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line and what it prints to a terminal."""
--- a/gladewalk/cli.py
+++ b/gladewalk/cli/commands.py
@@ -15,7 +15,7 @@
 
 import click
 
-from .config import ConfigError
+from ..config.platform import ConfigError
 
 FILE = click.Path(dir_okay=False)
 CONTEXT = {"help_option_names": ["-h", "--help"], "max_content_width": 100}
@@ -60,10 +60,10 @@
 
 
 def run_director(context: click.Context, options_path: str | None, dns_path: str | None) -> None:
-    from .lean import without_tables
+    from ..core.memory_tuning import without_tables
 
     without_tables()
-    from .daemon import run
+    from ..daemon import run
 
     context.exit(run(options_path, dns_path))
 
@@ -77,7 +77,7 @@
     context: click.Context, options_path: str | None, dns_path: str | None, as_json: bool
 ) -> None:
     """Read all that a director would be told and say whether it can be used; nothing is started."""
-    from .daemon import read_all
+    from ..daemon import read_all
 
     try:
         config, options, dns = read_all(options_path, dns_path)
@@ -117,7 +117,7 @@
     if as_json:
         click.echo(json.dumps(told))
         return
-    from .console import members_table
+    from .terminal_output import members_table
 
     members_table(told)
 
@@ -138,7 +138,7 @@
     if as_json:
         click.echo(json.dumps(told))
         return
-    from .console import leases_table
+    from .terminal_output import leases_table
 
     leases_table(told)
 
@@ -209,7 +209,7 @@
     context: click.Context, options_path: str | None, socket_path: str | None, view: str, **given: Any
 ) -> dict[str, Any]:
     """A running director's answer; whatever keeps it from us is one line and an exit code of its own."""
-    from .control.client import ControlError, ask
+    from ..control.client import ControlError, ask
 
     try:
         told: dict[str, Any] = ask(control_path(options_path, socket_path), view, **given)
@@ -220,7 +220,7 @@
 
 def control_path(options_path: str | None, socket_path: str | None) -> Path:
     """The socket that is named, or that of the settings; `ConfigError` if neither tells."""
-    from .options import load_options
+    from ..config.options import load_options
 
     if socket_path:
         return Path(socket_path)
@@ -252,11 +252,11 @@
       gladewalk import /etc/nginx/nginx.conf > site.toml
       gladewalk import new.conf --diff site.toml --uris seen.txt
     """
-    from .nginx.explain import diff, load_any, read_requests
-    from .nginx.reading import NginxError
-    from .nginx.router import Router
-    from .nginx.table import write_site
-    from .nginx.translate import import_site
+    from ..nginx.explain import diff, load_any, read_requests
+    from ..nginx.reading import NginxError
+    from ..nginx.router import Router
+    from ..nginx.table import write_site
+    from ..nginx.translate import import_site
 
     if (old is None) != (uris is None):
         raise click.UsageError("--diff and --uris go together")
@@ -294,8 +294,8 @@
     Example:
       gladewalk route site.conf /lots/7/a.mp4 --host auction.example
     """
-    from .nginx.explain import Asked, explain, load_any
-    from .nginx.router import Router
+    from ..nginx.explain import Asked, explain, load_any
+    from ..nginx.router import Router
 
     try:
         lines = explain(Router(load_any(file)), Asked(uri, host, method.upper(), client, listen))
@@ -315,8 +315,8 @@
 
     FILE is nginx's own or a table (.toml). Exit code 1 if an answer comes from elsewhere than the table says.
     """
-    from .nginx.explain import Asked, load_any
-    from .rehearsal.__main__ import run
+    from ..nginx.explain import Asked, load_any
+    from ..rehearsal.__main__ import run
 
     try:
         lines, good = run(load_any(file), [Asked(uri, host) for uri in uris])
@@ -340,10 +340,10 @@
     Example:
       gladewalk play scenarios/morning-auction.toml --seed 7
     """
-    from .rehearsal.virtual.play import CLASSES, play
-    from .rehearsal.virtual.quiet import quiet
-    from .rehearsal.virtual.rules import story
-    from .rehearsal.virtual.scenario import load
+    from ..rehearsal.virtual.play import CLASSES, play
+    from ..rehearsal.virtual.quiet import quiet
+    from ..rehearsal.virtual.rules import story
+    from ..rehearsal.virtual.scenario import load
 
     quiet()
     try:
@@ -356,7 +356,7 @@
     elif as_json:
         click.echo(json.dumps(verdict.report()))
     else:
-        from .console import verdict_table
+        from .terminal_output import verdict_table
 
         verdict_table(verdict.report())
     context.exit(0 if verdict.passed else 1)
@@ -375,9 +375,9 @@
     Example:
       gladewalk hunt --first 1000 --count 200 --folder scenarios
     """
-    from .rehearsal.virtual.hunt import hunt
-    from .rehearsal.virtual.quiet import quiet
-    from .rehearsal.virtual.scenario import dump
+    from ..rehearsal.virtual.hunt import hunt
+    from ..rehearsal.virtual.quiet import quiet
+    from ..rehearsal.virtual.scenario import dump
 
     quiet()
     found = hunt(range(first, first + count))
@@ -409,7 +409,7 @@
     if as_json:
         click.echo(json.dumps(told))
     else:
-        from .console import store_table
+        from .terminal_output import store_table
 
         store_table(told)
     context.exit(1 if told["refused_by_disk"] else 0)
@@ -420,7 +420,7 @@
 @click.pass_context
 def store_check(context: click.Context, folder: Path) -> None:
     """Tell what each file holds. Exit code 1: a write was cut; 2: damaged."""
-    from .store.tools import check
+    from ..store.tools import check
 
     context.exit(on_store(lambda: check(folder, click.echo)))
 
@@ -430,7 +430,7 @@
 @click.pass_context
 def store_dump(context: click.Context, folder: Path) -> None:
     """Print every key as one JSON object a line."""
-    from .store.tools import dump
+    from ..store.tools import dump
 
     def tell() -> int:
         for line in dump(folder):
@@ -445,7 +445,7 @@
 @click.pass_context
 def store_compact(context: click.Context, folder: Path) -> None:
     """Write all that counts into one segment."""
-    from .store.tools import compact
+    from ..store.tools import compact
 
     context.exit(on_store(lambda: compact(folder, click.echo)))
 
@@ -458,7 +458,7 @@
 @click.pass_context
 def store_repair(context: click.Context, folder: Path, accept_loss: bool) -> None:
     """Tell what a damaged store has lost and what is left of it."""
-    from .store.tools import repair
+    from ..store.tools import repair
 
     context.exit(on_store(lambda: repair(folder, accept_loss, click.echo)))
 
@@ -488,8 +488,8 @@
     Example:
       gladewalk dns conform 127.0.0.1:5353 cdn.example. --class lot-page
     """
-    from .dns.conform.report import told_by, told_of
-    from .dns.conform.suite import Verdict, run_cases, the_cases
+    from ..dns.conform.report import told_by, told_of
+    from ..dns.conform.suite import Verdict, run_cases, the_cases
 
     if as_list:
         for one in the_cases(only):
@@ -507,7 +507,7 @@
 
 def on_store(call: Callable[[], int]) -> int:
     """Whatever a store can't do is one line and exit code 2."""
-    from .store.frames import Fault
+    from ..store.frames import Fault
 
     try:
         return call()
--- /dev/null
+++ b/gladewalk/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: the platform's file and settings, our own options file, key ring files."""
--- a/gladewalk/keyfile.py
+++ b/gladewalk/config/key_ring_file.py
@@ -6,7 +6,7 @@
 import stat
 from pathlib import Path
 
-from .config import ConfigError
+from .platform import ConfigError
 
 
 def load_hex_keys(path: Path, setting: str, least: int, most: int = 4_096) -> list[bytes]:
--- a/gladewalk/options.py
+++ b/gladewalk/config/options.py
@@ -14,7 +14,7 @@
 import msgspec
 from msgspec import Meta
 
-from .config import ConfigError
+from .platform import ConfigError
 
 Mode = Literal["off", "h2c", "tls"]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
--- a/gladewalk/config.py
+++ b/gladewalk/config/platform.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 from typing import Any
 
-from . import interface as api
-from .interface import validate_settings
-from .settings import SettingsError, either, need, read_roles, read_settings
+from .. import interface as api
+from ..interface import validate_settings
+from .policy_settings import SettingsError, either, need, read_roles, read_settings
 
 Address = tuple[str, int]
 
--- a/gladewalk/settings.py
+++ b/gladewalk/config/policy_settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from . import interface as api
+from .. import interface as api
 
 EFFECTS = {
     "repeatable": api.Idempotency.IDEMPOTENT,
--- a/gladewalk/control/server.py
+++ b/gladewalk/control/server.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-from ..config import ConfigError
-from ..counters import Counters
+from ..config.platform import ConfigError
+from ..core.counters import Counters
 from .messages import QUESTION_MOST, VERSION, Asked, Told, asked_decoder, encoder
 
 View = Callable[[dict[str, Any]], Any]
--- /dev/null
+++ b/gladewalk/core/__init__.py
@@ -0,0 +1,1 @@
+"""The exchange, its types, deadlines and counters: what every request passes through."""
--- a/gladewalk/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -10,13 +10,13 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 
-from . import interface as api
-from .config import Address, Config
+from .. import interface as api
+from ..config.platform import Address, Config
+from ..ops.figures import final_counter
+from ..policy import Dispatcher
 from .counters import Counters
 from .deadlines import Deadlines, Key
-from .ops.figures import final_counter
-from .parties import Ask, Asker, Attempt, Client, End, Final, Head, Taken, Upstreams
-from .policy import Dispatcher
+from .exchange_types import Ask, Asker, Attempt, Client, End, Final, Head, Taken, Upstreams
 
 __all__ = [
     "Ask", "Asker", "Attempt", "Client", "End", "Exchange", "Final", "Head", "Taken", "Upstreams",
--- a/gladewalk/parties.py
+++ b/gladewalk/core/exchange_types.py
@@ -7,8 +7,8 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from . import interface as api
-from .config import Address
+from .. import interface as api
+from ..config.platform import Address
 from .deadlines import Key
 
 
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -14,12 +14,12 @@
 import uvloop
 
 from . import signals
-from .config import Config, ConfigError, load
+from .config.platform import Config, ConfigError, load
 from .director import Director, shapes_of
 
 if TYPE_CHECKING:  # what is off is not imported
+    from .config.options import Options
     from .dns.settings import DnsConfig
-    from .options import Options
 
 
 class Quiet:
@@ -65,7 +65,7 @@
     options: Options | None = None
     dns: DnsConfig | None = None
     if options_path:
-        from .options import load_options
+        from .config.options import load_options
 
         options = load_options(options_path)
         shapes_of(options)  # certificates and keys are files of their own: a bad one shows at the start
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -12,10 +12,10 @@
 import structlog
 
 from . import signals
-from .config import Config, ConfigError, load
-from .counters import Counters
-from .deadlines import Deadlines
-from .exchange import Exchange
+from .config.platform import Config, ConfigError, load
+from .core.counters import Counters
+from .core.deadlines import Deadlines
+from .core.exchange import Exchange
 from .net.clients import ASK_MS, ClientFront
 from .net.coordinator import Feed, Follower
 from .net.outside import REAL, Outside
@@ -23,6 +23,7 @@
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
+    from .config.options import Options
     from .control.server import Control
     from .dns.settings import DnsConfig
     from .duties.runner import Runner
@@ -31,7 +32,6 @@
     from .members.transport import Members
     from .net.admin import AdminFront
     from .nginx.router import Router
-    from .options import Options
     from .store.keeper import Keeper
     from .upstream.secure import Shapes
     from .web.start import Web
@@ -231,7 +231,7 @@
         try:
             config, options, shapes = load(os.environ), self.options, self.caches.shapes
             if options is not None:
-                from .options import load_options
+                from .config.options import load_options
 
                 options = load_options(options.path)
                 shapes = shapes_of(options, shapes)
--- a/gladewalk/dns/conform/report.py
+++ b/gladewalk/dns/conform/report.py
@@ -9,7 +9,7 @@
 import dns.exception
 import dns.name
 
-from ...config import read_address
+from ...config.platform import read_address
 from .suite import Result, Verdict
 from .target import Target
 
--- a/gladewalk/dns/conform/target.py
+++ b/gladewalk/dns/conform/target.py
@@ -17,7 +17,7 @@
 import dns.rdatatype
 import dns.rrset
 
-from ...config import Address
+from ...config.platform import Address
 
 ANSWER_MOST = 65_535
 
--- a/gladewalk/dns/datagrams.py
+++ b/gladewalk/dns/datagrams.py
@@ -11,7 +11,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from ..config import Address
+from ..config.platform import Address
 from .answers import Via
 from .limits import TimeShare
 
--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -23,9 +23,9 @@
 import dns.rdatatype
 
 from .. import interface as api
-from ..config import Address
-from ..counters import Counters
-from ..exchange import Exchange
+from ..config.platform import Address
+from ..core.counters import Counters
+from ..core.exchange import Exchange
 from ..policy.naming import LEASE_MS
 from .answers import HEAD, Answers, Asked, Point, Via
 from .cookies import Shown
--- a/gladewalk/dns/settings.py
+++ b/gladewalk/dns/settings.py
@@ -16,9 +16,9 @@
 import dns.zone
 import msgspec
 
-from ..config import Address, ConfigError, read_address
-from ..keyfile import load_hex_keys
-from ..options import Dns, Options, explain
+from ..config.key_ring_file import load_hex_keys
+from ..config.options import Dns, Options, explain
+from ..config.platform import Address, ConfigError, read_address
 from .cookies import KEY_BYTES, Cookies
 
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
--- a/gladewalk/duties/kinds.py
+++ b/gladewalk/duties/kinds.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from .. import interface as api
-from ..exchange import Exchange
+from ..core.exchange import Exchange
 from ..upstream.pool import Caches
 from .runner import Found
 
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from .. import interface as api
-from ..counters import Counters
+from ..core.counters import Counters
 from ..members.messages import News
 from ..members.swim import Membership
 from ..members.terms import Change
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -5,15 +5,15 @@
 import ipaddress
 import random
 
-from ..config import ConfigError, read_address
-from ..counters import Counters
-from ..deadlines import Deadlines
-from ..exchange import Exchange
+from ..config.options import Options
+from ..config.platform import ConfigError, read_address
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from ..core.exchange import Exchange
 from ..members.seal import Seal, load_keys
 from ..members.swim import Membership
 from ..members.terms import Address, Terms
 from ..members.transport import Members, Network
-from ..options import Options
 from ..upstream.pool import Caches
 from .kinds import CheckSources, ProbeBoxes
 from .runner import Duty, Runner
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..config import ConfigError, read_address
-from ..counters import Counters
-from ..deadlines import Deadlines
+from ..config.options import Options
+from ..config.platform import ConfigError, read_address
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
 from ..members.seal import Seal, load_keys
 from ..ops.figures import ENDS
-from ..options import Options
 from ..store.keeper import Keeper
 from .acts import Acts
 from .candidate import Candidate
--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -17,8 +17,8 @@
 import msgspec
 import structlog
 
-from ..counters import Counters
-from ..deadlines import Deadlines, Key
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines, Key
 from ..members.messages import DATAGRAM_MOST
 from ..members.seal import Refused, Seal
 from .candidate import Candidate
--- a/gladewalk/limits/origin.py
+++ b/gladewalk/limits/origin_breaker.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from ..interface import Status
-from .recovery import BACKOFF_MOST_MS, BACKOFF_MS
+from .backoff import BACKOFF_MOST_MS, BACKOFF_MS
 
 CHANCE = 1  # failures in a row that close nothing (ours)
 FAILED = (Status.OK, Status.REJECTED, Status.ERROR, Status.TIMEOUT)  # an answer too late among them
--- a/gladewalk/members/seal.py
+++ b/gladewalk/members/seal.py
@@ -16,7 +16,7 @@
 from enum import Enum
 from pathlib import Path
 
-from ..keyfile import load_hex_keys
+from ..config.key_ring_file import load_hex_keys
 from .messages import DATAGRAM_MOST
 
 VERSION = 1
--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -10,8 +10,8 @@
 
 import structlog
 
-from ..counters import Counters
-from ..deadlines import Deadlines, Key
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines, Key
 from .messages import DATAGRAM_MOST, Malformed, News, decode, encode
 from .seal import Refused, Seal
 from .stream import Streams
--- a/gladewalk/net/admin.py
+++ b/gladewalk/net/admin.py
@@ -9,9 +9,9 @@
 
 import httptools
 
-from ..config import Address
-from ..counters import Counters
-from ..deadlines import Deadlines, Key
+from ..config.platform import Address
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines, Key
 
 CALL_MS = 2_000.0  # a call that has not come whole in this long is closed unanswered
 CALLERS_MOST = 64  # connections held at once; who comes over it makes the oldest leave
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from functools import partial
 
-from ..config import Address
-from ..counters import Counters
-from ..deadlines import Deadlines
-from ..exchange import Ask, Exchange
+from ..config.platform import Address
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from ..core.exchange import Ask, Exchange
 from ..interface import Idempotency
 from ..ops.readiness import Readiness
 from .connection import ClientConnection
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from ..exchange import Ask, Final, Head
+from ..core.exchange import Ask, Final, Head
 from .requests import REASONS, SINGLE, BadRequest, read_ask
 from .sockets import FRAME_MOST, Unread, has_ended, watch
 
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -9,11 +9,11 @@
 from typing import Any, cast
 
 from .. import interface as api
-from ..config import Address, Config, ConfigError, finite, read_server
-from ..counters import Counters
-from ..deadlines import Deadlines, Key
-from ..exchange import Exchange
-from ..settings import SettingsError
+from ..config.platform import Address, Config, ConfigError, finite, read_server
+from ..config.policy_settings import SettingsError
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines, Key
+from ..core.exchange import Exchange
 
 SILENCE_MS = 2_500.0  # a line comes each second: after this long without one the connection is taken for dead
 CONNECT_MS = 1_000.0
--- a/gladewalk/net/outside.py
+++ b/gladewalk/net/outside.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from ..config import Address
+from ..config.platform import Address
 
 
 class Listener(Protocol):
--- a/gladewalk/net/requests.py
+++ b/gladewalk/net/requests.py
@@ -4,7 +4,7 @@
 
 import re
 
-from ..exchange import Ask
+from ..core.exchange import Ask
 
 WAIT_MOST_MS = 600_000.0  # no class has patience for as long
 CLASS = re.compile(r"[A-Za-z0-9._~-]{1,64}\Z")
--- a/gladewalk/nginx/explain.py
+++ b/gladewalk/nginx/explain.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ..config import ConfigError
+from ..config.platform import ConfigError
 from .reading import NginxError
 from .router import Landing, Router, read_host
 from .table import Site, load_site
--- a/gladewalk/nginx/table.py
+++ b/gladewalk/nginx/table.py
@@ -12,8 +12,8 @@
 import msgspec
 import tomli_w
 
-from ..config import ConfigError
-from ..options import explain
+from ..config.options import explain
+from ..config.platform import ConfigError
 
 VERSION = 1
 
--- a/gladewalk/policy/dispatcher.py
+++ b/gladewalk/policy/dispatcher.py
@@ -9,10 +9,10 @@
 
 from .. import interface as api
 from ..interface import Idempotency, OutcomeDetail, Role, Status
-from ..limits.recovery import BACKOFF_MS, grown, halved
+from ..limits.backoff import BACKOFF_MS, grown, halved
 from ..registry.known import PURGE_KEEP_MS, SMOOTH
+from ..registry.object_locations import MEMORY_MS
 from ..registry.records import Attempt, PendingRequest, ServerRecord
-from ..remembered import MEMORY_MS
 from .health import DOWN_MS
 from .ladder import SPARE_MS
 from .naming import Naming
--- a/gladewalk/policy/health.py
+++ b/gladewalk/policy/health.py
@@ -6,9 +6,9 @@
 
 from .. import interface as api
 from ..interface import Role, ServerState, Status
-from ..limits.cold import drawn
-from ..limits.recovery import rest_ms, silence_ms
-from ..limits.room import Usual, is_over
+from ..limits.backoff import rest_ms, silence_ms
+from ..limits.concurrency import Usual, is_over
+from ..limits.slow_start import drawn
 from ..registry.known import SMOOTH, Known
 from ..registry.records import PendingRequest, ServerRecord
 
--- a/gladewalk/policy/ladder.py
+++ b/gladewalk/policy/ladder.py
@@ -6,9 +6,9 @@
 
 from .. import interface as api
 from ..interface import DeduplicationScope, Idempotency, Role
+from ..registry.object_locations import Object
 from ..registry.records import Attempt, PendingRequest, ServerRecord
-from ..remembered import Object
-from ..spread import score, seed_of
+from ..registry.rendezvous import score, seed_of
 from .health import Health
 
 TRIAL_RATE = 0.08  # part of unremembered fills that ask a sibling first: "a few" (ours)
--- a/gladewalk/policy/naming.py
+++ b/gladewalk/policy/naming.py
@@ -10,7 +10,7 @@
 from .ladder import Ladder
 
 if TYPE_CHECKING:
-    from ..ledger import Ledger
+    from ..registry.dns_leases import Ledger
 
 LEASE_MS = 300_000.0  # how long an answer is taken to be held, whatever its time to live said (ms, ours)
 
@@ -37,7 +37,7 @@
     def names(self) -> Ledger:
         """What resolvers hold; a dispatcher that nobody asks for names does without it."""
         if self.ledger is None:
-            from ..ledger import Ledger
+            from ..registry.dns_leases import Ledger
 
             self.ledger = Ledger()
         return self.ledger
--- a/gladewalk/registry/known.py
+++ b/gladewalk/registry/known.py
@@ -8,20 +8,20 @@
 from typing import TYPE_CHECKING
 
 from .. import interface as api
-from ..geography import Geography
 from ..interface import Role, ServerState
-from ..limits.admission import AdmissionPrice
-from ..limits.ageing import Ageing
-from ..limits.cold import warming_of
-from ..limits.keys import Keys
-from ..limits.origin import OriginGate
-from ..limits.retries import RetryBudget
-from ..limits.room import Usual
-from ..remembered import Bounded, Holders, Object, Purges
+from ..limits.admission_price import AdmissionPrice
+from ..limits.concurrency import Usual
+from ..limits.idempotency_keys import Keys
+from ..limits.origin_breaker import OriginGate
+from ..limits.retry_budget import RetryBudget
+from ..limits.slow_start import warming_of
+from ..limits.sojourn import Ageing
+from .object_locations import Bounded, Holders, Object, Purges
 from .records import Attempt, PendingRequest, ServerRecord
+from .topology import Geography
 
 if TYPE_CHECKING:
-    from ..ledger import Ledger
+    from .dns_leases import Ledger
 
 LINK_GUESS = 0.5  # an untold link in over its caches' links: about what misses draw at full load (ours)
 SMOOTH = 0.1  # weight of a new sample in moving averages (ours)
--- a/gladewalk/registry/records.py
+++ b/gladewalk/registry/records.py
@@ -8,11 +8,11 @@
 from dataclasses import dataclass
 
 from .. import interface as api
-from ..limits.cold import Credit
-from ..limits.recovery import GAP_START_MS, SHARE_START
-from ..limits.room import Room
-from ..remembered import Object
-from ..spread import salt_of
+from ..limits.backoff import GAP_START_MS, SHARE_START
+from ..limits.concurrency import Room
+from ..limits.slow_start import Credit
+from .object_locations import Object
+from .rendezvous import salt_of
 
 
 class ServerRecord:
--- a/gladewalk/geography.py
+++ b/gladewalk/registry/topology.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from . import interface as api
+from .. import interface as api
 
 
 class Geography:
--- a/gladewalk/rehearsal/bidsoak.py
+++ b/gladewalk/rehearsal/bidsoak.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ..exchange import Attempt
-from ..options import Options
+from ..config.options import Options
+from ..core.exchange import Attempt
 from ..streams.ledger import Finding
 from .h2box import Breaker, H2Box
 from .peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request
--- a/gladewalk/rehearsal/dutynet.py
+++ b/gladewalk/rehearsal/dutynet.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from .. import interface as api
-from ..counters import Counters
+from ..core.counters import Counters
 from ..duties.ownership import Rank, rank_of, score
 from ..duties.runner import Found, Runner
 from ..members.gossip import Told
--- a/gladewalk/rehearsal/peers.py
+++ b/gladewalk/rehearsal/peers.py
@@ -10,12 +10,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Protocol, Self
 
-from ..config import Config, read
+from ..config.platform import Config, read
 from ..director import Director
 from ..dns.settings import DnsConfig
 
 if TYPE_CHECKING:
-    from ..options import Options
+    from ..config.options import Options
 
 
 @dataclass(slots=True)
--- a/gladewalk/rehearsal/resolver.py
+++ b/gladewalk/rehearsal/resolver.py
@@ -9,7 +9,7 @@
 import dns.message
 import dns.rdatatype
 
-from ..config import Address
+from ..config.platform import Address
 
 
 class Resolver:
--- a/gladewalk/rehearsal/virtual/loop.py
+++ b/gladewalk/rehearsal/virtual/loop.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, TypeVar
 
-from ...config import Address
+from ...config.platform import Address
 from ...net.outside import Outside
 from .paths import Paths
 from .streams import Piece, VirtualListener, Waiting, connect
--- a/gladewalk/rehearsal/virtual/play.py
+++ b/gladewalk/rehearsal/virtual/play.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ...config import read
+from ...config.platform import read
 from ...director import Director
 from ..peers import SETTINGS, Coordinator, config_for, request
 from .loop import VirtualLoop, rehearse
--- a/gladewalk/rehearsal/virtual/scenario.py
+++ b/gladewalk/rehearsal/virtual/scenario.py
@@ -30,8 +30,8 @@
 import msgspec
 from msgspec import Meta
 
-from ...config import ConfigError
-from ...options import explain
+from ...config.options import explain
+from ...config.platform import ConfigError
 
 Kind = Literal["silent", "drain", "restart", "cut", "slow", "spoil", "reset", "surge", "purge", "feed"]
 KINDS: tuple[Kind, ...] = get_args(Kind)
--- a/gladewalk/rehearsal/webworld.py
+++ b/gladewalk/rehearsal/webworld.py
@@ -14,10 +14,10 @@
 
 import msgspec
 
-from ..config import read
+from ..config.options import options_of, read_tables
+from ..config.platform import read
 from ..director import Director
 from ..nginx.table import Site, write_site
-from ..options import options_of, read_tables
 from .peers import Coordinator, Heard, ScriptedPeer, config_for, read_message
 
 Script = Callable[[Heard], Awaitable[None]]
--- a/gladewalk/simhost.py
+++ b/gladewalk/simulator_adapter.py
@@ -15,8 +15,17 @@
 from typing import Any, TextIO
 
 from . import interface as api
+from .config.policy_settings import (
+    DETAILS,
+    SettingsError,
+    either,
+    need,
+    read_load,
+    read_roles,
+    read_settings,
+    word,
+)
 from .policy import Dispatcher
-from .settings import DETAILS, SettingsError, either, need, read_load, read_roles, read_settings, word
 
 STATES = {
     "up": api.ServerState.READY,
--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/keeper.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 from .. import interface as api
-from ..config import ConfigError
-from ..counters import Counters
-from ..deadlines import Deadlines
-from ..exchange import Exchange
+from ..config.options import Options
+from ..config.platform import ConfigError
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from ..core.exchange import Exchange
 from ..net.coordinator import Feed
-from ..options import Options
 from . import leases, warm
 from .files import Folder
 from .frames import PAYLOAD_MOST, Fault
--- a/gladewalk/store/keeping.py
+++ b/gladewalk/store/keeping.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from .. import interface as api
-from ..config import STATES
+from ..config.platform import STATES
 
 PURGES, SERVERS, FEED = "purge", "server", "feed"
 LAST = "last"
--- a/gladewalk/store/warm.py
+++ b/gladewalk/store/warm.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from ..limits.recovery import SHARE_FLOOR, SHARE_MOST
+from ..limits.backoff import SHARE_FLOOR, SHARE_MOST
 from ..policy import Dispatcher
-from ..remembered import MEMORY_MS
+from ..registry.object_locations import MEMORY_MS
 
 PARTS = 16
 OBJECTS = "objects"
--- a/gladewalk/store/writer.py
+++ b/gladewalk/store/writer.py
@@ -16,7 +16,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Literal
 
-from ..counters import Counters
+from ..core.counters import Counters
 from .log import Log, StoreFull
 from .state import FOREVER
 
--- a/gladewalk/streams/negotiation.py
+++ b/gladewalk/streams/negotiation.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..options import Http2
+from ..config.options import Http2
 
 
 class Offer(Enum):
--- a/gladewalk/streams/sharing.py
+++ b/gladewalk/streams/sharing.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..options import Http2
+from ..config.options import Http2
 
 IDS_END = 2**31 - 1  # the highest stream id (RFC 9113, 5.1.1)
 CALM_DOUBLED_MOST = 4  # times that a wait for calm is doubled at the most
--- a/gladewalk/upstream/engine.py
+++ b/gladewalk/upstream/engine.py
@@ -15,7 +15,7 @@
 from hpack import Encoder
 from hyperframe.frame import DataFrame, Frame, GoAwayFrame, HeadersFrame
 
-from ..options import Http2
+from ..config.options import Http2
 from ..streams.bounds import Bucket
 from .words import HEAD_MOST
 
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -8,7 +8,7 @@
 import httptools
 
 from .. import interface as api
-from ..exchange import Attempt, End, Head
+from ..core.exchange import Attempt, End, Head
 from ..net.sockets import FRAME_MOST, watch
 from .jobs import Probing
 from .words import (
--- a/gladewalk/upstream/http2.py
+++ b/gladewalk/upstream/http2.py
@@ -11,7 +11,7 @@
 from hpack import NeverIndexedHeaderTuple
 
 from .. import interface as api
-from ..exchange import Attempt, End, Head
+from ..core.exchange import Attempt, End, Head
 from ..streams.ledger import ENHANCE_YOUR_CALM, HTTP_1_1_REQUIRED, Finding, Reason
 from .http2wire import Http2Wire
 from .jobs import Job
--- a/gladewalk/upstream/jobs.py
+++ b/gladewalk/upstream/jobs.py
@@ -6,8 +6,8 @@
 from typing import Any, Protocol
 
 from .. import interface as api
-from ..deadlines import Key
-from ..exchange import Attempt
+from ..core.deadlines import Key
+from ..core.exchange import Attempt
 
 
 class Probing:
--- a/gladewalk/upstream/lane.py
+++ b/gladewalk/upstream/lane.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from .. import interface as api
-from ..exchange import End
-from ..options import Http2
+from ..config.options import Http2
+from ..core.exchange import End
 from ..streams.sharing import Next, Shared, Sharing
 from .http2 import Http2Connection
 from .jobs import Job
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -13,10 +13,10 @@
 from typing import TYPE_CHECKING, Any
 
 from .. import interface as api
-from ..config import Address, Config
-from ..counters import Counters
-from ..deadlines import Deadlines
-from ..exchange import Attempt, End, Exchange
+from ..config.platform import Address, Config
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from ..core.exchange import Attempt, End, Exchange
 from .http1 import CacheConnection
 from .jobs import Job, Probing
 from .targets import IDLE_PART, Dial, LaneDial, Upstream
--- a/gladewalk/upstream/secure.py
+++ b/gladewalk/upstream/secure.py
@@ -6,8 +6,8 @@
 import ssl
 from typing import TYPE_CHECKING, Any, cast
 
-from ..config import ConfigError
-from ..options import Options, Tls
+from ..config.options import Options, Tls
+from ..config.platform import ConfigError
 from ..streams.negotiation import Negotiation, Offer
 from .http1 import CacheConnection
 from .http2 import Http2Connection
--- a/gladewalk/upstream/targets.py
+++ b/gladewalk/upstream/targets.py
@@ -6,8 +6,8 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from ..config import Address
-from ..deadlines import Key
+from ..config.platform import Address
+from ..core.deadlines import Key
 from .http1 import CacheConnection
 from .jobs import Job
 
--- a/gladewalk/upstream/words.py
+++ b/gladewalk/upstream/words.py
@@ -5,8 +5,8 @@
 from functools import lru_cache
 
 from .. import interface as api
-from ..exchange import Attempt, End
-from ..settings import DETAILS, read_load
+from ..config.policy_settings import DETAILS, read_load
+from ..core.exchange import Attempt, End
 
 AUTHORITY = "app.svc"
 PROBE_PATH = "/load"
--- a/gladewalk/web/balanced.py
+++ b/gladewalk/web/balanced.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 from .. import interface as api
-from ..counters import Counters
-from ..deadlines import Deadlines, Key
-from ..exchange import Attempt, End, Exchange, Final
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines, Key
+from ..core.exchange import Attempt, End, Exchange, Final
 from ..upstream.pool import Caches
 from .plan import Plan
 from .wire import WebAsk, WebEnd
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -5,8 +5,8 @@
 import httptools
 
 from .. import interface as api
-from ..deadlines import Key
-from ..exchange import Attempt
+from ..core.deadlines import Key
+from ..core.exchange import Attempt
 from ..upstream.http1 import CacheConnection
 from ..upstream.jobs import Probing
 from ..upstream.targets import Upstream
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable, Mapping
 from typing import cast
 
-from ..counters import Counters
-from ..deadlines import Deadlines
-from ..exchange import Ask, Final, Head
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from ..core.exchange import Ask, Final, Head
 from ..net.clients import ClientFront
 from ..net.connection import ClientConnection
 from ..net.requests import BadRequest
--- a/gladewalk/web/plan.py
+++ b/gladewalk/web/plan.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from .. import interface as api
-from ..config import Address, Config, read_address
+from ..config.platform import Address, Config, read_address
 from ..nginx.router import Landing, Rules
 from ..nginx.table import Box, Place, Site, Upstream
 from .standby import Standby
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 
-from ..config import Address, ConfigError, read_address
-from ..counters import Counters
-from ..deadlines import Deadlines
+from ..config.options import FrontHttp, Options
+from ..config.platform import Address, ConfigError, read_address
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
 from ..nginx.router import Router
 from ..nginx.table import Box, Upstream, load_site
-from ..options import FrontHttp, Options
 from ..upstream.pool import Caches
 from .balanced import Balanced
 from .connection import PlainConnection
--- a/gladewalk/web/wire.py
+++ b/gladewalk/web/wire.py
@@ -10,7 +10,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from ..exchange import Ask, End, Head
+from ..core.exchange import Ask, End, Head
 from ..nginx.router import Landing, Rules, redirect_of
 
 Fields = list[tuple[str, str]]
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 from gladewalk import interface as api
+from gladewalk.core.exchange import Ask, Final
 from gladewalk.director import Director
-from gladewalk.exchange import Ask, Final
 from gladewalk.net.connection import ClientConnection
 from gladewalk.rehearsal.peers import SETTINGS
 from gladewalk.rehearsal.virtual.scenario import Fault, Fleet, Scenario, Traffic
--- a/tests/policy_replay.py
+++ b/tests/policy_replay.py
@@ -12,7 +12,7 @@
 import random
 from typing import Any
 
-from gladewalk import simhost
+from gladewalk import simulator_adapter
 
 MAX_TIME_MS = 60_000.0
 CLASSES: list[dict[str, Any]] = [
@@ -68,7 +68,7 @@
 
     def __init__(self, seed: int, changes: dict[str, Any]) -> None:
         self.random = random.Random(seed)
-        self.adapter = simhost.Adapter()
+        self.adapter = simulator_adapter.Adapter()
         self.out = io.StringIO()
         self.queue: list[tuple[float, int, dict[str, Any]]] = []
         self.order = 0
--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -20,7 +20,7 @@
 import trustme
 from click.testing import CliRunner
 
-from gladewalk.cli import gladewalk
+from gladewalk.cli.commands import gladewalk
 from gladewalk.dns.answers import Via
 from gladewalk.dns.conform.suite import Verdict, run_cases, the_cases
 from gladewalk.dns.conform.target import Target
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,12 +12,12 @@
 
 from click.testing import CliRunner
 
-from gladewalk.cli import gladewalk
-from gladewalk.config import ConfigError
+from gladewalk.cli.commands import gladewalk
+from gladewalk.config.options import options_of, read_tables
+from gladewalk.config.platform import ConfigError
 from gladewalk.control.client import HANGS, NOT_THERE, OTHER_VERSION, UNUSABLE, ControlError, ask
 from gladewalk.control.server import Control, Unanswerable, check_path
-from gladewalk.counters import Counters
-from gladewalk.options import options_of, read_tables
+from gladewalk.core.counters import Counters
 from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, until
 
 
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -9,9 +9,9 @@
 import pytest
 
 from gladewalk import interface as api
+from gladewalk.config.policy_settings import read_settings
 from gladewalk.net.requests import BadRequest, read_ask
 from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, request
-from gladewalk.settings import read_settings
 
 from .world import CACHES, ORIGIN, PAGE, PARENTS, World, finals
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -5,7 +5,7 @@
 import socket
 import unittest
 
-from gladewalk.config import Config, read
+from gladewalk.config.platform import Config, read
 from gladewalk.director import Director
 from gladewalk.net.clients import SPARE_CONNECTIONS
 from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for, read_message, request, until
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -5,7 +5,7 @@
 import unittest
 from typing import Any
 
-from gladewalk.exchange import TURN_MS
+from gladewalk.core.exchange import TURN_MS
 from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer, request, until
 from gladewalk.upstream.http1 import CacheConnection
 from gladewalk.upstream.targets import Dial
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -15,7 +15,7 @@
 import dns.rrset
 
 from gladewalk import interface as api
-from gladewalk.config import read
+from gladewalk.config.platform import read
 from gladewalk.dns.answers import fit
 from gladewalk.dns.names import Routed, Rules, Wanted, labels_of, write_name
 from gladewalk.dns.settings import DnsConfig
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -13,13 +13,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
 
 from gladewalk import interface as api
-from gladewalk.config import read
+from gladewalk.config.options import Options, options_of, read_tables
+from gladewalk.config.platform import read
 from gladewalk.director import Director
 from gladewalk.duties.ownership import Claim, Ownership, owner_of
 from gladewalk.duties.pacing import Pacing
 from gladewalk.members.seal import make_key
 from gladewalk.members.terms import Change
-from gladewalk.options import Options, options_of, read_tables
 from gladewalk.rehearsal.dutynet import DutyNet, duty_cluster
 from gladewalk.rehearsal.ownerwalk import Broken, Budget, Walk
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for, until
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -46,13 +46,15 @@
         "faultnet",
         "rehearsal",
         "control",
-        "console",
+        "cli.terminal_output",
         "nginx",
         "web",
         "store",
         "streams",
         "dns",
-        "options",
+        "config.options",
+        "config.key_ring_file",
+        "registry.dns_leases",
         "cli",
     )
     off = {f"gladewalk.{name}" for name in ours}
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -123,9 +123,9 @@
 
 
 def test_a_lease_setting_that_cannot_be_used_is_one_line_naming_its_key() -> None:
-    from gladewalk.config import ConfigError
+    from gladewalk.config.options import load_options
+    from gladewalk.config.platform import ConfigError
     from gladewalk.leases.start import checked
-    from gladewalk.options import load_options
 
     base = "[leases]\nlisten = '127.0.0.1:1'\nkeys = 'k'\nhubs = ['127.0.0.1:2']\n{}"
     base += "[leases.peers]\na = '127.0.0.1:1'\n{}[store]\nfolder = 's'\n{}"
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -10,9 +10,9 @@
 import unittest
 from pathlib import Path
 
-from gladewalk.config import ConfigError, read_address
+from gladewalk.config.platform import ConfigError, read_address
+from gladewalk.core.deadlines import Deadlines
 from gladewalk.daemon import Quiet
-from gladewalk.deadlines import Deadlines
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Rehearsal,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,13 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gladewalk.limits.admission import PRICE_LEAST, PRICE_MOST, AdmissionPrice
-from gladewalk.limits.ageing import LEAST_MS, Ageing
-from gladewalk.limits.cold import Credit, Warming, drawn
-from gladewalk.limits.keys import Keys
-from gladewalk.limits.recovery import BACKOFF_MOST_MS, SHARE_FLOOR, grown, halved, rest_ms, silence_ms
-from gladewalk.limits.retries import RETRY_MOST, RetryBudget
-from gladewalk.limits.room import FULL_MS, SPAN, Room, Usual, is_over
+from gladewalk.limits.admission_price import PRICE_LEAST, PRICE_MOST, AdmissionPrice
+from gladewalk.limits.backoff import BACKOFF_MOST_MS, SHARE_FLOOR, grown, halved, rest_ms, silence_ms
+from gladewalk.limits.concurrency import FULL_MS, SPAN, Room, Usual, is_over
+from gladewalk.limits.idempotency_keys import Keys
+from gladewalk.limits.retry_budget import RETRY_MOST, RetryBudget
+from gladewalk.limits.slow_start import Credit, Warming, drawn
+from gladewalk.limits.sojourn import LEAST_MS, Ageing
 
 
 def learned(guess: float, bears: float, answers: int = 4_000, seed: int = 1) -> float:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,10 +5,11 @@
 
 import pytest
 
-from gladewalk import Dispatcher, spread
+from gladewalk import Dispatcher
 from gladewalk import interface as api
+from gladewalk.registry import rendezvous
+from gladewalk.registry.object_locations import MEMORY_MS
 from gladewalk.registry.records import PendingRequest
-from gladewalk.remembered import MEMORY_MS
 
 from .world import ALL, CACHES, ORIGIN, PARENTS, SETTINGS, SIBLINGS, World
 
@@ -145,7 +146,7 @@
 
 def test_the_work_for_a_request_does_not_grow_with_other_locations(monkeypatch: pytest.MonkeyPatch) -> None:
     hashes = Counter[int]()
-    real = spread.mix
+    real = rendezvous.mix
 
     def counted(value: int) -> int:
         hashes["fleet"] += 1  # type: ignore[index]
@@ -158,7 +159,7 @@
         )
         world = World((*CACHES, *others, *PARENTS, ORIGIN), zones=("h1", "h2", "e1", "e2", "z0"))
         world.trials(True)
-        monkeypatch.setattr("gladewalk.spread.mix", counted)
+        monkeypatch.setattr("gladewalk.registry.rendezvous.mix", counted)
         hashes.clear()
         for key in range(20):
             world.end(world.fill(key), OK, 1, detail=api.OutcomeDetail.FILLED)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,8 +7,8 @@
 import unittest
 from pathlib import Path
 
-from gladewalk.config import ConfigError
-from gladewalk.counters import Counters
+from gladewalk.config.platform import ConfigError
+from gladewalk.core.counters import Counters
 from gladewalk.director import Turn
 from gladewalk.members.gossip import Told
 from gladewalk.members.messages import (
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from gladewalk.counters import Counters
+from gladewalk.core.counters import Counters
 from gladewalk.rehearsal.peers import (
     Heard,
     Rehearsal,
--- a/tests/test_nginx.py
+++ b/tests/test_nginx.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gladewalk.config import ConfigError
+from gladewalk.config.platform import ConfigError
 from gladewalk.nginx.directives import DIRECTIVES, Answer, page
 from gladewalk.nginx.explain import Asked, diff, explain, land, read_requests, told
 from gladewalk.nginx.maps import murmur2
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 from typing import Any
 
-from gladewalk.config import read
-from gladewalk.counters import Counters
-from gladewalk.deadlines import Deadlines
+from gladewalk.config.platform import read
+from gladewalk.core.counters import Counters
+from gladewalk.core.deadlines import Deadlines
 from gladewalk.director import Director
 from gladewalk.net.admin import CALL_MS, CALLERS_MOST, AdminFront
 from gladewalk.ops.figures import Now, final_counter, stats
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -10,9 +10,9 @@
 
 from click.testing import CliRunner
 
-from gladewalk.cli import gladewalk
-from gladewalk.config import ConfigError
-from gladewalk.options import Http2, load_options
+from gladewalk.cli.commands import gladewalk
+from gladewalk.config.options import Http2, load_options
+from gladewalk.config.platform import ConfigError
 from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for
 from tests.h2world import authority
 
@@ -106,7 +106,7 @@
         probe = (
             "import sys, gladewalk.daemon as d; d.read_all(None, None)\n"
             "late = ('h2', 'hpack', 'msgspec', 'click', 'dns', 'tomllib', 'gladewalk.streams',"
-            " 'gladewalk.cli', 'gladewalk.options', 'gladewalk.dns', 'gladewalk.rehearsal')\n"
+            " 'gladewalk.cli.commands', 'gladewalk.config.options', 'gladewalk.dns', 'gladewalk.rehearsal')\n"
             "print(sorted(set(late) & set(sys.modules)))"
         )
         done = subprocess.run(
--- a/tests/test_origin_gate.py
+++ b/tests/test_origin_gate.py
@@ -4,8 +4,8 @@
 
 from gladewalk import interface as api
 from gladewalk.interface import OutcomeDetail, Status
-from gladewalk.limits.origin import TRY_MS, OriginGate
-from gladewalk.limits.recovery import BACKOFF_MOST_MS, BACKOFF_MS
+from gladewalk.limits.backoff import BACKOFF_MOST_MS, BACKOFF_MS
+from gladewalk.limits.origin_breaker import TRY_MS, OriginGate
 
 from .world import ALL, CACHES, ORIGIN, PAGE, World, finals
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from gladewalk.config import read
+from gladewalk.config.platform import read
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from gladewalk.config import ConfigError
+from gladewalk.config.platform import ConfigError
 from gladewalk.rehearsal.virtual.hunt import hunt, shrink
 from gladewalk.rehearsal.virtual.play import CLASSES, play
 from gladewalk.rehearsal.virtual.quiet import quiet
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gladewalk import interface as api
-from gladewalk.limits.recovery import BACKOFF_MOST_MS
+from gladewalk.limits.backoff import BACKOFF_MOST_MS
 from gladewalk.policy.health import DOWN_MS
 
 from .world import ALL, CACHES, ORIGIN, PAGE, PARENTS, SIBLINGS, World, finals
--- a/tests/test_simhost.py
+++ b/tests/test_simulator_adapter.py
@@ -40,7 +40,7 @@
 
 def run(text: str) -> tuple[int, list[dict[str, Any]], str]:
     done = subprocess.run(
-        [sys.executable, "-m", "gladewalk.simhost"],
+        [sys.executable, "-m", "gladewalk.simulator_adapter"],
         input=text, capture_output=True, text=True, cwd=ROOT, timeout=60, check=False,
     )  # fmt: skip
     return done.returncode, [json.loads(line) for line in done.stdout.splitlines()], done.stderr
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -19,13 +19,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
 
 from gladewalk import interface as api
-from gladewalk.cli import gladewalk
-from gladewalk.config import Config, ConfigError, read, read_address
-from gladewalk.counters import Counters
+from gladewalk.cli.commands import gladewalk
+from gladewalk.config.options import Options, options_of, read_tables
+from gladewalk.config.platform import Config, ConfigError, read, read_address
+from gladewalk.core.counters import Counters
 from gladewalk.director import Director
 from gladewalk.dns.settings import DnsConfig
 from gladewalk.net.outside import unix_ms
-from gladewalk.options import Options, options_of, read_tables
 from gladewalk.policy import Dispatcher
 from gladewalk.registry.records import PendingRequest
 from gladewalk.rehearsal.baddisk import BadDisk, File
@@ -429,7 +429,7 @@
     def test_the_tools_look_dump_and_repair_only_when_told_to(self) -> None:
         from click.testing import CliRunner
 
-        from gladewalk.cli import gladewalk
+        from gladewalk.cli.commands import gladewalk
 
         def run(*words: str) -> tuple[int, str]:
             result = CliRunner().invoke(gladewalk, ["store", *words, str(path)])
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from gladewalk.options import Http2
+from gladewalk.config.options import Http2
 from gladewalk.streams.bounds import Bucket, Liveness, Pulse
 from gladewalk.streams.ledger import (
     ENHANCE_YOUR_CALM,
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from gladewalk.config import read
+from gladewalk.config.platform import read
 from gladewalk.director import Director
 from gladewalk.rehearsal.peers import (
     SETTINGS,
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from gladewalk.config.options import options_of, read_tables
 from gladewalk.nginx.table import Box, Site
 from gladewalk.nginx.translate import import_site
-from gladewalk.options import options_of, read_tables
 from gladewalk.rehearsal.peers import Heard, until
 from gladewalk.rehearsal.webworld import Answer, WebWorld
 from gladewalk.web.standby import Standby
@@ -227,7 +227,7 @@
 
 
 def test_a_front_that_cannot_be_is_one_line(tmp_path: Path) -> None:
-    from gladewalk.config import ConfigError
+    from gladewalk.config.platform import ConfigError
     from gladewalk.nginx.table import write_site
 
     (tmp_path / "site.toml").write_text(write_site(import_site(str(CORPUS / "26-listens-apart.conf"))))
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -18,9 +18,10 @@
 from hypothesis import strategies as st
 
 from gladewalk import interface as api
-from gladewalk.config import ConfigError, read
-from gladewalk.counters import Counters
-from gladewalk.deadlines import Deadlines
+from gladewalk.config.platform import ConfigError, read
+from gladewalk.core.counters import Counters
+from gladewalk.core.deadlines import Deadlines
+from gladewalk.core.exchange import Exchange
 from gladewalk.dns.answers import Via, fit
 from gladewalk.dns.cookies import OLDEST_S, Cookies, Shown
 from gladewalk.dns.front import DnsFront
@@ -29,8 +30,7 @@
 from gladewalk.dns.settings import DnsConfig, load_dns, load_records
 from gladewalk.dns.weights import Weights
 from gladewalk.dns.zone import Found, Kind, Zone, zone_of
-from gladewalk.exchange import Exchange
-from gladewalk.ledger import Ledger
+from gladewalk.registry.dns_leases import Ledger
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
 ORIGIN = dns.name.from_text("cdn.example.")
