--- a/gladewalk/upstream/lane.py
+++ b/gladewalk/upstream/lane.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from .. import interface as api
-from ..exchange import End
-from ..options import Http2
+from ..config.options import Http2
+from ..core.exchange import End
 from ..streams.sharing import Next, Shared, Sharing
 from .http2 import Http2Connection
 from .jobs import Job
@@ -55,7 +55,7 @@
                     self.pool.write(self.connections[found.number], dial.job)
                 else:  # the server wants calm, and hears nothing of this one
                     self.pool.counters.add("h2.calm_kept")
-                    self.pool.over(dial.job, End(api.Status.REFUSED))
+                    self.pool.over(dial.job, End(api.Status.REJECTED))
         finally:
             self._pumping = False
 
