--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -155,7 +155,7 @@
         question, asker, due = self.asked[action.id]
         boxes = []
         for server in action.servers:
-            if not self.core.may_name(question, server):
+            if not self.core.may_resolve_to(question, server):
                 return self.feed(question)  # a drain or a purge was told since: it is decided anew
             if (address := self.upstreams.address(server)) is not None:
                 boxes.append((server, address))
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -298,7 +298,7 @@
         self._set_front(config)
         self.feed.roles = config.roles
         if self.dns is not None:
-            self.dns.classes = frozenset(self.exchange.core.classes)
+            self.dns.classes = frozenset(self.exchange.core.state.classes)
         self.follower.move(config.coordinator)
         self.log.info("configuration taken", coordinator=config.coordinator, last=self.feed.last)
 
@@ -309,7 +309,7 @@
 
     def _patience_ms(self) -> float:
         """The longest that any client waits here, as the settings have it."""
-        return max(cls.deadline_ms for cls in self.exchange.core.classes.values())
+        return max(cls.deadline_ms for cls in self.exchange.core.state.classes.values())
 
     def stop(self) -> None:
         if not self._stopping:
@@ -329,7 +329,7 @@
         now = {
             "now.owed": self.exchange.owed,
             "now.passing": sum(taken.winner is not None for taken in self.exchange.taken.values()),
-            "now.waiting": len(self.exchange.core.parked),
+            "now.waiting": len(self.exchange.core.state.queue),
             "now.clients": len(self.front.connections),
             "now.upstream": len(self.caches.live),
             "late_ms": round(self.deadlines.late_ms, 1),
--- a/gladewalk/duties/kinds.py
+++ b/gladewalk/duties/kinds.py
@@ -22,7 +22,7 @@
 
     def names(self) -> Iterable[str]:
         """The servers of its roles that the coordinator lists and that do not drain."""
-        for name, server in self.exchange.core.servers.items():
+        for name, server in self.exchange.core.state.registry.servers.items():
             if server.info.role in self.roles and server.info.state is api.ServerState.READY:
                 yield name
 
@@ -41,7 +41,7 @@
     kind, path, roles = "load", "/load", frozenset((api.Role.CACHE,))
 
     def names(self) -> Iterable[str]:
-        return super().names() if self.exchange.core.settings.may_check_health else ()
+        return super().names() if self.exchange.core.state.settings.may_check_health else ()
 
 
 class CheckSources(Asked):
--- a/gladewalk/limits/__init__.py
+++ b/gladewalk/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Limits that the decisions ask: cold budgets, room learned without reports, keys. No I/O, no clock."""
+"""Limits that the decisions consult, each a small state machine without I/O: time is always an argument."""
--- a/gladewalk/limits/admission_price.py
+++ b/gladewalk/limits/admission_price.py
@@ -1,22 +1,31 @@
-"""Admission by price: while few client connections are left, who holds one longest for its worth is shed."""
+"""Load shedding by price while client connections run short.
+
+A request holds its connection for about its transfer time. While more than `TARGET_UTILIZATION` of the
+connection limit is in use the price of a millisecond rises, and a request that is worth less than the time it
+takes is rejected, so that the longest for their weight are shed first.
+"""
 
 from __future__ import annotations
 
 import math
 
-LIMIT_PART = 0.9  # part of the connection limit that we fill by choice: the rest takes bursts (ours)
-PRICE_LEAST = 2e-3  # worth a ms that a connection costs at first, at which nothing is shed (ours)
-PRICE_MOST = 0.01  # and at the most: small requests pass even while silent servers hold all of them (ours)
-HOLD_MS = 20.0  # what a request holds its connection beside its sending time, as measured (ms, ours)
+TARGET_UTILIZATION = 0.9  # of the connection limit; the rest takes bursts
+MIN_PRICE = 2e-3  # priority weight per millisecond, at which nothing is shed
+MAX_PRICE = 0.01  # small requests pass at it even while silent servers hold all connections
+HOLD_MS = 20.0  # that a request holds its connection beside its transfer time, as measured
 
 
 class AdmissionPrice:
+    """The present price of a millisecond of a client connection, in units of priority weight."""
+
     def __init__(self) -> None:
-        self.price = PRICE_LEAST
+        self.price = MIN_PRICE
 
-    def is_too_dear(self, worth: float, work_ms: float) -> bool:
-        return self.price > PRICE_LEAST and worth < self.price * (HOLD_MS + work_ms)
+    def should_shed(self, priority_weight: float, transfer_ms: float) -> bool:
+        """Whether a request of this weight is worth less than the connection time it takes."""
+        return self.price > MIN_PRICE and priority_weight < self.price * (HOLD_MS + transfer_ms)
 
-    def taken(self, part: float) -> None:
-        """Once a sweep: the part of the connection limit that is in use moves the price."""
-        self.price = min(PRICE_MOST, max(PRICE_LEAST, self.price * math.exp(part - LIMIT_PART)))
+    def update(self, utilization: float) -> None:
+        """Move the price by the part of the connection limit in use; called once a sweep."""
+        price = self.price * math.exp(utilization - TARGET_UTILIZATION)
+        self.price = min(MAX_PRICE, max(MIN_PRICE, price))
--- a/gladewalk/limits/concurrency.py
+++ b/gladewalk/limits/concurrency.py
@@ -1,97 +1,104 @@
-"""How many transfers a server's link bears, where nothing reports its load: an adaptive concurrency limit.
+"""Adaptive concurrency limit of a server's link, where no load reports tell its capacity.
 
-A link with room for k transfers at full pace that n share runs each at k/n of it. Who sends to it sees its
-own transfers out, how long each took, and what was turned away. Two ways to a limit were weighed and measured
-in docs/overload.md: the gradient (time taken over the usual time of the class) and AIMD on answers that came
-late. Both start from a guess and stay within a factor of it.
+A link with room for k transfers at full pace that n share runs each at k/n of it. A sender sees its own
+transfers in flight, how long each took, and what was rejected. Two algorithms were weighed and measured in
+docs/overload.md: the gradient of latency over its baseline, and AIMD on answers that came late. Both start
+from an estimate and stay within a factor of it.
 """
 
 from __future__ import annotations
 
 import math
 
-GUESS = 4.0  # transfers that a server of which nothing was told is taken to bear (ours)
-LEAST = 0.5  # part of a guess that it holds at the least; told links are no exact measure (ours)
-SPAN = 3.0  # times the guess, or that part of it, at which a learned size stops (ours)
-CROWD = 0.75  # part of the slowdown that still meets the aim up to which a server is filled (ours)
-CROWD_SPREAD = 0.8  # standard deviations that our part of its traffic may lie over the mean (ours)
-SMOOTH = 0.05  # weight of a new answer in moving averages (ours)
-DRIFT = 0.002  # and where the link was crowded: the usual time is not learned from that (ours)
-FELT = 0.15  # logarithm of the slowdown from which a link is held to be shared out (ours)
-GAIN = 0.02  # part of the way to what an answer shows that the size goes (ours)
-LIGHT = 0.7  # part of the size, in transfers out, up to which nobody crowds a link (ours)
-FULL_STEP = 0.15  # and that being turned away takes off (ours)
-FULL_MS = 150.0  # a server that turned work away rests this long, or till something ends there (ours)
-
-
-def is_over(out: int, size: float, senders: int, slowdown: float) -> bool:
-    """Whether one transfer more would slow a link past `slowdown`, with `out` of our own on it.
-
-    Our own, times the senders, stand for all. Guards against overload, where late answers crowd out those
-    that could be in time.
+INITIAL_CAPACITY = 4.0  # transfers of a server of which nothing is known
+MIN_FRACTION = 0.5  # of an estimate that a server bears at the least; listed links are no exact measure
+MAX_FACTOR = 3.0  # over the estimate, or under it, at which a learned capacity stops
+FILL_FRACTION = 0.75  # of the slowdown that still meets the objective, up to which a server is filled
+SPREAD_DEVIATIONS = 0.8  # standard deviations that one sender's part of the traffic may lie over the mean
+EWMA_ALPHA = 0.05
+CROWDED_EWMA_ALPHA = 0.002  # of the baseline, for answers of a crowded link
+SHARED_LINK_LOG_SLOWDOWN = 0.15  # from which a link is assumed to be shared out
+GAIN = 0.02  # part of the way to what an answer shows that the capacity goes
+LIGHT_LOAD_FRACTION = 0.7  # of the capacity in flight, up to which a link is not crowded
+REJECTION_STEP = 0.15  # that a rejection takes off the logarithm of the capacity
+REJECTION_BACKOFF_MS = 150.0  # of a server that rejected work, unless something ends there earlier
+
+
+def is_over_capacity(in_flight: int, capacity: float, senders: int, max_slowdown: float) -> bool:
+    """Whether one transfer more would slow a link past `max_slowdown`.
+
+    `in_flight` are this sender's own; times the senders they stand for all. Guards against overload, in which
+    late answers crowd out those that could be in time.
     """
-    ours = max(1.0, CROWD * slowdown) * max(1.0, size) / senders
-    return out > 0 and out + 1 > ours + CROWD_SPREAD * math.sqrt(ours * (1.0 - 1.0 / senders))
+    quota = max(1.0, FILL_FRACTION * max_slowdown) * max(1.0, capacity) / senders
+    tolerance = SPREAD_DEVIATIONS * math.sqrt(quota * (1.0 - 1.0 / senders))
+    return in_flight > 0 and in_flight + 1 > quota + tolerance
 
 
-class Usual:
-    """Logarithm of the time that a class's answers take on a link that nobody crowds."""
+class LatencyBaseline:
+    """Moving average of the logarithm of the time that a class's answers take on an uncrowded link."""
 
-    __slots__ = ("log",)
+    __slots__ = ("log_ms",)
 
     def __init__(self) -> None:
-        self.log = math.nan
+        self.log_ms = math.nan
 
-    def slow(self, took_ms: float, light: bool) -> float:
-        """Learn from an answer, and tell the logarithm of its time over the usual."""
-        log = math.log(max(1.0, took_ms))
-        if math.isnan(self.log):
-            self.log = log
-        self.log += (SMOOTH if light else DRIFT) * (log - self.log)
-        return log - self.log
+    def record(self, elapsed_ms: float, is_lightly_loaded: bool) -> float:
+        """Learn from an answer; returns the logarithm of its time over the baseline."""
+        log_ms = math.log(max(1.0, elapsed_ms))
+        if math.isnan(self.log_ms):
+            self.log_ms = log_ms
+        self.log_ms += (EWMA_ALPHA if is_lightly_loaded else CROWDED_EWMA_ALPHA) * (log_ms - self.log_ms)
+        return log_ms - self.log_ms
 
 
-class Room:
-    """One server's limit, learned. `size` is in transfers at full pace, of all senders together."""
+class ConcurrencyLimit:
+    """One server's learned capacity, in transfers at full pace of all senders together."""
 
-    __slots__ = ("full_until", "guess", "log", "out", "slow")
+    __slots__ = ("estimate", "in_flight", "log_factor", "log_slowdown", "rejecting_until_ms")
 
     def __init__(self) -> None:
-        self.guess, self.log = GUESS, 0.0  # logarithm of the size over the guess
-        self.slow, self.out = 0.0, 1.0  # logarithm of the usual slowdown, and the transfers out with it
-        self.full_until = 0.0
+        self.estimate = INITIAL_CAPACITY
+        self.log_factor = 0.0  # logarithm of the capacity over the estimate
+        self.log_slowdown = 0.0  # moving averages, and of the transfers in flight with it
+        self.in_flight = 1.0
+        self.rejecting_until_ms = 0.0
 
     @property
-    def size(self) -> float:
-        return self.guess * math.exp(self.log)
+    def capacity(self) -> float:
+        """The capacity as learned."""
+        return self.estimate * math.exp(self.log_factor)
 
     @property
-    def at_least(self) -> float:
-        """What is planned with where too much would fell it."""
-        return max(1.0, LEAST * min(self.size, self.guess))
-
-    def _step(self, by: float) -> None:
-        most = math.log(SPAN)
-        self.log = min(most, max(-most, self.log + by))
-
-    def answered(self, slow: float, out: float) -> None:
-        """A whole answer from the server itself, with `out` transfers of all senders on its link."""
-        self.slow += SMOOTH * (slow - self.slow)
-        self.out += SMOOTH * (out - self.out)
-        if self.slow > FELT:
-            self._step(GAIN * (math.log(self.out / self.guess) - self.slow - self.log))
-        elif self.out > self.size:
-            self._step(GAIN * (math.log(self.out / self.guess) - self.log))
-        self.full_until = 0.0
-
-    def is_light(self, out: float) -> bool:
-        return out <= LIGHT * self.size
-
-    def turned_away(self, now_ms: float) -> None:
-        """It took nothing: no use to knock again before something of ours has ended there."""
-        if now_ms >= self.full_until:  # what was sent together says it once
-            self._step(-FULL_STEP)
-        self.full_until = now_ms + FULL_MS
-
-    def is_full(self, now_ms: float) -> bool:
-        return now_ms < self.full_until
+    def min_capacity(self) -> float:
+        """A careful capacity, for plans in which too much would make the server fail."""
+        return max(1.0, MIN_FRACTION * min(self.capacity, self.estimate))
+
+    def _adjust(self, step: float) -> None:
+        limit = math.log(MAX_FACTOR)
+        self.log_factor = min(limit, max(-limit, self.log_factor + step))
+
+    def record_answer(self, log_slowdown: float, in_flight: float) -> None:
+        """Learn from a complete answer, with `in_flight` transfers of all senders on the link."""
+        self.log_slowdown += EWMA_ALPHA * (log_slowdown - self.log_slowdown)
+        self.in_flight += EWMA_ALPHA * (in_flight - self.in_flight)
+        log_in_flight = math.log(self.in_flight / self.estimate)
+        if self.log_slowdown > SHARED_LINK_LOG_SLOWDOWN:
+            self._adjust(GAIN * (log_in_flight - self.log_slowdown - self.log_factor))
+        elif self.in_flight > self.capacity:
+            self._adjust(GAIN * (log_in_flight - self.log_factor))
+        self.rejecting_until_ms = 0.0
+
+    def is_lightly_loaded(self, in_flight: float) -> bool:
+        """Whether so many transfers leave the link uncrowded."""
+        return in_flight <= LIGHT_LOAD_FRACTION * self.capacity
+
+    def record_rejection(self, now_ms: float) -> None:
+        """The server rejected an attempt; attempts that were sent together count once."""
+        if now_ms >= self.rejecting_until_ms:
+            self._adjust(-REJECTION_STEP)
+        self.rejecting_until_ms = now_ms + REJECTION_BACKOFF_MS
+
+    def is_rejecting(self, now_ms: float) -> bool:
+        """Whether the backoff after a rejection lasts."""
+        return now_ms < self.rejecting_until_ms
--- a/gladewalk/limits/retry_budget.py
+++ b/gladewalk/limits/retry_budget.py
@@ -1,21 +1,23 @@
-"""The retry budget: tries after failures, and second copies, in proportion to requests."""
+"""Retry budget: retries and hedged requests in proportion to requests, so that they cannot amplify."""
 
 from __future__ import annotations
 
-RETRY_RATE = 0.15  # tries after failures or second copies that one request pays for: no feedback (ours)
-RETRY_MOST = 12.0  # such tries that may be saved up (ours)
+RETRIES_PER_REQUEST = 0.15
+MAX_SAVED_RETRIES = 12.0
 
 
 class RetryBudget:
+    """A token bucket that every request fills a little and every retry or hedge empties by one."""
+
     def __init__(self) -> None:
-        self.left = RETRY_MOST
+        self.tokens = MAX_SAVED_RETRIES
 
-    def earn(self) -> None:
-        """A request has come."""
-        self.left = min(RETRY_MOST, self.left + RETRY_RATE)
+    def deposit(self) -> None:
+        """Count a request."""
+        self.tokens = min(MAX_SAVED_RETRIES, self.tokens + RETRIES_PER_REQUEST)
 
-    def take(self) -> bool:
-        """Whether one more try is paid for; it counts as made."""
-        paid = self.left >= 1.0
-        self.left -= paid
-        return paid
+    def withdraw(self) -> bool:
+        """Take the token of one retry; False if there is none."""
+        is_paid = self.tokens >= 1.0
+        self.tokens -= is_paid
+        return is_paid
--- a/gladewalk/limits/slow_start.py
+++ b/gladewalk/limits/slow_start.py
@@ -1,6 +1,7 @@
-"""A cold server's capacity, rising from a part to the whole, and one sender's part of the budget it bears.
+"""Slow start of restarted servers: their capacity model, and one sender's part of the load they bear.
 
-Times are ms of whatever clock the caller keeps; capacity is in transfers at full pace, work in ms of one.
+Times are milliseconds of the caller's clock. Capacity is in transfers at full pace, work in milliseconds of
+one transfer.
 """
 
 from __future__ import annotations
@@ -12,88 +13,96 @@
 from .. import interface as api
 from ..interface import Role
 
-COLD_MARGIN = 0.8  # part of a cold server's budget that we plan with; sizes and means are estimates (ours)
-GOLDEN = 0.6180339887498949  # multiples of it fill a circle evenly, wherever one begins and ends
-COLD_BURST = 0.3  # part of a fall window's budget that a sender may save up over one request (ours)
+SAFETY_MARGIN = 0.8  # part of a server's budget that is planned with; capacities and means are estimates
+GOLDEN_RATIO = 0.6180339887498949  # multiples of it, modulo 1, fill the unit interval evenly
+BURST_FRACTION = 0.3  # of an overload window's budget that a sender may save up over one request
 
 
 @dataclass(slots=True, frozen=True)
-class Warming:
-    """How the servers of one role warm up, as the settings tell: a straight line at the slowest."""
+class SlowStart:
+    """Slow-start capacity model: a linear ramp from `initial_fraction` to 1 over `ramp_ms`."""
 
-    share: float = 1.0  # of the capacity, at the start
+    initial_fraction: float = 1.0
     ramp_ms: float = 0.0
-    multiple: float = 1.0  # of the present capacity, at which it falls over
+    overload_multiple: float = 1.0  # of the present capacity, at which the server fails
 
-    def is_cold(self, started_ms: float, now_ms: float) -> bool:
-        """`started_ms` 0: long ago."""
+    def is_warming_up(self, started_ms: float, now_ms: float) -> bool:
+        """Whether the ramp is not over; a `started_ms` of 0 stands for long ago."""
         return started_ms > 0 and self.ramp_ms > 0 and now_ms < started_ms + self.ramp_ms
 
-    def warmth(self, started_ms: float, at_ms: float) -> float:
-        """The part of its capacity that a server has at that time, at the least."""
-        age = max(0.0, at_ms - started_ms)
-        if not started_ms or age >= self.ramp_ms:
+    def capacity_fraction(self, started_ms: float, at_ms: float) -> float:
+        """The least part of its full capacity that a server has at `at_ms`."""
+        age_ms = max(0.0, at_ms - started_ms)
+        if not started_ms or age_ms >= self.ramp_ms:
             return 1.0
-        return self.share + (1.0 - self.share) * age / self.ramp_ms
+        return self.initial_fraction + (1.0 - self.initial_fraction) * age_ms / self.ramp_ms
 
-    def bears(self, capacity: float) -> float:
-        """Work a ms that may be planned for a server that has this capacity now, by all senders together."""
-        return COLD_MARGIN * self.multiple * capacity
+    def sustainable_rate(self, capacity: float) -> float:
+        """Work per millisecond, of all senders, that may be planned for a server of this present capacity."""
+        return SAFETY_MARGIN * self.overload_multiple * capacity
 
 
-def warming_of(settings: api.Settings) -> dict[Role, Warming]:
-    """How the servers of each role warm up; an origin never starts."""
-    t = settings
+def slow_start_by_role(settings: api.Settings) -> dict[Role, SlowStart]:
+    """The capacity model of each tier; an origin never restarts."""
     return {
-        Role.CACHE: Warming(t.slow_start_fraction, t.slow_start_ms, t.overload_multiple),
-        Role.PARENT: Warming(
-            t.parent_slow_start_fraction, t.parent_slow_start_ms, t.parent_overload_multiple
+        Role.CACHE: SlowStart(
+            settings.slow_start_fraction, settings.slow_start_ms, settings.overload_multiple
         ),
-        Role.ORIGIN: Warming(),
+        Role.PARENT: SlowStart(
+            settings.parent_slow_start_fraction,
+            settings.parent_slow_start_ms,
+            settings.parent_overload_multiple,
+        ),
+        Role.ORIGIN: SlowStart(),
     }
 
 
-def drawn(me: int, salt: int, rng: random.Random) -> float:
-    """From [0, 1): a sender's lot at one server. Numbered senders spread evenly, others by chance."""
-    return (me * GOLDEN + salt / 2.0**64) % 1.0 if me >= 0 else rng.random()
+def subset_position(dispatcher_index: int, hash_salt: int, rng: random.Random) -> float:
+    """A sender's position in [0, 1) among a server's senders: spread evenly by its index, else random."""
+    if dispatcher_index < 0:
+        return rng.random()
+    return (dispatcher_index * GOLDEN_RATIO + hash_salt / 2.0**64) % 1.0
 
 
-class Credit:
-    """One sender's part of a cold server's budget: earned as time goes by, spent with each attempt.
+class SlowStartBudget:
+    """One sender's part of a restarted server's budget: a token bucket with sender subsetting.
 
-    No sender knows what the others do. Guards against the sum of many, each of which may save up no more
-    than one request: thirty that get work at once, after a lull or at the server's start, would send thirty.
-    So only as many take part as the server bears at one time, each by its own lot and with so much more of
-    the budget, more of them as it warms up (subsetting); and they begin one behind the other.
+    No sender knows what the others do. Guards against their sum: thirty senders that each saved up one
+    request would send thirty at once. So only as many senders take part as the server bears at one time, each
+    by its own position and with so much more of the budget, more of them as the server warms up; and they
+    start one after another.
     """
 
-    __slots__ = ("at_ms", "left", "lot")
+    __slots__ = ("position", "tokens_ms", "updated_ms")
 
     def __init__(self) -> None:
-        self.left, self.at_ms = math.nan, 0.0  # nothing earned yet
-        self.lot = math.nan
+        self.tokens_ms = math.nan  # of work; not a number: does not take part
+        self.updated_ms = 0.0
+        self.position = math.nan
 
-    def has_room(
-        self, now_ms: float, rate: float, senders: int, window_ms: float, mean_ms: float, lot: float
+    def allows(
+        self, now_ms: float, rate: float, senders: int, window_ms: float, mean_ms: float, position: float
     ) -> bool:
-        """Whether one more request may be sent now; what it takes is spent afterwards, into debt if need be.
+        """Whether one more request may be sent now; its work is withdrawn afterwards, into debt if need be.
 
-        `rate` is the work a ms of all `senders` together, `window_ms` the time in which a server falls,
-        `mean_ms` the work of a usual request; the first `lot` from [0, 1) is kept.
+        `rate` is the work per millisecond of all `senders` together, `window_ms` the overload window, and
+        `mean_ms` the work of a mean request. Of `position`, in [0, 1), the first value is kept.
         """
-        if math.isnan(self.lot):
-            self.lot = lot
-        few = min(senders, max(1.0, rate * window_ms / mean_ms))
-        place = self.lot * senders / few
-        if place >= 1.0:
-            self.left = math.nan  # who takes part later begins anew
+        if math.isnan(self.position):
+            self.position = position
+        active_senders = min(senders, max(1.0, rate * window_ms / mean_ms))
+        rank = self.position * senders / active_senders
+        if rank >= 1.0:
+            self.tokens_ms = math.nan
             return False
-        if math.isnan(self.left):
-            self.left, self.at_ms = -place * mean_ms, now_ms
-        saved = max(0.0, rate / few * window_ms * COLD_BURST - mean_ms)
-        self.left = min(saved, self.left + rate / few * (now_ms - self.at_ms))
-        self.at_ms = now_ms
-        return self.left >= 0.0
-
-    def spend(self, work_ms: float) -> None:
-        self.left -= work_ms
+        if math.isnan(self.tokens_ms):
+            self.tokens_ms, self.updated_ms = -rank * mean_ms, now_ms
+        own_rate = rate / active_senders
+        max_tokens_ms = max(0.0, own_rate * window_ms * BURST_FRACTION - mean_ms)
+        self.tokens_ms = min(max_tokens_ms, self.tokens_ms + own_rate * (now_ms - self.updated_ms))
+        self.updated_ms = now_ms
+        return self.tokens_ms >= 0.0
+
+    def withdraw(self, work_ms: float) -> None:
+        """Take the work of a request that is sent."""
+        self.tokens_ms -= work_ms
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -237,7 +237,7 @@
 
     def status_of(self, ask: Ask) -> int | None:
         """What a request is answered that no cache could use: it is not passed on."""
-        cls = self.exchange.core.classes.get(ask.class_name)
+        cls = self.exchange.core.state.classes.get(ask.class_name)
         if cls is None:
             return 404
         if cls.is_write and ask.method != "PUT":
--- a/gladewalk/ops/calls.py
+++ b/gladewalk/ops/calls.py
@@ -15,7 +15,7 @@
 def now_of(director: Director) -> Now:
     """What is so now: requests owed; caches listed, and those the module rests or that drain."""
     core, now_ms = director.exchange.core, director.exchange.clock()
-    listed = [s for s in core.servers.values() if s.info.state is not ServerState.GONE]
+    listed = [s for s in core.state.registry.servers.values() if s.info.state is not ServerState.GONE]
     avoided = sum(s.info.state is not ServerState.READY or now_ms < s.backoff_until_ms for s in listed)
     return Now(pending=director.exchange.owed, members=len(listed), members_unavailable=avoided)
 
@@ -28,7 +28,7 @@
         return (200, b"ready\n") if readiness.ready() else (503, b"not ready\n")
 
     def figures() -> tuple[int, bytes]:
-        return 200, stats(director.counters, director.exchange.core.classes, now_of(director))
+        return 200, stats(director.counters, director.exchange.core.state.classes, now_of(director))
 
     def drain_start() -> tuple[int, bytes]:
         readiness.start_drain(director.exchange.clock())
--- /dev/null
+++ b/gladewalk/policy/capacity.py
@@ -0,0 +1,66 @@
+"""Whether a server or the inbound link can bear one transfer more."""
+
+from __future__ import annotations
+
+from ..interface import Role
+from ..limits.concurrency import is_over_capacity
+from ..limits.slow_start import subset_position
+from ..registry.records import PendingRequest, ServerRecord
+from ..registry.state import RoutingState
+
+DNS_LEASE_FRACTION = 0.5  # of a restarted server's budget that DNS answers may fill; the rest is for sends
+
+
+class CapacityLimits:
+    """Limits by latency objective, and the budgets of restarted servers."""
+
+    def __init__(self, state: RoutingState) -> None:
+        self._state = state
+
+    def is_crowded(self, server: ServerRecord, pending: PendingRequest) -> bool:
+        """Whether one transfer more would slow a server's link so that this request misses its objective.
+
+        This dispatcher's transfers, times the dispatchers of the location, stand for all. The next cache of
+        the rendezvous order is no way out: it mostly lacks the object.
+        """
+        state = self._state
+        if server.concurrency_limit.is_rejecting(state.now_ms):
+            return True
+        capacity, senders = state.capacities.capacity(server), state.topology.senders_in_zone
+        max_slowdown = state.estimates.max_slowdown(pending)
+        is_over = is_over_capacity(len(server.attempts), capacity * server.weight, senders, max_slowdown)
+        is_known = state.settings.capacities_listed or state.settings.infers_capacity
+        return is_over and is_known and state.now_ms >= server.spare_capacity_until_ms
+
+    def is_link_overloaded(self, pending: PendingRequest) -> bool:
+        """The same of the inbound link, which all fills from outside this location share."""
+        state, capacity = self._state, self._state.registry.link_capacity
+        if capacity <= 0 or state.now_ms < state.capacities.link_spare_until_ms:
+            return False
+        senders, max_slowdown = state.topology.senders_in_zone, state.estimates.max_slowdown(pending)
+        return is_over_capacity(state.outside_fills, capacity, senders, max_slowdown)
+
+    def has_slow_start_budget(self, server: ServerRecord) -> bool:
+        """Whether a server is warm, or this dispatcher's part of its budget allows one request more."""
+        state = self._state
+        if not state.is_warming_up(server):
+            return True
+        is_parent = server.info.role is Role.PARENT
+        if is_parent and not state.topology.is_own_hub(server.info.zone):
+            return False  # left to the dispatchers of its own hub
+        senders = state.topology.senders_in_hub if is_parent else state.topology.senders_in_zone
+        rate = state.sustainable_rate(server)
+        if state.dns_leases is not None:  # cached DNS answers draw on the same budget
+            bound = self.max_dns_lease_weight(server)
+            rate -= senders * state.dns_leases.total_weight(server.address, bound, state.now_ms)
+            rate = max(0.0, rate)
+        position = subset_position(state.settings.dispatcher_index, server.hash_salt, state.random)
+        window_ms, budget = state.settings.overload_window_ms, server.slow_start_budget
+        return budget.allows(state.now_ms, rate, senders, window_ms, state.estimates.mean_ms, position)
+
+    def max_dns_lease_weight(self, server: ServerRecord) -> float:
+        """Transfers at a time that this dispatcher's DNS answers may bring to a server, were it restarted."""
+        slow_start = self._state.slow_start[server.info.role]
+        capacity = self._state.capacities.min_capacity(server) * slow_start.initial_fraction
+        rate = slow_start.sustainable_rate(capacity)
+        return DNS_LEASE_FRACTION * rate / self._state.topology.senders_in_zone
--- /dev/null
+++ b/gladewalk/policy/dns_placement.py
@@ -0,0 +1,94 @@
+"""DNS placement: which caches a resolver is given, by the same homes and rules as requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .. import interface as api
+from ..registry.records import PendingRequest, ServerRecord
+from ..registry.state import RoutingState
+from .candidates import CandidateSelector
+from .capacity import CapacityLimits
+from .health import EndpointHealth
+from .routing import PURGE_MARGIN_MS
+
+DNS_LEASE_MS = 300_000.0  # for which an answer is assumed to be cached, whatever its time to live
+
+
+@dataclass(slots=True)
+class DnsPlacement:
+    """Answers that resolvers cache: counted as leases beforehand, since none can be called back."""
+
+    state: RoutingState
+    health: EndpointHealth
+    capacity: CapacityLimits
+    candidates: CandidateSelector
+
+    def on_resolve(self, question: api.ResolveRequest) -> None:
+        """Answer with the object's home, or the director itself; wait while no server at all is usable."""
+        state, request_class = self.state, self.state.classes.get(question.class_name)
+        if request_class is None:
+            return state.act(api.Reject(question.id))
+        request = api.Request(question.id, question.class_name, question.key, question.time_left_ms)
+        request.part = question.part
+        pending = PendingRequest(request, request_class, state.now_ms)
+        homes = self.candidates.homes(pending)
+        upstreams = (*state.registry.hub_parents, *state.registry.remote_parents, *state.registry.origins)
+        if not homes and not any(map(self.health.is_usable, upstreams)):
+            state.unresolved[question.id] = question  # until a server is usable or its client is gone
+            return None
+        state.unresolved.pop(question.id, None)
+        is_cacheable = homes and not request_class.is_write and not self._is_purge_unsettled(question)
+        servers = self._select(question, pending, homes) if is_cacheable else []
+        ttl_ms = min(map(self._ttl_ms, servers), default=state.dns_lease_table().max_ttl_ms)
+        return state.act(api.Resolved(question.id, tuple(server.info.name for server in servers), ttl_ms))
+
+    def retry_unresolved(self) -> None:
+        """Answer the questions that waited, as far as a server is usable now."""
+        for question in list(self.state.unresolved.values()):
+            self.on_resolve(question)
+
+    def may_resolve_to(self, question: api.ResolveRequest, server: str) -> bool:
+        """Whether an answer may still be written: not after a drain or a purge since it was decided."""
+        return self.state.registry.is_ready(server) and not self._is_purge_unsettled(question)
+
+    def _is_purge_unsettled(self, question: api.ResolveRequest) -> bool:
+        """Whether a cache may still hold a purged copy, which only a director can refuse."""
+        since_ms = self.state.now_ms - self.state.settings.purge_settle_ms - PURGE_MARGIN_MS
+        return self.state.purges.has_any_since(question.key, question.group, since_ms)
+
+    def _ttl_ms(self, server: ServerRecord) -> float:
+        bound, is_warming_up = self.capacity.max_dns_lease_weight(server), self.state.is_warming_up(server)
+        return self.state.dns_lease_table().ttl_ms(server.address, bound, is_warming_up, self.state.now_ms)
+
+    def _select(
+        self, question: api.ResolveRequest, pending: PendingRequest, homes: list[ServerRecord]
+    ) -> list[ServerRecord]:
+        """The home, and the next cache if that holds the object too; else where a crowded one's goes."""
+        second = self.candidates.second_home(pending, homes)
+        is_held = second is not None and second in self.candidates.holders(pending)
+        servers = [homes[0], second] if second is not None and is_held else [homes[0]]
+        transfers = question.transfers / len(servers)
+        granted = [server for server in servers if self._lease(server, question, pending, transfers)]
+        if granted or second is None or is_held:
+            return granted
+        return [second] if self._lease(second, question, pending, question.transfers) else []
+
+    def _lease(
+        self, server: ServerRecord, question: api.ResolveRequest, pending: PendingRequest, transfers: float
+    ) -> bool:
+        """Count an answer as cached; False if that were too many for the server when it restarts.
+
+        Guards against resolvers that keep answers past their time: none can be called back at a restart.
+        """
+        leases, now_ms = self.state.dns_lease_table(), self.state.now_ms
+        lease = server.address, question.resolver, pending.object_id
+        bound = self.capacity.max_dns_lease_weight(server)
+        is_full = transfers > leases.available_weight(*lease, bound, now_ms)
+        if is_full or self.capacity.is_crowded(server, pending):
+            return False
+        if not self.capacity.has_slow_start_budget(server):
+            return False
+        self.state.withdraw_slow_start_budget(server, pending)
+        leases.grant(*lease, now_ms + DNS_LEASE_MS, transfers)
+        return True
--- a/gladewalk/policy/health.py
+++ b/gladewalk/policy/health.py
@@ -1,4 +1,4 @@
-"""Which servers can take work: rests after failures, silence, crowding, and the budgets of cold ones."""
+"""Endpoint health: failures, backoff, silence, and weights of slow caches."""
 
 from __future__ import annotations
 
@@ -6,162 +6,84 @@
 
 from .. import interface as api
 from ..interface import Role, ServerState, Status
-from ..limits.backoff import rest_ms, silence_ms
-from ..limits.concurrency import Usual, is_over
-from ..limits.slow_start import drawn
-from ..registry.known import SMOOTH, Known
-from ..registry.records import PendingRequest, ServerRecord
+from ..limits.backoff import backoff_ms, decrease_quota, silence_ms
+from ..limits.origin_breaker import OriginBreaker
+from ..registry.capacity_estimates import LOAD_REPORT_TTL_MS
+from ..registry.outcome_recorder import DOWN_MS
+from ..registry.records import ServerRecord
+from ..registry.state import RoutingState
 
-LEASE_PART = 0.5  # part of a cold server's budget that held answers may fill; the rest is for sends (ours)
-DOWN_MS = 400.0  # a server out of reach and not heard for this long (ms) is down: our usual gap (ours)
-SLOW = 2.5  # times slower than its location's median from which a cache loses weight: beyond chance (ours)
-CALM = 0.8  # part of a link in use, as reported, under which it is not crowded whatever we count (ours)
-LOAD_FRESH_MS = 1_500.0  # a load report is used for this long (ms): a few report periods (ours)
-ORDERS_KEPT = 16_384  # objects whose order of homes is kept at most; bounds memory (ours)
+MIN_OUTLIER_SLOWDOWN = 2.5  # over the location's median, from which a cache loses weight: beyond chance
+MAX_HOME_ORDERS = 16_384  # bounds memory
+UNREACHABLE = (Status.CONNECT_FAILED, Status.TIMEOUT)
 
 
-class Health(Known):
-    """What a server can be trusted with now."""
+class EndpointHealth:
+    """Which servers can take work, by what their answers and their silence tell."""
 
-    def _heard(self, s: ServerRecord) -> None:
-        if s.last_answer_ms:
-            s.answer_gap_ms += SMOOTH * (min(self.now - s.last_answer_ms, 1_000.0) - s.answer_gap_ms)
-        s.last_answer_ms, s.consecutive_failures, s.backoff_until_ms = self.now, 0, 0.0
+    def __init__(self, state: RoutingState) -> None:
+        self._state = state
+        self.origin_breaker = OriginBreaker(state.settings.dispatcher_count)
 
-    def _strike(self, s: ServerRecord, hard: bool) -> None:
-        """A failure at a server: rest it, longer each time; it comes back with one trial."""
-        if self.now < s.backoff_until_ms:
+    def record_failure(self, server: ServerRecord, is_unreachable: bool) -> None:
+        """Back off from the server, longer each time; it comes back with one trial."""
+        now_ms, caches = self._state.now_ms, self._state.registry.own_caches
+        if now_ms < server.backoff_until_ms:
             return
-        s.consecutive_failures += 1
-        resting = sum(self.now < other.backoff_until_ms for other in self.caches)
-        if s in self.caches and not hard and 2 * resting + 2 > max(2, len(self.caches)):
-            return  # most of a location at rest is worse than answers lost at some of it
-        if hard and self.now - s.last_answer_ms > DOWN_MS and s.info.role is not Role.ORIGIN:
-            s.started_ms = self.now  # down: cold and empty when it comes back, which the list tells late
-        if hard or s.consecutive_failures > 1:
-            s.backoff_until_ms = self.now + rest_ms(s.consecutive_failures)
-
-    def _on_probe(self, p: api.HealthCheckResult, s: ServerRecord) -> None:
-        """A probe proves that a process runs, or is out of reach; not that it serves what it is asked."""
-        if p.status is Status.OK and p.age_ms < LOAD_FRESH_MS:
-            self._learn_load(s, p.load_report or {})
-        elif p.status in (Status.CONNECT_FAILED, Status.TIMEOUT) and s.last_answer_ms < self.now - p.age_ms:
-            self._strike(s, hard=p.status is Status.CONNECT_FAILED)
-
-    def _usable(self, s: ServerRecord) -> bool:
-        """Listed ready and not resting; after its rest one trial at a time, another if it told nothing."""
-        if s.info.state is not ServerState.READY or self.now < s.backoff_until_ms:
+        server.consecutive_failures += 1
+        ejected = sum(now_ms < cache.backoff_until_ms for cache in caches)
+        if server in caches and not is_unreachable and 2 * ejected + 2 > max(2, len(caches)):
+            return  # to eject most of a location is worse than answers lost at some of its caches
+        was_silent = now_ms - server.last_answer_ms > DOWN_MS
+        if is_unreachable and was_silent and server.info.role is not Role.ORIGIN:
+            server.started_ms = now_ms  # it comes back empty and warming up; the list tells that late
+        if is_unreachable or server.consecutive_failures > 1:
+            server.backoff_until_ms = now_ms + backoff_ms(server.consecutive_failures)
+
+    def on_health_check(self, result: api.HealthCheckResult) -> None:
+        """A health check tells that a process runs or is out of reach, not that it serves requests."""
+        state, server = self._state, self._state.registry.get(result.server)
+        if server is None:
+            return
+        if result.status is Status.OK and result.age_ms < LOAD_REPORT_TTL_MS:
+            state.capacities.record_load_report(server, result.load_report or {}, state.now_ms)
+        elif result.status in UNREACHABLE and server.last_answer_ms < state.now_ms - result.age_ms:
+            self.record_failure(server, is_unreachable=result.status is Status.CONNECT_FAILED)
+
+    def is_usable(self, server: ServerRecord) -> bool:
+        """Listed ready and not ejected; after its backoff one trial at a time, until one is answered."""
+        if server.info.state is not ServerState.READY or self._state.now_ms < server.backoff_until_ms:
             return False
-        return s.backoff_until_ms == 0.0 or s.last_sent_ms < s.backoff_until_ms or not s.attempts
-
-    def _may_reach_origin(self) -> bool:
-        return self.gate.is_open(self.now) and all(self.now >= s.backoff_until_ms for s in self.origins)
-
-    def _is_ready(self, name: str) -> bool:
-        return name in self.servers and self.servers[name].info.state is ServerState.READY
-
-    def _is_silent(self, s: ServerRecord) -> bool:
-        """Work is out at it and nothing has come back for long: hung, vanished or cut off."""
-        oldest = next(iter(s.attempts.values()))
-        return self.now - max(oldest, s.last_answer_ms) > silence_ms(s.answer_gap_ms, len(s.attempts))
-
-    def _weigh(self) -> None:
-        """A cache far slower than its neighbours counts for less, before it costs answers (ageing)."""
-        changed = any(s.weight < 1.0 or self._is_cold(s) for s in self.caches)
-        paces = sorted(s.log_slowdown for s in self.caches)
-        for s in self.caches:
-            slower = math.exp(s.log_slowdown - paces[(len(paces) - 1) // 2])
-            s.weight = 1.0 if slower < SLOW else 1.0 / slower
-        if changed or len(self.orders) > ORDERS_KEPT or any(s.weight < 1.0 for s in self.caches):
-            self.orders.clear()
-
-    def _learn_load(self, s: ServerRecord, load: dict[str, float]) -> None:
-        """A report of room overrules our own counts, in which waiting fills stand too; else they stand."""
-        until_ms = self._spare_until_ms(load.get("util"))
-        if until_ms is not None:
-            s.spare_capacity_until_ms = until_ms
-        until_ms = self._spare_until_ms(load.get("x1")) if s in self.caches else None
-        if until_ms is not None:
-            self.link_spare_until_ms = until_ms
-
-    def _spare_until_ms(self, load: float | None) -> float | None:
-        """Until when a reported load proves spare capacity; None for a report without a sound figure."""
-        if not isinstance(load, int | float) or not 0.0 <= load < math.inf:
-            return None
-        return self.now + LOAD_FRESH_MS if load < CALM else 0.0
-
-    def _learn_pace(self, took_ms: float, r: PendingRequest, s: ServerRecord) -> None:
-        """From a plain hit: how slow its server is, how much its link bears, how long the object takes."""
-        out = len(s.attempts) * self.here
-        if s.info.role is Role.CACHE and self.settings.infers_capacity:
-            usual = self.usual.setdefault(r.request_class.name, Usual())
-            s.concurrency_limit.answered(
-                usual.slow(took_ms, s.concurrency_limit.is_light(out + self.here)), out + self.here
-            )
-        s.log_slowdown += SMOOTH * (
-            math.log(max(1.0, took_ms) / max(1.0, self._own_work(r))) - s.log_slowdown
-        )
-        if not r.request.size_kb:
-            alone_ms = took_ms / max(1.0, out / max(1.0, self._size(s))) if s in self.caches else took_ms
-            self._learn_work(r.request_class, alone_ms)
-            self.sizes.put(r.object_id, alone_ms)
-
-    def _size(self, s: ServerRecord) -> float:
-        """Transfers at full pace that a server's link bears: as listed, else as learned."""
-        return s.concurrency_limit.size if self.settings.infers_capacity else s.info.capacity
-
-    def _is_crowded(self, s: ServerRecord, r: PendingRequest) -> bool:
-        """Whether one transfer more would slow a cache's link so that this request misses its aim.
-
-        Our transfers out, times the dispatchers of the location, stand for all. The next cache of the hash is
-        no way out: it mostly lacks the object.
-        """
-        if s.concurrency_limit.is_full(self.now):
-            return True
-        over = is_over(len(s.attempts), self._size(s) * s.weight, self.here, self._slowdown(r))
-        known = self.settings.capacities_listed or self.settings.infers_capacity
-        return over and known and self.now >= s.spare_capacity_until_ms
-
-    def _is_link_over(self, r: PendingRequest) -> bool:
-        """The same of the location's link in, which all fills from outside share."""
-        known = self.link_in > 0 and self.now >= self.link_spare_until_ms
-        return known and is_over(self.outside, self.link_in, self.here, self._slowdown(r))
-
-    def _slowdown(self, r: PendingRequest) -> float:
-        """How slow a transfer may run for this request to meet its aim; a repeat is past its own already."""
-        return (
-            1.0
-            if r.request.is_client_retry
-            else r.request_class.latency_objective_stretch
-            + r.request_class.latency_objective_ms / max(1.0, self._own_work(r))
-        )
-
-    def _is_cold(self, s: ServerRecord) -> bool:
-        return self.warming[s.info.role].is_cold(s.started_ms, self.now)
-
-    def _has_cold_room(self, s: ServerRecord) -> bool:
-        """The budget of a cold server: each dispatcher that may send to it earns its part as time goes by."""
-        if not self._is_cold(s):
-            return True
-        if s.info.role is Role.PARENT and not self.where.is_ours(s.info.zone):
-            return False  # left to the dispatchers of its own hub
-        ramp = self.warming[s.info.role]
-        senders = self.where.near if s.info.role is Role.PARENT else self.here
-        rate = ramp.bears(
-            self._size_at_least(s) * ramp.warmth(s.started_ms, s.slow_start_budget.at_ms or self.now)
-        )
-        if self.ledger is not None:  # held answers draw on the same budget
-            rate = max(0.0, rate - senders * self.ledger.total(s.address, self._lease_most(s), self.now))
-        window, lot = (
-            self.settings.overload_window_ms,
-            drawn(self.settings.dispatcher_index, s.hash_salt, self.random),
-        )
-        return s.slow_start_budget.has_room(self.now, rate, senders, window, self.usual_ms, lot)
-
-    def _size_at_least(self, s: ServerRecord) -> float:
-        told = s.info.capacity if self.settings.capacities_listed else 1.0
-        return s.concurrency_limit.at_least if self.settings.infers_capacity else told
-
-    def _lease_most(self, s: ServerRecord) -> float:
-        warming = self.warming[s.info.role]
-        return LEASE_PART * warming.bears(self._size_at_least(s) * warming.share) / self.here
+        has_no_trial = server.last_sent_ms < server.backoff_until_ms or not server.attempts
+        return server.backoff_until_ms == 0.0 or has_no_trial
+
+    def may_reach_origin(self) -> bool:
+        """Whether a fill may be sent that can reach the origin."""
+        now_ms, origins = self._state.now_ms, self._state.registry.origins
+        is_reachable = all(now_ms >= origin.backoff_until_ms for origin in origins)
+        return self.origin_breaker.allows(now_ms) and is_reachable
+
+    def eject_if_silent(self, server: ServerRecord) -> bool:
+        """Eject a server that hangs, vanished or is cut off; False if it does not look like it."""
+        now_ms = self._state.now_ms
+        if not server.attempts or now_ms < server.backoff_until_ms:
+            return False
+        quiet_ms = now_ms - max(next(iter(server.attempts.values())), server.last_answer_ms)
+        if quiet_ms <= silence_ms(server.answer_gap_ms, len(server.attempts)):
+            return False
+        server.consecutive_failures += 1  # a silence has lasted: it needs no second one
+        server.fill_quota = decrease_quota(server.fill_quota)
+        self.record_failure(server, is_unreachable=False)
+        return True
+
+    def adjust_weights(self) -> None:
+        """Lower the weight of caches far slower than their neighbours, before they cost answers."""
+        state, registry = self._state, self._state.registry
+        is_changing = any(cache.weight < 1.0 or state.is_warming_up(cache) for cache in registry.own_caches)
+        slowdowns = sorted(cache.log_slowdown for cache in registry.own_caches)
+        for cache in registry.own_caches:
+            slowdown = math.exp(cache.log_slowdown - slowdowns[(len(slowdowns) - 1) // 2])
+            cache.weight = 1.0 if slowdown < MIN_OUTLIER_SLOWDOWN else 1.0 / slowdown
+        is_changing = is_changing or any(cache.weight < 1.0 for cache in registry.own_caches)
+        if is_changing or len(registry.home_order) > MAX_HOME_ORDERS:
+            registry.home_order.clear()
--- a/gladewalk/registry/dns_leases.py
+++ b/gladewalk/registry/dns_leases.py
@@ -1,12 +1,12 @@
-"""Answers that resolvers hold, by the place of the box that they name: they bound what a cold box is sent.
+"""DNS answers that resolvers may still hold, by the address that they name. No I/O.
 
-No I/O. None can be called back, and resolvers keep answers past their time to live, so that each counts for
-the time of a lease. Sums are kept, and what expires is found by the second: an answer costs the same at ten
-leases and at a million. A lease is known by a 64-bit hash of holder and object (`benchmarks/leases.py` tells
-what it takes).
+They bound what a restarted cache is sent: no answer can be called back, and resolvers keep answers past their
+time to live, so that each counts for the time of a lease. Sums are kept, and expiry goes by the second: an
+answer costs the same at ten leases and at a million. A lease is identified by a 64-bit hash of resolver and
+object (`benchmarks/leases.py` measures the memory).
 
-A director that starts without knowing what its last run gave out assumes the worst for as long as a lease may
-last: that the bound is used up.
+A director that starts without knowing what its last run gave out assumes, for as long as a lease may last,
+that the bound is used up. Times are Unix milliseconds.
 """
 
 from __future__ import annotations
@@ -14,88 +14,108 @@
 import math
 from collections import defaultdict
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import xxhash
 
-Object = tuple[int, int]
+from .object_locations import ObjectId
 
+SECOND_MS = 1_000.0
+DEFAULT_MIN_TTL_MS = 1_000.0
+DEFAULT_MAX_TTL_MS = 2_000.0
 
-def key_of(holder: str, obj: Object) -> int:
-    return xxhash.xxh3_64_intdigest(f"{holder}|{obj[0]:x}.{obj[1]}".encode())
+
+class DnsLease(NamedTuple):
+    """Until when one answer counts, and how many transfers at a time it may bring."""
+
+    until_ms: float
+    weight: float
+
+
+def lease_hash(resolver: str, object_id: ObjectId) -> int:
+    """The 64-bit identity of a resolver's lease on an object."""
+    return xxhash.xxh3_64_intdigest(f"{resolver}|{object_id[0]:x}.{object_id[1]}".encode())
 
 
 @dataclass(slots=True)
-class Place:
-    """The leases of one place. Those of one second and weight share their tuple."""
+class AddressLeases:
+    """The leases on one address. Those of one second and weight share their tuple."""
 
-    held: dict[int, tuple[float, float]] = field(default_factory=dict)  # until, weight
-    total: float = 0.0
+    leases: dict[int, DnsLease] = field(default_factory=dict)
+    total_weight: float = 0.0
 
 
-class Ledger:
-    """Times are Unix ms, weights transfers at a time that a held answer may bring."""
+class DnsLeaseTable:
+    """Leases by address, with their total weight."""
 
     def __init__(self) -> None:
-        self.places: defaultdict[str, Place] = defaultdict(Place)
-        self.ends: dict[int, list[tuple[str, int]]] = {}  # what may end at each second
-        self.next_end: float = math.inf
-        self.unknown_until = 0.0
-        self.shared = (0.0, 0.0)
-        self.ttl_least_ms, self.ttl_most_ms = 1_000.0, 2_000.0
+        self.addresses: defaultdict[str, AddressLeases] = defaultdict(AddressLeases)
+        self.min_ttl_ms, self.max_ttl_ms = DEFAULT_MIN_TTL_MS, DEFAULT_MAX_TTL_MS
+        self._expiring: dict[int, list[tuple[str, int]]] = {}  # by second: what may end then
+        self._next_expiry: float = math.inf  # a second
+        self._unknown_until_ms = 0.0
+        self._shared = DnsLease(0.0, 0.0)
 
     def __len__(self) -> int:
-        return sum(len(place.held) for place in self.places.values())
+        return sum(len(entry.leases) for entry in self.addresses.values())
 
-    def assume_the_worst(self, until_ms: float) -> None:
-        """Nobody knows what was given out before now: up to then the bound counts as used up."""
-        self.unknown_until = until_ms
+    def assume_full(self, until_ms: float) -> None:
+        """Count every bound as used up until then: it is unknown what an earlier run gave out."""
+        self._unknown_until_ms = until_ms
 
-    def total(self, place: str, bound: float, now_ms: float) -> float:
-        """The weight held for a place; the bound itself while nobody knows."""
+    def total_weight(self, address: str, bound: float, now_ms: float) -> float:
+        """The weight of an address's leases; at least the bound while they are unknown."""
         self._expire(now_ms)
-        known = self.places[place].total if place in self.places else 0.0
-        return max(known, bound) if now_ms < self.unknown_until else known
-
-    def room(self, place: str, holder: str, obj: Object, bound: float, now_ms: float) -> float:
-        """The weight that one lease may have, beside all others of its place."""
-        mine = self.find(place, holder, obj)
-        return bound - self.total(place, bound, now_ms) + (mine[1] if mine is not None else 0.0)
-
-    def hold(self, place: str, holder: str, obj: Object, until_ms: float, weight: float) -> None:
-        """A lease, or the same one anew; it counts to the end of its second."""
-        key, at, second = key_of(holder, obj), self.places[place], math.ceil(until_ms / 1_000.0)
-        before = at.held.get(key)
-        if (second * 1_000.0, weight) != self.shared:
-            self.shared = (second * 1_000.0, weight)
-        at.held[key] = self.shared
-        at.total += weight - (before[1] if before is not None else 0.0)
-        if before is None or before[0] != self.shared[0]:
-            self.ends.setdefault(second, []).append((place, key))
-            self.next_end = min(self.next_end, second)
-
-    def find(self, place: str, holder: str, obj: Object) -> tuple[float, float] | None:
-        """Until when, and with what weight."""
-        at = self.places.get(place)
-        return at.held.get(key_of(holder, obj)) if at is not None else None
-
-    def ttl_ms(self, place: str, bound: float, cold: bool, now_ms: float) -> float:
-        """How long an answer may be kept: the shorter, the nearer its box is to its bound.
-
-        A box that is cold, or whose place is full, changes its state within seconds. The director itself is
-        never a wrong answer, and may be kept for `ttl_most_ms`.
+        known = self.addresses[address].total_weight if address in self.addresses else 0.0
+        return max(known, bound) if now_ms < self._unknown_until_ms else known
+
+    def available_weight(
+        self, address: str, resolver: str, object_id: ObjectId, bound: float, now_ms: float
+    ) -> float:
+        """The weight that one lease may have beside all others of its address."""
+        own = self.find(address, resolver, object_id)
+        available = bound - self.total_weight(address, bound, now_ms)
+        return available + (own.weight if own is not None else 0.0)
+
+    def grant(self, address: str, resolver: str, object_id: ObjectId, until_ms: float, weight: float) -> None:
+        """Record a lease or its renewal; it counts to the end of its second."""
+        identity, entry = lease_hash(resolver, object_id), self.addresses[address]
+        second = math.ceil(until_ms / SECOND_MS)
+        before = entry.leases.get(identity)
+        if (second * SECOND_MS, weight) != self._shared:
+            self._shared = DnsLease(second * SECOND_MS, weight)
+        entry.leases[identity] = self._shared
+        entry.total_weight += weight - (before.weight if before is not None else 0.0)
+        if before is None or before.until_ms != self._shared.until_ms:
+            self._expiring.setdefault(second, []).append((address, identity))
+            self._next_expiry = min(self._next_expiry, second)
+
+    def find(self, address: str, resolver: str, object_id: ObjectId) -> DnsLease | None:
+        """A resolver's lease on an object at an address."""
+        entry = self.addresses.get(address)
+        return entry.leases.get(lease_hash(resolver, object_id)) if entry is not None else None
+
+    def ttl_ms(self, address: str, bound: float, is_warming_up: bool, now_ms: float) -> float:
+        """The time to live of an answer: the shorter, the nearer its address is to its bound.
+
+        A server that is warming up, or whose bound is used up, changes its state within seconds. The director
+        itself is never a wrong answer, and may be cached for `max_ttl_ms`.
         """
-        full = 1.0 if cold or bound <= 0.0 else min(1.0, self.total(place, bound, now_ms) / bound)
-        return self.ttl_most_ms - full * (self.ttl_most_ms - self.ttl_least_ms)
+        utilization = 1.0
+        if not is_warming_up and bound > 0.0:
+            utilization = min(1.0, self.total_weight(address, bound, now_ms) / bound)
+        return self.max_ttl_ms - utilization * (self.max_ttl_ms - self.min_ttl_ms)
 
     def _expire(self, now_ms: float) -> None:
-        """Each second once. What was renewed since has a later entry."""
-        now = now_ms // 1_000.0
-        while self.next_end <= now:
-            second = int(self.next_end)
-            for name, key in self.ends.pop(second):
-                place = self.places[name]
-                held = place.held.get(key)
-                if held is not None and held[0] <= second * 1_000.0:
-                    del place.held[key]
-                    place.total = place.total - held[1] if place.held else 0.0  # no rest of rounding
-            self.next_end = min(self.ends, default=math.inf)
+        """Drop what has ended, each second once. A lease that was renewed since has a later entry."""
+        now_second = now_ms // SECOND_MS
+        while self._next_expiry <= now_second:
+            second = int(self._next_expiry)
+            for address, identity in self._expiring.pop(second):
+                entry = self.addresses[address]
+                lease = entry.leases.get(identity)
+                if lease is not None and lease.until_ms <= second * SECOND_MS:
+                    del entry.leases[identity]
+                    # An empty entry is exactly 0, without the rest of rounding.
+                    entry.total_weight = entry.total_weight - lease.weight if entry.leases else 0.0
+            self._next_expiry = min(self._expiring, default=math.inf)
--- /dev/null
+++ b/gladewalk/registry/execution_log.py
@@ -0,0 +1,37 @@
+"""Where keyed requests may have run: kept per pending request, and per idempotency key across requests."""
+
+from __future__ import annotations
+
+from .. import interface as api
+from ..interface import Idempotency, Status
+from ..limits.idempotency_keys import IdempotencyKeys, PossibleExecution
+from .records import Attempt, PendingRequest
+
+NOT_RUN_STATUSES = (Status.REJECTED, Status.CONNECT_FAILED, Status.NOT_SENT, Status.MISS)
+
+
+class ExecutionLog:
+    """Records sends that may have run. Times are milliseconds of the caller's clock."""
+
+    def __init__(self) -> None:
+        self._keys: IdempotencyKeys[api.Server] = IdempotencyKeys()
+
+    def start(self, pending: PendingRequest, now_ms: float) -> None:
+        """Take over what earlier requests with the same idempotency key may have done."""
+        request_class, key = pending.request_class, pending.request.idempotency_key
+        if request_class.idempotency is Idempotency.KEYED and key:
+            max_age_ms = request_class.deduplication_window_ms + request_class.deadline_ms
+            pending.first_execution = self._keys.first_execution(key, now_ms, max_age_ms)
+
+    def record_sent(self, pending: PendingRequest, endpoint: api.Server, now_ms: float) -> None:
+        """An attempt is sent, and may run from now on."""
+        if key := pending.request.idempotency_key:
+            self._keys.record_sent(key, now_ms, endpoint)
+
+    def record_outcome(self, status: Status, attempt: Attempt, pending: PendingRequest) -> None:
+        """An attempt has ended: it has not run, or it may have."""
+        if status in NOT_RUN_STATUSES:
+            key = pending.request.idempotency_key
+            self._keys.record_not_run(key, attempt.sent_ms, attempt.endpoint)
+        elif pending.first_execution is None:
+            pending.first_execution = PossibleExecution(attempt.sent_ms, attempt.endpoint)
--- a/gladewalk/registry/object_locations.py
+++ b/gladewalk/registry/object_locations.py
@@ -1,4 +1,7 @@
-"""What is remembered of objects, bounded in number: holders, sending times, purges. Times are ms."""
+"""Bounded maps by object: which servers hold it, what its transfer takes, when it was purged.
+
+Times are milliseconds of the caller's clock.
+"""
 
 from __future__ import annotations
 
@@ -6,59 +9,71 @@
 from collections.abc import Iterator
 from typing import TypeVar
 
-Object = tuple[int, int]  # key, part
+ObjectId = tuple[int, int]  # key, part
+PurgeKey = tuple[str, int]  # "key" or "group", number
 Value = TypeVar("Value")
 
-MEMORY_MS = 30_000.0  # a holder's memory fades in this (ms); the design page
-OBJECTS_KNOWN = 8192  # objects whose holders, or whose sending time, are known at most (ours)
+LOCATION_TTL_MS = 30_000.0  # after which a location is forgotten; given by the design page
+MAX_OBJECTS = 8192  # bounds memory
 
 
-class Bounded(dict[Object, Value]):
-    """Something of each object; what was put longest ago goes when there is too much."""
+class BoundedObjectMap(dict[ObjectId, Value]):
+    """A map by object that drops the entry set longest ago when it has too many."""
 
-    def put(self, obj: Object, value: Value) -> None:
-        self.pop(obj, None)
-        self[obj] = value
-        if len(self) > OBJECTS_KNOWN:
+    def put(self, object_id: ObjectId, value: Value) -> None:
+        """Set an entry, as the youngest."""
+        self.pop(object_id, None)
+        self[object_id] = value
+        if len(self) > MAX_OBJECTS:
             del self[next(iter(self))]
 
 
-class Holders(Bounded[dict[str, float]]):
-    """Object -> server that held it -> when it was last seen there."""
+class ObjectLocations(BoundedObjectMap[dict[str, float]]):
+    """For each object the servers that held it, with the time at which that was last seen."""
 
-    def saw(self, obj: Object, name: str, now_ms: float) -> None:
-        lately = {n: at for n, at in self.get(obj, {}).items() if now_ms - at < MEMORY_MS}
-        self.put(obj, lately | {name: now_ms})
+    def record(self, object_id: ObjectId, server: str, now_ms: float) -> None:
+        """A server was seen to hold an object."""
+        seen = self.get(object_id, {})
+        recent = {name: at_ms for name, at_ms in seen.items() if now_ms - at_ms < LOCATION_TTL_MS}
+        self.put(object_id, recent | {server: now_ms})
 
-    def lacks(self, obj: Object, name: str) -> None:
-        self.get(obj, {}).pop(name, None)
+    def remove(self, object_id: ObjectId, server: str) -> None:
+        """A server was seen to lack an object."""
+        self.get(object_id, {}).pop(server, None)
 
-    def last_seen(self, obj: Object, name: str) -> float:
-        return self.get(obj, {}).get(name, -math.inf)
+    def last_seen_ms(self, object_id: ObjectId, server: str) -> float:
+        """When a server was last seen to hold an object; minus infinity if never."""
+        return self.get(object_id, {}).get(server, -math.inf)
 
-    def since(self, obj: Object, after_ms: float, now_ms: float) -> Iterator[tuple[str, float]]:
-        """Who was seen with it after that time, and not longer ago than memories last."""
-        floor = max(now_ms - MEMORY_MS, after_ms)
-        return ((name, at) for name, at in self.get(obj, {}).items() if at > floor)
+    def holders_since(
+        self, object_id: ObjectId, since_ms: float, now_ms: float
+    ) -> Iterator[tuple[str, float]]:
+        """Servers last seen with an object after `since_ms` and within the time to live, with that time."""
+        oldest_ms = max(now_ms - LOCATION_TTL_MS, since_ms)
+        return ((name, at_ms) for name, at_ms in self.get(object_id, {}).items() if at_ms > oldest_ms)
 
 
-class Purges(dict[tuple[str, int], float]):
-    """("key" | "group", number) -> when it was purged, the oldest in front."""
+class PurgeLog(dict[PurgeKey, float]):
+    """When objects and groups were last purged, the purge recorded longest ago in front."""
 
-    def told(self, key: int | None, group: int, at_ms: float) -> None:
-        what = ("group", group) if key is None else ("key", key)
-        self[what] = max(at_ms, self.pop(what, at_ms))
+    def record(self, key: int | None, group: int, at_ms: float) -> None:
+        """An object, or with no key its whole group, was purged."""
+        purge_key = ("group", group) if key is None else ("key", key)
+        self[purge_key] = max(at_ms, self.pop(purge_key, at_ms))
 
-    def last(self, key: int, group: int) -> float:
-        """When an object, or its group, was last purged as far as was told."""
+    def last_ms(self, key: int, group: int) -> float:
+        """When an object or its group was last purged; minus infinity if never."""
         return max(self.get(("key", key), -math.inf), self.get(("group", group), -math.inf))
 
-    def any_since(self, key: int, group: int | None, since_ms: float) -> bool:
-        """Whether it was purged after that time; without a group it may be in each of them."""
-        ours = ("key", key), ("group", group)
-        lately = (what for what, at in self.items() if at > since_ms)
-        return any(what in ours or (group is None and what[0] == "group") for what in lately)
+    def has_any_since(self, key: int, group: int | None, since_ms: float) -> bool:
+        """Whether an object was purged after that time; without a group it may be in each of them."""
+        candidates = ("key", key), ("group", group)
+        recent = (purge_key for purge_key, at_ms in self.items() if at_ms > since_ms)
+        return any(
+            purge_key in candidates or (group is None and purge_key[0] == "group") for purge_key in recent
+        )
 
-    def forget(self, until_ms: float) -> None:
+    def expire(self, until_ms: float) -> None:
+        """Drop the purges up to that time."""
         while self and (oldest := next(iter(self.items())))[1] <= until_ms:
             del self[oldest[0]]
--- a/gladewalk/registry/records.py
+++ b/gladewalk/registry/records.py
@@ -8,11 +8,16 @@
 from dataclasses import dataclass
 
 from .. import interface as api
-from ..limits.backoff import GAP_START_MS, SHARE_START
-from ..limits.concurrency import Room
-from ..limits.slow_start import Credit
-from .object_locations import Object
-from .rendezvous import salt_of
+from ..interface import Idempotency
+from ..limits.backoff import INITIAL_ANSWER_GAP_MS, INITIAL_FILL_QUOTA
+from ..limits.concurrency import ConcurrencyLimit
+from ..limits.idempotency_keys import PossibleExecution
+from ..limits.slow_start import SlowStartBudget
+from .object_locations import ObjectId
+from .rendezvous import server_salt
+
+MAX_ANSWER_GAP_MS = 1_000.0
+ANSWER_GAP_EWMA_ALPHA = 0.1
 
 
 class ServerRecord:
@@ -20,7 +25,7 @@
 
     def __init__(self, info: api.Server, first_byte_ms: float) -> None:
         """`first_byte_ms` is the time to a fill's first byte that is assumed before one was seen."""
-        self.hash_salt = salt_of(info.name)
+        self.hash_salt = server_salt(info.name)
         self.first_byte_ms = first_byte_ms
         self.attempts: dict[tuple[int, int], float] = {}  # in flight to it or filled from it: when sent
         self.fills_in_flight = 0
@@ -29,16 +34,24 @@
     def reset(self, info: api.Server) -> None:
         """Forget what was measured before a restart of the server's process."""
         self.info = info  # its entry in the endpoint list
-        self.fill_quota = SHARE_START  # concurrent fills that this dispatcher may have out at it
+        self.fill_quota = INITIAL_FILL_QUOTA  # concurrent fills that this dispatcher may have out at it
         self.consecutive_failures = 0
         self.log_slowdown = 0.0  # moving average of the logarithm of hits' time over the expected time
         self.weight = 1.0  # factor on its capacity in the rendezvous hash
         self.backoff_until_ms = self.last_sent_ms = self.last_answer_ms = 0.0
         self.spare_capacity_until_ms = 0.0  # until then a load report says that its link is not full
-        self.answer_gap_ms = GAP_START_MS  # moving average of the time between answers
+        self.answer_gap_ms = INITIAL_ANSWER_GAP_MS  # moving average of the time between answers
         self.started_ms = info.started_ms  # last start of its process, listed or inferred
-        self.slow_start_budget = Credit()
-        self.concurrency_limit = Room()
+        self.slow_start_budget = SlowStartBudget()
+        self.concurrency_limit = ConcurrencyLimit()
+
+    def record_answer(self, now_ms: float) -> None:
+        """The server has answered, whatever it said: its backoff ends."""
+        if self.last_answer_ms:
+            gap_ms = min(now_ms - self.last_answer_ms, MAX_ANSWER_GAP_MS)
+            self.answer_gap_ms += ANSWER_GAP_EWMA_ALPHA * (gap_ms - self.answer_gap_ms)
+        self.last_answer_ms = now_ms
+        self.consecutive_failures, self.backoff_until_ms = 0, 0.0
 
     @property
     def address(self) -> str:
@@ -55,6 +68,7 @@
     source: str | None  # the name of the source that fills a miss
     sent_ms: float
     purged_ms: float  # the object's last purge that the attempt's age bound takes into account
+    is_fill: bool  # a read with a source
 
 
 class PendingRequest:
@@ -64,8 +78,9 @@
         """The deadline is what the request has left, from `now_ms` on."""
         self.request = request
         self.request_class = request_class
-        self.object_id: Object = (request.key, request.part)
+        self.object_id: ObjectId = (request.key, request.part)
         self.is_write = request_class.is_write or request.is_write  # it runs at the origin
+        self.is_idempotent = request_class.idempotency is Idempotency.IDEMPOTENT
         self.arrived_ms = now_ms
         self.deadline_ms = now_ms + request.time_left_ms
         self.attempts_sent = 0
@@ -74,9 +89,21 @@
         self.failed_sources: list[str] = []
         self.lost_at: list[str] = []  # hosts at which one attempt was lost; they may be asked once more
         self.failed_hosts: list[str] = []
-        self.first_execution: tuple[float, api.Server] | None = None  # when and where it may have run first
+        self.first_execution: PossibleExecution[api.Server] | None = None
         self.is_queued = False
         self.has_response_begun = False
         self.accepts_stale = False
         # The hub's parents, as they were last ranked for this object, and in that order.
         self.ranked_parents: tuple[list[ServerRecord], list[ServerRecord]] = [], []
+
+    def rule_out_silent(self, server: str, attempt: Attempt) -> None:
+        """Ask a server no more that was silent as the attempt's host, or as the source of its fill."""
+        if attempt.host == server:
+            self.failed_hosts.append(server)
+        else:
+            self.rule_out_source(server, attempt.host)
+
+    def rule_out_source(self, source: str, host: str) -> None:
+        """Ask neither this source again, nor this host for a copy that it holds."""
+        self.failed_sources.append(source)
+        self.missed_at.append(host)
--- a/gladewalk/registry/rendezvous.py
+++ b/gladewalk/registry/rendezvous.py
@@ -1,31 +1,35 @@
-"""Weighted rendezvous hashing: which of several servers an object belongs to, agreed without a word."""
+"""Weighted rendezvous hashing (Thaler and Ravishankar, 1998; Schindelhauer and Schomaker, 2005).
+
+All dispatchers that know the same servers agree which of them an object belongs to, without communication.
+"""
 
 from __future__ import annotations
 
 import math
 
-MASK = (1 << 64) - 1
+MASK_64 = (1 << 64) - 1
+MAX_UNIT = 1.0 - 2.0**-53
 
 
-def mix(value: int) -> int:
-    """A stable 64-bit mix of an integer (the splitmix64 finaliser)."""
-    value = (value + 0x9E3779B97F4A7C15) & MASK
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & MASK
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & MASK
+def mix64(value: int) -> int:
+    """A stable 64-bit mix of an integer: the finalizer of SplitMix64 (Steele et al., 2014)."""
+    value = (value + 0x9E3779B97F4A7C15) & MASK_64
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & MASK_64
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & MASK_64
     return value ^ (value >> 31)
 
 
-def salt_of(name: str) -> int:
+def server_salt(name: str) -> int:
     """A server's own part of the hash."""
-    return mix(int.from_bytes(name.encode(), "big") & MASK ^ mix(len(name)))
+    return mix64(int.from_bytes(name.encode(), "big") & MASK_64 ^ mix64(len(name)))
 
 
-def seed_of(key: int, part: int) -> int:
+def object_seed(key: int, part: int) -> int:
     """An object's own part of the hash."""
-    return mix(key * 1_000_003 + part)
+    return mix64(key * 1_000_003 + part)
 
 
-def score(seed: int, salt: int, weight: float) -> float:
-    """The server with the highest score has the object: each for its weight's part of all objects."""
-    unit = (mix(seed ^ salt) + 0.5) / 2.0**64
-    return weight / -math.log(min(unit, 1.0 - 2.0**-53))
+def weighted_score(seed: int, salt: int, weight: float) -> float:
+    """The server with the highest score owns the object; each owns a part of all objects by its weight."""
+    unit = (mix64(seed ^ salt) + 0.5) / 2.0**64
+    return weight / -math.log(min(unit, MAX_UNIT))
--- /dev/null
+++ b/gladewalk/registry/state.py
@@ -0,0 +1,145 @@
+"""The state that the parts of the decision module share. Nothing is decided here."""
+
+from __future__ import annotations
+
+import random
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from .. import interface as api
+from ..limits.slow_start import slow_start_by_role
+from .capacity_estimates import CapacityEstimates
+from .estimates import TransferEstimates
+from .execution_log import ExecutionLog
+from .object_locations import ObjectLocations, PurgeLog
+from .records import Attempt, PendingRequest, ServerRecord
+from .request_queue import RequestQueue
+from .servers import ServerRegistry
+from .topology import Topology
+
+if TYPE_CHECKING:
+    from .dns_leases import DnsLeaseTable
+
+AttemptKey = tuple[int, int]  # request id, number of its attempt
+
+
+class TimerToken(StrEnum):
+    """Tokens of the timers that the decision module sets."""
+
+    SWEEP = "sweep"
+    WATCH = "watch"
+
+
+class RoutingState:
+    """What one dispatcher knows, with the clock, the random numbers and the actions of the present event."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now_ms = 0.0
+        self.actions: list[api.Action] = []
+        self.registry = ServerRegistry()
+        self.estimates = TransferEstimates()
+        self.capacities = CapacityEstimates(self.registry, self.estimates)
+        self.executions = ExecutionLog()
+        self.locations = ObjectLocations()
+        self.purges = PurgeLog()
+        self.pending: dict[int, PendingRequest] = {}
+        self.attempts: dict[AttemptKey, tuple[Attempt, PendingRequest]] = {}
+        self.queue = RequestQueue(self.pending)  # of requests that wait for a source
+        self.unresolved: dict[int, api.ResolveRequest] = {}  # asked while nothing can serve
+        self.dns_leases: DnsLeaseTable | None = None  # None: nobody has asked by DNS
+        self.outside_fills = 0  # in flight from outside this location, over its inbound link
+        self.configure(settings)
+
+    def configure(self, settings: api.Settings) -> None:
+        """Take settings, at the start or later; what was learned stays, pending requests keep their class.
+
+        Raises `InvalidSettingsError` for settings that contradict one another.
+        """
+        api.validate_settings(settings)
+        self.settings = settings
+        self.classes = {request_class.name: request_class for request_class in settings.classes}
+        self.slow_start = slow_start_by_role(settings)
+        self.topology = Topology(settings)
+        self.estimates.configure(settings)
+        self.capacities.configure(settings, self.topology.senders_in_zone)
+        self.registry.configure(settings, self.topology)
+
+    def act(self, action: api.Action) -> None:
+        """Add an action to those that answer the present event."""
+        self.actions.append(action)
+
+    def is_warming_up(self, server: ServerRecord) -> bool:
+        """Whether a server restarted lately and has not its full capacity yet."""
+        return self.slow_start[server.info.role].is_warming_up(server.started_ms, self.now_ms)
+
+    def capacity_fraction(self, server: ServerRecord) -> float:
+        """The least part of its full capacity that a server has now."""
+        slow_start = self.slow_start[server.info.role]
+        return slow_start.capacity_fraction(server.started_ms, self.now_ms)
+
+    def sustainable_rate(self, server: ServerRecord) -> float:
+        """Work per millisecond, of all senders, that a server bears which is warming up."""
+        slow_start = self.slow_start[server.info.role]
+        at_ms = server.slow_start_budget.updated_ms or self.now_ms
+        fraction = slow_start.capacity_fraction(server.started_ms, at_ms)
+        return slow_start.sustainable_rate(self.capacities.min_capacity(server) * fraction)
+
+    def busy_servers(self) -> list[ServerRecord]:
+        """The servers that attempts in flight went to or are filled from, by name."""
+        names = {name for attempt, _ in self.attempts.values() for name in (attempt.host, attempt.source)}
+        servers = (self.registry.get(name) for name in sorted(name for name in names if name))
+        return [server for server in servers if server is not None]
+
+    def last_purge_ms(self, pending: PendingRequest) -> float:
+        """When a request's object was last purged; minus infinity if never."""
+        return self.purges.last_ms(pending.request.key, pending.request.group)
+
+    def start_attempt(self, pending: PendingRequest, host: ServerRecord, source: ServerRecord | None) -> None:
+        """Count an attempt that is sent to `host`, and filled from `source` if it is named."""
+        key = (pending.request.id, pending.attempts_sent)
+        pending.is_queued = False
+        pending.attempts_sent += 1
+        source_name = source.info.name if source else None
+        purged_ms = self.last_purge_ms(pending)
+        is_fill = source is not None and not pending.is_write
+        attempt = Attempt(host.info, host.info.name, source_name, self.now_ms, purged_ms, is_fill)
+        pending.in_flight[key[1]] = attempt
+        self.attempts[key] = attempt, pending
+        for server in (host,) if source is None or source is host else (host, source):
+            server.attempts[key] = server.last_sent_ms = self.now_ms
+            self.withdraw_slow_start_budget(server, pending)
+        self.executions.record_sent(pending, host.info, self.now_ms)
+        if source is not None:
+            source.fills_in_flight += 1
+            self.outside_fills += source.info.zone != self.settings.zone
+
+    def withdraw_slow_start_budget(self, server: ServerRecord, pending: PendingRequest) -> None:
+        """Count a request against the budget of its server, if that is warming up."""
+        if self.is_warming_up(server):
+            mean_ms = self.estimates.mean_ms_by_class[pending.request_class.name]
+            server.slow_start_budget.withdraw(mean_ms)
+
+    def end_attempt(self, outcome: api.Outcome) -> tuple[Attempt, PendingRequest] | None:
+        """Take an ended attempt out of the counts; None if it is not known."""
+        key = (outcome.id, outcome.attempt)
+        if key not in self.attempts:
+            return None
+        attempt, pending = self.attempts.pop(key)
+        pending.in_flight.pop(outcome.attempt, None)
+        host, source = self.registry.get(attempt.host), self.registry.get(attempt.source)
+        for server in (host, source):
+            if server is not None:
+                server.attempts.pop(key, None)
+        if source is not None:
+            source.fills_in_flight -= 1
+            self.outside_fills -= source.info.zone != self.settings.zone
+        return attempt, pending
+
+    def dns_lease_table(self) -> DnsLeaseTable:
+        """The DNS answers that resolvers may cache; made, and its module imported, at the first use."""
+        if self.dns_leases is None:
+            from .dns_leases import DnsLeaseTable
+
+            self.dns_leases = DnsLeaseTable()
+        return self.dns_leases
--- a/gladewalk/registry/topology.py
+++ b/gladewalk/registry/topology.py
@@ -1,34 +1,42 @@
-"""Where a dispatcher stands, as the settings tell: zones, hubs in their ring, who else sends from where."""
+"""The place of a dispatcher in its deployment: zones, their hubs in a ring, and the senders in each zone."""
 
 from __future__ import annotations
 
 from .. import interface as api
 
+UNKNOWN_HUB = -1
 
-class Geography:
-    """Hubs are numbers, -1 an unknown one; distances are steps round the ring of hubs."""
+
+class Topology:
+    """Distances and sender counts as the settings tell. Distances are steps round the ring of hubs."""
 
     def __init__(self, settings: api.Settings) -> None:
-        t, zones = settings, settings.zones
-        self.hubs = dict(zip(zones, t.hub_of_zone, strict=False))
-        self.ring = max(1, len(set(t.hub_of_zone)))
-        self.hub = self.hub_of(t.zone)
-        counts = t.dispatchers_by_zone or (t.dispatcher_count,) * len(zones)
-        self.here = max(1, counts[zones.index(t.zone)] if t.zone in zones else 1)  # senders in this location
-        near = sum(n for n, zone in zip(counts, zones, strict=False) if self.hub_of(zone) == self.hub)
-        self.near = max(1, near)  # and at all locations of this hub
-        told = dict(zip(zones, t.inbound_link_kb_per_s, strict=False)) if t.client_rate_kb_per_s else {}
-        links = [link / t.client_rate_kb_per_s for link in told.values() if link]
-        # Transfers at full pace that this location's link in bears, and a location's on average; 0: not told.
-        self.link_in = told.get(t.zone, 0.0) / (t.client_rate_kb_per_s or 1.0)
-        self.mean_link_in = sum(links) / len(links) if links else 0.0
+        zones, zone = settings.zones, settings.zone
+        self._hub_of_zone = dict(zip(zones, settings.hub_of_zone, strict=False))
+        self._ring_size = max(1, len(set(settings.hub_of_zone)))
+        self.hub = self.hub_of(zone)
+        counts = settings.dispatchers_by_zone or (settings.dispatcher_count,) * len(zones)
+        self.senders_in_zone = max(1, counts[zones.index(zone)] if zone in zones else 1)
+        same_hub = (
+            count for count, other in zip(counts, zones, strict=False) if self.hub_of(other) == self.hub
+        )
+        self.senders_in_hub = max(1, sum(same_hub))
+        rate = settings.client_rate_kb_per_s
+        links = dict(zip(zones, settings.inbound_link_kb_per_s, strict=False)) if rate else {}
+        known = [link / rate for link in links.values() if link]
+        # Transfers at full pace that this zone's inbound link bears, and a zone's on average; 0: unknown.
+        self.link_capacity = links.get(zone, 0.0) / (rate or 1.0)
+        self.mean_link_capacity = sum(known) / len(known) if known else 0.0
 
     def hub_of(self, zone: str) -> int:
-        return self.hubs.get(zone, -1)
+        """The hub of a zone; -1 if unknown."""
+        return self._hub_of_zone.get(zone, UNKNOWN_HUB)
 
-    def is_ours(self, zone: str) -> bool:
+    def is_own_hub(self, zone: str) -> bool:
+        """Whether a zone belongs to the same hub as this dispatcher's."""
         return self.hub_of(zone) == self.hub
 
     def distance(self, zone: str) -> int:
-        steps = abs(self.hub_of(zone) - self.hub) % self.ring
-        return min(steps, self.ring - steps)
+        """Steps round the ring of hubs to a zone."""
+        steps = abs(self.hub_of(zone) - self.hub) % self._ring_size
+        return min(steps, self._ring_size - steps)
--- a/gladewalk/store/leases.py
+++ b/gladewalk/store/leases.py
@@ -10,7 +10,7 @@
 
 from .. import interface as api
 from ..policy import Dispatcher
-from ..policy.naming import LEASE_MS
+from ..policy.dns_placement import DNS_LEASE_MS
 
 SPACE = "lease"
 
@@ -30,11 +30,11 @@
 
 def lease_of(core: Dispatcher, question: api.ResolveRequest, server: str) -> Lease | None:
     """The lease that the core has counted for an answer; None if there is none."""
-    known = core.servers.get(server)
-    if known is None or core.ledger is None:
+    known = core.state.registry.servers.get(server)
+    if known is None or core.state.dns_leases is None:
         return None
     place = known.address
-    held = core.ledger.find(place, question.resolver, (question.key, question.part))
+    held = core.state.dns_leases.find(place, question.resolver, (question.key, question.part))
     if held is None:
         return None
     return Lease(place, question.resolver, question.key, question.part, *held)
@@ -56,9 +56,10 @@
             lease = _decoder.decode(value)
         except msgspec.MsgspecError:
             continue
-        until = min(lease.until_ms, now_ms + LEASE_MS)
+        until = min(lease.until_ms, now_ms + DNS_LEASE_MS)
         if until <= now_ms or not 0.0 < lease.weight < 1e9:
             continue
-        core.names().hold(lease.place, lease.holder, (lease.key, lease.part), until, lease.weight)
+        object_id = lease.key, lease.part
+        core.state.dns_lease_table().grant(lease.place, lease.holder, object_id, until, lease.weight)
         count += 1
     return count
--- a/gladewalk/store/warm.py
+++ b/gladewalk/store/warm.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from ..limits.backoff import SHARE_FLOOR, SHARE_MOST
+from ..limits.backoff import MAX_FILL_QUOTA, MIN_FILL_QUOTA
 from ..policy import Dispatcher
-from ..registry.object_locations import MEMORY_MS
+from ..registry.object_locations import LOCATION_TTL_MS
 
 PARTS = 16
 OBJECTS = "objects"
@@ -58,18 +58,18 @@
 def objects_row(core: Dispatcher, part: int, now_ms: float) -> bytes:
     """What is remembered of one part's objects and has not faded."""
     holders = []
-    for obj, seen in core.memory.items():
-        lately = {name: at for name, at in seen.items() if now_ms - at < MEMORY_MS}
+    for obj, seen in core.state.locations.items():
+        lately = {name: at for name, at in seen.items() if now_ms - at < LOCATION_TTL_MS}
         if lately and part_of(obj) == part:
             holders.append((*obj, lately))
-    sizes = [(*obj, took) for obj, took in core.sizes.items() if part_of(obj) == part]
+    sizes = [(*obj, took) for obj, took in core.state.estimates.by_object.items() if part_of(obj) == part]
     return _encoder.encode(Objects(now_ms, holders, sizes))
 
 
 def sources_row(core: Dispatcher, now_ms: float) -> bytes:
     rows = [
         Source(name, server.started_ms, server.fill_quota, server.first_byte_ms)
-        for name, server in core.servers.items()
+        for name, server in core.state.registry.servers.items()
     ]
     return _encoder.encode(Sources(now_ms, rows))
 
@@ -92,14 +92,15 @@
     count = 0
     for key, part, seen in row.holders:
         # A time ahead of ours is of a clock that went back: it would never fade.
-        lately = {n: at for n, at in seen.items() if n in core.servers and 0.0 <= now_ms - at < MEMORY_MS}
+        known = {name: at for name, at in seen.items() if name in core.state.registry.servers}
+        lately = {name: at for name, at in known.items() if 0.0 <= now_ms - at < LOCATION_TTL_MS}
         if lately:
-            core.memory[key, part] = {**lately, **core.memory.get((key, part), {})}
+            core.state.locations[key, part] = {**lately, **core.state.locations.get((key, part), {})}
             count += 1
     if 0.0 <= now_ms - row.at_ms < FRESH_MS:
         for key, part, took in row.sizes:
             if 0.0 < took < FRESH_MS:
-                core.sizes.setdefault((key, part), took)
+                core.state.estimates.by_object.setdefault((key, part), took)
     return count
 
 
@@ -108,10 +109,10 @@
         return 0
     count = 0
     for source in row.sources:
-        server = core.servers.get(source.name)
+        server = core.state.registry.servers.get(source.name)
         if server is None or server.started_ms > source.started_ms:  # it has started since: as good as new
             continue
-        server.fill_quota = min(SHARE_MOST, max(SHARE_FLOOR, source.share))
+        server.fill_quota = min(MAX_FILL_QUOTA, max(MIN_FILL_QUOTA, source.share))
         server.first_byte_ms = min(10_000.0, max(0.0, source.first_byte_ms))
         count += 1
     return count
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -14,7 +14,7 @@
 def test_a_request_of_a_crowded_home_is_refused_not_moved() -> None:
     """The next cache of the hash mostly lacks the object: moving there turned overload into misses."""
     world = World(CACHES, hedging=False)
-    world.dispatcher.work_ms["page"] = 400.0  # aim 400 + 2 x 400: three times the time still meets it
+    world.state.estimates.mean_ms_by_class["page"] = 400.0  # three times it still meets the objective
     seen = [world.ask(1)[0] for _ in range(80)]
     sent = [a.server for a in seen if isinstance(a, api.Lookup)]
     assert len(set(sent)) == 1 and 4 < len(sent) <= 8 * 3
@@ -24,7 +24,7 @@
 def test_a_cold_home_without_room_passes_to_the_next_cache() -> None:
     cold = tuple(replace(s, started_ms=99_999.0) for s in CACHES[:1])
     world = World((*cold, *CACHES[1:], *PARENTS, ORIGIN))
-    for s in world.dispatcher.servers.values():
+    for s in world.servers.values():
         s.fill_quota = 50.0
     asked = [a for key in range(60) for a in world.ask(key, after_ms=5.0)]
     hosts = [a.server for a in asked if isinstance(a, api.Lookup | api.Fetch)]
@@ -34,14 +34,14 @@
 def test_fills_wait_when_the_link_in_is_crowded() -> None:
     links = (0.0, 0.0, 20_000.0, 0.0)  # four transfers at a client's pace of 5,000 KB a second
     world = World(inbound_link_kb_per_s=links, client_rate_kb_per_s=5_000.0, hedging=False)
-    for s in world.dispatcher.servers.values():
+    for s in world.servers.values():
         s.fill_quota = 50.0
     fills = []
     for key in range(30):
         (lookup,) = world.ask(key)
         fills += world.end(lookup, MISS)
     assert 4 <= len(fills) <= 4 * 3
-    assert world.dispatcher.outside == len(fills)
+    assert world.state.outside_fills == len(fills)
     freed = world.end(fills[0], OK, 1, detail=api.OutcomeDetail.FILLED)
     assert [a.source for a in freed if isinstance(a, api.Fetch)]
 
@@ -76,7 +76,7 @@
     (slow,) = world.ask(1)
     for _ in range(40):  # 2 s
         assert world.sweep() == []
-    assert world.dispatcher._usable(world.dispatcher.servers[slow.server])
+    assert world.health.is_usable(world.servers[slow.server])
 
 
 def test_a_waiting_fill_does_not_hold_up_those_behind_it() -> None:
@@ -84,13 +84,13 @@
     fills = [world.fill(key) for key in range(4)]
     first, second = (world.ask(key)[0] for key in (50, 51))
     assert world.end(first, MISS) == [] and world.end(second, MISS) == []
-    world.dispatcher.open[first.id].failed_sources += ["p1", "p1b", "o"]  # all that frees
+    world.state.pending[first.id].failed_sources += ["p1", "p1b", "o"]  # all that frees
     (freed,) = world.end(fills[0], OK, 1, detail=api.OutcomeDetail.FILLED)
     assert freed.id == second.id
 
 
 def crowd(world: World) -> list[object]:
-    world.dispatcher.work_ms["page"] = 400.0
+    world.state.estimates.mean_ms_by_class["page"] = 400.0
     return [world.ask(key)[0] for key in range(60)]
 
 
@@ -120,25 +120,25 @@
         slow = 12.0 if sent.server == "c0" else 1.0
         world.end(sent, OK, detail=api.OutcomeDetail.HIT, after_ms=50.0 * slow)
     world.sweep()
-    assert world.dispatcher.servers["c0"].weight < 0.5
-    assert world.dispatcher.servers["c1"].weight == world.dispatcher.servers["c2"].weight == 1.0
+    assert world.servers["c0"].weight < 0.5
+    assert world.servers["c1"].weight == world.servers["c2"].weight == 1.0
     world.listed(replace(CACHES[0], started_ms=1.0))
-    assert world.dispatcher.servers["c0"].weight == 1.0
+    assert world.servers["c0"].weight == 1.0
 
 
 def test_lost_answers_do_not_rest_most_of_a_location() -> None:
     """Answers reset on the way while the caches work: a rest of most of them would cost more."""
     world = World()
-    for s in world.dispatcher.caches:
-        world.dispatcher._strike(s, hard=False)
-    assert all(world.dispatcher._usable(s) for s in world.dispatcher.caches)  # one reset is no dead cache
+    for s in world.own_caches:
+        world.health.record_failure(s, is_unreachable=False)
+    assert all(world.health.is_usable(s) for s in world.own_caches)
     for _ in range(3):
-        for s in world.dispatcher.caches:
-            world.dispatcher._strike(s, hard=False)
-    assert sum(world.dispatcher._usable(s) for s in world.dispatcher.caches) == 2
-    for s in world.dispatcher.caches:
-        world.dispatcher._strike(s, hard=True)  # out of reach is proof
-    assert not any(world.dispatcher._usable(s) for s in world.dispatcher.caches)
+        for s in world.own_caches:
+            world.health.record_failure(s, is_unreachable=False)
+    assert sum(world.health.is_usable(s) for s in world.own_caches) == 2
+    for s in world.own_caches:
+        world.health.record_failure(s, is_unreachable=True)  # out of reach is proof
+    assert not any(world.health.is_usable(s) for s in world.own_caches)
 
 
 def test_a_request_straight_to_a_parent_names_the_origin_so_that_the_parent_fetches_what_it_lacks() -> None:
@@ -151,17 +151,17 @@
 def test_a_hot_object_of_a_crowded_home_goes_to_the_second_cache_of_the_hash() -> None:
     """One copy a location is the ordinary path; an object that alone crowds its home may have a second."""
     world = World(CACHES, may_cancel=False)
-    world.dispatcher.work_ms["page"] = 400.0
+    world.state.estimates.mean_ms_by_class["page"] = 400.0
     home = world.home(1)
-    world.dispatcher.sizes.clear()
-    world.dispatcher.work_ms["page"] = 400.0
+    world.state.estimates.by_object.clear()
+    world.state.estimates.mean_ms_by_class["page"] = 400.0
     hosts = [a.server for _ in range(60) for a in world.ask(1) if isinstance(a, api.Lookup)]
     assert hosts[0] == home and len(set(hosts)) == 2
 
 
 def test_a_crowded_home_s_object_is_not_moved_when_it_is_neither_hot_nor_known_elsewhere() -> None:
     world = World(CACHES, may_cancel=False)
-    world.dispatcher.work_ms["page"] = 400.0
+    world.state.estimates.mean_ms_by_class["page"] = 400.0
     hosts = [a.server for _ in range(60) for a in world.ask(1) if isinstance(a, api.Lookup)]
     assert len(set(hosts)) == 1
 
@@ -174,25 +174,27 @@
         assert not fetch.cached_only
         world.end(fetch, api.Status.REJECTED, 1, detail=api.OutcomeDetail.ORIGIN_FAILED)
     assert world.fill(50).cached_only
-    assert world.dispatcher._usable(world.dispatcher.servers[fetch.source])  # the parent itself works
+    assert world.health.is_usable(world.servers[fetch.source])  # the parent itself works
     world.now += 5_000.0
     after = world.fill(51)
     assert not after.cached_only
     world.end(after, OK, 1, detail=api.OutcomeDetail.FILLED_BY_ORIGIN)
-    assert world.dispatcher.servers["o"].backoff_until_ms == 0.0
+    assert world.servers["o"].backoff_until_ms == 0.0
 
 
 def test_a_parent_back_from_an_outage_is_cold_before_the_list_tells() -> None:
     """Parents died and came back unseen by the list; all dispatchers together pushed them over (i8f0867)."""
     world = World((*CACHES, PARENTS[0], ORIGIN))
-    parent = world.dispatcher.servers["p1"]
+    parent = world.servers["p1"]
     world.end(world.fill(1), OK, 1, detail=api.OutcomeDetail.FILLED)
     world.now += 1_500.0
     world.end(world.fill(2), api.Status.REJECTED, 1, detail=api.OutcomeDetail.SOURCE_FAILED)
-    assert not world.dispatcher._usable(parent)  # not reached: at rest at once
-    assert world.dispatcher._is_cold(parent) and not world.dispatcher._has_cold_room(parent)
+    assert not world.health.is_usable(parent)  # not reached: at rest at once
+    assert world.state.is_warming_up(parent) and not world.dispatcher.router._capacity.has_slow_start_budget(
+        parent
+    )
     world.sweep(20_000.0)
-    assert not world.dispatcher._is_cold(parent)
+    assert not world.state.is_warming_up(parent)
 
 
 def test_copies_in_their_grace_are_taken_at_once_while_the_origin_rests() -> None:
@@ -208,14 +210,14 @@
 
 def test_a_fill_cut_for_its_age_is_refused_at_once_and_is_no_failure_of_its_source() -> None:
     world = World()
-    world.dispatcher.ageing.late = 1.0
+    world.dispatcher.router._sojourn.late_fraction = 1.0
     fill = world.fill(1)
     assert fill.timeout_ms > 0
-    before = world.dispatcher.servers[fill.source].consecutive_failures
+    before = world.servers[fill.source].consecutive_failures
     (final,) = world.end(fill, TIMEOUT, 1, after_ms=fill.timeout_ms)
     assert isinstance(final, api.Reject) and final.id == fill.id
-    source = world.dispatcher.servers[fill.source]
+    source = world.servers[fill.source]
     assert source.consecutive_failures == before and source.backoff_until_ms == 0.0
     assert source.fill_quota == 1.0
-    world.dispatcher.ageing.late = 0.0
+    world.dispatcher.router._sojourn.late_fraction = 0.0
     assert world.fill(2).timeout_ms == 0.0
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -168,7 +168,7 @@
 
 def test_a_write_waits_while_the_origin_rests_and_is_never_asked_for_as_held() -> None:
     world = World(classes=(PAGE, replace(KEYED, name="booking")))
-    origin = world.dispatcher.servers["o"]
+    origin = world.servers["o"]
     origin.backoff_until_ms, origin.last_sent_ms = world.now + 100.0, world.now
     write = api.Request(9_001, "booking", 1, 3_000.0, is_write=True, idempotency_key="k")
     assert world.put(write) == []
@@ -271,7 +271,7 @@
         parent = ScriptedPeer(good, "p1", "parent", "north")
         async with Rehearsal([ScriptedPeer(slow), parent]) as world:
             assert world.director is not None
-            world.director.exchange.core.ageing.late = 1.0
+            world.director.exchange.core.router._sojourn.late_fraction = 1.0
             status, _, body = await world.ask()
             self.assertEqual((status, body), (200, b"first-last"))
 
@@ -281,7 +281,7 @@
             first, _, _ = await world.ask(BID, method="PUT", body=b"x", trace="0" * 16, Replay_Key=KEY)
             peers[0].script = peers[1].script = good
             assert world.director is not None
-            for server in world.director.exchange.core.servers.values():
+            for server in world.director.exchange.core.state.registry.servers.values():
                 server.consecutive_failures, server.backoff_until_ms = 0, 0.0
             again, _, _ = await world.ask(
                 BID, method="PUT", body=b"x", trace="1" * 16, Replay_Key=KEY, Is_Retry="1"
@@ -310,7 +310,7 @@
 def test_where_no_second_copy_may_be_out_a_silent_box_s_work_is_called_off_and_sent_anew() -> None:
     world = World(hedging=False)
     (first,) = world.ask(1)
-    world.dispatcher.servers[first.server].answer_gap_ms = 50.0
+    world.servers[first.server].answer_gap_ms = 50.0
     assert swept(world) == [api.Cancel(first.id, 0)]
     (again,) = world.end(first, api.Status.CANCELLED)
     assert again.id == first.id and again.server != first.server
@@ -319,7 +319,7 @@
 def test_a_silent_source_is_called_off_and_its_box_asked_again_by_another_way() -> None:
     world = World(hedging=False)
     fill = world.fill(1)
-    world.dispatcher.servers[fill.source].answer_gap_ms = 50.0
+    world.servers[fill.source].answer_gap_ms = 50.0
     (cancel,) = swept(world)
     (again,) = world.end(fill, api.Status.CANCELLED, cancel.attempt)
     assert again.server == fill.server and again.source != fill.source
@@ -327,17 +327,17 @@
 
 def test_the_guess_of_each_box_s_room_stays_when_a_neighbour_leaves() -> None:
     world = silent_world()
-    before = [s.concurrency_limit.guess for s in world.dispatcher.caches]
+    before = [s.concurrency_limit.estimate for s in world.own_caches]
     world.listed(replace(BARE[0], state=api.ServerState.DRAINING))
-    assert before == [8.0] * 3 and [s.concurrency_limit.guess for s in world.dispatcher.caches] == [8.0] * 2
+    assert before == [8.0] * 3 and [s.concurrency_limit.estimate for s in world.own_caches] == [8.0] * 2
 
 
 def test_a_cold_box_of_unlisted_size_gets_half_of_the_guess_as_its_budget() -> None:
     def sent(**settings: Any) -> int:
         cold = tuple(replace(s, started_ms=99_000.0) for s in BARE)
         world = World((*cold, *PARENTS, ORIGIN), may_bypass_caches=False, **settings)
-        world.dispatcher.work_ms["page"] = world.dispatcher.usual_ms = 100.0  # as learned
-        for s in world.dispatcher.servers.values():
+        world.state.estimates.mean_ms_by_class["page"] = world.state.estimates.mean_ms = 100.0  # as learned
+        for s in world.servers.values():
             s.fill_quota = 500.0
         actions = [a for key in range(400) for a in world.ask(key, after_ms=2.0)]
         return sum(isinstance(a, api.Lookup | api.Fetch) for a in actions)
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -19,7 +19,7 @@
 from gladewalk.dns.answers import fit
 from gladewalk.dns.names import Routed, Rules, Wanted, labels_of, write_name
 from gladewalk.dns.settings import DnsConfig
-from gladewalk.policy import Dispatcher
+from gladewalk.policy.dns_placement import DnsPlacement
 from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, config_for, until
 from gladewalk.rehearsal.resolver import Resolver
 from tests.world import CACHES, PARENTS, World
@@ -132,7 +132,7 @@
         self.front.config = front(wait_ms=30.0)
         query = dns.message.make_query(name(0xA2), "A")
         self.assertEqual((await self.resolver.query(query)).rcode(), dns.rcode.SERVFAIL)
-        self.assertFalse(self.director.exchange.asked or self.director.exchange.core.unnamed)
+        self.assertFalse(self.director.exchange.asked or self.director.exchange.core.state.unresolved)
 
     async def test_a_question_that_waits_is_answered_by_what_is_told_meanwhile(self) -> None:
         """A purge and then a box come while it waits: the purged object's box must not be named."""
@@ -198,7 +198,7 @@
         self.assertLessEqual(held, FALL * COLD_SHARE * self.SIZE)
 
     async def test_without_the_bound_on_leases_the_same_run_breaks_it(self) -> None:
-        with mock.patch.object(Dispatcher, "_lease", lambda *_: True):
+        with mock.patch.object(DnsPlacement, "_lease", lambda *_: True):
             self.assertGreater(await self.held_at_the_box(), FALL * COLD_SHARE * self.SIZE)
 
 
@@ -227,7 +227,7 @@
             for key in range(leases):
                 self.locate(world, key)
             if unknown:  # what the last run gave out
-                world.dispatcher.names().assume_the_worst(world.now + 300_000.0)
+                world.state.dns_lease_table().assume_full(world.now + 300_000.0)
             world.listed(api.Server("c0", api.Role.CACHE, "e1", 8.0, started_ms=world.now))
             sent, count = world.ask(100), 0
             for n in range(60):
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -31,7 +31,7 @@
     @property
     def known(self) -> dict[str, ServerState]:
         assert self.director is not None
-        return {name: s.info.state for name, s in self.director.exchange.core.servers.items()}
+        return {name: s.info.state for name, s in self.director.exchange.core.state.registry.servers.items()}
 
     async def following(self, times: int) -> None:
         await until(lambda: len(self.coordinator.follows) >= times)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -8,8 +8,8 @@
 from gladewalk import Dispatcher
 from gladewalk import interface as api
 from gladewalk.registry import rendezvous
-from gladewalk.registry.object_locations import MEMORY_MS
-from gladewalk.registry.records import PendingRequest
+from gladewalk.registry.object_locations import LOCATION_TTL_MS
+from gladewalk.registry.records import PendingRequest, ServerRecord
 
 from .world import ALL, CACHES, ORIGIN, PARENTS, SETTINGS, SIBLINGS, World
 
@@ -35,10 +35,10 @@
 
 def test_a_cold_cache_draws_a_smaller_share_that_rises() -> None:
     world = World((replace(CACHES[0], started_ms=99_999.0, capacity=50.0), *ALL[1:]))
-    homes = [world.dispatcher._homes(_open(world, key))[0].info.name for key in range(600)]
+    homes = [world.dispatcher.router.candidates.homes(_open(world, key))[0].info.name for key in range(600)]
     world.now += 5_000.0
     world.sweep(0.0)
-    later = [world.dispatcher._homes(_open(world, key))[0].info.name for key in range(600)]
+    later = [world.dispatcher.router.candidates.homes(_open(world, key))[0].info.name for key in range(600)]
     assert 0 < homes.count("c0") < later.count("c0")
 
 
@@ -83,7 +83,7 @@
 
 def test_a_share_grows_by_one_per_fill_in_time_and_halves_on_failure() -> None:
     world = World((*CACHES, PARENTS[0], ORIGIN))
-    parent = world.dispatcher.servers["p1"]
+    parent = world.servers["p1"]
     world.end(world.fill(1), OK, 1, detail=api.OutcomeDetail.FILLED)
     assert parent.fill_quota == 3.0
     world.end(world.fill(2), OK, 1, detail=api.OutcomeDetail.FILLED)
@@ -98,9 +98,9 @@
 
 def test_a_restart_starts_the_share_again() -> None:
     world = World()
-    world.dispatcher.servers["p1"].fill_quota = 17.0
+    world.servers["p1"].fill_quota = 17.0
     world.listed(replace(PARENTS[0], started_ms=world.now - 1.0))
-    assert world.dispatcher.servers["p1"].fill_quota == 2.0
+    assert world.servers["p1"].fill_quota == 2.0
 
 
 def test_a_sibling_trial_asks_only_for_what_is_held_and_a_lack_goes_to_the_hub_parent() -> None:
@@ -119,13 +119,13 @@
     world.end(first, OK, 1, detail=api.OutcomeDetail.FILLED)
     world.trials(False)
     assert world.fill(5).source == first.source
-    world.now += MEMORY_MS + 1.0
+    world.now += LOCATION_TTL_MS + 1.0
     assert world.fill(5).source in ("p1", "p1b")
 
 
 def test_a_remembered_hub_parent_comes_before_a_remembered_sibling() -> None:
     world = World()
-    world.dispatcher.memory[(5, 0)] = {"s0": 1e9, "p1b": 1e9}
+    world.state.locations[(5, 0)] = {"s0": 1e9, "p1b": 1e9}
     assert world.fill(5).source == "p1b"
 
 
@@ -134,8 +134,8 @@
     for key in range(9_000):
         (lookup,) = world.ask(key)
         world.end(lookup, OK, detail=api.OutcomeDetail.HIT)
-    assert len(world.dispatcher.memory) <= 8192
-    assert not world.dispatcher.open and not world.dispatcher.flights
+    assert len(world.state.locations) <= 8192
+    assert not world.state.pending and not world.state.attempts
 
 
 @pytest.mark.parametrize("change", [{"classes": ()}, {"slow_start_ms": -1.0}, {"max_attempts": 0}])
@@ -146,7 +146,7 @@
 
 def test_the_work_for_a_request_does_not_grow_with_other_locations(monkeypatch: pytest.MonkeyPatch) -> None:
     hashes = Counter[int]()
-    real = rendezvous.mix
+    real = rendezvous.mix64
 
     def counted(value: int) -> int:
         hashes["fleet"] += 1  # type: ignore[index]
@@ -159,7 +159,7 @@
         )
         world = World((*CACHES, *others, *PARENTS, ORIGIN), zones=("h1", "h2", "e1", "e2", "z0"))
         world.trials(True)
-        monkeypatch.setattr("gladewalk.registry.rendezvous.mix", counted)
+        monkeypatch.setattr("gladewalk.registry.rendezvous.mix64", counted)
         hashes.clear()
         for key in range(20):
             world.end(world.fill(key), OK, 1, detail=api.OutcomeDetail.FILLED)
@@ -187,7 +187,12 @@
     world = World()
     world.ask(1)
     looked: list[str] = []
-    world.dispatcher._is_silent = lambda s: bool(looked.append(s.info.name))  # type: ignore[func-returns-value,method-assign]
+
+    def look(server: ServerRecord) -> bool:
+        looked.append(server.info.name)
+        return False
+
+    world.health.eject_if_silent = look  # type: ignore[method-assign]
     world.sweep()
     assert len(looked) == 1
 
@@ -206,7 +211,7 @@
 def test_a_probe_that_succeeds_tells_the_load_and_proves_no_more() -> None:
     world = World()
     home = world.home(5)
-    server = world.dispatcher.servers[home]
+    server = world.servers[home]
     world.put(api.HealthCheckResult(home, api.Status.TIMEOUT, 250.0), after_ms=100.0)
     world.put(api.HealthCheckResult(home, api.Status.TIMEOUT, 250.0), after_ms=200.0)
     assert world.now < server.backoff_until_ms  # two in a row
--- a/tests/test_origin_gate.py
+++ b/tests/test_origin_gate.py
@@ -4,8 +4,8 @@
 
 from gladewalk import interface as api
 from gladewalk.interface import OutcomeDetail, Status
-from gladewalk.limits.backoff import BACKOFF_MOST_MS, BACKOFF_MS
-from gladewalk.limits.origin_breaker import TRY_MS, OriginGate
+from gladewalk.limits.backoff import BACKOFF_MS, MAX_BACKOFF_MS
+from gladewalk.limits.origin_breaker import TRIAL_INTERVAL_MS, OriginBreaker
 
 from .world import ALL, CACHES, ORIGIN, PAGE, World, finals
 
@@ -61,11 +61,11 @@
     world = World(ALL)
     for key, fails in ((50, 1), (51, 2)):
         world.end(world.fill(key), Status.OK, 1, detail=OutcomeDetail.FILLED_BY_ORIGIN, after_ms=2_500.0)
-        assert world.dispatcher.gate.fails == fails
+        assert world.health.origin_breaker.failures == fails
     assert world.fill(52).cached_only
     world.now += BACKOFF_MS + 1.0
     world.end(world.fill(53), Status.OK, 1, detail=OutcomeDetail.FILLED_BY_ORIGIN, after_ms=50.0)
-    assert world.dispatcher.gate.fails == 1  # soon: the queue is gone
+    assert world.health.origin_breaker.failures == 1  # soon: the queue is gone
 
 
 def test_writes_pass_while_fills_rest() -> None:
@@ -89,7 +89,7 @@
     (again,) = world.end(first, Status.REJECTED, detail=OutcomeDetail.SOURCE_REJECTED)  # it ran nowhere
     assert isinstance(again, api.Fetch) and (again.id, again.source) == (first.id, "o")
     assert world.end(again, Status.OK, 1, detail=OutcomeDetail.FILLED_BY_ORIGIN) == []
-    world.dispatcher.retries.left = 0.0
+    world.dispatcher.router._retries.budget.tokens = 0.0
     (other,) = write(world, 8)
     assert finals(world.end(other, Status.REJECTED, detail=OutcomeDetail.SOURCE_REJECTED))
 
@@ -102,23 +102,23 @@
 
 
 def test_tries_of_all_together_are_bounded_however_many_they_are() -> None:
-    for senders, most in ((3, BACKOFF_MOST_MS), (200, TRY_MS * 200)):
-        gate, now = OriginGate(senders), 0.0
+    for senders, most in ((3, MAX_BACKOFF_MS), (200, TRIAL_INTERVAL_MS * 200)):
+        gate, now = OriginBreaker(senders), 0.0
         for _ in range(30):
-            gate.learn(now, Status.REJECTED, 0.0, 1.0)
-            now = max(now, gate.until_ms)
+            gate.record_outcome(now, Status.REJECTED, 0.0, 1.0)
+            now = max(now, gate.open_until_ms)
         before = now
-        gate.sent(now)
-        assert gate.until_ms - before == most
+        gate.record_sent(now)
+        assert gate.open_until_ms - before == most
         for _ in range(6):
-            gate.learn(now, Status.OK, 0.0, 1.0)
-        assert gate.is_open(now)
+            gate.record_outcome(now, Status.OK, 0.0, 1.0)
+        assert gate.allows(now)
 
 
 def test_what_was_sent_together_says_it_once() -> None:
-    gate = OriginGate()
+    gate = OriginBreaker()
     for _ in range(20):
-        gate.learn(100.0, Status.ERROR, 0.0, 1.0)
-    assert gate.fails == 2
-    gate.learn(100.0, Status.CANCELLED, 0.0, 1.0)  # called off by us: it tells nothing of the origin
-    assert gate.fails == 2
+        gate.record_outcome(100.0, Status.ERROR, 0.0, 1.0)
+    assert gate.failures == 2
+    gate.record_outcome(100.0, Status.CANCELLED, 0.0, 1.0)  # called off by us: it tells nothing of the origin
+    assert gate.failures == 2
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -74,7 +74,7 @@
             for one in (reader, late[0]):
                 first, fields, _ = await read_message(one)
                 self.assertEqual((first.split(" ")[1], fields["connection"]), ("502", "close"))
-            self.assertEqual((director.exchange.owed, director.exchange.core.open), (0, {}))
+            self.assertEqual((director.exchange.owed, director.exchange.core.state.pending), (0, {}))
             writer.close()
             late[1].close()
             await director._ended
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 import pytest
 
 from gladewalk import interface as api
-from gladewalk.limits.backoff import BACKOFF_MOST_MS
-from gladewalk.policy.health import DOWN_MS
+from gladewalk.limits.backoff import MAX_BACKOFF_MS
+from gladewalk.registry.outcome_recorder import DOWN_MS
 
 from .world import ALL, CACHES, ORIGIN, PAGE, PARENTS, SIBLINGS, World, finals
 
@@ -39,7 +39,7 @@
     seen = world.end(lookup, MISS)
     for _ in range(8):
         seen += world.sweep()
-    assert len(finals(seen)) == 1 and not world.dispatcher.open
+    assert len(finals(seen)) == 1 and not world.state.pending
 
 
 def test_a_short_try_is_not_left_waiting_past_its_deadline() -> None:
@@ -60,7 +60,7 @@
 def test_a_drain_binds_for_requests_retries_and_sources(state: api.ServerState) -> None:
     world = World((*CACHES, *SIBLINGS, PARENTS[0], ORIGIN))
     (lookup,) = world.ask(1)
-    world.dispatcher.memory[(1, 0)] = {"p1": 1e9, "s0": 1e9}
+    world.state.locations[(1, 0)] = {"p1": 1e9, "s0": 1e9}
     world.listed(*(replace(s, state=state) for s in (*CACHES[:2], PARENTS[0], SIBLINGS[0])))
     (fetch,) = world.end(lookup, MISS)
     assert fetch.server == "c2" if isinstance(fetch, api.Lookup) else fetch.source not in ("p1", "s0")
@@ -92,9 +92,9 @@
             assert cell[then.server] == cell[first.server] and then.server != first.server
         else:
             assert isinstance(then, api.Fail)
-        world.dispatcher.servers[first.server].consecutive_failures = 0
-        world.dispatcher.servers[first.server].backoff_until_ms = 0.0
-        world.dispatcher.retries.left = 5.0
+        world.servers[first.server].consecutive_failures = 0
+        world.servers[first.server].backoff_until_ms = 0.0
+        world.dispatcher.router._retries.budget.tokens = 5.0
     (first,) = world.ask(77)
     assert world.end(first, api.Status.ERROR, after_ms=1500.0) == [api.Fail(first.id)]
 
@@ -118,7 +118,7 @@
 
     def world(seed: int) -> World:
         made = World((*CACHES, cold, ORIGIN), seed, dispatchers_by_zone=counts, overload_window_ms=3000.0)
-        made.dispatcher.random = random.Random(seed)
+        made.dispatcher.state.random = random.Random(seed)
         return made
 
     worlds = [world(seed) for seed in range(senders)]
@@ -128,11 +128,11 @@
             worlds[: senders // 3] = [world(100 + seed) for seed in range(senders // 3)]
         for number, one in enumerate(worlds):
             one.now = 100_000.0 + 50.0 * step
-            one.dispatcher.now = one.now
-            parent = one.dispatcher.servers["p1"]
+            one.dispatcher.state.now_ms = one.now
+            parent = one.dispatcher.state.registry.servers["p1"]
             for _ in range(max(1, 8 // senders)):
-                if (step + number) % 2 == 0 and one.dispatcher._has_cold_room(parent):
-                    parent.slow_start_budget.spend(400.0)
+                if (step + number) % 2 == 0 and one.dispatcher.router._capacity.has_slow_start_budget(parent):
+                    parent.slow_start_budget.withdraw(400.0)
                     sent.append(one.now - 100_000.0)
     for start in range(0, 3001, 100):
         window = [at for at in sent if start <= at < start + 3000.0]
@@ -144,7 +144,7 @@
 def test_a_cold_parent_counts_fills_and_is_left_to_its_own_hub() -> None:
     cold = tuple(replace(s, started_ms=99_000.0, capacity=10.0) for s in PARENTS)
     world = World((*CACHES, *cold, ORIGIN))
-    for s in world.dispatcher.servers.values():
+    for s in world.servers.values():
         s.fill_quota = 50.0
     sources = [world.fill(key).source for key in range(20)]
     assert "p2" not in sources
@@ -165,11 +165,11 @@
 def test_a_purged_group_binds_all_its_objects_and_drops_memories() -> None:
     world = World()
     request = world.ask(1, group=7)[0]
-    entry = world.dispatcher.open[request.id]
+    entry = world.state.pending[request.id]
     world.end(request, OK, detail=api.OutcomeDetail.HIT)
-    assert world.dispatcher._holders(entry)
+    assert world.dispatcher.router.candidates.holders(entry)
     world.put(api.Purge(None, 7, 0.0), after_ms=1.0)
-    assert not world.dispatcher._holders(entry)
+    assert not world.dispatcher.router.candidates.holders(entry)
     world.put(api.Timer("nothing"), after_ms=50.0)
     fetch = world.ask(3, group=7)[0]
     assert 0 < fetch.max_age_ms <= 51.0
@@ -182,7 +182,7 @@
     world.sweep(8_000.0)
     assert isinstance(world.ask(1)[0], api.Lookup)
     world.sweep(25_000.0)
-    assert not world.dispatcher.purged
+    assert not world.state.purges
 
 
 def test_a_silent_cache_is_left_and_its_work_copied_elsewhere() -> None:
@@ -191,7 +191,7 @@
     keys = [
         key
         for key in range(60)
-        if world.dispatcher._ranked([world.dispatcher.servers[c] for c in ("c0", "c1", "c2")], (key, 0))[
+        if world.dispatcher.router.candidates._rank([world.servers[c] for c in ("c0", "c1", "c2")], (key, 0))[
             0
         ].info.name
         == home
@@ -216,7 +216,7 @@
 
 def test_resets_rest_no_server_that_was_heard_lately() -> None:
     world = World((*CACHES[:1], ORIGIN))
-    server = world.dispatcher.servers["c0"]
+    server = world.servers["c0"]
     for after_ms, usable in ((0.0, True), (10 * DOWN_MS, False)):
         (held,) = world.ask(1)
         world.end(held, OK, detail=api.OutcomeDetail.HIT)
@@ -224,15 +224,15 @@
         for key in (2, 3):
             (sent,) = world.ask(key)
             world.dispatcher.handle(world.now, api.Outcome(sent.id, 0, "c0", api.Status.RESET, 1.0, True))
-        assert world.dispatcher._usable(server) is usable
+        assert world.health.is_usable(server) is usable
 
 
 def test_a_trial_whose_client_left_is_followed_by_another() -> None:
     world = World((*CACHES[:1], ORIGIN))
     (sent,) = world.ask(1)
-    world.dispatcher.servers["c0"].last_answer_ms = world.now
+    world.servers["c0"].last_answer_ms = world.now
     world.end(sent, api.Status.CONNECT_FAILED)
-    (trial,) = world.ask(2, after_ms=BACKOFF_MOST_MS)
+    (trial,) = world.ask(2, after_ms=MAX_BACKOFF_MS)
     world.put(api.ClientDisconnected(trial.id))
     world.end(trial, api.Status.CANCELLED, is_answered=True)
     (again,) = world.ask(3)
@@ -243,9 +243,9 @@
 def test_a_server_that_failed_comes_back_with_one_trial() -> None:
     world = World((*CACHES[:1], ORIGIN))
     (lookup,) = world.ask(1)
-    world.dispatcher.servers["c0"].last_answer_ms = world.now
+    world.servers["c0"].last_answer_ms = world.now
     world.end(lookup, api.Status.CONNECT_FAILED)
-    assert world.dispatcher._usable(world.dispatcher.servers["c0"]) is False
+    assert world.health.is_usable(world.servers["c0"]) is False
     world.now += 5_000.0
     (trial,) = world.ask(2)
     assert trial.server == "c0"
@@ -268,7 +268,7 @@
         (lookup,) = world.ask(1)
         actions = world.end(lookup, status)
         assert status is OK or actions, status
-        assert status is not OK or not world.dispatcher.open
+        assert status is not OK or not world.state.pending
 
 
 def test_a_write_runs_at_the_origin_and_is_not_kept() -> None:
@@ -288,7 +288,7 @@
     tries = 0
     for key in range(60):
         (lookup,) = world.ask(key)
-        for s in world.dispatcher.servers.values():
+        for s in world.servers.values():
             s.consecutive_failures, s.backoff_until_ms = 0, 0.0
         again = world.end(lookup, api.Status.REJECTED)
         tries += sum(isinstance(a, api.Lookup | api.Fetch) for a in again)
@@ -299,4 +299,4 @@
     world = World(watches_endpoints=True)
     world.listed(kind=api.EndpointListKind.FAILED)
     assert world.put(api.Timer("watch")) == [api.Watch(True)]
-    assert len(world.dispatcher.servers) == len(ALL)
+    assert len(world.servers) == len(ALL)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -562,7 +562,8 @@
         again = Director(config, loop, None, self.options(folder))
         await again.start()
         self.assertEqual(again.counters["store.purges_restored"], 1)
-        self.assertEqual(again.exchange.core.servers["c0"].info.state, api.ServerState.DRAINING)
+        restored = again.exchange.core.state.registry.servers["c0"]
+        self.assertEqual(restored.info.state, api.ServerState.DRAINING)
         for n in range(20):
             reader, writer = await asyncio.open_connection(*again.front.address)
             path = "/invoke/lot-page/a1?nth=0" if n == 0 else f"/invoke/lot-page/{n:x}?nth=0"
@@ -617,7 +618,7 @@
         self.assertRegex(told.output, r"feed kept up to event\W+4")
         await end(first)
         again = await run(config)
-        servers = again.exchange.core.servers
+        servers = again.exchange.core.state.registry.servers
         ready = {n for n, server in servers.items() if server.info.state is api.ServerState.READY}
         self.assertEqual((ready, servers["c3"].info.state), ({"c0"}, api.ServerState.DRAINING))
         await until(lambda: len(coordinator.follows) == 2)
@@ -663,8 +664,8 @@
             director.keeper.folder.close()
         again = Log(Folder(folder / "store"), unix_ms)
         self.assertIn(lease, again.items(leases.SPACE).values())
-        core = Dispatcher(director.exchange.core.settings, 1)
-        servers = tuple(server.info for server in director.exchange.core.servers.values())
+        core = Dispatcher(director.exchange.core.state.settings, 1)
+        servers = tuple(server.info for server in director.exchange.core.state.registry.servers.values())
         core.handle(unix_ms(), api.EndpointList(api.EndpointListKind.PERSISTED, servers))
         self.assertEqual(leases.restore(core, again.items(leases.SPACE), unix_ms()), 1)
         objects, _ = warm.restore(core, again.items(warm.SPACE), unix_ms())
@@ -683,18 +684,20 @@
 
 def test_a_warm_start_is_believed_only_as_far_as_its_age_and_the_servers_starts_allow() -> None:
     core = core_with(NOW)
-    core.memory[7, 0] = {"a": NOW - 1_000.0, "b": NOW - 29_000.0, "gone": NOW}
-    core.memory[8, 0] = {"b": NOW - 40_000.0}
-    core.sizes[7, 0] = 55.0
-    core.servers["a"].fill_quota, core.servers["b"].fill_quota = 9.0, 1e9
+    core.state.locations[7, 0] = {"a": NOW - 1_000.0, "b": NOW - 29_000.0, "gone": NOW}
+    core.state.locations[8, 0] = {"b": NOW - 40_000.0}
+    core.state.estimates.by_object[7, 0] = 55.0
+    core.state.registry.servers["a"].fill_quota, core.state.registry.servers["b"].fill_quota = 9.0, 1e9
     rows = {f"objects-{n}": warm.objects_row(core, n, NOW) for n in range(warm.PARTS)}
     rows |= {warm.SOURCES: warm.sources_row(core, NOW), "objects-x": b"noise"}
     later = core_with(NOW + 2_000.0)
     assert warm.restore(later, rows, NOW + 2_000.0) == (1, 2)
-    assert later.memory == {(7, 0): {"a": NOW - 1_000.0}} and later.sizes == {(7, 0): 55.0}
-    assert (later.servers["a"].fill_quota, later.servers["b"].fill_quota) == (9.0, 64.0)
+    assert later.state.locations == {(7, 0): {"a": NOW - 1_000.0}}
+    assert later.state.estimates.by_object == {(7, 0): 55.0}
+    servers = later.state.registry.servers
+    assert (servers["a"].fill_quota, servers["b"].fill_quota) == (9.0, 64.0)
     old, back = core_with(NOW + 700_000.0), core_with(NOW - 60_000.0)
-    assert warm.restore(old, rows, NOW + 700_000.0) == (0, 0) and not old.sizes
+    assert warm.restore(old, rows, NOW + 700_000.0) == (0, 0) and not old.state.estimates.by_object
     assert warm.restore(back, rows, NOW - 60_000.0) == (
         0,
         0,
@@ -702,31 +705,31 @@
     started = core_with(NOW + 2_000.0, started_ms=NOW + 500.0)
     assert warm.restore(started, rows, NOW + 2_000.0)[1] == 0
     request_ = api.Request(1, "page", 7, 3_000.0)
-    opened = PendingRequest(request_, started.classes["page"], NOW + 2_000.0)
-    started.now = NOW + 2_000.0
+    opened = PendingRequest(request_, started.state.classes["page"], NOW + 2_000.0)
+    started.state.now_ms = NOW + 2_000.0
     assert [
-        s.info.name for s in started._holders(opened)
+        s.info.name for s in started.router.candidates.holders(opened)
     ] == []  # seen before its start: the core's own check
-    later.now = NOW + 2_000.0
+    later.state.now_ms = NOW + 2_000.0
     later.handle(NOW + 2_000.0, api.Purge(7, -1, 100.0))
-    purged = PendingRequest(request_, later.classes["page"], NOW + 2_000.0)
-    assert later._holders(purged) == []  # and before a purge
+    purged = PendingRequest(request_, later.state.classes["page"], NOW + 2_000.0)
+    assert later.router.candidates.holders(purged) == []  # and before a purge
 
 
 def test_leases_count_again_after_a_restart_until_their_time() -> None:
     core = core_with(NOW)
     question = api.ResolveRequest(1, "page", 7, 3_000.0, "resolver", transfers=0.25)
-    core.names().hold("a", "resolver", (7, 0), NOW + 200_000.0, 0.25)
-    core.names().hold("a", "r2", (8, 0), NOW + 100.0, 1.0)
+    core.state.dns_lease_table().grant("a", "resolver", (7, 0), NOW + 200_000.0, 0.25)
+    core.state.dns_lease_table().grant("a", "r2", (8, 0), NOW + 100.0, 1.0)
     lease = leases.lease_of(core, question, "a")
     assert lease is not None and leases.lease_of(core, question, "b") is None
     rows = {leases.key_of(lease): leases.pack(lease), "noise": b"x"}
     again = core_with(NOW + 1_000.0)
     assert leases.restore(again, rows, NOW + 1_000.0) == 1
-    assert again.names().find("a", "resolver", (7, 0)) == (NOW + 200_000.0, 0.25)
-    assert len(again.names()) == 1
+    assert again.state.dns_lease_table().find("a", "resolver", (7, 0)) == (NOW + 200_000.0, 0.25)
+    assert len(again.state.dns_lease_table()) == 1
     assert leases.restore(core_with(NOW), rows, NOW + 200_000.0) == 0
     back = core_with(NOW)
     assert leases.restore(back, rows, NOW - 1e9) == 1  # no clock makes a lease longer than a lease
-    found = back.names().find("a", "resolver", (7, 0))
+    found = back.state.dns_lease_table().find("a", "resolver", (7, 0))
     assert found is not None and found[0] == NOW - 1e9 + 300_000.0
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -80,8 +80,9 @@
             shares = sorted(len(server.heard) for server in world.servers.values())
             self.assertGreater(shares[0], 10)
             balanced = world.director.web.upstreams["a"]  # type: ignore[union-attr]
-            self.assertEqual({server.weight for server in balanced.core.servers.values()}, {1.0})
-            told = balanced.core.settings
+            servers = balanced.core.state.registry.servers.values()
+            self.assertEqual({server.weight for server in servers}, {1.0})
+            told = balanced.core.state.settings
             self.assertEqual(
                 (told.may_join_fills, told.classes[0].freshness_lifetime_ms, told.classes[0].stale_grace_ms),
                 (True, 6e4, 6e4),
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -30,7 +30,7 @@
 from gladewalk.dns.settings import DnsConfig, load_dns, load_records
 from gladewalk.dns.weights import Weights
 from gladewalk.dns.zone import Found, Kind, Zone, zone_of
-from gladewalk.registry.dns_leases import Ledger
+from gladewalk.registry.dns_leases import DnsLeaseTable
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
 ORIGIN = dns.name.from_text("cdn.example.")
@@ -347,30 +347,30 @@
 
 class Held(unittest.TestCase):
     def test_sums_are_those_of_what_has_not_ended_whatever_the_order(self) -> None:
-        draw, ledger, now = random.Random(5), Ledger(), 1e12
+        draw, ledger, now = random.Random(5), DnsLeaseTable(), 1e12
         held: dict[tuple[str, str, int], tuple[float, float]] = {}
         for _ in range(4_000):
             now += draw.expovariate(0.01)
             place, holder, key = draw.choice("ab"), draw.choice("xyz"), draw.randrange(40)
             until, weight = now + draw.choice((900.0, 5_000.0, 60_000.0)), draw.choice((0.5, 1.0))
-            ledger.hold(place, holder, (key, 0), until, weight)
+            ledger.grant(place, holder, (key, 0), until, weight)
             held[place, holder, key] = (-(-until // 1_000.0) * 1_000.0, weight)
             held = {k: v for k, v in held.items() if v[0] // 1_000.0 > now // 1_000.0}
             for at in "ab":
                 wanted = sum(weight for (p, _, _), (_, weight) in held.items() if p == at)
-                self.assertAlmostEqual(ledger.total(at, 0.0, now), wanted)
+                self.assertAlmostEqual(ledger.total_weight(at, 0.0, now), wanted)
         self.assertEqual(len(ledger), len(held))
-        ledger.total("a", 0.0, now + 1e6)
-        self.assertEqual((len(ledger), ledger.ends), (0, {}))
+        ledger.total_weight("a", 0.0, now + 1e6)
+        self.assertEqual((len(ledger), ledger._expiring), (0, {}))
 
     def test_a_start_that_knows_nothing_takes_the_bound_for_used_up(self) -> None:
-        ledger = Ledger()
-        ledger.assume_the_worst(10_000.0)
-        self.assertEqual(ledger.room("a", "x", (1, 0), 5.0, 9_000.0), 0.0)
-        self.assertEqual(ledger.room("a", "x", (1, 0), 5.0, 10_000.0), 5.0)
-        self.assertEqual(ledger.ttl_ms("a", 5.0, False, 9_000.0), ledger.ttl_least_ms)
-        self.assertEqual(ledger.ttl_ms("a", 5.0, False, 10_000.0), ledger.ttl_most_ms)
-        self.assertEqual(ledger.ttl_ms("a", 5.0, True, 10_000.0), ledger.ttl_least_ms)
+        ledger = DnsLeaseTable()
+        ledger.assume_full(10_000.0)
+        self.assertEqual(ledger.available_weight("a", "x", (1, 0), 5.0, 9_000.0), 0.0)
+        self.assertEqual(ledger.available_weight("a", "x", (1, 0), 5.0, 10_000.0), 5.0)
+        self.assertEqual(ledger.ttl_ms("a", 5.0, False, 9_000.0), ledger.min_ttl_ms)
+        self.assertEqual(ledger.ttl_ms("a", 5.0, False, 10_000.0), ledger.max_ttl_ms)
+        self.assertEqual(ledger.ttl_ms("a", 5.0, True, 10_000.0), ledger.min_ttl_ms)
 
     def measured(self, clients: float, names: int, heeds: bool = True, farm: int = 1) -> float:
         """The weight of a resolver whose clients want each name so often a second, at 400 ms a transfer."""
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,6 +7,7 @@
 
 from gladewalk import Dispatcher
 from gladewalk import interface as api
+from gladewalk.registry.records import ServerRecord
 
 PAGE = api.RequestClass("page", latency_objective_ms=400.0, deadline_ms=3000.0, latency_objective_stretch=2.0)
 SETTINGS = api.Settings(
@@ -54,12 +55,21 @@
     def __init__(self, servers: tuple[api.Server, ...] = ALL, seed: int = 1, **changes: Any) -> None:
         self.now = 100_000.0
         self.dispatcher = Dispatcher(replace(SETTINGS, **changes), seed)
+        self.state, self.health = self.dispatcher.state, self.dispatcher.health
         self.next_id = 0
-        self.dispatcher.random.random = lambda: 0.99  # type: ignore[method-assign]  # no sibling trial
+        self.state.random.random = lambda: 0.99  # type: ignore[method-assign]  # no sibling trial
         self.listed(*servers, kind=api.EndpointListKind.PERSISTED)
 
+    @property
+    def servers(self) -> dict[str, ServerRecord]:
+        return self.state.registry.servers
+
+    @property
+    def own_caches(self) -> list[ServerRecord]:
+        return self.state.registry.own_caches
+
     def trials(self, on: bool) -> None:
-        self.dispatcher.random.random = lambda: 0.0 if on else 0.99  # type: ignore[method-assign]
+        self.state.random.random = lambda: 0.0 if on else 0.99  # type: ignore[method-assign]
 
     def put(self, event: api.Event, after_ms: float = 0.0) -> list[Any]:
         self.now += after_ms
