Golden tests of membership: datagrams, streams, keys, view, log events, whole runs

Before names and shape change, what other directors, logs and commands depend on is captured from: every message kind, authenticated datagrams with fixed keys, time and nonce, a framed stream message, state hashes, the view of 'gladewalk members', log events and counters of one endpoint, and a hash over every datagram and change of eleven runs in virtual time.

--- /dev/null
+++ b/tests/test_golden_members.py
@@ -0,0 +1,278 @@
+"""Bytes, names and decisions of membership as captured at 090a370: datagrams, streams, views, log events.
+
+`python -m tests.test_golden_members` records the data anew; only a deliberate change of the protocol calls
+for that, since a fleet runs old and new directors side by side.
+"""
+
+import asyncio
+import hashlib
+import ipaddress
+import json
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import structlog
+
+from gladewalk.counters import Counters
+from gladewalk.deadlines import Deadlines
+from gladewalk.duties.view import view_of
+from gladewalk.faultnet.membercases import CASES
+from gladewalk.members import messages
+from gladewalk.members.gossip import claim_hash
+from gladewalk.members.messages import (
+    Ack,
+    Digest,
+    Here,
+    Join,
+    Knock,
+    Nack,
+    News,
+    Ping,
+    PingFor,
+    Roster,
+    Rumour,
+    State,
+    Whole,
+)
+from gladewalk.members.roll import hash_of
+from gladewalk.members.seal import Refused, Seal, make_key
+from gladewalk.members.stream import LENGTH
+from gladewalk.members.swim import Membership
+from gladewalk.members.terms import Change, Outcome, Terms
+from gladewalk.members.transport import Members
+from gladewalk.rehearsal.dutynet import duty_cluster
+from gladewalk.rehearsal.membernet import Net, cluster, play
+
+DATA = Path(__file__).parent / "golden" / "members.json"
+NOW_MS = 1_764_576_000_123.0
+NONCE = 0x0123_4567_89AB_CDEF
+UPDATES = [
+    Rumour("a", "10.0.0.1", 7_946, 2**62 + 5, 1_764_576_000_000, State.ALIVE, 2.5),
+    Rumour("b", "10.0.0.2", 7_947, 12, 13, State.SUSPECT, 1.0, "a"),
+    Rumour("c", "2001:db8::1", 65_535, 1, 2, State.DEAD),
+    Rumour("d", "", 0, 0, 2**63 - 1, State.LEFT, 0.0),
+]
+EVENTS = [
+    News("load/box-1", "a", 7, 1_764_576_000_000.5, "ok", 1.25, {"util": 0.25, "bid": 0.5}),
+    News("load/box-2", "b", 2**40, 0.0),
+    News("sources/origin", "c", 1, 5.0, "rejected", 3.0, None),
+]
+HEAD: dict[str, Any] = {"sender": "m0", "run": 2**61 + 1, "health": 3, "gossip": UPDATES, "news": EVENTS}
+DATAGRAMS: dict[str, messages.Said] = {
+    "ping": Ping(**HEAD, number=9, target="m1", target_run=77),
+    "ping_bare": Ping(sender="m0", run=1, target="m1", target_run=0),
+    "ack": Ack(**HEAD, number=9),
+    "nack": Nack(**HEAD, number=10),
+    "ping_request": PingFor(**HEAD, number=11, target="m2", target_run=78, host="10.0.0.3", port=7_948),
+    "join": Join(**HEAD),
+    "partial_state": Roster(**HEAD, reply=True, whole=False),
+    "partial_state_bare": Roster(sender="m0", run=1),
+}
+STREAMED: dict[str, messages.Streamed] = {
+    "digest": Digest(**HEAD, digest=2**63 - 1),
+    "full_state": Whole(**HEAD),
+    "full_state_same": Whole(sender="m0", run=1, same=True),
+    "confirmation_probe": Knock(sender="m0", run=1, health=8, gossip=[UPDATES[1]]),
+    "confirmation_ack": Here(sender="m1", run=2, gossip=[UPDATES[0]]),
+}
+
+
+def wire() -> dict[str, str]:
+    return {name: messages.encode(said).hex() for name, said in {**DATAGRAMS, **STREAMED}.items()}
+
+
+def sealed() -> dict[str, str]:
+    """Authenticated by the first of two keys, at a fixed time and with a fixed nonce."""
+    seal = Seal((make_key(b"k" * 32), make_key(b"old key " * 5)), 30_000.0)
+    datagram = seal.seal(messages.encode(DATAGRAMS["ping"]), NOW_MS, NONCE)
+    second = seal.seal(messages.encode(DATAGRAMS["ack"]), NOW_MS + 1.0, NONCE + 1)
+    seal.rekey((make_key(b"old key " * 5),))
+    rotated = seal.seal(messages.encode(DATAGRAMS["join"]), NOW_MS + 2.0, NONCE + 2)
+    stream = seal.seal(messages.encode(STREAMED["full_state"]), NOW_MS, NONCE, 2**21)
+    return {
+        "key_ids": f"{make_key(b'k' * 32).id.hex()} {make_key(b'old key ' * 5).id.hex()}",
+        "datagram": datagram.hex(),
+        "second": second.hex(),
+        "rotated": rotated.hex(),
+        "stream": (LENGTH.pack(len(stream)) + stream).hex(),
+    }
+
+
+def names() -> dict[str, Any]:
+    return {
+        "states": {state.name: int(state) for state in State},
+        "changes": {change.name: change.value for change in Change},
+        "outcomes": [outcome.value for outcome in Outcome],
+        "drop_reasons": [reason.value for reason in Refused],
+        "update_hashes": [hash_of(update) for update in UPDATES],
+        "event_hashes": [claim_hash(event) for event in EVENTS],
+    }
+
+
+def view() -> Any:
+    """What `gladewalk members --json` shows of a fleet with a stalled and a dead member."""
+    net = duty_cluster(5, 11)
+    net.stop("m2", 6_000.0)
+    net.kill("m3")
+    net.run(2_700.0)
+    net.blocked = lambda source, target: "m4" in (source, target)
+    net.run(700.0)
+    return json.loads(json.dumps(view_of(net.runners["m0"])))
+
+
+def log_and_counters() -> dict[str, Any]:
+    """The log events and counters of one member's endpoint, with a clock of its own."""
+
+    async def story() -> dict[str, Any]:
+        now, rng = [NOW_MS], random.Random(4)
+        core = Membership("a", ("127.0.0.1", 0), (), Terms(), rng, NOW_MS)
+        networks = (ipaddress.ip_network("127.0.0.0/8"),)
+        seal, counters = Seal((make_key(b"k" * 32),), 30_000.0), Counters()
+        members = Members(core, seal, networks, lambda: now[0], Deadlines(lambda when: None), counters)
+        with structlog.testing.capture_logs() as lines:
+            await members.listen()
+            port = core.me.port
+            now[0] += 100.0
+            stranger = Seal((make_key(b"x" * 32),), 30_000.0)
+            ours = Seal((make_key(b"k" * 32),), 30_000.0)
+            b = Rumour("b", "127.0.0.1", 9, 7, 8, State.ALIVE)
+            hello = ours.seal(messages.encode(Join(sender="b", run=7, gossip=[b])), now[0], 1)
+            suspicion = Rumour("b", "127.0.0.1", 9, 7, 8, State.SUSPECT, by="c")
+            told = ours.seal(messages.encode(Ack(sender="c", run=9, gossip=[suspicion])), now[0], 2)
+            me = Rumour("a", "127.0.0.1", port, core.me.run, core.me.incarnation, State.SUSPECT, by="b")
+            accused = ours.seal(messages.encode(Ack(sender="b", run=7, gossip=[me])), now[0], 3)
+            junk = ours.seal(b"junk", now[0], 4)
+            for data, host in (
+                (hello, "127.0.0.1"), (hello, "127.0.0.1"), (hello, "10.9.9.9"), (told, "127.0.0.1"),
+                (b"noise", "127.0.0.1"), (bytes(2_000), "127.0.0.1"), (junk, "127.0.0.1"),
+                (stranger.seal(b"", now[0], 5), "127.0.0.1"), (accused, "127.0.0.1"),
+                (ours.seal(b"", now[0] - 1e6, 6), "127.0.0.1"), (hello[:-1] + b"!", "127.0.0.1"),
+            ):  # fmt: skip
+                members.datagram_received(data, (host, 9))
+            members.error_received(OSError())
+            for name in (*core.members, "a", "unknown"):
+                for change in Change:
+                    members._note(change, name)
+            members.leave()
+        counts = {name: count for name, count in counters.report().items() if name != "members.sent_bytes"}
+        return {
+            "log": [{**line, "port": 1} if "port" in line else line for line in lines],
+            "counters": counts,
+        }
+
+    return json.loads(json.dumps(asyncio.run(story())))  # type: ignore[no-any-return]
+
+
+def record(net: Net) -> Any:
+    """Hashes every datagram from now on, with its time, sender and receiver."""
+    recorded, post = hashlib.sha256(), net.post
+
+    def recording(node: Any, data: bytes, to: Any) -> None:
+        recorded.update(repr((net.now, node.name, to)).encode() + data)
+        post(node, data, to)
+
+    net.post = recording  # type: ignore[method-assign]
+    return recorded
+
+
+def history_of(net: Net) -> str:
+    lines = [f"{seen.at_ms!r} {seen.by} {seen.change.value} {seen.name}" for seen in net.seen]
+    return hashlib.sha256("\n".join(lines).encode()).hexdigest()
+
+
+def fingerprint(kind: str, size: int, seed: int) -> list[Any]:
+    """Every datagram and every change of a run: the same draws, times, targets and bytes."""
+    net = cluster(size, seed, settle_ms=1_000.0)
+    recorded = record(net)
+    net.run(1_000.0)
+    names_ = tuple(net.nodes)
+    for case in CASES:
+        if case.kind == kind:
+            play(net, case.faults(names_))
+            net.run(4_000.0)
+    net.late_ms = 60.0
+    net.run(2_000.0)
+    return [
+        recorded.hexdigest(),
+        history_of(net),
+        len(net.seen),
+        sum(net.sent.values()),
+        sum(net.bytes.values()),
+    ]
+
+
+RUNS = (
+    ("loss", 5, 1), ("link", 5, 2), ("flap", 4, 3), ("delay", 6, 4), ("cut_out", 5, 5), ("pause", 5, 6),
+    ("kill", 4, 7), ("partition", 7, 8), ("kill", 24, 9), ("cut_out", 80, 10),
+)  # fmt: skip
+
+
+def fingerprint_with_events() -> list[Any]:
+    """The same with user events, of duties that move while members are killed and started."""
+    net = duty_cluster(4, 12, boxes=30, settle_ms=1_000.0)
+    recorded = record(net)
+    net.loss = 0.1
+    net.run(3_000.0)
+    net.kill("m1")
+    net.run(3_000.0)
+    net.join("m1", ("m0",))
+    net.run(4_000.0)
+    return [
+        recorded.hexdigest(),
+        history_of(net),
+        len(net.seen),
+        sum(net.sent.values()),
+        sum(net.bytes.values()),
+    ]
+
+
+def runs() -> dict[str, list[Any]]:
+    return {f"{kind} {size} {seed}": fingerprint(kind, size, seed) for kind, size, seed in RUNS}
+
+
+PARTS: dict[str, Callable[[], Any]] = {
+    "wire": wire, "sealed": sealed, "names": names, "view": view, "endpoint": log_and_counters,
+    "run_with_events": fingerprint_with_events,
+}  # fmt: skip
+
+
+def golden() -> Any:
+    return json.loads(DATA.read_text())
+
+
+@pytest.mark.parametrize("part", PARTS)
+def test_what_is_written_is_as_it_was(part: str) -> None:
+    assert PARTS[part]() == golden()[part]
+
+
+def test_what_was_written_is_read() -> None:
+    written = golden()["wire"]
+    assert {name: messages.decode(bytes.fromhex(written[name])) for name in DATAGRAMS} == DATAGRAMS
+    assert {name: messages.decode_streamed(bytes.fromhex(written[name])) for name in STREAMED} == STREAMED
+
+
+def test_what_was_sealed_is_opened() -> None:
+    written = {name: bytes.fromhex(text) for name, text in golden()["sealed"].items() if name != "key_ids"}
+    seal = Seal((make_key(b"old key " * 5), make_key(b"k" * 32)), 30_000.0)
+    assert seal.open(written["datagram"], NOW_MS) == messages.encode(DATAGRAMS["ping"])
+    assert seal.open(written["second"], NOW_MS) == messages.encode(DATAGRAMS["ack"])
+    assert seal.open(written["rotated"], NOW_MS) == messages.encode(DATAGRAMS["join"])
+    assert seal.open(written["datagram"], NOW_MS) is Refused.REPLAYED
+    (length,) = LENGTH.unpack(written["stream"][: LENGTH.size])
+    stream = written["stream"][LENGTH.size :]
+    assert length == len(stream)
+    opened = seal.open(stream, NOW_MS, 2**21)
+    assert isinstance(opened, bytes) and messages.decode_streamed(opened) == STREAMED["full_state"]
+
+
+@pytest.mark.parametrize(("kind", "size", "seed"), RUNS)
+def test_every_datagram_and_change_of_a_run_is_as_it_was(kind: str, size: int, seed: int) -> None:
+    assert fingerprint(kind, size, seed) == golden()["runs"][f"{kind} {size} {seed}"]
+
+
+if __name__ == "__main__":
+    captured = {**{name: capture() for name, capture in PARTS.items()}, "runs": runs()}
+    DATA.write_text(json.dumps(captured, indent=1) + "\n")
