Files of membership named by the field's terms

seal -> authenticator, terms -> actions, roll -> member_list, gossip -> dissemination, pings -> probes, verdicts -> suspicion, lateness -> loop_delay, speaker -> message_builder, hearing -> gossip_state; rehearsal/membernet -> member_network, faultnet/membercases -> membership_cases, faultpoints/memberrun -> membership_scenario.

--- a/benchmarks/lossy_director.py
+++ b/benchmarks/lossy_director.py
@@ -11,7 +11,7 @@
 import sys
 
 from gladewalk.daemon import run
-from gladewalk.members.terms import Address
+from gladewalk.members.actions import Address
 from gladewalk.members.transport import Members
 
 
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -16,8 +16,8 @@
 import sys
 import time
 
-from gladewalk.members.terms import Change
-from gladewalk.rehearsal.membernet import Net, cluster
+from gladewalk.members.actions import Change
+from gladewalk.rehearsal.member_network import Net, cluster
 
 LOSSES = (0.0, 0.1, 0.3)
 QUIET_MS = 10_000.0
--- a/benchmarks/members_busy.py
+++ b/benchmarks/members_busy.py
@@ -15,7 +15,7 @@
 import sys
 import time
 
-from gladewalk.faultnet.membercases import CASES
+from gladewalk.faultnet.membership_cases import CASES
 from tests.test_fleet_members import run_case
 
 
--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -3,7 +3,7 @@
     python -m benchmarks.members_faults [--quick] [--directors 3 5 7] [--runs N] [--plot FILE.png]
     python -m benchmarks.members_faults --memory 64,256,1024 [--plot FILE.png]
 
-Each case of `faultnet/membercases.py` is played to a fleet of processes of its own with relays between every
+Each case of `faultnet/membership_cases.py` is played to a fleet of processes of its own with relays between each
 ordered pair, four fleets at a time; `--quick` is 5 directors once. A line a case: deaths that nothing
 accounts for, the times until each other member held a victim dead, until all held all for members again once
 the fault was over (0: nobody was ever lost), and bytes and datagrams a second for each member while it was
@@ -25,12 +25,12 @@
 
 from gladewalk.faultnet.causes import causes_of
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.membercases import CASES, Case
+from gladewalk.faultnet.membership_cases import CASES, Case
 from gladewalk.faultnet.nemesis import play
+from gladewalk.members.actions import Terms
 from gladewalk.members.history import Seen, agreed_ms, detected_ms, wrong_deaths
-from gladewalk.members.terms import Terms
-from gladewalk.rehearsal.membernet import cluster
-from gladewalk.rehearsal.membernet import play as play_in_memory
+from gladewalk.rehearsal.member_network import cluster
+from gladewalk.rehearsal.member_network import play as play_in_memory
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
 STALL_MS = Terms().stall_ms
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -27,7 +27,7 @@
     from .dns.settings import DnsConfig
     from .duties.runner import Runner
     from .leases.transport import Address, Leases
-    from .members.seal import Key
+    from .members.authenticator import Key
     from .members.transport import Members
     from .net.admin import AdminFront
     from .nginx.router import Router
@@ -272,7 +272,7 @@
         """The members' keys as their file has them now; none where members are off."""
         if self.members is None or options.members is None:
             return ()
-        from .members.seal import load_keys
+        from .members.authenticator import load_keys
 
         return load_keys(options.file(options.members.keys))
 
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -12,9 +12,9 @@
 
 from .. import interface as api
 from ..counters import Counters
+from ..members.actions import Change
 from ..members.messages import News
 from ..members.swim import Membership
-from ..members.terms import Change
 from .ownership import Claim, Ownership
 from .pacing import Pacing
 
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -9,9 +9,9 @@
 from ..counters import Counters
 from ..deadlines import Deadlines
 from ..exchange import Exchange
-from ..members.seal import Seal, load_keys
+from ..members.actions import Address, Terms
+from ..members.authenticator import Seal, load_keys
 from ..members.swim import Membership
-from ..members.terms import Address, Terms
 from ..members.transport import Members, Network
 from ..options import Options
 from ..upstream.pool import Caches
--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -23,8 +23,8 @@
 
 from ..control.client import ask
 from ..leases.history import Verdict, check_sinks
+from ..members.authenticator import load_keys
 from ..members.history import Seen, from_log
-from ..members.seal import load_keys
 from . import relay
 from .relay import Address, Relay, StreamRelay, free_port
 from .schedule import Pair
--- a/gladewalk/faultnet/sink.py
+++ b/gladewalk/faultnet/sink.py
@@ -13,7 +13,7 @@
 from ..leases.fence import Fence
 from ..leases.messages import Acked, Act, decode, encode
 from ..leases.works import PURGE, REPORT
-from ..members.seal import Key, Refused, Seal
+from ..members.authenticator import Key, Refused, Seal
 
 WINDOW_MS = 30_000.0
 
--- a/gladewalk/faultpoints/memberrun.py
+++ b/gladewalk/faultpoints/membership_scenario.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Callable
 
+from ..members.actions import Address, Change, Knocking, Out, Outcome, Terms
+from ..members.authenticator import Seal
 from ..members.messages import decode
-from ..members.seal import Seal
-from ..members.terms import Address, Change, Knocking, Out, Outcome, Terms
-from ..rehearsal.membernet import KEY, Net, Node
+from ..rehearsal.member_network import KEY, Net, Node
 from .points import Kind, Points
 
 STALL_MS = 1_600.0  # longer than a suspicion lasts, shorter than one that is stalled is kept
--- a/gladewalk/faultpoints/runs.py
+++ b/gladewalk/faultpoints/runs.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from . import leaserun, memberrun, storerun
+from . import leaserun, membership_scenario, storerun
 from .sweep import Scenario
 
 SCENARIOS: tuple[tuple[str, Scenario], ...] = (
     ("store", storerun.play),
     ("leases", leaserun.play),
-    ("members", memberrun.play),
+    ("members", membership_scenario.play),
 )
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -9,7 +9,7 @@
 from ..config import ConfigError, read_address
 from ..counters import Counters
 from ..deadlines import Deadlines
-from ..members.seal import Seal, load_keys
+from ..members.authenticator import Seal, load_keys
 from ..ops.figures import ENDS
 from ..options import Options
 from ..store.keeper import Keeper
--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -19,8 +19,8 @@
 
 from ..counters import Counters
 from ..deadlines import Deadlines, Key
+from ..members.authenticator import Refused, Seal
 from ..members.messages import DATAGRAM_MOST
-from ..members.seal import Refused, Seal
 from .candidate import Candidate
 from .elector import Elector
 from .messages import Vote, decode, encode
--- a/gladewalk/members/gossip.py
+++ b/gladewalk/members/dissemination.py
@@ -11,8 +11,8 @@
 from itertools import chain
 from typing import Generic, TypeVar
 
+from .actions import Terms
 from .messages import News, Rumour, digest_of_one, size_of
-from .terms import Terms
 
 GOSSIP_BYTES = 1_000  # of rumours in a message: the rest is for the message itself and its seal
 T = TypeVar("T", Rumour, News)
--- a/gladewalk/members/hearing.py
+++ b/gladewalk/members/gossip_state.py
@@ -8,12 +8,12 @@
 
 import msgspec
 
-from .lateness import Lateness
+from .actions import Address, Change, Changed, Exchange, Knocking, Outcome, Send
+from .loop_delay import Lateness
+from .member_list import Member
+from .message_builder import Speaker
 from .messages import Ack, Join, Knock, Message, PingFor, Rumour, State
-from .roll import Member
-from .speaker import Speaker
-from .terms import Address, Change, Changed, Exchange, Knocking, Outcome, Send
-from .verdicts import believes_death, knocks, least_ms, runs_out_ms
+from .suspicion import believes_death, knocks, least_ms, runs_out_ms
 
 HEALTH_MOST = 8  # how far a member that misses answers may stretch its times (Lifeguard)
 
--- a/gladewalk/members/history.py
+++ b/gladewalk/members/history.py
@@ -1,7 +1,7 @@
 """A checker over what members said of one another: wrong deaths, times to detect, times to agree. No I/O.
 
 The history is every change that any member noted, with its time on one clock: out of a fleet's logs
-(`faultnet`) or of a network in memory (`rehearsal/membernet.py`). What happened in truth is given as causes:
+(`faultnet`) or of a network in memory (`rehearsal/member_network.py`). What happened is given as causes:
 between whom and when a death could rightly be found.
 """
 
@@ -13,7 +13,7 @@
 from datetime import datetime
 from typing import Any
 
-from .terms import Change
+from .actions import Change
 
 GONE = frozenset((Change.DIED, Change.LEFT))
 BACK = frozenset((Change.JOINED, Change.CLEARED))
--- a/gladewalk/members/roll.py
+++ b/gladewalk/members/member_list.py
@@ -11,8 +11,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from .actions import Address, Outcome
 from .messages import Rumour, State, digest_of_one
-from .terms import Address, Outcome
 
 
 @dataclass(slots=True)
--- a/gladewalk/members/speaker.py
+++ b/gladewalk/members/message_builder.py
@@ -4,11 +4,11 @@
 
 import random
 
-from .gossip import GOSSIP_BYTES, Gossip
+from .actions import Address, Out, Send, Terms
+from .dissemination import GOSSIP_BYTES, Gossip
+from .member_list import Member, Roll
 from .messages import Join, Ping, Roster, Rumour, Said, State, size_of
-from .pings import Pings
-from .roll import Member, Roll
-from .terms import Address, Out, Send, Terms
+from .probes import Pings
 
 RUMOUR_LEAST = 20  # bytes: no more of them than so fit into a datagram
 
--- a/gladewalk/members/pings.py
+++ b/gladewalk/members/probes.py
@@ -10,7 +10,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
-from .terms import Address, Terms
+from .actions import Address, Terms
 
 SLOW = 1.5  # times the time that answers take, for one that is awaited
 KEPT = 64  # pings whose late answers still tell something
--- a/gladewalk/members/stream.py
+++ b/gladewalk/members/stream.py
@@ -1,6 +1,6 @@
 """Full exchanges and knocks over TCP: sealed messages behind their length, each on a connection of its own.
 
-    length (4)  sealed message        as in `seal`, up to `STREAM_MOST`
+    length (4)  sealed message        as in `authenticator`, up to `STREAM_MOST`
 
 Nothing is decided here. Whoever is of another network, says what is no message of ours or is too slow is
 counted and cut off without an answer.
@@ -13,6 +13,8 @@
 from typing import TYPE_CHECKING
 
 from . import sync
+from .actions import Address, Exchange, Knocking, Outcome
+from .authenticator import Refused
 from .messages import (
     STREAM_MOST,
     Digest,
@@ -24,8 +26,6 @@
     decode_streamed,
     encode,
 )
-from .seal import Refused
-from .terms import Address, Exchange, Knocking, Outcome
 
 if TYPE_CHECKING:
     from .transport import Members
@@ -77,7 +77,7 @@
         task.add_done_callback(self.knocks.discard)
 
     async def _knock(self, wanted: Knocking) -> None:
-        """Who answers at a suspect's port: its process, its system alone, or nobody (`verdicts`)."""
+        """Who answers at a suspect's port: its process, its system alone, or nobody (`suspicion`)."""
         members, writer, outcome = self.members, None, Outcome.UNREACHABLE
         try:
             async with asyncio.timeout(wanted.wait_ms / 1_000.0):
--- a/gladewalk/members/verdicts.py
+++ b/gladewalk/members/suspicion.py
@@ -17,8 +17,8 @@
 import math
 from enum import Enum
 
-from .roll import Member
-from .terms import Outcome, Terms
+from .actions import Outcome, Terms
+from .member_list import Member
 
 KNOCK_ALL = 64  # members up to which all knock at a suspect; in larger fleets only who accuses it by itself
 KNOCK_AGAIN_MS = 2_000.0  # a stalled member may be killed meanwhile
--- a/gladewalk/members/swim.py
+++ b/gladewalk/members/swim.py
@@ -15,8 +15,10 @@
 
 import msgspec
 
-from .hearing import Hearing
-from .lateness import READ_MS, Lateness
+from .actions import Address, Change, Changed, Heard, Out, Outcome, Send, Terms
+from .gossip_state import Hearing
+from .loop_delay import READ_MS, Lateness
+from .member_list import Member
 from .messages import (
     Ack,
     Here,
@@ -32,9 +34,7 @@
     Said,
     State,
 )
-from .roll import Member
-from .terms import Address, Change, Changed, Heard, Out, Outcome, Send, Terms
-from .verdicts import DOUBTFUL, Verdict, least_ms, verdict_of
+from .suspicion import DOUBTFUL, Verdict, least_ms, verdict_of
 
 STOP_PERIODS = 3.0  # without a turn for so many periods we were stopped, and doubt ourselves
 
--- a/gladewalk/members/sync.py
+++ b/gladewalk/members/sync.py
@@ -11,10 +11,10 @@
 
 from __future__ import annotations
 
+from .actions import Out
+from .member_list import hash_of
 from .messages import Digest, Streamed, Whole
-from .roll import hash_of
 from .swim import Membership
-from .terms import Out
 
 
 def digest_of(core: Membership) -> int:
--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -12,11 +12,11 @@
 
 from ..counters import Counters
 from ..deadlines import Deadlines, Key
+from .actions import Address, Change, Changed, Exchange, Heard, Knocking, Out, Send
+from .authenticator import Refused, Seal
 from .messages import DATAGRAM_MOST, Malformed, News, decode, encode
-from .seal import Refused, Seal
 from .stream import Streams
 from .swim import Membership
-from .terms import Address, Change, Changed, Exchange, Heard, Knocking, Out, Send
 
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
 log = structlog.get_logger("gladewalk.members")
--- a/gladewalk/rehearsal/dutynet.py
+++ b/gladewalk/rehearsal/dutynet.py
@@ -1,7 +1,7 @@
 """Duties on the network in memory: the real `Runner`, `Ownership` and `Membership`, in virtual time.
 
 Boxes to probe are names; a probe that a node does is noted with its time. Nodes are killed, stopped, cut off
-and restarted as on `membernet`, and what they hold and do can be read off at any moment.
+and restarted as on `member_network`, and what they hold and do can be read off at any moment.
 """
 
 from __future__ import annotations
@@ -14,10 +14,10 @@
 from ..counters import Counters
 from ..duties.ownership import Rank, rank_of, score
 from ..duties.runner import Found, Runner
-from ..members.gossip import Told
+from ..members.actions import Change, Terms
+from ..members.dissemination import Told
 from ..members.messages import News
-from ..members.terms import Change, Terms
-from .membernet import Net, Node
+from .member_network import Net, Node
 
 PROBE_MS = 1.0  # that a box takes to answer
 
--- a/gladewalk/rehearsal/membernet.py
+++ b/gladewalk/rehearsal/member_network.py
@@ -15,11 +15,11 @@
 
 from ..faultnet.schedule import Fault, pairs_of
 from ..members import sync
+from ..members.actions import Address, Change, Exchange, Heard, Knocking, Out, Outcome, Send, Terms
+from ..members.authenticator import OVERHEAD, Key, Refused, Seal, make_key
 from ..members.history import Seen
 from ..members.messages import News, Streamed, decode, encode
-from ..members.seal import OVERHEAD, Key, Refused, Seal, make_key
 from ..members.swim import Membership
-from ..members.terms import Address, Change, Exchange, Heard, Knocking, Out, Outcome, Send, Terms
 
 STREAM_MS = 2_000.0  # until an exchange over a path that passes nothing is given up
 KEY = make_key(b"a key of the rehearsal's own, 32 bytes or more")
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -17,8 +17,8 @@
 from gladewalk.director import Director
 from gladewalk.duties.ownership import Claim, Ownership, owner_of
 from gladewalk.duties.pacing import Pacing
-from gladewalk.members.seal import make_key
-from gladewalk.members.terms import Change
+from gladewalk.members.actions import Change
+from gladewalk.members.authenticator import make_key
 from gladewalk.options import Options, options_of, read_tables
 from gladewalk.rehearsal.dutynet import DutyNet, duty_cluster
 from gladewalk.rehearsal.ownerwalk import Broken, Budget, Walk
--- a/tests/test_fault_points.py
+++ b/tests/test_fault_points.py
@@ -6,14 +6,14 @@
 
 import pytest
 
-from gladewalk.faultpoints import leaserun, memberrun, storerun
+from gladewalk.faultpoints import leaserun, membership_scenario, storerun
 from gladewalk.faultpoints.points import CATALOGUE, Kind, Points, Unlisted
 from gladewalk.faultpoints.runs import SCENARIOS
 from gladewalk.faultpoints.sweep import count, sweep, thinned
 from gladewalk.leases.fence import Act, Fence
 from gladewalk.members import swim
-from gladewalk.members.hearing import Hearing
-from gladewalk.members.verdicts import Verdict
+from gladewalk.members.gossip_state import Hearing
+from gladewalk.members.suspicion import Verdict
 from gladewalk.store.log import Batch, Log
 
 
@@ -122,7 +122,7 @@
 def test_hasty_verdicts_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(swim, "verdict_of", lambda *_: (Verdict.DEAD, 0.0))
     monkeypatch.setattr(Hearing, "_ask_others", lambda self, member: setattr(member, "asked", True))
-    assert found(memberrun.play, "members", 6)
+    assert found(membership_scenario.play, "members", 6)
 
 
 def test_members_that_believe_no_later_run_do_not_even_hold_without_a_fault(
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -14,13 +14,13 @@
 
 from gladewalk.faultnet.causes import causes_of
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.membercases import CASES, Case
+from gladewalk.faultnet.membership_cases import CASES, Case
 from gladewalk.faultnet.nemesis import play
 from gladewalk.faultnet.schedule import Fault
+from gladewalk.members.actions import Change, Terms
 from gladewalk.members.history import Cause, Seen, agreed_ms, detected_ms, from_log, wrong_deaths
-from gladewalk.members.terms import Change, Terms
-from gladewalk.rehearsal.membernet import cluster
-from gladewalk.rehearsal.membernet import play as play_in_memory
+from gladewalk.rehearsal.member_network import cluster
+from gladewalk.rehearsal.member_network import play as play_in_memory
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
 from tests.fleetworld import Fleets, until_true
 from tests.test_fleet_works import command
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -19,9 +19,12 @@
 from gladewalk.counters import Counters
 from gladewalk.deadlines import Deadlines
 from gladewalk.duties.view import view_of
-from gladewalk.faultnet.membercases import CASES
+from gladewalk.faultnet.membership_cases import CASES
 from gladewalk.members import messages
-from gladewalk.members.gossip import claim_hash
+from gladewalk.members.actions import Change, Outcome, Terms
+from gladewalk.members.authenticator import Refused, Seal, make_key
+from gladewalk.members.dissemination import claim_hash
+from gladewalk.members.member_list import hash_of
 from gladewalk.members.messages import (
     Ack,
     Digest,
@@ -37,14 +40,11 @@
     State,
     Whole,
 )
-from gladewalk.members.roll import hash_of
-from gladewalk.members.seal import Refused, Seal, make_key
 from gladewalk.members.stream import LENGTH
 from gladewalk.members.swim import Membership
-from gladewalk.members.terms import Change, Outcome, Terms
 from gladewalk.members.transport import Members
 from gladewalk.rehearsal.dutynet import duty_cluster
-from gladewalk.rehearsal.membernet import Net, cluster, play
+from gladewalk.rehearsal.member_network import Net, cluster, play
 
 DATA = Path(__file__).parent / "golden" / "members.json"
 NOW_MS = 1_764_576_000_123.0
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -10,7 +10,9 @@
 from gladewalk.config import ConfigError
 from gladewalk.counters import Counters
 from gladewalk.director import Turn
-from gladewalk.members.gossip import Told
+from gladewalk.members.actions import Change, Exchange, Terms
+from gladewalk.members.authenticator import OVERHEAD, Refused, Seal, load_keys, make_key
+from gladewalk.members.dissemination import Told
 from gladewalk.members.messages import (
     DATAGRAM_MOST,
     Digest,
@@ -22,13 +24,11 @@
     decode,
     encode,
 )
-from gladewalk.members.seal import OVERHEAD, Refused, Seal, load_keys, make_key
 from gladewalk.members.stream import LENGTH
 from gladewalk.members.swim import Membership
-from gladewalk.members.terms import Change, Exchange, Terms
 from gladewalk.members.transport import Members
 from gladewalk.net.outside import unix_ms
-from gladewalk.rehearsal.membernet import START_MS, Net, Node, cluster
+from gladewalk.rehearsal.member_network import START_MS, Net, Node, cluster
 from gladewalk.rehearsal.peers import until
 
 TAKEOVER_MS = 2_000.0  # wished: by then a death is known to all
--- a/tests/test_members_busy.py
+++ b/tests/test_members_busy.py
@@ -7,12 +7,12 @@
 import pytest
 
 from gladewalk.faultnet.causes import causes_of
-from gladewalk.faultnet.membercases import CASES
+from gladewalk.faultnet.membership_cases import CASES
+from gladewalk.members.actions import Outcome, Send, Terms
 from gladewalk.members.history import wrong_deaths
-from gladewalk.members.lateness import FELT_MS, HALF_MS, HOPS, READ_MS, Lateness
+from gladewalk.members.loop_delay import FELT_MS, HALF_MS, HOPS, READ_MS, Lateness
 from gladewalk.members.messages import State
-from gladewalk.members.terms import Outcome, Send, Terms
-from gladewalk.rehearsal.membernet import cluster, play
+from gladewalk.rehearsal.member_network import cluster, play
 
 
 def busy_cluster(size: int, seed: int, most_ms: float) -> Any:
