--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -3,7 +3,7 @@
     python -m benchmarks.members_faults [--quick] [--directors 3 5 7] [--runs N] [--plot FILE.png]
     python -m benchmarks.members_faults --memory 64,256,1024 [--plot FILE.png]
 
-Each case of `faultnet/membership_cases.py` is played to a fleet of processes of its own with relays between each
+Each case of `faultnet/membership_cases.py` is played to a fleet of processes with relays between every
 ordered pair, four fleets at a time; `--quick` is 5 directors once. A line a case: deaths that nothing
 accounts for, the times until each other member held a victim dead, until all held all for members again once
 the fault was over (0: nobody was ever lost), and bytes and datagrams a second for each member while it was
