--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -13,7 +13,7 @@
 from .. import interface as api
 from ..counters import Counters
 from ..members.actions import Change
-from ..members.messages import News
+from ..members.messages import UserEvent
 from ..members.swim import Membership
 from .ownership import Claim, Ownership
 from .pacing import Pacing
@@ -28,9 +28,9 @@
 
     core: Membership
     changed: Callable[[Change, str], None]
-    heard: Callable[[News], None]
+    heard: Callable[[UserEvent], None]
 
-    def tell(self, news: News) -> None: ...
+    def tell(self, news: UserEvent) -> None: ...
 
 
 class Agenda(Protocol):
@@ -121,26 +121,26 @@
             return
         self.moved = True
 
-    def heard(self, news: News) -> None:
-        kind, _, name = news.duty.partition("/")
+    def heard(self, news: UserEvent) -> None:
+        kind, _, name = news.task.partition("/")
         duty, now = self.duties.get(kind), self.clock()
         if duty is None or name not in self.known[kind]:
             return
         claim = Claim(news.epoch, news.owner)
-        if not self.owned[kind].hear(name, claim, news.done_ms or None, now):
+        if not self.owned[kind].hear(name, claim, news.executed_at_ms or None, now):
             return self.counters.add("duties.older_epoch")
         self._tell_claims(kind)
         if not news.status:
             return
         # A finding that is old, or of a clock that is off, tells nothing of now.
-        if abs(now - news.done_ms) > self.fresh_ms:
+        if abs(now - news.executed_at_ms) > self.fresh_ms:
             return self.counters.add("duties.too_old")
         try:
             status = api.Status(news.status)
         except ValueError:
             return self.counters.add("duties.unknown_status")
         self.counters.add("duties.heard")
-        duty.learn(name, status, news.took_ms, news.load, max(0.0, now - news.done_ms))
+        duty.learn(name, status, news.duration_ms, news.load, max(0.0, now - news.executed_at_ms))
 
     def owned_names(self) -> list[str]:
         return sorted(f"{kind}/{name}" for kind, owned in self.owned.items() for name in owned.held)
@@ -152,7 +152,9 @@
         def found(status: api.Status, took_ms: float, load: dict[str, float] | None) -> None:
             duty.learn(name, status, took_ms, load, max(0.0, self.clock() - started))
             self.members.tell(
-                News(f"{duty.kind}/{name}", claim.owner, claim.epoch, started, status.value, took_ms, load)
+                UserEvent(
+                    f"{duty.kind}/{name}", claim.owner, claim.epoch, started, status.value, took_ms, load
+                )
             )
 
         duty.do(name, found)
@@ -161,4 +163,4 @@
         owned = self.owned[kind]
         for name, claim in owned.take_claims():
             self.counters.add("duties.claims")
-            self.members.tell(News(f"{kind}/{name}", claim.owner, claim.epoch, 0.0))
+            self.members.tell(UserEvent(f"{kind}/{name}", claim.owner, claim.epoch, 0.0))
--- a/gladewalk/duties/view.py
+++ b/gladewalk/duties/view.py
@@ -17,16 +17,17 @@
     me = core.me
     rows = [
         {"name": me.name, "address": f"{me.host}:{me.port}", "state": "self" if core.active else "name taken",
-         "incarnation": me.incarnation, "run": me.run, "weight": me.weight, "heard_ms": 0.0,
-         "duties": holders[me.name], "health": core.health, "stalled": False, "knocked": None},
+         "incarnation": me.incarnation, "run": me.run_id, "weight": me.weight, "heard_ms": 0.0,
+         "duties": holders[me.name], "health": core.health_score, "stalled": False, "knocked": None},
     ]  # fmt: skip
     for name, member in core.members.items():
         known = member.rumour
         rows.append({
             "name": name, "address": f"{known.host}:{known.port}", "state": known.state.name.lower(),
-            "incarnation": known.incarnation, "run": known.run, "weight": known.weight,
-            "heard_ms": round(now - member.heard_ms, 1), "duties": holders[name], "health": member.health,
-            "stalled": member.stalled, "knocked": member.outcome.value if member.outcome else None,
+            "incarnation": known.incarnation, "run": known.run_id, "weight": known.weight,
+            "heard_ms": round(now - member.heard_ms, 1), "duties": holders[name],
+            "health": member.health_score, "stalled": member.stalled,
+            "knocked": member.outcome.value if member.outcome else None,
         })  # fmt: skip
     own = [
         {"duty": f"{kind}/{name}", "epoch": held.claim.epoch, "due_ms": round(held.due_ms - now, 1)}
@@ -36,7 +37,7 @@
     return {
         "name": me.name,
         "active": core.active,
-        "health": core.health,
+        "health": core.health_score,
         "stretch": round(runner.stretch, 3),
         "members": sorted(rows, key=lambda row: str(row["name"])),
         "owned": sorted(own, key=lambda row: str(row["duty"])),
--- a/gladewalk/faultpoints/membership_scenario.py
+++ b/gladewalk/faultpoints/membership_scenario.py
@@ -6,7 +6,7 @@
 
 from ..members.actions import Address, Change, Knocking, Out, Outcome, Terms
 from ..members.authenticator import Seal
-from ..members.messages import decode
+from ..members.messages import Ack, DatagramMessage, Join, Nack, PartialState, Ping, PingRequest, decode
 from ..rehearsal.member_network import KEY, Net, Node
 from .points import Kind, Points
 
@@ -14,6 +14,14 @@
 LATE_MS = 1_500.0
 DOWN_MS = 900.0
 NAMES = ("m0", "m1", "m2")
+POINT_SUFFIXES: dict[type[DatagramMessage], str] = {  # as the catalogue of points names the messages
+    Ping: "Ping",
+    Ack: "Ack",
+    Nack: "Nack",
+    PingRequest: "PingFor",
+    Join: "Join",
+    PartialState: "Roster",
+}
 
 
 class FaultNet(Net):
@@ -48,7 +56,7 @@
         """The kind of a message, opened apart: who opens one twice takes it for a replay."""
         opened = Seal((KEY,), 30_000.0).open(data, self.now)
         assert isinstance(opened, bytes)
-        return type(decode(opened)).__name__
+        return POINT_SUFFIXES[type(decode(opened))]
 
     def noted(self, node: Node, change: Change, name: str) -> None:
         if change in (Change.SUSPECTED, Change.DIED):
--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -20,7 +20,7 @@
 from ..counters import Counters
 from ..deadlines import Deadlines, Key
 from ..members.authenticator import Refused, Seal
-from ..members.messages import DATAGRAM_MOST
+from ..members.messages import MAX_DATAGRAM_BYTES
 from .candidate import Candidate
 from .elector import Elector
 from .messages import Vote, decode, encode
@@ -128,7 +128,7 @@
         address = self.where.get(to)
         if address is None or self.transport is None or self.transport.is_closing():
             return
-        sealed = self.seal.seal(data, self.wall(), self.random.getrandbits(64), DATAGRAM_MOST)
+        sealed = self.seal.seal(data, self.wall(), self.random.getrandbits(64), MAX_DATAGRAM_BYTES)
         self.transport.sendto(sealed, address)
 
     def _arm(self) -> None:
--- a/gladewalk/members/actions.py
+++ b/gladewalk/members/actions.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .messages import Knock, News, Said
+from .messages import ConfirmationProbe, DatagramMessage, UserEvent
 
 Address = tuple[str, int]
 
@@ -51,7 +51,7 @@
 @dataclass(slots=True, frozen=True)
 class Send:
     to: Address
-    message: Said
+    message: DatagramMessage
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,7 +69,7 @@
     name: str
     run: int
     wait_ms: float
-    message: Knock
+    message: ConfirmationProbe
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,7 +82,7 @@
 class Heard:
     """News from another member, told once for each that is later than what was known."""
 
-    news: News
+    news: UserEvent
 
 
 Out = Send | Exchange | Knocking | Changed | Heard
--- a/gladewalk/members/authenticator.py
+++ b/gladewalk/members/authenticator.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 
 from ..keyfile import load_hex_keys
-from .messages import DATAGRAM_MOST
+from .messages import MAX_DATAGRAM_BYTES
 
 VERSION = 1
 HEAD = struct.Struct(">B4sQQ")
@@ -69,14 +69,14 @@
         self.keys = {key.id: key.secret for key in keys}
         self.first = keys[0]
 
-    def seal(self, message: bytes, now_ms: float, nonce: int, most: int = DATAGRAM_MOST) -> bytes:
+    def seal(self, message: bytes, now_ms: float, nonce: int, most: int = MAX_DATAGRAM_BYTES) -> bytes:
         data = HEAD.pack(VERSION, self.first.id, int(now_ms), nonce) + message
         sealed = data + hmac.digest(self.first.secret, data, "sha256")[:TAG]
         if len(sealed) > most:
             raise ValueError(f"a message of {len(sealed)} bytes")
         return sealed
 
-    def open(self, data: bytes, now_ms: float, most: int = DATAGRAM_MOST) -> bytes | Refused:
+    def open(self, data: bytes, now_ms: float, most: int = MAX_DATAGRAM_BYTES) -> bytes | Refused:
         """The message, or why it is dropped. A tag is remembered only once it was found to be good."""
         if len(data) > most:
             return Refused.OVERSIZED
--- a/gladewalk/members/dissemination.py
+++ b/gladewalk/members/dissemination.py
@@ -12,10 +12,10 @@
 from typing import Generic, TypeVar
 
 from .actions import Terms
-from .messages import News, Rumour, digest_of_one, size_of
+from .messages import MemberUpdate, UserEvent, encoded_size_bytes, stable_hash
 
 GOSSIP_BYTES = 1_000  # of rumours in a message: the rest is for the message itself and its seal
-T = TypeVar("T", Rumour, News)
+T = TypeVar("T", MemberUpdate, UserEvent)
 
 
 class Told(Generic[T]):
@@ -44,7 +44,7 @@
         """As many as fit into so many bytes; each is dropped once it was told often enough."""
         chosen: list[tuple[str, T]] = []
         for key, piece in chain.from_iterable(level.items() for level in self.levels):
-            room -= size_of(piece)
+            room -= encoded_size_bytes(piece)
             if room < 0:
                 break
             chosen.append((key, piece))
@@ -60,9 +60,9 @@
         return [piece for _, piece in chosen]
 
 
-def claim_hash(news: News) -> int:
+def claim_hash(news: UserEvent) -> int:
     """63 bits of who holds a duty, under which claim."""
-    return digest_of_one((news.duty, news.epoch, news.owner))
+    return stable_hash((news.task, news.epoch, news.owner))
 
 
 class Gossip:
@@ -70,43 +70,43 @@
 
     def __init__(self, terms: Terms, members: Callable[[], int]) -> None:
         self.terms, self.members = terms, members
-        self.rumours: Told[Rumour] = Told()
-        self.fresh: Told[News] = Told()
-        self.news: dict[str, News] = {}  # the latest of each duty, told or not
+        self.rumours: Told[MemberUpdate] = Told()
+        self.fresh: Told[UserEvent] = Told()
+        self.events: dict[str, UserEvent] = {}  # the latest of each duty, told or not
         self.digest = 0  # of who claims what, in whatever order it came
 
-    def spread(self, rumour: Rumour) -> None:
+    def spread(self, rumour: MemberUpdate) -> None:
         self.rumours.put(rumour.name, rumour)
 
     def forget_member(self, name: str) -> None:
         self.rumours.drop(name)
 
-    def learn(self, news: News) -> bool:
+    def learn(self, news: UserEvent) -> bool:
         """Whether it is later than what was known of its duty; then it is told on."""
-        known = self.news.get(news.duty)
-        if known is not None and news.rank <= known.rank:
+        known = self.events.get(news.task)
+        if known is not None and news.precedence <= known.precedence:
             return False
-        if known is None and len(self.news) >= self.terms.news_most:
+        if known is None and len(self.events) >= self.terms.news_most:
             return False
         if known is None or (known.epoch, known.owner) != (news.epoch, news.owner):
             self.digest ^= claim_hash(news) ^ (claim_hash(known) if known is not None else 0)
-        self.news[news.duty] = news
-        self.fresh.put(news.duty, news)
+        self.events[news.task] = news
+        self.fresh.put(news.task, news)
         return True
 
     def forget_news(self, duty: str) -> None:
-        if (known := self.news.pop(duty, None)) is not None:
+        if (known := self.events.pop(duty, None)) is not None:
             self.digest ^= claim_hash(known)
         self.fresh.drop(duty)
 
-    def take_rumours(self) -> list[Rumour]:
+    def take_rumours(self) -> list[MemberUpdate]:
         return self.rumours.take(GOSSIP_BYTES, self._often())
 
-    def take_news(self, beside: list[Rumour]) -> list[News]:
+    def take_news(self, beside: list[MemberUpdate]) -> list[UserEvent]:
         """News that fit beside these rumours."""
         if not self.fresh.level_of:
             return []
-        return self.fresh.take(GOSSIP_BYTES - sum(map(size_of, beside)), self._often())
+        return self.fresh.take(GOSSIP_BYTES - sum(map(encoded_size_bytes, beside)), self._often())
 
     def _often(self) -> int:
         return math.ceil(self.terms.retransmit * math.log10(self.members() + 2))
--- a/gladewalk/members/member_list.py
+++ b/gladewalk/members/member_list.py
@@ -12,14 +12,14 @@
 from dataclasses import dataclass, field
 
 from .actions import Address, Outcome
-from .messages import Rumour, State, digest_of_one
+from .messages import MemberState, MemberUpdate, stable_hash
 
 
 @dataclass(slots=True)
 class Member:
     """What is known of another member."""
 
-    rumour: Rumour
+    rumour: MemberUpdate
     since_ms: float  # in this state
     heard_ms: float  # last directly
     accusers: set[str] = field(default_factory=set)  # who said that it is suspect
@@ -30,7 +30,7 @@
     doubted: bool = False  # another's word of its death was not taken: we knock ourselves before it is dead
     stalled: bool = False  # a suspect that keeps its place and does none of its duties
     challenged_ms: float = -math.inf  # when it was last told what is said of it
-    health: int = 0  # how far it doubts itself, as it said last
+    health_score: int = 0  # how far it doubts itself, as it said last
 
     @property
     def address(self) -> Address:
@@ -38,18 +38,18 @@
 
     @property
     def suspect(self) -> bool:
-        return self.rumour.state is State.SUSPECT
+        return self.rumour.state is MemberState.SUSPECT
 
     @property
     def live(self) -> bool:
         """Taken to live: a suspect is, until it is found dead."""
-        return self.rumour.state in (State.ALIVE, State.SUSPECT)
+        return self.rumour.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
 
-def hash_of(rumour: Rumour) -> int:
+def hash_of(rumour: MemberUpdate) -> int:
     """63 bits of what two members must agree on: neither the weight nor who accuses it."""
-    said = (rumour.name, rumour.run, rumour.incarnation, int(rumour.state), rumour.host, rumour.port)
-    return digest_of_one(said)
+    said = (rumour.name, rumour.run_id, rumour.incarnation, int(rumour.state), rumour.host, rumour.port)
+    return stable_hash(said)
 
 
 class Roll:
@@ -73,13 +73,13 @@
         member = self.members.get(self.at.get(address, ""))
         return member is not None and member.live and member.address == address
 
-    def add(self, rumour: Rumour, now_ms: float) -> Member:
+    def add(self, rumour: MemberUpdate, now_ms: float) -> Member:
         """One that nothing was known of."""
         member = self.members[rumour.name] = Member(rumour, now_ms, now_ms)
         self._enter(member)
         return member
 
-    def set(self, member: Member, rumour: Rumour, now_ms: float) -> None:
+    def set(self, member: Member, rumour: MemberUpdate, now_ms: float) -> None:
         """Something newer of one that is known: its state begins anew."""
         self._strike(member)
         member.rumour, member.since_ms = rumour, now_ms
@@ -117,7 +117,7 @@
         rumour = member.rumour
         self.digest ^= hash_of(rumour)
         self.at[member.address] = rumour.name
-        if rumour.state is State.SUSPECT:
+        if rumour.state is MemberState.SUSPECT:
             self.suspects[rumour.name] = member
         elif not member.live:
             self.gone[rumour.name] = member
--- a/gladewalk/members/messages.py
+++ b/gladewalk/members/messages.py
@@ -1,175 +1,188 @@
-"""What members say to one another, as msgpack arrays within the bounds of a datagram.
+"""Messages between members, encoded as msgpack arrays, with the bounds that every field is checked against.
 
-An unknown kind, a field too many of a known one and a text beyond its bound are all malformed: the sender is
-of another version or no member at all.
+Datagrams carry the SWIM protocol (Das et al., 2002) with Lifeguard's extensions (Dadgar et al., 2018); TCP
+streams carry state synchronization and confirmation probes. The order of the fields and the integer tags are
+the wire format. An unknown tag, a surplus field or a value out of bounds makes a message malformed.
 """
 
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import Annotated, Any
+from typing import Annotated, TypeVar
 
 import msgspec
 import xxhash
 from msgspec import Meta
 
-STREAM_MOST = 2 * 1024 * 1024  # bytes of a message over a stream: 2,048 members and 8,192 duties fit
-DATAGRAM_MOST = 1_400  # bytes, the seal among them: under every usual path's limit
-Name = Annotated[str, Meta(min_length=1, max_length=64)]
-Number = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+from .errors import MalformedMessageError
 
+MAX_STREAM_MESSAGE_BYTES = 2 * 1024 * 1024  # holds 2,048 members and 8,192 user events
+MAX_DATAGRAM_BYTES = 1_400  # authentication included: below the MTU of all usual paths
+MemberName = Annotated[str, Meta(min_length=1, max_length=64)]
+Host = Annotated[str, Meta(max_length=64)]
+Port = Annotated[int, Meta(ge=0, le=65_535)]
+WireInteger = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 
-class State(IntEnum):
-    """Of a member, in the order in which one outweighs another at the same incarnation."""
+
+class MemberState(IntEnum):
+    """State of a member; at the same incarnation the higher value supersedes the lower one."""
 
     ALIVE = 0
     SUSPECT = 1
     DEAD = 2
-    LEFT = 3  # it said so itself: not a failure
+    LEFT = 3  # it announced its departure: not a failure
+
 
+class MemberUpdate(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """State of one member as gossiped.
 
-class Rumour(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    """What is said of a member. `run` is another with each start, `incarnation` is the member's own count."""
+    `run_id` differs with each start of the member's process and rises from start to start; `incarnation` is
+    raised by the member itself to refute a suspicion. `weight` is its share of the periodic tasks;
+    `suspected_by` names the member that raised a suspicion.
+    """
 
-    name: Name
-    host: Annotated[str, Meta(max_length=64)]
-    port: Annotated[int, Meta(ge=0, le=65_535)]
-    run: Number
-    incarnation: Number
-    state: State
+    name: MemberName
+    host: Host
+    port: Port
+    run_id: WireInteger
+    incarnation: WireInteger
+    state: MemberState
     weight: Annotated[float, Meta(ge=0.0, le=1e6)] = 1.0
-    by: Annotated[str, Meta(max_length=64)] = ""  # who suspects it
+    suspected_by: Annotated[str, Meta(max_length=64)] = ""
 
 
-class News(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    """What the owner of a duty found, or that it claims the duty (`status` empty).
+class UserEvent(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Application payload spread by gossip: a periodic task's result, or a claim to own it (empty `status`).
 
-    `done_ms` is when, by the owner's Unix clock; `epoch` the claim it was made under.
+    `epoch` is the ownership claim under which the owner acted; `executed_at_ms` the owner's Unix time.
     """
 
-    duty: Annotated[str, Meta(min_length=1, max_length=96)]
-    owner: Name
-    epoch: Number
-    done_ms: Annotated[float, Meta(ge=0.0, le=1e15)]
+    task: Annotated[str, Meta(min_length=1, max_length=96)]
+    owner: MemberName
+    epoch: WireInteger
+    executed_at_ms: Annotated[float, Meta(ge=0.0, le=1e15)]
     status: Annotated[str, Meta(max_length=16)] = ""
-    took_ms: Annotated[float, Meta(ge=0.0, le=1e9)] = 0.0
+    duration_ms: Annotated[float, Meta(ge=0.0, le=1e9)] = 0.0
     load: Annotated[dict[Annotated[str, Meta(max_length=16)], float], Meta(max_length=8)] | None = None
 
     @property
-    def rank(self) -> tuple[int, str, float]:
-        """The later claim first, then the later finding under it."""
-        return self.epoch, self.owner, self.done_ms
+    def precedence(self) -> tuple[int, str, float]:
+        """Sort key among the events of one task: the later claim first, then the later result under it."""
+        return self.epoch, self.owner, self.executed_at_ms
 
 
 class Message(
     msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, tag_field="kind", kw_only=True
 ):
-    """`sender` and `run` tell who speaks, `health` how far it doubts itself; `gossip` rides along."""
+    """Fields common to all messages.
 
-    sender: Name
-    run: Number
-    number: Number = 0
-    health: Annotated[int, Meta(ge=0, le=64)] = 0
-    gossip: list[Rumour] = []
-    news: list[News] = []
+    `sender` and `run_id` identify the sending process; `health_score` is its local health (0: healthy, see
+    `local_health`). `updates` and `events` are the gossip that the message carries along. `sequence` matches
+    an answer with its ping; 0 stands for no answer expected.
+    """
+
+    sender: MemberName
+    run_id: WireInteger
+    sequence: WireInteger = 0
+    health_score: Annotated[int, Meta(ge=0, le=64)] = 0
+    updates: list[MemberUpdate] = []
+    events: list[UserEvent] = []
 
 
 class Ping(Message, frozen=True, array_like=True, tag=1, kw_only=True):
-    """Are you there? `target_run` keeps a newcomer at an old address from answering for who was there."""
+    """Direct ping; a process whose name and run id differ from the target's does not answer it."""
 
-    target: Name
-    target_run: Number
+    target: MemberName
+    target_run_id: WireInteger
 
 
 class Ack(Message, frozen=True, array_like=True, tag=2, kw_only=True):
-    """I am; or, from a go-between, it is."""
+    """Answer to a ping, or to a ping request on whose behalf the target answered."""
 
 
 class Nack(Message, frozen=True, array_like=True, tag=3, kw_only=True):
-    """A go-between's word that it heard the request and, in time, nothing from the target (Lifeguard)."""
+    """Answer to a ping request whose target has not answered in time (Lifeguard, section IV.A)."""
 
 
-class PingFor(Message, frozen=True, array_like=True, tag=4, kw_only=True):
-    """Ask this member for me."""
+class PingRequest(Message, frozen=True, array_like=True, tag=4, kw_only=True):
+    """Asks the receiver to ping a target on the sender's behalf: SWIM's ping-req (section 3.1)."""
 
-    target: Name
-    target_run: Number
-    host: Annotated[str, Meta(max_length=64)]
-    port: Annotated[int, Meta(ge=0, le=65_535)]
+    target: MemberName
+    target_run_id: WireInteger
+    host: Host
+    port: Port
 
 
 class Join(Message, frozen=True, array_like=True, tag=5, kw_only=True):
-    """I am new here: tell me all you know. The answer is a `Roster`."""
+    """Asks for the receiver's member list, which it sends as a `PartialState`."""
 
 
-class Roster(Message, frozen=True, array_like=True, tag=6, kw_only=True):
-    """A part of all that the sender knows, in its gossip.
+class PartialState(Message, frozen=True, array_like=True, tag=6, kw_only=True):
+    """As much of the sender's member list as a datagram holds, in `updates`.
 
-    `reply`: the same is wanted back. `whole`: false where more is known than this datagram holds; who gets it
-    may ask for the rest by a full exchange.
+    `wants_reply` asks for the same in return. `is_complete` is false where members were left out; the
+    receiver may then request the rest by a state synchronization over a stream.
     """
 
-    reply: bool = False
-    whole: bool = True
+    wants_reply: bool = False
+    is_complete: bool = True
 
 
 class Digest(Message, frozen=True, array_like=True, tag=7, kw_only=True):
-    """Over a stream: what I know, as a hash. The answer is a `Whole`."""
+    """Begins a state synchronization: a hash of the sender's state. The answer is a `FullState`."""
 
-    digest: Number
+    digest: WireInteger
 
 
-class Whole(Message, frozen=True, array_like=True, tag=8, kw_only=True):
-    """Over a stream: all that I know, in gossip and news; or that it is the `same` as the digest says."""
+class FullState(Message, frozen=True, array_like=True, tag=8, kw_only=True):
+    """The sender's whole state in `updates` and `events`; empty with `is_identical` if both digests agree."""
 
-    same: bool = False
+    is_identical: bool = False
 
 
-class Knock(Message, frozen=True, array_like=True, tag=9, kw_only=True):
-    """Over a stream, to one that is suspected, which `gossip` tells it. The answer is a `Here`."""
+class ConfirmationProbe(Message, frozen=True, array_like=True, tag=9, kw_only=True):
+    """Sent over a stream to a suspected member, with the suspicion in `updates`."""
 
 
-class Here(Message, frozen=True, array_like=True, tag=10, kw_only=True):
-    """I am, and this refutes it."""
+class ConfirmationAck(Message, frozen=True, array_like=True, tag=10, kw_only=True):
+    """Answer to a `ConfirmationProbe`; its `updates` refute the suspicion."""
 
 
-Said = Ping | Ack | Nack | PingFor | Join | Roster
-Streamed = Digest | Whole | Knock | Here
-_decoder = msgspec.msgpack.Decoder(Said)
-_streamed = msgspec.msgpack.Decoder(Streamed)
+DatagramMessage = Ping | Ack | Nack | PingRequest | Join | PartialState
+StreamMessage = Digest | FullState | ConfirmationProbe | ConfirmationAck
+AnyMessage = TypeVar("AnyMessage")
+_datagram_decoder: msgspec.msgpack.Decoder[DatagramMessage] = msgspec.msgpack.Decoder(DatagramMessage)
+_stream_decoder: msgspec.msgpack.Decoder[StreamMessage] = msgspec.msgpack.Decoder(StreamMessage)
 _encoder = msgspec.msgpack.Encoder()
 
 
-class Malformed(ValueError):
-    """No message of ours."""
-
-
-def encode(message: Said | Streamed) -> bytes:
+def encode(message: DatagramMessage | StreamMessage) -> bytes:
+    """Encodes a message as a msgpack array."""
     return _encoder.encode(message)
 
 
-def decode(data: bytes) -> Said:
-    """A datagram's message, or `Malformed`."""
-    return _decode(_decoder, data)  # type: ignore[no-any-return]
+def decode(data: bytes) -> DatagramMessage:
+    """Decodes a datagram's message; raises `MalformedMessageError`."""
+    return _decode(_datagram_decoder, data)
 
 
-def decode_streamed(data: bytes) -> Streamed:
-    """A stream's message, or `Malformed`."""
-    return _decode(_streamed, data)  # type: ignore[no-any-return]
+def decode_streamed(data: bytes) -> StreamMessage:
+    """Decodes a stream's message; raises `MalformedMessageError`."""
+    return _decode(_stream_decoder, data)
 
 
-def _decode(decoder: msgspec.msgpack.Decoder[Any], data: bytes) -> Any:
+def _decode(decoder: msgspec.msgpack.Decoder[AnyMessage], data: bytes) -> AnyMessage:
     try:
         return decoder.decode(data)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:  # ValueError: a text that is no UTF-8
-        raise Malformed(str(error)) from error
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:  # ValueError: invalid UTF-8
+        raise MalformedMessageError(str(error)) from error
 
 
-def digest_of_one(said: tuple[object, ...]) -> int:
-    """63 bits of one thing that two members must agree on: `Number` goes no further."""
-    return xxhash.xxh3_64_intdigest(repr(said).encode()) >> 1
+def stable_hash(values: tuple[object, ...]) -> int:
+    """63-bit hash, the same on all members, of values with a stable `repr`."""
+    return xxhash.xxh3_64_intdigest(repr(values).encode()) >> 1
 
 
-def size_of(item: Rumour | News) -> int:
-    """Bytes that it takes in a message."""
+def encoded_size_bytes(item: MemberUpdate | UserEvent) -> int:
+    """Number of bytes that the item takes in a message."""
     return len(_encoder.encode(item))
--- a/gladewalk/members/probes.py
+++ b/gladewalk/members/probes.py
@@ -24,7 +24,7 @@
     """A ping whose answer is awaited."""
 
     name: str
-    number: int
+    sequence: int
     sent_ms: float
     helped: bool = False  # go-betweens have been asked
     helpers: int = 0
@@ -36,7 +36,7 @@
     """A ping for another member."""
 
     asker: Address
-    number: int
+    sequence: int
     due_ms: float
 
 
@@ -71,7 +71,7 @@
         if sent_ms is not None and (took_ms := now_ms - sent_ms) < SLOWEST_PERIODS * self.terms.period_ms:
             self.samples.append(took_ms)
             self.answer_ms = statistics.median_low(self.samples)
-        if self.asking is None or self.asking.number != number:
+        if self.asking is None or self.asking.sequence != number:
             return False
         self.asking = None
         return True
--- a/gladewalk/members/stream.py
+++ b/gladewalk/members/stream.py
@@ -1,6 +1,6 @@
 """Full exchanges and knocks over TCP: sealed messages behind their length, each on a connection of its own.
 
-    length (4)  sealed message        as in `authenticator`, up to `STREAM_MOST`
+    length (4)  sealed message        as in `authenticator`, up to `MAX_STREAM_MESSAGE_BYTES`
 
 Nothing is decided here. Whoever is of another network, says what is no message of ours or is too slow is
 counted and cut off without an answer.
@@ -15,14 +15,14 @@
 from . import sync
 from .actions import Address, Exchange, Knocking, Outcome
 from .authenticator import Refused
+from .errors import MalformedMessageError
 from .messages import (
-    STREAM_MOST,
+    MAX_STREAM_MESSAGE_BYTES,
+    ConfirmationAck,
+    ConfirmationProbe,
     Digest,
-    Here,
-    Knock,
-    Malformed,
-    Streamed,
-    Whole,
+    FullState,
+    StreamMessage,
     decode_streamed,
     encode,
 )
@@ -53,7 +53,9 @@
 
     async def listen(self, host: str, port: int) -> int:
         """The port, which the system chooses for 0."""
-        self.server = await asyncio.start_server(self._serve, host, port, limit=STREAM_MOST, backlog=BACKLOG)
+        self.server = await asyncio.start_server(
+            self._serve, host, port, limit=MAX_STREAM_MESSAGE_BYTES, backlog=BACKLOG
+        )
         return int(self.server.sockets[0].getsockname()[1])
 
     def begin(self, wanted: Exchange) -> None:
@@ -84,7 +86,7 @@
                 reader, writer = await self._connect(wanted.to)
                 outcome = Outcome.SILENT
                 self._write(writer, wanted.message)
-                if isinstance(here := await self._read(reader), Here):
+                if isinstance(here := await self._read(reader), ConfirmationAck):
                     members.carry_out(members.core.take_in(here, members.clock()))
                     outcome = Outcome.HERE
         except TimeoutError:
@@ -100,7 +102,7 @@
         members.carry_out(members.core.knocked(wanted.name, wanted.run, outcome, members.clock()))
 
     async def _connect(self, to: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        return await asyncio.open_connection(*self.members.dial.get(to, to), limit=STREAM_MOST)
+        return await asyncio.open_connection(*self.members.dial.get(to, to), limit=MAX_STREAM_MESSAGE_BYTES)
 
     async def _ask(self, to: Address) -> None:
         members, writer = self.members, None
@@ -136,7 +138,7 @@
                 asked = await self._read(reader)
                 if not members.core.active:
                     return
-                if isinstance(asked, Knock):
+                if isinstance(asked, ConfirmationProbe):
                     here, out = members.core.answer_knock(asked, members.clock())
                     self._write(writer, here)
                     return members.carry_out(out)
@@ -146,9 +148,9 @@
                     raise Dropped("crowded")
                 mine = sync.answer(members.core, asked)
                 self._write(writer, mine)
-                if not mine.same:
+                if not mine.is_identical:
                     told = await self._read(reader)
-                    if isinstance(told, Whole):
+                    if isinstance(told, FullState):
                         members.carry_out(members.core.take_in(told, members.clock()))
             members.counters.add("members.exchanges_asked")
         except Dropped as why:
@@ -159,20 +161,22 @@
             self.asked.discard(writer)
             writer.close()
 
-    def _write(self, writer: asyncio.StreamWriter, message: Streamed) -> None:
-        sealed = self.members.sealed(encode(message), STREAM_MOST)
+    def _write(self, writer: asyncio.StreamWriter, message: StreamMessage) -> None:
+        sealed = self.members.sealed(encode(message), MAX_STREAM_MESSAGE_BYTES)
         writer.write(LENGTH.pack(len(sealed)) + sealed)
 
-    async def _read(self, reader: asyncio.StreamReader) -> Streamed:
+    async def _read(self, reader: asyncio.StreamReader) -> StreamMessage:
         """One message; `Dropped` for what is none of a member's."""
         (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
-        if length > STREAM_MOST:
+        if length > MAX_STREAM_MESSAGE_BYTES:
             raise Dropped(Refused.OVERSIZED.value)
         members = self.members
-        opened = members.seal.open(await reader.readexactly(length), members.clock(), STREAM_MOST)
+        opened = members.seal.open(
+            await reader.readexactly(length), members.clock(), MAX_STREAM_MESSAGE_BYTES
+        )
         if isinstance(opened, Refused):
             raise Dropped(opened.value)
         try:
             return decode_streamed(opened)
-        except Malformed as error:
+        except MalformedMessageError as error:
             raise Dropped(Refused.MALFORMED.value) from error
--- a/gladewalk/members/swim.py
+++ b/gladewalk/members/swim.py
@@ -21,18 +21,18 @@
 from .member_list import Member
 from .messages import (
     Ack,
-    Here,
+    ConfirmationAck,
+    ConfirmationProbe,
+    DatagramMessage,
     Join,
-    Knock,
+    MemberState,
+    MemberUpdate,
     Message,
     Nack,
-    News,
+    PartialState,
     Ping,
-    PingFor,
-    Roster,
-    Rumour,
-    Said,
-    State,
+    PingRequest,
+    UserEvent,
 )
 from .suspicion import DOUBTFUL, Verdict, least_ms, verdict_of
 
@@ -43,14 +43,22 @@
     """One member's view, and its part in the others'."""
 
     def __init__(
-        self, name: str, address: Address, seeds: tuple[Address, ...], terms: Terms, rng: random.Random,
-        now_ms: float, weight: float = 1.0,
-    ) -> None:  # fmt: skip
+        self,
+        name: str,
+        address: Address,
+        seeds: tuple[Address, ...],
+        terms: Terms,
+        rng: random.Random,
+        now_ms: float,
+        weight: float = 1.0,
+    ) -> None:
         self.seeds = seeds
         # A later start has the higher incarnation where clocks agree; where not, it refutes what it hears of
         # itself. Runs are in the order of starts, too, which tells of two with one name who was there first.
         run = (int(now_ms) << 20 | rng.getrandbits(20)) % 2**63
-        super().__init__(Rumour(name, *address, run, int(now_ms), State.ALIVE, weight), terms, rng)
+        super().__init__(
+            MemberUpdate(name, *address, run, int(now_ms), MemberState.ALIVE, weight), terms, rng
+        )
         self.round = []
         self.next_ping_ms = now_ms + rng.random() * terms.period_ms
         self.next_exchange_ms = now_ms + terms.exchange_ms * rng.random()
@@ -98,7 +106,7 @@
             self.next_seed_ms,
             self.next_challenge_ms,
             self.roll.suspicion_ends_ms() + self.late.grace_ms(self.last_ms),
-            *(ms + self.late.ms(self.last_ms) for ms in self.pings.due_ms(self.health)),
+            *(ms + self.late.ms(self.last_ms) for ms in self.pings.due_ms(self.health_score)),
         ]
         return min(times)
 
@@ -109,19 +117,21 @@
             self._take_in(message, now_ms)
         return self._take()
 
-    def answer_knock(self, message: Knock, now_ms: float) -> tuple[Here, list[Out]]:
+    def answer_knock(self, message: ConfirmationProbe, now_ms: float) -> tuple[ConfirmationAck, list[Out]]:
         """Somebody wants to know whether we live: what it has heard of us is refuted in the answer."""
         out = self.take_in(message, now_ms)
-        return Here(sender=self.me.name, run=self.me.run, health=self.health, gossip=[self.me]), out
+        return ConfirmationAck(
+            sender=self.me.name, run_id=self.me.run_id, health_score=self.health_score, updates=[self.me]
+        ), out
 
     def knocked(self, name: str, run: int, outcome: Outcome, now_ms: float) -> list[Out]:
-        """What came of knocking at a suspect; a `Here` has been taken in before."""
+        """What came of knocking at a suspect; a `ConfirmationAck` has been taken in before."""
         self._keep_time(now_ms)
         member = self.members.get(name)
         if member is None:
             return []
         member.knocking = False
-        if member.rumour.run == run and member.suspect:
+        if member.rumour.run_id == run and member.suspect:
             member.outcome = outcome
             if outcome is Outcome.HERE:
                 member.heard_ms = now_ms
@@ -130,45 +140,45 @@
                 member.dead_at_ms = min(member.dead_at_ms, member.since_ms + least)
         return self._take()
 
-    def receive(self, message: Said, source: Address, now_ms: float) -> list[Out]:
+    def receive(self, message: DatagramMessage, source: Address, now_ms: float) -> list[Out]:
         if not self.active:
             return []
         self._keep_time(now_ms)
         if message.sender == self.me.name:
-            if message.run != self.me.run:
+            if message.run_id != self.me.run_id:
                 self._same_name(message, source)
             return self._take()
         sender = self.members.get(message.sender)
         self.heard_any_ms = now_ms
-        if sender is not None and sender.rumour.run == message.run:
-            sender.heard_ms, sender.health = now_ms, message.health
-            if sender.rumour.state is State.DEAD:
+        if sender is not None and sender.rumour.run_id == message.run_id:
+            sender.heard_ms, sender.health_score = now_ms, message.health_score
+            if sender.rumour.state is MemberState.DEAD:
                 self._meet_again(sender, now_ms)
         elif sender is None and isinstance(message, Ping):  # it knows us, and we have forgotten it
             self._send(source, Join)
         self._take_in(message, now_ms)
         match message:
-            case Ping() if message.target == self.me.name and message.target_run in (self.me.run, 0):
+            case Ping() if message.target == self.me.name and message.target_run_id in (self.me.run_id, 0):
                 self._tell_suspect(message.sender)
-                self._send(source, Ack, number=message.number)
-            case PingFor():
+                self._send(source, Ack, sequence=message.sequence)
+            case PingRequest():
                 self._run_errand(message, source, now_ms)
             case Ack():
                 self._answered(message, now_ms)
-            case Nack() if (asking := self.pings.asking) is not None and message.number == asking.number:
+            case Nack() if (asking := self.pings.asking) is not None and message.sequence == asking.sequence:
                 asking.nacks += 1
-            case Join() | Roster(reply=True):
+            case Join() | PartialState(wants_reply=True):
                 self._tell_some(source)
-            case Roster(whole=False) if now_ms >= self.exchanged_ms + self.terms.exchange_ms / 2:
+            case PartialState(is_complete=False) if now_ms >= self.exchanged_ms + self.terms.exchange_ms / 2:
                 self._exchange_with(source, now_ms)  # the rest of it, unless we have just asked somebody
         return self._take()
 
     def _take_in(self, message: Message, now_ms: float) -> None:
         """What rides along."""
-        doubtful = message.health >= DOUBTFUL
-        for rumour in message.gossip:
+        doubtful = message.health_score >= DOUBTFUL
+        for rumour in message.updates:
             self.hear(rumour, now_ms, message.sender, doubtful)
-        for news in message.news:
+        for news in message.events:
             if self.gossip.learn(news):
                 self._put(Heard(news))
 
@@ -177,7 +187,7 @@
         self.me = msgspec.structs.replace(self.me, port=port)
         self.gossip.spread(self.me)
 
-    def tell(self, news: News) -> None:
+    def tell(self, news: UserEvent) -> None:
         """Let all members know, by what is sent in any case."""
         self.gossip.learn(news)
 
@@ -195,7 +205,9 @@
 
     def leave(self, now_ms: float) -> list[Out]:
         """Say so to some of the others, who tell the rest."""
-        self.me = msgspec.structs.replace(self.me, incarnation=self.me.incarnation + 1, state=State.LEFT)
+        self.me = msgspec.structs.replace(
+            self.me, incarnation=self.me.incarnation + 1, state=MemberState.LEFT
+        )
         live = list(self.roll.live())
         for member in self.random.sample(live, min(len(live), 2 * self.terms.helpers)):
             self._tell_of_me(member.address)
@@ -207,7 +219,7 @@
     def _begin_period(self, now_ms: float) -> None:
         self._judge_answer(now_ms)
         while self.next_ping_ms <= now_ms:
-            self.next_ping_ms += self.pings.period_ms(self.health)
+            self.next_ping_ms += self.pings.period_ms(self.health_score)
         target = self._next_target()
         if target is not None:
             self._ping(target, self.pings.ask(target.rumour.name, now_ms))
@@ -226,7 +238,7 @@
     def _ping(self, member: Member, number: int) -> None:
         rumour = member.rumour
         self._tell_suspect(rumour.name)
-        self._send(member.address, Ping, number=number, target=rumour.name, target_run=rumour.run)
+        self._send(member.address, Ping, sequence=number, target=rumour.name, target_run_id=rumour.run_id)
 
     def _challenge_accused(self, now_ms: float) -> None:
         """Whom we accuse hears so each period, however slow we have made ourselves: to refute it in time."""
@@ -237,7 +249,7 @@
 
     def _await_answer(self, now_ms: float) -> None:
         asking = self.pings.asking
-        patience_ms = self.pings.timeout_ms(self.health) + self.late.ms(now_ms)
+        patience_ms = self.pings.timeout_ms(self.health_score) + self.late.ms(now_ms)
         if asking is None or asking.helped or now_ms < asking.sent_ms + patience_ms:
             return
         asking.helped = True
@@ -246,9 +258,14 @@
         asking.helpers = len(chosen)
         for helper in chosen:
             self._send(
-                helper.address, PingFor, number=asking.number, target=asking.name,
-                target_run=target.rumour.run, host=target.rumour.host, port=target.rumour.port,
-            )  # fmt: skip
+                helper.address,
+                PingRequest,
+                sequence=asking.sequence,
+                target=asking.name,
+                target_run_id=target.rumour.run_id,
+                host=target.rumour.host,
+                port=target.rumour.port,
+            )
 
     def _judge_answer(self, now_ms: float) -> None:
         """The period is over without an answer: suspected, unless the fault may be ours."""
@@ -261,25 +278,31 @@
         # Go-betweens that did not even say that they heard nothing: our own messages may be what is lost.
         self._ail(1 + max(0, asking.helpers - asking.nacks))
         if member is not None and member.live:
-            self.hear(msgspec.structs.replace(member.rumour, state=State.SUSPECT, by=self.me.name), now_ms)
+            self.hear(
+                msgspec.structs.replace(member.rumour, state=MemberState.SUSPECT, suspected_by=self.me.name),
+                now_ms,
+            )
 
     def _answered(self, message: Ack, now_ms: float) -> None:
-        errand = self.pings.errands.pop(message.number, None)
+        errand = self.pings.errands.pop(message.sequence, None)
         if errand is not None:
-            self._send(errand.asker, Ack, number=errand.number)
-        if self.pings.answered(message.number, now_ms):
-            self.health = max(0, self.health - 1)
+            self._send(errand.asker, Ack, sequence=errand.sequence)
+        if self.pings.answered(message.sequence, now_ms):
+            self.health_score = max(0, self.health_score - 1)
 
-    def _run_errand(self, message: PingFor, source: Address, now_ms: float) -> None:
-        number = self.pings.run_errand(source, message.number, now_ms)
+    def _run_errand(self, message: PingRequest, source: Address, now_ms: float) -> None:
+        number = self.pings.run_errand(source, message.sequence, now_ms)
         self._send(
-            (message.host, message.port), Ping, number=number, target=message.target,
-            target_run=message.target_run,
-        )  # fmt: skip
+            (message.host, message.port),
+            Ping,
+            sequence=number,
+            target=message.target,
+            target_run_id=message.target_run_id,
+        )
 
     def _end_errands(self, now_ms: float) -> None:
         for errand in self.pings.ended_errands(now_ms):
-            self._send(errand.asker, Nack, number=errand.number)
+            self._send(errand.asker, Nack, sequence=errand.sequence)
 
     def _end_suspicions(self, now_ms: float) -> None:
         by_ms = now_ms - self.late.grace_ms(now_ms)
@@ -309,8 +332,8 @@
             self._ask_others(member)
             member.dead_at_ms = now_ms + self.pings.timeout_ms(0)
         elif verdict is Verdict.DEAD:
-            self.hear(msgspec.structs.replace(member.rumour, state=State.DEAD), now_ms)
-            if count > 2 and now_ms > self.heard_any_ms + 2.0 * self.pings.period_ms(self.health):
+            self.hear(msgspec.structs.replace(member.rumour, state=MemberState.DEAD), now_ms)
+            if count > 2 and now_ms > self.heard_any_ms + 2.0 * self.pings.period_ms(self.health_score):
                 self.gossip.forget_member(member.rumour.name)  # it may be we who are cut off: told to nobody
 
     # Full exchanges.
@@ -333,7 +356,7 @@
         is asked, too, as long as it is remembered: the seeds may all be dead in truth.
         """
         others, me = self.roll.live_count, (self.me.host, self.me.port)
-        dead = [member for member in self.roll.gone.values() if member.rumour.state is State.DEAD]
+        dead = [member for member in self.roll.gone.values() if member.rumour.state is MemberState.DEAD]
         # All who live share the asking of the dead: the larger the fleet, the seldomer each.
         periods = max(2.0, others / 8.0) if dead else 5.0
         self.next_seed_ms = now_ms + self.terms.period_ms * (periods if others else 2.0)
@@ -343,7 +366,9 @@
         if dead:  # it hears what is said of it in the same breath, and can refute it at once
             one = self.random.choice(dead)
             told = [self.me, one.rumour]
-            join = Join(sender=self.me.name, run=self.me.run, health=self.health, gossip=told)
+            join = Join(
+                sender=self.me.name, run_id=self.me.run_id, health_score=self.health_score, updates=told
+            )
             self._put(Send(one.address, join))
 
     # Small things.
--- a/gladewalk/members/sync.py
+++ b/gladewalk/members/sync.py
@@ -13,7 +13,7 @@
 
 from .actions import Out
 from .member_list import hash_of
-from .messages import Digest, Streamed, Whole
+from .messages import Digest, FullState, StreamMessage
 from .swim import Membership
 
 
@@ -22,27 +22,33 @@
     return core.roll.digest ^ hash_of(core.me) ^ core.gossip.digest
 
 
-def whole_of(core: Membership) -> Whole:
+def whole_of(core: Membership) -> FullState:
     """All that a member knows."""
     rumours = [core.me, *(member.rumour for member in core.members.values())]
-    news = list(core.gossip.news.values())
-    return Whole(sender=core.me.name, run=core.me.run, health=core.health, gossip=rumours, news=news)
+    news = list(core.gossip.events.values())
+    return FullState(
+        sender=core.me.name,
+        run_id=core.me.run_id,
+        health_score=core.health_score,
+        updates=rumours,
+        events=news,
+    )
 
 
 def ask(core: Membership) -> Digest:
     """What an exchange begins with."""
-    return Digest(sender=core.me.name, run=core.me.run, digest=digest_of(core))
+    return Digest(sender=core.me.name, run_id=core.me.run_id, digest=digest_of(core))
 
 
-def answer(core: Membership, asked: Digest) -> Whole:
+def answer(core: Membership, asked: Digest) -> FullState:
     if asked.digest == digest_of(core):
-        return Whole(sender=core.me.name, run=core.me.run, same=True)
+        return FullState(sender=core.me.name, run_id=core.me.run_id, is_identical=True)
     return whole_of(core)
 
 
-def take(core: Membership, told: Streamed, now_ms: float) -> tuple[Whole | None, list[Out]]:
+def take(core: Membership, told: StreamMessage, now_ms: float) -> tuple[FullState | None, list[Out]]:
     """Whoever asked hears the answer: what it says back, if anything, and what follows here."""
-    if not isinstance(told, Whole) or told.same:
+    if not isinstance(told, FullState) or told.is_identical:
         return None, []
     mine = whole_of(core)  # before what we hear: it needs nothing back that it has just told
     return mine, core.take_in(told, now_ms)
--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -14,7 +14,8 @@
 from ..deadlines import Deadlines, Key
 from .actions import Address, Change, Changed, Exchange, Heard, Knocking, Out, Send
 from .authenticator import Refused, Seal
-from .messages import DATAGRAM_MOST, Malformed, News, decode, encode
+from .errors import MalformedMessageError
+from .messages import MAX_DATAGRAM_BYTES, UserEvent, decode, encode
 from .stream import Streams
 from .swim import Membership
 
@@ -27,9 +28,15 @@
     """One member's socket. `changed` hears of changes, `heard` of news."""
 
     def __init__(
-        self, core: Membership, seal: Seal, networks: tuple[Network, ...], clock: Callable[[], float],
-        deadlines: Deadlines, counters: Counters, dial: dict[Address, Address] | None = None,
-    ) -> None:  # fmt: skip
+        self,
+        core: Membership,
+        seal: Seal,
+        networks: tuple[Network, ...],
+        clock: Callable[[], float],
+        deadlines: Deadlines,
+        counters: Counters,
+        dial: dict[Address, Address] | None = None,
+    ) -> None:
         self.dial = dial or {}  # addresses that are reached elsewhere than where they say they are
         self.core, self.seal, self.networks = core, seal, networks
         self.clock, self.deadlines, self.counters = clock, deadlines, counters
@@ -38,7 +45,7 @@
         self.timer: Key | None = None
         self.streams = Streams(self)
         self.changed: Callable[[Change, str], None] = lambda change, name: None
-        self.heard: Callable[[News], None] = lambda news: None
+        self.heard: Callable[[UserEvent], None] = lambda news: None
 
     async def listen(self) -> None:
         """At one port for datagrams and streams."""
@@ -56,7 +63,7 @@
                     raise
         self.core.bound(chosen)
         me = self.core.me
-        log.info("members_listening", by=me.name, host=me.host, port=me.port, run=me.run)
+        log.info("members_listening", by=me.name, host=me.host, port=me.port, run=me.run_id)
         self._tick()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -72,7 +79,7 @@
             return self.counters.add(f"members.dropped.{opened.value}")
         try:
             message = decode(opened)
-        except Malformed:
+        except MalformedMessageError:
             return self.counters.add("members.dropped.malformed")
         self.carry_out(self.core.receive(message, (source[0], source[1]), self.clock()))
 
@@ -90,7 +97,7 @@
     def error_received(self, error: Exception) -> None:
         self.counters.add("members.unreachable")  # as ICMP tells: a ping to it will find the same
 
-    def tell(self, news: News) -> None:
+    def tell(self, news: UserEvent) -> None:
         self.core.tell(news)
 
     def leave(self) -> None:
@@ -131,17 +138,27 @@
     def _send(self, to: Address, message: bytes) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        self.transport.sendto(self.sealed(message, DATAGRAM_MOST), self.dial.get(to, to))
+        self.transport.sendto(self.sealed(message, MAX_DATAGRAM_BYTES), self.dial.get(to, to))
 
     def _note(self, change: Change, name: str) -> None:
         """One line of the log for each change, with what speaks for it."""
         me, member = self.core.me, self.core.members.get(name)
         if member is None:
-            log.info(f"member_{change.value}", member=name, by=me.name, incarnation=me.incarnation,
-                     health=self.core.health)  # fmt: skip
+            log.info(
+                f"member_{change.value}",
+                member=name,
+                by=me.name,
+                incarnation=me.incarnation,
+                health=self.core.health_score,
+            )
             return
         log.info(
-            f"member_{change.value}", member=name, by=me.name, incarnation=member.rumour.incarnation,
-            accusers=sorted(member.accusers), knocked=member.outcome.value if member.outcome else None,
-            heard_ms=round(self.clock() - member.heard_ms), health=self.core.health,
-        )  # fmt: skip
+            f"member_{change.value}",
+            member=name,
+            by=me.name,
+            incarnation=member.rumour.incarnation,
+            accusers=sorted(member.accusers),
+            knocked=member.outcome.value if member.outcome else None,
+            heard_ms=round(self.clock() - member.heard_ms),
+            health=self.core.health_score,
+        )
--- a/gladewalk/rehearsal/dutynet.py
+++ b/gladewalk/rehearsal/dutynet.py
@@ -16,7 +16,7 @@
 from ..duties.runner import Found, Runner
 from ..members.actions import Change, Terms
 from ..members.dissemination import Told
-from ..members.messages import News
+from ..members.messages import UserEvent
 from .member_network import Net, Node
 
 PROBE_MS = 1.0  # that a box takes to answer
@@ -35,9 +35,9 @@
     def __init__(self, net: DutyNet, node: Node) -> None:
         self.net, self.node, self.core = net, node, node.core
         self.changed: Callable[[Change, str], None] = lambda change, name: None
-        self.heard: Callable[[News], None] = lambda news: None
+        self.heard: Callable[[UserEvent], None] = lambda news: None
 
-    def tell(self, news: News) -> None:
+    def tell(self, news: UserEvent) -> None:
         self.core.tell(news)
 
 
--- a/gladewalk/rehearsal/member_network.py
+++ b/gladewalk/rehearsal/member_network.py
@@ -18,7 +18,7 @@
 from ..members.actions import Address, Change, Exchange, Heard, Knocking, Out, Outcome, Send, Terms
 from ..members.authenticator import OVERHEAD, Key, Refused, Seal, make_key
 from ..members.history import Seen
-from ..members.messages import News, Streamed, decode, encode
+from ..members.messages import StreamMessage, UserEvent, decode, encode
 from ..members.swim import Membership
 
 STREAM_MS = 2_000.0  # until an exchange over a path that passes nothing is given up
@@ -26,7 +26,7 @@
 START_MS = 1_764_576_000_000.0
 
 
-S = TypeVar("S", bound=Streamed)
+S = TypeVar("S", bound=StreamMessage)
 
 
 @dataclass(slots=True, eq=False)
@@ -65,7 +65,7 @@
         self.blocked: Callable[[str, str], bool] = lambda source, target: False
         self.exchanges: Counter[str] = Counter()
         self.dark: set[str] = set()  # whose machines are down, so that no system answers in their place
-        self.on_news: Callable[[Node, News], None] | None = None
+        self.on_news: Callable[[Node, UserEvent], None] | None = None
         self.on_change: Callable[[Node, Change, str], None] | None = None
 
     def after(self, ms: float, call: Callable[[], None]) -> None:
@@ -83,9 +83,13 @@
     # Nodes.
 
     def start(
-        self, name: str, seeds: tuple[str, ...] = (), keys: tuple[Key, ...] = (KEY,), port: int = 0,
+        self,
+        name: str,
+        seeds: tuple[str, ...] = (),
+        keys: tuple[Key, ...] = (KEY,),
+        port: int = 0,
         clock_off: float = 0.0,
-    ) -> Node:  # fmt: skip
+    ) -> Node:
         """A node starts, or starts again under its name, knowing no more than its seeds."""
         old = self.nodes.get(name)
         if old is not None:
@@ -213,7 +217,7 @@
             return self._exchange_failed(node, target.address)
         told = sync.answer(target.core, self._count(node, sync.ask(node.core)))
         mine, out = sync.take(node.core, self._count(target, told), self.now + node.clock_off)
-        self.exchanges["same" if told.same else "whole"] += 1
+        self.exchanges["same" if told.is_identical else "whole"] += 1
         self.carry_out(node, out)
         if mine is not None:
             self._count(node, mine)
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -27,18 +27,18 @@
 from gladewalk.members.member_list import hash_of
 from gladewalk.members.messages import (
     Ack,
+    ConfirmationAck,
+    ConfirmationProbe,
     Digest,
-    Here,
+    FullState,
     Join,
-    Knock,
+    MemberState,
+    MemberUpdate,
     Nack,
-    News,
+    PartialState,
     Ping,
-    PingFor,
-    Roster,
-    Rumour,
-    State,
-    Whole,
+    PingRequest,
+    UserEvent,
 )
 from gladewalk.members.stream import LENGTH
 from gladewalk.members.swim import Membership
@@ -50,33 +50,41 @@
 NOW_MS = 1_764_576_000_123.0
 NONCE = 0x0123_4567_89AB_CDEF
 UPDATES = [
-    Rumour("a", "10.0.0.1", 7_946, 2**62 + 5, 1_764_576_000_000, State.ALIVE, 2.5),
-    Rumour("b", "10.0.0.2", 7_947, 12, 13, State.SUSPECT, 1.0, "a"),
-    Rumour("c", "2001:db8::1", 65_535, 1, 2, State.DEAD),
-    Rumour("d", "", 0, 0, 2**63 - 1, State.LEFT, 0.0),
+    MemberUpdate("a", "10.0.0.1", 7_946, 2**62 + 5, 1_764_576_000_000, MemberState.ALIVE, 2.5),
+    MemberUpdate("b", "10.0.0.2", 7_947, 12, 13, MemberState.SUSPECT, 1.0, "a"),
+    MemberUpdate("c", "2001:db8::1", 65_535, 1, 2, MemberState.DEAD),
+    MemberUpdate("d", "", 0, 0, 2**63 - 1, MemberState.LEFT, 0.0),
 ]
 EVENTS = [
-    News("load/box-1", "a", 7, 1_764_576_000_000.5, "ok", 1.25, {"util": 0.25, "bid": 0.5}),
-    News("load/box-2", "b", 2**40, 0.0),
-    News("sources/origin", "c", 1, 5.0, "rejected", 3.0, None),
+    UserEvent("load/box-1", "a", 7, 1_764_576_000_000.5, "ok", 1.25, {"util": 0.25, "bid": 0.5}),
+    UserEvent("load/box-2", "b", 2**40, 0.0),
+    UserEvent("sources/origin", "c", 1, 5.0, "rejected", 3.0, None),
 ]
-HEAD: dict[str, Any] = {"sender": "m0", "run": 2**61 + 1, "health": 3, "gossip": UPDATES, "news": EVENTS}
-DATAGRAMS: dict[str, messages.Said] = {
-    "ping": Ping(**HEAD, number=9, target="m1", target_run=77),
-    "ping_bare": Ping(sender="m0", run=1, target="m1", target_run=0),
-    "ack": Ack(**HEAD, number=9),
-    "nack": Nack(**HEAD, number=10),
-    "ping_request": PingFor(**HEAD, number=11, target="m2", target_run=78, host="10.0.0.3", port=7_948),
+HEAD: dict[str, Any] = {
+    "sender": "m0",
+    "run_id": 2**61 + 1,
+    "health_score": 3,
+    "updates": UPDATES,
+    "events": EVENTS,
+}
+DATAGRAMS: dict[str, messages.DatagramMessage] = {
+    "ping": Ping(**HEAD, sequence=9, target="m1", target_run_id=77),
+    "ping_bare": Ping(sender="m0", run_id=1, target="m1", target_run_id=0),
+    "ack": Ack(**HEAD, sequence=9),
+    "nack": Nack(**HEAD, sequence=10),
+    "ping_request": PingRequest(
+        **HEAD, sequence=11, target="m2", target_run_id=78, host="10.0.0.3", port=7_948
+    ),
     "join": Join(**HEAD),
-    "partial_state": Roster(**HEAD, reply=True, whole=False),
-    "partial_state_bare": Roster(sender="m0", run=1),
+    "partial_state": PartialState(**HEAD, wants_reply=True, is_complete=False),
+    "partial_state_bare": PartialState(sender="m0", run_id=1),
 }
-STREAMED: dict[str, messages.Streamed] = {
+STREAMED: dict[str, messages.StreamMessage] = {
     "digest": Digest(**HEAD, digest=2**63 - 1),
-    "full_state": Whole(**HEAD),
-    "full_state_same": Whole(sender="m0", run=1, same=True),
-    "confirmation_probe": Knock(sender="m0", run=1, health=8, gossip=[UPDATES[1]]),
-    "confirmation_ack": Here(sender="m1", run=2, gossip=[UPDATES[0]]),
+    "full_state": FullState(**HEAD),
+    "full_state_same": FullState(sender="m0", run_id=1, is_identical=True),
+    "confirmation_probe": ConfirmationProbe(sender="m0", run_id=1, health_score=8, updates=[UPDATES[1]]),
+    "confirmation_ack": ConfirmationAck(sender="m1", run_id=2, updates=[UPDATES[0]]),
 }
 
 
@@ -103,7 +111,7 @@
 
 def names() -> dict[str, Any]:
     return {
-        "states": {state.name: int(state) for state in State},
+        "states": {state.name: int(state) for state in MemberState},
         "changes": {change.name: change.value for change in Change},
         "outcomes": [outcome.value for outcome in Outcome],
         "drop_reasons": [reason.value for reason in Refused],
@@ -138,19 +146,34 @@
             now[0] += 100.0
             stranger = Seal((make_key(b"x" * 32),), 30_000.0)
             ours = Seal((make_key(b"k" * 32),), 30_000.0)
-            b = Rumour("b", "127.0.0.1", 9, 7, 8, State.ALIVE)
-            hello = ours.seal(messages.encode(Join(sender="b", run=7, gossip=[b])), now[0], 1)
-            suspicion = Rumour("b", "127.0.0.1", 9, 7, 8, State.SUSPECT, by="c")
-            told = ours.seal(messages.encode(Ack(sender="c", run=9, gossip=[suspicion])), now[0], 2)
-            me = Rumour("a", "127.0.0.1", port, core.me.run, core.me.incarnation, State.SUSPECT, by="b")
-            accused = ours.seal(messages.encode(Ack(sender="b", run=7, gossip=[me])), now[0], 3)
+            b = MemberUpdate("b", "127.0.0.1", 9, 7, 8, MemberState.ALIVE)
+            hello = ours.seal(messages.encode(Join(sender="b", run_id=7, updates=[b])), now[0], 1)
+            suspicion = MemberUpdate("b", "127.0.0.1", 9, 7, 8, MemberState.SUSPECT, suspected_by="c")
+            told = ours.seal(messages.encode(Ack(sender="c", run_id=9, updates=[suspicion])), now[0], 2)
+            me = MemberUpdate(
+                "a",
+                "127.0.0.1",
+                port,
+                core.me.run_id,
+                core.me.incarnation,
+                MemberState.SUSPECT,
+                suspected_by="b",
+            )
+            accused = ours.seal(messages.encode(Ack(sender="b", run_id=7, updates=[me])), now[0], 3)
             junk = ours.seal(b"junk", now[0], 4)
             for data, host in (
-                (hello, "127.0.0.1"), (hello, "127.0.0.1"), (hello, "10.9.9.9"), (told, "127.0.0.1"),
-                (b"noise", "127.0.0.1"), (bytes(2_000), "127.0.0.1"), (junk, "127.0.0.1"),
-                (stranger.seal(b"", now[0], 5), "127.0.0.1"), (accused, "127.0.0.1"),
-                (ours.seal(b"", now[0] - 1e6, 6), "127.0.0.1"), (hello[:-1] + b"!", "127.0.0.1"),
-            ):  # fmt: skip
+                (hello, "127.0.0.1"),
+                (hello, "127.0.0.1"),
+                (hello, "10.9.9.9"),
+                (told, "127.0.0.1"),
+                (b"noise", "127.0.0.1"),
+                (bytes(2_000), "127.0.0.1"),
+                (junk, "127.0.0.1"),
+                (stranger.seal(b"", now[0], 5), "127.0.0.1"),
+                (accused, "127.0.0.1"),
+                (ours.seal(b"", now[0] - 1e6, 6), "127.0.0.1"),
+                (hello[:-1] + b"!", "127.0.0.1"),
+            ):
                 members.datagram_received(data, (host, 9))
             members.error_received(OSError())
             for name in (*core.members, "a", "unknown"):
@@ -205,9 +228,17 @@
 
 
 RUNS = (
-    ("loss", 5, 1), ("link", 5, 2), ("flap", 4, 3), ("delay", 6, 4), ("cut_out", 5, 5), ("pause", 5, 6),
-    ("kill", 4, 7), ("partition", 7, 8), ("kill", 24, 9), ("cut_out", 80, 10),
-)  # fmt: skip
+    ("loss", 5, 1),
+    ("link", 5, 2),
+    ("flap", 4, 3),
+    ("delay", 6, 4),
+    ("cut_out", 5, 5),
+    ("pause", 5, 6),
+    ("kill", 4, 7),
+    ("partition", 7, 8),
+    ("kill", 24, 9),
+    ("cut_out", 80, 10),
+)
 
 
 def fingerprint_with_events() -> list[Any]:
@@ -234,9 +265,13 @@
 
 
 PARTS: dict[str, Callable[[], Any]] = {
-    "wire": wire, "sealed": sealed, "names": names, "view": view, "endpoint": log_and_counters,
+    "wire": wire,
+    "sealed": sealed,
+    "names": names,
+    "view": view,
+    "endpoint": log_and_counters,
     "run_with_events": fingerprint_with_events,
-}  # fmt: skip
+}
 
 
 def golden() -> Any:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -13,14 +13,14 @@
 from gladewalk.members.actions import Change, Exchange, Terms
 from gladewalk.members.authenticator import OVERHEAD, Refused, Seal, load_keys, make_key
 from gladewalk.members.dissemination import Told
+from gladewalk.members.errors import MalformedMessageError
 from gladewalk.members.messages import (
-    DATAGRAM_MOST,
+    MAX_DATAGRAM_BYTES,
     Digest,
-    Malformed,
-    News,
+    MemberState,
+    MemberUpdate,
     Ping,
-    Rumour,
-    State,
+    UserEvent,
     decode,
     encode,
 )
@@ -66,8 +66,10 @@
             net.stop("m2", 6_000.0)
             net.run(3_000.0)
             self.assertEqual({seen.by for seen in net.changes(Change.STALLED, "m2")}, {"m0", "m1", "m3"})
-            self.assertEqual({n: set(net.nodes[n].core.fit()) for n in ("m0", "m1", "m3")},
-                             {n: {"m0", "m1", "m3"} for n in ("m0", "m1", "m3")})  # fmt: skip
+            self.assertEqual(
+                {n: set(net.nodes[n].core.fit()) for n in ("m0", "m1", "m3")},
+                {n: {"m0", "m1", "m3"} for n in ("m0", "m1", "m3")},
+            )
             self.settle(net)
             self.assert_no_deaths(net)
             self.assertEqual(len(net.nodes["m0"].core.fit()), 4)
@@ -317,7 +319,7 @@
     def setUp(self) -> None:
         self.key = make_key(b"k" * 32)
         self.seal, self.other = Seal((self.key,), 1_000.0), Seal((self.key,), 1_000.0)
-        self.ping = encode(Ping(sender="a", run=1, number=2, target="b", target_run=3))
+        self.ping = encode(Ping(sender="a", run_id=1, sequence=2, target="b", target_run_id=3))
 
     def test_what_was_changed_at_any_byte_is_dropped(self) -> None:
         good = self.seal.seal(self.ping, START_MS, 7)
@@ -334,7 +336,7 @@
         self.assertIs(self.other.open(good, START_MS - 1_001.0), Refused.STALE)
         self.assertEqual(self.other.open(good, START_MS + 999.0), self.ping)
         self.assertIs(self.other.open(good, START_MS + 999.0), Refused.REPLAYED)
-        self.assertIs(self.other.open(bytes(DATAGRAM_MOST + 1), START_MS), Refused.OVERSIZED)
+        self.assertIs(self.other.open(bytes(MAX_DATAGRAM_BYTES + 1), START_MS), Refused.OVERSIZED)
         again = self.seal.seal(self.ping, START_MS, 8)  # the same words anew are no replay
         self.assertEqual(self.other.open(again, START_MS), self.ping)
 
@@ -352,19 +354,19 @@
             node.core._tell_some(("10.0.0.1", 1), reply=True)
             for out in node.core._take():
                 size = len(encode(out.message)) + OVERHEAD  # type: ignore[union-attr]
-                self.assertLessEqual(size, DATAGRAM_MOST)
+                self.assertLessEqual(size, MAX_DATAGRAM_BYTES)
 
     def test_noise_is_malformed_and_never_more_than_that(self) -> None:
         draw = random.Random(1)
-        rumour = Rumour("b", "10.0.0.1", 1, 2, 3, State.ALIVE)
-        good = encode(Ping(sender="a", run=1, target="b", target_run=3, gossip=[rumour]))
+        rumour = MemberUpdate("b", "10.0.0.1", 1, 2, 3, MemberState.ALIVE)
+        good = encode(Ping(sender="a", run_id=1, target="b", target_run_id=3, updates=[rumour]))
         for _ in range(3_000):
             data = bytearray(good)
             for _ in range(draw.randrange(1, 4)):
                 data[draw.randrange(len(data))] = draw.randrange(256)
             try:
                 decode(bytes(data[: draw.randrange(1, len(data) + 1)]))
-            except Malformed:
+            except MalformedMessageError:
                 continue
 
     def test_a_key_file_is_checked_and_no_key_is_told(self) -> None:
@@ -397,8 +399,8 @@
         net = cluster(6, 3, Terms())
         net.blocked = lambda source, target: "m0" in (source, target)
         net.run(1_500.0)
-        self.assertGreater(net.nodes["m0"].core.health, 2)
-        self.assertEqual(net.nodes["m3"].core.health, 0)
+        self.assertGreater(net.nodes["m0"].core.health_score, 2)
+        self.assertEqual(net.nodes["m3"].core.health_score, 0)
 
 
 class Loopback(unittest.IsolatedAsyncioTestCase):
@@ -418,11 +420,11 @@
         second, third = await self.start("b", seeds), await self.start("c", seeds)
         all_three = {"a": 1.0, "b": 1.0, "c": 1.0}
         await until(lambda: all(m.core.live() == all_three for m in (first, second, third)))
-        told: list[News] = []
+        told: list[UserEvent] = []
         third.heard = told.append
-        first.tell(News("load/box-1", "a", 1, unix_ms(), "ok", 1.5, {"util": 0.25}))
+        first.tell(UserEvent("load/box-1", "a", 1, unix_ms(), "ok", 1.5, {"util": 0.25}))
         await until(lambda: bool(told))
-        self.assertEqual((told[0].duty, told[0].load), ("load/box-1", {"util": 0.25}))
+        self.assertEqual((told[0].task, told[0].load), ("load/box-1", {"util": 0.25}))
         second.leave()
         await until(lambda: first.core.live() == third.core.live() == {"a": 1.0, "c": 1.0})
         self.assertEqual(first.counters["members.left"], 1)
@@ -449,9 +451,9 @@
         await until(lambda: len(first.core.live()) == len(second.core.live()) == 2)
         await until(lambda: not second.streams.begun and not first.streams.begun)
         for n in range(300):  # far more than a datagram holds; none of it is ever gossiped
-            first.core.gossip.learn(News(f"load/box-{n}", "a", 1, unix_ms(), "ok", 1.0))
+            first.core.gossip.learn(UserEvent(f"load/box-{n}", "a", 1, unix_ms(), "ok", 1.0))
         first.core.gossip.fresh = Told()
-        told: list[News] = []
+        told: list[UserEvent] = []
         second.heard = told.append
         second.streams.begin(Exchange(("127.0.0.1", first.core.me.port)))
         await until(lambda: len(told) == 300)
@@ -466,7 +468,7 @@
     async def test_noise_and_strangers_on_a_stream_are_cut_off_without_a_word(self) -> None:
         member = await self.start("a", ())
         stranger = Seal((make_key(b"x" * 32),), 30_000.0)
-        digest = encode(Digest(sender="b", run=1, digest=2))
+        digest = encode(Digest(sender="b", run_id=1, digest=2))
         good = Seal((make_key(b"k" * 32),), 30_000.0).seal(digest, unix_ms(), 1)
         for data, why in (
             (b"\xff\xff\xff\xff", "oversized"),
--- a/tests/test_members_busy.py
+++ b/tests/test_members_busy.py
@@ -11,7 +11,7 @@
 from gladewalk.members.actions import Outcome, Send, Terms
 from gladewalk.members.history import wrong_deaths
 from gladewalk.members.loop_delay import FELT_MS, HALF_MS, HOPS, READ_MS, Lateness
-from gladewalk.members.messages import State
+from gladewalk.members.messages import MemberState
 from gladewalk.rehearsal.member_network import cluster, play
 
 
@@ -59,13 +59,15 @@
     net.run(5_000.0)
     core = net.nodes["m0"].core
     victim = core.members["m1"]
-    core.hear(msgspec.structs.replace(victim.rumour, state=State.SUSPECT, by="m0"), net.now)
+    core.hear(msgspec.structs.replace(victim.rumour, state=MemberState.SUSPECT, suspected_by="m0"), net.now)
     core._take()
     victim.outcome, victim.knocking, victim.asked = Outcome.UNREACHABLE, False, True
     late = victim.dead_at_ms + 200.0
     core.last_ms = late - 300.0  # it was heard of a moment ago: no stop of ours
     assert core.tick(late) == [] and core.due() == late + READ_MS
-    core.hear(msgspec.structs.replace(victim.rumour, state=State.ALIVE, incarnation=2**40), late + 1.0, "m2")
+    core.hear(
+        msgspec.structs.replace(victim.rumour, state=MemberState.ALIVE, incarnation=2**40), late + 1.0, "m2"
+    )
     core.tick(late + READ_MS)
     assert core.members["m1"].live
 
@@ -76,12 +78,12 @@
     judge, other = net.nodes["m2"].core, net.nodes["m3"].core
     old = judge.members["m0"].rumour
     newer = msgspec.structs.replace(old, incarnation=old.incarnation + 1)
-    judge.hear(msgspec.structs.replace(old, state=State.SUSPECT, by="m2"), net.now)
+    judge.hear(msgspec.structs.replace(old, state=MemberState.SUSPECT, suspected_by="m2"), net.now)
     other.hear(newer, net.now)
     judge._take()
     judge._ask_others(judge.members["m0"])
     asked = [out for out in judge._take() if isinstance(out, Send)]
-    assert len(asked) == 3 and all(judge.members["m0"].rumour in out.message.gossip for out in asked)
+    assert len(asked) == 3 and all(judge.members["m0"].rumour in out.message.updates for out in asked)
     told = other.receive(asked[0].message, net.nodes["m2"].address, net.now)
     answers = [out.message for out in told if isinstance(out, Send) and out.to == net.nodes["m2"].address]
-    assert any(newer in message.gossip for message in answers)
+    assert any(newer in message.updates for message in answers)
