Message authentication: MessageAuthenticator signs and verifies, DropReason says why not

Seal -> MessageAuthenticator (seal/open/rekey -> sign/verify/replace_keys), Refused -> DropReason, Key -> AuthenticationKey, make_key/load_keys -> key_from_secret/load_key_ring; a message too large raises MessageTooLargeError in place of a bare ValueError. Bytes, windows and counters stay.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -27,7 +27,7 @@
     from .dns.settings import DnsConfig
     from .duties.runner import Runner
     from .leases.transport import Address, Leases
-    from .members.authenticator import Key
+    from .members.authenticator import AuthenticationKey
     from .members.transport import Members
     from .net.admin import AdminFront
     from .nginx.router import Router
@@ -221,7 +221,7 @@
 
     def reload(self) -> None:
         """SIGHUP: read the configuration file again; one that cannot be used leaves the old one in force."""
-        keys: tuple[Key, ...] = ()
+        keys: tuple[AuthenticationKey, ...] = ()
         router: Router | None = None
         dns: DnsConfig | None = None
         try:
@@ -248,7 +248,7 @@
                 if self.dns is not None and dns is not None:
                     self.dns.reload(dns)
                 if self.members is not None and keys:
-                    self.members.seal.rekey(keys)
+                    self.members.seal.replace_keys(keys)
 
     def _alpn_of(self, name: str) -> tuple[bool, tuple[str, ...]]:
         """How a box is spoken to, for those who are sent to it: whether over TLS, and by which protocols."""
@@ -268,13 +268,13 @@
 
         return configured(options, config.listen[0])
 
-    def _keys_of(self, options: Options) -> tuple[Key, ...]:
+    def _keys_of(self, options: Options) -> tuple[AuthenticationKey, ...]:
         """The members' keys as their file has them now; none where members are off."""
         if self.members is None or options.members is None:
             return ()
-        from .members.authenticator import load_keys
+        from .members.authenticator import load_key_ring
 
-        return load_keys(options.file(options.members.keys))
+        return load_key_ring(options.file(options.members.keys))
 
     def _router_of(self, options: Options) -> Router | None:
         """The imported table as its file has it now; None where the front is off."""
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -10,7 +10,7 @@
 from ..deadlines import Deadlines
 from ..exchange import Exchange
 from ..members.actions import Address, Terms
-from ..members.authenticator import Seal, load_keys
+from ..members.authenticator import MessageAuthenticator, load_key_ring
 from ..members.swim import Membership
 from ..members.transport import Members, Network
 from ..options import Options
@@ -21,7 +21,7 @@
 
 def checked(
     options: Options,
-) -> tuple[Address, tuple[Address, ...], tuple[Network, ...], Seal, dict[Address, Address]]:
+) -> tuple[Address, tuple[Address, ...], tuple[Network, ...], MessageAuthenticator, dict[Address, Address]]:
     """What `[members]` says, or `ConfigError` with the key that cannot be used."""
     table = options.members
     assert table is not None
@@ -36,7 +36,8 @@
         dial = {read_address(said): read_address(at) for said, at in table.dial.items()}
     except (ConfigError, ValueError) as error:
         raise ConfigError(f"{options.path}: members.{key}: {error}") from error
-    return listen, seeds, networks, Seal(load_keys(options.file(table.keys)), table.window_ms), dial
+    authenticator = MessageAuthenticator(load_key_ring(options.file(table.keys)), table.window_ms)
+    return listen, seeds, networks, authenticator, dial
 
 
 def start(
--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -23,7 +23,7 @@
 
 from ..control.client import ask
 from ..leases.history import Verdict, check_sinks
-from ..members.authenticator import load_keys
+from ..members.authenticator import load_key_ring
 from ..members.history import Seen, from_log
 from . import relay
 from .relay import Address, Relay, StreamRelay, free_port
@@ -71,7 +71,7 @@
         self.lease_port = {name: free_port() for name in names}
         self.member_port = {name: free_port() for name in names}
         self.links = {(a, b): Link() for a in names for b in names if a != b}
-        keys = load_keys(folder / "keys")
+        keys = load_key_ring(folder / "keys")
         self.hubs = [Sink(keys) for _ in range(HUBS)]
         self.collector = Sink(keys)
         self.hubs_at: list[Address] = []
--- a/gladewalk/faultnet/sink.py
+++ b/gladewalk/faultnet/sink.py
@@ -13,7 +13,7 @@
 from ..leases.fence import Fence
 from ..leases.messages import Acked, Act, decode, encode
 from ..leases.works import PURGE, REPORT
-from ..members.authenticator import Key, Refused, Seal
+from ..members.authenticator import AuthenticationKey, DropReason, MessageAuthenticator
 
 WINDOW_MS = 30_000.0
 
@@ -25,8 +25,9 @@
     comes; a report's parts are put together. `deaf` drops all that comes, as a hub that is down would.
     """
 
-    def __init__(self, keys: tuple[Key, ...]) -> None:
-        self.fence, self.seal, self.random = Fence(), Seal(keys, WINDOW_MS), random.SystemRandom()
+    def __init__(self, keys: tuple[AuthenticationKey, ...]) -> None:
+        self.fence, self.random = Fence(), random.SystemRandom()
+        self.seal = MessageAuthenticator(keys, WINDOW_MS)
         self.malformed = 0
         self.deaf = False
         self.purged: dict[str, tuple[str, int, str]] = {}  # id -> what, token, actor: as it was first done
@@ -48,9 +49,9 @@
         if self.deaf:
             return
         now = time.time() * 1000.0
-        opened = self.seal.open(data, now)
+        opened = self.seal.verify(data, now)
         try:
-            act = None if isinstance(opened, Refused) else decode(opened)
+            act = None if isinstance(opened, DropReason) else decode(opened)
         except (msgspec.MsgspecError, ValueError):
             act = None
         if not isinstance(act, Act):
@@ -61,7 +62,7 @@
             self._do(act)
         if act.number or not accepted:  # a bare act is answered only where it is refused
             told = Acked(act.duty, act.token, act.number, accepted, self.fence.highest.get(act.duty, 0))
-            sealed = self.seal.seal(encode(told), now, self.random.getrandbits(64))
+            sealed = self.seal.sign(encode(told), now, self.random.getrandbits(64))
             assert self.transport is not None
             self.transport.sendto(sealed, source)
 
--- a/gladewalk/faultpoints/membership_scenario.py
+++ b/gladewalk/faultpoints/membership_scenario.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ..members.actions import Address, Change, Knocking, Out, Outcome, Terms
-from ..members.authenticator import Seal
+from ..members.authenticator import MessageAuthenticator
 from ..members.messages import Ack, DatagramMessage, Join, Nack, PartialState, Ping, PingRequest, decode
 from ..rehearsal.member_network import KEY, Net, Node
 from .points import Kind, Points
@@ -54,7 +54,7 @@
 
     def what(self, data: bytes) -> str:
         """The kind of a message, opened apart: who opens one twice takes it for a replay."""
-        opened = Seal((KEY,), 30_000.0).open(data, self.now)
+        opened = MessageAuthenticator((KEY,), 30_000.0).verify(data, self.now)
         assert isinstance(opened, bytes)
         return POINT_SUFFIXES[type(decode(opened))]
 
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -9,7 +9,7 @@
 from ..config import ConfigError, read_address
 from ..counters import Counters
 from ..deadlines import Deadlines
-from ..members.authenticator import Seal, load_keys
+from ..members.authenticator import MessageAuthenticator, load_key_ring
 from ..ops.figures import ENDS
 from ..options import Options
 from ..store.keeper import Keeper
@@ -109,7 +109,7 @@
     """All that stands behind `[leases]`; `Leases.listen` at the address sets it going."""
     table, told = options.leases, checked(options, name)
     assert table is not None
-    seal = Seal(load_keys(options.file(table.keys)), table.window_ms)
+    seal = MessageAuthenticator(load_key_ring(options.file(table.keys)), table.window_ms)
     clock = LeaseClock(table.clock_rate)
     rng = random.Random(random.SystemRandom().getrandbits(64))
     names, sinks, now = tuple(sorted(told.peers)), told.sink_names(), clock()
--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -19,7 +19,7 @@
 
 from ..counters import Counters
 from ..deadlines import Deadlines, Key
-from ..members.authenticator import Refused, Seal
+from ..members.authenticator import DropReason, MessageAuthenticator
 from ..members.messages import MAX_DATAGRAM_BYTES
 from .candidate import Candidate
 from .elector import Elector
@@ -54,8 +54,9 @@
     """One director's part on one socket; `where` has the address of every director and sink by name."""
 
     def __init__(
-        self, elector: Elector, candidate: Candidate, works: Works, where: dict[str, Address], seal: Seal,
-        rows: Rows, clock: LeaseClock, wall: Callable[[], float], deadlines: Deadlines, counters: Counters,
+        self, elector: Elector, candidate: Candidate, works: Works, where: dict[str, Address],
+        seal: MessageAuthenticator, rows: Rows, clock: LeaseClock, wall: Callable[[], float],
+        deadlines: Deadlines, counters: Counters,
     ) -> None:  # fmt: skip
         self.elector, self.candidate, self.works, self.where = elector, candidate, works, where
         self.seal, self.rows, self.clock, self.wall = seal, rows, clock, wall
@@ -74,8 +75,8 @@
 
     def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
         """Whatever is not a sealed lease message is counted and dropped."""
-        opened = self.seal.open(data, self.wall())
-        if isinstance(opened, Refused):
+        opened = self.seal.verify(data, self.wall())
+        if isinstance(opened, DropReason):
             return self.counters.add(f"leases.dropped.{opened.value}")
         try:
             message = decode(opened)
@@ -128,7 +129,7 @@
         address = self.where.get(to)
         if address is None or self.transport is None or self.transport.is_closing():
             return
-        sealed = self.seal.seal(data, self.wall(), self.random.getrandbits(64), MAX_DATAGRAM_BYTES)
+        sealed = self.seal.sign(data, self.wall(), self.random.getrandbits(64), MAX_DATAGRAM_BYTES)
         self.transport.sendto(sealed, address)
 
     def _arm(self) -> None:
--- a/gladewalk/members/authenticator.py
+++ b/gladewalk/members/authenticator.py
@@ -1,9 +1,10 @@
-"""Who may speak: a key ring over every datagram, and a window against what was said before.
+"""Message authentication: HMAC-SHA256 with a key ring, a time window, and protection against replay.
 
-    version (1)  key id (4)  sent at, Unix ms (8)  nonce (8)  message  HMAC-SHA256, cut to 16 (RFC 2104, 5)
+    version (1)  key id (4)  sent at, Unix ms (8)  nonce (8)  message  HMAC-SHA256, truncated to 16 (RFC 2104)
 
-The first key of the ring seals, all of them open: so a key is rotated by adding the new one everywhere,
-moving it to the front everywhere, and taking the old one out. Nothing that fails is answered.
+The first key of the ring signs, every key verifies. A key is rotated in three steps, each on all members
+before the next one: append the new key, move it to the front, remove the old key. What fails verification is
+never answered.
 """
 
 from __future__ import annotations
@@ -17,90 +18,110 @@
 from pathlib import Path
 
 from ..keyfile import load_hex_keys
+from .errors import MessageTooLargeError
 from .messages import MAX_DATAGRAM_BYTES
 
 VERSION = 1
-HEAD = struct.Struct(">B4sQQ")
-TAG = 16  # bytes of the HMAC that are sent
-OVERHEAD = HEAD.size + TAG
-KEY_LEAST = 32  # bytes
+HEADER = struct.Struct(">B4sQQ")
+TAG_BYTES = 16
+KEY_ID_BYTES = 4
+OVERHEAD_BYTES = HEADER.size + TAG_BYTES
+MIN_KEY_BYTES = 32
+MAX_REPLAY_TAGS = 65_536
 
 
-class Refused(Enum):
-    """Why a datagram was dropped; each has its counter."""
+class DropReason(Enum):
+    """Why a message was dropped; the value is the last part of its counter, `members.dropped.<value>`."""
 
     OVERSIZED = "oversized"
     MALFORMED = "malformed"
     UNKNOWN_KEY = "unknown_key"
     FORGED = "forged"
-    STALE = "stale"  # sent too long ago, or in the future: a clock that is off shows here
+    STALE = "stale"  # outside the time window: clocks differ, or it was delayed for too long
     REPLAYED = "replayed"
 
 
 @dataclass(slots=True, frozen=True, repr=False)
-class Key:
-    """A key and its public id. Guards against a key in a log: it has no text form."""
+class AuthenticationKey:
+    """A secret and its public id. Its text form shows the id alone, so that no log can hold the secret."""
 
     id: bytes
     secret: bytes
 
     def __repr__(self) -> str:
-        return f"Key({self.id.hex()})"
-
-
-def make_key(secret: bytes) -> Key:
-    return Key(hashlib.sha256(b"gladewalk key id" + secret).digest()[:4], secret)
-
-
-def load_keys(path: Path) -> tuple[Key, ...]:
-    """The ring out of its file, the sealing key first."""
-    return tuple(make_key(secret) for secret in load_hex_keys(path, "members.keys", KEY_LEAST))
-
-
-class Seal:
-    """Seals and opens datagrams; `window_ms` is how far clocks and paths may differ."""
-
-    def __init__(self, keys: tuple[Key, ...], window_ms: float, remembered: int = 65_536) -> None:
-        self.window_ms, self.remembered = window_ms, remembered
-        self.rekey(keys)
-        self.seen: OrderedDict[bytes, float] = OrderedDict()  # tags by when they may be forgotten
-
-    def rekey(self, keys: tuple[Key, ...]) -> None:
-        self.keys = {key.id: key.secret for key in keys}
-        self.first = keys[0]
-
-    def seal(self, message: bytes, now_ms: float, nonce: int, most: int = MAX_DATAGRAM_BYTES) -> bytes:
-        data = HEAD.pack(VERSION, self.first.id, int(now_ms), nonce) + message
-        sealed = data + hmac.digest(self.first.secret, data, "sha256")[:TAG]
-        if len(sealed) > most:
-            raise ValueError(f"a message of {len(sealed)} bytes")
-        return sealed
-
-    def open(self, data: bytes, now_ms: float, most: int = MAX_DATAGRAM_BYTES) -> bytes | Refused:
-        """The message, or why it is dropped. A tag is remembered only once it was found to be good."""
-        if len(data) > most:
-            return Refused.OVERSIZED
-        if len(data) < OVERHEAD or data[0] != VERSION:
-            return Refused.MALFORMED
-        _, key, sent_ms, _ = HEAD.unpack_from(data)
-        secret = self.keys.get(key)
+        return f"AuthenticationKey({self.id.hex()})"
+
+
+def key_from_secret(secret: bytes) -> AuthenticationKey:
+    """Makes a key whose id is derived from its secret."""
+    digest = hashlib.sha256(b"gladewalk key id" + secret).digest()
+    return AuthenticationKey(digest[:KEY_ID_BYTES], secret)
+
+
+def load_key_ring(path: Path) -> tuple[AuthenticationKey, ...]:
+    """Reads a key ring, the signing key first.
+
+    Raises `ConfigError` for a file that is no key ring or that others than its owner can read.
+    """
+    return tuple(key_from_secret(secret) for secret in load_hex_keys(path, "members.keys", MIN_KEY_BYTES))
+
+
+class MessageAuthenticator:
+    """Signs and verifies messages.
+
+    `window_ms` bounds how far a message's time may be from the local clock, either way. Tags of accepted
+    messages are remembered for as long as the window accepts them again, `max_replay_tags` at the most.
+    """
+
+    def __init__(
+        self, keys: tuple[AuthenticationKey, ...], window_ms: float, max_replay_tags: int = MAX_REPLAY_TAGS
+    ) -> None:
+        self.window_ms, self.max_replay_tags = window_ms, max_replay_tags
+        self._forget_at_ms: OrderedDict[bytes, float] = OrderedDict()  # by tag, in order of arrival
+        self.replace_keys(keys)
+
+    def replace_keys(self, keys: tuple[AuthenticationKey, ...]) -> None:
+        """Replaces the key ring; the first key signs from now on."""
+        self._secrets = {key.id: key.secret for key in keys}
+        self.signing_key = keys[0]
+
+    def sign(self, message: bytes, now_ms: float, nonce: int, max_bytes: int = MAX_DATAGRAM_BYTES) -> bytes:
+        """Adds header and tag; raises `MessageTooLargeError` above `max_bytes`. `nonce` has 64 bits."""
+        body = HEADER.pack(VERSION, self.signing_key.id, int(now_ms), nonce) + message
+        signed = body + self._tag_of(self.signing_key.secret, body)
+        if len(signed) > max_bytes:
+            raise MessageTooLargeError(f"{len(signed)} bytes, {max_bytes} at the most")
+        return signed
+
+    def verify(self, data: bytes, now_ms: float, max_bytes: int = MAX_DATAGRAM_BYTES) -> bytes | DropReason:
+        """Returns the message, or why it is to be dropped. A tag is remembered only once it was verified."""
+        if len(data) > max_bytes:
+            return DropReason.OVERSIZED
+        if len(data) < OVERHEAD_BYTES or data[0] != VERSION:
+            return DropReason.MALFORMED
+        _, key_id, sent_ms, _ = HEADER.unpack_from(data)
+        secret = self._secrets.get(key_id)
         if secret is None:
-            return Refused.UNKNOWN_KEY
-        body, tag = data[:-TAG], data[-TAG:]
-        if not hmac.compare_digest(hmac.digest(secret, body, "sha256")[:TAG], tag):
-            return Refused.FORGED
+            return DropReason.UNKNOWN_KEY
+        body, tag = data[:-TAG_BYTES], data[-TAG_BYTES:]
+        if not hmac.compare_digest(self._tag_of(secret, body), tag):
+            return DropReason.FORGED
         if abs(now_ms - sent_ms) > self.window_ms:
-            return Refused.STALE
-        self._forget(now_ms)
-        # With the memory full, what can't be told from a replay is taken for one: no gap must open.
-        if tag in self.seen or len(self.seen) >= self.remembered:
-            return Refused.REPLAYED
-        self.seen[tag] = sent_ms + self.window_ms
-        return body[HEAD.size :]
-
-    def _forget(self, now_ms: float) -> None:
-        while self.seen:
-            tag, until = next(iter(self.seen.items()))
-            if until >= now_ms:
+            return DropReason.STALE
+        self._forget_expired_tags(now_ms)
+        # With the memory full, replays can't be recognized any more: then every message counts as one.
+        if tag in self._forget_at_ms or len(self._forget_at_ms) >= self.max_replay_tags:
+            return DropReason.REPLAYED
+        self._forget_at_ms[tag] = sent_ms + self.window_ms
+        return body[HEADER.size :]
+
+    @staticmethod
+    def _tag_of(secret: bytes, body: bytes) -> bytes:
+        return hmac.digest(secret, body, "sha256")[:TAG_BYTES]
+
+    def _forget_expired_tags(self, now_ms: float) -> None:
+        while self._forget_at_ms:
+            tag, forget_at_ms = next(iter(self._forget_at_ms.items()))
+            if forget_at_ms >= now_ms:
                 return
-            del self.seen[tag]
+            del self._forget_at_ms[tag]
--- a/gladewalk/members/errors.py
+++ b/gladewalk/members/errors.py
@@ -9,3 +9,7 @@
 
 class MalformedMessageError(MembershipError):
     """A received message does not decode: of another version, or no message between members at all."""
+
+
+class MessageTooLargeError(MembershipError):
+    """A message to be sent exceeds its transport's limit."""
--- a/gladewalk/members/stream.py
+++ b/gladewalk/members/stream.py
@@ -14,7 +14,7 @@
 
 from . import sync
 from .actions import Address, Exchange, Knocking, Outcome
-from .authenticator import Refused
+from .authenticator import DropReason
 from .errors import MalformedMessageError
 from .messages import (
     MAX_STREAM_MESSAGE_BYTES,
@@ -169,14 +169,14 @@
         """One message; `Dropped` for what is none of a member's."""
         (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
         if length > MAX_STREAM_MESSAGE_BYTES:
-            raise Dropped(Refused.OVERSIZED.value)
+            raise Dropped(DropReason.OVERSIZED.value)
         members = self.members
-        opened = members.seal.open(
+        opened = members.seal.verify(
             await reader.readexactly(length), members.clock(), MAX_STREAM_MESSAGE_BYTES
         )
-        if isinstance(opened, Refused):
+        if isinstance(opened, DropReason):
             raise Dropped(opened.value)
         try:
             return decode_streamed(opened)
         except MalformedMessageError as error:
-            raise Dropped(Refused.MALFORMED.value) from error
+            raise Dropped(DropReason.MALFORMED.value) from error
--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -13,7 +13,7 @@
 from ..counters import Counters
 from ..deadlines import Deadlines, Key
 from .actions import Address, Change, Changed, Exchange, Heard, Knocking, Out, Send
-from .authenticator import Refused, Seal
+from .authenticator import DropReason, MessageAuthenticator
 from .errors import MalformedMessageError
 from .messages import MAX_DATAGRAM_BYTES, UserEvent, decode, encode
 from .stream import Streams
@@ -30,7 +30,7 @@
     def __init__(
         self,
         core: Membership,
-        seal: Seal,
+        seal: MessageAuthenticator,
         networks: tuple[Network, ...],
         clock: Callable[[], float],
         deadlines: Deadlines,
@@ -74,8 +74,8 @@
         self.counters.add("members.datagrams")
         if not self.allowed(source[0]):
             return self.counters.add("members.dropped.network")
-        opened = self.seal.open(data, self.clock())
-        if isinstance(opened, Refused):
+        opened = self.seal.verify(data, self.clock())
+        if isinstance(opened, DropReason):
             return self.counters.add(f"members.dropped.{opened.value}")
         try:
             message = decode(opened)
@@ -89,7 +89,7 @@
         return any(sender in network for network in self.networks)
 
     def sealed(self, message: bytes, most: int) -> bytes:
-        data = self.seal.seal(message, self.clock(), self.random.getrandbits(64), most)
+        data = self.seal.sign(message, self.clock(), self.random.getrandbits(64), most)
         self.counters.add("members.sent")
         self.counters.add("members.sent_bytes", len(data))
         return data
--- a/gladewalk/rehearsal/member_network.py
+++ b/gladewalk/rehearsal/member_network.py
@@ -16,13 +16,19 @@
 from ..faultnet.schedule import Fault, pairs_of
 from ..members import sync
 from ..members.actions import Address, Change, Exchange, Heard, Knocking, Out, Outcome, Send, Terms
-from ..members.authenticator import OVERHEAD, Key, Refused, Seal, make_key
+from ..members.authenticator import (
+    OVERHEAD_BYTES,
+    AuthenticationKey,
+    DropReason,
+    MessageAuthenticator,
+    key_from_secret,
+)
 from ..members.history import Seen
 from ..members.messages import StreamMessage, UserEvent, decode, encode
 from ..members.swim import Membership
 
 STREAM_MS = 2_000.0  # until an exchange over a path that passes nothing is given up
-KEY = make_key(b"a key of the rehearsal's own, 32 bytes or more")
+KEY = key_from_secret(b"a key of the rehearsal's own, 32 bytes or more")
 START_MS = 1_764_576_000_000.0
 
 
@@ -36,7 +42,7 @@
     name: str
     address: Address
     core: Membership
-    seal: Seal
+    seal: MessageAuthenticator
     up: bool = True
     stopped_until: float = 0.0  # its loop stalls, or it was sent SIGSTOP: what comes waits
     clock_off: float = 0.0
@@ -58,7 +64,7 @@
         self.seen: list[Seen] = []
         self.bytes: Counter[str] = Counter()
         self.sent: Counter[str] = Counter()
-        self.refused: Counter[Refused] = Counter()
+        self.refused: Counter[DropReason] = Counter()
         self.loss = self.double = 0.0
         self.delay_ms = (0.2, 2.0)
         self.late_ms = 0.0  # up to so long a busy host's loops run their timers late, and read late
@@ -86,7 +92,7 @@
         self,
         name: str,
         seeds: tuple[str, ...] = (),
-        keys: tuple[Key, ...] = (KEY,),
+        keys: tuple[AuthenticationKey, ...] = (KEY,),
         port: int = 0,
         clock_off: float = 0.0,
     ) -> Node:
@@ -100,7 +106,7 @@
         core = Membership(
             name, address, known, self.terms, random.Random(self.random.random()), self.now + clock_off
         )
-        node = Node(name, address, core, Seal(keys, 30_000.0), clock_off=clock_off)
+        node = Node(name, address, core, MessageAuthenticator(keys, 30_000.0), clock_off=clock_off)
         self.by_address[address] = node
         self.nodes[name if old is not None or name not in self.nodes else f"{name}'"] = node
         self.wake(node)
@@ -130,7 +136,7 @@
     def carry_out(self, node: Node, out: list[Out]) -> None:
         for action in out:
             if isinstance(action, Send):
-                data = node.seal.seal(
+                data = node.seal.sign(
                     encode(action.message), self.now + node.clock_off, self.random.getrandbits(64)
                 )
                 self.post(node, data, action.to)
@@ -229,7 +235,7 @@
             self.carry_out(node, node.core.exchange_failed(to))
 
     def _count(self, node: Node, message: S) -> S:
-        self.bytes[node.name] += len(encode(message)) + OVERHEAD + 4
+        self.bytes[node.name] += len(encode(message)) + OVERHEAD_BYTES + 4
         return message
 
     def deliver(self, to: Address, data: bytes, source: Address) -> None:
@@ -242,8 +248,8 @@
         self.take(node, data, source)
 
     def take(self, node: Node, data: bytes, source: Address) -> None:
-        opened = node.seal.open(data, self.now + node.clock_off)
-        if isinstance(opened, Refused):
+        opened = node.seal.verify(data, self.now + node.clock_off)
+        if isinstance(opened, DropReason):
             self.refused[opened] += 1
             return
         self.carry_out(node, node.core.receive(decode(opened), source, self.now + node.clock_off))
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -18,7 +18,7 @@
 from gladewalk.duties.ownership import Claim, Ownership, owner_of
 from gladewalk.duties.pacing import Pacing
 from gladewalk.members.actions import Change
-from gladewalk.members.authenticator import make_key
+from gladewalk.members.authenticator import key_from_secret
 from gladewalk.options import Options, options_of, read_tables
 from gladewalk.rehearsal.dutynet import DutyNet, duty_cluster
 from gladewalk.rehearsal.ownerwalk import Broken, Budget, Walk
@@ -287,12 +287,12 @@
 
     def test_keys_are_rotated_in_the_middle_of_a_takeover(self) -> None:
         net = duty_cluster(4, 12)
-        old, new = net.nodes["m0"].seal.first, make_key(b"n" * 32)
+        old, new = net.nodes["m0"].seal.signing_key, key_from_secret(b"n" * 32)
         start = net.now
         net.kill("m3")
         for ring in ((old, new), (new, old), (new,)):
             for name in ("m0", "m1", "m2"):
-                net.nodes[name].seal.rekey(ring)
+                net.nodes[name].seal.replace_keys(ring)
                 net.run(250.0)
         self.settle(net)
         self.assertLess(net.widest_gap(start), 3_000.0)
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -22,7 +22,7 @@
 from gladewalk.faultnet.membership_cases import CASES
 from gladewalk.members import messages
 from gladewalk.members.actions import Change, Outcome, Terms
-from gladewalk.members.authenticator import Refused, Seal, make_key
+from gladewalk.members.authenticator import DropReason, MessageAuthenticator, key_from_secret
 from gladewalk.members.dissemination import claim_hash
 from gladewalk.members.member_list import hash_of
 from gladewalk.members.messages import (
@@ -94,14 +94,14 @@
 
 def sealed() -> dict[str, str]:
     """Authenticated by the first of two keys, at a fixed time and with a fixed nonce."""
-    seal = Seal((make_key(b"k" * 32), make_key(b"old key " * 5)), 30_000.0)
-    datagram = seal.seal(messages.encode(DATAGRAMS["ping"]), NOW_MS, NONCE)
-    second = seal.seal(messages.encode(DATAGRAMS["ack"]), NOW_MS + 1.0, NONCE + 1)
-    seal.rekey((make_key(b"old key " * 5),))
-    rotated = seal.seal(messages.encode(DATAGRAMS["join"]), NOW_MS + 2.0, NONCE + 2)
-    stream = seal.seal(messages.encode(STREAMED["full_state"]), NOW_MS, NONCE, 2**21)
+    seal = MessageAuthenticator((key_from_secret(b"k" * 32), key_from_secret(b"old key " * 5)), 30_000.0)
+    datagram = seal.sign(messages.encode(DATAGRAMS["ping"]), NOW_MS, NONCE)
+    second = seal.sign(messages.encode(DATAGRAMS["ack"]), NOW_MS + 1.0, NONCE + 1)
+    seal.replace_keys((key_from_secret(b"old key " * 5),))
+    rotated = seal.sign(messages.encode(DATAGRAMS["join"]), NOW_MS + 2.0, NONCE + 2)
+    stream = seal.sign(messages.encode(STREAMED["full_state"]), NOW_MS, NONCE, 2**21)
     return {
-        "key_ids": f"{make_key(b'k' * 32).id.hex()} {make_key(b'old key ' * 5).id.hex()}",
+        "key_ids": f"{key_from_secret(b'k' * 32).id.hex()} {key_from_secret(b'old key ' * 5).id.hex()}",
         "datagram": datagram.hex(),
         "second": second.hex(),
         "rotated": rotated.hex(),
@@ -114,7 +114,7 @@
         "states": {state.name: int(state) for state in MemberState},
         "changes": {change.name: change.value for change in Change},
         "outcomes": [outcome.value for outcome in Outcome],
-        "drop_reasons": [reason.value for reason in Refused],
+        "drop_reasons": [reason.value for reason in DropReason],
         "update_hashes": [hash_of(update) for update in UPDATES],
         "event_hashes": [claim_hash(event) for event in EVENTS],
     }
@@ -138,18 +138,18 @@
         now, rng = [NOW_MS], random.Random(4)
         core = Membership("a", ("127.0.0.1", 0), (), Terms(), rng, NOW_MS)
         networks = (ipaddress.ip_network("127.0.0.0/8"),)
-        seal, counters = Seal((make_key(b"k" * 32),), 30_000.0), Counters()
+        seal, counters = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0), Counters()
         members = Members(core, seal, networks, lambda: now[0], Deadlines(lambda when: None), counters)
         with structlog.testing.capture_logs() as lines:
             await members.listen()
             port = core.me.port
             now[0] += 100.0
-            stranger = Seal((make_key(b"x" * 32),), 30_000.0)
-            ours = Seal((make_key(b"k" * 32),), 30_000.0)
+            stranger = MessageAuthenticator((key_from_secret(b"x" * 32),), 30_000.0)
+            ours = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0)
             b = MemberUpdate("b", "127.0.0.1", 9, 7, 8, MemberState.ALIVE)
-            hello = ours.seal(messages.encode(Join(sender="b", run_id=7, updates=[b])), now[0], 1)
+            hello = ours.sign(messages.encode(Join(sender="b", run_id=7, updates=[b])), now[0], 1)
             suspicion = MemberUpdate("b", "127.0.0.1", 9, 7, 8, MemberState.SUSPECT, suspected_by="c")
-            told = ours.seal(messages.encode(Ack(sender="c", run_id=9, updates=[suspicion])), now[0], 2)
+            told = ours.sign(messages.encode(Ack(sender="c", run_id=9, updates=[suspicion])), now[0], 2)
             me = MemberUpdate(
                 "a",
                 "127.0.0.1",
@@ -159,8 +159,8 @@
                 MemberState.SUSPECT,
                 suspected_by="b",
             )
-            accused = ours.seal(messages.encode(Ack(sender="b", run_id=7, updates=[me])), now[0], 3)
-            junk = ours.seal(b"junk", now[0], 4)
+            accused = ours.sign(messages.encode(Ack(sender="b", run_id=7, updates=[me])), now[0], 3)
+            junk = ours.sign(b"junk", now[0], 4)
             for data, host in (
                 (hello, "127.0.0.1"),
                 (hello, "127.0.0.1"),
@@ -169,9 +169,9 @@
                 (b"noise", "127.0.0.1"),
                 (bytes(2_000), "127.0.0.1"),
                 (junk, "127.0.0.1"),
-                (stranger.seal(b"", now[0], 5), "127.0.0.1"),
+                (stranger.sign(b"", now[0], 5), "127.0.0.1"),
                 (accused, "127.0.0.1"),
-                (ours.seal(b"", now[0] - 1e6, 6), "127.0.0.1"),
+                (ours.sign(b"", now[0] - 1e6, 6), "127.0.0.1"),
                 (hello[:-1] + b"!", "127.0.0.1"),
             ):
                 members.datagram_received(data, (host, 9))
@@ -291,15 +291,15 @@
 
 def test_what_was_sealed_is_opened() -> None:
     written = {name: bytes.fromhex(text) for name, text in golden()["sealed"].items() if name != "key_ids"}
-    seal = Seal((make_key(b"old key " * 5), make_key(b"k" * 32)), 30_000.0)
-    assert seal.open(written["datagram"], NOW_MS) == messages.encode(DATAGRAMS["ping"])
-    assert seal.open(written["second"], NOW_MS) == messages.encode(DATAGRAMS["ack"])
-    assert seal.open(written["rotated"], NOW_MS) == messages.encode(DATAGRAMS["join"])
-    assert seal.open(written["datagram"], NOW_MS) is Refused.REPLAYED
+    seal = MessageAuthenticator((key_from_secret(b"old key " * 5), key_from_secret(b"k" * 32)), 30_000.0)
+    assert seal.verify(written["datagram"], NOW_MS) == messages.encode(DATAGRAMS["ping"])
+    assert seal.verify(written["second"], NOW_MS) == messages.encode(DATAGRAMS["ack"])
+    assert seal.verify(written["rotated"], NOW_MS) == messages.encode(DATAGRAMS["join"])
+    assert seal.verify(written["datagram"], NOW_MS) is DropReason.REPLAYED
     (length,) = LENGTH.unpack(written["stream"][: LENGTH.size])
     stream = written["stream"][LENGTH.size :]
     assert length == len(stream)
-    opened = seal.open(stream, NOW_MS, 2**21)
+    opened = seal.verify(stream, NOW_MS, 2**21)
     assert isinstance(opened, bytes) and messages.decode_streamed(opened) == STREAMED["full_state"]
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -11,7 +11,13 @@
 from gladewalk.counters import Counters
 from gladewalk.director import Turn
 from gladewalk.members.actions import Change, Exchange, Terms
-from gladewalk.members.authenticator import OVERHEAD, Refused, Seal, load_keys, make_key
+from gladewalk.members.authenticator import (
+    OVERHEAD_BYTES,
+    DropReason,
+    MessageAuthenticator,
+    key_from_secret,
+    load_key_ring,
+)
 from gladewalk.members.dissemination import Told
 from gladewalk.members.errors import MalformedMessageError
 from gladewalk.members.messages import (
@@ -216,7 +222,7 @@
         net.nodes["m1"].clock_off = 3_600_000.0
         net.run(10_000.0)
         self.assertNotIn("m1", net.live_as_seen_by("m0"))
-        self.assertGreater(net.refused[Refused.STALE], 0)
+        self.assertGreater(net.refused[DropReason.STALE], 0)
         net.nodes["m1"].clock_off = 0.0
         self.settle(net, 30_000.0)
 
@@ -246,14 +252,14 @@
             net.loss, net.double, net.delay_ms = 0.1, 0.2, (0.2, 12.0)
             net.run(30_000.0)
             self.assert_no_deaths(net)
-            self.assertGreater(net.refused[Refused.REPLAYED], 0)
+            self.assertGreater(net.refused[DropReason.REPLAYED], 0)
             net.loss = 0.3
             net.run(30_000.0)
             net.loss = 0.0
             self.settle(net)
 
     def test_keys_are_rotated_under_loss_without_a_death(self) -> None:
-        old, new = make_key(b"o" * 32), make_key(b"n" * 32)
+        old, new = key_from_secret(b"o" * 32), key_from_secret(b"n" * 32)
         net = Net(4)
         for n in range(4):
             net.start(f"m{n}", ("m0",) if n else (), keys=(old,))
@@ -261,11 +267,11 @@
         net.loss = 0.1
         for ring in ((old, new), (new, old), (new,)):  # known to all, then sealing, then alone
             for node in net.nodes.values():
-                node.seal.rekey(ring)
+                node.seal.replace_keys(ring)
                 net.run(1_500.0)
         self.settle(net)
         self.assert_no_deaths(net)
-        self.assertEqual(net.refused[Refused.UNKNOWN_KEY], 0)
+        self.assertEqual(net.refused[DropReason.UNKNOWN_KEY], 0)
 
     def test_two_runs_of_a_seed_are_the_same(self) -> None:
         def story(seed: int) -> list[str]:
@@ -317,43 +323,46 @@
 
 class Seals(unittest.TestCase):
     def setUp(self) -> None:
-        self.key = make_key(b"k" * 32)
-        self.seal, self.other = Seal((self.key,), 1_000.0), Seal((self.key,), 1_000.0)
+        self.key = key_from_secret(b"k" * 32)
+        self.seal, self.other = (
+            MessageAuthenticator((self.key,), 1_000.0),
+            MessageAuthenticator((self.key,), 1_000.0),
+        )
         self.ping = encode(Ping(sender="a", run_id=1, sequence=2, target="b", target_run_id=3))
 
     def test_what_was_changed_at_any_byte_is_dropped(self) -> None:
-        good = self.seal.seal(self.ping, START_MS, 7)
+        good = self.seal.sign(self.ping, START_MS, 7)
         for place in range(len(good)):
             bad = good[:place] + bytes([good[place] ^ 1]) + good[place + 1 :]
-            self.assertIsInstance(self.other.open(bad, START_MS), Refused, place)
+            self.assertIsInstance(self.other.verify(bad, START_MS), DropReason, place)
         for length in range(len(good)):
-            self.assertIsInstance(self.other.open(good[:length], START_MS), Refused, length)
-        self.assertEqual(self.other.open(good, START_MS), self.ping)
+            self.assertIsInstance(self.other.verify(good[:length], START_MS), DropReason, length)
+        self.assertEqual(self.other.verify(good, START_MS), self.ping)
 
     def test_old_future_and_repeated_datagrams_are_dropped(self) -> None:
-        good = self.seal.seal(self.ping, START_MS, 7)
-        self.assertIs(self.other.open(good, START_MS + 1_001.0), Refused.STALE)
-        self.assertIs(self.other.open(good, START_MS - 1_001.0), Refused.STALE)
-        self.assertEqual(self.other.open(good, START_MS + 999.0), self.ping)
-        self.assertIs(self.other.open(good, START_MS + 999.0), Refused.REPLAYED)
-        self.assertIs(self.other.open(bytes(MAX_DATAGRAM_BYTES + 1), START_MS), Refused.OVERSIZED)
-        again = self.seal.seal(self.ping, START_MS, 8)  # the same words anew are no replay
-        self.assertEqual(self.other.open(again, START_MS), self.ping)
+        good = self.seal.sign(self.ping, START_MS, 7)
+        self.assertIs(self.other.verify(good, START_MS + 1_001.0), DropReason.STALE)
+        self.assertIs(self.other.verify(good, START_MS - 1_001.0), DropReason.STALE)
+        self.assertEqual(self.other.verify(good, START_MS + 999.0), self.ping)
+        self.assertIs(self.other.verify(good, START_MS + 999.0), DropReason.REPLAYED)
+        self.assertIs(self.other.verify(bytes(MAX_DATAGRAM_BYTES + 1), START_MS), DropReason.OVERSIZED)
+        again = self.seal.sign(self.ping, START_MS, 8)  # the same words anew are no replay
+        self.assertEqual(self.other.verify(again, START_MS), self.ping)
 
     def test_a_full_memory_of_replays_lets_none_through(self) -> None:
-        small = Seal((self.key,), 1_000.0, remembered=2)
-        sealed = [self.seal.seal(self.ping, START_MS, n) for n in range(3)]
-        found = [small.open(data, START_MS) for data in (*sealed, sealed[0])]
-        self.assertEqual(found, [self.ping, self.ping, Refused.REPLAYED, Refused.REPLAYED])
-        late = self.seal.seal(self.ping, START_MS + 2_500.0, 9)
-        self.assertEqual(small.open(late, START_MS + 2_500.0), self.ping)
+        small = MessageAuthenticator((self.key,), 1_000.0, max_replay_tags=2)
+        sealed = [self.seal.sign(self.ping, START_MS, n) for n in range(3)]
+        found = [small.verify(data, START_MS) for data in (*sealed, sealed[0])]
+        self.assertEqual(found, [self.ping, self.ping, DropReason.REPLAYED, DropReason.REPLAYED])
+        late = self.seal.sign(self.ping, START_MS + 2_500.0, 9)
+        self.assertEqual(small.verify(late, START_MS + 2_500.0), self.ping)
 
     def test_no_datagram_is_too_large_whatever_is_known(self) -> None:
         net = cluster(40, 2, settle_ms=4_000.0)
         for node in net.nodes.values():
             node.core._tell_some(("10.0.0.1", 1), reply=True)
             for out in node.core._take():
-                size = len(encode(out.message)) + OVERHEAD  # type: ignore[union-attr]
+                size = len(encode(out.message)) + OVERHEAD_BYTES  # type: ignore[union-attr]
                 self.assertLessEqual(size, MAX_DATAGRAM_BYTES)
 
     def test_noise_is_malformed_and_never_more_than_that(self) -> None:
@@ -383,12 +392,12 @@
                 path.write_text(text)
                 path.chmod(mode)
                 with self.assertRaises(ConfigError) as caught:
-                    load_keys(path)
+                    load_key_ring(path)
                 self.assertIn(why, str(caught.exception))
                 self.assertNotIn(secret[:8], str(caught.exception))
             path.write_text(f"# the second one is on its way out\n{secret}\n{'cd' * 40}\n")
             path.chmod(0o600)
-            keys = load_keys(path)
+            keys = load_key_ring(path)
         self.assertEqual([len(key.secret) for key in keys], [32, 40])
         self.assertNotIn(secret[:8], repr(keys) + str(keys[0]))
 
@@ -409,7 +418,7 @@
         address = ("127.0.0.1", 0)
         core = Membership(name, address, seeds, Terms(), random.Random(name), unix_ms())
         networks = (ipaddress.ip_network("127.0.0.0/8"),)
-        seal = Seal((make_key(key),), 30_000.0)
+        seal = MessageAuthenticator((key_from_secret(key),), 30_000.0)
         members = Members(core, seal, networks, unix_ms, deadlines, Counters())
         await members.listen()
         return members
@@ -467,13 +476,13 @@
 
     async def test_noise_and_strangers_on_a_stream_are_cut_off_without_a_word(self) -> None:
         member = await self.start("a", ())
-        stranger = Seal((make_key(b"x" * 32),), 30_000.0)
+        stranger = MessageAuthenticator((key_from_secret(b"x" * 32),), 30_000.0)
         digest = encode(Digest(sender="b", run_id=1, digest=2))
-        good = Seal((make_key(b"k" * 32),), 30_000.0).seal(digest, unix_ms(), 1)
+        good = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0).sign(digest, unix_ms(), 1)
         for data, why in (
             (b"\xff\xff\xff\xff", "oversized"),
             (LENGTH.pack(4) + b"noise", "malformed"),
-            (LENGTH.pack(len(good)) + stranger.seal(digest, unix_ms(), 1), "unknown_key"),
+            (LENGTH.pack(len(good)) + stranger.sign(digest, unix_ms(), 1), "unknown_key"),
             (LENGTH.pack(len(good)) + bytes([*good[:-1], good[-1] ^ 1]), "forged"),
         ):
             reader, writer = await asyncio.open_connection("127.0.0.1", member.core.me.port)
