--- a/gladewalk/members/authenticator.py
+++ b/gladewalk/members/authenticator.py
@@ -17,7 +17,7 @@
 from enum import Enum
 from pathlib import Path
 
-from ..keyfile import load_hex_keys
+from ..config.key_ring_file import load_hex_keys
 from .errors import MessageTooLargeError
 from .messages import MAX_DATAGRAM_BYTES
 
--- a/gladewalk/members/errors.py
+++ b/gladewalk/members/errors.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from ..errors import GladewalkError
 
-class MembershipError(Exception):
+
+class MembershipError(GladewalkError):
     """Base of all errors that membership raises."""
 
 
--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -10,8 +10,8 @@
 
 import structlog
 
-from ..counters import Counters
-from ..deadlines import Deadlines, Key
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines, Key
 from .actions import Address, Change, Changed, Exchange, Heard, Knocking, Out, Send
 from .authenticator import DropReason, MessageAuthenticator
 from .errors import MalformedMessageError
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -16,8 +16,8 @@
 import pytest
 import structlog
 
-from gladewalk.counters import Counters
-from gladewalk.deadlines import Deadlines
+from gladewalk.core.counters import Counters
+from gladewalk.core.deadlines import Deadlines
 from gladewalk.duties.view import view_of
 from gladewalk.faultnet.membership_cases import CASES
 from gladewalk.members import messages
