--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -16,7 +16,7 @@
 import sys
 import time
 
-from gladewalk.members.actions import Change
+from gladewalk.members.actions import MemberChange
 from gladewalk.rehearsal.member_network import Net, cluster
 
 LOSSES = (0.0, 0.1, 0.3)
@@ -38,7 +38,7 @@
     killed = net.now
     net.kill("m1")
     others = len(net.nodes) - 1
-    while len(found := net.changes(Change.DIED, "m1", killed)) < others and net.now < killed + 30_000.0:
+    while len(found := net.changes(MemberChange.DIED, "m1", killed)) < others and net.now < killed + 30_000.0:
         net.run(50.0)
     times = [seen.at_ms - killed for seen in found]
     return (min(times), max(times)) if len(times) == others else (min(times, default=30e3), 30e3)
@@ -51,8 +51,8 @@
     net.loss = loss
     net.run(LOSSY_MS)
     minutes = size * LOSSY_MS / 60_000.0
-    told = {(s.name, s.at_ms // 2_000.0) for s in net.changes(Change.SUSPECTED)}
-    dead = {(s.name, s.at_ms // 2_000.0) for s in net.changes(Change.DIED)}
+    told = {(s.name, s.at_ms // 2_000.0) for s in net.changes(MemberChange.SUSPECTED)}
+    dead = {(s.name, s.at_ms // 2_000.0) for s in net.changes(MemberChange.DIED)}
     return len(told) / minutes, len(dead) / minutes
 
 
--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -27,13 +27,13 @@
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.membership_cases import CASES, Case
 from gladewalk.faultnet.nemesis import play
-from gladewalk.members.actions import Terms
+from gladewalk.members.config import MembershipConfig
 from gladewalk.members.history import Seen, agreed_ms, detected_ms, wrong_deaths
 from gladewalk.rehearsal.member_network import cluster
 from gladewalk.rehearsal.member_network import play as play_in_memory
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
-STALL_MS = Terms().stall_ms
+STALL_MS = MembershipConfig().max_stall_ms
 AT_A_TIME = 4
 SETTLE_S = 2.0
 WAIT_S = 20.0  # for a fleet to meet, and to agree again
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -12,7 +12,7 @@
 
 from .. import interface as api
 from ..core.counters import Counters
-from ..members.actions import Change
+from ..members.actions import MemberChange
 from ..members.messages import UserEvent
 from ..members.swim import Membership
 from .ownership import Claim, Ownership
@@ -27,7 +27,7 @@
     """The members as `Runner` needs them; `members.transport.Members` on sockets."""
 
     core: Membership
-    changed: Callable[[Change, str], None]
+    changed: Callable[[MemberChange, str], None]
     heard: Callable[[UserEvent], None]
 
     def tell(self, news: UserEvent) -> None: ...
@@ -112,7 +112,7 @@
         self.known[kind] = names
         self.owned[kind].set_duties(names, now)
 
-    def changed(self, change: Change, name: str) -> None:
+    def changed(self, change: MemberChange, name: str) -> None:
         """Who is there has changed; a suspect still counts, so that no duty moves for a short silence. One
         that has stalled does not, though it keeps its place: its duties are done by others meanwhile."""
         if not self.members.core.active:  # our name is another's: nothing is ours any more
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -10,8 +10,9 @@
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.exchange import Exchange
-from ..members.actions import Address, Terms
+from ..members.actions import Address
 from ..members.authenticator import MessageAuthenticator, load_key_ring
+from ..members.config import MembershipConfig
 from ..members.swim import Membership
 from ..members.transport import Members, Network
 from ..upstream.pool import Caches
@@ -47,9 +48,9 @@
     table, duties = options.members, options.duties
     assert table is not None
     listen, seeds, networks, seal, dial = checked(options)
-    terms = Terms(
-        period_ms=table.period_ms, timeout_ms=0.4 * table.period_ms, suspicion_least_ms=table.suspicion_ms,
-        stall_ms=table.stall_ms,
+    terms = MembershipConfig(
+        ping_period_ms=table.period_ms, ping_timeout_ms=0.4 * table.period_ms,
+        min_suspicion_ms=table.suspicion_ms, max_stall_ms=table.stall_ms,
     )  # fmt: skip
     rng = random.Random(random.SystemRandom().getrandbits(64))
     core = Membership(name, listen, seeds, terms, rng, exchange.clock(), table.weight)
--- a/gladewalk/faultpoints/membership_scenario.py
+++ b/gladewalk/faultpoints/membership_scenario.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Callable
 
-from ..members.actions import Address, Change, Knocking, Out, Outcome, Terms
+from ..members.actions import Action, Address, MemberChange, ProbeOutcome, StartConfirmationProbe
 from ..members.authenticator import MessageAuthenticator
+from ..members.config import MembershipConfig
 from ..members.messages import Ack, DatagramMessage, Join, Nack, PartialState, Ping, PingRequest, decode
 from ..rehearsal.member_network import KEY, Net, Node
 from .points import Kind, Points
@@ -27,7 +28,7 @@
 class FaultNet(Net):
     """A network whose nodes pass a point where they send, take, dial and change their minds."""
 
-    def __init__(self, points: Points, seed: int, terms: Terms | None = None) -> None:
+    def __init__(self, points: Points, seed: int, terms: MembershipConfig | None = None) -> None:
         super().__init__(seed, terms)
         self.points = points
         self.killed_at: dict[str, float] = {}
@@ -58,8 +59,8 @@
         assert isinstance(opened, bytes)
         return POINT_SUFFIXES[type(decode(opened))]
 
-    def noted(self, node: Node, change: Change, name: str) -> None:
-        if change in (Change.SUSPECTED, Change.DIED):
+    def noted(self, node: Node, change: MemberChange, name: str) -> None:
+        if change in (MemberChange.SUSPECTED, MemberChange.DIED):
             self.strikes(node, f"members.verdict.{change.value}")
 
     def post(self, node: Node, data: bytes, to: Address) -> None:
@@ -88,15 +89,17 @@
         elif kind is not Kind.KILL:
             super().exchange(node, to)
 
-    def knock(self, node: Node, wanted: Knocking) -> None:
+    def knock(self, node: Node, wanted: StartConfirmationProbe) -> None:
         kind = self.strikes(node, "members.dial.knock")
         if kind is Kind.LOSE:
             target = self.by_address.get(wanted.to)
-            self.after(wanted.wait_ms, lambda: self._knocked(node, target, wanted, Outcome.UNREACHABLE))
+            self.after(
+                wanted.timeout_ms, lambda: self._knocked(node, target, wanted, ProbeOutcome.UNREACHABLE)
+            )
         elif kind is not Kind.KILL:
             super().knock(node, wanted)
 
-    def carry_out(self, node: Node, out: list[Out]) -> None:
+    def carry_out(self, node: Node, out: list[Action]) -> None:
         if node.up:
             super().carry_out(node, out)
 
@@ -119,7 +122,7 @@
     wrong = [
         f"{seen.by} held {seen.name} dead"
         for seen in net.seen
-        if seen.change is Change.DIED and seen.at_ms < net.killed_at.get(seen.name, seen.at_ms + 1.0)
+        if seen.change is MemberChange.DIED and seen.at_ms < net.killed_at.get(seen.name, seen.at_ms + 1.0)
     ]
     if wrong:
         return "; ".join(wrong)
--- a/gladewalk/members/actions.py
+++ b/gladewalk/members/actions.py
@@ -1,4 +1,4 @@
-"""What a membership is set to, and what it tells: its changes and its sends."""
+"""Actions that the protocol asks its transport to carry out, and the changes and events that it reports."""
 
 from __future__ import annotations
 
@@ -10,79 +10,102 @@
 Address = tuple[str, int]
 
 
-@dataclass(slots=True, frozen=True)
-class Terms:
-    """Times in ms. Detection takes about two periods, the time of a suspicion and a spread of gossip."""
-
-    period_ms: float = 200.0  # between pings
-    timeout_ms: float = 80.0  # for a direct answer; go-betweens have the rest of the period
-    helpers: int = 3  # go-betweens
-    suspicion_least_ms: float = 500.0  # a suspicion that enough others confirmed
-    suspicion_most: float = 2.0  # times that, for one that nobody confirms
-    stall_ms: float = 10_000.0  # how long one is kept whose system answers for it and which says nothing
-    confirmations: int = 2  # from which on it is the least
-    retransmit: float = 3.0  # times log10(members + 1) that a rumour is sent on
-    exchange_ms: float = 5_000.0  # between full exchanges with one member
-    dead_kept_ms: float = 60_000.0  # how long the dead are remembered, so that no old rumour revives them
-    members_most: int = 2_048  # bounds memory
-    news_most: int = 8_192  # duties of which news are kept
-
-
-class Change(Enum):
+class MemberChange(Enum):
+    """A change in the local view of a member, or of the local member itself."""
+
     JOINED = "joined"
     SUSPECTED = "suspected"
-    CLEARED = "cleared"  # it was suspected, and lives
-    STALLED = "stalled"  # its system answers for it, itself it does not: others do what it had to do
-    REFUTED = "refuted"  # we were said to be suspect or dead, and have said otherwise
+    CLEARED = "cleared"  # a suspicion was refuted
+    STALLED = "stalled"  # its system accepts connections, its process does not answer: others take its tasks
+    REFUTED = "refuted"  # the local member was called suspect or dead, and has refuted it
     DIED = "died"
     LEFT = "left"
-    NAME_TAKEN = "name_taken"  # another runs under our name, and has done so for longer
+    NAME_TAKEN = "name_taken"  # an older process runs under the local name: the local member stands down
+
+    @property
+    def log_event(self) -> str:
+        """Name of its event in the log."""
+        return f"member_{self.value}"
+
+    @property
+    def counter(self) -> str:
+        """Name of its counter."""
+        return f"members.{self.value}"
 
 
-class Outcome(Enum):
-    """What came of knocking."""
+class ProbeOutcome(Enum):
+    """Result of a confirmation probe of a suspected member's stream port."""
 
-    HERE = "here"
-    GONE = "gone"
-    SILENT = "silent"
+    RESPONDED = "here"
+    REFUSED = "gone"  # no process listens there
+    SILENT = "silent"  # the system accepted the connection, the process did not answer in time
     UNREACHABLE = "unreachable"
 
+    @property
+    def counter(self) -> str:
+        """Name of its counter."""
+        return f"members.knock_{self.value}"
+
 
 @dataclass(slots=True, frozen=True)
-class Send:
+class SendDatagram:
+    """Send a message to an address; nothing is reported back."""
+
     to: Address
     message: DatagramMessage
 
 
 @dataclass(slots=True, frozen=True)
-class Exchange:
-    """Compare all that is known with the member at this address, over a stream (`sync`)."""
+class StartSync:
+    """Synchronize the state with the member at this address over a stream."""
 
     to: Address
 
 
 @dataclass(slots=True, frozen=True)
-class Knocking:
-    """Knock at a suspect's stream, with this message; what comes of it goes to `Membership.knocked`."""
+class StartConfirmationProbe:
+    """Send a confirmation probe over a stream; report its outcome to `Membership.on_probe_outcome`."""
 
     to: Address
     name: str
-    run: int
-    wait_ms: float
+    run_id: int
+    timeout_ms: float
     message: ConfirmationProbe
 
 
 @dataclass(slots=True, frozen=True)
-class Changed:
-    change: Change
+class MemberChanged:
+    """Report a change of the member of this name."""
+
+    change: MemberChange
     name: str
 
 
 @dataclass(slots=True, frozen=True)
-class Heard:
-    """News from another member, told once for each that is later than what was known."""
+class EventReceived:
+    """Report a user event from another member, once for each that supersedes what was known of its task."""
+
+    event: UserEvent
+
+
+Action = SendDatagram | StartSync | StartConfirmationProbe | MemberChanged | EventReceived
+
+
+class Outbox:
+    """Collects actions in the order in which they are to be carried out."""
+
+    def __init__(self) -> None:
+        self._actions: list[Action] = []
 
-    news: UserEvent
+    def put(self, action: Action) -> None:
+        """Appends an action."""
+        self._actions.append(action)
 
+    def send(self, to: Address, message: DatagramMessage) -> None:
+        """Appends the sending of a datagram."""
+        self._actions.append(SendDatagram(to, message))
 
-Out = Send | Exchange | Knocking | Changed | Heard
+    def take(self) -> list[Action]:
+        """Removes and returns all collected actions."""
+        actions, self._actions = self._actions, []
+        return actions
--- a/gladewalk/members/dissemination.py
+++ b/gladewalk/members/dissemination.py
@@ -11,7 +11,7 @@
 from itertools import chain
 from typing import Generic, TypeVar
 
-from .actions import Terms
+from .config import MembershipConfig
 from .messages import MemberUpdate, UserEvent, encoded_size_bytes, stable_hash
 
 GOSSIP_BYTES = 1_000  # of rumours in a message: the rest is for the message itself and its seal
@@ -68,7 +68,7 @@
 class Gossip:
     """Rumours and news that are still being told, and the latest news of each duty."""
 
-    def __init__(self, terms: Terms, members: Callable[[], int]) -> None:
+    def __init__(self, terms: MembershipConfig, members: Callable[[], int]) -> None:
         self.terms, self.members = terms, members
         self.rumours: Told[MemberUpdate] = Told()
         self.fresh: Told[UserEvent] = Told()
@@ -86,7 +86,7 @@
         known = self.events.get(news.task)
         if known is not None and news.precedence <= known.precedence:
             return False
-        if known is None and len(self.events) >= self.terms.news_most:
+        if known is None and len(self.events) >= self.terms.max_events:
             return False
         if known is None or (known.epoch, known.owner) != (news.epoch, news.owner):
             self.digest ^= claim_hash(news) ^ (claim_hash(known) if known is not None else 0)
@@ -109,4 +109,4 @@
         return self.fresh.take(GOSSIP_BYTES - sum(map(encoded_size_bytes, beside)), self._often())
 
     def _often(self) -> int:
-        return math.ceil(self.terms.retransmit * math.log10(self.members() + 2))
+        return math.ceil(self.terms.retransmit_factor * math.log10(self.members() + 2))
--- a/gladewalk/members/gossip_state.py
+++ b/gladewalk/members/gossip_state.py
@@ -8,7 +8,15 @@
 
 import msgspec
 
-from .actions import Address, Change, Changed, Exchange, Knocking, Outcome, Send
+from .actions import (
+    Address,
+    MemberChange,
+    MemberChanged,
+    ProbeOutcome,
+    SendDatagram,
+    StartConfirmationProbe,
+    StartSync,
+)
 from .loop_delay import Lateness
 from .member_list import Member
 from .message_builder import Speaker
@@ -34,7 +42,7 @@
             return self._hear_of_me(rumour)
         known = self.members.get(rumour.name)
         if known is None:
-            if len(self.members) < self.terms.members_most:
+            if len(self.members) < self.terms.max_members:
                 self._meet(rumour, now_ms)
             return
         if (
@@ -60,18 +68,18 @@
         if not self._confirms(known, suspicion) and self._outweighs(suspicion, known.rumour):
             self._believe(known, suspicion, now_ms)
         known.doubted = True
-        if now_ms >= known.challenged_ms + self.terms.period_ms:
+        if now_ms >= known.challenged_ms + self.terms.ping_period_ms:
             self._challenge(known, now_ms)
-        if known.outcome is Outcome.SILENT:  # it may have been killed since we knocked
+        if known.outcome is ProbeOutcome.SILENT:  # it may have been killed since we knocked
             self._knock(known)
 
     def _meet_again(self, member: Member, now_ms: float) -> None:
         """One that is held dead speaks: it hears so at once, and both sides tell all that they know."""
-        if now_ms < member.challenged_ms + self.terms.period_ms:
+        if now_ms < member.challenged_ms + self.terms.ping_period_ms:
             return
         self._challenge(member, now_ms)
         # A whole exchange costs by the members: in a large fleet the first few that meet tell the rest.
-        if now_ms >= self.exchanged_ms + self.terms.period_ms * max(1.0, self.roll.live_count / 32.0):
+        if now_ms >= self.exchanged_ms + self.terms.ping_period_ms * max(1.0, self.roll.live_count / 32.0):
             self._exchange_with(member.address, now_ms)
 
     def _outweighs(self, new: MemberUpdate, old: MemberUpdate) -> bool:
@@ -85,7 +93,7 @@
         if rumour.state is MemberState.SUSPECT:
             self._accuse(member, rumour)
         if member.live:
-            self._put(Changed(Change.JOINED, rumour.name))
+            self._put(MemberChanged(MemberChange.JOINED, rumour.name))
             # Somewhere in the rest of the round, as SWIM has it: nobody waits for longer than a round.
             self.round.insert(self.random.randrange(len(self.round) + 1), rumour.name)
         self.gossip.spread(rumour)
@@ -98,18 +106,25 @@
         self.gossip.spread(rumour)
         if rumour.state is MemberState.ALIVE and not was_live:
             known.heard_ms = now_ms
-            self._put(Changed(Change.JOINED, rumour.name))
+            self._put(MemberChanged(MemberChange.JOINED, rumour.name))
         elif rumour.state is MemberState.ALIVE and was is MemberState.SUSPECT:
-            self._put(Changed(Change.CLEARED, rumour.name))
+            self._put(MemberChanged(MemberChange.CLEARED, rumour.name))
         elif rumour.state is MemberState.SUSPECT and was is not MemberState.SUSPECT:
-            self._put(Changed(Change.SUSPECTED, rumour.name))
+            self._put(MemberChanged(MemberChange.SUSPECTED, rumour.name))
         elif was_live and rumour.state in (MemberState.DEAD, MemberState.LEFT):
-            self._put(Changed(Change.DIED if rumour.state is MemberState.DEAD else Change.LEFT, rumour.name))
+            self._put(
+                MemberChanged(
+                    MemberChange.DIED if rumour.state is MemberState.DEAD else MemberChange.LEFT, rumour.name
+                )
+            )
 
     def _confirms(self, known: Member, rumour: MemberUpdate, doubtful: bool = False) -> bool:
         """Whether we have this suspicion already: one more who holds it shortens its time (Lifeguard)."""
         same = known.suspect and known.rumour.incarnation == rumour.incarnation
-        new = rumour.suspected_by not in known.accusers and len(known.accusers) <= self.terms.confirmations
+        new = (
+            rumour.suspected_by not in known.accusers
+            and len(known.accusers) <= self.terms.suspicion_confirmations
+        )
         if same and new and not doubtful:
             self._accuse(known, rumour)
             self.gossip.spread(rumour)
@@ -132,7 +147,9 @@
             sender=self.me.name, run_id=self.me.run_id, health_score=self.health_score, updates=[rumour]
         )
         usual_ms = least_ms(self.terms, 1, self.pings.answer_ms) + self.late.grace_ms(self.last_ms)
-        self._put(Knocking(member.address, rumour.name, rumour.run_id, wait_ms or usual_ms, message))
+        self._put(
+            StartConfirmationProbe(member.address, rumour.name, rumour.run_id, wait_ms or usual_ms, message)
+        )
 
     def _hear_of_me(self, rumour: MemberUpdate) -> None:
         """Refute what is untrue: with a higher incarnation than it was said with."""
@@ -151,14 +168,14 @@
             self._send(address, Join)  # our last run, or another under our name: it will tell
         if rumour.state is not MemberState.ALIVE and not stale:
             self._answer_accuser(rumour)
-            self._put(Changed(Change.REFUTED, self.me.name))
+            self._put(MemberChanged(MemberChange.REFUTED, self.me.name))
             self._ail(1)  # others can't hear us: perhaps it is we who are slow
 
     def _same_name(self, message: Message, source: Address) -> None:
         """Another speaks under our name right now. The one that started first keeps it."""
         if message.run_id < self.me.run_id:
             self.active = False
-            self._put(Changed(Change.NAME_TAKEN, self.me.name))
+            self._put(MemberChanged(MemberChange.NAME_TAKEN, self.me.name))
         else:  # it hears of us by this, and goes
             self._tell_of_me(source)
 
@@ -177,13 +194,13 @@
         suspect.asked = True
         for helper in self._helpers(suspect):
             self._carry(helper, suspect.rumour)
-        if suspect.outcome is Outcome.UNREACHABLE:  # its path may have healed since we knocked
+        if suspect.outcome is ProbeOutcome.UNREACHABLE:  # its path may have healed since we knocked
             self._knock(suspect, self.pings.timeout_ms(0) + self.late.ms(self.last_ms))
 
     def _helpers(self, but: Member) -> list[Member]:
         """Go-betweens: some of those that nobody suspects, and not the one that it is about."""
         others = [m for m in self.members.values() if m is not but and m.rumour.state is MemberState.ALIVE]
-        return self.random.sample(others, min(len(others), self.terms.helpers))
+        return self.random.sample(others, min(len(others), self.terms.indirect_ping_members))
 
     def _carry(self, to: Member, rumour: MemberUpdate) -> None:
         """One rumour to one member; an answer to nothing, which nobody awaits."""
@@ -191,7 +208,7 @@
         said = Ack(
             sender=me.name, run_id=me.run_id, health_score=self.health_score, updates=[rumour], sequence=0
         )
-        self._put(Send(to.address, said))
+        self._put(SendDatagram(to.address, said))
 
     def _answer_accuser(self, rumour: MemberUpdate) -> None:
         """Who accuses us hears at once that we live: from us, and through others, once a period at most.
@@ -200,7 +217,7 @@
         and a refutation that rode on gossip alone came now and then after its verdict.
         """
         accuser = self.members.get(rumour.suspected_by)
-        if accuser is None or not accuser.live or self.last_ms < self.answered_ms + self.terms.period_ms:
+        if accuser is None or not accuser.live or self.last_ms < self.answered_ms + self.terms.ping_period_ms:
             return
         self.answered_ms = self.last_ms
         self._tell_of_me(accuser.address)
@@ -216,13 +233,13 @@
                 host=accuser.rumour.host,
                 port=accuser.rumour.port,
             )
-            self._put(Send(helper.address, ask))
+            self._put(SendDatagram(helper.address, ask))
 
     def _ail(self, by: int) -> None:
         self.health_score = min(HEALTH_MOST, self.health_score + by)
 
     def _exchange_with(self, to: Address | None, now_ms: float) -> None:
-        self.next_exchange_ms = now_ms + self.terms.exchange_ms * (0.75 + 0.5 * self.random.random())
+        self.next_exchange_ms = now_ms + self.terms.sync_interval_ms * (0.75 + 0.5 * self.random.random())
         if to is not None:
             self.exchanged_ms = now_ms
-            self._put(Exchange(to))
+            self._put(StartSync(to))
--- a/gladewalk/members/history.py
+++ b/gladewalk/members/history.py
@@ -13,10 +13,10 @@
 from datetime import datetime
 from typing import Any
 
-from .actions import Change
+from .actions import MemberChange
 
-GONE = frozenset((Change.DIED, Change.LEFT))
-BACK = frozenset((Change.JOINED, Change.CLEARED))
+GONE = frozenset((MemberChange.DIED, MemberChange.LEFT))
+BACK = frozenset((MemberChange.JOINED, MemberChange.CLEARED))
 EVENT = re.compile(r"member_([a-z_]+)\Z")
 
 
@@ -26,7 +26,7 @@
 
     at_ms: float
     by: str
-    change: Change
+    change: MemberChange
     name: str
 
 
@@ -54,17 +54,17 @@
             continue
         at_ms = datetime.fromisoformat(stamp.replace("Z", "+00:00")).timestamp() * 1_000.0
         if event == "members_listening":  # a start: what its earlier run knew is gone
-            seen += [Seen(at_ms, name, Change.LEFT, other) for other in sorted(known)]
+            seen += [Seen(at_ms, name, MemberChange.LEFT, other) for other in sorted(known)]
             known.clear()
         elif found is not None:
             known.add(str(line["member"]))
-            seen.append(Seen(at_ms, name, Change(found[1]), str(line["member"])))
+            seen.append(Seen(at_ms, name, MemberChange(found[1]), str(line["member"])))
     return seen
 
 
 def wrong_deaths(seen: Iterable[Seen], causes: Sequence[Cause]) -> list[Seen]:
     """Deaths that nothing accounts for."""
-    died = (one for one in seen if one.change is Change.DIED)
+    died = (one for one in seen if one.change is MemberChange.DIED)
     return [one for one in died if not any(cause.covers(one) for cause in causes)]
 
 
@@ -72,7 +72,7 @@
     """How long each of `by` took to hold `name` dead; who never did is not in it."""
     times: dict[str, float] = {}
     for one in sorted(seen, key=lambda one: one.at_ms):
-        if one.name == name and one.change is Change.DIED and one.at_ms >= since_ms and one.by in by:
+        if one.name == name and one.change is MemberChange.DIED and one.at_ms >= since_ms and one.by in by:
             times.setdefault(one.by, one.at_ms - since_ms)
     return times
 
--- a/gladewalk/members/member_list.py
+++ b/gladewalk/members/member_list.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from .actions import Address, Outcome
+from .actions import Address, ProbeOutcome
 from .messages import MemberState, MemberUpdate, stable_hash
 
 
@@ -25,7 +25,7 @@
     accusers: set[str] = field(default_factory=set)  # who said that it is suspect
     dead_at_ms: float = math.inf  # when a suspicion runs out
     knocking: bool = False  # what came of knocking at it is not known yet
-    outcome: Outcome | None = None  # of the last knock since it was suspected
+    outcome: ProbeOutcome | None = None  # of the last knock since it was suspected
     asked: bool = False  # others were asked whether they know better, before it is held dead
     doubted: bool = False  # another's word of its death was not taken: we knock ourselves before it is dead
     stalled: bool = False  # a suspect that keeps its place and does none of its duties
--- a/gladewalk/members/message_builder.py
+++ b/gladewalk/members/message_builder.py
@@ -4,7 +4,8 @@
 
 import random
 
-from .actions import Address, Out, Send, Terms
+from .actions import Action, Address, SendDatagram
+from .config import MembershipConfig
 from .dissemination import GOSSIP_BYTES, Gossip
 from .member_list import Member, Roll
 from .messages import DatagramMessage, Join, MemberState, MemberUpdate, PartialState, Ping, encoded_size_bytes
@@ -16,14 +17,14 @@
 class Speaker:
     """Who we are, whom we know, and what is to be sent; `Membership` decides what and when."""
 
-    def __init__(self, me: MemberUpdate, terms: Terms, rng: random.Random) -> None:
+    def __init__(self, me: MemberUpdate, terms: MembershipConfig, rng: random.Random) -> None:
         self.me, self.terms, self.random = me, terms, rng
         self.roll = Roll()
         self.members = self.roll.members  # to be read; `roll` alone changes it
         self.health_score = 0  # 0: well; each missed answer adds to it, each answer takes from it
         self.pings = Pings(terms)
         self.gossip = Gossip(terms, lambda: len(self.members))
-        self.out: list[Out] = []
+        self.out: list[Action] = []
 
     def _challenge(self, member: Member, now_ms: float) -> None:
         """A ping that tells it what is said of it, beside all other gossip."""
@@ -36,7 +37,7 @@
             target=known.name,
             target_run_id=known.run_id,
         )
-        self._put(Send(member.address, ping))
+        self._put(SendDatagram(member.address, ping))
 
     def _tell_suspect(self, name: str) -> None:
         """Who is thought dead or suspect hears so first (Lifeguard's buddies), and can refute it."""
@@ -47,7 +48,7 @@
     def _tell_of_me(self, to: Address) -> None:
         me = self.me
         self._put(
-            Send(
+            SendDatagram(
                 to,
                 PartialState(sender=me.name, run_id=me.run_id, health_score=self.health_score, updates=[me]),
             )
@@ -71,7 +72,7 @@
             wants_reply=reply,
             is_complete=whole,
         )
-        self._put(Send(to, roster))
+        self._put(SendDatagram(to, roster))
 
     def _send(self, to: Address, kind: type[DatagramMessage], **more: object) -> None:
         gossip = self.gossip.take_rumours()
@@ -79,11 +80,11 @@
             gossip.append(self.me)
         news = self.gossip.take_news(gossip)
         said = {"sender": self.me.name, "run_id": self.me.run_id, "health_score": self.health_score, **more}
-        self._put(Send(to, kind(updates=gossip, events=news, **said)))  # type: ignore[arg-type]
+        self._put(SendDatagram(to, kind(updates=gossip, events=news, **said)))  # type: ignore[arg-type]
 
-    def _put(self, out: Out) -> None:
+    def _put(self, out: Action) -> None:
         self.out.append(out)
 
-    def _take(self) -> list[Out]:
+    def _take(self) -> list[Action]:
         out, self.out = self.out, []
         return out
--- a/gladewalk/members/probes.py
+++ b/gladewalk/members/probes.py
@@ -10,7 +10,8 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
-from .actions import Address, Terms
+from .actions import Address
+from .config import MembershipConfig
 
 SLOW = 1.5  # times the time that answers take, for one that is awaited
 KEPT = 64  # pings whose late answers still tell something
@@ -41,7 +42,7 @@
 
 
 class Pings:
-    def __init__(self, terms: Terms) -> None:
+    def __init__(self, terms: MembershipConfig) -> None:
         self.terms = terms
         self.asking: Asking | None = None
         self.errands: dict[int, Errand] = {}
@@ -52,12 +53,12 @@
 
     def timeout_ms(self, health: int) -> float:
         """For a direct answer."""
-        return max(self.terms.timeout_ms * (1 + health), SLOW * self.answer_ms)
+        return max(self.terms.ping_timeout_ms * (1 + health), SLOW * self.answer_ms)
 
     def period_ms(self, health: int) -> float:
         """Between pings: long enough for an answer and then for one by go-betweens, who ask anew."""
-        slow_ms = min(2.5 * SLOW * self.answer_ms, STRETCH_MOST * self.terms.period_ms)
-        return max(self.terms.period_ms * (1 + health), slow_ms)
+        slow_ms = min(2.5 * SLOW * self.answer_ms, STRETCH_MOST * self.terms.ping_period_ms)
+        return max(self.terms.ping_period_ms * (1 + health), slow_ms)
 
     def ask(self, name: str, now_ms: float) -> int:
         """A ping's number, whose answer is awaited from now."""
@@ -68,7 +69,10 @@
     def answered(self, number: int, now_ms: float) -> bool:
         """Whether it is the answer that is awaited; any answer tells how long they take."""
         sent_ms = self.sent.pop(number, None)
-        if sent_ms is not None and (took_ms := now_ms - sent_ms) < SLOWEST_PERIODS * self.terms.period_ms:
+        if (
+            sent_ms is not None
+            and (took_ms := now_ms - sent_ms) < SLOWEST_PERIODS * self.terms.ping_period_ms
+        ):
             self.samples.append(took_ms)
             self.answer_ms = statistics.median_low(self.samples)
         if self.asking is None or self.asking.sequence != number:
@@ -79,8 +83,8 @@
     def run_errand(self, asker: Address, number: int, now_ms: float) -> int:
         """A ping's number for one that is asked on another's behalf."""
         mine = self._number(now_ms)
-        if len(self.errands) < self.terms.members_most:
-            due = now_ms + max(self.terms.timeout_ms, SLOW * self.answer_ms)
+        if len(self.errands) < self.terms.max_members:
+            due = now_ms + max(self.terms.ping_timeout_ms, SLOW * self.answer_ms)
             self.errands[mine] = Errand(asker, number, due)
         return mine
 
--- a/gladewalk/members/stream.py
+++ b/gladewalk/members/stream.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from . import sync
-from .actions import Address, Exchange, Knocking, Outcome
+from .actions import Address, ProbeOutcome, StartConfirmationProbe, StartSync
 from .authenticator import DropReason
 from .errors import MalformedMessageError
 from .messages import (
@@ -58,7 +58,7 @@
         )
         return int(self.server.sockets[0].getsockname()[1])
 
-    def begin(self, wanted: Exchange) -> None:
+    def begin(self, wanted: StartSync) -> None:
         """One at a time with each member."""
         if wanted.to not in self.begun:
             task = asyncio.get_running_loop().create_task(self._ask(wanted.to))
@@ -73,33 +73,33 @@
         for writer in self.asked:
             writer.close()
 
-    def knock(self, wanted: Knocking) -> None:
+    def knock(self, wanted: StartConfirmationProbe) -> None:
         task = asyncio.get_running_loop().create_task(self._knock(wanted))
         self.knocks.add(task)
         task.add_done_callback(self.knocks.discard)
 
-    async def _knock(self, wanted: Knocking) -> None:
+    async def _knock(self, wanted: StartConfirmationProbe) -> None:
         """Who answers at a suspect's port: its process, its system alone, or nobody (`suspicion`)."""
-        members, writer, outcome = self.members, None, Outcome.UNREACHABLE
+        members, writer, outcome = self.members, None, ProbeOutcome.UNREACHABLE
         try:
-            async with asyncio.timeout(wanted.wait_ms / 1_000.0):
+            async with asyncio.timeout(wanted.timeout_ms / 1_000.0):
                 reader, writer = await self._connect(wanted.to)
-                outcome = Outcome.SILENT
+                outcome = ProbeOutcome.SILENT
                 self._write(writer, wanted.message)
                 if isinstance(here := await self._read(reader), ConfirmationAck):
                     members.carry_out(members.core.take_in(here, members.clock()))
-                    outcome = Outcome.HERE
+                    outcome = ProbeOutcome.RESPONDED
         except TimeoutError:
             pass  # as far as it came
         except (ConnectionRefusedError, ConnectionResetError, BrokenPipeError, asyncio.IncompleteReadError):
-            outcome = Outcome.GONE
+            outcome = ProbeOutcome.REFUSED
         except (OSError, Dropped):  # no way there, or somebody else is at that port
-            outcome = Outcome.UNREACHABLE
+            outcome = ProbeOutcome.UNREACHABLE
         finally:
             if writer is not None:
                 writer.close()
-        members.counters.add(f"members.knock_{outcome.value}")
-        members.carry_out(members.core.knocked(wanted.name, wanted.run, outcome, members.clock()))
+        members.counters.add(outcome.counter)
+        members.carry_out(members.core.knocked(wanted.name, wanted.run_id, outcome, members.clock()))
 
     async def _connect(self, to: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection(*self.members.dial.get(to, to), limit=MAX_STREAM_MESSAGE_BYTES)
--- a/gladewalk/members/suspicion.py
+++ b/gladewalk/members/suspicion.py
@@ -17,7 +17,8 @@
 import math
 from enum import Enum
 
-from .actions import Outcome, Terms
+from .actions import ProbeOutcome
+from .config import MembershipConfig
 from .member_list import Member
 
 KNOCK_ALL = 64  # members up to which all knock at a suspect; in larger fleets only who accuses it by itself
@@ -34,16 +35,16 @@
     DEAD = "dead"
 
 
-def least_ms(terms: Terms, count: int, answer_ms: float) -> float:
+def least_ms(terms: MembershipConfig, count: int, answer_ms: float) -> float:
     """How long a suspicion lasts that enough others confirmed; never less than a word and its answer take."""
-    return max(terms.suspicion_least_ms * max(1.0, math.log10(count)), 3.0 * answer_ms)
+    return max(terms.min_suspicion_ms * max(1.0, math.log10(count)), 3.0 * answer_ms)
 
 
-def runs_out_ms(member: Member, terms: Terms, count: int, health: int, answer_ms: float) -> float:
+def runs_out_ms(member: Member, terms: MembershipConfig, count: int, health: int, answer_ms: float) -> float:
     """From the most down to the least as others confirm it (Lifeguard). `count`: members, ourselves too."""
     least = least_ms(terms, count, answer_ms)
-    most = least * terms.suspicion_most * (1.0 + 0.15 * health)
-    wanted = min(terms.confirmations, max(1, count - 2))
+    most = least * terms.max_suspicion_factor * (1.0 + 0.15 * health)
+    wanted = min(terms.suspicion_confirmations, max(1, count - 2))
     share = math.log(max(1, len(member.accusers))) / math.log(wanted + 1) if wanted else 1.0
     return member.since_ms + max(least, most - (most - least) * min(1.0, share))
 
@@ -53,7 +54,7 @@
     return count <= KNOCK_ALL or me in member.accusers
 
 
-def believes_death(member: Member, terms: Terms, doubtful: bool, now_ms: float) -> bool:
+def believes_death(member: Member, terms: MembershipConfig, doubtful: bool, now_ms: float) -> bool:
     """Whether another's word that a member is dead is taken; else it is a suspicion of ours from now.
 
     Not of one that we did not suspect until then, nor of one that we heard from since: after a partition each
@@ -61,23 +62,25 @@
     """
     if not member.suspect:
         return False
-    if member.outcome in (Outcome.GONE, Outcome.UNREACHABLE):
+    if member.outcome in (ProbeOutcome.REFUSED, ProbeOutcome.UNREACHABLE):
         return True  # we found no life there either
-    if member.outcome is Outcome.SILENT and now_ms < member.since_ms + terms.stall_ms:
+    if member.outcome is ProbeOutcome.SILENT and now_ms < member.since_ms + terms.max_stall_ms:
         return False
-    new = now_ms < member.since_ms + terms.suspicion_least_ms
+    new = now_ms < member.since_ms + terms.min_suspicion_ms
     return not doubtful and not new and member.heard_ms <= member.since_ms
 
 
-def verdict_of(member: Member, terms: Terms, me: str, count: int, now_ms: float) -> tuple[Verdict, float]:
+def verdict_of(
+    member: Member, terms: MembershipConfig, me: str, count: int, now_ms: float
+) -> tuple[Verdict, float]:
     """Of a suspect whose time has run out, and when to ask again (ms from now)."""
-    least = terms.suspicion_least_ms
+    least = terms.min_suspicion_ms
     if member.heard_ms > member.since_ms:
         return Verdict.TELL, least
     if member.knocking:
         return Verdict.WAIT, PENDING_MS
-    left = member.since_ms + terms.stall_ms - now_ms
-    if member.outcome is Outcome.SILENT and left > 0.0:
+    left = member.since_ms + terms.max_stall_ms - now_ms
+    if member.outcome is ProbeOutcome.SILENT and left > 0.0:
         return Verdict.STALLED, min(left, KNOCK_AGAIN_MS)
     if member.outcome is None and (member.doubted or knocks(member, me, count)):
         return Verdict.KNOCK, PENDING_MS
--- a/gladewalk/members/swim.py
+++ b/gladewalk/members/swim.py
@@ -15,7 +15,8 @@
 
 import msgspec
 
-from .actions import Address, Change, Changed, Heard, Out, Outcome, Send, Terms
+from .actions import Action, Address, EventReceived, MemberChange, MemberChanged, ProbeOutcome, SendDatagram
+from .config import MembershipConfig
 from .gossip_state import Hearing
 from .loop_delay import READ_MS, Lateness
 from .member_list import Member
@@ -47,7 +48,7 @@
         name: str,
         address: Address,
         seeds: tuple[Address, ...],
-        terms: Terms,
+        terms: MembershipConfig,
         rng: random.Random,
         now_ms: float,
         weight: float = 1.0,
@@ -60,19 +61,19 @@
             MemberUpdate(name, *address, run, int(now_ms), MemberState.ALIVE, weight), terms, rng
         )
         self.round = []
-        self.next_ping_ms = now_ms + rng.random() * terms.period_ms
-        self.next_exchange_ms = now_ms + terms.exchange_ms * rng.random()
+        self.next_ping_ms = now_ms + rng.random() * terms.ping_period_ms
+        self.next_exchange_ms = now_ms + terms.sync_interval_ms * rng.random()
         self.exchanged_ms = -math.inf  # when an exchange was last begun
         self.next_seed_ms = self.next_challenge_ms = now_ms
         self.last_ms = self.heard_any_ms = now_ms
         self.answered_ms = -math.inf
-        self.late = Lateness(terms.period_ms * STOP_PERIODS)
+        self.late = Lateness(terms.ping_period_ms * STOP_PERIODS)
         self.active = True  # False: it left, or its name is taken
         self.gossip.spread(self.me)
 
     # What comes in.
 
-    def tick(self, now_ms: float) -> list[Out]:
+    def tick(self, now_ms: float) -> list[Action]:
         """Whatever is due by now. To be called at `due()`, or now and then.
 
         Guards against a busy host: where the timer ran late, what came meanwhile is read before anybody is
@@ -110,21 +111,21 @@
         ]
         return min(times)
 
-    def take_in(self, message: Message, now_ms: float) -> list[Out]:
+    def take_in(self, message: Message, now_ms: float) -> list[Action]:
         """A part of a full exchange."""
         self._keep_time(now_ms)
         if self.active and message.sender != self.me.name:
             self._take_in(message, now_ms)
         return self._take()
 
-    def answer_knock(self, message: ConfirmationProbe, now_ms: float) -> tuple[ConfirmationAck, list[Out]]:
+    def answer_knock(self, message: ConfirmationProbe, now_ms: float) -> tuple[ConfirmationAck, list[Action]]:
         """Somebody wants to know whether we live: what it has heard of us is refuted in the answer."""
         out = self.take_in(message, now_ms)
         return ConfirmationAck(
             sender=self.me.name, run_id=self.me.run_id, health_score=self.health_score, updates=[self.me]
         ), out
 
-    def knocked(self, name: str, run: int, outcome: Outcome, now_ms: float) -> list[Out]:
+    def knocked(self, name: str, run: int, outcome: ProbeOutcome, now_ms: float) -> list[Action]:
         """What came of knocking at a suspect; a `ConfirmationAck` has been taken in before."""
         self._keep_time(now_ms)
         member = self.members.get(name)
@@ -133,14 +134,14 @@
         member.knocking = False
         if member.rumour.run_id == run and member.suspect:
             member.outcome = outcome
-            if outcome is Outcome.HERE:
+            if outcome is ProbeOutcome.RESPONDED:
                 member.heard_ms = now_ms
-            elif outcome is Outcome.GONE:
+            elif outcome is ProbeOutcome.REFUSED:
                 least = least_ms(self.terms, self.roll.live_count + 1, self.pings.answer_ms)
                 member.dead_at_ms = min(member.dead_at_ms, member.since_ms + least)
         return self._take()
 
-    def receive(self, message: DatagramMessage, source: Address, now_ms: float) -> list[Out]:
+    def receive(self, message: DatagramMessage, source: Address, now_ms: float) -> list[Action]:
         if not self.active:
             return []
         self._keep_time(now_ms)
@@ -169,7 +170,9 @@
                 asking.nacks += 1
             case Join() | PartialState(wants_reply=True):
                 self._tell_some(source)
-            case PartialState(is_complete=False) if now_ms >= self.exchanged_ms + self.terms.exchange_ms / 2:
+            case PartialState(is_complete=False) if (
+                now_ms >= self.exchanged_ms + self.terms.sync_interval_ms / 2
+            ):
                 self._exchange_with(source, now_ms)  # the rest of it, unless we have just asked somebody
         return self._take()
 
@@ -180,7 +183,7 @@
             self.hear(rumour, now_ms, message.sender, doubtful)
         for news in message.events:
             if self.gossip.learn(news):
-                self._put(Heard(news))
+                self._put(EventReceived(news))
 
     def bound(self, port: int) -> None:
         """The port that the system chose, where 0 was asked for."""
@@ -203,13 +206,13 @@
         stalled = {name for name, member in self.roll.suspects.items() if member.stalled}
         return {name: weight for name, weight in self.live().items() if name not in stalled}
 
-    def leave(self, now_ms: float) -> list[Out]:
+    def leave(self, now_ms: float) -> list[Action]:
         """Say so to some of the others, who tell the rest."""
         self.me = msgspec.structs.replace(
             self.me, incarnation=self.me.incarnation + 1, state=MemberState.LEFT
         )
         live = list(self.roll.live())
-        for member in self.random.sample(live, min(len(live), 2 * self.terms.helpers)):
+        for member in self.random.sample(live, min(len(live), 2 * self.terms.indirect_ping_members)):
             self._tell_of_me(member.address)
         self.active = False
         return self._take()
@@ -242,7 +245,7 @@
 
     def _challenge_accused(self, now_ms: float) -> None:
         """Whom we accuse hears so each period, however slow we have made ourselves: to refute it in time."""
-        self.next_challenge_ms = now_ms + self.terms.period_ms
+        self.next_challenge_ms = now_ms + self.terms.ping_period_ms
         for member in self.roll.suspects.values():
             if self.me.name in member.accusers:
                 self._challenge(member, now_ms)
@@ -308,7 +311,7 @@
         by_ms = now_ms - self.late.grace_ms(now_ms)
         for member in [m for m in self.roll.suspects.values() if by_ms >= m.dead_at_ms]:
             self._judge(member, now_ms)
-        for name in self.roll.long_gone(now_ms - self.terms.dead_kept_ms):
+        for name in self.roll.long_gone(now_ms - self.terms.departed_retention_ms):
             self.roll.remove(name)
             self.gossip.forget_member(name)
 
@@ -326,7 +329,7 @@
         elif verdict is Verdict.STALLED:
             if not member.stalled:
                 member.stalled = True
-                self._put(Changed(Change.STALLED, member.rumour.name))
+                self._put(MemberChanged(MemberChange.STALLED, member.rumour.name))
             self._knock(member)
         elif verdict is Verdict.DEAD and count > 2 and not member.asked:
             self._ask_others(member)
@@ -343,7 +346,7 @@
         live = [member.address for member in self.roll.live()]
         self._exchange_with(self.random.choice(live) if live else None, now_ms)
 
-    def exchange_failed(self, to: Address) -> list[Out]:
+    def exchange_failed(self, to: Address) -> list[Action]:
         """Guards against a path that passes datagrams alone: then a part of what is known goes that way."""
         if self.active:
             self._tell_some(to, reply=True)
@@ -359,7 +362,7 @@
         dead = [member for member in self.roll.gone.values() if member.rumour.state is MemberState.DEAD]
         # All who live share the asking of the dead: the larger the fleet, the seldomer each.
         periods = max(2.0, others / 8.0) if dead else 5.0
-        self.next_seed_ms = now_ms + self.terms.period_ms * (periods if others else 2.0)
+        self.next_seed_ms = now_ms + self.terms.ping_period_ms * (periods if others else 2.0)
         lost = [seed for seed in self.seeds if seed != me and not self.roll.lives_at(seed)]
         for seed in self.random.sample(lost, min(len(lost), 1 if others else len(lost))):
             self._send(seed, Join)
@@ -369,7 +372,7 @@
             join = Join(
                 sender=self.me.name, run_id=self.me.run_id, health_score=self.health_score, updates=told
             )
-            self._put(Send(one.address, join))
+            self._put(SendDatagram(one.address, join))
 
     # Small things.
 
@@ -382,8 +385,8 @@
         self.last_ms = now_ms
         if by_ms < 0.0:
             self._shift(by_ms)
-        elif by_ms > self.terms.period_ms * STOP_PERIODS:
-            self._shift(by_ms - self.terms.period_ms)
+        elif by_ms > self.terms.ping_period_ms * STOP_PERIODS:
+            self._shift(by_ms - self.terms.ping_period_ms)
             self._ail(2)
 
     def _shift(self, by_ms: float) -> None:
--- a/gladewalk/members/sync.py
+++ b/gladewalk/members/sync.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from .actions import Out
+from .actions import Action
 from .member_list import hash_of
 from .messages import Digest, FullState, StreamMessage
 from .swim import Membership
@@ -46,7 +46,7 @@
     return whole_of(core)
 
 
-def take(core: Membership, told: StreamMessage, now_ms: float) -> tuple[FullState | None, list[Out]]:
+def take(core: Membership, told: StreamMessage, now_ms: float) -> tuple[FullState | None, list[Action]]:
     """Whoever asked hears the answer: what it says back, if anything, and what follows here."""
     if not isinstance(told, FullState) or told.is_identical:
         return None, []
--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -12,7 +12,16 @@
 
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines, Key
-from .actions import Address, Change, Changed, Exchange, Heard, Knocking, Out, Send
+from .actions import (
+    Action,
+    Address,
+    EventReceived,
+    MemberChange,
+    MemberChanged,
+    SendDatagram,
+    StartConfirmationProbe,
+    StartSync,
+)
 from .authenticator import DropReason, MessageAuthenticator
 from .errors import MalformedMessageError
 from .messages import MAX_DATAGRAM_BYTES, UserEvent, decode, encode
@@ -44,7 +53,7 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: Key | None = None
         self.streams = Streams(self)
-        self.changed: Callable[[Change, str], None] = lambda change, name: None
+        self.changed: Callable[[MemberChange, str], None] = lambda change, name: None
         self.heard: Callable[[UserEvent], None] = lambda news: None
 
     async def listen(self) -> None:
@@ -116,20 +125,20 @@
         self.timer = None
         self.carry_out(self.core.tick(self.clock()))
 
-    def carry_out(self, out: list[Out]) -> None:
+    def carry_out(self, out: list[Action]) -> None:
         for action in out:
             match action:
-                case Send(to, message):
+                case SendDatagram(to, message):
                     self._send(to, encode(message))
-                case Exchange():
+                case StartSync():
                     self.streams.begin(action)
-                case Knocking():
+                case StartConfirmationProbe():
                     self.streams.knock(action)
-                case Changed(change, name):
-                    self.counters.add(f"members.{change.value}")
+                case MemberChanged(change, name):
+                    self.counters.add(change.counter)
                     self._note(change, name)
                     self.changed(change, name)
-                case Heard(news):
+                case EventReceived(news):
                     self.heard(news)
         self.deadlines.drop(self.timer)
         due = self.core.due()
@@ -140,12 +149,12 @@
             return
         self.transport.sendto(self.sealed(message, MAX_DATAGRAM_BYTES), self.dial.get(to, to))
 
-    def _note(self, change: Change, name: str) -> None:
+    def _note(self, change: MemberChange, name: str) -> None:
         """One line of the log for each change, with what speaks for it."""
         me, member = self.core.me, self.core.members.get(name)
         if member is None:
             log.info(
-                f"member_{change.value}",
+                change.log_event,
                 member=name,
                 by=me.name,
                 incarnation=me.incarnation,
@@ -153,7 +162,7 @@
             )
             return
         log.info(
-            f"member_{change.value}",
+            change.log_event,
             member=name,
             by=me.name,
             incarnation=member.rumour.incarnation,
--- a/gladewalk/rehearsal/dutynet.py
+++ b/gladewalk/rehearsal/dutynet.py
@@ -14,7 +14,8 @@
 from ..core.counters import Counters
 from ..duties.ownership import Rank, rank_of, score
 from ..duties.runner import Found, Runner
-from ..members.actions import Change, Terms
+from ..members.actions import MemberChange
+from ..members.config import MembershipConfig
 from ..members.dissemination import Told
 from ..members.messages import UserEvent
 from .member_network import Net, Node
@@ -34,7 +35,7 @@
 
     def __init__(self, net: DutyNet, node: Node) -> None:
         self.net, self.node, self.core = net, node, node.core
-        self.changed: Callable[[Change, str], None] = lambda change, name: None
+        self.changed: Callable[[MemberChange, str], None] = lambda change, name: None
         self.heard: Callable[[UserEvent], None] = lambda news: None
 
     def tell(self, news: UserEvent) -> None:
@@ -107,8 +108,8 @@
     """Nodes with duties. `done` has every probe in its order."""
 
     def __init__(
-        self, seed: int, boxes: Iterable[str], interval_ms: float = 1_000.0, terms: Terms | None = None,
-        per_s: float = 0.0,
+        self, seed: int, boxes: Iterable[str], interval_ms: float = 1_000.0,
+        terms: MembershipConfig | None = None, per_s: float = 0.0,
     ) -> None:  # fmt: skip
         super().__init__(seed, terms)
         self.boxes, self.interval_ms, self.per_s = tuple(boxes), interval_ms, per_s
@@ -120,7 +121,7 @@
         self.on_news = lambda node, news: self.runners[node.name].members.heard(news)
         self.on_change = self._on_change
 
-    def _on_change(self, node: Node, change: Change, name: str) -> None:
+    def _on_change(self, node: Node, change: MemberChange, name: str) -> None:
         if node.name in self.runners:  # else it is just being made
             self.runners[node.name].members.changed(change, name)
 
@@ -175,7 +176,7 @@
 
 def duty_cluster(
     count: int, seed: int, boxes: int = 12, interval_ms: float = 1_000.0, settle_ms: float = 6_000.0,
-    per_s: float = 0.0, terms: Terms | None = None, met: bool = False,
+    per_s: float = 0.0, terms: MembershipConfig | None = None, met: bool = False,
 ) -> DutyNet:  # fmt: skip
     """Members `m0` to `mN`, who know the first two as seeds, once they have divided their boxes.
 
--- a/gladewalk/rehearsal/member_network.py
+++ b/gladewalk/rehearsal/member_network.py
@@ -15,7 +15,16 @@
 
 from ..faultnet.schedule import Fault, pairs_of
 from ..members import sync
-from ..members.actions import Address, Change, Exchange, Heard, Knocking, Out, Outcome, Send, Terms
+from ..members.actions import (
+    Action,
+    Address,
+    EventReceived,
+    MemberChange,
+    ProbeOutcome,
+    SendDatagram,
+    StartConfirmationProbe,
+    StartSync,
+)
 from ..members.authenticator import (
     OVERHEAD_BYTES,
     AuthenticationKey,
@@ -23,6 +32,7 @@
     MessageAuthenticator,
     key_from_secret,
 )
+from ..members.config import MembershipConfig
 from ..members.history import Seen
 from ..members.messages import StreamMessage, UserEvent, decode, encode
 from ..members.swim import Membership
@@ -53,9 +63,9 @@
 class Net:
     """Nodes and what lies between them."""
 
-    def __init__(self, seed: int, terms: Terms | None = None) -> None:
+    def __init__(self, seed: int, terms: MembershipConfig | None = None) -> None:
         self.random = random.Random(seed)
-        self.terms = terms or Terms()
+        self.terms = terms or MembershipConfig()
         self.now = START_MS
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.count = 0
@@ -72,7 +82,7 @@
         self.exchanges: Counter[str] = Counter()
         self.dark: set[str] = set()  # whose machines are down, so that no system answers in their place
         self.on_news: Callable[[Node, UserEvent], None] | None = None
-        self.on_change: Callable[[Node, Change, str], None] | None = None
+        self.on_change: Callable[[Node, MemberChange, str], None] | None = None
 
     def after(self, ms: float, call: Callable[[], None]) -> None:
         self.count += 1
@@ -100,7 +110,9 @@
         old = self.nodes.get(name)
         if old is not None:
             old.up = False  # its address is free again: no two processes have one
-            self.seen += [Seen(self.now, name, Change.LEFT, other) for other in self.nodes if other != name]
+            self.seen += [
+                Seen(self.now, name, MemberChange.LEFT, other) for other in self.nodes if other != name
+            ]
         address = old.address if old is not None else ("10.0.0.1", port or 1_000 + len(self.nodes))
         known = tuple(self.nodes[seed].address for seed in seeds)
         core = Membership(
@@ -133,20 +145,20 @@
             return
         self.carry_out(node, node.core.tick(self.now + node.clock_off))
 
-    def carry_out(self, node: Node, out: list[Out]) -> None:
+    def carry_out(self, node: Node, out: list[Action]) -> None:
         for action in out:
-            if isinstance(action, Send):
+            if isinstance(action, SendDatagram):
                 data = node.seal.sign(
                     encode(action.message), self.now + node.clock_off, self.random.getrandbits(64)
                 )
                 self.post(node, data, action.to)
-            elif isinstance(action, Exchange):
+            elif isinstance(action, StartSync):
                 self.exchange(node, action.to)
-            elif isinstance(action, Knocking):
+            elif isinstance(action, StartConfirmationProbe):
                 self.knock(node, action)
-            elif isinstance(action, Heard):
+            elif isinstance(action, EventReceived):
                 if self.on_news is not None:
-                    self.on_news(node, action.news)
+                    self.on_news(node, action.event)
             else:
                 self.seen.append(Seen(self.now, node.name, action.change, action.name))
                 if self.on_change is not None:
@@ -181,38 +193,43 @@
             return
         self.after(3 * self.random.uniform(*self.delay_ms), lambda: self._exchange(node, target))
 
-    def knock(self, node: Node, wanted: Knocking) -> None:
+    def knock(self, node: Node, wanted: StartConfirmationProbe) -> None:
         """What a suspect's system says in its place."""
         target = self.by_address.get(wanted.to)
         name = target.name if target is not None else ""
         dark = name in self.dark or self.blocked(node.name, name) or self.blocked(name, node.name)
         if target is None or dark:
-            outcome, ms = Outcome.UNREACHABLE, wanted.wait_ms
+            outcome, ms = ProbeOutcome.UNREACHABLE, wanted.timeout_ms
         elif not target.up:
-            outcome, ms = Outcome.GONE, 2 * self.random.uniform(*self.delay_ms)
+            outcome, ms = ProbeOutcome.REFUSED, 2 * self.random.uniform(*self.delay_ms)
         elif self.now < target.stopped_until:
-            outcome, ms = Outcome.SILENT, wanted.wait_ms
+            outcome, ms = ProbeOutcome.SILENT, wanted.timeout_ms
         else:
-            outcome, ms = Outcome.HERE, 4 * self.random.uniform(*self.delay_ms)
+            outcome, ms = ProbeOutcome.RESPONDED, 4 * self.random.uniform(*self.delay_ms)
         self.after(ms, lambda: self._knocked(node, target, wanted, outcome))
 
-    def _knocked(self, node: Node, target: Node | None, wanted: Knocking, outcome: Outcome) -> None:
+    def _knocked(
+        self, node: Node, target: Node | None, wanted: StartConfirmationProbe, outcome: ProbeOutcome
+    ) -> None:
         if not node.up or self.now < node.stopped_until:
             return
-        if outcome is Outcome.HERE and target is not None:
+        if outcome is ProbeOutcome.RESPONDED and target is not None:
             if not target.up or self.now < target.stopped_until:
-                outcome = Outcome.SILENT if target.up else Outcome.GONE
+                outcome = ProbeOutcome.SILENT if target.up else ProbeOutcome.REFUSED
             else:
                 self._count(node, wanted.message)
                 off_ms = abs(node.clock_off - target.clock_off)
                 if off_ms > node.seal.window_ms:  # neither opens what the other seals
                     return self.carry_out(
-                        node, node.core.knocked(wanted.name, wanted.run, Outcome.UNREACHABLE, self.now)
+                        node,
+                        node.core.knocked(wanted.name, wanted.run_id, ProbeOutcome.UNREACHABLE, self.now),
                     )
                 here, out = target.core.answer_knock(wanted.message, self.now + target.clock_off)
                 self.carry_out(target, out)
                 self.carry_out(node, node.core.take_in(self._count(target, here), self.now + node.clock_off))
-        self.carry_out(node, node.core.knocked(wanted.name, wanted.run, outcome, self.now + node.clock_off))
+        self.carry_out(
+            node, node.core.knocked(wanted.name, wanted.run_id, outcome, self.now + node.clock_off)
+        )
 
     def _passes(self, node: Node, target: Node) -> bool:
         blocked = self.blocked(node.name, target.name) or self.blocked(target.name, node.name)
@@ -264,7 +281,7 @@
         up = {name for name, node in self.nodes.items() if node.up and node.core.active}
         return all(self.live_as_seen_by(name) == up - {name} for name in up)
 
-    def changes(self, change: Change, name: str | None = None, since_ms: float = 0.0) -> list[Seen]:
+    def changes(self, change: MemberChange, name: str | None = None, since_ms: float = 0.0) -> list[Seen]:
         return [
             seen
             for seen in self.seen
@@ -272,7 +289,7 @@
         ]
 
 
-def cluster(count: int, seed: int, terms: Terms | None = None, settle_ms: float = 5_000.0) -> Net:
+def cluster(count: int, seed: int, terms: MembershipConfig | None = None, settle_ms: float = 5_000.0) -> Net:
     """Members `m0` to `mN`, who know the first two as seeds, after some time to find one another."""
     net = Net(seed, terms)
     for n in range(count):
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -18,7 +18,7 @@
 from gladewalk.director import Director
 from gladewalk.duties.ownership import Claim, Ownership, owner_of
 from gladewalk.duties.pacing import Pacing
-from gladewalk.members.actions import Change
+from gladewalk.members.actions import MemberChange
 from gladewalk.members.authenticator import key_from_secret
 from gladewalk.rehearsal.dutynet import DutyNet, duty_cluster
 from gladewalk.rehearsal.ownerwalk import Broken, Budget, Walk
@@ -212,7 +212,7 @@
             if ms > 2_000.0:  # found dead: its duties have two holders until it is back
                 self.assertTrue(all(len(both) == 2 for both in heirs), heirs)
             self.settle(net)
-            self.assertEqual([seen for seen in net.changes(Change.DIED) if seen.by == "m2"], [])
+            self.assertEqual([seen for seen in net.changes(MemberChange.DIED) if seen.by == "m2"], [])
             self.assertEqual(held, [box for box in net.boxes if net.holders(box) == ["m2"]])
 
     def test_no_box_goes_unprobed_past_the_bound_when_its_prober_dies(self) -> None:
@@ -296,7 +296,7 @@
                 net.run(250.0)
         self.settle(net)
         self.assertLess(net.widest_gap(start), 3_000.0)
-        self.assertEqual({seen.name for seen in net.changes(Change.DIED)}, {"m3"})
+        self.assertEqual({seen.name for seen in net.changes(MemberChange.DIED)}, {"m3"})
 
 
 class Troubles(RuleBasedStateMachine):
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -17,7 +17,8 @@
 from gladewalk.faultnet.membership_cases import CASES, Case
 from gladewalk.faultnet.nemesis import play
 from gladewalk.faultnet.schedule import Fault
-from gladewalk.members.actions import Change, Terms
+from gladewalk.members.actions import MemberChange
+from gladewalk.members.config import MembershipConfig
 from gladewalk.members.history import Cause, Seen, agreed_ms, detected_ms, from_log, wrong_deaths
 from gladewalk.rehearsal.member_network import cluster
 from gladewalk.rehearsal.member_network import play as play_in_memory
@@ -25,7 +26,7 @@
 from tests.fleetworld import Fleets, until_true
 from tests.test_fleet_works import command
 
-STALL_MS = Terms().stall_ms
+STALL_MS = MembershipConfig().max_stall_ms
 NAMES = tuple(f"n{i}" for i in range(5))
 
 
@@ -87,7 +88,7 @@
         fleet.signal("n2", signal.SIGSTOP)
         try:
             assert await until_true(
-                lambda: any(s.change is Change.STALLED and s.by == "n0" for s in fleet.members_seen())
+                lambda: any(s.change is MemberChange.STALLED and s.by == "n0" for s in fleet.members_seen())
             )
             code, said = await asyncio.to_thread(command, fleet, "members", "--json", "n0")
             (row,) = [row for row in json.loads(said)["members"] if row["name"] == "n2"]
@@ -95,7 +96,7 @@
             assert row["knocked"] == "silent" and row["heard_ms"] > 0.0 and "health" in row
         finally:
             fleet.signal("n2", signal.SIGCONT)
-        cleared = [Change.CLEARED]
+        cleared = [MemberChange.CLEARED]
         assert await until_true(
             lambda: [s.change for s in fleet.members_seen() if (s.by, s.name) == ("n0", "n2")][-1:] == cleared
         )
@@ -126,8 +127,10 @@
                 await play(fleet, [Fault(0.0, 5_000.0, kind, ("n2",))])
                 assert await until_true(lambda: all_met(fleet), 30.0), kind
             ended = time.monotonic() * 1000.0
-            gaps = {uid: max(b - a for a, b in itertools.pairwise([begun, *since(times, begun), ended]))
-                    for uid, times in probed.items()}  # fmt: skip
+            gaps = {
+                uid: max(b - a for a, b in itertools.pairwise([begun, *since(times, begun), ended]))
+                for uid, times in probed.items()
+            }
             assert max(gaps.values()) < ORPHAN_MS, gaps
             # Nor does each probe for itself meanwhile: two may overlap for a moment, not for a whole fault.
             wanted = len(boxes) * (ended - begun) / PROBE_MS
@@ -160,19 +163,21 @@
 
 
 def test_the_checker_finds_a_wrong_death_a_late_one_and_a_roster_that_never_agrees() -> None:
-    joined = [Seen(0.0, by, Change.JOINED, name) for by in "abc" for name in "abc" if by != name]
+    joined = [Seen(0.0, by, MemberChange.JOINED, name) for by in "abc" for name in "abc" if by != name]
     assert agreed_ms(joined, 0.0, "abc") == 0.0 and agreed_ms(joined[:-1], 0.0, "abc") is None
-    death = Seen(5_000.0, "a", Change.DIED, "b")
+    death = Seen(5_000.0, "a", MemberChange.DIED, "b")
     assert wrong_deaths([*joined, death], []) == [death]
     right = Cause(4_000.0, 6_000.0, frozenset("ac"), frozenset("b"))
     assert wrong_deaths([death], [right]) == []
-    late = Seen(6_001.0, "c", Change.DIED, "b")
+    late = Seen(6_001.0, "c", MemberChange.DIED, "b")
     assert wrong_deaths([death, late], [right]) == [late]
     assert detected_ms([death, late], "b", 4_500.0, "ac") == {"a": 500.0, "c": 1_501.0}
-    back = [Seen(7_000.0, "a", Change.JOINED, "b"), Seen(8_000.0, "c", Change.JOINED, "b")]
+    back = [Seen(7_000.0, "a", MemberChange.JOINED, "b"), Seen(8_000.0, "c", MemberChange.JOINED, "b")]
     assert agreed_ms([*joined, death, late], 4_000.0, "abc") is None
     assert agreed_ms([*joined, death, late, *back], 7_500.0, "abc") == 500.0
-    assert agreed_ms([*joined, Seen(9.0, "a", Change.SUSPECTED, "b")], 0.0, "abc") == 0.0  # a member still
+    assert (
+        agreed_ms([*joined, Seen(9.0, "a", MemberChange.SUSPECTED, "b")], 0.0, "abc") == 0.0
+    )  # a member still
 
 
 def test_a_start_in_a_log_forgets_what_the_run_before_knew() -> None:
@@ -180,10 +185,18 @@
         stamp = f"2026-01-01T00:00:{second:02}.000000Z"
         return {"timestamp": stamp, "event": event, "by": "a", "member": member}
 
-    log = [line(1, "members_listening"), line(2, "member_joined", "b"), line(5, "members_listening"),
-           line(6, "member_joined", "b"), {"event": "serving"}, line(7, "module")]  # fmt: skip
+    log = [
+        line(1, "members_listening"),
+        line(2, "member_joined", "b"),
+        line(5, "members_listening"),
+        line(6, "member_joined", "b"),
+        {"event": "serving"},
+        line(7, "module"),
+    ]
     seen = from_log("a", log)
     assert [(s.change, s.name) for s in seen] == [
-        (Change.JOINED, "b"), (Change.LEFT, "b"), (Change.JOINED, "b"),
-    ]  # fmt: skip
+        (MemberChange.JOINED, "b"),
+        (MemberChange.LEFT, "b"),
+        (MemberChange.JOINED, "b"),
+    ]
     assert seen[2].at_ms - seen[0].at_ms == 4_000.0
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -21,8 +21,9 @@
 from gladewalk.duties.view import view_of
 from gladewalk.faultnet.membership_cases import CASES
 from gladewalk.members import messages
-from gladewalk.members.actions import Change, Outcome, Terms
+from gladewalk.members.actions import MemberChange, ProbeOutcome
 from gladewalk.members.authenticator import DropReason, MessageAuthenticator, key_from_secret
+from gladewalk.members.config import MembershipConfig
 from gladewalk.members.dissemination import claim_hash
 from gladewalk.members.member_list import hash_of
 from gladewalk.members.messages import (
@@ -112,8 +113,8 @@
 def names() -> dict[str, Any]:
     return {
         "states": {state.name: int(state) for state in MemberState},
-        "changes": {change.name: change.value for change in Change},
-        "outcomes": [outcome.value for outcome in Outcome],
+        "changes": {change.name: change.value for change in MemberChange},
+        "outcomes": [outcome.value for outcome in ProbeOutcome],
         "drop_reasons": [reason.value for reason in DropReason],
         "update_hashes": [hash_of(update) for update in UPDATES],
         "event_hashes": [claim_hash(event) for event in EVENTS],
@@ -136,7 +137,7 @@
 
     async def story() -> dict[str, Any]:
         now, rng = [NOW_MS], random.Random(4)
-        core = Membership("a", ("127.0.0.1", 0), (), Terms(), rng, NOW_MS)
+        core = Membership("a", ("127.0.0.1", 0), (), MembershipConfig(), rng, NOW_MS)
         networks = (ipaddress.ip_network("127.0.0.0/8"),)
         seal, counters = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0), Counters()
         members = Members(core, seal, networks, lambda: now[0], Deadlines(lambda when: None), counters)
@@ -177,7 +178,7 @@
                 members.datagram_received(data, (host, 9))
             members.error_received(OSError())
             for name in (*core.members, "a", "unknown"):
-                for change in Change:
+                for change in MemberChange:
                     members._note(change, name)
             members.leave()
         counts = {name: count for name, count in counters.report().items() if name != "members.sent_bytes"}
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -10,7 +10,7 @@
 from gladewalk.config.platform import ConfigError
 from gladewalk.core.counters import Counters
 from gladewalk.director import Turn
-from gladewalk.members.actions import Change, Exchange, Terms
+from gladewalk.members.actions import MemberChange, StartSync
 from gladewalk.members.authenticator import (
     OVERHEAD_BYTES,
     DropReason,
@@ -18,6 +18,7 @@
     key_from_secret,
     load_key_ring,
 )
+from gladewalk.members.config import MembershipConfig
 from gladewalk.members.dissemination import Told
 from gladewalk.members.errors import MalformedMessageError
 from gladewalk.members.messages import (
@@ -46,14 +47,14 @@
         self.assertTrue(net.agreed(), {name: net.live_as_seen_by(name) for name in net.nodes})
 
     def assert_no_deaths(self, net: Net, since_ms: float = 0.0) -> None:
-        self.assertEqual(net.changes(Change.DIED, since_ms=since_ms), [])
+        self.assertEqual(net.changes(MemberChange.DIED, since_ms=since_ms), [])
 
     def test_members_find_one_another_and_nobody_is_doubted(self) -> None:
         for count in (2, 3, 5, 8, 24):
             net = cluster(count, seed=count)
             self.assertTrue(net.agreed(), count)
             net.run(20_000.0)
-            self.assertEqual(net.changes(Change.SUSPECTED), [])
+            self.assertEqual(net.changes(MemberChange.SUSPECTED), [])
 
     def test_a_death_is_known_to_all_within_2_s(self) -> None:
         for count in (2, 3, 4, 8):
@@ -62,7 +63,7 @@
                 killed = net.now
                 net.kill("m1")
                 net.run(TAKEOVER_MS)
-                found = net.changes(Change.DIED, "m1", killed)
+                found = net.changes(MemberChange.DIED, "m1", killed)
                 self.assertEqual(len(found), count - 1, (count, seed))
                 self.assertTrue(net.agreed())
 
@@ -71,7 +72,9 @@
             net = cluster(4, seed)
             net.stop("m2", 6_000.0)
             net.run(3_000.0)
-            self.assertEqual({seen.by for seen in net.changes(Change.STALLED, "m2")}, {"m0", "m1", "m3"})
+            self.assertEqual(
+                {seen.by for seen in net.changes(MemberChange.STALLED, "m2")}, {"m0", "m1", "m3"}
+            )
             self.assertEqual(
                 {n: set(net.nodes[n].core.fit()) for n in ("m0", "m1", "m3")},
                 {n: {"m0", "m1", "m3"} for n in ("m0", "m1", "m3")},
@@ -87,9 +90,9 @@
             net.run(9_500.0)
             self.assert_no_deaths(net)
             net.run(5_000.0)
-            self.assertEqual(len(net.changes(Change.DIED, "m2")), 3)
+            self.assertEqual(len(net.changes(MemberChange.DIED, "m2")), 3)
             self.settle(net)
-            self.assertEqual([s for s in net.changes(Change.DIED) if s.by == "m2"], [])
+            self.assertEqual([s for s in net.changes(MemberChange.DIED) if s.by == "m2"], [])
 
     def test_one_that_stalls_and_is_then_killed_is_found_dead_before_its_stall_is_over(self) -> None:
         net = cluster(4, 1)
@@ -97,7 +100,7 @@
         net.run(2_000.0)
         net.kill("m2")
         net.run(4_000.0)
-        self.assertEqual(len(net.changes(Change.DIED, "m2")), 3)
+        self.assertEqual(len(net.changes(MemberChange.DIED, "m2")), 3)
 
     def test_a_machine_that_goes_dark_is_dead_once_the_suspicion_runs_out(self) -> None:
         for seed in range(20):
@@ -105,7 +108,7 @@
             net.dark.add("m3")
             net.kill("m3")
             net.run(3_000.0)
-            self.assertEqual(len(net.changes(Change.DIED, "m3")), 4)
+            self.assertEqual(len(net.changes(MemberChange.DIED, "m3")), 4)
 
     def test_one_cut_off_one_way_from_all_is_held_dead_and_its_word_costs_nobody_his_place(self) -> None:
         for out in (True, False):
@@ -113,7 +116,7 @@
                 net = cluster(5, seed)
                 net.blocked = lambda s, t, out=out: (s if out else t) == "m4"  # type: ignore[misc]
                 net.run(10_000.0)
-                wrong = [s for s in net.changes(Change.DIED) if s.name != "m4" and s.by != "m4"]
+                wrong = [s for s in net.changes(MemberChange.DIED) if s.name != "m4" and s.by != "m4"]
                 self.assertEqual(wrong, [])
                 if out:  # whom all hear and who hears nobody may be held either way
                     self.assertNotIn("m4", net.live_as_seen_by("m0"))
@@ -141,10 +144,12 @@
             net.blocked = lambda s, t: (s in ("m0", "m1")) != (t in ("m0", "m1"))
             net.run(20_000.0)
             net.blocked = lambda s, t: False
-            net.run(5 * net.terms.period_ms)
+            net.run(5 * net.terms.ping_period_ms)
             self.assertTrue(net.agreed(), seed)
             sides = ({"m0", "m1"}, {"m2", "m3", "m4"})
-            wrong = [s for s in net.changes(Change.DIED) if any({s.by, s.name} <= side for side in sides)]
+            wrong = [
+                s for s in net.changes(MemberChange.DIED) if any({s.by, s.name} <= side for side in sides)
+            ]
             self.assertEqual(wrong, [])
 
     def test_a_loop_that_stalls_for_less_than_a_suspicion_costs_nobody_his_place(self) -> None:
@@ -160,7 +165,7 @@
         net.carry_out(node, node.core.leave(net.now))
         net.kill("m3")
         net.run(1_000.0)
-        self.assertEqual(len(net.changes(Change.LEFT, "m3")), 4)
+        self.assertEqual(len(net.changes(MemberChange.LEFT, "m3")), 4)
         self.settle(net)
         self.assert_no_deaths(net)
 
@@ -236,7 +241,9 @@
         twin = self.twin(net, "m9")
         net.run(10_000.0)
         self.assertEqual((other.core.active, twin.core.active), (True, False))
-        self.assertEqual([seen.change for seen in net.changes(Change.NAME_TAKEN)], [Change.NAME_TAKEN])
+        self.assertEqual(
+            [seen.change for seen in net.changes(MemberChange.NAME_TAKEN)], [MemberChange.NAME_TAKEN]
+        )
         self.assertEqual(net.nodes["m0"].core.members["m9"].address, other.address)
 
     def twin(self, net: Net, name: str) -> Node:
@@ -405,7 +412,7 @@
 class Awareness(unittest.TestCase):
     def test_who_misses_answers_doubts_itself_first(self) -> None:
         """One whose messages are lost both ways slows down, and accuses later than it would."""
-        net = cluster(6, 3, Terms())
+        net = cluster(6, 3, MembershipConfig())
         net.blocked = lambda source, target: "m0" in (source, target)
         net.run(1_500.0)
         self.assertGreater(net.nodes["m0"].core.health_score, 2)
@@ -416,7 +423,7 @@
     async def start(self, name: str, seeds: tuple[tuple[str, int], ...], key: bytes = b"k" * 32) -> Members:
         deadlines = Turn(asyncio.get_running_loop(), unix_ms).deadlines
         address = ("127.0.0.1", 0)
-        core = Membership(name, address, seeds, Terms(), random.Random(name), unix_ms())
+        core = Membership(name, address, seeds, MembershipConfig(), random.Random(name), unix_ms())
         networks = (ipaddress.ip_network("127.0.0.0/8"),)
         seal = MessageAuthenticator((key_from_secret(key),), 30_000.0)
         members = Members(core, seal, networks, unix_ms, deadlines, Counters())
@@ -464,11 +471,11 @@
         first.core.gossip.fresh = Told()
         told: list[UserEvent] = []
         second.heard = told.append
-        second.streams.begin(Exchange(("127.0.0.1", first.core.me.port)))
+        second.streams.begin(StartSync(("127.0.0.1", first.core.me.port)))
         await until(lambda: len(told) == 300)
         await until(lambda: not second.streams.begun)
         before = second.counters["members.exchanges_same"]
-        second.streams.begin(Exchange(("127.0.0.1", first.core.me.port)))
+        second.streams.begin(StartSync(("127.0.0.1", first.core.me.port)))
         await until(lambda: second.counters["members.exchanges_same"] == before + 1)
         self.assertEqual(len(told), 300)
         first.leave()
--- a/tests/test_members_busy.py
+++ b/tests/test_members_busy.py
@@ -8,7 +8,8 @@
 
 from gladewalk.faultnet.causes import causes_of
 from gladewalk.faultnet.membership_cases import CASES
-from gladewalk.members.actions import Outcome, Send, Terms
+from gladewalk.members.actions import ProbeOutcome, SendDatagram
+from gladewalk.members.config import MembershipConfig
 from gladewalk.members.history import wrong_deaths
 from gladewalk.members.loop_delay import FELT_MS, HALF_MS, HOPS, READ_MS, Lateness
 from gladewalk.members.messages import MemberState
@@ -41,7 +42,10 @@
         faults = case.faults(names)
         play(net, faults)
         net.run(12_000.0)
-        assert not wrong_deaths(net.seen, causes_of(faults, names, begun, Terms().stall_ms)), (most_ms, seed)
+        assert not wrong_deaths(net.seen, causes_of(faults, names, begun, MembershipConfig().max_stall_ms)), (
+            most_ms,
+            seed,
+        )
 
 
 def test_a_late_timer_waits_until_what_has_come_is_read_and_never_twice_in_a_row() -> None:
@@ -61,7 +65,7 @@
     victim = core.members["m1"]
     core.hear(msgspec.structs.replace(victim.rumour, state=MemberState.SUSPECT, suspected_by="m0"), net.now)
     core._take()
-    victim.outcome, victim.knocking, victim.asked = Outcome.UNREACHABLE, False, True
+    victim.outcome, victim.knocking, victim.asked = ProbeOutcome.UNREACHABLE, False, True
     late = victim.dead_at_ms + 200.0
     core.last_ms = late - 300.0  # it was heard of a moment ago: no stop of ours
     assert core.tick(late) == [] and core.due() == late + READ_MS
@@ -82,8 +86,10 @@
     other.hear(newer, net.now)
     judge._take()
     judge._ask_others(judge.members["m0"])
-    asked = [out for out in judge._take() if isinstance(out, Send)]
+    asked = [out for out in judge._take() if isinstance(out, SendDatagram)]
     assert len(asked) == 3 and all(judge.members["m0"].rumour in out.message.updates for out in asked)
     told = other.receive(asked[0].message, net.nodes["m2"].address, net.now)
-    answers = [out.message for out in told if isinstance(out, Send) and out.to == net.nodes["m2"].address]
+    answers = [
+        out.message for out in told if isinstance(out, SendDatagram) and out.to == net.nodes["m2"].address
+    ]
     assert any(newer in message.updates for message in answers)
