--- a/benchmarks/lossy_director.py
+++ b/benchmarks/lossy_director.py
@@ -12,17 +12,17 @@
 
 from gladewalk.daemon import run
 from gladewalk.members.actions import Address
-from gladewalk.members.transport import Members
+from gladewalk.members.transport import MembershipTransport
 
 
 def main() -> int:
-    part, draw, send = float(sys.argv[1]), random.Random(), Members._send
+    part, draw, send = float(sys.argv[1]), random.Random(), MembershipTransport.send
 
-    def lossy(self: Members, to: Address, message: bytes) -> None:
+    def lossy(self: MembershipTransport, to: Address, message: bytes) -> None:
         if draw.random() >= part:
             send(self, to, message)
 
-    Members._send = lossy  # type: ignore[method-assign]
+    MembershipTransport.send = lossy  # type: ignore[method-assign]
     return run(sys.argv[2])
 
 
--- a/benchmarks/silent_box.py
+++ b/benchmarks/silent_box.py
@@ -81,11 +81,11 @@
         director = Director(read(raw, {}), asyncio.get_running_loop(), None, options)
         await director.start()
         if director.members is not None:
-            seeds = [f"127.0.0.1:{director.members.core.me.port}"]
+            seeds = [f"127.0.0.1:{director.members.core.local.port}"]
         round_.directors.append(director)
     if round_.shared:
         everywhere = [d.members.core for d in round_.directors if d.members is not None]
-        await until(lambda: all(len(core.live()) == count for core in everywhere))
+        await until(lambda: all(len(core.live_weights()) == count for core in everywhere))
 
 
 async def ask(round_: Round, director: Director, key: int) -> None:
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -29,7 +29,7 @@
     from .duties.runner import Runner
     from .leases.transport import Address, Leases
     from .members.authenticator import AuthenticationKey
-    from .members.transport import Members
+    from .members.transport import MembershipTransport
     from .net.admin import AdminFront
     from .nginx.router import Router
     from .store.keeper import Keeper
@@ -114,7 +114,7 @@
 
             self.dns = DnsFront(self.exchange, dns, self.counters, alpn_of=self._alpn_of)
 
-        self.members: Members | None = None
+        self.members: MembershipTransport | None = None
         self.duties: Runner | None = None
         if options is not None and options.members is not None:
             from .duties.start import start
@@ -252,7 +252,7 @@
                 if self.dns is not None and dns is not None:
                     self.dns.reload(dns)
                 if self.members is not None and keys:
-                    self.members.seal.replace_keys(keys)
+                    self.members.authenticator.replace_keys(keys)
 
     def _alpn_of(self, name: str) -> tuple[bool, tuple[str, ...]]:
         """How a box is spoken to, for those who are sent to it: whether over TLS, and by which protocols."""
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -24,13 +24,13 @@
 
 
 class Fellows(Protocol):
-    """The members as `Runner` needs them; `members.transport.Members` on sockets."""
+    """The members as `Runner` needs them; `members.transport.MembershipTransport` on sockets."""
 
     core: Membership
-    changed: Callable[[MemberChange, str], None]
-    heard: Callable[[UserEvent], None]
+    on_member_change: Callable[[MemberChange, str], None]
+    on_event: Callable[[UserEvent], None]
 
-    def tell(self, news: UserEvent) -> None: ...
+    def publish_event(self, event: UserEvent) -> None: ...
 
 
 class Agenda(Protocol):
@@ -67,10 +67,10 @@
         self.members, self.clock = members, clock
         self.deadlines, self.counters, self.fresh_ms = deadlines, counters, fresh_ms
         self.pacing, self.stretch = Pacing(per_s, clock()), 1.0
-        me = members.core.me.name
+        me = members.core.local.name
         self.duties = {duty.kind: duty for duty in duties}
         self.owned = {kind: Ownership(me, duty.interval_ms, rng) for kind, duty in self.duties.items()}
-        members.changed, members.heard = self.changed, self.heard
+        members.on_member_change, members.on_event = self.changed, self.heard
         self.moved = True  # who is there has changed since the last sweep: a fleet that joins is one change
         self.alone_until = clock() + (JOIN_MS if members.core.seeds else 0.0)
         self.known: dict[str, frozenset[str]] = dict.fromkeys(self.duties, frozenset())
@@ -78,10 +78,10 @@
     def sweep(self) -> None:
         """Twenty times a second: what there is to do now."""
         now = self.clock()
-        if now < self.alone_until and len(self.members.core.live()) == 1:
+        if now < self.alone_until and len(self.members.core.live_weights()) == 1:
             return self._again(now)
-        if self.moved and self.members.core.active:
-            self.moved, fit = False, self.members.core.fit()
+        if self.moved and self.members.core.is_active:
+            self.moved, fit = False, self.members.core.responsive_weights()
             for owned in self.owned.values():
                 owned.set_members(fit, now)
         for kind, duty in self.duties.items():
@@ -91,7 +91,7 @@
         for kind, duty in self.duties.items():
             owned = self.owned[kind]
             owned.interval_ms = duty.interval_ms * self.stretch
-            if not self.members.core.active:  # our name is another's: nothing is ours
+            if not self.members.core.is_active:  # our name is another's: nothing is ours
                 continue
             self._tell_claims(kind)
             due = owned.due(now, self.pacing.allowance(now))
@@ -108,14 +108,14 @@
         if names is self.known[kind] or names == self.known[kind]:
             return
         for gone in self.known[kind] - names:
-            self.members.core.gossip.forget_news(f"{kind}/{gone}")
+            self.members.core.forget_event(f"{kind}/{gone}")
         self.known[kind] = names
         self.owned[kind].set_duties(names, now)
 
     def changed(self, change: MemberChange, name: str) -> None:
         """Who is there has changed; a suspect still counts, so that no duty moves for a short silence. One
         that has stalled does not, though it keeps its place: its duties are done by others meanwhile."""
-        if not self.members.core.active:  # our name is another's: nothing is ours any more
+        if not self.members.core.is_active:  # our name is another's: nothing is ours any more
             for owned in self.owned.values():
                 owned.held.clear()
             return
@@ -151,7 +151,7 @@
 
         def found(status: api.Status, took_ms: float, load: dict[str, float] | None) -> None:
             duty.learn(name, status, took_ms, load, max(0.0, self.clock() - started))
-            self.members.tell(
+            self.members.publish_event(
                 UserEvent(
                     f"{duty.kind}/{name}", claim.owner, claim.epoch, started, status.value, took_ms, load
                 )
@@ -163,4 +163,4 @@
         owned = self.owned[kind]
         for name, claim in owned.take_claims():
             self.counters.add("duties.claims")
-            self.members.tell(UserEvent(f"{kind}/{name}", claim.owner, claim.epoch, 0.0))
+            self.members.publish_event(UserEvent(f"{kind}/{name}", claim.owner, claim.epoch, 0.0))
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -14,7 +14,7 @@
 from ..members.authenticator import MessageAuthenticator, load_key_ring
 from ..members.config import MembershipConfig
 from ..members.swim import Membership
-from ..members.transport import Members, Network
+from ..members.transport import MembershipTransport, Network
 from ..upstream.pool import Caches
 from .kinds import CheckSources, ProbeBoxes
 from .runner import Duty, Runner
@@ -43,7 +43,7 @@
 
 def start(
     name: str, options: Options, exchange: Exchange, pool: Caches, deadlines: Deadlines, counters: Counters
-) -> tuple[Members, Runner]:
+) -> tuple[MembershipTransport, Runner]:
     """All that stands behind `[members]` and `[duties]`; `Members.listen` and `Runner.sweep` set it going."""
     table, duties = options.members, options.duties
     assert table is not None
@@ -54,7 +54,7 @@
     )  # fmt: skip
     rng = random.Random(random.SystemRandom().getrandbits(64))
     core = Membership(name, listen, seeds, terms, rng, exchange.clock(), table.weight)
-    members = Members(core, seal, networks, exchange.clock, deadlines, counters, dial)
+    members = MembershipTransport(core, seal, networks, exchange.clock, deadlines, counters, dial)
     kinds: list[Duty] = []
     if duties.probe_ms:
         kinds.append(ProbeBoxes(exchange, pool, duties.probe_ms))
--- a/gladewalk/members/dissemination.py
+++ b/gladewalk/members/dissemination.py
@@ -1,7 +1,7 @@
-"""What rides along on messages: rumours of members and news of duties, each a bounded number of times.
+"""Dissemination of member updates and user events by piggybacking (SWIM, sections 4.1 and 4.2).
 
-SWIM, 4.1: what was sent least often goes first, and each piece about `retransmit * log10(members)` times, so
-that mostly all have it. What is lost all the same, full exchanges make good.
+Each piece is transmitted about `retransmit_factor * log10(members)` times, the least transmitted pieces
+first. Pieces that still miss a member are delivered by state synchronization.
 """
 
 from __future__ import annotations
@@ -14,99 +14,124 @@
 from .config import MembershipConfig
 from .messages import MemberUpdate, UserEvent, encoded_size_bytes, stable_hash
 
-GOSSIP_BYTES = 1_000  # of rumours in a message: the rest is for the message itself and its seal
-T = TypeVar("T", MemberUpdate, UserEvent)
+MAX_GOSSIP_BYTES = 1_000  # per message; leaves room for the message itself and its authentication
+Item = TypeVar("Item", MemberUpdate, UserEvent)
 
 
-class Told(Generic[T]):
-    """What is still being told, by key: least often told first, and of these the oldest.
+class TransmitQueue(Generic[Item]):
+    """Queue of pieces of gossip by key: the least often transmitted first, of these the oldest.
 
-    One ordered level for each number of times, so that a message costs what it carries and not what waits:
-    with thousands of duties there are thousands of pieces.
+    One ordered level for each number of transmissions, so that a message costs by what it carries and not by
+    what is queued.
     """
 
     def __init__(self) -> None:
-        self.levels: list[dict[str, T]] = [{}]
-        self.level_of: dict[str, int] = {}
+        self._levels: list[dict[str, Item]] = [{}]
+        self._level_by_key: dict[str, int] = {}
 
-    def put(self, key: str, piece: T) -> None:
-        """New, or something newer of the same: told from the beginning."""
-        self.drop(key)
-        self.levels[0][key] = piece
-        self.level_of[key] = 0
+    def __len__(self) -> int:
+        return len(self._level_by_key)
 
-    def drop(self, key: str) -> None:
-        level = self.level_of.pop(key, None)
+    def put(self, key: str, item: Item) -> None:
+        """Queues an item in place of any older one of its key; its transmissions count from 0."""
+        self.discard(key)
+        self._levels[0][key] = item
+        self._level_by_key[key] = 0
+
+    def discard(self, key: str) -> None:
+        """Removes the item of a key, if there is one."""
+        level = self._level_by_key.pop(key, None)
         if level is not None:
-            del self.levels[level][key]
-
-    def take(self, room: int, often: int) -> list[T]:
-        """As many as fit into so many bytes; each is dropped once it was told often enough."""
-        chosen: list[tuple[str, T]] = []
-        for key, piece in chain.from_iterable(level.items() for level in self.levels):
-            room -= encoded_size_bytes(piece)
-            if room < 0:
+            del self._levels[level][key]
+
+    def clear(self) -> None:
+        """Removes all items."""
+        self._levels = [{}]
+        self._level_by_key = {}
+
+    def take(self, max_bytes: int, max_transmissions: int) -> list[Item]:
+        """Returns the items for one message; drops those that reach `max_transmissions` with it."""
+        chosen: list[tuple[str, Item]] = []
+        for key, item in chain.from_iterable(level.items() for level in self._levels):
+            max_bytes -= encoded_size_bytes(item)
+            if max_bytes < 0:
                 break
-            chosen.append((key, piece))
-        for key, piece in chosen:
-            level = self.level_of[key] + 1
-            self.drop(key)
-            if level >= often:
-                continue
-            if level == len(self.levels):
-                self.levels.append({})
-            self.levels[level][key] = piece
-            self.level_of[key] = level
-        return [piece for _, piece in chosen]
-
-
-def claim_hash(news: UserEvent) -> int:
-    """63 bits of who holds a duty, under which claim."""
-    return stable_hash((news.task, news.epoch, news.owner))
-
-
-class Gossip:
-    """Rumours and news that are still being told, and the latest news of each duty."""
-
-    def __init__(self, terms: MembershipConfig, members: Callable[[], int]) -> None:
-        self.terms, self.members = terms, members
-        self.rumours: Told[MemberUpdate] = Told()
-        self.fresh: Told[UserEvent] = Told()
-        self.events: dict[str, UserEvent] = {}  # the latest of each duty, told or not
-        self.digest = 0  # of who claims what, in whatever order it came
-
-    def spread(self, rumour: MemberUpdate) -> None:
-        self.rumours.put(rumour.name, rumour)
-
-    def forget_member(self, name: str) -> None:
-        self.rumours.drop(name)
-
-    def learn(self, news: UserEvent) -> bool:
-        """Whether it is later than what was known of its duty; then it is told on."""
-        known = self.events.get(news.task)
-        if known is not None and news.precedence <= known.precedence:
-            return False
-        if known is None and len(self.events) >= self.terms.max_events:
+            chosen.append((key, item))
+        for key, item in chosen:
+            self._count_transmission(key, item, max_transmissions)
+        return [item for _, item in chosen]
+
+    def _count_transmission(self, key: str, item: Item, max_transmissions: int) -> None:
+        level = self._level_by_key[key] + 1
+        self.discard(key)
+        if level >= max_transmissions:
+            return
+        if level == len(self._levels):
+            self._levels.append({})
+        self._levels[level][key] = item
+        self._level_by_key[key] = level
+
+
+def claim_hash(event: UserEvent) -> int:
+    """63-bit hash of who owns a task under which claim."""
+    return stable_hash((event.task, event.epoch, event.owner))
+
+
+class Dissemination:
+    """Gossip queued for transmission, and the latest user event of each task.
+
+    `member_count` returns the number of known members, on which the number of transmissions depends.
+    """
+
+    def __init__(self, config: MembershipConfig, member_count: Callable[[], int]) -> None:
+        self.queued_updates: TransmitQueue[MemberUpdate] = TransmitQueue()
+        self.queued_events: TransmitQueue[UserEvent] = TransmitQueue()
+        self.latest_events: dict[str, UserEvent] = {}  # by task, transmitted or not
+        self.digest = 0  # XOR over the claims: independent of the order in which they came
+        self._config, self._member_count = config, member_count
+
+    def queue_update(self, update: MemberUpdate) -> None:
+        """Queues a member update in place of any older one of that member."""
+        self.queued_updates.put(update.name, update)
+
+    def discard_update(self, name: str) -> None:
+        """Stops the transmission of a member's update."""
+        self.queued_updates.discard(name)
+
+    def learn_event(self, event: UserEvent) -> bool:
+        """Queues an event that supersedes what is known of its task; returns whether it does.
+
+        An event of a new task is dropped once `max_events` tasks are known.
+        """
+        known = self.latest_events.get(event.task)
+        if known is None:
+            if len(self.latest_events) >= self._config.max_events:
+                return False
+            self.digest ^= claim_hash(event)
+        elif event.precedence <= known.precedence:
             return False
-        if known is None or (known.epoch, known.owner) != (news.epoch, news.owner):
-            self.digest ^= claim_hash(news) ^ (claim_hash(known) if known is not None else 0)
-        self.events[news.task] = news
-        self.fresh.put(news.task, news)
+        elif (known.epoch, known.owner) != (event.epoch, event.owner):
+            self.digest ^= claim_hash(event) ^ claim_hash(known)
+        self.latest_events[event.task] = event
+        self.queued_events.put(event.task, event)
         return True
 
-    def forget_news(self, duty: str) -> None:
-        if (known := self.events.pop(duty, None)) is not None:
+    def forget_event(self, task: str) -> None:
+        """Forgets a task's event and stops its transmission."""
+        if (known := self.latest_events.pop(task, None)) is not None:
             self.digest ^= claim_hash(known)
-        self.fresh.drop(duty)
+        self.queued_events.discard(task)
 
-    def take_rumours(self) -> list[MemberUpdate]:
-        return self.rumours.take(GOSSIP_BYTES, self._often())
+    def take_updates(self) -> list[MemberUpdate]:
+        """Returns the updates that the next message carries, `MAX_GOSSIP_BYTES` at the most."""
+        return self.queued_updates.take(MAX_GOSSIP_BYTES, self._max_transmissions())
 
-    def take_news(self, beside: list[MemberUpdate]) -> list[UserEvent]:
-        """News that fit beside these rumours."""
-        if not self.fresh.level_of:
+    def take_events(self, updates: list[MemberUpdate]) -> list[UserEvent]:
+        """Returns the events that fit into a message beside these updates."""
+        if not self.queued_events:
             return []
-        return self.fresh.take(GOSSIP_BYTES - sum(map(encoded_size_bytes, beside)), self._often())
+        left_bytes = MAX_GOSSIP_BYTES - sum(map(encoded_size_bytes, updates))
+        return self.queued_events.take(left_bytes, self._max_transmissions())
 
-    def _often(self) -> int:
-        return math.ceil(self.terms.retransmit_factor * math.log10(self.members() + 2))
+    def _max_transmissions(self) -> int:
+        return math.ceil(self._config.retransmit_factor * math.log10(self._member_count() + 2))
--- a/gladewalk/members/errors.py
+++ b/gladewalk/members/errors.py
@@ -15,3 +15,16 @@
 
 class MessageTooLargeError(MembershipError):
     """A message to be sent exceeds its transport's limit."""
+
+
+class PeerDroppedError(MembershipError):
+    """A peer's stream is not read any further; `reason` is the last part of its counter."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+    @property
+    def counter(self) -> str:
+        """Name of the counter for this reason."""
+        return f"members.dropped.{self.reason}"
--- a/gladewalk/members/history.py
+++ b/gladewalk/members/history.py
@@ -40,6 +40,7 @@
     names: frozenset[str]
 
     def covers(self, seen: Seen) -> bool:
+        """Whether this accounts for the change."""
         return self.begin_ms <= seen.at_ms <= self.end_ms and seen.by in self.by and seen.name in self.names
 
 
--- /dev/null
+++ b/gladewalk/members/local_health.py
@@ -0,0 +1,25 @@
+"""Local health: how far the local member distrusts itself (Lifeguard, section IV.A)."""
+
+from __future__ import annotations
+
+MAX_HEALTH_SCORE = 8  # bounds how far a member that misses answers may stretch its own timeouts
+UNHEALTHY_SCORE = 4  # from here on a member's word about others weighs less
+
+
+class LocalHealth:
+    """Lifeguard's local health multiplier: 0 is healthy, `MAX_HEALTH_SCORE` the worst.
+
+    Missed answers and refuted suspicions raise the score, timely answers lower it. Timeouts of direct pings
+    grow by the factor 1 + `score`, so that a slow member suspects others later.
+    """
+
+    def __init__(self) -> None:
+        self.score = 0
+
+    def worsen(self, by: int = 1) -> None:
+        """Raises the score, up to `MAX_HEALTH_SCORE`."""
+        self.score = min(MAX_HEALTH_SCORE, self.score + by)
+
+    def improve(self) -> None:
+        """Lowers the score by 1, down to 0."""
+        self.score = max(0, self.score - 1)
--- a/gladewalk/members/loop_delay.py
+++ b/gladewalk/members/loop_delay.py
@@ -1,39 +1,46 @@
-"""How late this member's own timers have run lately, and what that says of its word. No I/O; times are ms.
+"""Delay of the local event loop, measured by how late the protocol's own timers run.
 
-A host that is short of time reads late what came in time. A member on it that counts only silences finds the
-living dead: the answer lay unread while its timer ran. It can know, since it knows when its timers were due.
+A busy host reads late what arrived in time. A member on it that only counts missing answers would declare
+living members dead: the answer lay unread in the socket when the timer ran. All times are in ms.
 """
 
 from __future__ import annotations
 
 import math
 
-FELT_MS = 15.0  # a timer that ran later than this was held up; a quiet loop is some milliseconds late
-READ_MS = 5.0  # after a late timer what has come meanwhile is read for this long before anybody is judged
-HALF_MS = 2_000.0  # a delay counts for half after this long
-HOPS = 1.0  # of these, how much longer a suspicion is given: the word that refutes it is read as late (ours)
+MIN_DELAY_MS = 15.0  # an idle loop runs its timers a few ms late: below this nothing is measured
+READ_MS = 5.0  # after a late timer, pending datagrams are read for this long before anybody is judged
+HALF_LIFE_MS = 2_000.0  # a measured delay decays to half after this long
+GRACE_FACTOR = 1.0  # times the delay: how much longer a suspicion lasts, since its refutation is read as late
 
 
-class Lateness:
-    def __init__(self, most_ms: float) -> None:
-        """`most_ms`: what is later than this was no busy host but a stop, of which nothing is learned."""
-        self.most_ms = most_ms
-        self.worst_ms, self.at_ms = 0.0, -math.inf
-        self.reading = False  # the last timer ran late, and was put off
+class LoopDelay:
+    """Worst recent delay of the event loop, decaying with `HALF_LIFE_MS`.
 
-    def ms(self, now_ms: float) -> float:
-        """The worst of late, fading."""
-        faded = self.worst_ms * 0.5 ** (max(0.0, now_ms - self.at_ms) / HALF_MS)
-        return faded if faded >= 1.0 else 0.0
+    `max_delay_ms` caps a single measurement: a longer one was a stopped process and no busy host.
+    """
+
+    def __init__(self, max_delay_ms: float) -> None:
+        self.max_delay_ms = max_delay_ms
+        self.is_reading = False  # the last timer ran late and was deferred
+        self._worst_ms, self._measured_at_ms = 0.0, -math.inf
+
+    def current_ms(self, now_ms: float) -> float:
+        """Decayed delay at this time; 0 below one millisecond."""
+        decayed_ms = self._worst_ms * 0.5 ** (max(0.0, now_ms - self._measured_at_ms) / HALF_LIFE_MS)
+        return decayed_ms if decayed_ms >= 1.0 else 0.0
 
     def grace_ms(self, now_ms: float) -> float:
-        """How much longer a suspicion is given."""
-        return HOPS * self.ms(now_ms)
-
-    def puts_off(self, due_ms: float, now_ms: float) -> bool:
-        """Whether a timer that was due then waits until what has come is read. Never twice in a row."""
-        late_ms = min(now_ms - due_ms, self.most_ms)
-        if late_ms > max(FELT_MS, self.ms(now_ms)):
-            self.worst_ms, self.at_ms = late_ms, now_ms
-        self.reading = late_ms > FELT_MS and not self.reading
-        return self.reading
+        """How much longer a suspicion lasts because of the delay."""
+        return GRACE_FACTOR * self.current_ms(now_ms)
+
+    def defers(self, due_ms: float, now_ms: float) -> bool:
+        """Measures a timer that was due at `due_ms`; returns whether its work waits for `READ_MS`.
+
+        Never defers twice in a row.
+        """
+        delay_ms = min(now_ms - due_ms, self.max_delay_ms)
+        if delay_ms > max(MIN_DELAY_MS, self.current_ms(now_ms)):
+            self._worst_ms, self._measured_at_ms = delay_ms, now_ms
+        self.is_reading = delay_ms > MIN_DELAY_MS and not self.is_reading
+        return self.is_reading
--- a/gladewalk/members/member_list.py
+++ b/gladewalk/members/member_list.py
@@ -1,13 +1,13 @@
-"""The roll of the other members: each with what is known of it, and what is asked of all of them at once.
+"""The list of the other members and the indexes over it.
 
-How many live, who is suspect, who is gone, who is at an address and the hash of it all are kept up with each
-change. Guards against a look at every member at every tick and message: a member then costs the same however
-many others there are.
+Counts, suspects, departed members, addresses and the digest are kept up to date with each change, so that a
+tick or a message costs the same however many members there are.
 """
 
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -17,113 +17,138 @@
 
 @dataclass(slots=True)
 class Member:
-    """What is known of another member."""
-
-    rumour: MemberUpdate
-    since_ms: float  # in this state
-    heard_ms: float  # last directly
-    accusers: set[str] = field(default_factory=set)  # who said that it is suspect
-    dead_at_ms: float = math.inf  # when a suspicion runs out
-    knocking: bool = False  # what came of knocking at it is not known yet
-    outcome: ProbeOutcome | None = None  # of the last knock since it was suspected
-    asked: bool = False  # others were asked whether they know better, before it is held dead
-    doubted: bool = False  # another's word of its death was not taken: we knock ourselves before it is dead
-    stalled: bool = False  # a suspect that keeps its place and does none of its duties
-    challenged_ms: float = -math.inf  # when it was last told what is said of it
-    health_score: int = 0  # how far it doubts itself, as it said last
+    """Local view of another member; times are in ms.
+
+    `MemberList` sets `update` and resets the fields of a suspicion, which `SuspicionMonitor` writes from
+    `suspectors` on. `Membership` notes when and in which health the member was heard.
+    """
+
+    update: MemberUpdate
+    state_since_ms: float
+    last_heard_ms: float  # a message came from the member itself
+    health_score: int = 0  # its own local health, as it reported last
+    suspectors: set[str] = field(default_factory=set)  # members that suspect it
+    suspicion_ends_ms: float = math.inf
+    is_probe_pending: bool = False
+    probe_outcome: ProbeOutcome | None = None  # of the last confirmation probe during this suspicion
+    has_consulted_peers: bool = False  # others were asked for a later incarnation, before it is declared dead
+    is_death_disputed: bool = False  # another's report of its death was not accepted: we probe it ourselves
+    is_stalled: bool = False  # it stays a member and is given no periodic tasks
+    last_notified_ms: float = -math.inf  # it was told what is said of it
+
+    @property
+    def name(self) -> str:
+        """Name of the member."""
+        return self.update.name
 
     @property
     def address(self) -> Address:
-        return self.rumour.host, self.rumour.port
+        """Address under which the member was last announced."""
+        return self.update.host, self.update.port
 
     @property
-    def suspect(self) -> bool:
-        return self.rumour.state is MemberState.SUSPECT
+    def is_suspect(self) -> bool:
+        """Whether a suspicion of it is open."""
+        return self.update.state is MemberState.SUSPECT
 
     @property
-    def live(self) -> bool:
-        """Taken to live: a suspect is, until it is found dead."""
-        return self.rumour.state in (MemberState.ALIVE, MemberState.SUSPECT)
+    def is_live(self) -> bool:
+        """Whether it counts as a member: alive, or suspect and not yet declared dead."""
+        return self.update.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
 
-def hash_of(rumour: MemberUpdate) -> int:
-    """63 bits of what two members must agree on: neither the weight nor who accuses it."""
-    said = (rumour.name, rumour.run_id, rumour.incarnation, int(rumour.state), rumour.host, rumour.port)
-    return stable_hash(said)
+def update_hash(update: MemberUpdate) -> int:
+    """63-bit hash of what two members must agree on: neither the weight nor who suspects it."""
+    return stable_hash(
+        (update.name, update.run_id, update.incarnation, int(update.state), update.host, update.port)
+    )
 
 
-class Roll:
-    """All members but oneself, by name. Rumours are set through it alone."""
+class MemberList:
+    """All members but the local one. Their updates are set here alone."""
 
     def __init__(self) -> None:
-        self.members: dict[str, Member] = {}
+        self.by_name: dict[str, Member] = {}
         self.suspects: dict[str, Member] = {}
-        self.gone: dict[str, Member] = {}  # dead or left, the longest gone first
-        self.at: dict[Address, str] = {}  # who was last heard of at an address
-        self.digest = 0  # of all rumours, in whatever order they came
+        self.departed: dict[str, Member] = {}  # dead or left, the longest departed first
+        self.digest = 0  # XOR over all updates: independent of the order in which they came
+        self._name_by_address: dict[Address, str] = {}
 
     @property
     def live_count(self) -> int:
-        return len(self.members) - len(self.gone)
+        """Number of live members, the local one not included."""
+        return len(self.by_name) - len(self.departed)
 
     def live(self) -> Iterator[Member]:
-        return (member for member in self.members.values() if member.live)
-
-    def lives_at(self, address: Address) -> bool:
-        member = self.members.get(self.at.get(address, ""))
-        return member is not None and member.live and member.address == address
-
-    def add(self, rumour: MemberUpdate, now_ms: float) -> Member:
-        """One that nothing was known of."""
-        member = self.members[rumour.name] = Member(rumour, now_ms, now_ms)
-        self._enter(member)
+        """Iterates over the live members."""
+        return (member for member in self.by_name.values() if member.is_live)
+
+    def is_live_at(self, address: Address) -> bool:
+        """Whether a live member was last announced at this address."""
+        member = self.by_name.get(self._name_by_address.get(address, ""))
+        return member is not None and member.is_live and member.address == address
+
+    def sample_alive(self, excluded: Member, max_count: int, rng: random.Random) -> list[Member]:
+        """Draws up to `max_count` members that nobody suspects, other than `excluded`."""
+        others = [
+            member
+            for member in self.by_name.values()
+            if member is not excluded and member.update.state is MemberState.ALIVE
+        ]
+        return rng.sample(others, min(len(others), max_count))
+
+    def add(self, update: MemberUpdate, now_ms: float) -> Member:
+        """Adds a member that was not known."""
+        member = self.by_name[update.name] = Member(update, now_ms, now_ms)
+        self._index(member)
         return member
 
-    def set(self, member: Member, rumour: MemberUpdate, now_ms: float) -> None:
-        """Something newer of one that is known: its state begins anew."""
-        self._strike(member)
-        member.rumour, member.since_ms = rumour, now_ms
-        member.accusers, member.dead_at_ms = set(), math.inf
-        member.outcome, member.stalled, member.doubted, member.asked = None, False, False, False
-        self._enter(member)
+    def replace(self, member: Member, update: MemberUpdate, now_ms: float) -> None:
+        """Sets a later update of a known member and resets its suspicion."""
+        self._remove_from_indexes(member)
+        member.update, member.state_since_ms = update, now_ms
+        member.suspectors, member.suspicion_ends_ms = set(), math.inf
+        member.probe_outcome = None
+        member.is_stalled = member.is_death_disputed = member.has_consulted_peers = False
+        self._index(member)
 
     def remove(self, name: str) -> None:
-        member = self.members.pop(name)
-        self._strike(member)
-        if self.at.get(member.address) == name:
-            del self.at[member.address]
-
-    def suspicion_ends_ms(self) -> float:
-        """When the next suspicion runs out."""
-        return min((member.dead_at_ms for member in self.suspects.values()), default=math.inf)
-
-    def long_gone(self, before_ms: float) -> list[str]:
-        """Who has been gone since before then."""
+        """Forgets a member."""
+        member = self.by_name.pop(name)
+        self._remove_from_indexes(member)
+        if self._name_by_address.get(member.address) == name:
+            del self._name_by_address[member.address]
+
+    def next_suspicion_end_ms(self) -> float:
+        """When the next suspicion expires; infinity without one."""
+        return min((member.suspicion_ends_ms for member in self.suspects.values()), default=math.inf)
+
+    def departed_before(self, time_ms: float) -> list[str]:
+        """Names of the members that departed before this time."""
         names = []
-        for name, member in self.gone.items():
-            if member.since_ms >= before_ms:
+        for name, member in self.departed.items():
+            if member.state_since_ms >= time_ms:
                 break
             names.append(name)
         return names
 
     def shift(self, by_ms: float) -> None:
-        """Move all that is due, as our own time stood still or went astray."""
-        for member in self.members.values():
-            member.since_ms += by_ms
-            member.heard_ms += by_ms
-            member.dead_at_ms += by_ms
-
-    def _enter(self, member: Member) -> None:
-        rumour = member.rumour
-        self.digest ^= hash_of(rumour)
-        self.at[member.address] = rumour.name
-        if rumour.state is MemberState.SUSPECT:
-            self.suspects[rumour.name] = member
-        elif not member.live:
-            self.gone[rumour.name] = member
-
-    def _strike(self, member: Member) -> None:
-        rumour = member.rumour
-        self.digest ^= hash_of(rumour)
-        self.suspects.pop(rumour.name, None)
-        self.gone.pop(rumour.name, None)
+        """Moves all times, after the local clock jumped or the process was stopped."""
+        for member in self.by_name.values():
+            member.state_since_ms += by_ms
+            member.last_heard_ms += by_ms
+            member.suspicion_ends_ms += by_ms
+
+    def _index(self, member: Member) -> None:
+        update = member.update
+        self.digest ^= update_hash(update)
+        self._name_by_address[member.address] = update.name
+        if member.is_suspect:
+            self.suspects[update.name] = member
+        elif not member.is_live:
+            self.departed[update.name] = member
+
+    def _remove_from_indexes(self, member: Member) -> None:
+        self.digest ^= update_hash(member.update)
+        self.suspects.pop(member.name, None)
+        self.departed.pop(member.name, None)
--- a/gladewalk/members/message_builder.py
+++ b/gladewalk/members/message_builder.py
@@ -1,90 +1,141 @@
-"""What a member says: its messages, with what rides along on them. No I/O, and nothing decided."""
+"""Builds outgoing SWIM messages and attaches pending gossip (Das et al., 2002, section 4.1)."""
 
 from __future__ import annotations
 
 import random
+from typing import Any
 
-from .actions import Action, Address, SendDatagram
-from .config import MembershipConfig
-from .dissemination import GOSSIP_BYTES, Gossip
-from .member_list import Member, Roll
-from .messages import DatagramMessage, Join, MemberState, MemberUpdate, PartialState, Ping, encoded_size_bytes
-from .probes import Pings
-
-RUMOUR_LEAST = 20  # bytes: no more of them than so fit into a datagram
-
-
-class Speaker:
-    """Who we are, whom we know, and what is to be sent; `Membership` decides what and when."""
-
-    def __init__(self, me: MemberUpdate, terms: MembershipConfig, rng: random.Random) -> None:
-        self.me, self.terms, self.random = me, terms, rng
-        self.roll = Roll()
-        self.members = self.roll.members  # to be read; `roll` alone changes it
-        self.health_score = 0  # 0: well; each missed answer adds to it, each answer takes from it
-        self.pings = Pings(terms)
-        self.gossip = Gossip(terms, lambda: len(self.members))
-        self.out: list[Action] = []
-
-    def _challenge(self, member: Member, now_ms: float) -> None:
-        """A ping that tells it what is said of it, beside all other gossip."""
-        known, member.challenged_ms = member.rumour, now_ms
-        ping = Ping(
-            sender=self.me.name,
-            run_id=self.me.run_id,
-            health_score=self.health_score,
-            updates=[known],
-            target=known.name,
-            target_run_id=known.run_id,
-        )
-        self._put(SendDatagram(member.address, ping))
-
-    def _tell_suspect(self, name: str) -> None:
-        """Who is thought dead or suspect hears so first (Lifeguard's buddies), and can refute it."""
-        member = self.members.get(name)
-        if member is not None and member.rumour.state is not MemberState.ALIVE:
-            self.gossip.spread(member.rumour)
-
-    def _tell_of_me(self, to: Address) -> None:
-        me = self.me
-        self._put(
-            SendDatagram(
-                to,
-                PartialState(sender=me.name, run_id=me.run_id, health_score=self.health_score, updates=[me]),
-            )
+from .dissemination import MAX_GOSSIP_BYTES, Dissemination
+from .local_member import LocalMember
+from .member_list import Member, MemberList
+from .messages import (
+    Ack,
+    ConfirmationAck,
+    ConfirmationProbe,
+    Join,
+    MemberState,
+    MemberUpdate,
+    Nack,
+    PartialState,
+    Ping,
+    PingRequest,
+    encoded_size_bytes,
+)
+
+MIN_UPDATE_BYTES = 20  # bounds how many updates are drawn for a datagram
+NO_SEQUENCE = 0  # of messages to which no answer is awaited
+
+
+class MessageBuilder:
+    """Builds messages from the local member, the member list and pending gossip.
+
+    Reads those three, and counts transmissions in `Dissemination`; sends nothing itself.
+    """
+
+    def __init__(
+        self, local: LocalMember, members: MemberList, dissemination: Dissemination, rng: random.Random
+    ) -> None:
+        self._local, self._members = local, members
+        self._dissemination, self._rng = dissemination, rng
+
+    # Messages that carry pending gossip.
+
+    def ping(self, target: str, target_run_id: int, sequence: int) -> Ping:
+        """Direct ping of a member."""
+        return Ping(
+            **self._header(), **self._gossip(), target=target, target_run_id=target_run_id, sequence=sequence
         )
 
-    def _tell_some(self, to: Address, reply: bool = False) -> None:
-        """As much of what is known as a datagram holds, ourselves first, another part each time."""
-        others = [member.rumour for member in self.members.values()]
-        drawn = self.random.sample(others, min(len(others), GOSSIP_BYTES // RUMOUR_LEAST))
-        part, room = [self.me], GOSSIP_BYTES - encoded_size_bytes(self.me)
-        for rumour in drawn:
-            if (room := room - encoded_size_bytes(rumour)) < 0:
+    def ack(self, sequence: int) -> Ack:
+        """Answer to a ping."""
+        return Ack(**self._header(), **self._gossip(), sequence=sequence)
+
+    def nack(self, sequence: int) -> Nack:
+        """Answer to a ping request whose target did not answer."""
+        return Nack(**self._header(), **self._gossip(), sequence=sequence)
+
+    def ping_request(self, target: MemberUpdate, sequence: int) -> PingRequest:
+        """Request to ping a member on our behalf."""
+        return PingRequest(**self._header(), **self._gossip(), **self._target(target), sequence=sequence)
+
+    def join(self) -> Join:
+        """Request for the receiver's member list; always carries the local member's update."""
+        updates = self._dissemination.take_updates()
+        if self._local.update not in updates:
+            updates.append(self._local.update)
+        events = self._dissemination.take_events(updates)
+        return Join(**self._header(), updates=updates, events=events)
+
+    def prioritize_doubts(self, name: str) -> None:
+        """Queues a suspect's or dead member's update anew: the next message tells the member itself.
+
+        Lifeguard, section IV.C ("buddy system"): it can refute at once.
+        """
+        member = self._members.by_name.get(name)
+        if member is not None and member.update.state is not MemberState.ALIVE:
+            self._dissemination.queue_update(member.update)
+
+    # Messages that carry chosen updates and no pending gossip.
+
+    def notification(self, member: Member) -> Ping:
+        """Ping that tells a member what is said of it; its answer is not awaited."""
+        update = member.update
+        return Ping(**self._header(), updates=[update], target=update.name, target_run_id=update.run_id)
+
+    def single_update(self, update: MemberUpdate) -> Ack:
+        """Unsolicited acknowledgement that carries one update."""
+        return Ack(**self._header(), updates=[update], sequence=NO_SEQUENCE)
+
+    def announcement(self) -> PartialState:
+        """The local member's update alone."""
+        return PartialState(**self._header(), updates=[self._local.update])
+
+    def relayed_announcement(self, target: MemberUpdate) -> PingRequest:
+        """The local member's update, with a request to ping `target`, which passes it on."""
+        updates = [self._local.update]
+        return PingRequest(**self._header(), updates=updates, **self._target(target), sequence=NO_SEQUENCE)
+
+    def join_with(self, update: MemberUpdate) -> Join:
+        """Join request to a member thought dead, with the update that it is to refute."""
+        return Join(**self._header(), updates=[self._local.update, update])
+
+    def partial_state(self, wants_reply: bool = False) -> PartialState:
+        """As much of the member list as a datagram holds: the local member, then a random selection."""
+        others = [member.update for member in self._members.by_name.values()]
+        drawn = self._rng.sample(others, min(len(others), MAX_GOSSIP_BYTES // MIN_UPDATE_BYTES))
+        updates = [self._local.update]
+        left_bytes = MAX_GOSSIP_BYTES - encoded_size_bytes(self._local.update)
+        for update in drawn:
+            left_bytes -= encoded_size_bytes(update)
+            if left_bytes < 0:
                 break
-            part.append(rumour)
-        whole = len(part) > len(others)
-        roster = PartialState(
-            sender=self.me.name,
-            run_id=self.me.run_id,
-            health_score=self.health_score,
-            updates=part,
-            wants_reply=reply,
-            is_complete=whole,
+            updates.append(update)
+        is_complete = len(updates) > len(others)
+        return PartialState(
+            **self._header(), updates=updates, wants_reply=wants_reply, is_complete=is_complete
         )
-        self._put(SendDatagram(to, roster))
-
-    def _send(self, to: Address, kind: type[DatagramMessage], **more: object) -> None:
-        gossip = self.gossip.take_rumours()
-        if self.me not in gossip and kind is Join:
-            gossip.append(self.me)
-        news = self.gossip.take_news(gossip)
-        said = {"sender": self.me.name, "run_id": self.me.run_id, "health_score": self.health_score, **more}
-        self._put(SendDatagram(to, kind(updates=gossip, events=news, **said)))  # type: ignore[arg-type]
-
-    def _put(self, out: Action) -> None:
-        self.out.append(out)
-
-    def _take(self) -> list[Action]:
-        out, self.out = self.out, []
-        return out
+
+    def confirmation_probe(self, update: MemberUpdate) -> ConfirmationProbe:
+        """Probe of a suspect's stream port, with the suspicion."""
+        return ConfirmationProbe(**self._header(), updates=[update])
+
+    def confirmation_ack(self) -> ConfirmationAck:
+        """Answer to a confirmation probe, with the local member's update."""
+        return ConfirmationAck(**self._header(), updates=[self._local.update])
+
+    def _header(self) -> dict[str, Any]:
+        local = self._local
+        return {"sender": local.name, "run_id": local.run_id, "health_score": local.health.score}
+
+    def _gossip(self) -> dict[str, Any]:
+        updates = self._dissemination.take_updates()
+        return {"updates": updates, "events": self._dissemination.take_events(updates)}
+
+    @staticmethod
+    def _target(update: MemberUpdate) -> dict[str, Any]:
+        return {
+            "target": update.name,
+            "target_run_id": update.run_id,
+            "host": update.host,
+            "port": update.port,
+        }
--- a/gladewalk/members/stream.py
+++ b/gladewalk/members/stream.py
@@ -1,21 +1,23 @@
-"""Full exchanges and knocks over TCP: sealed messages behind their length, each on a connection of its own.
+"""State synchronization and confirmation probes over TCP.
 
-    length (4)  sealed message        as in `authenticator`, up to `MAX_STREAM_MESSAGE_BYTES`
+    length (4, big endian)  authenticated message        as in `authenticator`, up to MAX_STREAM_MESSAGE_BYTES
 
-Nothing is decided here. Whoever is of another network, says what is no message of ours or is too slow is
-counted and cut off without an answer.
+Each synchronization and each probe has a connection of its own. A peer that is out of the allowed networks,
+sends anything malformed or is too slow is counted and disconnected without an answer.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import struct
-from typing import TYPE_CHECKING
+from collections.abc import AsyncIterator, Callable
+from typing import Protocol
 
-from . import sync
-from .actions import Address, ProbeOutcome, StartConfirmationProbe, StartSync
+from ..core.counters import Counters
+from .actions import Action, Address, ProbeOutcome, StartConfirmationProbe
 from .authenticator import DropReason
-from .errors import MalformedMessageError
+from .errors import MalformedMessageError, PeerDroppedError
 from .messages import (
     MAX_STREAM_MESSAGE_BYTES,
     ConfirmationAck,
@@ -26,157 +28,204 @@
     decode_streamed,
     encode,
 )
-
-if TYPE_CHECKING:
-    from .transport import Members
+from .swim import Membership
 
 LENGTH = struct.Struct(">I")
-BACKLOG = 1_024  # knocks at a process that is paused wait with the system, as many as all members make
-EXCHANGE_S = 2.0  # for all of one exchange
-ASKED_MOST = 16  # exchanges that others have open with us at a time: bounds memory and descriptors
-KNOCKS_MOST = 64  # connections in all: beyond the exchanges, only knocks are answered
+LISTEN_BACKLOG = 1_024  # probes of a paused process wait with the system: as many as all members send
+EXCHANGE_SECONDS = 2.0  # for all of one synchronization, and for an answer to a probe
+MAX_SYNCS_SERVED = 16  # at a time: bounds memory and descriptors
+MAX_CONNECTIONS_SERVED = 64  # at a time: above `MAX_SYNCS_SERVED` only probes are answered
+
+
+class StreamOwner(Protocol):
+    """What `StreamTransport` needs of the transport that it is a part of."""
+
+    core: Membership
+    clock: Callable[[], float]
+    counters: Counters
+
+    def is_allowed(self, host: str) -> bool:
+        """Whether anything from this host is read."""
 
+    def reachable_address(self, address: Address) -> Address:
+        """Address to connect to in place of the one that a member announces."""
 
-class Dropped(Exception):
-    """The other side is not heard any further; the text names the counter."""
+    def sign(self, message: bytes, max_bytes: int) -> bytes:
+        """Authenticates a message and counts it as sent."""
 
+    def verify(self, data: bytes, max_bytes: int) -> bytes | DropReason:
+        """Returns the message, or why it is to be dropped."""
 
-class Streams:
-    """One member's listener for exchanges, and the exchanges that it begins."""
+    def carry_out(self, actions: list[Action]) -> None:
+        """Carries out what the protocol asks for."""
 
-    def __init__(self, members: Members) -> None:
-        self.members = members
-        self.server: asyncio.Server | None = None
-        self.asked: set[asyncio.StreamWriter] = set()
-        self.begun: dict[Address, asyncio.Task[None]] = {}
-        self.knocks: set[asyncio.Task[None]] = set()
+
+class StreamTransport:
+    """Listener for the streams of others, and the streams that the local member opens."""
+
+    def __init__(self, owner: StreamOwner) -> None:
+        self._owner = owner
+        self._server: asyncio.Server | None = None
+        self._served: set[asyncio.StreamWriter] = set()
+        self._syncs: dict[Address, asyncio.Task[None]] = {}
+        self._probes: set[asyncio.Task[None]] = set()
+
+    @property
+    def is_syncing(self) -> bool:
+        """Whether a synchronization that the local member started is under way."""
+        return bool(self._syncs)
 
     async def listen(self, host: str, port: int) -> int:
-        """The port, which the system chooses for 0."""
-        self.server = await asyncio.start_server(
-            self._serve, host, port, limit=MAX_STREAM_MESSAGE_BYTES, backlog=BACKLOG
+        """Listens; returns the port, which the system chooses for 0."""
+        self._server = await asyncio.start_server(
+            self._serve, host, port, limit=MAX_STREAM_MESSAGE_BYTES, backlog=LISTEN_BACKLOG
         )
-        return int(self.server.sockets[0].getsockname()[1])
-
-    def begin(self, wanted: StartSync) -> None:
-        """One at a time with each member."""
-        if wanted.to not in self.begun:
-            task = asyncio.get_running_loop().create_task(self._ask(wanted.to))
-            self.begun[wanted.to] = task
-            task.add_done_callback(lambda _: self.begun.pop(wanted.to, None))
+        return int(self._server.sockets[0].getsockname()[1])
 
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for task in (*self.begun.values(), *self.knocks):
+        """Stops listening, cancels what is under way and closes all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in (*self._syncs.values(), *self._probes):
             task.cancel()
-        for writer in self.asked:
+        for writer in self._served:
             writer.close()
 
-    def knock(self, wanted: StartConfirmationProbe) -> None:
-        task = asyncio.get_running_loop().create_task(self._knock(wanted))
-        self.knocks.add(task)
-        task.add_done_callback(self.knocks.discard)
-
-    async def _knock(self, wanted: StartConfirmationProbe) -> None:
-        """Who answers at a suspect's port: its process, its system alone, or nobody (`suspicion`)."""
-        members, writer, outcome = self.members, None, ProbeOutcome.UNREACHABLE
+    def start_sync(self, peer: Address) -> None:
+        """Starts a synchronization, unless one with this peer is under way."""
+        if peer not in self._syncs:
+            task = asyncio.get_running_loop().create_task(self._sync(peer))
+            self._syncs[peer] = task
+            task.add_done_callback(lambda _: self._syncs.pop(peer, None))
+
+    def start_probe(self, probe: StartConfirmationProbe) -> None:
+        """Sends a confirmation probe and reports its outcome to the protocol."""
+        task = asyncio.get_running_loop().create_task(self._report_probe(probe))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def _report_probe(self, probe: StartConfirmationProbe) -> None:
+        owner = self._owner
+        outcome = await self._probe(probe)
+        owner.counters.add(outcome.counter)
+        owner.carry_out(owner.core.on_probe_outcome(probe.name, probe.run_id, outcome, owner.clock()))
+
+    async def _probe(self, probe: StartConfirmationProbe) -> ProbeOutcome:
+        """Finds out who answers at a suspect's port: its process, its system alone, or nobody."""
+        owner, outcome = self._owner, ProbeOutcome.UNREACHABLE
         try:
-            async with asyncio.timeout(wanted.timeout_ms / 1_000.0):
-                reader, writer = await self._connect(wanted.to)
+            async with (
+                asyncio.timeout(probe.timeout_ms / 1_000.0),
+                self._connected(probe.to) as (
+                    reader,
+                    writer,
+                ),
+            ):
                 outcome = ProbeOutcome.SILENT
-                self._write(writer, wanted.message)
-                if isinstance(here := await self._read(reader), ConfirmationAck):
-                    members.carry_out(members.core.take_in(here, members.clock()))
+                self._write(writer, probe.message)
+                answer = await self._read(reader)
+                if isinstance(answer, ConfirmationAck):
+                    owner.carry_out(owner.core.receive_streamed(answer, owner.clock()))
                     outcome = ProbeOutcome.RESPONDED
         except TimeoutError:
-            pass  # as far as it came
+            pass  # silent if the connection came about, unreachable if not
         except (ConnectionRefusedError, ConnectionResetError, BrokenPipeError, asyncio.IncompleteReadError):
             outcome = ProbeOutcome.REFUSED
-        except (OSError, Dropped):  # no way there, or somebody else is at that port
+        except (OSError, PeerDroppedError):  # no route, or another program listens there
             outcome = ProbeOutcome.UNREACHABLE
-        finally:
-            if writer is not None:
-                writer.close()
-        members.counters.add(outcome.counter)
-        members.carry_out(members.core.knocked(wanted.name, wanted.run_id, outcome, members.clock()))
-
-    async def _connect(self, to: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        return await asyncio.open_connection(*self.members.dial.get(to, to), limit=MAX_STREAM_MESSAGE_BYTES)
+        return outcome
 
-    async def _ask(self, to: Address) -> None:
-        members, writer = self.members, None
+    async def _sync(self, peer: Address) -> None:
+        owner = self._owner
         try:
-            async with asyncio.timeout(EXCHANGE_S):
-                reader, writer = await self._connect(to)
-                self._write(writer, sync.ask(members.core))
-                told = await self._read(reader)
-                mine, out = sync.take(members.core, told, members.clock())
-                if mine is not None:
-                    self._write(writer, mine)
+            async with asyncio.timeout(EXCHANGE_SECONDS), self._connected(peer) as (reader, writer):
+                self._write(writer, owner.core.sync_request())
+                response = await self._read(reader)
+                reply, actions = owner.core.on_sync_response(response, owner.clock())
+                if reply is not None:
+                    self._write(writer, reply)
                     await writer.drain()
-            members.counters.add("members.exchanges" if mine is not None else "members.exchanges_same")
-            members.carry_out(out)
-        except Dropped as why:
-            members.counters.add(f"members.dropped.{why}")
-        except (OSError, asyncio.IncompleteReadError):  # a time-out is an OSError
-            members.counters.add("members.exchanges_failed")
-            members.carry_out(members.core.exchange_failed(to))
-        finally:
-            if writer is not None:
-                writer.close()
+            owner.counters.add("members.exchanges_same" if reply is None else "members.exchanges")
+            owner.carry_out(actions)
+        except PeerDroppedError as error:
+            owner.counters.add(error.counter)
+        except (OSError, asyncio.IncompleteReadError):  # TimeoutError is an OSError
+            owner.counters.add("members.exchanges_failed")
+            owner.carry_out(owner.core.on_sync_failed(peer))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        members = self.members
+        counters = self._owner.counters
         try:
-            if not members.allowed(writer.get_extra_info("peername")[0]):
-                raise Dropped("network")
-            if len(self.asked) >= KNOCKS_MOST:
-                raise Dropped("crowded")
-            self.asked.add(writer)
-            async with asyncio.timeout(EXCHANGE_S):
-                asked = await self._read(reader)
-                if not members.core.active:
+            self._admit(writer)
+            async with asyncio.timeout(EXCHANGE_SECONDS):
+                request = await self._read(reader)
+                if not self._owner.core.is_active:
                     return
-                if isinstance(asked, ConfirmationProbe):
-                    here, out = members.core.answer_knock(asked, members.clock())
-                    self._write(writer, here)
-                    return members.carry_out(out)
-                if not isinstance(asked, Digest):
-                    raise Dropped("malformed")
-                if len(self.asked) > ASKED_MOST:
-                    raise Dropped("crowded")
-                mine = sync.answer(members.core, asked)
-                self._write(writer, mine)
-                if not mine.is_identical:
-                    told = await self._read(reader)
-                    if isinstance(told, FullState):
-                        members.carry_out(members.core.take_in(told, members.clock()))
-            members.counters.add("members.exchanges_asked")
-        except Dropped as why:
-            members.counters.add(f"members.dropped.{why}")
+                if isinstance(request, ConfirmationProbe):
+                    self._answer_probe(request, writer)
+                    return
+                await self._answer_sync(request, reader, writer)
+            counters.add("members.exchanges_asked")
+        except PeerDroppedError as error:
+            counters.add(error.counter)
         except (OSError, asyncio.IncompleteReadError):
-            members.counters.add("members.exchanges_broken")
+            counters.add("members.exchanges_broken")
+        finally:
+            self._served.discard(writer)
+            writer.close()
+
+    def _admit(self, writer: asyncio.StreamWriter) -> None:
+        if not self._owner.is_allowed(writer.get_extra_info("peername")[0]):
+            raise PeerDroppedError("network")
+        if len(self._served) >= MAX_CONNECTIONS_SERVED:
+            raise PeerDroppedError("crowded")
+        self._served.add(writer)
+
+    def _answer_probe(self, probe: ConfirmationProbe, writer: asyncio.StreamWriter) -> None:
+        ack, actions = self._owner.core.on_confirmation_probe(probe, self._owner.clock())
+        self._write(writer, ack)
+        self._owner.carry_out(actions)
+
+    async def _answer_sync(
+        self, request: StreamMessage, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        owner = self._owner
+        if not isinstance(request, Digest):
+            raise PeerDroppedError("malformed")
+        if len(self._served) > MAX_SYNCS_SERVED:
+            raise PeerDroppedError("crowded")
+        response = owner.core.sync_response(request)
+        self._write(writer, response)
+        if response.is_identical:
+            return
+        reply = await self._read(reader)
+        if isinstance(reply, FullState):
+            owner.carry_out(owner.core.receive_streamed(reply, owner.clock()))
+
+    @contextlib.asynccontextmanager
+    async def _connected(
+        self, peer: Address
+    ) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+        host, port = self._owner.reachable_address(peer)
+        reader, writer = await asyncio.open_connection(host, port, limit=MAX_STREAM_MESSAGE_BYTES)
+        try:
+            yield reader, writer
         finally:
-            self.asked.discard(writer)
             writer.close()
 
     def _write(self, writer: asyncio.StreamWriter, message: StreamMessage) -> None:
-        sealed = self.members.sealed(encode(message), MAX_STREAM_MESSAGE_BYTES)
-        writer.write(LENGTH.pack(len(sealed)) + sealed)
+        signed = self._owner.sign(encode(message), MAX_STREAM_MESSAGE_BYTES)
+        writer.write(LENGTH.pack(len(signed)) + signed)
 
     async def _read(self, reader: asyncio.StreamReader) -> StreamMessage:
-        """One message; `Dropped` for what is none of a member's."""
+        """Reads one message; raises `PeerDroppedError` for one that is not to be accepted."""
         (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
         if length > MAX_STREAM_MESSAGE_BYTES:
-            raise Dropped(DropReason.OVERSIZED.value)
-        members = self.members
-        opened = members.seal.verify(
-            await reader.readexactly(length), members.clock(), MAX_STREAM_MESSAGE_BYTES
-        )
-        if isinstance(opened, DropReason):
-            raise Dropped(opened.value)
+            raise PeerDroppedError(DropReason.OVERSIZED.value)
+        verified = self._owner.verify(await reader.readexactly(length), MAX_STREAM_MESSAGE_BYTES)
+        if isinstance(verified, DropReason):
+            raise PeerDroppedError(verified.value)
         try:
-            return decode_streamed(opened)
+            return decode_streamed(verified)
         except MalformedMessageError as error:
-            raise Dropped(DropReason.MALFORMED.value) from error
+            raise PeerDroppedError(DropReason.MALFORMED.value) from error
--- a/gladewalk/members/suspicion.py
+++ b/gladewalk/members/suspicion.py
@@ -1,89 +1,102 @@
-"""From a suspicion to a verdict: when it runs out, and what then speaks for life or death. No I/O.
+"""Rules of a suspicion: how long it lasts, and what follows once it has expired. Pure functions.
 
-A silence has four causes that want different answers, and datagrams alone cannot tell them apart. So whoever
-suspects a member knocks at its stream's port, which the system answers for it:
+A missing answer has four causes that call for different decisions, and datagrams alone can't tell them apart.
+Whoever suspects a member therefore sends a confirmation probe to its stream port, where the member's system
+answers even if its process does not:
 
-    here          its datagrams are lost; it is told of the suspicion and refutes it
-    gone          the system refuses: no process is there. Dead once the least time of a suspicion is over
-    silent        the system accepts and the process says nothing: paused or stalled. It keeps its place for
-                  `stall_ms`; what it has to do is done by others as soon as a suspicion would have run out
-    unreachable   no word from its machine: cut off or crashed, dead when the suspicion runs out
+    responded     its datagrams are lost; it learns of the suspicion and refutes it
+    refused       no process listens there: dead once the minimum duration of a suspicion is over
+    silent        connected and no answer: the process is paused or stalled. It stays a member for
+                  `max_stall_ms`; its periodic tasks move to others once a suspicion would have expired
+    unreachable   partitioned or down: dead when the suspicion expires
 
-And who was heard from since it was suspected is not found dead: it is told, so that it can refute.
+A member that was heard since it was suspected is not declared dead but notified, so that it can refute.
 """
 
 from __future__ import annotations
 
 import math
-from enum import Enum
+from enum import Enum, auto
 
 from .actions import ProbeOutcome
 from .config import MembershipConfig
 from .member_list import Member
 
-KNOCK_ALL = 64  # members up to which all knock at a suspect; in larger fleets only who accuses it by itself
-KNOCK_AGAIN_MS = 2_000.0  # a stalled member may be killed meanwhile
-DOUBTFUL = 4  # health from which on a member's word about others weighs less
-PENDING_MS = 50.0
+MAX_MEMBERS_ALL_PROBE = 64  # in larger fleets only members whose own pings failed probe a suspect
+STALL_REPROBE_MS = 2_000.0  # a stalled member may be killed meanwhile
+RETRY_MS = 50.0  # until a decision that waits for a probe is looked at again
+HEALTH_FACTOR = 0.15  # per point of the health score: how much longer an unconfirmed suspicion lasts
+ROUND_TRIPS = 3.0  # a suspicion lasts for at least so many round trips, so that it can be refuted
 
 
-class Verdict(Enum):
-    WAIT = "wait"
-    TELL = "tell"  # it was heard from: it must hear what is said of it
-    KNOCK = "knock"  # and wait what comes of it
-    STALLED = "stalled"
-    DEAD = "dead"
+class SuspicionDecision(Enum):
+    """What to do about an expired suspicion."""
 
+    WAIT = auto()
+    NOTIFY = auto()  # the member was heard: tell it of the suspicion
+    PROBE = auto()  # send a confirmation probe and wait for its outcome
+    STALLED = auto()
+    DEAD = auto()
 
-def least_ms(terms: MembershipConfig, count: int, answer_ms: float) -> float:
-    """How long a suspicion lasts that enough others confirmed; never less than a word and its answer take."""
-    return max(terms.min_suspicion_ms * max(1.0, math.log10(count)), 3.0 * answer_ms)
 
+def min_duration_ms(config: MembershipConfig, member_count: int, round_trip_ms: float) -> float:
+    """Duration of a suspicion that enough others confirmed; grows with log10 of the members (Lifeguard)."""
+    scaled_ms = config.min_suspicion_ms * max(1.0, math.log10(member_count))
+    return max(scaled_ms, ROUND_TRIPS * round_trip_ms)
 
-def runs_out_ms(member: Member, terms: MembershipConfig, count: int, health: int, answer_ms: float) -> float:
-    """From the most down to the least as others confirm it (Lifeguard). `count`: members, ourselves too."""
-    least = least_ms(terms, count, answer_ms)
-    most = least * terms.max_suspicion_factor * (1.0 + 0.15 * health)
-    wanted = min(terms.suspicion_confirmations, max(1, count - 2))
-    share = math.log(max(1, len(member.accusers))) / math.log(wanted + 1) if wanted else 1.0
-    return member.since_ms + max(least, most - (most - least) * min(1.0, share))
 
+def expiry_ms(
+    member: Member, config: MembershipConfig, member_count: int, health_score: int, round_trip_ms: float
+) -> float:
+    """When a suspicion expires: from the maximum down to the minimum as others confirm it.
 
-def knocks(member: Member, me: str, count: int) -> bool:
-    """Whether we knock at a suspect: all do in a small fleet, in a large one who accuses it."""
-    return count <= KNOCK_ALL or me in member.accusers
+    Lifeguard, section IV.B. `member_count` includes the local member.
+    """
+    shortest_ms = min_duration_ms(config, member_count, round_trip_ms)
+    longest_ms = shortest_ms * config.max_suspicion_factor * (1.0 + HEALTH_FACTOR * health_score)
+    wanted = min(config.suspicion_confirmations, max(1, member_count - 2))
+    confirmed = math.log(max(1, len(member.suspectors))) / math.log(wanted + 1) if wanted else 1.0
+    duration_ms = longest_ms - (longest_ms - shortest_ms) * min(1.0, confirmed)
+    return member.state_since_ms + max(shortest_ms, duration_ms)
+
+
+def may_probe(member: Member, local_name: str, member_count: int) -> bool:
+    """Whether the local member probes a suspect: always in a small fleet, else if it raised the suspicion."""
+    return member_count <= MAX_MEMBERS_ALL_PROBE or local_name in member.suspectors
 
 
-def believes_death(member: Member, terms: MembershipConfig, doubtful: bool, now_ms: float) -> bool:
-    """Whether another's word that a member is dead is taken; else it is a suspicion of ours from now.
+def accepts_death_report(
+    member: Member, config: MembershipConfig, is_sender_unhealthy: bool, now_ms: float
+) -> bool:
+    """Whether another's report that a member is dead is accepted; otherwise it counts as a suspicion.
 
-    Not of one that we did not suspect until then, nor of one that we heard from since: after a partition each
-    side tells the other of its dead, who live. They are asked, and find a moment to say otherwise.
+    After a partition each side reports the other's members dead, which live. So a report is not accepted of a
+    member that was not suspected here before, or that was heard since: it is asked first.
     """
-    if not member.suspect:
+    if not member.is_suspect:
         return False
-    if member.outcome in (ProbeOutcome.REFUSED, ProbeOutcome.UNREACHABLE):
-        return True  # we found no life there either
-    if member.outcome is ProbeOutcome.SILENT and now_ms < member.since_ms + terms.max_stall_ms:
+    if member.probe_outcome in (ProbeOutcome.REFUSED, ProbeOutcome.UNREACHABLE):
+        return True
+    if member.probe_outcome is ProbeOutcome.SILENT and now_ms < member.state_since_ms + config.max_stall_ms:
         return False
-    new = now_ms < member.since_ms + terms.min_suspicion_ms
-    return not doubtful and not new and member.heard_ms <= member.since_ms
-
-
-def verdict_of(
-    member: Member, terms: MembershipConfig, me: str, count: int, now_ms: float
-) -> tuple[Verdict, float]:
-    """Of a suspect whose time has run out, and when to ask again (ms from now)."""
-    least = terms.min_suspicion_ms
-    if member.heard_ms > member.since_ms:
-        return Verdict.TELL, least
-    if member.knocking:
-        return Verdict.WAIT, PENDING_MS
-    left = member.since_ms + terms.max_stall_ms - now_ms
-    if member.outcome is ProbeOutcome.SILENT and left > 0.0:
-        return Verdict.STALLED, min(left, KNOCK_AGAIN_MS)
-    if member.outcome is None and (member.doubted or knocks(member, me, count)):
-        return Verdict.KNOCK, PENDING_MS
-    if member.outcome is None and left > 0.0:
-        return Verdict.WAIT, left  # its accusers find out; if they die too, it is held dead in the end
-    return Verdict.DEAD, 0.0
+    is_recent = now_ms < member.state_since_ms + config.min_suspicion_ms
+    return not is_sender_unhealthy and not is_recent and member.last_heard_ms <= member.state_since_ms
+
+
+def decide_expired_suspicion(
+    member: Member, config: MembershipConfig, local_name: str, member_count: int, now_ms: float
+) -> tuple[SuspicionDecision, float]:
+    """Decides on a suspicion that has expired; returns the decision and ms until it is looked at again."""
+    if member.last_heard_ms > member.state_since_ms:
+        return SuspicionDecision.NOTIFY, config.min_suspicion_ms
+    if member.is_probe_pending:
+        return SuspicionDecision.WAIT, RETRY_MS
+    stall_left_ms = member.state_since_ms + config.max_stall_ms - now_ms
+    if member.probe_outcome is ProbeOutcome.SILENT and stall_left_ms > 0.0:
+        return SuspicionDecision.STALLED, min(stall_left_ms, STALL_REPROBE_MS)
+    if member.probe_outcome is None:
+        if member.is_death_disputed or may_probe(member, local_name, member_count):
+            return SuspicionDecision.PROBE, RETRY_MS
+        if stall_left_ms > 0.0:  # its suspectors probe it; should they die, it is declared dead in the end
+            return SuspicionDecision.WAIT, stall_left_ms
+    return SuspicionDecision.DEAD, 0.0
--- a/gladewalk/members/sync.py
+++ b/gladewalk/members/sync.py
@@ -1,54 +1,83 @@
-"""Full exchanges between two members, without I/O: what datagrams lost is made good over a stream.
+"""State synchronization (anti-entropy): members compare and exchange their whole state over a stream.
 
-    who asks                         who is asked
-    Digest(hash of all it knows) ->
-                                 <-  Whole(same) if its own hash is the same: that is all
-                                 <-  Whole(all that it knows)
-    Whole(all that it knows)     ->
+    requester                            responder
+    Digest(hash of its state)        ->
+                                     <-  FullState(is_identical), if its own hash is the same
+                                     <-  FullState(its state), otherwise
+    FullState(its state)             ->
 
-In quiet times both know the same, and an exchange costs two short messages however many members there are.
+Two members of the same state exchange two short messages, however many members there are.
 """
 
 from __future__ import annotations
 
-from .actions import Action
-from .member_list import hash_of
-from .messages import Digest, FullState, StreamMessage
-from .swim import Membership
+import math
 
+from .actions import Address, StartSync
+from .context import ProtocolContext
+from .member_list import update_hash
+from .messages import Digest, FullState
 
-def digest_of(core: Membership) -> int:
-    """63 bits of all members and of who claims what; findings, which are ever new, don't count."""
-    return core.roll.digest ^ hash_of(core.me) ^ core.gossip.digest
+MIN_JITTER = 0.75  # the interval is multiplied by a random factor from here to MIN_JITTER + JITTER_RANGE
+JITTER_RANGE = 0.5
 
 
-def whole_of(core: Membership) -> FullState:
-    """All that a member knows."""
-    rumours = [core.me, *(member.rumour for member in core.members.values())]
-    news = list(core.gossip.events.values())
-    return FullState(
-        sender=core.me.name,
-        run_id=core.me.run_id,
-        health_score=core.health_score,
-        updates=rumours,
-        events=news,
-    )
+class StateSync:
+    """Builds the messages of a synchronization and schedules them. Its own state is that schedule."""
 
+    def __init__(self, context: ProtocolContext, now_ms: float) -> None:
+        self._context = context
+        self.next_ms = now_ms + context.config.sync_interval_ms * context.rng.random()
+        self.last_started_ms = -math.inf
 
-def ask(core: Membership) -> Digest:
-    """What an exchange begins with."""
-    return Digest(sender=core.me.name, run_id=core.me.run_id, digest=digest_of(core))
+    def start(self, peer: Address, now_ms: float) -> None:
+        """Starts a synchronization with a peer; the next regular one is an interval from now."""
+        self._schedule_next(now_ms)
+        self.last_started_ms = now_ms
+        self._context.outbox.put(StartSync(peer))
 
+    def start_with_random_member(self, now_ms: float) -> None:
+        """Starts a synchronization with a live member, if there is one."""
+        addresses = [member.address for member in self._context.members.live()]
+        if addresses:
+            self.start(self._context.rng.choice(addresses), now_ms)
+        else:
+            self._schedule_next(now_ms)
 
-def answer(core: Membership, asked: Digest) -> FullState:
-    if asked.digest == digest_of(core):
-        return FullState(sender=core.me.name, run_id=core.me.run_id, is_identical=True)
-    return whole_of(core)
+    def digest(self) -> int:
+        """63-bit hash of all members and of who owns which task; results of tasks don't count."""
+        context = self._context
+        return context.members.digest ^ update_hash(context.local.update) ^ context.dissemination.digest
 
+    def full_state(self) -> FullState:
+        """All that the local member knows."""
+        context, local = self._context, self._context.local
+        updates = [local.update, *(member.update for member in context.members.by_name.values())]
+        return FullState(
+            sender=local.name,
+            run_id=local.run_id,
+            health_score=local.health.score,
+            updates=updates,
+            events=list(context.dissemination.latest_events.values()),
+        )
 
-def take(core: Membership, told: StreamMessage, now_ms: float) -> tuple[FullState | None, list[Action]]:
-    """Whoever asked hears the answer: what it says back, if anything, and what follows here."""
-    if not isinstance(told, FullState) or told.is_identical:
-        return None, []
-    mine = whole_of(core)  # before what we hear: it needs nothing back that it has just told
-    return mine, core.take_in(told, now_ms)
+    def request(self) -> Digest:
+        """First message of a synchronization."""
+        local = self._context.local
+        return Digest(sender=local.name, run_id=local.run_id, digest=self.digest())
+
+    def respond(self, request: Digest) -> FullState:
+        """Answer to the first message."""
+        local = self._context.local
+        if request.digest == self.digest():
+            return FullState(sender=local.name, run_id=local.run_id, is_identical=True)
+        return self.full_state()
+
+    def shift(self, by_ms: float) -> None:
+        """Moves all times, after the local clock jumped or the process was stopped."""
+        self.next_ms += by_ms
+        self.last_started_ms += by_ms
+
+    def _schedule_next(self, now_ms: float) -> None:
+        jitter = MIN_JITTER + JITTER_RANGE * self._context.rng.random()
+        self.next_ms = now_ms + self._context.config.sync_interval_ms * jitter
--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -1,9 +1,13 @@
-"""Members on UDP: datagrams and timers around `Membership`, and nothing decided. Full exchanges: `stream`."""
+"""Membership on sockets: datagrams and timers around `Membership`, which decides everything.
+
+Streams are in `stream`.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import ipaddress
+import math
 import random
 from collections.abc import Callable
 from typing import Any, cast
@@ -25,149 +29,185 @@
 from .authenticator import DropReason, MessageAuthenticator
 from .errors import MalformedMessageError
 from .messages import MAX_DATAGRAM_BYTES, UserEvent, decode, encode
-from .stream import Streams
+from .stream import StreamTransport
 from .swim import Membership
 
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
 log = structlog.get_logger("gladewalk.members")
-PORT_TRIES = 16  # where the system chooses: it must be free for datagrams and for streams
+MAX_PORT_ATTEMPTS = 16  # a port that the system chooses must be free for datagrams and for streams
+NONCE_BITS = 64
+
 
+class MembershipTransport(asyncio.DatagramProtocol):
+    """One member's socket and timer.
 
-class Members(asyncio.DatagramProtocol):
-    """One member's socket. `changed` hears of changes, `heard` of news."""
+    `on_member_change` is called with each change and the member's name, `on_event` with each user event of
+    another member. `translated_addresses` maps announced addresses to those at which members are reached.
+    """
 
     def __init__(
         self,
         core: Membership,
-        seal: MessageAuthenticator,
+        authenticator: MessageAuthenticator,
         networks: tuple[Network, ...],
         clock: Callable[[], float],
         deadlines: Deadlines,
         counters: Counters,
-        dial: dict[Address, Address] | None = None,
+        translated_addresses: dict[Address, Address] | None = None,
     ) -> None:
-        self.dial = dial or {}  # addresses that are reached elsewhere than where they say they are
-        self.core, self.seal, self.networks = core, seal, networks
+        self.core, self.authenticator, self.networks = core, authenticator, networks
         self.clock, self.deadlines, self.counters = clock, deadlines, counters
-        self.random = random.SystemRandom()
-        self.transport: asyncio.DatagramTransport | None = None
-        self.timer: Key | None = None
-        self.streams = Streams(self)
-        self.changed: Callable[[MemberChange, str], None] = lambda change, name: None
-        self.heard: Callable[[UserEvent], None] = lambda news: None
+        self.translated_addresses = translated_addresses or {}
+        self.streams = StreamTransport(self)
+        self.on_member_change: Callable[[MemberChange, str], None] = lambda change, name: None
+        self.on_event: Callable[[UserEvent], None] = lambda event: None
+        self._random = random.SystemRandom()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: Key | None = None
 
     async def listen(self) -> None:
-        """At one port for datagrams and streams."""
-        host, port = self.core.me.host, self.core.me.port
-        for tries in range(PORT_TRIES):
-            chosen = await self.streams.listen(host, port)
+        """Listens at one port for datagrams and streams; raises `OSError` if it is not to be had."""
+        host, port = self.core.local.host, self.core.local.port
+        self.core.bind_port(await self._bind(host, port))
+        local = self.core.local
+        log.info("members_listening", by=local.name, host=local.host, port=local.port, run=local.run_id)
+        self._tick()
+
+    async def _bind(self, host: str, port: int) -> int:
+        for attempt in range(1, MAX_PORT_ATTEMPTS + 1):
+            bound_port = await self.streams.listen(host, port)
             try:
                 await asyncio.get_running_loop().create_datagram_endpoint(
-                    lambda: self, local_addr=(host, chosen)
+                    lambda: self, local_addr=(host, bound_port)
                 )
-                break
             except OSError:
                 self.streams.close()
-                if port or tries == PORT_TRIES - 1:
+                if port or attempt == MAX_PORT_ATTEMPTS:
                     raise
-        self.core.bound(chosen)
-        me = self.core.me
-        log.info("members_listening", by=me.name, host=me.host, port=me.port, run=me.run_id)
-        self._tick()
+            else:
+                break
+        return bound_port
+
+    def publish_event(self, event: UserEvent) -> None:
+        """Spreads a user event to all members."""
+        self.core.publish_event(event)
+
+    def leave(self) -> None:
+        """Announces the departure and closes the sockets."""
+        self.carry_out(self.core.leave())
+        self.close()
+
+    def close(self) -> None:
+        """Closes the sockets without a word to the others."""
+        self.deadlines.drop(self._timer)
+        self.streams.close()
+        if self._transport is not None:
+            self._transport.close()
+
+    # asyncio.DatagramProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.DatagramTransport, transport)
+        """Keeps the socket to send from."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
-        """Guards against whatever anybody may send: what is no member's message is counted and dropped."""
+        """Passes on an authentic message; counts and drops anything else."""
         self.counters.add("members.datagrams")
-        if not self.allowed(source[0]):
-            return self.counters.add("members.dropped.network")
-        opened = self.seal.verify(data, self.clock())
-        if isinstance(opened, DropReason):
-            return self.counters.add(f"members.dropped.{opened.value}")
+        if not self.is_allowed(source[0]):
+            self.counters.add("members.dropped.network")
+            return
+        verified = self.verify(data, MAX_DATAGRAM_BYTES)
+        if isinstance(verified, DropReason):
+            self.counters.add(f"members.dropped.{verified.value}")
+            return
         try:
-            message = decode(opened)
+            message = decode(verified)
         except MalformedMessageError:
-            return self.counters.add("members.dropped.malformed")
+            self.counters.add("members.dropped.malformed")
+            return
         self.carry_out(self.core.receive(message, (source[0], source[1]), self.clock()))
 
-    def allowed(self, host: str) -> bool:
-        """Whether what comes from there is read at all."""
-        sender = ipaddress.ip_address(host)
-        return any(sender in network for network in self.networks)
-
-    def sealed(self, message: bytes, most: int) -> bytes:
-        data = self.seal.sign(message, self.clock(), self.random.getrandbits(64), most)
-        self.counters.add("members.sent")
-        self.counters.add("members.sent_bytes", len(data))
-        return data
-
     def error_received(self, error: Exception) -> None:
-        self.counters.add("members.unreachable")  # as ICMP tells: a ping to it will find the same
+        """Counts an ICMP error: the next ping finds out what it means."""
+        self.counters.add("members.unreachable")
 
-    def tell(self, news: UserEvent) -> None:
-        self.core.tell(news)
+    # Interface to `StreamTransport`.
 
-    def leave(self) -> None:
-        """Say so and go."""
-        self.carry_out(self.core.leave(self.clock()))
-        self.close()
+    def is_allowed(self, host: str) -> bool:
+        """Whether anything from this host is read."""
+        sender = ipaddress.ip_address(host)
+        return any(sender in network for network in self.networks)
 
-    def close(self) -> None:
-        """Without a word."""
-        self.deadlines.drop(self.timer)
-        self.streams.close()
-        if self.transport is not None:
-            self.transport.close()
+    def reachable_address(self, address: Address) -> Address:
+        """Address at which the member is reached that announces this one."""
+        return self.translated_addresses.get(address, address)
 
-    def _tick(self) -> None:
-        self.timer = None
-        self.carry_out(self.core.tick(self.clock()))
+    def sign(self, message: bytes, max_bytes: int) -> bytes:
+        """Authenticates a message and counts it as sent."""
+        nonce = self._random.getrandbits(NONCE_BITS)
+        signed = self.authenticator.sign(message, self.clock(), nonce, max_bytes)
+        self.counters.add("members.sent")
+        self.counters.add("members.sent_bytes", len(signed))
+        return signed
+
+    def verify(self, data: bytes, max_bytes: int) -> bytes | DropReason:
+        """Returns the message, or why it is to be dropped."""
+        return self.authenticator.verify(data, self.clock(), max_bytes)
 
-    def carry_out(self, out: list[Action]) -> None:
-        for action in out:
+    def carry_out(self, actions: list[Action]) -> None:
+        """Carries out what the protocol asks for, then sets the timer anew."""
+        for action in actions:
             match action:
                 case SendDatagram(to, message):
-                    self._send(to, encode(message))
-                case StartSync():
-                    self.streams.begin(action)
+                    self.send(to, encode(message))
+                case StartSync(peer):
+                    self.streams.start_sync(peer)
                 case StartConfirmationProbe():
-                    self.streams.knock(action)
+                    self.streams.start_probe(action)
                 case MemberChanged(change, name):
                     self.counters.add(change.counter)
-                    self._note(change, name)
-                    self.changed(change, name)
-                case EventReceived(news):
-                    self.heard(news)
-        self.deadlines.drop(self.timer)
-        due = self.core.due()
-        self.timer = self.deadlines.add(max(due, self.clock()), self._tick) if due < 1e15 else None
-
-    def _send(self, to: Address, message: bytes) -> None:
-        if self.transport is None or self.transport.is_closing():
+                    self.log_change(change, name)
+                    self.on_member_change(change, name)
+                case EventReceived(event):
+                    self.on_event(event)
+        self._set_timer()
+
+    def send(self, to: Address, message: bytes) -> None:
+        """Sends an encoded message in a datagram."""
+        if self._transport is None or self._transport.is_closing():
             return
-        self.transport.sendto(self.sealed(message, MAX_DATAGRAM_BYTES), self.dial.get(to, to))
+        self._transport.sendto(self.sign(message, MAX_DATAGRAM_BYTES), self.reachable_address(to))
 
-    def _note(self, change: MemberChange, name: str) -> None:
-        """One line of the log for each change, with what speaks for it."""
-        me, member = self.core.me, self.core.members.get(name)
+    def log_change(self, change: MemberChange, name: str) -> None:
+        """Writes a log event for a change, with the evidence for it."""
+        local, member = self.core.local, self.core.members.by_name.get(name)
         if member is None:
             log.info(
                 change.log_event,
                 member=name,
-                by=me.name,
-                incarnation=me.incarnation,
+                by=local.name,
+                incarnation=local.incarnation,
                 health=self.core.health_score,
             )
             return
         log.info(
             change.log_event,
             member=name,
-            by=me.name,
-            incarnation=member.rumour.incarnation,
-            accusers=sorted(member.accusers),
-            knocked=member.outcome.value if member.outcome else None,
-            heard_ms=round(self.clock() - member.heard_ms),
+            by=local.name,
+            incarnation=member.update.incarnation,
+            accusers=sorted(member.suspectors),
+            knocked=member.probe_outcome.value if member.probe_outcome else None,
+            heard_ms=round(self.clock() - member.last_heard_ms),
             health=self.core.health_score,
         )
+
+    def _set_timer(self) -> None:
+        self.deadlines.drop(self._timer)
+        due_ms = self.core.next_due_ms()
+        self._timer = None
+        if math.isfinite(due_ms):
+            self._timer = self.deadlines.add(max(due_ms, self.clock()), self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.carry_out(self.core.tick(self.clock()))
--- a/gladewalk/rehearsal/dutynet.py
+++ b/gladewalk/rehearsal/dutynet.py
@@ -16,7 +16,6 @@
 from ..duties.runner import Found, Runner
 from ..members.actions import MemberChange
 from ..members.config import MembershipConfig
-from ..members.dissemination import Told
 from ..members.messages import UserEvent
 from .member_network import Net, Node
 
@@ -31,15 +30,15 @@
 
 
 class Fellow:
-    """A node as `Runner` sees its members; `members.transport.Members` is the same on sockets."""
+    """A node as `Runner` sees its members; `members.transport.MembershipTransport` is the same on sockets."""
 
     def __init__(self, net: DutyNet, node: Node) -> None:
         self.net, self.node, self.core = net, node, node.core
-        self.changed: Callable[[MemberChange, str], None] = lambda change, name: None
-        self.heard: Callable[[UserEvent], None] = lambda news: None
+        self.on_member_change: Callable[[MemberChange, str], None] = lambda change, name: None
+        self.on_event: Callable[[UserEvent], None] = lambda event: None
 
-    def tell(self, news: UserEvent) -> None:
-        self.core.tell(news)
+    def publish_event(self, event: UserEvent) -> None:
+        self.core.publish_event(event)
 
 
 class Agenda:
@@ -118,12 +117,12 @@
         self.runners: dict[str, Runner] = {}
         self.done: list[Done] = []
         self.learned: dict[tuple[str, str], float] = {}
-        self.on_news = lambda node, news: self.runners[node.name].members.heard(news)
+        self.on_news = lambda node, news: self.runners[node.name].members.on_event(news)
         self.on_change = self._on_change
 
     def _on_change(self, node: Node, change: MemberChange, name: str) -> None:
         if node.name in self.runners:  # else it is just being made
-            self.runners[node.name].members.changed(change, name)
+            self.runners[node.name].members.on_member_change(change, name)
 
     def join(self, name: str, seeds: tuple[str, ...] = ()) -> Node:
         """A node with duties starts, or starts again knowing nothing."""
@@ -196,11 +195,11 @@
 
 def _introduce(net: DutyNet) -> None:
     """All know all, and nobody has anything of it left to tell."""
-    rumours = [node.core.me for node in net.nodes.values()]
+    updates = [node.core.local for node in net.nodes.values()]
     for node in net.nodes.values():
-        for rumour in rumours:
-            if rumour.name != node.name:
-                node.core.hear(rumour, net.now)
-        node.core.gossip.rumours = Told()
-        node.core.out.clear()
+        for update in updates:
+            if update.name != node.name:
+                node.core.gossip.apply(update, net.now)
+        node.core.dissemination.queued_updates.clear()
+        node.core.outbox.take()
         net.runners[node.name].moved = True
--- a/gladewalk/rehearsal/member_network.py
+++ b/gladewalk/rehearsal/member_network.py
@@ -14,7 +14,6 @@
 from typing import TypeVar
 
 from ..faultnet.schedule import Fault, pairs_of
-from ..members import sync
 from ..members.actions import (
     Action,
     Address,
@@ -165,7 +164,7 @@
                     self.on_change(node, action.change, action.name)
         node.wake += 1
         number = node.wake
-        ms = max(0.05, node.core.due() - (self.now + node.clock_off))
+        ms = max(0.05, node.core.next_due_ms() - (self.now + node.clock_off))
         if ms < 1e9:
             ms += self.random.uniform(0.0, self.late_ms) if self.late_ms else 0.0
             self.after(ms, lambda: self.wake(node) if node.wake == number else None)
@@ -222,13 +221,17 @@
                 if off_ms > node.seal.window_ms:  # neither opens what the other seals
                     return self.carry_out(
                         node,
-                        node.core.knocked(wanted.name, wanted.run_id, ProbeOutcome.UNREACHABLE, self.now),
+                        node.core.on_probe_outcome(
+                            wanted.name, wanted.run_id, ProbeOutcome.UNREACHABLE, self.now
+                        ),
                     )
-                here, out = target.core.answer_knock(wanted.message, self.now + target.clock_off)
+                here, out = target.core.on_confirmation_probe(wanted.message, self.now + target.clock_off)
                 self.carry_out(target, out)
-                self.carry_out(node, node.core.take_in(self._count(target, here), self.now + node.clock_off))
+                self.carry_out(
+                    node, node.core.receive_streamed(self._count(target, here), self.now + node.clock_off)
+                )
         self.carry_out(
-            node, node.core.knocked(wanted.name, wanted.run_id, outcome, self.now + node.clock_off)
+            node, node.core.on_probe_outcome(wanted.name, wanted.run_id, outcome, self.now + node.clock_off)
         )
 
     def _passes(self, node: Node, target: Node) -> bool:
@@ -236,20 +239,20 @@
         return node.up and target.up and not blocked and self.now >= target.stopped_until
 
     def _exchange(self, node: Node, target: Node) -> None:
-        if not self._passes(node, target) or not target.core.active:
+        if not self._passes(node, target) or not target.core.is_active:
             return self._exchange_failed(node, target.address)
-        told = sync.answer(target.core, self._count(node, sync.ask(node.core)))
-        mine, out = sync.take(node.core, self._count(target, told), self.now + node.clock_off)
+        told = target.core.sync_response(self._count(node, node.core.sync_request()))
+        mine, out = node.core.on_sync_response(self._count(target, told), self.now + node.clock_off)
         self.exchanges["same" if told.is_identical else "whole"] += 1
         self.carry_out(node, out)
         if mine is not None:
             self._count(node, mine)
-            self.carry_out(target, target.core.take_in(mine, self.now + target.clock_off))
+            self.carry_out(target, target.core.receive_streamed(mine, self.now + target.clock_off))
 
     def _exchange_failed(self, node: Node, to: Address) -> None:
         self.exchanges["failed"] += 1
         if node.up:
-            self.carry_out(node, node.core.exchange_failed(to))
+            self.carry_out(node, node.core.on_sync_failed(to))
 
     def _count(self, node: Node, message: S) -> S:
         self.bytes[node.name] += len(encode(message)) + OVERHEAD_BYTES + 4
@@ -274,11 +277,11 @@
     # What is to be seen.
 
     def live_as_seen_by(self, name: str) -> set[str]:
-        return {other for other, member in self.nodes[name].core.members.items() if member.live}
+        return {other for other, member in self.nodes[name].core.members.by_name.items() if member.is_live}
 
     def agreed(self) -> bool:
         """Whether every running member sees just the running members."""
-        up = {name for name, node in self.nodes.items() if node.up and node.core.active}
+        up = {name for name, node in self.nodes.items() if node.up and node.core.is_active}
         return all(self.live_as_seen_by(name) == up - {name} for name in up)
 
     def changes(self, change: MemberChange, name: str | None = None, since_ms: float = 0.0) -> list[Seen]:
@@ -315,7 +318,7 @@
             case "kill" | "stop":
                 if fault.kind == "stop":
                     node = net.nodes[fault.who[0]]
-                    net.carry_out(node, node.core.leave(net.now + node.clock_off))
+                    net.carry_out(node, node.core.leave())
                 net.kill(fault.who[0])
                 net.after(fault.ms, lambda: restart(fault.who[0]))
             case "loss" | "double":
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -270,7 +270,7 @@
         twin = net.start("m2", ("m0",), port=7_777)
         net.nodes["m2"], net.nodes["twin"] = first, twin
         net.run(10_000.0)
-        self.assertEqual((first.core.active, twin.core.active), (True, False))
+        self.assertEqual((first.core.is_active, twin.core.is_active), (True, False))
         self.assertTrue(net.divided())
 
     def test_under_loss_doubles_and_reordering_every_box_is_probed(self) -> None:
@@ -386,11 +386,11 @@
             director = Director(read({**config, "name": name}, {}), loop, None, options)
             await director.start()
             assert director.duties is not None
-            seeds = [f"127.0.0.1:{director.duties.members.core.me.port}"]
+            seeds = [f"127.0.0.1:{director.duties.members.core.local.port}"]
             directors.append(director)
             self.note_results(director, found.setdefault(name, []))
         runners = [director.duties for director in directors if director.duties is not None]
-        await until(lambda: all(len(runner.members.core.live()) == 3 for runner in runners))
+        await until(lambda: all(len(runner.members.core.live_weights()) == 3 for runner in runners))
         every = sorted([*(f"load/c{n}" for n in range(4)), "alive/p"])
         await until(lambda: sorted(n for runner in runners for n in runner.owned_names()) == every)
         heard.clear()
--- a/tests/test_fault_points.py
+++ b/tests/test_fault_points.py
@@ -11,9 +11,9 @@
 from gladewalk.faultpoints.runs import SCENARIOS
 from gladewalk.faultpoints.sweep import count, sweep, thinned
 from gladewalk.leases.fence import Act, Fence
-from gladewalk.members import swim
-from gladewalk.members.gossip_state import Hearing
-from gladewalk.members.suspicion import Verdict
+from gladewalk.members import gossip_state, suspicion_monitor
+from gladewalk.members.suspicion import SuspicionDecision
+from gladewalk.members.suspicion_monitor import SuspicionMonitor
 from gladewalk.store.log import Batch, Log
 
 
@@ -120,17 +120,23 @@
 
 
 def test_hasty_verdicts_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(swim, "verdict_of", lambda *_: (Verdict.DEAD, 0.0))
-    monkeypatch.setattr(Hearing, "_ask_others", lambda self, member: setattr(member, "asked", True))
+    monkeypatch.setattr(
+        suspicion_monitor, "decide_expired_suspicion", lambda *_: (SuspicionDecision.DEAD, 0.0)
+    )
+    monkeypatch.setattr(
+        SuspicionMonitor,
+        "consult_peers",
+        lambda self, suspect, now_ms: setattr(suspect, "has_consulted_peers", True),
+    )
     assert found(membership_scenario.play, "members", 6)
 
 
 def test_members_that_believe_no_later_run_do_not_even_hold_without_a_fault(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    outweighs = Hearing._outweighs
+    supersedes = gossip_state.supersedes
     monkeypatch.setattr(
-        Hearing, "_outweighs", lambda self, new, old: new.run == old.run and outweighs(self, new, old)
+        gossip_state, "supersedes", lambda new, old: new.run_id == old.run_id and supersedes(new, old)
     )
     with pytest.raises(AssertionError, match="without a fault: no one roster"):
         sweep(SCENARIOS[2:], 1)
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -25,7 +25,7 @@
 from gladewalk.members.authenticator import DropReason, MessageAuthenticator, key_from_secret
 from gladewalk.members.config import MembershipConfig
 from gladewalk.members.dissemination import claim_hash
-from gladewalk.members.member_list import hash_of
+from gladewalk.members.member_list import update_hash
 from gladewalk.members.messages import (
     Ack,
     ConfirmationAck,
@@ -43,7 +43,7 @@
 )
 from gladewalk.members.stream import LENGTH
 from gladewalk.members.swim import Membership
-from gladewalk.members.transport import Members
+from gladewalk.members.transport import MembershipTransport
 from gladewalk.rehearsal.dutynet import duty_cluster
 from gladewalk.rehearsal.member_network import Net, cluster, play
 
@@ -116,7 +116,7 @@
         "changes": {change.name: change.value for change in MemberChange},
         "outcomes": [outcome.value for outcome in ProbeOutcome],
         "drop_reasons": [reason.value for reason in DropReason],
-        "update_hashes": [hash_of(update) for update in UPDATES],
+        "update_hashes": [update_hash(update) for update in UPDATES],
         "event_hashes": [claim_hash(event) for event in EVENTS],
     }
 
@@ -140,10 +140,12 @@
         core = Membership("a", ("127.0.0.1", 0), (), MembershipConfig(), rng, NOW_MS)
         networks = (ipaddress.ip_network("127.0.0.0/8"),)
         seal, counters = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0), Counters()
-        members = Members(core, seal, networks, lambda: now[0], Deadlines(lambda when: None), counters)
+        members = MembershipTransport(
+            core, seal, networks, lambda: now[0], Deadlines(lambda when: None), counters
+        )
         with structlog.testing.capture_logs() as lines:
             await members.listen()
-            port = core.me.port
+            port = core.local.port
             now[0] += 100.0
             stranger = MessageAuthenticator((key_from_secret(b"x" * 32),), 30_000.0)
             ours = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0)
@@ -155,8 +157,8 @@
                 "a",
                 "127.0.0.1",
                 port,
-                core.me.run_id,
-                core.me.incarnation,
+                core.local.run_id,
+                core.local.incarnation,
                 MemberState.SUSPECT,
                 suspected_by="b",
             )
@@ -177,9 +179,9 @@
             ):
                 members.datagram_received(data, (host, 9))
             members.error_received(OSError())
-            for name in (*core.members, "a", "unknown"):
+            for name in (*core.members.by_name, "a", "unknown"):
                 for change in MemberChange:
-                    members._note(change, name)
+                    members.log_change(change, name)
             members.leave()
         counts = {name: count for name, count in counters.report().items() if name != "members.sent_bytes"}
         return {
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -10,7 +10,7 @@
 from gladewalk.config.platform import ConfigError
 from gladewalk.core.counters import Counters
 from gladewalk.director import Turn
-from gladewalk.members.actions import MemberChange, StartSync
+from gladewalk.members.actions import MemberChange, SendDatagram
 from gladewalk.members.authenticator import (
     OVERHEAD_BYTES,
     DropReason,
@@ -19,7 +19,6 @@
     load_key_ring,
 )
 from gladewalk.members.config import MembershipConfig
-from gladewalk.members.dissemination import Told
 from gladewalk.members.errors import MalformedMessageError
 from gladewalk.members.messages import (
     MAX_DATAGRAM_BYTES,
@@ -33,7 +32,7 @@
 )
 from gladewalk.members.stream import LENGTH
 from gladewalk.members.swim import Membership
-from gladewalk.members.transport import Members
+from gladewalk.members.transport import MembershipTransport
 from gladewalk.net.outside import unix_ms
 from gladewalk.rehearsal.member_network import START_MS, Net, Node, cluster
 from gladewalk.rehearsal.peers import until
@@ -76,12 +75,12 @@
                 {seen.by for seen in net.changes(MemberChange.STALLED, "m2")}, {"m0", "m1", "m3"}
             )
             self.assertEqual(
-                {n: set(net.nodes[n].core.fit()) for n in ("m0", "m1", "m3")},
+                {n: set(net.nodes[n].core.responsive_weights()) for n in ("m0", "m1", "m3")},
                 {n: {"m0", "m1", "m3"} for n in ("m0", "m1", "m3")},
             )
             self.settle(net)
             self.assert_no_deaths(net)
-            self.assertEqual(len(net.nodes["m0"].core.fit()), 4)
+            self.assertEqual(len(net.nodes["m0"].core.responsive_weights()), 4)
 
     def test_one_that_is_stopped_longer_than_it_is_kept_is_dead_and_comes_back(self) -> None:
         for seed in range(20):
@@ -162,7 +161,7 @@
     def test_a_leave_is_no_failure(self) -> None:
         net = cluster(5, 3)
         node = net.nodes["m3"]
-        net.carry_out(node, node.core.leave(net.now))
+        net.carry_out(node, node.core.leave())
         net.kill("m3")
         net.run(1_000.0)
         self.assertEqual(len(net.changes(MemberChange.LEFT, "m3")), 4)
@@ -240,11 +239,11 @@
         net.run(3_000.0)
         twin = self.twin(net, "m9")
         net.run(10_000.0)
-        self.assertEqual((other.core.active, twin.core.active), (True, False))
+        self.assertEqual((other.core.is_active, twin.core.is_active), (True, False))
         self.assertEqual(
             [seen.change for seen in net.changes(MemberChange.NAME_TAKEN)], [MemberChange.NAME_TAKEN]
         )
-        self.assertEqual(net.nodes["m0"].core.members["m9"].address, other.address)
+        self.assertEqual(net.nodes["m0"].core.members.by_name["m9"].address, other.address)
 
     def twin(self, net: Net, name: str) -> Node:
         """Another member under a name that is in use, at another address."""
@@ -367,9 +366,9 @@
     def test_no_datagram_is_too_large_whatever_is_known(self) -> None:
         net = cluster(40, 2, settle_ms=4_000.0)
         for node in net.nodes.values():
-            node.core._tell_some(("10.0.0.1", 1), reply=True)
-            for out in node.core._take():
-                size = len(encode(out.message)) + OVERHEAD_BYTES  # type: ignore[union-attr]
+            for out in node.core.on_sync_failed(("10.0.0.1", 1)):
+                assert isinstance(out, SendDatagram)
+                size = len(encode(out.message)) + OVERHEAD_BYTES
                 self.assertLessEqual(size, MAX_DATAGRAM_BYTES)
 
     def test_noise_is_malformed_and_never_more_than_that(self) -> None:
@@ -420,62 +419,64 @@
 
 
 class Loopback(unittest.IsolatedAsyncioTestCase):
-    async def start(self, name: str, seeds: tuple[tuple[str, int], ...], key: bytes = b"k" * 32) -> Members:
+    async def start(
+        self, name: str, seeds: tuple[tuple[str, int], ...], key: bytes = b"k" * 32
+    ) -> MembershipTransport:
         deadlines = Turn(asyncio.get_running_loop(), unix_ms).deadlines
         address = ("127.0.0.1", 0)
         core = Membership(name, address, seeds, MembershipConfig(), random.Random(name), unix_ms())
         networks = (ipaddress.ip_network("127.0.0.0/8"),)
         seal = MessageAuthenticator((key_from_secret(key),), 30_000.0)
-        members = Members(core, seal, networks, unix_ms, deadlines, Counters())
+        members = MembershipTransport(core, seal, networks, unix_ms, deadlines, Counters())
         await members.listen()
         return members
 
     async def test_members_meet_tell_news_and_see_a_leave_and_a_death(self) -> None:
         first = await self.start("a", ())
-        seeds = (("127.0.0.1", first.core.me.port),)
+        seeds = (("127.0.0.1", first.core.local.port),)
         second, third = await self.start("b", seeds), await self.start("c", seeds)
         all_three = {"a": 1.0, "b": 1.0, "c": 1.0}
-        await until(lambda: all(m.core.live() == all_three for m in (first, second, third)))
+        await until(lambda: all(m.core.live_weights() == all_three for m in (first, second, third)))
         told: list[UserEvent] = []
-        third.heard = told.append
-        first.tell(UserEvent("load/box-1", "a", 1, unix_ms(), "ok", 1.5, {"util": 0.25}))
+        third.on_event = told.append
+        first.publish_event(UserEvent("load/box-1", "a", 1, unix_ms(), "ok", 1.5, {"util": 0.25}))
         await until(lambda: bool(told))
         self.assertEqual((told[0].task, told[0].load), ("load/box-1", {"util": 0.25}))
         second.leave()
-        await until(lambda: first.core.live() == third.core.live() == {"a": 1.0, "c": 1.0})
+        await until(lambda: first.core.live_weights() == third.core.live_weights() == {"a": 1.0, "c": 1.0})
         self.assertEqual(first.counters["members.left"], 1)
-        assert third.transport is not None
+        assert third._transport is not None
         third.close()  # without a word
-        await until(lambda: first.core.live() == {"a": 1.0})
+        await until(lambda: first.core.live_weights() == {"a": 1.0})
         self.assertEqual(first.counters["members.died"], 1)
         first.leave()
 
     async def test_who_has_no_key_or_another_network_is_counted_and_answered_by_nothing(self) -> None:
         member = await self.start("a", ())
-        stranger = await self.start("b", (("127.0.0.1", member.core.me.port),), key=b"x" * 32)
+        stranger = await self.start("b", (("127.0.0.1", member.core.local.port),), key=b"x" * 32)
         await until(lambda: member.counters["members.dropped.unknown_key"] > 0)
         member.networks = (ipaddress.ip_network("10.0.0.0/8"),)
         await until(lambda: member.counters["members.dropped.network"] > 0)
         self.assertEqual(stranger.counters["members.datagrams"], 0)
-        self.assertEqual(member.core.live(), {"a": 1.0})
+        self.assertEqual(member.core.live_weights(), {"a": 1.0})
         member.leave()
         stranger.leave()
 
     async def test_what_datagrams_lost_is_made_good_over_a_stream(self) -> None:
         first = await self.start("a", ())
-        second = await self.start("b", (("127.0.0.1", first.core.me.port),))
-        await until(lambda: len(first.core.live()) == len(second.core.live()) == 2)
-        await until(lambda: not second.streams.begun and not first.streams.begun)
+        second = await self.start("b", (("127.0.0.1", first.core.local.port),))
+        await until(lambda: len(first.core.live_weights()) == len(second.core.live_weights()) == 2)
+        await until(lambda: not second.streams.is_syncing and not first.streams.is_syncing)
         for n in range(300):  # far more than a datagram holds; none of it is ever gossiped
-            first.core.gossip.learn(UserEvent(f"load/box-{n}", "a", 1, unix_ms(), "ok", 1.0))
-        first.core.gossip.fresh = Told()
+            first.core.dissemination.learn_event(UserEvent(f"load/box-{n}", "a", 1, unix_ms(), "ok", 1.0))
+        first.core.dissemination.queued_events.clear()
         told: list[UserEvent] = []
-        second.heard = told.append
-        second.streams.begin(StartSync(("127.0.0.1", first.core.me.port)))
+        second.on_event = told.append
+        second.streams.start_sync(("127.0.0.1", first.core.local.port))
         await until(lambda: len(told) == 300)
-        await until(lambda: not second.streams.begun)
+        await until(lambda: not second.streams.is_syncing)
         before = second.counters["members.exchanges_same"]
-        second.streams.begin(StartSync(("127.0.0.1", first.core.me.port)))
+        second.streams.start_sync(("127.0.0.1", first.core.local.port))
         await until(lambda: second.counters["members.exchanges_same"] == before + 1)
         self.assertEqual(len(told), 300)
         first.leave()
@@ -492,17 +493,17 @@
             (LENGTH.pack(len(good)) + stranger.sign(digest, unix_ms(), 1), "unknown_key"),
             (LENGTH.pack(len(good)) + bytes([*good[:-1], good[-1] ^ 1]), "forged"),
         ):
-            reader, writer = await asyncio.open_connection("127.0.0.1", member.core.me.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", member.core.local.port)
             writer.write(data)
             self.assertEqual(await reader.read(), b"", why)
             self.assertEqual(member.counters[f"members.dropped.{why}"], 1)
             writer.close()
-        reader, writer = await asyncio.open_connection("127.0.0.1", member.core.me.port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", member.core.local.port)
         writer.write(LENGTH.pack(len(good)) + good)
         self.assertGreater(len(await reader.read(4)), 0)
         writer.close()  # in the middle of an exchange
         await until(lambda: member.counters["members.exchanges_broken"] == 1)
-        again, writer = await asyncio.open_connection("127.0.0.1", member.core.me.port)
+        again, writer = await asyncio.open_connection("127.0.0.1", member.core.local.port)
         writer.write(LENGTH.pack(len(good)) + good)  # somebody who has recorded it says it once more
         self.assertEqual(await again.read(), b"")
         self.assertEqual(member.counters["members.dropped.replayed"], 1)
--- a/tests/test_members_busy.py
+++ b/tests/test_members_busy.py
@@ -11,7 +11,7 @@
 from gladewalk.members.actions import ProbeOutcome, SendDatagram
 from gladewalk.members.config import MembershipConfig
 from gladewalk.members.history import wrong_deaths
-from gladewalk.members.loop_delay import FELT_MS, HALF_MS, HOPS, READ_MS, Lateness
+from gladewalk.members.loop_delay import GRACE_FACTOR, HALF_LIFE_MS, MIN_DELAY_MS, READ_MS, LoopDelay
 from gladewalk.members.messages import MemberState
 from gladewalk.rehearsal.member_network import cluster, play
 
@@ -49,12 +49,12 @@
 
 
 def test_a_late_timer_waits_until_what_has_come_is_read_and_never_twice_in_a_row() -> None:
-    late = Lateness(600.0)
-    assert not late.puts_off(1_000.0, 1_000.0 + FELT_MS / 2) and late.ms(1_010.0) == 0.0
-    assert late.puts_off(1_000.0, 1_100.0) and not late.puts_off(1_105.0, 1_205.0)
-    assert late.ms(1_205.0) == 100.0 and late.grace_ms(1_205.0) == HOPS * 100.0
-    assert 45.0 < late.ms(1_205.0 + HALF_MS) < 55.0 and late.ms(1e6) == 0.0
-    assert late.puts_off(2_000.0, 99_000.0) and late.ms(99_000.0) == 600.0  # a stop teaches no more than that
+    late = LoopDelay(600.0)
+    assert not late.defers(1_000.0, 1_000.0 + MIN_DELAY_MS / 2) and late.current_ms(1_010.0) == 0.0
+    assert late.defers(1_000.0, 1_100.0) and not late.defers(1_105.0, 1_205.0)
+    assert late.current_ms(1_205.0) == 100.0 and late.grace_ms(1_205.0) == GRACE_FACTOR * 100.0
+    assert 45.0 < late.current_ms(1_205.0 + HALF_LIFE_MS) < 55.0 and late.current_ms(1e6) == 0.0
+    assert late.defers(2_000.0, 99_000.0) and late.current_ms(99_000.0) == 600.0
 
 
 def test_a_member_reads_before_it_judges() -> None:
@@ -62,32 +62,38 @@
     net = cluster(3, 1)
     net.run(5_000.0)
     core = net.nodes["m0"].core
-    victim = core.members["m1"]
-    core.hear(msgspec.structs.replace(victim.rumour, state=MemberState.SUSPECT, suspected_by="m0"), net.now)
-    core._take()
-    victim.outcome, victim.knocking, victim.asked = ProbeOutcome.UNREACHABLE, False, True
-    late = victim.dead_at_ms + 200.0
-    core.last_ms = late - 300.0  # it was heard of a moment ago: no stop of ours
-    assert core.tick(late) == [] and core.due() == late + READ_MS
-    core.hear(
-        msgspec.structs.replace(victim.rumour, state=MemberState.ALIVE, incarnation=2**40), late + 1.0, "m2"
+    victim = core.members.by_name["m1"]
+    core.gossip.apply(
+        msgspec.structs.replace(victim.update, state=MemberState.SUSPECT, suspected_by="m0"), net.now
+    )
+    core.outbox.take()
+    victim.probe_outcome, victim.is_probe_pending, victim.has_consulted_peers = (
+        ProbeOutcome.UNREACHABLE,
+        False,
+        True,
+    )
+    late = victim.suspicion_ends_ms + 200.0
+    core.last_turn_ms = late - 300.0  # it was heard of a moment ago: no stop of ours
+    assert core.tick(late) == [] and core.next_due_ms() == late + READ_MS
+    core.gossip.apply(
+        msgspec.structs.replace(victim.update, state=MemberState.ALIVE, incarnation=2**40), late + 1.0, "m2"
     )
     core.tick(late + READ_MS)
-    assert core.members["m1"].live
+    assert core.members.by_name["m1"].is_live
 
 
 def test_who_holds_a_suspicion_that_was_refuted_is_corrected_and_asks_before_a_verdict() -> None:
     net = cluster(5, 3)
     net.run(5_000.0)
     judge, other = net.nodes["m2"].core, net.nodes["m3"].core
-    old = judge.members["m0"].rumour
+    old = judge.members.by_name["m0"].update
     newer = msgspec.structs.replace(old, incarnation=old.incarnation + 1)
-    judge.hear(msgspec.structs.replace(old, state=MemberState.SUSPECT, suspected_by="m2"), net.now)
-    other.hear(newer, net.now)
-    judge._take()
-    judge._ask_others(judge.members["m0"])
-    asked = [out for out in judge._take() if isinstance(out, SendDatagram)]
-    assert len(asked) == 3 and all(judge.members["m0"].rumour in out.message.updates for out in asked)
+    judge.gossip.apply(msgspec.structs.replace(old, state=MemberState.SUSPECT, suspected_by="m2"), net.now)
+    other.gossip.apply(newer, net.now)
+    judge.outbox.take()
+    judge.suspicions.consult_peers(judge.members.by_name["m0"], net.now)
+    asked = [out for out in judge.outbox.take() if isinstance(out, SendDatagram)]
+    assert len(asked) == 3 and all(judge.members.by_name["m0"].update in out.message.updates for out in asked)
     told = other.receive(asked[0].message, net.nodes["m2"].address, net.now)
     answers = [
         out.message for out in told if isinstance(out, SendDatagram) and out.to == net.nodes["m2"].address
