--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -10,7 +10,7 @@
 from ..config.platform import ConfigError, read_address
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
-from ..members.seal import Seal, load_keys
+from ..members.authenticator import MessageAuthenticator, load_key_ring
 from ..ops.figures import ENDS
 from ..store.keeper import Keeper
 from .acts import Acts
@@ -109,7 +109,7 @@
     """All that stands behind `[leases]`; `Leases.listen` at the address sets it going."""
     table, told = options.leases, checked(options, name)
     assert table is not None
-    seal = Seal(load_keys(options.file(table.keys)), table.window_ms)
+    seal = MessageAuthenticator(load_key_ring(options.file(table.keys)), table.window_ms)
     clock = LeaseClock(table.clock_rate)
     rng = random.Random(random.SystemRandom().getrandbits(64))
     names, sinks, now = tuple(sorted(told.peers)), told.sink_names(), clock()
