Golden tests of the feed, client and cache protocols and of the log's names

Bytes and names were written by running: lines of the feed as parsed into interface events, the line that follows it, requests to caches, answers to clients of each kind, log events with their fields and counters.

--- /dev/null
+++ b/tests/test_golden_exchange.py
@@ -0,0 +1,352 @@
+"""The feed, client and cache protocols byte for byte, and the names in the log, as version 090a370 has them.
+
+The data in `golden/exchange_*.json` was written by that version; what is read and written now is equal.
+"""
+
+import asyncio
+import json
+import re
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+import structlog
+
+from gladewalk import interface as api
+from gladewalk.config import Address, read
+from gladewalk.counters import Counters
+from gladewalk.exchange import Ask, Attempt, Exchange, Taken
+from gladewalk.net.coordinator import CoordinatorConnection, Feed, Follower
+from gladewalk.rehearsal.peers import (
+    Coordinator,
+    Heard,
+    Rehearsal,
+    ScriptedPeer,
+    config_for,
+    read_message,
+    request,
+    until,
+)
+from gladewalk.upstream.http1 import write_request
+
+from .peers import BYTES, half, hit, miss_then_fill, reset, silent
+
+GOLDEN = Path(__file__).parent / "golden"
+NOW_MS = 1_764_576_000_000.0
+PATH = "/invoke/lot-page/a1?nth=0"
+
+
+def golden(name: str) -> Any:
+    return json.loads((GOLDEN / f"exchange_{name}.json").read_text(encoding="utf-8"))
+
+
+# The coordinator's feed.
+
+
+class RecordingExchange:
+    """Keeps the interface events that lines of the feed are parsed into."""
+
+    def __init__(self) -> None:
+        self.events: list[Any] = []
+
+    def listed(
+        self, event: api.ServerList, addresses: dict[str, Address | None], models: dict[str, str]
+    ) -> None:
+        servers = [
+            [
+                server.name, list(api.Role).index(server.role), server.zone, server.size,
+                list(api.ServerState).index(server.state), server.started_ms, server.cell, server.place,
+            ]
+            for server in event.servers
+        ]  # fmt: skip
+        self.events.append(["list", list(api.ListKind).index(event.kind), servers, addresses, models])
+
+    def purged(self, purge: api.Purge) -> None:
+        self.events.append(["purge", purge.key, purge.group, purge.age_ms])
+
+
+def target(uid: str, **more: Any) -> dict[str, Any]:
+    entry = {"uid": uid, "endpoint": f"10.0.0.1:80{uid[1:]}", "az": "edge-1", "model": "standard"}
+    return {**entry, "pod_group": 2, "state": "SERVING", "capacity_hint": 4, "boot_ms": 12.5, **more}
+
+
+def endpoints(*targets: Any, whole: Any = False) -> dict[str, Any]:
+    return {"endpoints": {"rev": 1, "all": whole, "targets": list(targets)}}
+
+
+FEED_LINES: list[bytes] = [
+    line if isinstance(line, bytes) else json.dumps(line).encode()
+    for line in [
+        {"index": 1, **endpoints(target("c1"), target("c2", model="parent"), whole=True)},
+        {"index": 2, **endpoints(target("c1", state="DRAINING"), {"uid": "c3", "endpoint": "[::1]:81", "state": "SERVING"})},  # noqa: E501
+        {"index": 3, **endpoints({"uid": "c2", "state": "DELETED"})},
+        {"index": 4, **endpoints(target("c4", model="origin", capacity_hint=None, boot_ms=None), whole=True)},
+        {"index": 4, **endpoints(target("c9"))},
+        b"4",
+        b"  4 ",
+        {"index": 5, "evict": {"ref": "7f3a9c21e0b4d655", "unix_ms": NOW_MS - 40.0}},
+        {"index": 6, "evict": {"shard": 3, "unix_ms": NOW_MS + 40.0}},
+        {"index": 7, "evict": {"ref": "a1", "shard": 2, "unix_ms": NOW_MS}, **endpoints(target("c5"))},
+        {"index": 8, "something": "else"},
+        {"index": 10, "evict": {"shard": 3, "unix_ms": NOW_MS}},
+        b"9",
+        b"noise",
+        b"true",
+        b"[]",
+        b'{"index":true}',
+        b'{"index":"9"}',
+        {"index": 9, **endpoints(target("c6"), target("c7", state="NAPPING"), whole=True)},
+        {"index": 9, **endpoints(target("c6"), target("c7", state="NAPPING"), whole=True)},
+        {"index": 9, **endpoints(target("c6"), target("c7", state="NAPPING"), whole=True)},
+        {"index": 9, **endpoints(target("c6"), target("c7", state="NAPPING"), whole=True)},
+        {"index": 10, "evict": {"ref": "xyz", "unix_ms": NOW_MS}},
+        {"index": 10, "evict": {"ref": "b2", "unix_ms": NOW_MS}},
+    ]
+]  # fmt: skip
+
+
+def read_feed() -> dict[str, Any]:
+    """Every line with its result, the last number known then, and the interface events that came of it."""
+    exchange, counters = RecordingExchange(), Counters()
+    config = read({**config_for([], Coordinator(address="127.0.0.1:1")), "known": None}, {})
+    feed = Feed(cast(Exchange, exchange), config, lambda: NOW_MS, counters)
+    steps: list[Any] = []
+    for line in FEED_LINES:
+        good = feed.line(line)
+        steps.append([line.decode(), good, feed.last, exchange.events])
+        exchange.events = []
+    return {"steps": steps, "counters": dict(counters)}
+
+
+class FeedTransport:
+    def __init__(self) -> None:
+        self.written = b""
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+
+class FollowedFeed:
+    last = 1234567
+
+
+class AcceptingFollower:
+    feed = FollowedFeed()
+
+    def begins(self, connection: CoordinatorConnection) -> bool:
+        return True
+
+
+def follow_line() -> str:
+    transport = FeedTransport()
+    connection = CoordinatorConnection(cast(Follower, AcceptingFollower()), ("127.0.0.1", 1))
+    connection.connection_made(cast(asyncio.BaseTransport, transport))
+    return transport.written.decode()
+
+
+def test_lines_of_the_feed_are_parsed_into_the_same_events() -> None:
+    assert json.loads(json.dumps(read_feed())) == golden("feed")
+
+
+def test_the_coordinator_is_asked_in_the_same_words() -> None:
+    assert follow_line() == golden("follow")
+
+
+# Requests to caches.
+
+FETCHES: list[dict[str, Any]] = [
+    {},
+    {"source": "p1"},
+    {"source": "p1", "rank": 0, "max_age_ms": 0.4},
+    {"source": "p1", "rank": 3, "max_age_ms": 20_000.7, "join": True},
+    {"held_only": True},
+    {"source": "o", "join": True, "parent_keeps": False, "renew": True, "held_only": True},
+]
+
+
+def requests_to_caches() -> list[str]:
+    """The bytes of a lookup, of fetches of every form, of a conditional request and of a write."""
+    read_ask = Ask("9b1f03aa5c7e2d41", "GET", "lot-page", "7F3a", 0x7F3A, 3, 3000.0)
+    conditional = Ask("00c0ffee00c0ffee", "GET", "lot-page", "a1", 0xA1, 0, 3000.0, tag="4be0")
+    write = Ask(
+        "9b1f03aa5c7e2d41", "PUT", "bid", "b1", 0xB1, 0, 3000.0, body=b"12 boxes", replay_key="k;1",
+        is_retry=True,
+    )  # fmt: skip
+    orders: list[tuple[Ask, api.Lookup | api.Fetch]] = [
+        (ask, api.Lookup(1, "c1")) for ask in (read_ask, conditional, write)
+    ]
+    orders += [(read_ask, api.Fetch(1, "c1", **{"source": "c1", **fetch})) for fetch in FETCHES]
+    orders += [(conditional, api.Fetch(1, "c1", "p1")), (write, api.Fetch(1, "o", "o", rank=0))]
+    written = []
+    for ask, order in orders:
+        taken = Taken(1, ask, cast(Any, None), NOW_MS, NOW_MS + 3000.0)
+        attempt = Attempt(taken, 0, order, NOW_MS, NOW_MS + 2500.4)
+        written += [write_request(attempt, now_ms).decode() for now_ms in (NOW_MS, NOW_MS + 9000.0)]
+    return written
+
+
+def test_caches_are_sent_the_same_requests() -> None:
+    assert requests_to_caches() == golden("requests")
+
+
+# Answers to clients.
+
+
+async def chunked(heard: Heard) -> None:
+    heard.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTag: 4be0\r\n\r\n")
+    heard.writer.write(b"3\r\nabc\r\n")
+    await heard.writer.drain()
+    heard.writer.write(b"0\r\n\r\n")
+
+
+async def short(heard: Heard) -> None:
+    await heard.answer(200, b"abc", Tag="4be0")
+
+
+async def bare(heard: Heard) -> None:
+    await heard.answer(200, b"abc")
+
+
+async def unchanged(heard: Heard) -> None:
+    await heard.answer(304, Tag="4be0")
+
+
+EXCHANGES: dict[str, tuple[Any, dict[str, Any], list[bytes]]] = {
+    "200": (short, {}, [request(PATH)]),
+    "200 without a tag": (bare, {}, [request(PATH)]),
+    "200 chunked": (chunked, {}, [request(PATH)]),
+    "200 and the last": (short, {}, [request(PATH, Connection="close")]),
+    "304": (unchanged, {}, [request(PATH, If_None_Match='W/"4be0"')]),
+    "refused": (hit, {"state": "DRAINING"}, [request(PATH)]),
+    "failed": (silent, {}, [request(PATH, wait_ms=150.0)]),
+    "cut": (half, {}, [request(PATH)]),
+    "health": (hit, {}, [request("/_health")]),
+    "400 object": (hit, {}, [request("/invoke/lot-page/xyz")]),
+    "400 part": (hit, {}, [request("/invoke/lot-page/a1?nth=-1")]),
+    "400 trace": (hit, {}, [request(PATH, trace="12")]),
+    "400 patience": (hit, {}, [request(PATH, wait_ms=float("nan"))]),
+    "400 noise": (hit, {}, [b"\x16\x03\x01\r\n\r\n"]),
+    "400 two lengths": (hit, {}, [request(PATH, Content_Length="4", content_length="5")]),
+    "404 path": (hit, {}, [request("/elsewhere")]),
+    "404 class": (hit, {}, [request("/invoke/no-such-class/a1")]),
+    "405 method": (hit, {}, [request(PATH, method="DELETE")]),
+    "405 read of a write": (hit, {}, [request("/invoke/bid/a1")]),
+    "413": (hit, {}, [request("/invoke/bid/b1", method="PUT", body=b"x" * 70_000)]),
+    "431": (hit, {}, [request(PATH + "&x=" + "y" * 20_000)]),
+    "several": (short, {}, [request(PATH), request("/_health"), request("/elsewhere"), request(PATH)]),
+    "100": (reset, {}, [request("/invoke/bid/b1", method="PUT", Content_Length="2", Expect="100-continue")]),
+}
+
+
+async def answers_of(world: Rehearsal, asked: list[bytes]) -> str:
+    """All that comes back on one connection, until as many answers have come as were asked for."""
+    reader, writer = await world.client()
+    writer.write(b"".join(asked))
+    told = b""
+    try:
+        for _ in asked:
+            head = await reader.readuntil(b"\r\n\r\n")
+            told += head
+            if b"Transfer-Encoding" in head:
+                told += await reader.readuntil(b"0\r\n\r\n")
+            elif length := re.search(rb"Content-Length: (\d+)", head):
+                told += await reader.readexactly(int(length[1]))
+    except asyncio.IncompleteReadError as error:
+        told += error.partial + b"<end>"
+    except ConnectionError:
+        told += b"<reset>"
+    writer.close()
+    return told.decode("latin-1")
+
+
+async def answer_to(name: str) -> str:
+    script, more, asked = EXCHANGES[name]
+    async with Rehearsal([ScriptedPeer(script, **more)]) as world:
+        await until(lambda: world.director is not None and world.director.readiness.synced)
+        return await answers_of(world, asked)
+
+
+async def answer_before_the_feed() -> str:
+    """A health check's answer while the coordinator has not said anything yet."""
+    answering = asyncio.Event()
+    async with Rehearsal([], coordinator=Coordinator(answering=answering)) as world:
+        answer = await answers_of(world, [request("/_health")])
+        answering.set()
+        await until(lambda: world.director is not None and world.director.readiness.synced)
+        return answer
+
+
+async def refusals(hold_off: bool) -> list[str]:
+    """Refusals, each with the time after which the module says that it is worth coming back."""
+    told = []
+    async with Rehearsal([ScriptedPeer(hit)]) as world:
+        assert world.director is not None
+        exchange, front = world.director.exchange, world.director.front
+        front.hold_off = hold_off
+        for retry_after_ms in (0.0, 0.4, 140.0, 999.5, 1000.0, 2300.7):
+
+            def refuse(now_ms: float, event: api.Event, wait_ms: float = retry_after_ms) -> list[api.Action]:
+                return [api.Refuse(event.id, wait_ms)] if isinstance(event, api.Request) else []
+
+            exchange.core.handle = refuse  # type: ignore[method-assign, assignment]
+            told.append(await answers_of(world, [request(PATH)]))
+    return told
+
+
+@pytest.mark.parametrize("name", EXCHANGES)
+def test_clients_get_the_same_answers(name: str) -> None:
+    assert asyncio.run(answer_to(name)) == golden("answers")[name]
+
+
+def test_a_health_check_before_the_feed_gets_the_same_answer() -> None:
+    assert asyncio.run(answer_before_the_feed()) == golden("unready")
+
+
+@pytest.mark.parametrize("hold_off", [False, True])
+def test_refused_clients_get_the_same_advice(hold_off: bool) -> None:
+    assert asyncio.run(refusals(hold_off)) == golden("refusals")[str(hold_off)]
+
+
+# Names in the log.
+
+
+async def story() -> dict[str, Any]:
+    """What a director writes to its log over a short life, and the names in its line of counters."""
+    cache, parent = ScriptedPeer(miss_then_fill), ScriptedPeer(hit, "p1", "parent", "north")
+    with structlog.testing.capture_logs() as lines:
+        async with Rehearsal([cache, parent]) as world:
+            director = world.director
+            assert director is not None
+            await until(lambda: director.readiness.synced)
+            assert (await world.ask(PATH))[2] == BYTES
+            for path in ("/elsewhere", "/invoke/lot-page/xyz", "/invoke/bid/a1"):
+                await world.ask(path)
+            world.coordinator.tell(evict={"ref": "a1", "unix_ms": 1.0})
+            await until(lambda: director.feed.last == 2)
+            world.coordinator.cut()
+            await until(lambda: len(world.coordinator.follows) == 2)
+            raw = config_for([cache, parent], world.coordinator)
+            director.apply(read({**raw, "listen": "127.0.0.1:1"}, {}))
+            director.reload()
+            director.report()
+            director.stop()
+            for state in ("DRAINING", "DRAINING"):
+                cache.state = parent.state = state
+            world.coordinator.tell_list(cache, parent)
+            await until(lambda: director.feed.last == 3)
+            reader, writer = await world.client()
+            writer.write(request(PATH))
+            await read_message(reader)
+            writer.close()
+            await until(lambda: not director.front.connections)
+            director.report()
+    return {
+        "events": [
+            [line["event"], line["log_level"], sorted(set(line) - {"event", "log_level"})] for line in lines
+        ],
+    }
+
+
+def test_the_log_has_the_same_events_fields_and_counters(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("NODE_CONFIG", "")
+    assert asyncio.run(story()) == golden("log")
