--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -154,7 +154,7 @@
             self.keeper.restore(self.feed)
             self.keeper.start(self.feed)
         self.follower.on_settled = self._synced
-        self.exchange.hold()
+        self.exchange.hold_requests()
         self.deadlines.add(self.clock() + self.sync_most_ms, self._synced)
         self.follower.connect()
         self.caches.sweep()
@@ -310,7 +310,7 @@
     def stop(self) -> None:
         if not self._stopping:
             self._stopping = True
-            self.log.info("stopping", owed=self.exchange.owed)
+            self.log.info("stopping", owed=self.exchange.unanswered_count)
             self.readiness.stopping = True
             self.readiness.start_drain(self.clock())
             if self.leases is not None:  # handed on at once: another may act while this one finishes
@@ -318,13 +318,15 @@
             if self.config.inherited_fd is not None:  # the listener's other holders take what comes now
                 self.front.stop_taking()
             self._last_ms = answered_by_ms(self.clock(), self._patience_ms())
-            self.exchange.end_by(self._last_ms)
+            self.exchange.answer_all_by(self._last_ms)
             self.deadlines.add(self.clock() + ACCEPT_MS, self._close)
 
     def report(self) -> None:
         now = {
-            "now.owed": self.exchange.owed,
-            "now.passing": sum(taken.winner is not None for taken in self.exchange.taken.values()),
+            "now.owed": self.exchange.unanswered_count,
+            "now.passing": sum(
+                opened.serving_attempt is not None for opened in self.exchange.open_requests.values()
+            ),
             "now.waiting": len(self.exchange.core.parked),
             "now.clients": len(self.front.connections),
             "now.upstream": len(self.caches.live),
@@ -335,7 +337,7 @@
     def _synced(self) -> None:
         if not self.readiness.synced:
             self.readiness.synced = True
-            self.exchange.release()
+            self.exchange.release_held()
             heard = self.follower.on_settled is None
             self.counters.add("coordinator.heard_at_start" if heard else "coordinator.late_at_start")
 
@@ -354,7 +356,7 @@
     def _wait_for_last(self) -> None:
         """Every open request has a deadline of its own, and so has the whole: this ends."""
         web_owes = self.web is not None and self.web.owed
-        owed = self.exchange.owed or self.exchange.asked or web_owes
+        owed = self.exchange.unanswered_count or self.exchange.open_resolutions or web_owes
         if owed or (not self.front.is_done() and self.clock() < self._last_ms):
             self.deadlines.add(self.clock() + LINGER_MS, self._wait_for_last)
         else:
--- a/gladewalk/dns/datagrams.py
+++ b/gladewalk/dns/datagrams.py
@@ -76,7 +76,7 @@
         self.front.receive(data, Datagram(self, address))
         ended = time.perf_counter()
         rest = self.share.spend((ended - began) * 1_000.0, ended * 1_000.0)
-        if self.front.exchange.owed:
+        if self.front.exchange.unanswered_count:
             self.busy_until = ended + BUSY_S
         if rest > 0.0 and ended > self.busy_until:  # nobody else wants the time
             self.share.forgive()
--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -65,10 +65,10 @@
         self.front, self.asked, self.found, self.zone, self.sender = front, asked, found, zone, sender
         self.name = name
 
-    def named(self, boxes: Sequence[tuple[str, Address]], ttl_ms: float) -> None:
+    def resolved(self, boxes: Sequence[tuple[str, Address]], ttl_ms: float) -> None:
         self.front.pointed(self, boxes, ttl_ms)
 
-    def refused(self) -> None:
+    def rejected(self) -> None:
         self.asked.why = NOT_READY
         self.front.fail(self.asked, self.sender, dns.rcode.SERVFAIL)
 
@@ -149,7 +149,8 @@
 
     async def listen(self) -> None:
         loop, config = asyncio.get_running_loop(), self._config
-        if config.assume_worst and self.exchange.lasting is None:  # nobody knows what our last run gave out
+        # Without a store nobody knows what our last run gave out.
+        if config.assume_worst and self.exchange.persist_resolution is None:
             self.exchange.core.names().assume_the_worst(self.exchange.clock() + LEASE_MS)
         tcp = await loop.create_server(lambda: self.streams.connection(Via.TCP), *config.listen)
         host, port = tcp.sockets[0].getsockname()[:2]
@@ -231,7 +232,7 @@
         self.reply(asked, sender, self.answers.of_found(asked, found))
 
     def _locate(self, asked: Asked, found: Found, zone: Zone, sender: Sender) -> None:
-        if len(self.exchange.asked) >= OPEN_MOST:
+        if len(self.exchange.open_resolutions) >= OPEN_MOST:
             self.counters.add("dns.open_most")
             asked.why = NOT_READY
             return self.fail(asked, sender, dns.rcode.SERVFAIL)
@@ -241,7 +242,7 @@
         self.weights.ask(asked.peer, name, now)
         transfer_ms = self.exchange.core.work_ms[wanted.class_name]
         weight = self.weights.weight(asked.peer, transfer_ms, now)
-        self.exchange.locate(
+        self.exchange.resolve(
             Question(self, asked, found, zone, sender, name),
             config.wait_ms,
             lambda number: api.Locate(
--- a/gladewalk/duties/kinds.py
+++ b/gladewalk/duties/kinds.py
@@ -32,7 +32,7 @@
     def learn(
         self, name: str, status: api.Status, took_ms: float, load: dict[str, float] | None, age_ms: float
     ) -> None:
-        self.exchange.feed(api.ProbeResult(name, status, took_ms, load, age_ms))
+        self.exchange.handle_event(api.ProbeResult(name, status, took_ms, load, age_ms))
 
 
 class ProbeBoxes(Asked):
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -1,7 +1,7 @@
-"""Where client side and server side meet: open requests, their attempts, and the decision module's turn.
+"""The exchange: open requests, their attempts, and the calls of the decision module.
 
-The exchange knows no wire. It gives the module its events, carries out the module's actions, holds the
-deadlines, and keeps one promise by itself: every request that was taken gets one final answer, never two.
+The exchange knows no wire format. It hands events to the module, carries out the module's actions, keeps the
+deadlines, and guarantees by itself that every accepted request gets exactly one final answer.
 """
 
 from __future__ import annotations
@@ -9,24 +9,47 @@
 import math
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 
 from . import interface as api
 from .config import Address, Config
 from .counters import Counters
 from .deadlines import Deadlines, Key
 from .ops.figures import final_counter
-from .parties import Ask, Asker, Attempt, Client, End, Final, Head, Taken, Upstreams
+from .parties import (
+    Attempt,
+    AttemptResult,
+    ClientRequest,
+    FinalAnswer,
+    OpenRequest,
+    ResolveResponder,
+    ResponseHead,
+    ResponseWriter,
+    UpstreamPool,
+)
 from .policy import Dispatcher
 
 __all__ = [
-    "Ask", "Asker", "Attempt", "Client", "End", "Exchange", "Final", "Head", "Taken", "Upstreams",
+    "Attempt", "AttemptResult", "ClientRequest", "Exchange", "FinalAnswer", "OpenRequest", "ResolveResponder",
+    "ResponseHead", "ResponseWriter", "UpstreamPool",
 ]  # fmt: skip
 
-TURN_MS = 20.0  # a turn of the loop takes no longer, as a rule: what came before it has been read
-MARGIN_MS = 60.0  # a final answer leaves this long before its deadline: a busy turn of the loop takes as long
+LOOP_TURN_MS = 20.0  # a usual turn of the event loop is shorter: whatever came before it has been read
+ANSWER_MARGIN_MS = 60.0  # a final answer leaves this long before its deadline, as a busy loop may be late
+
+
+@dataclass(slots=True)
+class OpenResolution:
+    """A resolve request without its answer."""
+
+    question: api.Locate
+    responder: ResolveResponder
+    timer: Key
 
 
 class Exchange:
+    """Connects client side, server side and decision module; single-threaded, called from the event loop."""
+
     def __init__(
         self,
         config: Config,
@@ -37,276 +60,307 @@
     ) -> None:
         self.core = Dispatcher(config.settings, config.seed)
         self.clock, self.deadlines, self.counters, self.log = clock, deadlines, counters, log
-        self.upstreams: Upstreams | None = None
-        # Goes on with an answer to a question once what it promises lasts; None: at once.
-        self.lasting: Callable[[api.Locate, Sequence[str], Callable[[], None]], None] | None = None
-        self.taken: dict[int, Taken] = {}
-        self.owed = 0  # requests without their final answer
-        self.asked: dict[int, tuple[api.Locate, Asker, Key]] = {}  # questions without their answer
-        self._numbers = 0
+        self.upstreams: UpstreamPool | None = None
+        # Calls back once what a resolution promises is durable; None: it is answered at once.
+        self.persist_resolution: Callable[[api.Locate, Sequence[str], Callable[[], None]], None] | None = None
+        self.open_requests: dict[int, OpenRequest] = {}
+        self.unanswered_count = 0  # requests without their final answer
+        self.open_resolutions: dict[int, OpenResolution] = {}
+        self._last_number = 0
         self._events: deque[api.Event] = deque()
-        self._busy = False
-        self._over: list[int] = []
-        self.last_ms = math.inf  # by when every request has its final answer, whatever its client's patience
-        self.held: list[Taken] | None = None  # requests taken that the module is not yet to see
-
-    # What the client side says.
-
-    def take(self, ask: Ask, client: Client) -> int:
-        self._numbers += 1
-        now, number = self.clock(), self._numbers
-        taken = self.taken[number] = Taken(number, ask, client, now, now + ask.wait_ms)
-        self.owed += 1
+        self._is_handling = False
+        self._finished: list[int] = []
+        self.final_deadline_ms = math.inf  # when every request is answered, whatever its client's patience
+        self.held_requests: list[OpenRequest] | None = None  # accepted, not yet shown to the module
+
+    # Called by the client side.
+
+    def submit(self, request: ClientRequest, client: ResponseWriter) -> int:
+        """Accepts a request; returns the number by which the client side refers to it."""
+        self._last_number += 1
+        now, number = self.clock(), self._last_number
+        opened = self.open_requests[number] = OpenRequest(
+            number, request, client, now, now + request.max_wait_ms
+        )
+        self.unanswered_count += 1
         self.counters.add("requests.taken")
-        taken.deadline_ms = min(self.last_ms, taken.deadline_ms - min(MARGIN_MS, ask.wait_ms / 8.0))
-        taken.due = self.deadlines.add(taken.deadline_ms, lambda: self._time_up(taken))
-        if self.held is not None:
-            self.held.append(taken)
+        margin_ms = min(ANSWER_MARGIN_MS, request.max_wait_ms / 8.0)
+        opened.deadline_ms = min(self.final_deadline_ms, opened.deadline_ms - margin_ms)
+        opened.timer = self.deadlines.add(opened.deadline_ms, lambda: self._request_timed_out(opened))
+        if self.held_requests is not None:
+            self.held_requests.append(opened)
         else:
-            self._offer(taken, now)
+            self._offer(opened, now)
         return number
 
-    def end_by(self, when_ms: float) -> None:
-        """All that is open, and what comes yet, has its final answer by then."""
-        self.last_ms = when_ms
-        for taken in [taken for taken in self.taken.values() if not taken.answered]:
-            if taken.deadline_ms > when_ms:
-                taken.deadline_ms = when_ms
-                self.deadlines.drop(taken.due)
-                taken.due = self.deadlines.add(when_ms, lambda taken=taken: self._cut_short(taken))  # type: ignore[misc]
+    def answer_all_by(self, when_ms: float) -> None:
+        """Shortens the deadline of every open and future request to `when_ms`."""
+        self.final_deadline_ms = when_ms
+        for opened in [opened for opened in self.open_requests.values() if not opened.is_answered]:
+            if opened.deadline_ms > when_ms:
+                opened.deadline_ms = when_ms
+                self.deadlines.drop(opened.timer)
+                opened.timer = self.deadlines.add(when_ms, lambda opened=opened: self._cut_short(opened))  # type: ignore[misc]
 
-    def hold(self) -> None:
-        """Requests wait for `release` before the module sees them: it may know less than has been told.
+    def hold_requests(self) -> None:
+        """Keeps new requests from the module until `release_held`, as its server list may be stale.
 
-        Their deadlines run meanwhile; one that falls due is failed as ever.
+        Their deadlines run meanwhile; one that falls due is failed as usual.
         """
-        if self.held is None:
-            self.held = []
+        if self.held_requests is None:
+            self.held_requests = []
 
-    def release(self) -> None:
-        """The module sees the requests held, in their order, with the time that they have left now."""
-        held, self.held = self.held or [], None
+    def release_held(self) -> None:
+        """Shows the module the requests held, in order of arrival, with the time that they have left now."""
+        held, self.held_requests = self.held_requests or [], None
         now = self.clock()
-        for taken in held:
-            if not taken.answered:
-                self._offer(taken, now)
+        for opened in held:
+            if not opened.is_answered:
+                self._offer(opened, now)
 
-    def _offer(self, taken: Taken, now: float) -> None:
-        ask = taken.ask
-        self.feed(
+    def _offer(self, opened: OpenRequest, now: float) -> None:
+        request = opened.request
+        self.handle_event(
             api.Request(
-                id=taken.number,
-                class_name=ask.class_name,
-                key=ask.key,
-                time_left_ms=taken.deadline_ms - now,
-                size_kb=ask.size_kb,
-                group=ask.group,
-                part=ask.part,
-                is_repeat=ask.is_retry,
-                is_write=ask.method == "PUT",
-                replay_key=ask.replay_key,
+                id=opened.number,
+                class_name=request.class_name,
+                key=request.key,
+                time_left_ms=opened.deadline_ms - now,
+                size_kb=request.size_kb,
+                group=request.group,
+                part=request.part,
+                is_repeat=request.is_retry,
+                is_write=request.method == "PUT",
+                replay_key=request.idempotency_key,
             )
         )
 
-    def gone(self, number: int) -> None:
-        """The client stopped waiting: nothing is owed, and no work shall go on for it."""
-        taken = self.taken.get(number)
-        if taken is None or taken.answered:
+    def client_disconnected(self, number: int) -> None:
+        """Ends a request whose client has gone: no answer is owed, and its attempts are cancelled."""
+        opened = self.open_requests.get(number)
+        if opened is None or opened.is_answered:
             return
         self.counters.add("requests.left_by_client")
-        self._close(taken)
-        self._forget(taken)
-        self._call_off(taken)
+        self._close(opened)
+        self._forget(opened)
+        self._cancel_all(opened)
 
     def flow(self, number: int, on: bool) -> None:
-        """The client's connection is full, or has room again: so the cache's answer waits, or goes on."""
-        taken = self.taken.get(number)
-        if taken is not None and taken.winner is not None and self.upstreams is not None:
-            self.upstreams.flow(taken.winner, on)
-
-    def locate(self, asker: Asker, wait_ms: float, ask: Callable[[int], api.Locate]) -> None:
-        """Where to fetch an object: one answer, at once or by the deadline."""
-        self._numbers += 1
-        number, question = self._numbers, ask(self._numbers)
+        """Pauses or resumes (`on`) the response that is being passed on, as the client's buffer fills."""
+        opened = self.open_requests.get(number)
+        if opened is not None and opened.serving_attempt is not None and self.upstreams is not None:
+            self.upstreams.flow(opened.serving_attempt, on)
+
+    def resolve(
+        self, responder: ResolveResponder, max_wait_ms: float, make_question: Callable[[int], api.Locate]
+    ) -> None:
+        """Asks the module where to fetch an object; `responder` gets one answer, within `max_wait_ms`."""
+        self._last_number += 1
+        number, question = self._last_number, make_question(self._last_number)
         self.counters.add("locates.taken")
-        due = self.deadlines.add(self.clock() + wait_ms, lambda: self._locate_late(number))
-        self.asked[number] = (question, asker, due)
-        self.feed(question)
+        timer = self.deadlines.add(self.clock() + max_wait_ms, lambda: self._resolution_timed_out(number))
+        self.open_resolutions[number] = OpenResolution(question, responder, timer)
+        self.handle_event(question)
 
-    def _locate_late(self, number: int) -> None:
+    def _resolution_timed_out(self, number: int) -> None:
         self.counters.add("locates.late")
-        self._refuse_locate(number)
-        self.feed(api.ClientGone(number))
+        self._reject_resolution(number)
+        self.handle_event(api.ClientGone(number))
 
-    def _refuse_locate(self, number: int) -> None:
-        _, asker, due = self.asked.pop(number)
-        self.deadlines.drop(due)
-        asker.refused()
+    def _reject_resolution(self, number: int) -> None:
+        resolution = self.open_resolutions.pop(number)
+        self.deadlines.drop(resolution.timer)
+        resolution.responder.rejected()
 
-    def _name(self, action: api.Name) -> None:
-        if self.lasting is not None and action.servers:
-            return self.lasting(self.asked[action.id][0], action.servers, lambda: self._answer_named(action))
-        self._answer_named(action)
+    def _persist_and_answer(self, action: api.Name) -> None:
+        if action.id not in self.open_resolutions:
+            return
+        if self.persist_resolution is None or not action.servers:
+            return self._answer_resolution(action)
+        question = self.open_resolutions[action.id].question
+        self.persist_resolution(question, action.servers, lambda: self._answer_resolution(action))
 
-    def _answer_named(self, action: api.Name) -> None:
-        if action.id not in self.asked:  # its time was up while its lease was written
+    def _answer_resolution(self, action: api.Name) -> None:
+        if action.id not in self.open_resolutions:  # it timed out while its lease was written
             return
         assert self.upstreams is not None
-        question, asker, due = self.asked[action.id]
-        boxes = []
+        resolution = self.open_resolutions[action.id]
+        servers = []
         for server in action.servers:
-            if not self.core.may_name(question, server):
-                return self.feed(question)  # a drain or a purge was told since: it is decided anew
+            if not self.core.may_name(resolution.question, server):
+                return self.handle_event(resolution.question)  # drained or purged since: decided again
             if (address := self.upstreams.address(server)) is not None:
-                boxes.append((server, address))
-        del self.asked[action.id]
-        self.deadlines.drop(due)
+                servers.append((server, address))
+        del self.open_resolutions[action.id]
+        self.deadlines.drop(resolution.timer)
         self.counters.add("locates.named")
-        asker.named(boxes, action.ttl_ms)
+        resolution.responder.resolved(servers, action.ttl_ms)
 
-    # What the server side says.
+    # Called by the server side.
 
     def may_write(self, attempt: Attempt) -> bool:
-        """Asked as an attempt's first byte is written.
+        """Whether an attempt may still be sent; asked just before its first byte is written.
 
-        Guards against work for a client that left while its request waited: its end may lie unread behind a
-        long turn of the loop, so that who waited longer than a turn takes is asked.
+        Avoids work for a client that disconnected while its request waited: the end of its connection may lie
+        unread behind a long turn of the loop, so the socket is asked once a request is older than a turn.
         """
-        taken, now = attempt.taken, self.clock()
-        if not taken.answered and now > taken.since_ms + TURN_MS and taken.client.has_left():
-            self.gone(taken.number)
-        return not taken.answered and self.core.may_write(taken.number, attempt.number, now)
-
-    def head(self, attempt: Attempt, head: Head) -> bool:
-        """A good answer begins. False: it is not wanted, and the attempt has been ended."""
-        taken = attempt.taken
-        if taken.answered or taken.winner is not None:
+        opened, now = attempt.open_request, self.clock()
+        waited_long = now > opened.received_ms + LOOP_TURN_MS
+        if not opened.is_answered and waited_long and opened.client.is_disconnected():
+            self.client_disconnected(opened.number)
+        return not opened.is_answered and self.core.may_write(opened.number, attempt.number, now)
+
+    def response_started(self, attempt: Attempt, head: ResponseHead) -> bool:
+        """Begins to pass on a successful response; False if it is not wanted and the attempt was ended."""
+        opened = attempt.open_request
+        if opened.is_answered or opened.serving_attempt is not None:
             self._cancel(attempt)
             return False
-        taken.winner = attempt
-        # Guards against a cut of our own midway: what has begun has until its client's deadline.
-        self.deadlines.drop(attempt.due)
-        attempt.due = None
-        taken.client.begin(head)
-        self.feed(
-            api.FirstByte(taken.number, attempt.number, attempt.order.server, self.clock() - attempt.sent_ms)
-        )
+        opened.serving_attempt = attempt
+        # The attempt's own timeout must not cut a response midway: it has until its client's deadline.
+        self.deadlines.drop(attempt.timer)
+        attempt.timer = None
+        opened.client.start_response(head)
+        took_ms = self.clock() - attempt.started_ms
+        self.handle_event(api.FirstByte(opened.number, attempt.number, attempt.order.server, took_ms))
         return True
 
-    def body(self, attempt: Attempt, data: bytes) -> None:
-        if attempt.taken.winner is attempt and not attempt.taken.answered:
-            attempt.taken.client.body(data)
+    def response_body(self, attempt: Attempt, data: bytes) -> None:
+        """Passes on a piece of the body, if this attempt's response is the one that is passed on."""
+        opened = attempt.open_request
+        if opened.serving_attempt is attempt and not opened.is_answered:
+            opened.client.write_body(data)
 
-    def ended(self, attempt: Attempt, end: End) -> None:
-        taken = attempt.taken
-        if taken.out.pop(attempt.number, None) is None:
+    def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Records an attempt's end, ends the response that it served, and reports it to the module."""
+        opened = attempt.open_request
+        if opened.attempts.pop(attempt.number, None) is None:
             return
-        self.deadlines.drop(attempt.due)
-        self.counters.add(f"attempts.{end.status.value}")
-        if taken.winner is attempt and not taken.answered:
-            whole = end.status is api.Status.OK
-            self.counters.add("answers.served" if whole else "answers.cut")
-            self.counters.add(final_counter(taken.ask.class_name, "completed" if whole else "failed"))
-            self._close(taken)
-            if whole:
-                taken.client.end()
+        self.deadlines.drop(attempt.timer)
+        self.counters.add(f"attempts.{result.status.value}")
+        if opened.serving_attempt is attempt and not opened.is_answered:
+            is_complete = result.status is api.Status.OK
+            self.counters.add("answers.served" if is_complete else "answers.cut")
+            end = "completed" if is_complete else "failed"
+            self.counters.add(final_counter(opened.request.class_name, end))
+            self._close(opened)
+            if is_complete:
+                opened.client.end_response()
             else:
-                taken.client.cut()
-        self._forget(taken)
-        self.feed(
+                opened.client.abort_response()
+        self._forget(opened)
+        self.handle_event(
             api.Outcome(
-                id=taken.number,
+                id=opened.number,
                 attempt=attempt.number,
                 server=attempt.order.server,
-                status=end.status,
-                took_ms=self.clock() - attempt.sent_ms,
-                closed=taken.answered,
-                note=end.note,
-                waited_ms=end.waited_ms,
-                load=end.load,
+                status=result.status,
+                took_ms=self.clock() - attempt.started_ms,
+                closed=opened.is_answered,
+                note=result.note,
+                waited_ms=result.waited_ms,
+                load=result.load,
             )
         )
 
-    # What the coordinator says.
+    # Called by the coordinator's feed.
 
-    def listed(
+    def update_servers(
         self, event: api.ServerList, addresses: dict[str, Address | None], models: Mapping[str, str]
     ) -> None:
+        """Takes a watch event: addresses to the pool, servers to the module."""
         if self.upstreams is not None:
             if event.kind is not api.ListKind.CHANGES:
                 self.upstreams.keep_only(addresses)
             for name, address in addresses.items():
-                self.upstreams.locate(name, address, models.get(name, ""))
-        self.feed(event)
+                self.upstreams.set_address(name, address, models.get(name, ""))
+        self.handle_event(event)
+
+    def purge(self, event: api.Purge) -> None:
+        """Takes a purge of an object or a group."""
+        self.handle_event(event)
 
-    def purged(self, purge: api.Purge) -> None:
-        self.feed(purge)
+    # The decision module.
 
-    # The module's turn.
+    def handle_event(self, event: api.Event) -> None:
+        """Hands an event to the module and carries out its actions.
 
-    def feed(self, event: api.Event) -> None:
-        """Give the module an event; what its actions bring about at once waits until they are done."""
+        Not recursive: events that an action causes at once are queued until the action is done.
+        """
         self._events.append(event)
-        if self._busy:
+        if self._is_handling:
             return
-        self._busy = True
+        self._is_handling = True
         try:
             while self._events:
                 for action in self.core.handle(self.clock(), self._events.popleft()):
                     self._carry_out(action)
         finally:
-            self._busy = False
-        while self._over:
-            self.taken.pop(self._over.pop(), None)
+            self._is_handling = False
+        while self._finished:
+            self.open_requests.pop(self._finished.pop(), None)
 
     def _carry_out(self, action: api.Action) -> None:
-        assert self.upstreams is not None
         match action:
             case api.Lookup() | api.Fetch():
                 self._start(action)
             case api.Name():
-                if action.id in self.asked:
-                    self._name(action)
-            case api.Refuse() if action.id in self.asked:
-                self._refuse_locate(action.id)
+                self._persist_and_answer(action)
             case api.Refuse():
-                self._finish(action.id, Final.REFUSED, action.retry_after_ms)
+                self._reject(action)
             case api.Fail():
-                self._finish(action.id, Final.FAILED)
+                self._finish(action.id, FinalAnswer.FAILED)
             case api.Cancel():
-                taken = self.taken.get(action.id)
-                if taken is not None and action.attempt in taken.out:
-                    self._cancel(taken.out[action.attempt])
+                self._cancel_attempt(action)
             case api.SetTimer():
-                token = action.token
-                self.deadlines.add(self.clock() + action.delay_ms, lambda: self.feed(api.Timer(token)))
-            case api.Probe():
-                name = action.server
-                self.counters.add("probes.sent")
-                self.upstreams.probe(
-                    name, lambda status, took, load: self.feed(api.ProbeResult(name, status, took, load))
-                )
-            case api.CloseIdle():
-                self.upstreams.close_idle(action.server)
+                self._set_timer(action)
             case api.Log():
                 self.log(action.line)
+            case api.Probe() | api.CloseIdle():
+                self._maintain_server(action)
             case api.Tell() | api.Watch() | api.FetchList():
                 self.counters.add("module.action_without_use")  # no peers here, and the list is pushed
 
+    def _reject(self, action: api.Refuse) -> None:
+        if action.id in self.open_resolutions:
+            self._reject_resolution(action.id)
+        else:
+            self._finish(action.id, FinalAnswer.REJECTED, action.retry_after_ms)
+
+    def _cancel_attempt(self, action: api.Cancel) -> None:
+        opened = self.open_requests.get(action.id)
+        if opened is not None and action.attempt in opened.attempts:
+            self._cancel(opened.attempts[action.attempt])
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        timer = api.Timer(action.token)
+        self.deadlines.add(self.clock() + action.delay_ms, lambda: self.handle_event(timer))
+
+    def _maintain_server(self, action: api.Probe | api.CloseIdle) -> None:
+        assert self.upstreams is not None
+        server = action.server
+        if isinstance(action, api.CloseIdle):
+            return self.upstreams.close_idle(server)
+        self.counters.add("probes.sent")
+        self.upstreams.probe(
+            server,
+            lambda status, took_ms, load: self.handle_event(api.ProbeResult(server, status, took_ms, load)),
+        )
+
     def _start(self, order: api.Lookup | api.Fetch) -> None:
         assert self.upstreams is not None
-        taken, now = self.taken[order.id], self.clock()
-        deadline = taken.deadline_ms
-        own_limit = 0.0 < order.timeout_ms < deadline - now
-        if own_limit:
-            deadline = now + order.timeout_ms
-        attempt = Attempt(taken, taken.sends, order, now, deadline)
-        taken.sends += 1
-        taken.out[attempt.number] = attempt
-        if taken.answered:  # its end is among the events that the module has yet to see
-            return self.ended(attempt, End(api.Status.NOT_SENT))
-        if own_limit:  # else the request's own deadline ends it
-            attempt.due = self.deadlines.add(deadline, lambda: self._stop(attempt, api.Status.TIMEOUT))
+        opened, now = self.open_requests[order.id], self.clock()
+        deadline_ms = opened.deadline_ms
+        has_own_timeout = 0.0 < order.timeout_ms < deadline_ms - now
+        if has_own_timeout:
+            deadline_ms = now + order.timeout_ms
+        attempt = Attempt(opened, opened.attempt_count, order, now, deadline_ms)
+        opened.attempt_count += 1
+        opened.attempts[attempt.number] = attempt
+        if opened.is_answered:  # its end is among the events that the module has yet to see
+            return self.attempt_ended(attempt, AttemptResult(api.Status.NOT_SENT))
+        if has_own_timeout:  # else the request's own deadline ends it
+            attempt.timer = self.deadlines.add(deadline_ms, lambda: self._stop(attempt, api.Status.TIMEOUT))
         self.upstreams.start(attempt)
 
     def _cancel(self, attempt: Attempt) -> None:
@@ -314,59 +368,59 @@
 
     def _stop(self, attempt: Attempt, status: api.Status) -> None:
         assert self.upstreams is not None
-        self.upstreams.stop(attempt)
-        self.ended(attempt, End(status))
+        self.upstreams.cancel(attempt)
+        self.attempt_ended(attempt, AttemptResult(status))
 
     # The end of a request.
 
-    def _finish(self, number: int, final: Final, retry_after_ms: float = 0.0) -> None:
-        taken = self.taken.get(number)
-        if taken is None or taken.answered:
+    def _finish(self, number: int, final: FinalAnswer, retry_after_ms: float = 0.0) -> None:
+        opened = self.open_requests.get(number)
+        if opened is None or opened.is_answered:
             return
-        self._close(taken)
-        if taken.winner is not None:
+        self._close(opened)
+        if opened.serving_attempt is not None:
             self.counters.add("answers.cut")
-            self.counters.add(final_counter(taken.ask.class_name, "failed"))
-            taken.client.cut()
+            self.counters.add(final_counter(opened.request.class_name, "failed"))
+            opened.client.abort_response()
         else:
             self.counters.add(f"answers.{final.value}")
-            end = "rejected" if final is Final.REFUSED else "failed"
-            self.counters.add(final_counter(taken.ask.class_name, end))
-            taken.client.finish(final, retry_after_ms)
-        self._forget(taken)
-
-    def _cut_short(self, taken: Taken) -> None:
-        """The director's own end comes before the deadline that the module knows: it would try on."""
-        if not taken.answered:
+            end = "rejected" if final is FinalAnswer.REJECTED else "failed"
+            self.counters.add(final_counter(opened.request.class_name, end))
+            opened.client.send_final(final, retry_after_ms)
+        self._forget(opened)
+
+    def _cut_short(self, opened: OpenRequest) -> None:
+        """Fails a request at shutdown, before the deadline that the module knows and would retry until."""
+        if not opened.is_answered:
             self.counters.add("requests.ended_by_stop")
-            self._finish(taken.number, Final.FAILED)
-            self._call_off(taken)
+            self._finish(opened.number, FinalAnswer.FAILED)
+            self._cancel_all(opened)
 
-    def _call_off(self, taken: Taken) -> None:
-        """No work shall go on for a request that is over."""
-        self.feed(api.ClientGone(taken.number))
-        for attempt in list(taken.out.values()):
+    def _cancel_all(self, opened: OpenRequest) -> None:
+        """Tells the module that a request is over and cancels its attempts."""
+        self.handle_event(api.ClientGone(opened.number))
+        for attempt in list(opened.attempts.values()):
             self._cancel(attempt)
 
-    def _time_up(self, taken: Taken) -> None:
-        """The client's deadline: what is out ends as late, on which the module gives its final answer.
+    def _request_timed_out(self, opened: OpenRequest) -> None:
+        """Ends all attempts at the client's deadline, on which the module gives its final answer.
 
-        Guards against a request that nobody answers: one that is still open then is failed here.
+        A request that is still unanswered then is failed here: every request gets an answer.
         """
-        for attempt in list(taken.out.values()):
+        for attempt in list(opened.attempts.values()):
             self._stop(attempt, api.Status.TIMEOUT)
-        if not taken.answered:
+        if not opened.is_answered:
             self.counters.add("requests.ended_as_last_resort")
-            self._finish(taken.number, Final.FAILED)
-            self.feed(api.ClientGone(taken.number))
-
-    def _close(self, taken: Taken) -> None:
-        taken.answered = True
-        self.owed -= 1
-        self.deadlines.drop(taken.due)
-
-    def _forget(self, taken: Taken) -> None:
-        """All is over; kept until the module has heard of it, as it may still send for the request."""
-        if taken.answered and not taken.out:
-            taken.winner = None  # the two refer to each other: no work for the collector
-            self._over.append(taken.number)
+            self._finish(opened.number, FinalAnswer.FAILED)
+            self.handle_event(api.ClientGone(opened.number))
+
+    def _close(self, opened: OpenRequest) -> None:
+        opened.is_answered = True
+        self.unanswered_count -= 1
+        self.deadlines.drop(opened.timer)
+
+    def _forget(self, opened: OpenRequest) -> None:
+        """Marks a request whose attempts have ended; it is removed once the module has handled its events."""
+        if opened.is_answered and not opened.attempts:
+            opened.serving_attempt = None  # the two refer to each other: no work for the garbage collector
+            self._finished.append(opened.number)
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -11,7 +11,7 @@
 from ..config import Address
 from ..counters import Counters
 from ..deadlines import Deadlines
-from ..exchange import Ask, Exchange
+from ..exchange import ClientRequest, Exchange
 from ..interface import Effect
 from ..ops.readiness import Readiness
 from .connection import ClientConnection
@@ -63,7 +63,7 @@
         self.lingering: dict[ClientConnection, float] = {}
         self.held = 0  # descriptors that clients hold, each counted once from accept to its connection's end
         self.leaving = 0  # of these, connections told to end
-        self.open: dict[str, Ask] = {}  # by id: the request that came with it first
+        self.open: dict[str, ClientRequest] = {}  # by id: the request that came with it first
         self.closing = False
         self.readiness = Readiness(started=True)  # the director's own, once it has one
         self.address: Address = ("", 0)
@@ -216,7 +216,7 @@
         for connection in list(self._paused):
             if not connection.paused:
                 del self._paused[connection]
-            elif connection.has_left():
+            elif connection.is_disconnected():
                 del self._paused[connection]
                 self.counters.add("clients.left_unread")
                 connection.drop()
@@ -235,26 +235,26 @@
             if kind is not None:
                 kind[connection] = self.clock()
 
-    def status_of(self, ask: Ask) -> int | None:
+    def status_of(self, ask: ClientRequest) -> int | None:
         """What a request is answered that no cache could use: it is not passed on."""
         cls = self.exchange.core.classes.get(ask.class_name)
         if cls is None:
             return 404
         if cls.write and ask.method != "PUT":
             return 405
-        if cls.effect is Effect.KEYED and not ask.replay_key:  # its repeats could not be told from others
+        if cls.effect is Effect.KEYED and not ask.idempotency_key:  # its retries look like others'
             self.counters.add("clients.key_missing")
             return 400
         return None
 
-    def claim(self, ask: Ask) -> bool:
+    def claim(self, ask: ClientRequest) -> bool:
         """Guards against the id of an open request with another object: caches know a request by its id."""
-        held = self.open.setdefault(ask.trace, ask)
+        held = self.open.setdefault(ask.trace_id, ask)
         return held is ask or (held.object_name, held.part) == (ask.object_name, ask.part)
 
-    def release(self, ask: Ask) -> None:
-        if self.open.get(ask.trace) is ask:
-            del self.open[ask.trace]
+    def release(self, ask: ClientRequest) -> None:
+        if self.open.get(ask.trace_id) is ask:
+            del self.open[ask.trace_id]
 
     def close(self) -> None:
         """Take who is already here, and nobody else; `is_done` once all of them have had their answers."""
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from ..exchange import Ask, Final, Head
+from ..exchange import ClientRequest, FinalAnswer, ResponseHead
 from .requests import REASONS, SINGLE, BadRequest, read_ask
 from .sockets import FRAME_MOST, Unread, has_ended, watch
 
@@ -30,9 +30,10 @@
         self.unread: Unread | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.exchange = front.exchange  # whose the open request is
-        self.waiting: deque[Ask | int] = deque()  # read, but not yet begun: an int is a status to answer
+        # Read, but not yet begun; an int is a status to answer.
+        self.waiting: deque[ClientRequest | int] = deque()
         self.number: int | None = None  # the request that is open
-        self.ask: Ask | None = None
+        self.ask: ClientRequest | None = None
         self.patience_ms = 0.0  # until when the client of the last request waits for its answer
         self.chunked = self.taking = False
         self.last = False  # the last request or answer of this connection: what comes now is dropped
@@ -60,7 +61,7 @@
         if self.number is not None:
             number, self.number = self.number, None
             self._release()
-            self.exchange.gone(number)
+            self.exchange.client_disconnected(number)
         self.front.left(self)
 
     def data_received(self, data: bytes) -> None:
@@ -152,7 +153,7 @@
         if len(self.waiting) > WAITING_MOST:
             raise BadRequest(400)
 
-    def _read(self) -> Ask | int:
+    def _read(self) -> ClientRequest | int:
         """The request that has come whole, or a status that answers it; `BadRequest` for a bad one."""
         url = httptools.parse_url(self.url)
         path, query = (url.path or b"").decode("latin-1"), (url.query or b"").decode("latin-1")
@@ -183,7 +184,7 @@
         """Whether nothing that the client has sent lies unread."""
         return self._is_over() or self.unread is None or not self.unread.poll(0)
 
-    def has_left(self) -> bool:
+    def is_disconnected(self) -> bool:
         """Whether the client has closed, though what it sent before may still lie unread.
 
         Guards against work for a client that has gone: nothing tells of its end while reading is paused, nor
@@ -237,7 +238,7 @@
             return
         self.taking = True  # an answer at once comes back here
         while self.number is None and self.waiting and not self.full and self.transport is not None:
-            if self.has_left():
+            if self.is_disconnected():
                 self.front.counters.add("clients.left_unread")
                 self.waiting.clear()
                 self.drop()
@@ -255,15 +256,15 @@
                 self._write_status(ask)
                 self._after_answer()
             else:
-                self.patience_ms = self.front.clock() + ask.wait_ms
+                self.patience_ms = self.front.clock() + ask.max_wait_ms
                 self._begin(ask)
         self.taking = False
         self.front.settle(self)
 
-    def _begin(self, ask: Ask) -> None:
+    def _begin(self, ask: ClientRequest) -> None:
         self.ask = ask
         self.number = -1  # stands for the number until it is known: an answer may come before it
-        number = self.exchange.take(ask, self)
+        number = self.exchange.submit(ask, self)
         if self.number == -1:
             self.number = number
 
@@ -274,32 +275,32 @@
 
     # The exchange's calls
 
-    def begin(self, head: Head) -> None:
-        lines = ["HTTP/1.1 304 Not Modified" if head.unchanged else "HTTP/1.1 200 OK"]
-        self.chunked = head.length is None and not head.unchanged
+    def start_response(self, head: ResponseHead) -> None:
+        lines = ["HTTP/1.1 304 Not Modified" if head.is_not_modified else "HTTP/1.1 200 OK"]
+        self.chunked = head.content_length is None and not head.is_not_modified
         if self.chunked:
             lines.append("Transfer-Encoding: chunked")
-        elif not head.unchanged:
-            lines.append(f"Content-Length: {head.length}")
-        if head.tag is not None:
-            lines.append(f'ETag: "{head.tag}"')
+        elif not head.is_not_modified:
+            lines.append(f"Content-Length: {head.content_length}")
+        if head.etag is not None:
+            lines.append(f'ETag: "{head.etag}"')
         self._write(self._with_close(lines))
 
-    def body(self, data: bytes) -> None:
+    def write_body(self, data: bytes) -> None:
         self._write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
 
-    def end(self) -> None:
+    def end_response(self) -> None:
         if self.chunked:
             self._write(b"0\r\n\r\n")
         self._after_answer()
 
-    def cut(self) -> None:
+    def abort_response(self) -> None:
         self.number = None
         self._release()
         self.drop()
 
-    def finish(self, final: Final, retry_after_ms: float) -> None:
-        if final is Final.REFUSED:  # whole seconds are what HTTP has; under one would read as 'at once'
+    def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
+        if final is FinalAnswer.REJECTED:  # HTTP has whole seconds; 0 would read as 'at once'
             fields = [f"Retry-After: {max(1, math.ceil(retry_after_ms / 1000.0))}"]
             if retry_after_ms and self.front.hold_off:
                 fields.append(f"Hold-Off-Ms: {round(retry_after_ms)}")
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -132,13 +132,14 @@
             kind = api.ListKind.WHOLE if self._listed else api.ListKind.LAST
         self._listed = True
         addresses = {server.name: address for server, address in read}
-        self.exchange.listed(api.ServerList(kind, tuple(server for server, _ in read)), addresses, models)
+        servers = tuple(server for server, _ in read)
+        self.exchange.update_servers(api.ServerList(kind, servers), addresses, models)
         return bad_entries
 
     def _purge(self, evict: dict[str, Any]) -> None:
         key = int(evict["ref"], 16) if "ref" in evict else None
         age = max(0.0, self.clock() - finite(evict["unix_ms"]))
-        self.exchange.purged(api.Purge(key, int(evict.get("shard", -1)), age))
+        self.exchange.purge(api.Purge(key, int(evict.get("shard", -1)), age))
 
 
 class CoordinatorConnection(asyncio.Protocol):
--- a/gladewalk/net/requests.py
+++ b/gladewalk/net/requests.py
@@ -4,7 +4,7 @@
 
 import re
 
-from ..exchange import Ask
+from ..exchange import ClientRequest
 
 WAIT_MOST_MS = 600_000.0  # no class has patience for as long
 CLASS = re.compile(r"[A-Za-z0-9._~-]{1,64}\Z")
@@ -45,7 +45,7 @@
     return value
 
 
-def read_ask(method: str, path: str, query: str, headers: dict[bytes, bytes], body: bytes) -> Ask:
+def read_ask(method: str, path: str, query: str, headers: dict[bytes, bytes], body: bytes) -> ClientRequest:
     """A request as `PROTOCOL` describes it, or `BadRequest` with the status that says what is wrong."""
     if method not in ("GET", "PUT"):
         raise BadRequest(405)
@@ -67,18 +67,18 @@
         raise BadRequest(400)
     held = headers.get(b"if-none-match")
     tag = TAG.match(held.decode("latin-1").strip()) if held else None
-    return Ask(
-        trace=trace,
+    return ClientRequest(
+        trace_id=trace,
         method=method,
         class_name=parts[2],
         object_name=parts[3],
         key=int(parts[3], 16),
         part=int(part),
-        wait_ms=_number(headers, b"max-wait-ms", WAIT_MOST_MS),
+        max_wait_ms=_number(headers, b"max-wait-ms", WAIT_MOST_MS),
         size_kb=_number(headers, b"reserve-kb", 1e9, 0.0),
         group=int(group),
-        tag=tag.group(1) if tag else None,
-        replay_key=(replay_key or b"").decode("ascii"),
+        etag=tag.group(1) if tag else None,
+        idempotency_key=(replay_key or b"").decode("ascii"),
         is_retry=retry == b"1",
         body=body,
     )
--- a/gladewalk/ops/calls.py
+++ b/gladewalk/ops/calls.py
@@ -17,7 +17,7 @@
     core, now_ms = director.exchange.core, director.exchange.clock()
     listed = [s for s in core.servers.values() if s.info.state is not ServerState.GONE]
     avoided = sum(s.info.state is not ServerState.READY or now_ms < s.blocked_until for s in listed)
-    return Now(pending=director.exchange.owed, members=len(listed), members_unavailable=avoided)
+    return Now(pending=director.exchange.unanswered_count, members=len(listed), members_unavailable=avoided)
 
 
 def admin_front(director: Director) -> AdminFront:
--- a/gladewalk/parties.py
+++ b/gladewalk/parties.py
@@ -1,4 +1,8 @@
-"""What meets in the exchange: requests, attempts, their ends, and what each side is asked to do."""
+"""Exchange types: client requests, upstream attempts, their results, and the protocols of both sides.
+
+The exchange sits between a client side (`ResponseWriter`, `ResolveResponder`) and a server side
+(`UpstreamPool`). Times are milliseconds, instants Unix milliseconds.
+"""
 
 from __future__ import annotations
 
@@ -13,109 +17,131 @@
 
 
 @dataclass(slots=True)
-class Ask:
-    """A client's request as it was read; what is passed on unchanged is kept as it came."""
+class ClientRequest:
+    """A client's request as it was parsed; what is forwarded unchanged is kept as it came."""
 
-    trace: str
+    trace_id: str
     method: str
     class_name: str
     object_name: str
-    key: int
+    key: int  # of the object: its name as a number
     part: int
-    wait_ms: float
+    max_wait_ms: float
     size_kb: float = 0.0
     group: int = 0
-    tag: str | None = None  # of the copy that the client holds
+    etag: str | None = None  # of the copy that the client has cached
     body: bytes = b""
-    replay_key: str = ""  # the same for all of a client's tries of one request
+    idempotency_key: str = ""  # the same for all of a client's attempts of one request
     is_retry: bool = False
 
 
 @dataclass(slots=True)
-class Head:
-    """The start of a good answer: `length` is None where the cache did not tell it."""
+class ResponseHead:
+    """The head of a successful response; `content_length` is None where the server sent none."""
+
+    is_not_modified: bool
+    content_length: int | None
+    etag: str | None
 
-    unchanged: bool
-    length: int | None
-    tag: str | None
 
+class FinalAnswer(Enum):
+    """How a request ends of which no server's response was passed on; counted as `answers.<value>`."""
 
-class Final(Enum):
-    REFUSED = "refused"
+    REJECTED = "refused"
     FAILED = "failed"
 
 
-class Client(Protocol):
-    """What the exchange asks of the client side, for one request."""
+class ResponseWriter(Protocol):
+    """The client side of one open request: where its response is written."""
+
+    def start_response(self, head: ResponseHead) -> None:
+        """Sends the head of a server's response."""
+
+    def write_body(self, data: bytes) -> None:
+        """Sends a piece of the response's body."""
+
+    def end_response(self) -> None:
+        """Ends a complete response."""
+
+    def abort_response(self) -> None:
+        """Closes the connection: the client must see that a response that has begun is incomplete."""
 
-    def begin(self, head: Head) -> None: ...
-    def body(self, data: bytes) -> None: ...
-    def end(self) -> None: ...
-    def cut(self) -> None:
-        """An answer that has begun cannot be finished: let the client see that."""
+    def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
+        """Answers a request that gets no server's response; 0 stands for no advice when to retry."""
 
-    def finish(self, final: Final, retry_after_ms: float) -> None: ...
-    def has_left(self) -> bool:
-        """Whether it has closed, though nothing has told of its end yet."""
+    def is_disconnected(self) -> bool:
+        """Whether the client has closed its connection, read from the socket's state."""
 
 
-class Asker(Protocol):
-    """What the exchange asks of the client side, for one question where to fetch an object."""
+class ResolveResponder(Protocol):
+    """The client side of one resolve request (where to fetch an object from)."""
 
-    def named(self, boxes: Sequence[tuple[str, Address]], ttl_ms: float) -> None:
-        """Caches and their addresses; none: the director itself."""
+    def resolved(self, servers: Sequence[tuple[str, Address]], ttl_ms: float) -> None:
+        """Answers with servers by name and address; an empty sequence names the director itself."""
 
-    def refused(self) -> None: ...
+    def rejected(self) -> None:
+        """Answers that no server can be named now."""
 
 
-class Upstreams(Protocol):
-    """What the exchange asks of the server side."""
+class UpstreamPool(Protocol):
+    """The server side: connections to caches, parents and the origin."""
 
-    def address(self, name: str) -> Address | None: ...
-    def locate(self, name: str, address: Address | None, model: str = "") -> None:
-        """Where to dial a server of this model from now on; None: it is gone."""
+    def address(self, name: str) -> Address | None:
+        """Returns where a server is dialled, None for an unknown one."""
 
-    def keep_only(self, names: Collection[str]) -> None: ...
-    def start(self, attempt: Attempt) -> None: ...
-    def stop(self, attempt: Attempt) -> None:
-        """Give an attempt up without a word; nothing of it is heard any more."""
+    def set_address(self, name: str, address: Address | None, model: str = "") -> None:
+        """Sets where a server of this model is dialled from now on; None removes it."""
 
-    def flow(self, attempt: Attempt, on: bool) -> None: ...
-    def probe(self, name: str, done: Callable[[api.Status, float, Any], None], path: str = ...) -> None: ...
-    def close_idle(self, name: str) -> None: ...
+    def keep_only(self, names: Collection[str]) -> None:
+        """Removes every server that is not named."""
+
+    def start(self, attempt: Attempt) -> None:
+        """Sends an attempt's request, at once or as soon as it has a connection."""
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Abandons an attempt silently: the exchange is not called about it any more."""
+
+    def flow(self, attempt: Attempt, on: bool) -> None:
+        """Resumes (`on`) or pauses reading an attempt's response: flow control towards a slow client."""
+
+    def probe(self, name: str, done: Callable[[api.Status, float, Any], None], path: str = ...) -> None:
+        """Sends a health check; `done` gets its status, duration in ms and load report."""
+
+    def close_idle(self, name: str) -> None:
+        """Closes a server's idle connections."""
 
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One request to one cache, parent or origin."""
+    """One request to one cache, parent or origin on behalf of a client's request."""
 
-    taken: Taken
-    number: int
+    open_request: OpenRequest
+    number: int  # 0 for the first attempt of a request
     order: api.Lookup | api.Fetch
-    sent_ms: float
+    started_ms: float
     deadline_ms: float
-    due: Key | None = None
-    carrier: Any = None  # the server side's own
+    timer: Key | None = None
+    carrier: Any = None  # the pool's own: the connection or queue entry that carries it
 
 
 @dataclass(slots=True, eq=False)
-class Taken:
-    """A request that was taken; it stays until all its attempts have ended."""
+class OpenRequest:
+    """A client's request from its arrival until its last attempt has ended."""
 
     number: int
-    ask: Ask
-    client: Client
-    since_ms: float
+    request: ClientRequest
+    client: ResponseWriter
+    received_ms: float
     deadline_ms: float
-    due: Key | None = None
-    answered: bool = False
-    winner: Attempt | None = None  # whose answer is being passed on
-    sends: int = 0
-    out: dict[int, Attempt] = field(default_factory=dict)
+    timer: Key | None = None
+    is_answered: bool = False
+    serving_attempt: Attempt | None = None  # whose response is being passed on
+    attempt_count: int = 0
+    attempts: dict[int, Attempt] = field(default_factory=dict)  # in flight, by number
 
 
 @dataclass(slots=True)
-class End:
+class AttemptResult:
     """How an attempt ended, as the server side saw it."""
 
     status: api.Status
--- a/gladewalk/rehearsal/bidsoak.py
+++ b/gladewalk/rehearsal/bidsoak.py
@@ -112,9 +112,9 @@
 
     def witness(attempt: Attempt, finding: Finding) -> None:
         report.findings[finding.reason.value] += 1
-        lost.add(attempt.taken.ask.trace)
+        lost.add(attempt.open_request.request.trace_id)
         if finding.never_ran:
-            proofs[attempt.taken.ask.trace] += 1
+            proofs[attempt.open_request.request.trace_id] += 1
 
     async with rehearsal(peers, options) as world:
         assert world.director is not None
--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/keeper.py
@@ -62,7 +62,7 @@
         now = self.clock()
         purges = purges_of(self.log.items(PURGES), now)
         for purge in purges:
-            feed.exchange.purged(purge)
+            feed.exchange.purge(purge)
         if self.resume:
             self.position = position_of(self.log.items(FEED))
         whole = self.position.whole if self.position.whole > feed.last else 0
@@ -82,7 +82,7 @@
     def start(self, feed: Feed) -> None:
         self.writer.start()
         feed.noted, self.exchange = self.note, feed.exchange
-        feed.exchange.lasting = self.lease
+        feed.exchange.persist_resolution = self.lease
         if self.warm_ms:
             self._keep_warm()
 
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -8,7 +8,7 @@
 import httptools
 
 from .. import interface as api
-from ..exchange import Attempt, End, Head
+from ..exchange import Attempt, AttemptResult, ResponseHead
 from ..net.sockets import FRAME_MOST, watch
 from .jobs import Probing
 from .words import (
@@ -32,7 +32,7 @@
 
 def write_request(attempt: Attempt, now_ms: float) -> bytes:
     """An attempt as an HTTP/1.1 message."""
-    ask = attempt.taken.ask
+    ask = attempt.open_request.request
     lines = [f"{ask.method} {request_path(attempt)} HTTP/1.1", f"Host: {AUTHORITY}"]
     lines += [f"{name}: {value}" for name, value in request_fields(attempt, now_ms)]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + ask.body
@@ -51,7 +51,7 @@
         self.frame = 0  # bytes read since the last of a body
         self.headed = self.passing = self.whole = self.lasts = False
         self.headers: dict[bytes, bytes] = {}
-        self.begun: Head | None = None  # read, but not yet passed on; and so the bytes of its body
+        self.begun: ResponseHead | None = None  # read, but not yet passed on; and so the bytes of its body
         self.read: list[bytes] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -68,7 +68,7 @@
         if job is not None:
             # What was not written whole never ran; after that it may have, whatever the connection says.
             whole = transport is not None and transport.get_write_buffer_size() == 0
-            self.pool.over(job, End(api.Status.RESET if whole else api.Status.CONNECT_FAILED))
+            self.pool.over(job, AttemptResult(api.Status.RESET if whole else api.Status.CONNECT_FAILED))
         self.pool.pump()
 
     def carry(self, job: Attempt | Probing) -> None:
@@ -138,10 +138,10 @@
         """Guards against an answer that a read shows to be spoilt: of that read the client gets nothing."""
         head, self.begun = self.begun, None
         if head is not None and isinstance(self.job, Attempt):
-            self.passing = self.pool.exchange.head(self.job, head)
+            self.passing = self.pool.exchange.response_started(self.job, head)
         for body in self.read:
             if self.passing and isinstance(self.job, Attempt):  # a client that leaves ends it in between
-                self.pool.exchange.body(self.job, body)
+                self.pool.exchange.response_body(self.job, body)
         self.read.clear()
 
     def _spoilt(self) -> None:
@@ -149,7 +149,7 @@
         self.pool.counters.add("caches.unreadable_answer")
         self.close()
         if job is not None:
-            self.pool.over(job, End(api.Status.ERROR))
+            self.pool.over(job, AttemptResult(api.Status.ERROR))
 
     def _over(self, surplus: bool) -> None:
         """The whole read has been looked at: only now may the connection carry another job."""
@@ -195,7 +195,7 @@
         self.headed, self.size = True, 0
         if self.status in (200, 304) and isinstance(self.job, Attempt):
             tag = self.headers.get(b"tag")
-            self.begun = Head(self.status == 304, known, tag.decode("latin-1") if tag else None)
+            self.begun = ResponseHead(self.status == 304, known, tag.decode("latin-1") if tag else None)
 
     def on_body(self, body: bytes) -> None:
         self.frame = 0
--- a/gladewalk/upstream/http2.py
+++ b/gladewalk/upstream/http2.py
@@ -11,7 +11,7 @@
 from hpack import NeverIndexedHeaderTuple
 
 from .. import interface as api
-from ..exchange import Attempt, End, Head
+from ..exchange import Attempt, AttemptResult, ResponseHead
 from ..streams.ledger import ENHANCE_YOUR_CALM, HTTP_1_1_REQUIRED, Finding, Reason
 from .http2wire import Http2Wire
 from .jobs import Job
@@ -129,9 +129,9 @@
             return self.spoilt(stream)
         self.ledger.answer_began(stream.number)
         if head is not None and isinstance(stream.job, Attempt):
-            stream.passing = self.pool.exchange.head(stream.job, head)
+            stream.passing = self.pool.exchange.response_started(stream.job, head)
 
-    def read_head(self, stream: Stream, fields: list[tuple[bytes, bytes]]) -> Head | None:
+    def read_head(self, stream: Stream, fields: list[tuple[bytes, bytes]]) -> ResponseHead | None:
         """The head of an answer; None where its body goes to no client."""
         headers: dict[bytes, bytes] = {}
         for name, value in fields:
@@ -145,7 +145,7 @@
         if stream.status not in (200, 304):
             return None
         tag = headers.get(b"tag")
-        return Head(stream.status == 304, length, tag.decode("latin-1") if tag else None)
+        return ResponseHead(stream.status == 304, length, tag.decode("latin-1") if tag else None)
 
     def on_data(self, event: ev.DataReceived) -> None:
         size = event.flow_controlled_length or 0
@@ -160,7 +160,7 @@
         if stream.size > OBJECT_MOST or not stream.status:
             return self.spoilt(stream)
         if stream.passing and isinstance(stream.job, Attempt) and event.data:
-            self.pool.exchange.body(stream.job, event.data)
+            self.pool.exchange.response_body(stream.job, event.data)
         if event.stream_ended is None:
             self.credit(stream)
 
@@ -234,7 +234,7 @@
         self.pool.counters.add("caches.unreadable_answer")
         self.give_up(stream)
         if job is not None:
-            self.pool.over(job, End(api.Status.ERROR))
+            self.pool.over(job, AttemptResult(api.Status.ERROR))
 
     def ended_without_answer(self, finding: Finding) -> None:
         stream = self.streams.get(finding.stream)
@@ -247,7 +247,7 @@
         self.pool.counters.add(f"h2.ended.{finding.reason.value}")
         if self.pool.witness is not None and isinstance(job, Attempt):
             self.pool.witness(job, finding)
-        self.pool.over(job, End(status_of(finding)))
+        self.pool.over(job, AttemptResult(status_of(finding)))
 
     # Requests.
 
@@ -260,7 +260,8 @@
         method, path, body = "GET", "", b""
         fields: list[Any] = []
         if isinstance(job, Attempt):
-            method, path, body = job.taken.ask.method, request_path(job), job.taken.ask.body
+            request = job.open_request.request
+            method, path, body = request.method, request_path(job), request.body
             fields = [
                 NeverIndexedHeaderTuple(name.lower(), value) if name in OWN_FIELDS else (name.lower(), value)
                 for name, value in request_fields(job, self.pool.clock())
--- a/gladewalk/upstream/lane.py
+++ b/gladewalk/upstream/lane.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .. import interface as api
-from ..exchange import End
+from ..exchange import AttemptResult
 from ..options import Http2
 from ..streams.sharing import Next, Shared, Sharing
 from .http2 import Http2Connection
@@ -55,7 +55,7 @@
                     self.pool.write(self.connections[found.number], dial.job)
                 else:  # the server wants calm, and hears nothing of this one
                     self.pool.counters.add("h2.calm_kept")
-                    self.pool.over(dial.job, End(api.Status.REFUSED))
+                    self.pool.over(dial.job, AttemptResult(api.Status.REFUSED))
         finally:
             self._pumping = False
 
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -16,7 +16,7 @@
 from ..config import Address, Config
 from ..counters import Counters
 from ..deadlines import Deadlines
-from ..exchange import Attempt, End, Exchange
+from ..exchange import Attempt, AttemptResult, Exchange
 from .http1 import CacheConnection
 from .jobs import Job, Probing
 from .targets import IDLE_PART, Dial, LaneDial, Upstream
@@ -78,7 +78,7 @@
     def sweep(self) -> None:
         """Once a second: what has been idle for long closes from this side first."""
         now = self.clock()
-        if self.closing and not self.exchange.taken:
+        if self.closing and not self.exchange.open_requests:
             return self.keep_only(())
         idle_ms = self.config.conn_idle_ms * IDLE_PART
         for upstream in self.upstreams.values():
@@ -91,7 +91,7 @@
 
     # The exchange's calls.
 
-    def locate(self, name: str, address: Address | None, model: str = "") -> None:
+    def set_address(self, name: str, address: Address | None, model: str = "") -> None:
         known = self.upstreams.get(name)
         if known is not None and known.address != address:
             known.close_idle()
@@ -109,7 +109,7 @@
 
     def keep_only(self, names: Collection[str]) -> None:
         for name in [name for name in self.upstreams if name not in names]:
-            self.locate(name, None)
+            self.set_address(name, None)
 
     def address(self, name: str) -> Address | None:
         return self.upstreams[name].address if name in self.upstreams else None
@@ -117,7 +117,7 @@
     def start(self, attempt: Attempt) -> None:
         self._begin(attempt, attempt.order.server)
 
-    def stop(self, attempt: Attempt) -> None:
+    def cancel(self, attempt: Attempt) -> None:
         self._release(attempt)
 
     def flow(self, attempt: Attempt, on: bool) -> None:
@@ -137,10 +137,10 @@
 
     # Jobs and their connections.
 
-    def over(self, job: Job, end: End) -> None:
+    def over(self, job: Job, end: AttemptResult) -> None:
         job.carrier = None
         if isinstance(job, Attempt):
-            return self.exchange.ended(job, end)
+            return self.exchange.attempt_ended(job, end)
         self.deadlines.drop(job.due)
         status = api.Status.ERROR if end.status is api.Status.MISS else end.status
         job.done(status, self.clock() - job.started_ms, end.load)
@@ -172,7 +172,7 @@
 
     def _late(self, probing: Probing) -> None:
         self._release(probing)
-        self.over(probing, End(api.Status.TIMEOUT))
+        self.over(probing, AttemptResult(api.Status.TIMEOUT))
 
     def _release(self, job: Job) -> None:
         carrier, job.carrier = job.carrier, None
@@ -182,7 +182,7 @@
     def _begin(self, job: Job, name: str) -> None:
         upstream = self.upstreams.get(name)
         if upstream is None:
-            return self.over(job, End(api.Status.CONNECT_FAILED))
+            return self.over(job, AttemptResult(api.Status.CONNECT_FAILED))
         if self.shapes is not None:
             self._reshape(upstream)
             if upstream.lane is not None:
@@ -304,7 +304,7 @@
         else:
             self.counters.add("caches.no_descriptor" if queued else "caches.connects_failed")
         self.hang_up(dial)
-        self.over(dial.job, End(api.Status.NOT_SENT if queued else api.Status.CONNECT_FAILED))
+        self.over(dial.job, AttemptResult(api.Status.NOT_SENT if queued else api.Status.CONNECT_FAILED))
 
     def hang_up(self, dial: Dial) -> Dial:
         """A job waits no longer."""
@@ -322,7 +322,7 @@
             if isinstance(connection, CacheConnection):
                 connection.upstream.rest(connection)
             self.counters.add("attempts.held_back")
-            return self.over(job, End(api.Status.NOT_SENT))
+            return self.over(job, AttemptResult(api.Status.NOT_SENT))
         if isinstance(job, Attempt):
             self.counters.add("attempts.written")
         connection.carry(job)
--- a/gladewalk/upstream/words.py
+++ b/gladewalk/upstream/words.py
@@ -5,7 +5,7 @@
 from functools import lru_cache
 
 from .. import interface as api
-from ..exchange import Attempt, End
+from ..exchange import Attempt, AttemptResult
 from ..settings import DETAILS, read_load
 
 AUTHORITY = "app.svc"
@@ -29,16 +29,16 @@
 
 
 def request_path(attempt: Attempt) -> str:
-    ask = attempt.taken.ask
+    ask = attempt.open_request.request
     return f"/o/{ask.class_name}/{ask.object_name}/{ask.part}"
 
 
 def request_fields(attempt: Attempt, now_ms: float) -> list[tuple[str, str]]:
     """The fields of an attempt's request beside method, path and host."""
-    ask, order = attempt.taken.ask, attempt.order
-    fields = [("X-Ticket", ask.trace), ("X-Max-Ms", str(max(1, round(attempt.deadline_ms - now_ms))))]
-    if ask.replay_key:
-        fields.append(("X-Nonce", ask.replay_key))
+    ask, order = attempt.open_request.request, attempt.order
+    fields = [("X-Ticket", ask.trace_id), ("X-Max-Ms", str(max(1, round(attempt.deadline_ms - now_ms))))]
+    if ask.idempotency_key:
+        fields.append(("X-Nonce", ask.idempotency_key))
     if isinstance(order, api.Fetch):
         if order.source != order.server:  # the server itself as the source means no fill
             fields.append(("Miss-To", order.source))
@@ -58,8 +58,8 @@
         ]
         if words:
             fields.append(("Handling", "+".join(words)))
-    if ask.tag is not None:
-        fields.append(("Have", ask.tag))
+    if ask.etag is not None:
+        fields.append(("Have", ask.etag))
     if ask.method == "PUT" or ask.body:
         fields.append(("Content-Length", str(len(ask.body))))
     return fields
@@ -92,7 +92,7 @@
     return read_load(load)
 
 
-def read_end(status: int, headers: dict[bytes, bytes]) -> End:
+def read_end(status: int, headers: dict[bytes, bytes]) -> AttemptResult:
     """What a whole answer of a cache says of its attempt."""
     shed = headers.get(b"x-shed") == b"1"
     if status in (200, 304):
@@ -104,4 +104,5 @@
     else:
         outcome = api.Status.ERROR
     note = REMARKS.get(headers.get(b"x-remark", b""), api.Note.NONE)
-    return End(outcome, note, read_number(headers.get(b"fill-wait")), read_meter(headers.get(b"x-meter")))
+    waited_ms, load = read_number(headers.get(b"fill-wait")), read_meter(headers.get(b"x-meter"))
+    return AttemptResult(outcome, note, waited_ms, load)
--- a/gladewalk/web/balanced.py
+++ b/gladewalk/web/balanced.py
@@ -7,7 +7,7 @@
 from .. import interface as api
 from ..counters import Counters
 from ..deadlines import Deadlines, Key
-from ..exchange import Attempt, End, Exchange, Final
+from ..exchange import Attempt, AttemptResult, Exchange, FinalAnswer
 from ..upstream.pool import Caches
 from .plan import Plan
 from .wire import WebAsk, WebEnd
@@ -39,7 +39,7 @@
         assert isinstance(self.upstreams, Caches)
         ready = self.plan.standby.changes(self.clock())
         servers = self.plan.servers(ready)
-        self.listed(api.ServerList(api.ListKind.LAST, servers), dict(self.plan.addresses), {})
+        self.update_servers(api.ServerList(api.ListKind.LAST, servers), dict(self.plan.addresses), {})
         self.upstreams.sweep()
 
     def retire(self) -> None:
@@ -48,14 +48,14 @@
         self.retired = self.upstreams.closing = True
         self.deadlines.drop(self._due)
 
-    def feed(self, event: api.Event) -> None:
-        if not (self.retired and not self.taken and isinstance(event, api.Timer)):
-            super().feed(event)
+    def handle_event(self, event: api.Event) -> None:
+        if not (self.retired and not self.open_requests and isinstance(event, api.Timer)):
+            super().handle_event(event)
 
     def sent(self, attempt: Attempt) -> None:
         self.written.add(id(attempt))
         self.plan.standby.sent(attempt.order.server)
-        ask = attempt.taken.ask
+        ask = attempt.open_request.request
         if isinstance(ask, WebAsk):
             ask.sends += 1
         self._relist()
@@ -78,12 +78,12 @@
         once = ask.class_name.endswith("!") and "non_idempotent" not in terms.again_on
         return not once and ask.sends < len(self.plan.upstream.boxes)
 
-    def ended(self, attempt: Attempt, end: End) -> None:
-        taken, ask = attempt.taken, attempt.taken.ask
-        if attempt.number in taken.out and isinstance(ask, WebAsk):
+    def attempt_ended(self, attempt: Attempt, end: AttemptResult) -> None:
+        taken, ask = attempt.open_request, attempt.open_request.request
+        if attempt.number in taken.attempts and isinstance(ask, WebAsk):
             self._note(attempt, end)
             failed = end.status in CONDITIONS
-            if failed and not taken.answered and taken.winner is None:
+            if failed and not taken.is_answered and taken.serving_attempt is None:
                 condition = end.condition if isinstance(end, WebEnd) else CONDITIONS[end.status]
                 ask.failed = end.code if isinstance(end, WebEnd) else 504 if condition == "timeout" else 502
                 never_sent = end.status is api.Status.CONNECT_FAILED and id(attempt) not in self.written
@@ -93,7 +93,7 @@
                 if not again:
                     self._final(attempt)
         self.written.discard(id(attempt))
-        super().ended(attempt, end)
+        super().attempt_ended(attempt, end)
 
     def _again_on(self, ask: WebAsk) -> tuple[str, ...]:
         return ask.landing.terms.again_on if ask.landing is not None else ()
@@ -107,17 +107,17 @@
 
     def _final(self, attempt: Attempt) -> None:
         """The file lets nobody try again: the client hears so now, and the core by the attempt's end."""
-        taken = attempt.taken
+        taken = attempt.open_request
         self._close(taken)
         self.counters.add("answers.failed")
-        taken.client.finish(Final.FAILED, 0.0)
+        taken.client.send_final(FinalAnswer.FAILED, 0.0)
 
-    def _note(self, attempt: Attempt, end: End) -> None:
+    def _note(self, attempt: Attempt, end: AttemptResult) -> None:
         """What this says of the server, before the core is asked for another: a backup may be wanted now."""
         standby, now, name = self.plan.standby, self.clock(), attempt.order.server
         if name not in standby.health:
             return
-        ask = attempt.taken.ask
+        ask = attempt.open_request.request
         condition = end.condition if isinstance(end, WebEnd) else CONDITIONS.get(end.status, "")
         counted = condition in COUNTED or (
             condition not in ("", "http_403", "http_404") and isinstance(ask, WebAsk)
@@ -137,7 +137,7 @@
         if changed:
             servers = self.plan.servers(changed)
             places = {server.name: self.plan.addresses[server.name] for server in servers}
-            self.listed(api.ServerList(api.ListKind.CHANGES, servers), dict(places), {})
+            self.update_servers(api.ServerList(api.ListKind.CHANGES, servers), dict(places), {})
         self.deadlines.drop(self._due)
         back = self.plan.standby.next_ms(now)
         self._due = self.deadlines.add(back, self._relist) if back is not None else None
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -32,11 +32,11 @@
     @property
     def ask(self) -> WebAsk | None:
         """The request that is carried."""
-        ask = self.job.taken.ask if isinstance(self.job, Attempt) else None
+        ask = self.job.open_request.request if isinstance(self.job, Attempt) else None
         return ask if isinstance(ask, WebAsk) else None
 
     def written(self, attempt: Attempt, now_ms: float) -> bytes:
-        ask = attempt.taken.ask
+        ask = attempt.open_request.request
         assert isinstance(ask, WebAsk)
         self.fields, self.until_close, self.bodiless, self.paused = [], False, False, False
         self.heard_ms = now_ms
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -13,7 +13,7 @@
 
 from ..counters import Counters
 from ..deadlines import Deadlines
-from ..exchange import Ask, Final, Head
+from ..exchange import ClientRequest, FinalAnswer, ResponseHead
 from ..net.clients import ClientFront
 from ..net.connection import ClientConnection
 from ..net.requests import BadRequest
@@ -48,7 +48,7 @@
         super().on_header(name, value)
         self.all_fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
-    def _read(self) -> Ask | int:
+    def _read(self) -> ClientRequest | int:
         """A request with where it lands; `BadRequest` for one that can't be read."""
         verb = self.parser.get_method().decode("latin-1")
         raw, host = self._target()
@@ -91,8 +91,9 @@
 
     def ask_of(self, landing: Landing, verb: str, body: bytes) -> WebAsk:
         ask = WebAsk(
-            trace="", method="GET", class_name=MISSING, object_name="", key=0, part=0, wait_ms=WHOLE_MOST_MS,
-            body=body, verb=verb, fields=self.all_fields, landing=landing, since_ms=self.web.clock(),
+            trace_id="", method="GET", class_name=MISSING, object_name="", key=0, part=0,
+            max_wait_ms=WHOLE_MOST_MS, body=body, verb=verb, fields=self.all_fields, landing=landing,
+            since_ms=self.web.clock(),
         )  # fmt: skip
         if landing.upstream:
             balanced = self.web.upstreams[landing.upstream]
@@ -104,7 +105,7 @@
 
     # One request at a time.
 
-    def _begin(self, ask: Ask) -> None:
+    def _begin(self, ask: ClientRequest) -> None:
         assert isinstance(ask, WebAsk) and ask.landing is not None
         if ask.balanced is not None and ask.balanced.retired:  # it waited while another table was taken
             request = ask.landing.state.request
@@ -149,32 +150,32 @@
 
     # The exchange's calls
 
-    def begin(self, head: Head) -> None:
+    def start_response(self, head: ResponseHead) -> None:
         assert isinstance(head, WebHead) and self.landing is not None
         status = self.landing.shown or head.status
         lines = [f"HTTP/1.1 {status} {reason(status)}"]
         without = self.bodiless or status in NOBODY
-        self.chunked = head.length is None and not without
+        self.chunked = head.content_length is None and not without
         if self.chunked:
             lines.append("Transfer-Encoding: chunked")
-        elif head.length is not None and status != 204:
-            lines.append(f"Content-Length: {head.length}")
+        elif head.content_length is not None and status != 204:
+            lines.append(f"Content-Length: {head.content_length}")
         for name, value in answer_fields(self.landing, head.status, head.fields):
             lines.append(f"{name}: {value}")
         self._write(self._with_close(lines))
 
-    def body(self, data: bytes) -> None:
+    def write_body(self, data: bytes) -> None:
         if not self.bodiless:
-            super().body(data)
+            super().write_body(data)
 
-    def finish(self, final: Final, retry_after_ms: float) -> None:
+    def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
         ask, landing = self.ask, self.landing
         assert isinstance(ask, WebAsk) and landing is not None
-        status = 503 if final is Final.REFUSED else ask.failed
+        status = 503 if final is FinalAnswer.REJECTED else ask.failed
         if not landing.from_error and self.web.router.on_error(landing, status).from_error:
             return self._elsewhere(ask, landing)
         seconds = max(1, math.ceil(retry_after_ms / 1000.0))
-        more = [("Retry-After", str(seconds))] if final is Final.REFUSED else []
+        more = [("Retry-After", str(seconds))] if final is FinalAnswer.REJECTED else []
         self._whole(status, more + added_fields(landing, status))
         self._after_answer()
 
@@ -200,8 +201,8 @@
         self.connection, self.body_most = WebClient, body_most
         self.port_told = int(listen_key.rpartition(":")[2])
 
-    def claim(self, ask: Ask) -> bool:
+    def claim(self, ask: ClientRequest) -> bool:
         return True  # ids of requests are the platform's
 
-    def release(self, ask: Ask) -> None:
+    def release(self, ask: ClientRequest) -> None:
         pass
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -104,7 +104,7 @@
 
     @property
     def owed(self) -> int:
-        return sum(balanced.owed for balanced in self.upstreams.values())
+        return sum(balanced.unanswered_count for balanced in self.upstreams.values())
 
     def close(self) -> None:
         for front in self.fronts:
--- a/gladewalk/web/wire.py
+++ b/gladewalk/web/wire.py
@@ -10,7 +10,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from ..exchange import Ask, End, Head
+from ..exchange import AttemptResult, ClientRequest, ResponseHead
 from ..nginx.router import Landing, Rules, redirect_of
 
 Fields = list[tuple[str, str]]
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class WebAsk(Ask):
+class WebAsk(ClientRequest):
     """An ordinary request. The core knows it by its class and key; the rest is for the wire."""
 
     verb: str = "GET"
@@ -37,7 +37,7 @@
 
 
 @dataclass(slots=True)
-class WebHead(Head):
+class WebHead(ResponseHead):
     """The start of any answer that is passed on, whatever its status."""
 
     status: int = 200
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True)
-class WebEnd(End):
+class WebEnd(AttemptResult):
     """`condition`: the word that `proxy_next_upstream` has for this end; `code` what the client is told."""
 
     condition: str = "error"
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -11,7 +11,7 @@
 
 from gladewalk import interface as api
 from gladewalk.director import Director
-from gladewalk.exchange import Ask, Final
+from gladewalk.exchange import ClientRequest, FinalAnswer
 from gladewalk.net.connection import ClientConnection
 from gladewalk.rehearsal.peers import SETTINGS
 from gladewalk.rehearsal.virtual.scenario import Fault, Fleet, Scenario, Traffic
@@ -56,7 +56,7 @@
     """What is told of servers, changed or late."""
 
     def patch(director: Director) -> None:
-        told = director.exchange.listed
+        told = director.exchange.update_servers
 
         def listed(servers: api.ServerList, *more: Any) -> None:
             if late_s and servers.kind is not api.ListKind.LAST:
@@ -64,7 +64,7 @@
             else:
                 told(change(servers), *more)
 
-        director.exchange.listed = listed  # type: ignore[method-assign, assignment]
+        director.exchange.update_servers = listed  # type: ignore[method-assign, assignment]
 
     return patch
 
@@ -76,33 +76,33 @@
 
 def purges(late_s: float | None) -> Change:
     def patch(director: Director) -> None:
-        told = director.exchange.purged
+        told = director.exchange.purge
 
-        def purged(purge: api.Purge) -> None:
+        def purged(event: api.Purge) -> None:
             if late_s is not None:
-                asyncio.get_running_loop().call_later(late_s, told, purge)
+                asyncio.get_running_loop().call_later(late_s, told, event)
 
-        director.exchange.purged = purged  # type: ignore[method-assign]
+        director.exchange.purge = purged  # type: ignore[method-assign]
 
     return patch
 
 
-def mute(self: ClientConnection, final: Final, retry_after_ms: float) -> None:
+def mute(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
     self._after_answer()
 
 
-def twice(self: ClientConnection, final: Final, retry_after_ms: float) -> None:
+def twice(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
     self._write_status(503, ["Retry-After: 1"])
-    ClientConnection.finish(self, final, retry_after_ms)
+    ClientConnection.send_final(self, final, retry_after_ms)
 
 
-def unworded(self: ClientConnection, final: Final, retry_after_ms: float) -> None:
-    self._write_status(503 if final is Final.REFUSED else 502)
+def unworded(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
+    self._write_status(503 if final is FinalAnswer.REJECTED else 502)
     self._after_answer()
 
 
 def altered(self: ClientConnection, data: bytes) -> None:
-    ClientConnection.body(self, b"?" + data[1:])
+    ClientConnection.write_body(self, b"?" + data[1:])
 
 
 def swallowed(self: ClientConnection, data: bytes) -> None:
@@ -110,19 +110,19 @@
 
 
 def cut_twice(self: ClientConnection, data: bytes) -> None:
-    ClientConnection.body(self, data[: len(data) // 2] * 2 + data[len(data) // 2 * 2 :])
+    ClientConnection.write_body(self, data[: len(data) // 2] * 2 + data[len(data) // 2 * 2 :])
 
 
-def other_ticket(self: ClientConnection, ask: Ask) -> None:
-    ClientConnection._begin(self, dataclasses.replace(ask, trace=ask.trace[::-1].replace("0", "f")))
+def other_ticket(self: ClientConnection, ask: ClientRequest) -> None:
+    ClientConnection._begin(self, dataclasses.replace(ask, trace_id=ask.trace_id[::-1].replace("0", "f")))
 
 
-def delayed(self: ClientConnection, final: Final, retry_after_ms: float) -> None:
+def delayed(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
     """A refusal sat upon until its request's time is long over."""
-    asyncio.get_running_loop().call_later(9.0, ClientConnection.finish, self, final, retry_after_ms)
+    asyncio.get_running_loop().call_later(9.0, ClientConnection.send_final, self, final, retry_after_ms)
 
 
-def closed(self: ClientConnection, final: Final, retry_after_ms: float) -> None:
+def closed(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
     """A refusal that its client has to guess."""
     assert self.transport is not None
     self.transport.close()
@@ -135,13 +135,13 @@
 
 
 def end_twice(self: ClientConnection) -> None:
-    ClientConnection.end(self)
+    ClientConnection.end_response(self)
     self._write(b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n")
 
 
-def patient(self: ClientConnection, ask: Ask) -> None:
+def patient(self: ClientConnection, ask: ClientRequest) -> None:
     """A request that is waited for three times as long as its client does."""
-    ClientConnection._begin(self, dataclasses.replace(ask, wait_ms=3.0 * ask.wait_ms))
+    ClientConnection._begin(self, dataclasses.replace(ask, max_wait_ms=3.0 * ask.max_wait_ms))
 
 
 LAST: dict[int, bytes] = {}
@@ -151,19 +151,19 @@
     """The bytes that the one before was given, where they are as many."""
     before = LAST.get(len(data), data)
     LAST[len(data)] = data
-    ClientConnection.body(self, before)
+    ClientConnection.write_body(self, before)
 
 
 def undone(director: Director) -> None:
     """A drain that is taken back a second after it was told."""
-    told = director.exchange.listed
+    told = director.exchange.update_servers
 
     def listed(servers: api.ServerList, *more: Any) -> None:
         told(servers, *more)
         if servers.kind is not api.ListKind.LAST:
             asyncio.get_running_loop().call_later(1.0, told, all_ready(servers), *more)
 
-    director.exchange.listed = listed  # type: ignore[method-assign, assignment]
+    director.exchange.update_servers = listed  # type: ignore[method-assign, assignment]
 
 
 def bids_repeat(settings: dict[str, Any]) -> None:
@@ -189,22 +189,27 @@
     Mutant("a purge heard late", "purges kept", scenario(PURGE), purges(3.0)),
     Mutant("a bid sent again", "no double effect", scenario(STORE_BREAKS, traffic=BIDS), None,
            with_settings(bids_repeat)),
-    Mutant("a refusal not said", "one final answer", scenario([], FULL, CROWD), connection(finish=mute)),
-    Mutant("a refusal said twice", "one final answer", scenario([], FULL, CROWD), connection(finish=twice)),
-    Mutant("a refusal held back", "one final answer", scenario([], FULL, CROWD), connection(finish=delayed)),
+    Mutant("a refusal not said", "one final answer", scenario([], FULL, CROWD), connection(send_final=mute)),
+    Mutant("a refusal said twice", "one final answer", scenario([], FULL, CROWD),
+           connection(send_final=twice)),
+    Mutant("a refusal held back", "one final answer", scenario([], FULL, CROWD),
+           connection(send_final=delayed)),
     Mutant("a refusal without Retry-After", "refusals worded", scenario([], FULL, CROWD),
-           connection(finish=unworded)),
-    Mutant("an answer altered", "answers were made", scenario([]), connection(body=altered)),
-    Mutant("an answer out of two halves", "answers were made", scenario([]), connection(body=cut_twice)),
-    Mutant("an answer without its body", "one final answer", scenario([]), connection(body=swallowed)),
+           connection(send_final=unworded)),
+    Mutant("an answer altered", "answers were made", scenario([]), connection(write_body=altered)),
+    Mutant("an answer out of two halves", "answers were made", scenario([]),
+           connection(write_body=cut_twice)),
+    Mutant("an answer without its body", "one final answer", scenario([]), connection(write_body=swallowed)),
     Mutant("a drain taken back", "drains kept", scenario(DRAIN), undone),
-    Mutant("a refusal as a close", "one final answer", scenario([], FULL, CROWD), connection(finish=closed)),
+    Mutant("a refusal as a close", "one final answer", scenario([], FULL, CROWD),
+           connection(send_final=closed)),
     Mutant("a broken answer passed off as whole", "answers were made", scenario(BOXES_BREAK),
-           connection(cut=padded)),
-    Mutant("two answers to one request", "one final answer", scenario([]), connection(end=end_twice)),
+           connection(abort_response=padded)),
+    Mutant("two answers to one request", "one final answer", scenario([]),
+           connection(end_response=end_twice)),
     Mutant("a client's patience overrated", "one final answer", scenario(ALL_SILENT),
            connection(_begin=patient)),
-    Mutant("another's answer", "answers were made", scenario([]), connection(body=anothers)),
+    Mutant("another's answer", "answers were made", scenario([]), connection(write_body=anothers)),
     Mutant("another's id", "nothing invented", scenario([]), connection(_begin=other_ticket)),
     Mutant("attempts without end", "attempts bounded", scenario(ALL_RESET, Fleet(boxes=12)), None,
            with_settings(tries)),
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -219,7 +219,7 @@
                 writer.write(request(f"/invoke/lot-page/{name}"))
             await until(lambda: any(c.paused for c in director.front.connections) and len(cache.heard) == 1)
             writer.close()
-            await until(lambda: not director.exchange.taken, 2.0)  # and not once its time is up
+            await until(lambda: not director.exchange.open_requests, 2.0)  # and not once its time is up
             self.assertEqual(director.counters["requests.left_by_client"], 1)
             self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
 
@@ -242,13 +242,13 @@
             assert director is not None
             _, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
-            await until(lambda: director.exchange.held is not None and len(director.exchange.held) == 1)
+            await until(lambda: len(director.exchange.held_requests or ()) == 1)
             writer.close()
             await until(lambda: not director.front.connections)
             assert world.coordinator.answering is not None
             world.coordinator.answering.set()
-            await until(lambda: director.exchange.held is None)
-            await until(lambda: not director.exchange.taken)
+            await until(lambda: director.exchange.held_requests is None)
+            await until(lambda: not director.exchange.open_requests)
             self.assertEqual((len(cache.heard), director.counters["attempts.written"]), (0, 0))
 
     async def test_nothing_is_said_within_another_answer(self) -> None:
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -5,7 +5,7 @@
 import unittest
 from typing import Any
 
-from gladewalk.exchange import TURN_MS
+from gladewalk.exchange import LOOP_TURN_MS
 from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer, request, until
 from gladewalk.upstream.http1 import CacheConnection
 from gladewalk.upstream.targets import Dial
@@ -28,8 +28,8 @@
                 assert connection.number is not None
                 number, connection.number = connection.number, None
                 connection._release()
-                director.exchange.gone(number)  # no turn of the loop in between
-            await until(lambda: not director.exchange.taken)
+                director.exchange.client_disconnected(number)  # no turn of the loop in between
+            await until(lambda: not director.exchange.open_requests)
             self.assertEqual(director.counters["caches.connects"], 5)
             await until(lambda: not director.caches.dialling, 2.0)
             writer.close()
@@ -48,16 +48,16 @@
             await until(lambda: not director.front.connections)
             client = socket.create_connection(director.front.address)
             await until(lambda: len(director.front.connections) == 1)
-            director.exchange.hold()
+            director.exchange.hold_requests()
             client.sendall(request("/invoke/lot-page/a1"))
-            await until(lambda: bool(director.exchange.held))
+            await until(lambda: bool(director.exchange.held_requests))
             real = director.clock
-            director.exchange.clock = lambda: real() + TURN_MS + 1.0  # it has waited for more than a turn
+            director.exchange.clock = lambda: real() + LOOP_TURN_MS + 1.0  # it has waited longer than a turn
             (connection,) = director.front.connections
             client.close()  # and no turn of the loop from here on
-            self.assertTrue(connection.has_left())
-            director.exchange.release()
-            await until(lambda: not director.exchange.taken and not director.caches.dialling)
+            self.assertTrue(connection.is_disconnected())
+            director.exchange.release_held()
+            await until(lambda: not director.exchange.open_requests and not director.caches.dialling)
             counters = director.counters
             self.assertEqual((counters["attempts.written"], counters["requests.left_by_client"]), (1, 1))
             self.assertEqual(len(cache.heard), 1)
@@ -86,11 +86,11 @@
             (upstream,) = director.caches.live
             (dial,) = director.caches.dialling
             assert isinstance(dial, Dial) and isinstance(upstream, CacheConnection)
-            director.exchange.clock = lambda: real() + TURN_MS + 1.0
+            director.exchange.clock = lambda: real() + LOOP_TURN_MS + 1.0
             client.close()
-            self.assertTrue(connection.has_left())
+            self.assertTrue(connection.is_disconnected())
             director.caches.write(upstream, dial.job)  # as the dial's next step does
             up.set()
-            await until(lambda: not director.exchange.taken and not director.caches.dialling)
+            await until(lambda: not director.exchange.open_requests and not director.caches.dialling)
             self.assertEqual(director.counters["attempts.written"], 0)
             self.assertEqual(len(cache.heard), 0)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -425,11 +425,11 @@
         coordinator.stop()
 
     def note_results(self, director: Director, results: list[api.ProbeResult]) -> None:
-        feed = director.exchange.feed
+        feed = director.exchange.handle_event
 
         def note(event: api.Event) -> None:
             if isinstance(event, api.ProbeResult):
                 results.append(event)
             feed(event)
 
-        director.exchange.feed = note  # type: ignore[method-assign]
+        director.exchange.handle_event = note  # type: ignore[method-assign]
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -88,7 +88,9 @@
             director = world.director
             assert director is not None
             client, connection = await self.unread(director, ahead(AHEAD, 3000.0))
-            await until(lambda: director.counters["answers.served"] >= 2 and not director.exchange.taken)
+            await until(
+                lambda: director.counters["answers.served"] >= 2 and not director.exchange.open_requests
+            )
             assert connection.transport is not None
             self.assertLess(connection.transport.get_write_buffer_size(), 3 * len(LARGE))
             self.assertLess(len(cache.heard), AHEAD)
@@ -115,7 +117,9 @@
             assert director is not None
             front, real = director.front, director.front.clock
             client, connection = await self.unread(director, ahead(3, 3000.0) + ahead(1, 3000.0)[:-9])
-            await until(lambda: director.counters["answers.served"] >= 2 and not director.exchange.taken)
+            await until(
+                lambda: director.counters["answers.served"] >= 2 and not director.exchange.open_requests
+            )
             self.assertTrue(connection.full)
             connection.waiting.clear()  # as once the last whole one has been answered, and reading goes on
             connection.paused, connection.partial, connection.began_ms = False, True, real()
--- a/tests/test_golden_exchange.py
+++ b/tests/test_golden_exchange.py
@@ -15,7 +15,7 @@
 from gladewalk import interface as api
 from gladewalk.config import Address, read
 from gladewalk.counters import Counters
-from gladewalk.exchange import Ask, Attempt, Exchange, Taken
+from gladewalk.exchange import Attempt, ClientRequest, Exchange, OpenRequest
 from gladewalk.net.coordinator import CoordinatorConnection, Feed, Follower
 from gladewalk.rehearsal.peers import (
     Coordinator,
@@ -49,7 +49,7 @@
     def __init__(self) -> None:
         self.events: list[Any] = []
 
-    def listed(
+    def update_servers(
         self, event: api.ServerList, addresses: dict[str, Address | None], models: dict[str, str]
     ) -> None:
         servers = [
@@ -61,8 +61,8 @@
         ]  # fmt: skip
         self.events.append(["list", list(api.ListKind).index(event.kind), servers, addresses, models])
 
-    def purged(self, purge: api.Purge) -> None:
-        self.events.append(["purge", purge.key, purge.group, purge.age_ms])
+    def purge(self, event: api.Purge) -> None:
+        self.events.append(["purge", event.key, event.group, event.age_ms])
 
 
 def target(uid: str, **more: Any) -> dict[str, Any]:
@@ -166,20 +166,20 @@
 
 def requests_to_caches() -> list[str]:
     """The bytes of a lookup, of fetches of every form, of a conditional request and of a write."""
-    read_ask = Ask("9b1f03aa5c7e2d41", "GET", "lot-page", "7F3a", 0x7F3A, 3, 3000.0)
-    conditional = Ask("00c0ffee00c0ffee", "GET", "lot-page", "a1", 0xA1, 0, 3000.0, tag="4be0")
-    write = Ask(
-        "9b1f03aa5c7e2d41", "PUT", "bid", "b1", 0xB1, 0, 3000.0, body=b"12 boxes", replay_key="k;1",
+    read_ask = ClientRequest("9b1f03aa5c7e2d41", "GET", "lot-page", "7F3a", 0x7F3A, 3, 3000.0)
+    conditional = ClientRequest("00c0ffee00c0ffee", "GET", "lot-page", "a1", 0xA1, 0, 3000.0, etag="4be0")
+    write = ClientRequest(
+        "9b1f03aa5c7e2d41", "PUT", "bid", "b1", 0xB1, 0, 3000.0, body=b"12 boxes", idempotency_key="k;1",
         is_retry=True,
     )  # fmt: skip
-    orders: list[tuple[Ask, api.Lookup | api.Fetch]] = [
+    orders: list[tuple[ClientRequest, api.Lookup | api.Fetch]] = [
         (ask, api.Lookup(1, "c1")) for ask in (read_ask, conditional, write)
     ]
     orders += [(read_ask, api.Fetch(1, "c1", **{"source": "c1", **fetch})) for fetch in FETCHES]
     orders += [(conditional, api.Fetch(1, "c1", "p1")), (write, api.Fetch(1, "o", "o", rank=0))]
     written = []
     for ask, order in orders:
-        taken = Taken(1, ask, cast(Any, None), NOW_MS, NOW_MS + 3000.0)
+        taken = OpenRequest(1, ask, cast(Any, None), NOW_MS, NOW_MS + 3000.0)
         attempt = Attempt(taken, 0, order, NOW_MS, NOW_MS + 2500.4)
         written += [write_request(attempt, now_ms).decode() for now_ms in (NOW_MS, NOW_MS + 9000.0)]
     return written
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -319,17 +319,17 @@
             assert w.director is not None
             reader, writer = await w.client()
             exchange = w.director.exchange
-            real = exchange.head
+            real = exchange.response_started
 
             def head_then_pause(attempt: object, head: object) -> bool:
                 good = real(attempt, head)  # type: ignore[arg-type]
-                exchange.flow(attempt.taken.number, False)  # type: ignore[attr-defined]
+                exchange.flow(attempt.open_request.number, False)  # type: ignore[attr-defined]
                 return good
 
-            exchange.head = head_then_pause  # type: ignore[method-assign]
+            exchange.response_started = head_then_pause  # type: ignore[method-assign]
             writer.write(request("/invoke/lot-video/1"))
             await reader.readuntil(b"\r\n\r\n")
-            (taken,) = exchange.taken.values()
+            (taken,) = exchange.open_requests.values()
             self.assertEqual(len(await reader.readexactly(8_192)), 8_192)
             await asyncio.sleep(0.05)
             self.assertEqual(len(reader._buffer), 0)  # type: ignore[attr-defined]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -127,7 +127,7 @@
         async with Rehearsal([ScriptedPeer(hit, state="DRAINING")]) as world:
             status, fields, _ = await world.ask()
             assert world.director is not None
-            self.assertEqual(world.director.exchange.owed, 0)
+            self.assertEqual(world.director.exchange.unanswered_count, 0)
         self.assertEqual((status, fields["retry-after"]), (503, "1"))
 
     async def test_a_silent_cache_costs_no_request_its_final_answer(self) -> None:
@@ -144,6 +144,6 @@
             writer.transport.abort()
             assert world.director is not None
             exchange, counters = world.director.exchange, world.director.counters
-            await until(lambda: not exchange.taken)
+            await until(lambda: not exchange.open_requests)
             self.assertEqual((counters["requests.left_by_client"], counters["attempts.cancelled"]), (1, 1))
             self.assertFalse(exchange.core.open or exchange.core.flights)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -323,7 +323,7 @@
         clients = [await asyncio.open_connection(*director.front.address) for _ in range(8)]
         for key, (_, writer) in enumerate(clients, 1):  # homes on both caches, by hash
             writer.write(request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
-        await until(lambda: director.exchange.held is not None and len(director.exchange.held) == 8)
+        await until(lambda: len(director.exchange.held_requests or ()) == 8)
         self.assertEqual((first.heard, second.heard), ([], []))
         assert coordinator.answering is not None
         coordinator.answering.set()
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -62,19 +62,19 @@
             await until(lambda: len(cache.heard) == 1)
             director.stop()
             kill_ms = director.clock() + ACCEPT_MS + KILL_MOST_MS
-            (taken,) = director.exchange.taken.values()
+            (taken,) = director.exchange.open_requests.values()
             self.assertGreater(LONGEST_MS, KILL_MOST_MS)
             self.assertLess(taken.deadline_ms, kill_ms)
             late = await world.client()  # it comes in the last moment, with all its patience
             late[1].write(request("/invoke/lot-video/a2", trace="00000000000000a2", wait_ms=LONGEST_MS))
-            await until(lambda: len(director.exchange.taken) == 2)
-            self.assertTrue(all(t.deadline_ms < kill_ms for t in director.exchange.taken.values()))
+            await until(lambda: len(director.exchange.open_requests) == 2)
+            self.assertTrue(all(t.deadline_ms < kill_ms for t in director.exchange.open_requests.values()))
             director._close()
-            director.exchange.end_by(director.clock())  # that time has come
+            director.exchange.answer_all_by(director.clock())  # that time has come
             for one in (reader, late[0]):
                 first, fields, _ = await read_message(one)
                 self.assertEqual((first.split(" ")[1], fields["connection"]), ("502", "close"))
-            self.assertEqual((director.exchange.owed, director.exchange.core.open), (0, {}))
+            self.assertEqual((director.exchange.unanswered_count, director.exchange.core.open), (0, {}))
             writer.close()
             late[1].close()
             await director._ended
@@ -98,7 +98,7 @@
             reader, writer = await world.client()
             writer.write(request("/invoke/bid/b1", method="PUT", body=b"12"))
             await until(lambda: len(origin.heard) == 1)
-            director.exchange.end_by(director.clock())
+            director.exchange.answer_all_by(director.clock())
             self.assertIn(" 502 ", (await read_message(reader))[0])
             self.assertEqual(len(origin.heard), 1)
             writer.close()
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -235,7 +235,7 @@
     counters = Counters()
     exchange = Exchange(config, clock, Deadlines(lambda due: None), counters, lambda line: None)
     exchange.upstreams = Nowhere()
-    exchange.feed(api.ServerList(api.ListKind.LAST, ()))
+    exchange.handle_event(api.ServerList(api.ListKind.LAST, ()))
     terms = DnsConfig(("127.0.0.1", 0), ORIGIN, "127.0.0.9", 1.0, 1_000.0)
     return DnsFront(exchange, dataclasses.replace(terms, **more), counters)
 
