The coordinator's feed: EndpointFeed parses and applies, CoordinatorWatch keeps the connection

Feed and Follower of net/coordinator.py become two modules with one job each. Constants carry their unit and bound (MAX_BACKOFF_MS, MAX_SILENCE_MS, ...). The log event 'coordinator lost' and all counters keep their names.

--- a/benchmarks/silent_box.py
+++ b/benchmarks/silent_box.py
@@ -128,7 +128,7 @@
     traffic.cancel()
     for director in round_.directors:
         director.front.close()
-        director.follower.close()
+        director.coordinator_watch.close()
         if director.members is not None:
             director.members.leave()
     for peer in peers:
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -17,7 +17,8 @@
 from .deadlines import Deadlines
 from .exchange import Exchange
 from .net.clients import ASK_MS, ClientFront
-from .net.coordinator import Feed, Follower
+from .net.coordinator import CoordinatorWatch
+from .net.endpoint_feed import EndpointFeed
 from .net.outside import REAL, Outside
 from .ops.readiness import ACCEPT_MS, SYNC_MOST_MS, Readiness, answered_by_ms
 from .upstream.pool import Caches
@@ -98,9 +99,9 @@
             from .ops.calls import admin_front
 
             self.admin = admin_front(self)
-        self.feed = Feed(self.exchange, config, clock, self.counters)
-        self.follower = Follower(
-            self.feed, config.coordinator, self.deadlines, self.log.info, outside.fresh()
+        self.endpoint_feed = EndpointFeed(self.exchange, config, clock, self.counters)
+        self.coordinator_watch = CoordinatorWatch(
+            self.endpoint_feed, config.coordinator, self.deadlines, self.log.info, outside.fresh()
         )
         self._ended: asyncio.Future[None] = loop.create_future()
         self._stopping, self._last_ms = False, math.inf  # by when a stop ends, whatever clients do
@@ -149,14 +150,14 @@
             self.control = self._control(options)
 
     async def start(self) -> None:
-        self.feed.known(self.config.known_index, self.config.known)
+        self.endpoint_feed.load_initial(self.config.known_index, self.config.known)
         if self.keeper is not None:
-            self.keeper.restore(self.feed)
-            self.keeper.start(self.feed)
-        self.follower.on_settled = self._synced
+            self.keeper.restore(self.endpoint_feed)
+            self.keeper.start(self.endpoint_feed)
+        self.coordinator_watch.on_synced = self._synced
         self.exchange.hold_requests()
         self.deadlines.add(self.clock() + self.sync_most_ms, self._synced)
-        self.follower.connect()
+        self.coordinator_watch.connect()
         self.caches.sweep()
         self.front.listen(self.config.listen, self.config.inherited_fd)
         if self.dns is not None:
@@ -292,11 +293,12 @@
         self.exchange.core.configure(config.settings)
         self.caches.configure(config)
         self._set_front(config)
-        self.feed.roles = config.roles
+        self.endpoint_feed.roles = config.roles
         if self.dns is not None:
             self.dns.classes = frozenset(self.exchange.core.classes)
-        self.follower.move(config.coordinator)
-        self.log.info("configuration taken", coordinator=config.coordinator, last=self.feed.last)
+        self.coordinator_watch.set_address(config.coordinator)
+        last = self.endpoint_feed.last_index
+        self.log.info("configuration taken", coordinator=config.coordinator, last=last)
 
     def _set_front(self, config: Config) -> None:
         self.front.connection_limit = config.settings.connection_limit
@@ -338,7 +340,7 @@
         if not self.readiness.synced:
             self.readiness.synced = True
             self.exchange.release_held()
-            heard = self.follower.on_settled is None
+            heard = self.coordinator_watch.on_synced is None
             self.counters.add("coordinator.heard_at_start" if heard else "coordinator.late_at_start")
 
     def _store_says(self, event: str, why: str) -> None:
@@ -360,7 +362,7 @@
         if owed or (not self.front.is_done() and self.clock() < self._last_ms):
             self.deadlines.add(self.clock() + LINGER_MS, self._wait_for_last)
         else:
-            self.follower.close()
+            self.coordinator_watch.close()
             if self.members is not None:
                 self.members.leave()
             if self.control is not None:
--- /dev/null
+++ b/gladewalk/net/endpoint_feed.py
@@ -0,0 +1,143 @@
+"""The coordinator's endpoint feed: numbered watch events, parsed and applied in order. No I/O."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from .. import interface as api
+from ..config import Address, Config, ConfigError, finite, read_server
+from ..counters import Counters
+from ..exchange import Exchange
+from ..settings import SettingsError
+
+MAX_REFETCHES = 3  # times that an event is fetched again of which something was unusable
+MIN_REFETCHES = 1  # and after fetching again has not helped
+UNUSABLE = (ConfigError, SettingsError, TypeError, ValueError, KeyError, AttributeError, OverflowError)
+
+FeedMessage = dict[str, Any]  # one line of the feed as JSON has it
+
+
+class EndpointFeed:
+    """Applies each event of the feed once and in order, however often a connection delivers it."""
+
+    def __init__(
+        self, exchange: Exchange, config: Config, clock: Callable[[], float], counters: Counters
+    ) -> None:
+        self.exchange, self.roles, self.clock, self.counters = exchange, config.roles, clock, counters
+        self.last_index = self.initial_index = 0
+        self.is_resumed = False  # `last_index` comes from a run before this one
+        self.on_event: Callable[[int, FeedMessage], None] | None = None  # called after each complete event
+        self._refetched = (0, 0)  # the last event with an unusable part, and how often it was fetched again
+        self._max_refetches = MAX_REFETCHES
+        self._has_list = False
+
+    def load_initial(self, index: int, events: Iterable[FeedMessage]) -> None:
+        """Applies the configuration's events up to `index`; unusable parts cannot be fetched again."""
+        for event in events:
+            self.apply_event(event)
+        self.last_index = self.initial_index = max(self.last_index, index)
+
+    def resume_from(self, index: int) -> None:
+        """Continues after `index`, up to which a previous run has stored all events."""
+        if index > self.last_index:
+            self.last_index, self.is_resumed = index, True
+
+    def read_line(self, data: bytes) -> bool:
+        """Takes one line of the feed; False if it is malformed or leaves a gap, so must be fetched again."""
+        message = self._parse(data)
+        if message is None:
+            return False
+        index = message["index"]
+        is_heartbeat = len(message) == 1  # the number of the last event, sent each second
+        if self.is_resumed and is_heartbeat and index < self.last_index:
+            # This is another coordinator than the previous run's: its numbering is its own.
+            self.last_index, self.is_resumed = self.initial_index, False
+            self.counters.add("coordinator.numbering_back")
+            return False
+        if index <= self.last_index:  # already applied
+            return True
+        if is_heartbeat or index != self.last_index + 1:
+            self.counters.add("coordinator.gaps")
+            return False
+        return self._apply_next(index, message)
+
+    def _parse(self, data: bytes) -> FeedMessage | None:
+        try:
+            message = json.loads(data)
+        except (ValueError, RecursionError):
+            message = None
+        if type(message) is int:  # not a bool, which is an int as well
+            message = {"index": message}
+        if not isinstance(message, dict) or type(message.get("index")) is not int:
+            self.counters.add("coordinator.bad_lines")
+            return None
+        return message
+
+    def _apply_next(self, index: int, message: FeedMessage) -> bool:
+        is_complete = self.apply_event(message)
+        if not is_complete and self._should_refetch(index):
+            return False
+        if is_complete and self._refetched[0] == index:
+            self._max_refetches = MAX_REFETCHES  # it was only damaged on its way
+        self.last_index = index
+        if is_complete and self.on_event is not None:
+            self.on_event(index, message)
+        return True
+
+    def _should_refetch(self, index: int) -> bool:
+        """Whether an event with an unusable part is fetched once more, with all that follows it.
+
+        Fetching again recovers a change that was damaged on its way. The number of times is bounded, so that
+        an event which nobody here can use does not block the feed; after the first such event each further
+        one costs a single retry.
+        """
+        previous, count = self._refetched
+        count = count + 1 if previous == index else 1
+        self._refetched = index, count
+        if count <= self._max_refetches:
+            return True
+        self._max_refetches = MIN_REFETCHES
+        self.counters.add("coordinator.given_up")
+        return False
+
+    def apply_event(self, event: FeedMessage) -> bool:
+        """Applies what can be used of an event; False if a part of it was unusable, which is counted."""
+        bad_entries = 0
+        try:
+            if "endpoints" in event:
+                bad_entries = self._apply_list(event["endpoints"])
+            if "evict" in event:
+                self._apply_purge(event["evict"])
+        except UNUSABLE:
+            self.counters.add("coordinator.bad_events")
+            return False
+        self.counters.add("coordinator.events")
+        return not bad_entries
+
+    def _apply_list(self, change: FeedMessage) -> int:
+        """Applies a change of the endpoint list; returns how many of its entries were unusable."""
+        entries: list[tuple[api.Server, Address | None]] = []
+        models: dict[str, str] = {}
+        for entry in change["targets"]:
+            try:
+                entries.append(read_server(entry, self.roles))
+                models[str(entry["uid"])] = str(entry.get("model", ""))
+            except UNUSABLE:
+                self.counters.add("coordinator.bad_entries")
+        bad_entries = len(change["targets"]) - len(entries)
+        kind = api.ListKind.CHANGES
+        # A full list with an unusable entry counts as a change: else that entry's server would be removed.
+        if not self._has_list or (change.get("all") and not bad_entries):
+            kind = api.ListKind.WHOLE if self._has_list else api.ListKind.LAST
+        self._has_list = True
+        addresses = {server.name: address for server, address in entries}
+        servers = tuple(server for server, _ in entries)
+        self.exchange.update_servers(api.ServerList(kind, servers), addresses, models)
+        return bad_entries
+
+    def _apply_purge(self, evict: FeedMessage) -> None:
+        key = int(evict["ref"], 16) if "ref" in evict else None
+        age_ms = max(0.0, self.clock() - finite(evict["unix_ms"]))
+        self.exchange.purge(api.Purge(key, int(evict.get("shard", -1)), age_ms))
--- a/gladewalk/rehearsal/peers.py
+++ b/gladewalk/rehearsal/peers.py
@@ -225,7 +225,7 @@
     async def __aexit__(self, *error: object) -> None:
         assert self.director is not None
         self.director.front.close()
-        self.director.follower.close()
+        self.director.coordinator_watch.close()
         if self.director.dns is not None:
             self.director.dns.close()
         self.coordinator.stop()
--- a/gladewalk/rehearsal/webworld.py
+++ b/gladewalk/rehearsal/webworld.py
@@ -80,7 +80,7 @@
         assert self.director is not None and self.director.web is not None and self._folder is not None
         self.director.web.close()
         self.director.front.close()
-        self.director.follower.close()
+        self.director.coordinator_watch.close()
         for server in self.servers.values():
             server.stop()
         self._folder.cleanup()
--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/keeper.py
@@ -11,7 +11,7 @@
 from ..counters import Counters
 from ..deadlines import Deadlines
 from ..exchange import Exchange
-from ..net.coordinator import Feed
+from ..net.endpoint_feed import EndpointFeed
 from ..options import Options
 from . import leases, warm
 from .files import Folder
@@ -57,7 +57,7 @@
             say("store dropped a cut write", f"{name}: at byte {offset}: {size} bytes, never acknowledged")
         self.writer = Writer(self.log, table.policy, table.group_ms, counters, say)
 
-    def restore(self, feed: Feed) -> None:
+    def restore(self, feed: EndpointFeed) -> None:
         """What the last run knew: into the module before anything is served."""
         now = self.clock()
         purges = purges_of(self.log.items(PURGES), now)
@@ -65,11 +65,11 @@
             feed.exchange.purge(purge)
         if self.resume:
             self.position = position_of(self.log.items(FEED))
-        whole = self.position.whole if self.position.whole > feed.last else 0
-        entries = servers_of(self.log.items(SERVERS), feed.last, whole)
+        whole = self.position.whole if self.position.whole > feed.last_index else 0
+        entries = servers_of(self.log.items(SERVERS), feed.last_index, whole)
         if entries:
-            feed.event({"endpoints": {"all": bool(whole), "targets": entries}})
-        feed.resume(self.position.index)
+            feed.apply_event({"endpoints": {"all": bool(whole), "targets": entries}})
+        feed.resume_from(self.position.index)
         core = feed.exchange.core
         leases_back = leases.restore(core, self.log.items(leases.SPACE), now)
         objects, sources = warm.restore(core, self.log.items(warm.SPACE), now)
@@ -79,9 +79,9 @@
         ):  # fmt: skip
             self.counters.add(f"store.{what}_restored", count)
 
-    def start(self, feed: Feed) -> None:
+    def start(self, feed: EndpointFeed) -> None:
         self.writer.start()
-        feed.noted, self.exchange = self.note, feed.exchange
+        feed.on_event, self.exchange = self.note, feed.exchange
         feed.exchange.persist_resolution = self.lease
         if self.warm_ms:
             self._keep_warm()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -29,7 +29,7 @@
     async def asyncTearDown(self) -> None:
         for director in self.directors:
             director.front.close()
-            director.follower.close()
+            director.coordinator_watch.close()
         self.listener.close()
         self.cache.stop()
         self.coordinator.stop()
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -128,7 +128,7 @@
         self.assertEqual(await self.resolver.resolve(name()), [BOX])
         self.cache.state = "DRAINING"
         self.world.coordinator.tell_list(self.cache)
-        await until(lambda: self.director.feed.last == 2)
+        await until(lambda: self.director.endpoint_feed.last_index == 2)
         self.front.config = front(wait_ms=30.0)
         query = dns.message.make_query(name(0xA2), "A")
         self.assertEqual((await self.resolver.query(query)).rcode(), dns.rcode.SERVFAIL)
@@ -138,7 +138,7 @@
         """A purge and then a box come while it waits: the purged object's box must not be named."""
         self.cache.state = "DRAINING"
         self.world.coordinator.tell_list(self.cache)
-        await until(lambda: self.director.feed.last == 2)
+        await until(lambda: self.director.endpoint_feed.last_index == 2)
         waiting = [asyncio.create_task(self.resolver.resolve(name(key))) for key in (0xB1, 0xB2)]
         await until(lambda: len(self.director.exchange.open_resolutions) == 2)
         self.world.coordinator.tell(evict={"ref": "b1", "unix_ms": self.director.exchange.clock()})
@@ -183,7 +183,7 @@
                     if restart:
                         box.boot_ms = world.director.exchange.clock()
                         world.coordinator.tell_list(box)
-                        await until(lambda feed=world.director.feed: feed.last == 2)  # type: ignore[misc]
+                        await until(lambda feed=world.director.endpoint_feed: feed.last_index == 2)  # type: ignore[misc]
                     for key in range(20):
                         for resolver in resolvers:
                             await resolver.resolve(name(key + 100 * restart))
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -417,7 +417,7 @@
         await until(lambda: len(heard) == 5)
         for director in directors:
             director.front.close()
-            director.follower.close()
+            director.coordinator_watch.close()
             if director.members is not None and director.members is not members:
                 director.members.leave()
         for peer in (*boxes, parent):
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from gladewalk.interface import ServerState
-from gladewalk.net.coordinator import ASKED_MOST, BACKOFF_MOST_MS, BACKOFF_MS, LINE_MS, SILENCE_MS
+from gladewalk.net.coordinator import MAX_BACKOFF_MS, MAX_SILENCE_MS, MAX_UNUSABLE_MS, MIN_BACKOFF_MS
+from gladewalk.net.endpoint_feed import MAX_REFETCHES
 from gladewalk.rehearsal.peers import Coordinator, Rehearsal, ScriptedPeer, until
 
 from .peers import hit
@@ -54,15 +55,15 @@
             self.assertEqual(world.known["c1"], ServerState.DRAINING)
             counters = world.director.counters
             await until(lambda: counters["coordinator.given_up"] == 1)
-            self.assertEqual(counters["coordinator.bad_entries"], len(bad) * (1 + ASKED_MOST))
-            self.assertEqual(world.coordinator.follows, [1] * (1 + ASKED_MOST))
+            self.assertEqual(counters["coordinator.bad_entries"], len(bad) * (1 + MAX_REFETCHES))
+            self.assertEqual(world.coordinator.follows, [1] * (1 + MAX_REFETCHES))
             # Asking again did not help: the next such event is asked for once more, not three times.
             world.coordinator.tell(**whole_list(bad[0]))
             await until(lambda: counters["coordinator.given_up"] == 2)
-            self.assertEqual(world.coordinator.follows[1 + ASKED_MOST :], [2])
+            self.assertEqual(world.coordinator.follows[1 + MAX_REFETCHES :], [2])
             world.coordinator.tell(**whole_list({**good, "uid": "c3"}))
             await until(lambda: "c3" in world.known)
-            self.assertEqual(world.director.feed.last, 4)
+            self.assertEqual(world.director.endpoint_feed.last_index, 4)
 
     async def test_a_change_spoilt_on_its_way_is_asked_for_again_and_not_lost(self) -> None:
         async with World() as world:
@@ -76,7 +77,7 @@
                 {"index": 2, "evict": {"shard": 3, "unix_ms": float("nan")}},
             ):
                 before = len(world.coordinator.follows)
-                world.director.feed._asked = (0, 0)
+                world.director.endpoint_feed._refetched = (0, 0)
                 world.coordinator.write(json.dumps(spoilt).encode() + b"\n")
                 await world.following(before + 1)
             self.assertEqual(set(world.coordinator.follows), {1})
@@ -84,7 +85,7 @@
             world.coordinator.events.append(event)
             world.coordinator.cut()
             await until(lambda: "c2" in world.known)
-            self.assertEqual(world.director.feed.last, 2)
+            self.assertEqual(world.director.endpoint_feed.last_index, 2)
 
     async def test_lines_that_are_none_leave_the_last_list_in_force(self) -> None:
         async with World() as world:
@@ -105,34 +106,34 @@
     async def test_bytes_without_a_line_of_use_shorten_no_wait(self) -> None:
         async with World() as world:
             assert world.director is not None
-            follower = world.director.follower
+            watch = world.director.coordinator_watch
             await world.following(1)
             noise = await asyncio.start_server(answer_with_noise, "127.0.0.1", 0)
-            follower.move(noise.sockets[0].getsockname()[:2])
-            await until(lambda: follower.wait_ms == BACKOFF_MOST_MS)
+            watch.set_address(noise.sockets[0].getsockname()[:2])
+            await until(lambda: watch.backoff_ms == MAX_BACKOFF_MS)
             noise.close()
             host, _, port = world.coordinator.address.rpartition(":")
-            follower.address = (host, int(port))  # and not `move`, which begins anew
+            watch.address = (host, int(port))  # and not `set_address`, which begins anew
             await world.following(2)
-            await until(lambda: follower.wait_ms == BACKOFF_MS)
+            await until(lambda: watch.backoff_ms == MIN_BACKOFF_MS)
 
     async def test_half_a_line_keeps_a_connection_alive_for_a_while_only(self) -> None:
         async with World() as world:
             assert world.director is not None
-            director, follower = world.director, world.director.follower
+            director, watch = world.director, world.director.coordinator_watch
             await world.following(1)
             await until(lambda: director.readiness.synced)
-            real, ahead, written = director.feed.clock, 0.0, [0]
-            director.feed.clock = lambda: real() + ahead
+            real, ahead, written = director.endpoint_feed.clock, 0.0, [0]
+            director.endpoint_feed.clock = lambda: real() + ahead
             begun = real()
             for step in range(1, 4):  # half a line goes on and on, always before the time of a silence
-                ahead = step * 0.9 * SILENCE_MS
+                ahead = step * 0.9 * MAX_SILENCE_MS
                 world.coordinator.write(b" ")
                 written[0] = step
-                await until(lambda: (c := follower.connection) is None or len(c.rest) >= written[0])
-                if follower._due is not None:
-                    self.assertLessEqual(follower._due[0], max(real(), begun) + LINE_MS)
-            world.director.feed.clock = real
+                await until(lambda: (c := watch.connection) is None or len(c.partial_line) >= written[0])
+                if watch._timer is not None:
+                    self.assertLessEqual(watch._timer[0], max(real(), begun) + MAX_UNUSABLE_MS)
+            world.director.endpoint_feed.clock = real
 
 
 class Down(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_golden_exchange.py
+++ b/tests/test_golden_exchange.py
@@ -16,7 +16,8 @@
 from gladewalk.config import Address, read
 from gladewalk.counters import Counters
 from gladewalk.exchange import Attempt, ClientRequest, Exchange, OpenRequest
-from gladewalk.net.coordinator import CoordinatorConnection, Feed, Follower
+from gladewalk.net.coordinator import CoordinatorConnection, CoordinatorWatch
+from gladewalk.net.endpoint_feed import EndpointFeed
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
@@ -109,11 +110,11 @@
     """Every line with its result, the last number known then, and the interface events that came of it."""
     exchange, counters = RecordingExchange(), Counters()
     config = read({**config_for([], Coordinator(address="127.0.0.1:1")), "known": None}, {})
-    feed = Feed(cast(Exchange, exchange), config, lambda: NOW_MS, counters)
+    feed = EndpointFeed(cast(Exchange, exchange), config, lambda: NOW_MS, counters)
     steps: list[Any] = []
     for line in FEED_LINES:
-        good = feed.line(line)
-        steps.append([line.decode(), good, feed.last, exchange.events])
+        good = feed.read_line(line)
+        steps.append([line.decode(), good, feed.last_index, exchange.events])
         exchange.events = []
     return {"steps": steps, "counters": dict(counters)}
 
@@ -127,19 +128,19 @@
 
 
 class FollowedFeed:
-    last = 1234567
+    last_index = 1234567
 
 
-class AcceptingFollower:
+class AcceptingWatch:
     feed = FollowedFeed()
 
-    def begins(self, connection: CoordinatorConnection) -> bool:
+    def adopt(self, connection: CoordinatorConnection) -> bool:
         return True
 
 
 def follow_line() -> str:
     transport = FeedTransport()
-    connection = CoordinatorConnection(cast(Follower, AcceptingFollower()), ("127.0.0.1", 1))
+    connection = CoordinatorConnection(cast(CoordinatorWatch, AcceptingWatch()), ("127.0.0.1", 1))
     connection.connection_made(cast(asyncio.BaseTransport, transport))
     return transport.written.decode()
 
@@ -322,7 +323,7 @@
             for path in ("/elsewhere", "/invoke/lot-page/xyz", "/invoke/bid/a1"):
                 await world.ask(path)
             world.coordinator.tell(evict={"ref": "a1", "unix_ms": 1.0})
-            await until(lambda: director.feed.last == 2)
+            await until(lambda: director.endpoint_feed.last_index == 2)
             world.coordinator.cut()
             await until(lambda: len(world.coordinator.follows) == 2)
             raw = config_for([cache, parent], world.coordinator)
@@ -333,7 +334,7 @@
             for state in ("DRAINING", "DRAINING"):
                 cache.state = parent.state = state
             world.coordinator.tell_list(cache, parent)
-            await until(lambda: director.feed.last == 3)
+            await until(lambda: director.endpoint_feed.last_index == 3)
             reader, writer = await world.client()
             writer.write(request(PATH))
             await read_message(reader)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -113,11 +113,11 @@
         async with Rehearsal([ScriptedPeer(hit)]) as world:
             director = world.director
             assert director is not None
-            follower, good = director.follower, director.follower.address
+            watch, good = director.coordinator_watch, director.coordinator_watch.address
             await until(lambda: len(world.coordinator.follows) == 1)
-            follower.move(("a..b", 80))
+            watch.set_address(("a..b", 80))
             await until(lambda: director.counters["coordinator.connects"] >= 3)
-            follower.address = good
+            watch.address = good
             await until(lambda: len(world.coordinator.follows) == 2)
             director.caches.upstreams["c1"].address = ("a..b", 80)
             status, _, _ = await world.ask()
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -148,7 +148,7 @@
             await until(lambda: w.director is not None and len(w.director.caches.lanes[0].waiting) == 1)
             box.state = "DRAINING"
             w.coordinator.tell_list(box)
-            await until(lambda: w.director is not None and w.director.feed.last == 2)
+            await until(lambda: w.director is not None and w.director.endpoint_feed.last_index == 2)
             held[0].answer(200, BYTES)
             self.assertEqual((await first)[0], 200)
             self.assertEqual((await second)[0], 503)
@@ -161,7 +161,7 @@
         async with world(old) as w:
             self.assertEqual((await w.ask())[0], 200)
             w.coordinator.tell_list(new)
-            await until(lambda: w.director is not None and w.director.feed.last == 2)
+            await until(lambda: w.director is not None and w.director.endpoint_feed.last_index == 2)
             self.assertEqual((await w.ask())[0], 200)
             await until(lambda: not old.lines)
         new.stop()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -107,7 +107,7 @@
             (connection,) = caches.upstreams["c1"].idle
             caches.upstreams["c1"].idle.clear()
             world.coordinator.tell_list(new)  # the same server at another place
-            await until(lambda: world.director is not None and world.director.feed.last == 2)
+            await until(lambda: world.director is not None and world.director.endpoint_feed.last_index == 2)
             caches.upstreams["c1"].rest(connection)
             await world.ask()
             gone = ScriptedPeer(hit, state="DELETED", address=new.address)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -333,7 +333,7 @@
         self.assertEqual((len(first.heard), len(second.heard)), (0, 8))
         self.assertTrue(director.readiness.ready())
         director.front.close()
-        director.follower.close()
+        director.coordinator_watch.close()
         coordinator.stop()
         for peer in (first, second):
             peer.stop()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,12 +30,12 @@
         old, new = ScriptedPeer(hit), ScriptedPeer(hit, "c2")
         async with Rehearsal([old, new]) as world:
             assert world.director is not None
-            feed = world.director.feed
+            feed = world.director.endpoint_feed
             await until(lambda: world.coordinator.follows == [1])
             old.state, new.address = "DELETED", old.address  # the newcomer stands where the old one stood
             world.coordinator.cut()
             world.coordinator.tell_list(old, new)
-            await until(lambda: feed.last == 2)
+            await until(lambda: feed.last_index == 2)
             self.assertEqual(world.coordinator.follows[:2], [1, 1])
             for key in range(8):
                 self.assertEqual((await world.ask(f"/invoke/lot-page/{key:x}"))[0], 200)
@@ -46,18 +46,18 @@
         other = await Coordinator().start()
         async with Rehearsal([old_cache]) as world:
             assert world.director is not None
-            director, feed = world.director, world.director.feed
+            director, feed = world.director, world.director.endpoint_feed
             await until(lambda: world.coordinator.follows == [1])
             other.events = list(world.coordinator.events)
             other.tell_list(new_cache)
             raw = config_for([old_cache], world.coordinator)
             director.apply(read({**raw, "coordinator": other.address}, {}))
-            await until(lambda: feed.last == 2)
+            await until(lambda: feed.last_index == 2)
             self.assertEqual(other.follows, [1])
             world.coordinator.tell_list(old_cache)  # its number 2 is not the one that counts
             world.coordinator.cut()
             other.tell_list(ScriptedPeer(hit, "c3", address=new_cache.address))
-            await until(lambda: feed.last == 3)
+            await until(lambda: feed.last_index == 3)
             self.assertEqual(set(director.caches.upstreams), {"c1", "c2", "c3"})
             self.assertEqual((other.follows, len(world.coordinator.follows)), ([1], 1))
         new_cache.stop()
@@ -67,28 +67,28 @@
         cache = ScriptedPeer(hit)
         async with Rehearsal([cache]) as world:
             assert world.director is not None
-            feed, coordinator = world.director.feed, world.coordinator
+            feed, coordinator = world.director.endpoint_feed, world.coordinator
             await until(lambda: coordinator.follows == [1])
             purge = {"evict": {"ref": "a1", "unix_ms": 1.0}}
             line = json.dumps({"index": 2, **purge}).encode() + b"\n"
             coordinator.events.append({"index": 2, **purge})
             coordinator.write(line[:20])
             coordinator.cut()
-            await until(lambda: feed.last == 2 and coordinator.follows == [1, 1])
+            await until(lambda: feed.last_index == 2 and coordinator.follows == [1, 1])
             coordinator.write(line + line)
             coordinator.tell(**purge)
-            await until(lambda: feed.last == 3)
+            await until(lambda: feed.last_index == 3)
             self.assertEqual(feed.counters["coordinator.events"], 3)  # the list, and two purges
             coordinator.events.append({"index": 4, **purge})
             coordinator.write(b"4\n")  # the number of one that never came
-            await until(lambda: feed.last == 4)
+            await until(lambda: feed.last_index == 4)
             self.assertEqual(coordinator.follows, [1, 1, 3])
 
     async def test_a_silent_coordinator_is_asked_again(self) -> None:
         async with Rehearsal([ScriptedPeer(hit)]) as world:
             assert world.director is not None
             await until(lambda: world.coordinator.follows == [1])
-            world.director.follower._silent()  # what the deadline calls
+            world.director.coordinator_watch._on_silence()  # what the deadline calls
             await until(lambda: world.coordinator.follows == [1, 1])
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -557,7 +557,7 @@
         await until(lambda: keeper.log.durable >= 2)
         coordinator.stop()
         first.front.close()
-        first.follower.close()
+        first.coordinator_watch.close()
         keeper.folder.close()  # as a kill does: nothing more is written
         again = Director(config, loop, None, self.options(folder))
         await again.start()
@@ -575,7 +575,7 @@
         with self.assertRaisesRegex(ConfigError, "t.toml: store.folder: .*another process holds this store"):
             Director(config, loop, None, self.options(folder))
         again.front.close()
-        again.follower.close()
+        again.coordinator_watch.close()
         assert again.keeper is not None
         await again.keeper.close()
         for peer in (*boxes, origin):
@@ -600,7 +600,7 @@
 
         async def end(director: Director) -> None:
             director.front.close()
-            director.follower.close()
+            director.coordinator_watch.close()
             assert director.keeper is not None
             await director.keeper.close()
 
@@ -609,7 +609,7 @@
         boxes[3].state = "DRAINING"
         coordinator.tell_list(boxes[3])
         coordinator.tell(evict={"ref": "a1", "unix_ms": unix_ms()})
-        await until(lambda: first.feed.last == 4)
+        await until(lambda: first.endpoint_feed.last_index == 4)
         shown = ["store", "status", "--socket", str(folder / "c")]
         told = await asyncio.to_thread(CliRunner().invoke, gladewalk, [*shown, "--json"])
         self.assertEqual((told.exit_code, json.loads(told.output)["feed"]), (0, 4))
@@ -629,7 +629,7 @@
         lost = await run(dataclasses.replace(config, coordinator=read_address(other.address)))
         await until(lambda: other.follows == [4])
         other.write(b"2\n")
-        await until(lambda: lost.feed.last == 2)
+        await until(lambda: lost.endpoint_feed.last_index == 2)
         self.assertEqual((other.follows, lost.counters["coordinator.numbering_back"]), ([4, 1], 1))
         await end(lost)
         coordinator.stop()
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -186,7 +186,7 @@
     await asyncio.gather(*clients)
     figures = {name: count for name, count in director.counters.report().items() if "." in name}
     director.front.close()
-    director.follower.close()
+    director.coordinator_watch.close()
     return {"ends": dict(ends), "served": dict(served), "figures": figures, "seconds": loop.time()}
 
 
