--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -19,7 +19,7 @@
 from .net.clients import ASK_MS, ClientFront
 from .net.coordinator import CoordinatorWatch
 from .net.endpoint_feed import EndpointFeed
-from .net.outside import REAL, Outside
+from .net.environment import REAL_ENVIRONMENT, Environment
 from .ops.readiness import ACCEPT_MS, SYNC_MOST_MS, Readiness, answered_by_ms
 from .upstream.pool import Caches
 
@@ -77,9 +77,9 @@
         loop: asyncio.AbstractEventLoop,
         dns: DnsConfig | None = None,
         options: Options | None = None,
-        outside: Outside = REAL,
+        environment: Environment = REAL_ENVIRONMENT,
     ) -> None:
-        self.clock = clock = outside.clock
+        self.clock = clock = environment.clock
         self.config, self.loop, self.counters = config, loop, Counters()
         self.log = structlog.get_logger().bind(node=config.name)
         self.deadlines = Turn(loop, clock).deadlines
@@ -90,7 +90,7 @@
         self.exchange.upstreams = self.caches
         self.front = ClientFront(
             self.exchange, config.settings.connection_limit, clock, self.deadlines, self.counters,
-            outside.listen,
+            environment.listen,
         )
         self._set_front(config)
         self.readiness = self.front.readiness = Readiness(synced=False)
@@ -101,7 +101,7 @@
             self.admin = admin_front(self)
         self.endpoint_feed = EndpointFeed(self.exchange, config, clock, self.counters)
         self.coordinator_watch = CoordinatorWatch(
-            self.endpoint_feed, config.coordinator, self.deadlines, self.log.info, outside.fresh()
+            self.endpoint_feed, config.coordinator, self.deadlines, self.log.info, environment.new_random()
         )
         self._ended: asyncio.Future[None] = loop.create_future()
         self._stopping, self._last_ms = False, math.inf  # by when a stop ends, whatever clients do
--- a/gladewalk/dns/conform/cases_zone.py
+++ b/gladewalk/dns/conform/cases_zone.py
@@ -198,7 +198,7 @@
     expect(all(rrset.name.labels[0] == b"*" for rrset in reply.answer), "another owner")
 
 
-# Outside the zone.
+# Environment the zone.
 
 
 def refused(target: Target, name: dns.name.Name, kind: str = "A") -> None:
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -15,7 +15,7 @@
 from ..interface import Effect
 from ..ops.readiness import Readiness
 from .connection import ClientConnection
-from .outside import Listener, listen_at
+from .environment import Listener, open_listener
 
 BODY_MOST = 64 * 1024  # a write carries at most 48,000 bytes
 BACKLOG = 1024
@@ -48,9 +48,9 @@
         clock: Callable[[], float],
         deadlines: Deadlines,
         counters: Counters,
-        listen: Callable[[Address, int, int | None], Listener] = listen_at,
+        listen: Callable[[Address, int, int | None], Listener] = open_listener,
     ) -> None:
-        self.exchange, self.clock, self.listen_at = exchange, clock, listen
+        self.exchange, self.clock, self.open_listener = exchange, clock, listen
         self.connection_limit = connection_limit
         self.deadlines, self.counters = deadlines, counters
         self.connection, self.body_most = ClientConnection, BODY_MOST
@@ -74,7 +74,7 @@
 
     def listen(self, address: Address, inherited_fd: int | None = None) -> None:
         """Bind `address`, or take up the listener inherited as `inherited_fd`, which is never bound anew."""
-        self._listener = self.listen_at(address, BACKLOG, inherited_fd)
+        self._listener = self.open_listener(address, BACKLOG, inherited_fd)
         host, port = self._listener.getsockname()[:2]
         self.address = (host, port)
         self._resume()
--- a/gladewalk/rehearsal/virtual/loop.py
+++ b/gladewalk/rehearsal/virtual/loop.py
@@ -17,7 +17,7 @@
 from typing import Any, TypeVar
 
 from ...config import Address
-from ...net.outside import Outside
+from ...net.environment import Environment
 from .paths import Paths
 from .streams import Piece, VirtualListener, Waiting, connect
 
@@ -92,9 +92,9 @@
     def unix_ms(self) -> float:
         return START_MS + self.jump.now * 1000.0
 
-    def outside(self) -> Outside:
+    def environment(self) -> Environment:
         """What a director in this loop takes from outside."""
-        return Outside(self.unix_ms, self.listen, lambda: random.Random(self.random.random()))
+        return Environment(self.unix_ms, self.listen, lambda: random.Random(self.random.random()))
 
     def note(self, kind: str, number: int, here: str, there: str, piece: Piece = b"") -> None:
         """One event of the network goes into the trace's hash."""
--- a/gladewalk/rehearsal/virtual/play.py
+++ b/gladewalk/rehearsal/virtual/play.py
@@ -102,7 +102,7 @@
         for n in range(fleet.directors):
             name = f"director-{n}"
             own = {"name": name, "listen": f"10.1.0.{n + 1}:7001", "seed": f"{self.random.getrandbits(32):x}"}
-            director = Director(read({**told, **own}, {}), loop, outside=loop.outside())
+            director = Director(read({**told, **own}, {}), loop, environment=loop.environment())
             if self.change is not None:
                 self.change(director)
             self.directors[name] = director
--- a/gladewalk/rehearsal/virtual/streams.py
+++ b/gladewalk/rehearsal/virtual/streams.py
@@ -225,7 +225,7 @@
 
 
 class VirtualListener:
-    """`net.outside.Listener` in memory: a queue of those who connected."""
+    """`net.environment.Listener` in memory: a queue of those who connected."""
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -27,7 +27,7 @@
 from gladewalk.members.swim import Membership
 from gladewalk.members.terms import Change, Exchange, Terms
 from gladewalk.members.transport import Members
-from gladewalk.net.outside import unix_ms
+from gladewalk.net.environment import unix_ms
 from gladewalk.rehearsal.membernet import START_MS, Net, Node, cluster
 from gladewalk.rehearsal.peers import until
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -24,7 +24,7 @@
 from gladewalk.counters import Counters
 from gladewalk.director import Director
 from gladewalk.dns.settings import DnsConfig
-from gladewalk.net.outside import unix_ms
+from gladewalk.net.environment import unix_ms
 from gladewalk.options import Options, options_of, read_tables
 from gladewalk.policy import Dispatcher
 from gladewalk.policy.known import Pending
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -41,7 +41,7 @@
         for hours in (3.0, 1.0, 2.0):
             loop.call_later(hours * 3600.0, lambda hours=hours: came.append(hours))  # type: ignore[misc]
         await asyncio.sleep(4 * 3600.0)
-        return [*came, loop.unix_ms() - loop.outside().clock(), loop.time()]
+        return [*came, loop.unix_ms() - loop.environment().clock(), loop.time()]
 
     began = time.monotonic()
     assert told(work) == [1.0, 2.0, 3.0, 0.0, 4 * 3600.0] and time.monotonic() - began < 60.0
@@ -160,7 +160,7 @@
     for box in boxes:
         await loop.as_party(box.uid, box.start())
     config = read({**config_for(boxes, coordinator, SETTINGS), "listen": "10.1.0.1:7001"}, {})
-    director = Director(config, loop, outside=loop.outside())
+    director = Director(config, loop, environment=loop.environment())
     await loop.as_party("n1", director.start())
     ends: Counter[int] = Counter()
 
