--- a/gladewalk/counters.py
+++ b/gladewalk/counters.py
@@ -1,4 +1,4 @@
-"""Counts of what the director takes in, sends and answers; printed on SIGUSR1 and at exit."""
+"""Event counters of a director, logged on SIGUSR1 and at exit."""
 
 from __future__ import annotations
 
@@ -6,10 +6,12 @@
 
 
 class Counters(Counter[str]):
-    """Names are `part.what`, as in `requests.taken`; a name never counted reads as 0."""
+    """Counts by name, `part.what` as in `requests.taken`; a name never counted reads as 0."""
 
     def add(self, name: str, amount: int = 1) -> None:
+        """Adds to a counter."""
         self[name] += amount
 
     def report(self) -> dict[str, int]:
+        """Returns all counters in order of their names."""
         return dict(sorted(self.items()))
--- a/gladewalk/deadlines.py
+++ b/gladewalk/deadlines.py
@@ -1,4 +1,4 @@
-"""One sorted structure that holds every deadline of the program."""
+"""The timer queue: one sorted structure that holds every deadline of the program."""
 
 from __future__ import annotations
 
@@ -6,41 +6,46 @@
 
 from sortedcontainers import SortedDict
 
-Key = tuple[float, int]
+DeadlineKey = tuple[float, int]  # when it is due in Unix ms, and a serial number
 
 
 class Deadlines:
-    """What falls due, by time (Unix ms), swept once each turn; the owner of the loop arms its timer."""
+    """Calls due at given times (Unix ms), in order of time, then of addition.
+
+    The owner of the event loop arms one timer for the earliest (`rearm`) and calls `sweep` when it fires.
+    """
 
     def __init__(self, rearm: Callable[[float], None]) -> None:
-        self._due: SortedDict[Key, Callable[[], None]] = SortedDict()
+        self._due: SortedDict[DeadlineKey, Callable[[], None]] = SortedDict()
         self._rearm = rearm
-        self._count = 0
-        self.late_ms = 0.0  # the longest that anything has waited past its time
+        self._last_serial = 0
+        self.max_late_ms = 0.0  # the longest that any call has run past its time
 
-    def add(self, when_ms: float, call: Callable[[], None]) -> Key:
-        self._count += 1
-        key = (when_ms, self._count)
+    def add(self, when_ms: float, call: Callable[[], None]) -> DeadlineKey:
+        """Schedules a call; the key cancels it (`drop`)."""
+        self._last_serial += 1
+        key = (when_ms, self._last_serial)
         self._due[key] = call
         if self._due.peekitem(0)[0] is key:
             self._rearm(when_ms)
         return key
 
-    def drop(self, key: Key | None) -> None:
+    def drop(self, key: DeadlineKey | None) -> None:
+        """Cancels a call; without effect for None and for one that has run."""
         if key is not None:
             self._due.pop(key, None)
 
     def sweep(self, now_ms: float) -> None:
-        """Run all that is due by now; what a call adds waits for the next turn even if it is due.
+        """Runs all calls due by now; what a call adds waits for the next sweep, even if it is due.
 
-        Guards against one call that fails: the others, and the timer for what comes, are not lost with it.
+        An exception from one call propagates, but neither the other calls nor the timer are lost with it.
         """
-        if self._due and (late := now_ms - self._due.peekitem(0)[0][0]) > self.late_ms:
-            self.late_ms = late
+        if self._due and (late_ms := now_ms - self._due.peekitem(0)[0][0]) > self.max_late_ms:
+            self.max_late_ms = late_ms
         try:
-            for key in list(self._due.irange(maximum=(now_ms, self._count))):
+            for key in list(self._due.irange(maximum=(now_ms, self._last_serial))):
                 call = self._due.pop(key, None)
-                if call is not None:  # else dropped by one that ran before it
+                if call is not None:  # else cancelled by one that ran before it
                     call()
         finally:
             if self._due:
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -332,7 +332,7 @@
             "now.waiting": len(self.exchange.core.parked),
             "now.clients": len(self.front.connections),
             "now.upstream": len(self.caches.live),
-            "late_ms": round(self.deadlines.late_ms, 1),
+            "late_ms": round(self.deadlines.max_late_ms, 1),
         }
         self.log.info("counters", **now, **self.counters.report())
 
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -14,7 +14,7 @@
 from . import interface as api
 from .config import Address, Config
 from .counters import Counters
-from .deadlines import Deadlines, Key
+from .deadlines import DeadlineKey, Deadlines
 from .ops.figures import final_counter
 from .parties import (
     Attempt,
@@ -44,7 +44,7 @@
 
     question: api.Locate
     responder: ResolveResponder
-    timer: Key
+    timer: DeadlineKey
 
 
 class Exchange:
--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -18,7 +18,7 @@
 import structlog
 
 from ..counters import Counters
-from ..deadlines import Deadlines, Key
+from ..deadlines import DeadlineKey, Deadlines
 from ..members.messages import DATAGRAM_MOST
 from ..members.seal import Refused, Seal
 from .candidate import Candidate
@@ -61,7 +61,7 @@
         self.seal, self.rows, self.clock, self.wall = seal, rows, clock, wall
         self.deadlines, self.counters = deadlines, counters
         self.transport: asyncio.DatagramTransport | None = None
-        self.timer: Key | None = None
+        self.timer: DeadlineKey | None = None
         self.random = random.SystemRandom()
         self.refused_at: dict[tuple[str, str], float] = {}  # (duty, candidate) -> when it was last a line
 
--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -11,7 +11,7 @@
 import structlog
 
 from ..counters import Counters
-from ..deadlines import Deadlines, Key
+from ..deadlines import DeadlineKey, Deadlines
 from .messages import DATAGRAM_MOST, Malformed, News, decode, encode
 from .seal import Refused, Seal
 from .stream import Streams
@@ -35,7 +35,7 @@
         self.clock, self.deadlines, self.counters = clock, deadlines, counters
         self.random = random.SystemRandom()
         self.transport: asyncio.DatagramTransport | None = None
-        self.timer: Key | None = None
+        self.timer: DeadlineKey | None = None
         self.streams = Streams(self)
         self.changed: Callable[[Change, str], None] = lambda change, name: None
         self.heard: Callable[[News], None] = lambda news: None
--- a/gladewalk/net/admin.py
+++ b/gladewalk/net/admin.py
@@ -11,7 +11,7 @@
 
 from ..config import Address
 from ..counters import Counters
-from ..deadlines import Deadlines, Key
+from ..deadlines import DeadlineKey, Deadlines
 
 CALL_MS = 2_000.0  # a call that has not come whole in this long is closed unanswered
 CALLERS_MOST = 64  # connections held at once; who comes over it makes the oldest leave
@@ -36,7 +36,7 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.url, self.size, self.done = b"", 0, False
-        self.due: Key | None = None
+        self.due: DeadlineKey | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -11,7 +11,7 @@
 from typing import cast
 
 from ..config import Address
-from ..deadlines import Deadlines, Key
+from ..deadlines import DeadlineKey, Deadlines
 from .endpoint_feed import EndpointFeed
 
 MAX_SILENCE_MS = 2_500.0  # a heartbeat comes each second: a connection silent for longer is dead
@@ -76,7 +76,7 @@
         self.is_closing = False
         self.on_synced: Callable[[], None] | None = None  # called once, after the first complete lines
         self._last_usable_ms = 0.0  # when the connection began, or last delivered complete lines
-        self._timer: Key | None = None
+        self._timer: DeadlineKey | None = None
         self._task: asyncio.Task[None] | None = None
 
     def connect(self) -> None:
--- a/gladewalk/parties.py
+++ b/gladewalk/parties.py
@@ -13,7 +13,7 @@
 
 from . import interface as api
 from .config import Address
-from .deadlines import Key
+from .deadlines import DeadlineKey
 
 
 @dataclass(slots=True)
@@ -120,7 +120,7 @@
     order: api.Lookup | api.Fetch
     started_ms: float
     deadline_ms: float
-    timer: Key | None = None
+    timer: DeadlineKey | None = None
     carrier: Any = None  # the pool's own: the connection or queue entry that carries it
 
 
@@ -133,7 +133,7 @@
     client: ResponseWriter
     received_ms: float
     deadline_ms: float
-    timer: Key | None = None
+    timer: DeadlineKey | None = None
     is_answered: bool = False
     serving_attempt: Attempt | None = None  # whose response is being passed on
     attempt_count: int = 0
--- a/gladewalk/upstream/jobs.py
+++ b/gladewalk/upstream/jobs.py
@@ -6,7 +6,7 @@
 from typing import Any, Protocol
 
 from .. import interface as api
-from ..deadlines import Key
+from ..deadlines import DeadlineKey
 from ..exchange import Attempt
 
 
@@ -16,7 +16,7 @@
     def __init__(self, done: Callable[[api.Status, float, Any], None], started_ms: float, path: str) -> None:
         self.done, self.started_ms, self.path = done, started_ms, path
         self.carrier: Carrier | None = None
-        self.due: Key | None = None
+        self.due: DeadlineKey | None = None
 
 
 Job = Attempt | Probing
--- a/gladewalk/upstream/targets.py
+++ b/gladewalk/upstream/targets.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..config import Address
-from ..deadlines import Key
+from ..deadlines import DeadlineKey
 from .http1 import CacheConnection
 from .jobs import Job
 
@@ -65,7 +65,7 @@
         self.pool, self.job, self.upstream = pool, job, upstream
         self.queue: deque[Dial] | None = queue
         self.task: asyncio.Task[None] | None = None
-        self.due: Key | None = None
+        self.due: DeadlineKey | None = None
 
     def drop(self, job: Job) -> None:
         self.pool.hang_up(self)
--- a/gladewalk/web/balanced.py
+++ b/gladewalk/web/balanced.py
@@ -6,7 +6,7 @@
 
 from .. import interface as api
 from ..counters import Counters
-from ..deadlines import Deadlines, Key
+from ..deadlines import DeadlineKey, Deadlines
 from ..exchange import Attempt, AttemptResult, Exchange, FinalAnswer
 from ..upstream.pool import Caches
 from .plan import Plan
@@ -31,7 +31,7 @@
         super().__init__(plan.config, clock, deadlines, counters, log)
         self.plan = plan
         self.written: set[int] = set()  # `id`s of attempts that a server has been sent
-        self._due: Key | None = None
+        self._due: DeadlineKey | None = None
         self.retired = False
 
     def start(self) -> None:
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -5,7 +5,7 @@
 import httptools
 
 from .. import interface as api
-from ..deadlines import Key
+from ..deadlines import DeadlineKey
 from ..exchange import Attempt
 from ..upstream.http1 import CacheConnection
 from ..upstream.jobs import Probing
@@ -27,7 +27,7 @@
         self.until_close = self.bodiless = False
         self.heard_ms = 0.0
         self.paused = False
-        self.due: Key | None = None
+        self.due: DeadlineKey | None = None
 
     @property
     def ask(self) -> WebAsk | None:
