Director: a builder for each optional part, reload and shutdown in short steps

The log event 'another address to listen at is taken up at a restart' is listen_address_needs_restart.

--- a/gladewalk/__main__.py
+++ b/gladewalk/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m gladewalk`: with no word more one director, as the platform runs it; else the command line."""
+"""`python -m gladewalk`: without arguments one director, as the platform runs it; else the command line."""
 
 from __future__ import annotations
 
@@ -8,8 +8,9 @@
 
 
 def main() -> int:
+    """Runs a director or a command; returns the exit code."""
     if len(sys.argv) == 1:  # the platform's way: the command line's library is not even imported
-        signals.hold()  # before all that takes time to import
+        signals.block()  # before all that takes time to import
         from .lean import without_tables
 
         without_tables()
--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -77,10 +77,10 @@
     context: click.Context, options_path: str | None, dns_path: str | None, as_json: bool
 ) -> None:
     """Read all that a director would be told and say whether it can be used; nothing is started."""
-    from .daemon import read_all
+    from .daemon import load_configuration
 
     try:
-        config, options, dns = read_all(options_path, dns_path)
+        config, options, dns = load_configuration(options_path, dns_path)
     except ConfigError as error:
         refuse(context, error)
     said = {
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -1,4 +1,4 @@
-"""The program put together: the parts, the loop's turn, a new configuration, and the end."""
+"""A director: its parts put together, its start, configuration reloads and graceful shutdown."""
 
 from __future__ import annotations
 
@@ -11,8 +11,9 @@
 
 import structlog
 
+from . import optional_parts as parts
 from . import signals
-from .config import Config, ConfigError, load
+from .config import Config, ConfigError
 from .counters import Counters
 from .deadlines import Deadlines
 from .exchange import Exchange
@@ -24,24 +25,15 @@
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
-    from .control.server import Control
     from .dns.settings import DnsConfig
-    from .duties.runner import Runner
-    from .leases.transport import Address, Leases
-    from .members.seal import Key
-    from .members.transport import Members
     from .net.admin import AdminFront
-    from .nginx.router import Router
     from .options import Options
-    from .store.keeper import Keeper
-    from .upstream.secure import Shapes
-    from .web.start import Web
 
-LINGER_MS = 20.0  # lets the last answers leave before the process ends
+EXIT_DELAY_MS = 20.0  # lets the last answers leave before the process ends
 
 
-class Turn:
-    """Arms the loop's one timer for the earliest deadline."""
+class LoopTimer:
+    """Arms one timer of the event loop for the earliest of the deadlines that it owns."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float]) -> None:
         self.loop, self.clock = loop, clock
@@ -49,6 +41,7 @@
         self._handle: asyncio.TimerHandle | None = None
 
     def arm(self, when_ms: float) -> None:
+        """Replaces the timer by one for `when_ms`."""
         if self._handle is not None:
             self._handle.cancel()
         self._handle = self.loop.call_later(max(0.0, when_ms - self.clock()) / 1000.0, self._sweep)
@@ -57,19 +50,13 @@
         self.deadlines.sweep(self.clock())
 
 
-def shapes_of(options: Options | None, before: Shapes | None = None) -> Shapes | None:
-    """How servers are spoken to: None stands for HTTP/1.1 in the clear, without any code for more."""
-    if options is None or not options.http2.used:
-        return None
-    from .upstream.secure import Shapes
-
-    return Shapes(options, before.negotiation if before is not None else None)
-
-
 class Director:
-    """The parts of one director; `options` are our own settings, None where all they turn on is off."""
+    """One director; `options` are our own settings, None where all that they turn on is off.
 
-    sync_most_ms = SYNC_MOST_MS  # how long requests wait at the start for the coordinator's first answer
+    Raises `ConfigError` for options that cannot be used, as some are read only here (the store's folder).
+    """
+
+    max_sync_wait_ms = SYNC_MOST_MS  # how long requests wait at the start for the coordinator's first answer
 
     def __init__(
         self,
@@ -79,87 +66,72 @@
         options: Options | None = None,
         environment: Environment = REAL_ENVIRONMENT,
     ) -> None:
+        self.config, self.options, self.loop = config, options, loop
         self.clock = clock = environment.clock
-        self.config, self.loop, self.counters = config, loop, Counters()
+        self.counters = counters = Counters()
         self.log = structlog.get_logger().bind(node=config.name)
-        self.deadlines = Turn(loop, clock).deadlines
-        self.exchange = Exchange(config, clock, self.deadlines, self.counters, self._module_says)
-        self.options = options
-        shapes = shapes_of(options)
-        self.caches = Caches(self.exchange, config, clock, self.deadlines, self.counters, shapes)
+        self.deadlines = deadlines = LoopTimer(loop, clock).deadlines
+        self._ended: asyncio.Future[None] = loop.create_future()
+        self._is_stopping, self._last_answer_ms = False, math.inf  # by when a stop ends, whatever clients do
+
+        self.exchange = Exchange(config, clock, deadlines, counters, self._log_module_line)
+        protocols = parts.build_protocols(options)
+        self.caches = Caches(self.exchange, config, clock, deadlines, counters, protocols)
         self.exchange.upstreams = self.caches
+        connection_limit = config.settings.connection_limit
         self.front = ClientFront(
-            self.exchange, config.settings.connection_limit, clock, self.deadlines, self.counters,
-            environment.listen,
+            self.exchange, connection_limit, clock, deadlines, counters, environment.listen
         )
-        self._set_front(config)
+        self._configure_front(config)
         self.readiness = self.front.readiness = Readiness(synced=False)
-        self.admin: AdminFront | None = None
-        if config.admin is not None:
-            from .ops.calls import admin_front
-
-            self.admin = admin_front(self)
-        self.endpoint_feed = EndpointFeed(self.exchange, config, clock, self.counters)
+        self.admin = self._build_admin(config)
+        self.endpoint_feed = EndpointFeed(self.exchange, config, clock, counters)
         self.coordinator_watch = CoordinatorWatch(
-            self.endpoint_feed, config.coordinator, self.deadlines, self.log.info, environment.new_random()
+            self.endpoint_feed, config.coordinator, deadlines, self.log.info, environment.new_random()
         )
-        self._ended: asyncio.Future[None] = loop.create_future()
-        self._stopping, self._last_ms = False, math.inf  # by when a stop ends, whatever clients do
-        self.dns = None
-        if dns is not None:
-            from .dns.front import DnsFront
-
-            self.dns = DnsFront(self.exchange, dns, self.counters, alpn_of=self._alpn_of)
+        self._build_optional_parts(config, dns, options)
 
-        self.members: Members | None = None
-        self.duties: Runner | None = None
-        if options is not None and options.members is not None:
-            from .duties.start import start
+    def _build_admin(self, config: Config) -> AdminFront | None:
+        if config.admin is None:
+            return None
+        from .ops.calls import admin_front
 
-            self.members, self.duties = start(
-                config.name, options, self.exchange, self.caches, self.deadlines, self.counters
-            )
-        self.web: Web | None = None
-        if options is not None and options.front.http is not None:
-            from .web.start import Web
+        return admin_front(self)
 
-            self.web = Web(
-                options, config.name, config.seed, clock, self.deadlines, self.counters, self._module_says
-            )
-        self.keeper: Keeper | None = None
-        if options is not None and options.store is not None:
-            from .store.keeper import Keeper
-
-            self.keeper = Keeper(
-                options,
-                config.settings.purge_settle_ms,
-                clock,
-                self.counters,
-                self._store_says,
-                self.deadlines,
-            )
-        self.leases: tuple[Leases, Address] | None = None
-        if options is not None and options.leases is not None and self.keeper is not None:
-            from .leases.start import start as start_leases
+    def _build_optional_parts(self, config: Config, dns: DnsConfig | None, options: Options | None) -> None:
+        name, clock, deadlines, counters = config.name, self.clock, self.deadlines, self.counters
+        purge_settle_ms = config.settings.purge_settle_ms
+        self.dns = parts.build_dns(dns, self.exchange, counters, self._alpn_of)
+        self.members, self.duties = parts.build_members(
+            name, options, self.exchange, self.caches, deadlines, counters
+        )
+        self.web = parts.build_web(options, config, clock, deadlines, counters, self._log_module_line)
+        self.keeper = parts.build_store(
+            options, purge_settle_ms, clock, counters, self._log_store_event, deadlines
+        )
+        self.leases = parts.build_leases(name, options, self.keeper, clock, deadlines, counters)
+        self.control = parts.build_control(options, counters, self.duties, self.keeper, self.leases)
 
-            self.leases = start_leases(
-                config.name, options, self.keeper, clock, self.deadlines, self.counters
-            )
-        self.control: Control | None = None
-        if options is not None and options.control is not None:
-            self.control = self._control(options)
+    # Start and run.
 
     async def start(self) -> None:
+        """Restores stored state, begins to follow the coordinator, and opens all listeners."""
         self.endpoint_feed.load_initial(self.config.known_index, self.config.known)
         if self.keeper is not None:
             self.keeper.restore(self.endpoint_feed)
             self.keeper.start(self.endpoint_feed)
-        self.coordinator_watch.on_synced = self._synced
+        self.coordinator_watch.on_synced = self._on_synced
         self.exchange.hold_requests()
-        self.deadlines.add(self.clock() + self.sync_most_ms, self._synced)
+        self.deadlines.add(self.clock() + self.max_sync_wait_ms, self._on_synced)
         self.coordinator_watch.connect()
         self.caches.sweep()
         self.front.listen(self.config.listen, self.config.inherited_fd)
+        await self._start_optional_parts()
+        if self.admin is not None and self.config.admin is not None:
+            await self.admin.listen(self.config.admin)
+        self.readiness.started = True
+
+    async def _start_optional_parts(self) -> None:
         if self.dns is not None:
             self.dns.own_port = self.front.address[1]
             await self.dns.listen()
@@ -167,132 +139,91 @@
             await self.members.listen()
             self.duties.sweep()
         if self.leases is not None:
-            await self.leases[0].listen(self.leases[1])
+            leases, address = self.leases
+            await leases.listen(address)
         if self.web is not None:
             self.web.start()
         if self.control is not None:
             await self.control.listen()
-        if self.admin is not None and self.config.admin is not None:
-            await self.admin.listen(self.config.admin)
-        self.readiness.started = True
-
-    def _control(self, options: Options) -> Control:
-        """The socket for operators, with a view for each part that is on."""
-        from .control.server import Control
-
-        assert options.control is not None
-        control = Control(options.file(options.control.socket), self.counters)
-        if self.duties is not None:
-            from .duties.view import view_of
-
-            duties = self.duties
-            control.views["members"] = lambda given: view_of(duties)
-        if self.keeper is not None:
-            control.views["store"] = self.keeper.view
-        if self.leases is not None:
-            from .leases.view import add_views
-
-            add_views(control, self.leases[0])
-        return control
 
     async def run(self) -> None:
-        """Serve until SIGTERM, then answer all that was taken."""
-        signals.hold()  # one that comes now finds all parts there, or comes when they are
+        """Serves until SIGTERM, then answers all that was accepted and returns."""
+        signals.block()  # from now on a signal comes once all parts are there
         handlers = {signal.SIGHUP: self.reload, signal.SIGTERM: self.stop, signal.SIGINT: self.stop}
         for number, handler in {**handlers, signal.SIGUSR1: self.report}.items():
             self.loop.add_signal_handler(number, handler)
         await self.start()
-        signals.release()
-        listening: dict[str, object] = {
+        signals.unblock()
+        self.log.info("serving", servers=len(self.caches.upstreams), **self._listen_addresses())
+        await self._ended
+        signals.block()  # the loop removes its handlers before the process has ended
+        if self.keeper is not None:
+            await self.keeper.close()
+        self.report()
+
+    def _listen_addresses(self) -> dict[str, object]:
+        addresses: dict[str, object] = {
             "listen": self.front.address,
             "dns": self.dns.address if self.dns is not None else None,
         }
         if self.dns is not None and self.dns.tls_address is not None:
-            listening["dns_tls"] = self.dns.tls_address
+            addresses["dns_tls"] = self.dns.tls_address
         if self.web is not None:
-            listening["web"] = [front.address for front in self.web.fronts]
+            addresses["web"] = [front.address for front in self.web.fronts]
         if self.admin is not None:
-            listening["admin"] = self.admin.address
-        self.log.info("serving", servers=len(self.caches.upstreams), **listening)
-        await self._ended
-        signals.hold()  # the loop takes its handlers away before the process has ended
-        if self.keeper is not None:
-            await self.keeper.close()
-        self.report()
+            addresses["admin"] = self.admin.address
+        return addresses
+
+    def _on_synced(self) -> None:
+        """Releases held requests: the coordinator has answered, or was waited for long enough."""
+        if not self.readiness.synced:
+            self.readiness.synced = True
+            self.exchange.release_held()
+            has_answered = self.coordinator_watch.on_synced is None
+            self.counters.add("coordinator.heard_at_start" if has_answered else "coordinator.late_at_start")
+
+    # Reload.
 
     def reload(self) -> None:
-        """SIGHUP: read the configuration file again; one that cannot be used leaves the old one in force."""
-        keys: tuple[Key, ...] = ()
-        router: Router | None = None
-        dns: DnsConfig | None = None
+        """SIGHUP: reads the configuration again; if it cannot be used, the previous one stays in force."""
         try:
-            config, options, shapes = load(os.environ), self.options, self.caches.shapes
-            if options is not None:
-                from .options import load_options
-
-                options = load_options(options.path)
-                shapes = shapes_of(options, shapes)
-                keys = self._keys_of(options)
-                router = self._router_of(options)
-                dns = self._dns_of(options, config)
+            reloaded = parts.read_reloaded(
+                os.environ,
+                self.options,
+                self.caches.shapes,
+                has_dns=self.dns is not None,
+                has_members=self.members is not None,
+                has_web=self.web is not None,
+            )
         except ConfigError as error:
-            self.counters.add("reloads.refused")
-            self.log.error("configuration kept", why=str(error))
-        else:
-            self.counters.add("reloads.done")
-            self.options = options
-            self.apply(config)
-            if options is not None:
-                self.caches.shape(shapes)
-                if self.web is not None and router is not None:
-                    self.web.reload(options, router)
-                if self.dns is not None and dns is not None:
-                    self.dns.reload(dns)
-                if self.members is not None and keys:
-                    self.members.seal.rekey(keys)
-
-    def _alpn_of(self, name: str) -> tuple[bool, tuple[str, ...]]:
-        """How a box is spoken to, for those who are sent to it: whether over TLS, and by which protocols."""
-        shapes, upstream = self.caches.shapes, self.caches.upstreams.get(name)
-        if shapes is None or upstream is None:
-            return False, ("http/1.1",)
-        offer = shapes.offer(upstream, self.clock())
-        if offer.secure:
-            return True, ("h2", "http/1.1") if offer.shared else ("http/1.1",)
-        return False, ("h2c",) if offer.shared else ("http/1.1",)
-
-    def _dns_of(self, options: Options, config: Config) -> DnsConfig | None:
-        """The DNS front's settings as `[dns]` has them now; None where they came from a file of their own."""
-        if self.dns is None:
-            return None
-        from .dns.settings import configured
-
-        return configured(options, config.listen[0])
-
-    def _keys_of(self, options: Options) -> tuple[Key, ...]:
-        """The members' keys as their file has them now; none where members are off."""
-        if self.members is None or options.members is None:
-            return ()
-        from .members.seal import load_keys
-
-        return load_keys(options.file(options.members.keys))
-
-    def _router_of(self, options: Options) -> Router | None:
-        """The imported table as its file has it now; None where the front is off."""
-        if self.web is None or options.front.http is None:
-            return None
-        from .web.start import checked
-
-        return checked(options)[0]
+            return self._keep_configuration(error)
+        self.counters.add("reloads.done")
+        self.options = reloaded.options
+        self.apply(reloaded.config)
+        if reloaded.options is not None:
+            self._apply_options(reloaded.options, reloaded)
+
+    def _keep_configuration(self, error: ConfigError) -> None:
+        self.counters.add("reloads.refused")
+        self.log.error("configuration kept", why=str(error))
+
+    def _apply_options(self, options: Options, reloaded: parts.Reloaded) -> None:
+        self.caches.shape(reloaded.protocols)
+        if self.web is not None and reloaded.router is not None:
+            self.web.reload(options, reloaded.router)
+        if self.dns is not None and reloaded.dns is not None:
+            self.dns.reload(reloaded.dns)
+        if self.members is not None and reloaded.member_keys:
+            self.members.seal.rekey(reloaded.member_keys)
 
     def apply(self, config: Config) -> None:
-        """Every part takes what it can while it runs; open requests live on under the old terms."""
+        """Applies a configuration; open requests keep the settings that they began with."""
         if config.listen != self.config.listen:
-            self.log.warning("another address to listen at is taken up at a restart", listen=config.listen)
+            self.log.warning("listen_address_needs_restart", listen=config.listen)
         self.config = config
         self.exchange.core.configure(config.settings)
         self.caches.configure(config)
-        self._set_front(config)
+        self._configure_front(config)
         self.endpoint_feed.roles = config.roles
         if self.dns is not None:
             self.dns.classes = frozenset(self.exchange.core.classes)
@@ -300,30 +231,70 @@
         last = self.endpoint_feed.last_index
         self.log.info("configuration taken", coordinator=config.coordinator, last=last)
 
-    def _set_front(self, config: Config) -> None:
+    def _configure_front(self, config: Config) -> None:
         self.front.connection_limit = config.settings.connection_limit
         self.front.hold_off = config.hold_off
-        self.front.arrive_ms = max(ASK_MS, self._patience_ms())
+        self.front.arrive_ms = max(ASK_MS, self._longest_deadline_ms())
 
-    def _patience_ms(self) -> float:
-        """The longest that any client waits here, as the settings have it."""
+    def _longest_deadline_ms(self) -> float:
         return max(cls.deadline_ms for cls in self.exchange.core.classes.values())
 
+    def _alpn_of(self, name: str) -> tuple[bool, tuple[str, ...]]:
+        """Returns for a server whether it is spoken to over TLS, and by which protocols (ALPN ids)."""
+        shapes, upstream = self.caches.shapes, self.caches.upstreams.get(name)
+        if shapes is None or upstream is None:
+            return False, ("http/1.1",)
+        offer = shapes.offer(upstream, self.clock())
+        if offer.secure:
+            return True, ("h2", "http/1.1") if offer.shared else ("http/1.1",)
+        return False, ("h2c",) if offer.shared else ("http/1.1",)
+
+    # Graceful shutdown.
+
     def stop(self) -> None:
-        if not self._stopping:
-            self._stopping = True
-            self.log.info("stopping", owed=self.exchange.unanswered_count)
-            self.readiness.stopping = True
-            self.readiness.start_drain(self.clock())
-            if self.leases is not None:  # handed on at once: another may act while this one finishes
-                self.leases[0].stop()
-            if self.config.inherited_fd is not None:  # the listener's other holders take what comes now
-                self.front.stop_taking()
-            self._last_ms = answered_by_ms(self.clock(), self._patience_ms())
-            self.exchange.answer_all_by(self._last_ms)
-            self.deadlines.add(self.clock() + ACCEPT_MS, self._close)
+        """SIGTERM: drains; requests keep being accepted for `ACCEPT_MS`, and all are answered by a limit."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self.log.info("stopping", owed=self.exchange.unanswered_count)
+        self.readiness.stopping = True
+        self.readiness.start_drain(self.clock())
+        if self.leases is not None:  # handed over at once: another may act while this one finishes
+            self.leases[0].stop()
+        if self.config.inherited_fd is not None:  # the listener's other holders accept what comes now
+            self.front.stop_taking()
+        self._last_answer_ms = answered_by_ms(self.clock(), self._longest_deadline_ms())
+        self.exchange.answer_all_by(self._last_answer_ms)
+        self.deadlines.add(self.clock() + ACCEPT_MS, self._stop_accepting)
+
+    def _stop_accepting(self) -> None:
+        self.front.close()
+        if self.web is not None:
+            self.web.close()
+        self._end_when_answered()
+
+    def _end_when_answered(self) -> None:
+        """Ends the director once everything is answered; bounded, as every open request has a deadline."""
+        has_open_web_requests = self.web is not None and self.web.owed
+        has_open = self.exchange.unanswered_count or self.exchange.open_resolutions or has_open_web_requests
+        if has_open or (not self.front.is_done() and self.clock() < self._last_answer_ms):
+            self.deadlines.add(self.clock() + EXIT_DELAY_MS, self._end_when_answered)
+            return
+        self._close_parts()
+        self.deadlines.add(self.clock() + EXIT_DELAY_MS, lambda: self._ended.set_result(None))
+
+    def _close_parts(self) -> None:
+        self.coordinator_watch.close()
+        if self.members is not None:
+            self.members.leave()
+        for part in (self.control, self.admin, self.dns):
+            if part is not None:
+                part.close()
+
+    # Log.
 
     def report(self) -> None:
+        """SIGUSR1, and at the end: logs the counters and what is open at this moment."""
         now = {
             "now.owed": self.exchange.unanswered_count,
             "now.passing": sum(
@@ -336,39 +307,8 @@
         }
         self.log.info("counters", **now, **self.counters.report())
 
-    def _synced(self) -> None:
-        if not self.readiness.synced:
-            self.readiness.synced = True
-            self.exchange.release_held()
-            heard = self.coordinator_watch.on_synced is None
-            self.counters.add("coordinator.heard_at_start" if heard else "coordinator.late_at_start")
-
-    def _store_says(self, event: str, why: str) -> None:
+    def _log_store_event(self, event: str, why: str) -> None:
         self.log.warning(event, why=why)
 
-    def _module_says(self, line: str) -> None:
+    def _log_module_line(self, line: str) -> None:
         self.log.info("module", line=line)
-
-    def _close(self) -> None:
-        self.front.close()
-        if self.web is not None:
-            self.web.close()
-        self._wait_for_last()
-
-    def _wait_for_last(self) -> None:
-        """Every open request has a deadline of its own, and so has the whole: this ends."""
-        web_owes = self.web is not None and self.web.owed
-        owed = self.exchange.unanswered_count or self.exchange.open_resolutions or web_owes
-        if owed or (not self.front.is_done() and self.clock() < self._last_ms):
-            self.deadlines.add(self.clock() + LINGER_MS, self._wait_for_last)
-        else:
-            self.coordinator_watch.close()
-            if self.members is not None:
-                self.members.leave()
-            if self.control is not None:
-                self.control.close()
-            if self.admin is not None:
-                self.admin.close()
-            if self.dns is not None:
-                self.dns.close()
-            self.deadlines.add(self.clock() + LINGER_MS, lambda: self._ended.set_result(None))
--- /dev/null
+++ b/gladewalk/optional_parts.py
@@ -0,0 +1,212 @@
+"""Builders of the parts of a director that are off unless our own options turn them on.
+
+Each builder imports its part only if it is on, so that a director as the platform runs it loads none of them.
+All raise `ConfigError` for options that cannot be used.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .config import Config, load
+from .counters import Counters
+from .deadlines import Deadlines
+from .exchange import Exchange
+from .upstream.pool import Caches
+
+if TYPE_CHECKING:  # what is off is not imported
+    from .control.server import Control
+    from .dns.front import DnsFront
+    from .dns.settings import DnsConfig
+    from .duties.runner import Runner
+    from .leases.transport import Address as LeaseAddress
+    from .leases.transport import Leases
+    from .members.seal import Key
+    from .members.transport import Members
+    from .nginx.router import Router
+    from .options import Options
+    from .store.keeper import Keeper
+    from .upstream.secure import Shapes
+    from .web.start import Web
+
+Clock = Callable[[], float]
+
+
+def build_protocols(options: Options | None, previous: Shapes | None = None) -> Shapes | None:
+    """Builds what is needed to speak HTTP/2 or TLS to servers; None: HTTP/1.1 in the clear for all.
+
+    `previous` keeps what was learned of each server's protocols.
+    """
+    if options is None or not options.http2.used:
+        return None
+    from .upstream.secure import Shapes
+
+    return Shapes(options, previous.negotiation if previous is not None else None)
+
+
+def build_dns(
+    settings: DnsConfig | None,
+    exchange: Exchange,
+    counters: Counters,
+    alpn_of: Callable[[str], tuple[bool, tuple[str, ...]]],
+) -> DnsFront | None:
+    """Builds the DNS front; `alpn_of` tells of a server whether TLS is used, and which protocols."""
+    if settings is None:
+        return None
+    from .dns.front import DnsFront
+
+    return DnsFront(exchange, settings, counters, alpn_of=alpn_of)
+
+
+def build_members(
+    name: str,
+    options: Options | None,
+    exchange: Exchange,
+    caches: Caches,
+    deadlines: Deadlines,
+    counters: Counters,
+) -> tuple[Members | None, Runner | None]:
+    """Builds the membership and the periodic tasks that members share."""
+    if options is None or options.members is None:
+        return None, None
+    from .duties.start import start
+
+    return start(name, options, exchange, caches, deadlines, counters)
+
+
+def build_web(
+    options: Options | None,
+    config: Config,
+    clock: Clock,
+    deadlines: Deadlines,
+    counters: Counters,
+    log: Callable[[str], None],
+) -> Web | None:
+    """Builds the HTTP front of `[front.http]`."""
+    if options is None or options.front.http is None:
+        return None
+    from .web.start import Web
+
+    return Web(options, config.name, config.seed, clock, deadlines, counters, log)
+
+
+def build_store(
+    options: Options | None,
+    purge_settle_ms: float,
+    clock: Clock,
+    counters: Counters,
+    log: Callable[[str, str], None],
+    deadlines: Deadlines,
+) -> Keeper | None:
+    """Opens the store of `[store]`."""
+    if options is None or options.store is None:
+        return None
+    from .store.keeper import Keeper
+
+    return Keeper(options, purge_settle_ms, clock, counters, log, deadlines)
+
+
+def build_leases(
+    name: str,
+    options: Options | None,
+    store: Keeper | None,
+    clock: Clock,
+    deadlines: Deadlines,
+    counters: Counters,
+) -> tuple[Leases, LeaseAddress] | None:
+    """Builds the leases of `[leases]`, which need a store, and tells where they listen."""
+    if options is None or options.leases is None or store is None:
+        return None
+    from .leases.start import start
+
+    return start(name, options, store, clock, deadlines, counters)
+
+
+def build_control(
+    options: Options | None,
+    counters: Counters,
+    duties: Runner | None,
+    store: Keeper | None,
+    leases: tuple[Leases, LeaseAddress] | None,
+) -> Control | None:
+    """Builds the operators' control socket, with a view for each part that is on."""
+    if options is None or options.control is None:
+        return None
+    from .control.server import Control
+
+    control = Control(options.file(options.control.socket), counters)
+    if duties is not None:
+        from .duties.view import view_of
+
+        control.views["members"] = lambda given: view_of(duties)
+    if store is not None:
+        control.views["store"] = store.view
+    if leases is not None:
+        from .leases.view import add_views
+
+        add_views(control, leases[0])
+    return control
+
+
+def load_dns_settings(options: Options, own_host: str) -> DnsConfig | None:
+    """Reads the DNS front's settings from `[dns]`; None if they come from a file of their own."""
+    from .dns.settings import configured
+
+    return configured(options, own_host)
+
+
+def load_member_keys(options: Options) -> tuple[Key, ...]:
+    """Reads the members' key ring; empty if members are off."""
+    if options.members is None:
+        return ()
+    from .members.seal import load_keys
+
+    return load_keys(options.file(options.members.keys))
+
+
+def load_router(options: Options) -> Router | None:
+    """Reads the imported routing table; None if the HTTP front is off."""
+    if options.front.http is None:
+        return None
+    from .web.start import checked
+
+    return checked(options)[0]
+
+
+@dataclass(slots=True)
+class Reloaded:
+    """Everything read anew on SIGHUP and checked, before any of it takes effect."""
+
+    config: Config
+    options: Options | None
+    protocols: Shapes | None
+    member_keys: tuple[Key, ...] = ()
+    router: Router | None = None
+    dns: DnsConfig | None = None
+
+
+def read_reloaded(
+    environ: Mapping[str, str],
+    options: Options | None,
+    protocols: Shapes | None,
+    has_dns: bool,
+    has_members: bool,
+    has_web: bool,
+) -> Reloaded:
+    """Reads the platform's configuration and, if there is one, our own options file again."""
+    reloaded = Reloaded(load(environ), options, protocols)
+    if options is None:
+        return reloaded
+    from .options import load_options
+
+    options = reloaded.options = load_options(options.path)
+    reloaded.protocols = build_protocols(options, protocols)
+    if has_members:
+        reloaded.member_keys = load_member_keys(options)
+    if has_web:
+        reloaded.router = load_router(options)
+    if has_dns:
+        reloaded.dns = load_dns_settings(options, reloaded.config.listen[0])
+    return reloaded
--- a/gladewalk/signals.py
+++ b/gladewalk/signals.py
@@ -1,21 +1,21 @@
-"""Signals that come before their handlers are there, or after these have gone: they wait, and end nothing."""
+"""Signals that come before their handlers are installed, or after these are gone, wait and end nothing."""
 
 from __future__ import annotations
 
 import signal
 
-HEEDED = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
+HANDLED_SIGNALS = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
 
 
-def hold() -> None:
-    """From now on they wait with the system until `release`.
+def block() -> None:
+    """Keeps the handled signals pending in the kernel until `unblock`.
 
-    Guards against a SIGHUP or SIGUSR1 while a process starts or has nearly ended, where the system's own way
-    is to kill it; and against a SIGTERM while connections are already waiting at the listener, unanswered.
+    A SIGHUP or SIGUSR1 while a process starts or is about to end would else kill it, which is their default
+    action; a SIGTERM at the start would leave connections at the listener unanswered.
     """
-    signal.pthread_sigmask(signal.SIG_BLOCK, HEEDED)
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
-def release() -> None:
-    """Their handlers are there: what has come meanwhile comes now."""
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, HEEDED)
+def unblock() -> None:
+    """Delivers what is pending; the handlers are installed."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,7 +15,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from gladewalk.director import LINGER_MS, Director
+from gladewalk.director import EXIT_DELAY_MS, Director
 from gladewalk.net.clients import PARTED_MS
 from gladewalk.rehearsal.peers import (
     Coordinator,
@@ -44,7 +44,7 @@
 async def long_after(director: Director) -> None:
     """So long that a director which does not wait would have ended."""
     start = director.clock()
-    await until(lambda: director.clock() > start + PARTED_MS + 10 * LINGER_MS)
+    await until(lambda: director.clock() > start + PARTED_MS + 10 * EXIT_DELAY_MS)
 
 
 def ask_at_once(client: socket.socket, data: bytes = b"") -> None:
@@ -69,7 +69,7 @@
             assert director is not None
             client = socket.create_connection(director.front.address)
             before(director, client)
-            director._close()
+            director._stop_accepting()
             reader, writer = await stream_of(client)
             await until(lambda: len(cache.heard) == 1)
             await long_after(director)
@@ -100,7 +100,7 @@
             writer.write(request("/invoke/lot-page/a1"))
             await read_message(reader)
             os.write(writer.get_extra_info("socket").fileno(), request("/invoke/lot-page/a2"))
-            director._close()
+            director._stop_accepting()
             first, fields, body = await read_message(reader)
             self.assertEqual((first.split(" ")[1], fields["connection"], body), ("200", "close", BYTES))
             self.assertEqual(await reader.read(), b"")
@@ -115,7 +115,7 @@
             whole = request("/invoke/lot-page/a1")
             writer.write(whole[:-9])
             await until(lambda: any(connection.partial for connection in director.front.owing))
-            director._close()
+            director._stop_accepting()
             await long_after(director)
             self.assertFalse(director._ended.done())
             writer.write(whole[-9:])
@@ -132,7 +132,7 @@
             reader, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
             await read_message(reader)
-            director._close()
+            director._stop_accepting()
             writer.write(request("/invoke/lot-page/a2"))
             self.assertEqual(await reader.read(), b"")  # an end, and no reset
             writer.close()
@@ -145,7 +145,7 @@
             assert director is not None
             clients = [await world.client() for _ in range(3)]
             await until(lambda: len(director.front.owing) == 3)
-            director._close()
+            director._stop_accepting()
             await director._ended
             for reader, writer in clients:
                 self.assertEqual(await reader.read(), b"")
@@ -172,7 +172,7 @@
             self.assertGreater(connection.transport.get_write_buffer_size(), 0)  # owed to nobody's knowledge
             front._make_room()
             self.assertFalse(connection.leaving)
-            director._close()
+            director._stop_accepting()
             await long_after(director)
             self.assertFalse(director._ended.done())
             reader, writer = await stream_of(client)
--- a/tests/test_golden_exchange.py
+++ b/tests/test_golden_exchange.py
@@ -1,6 +1,8 @@
 """The feed, client and cache protocols byte for byte, and the names in the log, as version 090a370 has them.
 
-The data in `golden/exchange_*.json` was written by that version; what is read and written now is equal.
+The data in `golden/exchange_*.json` was written by that version; what is read and written now is equal. One
+log event, which no page names, has another name since: `listen_address_needs_restart` was "another address to
+listen at is taken up at a restart".
 """
 
 import asyncio
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from gladewalk.config import ConfigError, read_address
-from gladewalk.daemon import Quiet
+from gladewalk.daemon import NonBlockingLog
 from gladewalk.deadlines import Deadlines
 from gladewalk.rehearsal.peers import (
     Coordinator,
@@ -66,17 +66,17 @@
 
     def test_lines_are_whole_or_counted_as_lost(self) -> None:
         reading, writing = os.pipe()
-        log = Quiet(writing)
+        log = NonBlockingLog(writing)
         log.write("one\n")
         self.assertEqual(os.read(reading, 100), b"one\n")
         os.close(reading)
         log.write("two\n")  # its reader has gone
-        self.assertEqual(log.lost, 1)
+        self.assertEqual(log.dropped_lines, 1)
         os.close(writing)
         reading, writing = filled()
-        log = Quiet(writing)
+        log = NonBlockingLog(writing)
         log.write("three\n")
-        self.assertEqual(log.lost, 1)
+        self.assertEqual(log.dropped_lines, 1)
         os.close(reading)
         os.close(writing)
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,7 +9,7 @@
 
 from gladewalk.config import ConfigError
 from gladewalk.counters import Counters
-from gladewalk.director import Turn
+from gladewalk.director import LoopTimer
 from gladewalk.members.gossip import Told
 from gladewalk.members.messages import (
     DATAGRAM_MOST,
@@ -403,7 +403,7 @@
 
 class Loopback(unittest.IsolatedAsyncioTestCase):
     async def start(self, name: str, seeds: tuple[tuple[str, int], ...], key: bytes = b"k" * 32) -> Members:
-        deadlines = Turn(asyncio.get_running_loop(), unix_ms).deadlines
+        deadlines = LoopTimer(asyncio.get_running_loop(), unix_ms).deadlines
         address = ("127.0.0.1", 0)
         core = Membership(name, address, seeds, Terms(), random.Random(name), unix_ms())
         networks = (ipaddress.ip_network("127.0.0.0/8"),)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -317,7 +317,7 @@
         drained = {**first.target(), "state": "DRAINING"}
         coordinator.events.append({"index": 2, "endpoints": {"rev": 2, "all": False, "targets": [drained]}})
         director = Director(config, asyncio.get_running_loop())
-        director.sync_most_ms = 600_000.0  # the coordinator's answer, not a time, ends the wait here
+        director.max_sync_wait_ms = 600_000.0  # the coordinator's answer, not a time, ends the wait here
         await director.start()
         self.assertFalse(director.readiness.ready())
         clients = [await asyncio.open_connection(*director.front.address) for _ in range(8)]
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -104,7 +104,7 @@
 
     def test_what_is_off_is_not_imported(self) -> None:
         probe = (
-            "import sys, gladewalk.daemon as d; d.read_all(None, None)\n"
+            "import sys, gladewalk.daemon as d; d.load_configuration(None, None)\n"
             "late = ('h2', 'hpack', 'msgspec', 'click', 'dns', 'tomllib', 'gladewalk.streams',"
             " 'gladewalk.cli', 'gladewalk.options', 'gladewalk.dns', 'gladewalk.rehearsal')\n"
             "print(sorted(set(late) & set(sys.modules)))"
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -69,7 +69,7 @@
             late[1].write(request("/invoke/lot-video/a2", trace="00000000000000a2", wait_ms=LONGEST_MS))
             await until(lambda: len(director.exchange.open_requests) == 2)
             self.assertTrue(all(t.deadline_ms < kill_ms for t in director.exchange.open_requests.values()))
-            director._close()
+            director._stop_accepting()
             director.exchange.answer_all_by(director.clock())  # that time has come
             for one in (reader, late[0]):
                 first, fields, _ = await read_message(one)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -9,6 +9,7 @@
 
 from gladewalk.nginx.table import Box, Site
 from gladewalk.nginx.translate import import_site
+from gladewalk.optional_parts import load_router
 from gladewalk.options import options_of, read_tables
 from gladewalk.rehearsal.peers import Heard, until
 from gladewalk.rehearsal.webworld import Answer, WebWorld
@@ -263,7 +264,7 @@
             table = path.read_text()
             other = table.replace('pattern = "/b"', 'pattern = "/c"').replace('name = "b"', 'name = "b2"')
             path.write_text(other.replace('upstream = "b"', 'upstream = "b2"'))
-            router = director._router_of(director.options)
+            router = load_router(director.options)
             assert isinstance(router, Router)
             director.web.reload(director.options, router)
             self.assertEqual((await world.ask("/b")).by, "a/0")
@@ -274,5 +275,5 @@
             self.assertEqual((await world.ask("/c")).by, "b/0")
             path.write_text(table.replace("[[servers]]", "[[serverz]]"))
             with self.assertRaisesRegex(Exception, "serverz: no such setting"):
-                director._router_of(director.options)
+                load_router(director.options)
             self.assertEqual((await world.ask("/c")).by, "b/0")
