--- a/gladewalk/__main__.py
+++ b/gladewalk/__main__.py
@@ -11,13 +11,13 @@
     """Runs a director or a command; returns the exit code."""
     if len(sys.argv) == 1:  # the platform's way: the command line's library is not even imported
         signals.block()  # before all that takes time to import
-        from .lean import without_tables
+        from .core.memory_tuning import without_tables
 
         without_tables()
         from .daemon import run
 
         return run()
-    from .cli import main as command_line
+    from .cli.commands import main as command_line
 
     return command_line()
 
--- a/gladewalk/settings.py
+++ b/gladewalk/config/policy_settings.py
@@ -4,24 +4,36 @@
 
 from typing import Any
 
-from . import interface as api
+from .. import interface as api
 
-EFFECTS = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
-SIBLINGS = {"silent": api.Siblings.NONE, "location": api.Siblings.LOCATION, "any": api.Siblings.ANY}
-NOTES = {"silent": api.Notes.NONE, "hit": api.Notes.HIT, "all": api.Notes.ALL}
-REPORTS = {"silent": api.Reports.NONE, "piggyback": api.Reports.ANSWERS, "pull": api.Reports.PROBE}
+EFFECTS = {
+    "repeatable": api.Idempotency.IDEMPOTENT,
+    "by_key": api.Idempotency.KEYED,
+    "once": api.Idempotency.NON_IDEMPOTENT,
+}
+SIBLINGS = {
+    "silent": api.SiblingSources.NONE,
+    "location": api.SiblingSources.LOCATION,
+    "any": api.SiblingSources.ANY,
+}
+NOTES = {"silent": api.DetailLevel.NONE, "hit": api.DetailLevel.HIT, "all": api.DetailLevel.ALL}
+REPORTS = {
+    "silent": api.LoadReporting.NONE,
+    "piggyback": api.LoadReporting.IN_ANSWERS,
+    "pull": api.LoadReporting.IN_HEALTH_CHECKS,
+}
 DETAILS = (
-    api.Note.NONE,
-    api.Note.HIT,
-    api.Note.FILLED,
-    api.Note.FILLED_BY_ORIGIN,
-    api.Note.JOINED,
-    api.Note.STALE,
-    api.Note.SOURCE_REFUSED,
-    api.Note.SOURCE_FAILED,
-    api.Note.SOURCE_LACKS,
-    api.Note.NO_FILL_SLOT,
-    api.Note.ORIGIN_FAILED,
+    api.OutcomeDetail.NONE,
+    api.OutcomeDetail.HIT,
+    api.OutcomeDetail.FILLED,
+    api.OutcomeDetail.FILLED_BY_ORIGIN,
+    api.OutcomeDetail.JOINED,
+    api.OutcomeDetail.STALE,
+    api.OutcomeDetail.SOURCE_REJECTED,
+    api.OutcomeDetail.SOURCE_FAILED,
+    api.OutcomeDetail.SOURCE_LACKS,
+    api.OutcomeDetail.NO_FILL_SLOT,
+    api.OutcomeDetail.ORIGIN_FAILED,
 )
 LOADS = {
     "outstanding": "inflight",
@@ -80,63 +92,63 @@
         classes.append(
             api.RequestClass(
                 name=need(entry, "name", (str,)),
-                aim_ms=need(entry, "promise_ms"),
+                latency_objective_ms=need(entry, "promise_ms"),
                 deadline_ms=positive(entry, "give_up_ms", f"settings.classes[{index}]"),
-                aim_stretch=either(entry.get("aim_stretch"), 0.0),
-                worth=either(entry.get("importance"), 1.0),
-                late_worth=either(entry.get("late_worth"), 0.0),
-                effect=word(EFFECTS, entry, "repeat"),
-                scope=api.Scope(either(entry.get("key_scope"), "all")),
-                key_window_ms=either(entry.get("window_ms"), 0.0),
+                latency_objective_stretch=either(entry.get("aim_stretch"), 0.0),
+                priority_weight=either(entry.get("importance"), 1.0),
+                late_priority_weight=either(entry.get("late_worth"), 0.0),
+                idempotency=word(EFFECTS, entry, "repeat"),
+                deduplication_scope=api.DeduplicationScope(either(entry.get("key_scope"), "all")),
+                deduplication_window_ms=either(entry.get("window_ms"), 0.0),
                 streaming=bool(entry.get("streaming")),
-                fresh_ms=at(details.get("lifetime_by_class_ms"), index, 0.0),
-                grace_ms=at(details.get("class_grace_ms"), index, 0.0),
-                stale_worth=at(details.get("stale_earns"), index, 0.0),
-                parts=at(details.get("class_parts"), index, False),
-                write=at(details.get("uncached"), index, False),
+                freshness_lifetime_ms=at(details.get("lifetime_by_class_ms"), index, 0.0),
+                stale_grace_ms=at(details.get("class_grace_ms"), index, 0.0),
+                stale_priority_weight=at(details.get("stale_earns"), index, 0.0),
+                has_parts=at(details.get("class_parts"), index, False),
+                is_write=at(details.get("uncached"), index, False),
             )
         )
     feedback = either(raw.get("feedback"), {})
     return api.Settings(
         classes=tuple(classes),
-        me=either(raw.get("me"), -1),
-        dispatchers=either(raw.get("n_instances"), 1),
+        dispatcher_index=either(raw.get("me"), -1),
+        dispatcher_count=either(raw.get("n_instances"), 1),
         zone=either(raw.get("my_zone"), ""),
         zones=tuple(either(raw.get("zones"), ())),
-        hub_of=tuple(either(details.get("hub_of"), ())),
+        hub_of_zone=tuple(either(details.get("hub_of"), ())),
         dispatchers_by_zone=tuple(either(details.get("instances_by_zone"), ())),
-        link_in_kb_per_s=tuple(either(details.get("link_in_kb_per_s"), ())),
-        client_kb_per_s=either(details.get("client_kb_per_s"), 0.0),
-        sizes_listed=raw.get("weights") != "silent",
-        infers_room=raw.get("weights") == "silent",
+        inbound_link_kb_per_s=tuple(either(details.get("link_in_kb_per_s"), ())),
+        client_rate_kb_per_s=either(details.get("client_kb_per_s"), 0.0),
+        capacities_listed=raw.get("weights") != "silent",
+        infers_capacity=raw.get("weights") == "silent",
         max_attempts=positive(limits, "most_tries", "settings.limits", 1),
-        second_copies=bool(limits.get("may_duplicate")),
+        hedging=bool(limits.get("may_duplicate")),
         may_cancel=bool(limits.get("cancel")),
-        may_probe=bool(limits.get("may_probe")),
-        may_tell=bool(limits.get("peers")),
-        retry_advice=bool(limits.get("retry_after")),
+        may_check_health=bool(limits.get("may_probe")),
+        may_notify_peers=bool(limits.get("peers")),
+        sends_retry_after=bool(limits.get("retry_after")),
         max_retry_after_ms=either(limits.get("max_retry_after_ms"), 0.0),
-        ask_for_list=raw.get("discovery") == "subscribe",
-        reports=REPORTS.get(either(feedback.get("how"), "silent"), api.Reports.NONE),
-        direct=bool(details.get("may_pass_by")),
-        joins=bool(details.get("joins")),
-        siblings=SIBLINGS.get(either(details.get("lateral"), "silent"), api.Siblings.NONE),
-        notes=NOTES.get(either(details.get("note_level"), "silent"), api.Notes.NONE),
-        link_price=either(details.get("byte_fee"), 0.0),
-        origin_price=either(prices.get("origin"), 0.0),
+        watches_endpoints=raw.get("discovery") == "subscribe",
+        load_reporting=REPORTS.get(either(feedback.get("how"), "silent"), api.LoadReporting.NONE),
+        may_bypass_caches=bool(details.get("may_pass_by")),
+        may_join_fills=bool(details.get("joins")),
+        sibling_sources=SIBLINGS.get(either(details.get("lateral"), "silent"), api.SiblingSources.NONE),
+        detail_level=NOTES.get(either(details.get("note_level"), "silent"), api.DetailLevel.NONE),
+        link_transfer_price=either(details.get("byte_fee"), 0.0),
+        origin_transfer_price=either(prices.get("origin"), 0.0),
         answer_slack_ms=either(rules.get("answer_slack_ms"), 0.0),
         drain_grace_ms=either(rules.get("drain_grace_ms"), 0.0),
-        cold_share=either(rules.get("cold_from"), 1.0),
-        ramp_ms=either(rules.get("ramp_time_ms"), 0.0),
-        fall_multiple=either(rules.get("fall_multiple"), 1.0),
-        fall_window_ms=either(rules.get("tip_after_ms"), 1000.0),
-        parent_cold_share=either(details.get("parent_floor"), 1.0),
-        parent_ramp_ms=either(details.get("parent_cold_ms"), 0.0),
-        parent_fall_multiple=either(details.get("parent_fall_multiple"), 1.0),
+        slow_start_fraction=either(rules.get("cold_from"), 1.0),
+        slow_start_ms=either(rules.get("ramp_time_ms"), 0.0),
+        overload_multiple=either(rules.get("fall_multiple"), 1.0),
+        overload_window_ms=either(rules.get("tip_after_ms"), 1000.0),
+        parent_slow_start_fraction=either(details.get("parent_floor"), 1.0),
+        parent_slow_start_ms=either(details.get("parent_cold_ms"), 0.0),
+        parent_overload_multiple=either(details.get("parent_fall_multiple"), 1.0),
         purge_grace_ms=either(details.get("obey_after_ms"), 0.0),
         purge_settle_ms=either(details.get("purge_settles_ms"), 0.0),
-        origin_fall_multiple=either(details.get("origin_limit_factor"), 0.0),
-        origin_fall_ms=either(details.get("root_fall_ms"), 0.0),
+        origin_overload_multiple=either(details.get("origin_limit_factor"), 0.0),
+        origin_overload_window_ms=either(details.get("root_fall_ms"), 0.0),
     )
 
 
--- a/gladewalk/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -11,12 +11,13 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
-from . import interface as api
-from .config import Address, Config
+from .. import interface as api
+from ..config.platform import Address, Config
+from ..ops.figures import final_counter
+from ..policy import Dispatcher
 from .counters import Counters
 from .deadlines import DeadlineKey, Deadlines
-from .ops.figures import final_counter
-from .parties import (
+from .exchange_types import (
     Attempt,
     AttemptResult,
     ClientRequest,
@@ -27,13 +28,14 @@
     ResponseWriter,
     UpstreamPool,
 )
-from .policy import Dispatcher
 
 __all__ = [
     "Attempt", "AttemptResult", "ClientRequest", "Exchange", "FinalAnswer", "OpenRequest", "ResolveResponder",
     "ResponseHead", "ResponseWriter", "UpstreamPool",
 ]  # fmt: skip
 
+PersistResolution = Callable[[api.ResolveRequest, Sequence[str], Callable[[], None]], None]
+
 LOOP_TURN_MS = 20.0  # a usual turn of the event loop is shorter: whatever came before it has been read
 ANSWER_MARGIN_MS = 60.0  # a final answer leaves this long before its deadline, as a busy loop may be late
 
@@ -42,7 +44,7 @@
 class OpenResolution:
     """A resolve request without its answer."""
 
-    question: api.Locate
+    question: api.ResolveRequest
     responder: ResolveResponder
     timer: DeadlineKey
 
@@ -62,7 +64,7 @@
         self.clock, self.deadlines, self.counters, self.log = clock, deadlines, counters, log
         self.upstreams: UpstreamPool | None = None
         # Calls back once what a resolution promises is durable; None: it is answered at once.
-        self.persist_resolution: Callable[[api.Locate, Sequence[str], Callable[[], None]], None] | None = None
+        self.persist_resolution: PersistResolution | None = None
         self.open_requests: dict[int, OpenRequest] = {}
         self.unanswered_count = 0  # requests without their final answer
         self.open_resolutions: dict[int, OpenResolution] = {}
@@ -129,9 +131,9 @@
                 size_kb=request.size_kb,
                 group=request.group,
                 part=request.part,
-                is_repeat=request.is_retry,
+                is_client_retry=request.is_retry,
                 is_write=request.method == "PUT",
-                replay_key=request.idempotency_key,
+                idempotency_key=request.idempotency_key,
             )
         )
 
@@ -152,7 +154,10 @@
             self.upstreams.flow(opened.serving_attempt, on)
 
     def resolve(
-        self, responder: ResolveResponder, max_wait_ms: float, make_question: Callable[[int], api.Locate]
+        self,
+        responder: ResolveResponder,
+        max_wait_ms: float,
+        make_question: Callable[[int], api.ResolveRequest],
     ) -> None:
         """Asks the module where to fetch an object; `responder` gets one answer, within `max_wait_ms`."""
         self._last_number += 1
@@ -165,14 +170,14 @@
     def _resolution_timed_out(self, number: int) -> None:
         self.counters.add("locates.late")
         self._reject_resolution(number)
-        self.handle_event(api.ClientGone(number))
+        self.handle_event(api.ClientDisconnected(number))
 
     def _reject_resolution(self, number: int) -> None:
         resolution = self.open_resolutions.pop(number)
         self.deadlines.drop(resolution.timer)
         resolution.responder.rejected()
 
-    def _persist_and_answer(self, action: api.Name) -> None:
+    def _persist_and_answer(self, action: api.Resolved) -> None:
         if action.id not in self.open_resolutions:
             return
         if self.persist_resolution is None or not action.servers:
@@ -180,7 +185,7 @@
         question = self.open_resolutions[action.id].question
         self.persist_resolution(question, action.servers, lambda: self._answer_resolution(action))
 
-    def _answer_resolution(self, action: api.Name) -> None:
+    def _answer_resolution(self, action: api.Resolved) -> None:
         if action.id not in self.open_resolutions:  # it timed out while its lease was written
             return
         assert self.upstreams is not None
@@ -221,8 +226,8 @@
         self.deadlines.drop(attempt.timer)
         attempt.timer = None
         opened.client.start_response(head)
-        took_ms = self.clock() - attempt.started_ms
-        self.handle_event(api.FirstByte(opened.number, attempt.number, attempt.order.server, took_ms))
+        elapsed_ms = self.clock() - attempt.started_ms
+        self.handle_event(api.FirstByte(opened.number, attempt.number, attempt.order.server, elapsed_ms))
         return True
 
     def response_body(self, attempt: Attempt, data: bytes) -> None:
@@ -255,22 +260,22 @@
                 attempt=attempt.number,
                 server=attempt.order.server,
                 status=result.status,
-                took_ms=self.clock() - attempt.started_ms,
-                closed=opened.is_answered,
-                note=result.note,
-                waited_ms=result.waited_ms,
-                load=result.load,
+                elapsed_ms=self.clock() - attempt.started_ms,
+                is_answered=opened.is_answered,
+                detail=result.detail,
+                source_wait_ms=result.source_wait_ms,
+                load_report=result.load_report,
             )
         )
 
     # Called by the coordinator's feed.
 
     def update_servers(
-        self, event: api.ServerList, addresses: dict[str, Address | None], models: Mapping[str, str]
+        self, event: api.EndpointList, addresses: dict[str, Address | None], models: Mapping[str, str]
     ) -> None:
         """Takes a watch event: addresses to the pool, servers to the module."""
         if self.upstreams is not None:
-            if event.kind is not api.ListKind.CHANGES:
+            if event.kind is not api.EndpointListKind.DELTA:
                 self.upstreams.keep_only(addresses)
             for name, address in addresses.items():
                 self.upstreams.set_address(name, address, models.get(name, ""))
@@ -304,9 +309,9 @@
         match action:
             case api.Lookup() | api.Fetch():
                 self._start(action)
-            case api.Name():
+            case api.Resolved():
                 self._persist_and_answer(action)
-            case api.Refuse():
+            case api.Reject():
                 self._reject(action)
             case api.Fail():
                 self._finish(action.id, FinalAnswer.FAILED)
@@ -316,12 +321,12 @@
                 self._set_timer(action)
             case api.Log():
                 self.log(action.line)
-            case api.Probe() | api.CloseIdle():
+            case api.HealthCheck() | api.CloseIdle():
                 self._maintain_server(action)
-            case api.Tell() | api.Watch() | api.FetchList():
+            case api.NotifyPeers() | api.Watch() | api.FetchEndpoints():
                 self.counters.add("module.action_without_use")  # no peers here, and the list is pushed
 
-    def _reject(self, action: api.Refuse) -> None:
+    def _reject(self, action: api.Reject) -> None:
         if action.id in self.open_resolutions:
             self._reject_resolution(action.id)
         else:
@@ -336,7 +341,7 @@
         timer = api.Timer(action.token)
         self.deadlines.add(self.clock() + action.delay_ms, lambda: self.handle_event(timer))
 
-    def _maintain_server(self, action: api.Probe | api.CloseIdle) -> None:
+    def _maintain_server(self, action: api.HealthCheck | api.CloseIdle) -> None:
         assert self.upstreams is not None
         server = action.server
         if isinstance(action, api.CloseIdle):
@@ -344,7 +349,9 @@
         self.counters.add("probes.sent")
         self.upstreams.probe(
             server,
-            lambda status, took_ms, load: self.handle_event(api.ProbeResult(server, status, took_ms, load)),
+            lambda status, elapsed_ms, load: self.handle_event(
+                api.HealthCheckResult(server, status, elapsed_ms, load)
+            ),
         )
 
     def _start(self, order: api.Lookup | api.Fetch) -> None:
@@ -398,7 +405,7 @@
 
     def _cancel_all(self, opened: OpenRequest) -> None:
         """Tells the module that a request is over and cancels its attempts."""
-        self.handle_event(api.ClientGone(opened.number))
+        self.handle_event(api.ClientDisconnected(opened.number))
         for attempt in list(opened.attempts.values()):
             self._cancel(attempt)
 
@@ -412,7 +419,7 @@
         if not opened.is_answered:
             self.counters.add("requests.ended_as_last_resort")
             self._finish(opened.number, FinalAnswer.FAILED)
-            self.handle_event(api.ClientGone(opened.number))
+            self.handle_event(api.ClientDisconnected(opened.number))
 
     def _close(self, opened: OpenRequest) -> None:
         opened.is_answered = True
--- a/gladewalk/parties.py
+++ b/gladewalk/core/exchange_types.py
@@ -11,8 +11,8 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from . import interface as api
-from .config import Address
+from .. import interface as api
+from ..config.platform import Address
 from .deadlines import DeadlineKey
 
 
@@ -145,6 +145,6 @@
     """How an attempt ended, as the server side saw it."""
 
     status: api.Status
-    note: api.Note = api.Note.NONE
-    waited_ms: float | None = None
-    load: dict[str, float] | None = None
+    detail: api.OutcomeDetail = api.OutcomeDetail.NONE
+    source_wait_ms: float | None = None  # until the first byte of the fill's source
+    load_report: dict[str, float] | None = None
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -14,13 +14,13 @@
 import uvloop
 
 from . import signals
-from .config import Config, ConfigError, load
+from .config.platform import Config, ConfigError, load
 from .director import Director
 from .optional_parts import build_protocols, load_dns_settings
 
 if TYPE_CHECKING:  # what is off is not imported
+    from .config.options import Options
     from .dns.settings import DnsConfig
-    from .options import Options
 
 
 class NonBlockingLog:
@@ -78,7 +78,7 @@
     options: Options | None = None
     dns: DnsConfig | None = None
     if options_path:
-        from .options import load_options
+        from .config.options import load_options
 
         options = load_options(options_path)
         _check_options(options, config)
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -13,10 +13,10 @@
 
 from . import optional_parts as parts
 from . import signals
-from .config import Config, ConfigError
-from .counters import Counters
-from .deadlines import Deadlines
-from .exchange import Exchange
+from .config.platform import Config, ConfigError
+from .core.counters import Counters
+from .core.deadlines import Deadlines
+from .core.exchange import Exchange
 from .net.clients import ASK_MS, ClientFront
 from .net.coordinator import CoordinatorWatch
 from .net.endpoint_feed import EndpointFeed
@@ -25,9 +25,9 @@
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
+    from .config.options import Options
     from .dns.settings import DnsConfig
     from .net.admin import AdminFront
-    from .options import Options
 
 EXIT_DELAY_MS = 20.0  # lets the last answers leave before the process ends
 
@@ -78,7 +78,7 @@
         protocols = parts.build_protocols(options)
         self.caches = Caches(self.exchange, config, clock, deadlines, counters, protocols)
         self.exchange.upstreams = self.caches
-        connection_limit = config.settings.connection_limit
+        connection_limit = config.settings.client_connection_limit
         self.front = ClientFront(
             self.exchange, connection_limit, clock, deadlines, counters, environment.listen
         )
@@ -232,7 +232,7 @@
         self.log.info("configuration taken", coordinator=config.coordinator, last=last)
 
     def _configure_front(self, config: Config) -> None:
-        self.front.connection_limit = config.settings.connection_limit
+        self.front.connection_limit = config.settings.client_connection_limit
         self.front.hold_off = config.hold_off
         self.front.arrive_ms = max(ASK_MS, self._longest_deadline_ms())
 
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from ..exchange import ClientRequest, FinalAnswer, ResponseHead
+from ..core.exchange import ClientRequest, FinalAnswer, ResponseHead
 from .requests import REASONS, SINGLE, BadRequest, read_ask
 from .sockets import FRAME_MOST, Unread, has_ended, watch
 
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from typing import cast
 
-from ..config import Address
-from ..deadlines import DeadlineKey, Deadlines
+from ..config.platform import Address
+from ..core.deadlines import DeadlineKey, Deadlines
 from .endpoint_feed import EndpointFeed
 
 MAX_SILENCE_MS = 2_500.0  # a heartbeat comes each second: a connection silent for longer is dead
--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 from .. import interface as api
-from ..config import Address, Config, ConfigError, finite, read_server
-from ..counters import Counters
-from ..exchange import Exchange
-from ..settings import SettingsError
+from ..config.platform import Address, Config, ConfigError, finite, read_server
+from ..config.policy_settings import SettingsError
+from ..core.counters import Counters
+from ..core.exchange import Exchange
 
 MAX_REFETCHES = 3  # times that an event is fetched again of which something was unusable
 MIN_REFETCHES = 1  # and after fetching again has not helped
@@ -127,14 +127,14 @@
             except UNUSABLE:
                 self.counters.add("coordinator.bad_entries")
         bad_entries = len(change["targets"]) - len(entries)
-        kind = api.ListKind.CHANGES
+        kind = api.EndpointListKind.DELTA
         # A full list with an unusable entry counts as a change: else that entry's server would be removed.
         if not self._has_list or (change.get("all") and not bad_entries):
-            kind = api.ListKind.WHOLE if self._has_list else api.ListKind.LAST
+            kind = api.EndpointListKind.COMPLETE if self._has_list else api.EndpointListKind.PERSISTED
         self._has_list = True
         addresses = {server.name: address for server, address in entries}
         servers = tuple(server for server, _ in entries)
-        self.exchange.update_servers(api.ServerList(kind, servers), addresses, models)
+        self.exchange.update_servers(api.EndpointList(kind, servers), addresses, models)
         return bad_entries
 
     def _apply_purge(self, evict: FeedMessage) -> None:
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -10,13 +10,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .config import Config, load
-from .counters import Counters
-from .deadlines import Deadlines
-from .exchange import Exchange
+from .config.platform import Config, load
+from .core.counters import Counters
+from .core.deadlines import Deadlines
+from .core.exchange import Exchange
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
+    from .config.options import Options
     from .control.server import Control
     from .dns.front import DnsFront
     from .dns.settings import DnsConfig
@@ -26,7 +27,6 @@
     from .members.seal import Key
     from .members.transport import Members
     from .nginx.router import Router
-    from .options import Options
     from .store.keeper import Keeper
     from .upstream.secure import Shapes
     from .web.start import Web
@@ -199,7 +199,7 @@
     reloaded = Reloaded(load(environ), options, protocols)
     if options is None:
         return reloaded
-    from .options import load_options
+    from .config.options import load_options
 
     options = reloaded.options = load_options(options.path)
     reloaded.protocols = build_protocols(options, protocols)
--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/keeper.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 from .. import interface as api
-from ..config import ConfigError
-from ..counters import Counters
-from ..deadlines import Deadlines
-from ..exchange import Exchange
+from ..config.options import Options
+from ..config.platform import ConfigError
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from ..core.exchange import Exchange
 from ..net.endpoint_feed import EndpointFeed
-from ..options import Options
 from . import leases, warm
 from .files import Folder
 from .frames import PAYLOAD_MOST, Fault
@@ -86,7 +86,7 @@
         if self.warm_ms:
             self._keep_warm()
 
-    def lease(self, question: api.Locate, servers: Sequence[str], then: Callable[[], None]) -> None:
+    def lease(self, question: api.ResolveRequest, servers: Sequence[str], then: Callable[[], None]) -> None:
         """Go on with an answer once its leases last, or cannot."""
         assert self.exchange is not None
         told = []
--- a/gladewalk/upstream/jobs.py
+++ b/gladewalk/upstream/jobs.py
@@ -6,8 +6,8 @@
 from typing import Any, Protocol
 
 from .. import interface as api
-from ..deadlines import DeadlineKey
-from ..exchange import Attempt
+from ..core.deadlines import DeadlineKey
+from ..core.exchange import Attempt
 
 
 class Probing:
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -13,10 +13,10 @@
 from typing import TYPE_CHECKING, Any
 
 from .. import interface as api
-from ..config import Address, Config
-from ..counters import Counters
-from ..deadlines import Deadlines
-from ..exchange import Attempt, AttemptResult, Exchange
+from ..config.platform import Address, Config
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from ..core.exchange import Attempt, AttemptResult, Exchange
 from .http1 import CacheConnection
 from .jobs import Job, Probing
 from .targets import IDLE_PART, Dial, LaneDial, Upstream
@@ -143,7 +143,7 @@
             return self.exchange.attempt_ended(job, end)
         self.deadlines.drop(job.due)
         status = api.Status.ERROR if end.status is api.Status.MISS else end.status
-        job.done(status, self.clock() - job.started_ms, end.load)
+        job.done(status, self.clock() - job.started_ms, end.load_report)
 
     def pump(self) -> None:
         """Give waiting jobs what connections there are now, first come first served."""
--- a/gladewalk/web/balanced.py
+++ b/gladewalk/web/balanced.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 from .. import interface as api
-from ..counters import Counters
-from ..deadlines import DeadlineKey, Deadlines
-from ..exchange import Attempt, AttemptResult, Exchange, FinalAnswer
+from ..core.counters import Counters
+from ..core.deadlines import DeadlineKey, Deadlines
+from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer
 from ..upstream.pool import Caches
 from .plan import Plan
 from .wire import WebAsk, WebEnd
@@ -39,7 +39,8 @@
         assert isinstance(self.upstreams, Caches)
         ready = self.plan.standby.changes(self.clock())
         servers = self.plan.servers(ready)
-        self.update_servers(api.ServerList(api.ListKind.LAST, servers), dict(self.plan.addresses), {})
+        event = api.EndpointList(api.EndpointListKind.PERSISTED, servers)
+        self.update_servers(event, dict(self.plan.addresses), {})
         self.upstreams.sweep()
 
     def retire(self) -> None:
@@ -137,7 +138,7 @@
         if changed:
             servers = self.plan.servers(changed)
             places = {server.name: self.plan.addresses[server.name] for server in servers}
-            self.update_servers(api.ServerList(api.ListKind.CHANGES, servers), dict(places), {})
+            self.update_servers(api.EndpointList(api.EndpointListKind.DELTA, servers), dict(places), {})
         self.deadlines.drop(self._due)
         back = self.plan.standby.next_ms(now)
         self._due = self.deadlines.add(back, self._relist) if back is not None else None
--- a/gladewalk/web/wire.py
+++ b/gladewalk/web/wire.py
@@ -10,7 +10,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from ..exchange import AttemptResult, ClientRequest, ResponseHead
+from ..core.exchange import AttemptResult, ClientRequest, ResponseHead
 from ..nginx.router import Landing, Rules, redirect_of
 
 Fields = list[tuple[str, str]]
--- a/tests/test_golden_exchange.py
+++ b/tests/test_golden_exchange.py
@@ -15,9 +15,9 @@
 import structlog
 
 from gladewalk import interface as api
-from gladewalk.config import Address, read
-from gladewalk.counters import Counters
-from gladewalk.exchange import Attempt, ClientRequest, Exchange, OpenRequest
+from gladewalk.config.platform import Address, read
+from gladewalk.core.counters import Counters
+from gladewalk.core.exchange import Attempt, ClientRequest, Exchange, OpenRequest
 from gladewalk.net.coordinator import CoordinatorConnection, CoordinatorWatch
 from gladewalk.net.endpoint_feed import EndpointFeed
 from gladewalk.rehearsal.peers import (
@@ -53,16 +53,16 @@
         self.events: list[Any] = []
 
     def update_servers(
-        self, event: api.ServerList, addresses: dict[str, Address | None], models: dict[str, str]
+        self, event: api.EndpointList, addresses: dict[str, Address | None], models: dict[str, str]
     ) -> None:
         servers = [
             [
-                server.name, list(api.Role).index(server.role), server.zone, server.size,
-                list(api.ServerState).index(server.state), server.started_ms, server.cell, server.place,
+                server.name, list(api.Role).index(server.role), server.zone, server.capacity,
+                list(api.ServerState).index(server.state), server.started_ms, server.cell, server.address,
             ]
             for server in event.servers
         ]  # fmt: skip
-        self.events.append(["list", list(api.ListKind).index(event.kind), servers, addresses, models])
+        self.events.append(["list", list(api.EndpointListKind).index(event.kind), servers, addresses, models])
 
     def purge(self, event: api.Purge) -> None:
         self.events.append(["purge", event.key, event.group, event.age_ms])
@@ -160,10 +160,10 @@
 FETCHES: list[dict[str, Any]] = [
     {},
     {"source": "p1"},
-    {"source": "p1", "rank": 0, "max_age_ms": 0.4},
-    {"source": "p1", "rank": 3, "max_age_ms": 20_000.7, "join": True},
-    {"held_only": True},
-    {"source": "o", "join": True, "parent_keeps": False, "renew": True, "held_only": True},
+    {"source": "p1", "cache_rank": 0, "max_age_ms": 0.4},
+    {"source": "p1", "cache_rank": 3, "max_age_ms": 20_000.7, "join_fill": True},
+    {"cached_only": True},
+    {"source": "o", "join_fill": True, "parent_caches": False, "revalidate": True, "cached_only": True},
 ]
 
 
@@ -179,7 +179,7 @@
         (ask, api.Lookup(1, "c1")) for ask in (read_ask, conditional, write)
     ]
     orders += [(read_ask, api.Fetch(1, "c1", **{"source": "c1", **fetch})) for fetch in FETCHES]
-    orders += [(conditional, api.Fetch(1, "c1", "p1")), (write, api.Fetch(1, "o", "o", rank=0))]
+    orders += [(conditional, api.Fetch(1, "c1", "p1")), (write, api.Fetch(1, "o", "o", cache_rank=0))]
     written = []
     for ask, order in orders:
         taken = OpenRequest(1, ask, cast(Any, None), NOW_MS, NOW_MS + 3000.0)
@@ -289,7 +289,7 @@
         for retry_after_ms in (0.0, 0.4, 140.0, 999.5, 1000.0, 2300.7):
 
             def refuse(now_ms: float, event: api.Event, wait_ms: float = retry_after_ms) -> list[api.Action]:
-                return [api.Refuse(event.id, wait_ms)] if isinstance(event, api.Request) else []
+                return [api.Reject(event.id, wait_ms)] if isinstance(event, api.Request) else []
 
             exchange.core.handle = refuse  # type: ignore[method-assign]
             told.append(await answers_of(world, [request(PATH)]))
