--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -17,7 +17,7 @@
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
-from .net.clients import ASK_MS, ClientFront
+from .net.clients import FIRST_BYTE_TIMEOUT_MS, ClientFront
 from .net.coordinator import CoordinatorWatch
 from .net.endpoint_feed import EndpointFeed
 from .net.environment import REAL_ENVIRONMENT, Environment
@@ -233,8 +233,8 @@
 
     def _configure_front(self, config: Config) -> None:
         self.front.connection_limit = config.settings.client_connection_limit
-        self.front.hold_off = config.hold_off
-        self.front.arrive_ms = max(ASK_MS, self._longest_deadline_ms())
+        self.front.sends_hold_off = config.hold_off
+        self.front.request_timeout_ms = max(FIRST_BYTE_TIMEOUT_MS, self._longest_deadline_ms())
 
     def _longest_deadline_ms(self) -> float:
         return max(cls.deadline_ms for cls in self.exchange.core.classes.values())
@@ -262,7 +262,7 @@
         if self.leases is not None:  # handed over at once: another may act while this one finishes
             self.leases[0].stop()
         if self.config.inherited_fd is not None:  # the listener's other holders accept what comes now
-            self.front.stop_taking()
+            self.front.stop_accepting()
         self._last_answer_ms = answered_by_ms(self.clock(), self._longest_deadline_ms())
         self.exchange.answer_all_by(self._last_answer_ms)
         self.deadlines.add(self.clock() + ACCEPT_MS, self._stop_accepting)
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -1,4 +1,4 @@
-"""The platform's front: HTTP/1.1 from clients, one request at a time on each connection."""
+"""The client listener: accepts HTTP/1.1 connections, bounds their number and how long each may idle."""
 
 from __future__ import annotations
 
@@ -17,28 +17,29 @@
 from .connection import ClientConnection
 from .environment import Listener, open_listener
 
-BODY_MOST = 64 * 1024  # a write carries at most 48,000 bytes
-BACKLOG = 1024
-ASK_MS = 2_000.0  # a request must have begun to come this long after its connection
-REST_MS = 4_500.0  # clients close a connection that was idle for 4 s; one that does not is closed here
-LINGER_MS = 1_000.0  # how long a refused client's input is read and dropped, so that it sees the refusal
-SPEAK_MS = 100.0  # a new connection has this long to speak before it may make room for another
-ROOM_TRIES = 8  # connections looked at for one that may make room
-SWEEP_MS = 100.0
-PAUSED_MS = 50.0  # so often who is not read at the moment is asked whether it has left
-PARTED_MS = 100.0  # at the end: what crosses the end of a connection for this long meets no reset
-SPARE_CONNECTIONS = 32  # over the clients' part of the descriptors, while others are on their way out
+MAX_BODY_BYTES = 64 * 1024  # a write carries at most 48,000 bytes
+LISTEN_BACKLOG = 1024
+FIRST_BYTE_TIMEOUT_MS = 2_000.0  # a request must have begun to come this long after its connection
+IDLE_TIMEOUT_MS = 4_500.0  # clients close theirs after 4 s; one that does not is closed here
+LINGER_MS = 1_000.0  # how long a rejected client's input is discarded, so that it sees the rejection
+EVICTION_GRACE_MS = 100.0  # a new connection has this long to send before it may be evicted for another
+EVICTION_CANDIDATES = 8  # connections of each state looked at for one to evict
+SWEEP_INTERVAL_MS = 100.0
+PAUSED_CHECK_INTERVAL_MS = 50.0  # how often a client that is not read is checked for a disconnect
+FINAL_LINGER_MS = 100.0  # at the end: input that crosses a connection's end for this long meets no reset
+SPARE_CONNECTIONS = 32  # over the clients' part of the descriptors, while others are being closed
 
 
-def _itself(connection: ClientConnection) -> ClientConnection:
+def _return_connection(connection: ClientConnection) -> ClientConnection:
     return connection
 
 
 class ClientFront:
-    """Listens for clients; once `closing`, connections end with the answer they have open.
+    """Listens for clients; once `is_closing`, connections end with the answer that they have open.
 
-    Clients may hold their part of the descriptors. Whoever owes a request or rests has a limit of time, and
-    makes room when others come: first who was refused, then who rests, then who has come and says nothing.
+    Clients may hold their part of the descriptors. A connection without an open request is in one of three
+    states, each with a time limit, and may be evicted for a new one in this order: lingering (its last answer
+    is written), idle, awaiting a request.
     """
 
     def __init__(
@@ -53,229 +54,263 @@
         self.exchange, self.clock, self.open_listener = exchange, clock, listen
         self.connection_limit = connection_limit
         self.deadlines, self.counters = deadlines, counters
-        self.connection, self.body_most = ClientConnection, BODY_MOST
-        self.arrive_ms = ASK_MS  # how long a request may take to come, from its first byte to its last
-        self.hold_off = False  # whether a refusal names its wait in ms, beside HTTP's field
-        self.connections: dict[ClientConnection, None] = {}  # in the order they came, so that runs repeat
-        # Connections without an open request, each kind in the order of time since when it is so.
-        self.owing: dict[ClientConnection, float] = {}
-        self.resting: dict[ClientConnection, float] = {}
+        self.connection_type: type[ClientConnection] = ClientConnection
+        self.max_body_bytes = MAX_BODY_BYTES
+        self.request_timeout_ms = FIRST_BYTE_TIMEOUT_MS  # from a request's first byte to its last
+        self.sends_hold_off = False  # whether rejections name a wait in ms as well
+        self.connections: dict[ClientConnection, None] = {}  # by arrival: runs are repeatable
+        # Connections without an open request: when each entered its state, in that order.
+        self.awaiting: dict[ClientConnection, float] = {}
+        self.idle: dict[ClientConnection, float] = {}
         self.lingering: dict[ClientConnection, float] = {}
-        self.held = 0  # descriptors that clients hold, each counted once from accept to its connection's end
-        self.leaving = 0  # of these, connections told to end
-        self.open: dict[str, ClientRequest] = {}  # by id: the request that came with it first
-        self.closing = False
+        self.descriptor_count = 0  # held by clients, each counted once from accept to its connection's end
+        self.evicted_count = 0  # of these, connections told to end
+        self.open_by_trace_id: dict[str, ClientRequest] = {}  # the first request that came with an id
+        self.is_closing = False
         self.readiness = Readiness(started=True)  # the director's own, once it has one
         self.address: Address = ("", 0)
         self._listener: Listener | None = None
-        self._listening = False
-        self._opening: dict[asyncio.Task[object], ClientConnection] = {}
-        self._paused: dict[ClientConnection, None] = {}  # not read at the moment: nothing tells of their end
+        self._is_accepting = False
+        self._setting_up: dict[asyncio.Task[object], ClientConnection] = {}
+        self._paused: dict[ClientConnection, None] = {}  # not read at the moment: nothing reports their end
+
+    # Accepting.
 
     def listen(self, address: Address, inherited_fd: int | None = None) -> None:
-        """Bind `address`, or take up the listener inherited as `inherited_fd`, which is never bound anew."""
-        self._listener = self.open_listener(address, BACKLOG, inherited_fd)
+        """Binds `address`, or adopts the listener inherited as `inherited_fd`, which is never bound again."""
+        self._listener = self.open_listener(address, LISTEN_BACKLOG, inherited_fd)
         host, port = self._listener.getsockname()[:2]
         self.address = (host, port)
-        self._resume()
+        self._resume_accepting()
         self.sweep()
 
     def accept(self) -> None:
-        """Take every connection that waits, as long as there is room.
+        """Accepts every connection that waits, within the limit.
 
-        Guards against the loop's own server, which takes one a turn: with hundreds of clients coming at once
-        and turns of some milliseconds, a request lay unread for most of a second, past its client's patience.
-        Guards, too, against taking what there is no descriptor for, which would spin: who finds no room waits
-        unaccepted until somebody has left.
+        The event loop's own server accepts one a turn: with hundreds of clients arriving at once and turns of
+        some milliseconds, requests would stay unread past their deadlines. Accepting stops at the limit of
+        descriptors, as the loop would spin on a listener that stays readable.
         """
         loop = asyncio.get_running_loop()
         while self._listener is not None:
-            if self.held >= self.connection_limit + SPARE_CONNECTIONS:
-                return self._pause()
+            if self.descriptor_count >= self.connection_limit + SPARE_CONNECTIONS:
+                return self._pause_accepting()
             try:
                 peer, _ = self._listener.accept()
             except BlockingIOError:
                 return self._all_accepted()
             except OSError:  # no descriptor left, or the peer has gone: the next sweep tries again
                 self.counters.add("clients.accept_failed")
-                return self._pause()
-            self.held += 1
-            if self.held - self.leaving > self.connection_limit + SPARE_CONNECTIONS // 2:
-                self._make_room()
+                return self._pause_accepting()
+            self.descriptor_count += 1
+            if self.descriptor_count - self.evicted_count > self.connection_limit + SPARE_CONNECTIONS // 2:
+                self._evict_one()
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = self.connection(self)
-            task = loop.create_task(loop.connect_accepted_socket(partial(_itself, connection), peer))
-            self._opening[task] = connection
-            task.add_done_callback(self._opened)
-
-    def _opened(self, task: asyncio.Task[object]) -> None:
-        failed = task.cancelled() or task.exception() is not None
-        if not self._opening.pop(task).came and failed:  # else it is counted until it is lost
-            self.held -= 1
-            self._resume()
-
-    def _make_room(self) -> None:
-        """The longest idle goes; one with a request open, or lying unread, never does."""
+            connection = self.connection_type(self)
+            task = loop.create_task(
+                loop.connect_accepted_socket(partial(_return_connection, connection), peer)
+            )
+            self._setting_up[task] = connection
+            task.add_done_callback(self._set_up)
+
+    def _set_up(self, task: asyncio.Task[object]) -> None:
+        has_failed = task.cancelled() or task.exception() is not None
+        if not self._setting_up.pop(task).is_open and has_failed:  # else it is counted until it is lost
+            self.descriptor_count -= 1
+            self._resume_accepting()
+
+    def _evict_one(self) -> None:
+        """Ends the longest idle connection, never one with a request that is open or unread."""
         now = self.clock()
-        for kind, patience in ((self.lingering, 0.0), (self.resting, 0.0), (self.owing, SPEAK_MS)):
-            for connection, since in itertools.islice(kind.items(), ROOM_TRIES):
-                idle = (kind is self.lingering or connection.is_quiet()) and not connection.is_sending(now)
-                if now - since >= patience and idle:
+        for table, grace_ms in ((self.lingering, 0.0), (self.idle, 0.0), (self.awaiting, EVICTION_GRACE_MS)):
+            for connection, since_ms in itertools.islice(table.items(), EVICTION_CANDIDATES):
+                is_unused = table is self.lingering or connection.is_input_empty()
+                if now - since_ms >= grace_ms and is_unused and not connection.is_sending(now):
                     self.counters.add("clients.made_room")
-                    return self._end(connection)
+                    return self._evict(connection)
 
-    def _end(self, connection: ClientConnection) -> None:
-        self._put(connection, None)
-        if not connection.leaving:
-            self.leaving += 1
-            connection.leave()
+    def _evict(self, connection: ClientConnection) -> None:
+        self._set_state(connection, None)
+        if not connection.is_evicted:
+            self.evicted_count += 1
+            connection.evict()
 
     def _all_accepted(self) -> None:
-        """Nobody waits at the listener: once closing, only now may it go, else who waits is reset with it."""
-        if self.closing:
-            self.stop_taking()
+        """Closes the listener once closing: only now, as connections waiting at it would be reset."""
+        if self.is_closing:
+            self.stop_accepting()
 
-    def stop_taking(self) -> None:
-        """No more connections are taken; the listener's other holders go on taking from its queue."""
+    def stop_accepting(self) -> None:
+        """Closes the listener; other processes that hold it go on accepting from its queue."""
         if self._listener is not None:
-            self._pause()
+            self._pause_accepting()
             self._listener.close()
             self._listener = None
 
-    def _pause(self) -> None:
-        if self._listening and self._listener is not None:
-            self._listening = False
+    def _pause_accepting(self) -> None:
+        if self._is_accepting and self._listener is not None:
+            self._is_accepting = False
             asyncio.get_running_loop().remove_reader(self._listener)
 
-    def _resume(self) -> None:
-        if not self._listening and self._listener is not None:
-            self._listening = True
+    def _resume_accepting(self) -> None:
+        if not self._is_accepting and self._listener is not None:
+            self._is_accepting = True
             asyncio.get_running_loop().add_reader(self._listener, self.accept)
 
+    # Time limits.
+
     def sweep(self) -> None:
-        """Ten times a second: who has owed a request, rested or been drained for too long."""
+        """Ten times a second: ends connections that have exceeded the time limit of their state."""
         now = self.clock()
-        for connection in [c for c, since in self.owing.items() if now - since > ASK_MS]:
-            if not connection.partial:
+        self._sweep_awaiting(now)
+        self._sweep_lingering(now)
+        self._sweep_idle(now)
+        if self.readiness.draining:
+            self._drain_idle(now)
+        if self.is_closing:
+            self.accept()  # connections that found no room before
+            self._shut_down_unused()
+        self._resume_accepting()
+        self.deadlines.add(now + SWEEP_INTERVAL_MS, self.sweep)
+
+    def _sweep_awaiting(self, now: float) -> None:
+        for connection in _older_than(self.awaiting, now - FIRST_BYTE_TIMEOUT_MS):
+            if not connection.has_partial_request:
                 self.counters.add("clients.asked_nothing")
-                self._end(connection)
-            elif now - connection.began_ms > self.arrive_ms:
+                self._evict(connection)
+            elif now - connection.request_began_ms > self.request_timeout_ms:
                 self.counters.add("clients.came_too_slowly")
-                connection.time_up()
-        for connection in [c for c, since in self.lingering.items() if now - since > LINGER_MS]:
+                connection.request_timed_out()
+
+    def _sweep_lingering(self, now: float) -> None:
+        for connection in _older_than(self.lingering, now - LINGER_MS):
             if not connection.is_sending(now):
-                self._end(connection)
-        for connection in [c for c, since in self.resting.items() if now - since > REST_MS]:
-            if connection.is_quiet() and not connection.is_sending(now):  # else it is about to ask
-                connection.part()
-        if self.readiness.draining:
-            for connection in [c for c in self.resting if self.readiness.closes_resting(now, c.is_quiet())]:
-                if connection.is_quiet():  # else it asks within this turn, and that answer is its last
-                    self.counters.add("clients.drained")
-                    connection.part()
-        if self.closing:
-            self.accept()  # who found no room before
-            self._part_idle()
-        self._resume()
-        self.deadlines.add(now + SWEEP_MS, self.sweep)
-
-    # The connections' calls.
-
-    def arrived(self, connection: ClientConnection) -> None:
-        connection.came = True
+                self._evict(connection)
+
+    def _sweep_idle(self, now: float) -> None:
+        for connection in _older_than(self.idle, now - IDLE_TIMEOUT_MS):
+            if connection.is_input_empty() and not connection.is_sending(now):  # else it is about to ask
+                connection.shut_down()
+
+    def _drain_idle(self, now: float) -> None:
+        for connection in list(self.idle):
+            if not self.readiness.closes_resting(now, connection.is_input_empty()):
+                continue
+            if connection.is_input_empty():  # else it asks within this turn, and that answer is its last
+                self.counters.add("clients.drained")
+                connection.shut_down()
+
+    # Called by the connections.
+
+    def connection_opened(self, connection: ClientConnection) -> None:
+        """Registers a connection whose transport has been made."""
+        connection.is_open = True
         self.connections[connection] = None
         self.counters.add("clients.connected")
-        self.settle(connection)
+        self.update_state(connection)
 
-    def left(self, connection: ClientConnection) -> None:
+    def connection_closed(self, connection: ClientConnection) -> None:
+        """Forgets a connection and frees its place."""
         self.connections.pop(connection, None)
         self._paused.pop(connection, None)
-        self._put(connection, None)
-        self.held -= 1
-        self.leaving -= connection.leaving
-        self._resume()
-
-    def settle(self, connection: ClientConnection) -> None:
-        """Note whether a connection has a request open, owes one or rests."""
-        if connection.number is not None or connection.waiting:
-            return self._put(connection, None)
-        if connection not in self.connections or connection.last or connection.leaving:
+        self._set_state(connection, None)
+        self.descriptor_count -= 1
+        self.evicted_count -= connection.is_evicted
+        self._resume_accepting()
+
+    def update_state(self, connection: ClientConnection) -> None:
+        """Notes whether a connection has a request open, awaits one or is idle."""
+        if connection.open_number is not None or connection.pipelined:
+            return self._set_state(connection, None)
+        if connection not in self.connections or connection.is_last or connection.is_evicted:
             return
-        self._put(connection, self.owing if connection.partial or not connection.asked else self.resting)
+        is_awaiting = connection.has_partial_request or not connection.has_received_request
+        self._set_state(connection, self.awaiting if is_awaiting else self.idle)
 
-    def parting(self, connection: ClientConnection) -> None:
-        """Its last answer is written, its input is dropped: it has a while to close by itself."""
-        self._put(connection, self.lingering)
+    def start_lingering(self, connection: ClientConnection) -> None:
+        """Notes that a connection's last answer is written: the client has a while to close it."""
+        self._set_state(connection, self.lingering)
 
     def watch_paused(self, connection: ClientConnection) -> None:
+        """Checks from time to time whether the client of a connection that is not read has disconnected."""
         if not self._paused:
-            self.deadlines.add(self.clock() + PAUSED_MS, self._look_at_paused)
+            self.deadlines.add(self.clock() + PAUSED_CHECK_INTERVAL_MS, self._check_paused)
         self._paused[connection] = None
 
-    def _look_at_paused(self) -> None:
+    def _check_paused(self) -> None:
+        now = self.clock()
         for connection in list(self._paused):
-            if not connection.paused:
+            if not connection.is_reading_paused:
                 del self._paused[connection]
             elif connection.is_disconnected():
                 del self._paused[connection]
                 self.counters.add("clients.left_unread")
-                connection.drop()
-            elif connection.full and self.clock() > connection.patience_ms + LINGER_MS:
+                connection.abort()
+            elif connection.is_writing_paused and now > connection.client_deadline_ms + LINGER_MS:
                 del self._paused[connection]
                 self.counters.add("clients.never_read")
-                connection.drop()
+                connection.abort()
         if self._paused:
-            self.deadlines.add(self.clock() + PAUSED_MS, self._look_at_paused)
-
-    def _put(self, connection: ClientConnection, kind: dict[ClientConnection, float] | None) -> None:
-        if connection.kind is not kind:
-            if connection.kind is not None:
-                del connection.kind[connection]
-            connection.kind = kind
-            if kind is not None:
-                kind[connection] = self.clock()
-
-    def status_of(self, ask: ClientRequest) -> int | None:
-        """What a request is answered that no cache could use: it is not passed on."""
-        cls = self.exchange.core.classes.get(ask.class_name)
+            self.deadlines.add(self.clock() + PAUSED_CHECK_INTERVAL_MS, self._check_paused)
+
+    def _set_state(self, connection: ClientConnection, table: dict[ClientConnection, float] | None) -> None:
+        if connection.state_table is not table:
+            if connection.state_table is not None:
+                del connection.state_table[connection]
+            connection.state_table = table
+            if table is not None:
+                table[connection] = self.clock()
+
+    def rejection_status(self, request: ClientRequest) -> int | None:
+        """Returns the status for a request that no server could serve, else None."""
+        cls = self.exchange.core.classes.get(request.class_name)
         if cls is None:
             return 404
-        if cls.is_write and ask.method != "PUT":
+        if cls.is_write and request.method != "PUT":
             return 405
-        if cls.idempotency is Idempotency.KEYED and not ask.idempotency_key:  # its retries look like others'
+        if cls.idempotency is Idempotency.KEYED and not request.idempotency_key:  # its retries are no repeats
             self.counters.add("clients.key_missing")
             return 400
         return None
 
-    def claim(self, ask: ClientRequest) -> bool:
-        """Guards against the id of an open request with another object: caches know a request by its id."""
-        held = self.open.setdefault(ask.trace_id, ask)
-        return held is ask or (held.object_name, held.part) == (ask.object_name, ask.part)
+    def claim_trace_id(self, request: ClientRequest) -> bool:
+        """Whether the request's id is free, or in use for the same object; servers know requests by id."""
+        claimed = self.open_by_trace_id.setdefault(request.trace_id, request)
+        if claimed is request:
+            return True
+        return (claimed.object_name, claimed.part) == (request.object_name, request.part)
+
+    def release_trace_id(self, request: ClientRequest) -> None:
+        """Frees the request's id, if it was the first with it."""
+        if self.open_by_trace_id.get(request.trace_id) is request:
+            del self.open_by_trace_id[request.trace_id]
 
-    def release(self, ask: ClientRequest) -> None:
-        if self.open.get(ask.trace_id) is ask:
-            del self.open[ask.trace_id]
+    # Graceful shutdown.
 
     def close(self) -> None:
-        """Take who is already here, and nobody else; `is_done` once all of them have had their answers."""
-        self.closing = True
+        """Accepts the connections that wait already, and no more; `is_done` tells when all are answered."""
+        self.is_closing = True
         self.accept()
-        self._part_idle()
+        self._shut_down_unused()
 
-    def _part_idle(self) -> None:
+    def _shut_down_unused(self) -> None:
         now = self.clock()
         for connection in list(self.connections):
-            if not connection.last and not connection.owes(now):
-                connection.part()
+            if not connection.is_last and not connection.has_open_request(now):
+                connection.shut_down()
 
     def is_done(self) -> bool:
-        """Whether nobody is owed anything, and the last of those who left were not cut short.
+        """Whether no answer is owed, and no connection was ended so lately that its client may still send.
 
-        Guards against an end between a request's coming and its being read, and over an answer that lies
-        in this process's own buffers, since its client reads slowly.
+        Counts requests that have come and are unread, and answers that are still in this process's buffers
+        because their client reads slowly.
         """
-        self._part_idle()
+        self._shut_down_unused()
         now = self.clock()
-        here = any(c.owes(now) or not c.last for c in self.connections)
-        lately = any(now - since < PARTED_MS for since in self.lingering.values())
-        return self._listener is None and not self._opening and not here and not lately
+        has_open = any(c.has_open_request(now) or not c.is_last for c in self.connections)
+        has_recent = any(now - since_ms < FINAL_LINGER_MS for since_ms in self.lingering.values())
+        return self._listener is None and not self._setting_up and not has_open and not has_recent
+
+
+def _older_than(table: dict[ClientConnection, float], before_ms: float) -> list[ClientConnection]:
+    return [connection for connection, since_ms in table.items() if since_ms < before_ms]
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -1,343 +1,386 @@
-"""One client's connection: HTTP/1.1, one request at a time, read whole before it is taken."""
+"""A client's connection: HTTP/1.1, one request at a time, read completely before it is submitted.
+
+Requests sent ahead (RFC 9112, section 9.3.2) wait their turn, and reading pauses meanwhile.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import math
 from collections import deque
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 import httptools
 
 from ..core.exchange import ClientRequest, FinalAnswer, ResponseHead
-from .requests import REASONS, SINGLE, BadRequest, read_ask
-from .sockets import FRAME_MOST, Unread, has_ended, watch
-
-if TYPE_CHECKING:
-    from .clients import ClientFront
+from .connection_owner import ConnectionOwner
+from .requests import REASONS, SINGLE_FIELDS, BadRequestError, parse_request
+from .sockets import MAX_FRAMING_BYTES, SocketPoll, is_peer_closed, socket_poll
 
-HEADERS_MOST = 16 * 1024
-WAITING_MOST = 8  # requests that a client may have sent ahead on one connection
-HEALTHY, UNREADY = 200, -503  # what a health check is answered; the second is no status of bad input
+MAX_HEADER_BYTES = 16 * 1024
+MAX_PIPELINED = 8  # requests that a client may have sent ahead on one connection
+HEALTHY, UNREADY = 200, -503  # a health check's answer; the second is told from the statuses of bad input
 
 
 class ClientConnection(asyncio.Protocol):
-    """One client's connection; it is itself the client side of the request that it has open."""
+    """One client's connection; it is the `ResponseWriter` of the request that it has open."""
 
-    def __init__(self, front: ClientFront) -> None:
+    def __init__(self, front: ConnectionOwner[ClientConnection]) -> None:
         self.front = front
+        self.exchange = front.exchange  # where requests are submitted
         self.transport: asyncio.Transport | None = None
-        self.unread: Unread | None = None
+        self.socket_poll: SocketPoll | None = None
         self.parser = httptools.HttpRequestParser(self)
-        self.exchange = front.exchange  # whose the open request is
-        # Read, but not yet begun; an int is a status to answer.
-        self.waiting: deque[ClientRequest | int] = deque()
-        self.number: int | None = None  # the request that is open
-        self.ask: ClientRequest | None = None
-        self.patience_ms = 0.0  # until when the client of the last request waits for its answer
-        self.chunked = self.taking = False
-        self.last = False  # the last request or answer of this connection: what comes now is dropped
-        self.paused = self.full = False  # not read at the moment; the client does not read
-        self.kind: dict[ClientConnection, float] | None = None  # of the front's kinds without an open request
-        self.came = False  # its transport has been made
-        self.refused = self.leaving = False  # its input is dropped; it makes room for another
-        self.asked = False  # a whole request has ever come
-        self.partial = self.headed = False  # a request is half read; its head is whole
-        self.began_ms = 0.0  # when its first byte was read
-        self.url, self.size, self.frame = b"", 0, 0  # `frame`: bytes read since the last of a body
+        # State kept by the owner.
+        self.is_open = False  # its transport has been made
+        self.is_evicted = False  # it makes room for another
+        self.state_table: dict[ClientConnection, float] | None = None  # the owner's table that it stands in
+        # The open request.
+        self.open_number: int | None = None
+        self.open_request: ClientRequest | None = None
+        self.client_deadline_ms = 0.0  # until when the client of the last request waits for its answer
+        self.is_chunked = False
+        # Requests read but not submitted; an int is a status to answer.
+        self.pipelined: deque[ClientRequest | int] = deque()
+        self.has_received_request = False
+        self.is_last = False  # the last request or answer of this connection: further input is discarded
+        self.is_reading_paused = self.is_writing_paused = False
+        self._is_advancing = False
+        # The request that is being read.
+        self.has_partial_request = self.has_complete_head = False
+        self.request_began_ms = 0.0  # when its first byte was read
+        self.url, self.read_bytes = b"", 0
+        self.framing_bytes = 0  # read since the last byte of a body
         self.headers: dict[bytes, bytes] = {}
-        self.content: list[bytes] = []
+        self.body_pieces: list[bytes] = []
 
-    # asyncio's calls
+    # Called by asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
-        self.unread = watch(self.transport)
-        self.front.arrived(self)
+        """Registers with the owner."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's transport does not inherit from it
+        self.socket_poll = socket_poll(self.transport)
+        self.front.connection_opened(self)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """Ends the open request: its client has gone."""
         self.transport = None
-        self.waiting.clear()
-        if self.number is not None:
-            number, self.number = self.number, None
-            self._release()
+        self.pipelined.clear()
+        if self.open_number is not None:
+            number, self.open_number = self.open_number, None
+            self._release_request()
             self.exchange.client_disconnected(number)
-        self.front.left(self)
+        self.front.connection_closed(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.last:
+        """Parses input, within bounds, and submits a request that is complete."""
+        if self.is_last:
             return
-        in_head = self.partial and not self.headed
-        self.frame += len(data)
+        in_head = self.has_partial_request and not self.has_complete_head
+        self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
-            if in_head and self.partial and not self.headed:  # none of its fields may ever end
-                self._grow(len(data), HEADERS_MOST, 431)
-            if self.partial and self.frame > FRAME_MOST:
-                raise BadRequest(413)
-        except BadRequest as error:
-            self._refuse_input(error.status)
+            if in_head and self.has_partial_request and not self.has_complete_head:  # no field may be endless
+                self._count_bytes(len(data), MAX_HEADER_BYTES, 431)
+            if self.has_partial_request and self.framing_bytes > MAX_FRAMING_BYTES:
+                self._reject_input(413)
+        except BadRequestError as error:
+            self._reject_input(error.status)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__ or error.__cause__
-            if not isinstance(cause, BadRequest):
+            if not isinstance(cause, BadRequestError):
                 raise
-            self._refuse_input(cause.status)
+            self._reject_input(cause.status)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._refuse_input(400)
-        self._next()
-        if self.waiting and self.transport is not None:  # guards memory: requests ahead stay with the client
-            self.paused = True
+            self._reject_input(400)
+        self._advance()
+        if self.pipelined and self.transport is not None:  # bounds memory: further requests stay unread
+            self.is_reading_paused = True
             self.transport.pause_reading()
             self.front.watch_paused(self)
 
     def eof_received(self) -> bool:
-        return False  # a client that has closed its side waits for nothing
+        """Closes the connection: a client that has closed its side waits for nothing."""
+        return False
 
     def pause_writing(self) -> None:
-        self.full = True
-        if self.number is not None:
-            self.exchange.flow(self.number, False)
+        """Stops the open request's response at its server while the client does not read."""
+        self.is_writing_paused = True
+        if self.open_number is not None:
+            self.exchange.flow(self.open_number, False)
 
     def resume_writing(self) -> None:
-        self.full = False
-        if self.number is not None:
-            self.exchange.flow(self.number, True)
-        self._next()
+        """Lets the response go on, and the next request begin."""
+        self.is_writing_paused = False
+        if self.open_number is not None:
+            self.exchange.flow(self.open_number, True)
+        self._advance()
 
-    # httptools' calls
+    # Called by httptools.
 
     def on_message_begin(self) -> None:
-        self.url, self.size, self.frame, self.headers, self.content = b"", 0, 0, {}, []
-        self.partial, self.headed, self.began_ms = True, False, self.front.clock()
+        """A request's first byte."""
+        self.url, self.read_bytes, self.framing_bytes, self.headers, self.body_pieces = b"", 0, 0, {}, []
+        self.has_partial_request, self.has_complete_head = True, False
+        self.request_began_ms = self.front.clock()
 
     def on_url(self, url: bytes) -> None:
-        self._grow(len(url), HEADERS_MOST, 431)
+        """A piece of the target."""
+        self._count_bytes(len(url), MAX_HEADER_BYTES, 431)
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.size += len(name) + len(value)
-        if self.size > HEADERS_MOST:
-            raise BadRequest(431)
+        """A field of the head or the trailer."""
+        self.read_bytes += len(name) + len(value)
+        if self.read_bytes > MAX_HEADER_BYTES:
+            raise BadRequestError(431)
         name = name.lower()
-        if name in self.headers and name in SINGLE:  # which of the two counts, others may see otherwise
-            raise BadRequest(400)
+        if name in self.headers and name in SINGLE_FIELDS:  # others may see the other one as the valid one
+            raise BadRequestError(400)
         self.headers[name] = value
 
     def on_headers_complete(self) -> None:
-        self.size, self.headed = 0, True
+        """The head is complete; rejects a body whose length is ambiguous (RFC 9112, section 6.3)."""
+        self.read_bytes, self.has_complete_head = 0, True
         length, coding = self.headers.get(b"content-length"), self.headers.get(b"transfer-encoding")
-        # Guards against a body whose end can be seen in two ways: it may hide another request.
+        # A body whose end can be read in two ways may hide another request (request smuggling).
         if coding is not None and (length is not None or coding.lower() != b"chunked"):
-            raise BadRequest(400)
+            raise BadRequestError(400)
         if length is not None and (not length.isdigit() or len(length) > 15):
-            raise BadRequest(400)
-        self._grow(int(length or b"0"), self.front.body_most, 413)
-        self.size = 0
-        alone = self.number is None and not self.waiting  # else it would land within another's answer
-        if alone and self.headers.get(b"expect", b"").lower() == b"100-continue":
+            raise BadRequestError(400)
+        self._count_bytes(int(length or b"0"), self.front.max_body_bytes, 413)
+        self.read_bytes = 0
+        is_alone = self.open_number is None and not self.pipelined  # else it lands within another answer
+        if is_alone and self.headers.get(b"expect", b"").lower() == b"100-continue":
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        self._grow(len(body), self.front.body_most, 413)
-        self.frame = 0
-        self.content.append(body)
+        """A piece of the body."""
+        self._count_bytes(len(body), self.front.max_body_bytes, 413)
+        self.framing_bytes = 0
+        self.body_pieces.append(body)
 
     def on_message_complete(self) -> None:
-        self.last, self.partial, self.asked = not self.parser.should_keep_alive(), False, True
+        """The request is complete: it joins the queue of this connection."""
+        self.is_last = not self.parser.should_keep_alive()
+        self.has_partial_request, self.has_received_request = False, True
         try:
-            self.waiting.append(self._read())
-        except BadRequest as error:
-            self.waiting.append(error.status)
+            self.pipelined.append(self._read_request())
+        except BadRequestError as error:
+            self.pipelined.append(error.status)
         except httptools.HttpParserError:
-            self.waiting.append(400)
-        if len(self.waiting) > WAITING_MOST:
-            raise BadRequest(400)
+            self.pipelined.append(400)
+        if len(self.pipelined) > MAX_PIPELINED:
+            raise BadRequestError(400)
 
-    def _read(self) -> ClientRequest | int:
-        """The request that has come whole, or a status that answers it; `BadRequest` for a bad one."""
+    def _read_request(self) -> ClientRequest | int:
+        """Returns the complete request, or the status that answers it; raises `BadRequestError`."""
         url = httptools.parse_url(self.url)
         path, query = (url.path or b"").decode("latin-1"), (url.query or b"").decode("latin-1")
         method = self.parser.get_method().decode("latin-1")
-        if path == "/_health" and method == "GET":  # the front asks for readiness: no in a drain or a stop
+        if path == "/_health" and method == "GET":
             return HEALTHY if self.front.readiness.ready() else UNREADY
-        ask = read_ask(method, path, query, self.headers, b"".join(self.content))
-        return self.front.status_of(ask) or ask
-
-    def _grow(self, by: int, most: int, status: int) -> None:
-        self.size += by
-        if self.size > most:
-            raise BadRequest(status)
-
-    def _refuse_input(self, status: int) -> None:
-        """What came can't be read on from here: one answer more, then the connection closes."""
-        self.waiting.append(status)
-        self.last = self.refused = True
-
-    def time_up(self) -> None:
-        """The request that has begun to come has not come whole in its time."""
-        self._refuse_input(408)
-        self._next()
-        if self.waiting:  # it has not even read its answers: nothing else would ever end it
-            self.drop()
-
-    def is_quiet(self) -> bool:
-        """Whether nothing that the client has sent lies unread."""
-        return self._is_over() or self.unread is None or not self.unread.poll(0)
+        request = parse_request(method, path, query, self.headers, b"".join(self.body_pieces))
+        return self.front.rejection_status(request) or request
+
+    def _count_bytes(self, count: int, maximum: int, status: int) -> None:
+        self.read_bytes += count
+        if self.read_bytes > maximum:
+            raise BadRequestError(status)
+
+    def _reject_input(self, status: int) -> None:
+        """Answers input that cannot be parsed further; the connection closes after that."""
+        self.pipelined.append(status)
+        self.is_last = True
+
+    def request_timed_out(self) -> None:
+        """Answers 408: a request that has begun to come is not complete in its time."""
+        self._reject_input(408)
+        self._advance()
+        if self.pipelined:  # it has not even read its answers: nothing else would ever end it
+            self.abort()
+
+    # State.
+
+    def is_input_empty(self) -> bool:
+        """Whether nothing that the client has sent is unread."""
+        return self._is_over() or self.socket_poll is None or not self.socket_poll.poll(0)
 
     def is_disconnected(self) -> bool:
-        """Whether the client has closed, though what it sent before may still lie unread.
+        """Whether the client has closed, even if its last input is still unread.
 
-        Guards against work for a client that has gone: nothing tells of its end while reading is paused, nor
-        before a request that waited long to be read has been taken.
+        Avoids work for a client that has gone: nothing else reports its end while reading is paused, or
+        before a request that was unread for long has been submitted.
         """
-        return self._is_over() or (self.unread is not None and has_ended(self.unread))
+        return self._is_over() or (self.socket_poll is not None and is_peer_closed(self.socket_poll))
 
     def _is_over(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
     def is_sending(self, now_ms: float) -> bool:
-        """Whether some of the last answer has not even left this process, and its client may still wait."""
-        if self.transport is None or now_ms >= self.patience_ms:
+        """Whether a part of the last answer is still buffered here, and its client may wait for it."""
+        if self.transport is None or now_ms >= self.client_deadline_ms:
             return False
         return self.transport.get_write_buffer_size() > 0
 
-    def owes(self, now_ms: float) -> bool:
-        """Whether an answer is owed here, or would be for what has begun to come."""
+    def has_open_request(self, now_ms: float) -> bool:
+        """Whether an answer is owed here, or would be for a request that has begun to come."""
         if self._is_over():
             return False
-        open_or_coming = self.number is not None or bool(self.waiting) or (self.partial and not self.last)
-        return open_or_coming or self.is_sending(now_ms) or not (self.last or self.is_quiet())
+        is_coming = self.has_partial_request and not self.is_last
+        if self.open_number is not None or self.pipelined or is_coming:
+            return True
+        return self.is_sending(now_ms) or not (self.is_last or self.is_input_empty())
+
+    # The connection's end.
 
-    def part(self) -> None:
-        """End the connection from this side: the client sees its end, and what it still sends is dropped.
+    def shut_down(self) -> None:
+        """Closes the sending side; what the client still sends is discarded.
 
-        Guards against a close over unread bytes, which would reset the answer just written away; and against
-        taking a request that crosses the end: its answer would find nobody.
+        Closing both sides over unread input would reset the connection, and with it the answer just written.
+        No request that crosses this end is accepted, as its answer would not arrive.
         """
-        self.last = True
+        self.is_last = True
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
             self.transport.write_eof()
-            self.front.parting(self)
+            self.front.start_lingering(self)
 
-    def leave(self) -> None:
-        self.leaving = True
-        self.drop()
+    def evict(self) -> None:
+        """Ends the connection at once to make room for another."""
+        self.is_evicted = True
+        self.abort()
 
-    def drop(self) -> None:
-        """An end without a word, for who has left or makes room; what is open here ends with it."""
+    def abort(self) -> None:
+        """Ends the connection at once, and with it what is open here."""
         if self.transport is not None:
             self.transport.abort()
 
-    def _next(self) -> None:
-        """Take requests in their order, one at a time, and none while the client leaves answers unread.
+    # One request at a time.
 
-        Guards against answers made ahead for a client that asks on and on and reads nothing.
+    def _advance(self) -> None:
+        """Submits requests in order, one at a time, and none while the client leaves answers unread.
+
+        Bounds the answers that are buffered for a client which keeps asking and reads nothing.
         """
-        if self.taking:
+        if self._is_advancing:
             return
-        self.taking = True  # an answer at once comes back here
-        while self.number is None and self.waiting and not self.full and self.transport is not None:
+        self._is_advancing = True  # an immediate answer comes back here
+        while (
+            self.open_number is None
+            and self.pipelined
+            and not self.is_writing_paused
+            and self.transport is not None
+        ):
             if self.is_disconnected():
                 self.front.counters.add("clients.left_unread")
-                self.waiting.clear()
-                self.drop()
+                self.pipelined.clear()
+                self.abort()
                 break
-            ask = self.waiting.popleft()
-            if not isinstance(ask, int) and not self.front.claim(ask):
-                ask = 409
-            if ask == UNREADY:
-                self.front.counters.add("clients.health_unready")
-                self._write_status(503, ["Retry-After: 1"])
-                self._after_answer()
-            elif isinstance(ask, int):
-                if ask != HEALTHY:
-                    self.front.counters.add(f"clients.bad_input_{ask}")
-                self._write_status(ask)
-                self._after_answer()
+            request = self.pipelined.popleft()
+            if not isinstance(request, int) and not self.front.claim_trace_id(request):
+                request = 409
+            if isinstance(request, int):
+                self._answer_status(request)
             else:
-                self.patience_ms = self.front.clock() + ask.max_wait_ms
-                self._begin(ask)
-        self.taking = False
-        self.front.settle(self)
+                self.client_deadline_ms = self.front.clock() + request.max_wait_ms
+                self._submit(request)
+        self._is_advancing = False
+        self.front.update_state(self)
+
+    def _answer_status(self, status: int) -> None:
+        """Answers a health check or a bad request."""
+        if status == UNREADY:
+            self.front.counters.add("clients.health_unready")
+            self._write_status(503, ["Retry-After: 1"])
+        else:
+            if status != HEALTHY:
+                self.front.counters.add(f"clients.bad_input_{status}")
+            self._write_status(status)
+        self._response_finished()
 
-    def _begin(self, ask: ClientRequest) -> None:
-        self.ask = ask
-        self.number = -1  # stands for the number until it is known: an answer may come before it
-        number = self.exchange.submit(ask, self)
-        if self.number == -1:
-            self.number = number
+    def _submit(self, request: ClientRequest) -> None:
+        self.open_request = request
+        self.open_number = -1  # stands for the number until it is known: an answer may come before it
+        number = self.exchange.submit(request, self)
+        if self.open_number == -1:
+            self.open_number = number
 
-    def _release(self) -> None:
-        ask, self.ask = self.ask, None
-        if ask is not None:
-            self.front.release(ask)
+    def _release_request(self) -> None:
+        request, self.open_request = self.open_request, None
+        if request is not None:
+            self.front.release_trace_id(request)
 
-    # The exchange's calls
+    # Called by the exchange: the response.
 
     def start_response(self, head: ResponseHead) -> None:
+        """Writes the head of a 200 or 304."""
         lines = ["HTTP/1.1 304 Not Modified" if head.is_not_modified else "HTTP/1.1 200 OK"]
-        self.chunked = head.content_length is None and not head.is_not_modified
-        if self.chunked:
+        self.is_chunked = head.content_length is None and not head.is_not_modified
+        if self.is_chunked:
             lines.append("Transfer-Encoding: chunked")
         elif not head.is_not_modified:
             lines.append(f"Content-Length: {head.content_length}")
         if head.etag is not None:
             lines.append(f'ETag: "{head.etag}"')
-        self._write(self._with_close(lines))
+        self._write(self._encode_head(lines))
 
     def write_body(self, data: bytes) -> None:
-        self._write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+        """Writes a piece of the body."""
+        self._write(b"%x\r\n%b\r\n" % (len(data), data) if self.is_chunked else data)
 
     def end_response(self) -> None:
-        if self.chunked:
+        """Ends a complete response."""
+        if self.is_chunked:
             self._write(b"0\r\n\r\n")
-        self._after_answer()
+        self._response_finished()
 
     def abort_response(self) -> None:
-        self.number = None
-        self._release()
-        self.drop()
+        """Aborts the connection, so that the client sees an incomplete response."""
+        self.open_number = None
+        self._release_request()
+        self.abort()
 
     def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
+        """Writes a 503 with Retry-After (RFC 9110, section 10.2.3), or a 502."""
         if final is FinalAnswer.REJECTED:  # HTTP has whole seconds; 0 would read as 'at once'
             fields = [f"Retry-After: {max(1, math.ceil(retry_after_ms / 1000.0))}"]
-            if retry_after_ms and self.front.hold_off:
+            if retry_after_ms and self.front.sends_hold_off:
                 fields.append(f"Hold-Off-Ms: {round(retry_after_ms)}")
             self._write_status(503, fields)
         else:
             self._write_status(502)
-        self._after_answer()
+        self._response_finished()
 
     def _write(self, data: bytes) -> None:
         if self.transport is not None:
             self.transport.write(data)
 
-    def _with_close(self, lines: list[str]) -> bytes:
-        if self._ends_here():
-            self.last = True  # who is told so sends no more here: a request that crosses it is not taken
+    def _encode_head(self, lines: list[str]) -> bytes:
+        if self._is_last_response():
+            self.is_last = True  # the client sends no more here: a request that crosses it is not accepted
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
-    def _ends_here(self) -> bool:
+    def _is_last_response(self) -> bool:
         """Whether this answer is the last; not while another request has come, or has begun to."""
-        if self.waiting or self.last:
-            return self.last and not self.waiting
-        ends = self.front.closing or self.front.readiness.draining
-        return ends and not self.partial and self.is_quiet()
+        if self.pipelined or self.is_last:
+            return self.is_last and not self.pipelined
+        is_ending = self.front.is_closing or self.front.readiness.draining
+        return is_ending and not self.has_partial_request and self.is_input_empty()
 
-    def _write_status(self, status: int, more: list[str] | None = None) -> None:
+    def _write_status(self, status: int, fields: list[str] | None = None) -> None:
         reason = b"OK" if status == 200 else REASONS[status]
-        lines = [f"HTTP/1.1 {status} {reason.decode()}", "Content-Length: 0", *(more or ())]
-        self._write(self._with_close(lines))
-
-    def _after_answer(self) -> None:
-        self.number = None
-        self._release()
-        if self.transport is not None and not self.waiting:
-            if self.last:
-                self.part()
-            elif self.paused:
-                self.paused = False
+        lines = [f"HTTP/1.1 {status} {reason.decode()}", "Content-Length: 0", *(fields or ())]
+        self._write(self._encode_head(lines))
+
+    def _response_finished(self) -> None:
+        self.open_number = None
+        self._release_request()
+        if self.transport is not None and not self.pipelined:
+            if self.is_last:
+                self.shut_down()
+            elif self.is_reading_paused:
+                self.is_reading_paused = False
                 self.transport.resume_reading()
-        self._next()
+        self._advance()
--- a/gladewalk/net/requests.py
+++ b/gladewalk/net/requests.py
@@ -1,22 +1,26 @@
-"""A client's request as the platform's protocol has it: what may be in it, and what it is read to."""
+"""Clients' requests in the platform's protocol: validation, and parsing into `ClientRequest`."""
 
 from __future__ import annotations
 
 import re
 
 from ..core.exchange import ClientRequest
+from ..errors import GladewalkError
 
-WAIT_MOST_MS = 600_000.0  # no class has patience for as long
-CLASS = re.compile(r"[A-Za-z0-9._~-]{1,64}\Z")
-OBJECT = re.compile(r"[0-9A-Fa-f]{1,16}\Z")
-TRACE = re.compile(r"[0-9A-Fa-f]{16}\Z")
-KEY = re.compile(rb"[\x21-\x7e]{1,128}\Z")  # one word, as it came: it goes on unchanged
+MAX_WAIT_MS = 600_000.0  # no class has a deadline as long
+MAX_SIZE_KB = 1e9
+CLASS_NAME = re.compile(r"[A-Za-z0-9._~-]{1,64}\Z")
+OBJECT_NAME = re.compile(r"[0-9A-Fa-f]{1,16}\Z")
+PART = re.compile(r"[0-9]{1,9}\Z")
+TRACE_ID = re.compile(r"[0-9A-Fa-f]{16}\Z")
+IDEMPOTENCY_KEY = re.compile(rb"[\x21-\x7e]{1,128}\Z")  # one token, forwarded unchanged
 NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,20})?\Z")
-SINGLE = {
+ETAG = re.compile(r'(?:W/)?"([\x21\x23-\x7e]*)"\Z')
+# Fields of which a second one is an error.
+SINGLE_FIELDS = {
     b"host", b"content-length", b"transfer-encoding", b"trace-id", b"max-wait-ms", b"x-batch", b"replay-key",
     b"is-retry",
 }  # fmt: skip
-TAG = re.compile(r'(?:W/)?"([\x21\x23-\x7e]*)"\Z')
 REASONS = {
     400: b"Bad Request",
     404: b"Not Found",
@@ -29,56 +33,68 @@
     503: b"Service Unavailable",
 }
 
+Headers = dict[bytes, bytes]
+
+
+class BadRequestError(GladewalkError):
+    """A request that is answered with a 4xx status."""
 
-class BadRequest(Exception):
     def __init__(self, status: int) -> None:
         super().__init__(status)
         self.status = status
 
 
-def _number(headers: dict[bytes, bytes], name: bytes, most: float, default: float | None = None) -> float:
+def _read_number(headers: Headers, name: bytes, maximum: float, default: float | None = None) -> float:
     text = headers.get(name)
     if text is None and default is not None:
         return default
-    if text is None or not NUMBER.match(text) or not 0.0 <= (value := float(text)) <= most:
-        raise BadRequest(400)
+    if text is None or not NUMBER.match(text) or not 0.0 <= (value := float(text)) <= maximum:
+        raise BadRequestError(400)
     return value
 
 
-def read_ask(method: str, path: str, query: str, headers: dict[bytes, bytes], body: bytes) -> ClientRequest:
-    """A request as `PROTOCOL` describes it, or `BadRequest` with the status that says what is wrong."""
-    if method not in ("GET", "PUT"):
-        raise BadRequest(405)
-    parts = path.split("/")
-    if len(parts) != 4 or parts[:2] != ["", "invoke"]:
-        raise BadRequest(404)
+def _read_part(query: str) -> str:
+    """The part of the object that is asked for: the last `nth` of the query."""
     part = "0"
     for pair in query.split("&"):
         if pair.startswith("nth="):
             part = pair[4:]
-    trace, group = headers.get(b"trace-id", b"").decode("latin-1"), _number(headers, b"x-batch", 255, 0.0)
+    return part
+
+
+def parse_request(method: str, path: str, query: str, headers: Headers, body: bytes) -> ClientRequest:
+    """Parses a request; raises `BadRequestError` with the status that says what is wrong."""
+    if method not in ("GET", "PUT"):
+        raise BadRequestError(405)
+    segments = path.split("/")  # of `/invoke/CLASS/OBJECT`
+    if len(segments) != 4 or segments[:2] != ["", "invoke"]:
+        raise BadRequestError(404)
+    class_name, object_name = segments[2], segments[3]
+    part = _read_part(query)
+    trace_id = headers.get(b"trace-id", b"").decode("latin-1")
+    group = _read_number(headers, b"x-batch", 255, 0.0)
     if body and method == "GET":
-        raise BadRequest(400)
-    good = CLASS.match(parts[2]) and OBJECT.match(parts[3]) and TRACE.match(trace)
-    if not good or not (part.isascii() and part.isdigit() and len(part) < 10) or group % 1.0:
-        raise BadRequest(400)
-    replay_key, retry = headers.get(b"replay-key"), headers.get(b"is-retry", b"0")
-    if (replay_key is not None and not KEY.match(replay_key)) or retry not in (b"0", b"1"):
-        raise BadRequest(400)
-    held = headers.get(b"if-none-match")
-    tag = TAG.match(held.decode("latin-1").strip()) if held else None
+        raise BadRequestError(400)
+    has_good_names = CLASS_NAME.match(class_name) and OBJECT_NAME.match(object_name)
+    if not has_good_names or not TRACE_ID.match(trace_id) or not PART.match(part) or group % 1.0:
+        raise BadRequestError(400)
+    key, retry = headers.get(b"replay-key"), headers.get(b"is-retry", b"0")
+    if (key is not None and not IDEMPOTENCY_KEY.match(key)) or retry not in (b"0", b"1"):
+        raise BadRequestError(400)
+    condition = headers.get(b"if-none-match")
+    etag = ETAG.match(condition.decode("latin-1").strip()) if condition else None
     return ClientRequest(
-        trace_id=trace,
+        trace_id=trace_id,
         method=method,
-        class_name=parts[2],
-        object_name=parts[3],
-        key=int(parts[3], 16),
+        class_name=class_name,
+        object_name=object_name,
+        key=int(object_name, 16),
         part=int(part),
-        max_wait_ms=_number(headers, b"max-wait-ms", WAIT_MOST_MS),
-        size_kb=_number(headers, b"reserve-kb", 1e9, 0.0),
+        max_wait_ms=_read_number(headers, b"max-wait-ms", MAX_WAIT_MS),
+        size_kb=_read_number(headers, b"reserve-kb", MAX_SIZE_KB, 0.0),
         group=int(group),
-        etag=tag.group(1) if tag else None,
-        idempotency_key=(replay_key or b"").decode("ascii"),
+        etag=etag.group(1) if etag else None,
+        idempotency_key=(key or b"").decode("ascii"),
         is_retry=retry == b"1",
         body=body,
     )
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -1,4 +1,4 @@
-"""What both sides ask of a connection's socket beside what asyncio tells."""
+"""Socket state beyond what asyncio reports: unread input, and whether the peer has closed."""
 
 from __future__ import annotations
 
@@ -6,29 +6,30 @@
 import select
 from typing import Protocol
 
-ENDED = select.POLLERR | select.POLLHUP | getattr(select, "POLLRDHUP", 0)  # of the other end
-# Bytes that may come without one of a body among them, of a chunk's frame or a trailer. Guards against what
-# the parser holds of them and tells nobody, where they never end.
-FRAME_MOST = 32 * 1024
-READY = select.POLLIN | ENDED
+PEER_CLOSED_EVENTS = select.POLLERR | select.POLLHUP | getattr(select, "POLLRDHUP", 0)
+READABLE_EVENTS = select.POLLIN | PEER_CLOSED_EVENTS
+# Bytes that may come without one of a body among them: chunk framing or a trailer. Bounds what the parser
+# buffers silently while they go on.
+MAX_FRAMING_BYTES = 32 * 1024
 
 
-class Unread(Protocol):
-    """Asked with `poll(0)`, it tells whether the other end has said what lies unread, or closed."""
+class SocketPoll(Protocol):
+    """The part of `select.poll` that is used."""
 
-    def poll(self, timeout: float | None = ..., /) -> list[tuple[int, int]]: ...
+    def poll(self, timeout: float | None = ..., /) -> list[tuple[int, int]]:
+        """Called with 0, returns at once whether there is unread input, or the peer has closed."""
 
 
-def watch(transport: asyncio.Transport) -> Unread:
-    """Of a socket, by the system; a transport that has none tells by itself (`unread`)."""
-    unread: Unread | None = transport.get_extra_info("unread")
+def socket_poll(transport: asyncio.Transport) -> SocketPoll:
+    """Returns the poll of a transport's socket; a transport without one provides its own as `unread`."""
+    unread: SocketPoll | None = transport.get_extra_info("unread")
     if unread is not None:
         return unread
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), READY)
+    poll.register(transport.get_extra_info("socket").fileno(), READABLE_EVENTS)
     return poll
 
 
-def has_ended(unread: Unread) -> bool:
-    """Whether the other end has closed or reset, though what it said before may still lie unread."""
-    return any(events & ENDED for _, events in unread.poll(0))
+def is_peer_closed(poll: SocketPoll) -> bool:
+    """Whether the peer has closed or reset the connection, even if its last input is still unread."""
+    return any(events & PEER_CLOSED_EVENTS for _, events in poll.poll(0))
--- a/gladewalk/rehearsal/virtual/streams.py
+++ b/gladewalk/rehearsal/virtual/streams.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, cast
 
-from ...net.sockets import READY
+from ...net.sockets import READABLE_EVENTS
 
 if TYPE_CHECKING:
     from .loop import VirtualLoop
@@ -29,7 +29,7 @@
 
 
 class Unread:
-    """`net.sockets.Unread` of a virtual transport."""
+    """`net.sockets.SocketPoll` of a virtual transport."""
 
     def __init__(self, transport: VirtualTransport) -> None:
         self.transport = transport
@@ -37,7 +37,7 @@
     def poll(self, timeout: float | None = None, /) -> list[tuple[int, int]]:
         inbox = self.transport.inbox
         if self.transport.ended or EOF in inbox or RESET in inbox:
-            return [(0, READY)]
+            return [(0, READABLE_EVENTS)]
         return [(0, select.POLLIN)] if inbox else []
 
 
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -9,7 +9,7 @@
 
 from .. import interface as api
 from ..core.exchange import Attempt, AttemptResult, ResponseHead
-from ..net.sockets import FRAME_MOST, watch
+from ..net.sockets import MAX_FRAMING_BYTES, socket_poll
 from .jobs import Probing
 from .words import (
     AUTHORITY,
@@ -56,7 +56,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
-        self.unread = watch(self.transport)
+        self.unread = socket_poll(self.transport)
         self.pool.live.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -119,7 +119,7 @@
             self.parser.feed_data(data)
             if not self.headed:
                 self._grow(len(data), HEAD_MOST)
-            if self.headed and not self.whole and self.frame > FRAME_MOST:
+            if self.headed and not self.whole and self.frame > MAX_FRAMING_BYTES:
                 raise Spoilt
         except (Spoilt, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if isinstance(error, httptools.HttpParserCallbackError) and not isinstance(
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -16,7 +16,7 @@
 from ..core.exchange import ClientRequest, FinalAnswer, ResponseHead
 from ..net.clients import ClientFront
 from ..net.connection import ClientConnection
-from ..net.requests import BadRequest
+from ..net.requests import BadRequestError
 from ..nginx.router import Landing, Router, read_host
 from ..nginx.uri import BadTarget, read_target
 from ..nginx.variables import Request
@@ -48,25 +48,25 @@
         super().on_header(name, value)
         self.all_fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
-    def _read(self) -> ClientRequest | int:
-        """A request with where it lands; `BadRequest` for one that can't be read."""
+    def _read_request(self) -> ClientRequest | int:
+        """A request with where it lands; `BadRequestError` for one that can't be read."""
         verb = self.parser.get_method().decode("latin-1")
         raw, host = self._target()
         if verb == "CONNECT" or (b"upgrade" in self.headers and verb == "PRI"):
-            raise BadRequest(405)
+            raise BadRequestError(405)
         if not host and self.parser.get_http_version() == "1.1":
-            raise BadRequest(400)  # RFC 9112, 3.2
+            raise BadRequestError(400)  # RFC 9112, 3.2
         try:
             clean = read_host(host)
             server = self.web.router.server_of(self.web.listen_key, clean)
             target = read_target(raw, server.row.merge_slashes)
         except (BadTarget, ValueError) as error:
-            raise BadRequest(400) from error
+            raise BadRequestError(400) from error
         fields: dict[str, str] = {}
         for name, value in self.all_fields:
             lower = name.lower()
             fields[lower] = f"{fields[lower]}, {value}" if lower in fields else value
-        body = b"".join(self.content)
+        body = b"".join(self.body_pieces)
         fields["content-length"] = str(len(body))
         client = self.transport.get_extra_info("peername") if self.transport is not None else None
         request = Request(
@@ -105,7 +105,7 @@
 
     # One request at a time.
 
-    def _begin(self, ask: ClientRequest) -> None:
+    def _submit(self, ask: ClientRequest) -> None:
         assert isinstance(ask, WebAsk) and ask.landing is not None
         if ask.balanced is not None and ask.balanced.retired:  # it waited while another table was taken
             request = ask.landing.state.request
@@ -116,15 +116,15 @@
         if not landing.upstream:
             return self._answer_here(landing)
         self.exchange = ask.balanced
-        super()._begin(ask)
+        super()._submit(ask)
 
     def _answer_here(self, landing: Landing) -> None:
         """An answer that the table makes: a text, a redirect, a refusal, or a close."""
         status = landing.shown or landing.status
         self.web.counters.add("web.answered_here")
         if landing.status == CLOSE:
-            self.number = None
-            self._release()
+            self.open_number = None
+            self._release_request()
             if self.transport is not None:
                 self.transport.abort()
             return
@@ -134,7 +134,7 @@
         if landing.text:
             fields.append(("Content-Type", "text/plain"))
         self._whole(status, fields, landing.text.encode("latin-1", "replace"))
-        self._after_answer()
+        self._response_finished()
 
     def _whole(self, status: int, fields: Fields, body: bytes = b"") -> None:
         lines = [f"HTTP/1.1 {status} {reason(status)}"]
@@ -142,11 +142,11 @@
             lines.append(f"Content-Length: {len(body)}")
         lines += [f"{name}: {value}" for name, value in fields]
         shown = b"" if self.bodiless or status in NOBODY else body
-        self._write(self._with_close(lines) + shown)
+        self._write(self._encode_head(lines) + shown)
 
-    def _write_status(self, status: int, more: list[str] | None = None) -> None:
-        fields = [(name, value) for name, _, value in (line.partition(": ") for line in more or ())]
-        self._whole(status, fields)
+    def _write_status(self, status: int, fields: list[str] | None = None) -> None:
+        pairs = [(name, value) for name, _, value in (line.partition(": ") for line in fields or ())]
+        self._whole(status, pairs)
 
     # The exchange's calls
 
@@ -155,21 +155,21 @@
         status = self.landing.shown or head.status
         lines = [f"HTTP/1.1 {status} {reason(status)}"]
         without = self.bodiless or status in NOBODY
-        self.chunked = head.content_length is None and not without
-        if self.chunked:
+        self.is_chunked = head.content_length is None and not without
+        if self.is_chunked:
             lines.append("Transfer-Encoding: chunked")
         elif head.content_length is not None and status != 204:
             lines.append(f"Content-Length: {head.content_length}")
         for name, value in answer_fields(self.landing, head.status, head.fields):
             lines.append(f"{name}: {value}")
-        self._write(self._with_close(lines))
+        self._write(self._encode_head(lines))
 
     def write_body(self, data: bytes) -> None:
         if not self.bodiless:
             super().write_body(data)
 
     def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
-        ask, landing = self.ask, self.landing
+        ask, landing = self.open_request, self.landing
         assert isinstance(ask, WebAsk) and landing is not None
         status = 503 if final is FinalAnswer.REJECTED else ask.failed
         if not landing.from_error and self.web.router.on_error(landing, status).from_error:
@@ -177,14 +177,14 @@
         seconds = max(1, math.ceil(retry_after_ms / 1000.0))
         more = [("Retry-After", str(seconds))] if final is FinalAnswer.REJECTED else []
         self._whole(status, more + added_fields(landing, status))
-        self._after_answer()
+        self._response_finished()
 
     def _elsewhere(self, ask: WebAsk, landing: Landing) -> None:
         """An `error_page` sends the request on: it is another request of its exchange."""
         self.web.counters.add("web.error_pages")
-        self.number = None
-        self._release()
-        self._begin(self.ask_of(landing, landing.state.request.method, ask.body))
+        self.open_number = None
+        self._release_request()
+        self._submit(self.ask_of(landing, landing.state.request.method, ask.body))
 
 
 class WebFront(ClientFront):
@@ -198,11 +198,11 @@
         first = next(iter(upstreams.values()))
         super().__init__(first, connection_limit, clock, deadlines, counters)
         self.router, self.listen_key, self.upstreams = router, listen_key, upstreams
-        self.connection, self.body_most = WebClient, body_most
+        self.connection_type, self.max_body_bytes = WebClient, body_most
         self.port_told = int(listen_key.rpartition(":")[2])
 
-    def claim(self, ask: ClientRequest) -> bool:
+    def claim_trace_id(self, ask: ClientRequest) -> bool:
         return True  # ids of requests are the platform's
 
-    def release(self, ask: ClientRequest) -> None:
+    def release_trace_id(self, ask: ClientRequest) -> None:
         pass
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -47,7 +47,7 @@
     kind: Any = type("Mutated", (ClientConnection,), methods)
 
     def change(director: Director) -> None:
-        director.front.connection = kind
+        director.front.connection_type = kind
 
     return change
 
@@ -88,7 +88,7 @@
 
 
 def mute(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
-    self._after_answer()
+    self._response_finished()
 
 
 def twice(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
@@ -98,7 +98,7 @@
 
 def unworded(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
     self._write_status(503 if final is FinalAnswer.REJECTED else 502)
-    self._after_answer()
+    self._response_finished()
 
 
 def altered(self: ClientConnection, data: bytes) -> None:
@@ -114,7 +114,7 @@
 
 
 def other_ticket(self: ClientConnection, ask: ClientRequest) -> None:
-    ClientConnection._begin(self, dataclasses.replace(ask, trace_id=ask.trace_id[::-1].replace("0", "f")))
+    ClientConnection._submit(self, dataclasses.replace(ask, trace_id=ask.trace_id[::-1].replace("0", "f")))
 
 
 def delayed(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
@@ -131,7 +131,7 @@
 def padded(self: ClientConnection) -> None:
     """An answer that broke off, passed off as whole."""
     self._write(bytes(100_000))
-    self._after_answer()
+    self._response_finished()
 
 
 def end_twice(self: ClientConnection) -> None:
@@ -141,7 +141,7 @@
 
 def patient(self: ClientConnection, ask: ClientRequest) -> None:
     """A request that is waited for three times as long as its client does."""
-    ClientConnection._begin(self, dataclasses.replace(ask, max_wait_ms=3.0 * ask.max_wait_ms))
+    ClientConnection._submit(self, dataclasses.replace(ask, max_wait_ms=3.0 * ask.max_wait_ms))
 
 
 LAST: dict[int, bytes] = {}
@@ -208,9 +208,9 @@
     Mutant("two answers to one request", "one final answer", scenario([]),
            connection(end_response=end_twice)),
     Mutant("a client's patience overrated", "one final answer", scenario(ALL_SILENT),
-           connection(_begin=patient)),
+           connection(_submit=patient)),
     Mutant("another's answer", "answers were made", scenario([]), connection(write_body=anothers)),
-    Mutant("another's id", "nothing invented", scenario([]), connection(_begin=other_ticket)),
+    Mutant("another's id", "nothing invented", scenario([]), connection(_submit=other_ticket)),
     Mutant("attempts without end", "attempts bounded", scenario(ALL_RESET, Fleet(boxes=12)), None,
            with_settings(tries)),
 )  # fmt: skip
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -5,8 +5,8 @@
 import socket
 import unittest
 
-from gladewalk.net.clients import ASK_MS, REST_MS, SPARE_CONNECTIONS
-from gladewalk.net.requests import BadRequest, read_ask
+from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS, IDLE_TIMEOUT_MS, SPARE_CONNECTIONS
+from gladewalk.net.requests import BadRequestError, parse_request
 from gladewalk.rehearsal.peers import (
     Heard,
     Rehearsal,
@@ -27,17 +27,18 @@
             waiting = [socket.create_connection(front.address) for _ in range(50)]  # no turn of the loop yet
             front.accept()
             await until(lambda: len(front.connections) == 50, 5.0)
-            self.assertEqual((front.counters["clients.connected"], front.held), (50, 50))
+            self.assertEqual((front.counters["clients.connected"], front.descriptor_count), (50, 50))
             for client in waiting:
                 client.sendall(request("/invoke/lot-page/a1"))
-            await until(lambda: len(front.resting) == 50)
+            await until(lambda: len(front.idle) == 50)
             more = [socket.create_connection(front.address) for _ in range(front.connection_limit - 50)]
             front.accept()
             for _ in range(4):  # as long as the loop takes to make their transports
                 front.accept()
                 await asyncio.sleep(0)
             await until(lambda: len(front.connections) == front.connection_limit, 5.0)
-            self.assertEqual((front.held, front.counters["clients.made_room"]), (front.connection_limit, 0))
+            self.assertEqual(front.descriptor_count, front.connection_limit)
+            self.assertEqual(front.counters["clients.made_room"], 0)
             waiting += more
             for client in waiting:
                 client.close()
@@ -72,14 +73,14 @@
             reader, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
             await read_message(reader)
-            (connection,) = front.resting
+            (connection,) = front.idle
             sock = writer.get_extra_info("socket")
             os.write(sock.fileno(), request("/invoke/lot-page/a1"))  # at once: no turn of the loop in between
-            front._make_room()
-            self.assertFalse(connection.leaving)
+            front._evict_one()
+            self.assertFalse(connection.is_evicted)
             self.assertIn(" 200 ", (await read_message(reader))[0])
-            front._make_room()
-            self.assertTrue(connection.leaving)
+            front._evict_one()
+            self.assertTrue(connection.is_evicted)
             writer.close()
 
     async def test_who_owes_a_request_or_rests_has_a_limit_of_time(self) -> None:
@@ -90,18 +91,18 @@
             half_one[1].write(request("/invoke/lot-page/a1")[:-9])
             resting[1].write(request("/invoke/lot-page/a1"))
             await read_message(resting[0])
-            await until(lambda: (len(front.owing), len(front.resting)) == (2, 1))
+            await until(lambda: (len(front.awaiting), len(front.idle)) == (2, 1))
             clock = front.clock
-            front.clock = lambda: clock() + ASK_MS + 1.0
+            front.clock = lambda: clock() + FIRST_BYTE_TIMEOUT_MS + 1.0
             self.assertEqual(await silent_one[0].read(), b"")
-            front.clock = lambda: clock() + front.arrive_ms + 1.0
+            front.clock = lambda: clock() + front.request_timeout_ms + 1.0
             self.assertIn(b" 408 ", await half_one[0].read())
-            front.clock = lambda: clock() + max(front.arrive_ms, REST_MS) + 1.0
+            front.clock = lambda: clock() + max(front.request_timeout_ms, IDLE_TIMEOUT_MS) + 1.0
             self.assertEqual(await resting[0].read(), b"")
             for _, writer in (silent_one, half_one, resting):
                 writer.close()
             await until(lambda: not front.connections)
-            self.assertFalse(front.owing or front.resting or front.lingering or front.leaving)
+            self.assertFalse(front.awaiting or front.idle or front.lingering or front.evicted_count)
 
     async def test_a_body_whose_end_is_in_doubt_is_refused_and_nothing_of_it_passed_on(self) -> None:
         cache = ScriptedPeer(hit)
@@ -164,7 +165,7 @@
             release.set()
             self.assertEqual((await first)[0], 200)
             self.assertEqual((await world.ask("/invoke/lot-page/a2"))[0], 200)
-            self.assertEqual(world.director.front.open, {})
+            self.assertEqual(world.director.front.open_by_trace_id, {})
 
     async def test_one_trace_may_come_twice_and_requests_ahead_wait_their_turn(self) -> None:
         async with Rehearsal([ScriptedPeer(hit)]) as world:
@@ -199,5 +200,5 @@
 
     def test_a_number_of_no_use_is_bad_input(self) -> None:
         for value in (b"", b"-1", b"inf", b"1e300", b"1_0", b"9999999"):
-            with self.assertRaises(BadRequest):
-                read_ask("GET", "/invoke/c/1", "", {b"trace-id": b"1f", b"max-wait-ms": value}, b"")
+            with self.assertRaises(BadRequestError):
+                parse_request("GET", "/invoke/c/1", "", {b"trace-id": b"1f", b"max-wait-ms": value}, b"")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from gladewalk.director import EXIT_DELAY_MS, Director
-from gladewalk.net.clients import PARTED_MS
+from gladewalk.net.clients import FINAL_LINGER_MS
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
@@ -44,7 +44,7 @@
 async def long_after(director: Director) -> None:
     """So long that a director which does not wait would have ended."""
     start = director.clock()
-    await until(lambda: director.clock() > start + PARTED_MS + 10 * EXIT_DELAY_MS)
+    await until(lambda: director.clock() > start + FINAL_LINGER_MS + 10 * EXIT_DELAY_MS)
 
 
 def ask_at_once(client: socket.socket, data: bytes = b"") -> None:
@@ -114,7 +114,7 @@
             reader, writer = await world.client()
             whole = request("/invoke/lot-page/a1")
             writer.write(whole[:-9])
-            await until(lambda: any(connection.partial for connection in director.front.owing))
+            await until(lambda: any(connection.has_partial_request for connection in director.front.awaiting))
             director._stop_accepting()
             await long_after(director)
             self.assertFalse(director._ended.done())
@@ -144,7 +144,7 @@
             director = world.director
             assert director is not None
             clients = [await world.client() for _ in range(3)]
-            await until(lambda: len(director.front.owing) == 3)
+            await until(lambda: len(director.front.awaiting) == 3)
             director._stop_accepting()
             await director._ended
             for reader, writer in clients:
@@ -170,8 +170,8 @@
             ask_at_once(client)
             await until(lambda: director.counters["answers.served"] == 1)
             self.assertGreater(connection.transport.get_write_buffer_size(), 0)  # owed to nobody's knowledge
-            front._make_room()
-            self.assertFalse(connection.leaving)
+            front._evict_one()
+            self.assertFalse(connection.is_evicted)
             director._stop_accepting()
             await long_after(director)
             self.assertFalse(director._ended.done())
@@ -202,7 +202,7 @@
             self.assertIn(b"Connection: close", await reader.readuntil(b"\r\n\r\n"))
             writer.write(request("/invoke/lot-page/a2"))
             (connection,) = director.front.connections
-            await until(connection.is_quiet)  # it has come, and been read
+            await until(connection.is_input_empty)  # it has come, and been read
             release.set()
             self.assertEqual(await reader.read(), b"abcdef")
             writer.close()
@@ -217,7 +217,8 @@
             _, writer = await world.client()
             for name in ("a1", "a2", "a3"):
                 writer.write(request(f"/invoke/lot-page/{name}"))
-            await until(lambda: any(c.paused for c in director.front.connections) and len(cache.heard) == 1)
+            connections = director.front.connections
+            await until(lambda: any(c.is_reading_paused for c in connections) and len(cache.heard) == 1)
             writer.close()
             await until(lambda: not director.exchange.open_requests, 2.0)  # and not once its time is up
             self.assertEqual(director.counters["requests.left_by_client"], 1)
@@ -233,7 +234,7 @@
             await until(lambda: director.counters["clients.left_unread"] == 1)
             await until(lambda: not director.front.connections)
             self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (0, 0))
-            self.assertEqual(director.front.held, 0)
+            self.assertEqual(director.front.descriptor_count, 0)
 
     async def test_a_client_that_leaves_while_its_request_is_held_or_dialled_is_not_sent_on(self) -> None:
         cache = ScriptedPeer(hit)
@@ -268,7 +269,7 @@
             behind = request("/invoke/bid/b1", method="PUT", body=b"12", Expect="100-continue")
             writer.write(behind[:-2])
             (connection,) = director.front.connections
-            await until(lambda: connection.partial and connection.headed)
+            await until(lambda: connection.has_partial_request and connection.has_complete_head)
             release.set()
             self.assertEqual(await reader.readexactly(3), b"def")
             writer.close()
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -10,7 +10,7 @@
 
 from gladewalk import interface as api
 from gladewalk.config.policy_settings import read_settings
-from gladewalk.net.requests import BadRequest, read_ask
+from gladewalk.net.requests import BadRequestError, parse_request
 from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, request
 
 from .world import CACHES, ORIGIN, PAGE, PARENTS, World, finals
@@ -293,10 +293,10 @@
 def test_the_mark_of_a_retry_is_read_or_refused(value: bytes, repeat: bool | None) -> None:
     headers = {b"trace-id": b"9b1f03aa5c7e2d41", b"max-wait-ms": b"100", b"is-retry": value}
     if repeat is None:
-        with pytest.raises(BadRequest):
-            read_ask("GET", "/invoke/page/a1", "", headers, b"")
+        with pytest.raises(BadRequestError):
+            parse_request("GET", "/invoke/page/a1", "", headers, b"")
     else:
-        assert read_ask("GET", "/invoke/page/a1", "", headers, b"").is_retry is repeat
+        assert parse_request("GET", "/invoke/page/a1", "", headers, b"").is_retry is repeat
 
 
 # What worked elsewhere by luck: a second copy allowed, a size listed.
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -49,7 +49,7 @@
         for number in range(2):
             director = await self.director()
             for other in self.directors[:-1]:
-                other.front.stop_taking()  # as once told to end: the next clients come to the new process
+                other.front.stop_accepting()  # as once told to end: the next clients come to the new process
             for n in range(director.front.connection_limit):
                 reader, writer = await asyncio.open_connection(*self.listener.getsockname()[:2])
                 trace = f"{number:08x}{n:08x}"
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -25,9 +25,9 @@
             (connection,) = director.front.connections
             for _ in range(5):
                 connection.data_received(request("/invoke/lot-page/a1"))
-                assert connection.number is not None
-                number, connection.number = connection.number, None
-                connection._release()
+                assert connection.open_number is not None
+                number, connection.open_number = connection.open_number, None
+                connection._release_request()
                 director.exchange.client_disconnected(number)  # no turn of the loop in between
             await until(lambda: not director.exchange.open_requests)
             self.assertEqual(director.counters["caches.connects"], 5)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -6,8 +6,8 @@
 import unittest
 
 from gladewalk.director import Director
-from gladewalk.net.connection import HEADERS_MOST, ClientConnection
-from gladewalk.net.sockets import FRAME_MOST
+from gladewalk.net.connection import MAX_HEADER_BYTES, ClientConnection
+from gladewalk.net.sockets import MAX_FRAMING_BYTES
 from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, read_message, request, until
 from gladewalk.upstream.words import HEAD_MOST, OBJECT_MOST
 
@@ -45,7 +45,7 @@
                 with contextlib.suppress(ConnectionError):
                     await writer.drain()
                 (connection,) = director.front.connections
-                await until(lambda c=connection: c.last or c.is_quiet())  # type: ignore[misc]
+                await until(lambda c=connection: c.is_last or c.is_input_empty())  # type: ignore[misc]
                 await asyncio.sleep(0)
             self.assertLessEqual(sent, most + 2 * len(piece))
             self.assertIn(f" {status} ", (await answer)[0])
@@ -55,16 +55,16 @@
 
     async def test_a_trailer_without_end(self) -> None:
         head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
-        most = FRAME_MOST
+        most = MAX_FRAMING_BYTES
         await self.endless(head + b"2\r\nab\r\n0\r\nX: ", PIECE, most, 413)
 
     async def test_many_fields_of_a_trailer(self) -> None:
         head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
-        await self.endless(head + b"2\r\nab\r\n0\r\n", b"x-y: z\r\n" * 500, 2 * HEADERS_MOST, 431)
+        await self.endless(head + b"2\r\nab\r\n0\r\n", b"x-y: z\r\n" * 500, 2 * MAX_HEADER_BYTES, 431)
 
     async def test_a_chunks_extension_without_end(self) -> None:
         head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
-        most = FRAME_MOST
+        most = MAX_FRAMING_BYTES
         await self.endless(head + b"2;", PIECE, most, 413)
 
     async def unread(self, director: Director, ahead: bytes) -> tuple[socket.socket, ClientConnection]:
@@ -107,7 +107,7 @@
             client, _ = await self.unread(director, ahead(AHEAD, 400.0))
             await until(lambda: director.counters["clients.never_read"] == 1)
             await until(lambda: not director.front.connections)
-            self.assertEqual(director.front.held, 0)
+            self.assertEqual(director.front.descriptor_count, 0)
             client.close()
 
 
@@ -120,15 +120,16 @@
             await until(
                 lambda: director.counters["answers.served"] >= 2 and not director.exchange.open_requests
             )
-            self.assertTrue(connection.full)
-            connection.waiting.clear()  # as once the last whole one has been answered, and reading goes on
-            connection.paused, connection.partial, connection.began_ms = False, True, real()
+            self.assertTrue(connection.is_writing_paused)
+            connection.pipelined.clear()  # as once the last whole one has been answered, and reading goes on
+            connection.is_reading_paused, connection.has_partial_request = False, True
+            connection.request_began_ms = real()
             front._paused.clear()
-            front.settle(connection)
-            front.clock = lambda: real() + front.arrive_ms + 1.0
+            front.update_state(connection)
+            front.clock = lambda: real() + front.request_timeout_ms + 1.0
             front.sweep()  # as its deadline calls it
             await until(lambda: not front.connections)
-            self.assertEqual((front.held, director.counters["clients.came_too_slowly"]), (0, 1))
+            self.assertEqual((front.descriptor_count, director.counters["clients.came_too_slowly"]), (0, 1))
             client.close()
 
 
--- a/tests/test_golden_exchange.py
+++ b/tests/test_golden_exchange.py
@@ -285,7 +285,7 @@
     async with Rehearsal([ScriptedPeer(hit)]) as world:
         assert world.director is not None
         exchange, front = world.director.exchange, world.director.front
-        front.hold_off = hold_off
+        front.sends_hold_off = hold_off
         for retry_after_ms in (0.0, 0.4, 140.0, 999.5, 1000.0, 2300.7):
 
             def refuse(now_ms: float, event: api.Event, wait_ms: float = retry_after_ms) -> list[api.Action]:
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from gladewalk.net.clients import ASK_MS
+from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS
 from gladewalk.ops.readiness import ACCEPT_MS, KILL_MOST_MS, answered_by_ms
 from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request, until
 
@@ -22,10 +22,10 @@
             assert director is not None
             front, real = director.front, director.front.clock
             reader, writer = await world.client()
-            await until(lambda: len(front.owing) == 1)
+            await until(lambda: len(front.awaiting) == 1)
             front.clock = lambda: real() + idle_ms
             writer.write(WHOLE[:-9])
-            await until(lambda: any(connection.partial for connection in front.owing))
+            await until(lambda: any(connection.has_partial_request for connection in front.awaiting))
             front.clock = lambda: real() + idle_ms + coming_ms
             front.sweep()  # as its deadline calls it
             writer.write(WHOLE[-9:])
@@ -34,11 +34,11 @@
             return first.split(" ")[1], body
 
     async def test_a_request_may_take_as_long_to_come_as_the_settings_have_patience(self) -> None:
-        self.assertGreater(LONGEST_MS, ASK_MS)
+        self.assertGreater(LONGEST_MS, FIRST_BYTE_TIMEOUT_MS)
         self.assertEqual(await self.half(0.0, LONGEST_MS - 100.0), ("200", BYTES))
 
     async def test_its_time_begins_with_its_first_byte_and_not_with_its_connection(self) -> None:
-        self.assertEqual(await self.half(ASK_MS - 100.0, LONGEST_MS - 100.0), ("200", BYTES))
+        self.assertEqual(await self.half(FIRST_BYTE_TIMEOUT_MS - 100.0, LONGEST_MS - 100.0), ("200", BYTES))
 
     async def test_one_that_takes_longer_is_told(self) -> None:
         self.assertEqual((await self.half(0.0, LONGEST_MS + 1.0))[0], "408")
@@ -47,7 +47,7 @@
         async with Rehearsal([ScriptedPeer(hit)]) as world:
             director = world.director
             assert director is not None
-            self.assertEqual(director.front.arrive_ms, LONGEST_MS)
+            self.assertEqual(director.front.request_timeout_ms, LONGEST_MS)
 
 
 class Stop(unittest.IsolatedAsyncioTestCase):
