--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -192,7 +192,7 @@
         resolution = self.open_resolutions[action.id]
         servers = []
         for server in action.servers:
-            if not self.core.may_name(resolution.question, server):
+            if not self.core.may_resolve_to(resolution.question, server):
                 return self.handle_event(resolution.question)  # drained or purged since: decided again
             if (address := self.upstreams.address(server)) is not None:
                 servers.append((server, address))
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -226,7 +226,7 @@
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
         if self.dns is not None:
-            self.dns.classes = frozenset(self.exchange.core.classes)
+            self.dns.classes = frozenset(self.exchange.core.state.classes)
         self.coordinator_watch.set_address(config.coordinator)
         last = self.endpoint_feed.last_index
         self.log.info("configuration taken", coordinator=config.coordinator, last=last)
@@ -237,7 +237,7 @@
         self.front.request_timeout_ms = max(FIRST_BYTE_TIMEOUT_MS, self._longest_deadline_ms())
 
     def _longest_deadline_ms(self) -> float:
-        return max(cls.deadline_ms for cls in self.exchange.core.classes.values())
+        return max(cls.deadline_ms for cls in self.exchange.core.state.classes.values())
 
     def _alpn_of(self, name: str) -> tuple[bool, tuple[str, ...]]:
         """Returns for a server whether it is spoken to over TLS, and by which protocols (ALPN ids)."""
@@ -300,7 +300,7 @@
             "now.passing": sum(
                 opened.serving_attempt is not None for opened in self.exchange.open_requests.values()
             ),
-            "now.waiting": len(self.exchange.core.parked),
+            "now.waiting": len(self.exchange.core.state.queue),
             "now.clients": len(self.front.connections),
             "now.upstream": len(self.caches.live),
             "late_ms": round(self.deadlines.max_late_ms, 1),
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -174,7 +174,7 @@
         self.deadlines.add(now + SWEEP_INTERVAL_MS, self.sweep)
 
     def _sweep_awaiting(self, now: float) -> None:
-        for connection in _older_than(self.awaiting, now - FIRST_BYTE_TIMEOUT_MS):
+        for connection in _older_than(self.awaiting, now, FIRST_BYTE_TIMEOUT_MS):
             if not connection.has_partial_request:
                 self.counters.add("clients.asked_nothing")
                 self._evict(connection)
@@ -183,12 +183,12 @@
                 connection.request_timed_out()
 
     def _sweep_lingering(self, now: float) -> None:
-        for connection in _older_than(self.lingering, now - LINGER_MS):
+        for connection in _older_than(self.lingering, now, LINGER_MS):
             if not connection.is_sending(now):
                 self._evict(connection)
 
     def _sweep_idle(self, now: float) -> None:
-        for connection in _older_than(self.idle, now - IDLE_TIMEOUT_MS):
+        for connection in _older_than(self.idle, now, IDLE_TIMEOUT_MS):
             if connection.is_input_empty() and not connection.is_sending(now):  # else it is about to ask
                 connection.shut_down()
 
@@ -263,7 +263,7 @@
 
     def rejection_status(self, request: ClientRequest) -> int | None:
         """Returns the status for a request that no server could serve, else None."""
-        cls = self.exchange.core.classes.get(request.class_name)
+        cls = self.exchange.core.state.classes.get(request.class_name)
         if cls is None:
             return 404
         if cls.is_write and request.method != "PUT":
@@ -312,5 +312,5 @@
         return self._listener is None and not self._setting_up and not has_open and not has_recent
 
 
-def _older_than(table: dict[ClientConnection, float], before_ms: float) -> list[ClientConnection]:
-    return [connection for connection, since_ms in table.items() if since_ms < before_ms]
+def _older_than(table: dict[ClientConnection, float], now: float, limit_ms: float) -> list[ClientConnection]:
+    return [connection for connection, since_ms in table.items() if now - since_ms > limit_ms]
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -74,7 +74,8 @@
             for one in (reader, late[0]):
                 first, fields, _ = await read_message(one)
                 self.assertEqual((first.split(" ")[1], fields["connection"]), ("502", "close"))
-            self.assertEqual((director.exchange.unanswered_count, director.exchange.core.open), (0, {}))
+            exchange = director.exchange
+            self.assertEqual((exchange.unanswered_count, exchange.core.state.pending), (0, {}))
             writer.close()
             late[1].close()
             await director._ended
