--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/keeper.py
@@ -12,7 +12,7 @@
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.exchange import Exchange
-from ..net.coordinator import Feed
+from ..net.endpoint_feed import EndpointFeed
 from . import leases, warm
 from .files import Folder
 from .frames import PAYLOAD_MOST, Fault
@@ -57,19 +57,19 @@
             say("store dropped a cut write", f"{name}: at byte {offset}: {size} bytes, never acknowledged")
         self.writer = Writer(self.log, table.policy, table.group_ms, counters, say)
 
-    def restore(self, feed: Feed) -> None:
+    def restore(self, feed: EndpointFeed) -> None:
         """What the last run knew: into the module before anything is served."""
         now = self.clock()
         purges = purges_of(self.log.items(PURGES), now)
         for purge in purges:
-            feed.exchange.purged(purge)
+            feed.exchange.purge(purge)
         if self.resume:
             self.position = position_of(self.log.items(FEED))
-        whole = self.position.whole if self.position.whole > feed.last else 0
-        entries = servers_of(self.log.items(SERVERS), feed.last, whole)
+        whole = self.position.whole if self.position.whole > feed.last_index else 0
+        entries = servers_of(self.log.items(SERVERS), feed.last_index, whole)
         if entries:
-            feed.event({"endpoints": {"all": bool(whole), "targets": entries}})
-        feed.resume(self.position.index)
+            feed.apply_event({"endpoints": {"all": bool(whole), "targets": entries}})
+        feed.resume_from(self.position.index)
         core = feed.exchange.core
         leases_back = leases.restore(core, self.log.items(leases.SPACE), now)
         objects, sources = warm.restore(core, self.log.items(warm.SPACE), now)
@@ -79,10 +79,10 @@
         ):  # fmt: skip
             self.counters.add(f"store.{what}_restored", count)
 
-    def start(self, feed: Feed) -> None:
+    def start(self, feed: EndpointFeed) -> None:
         self.writer.start()
-        feed.noted, self.exchange = self.note, feed.exchange
-        feed.exchange.lasting = self.lease
+        feed.on_event, self.exchange = self.note, feed.exchange
+        feed.exchange.persist_resolution = self.lease
         if self.warm_ms:
             self._keep_warm()
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,7 +9,7 @@
 
 from gladewalk.config.platform import ConfigError
 from gladewalk.core.counters import Counters
-from gladewalk.director import Turn
+from gladewalk.director import LoopTimer
 from gladewalk.members.actions import MemberChange, SendDatagram
 from gladewalk.members.authenticator import (
     OVERHEAD_BYTES,
@@ -33,7 +33,7 @@
 from gladewalk.members.stream import LENGTH
 from gladewalk.members.swim import Membership
 from gladewalk.members.transport import MembershipTransport
-from gladewalk.net.outside import unix_ms
+from gladewalk.net.environment import unix_ms
 from gladewalk.rehearsal.member_network import START_MS, Net, Node, cluster
 from gladewalk.rehearsal.peers import until
 
@@ -422,7 +422,7 @@
     async def start(
         self, name: str, seeds: tuple[tuple[str, int], ...], key: bytes = b"k" * 32
     ) -> MembershipTransport:
-        deadlines = Turn(asyncio.get_running_loop(), unix_ms).deadlines
+        deadlines = LoopTimer(asyncio.get_running_loop(), unix_ms).deadlines
         address = ("127.0.0.1", 0)
         core = Membership(name, address, seeds, MembershipConfig(), random.Random(name), unix_ms())
         networks = (ipaddress.ip_network("127.0.0.0/8"),)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -317,13 +317,13 @@
         drained = {**first.target(), "state": "DRAINING"}
         coordinator.events.append({"index": 2, "endpoints": {"rev": 2, "all": False, "targets": [drained]}})
         director = Director(config, asyncio.get_running_loop())
-        director.sync_most_ms = 600_000.0  # the coordinator's answer, not a time, ends the wait here
+        director.max_sync_wait_ms = 600_000.0  # the coordinator's answer, not a time, ends the wait here
         await director.start()
         self.assertFalse(director.readiness.ready())
         clients = [await asyncio.open_connection(*director.front.address) for _ in range(8)]
         for key, (_, writer) in enumerate(clients, 1):  # homes on both caches, by hash
             writer.write(request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
-        await until(lambda: director.exchange.held is not None and len(director.exchange.held) == 8)
+        await until(lambda: len(director.exchange.held_requests or ()) == 8)
         self.assertEqual((first.heard, second.heard), ([], []))
         assert coordinator.answering is not None
         coordinator.answering.set()
@@ -333,7 +333,7 @@
         self.assertEqual((len(first.heard), len(second.heard)), (0, 8))
         self.assertTrue(director.readiness.ready())
         director.front.close()
-        director.follower.close()
+        director.coordinator_watch.close()
         coordinator.stop()
         for peer in (first, second):
             peer.stop()
