--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -214,7 +214,7 @@
         if self.dns is not None and reloaded.dns is not None:
             self.dns.reload(reloaded.dns)
         if self.members is not None and reloaded.member_keys:
-            self.members.authenticator.rekey(reloaded.member_keys)
+            self.members.authenticator.replace_keys(reloaded.member_keys)
 
     def apply(self, config: Config) -> None:
         """Applies a configuration; open requests keep the settings that they began with."""
