--- /dev/null
+++ b/tests/test_golden_duties.py
@@ -0,0 +1,136 @@
+"""Messages, views and counter names of shared duties as 090a370 wrote them: read, and written alike."""
+
+import hashlib
+import json
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from gladewalk.duties.ownership import owner_of, score
+from gladewalk.duties.view import view_of
+from gladewalk.members.messages import News, decode, encode
+from gladewalk.members.seal import Seal, make_key
+from gladewalk.rehearsal.dutynet import DutyNet, duty_cluster
+
+GOLDEN = json.loads((Path(__file__).parent / "golden" / "duties.json").read_text())
+KEY = make_key(b"k" * 32)
+WALL_MS = 1_764_576_000_000.0
+NEWS: dict[str, News] = {
+    "claim": News("load/b0", "m0", 3, 0.0),
+    "finding": News("load/b0", "m0", 3, 1_764_576_000_123.5, "ok", 1.5, {"util": 0.25, "x0": 0.5}),
+    "silent": News("alive/p", "m1", 1, 1_764_576_000_123.5, "timeout", 250.0),
+}
+
+
+def ping(news: News) -> bytes:
+    """A ping (tag 1) of m0, run 5, number 7, to m1, run 6, that carries a claim or a finding."""
+    return msgspec.msgpack.encode([1, "m0", 5, 7, 0, [], [news], "m1", 6])
+
+
+@pytest.mark.parametrize("name", sorted(NEWS))
+def test_claims_and_findings_are_read_and_written_as_they_were(name: str) -> None:
+    row, datagram, sealed = (bytes.fromhex(GOLDEN[part][name]) for part in ("news", "datagrams", "sealed"))
+    assert msgspec.msgpack.encode(NEWS[name]) == row
+    assert msgspec.msgpack.decode(row, type=News) == NEWS[name]
+    assert ping(NEWS[name]) == datagram and encode(decode(datagram)) == datagram
+    assert Seal((KEY,), 30_000.0).seal(datagram, WALL_MS, 77) == sealed
+    assert Seal((KEY,), 30_000.0).open(sealed, WALL_MS) == datagram
+
+
+def owners() -> dict[str, object]:
+    """The rendezvous hash: every member must find the same owner, whichever version it runs."""
+    members = {"a": 1.0, "b": 1.0, "c": 2.0}
+    return {
+        "scores": [score(f"load/b{n}", "m0", 1.0 + n) for n in range(4)],
+        "owners": "".join(owner_of(f"d{n}", members) or "-" for n in range(200)),
+    }
+
+
+def test_the_hash_gives_every_duty_to_whom_it_gave_it() -> None:
+    assert owners() == GOLDEN["hash"]
+
+
+def told_of(net: DutyNet) -> list[list[Any]]:
+    """Every claim and finding that a member hands to the others, in order."""
+    told: list[list[Any]] = []
+    for name, runner in net.runners.items():
+        tell = runner.members.tell
+
+        def note(news: News, name: str = name, tell: Any = tell) -> None:
+            told.append([round(net.now, 6), name, msgspec.msgpack.encode(news).hex()])
+            tell(news)
+
+        runner.members.tell = note  # type: ignore[method-assign]
+    return told
+
+
+def cluster_trace() -> dict[str, object]:
+    """Four members in virtual time; one dies, one stalls, one starts again."""
+    net = duty_cluster(4, 5, boxes=8)
+    told = told_of(net)
+    net.run(2_000.0)
+    net.kill("m1")
+    net.run(4_000.0)
+    net.stop("m2", 3_000.0)
+    net.run(6_000.0)
+    net.join("m1", ("m0",))
+    net.run(6_000.0)
+    done = [[round(one.at_ms, 6), one.by, one.name] for one in net.done]
+    view = view_of(net.runners["m0"])
+    counters = {name: dict(sorted(runner.counters.items())) for name, runner in net.runners.items()}
+    return {
+        "told": len(told), "told_sha256": hashlib.sha256(json.dumps(told).encode()).hexdigest(),
+        "first_told": told[:12],
+        "done": len(done), "done_sha256": hashlib.sha256(json.dumps(done).encode()).hexdigest(),
+        "view": view, "counters": counters,
+    }  # fmt: skip
+
+
+def test_members_in_virtual_time_claim_probe_show_and_count_what_they_did() -> None:
+    trace = json.loads(json.dumps(cluster_trace()))
+    for part, golden in GOLDEN["cluster"].items():
+        assert trace[part] == golden, part
+    assert set(trace) == set(GOLDEN["cluster"])
+
+
+def heard_counters() -> dict[str, int]:
+    """What a member counts of findings that it does not hand to the module, or does."""
+    net = duty_cluster(2, 3, boxes=2)
+    runner = net.runners["m0"]
+    runner.counters.clear()
+    now = runner.clock()
+    for news in (
+        News("load/b0", "m1", 1_000, now, "ok", 1.0),
+        News("load/b0", "m1", 2_000, now - 60_000.0, "ok", 1.0),
+        News("load/b0", "m1", 3_000, now, "of a later version", 1.0),
+        News("load/b0", "m1", 1, now, "ok", 1.0),
+        News("load/stranger", "m1", 4_000, now, "ok", 1.0),
+        News("none/b0", "m1", 4_000, now, "ok", 1.0),
+    ):
+        runner.heard(news)
+    return dict(sorted(runner.counters.items()))
+
+
+def test_findings_are_counted_under_the_names_of_the_operators_page() -> None:
+    assert heard_counters() == GOLDEN["heard_counters"]
+
+
+def capture() -> dict[str, Any]:
+    """What the golden data hold, as the present code makes it: `python -m tests.test_golden_duties`."""
+    datagrams = {name: ping(news) for name, news in NEWS.items()}
+    return {
+        "news": {name: msgspec.msgpack.encode(news).hex() for name, news in NEWS.items()},
+        "datagrams": {name: data.hex() for name, data in datagrams.items()},
+        "sealed": {
+            name: Seal((KEY,), 30_000.0).seal(data, WALL_MS, 77).hex() for name, data in datagrams.items()
+        },
+        "hash": owners(),
+        "cluster": cluster_trace(),
+        "heard_counters": heard_counters(),
+    }
+
+
+if __name__ == "__main__":
+    print(json.dumps(capture(), indent=1))
--- /dev/null
+++ b/tests/test_golden_leases.py
@@ -0,0 +1,313 @@
+"""Bytes, stored rows, views and names of leases as version 090a370 wrote them: read, and written alike."""
+
+import asyncio
+import hashlib
+import json
+import random
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any, cast
+
+import msgspec
+import pytest
+import structlog
+
+from gladewalk.counters import Counters
+from gladewalk.deadlines import Deadlines
+from gladewalk.faultnet.sink import Sink
+from gladewalk.leases import messages as m
+from gladewalk.leases.acts import Acts
+from gladewalk.leases.candidate import Candidate
+from gladewalk.leases.elector import Elector, restored_of
+from gladewalk.leases.orders import Orders
+from gladewalk.leases.outs import GRANTS, ORDERS, Granted, granted_of, pack
+from gladewalk.leases.report import FleetReport
+from gladewalk.leases.terms import LeaseTerms
+from gladewalk.leases.transport import LeaseClock, Leases
+from gladewalk.leases.works import Works
+from gladewalk.members.seal import Seal, make_key
+from gladewalk.rehearsal.leasenet import World, schedule
+
+GOLDEN = json.loads((Path(__file__).parent / "golden" / "leases.json").read_text())
+KEY = make_key(b"k" * 32)
+WALL_MS = 1_764_576_000_000.0
+
+ORDER = m.Order("00ff", "o:7f3a9c21", "a", 1_764_576_000_123.5)
+MESSAGES: dict[str, m.Message] = {
+    "ask": m.Ask("purge", 3, "a", 9),
+    "sound": m.Sound("purge", "a", 9),
+    "grant": m.Grant("purge", 3, "a", 9, "b"),
+    "refuse": m.Refuse("purge", 9, "b", 4, "c", 12.5),
+    "standing": m.Standing("purge", 9, "b", 4, "c", 12.5),
+    "release": m.Release("purge", 3, "a"),
+    "release_to": m.Release("purge", 3, "a", "c"),
+    "act_bare": m.Act("purge", 3, "a", 1_764_576_000_123.5),
+    "act": m.Act("purge", 3, "a", 1_764_576_000_123.5, 7, "00ff", b"o:7f3a9c21"),
+    "acked": m.Acked("purge", 3, 7, True, 3),
+    "acked_refused": m.Acked("purge", 3, 7, False, 4),
+    "order": ORDER,
+    "kept": m.Kept("00ff", "b"),
+    "finished": m.Finished("00ff", 4),
+    "wanted": m.Wanted("a", 2),
+    "wanted_after": m.Wanted("a", 2, "00ff"),
+    "open": m.Open("b", 2, [ORDER], True),
+    "open_last": m.Open("b", 2, []),
+    "figures": m.Figures(
+        "a", 5, 1_764_576_000_123.5, {"served": 7, "refused": 0, "failed": 1, "attempts": 9}
+    ),
+}
+
+
+@pytest.mark.parametrize("name", sorted(MESSAGES))
+def test_messages_are_read_and_written_as_they_were(name: str) -> None:
+    golden = bytes.fromhex(GOLDEN["messages"][name])
+    assert m.encode(MESSAGES[name]) == golden
+    assert m.decode(golden) == MESSAGES[name]
+
+
+@pytest.mark.parametrize("name", sorted(MESSAGES))
+def test_sealed_datagrams_are_opened_and_sealed_as_they_were(name: str) -> None:
+    golden = bytes.fromhex(GOLDEN["sealed"][name])
+    assert Seal((KEY,), 30_000.0).seal(m.encode(MESSAGES[name]), WALL_MS, 77) == golden
+    opened = Seal((KEY,), 30_000.0).open(golden, WALL_MS)
+    assert isinstance(opened, bytes) and m.decode(opened) == MESSAGES[name]
+
+
+def test_stored_rows_are_read_and_written_as_they_were() -> None:
+    rows = {name: bytes.fromhex(row) for name, row in GOLDEN["rows"].items()}
+    assert (GRANTS, ORDERS) == ("grant", "order")
+    assert rows == {"grant": pack(Granted(7, "a")), "order": pack(ORDER)}
+    assert granted_of(rows["grant"]) == Granted(7, "a")
+    assert restored_of({"purge": rows["grant"], "torn": b"\x93"}) == {"purge": Granted(7, "a")}
+    orders = Orders("b", ("a", "b"), ("@purge/0",), random.Random(2), {"00ff": rows["order"]})
+    assert orders.to_do() == [ORDER]
+
+
+def world_trace() -> dict[str, object]:
+    """Every datagram between directors in virtual time under faults, and what the sink recorded."""
+    world, lines = World(5, 3), list[str]()
+    post = world.post
+
+    def note(source: str, target: str, data: bytes) -> None:
+        lines.append(f"{world.now:.6f} {source}>{target} {data.hex()}")
+        post(source, target, data)
+
+    world.post = note  # type: ignore[method-assign]
+    for fault in schedule(9, world.names, 8_000.0, 5):
+        world.after(fault.at_ms, lambda fault=fault: world.apply(fault))  # type: ignore[misc]
+    world.start()
+    world.run_until(8_000.0)
+    acts = [(a.duty, a.token, a.actor, round(a.done_ms, 6), round(a.at_ms, 6), a.accepted)
+            for a in world.fence.acts]  # fmt: skip
+    return {
+        "datagrams": len(lines),
+        "datagrams_sha256": hashlib.sha256("\n".join(lines).encode()).hexdigest(),
+        "acts": len(acts),
+        "acts_sha256": hashlib.sha256(json.dumps(acts).encode()).hexdigest(),
+    }
+
+
+def test_directors_in_virtual_time_send_what_they_sent() -> None:
+    assert world_trace() == GOLDEN["world"]
+
+
+class VirtualClock(LeaseClock):
+    now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Rows:
+    """The store's writer: every row lasts at once, and is noted."""
+
+    def __init__(self) -> None:
+        self.written: list[list[str | None]] = []
+
+    def put(self, space: str, key: str, value: bytes) -> asyncio.Future[bool]:
+        self.written.append([space, key, value.hex()])
+        return self._done()
+
+    def delete(self, space: str, key: str) -> asyncio.Future[bool]:
+        self.written.append([space, key, None])
+        return self._done()
+
+    def _done(self) -> asyncio.Future[bool]:
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        future.set_result(True)
+        return future
+
+
+class Wire:
+    """One director's socket: what it sends to itself comes back, the rest is noted."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[bytes, tuple[str, int]]] = []
+
+    def is_closing(self) -> bool:
+        return False
+
+    def close(self) -> None:
+        pass
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self.sent.append((data, address))
+
+
+class NoDeadlines:
+    def add(self, when_ms: float, call: object) -> None:
+        return None
+
+    def drop(self, key: object) -> None:
+        return None
+
+
+async def director_trace() -> dict[str, object]:
+    """One director with a purge and a report to send: its datagrams, rows, views, log events, counters."""
+    clock, wire, rows, counters = VirtualClock(), Wire(), Rows(), Counters()
+    terms, rng = LeaseTerms(), random.Random(4)
+    sinks = {"purge": ("@purge/0", "@purge/1"), "report": ("@report/0",)}
+    ports = {"a": 1, "@purge/0": 2, "@purge/1": 3, "@report/0": 4}
+    candidate = Candidate("a", ("a",), ("purge", "report"), terms, rng, 0.0)
+    orders = Orders("a", ("a",), sinks["purge"], rng, {})
+    report = FleetReport("a", ("a",), 5, 1_000.0, lambda: {"served": 3, "refused": 1})
+    works = Works(candidate, Acts("a", sinks), orders, report, 100.0, 200.0, 0.0)
+    leases = Leases(
+        Elector("a", terms, 0.0, {}), candidate, works, {name: ("x", at) for name, at in ports.items()},
+        Seal((KEY,), 30_000.0), rows, clock, lambda: WALL_MS + clock.now, cast(Deadlines, NoDeadlines()),
+        counters,
+    )  # fmt: skip
+    leases.random = cast(random.SystemRandom, random.Random(6))
+    leases.transport = cast(asyncio.DatagramTransport, wire)
+    hubs_seal, acked, views, datagrams = Seal((KEY,), 30_000.0), 0, dict[str, object](), list[str]()
+
+    async def step(ms: float) -> None:
+        nonlocal acked
+        clock.now += ms
+        leases._tick()
+        for _ in range(50):
+            await asyncio.sleep(0)
+            if not wire.sent:
+                break
+            data, (_, port) = wire.sent.pop(0)
+            datagrams.append(f"{clock.now} {port} {data.hex()}")
+            if port == 1:
+                leases.datagram_received(data, ("x", 1))
+            elif clock.now >= 2_000.0:  # sinks answer from then on, each sealed under a number of its own
+                opened = hubs_seal.open(data, WALL_MS + clock.now)
+                assert isinstance(opened, bytes)
+                act = m.decode(opened)
+                assert isinstance(act, m.Act)
+                if act.number:
+                    acked += 1
+                    answer = m.encode(m.Acked(act.duty, act.token, act.number, True, act.token))
+                    sealed = Seal((KEY,), 30_000.0).seal(answer, WALL_MS + clock.now, acked)
+                    leases.datagram_received(sealed, ("x", port))
+
+    with structlog.testing.capture_logs() as events:
+        for _ in range(25):
+            await step(50.0)
+        id = leases.order("o:7f3a9c21")
+        views["order"] = orders.status(id)
+        for n in range(30):
+            await step(50.0)
+            if n == 4:
+                views["order_open"], views["open"] = orders.status(id), leases.view()
+        views["order_finished"], views["finished"] = orders.status(id), leases.view()
+        leases.datagram_received(b"noise", ("x", 9))
+        noise = Seal((KEY,), 30_000.0).seal(b"\x93", WALL_MS + clock.now, 99)
+        leases.datagram_received(noise, ("x", 9))
+        stranger = Seal((make_key(b"s" * 32),), 30_000.0).seal(b"\x93", WALL_MS + clock.now, 99)
+        leases.datagram_received(stranger, ("x", 9))
+        leases.error_received(OSError())
+        answer = m.encode(m.Acked("report", 1, 1, False, 9))
+        sealed = Seal((KEY,), 30_000.0).seal(answer, WALL_MS + clock.now, 1_000_001)
+        leases.datagram_received(sealed, ("x", 4))
+        views["hand_on"] = [leases.hand_on(duty, "b") for duty in ("purge", "purge", "report", "none")]
+        rival = m.encode(m.Ask("purge", 1, "c", 1))
+        for number in (1_000_002, 1_000_003):  # the second within the time in which it is not logged again
+            sealed = Seal((KEY,), 30_000.0).seal(rival, WALL_MS + clock.now, number)
+            leases.datagram_received(sealed, ("x", 9))
+        leases.candidate.duties["report"].term, leases.candidate.duties["report"].until_ms = 5, 0.0
+        await step(50.0)
+    return {
+        "datagrams": datagrams,
+        "rows": rows.written,
+        "views": views,
+        "events": [json.loads(json.dumps(event, sort_keys=True)) for event in events],
+        "counters": dict(sorted(counters.items())),
+    }
+
+
+async def sink_trace(monkeypatch: pytest.MonkeyPatch) -> dict[str, object]:
+    """What the fenced resource answers to operations of two tokens."""
+    monkeypatch.setattr(time, "time", lambda: WALL_MS / 1_000.0)
+    sink, wire, seal = Sink((KEY,)), Wire(), Seal((KEY,), 30_000.0)
+    sink.random = cast(random.SystemRandom, random.Random(8))
+    sink.transport = cast(asyncio.DatagramTransport, wire)
+    body = json.dumps({"part": 0, "parts": 1, "rows": [{"name": "a", "served": 3}], "missing": []}).encode()
+    told = (
+        m.Act("purge", 3, "a", WALL_MS),
+        m.Act("purge", 3, "a", WALL_MS, 1, "00ff", b"o:7f3a9c21"),
+        m.Act("purge", 4, "b", WALL_MS, 1, "00ff", b"o:7f3a9c21"),
+        m.Act("purge", 3, "a", WALL_MS, 2, "00fe", b"o:1"),
+        m.Act("purge", 2, "a", WALL_MS),
+        m.Act("report", 1, "a", WALL_MS, 3, "5-1-0", body),
+    )
+    for number, act in enumerate(told):
+        sink.datagram_received(seal.seal(m.encode(act), WALL_MS, number), ("x", 9))
+    sink.datagram_received(b"noise", ("x", 9))
+    return {
+        "answers": [data.hex() for data, _ in wire.sent],
+        "purged": {id: list(done) for id, done in sink.purged.items()},
+        "reports": sink.reports, "rows": sink.rows, "again": sink.again, "malformed": sink.malformed,
+    }  # fmt: skip
+
+
+def test_one_director_sends_stores_logs_and_counts_what_it_did() -> None:
+    trace = json.loads(json.dumps(asyncio.run(director_trace())))
+    for part, golden in GOLDEN["director"].items():
+        assert trace[part] == golden, part
+    assert set(trace) == set(GOLDEN["director"])
+
+
+def test_the_trace_has_every_event_and_counter_of_the_operators_page() -> None:
+    kinds = Counter(event["event"] for event in GOLDEN["director"]["events"])
+    assert set(kinds) == {
+        "lease_granted", "lease_refused", "lease_won", "lease_expired", "lease_released", "lease_fenced",
+        "lease_ordered", "lease_forwarded",
+    }  # fmt: skip
+    assert kinds["lease_refused"] == 1 and GOLDEN["director"]["counters"]["leases.refused"] == 2
+
+
+def test_the_fenced_resource_answers_what_it_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert json.loads(json.dumps(asyncio.run(sink_trace(monkeypatch)))) == GOLDEN["sink"]
+
+
+def test_what_is_no_message_is_refused() -> None:
+    for noise in (b"", b"\x93", b"\x92\x05\xa1a", b"\x91\x63"):
+        with pytest.raises((msgspec.MsgspecError, ValueError)):
+            m.decode(noise)
+
+
+def capture() -> dict[str, Any]:
+    """What the golden data hold, as the present code makes it: `python -m tests.test_golden_leases`."""
+    sealed = {
+        name: Seal((KEY,), 30_000.0).seal(m.encode(message), WALL_MS, 77).hex()
+        for name, message in MESSAGES.items()
+    }
+    with pytest.MonkeyPatch.context() as patch:
+        sink = asyncio.run(sink_trace(patch))
+    return {
+        "messages": {name: m.encode(message).hex() for name, message in MESSAGES.items()},
+        "sealed": sealed,
+        "rows": {"grant": pack(Granted(7, "a")).hex(), "order": pack(ORDER).hex()},
+        "world": world_trace(),
+        "director": asyncio.run(director_trace()),
+        "sink": sink,
+    }
+
+
+if __name__ == "__main__":
+    print(json.dumps(capture(), indent=1))
