Move the files of leases to the names that the field uses

acts -> fenced_operations, elector -> voter, orders -> purge_requests, outs -> outputs, report -> fleet_report, route -> dispatch, terms -> configuration, works -> holder_tasks; only import lines follow.

--- a/gladewalk/faultnet/sink.py
+++ b/gladewalk/faultnet/sink.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from ..leases.fence import Fence
+from ..leases.holder_tasks import PURGE, REPORT
 from ..leases.messages import Acked, Act, decode, encode
-from ..leases.works import PURGE, REPORT
 from ..members.seal import Key, Refused, Seal
 
 WINDOW_MS = 30_000.0
--- a/gladewalk/faultpoints/leaserun.py
+++ b/gladewalk/faultpoints/leaserun.py
@@ -5,11 +5,11 @@
 import contextlib
 from collections.abc import Callable
 
+from ..leases.configuration import LeaseTerms
+from ..leases.dispatch import hear
 from ..leases.history import check
 from ..leases.messages import Vote, decode, encode
-from ..leases.outs import Out, Save, Send, granted_of
-from ..leases.route import hear
-from ..leases.terms import LeaseTerms
+from ..leases.outputs import Out, Save, Send, granted_of
 from ..rehearsal.leasenet import DUTIES, Director, World
 from .points import Kind, Points
 
--- a/gladewalk/leases/candidate.py
+++ b/gladewalk/leases/candidate.py
@@ -14,9 +14,9 @@
 import random
 from dataclasses import dataclass, field
 
+from .configuration import LeaseTerms, majority
 from .messages import Ask, Grant, Refuse, Release, Sound, Standing
-from .outs import Event, Out, Send
-from .terms import LeaseTerms, majority
+from .outputs import Event, Out, Send
 
 ROUND_PART = 0.6  # of a lease: the longest that a round waits where answers take long
 NEAR_PART = 0.25  # of `retry_ms`: how far apart candidates come that know when the duty is free
--- a/gladewalk/leases/route.py
+++ b/gladewalk/leases/dispatch.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from .candidate import Candidate
-from .elector import Elector
 from .messages import Ask, Grant, Refuse, Sound, Standing, Vote
-from .outs import Out
+from .outputs import Out
+from .voter import Elector
 
 
 def hear(elector: Elector, candidate: Candidate, message: Vote, now_ms: float) -> list[Out]:
--- a/gladewalk/leases/acts.py
+++ b/gladewalk/leases/fenced_operations.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from .messages import Acked, Act
-from .outs import Out, Send
+from .outputs import Out, Send
 
 FIRST_WAIT_MS = 150.0
 WAIT_MOST_MS = 5_000.0
--- a/gladewalk/leases/works.py
+++ b/gladewalk/leases/holder_tasks.py
@@ -9,12 +9,12 @@
 
 from __future__ import annotations
 
-from .acts import Acts
 from .candidate import Candidate
+from .fenced_operations import Acts
+from .fleet_report import FleetReport
 from .messages import Acked, Figures, Finished, Kept, Message, Open, Order, Wanted
-from .orders import Orders
-from .outs import Out, Send
-from .report import FleetReport
+from .outputs import Out, Send
+from .purge_requests import Orders
 
 PURGE, REPORT = "purge", "report"
 
--- a/gladewalk/leases/orders.py
+++ b/gladewalk/leases/purge_requests.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
+from .configuration import majority
 from .messages import WHAT_MOST, Finished, Kept, Open, Order, Wanted
-from .outs import ORDERS, Event, Out, Save, Send, pack
-from .terms import majority
+from .outputs import ORDERS, Event, Out, Save, Send, pack
 
 TELL_MS = 200.0  # until who has not said that it keeps an order is told again
 TELL_MOST_MS = 10_000.0  # the longest wait between two tellings
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -13,15 +13,15 @@
 from ..ops.figures import ENDS
 from ..options import Options
 from ..store.keeper import Keeper
-from .acts import Acts
 from .candidate import Candidate
-from .elector import Elector, restored_of
-from .orders import Orders
-from .outs import GRANTS, ORDERS
-from .report import FleetReport
-from .terms import LeaseTerms
+from .configuration import LeaseTerms
+from .fenced_operations import Acts
+from .fleet_report import FleetReport
+from .holder_tasks import PURGE, REPORT, Works
+from .outputs import GRANTS, ORDERS
+from .purge_requests import Orders
 from .transport import Address, LeaseClock, Leases
-from .works import PURGE, REPORT, Works
+from .voter import Elector, restored_of
 
 Clock = Callable[[], float]
 REPORTED = {"served": ENDS[0], "refused": ENDS[1], "failed": ENDS[2]}
--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -22,11 +22,11 @@
 from ..members.messages import DATAGRAM_MOST
 from ..members.seal import Refused, Seal
 from .candidate import Candidate
-from .elector import Elector
+from .dispatch import hear
+from .holder_tasks import Works
 from .messages import Vote, decode, encode
-from .outs import GRANTS, Event, Out, Save, Send
-from .route import hear
-from .works import Works
+from .outputs import GRANTS, Event, Out, Save, Send
+from .voter import Elector
 
 Address = tuple[str, int]
 REFUSED_AGAIN_MS = 10_000.0  # candidates ask every quarter lease: one refused all along is a line so often
--- a/gladewalk/leases/elector.py
+++ b/gladewalk/leases/voter.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
+from .configuration import LeaseTerms
 from .messages import Ask, Grant, Refuse, Release, Sound, Standing
-from .outs import GRANTS, Event, Granted, Out, Save, Send, granted_of, pack
-from .terms import LeaseTerms
+from .outputs import GRANTS, Event, Granted, Out, Save, Send, granted_of, pack
 
 
 @dataclass(slots=True)
--- a/gladewalk/rehearsal/leasenet.py
+++ b/gladewalk/rehearsal/leasenet.py
@@ -17,13 +17,13 @@
 from dataclasses import dataclass, field
 
 from ..leases.candidate import Candidate
-from ..leases.elector import Elector
+from ..leases.configuration import LeaseTerms, majority
+from ..leases.dispatch import hear
 from ..leases.fence import Fence
 from ..leases.history import Verdict, check
 from ..leases.messages import Vote, decode, encode
-from ..leases.outs import Granted, Out, Save, Send, granted_of
-from ..leases.route import hear
-from ..leases.terms import LeaseTerms, majority
+from ..leases.outputs import Granted, Out, Save, Send, granted_of
+from ..leases.voter import Elector
 
 DUTIES = ("purge", "report")
 ACT_MS = 50.0
--- a/tests/test_fleet_works.py
+++ b/tests/test_fleet_works.py
@@ -10,11 +10,11 @@
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.nemesis import apply
 from gladewalk.faultnet.schedule import Fault
-from gladewalk.leases.acts import Acts
+from gladewalk.leases.fenced_operations import Acts
+from gladewalk.leases.fleet_report import FleetReport
 from gladewalk.leases.messages import BODY_MOST, Acked, Act, Figures, Finished, Kept, Open, Order, Wanted
-from gladewalk.leases.orders import OPEN_MOST, PAGE, Orders
-from gladewalk.leases.outs import ORDERS, Out, Save, Send
-from gladewalk.leases.report import FleetReport
+from gladewalk.leases.outputs import ORDERS, Out, Save, Send
+from gladewalk.leases.purge_requests import OPEN_MOST, PAGE, Orders
 from gladewalk.rehearsal.peers import ScriptedPeer, read_message, request
 from tests.fleetworld import Fleets, until_true, wall_ms
 from tests.test_ops import hit
--- a/tests/test_golden_leases.py
+++ b/tests/test_golden_leases.py
@@ -17,15 +17,15 @@
 from gladewalk.deadlines import Deadlines
 from gladewalk.faultnet.sink import Sink
 from gladewalk.leases import messages as m
-from gladewalk.leases.acts import Acts
 from gladewalk.leases.candidate import Candidate
-from gladewalk.leases.elector import Elector, restored_of
-from gladewalk.leases.orders import Orders
-from gladewalk.leases.outs import GRANTS, ORDERS, Granted, granted_of, pack
-from gladewalk.leases.report import FleetReport
-from gladewalk.leases.terms import LeaseTerms
+from gladewalk.leases.configuration import LeaseTerms
+from gladewalk.leases.fenced_operations import Acts
+from gladewalk.leases.fleet_report import FleetReport
+from gladewalk.leases.holder_tasks import Works
+from gladewalk.leases.outputs import GRANTS, ORDERS, Granted, granted_of, pack
+from gladewalk.leases.purge_requests import Orders
 from gladewalk.leases.transport import LeaseClock, Leases
-from gladewalk.leases.works import Works
+from gladewalk.leases.voter import Elector, restored_of
 from gladewalk.members.seal import Seal, make_key
 from gladewalk.rehearsal.leasenet import World, schedule
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,7 +4,8 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from gladewalk.leases.candidate import Candidate
-from gladewalk.leases.elector import Elector
+from gladewalk.leases.configuration import LeaseTerms
+from gladewalk.leases.dispatch import hear
 from gladewalk.leases.fence import Act, Fence
 from gladewalk.leases.history import Verdict, check
 from gladewalk.leases.messages import (
@@ -18,9 +19,8 @@
     decode,
     encode,
 )
-from gladewalk.leases.outs import GRANTS, Granted, Out, Save, Send, granted_of, pack
-from gladewalk.leases.route import hear
-from gladewalk.leases.terms import LeaseTerms
+from gladewalk.leases.outputs import GRANTS, Granted, Out, Save, Send, granted_of, pack
+from gladewalk.leases.voter import Elector
 from gladewalk.rehearsal.leasenet import Fault, World, play, play_skewed
 
 TERMS = LeaseTerms()
