--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -34,17 +34,17 @@
 
 
 def holder_of(fleet: Fleet) -> str:
-    acts = [act for act in fleet.hubs[0].fence.acts if act.accepted]
-    return acts[-1].actor if acts else ""
+    acts = [act for act in fleet.hubs[0].fence.records if act.is_accepted]
+    return acts[-1].holder if acts else ""
 
 
 async def handover_ms(fleet: Fleet, since_ms: float, victim: str) -> float:
     """From `since_ms` until another than `victim` acts under the purge duty, or nan."""
     ends = time.monotonic() + 6.0
     while time.monotonic() < ends:
-        for act in fleet.hubs[0].fence.acts:  # in the order they arrived
-            if act.accepted and act.actor != victim and act.at_ms > since_ms:
-                return act.at_ms - since_ms
+        for act in fleet.hubs[0].fence.records:  # in the order they arrived
+            if act.is_accepted and act.holder != victim and act.received_at_ms > since_ms:
+                return act.received_at_ms - since_ms
         await asyncio.sleep(0.02)
     return float("nan")
 
@@ -96,15 +96,16 @@
             verdict = fleet.verdict(time.time() * 1000.0)
             ids = {id for id in acknowledged if id}
             ends = time.monotonic() + WAIT_S
-            while (lost := [id for id in ids if any(id not in hub.purged for hub in fleet.hubs)]):
+            while (lost := [id for id in ids if any(id not in hub.purges for hub in fleet.hubs)]):
                 if time.monotonic() > ends:
                     break
                 await asyncio.sleep(0.05)
         finally:
             await fleet.close()
             coordinator.stop()
-    print(f"{n} directors seed {seed}: {verdict.line(1)} acts={verdict.acts} refused={verdict.refused} "
-          f"purges={len(acknowledged)} acknowledged={len(ids)} lost={len(lost)}", flush=True)  # fmt: skip
+    print(f"{n} directors seed {seed}: {verdict.summary(1)} acts={verdict.operations} "
+          f"refused={verdict.rejections} purges={len(acknowledged)} "
+          f"acknowledged={len(ids)} lost={len(lost)}", flush=True)  # fmt: skip
     return verdict
 
 
@@ -118,7 +119,7 @@
     if plot:
         draw(times, plot)
     overlaps, stale = sum(v.overlaps for v in verdicts), sum(v.stale_accepted for v in verdicts)
-    orphan = max(v.orphan_max_ms for v in verdicts)
+    orphan = max(v.max_gap_ms for v in verdicts)
     print(f"overlaps={overlaps} stale_accepted={stale} orphan_max_ms={orphan:.0f} runs={len(verdicts)}")
 
 
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -74,9 +74,9 @@
 
             checked(options)
         if options.leases is not None:
-            from .leases.start import checked as check_leases
+            from .leases.start import read_lease_settings
 
-            check_leases(options, config.name)
+            read_lease_settings(options, config.name)
         if options.front.http is not None:
             from .web.start import checked as check_front
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -26,7 +26,7 @@
     from .control.server import Control
     from .dns.settings import DnsConfig
     from .duties.runner import Runner
-    from .leases.transport import Address, Leases
+    from .leases.transport import Address, LeaseService
     from .members.seal import Key
     from .members.transport import Members
     from .net.admin import AdminFront
@@ -137,11 +137,11 @@
                 self._store_says,
                 self.deadlines,
             )
-        self.leases: tuple[Leases, Address] | None = None
+        self.leases: tuple[LeaseService, Address] | None = None
         if options is not None and options.leases is not None and self.keeper is not None:
-            from .leases.start import start as start_leases
+            from .leases.start import build_lease_service
 
-            self.leases = start_leases(
+            self.leases = build_lease_service(
                 config.name, options, self.keeper, clock, self.deadlines, self.counters
             )
         self.control: Control | None = None
--- /dev/null
+++ b/gladewalk/faultnet/fenced_resource.py
@@ -0,0 +1,108 @@
+"""Stand-in for a fenced resource: a fence, the record of what arrived, and what was done."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from dataclasses import dataclass
+from typing import Any, cast
+
+import msgspec
+
+from ..leases.fence import Fence
+from ..leases.holder_tasks import PURGE_TASK, REPORT_TASK
+from ..leases.messages import FencedOperation, OperationResponse, decode, encode
+from ..members.seal import Key, Refused, Seal
+
+CLOCK_WINDOW_MS = 30_000.0
+NONCE_BITS = 64
+
+
+@dataclass(slots=True, frozen=True)
+class CompletedPurge:
+    """A purge as it was first done."""
+
+    target: str
+    token: int
+    holder: str
+
+
+class FencedResource(asyncio.DatagramProtocol):
+    """A hub cache that purges, or the collector of reports.
+
+    Every operation meets the fence first. Of what is accepted, a purge is done once for each id however often
+    it arrives; the pages of a report are put together. `is_deaf` drops everything, as a hub that is down.
+    """
+
+    def __init__(self, keys: tuple[Key, ...]) -> None:
+        self.fence, self.seal = Fence(), Seal(keys, CLOCK_WINDOW_MS)
+        self.random = random.SystemRandom()
+        self.malformed_count = 0
+        self.is_deaf = False
+        self.purges: dict[str, CompletedPurge] = {}  # by id
+        self.repeated_purge_count = 0
+        self.reports: list[dict[str, Any]] = []  # first pages, the latest last
+        self.rows: dict[str, dict[str, Any]] = {}  # the latest row of each director
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def open(self) -> tuple[str, int]:
+        """Listens on a free port of the loopback interface and returns its address."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", 0))
+        assert self.transport is not None
+        return cast(tuple[str, int], self.transport.get_extra_info("sockname")[:2])
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport (asyncio's callback)."""
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
+        """Handles one operation and answers it, unless it is an accepted announcement of a token."""
+        if self.is_deaf:
+            return
+        now_ms = time.time() * 1000.0
+        operation = self._open(data, now_ms)
+        if operation is None:
+            self.malformed_count += 1
+            return
+        is_accepted = self.fence.admit(
+            operation.task, operation.token, operation.holder, operation.performed_at_ms, now_ms
+        )
+        if is_accepted and operation.operation_id:
+            self._perform(operation)
+        if operation.number or not is_accepted:
+            highest_token = self.fence.highest_tokens.get(operation.task, 0)
+            response = OperationResponse(
+                operation.task, operation.token, operation.number, is_accepted, highest_token
+            )
+            sealed = self.seal.seal(encode(response), now_ms, self.random.getrandbits(NONCE_BITS))
+            assert self.transport is not None
+            self.transport.sendto(sealed, source)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def _open(self, data: bytes, now_ms: float) -> FencedOperation | None:
+        opened = self.seal.open(data, now_ms)
+        if isinstance(opened, Refused):
+            return None
+        try:
+            message = decode(opened)
+        except (msgspec.MsgspecError, ValueError):
+            return None
+        return message if isinstance(message, FencedOperation) else None
+
+    def _perform(self, operation: FencedOperation) -> None:
+        if operation.task == PURGE_TASK:
+            done = CompletedPurge(operation.body.decode(), operation.token, operation.holder)
+            self.repeated_purge_count += operation.operation_id in self.purges
+            self.purges.setdefault(operation.operation_id, done)
+        elif operation.task == REPORT_TASK:
+            body = json.loads(operation.body)
+            self.rows.update({row["name"]: row for row in body["rows"]})
+            if body["part"] == 0:
+                self.reports.append({**body, "token": operation.token, "actor": operation.holder})
--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -22,13 +22,13 @@
 import tomli_w
 
 from ..control.client import ask
-from ..leases.history import Verdict, check_sinks
+from ..leases.history import Verdict, check_resources
 from ..members.history import Seen, from_log
 from ..members.seal import load_keys
 from . import relay
+from .fenced_resource import FencedResource
 from .relay import Address, Relay, StreamRelay, free_port
 from .schedule import Pair
-from .sink import Sink
 
 DUTIES = ("purge", "report")
 HUBS = 2
@@ -72,8 +72,8 @@
         self.member_port = {name: free_port() for name in names}
         self.links = {(a, b): Link() for a in names for b in names if a != b}
         keys = load_keys(folder / "keys")
-        self.hubs = [Sink(keys) for _ in range(HUBS)]
-        self.collector = Sink(keys)
+        self.hubs = [FencedResource(keys) for _ in range(HUBS)]
+        self.collector = FencedResource(keys)
         self.hubs_at: list[Address] = []
         self.collector_at: Address = ("127.0.0.1", 0)
         self.running: dict[str, asyncio.subprocess.Process] = {}
@@ -185,11 +185,11 @@
     # What is to be seen.
 
     @property
-    def sinks(self) -> tuple[Sink, ...]:
+    def sinks(self) -> tuple[FencedResource, ...]:
         return (*self.hubs, self.collector)
 
     def verdict(self, end_ms: float | None = None, excused: tuple[tuple[float, float], ...] = ()) -> Verdict:
-        return check_sinks([sink.fence.acts for sink in self.sinks], end_ms, excused)
+        return check_resources([sink.fence.records for sink in self.sinks], end_ms, excused)
 
     def members_seen(self) -> list[Seen]:
         """What all directors noted of one another, out of their logs."""
--- a/gladewalk/faultpoints/leaserun.py
+++ b/gladewalk/faultpoints/leaserun.py
@@ -1,120 +1,134 @@
-"""Leases at their points: three directors, two duties, a hand-over by wish and one by death."""
+"""Leases at their fault points: three directors, two tasks, a lease handed on and a voter restarted."""
 
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
-from ..leases.configuration import LeaseTerms
-from ..leases.dispatch import hear
+from ..leases.configuration import LeaseConfig
 from ..leases.history import check
-from ..leases.messages import Vote, decode, encode
-from ..leases.outputs import Out, Save, Send, granted_of
-from ..rehearsal.leasenet import DUTIES, Director, World
+from ..leases.messages import decode, encode
+from ..leases.outputs import Output, Save, Send
+from ..rehearsal.lease_simulation import TASKS, LeaseSimulation, SimulatedDirector
 from .points import Kind, Points
 
+SEED, DIRECTOR_COUNT = 11, 3
+FIRST_KILL_MS, FIRST_DOWN_MS = 2_200.0, 300.0
+HAND_ON_MS = 2_600.0
 END_MS = 7_000.0
-QUIET_MS = 3_000.0  # at the end without a fault: by then each duty is held
-STALL_MS = 1_600.0  # over the time of a lease
+QUIET_MS = 3_000.0  # at the end without a fault: by then each lease is held
+LATEST_OPERATIONS_MS = 500.0
+STALL_MS = 1_600.0  # longer than a lease
 LATE_MS = 1_800.0
 DOWN_MS = 700.0
 
 
-class Gone(Exception):
-    """The process that was carrying something out is no more, or stands still: the rest of it is not done."""
+class ProcessGoneError(Exception):
+    """The process that was carrying something out is dead or stopped: the rest of it is not done."""
 
 
-class FaultWorld(World):
-    def __init__(self, points: Points, seed: int, n: int, terms: LeaseTerms | None = None) -> None:
-        super().__init__(seed, n, terms)
+class FaultPointSimulation(LeaseSimulation):
+    """A simulation that passes a named point wherever a director saves, sends, receives or operates."""
+
+    def __init__(
+        self, points: Points, seed: int, director_count: int, config: LeaseConfig | None = None
+    ) -> None:
+        super().__init__(seed, director_count, config)
         self.points = points
-        self.acted: set[tuple[str, int]] = set()
+        self.operated: set[tuple[str, int]] = set()  # tasks and tokens
 
-    def strikes(self, director: Director, name: str) -> Kind | None:
-        kind = self.points.reach(name)
+    def reach(self, director: SimulatedDirector, point: str) -> Kind | None:
+        """Passes a point; returns the fault to play there, raises `ProcessGoneError` if it is a kill."""
+        kind = self.points.reach(point)
         if kind is Kind.KILL:
             self.kill(director.name, DOWN_MS)
-            raise Gone
+            raise ProcessGoneError(point)
         return kind
 
-    def carry_out(self, director: Director, out: list[Out] | tuple[Out, ...]) -> None:
-        with contextlib.suppress(Gone):
-            self._carry_out(director, out)
-
-    def _carry_out(self, director: Director, out: list[Out] | tuple[Out, ...]) -> None:
-        for action in out:
-            if isinstance(action, Save):
-                assert action.value is not None
-                kind = self.strikes(director, "leases.save.grant")
-                director.disk[action.key] = granted_of(action.value)
-                director.elector.saved(action.key, action.value)
-                if kind is Kind.STALL:  # saved, and stopped before the grant goes out
-                    later = action.then
-                    self.pause(director.name, STALL_MS)
-                    self.after(STALL_MS + 0.1, lambda later=later: self.carry_out(director, later))  # type: ignore[misc]
-                else:
-                    self._carry_out(director, action.then)
-            elif isinstance(action, Send):
-                self._send(director, action)
-
-    def _send(self, director: Director, action: Send) -> None:
-        kind = self.strikes(director, f"leases.send.{type(action.message).__name__}")
-        data = encode(action.message)
+    def carry_out(self, director: SimulatedDirector, outputs: Sequence[Output]) -> None:
+        """Does what a director's state machines ask for, up to the point at which it is killed."""
+        with contextlib.suppress(ProcessGoneError):
+            self._carry_out(director, outputs)
+
+    def _carry_out(self, director: SimulatedDirector, outputs: Sequence[Output]) -> None:
+        for output in outputs:
+            if isinstance(output, Save):
+                self._save(director, output)
+            elif isinstance(output, Send):
+                self._send(director, output)
+
+    def _save(self, director: SimulatedDirector, save: Save) -> None:
+        kind = self.reach(director, "leases.save.grant")
+        self.save_grant(director, save)
+        if kind is Kind.STALL:  # saved, and stopped before the grant is sent
+            self.pause(director.name, STALL_MS)
+            self.after(STALL_MS + 0.1, lambda: self.carry_out(director, save.on_durable))
+        else:
+            self._carry_out(director, save.on_durable)
+
+    def _send(self, director: SimulatedDirector, send: Send) -> None:
+        kind = self.reach(director, f"leases.send.{type(send.message).__name__}")
+        payload = encode(send.message)
         if kind is Kind.LOSE:
             return
         if kind is Kind.LATE:
-            self.after(LATE_MS, lambda: self.deliver(action.to, data))
+            self.after(LATE_MS, lambda: self.deliver(send.recipient, payload))
             return
         for _ in range(2 if kind is Kind.DOUBLE else 1):
-            self.post(director.name, action.to, data)
+            self.post(director.name, send.recipient, payload)
         if kind is Kind.STALL:
             self.pause(director.name, STALL_MS)
 
-    def deliver(self, target: str, data: bytes) -> None:
+    def deliver(self, target: str, payload: bytes) -> None:
+        """Delivers a datagram, unless its receiver is killed; one that stalls gets it afterwards."""
         director = self.directors[target]
-        if director.up and self.now >= director.paused_until:
-            message = decode(data)
+        if director.is_up and self.now_ms >= director.paused_until_ms:
             try:
-                kind = self.strikes(director, f"leases.take.{type(message).__name__}")
-            except Gone:
+                kind = self.reach(director, f"leases.take.{type(decode(payload)).__name__}")
+            except ProcessGoneError:
                 return
             if kind is Kind.STALL:
                 self.pause(target, STALL_MS)
-            elif isinstance(message, Vote):
-                out = hear(director.elector, director.candidate, message, director.clock(self.now))
-                self.carry_out(director, out)
-                return
-        super().deliver(target, data)
+        super().deliver(target, payload)
 
-    def act(self, director: Director, duty: str, token: int, done: float) -> None:
-        first = (duty, token) not in self.acted
-        self.acted.add((duty, token))
+    def operate(self, director: SimulatedDirector, task: str, token: int, performed_at_ms: float) -> None:
+        """Sends an operation, unless its sender is killed; late, or followed by a stall."""
+        is_first = (task, token) not in self.operated
+        self.operated.add((task, token))
         try:
-            kind = self.strikes(director, f"leases.act.{'begin' if first else 'repeat'}")
-        except Gone:
+            kind = self.reach(director, f"leases.act.{'begin' if is_first else 'repeat'}")
+        except ProcessGoneError:
             return
         if kind is Kind.LATE:
-            self.after(LATE_MS, lambda: super(FaultWorld, self).act(director, duty, token, done))
+            send = super().operate
+            self.after(LATE_MS, lambda: send(director, task, token, performed_at_ms))
             return
-        super().act(director, duty, token, done)
-        if kind is Kind.STALL and self.now >= director.paused_until:
+        super().operate(director, task, token, performed_at_ms)
+        if kind is Kind.STALL and self.now_ms >= director.paused_until_ms:
             self.pause(director.name, STALL_MS)
 
 
-def play(points: Points, change: Callable[[FaultWorld], None] | None = None) -> str:
-    world = FaultWorld(points, seed=11, n=3)
+def play(points: Points, change: Callable[[FaultPointSimulation], None] | None = None) -> str:
+    """Plays one run, changed by `change` before it starts; returns what is wrong, or an empty text."""
+    simulation = FaultPointSimulation(points, SEED, DIRECTOR_COUNT)
     if change is not None:
-        change(world)
-    world.start()
-    world.run_until(2_200.0)
-    world.kill(world.names[-1], 300.0)  # back, it grants nothing for as long as it may have promised to
-    world.run_until(2_600.0)
-    world.hand_on()
-    world.run_until(END_MS - QUIET_MS)
+        change(simulation)
+    simulation.start()
+    simulation.run_until(FIRST_KILL_MS)
+    # Back, it grants nothing for as long as it may have promised to.
+    simulation.kill(simulation.names[-1], FIRST_DOWN_MS)
+    simulation.run_until(HAND_ON_MS)
+    simulation.hand_on()
+    simulation.run_until(END_MS - QUIET_MS)
     points.counting = False
-    world.run_until(END_MS)
-    verdict = check(world.fence.acts, END_MS)
-    if not verdict.safe or world.belief_overlaps():
-        return f"{verdict} and {world.belief_overlaps()} beliefs that cross"
-    lately = {act.duty for act in world.fence.acts if act.accepted and act.at_ms > END_MS - 500.0}
-    return "" if lately == set(DUTIES) else f"held in the end: {sorted(lately)}"
+    simulation.run_until(END_MS)
+    records = simulation.fence.records
+    verdict, overlaps = check(records, END_MS), simulation.count_belief_overlaps()
+    if not verdict.is_safe or overlaps:
+        return f"{verdict} and {overlaps} beliefs that cross"
+    held = {
+        record.task
+        for record in records
+        if record.is_accepted and record.received_at_ms > END_MS - LATEST_OPERATIONS_MS
+    }
+    return "" if held == set(TASKS) else f"held in the end: {sorted(held)}"
--- a/gladewalk/faultpoints/points.py
+++ b/gladewalk/faultpoints/points.py
@@ -38,13 +38,14 @@
 LASTS = "what was acknowledged is there after the start, nothing torn, nothing that was never put"
 ONE = "one holder at a time, no stale token accepted, every duty held again"
 ROSTER = "nobody found dead that was not killed, one roster in the end"
+ELECTION_MESSAGES = "PreVoteRequest PreVoteResponse VoteRequest VoteGranted VoteDenied LeaseRelease"
 
 CATALOGUE: tuple[Point, ...] = (
     *_points("store", "disk", "create append sync sync_names rename remove read cut", DISK, LASTS),
     *_points("store", "start", "recover", (Kind.KILL, Kind.POWER), LASTS),
     *_points("leases", "save", "grant", (Kind.KILL, Kind.STALL), ONE),
-    *_points("leases", "send", "Sound Standing Ask Grant Refuse Release", MESSAGE, ONE),
-    *_points("leases", "take", "Sound Standing Ask Grant Refuse Release", PROCESS, ONE),
+    *_points("leases", "send", ELECTION_MESSAGES, MESSAGE, ONE),
+    *_points("leases", "take", ELECTION_MESSAGES, PROCESS, ONE),
     *_points("leases", "act", "begin repeat", (Kind.KILL, Kind.LATE, Kind.STALL), ONE),
     *_points("members", "send", "Ping Ack PingFor Join Roster Nack", MESSAGE, ROSTER),
     *_points("members", "take", "Ping Ack PingFor Join Roster Nack", PROCESS, ROSTER),
--- a/gladewalk/leases/__init__.py
+++ b/gladewalk/leases/__init__.py
@@ -1,1 +1,1 @@
-"""Duties that one director alone may hold at a time: majority-granted leases, fenced (docs/leases.md)."""
+"""Exclusive tasks: majority-granted leases with fencing tokens (docs/leases.md)."""
--- a/gladewalk/leases/dispatch.py
+++ b/gladewalk/leases/dispatch.py
@@ -1,22 +1,35 @@
-"""Which side of a director a vote is for: its elector's or its candidate's. No I/O."""
+"""Passes an election message to the side of a director that it is for: its voter, its candidate or both."""
 
 from __future__ import annotations
 
-from .candidate import Candidate
-from .messages import Ask, Grant, Refuse, Sound, Standing, Vote
-from .outputs import Out
-from .voter import Elector
+from .candidate import LeaseCandidate
+from .messages import (
+    ElectionMessage,
+    LeaseRelease,
+    PreVoteRequest,
+    PreVoteResponse,
+    VoteDenied,
+    VoteGranted,
+    VoteRequest,
+)
+from .outputs import Output
+from .voter import Voter
 
 
-def hear(elector: Elector, candidate: Candidate, message: Vote, now_ms: float) -> list[Out]:
-    if isinstance(message, Ask):
-        return elector.ask(message, now_ms)
-    if isinstance(message, Sound):
-        return elector.sound(message, now_ms)
-    if isinstance(message, Standing):  # a `Refuse` by its fields: told apart first
-        return candidate.standing(message, now_ms)
-    if isinstance(message, Grant):
-        return candidate.grant(message, now_ms)
-    if isinstance(message, Refuse):
-        return candidate.refuse(message, now_ms)
-    return elector.release(message, now_ms) + candidate.released(message, now_ms)
+def dispatch_election_message(
+    voter: Voter, candidate: LeaseCandidate, message: ElectionMessage, now_ms: float
+) -> list[Output]:
+    """Handles one message at `now_ms` on the director's lease clock and returns what follows from it."""
+    match message:
+        case VoteRequest():
+            return voter.handle_vote_request(message, now_ms)
+        case PreVoteRequest():
+            return voter.handle_pre_vote(message, now_ms)
+        case PreVoteResponse():
+            return candidate.handle_pre_vote_response(message, now_ms)
+        case VoteGranted():
+            return candidate.handle_vote_granted(message, now_ms)
+        case VoteDenied():
+            return candidate.handle_vote_denied(message, now_ms)
+        case LeaseRelease():
+            return voter.handle_release(message, now_ms) + candidate.handle_release(message, now_ms)
--- a/gladewalk/leases/fence.py
+++ b/gladewalk/leases/fence.py
@@ -1,7 +1,7 @@
-"""Where an act of a held duty lands: a token lower than the highest accepted is refused. No I/O.
+"""Fencing of a resource: operations with a token below the highest accepted one are rejected.
 
-The sink of a duty keeps this, and a record of each act with the times it was done (by the actor's wall
-clock) and arrived (by its own), for the history checker (`history.py`).
+Each resource keeps one `Fence` per process, and a record of every operation with the time it was performed
+(the holder's wall clock) and received (the resource's own), for the history checker (`history.py`).
 """
 
 from __future__ import annotations
@@ -10,31 +10,37 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Act:
-    duty: str
+class OperationRecord:
+    """One operation as the resource received it."""
+
+    task: str
     token: int
-    actor: str
-    done_ms: float  # wall time at the actor when it acted
-    at_ms: float  # wall time at the sink when it arrived
-    accepted: bool
+    holder: str
+    performed_at_ms: float  # wall time at the holder
+    received_at_ms: float  # wall time at the resource
+    is_accepted: bool
 
 
 class Fence:
-    """Tokens accepted so far, by duty; `acts` in the order they arrived, bounded by `kept`."""
-
-    def __init__(self, kept: int = 1_000_000) -> None:
-        self.highest: dict[str, int] = {}
-        self.acts: list[Act] = []
-        self.kept = kept
-        self.refused = 0
-
-    def offer(self, duty: str, token: int, actor: str, done_ms: float, at_ms: float) -> bool:
-        """Whether the act is taken; a refusal is counted and recorded as well."""
-        accepted = token >= self.highest.get(duty, 0)
-        if accepted:
-            self.highest[duty] = token
+    """Highest accepted token of each task, and the first `max_records` operations in order of arrival."""
+
+    def __init__(self, max_records: int = 1_000_000) -> None:
+        self.highest_tokens: dict[str, int] = {}
+        self.records: list[OperationRecord] = []
+        self.max_records = max_records
+        self.rejected_count = 0
+
+    def admit(
+        self, task: str, token: int, holder: str, performed_at_ms: float, received_at_ms: float
+    ) -> bool:
+        """Records an operation and returns whether its token is accepted; rejections are counted."""
+        is_accepted = token >= self.highest_tokens.get(task, 0)
+        if is_accepted:
+            self.highest_tokens[task] = token
         else:
-            self.refused += 1
-        if len(self.acts) < self.kept:
-            self.acts.append(Act(duty, token, actor, done_ms, at_ms, accepted))
-        return accepted
+            self.rejected_count += 1
+        if len(self.records) < self.max_records:
+            self.records.append(
+                OperationRecord(task, token, holder, performed_at_ms, received_at_ms, is_accepted)
+            )
+        return is_accepted
--- a/gladewalk/leases/fenced_operations.py
+++ b/gladewalk/leases/fenced_operations.py
@@ -1,8 +1,9 @@
-"""Acts of held duties on their way to their sinks: sent with the token read just then, until taken. No I/O.
+"""Queue of fenced operations: each is sent with the token of the moment until its resource accepts it.
 
-A sink that does not answer is tried again after growing waits. What a sink refuses was sent under a token
-that a later holder has outdone: the candidate is told, and stops. A bare act (number 0) is no more than the
-token: it is sent to every sink now and then, which raises the fences against whoever held before.
+A resource that does not answer is tried again with an exponential backoff. What a resource rejects was sent
+under a token that a later holder has exceeded: the candidate is told and gives the lease up. An operation
+with number 0 announces the token alone; every resource gets one now and then, which raises its fence against
+any earlier holder. No I/O.
 """
 
 from __future__ import annotations
@@ -11,78 +12,93 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from .messages import Acked, Act
-from .outputs import Out, Send
+from .messages import FencedOperation, OperationResponse
+from .outputs import Output, Send
 
-FIRST_WAIT_MS = 150.0
-WAIT_MOST_MS = 5_000.0
-PENDING_MOST = 4_096  # acts that wait for their sinks' word: bounds memory
+INITIAL_BACKOFF_MS = 150.0
+MAX_BACKOFF_MS = 5_000.0
+MAX_PENDING_OPERATIONS = 4_096  # bounds memory
 
 
 @dataclass(slots=True)
-class Pending:
-    duty: str
-    sink: str
-    id: str
+class PendingOperation:
+    """An operation that one resource has not accepted yet."""
+
+    task: str
+    resource: str
+    operation_id: str
     body: bytes
-    due_ms: float
-    wait_ms: float = FIRST_WAIT_MS
+    due_at_ms: float
+    backoff_ms: float = INITIAL_BACKOFF_MS
 
 
-class Acts:
-    """Of one director; `sinks` names the sinks of each duty."""
+class FencedOperationQueue:
+    """One director's pending operations; `resources` has the names of each task's resources."""
 
-    def __init__(self, name: str, sinks: dict[str, tuple[str, ...]]) -> None:
-        self.name, self.sinks = name, sinks
-        self.pending: dict[int, Pending] = {}
-        self.waiting: Counter[tuple[str, str]] = Counter()  # (duty, id) -> sinks that have not taken it
-        self.numbers = 0
+    def __init__(self, director: str, resources: dict[str, tuple[str, ...]]) -> None:
+        self.director, self.resources = director, resources
+        self.pending: dict[int, PendingOperation] = {}  # by number
+        self._pending_resources: Counter[tuple[str, str]] = Counter()  # by task and operation id
+        self._last_number = 0
 
-    def waits(self, duty: str, id: str) -> bool:
-        return (duty, id) in self.waiting
+    def is_pending(self, task: str, operation_id: str) -> bool:
+        """Whether some resource has not accepted this operation."""
+        return (task, operation_id) in self._pending_resources
 
-    def do(self, duty: str, id: str, body: bytes, now_ms: float) -> bool:
-        """To every sink of the duty; False where too much waits already."""
-        sinks = self.sinks[duty]
-        if len(self.pending) + len(sinks) > PENDING_MOST:
+    def submit(self, task: str, operation_id: str, body: bytes, now_ms: float) -> bool:
+        """Queues an operation for every resource of the task; returns False if the queue is full."""
+        resources = self.resources[task]
+        if len(self.pending) + len(resources) > MAX_PENDING_OPERATIONS:
             return False
-        for sink in sinks:
-            self.numbers += 1
-            self.pending[self.numbers] = Pending(duty, sink, id, body, now_ms)
-        self.waiting[duty, id] += len(sinks)
+        for resource in resources:
+            self._last_number += 1
+            self.pending[self._last_number] = PendingOperation(task, resource, operation_id, body, now_ms)
+        self._pending_resources[task, operation_id] += len(resources)
         return True
 
-    def due(self, duty: str, token: int, now_ms: float, wall_ms: float) -> Iterator[Out]:
-        """What is to be sent now under a token that holds now."""
-        for number, act in self.pending.items():
-            if act.duty == duty and now_ms >= act.due_ms:
-                act.due_ms = now_ms + act.wait_ms
-                act.wait_ms = min(act.wait_ms * 2.0, WAIT_MOST_MS)
-                yield Send(act.sink, Act(duty, token, self.name, wall_ms, number, act.id, act.body))
-
-    def bare(self, duty: str, token: int, wall_ms: float) -> Iterator[Out]:
-        for sink in self.sinks[duty]:
-            yield Send(sink, Act(duty, token, self.name, wall_ms))
-
-    def next_due_ms(self, duty: str) -> float:
-        return min((act.due_ms for act in self.pending.values() if act.duty == duty), default=float("inf"))
-
-    def acked(self, told: Acked) -> Pending | None:
-        """The act that a sink has now taken; None where there is none, or it was refused."""
-        act = self.pending.get(told.number)
-        if act is None or act.duty != told.duty or not told.accepted:
+    def take_due(self, task: str, token: int, now_ms: float, wall_ms: float) -> Iterator[Output]:
+        """Yields what is to be sent now under a token that is held now, and schedules its retry."""
+        for number, operation in self.pending.items():
+            if operation.task != task or now_ms < operation.due_at_ms:
+                continue
+            operation.due_at_ms = now_ms + operation.backoff_ms
+            operation.backoff_ms = min(operation.backoff_ms * 2.0, MAX_BACKOFF_MS)
+            message = FencedOperation(
+                task, token, self.director, wall_ms, number, operation.operation_id, operation.body
+            )
+            yield Send(operation.resource, message)
+
+    def announce_token(self, task: str, token: int, wall_ms: float) -> Iterator[Output]:
+        """Yields an operation that does nothing but raise the fence, for every resource of the task."""
+        for resource in self.resources[task]:
+            yield Send(resource, FencedOperation(task, token, self.director, wall_ms))
+
+    def next_due_ms(self, task: str) -> float:
+        """Returns when the next operation of the task is to be sent, or infinity."""
+        due_ms = (operation.due_at_ms for operation in self.pending.values() if operation.task == task)
+        return min(due_ms, default=float("inf"))
+
+    def handle_acceptance(self, response: OperationResponse) -> PendingOperation | None:
+        """Returns the operation that a resource has now accepted; None if it is unknown or was rejected."""
+        operation = self.pending.get(response.number)
+        if operation is None or operation.task != response.task or not response.is_accepted:
             return None
-        return self._pop(told.number)
-
-    def drop(self, duty: str, id: str | None = None) -> None:
-        """The duty is another's, or one act of it has no need any more."""
-        gone = [n for n, act in self.pending.items() if act.duty == duty and id in (None, act.id)]
-        for number in gone:
-            self._pop(number)
-
-    def _pop(self, number: int) -> Pending:
-        act = self.pending.pop(number)
-        self.waiting[act.duty, act.id] -= 1
-        if not self.waiting[act.duty, act.id]:
-            del self.waiting[act.duty, act.id]
-        return act
+        return self._remove(response.number)
+
+    def cancel(self, task: str, operation_id: str | None = None) -> None:
+        """Drops one operation of a task, or all of them if `operation_id` is None."""
+        cancelled = [
+            number
+            for number, operation in self.pending.items()
+            if operation.task == task and operation_id in (None, operation.operation_id)
+        ]
+        for number in cancelled:
+            self._remove(number)
+
+    def _remove(self, number: int) -> PendingOperation:
+        operation = self.pending.pop(number)
+        slot = (operation.task, operation.operation_id)
+        self._pending_resources[slot] -= 1
+        if not self._pending_resources[slot]:
+            del self._pending_resources[slot]
+        return operation
--- a/gladewalk/leases/fleet_report.py
+++ b/gladewalk/leases/fleet_report.py
@@ -1,9 +1,8 @@
-"""The fleet's report: what every director counts, gathered by whoever holds the duty. No I/O.
+"""The fleet's report: every director's counts, put together by the holder of the report lease.
 
-Each director tells all others its counts now and then; the holder of the duty puts the latest of each into
-one report. A director that was not heard for `stale_ms` is named as missing, and its last counts stay in the
-totals: what was served was served. A director that starts again counts from 0 under another run; what its
-earlier runs had counted is added, as far as this director heard of it.
+Each director sends all others its counts periodically. A director that was not heard for `stale_after_ms` is
+listed as missing, and its last counts stay in the totals. A director that restarts counts from 0 under a
+higher incarnation; the counts of its earlier incarnations are added as far as they were received. No I/O.
 """
 
 from __future__ import annotations
@@ -13,71 +12,111 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from .messages import BODY_MOST, Figures
+from .messages import MAX_BODY_BYTES, DirectorMetrics
 
-ROW_MOST = 120  # bytes of one director's row, at most; how many fit into an act follows from it
-HEAD_MOST = 400
+MAX_ROW_BYTES = 120  # of one director; the number of rows in an operation follows from it
+MAX_HEADER_BYTES = 400
+MAX_NAMED_MISSING = 8
 
 
 @dataclass(slots=True)
-class Known:
-    figures: Figures
-    at_ms: float  # heard, on this director's clock
-    before: Counter[str] = field(default_factory=Counter)  # of earlier runs
+class DirectorRecord:
+    """The latest metrics of one director."""
+
+    metrics: DirectorMetrics
+    received_at_ms: float  # on this director's clock
+    earlier_counts: Counter[str] = field(default_factory=Counter)  # of earlier incarnations
+
+
+@dataclass(slots=True, frozen=True)
+class ReportPage:
+    """One part of a report, as the body of a fenced operation."""
+
+    operation_id: str
+    body: bytes  # JSON, `MAX_BODY_BYTES` at most
 
 
 class FleetReport:
-    """What one director knows of all; `names` are all directors."""
-
-    def __init__(self, name: str, names: tuple[str, ...], run: int, stale_ms: float,
-                 counts: Callable[[], dict[str, int]]) -> None:  # fmt: skip
-        self.name, self.names, self.run, self.stale_ms, self.counts = name, names, run, stale_ms, counts
-        self.known: dict[str, Known] = {}
-        self.numbers = 0
-
-    def own(self, now_ms: float, wall_ms: float) -> Figures:
-        figures = Figures(self.name, self.run, wall_ms, self.counts())
-        self.hear(figures, now_ms)
-        return figures
-
-    def hear(self, figures: Figures, now_ms: float) -> None:
-        """The latest of a run counts; a datagram that came late does not set a count back."""
-        if figures.name not in self.names:
+    """What one director knows of all `directors`; `read_counts` returns its own counts."""
+
+    def __init__(
+        self,
+        name: str,
+        directors: tuple[str, ...],
+        incarnation: int,
+        stale_after_ms: float,
+        read_counts: Callable[[], dict[str, int]],
+    ) -> None:
+        self.name, self.directors, self.incarnation = name, directors, incarnation
+        self.others = tuple(director for director in directors if director != name)
+        self.stale_after_ms, self.read_counts = stale_after_ms, read_counts
+        self.records: dict[str, DirectorRecord] = {}
+        self._report_count = 0
+
+    def record_own(self, now_ms: float, wall_ms: float) -> DirectorMetrics:
+        """Records this director's counts and returns them for the others."""
+        metrics = DirectorMetrics(self.name, self.incarnation, wall_ms, self.read_counts())
+        self.record(metrics, now_ms)
+        return metrics
+
+    def record(self, metrics: DirectorMetrics, now_ms: float) -> None:
+        """Records a director's counts; a datagram that arrives late does not set a count back."""
+        if metrics.director not in self.directors:
+            return
+        record = self.records.get(metrics.director)
+        if record is None:
+            self.records[metrics.director] = DirectorRecord(metrics, now_ms)
+            return
+        latest = record.metrics
+        if metrics.incarnation > latest.incarnation:
+            record.earlier_counts.update(latest.counts)
+        elif metrics.incarnation < latest.incarnation or metrics.recorded_at_ms < latest.recorded_at_ms:
             return
-        known = self.known.get(figures.name)
-        if known is None:
-            self.known[figures.name] = Known(figures, now_ms)
-        elif figures.run > known.figures.run:
-            known.before.update(known.figures.counts)
-            known.figures, known.at_ms = figures, now_ms
-        elif figures.run == known.figures.run and figures.at_ms >= known.figures.at_ms:
-            known.figures, known.at_ms = figures, now_ms
+        record.metrics, record.received_at_ms = metrics, now_ms
 
     def totals(self) -> dict[str, int]:
+        """Returns the sum of all directors' counts, in the order of their names."""
         total: Counter[str] = Counter()
-        for known in self.known.values():
-            total.update(known.before)
-            total.update(known.figures.counts)
+        for record in self.records.values():
+            total.update(record.earlier_counts)
+            total.update(record.metrics.counts)
         return dict(sorted(total.items()))
 
     def missing(self, now_ms: float) -> list[str]:
-        heard = {name for name, known in self.known.items() if now_ms - known.at_ms <= self.stale_ms}
-        return [name for name in self.names if name not in heard]
-
-    def parts(self, now_ms: float, wall_ms: float) -> list[tuple[str, bytes]]:
-        """The report as acts: an id and a body each, no body over `BODY_MOST` bytes."""
-        self.numbers += 1
-        missing, all_of_them = self.missing(now_ms), len(self.names)
-        rows = [{"name": name, "age_ms": round(now_ms - self.known[name].at_ms),
-                 "served": self.known[name].figures.counts.get("served", 0)}
-                for name in self.names if name in self.known]  # fmt: skip
-        head = {"at_ms": round(wall_ms), "directors": all_of_them, "heard": all_of_them - len(missing),
-                "missing": missing[:8], "totals": self.totals()}  # fmt: skip
-        size = max(1, (BODY_MOST - HEAD_MOST) // ROW_MOST)
-        pages = [rows[i : i + size] for i in range(0, len(rows), size)] or [[]]
-        told = []
-        for part, page in enumerate(pages):
-            body = {"part": part, "parts": len(pages), "rows": page, **(head if part == 0 else {})}
-            data = json.dumps(body, separators=(",", ":")).encode()
-            told.append((f"{self.run}-{self.numbers}-{part}", data[:BODY_MOST]))
-        return told
+        """Returns the directors that were not heard lately."""
+        heard = {
+            name
+            for name, record in self.records.items()
+            if now_ms - record.received_at_ms <= self.stale_after_ms
+        }
+        return [name for name in self.directors if name not in heard]
+
+    def build(self, now_ms: float, wall_ms: float) -> list[ReportPage]:
+        """Returns the report in pages, each small enough for one fenced operation."""
+        self._report_count += 1
+        rows = [self._row(name, now_ms) for name in self.directors if name in self.records]
+        rows_per_page = max(1, (MAX_BODY_BYTES - MAX_HEADER_BYTES) // MAX_ROW_BYTES)
+        pages = [rows[first : first + rows_per_page] for first in range(0, len(rows), rows_per_page)]
+        built = []
+        for part, page in enumerate(pages or [[]]):
+            header = self._header(now_ms, wall_ms) if part == 0 else {}
+            content = {"part": part, "parts": len(pages) or 1, "rows": page, **header}
+            body = json.dumps(content, separators=(",", ":")).encode()
+            operation_id = f"{self.incarnation}-{self._report_count}-{part}"
+            built.append(ReportPage(operation_id, body[:MAX_BODY_BYTES]))
+        return built
+
+    def _row(self, director: str, now_ms: float) -> dict[str, object]:
+        record = self.records[director]
+        age_ms = round(now_ms - record.received_at_ms)
+        return {"name": director, "age_ms": age_ms, "served": record.metrics.counts.get("served", 0)}
+
+    def _header(self, now_ms: float, wall_ms: float) -> dict[str, object]:
+        missing, director_count = self.missing(now_ms), len(self.directors)
+        return {
+            "at_ms": round(wall_ms),
+            "directors": director_count,
+            "heard": director_count - len(missing),
+            "missing": missing[:MAX_NAMED_MISSING],
+            "totals": self.totals(),
+        }
--- a/gladewalk/leases/holder_tasks.py
+++ b/gladewalk/leases/holder_tasks.py
@@ -1,125 +1,166 @@
-"""What a director does under the duties that it holds: purges, the fleet's report, bare acts. No I/O.
+"""What a director does while it holds leases: forwards purges, writes the fleet report, announces tokens.
 
-    purge    an operator's orders, forwarded to every hub cache (`orders.py`)
-    report   the fleet's figures, gathered and written to the collector (`report.py`)
-    others   no more than the token, for a worker of one's own that waits for it at its sink
+    purge    an operator's requests, forwarded to every hub cache (`purge_requests.py`)
+    report   the fleet's metrics, written to the collector (`fleet_report.py`)
+    others   the token alone, for a worker that waits for it at its resource
 
-`tick` reads each duty's token just before what is sent under it, and everything goes with that token.
+`tick` reads each task's token just before what is sent under it, and everything goes with that token. No I/O.
 """
 
 from __future__ import annotations
 
-from .candidate import Candidate
-from .fenced_operations import Acts
+from .candidate import LeaseCandidate
+from .fenced_operations import FencedOperationQueue
 from .fleet_report import FleetReport
-from .messages import Acked, Figures, Finished, Kept, Message, Open, Order, Wanted
-from .outputs import Out, Send
-from .purge_requests import Orders
+from .messages import (
+    Completed,
+    DirectorMetrics,
+    Message,
+    OperationResponse,
+    PurgeRequest,
+    Replicated,
+    SyncRequest,
+    SyncResponse,
+)
+from .outputs import Output, Send
+from .purge_requests import PurgeRejectedError, PurgeRequests
 
-PURGE, REPORT = "purge", "report"
+PURGE_TASK, REPORT_TASK = "purge", "report"
 
 
-class Works:
-    """`orders` and `report` are None where that duty is off."""
+class LeaseHolderTasks:
+    """One director's tasks; `purges` and `report` are None where that task is off."""
 
     def __init__(
-        self, candidate: Candidate, acts: Acts, orders: Orders | None, report: FleetReport | None,
-        act_ms: float, report_ms: float, now_ms: float,
-    ) -> None:  # fmt: skip
-        self.candidate, self.acts, self.orders, self.report = candidate, acts, orders, report
-        self.act_ms, self.report_ms = act_ms, report_ms
-        self.next_act_ms = self.next_report_ms = now_ms
-        self.held: dict[str, int] = {}  # the duties that were held at the last tick, under which token
-
-    def receive(self, message: Message, now_ms: float) -> list[Out]:
-        orders = self.orders
-        if isinstance(message, Acked):
-            return self._acked(message, now_ms)
-        if isinstance(message, Figures):
-            if self.report is not None:
-                self.report.hear(message, now_ms)
-            return []
-        if orders is None:
-            return []
-        if isinstance(message, Order):
-            return orders.order(message)
-        if isinstance(message, Kept):
-            orders.kept(message)
-            return []
-        if isinstance(message, Finished):
-            self.acts.drop(PURGE, message.id)
-            return orders.finished(message)
-        if isinstance(message, Wanted):
-            return orders.wanted(message)
-        return orders.opened(message, now_ms) if isinstance(message, Open) else []
-
-    def tick(self, now_ms: float, wall_ms: float) -> list[Out]:
-        out: list[Out] = [] if self.orders is None else self.orders.tick(now_ms)
-        bare, reporting = now_ms >= self.next_act_ms, now_ms >= self.next_report_ms
-        if bare:
-            self.next_act_ms = now_ms + self.act_ms
-        if reporting and self.report is not None:
-            self.next_report_ms = now_ms + self.report_ms
-            mine = self.report.own(now_ms, wall_ms)
-            out += [Send(peer, mine) for peer in self.report.names if peer != self.report.name]
-        for duty in self.candidate.duties:
-            token = self.candidate.token(duty, now_ms)
+        self,
+        candidate: LeaseCandidate,
+        operations: FencedOperationQueue,
+        purges: PurgeRequests | None,
+        report: FleetReport | None,
+        announce_interval_ms: float,
+        report_interval_ms: float,
+        now_ms: float,
+    ) -> None:
+        self.candidate, self.operations, self.purges, self.report = candidate, operations, purges, report
+        self.announce_interval_ms, self.report_interval_ms = announce_interval_ms, report_interval_ms
+        self.next_announcement_ms = self.next_report_ms = now_ms
+        self.held_tokens: dict[str, int] = {}  # by task, at the last tick
+
+    def handle(self, message: Message, now_ms: float) -> list[Output]:
+        """Handles any message that is not an election message."""
+        match message:
+            case OperationResponse():
+                return self._handle_response(message, now_ms)
+            case DirectorMetrics():
+                if self.report is not None:
+                    self.report.record(message, now_ms)
+                return []
+            case _:
+                return [] if self.purges is None else self._handle_purge_message(self.purges, message, now_ms)
+
+    def tick(self, now_ms: float, wall_ms: float) -> list[Output]:
+        """Does what is due for every task, under the token that is held at this moment."""
+        outputs: list[Output] = [] if self.purges is None else self.purges.tick(now_ms)
+        is_announcing = now_ms >= self.next_announcement_ms
+        if is_announcing:
+            self.next_announcement_ms = now_ms + self.announce_interval_ms
+        is_reporting = self.report is not None and now_ms >= self.next_report_ms
+        if is_reporting:
+            self.next_report_ms = now_ms + self.report_interval_ms
+            outputs += self._share_metrics(now_ms, wall_ms)
+        for task in self.candidate.leases:
+            token = self.candidate.token(task, now_ms)
             if token is None:
-                if self.held.pop(duty, None) is not None:
-                    self._let_go(duty)
+                self._note_lost(task)
                 continue
-            newly = self.held.get(duty) != token
-            self.held[duty] = token
-            if bare or newly:  # a new holder raises every sink's fence before it does anything
-                out += self.acts.bare(duty, token, wall_ms)
-            if duty == PURGE and self.orders is not None:
-                out += self._forward(now_ms)
-            if duty == REPORT and self.report is not None and reporting:
-                self.acts.drop(REPORT)  # an older report that nobody took: the new one says it all
-                for id, body in self.report.parts(now_ms, wall_ms):
-                    self.acts.do(REPORT, id, body, now_ms)
-            out += self.acts.due(duty, token, now_ms, wall_ms)
-        return out
+            is_new = self.held_tokens.get(task) != token
+            self.held_tokens[task] = token
+            if is_announcing or is_new:  # a new holder raises every fence before it does anything
+                outputs += self.operations.announce_token(task, token, wall_ms)
+            if task == PURGE_TASK:
+                outputs += self._forward_purges(now_ms)
+            if task == REPORT_TASK and is_reporting:
+                self._write_report(now_ms, wall_ms)
+            outputs += self.operations.take_due(task, token, now_ms, wall_ms)
+        return outputs
 
     def next_due_ms(self, now_ms: float) -> float:
-        due = self.next_act_ms
+        """Returns when `tick` has something to do at the latest; not before `now_ms`."""
+        due_ms = self.next_announcement_ms
         if self.report is not None:
-            due = min(due, self.next_report_ms)
-        if self.orders is not None:
-            due = min(due, self.orders.next_due_ms())
-        for duty in self.held:
-            due = min(due, self.acts.next_due_ms(duty))
-        return max(due, now_ms)
-
-    def _forward(self, now_ms: float) -> list[Out]:
-        assert self.orders is not None
-        for order in self.orders.to_do():
-            if not self.acts.waits(PURGE, order.id):
-                self.acts.do(PURGE, order.id, order.what.encode(), now_ms)
-        return self.orders.hold(now_ms)
-
-    def _acked(self, told: Acked, now_ms: float) -> list[Out]:
-        if not told.accepted:
-            return self.candidate.fenced(told.duty, told.token, told.highest, now_ms)
-        act = self.acts.acked(told)
-        if act is None or act.duty != PURGE or self.orders is None:
+            due_ms = min(due_ms, self.next_report_ms)
+        if self.purges is not None:
+            due_ms = min(due_ms, self.purges.next_due_ms())
+        for task in self.held_tokens:
+            due_ms = min(due_ms, self.operations.next_due_ms(task))
+        return max(due_ms, now_ms)
+
+    def request_purge(self, target: str, now_ms: float, wall_ms: float) -> tuple[str, list[Output]]:
+        """Accepts an operator's purge and returns its id; raises `PurgeRejectedError` with the reason."""
+        if self.purges is None:
+            raise PurgeRejectedError("no hubs are set (leases.hubs): a purge has nowhere to go")
+        request, outputs = self.purges.create(target, now_ms, wall_ms)
+        return request.request_id, outputs
+
+    def status(self) -> dict[str, object]:
+        """Describes purges and operations for `gladewalk leases`."""
+        return {
+            "orders_open": len(self.purges.open) if self.purges is not None else 0,
+            "orders_finished": len(self.purges.completed) if self.purges is not None else 0,
+            "acts_waiting": len(self.operations.pending),
+        }
+
+    def _handle_purge_message(self, purges: PurgeRequests, message: Message, now_ms: float) -> list[Output]:
+        match message:
+            case PurgeRequest():
+                return purges.handle_request(message)
+            case Replicated():
+                purges.handle_replicated(message)
+                return []
+            case Completed():
+                self.operations.cancel(PURGE_TASK, message.request_id)
+                return purges.handle_completed(message)
+            case SyncRequest():
+                return purges.handle_sync_request(message)
+            case SyncResponse():
+                return purges.handle_sync_response(message, now_ms)
+            case _:
+                return []
+
+    def _handle_response(self, response: OperationResponse, now_ms: float) -> list[Output]:
+        if not response.is_accepted:
+            return self.candidate.handle_fencing(
+                response.task, response.token, response.highest_token, now_ms
+            )
+        operation = self.operations.handle_acceptance(response)
+        if operation is None or operation.task != PURGE_TASK or self.purges is None:
+            return []
+        return self.purges.handle_forwarded(operation.operation_id, operation.resource, response.token)
+
+    def _share_metrics(self, now_ms: float, wall_ms: float) -> list[Output]:
+        if self.report is None:
+            return []
+        own = self.report.record_own(now_ms, wall_ms)
+        return [Send(director, own) for director in self.report.others]
+
+    def _forward_purges(self, now_ms: float) -> list[Output]:
+        if self.purges is None:
             return []
-        return self.orders.taken(act.id, act.sink, told.token)
-
-    def _let_go(self, duty: str) -> None:
-        self.acts.drop(duty)
-        if duty == PURGE and self.orders is not None:
-            self.orders.let_go()
-
-    def order(self, what: str, now_ms: float, wall_ms: float) -> tuple[str, list[Out]]:
-        """An operator's purge: its id; `ValueError` where it can't be taken."""
-        if self.orders is None:
-            raise ValueError("no hubs are set (leases.hubs): a purge has nowhere to go")
-        order, out = self.orders.take(what, now_ms, wall_ms)
-        return order.id, out
-
-    def view(self) -> dict[str, object]:
-        open_orders = len(self.orders.open) if self.orders is not None else 0
-        finished = len(self.orders.done) if self.orders is not None else 0
-        waiting = len(self.acts.pending)
-        return {"orders_open": open_orders, "orders_finished": finished, "acts_waiting": waiting}
+        for request in self.purges.requests_to_forward():
+            if not self.operations.is_pending(PURGE_TASK, request.request_id):
+                self.operations.submit(PURGE_TASK, request.request_id, request.target.encode(), now_ms)
+        return self.purges.sync(now_ms)
+
+    def _write_report(self, now_ms: float, wall_ms: float) -> None:
+        if self.report is None:
+            return
+        self.operations.cancel(REPORT_TASK)  # an older report that was not accepted: this one has it all
+        for page in self.report.build(now_ms, wall_ms):
+            self.operations.submit(REPORT_TASK, page.operation_id, page.body, now_ms)
+
+    def _note_lost(self, task: str) -> None:
+        if self.held_tokens.pop(task, None) is None:
+            return
+        self.operations.cancel(task)
+        if task == PURGE_TASK and self.purges is not None:
+            self.purges.reset_forwarding()
--- a/gladewalk/leases/messages.py
+++ b/gladewalk/leases/messages.py
@@ -1,7 +1,8 @@
-"""What directors and sinks say of leases, as msgpack arrays (one datagram each, sealed as members' are).
+"""Datagrams of the lease protocol, encoded as tagged msgpack arrays.
 
-Between directors: asks and their answers, releases, an operator's orders and each director's figures. To a
-sink and back: acts with their token, and the sink's word on each.
+Directors exchange election messages, purge requests and metrics; directors and fenced resources exchange
+fenced operations and their responses. The tags and the order of fields are the wire format: neither may
+change. Each message is one datagram, sealed by `members.seal`.
 """
 
 from __future__ import annotations
@@ -11,144 +12,164 @@
 import msgspec
 from msgspec import Meta
 
-BODY_MOST = 1_024  # bytes of an act's body: a datagram holds it with its seal
-WHAT_MOST = 200  # bytes of what an order names
+MAX_BODY_BYTES = 1_024  # of a fenced operation: it fits into a datagram with its seal
+MAX_TARGET_CHARACTERS = 200  # of what a purge request names
+MAX_SYNC_REQUESTS = 8  # purge requests in one synchronisation response, at most
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Number = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 
 
-class Ask(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """A candidate asks an elector for `duty` under `term`; a holder renews so, with its own term."""
+class VoteRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Asks a voter to grant the lease of `task` under `term`; the holder renews with its own term."""
 
-    duty: str
+    task: str
     term: int
     candidate: str
-    number: int  # of the candidate's round: answers to older rounds are ignored
+    round_number: int  # answers carry it, so that those to older rounds are told apart
 
 
-class Sound(msgspec.Struct, frozen=True, array_like=True, tag=13):
-    """Would you grant me `duty`? Asked before an `Ask`, and promises nothing; the answer is a `Standing`."""
+class PreVoteRequest(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Asks whether a vote request would be granted, without binding the voter (Ongaro, 2014, section 9.6)."""
 
-    duty: str
+    task: str
     candidate: str
-    number: int
+    round_number: int
 
 
-class Grant(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    duty: str
+class VoteGranted(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """A voter's promise of `task` to `candidate` under `term`."""
+
+    task: str
     term: int
     candidate: str
-    number: int
-    elector: str
+    round_number: int
+    voter: str
 
 
-class Refuse(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """No, with what the elector knows: its highest term, who has it, for how much longer (a hint only)."""
+class VoteDenied(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """A voter's refusal, with the highest term it granted, its holder and the time left, which are hints."""
 
-    duty: str
-    number: int
-    elector: str
-    highest: int
+    task: str
+    round_number: int
+    voter: str
+    highest_term: int
     holder: str
-    left_ms: float
+    remaining_ms: float
+
 
+class PreVoteResponse(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Answer to a pre-vote; with `remaining_ms` 0 a term above `highest_term` would be granted."""
 
-class Standing(Refuse, frozen=True, array_like=True, tag=14):
-    """An elector's answer to `Sound`; `left_ms` 0: it would grant the duty to who asked, under a term above
-    `highest`."""
+    task: str
+    round_number: int
+    voter: str
+    highest_term: int
+    holder: str
+    remaining_ms: float
 
 
-class Release(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """The holder of `term` gives the duty up, to `to` if it names one; sent to every director."""
+class LeaseRelease(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The holder of `term` has stopped, in favour of `successor` if one is named; sent to every director."""
 
-    duty: str
+    task: str
     term: int
     holder: str
-    to: str = ""
+    successor: str = ""
 
 
-class Act(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Something done under a duty, at its sink. `number` 0: nothing but the token, which raises the fence."""
+class FencedOperation(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """An operation on a fenced resource; with `number` 0 it announces the token and does nothing else."""
 
-    duty: Name
+    task: Name
     token: Number
-    actor: Name
-    done_ms: float  # wall time at the actor
-    number: Number = 0  # of the actor's act: the sink's answer carries it
-    id: Annotated[str, Meta(max_length=64)] = ""  # of what is done: the same again is done once
-    body: Annotated[bytes, Meta(max_length=BODY_MOST)] = b""
+    holder: Name
+    performed_at_ms: float  # wall time at the holder
+    number: Number = 0  # of the holder's operation: the response carries it
+    operation_id: Annotated[str, Meta(max_length=64)] = ""  # idempotency key
+    body: Annotated[bytes, Meta(max_length=MAX_BODY_BYTES)] = b""
 
 
-class Acked(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """The sink's word: taken, or refused because it has accepted `highest` before."""
+class OperationResponse(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """A fenced resource's answer: accepted, or rejected since it has accepted `highest_token` before."""
 
-    duty: Name
+    task: Name
     token: Number
     number: Number
-    accepted: bool
-    highest: Number
+    is_accepted: bool
+    highest_token: Number
 
 
-class Order(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """An operator's purge, from the director that took it to every other, until each has said `Kept`."""
+class PurgeRequest(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """An operator's purge, sent by the director that received it until every other has replicated it."""
 
-    id: Name
-    what: Annotated[str, Meta(min_length=1, max_length=WHAT_MOST)]
-    by: Name
-    at_ms: float  # wall time at which it was given
+    request_id: Name
+    target: Annotated[str, Meta(min_length=1, max_length=MAX_TARGET_CHARACTERS)]
+    received_by: Name
+    received_at_ms: float  # wall time
 
 
-class Kept(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """The order lasts at `keeper`, over its restart too."""
+class Replicated(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """The purge request is durable at `replica`."""
 
-    id: Name
-    keeper: Name
+    request_id: Name
+    replica: Name
 
 
-class Finished(msgspec.Struct, frozen=True, array_like=True, tag=9):
-    """Every hub has taken this order under `token`: it need not be kept any more."""
+class Completed(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Every hub cache has accepted the purge request under `token`: replicas may delete it."""
 
-    id: Name
+    request_id: Name
     token: Number
 
 
-class Wanted(msgspec.Struct, frozen=True, array_like=True, tag=10):
-    """A holder asks for the open orders whose ids come after `after`."""
+class SyncRequest(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """The lease holder asks a replica for its open purge requests with ids above `after_id`."""
 
-    asker: Name
-    number: Number
-    after: Annotated[str, Meta(max_length=64)] = ""
+    requester: Name
+    round_number: Number
+    after_id: Annotated[str, Meta(max_length=64)] = ""
 
 
-class Open(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """Some of the open orders, in the order of their ids; `more`: there are further ones."""
+class SyncResponse(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """One page of a replica's open purge requests in the order of their ids."""
 
-    keeper: Name
-    number: Number
-    orders: Annotated[list[Order], Meta(max_length=8)]
-    more: bool = False
+    replica: Name
+    round_number: Number
+    requests: Annotated[list[PurgeRequest], Meta(max_length=MAX_SYNC_REQUESTS)]
+    has_more: bool = False
 
 
-class Figures(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """One director's counts since its start, for the fleet's report."""
+class DirectorMetrics(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """One director's counts since its start, for the fleet report."""
 
-    name: Name
-    run: Number
-    at_ms: float
+    director: Name
+    incarnation: Number
+    recorded_at_ms: float  # wall time
     counts: Annotated[dict[Annotated[str, Meta(max_length=32)], int], Meta(max_length=16)]
 
 
-Vote = Ask | Sound | Grant | Refuse | Standing | Release
-Message = Vote | Act | Acked | Order | Kept | Finished | Wanted | Open | Figures
+ElectionMessage = VoteRequest | PreVoteRequest | VoteGranted | VoteDenied | PreVoteResponse | LeaseRelease
+Message = (
+    ElectionMessage
+    | FencedOperation
+    | OperationResponse
+    | PurgeRequest
+    | Replicated
+    | Completed
+    | SyncRequest
+    | SyncResponse
+    | DirectorMetrics
+)
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
 
 
 def encode(message: Message) -> bytes:
+    """Encodes a message as the payload of one datagram."""
     return _encoder.encode(message)
 
 
-def decode(data: bytes) -> Message:
-    """`msgspec.DecodeError` (a ValueError) for what is no message."""
-    message: Message = _decoder.decode(data)
+def decode(payload: bytes) -> Message:
+    """Decodes a payload; raises `msgspec.DecodeError` or `ValueError` for anything that is no message."""
+    message: Message = _decoder.decode(payload)
     return message
--- a/gladewalk/leases/outputs.py
+++ b/gladewalk/leases/outputs.py
@@ -1,61 +1,85 @@
-"""What the lease core asks its driver to do: sends, saves with what may follow them, events for the log."""
+"""What the lease state machines ask their driver to do: send, persist, and log an event."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from enum import Enum
 
 import msgspec
 
 from .messages import Message
 
-GRANTS, ORDERS = "grant", "order"  # the spaces of the embedded store that leases use
+GRANT_SPACE, PURGE_SPACE = "grant", "order"  # key spaces of the embedded store
 
 
-class Granted(msgspec.Struct, frozen=True, array_like=True):
-    """What an elector must not forget of a duty (its key): the highest term granted, and to whom."""
+class GrantRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Stored row of a voter, keyed by task: the highest term that it granted, and to whom."""
 
     term: int
     holder: str
 
 
 _encoder = msgspec.msgpack.Encoder()
-_granted = msgspec.msgpack.Decoder(Granted)
+_grant_decoder = msgspec.msgpack.Decoder(GrantRecord)
 
 
-def pack(value: msgspec.Struct) -> bytes:
-    return _encoder.encode(value)
+def encode_row(record: msgspec.Struct) -> bytes:
+    """Encodes a record as a stored row."""
+    return _encoder.encode(record)
 
 
-def granted_of(row: bytes) -> Granted:
-    """`msgspec.DecodeError` for what is none."""
-    granted: Granted = _granted.decode(row)
-    return granted
+def decode_grant(row: bytes) -> GrantRecord:
+    """Decodes a stored grant; raises `msgspec.MsgspecError` for any other row."""
+    record: GrantRecord = _grant_decoder.decode(row)
+    return record
+
+
+class EventKind(Enum):
+    """Events of leases and purge requests; each value is the name of its log event."""
+
+    GRANTED = "lease_granted"
+    REFUSED = "lease_refused"
+    WON = "lease_won"
+    RAISED = "lease_raised"
+    EXPIRED = "lease_expired"
+    RELEASED = "lease_released"
+    FENCED = "lease_fenced"
+    PURGE_RECEIVED = "lease_ordered"
+    PURGE_REFUSED = "lease_order_refused"
+    PURGE_COMPLETED = "lease_forwarded"
+
+    @property
+    def counter(self) -> str:
+        """Name of the counter that counts this kind."""
+        return "leases." + self.value.removeprefix("lease_")
 
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    to: str  # a director's name, or a sink's ("@duty/n"); where it is dialled is the driver's business
+    """Send a message; the driver knows the recipient's address."""
+
+    recipient: str  # a director's name, or a fenced resource's ("@task/index")
     message: Message
 
 
 @dataclass(slots=True, frozen=True)
-class Event:
-    """For the log: granted, refused, won, raised, expired, released, fenced, and what befalls orders."""
+class LeaseEvent:
+    """Log and count an event."""
 
-    kind: str
-    duty: str
-    term: int
-    who: str
+    kind: EventKind
+    subject: str  # a task, or the id of a purge request
+    term: int  # 0 for purge requests that are not completed
+    director: str
 
 
 @dataclass(slots=True, frozen=True)
 class Save:
-    """Make a row durable (None: take it out); `then` is done once it lasts, and never if it does not."""
+    """Write a row, or delete it if `value` is None; `on_durable` is carried out once that is durable."""
 
     space: str
     key: str
     value: bytes | None
-    then: tuple[Out, ...] = field(default=())
+    on_durable: tuple[Output, ...] = ()
 
 
-Out = Send | Save | Event
+Output = Send | Save | LeaseEvent
--- a/gladewalk/leases/purge_requests.py
+++ b/gladewalk/leases/purge_requests.py
@@ -1,10 +1,10 @@
-"""An operator's purges on their way to every hub cache, whoever holds the duty meanwhile. No I/O.
+"""Replicated purge requests: each reaches every hub cache, whichever director holds the purge lease.
 
-An order is told to every director and kept by each in its store; the operator has its acknowledgement once a
-majority keeps it. Who holds the duty asks all for their open orders and forwards what it learns: a majority
-that answers shares a director with the majority that kept, so no acknowledged order is missed, whoever has
-died. Forwarding is done at least once: a purge done twice harms nobody, and hubs know an order by its id.
-Once every hub has taken it, it is finished: told to all, and kept no more.
+A request is sent to every director and made durable by each; it is acknowledged to the operator once a
+majority has it. The lease holder synchronises with the others and forwards what it learns: a majority that
+answers shares a director with the majority that replicated, so no acknowledged request is missed, whichever
+directors have failed. Hub caches get a request at least once and recognise it by its id. Once all of them
+have accepted it, it is completed: every director is told and deletes it. No I/O.
 """
 
 from __future__ import annotations
@@ -13,194 +13,256 @@
 import random
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from enum import Enum
 
 import msgspec
 
 from .configuration import majority
-from .messages import WHAT_MOST, Finished, Kept, Open, Order, Wanted
-from .outputs import ORDERS, Event, Out, Save, Send, pack
+from .messages import (
+    MAX_TARGET_CHARACTERS,
+    Completed,
+    PurgeRequest,
+    Replicated,
+    SyncRequest,
+    SyncResponse,
+)
+from .outputs import PURGE_SPACE, EventKind, LeaseEvent, Output, Save, Send, encode_row
 
-TELL_MS = 200.0  # until who has not said that it keeps an order is told again
-TELL_MOST_MS = 10_000.0  # the longest wait between two tellings
-SYNC_MS = 250.0  # until a round of asking for open orders that has no majority yet is asked again
-RESYNC_MS = 2_000.0  # a holder asks anew, for orders whose telling was lost
-PAGE = 4  # orders in a datagram
-WINDOW = 64  # orders on their way to the hubs at a time
-OPEN_MOST = 4_096  # open orders: further ones are refused
-DONE_KEPT = 8_192  # finished ones remembered, so that what comes late does not open them again
+INITIAL_BACKOFF_MS = 200.0  # until a director that has not replicated a request is sent it again
+MAX_BACKOFF_MS = 10_000.0
+SYNC_TIMEOUT_MS = 250.0  # a synchronisation without a majority by then begins anew
+SYNC_INTERVAL_MS = 2_000.0  # between synchronisations of a holder, for requests whose replication was lost
+SYNC_PAGE_SIZE = 4  # requests in a datagram
+MAX_FORWARDED_REQUESTS = 64  # on their way to the hub caches at a time
+MAX_OPEN_REQUESTS = 4_096  # further ones are rejected
+MAX_REMEMBERED_COMPLETIONS = 8_192  # late messages of a completed request do not open it again
+
+
+class PurgeRejectedError(ValueError):
+    """A purge that cannot be accepted; its text is meant for the operator."""
+
+
+class PurgeState(Enum):
+    """How far a request is, as `gladewalk purge` is told."""
+
+    OPEN = "open"
+    COMPLETED = "finished"
+    UNKNOWN = "unknown"
 
 
 @dataclass(slots=True)
-class Held:
-    """An open order and who is known to keep it; told again at `due_ms` if this director took it."""
+class OpenRequest:
+    """A request that is not completed, and which directors and hub caches are known to have it."""
 
-    order: Order
-    keepers: set[str] = field(default_factory=set)
-    due_ms: float = float("inf")
-    wait_ms: float = TELL_MS
-    took: set[str] = field(default_factory=set)  # the sinks that have taken it from this holder
+    request: PurgeRequest
+    replicas: set[str] = field(default_factory=set)
+    due_at_ms: float = float("inf")  # when it is sent again, at the director that received it
+    backoff_ms: float = INITIAL_BACKOFF_MS
+    accepted_by: set[str] = field(default_factory=set)  # hub caches, from this holder
 
 
 @dataclass(slots=True)
-class Syncing:
+class SyncRound:
+    """A holder's synchronisation under way."""
+
     number: int
-    due_ms: float
-    whole: set[str] = field(default_factory=set)  # who has told all of its open orders
+    due_at_ms: float
+    complete_replicas: set[str] = field(default_factory=set)  # that have sent their last page
 
 
-class Orders:
-    """One director's; `peers` are all directors by name, this one among them."""
+class PurgeRequests:
+    """One director's requests; `directors` are all by name, this one among them, `hubs` the hub caches."""
 
     def __init__(
-        self, name: str, peers: tuple[str, ...], sinks: tuple[str, ...], rng: random.Random,
+        self,
+        name: str,
+        directors: tuple[str, ...],
+        hubs: tuple[str, ...],
+        rng: random.Random,
         restored: dict[str, bytes],
-    ) -> None:  # fmt: skip
-        self.name, self.peers, self.sinks, self.random = name, peers, sinks, rng
-        self.need = majority(len(peers))
-        self.open: dict[str, Held] = {}
-        self.done: OrderedDict[str, int] = OrderedDict()  # id -> token it was finished under
-        self.syncing: Syncing | None = None
-        self.synced_ms = float("-inf")  # when a majority had last told all of its open orders
-        self.numbers = 0
-        decoder = msgspec.msgpack.Decoder(Order)
-        for row in restored.values():
+    ) -> None:
+        self.name, self.hubs, self.random = name, hubs, rng
+        self.directors = directors
+        self.others = tuple(director for director in directors if director != name)
+        self.needed_replicas = majority(len(directors))
+        self.open: dict[str, OpenRequest] = {}
+        self.completed: OrderedDict[str, int] = OrderedDict()  # id -> token it was completed under
+        self.sync_round: SyncRound | None = None
+        self.synced_at_ms = float("-inf")
+        self._last_sync_number = 0
+        self._restore(restored)
+
+    def _restore(self, rows: dict[str, bytes]) -> None:
+        decoder = msgspec.msgpack.Decoder(PurgeRequest)
+        for row in rows.values():
             try:
-                order = decoder.decode(row)
-            except msgspec.MsgspecError:
+                request = decoder.decode(row)
+            except msgspec.MsgspecError:  # not written by this software: nothing to forward
                 continue
-            self.open[order.id] = Held(order, {name})
+            self.open[request.request_id] = OpenRequest(request, {self.name})
 
     # At the director that an operator asks.
 
-    def take(self, what: str, now_ms: float, wall_ms: float) -> tuple[Order, list[Out]]:
-        """A new order and what follows; `ValueError` says why there can be none."""
-        if not 0 < len(what) <= WHAT_MOST or not what.isprintable():
-            raise ValueError(f"a purge names 1 to {WHAT_MOST} printable characters")
-        if len(self.open) >= OPEN_MOST:
-            raise ValueError(f"{OPEN_MOST} orders are open already: the hubs do not take them")
-        order = Order(f"{self.random.getrandbits(64):016x}", what, self.name, wall_ms)
-        held = self.open[order.id] = Held(order, due_ms=now_ms)
-        return order, [self._save(held), Event("ordered", order.id, 0, self.name)]
-
-    def status(self, id: str) -> dict[str, object]:
-        """Of one order: who keeps it, and under which token it was finished (0: not yet)."""
-        held = self.open.get(id)
-        if held is not None:
-            keepers, state = sorted(held.keepers), "open"
+    def create(self, target: str, now_ms: float, wall_ms: float) -> tuple[PurgeRequest, list[Output]]:
+        """Accepts an operator's purge; raises `PurgeRejectedError` if it cannot be accepted."""
+        if not 0 < len(target) <= MAX_TARGET_CHARACTERS or not target.isprintable():
+            raise PurgeRejectedError(f"a purge names 1 to {MAX_TARGET_CHARACTERS} printable characters")
+        if len(self.open) >= MAX_OPEN_REQUESTS:
+            raise PurgeRejectedError(
+                f"{MAX_OPEN_REQUESTS} orders are open already: the hubs do not take them"
+            )
+        request = PurgeRequest(f"{self.random.getrandbits(64):016x}", target, self.name, wall_ms)
+        entry = self.open[request.request_id] = OpenRequest(request, due_at_ms=now_ms)
+        event = LeaseEvent(EventKind.PURGE_RECEIVED, request.request_id, 0, self.name)
+        return request, [self._save(entry), event]
+
+    def status(self, request_id: str) -> dict[str, object]:
+        """Describes one request for `gladewalk purge`; token 0: not completed."""
+        entry = self.open.get(request_id)
+        replicas = sorted(entry.replicas) if entry is not None else []
+        if entry is not None:
+            state = PurgeState.OPEN
+        elif request_id in self.completed:
+            state = PurgeState.COMPLETED
         else:
-            keepers, state = [], "finished" if id in self.done else "unknown"
-        return {"id": id, "state": state, "keepers": keepers, "token": self.done.get(id, 0),
-                "acknowledged": state == "finished" or len(keepers) >= self.need}  # fmt: skip
+            state = PurgeState.UNKNOWN
+        return {
+            "id": request_id,
+            "state": state.value,
+            "keepers": replicas,
+            "token": self.completed.get(request_id, 0),
+            "acknowledged": state is PurgeState.COMPLETED or len(replicas) >= self.needed_replicas,
+        }
 
     # At every director.
 
-    def order(self, told: Order) -> list[Out]:
-        if told.id in self.done:
-            return [Send(told.by, Finished(told.id, self.done[told.id]))]
-        held = self.open.get(told.id)
-        if held is not None and self.name in held.keepers:
-            return [Send(told.by, Kept(told.id, self.name))]
-        if held is None:
-            if len(self.open) >= OPEN_MOST:
-                return [Event("order_refused", told.id, 0, told.by)]
-            held = self.open[told.id] = Held(told)
-        return [self._save(held, Send(told.by, Kept(told.id, self.name)))]
-
-    def saved(self, id: str) -> None:
-        """A save of an order now lasts here."""
-        if id in self.open:
-            self.open[id].keepers.add(self.name)
-
-    def kept(self, told: Kept) -> None:
-        if told.id in self.open and told.keeper in self.peers:
-            self.open[told.id].keepers.add(told.keeper)
-
-    def finished(self, told: Finished) -> list[Out]:
-        if told.id in self.done:
+    def handle_request(self, request: PurgeRequest) -> list[Output]:
+        """Replicates a request; tells its sender if it is replicated or completed already."""
+        request_id, sender = request.request_id, request.received_by
+        if request_id in self.completed:
+            return [Send(sender, Completed(request_id, self.completed[request_id]))]
+        entry = self.open.get(request_id)
+        replicated = Send(sender, Replicated(request_id, self.name))
+        if entry is not None and self.name in entry.replicas:
+            return [replicated]
+        if entry is None:
+            if len(self.open) >= MAX_OPEN_REQUESTS:
+                return [LeaseEvent(EventKind.PURGE_REFUSED, request_id, 0, sender)]
+            entry = self.open[request_id] = OpenRequest(request)
+        return [self._save(entry, replicated)]
+
+    def mark_durable(self, request_id: str) -> None:
+        """Notes that a row which this director asked to save is durable."""
+        if request_id in self.open:
+            self.open[request_id].replicas.add(self.name)
+
+    def handle_replicated(self, message: Replicated) -> None:
+        """Notes that another director has the request."""
+        if message.request_id in self.open and message.replica in self.directors:
+            self.open[message.request_id].replicas.add(message.replica)
+
+    def handle_completed(self, message: Completed) -> list[Output]:
+        """Deletes a request that every hub cache has accepted."""
+        if message.request_id in self.completed:
             return []
-        self.done[told.id] = told.token
-        while len(self.done) > DONE_KEPT:
-            self.done.popitem(last=False)
-        if self.open.pop(told.id, None) is None:
+        self.completed[message.request_id] = message.token
+        while len(self.completed) > MAX_REMEMBERED_COMPLETIONS:
+            self.completed.popitem(last=False)
+        if self.open.pop(message.request_id, None) is None:
             return []
-        return [Save(ORDERS, told.id, None), Event("forwarded", told.id, told.token, self.name)]
-
-    def wanted(self, told: Wanted) -> list[Out]:
-        ids = sorted(id for id, held in self.open.items() if id > told.after and self.name in held.keepers)
-        page = [self.open[id].order for id in ids[:PAGE]]
-        return [Send(told.asker, Open(self.name, told.number, page, len(ids) > PAGE))]
+        event = LeaseEvent(EventKind.PURGE_COMPLETED, message.request_id, message.token, self.name)
+        return [Save(PURGE_SPACE, message.request_id, None), event]
+
+    def handle_sync_request(self, message: SyncRequest) -> list[Output]:
+        """Answers a holder with one page of the requests that are durable here."""
+        ids = sorted(
+            request_id
+            for request_id, entry in self.open.items()
+            if request_id > message.after_id and self.name in entry.replicas
+        )
+        page = [self.open[request_id].request for request_id in ids[:SYNC_PAGE_SIZE]]
+        has_more = len(ids) > SYNC_PAGE_SIZE
+        return [Send(message.requester, SyncResponse(self.name, message.round_number, page, has_more))]
 
     # At the holder.
 
-    def opened(self, told: Open, now_ms: float) -> list[Out]:
-        """Another's open orders, in answer to a holder."""
-        out: list[Out] = []
-        for order in told.orders:
-            if order.id in self.done:  # it missed the end of this one
-                out.append(Send(told.keeper, Finished(order.id, self.done[order.id])))
+    def handle_sync_response(self, response: SyncResponse, now_ms: float) -> list[Output]:
+        """Replicates the requests of a page and asks for the next one, if there is any."""
+        outputs: list[Output] = []
+        for request in response.requests:
+            request_id = request.request_id
+            if request_id in self.completed:  # the replica missed the completion
+                outputs.append(Send(response.replica, Completed(request_id, self.completed[request_id])))
             else:
-                out += [a for a in self.order(order) if not isinstance(a, Send)]
-                self.kept(Kept(order.id, told.keeper))
-        if self.syncing is not None and told.number == self.syncing.number:
-            if told.more:
-                out.append(Send(told.keeper, Wanted(self.name, told.number, told.orders[-1].id)))
-            elif told.keeper in self.peers:
-                self.syncing.whole.add(told.keeper)
-                if len(self.syncing.whole) >= self.need:
-                    self.syncing, self.synced_ms = None, now_ms
-        return out
-
-    def hold(self, now_ms: float) -> list[Out]:
-        """While the duty is held here: ask for what others keep, first at once and then now and then."""
-        if self.syncing is None and now_ms < self.synced_ms + RESYNC_MS:
+                # One that is replicated here already needs no further answer to its sender.
+                outputs += [out for out in self.handle_request(request) if not isinstance(out, Send)]
+                self.handle_replicated(Replicated(request_id, response.replica))
+        if self.sync_round is None or response.round_number != self.sync_round.number:
+            return outputs
+        if response.has_more:
+            after_id = response.requests[-1].request_id
+            next_page = SyncRequest(self.name, response.round_number, after_id)
+            outputs.append(Send(response.replica, next_page))
+        elif response.replica in self.directors:
+            self.sync_round.complete_replicas.add(response.replica)
+            if len(self.sync_round.complete_replicas) >= self.needed_replicas:
+                self.sync_round, self.synced_at_ms = None, now_ms
+        return outputs
+
+    def sync(self, now_ms: float) -> list[Output]:
+        """While the lease is held here: begins a synchronisation if one is due, at once after it was won."""
+        if self.sync_round is None and now_ms < self.synced_at_ms + SYNC_INTERVAL_MS:
             return []
-        if self.syncing is not None and now_ms < self.syncing.due_ms:
+        if self.sync_round is not None and now_ms < self.sync_round.due_at_ms:
             return []
-        self.numbers += 1
-        # A new round begins the count anew: an answer counts for the round that asked for it.
-        self.syncing = Syncing(self.numbers, now_ms + SYNC_MS, {self.name})
-        return [Send(peer, Wanted(self.name, self.numbers)) for peer in self.peers if peer != self.name]
-
-    def to_do(self) -> list[Order]:
-        """What is to be forwarded now and lasts here: the oldest, `WINDOW` at most."""
-        held = (h.order for h in self.open.values() if self.name in h.keepers)
-        return heapq.nsmallest(WINDOW, held, key=lambda order: (order.at_ms, order.id))
-
-    def taken(self, id: str, sink: str, token: int) -> list[Out]:
-        """A hub has taken this order; with the last of them it is finished."""
-        held = self.open.get(id)
-        if held is None:
+        self._last_sync_number += 1
+        # Counted anew: a response counts for the round that asked for it.
+        self.sync_round = SyncRound(self._last_sync_number, now_ms + SYNC_TIMEOUT_MS, {self.name})
+        return [Send(director, SyncRequest(self.name, self._last_sync_number)) for director in self.others]
+
+    def requests_to_forward(self) -> list[PurgeRequest]:
+        """Returns the oldest requests that are durable here, `MAX_FORWARDED_REQUESTS` at most."""
+        durable = (entry.request for entry in self.open.values() if self.name in entry.replicas)
+        return heapq.nsmallest(
+            MAX_FORWARDED_REQUESTS, durable, key=lambda request: (request.received_at_ms, request.request_id)
+        )
+
+    def handle_forwarded(self, request_id: str, hub: str, token: int) -> list[Output]:
+        """Notes that a hub cache has accepted a request; with the last of them it is completed."""
+        entry = self.open.get(request_id)
+        if entry is None:
             return []
-        held.took.add(sink)
-        if not held.took.issuperset(self.sinks):
+        entry.accepted_by.add(hub)
+        if not entry.accepted_by.issuperset(self.hubs):
             return []
-        done = Finished(id, token)
-        return [*self.finished(done), *(Send(peer, done) for peer in self.peers if peer != self.name)]
+        completed = Completed(request_id, token)
+        return [*self.handle_completed(completed), *(Send(director, completed) for director in self.others)]
 
-    def let_go(self) -> None:
-        """The duty is not held here any more: what hubs took from this holder counts for nothing."""
-        self.syncing, self.synced_ms = None, float("-inf")
-        for held in self.open.values():
-            held.took.clear()
+    def reset_forwarding(self) -> None:
+        """Forgets what hub caches accepted from this holder, which has lost the lease."""
+        self.sync_round, self.synced_at_ms = None, float("-inf")
+        for entry in self.open.values():
+            entry.accepted_by.clear()
 
     # In time.
 
-    def tick(self, now_ms: float) -> list[Out]:
-        """Orders taken here are told again to who has not said that it keeps them."""
-        out: list[Out] = []
-        for held in self.open.values():
-            if now_ms < held.due_ms:
+    def tick(self, now_ms: float) -> list[Output]:
+        """Sends requests that were received here again to directors that have not replicated them."""
+        outputs: list[Output] = []
+        for entry in self.open.values():
+            if now_ms < entry.due_at_ms:
                 continue
-            if self.name not in held.keepers:  # its save failed or is under way: tried again
-                out.append(self._save(held))
-            missing = [peer for peer in self.peers if peer not in held.keepers and peer != self.name]
-            out += [Send(peer, held.order) for peer in missing]
-            held.due_ms = now_ms + held.wait_ms if missing or out else float("inf")
-            held.wait_ms = min(held.wait_ms * 2.0, TELL_MOST_MS)
-        return out
+            if self.name not in entry.replicas:  # its row failed or is under way: saved again
+                outputs.append(self._save(entry))
+            missing = [director for director in self.others if director not in entry.replicas]
+            outputs += [Send(director, entry.request) for director in missing]
+            entry.due_at_ms = now_ms + entry.backoff_ms if missing or outputs else float("inf")
+            entry.backoff_ms = min(entry.backoff_ms * 2.0, MAX_BACKOFF_MS)
+        return outputs
 
     def next_due_ms(self) -> float:
-        return min((held.due_ms for held in self.open.values()), default=float("inf"))
+        """Returns when `tick` has something to do, or infinity."""
+        return min((entry.due_at_ms for entry in self.open.values()), default=float("inf"))
 
-    def _save(self, held: Held, *then: Out) -> Save:
-        return Save(ORDERS, held.order.id, pack(held.order), then)
+    def _save(self, entry: OpenRequest, *on_durable: Output) -> Save:
+        return Save(PURGE_SPACE, entry.request.request_id, encode_row(entry.request), on_durable)
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -1,9 +1,9 @@
-"""The leases of one director, put together as `[leases]` says."""
+"""Reads the `[leases]` table and builds a director's lease service from it."""
 
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from ..config import ConfigError, read_address
@@ -13,116 +13,174 @@
 from ..ops.figures import ENDS
 from ..options import Options
 from ..store.keeper import Keeper
-from .candidate import Candidate
-from .configuration import LeaseTerms
-from .fenced_operations import Acts
+from .candidate import LeaseCandidate
+from .configuration import LeaseConfig
+from .fenced_operations import FencedOperationQueue
 from .fleet_report import FleetReport
-from .holder_tasks import PURGE, REPORT, Works
-from .outputs import GRANTS, ORDERS
-from .purge_requests import Orders
-from .transport import Address, LeaseClock, Leases
-from .voter import Elector, restored_of
+from .holder_tasks import PURGE_TASK, REPORT_TASK, LeaseHolderTasks
+from .outputs import GRANT_SPACE, PURGE_SPACE
+from .purge_requests import PurgeRequests
+from .transport import Address, LeaseClock, LeaseService
+from .voter import Voter, decode_grants
 
 Clock = Callable[[], float]
-REPORTED = {"served": ENDS[0], "refused": ENDS[1], "failed": ENDS[2]}
+REPORTED_OUTCOMES = {"served": ENDS[0], "refused": ENDS[1], "failed": ENDS[2]}
+RENEWAL_INTERVAL_LEASES = 0.3  # times of an election, in leases
+ROUND_TIMEOUT_LEASES = 0.25
+MAX_RETRY_DELAY_LEASES = 0.2
+STALE_REPORTS = 5.0  # report intervals until a silent director is listed as missing
+MAX_NAME_CHARACTERS = 64
+RESOURCE_PREFIX = "@"  # begins the name of a fenced resource, and of no director
 
 
 @dataclass(slots=True, frozen=True)
-class Checked:
-    """`[leases]`, read: where all are, and which sinks each duty has."""
+class LeaseSettings:
+    """The `[leases]` table with its addresses parsed."""
 
-    terms: LeaseTerms
+    config: LeaseConfig
     listen: Address
-    peers: dict[str, Address]
-    sinks: dict[str, tuple[Address, ...]]  # by duty
+    directors: dict[str, Address]
+    resources: dict[str, tuple[Address, ...]]  # by task
+
+    def resource_names(self) -> dict[str, tuple[str, ...]]:
+        """Returns the names of each task's fenced resources."""
+        return {
+            task: tuple(f"{RESOURCE_PREFIX}{task}/{index}" for index in range(len(addresses)))
+            for task, addresses in self.resources.items()
+        }
+
+    def addresses(self) -> dict[str, Address]:
+        """Returns the address of every director and fenced resource by name."""
+        addresses = dict(self.directors)
+        for task, names in self.resource_names().items():
+            addresses.update(zip(names, self.resources[task], strict=True))
+        return addresses
+
+
+class _Reader:
+    """Parses the addresses of the table; raises `ConfigError` with the file and the key that is wrong."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
 
-    def sink_names(self) -> dict[str, tuple[str, ...]]:
-        return {duty: tuple(f"@{duty}/{n}" for n in range(len(at))) for duty, at in self.sinks.items()}
+    def error(self, key: str, reason: object) -> ConfigError:
+        return ConfigError(f"{self.path}: leases.{key}: {reason}")
 
-    def where(self) -> dict[str, Address]:
-        """Every director and sink by name; no director's name begins with @."""
-        named = self.sink_names()
-        sinks = [pair for duty in self.sinks for pair in zip(named[duty], self.sinks[duty], strict=True)]
-        return {**self.peers, **dict(sinks)}
+    def address(self, key: str, text: str) -> Address:
+        try:
+            return read_address(text)
+        except ConfigError as error:
+            raise self.error(key, error) from error
 
+    def addresses(self, key: str, texts: Mapping[str, str]) -> dict[str, Address]:
+        return {name: self.address(key, text) for name, text in texts.items()}
 
-def checked(options: Options, name: str) -> Checked:
-    """What `[leases]` says, or `ConfigError` with the key that cannot be used."""
+
+def read_lease_settings(options: Options, name: str) -> LeaseSettings:
+    """Returns the checked `[leases]` table of director `name`; raises `ConfigError` with the unusable key."""
     table = options.leases
     assert table is not None
-    terms = LeaseTerms(table.lease_ms, table.drift, table.stop_margin_ms, table.grant_margin_ms,
-                       renew_every_ms=table.lease_ms * 0.3, round_ms=table.lease_ms * 0.25,
-                       retry_ms=table.lease_ms * 0.2)  # fmt: skip
-
-    def bad(key: str, why: object) -> ConfigError:
-        return ConfigError(f"{options.path}: leases.{key}: {why}")
-
-    if (fault := terms.fault()) is not None:
-        raise ConfigError(f"{options.path}: leases.{fault}")
-    key = "listen"
-    try:
-        listen = read_address(table.listen)
-        key = "peers"
-        peers = {peer: read_address(address) for peer, address in table.peers.items()}
-        key = "hubs"
-        hubs = tuple(read_address(address) for address in table.hubs)
-        key = "report_to"
-        collector = (read_address(table.report_to),) if table.report_to else ()
-        key = "duties"
-        sinks: dict[str, tuple[Address, ...]] = {
-            duty: (read_address(address),) for duty, address in table.duties.items()
-        }
-    except ConfigError as error:
-        raise bad(key, error) from error
-    if name not in peers:
-        raise bad("peers", f"this director ({name}) is not among them")
-    if any(not peer or len(peer) > 64 or peer.startswith("@") for peer in peers):
-        raise bad("peers", "a name has 1 to 64 characters and does not begin with @")
-    for own, at in ((PURGE, hubs), (REPORT, collector)):
-        if at and own in sinks:
-            raise bad("duties", f"{own} is a duty of the director's own: see hubs and report_to")
-        if at:
-            sinks[own] = at
-    if not sinks:
-        raise bad("duties", "there is none, and neither hubs nor report_to")
+    reader = _Reader(options.path)
+    config = LeaseConfig(
+        table.lease_ms,
+        table.drift,
+        table.stop_margin_ms,
+        table.grant_margin_ms,
+        renewal_interval_ms=table.lease_ms * RENEWAL_INTERVAL_LEASES,
+        round_timeout_ms=table.lease_ms * ROUND_TIMEOUT_LEASES,
+        max_retry_delay_ms=table.lease_ms * MAX_RETRY_DELAY_LEASES,
+    )
+    if (problem := config.validation_error()) is not None:
+        raise ConfigError(f"{options.path}: leases.{problem}")
+    listen = reader.address("listen", table.listen)
+    directors = reader.addresses("peers", table.peers)
+    hubs = tuple(reader.address("hubs", text) for text in table.hubs)
+    collector = (reader.address("report_to", table.report_to),) if table.report_to else ()
+    custom = reader.addresses("duties", table.duties)
+    _check_names(reader, name, directors)
+    resources: dict[str, tuple[Address, ...]] = {task: (address,) for task, address in custom.items()}
+    for task, addresses in ((PURGE_TASK, hubs), (REPORT_TASK, collector)):
+        if addresses and task in resources:
+            raise reader.error("duties", f"{task} is a duty of the director's own: see hubs and report_to")
+        if addresses:
+            resources[task] = addresses
+    if not resources:
+        raise reader.error("duties", "there is none, and neither hubs nor report_to")
+    _check_store(options)
+    return LeaseSettings(config, listen, directors, resources)
+
+
+def _check_names(reader: _Reader, name: str, directors: Mapping[str, Address]) -> None:
+    if name not in directors:
+        raise reader.error("peers", f"this director ({name}) is not among them")
+    for director in directors:
+        if not 0 < len(director) <= MAX_NAME_CHARACTERS or director.startswith(RESOURCE_PREFIX):
+            raise reader.error("peers", "a name has 1 to 64 characters and does not begin with @")
+
+
+def _check_store(options: Options) -> None:
     if options.store is None:
         raise ConfigError(f"{options.path}: store.folder: is missing, and [leases] keeps its promises there")
     if options.store.policy == "none":
         raise ConfigError(f"{options.path}: store.policy: 'none' would forget what [leases] promised")
-    return Checked(terms, listen, peers, sinks)
 
 
-def counts_of(counters: Counters) -> dict[str, int]:
-    """What one director tells of itself for the report: final answers by their end, over all classes."""
-    counts = dict.fromkeys(REPORTED, 0)
+def read_request_counts(counters: Mapping[str, int]) -> dict[str, int]:
+    """Returns one director's final answers by outcome, over all request classes, and its attempts."""
+    counts = dict.fromkeys(REPORTED_OUTCOMES, 0)
     for name, count in counters.items():
-        for told, end in REPORTED.items():
+        for outcome, end in REPORTED_OUTCOMES.items():
             if name.startswith("downstream_requests.") and name.endswith(f".{end}"):
-                counts[told] += count
+                counts[outcome] += count
     counts["attempts"] = counters.get("attempts.written", 0)
     return counts
 
 
-def start(
-    name: str, options: Options, keeper: Keeper, wall: Clock, deadlines: Deadlines, counters: Counters
-) -> tuple[Leases, Address]:
-    """All that stands behind `[leases]`; `Leases.listen` at the address sets it going."""
-    table, told = options.leases, checked(options, name)
+def build_lease_service(
+    name: str,
+    options: Options,
+    keeper: Keeper,
+    wall_clock: Clock,
+    deadlines: Deadlines,
+    counters: Counters,
+) -> tuple[LeaseService, Address]:
+    """Builds what `[leases]` asks for; `LeaseService.listen` at the returned address starts it.
+
+    Raises `ConfigError` for a table or a key file that cannot be used.
+    """
+    table, settings = options.leases, read_lease_settings(options, name)
     assert table is not None
     seal = Seal(load_keys(options.file(table.keys)), table.window_ms)
     clock = LeaseClock(table.clock_rate)
     rng = random.Random(random.SystemRandom().getrandbits(64))
-    names, sinks, now = tuple(sorted(told.peers)), told.sink_names(), clock()
-    elector = Elector(name, told.terms, now, restored_of(keeper.log.items(GRANTS)))
-    candidate = Candidate(name, names, tuple(sorted(sinks)), told.terms, rng, now)
-    orders = report = None
-    if PURGE in sinks and table.hubs:
-        orders = Orders(name, names, sinks[PURGE], rng, keeper.log.items(ORDERS))
-    if REPORT in sinks and table.report_to:
-        run = int(wall())  # a later start has the higher number
-        report = FleetReport(name, names, run, 5.0 * table.report_ms, lambda: counts_of(counters))
-    works = Works(candidate, Acts(name, sinks), orders, report, table.act_ms, table.report_ms, now)
-    leases = Leases(
-        elector, candidate, works, told.where(), seal, keeper.writer, clock, wall, deadlines, counters
+    directors, resources = tuple(sorted(settings.directors)), settings.resource_names()
+    now_ms = clock()
+    voter = Voter(name, settings.config, now_ms, decode_grants(keeper.log.items(GRANT_SPACE)))
+    candidate = LeaseCandidate(name, directors, tuple(sorted(resources)), settings.config, rng, now_ms)
+    purges = report = None
+    if PURGE_TASK in resources and table.hubs:
+        stored = keeper.log.items(PURGE_SPACE)
+        purges = PurgeRequests(name, directors, resources[PURGE_TASK], rng, stored)
+    if REPORT_TASK in resources and table.report_to:
+        incarnation = int(wall_clock())  # a later start has the higher number
+        stale_after_ms = STALE_REPORTS * table.report_ms
+        report = FleetReport(
+            name, directors, incarnation, stale_after_ms, lambda: read_request_counts(counters)
+        )
+    operations = FencedOperationQueue(name, resources)
+    holder_tasks = LeaseHolderTasks(
+        candidate, operations, purges, report, table.act_ms, table.report_ms, now_ms
+    )
+    service = LeaseService(
+        voter,
+        candidate,
+        holder_tasks,
+        settings.addresses(),
+        seal,
+        keeper.writer,
+        clock,
+        wall_clock,
+        deadlines,
+        counters,
     )
-    return leases, told.listen
+    return service, settings.listen
--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -1,9 +1,9 @@
-"""Leases on UDP: datagrams, timers and saves around `Elector`, `Candidate` and `Works`, nothing decided.
+"""Drives the lease state machines on a UDP socket, timers and the embedded store; decides nothing itself.
 
-Messages are sealed with the leases' key ring, those to sinks too. The lease clock is monotonic
-(`time.monotonic`), times a rate that rehearsals set to play a clock that runs fast or slow; the loop's
-deadlines are in Unix ms, so each wait is turned from the one into the other. What follows a save is carried
-out once the embedded store says that it lasts; where the disk refuses, it never is.
+All messages are sealed with the leases' key ring, those to fenced resources too. The lease clock is monotonic
+(`time.monotonic`) times a rate, with which rehearsals play a clock that runs fast or slow; the loop's
+deadlines are in Unix ms, so each wait is converted. What follows a save is carried out once the store says
+that the row is durable; if the disk rejects it, never.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Protocol, cast
 
 import msgspec
@@ -21,161 +21,194 @@
 from ..deadlines import Deadlines, Key
 from ..members.messages import DATAGRAM_MOST
 from ..members.seal import Refused, Seal
-from .candidate import Candidate
-from .dispatch import hear
-from .holder_tasks import Works
-from .messages import Vote, decode, encode
-from .outputs import GRANTS, Event, Out, Save, Send
-from .voter import Elector
+from .candidate import LeaseCandidate
+from .dispatch import dispatch_election_message
+from .holder_tasks import LeaseHolderTasks
+from .messages import ElectionMessage, decode, encode
+from .outputs import GRANT_SPACE, EventKind, LeaseEvent, Output, Save, Send
+from .voter import Voter
 
 Address = tuple[str, int]
-REFUSED_AGAIN_MS = 10_000.0  # candidates ask every quarter lease: one refused all along is a line so often
+REFUSAL_LOG_INTERVAL_MS = 10_000.0  # a candidate that is refused all along asks every quarter of a lease
+NONCE_BITS = 64
 log = structlog.get_logger("gladewalk.leases")
 
 
 class LeaseClock:
-    """Monotonic ms at `rate` to true time."""
+    """Monotonic clock in ms that runs at `rate` to true time."""
 
     def __init__(self, rate: float = 1.0) -> None:
-        self.rate, self.start = rate, time.monotonic()
+        self.rate, self._started_at_seconds = rate, time.monotonic()
 
     def __call__(self) -> float:
-        return (time.monotonic() - self.start) * 1000.0 * self.rate
+        """Returns the time in ms since this clock was made."""
+        return (time.monotonic() - self._started_at_seconds) * 1000.0 * self.rate
 
 
-class Rows(Protocol):
-    """Where saves last: the embedded store's writer. A future tells whether a row does."""
+class RowWriter(Protocol):
+    """The part of the embedded store that leases need; each future tells whether the row is durable."""
 
-    def put(self, space: str, key: str, value: bytes) -> asyncio.Future[bool]: ...
-    def delete(self, space: str, key: str) -> asyncio.Future[bool]: ...
+    def put(self, space: str, key: str, value: bytes) -> asyncio.Future[bool]:
+        """Writes a row."""
 
+    def delete(self, space: str, key: str) -> asyncio.Future[bool]:
+        """Deletes a row."""
 
-class Leases(asyncio.DatagramProtocol):
-    """One director's part on one socket; `where` has the address of every director and sink by name."""
+
+class LeaseService(asyncio.DatagramProtocol):
+    """One director's part in all leases; `addresses` has every director and fenced resource by name."""
 
     def __init__(
-        self, elector: Elector, candidate: Candidate, works: Works, where: dict[str, Address], seal: Seal,
-        rows: Rows, clock: LeaseClock, wall: Callable[[], float], deadlines: Deadlines, counters: Counters,
-    ) -> None:  # fmt: skip
-        self.elector, self.candidate, self.works, self.where = elector, candidate, works, where
-        self.seal, self.rows, self.clock, self.wall = seal, rows, clock, wall
+        self,
+        voter: Voter,
+        candidate: LeaseCandidate,
+        holder_tasks: LeaseHolderTasks,
+        addresses: dict[str, Address],
+        seal: Seal,
+        rows: RowWriter,
+        clock: LeaseClock,
+        wall_clock: Callable[[], float],
+        deadlines: Deadlines,
+        counters: Counters,
+    ) -> None:
+        self.voter, self.candidate, self.holder_tasks = voter, candidate, holder_tasks
+        self.addresses, self.seal, self.rows = addresses, seal, rows
+        self.clock, self.wall_clock = clock, wall_clock
         self.deadlines, self.counters = deadlines, counters
         self.transport: asyncio.DatagramTransport | None = None
-        self.timer: Key | None = None
         self.random = random.SystemRandom()
-        self.refused_at: dict[tuple[str, str], float] = {}  # (duty, candidate) -> when it was last a line
+        self._timer: Key | None = None
+        self._refusals_logged_at_ms: dict[tuple[str, str], float] = {}  # by task and candidate
 
     async def listen(self, address: Address) -> None:
+        """Opens the socket and begins to take part; raises `OSError` if the address cannot be bound."""
         await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
         self._tick()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport (asyncio's callback)."""
         self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
-        """Whatever is not a sealed lease message is counted and dropped."""
-        opened = self.seal.open(data, self.wall())
+        """Handles one datagram; whatever is not a sealed lease message is counted and dropped."""
+        opened = self.seal.open(data, self.wall_clock())
         if isinstance(opened, Refused):
             return self.counters.add(f"leases.dropped.{opened.value}")
         try:
             message = decode(opened)
         except (msgspec.MsgspecError, ValueError):
             return self.counters.add("leases.dropped.malformed")
-        now = self.clock()
-        if isinstance(message, Vote):
-            self.carry_out(hear(self.elector, self.candidate, message, now))
+        now_ms = self.clock()
+        if isinstance(message, ElectionMessage):
+            self._carry_out(dispatch_election_message(self.voter, self.candidate, message, now_ms))
         else:
-            self.carry_out(self.works.receive(message, now))
+            self._carry_out(self.holder_tasks.handle(message, now_ms))
 
     def error_received(self, error: Exception) -> None:
-        self.counters.add("leases.unreachable")  # as ICMP tells; a round or an act is tried again anyway
-
-    def carry_out(self, out: list[Out] | tuple[Out, ...]) -> None:
-        for action in out:
-            if isinstance(action, Save):
-                self._save(action)
-            elif isinstance(action, Send):
-                self._send(action.to, encode(action.message))
-            else:
-                self._note(action)
-        self._arm()
+        """Counts an address that ICMP reports as unreachable; whatever was sent is retried anyway."""
+        self.counters.add("leases.unreachable")
+
+    def hand_on(self, task: str, successor: str = "") -> int:
+        """Steps down from `task` now, for `successor` if named; returns the term held, 0 if none was."""
+        if task not in self.candidate.leases:
+            return 0
+        term = self.candidate.leases[task].term
+        outputs = self.candidate.step_down(task, self.clock(), successor)
+        self._carry_out(outputs)
+        return term if outputs else 0
+
+    def request_purge(self, target: str) -> str:
+        """Accepts an operator's purge and returns its id; raises `PurgeRejectedError` with the reason."""
+        request_id, outputs = self.holder_tasks.request_purge(target, self.clock(), self.wall_clock())
+        self._carry_out(outputs)
+        return request_id
+
+    def stop(self) -> None:
+        """Hands on every held lease at once and closes the socket."""
+        for task in list(self.candidate.leases):
+            self.hand_on(task)
+        if self.transport is not None:
+            self.transport.close()
+        self._cancel_timer()
+
+    def status(self) -> dict[str, object]:
+        """Describes all leases for `gladewalk leases`."""
+        now_ms = self.clock()
+        return {
+            "name": self.candidate.name,
+            "holding": self.candidate.status(now_ms),
+            "granting": self.voter.status(now_ms),
+            "works": self.holder_tasks.status(),
+        }
+
+    def _carry_out(self, outputs: Sequence[Output]) -> None:
+        for output in outputs:
+            match output:
+                case Save():
+                    self._save(output)
+                case Send():
+                    self._send(output.recipient, encode(output.message))
+                case LeaseEvent():
+                    self._record_event(output)
+        self._schedule_tick()
 
     def _save(self, save: Save) -> None:
-        put = self.rows.delete(save.space, save.key) if save.value is None else \
-            self.rows.put(save.space, save.key, save.value)  # fmt: skip
+        if save.value is None:
+            written = self.rows.delete(save.space, save.key)
+        else:
+            written = self.rows.put(save.space, save.key, save.value)
 
-        def told(future: asyncio.Future[bool]) -> None:
+        def on_written(future: asyncio.Future[bool]) -> None:
             if future.cancelled() or not future.result():
-                return self.counters.add("leases.save_refused")
-            if save.value is not None and save.space == GRANTS:
-                self.elector.saved(save.key, save.value)
-            elif save.value is not None and self.works.orders is not None:
-                self.works.orders.saved(save.key)
-            self.carry_out(save.then)
-
-        put.add_done_callback(told)
-
-    def _note(self, event: Event) -> None:
-        self.counters.add(f"leases.{event.kind}")
-        if event.kind == "refused":
-            now, slot = self.clock(), (event.duty, event.who)
-            if now < self.refused_at.get(slot, float("-inf")) + REFUSED_AGAIN_MS:
+                self.counters.add("leases.save_refused")
                 return
-            self.refused_at[slot] = now
-        log.info(f"lease_{event.kind}", duty=event.duty, term=event.term, who=event.who)
+            self._mark_durable(save)
+            self._carry_out(save.on_durable)
+
+        written.add_done_callback(on_written)
 
-    def _send(self, to: str, data: bytes) -> None:
-        address = self.where.get(to)
+    def _mark_durable(self, save: Save) -> None:
+        if save.value is None:
+            return
+        if save.space == GRANT_SPACE:
+            self.voter.mark_durable(save.key, save.value)
+        elif self.holder_tasks.purges is not None:
+            self.holder_tasks.purges.mark_durable(save.key)
+
+    def _record_event(self, event: LeaseEvent) -> None:
+        self.counters.add(event.kind.counter)
+        if event.kind is EventKind.REFUSED:
+            now_ms, slot = self.clock(), (event.subject, event.director)
+            logged_at_ms = self._refusals_logged_at_ms.get(slot, float("-inf"))
+            if now_ms < logged_at_ms + REFUSAL_LOG_INTERVAL_MS:
+                return
+            self._refusals_logged_at_ms[slot] = now_ms
+        log.info(event.kind.value, duty=event.subject, term=event.term, who=event.director)
+
+    def _send(self, recipient: str, payload: bytes) -> None:
+        address = self.addresses.get(recipient)
         if address is None or self.transport is None or self.transport.is_closing():
             return
-        sealed = self.seal.seal(data, self.wall(), self.random.getrandbits(64), DATAGRAM_MOST)
-        self.transport.sendto(sealed, address)
+        nonce = self.random.getrandbits(NONCE_BITS)
+        self.transport.sendto(self.seal.seal(payload, self.wall_clock(), nonce, DATAGRAM_MOST), address)
 
-    def _arm(self) -> None:
-        self.deadlines.drop(self.timer)
-        self.timer = None
+    def _schedule_tick(self) -> None:
+        self._cancel_timer()
         if self.transport is None or self.transport.is_closing():
             return
-        now = self.clock()
-        due = min(self.candidate.next_due_ms(), self.works.next_due_ms(now))
-        wait_ms = max(due - now, 0.0) / self.clock.rate
-        self.timer = self.deadlines.add(self.wall() + wait_ms, self._tick)
-
-    def _tick(self) -> None:
-        self.timer = None
-        now = self.clock()
-        # The works read each token after the candidate has seen what time it is.
-        self.carry_out(self.candidate.tick(now) + self.works.tick(now, self.wall()))
-
-    def hand_on(self, duty: str, to: str = "") -> int:
-        """Step down from `duty` now (for `to`, if named): the term that was held, 0 if none is held here."""
-        if duty not in self.candidate.duties:
-            return 0
-        term = self.candidate.duties[duty].term
-        out = self.candidate.step_down(duty, self.clock(), to)
-        self.carry_out(out)
-        return term if out else 0
-
-    def order(self, what: str) -> str:
-        """An operator's purge, told to all: its id. `ValueError` says why it can't be taken."""
-        id, out = self.works.order(what, self.clock(), self.wall())
-        self.carry_out(out)
-        return id
+        now_ms = self.clock()
+        due_ms = min(self.candidate.next_due_ms(), self.holder_tasks.next_due_ms(now_ms))
+        wait_ms = max(due_ms - now_ms, 0.0) / self.clock.rate
+        self._timer = self.deadlines.add(self.wall_clock() + wait_ms, self._tick)
 
-    def stop(self) -> None:
-        """A clean stop: every held duty handed on at once."""
-        for duty in list(self.candidate.duties):
-            self.hand_on(duty)
-        if self.transport is not None:
-            self.transport.close()
-        self.deadlines.drop(self.timer)
-        self.timer = None
+    def _cancel_timer(self) -> None:
+        self.deadlines.drop(self._timer)
+        self._timer = None
 
-    def view(self) -> dict[str, object]:
-        now = self.clock()
-        return {
-            "name": self.candidate.name,
-            "holding": self.candidate.view(now),
-            "granting": self.elector.view(now),
-            "works": self.works.view(),
-        }
+    def _tick(self) -> None:
+        self._timer = None
+        now_ms = self.clock()
+        # The holder's tasks read each token after the candidate has expired what is over.
+        outputs = self.candidate.tick(now_ms)
+        outputs += self.holder_tasks.tick(now_ms, self.wall_clock())
+        self._carry_out(outputs)
--- a/gladewalk/leases/view.py
+++ b/gladewalk/leases/view.py
@@ -1,39 +1,43 @@
-"""What the control socket can ask of leases: who holds what, a duty handed on, a purge and how it fares."""
+"""Leases at the control socket: who holds what, a lease handed on, a purge and its state."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from ..control.server import Control, Unanswerable
-from .transport import Leases
+from .purge_requests import PurgeRejectedError
+from .transport import LeaseService
 
 
-def add_views(control: Control, leases: Leases) -> None:
-    def hand_on(given: dict[str, Any]) -> dict[str, Any]:
-        duty, to = str(given.get("duty", "")), str(given.get("to", ""))
-        if duty not in leases.candidate.duties:
-            raise Unanswerable(f"no duty {duty!r}: there are {', '.join(sorted(leases.candidate.duties))}")
-        if to and (to not in leases.candidate.electors or to == leases.candidate.name):
-            raise Unanswerable(f"{to!r} is no other director of leases.peers")
-        term = leases.hand_on(duty, to)
+def add_views(control: Control, leases: LeaseService) -> None:
+    """Adds the queries `leases`, `hand_on`, `purge` and `order` to the control socket."""
+    candidate, purges = leases.candidate, leases.holder_tasks.purges
+
+    def hand_on(arguments: dict[str, Any]) -> dict[str, Any]:
+        task, successor = str(arguments.get("duty", "")), str(arguments.get("to", ""))
+        if task not in candidate.leases:
+            raise Unanswerable(f"no duty {task!r}: there are {', '.join(sorted(candidate.leases))}")
+        if successor and (successor not in candidate.voters or successor == candidate.name):
+            raise Unanswerable(f"{successor!r} is no other director of leases.peers")
+        term = leases.hand_on(task, successor)
         if not term:
-            promise = leases.elector.promises.get(duty)
+            promise = leases.voter.promises.get(task)
             last = f"{promise.holder} had it last, as far as is known" if promise else "nobody is known to"
-            raise Unanswerable(f"{duty} is not held by {leases.candidate.name}; {last}")
-        return {"duty": duty, "term": term, "to": to}
+            raise Unanswerable(f"{task} is not held by {candidate.name}; {last}")
+        return {"duty": task, "term": term, "to": successor}
 
-    def purge(given: dict[str, Any]) -> dict[str, Any]:
+    def purge(arguments: dict[str, Any]) -> dict[str, Any]:
         try:
-            return {"id": leases.order(str(given.get("what", "")))}
-        except ValueError as why:
-            raise Unanswerable(str(why)) from why
+            return {"id": leases.request_purge(str(arguments.get("what", "")))}
+        except PurgeRejectedError as error:
+            raise Unanswerable(str(error)) from error
 
-    def order(given: dict[str, Any]) -> dict[str, Any]:
-        if leases.works.orders is None:
+    def purge_status(arguments: dict[str, Any]) -> dict[str, Any]:
+        if purges is None:
             raise Unanswerable("no hubs are set (leases.hubs)")
-        return leases.works.orders.status(str(given.get("id", "")))
+        return purges.status(str(arguments.get("id", "")))
 
-    control.views["leases"] = lambda given: leases.view()
+    control.views["leases"] = lambda arguments: leases.status()
     control.views["hand_on"] = hand_on
     control.views["purge"] = purge
-    control.views["order"] = order
+    control.views["order"] = purge_status
--- a/gladewalk/leases/voter.py
+++ b/gladewalk/leases/voter.py
@@ -1,12 +1,14 @@
-"""An elector's promises: to whom each duty is promised, under which term, until when by its clock. No I/O.
-
-A term is granted to one candidate alone, and only above every term this elector granted before (so two
-majorities for one term cannot be); the holder of the last one may be granted a higher one at any time, as a
-holder raises its term past one that a candidate won here but not elsewhere. A promise to another waits
-until the last one, plus the grant margin, has passed on this clock. After a start nothing new is promised
-for a whole promise: one made before the start may still run. What outlives a start is the highest term of
-each duty and its holder: a grant of a new term is what follows its `Save`, and until the driver has said
-`saved` every further grant of that term waits for a save of its own.
+"""Voter side of a lease election: which lease is promised to whom, under which term and until when.
+
+A term is granted to one candidate alone, and only above every term that this voter granted before, so that
+two majorities for one term cannot exist. The holder of the highest term may be granted a higher one at any
+time: a holder raises its term past one that a candidate won here but not elsewhere. A promise to another
+candidate waits until the last one, plus the grant margin, has passed on this voter's clock. After a start
+nothing new is promised for one promise time, since a promise made before the start may still run.
+
+The highest term of each task and its holder outlive a restart: a grant of a new term is sent once its row is
+durable (`Save.on_durable`), and until the driver calls `mark_durable` every further grant of that term waits
+for a row of its own, as a Paxos acceptor's promise (Lamport, 2001, section 2.2). No I/O.
 """
 
 from __future__ import annotations
@@ -16,95 +18,128 @@
 
 import msgspec
 
-from .configuration import LeaseTerms
-from .messages import Ask, Grant, Refuse, Release, Sound, Standing
-from .outputs import GRANTS, Event, Granted, Out, Save, Send, granted_of, pack
+from .configuration import LeaseConfig
+from .messages import LeaseRelease, PreVoteRequest, PreVoteResponse, VoteDenied, VoteGranted, VoteRequest
+from .outputs import (
+    GRANT_SPACE,
+    EventKind,
+    GrantRecord,
+    LeaseEvent,
+    Output,
+    Save,
+    Send,
+    decode_grant,
+    encode_row,
+)
+
+NEVER_MS = float("-inf")
 
 
 @dataclass(slots=True)
 class Promise:
-    term: int = 0  # the highest granted; 0: none ever
+    """The last promise of one task's lease; times are on the voter's clock."""
+
+    term: int = 0  # the highest granted, 0 if none was
     holder: str = ""
-    durable: int = 0  # the highest term that a save has made last
-    until_ms: float = float("-inf")  # on this elector's clock
-    to: str = ""  # named by the last release: it alone may ask until `to_until_ms`
-    to_until_ms: float = float("-inf")
+    durable_term: int = 0
+    expires_at_ms: float = NEVER_MS
+    successor: str = ""  # named by the last release: nobody else is promised the lease for a while
+    reserved_until_ms: float = NEVER_MS
 
 
-def restored_of(rows: Mapping[str, bytes]) -> dict[str, Granted]:
-    """What saves made durable, by duty. A row of another form was never a grant of this elector's."""
-    kept = {}
-    for duty, row in rows.items():
+def decode_grants(rows: Mapping[str, bytes]) -> dict[str, GrantRecord]:
+    """Decodes stored grants by task; rows of another form were never a grant and are left out."""
+    grants = {}
+    for task, row in rows.items():
         try:
-            kept[duty] = granted_of(row)
+            grants[task] = decode_grant(row)
         except msgspec.MsgspecError:
             continue
-    return kept
+    return grants
 
 
-class Elector:
-    """Answers asks and releases; `restored` is what `Save` made durable before, by duty."""
+class Voter:
+    """Answers vote requests, pre-votes and releases; `restored` has the durable grants by task."""
 
-    def __init__(self, name: str, terms: LeaseTerms, now_ms: float, restored: Mapping[str, Granted]) -> None:
-        self.name, self.terms = name, terms
-        self.quiet_until_ms = now_ms + terms.promise_ms
-        self.promises = {duty: Promise(kept.term, kept.holder, kept.term) for duty, kept in restored.items()}
+    def __init__(
+        self, name: str, config: LeaseConfig, now_ms: float, restored: Mapping[str, GrantRecord]
+    ) -> None:
+        self.name, self.config = name, config
+        self.silent_until_ms = now_ms + config.promise_ms
+        self.promises = {
+            task: Promise(grant.term, grant.holder, grant.term) for task, grant in restored.items()
+        }
 
-    def ask(self, asked: Ask, now_ms: float) -> list[Out]:
-        promise = self.promises.setdefault(asked.duty, Promise())
-        same = asked.term == promise.term and asked.candidate == promise.holder
-        if same:
+    def handle_vote_request(self, request: VoteRequest, now_ms: float) -> list[Output]:
+        """Grants or denies a term."""
+        promise = self.promises.setdefault(request.task, Promise())
+        if request.term == promise.term and request.candidate == promise.holder:
             # A renewal, or a holder whose promise lapsed (or was lost at a start) while no higher term was
-            # granted here: the same grant again, which no other promise can be in the way of.
-            promise.until_ms = now_ms + self.terms.promise_ms
-            return self._grant(asked, promise)
-        left_ms = self._left_ms(promise, asked.candidate, now_ms)
-        if asked.term > promise.term and not left_ms:
-            promise.term, promise.holder = asked.term, asked.candidate
-            promise.until_ms = now_ms + self.terms.promise_ms
-            event = Event("granted", asked.duty, asked.term, asked.candidate)
-            return self._grant(asked, promise, event)
-        refuse = Refuse(asked.duty, asked.number, self.name, promise.term, promise.holder, left_ms)
-        return [Send(asked.candidate, refuse), Event("refused", asked.duty, asked.term, asked.candidate)]
-
-    def sound(self, asked: Sound, now_ms: float) -> list[Out]:
-        """What it would say to an ask; nothing is promised by it."""
-        promise = self.promises.get(asked.duty, Promise())
-        left_ms = self._left_ms(promise, asked.candidate, now_ms)
-        told = Standing(asked.duty, asked.number, self.name, promise.term, promise.holder, left_ms)
-        return [Send(asked.candidate, told)]
-
-    def _left_ms(self, promise: Promise, candidate: str, now_ms: float) -> float:
-        """How long until a higher term may be granted to this candidate."""
-        # The one promise that may run is to its holder: a higher term for that holder wrongs nobody.
+            # granted here: the same grant again, which no other promise can conflict with.
+            promise.expires_at_ms = now_ms + self.config.promise_ms
+            return self._grant(request, promise)
+        remaining_ms = self._remaining_ms(promise, request.candidate, now_ms)
+        if request.term > promise.term and not remaining_ms:
+            promise.term, promise.holder = request.term, request.candidate
+            promise.expires_at_ms = now_ms + self.config.promise_ms
+            event = LeaseEvent(EventKind.GRANTED, request.task, request.term, request.candidate)
+            return self._grant(request, promise, event)
+        denial = VoteDenied(
+            request.task, request.round_number, self.name, promise.term, promise.holder, remaining_ms
+        )
+        event = LeaseEvent(EventKind.REFUSED, request.task, request.term, request.candidate)
+        return [Send(request.candidate, denial), event]
+
+    def handle_pre_vote(self, request: PreVoteRequest, now_ms: float) -> list[Output]:
+        """Tells how a vote request would be answered; promises nothing."""
+        promise = self.promises.get(request.task, Promise())
+        remaining_ms = self._remaining_ms(promise, request.candidate, now_ms)
+        response = PreVoteResponse(
+            request.task, request.round_number, self.name, promise.term, promise.holder, remaining_ms
+        )
+        return [Send(request.candidate, response)]
+
+    def handle_release(self, release: LeaseRelease, now_ms: float) -> list[Output]:
+        """Ends a promise early; a release by anyone but the holder of the highest term is ignored."""
+        promise = self.promises.get(release.task)
+        if promise is None or (promise.term, promise.holder) != (release.term, release.holder):
+            return []
+        promise.expires_at_ms = now_ms  # the holder stopped before it sent this
+        if release.successor:
+            promise.successor = release.successor
+            promise.reserved_until_ms = now_ms + self.config.promise_ms
+        return [LeaseEvent(EventKind.RELEASED, release.task, release.term, release.holder)]
+
+    def mark_durable(self, task: str, row: bytes) -> None:
+        """Notes that a row which this voter asked to save is durable."""
+        promise = self.promises[task]
+        promise.durable_term = max(promise.durable_term, decode_grant(row).term)
+
+    def status(self, now_ms: float) -> dict[str, dict[str, object]]:
+        """Describes the promises for `gladewalk leases`; `left_ms` is 0 for one that has lapsed."""
+        return {
+            task: {
+                "term": promise.term,
+                "holder": promise.holder,
+                "left_ms": max(promise.expires_at_ms - now_ms, 0.0),
+            }
+            for task, promise in sorted(self.promises.items())
+        }
+
+    def _remaining_ms(self, promise: Promise, candidate: str, now_ms: float) -> float:
+        """Returns how long until a higher term may be granted to this candidate, in ms."""
+        # The one promise that may run is to its holder: a higher term for that holder conflicts with nobody.
         if candidate == promise.holder:
             return 0.0
-        reserved_ms = promise.to_until_ms if candidate != promise.to else float("-inf")
-        return max(promise.until_ms - now_ms, self.quiet_until_ms - now_ms, reserved_ms - now_ms, 0.0)
-
-    def _grant(self, asked: Ask, promise: Promise, *more: Out) -> list[Out]:
-        grant = Send(asked.candidate, Grant(asked.duty, asked.term, asked.candidate, asked.number, self.name))
-        if promise.durable >= promise.term:
-            return [grant, *more]
-        row = pack(Granted(promise.term, promise.holder))
-        return [Save(GRANTS, asked.duty, row, (grant, *more))]
-
-    def saved(self, duty: str, row: bytes) -> None:
-        """A `Save` of this elector's now lasts."""
-        promise = self.promises[duty]
-        promise.durable = max(promise.durable, granted_of(row).term)
-
-    def release(self, released: Release, now_ms: float) -> list[Out]:
-        promise = self.promises.get(released.duty)
-        if promise is None or (promise.term, promise.holder) != (released.term, released.holder):
-            return []
-        # The holder stopped before it said so: what it was promised is free at once.
-        promise.until_ms = now_ms
-        if released.to:
-            promise.to, promise.to_until_ms = released.to, now_ms + self.terms.promise_ms
-        return [Event("released", released.duty, released.term, released.holder)]
-
-    def view(self, now_ms: float) -> dict[str, dict[str, object]]:
-        """For `gladewalk leases`: duty -> term, holder, ms left of the promise (0 if lapsed)."""
-        return {duty: {"term": p.term, "holder": p.holder, "left_ms": max(p.until_ms - now_ms, 0.0)}
-                for duty, p in sorted(self.promises.items())}  # fmt: skip
+        reserved_until_ms = promise.reserved_until_ms if candidate != promise.successor else NEVER_MS
+        return max(
+            promise.expires_at_ms - now_ms, self.silent_until_ms - now_ms, reserved_until_ms - now_ms, 0.0
+        )
+
+    def _grant(self, request: VoteRequest, promise: Promise, *events: Output) -> list[Output]:
+        granted = VoteGranted(request.task, request.term, request.candidate, request.round_number, self.name)
+        outputs = (Send(request.candidate, granted), *events)
+        if promise.durable_term >= promise.term:
+            return list(outputs)
+        row = encode_row(GrantRecord(promise.term, promise.holder))
+        return [Save(GRANT_SPACE, request.task, row, outputs)]
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -66,10 +66,10 @@
         ends = time.monotonic() + within_s
         while time.monotonic() < ends:
             late = [
-                a for a in self.fleet.hubs[0].fence.acts if a.accepted and a.at_ms > since_ms
+                a for a in self.fleet.hubs[0].fence.records if a.is_accepted and a.received_at_ms > since_ms
             ]
             if late:
-                return late[-1].actor
+                return late[-1].holder
             await asyncio.sleep(0.05)
         return ""
 
@@ -79,5 +79,5 @@
 
     def actors(self, after_ms: float, before_ms: float) -> set[str]:
         assert self.fleet is not None
-        acts = self.fleet.hubs[0].fence.acts
-        return {a.actor for a in acts if a.accepted and after_ms < a.at_ms < before_ms}
+        acts = self.fleet.hubs[0].fence.records
+        return {a.holder for a in acts if a.is_accepted and after_ms < a.received_at_ms < before_ms}
--- a/tests/test_fault_points.py
+++ b/tests/test_fault_points.py
@@ -10,7 +10,7 @@
 from gladewalk.faultpoints.points import CATALOGUE, Kind, Points, Unlisted
 from gladewalk.faultpoints.runs import SCENARIOS
 from gladewalk.faultpoints.sweep import count, sweep, thinned
-from gladewalk.leases.fence import Act, Fence
+from gladewalk.leases.fence import Fence, OperationRecord
 from gladewalk.members import swim
 from gladewalk.members.hearing import Hearing
 from gladewalk.members.verdicts import Verdict
@@ -83,24 +83,26 @@
 class Open(Fence):
     """A sink that lets every token pass."""
 
-    def offer(self, duty: str, token: int, actor: str, done_ms: float, at_ms: float, **more: Any) -> bool:
-        self.acts.append(Act(duty, token, actor, done_ms, at_ms, True))
+    def admit(
+        self, task: str, token: int, holder: str, performed_at_ms: float, received_at_ms: float, **more: Any
+    ) -> bool:
+        self.records.append(OperationRecord(task, token, holder, performed_at_ms, received_at_ms, True))
         return True
 
 
-def open_sink(world: leaserun.FaultWorld) -> None:
+def open_sink(world: leaserun.FaultPointSimulation) -> None:
     world.fence = Open()
 
 
-def tireless(world: leaserun.FaultWorld) -> None:
+def tireless(world: leaserun.FaultPointSimulation) -> None:
     """Holders that go on acting after a stop without a look at their clock."""
     resume = world.pause
 
-    def pause(name: str, ms: float) -> None:
+    def pause(name: str, duration_ms: float) -> None:
         director = world.directors[name]
-        for held in director.candidate.duties.values():
-            held.until_ms += 2.0 * ms
-        resume(name, ms)
+        for held in director.candidate.leases.values():
+            held.expires_at_ms += 2.0 * duration_ms
+        resume(name, duration_ms)
 
     world.pause = pause  # type: ignore[method-assign]
 
@@ -115,7 +117,7 @@
 
 
 @pytest.mark.parametrize("change", [open_sink, tireless])
-def test_broken_leases_are_found(change: Callable[[leaserun.FaultWorld], None]) -> None:
+def test_broken_leases_are_found(change: Callable[[leaserun.FaultPointSimulation], None]) -> None:
     assert found(lambda points: leaserun.play(points, change), "leases", 12)
 
 
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -37,7 +37,7 @@
             await fleet.start(victim)
             assert await self.held_since(wall_ms(), within_s=10.0)
         assert given_up > 0
-        assert self.verdict().safe, self.verdict()
+        assert self.verdict().is_safe, self.verdict()
 
     async def test_a_holder_paused_past_its_lease_is_fenced_and_another_takes_the_duty(self) -> None:
         fleet = await self.start(3)
@@ -51,7 +51,7 @@
         await asyncio.sleep(2.0)
         assert other and other != victim
         assert victim not in self.actors(paused_at + 1_100.0, wall_ms())  # it stopped by its own clock
-        assert self.verdict().safe, self.verdict()
+        assert self.verdict().is_safe, self.verdict()
 
     async def test_one_sided_cuts_either_way_hand_the_duty_on_and_never_two_act(self) -> None:
         fleet = await self.start(3)
@@ -62,7 +62,7 @@
             assert victim not in self.actors(begun + 2_500.0, begun + 4_000.0), cut
             assert self.actors(begun + 2_500.0, begun + 4_000.0), cut
             await self.held_since(wall_ms())
-        assert self.verdict().safe, self.verdict()
+        assert self.verdict().is_safe, self.verdict()
 
     async def test_a_minority_side_keeps_no_holder_while_the_majority_elects_one(self) -> None:
         fleet = await self.start(5)
@@ -72,7 +72,7 @@
         await apply(fleet, Fault(0.0, 5_000.0, "partition", side))
         during = self.actors(begun + 2_500.0, begun + 5_000.0)
         assert during and not during & set(side), during
-        assert self.verdict().safe, self.verdict()
+        assert self.verdict().is_safe, self.verdict()
 
     async def test_with_a_majority_gone_no_one_holds_and_after_it_returns_one_does(self) -> None:
         fleet = await self.start(3)
@@ -85,7 +85,7 @@
         assert not self.actors(begun + 1_100.0, wall_ms())  # the one left cannot hold alone
         await fleet.start(victim)
         assert await self.held_since(wall_ms())
-        assert self.verdict().safe, self.verdict()
+        assert self.verdict().is_safe, self.verdict()
 
     async def test_a_clean_stop_hands_on_at_once_and_a_killed_elector_restarts_with_its_terms(self) -> None:
         fleet = await self.start(3)
@@ -101,7 +101,7 @@
         assert len(kept) == len(DUTIES), kept
         await fleet.start(other)
         assert await self.held_since(wall_ms())
-        assert self.verdict().safe, self.verdict()
+        assert self.verdict().is_safe, self.verdict()
 
     async def test_a_fast_clock_loss_and_delay_keep_one_holder_and_a_schedule_plays_from_its_file(
         self,
@@ -110,21 +110,17 @@
         faults = generate(7, fleet.names, 12_000.0, 4, kinds=KINDS)
         path = Path(self.folder.name) / "schedule.toml"
         path.write_text(dump(faults))
-        assert (
-            load(path)
-            == faults
-            == generate(7, fleet.names, 12_000.0, 4, kinds=KINDS)
-        )
+        assert load(path) == faults == generate(7, fleet.names, 12_000.0, 4, kinds=KINDS)
         await play(fleet, load(path))
         assert await self.held_since(wall_ms())
         verdict = self.verdict()
-        assert verdict.safe and verdict.acts > 200, verdict
-        assert set(DUTIES) == {a.duty for sink in fleet.sinks for a in sink.fence.acts}
+        assert verdict.is_safe and verdict.operations > 200, verdict
+        assert set(DUTIES) == {a.task for sink in fleet.sinks for a in sink.fence.records}
 
 
 def test_a_lease_setting_that_cannot_be_used_is_one_line_naming_its_key() -> None:
     from gladewalk.config import ConfigError
-    from gladewalk.leases.start import checked
+    from gladewalk.leases.start import read_lease_settings
     from gladewalk.options import load_options
 
     base = "[leases]\nlisten = '127.0.0.1:1'\nkeys = 'k'\nhubs = ['127.0.0.1:2']\n{}"
@@ -146,7 +142,7 @@
         ):  # fmt: skip
             path.write_text(text)
             try:
-                checked(load_options(str(path)), name)
+                read_lease_settings(load_options(str(path)), name)
             except ConfigError as error:
                 assert str(error).startswith(f"{path}: {told}"), error
             else:
--- a/tests/test_golden_leases.py
+++ b/tests/test_golden_leases.py
@@ -15,45 +15,45 @@
 
 from gladewalk.counters import Counters
 from gladewalk.deadlines import Deadlines
-from gladewalk.faultnet.sink import Sink
+from gladewalk.faultnet.fenced_resource import FencedResource
 from gladewalk.leases import messages as m
-from gladewalk.leases.candidate import Candidate
-from gladewalk.leases.configuration import LeaseTerms
-from gladewalk.leases.fenced_operations import Acts
+from gladewalk.leases.candidate import LeaseCandidate
+from gladewalk.leases.configuration import LeaseConfig
+from gladewalk.leases.fenced_operations import FencedOperationQueue
 from gladewalk.leases.fleet_report import FleetReport
-from gladewalk.leases.holder_tasks import Works
-from gladewalk.leases.outputs import GRANTS, ORDERS, Granted, granted_of, pack
-from gladewalk.leases.purge_requests import Orders
-from gladewalk.leases.transport import LeaseClock, Leases
-from gladewalk.leases.voter import Elector, restored_of
+from gladewalk.leases.holder_tasks import LeaseHolderTasks
+from gladewalk.leases.outputs import GRANT_SPACE, PURGE_SPACE, GrantRecord, decode_grant, encode_row
+from gladewalk.leases.purge_requests import PurgeRequests
+from gladewalk.leases.transport import LeaseClock, LeaseService
+from gladewalk.leases.voter import Voter, decode_grants
 from gladewalk.members.seal import Seal, make_key
-from gladewalk.rehearsal.leasenet import World, schedule
+from gladewalk.rehearsal.lease_simulation import LeaseSimulation, generate_schedule
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "leases.json").read_text())
 KEY = make_key(b"k" * 32)
 WALL_MS = 1_764_576_000_000.0
 
-ORDER = m.Order("00ff", "o:7f3a9c21", "a", 1_764_576_000_123.5)
+ORDER = m.PurgeRequest("00ff", "o:7f3a9c21", "a", 1_764_576_000_123.5)
 MESSAGES: dict[str, m.Message] = {
-    "ask": m.Ask("purge", 3, "a", 9),
-    "sound": m.Sound("purge", "a", 9),
-    "grant": m.Grant("purge", 3, "a", 9, "b"),
-    "refuse": m.Refuse("purge", 9, "b", 4, "c", 12.5),
-    "standing": m.Standing("purge", 9, "b", 4, "c", 12.5),
-    "release": m.Release("purge", 3, "a"),
-    "release_to": m.Release("purge", 3, "a", "c"),
-    "act_bare": m.Act("purge", 3, "a", 1_764_576_000_123.5),
-    "act": m.Act("purge", 3, "a", 1_764_576_000_123.5, 7, "00ff", b"o:7f3a9c21"),
-    "acked": m.Acked("purge", 3, 7, True, 3),
-    "acked_refused": m.Acked("purge", 3, 7, False, 4),
+    "ask": m.VoteRequest("purge", 3, "a", 9),
+    "sound": m.PreVoteRequest("purge", "a", 9),
+    "grant": m.VoteGranted("purge", 3, "a", 9, "b"),
+    "refuse": m.VoteDenied("purge", 9, "b", 4, "c", 12.5),
+    "standing": m.PreVoteResponse("purge", 9, "b", 4, "c", 12.5),
+    "release": m.LeaseRelease("purge", 3, "a"),
+    "release_to": m.LeaseRelease("purge", 3, "a", "c"),
+    "act_bare": m.FencedOperation("purge", 3, "a", 1_764_576_000_123.5),
+    "act": m.FencedOperation("purge", 3, "a", 1_764_576_000_123.5, 7, "00ff", b"o:7f3a9c21"),
+    "acked": m.OperationResponse("purge", 3, 7, True, 3),
+    "acked_refused": m.OperationResponse("purge", 3, 7, False, 4),
     "order": ORDER,
-    "kept": m.Kept("00ff", "b"),
-    "finished": m.Finished("00ff", 4),
-    "wanted": m.Wanted("a", 2),
-    "wanted_after": m.Wanted("a", 2, "00ff"),
-    "open": m.Open("b", 2, [ORDER], True),
-    "open_last": m.Open("b", 2, []),
-    "figures": m.Figures(
+    "kept": m.Replicated("00ff", "b"),
+    "finished": m.Completed("00ff", 4),
+    "wanted": m.SyncRequest("a", 2),
+    "wanted_after": m.SyncRequest("a", 2, "00ff"),
+    "open": m.SyncResponse("b", 2, [ORDER], True),
+    "open_last": m.SyncResponse("b", 2, []),
+    "figures": m.DirectorMetrics(
         "a", 5, 1_764_576_000_123.5, {"served": 7, "refused": 0, "failed": 1, "attempts": 9}
     ),
 }
@@ -76,35 +76,43 @@
 
 def test_stored_rows_are_read_and_written_as_they_were() -> None:
     rows = {name: bytes.fromhex(row) for name, row in GOLDEN["rows"].items()}
-    assert (GRANTS, ORDERS) == ("grant", "order")
-    assert rows == {"grant": pack(Granted(7, "a")), "order": pack(ORDER)}
-    assert granted_of(rows["grant"]) == Granted(7, "a")
-    assert restored_of({"purge": rows["grant"], "torn": b"\x93"}) == {"purge": Granted(7, "a")}
-    orders = Orders("b", ("a", "b"), ("@purge/0",), random.Random(2), {"00ff": rows["order"]})
-    assert orders.to_do() == [ORDER]
+    assert (GRANT_SPACE, PURGE_SPACE) == ("grant", "order")
+    assert rows == {"grant": encode_row(GrantRecord(7, "a")), "order": encode_row(ORDER)}
+    assert decode_grant(rows["grant"]) == GrantRecord(7, "a")
+    assert decode_grants({"purge": rows["grant"], "torn": b"\x93"}) == {"purge": GrantRecord(7, "a")}
+    orders = PurgeRequests("b", ("a", "b"), ("@purge/0",), random.Random(2), {"00ff": rows["order"]})
+    assert orders.requests_to_forward() == [ORDER]
 
 
 def world_trace() -> dict[str, object]:
     """Every datagram between directors in virtual time under faults, and what the sink recorded."""
-    world, lines = World(5, 3), list[str]()
+    world, lines = LeaseSimulation(5, 3), list[str]()
     post = world.post
 
-    def note(source: str, target: str, data: bytes) -> None:
-        lines.append(f"{world.now:.6f} {source}>{target} {data.hex()}")
-        post(source, target, data)
+    def note(source: str, target: str, payload: bytes) -> None:
+        lines.append(f"{world.now_ms:.6f} {source}>{target} {payload.hex()}")
+        post(source, target, payload)
 
     world.post = note  # type: ignore[method-assign]
-    for fault in schedule(9, world.names, 8_000.0, 5):
-        world.after(fault.at_ms, lambda fault=fault: world.apply(fault))  # type: ignore[misc]
+    world.schedule(generate_schedule(9, world.names, 8_000.0, 5))
     world.start()
     world.run_until(8_000.0)
-    acts = [(a.duty, a.token, a.actor, round(a.done_ms, 6), round(a.at_ms, 6), a.accepted)
-            for a in world.fence.acts]  # fmt: skip
+    records = [
+        (
+            record.task,
+            record.token,
+            record.holder,
+            round(record.performed_at_ms, 6),
+            round(record.received_at_ms, 6),
+            record.is_accepted,
+        )
+        for record in world.fence.records
+    ]
     return {
         "datagrams": len(lines),
         "datagrams_sha256": hashlib.sha256("\n".join(lines).encode()).hexdigest(),
-        "acts": len(acts),
-        "acts_sha256": hashlib.sha256(json.dumps(acts).encode()).hexdigest(),
+        "acts": len(records),
+        "acts_sha256": hashlib.sha256(json.dumps(records).encode()).hexdigest(),
     }
 
 
@@ -166,15 +174,15 @@
 async def director_trace() -> dict[str, object]:
     """One director with a purge and a report to send: its datagrams, rows, views, log events, counters."""
     clock, wire, rows, counters = VirtualClock(), Wire(), Rows(), Counters()
-    terms, rng = LeaseTerms(), random.Random(4)
+    terms, rng = LeaseConfig(), random.Random(4)
     sinks = {"purge": ("@purge/0", "@purge/1"), "report": ("@report/0",)}
     ports = {"a": 1, "@purge/0": 2, "@purge/1": 3, "@report/0": 4}
-    candidate = Candidate("a", ("a",), ("purge", "report"), terms, rng, 0.0)
-    orders = Orders("a", ("a",), sinks["purge"], rng, {})
+    candidate = LeaseCandidate("a", ("a",), ("purge", "report"), terms, rng, 0.0)
+    orders = PurgeRequests("a", ("a",), sinks["purge"], rng, {})
     report = FleetReport("a", ("a",), 5, 1_000.0, lambda: {"served": 3, "refused": 1})
-    works = Works(candidate, Acts("a", sinks), orders, report, 100.0, 200.0, 0.0)
-    leases = Leases(
-        Elector("a", terms, 0.0, {}), candidate, works, {name: ("x", at) for name, at in ports.items()},
+    works = LeaseHolderTasks(candidate, FencedOperationQueue("a", sinks), orders, report, 100.0, 200.0, 0.0)
+    leases = LeaseService(
+        Voter("a", terms, 0.0, {}), candidate, works, {name: ("x", at) for name, at in ports.items()},
         Seal((KEY,), 30_000.0), rows, clock, lambda: WALL_MS + clock.now, cast(Deadlines, NoDeadlines()),
         counters,
     )  # fmt: skip
@@ -198,38 +206,38 @@
                 opened = hubs_seal.open(data, WALL_MS + clock.now)
                 assert isinstance(opened, bytes)
                 act = m.decode(opened)
-                assert isinstance(act, m.Act)
+                assert isinstance(act, m.FencedOperation)
                 if act.number:
                     acked += 1
-                    answer = m.encode(m.Acked(act.duty, act.token, act.number, True, act.token))
+                    answer = m.encode(m.OperationResponse(act.task, act.token, act.number, True, act.token))
                     sealed = Seal((KEY,), 30_000.0).seal(answer, WALL_MS + clock.now, acked)
                     leases.datagram_received(sealed, ("x", port))
 
     with structlog.testing.capture_logs() as events:
         for _ in range(25):
             await step(50.0)
-        id = leases.order("o:7f3a9c21")
+        id = leases.request_purge("o:7f3a9c21")
         views["order"] = orders.status(id)
         for n in range(30):
             await step(50.0)
             if n == 4:
-                views["order_open"], views["open"] = orders.status(id), leases.view()
-        views["order_finished"], views["finished"] = orders.status(id), leases.view()
+                views["order_open"], views["open"] = orders.status(id), leases.status()
+        views["order_finished"], views["finished"] = orders.status(id), leases.status()
         leases.datagram_received(b"noise", ("x", 9))
         noise = Seal((KEY,), 30_000.0).seal(b"\x93", WALL_MS + clock.now, 99)
         leases.datagram_received(noise, ("x", 9))
         stranger = Seal((make_key(b"s" * 32),), 30_000.0).seal(b"\x93", WALL_MS + clock.now, 99)
         leases.datagram_received(stranger, ("x", 9))
         leases.error_received(OSError())
-        answer = m.encode(m.Acked("report", 1, 1, False, 9))
+        answer = m.encode(m.OperationResponse("report", 1, 1, False, 9))
         sealed = Seal((KEY,), 30_000.0).seal(answer, WALL_MS + clock.now, 1_000_001)
         leases.datagram_received(sealed, ("x", 4))
         views["hand_on"] = [leases.hand_on(duty, "b") for duty in ("purge", "purge", "report", "none")]
-        rival = m.encode(m.Ask("purge", 1, "c", 1))
+        rival = m.encode(m.VoteRequest("purge", 1, "c", 1))
         for number in (1_000_002, 1_000_003):  # the second within the time in which it is not logged again
             sealed = Seal((KEY,), 30_000.0).seal(rival, WALL_MS + clock.now, number)
             leases.datagram_received(sealed, ("x", 9))
-        leases.candidate.duties["report"].term, leases.candidate.duties["report"].until_ms = 5, 0.0
+        leases.candidate.leases["report"].term, leases.candidate.leases["report"].expires_at_ms = 5, 0.0
         await step(50.0)
     return {
         "datagrams": datagrams,
@@ -243,26 +251,29 @@
 async def sink_trace(monkeypatch: pytest.MonkeyPatch) -> dict[str, object]:
     """What the fenced resource answers to operations of two tokens."""
     monkeypatch.setattr(time, "time", lambda: WALL_MS / 1_000.0)
-    sink, wire, seal = Sink((KEY,)), Wire(), Seal((KEY,), 30_000.0)
+    sink, wire, seal = FencedResource((KEY,)), Wire(), Seal((KEY,), 30_000.0)
     sink.random = cast(random.SystemRandom, random.Random(8))
     sink.transport = cast(asyncio.DatagramTransport, wire)
     body = json.dumps({"part": 0, "parts": 1, "rows": [{"name": "a", "served": 3}], "missing": []}).encode()
     told = (
-        m.Act("purge", 3, "a", WALL_MS),
-        m.Act("purge", 3, "a", WALL_MS, 1, "00ff", b"o:7f3a9c21"),
-        m.Act("purge", 4, "b", WALL_MS, 1, "00ff", b"o:7f3a9c21"),
-        m.Act("purge", 3, "a", WALL_MS, 2, "00fe", b"o:1"),
-        m.Act("purge", 2, "a", WALL_MS),
-        m.Act("report", 1, "a", WALL_MS, 3, "5-1-0", body),
+        m.FencedOperation("purge", 3, "a", WALL_MS),
+        m.FencedOperation("purge", 3, "a", WALL_MS, 1, "00ff", b"o:7f3a9c21"),
+        m.FencedOperation("purge", 4, "b", WALL_MS, 1, "00ff", b"o:7f3a9c21"),
+        m.FencedOperation("purge", 3, "a", WALL_MS, 2, "00fe", b"o:1"),
+        m.FencedOperation("purge", 2, "a", WALL_MS),
+        m.FencedOperation("report", 1, "a", WALL_MS, 3, "5-1-0", body),
     )
     for number, act in enumerate(told):
         sink.datagram_received(seal.seal(m.encode(act), WALL_MS, number), ("x", 9))
     sink.datagram_received(b"noise", ("x", 9))
     return {
         "answers": [data.hex() for data, _ in wire.sent],
-        "purged": {id: list(done) for id, done in sink.purged.items()},
-        "reports": sink.reports, "rows": sink.rows, "again": sink.again, "malformed": sink.malformed,
-    }  # fmt: skip
+        "purged": {id: [done.target, done.token, done.holder] for id, done in sink.purges.items()},
+        "reports": sink.reports,
+        "rows": sink.rows,
+        "again": sink.repeated_purge_count,
+        "malformed": sink.malformed_count,
+    }
 
 
 def test_one_director_sends_stores_logs_and_counts_what_it_did() -> None:
@@ -302,7 +313,7 @@
     return {
         "messages": {name: m.encode(message).hex() for name, message in MESSAGES.items()},
         "sealed": sealed,
-        "rows": {"grant": pack(Granted(7, "a")).hex(), "order": pack(ORDER).hex()},
+        "rows": {"grant": encode_row(GrantRecord(7, "a")).hex(), "order": encode_row(ORDER).hex()},
         "world": world_trace(),
         "director": asyncio.run(director_trace()),
         "sink": sink,
