Files of shared tasks by the field's names; a denial and a pre-vote's answer share their fields

kinds -> task_types, pacing -> rate_limit, rehearsal/dutynet -> task_simulation, ownerwalk -> ownership_checker: only import lines follow.

--- a/benchmarks/duties_at_size.py
+++ b/benchmarks/duties_at_size.py
@@ -17,7 +17,7 @@
 import time
 from dataclasses import dataclass
 
-from gladewalk.rehearsal.dutynet import DutyNet, duty_cluster
+from gladewalk.rehearsal.task_simulation import DutyNet, duty_cluster
 
 BOXES_EACH = 3
 TAKEOVER_MOST_MS = 8_000.0
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -16,7 +16,7 @@
 from ..members.swim import Membership
 from ..members.terms import Change
 from .ownership import Claim, Ownership
-from .pacing import Pacing
+from .rate_limit import Pacing
 
 SWEEP_MS = 50.0  # how late a duty may be noticed to be due
 JOIN_MS = 1_000.0  # a start waits so long to meet the others: alone it would claim all that they do
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -15,8 +15,8 @@
 from ..members.transport import Members, Network
 from ..options import Options
 from ..upstream.pool import Caches
-from .kinds import CheckSources, ProbeBoxes
 from .runner import Duty, Runner
+from .task_types import CheckSources, ProbeBoxes
 
 
 def checked(
--- a/gladewalk/leases/messages.py
+++ b/gladewalk/leases/messages.py
@@ -46,8 +46,8 @@
     voter: str
 
 
-class VoteDenied(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """A voter's refusal, with the highest term it granted, its holder and the time left, which are hints."""
+class _VoterAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """What a voter tells of its promise: hints only, since time passes on the way."""
 
     task: str
     round_number: int
@@ -57,15 +57,12 @@
     remaining_ms: float
 
 
-class PreVoteResponse(msgspec.Struct, frozen=True, array_like=True, tag=14):
-    """Answer to a pre-vote; with `remaining_ms` 0 a term above `highest_term` would be granted."""
+class VoteDenied(_VoterAnswer, frozen=True, array_like=True, tag=3):
+    """A voter's refusal, with the highest term it granted, its holder and the time left."""
 
-    task: str
-    round_number: int
-    voter: str
-    highest_term: int
-    holder: str
-    remaining_ms: float
+
+class PreVoteResponse(_VoterAnswer, frozen=True, array_like=True, tag=14):
+    """Answer to a pre-vote; with `remaining_ms` 0 a term above `highest_term` would be granted."""
 
 
 class LeaseRelease(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -16,13 +16,13 @@
 from gladewalk.config import read
 from gladewalk.director import Director
 from gladewalk.duties.ownership import Claim, Ownership, owner_of
-from gladewalk.duties.pacing import Pacing
+from gladewalk.duties.rate_limit import Pacing
 from gladewalk.members.seal import make_key
 from gladewalk.members.terms import Change
 from gladewalk.options import Options, options_of, read_tables
-from gladewalk.rehearsal.dutynet import DutyNet, duty_cluster
-from gladewalk.rehearsal.ownerwalk import Broken, Budget, Walk
+from gladewalk.rehearsal.ownership_checker import Broken, Budget, Walk
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for, until
+from gladewalk.rehearsal.task_simulation import DutyNet, duty_cluster
 
 INTERVAL_MS = 1_000.0
 
--- a/tests/test_golden_duties.py
+++ b/tests/test_golden_duties.py
@@ -12,7 +12,7 @@
 from gladewalk.duties.view import view_of
 from gladewalk.members.messages import News, decode, encode
 from gladewalk.members.seal import Seal, make_key
-from gladewalk.rehearsal.dutynet import DutyNet, duty_cluster
+from gladewalk.rehearsal.task_simulation import DutyNet, duty_cluster
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "duties.json").read_text())
 KEY = make_key(b"k" * 32)
