--- a/benchmarks/duties_at_size.py
+++ b/benchmarks/duties_at_size.py
@@ -17,7 +17,7 @@
 import time
 from dataclasses import dataclass
 
-from gladewalk.rehearsal.task_simulation import DutyNet, duty_cluster
+from gladewalk.rehearsal.task_simulation import TaskNetwork, build_task_network
 
 BOXES_EACH = 3
 TAKEOVER_MOST_MS = 8_000.0
@@ -43,35 +43,37 @@
         )
 
 
-def kill(net: DutyNet, name: str) -> list[float]:
+def kill(net: TaskNetwork, name: str) -> list[float]:
     """How long each box that it probed waits for its heir, in ms."""
-    owned = {box for box in net.boxes if net.holders(box) == [name]}
-    killed, seen = net.now, len(net.done)
+    owned = {box for box in net.servers if net.owners(box) == [name]}
+    killed, seen = net.now, len(net.probes)
     net.kill(name)
     net.run(TAKEOVER_MOST_MS)
     first: dict[str, float] = {}
-    for done in net.done[seen:]:
-        if done.name in owned:
-            first.setdefault(done.name, done.at_ms - killed)
+    for done in net.probes[seen:]:
+        if done.server in owned:
+            first.setdefault(done.server, done.at_ms - killed)
     return [first.get(box, float("inf")) for box in owned]
 
 
 def measure(size: int, kills: int, settle_ms: float, met: bool) -> Row:
     began, draw = time.monotonic(), random.Random(size)
-    net = duty_cluster(size, size, boxes=BOXES_EACH * size, settle_ms=settle_ms, met=met)
+    net = build_task_network(size, size, servers=BOXES_EACH * size, settle_ms=settle_ms, have_met=met)
     started, sent, size_before = net.now, sum(net.sent.values()), sum(net.bytes.values())
     net.run(5_000.0)
     seconds = size * 5.0
     bytes_s = (sum(net.bytes.values()) - size_before) / seconds
     messages_s = (sum(net.sent.values()) - sent) / seconds
-    boxes = draw.sample(net.boxes, min(64, len(net.boxes)))
-    known = sorted(net.now - net.learned.get((name, box), started) for name in net.nodes for box in boxes)
+    boxes = draw.sample(net.servers, min(64, len(net.servers)))
+    known = sorted(
+        net.now - net.known_since_ms.get((name, box), started) for name in net.nodes for box in boxes
+    )
     takeovers: list[float] = []
     for name in draw.sample(sorted(net.nodes), min(kills, size - 1)):
         net.run(draw.uniform(0.0, 1_000.0))
         takeovers += kill(net, name)
     spent = time.monotonic() - began
-    return Row(size, sorted(takeovers), net.rates(started), bytes_s, messages_s, known, spent)
+    return Row(size, sorted(takeovers), net.probe_rates(started), bytes_s, messages_s, known, spent)
 
 
 def main() -> int:
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -70,9 +70,9 @@
         options = load_options(options_path)
         shapes_of(options)  # certificates and keys are files of their own: a bad one shows at the start
         if options.members is not None:
-            from .duties.start import checked
+            from .duties.start import read_member_settings
 
-            checked(options)
+            read_member_settings(options)
         if options.leases is not None:
             from .leases.start import read_lease_settings
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:  # what is off is not imported
     from .control.server import Control
     from .dns.settings import DnsConfig
-    from .duties.runner import Runner
+    from .duties.runner import TaskRunner
     from .leases.transport import Address, LeaseService
     from .members.seal import Key
     from .members.transport import Members
@@ -111,11 +111,11 @@
             self.dns = DnsFront(self.exchange, dns, self.counters, alpn_of=self._alpn_of)
 
         self.members: Members | None = None
-        self.duties: Runner | None = None
+        self.duties: TaskRunner | None = None
         if options is not None and options.members is not None:
-            from .duties.start import start
+            from .duties.start import build_shared_tasks
 
-            self.members, self.duties = start(
+            self.members, self.duties = build_shared_tasks(
                 config.name, options, self.exchange, self.caches, self.deadlines, self.counters
             )
         self.web: Web | None = None
--- a/gladewalk/duties/__init__.py
+++ b/gladewalk/duties/__init__.py
@@ -1,1 +1,1 @@
-"""Who does what: each periodic duty has one owner among the live members. Decided here without I/O."""
+"""Periodic tasks shared among directors: each has one owner among the live members (docs/duties.md)."""
--- a/gladewalk/duties/rate_limit.py
+++ b/gladewalk/duties/rate_limit.py
@@ -1,35 +1,38 @@
-"""How many duties may be done: a cap on all probes of a fleet, kept without I/O.
+"""Rate limit of all members' probes together: a common stretch of intervals, and a token bucket.
 
-A cap that binds stretches every interval alike, so that each box is still probed, only less often. All
-members list the same servers and have the same settings, so all stretch alike. A bucket guards the rest: a
-takeover or a list that grows at once never makes a burst of more than a quarter of a second's worth.
+Where the limit binds, every interval is stretched alike, so that each server is still probed, only less
+often. All members list the same servers and have the same settings, so all compute the same stretch. The
+token bucket bounds the rest: a takeover, or a list that grows at once, never makes a burst of more than
+`BURST_SECONDS` worth. No I/O.
 """
 
 from __future__ import annotations
 
-BURST_S = 0.25
+BURST_SECONDS = 0.25
+UNLIMITED = 1_000_000
 
 
-class Pacing:
-    """`per_s`: probes and checks a second, all members together; 0 stands for no cap."""
+class ProbeRateLimit:
+    """Limits probes to `per_second`, all members together; 0 stands for no limit."""
 
-    def __init__(self, per_s: float, now_ms: float) -> None:
-        self.per_s = per_s
-        self.room = max(1.0, per_s * BURST_S)
-        self.tokens, self.at_ms = self.room, now_ms
+    def __init__(self, per_second: float, now_ms: float) -> None:
+        self.per_second = per_second
+        self.burst = max(1.0, per_second * BURST_SECONDS)
+        self.tokens, self.refilled_at_ms = self.burst, now_ms
 
-    def stretch(self, wanted_per_s: float) -> float:
-        """By how much intervals are longer than wanted; 1 where the cap does not bind."""
-        return max(1.0, wanted_per_s / self.per_s) if self.per_s else 1.0
+    def interval_stretch(self, wanted_per_second: float) -> float:
+        """Returns by how much intervals are longer than wanted; 1 where the limit does not bind."""
+        return max(1.0, wanted_per_second / self.per_second) if self.per_second else 1.0
 
     def allowance(self, now_ms: float) -> int:
-        """How many may be begun now; a clock that was set back gives none and takes none."""
-        if not self.per_s:
-            return 1_000_000
-        spent_ms = max(0.0, now_ms - self.at_ms)
-        self.tokens = min(self.room, self.tokens + spent_ms / 1_000.0 * self.per_s)
-        self.at_ms = now_ms
+        """Returns how many probes may be sent now; a clock that was set back neither adds nor removes any."""
+        if not self.per_second:
+            return UNLIMITED
+        elapsed_ms = max(0.0, now_ms - self.refilled_at_ms)
+        self.tokens = min(self.burst, self.tokens + elapsed_ms / 1_000.0 * self.per_second)
+        self.refilled_at_ms = now_ms
         return int(self.tokens)
 
     def spend(self, count: int) -> None:
+        """Takes the tokens of probes that are sent."""
         self.tokens -= count
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -1,13 +1,14 @@
-"""Duties carried out: whose turn it is comes from `Ownership`, who is there from `Members`.
+"""Runs the periodic tasks that this director owns and shares findings with the other members.
 
-A kind of duty is one class with the three methods of `Duty`. It needs no more than that to be divided among
-the directors, taken over and told of.
+Ownership comes from `Ownership`, liveness from `Membership`. A type of task is one class with the interface
+of `PeriodicTask`; that is all it needs to be divided among directors, taken over and shared.
 """
 
 from __future__ import annotations
 
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Protocol
 
 from .. import interface as api
@@ -15,150 +16,192 @@
 from ..members.messages import News
 from ..members.swim import Membership
 from ..members.terms import Change
-from .ownership import Claim, Ownership
-from .rate_limit import Pacing
+from .ownership import Ownership, OwnershipClaim
+from .rate_limit import ProbeRateLimit
 
-SWEEP_MS = 50.0  # how late a duty may be noticed to be due
-JOIN_MS = 1_000.0  # a start waits so long to meet the others: alone it would claim all that they do
-Found = Callable[[api.Status, float, dict[str, float] | None], None]
+SWEEP_INTERVAL_MS = 50.0  # how late a task may be noticed to be due
+JOIN_TIMEOUT_MS = 1_000.0  # a start waits so long to meet others: alone it would claim all that they own
+ResultCallback = Callable[[api.Status, float, dict[str, float] | None], None]  # status, latency ms, load
 
 
-class Fellows(Protocol):
-    """The members as `Runner` needs them; `members.transport.Members` on sockets."""
+class Peers(Protocol):
+    """The other members as `TaskRunner` needs them; `members.transport.Members` on sockets."""
 
     core: Membership
     changed: Callable[[Change, str], None]
     heard: Callable[[News], None]
 
-    def tell(self, news: News) -> None: ...
+    def tell(self, news: News) -> None:
+        """Spreads a claim or a finding to all members."""
 
 
-class Agenda(Protocol):
-    """Where the next sweep is put down; `Deadlines`, or a rehearsal's virtual time."""
+class Scheduler(Protocol):
+    """Calls a function later; `Deadlines`, or a simulation's virtual time."""
 
-    def add(self, when_ms: float, call: Callable[[], None]) -> object: ...
+    def add(self, when_ms: float, call: Callable[[], None]) -> object:
+        """Calls `call` at a Unix time in ms."""
 
 
-class Duty(Protocol):
-    """A kind of duty: what there is to be done, how, and what is learned from it."""
+class PeriodicTask(Protocol):
+    """A type of task: which targets there are, how it is done, and what is learned from it."""
 
-    kind: str
+    kind: str  # part of the messages between members
     interval_ms: float
 
-    def names(self) -> Iterable[str]:
-        """What it is to be done for, as all directors name it."""
+    def targets(self) -> Iterable[str]:
+        """Returns the names of what it is to be done for, the same at every director."""
 
-    def do(self, name: str, found: Found) -> None:
-        """Do it once, and say what was found and how long it took."""
+    def perform(self, target: str, on_result: ResultCallback) -> None:
+        """Does it once and reports the result."""
 
-    def learn(
-        self, name: str, status: api.Status, took_ms: float, load: dict[str, float] | None, age_ms: float
+    def record_result(
+        self,
+        target: str,
+        status: api.Status,
+        latency_ms: float,
+        load: dict[str, float] | None,
+        age_ms: float,
     ) -> None:
-        """What somebody found, told once for each finding; ours among them. `age_ms`: since it was begun."""
+        """Uses a finding of any member, called once for each; `age_ms` is the time since it was begun."""
 
 
-class Runner:
-    """All duties of one director."""
+@dataclass(slots=True)
+class SharedTask:
+    """One type of task with this director's view of who owns which target."""
+
+    task: PeriodicTask
+    ownership: Ownership
+    targets: frozenset[str] = frozenset()
+
+    @property
+    def wanted_per_second(self) -> float:
+        """How often all members together should do it."""
+        return len(self.targets) * 1_000.0 / self.task.interval_ms
+
+
+class TaskRunner:
+    """All shared tasks of one director.
+
+    `max_finding_age_ms`: older findings of others are ignored. `probes_per_second`: limit of all members
+    together, 0 for none.
+    """
 
     def __init__(
-        self, members: Fellows, duties: Iterable[Duty], clock: Callable[[], float], deadlines: Agenda,
-        counters: Counters, rng: random.Random, fresh_ms: float, per_s: float = 0.0,
-    ) -> None:  # fmt: skip
-        self.members, self.clock = members, clock
-        self.deadlines, self.counters, self.fresh_ms = deadlines, counters, fresh_ms
-        self.pacing, self.stretch = Pacing(per_s, clock()), 1.0
-        me = members.core.me.name
-        self.duties = {duty.kind: duty for duty in duties}
-        self.owned = {kind: Ownership(me, duty.interval_ms, rng) for kind, duty in self.duties.items()}
-        members.changed, members.heard = self.changed, self.heard
-        self.moved = True  # who is there has changed since the last sweep: a fleet that joins is one change
-        self.alone_until = clock() + (JOIN_MS if members.core.seeds else 0.0)
-        self.known: dict[str, frozenset[str]] = dict.fromkeys(self.duties, frozenset())
+        self,
+        peers: Peers,
+        tasks: Iterable[PeriodicTask],
+        clock: Callable[[], float],
+        scheduler: Scheduler,
+        counters: Counters,
+        rng: random.Random,
+        max_finding_age_ms: float,
+        probes_per_second: float = 0.0,
+    ) -> None:
+        self.peers, self.clock, self.scheduler, self.counters = peers, clock, scheduler, counters
+        self.max_finding_age_ms = max_finding_age_ms
+        self.rate_limit, self.stretch = ProbeRateLimit(probes_per_second, clock()), 1.0
+        name = peers.core.me.name
+        self.shared = {task.kind: SharedTask(task, Ownership(name, task.interval_ms, rng)) for task in tasks}
+        peers.changed, peers.heard = self.handle_membership_change, self.handle_news
+        self.has_membership_changed = True  # since the last sweep: a fleet that joins is one change
+        self._alone_until_ms = clock() + (JOIN_TIMEOUT_MS if peers.core.seeds else 0.0)
 
     def sweep(self) -> None:
-        """Twenty times a second: what there is to do now."""
-        now = self.clock()
-        if now < self.alone_until and len(self.members.core.live()) == 1:
-            return self._again(now)
-        if self.moved and self.members.core.active:
-            self.moved, fit = False, self.members.core.fit()
-            for owned in self.owned.values():
-                owned.set_members(fit, now)
-        for kind, duty in self.duties.items():
-            self._list(kind, frozenset(duty.names()), now)
-        wanted = sum(len(self.known[k]) * 1_000.0 / duty.interval_ms for k, duty in self.duties.items())
-        self.stretch = self.pacing.stretch(wanted)
-        for kind, duty in self.duties.items():
-            owned = self.owned[kind]
-            owned.interval_ms = duty.interval_ms * self.stretch
-            if not self.members.core.active:  # our name is another's: nothing is ours
-                continue
-            self._tell_claims(kind)
-            due = owned.due(now, self.pacing.allowance(now))
-            self.pacing.spend(len(due))
-            for name, claim in due:
-                self._do(duty, name, claim)
-        self._again(now)
-
-    def _again(self, now: float) -> None:
-        self.deadlines.add(now + SWEEP_MS, self.sweep)
-
-    def _list(self, kind: str, names: frozenset[str], now: float) -> None:
-        """The servers that there is a duty for, as the coordinator lists them now."""
-        if names is self.known[kind] or names == self.known[kind]:
+        """Updates members and targets, does what is due, and schedules the next sweep."""
+        now_ms = self.clock()
+        is_alone = len(self.peers.core.live()) == 1
+        if now_ms >= self._alone_until_ms or not is_alone:
+            self._update_members(now_ms)
+            self._update_targets(now_ms)
+            self._perform_due(now_ms)
+        self.scheduler.add(now_ms + SWEEP_INTERVAL_MS, self.sweep)
+
+    def handle_membership_change(self, change: Change, name: str) -> None:
+        """Notes that members changed.
+
+        A suspect still counts, so that no task moves for a short silence. One that has stalled does not,
+        though it keeps its place: its tasks are done by others meanwhile.
+        """
+        if self.peers.core.active:
+            self.has_membership_changed = True
             return
-        for gone in self.known[kind] - names:
-            self.members.core.gossip.forget_news(f"{kind}/{gone}")
-        self.known[kind] = names
-        self.owned[kind].set_duties(names, now)
-
-    def changed(self, change: Change, name: str) -> None:
-        """Who is there has changed; a suspect still counts, so that no duty moves for a short silence. One
-        that has stalled does not, though it keeps its place: its duties are done by others meanwhile."""
-        if not self.members.core.active:  # our name is another's: nothing is ours any more
-            for owned in self.owned.values():
-                owned.held.clear()
+        for shared in self.shared.values():  # another director has this one's name: it owns nothing
+            shared.ownership.owned.clear()
+
+    def handle_news(self, news: News) -> None:
+        """Handles another member's claim, or its finding."""
+        kind, _, target = news.duty.partition("/")
+        shared, now_ms = self.shared.get(kind), self.clock()
+        if shared is None or target not in shared.targets:
             return
-        self.moved = True
-
-    def heard(self, news: News) -> None:
-        kind, _, name = news.duty.partition("/")
-        duty, now = self.duties.get(kind), self.clock()
-        if duty is None or name not in self.known[kind]:
-            return
-        claim = Claim(news.epoch, news.owner)
-        if not self.owned[kind].hear(name, claim, news.done_ms or None, now):
+        claim = OwnershipClaim(news.epoch, news.owner)
+        if not shared.ownership.handle_claim(target, claim, news.done_ms or None, now_ms):
             return self.counters.add("duties.older_epoch")
-        self._tell_claims(kind)
-        if not news.status:
+        self._announce_claims(shared)
+        if news.status:
+            self._record_finding(shared.task, target, news, now_ms)
+
+    def owned_tasks(self) -> list[str]:
+        """Returns the tasks that this director owns as `kind/target`, sorted."""
+        return sorted(
+            f"{kind}/{target}" for kind, shared in self.shared.items() for target in shared.ownership.owned
+        )
+
+    def _update_members(self, now_ms: float) -> None:
+        if not (self.has_membership_changed and self.peers.core.active):
             return
-        # A finding that is old, or of a clock that is off, tells nothing of now.
-        if abs(now - news.done_ms) > self.fresh_ms:
+        self.has_membership_changed, weights = False, self.peers.core.fit()
+        for shared in self.shared.values():
+            shared.ownership.set_members(weights, now_ms)
+
+    def _update_targets(self, now_ms: float) -> None:
+        for kind, shared in self.shared.items():
+            targets = frozenset(shared.task.targets())
+            # Identity first: comparing thousands of names twenty times a second costs.
+            if targets is shared.targets or targets == shared.targets:
+                continue
+            for removed in shared.targets - targets:
+                self.peers.core.gossip.forget_news(f"{kind}/{removed}")
+            shared.targets = targets
+            shared.ownership.set_tasks(targets, now_ms)
+
+    def _perform_due(self, now_ms: float) -> None:
+        wanted_per_second = sum(shared.wanted_per_second for shared in self.shared.values())
+        self.stretch = self.rate_limit.interval_stretch(wanted_per_second)
+        for shared in self.shared.values():
+            shared.ownership.interval_ms = shared.task.interval_ms * self.stretch
+            if not self.peers.core.active:  # another director has this one's name
+                continue
+            self._announce_claims(shared)
+            due = shared.ownership.take_due(now_ms, self.rate_limit.allowance(now_ms))
+            self.rate_limit.spend(len(due))
+            for target, claim in due:
+                self._perform(shared.task, target, claim)
+
+    def _perform(self, task: PeriodicTask, target: str, claim: OwnershipClaim) -> None:
+        started_ms = self.clock()
+        self.counters.add("duties.done")
+
+        def on_result(status: api.Status, latency_ms: float, load: dict[str, float] | None) -> None:
+            task.record_result(target, status, latency_ms, load, max(0.0, self.clock() - started_ms))
+            name = f"{task.kind}/{target}"
+            self.peers.tell(News(name, claim.owner, claim.epoch, started_ms, status.value, latency_ms, load))
+
+        task.perform(target, on_result)
+
+    def _record_finding(self, task: PeriodicTask, target: str, news: News, now_ms: float) -> None:
+        # A finding that is old, or of a clock that is off, says nothing of now.
+        if abs(now_ms - news.done_ms) > self.max_finding_age_ms:
             return self.counters.add("duties.too_old")
         try:
             status = api.Status(news.status)
-        except ValueError:
+        except ValueError:  # of a later version
             return self.counters.add("duties.unknown_status")
         self.counters.add("duties.heard")
-        duty.learn(name, status, news.took_ms, news.load, max(0.0, now - news.done_ms))
-
-    def owned_names(self) -> list[str]:
-        return sorted(f"{kind}/{name}" for kind, owned in self.owned.items() for name in owned.held)
-
-    def _do(self, duty: Duty, name: str, claim: Claim) -> None:
-        started = self.clock()
-        self.counters.add("duties.done")
-
-        def found(status: api.Status, took_ms: float, load: dict[str, float] | None) -> None:
-            duty.learn(name, status, took_ms, load, max(0.0, self.clock() - started))
-            self.members.tell(
-                News(f"{duty.kind}/{name}", claim.owner, claim.epoch, started, status.value, took_ms, load)
-            )
-
-        duty.do(name, found)
+        age_ms = max(0.0, now_ms - news.done_ms)
+        task.record_result(target, status, news.took_ms, news.load, age_ms)
 
-    def _tell_claims(self, kind: str) -> None:
-        owned = self.owned[kind]
-        for name, claim in owned.take_claims():
+    def _announce_claims(self, shared: SharedTask) -> None:
+        for target, claim in shared.ownership.take_new_claims():
             self.counters.add("duties.claims")
-            self.members.tell(News(f"{kind}/{name}", claim.owner, claim.epoch, 0.0))
+            self.peers.tell(News(f"{shared.task.kind}/{target}", claim.owner, claim.epoch, 0.0))
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -1,9 +1,10 @@
-"""Members and duties of one director, put together as its settings say."""
+"""Reads the `[members]` and `[duties]` tables and builds a director's membership and shared tasks."""
 
 from __future__ import annotations
 
 import ipaddress
 import random
+from dataclasses import dataclass
 
 from ..config import ConfigError, read_address
 from ..counters import Counters
@@ -15,14 +16,25 @@
 from ..members.transport import Members, Network
 from ..options import Options
 from ..upstream.pool import Caches
-from .runner import Duty, Runner
-from .task_types import CheckSources, ProbeBoxes
+from .runner import PeriodicTask, TaskRunner
+from .task_types import CacheLoadProbe, SourceHealthCheck
 
+PING_TIMEOUT_PERIODS = 0.4  # of a protocol period
 
-def checked(
-    options: Options,
-) -> tuple[Address, tuple[Address, ...], tuple[Network, ...], Seal, dict[Address, Address]]:
-    """What `[members]` says, or `ConfigError` with the key that cannot be used."""
+
+@dataclass(slots=True, frozen=True)
+class MemberSettings:
+    """The `[members]` table with its addresses parsed and its key ring loaded."""
+
+    listen: Address
+    seeds: tuple[Address, ...]
+    networks: tuple[Network, ...]
+    seal: Seal
+    dial_addresses: dict[Address, Address]  # advertised -> dialled
+
+
+def read_member_settings(options: Options) -> MemberSettings:
+    """Returns the checked `[members]` table; raises `ConfigError` with the unusable key."""
     table = options.members
     assert table is not None
     key = "listen"
@@ -33,32 +45,46 @@
         key = "networks"
         networks = tuple(ipaddress.ip_network(network) for network in table.networks)
         key = "dial"
-        dial = {read_address(said): read_address(at) for said, at in table.dial.items()}
+        dial_addresses = {
+            read_address(advertised): read_address(dialled) for advertised, dialled in table.dial.items()
+        }
     except (ConfigError, ValueError) as error:
         raise ConfigError(f"{options.path}: members.{key}: {error}") from error
-    return listen, seeds, networks, Seal(load_keys(options.file(table.keys)), table.window_ms), dial
+    seal = Seal(load_keys(options.file(table.keys)), table.window_ms)
+    return MemberSettings(listen, seeds, networks, seal, dial_addresses)
 
 
-def start(
-    name: str, options: Options, exchange: Exchange, pool: Caches, deadlines: Deadlines, counters: Counters
-) -> tuple[Members, Runner]:
-    """All that stands behind `[members]` and `[duties]`; `Members.listen` and `Runner.sweep` set it going."""
+def build_shared_tasks(
+    name: str,
+    options: Options,
+    exchange: Exchange,
+    pool: Caches,
+    deadlines: Deadlines,
+    counters: Counters,
+) -> tuple[Members, TaskRunner]:
+    """Builds membership and shared tasks; `Members.listen` and `TaskRunner.sweep` start them.
+
+    Raises `ConfigError` for a table or a key file that cannot be used.
+    """
     table, duties = options.members, options.duties
     assert table is not None
-    listen, seeds, networks, seal, dial = checked(options)
+    settings = read_member_settings(options)
     terms = Terms(
-        period_ms=table.period_ms, timeout_ms=0.4 * table.period_ms, suspicion_least_ms=table.suspicion_ms,
+        period_ms=table.period_ms,
+        timeout_ms=PING_TIMEOUT_PERIODS * table.period_ms,
+        suspicion_least_ms=table.suspicion_ms,
         stall_ms=table.stall_ms,
-    )  # fmt: skip
+    )
     rng = random.Random(random.SystemRandom().getrandbits(64))
-    core = Membership(name, listen, seeds, terms, rng, exchange.clock(), table.weight)
-    members = Members(core, seal, networks, exchange.clock, deadlines, counters, dial)
-    kinds: list[Duty] = []
+    clock = exchange.clock
+    core = Membership(name, settings.listen, settings.seeds, terms, rng, clock(), table.weight)
+    members = Members(
+        core, settings.seal, settings.networks, clock, deadlines, counters, settings.dial_addresses
+    )
+    tasks: list[PeriodicTask] = []
     if duties.probe_ms:
-        kinds.append(ProbeBoxes(exchange, pool, duties.probe_ms))
+        tasks.append(CacheLoadProbe(exchange, pool, duties.probe_ms))
     if duties.check_ms:
-        kinds.append(CheckSources(exchange, pool, duties.check_ms))
-    runner = Runner(
-        members, kinds, exchange.clock, deadlines, counters, rng, duties.fresh_ms, duties.probes_per_s
-    )
+        tasks.append(SourceHealthCheck(exchange, pool, duties.check_ms))
+    runner = TaskRunner(members, tasks, clock, deadlines, counters, rng, duties.fresh_ms, duties.probes_per_s)
     return members, runner
--- a/gladewalk/duties/task_types.py
+++ b/gladewalk/duties/task_types.py
@@ -1,4 +1,4 @@
-"""The duties that there are: each kind is one class, and this is where a further one goes."""
+"""The types of shared tasks; a further one is a further class here, listed in `start.py`."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 from .. import interface as api
 from ..exchange import Exchange
 from ..upstream.pool import Caches
-from .runner import Found
+from .runner import ResultCallback
 
 
-class Asked:
-    """A duty that asks a server for a short answer, and gives what was found to the module."""
+class ServerQueryTask:
+    """Sends servers of some roles a short request and passes each result to the decision module."""
 
     kind = ""
     path = ""
@@ -20,31 +20,39 @@
     def __init__(self, exchange: Exchange, pool: Caches, interval_ms: float) -> None:
         self.exchange, self.pool, self.interval_ms = exchange, pool, interval_ms
 
-    def names(self) -> Iterable[str]:
-        """The servers of its roles that the coordinator lists and that do not drain."""
+    def targets(self) -> Iterable[str]:
+        """Returns the servers of its roles that the coordinator lists and that are not draining."""
         for name, server in self.exchange.core.servers.items():
             if server.info.role in self.roles and server.info.state is api.ServerState.READY:
                 yield name
 
-    def do(self, name: str, found: Found) -> None:
-        self.pool.probe(name, found, self.path)
-
-    def learn(
-        self, name: str, status: api.Status, took_ms: float, load: dict[str, float] | None, age_ms: float
+    def perform(self, target: str, on_result: ResultCallback) -> None:
+        """Sends one request to the server."""
+        self.pool.probe(target, on_result, self.path)
+
+    def record_result(
+        self,
+        target: str,
+        status: api.Status,
+        latency_ms: float,
+        load: dict[str, float] | None,
+        age_ms: float,
     ) -> None:
-        self.exchange.feed(api.ProbeResult(name, status, took_ms, load, age_ms))
+        """Passes a finding to the decision module."""
+        self.exchange.feed(api.ProbeResult(target, status, latency_ms, load, age_ms))
 
 
-class ProbeBoxes(Asked):
-    """Every box's load report, where the settings let a director probe at all."""
+class CacheLoadProbe(ServerQueryTask):
+    """Asks every cache server for its load report, where the settings allow a director to probe."""
 
     kind, path, roles = "load", "/load", frozenset((api.Role.CACHE,))
 
-    def names(self) -> Iterable[str]:
-        return super().names() if self.exchange.core.settings.may_probe else ()
+    def targets(self) -> Iterable[str]:
+        """Returns the cache servers, or none if probing is not allowed."""
+        return super().targets() if self.exchange.core.settings.may_probe else ()
 
 
-class CheckSources(Asked):
-    """Whether parents and the origin answer at all."""
+class SourceHealthCheck(ServerQueryTask):
+    """Checks whether parents and the origin answer."""
 
     kind, path, roles = "alive", "/alive", frozenset((api.Role.PARENT, api.Role.ORIGIN))
--- a/gladewalk/duties/view.py
+++ b/gladewalk/duties/view.py
@@ -1,49 +1,86 @@
-"""What `gladewalk members` shows: this director's view of the members, and who holds which duty."""
+"""What `gladewalk members` shows: this director's view of the members and of who owns which task."""
 
 from __future__ import annotations
 
 from collections import Counter
 from typing import Any
 
-from .runner import Runner
-
-
-def view_of(runner: Runner) -> dict[str, Any]:
-    """Times are in ms before now, or until; names are in the order of the alphabet."""
-    core, now = runner.members.core, runner.clock()
-    holders: Counter[str] = Counter()
-    for owned in runner.owned.values():
-        holders.update(claim.owner for claim in owned.best.values())
-    me = core.me
-    rows = [
-        {"name": me.name, "address": f"{me.host}:{me.port}", "state": "self" if core.active else "name taken",
-         "incarnation": me.incarnation, "run": me.run, "weight": me.weight, "heard_ms": 0.0,
-         "duties": holders[me.name], "health": core.health, "stalled": False, "knocked": None},
-    ]  # fmt: skip
-    for name, member in core.members.items():
-        known = member.rumour
-        rows.append({
-            "name": name, "address": f"{known.host}:{known.port}", "state": known.state.name.lower(),
-            "incarnation": known.incarnation, "run": known.run, "weight": known.weight,
-            "heard_ms": round(now - member.heard_ms, 1), "duties": holders[name], "health": member.health,
-            "stalled": member.stalled, "knocked": member.outcome.value if member.outcome else None,
-        })  # fmt: skip
-    own = [
-        {"duty": f"{kind}/{name}", "epoch": held.claim.epoch, "due_ms": round(held.due_ms - now, 1)}
-        for kind, owned in runner.owned.items()
-        for name, held in owned.held.items()
-    ]
+from .runner import TaskRunner
+
+SHOWN_COUNTERS = ("members.", "duties.")  # prefixes
+
+
+def view_of(runner: TaskRunner) -> dict[str, Any]:
+    """Returns the view as JSON values; times are in ms before now, or until; rows are sorted by name."""
+    core = runner.peers.core
+    rows = [_own_row(runner), *_member_rows(runner)]
     return {
-        "name": me.name,
+        "name": core.me.name,
         "active": core.active,
         "health": core.health,
         "stretch": round(runner.stretch, 3),
         "members": sorted(rows, key=lambda row: str(row["name"])),
-        "owned": sorted(own, key=lambda row: str(row["duty"])),
-        "duties": {kind: len(names) for kind, names in runner.known.items()},
+        "owned": sorted(_owned_rows(runner), key=lambda row: str(row["duty"])),
+        "duties": {kind: len(shared.targets) for kind, shared in runner.shared.items()},
         "counters": {
-            name: count
-            for name, count in runner.counters.report().items()
-            if name.startswith(("members.", "duties."))
+            name: count for name, count in runner.counters.report().items() if name.startswith(SHOWN_COUNTERS)
         },
     }
+
+
+def _owner_counts(runner: TaskRunner) -> Counter[str]:
+    """Counts the tasks of each member, by the best claims that are known here."""
+    counts: Counter[str] = Counter()
+    for shared in runner.shared.values():
+        counts.update(claim.owner for claim in shared.ownership.best_claims.values())
+    return counts
+
+
+def _own_row(runner: TaskRunner) -> dict[str, Any]:
+    core = runner.peers.core
+    own = core.me
+    return {
+        "name": own.name,
+        "address": f"{own.host}:{own.port}",
+        "state": "self" if core.active else "name taken",
+        "incarnation": own.incarnation,
+        "run": own.run,
+        "weight": own.weight,
+        "heard_ms": 0.0,
+        "duties": _owner_counts(runner)[own.name],
+        "health": core.health,
+        "stalled": False,
+        "knocked": None,
+    }
+
+
+def _member_rows(runner: TaskRunner) -> list[dict[str, Any]]:
+    now_ms, owner_counts = runner.clock(), _owner_counts(runner)
+    rows = []
+    for name, member in runner.peers.core.members.items():
+        latest = member.rumour
+        rows.append(
+            {
+                "name": name,
+                "address": f"{latest.host}:{latest.port}",
+                "state": latest.state.name.lower(),
+                "incarnation": latest.incarnation,
+                "run": latest.run,
+                "weight": latest.weight,
+                "heard_ms": round(now_ms - member.heard_ms, 1),
+                "duties": owner_counts[name],
+                "health": member.health,
+                "stalled": member.stalled,
+                "knocked": member.outcome.value if member.outcome else None,
+            }
+        )
+    return rows
+
+
+def _owned_rows(runner: TaskRunner) -> list[dict[str, Any]]:
+    now_ms = runner.clock()
+    return [
+        {"duty": f"{kind}/{target}", "epoch": owned.claim.epoch, "due_ms": round(owned.due_ms - now_ms, 1)}
+        for kind, shared in runner.shared.items()
+        for target, owned in shared.ownership.owned.items()
+    ]
--- a/gladewalk/rehearsal/ownership_checker.py
+++ b/gladewalk/rehearsal/ownership_checker.py
@@ -1,14 +1,13 @@
-"""An exhaustive walk: every interleaving of what can happen to a few members and duties.
+"""Explicit-state model checker of task ownership: every interleaving for a few members and tasks.
 
-The members' views are real `Ownership`s. A step is one of: a claim arrives, or is lost; a full exchange of
-two members; a member dies, or starts again knowing nothing; a living member comes to hold another dead,
-rightly or not, or finds that it lives. Messages, losses, deaths, restarts and wrong beliefs are bounded, so
-the states are finitely many, and all of them are visited.
+The members' views are real `Ownership` objects. A step is one of: a claim arrives, or is lost; two members
+exchange all they know; a member dies, or restarts with nothing known; a live member comes to believe another
+dead, rightly or not, or finds that it is alive. Messages, losses, deaths, restarts and wrong beliefs are
+bounded, so the states are finitely many, and all of them are visited.
 
-In each state, every duty must have a live holder, or there must be events pending that give it one: then the
-state is *settled* (all that is pending arrives, all views of who lives become true, all exchange all) and
-each duty must have exactly one holder, whose claim all others know and heed. A violation tells the steps
-that led to it.
+In each state, every task must have a live owner, or there must be messages pending that give it one: then
+the state is *settled* (all that is pending arrives, all beliefs become true, all members exchange all) and
+each task must have exactly one owner, whose claim all others know. A violation tells the steps to it.
 """
 
 from __future__ import annotations
@@ -17,30 +16,32 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
-from ..duties.ownership import Claim, Held, Ownership
+from ..duties.ownership import OwnedTask, Ownership, OwnershipClaim
 
 MEMBERS = ("a", "b", "c")
-DUTIES = ("d1", "d2")
-SETTLE_ROUNDS = 12
+TASKS = ("d1", "d2")
+INTERVAL_MS = 1_000.0
+MAX_SETTLE_ROUNDS = 12
+MAX_STATES = 2_000_000
 RANDOM = random.Random(0)  # draws times alone, which are no part of a state
 
 
 @dataclass(slots=True, frozen=True)
-class Post:
+class PendingClaim:
     """A claim on its way to one member."""
 
-    to: str
-    duty: str
-    claim: Claim
+    recipient: str
+    task: str
+    claim: OwnershipClaim
 
 
 @dataclass(slots=True, frozen=True)
-class View:
-    """One member's `Ownership`, but for times: whom it holds live, its best claims, what it holds."""
+class MemberView:
+    """One member's `Ownership` without times."""
 
     live: frozenset[str]
-    best: tuple[tuple[str, Claim], ...]
-    held: tuple[tuple[str, Claim], ...]
+    best_claims: tuple[tuple[str, OwnershipClaim], ...]
+    owned: tuple[tuple[str, OwnershipClaim], ...]
 
 
 @dataclass(slots=True, frozen=True)
@@ -50,198 +51,240 @@
     losses: int = 1
     deaths: int = 1
     restarts: int = 1
-    errors: int = 1  # of holding a living member dead
+    wrong_beliefs: int = 1  # that a live member is dead
     exchanges: int = 1
 
 
 @dataclass(slots=True, frozen=True)
-class World:
-    up: frozenset[str]
-    views: tuple[tuple[str, View], ...]
-    posts: frozenset[Post]
-    left: Budget
+class SystemState:
+    """The running members, what each of them knows, and what is pending."""
 
-    def view(self, name: str) -> View:
+    running: frozenset[str]
+    views: tuple[tuple[str, MemberView], ...]
+    pending: frozenset[PendingClaim]
+    budget: Budget
+
+    def view(self, name: str) -> MemberView:
+        """Returns one member's view."""
         return dict(self.views)[name]
 
-    def holders(self, duty: str) -> list[str]:
-        return [n for n, view in self.views if n in self.up and duty in dict(view.held)]
+    def owners(self, task: str) -> list[str]:
+        """Returns the running members that own a task."""
+        return [name for name, view in self.views if name in self.running and task in dict(view.owned)]
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """How a state was reached."""
+
+    before: SystemState
+    description: str
+
+
+class OwnershipViolationError(AssertionError):
+    """A task that no member owns, or two do, with nothing pending that mends it; tells the steps to it."""
 
 
-class Broken(AssertionError):
-    """A duty that nobody does, or two do, and nothing pending mends it; the steps that led there."""
+class StateLimitError(RuntimeError):
+    """There are more states than the checker may visit."""
 
 
 @dataclass(slots=True)
-class Walk:
-    """`kind` is the class under test: the project's own, or one broken on purpose."""
-
-    kind: type[Ownership] = Ownership
-    left: Budget = field(default_factory=Budget)
-    epoch_most: int = 6  # a story with later ones is one of these with more of the same
-    seen: dict[World, tuple[World, str] | None] = field(default_factory=dict)
-    settled: int = 0
-
-    # One member's view, as the real thing and back.
-
-    def _real(self, name: str, view: View) -> Ownership:
-        real = self.kind(name, 1_000.0, RANDOM)
-        real.duties = set(DUTIES)
-        real.members = dict.fromkeys(view.live | {name}, 1.0)
-        real.best = dict(view.best)
-        real.held = {duty: Held(claim, 0.0) for duty, claim in view.held}
-        return real
-
-    def _frozen(self, real: Ownership) -> View:
-        held = tuple(sorted((duty, item.claim) for duty, item in real.held.items()))
-        return View(frozenset(real.members), tuple(sorted(real.best.items())), held)
-
-    def _put(self, world: World, name: str, real: Ownership) -> World:
-        """The world with this view, and with the claims that it has just made on their way to all others."""
-        views = tuple((n, self._frozen(real) if n == name else view) for n, view in world.views)
-        others = world.up - {name}
-        told = {Post(to, duty, claim) for duty, claim in real.take_claims() for to in others}
-        return replace(world, views=views, posts=world.posts | told)
-
-    def first(self) -> World:
-        """All are up and know of one another; nobody has claimed anything yet but is about to."""
-        nobody = View(frozenset(MEMBERS), (), ())
-        world = World(frozenset(MEMBERS), tuple((n, nobody) for n in MEMBERS), frozenset(), self.left)
+class OwnershipChecker:
+    """Visits all states; `ownership_type` is the class under test, or one broken on purpose."""
+
+    ownership_type: type[Ownership] = Ownership
+    budget: Budget = field(default_factory=Budget)
+    max_epoch: int = 6  # runs with later ones are one of these with more of the same
+    reached_by: dict[SystemState, Step | None] = field(default_factory=dict)
+    settled_count: int = 0
+
+    def run(self, max_states: int = MAX_STATES) -> int:
+        """Visits every state and returns how many there are.
+
+        Raises `OwnershipViolationError` at the first that is wrong, `StateLimitError` if there are too many.
+        """
+        first = self.first_state()
+        self.reached_by[first] = None
+        frontier = [first]
+        while frontier:
+            state = frontier.pop()
+            self.check(state)
+            for description, after in self.steps(state):
+                if after in self.reached_by or self._is_past_max_epoch(after):
+                    continue
+                self.reached_by[after] = Step(state, description)
+                frontier.append(after)
+                if len(self.reached_by) > max_states:
+                    raise StateLimitError(f"more than {max_states} states")
+        return len(self.reached_by)
+
+    def first_state(self) -> SystemState:
+        """Returns the state in which all run, know one another and have just claimed what is theirs."""
+        nothing = MemberView(frozenset(MEMBERS), (), ())
+        state = SystemState(
+            frozenset(MEMBERS), tuple((name, nothing) for name in MEMBERS), frozenset(), self.budget
+        )
         for name in MEMBERS:
-            real = self._real(name, nobody)
-            real.review(0.0)
-            world = self._put(world, name, real)
-        return world
+            ownership = self._restore(name, nothing)
+            ownership.review(0.0)
+            state = self._update(state, name, ownership)
+        return state
 
     # What can happen.
 
-    def steps(self, world: World) -> Iterator[tuple[str, World]]:
-        left = world.left
-        for post in world.posts:
-            rest = replace(world, posts=world.posts - {post})
+    def steps(self, state: SystemState) -> Iterator[tuple[str, SystemState]]:
+        """Yields everything that can happen next, with the state after it."""
+        yield from self._deliveries(state)
+        yield from self._exchanges(state)
+        budget = state.budget
+        for name in sorted(state.running):
+            if budget.deaths and len(state.running) > 1:
+                yield f"{name} dies", self._kill(state, name)
+            if budget.restarts:
+                yield f"{name} restarts", self._restart(state, name)
+            yield from self._belief_changes(state, name)
+
+    def _deliveries(self, state: SystemState) -> Iterator[tuple[str, SystemState]]:
+        for message in state.pending:
+            without = replace(state, pending=state.pending - {message})
+            claim = message.claim
             yield (
-                f"{post.to} hears {post.claim.owner}'s claim {post.claim.epoch} to {post.duty}",
-                self._hear(rest, post),
+                f"{message.recipient} receives {claim.owner}'s claim {claim.epoch} to {message.task}",
+                self._deliver(without, message),
             )
-            if left.losses:
-                less = replace(left, losses=left.losses - 1)
-                yield f"lost: {post}", replace(rest, left=less)
-        if left.exchanges:
-            less = replace(left, exchanges=left.exchanges - 1)
-            for one in sorted(world.up):
-                for other in sorted(world.up - {one}):
-                    if one < other:
-                        met = self._exchange(self._exchange(world, one, other), other, one)
-                        yield f"{one} and {other} exchange all", replace(met, left=less)
-        for name in sorted(world.up):
-            if left.deaths and len(world.up) > 1:
-                yield f"{name} dies", self._die(world, name)
-            if left.restarts:
-                yield f"{name} starts again", self._restart(world, name)
-            yield from self._beliefs(world, name)
-
-    def _hear(self, world: World, post: Post) -> World:
-        real = self._real(post.to, world.view(post.to))
-        real.hear(post.duty, post.claim, None, 0.0)
-        return self._put(world, post.to, real)
-
-    def _exchange(self, world: World, one: str, other: str) -> World:
-        """What one knows, the other hears."""
-        real = self._real(other, world.view(other))
-        for duty, claim in world.view(one).best:
-            real.hear(duty, claim, None, 0.0)
-        return self._put(world, other, real)
-
-    def _die(self, world: World, name: str) -> World:
-        posts = frozenset(post for post in world.posts if post.to != name)
-        left = replace(world.left, deaths=world.left.deaths - 1)
-        return replace(world, up=world.up - {name}, posts=posts, left=left)
-
-    def _restart(self, world: World, name: str) -> World:
-        """A new run that knows who is there and nothing of duties."""
-        real = self._real(name, View(frozenset({name}), (), ()))
-        real.set_members(dict.fromkeys(world.up, 1.0), 0.0)
-        posts = frozenset(post for post in world.posts if post.to != name)
-        left = replace(world.left, restarts=world.left.restarts - 1)
-        return self._put(replace(world, posts=posts, left=left), name, real)
-
-    def _beliefs(self, world: World, name: str) -> Iterator[tuple[str, World]]:
-        live = world.view(name).live
+            if state.budget.losses:
+                budget = replace(state.budget, losses=state.budget.losses - 1)
+                yield f"lost: {message}", replace(without, budget=budget)
+
+    def _exchanges(self, state: SystemState) -> Iterator[tuple[str, SystemState]]:
+        if not state.budget.exchanges:
+            return
+        budget = replace(state.budget, exchanges=state.budget.exchanges - 1)
+        for one in sorted(state.running):
+            for other in sorted(state.running - {one}):
+                if one < other:
+                    exchanged = self._tell_all(self._tell_all(state, one, other), other, one)
+                    yield f"{one} and {other} exchange all", replace(exchanged, budget=budget)
+
+    def _belief_changes(self, state: SystemState, name: str) -> Iterator[tuple[str, SystemState]]:
+        live, budget = state.view(name).live, state.budget
         for other in MEMBERS:
             if other == name:
                 continue
-            if other in live and other not in world.up:
-                yield f"{name} finds {other} dead", self._believe(world, name, live - {other})
-            elif other in live and world.left.errors:
-                left = replace(world.left, errors=world.left.errors - 1)
-                wrong = self._believe(replace(world, left=left), name, live - {other})
-                yield f"{name} wrongly holds {other} dead", wrong
-            elif other not in live and other in world.up:
-                yield f"{name} finds {other} alive", self._believe(world, name, live | {other})
-
-    def _believe(self, world: World, name: str, live: frozenset[str]) -> World:
-        real = self._real(name, world.view(name))
-        real.set_members(dict.fromkeys(live, 1.0), 0.0)
-        return self._put(world, name, real)
+            if other in live and other not in state.running:
+                yield f"{name} finds {other} dead", self._believe(state, name, live - {other})
+            elif other in live and budget.wrong_beliefs:
+                spent = replace(state, budget=replace(budget, wrong_beliefs=budget.wrong_beliefs - 1))
+                mistaken = self._believe(spent, name, live - {other})
+                yield f"{name} wrongly believes {other} dead", mistaken
+            elif other not in live and other in state.running:
+                yield f"{name} finds {other} alive", self._believe(state, name, live | {other})
+
+    def _deliver(self, state: SystemState, message: PendingClaim) -> SystemState:
+        ownership = self._restore(message.recipient, state.view(message.recipient))
+        ownership.handle_claim(message.task, message.claim, None, 0.0)
+        return self._update(state, message.recipient, ownership)
+
+    def _tell_all(self, state: SystemState, teller: str, listener: str) -> SystemState:
+        ownership = self._restore(listener, state.view(listener))
+        for task, claim in state.view(teller).best_claims:
+            ownership.handle_claim(task, claim, None, 0.0)
+        return self._update(state, listener, ownership)
+
+    def _kill(self, state: SystemState, name: str) -> SystemState:
+        budget = replace(state.budget, deaths=state.budget.deaths - 1)
+        pending = self._pending_without(state, name)
+        return replace(state, running=state.running - {name}, pending=pending, budget=budget)
+
+    def _restart(self, state: SystemState, name: str) -> SystemState:
+        """Starts a new incarnation that knows who is live and nothing of tasks."""
+        ownership = self._restore(name, MemberView(frozenset({name}), (), ()))
+        ownership.set_members(dict.fromkeys(state.running, 1.0), 0.0)
+        budget = replace(state.budget, restarts=state.budget.restarts - 1)
+        before = replace(state, pending=self._pending_without(state, name), budget=budget)
+        return self._update(before, name, ownership)
+
+    def _pending_without(self, state: SystemState, recipient: str) -> frozenset[PendingClaim]:
+        return frozenset(message for message in state.pending if message.recipient != recipient)
+
+    def _believe(self, state: SystemState, name: str, live: frozenset[str]) -> SystemState:
+        ownership = self._restore(name, state.view(name))
+        ownership.set_members(dict.fromkeys(live, 1.0), 0.0)
+        return self._update(state, name, ownership)
+
+    # A member's view as an `Ownership`, and back.
+
+    def _restore(self, name: str, view: MemberView) -> Ownership:
+        ownership = self.ownership_type(name, INTERVAL_MS, RANDOM)
+        ownership.tasks = set(TASKS)
+        ownership.members = dict.fromkeys(view.live | {name}, 1.0)
+        ownership.best_claims = dict(view.best_claims)
+        ownership.owned = {task: OwnedTask(claim, 0.0) for task, claim in view.owned}
+        return ownership
+
+    def _view(self, ownership: Ownership) -> MemberView:
+        owned = tuple(sorted((task, item.claim) for task, item in ownership.owned.items()))
+        claims = tuple(sorted(ownership.best_claims.items()))
+        return MemberView(frozenset(ownership.members), claims, owned)
+
+    def _update(self, state: SystemState, name: str, ownership: Ownership) -> SystemState:
+        """Returns the state with a member's new view and its new claims on their way to all others."""
+        new_view = self._view(ownership)
+        views = tuple((other, new_view if other == name else view) for other, view in state.views)
+        sent = {
+            PendingClaim(recipient, task, claim)
+            for task, claim in ownership.take_new_claims()
+            for recipient in state.running - {name}
+        }
+        return replace(state, views=views, pending=state.pending | sent)
 
     # What must hold.
 
-    def settle(self, world: World) -> World:
-        """All that is pending comes about, again and again until nothing changes."""
-        for _ in range(SETTLE_ROUNDS):
-            before = world
-            for name in sorted(world.up):
-                if world.view(name).live != world.up:
-                    world = self._believe(world, name, world.up)
-            for post in sorted(world.posts, key=lambda p: (p.to, p.duty, p.claim)):
-                world = self._hear(replace(world, posts=world.posts - {post}), post)
-            for one in sorted(world.up):
-                for other in sorted(world.up - {one}):
-                    world = self._exchange(world, one, other)
-            if world == before:
-                break
-        return world
-
-    def check(self, world: World) -> None:
-        """A state with a duty that no one live holds, and each one in which nothing is left to come."""
-        orphaned = [duty for duty in DUTIES if not world.holders(duty)]
-        if not orphaned and world.posts:
+    def check(self, state: SystemState) -> None:
+        """Settles and judges a state with an unowned task, or with nothing pending."""
+        has_orphan = any(not state.owners(task) for task in TASKS)
+        if not has_orphan and state.pending:
             return
-        self.settled += 1
-        end = self.settle(world)
-        for duty in DUTIES:
-            holders = end.holders(duty)
-            if len(holders) != 1:
-                raise Broken(f"{duty} is held by {holders or 'nobody'} after:\n" + self.story(world))
-            claim = dict(end.view(holders[0]).held)[duty]
-            if any(dict(end.view(name).best)[duty] != claim for name in end.up):
-                raise Broken(f"not all heed the claim {claim} to {duty} after:\n" + self.story(world))
-
-    def run(self, states_most: int = 2_000_000) -> int:
-        """Visit every state; how many there are. `Broken` at the first that is wrong."""
-        first = self.first()
-        self.seen[first] = None
-        front = [first]
-        while front:
-            world = front.pop()
-            self.check(world)
-            for said, after in self.steps(world):
-                if after in self.seen or self._late(after):
-                    continue
-                self.seen[after] = (world, said)
-                front.append(after)
-                if len(self.seen) > states_most:
-                    raise RuntimeError(f"more than {states_most} states")
-        return len(self.seen)
-
-    def _late(self, world: World) -> bool:
-        return any(claim.epoch > self.epoch_most for _, view in world.views for _, claim in view.best)
-
-    def story(self, world: World) -> str:
-        """The steps that led to a state."""
-        said = []
-        came = self.seen[world]
-        while came is not None:
-            said.append(came[1])
-            came = self.seen[came[0]]
-        return "\n".join(reversed(said)) or "nothing"
+        self.settled_count += 1
+        settled = self.settle(state)
+        for task in TASKS:
+            owners = settled.owners(task)
+            if len(owners) != 1:
+                raise OwnershipViolationError(
+                    f"{task} is owned by {owners or 'nobody'} after:\n{self.describe(state)}"
+                )
+            claim = dict(settled.view(owners[0]).owned)[task]
+            if any(dict(settled.view(name).best_claims)[task] != claim for name in settled.running):
+                raise OwnershipViolationError(
+                    f"not all know the claim {claim} to {task} after:\n{self.describe(state)}"
+                )
+
+    def settle(self, state: SystemState) -> SystemState:
+        """Lets all that is pending happen, again and again until nothing changes."""
+        for _ in range(MAX_SETTLE_ROUNDS):
+            before = state
+            for name in sorted(state.running):
+                if state.view(name).live != state.running:
+                    state = self._believe(state, name, state.running)
+            for message in sorted(state.pending, key=lambda each: (each.recipient, each.task, each.claim)):
+                without = replace(state, pending=state.pending - {message})
+                state = self._deliver(without, message)
+            for one in sorted(state.running):
+                for other in sorted(state.running - {one}):
+                    state = self._tell_all(state, one, other)
+            if state == before:
+                break
+        return state
+
+    def describe(self, state: SystemState) -> str:
+        """Returns the steps that led to a state, one a line."""
+        descriptions = []
+        step = self.reached_by[state]
+        while step is not None:
+            descriptions.append(step.description)
+            step = self.reached_by[step.before]
+        return "\n".join(reversed(descriptions)) or "nothing"
+
+    def _is_past_max_epoch(self, state: SystemState) -> bool:
+        return any(claim.epoch > self.max_epoch for _, view in state.views for _, claim in view.best_claims)
--- a/gladewalk/rehearsal/task_simulation.py
+++ b/gladewalk/rehearsal/task_simulation.py
@@ -1,7 +1,7 @@
-"""Duties on the network in memory: the real `Runner`, `Ownership` and `Membership`, in virtual time.
+"""Shared tasks in virtual time: the real `TaskRunner`, `Ownership` and `Membership` on a network in memory.
 
-Boxes to probe are names; a probe that a node does is noted with its time. Nodes are killed, stopped, cut off
-and restarted as on `membernet`, and what they hold and do can be read off at any moment.
+Servers to probe are names; a probe that a node sends is recorded with its time. Nodes are killed, stopped,
+cut off and restarted as on `membernet`, and what they own and do can be read at any moment.
 """
 
 from __future__ import annotations
@@ -12,194 +12,237 @@
 
 from .. import interface as api
 from ..counters import Counters
-from ..duties.ownership import Rank, rank_of, score
-from ..duties.runner import Found, Runner
+from ..duties.ownership import Rank, best_rank, rendezvous_score
+from ..duties.runner import ResultCallback, TaskRunner
 from ..members.gossip import Told
 from ..members.messages import News
 from ..members.terms import Change, Terms
 from .membernet import Net, Node
 
-PROBE_MS = 1.0  # that a box takes to answer
+PROBE_LATENCY_MS = 1.0
+PROBE_KIND = "load"
+MAX_FINDING_AGE_MS = 3_000.0
+RESUME_DELAY_MS = 0.01  # after a stop, so that what was received meanwhile is handled first
+SEED_COUNT = 2
 
 
 @dataclass(slots=True, frozen=True)
-class Done:
+class SentProbe:
+    """A probe, by whom, and of which server."""
+
     at_ms: float
-    by: str
-    name: str
+    sender: str
+    server: str
 
 
-class Fellow:
-    """A node as `Runner` sees its members; `members.transport.Members` is the same on sockets."""
+class SimulatedPeers:
+    """A node's members as `TaskRunner` sees them; `members.transport.Members` is the same on sockets."""
 
-    def __init__(self, net: DutyNet, node: Node) -> None:
-        self.net, self.node, self.core = net, node, node.core
+    def __init__(self, node: Node) -> None:
+        self.node, self.core = node, node.core
         self.changed: Callable[[Change, str], None] = lambda change, name: None
         self.heard: Callable[[News], None] = lambda news: None
 
     def tell(self, news: News) -> None:
+        """Spreads a claim or a finding to all members."""
         self.core.tell(news)
 
 
-class Agenda:
+class VirtualScheduler:
     """A node's own sweeps: they stand still while it does, and end with it."""
 
-    def __init__(self, net: DutyNet, node: Node) -> None:
-        self.net, self.node = net, node
+    def __init__(self, network: TaskNetwork, node: Node) -> None:
+        self.network, self.node = network, node
 
     def add(self, when_ms: float, call: Callable[[], None]) -> None:
-        wait = max(0.0, when_ms - (self.net.now + self.node.clock_off))
-        self.net.after(wait, lambda: self._run(call))
+        """Calls `call` at a time on the node's clock."""
+        wait_ms = max(0.0, when_ms - (self.network.now + self.node.clock_off))
+        self.network.after(wait_ms, lambda: self._run(call))
 
     def _run(self, call: Callable[[], None]) -> None:
         if not self.node.up:
             return
-        if self.net.now < self.node.stopped_until:
-            self.net.after(self.node.stopped_until - self.net.now + 0.01, lambda: self._run(call))
+        if self.network.now < self.node.stopped_until:
+            wait_ms = self.node.stopped_until - self.network.now + RESUME_DELAY_MS
+            self.network.after(wait_ms, lambda: self._run(call))
         else:
             call()
 
 
 class SharedRanks:
-    """The nodes' rendezvous hash, done once for all of them: a thousand nodes would each do millions.
+    """The nodes' rendezvous hash, computed once for all of them; all members weigh the same.
 
-    Kept are the first few of each duty; where none of them is among those asked for, it is hashed anew. All
-    weigh the same.
+    A thousand nodes would each hash millions of pairs. The highest `cached_count` ranks of each task are
+    cached; where none of them is among the members asked for, the hash is computed anew.
     """
 
-    def __init__(self, names: Iterable[str], first: int = 24) -> None:
-        self.names, self.first = list(names), first
-        self.tops: dict[str, list[Rank]] = {}
-
-    def best(self, duty: str, members: Mapping[str, float]) -> Rank:
-        top = self.tops.get(duty)
-        if top is None:
-            ranked = sorted(((score(duty, name, 1.0), name) for name in self.names), reverse=True)
-            top = self.tops[duty] = ranked[: self.first]
-        for rank in top:
-            if rank[1] in members:
+    def __init__(self, names: Iterable[str], cached_count: int = 24) -> None:
+        self.names, self.cached_count = list(names), cached_count
+        self._highest: dict[str, list[Rank]] = {}
+
+    def best_rank(self, task: str, members: Mapping[str, float]) -> Rank:
+        """Returns the highest rank among members."""
+        highest = self._highest.get(task)
+        if highest is None:
+            ranks = sorted(
+                (Rank(rendezvous_score(task, name, 1.0), name) for name in self.names), reverse=True
+            )
+            highest = self._highest[task] = ranks[: self.cached_count]
+        for rank in highest:
+            if rank.member in members:
                 return rank
-        return rank_of(duty, members)
+        return best_rank(task, members)
+
 
+class SimulatedProbe:
+    """A task type of the simulation: every server answers."""
 
-class Probe:
-    """A duty of the rehearsal: every box answers."""
+    kind = PROBE_KIND
 
-    kind = "load"
+    def __init__(self, network: TaskNetwork, node: Node) -> None:
+        self.network, self.node, self.interval_ms = network, node, network.interval_ms
 
-    def __init__(self, net: DutyNet, node: Node) -> None:
-        self.net, self.node, self.interval_ms = net, node, net.interval_ms
+    def targets(self) -> Iterable[str]:
+        """Returns the servers."""
+        return self.network.listed
 
-    def names(self) -> Iterable[str]:
-        return self.net.listed
+    def perform(self, target: str, on_result: ResultCallback) -> None:
+        """Records a probe; its answer is lost if the node dies meanwhile."""
+        self.network.probes.append(SentProbe(self.network.now, self.node.name, target))
 
-    def do(self, name: str, found: Found) -> None:
-        self.net.done.append(Done(self.net.now, self.node.name, name))
-        self.net.after(PROBE_MS, lambda: found(api.Status.OK, PROBE_MS, None) if self.node.up else None)
+        def answer() -> None:
+            if self.node.up:
+                on_result(api.Status.OK, PROBE_LATENCY_MS, None)
 
-    def learn(
-        self, name: str, status: api.Status, took_ms: float, load: dict[str, float] | None, age_ms: float
+        self.network.after(PROBE_LATENCY_MS, answer)
+
+    def record_result(
+        self,
+        target: str,
+        status: api.Status,
+        latency_ms: float,
+        load: dict[str, float] | None,
+        age_ms: float,
     ) -> None:
-        self.net.learned[self.node.name, name] = self.net.now - age_ms
+        """Records when the latest finding that the node has was made."""
+        self.network.known_since_ms[self.node.name, target] = self.network.now - age_ms
 
 
-class DutyNet(Net):
-    """Nodes with duties. `done` has every probe in its order."""
+class TaskNetwork(Net):
+    """Nodes with shared tasks; `probes` has every probe in its order."""
 
     def __init__(
-        self, seed: int, boxes: Iterable[str], interval_ms: float = 1_000.0, terms: Terms | None = None,
-        per_s: float = 0.0,
-    ) -> None:  # fmt: skip
+        self,
+        seed: int,
+        servers: Iterable[str],
+        interval_ms: float = 1_000.0,
+        terms: Terms | None = None,
+        probes_per_second: float = 0.0,
+    ) -> None:
         super().__init__(seed, terms)
-        self.boxes, self.interval_ms, self.per_s = tuple(boxes), interval_ms, per_s
-        self.listed = frozenset(self.boxes)
+        self.servers, self.interval_ms = tuple(servers), interval_ms
+        self.probes_per_second = probes_per_second
+        self.listed = frozenset(self.servers)
         self.ranks: SharedRanks | None = None
-        self.runners: dict[str, Runner] = {}
-        self.done: list[Done] = []
-        self.learned: dict[tuple[str, str], float] = {}
-        self.on_news = lambda node, news: self.runners[node.name].members.heard(news)
+        self.runners: dict[str, TaskRunner] = {}
+        self.probes: list[SentProbe] = []
+        self.known_since_ms: dict[tuple[str, str], float] = {}  # by node and server: the latest finding
+        self.on_news = lambda node, news: self.runners[node.name].peers.heard(news)
         self.on_change = self._on_change
 
     def _on_change(self, node: Node, change: Change, name: str) -> None:
         if node.name in self.runners:  # else it is just being made
-            self.runners[node.name].members.changed(change, name)
+            self.runners[node.name].peers.changed(change, name)
 
     def join(self, name: str, seeds: tuple[str, ...] = ()) -> Node:
-        """A node with duties starts, or starts again knowing nothing."""
+        """Starts a node with shared tasks, or starts it again with nothing known."""
         if name in self.nodes:
             self.nodes[name].up = False
         node = self.start(name, seeds)
-        fellow = Fellow(self, node)
-        runner = Runner(
-            fellow, [Probe(self, node)], lambda: self.now + node.clock_off, Agenda(self, node), Counters(),
-            random.Random(self.random.random()), 3_000.0, self.per_s,
-        )  # fmt: skip
+        runner = TaskRunner(
+            SimulatedPeers(node),
+            [SimulatedProbe(self, node)],
+            lambda: self.now + node.clock_off,
+            VirtualScheduler(self, node),
+            Counters(),
+            random.Random(self.random.random()),
+            MAX_FINDING_AGE_MS,
+            self.probes_per_second,
+        )
         if self.ranks is not None:
-            for owned in runner.owned.values():
-                owned.rank = self.ranks.best
+            for shared in runner.shared.values():
+                shared.ownership.best_rank = self.ranks.best_rank
         self.runners[name] = runner
         runner.sweep()
         return node
 
-    def holders(self, box: str) -> list[str]:
-        """The running nodes that hold a box's duty."""
+    def owners(self, server: str) -> list[str]:
+        """Returns the running nodes that own a server's probe."""
         return [
             name
             for name, runner in self.runners.items()
-            if self.nodes[name].up and box in runner.owned["load"].held
+            if self.nodes[name].up and server in runner.shared[PROBE_KIND].ownership.owned
         ]
 
-    def divided(self) -> bool:
-        """Whether each duty has just one holder among those that run."""
-        return all(len(self.holders(box)) == 1 for box in self.boxes)
-
-    def rates(self, since_ms: float) -> list[float]:
-        """Probes an interval that each box saw since then, in rising order."""
-        spent = (self.now - since_ms) / self.interval_ms
-        count = dict.fromkeys(self.boxes, 0)
-        for done in self.done:
-            if done.at_ms >= since_ms:
-                count[done.name] += 1
-        return sorted(seen / spent for seen in count.values())
-
-    def widest_gap(self, since_ms: float) -> float:
-        """The longest that any box waited for its next probe since then, up to now."""
-        last = dict.fromkeys(self.boxes, since_ms)
-        widest = 0.0
-        for done in self.done:
-            if done.at_ms >= since_ms:
-                widest = max(widest, done.at_ms - last[done.name])
-                last[done.name] = done.at_ms
-        return max([widest, *(self.now - at for at in last.values())])
-
-
-def duty_cluster(
-    count: int, seed: int, boxes: int = 12, interval_ms: float = 1_000.0, settle_ms: float = 6_000.0,
-    per_s: float = 0.0, terms: Terms | None = None, met: bool = False,
-) -> DutyNet:  # fmt: skip
-    """Members `m0` to `mN`, who know the first two as seeds, once they have divided their boxes.
-
-    `met`: they know one another from the start, as if a full exchange lay long behind them, and begin with
-    dividing the boxes.
+    def is_divided(self) -> bool:
+        """Whether each probe has exactly one owner among the running nodes."""
+        return all(len(self.owners(server)) == 1 for server in self.servers)
+
+    def probe_rates(self, since_ms: float) -> list[float]:
+        """Returns the probes per interval of each server since a time, in rising order."""
+        intervals = (self.now - since_ms) / self.interval_ms
+        counts = dict.fromkeys(self.servers, 0)
+        for probe in self.probes:
+            if probe.at_ms >= since_ms:
+                counts[probe.server] += 1
+        return sorted(count / intervals for count in counts.values())
+
+    def longest_gap_ms(self, since_ms: float) -> float:
+        """Returns the longest that any server waited for a probe since a time, up to now."""
+        last_ms = dict.fromkeys(self.servers, since_ms)
+        longest_ms = 0.0
+        for probe in self.probes:
+            if probe.at_ms >= since_ms:
+                longest_ms = max(longest_ms, probe.at_ms - last_ms[probe.server])
+                last_ms[probe.server] = probe.at_ms
+        return max([longest_ms, *(self.now - at_ms for at_ms in last_ms.values())])
+
+
+def build_task_network(
+    count: int,
+    seed: int,
+    servers: int = 12,
+    interval_ms: float = 1_000.0,
+    settle_ms: float = 6_000.0,
+    probes_per_second: float = 0.0,
+    terms: Terms | None = None,
+    have_met: bool = False,
+) -> TaskNetwork:
+    """Builds members m0 to m(count-1), with the first two as seeds, that have divided their servers.
+
+    `have_met`: they know one another from the start, as if a full exchange lay long behind them, and begin
+    with dividing the servers.
     """
-    net = DutyNet(seed, [f"b{n}" for n in range(boxes)], interval_ms, terms, per_s)
-    if met:
-        net.ranks = SharedRanks(f"m{n}" for n in range(count))
-    for n in range(count):
-        net.join(f"m{n}", tuple(f"m{s}" for s in range(min(n, 2))))
-    if met:
-        _introduce(net)
-    net.run(settle_ms)
-    return net
-
-
-def _introduce(net: DutyNet) -> None:
-    """All know all, and nobody has anything of it left to tell."""
-    rumours = [node.core.me for node in net.nodes.values()]
-    for node in net.nodes.values():
-        for rumour in rumours:
-            if rumour.name != node.name:
-                node.core.hear(rumour, net.now)
+    names = (f"b{number}" for number in range(servers))
+    network = TaskNetwork(seed, names, interval_ms, terms, probes_per_second)
+    if have_met:
+        network.ranks = SharedRanks(f"m{number}" for number in range(count))
+    for number in range(count):
+        seeds = tuple(f"m{earlier}" for earlier in range(min(number, SEED_COUNT)))
+        network.join(f"m{number}", seeds)
+    if have_met:
+        _introduce(network)
+    network.run(settle_ms)
+    return network
+
+
+def _introduce(network: TaskNetwork) -> None:
+    """Makes all nodes know all others, with no update of it left to send."""
+    updates = [node.core.me for node in network.nodes.values()]
+    for node in network.nodes.values():
+        for update in updates:
+            if update.name != node.name:
+                node.core.hear(update, network.now)
         node.core.gossip.rumours = Told()
         node.core.out.clear()
-        net.runners[node.name].moved = True
+        network.runners[node.name].has_membership_changed = True
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -119,7 +119,7 @@
             director = world.director
             assert director is not None and director.duties is not None and director.members is not None
             duties = director.duties
-            await until(lambda: len(duties.owned_names()) == 3)
+            await until(lambda: len(duties.owned_tasks()) == 3)
 
             def run(*words: str) -> tuple[int, str]:
                 told = ["members", "--config", str(folder / "g.toml"), *words]
--- a/tests/test_golden_duties.py
+++ b/tests/test_golden_duties.py
@@ -8,11 +8,11 @@
 import msgspec
 import pytest
 
-from gladewalk.duties.ownership import owner_of, score
+from gladewalk.duties.ownership import owner_of, rendezvous_score
 from gladewalk.duties.view import view_of
 from gladewalk.members.messages import News, decode, encode
 from gladewalk.members.seal import Seal, make_key
-from gladewalk.rehearsal.task_simulation import DutyNet, duty_cluster
+from gladewalk.rehearsal.task_simulation import TaskNetwork, build_task_network
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "duties.json").read_text())
 KEY = make_key(b"k" * 32)
@@ -43,7 +43,7 @@
     """The rendezvous hash: every member must find the same owner, whichever version it runs."""
     members = {"a": 1.0, "b": 1.0, "c": 2.0}
     return {
-        "scores": [score(f"load/b{n}", "m0", 1.0 + n) for n in range(4)],
+        "scores": [rendezvous_score(f"load/b{n}", "m0", 1.0 + n) for n in range(4)],
         "owners": "".join(owner_of(f"d{n}", members) or "-" for n in range(200)),
     }
 
@@ -52,23 +52,23 @@
     assert owners() == GOLDEN["hash"]
 
 
-def told_of(net: DutyNet) -> list[list[Any]]:
+def told_of(net: TaskNetwork) -> list[list[Any]]:
     """Every claim and finding that a member hands to the others, in order."""
     told: list[list[Any]] = []
     for name, runner in net.runners.items():
-        tell = runner.members.tell
+        tell = runner.peers.tell
 
         def note(news: News, name: str = name, tell: Any = tell) -> None:
             told.append([round(net.now, 6), name, msgspec.msgpack.encode(news).hex()])
             tell(news)
 
-        runner.members.tell = note  # type: ignore[method-assign]
+        runner.peers.tell = note  # type: ignore[method-assign]
     return told
 
 
 def cluster_trace() -> dict[str, object]:
     """Four members in virtual time; one dies, one stalls, one starts again."""
-    net = duty_cluster(4, 5, boxes=8)
+    net = build_task_network(4, 5, servers=8)
     told = told_of(net)
     net.run(2_000.0)
     net.kill("m1")
@@ -77,7 +77,7 @@
     net.run(6_000.0)
     net.join("m1", ("m0",))
     net.run(6_000.0)
-    done = [[round(one.at_ms, 6), one.by, one.name] for one in net.done]
+    done = [[round(one.at_ms, 6), one.sender, one.server] for one in net.probes]
     view = view_of(net.runners["m0"])
     counters = {name: dict(sorted(runner.counters.items())) for name, runner in net.runners.items()}
     return {
@@ -97,7 +97,7 @@
 
 def heard_counters() -> dict[str, int]:
     """What a member counts of findings that it does not hand to the module, or does."""
-    net = duty_cluster(2, 3, boxes=2)
+    net = build_task_network(2, 3, servers=2)
     runner = net.runners["m0"]
     runner.counters.clear()
     now = runner.clock()
@@ -109,7 +109,7 @@
         News("load/stranger", "m1", 4_000, now, "ok", 1.0),
         News("none/b0", "m1", 4_000, now, "ok", 1.0),
     ):
-        runner.heard(news)
+        runner.handle_news(news)
     return dict(sorted(runner.counters.items()))
 
 
