--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from .. import interface as api
-from ..counters import Counters
+from ..core.counters import Counters
 from ..members.messages import News
 from ..members.swim import Membership
 from ..members.terms import Change
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -6,15 +6,15 @@
 import random
 from dataclasses import dataclass
 
-from ..config import ConfigError, read_address
-from ..counters import Counters
-from ..deadlines import Deadlines
-from ..exchange import Exchange
+from ..config.options import Options
+from ..config.platform import ConfigError, read_address
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from ..core.exchange import Exchange
 from ..members.seal import Seal, load_keys
 from ..members.swim import Membership
 from ..members.terms import Address, Terms
 from ..members.transport import Members, Network
-from ..options import Options
 from ..upstream.pool import Caches
 from .runner import PeriodicTask, TaskRunner
 from .task_types import CacheLoadProbe, SourceHealthCheck
--- a/gladewalk/duties/task_types.py
+++ b/gladewalk/duties/task_types.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from .. import interface as api
-from ..exchange import Exchange
+from ..core.exchange import Exchange
 from ..upstream.pool import Caches
 from .runner import ResultCallback
 
@@ -39,7 +39,7 @@
         age_ms: float,
     ) -> None:
         """Passes a finding to the decision module."""
-        self.exchange.feed(api.ProbeResult(target, status, latency_ms, load, age_ms))
+        self.exchange.feed(api.HealthCheckResult(target, status, latency_ms, load, age_ms))
 
 
 class CacheLoadProbe(ServerQueryTask):
@@ -49,7 +49,7 @@
 
     def targets(self) -> Iterable[str]:
         """Returns the cache servers, or none if probing is not allowed."""
-        return super().targets() if self.exchange.core.settings.may_probe else ()
+        return super().targets() if self.exchange.core.settings.may_check_health else ()
 
 
 class SourceHealthCheck(ServerQueryTask):
--- a/gladewalk/rehearsal/task_simulation.py
+++ b/gladewalk/rehearsal/task_simulation.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from .. import interface as api
-from ..counters import Counters
+from ..core.counters import Counters
 from ..duties.ownership import Rank, best_rank, rendezvous_score
 from ..duties.runner import ResultCallback, TaskRunner
 from ..members.gossip import Told
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -7,14 +7,20 @@
 
 import asyncio
 import contextlib
+import re
 import signal
 import tempfile
 from pathlib import Path
 
+import pytest
+
+from gladewalk.config.options import load_options
+from gladewalk.config.platform import ConfigError
 from gladewalk.control.client import ControlError
 from gladewalk.faultnet.fleet import DUTIES
 from gladewalk.faultnet.nemesis import apply, play
 from gladewalk.faultnet.schedule import Fault, dump, generate, load
+from gladewalk.leases.start import read_lease_settings
 from gladewalk.store.tools import dump as dump_store
 from tests.fleetworld import Fleets, wall_ms
 
@@ -119,10 +125,6 @@
 
 
 def test_a_lease_setting_that_cannot_be_used_is_one_line_naming_its_key() -> None:
-    from gladewalk.config import ConfigError
-    from gladewalk.leases.start import read_lease_settings
-    from gladewalk.options import load_options
-
     base = "[leases]\nlisten = '127.0.0.1:1'\nkeys = 'k'\nhubs = ['127.0.0.1:2']\n{}"
     base += "[leases.peers]\na = '127.0.0.1:1'\n{}[store]\nfolder = 's'\n{}"
     with tempfile.TemporaryDirectory() as folder:
@@ -141,9 +143,5 @@
             ("a", base.format("", "", "").replace(":2'", "'"), "leases.hubs: "),
         ):  # fmt: skip
             path.write_text(text)
-            try:
+            with pytest.raises(ConfigError, match="^" + re.escape(f"{path}: {told}")):
                 read_lease_settings(load_options(str(path)), name)
-            except ConfigError as error:
-                assert str(error).startswith(f"{path}: {told}"), error
-            else:
-                raise AssertionError(told)
--- a/tests/test_golden_leases.py
+++ b/tests/test_golden_leases.py
@@ -13,8 +13,8 @@
 import pytest
 import structlog
 
-from gladewalk.counters import Counters
-from gladewalk.deadlines import Deadlines
+from gladewalk.core.counters import Counters
+from gladewalk.core.deadlines import Deadlines
 from gladewalk.faultnet.fenced_resource import FencedResource
 from gladewalk.leases import messages as m
 from gladewalk.leases.candidate import LeaseCandidate
