--- a/benchmarks/duties_at_size.py
+++ b/benchmarks/duties_at_size.py
@@ -46,11 +46,11 @@
 def kill(net: TaskNetwork, name: str) -> list[float]:
     """How long each box that it probed waits for its heir, in ms."""
     owned = {box for box in net.servers if net.owners(box) == [name]}
-    killed, seen = net.now, len(net.probes)
+    killed, seen = net.now, len(net.checks)
     net.kill(name)
     net.run(TAKEOVER_MOST_MS)
     first: dict[str, float] = {}
-    for done in net.probes[seen:]:
+    for done in net.checks[seen:]:
         if done.server in owned:
             first.setdefault(done.server, done.at_ms - killed)
     return [first.get(box, float("inf")) for box in owned]
@@ -73,7 +73,7 @@
         net.run(draw.uniform(0.0, 1_000.0))
         takeovers += kill(net, name)
     spent = time.monotonic() - began
-    return Row(size, sorted(takeovers), net.probe_rates(started), bytes_s, messages_s, known, spent)
+    return Row(size, sorted(takeovers), net.check_rates(started), bytes_s, messages_s, known, spent)
 
 
 def main() -> int:
--- a/gladewalk/duties/rate_limit.py
+++ b/gladewalk/duties/rate_limit.py
@@ -1,6 +1,6 @@
-"""Rate limit of all members' probes together: a common stretch of intervals, and a token bucket.
+"""Rate limit of all members' health checks together: a common stretch of intervals, and a token bucket.
 
-Where the limit binds, every interval is stretched alike, so that each server is still probed, only less
+Where the limit binds, every interval is stretched alike, so that each server is still checked, only less
 often. All members list the same servers and have the same settings, so all compute the same stretch. The
 token bucket bounds the rest: a takeover, or a list that grows at once, never makes a burst of more than
 `BURST_SECONDS` worth. No I/O.
@@ -12,8 +12,8 @@
 UNLIMITED = 1_000_000
 
 
-class ProbeRateLimit:
-    """Limits probes to `per_second`, all members together; 0 stands for no limit."""
+class HealthCheckRateLimit:
+    """Limits health checks to `per_second`, all members together; 0 stands for no limit."""
 
     def __init__(self, per_second: float, now_ms: float) -> None:
         self.per_second = per_second
@@ -25,7 +25,7 @@
         return max(1.0, wanted_per_second / self.per_second) if self.per_second else 1.0
 
     def allowance(self, now_ms: float) -> int:
-        """Returns how many probes may be sent now; a clock that was set back neither adds nor removes any."""
+        """Returns how many checks may be sent now; a clock that was set back neither adds nor removes any."""
         if not self.per_second:
             return UNLIMITED
         elapsed_ms = max(0.0, now_ms - self.refilled_at_ms)
@@ -34,5 +34,5 @@
         return int(self.tokens)
 
     def spend(self, count: int) -> None:
-        """Takes the tokens of probes that are sent."""
+        """Takes the tokens of checks that are sent."""
         self.tokens -= count
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -17,7 +17,7 @@
 from ..members.swim import Membership
 from ..members.terms import Change
 from .ownership import Ownership, OwnershipClaim
-from .rate_limit import ProbeRateLimit
+from .rate_limit import HealthCheckRateLimit
 
 SWEEP_INTERVAL_MS = 50.0  # how late a task may be noticed to be due
 JOIN_TIMEOUT_MS = 1_000.0  # a start waits so long to meet others: alone it would claim all that they own
@@ -82,7 +82,7 @@
 class TaskRunner:
     """All shared tasks of one director.
 
-    `max_finding_age_ms`: older findings of others are ignored. `probes_per_second`: limit of all members
+    `max_finding_age_ms`: older findings of others are ignored. `checks_per_second`: limit of all members
     together, 0 for none.
     """
 
@@ -95,11 +95,11 @@
         counters: Counters,
         rng: random.Random,
         max_finding_age_ms: float,
-        probes_per_second: float = 0.0,
+        checks_per_second: float = 0.0,
     ) -> None:
         self.peers, self.clock, self.scheduler, self.counters = peers, clock, scheduler, counters
         self.max_finding_age_ms = max_finding_age_ms
-        self.rate_limit, self.stretch = ProbeRateLimit(probes_per_second, clock()), 1.0
+        self.rate_limit, self.stretch = HealthCheckRateLimit(checks_per_second, clock()), 1.0
         name = peers.core.me.name
         self.shared = {task.kind: SharedTask(task, Ownership(name, task.interval_ms, rng)) for task in tasks}
         peers.changed, peers.heard = self.handle_membership_change, self.handle_news
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -17,7 +17,7 @@
 from ..members.transport import Members, Network
 from ..upstream.pool import Caches
 from .runner import PeriodicTask, TaskRunner
-from .task_types import CacheLoadProbe, SourceHealthCheck
+from .task_types import CacheHealthCheck, SourceHealthCheck
 
 PING_TIMEOUT_PERIODS = 0.4  # of a protocol period
 
@@ -83,7 +83,7 @@
     )
     tasks: list[PeriodicTask] = []
     if duties.probe_ms:
-        tasks.append(CacheLoadProbe(exchange, pool, duties.probe_ms))
+        tasks.append(CacheHealthCheck(exchange, pool, duties.probe_ms))
     if duties.check_ms:
         tasks.append(SourceHealthCheck(exchange, pool, duties.check_ms))
     runner = TaskRunner(members, tasks, clock, deadlines, counters, rng, duties.fresh_ms, duties.probes_per_s)
--- a/gladewalk/duties/task_types.py
+++ b/gladewalk/duties/task_types.py
@@ -42,13 +42,13 @@
         self.exchange.feed(api.HealthCheckResult(target, status, latency_ms, load, age_ms))
 
 
-class CacheLoadProbe(ServerQueryTask):
-    """Asks every cache server for its load report, where the settings allow a director to probe."""
+class CacheHealthCheck(ServerQueryTask):
+    """Asks every cache server for its load report, where the settings allow health checks."""
 
     kind, path, roles = "load", "/load", frozenset((api.Role.CACHE,))
 
     def targets(self) -> Iterable[str]:
-        """Returns the cache servers, or none if probing is not allowed."""
+        """Returns the cache servers, or none if the settings forbid health checks."""
         return super().targets() if self.exchange.core.settings.may_check_health else ()
 
 
--- a/gladewalk/rehearsal/task_simulation.py
+++ b/gladewalk/rehearsal/task_simulation.py
@@ -1,7 +1,7 @@
 """Shared tasks in virtual time: the real `TaskRunner`, `Ownership` and `Membership` on a network in memory.
 
-Servers to probe are names; a probe that a node sends is recorded with its time. Nodes are killed, stopped,
-cut off and restarted as on `membernet`, and what they own and do can be read at any moment.
+Servers to check are names; each health check is recorded with its time. Nodes are killed, stopped, cut off and
+restarted as on `membernet`, and what they own and do can be read at any moment.
 """
 
 from __future__ import annotations
@@ -19,16 +19,16 @@
 from ..members.terms import Change, Terms
 from .membernet import Net, Node
 
-PROBE_LATENCY_MS = 1.0
-PROBE_KIND = "load"
+CHECK_LATENCY_MS = 1.0
+CHECK_KIND = "load"
 MAX_FINDING_AGE_MS = 3_000.0
 RESUME_DELAY_MS = 0.01  # after a stop, so that what was received meanwhile is handled first
 SEED_COUNT = 2
 
 
 @dataclass(slots=True, frozen=True)
-class SentProbe:
-    """A probe, by whom, and of which server."""
+class SentCheck:
+    """A health check, by whom, and of which server."""
 
     at_ms: float
     sender: str
@@ -94,10 +94,10 @@
         return best_rank(task, members)
 
 
-class SimulatedProbe:
+class SimulatedHealthCheck:
     """A task type of the simulation: every server answers."""
 
-    kind = PROBE_KIND
+    kind = CHECK_KIND
 
     def __init__(self, network: TaskNetwork, node: Node) -> None:
         self.network, self.node, self.interval_ms = network, node, network.interval_ms
@@ -107,14 +107,14 @@
         return self.network.listed
 
     def perform(self, target: str, on_result: ResultCallback) -> None:
-        """Records a probe; its answer is lost if the node dies meanwhile."""
-        self.network.probes.append(SentProbe(self.network.now, self.node.name, target))
+        """Records a check; its answer is lost if the node dies meanwhile."""
+        self.network.checks.append(SentCheck(self.network.now, self.node.name, target))
 
         def answer() -> None:
             if self.node.up:
-                on_result(api.Status.OK, PROBE_LATENCY_MS, None)
+                on_result(api.Status.OK, CHECK_LATENCY_MS, None)
 
-        self.network.after(PROBE_LATENCY_MS, answer)
+        self.network.after(CHECK_LATENCY_MS, answer)
 
     def record_result(
         self,
@@ -129,7 +129,7 @@
 
 
 class TaskNetwork(Net):
-    """Nodes with shared tasks; `probes` has every probe in its order."""
+    """Nodes with shared tasks; `checks` has every health check in its order."""
 
     def __init__(
         self,
@@ -137,15 +137,15 @@
         servers: Iterable[str],
         interval_ms: float = 1_000.0,
         terms: Terms | None = None,
-        probes_per_second: float = 0.0,
+        checks_per_second: float = 0.0,
     ) -> None:
         super().__init__(seed, terms)
         self.servers, self.interval_ms = tuple(servers), interval_ms
-        self.probes_per_second = probes_per_second
+        self.checks_per_second = checks_per_second
         self.listed = frozenset(self.servers)
         self.ranks: SharedRanks | None = None
         self.runners: dict[str, TaskRunner] = {}
-        self.probes: list[SentProbe] = []
+        self.checks: list[SentCheck] = []
         self.known_since_ms: dict[tuple[str, str], float] = {}  # by node and server: the latest finding
         self.on_news = lambda node, news: self.runners[node.name].peers.heard(news)
         self.on_change = self._on_change
@@ -161,13 +161,13 @@
         node = self.start(name, seeds)
         runner = TaskRunner(
             SimulatedPeers(node),
-            [SimulatedProbe(self, node)],
+            [SimulatedHealthCheck(self, node)],
             lambda: self.now + node.clock_off,
             VirtualScheduler(self, node),
             Counters(),
             random.Random(self.random.random()),
             MAX_FINDING_AGE_MS,
-            self.probes_per_second,
+            self.checks_per_second,
         )
         if self.ranks is not None:
             for shared in runner.shared.values():
@@ -177,34 +177,34 @@
         return node
 
     def owners(self, server: str) -> list[str]:
-        """Returns the running nodes that own a server's probe."""
+        """Returns the running nodes that own a server's health check."""
         return [
             name
             for name, runner in self.runners.items()
-            if self.nodes[name].up and server in runner.shared[PROBE_KIND].ownership.owned
+            if self.nodes[name].up and server in runner.shared[CHECK_KIND].ownership.owned
         ]
 
     def is_divided(self) -> bool:
-        """Whether each probe has exactly one owner among the running nodes."""
+        """Whether each health check has exactly one owner among the running nodes."""
         return all(len(self.owners(server)) == 1 for server in self.servers)
 
-    def probe_rates(self, since_ms: float) -> list[float]:
-        """Returns the probes per interval of each server since a time, in rising order."""
+    def check_rates(self, since_ms: float) -> list[float]:
+        """Returns the checks per interval of each server since a time, in rising order."""
         intervals = (self.now - since_ms) / self.interval_ms
         counts = dict.fromkeys(self.servers, 0)
-        for probe in self.probes:
-            if probe.at_ms >= since_ms:
-                counts[probe.server] += 1
+        for check in self.checks:
+            if check.at_ms >= since_ms:
+                counts[check.server] += 1
         return sorted(count / intervals for count in counts.values())
 
     def longest_gap_ms(self, since_ms: float) -> float:
-        """Returns the longest that any server waited for a probe since a time, up to now."""
+        """Returns the longest that any server waited for a check since a time, up to now."""
         last_ms = dict.fromkeys(self.servers, since_ms)
         longest_ms = 0.0
-        for probe in self.probes:
-            if probe.at_ms >= since_ms:
-                longest_ms = max(longest_ms, probe.at_ms - last_ms[probe.server])
-                last_ms[probe.server] = probe.at_ms
+        for check in self.checks:
+            if check.at_ms >= since_ms:
+                longest_ms = max(longest_ms, check.at_ms - last_ms[check.server])
+                last_ms[check.server] = check.at_ms
         return max([longest_ms, *(self.now - at_ms for at_ms in last_ms.values())])
 
 
@@ -214,7 +214,7 @@
     servers: int = 12,
     interval_ms: float = 1_000.0,
     settle_ms: float = 6_000.0,
-    probes_per_second: float = 0.0,
+    checks_per_second: float = 0.0,
     terms: Terms | None = None,
     have_met: bool = False,
 ) -> TaskNetwork:
@@ -224,7 +224,7 @@
     with dividing the servers.
     """
     names = (f"b{number}" for number in range(servers))
-    network = TaskNetwork(seed, names, interval_ms, terms, probes_per_second)
+    network = TaskNetwork(seed, names, interval_ms, terms, checks_per_second)
     if have_met:
         network.ranks = SharedRanks(f"m{number}" for number in range(count))
     for number in range(count):
--- a/tests/test_duties_simulated.py
+++ b/tests/test_duties_simulated.py
@@ -7,27 +7,27 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
 
-from gladewalk.duties.rate_limit import ProbeRateLimit
+from gladewalk.duties.rate_limit import HealthCheckRateLimit
 from gladewalk.members.seal import make_key
 from gladewalk.members.terms import Change
 from gladewalk.rehearsal.task_simulation import TaskNetwork, build_task_network
 
 
 def test_a_cap_stretches_all_intervals_alike_and_lets_no_burst_through() -> None:
-    rate_limit = ProbeRateLimit(40.0, 0.0)
+    rate_limit = HealthCheckRateLimit(40.0, 0.0)
     assert [rate_limit.interval_stretch(per_s) for per_s in (0.0, 40.0, 100.0)] == [1.0, 1.0, 2.5]
     assert rate_limit.allowance(0.0) == 10  # a quarter of a second's worth
     rate_limit.spend(10)
     assert [rate_limit.allowance(at) for at in (0.0, 24.0, 25.0, 20.0, 60_000.0)] == [0, 0, 1, 1, 10]
-    assert ProbeRateLimit(0.0, 0.0).interval_stretch(1e9) == 1.0
+    assert HealthCheckRateLimit(0.0, 0.0).interval_stretch(1e9) == 1.0
     # 160 a second are wanted.
-    net = build_task_network(4, 2, servers=40, interval_ms=250.0, probes_per_second=80.0)
+    net = build_task_network(4, 2, servers=40, interval_ms=250.0, checks_per_second=80.0)
     start = net.now
     net.run(10_000.0)
-    assert 0.45 < net.probe_rates(start)[0] <= net.probe_rates(start)[-1] < 0.55
+    assert 0.45 < net.check_rates(start)[0] <= net.check_rates(start)[-1] < 0.55
     net.kill("m1")  # its heirs find a quarter of all tasks overdue
     net.run(10_000.0)
-    per_second = Counter(int(done.at_ms // 1_000.0) for done in net.probes if done.at_ms >= start)
+    per_second = Counter(int(done.at_ms // 1_000.0) for done in net.checks if done.at_ms >= start)
     assert max(per_second.values()) <= 100  # the cap, and a bucket of each member that had it full
 
 
@@ -38,7 +38,7 @@
     assert not [(server, net.owners(server)) for server in net.servers if len(net.owners(server)) != 1]
     start = net.now
     net.run(10.0 * net.interval_ms)
-    rates = net.probe_rates(start)
+    rates = net.check_rates(start)
     assert 0.85 < rates[0] <= rates[-1] < 1.15, rates
 
 
@@ -65,7 +65,7 @@
         killed = net.now
         net.kill("m1")
         net.run(2_000.0)
-        found = {done.server for done in net.probes if done.at_ms > killed and done.sender != "m1"}
+        found = {done.server for done in net.checks if done.at_ms > killed and done.sender != "m1"}
         assert set(owned) <= found, (count, seed)
         settle(net, 5_000.0)
 
@@ -77,7 +77,7 @@
     net.run(6_000.0)
     start = net.now
     net.run(10_000.0)
-    rates = net.probe_rates(start)
+    rates = net.check_rates(start)
     assert 1.7 < rates[0] <= rates[-1] < 2.3, rates  # nobody knows better on either side
     net.blocked = lambda source, target: False
     settle(net, 20_000.0)
@@ -126,7 +126,7 @@
     net.loss, net.double, net.delay_ms = 0.3, 0.2, (0.2, 15.0)
     start = net.now
     net.run(60_000.0)
-    rates = net.probe_rates(start)
+    rates = net.check_rates(start)
     assert 0.8 < rates[0] <= rates[-1] < 1.6, rates
     assert net.longest_gap_ms(start) < 4_000.0
     net.loss = 0.0
@@ -192,7 +192,7 @@
         net.run(5_000.0)
         assert net.agreed(), {name: net.live_as_seen_by(name) for name in net.nodes}
         assert net.is_divided(), [(server, net.owners(server)) for server in net.servers]
-        assert net.probe_rates(start)[0] >= 0.8 and net.probe_rates(start)[-1] <= 1.2, net.probe_rates(start)
+        assert net.check_rates(start)[0] >= 0.8 and net.check_rates(start)[-1] <= 1.2, net.check_rates(start)
 
 
 def test_any_faults_end_with_one_prober_a_server() -> None:
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -7,20 +7,13 @@
 
 import asyncio
 import contextlib
-import re
 import signal
-import tempfile
 from pathlib import Path
 
-import pytest
-
-from gladewalk.config.options import load_options
-from gladewalk.config.platform import ConfigError
 from gladewalk.control.client import ControlError
 from gladewalk.faultnet.fleet import DUTIES
 from gladewalk.faultnet.nemesis import apply, play
 from gladewalk.faultnet.schedule import Fault, dump, generate, load
-from gladewalk.leases.start import read_lease_settings
 from gladewalk.store.tools import dump as dump_store
 from tests.fleetworld import Fleets, wall_ms
 
@@ -122,26 +115,3 @@
         verdict = self.verdict()
         assert verdict.is_safe and verdict.operations > 200, verdict
         assert set(DUTIES) == {a.task for sink in fleet.sinks for a in sink.fence.records}
-
-
-def test_a_lease_setting_that_cannot_be_used_is_one_line_naming_its_key() -> None:
-    base = "[leases]\nlisten = '127.0.0.1:1'\nkeys = 'k'\nhubs = ['127.0.0.1:2']\n{}"
-    base += "[leases.peers]\na = '127.0.0.1:1'\n{}[store]\nfolder = 's'\n{}"
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "g.toml"
-        for name, text, told in (
-            ("b", base.format("", "", ""), "leases.peers: this director (b) is not among them"),
-            ("a", base.format("", "[leases.x]\n", ""), "leases.x: no such setting"),
-            ("a", base.format("grant_margin_ms = 0.0\nstop_margin_ms = 0.0\n", "", ""),
-             "leases.grant_margin_ms: too small for the drift; another could be promised while"),
-            ("a", base.format("", "[leases.duties]\npurge = '127.0.0.1:3'\n", ""),
-             "leases.duties: purge is a duty of the director's own: see hubs and report_to"),
-            ("a", base.format("", "", "policy = 'none'\n"),
-             "store.policy: 'none' would forget what [leases] promised"),
-            ("a", base.format("", "", "").partition("[store]")[0],
-             "store.folder: is missing, and [leases] keeps its promises there"),
-            ("a", base.format("", "", "").replace(":2'", "'"), "leases.hubs: "),
-        ):  # fmt: skip
-            path.write_text(text)
-            with pytest.raises(ConfigError, match="^" + re.escape(f"{path}: {told}")):
-                read_lease_settings(load_options(str(path)), name)
--- a/tests/test_golden_duties.py
+++ b/tests/test_golden_duties.py
@@ -77,7 +77,7 @@
     net.run(6_000.0)
     net.join("m1", ("m0",))
     net.run(6_000.0)
-    done = [[round(one.at_ms, 6), one.sender, one.server] for one in net.probes]
+    done = [[round(one.at_ms, 6), one.sender, one.server] for one in net.checks]
     view = view_of(net.runners["m0"])
     counters = {name: dict(sorted(runner.counters.items())) for name, runner in net.runners.items()}
     return {
