--- a/gladewalk/rehearsal/task_simulation.py
+++ b/gladewalk/rehearsal/task_simulation.py
@@ -1,7 +1,7 @@
 """Shared tasks in virtual time: the real `TaskRunner`, `Ownership` and `Membership` on a network in memory.
 
-Servers to check are names; each health check is recorded with its time. Nodes are killed, stopped, cut off and
-restarted as on `membernet`, and what they own and do can be read at any moment.
+Servers to check are names; each health check is recorded with its time. Nodes are killed, stopped, cut off
+and restarted as on `membernet`, and what they own and do can be read at any moment.
 """
 
 from __future__ import annotations
