--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -1,12 +1,13 @@
-"""Shared duties on loopback: what boxes see of the probing, and how soon a dead one's share is taken over.
+"""Shared tasks on loopback: the health checks that servers see, and takeovers of a dead member's share.
 
     python -m benchmarks.duties [--directors 4] [--boxes 12] [--kills 100] [--interval 500] [--loss 0]
 
 Every director is a process of its own. First they are left alone for a while: suspicions and deaths of
 members that live, and bytes a second, as each tells at its control socket. Then comes one kill after the
-other. Probes a box and interval are counted over all of that, kills, takeovers and restarts among it. A
-takeover is the time from SIGKILL to the first probe of a box by another director than the killed one, which
-is known by its connection. `--loss` is the part of all datagrams that is lost. 100 kills take eight minutes.
+other. Checks a server and interval are counted over all of that, kills, takeovers and restarts among it. A
+takeover is the time from SIGKILL to the first check of a server by another director than the killed one,
+which is known by its connection. `--loss` is the part of all datagrams that is lost. 100 kills take eight
+minutes.
 """
 
 from __future__ import annotations
@@ -20,28 +21,44 @@
 import tempfile
 import time
 from collections import Counter
+from dataclasses import dataclass
 from pathlib import Path
 
 from gladewalk.control.client import ask
 from gladewalk.faultnet.relay import free_port
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
 
-QUIET_S = 30.0
-SETTLE_S = 3.0  # after a start, until all know one another and each duty has one owner
+QUIET_SECONDS = 30.0
+SETTLE_SECONDS = 3.0  # after a start, until all know one another and each task has one owner
+MAX_TAKEOVER_SECONDS = 20.0
+SEED_COUNT = 2
+MS = 1_000.0  # a second
 
 
-class Watch:
-    """What the boxes have heard: when, and from which connection."""
+@dataclass(slots=True, frozen=True)
+class ReceivedCheck:
+    """A health check as a server saw it; the connection tells who sent it."""
+
+    at_seconds: float  # monotonic
+    connection: asyncio.StreamWriter
+
+
+class CheckRecorder:
+    """The health checks that the servers received."""
 
     def __init__(self) -> None:
-        self.probes: dict[str, list[tuple[float, asyncio.StreamWriter]]] = {}
+        self.checks: dict[str, list[ReceivedCheck]] = {}  # by server
 
-    async def answer(self, heard: Heard) -> None:
-        self.probes.setdefault(heard.peer.uid, []).append((time.monotonic(), heard.writer))
-        await heard.answer(200, X_Meter="util:0.2")
+    async def answer(self, request: Heard) -> None:
+        """Records a check and answers it."""
+        check = ReceivedCheck(time.monotonic(), request.writer)
+        self.checks.setdefault(request.peer.uid, []).append(check)
+        await request.answer(200, X_Meter="util:0.2")
 
 
 class Fleet:
+    """Directors as processes, by number."""
+
     def __init__(self, folder: Path, config: dict[str, object], interval_ms: float, loss: float) -> None:
         self.folder, self.config, self.interval_ms, self.loss = folder, config, interval_ms, loss
         (folder / "keys").write_text(secrets.token_hex(32))
@@ -50,133 +67,155 @@
         self.ports: list[int] = []
 
     async def start(self, number: int) -> None:
-        """A director, at the same address each time: the first start of each chooses its port."""
+        """Starts a director, at the same address each time: its first start chooses its port."""
         if len(self.ports) <= number:
             self.ports.append(free_port())
-        seeds = json.dumps([f"127.0.0.1:{port}" for port in self.ports[:2]])
-        own, path = self.folder / f"n{number}.toml", self.folder / f"n{number}.json"
-        own.write_text(
+        seeds = json.dumps([f"127.0.0.1:{port}" for port in self.ports[:SEED_COUNT]])
+        options_path, config_path = self.folder / f"n{number}.toml", self.folder / f"n{number}.json"
+        options_path.write_text(
             f"[members]\nlisten = '127.0.0.1:{self.ports[number]}'\nkeys = 'keys'\nseeds = {seeds}\n"
             f"[duties]\nprobe_ms = {self.interval_ms}\ncheck_ms = 0.0\n"
             f"[control]\nsocket = 'n{number}.sock'\n"
         )
-        path.write_text(json.dumps({**self.config, "name": f"n{number}"}))
+        config_path.write_text(json.dumps({**self.config, "name": f"n{number}"}))
         lossy = ["benchmarks.lossy_director", str(self.loss)]
         words = lossy if self.loss else ["gladewalk", "run", "--config"]
         self.running[number] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *words, str(own),
-            env={**os.environ, "NODE_CONFIG": str(path)}, stderr=asyncio.subprocess.DEVNULL,
-        )  # fmt: skip
+            sys.executable,
+            "-m",
+            *words,
+            str(options_path),
+            env={**os.environ, "NODE_CONFIG": str(config_path)},
+            stderr=asyncio.subprocess.DEVNULL,
+        )
 
     async def kill(self, number: int) -> None:
+        """Kills a director with SIGKILL and waits for its end."""
         process = self.running.pop(number)
         process.kill()
         await process.wait()
 
     async def counters(self) -> Counter[str]:
-        """What all of them have counted together."""
+        """Returns the sum of all running directors' counters."""
         total: Counter[str] = Counter()
         for number in self.running:
-            told = await asyncio.to_thread(ask, self.folder / f"n{number}.sock", "members")
-            total.update(told["counters"])
+            view = await asyncio.to_thread(ask, self.folder / f"n{number}.sock", "members")
+            total.update(view["counters"])
         return total
 
-    def sockets(self, number: int) -> set[int]:
-        """The local ports of a director's TCP connections."""
-        pid, inodes, found = self.running[number].pid, set(), set()
-        for entry in Path(f"/proc/{pid}/fd").iterdir():
+    def tcp_ports(self, number: int) -> set[int]:
+        """Returns the local ports of a director's TCP connections."""
+        inodes = set()
+        for entry in Path(f"/proc/{self.running[number].pid}/fd").iterdir():
             link = os.readlink(entry)
             if link.startswith("socket:["):
-                inodes.add(link[8:-1])
+                inodes.add(link.removeprefix("socket:[").removesuffix("]"))
+        ports = set()
         for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            words = line.split()
-            if words[9] in inodes:
-                found.add(int(words[1].split(":")[1], 16))
-        return found
+            fields = line.split()
+            if fields[9] in inodes:
+                ports.add(int(fields[1].split(":")[1], 16))
+        return ports
 
 
-def port_of(writer: asyncio.StreamWriter) -> int:
-    return int(writer.get_extra_info("peername")[1])
+def port_of(connection: asyncio.StreamWriter) -> int:
+    """Returns the port at the other end of a connection."""
+    return int(connection.get_extra_info("peername")[1])
 
 
-async def takeover(fleet: Fleet, watch: Watch, victim: int, interval_s: float) -> list[float]:
-    """Kill one; for each box that it probed, how long until another did, in ms."""
-    ports = fleet.sockets(victim)
-    owned = [uid for uid, probes in watch.probes.items() if port_of(probes[-1][1]) in ports]
+async def measure_takeover(fleet: Fleet, recorder: CheckRecorder, victim: int) -> list[float]:
+    """Kills a director; returns how long each server that it checked waits for another's check, in ms."""
+    ports = fleet.tcp_ports(victim)
     # By the connection itself: on loopback another director may soon be given the same port.
-    last = {uid: watch.probes[uid][-1][1] for uid in owned}
+    last_connections = {
+        server: checks[-1].connection
+        for server, checks in recorder.checks.items()
+        if port_of(checks[-1].connection) in ports
+    }
     killed = time.monotonic()
     await fleet.kill(victim)
-    found: dict[str, float] = {}
-    while len(found) < len(owned) and time.monotonic() < killed + 20.0:
+    waits_ms: dict[str, float] = {}
+    while len(waits_ms) < len(last_connections) and time.monotonic() < killed + MAX_TAKEOVER_SECONDS:
         await asyncio.sleep(0.005)
-        for uid in owned:
-            later = [at for at, writer in watch.probes[uid] if at > killed and writer is not last[uid]]
-            if later and uid not in found:
-                found[uid] = (later[0] - killed) * 1_000.0
-    return [found.get(uid, 20_000.0) for uid in owned]
-
-
-async def quiet(fleet: Fleet, seconds: float) -> None:
-    """Nothing happens: what members do to one another all the same."""
+        for server, last_connection in last_connections.items():
+            later = [
+                check.at_seconds
+                for check in recorder.checks[server]
+                if check.at_seconds > killed and check.connection is not last_connection
+            ]
+            if later:
+                waits_ms.setdefault(server, (later[0] - killed) * MS)
+    return [waits_ms.get(server, MAX_TAKEOVER_SECONDS * MS) for server in last_connections]
+
+
+async def measure_quiet(fleet: Fleet, seconds: float) -> None:
+    """Prints what members do to one another while nothing happens."""
     before, started = await fleet.counters(), time.monotonic()
     await asyncio.sleep(seconds)
-    after, spent = await fleet.counters(), time.monotonic() - started
+    after, elapsed = await fleet.counters(), time.monotonic() - started
     after.subtract(before)
-    member_seconds = spent * len(fleet.running)
-    minutes = member_seconds / 60.0
+    member_seconds = elapsed * len(fleet.running)
+    member_minutes = member_seconds / 60.0
     print(
-        f"{fleet.loss:.0%} lost, {spent:.0f} s: each member sees a minute "
-        f"{after['members.suspected'] / minutes:.2f} suspicions and "
-        f"{after['members.died'] / minutes:.2f} deaths of members that live; "
+        f"{fleet.loss:.0%} lost, {elapsed:.0f} s: each member sees a minute "
+        f"{after['members.suspected'] / member_minutes:.2f} suspicions and "
+        f"{after['members.died'] / member_minutes:.2f} deaths of members that live; "
         f"{after['members.sent_bytes'] / member_seconds:.0f} bytes/s and "
         f"{after['members.sent'] / member_seconds:.1f} messages/s a member",
         flush=True,
     )
 
 
-async def play(directors: int, boxes: int, kills: int, interval_ms: float, loss: float) -> None:
-    watch, coordinator = Watch(), await Coordinator().start()
-    peers = [await ScriptedPeer(watch.answer, f"c{n}").start() for n in range(boxes)]
+async def play(directors: int, servers: int, kills: int, interval_ms: float, loss: float) -> None:
+    """Starts the fleet, measures it quiet and over the kills, and prints the figures."""
+    recorder, coordinator = CheckRecorder(), await Coordinator().start()
+    peers = [await ScriptedPeer(recorder.answer, f"c{number}").start() for number in range(servers)]
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(Path(folder), config_for(peers, coordinator), interval_ms, loss)
-        times: list[float] = []
+        takeovers_ms: list[float] = []
         try:
             for number in range(directors):
                 await fleet.start(number)
-            await asyncio.sleep(SETTLE_S + interval_ms / 1_000.0)
-            started, before = time.monotonic(), {uid: len(probes) for uid, probes in watch.probes.items()}
-            await quiet(fleet, QUIET_S)
-            for round_ in range(kills):
-                victim = round_ % directors
-                times += await takeover(fleet, watch, victim, interval_ms / 1_000.0)
+            await asyncio.sleep(SETTLE_SECONDS + interval_ms / MS)
+            started = time.monotonic()
+            before = {server: len(checks) for server, checks in recorder.checks.items()}
+            await measure_quiet(fleet, QUIET_SECONDS)
+            for number in range(kills):
+                victim = number % directors
+                takeovers_ms += await measure_takeover(fleet, recorder, victim)
                 await fleet.start(victim)
-                await asyncio.sleep(SETTLE_S)
-            spent = (time.monotonic() - started) * 1_000.0 / interval_ms
-            rates = sorted((len(probes) - before[uid]) / spent for uid, probes in watch.probes.items())
+                await asyncio.sleep(SETTLE_SECONDS)
+            intervals = (time.monotonic() - started) * MS / interval_ms
+            rates = sorted(
+                (len(checks) - before[server]) / intervals for server, checks in recorder.checks.items()
+            )
         finally:
             for number in list(fleet.running):
                 await fleet.kill(number)
     for peer in peers:
         peer.stop()
     coordinator.stop()
-    times.sort()
-    print(f"{directors} directors, {boxes} boxes, {kills} kills, {len(times)} duties taken over")
+    takeovers_ms.sort()
+    print(f"{directors} directors, {servers} boxes, {kills} kills, {len(takeovers_ms)} duties taken over")
     print(f"probes a box and interval: {rates[0]:.3f} to {rates[-1]:.3f}, mean {sum(rates) / len(rates):.3f}")
-    if times:
-        p50, p99 = times[len(times) // 2], times[min(len(times) - 1, int(len(times) * 0.99))]
-        print(f"takeover ms: p50 {p50:.0f}, p99 {p99:.0f}, max {times[-1]:.0f}")
+    if takeovers_ms:
+        p50 = takeovers_ms[len(takeovers_ms) // 2]
+        p99 = takeovers_ms[min(len(takeovers_ms) - 1, int(len(takeovers_ms) * 0.99))]
+        print(f"takeover ms: p50 {p50:.0f}, p99 {p99:.0f}, max {takeovers_ms[-1]:.0f}")
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description="Shared duties on loopback.")
+    """Runs the benchmark as the command line says."""
+    parser = argparse.ArgumentParser(description="Shared tasks on loopback.")
     parser.add_argument("--directors", type=int, default=4)
     parser.add_argument("--boxes", type=int, default=12)
     parser.add_argument("--kills", type=int, default=100)
     parser.add_argument("--interval", type=float, default=500.0)
     parser.add_argument("--loss", type=float, default=0.0)
-    given = parser.parse_args()
-    asyncio.run(play(given.directors, given.boxes, given.kills, given.interval, given.loss))
+    arguments = parser.parse_args()
+    asyncio.run(
+        play(arguments.directors, arguments.boxes, arguments.kills, arguments.interval, arguments.loss)
+    )
     return 0
 
 
--- a/benchmarks/lease_kills.py
+++ b/benchmarks/lease_kills.py
@@ -1,12 +1,12 @@
-"""Kills while a box is cold: over all runs of its director it is named and sent no more than its budget.
+"""DNS leases over kills: a server in slow start is named and sent no more than its budget.
 
     python -m benchmarks.lease_kills [--kills 200] [--seed 1] [--forget]
 
-A box has just started, cold. A director with a DNS front and a store is asked for names by resolvers and for
+A server has just started. A director with a DNS server and a store is asked for names by resolvers and for
 objects by clients, and killed with SIGKILL at a drawn moment; its next run goes on, four runs to a round.
-Counted are the answers that resolvers heard, which they hold for minutes, and the requests that the box
-heard: in no window of the settings' length may both together be more than `fall_multiple` times what the box
-can do then. `--forget` empties the store between the runs: then answers are given anew by each run, and the
+Counted are the answers that resolvers received, which they cache for minutes, and the requests that the
+server received: in no window of the settings' length may both together exceed `fall_multiple` times its
+capacity then. `--forget` empties the store between the runs: then answers are given anew by each run, and the
 check has to find rounds over the budget.
 """
 
@@ -29,113 +29,138 @@
 
 from .store_kills import Run
 
-RUNS = 4  # in a round
-SIZE, WORK_MS = 64.0, 20.0  # transfers at a time of the box when warm, and how long each takes
-COLD = "127.0.0.2"
+RUNS_PER_ROUND = 4
+CAPACITY = 64.0  # transfers at a time of the server once it is warm
+TRANSFER_MS = 20.0
+SLOW_START_HOST = "127.0.0.2"
+RESOLVER_COUNT, CLIENT_COUNT = 4, 4
 RULES = SETTINGS["invariants"]
 DNS = "[dns]\nlisten = '127.0.0.1:0'\nzone = 'cdn.example.'\nown_address = '127.0.0.1'\n"
 
 
+def wall_ms() -> float:
+    """Returns the time in Unix ms."""
+    return time.time() * 1_000.0
+
+
 @dataclass(slots=True)
-class Box:
-    """The cold box: since when it runs, and what it was asked for."""
-
-    since_ms: float
-    sent_ms: list[float] = field(default_factory=list)
-    named_ms: dict[tuple[str, str], float] = field(default_factory=dict)  # by resolver and name: held once
-
-    async def serve(self, heard: Heard) -> None:
-        self.sent_ms.append(time.time() * 1_000.0)
-        await asyncio.sleep(WORK_MS / 1_000.0)
-        await heard.answer(200, b"copy", X_Remark="mem")
-
-    def fullest(self) -> float:
-        """The fullest window, as a part of its budget."""
-        window, multiple = RULES["tip_after_ms"], RULES["fall_multiple"]
-        worst = 0.0
-        for end in sorted([*self.sent_ms, *self.named_ms.values()]):
-            sends = sum(end - window < at <= end for at in self.sent_ms) * WORK_MS
-            held = sum(at <= end for at in self.named_ms.values()) * window
-            age = max(0.0, end - window - self.since_ms)
-            part = min(1.0, RULES["cold_from"] + (1.0 - RULES["cold_from"]) * age / RULES["ramp_time_ms"])
-            worst = max(worst, (sends + held) / (multiple * part * SIZE * window))
-        return worst
-
-
-async def warm(heard: Heard) -> None:
-    await asyncio.sleep(WORK_MS / 1_000.0)
-    await heard.answer(200, b"copy", X_Remark="mem")
-
-
-async def resolve(run: Run, box: Box, draw: random.Random, source: str) -> None:
-    """One resolver that holds whatever it hears; it asks for ever new names."""
+class SlowStartServer:
+    """The server in slow start: since when it runs, and what it was asked for."""
+
+    started_at_ms: float
+    requests_ms: list[float] = field(default_factory=list)
+    answers_ms: dict[tuple[str, str], float] = field(default_factory=dict)  # by resolver and name
+
+    async def serve(self, request: Heard) -> None:
+        """Records a request and answers it."""
+        self.requests_ms.append(wall_ms())
+        await serve_warm(request)
+
+    def max_load(self) -> float:
+        """Returns the load of the fullest window as a part of its budget."""
+        window_ms, multiple = RULES["tip_after_ms"], RULES["fall_multiple"]
+        initial = RULES["cold_from"]
+        highest = 0.0
+        for end_ms in sorted([*self.requests_ms, *self.answers_ms.values()]):
+            sent = sum(end_ms - window_ms < at_ms <= end_ms for at_ms in self.requests_ms) * TRANSFER_MS
+            cached = sum(at_ms <= end_ms for at_ms in self.answers_ms.values()) * window_ms
+            age_ms = max(0.0, end_ms - window_ms - self.started_at_ms)
+            fraction = min(1.0, initial + (1.0 - initial) * age_ms / RULES["ramp_time_ms"])
+            highest = max(highest, (sent + cached) / (multiple * fraction * CAPACITY * window_ms))
+        return highest
+
+
+async def serve_warm(request: Heard) -> None:
+    """Answers as a server at full capacity does."""
+    await asyncio.sleep(TRANSFER_MS / 1_000.0)
+    await request.answer(200, b"copy", X_Remark="mem")
+
+
+async def resolve(run: Run, server: SlowStartServer, draw: random.Random, source: str) -> None:
+    """Asks for ever new names as a resolver that caches whatever it receives, until the run ends."""
     resolver = Resolver(run.dns, hold_s=3_600.0, source=source)
     while run.up:
         name = f"0.{draw.getrandbits(40):x}.lot-page.cdn.example."
         with contextlib.suppress(OSError, TimeoutError):
-            if COLD in await resolver.resolve(name):
-                box.named_ms[source, name] = time.time() * 1_000.0
+            if SLOW_START_HOST in await resolver.resolve(name):
+                server.answers_ms[source, name] = wall_ms()
         await asyncio.sleep(0.002)
 
 
-async def ask(run: Run, draw: random.Random) -> None:
+async def send_requests(run: Run, draw: random.Random) -> None:
+    """Asks for ever new objects as a client, until the run ends."""
     while run.up:
         await run.ask(f"{draw.getrandbits(40):x}", draw.getrandbits(60))
 
 
-async def play_round(folder: Path, draw: random.Random, runs: int, forget: bool) -> Box:
-    box, coordinator = Box(time.time() * 1_000.0), await Coordinator().start()
-    cold = await ScriptedPeer(box.serve, "c0", size=SIZE, host=COLD, boot_ms=box.since_ms).start()
-    others = [await ScriptedPeer(warm, f"c{n}", size=SIZE, host=f"127.0.0.{n + 2}").start() for n in (1, 2)]
-    others.append(await ScriptedPeer(warm, "p1", "parent", "north", SIZE).start())
-    config = json.loads(json.dumps(config_for([cold, *others], coordinator, SETTINGS)))
+async def play_run(run: Run, server: SlowStartServer, draw: random.Random) -> None:
+    """Lets resolvers and clients ask a director that runs, and kills it."""
+    tasks = [
+        asyncio.create_task(resolve(run, server, random.Random(draw.random()), f"127.0.1.{number}"))
+        for number in range(1, RESOLVER_COUNT + 1)
+    ]
+    tasks += [
+        asyncio.create_task(send_requests(run, random.Random(draw.random()))) for _ in range(CLIENT_COUNT)
+    ]
+    await asyncio.sleep(0.2 + draw.random() * 0.4)
+    await run.kill()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def play_round(folder: Path, draw: random.Random, runs: int, forget: bool) -> SlowStartServer:
+    """Plays some runs of one director over one slow start."""
+    server, coordinator = SlowStartServer(wall_ms()), await Coordinator().start()
+    starting = ScriptedPeer(
+        server.serve, "c0", size=CAPACITY, host=SLOW_START_HOST, boot_ms=server.started_at_ms
+    )
+    peers = [await starting.start()]
+    for number in (1, 2):
+        host = f"127.0.0.{number + 2}"
+        peers.append(await ScriptedPeer(serve_warm, f"c{number}", size=CAPACITY, host=host).start())
+    peers.append(await ScriptedPeer(serve_warm, "p1", "parent", "north", CAPACITY).start())
+    config = json.loads(json.dumps(config_for(peers, coordinator, SETTINGS)))
     run = Run(folder, "each")
-    own = folder / "own.toml"
-    own.write_text(own.read_text() + DNS)
+    options_path = folder / "own.toml"
+    options_path.write_text(options_path.read_text() + DNS)
     for _ in range(runs):
         await run.start(config)
-        tasks = [
-            asyncio.create_task(resolve(run, box, random.Random(draw.random()), f"127.0.1.{n}"))
-            for n in range(1, 5)
-        ]
-        tasks += [asyncio.create_task(ask(run, random.Random(draw.random()))) for _ in range(4)]
-        await asyncio.sleep(0.2 + draw.random() * 0.4)
-        await run.kill()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await play_run(run, server, draw)
         if forget:
             shutil.rmtree(folder / "store")
     coordinator.stop()
-    for peer in (cold, *others):
+    for peer in peers:
         peer.stop()
-    return box
+    return server
 
 
 async def play(kills: int, seed: int, forget: bool) -> int:
-    draw, boxes = random.Random(seed), []
-    for _ in range(-(-kills // RUNS)):
+    """Plays all rounds and prints the figures; returns 1 if a round was over its budget."""
+    draw, servers = random.Random(seed), []
+    for _ in range(-(-kills // RUNS_PER_ROUND)):
         with tempfile.TemporaryDirectory() as folder:
-            boxes.append(await play_round(Path(folder), draw, RUNS, forget))
-    fullest = sorted(box.fullest() for box in boxes)
-    over = sum(part > 1.0 for part in fullest)
+            servers.append(await play_round(Path(folder), draw, RUNS_PER_ROUND, forget))
+    loads = sorted(server.max_load() for server in servers)
+    rounds_over = sum(load > 1.0 for load in loads)
     print(
-        f"{len(boxes) * RUNS} kills in {len(boxes)} rounds, seed {seed}: a cold box was named "
-        f"{sum(len(box.named_ms) for box in boxes) / len(boxes):.1f} times a round and sent "
-        f"{sum(len(box.sent_ms) for box in boxes) / len(boxes):.0f} requests; its fullest window was "
-        f"{fullest[len(fullest) // 2]:.2f} of its budget at the median, {fullest[-1]:.2f} at the most; "
-        f"{over} rounds over it"
+        f"{len(servers) * RUNS_PER_ROUND} kills in {len(servers)} rounds, seed {seed}: a cold box was named "
+        f"{sum(len(server.answers_ms) for server in servers) / len(servers):.1f} times a round and sent "
+        f"{sum(len(server.requests_ms) for server in servers) / len(servers):.0f} requests; its fullest "
+        f"window was {loads[len(loads) // 2]:.2f} of its budget at the median, {loads[-1]:.2f} at the most; "
+        f"{rounds_over} rounds over it"
     )
-    return 1 if over else 0
+    return 1 if rounds_over else 0
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description="Cold budgets over kills.")
+    """Runs the benchmark as the command line says."""
+    parser = argparse.ArgumentParser(description="DNS leases over kills.")
     parser.add_argument("--kills", type=int, default=200)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--forget", action="store_true")
-    given = parser.parse_args()
-    return asyncio.run(play(given.kills, given.seed, given.forget))
+    arguments = parser.parse_args()
+    return asyncio.run(play(arguments.kills, arguments.seed, arguments.forget))
 
 
 if __name__ == "__main__":
--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -1,10 +1,10 @@
-"""The ledger of held answers at a million leases: memory, one answer, what expiry costs.
+"""Cost of the DNS lease table at a million leases: memory, one answer, expiry.
 
     python -m benchmarks.leases [--sizes 10000,100000,1000000]
 
-Leases of 64 places, drawn from a seed, that end over five minutes as they were given. Printed are the bytes
-each takes, the time of one answer (room and hold) at that size beside an empty ledger, and the longest time
-that the end of one second took.
+Leases of 64 places, drawn from a seed, expire over five minutes in the order they were granted. Printed are
+the bytes of each, the time of one answer (available capacity and a new lease) at that size beside an empty
+table, and the longest time that the expiry of one second took.
 """
 
 from __future__ import annotations
@@ -19,49 +19,66 @@
 
 LEASE_MS = 300_000.0
 START_MS = 1.7e12
+PLACE_COUNT = 64
+OBJECT_BITS = 52
+WEIGHT = 0.02
+BOUND = 1e9  # of a place: never reached
+ANSWER_COUNT = 20_000
+EXPIRY_SECONDS = 700
 
 
 def fill(size: int, seed: int) -> tuple[Ledger, float]:
-    """So many leases, given evenly over the time of one."""
-    draw, ledger, now = random.Random(seed), Ledger(), START_MS
-    for n in range(size):
-        now = START_MS + LEASE_MS * 0.99 * n / size
-        holder = f"192.0.2.{draw.randrange(256)}"
-        ledger.hold(f"p{n % 64}", holder, (draw.getrandbits(52), 0), now + LEASE_MS, 0.02)
-    return ledger, now
+    """Returns a table with `size` leases, granted evenly over the time of one, and the time after that."""
+    draw, table, now_ms = random.Random(seed), Ledger(), START_MS
+    for number in range(size):
+        now_ms = START_MS + LEASE_MS * 0.99 * number / size
+        resolver = f"192.0.2.{draw.randrange(256)}"
+        key = (draw.getrandbits(OBJECT_BITS), 0)
+        table.hold(f"p{number % PLACE_COUNT}", resolver, key, now_ms + LEASE_MS, WEIGHT)
+    return table, now_ms
 
 
-def answer_us(ledger: Ledger, now: float, count: int = 20_000) -> float:
-    """One answer: whether there is room, and the lease; in microseconds."""
+def time_answer_us(table: Ledger, now_ms: float) -> float:
+    """Returns the mean time of one answer in microseconds: the available capacity, and the lease."""
     draw = random.Random(2)
-    asked = [(f"p{draw.randrange(64)}", draw.getrandbits(52)) for _ in range(count)]
+    questions = [
+        (f"p{draw.randrange(PLACE_COUNT)}", draw.getrandbits(OBJECT_BITS)) for _ in range(ANSWER_COUNT)
+    ]
     began = time.perf_counter()
-    for place, key in asked:
-        if ledger.room(place, "198.51.100.1", (key, 0), 1e9, now) >= 0.02:
-            ledger.hold(place, "198.51.100.1", (key, 0), now + LEASE_MS, 0.02)
-    return (time.perf_counter() - began) / count * 1e6
+    for place, key in questions:
+        if table.room(place, "198.51.100.1", (key, 0), BOUND, now_ms) >= WEIGHT:
+            table.hold(place, "198.51.100.1", (key, 0), now_ms + LEASE_MS, WEIGHT)
+    return (time.perf_counter() - began) / ANSWER_COUNT * 1e6
+
+
+def time_expiry_seconds(table: Ledger, now_ms: float) -> tuple[float, float]:
+    """Expires every lease, second by second; returns the longest step and all of them together."""
+    longest = total = 0.0
+    for second in range(EXPIRY_SECONDS):
+        began = time.perf_counter()
+        table.total("p0", 0.0, now_ms + second * 1_000.0)
+        elapsed = time.perf_counter() - began
+        longest, total = max(longest, elapsed), total + elapsed
+    assert len(table) == 0
+    return longest, total
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description="The ledger at size.")
+    """Prints one line for each size."""
+    parser = argparse.ArgumentParser(description="The DNS lease table at size.")
     parser.add_argument("--sizes", default="10000,100000,1000000")
-    given = parser.parse_args()
+    arguments = parser.parse_args()
     print("   leases  bytes each  an answer us  (empty)  longest second ms  all, s")
-    for size in map(int, given.sizes.split(",")):
+    for size in map(int, arguments.sizes.split(",")):
         tracemalloc.start()
-        ledger, now = fill(size, 1)
-        each = tracemalloc.get_traced_memory()[0] / len(ledger)
+        table, now_ms = fill(size, 1)
+        each_bytes = tracemalloc.get_traced_memory()[0] / len(table)
         tracemalloc.stop()
-        empty, full = answer_us(Ledger(), now), answer_us(ledger, now)
-        longest = spent = 0.0
-        for second in range(700):
-            began = time.perf_counter()
-            ledger.total("p0", 0.0, now + second * 1_000.0)
-            took = time.perf_counter() - began
-            longest, spent = max(longest, took), spent + took
-        assert len(ledger) == 0
+        empty_us, full_us = time_answer_us(Ledger(), now_ms), time_answer_us(table, now_ms)
+        longest, total = time_expiry_seconds(table, now_ms)
         print(
-            f"{size:9}  {each:10.0f}  {full:12.2f}  {empty:7.2f}  {longest * 1e3:17.2f}  {spent:6.2f}",
+            f"{size:9}  {each_bytes:10.0f}  {full_us:12.2f}  {empty_us:7.2f}  "
+            f"{longest * 1e3:17.2f}  {total:6.2f}",
             flush=True,
         )
     return 0
--- a/gladewalk/faultpoints/leaserun.py
+++ b/gladewalk/faultpoints/leaserun.py
@@ -5,6 +5,7 @@
 import contextlib
 from collections.abc import Callable, Sequence
 
+from ..errors import GladewalkError
 from ..leases.configuration import LeaseConfig
 from ..leases.history import check
 from ..leases.messages import decode, encode
@@ -23,7 +24,7 @@
 DOWN_MS = 700.0
 
 
-class ProcessGoneError(Exception):
+class ProcessGoneError(GladewalkError):
     """The process that was carrying something out is dead or stopped: the rest of it is not done."""
 
 
--- a/gladewalk/leases/purge_requests.py
+++ b/gladewalk/leases/purge_requests.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from ..errors import GladewalkError
 from .configuration import majority
 from .messages import (
     MAX_TARGET_CHARACTERS,
@@ -38,7 +39,7 @@
 MAX_REMEMBERED_COMPLETIONS = 8_192  # late messages of a completed request do not open it again
 
 
-class PurgeRejectedError(ValueError):
+class PurgeRejectedError(GladewalkError, ValueError):
     """A purge that cannot be accepted; its text is meant for the operator."""
 
 
--- a/gladewalk/rehearsal/ownership_checker.py
+++ b/gladewalk/rehearsal/ownership_checker.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field, replace
 
 from ..duties.ownership import OwnedTask, Ownership, OwnershipClaim
+from ..errors import GladewalkError
 
 MEMBERS = ("a", "b", "c")
 TASKS = ("d1", "d2")
@@ -81,11 +82,11 @@
     description: str
 
 
-class OwnershipViolationError(AssertionError):
+class OwnershipViolationError(GladewalkError, AssertionError):
     """A task that no member owns, or two do, with nothing pending that mends it; tells the steps to it."""
 
 
-class StateLimitError(RuntimeError):
+class StateLimitError(GladewalkError, RuntimeError):
     """There are more states than the checker may visit."""
 
 
