--- a/gladewalk/faultpoints/leaserun.py
+++ b/gladewalk/faultpoints/leaserun.py
@@ -124,7 +124,7 @@
     points.counting = False
     simulation.run_until(END_MS)
     records = simulation.fence.records
-    verdict, overlaps = check(records, END_MS), simulation.count_belief_overlaps()
+    verdict, overlaps = check(records, END_MS), simulation.beliefs.count_overlaps()
     if not verdict.is_safe or overlaps:
         return f"{verdict} and {overlaps} beliefs that cross"
     held = {
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -162,10 +162,12 @@
         stored = keeper.log.items(PURGE_SPACE)
         purges = PurgeRequests(name, directors, resources[PURGE_TASK], rng, stored)
     if REPORT_TASK in resources and table.report_to:
-        incarnation = int(wall_clock())  # a later start has the higher number
-        stale_after_ms = STALE_REPORTS * table.report_ms
         report = FleetReport(
-            name, directors, incarnation, stale_after_ms, lambda: read_request_counts(counters)
+            name,
+            directors,
+            incarnation=int(wall_clock()),  # a later start has the higher number
+            stale_after_ms=STALE_REPORTS * table.report_ms,
+            read_counts=lambda: read_request_counts(counters),
         )
     operations = FencedOperationQueue(name, resources)
     holder_tasks = LeaseHolderTasks(
--- a/gladewalk/rehearsal/lease_simulation.py
+++ b/gladewalk/rehearsal/lease_simulation.py
@@ -17,7 +17,6 @@
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from enum import Enum
 
 from ..leases.candidate import LeaseCandidate
 from ..leases.configuration import LeaseConfig, majority
@@ -27,6 +26,8 @@
 from ..leases.messages import ElectionMessage, decode, encode
 from ..leases.outputs import GrantRecord, Output, Save, Send, decode_grant
 from ..leases.voter import Voter
+from .lease_beliefs import BeliefLog
+from .lease_faults import PROCESS_FAULTS, SCHEDULED_KINDS, Fault, FaultKind, generate_schedule
 
 TASKS = ("purge", "report")
 OPERATION_INTERVAL_MS = 50.0
@@ -35,51 +36,6 @@
 OPERATION_DELAY_MS = (0.2, 3.0)
 LATE_OPERATION_DELAY_MS = (100.0, 2_000.0)
 MAX_CLOCK_OFFSET_MS = 1e6
-SCHEDULE_SEED_MASK = 0x5EED
-
-
-class FaultKind(Enum):
-    """What may happen to directors and the network."""
-
-    PAUSE = "pause"
-    KILL = "kill"
-    TORN_GRANT = "torn"  # killed between a save and its grant
-    CLEAN_STOP = "stop"
-    CUT_OUTBOUND = "cut_out"  # it receives everything and nobody receives from it
-    CUT_INBOUND = "cut_in"
-    PARTITION = "partition"
-    LOSS = "loss"
-    DUPLICATION = "double"
-    LATE_OPERATIONS = "late_acts"
-    CLOCK_RATE = "clock"  # fast or slow by the whole drift bound from then on, without a jump
-
-
-PROCESS_FAULTS = (FaultKind.PAUSE, FaultKind.KILL, FaultKind.TORN_GRANT, FaultKind.CLEAN_STOP)
-SCHEDULED_KINDS = (
-    FaultKind.PAUSE,
-    FaultKind.PAUSE,
-    FaultKind.KILL,
-    FaultKind.TORN_GRANT,
-    FaultKind.CLEAN_STOP,
-    FaultKind.CUT_OUTBOUND,
-    FaultKind.CUT_INBOUND,
-    FaultKind.PARTITION,
-    FaultKind.LOSS,
-    FaultKind.DUPLICATION,
-    FaultKind.LATE_OPERATIONS,
-    FaultKind.CLOCK_RATE,
-)
-
-
-@dataclass(slots=True, frozen=True)
-class Fault:
-    """One line of a schedule: `kind` on `directors` (or on one side of a partition) for `duration_ms`."""
-
-    at_ms: float
-    duration_ms: float
-    kind: FaultKind
-    directors: tuple[str, ...]
-    amount: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -103,16 +59,6 @@
         return self.clock_offset_ms + self.clock_rate * real_ms
 
 
-@dataclass(slots=True)
-class HoldingBelief:
-    """The real time in which one director believed that it held a task under one token."""
-
-    task: str
-    director: str
-    first_ms: float
-    last_ms: float
-
-
 class LeaseSimulation:
     """Directors d0 to d(n-1), all of them voters and candidates; real time starts at 0."""
 
@@ -136,7 +82,7 @@
         self._queued_count = 0
         self.directors = {name: self._boot(name, {}) for name in self.names}
         self.excused: list[TimeSpan] = []  # in which no director can hold
-        self.beliefs: dict[tuple[str, int], HoldingBelief] = {}  # by task and token
+        self.beliefs = BeliefLog()
 
     def _boot(self, name: str, disk: dict[str, GrantRecord]) -> SimulatedDirector:
         rate = 1.0 + self.random.uniform(-self.clock_drift, self.clock_drift)
@@ -167,7 +113,7 @@
     def verdict(self) -> Verdict:
         """Judges the resource's record up to now, and counts overlapping beliefs as overlaps."""
         verdict = check(self.fence.records, self.now_ms, self.excused)
-        return dataclasses.replace(verdict, overlaps=verdict.overlaps + self.count_belief_overlaps())
+        return dataclasses.replace(verdict, overlaps=verdict.overlaps + self.beliefs.count_overlaps())
 
     # A director's loop.
 
@@ -193,33 +139,7 @@
     def _note_belief(self, director: SimulatedDirector, task: str, token: int) -> None:
         expires_at_ms = director.candidate.leases[task].expires_at_ms
         until_ms = (expires_at_ms - director.clock_offset_ms) / director.clock_rate
-        new = HoldingBelief(task, director.name, self.now_ms, until_ms)
-        belief = self.beliefs.setdefault((task, token), new)
-        belief.last_ms = max(belief.last_ms, until_ms)
-        belief.director = director.name
-
-    def _end_beliefs(self, name: str) -> None:
-        """Ends a director's beliefs now: it is paused, killed, or stepped down, and cannot operate."""
-        for belief in self.beliefs.values():
-            if belief.director == name:
-                belief.last_ms = min(belief.last_ms, max(self.now_ms, belief.first_ms))
-
-    def count_belief_overlaps(self) -> int:
-        """Counts pairs of beliefs of two directors in one task that cross.
-
-        A holder that raised its own term rightly holds under both tokens at once.
-        """
-        beliefs = sorted(
-            self.beliefs.values(), key=lambda belief: (belief.task, belief.first_ms, belief.last_ms)
-        )
-        return sum(
-            one.task == other.task
-            and one.director != other.director
-            and other.first_ms <= one.last_ms
-            and one.first_ms <= other.last_ms
-            for index, one in enumerate(beliefs)
-            for other in beliefs[index + 1 :]
-        )
+        self.beliefs.note(director.name, task, token, self.now_ms, until_ms)
 
     def operate(self, director: SimulatedDirector, task: str, token: int, performed_at_ms: float) -> None:
         """Sends an operation on its way to the fenced resource."""
@@ -282,7 +202,7 @@
         tokens = {task: director.candidate.token(task, local_ms) for task in TASKS}
         director.timer_epoch += 1
         director.paused_until_ms = self.now_ms + duration_ms
-        self._end_beliefs(name)
+        self.beliefs.end(name, self.now_ms)
         performed_at_ms = self.now_ms
 
         def resume() -> None:
@@ -304,7 +224,7 @@
         if not killed.is_up:  # down already, and its start to come: one process to a name
             return
         killed.is_up = False
-        self._end_beliefs(name)
+        self.beliefs.end(name, self.now_ms)
         disk = dict(killed.disk)
 
         def restart() -> None:
@@ -329,7 +249,7 @@
     def _step_down(self, director: SimulatedDirector) -> None:
         for task in TASKS:
             self.carry_out(director, director.candidate.step_down(task, director.clock(self.now_ms)))
-        self._end_beliefs(director.name)
+        self.beliefs.end(director.name, self.now_ms)
 
     def _tear_grant(self, name: str, duration_ms: float) -> None:
         self.directors[name].torn_grant_ms = duration_ms
@@ -349,7 +269,12 @@
         elif fault.kind is FaultKind.CUT_INBOUND:
             paths = {(other, name) for other in others}
         else:
-            paths = {(a, b) for a in self.names for b in self.names if (a in sides) != (b in sides)}
+            paths = {
+                (source, target)
+                for source in self.names
+                for target in self.names
+                if (source in sides) != (target in sides)
+            }
         if paths:
             self.cut_paths |= paths
             self.after(fault.duration_ms, lambda: self.cut_paths.difference_update(paths))
@@ -391,28 +316,6 @@
         return fault.kind is FaultKind.PARTITION and max(hit, total - hit) < majority(total)
 
 
-def generate_schedule(
-    seed: int,
-    names: tuple[str, ...],
-    length_ms: float,
-    fault_count: int,
-    kinds: tuple[FaultKind, ...] = SCHEDULED_KINDS,
-) -> list[Fault]:
-    """Draws a list of faults, each over before the run's last two seconds."""
-    rng = random.Random(seed ^ SCHEDULE_SEED_MASK)
-    faults = []
-    for _ in range(fault_count):
-        kind = rng.choice(kinds)
-        at_ms = rng.uniform(1_500.0, length_ms - 4_000.0)
-        duration_ms = rng.uniform(200.0, 2_500.0)
-        count = rng.randint(1, len(names) // 2 + 1) if kind in (FaultKind.KILL, FaultKind.PAUSE) else 1
-        if kind is FaultKind.PARTITION:
-            count = rng.randint(1, len(names) - 1)
-        directors = tuple(rng.sample(names, count))
-        faults.append(Fault(at_ms, duration_ms, kind, directors, rng.uniform(0.05, 0.4)))
-    return sorted(faults, key=lambda fault: fault.at_ms)
-
-
 def play(
     seed: int,
     director_count: int,
--- a/tests/test_golden_leases.py
+++ b/tests/test_golden_leases.py
@@ -27,7 +27,8 @@
 from gladewalk.leases.transport import LeaseClock, LeaseService
 from gladewalk.leases.voter import Voter, decode_grants
 from gladewalk.members.seal import Seal, make_key
-from gladewalk.rehearsal.lease_simulation import LeaseSimulation, generate_schedule
+from gladewalk.rehearsal.lease_faults import generate_schedule
+from gladewalk.rehearsal.lease_simulation import LeaseSimulation
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "leases.json").read_text())
 KEY = make_key(b"k" * 32)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -22,7 +22,8 @@
 )
 from gladewalk.leases.outputs import GRANT_SPACE, GrantRecord, Output, Save, Send, decode_grant, encode_row
 from gladewalk.leases.voter import Voter
-from gladewalk.rehearsal.lease_simulation import Fault, FaultKind, LeaseSimulation, play, play_skewed
+from gladewalk.rehearsal.lease_faults import Fault, FaultKind
+from gladewalk.rehearsal.lease_simulation import LeaseSimulation, play, play_skewed
 
 CONFIG = LeaseConfig()
 RETRY_MS = CONFIG.max_retry_delay_ms
