--- a/gladewalk/leases/candidate.py
+++ b/gladewalk/leases/candidate.py
@@ -27,6 +27,7 @@
     VoteRequest,
 )
 from .outputs import EventKind, LeaseEvent, Output, Send
+from .status import LeaseStatus
 
 MAX_ROUND_FRACTION = 0.6  # of a lease: the longest that a round waits where responses are slow
 ROUND_TIMEOUT_FACTOR = 1.5  # of the observed response time
@@ -232,15 +233,15 @@
         lease.next_election_at_ms = now_ms + self.config.promise_ms  # another takes it first
         return outputs
 
-    def status(self, now_ms: float) -> dict[str, dict[str, object]]:
-        """Describes the leases for `gladewalk leases`; token 0: not held."""
+    def status(self, now_ms: float) -> dict[str, LeaseStatus]:
+        """Describes the lease of each task."""
         return {
-            task: {
-                "token": self.token(task, now_ms) or 0,
-                "left_ms": max(lease.expires_at_ms - now_ms, 0.0),
-                "highest": lease.highest_term,
-                "for_ms": now_ms - lease.since_ms,
-            }
+            task: LeaseStatus(
+                token=self.token(task, now_ms) or 0,
+                remaining_ms=max(lease.expires_at_ms - now_ms, 0.0),
+                highest_term=lease.highest_term,
+                in_state_ms=now_ms - lease.since_ms,
+            )
             for task, lease in sorted(self.leases.items())
         }
 
--- a/gladewalk/leases/holder_tasks.py
+++ b/gladewalk/leases/holder_tasks.py
@@ -24,6 +24,7 @@
 )
 from .outputs import Output, Send
 from .purge_requests import PurgeRejectedError, PurgeRequests
+from .status import HolderTasksStatus
 
 PURGE_TASK, REPORT_TASK = "purge", "report"
 
@@ -102,13 +103,13 @@
         request, outputs = self.purges.create(target, now_ms, wall_ms)
         return request.request_id, outputs
 
-    def status(self) -> dict[str, object]:
-        """Describes purges and operations for `gladewalk leases`."""
-        return {
-            "orders_open": len(self.purges.open) if self.purges is not None else 0,
-            "orders_finished": len(self.purges.completed) if self.purges is not None else 0,
-            "acts_waiting": len(self.operations.pending),
-        }
+    def status(self) -> HolderTasksStatus:
+        """Counts purge requests and operations."""
+        return HolderTasksStatus(
+            open_purges=len(self.purges.open) if self.purges is not None else 0,
+            completed_purges=len(self.purges.completed) if self.purges is not None else 0,
+            pending_operations=len(self.operations.pending),
+        )
 
     def _handle_purge_message(self, purges: PurgeRequests, message: Message, now_ms: float) -> list[Output]:
         match message:
--- a/gladewalk/leases/purge_requests.py
+++ b/gladewalk/leases/purge_requests.py
@@ -13,7 +13,6 @@
 import random
 from collections import OrderedDict
 from dataclasses import dataclass, field
-from enum import Enum
 
 import msgspec
 
@@ -28,6 +27,7 @@
     SyncResponse,
 )
 from .outputs import PURGE_SPACE, EventKind, LeaseEvent, Output, Save, Send, encode_row
+from .status import PurgeState, PurgeStatus
 
 INITIAL_BACKOFF_MS = 200.0  # until a director that has not replicated a request is sent it again
 MAX_BACKOFF_MS = 10_000.0
@@ -43,14 +43,6 @@
     """A purge that cannot be accepted; its text is meant for the operator."""
 
 
-class PurgeState(Enum):
-    """How far a request is, as `gladewalk purge` is told."""
-
-    OPEN = "open"
-    COMPLETED = "finished"
-    UNKNOWN = "unknown"
-
-
 @dataclass(slots=True)
 class OpenRequest:
     """A request that is not completed, and which directors and hub caches are known to have it."""
@@ -117,23 +109,17 @@
         event = LeaseEvent(EventKind.PURGE_RECEIVED, request.request_id, 0, self.name)
         return request, [self._save(entry), event]
 
-    def status(self, request_id: str) -> dict[str, object]:
-        """Describes one request for `gladewalk purge`; token 0: not completed."""
+    def status(self, request_id: str) -> PurgeStatus:
+        """Describes one request, for `gladewalk purge`."""
         entry = self.open.get(request_id)
-        replicas = sorted(entry.replicas) if entry is not None else []
         if entry is not None:
-            state = PurgeState.OPEN
-        elif request_id in self.completed:
-            state = PurgeState.COMPLETED
-        else:
-            state = PurgeState.UNKNOWN
-        return {
-            "id": request_id,
-            "state": state.value,
-            "keepers": replicas,
-            "token": self.completed.get(request_id, 0),
-            "acknowledged": state is PurgeState.COMPLETED or len(replicas) >= self.needed_replicas,
-        }
+            replicas = sorted(entry.replicas)
+            is_acknowledged = len(replicas) >= self.needed_replicas
+            return PurgeStatus(request_id, PurgeState.OPEN, replicas, 0, is_acknowledged)
+        token = self.completed.get(request_id)
+        if token is None:
+            return PurgeStatus(request_id, PurgeState.UNKNOWN, [], 0, False)
+        return PurgeStatus(request_id, PurgeState.COMPLETED, [], token, True)
 
     # At every director.
 
--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -26,6 +26,7 @@
 from .holder_tasks import LeaseHolderTasks
 from .messages import ElectionMessage, decode, encode
 from .outputs import GRANT_SPACE, EventKind, LeaseEvent, Output, Save, Send
+from .status import ServiceStatus
 from .voter import Voter
 
 Address = tuple[str, int]
@@ -131,15 +132,15 @@
             self.transport.close()
         self._cancel_timer()
 
-    def status(self) -> dict[str, object]:
-        """Describes all leases for `gladewalk leases`."""
+    def status(self) -> ServiceStatus:
+        """Describes all leases, for `gladewalk leases`."""
         now_ms = self.clock()
-        return {
-            "name": self.candidate.name,
-            "holding": self.candidate.status(now_ms),
-            "granting": self.voter.status(now_ms),
-            "works": self.holder_tasks.status(),
-        }
+        return ServiceStatus(
+            director=self.candidate.name,
+            leases=self.candidate.status(now_ms),
+            promises=self.voter.status(now_ms),
+            tasks=self.holder_tasks.status(),
+        )
 
     def _carry_out(self, outputs: Sequence[Output]) -> None:
         for output in outputs:
--- a/gladewalk/leases/view.py
+++ b/gladewalk/leases/view.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import msgspec
+
 from ..control.server import Control, Unanswerable
 from .purge_requests import PurgeRejectedError
 from .transport import LeaseService
@@ -35,9 +37,10 @@
     def purge_status(arguments: dict[str, Any]) -> dict[str, Any]:
         if purges is None:
             raise Unanswerable("no hubs are set (leases.hubs)")
-        return purges.status(str(arguments.get("id", "")))
+        status: dict[str, Any] = msgspec.to_builtins(purges.status(str(arguments.get("id", ""))))
+        return status
 
-    control.views["leases"] = lambda arguments: leases.status()
+    control.views["leases"] = lambda arguments: msgspec.to_builtins(leases.status())
     control.views["hand_on"] = hand_on
     control.views["purge"] = purge
     control.views["order"] = purge_status
--- a/gladewalk/leases/voter.py
+++ b/gladewalk/leases/voter.py
@@ -31,6 +31,7 @@
     decode_grant,
     encode_row,
 )
+from .status import PromiseStatus
 
 NEVER_MS = float("-inf")
 
@@ -115,14 +116,10 @@
         promise = self.promises[task]
         promise.durable_term = max(promise.durable_term, decode_grant(row).term)
 
-    def status(self, now_ms: float) -> dict[str, dict[str, object]]:
-        """Describes the promises for `gladewalk leases`; `left_ms` is 0 for one that has lapsed."""
+    def status(self, now_ms: float) -> dict[str, PromiseStatus]:
+        """Describes the last promise of each task."""
         return {
-            task: {
-                "term": promise.term,
-                "holder": promise.holder,
-                "left_ms": max(promise.expires_at_ms - now_ms, 0.0),
-            }
+            task: PromiseStatus(promise.term, promise.holder, max(promise.expires_at_ms - now_ms, 0.0))
             for task, promise in sorted(self.promises.items())
         }
 
--- a/tests/test_golden_leases.py
+++ b/tests/test_golden_leases.py
@@ -218,12 +218,14 @@
         for _ in range(25):
             await step(50.0)
         id = leases.request_purge("o:7f3a9c21")
-        views["order"] = orders.status(id)
+        views["order"] = msgspec.to_builtins(orders.status(id))
         for n in range(30):
             await step(50.0)
             if n == 4:
-                views["order_open"], views["open"] = orders.status(id), leases.status()
-        views["order_finished"], views["finished"] = orders.status(id), leases.status()
+                views["order_open"] = msgspec.to_builtins(orders.status(id))
+                views["open"] = msgspec.to_builtins(leases.status())
+        views["order_finished"] = msgspec.to_builtins(orders.status(id))
+        views["finished"] = msgspec.to_builtins(leases.status())
         leases.datagram_received(b"noise", ("x", 9))
         noise = Seal((KEY,), 30_000.0).seal(b"\x93", WALL_MS + clock.now, 99)
         leases.datagram_received(noise, ("x", 9))
--- a/tests/test_lease_holder_tasks.py
+++ b/tests/test_lease_holder_tasks.py
@@ -24,6 +24,7 @@
     PurgeRejectedError,
     PurgeRequests,
 )
+from gladewalk.leases.status import PurgeState
 
 
 def restored(rows: dict[str, bytes]) -> PurgeRequests:
@@ -47,7 +48,7 @@
     receiver = PurgeRequests("a", ("a", "b", "c"), ("@purge/0", "@purge/1"), random.Random(1), {})
     purge, out = receiver.create("o:1", 0.0, 5.0)
     # Not before it is durable here.
-    assert not receiver.status(purge.request_id)["acknowledged"] and not receiver.requests_to_forward()
+    assert not receiver.status(purge.request_id).is_acknowledged and not receiver.requests_to_forward()
     saved_in(receiver, out)
     told = [a for a in receiver.tick(0.0) if isinstance(a, Send)]
     assert [(a.recipient, a.message) for a in told] == [("b", purge), ("c", purge)]
@@ -59,12 +60,12 @@
     assert again.requests_to_forward() == [purge]
     assert again.handle_request(purge) == [Send("a", Replicated(purge.request_id, "b"))]
     receiver.handle_replicated(Replicated(purge.request_id, "b"))
-    assert receiver.status(purge.request_id)["acknowledged"] and receiver.requests_to_forward() == [purge]
+    assert receiver.status(purge.request_id).is_acknowledged and receiver.requests_to_forward() == [purge]
     assert receiver.handle_forwarded(purge.request_id, "@purge/0", 4) == []
     out = receiver.handle_forwarded(purge.request_id, "@purge/1", 4)
     assert Send("b", Completed(purge.request_id, 4)) in out
     assert Save(PURGE_SPACE, purge.request_id, None) in out
-    assert receiver.status(purge.request_id)["state"] == "finished"
+    assert receiver.status(purge.request_id).state is PurgeState.COMPLETED
     assert receiver.handle_completed(Completed(purge.request_id, 4)) == []
     # What arrives late opens nothing.
     assert receiver.handle_request(purge) == [Send("a", Completed(purge.request_id, 4))]
