--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -15,7 +15,7 @@
 import time
 import tracemalloc
 
-from gladewalk.registry.dns_leases import Ledger
+from gladewalk.registry.dns_leases import DnsLeaseTable
 
 LEASE_MS = 300_000.0
 START_MS = 1.7e12
@@ -27,18 +27,18 @@
 EXPIRY_SECONDS = 700
 
 
-def fill(size: int, seed: int) -> tuple[Ledger, float]:
+def fill(size: int, seed: int) -> tuple[DnsLeaseTable, float]:
     """Returns a table with `size` leases, granted evenly over the time of one, and the time after that."""
-    draw, table, now_ms = random.Random(seed), Ledger(), START_MS
+    draw, table, now_ms = random.Random(seed), DnsLeaseTable(), START_MS
     for number in range(size):
         now_ms = START_MS + LEASE_MS * 0.99 * number / size
         resolver = f"192.0.2.{draw.randrange(256)}"
         key = (draw.getrandbits(OBJECT_BITS), 0)
-        table.hold(f"p{number % PLACE_COUNT}", resolver, key, now_ms + LEASE_MS, WEIGHT)
+        table.grant(f"p{number % PLACE_COUNT}", resolver, key, now_ms + LEASE_MS, WEIGHT)
     return table, now_ms
 
 
-def time_answer_us(table: Ledger, now_ms: float) -> float:
+def time_answer_us(table: DnsLeaseTable, now_ms: float) -> float:
     """Returns the mean time of one answer in microseconds: the available capacity, and the lease."""
     draw = random.Random(2)
     questions = [
@@ -46,17 +46,17 @@
     ]
     began = time.perf_counter()
     for place, key in questions:
-        if table.room(place, "198.51.100.1", (key, 0), BOUND, now_ms) >= WEIGHT:
-            table.hold(place, "198.51.100.1", (key, 0), now_ms + LEASE_MS, WEIGHT)
+        if table.available_weight(place, "198.51.100.1", (key, 0), BOUND, now_ms) >= WEIGHT:
+            table.grant(place, "198.51.100.1", (key, 0), now_ms + LEASE_MS, WEIGHT)
     return (time.perf_counter() - began) / ANSWER_COUNT * 1e6
 
 
-def time_expiry_seconds(table: Ledger, now_ms: float) -> tuple[float, float]:
+def time_expiry_seconds(table: DnsLeaseTable, now_ms: float) -> tuple[float, float]:
     """Expires every lease, second by second; returns the longest step and all of them together."""
     longest = total = 0.0
     for second in range(EXPIRY_SECONDS):
         began = time.perf_counter()
-        table.total("p0", 0.0, now_ms + second * 1_000.0)
+        table.total_weight("p0", 0.0, now_ms + second * 1_000.0)
         elapsed = time.perf_counter() - began
         longest, total = max(longest, elapsed), total + elapsed
     assert len(table) == 0
@@ -74,7 +74,7 @@
         table, now_ms = fill(size, 1)
         each_bytes = tracemalloc.get_traced_memory()[0] / len(table)
         tracemalloc.stop()
-        empty_us, full_us = time_answer_us(Ledger(), now_ms), time_answer_us(table, now_ms)
+        empty_us, full_us = time_answer_us(DnsLeaseTable(), now_ms), time_answer_us(table, now_ms)
         longest, total = time_expiry_seconds(table, now_ms)
         print(
             f"{size:9}  {each_bytes:10.0f}  {full_us:12.2f}  {empty_us:7.2f}  "
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -28,8 +28,8 @@
     from .dns.settings import DnsConfig
     from .duties.runner import TaskRunner
     from .leases.transport import Address, LeaseService
-    from .members.seal import Key
-    from .members.transport import Members
+    from .members.authenticator import AuthenticationKey
+    from .members.transport import MembershipTransport
     from .net.admin import AdminFront
     from .nginx.router import Router
     from .store.keeper import Keeper
@@ -114,7 +114,7 @@
 
             self.dns = DnsFront(self.exchange, dns, self.counters, alpn_of=self._alpn_of)
 
-        self.members: Members | None = None
+        self.members: MembershipTransport | None = None
         self.duties: TaskRunner | None = None
         if options is not None and options.members is not None:
             from .duties.start import build_shared_tasks
@@ -225,7 +225,7 @@
 
     def reload(self) -> None:
         """SIGHUP: read the configuration file again; one that cannot be used leaves the old one in force."""
-        keys: tuple[Key, ...] = ()
+        keys: tuple[AuthenticationKey, ...] = ()
         router: Router | None = None
         dns: DnsConfig | None = None
         try:
@@ -252,7 +252,7 @@
                 if self.dns is not None and dns is not None:
                     self.dns.reload(dns)
                 if self.members is not None and keys:
-                    self.members.seal.rekey(keys)
+                    self.members.authenticator.replace_keys(keys)
 
     def _alpn_of(self, name: str) -> tuple[bool, tuple[str, ...]]:
         """How a box is spoken to, for those who are sent to it: whether over TLS, and by which protocols."""
@@ -272,13 +272,13 @@
 
         return configured(options, config.listen[0])
 
-    def _keys_of(self, options: Options) -> tuple[Key, ...]:
+    def _keys_of(self, options: Options) -> tuple[AuthenticationKey, ...]:
         """The members' keys as their file has them now; none where members are off."""
         if self.members is None or options.members is None:
             return ()
-        from .members.seal import load_keys
+        from .members.authenticator import load_key_ring
 
-        return load_keys(options.file(options.members.keys))
+        return load_key_ring(options.file(options.members.keys))
 
     def _router_of(self, options: Options) -> Router | None:
         """The imported table as its file has it now; None where the front is off."""
@@ -298,7 +298,7 @@
         self._set_front(config)
         self.feed.roles = config.roles
         if self.dns is not None:
-            self.dns.classes = frozenset(self.exchange.core.classes)
+            self.dns.classes = frozenset(self.exchange.core.state.classes)
         self.follower.move(config.coordinator)
         self.log.info("configuration taken", coordinator=config.coordinator, last=self.feed.last)
 
@@ -309,7 +309,7 @@
 
     def _patience_ms(self) -> float:
         """The longest that any client waits here, as the settings have it."""
-        return max(cls.deadline_ms for cls in self.exchange.core.classes.values())
+        return max(cls.deadline_ms for cls in self.exchange.core.state.classes.values())
 
     def stop(self) -> None:
         if not self._stopping:
@@ -329,7 +329,7 @@
         now = {
             "now.owed": self.exchange.owed,
             "now.passing": sum(taken.winner is not None for taken in self.exchange.taken.values()),
-            "now.waiting": len(self.exchange.core.parked),
+            "now.waiting": len(self.exchange.core.state.queue),
             "now.clients": len(self.front.connections),
             "now.upstream": len(self.caches.live),
             "late_ms": round(self.deadlines.late_ms, 1),
--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -13,9 +13,9 @@
 
 from .. import interface as api
 from ..core.counters import Counters
-from ..members.messages import News
+from ..members.actions import MemberChange
+from ..members.messages import UserEvent
 from ..members.swim import Membership
-from ..members.terms import Change
 from .ownership import Ownership, OwnershipClaim
 from .rate_limit import HealthCheckRateLimit
 
@@ -25,13 +25,13 @@
 
 
 class Peers(Protocol):
-    """The other members as `TaskRunner` needs them; `members.transport.Members` on sockets."""
+    """The other members as `TaskRunner` needs them; `members.transport.MembershipTransport` on sockets."""
 
     core: Membership
-    changed: Callable[[Change, str], None]
-    heard: Callable[[News], None]
+    on_member_change: Callable[[MemberChange, str], None]
+    on_event: Callable[[UserEvent], None]
 
-    def tell(self, news: News) -> None:
+    def publish_event(self, event: UserEvent) -> None:
         """Spreads a claim or a finding to all members."""
 
 
@@ -100,46 +100,46 @@
         self.peers, self.clock, self.scheduler, self.counters = peers, clock, scheduler, counters
         self.max_finding_age_ms = max_finding_age_ms
         self.rate_limit, self.stretch = HealthCheckRateLimit(checks_per_second, clock()), 1.0
-        name = peers.core.me.name
+        name = peers.core.local.name
         self.shared = {task.kind: SharedTask(task, Ownership(name, task.interval_ms, rng)) for task in tasks}
-        peers.changed, peers.heard = self.handle_membership_change, self.handle_news
+        peers.on_member_change, peers.on_event = self.handle_member_change, self.handle_event
         self.has_membership_changed = True  # since the last sweep: a fleet that joins is one change
         self._alone_until_ms = clock() + (JOIN_TIMEOUT_MS if peers.core.seeds else 0.0)
 
     def sweep(self) -> None:
         """Updates members and targets, does what is due, and schedules the next sweep."""
         now_ms = self.clock()
-        is_alone = len(self.peers.core.live()) == 1
+        is_alone = len(self.peers.core.live_weights()) == 1
         if now_ms >= self._alone_until_ms or not is_alone:
             self._update_members(now_ms)
             self._update_targets(now_ms)
             self._perform_due(now_ms)
         self.scheduler.add(now_ms + SWEEP_INTERVAL_MS, self.sweep)
 
-    def handle_membership_change(self, change: Change, name: str) -> None:
+    def handle_member_change(self, change: MemberChange, name: str) -> None:
         """Notes that members changed.
 
         A suspect still counts, so that no task moves for a short silence. One that has stalled does not,
         though it keeps its place: its tasks are done by others meanwhile.
         """
-        if self.peers.core.active:
+        if self.peers.core.is_active:
             self.has_membership_changed = True
             return
         for shared in self.shared.values():  # another director has this one's name: it owns nothing
             shared.ownership.owned.clear()
 
-    def handle_news(self, news: News) -> None:
+    def handle_event(self, event: UserEvent) -> None:
         """Handles another member's claim, or its finding."""
-        kind, _, target = news.duty.partition("/")
+        kind, _, target = event.task.partition("/")
         shared, now_ms = self.shared.get(kind), self.clock()
         if shared is None or target not in shared.targets:
             return
-        claim = OwnershipClaim(news.epoch, news.owner)
-        if not shared.ownership.handle_claim(target, claim, news.done_ms or None, now_ms):
+        claim = OwnershipClaim(event.epoch, event.owner)
+        if not shared.ownership.handle_claim(target, claim, event.executed_at_ms or None, now_ms):
             return self.counters.add("duties.older_epoch")
         self._announce_claims(shared)
-        if news.status:
-            self._record_finding(shared.task, target, news, now_ms)
+        if event.status:
+            self._record_finding(shared.task, target, event, now_ms)
 
     def owned_tasks(self) -> list[str]:
         """Returns the tasks that this director owns as `kind/target`, sorted."""
@@ -148,9 +148,9 @@
         )
 
     def _update_members(self, now_ms: float) -> None:
-        if not (self.has_membership_changed and self.peers.core.active):
+        if not (self.has_membership_changed and self.peers.core.is_active):
             return
-        self.has_membership_changed, weights = False, self.peers.core.fit()
+        self.has_membership_changed, weights = False, self.peers.core.responsive_weights()
         for shared in self.shared.values():
             shared.ownership.set_members(weights, now_ms)
 
@@ -161,7 +161,7 @@
             if targets is shared.targets or targets == shared.targets:
                 continue
             for removed in shared.targets - targets:
-                self.peers.core.gossip.forget_news(f"{kind}/{removed}")
+                self.peers.core.forget_event(f"{kind}/{removed}")
             shared.targets = targets
             shared.ownership.set_tasks(targets, now_ms)
 
@@ -170,7 +170,7 @@
         self.stretch = self.rate_limit.interval_stretch(wanted_per_second)
         for shared in self.shared.values():
             shared.ownership.interval_ms = shared.task.interval_ms * self.stretch
-            if not self.peers.core.active:  # another director has this one's name
+            if not self.peers.core.is_active:  # another director has this one's name
                 continue
             self._announce_claims(shared)
             due = shared.ownership.take_due(now_ms, self.rate_limit.allowance(now_ms))
@@ -185,23 +185,24 @@
         def on_result(status: api.Status, latency_ms: float, load: dict[str, float] | None) -> None:
             task.record_result(target, status, latency_ms, load, max(0.0, self.clock() - started_ms))
             name = f"{task.kind}/{target}"
-            self.peers.tell(News(name, claim.owner, claim.epoch, started_ms, status.value, latency_ms, load))
+            event = UserEvent(name, claim.owner, claim.epoch, started_ms, status.value, latency_ms, load)
+            self.peers.publish_event(event)
 
         task.perform(target, on_result)
 
-    def _record_finding(self, task: PeriodicTask, target: str, news: News, now_ms: float) -> None:
+    def _record_finding(self, task: PeriodicTask, target: str, event: UserEvent, now_ms: float) -> None:
         # A finding that is old, or of a clock that is off, says nothing of now.
-        if abs(now_ms - news.done_ms) > self.max_finding_age_ms:
+        if abs(now_ms - event.executed_at_ms) > self.max_finding_age_ms:
             return self.counters.add("duties.too_old")
         try:
-            status = api.Status(news.status)
+            status = api.Status(event.status)
         except ValueError:  # of a later version
             return self.counters.add("duties.unknown_status")
         self.counters.add("duties.heard")
-        age_ms = max(0.0, now_ms - news.done_ms)
-        task.record_result(target, status, news.took_ms, news.load, age_ms)
+        age_ms = max(0.0, now_ms - event.executed_at_ms)
+        task.record_result(target, status, event.duration_ms, event.load, age_ms)
 
     def _announce_claims(self, shared: SharedTask) -> None:
         for target, claim in shared.ownership.take_new_claims():
             self.counters.add("duties.claims")
-            self.peers.tell(News(f"{shared.task.kind}/{target}", claim.owner, claim.epoch, 0.0))
+            self.peers.publish_event(UserEvent(f"{shared.task.kind}/{target}", claim.owner, claim.epoch, 0.0))
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -11,10 +11,11 @@
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.exchange import Exchange
-from ..members.seal import Seal, load_keys
+from ..members.actions import Address
+from ..members.authenticator import MessageAuthenticator, load_key_ring
+from ..members.config import MembershipConfig
 from ..members.swim import Membership
-from ..members.terms import Address, Terms
-from ..members.transport import Members, Network
+from ..members.transport import MembershipTransport, Network
 from ..upstream.pool import Caches
 from .runner import PeriodicTask, TaskRunner
 from .task_types import CacheHealthCheck, SourceHealthCheck
@@ -29,7 +30,7 @@
     listen: Address
     seeds: tuple[Address, ...]
     networks: tuple[Network, ...]
-    seal: Seal
+    authenticator: MessageAuthenticator
     dial_addresses: dict[Address, Address]  # advertised -> dialled
 
 
@@ -50,8 +51,9 @@
         }
     except (ConfigError, ValueError) as error:
         raise ConfigError(f"{options.path}: members.{key}: {error}") from error
-    seal = Seal(load_keys(options.file(table.keys)), table.window_ms)
-    return MemberSettings(listen, seeds, networks, seal, dial_addresses)
+    key_ring = load_key_ring(options.file(table.keys))
+    authenticator = MessageAuthenticator(key_ring, table.window_ms)
+    return MemberSettings(listen, seeds, networks, authenticator, dial_addresses)
 
 
 def build_shared_tasks(
@@ -61,25 +63,25 @@
     pool: Caches,
     deadlines: Deadlines,
     counters: Counters,
-) -> tuple[Members, TaskRunner]:
-    """Builds membership and shared tasks; `Members.listen` and `TaskRunner.sweep` start them.
+) -> tuple[MembershipTransport, TaskRunner]:
+    """Builds membership and shared tasks; `MembershipTransport.listen` and `TaskRunner.sweep` start them.
 
     Raises `ConfigError` for a table or a key file that cannot be used.
     """
     table, duties = options.members, options.duties
     assert table is not None
     settings = read_member_settings(options)
-    terms = Terms(
-        period_ms=table.period_ms,
-        timeout_ms=PING_TIMEOUT_PERIODS * table.period_ms,
-        suspicion_least_ms=table.suspicion_ms,
-        stall_ms=table.stall_ms,
+    config = MembershipConfig(
+        ping_period_ms=table.period_ms,
+        ping_timeout_ms=PING_TIMEOUT_PERIODS * table.period_ms,
+        min_suspicion_ms=table.suspicion_ms,
+        max_stall_ms=table.stall_ms,
     )
     rng = random.Random(random.SystemRandom().getrandbits(64))
     clock = exchange.clock
-    core = Membership(name, settings.listen, settings.seeds, terms, rng, clock(), table.weight)
-    members = Members(
-        core, settings.seal, settings.networks, clock, deadlines, counters, settings.dial_addresses
+    core = Membership(name, settings.listen, settings.seeds, config, rng, clock(), table.weight)
+    members = MembershipTransport(
+        core, settings.authenticator, settings.networks, clock, deadlines, counters, settings.dial_addresses
     )
     tasks: list[PeriodicTask] = []
     if duties.probe_ms:
--- a/gladewalk/duties/view.py
+++ b/gladewalk/duties/view.py
@@ -15,9 +15,9 @@
     core = runner.peers.core
     rows = [_own_row(runner), *_member_rows(runner)]
     return {
-        "name": core.me.name,
-        "active": core.active,
-        "health": core.health,
+        "name": core.local.name,
+        "active": core.is_active,
+        "health": core.health_score,
         "stretch": round(runner.stretch, 3),
         "members": sorted(rows, key=lambda row: str(row["name"])),
         "owned": sorted(_owned_rows(runner), key=lambda row: str(row["duty"])),
@@ -38,17 +38,17 @@
 
 def _own_row(runner: TaskRunner) -> dict[str, Any]:
     core = runner.peers.core
-    own = core.me
+    own = core.local
     return {
         "name": own.name,
         "address": f"{own.host}:{own.port}",
-        "state": "self" if core.active else "name taken",
+        "state": "self" if core.is_active else "name taken",
         "incarnation": own.incarnation,
-        "run": own.run,
+        "run": own.run_id,
         "weight": own.weight,
         "heard_ms": 0.0,
         "duties": _owner_counts(runner)[own.name],
-        "health": core.health,
+        "health": core.health_score,
         "stalled": False,
         "knocked": None,
     }
@@ -57,21 +57,21 @@
 def _member_rows(runner: TaskRunner) -> list[dict[str, Any]]:
     now_ms, owner_counts = runner.clock(), _owner_counts(runner)
     rows = []
-    for name, member in runner.peers.core.members.items():
-        latest = member.rumour
+    for name, member in runner.peers.core.members.by_name.items():
+        latest = member.update
         rows.append(
             {
                 "name": name,
                 "address": f"{latest.host}:{latest.port}",
                 "state": latest.state.name.lower(),
                 "incarnation": latest.incarnation,
-                "run": latest.run,
+                "run": latest.run_id,
                 "weight": latest.weight,
-                "heard_ms": round(now_ms - member.heard_ms, 1),
+                "heard_ms": round(now_ms - member.last_heard_ms, 1),
                 "duties": owner_counts[name],
-                "health": member.health,
-                "stalled": member.stalled,
-                "knocked": member.outcome.value if member.outcome else None,
+                "health": member.health_score,
+                "stalled": member.is_stalled,
+                "knocked": member.probe_outcome.value if member.probe_outcome else None,
             }
         )
     return rows
--- a/gladewalk/faultnet/fenced_resource.py
+++ b/gladewalk/faultnet/fenced_resource.py
@@ -14,7 +14,7 @@
 from ..leases.fence import Fence
 from ..leases.holder_tasks import PURGE_TASK, REPORT_TASK
 from ..leases.messages import FencedOperation, OperationResponse, decode, encode
-from ..members.seal import Key, Refused, Seal
+from ..members.authenticator import AuthenticationKey, DropReason, MessageAuthenticator
 
 CLOCK_WINDOW_MS = 30_000.0
 NONCE_BITS = 64
@@ -36,8 +36,9 @@
     it arrives; the pages of a report are put together. `is_deaf` drops everything, as a hub that is down.
     """
 
-    def __init__(self, keys: tuple[Key, ...]) -> None:
-        self.fence, self.seal = Fence(), Seal(keys, CLOCK_WINDOW_MS)
+    def __init__(self, keys: tuple[AuthenticationKey, ...]) -> None:
+        self.fence = Fence()
+        self.authenticator = MessageAuthenticator(keys, CLOCK_WINDOW_MS)
         self.random = random.SystemRandom()
         self.malformed_count = 0
         self.is_deaf = False
@@ -77,7 +78,7 @@
             response = OperationResponse(
                 operation.task, operation.token, operation.number, is_accepted, highest_token
             )
-            sealed = self.seal.seal(encode(response), now_ms, self.random.getrandbits(NONCE_BITS))
+            sealed = self.authenticator.sign(encode(response), now_ms, self.random.getrandbits(NONCE_BITS))
             assert self.transport is not None
             self.transport.sendto(sealed, source)
 
@@ -87,11 +88,11 @@
             self.transport.close()
 
     def _open(self, data: bytes, now_ms: float) -> FencedOperation | None:
-        opened = self.seal.open(data, now_ms)
-        if isinstance(opened, Refused):
+        verified = self.authenticator.verify(data, now_ms)
+        if isinstance(verified, DropReason):
             return None
         try:
-            message = decode(opened)
+            message = decode(verified)
         except (msgspec.MsgspecError, ValueError):
             return None
         return message if isinstance(message, FencedOperation) else None
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -10,7 +10,7 @@
 from ..config.platform import ConfigError, read_address
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
-from ..members.seal import Seal, load_keys
+from ..members.authenticator import MessageAuthenticator, load_key_ring
 from ..ops.figures import ENDS
 from ..store.keeper import Keeper
 from .candidate import LeaseCandidate
@@ -150,7 +150,8 @@
     """
     table, settings = options.leases, read_lease_settings(options, name)
     assert table is not None
-    seal = Seal(load_keys(options.file(table.keys)), table.window_ms)
+    key_ring = load_key_ring(options.file(table.keys))
+    authenticator = MessageAuthenticator(key_ring, table.window_ms)
     clock = LeaseClock(table.clock_rate)
     rng = random.Random(random.SystemRandom().getrandbits(64))
     directors, resources = tuple(sorted(settings.directors)), settings.resource_names()
@@ -178,7 +179,7 @@
         candidate,
         holder_tasks,
         settings.addresses(),
-        seal,
+        authenticator,
         keeper.writer,
         clock,
         wall_clock,
--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -19,8 +19,8 @@
 
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines, Key
-from ..members.messages import DATAGRAM_MOST
-from ..members.seal import Refused, Seal
+from ..members.authenticator import DropReason, MessageAuthenticator
+from ..members.messages import MAX_DATAGRAM_BYTES
 from .candidate import LeaseCandidate
 from .dispatch import dispatch_election_message
 from .holder_tasks import LeaseHolderTasks
@@ -65,7 +65,7 @@
         candidate: LeaseCandidate,
         holder_tasks: LeaseHolderTasks,
         addresses: dict[str, Address],
-        seal: Seal,
+        authenticator: MessageAuthenticator,
         rows: RowWriter,
         clock: LeaseClock,
         wall_clock: Callable[[], float],
@@ -73,7 +73,7 @@
         counters: Counters,
     ) -> None:
         self.voter, self.candidate, self.holder_tasks = voter, candidate, holder_tasks
-        self.addresses, self.seal, self.rows = addresses, seal, rows
+        self.addresses, self.authenticator, self.rows = addresses, authenticator, rows
         self.clock, self.wall_clock = clock, wall_clock
         self.deadlines, self.counters = deadlines, counters
         self.transport: asyncio.DatagramTransport | None = None
@@ -92,11 +92,11 @@
 
     def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
         """Handles one datagram; whatever is not a sealed lease message is counted and dropped."""
-        opened = self.seal.open(data, self.wall_clock())
-        if isinstance(opened, Refused):
-            return self.counters.add(f"leases.dropped.{opened.value}")
+        verified = self.authenticator.verify(data, self.wall_clock())
+        if isinstance(verified, DropReason):
+            return self.counters.add(f"leases.dropped.{verified.value}")
         try:
-            message = decode(opened)
+            message = decode(verified)
         except (msgspec.MsgspecError, ValueError):
             return self.counters.add("leases.dropped.malformed")
         now_ms = self.clock()
@@ -191,7 +191,8 @@
         if address is None or self.transport is None or self.transport.is_closing():
             return
         nonce = self.random.getrandbits(NONCE_BITS)
-        self.transport.sendto(self.seal.seal(payload, self.wall_clock(), nonce, DATAGRAM_MOST), address)
+        sealed = self.authenticator.sign(payload, self.wall_clock(), nonce, MAX_DATAGRAM_BYTES)
+        self.transport.sendto(sealed, address)
 
     def _schedule_tick(self) -> None:
         self._cancel_timer()
--- a/gladewalk/rehearsal/task_simulation.py
+++ b/gladewalk/rehearsal/task_simulation.py
@@ -1,7 +1,7 @@
 """Shared tasks in virtual time: the real `TaskRunner`, `Ownership` and `Membership` on a network in memory.
 
 Servers to check are names; each health check is recorded with its time. Nodes are killed, stopped, cut off
-and restarted as on `membernet`, and what they own and do can be read at any moment.
+and restarted as on `member_network`, and what they own and do can be read at any moment.
 """
 
 from __future__ import annotations
@@ -14,10 +14,10 @@
 from ..core.counters import Counters
 from ..duties.ownership import Rank, best_rank, rendezvous_score
 from ..duties.runner import ResultCallback, TaskRunner
-from ..members.gossip import Told
-from ..members.messages import News
-from ..members.terms import Change, Terms
-from .membernet import Net, Node
+from ..members.actions import MemberChange
+from ..members.config import MembershipConfig
+from ..members.messages import UserEvent
+from .member_network import Net, Node
 
 CHECK_LATENCY_MS = 1.0
 CHECK_KIND = "load"
@@ -36,16 +36,16 @@
 
 
 class SimulatedPeers:
-    """A node's members as `TaskRunner` sees them; `members.transport.Members` is the same on sockets."""
+    """A node's members as `TaskRunner` sees them, as `MembershipTransport` is on sockets."""
 
     def __init__(self, node: Node) -> None:
         self.node, self.core = node, node.core
-        self.changed: Callable[[Change, str], None] = lambda change, name: None
-        self.heard: Callable[[News], None] = lambda news: None
+        self.on_member_change: Callable[[MemberChange, str], None] = lambda change, name: None
+        self.on_event: Callable[[UserEvent], None] = lambda event: None
 
-    def tell(self, news: News) -> None:
+    def publish_event(self, event: UserEvent) -> None:
         """Spreads a claim or a finding to all members."""
-        self.core.tell(news)
+        self.core.publish_event(event)
 
 
 class VirtualScheduler:
@@ -136,7 +136,7 @@
         seed: int,
         servers: Iterable[str],
         interval_ms: float = 1_000.0,
-        terms: Terms | None = None,
+        terms: MembershipConfig | None = None,
         checks_per_second: float = 0.0,
     ) -> None:
         super().__init__(seed, terms)
@@ -147,12 +147,12 @@
         self.runners: dict[str, TaskRunner] = {}
         self.checks: list[SentCheck] = []
         self.known_since_ms: dict[tuple[str, str], float] = {}  # by node and server: the latest finding
-        self.on_news = lambda node, news: self.runners[node.name].peers.heard(news)
+        self.on_news = lambda node, news: self.runners[node.name].peers.on_event(news)
         self.on_change = self._on_change
 
-    def _on_change(self, node: Node, change: Change, name: str) -> None:
+    def _on_change(self, node: Node, change: MemberChange, name: str) -> None:
         if node.name in self.runners:  # else it is just being made
-            self.runners[node.name].peers.changed(change, name)
+            self.runners[node.name].peers.on_member_change(change, name)
 
     def join(self, name: str, seeds: tuple[str, ...] = ()) -> Node:
         """Starts a node with shared tasks, or starts it again with nothing known."""
@@ -215,7 +215,7 @@
     interval_ms: float = 1_000.0,
     settle_ms: float = 6_000.0,
     checks_per_second: float = 0.0,
-    terms: Terms | None = None,
+    terms: MembershipConfig | None = None,
     have_met: bool = False,
 ) -> TaskNetwork:
     """Builds members m0 to m(count-1), with the first two as seeds, that have divided their servers.
@@ -238,11 +238,11 @@
 
 def _introduce(network: TaskNetwork) -> None:
     """Makes all nodes know all others, with no update of it left to send."""
-    updates = [node.core.me for node in network.nodes.values()]
+    updates = [node.core.local for node in network.nodes.values()]
     for node in network.nodes.values():
         for update in updates:
             if update.name != node.name:
-                node.core.hear(update, network.now)
-        node.core.gossip.rumours = Told()
-        node.core.out.clear()
+                node.core.gossip.apply(update, network.now)
+        node.core.dissemination.queued_updates.clear()
+        node.core.outbox.take()
         network.runners[node.name].has_membership_changed = True
--- a/tests/test_duties_directors.py
+++ b/tests/test_duties_directors.py
@@ -46,11 +46,11 @@
             director = Director(read({**config, "name": name}, {}), loop, None, options)
             await director.start()
             assert director.duties is not None
-            seeds = [f"127.0.0.1:{director.duties.peers.core.me.port}"]
+            seeds = [f"127.0.0.1:{director.duties.peers.core.local.port}"]
             directors.append(director)
             self.note_results(director, found.setdefault(name, []))
         runners = [director.duties for director in directors if director.duties is not None]
-        await until(lambda: all(len(runner.peers.core.live()) == 3 for runner in runners))
+        await until(lambda: all(len(runner.peers.core.live_weights()) == 3 for runner in runners))
         every = sorted([*(f"load/c{n}" for n in range(4)), "alive/p"])
         await until(lambda: sorted(n for runner in runners for n in runner.owned_tasks()) == every)
         heard.clear()
--- a/tests/test_duties_simulated.py
+++ b/tests/test_duties_simulated.py
@@ -8,8 +8,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
 
 from gladewalk.duties.rate_limit import HealthCheckRateLimit
-from gladewalk.members.seal import make_key
-from gladewalk.members.terms import Change
+from gladewalk.members.actions import MemberChange
+from gladewalk.members.authenticator import key_from_secret
 from gladewalk.rehearsal.task_simulation import TaskNetwork, build_task_network
 
 
@@ -52,7 +52,7 @@
     if ms > 2_000.0:  # found dead: its tasks have two holders until it is back
         assert all(len(both) == 2 for both in heirs), heirs
     settle(net)
-    assert not [seen for seen in net.changes(Change.DIED) if seen.by == "m2"]
+    assert not [seen for seen in net.changes(MemberChange.DIED) if seen.by == "m2"]
     assert held == [server for server in net.servers if net.owners(server) == ["m2"]]
 
 
@@ -116,7 +116,7 @@
     twin = net.start("m2", ("m0",), port=7_777)
     net.nodes["m2"], net.nodes["twin"] = first, twin
     net.run(10_000.0)
-    assert (first.core.active, twin.core.active) == (True, False)
+    assert (first.core.is_active, twin.core.is_active) == (True, False)
     assert net.is_divided()
 
 
@@ -135,16 +135,16 @@
 
 def test_keys_are_rotated_in_the_middle_of_a_takeover() -> None:
     net = build_task_network(4, 12)
-    old, new = net.nodes["m0"].seal.first, make_key(b"n" * 32)
+    old, new = net.nodes["m0"].seal.signing_key, key_from_secret(b"n" * 32)
     start = net.now
     net.kill("m3")
     for ring in ((old, new), (new, old), (new,)):
         for name in ("m0", "m1", "m2"):
-            net.nodes[name].seal.rekey(ring)
+            net.nodes[name].seal.replace_keys(ring)
             net.run(250.0)
     settle(net)
     assert net.longest_gap_ms(start) < 3_000.0
-    assert {seen.name for seen in net.changes(Change.DIED)} == {"m3"}
+    assert {seen.name for seen in net.changes(MemberChange.DIED)} == {"m3"}
 
 
 class Faults(RuleBasedStateMachine):
--- a/tests/test_golden_duties.py
+++ b/tests/test_golden_duties.py
@@ -10,21 +10,21 @@
 
 from gladewalk.duties.ownership import owner_of, rendezvous_score
 from gladewalk.duties.view import view_of
-from gladewalk.members.messages import News, decode, encode
-from gladewalk.members.seal import Seal, make_key
+from gladewalk.members.authenticator import MessageAuthenticator, key_from_secret
+from gladewalk.members.messages import UserEvent, decode, encode
 from gladewalk.rehearsal.task_simulation import TaskNetwork, build_task_network
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "duties.json").read_text())
-KEY = make_key(b"k" * 32)
+KEY = key_from_secret(b"k" * 32)
 WALL_MS = 1_764_576_000_000.0
-NEWS: dict[str, News] = {
-    "claim": News("load/b0", "m0", 3, 0.0),
-    "finding": News("load/b0", "m0", 3, 1_764_576_000_123.5, "ok", 1.5, {"util": 0.25, "x0": 0.5}),
-    "silent": News("alive/p", "m1", 1, 1_764_576_000_123.5, "timeout", 250.0),
+NEWS: dict[str, UserEvent] = {
+    "claim": UserEvent("load/b0", "m0", 3, 0.0),
+    "finding": UserEvent("load/b0", "m0", 3, 1_764_576_000_123.5, "ok", 1.5, {"util": 0.25, "x0": 0.5}),
+    "silent": UserEvent("alive/p", "m1", 1, 1_764_576_000_123.5, "timeout", 250.0),
 }
 
 
-def ping(news: News) -> bytes:
+def ping(news: UserEvent) -> bytes:
     """A ping (tag 1) of m0, run 5, number 7, to m1, run 6, that carries a claim or a finding."""
     return msgspec.msgpack.encode([1, "m0", 5, 7, 0, [], [news], "m1", 6])
 
@@ -33,10 +33,10 @@
 def test_claims_and_findings_are_read_and_written_as_they_were(name: str) -> None:
     row, datagram, sealed = (bytes.fromhex(GOLDEN[part][name]) for part in ("news", "datagrams", "sealed"))
     assert msgspec.msgpack.encode(NEWS[name]) == row
-    assert msgspec.msgpack.decode(row, type=News) == NEWS[name]
+    assert msgspec.msgpack.decode(row, type=UserEvent) == NEWS[name]
     assert ping(NEWS[name]) == datagram and encode(decode(datagram)) == datagram
-    assert Seal((KEY,), 30_000.0).seal(datagram, WALL_MS, 77) == sealed
-    assert Seal((KEY,), 30_000.0).open(sealed, WALL_MS) == datagram
+    assert MessageAuthenticator((KEY,), 30_000.0).sign(datagram, WALL_MS, 77) == sealed
+    assert MessageAuthenticator((KEY,), 30_000.0).verify(sealed, WALL_MS) == datagram
 
 
 def owners() -> dict[str, object]:
@@ -56,13 +56,13 @@
     """Every claim and finding that a member hands to the others, in order."""
     told: list[list[Any]] = []
     for name, runner in net.runners.items():
-        tell = runner.peers.tell
+        tell = runner.peers.publish_event
 
-        def note(news: News, name: str = name, tell: Any = tell) -> None:
-            told.append([round(net.now, 6), name, msgspec.msgpack.encode(news).hex()])
-            tell(news)
+        def note(event: UserEvent, name: str = name, tell: Any = tell) -> None:
+            told.append([round(net.now, 6), name, msgspec.msgpack.encode(event).hex()])
+            tell(event)
 
-        runner.peers.tell = note  # type: ignore[method-assign]
+        runner.peers.publish_event = note  # type: ignore[method-assign]
     return told
 
 
@@ -102,14 +102,14 @@
     runner.counters.clear()
     now = runner.clock()
     for news in (
-        News("load/b0", "m1", 1_000, now, "ok", 1.0),
-        News("load/b0", "m1", 2_000, now - 60_000.0, "ok", 1.0),
-        News("load/b0", "m1", 3_000, now, "of a later version", 1.0),
-        News("load/b0", "m1", 1, now, "ok", 1.0),
-        News("load/stranger", "m1", 4_000, now, "ok", 1.0),
-        News("none/b0", "m1", 4_000, now, "ok", 1.0),
+        UserEvent("load/b0", "m1", 1_000, now, "ok", 1.0),
+        UserEvent("load/b0", "m1", 2_000, now - 60_000.0, "ok", 1.0),
+        UserEvent("load/b0", "m1", 3_000, now, "of a later version", 1.0),
+        UserEvent("load/b0", "m1", 1, now, "ok", 1.0),
+        UserEvent("load/stranger", "m1", 4_000, now, "ok", 1.0),
+        UserEvent("none/b0", "m1", 4_000, now, "ok", 1.0),
     ):
-        runner.handle_news(news)
+        runner.handle_event(news)
     return dict(sorted(runner.counters.items()))
 
 
@@ -124,7 +124,8 @@
         "news": {name: msgspec.msgpack.encode(news).hex() for name, news in NEWS.items()},
         "datagrams": {name: data.hex() for name, data in datagrams.items()},
         "sealed": {
-            name: Seal((KEY,), 30_000.0).seal(data, WALL_MS, 77).hex() for name, data in datagrams.items()
+            name: MessageAuthenticator((KEY,), 30_000.0).sign(data, WALL_MS, 77).hex()
+            for name, data in datagrams.items()
         },
         "hash": owners(),
         "cluster": cluster_trace(),
--- a/tests/test_golden_leases.py
+++ b/tests/test_golden_leases.py
@@ -26,14 +26,23 @@
 from gladewalk.leases.purge_requests import PurgeRequests
 from gladewalk.leases.transport import LeaseClock, LeaseService
 from gladewalk.leases.voter import Voter, decode_grants
-from gladewalk.members.seal import Seal, make_key
+from gladewalk.members.authenticator import AuthenticationKey, MessageAuthenticator, key_from_secret
 from gladewalk.rehearsal.lease_faults import generate_schedule
 from gladewalk.rehearsal.lease_simulation import LeaseSimulation
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "leases.json").read_text())
-KEY = make_key(b"k" * 32)
+KEY = key_from_secret(b"k" * 32)
 WALL_MS = 1_764_576_000_000.0
 
+
+def new_authenticator(key: AuthenticationKey = KEY) -> MessageAuthenticator:
+    return MessageAuthenticator((key,), 30_000.0)
+
+
+def sign(payload: bytes, now_ms: float, nonce: int, key: AuthenticationKey = KEY) -> bytes:
+    return new_authenticator(key).sign(payload, now_ms, nonce)
+
+
 ORDER = m.PurgeRequest("00ff", "o:7f3a9c21", "a", 1_764_576_000_123.5)
 MESSAGES: dict[str, m.Message] = {
     "ask": m.VoteRequest("purge", 3, "a", 9),
@@ -70,8 +79,8 @@
 @pytest.mark.parametrize("name", sorted(MESSAGES))
 def test_sealed_datagrams_are_opened_and_sealed_as_they_were(name: str) -> None:
     golden = bytes.fromhex(GOLDEN["sealed"][name])
-    assert Seal((KEY,), 30_000.0).seal(m.encode(MESSAGES[name]), WALL_MS, 77) == golden
-    opened = Seal((KEY,), 30_000.0).open(golden, WALL_MS)
+    assert sign(m.encode(MESSAGES[name]), WALL_MS, 77) == golden
+    opened = new_authenticator().verify(golden, WALL_MS)
     assert isinstance(opened, bytes) and m.decode(opened) == MESSAGES[name]
 
 
@@ -184,12 +193,13 @@
     works = LeaseHolderTasks(candidate, FencedOperationQueue("a", sinks), orders, report, 100.0, 200.0, 0.0)
     leases = LeaseService(
         Voter("a", terms, 0.0, {}), candidate, works, {name: ("x", at) for name, at in ports.items()},
-        Seal((KEY,), 30_000.0), rows, clock, lambda: WALL_MS + clock.now, cast(Deadlines, NoDeadlines()),
+        new_authenticator(), rows, clock, lambda: WALL_MS + clock.now, cast(Deadlines, NoDeadlines()),
         counters,
     )  # fmt: skip
     leases.random = cast(random.SystemRandom, random.Random(6))
     leases.transport = cast(asyncio.DatagramTransport, wire)
-    hubs_seal, acked, views, datagrams = Seal((KEY,), 30_000.0), 0, dict[str, object](), list[str]()
+    hubs_authenticator, acked = new_authenticator(), 0
+    views, datagrams = dict[str, object](), list[str]()
 
     async def step(ms: float) -> None:
         nonlocal acked
@@ -204,14 +214,14 @@
             if port == 1:
                 leases.datagram_received(data, ("x", 1))
             elif clock.now >= 2_000.0:  # sinks answer from then on, each sealed under a number of its own
-                opened = hubs_seal.open(data, WALL_MS + clock.now)
+                opened = hubs_authenticator.verify(data, WALL_MS + clock.now)
                 assert isinstance(opened, bytes)
                 act = m.decode(opened)
                 assert isinstance(act, m.FencedOperation)
                 if act.number:
                     acked += 1
                     answer = m.encode(m.OperationResponse(act.task, act.token, act.number, True, act.token))
-                    sealed = Seal((KEY,), 30_000.0).seal(answer, WALL_MS + clock.now, acked)
+                    sealed = sign(answer, WALL_MS + clock.now, acked)
                     leases.datagram_received(sealed, ("x", port))
 
     with structlog.testing.capture_logs() as events:
@@ -227,18 +237,18 @@
         views["order_finished"] = msgspec.to_builtins(orders.status(id))
         views["finished"] = msgspec.to_builtins(leases.status())
         leases.datagram_received(b"noise", ("x", 9))
-        noise = Seal((KEY,), 30_000.0).seal(b"\x93", WALL_MS + clock.now, 99)
+        noise = sign(b"\x93", WALL_MS + clock.now, 99)
         leases.datagram_received(noise, ("x", 9))
-        stranger = Seal((make_key(b"s" * 32),), 30_000.0).seal(b"\x93", WALL_MS + clock.now, 99)
+        stranger = sign(b"\x93", WALL_MS + clock.now, 99, key_from_secret(b"s" * 32))
         leases.datagram_received(stranger, ("x", 9))
         leases.error_received(OSError())
         answer = m.encode(m.OperationResponse("report", 1, 1, False, 9))
-        sealed = Seal((KEY,), 30_000.0).seal(answer, WALL_MS + clock.now, 1_000_001)
+        sealed = sign(answer, WALL_MS + clock.now, 1_000_001)
         leases.datagram_received(sealed, ("x", 4))
         views["hand_on"] = [leases.hand_on(duty, "b") for duty in ("purge", "purge", "report", "none")]
         rival = m.encode(m.VoteRequest("purge", 1, "c", 1))
         for number in (1_000_002, 1_000_003):  # the second within the time in which it is not logged again
-            sealed = Seal((KEY,), 30_000.0).seal(rival, WALL_MS + clock.now, number)
+            sealed = sign(rival, WALL_MS + clock.now, number)
             leases.datagram_received(sealed, ("x", 9))
         leases.candidate.leases["report"].term, leases.candidate.leases["report"].expires_at_ms = 5, 0.0
         await step(50.0)
@@ -254,7 +264,7 @@
 async def sink_trace(monkeypatch: pytest.MonkeyPatch) -> dict[str, object]:
     """What the fenced resource answers to operations of two tokens."""
     monkeypatch.setattr(time, "time", lambda: WALL_MS / 1_000.0)
-    sink, wire, seal = FencedResource((KEY,)), Wire(), Seal((KEY,), 30_000.0)
+    sink, wire, authenticator = FencedResource((KEY,)), Wire(), new_authenticator()
     sink.random = cast(random.SystemRandom, random.Random(8))
     sink.transport = cast(asyncio.DatagramTransport, wire)
     body = json.dumps({"part": 0, "parts": 1, "rows": [{"name": "a", "served": 3}], "missing": []}).encode()
@@ -267,7 +277,7 @@
         m.FencedOperation("report", 1, "a", WALL_MS, 3, "5-1-0", body),
     )
     for number, act in enumerate(told):
-        sink.datagram_received(seal.seal(m.encode(act), WALL_MS, number), ("x", 9))
+        sink.datagram_received(authenticator.sign(m.encode(act), WALL_MS, number), ("x", 9))
     sink.datagram_received(b"noise", ("x", 9))
     return {
         "answers": [data.hex() for data, _ in wire.sent],
@@ -307,10 +317,7 @@
 
 def capture() -> dict[str, Any]:
     """What the golden data hold, as the present code makes it: `python -m tests.test_golden_leases`."""
-    sealed = {
-        name: Seal((KEY,), 30_000.0).seal(m.encode(message), WALL_MS, 77).hex()
-        for name, message in MESSAGES.items()
-    }
+    sealed = {name: sign(m.encode(message), WALL_MS, 77).hex() for name, message in MESSAGES.items()}
     with pytest.MonkeyPatch.context() as patch:
         sink = asyncio.run(sink_trace(patch))
     return {
--- /dev/null
+++ b/tests/test_golden_members.py
@@ -0,0 +1,316 @@
+"""Bytes, names and decisions of membership as captured at 090a370: datagrams, streams, views, log events.
+
+`python -m tests.test_golden_members` records the data anew; only a deliberate change of the protocol calls
+for that, since a fleet runs old and new directors side by side.
+"""
+
+import asyncio
+import hashlib
+import ipaddress
+import json
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import structlog
+
+from gladewalk.core.counters import Counters
+from gladewalk.core.deadlines import Deadlines
+from gladewalk.duties.view import view_of
+from gladewalk.faultnet.membership_cases import CASES
+from gladewalk.members import messages
+from gladewalk.members.actions import MemberChange, ProbeOutcome
+from gladewalk.members.authenticator import DropReason, MessageAuthenticator, key_from_secret
+from gladewalk.members.config import MembershipConfig
+from gladewalk.members.dissemination import claim_hash
+from gladewalk.members.member_list import update_hash
+from gladewalk.members.messages import (
+    Ack,
+    ConfirmationAck,
+    ConfirmationProbe,
+    Digest,
+    FullState,
+    Join,
+    MemberState,
+    MemberUpdate,
+    Nack,
+    PartialState,
+    Ping,
+    PingRequest,
+    UserEvent,
+)
+from gladewalk.members.stream import LENGTH
+from gladewalk.members.swim import Membership
+from gladewalk.members.transport import MembershipTransport
+from gladewalk.rehearsal.member_network import Net, cluster, play
+from gladewalk.rehearsal.task_simulation import build_task_network
+
+DATA = Path(__file__).parent / "golden" / "members.json"
+NOW_MS = 1_764_576_000_123.0
+NONCE = 0x0123_4567_89AB_CDEF
+UPDATES = [
+    MemberUpdate("a", "10.0.0.1", 7_946, 2**62 + 5, 1_764_576_000_000, MemberState.ALIVE, 2.5),
+    MemberUpdate("b", "10.0.0.2", 7_947, 12, 13, MemberState.SUSPECT, 1.0, "a"),
+    MemberUpdate("c", "2001:db8::1", 65_535, 1, 2, MemberState.DEAD),
+    MemberUpdate("d", "", 0, 0, 2**63 - 1, MemberState.LEFT, 0.0),
+]
+EVENTS = [
+    UserEvent("load/box-1", "a", 7, 1_764_576_000_000.5, "ok", 1.25, {"util": 0.25, "bid": 0.5}),
+    UserEvent("load/box-2", "b", 2**40, 0.0),
+    UserEvent("sources/origin", "c", 1, 5.0, "rejected", 3.0, None),
+]
+HEAD: dict[str, Any] = {
+    "sender": "m0",
+    "run_id": 2**61 + 1,
+    "health_score": 3,
+    "updates": UPDATES,
+    "events": EVENTS,
+}
+DATAGRAMS: dict[str, messages.DatagramMessage] = {
+    "ping": Ping(**HEAD, sequence=9, target="m1", target_run_id=77),
+    "ping_bare": Ping(sender="m0", run_id=1, target="m1", target_run_id=0),
+    "ack": Ack(**HEAD, sequence=9),
+    "nack": Nack(**HEAD, sequence=10),
+    "ping_request": PingRequest(
+        **HEAD, sequence=11, target="m2", target_run_id=78, host="10.0.0.3", port=7_948
+    ),
+    "join": Join(**HEAD),
+    "partial_state": PartialState(**HEAD, wants_reply=True, is_complete=False),
+    "partial_state_bare": PartialState(sender="m0", run_id=1),
+}
+STREAMED: dict[str, messages.StreamMessage] = {
+    "digest": Digest(**HEAD, digest=2**63 - 1),
+    "full_state": FullState(**HEAD),
+    "full_state_same": FullState(sender="m0", run_id=1, is_identical=True),
+    "confirmation_probe": ConfirmationProbe(sender="m0", run_id=1, health_score=8, updates=[UPDATES[1]]),
+    "confirmation_ack": ConfirmationAck(sender="m1", run_id=2, updates=[UPDATES[0]]),
+}
+
+
+def wire() -> dict[str, str]:
+    return {name: messages.encode(said).hex() for name, said in {**DATAGRAMS, **STREAMED}.items()}
+
+
+def sealed() -> dict[str, str]:
+    """Authenticated by the first of two keys, at a fixed time and with a fixed nonce."""
+    seal = MessageAuthenticator((key_from_secret(b"k" * 32), key_from_secret(b"old key " * 5)), 30_000.0)
+    datagram = seal.sign(messages.encode(DATAGRAMS["ping"]), NOW_MS, NONCE)
+    second = seal.sign(messages.encode(DATAGRAMS["ack"]), NOW_MS + 1.0, NONCE + 1)
+    seal.replace_keys((key_from_secret(b"old key " * 5),))
+    rotated = seal.sign(messages.encode(DATAGRAMS["join"]), NOW_MS + 2.0, NONCE + 2)
+    stream = seal.sign(messages.encode(STREAMED["full_state"]), NOW_MS, NONCE, 2**21)
+    return {
+        "key_ids": f"{key_from_secret(b'k' * 32).id.hex()} {key_from_secret(b'old key ' * 5).id.hex()}",
+        "datagram": datagram.hex(),
+        "second": second.hex(),
+        "rotated": rotated.hex(),
+        "stream": (LENGTH.pack(len(stream)) + stream).hex(),
+    }
+
+
+def names() -> dict[str, Any]:
+    return {
+        "states": {state.name: int(state) for state in MemberState},
+        "changes": {change.name: change.value for change in MemberChange},
+        "outcomes": [outcome.value for outcome in ProbeOutcome],
+        "drop_reasons": [reason.value for reason in DropReason],
+        "update_hashes": [update_hash(update) for update in UPDATES],
+        "event_hashes": [claim_hash(event) for event in EVENTS],
+    }
+
+
+def view() -> Any:
+    """What `gladewalk members --json` shows of a fleet with a stalled and a dead member."""
+    net = build_task_network(5, 11)
+    net.stop("m2", 6_000.0)
+    net.kill("m3")
+    net.run(2_700.0)
+    net.blocked = lambda source, target: "m4" in (source, target)
+    net.run(700.0)
+    return json.loads(json.dumps(view_of(net.runners["m0"])))
+
+
+def log_and_counters() -> dict[str, Any]:
+    """The log events and counters of one member's endpoint, with a clock of its own."""
+
+    async def story() -> dict[str, Any]:
+        now, rng = [NOW_MS], random.Random(4)
+        core = Membership("a", ("127.0.0.1", 0), (), MembershipConfig(), rng, NOW_MS)
+        networks = (ipaddress.ip_network("127.0.0.0/8"),)
+        seal, counters = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0), Counters()
+        members = MembershipTransport(
+            core, seal, networks, lambda: now[0], Deadlines(lambda when: None), counters
+        )
+        with structlog.testing.capture_logs() as lines:
+            await members.listen()
+            port = core.local.port
+            now[0] += 100.0
+            stranger = MessageAuthenticator((key_from_secret(b"x" * 32),), 30_000.0)
+            ours = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0)
+            b = MemberUpdate("b", "127.0.0.1", 9, 7, 8, MemberState.ALIVE)
+            hello = ours.sign(messages.encode(Join(sender="b", run_id=7, updates=[b])), now[0], 1)
+            suspicion = MemberUpdate("b", "127.0.0.1", 9, 7, 8, MemberState.SUSPECT, suspected_by="c")
+            told = ours.sign(messages.encode(Ack(sender="c", run_id=9, updates=[suspicion])), now[0], 2)
+            me = MemberUpdate(
+                "a",
+                "127.0.0.1",
+                port,
+                core.local.run_id,
+                core.local.incarnation,
+                MemberState.SUSPECT,
+                suspected_by="b",
+            )
+            accused = ours.sign(messages.encode(Ack(sender="b", run_id=7, updates=[me])), now[0], 3)
+            junk = ours.sign(b"junk", now[0], 4)
+            for data, host in (
+                (hello, "127.0.0.1"),
+                (hello, "127.0.0.1"),
+                (hello, "10.9.9.9"),
+                (told, "127.0.0.1"),
+                (b"noise", "127.0.0.1"),
+                (bytes(2_000), "127.0.0.1"),
+                (junk, "127.0.0.1"),
+                (stranger.sign(b"", now[0], 5), "127.0.0.1"),
+                (accused, "127.0.0.1"),
+                (ours.sign(b"", now[0] - 1e6, 6), "127.0.0.1"),
+                (hello[:-1] + b"!", "127.0.0.1"),
+            ):
+                members.datagram_received(data, (host, 9))
+            members.error_received(OSError())
+            for name in (*core.members.by_name, "a", "unknown"):
+                for change in MemberChange:
+                    members.log_change(change, name)
+            members.leave()
+        counts = {name: count for name, count in counters.report().items() if name != "members.sent_bytes"}
+        return {
+            "log": [{**line, "port": 1} if "port" in line else line for line in lines],
+            "counters": counts,
+        }
+
+    return json.loads(json.dumps(asyncio.run(story())))  # type: ignore[no-any-return]
+
+
+def record(net: Net) -> Any:
+    """Hashes every datagram from now on, with its time, sender and receiver."""
+    recorded, post = hashlib.sha256(), net.post
+
+    def recording(node: Any, data: bytes, to: Any) -> None:
+        recorded.update(repr((net.now, node.name, to)).encode() + data)
+        post(node, data, to)
+
+    net.post = recording  # type: ignore[method-assign]
+    return recorded
+
+
+def history_of(net: Net) -> str:
+    lines = [f"{seen.at_ms!r} {seen.by} {seen.change.value} {seen.name}" for seen in net.seen]
+    return hashlib.sha256("\n".join(lines).encode()).hexdigest()
+
+
+def fingerprint(kind: str, size: int, seed: int) -> list[Any]:
+    """Every datagram and every change of a run: the same draws, times, targets and bytes."""
+    net = cluster(size, seed, settle_ms=1_000.0)
+    recorded = record(net)
+    net.run(1_000.0)
+    names_ = tuple(net.nodes)
+    for case in CASES:
+        if case.kind == kind:
+            play(net, case.faults(names_))
+            net.run(4_000.0)
+    net.late_ms = 60.0
+    net.run(2_000.0)
+    return [
+        recorded.hexdigest(),
+        history_of(net),
+        len(net.seen),
+        sum(net.sent.values()),
+        sum(net.bytes.values()),
+    ]
+
+
+RUNS = (
+    ("loss", 5, 1),
+    ("link", 5, 2),
+    ("flap", 4, 3),
+    ("delay", 6, 4),
+    ("cut_out", 5, 5),
+    ("pause", 5, 6),
+    ("kill", 4, 7),
+    ("partition", 7, 8),
+    ("kill", 24, 9),
+    ("cut_out", 80, 10),
+)
+
+
+def fingerprint_with_events() -> list[Any]:
+    """The same with user events, of duties that move while members are killed and started."""
+    net = build_task_network(4, 12, servers=30, settle_ms=1_000.0)
+    recorded = record(net)
+    net.loss = 0.1
+    net.run(3_000.0)
+    net.kill("m1")
+    net.run(3_000.0)
+    net.join("m1", ("m0",))
+    net.run(4_000.0)
+    return [
+        recorded.hexdigest(),
+        history_of(net),
+        len(net.seen),
+        sum(net.sent.values()),
+        sum(net.bytes.values()),
+    ]
+
+
+def runs() -> dict[str, list[Any]]:
+    return {f"{kind} {size} {seed}": fingerprint(kind, size, seed) for kind, size, seed in RUNS}
+
+
+PARTS: dict[str, Callable[[], Any]] = {
+    "wire": wire,
+    "sealed": sealed,
+    "names": names,
+    "view": view,
+    "endpoint": log_and_counters,
+    "run_with_events": fingerprint_with_events,
+}
+
+
+def golden() -> Any:
+    return json.loads(DATA.read_text())
+
+
+@pytest.mark.parametrize("part", PARTS)
+def test_what_is_written_is_as_it_was(part: str) -> None:
+    assert PARTS[part]() == golden()[part]
+
+
+def test_what_was_written_is_read() -> None:
+    written = golden()["wire"]
+    assert {name: messages.decode(bytes.fromhex(written[name])) for name in DATAGRAMS} == DATAGRAMS
+    assert {name: messages.decode_streamed(bytes.fromhex(written[name])) for name in STREAMED} == STREAMED
+
+
+def test_what_was_sealed_is_opened() -> None:
+    written = {name: bytes.fromhex(text) for name, text in golden()["sealed"].items() if name != "key_ids"}
+    seal = MessageAuthenticator((key_from_secret(b"old key " * 5), key_from_secret(b"k" * 32)), 30_000.0)
+    assert seal.verify(written["datagram"], NOW_MS) == messages.encode(DATAGRAMS["ping"])
+    assert seal.verify(written["second"], NOW_MS) == messages.encode(DATAGRAMS["ack"])
+    assert seal.verify(written["rotated"], NOW_MS) == messages.encode(DATAGRAMS["join"])
+    assert seal.verify(written["datagram"], NOW_MS) is DropReason.REPLAYED
+    (length,) = LENGTH.unpack(written["stream"][: LENGTH.size])
+    stream = written["stream"][LENGTH.size :]
+    assert length == len(stream)
+    opened = seal.verify(stream, NOW_MS, 2**21)
+    assert isinstance(opened, bytes) and messages.decode_streamed(opened) == STREAMED["full_state"]
+
+
+@pytest.mark.parametrize(("kind", "size", "seed"), RUNS)
+def test_every_datagram_and_change_of_a_run_is_as_it_was(kind: str, size: int, seed: int) -> None:
+    assert fingerprint(kind, size, seed) == golden()["runs"][f"{kind} {size} {seed}"]
+
+
+if __name__ == "__main__":
+    captured = {**{name: capture() for name, capture in PARTS.items()}, "runs": runs()}
+    DATA.write_text(json.dumps(captured, indent=1) + "\n")
