--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -95,13 +95,13 @@
     """Checks each part that is on, so that a bad file is found before anything starts."""
     build_protocols(options)  # certificates and keys are files of their own
     if options.members is not None:
-        from .duties.start import checked as check_members
+        from .duties.start import read_member_settings
 
-        check_members(options)
+        read_member_settings(options)
     if options.leases is not None:
-        from .leases.start import checked as check_leases
+        from .leases.start import read_lease_settings
 
-        check_leases(options, config.name)
+        read_lease_settings(options, config.name)
     if options.front.http is not None:
         from .web.start import checked as check_front
 
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -44,8 +44,8 @@
 from gladewalk.members.stream import LENGTH
 from gladewalk.members.swim import Membership
 from gladewalk.members.transport import MembershipTransport
-from gladewalk.rehearsal.dutynet import duty_cluster
 from gladewalk.rehearsal.member_network import Net, cluster, play
+from gladewalk.rehearsal.task_simulation import build_task_network
 
 DATA = Path(__file__).parent / "golden" / "members.json"
 NOW_MS = 1_764_576_000_123.0
@@ -123,7 +123,7 @@
 
 def view() -> Any:
     """What `gladewalk members --json` shows of a fleet with a stalled and a dead member."""
-    net = duty_cluster(5, 11)
+    net = build_task_network(5, 11)
     net.stop("m2", 6_000.0)
     net.kill("m3")
     net.run(2_700.0)
@@ -246,7 +246,7 @@
 
 def fingerprint_with_events() -> list[Any]:
     """The same with user events, of duties that move while members are killed and started."""
-    net = duty_cluster(4, 12, boxes=30, settle_ms=1_000.0)
+    net = build_task_network(4, 12, servers=30, settle_ms=1_000.0)
     recorded = record(net)
     net.loss = 0.1
     net.run(3_000.0)
