The history checker: ObservedChange, ExpectedFailure, detection and convergence times

Seen -> ObservedChange (by/name -> observer/member), Cause -> ExpectedFailure, from_log -> changes_from_log, wrong_deaths -> unexpected_deaths, detected_ms -> detection_times_ms, agreed_ms -> convergence_time_ms.

--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -51,8 +51,8 @@
     net.loss = loss
     net.run(LOSSY_MS)
     minutes = size * LOSSY_MS / 60_000.0
-    told = {(s.name, s.at_ms // 2_000.0) for s in net.changes(MemberChange.SUSPECTED)}
-    dead = {(s.name, s.at_ms // 2_000.0) for s in net.changes(MemberChange.DIED)}
+    told = {(s.member, s.at_ms // 2_000.0) for s in net.changes(MemberChange.SUSPECTED)}
+    dead = {(s.member, s.at_ms // 2_000.0) for s in net.changes(MemberChange.DIED)}
     return len(told) / minutes, len(dead) / minutes
 
 
--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -28,7 +28,12 @@
 from gladewalk.faultnet.membership_cases import CASES, Case
 from gladewalk.faultnet.nemesis import play
 from gladewalk.members.config import MembershipConfig
-from gladewalk.members.history import Seen, agreed_ms, detected_ms, wrong_deaths
+from gladewalk.members.history import (
+    ObservedChange,
+    convergence_time_ms,
+    detection_times_ms,
+    unexpected_deaths,
+)
 from gladewalk.rehearsal.member_network import cluster
 from gladewalk.rehearsal.member_network import play as play_in_memory
 from gladewalk.rehearsal.peers import Coordinator, config_for
@@ -58,17 +63,21 @@
 
 
 def judged(
-    case: Case, names: tuple[str, ...], seen: list[Seen], begun_ms: float, traffic: tuple[float, float]
+    case: Case,
+    names: tuple[str, ...],
+    seen: list[ObservedChange],
+    begun_ms: float,
+    traffic: tuple[float, float],
 ) -> Result:
     faults = case.faults(names)
     ended = begun_ms + max(fault.at_ms + fault.ms for fault in faults)
-    wrong = wrong_deaths(seen, causes_of(faults, names, begun_ms, STALL_MS))
+    wrong = unexpected_deaths(seen, causes_of(faults, names, begun_ms, STALL_MS))
     times: tuple[float, ...] = ()
     if case.found_dead:
         victim = faults[0].who[0]
-        found = detected_ms(seen, victim, begun_ms, set(names) - {victim})
+        found = detection_times_ms(seen, victim, begun_ms, set(names) - {victim})
         times = (*found.values(), *[math.inf] * (len(names) - 1 - len(found)))
-    agreed = agreed_ms(seen, ended, names)
+    agreed = convergence_time_ms(seen, ended, names)
     return Result(case, len(names), len(wrong), times, math.inf if agreed is None else agreed, *traffic)
 
 
@@ -80,7 +89,7 @@
 
 async def met(fleet: Fleet, within_s: float) -> bool:
     ends = time.monotonic() + within_s
-    while agreed_ms(fleet.members_seen(), 0.0, fleet.names) is None:
+    while convergence_time_ms(fleet.members_seen(), 0.0, fleet.names) is None:
         if time.monotonic() > ends:
             return False
         await asyncio.sleep(0.1)
--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -24,7 +24,7 @@
 from ..control.client import ask
 from ..leases.history import Verdict, check_sinks
 from ..members.authenticator import load_key_ring
-from ..members.history import Seen, from_log
+from ..members.history import ObservedChange, changes_from_log
 from . import relay
 from .relay import Address, Relay, StreamRelay, free_port
 from .schedule import Pair
@@ -191,9 +191,9 @@
     def verdict(self, end_ms: float | None = None, excused: tuple[tuple[float, float], ...] = ()) -> Verdict:
         return check_sinks([sink.fence.acts for sink in self.sinks], end_ms, excused)
 
-    def members_seen(self) -> list[Seen]:
+    def members_seen(self) -> list[ObservedChange]:
         """What all directors noted of one another, out of their logs."""
-        return [one for name in self.names for one in from_log(name, self.log_of(name))]
+        return [one for name in self.names for one in changes_from_log(name, self.log_of(name))]
 
     async def close(self) -> None:
         for name in list(self.running):
--- a/gladewalk/faultpoints/membership_scenario.py
+++ b/gladewalk/faultpoints/membership_scenario.py
@@ -120,9 +120,9 @@
     points.counting = False
     net.run(8_000.0)
     wrong = [
-        f"{seen.by} held {seen.name} dead"
+        f"{seen.observer} held {seen.member} dead"
         for seen in net.seen
-        if seen.change is MemberChange.DIED and seen.at_ms < net.killed_at.get(seen.name, seen.at_ms + 1.0)
+        if seen.change is MemberChange.DIED and seen.at_ms < net.killed_at.get(seen.member, seen.at_ms + 1.0)
     ]
     if wrong:
         return "; ".join(wrong)
--- a/gladewalk/members/history.py
+++ b/gladewalk/members/history.py
@@ -1,8 +1,8 @@
-"""A checker over what members said of one another: wrong deaths, times to detect, times to agree. No I/O.
+"""Checks of a fleet's membership history: unexpected deaths, detection times, convergence.
 
-The history is every change that any member noted, with its time on one clock: out of a fleet's logs
-(`faultnet`) or of a network in memory (`rehearsal/member_network.py`). What happened is given as causes:
-between whom and when a death could rightly be found.
+The history is every change that any member observed, with its time on one clock. It comes from a fleet's logs
+(`faultnet`) or from a simulated network (`rehearsal/member_network.py`). What was done to the fleet is given
+as expected failures: which deaths may be observed by whom, and when.
 """
 
 from __future__ import annotations
@@ -15,86 +15,100 @@
 
 from .actions import MemberChange
 
-GONE = frozenset((MemberChange.DIED, MemberChange.LEFT))
-BACK = frozenset((MemberChange.JOINED, MemberChange.CLEARED))
-EVENT = re.compile(r"member_([a-z_]+)\Z")
+DEPARTURES = frozenset((MemberChange.DIED, MemberChange.LEFT))
+ARRIVALS = frozenset((MemberChange.JOINED, MemberChange.CLEARED))
+START_EVENT = "members_listening"
+CHANGE_EVENT = re.compile(r"member_([a-z_]+)\Z")
 
 
 @dataclass(slots=True, frozen=True)
-class Seen:
-    """One change, as `by` noted it of `name`."""
+class ObservedChange:
+    """A change of `member` as `observer` noted it, at a Unix time in ms."""
 
     at_ms: float
-    by: str
+    observer: str
     change: MemberChange
-    name: str
+    member: str
 
 
 @dataclass(slots=True, frozen=True)
-class Cause:
-    """From `begin_ms` to `end_ms`, who is in `by` may rightly find dead who is in `names`."""
+class ExpectedFailure:
+    """From `begin_ms` to `end_ms`, any of `observers` may find any of `members` dead."""
 
     begin_ms: float
     end_ms: float
-    by: frozenset[str]
-    names: frozenset[str]
+    observers: frozenset[str]
+    members: frozenset[str]
 
-    def covers(self, seen: Seen) -> bool:
-        """Whether this accounts for the change."""
-        return self.begin_ms <= seen.at_ms <= self.end_ms and seen.by in self.by and seen.name in self.names
+    def covers(self, observed: ObservedChange) -> bool:
+        """Whether this accounts for an observed death."""
+        is_in_time = self.begin_ms <= observed.at_ms <= self.end_ms
+        return is_in_time and observed.observer in self.observers and observed.member in self.members
 
 
-def from_log(name: str, lines: Iterable[Mapping[str, Any]]) -> list[Seen]:
-    """The changes in the log of the director of this name, of all its runs."""
-    seen: list[Seen] = []
+def changes_from_log(name: str, lines: Iterable[Mapping[str, Any]]) -> list[ObservedChange]:
+    """Reads the changes that the director of this name logged, in all its runs.
+
+    A start counts as the departure of everyone whom the run before knew.
+    """
+    changes: list[ObservedChange] = []
     known: set[str] = set()
     for line in lines:
-        event, stamp = str(line.get("event", "")), line.get("timestamp")
-        found = EVENT.match(event)
-        if not isinstance(stamp, str) or line.get("by") != name:
+        timestamp = line.get("timestamp")
+        if not isinstance(timestamp, str) or line.get("by") != name:
             continue
-        at_ms = datetime.fromisoformat(stamp.replace("Z", "+00:00")).timestamp() * 1_000.0
-        if event == "members_listening":  # a start: what its earlier run knew is gone
-            seen += [Seen(at_ms, name, MemberChange.LEFT, other) for other in sorted(known)]
+        at_ms = datetime.fromisoformat(timestamp.replace("Z", "+00:00")).timestamp() * 1_000.0
+        event = str(line.get("event", ""))
+        if event == START_EVENT:
+            changes += [ObservedChange(at_ms, name, MemberChange.LEFT, other) for other in sorted(known)]
             known.clear()
-        elif found is not None:
-            known.add(str(line["member"]))
-            seen.append(Seen(at_ms, name, MemberChange(found[1]), str(line["member"])))
-    return seen
-
-
-def wrong_deaths(seen: Iterable[Seen], causes: Sequence[Cause]) -> list[Seen]:
-    """Deaths that nothing accounts for."""
-    died = (one for one in seen if one.change is MemberChange.DIED)
-    return [one for one in died if not any(cause.covers(one) for cause in causes)]
-
-
-def detected_ms(seen: Iterable[Seen], name: str, since_ms: float, by: Collection[str]) -> dict[str, float]:
-    """How long each of `by` took to hold `name` dead; who never did is not in it."""
-    times: dict[str, float] = {}
-    for one in sorted(seen, key=lambda one: one.at_ms):
-        if one.name == name and one.change is MemberChange.DIED and one.at_ms >= since_ms and one.by in by:
-            times.setdefault(one.by, one.at_ms - since_ms)
-    return times
-
-
-def agreed_ms(seen: Iterable[Seen], since_ms: float, names: Collection[str]) -> float | None:
-    """From `since_ms` until each of `names` holds every other for a member, for good; None: they do not.
-
-    A suspect is a member still. A member that nothing was noted of is not held for one.
+        elif (found := CHANGE_EVENT.match(event)) is not None:
+            member = str(line["member"])
+            known.add(member)
+            changes.append(ObservedChange(at_ms, name, MemberChange(found[1]), member))
+    return changes
+
+
+def unexpected_deaths(
+    changes: Iterable[ObservedChange], expected: Sequence[ExpectedFailure]
+) -> list[ObservedChange]:
+    """Returns the observed deaths that no expected failure covers."""
+    deaths = (observed for observed in changes if observed.change is MemberChange.DIED)
+    return [death for death in deaths if not any(failure.covers(death) for failure in expected)]
+
+
+def detection_times_ms(
+    changes: Iterable[ObservedChange], member: str, since_ms: float, observers: Collection[str]
+) -> dict[str, float]:
+    """Returns how long after `since_ms` each observer found `member` dead; without those that never did."""
+    times_ms: dict[str, float] = {}
+    for observed in sorted(changes, key=lambda observed: observed.at_ms):
+        is_death = observed.member == member and observed.change is MemberChange.DIED
+        if is_death and observed.at_ms >= since_ms and observed.observer in observers:
+            times_ms.setdefault(observed.observer, observed.at_ms - since_ms)
+    return times_ms
+
+
+def convergence_time_ms(
+    changes: Iterable[ObservedChange], since_ms: float, names: Collection[str]
+) -> float | None:
+    """Returns how long after `since_ms` each of `names` held all others for members, for good.
+
+    None if they did not converge. A suspect is a member; one that nothing was observed of is none.
     """
-    missing = {(by, name) for by in names for name in names if by != name}
-    known = frozenset(names)
-    whole_at: float | None = None
-    for one in sorted(seen, key=lambda one: one.at_ms):
-        if one.by not in known or one.name not in known or one.by == one.name:
+    missing = {(observer, member) for observer in names for member in names if observer != member}
+    fleet = frozenset(names)
+    converged_at_ms: float | None = None
+    for observed in sorted(changes, key=lambda observed: observed.at_ms):
+        pair = observed.observer, observed.member
+        if not fleet.issuperset(pair) or observed.observer == observed.member:
             continue
-        if one.change in GONE:
-            missing.add((one.by, one.name))
-        elif one.change in BACK:
-            missing.discard((one.by, one.name))
+        if observed.change in DEPARTURES:
+            missing.add(pair)
+        elif observed.change in ARRIVALS:
+            missing.discard(pair)
         if missing:
-            whole_at = None
-        elif whole_at is None:
-            whole_at = one.at_ms
-    return None if whole_at is None else max(0.0, whole_at - since_ms)
+            converged_at_ms = None
+        elif converged_at_ms is None:
+            converged_at_ms = observed.at_ms
+    return None if converged_at_ms is None else max(0.0, converged_at_ms - since_ms)
--- a/gladewalk/rehearsal/member_network.py
+++ b/gladewalk/rehearsal/member_network.py
@@ -32,7 +32,7 @@
     key_from_secret,
 )
 from ..members.config import MembershipConfig
-from ..members.history import Seen
+from ..members.history import ObservedChange
 from ..members.messages import StreamMessage, UserEvent, decode, encode
 from ..members.swim import Membership
 
@@ -70,7 +70,7 @@
         self.count = 0
         self.nodes: dict[str, Node] = {}
         self.by_address: dict[Address, Node] = {}
-        self.seen: list[Seen] = []
+        self.seen: list[ObservedChange] = []
         self.bytes: Counter[str] = Counter()
         self.sent: Counter[str] = Counter()
         self.refused: Counter[DropReason] = Counter()
@@ -110,7 +110,9 @@
         if old is not None:
             old.up = False  # its address is free again: no two processes have one
             self.seen += [
-                Seen(self.now, name, MemberChange.LEFT, other) for other in self.nodes if other != name
+                ObservedChange(self.now, name, MemberChange.LEFT, other)
+                for other in self.nodes
+                if other != name
             ]
         address = old.address if old is not None else ("10.0.0.1", port or 1_000 + len(self.nodes))
         known = tuple(self.nodes[seed].address for seed in seeds)
@@ -159,7 +161,7 @@
                 if self.on_news is not None:
                     self.on_news(node, action.event)
             else:
-                self.seen.append(Seen(self.now, node.name, action.change, action.name))
+                self.seen.append(ObservedChange(self.now, node.name, action.change, action.name))
                 if self.on_change is not None:
                     self.on_change(node, action.change, action.name)
         node.wake += 1
@@ -284,11 +286,13 @@
         up = {name for name, node in self.nodes.items() if node.up and node.core.is_active}
         return all(self.live_as_seen_by(name) == up - {name} for name in up)
 
-    def changes(self, change: MemberChange, name: str | None = None, since_ms: float = 0.0) -> list[Seen]:
+    def changes(
+        self, change: MemberChange, name: str | None = None, since_ms: float = 0.0
+    ) -> list[ObservedChange]:
         return [
             seen
             for seen in self.seen
-            if seen.change is change and seen.at_ms >= since_ms and name in (None, seen.name)
+            if seen.change is change and seen.at_ms >= since_ms and name in (None, seen.member)
         ]
 
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -212,7 +212,7 @@
             if ms > 2_000.0:  # found dead: its duties have two holders until it is back
                 self.assertTrue(all(len(both) == 2 for both in heirs), heirs)
             self.settle(net)
-            self.assertEqual([seen for seen in net.changes(MemberChange.DIED) if seen.by == "m2"], [])
+            self.assertEqual([seen for seen in net.changes(MemberChange.DIED) if seen.observer == "m2"], [])
             self.assertEqual(held, [box for box in net.boxes if net.holders(box) == ["m2"]])
 
     def test_no_box_goes_unprobed_past_the_bound_when_its_prober_dies(self) -> None:
@@ -296,7 +296,7 @@
                 net.run(250.0)
         self.settle(net)
         self.assertLess(net.widest_gap(start), 3_000.0)
-        self.assertEqual({seen.name for seen in net.changes(MemberChange.DIED)}, {"m3"})
+        self.assertEqual({seen.member for seen in net.changes(MemberChange.DIED)}, {"m3"})
 
 
 class Troubles(RuleBasedStateMachine):
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -19,7 +19,14 @@
 from gladewalk.faultnet.schedule import Fault
 from gladewalk.members.actions import MemberChange
 from gladewalk.members.config import MembershipConfig
-from gladewalk.members.history import Cause, Seen, agreed_ms, detected_ms, from_log, wrong_deaths
+from gladewalk.members.history import (
+    ExpectedFailure,
+    ObservedChange,
+    changes_from_log,
+    convergence_time_ms,
+    detection_times_ms,
+    unexpected_deaths,
+)
 from gladewalk.rehearsal.member_network import cluster
 from gladewalk.rehearsal.member_network import play as play_in_memory
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
@@ -31,7 +38,7 @@
 
 
 def all_met(fleet: Fleet) -> bool:
-    return agreed_ms(fleet.members_seen(), 0.0, fleet.names) is not None
+    return convergence_time_ms(fleet.members_seen(), 0.0, fleet.names) is not None
 
 
 def starts(fleet: Fleet, name: str) -> int:
@@ -58,9 +65,9 @@
                 return f"{case.name}: no one roster afterwards: {told(fleet.members_seen())}"
             await asyncio.sleep(1.0)  # and it stays so
             seen = fleet.members_seen()
-            wrong = wrong_deaths(seen, causes_of(faults, fleet.names, begun, STALL_MS))
+            wrong = unexpected_deaths(seen, causes_of(faults, fleet.names, begun, STALL_MS))
             victim = faults[0].who[0] if faults[0].who else ""
-            found = detected_ms(seen, victim, begun, set(fleet.names) - {victim})
+            found = detection_times_ms(seen, victim, begun, set(fleet.names) - {victim})
             if wrong or (case.found_dead and len(found) < n - 1) or not all_met(fleet):
                 return f"{case.name}: wrong {wrong}, found dead by {found}: {told(seen)}"
         finally:
@@ -69,8 +76,8 @@
     return ""
 
 
-def told(seen: list[Seen]) -> str:
-    lines = sorted((one.at_ms, f"{one.by} {one.change.value} {one.name}") for one in seen)
+def told(seen: list[ObservedChange]) -> str:
+    lines = sorted((one.at_ms, f"{one.observer} {one.change.value} {one.member}") for one in seen)
     return "; ".join(f"{at_ms - lines[0][0]:.0f} {text}" for at_ms, text in lines)
 
 
@@ -88,7 +95,9 @@
         fleet.signal("n2", signal.SIGSTOP)
         try:
             assert await until_true(
-                lambda: any(s.change is MemberChange.STALLED and s.by == "n0" for s in fleet.members_seen())
+                lambda: any(
+                    s.change is MemberChange.STALLED and s.observer == "n0" for s in fleet.members_seen()
+                )
             )
             code, said = await asyncio.to_thread(command, fleet, "members", "--json", "n0")
             (row,) = [row for row in json.loads(said)["members"] if row["name"] == "n2"]
@@ -98,7 +107,10 @@
             fleet.signal("n2", signal.SIGCONT)
         cleared = [MemberChange.CLEARED]
         assert await until_true(
-            lambda: [s.change for s in fleet.members_seen() if (s.by, s.name) == ("n0", "n2")][-1:] == cleared
+            lambda: (
+                [s.change for s in fleet.members_seen() if (s.observer, s.member) == ("n0", "n2")][-1:]
+                == cleared
+            )
         )
         (line,) = [x for x in fleet.log_of("n0") if x["event"] == "member_stalled" and x["member"] == "n2"]
         assert line["knocked"] == "silent" and "n0" in line["accusers"] + ["n0"]
@@ -153,30 +165,39 @@
                 faults = case.faults(names)
                 play_in_memory(net, faults)
                 net.run(15_000.0)
-                wrong = wrong_deaths(net.seen, causes_of(faults, names, begun, STALL_MS))
+                wrong = unexpected_deaths(net.seen, causes_of(faults, names, begun, STALL_MS))
                 assert not wrong, (case.name, size, seed, wrong[:4])
-                assert agreed_ms(net.seen, begun, names) is not None, (case.name, size, seed)
+                assert convergence_time_ms(net.seen, begun, names) is not None, (case.name, size, seed)
                 if case.found_dead:
                     victim = faults[0].who[0]
-                    found = detected_ms(net.seen, victim, begun, set(names) - {victim})
+                    found = detection_times_ms(net.seen, victim, begun, set(names) - {victim})
                     assert len(found) == size - 1, (case.name, size, seed, found)
 
 
 def test_the_checker_finds_a_wrong_death_a_late_one_and_a_roster_that_never_agrees() -> None:
-    joined = [Seen(0.0, by, MemberChange.JOINED, name) for by in "abc" for name in "abc" if by != name]
-    assert agreed_ms(joined, 0.0, "abc") == 0.0 and agreed_ms(joined[:-1], 0.0, "abc") is None
-    death = Seen(5_000.0, "a", MemberChange.DIED, "b")
-    assert wrong_deaths([*joined, death], []) == [death]
-    right = Cause(4_000.0, 6_000.0, frozenset("ac"), frozenset("b"))
-    assert wrong_deaths([death], [right]) == []
-    late = Seen(6_001.0, "c", MemberChange.DIED, "b")
-    assert wrong_deaths([death, late], [right]) == [late]
-    assert detected_ms([death, late], "b", 4_500.0, "ac") == {"a": 500.0, "c": 1_501.0}
-    back = [Seen(7_000.0, "a", MemberChange.JOINED, "b"), Seen(8_000.0, "c", MemberChange.JOINED, "b")]
-    assert agreed_ms([*joined, death, late], 4_000.0, "abc") is None
-    assert agreed_ms([*joined, death, late, *back], 7_500.0, "abc") == 500.0
+    joined = [
+        ObservedChange(0.0, by, MemberChange.JOINED, name) for by in "abc" for name in "abc" if by != name
+    ]
+    assert (
+        convergence_time_ms(joined, 0.0, "abc") == 0.0
+        and convergence_time_ms(joined[:-1], 0.0, "abc") is None
+    )
+    death = ObservedChange(5_000.0, "a", MemberChange.DIED, "b")
+    assert unexpected_deaths([*joined, death], []) == [death]
+    right = ExpectedFailure(4_000.0, 6_000.0, frozenset("ac"), frozenset("b"))
+    assert unexpected_deaths([death], [right]) == []
+    late = ObservedChange(6_001.0, "c", MemberChange.DIED, "b")
+    assert unexpected_deaths([death, late], [right]) == [late]
+    assert detection_times_ms([death, late], "b", 4_500.0, "ac") == {"a": 500.0, "c": 1_501.0}
+    back = [
+        ObservedChange(7_000.0, "a", MemberChange.JOINED, "b"),
+        ObservedChange(8_000.0, "c", MemberChange.JOINED, "b"),
+    ]
+    assert convergence_time_ms([*joined, death, late], 4_000.0, "abc") is None
+    assert convergence_time_ms([*joined, death, late, *back], 7_500.0, "abc") == 500.0
     assert (
-        agreed_ms([*joined, Seen(9.0, "a", MemberChange.SUSPECTED, "b")], 0.0, "abc") == 0.0
+        convergence_time_ms([*joined, ObservedChange(9.0, "a", MemberChange.SUSPECTED, "b")], 0.0, "abc")
+        == 0.0
     )  # a member still
 
 
@@ -193,8 +214,8 @@
         {"event": "serving"},
         line(7, "module"),
     ]
-    seen = from_log("a", log)
-    assert [(s.change, s.name) for s in seen] == [
+    seen = changes_from_log("a", log)
+    assert [(s.change, s.member) for s in seen] == [
         (MemberChange.JOINED, "b"),
         (MemberChange.LEFT, "b"),
         (MemberChange.JOINED, "b"),
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -205,7 +205,7 @@
 
 
 def history_of(net: Net) -> str:
-    lines = [f"{seen.at_ms!r} {seen.by} {seen.change.value} {seen.name}" for seen in net.seen]
+    lines = [f"{seen.at_ms!r} {seen.observer} {seen.change.value} {seen.member}" for seen in net.seen]
     return hashlib.sha256("\n".join(lines).encode()).hexdigest()
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -72,7 +72,7 @@
             net.stop("m2", 6_000.0)
             net.run(3_000.0)
             self.assertEqual(
-                {seen.by for seen in net.changes(MemberChange.STALLED, "m2")}, {"m0", "m1", "m3"}
+                {seen.observer for seen in net.changes(MemberChange.STALLED, "m2")}, {"m0", "m1", "m3"}
             )
             self.assertEqual(
                 {n: set(net.nodes[n].core.responsive_weights()) for n in ("m0", "m1", "m3")},
@@ -91,7 +91,7 @@
             net.run(5_000.0)
             self.assertEqual(len(net.changes(MemberChange.DIED, "m2")), 3)
             self.settle(net)
-            self.assertEqual([s for s in net.changes(MemberChange.DIED) if s.by == "m2"], [])
+            self.assertEqual([s for s in net.changes(MemberChange.DIED) if s.observer == "m2"], [])
 
     def test_one_that_stalls_and_is_then_killed_is_found_dead_before_its_stall_is_over(self) -> None:
         net = cluster(4, 1)
@@ -115,7 +115,7 @@
                 net = cluster(5, seed)
                 net.blocked = lambda s, t, out=out: (s if out else t) == "m4"  # type: ignore[misc]
                 net.run(10_000.0)
-                wrong = [s for s in net.changes(MemberChange.DIED) if s.name != "m4" and s.by != "m4"]
+                wrong = [s for s in net.changes(MemberChange.DIED) if s.member != "m4" and s.observer != "m4"]
                 self.assertEqual(wrong, [])
                 if out:  # whom all hear and who hears nobody may be held either way
                     self.assertNotIn("m4", net.live_as_seen_by("m0"))
@@ -147,7 +147,9 @@
             self.assertTrue(net.agreed(), seed)
             sides = ({"m0", "m1"}, {"m2", "m3", "m4"})
             wrong = [
-                s for s in net.changes(MemberChange.DIED) if any({s.by, s.name} <= side for side in sides)
+                s
+                for s in net.changes(MemberChange.DIED)
+                if any({s.observer, s.member} <= side for side in sides)
             ]
             self.assertEqual(wrong, [])
 
--- a/tests/test_members_busy.py
+++ b/tests/test_members_busy.py
@@ -10,7 +10,7 @@
 from gladewalk.faultnet.membership_cases import CASES
 from gladewalk.members.actions import ProbeOutcome, SendDatagram
 from gladewalk.members.config import MembershipConfig
-from gladewalk.members.history import wrong_deaths
+from gladewalk.members.history import unexpected_deaths
 from gladewalk.members.loop_delay import GRACE_FACTOR, HALF_LIFE_MS, MIN_DELAY_MS, READ_MS, LoopDelay
 from gladewalk.members.messages import MemberState
 from gladewalk.rehearsal.member_network import cluster, play
@@ -42,7 +42,9 @@
         faults = case.faults(names)
         play(net, faults)
         net.run(12_000.0)
-        assert not wrong_deaths(net.seen, causes_of(faults, names, begun, MembershipConfig().max_stall_ms)), (
+        assert not unexpected_deaths(
+            net.seen, causes_of(faults, names, begun, MembershipConfig().max_stall_ms)
+        ), (
             most_ms,
             seed,
         )
