--- /dev/null
+++ b/tests/test_members_authenticator.py
@@ -0,0 +1,138 @@
+"""Message authentication: forgery, replay, time window, key rings, and bounds of what is sent and read."""
+
+import random
+import tempfile
+from pathlib import Path
+
+import pytest
+
+from gladewalk.config.platform import ConfigError
+from gladewalk.members.actions import SendDatagram
+from gladewalk.members.authenticator import (
+    OVERHEAD_BYTES,
+    DropReason,
+    MessageAuthenticator,
+    key_from_secret,
+    load_key_ring,
+)
+from gladewalk.members.errors import MalformedMessageError
+from gladewalk.members.messages import (
+    MAX_DATAGRAM_BYTES,
+    MemberState,
+    MemberUpdate,
+    Ping,
+    decode,
+    encode,
+)
+from gladewalk.rehearsal.member_network import START_MS, Net, cluster
+from tests.membership_checks import assert_no_deaths, settle
+
+KEY = key_from_secret(b"k" * 32)
+PING = encode(Ping(sender="a", run_id=1, sequence=2, target="b", target_run_id=3))
+
+
+@pytest.fixture
+def signer() -> MessageAuthenticator:
+    return MessageAuthenticator((KEY,), 1_000.0)
+
+
+@pytest.fixture
+def verifier() -> MessageAuthenticator:
+    return MessageAuthenticator((KEY,), 1_000.0)
+
+
+def test_a_change_at_any_byte_is_dropped(
+    signer: MessageAuthenticator, verifier: MessageAuthenticator
+) -> None:
+    good = signer.sign(PING, START_MS, 7)
+    for place in range(len(good)):
+        bad = good[:place] + bytes([good[place] ^ 1]) + good[place + 1 :]
+        assert isinstance(verifier.verify(bad, START_MS), DropReason), place
+    for length in range(len(good)):
+        assert isinstance(verifier.verify(good[:length], START_MS), DropReason), length
+    assert verifier.verify(good, START_MS) == PING
+
+
+def test_stale_future_and_replayed_datagrams_are_dropped(
+    signer: MessageAuthenticator, verifier: MessageAuthenticator
+) -> None:
+    good = signer.sign(PING, START_MS, 7)
+    assert verifier.verify(good, START_MS + 1_001.0) is DropReason.STALE
+    assert verifier.verify(good, START_MS - 1_001.0) is DropReason.STALE
+    assert verifier.verify(good, START_MS + 999.0) == PING
+    assert verifier.verify(good, START_MS + 999.0) is DropReason.REPLAYED
+    assert verifier.verify(bytes(MAX_DATAGRAM_BYTES + 1), START_MS) is DropReason.OVERSIZED
+    again = signer.sign(PING, START_MS, 8)  # the same words anew are no replay
+    assert verifier.verify(again, START_MS) == PING
+
+
+def test_a_full_replay_memory_accepts_nothing(signer: MessageAuthenticator) -> None:
+    small = MessageAuthenticator((KEY,), 1_000.0, max_replay_tags=2)
+    signed = [signer.sign(PING, START_MS, n) for n in range(3)]
+    found = [small.verify(data, START_MS) for data in (*signed, signed[0])]
+    assert found == [PING, PING, DropReason.REPLAYED, DropReason.REPLAYED]
+    late = signer.sign(PING, START_MS + 2_500.0, 9)
+    assert small.verify(late, START_MS + 2_500.0) == PING
+
+
+def test_a_key_rotation_under_loss_causes_no_deaths() -> None:
+    old, new = key_from_secret(b"o" * 32), key_from_secret(b"n" * 32)
+    net = Net(4)
+    for n in range(4):
+        net.start(f"m{n}", ("m0",) if n else (), keys=(old,))
+    net.run(4_000.0)
+    net.loss = 0.1
+    for ring in ((old, new), (new, old), (new,)):  # known to all, then signing, then alone
+        for node in net.nodes.values():
+            node.seal.replace_keys(ring)
+            net.run(1_500.0)
+    settle(net)
+    assert_no_deaths(net)
+    assert net.refused[DropReason.UNKNOWN_KEY] == 0
+
+
+def test_no_datagram_is_too_large_whatever_is_known() -> None:
+    net = cluster(40, 2, settle_ms=4_000.0)
+    for node in net.nodes.values():
+        (action,) = node.core.on_sync_failed(("10.0.0.1", 1))
+        assert isinstance(action, SendDatagram)
+        size_bytes = len(encode(action.message)) + OVERHEAD_BYTES
+        assert size_bytes <= MAX_DATAGRAM_BYTES
+
+
+def test_noise_is_malformed_and_raises_nothing_else() -> None:
+    draw = random.Random(1)
+    update = MemberUpdate("b", "10.0.0.1", 1, 2, 3, MemberState.ALIVE)
+    good = encode(Ping(sender="a", run_id=1, target="b", target_run_id=3, updates=[update]))
+    for _ in range(3_000):
+        data = bytearray(good)
+        for _ in range(draw.randrange(1, 4)):
+            data[draw.randrange(len(data))] = draw.randrange(256)
+        try:
+            decode(bytes(data[: draw.randrange(1, len(data) + 1)]))
+        except MalformedMessageError:
+            continue
+
+
+def test_a_key_ring_file_is_checked_and_no_key_is_shown() -> None:
+    secret = "ab" * 32
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "keys"
+        for text, mode, why in (
+            (secret, 0o644, "others than its owner may read it"),
+            ("", 0o600, "no key"),
+            ("zz" * 32, 0o600, "key 1 is not"),
+            ("ab" * 31, 0o600, "key 1 is not"),
+            (f"{secret}\n{secret}", 0o600, "twice"),
+        ):
+            path.write_text(text)
+            path.chmod(mode)
+            with pytest.raises(ConfigError) as caught:
+                load_key_ring(path)
+            assert why in str(caught.value)
+            assert secret[:8] not in str(caught.value)
+        path.write_text(f"# the second one is on its way out\n{secret}\n{'cd' * 40}\n")
+        path.chmod(0o600)
+        keys = load_key_ring(path)
+    assert [len(key.secret) for key in keys] == [32, 40]
+    assert secret[:8] not in repr(keys) + str(keys[0])
--- /dev/null
+++ b/tests/test_members_transport.py
@@ -0,0 +1,110 @@
+"""Members on loopback sockets: datagrams, streams, counters and what strangers get."""
+
+import asyncio
+import ipaddress
+import random
+import unittest
+
+from gladewalk.core.counters import Counters
+from gladewalk.director import Turn
+from gladewalk.members.authenticator import MessageAuthenticator, key_from_secret
+from gladewalk.members.config import MembershipConfig
+from gladewalk.members.messages import Digest, UserEvent, encode
+from gladewalk.members.stream import LENGTH
+from gladewalk.members.swim import Membership
+from gladewalk.members.transport import MembershipTransport
+from gladewalk.net.outside import unix_ms
+from gladewalk.rehearsal.peers import until
+
+
+class Loopback(unittest.IsolatedAsyncioTestCase):
+    async def start(
+        self, name: str, seeds: tuple[tuple[str, int], ...], key: bytes = b"k" * 32
+    ) -> MembershipTransport:
+        deadlines = Turn(asyncio.get_running_loop(), unix_ms).deadlines
+        address = ("127.0.0.1", 0)
+        core = Membership(name, address, seeds, MembershipConfig(), random.Random(name), unix_ms())
+        networks = (ipaddress.ip_network("127.0.0.0/8"),)
+        authenticator = MessageAuthenticator((key_from_secret(key),), 30_000.0)
+        members = MembershipTransport(core, authenticator, networks, unix_ms, deadlines, Counters())
+        await members.listen()
+        return members
+
+    async def test_members_meet_share_events_and_see_a_departure_and_a_death(self) -> None:
+        first = await self.start("a", ())
+        seeds = (("127.0.0.1", first.core.local.port),)
+        second, third = await self.start("b", seeds), await self.start("c", seeds)
+        all_three = {"a": 1.0, "b": 1.0, "c": 1.0}
+        await until(lambda: all(m.core.live_weights() == all_three for m in (first, second, third)))
+        events: list[UserEvent] = []
+        third.on_event = events.append
+        first.publish_event(UserEvent("load/box-1", "a", 1, unix_ms(), "ok", 1.5, {"util": 0.25}))
+        await until(lambda: bool(events))
+        assert (events[0].task, events[0].load) == ("load/box-1", {"util": 0.25})
+        second.leave()
+        await until(lambda: first.core.live_weights() == third.core.live_weights() == {"a": 1.0, "c": 1.0})
+        assert first.counters["members.left"] == 1
+        assert third._transport is not None
+        third.close()  # without a word
+        await until(lambda: first.core.live_weights() == {"a": 1.0})
+        assert first.counters["members.died"] == 1
+        first.leave()
+
+    async def test_strangers_without_a_key_or_from_another_network_get_no_answer(self) -> None:
+        member = await self.start("a", ())
+        stranger = await self.start("b", (("127.0.0.1", member.core.local.port),), key=b"x" * 32)
+        await until(lambda: member.counters["members.dropped.unknown_key"] > 0)
+        member.networks = (ipaddress.ip_network("10.0.0.0/8"),)
+        await until(lambda: member.counters["members.dropped.network"] > 0)
+        assert stranger.counters["members.datagrams"] == 0
+        assert member.core.live_weights() == {"a": 1.0}
+        member.leave()
+        stranger.leave()
+
+    async def test_a_synchronization_delivers_what_datagrams_lost(self) -> None:
+        first = await self.start("a", ())
+        second = await self.start("b", (("127.0.0.1", first.core.local.port),))
+        await until(lambda: len(first.core.live_weights()) == len(second.core.live_weights()) == 2)
+        await until(lambda: not second.streams.is_syncing and not first.streams.is_syncing)
+        for n in range(300):  # far more than a datagram holds; none of it is ever gossiped
+            first.core.dissemination.learn_event(UserEvent(f"load/box-{n}", "a", 1, unix_ms(), "ok", 1.0))
+        first.core.dissemination.queued_events.clear()
+        events: list[UserEvent] = []
+        second.on_event = events.append
+        second.streams.start_sync(("127.0.0.1", first.core.local.port))
+        await until(lambda: len(events) == 300)
+        await until(lambda: not second.streams.is_syncing)
+        before = second.counters["members.exchanges_same"]
+        second.streams.start_sync(("127.0.0.1", first.core.local.port))
+        await until(lambda: second.counters["members.exchanges_same"] == before + 1)
+        assert len(events) == 300
+        first.leave()
+        second.leave()
+
+    async def test_noise_and_strangers_on_a_stream_are_disconnected_without_an_answer(self) -> None:
+        member = await self.start("a", ())
+        stranger = MessageAuthenticator((key_from_secret(b"x" * 32),), 30_000.0)
+        digest = encode(Digest(sender="b", run_id=1, digest=2))
+        good = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0).sign(digest, unix_ms(), 1)
+        for data, why in (
+            (b"\xff\xff\xff\xff", "oversized"),
+            (LENGTH.pack(4) + b"noise", "malformed"),
+            (LENGTH.pack(len(good)) + stranger.sign(digest, unix_ms(), 1), "unknown_key"),
+            (LENGTH.pack(len(good)) + bytes([*good[:-1], good[-1] ^ 1]), "forged"),
+        ):
+            reader, writer = await asyncio.open_connection("127.0.0.1", member.core.local.port)
+            writer.write(data)
+            assert await reader.read() == b"", why
+            assert member.counters[f"members.dropped.{why}"] == 1
+            writer.close()
+        reader, writer = await asyncio.open_connection("127.0.0.1", member.core.local.port)
+        writer.write(LENGTH.pack(len(good)) + good)
+        assert len(await reader.read(4)) > 0
+        writer.close()  # in the middle of an exchange
+        await until(lambda: member.counters["members.exchanges_broken"] == 1)
+        again, writer = await asyncio.open_connection("127.0.0.1", member.core.local.port)
+        writer.write(LENGTH.pack(len(good)) + good)  # somebody who has recorded it says it once more
+        assert await again.read() == b""
+        assert member.counters["members.dropped.replayed"] == 1
+        writer.close()
+        member.leave()
