Fault cases and two benchmarks of membership: typed results, small functions, standard terms

Case -> FaultCase with durations, victims and what must come of it; benchmarks.members has dataclasses in place of tuples.

--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -1,11 +1,11 @@
-"""Membership at sizes that sockets don't reach, in virtual time: deaths found, wrong ones, traffic.
+"""Membership at sizes that sockets don't reach, in virtual time: detection, false suspicions, traffic.
 
     python -m benchmarks.members [--sizes 4,16,64,256] [--seeds 5] [--plot FILE.png]
 
-One member of each cluster is killed at a drawn moment. Printed are the times until the first and until all
-of the others hold it dead, wrong suspicions and deaths at 0, 10 and 30 % loss for each member and minute,
-and bytes and datagrams a second for each member. 1,024 members take some minutes a seed. `--plot` needs
-matplotlib.
+One member of each fleet is killed at a random moment. Printed are the times until the first and until all of
+the others declared it dead; suspicions and deaths of live members at 0, 10 and 30 % loss, for each member and
+minute; and bytes and datagrams a second for each member. 1,024 members take some minutes a seed. `--plot`
+needs matplotlib.
 """
 
 from __future__ import annotations
@@ -15,93 +15,155 @@
 import statistics
 import sys
 import time
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 from gladewalk.members.actions import MemberChange
+from gladewalk.members.history import ObservedChange
 from gladewalk.rehearsal.member_network import Net, cluster
 
-LOSSES = (0.0, 0.1, 0.3)
+LOSS_RATES = (0.0, 0.1, 0.3)
+SETTLE_MS = 8_000.0
 QUIET_MS = 10_000.0
 LOSSY_MS = 20_000.0
+MAX_DETECTION_MS = 30_000.0  # a death that takes longer counts as this
+SAME_INCIDENT_MS = 2_000.0  # observations of one member within such a span count once
+MS_PER_MINUTE = 60_000.0
 
 
-def traffic(net: Net, ms: float) -> tuple[float, float]:
-    """Bytes and datagrams a second for each member."""
-    before, sent = sum(net.bytes.values()), sum(net.sent.values())
-    net.run(ms)
-    count = len(net.nodes) * ms / 1_000.0
-    return (sum(net.bytes.values()) - before) / count, (sum(net.sent.values()) - sent) / count
+@dataclass(slots=True, frozen=True)
+class Traffic:
+    """Load of one member: bytes and datagrams a second."""
 
+    bytes_per_second: float
+    datagrams_per_second: float
 
-def death(net: Net, draw: random.Random) -> tuple[float, float]:
-    """Until the first and until all others hold a killed member dead, in ms."""
-    net.run(draw.uniform(0.0, 1_000.0))
-    killed = net.now
+
+@dataclass(slots=True, frozen=True)
+class Detection:
+    """Times from a kill until the first and until all of the others declared the member dead."""
+
+    first_ms: float
+    all_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class FalseAlarms:
+    """Suspicions and deaths of live members, for each member and minute."""
+
+    suspicions: float
+    deaths: float
+
+
+@dataclass(slots=True, frozen=True)
+class SizeResult:
+    """Medians and means over the seeds of one fleet size."""
+
+    members: int
+    median_detection_ms: float
+    bytes_per_second: float
+
+
+def measure_traffic(net: Net, duration_ms: float) -> Traffic:
+    """Lets virtual time pass and measures what members send meanwhile."""
+    bytes_before, datagrams_before = sum(net.bytes.values()), sum(net.sent.values())
+    net.run(duration_ms)
+    member_seconds = len(net.nodes) * duration_ms / 1_000.0
+    return Traffic(
+        (sum(net.bytes.values()) - bytes_before) / member_seconds,
+        (sum(net.sent.values()) - datagrams_before) / member_seconds,
+    )
+
+
+def measure_detection(net: Net, rng: random.Random) -> Detection:
+    """Kills a member at a random moment and waits until all others have declared it dead."""
+    net.run(rng.uniform(0.0, 1_000.0))
+    killed_ms = net.now
     net.kill("m1")
-    others = len(net.nodes) - 1
-    while len(found := net.changes(MemberChange.DIED, "m1", killed)) < others and net.now < killed + 30_000.0:
+    observers = len(net.nodes) - 1
+    while len(deaths := net.changes(MemberChange.DIED, "m1", killed_ms)) < observers:
+        if net.now >= killed_ms + MAX_DETECTION_MS:
+            break
         net.run(50.0)
-    times = [seen.at_ms - killed for seen in found]
-    return (min(times), max(times)) if len(times) == others else (min(times, default=30e3), 30e3)
+    times_ms = [death.at_ms - killed_ms for death in deaths]
+    first_ms = min(times_ms, default=MAX_DETECTION_MS)
+    return Detection(first_ms, max(times_ms) if len(times_ms) == observers else MAX_DETECTION_MS)
 
 
-def wrong(size: int, seed: int, loss: float) -> tuple[float, float]:
-    """Suspicions and deaths of members that live, for each of them and each minute."""
+def measure_false_alarms(size: int, seed: int, loss_rate: float) -> FalseAlarms:
+    """Counts suspicions and deaths of members that all live, under loss."""
     net = cluster(size, seed)
     net.seen.clear()
-    net.loss = loss
+    net.loss = loss_rate
     net.run(LOSSY_MS)
-    minutes = size * LOSSY_MS / 60_000.0
-    told = {(s.member, s.at_ms // 2_000.0) for s in net.changes(MemberChange.SUSPECTED)}
-    dead = {(s.member, s.at_ms // 2_000.0) for s in net.changes(MemberChange.DIED)}
-    return len(told) / minutes, len(dead) / minutes
-
-
-def main() -> int:
-    parser = argparse.ArgumentParser(description="Membership in virtual time.")
-    parser.add_argument("--sizes", default="4,16,64,256")
-    parser.add_argument("--seeds", type=int, default=5)
-    parser.add_argument("--plot")
-    given = parser.parse_args()
-    rows = []
-    print("members  first ms  all ms p50  all ms max  bytes/s  datagrams/s  "
-          "wrongly suspected, dead a member-minute at 0 / 10 / 30 % loss  s")  # fmt: skip
-    for size in map(int, given.sizes.split(",")):
-        started, firsts, alls, loads = time.time(), [], [], []
-        for seed in range(given.seeds):
-            net = cluster(size, seed, settle_ms=8_000.0)
-            loads.append(traffic(net, QUIET_MS))
-            first, every = death(net, random.Random(seed))
-            firsts.append(first)
-            alls.append(every)
-        rates = [wrong(size, 1, loss) for loss in LOSSES]
-        shown = "  ".join(f"{s:.2f}, {d:.2f}" for s, d in rates)
-        size_bytes = statistics.mean(load[0] for load in loads)
-        datagrams = statistics.mean(load[1] for load in loads)
-        print(f"{size:7}  {statistics.median(firsts):8.0f}  {statistics.median(alls):10.0f}  "
-              f"{max(alls):10.0f}  {size_bytes:7.0f}  {datagrams:11.1f}  {shown}  "
-              f"{time.time() - started:.0f}", flush=True)  # fmt: skip
-        rows.append((size, statistics.median(alls), size_bytes))
-    if given.plot:
-        draw(rows, given.plot)
-    return 0
-
-
-def draw(rows: list[tuple[int, float, float]], path: str) -> None:
+    member_minutes = size * LOSSY_MS / MS_PER_MINUTE
+    return FalseAlarms(
+        count_incidents(net.changes(MemberChange.SUSPECTED)) / member_minutes,
+        count_incidents(net.changes(MemberChange.DIED)) / member_minutes,
+    )
+
+
+def count_incidents(changes: Iterable[ObservedChange]) -> int:
+    """Counts the observed members; what several observe at about the same time counts once."""
+    return len({(observed.member, observed.at_ms // SAME_INCIDENT_MS) for observed in changes})
+
+
+def measure_size(size: int, seeds: int) -> SizeResult:
+    """Measures and prints one fleet size."""
+    started = time.time()
+    loads, detections = [], []
+    for seed in range(seeds):
+        net = cluster(size, seed, settle_ms=SETTLE_MS)
+        loads.append(measure_traffic(net, QUIET_MS))
+        detections.append(measure_detection(net, random.Random(seed)))
+    alarms = [measure_false_alarms(size, 1, loss_rate) for loss_rate in LOSS_RATES]
+    first_ms = statistics.median(detection.first_ms for detection in detections)
+    all_ms = [detection.all_ms for detection in detections]
+    bytes_per_second = statistics.mean(load.bytes_per_second for load in loads)
+    datagrams_per_second = statistics.mean(load.datagrams_per_second for load in loads)
+    shown = "  ".join(f"{alarm.suspicions:.2f}, {alarm.deaths:.2f}" for alarm in alarms)
+    print(
+        f"{size:7}  {first_ms:8.0f}  {statistics.median(all_ms):10.0f}  {max(all_ms):10.0f}  "
+        f"{bytes_per_second:7.0f}  {datagrams_per_second:11.1f}  {shown}  {time.time() - started:.0f}",
+        flush=True,
+    )
+    return SizeResult(size, statistics.median(all_ms), bytes_per_second)
+
+
+def draw(results: list[SizeResult], path: str) -> None:
+    """Plots detection times and traffic over the fleet size."""
     import matplotlib
 
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
     figure, (left, right) = pyplot.subplots(1, 2, figsize=(9, 3.5))
-    sizes = [row[0] for row in rows]
-    left.plot(sizes, [row[1] for row in rows], "o-")
+    sizes = [result.members for result in results]
+    left.plot(sizes, [result.median_detection_ms for result in results], "o-")
     left.axhline(2_000.0, color="grey", linestyle=":")
-    left.set(xscale="log", xlabel="members", ylabel="ms until all hold a dead one dead", ylim=(0, None))
-    right.plot(sizes, [row[2] for row in rows], "o-")
+    left.set(xscale="log", xlabel="members", ylabel="ms until all declare a dead one dead", ylim=(0, None))
+    right.plot(sizes, [result.bytes_per_second for result in results], "o-")
     right.set(xscale="log", xlabel="members", ylabel="bytes a second, each member", ylim=(0, None))
     figure.tight_layout()
     figure.savefig(path, dpi=110)
 
 
+def main() -> int:
+    """Runs the benchmark; returns the exit code."""
+    parser = argparse.ArgumentParser(description="Membership in virtual time.")
+    parser.add_argument("--sizes", default="4,16,64,256")
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--plot")
+    options = parser.parse_args()
+    print(
+        "members  first ms  all ms p50  all ms max  bytes/s  datagrams/s  "
+        "wrongly suspected, dead a member-minute at 0 / 10 / 30 % loss  s"
+    )
+    results = [measure_size(int(size), options.seeds) for size in options.sizes.split(",")]
+    if options.plot:
+        draw(results, options.plot)
+    return 0
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -25,7 +25,7 @@
 
 from gladewalk.faultnet.causes import causes_of
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.membership_cases import CASES, Case
+from gladewalk.faultnet.membership_cases import CASES, FaultCase
 from gladewalk.faultnet.nemesis import play
 from gladewalk.members.config import MembershipConfig
 from gladewalk.members.history import (
@@ -46,7 +46,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Result:
-    case: Case
+    case: FaultCase
     members: int
     wrong: int
     detect_ms: tuple[float, ...]
@@ -63,7 +63,7 @@
 
 
 def judged(
-    case: Case,
+    case: FaultCase,
     names: tuple[str, ...],
     seen: list[ObservedChange],
     begun_ms: float,
@@ -73,7 +73,7 @@
     ended = begun_ms + max(fault.at_ms + fault.ms for fault in faults)
     wrong = unexpected_deaths(seen, causes_of(faults, names, begun_ms, STALL_MS))
     times: tuple[float, ...] = ()
-    if case.found_dead:
+    if case.must_be_found_dead:
         victim = faults[0].who[0]
         found = detection_times_ms(seen, victim, begun_ms, set(names) - {victim})
         times = (*found.values(), *[math.inf] * (len(names) - 1 - len(found)))
@@ -96,7 +96,7 @@
     return True
 
 
-async def across_processes(case: Case, n: int, seed: int, gate: asyncio.Semaphore) -> Result:
+async def across_processes(case: FaultCase, n: int, seed: int, gate: asyncio.Semaphore) -> Result:
     names = tuple(f"n{i}" for i in range(n))
     async with gate:
         coordinator = await Coordinator().start()
@@ -123,7 +123,7 @@
         return result
 
 
-def in_memory(case: Case, size: int, seed: int) -> Result:
+def in_memory(case: FaultCase, size: int, seed: int) -> Result:
     net = cluster(size, seed, settle_ms=8_000.0)
     begun, names = net.now, tuple(net.nodes)
     before, sent = sum(net.bytes.values()), sum(net.sent.values())
@@ -172,7 +172,7 @@
 async def all_across(sizes: list[int], runs: int) -> list[Result]:
     gate = asyncio.Semaphore(AT_A_TIME)
     work = [across_processes(case, n, run, gate) for n in sizes for run in range(runs) for case in CASES
-            if n > max(case.who, default=0)]  # fmt: skip
+            if n > max(case.victims, default=0)]  # fmt: skip
     return list(await asyncio.gather(*work))
 
 
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -14,7 +14,7 @@
 
 from gladewalk.faultnet.causes import causes_of
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.membership_cases import CASES, Case
+from gladewalk.faultnet.membership_cases import CASES, FaultCase
 from gladewalk.faultnet.nemesis import play
 from gladewalk.faultnet.schedule import Fault
 from gladewalk.members.actions import MemberChange
@@ -45,7 +45,7 @@
     return sum(line["event"] == "members_listening" for line in fleet.log_of(name))
 
 
-async def run_case(case: Case, n: int = 5) -> str:
+async def run_case(case: FaultCase, n: int = 5) -> str:
     """What went wrong in it; empty if nothing did."""
     coordinator = await Coordinator().start()
     with tempfile.TemporaryDirectory() as folder:
@@ -68,7 +68,7 @@
             wrong = unexpected_deaths(seen, causes_of(faults, fleet.names, begun, STALL_MS))
             victim = faults[0].who[0] if faults[0].who else ""
             found = detection_times_ms(seen, victim, begun, set(fleet.names) - {victim})
-            if wrong or (case.found_dead and len(found) < n - 1) or not all_met(fleet):
+            if wrong or (case.must_be_found_dead and len(found) < n - 1) or not all_met(fleet):
                 return f"{case.name}: wrong {wrong}, found dead by {found}: {told(seen)}"
         finally:
             await fleet.close()
@@ -168,7 +168,7 @@
                 wrong = unexpected_deaths(net.seen, causes_of(faults, names, begun, STALL_MS))
                 assert not wrong, (case.name, size, seed, wrong[:4])
                 assert convergence_time_ms(net.seen, begun, names) is not None, (case.name, size, seed)
-                if case.found_dead:
+                if case.must_be_found_dead:
                     victim = faults[0].who[0]
                     found = detection_times_ms(net.seen, victim, begun, set(names) - {victim})
                     assert len(found) == size - 1, (case.name, size, seed, found)
