--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -18,7 +18,7 @@
 import structlog
 
 from ..core.counters import Counters
-from ..core.deadlines import Deadlines, Key
+from ..core.deadlines import DeadlineKey, Deadlines
 from ..members.authenticator import DropReason, MessageAuthenticator
 from ..members.messages import MAX_DATAGRAM_BYTES
 from .candidate import Candidate
@@ -62,7 +62,7 @@
         self.seal, self.rows, self.clock, self.wall = seal, rows, clock, wall
         self.deadlines, self.counters = deadlines, counters
         self.transport: asyncio.DatagramTransport | None = None
-        self.timer: Key | None = None
+        self.timer: DeadlineKey | None = None
         self.random = random.SystemRandom()
         self.refused_at: dict[tuple[str, str], float] = {}  # (duty, candidate) -> when it was last a line
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -417,7 +417,7 @@
         await until(lambda: len(heard) == 5)
         for director in directors:
             director.front.close()
-            director.follower.close()
+            director.coordinator_watch.close()
             if director.members is not None and director.members is not members:
                 director.members.leave()
         for peer in (*boxes, parent):
@@ -425,11 +425,11 @@
         coordinator.stop()
 
     def note_results(self, director: Director, results: list[api.HealthCheckResult]) -> None:
-        feed = director.exchange.feed
+        feed = director.exchange.handle_event
 
         def note(event: api.Event) -> None:
             if isinstance(event, api.HealthCheckResult):
                 results.append(event)
             feed(event)
 
-        director.exchange.feed = note  # type: ignore[method-assign]
+        director.exchange.handle_event = note  # type: ignore[method-assign]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -12,7 +12,7 @@
 
 from gladewalk.config.platform import ConfigError, read_address
 from gladewalk.core.deadlines import Deadlines
-from gladewalk.daemon import Quiet
+from gladewalk.daemon import NonBlockingLog
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Rehearsal,
@@ -66,17 +66,17 @@
 
     def test_lines_are_whole_or_counted_as_lost(self) -> None:
         reading, writing = os.pipe()
-        log = Quiet(writing)
+        log = NonBlockingLog(writing)
         log.write("one\n")
         self.assertEqual(os.read(reading, 100), b"one\n")
         os.close(reading)
         log.write("two\n")  # its reader has gone
-        self.assertEqual(log.lost, 1)
+        self.assertEqual(log.dropped_lines, 1)
         os.close(writing)
         reading, writing = filled()
-        log = Quiet(writing)
+        log = NonBlockingLog(writing)
         log.write("three\n")
-        self.assertEqual(log.lost, 1)
+        self.assertEqual(log.dropped_lines, 1)
         os.close(reading)
         os.close(writing)
 
@@ -113,11 +113,11 @@
         async with Rehearsal([ScriptedPeer(hit)]) as world:
             director = world.director
             assert director is not None
-            follower, good = director.follower, director.follower.address
+            watch, good = director.coordinator_watch, director.coordinator_watch.address
             await until(lambda: len(world.coordinator.follows) == 1)
-            follower.move(("a..b", 80))
+            watch.set_address(("a..b", 80))
             await until(lambda: director.counters["coordinator.connects"] >= 3)
-            follower.address = good
+            watch.address = good
             await until(lambda: len(world.coordinator.follows) == 2)
             director.caches.upstreams["c1"].address = ("a..b", 80)
             status, _, _ = await world.ask()
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -148,7 +148,7 @@
             await until(lambda: w.director is not None and len(w.director.caches.lanes[0].waiting) == 1)
             box.state = "DRAINING"
             w.coordinator.tell_list(box)
-            await until(lambda: w.director is not None and w.director.feed.last == 2)
+            await until(lambda: w.director is not None and w.director.endpoint_feed.last_index == 2)
             held[0].answer(200, BYTES)
             self.assertEqual((await first)[0], 200)
             self.assertEqual((await second)[0], 503)
@@ -161,7 +161,7 @@
         async with world(old) as w:
             self.assertEqual((await w.ask())[0], 200)
             w.coordinator.tell_list(new)
-            await until(lambda: w.director is not None and w.director.feed.last == 2)
+            await until(lambda: w.director is not None and w.director.endpoint_feed.last_index == 2)
             self.assertEqual((await w.ask())[0], 200)
             await until(lambda: not old.lines)
         new.stop()
@@ -319,17 +319,17 @@
             assert w.director is not None
             reader, writer = await w.client()
             exchange = w.director.exchange
-            real = exchange.head
+            real = exchange.response_started
 
             def head_then_pause(attempt: object, head: object) -> bool:
                 good = real(attempt, head)  # type: ignore[arg-type]
-                exchange.flow(attempt.taken.number, False)  # type: ignore[attr-defined]
+                exchange.flow(attempt.open_request.number, False)  # type: ignore[attr-defined]
                 return good
 
-            exchange.head = head_then_pause  # type: ignore[method-assign]
+            exchange.response_started = head_then_pause  # type: ignore[method-assign]
             writer.write(request("/invoke/lot-video/1"))
             await reader.readuntil(b"\r\n\r\n")
-            (taken,) = exchange.taken.values()
+            (taken,) = exchange.open_requests.values()
             self.assertEqual(len(await reader.readexactly(8_192)), 8_192)
             await asyncio.sleep(0.05)
             self.assertEqual(len(reader._buffer), 0)  # type: ignore[attr-defined]
@@ -517,7 +517,7 @@
             self.assertIsNone(w.director.caches.upstreams["c1"].lane)
             fallbacks["c1"].until_ms = 0.0
             box.script = serve
-            w.director.exchange.core.servers["c1"].backoff_until_ms = 0.0
+            w.director.exchange.core.state.registry.servers["c1"].backoff_until_ms = 0.0
             await until(lambda: len(box.heard) >= 1)
             for n in range(8):
                 await page(w, n, wait_ms=20_000.0)
--- a/tests/test_members_transport.py
+++ b/tests/test_members_transport.py
@@ -6,14 +6,14 @@
 import unittest
 
 from gladewalk.core.counters import Counters
-from gladewalk.director import Turn
+from gladewalk.director import LoopTimer
 from gladewalk.members.authenticator import MessageAuthenticator, key_from_secret
 from gladewalk.members.config import MembershipConfig
 from gladewalk.members.messages import Digest, UserEvent, encode
 from gladewalk.members.stream import LENGTH
 from gladewalk.members.swim import Membership
 from gladewalk.members.transport import MembershipTransport
-from gladewalk.net.outside import unix_ms
+from gladewalk.net.environment import unix_ms
 from gladewalk.rehearsal.peers import until
 
 
@@ -21,7 +21,7 @@
     async def start(
         self, name: str, seeds: tuple[tuple[str, int], ...], key: bytes = b"k" * 32
     ) -> MembershipTransport:
-        deadlines = Turn(asyncio.get_running_loop(), unix_ms).deadlines
+        deadlines = LoopTimer(asyncio.get_running_loop(), unix_ms).deadlines
         address = ("127.0.0.1", 0)
         core = Membership(name, address, seeds, MembershipConfig(), random.Random(name), unix_ms())
         networks = (ipaddress.ip_network("127.0.0.0/8"),)
