The benchmark of membership's fault cases: typed results, small functions, standard terms

Tuples between functions become Traffic, TrafficCount and Result; a case is played in a function of its own. The printed lines stay.

Between processes it was not run.

--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -1,14 +1,14 @@
-"""Membership under its hard cases: wrong deaths, times to detect and to agree, between processes, in memory.
+"""Membership under its fault cases: unexpected deaths, detection, convergence; in processes or simulated.
 
     python -m benchmarks.members_faults [--quick] [--directors 3 5 7] [--runs N] [--plot FILE.png]
     python -m benchmarks.members_faults --memory 64,256,1024 [--plot FILE.png]
 
 Each case of `faultnet/membership_cases.py` is played to a fleet of processes with relays between every
-ordered pair, four fleets at a time; `--quick` is 5 directors once. A line a case: deaths that nothing
-accounts for, the times until each other member held a victim dead, until all held all for members again once
-the fault was over (0: nobody was ever lost), and bytes and datagrams a second for each member while it was
-played. The last line sums up: `converge_max_ms` is the partition's. `--memory` plays the same schedules
-without processes, in virtual time; 1,024 members take some minutes a case.
+ordered pair, four fleets at a time; `--quick` is 5 directors once. A line a case: unexpected deaths, times
+until each other member declared a victim dead, until all held all for members again after the fault
+(0: nobody was ever lost), and bytes and datagrams a second for each member while it was played. The last line
+sums up: `converge_max_ms` is the partition's. `--memory` plays the same schedules without processes, in
+virtual time; 1,024 members take some minutes a case.
 """
 
 from __future__ import annotations
@@ -35,60 +35,103 @@
     unexpected_deaths,
 )
 from gladewalk.rehearsal.member_network import cluster
-from gladewalk.rehearsal.member_network import play as play_in_memory
+from gladewalk.rehearsal.member_network import play as play_simulated
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
-STALL_MS = MembershipConfig().max_stall_ms
-AT_A_TIME = 4
-SETTLE_S = 2.0
-WAIT_S = 20.0  # for a fleet to meet, and to agree again
+MAX_STALL_MS = MembershipConfig().max_stall_ms
+MAX_CONCURRENT_FLEETS = 4
+SETTLE_SECONDS = 2.0
+MAX_CONVERGE_SECONDS = 20.0  # for a fleet to meet, and to agree again
+SIMULATED_SETTLE_MS = 8_000.0
+SIMULATED_CONVERGE_MS = 10_000.0
+
+
+@dataclass(slots=True, frozen=True)
+class Traffic:
+    """Load of one member: bytes and datagrams a second."""
+
+    bytes_per_second: float
+    datagrams_per_second: float
+
+
+@dataclass(slots=True, frozen=True)
+class TrafficCount:
+    """What a whole fleet had sent by a time in seconds."""
+
+    at_seconds: float
+    sent_bytes: int
+    datagrams: int
+
+    def rate_until(self, later: TrafficCount, members: int) -> Traffic:
+        """Returns the load of one member between two counts."""
+        member_seconds = (later.at_seconds - self.at_seconds) * members
+        return Traffic(
+            (later.sent_bytes - self.sent_bytes) / member_seconds,
+            (later.datagrams - self.datagrams) / member_seconds,
+        )
 
 
 @dataclass(slots=True, frozen=True)
 class Result:
+    """Outcome of one case in one fleet; an infinite time stands for one that never came."""
+
     case: FaultCase
     members: int
-    wrong: int
-    detect_ms: tuple[float, ...]
-    converge_ms: float  # inf: they did not
-    bytes_per_s: float
-    datagrams_per_s: float
+    unexpected_deaths: int
+    detection_ms: tuple[float, ...]
+    convergence_ms: float
+    traffic: Traffic
 
     def line(self) -> str:
-        times = sorted(self.detect_ms)
-        found = f"{times[len(times) // 2]:.0f}, {times[-1]:.0f}" if times else "-"
-        return (f"{self.case.name:20} {self.members:5}  wrong {self.wrong}  detect p50, max {found:12} "
-                f"converge {self.converge_ms:6.0f}  {self.bytes_per_s:7.0f} bytes/s "
-                f"{self.datagrams_per_s:5.1f} datagrams/s")  # fmt: skip
+        """Text of one line of the output."""
+        times_ms = sorted(self.detection_ms)
+        found = f"{times_ms[len(times_ms) // 2]:.0f}, {times_ms[-1]:.0f}" if times_ms else "-"
+        return (
+            f"{self.case.name:20} {self.members:5}  wrong {self.unexpected_deaths}  "
+            f"detect p50, max {found:12} converge {self.convergence_ms:6.0f}  "
+            f"{self.traffic.bytes_per_second:7.0f} bytes/s "
+            f"{self.traffic.datagrams_per_second:5.1f} datagrams/s"
+        )
 
 
-def judged(
+def evaluate(
     case: FaultCase,
     names: tuple[str, ...],
-    seen: list[ObservedChange],
+    changes: list[ObservedChange],
     begun_ms: float,
-    traffic: tuple[float, float],
+    traffic: Traffic,
 ) -> Result:
+    """Checks the history of a fleet to which a case was played from `begun_ms` on."""
     faults = case.faults(names)
-    ended = begun_ms + max(fault.at_ms + fault.ms for fault in faults)
-    wrong = unexpected_deaths(seen, causes_of(faults, names, begun_ms, STALL_MS))
-    times: tuple[float, ...] = ()
+    ended_ms = begun_ms + max(fault.at_ms + fault.ms for fault in faults)
+    expected = causes_of(faults, names, begun_ms, MAX_STALL_MS)
+    detection_ms: tuple[float, ...] = ()
     if case.must_be_found_dead:
         victim = faults[0].who[0]
-        found = detection_times_ms(seen, victim, begun_ms, set(names) - {victim})
-        times = (*found.values(), *[math.inf] * (len(names) - 1 - len(found)))
-    agreed = convergence_time_ms(seen, ended, names)
-    return Result(case, len(names), len(wrong), times, math.inf if agreed is None else agreed, *traffic)
+        observers = set(names) - {victim}
+        found = detection_times_ms(changes, victim, begun_ms, observers)
+        detection_ms = (*found.values(), *[math.inf] * (len(observers) - len(found)))
+    convergence_ms = convergence_time_ms(changes, ended_ms, names)
+    return Result(
+        case,
+        len(names),
+        len(unexpected_deaths(changes, expected)),
+        detection_ms,
+        math.inf if convergence_ms is None else convergence_ms,
+        traffic,
+    )
 
 
-def counted(fleet: Fleet) -> tuple[float, int, int]:
-    """Time, and bytes and datagrams that directors have sent, as the relays saw them."""
+def count_traffic(fleet: Fleet) -> TrafficCount:
+    """Counts what directors have sent, as the relays saw it."""
     relays = [link.members for link in fleet.links.values() if link.members is not None]
-    return time.monotonic(), sum(one.bytes for one in relays), sum(one.taken for one in relays)
+    sent_bytes = sum(relay.bytes for relay in relays)
+    return TrafficCount(time.monotonic(), sent_bytes, sum(relay.taken for relay in relays))
 
 
-async def met(fleet: Fleet, within_s: float) -> bool:
-    ends = time.monotonic() + within_s
+async def has_converged(fleet: Fleet, within_seconds: float) -> bool:
+    """Waits until all hold all for members; returns whether they do in time."""
+    ends = time.monotonic() + within_seconds
     while convergence_time_ms(fleet.members_seen(), 0.0, fleet.names) is None:
         if time.monotonic() > ends:
             return False
@@ -96,55 +139,68 @@
     return True
 
 
-async def across_processes(case: FaultCase, n: int, seed: int, gate: asyncio.Semaphore) -> Result:
-    names = tuple(f"n{i}" for i in range(n))
-    async with gate:
+async def play_to_processes(
+    case: FaultCase, members: int, seed: int, concurrency: asyncio.Semaphore
+) -> Result:
+    """Plays a case to a fleet of processes and prints its result."""
+    names = tuple(f"n{index}" for index in range(members))
+    async with concurrency:
         coordinator = await Coordinator().start()
         with tempfile.TemporaryDirectory() as folder:
-            fleet = await Fleet(Path(folder), names, config_for([], coordinator), seed, None, {}).open()
+            config = config_for([], coordinator)
+            fleet = await Fleet(Path(folder), names, config, seed, None, {}).open()
             try:
-                for name in names:
-                    await fleet.start(name)
-                await met(fleet, WAIT_S)
-                await asyncio.sleep(SETTLE_S)
-                before, begun = counted(fleet), time.time() * 1000.0
-                await play(fleet, case.faults(names))
-                after = counted(fleet)
-                await met(fleet, WAIT_S)
-                await asyncio.sleep(SETTLE_S)
-                seen = fleet.members_seen()
+                result = await play_case(fleet, case)
             finally:
                 await fleet.close()
                 coordinator.stop()
-        span = (after[0] - before[0]) * n
-        traffic = (after[1] - before[1]) / span, (after[2] - before[2]) / span
-        result = judged(case, names, seen, begun, traffic)
         print(result.line(), flush=True)
         return result
 
 
-def in_memory(case: FaultCase, size: int, seed: int) -> Result:
-    net = cluster(size, seed, settle_ms=8_000.0)
-    begun, names = net.now, tuple(net.nodes)
-    before, sent = sum(net.bytes.values()), sum(net.sent.values())
-    play_in_memory(net, case.faults(names))
-    span = (net.now - begun) / 1_000.0 * size
-    traffic = (sum(net.bytes.values()) - before) / span, (sum(net.sent.values()) - sent) / span
-    net.run(10_000.0)
-    result = judged(case, names, net.seen, begun, traffic)
+async def play_case(fleet: Fleet, case: FaultCase) -> Result:
+    """Starts a fleet, plays a case to it and waits until its members agree again."""
+    for name in fleet.names:
+        await fleet.start(name)
+    await has_converged(fleet, MAX_CONVERGE_SECONDS)
+    await asyncio.sleep(SETTLE_SECONDS)
+    before, begun_ms = count_traffic(fleet), time.time() * 1000.0
+    await play(fleet, case.faults(fleet.names))
+    traffic = before.rate_until(count_traffic(fleet), len(fleet.names))
+    await has_converged(fleet, MAX_CONVERGE_SECONDS)
+    await asyncio.sleep(SETTLE_SECONDS)
+    return evaluate(case, fleet.names, fleet.members_seen(), begun_ms, traffic)
+
+
+def play_to_simulation(case: FaultCase, size: int, seed: int) -> Result:
+    """Plays a case to a simulated network and prints its result."""
+    net = cluster(size, seed, settle_ms=SIMULATED_SETTLE_MS)
+
+    def count() -> TrafficCount:
+        return TrafficCount(net.now / 1_000.0, sum(net.bytes.values()), sum(net.sent.values()))
+
+    names, begun_ms, before = tuple(net.nodes), net.now, count()
+    play_simulated(net, case.faults(names))
+    traffic = before.rate_until(count(), size)
+    net.run(SIMULATED_CONVERGE_MS)
+    result = evaluate(case, names, net.seen, begun_ms, traffic)
     print(result.line(), flush=True)
     return result
 
 
 def summary(results: list[Result]) -> str:
-    times = sorted(ms for r in results if r.case.kind == "kill" for ms in r.detect_ms)
-    p99 = times[min(len(times) - 1, math.ceil(0.99 * len(times)) - 1)] if times else math.nan
-    converge = max((r.converge_ms for r in results if r.case.kind == "partition"), default=math.nan)
-    return (f"wrong_deaths={sum(r.wrong for r in results)} detect_p99_ms={p99:.0f} "
-            f"converge_max_ms={converge:.0f} runs={len(results)}")  # fmt: skip
+    """Text of the last line."""
+    times_ms = sorted(ms for result in results if result.case.kind == "kill" for ms in result.detection_ms)
+    p99_ms = times_ms[min(len(times_ms) - 1, math.ceil(0.99 * len(times_ms)) - 1)] if times_ms else math.nan
+    partitions_ms = (result.convergence_ms for result in results if result.case.kind == "partition")
+    return (
+        f"wrong_deaths={sum(result.unexpected_deaths for result in results)} detect_p99_ms={p99_ms:.0f} "
+        f"converge_max_ms={max(partitions_ms, default=math.nan):.0f} runs={len(results)}"
+    )
 
 
 def draw(results: list[Result], path: str) -> None:
+    """Plots detection and convergence over the fleet size, a line for each case."""
     import matplotlib
 
     matplotlib.use("Agg")
@@ -154,47 +210,60 @@
     for result in results:
         by_case[result.case.name].append(result)
     figure, (left, right) = pyplot.subplots(1, 2, figsize=(11, 4))
-    for name, some in by_case.items():
-        points = [(r.members, max(r.detect_ms)) for r in some if r.detect_ms and max(r.detect_ms) < math.inf]
-        if points:
-            left.plot(*zip(*sorted(points), strict=True), "o-", label=name, alpha=0.7)
-        agreed = [(r.members, r.converge_ms) for r in some if 0.0 < r.converge_ms < math.inf]
-        if agreed:
-            right.plot(*zip(*sorted(agreed), strict=True), "o-", label=name, alpha=0.7)
-    left.set(xlabel="members", ylabel="ms until all others hold it dead", xscale="log", ylim=(0, None))
-    right.set(xlabel="members", ylabel="ms from the fault's end to one roster", xscale="log", ylim=(0, None))
+    for name, case_results in by_case.items():
+        slowest = [(r.members, max(r.detection_ms)) for r in case_results if r.detection_ms]
+        detections = [point for point in slowest if point[1] < math.inf]
+        if detections:
+            left.plot(*zip(*sorted(detections), strict=True), "o-", label=name, alpha=0.7)
+        converged = [(r.members, r.convergence_ms) for r in case_results]
+        convergences = [point for point in converged if 0.0 < point[1] < math.inf]
+        if convergences:
+            right.plot(*zip(*sorted(convergences), strict=True), "o-", label=name, alpha=0.7)
+    left.set(xlabel="members", ylabel="ms until all others declare it dead", xscale="log", ylim=(0, None))
+    right.set(xlabel="members", ylabel="ms from the fault's end to convergence", xscale="log", ylim=(0, None))
     for axes in (left, right):
         axes.legend(fontsize=7)
     figure.tight_layout()
     figure.savefig(path, dpi=110)
 
 
-async def all_across(sizes: list[int], runs: int) -> list[Result]:
-    gate = asyncio.Semaphore(AT_A_TIME)
-    work = [across_processes(case, n, run, gate) for n in sizes for run in range(runs) for case in CASES
-            if n > max(case.victims, default=0)]  # fmt: skip
-    return list(await asyncio.gather(*work))
+async def play_all_to_processes(sizes: list[int], runs: int) -> list[Result]:
+    """Plays every case to fleets of each size that have all its victims."""
+    concurrency = asyncio.Semaphore(MAX_CONCURRENT_FLEETS)
+    plays = [
+        play_to_processes(case, size, run, concurrency)
+        for size in sizes
+        for run in range(runs)
+        for case in CASES
+        if size > max(case.victims, default=0)
+    ]
+    return list(await asyncio.gather(*plays))
+
+
+def play_all_to_simulations(sizes: list[int], jobs: int) -> list[Result]:
+    """Plays every case to simulated networks of each size, so many at a time."""
+    with ProcessPoolExecutor(max_workers=jobs) as pool:
+        plays = [pool.submit(play_to_simulation, case, size, 1) for size in sizes for case in CASES]
+        return [play.result() for play in plays]
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description="Membership under its hard cases.")
+    """Runs the benchmark; returns the exit code."""
+    parser = argparse.ArgumentParser(description="Membership under its fault cases.")
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--directors", type=int, nargs="+", default=[3, 5, 7])
     parser.add_argument("--runs", type=int, default=3)
     parser.add_argument("--memory", help="sizes, in virtual time and without processes")
     parser.add_argument("--jobs", type=int, default=4, help="cases in memory at a time")
     parser.add_argument("--plot")
-    given = parser.parse_args()
-    if given.memory:
-        large = map(int, given.memory.split(","))
-        with ProcessPoolExecutor(max_workers=given.jobs) as pool:
-            works = [pool.submit(in_memory, case, size, 1) for size in large for case in CASES]
-            results = [work.result() for work in works]
+    options = parser.parse_args()
+    if options.memory:
+        results = play_all_to_simulations([int(size) for size in options.memory.split(",")], options.jobs)
     else:
-        sizes, runs = ([5], 1) if given.quick else (given.directors, given.runs)
-        results = asyncio.run(all_across(sizes, runs))
-    if given.plot:
-        draw(results, given.plot)
+        sizes, runs = ([5], 1) if options.quick else (options.directors, options.runs)
+        results = asyncio.run(play_all_to_processes(sizes, runs))
+    if options.plot:
+        draw(results, options.plot)
     print(summary(results))
     return 0
 
