--- a/gladewalk/members/failure_detector.py
+++ b/gladewalk/members/failure_detector.py
@@ -95,7 +95,7 @@
         if member is not None and member.last_heard_ms >= pending.sent_ms:
             context.local.health.worsen()  # it is heard: our ping or its answer was lost
             return
-        # Helpers that did not even send a nack: our own messages may be what is lost (Lifeguard, IV.A).
+        # Helpers that did not even send a nack: our own messages may be what is lost (Lifeguard).
         missing_nacks = max(0, pending.helper_count - pending.nack_count)
         context.local.health.worsen(1 + missing_nacks)
         if member is not None and member.is_live:
--- a/gladewalk/members/local_health.py
+++ b/gladewalk/members/local_health.py
@@ -1,4 +1,4 @@
-"""Local health: how far the local member distrusts itself (Lifeguard, section IV.A)."""
+"""Local health: how far the local member distrusts itself (Lifeguard's LHA-Probe)."""
 
 from __future__ import annotations
 
--- a/gladewalk/members/message_builder.py
+++ b/gladewalk/members/message_builder.py
@@ -69,7 +69,7 @@
     def prioritize_doubts(self, name: str) -> None:
         """Queues a suspect's or dead member's update anew: the next message tells the member itself.
 
-        Lifeguard, section IV.C ("buddy system"): it can refute at once.
+        Lifeguard's buddy system: it can refute at once.
         """
         member = self._members.by_name.get(name)
         if member is not None and member.update.state is not MemberState.ALIVE:
--- a/gladewalk/members/messages.py
+++ b/gladewalk/members/messages.py
@@ -1,6 +1,6 @@
 """Messages between members, encoded as msgpack arrays, with the bounds that every field is checked against.
 
-Datagrams carry the SWIM protocol (Das et al., 2002) with Lifeguard's extensions (Dadgar et al., 2018); TCP
+Datagrams carry the SWIM protocol (Das et al., 2002) with Lifeguard's extensions (Dadgar et al., 2017); TCP
 streams carry state synchronization and confirmation probes. The order of the fields and the integer tags are
 the wire format. An unknown tag, a surplus field or a value out of bounds makes a message malformed.
 """
@@ -101,7 +101,7 @@
 
 
 class Nack(Message, frozen=True, array_like=True, tag=3, kw_only=True):
-    """Answer to a ping request whose target has not answered in time (Lifeguard, section IV.A)."""
+    """Answer to a ping request whose target has not answered in time (Lifeguard's LHA-Probe)."""
 
 
 class PingRequest(Message, frozen=True, array_like=True, tag=4, kw_only=True):
--- a/gladewalk/members/suspicion.py
+++ b/gladewalk/members/suspicion.py
@@ -50,7 +50,7 @@
 ) -> float:
     """When a suspicion expires: from the maximum down to the minimum as others confirm it.
 
-    Lifeguard, section IV.B. `member_count` includes the local member.
+    Lifeguard's LHA-Suspicion. `member_count` includes the local member.
     """
     shortest_ms = min_duration_ms(config, member_count, round_trip_ms)
     longest_ms = shortest_ms * config.max_suspicion_factor * (1.0 + HEALTH_FACTOR * health_score)
--- a/gladewalk/members/swim.py
+++ b/gladewalk/members/swim.py
@@ -1,6 +1,6 @@
 """The membership protocol without I/O: messages and the time go in, actions come out.
 
-SWIM (Das, Gupta and Motivala, 2002) with Lifeguard's extensions (Dadgar, Phillips and Currey, 2018), a
+SWIM (Das, Gupta and Motivala, 2002) with Lifeguard's extensions (Dadgar, Phillips and Currey, 2017), a
 confirmation probe before a verdict (`suspicion`), and state synchronization (`sync`).
 """
 
