--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -18,6 +18,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from benchmarks.member_traffic import Traffic, count_simulated
 from gladewalk.members.actions import MemberChange
 from gladewalk.members.history import ObservedChange
 from gladewalk.rehearsal.member_network import Net, cluster
@@ -31,14 +32,6 @@
 MS_PER_MINUTE = 60_000.0
 
 
-@dataclass(slots=True, frozen=True)
-class Traffic:
-    """Load of one member: bytes and datagrams a second."""
-
-    bytes_per_second: float
-    datagrams_per_second: float
-
-
 @dataclass(slots=True, frozen=True)
 class Detection:
     """Times from a kill until the first and until all of the others declared the member dead."""
@@ -66,13 +59,9 @@
 
 def measure_traffic(net: Net, duration_ms: float) -> Traffic:
     """Lets virtual time pass and measures what members send meanwhile."""
-    bytes_before, datagrams_before = sum(net.bytes.values()), sum(net.sent.values())
+    before = count_simulated(net)
     net.run(duration_ms)
-    member_seconds = len(net.nodes) * duration_ms / 1_000.0
-    return Traffic(
-        (sum(net.bytes.values()) - bytes_before) / member_seconds,
-        (sum(net.sent.values()) - datagrams_before) / member_seconds,
-    )
+    return before.rate_until(count_simulated(net), len(net.nodes))
 
 
 def measure_detection(net: Net, rng: random.Random) -> Detection:
--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -23,6 +23,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from benchmarks.member_traffic import Traffic, TrafficCount, count_simulated
 from gladewalk.faultnet.causes import causes_of
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.membership_cases import CASES, FaultCase
@@ -46,31 +47,6 @@
 SIMULATED_CONVERGE_MS = 10_000.0
 
 
-@dataclass(slots=True, frozen=True)
-class Traffic:
-    """Load of one member: bytes and datagrams a second."""
-
-    bytes_per_second: float
-    datagrams_per_second: float
-
-
-@dataclass(slots=True, frozen=True)
-class TrafficCount:
-    """What a whole fleet had sent by a time in seconds."""
-
-    at_seconds: float
-    sent_bytes: int
-    datagrams: int
-
-    def rate_until(self, later: TrafficCount, members: int) -> Traffic:
-        """Returns the load of one member between two counts."""
-        member_seconds = (later.at_seconds - self.at_seconds) * members
-        return Traffic(
-            (later.sent_bytes - self.sent_bytes) / member_seconds,
-            (later.datagrams - self.datagrams) / member_seconds,
-        )
-
-
 @dataclass(slots=True, frozen=True)
 class Result:
     """Outcome of one case in one fleet; an infinite time stands for one that never came."""
@@ -175,13 +151,9 @@
 def play_to_simulation(case: FaultCase, size: int, seed: int) -> Result:
     """Plays a case to a simulated network and prints its result."""
     net = cluster(size, seed, settle_ms=SIMULATED_SETTLE_MS)
-
-    def count() -> TrafficCount:
-        return TrafficCount(net.now / 1_000.0, sum(net.bytes.values()), sum(net.sent.values()))
-
-    names, begun_ms, before = tuple(net.nodes), net.now, count()
+    names, begun_ms, before = tuple(net.nodes), net.now, count_simulated(net)
     play_simulated(net, case.faults(names))
-    traffic = before.rate_until(count(), size)
+    traffic = before.rate_until(count_simulated(net), size)
     net.run(SIMULATED_CONVERGE_MS)
     result = evaluate(case, names, net.seen, begun_ms, traffic)
     print(result.line(), flush=True)
