--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -95,7 +95,7 @@
         self.readiness = self.front.readiness = Readiness(synced=False)
         self.admin: AdminFront | None = None
         if config.admin is not None:
-            from .ops.calls import admin_front
+            from .ops.routes import admin_front
 
             self.admin = admin_front(self)
         self.feed = Feed(self.exchange, config, clock, self.counters)
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -14,7 +14,7 @@
 from .config import Address, Config
 from .counters import Counters
 from .deadlines import Deadlines, Key
-from .ops.figures import final_counter
+from .ops.metrics import final_counter
 from .parties import Ask, Asker, Attempt, Client, End, Final, Head, Taken, Upstreams
 from .policy import Dispatcher
 
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -10,7 +10,7 @@
 from ..counters import Counters
 from ..deadlines import Deadlines
 from ..members.seal import Seal, load_keys
-from ..ops.figures import ENDS
+from ..ops.metrics import ENDS
 from ..options import Options
 from ..store.keeper import Keeper
 from .acts import Acts
--- a/gladewalk/ops/calls.py
+++ b/gladewalk/ops/routes.py
@@ -6,7 +6,7 @@
 
 from ..interface import ServerState
 from ..net.admin import AdminFront, Answer
-from .figures import Now, stats
+from .metrics import Now, stats
 
 if TYPE_CHECKING:
     from ..director import Director
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -16,7 +16,7 @@
 from gladewalk.deadlines import Deadlines
 from gladewalk.director import Director
 from gladewalk.net.admin import CALL_MS, CALLERS_MOST, AdminFront
-from gladewalk.ops.figures import Now, final_counter, stats
+from gladewalk.ops.metrics import Now, final_counter, stats
 from gladewalk.ops.readiness import KEPT_GRACE_MS, KEPT_LAST_MS, Readiness
 from gladewalk.rehearsal.peers import (
     Coordinator,
