ops and the second address: the field's names, typed answers, and no import of the director

Cause: ops/routes.py and director.py imported each other; names were words of our own; handlers gave tuples. Bytes, svc. figures, counters and the drain event stay.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -19,7 +19,7 @@
 from .net.clients import ASK_MS, ClientFront
 from .net.coordinator import Feed, Follower
 from .net.outside import REAL, Outside
-from .ops.readiness import ACCEPT_MS, SYNC_MOST_MS, Readiness, answered_by_ms
+from .ops.readiness import MAX_SYNC_WAIT_MS, SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -68,7 +68,7 @@
 class Director:
     """The parts of one director; `options` are our own settings, None where all they turn on is off."""
 
-    sync_most_ms = SYNC_MOST_MS  # how long requests wait at the start for the coordinator's first answer
+    sync_most_ms = MAX_SYNC_WAIT_MS  # how long requests wait at the start for the coordinator's first answer
 
     def __init__(
         self,
@@ -92,12 +92,12 @@
             outside.listen,
         )
         self._set_front(config)
-        self.readiness = self.front.readiness = Readiness(synced=False)
+        self.readiness = self.front.readiness = Readiness(is_synced=False)
         self.admin: AdminFront | None = None
         if config.admin is not None:
-            from .ops.routes import admin_front
+            from .ops.routes import build_admin_front
 
-            self.admin = admin_front(self)
+            self.admin = build_admin_front(self)
         self.feed = Feed(self.exchange, config, clock, self.counters)
         self.follower = Follower(
             self.feed, config.coordinator, self.deadlines, self.log.info, outside.fresh()
@@ -173,7 +173,7 @@
             await self.control.listen()
         if self.admin is not None and self.config.admin is not None:
             await self.admin.listen(self.config.admin)
-        self.readiness.started = True
+        self.readiness.is_started = True
 
     def _control(self, options: Options) -> Control:
         """The socket for operators, with a view for each part that is on."""
@@ -311,15 +311,15 @@
         if not self._stopping:
             self._stopping = True
             self.log.info("stopping", owed=self.exchange.owed)
-            self.readiness.stopping = True
+            self.readiness.is_stopping = True
             self.readiness.start_drain(self.clock())
             if self.leases is not None:  # handed on at once: another may act while this one finishes
                 self.leases[0].stop()
             if self.config.inherited_fd is not None:  # the listener's other holders take what comes now
                 self.front.stop_taking()
-            self._last_ms = answered_by_ms(self.clock(), self._patience_ms())
+            self._last_ms = shutdown_deadline_ms(self.clock(), self._patience_ms())
             self.exchange.end_by(self._last_ms)
-            self.deadlines.add(self.clock() + ACCEPT_MS, self._close)
+            self.deadlines.add(self.clock() + SHUTDOWN_ACCEPT_MS, self._close)
 
     def report(self) -> None:
         now = {
@@ -333,8 +333,8 @@
         self.log.info("counters", **now, **self.counters.report())
 
     def _synced(self) -> None:
-        if not self.readiness.synced:
-            self.readiness.synced = True
+        if not self.readiness.is_synced:
+            self.readiness.is_synced = True
             self.exchange.release()
             heard = self.follower.on_settled is None
             self.counters.add("coordinator.heard_at_start" if heard else "coordinator.late_at_start")
--- a/gladewalk/exchange.py
+++ b/gladewalk/exchange.py
@@ -14,7 +14,7 @@
 from .config import Address, Config
 from .counters import Counters
 from .deadlines import Deadlines, Key
-from .ops.metrics import final_counter
+from .ops.metrics import outcome_counter
 from .parties import Ask, Asker, Attempt, Client, End, Final, Head, Taken, Upstreams
 from .policy import Dispatcher
 
@@ -206,7 +206,7 @@
         if taken.winner is attempt and not taken.answered:
             whole = end.status is api.Status.OK
             self.counters.add("answers.served" if whole else "answers.cut")
-            self.counters.add(final_counter(taken.ask.class_name, "completed" if whole else "failed"))
+            self.counters.add(outcome_counter(taken.ask.class_name, "completed" if whole else "failed"))
             self._close(taken)
             if whole:
                 taken.client.end()
@@ -326,12 +326,12 @@
         self._close(taken)
         if taken.winner is not None:
             self.counters.add("answers.cut")
-            self.counters.add(final_counter(taken.ask.class_name, "failed"))
+            self.counters.add(outcome_counter(taken.ask.class_name, "failed"))
             taken.client.cut()
         else:
             self.counters.add(f"answers.{final.value}")
             end = "rejected" if final is Final.REFUSED else "failed"
-            self.counters.add(final_counter(taken.ask.class_name, end))
+            self.counters.add(outcome_counter(taken.ask.class_name, end))
             taken.client.finish(final, retry_after_ms)
         self._forget(taken)
 
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -10,7 +10,7 @@
 from ..counters import Counters
 from ..deadlines import Deadlines
 from ..members.seal import Seal, load_keys
-from ..ops.metrics import ENDS
+from ..ops.metrics import OUTCOMES
 from ..options import Options
 from ..store.keeper import Keeper
 from .acts import Acts
@@ -24,7 +24,7 @@
 from .works import PURGE, REPORT, Works
 
 Clock = Callable[[], float]
-REPORTED = {"served": ENDS[0], "refused": ENDS[1], "failed": ENDS[2]}
+REPORTED = {"served": OUTCOMES[0], "refused": OUTCOMES[1], "failed": OUTCOMES[2]}
 
 
 @dataclass(slots=True, frozen=True)
--- a/gladewalk/net/admin.py
+++ b/gladewalk/net/admin.py
@@ -1,10 +1,11 @@
-"""The second address: operators' calls over HTTP/1.1, one a connection, each bounded in time and in count."""
+"""HTTP/1.1 listener of the second address: one call a connection, bounded in time, size and number."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import cast
 
 import httptools
@@ -13,9 +14,14 @@
 from ..counters import Counters
 from ..deadlines import Deadlines, Key
 
-CALL_MS = 2_000.0  # a call that has not come whole in this long is closed unanswered
-CALLERS_MOST = 64  # connections held at once; who comes over it makes the oldest leave
-HEAD_MOST = 8 * 1024
+CALL_TIMEOUT_MS = 2_000.0
+"""A call that has not arrived completely after this long is closed without an answer."""
+
+MAX_CALLERS = 64
+"""Connections open at once; one more closes the oldest."""
+
+MAX_CALL_BYTES = 8 * 1024
+LISTEN_BACKLOG = 256
 REASONS = {
     200: "OK",
     400: "Bad Request",
@@ -24,117 +30,149 @@
     503: "Service Unavailable",
 }
 
-Answer = Callable[[], tuple[int, bytes]]
-Routes = Mapping[str, Mapping[str, Answer]]  # path -> method -> what answers it
+
+@dataclass(slots=True, frozen=True)
+class Response:
+    """An answer to an operator's call, in plain text."""
+
+    status: int
+    body: bytes = b""
 
 
-class Call(asyncio.Protocol):
-    """One caller's connection: one call is read whole, answered, and the connection is closed."""
+Handler = Callable[[], Response]
+Routes = Mapping[str, Mapping[str, Handler]]
+"""Handlers by path, then by method."""
 
-    def __init__(self, admin: AdminFront) -> None:
-        self.admin = admin
-        self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpRequestParser(self)
-        self.url, self.size, self.done = b"", 0, False
-        self.due: Key | None = None
+
+class AdminConnection(asyncio.Protocol):
+    """An operator's connection: reads one request, answers it and closes."""
+
+    def __init__(self, front: AdminFront) -> None:
+        self.due: Key | None = None  # the timer that ends the call, owned by the front
+        self._front = front
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = b""
+        self._received_bytes = 0
+        self._is_answered = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.admin.arrived(self)
+        """Registers with the front, which may close an older connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._front.register(self)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.transport = None
-        self.admin.left(self)
+        """Leaves the front."""
+        self._transport = None
+        self._front.unregister(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.done:
+        """Parses what arrived; 400 for what is no HTTP or longer than `MAX_CALL_BYTES`."""
+        if self._is_answered:
+            return
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_CALL_BYTES:
+            self._answer(Response(400))
             return
-        self.size += len(data)
         try:
-            if self.size > HEAD_MOST:
-                return self.answer(400, b"")
-            self.parser.feed_data(data)
+            self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.answer(400, b"")
+            self._answer(Response(400))
 
     def eof_received(self) -> bool:
+        """Lets the transport close: a call cut short is not answered."""
         return False
 
     def on_url(self, url: bytes) -> None:
-        self.url += url
+        """Collects the request target; called by the parser, perhaps in pieces."""
+        self._url += url
 
     def on_message_complete(self) -> None:
-        method = self.parser.get_method().decode("latin-1")
+        """Answers the request; called by the parser."""
+        method = self._parser.get_method().decode("latin-1")
         try:
-            path = (httptools.parse_url(self.url).path or b"").decode("latin-1")
+            path = (httptools.parse_url(self._url).path or b"").decode("latin-1")
         except httptools.HttpParserInvalidURLError:
-            return self.answer(400, b"")
-        self.answer(*self.admin.call(method, path))
+            self._answer(Response(400))
+            return
+        self._answer(self._front.handle(method, path))
+
+    def abort(self) -> None:
+        """Closes the connection without an answer and counts it."""
+        self.due = None
+        if self._transport is not None:
+            self._front.counters.add("admin.calls_unfinished")
+            self._transport.abort()
 
-    def answer(self, status: int, body: bytes) -> None:
-        if self.done or self.transport is None:
+    def _answer(self, response: Response) -> None:
+        if self._is_answered or self._transport is None:
             return
-        self.done = True
+        self._is_answered = True
         head = (
-            f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\nContent-Type: text/plain\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+            f"HTTP/1.1 {response.status} {REASONS.get(response.status, 'Error')}\r\n"
+            f"Content-Type: text/plain\r\nContent-Length: {len(response.body)}\r\nConnection: close\r\n\r\n"
         )
-        self.transport.write(head.encode("latin-1") + body)
-        self.transport.close()
-
-    def time_up(self) -> None:
-        self.due = None
-        if self.transport is not None:
-            self.admin.counters.add("admin.calls_unfinished")
-            self.transport.abort()
+        self._transport.write(head.encode("latin-1") + response.body)
+        self._transport.close()
 
 
 class AdminFront:
-    """Listens at the second address on the director's own loop; `routes` say what each call is answered."""
+    """Listens at the second address on the director's own event loop and routes operators' calls.
+
+    Attributes:
+        calls: Open connections, the oldest first.
+        address: Where it listens, once `listen` has returned.
+    """
 
     def __init__(
         self, routes: Routes, clock: Callable[[], float], deadlines: Deadlines, counters: Counters
     ) -> None:
         self.routes, self.clock, self.deadlines, self.counters = routes, clock, deadlines, counters
-        self.calls: dict[Call, None] = {}  # in the order they came
+        self.calls: dict[AdminConnection, None] = {}
         self.address: Address = ("", 0)
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
+        """Starts to listen; raises `OSError` if the address cannot be bound."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Call(self), *address, family=family, backlog=256)
+        self._server = await loop.create_server(
+            lambda: AdminConnection(self), *address, family=family, backlog=LISTEN_BACKLOG
+        )
         self.address = self._server.sockets[0].getsockname()[:2]
 
-    def call(self, method: str, path: str) -> tuple[int, bytes]:
-        """404 for a path that is not known, 405 for a method it does not take."""
+    def handle(self, method: str, path: str) -> Response:
+        """Calls the handler of a request; 404 for an unknown path, 405 for a method that it lacks."""
         methods = self.routes.get(path)
         if methods is None:
             self.counters.add("admin.unknown_path")
-            return 404, b""
-        answer = methods.get(method)
-        if answer is None:
+            return Response(404)
+        handler = methods.get(method)
+        if handler is None:
             self.counters.add("admin.wrong_method")
-            return 405, b""
+            return Response(405)
         self.counters.add("admin.calls")
-        return answer()
+        return handler()
 
-    def arrived(self, call: Call) -> None:
-        if len(self.calls) >= CALLERS_MOST:
+    def register(self, call: AdminConnection) -> None:
+        """Adds a connection and starts its timer; closes the oldest if there are `MAX_CALLERS` already."""
+        if len(self.calls) >= MAX_CALLERS:
             oldest = next(iter(self.calls))
             self.counters.add("admin.made_room")
-            oldest.time_up()
+            oldest.abort()
         self.calls[call] = None
-        call.due = self.deadlines.add(self.clock() + CALL_MS, call.time_up)
+        call.due = self.deadlines.add(self.clock() + CALL_TIMEOUT_MS, call.abort)
 
-    def left(self, call: Call) -> None:
+    def unregister(self, call: AdminConnection) -> None:
+        """Removes a connection that has closed, and its timer."""
         self.calls.pop(call, None)
         self.deadlines.drop(call.due)
         call.due = None
 
     def close(self) -> None:
+        """Stops listening and aborts every open call."""
         if self._server is not None:
             self._server.close()
             self._server = None
         for call in list(self.calls):
-            call.time_up()
+            call.abort()
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -65,7 +65,7 @@
         self.leaving = 0  # of these, connections told to end
         self.open: dict[str, Ask] = {}  # by id: the request that came with it first
         self.closing = False
-        self.readiness = Readiness(started=True)  # the director's own, once it has one
+        self.readiness = Readiness(is_started=True)  # the director's own, once it has one
         self.address: Address = ("", 0)
         self._listener: Listener | None = None
         self._listening = False
@@ -168,8 +168,8 @@
         for connection in [c for c, since in self.resting.items() if now - since > REST_MS]:
             if connection.is_quiet() and not connection.is_sending(now):  # else it is about to ask
                 connection.part()
-        if self.readiness.draining:
-            for connection in [c for c in self.resting if self.readiness.closes_resting(now, c.is_quiet())]:
+        if self.readiness.is_draining:
+            for connection in [c for c in self.resting if self.readiness.may_close_idle(now, c.is_quiet())]:
                 if connection.is_quiet():  # else it asks within this turn, and that answer is its last
                     self.counters.add("clients.drained")
                     connection.part()
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -158,7 +158,7 @@
         path, query = (url.path or b"").decode("latin-1"), (url.query or b"").decode("latin-1")
         method = self.parser.get_method().decode("latin-1")
         if path == "/_health" and method == "GET":  # the front asks for readiness: no in a drain or a stop
-            return HEALTHY if self.front.readiness.ready() else UNREADY
+            return HEALTHY if self.front.readiness.is_ready else UNREADY
         ask = read_ask(method, path, query, self.headers, b"".join(self.content))
         return self.front.status_of(ask) or ask
 
@@ -322,7 +322,7 @@
         """Whether this answer is the last; not while another request has come, or has begun to."""
         if self.waiting or self.last:
             return self.last and not self.waiting
-        ends = self.front.closing or self.front.readiness.draining
+        ends = self.front.closing or self.front.readiness.is_draining
         return ends and not self.partial and self.is_quiet()
 
     def _write_status(self, status: int, more: list[str] | None = None) -> None:
--- a/gladewalk/ops/__init__.py
+++ b/gladewalk/ops/__init__.py
@@ -1,1 +1,1 @@
-"""What operators ask of a running director: readiness, drain and figures, decided without I/O."""
+"""Operational endpoints of a running director: readiness, draining and metrics."""
--- a/gladewalk/ops/metrics.py
+++ b/gladewalk/ops/metrics.py
@@ -1,48 +1,66 @@
-"""The figures of `GET /ops/stats`, as lines `svc.NAME=VALUE`; made from counts, without I/O."""
+"""Renders the metrics of `GET /ops/stats`, one line `svc.NAME=VALUE` each, from counters alone."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-ENDS = ("completed", "rejected", "failed")
+OUTCOMES = ("completed", "rejected", "failed")
+"""How a client's request may end, as the names of its counters say it."""
 
+OUTCOME_PREFIX = "downstream_requests."
 
-def final_counter(class_name: str, end: str) -> str:
-    """The counter's name for a final answer of a class; `end` is one of `ENDS`."""
-    return f"downstream_requests.{class_name}.{end}"
+
+def outcome_counter(class_name: str, outcome: str) -> str:
+    """Returns the name of the counter of final answers of a class; `outcome` is one of `OUTCOMES`."""
+    return f"{OUTCOME_PREFIX}{class_name}.{outcome}"
 
 
 @dataclass(slots=True, frozen=True)
-class Now:
-    """What is so at the moment of a call: requests taken and not ended, caches listed and avoided."""
+class Gauges:
+    """Figures that hold at the moment of a call, in place of since the start.
+
+    Attributes:
+        pending_requests: Requests accepted from clients and not answered yet.
+        listed_caches: Caches on the endpoint list.
+        unavailable_caches: Those of them that are draining or that the dispatcher avoids for the moment.
+    """
 
-    pending: int
-    members: int
-    members_unavailable: int
+    pending_requests: int
+    listed_caches: int
+    unavailable_caches: int
 
 
-def stats(counters: Mapping[str, int], classes: Iterable[str], now: Now) -> bytes:
-    """Every class that is in use or was ever counted, each of its ends, then the others; one line each.
+def format_metrics(counters: Mapping[str, int], class_names: Iterable[str], gauges: Gauges) -> bytes:
+    """Renders every outcome of every class, then the other metrics, one line each.
 
-    `counters` holds `downstream_requests.C.END`, `attempts.written`, `reloads.done` and `reloads.refused`;
-    a name never counted reads as 0.
+    Args:
+        counters: Holds `downstream_requests.CLASS.OUTCOME`, `attempts.written`, `reloads.done` and
+            `reloads.refused`; a counter that is absent reads as 0.
+        class_names: The classes in use. A class that is not but was counted is rendered as well.
+        gauges: What holds now.
+
+    Returns:
+        The lines in ASCII; a character of a class's name outside it becomes `?`.
     """
-    named = set(classes)
-    for name in counters:
-        if name.startswith("downstream_requests."):
-            named.add(name[len("downstream_requests.") : name.rindex(".")])
     lines = [
-        f"svc.{final_counter(cls, end)}={counters.get(final_counter(cls, end), 0)}"
-        for cls in sorted(named)
-        for end in ENDS
+        f"svc.{name}={counters.get(name, 0)}"
+        for class_name in sorted({*class_names, *_counted_classes(counters)})
+        for name in (outcome_counter(class_name, outcome) for outcome in OUTCOMES)
     ]
     lines += [
         f"svc.upstream_requests={counters.get('attempts.written', 0)}",
-        f"svc.pending={now.pending}",
-        f"svc.members={now.members}",
-        f"svc.members_unavailable={now.members_unavailable}",
+        f"svc.pending={gauges.pending_requests}",
+        f"svc.members={gauges.listed_caches}",
+        f"svc.members_unavailable={gauges.unavailable_caches}",
         f"svc.config_reloads={counters.get('reloads.done', 0)}",
         f"svc.config_reload_errors={counters.get('reloads.refused', 0)}",
     ]
     return ("\n".join(lines) + "\n").encode("ascii", "replace")
+
+
+def _counted_classes(counters: Iterable[str]) -> set[str]:
+    """Returns the classes that any outcome was counted of; a class's name may contain dots."""
+    return {
+        name[len(OUTCOME_PREFIX) : name.rindex(".")] for name in counters if name.startswith(OUTCOME_PREFIX)
+    }
--- a/gladewalk/ops/readiness.py
+++ b/gladewalk/ops/readiness.py
@@ -1,67 +1,91 @@
-"""Whether a director is ready, and how a drain ends its kept connections; no I/O, time given in Unix ms."""
+"""Decides whether a director is ready, and how draining and shutdown proceed; no I/O, times in Unix ms."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-KEPT_GRACE_MS = 100.0  # a connection resting this long into a drain is closed once nothing lies unread
-KEPT_LAST_MS = 2_500.0  # after this long into a drain no resting connection is kept, read or not
-ACCEPT_MS = 700.0  # after SIGTERM requests keep coming for this long
-KILL_MOST_MS = 3_000.0  # SIGKILL may come that much later, or after the longest deadline if that is shorter
-KILL_SPARE_MS = 80.0  # the last answers are given this long before, so that they leave and the process ends
-SYNC_MOST_MS = 1_000.0  # a coordinator that has not answered by this long after the start is not waited for
+IDLE_CLOSE_GRACE_MS = 100.0
+"""An idle connection this long into a drain is closed if no byte of it waits to be read."""
 
+MAX_IDLE_DRAIN_MS = 2_500.0
+"""This long into a drain every idle connection is closed, even with bytes that wait to be read."""
 
-def answered_by_ms(stop_ms: float, longest_ms: float) -> float:
-    """By when all that was taken has its final answer, after a SIGTERM at `stop_ms`.
+SHUTDOWN_ACCEPT_MS = 700.0
+"""After SIGTERM new requests keep arriving, and are accepted, for this long."""
 
-    Guards against requests with more patience than the platform, whose SIGKILL would find them unanswered.
+MAX_SIGKILL_DELAY_MS = 3_000.0
+"""SIGKILL follows so long after that, or after the longest deadline of a class if that is shorter."""
+
+SIGKILL_MARGIN_MS = 80.0
+"""The last answers are given this long before SIGKILL, so that they are sent and the process exits."""
+
+MAX_SYNC_WAIT_MS = 1_000.0
+"""A coordinator that has not answered this long after the start is not waited for any longer."""
+
+
+def shutdown_deadline_ms(sigterm_ms: float, longest_deadline_ms: float) -> float:
+    """Returns by when every accepted request must have its final answer, after a SIGTERM at `sigterm_ms`.
+
+    A request whose own deadline is later than the platform's SIGKILL would otherwise never be answered.
     """
-    return stop_ms + ACCEPT_MS + min(longest_ms, KILL_MOST_MS) - KILL_SPARE_MS
+    kill_delay_ms = min(longest_deadline_ms, MAX_SIGKILL_DELAY_MS)
+    return sigterm_ms + SHUTDOWN_ACCEPT_MS + kill_delay_ms - SIGKILL_MARGIN_MS
 
 
 @dataclass(slots=True)
 class Readiness:
-    """The state that readiness answers from.
+    """The state that the readiness endpoint answers from.
 
-    `started`: the director serves. `synced`: the coordinator has answered once, or was waited for long
-    enough. `drain_since_ms`: when the drain began, None while there is none. `stopping`: SIGTERM was heard;
-    it never ends.
+    Attributes:
+        is_started: The director serves.
+        is_synced: The coordinator has answered once, or was waited for `MAX_SYNC_WAIT_MS`.
+        drain_since_ms: When the drain began, None while there is none.
+        is_stopping: SIGTERM was received; never becomes false again.
     """
 
-    started: bool = False
-    synced: bool = True
+    is_started: bool = False
+    is_synced: bool = True
     drain_since_ms: float | None = None
-    stopping: bool = False
+    is_stopping: bool = False
 
-    def ready(self) -> bool:
-        """Yes only for a process that has started and heard the coordinator, and neither drains nor stops.
+    @property
+    def is_ready(self) -> bool:
+        """Whether new traffic is wanted: started, synced, and neither draining nor stopping.
 
-        Guards against a start whose configuration is older than the coordinator: what it told meanwhile, a
-        cache that drains among it, counts as told, and comes with the coordinator's first answer.
+        Without `is_synced`, a director whose configuration file is older than the endpoint list would send
+        requests to caches that have begun to drain in the meantime.
         """
-        return self.started and self.synced and self.drain_since_ms is None and not self.stopping
+        return self.is_started and self.is_synced and not self.is_draining
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether answers close their connections: during a drain, and after SIGTERM."""
+        return self.drain_since_ms is not None or self.is_stopping
 
     def start_drain(self, now_ms: float) -> None:
-        """A drain that is already on keeps its beginning: the front's clock for it does not start again."""
+        """Begins a drain; one that is on keeps its beginning, so that repeated calls do not prolong it."""
         if self.drain_since_ms is None:
             self.drain_since_ms = now_ms
 
     def stop_drain(self) -> None:
+        """Ends a drain. After SIGTERM the director stays unready all the same."""
         self.drain_since_ms = None
 
-    @property
-    def draining(self) -> bool:
-        """Whether answers close their connections: in a drain, and after SIGTERM."""
-        return self.drain_since_ms is not None or self.stopping
+    def may_close_idle(self, now_ms: float, is_quiet: bool) -> bool:
+        """Returns whether an idle connection may be closed now.
 
-    def closes_resting(self, now_ms: float, quiet: bool) -> bool:
-        """Whether a resting connection is closed now: in a drain, once quiet after a grace; all at last.
+        Args:
+            now_ms: The present time.
+            is_quiet: No byte from the client waits to be read on the connection. Together with the grace
+                period this makes it unlikely that a close crosses a request on its way.
 
-        Guards against a close over a request already on its way, which the grace and `quiet` make rare, and
-        against a connection held idle when the front stops coming.
+        Returns:
+            During a drain, true after `IDLE_CLOSE_GRACE_MS` for a quiet connection and after
+            `MAX_IDLE_DRAIN_MS` for any; otherwise false.
         """
         if self.drain_since_ms is None:
             return False
-        into = now_ms - self.drain_since_ms
-        return into >= KEPT_LAST_MS or (into >= KEPT_GRACE_MS and quiet)
+        drained_for_ms = now_ms - self.drain_since_ms
+        if drained_for_ms >= MAX_IDLE_DRAIN_MS:
+            return True
+        return is_quiet and drained_for_ms >= IDLE_CLOSE_GRACE_MS
--- a/gladewalk/ops/routes.py
+++ b/gladewalk/ops/routes.py
@@ -1,49 +1,143 @@
-"""The operators' calls at the second address, each answered from the director's own state."""
+"""Routes of the second address: readiness, metrics and draining, answered from the director's own state.
+
+`DirectorState` and the protocols above it state all that is read of a director, so that this package depends
+on none of the parts that compose one.
+"""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Mapping
+from typing import Protocol
+
+from ..counters import Counters
+from ..deadlines import Deadlines
+from ..interface import Server, ServerState
+from ..net.admin import AdminFront, Handler, Response
+from .metrics import Gauges, format_metrics
+from .readiness import Readiness
+
+
+class ServerView(Protocol):
+    """What is read of a server that the dispatcher knows."""
+
+    @property
+    def info(self) -> Server:
+        """The server as the endpoint list has it."""
+
+    @property
+    def blocked_until(self) -> float:
+        """Until when, in Unix ms, the dispatcher sends nothing there."""
+
+
+class DispatcherView(Protocol):
+    """What is read of the decision module."""
+
+    @property
+    def servers(self) -> Mapping[str, ServerView]:
+        """Every known server by name, removed ones included."""
+
+    @property
+    def classes(self) -> Mapping[str, object]:
+        """The request classes in use, by name."""
+
+
+class ExchangeView(Protocol):
+    """What is read of the exchange between clients and upstream servers."""
+
+    @property
+    def owed(self) -> int:
+        """Requests accepted and not answered yet."""
+
+    @property
+    def core(self) -> DispatcherView:
+        """The decision module."""
+
+    def clock(self) -> float:
+        """Returns the present time in Unix ms."""
+
+
+class EventLog(Protocol):
+    """A structured log."""
+
+    def info(self, event: str, /, **fields: object) -> object:
+        """Writes one event with its fields."""
+
+
+class DirectorState(Protocol):
+    """What the routes read of a running director, and the readiness that they change."""
+
+    @property
+    def readiness(self) -> Readiness:
+        """The state that readiness is answered from."""
+
+    @property
+    def exchange(self) -> ExchangeView:
+        """Requests, servers and the clock."""
+
+    @property
+    def counters(self) -> Counters:
+        """Counts since the start."""
+
+    @property
+    def deadlines(self) -> Deadlines:
+        """Timers of the director's loop."""
+
+    @property
+    def log(self) -> EventLog:
+        """The director's log."""
+
 
-from ..interface import ServerState
-from ..net.admin import AdminFront, Answer
-from .metrics import Now, stats
+def read_gauges(exchange: ExchangeView) -> Gauges:
+    """Returns the pending requests and the listed caches, with those that take no requests for the moment."""
+    now_ms = exchange.clock()
+    listed = [
+        server for server in exchange.core.servers.values() if server.info.state is not ServerState.GONE
+    ]
+    unavailable = [
+        server
+        for server in listed
+        if server.info.state is not ServerState.READY or now_ms < server.blocked_until
+    ]
+    return Gauges(exchange.owed, len(listed), len(unavailable))
 
-if TYPE_CHECKING:
-    from ..director import Director
 
+class OperatorRoutes:
+    """The handlers of the second address, bound to one director."""
 
-def now_of(director: Director) -> Now:
-    """What is so now: requests owed; caches listed, and those the module rests or that drain."""
-    core, now_ms = director.exchange.core, director.exchange.clock()
-    listed = [s for s in core.servers.values() if s.info.state is not ServerState.GONE]
-    avoided = sum(s.info.state is not ServerState.READY or now_ms < s.blocked_until for s in listed)
-    return Now(pending=director.exchange.owed, members=len(listed), members_unavailable=avoided)
+    def __init__(self, director: DirectorState) -> None:
+        self._director = director
 
+    def routes(self) -> dict[str, dict[str, Handler]]:
+        """Returns the handlers by path and method."""
+        return {
+            "/ops/readiness": {"GET": self._get_readiness},
+            "/ops/stats": {"GET": self._get_stats},
+            "/ops/drain/start": {"PUT": self._start_drain},
+            "/ops/drain/stop": {"PUT": self._stop_drain},
+        }
 
-def admin_front(director: Director) -> AdminFront:
-    """The second address's routes: readiness, figures and the drain."""
-    readiness = director.readiness
+    def _get_readiness(self) -> Response:
+        return (
+            Response(200, b"ready\n") if self._director.readiness.is_ready else Response(503, b"not ready\n")
+        )
 
-    def ready() -> tuple[int, bytes]:
-        return (200, b"ready\n") if readiness.ready() else (503, b"not ready\n")
+    def _get_stats(self) -> Response:
+        exchange = self._director.exchange
+        metrics = format_metrics(self._director.counters, exchange.core.classes, read_gauges(exchange))
+        return Response(200, metrics)
 
-    def figures() -> tuple[int, bytes]:
-        return 200, stats(director.counters, director.exchange.core.classes, now_of(director))
+    def _start_drain(self) -> Response:
+        self._director.readiness.start_drain(self._director.exchange.clock())
+        self._director.log.info("drain", on=True)
+        return Response(200, b"draining\n")
 
-    def drain_start() -> tuple[int, bytes]:
-        readiness.start_drain(director.exchange.clock())
-        director.log.info("drain", on=True)
-        return 200, b"draining\n"
+    def _stop_drain(self) -> Response:
+        self._director.readiness.stop_drain()
+        self._director.log.info("drain", on=False)
+        return Response(200, b"ready\n" if self._director.readiness.is_ready else b"not ready\n")
 
-    def drain_stop() -> tuple[int, bytes]:
-        readiness.stop_drain()
-        director.log.info("drain", on=False)
-        return 200, b"ready\n" if readiness.ready() else b"not ready\n"
 
-    routes: dict[str, dict[str, Answer]] = {
-        "/ops/readiness": {"GET": ready},
-        "/ops/stats": {"GET": figures},
-        "/ops/drain/start": {"PUT": drain_start},
-        "/ops/drain/stop": {"PUT": drain_stop},
-    }
+def build_admin_front(director: DirectorState) -> AdminFront:
+    """Builds the listener of the second address; it listens once its own `listen` is called."""
+    routes = OperatorRoutes(director).routes()
     return AdminFront(routes, director.exchange.clock, director.deadlines, director.counters)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -41,7 +41,7 @@
         director = Director(config, asyncio.get_running_loop())
         self.directors.append(director)
         await director.start()
-        await until(lambda: director.readiness.synced)
+        await until(lambda: director.readiness.is_synced)
         return director
 
     async def test_both_together_hold_no_more_connections_to_caches_than_one_may(self) -> None:
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -19,7 +19,7 @@
         async with Rehearsal([cache]) as world:
             director = world.director
             assert director is not None
-            await until(lambda: director.readiness.synced)
+            await until(lambda: director.readiness.is_synced)
             _, writer = await world.client()
             await until(lambda: len(director.front.connections) == 1)
             (connection,) = director.front.connections
@@ -43,7 +43,7 @@
         async with Rehearsal([cache]) as world:
             director = world.director
             assert director is not None
-            await until(lambda: director.readiness.synced)
+            await until(lambda: director.readiness.is_synced)
             self.assertEqual((await world.ask())[0], 200)  # its connection to the cache rests
             await until(lambda: not director.front.connections)
             client = socket.create_connection(director.front.address)
@@ -68,7 +68,7 @@
         async with Rehearsal([cache]) as world:
             director = world.director
             assert director is not None
-            await until(lambda: director.readiness.synced)
+            await until(lambda: director.readiness.is_synced)
             loop, up = asyncio.get_running_loop(), asyncio.Event()
             real_connect, real = loop.create_connection, director.clock
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -121,7 +121,7 @@
             assert world.director is not None
             director, follower = world.director, world.director.follower
             await world.following(1)
-            await until(lambda: director.readiness.synced)
+            await until(lambda: director.readiness.is_synced)
             real, ahead, written = director.feed.clock, 0.0, [0]
             director.feed.clock = lambda: real() + ahead
             begun = real()
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -15,9 +15,9 @@
 from gladewalk.counters import Counters
 from gladewalk.deadlines import Deadlines
 from gladewalk.director import Director
-from gladewalk.net.admin import CALL_MS, CALLERS_MOST, AdminFront
-from gladewalk.ops.metrics import Now, final_counter, stats
-from gladewalk.ops.readiness import KEPT_GRACE_MS, KEPT_LAST_MS, Readiness
+from gladewalk.net.admin import CALL_TIMEOUT_MS, MAX_CALLERS, AdminFront, Response
+from gladewalk.ops.metrics import Gauges, format_metrics, outcome_counter
+from gladewalk.ops.readiness import IDLE_CLOSE_GRACE_MS, MAX_IDLE_DRAIN_MS, Readiness
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
@@ -44,47 +44,49 @@
 class Decisions(unittest.TestCase):
     def test_ready_only_once_started_and_neither_draining_nor_stopping(self) -> None:
         readiness = Readiness()
-        self.assertFalse(readiness.ready())
-        readiness.started = True
-        self.assertTrue(readiness.ready())
+        self.assertFalse(readiness.is_ready)
+        readiness.is_started = True
+        self.assertTrue(readiness.is_ready)
         readiness.start_drain(1_000.0)
-        self.assertFalse(readiness.ready())
-        self.assertTrue(readiness.draining)
+        self.assertFalse(readiness.is_ready)
+        self.assertTrue(readiness.is_draining)
         readiness.stop_drain()
-        self.assertTrue(readiness.ready() and not readiness.draining)
-        readiness.stopping = True
-        self.assertFalse(readiness.ready())
+        self.assertTrue(readiness.is_ready and not readiness.is_draining)
+        readiness.is_stopping = True
+        self.assertFalse(readiness.is_ready)
         readiness.stop_drain()  # a drain's end does not undo a SIGTERM
-        self.assertFalse(readiness.ready())
-        self.assertTrue(readiness.draining)
+        self.assertFalse(readiness.is_ready)
+        self.assertTrue(readiness.is_draining)
 
     def test_no_yes_before_the_coordinator_has_answered_once(self) -> None:
-        readiness = Readiness(started=True, synced=False)
-        self.assertFalse(readiness.ready())
-        readiness.synced = True
-        self.assertTrue(readiness.ready())
-
-    def test_a_drain_keeps_its_beginning_and_closes_resting_connections_in_time(self) -> None:
-        readiness = Readiness(started=True)
-        self.assertFalse(readiness.closes_resting(0.0, quiet=True))
+        readiness = Readiness(is_started=True, is_synced=False)
+        self.assertFalse(readiness.is_ready)
+        readiness.is_synced = True
+        self.assertTrue(readiness.is_ready)
+
+    def test_a_drain_keeps_its_beginning_and_closes_idle_connections_in_time(self) -> None:
+        readiness = Readiness(is_started=True)
+        self.assertFalse(readiness.may_close_idle(0.0, is_quiet=True))
         readiness.start_drain(10_000.0)
         readiness.start_drain(11_000.0)
         self.assertEqual(readiness.drain_since_ms, 10_000.0)
-        self.assertFalse(readiness.closes_resting(10_000.0 + KEPT_GRACE_MS - 1, quiet=True))
-        self.assertTrue(readiness.closes_resting(10_000.0 + KEPT_GRACE_MS, quiet=True))
-        self.assertFalse(readiness.closes_resting(10_000.0 + KEPT_GRACE_MS, quiet=False))
-        self.assertTrue(readiness.closes_resting(10_000.0 + KEPT_LAST_MS, quiet=False))
-        self.assertLess(KEPT_LAST_MS, 4_000.0)  # none is held idle when the front stops coming
+        self.assertFalse(readiness.may_close_idle(10_000.0 + IDLE_CLOSE_GRACE_MS - 1, is_quiet=True))
+        self.assertTrue(readiness.may_close_idle(10_000.0 + IDLE_CLOSE_GRACE_MS, is_quiet=True))
+        self.assertFalse(readiness.may_close_idle(10_000.0 + IDLE_CLOSE_GRACE_MS, is_quiet=False))
+        self.assertTrue(readiness.may_close_idle(10_000.0 + MAX_IDLE_DRAIN_MS, is_quiet=False))
+        self.assertLess(MAX_IDLE_DRAIN_MS, 4_000.0)  # none is held idle when the front stops coming
 
 
 class Figures(unittest.TestCase):
     def test_every_class_in_use_or_counted_has_each_end(self) -> None:
         counters = Counters()
-        counters.add(final_counter("bid", "completed"), 7)
-        counters.add(final_counter("gone-class", "failed"))
+        counters.add(outcome_counter("bid", "completed"), 7)
+        counters.add(outcome_counter("gone-class", "failed"))
         counters.add("attempts.written", 9)
         counters.add("reloads.refused", 2)
-        text = stats(counters, ["bid", "lot-page"], Now(pending=3, members=5, members_unavailable=1))
+        text = format_metrics(
+            counters, ["bid", "lot-page"], Gauges(pending_requests=3, listed_caches=5, unavailable_caches=1)
+        )
         lines = figures_of(text)
         self.assertEqual(lines["svc.downstream_requests.bid.completed"], "7")
         self.assertEqual(lines["svc.downstream_requests.lot-page.rejected"], "0")
@@ -119,7 +121,7 @@
         self.now = 0.0
         self.deadlines = Deadlines(lambda when: None)
         self.counters = Counters()
-        routes = {"/ops/readiness": {"GET": lambda: (200, b"ready\n")}}
+        routes = {"/ops/readiness": {"GET": lambda: Response(200, b"ready\n")}}
         self.admin = AdminFront(routes, lambda: self.now, self.deadlines, self.counters)
         await self.admin.listen(("127.0.0.1", 0))
         self.loop = loop
@@ -136,18 +138,18 @@
         self.assertEqual((self.counters["admin.unknown_path"], self.counters["admin.wrong_method"]), (1, 1))
 
     async def test_silent_callers_cost_a_bounded_descriptor_and_timer_and_block_nobody(self) -> None:
-        silent = [await asyncio.open_connection(*self.admin.address) for _ in range(CALLERS_MOST + 8)]
+        silent = [await asyncio.open_connection(*self.admin.address) for _ in range(MAX_CALLERS + 8)]
         half = silent[0][1]
         half.write(b"GET /ops/read")
         self.assertEqual(await call(self.admin.address, request("/ops/readiness")), (200, b"ready\n"))
-        await until(lambda: len(self.admin.calls) <= CALLERS_MOST)
-        self.now += CALL_MS
+        await until(lambda: len(self.admin.calls) <= MAX_CALLERS)
+        self.now += CALL_TIMEOUT_MS
         self.deadlines.sweep(self.now)
         await until(lambda: not self.admin.calls)
         for reader, writer in silent:
             self.assertEqual(await reader.read(), b"")  # closed, unanswered
             writer.close()
-        self.assertGreaterEqual(self.counters["admin.calls_unfinished"], CALLERS_MOST)
+        self.assertGreaterEqual(self.counters["admin.calls_unfinished"], MAX_CALLERS)
 
 
 def start(
@@ -319,7 +321,7 @@
         director = Director(config, asyncio.get_running_loop())
         director.sync_most_ms = 600_000.0  # the coordinator's answer, not a time, ends the wait here
         await director.start()
-        self.assertFalse(director.readiness.ready())
+        self.assertFalse(director.readiness.is_ready)
         clients = [await asyncio.open_connection(*director.front.address) for _ in range(8)]
         for key, (_, writer) in enumerate(clients, 1):  # homes on both caches, by hash
             writer.write(request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
@@ -331,7 +333,7 @@
             self.assertEqual((await read_message(reader))[2], BODY)
             writer.close()
         self.assertEqual((len(first.heard), len(second.heard)), (0, 8))
-        self.assertTrue(director.readiness.ready())
+        self.assertTrue(director.readiness.is_ready)
         director.front.close()
         director.follower.close()
         coordinator.stop()
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -4,7 +4,7 @@
 import unittest
 
 from gladewalk.net.clients import ASK_MS
-from gladewalk.ops.readiness import ACCEPT_MS, KILL_MOST_MS, answered_by_ms
+from gladewalk.ops.readiness import MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS, shutdown_deadline_ms
 from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request, until
 
 from .peers import BYTES, hit
@@ -61,9 +61,9 @@
             writer.write(WHOLE)
             await until(lambda: len(cache.heard) == 1)
             director.stop()
-            kill_ms = director.clock() + ACCEPT_MS + KILL_MOST_MS
+            kill_ms = director.clock() + SHUTDOWN_ACCEPT_MS + MAX_SIGKILL_DELAY_MS
             (taken,) = director.exchange.taken.values()
-            self.assertGreater(LONGEST_MS, KILL_MOST_MS)
+            self.assertGreater(LONGEST_MS, MAX_SIGKILL_DELAY_MS)
             self.assertLess(taken.deadline_ms, kill_ms)
             late = await world.client()  # it comes in the last moment, with all its patience
             late[1].write(request("/invoke/lot-video/a2", trace="00000000000000a2", wait_ms=LONGEST_MS))
@@ -81,9 +81,9 @@
             held.set()
 
     def test_a_stop_leaves_short_requests_all_their_time(self) -> None:
-        self.assertLess(answered_by_ms(0.0, 1_500.0), ACCEPT_MS + 1_500.0)
-        self.assertGreater(answered_by_ms(0.0, 1_500.0), 1_500.0)
-        self.assertEqual(answered_by_ms(0.0, 8_000.0), answered_by_ms(0.0, KILL_MOST_MS))
+        self.assertLess(shutdown_deadline_ms(0.0, 1_500.0), SHUTDOWN_ACCEPT_MS + 1_500.0)
+        self.assertGreater(shutdown_deadline_ms(0.0, 1_500.0), 1_500.0)
+        self.assertEqual(shutdown_deadline_ms(0.0, 8_000.0), shutdown_deadline_ms(0.0, MAX_SIGKILL_DELAY_MS))
 
     async def test_a_write_that_may_have_run_is_failed_and_not_refused_then(self) -> None:
         held = asyncio.Event()
