Control protocol: ControlRequest, ControlResponse, Query and a typed error for each way to fail

Cause: names were words of our own, codes stood apart from their error, an unknown view was a case of its own. Change: messages by standard names with their keys on the wire kept by msgspec's rename; query_director raises QueryRejectedError, DirectorNotRunningError, VersionMismatchError or DirectorTimeoutError, each with its exit code; ControlServer.handlers; UnsupportedQueryError for a query that has no handler or no answer.

--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -22,7 +22,7 @@
 from collections import Counter
 from pathlib import Path
 
-from gladewalk.control.client import ask
+from gladewalk.control.client import query_director
 from gladewalk.faultnet.relay import free_port
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
 
@@ -77,7 +77,7 @@
         """What all of them have counted together."""
         total: Counter[str] = Counter()
         for number in self.running:
-            told = await asyncio.to_thread(ask, self.folder / f"n{number}.sock", "members")
+            told = await asyncio.to_thread(query_director, self.folder / f"n{number}.sock", "members")
             total.update(told["counters"])
         return total
 
--- a/benchmarks/store_kills.py
+++ b/benchmarks/store_kills.py
@@ -25,7 +25,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from gladewalk.control.client import ControlError, ask
+from gladewalk.control.client import ControlError, query_director
 from gladewalk.rehearsal.peers import (
     SETTINGS,
     Coordinator,
@@ -94,7 +94,7 @@
     async def durable(self) -> set[str]:
         """The objects whose purges the store has acknowledged."""
         with contextlib.suppress(ControlError):
-            told = await asyncio.to_thread(ask, self.folder / "control", "store")
+            told = await asyncio.to_thread(query_director, self.folder / "control", "store")
             return {key[2:] for key in told["purges"]}
         return set()
 
--- a/benchmarks/store_served.py
+++ b/benchmarks/store_served.py
@@ -20,7 +20,7 @@
 import time
 from pathlib import Path
 
-from gladewalk.control.client import ask
+from gladewalk.control.client import query_director
 from gladewalk.rehearsal.peers import SETTINGS, Coordinator, Heard, ScriptedPeer, config_for
 
 from .store_kills import OBJECTS, Run
@@ -59,7 +59,7 @@
     until = time.monotonic() + seconds
     clients = [client(run, random.Random(n), waits, until) for n in range(4)]
     await asyncio.gather(tell(coordinator, rate, draw, until), *clients)
-    told = await asyncio.to_thread(ask, folder / "control", "store")
+    told = await asyncio.to_thread(query_director, folder / "control", "store")
     await run.kill()
     coordinator.stop()
     for peer in peers:
--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -202,17 +202,17 @@
 def refuse(context: click.Context, error: Exception) -> NoReturn:
     """One line, and 2 for what cannot be used, or the code that the error has of its own."""
     click.echo(f"gladewalk: {error}", err=True)
-    context.exit(getattr(error, "code", 2))
+    context.exit(getattr(error, "exit_code", 2))
 
 
 def ask_director(
     context: click.Context, options_path: str | None, socket_path: str | None, view: str, **given: Any
 ) -> dict[str, Any]:
     """A running director's answer; whatever keeps it from us is one line and an exit code of its own."""
-    from .control.client import ControlError, ask
+    from .control.client import ControlError, query_director
 
     try:
-        told: dict[str, Any] = ask(control_path(options_path, socket_path), view, **given)
+        told: dict[str, Any] = query_director(control_path(options_path, socket_path), view, **given)
     except (ConfigError, ControlError) as error:
         refuse(context, error)
     return told
--- a/gladewalk/control/__init__.py
+++ b/gladewalk/control/__init__.py
@@ -1,1 +1,1 @@
-"""A running director seen from the command line: a Unix socket for its owner, off unless set."""
+"""Control socket: a Unix socket, off unless configured, over which its owner queries a running director."""
--- a/gladewalk/control/messages.py
+++ b/gladewalk/control/messages.py
@@ -1,32 +1,57 @@
-"""What the command line and a director say to one another: JSON, one object a line, each with the version."""
+"""Messages of the control protocol: JSON over a Unix socket, one object a line, each with a version."""
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Any
 
 import msgspec
 
-VERSION = 1
-LINE_MOST = 4 * 1024 * 1024  # bytes of an answer; a question is far shorter
-QUESTION_MOST = 64 * 1024
+PROTOCOL_VERSION = 1
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+MAX_REQUEST_BYTES = 64 * 1024
 
 
-class Asked(msgspec.Struct, frozen=True, kw_only=True):
-    """`ask` names the view, `given` what it is asked with."""
+class Query(StrEnum):
+    """What a director can be asked for; those of a part that is off are not supported."""
 
-    v: int
-    ask: str
-    given: dict[str, Any] = {}
+    LIST_QUERIES = "views"
+    MEMBERS = "members"
+    LEASES = "leases"
+    STORE = "store"
+    HAND_ON = "hand_on"
+    PURGE = "purge"
+    PURGE_STATUS = "order"
 
 
-class Told(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """`data` of the view, or `error`, one line that says why there is none."""
+class ControlRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A query with its arguments.
 
-    v: int
+    Attributes:
+        version: The sender's `PROTOCOL_VERSION`; a director rejects another than its own.
+        query: A value of `Query`, or a name that this version does not know.
+        arguments: What the query's handler is called with.
+    """
+
+    version: int = msgspec.field(name="v")
+    query: str = msgspec.field(name="ask")
+    arguments: dict[str, Any] = msgspec.field(name="given", default_factory=dict)
+
+
+class ControlResponse(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The answer to a request.
+
+    Attributes:
+        version: The director's `PROTOCOL_VERSION`.
+        data: What the query's handler returned; None along with an error.
+        error: One line that says why there is no data; empty if there is.
+    """
+
+    version: int = msgspec.field(name="v")
     data: Any = None
     error: str = ""
 
 
 encoder = msgspec.json.Encoder()
-asked_decoder = msgspec.json.Decoder(Asked)
-told_decoder = msgspec.json.Decoder(Told)
+request_decoder = msgspec.json.Decoder(ControlRequest)
+response_decoder = msgspec.json.Decoder(ControlResponse)
--- a/gladewalk/control/server.py
+++ b/gladewalk/control/server.py
@@ -1,7 +1,4 @@
-"""The director's side of the control socket: questions in, views out, nothing decided.
-
-A view is a function of what was given with the question; it raises `Unanswerable` with the line to say.
-"""
+"""Server of the control socket: decodes queries, calls their handlers and encodes what these return."""
 
 from __future__ import annotations
 
@@ -17,92 +14,133 @@
 
 from ..config import ConfigError
 from ..counters import Counters
-from .messages import QUESTION_MOST, VERSION, Asked, Told, asked_decoder, encoder
+from .messages import (
+    MAX_REQUEST_BYTES,
+    PROTOCOL_VERSION,
+    ControlRequest,
+    ControlResponse,
+    Query,
+    encoder,
+    request_decoder,
+)
+
+QueryHandler = Callable[[dict[str, Any]], Any]
+"""Takes the request's arguments and returns its data; raises `UnsupportedQueryError` if there is none."""
+
+MAX_SOCKET_PATH_BYTES = 107
+"""Length of a Unix socket's path, unix(7)."""
+
+MAX_CONNECTIONS = 16
+IDLE_TIMEOUT_SECONDS = 30.0
+PROBE_TIMEOUT_SECONDS = 1.0
+OWNER_ONLY_UMASK = 0o177
 
-View = Callable[[dict[str, Any]], Any]
-PATH_MOST = 107  # bytes of a Unix socket's path (unix(7))
-OPEN_MOST = 16  # command lines at a time
-IDLE_S = 30.0
 
+class UnsupportedQueryError(Exception):
+    """A query has no handler here, or its arguments name nothing there is; the text is one line."""
 
-class Unanswerable(Exception):
-    """There is no such thing to be told of; the text is one line for the operator."""
 
+def check_socket_path(path: Path) -> None:
+    """Checks at the start that a control socket can be bound at this path.
 
-def check_path(path: Path) -> None:
-    """Guards against a path that can't be bound, at the start and not in the middle of the night."""
-    if len(os.fsencode(path)) > PATH_MOST:
-        raise ConfigError(f"control.socket: a path of more than {PATH_MOST} bytes: {path}")
+    Raises:
+        ConfigError: The path is too long, its folder is missing, something else stands there, or another
+            director listens at it.
+    """
+    if len(os.fsencode(path)) > MAX_SOCKET_PATH_BYTES:
+        raise ConfigError(f"control.socket: a path of more than {MAX_SOCKET_PATH_BYTES} bytes: {path}")
     if not path.parent.is_dir():
         raise ConfigError(f"control.socket: no such folder: {path.parent}")
     try:
-        if not stat.S_ISSOCK(path.lstat().st_mode):
-            raise ConfigError(f"control.socket: {path} is there and no socket")
+        mode = path.lstat().st_mode
     except FileNotFoundError:
         return
+    if not stat.S_ISSOCK(mode):
+        raise ConfigError(f"control.socket: {path} is there and no socket")
+    if _has_listener(path):
+        raise ConfigError(f"control.socket: another director listens at {path}")
+
+
+def _has_listener(path: Path) -> bool:
+    """Returns whether a process listens; a socket file without one was left behind by a killed process."""
     with socket.socket(socket.AF_UNIX) as probe:
-        probe.settimeout(1.0)
+        probe.settimeout(PROBE_TIMEOUT_SECONDS)
         try:
             probe.connect(os.fspath(path))
         except OSError:
-            return  # left behind by one that was killed
-    raise ConfigError(f"control.socket: another director listens at {path}")
+            return False
+    return True
 
 
-class Control:
-    """The socket and its views."""
+class ControlServer:
+    """Listens at the control socket and answers queries one after another on each connection.
+
+    Attributes:
+        path: The socket, accessible by its owner alone.
+        handlers: Handlers by the query's name; each part of a director that is on adds its own.
+        connections: Open connections.
+    """
 
     def __init__(self, path: Path, counters: Counters) -> None:
         self.path, self.counters = path, counters
-        self.views: dict[str, View] = {"views": lambda given: sorted(self.views)}
-        self.server: asyncio.Server | None = None
-        self.open: set[asyncio.StreamWriter] = set()
+        self.handlers: dict[str, QueryHandler] = {Query.LIST_QUERIES: lambda _: sorted(self.handlers)}
+        self.connections: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
 
     async def listen(self) -> None:
-        self.path.unlink(missing_ok=True)  # `check_path` found nobody behind it
-        before = os.umask(0o177)  # readable for nobody else from its first moment
+        """Binds the socket, in place of one left behind: `check_socket_path` found no listener there."""
+        self.path.unlink(missing_ok=True)
+        previous_umask = os.umask(OWNER_ONLY_UMASK)  # no moment in which others may connect
         try:
-            self.server = await asyncio.start_unix_server(self._serve, self.path, limit=QUESTION_MOST)
+            self._server = await asyncio.start_unix_server(self._serve, self.path, limit=MAX_REQUEST_BYTES)
         finally:
-            os.umask(before)
+            os.umask(previous_umask)
 
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        """Stops listening, removes the socket and closes all connections."""
+        if self._server is not None:
+            self._server.close()
             self.path.unlink(missing_ok=True)
-        for writer in self.open:
+        for writer in self.connections:
             writer.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self.open) >= OPEN_MOST:
+        if len(self.connections) >= MAX_CONNECTIONS:
             self.counters.add("control.crowded")
-            return writer.close()
-        self.open.add(writer)
+            writer.close()
+            return
+        self.connections.add(writer)
         try:
             while True:
-                async with asyncio.timeout(IDLE_S):
+                async with asyncio.timeout(IDLE_TIMEOUT_SECONDS):
                     line = await reader.readuntil(b"\n")
                     writer.write(encoder.encode(self.answer(line)) + b"\n")
                     await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
-            pass  # it has gone, says nothing or says too much
+            pass  # the client has closed, is idle for too long or sent too long a line
         finally:
-            self.open.discard(writer)
+            self.connections.discard(writer)
             writer.close()
 
-    def answer(self, line: bytes) -> Told:
+    def answer(self, line: bytes) -> ControlResponse:
+        """Answers one line with the data of its query, or with the error that says why there is none."""
         self.counters.add("control.asked")
         try:
-            asked: Asked = asked_decoder.decode(line)
+            request = request_decoder.decode(line)
         except msgspec.MsgspecError as error:
             self.counters.add("control.malformed")
-            return Told(v=VERSION, error=f"no question: {error}")
-        if asked.v != VERSION:
-            return Told(v=VERSION, error=f"asked in version {asked.v}, this director speaks {VERSION}")
-        view = self.views.get(asked.ask)
-        if view is None:
-            return Told(v=VERSION, error=f"no view {asked.ask!r}: it is off here, or of another version")
+            return ControlResponse(version=PROTOCOL_VERSION, error=f"no question: {error}")
         try:
-            return Told(v=VERSION, data=view(asked.given))
-        except Unanswerable as why:
-            return Told(v=VERSION, error=str(why))
+            return ControlResponse(version=PROTOCOL_VERSION, data=self._dispatch(request))
+        except UnsupportedQueryError as error:
+            return ControlResponse(version=PROTOCOL_VERSION, error=str(error))
+
+    def _dispatch(self, request: ControlRequest) -> Any:
+        if request.version != PROTOCOL_VERSION:
+            raise UnsupportedQueryError(
+                f"asked in version {request.version}, this director speaks {PROTOCOL_VERSION}"
+            )
+        handler = self.handlers.get(request.query)
+        if handler is None:
+            raise UnsupportedQueryError(f"no view {request.query!r}: it is off here, or of another version")
+        return handler(request.arguments)
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -82,10 +82,10 @@
 
             check_front(options)
         if options.control is not None:
-            from .control.server import check_path
+            from .control.server import check_socket_path
 
             try:
-                check_path(options.file(options.control.socket))
+                check_socket_path(options.file(options.control.socket))
             except ConfigError as error:
                 raise ConfigError(f"{options_path}: {error}") from error
         if options.dns is not None:
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -23,7 +23,7 @@
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
-    from .control.server import Control
+    from .control.server import ControlServer
     from .dns.settings import DnsConfig
     from .duties.runner import Runner
     from .leases.transport import Address, Leases
@@ -144,7 +144,7 @@
             self.leases = start_leases(
                 config.name, options, self.keeper, clock, self.deadlines, self.counters
             )
-        self.control: Control | None = None
+        self.control: ControlServer | None = None
         if options is not None and options.control is not None:
             self.control = self._control(options)
 
@@ -175,19 +175,19 @@
             await self.admin.listen(self.config.admin)
         self.readiness.is_started = True
 
-    def _control(self, options: Options) -> Control:
+    def _control(self, options: Options) -> ControlServer:
         """The socket for operators, with a view for each part that is on."""
-        from .control.server import Control
+        from .control.server import ControlServer
 
         assert options.control is not None
-        control = Control(options.file(options.control.socket), self.counters)
+        control = ControlServer(options.file(options.control.socket), self.counters)
         if self.duties is not None:
             from .duties.view import view_of
 
             duties = self.duties
-            control.views["members"] = lambda given: view_of(duties)
+            control.handlers["members"] = lambda given: view_of(duties)
         if self.keeper is not None:
-            control.views["store"] = self.keeper.view
+            control.handlers["store"] = self.keeper.view
         if self.leases is not None:
             from .leases.view import add_views
 
--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -21,7 +21,7 @@
 
 import tomli_w
 
-from ..control.client import ask
+from ..control.client import query_director
 from ..leases.history import Verdict, check_sinks
 from ..members.history import Seen, from_log
 from ..members.seal import load_keys
@@ -164,7 +164,7 @@
 
     async def ask(self, name: str, view: str, **given: Any) -> Any:
         """What a director's control socket tells; `ControlError` where it tells nothing."""
-        return await asyncio.to_thread(ask, self.folder / f"{name}.sock", view, **given)
+        return await asyncio.to_thread(query_director, self.folder / f"{name}.sock", view, **given)
 
     def log_of(self, name: str) -> list[dict[str, Any]]:
         """All lines of a director's log, of its earlier runs too."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,8 +14,15 @@
 
 from gladewalk.cli import gladewalk
 from gladewalk.config import ConfigError
-from gladewalk.control.client import HANGS, NOT_THERE, OTHER_VERSION, UNUSABLE, ControlError, ask
-from gladewalk.control.server import Control, Unanswerable, check_path
+from gladewalk.control.client import (
+    ControlError,
+    DirectorNotRunningError,
+    DirectorTimeoutError,
+    QueryRejectedError,
+    VersionMismatchError,
+    query_director,
+)
+from gladewalk.control.server import ControlServer, UnsupportedQueryError, check_socket_path
 from gladewalk.counters import Counters
 from gladewalk.options import options_of, read_tables
 from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, until
@@ -31,10 +38,10 @@
         self.path = self.folder / "c.sock"
 
     async def ask(self, *words: object, **given: object) -> object:
-        return await asyncio.to_thread(lambda: ask(self.path, *words, **given))  # type: ignore[arg-type]
+        return await asyncio.to_thread(lambda: query_director(self.path, *words, **given))  # type: ignore[arg-type]
 
-    async def start(self) -> Control:
-        control = Control(self.path, Counters())
+    async def start(self) -> ControlServer:
+        control = ControlServer(self.path, Counters())
         await control.listen()
         self.addCleanup(control.close)
         return control
@@ -43,9 +50,9 @@
         control = await self.start()
 
         def refuse(given: object) -> object:
-            raise Unanswerable("no such box: c9")
+            raise UnsupportedQueryError("no such box: c9")
 
-        control.views |= {"echo": lambda given: given, "refuse": refuse}
+        control.handlers |= {"echo": lambda given: given, "refuse": refuse}
         self.assertEqual(stat.S_IMODE(self.path.stat().st_mode), 0o600)
         self.assertEqual(await self.ask("echo", box="c1"), {"box": "c1"})
         self.assertEqual(await self.ask("views"), ["echo", "refuse", "views"])
@@ -53,7 +60,7 @@
             with self.assertRaises(ControlError) as caught:
                 await self.ask(view)
             self.assertIn(why, str(caught.exception))
-            self.assertEqual(caught.exception.code, UNUSABLE)
+            self.assertEqual(caught.exception.exit_code, QueryRejectedError.exit_code)
 
     async def test_noise_is_answered_by_one_line_and_too_much_of_it_by_a_close(self) -> None:
         control = await self.start()
@@ -64,22 +71,22 @@
         writer.write(b"x" * 200_000)
         self.assertEqual(await reader.read(), b"")
         self.assertEqual(control.counters["control.malformed"], 1)
-        await until(lambda: not control.open)
+        await until(lambda: not control.connections)
 
     async def test_each_way_to_have_no_answer_has_its_code(self) -> None:
         def code(wait_s: float = 3.0) -> int:
             try:
-                ask(self.path, "views", wait_s)
+                query_director(self.path, "views", wait_s)
             except ControlError as error:
-                return error.code
+                return error.exit_code
             return 0
 
-        self.assertEqual(code(), NOT_THERE)
+        self.assertEqual(code(), DirectorNotRunningError.exit_code)
         with socket.socket(socket.AF_UNIX) as silent:
             silent.bind(str(self.path))
-            self.assertEqual(code(), NOT_THERE)  # left behind by one that was killed
+            self.assertEqual(code(), DirectorNotRunningError.exit_code)  # left behind by one that was killed
             silent.listen()
-            self.assertEqual(code(0.05), HANGS)
+            self.assertEqual(code(0.05), DirectorTimeoutError.exit_code)
             for said in (b"220 hello\n", b'{"v":7,"data":1}\n', b""):
 
                 def speak(said: bytes = said) -> None:
@@ -91,17 +98,19 @@
                 silent.accept()[0].close() if said == b"220 hello\n" else None  # the one that gave up
                 thread = threading.Thread(target=speak)
                 thread.start()
-                self.assertEqual(code(), OTHER_VERSION if said else NOT_THERE)
+                self.assertEqual(
+                    code(), (VersionMismatchError if said else DirectorNotRunningError).exit_code
+                )
                 thread.join()
             with self.assertRaisesRegex(ConfigError, r"control\.socket: another director listens"):
-                check_path(self.path)
-        check_path(self.path)
+                check_socket_path(self.path)
+        check_socket_path(self.path)
         for bad, why in ((self.folder / ("x" * 120), "bytes"), (self.folder / "no" / "c", "no such folder")):
             with self.assertRaisesRegex(ConfigError, why):
-                check_path(bad)
+                check_socket_path(bad)
         (self.folder / "file").write_text("mine")
         with self.assertRaisesRegex(ConfigError, "no socket"):
-            check_path(self.folder / "file")
+            check_socket_path(self.folder / "file")
 
 
 class Members(unittest.IsolatedAsyncioTestCase):
@@ -139,5 +148,5 @@
             assert director.control is not None
             director.control.close()
             code, text = await asyncio.to_thread(run)
-            self.assertEqual(code, NOT_THERE)
+            self.assertEqual(code, DirectorNotRunningError.exit_code)
             self.assertIn("no director listens there", text)
