--- a/gladewalk/control/server.py
+++ b/gladewalk/control/server.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from ..config import ConfigError
-from ..counters import Counters
+from ..config.platform import ConfigError
+from ..core.counters import Counters
 from .messages import (
     MAX_REQUEST_BYTES,
     PROTOCOL_VERSION,
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -12,10 +12,10 @@
 import structlog
 
 from . import signals
-from .config import Config, ConfigError, load
-from .counters import Counters
-from .deadlines import Deadlines
-from .exchange import Exchange
+from .config.platform import Config, ConfigError, load
+from .core.counters import Counters
+from .core.deadlines import Deadlines
+from .core.exchange import Exchange
 from .net.clients import ASK_MS, ClientFront
 from .net.coordinator import Feed, Follower
 from .net.outside import REAL, Outside
@@ -23,6 +23,7 @@
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
+    from .config.options import Options
     from .control.server import ControlServer
     from .dns.settings import DnsConfig
     from .duties.runner import Runner
@@ -31,7 +32,6 @@
     from .members.transport import Members
     from .net.admin import AdminFront
     from .nginx.router import Router
-    from .options import Options
     from .store.keeper import Keeper
     from .upstream.secure import Shapes
     from .web.start import Web
@@ -88,7 +88,11 @@
         self.caches = Caches(self.exchange, config, clock, self.deadlines, self.counters, shapes)
         self.exchange.upstreams = self.caches
         self.front = ClientFront(
-            self.exchange, config.settings.connection_limit, clock, self.deadlines, self.counters,
+            self.exchange,
+            config.settings.client_connection_limit,
+            clock,
+            self.deadlines,
+            self.counters,
             outside.listen,
         )
         self._set_front(config)
@@ -227,7 +231,7 @@
         try:
             config, options, shapes = load(os.environ), self.options, self.caches.shapes
             if options is not None:
-                from .options import load_options
+                from .config.options import load_options
 
                 options = load_options(options.path)
                 shapes = shapes_of(options, shapes)
@@ -299,7 +303,7 @@
         self.log.info("configuration taken", coordinator=config.coordinator, last=self.feed.last)
 
     def _set_front(self, config: Config) -> None:
-        self.front.connection_limit = config.settings.connection_limit
+        self.front.connection_limit = config.settings.client_connection_limit
         self.front.hold_off = config.hold_off
         self.front.arrive_ms = max(ASK_MS, self._patience_ms())
 
--- a/gladewalk/net/admin.py
+++ b/gladewalk/net/admin.py
@@ -10,9 +10,9 @@
 
 import httptools
 
-from ..config import Address
-from ..counters import Counters
-from ..deadlines import Deadlines, Key
+from ..config.platform import Address
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines, Key
 
 CALL_TIMEOUT_MS = 2_000.0
 """A call that has not arrived completely after this long is closed without an answer."""
--- a/gladewalk/ops/routes.py
+++ b/gladewalk/ops/routes.py
@@ -9,8 +9,8 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from ..counters import Counters
-from ..deadlines import Deadlines
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
 from ..interface import Server, ServerState
 from ..net.admin import AdminFront, Handler, Response
 from .metrics import Gauges, format_metrics
@@ -25,7 +25,7 @@
         """The server as the endpoint list has it."""
 
     @property
-    def blocked_until(self) -> float:
+    def backoff_until_ms(self) -> float:
         """Until when, in Unix ms, the dispatcher sends nothing there."""
 
 
@@ -96,7 +96,7 @@
     unavailable = [
         server
         for server in listed
-        if server.info.state is not ServerState.READY or now_ms < server.blocked_until
+        if server.info.state is not ServerState.READY or now_ms < server.backoff_until_ms
     ]
     return Gauges(exchange.owed, len(listed), len(unavailable))
 
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -5,8 +5,8 @@
 import httptools
 
 from .. import interface as api
-from ..deadlines import Key
-from ..exchange import Attempt
+from ..core.deadlines import Key
+from ..core.exchange import Attempt
 from ..upstream.http1 import CacheConnection
 from ..upstream.jobs import Probing
 from ..upstream.targets import Upstream
@@ -148,7 +148,7 @@
             return WebEnd(api.Status.ERROR, condition=condition, code=self.status)
         # Made, not held: how long it took says what was asked for and not how well the server does, so the
         # core must not weigh servers by it. Guards against one that answers first being given all there is.
-        return WebEnd(api.Status.OK, api.Note.FILLED, condition=condition, code=self.status)
+        return WebEnd(api.Status.OK, api.OutcomeDetail.FILLED, condition=condition, code=self.status)
 
     def _spoilt(self) -> None:
         job = self.job
--- a/tests/test_golden_control.py
+++ b/tests/test_golden_control.py
@@ -26,8 +26,9 @@
 import pytest
 from click.testing import CliRunner
 
-from gladewalk import cli, options, settings
-from gladewalk.config import read
+from gladewalk.cli.commands import gladewalk
+from gladewalk.config import options, policy_settings
+from gladewalk.config.platform import read
 from gladewalk.rehearsal.peers import SETTINGS
 
 ROOT = Path(__file__).parent.parent
@@ -276,7 +277,7 @@
         """Exit code, standard output and standard error, with the folder's own path taken out."""
         env = {"NODE_CONFIG": str(self.path / "node.json"), "COLUMNS": "110"}
         with chdir(self.path):
-            done = CliRunner(env=env).invoke(cli.gladewalk, list(words))
+            done = CliRunner(env=env).invoke(gladewalk, list(words))
         return [done.exit_code, *(text.replace(str(self.path), "DIR") for text in (done.stdout, done.stderr))]
 
 
@@ -473,10 +474,12 @@
     return {
         "plain": [flat(read(text, {})) for text in texts],
         "environ": flat(read({**PLATFORM, "name": 5, "listen": 5}, environ)),
-        "settings": flat(settings.read_settings(FULL_SETTINGS)),
-        "roles": flat(settings.read_roles(FULL_SETTINGS)),
-        "load": settings.read_load({"outstanding": 1, "backlog": 2, "utilization": 3, "other": 4, "x0": 5}),
-        "no load": settings.read_load([]),
+        "settings": flat(policy_settings.read_settings(FULL_SETTINGS)),
+        "roles": flat(policy_settings.read_roles(FULL_SETTINGS)),
+        "load": policy_settings.read_load(
+            {"outstanding": 1, "backlog": 2, "utilization": 3, "other": 4, "x0": 5}
+        ),
+        "no load": policy_settings.read_load([]),
     }
 
 
