--- a/benchmarks/silent_box.py
+++ b/benchmarks/silent_box.py
@@ -24,7 +24,7 @@
 import structlog
 
 from gladewalk.config.options import options_of, read_tables
-from gladewalk.config.platform import read
+from gladewalk.config.platform import read_config
 from gladewalk.director import Director
 from gladewalk.rehearsal.peers import (
     Coordinator,
@@ -78,7 +78,7 @@
                 "duties": {"probe_ms": 250.0, "check_ms": 0.0},
             }), "t", folder)  # fmt: skip
         raw = {**config_for(peers, coordinator), "name": f"n{number}", "seed": f"{number + 1:x}"}
-        director = Director(read(raw, {}), asyncio.get_running_loop(), None, options)
+        director = Director(read_config(raw, {}), asyncio.get_running_loop(), None, options)
         await director.start()
         if director.members is not None:
             seeds = [f"127.0.0.1:{director.members.core.me.port}"]
--- a/gladewalk/cli/commands.py
+++ b/gladewalk/cli/commands.py
@@ -87,7 +87,7 @@
         "name": config.name,
         "listen": list(config.listen),
         "classes": [cls.name for cls in config.settings.classes],
-        "events": config.known_index,
+        "events": config.initial_event_index,
         "dns": list(dns.listen) if dns is not None else None,
         "members": options.members.listen if options is not None and options.members is not None else None,
         "control": options.control.socket if options is not None and options.control is not None else None,
--- a/gladewalk/config/platform.py
+++ b/gladewalk/config/platform.py
@@ -1,4 +1,4 @@
-"""What a director is told at its start: the file named by `NODE_CONFIG`, checked once."""
+"""Reads the platform's configuration file, named by `NODE_CONFIG`, into a `PlatformConfig`."""
 
 from __future__ import annotations
 
@@ -7,43 +7,90 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from .. import interface as api
-from ..interface import validate_settings
-from .policy_settings import SettingsError, either, need, read_roles, read_settings
+from ..errors import GladewalkError
+from .policy_settings import read_roles, read_settings, require_field, value_or
 
 Address = tuple[str, int]
+"""A host, by its literal address or its name, and a port."""
 
+DEFAULT_MAX_DESCRIPTORS = 1_024
+DEFAULT_CONNECT_TIMEOUT_MS = 400.0
+DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
+MAX_PORT = 65_535
+FIRST_INHERITED_DESCRIPTOR = 3
 
-class ConfigError(Exception):
-    """The configuration cannot be used; the text says why in one line."""
+CONVERSION_ERRORS = (ValueError, TypeError, AttributeError, OverflowError)
+"""What Python raises for a field of the file that has not the expected type or is out of range."""
+
+ENDPOINT_STATES = {
+    "SERVING": api.ServerState.READY,
+    "DRAINING": api.ServerState.DRAINING,
+    "DELETED": api.ServerState.GONE,
+}
+"""States of an endpoint on the coordinator's list."""
+
+
+class ConfigError(GladewalkError):
+    """A configuration cannot be used; the text says why in one line."""
 
 
 @dataclass(slots=True, frozen=True)
-class Config:
+class PlatformConfig:
+    """What the platform tells one director.
+
+    Attributes:
+        name: The director's name.
+        listen: Where clients connect.
+        coordinator: Where endpoint lists and purges come from.
+        seed: Seed of the decision module's random numbers.
+        max_descriptors: File descriptors that connections may use.
+        connect_timeout_ms: How long a connection to a server may take to open.
+        idle_timeout_ms: After how long servers close an idle connection.
+        settings: The decision module's settings.
+        roles: The models of servers that are parents or the origin.
+        initial_event_index: Index of the last event that the file includes.
+        initial_events: Events of the coordinator's feed that the file includes.
+        admin: The second address, for operators' calls; None without one.
+        inherited_fd: The clients' listening socket if the platform holds it.
+        sends_hold_off: Rejected clients are told in ms, beside `Retry-After`, how long to stay away.
+    """
+
     name: str
     listen: Address
     coordinator: Address
     seed: int
-    sockets: int
+    max_descriptors: int
     connect_timeout_ms: float
-    conn_idle_ms: float
+    idle_timeout_ms: float
     settings: api.Settings
     roles: dict[Any, api.Role]
-    known_index: int
-    known: tuple[dict[str, Any], ...]
-    admin: Address | None = None  # the second address, for operators' calls
-    inherited_fd: int | None = None  # the clients' listening socket, held by the platform
-    hold_off: bool = False  # refused clients are told in ms how long to stay away
+    initial_event_index: int
+    initial_events: tuple[dict[str, Any], ...]
+    admin: Address | None = None
+    inherited_fd: int | None = None
+    sends_hold_off: bool = False
+
+
+class Endpoint(NamedTuple):
+    """An entry of the coordinator's list: the server, and where to connect to it; None once it is gone."""
+
+    server: api.Server
+    address: Address | None
 
 
 def read_address(text: Any) -> Address:
-    """`HOST:PORT`, the host a literal address or a name, IPv6 in brackets."""
+    """Parses `HOST:PORT`, an IPv6 address in brackets.
+
+    Raises:
+        ConfigError: It has another form, a port out of range, or a host that no lookup can take (RFC 5890).
+    """
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+    if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
         raise ConfigError(f"not an address of the form HOST:PORT: {text!r}")
-    try:  # else it is found out only as it is dialled
+    try:  # a name that cannot be encoded would otherwise fail only when it is connected to
         host.encode("idna")
     except UnicodeError as error:
         raise ConfigError(f"not a name of a host: {text!r}") from error
@@ -52,7 +99,12 @@
     return host.strip("[]"), int(port)
 
 
-def load(environ: Mapping[str, str]) -> Config:
+def load_config(environ: Mapping[str, str]) -> PlatformConfig:
+    """Loads the file that `NODE_CONFIG` names.
+
+    Raises:
+        ConfigError: It cannot be read, is no JSON, or cannot be used; the text begins with its path.
+    """
     path = environ.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG is not set")
@@ -63,90 +115,110 @@
     except (ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: not valid JSON: {error}") from error
     try:
-        return read(raw, environ)
-    except (SettingsError, ConfigError, ValueError, TypeError, AttributeError, OverflowError) as error:
+        return read_config(raw, environ)
+    except (GladewalkError, *CONVERSION_ERRORS) as error:
         raise ConfigError(f"{path}: {error}") from error
 
 
-def read(raw: Any, environ: Mapping[str, str]) -> Config:
-    """The parsed file as a `Config`; the environment's name and address go first."""
+def read_config(raw: Any, environ: Mapping[str, str]) -> PlatformConfig:
+    """Converts the parsed file; `NODE_NAME`, `NODE_LISTEN` and `NODE_ADMIN_ADDR` override what it says.
+
+    Raises:
+        GladewalkError: A part of it cannot be used.
+        ValueError: Likewise; other members of `CONVERSION_ERRORS` for a part of an unexpected type.
+    """
     if not isinstance(raw, dict):
         raise ConfigError("not a JSON object")
-    settings, known = need(raw, "settings", (dict,)), either(raw.get("known"), {})
-    limits, own_limits = either(settings.get("limits"), {}), either(raw.get("limits"), {})
-    events = either(known.get("updates"), [])
-    if not isinstance(events, list) or not all(isinstance(event, dict) for event in events):
-        raise ConfigError("known: 'updates' is not a list of objects")
-    sockets = int(either(own_limits.get("sockets"), 1024))
-    # HTTP has a field for advice to a refused client, whatever the simulator's clients are given.
-    # Clients hold a third of the descriptors at most, with one request on each.
-    told = read_settings(settings)
-    module = replace(told, sends_retry_after=True, client_connection_limit=sockets // 3)
-    validate_settings(module)
-    return Config(
+    raw_settings = require_field(raw, "settings", (dict,))
+    known = value_or(raw.get("known"), {})
+    limits = value_or(raw_settings.get("limits"), {})
+    initial_events = _read_events(known)
+    max_descriptors = int(value_or(value_or(raw.get("limits"), {}).get("sockets"), DEFAULT_MAX_DESCRIPTORS))
+    settings = read_settings(raw_settings)
+    return PlatformConfig(
         name=environ.get("NODE_NAME") or str(raw.get("name", "director")),
+        settings=_adapt_settings(settings, max_descriptors),
         listen=read_address(environ.get("NODE_LISTEN") or raw.get("listen")),
         coordinator=read_address(raw.get("coordinator")),
-        seed=int(str(either(raw.get("seed"), "0")), 16),
-        sockets=sockets,
-        connect_timeout_ms=float(either(limits.get("connect_timeout_ms"), 400.0)),
-        conn_idle_ms=float(either(limits.get("conn_idle_ms"), 15_000.0)),
-        settings=module,
-        roles=read_roles(settings),
-        known_index=int(either(known.get("index"), 0)),
-        known=tuple(events),
-        admin=_admin_of(environ.get("NODE_ADMIN_ADDR") or raw.get("admin_addr")),
-        inherited_fd=_descriptor_of(environ.get("NODE_FD")),
-        hold_off=told.sends_retry_after,
+        seed=int(str(value_or(raw.get("seed"), "0")), 16),
+        max_descriptors=max_descriptors,
+        connect_timeout_ms=float(value_or(limits.get("connect_timeout_ms"), DEFAULT_CONNECT_TIMEOUT_MS)),
+        idle_timeout_ms=float(value_or(limits.get("conn_idle_ms"), DEFAULT_IDLE_TIMEOUT_MS)),
+        roles=read_roles(raw_settings),
+        initial_event_index=int(value_or(known.get("index"), 0)),
+        initial_events=initial_events,
+        admin=_read_optional_address(environ.get("NODE_ADMIN_ADDR") or raw.get("admin_addr")),
+        inherited_fd=_read_descriptor(environ.get("NODE_FD")),
+        sends_hold_off=settings.sends_retry_after,
     )
 
 
-def _admin_of(text: Any) -> Address | None:
+def _read_events(known: dict[str, Any]) -> tuple[dict[str, Any], ...]:
+    events = value_or(known.get("updates"), [])
+    if not isinstance(events, list) or not all(isinstance(event, dict) for event in events):
+        raise ConfigError("known: 'updates' is not a list of objects")
+    return tuple(events)
+
+
+def _adapt_settings(settings: api.Settings, max_descriptors: int) -> api.Settings:
+    """Adds what holds for every running director, whatever the simulator's clients are given.
+
+    HTTP has a field for advice to a rejected client. Clients hold a third of the descriptors at most, with
+    one request on each.
+    """
+    adapted = replace(settings, sends_retry_after=True, client_connection_limit=max_descriptors // 3)
+    api.validate_settings(adapted)
+    return adapted
+
+
+def _read_optional_address(text: Any) -> Address | None:
     return None if text in (None, "") else read_address(text)
 
 
-def _descriptor_of(text: str | None) -> int | None:
-    """`$NODE_FD`: the number of an inherited descriptor, 3 where the platform holds the listener."""
+def _read_descriptor(text: str | None) -> int | None:
+    """Parses `NODE_FD`, the number of an inherited listening socket."""
     if not text:
         return None
-    if not text.isdigit() or int(text) < 3:
+    if not text.isdigit() or int(text) < FIRST_INHERITED_DESCRIPTOR:
         raise ConfigError(f"NODE_FD: not a descriptor of the listener: {text!r}")
     return int(text)
 
 
-STATES = {
-    "SERVING": api.ServerState.READY,
-    "DRAINING": api.ServerState.DRAINING,
-    "DELETED": api.ServerState.GONE,
-}
-
+def read_finite(value: Any) -> float:
+    """Converts to a float; JSON as Python reads it has infinities and NaN, which compute to nothing.
 
-def finite(value: Any) -> float:
-    """A figure that can be reckoned with; JSON as it is read here has infinities, and what is no number."""
-    if not math.isfinite(number := float(value)):
+    Raises:
+        ConfigError: The number is not finite.
+        ValueError: It is no number; `TypeError` and `OverflowError` likewise.
+    """
+    number = float(value)
+    if not math.isfinite(number):
         raise ConfigError(f"not a finite number: {value!r}")
     return number
 
 
-def read_server(entry: Any, roles: Mapping[Any, api.Role]) -> tuple[api.Server, Address | None]:
-    """One entry of the coordinator's list: the server under its lasting `uid`, and where to dial it."""
+def read_endpoint(entry: Any, roles: Mapping[Any, api.Role]) -> Endpoint:
+    """Converts one entry of the coordinator's list; the server's name is its lasting `uid`.
+
+    Raises:
+        GladewalkError: A field is missing or cannot be used; `CONVERSION_ERRORS` likewise.
+    """
     if not isinstance(entry, dict):
         raise ConfigError("an entry of the list is not an object")
-    state = STATES.get(entry.get("state", ""))
+    state = ENDPOINT_STATES.get(entry.get("state", ""))
     if state is None:
         raise ConfigError(f"unknown state {entry.get('state')!r}")
-    gone = state is api.ServerState.GONE
-    size = finite(either(entry.get("capacity_hint"), 1.0))
-    if size < 0.0:
-        raise ConfigError(f"a size under 0: {size}")
+    capacity = read_finite(value_or(entry.get("capacity_hint"), 1.0))
+    if capacity < 0.0:
+        raise ConfigError(f"a size under 0: {capacity}")
     server = api.Server(
-        name=need(entry, "uid", (str,)),
+        name=require_field(entry, "uid", (str,)),
         role=roles.get(entry.get("model"), api.Role.CACHE),
-        zone=str(either(entry.get("az"), "")),
-        capacity=size,
+        zone=str(value_or(entry.get("az"), "")),
+        capacity=capacity,
         state=state,
-        started_ms=finite(either(entry.get("boot_ms"), 0.0)),
-        cell=int(either(entry.get("pod_group"), 0)),
-        address=str(either(entry.get("endpoint"), "")),
+        started_ms=read_finite(value_or(entry.get("boot_ms"), 0.0)),
+        cell=int(value_or(entry.get("pod_group"), 0)),
+        address=str(value_or(entry.get("endpoint"), "")),
     )
-    return server, None if gone else read_address(entry.get("endpoint"))
+    return Endpoint(server, None if state is api.ServerState.GONE else read_address(entry.get("endpoint")))
--- a/gladewalk/config/policy_settings.py
+++ b/gladewalk/config/policy_settings.py
@@ -1,28 +1,38 @@
-"""The settings object in the words of the interface: shared by the real director and the adapter."""
+"""Converts the platform's settings object into the `Settings` of the decision module.
+
+Shared by the running director, which finds the object in its configuration file, and by the simulator
+adapter, which receives it over its wire. Keys that are not known are ignored.
+"""
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 from .. import interface as api
+from ..errors import GladewalkError
 
-EFFECTS = {
+IDEMPOTENCY_BY_NAME = {
     "repeatable": api.Idempotency.IDEMPOTENT,
     "by_key": api.Idempotency.KEYED,
     "once": api.Idempotency.NON_IDEMPOTENT,
 }
-SIBLINGS = {
+SIBLING_SOURCES_BY_NAME = {
     "silent": api.SiblingSources.NONE,
     "location": api.SiblingSources.LOCATION,
     "any": api.SiblingSources.ANY,
 }
-NOTES = {"silent": api.DetailLevel.NONE, "hit": api.DetailLevel.HIT, "all": api.DetailLevel.ALL}
-REPORTS = {
+DETAIL_LEVEL_BY_NAME = {
+    "silent": api.DetailLevel.NONE,
+    "hit": api.DetailLevel.HIT,
+    "all": api.DetailLevel.ALL,
+}
+LOAD_REPORTING_BY_NAME = {
     "silent": api.LoadReporting.NONE,
     "piggyback": api.LoadReporting.IN_ANSWERS,
     "pull": api.LoadReporting.IN_HEALTH_CHECKS,
 }
-DETAILS = (
+OUTCOME_DETAILS = (
     api.OutcomeDetail.NONE,
     api.OutcomeDetail.HIT,
     api.OutcomeDetail.FILLED,
@@ -35,7 +45,9 @@
     api.OutcomeDetail.NO_FILL_SLOT,
     api.OutcomeDetail.ORIGIN_FAILED,
 )
-LOADS = {
+"""Details of an outcome in the order of their numbers on the wires."""
+
+LOAD_FIELD_NAMES = {
     "outstanding": "inflight",
     "backlog": "queue",
     "utilization": "util",
@@ -45,126 +57,197 @@
     "x0": "x0",
     "x1": "x1",
 }
+"""Fields of a load report on the wire, and as the decision module names them."""
+
+JsonObject = dict[str, Any]
 
 
-class SettingsError(Exception):
-    """What came in is not of the form that the settings or the wire have."""
+class InvalidMessageError(GladewalkError):
+    """A settings object or a message lacks a field, or has one of the wrong type or value."""
 
 
-def need(message: dict[str, Any], key: str, kinds: tuple[type, ...] = (int, float)) -> Any:
+def require_field(message: JsonObject, key: str, kinds: tuple[type, ...] = (int, float)) -> Any:
+    """Returns a field that must be there with one of these types; a boolean does not pass for a number.
+
+    Raises:
+        InvalidMessageError: It is missing or of another type.
+    """
     value = message.get(key)
     if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-        raise SettingsError(f"{message.get('op', 'settings')}: field '{key}' is missing or of the wrong type")
+        raise InvalidMessageError(
+            f"{message.get('op', 'settings')}: field '{key}' is missing or of the wrong type"
+        )
     return value
 
 
-def positive(message: dict[str, Any], key: str, where: str, default: Any = None) -> Any:
-    """A deadline or a count that has to be a number over 0; `where` names the key in the file."""
-    value = either(message.get(key), default)
+def require_positive(message: JsonObject, key: str, where: str, default: Any = None) -> Any:
+    """Returns a number over 0; `where` is the path of the object in the file.
+
+    Raises:
+        InvalidMessageError: The field, or the default in its absence, is no number over 0.
+    """
+    value = value_or(message.get(key), default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not value > 0:
-        raise SettingsError(f"{where}.{key}: not a positive number: {value!r}")
+        raise InvalidMessageError(f"{where}.{key}: not a positive number: {value!r}")
     return value
 
 
-def word(table: dict[str, Any], message: dict[str, Any], key: str) -> Any:
-    found = need(message, key, (str,))
-    if found not in table:
-        raise SettingsError(f"{message.get('op', 'settings')}: field '{key}' has the unknown value '{found}'")
-    return table[found]
+def require_choice(choices: dict[str, Any], message: JsonObject, key: str) -> Any:
+    """Returns what the field's text stands for among the choices.
 
+    Raises:
+        InvalidMessageError: The field is missing, no text, or none of the choices.
+    """
+    name = require_field(message, key, (str,))
+    if name not in choices:
+        raise InvalidMessageError(
+            f"{message.get('op', 'settings')}: field '{key}' has the unknown value '{name}'"
+        )
+    return choices[name]
 
-def at(values: Any, index: int, default: Any) -> Any:
+
+def item_or(values: Any, index: int, default: Any) -> Any:
+    """Returns the list's item; the default if there is no list or it is too short."""
     return values[index] if isinstance(values, list) and 0 <= index < len(values) else default
 
 
-def either(value: Any, default: Any) -> Any:
+def value_or(value: Any, default: Any) -> Any:
+    """Returns the value; the default in place of None, which is what an absent or a null field reads as."""
     return default if value is None else value
 
 
-def read_settings(raw: dict[str, Any]) -> api.Settings:
-    """The wire's settings in the words of the interface; what is not known is skipped."""
-    limits, rules = either(raw.get("limits"), {}), either(raw.get("invariants"), {})
-    details, prices = either(raw.get("specifics"), {}), either(raw.get("prices"), {})
-    classes = []
-    for index, entry in enumerate(need(raw, "classes", (list,))):
-        if not isinstance(entry, dict):
-            raise SettingsError("settings: an entry of 'classes' is not an object")
-        classes.append(
-            api.RequestClass(
-                name=need(entry, "name", (str,)),
-                latency_objective_ms=need(entry, "promise_ms"),
-                deadline_ms=positive(entry, "give_up_ms", f"settings.classes[{index}]"),
-                latency_objective_stretch=either(entry.get("aim_stretch"), 0.0),
-                priority_weight=either(entry.get("importance"), 1.0),
-                late_priority_weight=either(entry.get("late_worth"), 0.0),
-                idempotency=word(EFFECTS, entry, "repeat"),
-                deduplication_scope=api.DeduplicationScope(either(entry.get("key_scope"), "all")),
-                deduplication_window_ms=either(entry.get("window_ms"), 0.0),
-                streaming=bool(entry.get("streaming")),
-                freshness_lifetime_ms=at(details.get("lifetime_by_class_ms"), index, 0.0),
-                stale_grace_ms=at(details.get("class_grace_ms"), index, 0.0),
-                stale_priority_weight=at(details.get("stale_earns"), index, 0.0),
-                has_parts=at(details.get("class_parts"), index, False),
-                is_write=at(details.get("uncached"), index, False),
-            )
-        )
-    feedback = either(raw.get("feedback"), {})
-    return api.Settings(
-        classes=tuple(classes),
-        dispatcher_index=either(raw.get("me"), -1),
-        dispatcher_count=either(raw.get("n_instances"), 1),
-        zone=either(raw.get("my_zone"), ""),
-        zones=tuple(either(raw.get("zones"), ())),
-        hub_of_zone=tuple(either(details.get("hub_of"), ())),
-        dispatchers_by_zone=tuple(either(details.get("instances_by_zone"), ())),
-        inbound_link_kb_per_s=tuple(either(details.get("link_in_kb_per_s"), ())),
-        client_rate_kb_per_s=either(details.get("client_kb_per_s"), 0.0),
-        capacities_listed=raw.get("weights") != "silent",
-        infers_capacity=raw.get("weights") == "silent",
-        max_attempts=positive(limits, "most_tries", "settings.limits", 1),
+def read_settings(raw: JsonObject) -> api.Settings:
+    """Converts the settings object.
+
+    Raises:
+        InvalidMessageError: A class or a limit cannot be used; other fields may raise `ValueError`,
+            `TypeError` or `AttributeError` when they are not of the expected type.
+    """
+    specifics: JsonObject = value_or(raw.get("specifics"), {})
+    settings = api.Settings(classes=_read_classes(raw, specifics))
+    settings = _with_topology(settings, raw, specifics)
+    settings = _with_limits(settings, value_or(raw.get("limits"), {}))
+    settings = _with_reporting(settings, raw, specifics)
+    settings = _with_caching(settings, raw, specifics)
+    return _with_overload_rules(settings, value_or(raw.get("invariants"), {}), specifics)
+
+
+def _read_classes(raw: JsonObject, specifics: JsonObject) -> tuple[api.RequestClass, ...]:
+    entries = require_field(raw, "classes", (list,))
+    return tuple(_read_class(entry, index, specifics) for index, entry in enumerate(entries))
+
+
+def _read_class(entry: Any, index: int, specifics: JsonObject) -> api.RequestClass:
+    if not isinstance(entry, dict):
+        raise InvalidMessageError("settings: an entry of 'classes' is not an object")
+    return api.RequestClass(
+        name=require_field(entry, "name", (str,)),
+        latency_objective_ms=require_field(entry, "promise_ms"),
+        deadline_ms=require_positive(entry, "give_up_ms", f"settings.classes[{index}]"),
+        latency_objective_stretch=value_or(entry.get("aim_stretch"), 0.0),
+        priority_weight=value_or(entry.get("importance"), 1.0),
+        late_priority_weight=value_or(entry.get("late_worth"), 0.0),
+        idempotency=require_choice(IDEMPOTENCY_BY_NAME, entry, "repeat"),
+        deduplication_scope=api.DeduplicationScope(value_or(entry.get("key_scope"), "all")),
+        deduplication_window_ms=value_or(entry.get("window_ms"), 0.0),
+        streaming=bool(entry.get("streaming")),
+        freshness_lifetime_ms=item_or(specifics.get("lifetime_by_class_ms"), index, 0.0),
+        stale_grace_ms=item_or(specifics.get("class_grace_ms"), index, 0.0),
+        stale_priority_weight=item_or(specifics.get("stale_earns"), index, 0.0),
+        has_parts=item_or(specifics.get("class_parts"), index, False),
+        is_write=item_or(specifics.get("uncached"), index, False),
+    )
+
+
+def _with_topology(settings: api.Settings, raw: JsonObject, specifics: JsonObject) -> api.Settings:
+    """Adds the dispatchers, the zones and the links between them."""
+    return replace(
+        settings,
+        dispatcher_index=value_or(raw.get("me"), -1),
+        dispatcher_count=value_or(raw.get("n_instances"), 1),
+        zone=value_or(raw.get("my_zone"), ""),
+        zones=tuple(value_or(raw.get("zones"), ())),
+        hub_of_zone=tuple(value_or(specifics.get("hub_of"), ())),
+        dispatchers_by_zone=tuple(value_or(specifics.get("instances_by_zone"), ())),
+        inbound_link_kb_per_s=tuple(value_or(specifics.get("link_in_kb_per_s"), ())),
+        client_rate_kb_per_s=value_or(specifics.get("client_kb_per_s"), 0.0),
+    )
+
+
+def _with_limits(settings: api.Settings, limits: JsonObject) -> api.Settings:
+    """Adds what the dispatcher may do about a request."""
+    return replace(
+        settings,
+        max_attempts=require_positive(limits, "most_tries", "settings.limits", 1),
         hedging=bool(limits.get("may_duplicate")),
         may_cancel=bool(limits.get("cancel")),
         may_check_health=bool(limits.get("may_probe")),
         may_notify_peers=bool(limits.get("peers")),
         sends_retry_after=bool(limits.get("retry_after")),
-        max_retry_after_ms=either(limits.get("max_retry_after_ms"), 0.0),
+        max_retry_after_ms=value_or(limits.get("max_retry_after_ms"), 0.0),
+    )
+
+
+def _with_reporting(settings: api.Settings, raw: JsonObject, specifics: JsonObject) -> api.Settings:
+    """Adds what servers, discovery and answers tell the dispatcher."""
+    load_reporting = value_or(value_or(raw.get("feedback"), {}).get("how"), "silent")
+    detail_level = value_or(specifics.get("note_level"), "silent")
+    return replace(
+        settings,
+        capacities_listed=raw.get("weights") != "silent",
+        infers_capacity=raw.get("weights") == "silent",
         watches_endpoints=raw.get("discovery") == "subscribe",
-        load_reporting=REPORTS.get(either(feedback.get("how"), "silent"), api.LoadReporting.NONE),
-        may_bypass_caches=bool(details.get("may_pass_by")),
-        may_join_fills=bool(details.get("joins")),
-        sibling_sources=SIBLINGS.get(either(details.get("lateral"), "silent"), api.SiblingSources.NONE),
-        detail_level=NOTES.get(either(details.get("note_level"), "silent"), api.DetailLevel.NONE),
-        link_transfer_price=either(details.get("byte_fee"), 0.0),
-        origin_transfer_price=either(prices.get("origin"), 0.0),
-        answer_slack_ms=either(rules.get("answer_slack_ms"), 0.0),
-        drain_grace_ms=either(rules.get("drain_grace_ms"), 0.0),
-        slow_start_fraction=either(rules.get("cold_from"), 1.0),
-        slow_start_ms=either(rules.get("ramp_time_ms"), 0.0),
-        overload_multiple=either(rules.get("fall_multiple"), 1.0),
-        overload_window_ms=either(rules.get("tip_after_ms"), 1000.0),
-        parent_slow_start_fraction=either(details.get("parent_floor"), 1.0),
-        parent_slow_start_ms=either(details.get("parent_cold_ms"), 0.0),
-        parent_overload_multiple=either(details.get("parent_fall_multiple"), 1.0),
-        purge_grace_ms=either(details.get("obey_after_ms"), 0.0),
-        purge_settle_ms=either(details.get("purge_settles_ms"), 0.0),
-        origin_overload_multiple=either(details.get("origin_limit_factor"), 0.0),
-        origin_overload_window_ms=either(details.get("root_fall_ms"), 0.0),
+        load_reporting=LOAD_REPORTING_BY_NAME.get(load_reporting, api.LoadReporting.NONE),
+        detail_level=DETAIL_LEVEL_BY_NAME.get(detail_level, api.DetailLevel.NONE),
+    )
+
+
+def _with_caching(settings: api.Settings, raw: JsonObject, specifics: JsonObject) -> api.Settings:
+    """Adds how caches are filled, what a transfer costs, and how purges take effect."""
+    sibling_sources = value_or(specifics.get("lateral"), "silent")
+    return replace(
+        settings,
+        may_bypass_caches=bool(specifics.get("may_pass_by")),
+        may_join_fills=bool(specifics.get("joins")),
+        sibling_sources=SIBLING_SOURCES_BY_NAME.get(sibling_sources, api.SiblingSources.NONE),
+        link_transfer_price=value_or(specifics.get("byte_fee"), 0.0),
+        origin_transfer_price=value_or(value_or(raw.get("prices"), {}).get("origin"), 0.0),
+        purge_grace_ms=value_or(specifics.get("obey_after_ms"), 0.0),
+        purge_settle_ms=value_or(specifics.get("purge_settles_ms"), 0.0),
+    )
+
+
+def _with_overload_rules(settings: api.Settings, rules: JsonObject, specifics: JsonObject) -> api.Settings:
+    """Adds draining, slow start, and the loads at which caches, parents and the origin fail."""
+    return replace(
+        settings,
+        answer_slack_ms=value_or(rules.get("answer_slack_ms"), 0.0),
+        drain_grace_ms=value_or(rules.get("drain_grace_ms"), 0.0),
+        slow_start_fraction=value_or(rules.get("cold_from"), 1.0),
+        slow_start_ms=value_or(rules.get("ramp_time_ms"), 0.0),
+        overload_multiple=value_or(rules.get("fall_multiple"), 1.0),
+        overload_window_ms=value_or(rules.get("tip_after_ms"), 1000.0),
+        parent_slow_start_fraction=value_or(specifics.get("parent_floor"), 1.0),
+        parent_slow_start_ms=value_or(specifics.get("parent_cold_ms"), 0.0),
+        parent_overload_multiple=value_or(specifics.get("parent_fall_multiple"), 1.0),
+        origin_overload_multiple=value_or(specifics.get("origin_limit_factor"), 0.0),
+        origin_overload_window_ms=value_or(specifics.get("root_fall_ms"), 0.0),
     )
 
 
-def read_roles(raw: dict[str, Any]) -> dict[Any, api.Role]:
-    """Which kinds of machine are parents and which the origin; every other kind is a cache."""
-    kinds, details = either(raw.get("kinds"), []), either(raw.get("specifics"), {})
+def read_roles(raw: JsonObject) -> dict[Any, api.Role]:
+    """Returns the models of servers that are parents or the origin; every other model is a cache."""
+    models, specifics = value_or(raw.get("kinds"), []), value_or(raw.get("specifics"), {})
     roles: dict[Any, api.Role] = {
-        at(kinds, either(details.get("upper_kind"), -1), None): api.Role.PARENT,
-        at(kinds, either(details.get("origin_kind"), -1), None): api.Role.ORIGIN,
+        item_or(models, value_or(specifics.get("upper_kind"), -1), None): api.Role.PARENT,
+        item_or(models, value_or(specifics.get("origin_kind"), -1), None): api.Role.ORIGIN,
     }
     roles.pop(None, None)
     return roles
 
 
-def read_load(load: Any) -> dict[str, float] | None:
-    """A load report under the names that the module knows."""
+def read_load_report(load: Any) -> dict[str, float] | None:
+    """Returns a load report under the decision module's names; None for what is no object."""
     if not isinstance(load, dict):
         return None
-    return {LOADS.get(name, str(name)): value for name, value in load.items()}
+    return {LOAD_FIELD_NAMES.get(name, str(name)): value for name, value in load.items()}
--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from .. import interface as api
-from ..config.platform import Address, Config
+from ..config.platform import Address, PlatformConfig
 from ..ops.metrics import outcome_counter
 from ..policy import Dispatcher
 from .counters import Counters
@@ -29,7 +29,7 @@
 class Exchange:
     def __init__(
         self,
-        config: Config,
+        config: PlatformConfig,
         clock: Callable[[], float],
         deadlines: Deadlines,
         counters: Counters,
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from . import signals
-from .config.platform import Config, ConfigError, load
+from .config.platform import ConfigError, PlatformConfig, load_config
 from .director import Director, shapes_of
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -59,9 +59,9 @@
 
 def read_all(
     options_path: str | None, dns_path: str | None
-) -> tuple[Config, Options | None, DnsConfig | None]:
+) -> tuple[PlatformConfig, Options | None, DnsConfig | None]:
     """All that a director is told, checked; `ConfigError` is the one line that says what is wrong."""
-    config = load(os.environ)
+    config = load_config(os.environ)
     options: Options | None = None
     dns: DnsConfig | None = None
     if options_path:
@@ -99,7 +99,7 @@
     return config, options, dns
 
 
-async def serve(config: Config, options: Options | None, dns: DnsConfig | None) -> None:
+async def serve(config: PlatformConfig, options: Options | None, dns: DnsConfig | None) -> None:
     await Director(config, asyncio.get_running_loop(), dns, options).run()
 
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -12,7 +12,7 @@
 import structlog
 
 from . import signals
-from .config.platform import Config, ConfigError, load
+from .config.platform import ConfigError, PlatformConfig, load_config
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
@@ -72,7 +72,7 @@
 
     def __init__(
         self,
-        config: Config,
+        config: PlatformConfig,
         loop: asyncio.AbstractEventLoop,
         dns: DnsConfig | None = None,
         options: Options | None = None,
@@ -153,7 +153,7 @@
             self.control = self._control(options)
 
     async def start(self) -> None:
-        self.feed.known(self.config.known_index, self.config.known)
+        self.feed.known(self.config.initial_event_index, self.config.initial_events)
         if self.keeper is not None:
             self.keeper.restore(self.feed)
             self.keeper.start(self.feed)
@@ -229,7 +229,7 @@
         router: Router | None = None
         dns: DnsConfig | None = None
         try:
-            config, options, shapes = load(os.environ), self.options, self.caches.shapes
+            config, options, shapes = load_config(os.environ), self.options, self.caches.shapes
             if options is not None:
                 from .config.options import load_options
 
@@ -264,7 +264,7 @@
             return True, ("h2", "http/1.1") if offer.shared else ("http/1.1",)
         return False, ("h2c",) if offer.shared else ("http/1.1",)
 
-    def _dns_of(self, options: Options, config: Config) -> DnsConfig | None:
+    def _dns_of(self, options: Options, config: PlatformConfig) -> DnsConfig | None:
         """The DNS front's settings as `[dns]` has them now; None where they came from a file of their own."""
         if self.dns is None:
             return None
@@ -288,7 +288,7 @@
 
         return checked(options)[0]
 
-    def apply(self, config: Config) -> None:
+    def apply(self, config: PlatformConfig) -> None:
         """Every part takes what it can while it runs; open requests live on under the old terms."""
         if config.listen != self.config.listen:
             self.log.warning("another address to listen at is taken up at a restart", listen=config.listen)
@@ -302,9 +302,9 @@
         self.follower.move(config.coordinator)
         self.log.info("configuration taken", coordinator=config.coordinator, last=self.feed.last)
 
-    def _set_front(self, config: Config) -> None:
+    def _set_front(self, config: PlatformConfig) -> None:
         self.front.connection_limit = config.settings.client_connection_limit
-        self.front.hold_off = config.hold_off
+        self.front.hold_off = config.sends_hold_off
         self.front.arrive_ms = max(ASK_MS, self._patience_ms())
 
     def _patience_ms(self) -> float:
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -9,8 +9,8 @@
 from typing import Any, cast
 
 from .. import interface as api
-from ..config.platform import Address, Config, ConfigError, finite, read_server
-from ..config.policy_settings import SettingsError
+from ..config.platform import Address, ConfigError, PlatformConfig, read_endpoint, read_finite
+from ..config.policy_settings import InvalidMessageError
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines, Key
 from ..core.exchange import Exchange
@@ -23,14 +23,14 @@
 ASKED_MOST = 3  # times that an event is asked for again of which something could not be used
 ASKED_LEAST = 1  # and while asking again has not helped
 LINE_MOST = 4 * 1024 * 1024
-UNUSABLE = (ConfigError, SettingsError, TypeError, ValueError, KeyError, AttributeError, OverflowError)
+UNUSABLE = (ConfigError, InvalidMessageError, TypeError, ValueError, KeyError, AttributeError, OverflowError)
 
 
 class Feed:
     """The events in their order, each once, however often a connection brings them."""
 
     def __init__(
-        self, exchange: Exchange, config: Config, clock: Callable[[], float], counters: Counters
+        self, exchange: Exchange, config: PlatformConfig, clock: Callable[[], float], counters: Counters
     ) -> None:
         self.exchange, self.roles, self.clock, self.counters = exchange, config.roles, clock, counters
         self.last = self.begun = 0
@@ -122,7 +122,7 @@
         models: dict[str, str] = {}
         for entry in change["targets"]:
             try:
-                read.append(read_server(entry, self.roles))
+                read.append(read_endpoint(entry, self.roles))
                 models[str(entry["uid"])] = str(entry.get("model", ""))
             except UNUSABLE:
                 self.counters.add("coordinator.bad_entries")
@@ -137,7 +137,7 @@
 
     def _purge(self, evict: dict[str, Any]) -> None:
         key = int(evict["ref"], 16) if "ref" in evict else None
-        age = max(0.0, self.clock() - finite(evict["unix_ms"]))
+        age = max(0.0, self.clock() - read_finite(evict["unix_ms"]))
         self.exchange.purged(api.Purge(key, int(evict.get("shard", -1)), age))
 
 
--- a/gladewalk/rehearsal/peers.py
+++ b/gladewalk/rehearsal/peers.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Protocol, Self
 
-from ..config.platform import Config, read
+from ..config.platform import PlatformConfig, read_config
 from ..director import Director
 from ..dns.settings import DnsConfig
 
@@ -217,7 +217,7 @@
         await self.coordinator.start()
         for peer in self.peers:
             await peer.start()
-        config: Config = read(config_for(self.peers, self.coordinator, self.settings), {})
+        config: PlatformConfig = read_config(config_for(self.peers, self.coordinator, self.settings), {})
         self.director = Director(config, asyncio.get_running_loop(), self.dns, self.options)
         await self.director.start()
         return self
--- a/gladewalk/rehearsal/virtual/play.py
+++ b/gladewalk/rehearsal/virtual/play.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ...config.platform import read
+from ...config.platform import read_config
 from ...director import Director
 from ..peers import SETTINGS, Coordinator, config_for, request
 from .loop import VirtualLoop, rehearse
@@ -102,7 +102,7 @@
         for n in range(fleet.directors):
             name = f"director-{n}"
             own = {"name": name, "listen": f"10.1.0.{n + 1}:7001", "seed": f"{self.random.getrandbits(32):x}"}
-            director = Director(read({**told, **own}, {}), loop, outside=loop.outside())
+            director = Director(read_config({**told, **own}, {}), loop, outside=loop.outside())
             if self.change is not None:
                 self.change(director)
             self.directors[name] = director
--- a/gladewalk/rehearsal/webworld.py
+++ b/gladewalk/rehearsal/webworld.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from ..config.options import options_of, read_tables
-from ..config.platform import read
+from ..config.platform import read_config
 from ..director import Director
 from ..nginx.table import Site, write_site
 from .peers import Coordinator, Heard, ScriptedPeer, config_for, read_message
@@ -70,7 +70,7 @@
         front = {"site": "site.toml", "listen": listens, **self.settings}
         options = options_of(read_tables({"front": {"http": front}}), "t", folder)
         coordinator = await Coordinator().start()
-        config = read(config_for([], coordinator), {})
+        config = read_config(config_for([], coordinator), {})
         self.director = Director(config, asyncio.get_running_loop(), None, options)
         await self.director.start()
         coordinator.stop()
--- a/gladewalk/simulator_adapter.py
+++ b/gladewalk/simulator_adapter.py
@@ -16,14 +16,14 @@
 
 from . import interface as api
 from .config.policy_settings import (
-    DETAILS,
-    SettingsError,
-    either,
-    need,
-    read_load,
+    OUTCOME_DETAILS,
+    InvalidMessageError,
+    read_load_report,
     read_roles,
     read_settings,
-    word,
+    require_choice,
+    require_field,
+    value_or,
 )
 from .policy import Dispatcher
 
@@ -55,41 +55,41 @@
     """One hosted dispatcher and what is needed to translate for it."""
 
     def __init__(self, number: int, message: dict[str, Any]) -> None:
-        raw = need(message, "setup", (dict,))
+        raw = require_field(message, "setup", (dict,))
         self.number = number
         self.roles = read_roles(raw)
-        self.dispatcher = Dispatcher(read_settings(raw), need(message, "salt", (int,)))
+        self.dispatcher = Dispatcher(read_settings(raw), require_field(message, "salt", (int,)))
 
     def server(self, entry: dict[str, Any]) -> api.Server:
         return api.Server(
-            name=need(entry, "host", (str,)),
+            name=require_field(entry, "host", (str,)),
             role=self.roles.get(entry.get("model"), api.Role.CACHE),
-            zone=need(entry, "site", (str,)),
-            capacity=either(entry.get("scale"), 1.0),
-            state=word(STATES, entry, "lifecycle"),
-            started_ms=either(entry.get("start_time_ms"), 0.0),
-            cell=either(entry.get("block"), 0),
+            zone=require_field(entry, "site", (str,)),
+            capacity=value_or(entry.get("scale"), 1.0),
+            state=require_choice(STATES, entry, "lifecycle"),
+            started_ms=value_or(entry.get("start_time_ms"), 0.0),
+            cell=value_or(entry.get("block"), 0),
         )
 
 
 def _list(host: Host, m: dict[str, Any]) -> api.Event:
-    kind = word(LISTS, m, "kind")
-    entries = either(m.get("elements"), [])
+    kind = require_choice(LISTS, m, "kind")
+    entries = value_or(m.get("elements"), [])
     if not isinstance(entries, list) or not all(isinstance(entry, dict) for entry in entries):
-        raise SettingsError("directory_update: field 'elements' is not a list of objects")
+        raise InvalidMessageError("directory_update: field 'elements' is not a list of objects")
     return api.EndpointList(kind, tuple(host.server(entry) for entry in entries))
 
 
 def _request(_: Host, m: dict[str, Any]) -> api.Event:
-    flags = int(either(m.get("bitmap"), 0))
+    flags = int(value_or(m.get("bitmap"), 0))
     return api.Request(
-        id=need(m, "call"),
-        class_name=need(m, "type", (str,)),
-        key=int(either(m.get("key"), 0)),
-        time_left_ms=need(m, "time_left_ms"),
-        size_kb=either(m.get("kbytes"), 0.0),
-        group=int(either(m.get("purge_group"), 0)),
-        part=int(either(m.get("range_no"), 0)),
+        id=require_field(m, "call"),
+        class_name=require_field(m, "type", (str,)),
+        key=int(value_or(m.get("key"), 0)),
+        time_left_ms=require_field(m, "time_left_ms"),
+        size_kb=value_or(m.get("kbytes"), 0.0),
+        group=int(value_or(m.get("purge_group"), 0)),
+        part=int(value_or(m.get("range_no"), 0)),
         tenant=m.get("client_group") or None,
         is_client_retry=bool(flags & 2),
         is_write=bool(flags & 4),
@@ -97,41 +97,45 @@
 
 
 def _outcome(_: Host, m: dict[str, Any]) -> api.Event:
-    detail = int(either(m.get("detail"), 0))
+    detail = int(value_or(m.get("detail"), 0))
     return api.Outcome(
-        id=need(m, "call"),
-        attempt=need(m, "hop"),
-        server=need(m, "host", (str,)),
-        status=word(STATUSES, m, "result"),
-        elapsed_ms=either(m.get("time_taken_ms"), 0.0),
+        id=require_field(m, "call"),
+        attempt=require_field(m, "hop"),
+        server=require_field(m, "host", (str,)),
+        status=require_choice(STATUSES, m, "result"),
+        elapsed_ms=value_or(m.get("time_taken_ms"), 0.0),
         is_answered=bool(m.get("done_flag")),
-        detail=DETAILS[detail] if 0 <= detail < len(DETAILS) else api.OutcomeDetail.NONE,
+        detail=OUTCOME_DETAILS[detail] if 0 <= detail < len(OUTCOME_DETAILS) else api.OutcomeDetail.NONE,
         source_wait_ms=m.get("source_wait_ms"),
-        load_report=read_load(m.get("telemetry")),
+        load_report=read_load_report(m.get("telemetry")),
     )
 
 
 def _first_byte(_: Host, m: dict[str, Any]) -> api.Event:
     return api.FirstByte(
-        need(m, "call"), need(m, "hop"), need(m, "host", (str,)), either(m.get("time_taken_ms"), 0.0)
+        require_field(m, "call"),
+        require_field(m, "hop"),
+        require_field(m, "host", (str,)),
+        value_or(m.get("time_taken_ms"), 0.0),
     )
 
 
 def _probed(_: Host, m: dict[str, Any]) -> api.Event:
-    took_ms, load = either(m.get("time_taken_ms"), 0.0), read_load(m.get("telemetry"))
-    return api.HealthCheckResult(need(m, "host", (str,)), word(STATUSES, m, "result"), took_ms, load)
+    took_ms, load = value_or(m.get("time_taken_ms"), 0.0), read_load_report(m.get("telemetry"))
+    host, status = require_field(m, "host", (str,)), require_choice(STATUSES, m, "result")
+    return api.HealthCheckResult(host, status, took_ms, load)
 
 
 def _peer_note(_: Host, m: dict[str, Any]) -> api.Event:
     try:
-        content = base64.b64decode(either(m.get("content"), ""), validate=True)
+        content = base64.b64decode(value_or(m.get("content"), ""), validate=True)
     except ValueError as error:
-        raise SettingsError("note_from: field 'content' is not base64") from error
-    return api.PeerMessage(need(m, "by", (int,)), content)
+        raise InvalidMessageError("note_from: field 'content' is not base64") from error
+    return api.PeerMessage(require_field(m, "by", (int,)), content)
 
 
 def _purge(_: Host, m: dict[str, Any]) -> api.Event:
-    return api.Purge(m.get("key"), int(either(m.get("bucket"), -1)), need(m, "copy_age_ms"))
+    return api.Purge(m.get("key"), int(value_or(m.get("bucket"), -1)), require_field(m, "copy_age_ms"))
 
 
 READERS: dict[str, Callable[[Host, dict[str, Any]], api.Event]] = {
@@ -142,8 +146,8 @@
     "health_result": _probed,
     "note_from": _peer_note,
     "replaced": _purge,
-    "client_gone": lambda _, m: api.ClientDisconnected(need(m, "call")),
-    "timer": lambda _, m: api.Timer(need(m, "token", (str,))),
+    "client_gone": lambda _, m: api.ClientDisconnected(require_field(m, "call")),
+    "timer": lambda _, m: api.Timer(require_field(m, "token", (str,))),
 }
 
 
@@ -190,7 +194,7 @@
 
     def event(self, message: dict[str, Any]) -> list[dict[str, Any]]:
         """Take one event; the actions that answer it, as messages."""
-        name, number = message.get("op"), need(message, "dispatcher_id", (int,))
+        name, number = message.get("op"), require_field(message, "dispatcher_id", (int,))
         actions: list[Any] = []
         try:
             if name == "launch":
@@ -198,13 +202,13 @@
             elif name == "killed":
                 self.hosts.pop(number, None)
             elif name not in READERS:
-                raise SettingsError(f"unknown message '{name}'")
+                raise InvalidMessageError(f"unknown message '{name}'")
             elif number not in self.hosts:
-                raise SettingsError(f"{name}: instance {number} was never launched")
+                raise InvalidMessageError(f"{name}: instance {number} was never launched")
             else:
                 host = self.hosts[number]
                 actions = host.dispatcher.handle(self.now_ms, READERS[name](host, message))
-        except SettingsError:
+        except InvalidMessageError:
             raise
         except Exception as error:  # the boundary: a failure of the module is this instance's fault
             line = f"{name}: {type(error).__name__}: {error}"
@@ -228,30 +232,30 @@
             try:
                 message = json.loads(line)
             except ValueError as error:
-                raise SettingsError("not valid JSON") from error
+                raise InvalidMessageError("not valid JSON") from error
             if not isinstance(message, dict) or not isinstance(message.get("op"), str):
-                raise SettingsError("not an object with the text field 'op'")
+                raise InvalidMessageError("not an object with the text field 'op'")
             if message["op"] == "clock":
-                adapter.now_ms, open_batch = float(need(message, "sim_time_ms")), True
+                adapter.now_ms, open_batch = float(require_field(message, "sim_time_ms")), True
             elif not open_batch:
-                raise SettingsError(f"'{message['op']}' outside a batch")
+                raise InvalidMessageError(f"'{message['op']}' outside a batch")
             elif message["op"] == "flush":
                 out.write("".join(encode(reply) + "\n" for reply in replies) + '{"op":"next"}\n')
                 out.flush()
                 replies, open_batch = [], False
             else:
                 replies += adapter.event(message)
-        except SettingsError as error:
-            raise SettingsError(f"line {number}: {error}") from error
+        except InvalidMessageError as error:
+            raise InvalidMessageError(f"line {number}: {error}") from error
     if open_batch:
-        raise SettingsError("the input ended inside a batch")
+        raise InvalidMessageError("the input ended inside a batch")
 
 
 def main() -> int:
     gc.freeze()
     try:
         run(sys.stdin, sys.stdout)
-    except SettingsError as error:
+    except InvalidMessageError as error:
         print(f"gladewalk: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
--- a/gladewalk/store/keeping.py
+++ b/gladewalk/store/keeping.py
@@ -18,14 +18,14 @@
 import msgspec
 
 from .. import interface as api
-from ..config.platform import STATES
+from ..config.platform import ENDPOINT_STATES
 
 PURGES, SERVERS, FEED = "purge", "server", "feed"
 LAST = "last"
 SETTLE_MORE_MS = 1_000.0  # the module remembers a purge for so much longer than it takes to settle
 MEMORY_MS = 30_000.0  # and a holder for so long: what was seen before a purge must not count after a restart
 SERVER_MS = 86_400_000.0
-STATES_HELD = frozenset(name for name, state in STATES.items() if state is not api.ServerState.GONE)
+STATES_HELD = frozenset(name for name, state in ENDPOINT_STATES.items() if state is not api.ServerState.GONE)
 
 
 class ServerRow(msgspec.Struct, frozen=True, array_like=True):
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from .. import interface as api
-from ..config.platform import Address, Config
+from ..config.platform import Address, PlatformConfig
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.exchange import Attempt, End, Exchange
@@ -41,7 +41,7 @@
     def __init__(
         self,
         exchange: Exchange,
-        config: Config,
+        config: PlatformConfig,
         clock: Callable[[], float],
         deadlines: Deadlines,
         counters: Counters,
@@ -60,12 +60,12 @@
         self.connection: type[CacheConnection] = CacheConnection  # what speaks HTTP/1.1 to a server
         self.witness: Callable[[Attempt, Finding], None] | None = None  # hears each verdict of a ledger
 
-    def configure(self, config: Config) -> None:
+    def configure(self, config: PlatformConfig) -> None:
         self.config = config
         # Guards against two processes of a hand-over that hold more than the limit together, which is one
         # director's: who has its listener from the platform may at any time be one of two.
         sharers = 1 if config.inherited_fd is None else 2
-        self.most = max(8, (int(config.sockets * UPSTREAM_PART) - OWN_DESCRIPTORS) // sharers)
+        self.most = max(8, (int(config.max_descriptors * UPSTREAM_PART) - OWN_DESCRIPTORS) // sharers)
 
     def shape(self, shapes: Shapes | None) -> None:
         """Other terms for protocols: what is open goes on under the old ones and takes nothing new."""
@@ -80,7 +80,7 @@
         now = self.clock()
         if self.closing and not self.exchange.taken:
             return self.keep_only(())
-        idle_ms = self.config.conn_idle_ms * IDLE_PART
+        idle_ms = self.config.idle_timeout_ms * IDLE_PART
         for upstream in self.upstreams.values():
             upstream.close_stale(now)
         for lane in list(self.lanes):
@@ -336,7 +336,7 @@
         for lane in self.lanes:
             for connection in lane.connections.values():
                 if not connection.streams and connection.shared is not None:
-                    until = connection.shared.idle_since + self.config.conn_idle_ms * IDLE_PART
+                    until = connection.shared.idle_since + self.config.idle_timeout_ms * IDLE_PART
                     idle.append((until, connection))
         if idle:
             min(idle, key=lambda c: c[0])[1].close()
--- a/gladewalk/upstream/targets.py
+++ b/gladewalk/upstream/targets.py
@@ -33,7 +33,7 @@
         if self.gone or connection.address != self.address:  # it leads to where this server was
             return connection.close()
         self.idle.append(connection)
-        connection.idle_until = pool.clock() + pool.config.conn_idle_ms * IDLE_PART
+        connection.idle_until = pool.clock() + pool.config.idle_timeout_ms * IDLE_PART
         pool.pump()
 
     def wake(self) -> CacheConnection | None:
--- a/gladewalk/upstream/words.py
+++ b/gladewalk/upstream/words.py
@@ -5,7 +5,7 @@
 from functools import lru_cache
 
 from .. import interface as api
-from ..config.policy_settings import DETAILS, read_load
+from ..config.policy_settings import OUTCOME_DETAILS, read_load_report
 from ..core.exchange import Attempt, End
 
 AUTHORITY = "app.svc"
@@ -18,7 +18,7 @@
             b"mem", b"parent", b"origin", b"shared", b"old",
             b"denied", b"unreached", b"absent", b"crowded", b"behind",
         ),
-        DETAILS[1:],
+        OUTCOME_DETAILS[1:],
         strict=True,
     )
 )  # fmt: skip
@@ -89,7 +89,7 @@
         number = read_number(value.encode())
         if number is not None:
             load[name.strip()] = number
-    return read_load(load)
+    return read_load_report(load)
 
 
 def read_end(status: int, headers: dict[bytes, bytes]) -> End:
--- a/gladewalk/web/plan.py
+++ b/gladewalk/web/plan.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from .. import interface as api
-from ..config.platform import Address, Config, read_address
+from ..config.platform import Address, PlatformConfig, read_address
 from ..nginx.router import Landing, Rules
 from ..nginx.table import Box, Place, Site, Upstream
 from .standby import Standby
@@ -28,7 +28,7 @@
     """One upstream as the core and the pool take it."""
 
     upstream: Upstream
-    config: Config
+    config: PlatformConfig
     standby: Standby
     addresses: dict[str, Address]
     classes: dict[str, str]  # by `place_key`: the class's name for methods that may be sent again
@@ -89,10 +89,10 @@
         max_retry_after_ms=1_000.0, may_join_fills=any(place.terms.join for place in ours),
     )  # fmt: skip
     addresses = {box.address: read_address(box.address) for box in upstream.boxes}
-    config = Config(
-        name=name, listen=("127.0.0.1", 0), coordinator=("127.0.0.1", 0), seed=seed, sockets=sockets,
-        connect_timeout_ms=connect, conn_idle_ms=IDLE_MS, settings=settings, roles={}, known_index=0,
-        known=(),
+    config = PlatformConfig(
+        name=name, listen=("127.0.0.1", 0), coordinator=("127.0.0.1", 0), seed=seed, max_descriptors=sockets,
+        connect_timeout_ms=connect, idle_timeout_ms=IDLE_MS, settings=settings, roles={},
+        initial_event_index=0, initial_events=(),
     )  # fmt: skip
     return Plan(upstream, config, Standby(upstream.boxes), addresses, names)
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -5,7 +5,7 @@
 import socket
 import unittest
 
-from gladewalk.config.platform import Config, read
+from gladewalk.config.platform import PlatformConfig, read_config
 from gladewalk.director import Director
 from gladewalk.net.clients import SPARE_CONNECTIONS
 from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for, read_message, request, until
@@ -37,7 +37,7 @@
     async def director(self) -> Director:
         """A director as a process of its own would be: it has the listener from the platform."""
         told = config_for([self.cache], self.coordinator)
-        config: Config = read(told, {"NODE_FD": str(os.dup(self.listener.fileno()))})
+        config: PlatformConfig = read_config(told, {"NODE_FD": str(os.dup(self.listener.fileno()))})
         director = Director(config, asyncio.get_running_loop())
         self.directors.append(director)
         await director.start()
@@ -74,9 +74,8 @@
         """Clients hold a third in all, as the platform promises; each process has its own few besides."""
         director = await self.director()
         for sockets in (256, 384, 640, 1024):
-            limit = read({**config_for([self.cache], self.coordinator), "limits": {"sockets": sockets}}, {
-                "NODE_FD": "3"
-            })  # fmt: skip
+            raw = {**config_for([self.cache], self.coordinator), "limits": {"sockets": sockets}}
+            limit = read_config(raw, {"NODE_FD": "3"})
             director.caches.configure(limit)
             both = 2 * director.caches.most + limit.settings.client_connection_limit + SPARE_CONNECTIONS
             self.assertLessEqual(both + 2 * 16, sockets)  # listeners, the coordinator, calls, the loop's own
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -15,7 +15,7 @@
 import dns.rrset
 
 from gladewalk import interface as api
-from gladewalk.config.platform import read
+from gladewalk.config.platform import read_config
 from gladewalk.dns.answers import fit
 from gladewalk.dns.names import Routed, Rules, Wanted, labels_of, write_name
 from gladewalk.dns.settings import DnsConfig
@@ -70,7 +70,7 @@
         self.assertEqual(missing, dns.rcode.NXDOMAIN)
         settings = copy.deepcopy(SETTINGS)
         settings["classes"].append({**settings["classes"][1], "name": "lot-map"})
-        self.director.apply(read(config_for([self.cache], self.world.coordinator, settings), {}))
+        self.director.apply(read_config(config_for([self.cache], self.world.coordinator, settings), {}))
         self.assertEqual(await self.resolver.resolve(name(cls="lot-map")), [BOX])
 
     async def test_a_reload_keeps_what_was_measured_and_takes_the_loop_share(self) -> None:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -14,7 +14,7 @@
 
 from gladewalk import interface as api
 from gladewalk.config.options import Options, options_of, read_tables
-from gladewalk.config.platform import read
+from gladewalk.config.platform import read_config
 from gladewalk.director import Director
 from gladewalk.duties.ownership import Claim, Ownership, owner_of
 from gladewalk.duties.pacing import Pacing
@@ -383,7 +383,7 @@
         found: dict[str, list[api.HealthCheckResult]] = {}
         for name in ("n0", "n1", "n2"):
             options = self.options(folder, seeds)
-            director = Director(read({**config, "name": name}, {}), loop, None, options)
+            director = Director(read_config({**config, "name": name}, {}), loop, None, options)
             await director.start()
             assert director.duties is not None
             seeds = [f"127.0.0.1:{director.duties.members.core.me.port}"]
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -148,7 +148,7 @@
             coordinator.cut()  # discovery is down
             clients = [await world.client() for _ in range(2 * director.front.connection_limit)]
             await until(lambda: director.counters["coordinator.connects"] >= 3)
-            self.assertLessEqual(director.front.held, director.config.sockets)
+            self.assertLessEqual(director.front.held, director.config.max_descriptors)
             again = await asyncio.start_server(coordinator._serve, "127.0.0.1", port)
             await until(lambda: len(coordinator.follows) == 2)
             self.assertEqual((await world.ask())[0], 200)
--- a/tests/test_golden_control.py
+++ b/tests/test_golden_control.py
@@ -28,7 +28,7 @@
 
 from gladewalk.cli.commands import gladewalk
 from gladewalk.config import options, policy_settings
-from gladewalk.config.platform import read
+from gladewalk.config.platform import read_config
 from gladewalk.rehearsal.peers import SETTINGS
 
 ROOT = Path(__file__).parent.parent
@@ -472,14 +472,14 @@
     ]
     environ = {"NODE_NAME": "n7", "NODE_LISTEN": "h:1", "NODE_ADMIN_ADDR": "h:2", "NODE_FD": "3"}
     return {
-        "plain": [flat(read(text, {})) for text in texts],
-        "environ": flat(read({**PLATFORM, "name": 5, "listen": 5}, environ)),
+        "plain": [flat(read_config(text, {})) for text in texts],
+        "environ": flat(read_config({**PLATFORM, "name": 5, "listen": 5}, environ)),
         "settings": flat(policy_settings.read_settings(FULL_SETTINGS)),
         "roles": flat(policy_settings.read_roles(FULL_SETTINGS)),
-        "load": policy_settings.read_load(
+        "load": policy_settings.read_load_report(
             {"outstanding": 1, "backlog": 2, "utilization": 3, "other": 4, "x0": 5}
         ),
-        "no load": policy_settings.read_load([]),
+        "no load": policy_settings.read_load_report([]),
     }
 
 
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from gladewalk.config.platform import read
+from gladewalk.config.platform import read_config
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.director import Director
@@ -315,7 +315,7 @@
         coordinator = await Coordinator(answering=asyncio.Event()).start()
         for peer in (first, second):
             await peer.start()
-        config = read(config_for([first, second], coordinator), {})  # it knows both as ready
+        config = read_config(config_for([first, second], coordinator), {})  # it knows both as ready
         drained = {**first.target(), "state": "DRAINING"}
         coordinator.events.append({"index": 2, "endpoints": {"rev": 2, "all": False, "targets": [drained]}})
         director = Director(config, asyncio.get_running_loop())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from gladewalk.config.platform import read
+from gladewalk.config.platform import read_config
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
@@ -51,7 +51,7 @@
             other.events = list(world.coordinator.events)
             other.tell_list(new_cache)
             raw = config_for([old_cache], world.coordinator)
-            director.apply(read({**raw, "coordinator": other.address}, {}))
+            director.apply(read_config({**raw, "coordinator": other.address}, {}))
             await until(lambda: feed.last == 2)
             self.assertEqual(other.follows, [1])
             world.coordinator.tell_list(old_cache)  # its number 2 is not the one that counts
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -21,7 +21,7 @@
 from gladewalk import interface as api
 from gladewalk.cli.commands import gladewalk
 from gladewalk.config.options import Options, options_of, read_tables
-from gladewalk.config.platform import Config, ConfigError, read, read_address
+from gladewalk.config.platform import ConfigError, PlatformConfig, read_address, read_config
 from gladewalk.core.counters import Counters
 from gladewalk.director import Director
 from gladewalk.dns.settings import DnsConfig
@@ -544,7 +544,7 @@
         boxes = [await ScriptedPeer(hit, f"c{n}").start() for n in range(3)]
         origin = await ScriptedPeer(hit, "o", "origin", "north").start()
         coordinator = await Coordinator().start()
-        config = read(config_for([*boxes, origin], coordinator), {})
+        config = read_config(config_for([*boxes, origin], coordinator), {})
         loop = asyncio.get_running_loop()
         first = Director(config, loop, None, self.options(folder))
         await first.start()
@@ -590,10 +590,10 @@
         )
         boxes = [await ScriptedPeer(hit, f"c{n}").start() for n in range(4)]
         coordinator = await Coordinator().start()
-        config = read(config_for(boxes[:3], coordinator), {})
+        config = read_config(config_for(boxes[:3], coordinator), {})
         loop = asyncio.get_running_loop()
 
-        async def run(config: Config) -> Director:
+        async def run(config: PlatformConfig) -> Director:
             director = Director(config, loop, None, options)
             await director.start()
             return director
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from gladewalk.config.platform import read
+from gladewalk.config.platform import read_config
 from gladewalk.director import Director
 from gladewalk.rehearsal.peers import (
     SETTINGS,
@@ -159,7 +159,7 @@
     boxes = [ScriptedPeer(answer, uid=f"c{n}", host=f"10.2.0.{n}") for n in range(3)]
     for box in boxes:
         await loop.as_party(box.uid, box.start())
-    config = read({**config_for(boxes, coordinator, SETTINGS), "listen": "10.1.0.1:7001"}, {})
+    config = read_config({**config_for(boxes, coordinator, SETTINGS), "listen": "10.1.0.1:7001"}, {})
     director = Director(config, loop, outside=loop.outside())
     await loop.as_party("n1", director.start())
     ends: Counter[int] = Counter()
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -18,7 +18,7 @@
 from hypothesis import strategies as st
 
 from gladewalk import interface as api
-from gladewalk.config.platform import ConfigError, read
+from gladewalk.config.platform import ConfigError, read_config
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.core.exchange import Exchange
@@ -231,7 +231,7 @@
 
 
 def front(clock: Any = lambda: 1_000.0, **more: Any) -> DnsFront:
-    config = read(config_for([], Coordinator(address="127.0.0.1:9")), {})
+    config = read_config(config_for([], Coordinator(address="127.0.0.1:9")), {})
     counters = Counters()
     exchange = Exchange(config, clock, Deadlines(lambda due: None), counters, lambda line: None)
     exchange.upstreams = Nowhere()
