Options file: tables with field names by the field's terms, one TOML reader, short functions

Cause: options, the DNS front's settings, scenarios and nginx tables each turned a TOML file's errors into one line by themselves; names such as connections_most and ttl_least_ms were words of our own; read_dns had 48 lines. Change: config/toml_file.py reads all four; config/option_tables.py holds the tables, whose renamed fields keep their keys by msgspec's rename; Options is built by keyword; load_hex_keys in short functions; a scenario's check raises ConfigError; the check that every default stands in deploy/gladewalk.toml compares keys. The list of modules that stay off on the platform also names the two new files.

--- a/benchmarks/bids.py
+++ b/benchmarks/bids.py
@@ -18,14 +18,14 @@
 import structlog
 import uvloop
 
-from gladewalk.config.options import Options, options_of, read_tables
+from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.rehearsal.bidsoak import Report, play_h2, play_http1
 from gladewalk.streams.ledger import PROOFS
 
 
 def options() -> Options:
-    tables = read_tables({"http2": {"mode": "h2c"}})
-    return options_of(tables, "benchmark", Path("."))
+    tables = read_option_tables({"http2": {"mode": "h2c"}})
+    return build_options(tables, "benchmark", Path("."))
 
 
 def play(run: Coroutine[Any, Any, Report]) -> Report:
--- a/benchmarks/h2_engine.py
+++ b/benchmarks/h2_engine.py
@@ -16,7 +16,7 @@
 from h2.events import RequestReceived
 from hpack import NeverIndexedHeaderTuple
 
-from gladewalk.config.options import Http2
+from gladewalk.config.option_tables import Http2Options
 from gladewalk.rehearsal.h2box import HEAD
 from gladewalk.upstream.engine import Engine
 
@@ -26,7 +26,7 @@
     parser.add_argument("--count", type=int, default=3_000)
     parser.add_argument("--bytes", type=int, default=16_384)
     given = parser.parse_args()
-    client = Engine(Http2(), lambda: 0.0, lambda name: None)
+    client = Engine(Http2Options(), lambda: 0.0, lambda name: None)
     server = H2Connection(H2Configuration(client_side=False, header_encoding="utf-8"))
     server.initiate_connection()
     body = bytes(given.bytes)
--- a/benchmarks/silent_box.py
+++ b/benchmarks/silent_box.py
@@ -23,7 +23,7 @@
 
 import structlog
 
-from gladewalk.config.options import options_of, read_tables
+from gladewalk.config.options import build_options, read_option_tables
 from gladewalk.config.platform import read_config
 from gladewalk.director import Director
 from gladewalk.rehearsal.peers import (
@@ -73,7 +73,7 @@
     for number in range(count):
         options = None
         if round_.shared:
-            options = options_of(read_tables({
+            options = build_options(read_option_tables({
                 "members": {"listen": "127.0.0.1:0", "seeds": seeds, "keys": "keys"},
                 "duties": {"probe_ms": 250.0, "check_ms": 0.0},
             }), "t", folder)  # fmt: skip
--- a/gladewalk/cli/commands.py
+++ b/gladewalk/cli/commands.py
@@ -92,7 +92,7 @@
         "members": options.members.listen if options is not None and options.members is not None else None,
         "control": options.control.socket if options is not None and options.control is not None else None,
         "store": options.store.folder if options is not None and options.store is not None else None,
-        "http2": options.http2.mode if options is not None and options.http2.used else "off",
+        "http2": options.http2.mode if options is not None and options.http2.is_used else "off",
     }
     if as_json:
         click.echo(json.dumps(said))
--- a/gladewalk/config/key_ring_file.py
+++ b/gladewalk/config/key_ring_file.py
@@ -1,4 +1,4 @@
-"""Files of keys, one a line in hexadecimal: for their owner's eyes alone, and never in a log."""
+"""Loads key ring files: one key a line in hexadecimal, readable by the owner alone. No key is ever logged."""
 
 from __future__ import annotations
 
@@ -8,32 +8,55 @@
 
 from .platform import ConfigError
 
+OTHERS_ACCESS_BITS = 0o077
+MAX_KEY_BYTES = 4_096
 
-def load_hex_keys(path: Path, setting: str, least: int, most: int = 4_096) -> list[bytes]:
-    """The keys in their order, each of `least` to `most` bytes; `ConfigError` never tells a key.
 
-    Guards against a file that others can read: such a key is known to more than its owners.
+def load_hex_keys(path: Path, setting: str, min_bytes: int, max_bytes: int = MAX_KEY_BYTES) -> list[bytes]:
+    """Returns the keys of a file in their order; lines that are empty or begin with `#` are skipped.
+
+    Args:
+        path: The file.
+        setting: The key of the options file that names it, for the text of an error.
+        min_bytes: Length that a key must have at least.
+        max_bytes: And at most.
+
+    Raises:
+        ConfigError: The file cannot be read or others may access it; a key is no hexadecimal text, has
+            another length, or stands there twice; there is no key. The text never contains a key.
     """
+    keys = [
+        _parse_key(line, f"{path}: {setting}: key {number}", min_bytes, max_bytes)
+        for number, line in enumerate(_read_lines(path, setting), 1)
+    ]
+    if not keys:
+        raise ConfigError(f"{path}: {setting}: no key")
+    if len(set(keys)) < len(keys):
+        raise ConfigError(f"{path}: {setting}: a key stands there twice")
+    return keys
+
+
+def _read_lines(path: Path, setting: str) -> list[str]:
     try:
         descriptor = os.open(path, os.O_RDONLY)
         with os.fdopen(descriptor, encoding="ascii") as file:
-            if stat.S_IMODE(os.fstat(file.fileno()).st_mode) & 0o077:
+            # A key that others can read is known to more than its owner.
+            if stat.S_IMODE(os.fstat(file.fileno()).st_mode) & OTHERS_ACCESS_BITS:
                 raise ConfigError(f"{path}: {setting}: others than its owner may read it (chmod 600)")
-            lines = [line.strip() for line in file if line.strip() and not line.startswith("#")]
+            return [line.strip() for line in file if line.strip() and not line.startswith("#")]
     except OSError as error:
         raise ConfigError(f"{path}: {setting}: {error.strerror or error}") from error
     except UnicodeDecodeError as error:
         raise ConfigError(f"{path}: {setting}: not a text of hexadecimal keys") from error
-    keys = []
-    for number, line in enumerate(lines, 1):
-        try:
-            secret = bytes.fromhex(line)
-        except ValueError:
-            secret = b""
-        if not least <= len(secret) <= most:
-            wanted = f"{least}" if least == most else f"at least {least}"
-            raise ConfigError(f"{path}: {setting}: key {number} is not {wanted} bytes in hex")
-        keys.append(secret)
-    if not keys or len(set(keys)) < len(keys):
-        raise ConfigError(f"{path}: {setting}: {'no key' if not keys else 'a key stands there twice'}")
-    return keys
+
+
+def _parse_key(line: str, where: str, min_bytes: int, max_bytes: int) -> bytes:
+    wanted = f"{min_bytes}" if min_bytes == max_bytes else f"at least {min_bytes}"
+    try:
+        key = bytes.fromhex(line)
+    except ValueError:
+        # Not chained: nothing about a key's text belongs in a traceback.
+        raise ConfigError(f"{where} is not {wanted} bytes in hex") from None
+    if not min_bytes <= len(key) <= max_bytes:
+        raise ConfigError(f"{where} is not {wanted} bytes in hex")
+    return key
--- /dev/null
+++ b/gladewalk/config/toml_file.py
@@ -0,0 +1,82 @@
+"""Reads TOML files into typed tables; every error becomes one line, `file: table.key: why`."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+
+from .platform import ConfigError
+
+TableT = TypeVar("TableT", bound=msgspec.Struct)
+
+SYNTAX_NOTE = "not valid TOML: "
+
+# The texts of msgspec's ValidationError.
+WHERE_PATTERN = re.compile(r" - at `\$\.?(.*)`\Z")
+UNKNOWN_FIELD_PATTERN = re.compile(r"Object contains unknown field `(.*)`\Z")
+MISSING_FIELD_PATTERN = re.compile(r"Object missing required field `(.*)`\Z")
+
+
+def load_toml(path: str | Path, table: type[TableT], syntax_note: str = SYNTAX_NOTE) -> TableT:
+    """Reads a file into a table.
+
+    Args:
+        path: The file.
+        table: The type to convert to.
+        syntax_note: What stands before the parser's own words if the file is no TOML.
+
+    Raises:
+        ConfigError: The file cannot be read, is no TOML, or does not convert.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror or error}") from error
+    except UnicodeDecodeError as error:
+        raise ConfigError(f"{path}: {syntax_note}{error}") from error
+    return parse_toml(text, table, path, syntax_note)
+
+
+def parse_toml(text: str, table: type[TableT], path: str | Path, syntax_note: str = SYNTAX_NOTE) -> TableT:
+    """Converts the text of a file to a table; `path` begins the line of an error.
+
+    Raises:
+        ConfigError: The text is no TOML or does not convert.
+    """
+    try:
+        return msgspec.convert(tomllib.loads(text), table)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"{path}: {describe_error(error)}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigError(f"{path}: {syntax_note}{error}") from error
+
+
+@contextmanager
+def errors_in(path: str | Path) -> Iterator[None]:
+    """Prefixes the file's path to the text of any `ConfigError` that the block raises."""
+    try:
+        yield
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+def describe_error(error: msgspec.ValidationError) -> str:
+    """Renders a validation error as `table.key: why`."""
+    text, where = str(error), ""
+    if found := WHERE_PATTERN.search(text):
+        text, where = text[: found.start()], found[1].replace("[...]", "")
+    if found := UNKNOWN_FIELD_PATTERN.match(text):
+        return f"{_join_keys(where, found[1])}: no such setting"
+    if found := MISSING_FIELD_PATTERN.match(text):
+        return f"{_join_keys(where, found[1])}: is missing"
+    return f"{where or 'the file'}: {text[:1].lower()}{text[1:]}"
+
+
+def _join_keys(where: str, key: str) -> str:
+    return f"{where}.{key}" if where else key
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -58,7 +58,7 @@
 
 def shapes_of(options: Options | None, before: Shapes | None = None) -> Shapes | None:
     """How servers are spoken to: None stands for HTTP/1.1 in the clear, without any code for more."""
-    if options is None or not options.http2.used:
+    if options is None or not options.http2.is_used:
         return None
     from .upstream.secure import Shapes
 
--- a/gladewalk/dns/settings.py
+++ b/gladewalk/dns/settings.py
@@ -4,8 +4,8 @@
 
 import ipaddress
 import ssl
-import tomllib
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -14,11 +14,12 @@
 import dns.rdatatype
 import dns.rrset
 import dns.zone
-import msgspec
 
 from ..config.key_ring_file import load_hex_keys
-from ..config.options import Dns, Options, explain
+from ..config.option_tables import DnsOptions
+from ..config.options import Options
 from ..config.platform import Address, ConfigError, read_address
+from ..config.toml_file import load_toml
 from .cookies import KEY_BYTES, Cookies
 
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
@@ -63,54 +64,106 @@
         return (self.zone, *self.zones)
 
 
-def read_dns(table: Dns, own_host: str, folder: Path, where: str) -> DnsConfig | None:
-    """A table that was read; None where it turns the front off. `where` begins the line of an error."""
+def read_dns(table: DnsOptions, own_host: str, folder: Path, where: str) -> DnsConfig | None:
+    """Converts `[dns]`; None if it turns the front off.
+
+    Args:
+        table: The table as it was read.
+        own_host: The director's own host, answered if the table has no `own_address`.
+        folder: What paths in the table are relative to.
+        where: Begins the line of an error.
+
+    Raises:
+        ConfigError: A value cannot be used.
+    """
     if not table.enabled:
         return None
-    key = "listen"
-    try:
+    with _errors_at(where, "listen"):
         listen = read_address(table.listen)
-        key = "zone"
+    zone, zones = _read_zones(table, where)
+    with _errors_at(where, "own_address"):
+        own_address = checked_ip(str(table.own_address or own_host))
+    nameservers = _read_nameservers(table, zone, where)
+    with _errors_at(where, "hostmaster"):
+        dns.name.from_text(table.hostmaster, zone)
+    with _errors_at(where, "ecs_from"):
+        ecs_from = tuple(ipaddress.ip_network(text) for text in table.ecs_from)
+    records = tuple(load_records(folder / table.records, (zone, *zones))) if table.records else ()
+    cookies = read_cookies(folder / table.cookies) if table.cookies else None
+    if table.max_ttl_ms < table.min_ttl_ms:
+        raise ConfigError(f"{where}.ttl_most_ms: less than ttl_least_ms")
+    tls_listen, tls = _read_tls_listener(table, folder, where)
+    return DnsConfig(
+        listen=listen,
+        zone=zone,
+        own_address=own_address,
+        transfers_per_answer=table.transfers_per_answer,
+        wait_ms=table.max_wait_ms,
+        zones=zones,
+        nameservers=nameservers,
+        hostmaster=table.hostmaster,
+        negative_ttl_s=table.negative_ttl_s,
+        records=records,
+        open_classes=frozenset(table.open_classes),
+        nsid=table.nsid,
+        udp_most=table.max_udp_bytes,
+        amplification_most=table.max_amplification,
+        cookies=cookies,
+        answers_per_s=table.answers_per_s,
+        slip=table.slip,
+        network_per_s=table.network_queries_per_s,
+        all_per_s=table.queries_per_s,
+        tcp_most=table.max_tcp_connections,
+        tcp_each=table.max_tcp_connections_per_client,
+        tcp_open=table.max_tcp_open_queries,
+        tcp_idle_ms=table.tcp_idle_timeout_ms,
+        ecs_from=ecs_from,
+        tls_listen=tls_listen,
+        tls=tls,
+        transfers_most=table.max_transfers_per_answer,
+        ttl_ms=(table.min_ttl_ms, table.max_ttl_ms),
+        assume_worst=table.after_restart == "worst",
+        loop_share=table.max_loop_fraction,
+        certificate=(folder / table.tls_certificate, folder / table.tls_key) if tls else None,
+    )
+
+
+@contextmanager
+def _errors_at(where: str, key: str) -> Iterator[None]:
+    """Turns what the block raises about a value into a `ConfigError` that names the value's key."""
+    try:
+        yield
+    except (ConfigError, ValueError, dns.exception.DNSException) as error:
+        raise ConfigError(f"{where}.{key}: {str(error) or type(error).__name__}") from error
+
+
+def _read_zones(table: DnsOptions, where: str) -> tuple[dns.name.Name, tuple[dns.name.Name, ...]]:
+    with _errors_at(where, "zone"):
         zone = dns.name.from_text(table.zone)
-        key = "zones"
+    with _errors_at(where, "zones"):
         zones = tuple(dns.name.from_text(text) for text in table.zones)
-        if len({zone, *zones}) < 1 + len(zones):
-            raise ValueError("a zone stands there twice")
-        key = "own_address"
-        own = str(ipaddress.ip_address(str(table.own_address or own_host)))
-        key = "nameservers"
+    if len({zone, *zones}) < 1 + len(zones):
+        raise ConfigError(f"{where}.zones: a zone stands there twice")
+    return zone, zones
+
+
+def _read_nameservers(table: DnsOptions, zone: dns.name.Name, where: str) -> dict[str, tuple[str, ...]]:
+    with _errors_at(where, "nameservers"):
         servers = {name: tuple(map(checked_ip, texts)) for name, texts in table.nameservers.items()}
         for name in servers:
             dns.name.from_text(name, zone)
-        key = "hostmaster"
-        dns.name.from_text(table.hostmaster, zone)
-        key = "ecs_from"
-        ecs_from = tuple(ipaddress.ip_network(text) for text in table.ecs_from)
-        key = "records"
-        records = tuple(load_records(folder / table.records, (zone, *zones))) if table.records else ()
-        key = "cookies"
-        cookies = read_cookies(folder / table.cookies) if table.cookies else None
-        key = "ttl_most_ms"
-        if table.ttl_most_ms < table.ttl_least_ms:
-            raise ValueError("less than ttl_least_ms")
-        key = "tls_listen"
-        tls_listen = read_address(table.tls_listen) if table.tls_listen else None
-        key = "tls_certificate"
-        tls = read_tls(table, folder) if tls_listen is not None else None
-    except ConfigError as error:
-        said = str(error)
-        raise ConfigError(said if key in ("cookies", "records") else f"{where}.{key}: {said}") from error
-    except (ValueError, dns.exception.DNSException) as error:
-        raise ConfigError(f"{where}.{key}: {error or type(error).__name__}") from error
-    return DnsConfig(
-        listen, zone, own, table.transfers_per_answer, table.wait_ms, zones, servers, table.hostmaster,
-        table.negative_ttl_s, records, frozenset(table.open_classes), table.nsid, table.udp_most,
-        table.amplification_most, cookies, table.answers_per_s, table.slip, table.network_per_s,
-        table.all_per_s, table.tcp_most, table.tcp_each, table.tcp_open, table.tcp_idle_ms, ecs_from,
-        tls_listen, tls, table.transfers_most, (table.ttl_least_ms, table.ttl_most_ms),
-        table.after_restart == "worst", table.loop_share,
-        (folder / table.tls_certificate, folder / table.tls_key) if tls else None,
-    )  # fmt: skip
+    return servers
+
+
+def _read_tls_listener(
+    table: DnsOptions, folder: Path, where: str
+) -> tuple[Address | None, ssl.SSLContext | None]:
+    if not table.tls_listen:
+        return None, None
+    with _errors_at(where, "tls_listen"):
+        address = read_address(table.tls_listen)
+    with _errors_at(where, "tls_certificate"):
+        return address, read_tls(table, folder)
 
 
 def configured(options: Options, own_host: str) -> DnsConfig | None:
@@ -128,7 +181,7 @@
     return Cookies(tuple(load_hex_keys(path, "dns.cookies", KEY_BYTES, KEY_BYTES)))
 
 
-def read_tls(table: Dns, folder: Path) -> ssl.SSLContext:
+def read_tls(table: DnsOptions, folder: Path) -> ssl.SSLContext:
     """RFC 7858 over TLS 1.2 at least, with its name in ALPN; `ConfigError` for files that can't be used."""
     if not table.tls_certificate or not table.tls_key:
         raise ConfigError("is missing, or tls_key is, and tls_listen is set")
@@ -175,12 +228,5 @@
 
 def load_dns(path: str, own_host: str) -> DnsConfig | None:
     """The settings of a file that holds those of the DNS front alone."""
-    try:
-        table = msgspec.convert(tomllib.loads(Path(path).read_text(encoding="utf-8")), Dns)
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror or error}") from error
-    except msgspec.ValidationError as error:
-        raise ConfigError(f"{path}: {explain(error)}") from error
-    except ValueError as error:
-        raise ConfigError(f"{path}: {error}") from error
+    table = load_toml(path, DnsOptions, syntax_note="")
     return read_dns(table, own_host, Path(path).parent, path + ": dns")
--- a/gladewalk/nginx/table.py
+++ b/gladewalk/nginx/table.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 
 import msgspec
 import tomli_w
 
-from ..config.options import explain
 from ..config.platform import ConfigError
+from ..config.toml_file import parse_toml
 
 VERSION = 1
 
@@ -182,12 +181,7 @@
 
 def read_site(text: str, path: str = "the table") -> Site:
     """A table that was written; `ConfigError` with the one line that says what is wrong."""
-    try:
-        site = msgspec.convert(tomllib.loads(text), Site)
-    except msgspec.ValidationError as error:
-        raise ConfigError(f"{path}: {explain(error)}") from error
-    except ValueError as error:
-        raise ConfigError(f"{path}: not valid TOML: {error}") from error
+    site = parse_toml(text, Site, path)
     if site.version != VERSION:
         raise ConfigError(f"{path}: version: written in version {site.version}, this is {VERSION}")
     return site
--- a/gladewalk/rehearsal/virtual/scenario.py
+++ b/gladewalk/rehearsal/virtual/scenario.py
@@ -23,15 +23,14 @@
 from __future__ import annotations
 
 import random
-import tomllib
 from pathlib import Path
 from typing import Annotated, Literal, get_args
 
 import msgspec
 from msgspec import Meta
 
-from ...config.options import explain
 from ...config.platform import ConfigError
+from ...config.toml_file import errors_in, load_toml
 
 Kind = Literal["silent", "drain", "restart", "cut", "slow", "spoil", "reset", "surge", "purge", "feed"]
 KINDS: tuple[Kind, ...] = get_args(Kind)
@@ -81,36 +80,34 @@
 
 
 def check(scenario: Scenario, classes: tuple[str, ...]) -> None:
-    """`ValueError` as `key: why` for what cannot be played."""
+    """Checks what no single key shows.
+
+    Raises:
+        ConfigError: The scenario cannot be played; the text is `key: why`.
+    """
     known = names_of(scenario.fleet)
     for name in scenario.traffic.shares:
         if name not in classes:
-            raise ValueError(f"traffic.shares.{name}: no such class; there are {', '.join(classes)}")
+            raise ConfigError(f"traffic.shares.{name}: no such class; there are {', '.join(classes)}")
     if not sum(scenario.traffic.shares.values()):
-        raise ValueError("traffic.shares: nothing is asked for")
+        raise ConfigError("traffic.shares: nothing is asked for")
     for n, fault in enumerate(scenario.fault):
         where = f"fault[{n}]"
         if fault.kind in AT_SERVERS and fault.who not in known:
-            raise ValueError(f"{where}.who: no server {fault.who!r}; there are box-N, hub-N and store")
+            raise ConfigError(f"{where}.who: no server {fault.who!r}; there are box-N, hub-N and store")
         if fault.kind in ("drain", "restart") and not fault.who.startswith("box-"):
-            raise ValueError(f"{where}.who: only a box is drained or restarted")
+            raise ConfigError(f"{where}.who: only a box is drained or restarted")
         if fault.kind in PARTS and fault.amount > 1.0:
-            raise ValueError(f"{where}.amount: a part, at most 1")
+            raise ConfigError(f"{where}.amount: a part, at most 1")
         if fault.at_s + fault.for_s > scenario.seconds:
-            raise ValueError(f"{where}.for_s: it would last longer than the scenario")
+            raise ConfigError(f"{where}.for_s: it would last longer than the scenario")
 
 
 def load(path: Path, classes: tuple[str, ...]) -> Scenario:
-    """`ConfigError` with the one line `file: key: why`."""
-    try:
-        scenario = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), Scenario)
+    """Loads a file; `ConfigError` with the one line `file: key: why` if it cannot be played."""
+    scenario = load_toml(path, Scenario, syntax_note="")
+    with errors_in(path):
         check(scenario, classes)
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror or error}") from error
-    except msgspec.ValidationError as error:
-        raise ConfigError(f"{path}: {explain(error)}") from error
-    except ValueError as error:
-        raise ConfigError(f"{path}: {error}") from error
     return scenario
 
 
--- a/gladewalk/rehearsal/webworld.py
+++ b/gladewalk/rehearsal/webworld.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from ..config.options import options_of, read_tables
+from ..config.options import build_options, read_option_tables
 from ..config.platform import read_config
 from ..director import Director
 from ..nginx.table import Site, write_site
@@ -68,7 +68,7 @@
         keys = list(dict.fromkeys(listen.address for s in self.site.servers for listen in s.listens))
         listens = {f"127.0.0.{number + 1}:0": key for number, key in enumerate(keys)}
         front = {"site": "site.toml", "listen": listens, **self.settings}
-        options = options_of(read_tables({"front": {"http": front}}), "t", folder)
+        options = build_options(read_option_tables({"front": {"http": front}}), "t", folder)
         coordinator = await Coordinator().start()
         config = read_config(config_for([], coordinator), {})
         self.director = Director(config, asyncio.get_running_loop(), None, options)
--- a/gladewalk/streams/negotiation.py
+++ b/gladewalk/streams/negotiation.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..config.options import Http2
+from ..config.option_tables import Http2Options
 
 
 class Offer(Enum):
@@ -35,7 +35,7 @@
 class Negotiation:
     """Offers for all servers; a fallback is remembered for the stated time, then HTTP/2 is tried again."""
 
-    def __init__(self, terms: Http2) -> None:
+    def __init__(self, terms: Http2Options) -> None:
         self.terms = terms
         self.fallbacks: dict[str, Fallback] = {}
 
@@ -53,7 +53,7 @@
 
     def speaks_http1(self, uid: str, why: str, now_ms: float) -> None:
         """By ALPN, by HTTP_1_1_REQUIRED, or by an answer to our preface that is none of HTTP/2."""
-        self.fallbacks[uid] = Fallback(now_ms + self.terms.fallback_ms, why)
+        self.fallbacks[uid] = Fallback(now_ms + self.terms.http1_fallback_ms, why)
 
     def forget(self, uid: str) -> None:
         """The server is gone, or has moved: who stands there now is asked anew."""
--- a/gladewalk/streams/sharing.py
+++ b/gladewalk/streams/sharing.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..config.options import Http2
+from ..config.option_tables import Http2Options
 
 IDS_END = 2**31 - 1  # the highest stream id (RFC 9113, 5.1.1)
 CALM_DOUBLED_MOST = 4  # times that a wait for calm is doubled at the most
@@ -41,7 +41,7 @@
 class Sharing:
     """The decisions for one server."""
 
-    def __init__(self, terms: Http2) -> None:
+    def __init__(self, terms: Http2Options) -> None:
         self.terms = terms
         self.connections: dict[int, Shared] = {}
         self.dialling = 0
@@ -97,7 +97,7 @@
     def asked_for_calm(self, now_ms: float) -> None:
         """ENHANCE_YOUR_CALM: nothing new for a while, longer with each time that it says so in a row."""
         if now_ms >= self.calm_until:
-            self.calm_until = now_ms + self.terms.calm_ms * 2.0 ** min(self.calms, CALM_DOUBLED_MOST)
+            self.calm_until = now_ms + self.terms.calm_backoff_ms * 2.0 ** min(self.calms, CALM_DOUBLED_MOST)
             self.calms += 1
 
     def answered(self, now_ms: float) -> None:
@@ -117,10 +117,10 @@
         usable = [s for s in self.connections.values() if self.usable(s)]
         if any(s.limit == 0 for s in usable):
             return Next.WAIT  # a server that wants no streams at all wants no further connection either
-        if len(usable) + self.dialling >= self.terms.connections_most:
+        if len(usable) + self.dialling >= self.terms.max_connections:
             return Next.WAIT
         # What is being dialled will bear the rest, as far as the terms say.
-        if self.dialling and waiting <= self.dialling * self.terms.streams_most:
+        if self.dialling and waiting <= self.dialling * self.terms.max_streams:
             return Next.WAIT
         return Next.OPEN
 
@@ -135,9 +135,9 @@
         return [s for s in self.connections.values() if self._is_over(s, now_ms, idle_ms)]
 
     def _is_over(self, shared: Shared, now_ms: float, idle_ms: float) -> bool:
-        if shared.draining_since is not None and now_ms - shared.draining_since > self.terms.drain_ms:
+        if shared.draining_since is not None and now_ms - shared.draining_since > self.terms.max_drain_ms:
             return True
         return not shared.open and (not self.usable(shared) or now_ms - shared.idle_since > idle_ms)
 
     def _bound(self, limit: int | None) -> int:
-        return self.terms.streams_most if limit is None else min(limit, self.terms.streams_most)
+        return self.terms.max_streams if limit is None else min(limit, self.terms.max_streams)
--- a/gladewalk/upstream/engine.py
+++ b/gladewalk/upstream/engine.py
@@ -15,7 +15,7 @@
 from hpack import Encoder
 from hyperframe.frame import DataFrame, Frame, GoAwayFrame, HeadersFrame
 
-from ..config.options import Http2
+from ..config.option_tables import Http2Options
 from ..streams.bounds import Bucket
 from .words import HEAD_MOST
 
@@ -48,7 +48,7 @@
 
     MAX_CLOSED_STREAMS = CLOSED_REMEMBERED
 
-    def __init__(self, terms: Http2, clock: Callable[[], float], count: Callable[[str], None]) -> None:
+    def __init__(self, terms: Http2Options, clock: Callable[[], float], count: Callable[[str], None]) -> None:
         super().__init__(
             H2Configuration(
                 client_side=True,
@@ -60,18 +60,18 @@
         )
         self.encoder = PlainEncoder()
         self.clock, self.count = clock, count
-        self.noise = Bucket(terms.control_burst, terms.control_per_s, clock())
+        self.noise = Bucket(terms.control_frame_burst, terms.control_frames_per_s, clock())
         self.local_settings = Settings(
             client=True,
             initial_values={
                 SettingCodes.ENABLE_PUSH: 0,
                 SettingCodes.MAX_HEADER_LIST_SIZE: HEAD_MOST,
-                SettingCodes.INITIAL_WINDOW_SIZE: terms.stream_window,
+                SettingCodes.INITIAL_WINDOW_SIZE: terms.stream_window_bytes,
             },
         )
         self.decoder.max_header_list_size = HEAD_MOST
         self.initiate_connection()
-        extra = terms.connection_window - self.inbound_flow_control_window
+        extra = terms.connection_window_bytes - self.inbound_flow_control_window
         if extra > 0:
             self.increment_flow_control_window(extra)
 
--- a/gladewalk/upstream/http2wire.py
+++ b/gladewalk/upstream/http2wire.py
@@ -31,22 +31,22 @@
         self.streams: dict[int, Stream] = {}
         self.uploads: set[Stream] = set()
         self.shared: Shared | None = None  # once the server's settings have come
-        self.cancels = Bucket(terms.cancels_burst, terms.cancels_per_s, now)
-        self.liveness = Liveness(terms.ping_after_ms, terms.ping_wait_ms, now)
+        self.cancels = Bucket(terms.reset_burst, terms.resets_per_s, now)
+        self.liveness = Liveness(terms.ping_after_ms, terms.ping_timeout_ms, now)
         self.written = 0  # bytes handed to the transport
         self.out = bytearray()  # and those that are about to be
         self.writable = True
         self.taken_in_the_end: int | None = None  # of the bytes written, where we ended it ourselves
         self.heard_any = False
         self.reason = Reason.LOST  # why it ends, once it does
-        self.window_step = terms.stream_window // 2
+        self.window_step = terms.stream_window_bytes // 2
         self.uncredited = 0  # bytes of the connection's own window
         self.busy = False  # within a read: what is to be written goes out at its end
 
     def credit_connection(self, size: int) -> None:
         """The connection's window opens whatever clients do: a slow one must not stall its neighbours."""
         self.uncredited += size
-        if self.uncredited >= self.lane.terms.connection_window // 4:
+        if self.uncredited >= self.lane.terms.connection_window_bytes // 4:
             self.engine.increment_flow_control_window(self.uncredited)
             self.uncredited = 0
 
--- a/gladewalk/upstream/lane.py
+++ b/gladewalk/upstream/lane.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .. import interface as api
-from ..config.options import Http2
+from ..config.option_tables import Http2Options
 from ..core.exchange import End
 from ..streams.sharing import Next, Shared, Sharing
 from .http2 import Http2Connection
@@ -23,7 +23,7 @@
 class Lane:
     """Carries out for one server what its `Sharing` decides."""
 
-    def __init__(self, pool: Caches, upstream: Upstream, terms: Http2) -> None:
+    def __init__(self, pool: Caches, upstream: Upstream, terms: Http2Options) -> None:
         self.pool, self.upstream, self.terms = pool, upstream, terms
         self.sharing = Sharing(terms)
         self.connections: dict[int, Http2Connection] = {}
--- a/gladewalk/upstream/secure.py
+++ b/gladewalk/upstream/secure.py
@@ -6,7 +6,8 @@
 import ssl
 from typing import TYPE_CHECKING, Any, cast
 
-from ..config.options import Options, Tls
+from ..config.option_tables import TlsOptions
+from ..config.options import Options
 from ..config.platform import ConfigError
 from ..streams.negotiation import Negotiation, Offer
 from .http1 import CacheConnection
@@ -41,7 +42,7 @@
 
 def make_context(options: Options, offer: Offer) -> ssl.SSLContext:
     """TLS 1.2 at least, the server's name checked against the named CAs; `ConfigError` names the bad file."""
-    tls: Tls = options.tls
+    tls: TlsOptions = options.tls
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     context.set_alpn_protocols(ALPN[offer])
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from ..config.options import FrontHttp, Options
+from ..config.option_tables import FrontHttpOptions
+from ..config.options import Options
 from ..config.platform import Address, ConfigError, read_address
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
@@ -57,20 +58,21 @@
         assert table is not None
         router, self.listens = checked(options)
         self._shape(router, table)
-        each = max(1, table.clients_most // len(self.listens))
+        each = max(1, table.max_client_connections // len(self.listens))
         self.fronts = [
-            WebFront(router, key, self.upstreams, each, table.body_most, clock, deadlines, counters)
+            WebFront(router, key, self.upstreams, each, table.max_body_bytes, clock, deadlines, counters)
             for key in self.listens.values()
         ]
 
-    def _shape(self, router: Router, table: FrontHttp) -> list[Balanced]:
+    def _shape(self, router: Router, table: FrontHttpOptions) -> list[Balanced]:
         """Take a table: what is as before goes on with all it has learned; the new ones are given back."""
         rows = router.site.upstreams or [NOWHERE]
-        share = max(4, table.upstream_most // len(rows))
+        share = max(4, table.max_upstream_connections // len(rows))
         before, self.upstreams = self.upstreams, {}
         fresh = []
         for number, row in enumerate(rows):
-            plan = plan_of(router.site, row, self.name, self.seed + number, table.clients_most, share)
+            seed, max_clients = self.seed + number, table.max_client_connections
+            plan = plan_of(router.site, row, self.name, seed, max_clients, share)
             known = before.get(row.name)
             if known is not None and same(known.plan, plan):
                 known.plan.classes = plan.classes
--- a/tests/h2world.py
+++ b/tests/h2world.py
@@ -9,7 +9,7 @@
 
 import trustme
 
-from gladewalk.config.options import Options, options_of, read_tables
+from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.rehearsal.bidsoak import ticket
 from gladewalk.rehearsal.h2box import Asked
 from gladewalk.rehearsal.peers import SETTINGS, Peer, Rehearsal
@@ -18,8 +18,8 @@
 
 
 def options_for(mode: str = "h2c", tls: dict[str, Any] | None = None, **http2: Any) -> Options:
-    tables = read_tables({"http2": {"mode": mode, **http2}, "tls": tls or {}})
-    return options_of(tables, "test.toml", Path("."))
+    tables = read_option_tables({"http2": {"mode": mode, **http2}, "tls": tls or {}})
+    return build_options(tables, "test.toml", Path("."))
 
 
 def world(*peers: Peer, options: Options | None = None, wait_ms: float = 2_000.0, **http2: Any) -> Rehearsal:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,7 +13,7 @@
 from click.testing import CliRunner
 
 from gladewalk.cli.commands import gladewalk
-from gladewalk.config.options import options_of, read_tables
+from gladewalk.config.options import build_options, read_option_tables
 from gladewalk.config.platform import ConfigError
 from gladewalk.control.client import (
     ControlError,
@@ -120,11 +120,11 @@
         os.chmod(folder / "keys", 0o600)
         text = '[control]\nsocket = "c.sock"\n[members]\nlisten = "127.0.0.1:0"\nkeys = "keys"\n'
         (folder / "g.toml").write_text(text)
-        tables = read_tables({
+        tables = read_option_tables({
             "control": {"socket": "c.sock"}, "members": {"listen": "127.0.0.1:0", "keys": "keys"},
         })  # fmt: skip
         boxes = [ScriptedPeer(answer, f"c{n}") for n in range(3)]
-        async with Rehearsal(boxes, options=options_of(tables, "t", folder)) as world:
+        async with Rehearsal(boxes, options=build_options(tables, "t", folder)) as world:
             director = world.director
             assert director is not None and director.duties is not None and director.members is not None
             duties = director.duties
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -13,7 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
 
 from gladewalk import interface as api
-from gladewalk.config.options import Options, options_of, read_tables
+from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.config.platform import read_config
 from gladewalk.director import Director
 from gladewalk.duties.ownership import Claim, Ownership, owner_of
@@ -359,11 +359,11 @@
     def options(self, folder: Path, seeds: list[str]) -> Options:
         (folder / "keys").write_text("ab" * 32)
         (folder / "keys").chmod(0o600)
-        tables = read_tables({
+        tables = read_option_tables({
             "members": {"listen": "127.0.0.1:0", "seeds": seeds, "keys": "keys"},
             "duties": {"probe_ms": 200.0, "check_ms": 300.0},
         })  # fmt: skip
-        return options_of(tables, "t", folder)
+        return build_options(tables, "t", folder)
 
     async def test_one_probe_serves_all_and_a_dead_directors_share_is_taken_over(self) -> None:
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -53,6 +53,8 @@
         "streams",
         "dns",
         "config.options",
+        "config.option_tables",
+        "config.toml_file",
         "config.key_ring_file",
         "registry.dns_leases",
         "cli",
--- a/tests/test_golden_control.py
+++ b/tests/test_golden_control.py
@@ -493,7 +493,7 @@
         "front": {"http": {"site": "s", "listen": {}}},
         "store": {"folder": "f"},
     }
-    return json.loads(msgspec.json.encode(options.read_tables(required)))
+    return json.loads(msgspec.json.encode(options.read_option_tables(required)))
 
 
 def free_port(kind: socket.SocketKind) -> int:
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -11,7 +11,8 @@
 from click.testing import CliRunner
 
 from gladewalk.cli.commands import gladewalk
-from gladewalk.config.options import Http2, load_options
+from gladewalk.config.option_tables import Http2Options
+from gladewalk.config.options import load_options
 from gladewalk.config.platform import ConfigError
 from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for
 from tests.h2world import authority
@@ -50,9 +51,11 @@
 
     def test_the_file_that_is_shipped_has_every_default_as_it_is(self) -> None:
         options = load_options(str(ROOT / "deploy" / "gladewalk.toml"))
-        self.assertEqual((options.http2, options.dns, options.http2.used), (Http2(), None, False))
+        self.assertEqual((options.http2, options.dns, options.http2.is_used), (Http2Options(), None, False))
         text = (ROOT / "deploy" / "gladewalk.toml").read_text()
-        self.assertEqual([name for name in Http2.__struct_fields__ if f"\n{name} = " not in text], [])
+        self.assertEqual(
+            [name for name in Http2Options.__struct_encode_fields__ if f"\n{name} = " not in text], []
+        )
 
 
 class Commands(unittest.TestCase):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -20,7 +20,7 @@
 
 from gladewalk import interface as api
 from gladewalk.cli.commands import gladewalk
-from gladewalk.config.options import Options, options_of, read_tables
+from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.config.platform import ConfigError, PlatformConfig, read_address, read_config
 from gladewalk.core.counters import Counters
 from gladewalk.director import Director
@@ -536,7 +536,7 @@
     """What a director was told before it was killed is in force after its restart."""
 
     def options(self, folder: Path) -> Options:
-        return options_of(read_tables({"store": {"folder": "store"}}), "t.toml", folder)
+        return build_options(read_option_tables({"store": {"folder": "store"}}), "t.toml", folder)
 
     async def test_a_purge_and_a_drain_outlive_a_kill_though_the_coordinator_is_gone(self) -> None:
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
@@ -583,8 +583,8 @@
 
     async def test_the_feed_goes_on_after_the_last_event_kept_and_not_with_another_coordinator(self) -> None:
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
-        options = options_of(
-            read_tables({"store": {"folder": "s", "resume": True}, "control": {"socket": "c"}}),
+        options = build_options(
+            read_option_tables({"store": {"folder": "s", "resume": True}, "control": {"socket": "c"}}),
             "t.toml",
             folder,
         )
@@ -639,8 +639,8 @@
 
     async def test_a_held_answer_counts_over_a_restart_and_what_was_learned_is_there(self) -> None:
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
-        tables = read_tables({"store": {"folder": "store", "warm_ms": 50.0}})
-        options = options_of(tables, "t.toml", folder)
+        tables = read_option_tables({"store": {"folder": "store", "warm_ms": 50.0}})
+        options = build_options(tables, "t.toml", folder)
 
         boxes = [ScriptedPeer(hit, f"c{n}", host=f"127.0.3.{n + 1}") for n in range(3)]
         front = DnsConfig(("127.0.0.1", 0), dns.name.from_text("cdn.example."), "127.0.0.1", 0.01, 1_000.0)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from gladewalk.config.options import Http2
+from gladewalk.config.option_tables import Http2Options
 from gladewalk.streams.bounds import Bucket, Liveness, Pulse
 from gladewalk.streams.ledger import (
     ENHANCE_YOUR_CALM,
@@ -131,7 +131,7 @@
 class SharingMachine(RuleBasedStateMachine):
     """Connections whose servers change their limits at will; no stream is opened over a limit."""
 
-    TERMS = Http2(connections_most=2, streams_most=6, calm_ms=50.0)
+    TERMS = Http2Options(max_connections=2, max_streams=6, calm_backoff_ms=50.0)
 
     def __init__(self) -> None:
         super().__init__()
@@ -151,10 +151,10 @@
         if isinstance(found, Shared):
             assert found is room[0], "the oldest with room comes first"
             self.streams[found.number].append(self.sharing.started(found))
-            assert len(self.streams[found.number]) <= found.limit <= self.TERMS.streams_most
+            assert len(self.streams[found.number]) <= found.limit <= self.TERMS.max_streams
         elif found is Next.OPEN:
             held = sum(s.number not in self.drained for s in self.alive) + self.sharing.dialling
-            assert not room and held < self.TERMS.connections_most
+            assert not room and held < self.TERMS.max_connections
             self.sharing.dial_begun()
         elif found is Next.REFUSE:
             assert self.now < self.sharing.calm_until
@@ -212,7 +212,7 @@
             assert shared.open == len(self.streams[shared.number])
             assert len(set(self.streams[shared.number])) == shared.open
         for shared in self.sharing.to_close(self.now, 1e9):
-            assert (not shared.open and shared.number in self.drained) or self.now > self.TERMS.drain_ms
+            assert (not shared.open and shared.number in self.drained) or self.now > self.TERMS.max_drain_ms
 
 
 TestLedger = LedgerMachine.TestCase
@@ -244,7 +244,7 @@
 
 
 def test_calm_doubles_while_it_is_asked_for_and_ends_with_an_answer() -> None:
-    sharing = Sharing(Http2(calm_ms=100.0))
+    sharing = Sharing(Http2Options(calm_backoff_ms=100.0))
     now, spans = 0.0, []
     for _ in range(7):
         sharing.asked_for_calm(now)
@@ -259,7 +259,7 @@
 
 
 def test_streams_that_nobody_wants_do_not_fill_a_connection_for_good() -> None:
-    sharing = Sharing(Http2())
+    sharing = Sharing(Http2Options())
     shared = sharing.joined(8, 0.0)
     for _ in range(8):
         sharing.started(shared)
@@ -275,7 +275,7 @@
 
 
 def test_a_draining_connection_is_cut_after_its_time() -> None:
-    sharing = Sharing(Http2(drain_ms=100.0))
+    sharing = Sharing(Http2Options(max_drain_ms=100.0))
     shared = sharing.joined(8, 0.0)
     sharing.started(shared)
     sharing.drain(shared, 10.0)
@@ -284,7 +284,7 @@
 
 
 def test_offers_go_by_uid_then_model_and_a_fallback_lasts_its_time() -> None:
-    terms = Http2(mode="tls", by_model={"m": "h2c"}, by_uid={"u": "off"}, fallback_ms=1_000.0)
+    terms = Http2Options(mode="tls", by_model={"m": "h2c"}, by_uid={"u": "off"}, http1_fallback_ms=1_000.0)
     negotiation = Negotiation(terms)
     assert negotiation.offer("u", "m", 0.0) is Offer.HTTP1
     assert negotiation.offer("v", "m", 0.0) is Offer.H2C
@@ -318,5 +318,5 @@
 
 
 def test_terms_are_compared_by_value() -> None:
-    assert Http2() == Http2() != Http2(ping_after_ms=5.0)
+    assert Http2Options() == Http2Options() != Http2Options(ping_after_ms=5.0)
     assert dataclasses.is_dataclass(Finding)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from gladewalk.config.options import options_of, read_tables
+from gladewalk.config.options import build_options, read_option_tables
 from gladewalk.nginx.table import Box, Site
 from gladewalk.nginx.translate import import_site
 from gladewalk.rehearsal.peers import Heard, until
@@ -238,7 +238,7 @@
         ({"site": "site.toml", "listen": {"127.0.0.1:0": "*:1"}}, r"\*:1 is none of the table's: \*:8081"),
     ):
         with pytest.raises(ConfigError, match=why):
-            checked(options_of(read_tables({"front": {"http": front}}), "t.toml", tmp_path))
+            checked(build_options(read_option_tables({"front": {"http": front}}), "t.toml", tmp_path))
 
 
 class Reloads(unittest.IsolatedAsyncioTestCase):
