--- /dev/null
+++ b/gladewalk/members/gossip_state.py
@@ -0,0 +1,183 @@
+"""Gossip state machine: applies member updates to the local view (SWIM, section 4.2).
+
+A later incarnation supersedes an earlier one, at the same incarnation the worse state does. Only the member
+itself refutes a suspicion, with a later incarnation.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from .actions import MemberChange, MemberChanged, ProbeOutcome
+from .context import ProtocolContext
+from .member_list import Member
+from .messages import MemberState, MemberUpdate
+from .probe_round import ProbeRound
+from .suspicion import accepts_death_report
+from .suspicion_monitor import SuspicionMonitor
+
+
+def supersedes(new: MemberUpdate, old: MemberUpdate) -> bool:
+    """Whether an update replaces another of the same member. Only a later incarnation revives a dead run."""
+    if new.incarnation != old.incarnation:
+        return new.incarnation > old.incarnation
+    return new.run_id == old.run_id and new.state > old.state
+
+
+class GossipState:
+    """Applies updates to the member list and the local member, and reports the changes.
+
+    Its own state is when it last answered a suspector of the local member.
+    """
+
+    def __init__(
+        self, context: ProtocolContext, suspicions: SuspicionMonitor, probe_round: ProbeRound
+    ) -> None:
+        self._context, self._suspicions, self._probe_round = context, suspicions, probe_round
+        self._last_answer_ms = -math.inf
+
+    def apply(
+        self, update: MemberUpdate, now_ms: float, sender: str = "", is_sender_unhealthy: bool = False
+    ) -> None:
+        """Applies one update if it supersedes what is known; `sender` is empty for our own observations."""
+        context = self._context
+        if update.name == context.local.name:
+            self._apply_to_local_member(update, now_ms)
+            return
+        member = context.members.by_name.get(update.name)
+        if member is None:
+            if len(context.members.by_name) < context.config.max_members:
+                self._add(update, now_ms)
+            return
+        if self._is_doubtful_death(member, update, sender, is_sender_unhealthy, now_ms):
+            self._dispute_death(member, update, sender, now_ms)
+            return
+        if update.state is MemberState.SUSPECT:
+            if self._suspicions.confirm(member, update, now_ms, is_sender_unhealthy):
+                return
+            if sender and update.incarnation < member.update.incarnation:
+                self._correct(sender, member)
+        if supersedes(update, member.update):
+            self._replace(member, update, now_ms)
+
+    def suspect(self, member: Member, now_ms: float) -> None:
+        """Suspects a member that the local member's pings have not reached."""
+        suspicion = msgspec.structs.replace(
+            member.update, state=MemberState.SUSPECT, suspected_by=self._context.local.name
+        )
+        self.apply(suspicion, now_ms)
+
+    def declare_dead(self, member: Member, now_ms: float) -> None:
+        """Declares a member dead whose suspicion has expired."""
+        self.apply(msgspec.structs.replace(member.update, state=MemberState.DEAD), now_ms)
+
+    def shift(self, by_ms: float) -> None:
+        """Moves all times, after the local clock jumped or the process was stopped."""
+        self._last_answer_ms += by_ms
+
+    def _is_doubtful_death(
+        self, member: Member, update: MemberUpdate, sender: str, is_sender_unhealthy: bool, now_ms: float
+    ) -> bool:
+        is_news = sender and update.state is MemberState.DEAD and member.is_live
+        if not is_news or not supersedes(update, member.update):
+            return False
+        return not accepts_death_report(member, self._context.config, is_sender_unhealthy, now_ms)
+
+    def _dispute_death(self, member: Member, update: MemberUpdate, sender: str, now_ms: float) -> None:
+        """Takes another's report of a death as a suspicion, and asks the member itself."""
+        suspicion = msgspec.structs.replace(
+            update, state=MemberState.SUSPECT, suspected_by=update.suspected_by or sender
+        )
+        is_known = self._suspicions.confirm(member, suspicion, now_ms)
+        if not is_known and supersedes(suspicion, member.update):
+            self._replace(member, suspicion, now_ms)
+        member.is_death_disputed = True
+        if not self._suspicions.was_notified_recently(member, now_ms):
+            self._suspicions.notify(member, now_ms)
+        if member.probe_outcome is ProbeOutcome.SILENT:  # it may have been killed since the probe
+            self._suspicions.probe(member, now_ms)
+
+    def _add(self, update: MemberUpdate, now_ms: float) -> None:
+        member = self._context.members.add(update, now_ms)
+        if member.is_suspect:
+            self._suspicions.add_suspector(member, update, now_ms)
+        if member.is_live:
+            self._report(MemberChange.JOINED, update.name)
+            self._probe_round.add(update.name)
+        self._context.dissemination.queue_update(update)
+
+    def _replace(self, member: Member, update: MemberUpdate, now_ms: float) -> None:
+        old_state, was_live = member.update.state, member.is_live
+        self._context.members.replace(member, update, now_ms)
+        if member.is_suspect:
+            self._suspicions.add_suspector(member, update, now_ms)
+        self._context.dissemination.queue_update(update)
+        self._report_transition(member, old_state, was_live, now_ms)
+
+    def _report_transition(
+        self, member: Member, old_state: MemberState, was_live: bool, now_ms: float
+    ) -> None:
+        name = member.name
+        match member.update.state:
+            case MemberState.ALIVE if not was_live:
+                member.last_heard_ms = now_ms
+                self._report(MemberChange.JOINED, name)
+            case MemberState.ALIVE if old_state is MemberState.SUSPECT:
+                self._report(MemberChange.CLEARED, name)
+            case MemberState.SUSPECT if old_state is not MemberState.SUSPECT:
+                self._report(MemberChange.SUSPECTED, name)
+            case MemberState.DEAD if was_live:
+                self._report(MemberChange.DIED, name)
+            case MemberState.LEFT if was_live:
+                self._report(MemberChange.LEFT, name)
+
+    def _report(self, change: MemberChange, name: str) -> None:
+        self._context.outbox.put(MemberChanged(change, name))
+
+    def _correct(self, sender: str, member: Member) -> None:
+        """Tells a sender at once that the suspicion it repeats was refuted: gossip may have missed it."""
+        suspector = self._context.members.by_name.get(sender)
+        if suspector is not None and member.update.state is MemberState.ALIVE:
+            correction = self._context.messages.single_update(member.update)
+            self._context.outbox.send(suspector.address, correction)
+
+    def _apply_to_local_member(self, update: MemberUpdate, now_ms: float) -> None:
+        """Refutes what is untrue of the local member, with a later incarnation than it was said with."""
+        context, local = self._context, self._context.local
+        is_alive, is_other_run = update.state is MemberState.ALIVE, update.run_id != local.run_id
+        if update.incarnation < local.update.incarnation:
+            if not is_alive:  # refuted before, and the refutation missed somebody
+                context.dissemination.queue_update(local.update)
+                self._answer_suspector(update, now_ms)
+            return
+        if is_alive and not is_other_run:
+            return
+        local.refute(update.incarnation)
+        context.dissemination.queue_update(local.update)
+        if is_other_run and is_alive and (update.host, update.port) != local.address:
+            # An earlier run of ours, or another process of our name: its answer tells which.
+            context.outbox.send((update.host, update.port), context.messages.join())
+        if not is_alive and not is_other_run:
+            self._answer_suspector(update, now_ms)
+            self._report(MemberChange.REFUTED, local.name)
+            local.health.worsen()  # others can't hear us: the fault may be ours
+
+    def _answer_suspector(self, suspicion: MemberUpdate, now_ms: float) -> None:
+        """Announces the local member to its suspector, directly and through others, once a ping period.
+
+        Where the path to the suspector is cut one way, it learns through the others what it can't hear, in
+        time: a refutation by gossip alone may arrive after its verdict.
+        """
+        context = self._context
+        suspector = context.members.by_name.get(suspicion.suspected_by)
+        if suspector is None or not suspector.is_live:
+            return
+        if now_ms < self._last_answer_ms + context.config.ping_period_ms:
+            return
+        self._last_answer_ms = now_ms
+        context.outbox.send(suspector.address, context.messages.announcement())
+        for helper in self._suspicions.helpers(suspector):
+            relayed = context.messages.relayed_announcement(suspector.update)
+            context.outbox.send(helper.address, relayed)
--- a/gladewalk/members/pings.py
+++ b/gladewalk/members/pings.py
@@ -1,7 +1,7 @@
-"""Pings whose answers are awaited, those for others, and how long answers take. No I/O.
+"""Bookkeeping of direct and indirect pings, and the measured round-trip time.
 
-How long answers take is the median of the last few, late ones among them: one that a stall held up says
-nothing of the path. On paths slower than the settings foresee, pings wait longer before they accuse anybody.
+The round-trip time is the median of the last few answers. On paths slower than the configuration foresees,
+timeouts and periods grow with it, so that nobody is suspected for a slow path.
 """
 
 from __future__ import annotations
@@ -10,100 +10,129 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
-from .terms import Address, Terms
+from .actions import Address
+from .config import MembershipConfig
 
-SLOW = 1.5  # times the time that answers take, for one that is awaited
-KEPT = 64  # pings whose late answers still tell something
-SLOWEST_PERIODS = 6.0  # an answer later than so many periods tells of a stall and not of a path
-SAMPLES = 5
-STRETCH_MOST = 8.0  # times the period that slow paths may make of it
+TIMEOUT_FACTOR = 1.5  # times the round-trip time: how long an answer is awaited
+PERIOD_FACTOR = 2.5  # times that timeout: a period holds a direct ping, then an indirect one
+MAX_PERIOD_FACTOR = 8.0  # times the configured period: the longest that slow paths make of it
+MAX_SENT_PINGS = 64  # pings whose late answers are still measured
+MAX_ROUND_TRIP_PERIODS = 6.0  # a later answer tells of a stalled process and nothing of the path
+ROUND_TRIP_SAMPLES = 5
 
 
 @dataclass(slots=True)
-class Asking:
-    """A ping whose answer is awaited."""
+class PendingPing:
+    """The ping of this period, whose answer is awaited."""
 
     name: str
-    number: int
+    sequence: int
     sent_ms: float
-    helped: bool = False  # go-betweens have been asked
-    helpers: int = 0
-    nacks: int = 0
+    has_asked_helpers: bool = False
+    helper_count: int = 0
+    nack_count: int = 0
 
 
 @dataclass(slots=True)
-class Errand:
-    """A ping for another member."""
+class IndirectPing:
+    """A ping on behalf of another member, which is answered with its own sequence number."""
 
-    asker: Address
-    number: int
+    requester: Address
+    requester_sequence: int
     due_ms: float
 
 
-class Pings:
-    def __init__(self, terms: Terms) -> None:
-        self.terms = terms
-        self.asking: Asking | None = None
-        self.errands: dict[int, Errand] = {}
-        self.sent: OrderedDict[int, float] = OrderedDict()
-        self.numbers = 0
-        self.samples: deque[float] = deque(maxlen=SAMPLES)
-        self.answer_ms = 0.0
-
-    def timeout_ms(self, health: int) -> float:
-        """For a direct answer."""
-        return max(self.terms.timeout_ms * (1 + health), SLOW * self.answer_ms)
-
-    def period_ms(self, health: int) -> float:
-        """Between pings: long enough for an answer and then for one by go-betweens, who ask anew."""
-        slow_ms = min(2.5 * SLOW * self.answer_ms, STRETCH_MOST * self.terms.period_ms)
-        return max(self.terms.period_ms * (1 + health), slow_ms)
-
-    def ask(self, name: str, now_ms: float) -> int:
-        """A ping's number, whose answer is awaited from now."""
-        number = self._number(now_ms)
-        self.asking = Asking(name, number, now_ms)
-        return number
-
-    def answered(self, number: int, now_ms: float) -> bool:
-        """Whether it is the answer that is awaited; any answer tells how long they take."""
-        sent_ms = self.sent.pop(number, None)
-        if sent_ms is not None and (took_ms := now_ms - sent_ms) < SLOWEST_PERIODS * self.terms.period_ms:
-            self.samples.append(took_ms)
-            self.answer_ms = statistics.median_low(self.samples)
-        if self.asking is None or self.asking.number != number:
+class PingTracker:
+    """Pending and indirect pings by sequence number, and the timeouts that follow from answers.
+
+    Times are in ms; `health_score` is the local health (0: healthy).
+    """
+
+    def __init__(self, config: MembershipConfig) -> None:
+        self.pending: PendingPing | None = None
+        self.round_trip_ms = 0.0  # 0 until the first answer
+        self._config = config
+        self._indirect: dict[int, IndirectPing] = {}
+        self._sent_ms: OrderedDict[int, float] = OrderedDict()
+        self._last_sequence = 0
+        self._samples_ms: deque[float] = deque(maxlen=ROUND_TRIP_SAMPLES)
+
+    def timeout_ms(self, health_score: int) -> float:
+        """How long a direct answer is awaited."""
+        return max(self._config.ping_timeout_ms * (1 + health_score), TIMEOUT_FACTOR * self.round_trip_ms)
+
+    def period_ms(self, health_score: int) -> float:
+        """Time between two pings: long enough for a direct answer and then for an indirect one."""
+        slow_ms = min(
+            PERIOD_FACTOR * TIMEOUT_FACTOR * self.round_trip_ms,
+            MAX_PERIOD_FACTOR * self._config.ping_period_ms,
+        )
+        return max(self._config.ping_period_ms * (1 + health_score), slow_ms)
+
+    def start(self, name: str, now_ms: float) -> int:
+        """Makes a ping of `name` the pending one; returns its sequence number."""
+        sequence = self._next_sequence(now_ms)
+        self.pending = PendingPing(name, sequence, now_ms)
+        return sequence
+
+    def on_ack(self, sequence: int, now_ms: float) -> bool:
+        """Measures an answer; returns whether it ends the pending ping."""
+        sent_ms = self._sent_ms.pop(sequence, None)
+        if sent_ms is not None:
+            self._measure(now_ms - sent_ms)
+        if self.pending is None or self.pending.sequence != sequence:
             return False
-        self.asking = None
+        self.pending = None
         return True
 
-    def run_errand(self, asker: Address, number: int, now_ms: float) -> int:
-        """A ping's number for one that is asked on another's behalf."""
-        mine = self._number(now_ms)
-        if len(self.errands) < self.terms.members_most:
-            due = now_ms + max(self.terms.timeout_ms, SLOW * self.answer_ms)
-            self.errands[mine] = Errand(asker, number, due)
-        return mine
-
-    def ended_errands(self, now_ms: float) -> list[Errand]:
-        """Errands that nobody has answered in time."""
-        return [self.errands.pop(n) for n in [n for n, e in self.errands.items() if now_ms >= e.due_ms]]
-
-    def due_ms(self, health: int) -> list[float]:
-        times = [errand.due_ms for errand in self.errands.values()]
-        if self.asking is not None and not self.asking.helped:
-            times.append(self.asking.sent_ms + self.timeout_ms(health))
-        return times
+    def on_nack(self, sequence: int) -> None:
+        """Counts a helper that has heard nothing from the pending ping's target."""
+        if self.pending is not None and self.pending.sequence == sequence:
+            self.pending.nack_count += 1
+
+    def start_indirect(self, requester: Address, requester_sequence: int, now_ms: float) -> int:
+        """Notes a ping on behalf of another member; returns its sequence number.
+
+        Above `max_members` of them the ping is sent, and its answer is not passed on.
+        """
+        sequence = self._next_sequence(now_ms)
+        if len(self._indirect) < self._config.max_members:
+            due_ms = now_ms + max(self._config.ping_timeout_ms, TIMEOUT_FACTOR * self.round_trip_ms)
+            self._indirect[sequence] = IndirectPing(requester, requester_sequence, due_ms)
+        return sequence
+
+    def take_indirect(self, sequence: int) -> IndirectPing | None:
+        """Removes and returns the indirect ping of this sequence number, if there is one."""
+        return self._indirect.pop(sequence, None)
+
+    def take_overdue_indirect(self, now_ms: float) -> list[IndirectPing]:
+        """Removes and returns the indirect pings that were not answered in time."""
+        overdue = [sequence for sequence, ping in self._indirect.items() if now_ms >= ping.due_ms]
+        return [self._indirect.pop(sequence) for sequence in overdue]
+
+    def due_times_ms(self, health_score: int) -> list[float]:
+        """When pings that are awaited now time out."""
+        times_ms = [ping.due_ms for ping in self._indirect.values()]
+        if self.pending is not None and not self.pending.has_asked_helpers:
+            times_ms.append(self.pending.sent_ms + self.timeout_ms(health_score))
+        return times_ms
 
     def shift(self, by_ms: float) -> None:
-        self.sent.clear()  # what was asked before a stall tells nothing of the path
-        if self.asking is not None:
-            self.asking.sent_ms += by_ms
-        for errand in self.errands.values():
-            errand.due_ms += by_ms
-
-    def _number(self, now_ms: float) -> int:
-        self.numbers += 1
-        self.sent[self.numbers] = now_ms
-        while len(self.sent) > KEPT:
-            self.sent.popitem(last=False)
-        return self.numbers
+        """Moves all times, after the local clock jumped or the process was stopped."""
+        self._sent_ms.clear()  # answers to these would measure the stop and not the path
+        if self.pending is not None:
+            self.pending.sent_ms += by_ms
+        for ping in self._indirect.values():
+            ping.due_ms += by_ms
+
+    def _measure(self, round_trip_ms: float) -> None:
+        if round_trip_ms < MAX_ROUND_TRIP_PERIODS * self._config.ping_period_ms:
+            self._samples_ms.append(round_trip_ms)
+            self.round_trip_ms = statistics.median_low(self._samples_ms)
+
+    def _next_sequence(self, now_ms: float) -> int:
+        self._last_sequence += 1
+        self._sent_ms[self._last_sequence] = now_ms
+        while len(self._sent_ms) > MAX_SENT_PINGS:
+            self._sent_ms.popitem(last=False)
+        return self._last_sequence
--- a/gladewalk/ops/routes.py
+++ b/gladewalk/ops/routes.py
@@ -6,39 +6,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from typing import Protocol
 
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
-from ..interface import Server, ServerState
+from ..interface import ServerState
 from ..net.admin import AdminFront, Handler, Response
+from ..registry.state import RoutingState
 from .metrics import Gauges, format_metrics
 from .readiness import Readiness
 
 
-class ServerView(Protocol):
-    """What is read of a server that the dispatcher knows."""
-
-    @property
-    def info(self) -> Server:
-        """The server as the endpoint list has it."""
-
-    @property
-    def backoff_until_ms(self) -> float:
-        """Until when, in Unix ms, the dispatcher sends nothing there."""
-
-
 class DispatcherView(Protocol):
     """What is read of the decision module."""
 
     @property
-    def servers(self) -> Mapping[str, ServerView]:
-        """Every known server by name, removed ones included."""
-
-    @property
-    def classes(self) -> Mapping[str, object]:
-        """The request classes in use, by name."""
+    def state(self) -> RoutingState:
+        """Servers and request classes, among others."""
 
 
 class ExchangeView(Protocol):
@@ -123,8 +107,8 @@
 
     def _get_stats(self) -> Response:
         exchange = self._director.exchange
-        metrics = format_metrics(self._director.counters, exchange.core.classes, read_gauges(exchange))
-        return Response(200, metrics)
+        classes = exchange.core.state.classes
+        return Response(200, format_metrics(self._director.counters, classes, read_gauges(exchange)))
 
     def _start_drain(self) -> Response:
         self._director.readiness.start_drain(self._director.exchange.clock())
--- a/gladewalk/rehearsal/dutynet.py
+++ b/gladewalk/rehearsal/dutynet.py
@@ -1,7 +1,7 @@
 """Duties on the network in memory: the real `Runner`, `Ownership` and `Membership`, in virtual time.
 
 Boxes to probe are names; a probe that a node does is noted with its time. Nodes are killed, stopped, cut off
-and restarted as on `membernet`, and what they hold and do can be read off at any moment.
+and restarted as on `member_network`, and what they hold and do can be read off at any moment.
 """
 
 from __future__ import annotations
@@ -14,10 +14,10 @@
 from ..core.counters import Counters
 from ..duties.ownership import Rank, rank_of, score
 from ..duties.runner import Found, Runner
-from ..members.gossip import Told
-from ..members.messages import News
-from ..members.terms import Change, Terms
-from .membernet import Net, Node
+from ..members.actions import MemberChange
+from ..members.config import MembershipConfig
+from ..members.messages import UserEvent
+from .member_network import Net, Node
 
 PROBE_MS = 1.0  # that a box takes to answer
 
@@ -30,15 +30,15 @@
 
 
 class Fellow:
-    """A node as `Runner` sees its members; `members.transport.Members` is the same on sockets."""
+    """A node as `Runner` sees its members; `members.transport.MembershipTransport` is the same on sockets."""
 
     def __init__(self, net: DutyNet, node: Node) -> None:
         self.net, self.node, self.core = net, node, node.core
-        self.changed: Callable[[Change, str], None] = lambda change, name: None
-        self.heard: Callable[[News], None] = lambda news: None
+        self.on_member_change: Callable[[MemberChange, str], None] = lambda change, name: None
+        self.on_event: Callable[[UserEvent], None] = lambda event: None
 
-    def tell(self, news: News) -> None:
-        self.core.tell(news)
+    def publish_event(self, event: UserEvent) -> None:
+        self.core.publish_event(event)
 
 
 class Agenda:
@@ -107,8 +107,8 @@
     """Nodes with duties. `done` has every probe in its order."""
 
     def __init__(
-        self, seed: int, boxes: Iterable[str], interval_ms: float = 1_000.0, terms: Terms | None = None,
-        per_s: float = 0.0,
+        self, seed: int, boxes: Iterable[str], interval_ms: float = 1_000.0,
+        terms: MembershipConfig | None = None, per_s: float = 0.0,
     ) -> None:  # fmt: skip
         super().__init__(seed, terms)
         self.boxes, self.interval_ms, self.per_s = tuple(boxes), interval_ms, per_s
@@ -117,12 +117,12 @@
         self.runners: dict[str, Runner] = {}
         self.done: list[Done] = []
         self.learned: dict[tuple[str, str], float] = {}
-        self.on_news = lambda node, news: self.runners[node.name].members.heard(news)
+        self.on_news = lambda node, news: self.runners[node.name].members.on_event(news)
         self.on_change = self._on_change
 
-    def _on_change(self, node: Node, change: Change, name: str) -> None:
+    def _on_change(self, node: Node, change: MemberChange, name: str) -> None:
         if node.name in self.runners:  # else it is just being made
-            self.runners[node.name].members.changed(change, name)
+            self.runners[node.name].members.on_member_change(change, name)
 
     def join(self, name: str, seeds: tuple[str, ...] = ()) -> Node:
         """A node with duties starts, or starts again knowing nothing."""
@@ -175,7 +175,7 @@
 
 def duty_cluster(
     count: int, seed: int, boxes: int = 12, interval_ms: float = 1_000.0, settle_ms: float = 6_000.0,
-    per_s: float = 0.0, terms: Terms | None = None, met: bool = False,
+    per_s: float = 0.0, terms: MembershipConfig | None = None, met: bool = False,
 ) -> DutyNet:  # fmt: skip
     """Members `m0` to `mN`, who know the first two as seeds, once they have divided their boxes.
 
@@ -195,11 +195,11 @@
 
 def _introduce(net: DutyNet) -> None:
     """All know all, and nobody has anything of it left to tell."""
-    rumours = [node.core.me for node in net.nodes.values()]
+    updates = [node.core.local for node in net.nodes.values()]
     for node in net.nodes.values():
-        for rumour in rumours:
-            if rumour.name != node.name:
-                node.core.hear(rumour, net.now)
-        node.core.gossip.rumours = Told()
-        node.core.out.clear()
+        for update in updates:
+            if update.name != node.name:
+                node.core.gossip.apply(update, net.now)
+        node.core.dissemination.queued_updates.clear()
+        node.core.outbox.take()
         net.runners[node.name].moved = True
--- a/gladewalk/rehearsal/membernet.py
+++ b/gladewalk/rehearsal/member_network.py
@@ -14,19 +14,34 @@
 from typing import TypeVar
 
 from ..faultnet.schedule import Fault, pairs_of
-from ..members import sync
+from ..members.actions import (
+    Action,
+    Address,
+    EventReceived,
+    MemberChange,
+    ProbeOutcome,
+    SendDatagram,
+    StartConfirmationProbe,
+    StartSync,
+)
+from ..members.authenticator import (
+    OVERHEAD_BYTES,
+    AuthenticationKey,
+    DropReason,
+    MessageAuthenticator,
+    key_from_secret,
+)
+from ..members.config import MembershipConfig
 from ..members.history import Seen
-from ..members.messages import News, Streamed, decode, encode
-from ..members.seal import OVERHEAD, Key, Refused, Seal, make_key
+from ..members.messages import StreamMessage, UserEvent, decode, encode
 from ..members.swim import Membership
-from ..members.terms import Address, Change, Exchange, Heard, Knocking, Out, Outcome, Send, Terms
 
 STREAM_MS = 2_000.0  # until an exchange over a path that passes nothing is given up
-KEY = make_key(b"a key of the rehearsal's own, 32 bytes or more")
+KEY = key_from_secret(b"a key of the rehearsal's own, 32 bytes or more")
 START_MS = 1_764_576_000_000.0
 
 
-S = TypeVar("S", bound=Streamed)
+S = TypeVar("S", bound=StreamMessage)
 
 
 @dataclass(slots=True, eq=False)
@@ -36,7 +51,7 @@
     name: str
     address: Address
     core: Membership
-    seal: Seal
+    seal: MessageAuthenticator
     up: bool = True
     stopped_until: float = 0.0  # its loop stalls, or it was sent SIGSTOP: what comes waits
     clock_off: float = 0.0
@@ -47,9 +62,9 @@
 class Net:
     """Nodes and what lies between them."""
 
-    def __init__(self, seed: int, terms: Terms | None = None) -> None:
+    def __init__(self, seed: int, terms: MembershipConfig | None = None) -> None:
         self.random = random.Random(seed)
-        self.terms = terms or Terms()
+        self.terms = terms or MembershipConfig()
         self.now = START_MS
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.count = 0
@@ -58,15 +73,15 @@
         self.seen: list[Seen] = []
         self.bytes: Counter[str] = Counter()
         self.sent: Counter[str] = Counter()
-        self.refused: Counter[Refused] = Counter()
+        self.refused: Counter[DropReason] = Counter()
         self.loss = self.double = 0.0
         self.delay_ms = (0.2, 2.0)
         self.late_ms = 0.0  # up to so long a busy host's loops run their timers late, and read late
         self.blocked: Callable[[str, str], bool] = lambda source, target: False
         self.exchanges: Counter[str] = Counter()
         self.dark: set[str] = set()  # whose machines are down, so that no system answers in their place
-        self.on_news: Callable[[Node, News], None] | None = None
-        self.on_change: Callable[[Node, Change, str], None] | None = None
+        self.on_news: Callable[[Node, UserEvent], None] | None = None
+        self.on_change: Callable[[Node, MemberChange, str], None] | None = None
 
     def after(self, ms: float, call: Callable[[], None]) -> None:
         self.count += 1
@@ -83,20 +98,26 @@
     # Nodes.
 
     def start(
-        self, name: str, seeds: tuple[str, ...] = (), keys: tuple[Key, ...] = (KEY,), port: int = 0,
+        self,
+        name: str,
+        seeds: tuple[str, ...] = (),
+        keys: tuple[AuthenticationKey, ...] = (KEY,),
+        port: int = 0,
         clock_off: float = 0.0,
-    ) -> Node:  # fmt: skip
+    ) -> Node:
         """A node starts, or starts again under its name, knowing no more than its seeds."""
         old = self.nodes.get(name)
         if old is not None:
             old.up = False  # its address is free again: no two processes have one
-            self.seen += [Seen(self.now, name, Change.LEFT, other) for other in self.nodes if other != name]
+            self.seen += [
+                Seen(self.now, name, MemberChange.LEFT, other) for other in self.nodes if other != name
+            ]
         address = old.address if old is not None else ("10.0.0.1", port or 1_000 + len(self.nodes))
         known = tuple(self.nodes[seed].address for seed in seeds)
         core = Membership(
             name, address, known, self.terms, random.Random(self.random.random()), self.now + clock_off
         )
-        node = Node(name, address, core, Seal(keys, 30_000.0), clock_off=clock_off)
+        node = Node(name, address, core, MessageAuthenticator(keys, 30_000.0), clock_off=clock_off)
         self.by_address[address] = node
         self.nodes[name if old is not None or name not in self.nodes else f"{name}'"] = node
         self.wake(node)
@@ -123,27 +144,27 @@
             return
         self.carry_out(node, node.core.tick(self.now + node.clock_off))
 
-    def carry_out(self, node: Node, out: list[Out]) -> None:
+    def carry_out(self, node: Node, out: list[Action]) -> None:
         for action in out:
-            if isinstance(action, Send):
-                data = node.seal.seal(
+            if isinstance(action, SendDatagram):
+                data = node.seal.sign(
                     encode(action.message), self.now + node.clock_off, self.random.getrandbits(64)
                 )
                 self.post(node, data, action.to)
-            elif isinstance(action, Exchange):
+            elif isinstance(action, StartSync):
                 self.exchange(node, action.to)
-            elif isinstance(action, Knocking):
+            elif isinstance(action, StartConfirmationProbe):
                 self.knock(node, action)
-            elif isinstance(action, Heard):
+            elif isinstance(action, EventReceived):
                 if self.on_news is not None:
-                    self.on_news(node, action.news)
+                    self.on_news(node, action.event)
             else:
                 self.seen.append(Seen(self.now, node.name, action.change, action.name))
                 if self.on_change is not None:
                     self.on_change(node, action.change, action.name)
         node.wake += 1
         number = node.wake
-        ms = max(0.05, node.core.due() - (self.now + node.clock_off))
+        ms = max(0.05, node.core.next_due_ms() - (self.now + node.clock_off))
         if ms < 1e9:
             ms += self.random.uniform(0.0, self.late_ms) if self.late_ms else 0.0
             self.after(ms, lambda: self.wake(node) if node.wake == number else None)
@@ -171,61 +192,70 @@
             return
         self.after(3 * self.random.uniform(*self.delay_ms), lambda: self._exchange(node, target))
 
-    def knock(self, node: Node, wanted: Knocking) -> None:
+    def knock(self, node: Node, wanted: StartConfirmationProbe) -> None:
         """What a suspect's system says in its place."""
         target = self.by_address.get(wanted.to)
         name = target.name if target is not None else ""
         dark = name in self.dark or self.blocked(node.name, name) or self.blocked(name, node.name)
         if target is None or dark:
-            outcome, ms = Outcome.UNREACHABLE, wanted.wait_ms
+            outcome, ms = ProbeOutcome.UNREACHABLE, wanted.timeout_ms
         elif not target.up:
-            outcome, ms = Outcome.GONE, 2 * self.random.uniform(*self.delay_ms)
+            outcome, ms = ProbeOutcome.REFUSED, 2 * self.random.uniform(*self.delay_ms)
         elif self.now < target.stopped_until:
-            outcome, ms = Outcome.SILENT, wanted.wait_ms
+            outcome, ms = ProbeOutcome.SILENT, wanted.timeout_ms
         else:
-            outcome, ms = Outcome.HERE, 4 * self.random.uniform(*self.delay_ms)
+            outcome, ms = ProbeOutcome.RESPONDED, 4 * self.random.uniform(*self.delay_ms)
         self.after(ms, lambda: self._knocked(node, target, wanted, outcome))
 
-    def _knocked(self, node: Node, target: Node | None, wanted: Knocking, outcome: Outcome) -> None:
+    def _knocked(
+        self, node: Node, target: Node | None, wanted: StartConfirmationProbe, outcome: ProbeOutcome
+    ) -> None:
         if not node.up or self.now < node.stopped_until:
             return
-        if outcome is Outcome.HERE and target is not None:
+        if outcome is ProbeOutcome.RESPONDED and target is not None:
             if not target.up or self.now < target.stopped_until:
-                outcome = Outcome.SILENT if target.up else Outcome.GONE
+                outcome = ProbeOutcome.SILENT if target.up else ProbeOutcome.REFUSED
             else:
                 self._count(node, wanted.message)
                 off_ms = abs(node.clock_off - target.clock_off)
                 if off_ms > node.seal.window_ms:  # neither opens what the other seals
                     return self.carry_out(
-                        node, node.core.knocked(wanted.name, wanted.run, Outcome.UNREACHABLE, self.now)
+                        node,
+                        node.core.on_probe_outcome(
+                            wanted.name, wanted.run_id, ProbeOutcome.UNREACHABLE, self.now
+                        ),
                     )
-                here, out = target.core.answer_knock(wanted.message, self.now + target.clock_off)
+                here, out = target.core.on_confirmation_probe(wanted.message, self.now + target.clock_off)
                 self.carry_out(target, out)
-                self.carry_out(node, node.core.take_in(self._count(target, here), self.now + node.clock_off))
-        self.carry_out(node, node.core.knocked(wanted.name, wanted.run, outcome, self.now + node.clock_off))
+                self.carry_out(
+                    node, node.core.receive_streamed(self._count(target, here), self.now + node.clock_off)
+                )
+        self.carry_out(
+            node, node.core.on_probe_outcome(wanted.name, wanted.run_id, outcome, self.now + node.clock_off)
+        )
 
     def _passes(self, node: Node, target: Node) -> bool:
         blocked = self.blocked(node.name, target.name) or self.blocked(target.name, node.name)
         return node.up and target.up and not blocked and self.now >= target.stopped_until
 
     def _exchange(self, node: Node, target: Node) -> None:
-        if not self._passes(node, target) or not target.core.active:
+        if not self._passes(node, target) or not target.core.is_active:
             return self._exchange_failed(node, target.address)
-        told = sync.answer(target.core, self._count(node, sync.ask(node.core)))
-        mine, out = sync.take(node.core, self._count(target, told), self.now + node.clock_off)
-        self.exchanges["same" if told.same else "whole"] += 1
+        told = target.core.sync_response(self._count(node, node.core.sync_request()))
+        mine, out = node.core.on_sync_response(self._count(target, told), self.now + node.clock_off)
+        self.exchanges["same" if told.is_identical else "whole"] += 1
         self.carry_out(node, out)
         if mine is not None:
             self._count(node, mine)
-            self.carry_out(target, target.core.take_in(mine, self.now + target.clock_off))
+            self.carry_out(target, target.core.receive_streamed(mine, self.now + target.clock_off))
 
     def _exchange_failed(self, node: Node, to: Address) -> None:
         self.exchanges["failed"] += 1
         if node.up:
-            self.carry_out(node, node.core.exchange_failed(to))
+            self.carry_out(node, node.core.on_sync_failed(to))
 
     def _count(self, node: Node, message: S) -> S:
-        self.bytes[node.name] += len(encode(message)) + OVERHEAD + 4
+        self.bytes[node.name] += len(encode(message)) + OVERHEAD_BYTES + 4
         return message
 
     def deliver(self, to: Address, data: bytes, source: Address) -> None:
@@ -238,8 +268,8 @@
         self.take(node, data, source)
 
     def take(self, node: Node, data: bytes, source: Address) -> None:
-        opened = node.seal.open(data, self.now + node.clock_off)
-        if isinstance(opened, Refused):
+        opened = node.seal.verify(data, self.now + node.clock_off)
+        if isinstance(opened, DropReason):
             self.refused[opened] += 1
             return
         self.carry_out(node, node.core.receive(decode(opened), source, self.now + node.clock_off))
@@ -247,14 +277,14 @@
     # What is to be seen.
 
     def live_as_seen_by(self, name: str) -> set[str]:
-        return {other for other, member in self.nodes[name].core.members.items() if member.live}
+        return {other for other, member in self.nodes[name].core.members.by_name.items() if member.is_live}
 
     def agreed(self) -> bool:
         """Whether every running member sees just the running members."""
-        up = {name for name, node in self.nodes.items() if node.up and node.core.active}
+        up = {name for name, node in self.nodes.items() if node.up and node.core.is_active}
         return all(self.live_as_seen_by(name) == up - {name} for name in up)
 
-    def changes(self, change: Change, name: str | None = None, since_ms: float = 0.0) -> list[Seen]:
+    def changes(self, change: MemberChange, name: str | None = None, since_ms: float = 0.0) -> list[Seen]:
         return [
             seen
             for seen in self.seen
@@ -262,7 +292,7 @@
         ]
 
 
-def cluster(count: int, seed: int, terms: Terms | None = None, settle_ms: float = 5_000.0) -> Net:
+def cluster(count: int, seed: int, terms: MembershipConfig | None = None, settle_ms: float = 5_000.0) -> Net:
     """Members `m0` to `mN`, who know the first two as seeds, after some time to find one another."""
     net = Net(seed, terms)
     for n in range(count):
@@ -288,7 +318,7 @@
             case "kill" | "stop":
                 if fault.kind == "stop":
                     node = net.nodes[fault.who[0]]
-                    net.carry_out(node, node.core.leave(net.now + node.clock_off))
+                    net.carry_out(node, node.core.leave())
                 net.kill(fault.who[0])
                 net.after(fault.ms, lambda: restart(fault.who[0]))
             case "loss" | "double":
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -18,8 +18,8 @@
 from gladewalk.director import Director
 from gladewalk.duties.ownership import Claim, Ownership, owner_of
 from gladewalk.duties.pacing import Pacing
-from gladewalk.members.seal import make_key
-from gladewalk.members.terms import Change
+from gladewalk.members.actions import MemberChange
+from gladewalk.members.authenticator import key_from_secret
 from gladewalk.rehearsal.dutynet import DutyNet, duty_cluster
 from gladewalk.rehearsal.ownerwalk import Broken, Budget, Walk
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for, until
@@ -212,7 +212,7 @@
             if ms > 2_000.0:  # found dead: its duties have two holders until it is back
                 self.assertTrue(all(len(both) == 2 for both in heirs), heirs)
             self.settle(net)
-            self.assertEqual([seen for seen in net.changes(Change.DIED) if seen.by == "m2"], [])
+            self.assertEqual([seen for seen in net.changes(MemberChange.DIED) if seen.by == "m2"], [])
             self.assertEqual(held, [box for box in net.boxes if net.holders(box) == ["m2"]])
 
     def test_no_box_goes_unprobed_past_the_bound_when_its_prober_dies(self) -> None:
@@ -270,7 +270,7 @@
         twin = net.start("m2", ("m0",), port=7_777)
         net.nodes["m2"], net.nodes["twin"] = first, twin
         net.run(10_000.0)
-        self.assertEqual((first.core.active, twin.core.active), (True, False))
+        self.assertEqual((first.core.is_active, twin.core.is_active), (True, False))
         self.assertTrue(net.divided())
 
     def test_under_loss_doubles_and_reordering_every_box_is_probed(self) -> None:
@@ -287,16 +287,16 @@
 
     def test_keys_are_rotated_in_the_middle_of_a_takeover(self) -> None:
         net = duty_cluster(4, 12)
-        old, new = net.nodes["m0"].seal.first, make_key(b"n" * 32)
+        old, new = net.nodes["m0"].seal.signing_key, key_from_secret(b"n" * 32)
         start = net.now
         net.kill("m3")
         for ring in ((old, new), (new, old), (new,)):
             for name in ("m0", "m1", "m2"):
-                net.nodes[name].seal.rekey(ring)
+                net.nodes[name].seal.replace_keys(ring)
                 net.run(250.0)
         self.settle(net)
         self.assertLess(net.widest_gap(start), 3_000.0)
-        self.assertEqual({seen.name for seen in net.changes(Change.DIED)}, {"m3"})
+        self.assertEqual({seen.name for seen in net.changes(MemberChange.DIED)}, {"m3"})
 
 
 class Troubles(RuleBasedStateMachine):
@@ -386,11 +386,11 @@
             director = Director(read_config({**config, "name": name}, {}), loop, None, options)
             await director.start()
             assert director.duties is not None
-            seeds = [f"127.0.0.1:{director.duties.members.core.me.port}"]
+            seeds = [f"127.0.0.1:{director.duties.members.core.local.port}"]
             directors.append(director)
             self.note_results(director, found.setdefault(name, []))
         runners = [director.duties for director in directors if director.duties is not None]
-        await until(lambda: all(len(runner.members.core.live()) == 3 for runner in runners))
+        await until(lambda: all(len(runner.members.core.live_weights()) == 3 for runner in runners))
         every = sorted([*(f"load/c{n}" for n in range(4)), "alive/p"])
         await until(lambda: sorted(n for runner in runners for n in runner.owned_names()) == every)
         heard.clear()
