--- a/gladewalk/ops/routes.py
+++ b/gladewalk/ops/routes.py
@@ -74,9 +74,8 @@
 def read_gauges(exchange: ExchangeView) -> Gauges:
     """Returns the pending requests and the listed caches, with those that take no requests for the moment."""
     now_ms = exchange.clock()
-    listed = [
-        server for server in exchange.core.servers.values() if server.info.state is not ServerState.GONE
-    ]
+    servers = exchange.core.state.registry.servers.values()
+    listed = [server for server in servers if server.info.state is not ServerState.GONE]
     unavailable = [
         server
         for server in listed
