--- /dev/null
+++ b/gladewalk/cli/common.py
@@ -0,0 +1,108 @@
+"""What commands share: options, exit codes, and the query of a running director."""
+
+from __future__ import annotations
+
+import functools
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import IntEnum
+from pathlib import Path
+from typing import Any, NoReturn, TypeVar
+
+import click
+
+from ..config.platform import ConfigError
+from ..control.queries import Query
+
+FILE = click.Path(dir_okay=False)
+FOLDER = click.Path(exists=True, file_okay=False, path_type=Path)
+
+CommandT = TypeVar("CommandT", bound=Callable[..., Any])
+
+
+class ExitCode(IntEnum):
+    """What a command exits with; `control.client` adds 3 to 5 for a director that gives no answer."""
+
+    DONE = 0
+    FINDING = 1
+    UNUSABLE = 2
+
+
+def config_option(command: CommandT) -> CommandT:
+    """Adds `--config`, the options file."""
+    return click.option("--config", "options_path", type=FILE, help="Our own settings, in TOML.")(command)
+
+
+def fail(error: Exception, exit_code: int = ExitCode.UNUSABLE) -> NoReturn:
+    """Prints an error as one line and ends the command."""
+    click.echo(f"gladewalk: {error}", err=True)
+    exit_with(exit_code)
+
+
+def exit_with(exit_code: int) -> NoReturn:
+    """Ends the command."""
+    click.get_current_context().exit(exit_code)
+
+
+@dataclass(slots=True, frozen=True)
+class DirectorQuery:
+    """How a command reaches a running director, and how it shows the answer.
+
+    Attributes:
+        options_path: The director's options file, which names its control socket.
+        socket_path: The control socket, in place of the options file.
+        as_json: The answer is shown as one JSON object, not as a table.
+    """
+
+    options_path: str | None
+    socket_path: str | None
+    as_json: bool
+
+    def query(self, query: Query, **arguments: Any) -> dict[str, Any]:
+        """Returns a director's answer; ends the command with one line if there is none."""
+        from ..control.client import ControlError, query_director
+
+        try:
+            answer: dict[str, Any] = query_director(self._find_socket(), query, **arguments)
+        except ConfigError as error:
+            fail(error)
+        except ControlError as error:
+            fail(error, error.exit_code)
+        return answer
+
+    def show(self, answer: dict[str, Any], print_text: Callable[[dict[str, Any]], None]) -> None:
+        """Prints an answer: as JSON, or by a function that prints it for people."""
+        if self.as_json:
+            click.echo(json.dumps(answer))
+        else:
+            print_text(answer)
+
+    def _find_socket(self) -> Path:
+        from ..config.options import load_options
+
+        if self.socket_path:
+            return Path(self.socket_path)
+        if not self.options_path:
+            raise ConfigError("--config or --socket: one of them says where the director is")
+        options = load_options(self.options_path)
+        if options.control is None:
+            raise ConfigError(f"{self.options_path}: control.socket: is missing")
+        return options.file(options.control.socket)
+
+
+def queries_director(command: Callable[..., None]) -> Callable[..., None]:
+    """Adds `--config`, `--socket` and `--json`, which reach the command as a `DirectorQuery`."""
+
+    @functools.wraps(command)
+    def invoke(
+        *arguments: Any, options_path: str | None, socket_path: str | None, as_json: bool, **options: Any
+    ) -> None:
+        command(DirectorQuery(options_path, socket_path, as_json), *arguments, **options)
+
+    add_json = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+    socket_help = "Its control socket, in place of --config."
+    add_socket = click.option("--socket", "socket_path", type=FILE, help=socket_help)
+    config_help = "The director's settings, in TOML."
+    add_config = click.option("--config", "options_path", type=FILE, help=config_help)
+    return add_config(add_socket(add_json(invoke)))
--- /dev/null
+++ b/gladewalk/cli/dns_commands.py
@@ -0,0 +1,56 @@
+"""Commands `dns ...`: conformance of the DNS front, and of others like it."""
+
+from __future__ import annotations
+
+import click
+
+from ..config.platform import ConfigError
+from .common import ExitCode, exit_with, fail
+
+
+@click.group("dns")
+def dns_group() -> None:
+    """The DNS front, and others like it."""
+
+
+@dns_group.command("conform")
+@click.argument("address")
+@click.argument("zone")
+@click.option("--class", "class_name", required=True, help="A class of its names: 0.OBJECT.CLASS.ZONE.")
+@click.option("--object", "object_name", default="a1", show_default=True, help="An object, in hexadecimal.")
+@click.option("--tls", default="", help="HOST:PORT for DNS over TLS.")
+@click.option("--only", multiple=True, metavar="NAME", help="Cases of this name, or that begin so.")
+@click.option("--list", "as_list", is_flag=True, help="Name the cases and run none.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
+def dns_conform(
+    address: str,
+    zone: str,
+    class_name: str,
+    object_name: str,
+    tls: str,
+    only: tuple[str, ...],
+    as_list: bool,
+    as_json: bool,
+) -> None:
+    """Put a server to the RFCs' test. Exit code 1: a case failed.
+
+    \b
+    Example:
+      gladewalk dns conform 127.0.0.1:5353 cdn.example. --class lot-page
+    """  # noqa: D301 - click's mark for lines that stay as they are
+    from ..dns.conform.report import told_by, told_of
+    from ..dns.conform.suite import Verdict, run_cases, the_cases
+
+    if as_list:
+        for case in the_cases(only):
+            click.echo(f"{case.name}: RFC {case.rfc} {case.section}: {case.says}")
+        return
+    try:
+        target = told_of(address, zone, class_name, object_name, tls)
+    except (ConfigError, ValueError) as error:
+        fail(error)
+    results = run_cases(target, only)
+    for line in told_by(results, as_json):
+        click.echo(line)
+    has_failures = any(result.verdict is Verdict.FAILED for result in results)
+    exit_with(ExitCode.FINDING if has_failures else ExitCode.DONE)
--- /dev/null
+++ b/gladewalk/cli/nginx_commands.py
@@ -0,0 +1,111 @@
+"""Commands `import`, `route` and `rehearse`: routing tables that come from nginx's configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NoReturn, TextIO
+
+import click
+
+from ..config.platform import ConfigError
+from .common import FILE, ExitCode, exit_with
+
+if TYPE_CHECKING:
+    from ..nginx.table import Site
+
+
+@click.command("import")
+@click.argument("nginx_conf", type=FILE)
+@click.option("--allow", multiple=True, metavar="DIRECTIVE", help="Accept the loss of a directive.")
+@click.option("--diff", "old", type=FILE, help="A table (or nginx's file) to compare with; needs --uris.")
+@click.option("--uris", type=click.File(), help="Lines of the form [METHOD] [HOST] URI.")
+def import_command(nginx_conf: str, allow: tuple[str, ...], old: str | None, uris: TextIO | None) -> None:
+    """Turn nginx's routing into a table for [front.http], on standard output.
+
+    What cannot be carried over faithfully is refused as file:line: directive: why, and nothing is written.
+    With --diff, only the requests of --uris that would land elsewhere than before are told; exit code 1 if
+    there are any.
+
+    \b
+    Examples:
+      gladewalk import /etc/nginx/nginx.conf > site.toml
+      gladewalk import new.conf --diff site.toml --uris seen.txt
+    """  # noqa: D301 - click's mark for lines that stay as they are
+    from ..nginx.reading import NginxError
+    from ..nginx.table import write_site
+    from ..nginx.translate import import_site
+
+    if (old is None) != (uris is None):
+        raise click.UsageError("--diff and --uris go together")
+    try:
+        site = import_site(nginx_conf, allow)
+        if old is not None and uris is not None:
+            _print_differences(old, site, uris)
+            return
+    except (NginxError, ConfigError) as error:
+        _fail_with(error)
+    for line in (*site.losses, *site.notes):
+        click.echo(line, err=True)
+    click.echo(write_site(site), nl=False)
+
+
+def _print_differences(old: str, site: Site, uris: TextIO) -> None:
+    """Prints the requests that another table would route elsewhere; exits with 1 if there are any."""
+    from ..nginx.explain import diff, load_any, read_requests
+    from ..nginx.router import Router
+
+    moved = diff(Router(load_any(old)), Router(site), read_requests(uris))
+    for request, before, after in moved:
+        click.echo(f"{request}: {before} -> {after}")
+    exit_with(ExitCode.FINDING if moved else ExitCode.DONE)
+
+
+@click.command("route")
+@click.argument("file", type=FILE)
+@click.argument("uri")
+@click.option("--host", default="", help="The Host field.")
+@click.option("--method", default="GET", show_default=True)
+@click.option("--from", "client", default="127.0.0.1", show_default=True, help="The client's address.")
+@click.option(
+    "--listen", default="", help="The listen of the file that it comes in at; the first if not given."
+)
+def route_command(file: str, uri: str, host: str, method: str, client: str, listen: str) -> None:
+    """Say where a request lands, and by which lines: FILE is nginx's own or a table (.toml).
+
+    \b
+    Example:
+      gladewalk route site.conf /lots/7/a.mp4 --host auction.example
+    """  # noqa: D301 - click's mark for lines that stay as they are
+    from ..nginx.explain import Asked, explain, load_any
+    from ..nginx.router import Router
+
+    try:
+        lines = explain(Router(load_any(file)), Asked(uri, host, method.upper(), client, listen))
+    except (ConfigError, ValueError) as error:
+        _fail_with(error)
+    click.echo("\n".join(lines))
+
+
+@click.command("rehearse")
+@click.argument("file", type=FILE)
+@click.argument("uris", nargs=-1, required=True, metavar="URI...")
+@click.option("--host", default="", help="The Host field.")
+def rehearse_command(file: str, uris: tuple[str, ...], host: str) -> None:
+    """Play every server of an imported site on loopback, with the front before them, and ask for each URI.
+
+    FILE is nginx's own or a table (.toml). Exit code 1 if an answer comes from elsewhere than the table says.
+    """
+    from ..nginx.explain import Asked, load_any
+    from ..rehearsal.__main__ import run
+
+    try:
+        lines, good = run(load_any(file), [Asked(uri, host) for uri in uris])
+    except ConfigError as error:
+        _fail_with(error)
+    click.echo("\n".join(lines))
+    exit_with(ExitCode.DONE if good else ExitCode.FINDING)
+
+
+def _fail_with(error: Exception) -> NoReturn:
+    """Prints an error that begins with its own file and line, and ends the command."""
+    click.echo(str(error), err=True)
+    exit_with(ExitCode.UNUSABLE)
--- /dev/null
+++ b/gladewalk/cli/rehearsal_commands.py
@@ -0,0 +1,77 @@
+"""Commands `play` and `hunt`: scenarios played to the director in virtual time."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import click
+
+from ..config.platform import ConfigError
+from .common import FILE, ExitCode, exit_with, fail
+
+
+@click.command("play")
+@click.argument("file", type=FILE)
+@click.option("--seed", default=1, show_default=True, help="The same seed plays the same morning.")
+@click.option("--explain", default="", metavar="ID", help="All that befell one request, by its id.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+def play_command(file: str, seed: int, explain: str, as_json: bool) -> None:
+    """Play a scenario to the real director in virtual time. Exit code 1: a rule was broken.
+
+    \b
+    Example:
+      gladewalk play scenarios/morning-auction.toml --seed 7
+    """  # noqa: D301 - click's mark for lines that stay as they are
+    from ..rehearsal.virtual.play import CLASSES, play
+    from ..rehearsal.virtual.quiet import quiet
+    from ..rehearsal.virtual.rules import story
+    from ..rehearsal.virtual.scenario import load
+
+    quiet()
+    try:
+        scenario = load(Path(file), tuple(CLASSES))
+    except ConfigError as error:
+        fail(error)
+    verdict = play(scenario, seed)
+    if explain:
+        click.echo("\n".join(story(verdict.record, explain)) or f"no request {explain}")
+    elif as_json:
+        click.echo(json.dumps(verdict.report()))
+    else:
+        from .terminal_output import print_verdict
+
+        print_verdict(verdict.report())
+    exit_with(ExitCode.DONE if verdict.passed else ExitCode.FINDING)
+
+
+@click.command("hunt")
+@click.option("--first", default=1, show_default=True, help="The first seed.")
+@click.option("--count", default=100, show_default=True, help="How many scenarios are drawn.")
+@click.option(
+    "--folder",
+    default=".",
+    show_default=True,
+    type=click.Path(file_okay=False, exists=True),
+    help="Where a failing scenario is written, shrunk.",
+)
+def hunt_command(first: int, count: int, folder: str) -> None:
+    """Draw scenarios and keep those that break a rule, shrunk to the fewest faults. Exit code 1: some do.
+
+    \b
+    Example:
+      gladewalk hunt --first 1000 --count 200 --folder scenarios
+    """  # noqa: D301 - click's mark for lines that stay as they are
+    from ..rehearsal.virtual.hunt import hunt
+    from ..rehearsal.virtual.quiet import quiet
+    from ..rehearsal.virtual.scenario import dump
+
+    quiet()
+    findings = hunt(range(first, first + count))
+    for finding in findings:
+        path = Path(folder) / f"hunt-{finding.seed}.toml"
+        path.write_text(dump(finding.shrunk), encoding="utf-8")
+        faults = f"{len(finding.shrunk.fault)} of {len(finding.drawn.fault)} faults"
+        click.echo(f"seed {finding.seed}: {finding.rule}; {faults}: {path}")
+    click.echo(f"{count} scenarios, {len(findings)} that break a rule")
+    exit_with(ExitCode.FINDING if findings else ExitCode.DONE)
--- /dev/null
+++ b/gladewalk/cli/store_commands.py
@@ -0,0 +1,87 @@
+"""Commands `store ...`: the store of a running director, and maintenance of one that is not open."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ..control.queries import Query
+from .common import FOLDER, DirectorQuery, ExitCode, exit_with, fail, queries_director
+
+
+@click.group("store")
+def store_group() -> None:
+    """Ask a running director for its store; look at one that nobody has open, compact it, repair it."""
+
+
+@store_group.command("status")
+@queries_director
+def store_status(director: DirectorQuery) -> None:
+    """Show what a running director keeps and whether its disk takes it. Exit code 1: it does not."""
+    answer = director.query(Query.STORE)
+    director.show(answer, _print_store)
+    exit_with(ExitCode.FINDING if answer["refused_by_disk"] else ExitCode.DONE)
+
+
+def _print_store(answer: dict[str, Any]) -> None:
+    from .terminal_output import print_store
+
+    print_store(answer)
+
+
+@store_group.command("check")
+@click.argument("folder", type=FOLDER)
+def store_check(folder: Path) -> None:
+    """Tell what each file holds. Exit code 1: a write was cut; 2: damaged."""
+    from ..store.tools import check
+
+    _maintain(lambda: check(folder, click.echo))
+
+
+@store_group.command("dump")
+@click.argument("folder", type=FOLDER)
+def store_dump(folder: Path) -> None:
+    """Print every key as one JSON object a line."""
+    from ..store.tools import dump
+
+    def print_lines() -> int:
+        for line in dump(folder):
+            click.echo(line)
+        return ExitCode.DONE
+
+    _maintain(print_lines)
+
+
+@store_group.command("compact")
+@click.argument("folder", type=FOLDER)
+def store_compact(folder: Path) -> None:
+    """Write all that counts into one segment."""
+    from ..store.tools import compact
+
+    _maintain(lambda: compact(folder, click.echo))
+
+
+@store_group.command("repair")
+@click.argument("folder", type=FOLDER)
+@click.option(
+    "--accept-loss", is_flag=True, help="Make a store of what is left; the old files are kept beside."
+)
+def store_repair(folder: Path, accept_loss: bool) -> None:
+    """Tell what a damaged store has lost and what is left of it."""
+    from ..store.tools import repair
+
+    _maintain(lambda: repair(folder, accept_loss, click.echo))
+
+
+def _maintain(operation: Callable[[], int]) -> None:
+    """Exits with an operation's code; what a store does not allow is one line and exit code 2."""
+    from ..store.frames import Fault
+
+    try:
+        exit_code = operation()
+    except (Fault, OSError) as error:
+        fail(error)
+    exit_with(exit_code)
--- a/gladewalk/cli/terminal_output.py
+++ b/gladewalk/cli/terminal_output.py
@@ -1,4 +1,7 @@
-"""What the command line prints for people: tables, by rich. Not imported by a director."""
+"""Prints answers for people, as tables by rich; not imported by a running director.
+
+The functions take an answer of the control socket, or a report, as the JSON object that `--json` shows.
+"""
 
 from __future__ import annotations
 
@@ -8,105 +11,149 @@
 from rich.table import Table
 from rich.text import Text
 
-STATES = {"alive": "green", "self": "bold green", "suspect": "yellow", "dead": "red", "left": "dim",
-          "stalled": "bold yellow", "name taken": "bold red"}  # fmt: skip
+MEMBER_STYLES = {
+    "alive": "green",
+    "self": "bold green",
+    "suspect": "yellow",
+    "dead": "red",
+    "left": "dim",
+    "stalled": "bold yellow",
+    "name taken": "bold red",
+}
+OUTCOMES = ("served", "late", "refused", "failed", "broken", "lost")
+MAX_VIOLATIONS_SHOWN = 20
+MAX_MS_SHOWN = 1_000.0
+MAX_SECONDS_SHOWN = 100.0
 
 
-def ago(ms: float) -> str:
-    """A time before now, as short as it may be."""
-    if ms < 1_000.0:
-        return f"{max(0.0, ms):.0f} ms"
-    return f"{ms / 1_000.0:.1f} s" if ms < 100_000.0 else f"{ms / 60_000.0:.0f} min"
+def format_duration(duration_ms: float) -> str:
+    """Renders a time span in ms, s or min, whichever is short."""
+    if duration_ms < MAX_MS_SHOWN:
+        return f"{max(0.0, duration_ms):.0f} ms"
+    seconds = duration_ms / 1_000.0
+    return f"{seconds:.1f} s" if seconds < MAX_SECONDS_SHOWN else f"{seconds / 60.0:.0f} min"
 
 
-def members_table(told: dict[str, Any]) -> None:
+def print_members(answer: dict[str, Any]) -> None:
+    """Prints the members, the tasks, and what is wrong with the director's own membership."""
     console = Console(highlight=False)
-    table = Table(title=f"members, as {told['name']} sees them", title_justify="left")
+    console.print(_build_members_table(answer))
+    tasks = ", ".join(f"{count} {kind}" for kind, count in answer["duties"].items()) or "none"
+    owned, stretch = len(answer["owned"]), answer["stretch"]
+    console.print(f"duties: {tasks}; held here: {owned}; intervals stretched {stretch:g} times")
+    if answer["health"]:
+        times = answer["health"] + 1
+        console.print(f"it misses answers and doubts itself: its times are {times}-fold", style="yellow")
+    if not answer["active"]:
+        text = "another director runs under this name: this one takes no part"
+        console.print(text, style="bold red")
+
+
+def _build_members_table(answer: dict[str, Any]) -> Table:
+    table = Table(title=f"members, as {answer['name']} sees them", title_justify="left")
     for name in ("member", "address", "state"):
         table.add_column(name)
     for name in ("incarnation", "doubts itself", "weight", "duties", "heard"):
         table.add_column(name, justify="right")
-    for row in told["members"]:
-        state = "stalled" if row["stalled"] else row["state"]
+    for member in answer["members"]:
+        state = "stalled" if member["stalled"] else member["state"]
         table.add_row(
-            row["name"], row["address"], Text(state, STATES.get(state, "")),
-            str(row["incarnation"]), str(row["health"] or ""), f"{row['weight']:g}", str(row["duties"]),
-            "" if row["state"] == "self" else ago(row["heard_ms"]),
-        )  # fmt: skip
-    console.print(table)
-    kinds = ", ".join(f"{count} {kind}" for kind, count in told["duties"].items()) or "none"
-    held = len(told["owned"])
-    console.print(f"duties: {kinds}; held here: {held}; intervals stretched {told['stretch']:g} times")
-    if told["health"]:
-        times = told["health"] + 1
-        console.print(f"it misses answers and doubts itself: its times are {times}-fold", style="yellow")
-    if not told["active"]:
-        console.print("another director runs under this name: this one takes no part", style="bold red")
+            member["name"],
+            member["address"],
+            Text(state, MEMBER_STYLES.get(state, "")),
+            str(member["incarnation"]),
+            str(member["health"] or ""),
+            f"{member['weight']:g}",
+            str(member["duties"]),
+            "" if member["state"] == "self" else format_duration(member["heard_ms"]),
+        )
+    return table
 
 
-def leases_table(told: dict[str, Any]) -> None:
+def print_leases(answer: dict[str, Any]) -> None:
+    """Prints each lease with its token and the director's promise, and the operations that are open."""
     console = Console(highlight=False)
-    table = Table(title=f"duties, as {told['name']} sees them", title_justify="left")
+    console.print(_build_leases_table(answer))
+    tasks = answer["works"]
+    console.print(
+        f"orders: {tasks['orders_open']} open, {tasks['orders_finished']} finished; "
+        f"acts that wait for their sinks: {tasks['acts_waiting']}"
+    )
+
+
+def _build_leases_table(answer: dict[str, Any]) -> Table:
+    table = Table(title=f"duties, as {answer['name']} sees them", title_justify="left")
     table.add_column("duty")
     for name in ("token held here", "left", "highest term"):
         table.add_column(name, justify="right")
     table.add_column("promised here to")
-    for duty, held in told["holding"].items():
-        granted = told["granting"].get(duty, {"holder": "", "term": 0, "left_ms": 0.0})
-        whose = f"{granted['holder'] or '-'}, term {granted['term']}"
+    no_promise = {"holder": "", "term": 0, "left_ms": 0.0}
+    for name, lease in answer["holding"].items():
+        token = lease["token"]
         table.add_row(
-            duty, Text(str(held["token"]), "bold green") if held["token"] else Text("-", "dim"),
-            ago(held["left_ms"]) if held["token"] else "", str(held["highest"]),
-            f"{whose}, {ago(granted['left_ms'])} left" if granted["left_ms"] else f"{whose}, lapsed",
-        )  # fmt: skip
-    console.print(table)
-    works = told["works"]
-    console.print(
-        f"orders: {works['orders_open']} open, {works['orders_finished']} finished; "
-        f"acts that wait for their sinks: {works['acts_waiting']}"
-    )
+            name,
+            Text(str(token), "bold green") if token else Text("-", "dim"),
+            format_duration(lease["left_ms"]) if token else "",
+            str(lease["highest"]),
+            _describe_promise(answer["granting"].get(name, no_promise)),
+        )
+    return table
+
 
+def _describe_promise(promise: dict[str, Any]) -> str:
+    holder = f"{promise['holder'] or '-'}, term {promise['term']}"
+    if not promise["left_ms"]:
+        return f"{holder}, lapsed"
+    return f"{holder}, {format_duration(promise['left_ms'])} left"
 
-def store_table(told: dict[str, Any]) -> None:
+
+def print_store(answer: dict[str, Any]) -> None:
+    """Prints the store's figures, and whether the disk takes no writes."""
     console = Console(highlight=False)
     table = Table(title="store", title_justify="left", show_header=False)
     table.add_column("what")
     table.add_column("figure", justify="right")
-    behind = told["sequence"] - told["durable"]
-    for what, figure in (
-        ("acknowledged when", told["policy"]),
-        ("records written", str(told["sequence"])),
-        ("not durable yet", str(behind)),
-        ("keys", str(told["keys"])),
-        ("bytes on disk", str(told["bytes"])),
-        ("segments", str(told["segments"])),
-        ("compactions", str(told["compactions"])),
-        ("purges in force", str(len(told["purges"]))),
-        ("feed kept up to event", str(told["feed"]) if told["feed"] else "not kept"),
+    for name, value in (
+        ("acknowledged when", answer["policy"]),
+        ("records written", answer["sequence"]),
+        ("not durable yet", answer["sequence"] - answer["durable"]),
+        ("keys", answer["keys"]),
+        ("bytes on disk", answer["bytes"]),
+        ("segments", answer["segments"]),
+        ("compactions", answer["compactions"]),
+        ("purges in force", len(answer["purges"])),
+        ("feed kept up to event", answer["feed"] or "not kept"),
     ):
-        table.add_row(what, figure)
+        table.add_row(name, str(value))
     console.print(table)
-    if told["refused_by_disk"]:
-        console.print("the disk refuses: nothing new outlives a restart until it has room", style="bold red")
+    if answer["refused_by_disk"]:
+        text = "the disk refuses: nothing new outlives a restart until it has room"
+        console.print(text, style="bold red")
 
 
-def verdict_table(told: dict[str, Any]) -> None:
+def print_verdict(report: dict[str, Any]) -> None:
+    """Prints the outcomes of a scenario by class, and the rules that it broke."""
     console = Console(highlight=False)
-    kinds = ("served", "late", "refused", "failed", "broken", "lost")
-    table = Table(title=f"{told['virtual_s']:.0f} s in {told['wall_s']:g} s", title_justify="left")
+    title = f"{report['virtual_s']:.0f} s in {report['wall_s']:g} s"
+    table = Table(title=title, title_justify="left")
     table.add_column("class")
-    for kind in kinds:
-        table.add_column(kind, justify="right")
-    for cls, ends in told["outcomes"].items():
-        table.add_row(cls, *(str(ends.get(kind, 0)) for kind in kinds))
+    for outcome in OUTCOMES:
+        table.add_column(outcome, justify="right")
+    for class_name, counts in report["outcomes"].items():
+        table.add_row(class_name, *(str(counts.get(outcome, 0)) for outcome in OUTCOMES))
     console.print(table)
-    console.print(f"trace {told['trace'][:16]} over {told['events']} events")
-    if told["passed"]:
+    console.print(f"trace {report['trace'][:16]} over {report['events']} events")
+    if report["passed"]:
         console.print("no rule broken", style="bold green")
-        return
-    broken = Table(title=f"{len(told['broken'])} violations", title_justify="left")
+    else:
+        console.print(_build_violations_table(report["broken"]))
+
+
+def _build_violations_table(violations: list[dict[str, Any]]) -> Table:
+    table = Table(title=f"{len(violations)} violations", title_justify="left")
     for name in ("rule", "request", "at", "why"):
-        broken.add_column(name)
-    for one in told["broken"][:20]:
-        broken.add_row(one["rule"], one["request"], f"{one['at_ms']:.0f}", one["why"])
-    console.print(broken)
+        table.add_column(name)
+    for violation in violations[:MAX_VIOLATIONS_SHOWN]:
+        at_ms = f"{violation['at_ms']:.0f}"
+        table.add_row(violation["rule"], violation["request"], at_ms, violation["why"])
+    return table
--- a/gladewalk/control/client.py
+++ b/gladewalk/control/client.py
@@ -14,10 +14,10 @@
     PROTOCOL_VERSION,
     ControlRequest,
     ControlResponse,
-    Query,
     encoder,
     response_decoder,
 )
+from .queries import Query
 
 DEFAULT_TIMEOUT_SECONDS = 3.0
 RECEIVE_BYTES = 65_536
--- a/gladewalk/control/messages.py
+++ b/gladewalk/control/messages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import Any
 
 import msgspec
@@ -12,18 +11,6 @@
 MAX_REQUEST_BYTES = 64 * 1024
 
 
-class Query(StrEnum):
-    """What a director can be asked for; those of a part that is off are not supported."""
-
-    LIST_QUERIES = "views"
-    MEMBERS = "members"
-    LEASES = "leases"
-    STORE = "store"
-    HAND_ON = "hand_on"
-    PURGE = "purge"
-    PURGE_STATUS = "order"
-
-
 class ControlRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A query with its arguments.
 
--- a/gladewalk/control/server.py
+++ b/gladewalk/control/server.py
@@ -19,10 +19,10 @@
     PROTOCOL_VERSION,
     ControlRequest,
     ControlResponse,
-    Query,
     encoder,
     request_decoder,
 )
+from .queries import Query
 
 QueryHandler = Callable[[dict[str, Any]], Any]
 """Takes the request's arguments and returns its data; raises `UnsupportedQueryError` if there is none."""
