--- a/gladewalk/cli/dns_commands.py
+++ b/gladewalk/cli/dns_commands.py
@@ -37,7 +37,7 @@
     \b
     Example:
       gladewalk dns conform 127.0.0.1:5353 cdn.example. --class lot-page
-    """  # noqa: D301 - click's mark for lines that stay as they are
+    """
     from ..dns.conform.report import told_by, told_of
     from ..dns.conform.suite import Verdict, run_cases, the_cases
 
--- a/gladewalk/cli/lease_commands.py
+++ b/gladewalk/cli/lease_commands.py
@@ -21,7 +21,7 @@
     \b
     Example:
       gladewalk leases --config deploy/gladewalk.toml
-    """  # noqa: D301 - click's mark for lines that stay as they are
+    """
     director.show(director.query(Query.LEASES), _print_leases)
 
 
@@ -41,7 +41,7 @@
     \b
     Example:
       gladewalk hand-on purge --to n2 --config deploy/gladewalk.toml
-    """  # noqa: D301 - click's mark for lines that stay as they are
+    """
     answer = director.query(Query.HAND_ON, duty=duty, to=to)
     text = f"{duty}: given up at term {answer['term']}, to {to or 'anybody'}"
     director.show(answer, lambda _: click.echo(text))
@@ -60,7 +60,7 @@
     \b
     Example:
       gladewalk purge o:7f3a9c21e0b4d655 --config deploy/gladewalk.toml
-    """  # noqa: D301 - click's mark for lines that stay as they are
+    """
     request_id = director.query(Query.PURGE, what=what)["id"]
     status = _await_acknowledgement(director, request_id, wait_s)
     director.show(status, lambda _: click.echo(_describe_purge(request_id, status)))
--- a/gladewalk/cli/member_commands.py
+++ b/gladewalk/cli/member_commands.py
@@ -18,7 +18,7 @@
     \b
     Example:
       gladewalk members --config deploy/gladewalk.toml --json
-    """  # noqa: D301 - click's mark for lines that stay as they are
+    """
     director.show(director.query(Query.MEMBERS), _print_members)
 
 
--- a/gladewalk/cli/nginx_commands.py
+++ b/gladewalk/cli/nginx_commands.py
@@ -29,7 +29,7 @@
     Examples:
       gladewalk import /etc/nginx/nginx.conf > site.toml
       gladewalk import new.conf --diff site.toml --uris seen.txt
-    """  # noqa: D301 - click's mark for lines that stay as they are
+    """
     from ..nginx.reading import NginxError
     from ..nginx.table import write_site
     from ..nginx.translate import import_site
@@ -74,7 +74,7 @@
     \b
     Example:
       gladewalk route site.conf /lots/7/a.mp4 --host auction.example
-    """  # noqa: D301 - click's mark for lines that stay as they are
+    """
     from ..nginx.explain import Asked, explain, load_any
     from ..nginx.router import Router
 
--- a/gladewalk/cli/rehearsal_commands.py
+++ b/gladewalk/cli/rehearsal_commands.py
@@ -22,7 +22,7 @@
     \b
     Example:
       gladewalk play scenarios/morning-auction.toml --seed 7
-    """  # noqa: D301 - click's mark for lines that stay as they are
+    """
     from ..rehearsal.virtual.play import CLASSES, play
     from ..rehearsal.virtual.quiet import quiet
     from ..rehearsal.virtual.rules import story
@@ -61,7 +61,7 @@
     \b
     Example:
       gladewalk hunt --first 1000 --count 200 --folder scenarios
-    """  # noqa: D301 - click's mark for lines that stay as they are
+    """
     from ..rehearsal.virtual.hunt import hunt
     from ..rehearsal.virtual.quiet import quiet
     from ..rehearsal.virtual.scenario import dump
--- a/gladewalk/cli/run_commands.py
+++ b/gladewalk/cli/run_commands.py
@@ -48,9 +48,10 @@
 
 def _summarize(options_path: str | None, dns_path: str | None) -> dict[str, Any]:
     """Loads and checks the configuration; `ConfigError` if it cannot be used."""
-    from ..daemon import read_all
+    from ..daemon import load_configuration
 
-    config, options, dns = read_all(options_path, dns_path)
+    loaded = load_configuration(options_path, dns_path)
+    config, options, dns = loaded.config, loaded.options, loaded.dns
     members = options.members if options is not None else None
     control = options.control if options is not None else None
     store = options.store if options is not None else None
--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -15,7 +15,7 @@
 import structlog
 
 from ..core.counters import Counters
-from ..core.deadlines import Deadlines, Key
+from ..core.deadlines import DeadlineKey, Deadlines
 from .actions import (
     Action,
     Address,
@@ -63,7 +63,7 @@
         self.on_event: Callable[[UserEvent], None] = lambda event: None
         self._random = random.SystemRandom()
         self._transport: asyncio.DatagramTransport | None = None
-        self._timer: Key | None = None
+        self._timer: DeadlineKey | None = None
 
     async def listen(self) -> None:
         """Listens at one port for datagrams and streams; raises `OSError` if it is not to be had."""
--- a/gladewalk/net/admin.py
+++ b/gladewalk/net/admin.py
@@ -12,7 +12,7 @@
 
 from ..config.platform import Address
 from ..core.counters import Counters
-from ..core.deadlines import Deadlines, Key
+from ..core.deadlines import DeadlineKey, Deadlines
 
 CALL_TIMEOUT_MS = 2_000.0
 """A call that has not arrived completely after this long is closed without an answer."""
@@ -48,7 +48,7 @@
     """An operator's connection: reads one request, answers it and closes."""
 
     def __init__(self, front: AdminFront) -> None:
-        self.due: Key | None = None  # the timer that ends the call, owned by the front
+        self.due: DeadlineKey | None = None  # the timer that ends the call, owned by the front
         self._front = front
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
--- a/gladewalk/ops/routes.py
+++ b/gladewalk/ops/routes.py
@@ -29,7 +29,7 @@
     """What is read of the exchange between clients and upstream servers."""
 
     @property
-    def owed(self) -> int:
+    def unanswered_count(self) -> int:
         """Requests accepted and not answered yet."""
 
     @property
@@ -81,7 +81,7 @@
         for server in listed
         if server.info.state is not ServerState.READY or now_ms < server.backoff_until_ms
     ]
-    return Gauges(exchange.owed, len(listed), len(unavailable))
+    return Gauges(exchange.unanswered_count, len(listed), len(unavailable))
 
 
 class OperatorRoutes:
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -5,7 +5,7 @@
 import httptools
 
 from .. import interface as api
-from ..core.deadlines import Key
+from ..core.deadlines import DeadlineKey
 from ..core.exchange import Attempt
 from ..upstream.http1 import CacheConnection
 from ..upstream.jobs import Probing
@@ -27,16 +27,16 @@
         self.until_close = self.bodiless = False
         self.heard_ms = 0.0
         self.paused = False
-        self.due: Key | None = None
+        self.due: DeadlineKey | None = None
 
     @property
     def ask(self) -> WebAsk | None:
         """The request that is carried."""
-        ask = self.job.taken.ask if isinstance(self.job, Attempt) else None
+        ask = self.job.open_request.request if isinstance(self.job, Attempt) else None
         return ask if isinstance(ask, WebAsk) else None
 
     def written(self, attempt: Attempt, now_ms: float) -> bytes:
-        ask = attempt.taken.ask
+        ask = attempt.open_request.request
         assert isinstance(ask, WebAsk)
         self.fields, self.until_close, self.bodiless, self.paused = [], False, False, False
         self.heard_ms = now_ms
--- a/tests/test_golden_control.py
+++ b/tests/test_golden_control.py
@@ -24,6 +24,7 @@
 
 import msgspec
 import pytest
+import structlog
 from click.testing import CliRunner
 
 from gladewalk.cli.commands import gladewalk
@@ -276,8 +277,12 @@
     def run(self, *words: str) -> list[Any]:
         """Exit code, standard output and standard error, with the folder's own path taken out."""
         env = {"NODE_CONFIG": str(self.path / "node.json"), "COLUMNS": "110"}
-        with chdir(self.path):
-            done = CliRunner(env=env).invoke(gladewalk, list(words))
+        logging = structlog.get_config()
+        try:
+            with chdir(self.path):
+                done = CliRunner(env=env).invoke(gladewalk, list(words))
+        finally:
+            structlog.configure(**logging)  # `play` silences the log of its process
         return [done.exit_code, *(text.replace(str(self.path), "DIR") for text in (done.stdout, done.stderr))]
 
 
