--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -21,9 +21,9 @@
     from .control.server import ControlServer
     from .dns.front import DnsFront
     from .dns.settings import DnsConfig
-    from .duties.runner import Runner
+    from .duties.runner import TaskRunner
     from .leases.transport import Address as LeaseAddress
-    from .leases.transport import Leases
+    from .leases.transport import LeaseService
     from .members.authenticator import AuthenticationKey
     from .members.transport import MembershipTransport
     from .nginx.router import Router
@@ -67,13 +67,13 @@
     caches: Caches,
     deadlines: Deadlines,
     counters: Counters,
-) -> tuple[MembershipTransport | None, Runner | None]:
+) -> tuple[MembershipTransport | None, TaskRunner | None]:
     """Builds the membership and the periodic tasks that members share."""
     if options is None or options.members is None:
         return None, None
-    from .duties.start import start
+    from .duties.start import build_shared_tasks
 
-    return start(name, options, exchange, caches, deadlines, counters)
+    return build_shared_tasks(name, options, exchange, caches, deadlines, counters)
 
 
 def build_web(
@@ -115,21 +115,21 @@
     clock: Clock,
     deadlines: Deadlines,
     counters: Counters,
-) -> tuple[Leases, LeaseAddress] | None:
+) -> tuple[LeaseService, LeaseAddress] | None:
     """Builds the leases of `[leases]`, which need a store, and tells where they listen."""
     if options is None or options.leases is None or store is None:
         return None
-    from .leases.start import start
+    from .leases.start import build_lease_service
 
-    return start(name, options, store, clock, deadlines, counters)
+    return build_lease_service(name, options, store, clock, deadlines, counters)
 
 
 def build_control(
     options: Options | None,
     counters: Counters,
-    duties: Runner | None,
+    duties: TaskRunner | None,
     store: Keeper | None,
-    leases: tuple[Leases, LeaseAddress] | None,
+    leases: tuple[LeaseService, LeaseAddress] | None,
 ) -> ControlServer | None:
     """Builds the operators' control socket, with a view for each part that is on."""
     if options is None or options.control is None:
