--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -24,7 +24,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from gladewalk.control.client import ask
+from gladewalk.control.client import query_director
 from gladewalk.faultnet.relay import free_port
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
 
@@ -99,7 +99,7 @@
         """Returns the sum of all running directors' counters."""
         total: Counter[str] = Counter()
         for number in self.running:
-            view = await asyncio.to_thread(ask, self.folder / f"n{number}.sock", "members")
+            view = await asyncio.to_thread(query_director, self.folder / f"n{number}.sock", "members")
             total.update(view["counters"])
         return total
 
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -179,7 +179,7 @@
         path, query = (url.path or b"").decode("latin-1"), (url.query or b"").decode("latin-1")
         method = self.parser.get_method().decode("latin-1")
         if path == "/_health" and method == "GET":
-            return HEALTHY if self.front.readiness.ready() else UNREADY
+            return HEALTHY if self.front.readiness.is_ready else UNREADY
         request = parse_request(method, path, query, self.headers, b"".join(self.body_pieces))
         return self.front.rejection_status(request) or request
 
@@ -366,7 +366,7 @@
         """Whether this answer is the last; not while another request has come, or has begun to."""
         if self.pipelined or self.is_last:
             return self.is_last and not self.pipelined
-        is_ending = self.front.is_closing or self.front.readiness.draining
+        is_ending = self.front.is_closing or self.front.readiness.is_draining
         return is_ending and not self.has_partial_request and self.is_input_empty()
 
     def _write_status(self, status: int, fields: list[str] | None = None) -> None:
--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -7,14 +7,14 @@
 from typing import Any
 
 from .. import interface as api
-from ..config.platform import Address, Config, ConfigError, finite, read_server
-from ..config.policy_settings import SettingsError
+from ..config.platform import Address, ConfigError, PlatformConfig, read_endpoint, read_finite
+from ..config.policy_settings import InvalidMessageError
 from ..core.counters import Counters
 from ..core.exchange import Exchange
 
 MAX_REFETCHES = 3  # times that an event is fetched again of which something was unusable
 MIN_REFETCHES = 1  # and after fetching again has not helped
-UNUSABLE = (ConfigError, SettingsError, TypeError, ValueError, KeyError, AttributeError, OverflowError)
+UNUSABLE = (ConfigError, InvalidMessageError, TypeError, ValueError, KeyError, AttributeError, OverflowError)
 
 FeedMessage = dict[str, Any]  # one line of the feed as JSON has it
 
@@ -23,7 +23,7 @@
     """Applies each event of the feed once and in order, however often a connection delivers it."""
 
     def __init__(
-        self, exchange: Exchange, config: Config, clock: Callable[[], float], counters: Counters
+        self, exchange: Exchange, config: PlatformConfig, clock: Callable[[], float], counters: Counters
     ) -> None:
         self.exchange, self.roles, self.clock, self.counters = exchange, config.roles, clock, counters
         self.last_index = self.initial_index = 0
@@ -122,7 +122,7 @@
         models: dict[str, str] = {}
         for entry in change["targets"]:
             try:
-                entries.append(read_server(entry, self.roles))
+                entries.append(read_endpoint(entry, self.roles))
                 models[str(entry["uid"])] = str(entry.get("model", ""))
             except UNUSABLE:
                 self.counters.add("coordinator.bad_entries")
@@ -139,5 +139,5 @@
 
     def _apply_purge(self, evict: FeedMessage) -> None:
         key = int(evict["ref"], 16) if "ref" in evict else None
-        age_ms = max(0.0, self.clock() - finite(evict["unix_ms"]))
+        age_ms = max(0.0, self.clock() - read_finite(evict["unix_ms"]))
         self.exchange.purge(api.Purge(key, int(evict.get("shard", -1)), age_ms))
