Simulator adapter: named flags and exit codes, a batch reader, a function for each message

Cause: run() held parsing, batches and errors in one function; one-letter names throughout. Change: HostedDispatcher, SimulatorAdapter, BatchReader; the wire is as it was.

--- a/gladewalk/simulator_adapter.py
+++ b/gladewalk/simulator_adapter.py
@@ -1,8 +1,8 @@
-"""The adapter: hosts dispatchers on the simulator's wire. It translates and decides nothing.
+"""Simulator adapter: hosts dispatchers on the simulator's wire. It translates and decides nothing.
 
-Reads batches of events (JSON, one value a line) on standard input, writes one reply for each on standard
-output. A malformed line ends it with one message on standard error and exit code 2; an exception in the
-decision module is reported as a fault of its instance.
+Reads batches of events, one JSON object a line, from standard input and writes the actions that answer each
+batch to standard output. A malformed line ends the process with one message on standard error and exit code
+2; an exception in the decision module is reported as a fault of its instance.
 """
 
 from __future__ import annotations
@@ -27,6 +27,11 @@
 )
 from .policy import Dispatcher
 
+Message = dict[str, Any]
+EXIT_BROKEN_PIPE = 1
+EXIT_MALFORMED_INPUT = 2
+CLIENT_RETRY_FLAG, WRITE_FLAG = 2, 4
+JOIN_FILL_FLAG, CACHED_ONLY_FLAG, PARENT_UNCACHED_FLAG, REVALIDATE_FLAG = 1, 2, 4, 8
 STATES = {
     "up": api.ServerState.READY,
     "draining": api.ServerState.DRAINING,
@@ -51,16 +56,17 @@
 }
 
 
-class Host:
-    """One hosted dispatcher and what is needed to translate for it."""
+class HostedDispatcher:
+    """A dispatcher and what is needed to translate for it."""
 
-    def __init__(self, number: int, message: dict[str, Any]) -> None:
+    def __init__(self, message: Message) -> None:
+        """Raises `InvalidMessageError` for a launch message without usable settings."""
         raw = require_field(message, "setup", (dict,))
-        self.number = number
         self.roles = read_roles(raw)
         self.dispatcher = Dispatcher(read_settings(raw), require_field(message, "salt", (int,)))
 
-    def server(self, entry: dict[str, Any]) -> api.Server:
+    def read_server(self, entry: Message) -> api.Server:
+        """Reads an entry of the endpoint list; raises `InvalidMessageError`."""
         return api.Server(
             name=require_field(entry, "host", (str,)),
             role=self.roles.get(entry.get("model"), api.Role.CACHE),
@@ -72,145 +78,149 @@
         )
 
 
-def _list(host: Host, m: dict[str, Any]) -> api.Event:
-    kind = require_choice(LISTS, m, "kind")
-    entries = value_or(m.get("elements"), [])
+def _read_endpoint_list(host: HostedDispatcher, message: Message) -> api.Event:
+    kind = require_choice(LISTS, message, "kind")
+    entries = value_or(message.get("elements"), [])
     if not isinstance(entries, list) or not all(isinstance(entry, dict) for entry in entries):
         raise InvalidMessageError("directory_update: field 'elements' is not a list of objects")
-    return api.EndpointList(kind, tuple(host.server(entry) for entry in entries))
+    return api.EndpointList(kind, tuple(host.read_server(entry) for entry in entries))
 
 
-def _request(_: Host, m: dict[str, Any]) -> api.Event:
-    flags = int(value_or(m.get("bitmap"), 0))
+def _read_request(_: HostedDispatcher, message: Message) -> api.Event:
+    flags = int(value_or(message.get("bitmap"), 0))
     return api.Request(
-        id=require_field(m, "call"),
-        class_name=require_field(m, "type", (str,)),
-        key=int(value_or(m.get("key"), 0)),
-        time_left_ms=require_field(m, "time_left_ms"),
-        size_kb=value_or(m.get("kbytes"), 0.0),
-        group=int(value_or(m.get("purge_group"), 0)),
-        part=int(value_or(m.get("range_no"), 0)),
-        tenant=m.get("client_group") or None,
-        is_client_retry=bool(flags & 2),
-        is_write=bool(flags & 4),
+        id=require_field(message, "call"),
+        class_name=require_field(message, "type", (str,)),
+        key=int(value_or(message.get("key"), 0)),
+        time_left_ms=require_field(message, "time_left_ms"),
+        size_kb=value_or(message.get("kbytes"), 0.0),
+        group=int(value_or(message.get("purge_group"), 0)),
+        part=int(value_or(message.get("range_no"), 0)),
+        tenant=message.get("client_group") or None,
+        is_client_retry=bool(flags & CLIENT_RETRY_FLAG),
+        is_write=bool(flags & WRITE_FLAG),
     )
 
 
-def _outcome(_: Host, m: dict[str, Any]) -> api.Event:
-    detail = int(value_or(m.get("detail"), 0))
+def _read_outcome(_: HostedDispatcher, message: Message) -> api.Event:
+    detail = int(value_or(message.get("detail"), 0))
     return api.Outcome(
-        id=require_field(m, "call"),
-        attempt=require_field(m, "hop"),
-        server=require_field(m, "host", (str,)),
-        status=require_choice(STATUSES, m, "result"),
-        elapsed_ms=value_or(m.get("time_taken_ms"), 0.0),
-        is_answered=bool(m.get("done_flag")),
+        id=require_field(message, "call"),
+        attempt=require_field(message, "hop"),
+        server=require_field(message, "host", (str,)),
+        status=require_choice(STATUSES, message, "result"),
+        elapsed_ms=value_or(message.get("time_taken_ms"), 0.0),
+        is_answered=bool(message.get("done_flag")),
         detail=OUTCOME_DETAILS[detail] if 0 <= detail < len(OUTCOME_DETAILS) else api.OutcomeDetail.NONE,
-        source_wait_ms=m.get("source_wait_ms"),
-        load_report=read_load_report(m.get("telemetry")),
+        source_wait_ms=message.get("source_wait_ms"),
+        load_report=read_load_report(message.get("telemetry")),
     )
 
 
-def _first_byte(_: Host, m: dict[str, Any]) -> api.Event:
+def _read_first_byte(_: HostedDispatcher, message: Message) -> api.Event:
     return api.FirstByte(
-        require_field(m, "call"),
-        require_field(m, "hop"),
-        require_field(m, "host", (str,)),
-        value_or(m.get("time_taken_ms"), 0.0),
+        require_field(message, "call"),
+        require_field(message, "hop"),
+        require_field(message, "host", (str,)),
+        value_or(message.get("time_taken_ms"), 0.0),
     )
 
 
-def _probed(_: Host, m: dict[str, Any]) -> api.Event:
-    took_ms, load = value_or(m.get("time_taken_ms"), 0.0), read_load_report(m.get("telemetry"))
-    host, status = require_field(m, "host", (str,)), require_choice(STATUSES, m, "result")
-    return api.HealthCheckResult(host, status, took_ms, load)
+def _read_health_check_result(_: HostedDispatcher, message: Message) -> api.Event:
+    elapsed_ms, load_report = (
+        value_or(message.get("time_taken_ms"), 0.0),
+        read_load_report(message.get("telemetry")),
+    )
+    server, status = require_field(message, "host", (str,)), require_choice(STATUSES, message, "result")
+    return api.HealthCheckResult(server, status, elapsed_ms, load_report)
 
 
-def _peer_note(_: Host, m: dict[str, Any]) -> api.Event:
+def _read_peer_message(_: HostedDispatcher, message: Message) -> api.Event:
     try:
-        content = base64.b64decode(value_or(m.get("content"), ""), validate=True)
+        content = base64.b64decode(value_or(message.get("content"), ""), validate=True)
     except ValueError as error:
         raise InvalidMessageError("note_from: field 'content' is not base64") from error
-    return api.PeerMessage(require_field(m, "by", (int,)), content)
+    return api.PeerMessage(require_field(message, "by", (int,)), content)
 
 
-def _purge(_: Host, m: dict[str, Any]) -> api.Event:
-    return api.Purge(m.get("key"), int(value_or(m.get("bucket"), -1)), require_field(m, "copy_age_ms"))
+def _read_purge(_: HostedDispatcher, message: Message) -> api.Event:
+    return api.Purge(
+        message.get("key"), int(value_or(message.get("bucket"), -1)), require_field(message, "copy_age_ms")
+    )
 
 
-READERS: dict[str, Callable[[Host, dict[str, Any]], api.Event]] = {
-    "directory_update": _list,
-    "knock": _request,
-    "ended": _outcome,
-    "streaming": _first_byte,
-    "health_result": _probed,
-    "note_from": _peer_note,
-    "replaced": _purge,
-    "client_gone": lambda _, m: api.ClientDisconnected(require_field(m, "call")),
-    "timer": lambda _, m: api.Timer(require_field(m, "token", (str,))),
+READERS: dict[str, Callable[[HostedDispatcher, Message], api.Event]] = {
+    "directory_update": _read_endpoint_list,
+    "knock": _read_request,
+    "ended": _read_outcome,
+    "streaming": _read_first_byte,
+    "health_result": _read_health_check_result,
+    "note_from": _read_peer_message,
+    "replaced": _read_purge,
+    "client_gone": lambda _, message: api.ClientDisconnected(require_field(message, "call")),
+    "timer": lambda _, message: api.Timer(require_field(message, "token", (str,))),
 }
 
 
-def _fetch(a: api.Fetch) -> dict[str, Any]:
-    bits = a.join_fill * 1 + a.cached_only * 2 + (not a.parent_caches) * 4 + a.revalidate * 8
+def _write_fetch(action: api.Fetch) -> Message:
+    flags = JOIN_FILL_FLAG * action.join_fill + CACHED_ONLY_FLAG * action.cached_only
+    flags += PARENT_UNCACHED_FLAG * (not action.parent_caches) + REVALIDATE_FLAG * action.revalidate
     return {
         "op": "fetch_through",
-        "call": a.id,
-        "copy_age_ms": a.max_age_ms,
-        "cap_ms": a.timeout_ms,
-        "switches": bits,
-        "rank": a.cache_rank,
-        "fill_from": a.source,
-        "host": a.server,
+        "call": action.id,
+        "copy_age_ms": action.max_age_ms,
+        "cap_ms": action.timeout_ms,
+        "switches": flags,
+        "rank": action.cache_rank,
+        "fill_from": action.source,
+        "host": action.server,
     }
 
 
-WRITERS: dict[type, Callable[[Any], dict[str, Any]]] = {
-    api.Lookup: lambda a: {"op": "place", "call": a.id, "host": a.server, "cap_ms": a.timeout_ms},
-    api.Fetch: _fetch,
-    api.Reject: lambda a: {"op": "not_now", "call": a.id, "come_back_ms": a.retry_after_ms},
-    api.Fail: lambda a: {"op": "end_failed", "call": a.id},
-    api.Cancel: lambda a: {"op": "revoke", "call": a.id, "hop": a.attempt},
-    api.HealthCheck: lambda a: {"op": "ping", "host": a.server},
-    api.CloseIdle: lambda a: {"op": "free_links", "host": a.server},
-    api.NotifyPeers: lambda a: {
+WRITERS: dict[type, Callable[[Any], Message]] = {
+    api.Lookup: lambda action: {
+        "op": "place",
+        "call": action.id,
+        "host": action.server,
+        "cap_ms": action.timeout_ms,
+    },
+    api.Fetch: _write_fetch,
+    api.Reject: lambda action: {"op": "not_now", "call": action.id, "come_back_ms": action.retry_after_ms},
+    api.Fail: lambda action: {"op": "end_failed", "call": action.id},
+    api.Cancel: lambda action: {"op": "revoke", "call": action.id, "hop": action.attempt},
+    api.HealthCheck: lambda action: {"op": "ping", "host": action.server},
+    api.CloseIdle: lambda action: {"op": "free_links", "host": action.server},
+    api.NotifyPeers: lambda action: {
         "op": "memo_to",
-        "recipient": a.peer,
-        "content": base64.b64encode(a.content).decode(),
+        "recipient": action.peer,
+        "content": base64.b64encode(action.content).decode(),
     },
-    api.SetTimer: lambda a: {"op": "defer", "sleep_for_ms": a.delay_ms, "token": a.token},
-    api.Watch: lambda a: {"op": "stream_changes", "want": a.enabled},
-    api.FetchEndpoints: lambda a: {"op": "resolve"},
-    api.Log: lambda a: {"op": "write_log", "line": a.line},
+    api.SetTimer: lambda action: {"op": "defer", "sleep_for_ms": action.delay_ms, "token": action.token},
+    api.Watch: lambda action: {"op": "stream_changes", "want": action.enabled},
+    api.FetchEndpoints: lambda action: {"op": "resolve"},
+    api.Log: lambda action: {"op": "write_log", "line": action.line},
 }
 
 
-class Adapter:
+class SimulatorAdapter:
     """All hosted dispatchers of this process; they share nothing."""
 
     def __init__(self) -> None:
-        self.hosts: dict[int, Host] = {}
+        self.hosts: dict[int, HostedDispatcher] = {}
         self.now_ms = 0.0
 
-    def event(self, message: dict[str, Any]) -> list[dict[str, Any]]:
-        """Take one event; the actions that answer it, as messages."""
+    def handle(self, message: Message) -> list[Message]:
+        """Takes one event; returns the actions that answer it, as messages.
+
+        Raises:
+            InvalidMessageError: The message is unknown or malformed.
+        """
         name, number = message.get("op"), require_field(message, "dispatcher_id", (int,))
-        actions: list[Any] = []
         try:
-            if name == "launch":
-                self.hosts[number] = Host(number, message)
-            elif name == "killed":
-                self.hosts.pop(number, None)
-            elif name not in READERS:
-                raise InvalidMessageError(f"unknown message '{name}'")
-            elif number not in self.hosts:
-                raise InvalidMessageError(f"{name}: instance {number} was never launched")
-            else:
-                host = self.hosts[number]
-                actions = host.dispatcher.handle(self.now_ms, READERS[name](host, message))
+            actions = self._dispatch(name, number, message)
         except InvalidMessageError:
             raise
-        except Exception as error:  # the boundary: a failure of the module is this instance's fault
+        except Exception as error:  # noqa: BLE001 - the outermost edge: a fault of this instance alone
             line = f"{name}: {type(error).__name__}: {error}"
             return [{"op": "bug", "dispatcher_id": number, "line": line}]
         replies = [WRITERS[type(action)](action) for action in actions]
@@ -218,48 +228,86 @@
             reply["dispatcher_id"] = number
         return replies
 
+    def _dispatch(self, name: Any, number: int, message: Message) -> list[Any]:
+        if name == "launch":
+            self.hosts[number] = HostedDispatcher(message)
+            return []
+        if name == "killed":
+            self.hosts.pop(number, None)
+            return []
+        if name not in READERS:
+            raise InvalidMessageError(f"unknown message '{name}'")
+        if number not in self.hosts:
+            raise InvalidMessageError(f"{name}: instance {number} was never launched")
+        host = self.hosts[number]
+        return host.dispatcher.handle(self.now_ms, READERS[name](host, message))
+
+
+class BatchReader:
+    """Answers batches of events, each from a `clock` to a `flush` message."""
+
+    def __init__(self, out: TextIO) -> None:
+        """`out` takes the actions, one JSON object a line."""
+        self._out = out
+        self._adapter = SimulatorAdapter()
+        self._replies: list[Message] = []
+        self._encode = json.JSONEncoder(separators=(",", ":")).encode
+        self.is_batch_open = False
+
+    def take(self, line: str) -> None:
+        """Takes one line; raises `InvalidMessageError`."""
+        message = _parse(line)
+        if message["op"] == "clock":
+            self._adapter.now_ms = float(require_field(message, "sim_time_ms"))
+            self.is_batch_open = True
+        elif not self.is_batch_open:
+            raise InvalidMessageError(f"'{message['op']}' outside a batch")
+        elif message["op"] == "flush":
+            self._flush()
+        else:
+            self._replies += self._adapter.handle(message)
+
+    def _flush(self) -> None:
+        lines = "".join(self._encode(reply) + "\n" for reply in self._replies)
+        self._out.write(lines + '{"op":"next"}\n')
+        self._out.flush()
+        self._replies, self.is_batch_open = [], False
+
+
+def _parse(line: str) -> Message:
+    try:
+        message = json.loads(line)
+    except ValueError as error:
+        raise InvalidMessageError("not valid JSON") from error
+    if not isinstance(message, dict) or not isinstance(message.get("op"), str):
+        raise InvalidMessageError("not an object with the text field 'op'")
+    return message
+
 
 def run(lines: Iterable[str], out: TextIO) -> None:
-    """Answer batches until the input ends."""
-    adapter = Adapter()
-    replies: list[dict[str, Any]] = []
-    encode = json.JSONEncoder(separators=(",", ":")).encode
-    open_batch = False
+    """Answers batches until the input ends; raises `InvalidMessageError`, which names the line."""
+    reader = BatchReader(out)
     for number, line in enumerate(lines, 1):
         if not line.strip():
             continue
         try:
-            try:
-                message = json.loads(line)
-            except ValueError as error:
-                raise InvalidMessageError("not valid JSON") from error
-            if not isinstance(message, dict) or not isinstance(message.get("op"), str):
-                raise InvalidMessageError("not an object with the text field 'op'")
-            if message["op"] == "clock":
-                adapter.now_ms, open_batch = float(require_field(message, "sim_time_ms")), True
-            elif not open_batch:
-                raise InvalidMessageError(f"'{message['op']}' outside a batch")
-            elif message["op"] == "flush":
-                out.write("".join(encode(reply) + "\n" for reply in replies) + '{"op":"next"}\n')
-                out.flush()
-                replies, open_batch = [], False
-            else:
-                replies += adapter.event(message)
+            reader.take(line)
         except InvalidMessageError as error:
             raise InvalidMessageError(f"line {number}: {error}") from error
-    if open_batch:
+    if reader.is_batch_open:
         raise InvalidMessageError("the input ended inside a batch")
 
 
 def main() -> int:
+    """Runs the adapter on standard input and output; returns the exit code."""
     gc.freeze()
     try:
         run(sys.stdin, sys.stdout)
     except InvalidMessageError as error:
         print(f"gladewalk: {error}", file=sys.stderr)
-        return 2
+        return EXIT_MALFORMED_INPUT
     except BrokenPipeError:
-        return 1
+        return EXIT_BROKEN_PIPE
     return 0
 
 
--- a/tests/policy_replay.py
+++ b/tests/policy_replay.py
@@ -68,7 +68,7 @@
 
     def __init__(self, seed: int, changes: dict[str, Any]) -> None:
         self.random = random.Random(seed)
-        self.adapter = simulator_adapter.Adapter()
+        self.adapter = simulator_adapter.SimulatorAdapter()
         self.out = io.StringIO()
         self.queue: list[tuple[float, int, dict[str, Any]]] = []
         self.order = 0
@@ -161,7 +161,7 @@
         while self.queue and self.queue[0][0] < MAX_TIME_MS:
             at_ms, _, message = heapq.heappop(self.queue)
             self.adapter.now_ms = at_ms
-            for action in self.adapter.event(message):
+            for action in self.adapter.handle(message):
                 lines.append(json.dumps(action, separators=(",", ":")))
                 self._answer(at_ms, action)
         return lines
