--- /dev/null
+++ b/tests/test_golden_store.py
@@ -0,0 +1,331 @@
+"""Stores as version 0.2.0 wrote them: read as they are, and written again equal byte for byte."""
+
+import asyncio
+import errno
+import json
+from dataclasses import astuple
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from gladewalk import interface as api
+from gladewalk.cli import gladewalk
+from gladewalk.counters import Counters
+from gladewalk.deadlines import Deadlines
+from gladewalk.options import options_of, read_tables
+from gladewalk.policy import Dispatcher
+from gladewalk.rehearsal.baddisk import BadDisk, File
+from gladewalk.store import keeping, leases, tools, warm
+from gladewalk.store.frames import Fault
+from gladewalk.store.keeper import Keeper
+from gladewalk.store.log import Log, Terms
+from gladewalk.store.recovery import recover, salvage
+
+GOLDEN = json.loads((Path(__file__).parent / "golden" / "store.json").read_text())
+NOW = 1_750_000_000_000.0
+SETTLE_MS = 6_000.0
+SMALL = Terms(600, 100_000)
+PLAIN, COMPACTED = "0000000000000004.seg", "0000000000000002.c.seg"
+
+
+def target(uid: str, state: str, started: float = 0.0) -> dict[str, Any]:
+    return {"uid": uid, "model": "standard", "az": "edge-1", "state": state, "address": "127.0.0.1:9000",
+            "capacity_hint": 8.0, "started_unix_ms": started}  # fmt: skip
+
+
+EVENTS: tuple[dict[str, Any], ...] = (
+    {"index": 3, "endpoints": {"rev": 1, "all": True, "targets": [
+        target("c0", "SERVING"), target("c1", "SERVING", NOW - 90_000.0), target("c2", "SERVING")]}},
+    {"index": 4, "endpoints": {"rev": 2, "targets": [target("c1", "DRAINING")]}},
+    {"index": 5, "evict": {"ref": "a1", "unix_ms": NOW - 500.0}},
+    {"index": 6, "evict": {"shard": 7, "unix_ms": NOW + 9_000.0}},
+    {"index": 7, "endpoints": {"rev": 3, "targets": [target("c2", "DELETED")]}, "evict": {"unix_ms": NOW}},
+    {"index": 8, "endpoints": {"rev": 4, "all": True, "targets": [target("c0", "DRAINING")]}},
+    {"index": 9, "evict": {"ref": "a1", "unix_ms": NOW - 20.0}},
+)  # fmt: skip
+
+
+def core_with_knowledge() -> Dispatcher:
+    page = api.RequestClass("page", 400.0, 3_000.0)
+    core = Dispatcher(api.Settings(classes=(page,), zone="e", zones=("e",), hub_of=(0,)), 1)
+    servers = tuple(
+        api.Server(name, api.Role.CACHE, "e", started_ms=started, place=f"{name}:9")
+        for name, started in (("a", 0.0), ("b", NOW - 50_000.0))
+    )
+    core.handle(NOW, api.ServerList(api.ListKind.LAST, servers))
+    core.memory[7, 0] = {"a": NOW - 1_000.0, "b": NOW - 29_000.0}
+    core.memory[8, 3] = {"b": NOW - 40_000.0}
+    core.memory[2**60, 1] = {"b": NOW - 2.5}
+    core.sizes[7, 0] = 55.0
+    core.sizes[9, 2] = 1_234.5
+    core.servers["a"].share, core.servers["b"].share = 9.0, 0.25
+    core.servers["b"].first_byte_ms = 17.5
+    core.names().hold("a:9", "resolver", (7, 0), NOW + 200_000.0, 0.25)
+    core.names().hold("b:9", "10.1.2.3", (2**60, 4), NOW + 60_000.0, 1.0)
+    return core
+
+
+def lease_rows(core: Dispatcher) -> list[tuple[str, str, bytes, float]]:
+    rows = []
+    for question, server in (
+        (api.Locate(1, "page", 7, 3_000.0, "resolver", weight=0.25), "a"),
+        (api.Locate(2, "page", 2**60, 3_000.0, "10.1.2.3", part=4), "b"),
+    ):
+        lease = leases.lease_of(core, question, server)
+        assert lease is not None
+        rows.append((leases.SPACE, leases.key_of(lease), leases.pack(lease), lease.until_ms))
+    return rows
+
+
+def warm_rows(core: Dispatcher) -> list[tuple[str, str, bytes, float]]:
+    rows = [
+        (warm.SPACE, f"{warm.OBJECTS}-{n}", warm.objects_row(core, n, NOW), NOW + warm.FRESH_MS)
+        for n in range(warm.PARTS)
+    ]
+    return [*rows, (warm.SPACE, warm.SOURCES, warm.sources_row(core, NOW), NOW + warm.FRESH_MS)]
+
+
+def event_rows(lasting: bool) -> list[tuple[str, str, bytes | None, float]]:
+    rows = []
+    position = keeping.Position(0)
+    for event in EVENTS:
+        kept = keeping.rows_of(event["index"], event, SETTLE_MS, NOW, lasting)
+        if keeping.is_whole(event):
+            kept += keeping.unlisted(event, ["c0", "c1", "c2"])
+        row, position = keeping.position_row(event["index"], event, position)
+        rows += [(one.space, one.key, one.value, one.until_ms) for one in (*kept, row)]
+    return rows
+
+
+def as_text(rows: list[tuple[str, str, Any, float]]) -> list[list[Any]]:
+    return [[space, key, None if value is None else value.hex(), until] for space, key, value, until in rows]
+
+
+def written() -> BadDisk:
+    """Records of every kind in plain segments, a compacted one before them, all of it by one clock."""
+    disk, core = BadDisk(), core_with_knowledge()
+    log = Log(disk, lambda: NOW, SMALL)
+    rows = [*event_rows(True), *lease_rows(core), *warm_rows(core)]
+    for number, (space, key, value, until) in enumerate(rows):
+        if value is None:
+            log.delete(space, key)
+        else:
+            log.put(space, key, value, until)
+        if number % 2:
+            log.commit()
+        if number == 16:
+            log.compact(sorted(log.sizes)[1])
+    log.put("bytes", "\u00e9", b"\xff\x00" * 9)
+    log.put("bytes", "over", b"x", NOW - 1.0)
+    log.delete("bytes", "never there")
+    log.commit()
+    return disk
+
+
+def hex_of(files: dict[str, bytes]) -> dict[str, str]:
+    return {name: data.hex() for name, data in sorted(files.items())}
+
+
+def golden_files() -> dict[str, bytes]:
+    return {name: bytes.fromhex(text) for name, text in GOLDEN["files"].items()}
+
+
+def disk_with(files: dict[str, bytes]) -> BadDisk:
+    disk = BadDisk()
+    disk.files = {name: File(bytearray(data), data) for name, data in files.items()}
+    disk.safe_names = dict(disk.files)
+    return disk
+
+
+def values_in(log: Log) -> dict[str, dict[str, str]]:
+    spaces = sorted({space for space, _ in log.state.held})
+    return {space: {key: value.hex() for key, value in sorted(log.items(space).items())} for space in spaces}
+
+
+def damaged_copies() -> dict[str, dict[str, bytes]]:
+    """A torn tail, a torn header, and bytes that have rotted in each place that is found in its own way."""
+    files = golden_files()
+    newest = max(files)
+    middle = len(files[PLAIN]) // 2
+
+    def spoilt(name: str, place: int) -> dict[str, bytes]:
+        data = bytearray(files[name])
+        data[place] ^= 0x41
+        return {**files, name: bytes(data)}
+
+    return {
+        "torn tail": {**files, newest: files[newest][:-5]},
+        "torn first header": {**files, "00000000000000ff.seg": files[newest][:20]},
+        "left over": {**files, "compacting.tmp": b"half"},
+        "corrupt record": spoilt(PLAIN, middle),
+        "corrupt last record": spoilt(newest, len(files[newest]) - 1),
+        "corrupt header": spoilt(PLAIN, 12),
+        "corrupt compacted record": spoilt(COMPACTED, len(files[COMPACTED]) - 1),
+        "missing segment": {name: data for name, data in files.items() if name != PLAIN},
+        "another number": {**files, "00000000000000ff.seg": files[newest]},
+    }
+
+
+def read_back(files: dict[str, bytes]) -> dict[str, Any]:
+    """What recovery says of these files, and what salvage makes of them."""
+    saved = salvage(files)
+    told: dict[str, Any] = {
+        "salvaged": [saved.records, saved.losses, len(saved.state.held), saved.state.sequence]
+    }
+    try:
+        found = recover(files)
+    except Fault as fault:
+        return {**told, "fault": str(fault)}
+    log = Log(disk_with(files), lambda: NOW, SMALL)
+    return {
+        **told, "sequence": found.state.sequence, "dropped": [list(one) for one in found.dropped],
+        "useless": found.useless, "next_number": found.next_number, "values": values_in(log),
+    }  # fmt: skip
+
+
+def test_the_rows_of_events_leases_and_the_snapshot_are_written_as_they_were() -> None:
+    core = core_with_knowledge()
+    rows = {
+        "events": event_rows(False),
+        "lasting": event_rows(True),
+        "leases": lease_rows(core),
+        "warm": warm_rows(core),
+    }
+    for name, written_now in rows.items():
+        assert as_text(list(written_now)) == GOLDEN["rows"][name], name
+
+
+def test_a_store_is_written_as_it_was_byte_for_byte() -> None:
+    assert hex_of({name: bytes(file.data) for name, file in written().files.items()}) == GOLDEN["files"]
+
+
+def test_a_store_that_was_written_is_read() -> None:
+    log = Log(disk_with(golden_files()), lambda: NOW, SMALL)
+    assert values_in(log) == GOLDEN["values"]
+    assert [log.state.sequence, log.durable, log.size, log.next_number] == GOLDEN["figures"]
+
+
+def restored() -> dict[str, Any]:
+    """What each codec makes of the rows of the golden store."""
+    log = Log(disk_with(golden_files()), lambda: NOW, SMALL)
+    purges = keeping.purges_of(log.items(keeping.PURGES), NOW + 1_000.0)
+    position = keeping.position_of(log.items(keeping.FEED))
+    servers = log.items(keeping.SERVERS)
+    core = core_with_knowledge()
+    core.memory.clear()
+    core.sizes.clear()
+    core.servers["b"].share = 1.0
+    counts = warm.restore(core, log.items(warm.SPACE), NOW + 1_000.0)
+    return {
+        "purges": sorted([list(astuple(one)) for one in purges], key=str),
+        "position": [position.index, position.whole],
+        "servers": keeping.servers_of(servers, 0, position.whole),
+        "servers after 8": keeping.servers_of(servers, 8),
+        "warm": list(counts),
+        "memory": [[*key, dict(seen)] for key, seen in sorted(core.memory.items())],
+        "sizes": [[*key, took] for key, took in sorted(core.sizes.items())],
+        "shares": [core.servers[name].share for name in "ab"],
+        "leases": leases.restore(core, log.items(leases.SPACE), NOW + 61_000.0),
+    }
+
+
+def test_the_rows_that_were_written_are_believed_as_they_were() -> None:
+    assert restored() == GOLDEN["restored"]
+
+
+@pytest.mark.parametrize("name", sorted(GOLDEN["damaged"]))
+def test_a_damaged_store_is_cut_or_refused_in_the_same_words(name: str) -> None:
+    assert read_back(damaged_copies()[name]) == GOLDEN["damaged"][name]
+
+
+def test_every_damage_has_its_golden_record() -> None:
+    assert sorted(damaged_copies()) == sorted(GOLDEN["damaged"])
+
+
+def lay(files: dict[str, bytes], folder: Path) -> Path:
+    folder.mkdir()
+    for name, data in files.items():
+        (folder / name).write_bytes(data)
+    return folder
+
+
+def tool_outputs(folder: Path) -> dict[str, Any]:
+    """Exit code and output of each command on a good store, a cut one and a damaged one."""
+    told: dict[str, Any] = {}
+    copies = damaged_copies()
+    stores = {
+        "good": golden_files(),
+        **{name: copies[name] for name in ("torn tail", "left over", "corrupt record", "corrupt header")},
+    }
+    for name, files in stores.items():
+        path = lay(files, folder / name.replace(" ", "-"))
+        commands = (
+            ["check"], ["dump"], ["repair"], ["compact"], ["repair", "--accept-loss"], ["check"], ["dump"],
+        )  # fmt: skip
+        for number, words in enumerate(commands):
+            done = CliRunner().invoke(gladewalk, ["store", *words, str(path)])
+            text = done.output.replace(str(path), "FOLDER")
+            told[f"{name}, {number}: {' '.join(words)}"] = [done.exit_code, text.splitlines()]
+        left = {one.name: one.read_bytes() for one in path.iterdir() if one.suffix == ".seg"}
+        told[f"{name}, files"] = hex_of(left)
+    return told
+
+
+def test_the_commands_print_and_leave_what_they_did(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(tools, "now_ms", lambda: NOW)
+    assert tool_outputs(tmp_path) == GOLDEN["commands"]
+
+
+def refuse(disk: Any, name: str, data: bytes) -> None:
+    raise OSError(errno.ENOSPC, "No space left on device")
+
+
+class Followed:
+    """What a run of the service says, counts, shows and leaves."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.said: list[list[str]] = []
+        self.counters = Counters()
+
+    def opened(self) -> Keeper:
+        tables = read_tables({"store": {"folder": "store", "resume": True, "warm_ms": 0.0}})
+        options = options_of(tables, "own.toml", self.folder)
+        return Keeper(
+            options, SETTLE_MS, lambda: NOW, self.counters, lambda *said: self.said.append([*said]),
+            Deadlines(lambda: NOW),
+        )  # fmt: skip
+
+    async def settled(self, keeper: Keeper) -> None:
+        while keeper.log.pending or keeper.log.flying is not None:
+            await asyncio.sleep(0.001)
+
+    async def play(self) -> dict[str, Any]:
+        keeper = self.opened()
+        keeper.writer.start()
+        for event in EVENTS:
+            keeper.note(event["index"], event)
+            await self.settled(keeper)
+        with pytest.MonkeyPatch.context() as patched:
+            patched.setattr(type(keeper.folder), "append", refuse)
+            assert not await keeper.writer.put("bytes", "refused", b"1")
+            failing = keeper.view({})
+        while keeper.writer.failing:
+            await asyncio.sleep(0.01)
+        view = keeper.view({})
+        await keeper.close()
+        files = {one.name: one.read_bytes() for one in (self.folder / "store").glob("*.seg")}
+        with (self.folder / "store" / max(files)).open("ab") as file:
+            file.write(b"half of a record")
+        keeper = self.opened()
+        keeper.folder.close()
+        return {
+            "said": self.said, "counters": dict(sorted(self.counters.items())), "view": view,
+            "failing": failing, "files": hex_of(files),
+        }  # fmt: skip
+
+
+def test_the_service_writes_says_counts_and_shows_what_it_did(tmp_path: Path) -> None:
+    assert asyncio.run(Followed(tmp_path).play()) == GOLDEN["service"]
