--- a/benchmarks/bids.py
+++ b/benchmarks/bids.py
@@ -19,7 +19,7 @@
 import uvloop
 
 from gladewalk.options import Options, options_of, read_tables
-from gladewalk.rehearsal.bidsoak import Report, play_h2, play_http1
+from gladewalk.rehearsal.write_soak import Report, play_h2, play_http1
 from gladewalk.streams.ledger import PROOFS
 
 
--- a/benchmarks/fault_points.py
+++ b/benchmarks/fault_points.py
@@ -12,7 +12,7 @@
 import sys
 
 from gladewalk.faultpoints.points import CATALOGUE
-from gladewalk.faultpoints.runs import SCENARIOS
+from gladewalk.faultpoints.scenarios import SCENARIOS
 from gladewalk.faultpoints.sweep import Swept, sweep
 
 QUICK = 12
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -26,9 +26,9 @@
 import lmdb
 
 from gladewalk.counters import Counters
-from gladewalk.store.files import Folder
-from gladewalk.store.log import Log, Terms
-from gladewalk.store.tools import now_ms
+from gladewalk.store.file_system import Folder
+from gladewalk.store.maintenance import now_ms
+from gladewalk.store.segmented_log import Log, Terms
 from gladewalk.store.writer import Writer
 
 VALUE = bytes(100)
@@ -141,8 +141,8 @@
 RECOVER = """
 import resource, sys, time
 from pathlib import Path
-from gladewalk.store.files import Folder
-from gladewalk.store.log import Log
+from gladewalk.store.file_system import Folder
+from gladewalk.store.segmented_log import Log
 before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 began = time.perf_counter()
 log = Log(Folder(Path(sys.argv[1])), lambda: 0.0)
--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -420,7 +420,7 @@
 @click.pass_context
 def store_check(context: click.Context, folder: Path) -> None:
     """Tell what each file holds. Exit code 1: a write was cut; 2: damaged."""
-    from .store.tools import check
+    from .store.maintenance import check
 
     context.exit(on_store(lambda: check(folder, click.echo)))
 
@@ -430,7 +430,7 @@
 @click.pass_context
 def store_dump(context: click.Context, folder: Path) -> None:
     """Print every key as one JSON object a line."""
-    from .store.tools import dump
+    from .store.maintenance import dump
 
     def tell() -> int:
         for line in dump(folder):
@@ -445,7 +445,7 @@
 @click.pass_context
 def store_compact(context: click.Context, folder: Path) -> None:
     """Write all that counts into one segment."""
-    from .store.tools import compact
+    from .store.maintenance import compact
 
     context.exit(on_store(lambda: compact(folder, click.echo)))
 
@@ -458,7 +458,7 @@
 @click.pass_context
 def store_repair(context: click.Context, folder: Path, accept_loss: bool) -> None:
     """Tell what a damaged store has lost and what is left of it."""
-    from .store.tools import repair
+    from .store.maintenance import repair
 
     context.exit(on_store(lambda: repair(folder, accept_loss, click.echo)))
 
@@ -507,7 +507,7 @@
 
 def on_store(call: Callable[[], int]) -> int:
     """Whatever a store can't do is one line and exit code 2."""
-    from .store.frames import Fault
+    from .store.record_format import Fault
 
     try:
         return call()
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -32,7 +32,7 @@
     from .net.admin import AdminFront
     from .nginx.router import Router
     from .options import Options
-    from .store.keeper import Keeper
+    from .store.persistence import Keeper
     from .upstream.secure import Shapes
     from .web.start import Web
 
@@ -127,7 +127,7 @@
             )
         self.keeper: Keeper | None = None
         if options is not None and options.store is not None:
-            from .store.keeper import Keeper
+            from .store.persistence import Keeper
 
             self.keeper = Keeper(
                 options,
--- a/gladewalk/faultpoints/runs.py
+++ b/gladewalk/faultpoints/scenarios.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from . import leaserun, memberrun, storerun
+from . import leaserun, memberrun
+from . import store_scenario as storerun
 from .sweep import Scenario
 
 SCENARIOS: tuple[tuple[str, Scenario], ...] = (
--- a/gladewalk/faultpoints/storerun.py
+++ b/gladewalk/faultpoints/store_scenario.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..rehearsal.baddisk import BadDisk
-from ..store.log import Log, Terms
+from ..rehearsal.faulty_disk import BadDisk
+from ..store.segmented_log import Log, Terms
 from .points import Kind, Points
 
 STEPS = 18
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -12,7 +12,7 @@
 from ..members.seal import Seal, load_keys
 from ..ops.figures import ENDS
 from ..options import Options
-from ..store.keeper import Keeper
+from ..store.persistence import Keeper
 from .acts import Acts
 from .candidate import Candidate
 from .elector import Elector, restored_of
--- a/gladewalk/store/files.py
+++ b/gladewalk/store/file_system.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Protocol
 
-from .frames import Fault
+from .record_format import Fault
 
 
 class Disk(Protocol):
--- a/gladewalk/store/state.py
+++ b/gladewalk/store/key_index.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .frames import DELETE, PUT, Fault, Record
+from .record_format import DELETE, PUT, Fault, Record
 
 FOREVER = 0.0
 
--- a/gladewalk/store/tools.py
+++ b/gladewalk/store/maintenance.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
-from .files import Folder
-from .frames import Fault
-from .log import Log
+from .file_system import Folder
+from .record_format import Fault
 from .recovery import NAME, Recovered, read_only_head, recover, salvage
+from .segmented_log import Log
 
 Say = Callable[[str], None]
 GOOD, FOUND, UNUSABLE = 0, 1, 2
--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/persistence.py
@@ -13,10 +13,11 @@
 from ..exchange import Exchange
 from ..net.coordinator import Feed
 from ..options import Options
-from . import leases, warm
-from .files import Folder
-from .frames import PAYLOAD_MOST, Fault
-from .keeping import (
+from . import dns_lease_rows as leases
+from . import warm_start as warm
+from .file_system import Folder
+from .record_format import PAYLOAD_MOST, Fault
+from .row_codecs import (
     FEED,
     PURGES,
     SERVERS,
@@ -30,7 +31,7 @@
     servers_of,
     unlisted,
 )
-from .log import Log, Terms
+from .segmented_log import Log, Terms
 from .writer import Writer
 
 
--- a/gladewalk/store/recovery.py
+++ b/gladewalk/store/recovery.py
@@ -17,8 +17,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from .frames import BadHead, Fault, Scanned, read_head, records_behind, scan
-from .state import State, unpack
+from .key_index import State, unpack
+from .record_format import BadHead, Fault, Scanned, read_head, records_behind, scan
 
 NAME = re.compile(r"([0-9a-f]{16})(\.c)?\.seg\Z")
 
--- a/gladewalk/store/log.py
+++ b/gladewalk/store/segmented_log.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from .choices import Segment, prefix_to_compact, wants_new_segment
-from .files import Disk
-from .frames import DELETE, HEADER, PUT, Head, Record, write_head, write_record
+from .compaction_policy import Segment, prefix_to_compact, wants_new_segment
+from .file_system import Disk
+from .key_index import FOREVER, Item, State, pack
+from .record_format import DELETE, HEADER, PUT, Head, Record, write_head, write_record
 from .recovery import Recovered, name_of, recover
-from .state import FOREVER, Item, State, pack
 
 PENDING_MOST = 4 * 1024 * 1024  # bytes that wait for a disk: more are refused, which bounds memory
 TEMPORARY = "compacting.tmp"
--- a/gladewalk/store/writer.py
+++ b/gladewalk/store/writer.py
@@ -17,8 +17,8 @@
 from typing import Literal
 
 from ..counters import Counters
-from .log import Log, StoreFull
-from .state import FOREVER
+from .key_index import FOREVER
+from .segmented_log import Log, StoreFull
 
 Policy = Literal["each", "group", "none"]
 RETRY_S = 1.0
--- a/tests/h2world.py
+++ b/tests/h2world.py
@@ -10,9 +10,9 @@
 import trustme
 
 from gladewalk.options import Options, options_of, read_tables
-from gladewalk.rehearsal.bidsoak import ticket
 from gladewalk.rehearsal.h2box import Asked
 from gladewalk.rehearsal.peers import SETTINGS, Peer, Rehearsal
+from gladewalk.rehearsal.write_soak import ticket
 
 BYTES = bytes(range(256)) * 64
 
--- a/tests/test_fault_points.py
+++ b/tests/test_fault_points.py
@@ -6,15 +6,16 @@
 
 import pytest
 
-from gladewalk.faultpoints import leaserun, memberrun, storerun
+from gladewalk.faultpoints import leaserun, memberrun
+from gladewalk.faultpoints import store_scenario as storerun
 from gladewalk.faultpoints.points import CATALOGUE, Kind, Points, Unlisted
-from gladewalk.faultpoints.runs import SCENARIOS
+from gladewalk.faultpoints.scenarios import SCENARIOS
 from gladewalk.faultpoints.sweep import count, sweep, thinned
 from gladewalk.leases.fence import Act, Fence
 from gladewalk.members import swim
 from gladewalk.members.hearing import Hearing
 from gladewalk.members.verdicts import Verdict
-from gladewalk.store.log import Batch, Log
+from gladewalk.store.segmented_log import Batch, Log
 
 
 def test_one_fault_at_a_few_passes_of_each_point_breaks_nothing() -> None:
--- a/tests/test_golden_store.py
+++ b/tests/test_golden_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import json
+from collections.abc import Sequence
 from dataclasses import astuple
 from pathlib import Path
 from typing import Any
@@ -16,12 +17,15 @@
 from gladewalk.deadlines import Deadlines
 from gladewalk.options import options_of, read_tables
 from gladewalk.policy import Dispatcher
-from gladewalk.rehearsal.baddisk import BadDisk, File
-from gladewalk.store import keeping, leases, tools, warm
-from gladewalk.store.frames import Fault
-from gladewalk.store.keeper import Keeper
-from gladewalk.store.log import Log, Terms
+from gladewalk.rehearsal.faulty_disk import BadDisk, File
+from gladewalk.store import dns_lease_rows as leases
+from gladewalk.store import maintenance as tools
+from gladewalk.store import row_codecs as keeping
+from gladewalk.store import warm_start as warm
+from gladewalk.store.persistence import Keeper
+from gladewalk.store.record_format import Fault
 from gladewalk.store.recovery import recover, salvage
+from gladewalk.store.segmented_log import Log, Terms
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "store.json").read_text())
 NOW = 1_750_000_000_000.0
@@ -99,7 +103,7 @@
     return rows
 
 
-def as_text(rows: list[tuple[str, str, Any, float]]) -> list[list[Any]]:
+def as_text(rows: Sequence[tuple[str, str, bytes | None, float]]) -> list[list[Any]]:
     return [[space, key, None if value is None else value.hex(), until] for space, key, value, until in rows]
 
 
@@ -187,14 +191,14 @@
 
 def test_the_rows_of_events_leases_and_the_snapshot_are_written_as_they_were() -> None:
     core = core_with_knowledge()
-    rows = {
+    rows: dict[str, Sequence[tuple[str, str, bytes | None, float]]] = {
         "events": event_rows(False),
         "lasting": event_rows(True),
         "leases": lease_rows(core),
         "warm": warm_rows(core),
     }
     for name, written_now in rows.items():
-        assert as_text(list(written_now)) == GOLDEN["rows"][name], name
+        assert as_text(written_now) == GOLDEN["rows"][name], name
 
 
 def test_a_store_is_written_as_it_was_byte_for_byte() -> None:
@@ -295,7 +299,7 @@
         options = options_of(tables, "own.toml", self.folder)
         return Keeper(
             options, SETTLE_MS, lambda: NOW, self.counters, lambda *said: self.said.append([*said]),
-            Deadlines(lambda: NOW),
+            Deadlines(lambda when_ms: None),
         )  # fmt: skip
 
     async def settled(self, keeper: Keeper) -> None:
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -30,7 +30,6 @@
     WindowUpdateFrame,
 )
 
-from gladewalk.rehearsal.bidsoak import play_h2, ticket
 from gladewalk.rehearsal.h2box import GRACEFUL, Asked, H2Box, Script
 from gladewalk.rehearsal.peers import (
     Coordinator,
@@ -42,6 +41,7 @@
     request,
     until,
 )
+from gladewalk.rehearsal.write_soak import play_h2, ticket
 from gladewalk.streams import sharing
 from gladewalk.streams.ledger import PROOFS, Finding, Reason
 from gladewalk.upstream.secure import Shapes
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -28,7 +28,7 @@
 from gladewalk.options import Options, options_of, read_tables
 from gladewalk.policy import Dispatcher
 from gladewalk.policy.known import Pending
-from gladewalk.rehearsal.baddisk import BadDisk, File
+from gladewalk.rehearsal.faulty_disk import BadDisk, File
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
@@ -39,12 +39,14 @@
     until,
 )
 from gladewalk.rehearsal.resolver import Resolver
-from gladewalk.store import frames, leases, warm
-from gladewalk.store.choices import Segment, prefix_to_compact
-from gladewalk.store.files import Folder
-from gladewalk.store.frames import HEADER, Fault, Head, read_head, write_head
-from gladewalk.store.log import Log, StoreFull, Terms
+from gladewalk.store import dns_lease_rows as leases
+from gladewalk.store import record_format as frames
+from gladewalk.store import warm_start as warm
+from gladewalk.store.compaction_policy import Segment, prefix_to_compact
+from gladewalk.store.file_system import Folder
+from gladewalk.store.record_format import HEADER, Fault, Head, read_head, write_head
 from gladewalk.store.recovery import recover
+from gladewalk.store.segmented_log import Log, StoreFull, Terms
 from gladewalk.store.writer import Policy, Writer
 
 NOW = 1_000_000.0
