--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -26,10 +26,10 @@
 import lmdb
 
 from gladewalk.counters import Counters
-from gladewalk.store.file_system import Folder
-from gladewalk.store.maintenance import now_ms
-from gladewalk.store.segmented_log import Log, Terms
-from gladewalk.store.writer import Writer
+from gladewalk.store.file_system import StoreDirectory
+from gladewalk.store.maintenance import wall_clock_ms
+from gladewalk.store.segmented_log import LogConfig, SegmentedLog
+from gladewalk.store.writer import StoreWriter
 
 VALUE = bytes(100)
 KEYS = 5_000
@@ -112,14 +112,14 @@
         found = await measure(grouped.put, writes, open_)
         grouped.task.cancel()
         return found, 0.0
-    disk = Folder(folder)
-    log = Log(disk, now_ms, Terms())
-    writer = Writer(log, kind, 2.0, Counters(), lambda what, why: None)  # type: ignore[arg-type]
+    disk = StoreDirectory(folder)
+    log = SegmentedLog(disk, wall_clock_ms, LogConfig())
+    writer = StoreWriter(log, kind, 2.0, Counters(), lambda what, why: None)  # type: ignore[arg-type]
     writer.start()
     found = await measure(lambda key: writer.put("s", key, VALUE), writes, open_)
     await writer.close()
     disk.close()
-    return found, log.written / (writes * len(VALUE))
+    return found, log.written_bytes / (writes * len(VALUE))
 
 
 def writes_table(writes: int, levels: list[int], place: str | None) -> None:
@@ -141,13 +141,13 @@
 RECOVER = """
 import resource, sys, time
 from pathlib import Path
-from gladewalk.store.file_system import Folder
-from gladewalk.store.segmented_log import Log
+from gladewalk.store.file_system import StoreDirectory
+from gladewalk.store.segmented_log import SegmentedLog
 before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 began = time.perf_counter()
-log = Log(Folder(Path(sys.argv[1])), lambda: 0.0)
+log = SegmentedLog(StoreDirectory(Path(sys.argv[1])), lambda: 0.0)
 spent = time.perf_counter() - began
-assert len(log.state.held) == int(sys.argv[2])
+assert len(log.index.entries) == int(sys.argv[2])
 print(spent, (resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before) / 1024)
 """
 
@@ -156,8 +156,10 @@
     print("records  recovery s  MB held at the most  bytes on disk")
     for size in sizes:
         with tempfile.TemporaryDirectory(dir=place) as folder:
-            disk = Folder(Path(folder))
-            log = Log(disk, now_ms, Terms(segment_most=16 * 1024 * 1024, limit=1 << 40))
+            disk = StoreDirectory(Path(folder))
+            log = SegmentedLog(
+                disk, wall_clock_ms, LogConfig(max_segment_bytes=16 * 1024 * 1024, max_total_bytes=1 << 40)
+            )
             for n in range(size):
                 log.put("s", f"k{n}", VALUE)
                 if n % 10_000 == 9_999:
@@ -166,7 +168,7 @@
             disk.close()
             words = [sys.executable, "-c", RECOVER, folder, str(size)]
             spent, held = subprocess.run(words, capture_output=True, text=True, check=True).stdout.split()
-            print(f"{size:7}  {float(spent):10.3f}  {float(held):19.1f}  {log.size:13}", flush=True)
+            print(f"{size:7}  {float(spent):10.3f}  {float(held):19.1f}  {log.total_bytes:13}", flush=True)
 
 
 def main() -> int:
--- a/gladewalk/cli.py
+++ b/gladewalk/cli.py
@@ -420,9 +420,9 @@
 @click.pass_context
 def store_check(context: click.Context, folder: Path) -> None:
     """Tell what each file holds. Exit code 1: a write was cut; 2: damaged."""
-    from .store.maintenance import check
+    from .store.maintenance import check_store
 
-    context.exit(on_store(lambda: check(folder, click.echo)))
+    context.exit(on_store(lambda: check_store(folder, click.echo)))
 
 
 @store_group.command("dump")
@@ -430,10 +430,10 @@
 @click.pass_context
 def store_dump(context: click.Context, folder: Path) -> None:
     """Print every key as one JSON object a line."""
-    from .store.maintenance import dump
+    from .store.maintenance import dump_store
 
     def tell() -> int:
-        for line in dump(folder):
+        for line in dump_store(folder):
             click.echo(line)
         return 0
 
@@ -445,9 +445,9 @@
 @click.pass_context
 def store_compact(context: click.Context, folder: Path) -> None:
     """Write all that counts into one segment."""
-    from .store.maintenance import compact
+    from .store.maintenance import compact_store
 
-    context.exit(on_store(lambda: compact(folder, click.echo)))
+    context.exit(on_store(lambda: compact_store(folder, click.echo)))
 
 
 @store_group.command("repair")
@@ -458,9 +458,9 @@
 @click.pass_context
 def store_repair(context: click.Context, folder: Path, accept_loss: bool) -> None:
     """Tell what a damaged store has lost and what is left of it."""
-    from .store.maintenance import repair
+    from .store.maintenance import repair_store
 
-    context.exit(on_store(lambda: repair(folder, accept_loss, click.echo)))
+    context.exit(on_store(lambda: repair_store(folder, accept_loss, click.echo)))
 
 
 @gladewalk.group("dns")
@@ -507,11 +507,11 @@
 
 def on_store(call: Callable[[], int]) -> int:
     """Whatever a store can't do is one line and exit code 2."""
-    from .store.record_format import Fault
+    from .store.errors import StoreFileError
 
     try:
         return call()
-    except (Fault, OSError) as error:
+    except (StoreFileError, OSError) as error:
         click.echo(f"gladewalk: {error}", err=True)
         return 2
 
--- a/gladewalk/rehearsal/faulty_disk.py
+++ b/gladewalk/rehearsal/faulty_disk.py
@@ -1,9 +1,9 @@
-"""A disk in memory that loses what was not synced, tears writes and refuses calls: the store's stand-in.
+"""Fault injection for the store: an in-memory disk that loses, tears and rejects writes.
 
-A process that is killed loses nothing that was written. A loss of power keeps of each file what was synced,
-and of the rest whichever blocks it likes, later ones without earlier ones too; of names it keeps those that
-were synced, and of later creations, renames and removals some. A sync that failed has told the system that
-its data is clean: no later sync writes it.
+Model: a process that is killed loses nothing that was written. A power loss keeps of each file what was
+synced and any of the later blocks, in no order; of names it keeps those that were synced and any of the later
+creations, renames and removals. After a failed sync the operating system takes the data for clean, so no
+later sync writes it.
 """
 
 from __future__ import annotations
@@ -13,110 +13,137 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-BLOCK = 64  # bytes that reach the disk together: small, so that small stores tear in many ways
+BLOCK_BYTES = 64  # that reach the disk together: few, so that small stores tear in many ways
+LOSS_PROBABILITY = 0.5  # of each unsynced block, file length and name
+
+# Takes an operation (as the fault point catalogue names it), its file and the number of the call; returns the
+# errno to fail with, or 0.
+FaultRule = Callable[[str, str, int], int]
 
 
 @dataclass(slots=True, eq=False)
-class File:
+class FaultyFile:
+    """A file's content, and what of it outlasts a power loss."""
+
     data: bytearray = field(default_factory=bytearray)
-    safe: bytes = b""  # as of the last sync
-    lost: bool = False  # a sync has failed: what was not safe then never will be
+    durable: bytes = b""
+    is_sync_lost: bool = False  # a sync has failed: what was not durable then never will be
 
-    def after_power_loss(self, draw: random.Random) -> File:
+    def after_power_loss(self, draw: random.Random) -> FaultyFile:
         """What a restart finds."""
         kept = bytearray(self.data)
-        for start in range(0, len(kept), BLOCK):
-            end = min(start + BLOCK, len(kept))
-            same = bytes(kept[start:end]) == self.safe[start:end]
-            if not same and draw.random() < 0.5:
-                safe = self.safe[start:end]
-                kept[start:end] = safe + bytes(end - start - len(safe))
-        if draw.random() < 0.5:  # its length was not written either, or only in part
-            least = len(self.safe)
-            kept = kept[: max(least, draw.randint(min(least, len(kept)), max(least, len(kept))))]
-        kept[: len(self.safe)] = self.safe  # whatever was synced is there, though a later sync failed
-        return File(bytearray(kept), bytes(kept))
-
-
-class BadDisk:
-    """`fail` is asked before each call, with its name and its file: the errno to fail with, or 0."""
+        for start in range(0, len(kept), BLOCK_BYTES):
+            end = min(start + BLOCK_BYTES, len(kept))
+            durable = self.durable[start:end]
+            if bytes(kept[start:end]) != durable and draw.random() < LOSS_PROBABILITY:
+                kept[start:end] = durable + bytes(end - start - len(durable))
+        if draw.random() < LOSS_PROBABILITY:  # the file's length was not written either, or only in part
+            min_length = len(self.durable)
+            length = draw.randint(min(min_length, len(kept)), max(min_length, len(kept)))
+            kept = kept[: max(min_length, length)]
+        kept[: len(self.durable)] = self.durable  # whatever was synced is there, though a later sync failed
+        return FaultyFile(bytearray(kept), bytes(kept))
+
+
+def never_fail(operation: str, name: str, number: int) -> int:
+    """The rule of a disk without faults."""
+    return 0
+
+
+class FaultyDisk:
+    """A `FileSystem` in memory; `fault_rule` is asked before each call."""
 
     def __init__(self) -> None:
-        self.files: dict[str, File] = {}
-        self.safe_names: dict[str, File] = {}
-        self.calls = 0
-        self.fail: Callable[[str, str, int], int] = lambda call, name, number: 0
-        self.syncs = 0
-
-    def _call(self, call: str, name: str = "") -> None:
-        self.calls += 1
-        code = self.fail(call, name, self.calls)
+        self.files: dict[str, FaultyFile] = {}
+        self.durable_names: dict[str, FaultyFile] = {}
+        self.call_count = self.sync_count = 0
+        self.fault_rule: FaultRule = never_fail
+
+    def _call(self, operation: str, name: str = "") -> None:
+        self.call_count += 1
+        code = self.fault_rule(operation, name, self.call_count)
         if code:
-            if call == "sync" and name in self.files:
-                self.files[name].lost = True
+            if operation == "sync" and name in self.files:
+                self.files[name].is_sync_lost = True
             raise OSError(code, errno.errorcode[code])
 
-    def names(self) -> list[str]:
+    def list_names(self) -> list[str]:
+        """The files' names in ascending order."""
         return sorted(self.files)
 
     def read(self, name: str) -> bytes:
+        """A file's content."""
         self._call("read", name)
         return bytes(self.files[name].data)
 
     def create(self, name: str) -> None:
+        """Creates an empty file in place of any other of this name."""
         self._call("create", name)
-        self.files[name] = File()
+        self.files[name] = FaultyFile()
 
     def append(self, name: str, data: bytes) -> None:
+        """Appends to a file; a call that fails has written half of the data."""
         try:
             self._call("append", name)
         except OSError:
-            self.files[name].data += data[: len(data) // 2]  # as much as there was room for
+            self.files[name].data += data[: len(data) // 2]
             raise
         self.files[name].data += data
 
     def sync(self, name: str) -> None:
+        """Makes a file's content durable, unless an earlier sync of it has failed."""
         self._call("sync", name)
-        self.syncs += 1
+        self.sync_count += 1
         file = self.files[name]
-        if not file.lost:
-            file.safe = bytes(file.data)
+        if not file.is_sync_lost:
+            file.durable = bytes(file.data)
 
-    def cut(self, name: str, size: int) -> None:
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cuts a file to a size."""
         self._call("cut", name)
-        del self.files[name].data[size:]
+        del self.files[name].data[size_bytes:]
 
     def rename(self, old: str, new: str) -> None:
+        """Renames a file."""
         self._call("rename", new)
         self.files[new] = self.files.pop(old)
 
     def remove(self, name: str) -> None:
+        """Removes a file, if it is there."""
         self._call("remove", name)
         self.files.pop(name, None)
 
-    def sync_names(self) -> None:
+    def sync_directory(self) -> None:
+        """Makes all names durable."""
         self._call("sync_names")
-        self.safe_names = dict(self.files)
-
-    # What happens to it.
-
-    def after_kill(self) -> BadDisk:
-        """The process is gone, the machine is not."""
-        disk = BadDisk()
-        disk.files = {name: File(bytearray(f.data), f.safe, f.lost) for name, f in self.files.items()}
-        disk.safe_names = {n: disk.files[n] for n, f in self.safe_names.items() if self.files.get(n) is f}
+        self.durable_names = dict(self.files)
+
+    def after_kill(self) -> FaultyDisk:
+        """The disk that a restarted process finds: nothing is lost."""
+        disk = FaultyDisk()
+        disk.files = {
+            name: FaultyFile(bytearray(file.data), file.durable, file.is_sync_lost)
+            for name, file in self.files.items()
+        }
+        disk.durable_names = {
+            name: disk.files[name]
+            for name, file in self.durable_names.items()
+            if self.files.get(name) is file
+        }
         return disk
 
-    def after_power_loss(self, seed: int) -> BadDisk:
+    def after_power_loss(self, seed: int) -> FaultyDisk:
+        """The disk that a restarted machine finds; `seed` draws what is lost."""
         draw = random.Random(seed)
-        names = dict(self.safe_names)
-        for name in sorted(set(self.files) | set(self.safe_names)):
-            if self.files.get(name) is not self.safe_names.get(name) and draw.random() < 0.5:
+        names = dict(self.durable_names)
+        for name in sorted(set(self.files) | set(self.durable_names)):
+            is_durable = self.files.get(name) is self.durable_names.get(name)
+            if not is_durable and draw.random() < LOSS_PROBABILITY:
                 if name in self.files:
                     names[name] = self.files[name]
                 else:
                     del names[name]
-        disk = BadDisk()
+        disk = FaultyDisk()
         disk.files = {name: file.after_power_loss(draw) for name, file in names.items()}
-        disk.safe_names = dict(disk.files)
+        disk.durable_names = dict(disk.files)
         return disk
--- a/gladewalk/store/compaction_policy.py
+++ b/gladewalk/store/compaction_policy.py
@@ -1,7 +1,9 @@
-"""When a store begins a new segment, and which old ones are worth compacting. No I/O.
+"""Compaction policy: when a new segment begins, and which old ones are worth compacting. No I/O.
 
-Only a *prefix* of the segments is ever compacted, all from the oldest up to one: so a deletion within it has
-nothing older left to delete and goes, and the result stands in their place by its number alone.
+Only a prefix of the segments is ever compacted, all from the oldest up to one: a deletion within it then has
+nothing older left to delete and goes, and the result takes their place by its number alone. Choosing by the
+bytes freed for each byte rewritten is the cost-benefit policy of log-structured file systems (Rosenblum and
+Ousterhout, 1992, section 3.6) without its age factor.
 """
 
 from __future__ import annotations
@@ -9,38 +11,44 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-GARBAGE_PART = 0.5  # of a prefix that is no longer of use, from which on it is worth it
-PRESSED_PART = 0.1  # and once the store nears its limit
-NEAR_LIMIT = 0.8  # of the bytes that it may take
+MIN_GARBAGE_FRACTION = 0.5  # of a prefix's bytes, from which on it is compacted
+MIN_GARBAGE_FRACTION_NEAR_LIMIT = 0.1
+NEAR_LIMIT_FRACTION = 0.8  # of the size limit
+FIXED_COST_BYTES = 4096.0  # of a compaction, whatever it rewrites
 
 
 @dataclass(slots=True, frozen=True)
-class Segment:
-    """One sealed segment: its bytes on disk, and those of them that still count."""
+class SegmentUsage:
+    """One sealed segment: its bytes on disk, and those of them that are live."""
 
     number: int
-    size: int
-    live: int
+    size_bytes: int
+    live_bytes: int
 
 
-def wants_new_segment(size: int, segment_most: int) -> bool:
-    return size >= segment_most
+def is_segment_full(size_bytes: int, max_segment_bytes: int) -> bool:
+    """Whether the next record begins a new segment."""
+    return size_bytes >= max_segment_bytes
 
 
-def prefix_to_compact(sealed: Sequence[Segment], total: int, limit: int) -> int | None:
-    """The number up to which to compact, or None. `total`: all bytes, the open segment's too.
+def choose_compaction_prefix(
+    sealed: Sequence[SegmentUsage], total_bytes: int, max_total_bytes: int
+) -> int | None:
+    """The number of the last segment to compact, or None if no prefix is worth it.
 
-    Of all prefixes the one that frees most for what it writes. Compaction takes room itself before it gives
-    any: so it begins while there is enough left.
+    `sealed` in ascending order; `total_bytes` includes the open segment. A compaction takes space before it
+    frees any, so near the limit less garbage suffices.
     """
-    part = PRESSED_PART if total >= NEAR_LIMIT * limit else GARBAGE_PART
-    size = live = 0
+    is_near_limit = total_bytes >= NEAR_LIMIT_FRACTION * max_total_bytes
+    min_fraction = MIN_GARBAGE_FRACTION_NEAR_LIMIT if is_near_limit else MIN_GARBAGE_FRACTION
+    size_bytes = live_bytes = 0
     best: tuple[float, int] | None = None
     for segment in sealed:
-        size += segment.size
-        live += max(0, segment.live)
-        if size and (size - live) / size >= part:
-            worth = (size - live) / (live + 4096.0)
-            if best is None or worth > best[0]:
-                best = (worth, segment.number)
+        size_bytes += segment.size_bytes
+        live_bytes += max(0, segment.live_bytes)
+        garbage_bytes = size_bytes - live_bytes
+        if size_bytes and garbage_bytes / size_bytes >= min_fraction:
+            benefit = garbage_bytes / (live_bytes + FIXED_COST_BYTES)
+            if best is None or benefit > best[0]:
+                best = (benefit, segment.number)
     return best[1] if best is not None else None
--- a/gladewalk/store/file_system.py
+++ b/gladewalk/store/file_system.py
@@ -1,6 +1,6 @@
-"""The file layer: the few calls that a store makes of a disk, and nothing decided.
+"""File system access of the store: the calls it makes of one directory, without any decision.
 
-`Disk` is what stand-ins replace: they lose, tear and refuse as disks do (`rehearsal/baddisk.py`).
+Tests replace `FileSystem` by one that loses, tears and rejects writes (`rehearsal/faulty_disk.py`).
 """
 
 from __future__ import annotations
@@ -10,90 +10,120 @@
 from pathlib import Path
 from typing import Protocol
 
-from .record_format import Fault
+from .errors import StoreLockedError
 
+LOCK_FILE = "lock"
+_FILE_MODE = 0o600
 
-class Disk(Protocol):
-    """One folder. Every call may raise `OSError`; names are plain file names."""
 
-    def names(self) -> list[str]: ...
-    def read(self, name: str) -> bytes: ...
+class FileSystem(Protocol):
+    """One directory. Every call may raise `OSError`; names are plain file names."""
+
+    def list_names(self) -> list[str]:
+        """The store's files in ascending order."""
+
+    def read(self, name: str) -> bytes:
+        """A file's content."""
+
     def create(self, name: str) -> None:
-        """A new, empty file; what stood there before is gone."""
+        """Creates an empty file in place of any other of this name."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Writes all of `data` at a file's end."""
 
-    def append(self, name: str, data: bytes) -> None: ...
     def sync(self, name: str) -> None:
-        """On return all that was appended outlives a loss of power. After a failure nothing is known."""
+        """Makes all that was appended outlast a power loss; after a failure the content is unknown."""
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cuts a file to a size."""
+
+    def rename(self, old: str, new: str) -> None:
+        """Renames a file, replacing any other of the new name."""
+
+    def remove(self, name: str) -> None:
+        """Removes a file, if it is there."""
+
+    def sync_directory(self) -> None:
+        """Makes creations, renames and removals outlast a power loss."""
 
-    def cut(self, name: str, size: int) -> None: ...
-    def rename(self, old: str, new: str) -> None: ...
-    def remove(self, name: str) -> None: ...
-    def sync_names(self) -> None:
-        """On return creations, renames and removals outlive a loss of power."""
 
+class StoreDirectory:
+    """A directory of the operating system, locked by one process at a time.
 
-class Folder:
-    """A folder of the real file system, held by one process at a time."""
+    Raises `StoreLockedError` if another process holds the lock.
+    """
 
     def __init__(self, path: Path) -> None:
         self.path = path
         path.mkdir(parents=True, exist_ok=True)
-        self.open: dict[str, int] = {}
-        self.lock = os.open(path / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+        self._descriptors: dict[str, int] = {}
+        self._lock = os.open(path / LOCK_FILE, os.O_RDWR | os.O_CREAT, _FILE_MODE)
         try:
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
-            os.close(self.lock)
-            raise Fault(str(path), 0, "another process holds this store") from error
+            os.close(self._lock)
+            raise StoreLockedError(str(path), 0, "another process holds this store") from error
 
-    def names(self) -> list[str]:
-        return sorted(entry.name for entry in self.path.iterdir() if entry.is_file() and entry.name != "lock")
+    def list_names(self) -> list[str]:
+        """The regular files but the lock, in ascending order."""
+        return sorted(
+            entry.name for entry in self.path.iterdir() if entry.is_file() and entry.name != LOCK_FILE
+        )
 
     def read(self, name: str) -> bytes:
+        """A file's content."""
         return (self.path / name).read_bytes()
 
-    def _descriptor(self, name: str) -> int:
-        if name not in self.open:
-            self.open[name] = os.open(self.path / name, os.O_WRONLY | os.O_APPEND)
-        return self.open[name]
-
     def create(self, name: str) -> None:
-        self.forget(name)
+        """Creates an empty file in place of any other of this name, and keeps it open."""
+        self._close_file(name)
         flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND
-        self.open[name] = os.open(self.path / name, flags, 0o600)
+        self._descriptors[name] = os.open(self.path / name, flags, _FILE_MODE)
 
     def append(self, name: str, data: bytes) -> None:
-        view = memoryview(data)
-        while view:
-            view = view[os.write(self._descriptor(name), view) :]
+        """Writes all of `data` at a file's end."""
+        remaining = memoryview(data)
+        while remaining:
+            remaining = remaining[os.write(self._descriptor(name), remaining) :]
 
     def sync(self, name: str) -> None:
+        """Calls fsync(2) on a file."""
         os.fsync(self._descriptor(name))
 
-    def cut(self, name: str, size: int) -> None:
-        os.ftruncate(self._descriptor(name), size)
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cuts a file to a size."""
+        os.ftruncate(self._descriptor(name), size_bytes)
 
     def rename(self, old: str, new: str) -> None:
-        self.forget(old)
+        """Renames a file, replacing any other of the new name."""
+        self._close_file(old)
         os.rename(self.path / old, self.path / new)
 
     def remove(self, name: str) -> None:
-        self.forget(name)
+        """Removes a file, if it is there."""
+        self._close_file(name)
         (self.path / name).unlink(missing_ok=True)
 
-    def sync_names(self) -> None:
+    def sync_directory(self) -> None:
+        """Calls fsync(2) on the directory."""
         descriptor = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
         try:
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
 
-    def forget(self, name: str) -> None:
-        descriptor = self.open.pop(name, None)
+    def close(self) -> None:
+        """Closes all files and releases the lock."""
+        for name in list(self._descriptors):
+            self._close_file(name)
+        os.close(self._lock)
+
+    def _descriptor(self, name: str) -> int:
+        if name not in self._descriptors:
+            self._descriptors[name] = os.open(self.path / name, os.O_WRONLY | os.O_APPEND)
+        return self._descriptors[name]
+
+    def _close_file(self, name: str) -> None:
+        descriptor = self._descriptors.pop(name, None)
         if descriptor is not None:
             os.close(descriptor)
-
-    def close(self) -> None:
-        for name in list(self.open):
-            self.forget(name)
-        os.close(self.lock)
--- a/gladewalk/store/key_index.py
+++ b/gladewalk/store/key_index.py
@@ -1,128 +1,169 @@
-"""What a store holds: the latest value of each key, until it expires. No I/O.
+"""In-memory index of the store: the latest value of each key until it expires. No I/O.
 
-A key is a space and a text; values are bytes. Records are applied in whatever order their files are read: of
-two for one key the one of the later sequence counts. Memory: some 400 bytes a key beside key and value
-(`benchmarks/store.py` measures it).
+A key is a space and a text; values are bytes. As in Bitcask (Sheehy and Smith, 2010) all keys are in memory;
+here the values are, too. Records may be applied in any order: of two for one key the one with the higher
+sequence counts. Memory: some 400 bytes a key beside key and value (measured by `benchmarks/store.py`).
 """
 
 from __future__ import annotations
 
 import heapq
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import msgspec
 
-from .record_format import DELETE, PUT, Fault, Record
+from .errors import UnsupportedFormatError
+from .record_format import Record, RecordKind
 
-FOREVER = 0.0
+NEVER_EXPIRES = 0.0
 
 
-class Item(msgspec.Struct, frozen=True, array_like=True):
-    """A record's payload. `until_ms` by the Unix clock; 0: it does not expire."""
+class KeyValue(msgspec.Struct, frozen=True, array_like=True):
+    """A record's payload. `expires_at_ms` in Unix milliseconds; `NEVER_EXPIRES` if it doesn't."""
 
     space: str
     key: str
     value: bytes = b""
-    until_ms: float = FOREVER
+    expires_at_ms: float = NEVER_EXPIRES
+
+    def is_expired(self, now_ms: float) -> bool:
+        """Whether the value no longer counts."""
+        return self.expires_at_ms != NEVER_EXPIRES and now_ms >= self.expires_at_ms
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Item)
+_decoder = msgspec.msgpack.Decoder(KeyValue)
+
 
+def encode_key_value(key_value: KeyValue) -> bytes:
+    """Encodes a record's payload as a msgpack array."""
+    return _encoder.encode(key_value)
 
-def pack(item: Item) -> bytes:
-    return _encoder.encode(item)
 
+def decode_key_value(record: Record, file: str, offset: int) -> KeyValue:
+    """Decodes a record's payload.
 
-def unpack(record: Record, file: str, offset: int) -> Item:
-    """A record's item; its CRC was good, so what can't be read was written by another version."""
+    Raises `UnsupportedFormatError`: the checksum was valid, so another version wrote what can't be decoded.
+    """
     try:
-        item: Item = _decoder.decode(record.payload)
+        key_value: KeyValue = _decoder.decode(record.payload)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise Fault(file, offset, f"a record of another form: {error}") from error
-    return item
+        raise UnsupportedFormatError(file, offset, f"a record of another form: {error}") from error
+    return key_value
+
+
+class Change(NamedTuple):
+    """A record and its decoded payload."""
+
+    record: Record
+    key_value: KeyValue
 
 
 @dataclass(slots=True)
-class Held:
-    """A key's latest: `segment` is where its record lies, `size` its bytes there."""
+class IndexEntry:
+    """The latest change of a key: the segment that its record lies in, and the record's bytes there."""
 
-    item: Item
+    key_value: KeyValue
     sequence: int
     segment: int
-    size: int
-    deleted: bool = False
+    size_bytes: int
+    is_deleted: bool = False
 
 
-class State:
-    """The keys, and how much of each segment is still of use."""
+class KeyIndex:
+    """The latest entry of each key, and how many bytes of each segment are still live."""
 
     def __init__(self) -> None:
-        self.held: dict[tuple[str, str], Held] = {}
-        self.live: dict[int, int] = {}  # bytes of each segment's records that count
-        self.sequence = 0
-        self.ends: list[tuple[float, tuple[str, str]]] = []  # a heap of what expires, by when; some are stale
-
-    def apply(self, record: Record, item: Item, segment: int, size: int) -> bool:
-        """Whether it is the latest of its key; told records again change nothing."""
-        self.sequence = max(self.sequence, record.sequence)
-        slot = (item.space, item.key)
-        known = self.held.get(slot)
-        if known is not None and known.sequence > record.sequence:
+        self.entries: dict[tuple[str, str], IndexEntry] = {}
+        self.live_bytes: dict[int, int] = {}  # by segment
+        self.last_sequence = 0
+        self._expirations: list[
+            tuple[float, tuple[str, str]]
+        ] = []  # a heap; entries replaced since are stale
+
+    def apply(self, change: Change, segment: int, size_bytes: int) -> bool:
+        """Takes a change in, again without an effect; whether it is the latest of its key."""
+        record, key_value = change.record, change.key_value
+        self.last_sequence = max(self.last_sequence, record.sequence)
+        slot = (key_value.space, key_value.key)
+        before = self.entries.get(slot)
+        if before is not None and before.sequence > record.sequence:
             return False
-        if known is not None:
-            self.live[known.segment] = self.live.get(known.segment, 0) - known.size
-        deleted = record.kind == DELETE
-        self.held[slot] = Held(item, record.sequence, segment, size, deleted)
-        self.live[segment] = self.live.get(segment, 0) + size
-        if item.until_ms != FOREVER and not deleted and (known is None or known.sequence != record.sequence):
-            heapq.heappush(self.ends, (item.until_ms, slot))
+        if before is not None:
+            self._add_live_bytes(before.segment, -before.size_bytes)
+        is_deleted = record.kind == RecordKind.DELETE
+        self.entries[slot] = IndexEntry(key_value, record.sequence, segment, size_bytes, is_deleted)
+        self._add_live_bytes(segment, size_bytes)
+        is_new = before is None or before.sequence != record.sequence
+        if key_value.expires_at_ms != NEVER_EXPIRES and not is_deleted and is_new:
+            heapq.heappush(self._expirations, (key_value.expires_at_ms, slot))
         return True
 
+    def _add_live_bytes(self, segment: int, size_bytes: int) -> None:
+        self.live_bytes[segment] = self.live_bytes.get(segment, 0) + size_bytes
+
+    def move(self, change: Change, segment: int, size_bytes: int) -> None:
+        """Notes that a change was rewritten into another segment, if it still is the latest of its key."""
+        entry = self.entries.get((change.key_value.space, change.key_value.key))
+        if entry is not None and entry.sequence == change.record.sequence:
+            entry.segment, entry.size_bytes = segment, size_bytes
+            self._add_live_bytes(segment, size_bytes)
+
     def get(self, space: str, key: str, now_ms: float) -> bytes | None:
-        held = self.held.get((space, key))
-        if held is None or held.deleted or is_over(held.item, now_ms):
+        """The value of a key; None if it has none, or an expired one."""
+        entry = self.entries.get((space, key))
+        if entry is None or entry.is_deleted or entry.key_value.is_expired(now_ms):
             return None
-        return held.item.value
+        return entry.key_value.value
 
     def items(self, space: str, now_ms: float) -> dict[str, bytes]:
-        """All that a space holds now, by key."""
+        """All values of a space by key."""
         return {
-            key: held.item.value
-            for (of, key), held in self.held.items()
-            if of == space and not held.deleted and not is_over(held.item, now_ms)
+            key: entry.key_value.value
+            for (entry_space, key), entry in self.entries.items()
+            if entry_space == space and not entry.is_deleted and not entry.key_value.is_expired(now_ms)
         }
 
-    def drop_over(self, now_ms: float) -> int:
-        """Forget what has expired, and deletions of it: how many. Their records are garbage from now on.
+    def present(self) -> list[IndexEntry]:
+        """The entries that aren't deletions, expired ones included, in ascending order of sequences."""
+        entries = [entry for entry in self.entries.values() if not entry.is_deleted]
+        return sorted(entries, key=lambda entry: entry.sequence)
+
+    def drop_expired(self, now_ms: float) -> int:
+        """Removes expired entries, whose records are garbage from then on; returns how many.
 
-        A deletion is kept as long as an older segment may hold what it deletes: compaction forgets it.
+        Deletions stay while an older segment may hold what they delete: `forget_deletions` removes them.
         """
         count = 0
-        while self.ends and self.ends[0][0] <= now_ms:
-            _, slot = heapq.heappop(self.ends)
-            held = self.held.get(slot)
-            if held is not None and not held.deleted and is_over(held.item, now_ms):
-                del self.held[slot]
-                self.live[held.segment] = self.live.get(held.segment, 0) - held.size
+        while self._expirations and self._expirations[0][0] <= now_ms:
+            _, slot = heapq.heappop(self._expirations)
+            entry = self.entries.get(slot)
+            if entry is not None and not entry.is_deleted and entry.key_value.is_expired(now_ms):
+                del self.entries[slot]
+                self._add_live_bytes(entry.segment, -entry.size_bytes)
                 count += 1
         return count
 
-    def kept_of(self, upto: int, now_ms: float) -> list[tuple[Record, Item]]:
-        """What a compaction of all segments up to one has to write again, in the order of sequences.
+    def live_changes(self, through_segment: int, now_ms: float) -> list[Change]:
+        """What a compaction of all segments up to one has to rewrite, in ascending order of sequences.
 
         Deletions are left out: no older segment remains that could hold what they delete.
         """
-        kept = [held for held in self.held.values() if held.segment <= upto and not held.deleted]
-        alive = sorted((h for h in kept if not is_over(h.item, now_ms)), key=lambda held: held.sequence)
-        return [(Record(PUT, held.sequence, 0, pack(held.item)), held.item) for held in alive]
-
-    def forget_deleted(self, upto: int) -> None:
-        """After a compaction up to a segment: deletions in it have nothing left to delete."""
-        gone = [slot for slot, held in self.held.items() if held.deleted and held.segment <= upto]
-        for slot in gone:
-            del self.held[slot]
-
-
-def is_over(item: Item, now_ms: float) -> bool:
-    return item.until_ms != FOREVER and now_ms >= item.until_ms
+        return [
+            Change(
+                Record(RecordKind.PUT, entry.sequence, 0, encode_key_value(entry.key_value)), entry.key_value
+            )
+            for entry in self.present()
+            if entry.segment <= through_segment and not entry.key_value.is_expired(now_ms)
+        ]
+
+    def forget_deletions(self, through_segment: int) -> None:
+        """Removes the deletions in compacted segments, which have nothing left to delete."""
+        obsolete = [
+            slot
+            for slot, entry in self.entries.items()
+            if entry.is_deleted and entry.segment <= through_segment
+        ]
+        for slot in obsolete:
+            del self.entries[slot]
--- a/gladewalk/store/maintenance.py
+++ b/gladewalk/store/maintenance.py
@@ -1,126 +1,161 @@
-"""What an operator does with a store that nobody has open: look, dump, compact, repair."""
+"""Offline maintenance of a store that no process has open: check, dump, compact and repair.
+
+Each call locks the directory and raises `StoreLockedError` while a director has it open. `report` takes the
+lines that an operator reads.
+"""
 
 from __future__ import annotations
 
+import contextlib
 import json
 import time
 from collections.abc import Callable, Iterator
+from enum import IntEnum
 from pathlib import Path
 
-from .file_system import Folder
-from .record_format import Fault
-from .recovery import NAME, Recovered, read_only_head, recover, salvage
-from .segmented_log import Log
+from .errors import StoreFileError
+from .file_system import StoreDirectory
+from .key_index import IndexEntry
+from .recovery import SEGMENT_FILE, RecoveredStore, describe_header, recover_store, salvage_records
+from .segmented_log import SegmentedLog
 
-Say = Callable[[str], None]
-GOOD, FOUND, UNUSABLE = 0, 1, 2
+MAX_SALVAGE_DIRECTORIES = 1_000
+Report = Callable[[str], None]
 
 
-def now_ms() -> float:
-    return time.time() * 1000.0
+class ExitCode(IntEnum):
+    """Exit codes of the commands."""
 
+    OK = 0
+    FINDINGS = 1
+    UNUSABLE = 2
 
-def read_files(folder: Folder) -> dict[str, bytes]:
-    return {name: folder.read(name) for name in folder.names() if (folder.path / name).is_file()}
 
+def wall_clock_ms() -> float:
+    """Unix time in milliseconds."""
+    return time.time() * 1000.0
 
-def check(path: Path, say: Say) -> int:
-    """Every file in words; 1 if a write was cut, 2 if something that was acknowledged can't be read."""
-    folder = Folder(path)
-    try:
-        files = read_files(folder)
-        for name in sorted(files):
-            try:
-                words = read_only_head(files[name], name) if NAME.match(name) else "not a segment: left over"
-            except Fault as fault:
-                words = fault.why
-            say(f"{name}: {len(files[name])} bytes, {words}")
-        found = recover(files)
-    except Fault as fault:
-        say(f"damaged: {fault}")
-        return UNUSABLE
-    finally:
-        folder.close()
-    for name, offset, size in found.dropped:
-        say(f"{name}: at byte {offset}: {size} bytes of a write that was cut, never acknowledged")
-    say(f"{summary(found)}; up to sequence {found.state.sequence}")
-    return FOUND if found.dropped else GOOD
-
-
-def summary(found: Recovered) -> str:
-    held = [each for each in found.state.held.values() if not each.deleted]
-    return f"{len(held)} keys in {len(found.sizes)} segments of {sum(found.sizes.values())} bytes"
-
-
-def dump(path: Path) -> Iterator[str]:
-    """Each key as one JSON object; values that are no text in hexadecimal. `Fault` for a damaged store."""
-    folder = Folder(path)
-    try:
-        found = recover(read_files(folder))
-    finally:
-        folder.close()
-    for (space, key), held in sorted(found.state.held.items()):
-        if held.deleted:
-            continue
-        row: dict[str, object] = {"space": space, "key": key, "sequence": held.sequence}
-        if held.item.until_ms:
-            row["until_ms"] = held.item.until_ms
+
+def check_store(path: Path, report: Report) -> ExitCode:
+    """Reports each file; `FINDINGS` for a torn write, `UNUSABLE` if anything acknowledged is lost."""
+    with contextlib.closing(StoreDirectory(path)) as directory:
         try:
-            row["value"] = held.item.value.decode("utf-8")
-        except UnicodeDecodeError:
-            row["hex"] = held.item.value.hex()
-        yield json.dumps(row)
+            files = _read_files(directory)
+            for name in sorted(files):
+                report(f"{name}: {len(files[name])} bytes, {_describe_file(name, files[name])}")
+            found = recover_store(files)
+        except StoreFileError as error:
+            report(f"damaged: {error}")
+            return ExitCode.UNUSABLE
+    for tail in found.dropped:
+        loss = f"{tail.size_bytes} bytes of a write that was cut, never acknowledged"
+        report(f"{tail.file}: at byte {tail.offset}: {loss}")
+    report(f"{_summarize(found)}; up to sequence {found.index.last_sequence}")
+    return ExitCode.FINDINGS if found.dropped else ExitCode.OK
+
+
+def _read_files(directory: StoreDirectory) -> dict[str, bytes]:
+    return {name: directory.read(name) for name in directory.list_names()}
+
+
+def _describe_file(name: str, data: bytes) -> str:
+    if not SEGMENT_FILE.match(name):
+        return "not a segment: left over"
+    try:
+        return describe_header(data, name)
+    except StoreFileError as error:
+        return error.reason
 
 
-def compact(path: Path, say: Say) -> int:
-    """All segments into one."""
-    folder = Folder(path)
-    try:
-        log = Log(folder, now_ms)
-        before = log.size
-        if log.sizes:
-            log.state.drop_over(now_ms())
-            log.compact(max(log.sizes))
-        say(f"{before} bytes before, {log.size} now")
-    except Fault as fault:
-        say(f"damaged: {fault}")
-        return UNUSABLE
-    finally:
-        folder.close()
-    return GOOD
-
-
-def repair(path: Path, accept_loss: bool, say: Say) -> int:
-    """Tell what a damaged store still holds; with `accept_loss` make a store of it beside the old files."""
-    folder = Folder(path)
+def _summarize(found: RecoveredStore) -> str:
+    total_bytes = sum(segment.size_bytes for segment in found.segments.values())
+    return f"{len(found.index.present())} keys in {len(found.segments)} segments of {total_bytes} bytes"
+
+
+def dump_store(path: Path) -> Iterator[str]:
+    """Yields each key as one JSON object, values that aren't UTF-8 in hexadecimal.
+
+    Raises what `recover_store` does.
+    """
+    with contextlib.closing(StoreDirectory(path)) as directory:
+        found = recover_store(_read_files(directory))
+    for _, entry in sorted(found.index.entries.items(), key=lambda slot_and_entry: slot_and_entry[0]):
+        if not entry.is_deleted:
+            yield json.dumps(_dump_row(entry))
+
+
+def _dump_row(entry: IndexEntry) -> dict[str, object]:
+    key_value = entry.key_value
+    row: dict[str, object] = {"space": key_value.space, "key": key_value.key, "sequence": entry.sequence}
+    if key_value.expires_at_ms:
+        row["until_ms"] = key_value.expires_at_ms
     try:
-        files = read_files(folder)
+        row["value"] = key_value.value.decode("utf-8")
+    except UnicodeDecodeError:
+        row["hex"] = key_value.value.hex()
+    return row
+
+
+def compact_store(path: Path, report: Report) -> ExitCode:
+    """Rewrites all segments into one; `UNUSABLE` for a damaged store."""
+    with contextlib.closing(StoreDirectory(path)) as directory:
+        try:
+            log = SegmentedLog(directory, wall_clock_ms)
+            bytes_before = log.total_bytes
+            if log.segments:
+                log.index.drop_expired(wall_clock_ms())
+                log.compact(max(log.segments))
+        except StoreFileError as error:
+            report(f"damaged: {error}")
+            return ExitCode.UNUSABLE
+        report(f"{bytes_before} bytes before, {log.total_bytes} now")
+    return ExitCode.OK
+
+
+def repair_store(path: Path, is_loss_accepted: bool, report: Report) -> ExitCode:
+    """Reports what a damaged store still holds; if `is_loss_accepted`, makes a store of it.
+
+    The old files stay in a directory beside the new ones.
+    """
+    with contextlib.closing(StoreDirectory(path)) as directory:
+        files = _read_files(directory)
         try:
-            recover(files)
-        except Fault as fault:
-            say(f"damaged: {fault}")
+            recover_store(files)
+        except StoreFileError as error:
+            report(f"damaged: {error}")
         else:
-            say("nothing to repair")
-            return GOOD
-        found = salvage(files)
-        for loss in found.losses:
-            say(loss)
-        kept = sum(not held.deleted for held in found.state.held.values())
-        say(f"{found.records} whole records, {kept} keys; a key whose last record is lost has an older value")
-        if not accept_loss:
-            say("nothing was changed; --accept-loss makes a store of what is left")
-            return FOUND
-        beside = next(p for n in range(1_000) if not (p := path / f"damaged-{n}").exists())
-        beside.mkdir()
-        for name in files:
-            (path / name).rename(beside / name)
-        folder.sync_names()
-        log = Log(folder, now_ms)
-        for held in sorted(found.state.held.values(), key=lambda held: held.sequence):
-            if not held.deleted:
-                log.put(held.item.space, held.item.key, held.item.value, held.item.until_ms)
-                log.commit()
-        say(f"a store of {kept} keys; the old files are in {beside}")
-        return FOUND
-    finally:
-        folder.close()
+            report("nothing to repair")
+            return ExitCode.OK
+        salvaged = salvage_records(files)
+        for loss in salvaged.losses:
+            report(loss)
+        entries = salvaged.index.present()
+        consequence = "a key whose last record is lost has an older value"
+        report(f"{salvaged.record_count} whole records, {len(entries)} keys; {consequence}")
+        if not is_loss_accepted:
+            report("nothing was changed; --accept-loss makes a store of what is left")
+            return ExitCode.FINDINGS
+        moved_to = _move_aside(directory, list(files))
+        _write_entries(directory, entries)
+        report(f"a store of {len(entries)} keys; the old files are in {moved_to}")
+        return ExitCode.FINDINGS
+
+
+def _move_aside(directory: StoreDirectory, names: list[str]) -> Path:
+    """Moves files into the first free `damaged-N` directory."""
+    candidates = (directory.path / f"damaged-{number}" for number in range(MAX_SALVAGE_DIRECTORIES))
+    target = next(candidate for candidate in candidates if not candidate.exists())
+    target.mkdir()
+    for name in names:
+        (directory.path / name).rename(target / name)
+    directory.sync_directory()
+    return target
+
+
+def _write_entries(directory: StoreDirectory, entries: list[IndexEntry]) -> None:
+    """Writes entries one commit each, so that their number has no bound by what may be pending."""
+    log = SegmentedLog(directory, wall_clock_ms)
+    for entry in entries:
+        key_value = entry.key_value
+        log.put(key_value.space, key_value.key, key_value.value, key_value.expires_at_ms)
+        log.commit()
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -15,8 +15,9 @@
 from ..options import Options
 from . import dns_lease_rows as leases
 from . import warm_start as warm
-from .file_system import Folder
-from .record_format import PAYLOAD_MOST, Fault
+from .errors import StoreFileError
+from .file_system import StoreDirectory
+from .record_format import MAX_PAYLOAD_BYTES
 from .row_codecs import (
     FEED,
     PURGES,
@@ -31,8 +32,8 @@
     servers_of,
     unlisted,
 )
-from .segmented_log import Log, Terms
-from .writer import Writer
+from .segmented_log import LogConfig, SegmentedLog
+from .writer import StoreWriter
 
 
 class Keeper:
@@ -50,13 +51,14 @@
         self.settle_ms, self.clock, self.counters, self.say = settle_ms, clock, counters, say
         path = options.file(table.folder)
         try:
-            self.folder = Folder(path)
-            self.log = Log(self.folder, clock, Terms(table.segment_bytes, table.limit_bytes))
-        except (Fault, OSError) as error:
+            self.folder = StoreDirectory(path)
+            self.log = SegmentedLog(self.folder, clock, LogConfig(table.segment_bytes, table.limit_bytes))
+        except (StoreFileError, OSError) as error:
             raise ConfigError(f"{options.path}: store.folder: {error}") from error
-        for name, offset, size in self.log.recovered.dropped:
-            say("store dropped a cut write", f"{name}: at byte {offset}: {size} bytes, never acknowledged")
-        self.writer = Writer(self.log, table.policy, table.group_ms, counters, say)
+        for tail in self.log.recovered.dropped:
+            why = f"{tail.file}: at byte {tail.offset}: {tail.size_bytes} bytes, never acknowledged"
+            say("store dropped a cut write", why)
+        self.writer = StoreWriter(self.log, table.policy, table.group_ms, counters, say)
 
     def restore(self, feed: Feed) -> None:
         """What the last run knew: into the module before anything is served."""
@@ -109,7 +111,7 @@
             key, value = warm.SOURCES, warm.sources_row(core, now)
         else:
             key, value = f"{warm.OBJECTS}-{self.part}", warm.objects_row(core, self.part, now)
-        if len(value) <= PAYLOAD_MOST // 2:
+        if len(value) <= MAX_PAYLOAD_BYTES // 2:
             self.writer.put(warm.SPACE, key, value, now + warm.FRESH_MS)
         self.deadlines.add(now + self.warm_ms / (warm.PARTS + 1), self._keep_warm)
 
@@ -118,14 +120,15 @@
         log = self.log
         purges = [
             key
-            for (space, key), held in log.state.held.items()
-            if space == PURGES and not held.deleted and held.sequence <= log.durable
+            for (space, key), held in log.index.entries.items()
+            if space == PURGES and not held.is_deleted and held.sequence <= log.durable_sequence
         ]
         return {
             "policy": self.writer.policy, "feed": self.position.index,
-            "durable": log.durable, "sequence": log.state.sequence, "keys": len(log.state.held),
-            "bytes": log.size, "segments": len(log.sizes), "compactions": log.compactions,
-            "refused_by_disk": self.writer.failing, "purges": sorted(purges),
+            "durable": log.durable_sequence, "sequence": log.index.last_sequence,
+            "keys": len(log.index.entries),
+            "bytes": log.total_bytes, "segments": len(log.segments), "compactions": log.compaction_count,
+            "refused_by_disk": self.writer.is_failing, "purges": sorted(purges),
         }  # fmt: skip
 
     def note(self, index: int, event: dict[str, Any]) -> None:
--- a/gladewalk/store/record_format.py
+++ b/gladewalk/store/record_format.py
@@ -1,11 +1,13 @@
-"""How records lie in a segment, and what can be read of one that was cut or spoilt. No I/O.
+"""Binary format of segment files: headers, records and the scan of a truncated or corrupt file. No I/O.
 
-    segment:  magic (8)  version (2)  flags (2)  number (8)  covers (8)  first (8)  count (8)  CRC32C (4)
-    record:   mark (2)  kind (1)  length (4)  sequence (8)  durable (8)  CRC32C (4)  payload
+    header:  magic (8)  version (2)  flags (2)  number (8)  covers through (8)  first sequence (8)
+             record count (8)  CRC32C (4)
+    record:  marker (2)  kind (1)  payload length (4)  sequence (8)  durable sequence (8)  CRC32C (4)  payload
 
-All little-endian. A CRC is over all that stands before it and, for a record, the payload. `durable` is the
-highest sequence that was known to be on the disk when the record was written, `first` the sequence that a
-segment's records begin at: by these `recovery` tells what was acknowledged and lost from what never was.
+Sizes in bytes, all integers little-endian. A CRC32C (RFC 3720, appendix B.4) covers everything before it and,
+for a record, the payload. `durable sequence` is the highest sequence known to be on the disk when the record
+was written, `first sequence` the one at which a segment's records begin: from these two, `recovery` tells the
+loss of an acknowledged record from that of an unacknowledged one.
 """
 
 from __future__ import annotations
@@ -13,134 +15,168 @@
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
 
 import crc32c
 
+from .errors import PayloadTooLargeError, SegmentHeaderError, UnsupportedFormatError
+
 MAGIC = b"GLWSTORE"
-VERSION = 1  # written; each segment has its own, so that a store turns into the next by compaction
-READS = frozenset((1,))  # a later program goes on reading these, and their records by these rules
+FORMAT_VERSION = 1  # of new segments; old ones keep theirs until a compaction rewrites them
+READABLE_VERSIONS = frozenset((1,))
 HEADER = struct.Struct("<8sHHQQQQI")
-HEADER_BODY = struct.Struct("<8sHHQQQQ")
 RECORD = struct.Struct("<2sBIQQI")
-BODY = struct.Struct("<2sBIQQ")
-MARK = b"\xa7\x5c"
-PAYLOAD_MOST = 1024 * 1024  # bytes
-PUT, DELETE = 1, 2
-KINDS = (PUT, DELETE)
+RECORD_MARKER = b"\xa7\x5c"
+MAX_PAYLOAD_BYTES = 1024 * 1024
+_HEADER_WITHOUT_CRC = struct.Struct("<8sHHQQQQ")
+_RECORD_WITHOUT_CRC = struct.Struct("<2sBIQQ")
+_CRC = struct.Struct("<I")
+_VERSION_OFFSET = 8  # behind the magic
 
 
-class Fault(Exception):
-    """The store's own error: a file that can't be believed, with its name and offset."""
+class RecordKind(IntEnum):
+    """What a record does to its key; the value is stored."""
 
-    def __init__(self, file: str, offset: int, why: str) -> None:
-        super().__init__(f"{file}: at byte {offset}: {why}")
-        self.file, self.offset, self.why = file, offset, why
+    PUT = 1
+    DELETE = 2
 
 
-class BadHead(Fault):
-    """A header that is none: of a segment that was just being created, or of one that has rotted."""
+_STORED_KINDS = frozenset(kind.value for kind in RecordKind)
 
 
 @dataclass(slots=True, frozen=True)
-class Head:
+class SegmentHeader:
     """A segment's header.
 
-    `covers`: compacted, it stands for all segments up to this number, with `count` records, and `first` is
-    the sequence behind all that it stands for. 0: a plain one, whose records begin at `first`.
+    A compacted segment replaces all segments up to `covers_through`, holds `record_count` records, and
+    `first_sequence` is the one that follows everything it replaces. A plain segment has `covers_through` 0,
+    and its records begin at `first_sequence`.
     """
 
     number: int
-    covers: int = 0
-    first: int = 1
-    count: int = 0
+    covers_through: int = 0
+    first_sequence: int = 1
+    record_count: int = 0
+
+    @property
+    def is_compacted(self) -> bool:
+        """Whether the segment replaces older ones."""
+        return self.covers_through != 0
 
 
 @dataclass(slots=True, frozen=True)
 class Record:
+    """One change of a key. `kind` is a `RecordKind`, as the stored integer."""
+
     kind: int
     sequence: int
-    durable: int
+    durable_sequence: int
     payload: bytes
 
 
+class LocatedRecord(NamedTuple):
+    """A record and the offset in its file behind it."""
+
+    record: Record
+    end_offset: int
+
+
 @dataclass(slots=True)
-class Scanned:
-    """What a segment holds: records with the offsets behind them, and where its good part ends."""
+class SegmentScan:
+    """What a segment holds up to the first record that can't be read."""
+
+    header: SegmentHeader
+    records: list[LocatedRecord]
+    valid_bytes: int
+    dropped_bytes: int  # behind the valid ones
+    durable_sequence_in_dropped: int  # the highest that a valid record among these names; 0: none is there
 
-    head: Head
-    records: list[tuple[Record, int]]
-    good: int  # bytes that can be read
-    dropped: int  # bytes behind them
-    known_behind: int  # the highest `durable` of good records somewhere in these; 0: there are none
 
+def encode_header(header: SegmentHeader) -> bytes:
+    """Encodes a header in the current format version."""
+    body = _HEADER_WITHOUT_CRC.pack(
+        MAGIC, FORMAT_VERSION, 0, header.number, header.covers_through, header.first_sequence,
+        header.record_count,
+    )  # fmt: skip
+    return body + _CRC.pack(crc32c.crc32c(body))
 
-def write_head(head: Head) -> bytes:
-    body = HEADER_BODY.pack(MAGIC, VERSION, 0, head.number, head.covers, head.first, head.count)
-    return body + struct.pack("<I", crc32c.crc32c(body))
 
+def encode_record(record: Record) -> bytes:
+    """Encodes a record. Raises `PayloadTooLargeError` for a payload over `MAX_PAYLOAD_BYTES`."""
+    if len(record.payload) > MAX_PAYLOAD_BYTES:
+        raise PayloadTooLargeError(f"a payload of {len(record.payload)} bytes")
+    body = _RECORD_WITHOUT_CRC.pack(
+        RECORD_MARKER, record.kind, len(record.payload), record.sequence, record.durable_sequence
+    )
+    return body + _CRC.pack(crc32c.crc32c(record.payload, crc32c.crc32c(body))) + record.payload
 
-def write_record(record: Record) -> bytes:
-    if len(record.payload) > PAYLOAD_MOST:
-        raise ValueError(f"a payload of {len(record.payload)} bytes")
-    body = BODY.pack(MARK, record.kind, len(record.payload), record.sequence, record.durable)
-    return body + struct.pack("<I", crc32c.crc32c(record.payload, crc32c.crc32c(body))) + record.payload
 
+def decode_header(data: bytes, file: str) -> SegmentHeader | None:
+    """Decodes a segment's header; None if the file ends within it.
 
-def read_head(data: bytes, file: str) -> Head | None:
-    """A segment's header; None where the file ends within it. `Fault` for another version, or for rot."""
+    Raises `SegmentHeaderError` if it is corrupt, `UnsupportedFormatError` for an unknown version.
+    """
     if len(data) < HEADER.size:
         if not MAGIC.startswith(data[: len(MAGIC)]):
-            raise BadHead(file, 0, "no segment of a store")
+            raise SegmentHeaderError(file, 0, "no segment of a store")
         return None
-    magic, version, _, number, covers, first, count, crc = HEADER.unpack_from(data)
+    magic, version, _, number, covers_through, first_sequence, record_count, crc = HEADER.unpack_from(data)
     if magic != MAGIC:
-        raise BadHead(file, 0, "no segment of a store")
-    if crc32c.crc32c(data[: HEADER.size - 4]) != crc:
-        raise BadHead(file, 0, "its header is spoilt")
-    if version not in READS:
-        reads = ", ".join(map(str, sorted(READS)))
-        raise Fault(file, 8, f"written in format {version}, this program reads {reads}")
-    return Head(number, covers, first, count)
-
-
-def read_record(data: bytes, offset: int) -> tuple[Record, int] | None:
-    """The record at an offset and the offset behind it; None where there is no whole, good one."""
+        raise SegmentHeaderError(file, 0, "no segment of a store")
+    if crc32c.crc32c(data[: _HEADER_WITHOUT_CRC.size]) != crc:
+        raise SegmentHeaderError(file, 0, "its header is spoilt")
+    if version not in READABLE_VERSIONS:
+        readable = ", ".join(map(str, sorted(READABLE_VERSIONS)))
+        reason = f"written in format {version}, this program reads {readable}"
+        raise UnsupportedFormatError(file, _VERSION_OFFSET, reason)
+    return SegmentHeader(number, covers_through, first_sequence, record_count)
+
+
+def decode_record(data: bytes, offset: int) -> LocatedRecord | None:
+    """Decodes the record at an offset; None if there is no complete, valid one."""
     if offset + RECORD.size > len(data):
         return None
-    mark, kind, length, sequence, durable, crc = RECORD.unpack_from(data, offset)
+    marker, kind, length, sequence, durable_sequence, crc = RECORD.unpack_from(data, offset)
     end = offset + RECORD.size + length
-    if mark != MARK or kind not in KINDS or length > PAYLOAD_MOST or end > len(data):
+    if marker != RECORD_MARKER or kind not in _STORED_KINDS:
+        return None
+    if length > MAX_PAYLOAD_BYTES or end > len(data):
         return None
     payload = data[offset + RECORD.size : end]
-    if crc32c.crc32c(payload, crc32c.crc32c(data[offset : offset + BODY.size])) != crc:
+    body_crc = crc32c.crc32c(data[offset : offset + _RECORD_WITHOUT_CRC.size])
+    if crc32c.crc32c(payload, body_crc) != crc:
         return None
-    return Record(kind, sequence, durable, payload), end
+    return LocatedRecord(Record(kind, sequence, durable_sequence, payload), end)
 
 
-def records_behind(data: bytes, offset: int) -> Iterator[Record]:
-    """Whatever good records lie somewhere behind a bad one: sought by their mark."""
-    place = data.find(MARK, offset + 1) if offset < len(data) else -1
+def find_records_after(data: bytes, offset: int) -> Iterator[Record]:
+    """Yields the valid records anywhere behind a corrupt one, found by their marker."""
+    place = data.find(RECORD_MARKER, offset + 1) if offset < len(data) else -1
     while place >= 0:
-        found = read_record(data, place)
+        found = decode_record(data, place)
         if found is None:
-            place = data.find(MARK, place + 1)
+            place = data.find(RECORD_MARKER, place + 1)
         else:
-            yield found[0]
-            place = data.find(MARK, found[1])
+            yield found.record
+            place = data.find(RECORD_MARKER, found.end_offset)
+
 
+def scan_segment(data: bytes, file: str) -> SegmentScan | None:
+    """Reads a segment's records in order up to the first invalid one; None if it ends within its header.
 
-def scan(data: bytes, file: str) -> Scanned | None:
-    """A segment's records in order, up to the first that can't be read; None: it ends within its header."""
-    head = read_head(data, file)
-    if head is None:
+    Raises what `decode_header` does.
+    """
+    header = decode_header(data, file)
+    if header is None:
         return None
-    found: list[tuple[Record, int]] = []
+    records: list[LocatedRecord] = []
     offset = HEADER.size
     while offset < len(data):
-        next_one = read_record(data, offset)
-        if next_one is None:
+        located = decode_record(data, offset)
+        if located is None:
             break
-        found.append(next_one)
-        offset = next_one[1]
-    known = max((record.durable for record in records_behind(data, offset)), default=0)
-    return Scanned(head, found, offset, len(data) - offset, known)
+        records.append(located)
+        offset = located.end_offset
+    durable = max((record.durable_sequence for record in find_records_after(data, offset)), default=0)
+    return SegmentScan(header, records, offset, len(data) - offset, durable)
--- a/gladewalk/store/segmented_log.py
+++ b/gladewalk/store/segmented_log.py
@@ -1,8 +1,9 @@
-"""A store on a disk: puts are written, made durable, and only then acknowledged; old segments are compacted.
+"""Log-structured store: changes are appended to segments, made durable, and only then acknowledged.
 
-Synchronous, and called from one thread. An `OSError` of the disk ends nothing: what was not acknowledged
-stays to be written again, into a new segment. A file whose sync has failed is never written or synced again,
-since nobody knows what of it is on the disk.
+Synchronous, and called from one thread. An `OSError` of the disk loses nothing: changes that were not
+acknowledged are written again, into a new segment. A file whose sync failed is never written or synced again,
+since what of it is on the disk is unknown (Rebello et al., "Can Applications Recover from fsync Failures?",
+2020).
 """
 
 from __future__ import annotations
@@ -10,235 +11,216 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from .compaction_policy import Segment, prefix_to_compact, wants_new_segment
-from .file_system import Disk
-from .key_index import FOREVER, Item, State, pack
-from .record_format import DELETE, HEADER, PUT, Head, Record, write_head, write_record
-from .recovery import Recovered, name_of, recover
-
-PENDING_MOST = 4 * 1024 * 1024  # bytes that wait for a disk: more are refused, which bounds memory
-TEMPORARY = "compacting.tmp"
-
-
-class StoreFull(Exception):
-    """Too much waits for a disk that takes nothing; the put was not taken."""
-
-
-@dataclass(slots=True)
-class Terms:
-    segment_most: int = 1024 * 1024  # bytes, after which a new segment is begun
-    limit: int = 64 * 1024 * 1024  # bytes on disk that compaction keeps the store under
-
-
-@dataclass(slots=True)
-class Batch:
-    """Records on their way to a segment. `write` is all that is done to the disk; it touches nothing else."""
-
-    number: int
-    name: str
-    create: bytes | None  # the header of a segment that is begun with it
-    data: list[bytes]
-    records: list[tuple[Record, Item]]
-    sync: bool = True
-
-    def write(self, disk: Disk) -> None:
-        if self.create is not None:
-            disk.create(self.name)
-            disk.append(self.name, self.create)
-            disk.sync(self.name)  # a header that is torn shows that nothing was ever behind it
-            disk.sync_names()  # before anything in it is acknowledged
-        disk.append(self.name, b"".join(self.data))
-        if self.sync:
-            disk.sync(self.name)
-
-
-@dataclass(slots=True)
-class Compaction:
-    """A segment that takes the place of others."""
-
-    upto: int
-    name: str
-    first: int
-    head: bytes
-    data: list[bytes]
-    kept: list[tuple[Record, Item]]
-    old: list[int]
-    gone: list[str]
-
-    def write(self, disk: Disk) -> None:
-        disk.create(TEMPORARY)
-        disk.append(TEMPORARY, self.head + b"".join(self.data))
-        disk.sync(TEMPORARY)
-        disk.rename(TEMPORARY, self.name)
-        disk.sync_names()  # before anything that it stands for is removed
-
-    def clear_away(self, disk: Disk) -> None:
-        for name in self.gone:
-            disk.remove(name)
-        disk.sync_names()
-
-
-class Log:
-    """`put` and `delete` take effect in memory at once; `commit` makes them last."""
-
-    def __init__(self, disk: Disk, clock: Callable[[], float], terms: Terms | None = None) -> None:
-        self.disk, self.clock, self.terms = disk, clock, terms or Terms()
-        self.recovered: Recovered = recover({name: disk.read(name) for name in disk.names()})
-        self.state: State = self.recovered.state
-        self.sizes, self.names = dict(self.recovered.sizes), dict(self.recovered.names)
-        self.firsts = dict(self.recovered.firsts)
+from .compaction_policy import SegmentUsage, choose_compaction_prefix, is_segment_full
+from .disk_writes import Compaction, WriteBatch
+from .errors import StoreFullError
+from .file_system import FileSystem
+from .key_index import NEVER_EXPIRES, Change, KeyValue, encode_key_value
+from .record_format import HEADER, Record, RecordKind, SegmentHeader, encode_header, encode_record
+from .recovery import RecoveredStore, Segment, recover_store, segment_file_name
+
+MAX_PENDING_BYTES = 4 * 1024 * 1024  # of payloads that wait for the disk, which bounds memory
+_NO_SEGMENT = -1  # of changes that are not yet written
+
+
+@dataclass(slots=True, frozen=True)
+class LogConfig:
+    """Size limits in bytes: a segment that reaches its limit is sealed, compaction keeps the total."""
+
+    max_segment_bytes: int = 1024 * 1024
+    max_total_bytes: int = 64 * 1024 * 1024
+
+
+class SegmentedLog:
+    """One store in one directory: `put` and `delete` take effect in memory at once, `commit` on the disk.
+
+    `clock` returns Unix milliseconds. Opening raises what `recover_store` does, and `OSError`.
+    """
+
+    def __init__(
+        self, file_system: FileSystem, clock: Callable[[], float], config: LogConfig | None = None
+    ) -> None:
+        self.file_system, self.clock, self.config = file_system, clock, config or LogConfig()
+        contents = {name: file_system.read(name) for name in file_system.list_names()}
+        self.recovered: RecoveredStore = recover_store(contents)
+        self.index, self.segments = self.recovered.index, dict(self.recovered.segments)
         self.next_number = self.recovered.next_number
-        self.durable = self.state.sequence
-        self.pending: list[tuple[Record, Item]] = []
-        self.flying: Batch | None = None
-        self.waiting = 0  # bytes of these
-        self.open: int | None = None  # the segment that is written to
-        self.compactions = self.written = 0
-        self._settle()
-
-    def _settle(self) -> None:
-        """Make what was found durable before anything builds on it, and clear away what nothing needs."""
-        if self.recovered.last is not None:
-            name, good = self.recovered.last
-            if any(file == name for file, _, _ in self.recovered.dropped):
-                self.disk.cut(name, good)
-            self.disk.sync(name)
-        for name in self.recovered.useless:
-            self.disk.remove(name)
-        self.disk.sync_names()
-
-    # What is told.
-
-    def put(self, space: str, key: str, value: bytes, until_ms: float = FOREVER) -> int:
-        """The sequence that `commit` must reach for it to last."""
-        return self._add(PUT, Item(space, key, value, until_ms))
+        self.durable_sequence = self.index.last_sequence
+        self.pending: list[Change] = []
+        self.in_flight: WriteBatch | None = None
+        self.compaction_count = self.written_bytes = 0
+        self._pending_bytes = 0
+        self._open_segment: int | None = None  # the one that is appended to; all others are sealed
+        self._finish_recovery()
+
+    def _finish_recovery(self) -> None:
+        """Makes what was recovered durable before anything builds on it, and removes obsolete files."""
+        newest = self.recovered.newest
+        if newest is not None:
+            if any(tail.file == newest.file for tail in self.recovered.dropped):
+                self.file_system.truncate(newest.file, newest.size_bytes)
+            self.file_system.sync(newest.file)
+        for name in self.recovered.obsolete_files:
+            self.file_system.remove(name)
+        self.file_system.sync_directory()
+
+    # Reads and changes.
+
+    def put(self, space: str, key: str, value: bytes, expires_at_ms: float = NEVER_EXPIRES) -> int:
+        """Sets a value; returns the sequence that must become durable for it to last.
+
+        Raises `StoreFullError` if over `MAX_PENDING_BYTES` would wait for the disk.
+        """
+        return self._add(RecordKind.PUT, KeyValue(space, key, value, expires_at_ms))
 
     def delete(self, space: str, key: str) -> int:
-        return self._add(DELETE, Item(space, key))
-
-    def _add(self, kind: int, item: Item) -> int:
-        payload = pack(item)
-        if self.waiting + len(payload) > PENDING_MOST:
-            raise StoreFull(f"{len(self.pending)} records wait for the disk")
-        record = Record(kind, self.state.sequence + 1, 0, payload)
-        self.pending.append((record, item))
-        self.waiting += len(payload)
-        # Its segment is known when it is written; until then it counts nowhere.
-        self.state.apply(record, item, -1, 0)
-        return record.sequence
+        """Removes a value; returns and raises as `put`."""
+        return self._add(RecordKind.DELETE, KeyValue(space, key))
+
+    def _add(self, kind: RecordKind, key_value: KeyValue) -> int:
+        payload = encode_key_value(key_value)
+        if self._pending_bytes + len(payload) > MAX_PENDING_BYTES:
+            raise StoreFullError(f"{len(self.pending)} records wait for the disk")
+        change = Change(Record(kind, self.index.last_sequence + 1, 0, payload), key_value)
+        self.pending.append(change)
+        self._pending_bytes += len(payload)
+        self.index.apply(change, _NO_SEGMENT, 0)
+        return change.record.sequence
 
     def get(self, space: str, key: str) -> bytes | None:
-        return self.state.get(space, key, self.clock())
+        """The value of a key; None if it has none, or an expired one."""
+        return self.index.get(space, key, self.clock())
 
     def items(self, space: str) -> dict[str, bytes]:
-        return self.state.items(space, self.clock())
+        """All values of a space by key."""
+        return self.index.items(space, self.clock())
+
+    # Commits. What a batch does to the disk may run in another thread; the rest stays in the caller's.
 
-    # What lasts. A batch is prepared and ended here; what it does to the disk may run in another thread.
+    def prepare_batch(self, is_synced: bool = True) -> WriteBatch | None:
+        """All pending changes, encoded; None if there are none.
 
-    def prepare(self, sync: bool = True) -> Batch | None:
-        """All that waits, ready to be written. One batch at a time, to be ended by `done` or `failed`."""
-        assert self.flying is None
+        One batch at a time, to be ended by `complete_batch` or `fail_batch`.
+        """
+        assert self.in_flight is None
         if not self.pending:
             return None
-        create = None
-        if self.open is None or wants_new_segment(self.sizes[self.open], self.terms.segment_most):
-            self.open = self.next_number
-            self.next_number += 1  # even if this fails: a number is used once
-            self.names[self.open], self.sizes[self.open] = name_of(self.open), HEADER.size
-            self.firsts[self.open] = self.durable + 1
-            create = write_head(Head(self.open, first=self.durable + 1))
-        data = [write_record(replace(record, durable=self.durable)) for record, _ in self.pending]
-        self.flying = Batch(self.open, self.names[self.open], create, data, self.pending, sync)
-        self.pending, self.waiting = [], 0
-        return self.flying
-
-    def done(self, batch: Batch) -> int:
-        """It is on the disk: the highest durable sequence."""
-        self.flying = None
-        for (record, item), written in zip(batch.records, batch.data, strict=True):
-            self.state.apply(record, item, batch.number, len(written))
-            self.sizes[batch.number] += len(written)
-            self.written += len(written)
-        self.durable = batch.records[-1][0].sequence
-        return self.durable
-
-    def failed(self, batch: Batch) -> None:
-        """The disk refused: all of it waits again, for another segment. What is in this one stays."""
-        self.flying, self.open = None, None
-        self.pending = batch.records + self.pending
-        self.waiting = sum(len(record.payload) for record, _ in self.pending)
-        if batch.create is not None:  # perhaps not even its header is there
-            del self.sizes[batch.number], self.names[batch.number], self.firsts[batch.number]
+        segment, new_header = self._segment_to_append()
+        encoded = self._encode(self.pending)
+        self.in_flight = WriteBatch(
+            segment.number, segment.file, new_header, encoded, self.pending, is_synced
+        )
+        self.pending, self._pending_bytes = [], 0
+        return self.in_flight
+
+    def _segment_to_append(self) -> tuple[Segment, bytes | None]:
+        """The open segment, or a new one and its header."""
+        if self._open_segment is not None:
+            segment = self.segments[self._open_segment]
+            if not is_segment_full(segment.size_bytes, self.config.max_segment_bytes):
+                return segment, None
+        number = self.next_number
+        self.next_number += 1  # even if the batch fails: a number is used once
+        first_sequence = self.durable_sequence + 1
+        segment = Segment(number, segment_file_name(number), HEADER.size, first_sequence)
+        self.segments[number], self._open_segment = segment, number
+        return segment, encode_header(SegmentHeader(number, first_sequence=first_sequence))
+
+    def _encode(self, changes: list[Change]) -> list[bytes]:
+        durable = self.durable_sequence
+        return [encode_record(replace(change.record, durable_sequence=durable)) for change in changes]
+
+    def complete_batch(self, batch: WriteBatch) -> int:
+        """Notes that a batch is on the disk; returns the highest durable sequence."""
+        self.in_flight = None
+        segment = self.segments[batch.segment]
+        for change, encoded in zip(batch.changes, batch.encoded, strict=True):
+            self.index.apply(change, batch.segment, len(encoded))
+            segment.size_bytes += len(encoded)
+            self.written_bytes += len(encoded)
+        self.durable_sequence = batch.changes[-1].record.sequence
+        return self.durable_sequence
+
+    def fail_batch(self, batch: WriteBatch) -> None:
+        """Notes that the disk rejected a batch: it waits again, for another segment."""
+        self.in_flight, self._open_segment = None, None
+        self.pending = batch.changes + self.pending
+        self._pending_bytes = sum(len(change.record.payload) for change in self.pending)
+        if batch.new_header is not None:  # perhaps not even its header is there
+            del self.segments[batch.segment]
 
     def commit(self) -> int:
-        """Write and sync all that waits: the highest durable sequence. An `OSError` leaves it waiting."""
-        batch = self.prepare()
+        """Writes and syncs all pending changes; returns the highest durable sequence.
+
+        Raises `OSError`, and then they are still pending.
+        """
+        batch = self.prepare_batch()
         if batch is None:
-            return self.durable
+            return self.durable_sequence
         try:
-            batch.write(self.disk)
+            batch.write(self.file_system)
         except OSError:
-            self.failed(batch)
+            self.fail_batch(batch)
             raise
-        return self.done(batch)
+        return self.complete_batch(batch)
 
     # Compaction.
 
     @property
-    def size(self) -> int:
-        return sum(self.sizes.values())
+    def total_bytes(self) -> int:
+        """Bytes on disk of all segments in force."""
+        return sum(segment.size_bytes for segment in self.segments.values())
 
-    def wanted(self) -> int | None:
-        """The number up to which to compact now, if it is worth it."""
-        self.state.drop_over(self.clock())
+    def choose_compaction(self) -> int | None:
+        """The segment up to which to compact now, or None; drops expired entries first."""
+        self.index.drop_expired(self.clock())
         sealed = [
-            Segment(number, size, self.state.live.get(number, 0))
-            for number, size in sorted(self.sizes.items())
-            if number != self.open
+            SegmentUsage(number, segment.size_bytes, self.index.live_bytes.get(number, 0))
+            for number, segment in sorted(self.segments.items())
+            if number != self._open_segment
         ]
-        return prefix_to_compact(sealed, self.size, self.terms.limit)
+        return choose_compaction_prefix(sealed, self.total_bytes, self.config.max_total_bytes)
 
-    def compact(self, upto: int) -> None:
-        """Write what of the segments up to this one still counts into one that takes their place."""
+    def compact(self, through_segment: int) -> None:
+        """Commits, and rewrites the live changes of all segments up to one into one. Raises `OSError`."""
         self.commit()
-        compaction = self.prepare_compaction(upto)
-        compaction.write(self.disk)
-        self.compacted(compaction)
-        compaction.clear_away(self.disk)
+        compaction = self.prepare_compaction(through_segment)
+        compaction.write(self.file_system)
+        self.install_compaction(compaction)
+        compaction.remove_replaced(self.file_system)
 
-    def prepare_compaction(self, upto: int) -> Compaction:
-        """What a compaction writes. Nothing may wait: a put that does stands for a record here in memory,
-        which counts until that put is durable.
+    def prepare_compaction(self, through_segment: int) -> Compaction:
+        """What a compaction writes; until `install_compaction` the old segments stay in force.
 
-        A crash at any step leaves the old segments, or the new one beside some of them: `recovery` takes the
-        new one for all that it covers. An `OSError` before `compacted` leaves the old ones in force.
+        Nothing may be pending: a pending change hides the record of its key, which counts until it is
+        durable itself.
         """
-        assert not self.pending and self.flying is None
-        kept = self.state.kept_of(upto, self.clock())
-        later = [number for number in self.sizes if number > upto]
-        first = self.firsts[min(later)] if later else self.durable + 1
-        data = [write_record(replace(record, durable=self.durable)) for record, _ in kept]
-        head = write_head(Head(upto, upto, first, len(kept)))
-        name = name_of(upto, compacted=True)
-        old = [number for number in sorted(self.sizes) if number <= upto]
-        gone = [self.names[number] for number in old if self.names[number] != name]
-        return Compaction(upto, name, first, head, data, kept, old, gone)
-
-    def compacted(self, done: Compaction) -> None:
-        """The new segment is in force; puts that came meanwhile are in later ones."""
-        upto = done.upto
-        for number in done.old:
-            del self.sizes[number], self.names[number], self.firsts[number]
-            self.state.live.pop(number, None)
-        self.sizes[upto], self.names[upto], self.firsts[upto] = len(done.head), done.name, done.first
-        for (record, item), written in zip(done.kept, done.data, strict=True):
-            held = self.state.held.get((item.space, item.key))
-            self.sizes[upto] += len(written)
-            if held is not None and held.sequence == record.sequence:
-                held.segment, held.size = upto, len(written)
-                self.state.live[upto] = self.state.live.get(upto, 0) + len(written)
-        if self.open is not None and self.open <= upto:
-            self.open = None
-        self.state.forget_deleted(upto)
-        self.compactions += 1
-        self.written += self.sizes[upto]
+        assert not self.pending and self.in_flight is None
+        changes = self.index.live_changes(through_segment, self.clock())
+        later = [number for number in self.segments if number > through_segment]
+        first_sequence = self.segments[min(later)].first_sequence if later else self.durable_sequence + 1
+        header = SegmentHeader(through_segment, through_segment, first_sequence, len(changes))
+        file = segment_file_name(through_segment, is_compacted=True)
+        replaced = [number for number in sorted(self.segments) if number <= through_segment]
+        replaced_files = [self.segments[number].file for number in replaced]
+        return Compaction(
+            through_segment, file, first_sequence, encode_header(header), self._encode(changes), changes,
+            replaced, [name for name in replaced_files if name != file],
+        )  # fmt: skip
+
+    def install_compaction(self, compaction: Compaction) -> None:
+        """Puts the written segment in force; changes that came meanwhile are in later ones."""
+        through_segment = compaction.through_segment
+        for number in compaction.replaced_segments:
+            del self.segments[number]
+            self.index.live_bytes.pop(number, None)
+        segment = Segment(through_segment, compaction.file, len(compaction.header), compaction.first_sequence)
+        self.segments[through_segment] = segment
+        for change, encoded in zip(compaction.changes, compaction.encoded, strict=True):
+            segment.size_bytes += len(encoded)
+            self.index.move(change, through_segment, len(encoded))
+        if self._open_segment is not None and self._open_segment <= through_segment:
+            self._open_segment = None
+        self.index.forget_deletions(through_segment)
+        self.compaction_count += 1
+        self.written_bytes += segment.size_bytes
--- a/tests/test_fault_points.py
+++ b/tests/test_fault_points.py
@@ -15,7 +15,8 @@
 from gladewalk.members import swim
 from gladewalk.members.hearing import Hearing
 from gladewalk.members.verdicts import Verdict
-from gladewalk.store.segmented_log import Batch, Log
+from gladewalk.store.disk_writes import WriteBatch
+from gladewalk.store.segmented_log import SegmentedLog
 
 
 def test_one_fault_at_a_few_passes_of_each_point_breaks_nothing() -> None:
@@ -54,30 +55,30 @@
 # Broken copies.
 
 
-class Hasty(Log):
+class Hasty(SegmentedLog):
     """Acknowledges what was written and not synced."""
 
-    def prepare(self, sync: bool = True) -> Batch | None:
-        return super().prepare(False)
+    def prepare_batch(self, is_synced: bool = True) -> WriteBatch | None:
+        return super().prepare_batch(False)
 
 
-class Forgiving(Log):
+class Forgiving(SegmentedLog):
     """Takes a refusal of the disk for a yes."""
 
     def commit(self) -> int:
-        batch = self.prepare()
+        batch = self.prepare_batch()
         if batch is None:
-            return self.durable
+            return self.durable_sequence
         with contextlib.suppress(OSError):
-            batch.write(self.disk)
-        return self.done(batch)
+            batch.write(self.file_system)
+        return self.complete_batch(batch)
 
 
-class Nameless(Log):
+class Nameless(SegmentedLog):
     """Leaves the names of its files to chance."""
 
     def __init__(self, disk: Any, *more: Any) -> None:
-        disk.sync_names = lambda: None
+        disk.sync_directory = lambda: None
         super().__init__(disk, *more)
 
 
@@ -110,9 +111,9 @@
     return {(broken.passed.point.name, broken.kind) for broken in sweep([(name, scenario)], each).broken}
 
 
-@pytest.mark.parametrize("log_of", [Hasty, Forgiving, Nameless])
-def test_a_broken_store_is_found(log_of: type[Log]) -> None:
-    assert found(lambda points: storerun.play(points, log_of), "store", 40)
+@pytest.mark.parametrize("log_type", [Hasty, Forgiving, Nameless])
+def test_a_broken_store_is_found(log_type: type[SegmentedLog]) -> None:
+    assert found(lambda points: storerun.play(points, log_type), "store", 40)
 
 
 @pytest.mark.parametrize("change", [open_sink, tireless])
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -15,7 +15,7 @@
 from gladewalk.faultnet.fleet import DUTIES
 from gladewalk.faultnet.nemesis import apply, play
 from gladewalk.faultnet.schedule import Fault, dump, generate, load
-from gladewalk.store.maintenance import dump as dump_store
+from gladewalk.store.maintenance import dump_store
 from tests.fleetworld import Fleets, wall_ms
 
 KINDS = ("loss", "double", "delay", "pause", "cut_out")  # of the schedule that is played from its file
--- a/tests/test_golden_store.py
+++ b/tests/test_golden_store.py
@@ -17,20 +17,20 @@
 from gladewalk.deadlines import Deadlines
 from gladewalk.options import options_of, read_tables
 from gladewalk.policy import Dispatcher
-from gladewalk.rehearsal.faulty_disk import BadDisk, File
+from gladewalk.rehearsal.faulty_disk import FaultyDisk, FaultyFile
 from gladewalk.store import dns_lease_rows as leases
 from gladewalk.store import maintenance as tools
 from gladewalk.store import row_codecs as keeping
 from gladewalk.store import warm_start as warm
+from gladewalk.store.errors import StoreFileError
 from gladewalk.store.persistence import Keeper
-from gladewalk.store.record_format import Fault
-from gladewalk.store.recovery import recover, salvage
-from gladewalk.store.segmented_log import Log, Terms
+from gladewalk.store.recovery import recover_store, salvage_records
+from gladewalk.store.segmented_log import LogConfig, SegmentedLog
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "store.json").read_text())
 NOW = 1_750_000_000_000.0
 SETTLE_MS = 6_000.0
-SMALL = Terms(600, 100_000)
+SMALL = LogConfig(600, 100_000)
 PLAIN, COMPACTED = "0000000000000004.seg", "0000000000000002.c.seg"
 
 
@@ -107,10 +107,10 @@
     return [[space, key, None if value is None else value.hex(), until] for space, key, value, until in rows]
 
 
-def written() -> BadDisk:
+def written() -> FaultyDisk:
     """Records of every kind in plain segments, a compacted one before them, all of it by one clock."""
-    disk, core = BadDisk(), core_with_knowledge()
-    log = Log(disk, lambda: NOW, SMALL)
+    disk, core = FaultyDisk(), core_with_knowledge()
+    log = SegmentedLog(disk, lambda: NOW, SMALL)
     rows = [*event_rows(True), *lease_rows(core), *warm_rows(core)]
     for number, (space, key, value, until) in enumerate(rows):
         if value is None:
@@ -120,7 +120,7 @@
         if number % 2:
             log.commit()
         if number == 16:
-            log.compact(sorted(log.sizes)[1])
+            log.compact(sorted(log.segments)[1])
     log.put("bytes", "\u00e9", b"\xff\x00" * 9)
     log.put("bytes", "over", b"x", NOW - 1.0)
     log.delete("bytes", "never there")
@@ -136,15 +136,15 @@
     return {name: bytes.fromhex(text) for name, text in GOLDEN["files"].items()}
 
 
-def disk_with(files: dict[str, bytes]) -> BadDisk:
-    disk = BadDisk()
-    disk.files = {name: File(bytearray(data), data) for name, data in files.items()}
-    disk.safe_names = dict(disk.files)
+def disk_with(files: dict[str, bytes]) -> FaultyDisk:
+    disk = FaultyDisk()
+    disk.files = {name: FaultyFile(bytearray(data), data) for name, data in files.items()}
+    disk.durable_names = dict(disk.files)
     return disk
 
 
-def values_in(log: Log) -> dict[str, dict[str, str]]:
-    spaces = sorted({space for space, _ in log.state.held})
+def values_in(log: SegmentedLog) -> dict[str, dict[str, str]]:
+    spaces = sorted({space for space, _ in log.index.entries})
     return {space: {key: value.hex() for key, value in sorted(log.items(space).items())} for space in spaces}
 
 
@@ -174,18 +174,19 @@
 
 def read_back(files: dict[str, bytes]) -> dict[str, Any]:
     """What recovery says of these files, and what salvage makes of them."""
-    saved = salvage(files)
+    saved = salvage_records(files)
     told: dict[str, Any] = {
-        "salvaged": [saved.records, saved.losses, len(saved.state.held), saved.state.sequence]
+        "salvaged": [saved.record_count, saved.losses, len(saved.index.entries), saved.index.last_sequence]
     }
     try:
-        found = recover(files)
-    except Fault as fault:
+        found = recover_store(files)
+    except StoreFileError as fault:
         return {**told, "fault": str(fault)}
-    log = Log(disk_with(files), lambda: NOW, SMALL)
+    log = SegmentedLog(disk_with(files), lambda: NOW, SMALL)
     return {
-        **told, "sequence": found.state.sequence, "dropped": [list(one) for one in found.dropped],
-        "useless": found.useless, "next_number": found.next_number, "values": values_in(log),
+        **told, "sequence": found.index.last_sequence,
+        "dropped": [list(astuple(one)) for one in found.dropped],
+        "useless": found.obsolete_files, "next_number": found.next_number, "values": values_in(log),
     }  # fmt: skip
 
 
@@ -206,14 +207,16 @@
 
 
 def test_a_store_that_was_written_is_read() -> None:
-    log = Log(disk_with(golden_files()), lambda: NOW, SMALL)
+    log = SegmentedLog(disk_with(golden_files()), lambda: NOW, SMALL)
     assert values_in(log) == GOLDEN["values"]
-    assert [log.state.sequence, log.durable, log.size, log.next_number] == GOLDEN["figures"]
+    assert [log.index.last_sequence, log.durable_sequence, log.total_bytes, log.next_number] == GOLDEN[
+        "figures"
+    ]
 
 
 def restored() -> dict[str, Any]:
     """What each codec makes of the rows of the golden store."""
-    log = Log(disk_with(golden_files()), lambda: NOW, SMALL)
+    log = SegmentedLog(disk_with(golden_files()), lambda: NOW, SMALL)
     purges = keeping.purges_of(log.items(keeping.PURGES), NOW + 1_000.0)
     position = keeping.position_of(log.items(keeping.FEED))
     servers = log.items(keeping.SERVERS)
@@ -278,7 +281,7 @@
 
 
 def test_the_commands_print_and_leave_what_they_did(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(tools, "now_ms", lambda: NOW)
+    monkeypatch.setattr(tools, "wall_clock_ms", lambda: NOW)
     assert tool_outputs(tmp_path) == GOLDEN["commands"]
 
 
@@ -303,7 +306,7 @@
         )  # fmt: skip
 
     async def settled(self, keeper: Keeper) -> None:
-        while keeper.log.pending or keeper.log.flying is not None:
+        while keeper.log.pending or keeper.log.in_flight is not None:
             await asyncio.sleep(0.001)
 
     async def play(self) -> dict[str, Any]:
@@ -316,7 +319,7 @@
             patched.setattr(type(keeper.folder), "append", refuse)
             assert not await keeper.writer.put("bytes", "refused", b"1")
             failing = keeper.view({})
-        while keeper.writer.failing:
+        while keeper.writer.is_failing:
             await asyncio.sleep(0.01)
         view = keeper.view({})
         await keeper.close()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -28,7 +28,7 @@
 from gladewalk.options import Options, options_of, read_tables
 from gladewalk.policy import Dispatcher
 from gladewalk.policy.known import Pending
-from gladewalk.rehearsal.faulty_disk import BadDisk, File
+from gladewalk.rehearsal.faulty_disk import FaultyDisk, FaultyFile
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
@@ -42,26 +42,27 @@
 from gladewalk.store import dns_lease_rows as leases
 from gladewalk.store import record_format as frames
 from gladewalk.store import warm_start as warm
-from gladewalk.store.compaction_policy import Segment, prefix_to_compact
-from gladewalk.store.file_system import Folder
-from gladewalk.store.record_format import HEADER, Fault, Head, read_head, write_head
-from gladewalk.store.recovery import recover
-from gladewalk.store.segmented_log import Log, StoreFull, Terms
-from gladewalk.store.writer import Policy, Writer
+from gladewalk.store.compaction_policy import SegmentUsage, choose_compaction_prefix
+from gladewalk.store.errors import StoreFileError, StoreFullError
+from gladewalk.store.file_system import StoreDirectory
+from gladewalk.store.record_format import HEADER, SegmentHeader, decode_header, encode_header
+from gladewalk.store.recovery import recover_store
+from gladewalk.store.segmented_log import LogConfig, SegmentedLog
+from gladewalk.store.writer import StoreWriter, SyncPolicy
 
 NOW = 1_000_000.0
-SMALL = Terms(segment_most=600, limit=100_000)
+SMALL = LogConfig(max_segment_bytes=600, max_total_bytes=100_000)
 Values = dict[tuple[str, str], bytes]
 
 
-def held(log: Log) -> Values:
-    spaces = {space for space, _ in log.state.held}
+def held(log: SegmentedLog) -> Values:
+    spaces = {space for space, _ in log.index.entries}
     return {(space, key): value for space in spaces for key, value in log.items(space).items()}
 
 
-def story(disk: BadDisk) -> tuple[Log, list[tuple[int, Values]]]:
+def story(disk: FaultyDisk) -> tuple[SegmentedLog, list[tuple[int, Values]]]:
     """A store with every kind of record, segments and a compaction; each acknowledged state by sequence."""
-    log = Log(disk, lambda: NOW, SMALL)
+    log = SegmentedLog(disk, lambda: NOW, SMALL)
     acknowledged: list[tuple[int, Values]] = [(0, {})]
     draw = random.Random(3)
 
@@ -76,39 +77,39 @@
             log.put("lease", f"l{n}", b"x", NOW - 1.0 if n % 2 else NOW + 5.0)
         commit()
         if n == 25:
-            log.compact(sorted(log.sizes)[2])
+            log.compact(sorted(log.segments)[2])
     return log, acknowledged
 
 
-def files_of(disk: BadDisk) -> dict[str, bytes]:
+def files_of(disk: FaultyDisk) -> dict[str, bytes]:
     return {name: bytes(file.data) for name, file in disk.files.items()}
 
 
-def disk_of(files: dict[str, bytes]) -> BadDisk:
-    disk = BadDisk()
-    disk.files = {name: File(bytearray(data), data) for name, data in files.items()}
-    disk.safe_names = dict(disk.files)
+def disk_of(files: dict[str, bytes]) -> FaultyDisk:
+    disk = FaultyDisk()
+    disk.files = {name: FaultyFile(bytearray(data), data) for name, data in files.items()}
+    disk.durable_names = dict(disk.files)
     return disk
 
 
 def test_a_cut_of_each_file_at_every_byte_leaves_what_was_acknowledged_before_it_or_is_refused() -> None:
-    disk = BadDisk()
+    disk = FaultyDisk()
     log, acknowledged = story(disk)
     files = files_of(disk)
     by_sequence = dict(acknowledged)
-    newest = log.names[max(log.names)]
+    newest = log.segments[max(log.segments)].file
     assert len(files) >= 4 and any(name.endswith(".c.seg") for name in files)
     for name, data in files.items():
         for size in range(len(data)):
             cut = {**files, name: data[:size]}
             try:
-                found = Log(disk_of(cut), lambda: NOW, SMALL)
-            except Fault as fault:
+                found = SegmentedLog(disk_of(cut), lambda: NOW, SMALL)
+            except StoreFileError as fault:
                 assert name != newest, (name, size, fault)
                 continue
             assert name == newest, f"{name} cut at {size} went unnoticed"
             # The newest may end anywhere: what is left was acknowledged, or is a part of one batch.
-            sequence = found.state.sequence
+            sequence = found.index.last_sequence
             sequences = [s for s in by_sequence if s <= sequence]
             if sequence in by_sequence:
                 assert held(found) == by_sequence[sequence], size
@@ -119,17 +120,17 @@
 
 
 def test_a_spoilt_byte_is_refused_by_file_and_offset_or_was_the_newest_record() -> None:
-    disk = BadDisk()
+    disk = FaultyDisk()
     log, acknowledged = story(disk)
-    files, newest = files_of(disk), log.names[max(log.names)]
+    files, newest = files_of(disk), log.segments[max(log.segments)].file
     states = [values for _, values in acknowledged]
     refused = 0
     for name, data in files.items():
         for place in range(0, len(data), 3):
             spoilt = data[:place] + bytes([data[place] ^ 0x41]) + data[place + 1 :]
             try:
-                found = Log(disk_of({**files, name: spoilt}), lambda: NOW, SMALL)
-            except Fault as fault:
+                found = SegmentedLog(disk_of({**files, name: spoilt}), lambda: NOW, SMALL)
+            except StoreFileError as fault:
                 refused += 1
                 assert fault.file in files and 0 <= fault.offset <= len(files[fault.file])
                 continue
@@ -139,26 +140,26 @@
 
 
 def test_a_purge_acknowledged_just_before_a_cut_is_in_force_after_it() -> None:
-    disk = BadDisk()
-    log = Log(disk, lambda: NOW, SMALL)
+    disk = FaultyDisk()
+    log = SegmentedLog(disk, lambda: NOW, SMALL)
     log.put("purge", "object", b"now")
     log.commit()
     log.put("purge", "later", b"x" * 50)  # written and not acknowledged
-    name = log.names[max(log.names)]
+    name = log.segments[max(log.segments)].file
     whole = len(disk.files[name].data)
     log.commit()
     for size in range(whole, len(disk.files[name].data)):
-        found = Log(disk_of({name: bytes(disk.files[name].data[:size])}), lambda: NOW)
+        found = SegmentedLog(disk_of({name: bytes(disk.files[name].data[:size])}), lambda: NOW)
         assert held(found) == {("purge", "object"): b"now"}
         assert bool(found.recovered.dropped) == (size > whole)
 
 
-def plays(disk: BadDisk, fail_at: int, code: int) -> tuple[list[tuple[str, bytes]], bool]:
+def plays(disk: FaultyDisk, fail_at: int, code: int) -> tuple[list[tuple[str, bytes]], bool]:
     """A story on a disk that refuses one call: what was acknowledged, and whether the store ever began."""
-    disk.fail = lambda call, name, number: code if number == fail_at else 0
+    disk.fault_rule = lambda call, name, number: code if number == fail_at else 0
     acknowledged: list[tuple[str, bytes]] = []
     try:
-        log = Log(disk, lambda: NOW, SMALL)
+        log = SegmentedLog(disk, lambda: NOW, SMALL)
     except OSError:
         return [], False
     for n in range(14):
@@ -170,23 +171,23 @@
         acknowledged = [(f"k{m}", bytes([m]) * 60) for m in range(n + 1)]
         try:
             if n in (7, 11):
-                log.compact(sorted(log.sizes)[0])
+                log.compact(sorted(log.segments)[0])
         except OSError:
             continue
     return acknowledged, True
 
 
 def test_a_refusal_of_any_call_loses_nothing_that_was_acknowledged() -> None:
-    calm = BadDisk()
+    calm = FaultyDisk()
     assert len(plays(calm, -1, 0)[0]) == 14
-    assert calm.calls > 40
-    for fail_at in range(1, calm.calls + 1):
+    assert calm.call_count > 40
+    for fail_at in range(1, calm.call_count + 1):
         for code in (errno.ENOSPC, errno.EIO):
             for seed in range(3):
-                disk = BadDisk()
+                disk = FaultyDisk()
                 acknowledged, _ = plays(disk, fail_at, code)
                 after = disk.after_kill() if seed == 0 else disk.after_power_loss(seed)
-                found = Log(after, lambda: NOW, SMALL)
+                found = SegmentedLog(after, lambda: NOW, SMALL)
                 wanted = {("s", key): value for key, value in acknowledged}
                 lost = {slot for slot, value in wanted.items() if held(found).get(slot) != value}
                 assert not lost, (fail_at, code, seed, lost)
@@ -196,32 +197,32 @@
     class Crash(Exception):
         pass
 
-    disk = BadDisk()
+    disk = FaultyDisk()
     log, acknowledged = story(disk)
-    before = disk.calls
-    log.compact(sorted(log.sizes)[-2])
-    steps = disk.calls - before
+    before = disk.call_count
+    log.compact(sorted(log.segments)[-2])
+    steps = disk.call_count - before
     assert steps >= 6
     for step in range(1, steps + 1):
         for seed in range(8):
-            disk = BadDisk()
+            disk = FaultyDisk()
             log, acknowledged = story(disk)
-            start = disk.calls
+            start = disk.call_count
 
             def stop(call: str, name: str, number: int, start: int = start, step: int = step) -> int:
                 if number == start + step:
                     raise Crash
                 return 0
 
-            disk.fail = stop
+            disk.fault_rule = stop
             with pytest.raises(Crash):
-                log.compact(sorted(log.sizes)[-2])
-            disk.fail = lambda call, name, number: 0
+                log.compact(sorted(log.segments)[-2])
+            disk.fault_rule = lambda call, name, number: 0
             after = disk.after_kill() if seed == 0 else disk.after_power_loss(seed)
-            found = Log(after, lambda: NOW, SMALL)
+            found = SegmentedLog(after, lambda: NOW, SMALL)
             assert held(found) == acknowledged[-1][1], (step, seed)
-            found.compact(max(found.sizes))
-            assert held(Log(after.after_power_loss(seed), lambda: NOW, SMALL)) == acknowledged[-1][1]
+            found.compact(max(found.segments))
+            assert held(SegmentedLog(after.after_power_loss(seed), lambda: NOW, SMALL)) == acknowledged[-1][1]
 
 
 class Machine(RuleBasedStateMachine):
@@ -231,10 +232,10 @@
 
     @initialize()
     def begin(self) -> None:
-        self.disk, self.now = BadDisk(), NOW
+        self.disk, self.now = FaultyDisk(), NOW
         self.durable: dict[str, tuple[bytes, float]] = {}
         self.waiting: list[tuple[str, tuple[bytes, float] | None]] = []
-        self.log = Log(self.disk, lambda: self.now, SMALL)
+        self.log = SegmentedLog(self.disk, lambda: self.now, SMALL)
 
     @rule(key=keys, size=st.integers(0, 200), life=st.sampled_from((0.0, 50.0)))
     def put(self, key: str, size: int, life: float) -> None:
@@ -254,7 +255,7 @@
 
     @rule(part=st.floats(0.0, 1.0))
     def compact(self, part: float) -> None:
-        numbers = sorted(self.log.sizes)
+        numbers = sorted(self.log.segments)
         if numbers:
             self.log.compact(numbers[int(part * (len(numbers) - 1))])
             self.settle(len(self.waiting))
@@ -262,7 +263,7 @@
     @rule(ms=st.sampled_from((1.0, 60.0)))
     def wait(self, ms: float) -> None:
         self.now += ms
-        self.log.wanted()  # forgets what is over
+        self.log.choose_compaction()  # forgets what is over
 
     @rule(seed=st.integers(0, 10_000))
     def lose_power(self, seed: int) -> None:
@@ -280,9 +281,9 @@
                 self.durable[key] = value
         del self.waiting[:count]
 
-    def reopen(self, disk: BadDisk) -> None:
+    def reopen(self, disk: FaultyDisk) -> None:
         """All that was acknowledged is there, and of what was not, nothing: it was never written."""
-        self.disk, self.log = disk, Log(disk, lambda: self.now, SMALL)
+        self.disk, self.log = disk, SegmentedLog(disk, lambda: self.now, SMALL)
         self.waiting.clear()
         self.check()
 
@@ -306,7 +307,7 @@
 @profile(max_examples=300, deadline=None, derandomize=True)
 @given(data=st.data())
 def test_recovery_of_noise_raises_nothing_but_the_stores_own_error(data: st.DataObject) -> None:
-    disk = BadDisk()
+    disk = FaultyDisk()
     story(disk)
     files = files_of(disk)
     name = data.draw(st.sampled_from(sorted(files)))
@@ -318,115 +319,121 @@
     noise = data.draw(st.binary(max_size=60))
     place = data.draw(st.integers(0, len(content)))
     try:
-        recover({**files, name: bytes(content[:place]) + noise + bytes(content[place:]), "other": noise})
-    except Fault as fault:
+        recover_store(
+            {**files, name: bytes(content[:place]) + noise + bytes(content[place:]), "other": noise}
+        )
+    except StoreFileError as fault:
         assert str(fault).startswith(fault.file)
 
 
 class Choices(unittest.TestCase):
     def test_a_prefix_is_compacted_when_enough_of_it_is_garbage(self) -> None:
-        row = [Segment(1, 1_000, 900), Segment(2, 1_000, 100), Segment(3, 1_000, 950)]
-        self.assertEqual(prefix_to_compact(row, 3_000, 1_000_000), 2)
-        self.assertIsNone(prefix_to_compact(row[:1], 1_000, 1_000_000))
-        self.assertEqual(prefix_to_compact(row[:1], 1_000, 1_100), 1)  # near the limit less will do
-        self.assertIsNone(prefix_to_compact([], 0, 100))
+        row = [SegmentUsage(1, 1_000, 900), SegmentUsage(2, 1_000, 100), SegmentUsage(3, 1_000, 950)]
+        self.assertEqual(choose_compaction_prefix(row, 3_000, 1_000_000), 2)
+        self.assertIsNone(choose_compaction_prefix(row[:1], 1_000, 1_000_000))
+        self.assertEqual(choose_compaction_prefix(row[:1], 1_000, 1_100), 1)  # near the limit less will do
+        self.assertIsNone(choose_compaction_prefix([], 0, 100))
 
     def test_a_store_stays_under_its_limit_while_keys_are_written_again(self) -> None:
-        disk, terms = BadDisk(), Terms(segment_most=4_096, limit=32_768)
-        log = Log(disk, lambda: NOW, terms)
+        disk, terms = FaultyDisk(), LogConfig(max_segment_bytes=4_096, max_total_bytes=32_768)
+        log = SegmentedLog(disk, lambda: NOW, terms)
         most = 0
         for n in range(2_000):
             log.put("s", f"k{n % 20}", bytes(100))
             log.commit()
-            if (upto := log.wanted()) is not None:
+            if (upto := log.choose_compaction()) is not None:
                 log.compact(upto)
             most = max(most, sum(len(file.data) for file in disk.files.values()))
-        self.assertLess(most, terms.limit)
-        self.assertGreater(log.compactions, 5)
-        self.assertEqual(len(held(Log(disk, lambda: NOW, terms))), 20)
+        self.assertLess(most, terms.max_total_bytes)
+        self.assertGreater(log.compaction_count, 5)
+        self.assertEqual(len(held(SegmentedLog(disk, lambda: NOW, terms))), 20)
 
     def test_what_waits_for_a_full_disk_is_bounded_and_comes_back_by_itself(self) -> None:
-        disk = BadDisk()
-        log = Log(disk, lambda: NOW)
+        disk = FaultyDisk()
+        log = SegmentedLog(disk, lambda: NOW)
         log.put("s", "first", b"1")
         log.commit()
-        disk.fail = lambda call, name, number: errno.ENOSPC if call in ("append", "create") else 0
-        with self.assertRaises(StoreFull):
+        disk.fault_rule = lambda call, name, number: errno.ENOSPC if call in ("append", "create") else 0
+        with self.assertRaises(StoreFullError):
             for n in range(100):
                 log.put("s", f"k{n}", bytes(100_000))
                 with self.assertRaises(OSError):
                     log.commit()
         self.assertEqual(log.get("s", "first"), b"1")
-        disk.fail = lambda call, name, number: 0
+        disk.fault_rule = lambda call, name, number: 0
         log.commit()
-        self.assertEqual(len(held(Log(disk.after_power_loss(1), lambda: NOW))), len(held(log)))
+        self.assertEqual(len(held(SegmentedLog(disk.after_power_loss(1), lambda: NOW))), len(held(log)))
 
     def test_a_file_whose_sync_failed_is_not_written_again(self) -> None:
-        disk = BadDisk()
-        log = Log(disk, lambda: NOW)
+        disk = FaultyDisk()
+        log = SegmentedLog(disk, lambda: NOW)
         log.put("s", "a", b"1")
         log.commit()
-        name = log.names[max(log.names)]
-        disk.fail = lambda call, name, number: errno.EIO if call == "sync" else 0
+        name = log.segments[max(log.segments)].file
+        disk.fault_rule = lambda call, name, number: errno.EIO if call == "sync" else 0
         log.put("s", "b", b"2")
         with self.assertRaises(OSError):
             log.commit()
         size = len(disk.files[name].data)
-        disk.fail = lambda call, name, number: 0
+        disk.fault_rule = lambda call, name, number: 0
         log.commit()
         self.assertEqual(len(disk.files[name].data), size)
         for seed in range(20):
-            self.assertEqual(held(Log(disk.after_power_loss(seed), lambda: NOW)), held(log))
+            self.assertEqual(held(SegmentedLog(disk.after_power_loss(seed), lambda: NOW)), held(log))
 
 
 class Real(unittest.TestCase):
     def test_a_folder_holds_it_and_lets_one_process_in(self) -> None:
         with tempfile.TemporaryDirectory() as name:
-            folder = Folder(Path(name) / "store")
-            log = Log(folder, lambda: NOW, SMALL)
+            folder = StoreDirectory(Path(name) / "store")
+            log = SegmentedLog(folder, lambda: NOW, SMALL)
             for n in range(50):
                 log.put("s", f"k{n % 7}", bytes([n]) * 40)
                 log.commit()
-            log.compact(sorted(log.sizes)[-2])
-            with self.assertRaisesRegex(Fault, "another process holds this store"):
-                Folder(Path(name) / "store")
+            log.compact(sorted(log.segments)[-2])
+            with self.assertRaisesRegex(StoreFileError, "another process holds this store"):
+                StoreDirectory(Path(name) / "store")
             folder.close()
-            again = Folder(Path(name) / "store")
-            self.assertEqual(held(Log(again, lambda: NOW, SMALL)), held(log))
+            again = StoreDirectory(Path(name) / "store")
+            self.assertEqual(held(SegmentedLog(again, lambda: NOW, SMALL)), held(log))
             again.close()
 
     def test_the_next_format_is_refused_by_its_version(self) -> None:
-        good = bytearray(write_head(Head(1)))
-        self.assertEqual(read_head(bytes(good), "f"), Head(1))
+        good = bytearray(encode_header(SegmentHeader(1)))
+        self.assertEqual(decode_header(bytes(good), "f"), SegmentHeader(1))
         import struct
 
         import crc32c
 
         good[8:10] = struct.pack("<H", 2)
         good[HEADER.size - 4 :] = struct.pack("<I", crc32c.crc32c(bytes(good[: HEADER.size - 4])))
-        with self.assertRaisesRegex(Fault, "f: at byte 8: written in format 2, this program reads 1"):
-            read_head(bytes(good), "f")
+        with self.assertRaisesRegex(
+            StoreFileError, "f: at byte 8: written in format 2, this program reads 1"
+        ):
+            decode_header(bytes(good), "f")
 
     def test_a_store_of_an_older_format_is_read_gone_on_with_and_turned_into_the_new_one(self) -> None:
-        disk = BadDisk()
-        old = Log(disk, lambda: NOW, SMALL)
+        disk = FaultyDisk()
+        old = SegmentedLog(disk, lambda: NOW, SMALL)
         for n in range(20):
             old.put("purge", f"k{n}", b"old")
             old.commit()
-        with patch.multiple(frames, VERSION=2, READS=frozenset((1, 2))):
+        with patch.multiple(frames, FORMAT_VERSION=2, READABLE_VERSIONS=frozenset((1, 2))):
             grown = disk_of(files_of(disk))
-            new = Log(grown, lambda: NOW, SMALL)
+            new = SegmentedLog(grown, lambda: NOW, SMALL)
             new.put("purge", "k0", b"new")
             new.commit()
             self.assertEqual(len(held(new)), 20)
             both = disk_of(files_of(grown))
-            mixed = Log(both, lambda: NOW, SMALL)
+            mixed = SegmentedLog(both, lambda: NOW, SMALL)
             self.assertEqual(held(mixed), held(new))
-            mixed.compact(max(mixed.sizes))
-        with self.assertRaisesRegex(Fault, "written in format 2, this program reads 1"):
-            Log(disk_of(files_of(both)), lambda: NOW, SMALL)
-        with patch.multiple(frames, VERSION=2, READS=frozenset((2,))):  # nothing of the old is left
-            self.assertEqual(held(Log(disk_of(files_of(both)), lambda: NOW, SMALL)), held(new))
+            mixed.compact(max(mixed.segments))
+        with self.assertRaisesRegex(StoreFileError, "written in format 2, this program reads 1"):
+            SegmentedLog(disk_of(files_of(both)), lambda: NOW, SMALL)
+        with patch.multiple(
+            frames, FORMAT_VERSION=2, READABLE_VERSIONS=frozenset((2,))
+        ):  # nothing of the old is left
+            self.assertEqual(held(SegmentedLog(disk_of(files_of(both)), lambda: NOW, SMALL)), held(new))
 
     def test_the_tools_look_dump_and_repair_only_when_told_to(self) -> None:
         from click.testing import CliRunner
@@ -439,8 +446,8 @@
 
         with tempfile.TemporaryDirectory() as name:
             path = Path(name)
-            folder = Folder(path)
-            log = Log(folder, lambda: NOW, SMALL)
+            folder = StoreDirectory(path)
+            log = SegmentedLog(folder, lambda: NOW, SMALL)
             for n in range(30):
                 log.put("s", f"k{n}", b"value" if n else b"\xff", 0.0)
                 log.commit()
@@ -451,7 +458,7 @@
             code, text = run("dump")
             self.assertEqual((code, len(text.splitlines())), (0, 30))
             self.assertIn('"hex": "ff"', text.splitlines()[0])
-            with open(path / log.names[max(log.names)], "ab") as file:
+            with open(path / log.segments[max(log.segments)].file, "ab") as file:
                 file.write(b"cut")
             code, text = run("check")
             self.assertEqual((code, "3 bytes of a write that was cut" in text), (1, True))
@@ -475,47 +482,53 @@
 class Beside(unittest.IsolatedAsyncioTestCase):
     """The writer: acknowledged when durable, whatever the disk does meanwhile."""
 
-    async def start(self, disk: BadDisk, policy: Policy = "each", terms: Terms = SMALL) -> Writer:
+    async def start(
+        self, disk: FaultyDisk, policy: SyncPolicy = "each", terms: LogConfig = SMALL
+    ) -> StoreWriter:
         self.said: list[str] = []
-        writer = Writer(
-            Log(disk, lambda: NOW, terms), policy, 5.0, Counters(), lambda what, why: self.said.append(what)
+        writer = StoreWriter(
+            SegmentedLog(disk, lambda: NOW, terms),
+            policy,
+            5.0,
+            Counters(),
+            lambda what, why: self.said.append(what),
         )
         writer.start()
         return writer
 
     async def test_an_acknowledged_put_outlives_a_loss_of_power_and_puts_share_syncs(self) -> None:
         for policy in ("each", "group"):
-            disk = BadDisk()
+            disk = FaultyDisk()
             writer = await self.start(disk, policy)
             futures = [writer.put("s", f"k{n}", bytes(30)) for n in range(200)]
             self.assertEqual(set(await asyncio.gather(*futures)), {True})
-            found = Log(disk.after_power_loss(1), lambda: NOW, SMALL)
+            found = SegmentedLog(disk.after_power_loss(1), lambda: NOW, SMALL)
             self.assertEqual(len(found.items("s")), 200)
-            self.assertLess(disk.syncs, 60)
+            self.assertLess(disk.sync_count, 60)
             await writer.close()
 
     async def test_a_full_disk_is_said_once_stops_nobody_and_comes_back(self) -> None:
         import gladewalk.store.writer as module
 
-        disk, before = BadDisk(), module.RETRY_S
-        module.RETRY_S = 0.05
-        self.addCleanup(setattr, module, "RETRY_S", before)
+        disk, before = FaultyDisk(), module.RETRY_INTERVAL_SECONDS
+        module.RETRY_INTERVAL_SECONDS = 0.05
+        self.addCleanup(setattr, module, "RETRY_INTERVAL_SECONDS", before)
         writer = await self.start(disk)
         self.assertTrue(await writer.put("s", "a", b"1"))
-        disk.fail = lambda call, name, number: errno.ENOSPC if call in ("append", "create") else 0
+        disk.fault_rule = lambda call, name, number: errno.ENOSPC if call in ("append", "create") else 0
         self.assertFalse(await writer.put("s", "b", b"2"))
         self.assertFalse(await writer.put("s", "c", b"3"))
         self.assertEqual(writer.log.get("s", "c"), b"3")  # in memory it holds all the same
-        disk.fail = lambda call, name, number: 0
-        await until(lambda: not writer.failing)
+        disk.fault_rule = lambda call, name, number: 0
+        await until(lambda: not writer.is_failing)
         self.assertEqual(self.said, ["store can't write", "store is back"])
-        self.assertEqual(len(Log(disk.after_power_loss(2), lambda: NOW, SMALL).items("s")), 3)
+        self.assertEqual(len(SegmentedLog(disk.after_power_loss(2), lambda: NOW, SMALL).items("s")), 3)
         self.assertTrue(await writer.put("s", "d", b"4"))
         await writer.close()
 
     async def test_it_compacts_while_puts_come_and_none_is_lost(self) -> None:
-        disk = BadDisk()
-        writer = await self.start(disk, terms=Terms(segment_most=2_000, limit=30_000))
+        disk = FaultyDisk()
+        writer = await self.start(disk, terms=LogConfig(max_segment_bytes=2_000, max_total_bytes=30_000))
         for n in range(600):
             future = writer.put("s", f"k{n % 12}", n.to_bytes(4, "big") + bytes(60))
             if n % 10 == 0:
@@ -523,7 +536,7 @@
         await future
         await until(lambda: writer.counters["store.compactions"] > 2)
         await writer.close()
-        found = Log(disk.after_power_loss(3), lambda: NOW, SMALL)
+        found = SegmentedLog(disk.after_power_loss(3), lambda: NOW, SMALL)
         self.assertEqual(found.items("s"), writer.log.items("s"))
         self.assertEqual(
             {int.from_bytes(v[:4], "big") for v in found.items("s").values()}, set(range(588, 600))
@@ -556,7 +569,7 @@
         coordinator.tell(evict={"ref": "a1", "unix_ms": unix_ms()})
         keeper = first.keeper
         assert keeper is not None
-        await until(lambda: keeper.log.durable >= 2)
+        await until(lambda: keeper.log.durable_sequence >= 2)
         coordinator.stop()
         first.front.close()
         first.follower.close()
@@ -654,16 +667,16 @@
             self.assertEqual(len(found), 1)
             lease = next(iter(log.items(leases.SPACE).values()))  # durable before the answer left
             self.assertGreaterEqual(
-                log.durable, log.state.held[leases.SPACE, next(iter(log.items("lease")))].sequence
+                log.durable_sequence, log.index.entries[leases.SPACE, next(iter(log.items("lease")))].sequence
             )
             for n in range(8):
                 await world.ask(f"/invoke/lot-page/{n:x}?nth=0", trace=f"{n + 1:016x}")
             await until(
                 lambda: sum(b"c0" in v or b"c1" in v or b"c2" in v for v in log.items("warm").values()) > 6
             )
-            await until(lambda: log.durable >= log.state.sequence - 1)
+            await until(lambda: log.durable_sequence >= log.index.last_sequence - 1)
             director.keeper.folder.close()
-        again = Log(Folder(folder / "store"), unix_ms)
+        again = SegmentedLog(StoreDirectory(folder / "store"), unix_ms)
         self.assertIn(lease, again.items(leases.SPACE).values())
         core = Dispatcher(director.exchange.core.settings, 1)
         servers = tuple(server.info for server in director.exchange.core.servers.values())
