--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -32,7 +32,7 @@
     from .net.admin import AdminFront
     from .nginx.router import Router
     from .options import Options
-    from .store.persistence import Keeper
+    from .store.persistence import PersistenceService
     from .upstream.secure import Shapes
     from .web.start import Web
 
@@ -125,11 +125,11 @@
             self.web = Web(
                 options, config.name, config.seed, clock, self.deadlines, self.counters, self._module_says
             )
-        self.keeper: Keeper | None = None
+        self.persistence: PersistenceService | None = None
         if options is not None and options.store is not None:
-            from .store.persistence import Keeper
+            from .store.persistence import PersistenceService
 
-            self.keeper = Keeper(
+            self.persistence = PersistenceService(
                 options,
                 config.settings.purge_settle_ms,
                 clock,
@@ -138,11 +138,11 @@
                 self.deadlines,
             )
         self.leases: tuple[Leases, Address] | None = None
-        if options is not None and options.leases is not None and self.keeper is not None:
+        if options is not None and options.leases is not None and self.persistence is not None:
             from .leases.start import start as start_leases
 
             self.leases = start_leases(
-                config.name, options, self.keeper, clock, self.deadlines, self.counters
+                config.name, options, self.persistence, clock, self.deadlines, self.counters
             )
         self.control: Control | None = None
         if options is not None and options.control is not None:
@@ -150,9 +150,9 @@
 
     async def start(self) -> None:
         self.feed.known(self.config.known_index, self.config.known)
-        if self.keeper is not None:
-            self.keeper.restore(self.feed)
-            self.keeper.start(self.feed)
+        if self.persistence is not None:
+            self.persistence.restore(self.feed)
+            self.persistence.start(self.feed)
         self.follower.on_settled = self._synced
         self.exchange.hold()
         self.deadlines.add(self.clock() + self.sync_most_ms, self._synced)
@@ -186,8 +186,8 @@
 
             duties = self.duties
             control.views["members"] = lambda given: view_of(duties)
-        if self.keeper is not None:
-            control.views["store"] = self.keeper.view
+        if self.persistence is not None:
+            control.views["store"] = self.persistence.view
         if self.leases is not None:
             from .leases.view import add_views
 
@@ -215,8 +215,8 @@
         self.log.info("serving", servers=len(self.caches.upstreams), **listening)
         await self._ended
         signals.hold()  # the loop takes its handlers away before the process has ended
-        if self.keeper is not None:
-            await self.keeper.close()
+        if self.persistence is not None:
+            await self.persistence.close()
         self.report()
 
     def reload(self) -> None:
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -12,7 +12,7 @@
 from ..members.seal import Seal, load_keys
 from ..ops.figures import ENDS
 from ..options import Options
-from ..store.persistence import Keeper
+from ..store.persistence import PersistenceService
 from .acts import Acts
 from .candidate import Candidate
 from .elector import Elector, restored_of
@@ -104,8 +104,9 @@
 
 
 def start(
-    name: str, options: Options, keeper: Keeper, wall: Clock, deadlines: Deadlines, counters: Counters
-) -> tuple[Leases, Address]:
+    name: str, options: Options, keeper: PersistenceService, wall: Clock, deadlines: Deadlines,
+    counters: Counters,
+) -> tuple[Leases, Address]:  # fmt: skip
     """All that stands behind `[leases]`; `Leases.listen` at the address sets it going."""
     table, told = options.leases, checked(options, name)
     assert table is not None
--- a/gladewalk/store/dns_lease_rows.py
+++ b/gladewalk/store/dns_lease_rows.py
@@ -1,7 +1,8 @@
-"""Answers that resolvers hold, over a restart: they bound what a cold box may be sent, whoever gave them out.
+"""Rows of DNS leases: which resolver may hold which answer until when, over a restart. No I/O.
 
-No I/O. An answer is given once its lease is durable: else a director that restarts would name the box again
-to as many resolvers as before.
+Leases bound how many resolvers may send to a server that is warming up, whichever run gave the answer. An
+answer leaves once its lease is durable: else a director that restarts would name the server again to as many
+resolvers as before.
 """
 
 from __future__ import annotations
@@ -13,24 +14,35 @@
 from ..policy.known import place_of
 from ..policy.naming import LEASE_MS
 
-SPACE = "lease"
+LEASE_SPACE = "lease"
+MAX_WEIGHT = 1e9  # transfers at a time; a stored weight from here on is none
 
 
-class Lease(msgspec.Struct, frozen=True, array_like=True):
+class DnsLease(msgspec.Struct, frozen=True, array_like=True):
+    """`holder` may use the answer that names `place` for part `part` of object `key` until `expires_at_ms`.
+
+    `weight` is how many transfers at a time the answer may bring to the place.
+    """
+
     place: str
     holder: str
     key: int
     part: int
-    until_ms: float
+    expires_at_ms: float
     weight: float
 
+    @property
+    def row_key(self) -> str:
+        """The row's key, one for each place, holder, object and part."""
+        return f"{self.place}|{self.holder}|{self.key:x}.{self.part}"
+
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Lease)
+_decoder = msgspec.msgpack.Decoder(DnsLease)
 
 
-def lease_of(core: Dispatcher, question: api.Locate, server: str) -> Lease | None:
-    """The lease that the core has counted for an answer; None if there is none."""
+def find_lease(core: Dispatcher, question: api.Locate, server: str) -> DnsLease | None:
+    """The lease that the policy module has counted for an answer; None if there is none."""
     known = core.servers.get(server)
     if known is None or core.ledger is None:
         return None
@@ -38,28 +50,28 @@
     held = core.ledger.find(place, question.holder, (question.key, question.part))
     if held is None:
         return None
-    return Lease(place, question.holder, question.key, question.part, *held)
+    return DnsLease(place, question.holder, question.key, question.part, *held)
 
 
-def key_of(lease: Lease) -> str:
-    return f"{lease.place}|{lease.holder}|{lease.key:x}.{lease.part}"
-
-
-def pack(lease: Lease) -> bytes:
+def encode_lease(lease: DnsLease) -> bytes:
+    """Encodes a lease as a msgpack array."""
     return _encoder.encode(lease)
 
 
-def restore(core: Dispatcher, rows: dict[str, bytes], now_ms: float) -> int:
-    """Count again what may still be held: how many. A time too far ahead is cut to what a lease may be."""
+def restore_leases(core: Dispatcher, rows: dict[str, bytes], now_ms: float) -> int:
+    """Counts the stored leases that are still in force into the policy module; returns how many.
+
+    An expiry too far ahead is cut to the longest lease. Rows of another version are skipped.
+    """
     count = 0
     for value in rows.values():
         try:
             lease = _decoder.decode(value)
         except msgspec.MsgspecError:
             continue
-        until = min(lease.until_ms, now_ms + LEASE_MS)
-        if until <= now_ms or not 0.0 < lease.weight < 1e9:
+        expires_at_ms = min(lease.expires_at_ms, now_ms + LEASE_MS)
+        if expires_at_ms <= now_ms or not 0.0 < lease.weight < MAX_WEIGHT:
             continue
-        core.names().hold(lease.place, lease.holder, (lease.key, lease.part), until, lease.weight)
+        core.names().hold(lease.place, lease.holder, (lease.key, lease.part), expires_at_ms, lease.weight)
         count += 1
     return count
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -1,4 +1,8 @@
-"""A director's store: opened at its start, told of what is to outlive it, asked once at the next start."""
+"""Persistence service of a director: stores what has to outlast a restart, and restores it at the next start.
+
+It follows the coordinator's feed (purges, endpoints), the DNS front (leases) and, one partition at a time,
+what the policy module has learned.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+import msgspec
+
 from .. import interface as api
 from ..config import ConfigError
 from ..counters import Counters
@@ -13,144 +19,181 @@
 from ..exchange import Exchange
 from ..net.coordinator import Feed
 from ..options import Options
-from . import dns_lease_rows as leases
-from . import warm_start as warm
+from ..policy import Dispatcher
+from . import row_codecs, warm_start
+from .dns_lease_rows import LEASE_SPACE, encode_lease, find_lease, restore_leases
 from .errors import StoreFileError
 from .file_system import StoreDirectory
 from .record_format import MAX_PAYLOAD_BYTES
-from .row_codecs import (
-    FEED,
-    PURGES,
-    SERVERS,
-    Position,
-    Row,
-    is_whole,
-    position_of,
-    position_row,
-    purges_of,
-    rows_of,
-    servers_of,
-    unlisted,
-)
+from .recovery import DroppedTail
+from .row_codecs import FEED_SPACE, PURGE_SPACE, SERVER_SPACE, FeedPosition, Row
 from .segmented_log import LogConfig, SegmentedLog
-from .writer import StoreWriter
+from .writer import LogEvent, StoreWriter
+
+TORN_WRITE_EVENT = "store dropped a cut write"
+MAX_SNAPSHOT_ROW_BYTES = MAX_PAYLOAD_BYTES // 2  # a larger partition is not stored
+
+
+class StoreStatus(msgspec.Struct, frozen=True):
+    """What is stored and how much of it is durable, for the control socket; the field names are its keys."""
+
+    policy: str
+    feed: int
+    durable: int
+    sequence: int
+    keys: int
+    bytes: int
+    segments: int
+    compactions: int
+    refused_by_disk: bool
+    purges: list[str]
+
 
+class PersistenceService:
+    """One director's store.
 
-class Keeper:
-    """`ConfigError` at its making where the store is damaged or held by another process."""
+    Raises `ConfigError`, which names the setting, if the store is damaged or another process holds it.
+    `settle_ms` is how long a purge takes to settle, `clock` returns Unix milliseconds, and `log_event` takes
+    an event's name and its reason.
+    """
 
     def __init__(
         self, options: Options, settle_ms: float, clock: Callable[[], float], counters: Counters,
-        say: Callable[[str, str], None], deadlines: Deadlines,
+        log_event: LogEvent, deadlines: Deadlines,
     ) -> None:  # fmt: skip
         table = options.store
         assert table is not None
-        self.deadlines, self.warm_ms, self.part = deadlines, table.warm_ms, -1
-        self.exchange: Exchange | None = None
-        self.resume, self.position, self.holes = table.resume, Position(0), False
-        self.settle_ms, self.clock, self.counters, self.say = settle_ms, clock, counters, say
+        self._settle_ms, self._clock, self._counters, self._deadlines = settle_ms, clock, counters, deadlines
+        self._exchange: Exchange | None = None
+        self._snapshot_interval_ms, self._partition = table.warm_ms, -1
+        self._is_resumed, self._position = table.resume, FeedPosition(0)
+        self._has_lost_row = False  # the disk rejected a row of the feed, so its position stands still
         path = options.file(table.folder)
         try:
-            self.folder = StoreDirectory(path)
-            self.log = SegmentedLog(self.folder, clock, LogConfig(table.segment_bytes, table.limit_bytes))
+            self.directory = StoreDirectory(path)
+            config = LogConfig(table.segment_bytes, table.limit_bytes)
+            self.log = SegmentedLog(self.directory, clock, config)
         except (StoreFileError, OSError) as error:
             raise ConfigError(f"{options.path}: store.folder: {error}") from error
         for tail in self.log.recovered.dropped:
-            why = f"{tail.file}: at byte {tail.offset}: {tail.size_bytes} bytes, never acknowledged"
-            say("store dropped a cut write", why)
-        self.writer = StoreWriter(self.log, table.policy, table.group_ms, counters, say)
+            log_event(TORN_WRITE_EVENT, _describe(tail))
+        self.writer = StoreWriter(self.log, table.policy, table.group_ms, counters, log_event)
 
     def restore(self, feed: Feed) -> None:
-        """What the last run knew: into the module before anything is served."""
-        now = self.clock()
-        purges = purges_of(self.log.items(PURGES), now)
+        """Restores what the last run knew into the feed and the policy module, before anything is served."""
+        now_ms = self._clock()
+        purges = row_codecs.decode_purges(self.log.items(PURGE_SPACE), now_ms)
         for purge in purges:
             feed.exchange.purged(purge)
-        if self.resume:
-            self.position = position_of(self.log.items(FEED))
-        whole = self.position.whole if self.position.whole > feed.last else 0
-        entries = servers_of(self.log.items(SERVERS), feed.last, whole)
-        if entries:
-            feed.event({"endpoints": {"all": bool(whole), "targets": entries}})
-        feed.resume(self.position.index)
+        server_count = self._restore_servers(feed)
         core = feed.exchange.core
-        leases_back = leases.restore(core, self.log.items(leases.SPACE), now)
-        objects, sources = warm.restore(core, self.log.items(warm.SPACE), now)
-        for what, count in (
-            ("purges", len(purges)), ("servers", len(entries)), ("leases", leases_back), ("objects", objects),
-            ("sources", sources),
-        ):  # fmt: skip
-            self.counters.add(f"store.{what}_restored", count)
+        lease_count = restore_leases(core, self.log.items(LEASE_SPACE), now_ms)
+        restored = warm_start.restore_snapshot(core, self.log.items(warm_start.SNAPSHOT_SPACE), now_ms)
+        self._counters.add("store.purges_restored", len(purges))
+        self._counters.add("store.servers_restored", server_count)
+        self._counters.add("store.leases_restored", lease_count)
+        self._counters.add("store.objects_restored", restored.objects)
+        self._counters.add("store.sources_restored", restored.servers)
+
+    def _restore_servers(self, feed: Feed) -> int:
+        """Feeds the stored endpoints as an event of the feed; returns how many."""
+        if self._is_resumed:
+            self._position = row_codecs.decode_position(self.log.items(FEED_SPACE))
+        full_list_index = self._position.full_list_index
+        if full_list_index <= feed.last:
+            full_list_index = 0  # the configuration's list is newer
+        endpoints = row_codecs.decode_servers(self.log.items(SERVER_SPACE), feed.last, full_list_index)
+        if endpoints:
+            feed.event({"endpoints": {"all": bool(full_list_index), "targets": endpoints}})
+        feed.resume(self._position.event_index)
+        return len(endpoints)
 
     def start(self, feed: Feed) -> None:
+        """Starts the writer, and follows the feed and the answers of the DNS front from here on."""
         self.writer.start()
-        feed.noted, self.exchange = self.note, feed.exchange
-        feed.exchange.lasting = self.lease
-        if self.warm_ms:
-            self._keep_warm()
-
-    def lease(self, question: api.Locate, servers: Sequence[str], then: Callable[[], None]) -> None:
-        """Go on with an answer once its leases last, or cannot."""
-        assert self.exchange is not None
-        told = []
+        feed.noted, self._exchange = self.record_event, feed.exchange
+        feed.exchange.lasting = self.record_leases
+        if self._snapshot_interval_ms:
+            self._record_partition(feed.exchange.core)
+
+    async def close(self) -> None:
+        """Writes what is pending and releases the directory."""
+        await self.writer.close()
+        self.directory.close()
+
+    def record_leases(self, question: api.Locate, servers: Sequence[str], then: Callable[[], None]) -> None:
+        """Stores the leases of an answer, and calls `then` once they are durable or can't become so."""
+        assert self._exchange is not None
+        acknowledgements = []
         for server in servers:
-            held = leases.lease_of(self.exchange.core, question, server)
-            if held is not None:
-                row = leases.key_of(held), leases.pack(held), held.until_ms
-                told.append(self.writer.put(leases.SPACE, *row))
-        if not told:
+            lease = find_lease(self._exchange.core, question, server)
+            if lease is not None:
+                row = Row(LEASE_SPACE, lease.row_key, encode_lease(lease), lease.expires_at_ms)
+                acknowledgements.append(self._write(row))
+        if not acknowledgements:
             return then()
-        asyncio.gather(*told).add_done_callback(lambda _: then())
-
-    def _keep_warm(self) -> None:
-        """One part of what the module has learned, and now and then its sources; the next comes later."""
-        assert self.exchange is not None
-        core, now = self.exchange.core, self.clock()
-        self.part = (self.part + 1) % (warm.PARTS + 1)
-        if self.part == warm.PARTS:
-            key, value = warm.SOURCES, warm.sources_row(core, now)
+        asyncio.gather(*acknowledgements).add_done_callback(lambda _: then())
+
+    def record_event(self, event_index: int, event: dict[str, Any]) -> None:
+        """Stores a valid event of the feed."""
+        rows = row_codecs.encode_event(event_index, event, self._settle_ms, self._clock(), self._is_resumed)
+        if self._is_resumed and row_codecs.has_full_list(event):
+            rows += row_codecs.delete_unlisted(event, self.log.items(SERVER_SPACE))
+        acknowledgements = [self._write(row) for row in rows]
+        if not self._is_resumed:
+            return
+        # A rejected row must be told again after a restart: from here on the position stands still.
+        if any(future.done() and not future.result() for future in acknowledgements):
+            self._has_lost_row = True
+        if self._has_lost_row:
+            self._counters.add("store.position_held")
+            return
+        self._position = row_codecs.next_position(event_index, event, self._position)
+        self._write(row_codecs.encode_position(self._position))
+
+    def _record_partition(self, core: Dispatcher) -> None:
+        """Stores one partition of what was learned, after the last one the servers; the next comes later."""
+        now_ms = self._clock()
+        self._partition = (self._partition + 1) % (warm_start.PARTITION_COUNT + 1)
+        if self._partition == warm_start.PARTITION_COUNT:
+            key, value = warm_start.SERVERS_KEY, warm_start.encode_servers(core, now_ms)
         else:
-            key, value = f"{warm.OBJECTS}-{self.part}", warm.objects_row(core, self.part, now)
-        if len(value) <= MAX_PAYLOAD_BYTES // 2:
-            self.writer.put(warm.SPACE, key, value, now + warm.FRESH_MS)
-        self.deadlines.add(now + self.warm_ms / (warm.PARTS + 1), self._keep_warm)
+            key = f"{warm_start.OBJECTS_KEY}-{self._partition}"
+            value = warm_start.encode_objects(core, self._partition, now_ms)
+        if len(value) <= MAX_SNAPSHOT_ROW_BYTES:
+            expires_at_ms = now_ms + warm_start.MAX_SNAPSHOT_AGE_MS
+            self._write(Row(warm_start.SNAPSHOT_SPACE, key, value, expires_at_ms))
+        next_at_ms = now_ms + self._snapshot_interval_ms / (warm_start.PARTITION_COUNT + 1)
+        self._deadlines.add(next_at_ms, lambda: self._record_partition(core))
+
+    def _write(self, row: Row) -> asyncio.Future[bool]:
+        if row.value is None:
+            return self.writer.delete(row.space, row.key)
+        return self.writer.put(row.space, row.key, row.value, row.expires_at_ms)
 
     def view(self, given: dict[str, Any]) -> dict[str, Any]:
-        """For the control socket: what is durable and how much there is of it."""
+        """The control socket's answer to `store`: a `StoreStatus`."""
         log = self.log
-        purges = [
+        durable_purges = [
             key
-            for (space, key), held in log.index.entries.items()
-            if space == PURGES and not held.is_deleted and held.sequence <= log.durable_sequence
+            for (space, key), entry in log.index.entries.items()
+            if space == PURGE_SPACE and not entry.is_deleted and entry.sequence <= log.durable_sequence
         ]
-        return {
-            "policy": self.writer.policy, "feed": self.position.index,
-            "durable": log.durable_sequence, "sequence": log.index.last_sequence,
-            "keys": len(log.index.entries),
-            "bytes": log.total_bytes, "segments": len(log.segments), "compactions": log.compaction_count,
-            "refused_by_disk": self.writer.is_failing, "purges": sorted(purges),
-        }  # fmt: skip
-
-    def note(self, index: int, event: dict[str, Any]) -> None:
-        """An event of the feed that was found to be good."""
-        rows = rows_of(index, event, self.settle_ms, self.clock(), self.resume)
-        if self.resume and is_whole(event):
-            rows += unlisted(event, self.log.items(SERVERS))
-        kept = [self._put(row) for row in rows]
-        if not self.resume:
-            return
-        # A refused row must be told again after a restart: from here on the position stands still.
-        self.holes = self.holes or any(told.done() and not told.result() for told in kept)
-        if self.holes:
-            return self.counters.add("store.position_held")
-        row, self.position = position_row(index, event, self.position)
-        self._put(row)
-
-    def _put(self, row: Row) -> asyncio.Future[bool]:
-        if row.value is None:
-            return self.writer.delete(row.space, row.key)
-        return self.writer.put(row.space, row.key, row.value, row.until_ms)
+        status = StoreStatus(
+            policy=self.writer.policy,
+            feed=self._position.event_index,
+            durable=log.durable_sequence,
+            sequence=log.index.last_sequence,
+            keys=len(log.index.entries),
+            bytes=log.total_bytes,
+            segments=len(log.segments),
+            compactions=log.compaction_count,
+            refused_by_disk=self.writer.is_failing,
+            purges=sorted(durable_purges),
+        )
+        view: dict[str, Any] = msgspec.to_builtins(status)
+        return view
 
-    async def close(self) -> None:
-        await self.writer.close()
-        self.folder.close()
+
+def _describe(tail: DroppedTail) -> str:
+    return f"{tail.file}: at byte {tail.offset}: {tail.size_bytes} bytes, never acknowledged"
--- a/gladewalk/store/warm_start.py
+++ b/gladewalk/store/warm_start.py
@@ -1,19 +1,20 @@
-"""A warm start: what the module has learned, kept now and then, and believed only as far as its age allows.
+"""Warm-start snapshot: what the policy module has learned, stored in parts and restored by its age. No I/O.
 
-No I/O. What may be believed after a restart:
+What counts after a restart:
 
-- a remembered holder, if it was seen lately enough to count still (the module's own fading), after the last
-  purge of its object or group, and after the holder's own last start: the module checks the last two at each
-  use, since purges and starts are restored before this is;
-- a source's share and time to its first byte, if the server is listed and has not started since;
-- sizes of objects, which don't change.
+- A location of an object, if it was seen recently enough not to have faded. The module itself checks at each
+  use that it is later than the last purge of the object or group, and than the holder's last start.
+- A server's limit of concurrent cache fills and its time to first byte, if it is listed and has not started
+  since.
+- Sizes of objects, as transfer times, which don't change.
 
-All of it is kept in parts, one part at a time, so that no moment writes all: an object belongs to one part.
+The snapshot is written one partition at a time, so that no turn of the event loop encodes all of it; an
+object belongs to one partition.
 """
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -21,99 +22,124 @@
 from ..policy import Dispatcher
 from ..remembered import MEMORY_MS
 
-PARTS = 16
-OBJECTS = "objects"
-SOURCES = "sources"
-SPACE = "warm"
-FRESH_MS = 600_000.0  # shares and sizes older than this are not believed: a night may lie between
+PARTITION_COUNT = 16
+SNAPSHOT_SPACE = "warm"
+OBJECTS_KEY = "objects"  # with the partition's number behind it
+SERVERS_KEY = "sources"
+MAX_SNAPSHOT_AGE_MS = 600_000.0  # of limits and sizes: load may have changed since
+MAX_FIRST_BYTE_MS = 10_000.0
 
 
-class Objects(msgspec.Struct, frozen=True, array_like=True):
-    """One part of the objects: holders with when each was last seen, and sending times."""
+class ObjectsPartition(msgspec.Struct, frozen=True, array_like=True):
+    """The objects of one partition, each by key and part.
 
-    at_ms: float
-    holders: list[tuple[int, int, dict[str, float]]]
-    sizes: list[tuple[int, int, float]]
+    `locations` has when each holder was last seen, `transfer_times` milliseconds.
+    """
 
+    taken_at_ms: float
+    locations: list[tuple[int, int, dict[str, float]]]
+    transfer_times: list[tuple[int, int, float]]
+
+
+class ServerEstimate(msgspec.Struct, frozen=True, array_like=True):
+    """What was measured of one server since its last start."""
 
-class Source(msgspec.Struct, frozen=True, array_like=True):
     name: str
     started_ms: float
-    share: float
+    fill_limit: float
     first_byte_ms: float
 
 
-class Sources(msgspec.Struct, frozen=True, array_like=True):
-    at_ms: float
-    sources: list[Source]
+class ServerEstimates(msgspec.Struct, frozen=True, array_like=True):
+    """The estimates of all servers at one time."""
+
+    taken_at_ms: float
+    servers: list[ServerEstimate]
+
+
+class RestoredCounts(NamedTuple):
+    """How much of a snapshot was restored."""
+
+    objects: int
+    servers: int
 
 
 _encoder = msgspec.msgpack.Encoder()
-_objects = msgspec.msgpack.Decoder(Objects)
-_sources = msgspec.msgpack.Decoder(Sources)
+_objects_decoder = msgspec.msgpack.Decoder(ObjectsPartition)
+_servers_decoder = msgspec.msgpack.Decoder(ServerEstimates)
 
 
-def part_of(obj: tuple[int, int]) -> int:
-    return (obj[0] ^ obj[1]) % PARTS
+def partition_of(obj: tuple[int, int]) -> int:
+    """The partition that an object's key and part belong to."""
+    return (obj[0] ^ obj[1]) % PARTITION_COUNT
 
 
-def objects_row(core: Dispatcher, part: int, now_ms: float) -> bytes:
-    """What is remembered of one part's objects and has not faded."""
-    holders = []
+def encode_objects(core: Dispatcher, partition: int, now_ms: float) -> bytes:
+    """Encodes one partition's locations that have not faded, and its transfer times."""
+    locations = []
     for obj, seen in core.memory.items():
-        lately = {name: at for name, at in seen.items() if now_ms - at < MEMORY_MS}
-        if lately and part_of(obj) == part:
-            holders.append((*obj, lately))
-    sizes = [(*obj, took) for obj, took in core.sizes.items() if part_of(obj) == part]
-    return _encoder.encode(Objects(now_ms, holders, sizes))
+        recent = {name: seen_at for name, seen_at in seen.items() if now_ms - seen_at < MEMORY_MS}
+        if recent and partition_of(obj) == partition:
+            locations.append((*obj, recent))
+    times = [(*obj, took_ms) for obj, took_ms in core.sizes.items() if partition_of(obj) == partition]
+    return _encoder.encode(ObjectsPartition(now_ms, locations, times))
 
 
-def sources_row(core: Dispatcher, now_ms: float) -> bytes:
-    rows = [
-        Source(name, server.started_ms, server.share, server.first_byte_ms)
+def encode_servers(core: Dispatcher, now_ms: float) -> bytes:
+    """Encodes the estimates of all servers."""
+    estimates = [
+        ServerEstimate(name, server.started_ms, server.share, server.first_byte_ms)
         for name, server in core.servers.items()
     ]
-    return _encoder.encode(Sources(now_ms, rows))
+    return _encoder.encode(ServerEstimates(now_ms, estimates))
 
 
-def restore(core: Dispatcher, rows: dict[str, bytes], now_ms: float) -> tuple[int, int]:
-    """Put back what may be believed: how many objects and how many sources. Rows of another form are none."""
-    objects = sources = 0
+def restore_snapshot(core: Dispatcher, rows: dict[str, bytes], now_ms: float) -> RestoredCounts:
+    """Puts what still counts back into the policy module. Rows of another version are skipped."""
+    objects = servers = 0
     for key, value in sorted(rows.items()):
         try:
-            if key == SOURCES:
-                sources += _restore_sources(core, _sources.decode(value), now_ms)
+            if key == SERVERS_KEY:
+                servers += _restore_servers(core, _servers_decoder.decode(value), now_ms)
             else:
-                objects += _restore_objects(core, _objects.decode(value), now_ms)
+                objects += _restore_objects(core, _objects_decoder.decode(value), now_ms)
         except (msgspec.MsgspecError, ValueError):
             continue
-    return objects, sources
+    return RestoredCounts(objects, servers)
+
+
+def _is_recent(taken_at_ms: float, now_ms: float, max_age_ms: float) -> bool:
+    """Whether a time is young enough; one ahead of ours, from a clock set back, would never age."""
+    return 0.0 <= now_ms - taken_at_ms < max_age_ms
 
 
-def _restore_objects(core: Dispatcher, row: Objects, now_ms: float) -> int:
+def _restore_objects(core: Dispatcher, partition: ObjectsPartition, now_ms: float) -> int:
     count = 0
-    for key, part, seen in row.holders:
-        # A time ahead of ours is of a clock that went back: it would never fade.
-        lately = {n: at for n, at in seen.items() if n in core.servers and 0.0 <= now_ms - at < MEMORY_MS}
-        if lately:
-            core.memory[key, part] = {**lately, **core.memory.get((key, part), {})}
+    for key, part, seen in partition.locations:
+        recent = {
+            name: seen_at
+            for name, seen_at in seen.items()
+            if name in core.servers and _is_recent(seen_at, now_ms, MEMORY_MS)
+        }
+        if recent:
+            core.memory[key, part] = {**recent, **core.memory.get((key, part), {})}
             count += 1
-    if 0.0 <= now_ms - row.at_ms < FRESH_MS:
-        for key, part, took in row.sizes:
-            if 0.0 < took < FRESH_MS:
-                core.sizes.setdefault((key, part), took)
+    if _is_recent(partition.taken_at_ms, now_ms, MAX_SNAPSHOT_AGE_MS):
+        for key, part, took_ms in partition.transfer_times:
+            if 0.0 < took_ms < MAX_SNAPSHOT_AGE_MS:
+                core.sizes.setdefault((key, part), took_ms)
     return count
 
 
-def _restore_sources(core: Dispatcher, row: Sources, now_ms: float) -> int:
-    if not 0.0 <= now_ms - row.at_ms < FRESH_MS:
+def _restore_servers(core: Dispatcher, estimates: ServerEstimates, now_ms: float) -> int:
+    if not _is_recent(estimates.taken_at_ms, now_ms, MAX_SNAPSHOT_AGE_MS):
         return 0
     count = 0
-    for source in row.sources:
-        server: Any = core.servers.get(source.name)
-        if server is None or server.started_ms > source.started_ms:  # it has started since: as good as new
+    for estimate in estimates.servers:
+        server: Any = core.servers.get(estimate.name)
+        if server is None or server.started_ms > estimate.started_ms:  # restarted: nothing of it counts
             continue
-        server.share = min(SHARE_MOST, max(SHARE_FLOOR, source.share))
-        server.first_byte_ms = min(10_000.0, max(0.0, source.first_byte_ms))
+        server.share = min(SHARE_MOST, max(SHARE_FLOOR, estimate.fill_limit))
+        server.first_byte_ms = min(MAX_FIRST_BYTE_MS, max(0.0, estimate.first_byte_ms))
         count += 1
     return count
--- a/tests/test_golden_store.py
+++ b/tests/test_golden_store.py
@@ -18,12 +18,9 @@
 from gladewalk.options import options_of, read_tables
 from gladewalk.policy import Dispatcher
 from gladewalk.rehearsal.faulty_disk import FaultyDisk, FaultyFile
-from gladewalk.store import dns_lease_rows as leases
-from gladewalk.store import maintenance as tools
-from gladewalk.store import row_codecs as keeping
-from gladewalk.store import warm_start as warm
+from gladewalk.store import dns_lease_rows, maintenance, row_codecs, warm_start
 from gladewalk.store.errors import StoreFileError
-from gladewalk.store.persistence import Keeper
+from gladewalk.store.persistence import PersistenceService
 from gladewalk.store.recovery import recover_store, salvage_records
 from gladewalk.store.segmented_log import LogConfig, SegmentedLog
 
@@ -77,29 +74,50 @@
         (api.Locate(1, "page", 7, 3_000.0, "resolver", weight=0.25), "a"),
         (api.Locate(2, "page", 2**60, 3_000.0, "10.1.2.3", part=4), "b"),
     ):
-        lease = leases.lease_of(core, question, server)
+        lease = dns_lease_rows.find_lease(core, question, server)
         assert lease is not None
-        rows.append((leases.SPACE, leases.key_of(lease), leases.pack(lease), lease.until_ms))
+        rows.append(
+            (
+                dns_lease_rows.LEASE_SPACE,
+                lease.row_key,
+                dns_lease_rows.encode_lease(lease),
+                lease.expires_at_ms,
+            )
+        )
     return rows
 
 
 def warm_rows(core: Dispatcher) -> list[tuple[str, str, bytes, float]]:
     rows = [
-        (warm.SPACE, f"{warm.OBJECTS}-{n}", warm.objects_row(core, n, NOW), NOW + warm.FRESH_MS)
-        for n in range(warm.PARTS)
+        (
+            warm_start.SNAPSHOT_SPACE,
+            f"{warm_start.OBJECTS_KEY}-{n}",
+            warm_start.encode_objects(core, n, NOW),
+            NOW + warm_start.MAX_SNAPSHOT_AGE_MS,
+        )
+        for n in range(warm_start.PARTITION_COUNT)
+    ]
+    return [
+        *rows,
+        (
+            warm_start.SNAPSHOT_SPACE,
+            warm_start.SERVERS_KEY,
+            warm_start.encode_servers(core, NOW),
+            NOW + warm_start.MAX_SNAPSHOT_AGE_MS,
+        ),
     ]
-    return [*rows, (warm.SPACE, warm.SOURCES, warm.sources_row(core, NOW), NOW + warm.FRESH_MS)]
 
 
 def event_rows(lasting: bool) -> list[tuple[str, str, bytes | None, float]]:
     rows = []
-    position = keeping.Position(0)
+    position = row_codecs.FeedPosition(0)
     for event in EVENTS:
-        kept = keeping.rows_of(event["index"], event, SETTLE_MS, NOW, lasting)
-        if keeping.is_whole(event):
-            kept += keeping.unlisted(event, ["c0", "c1", "c2"])
-        row, position = keeping.position_row(event["index"], event, position)
-        rows += [(one.space, one.key, one.value, one.until_ms) for one in (*kept, row)]
+        kept = row_codecs.encode_event(event["index"], event, SETTLE_MS, NOW, lasting)
+        if row_codecs.has_full_list(event):
+            kept += row_codecs.delete_unlisted(event, ["c0", "c1", "c2"])
+        position = row_codecs.next_position(event["index"], event, position)
+        row = row_codecs.encode_position(position)
+        rows += [(one.space, one.key, one.value, one.expires_at_ms) for one in (*kept, row)]
     return rows
 
 
@@ -217,24 +235,24 @@
 def restored() -> dict[str, Any]:
     """What each codec makes of the rows of the golden store."""
     log = SegmentedLog(disk_with(golden_files()), lambda: NOW, SMALL)
-    purges = keeping.purges_of(log.items(keeping.PURGES), NOW + 1_000.0)
-    position = keeping.position_of(log.items(keeping.FEED))
-    servers = log.items(keeping.SERVERS)
+    purges = row_codecs.decode_purges(log.items(row_codecs.PURGE_SPACE), NOW + 1_000.0)
+    position = row_codecs.decode_position(log.items(row_codecs.FEED_SPACE))
+    servers = log.items(row_codecs.SERVER_SPACE)
     core = core_with_knowledge()
     core.memory.clear()
     core.sizes.clear()
     core.servers["b"].share = 1.0
-    counts = warm.restore(core, log.items(warm.SPACE), NOW + 1_000.0)
+    counts = warm_start.restore_snapshot(core, log.items(warm_start.SNAPSHOT_SPACE), NOW + 1_000.0)
     return {
         "purges": sorted([list(astuple(one)) for one in purges], key=str),
-        "position": [position.index, position.whole],
-        "servers": keeping.servers_of(servers, 0, position.whole),
-        "servers after 8": keeping.servers_of(servers, 8),
+        "position": [position.event_index, position.full_list_index],
+        "servers": row_codecs.decode_servers(servers, 0, position.full_list_index),
+        "servers after 8": row_codecs.decode_servers(servers, 8),
         "warm": list(counts),
         "memory": [[*key, dict(seen)] for key, seen in sorted(core.memory.items())],
         "sizes": [[*key, took] for key, took in sorted(core.sizes.items())],
         "shares": [core.servers[name].share for name in "ab"],
-        "leases": leases.restore(core, log.items(leases.SPACE), NOW + 61_000.0),
+        "leases": dns_lease_rows.restore_leases(core, log.items(dns_lease_rows.LEASE_SPACE), NOW + 61_000.0),
     }
 
 
@@ -281,7 +299,7 @@
 
 
 def test_the_commands_print_and_leave_what_they_did(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(tools, "wall_clock_ms", lambda: NOW)
+    monkeypatch.setattr(maintenance, "wall_clock_ms", lambda: NOW)
     assert tool_outputs(tmp_path) == GOLDEN["commands"]
 
 
@@ -297,37 +315,37 @@
         self.said: list[list[str]] = []
         self.counters = Counters()
 
-    def opened(self) -> Keeper:
+    def opened(self) -> PersistenceService:
         tables = read_tables({"store": {"folder": "store", "resume": True, "warm_ms": 0.0}})
         options = options_of(tables, "own.toml", self.folder)
-        return Keeper(
+        return PersistenceService(
             options, SETTLE_MS, lambda: NOW, self.counters, lambda *said: self.said.append([*said]),
             Deadlines(lambda when_ms: None),
         )  # fmt: skip
 
-    async def settled(self, keeper: Keeper) -> None:
-        while keeper.log.pending or keeper.log.in_flight is not None:
+    async def settled(self, persistence: PersistenceService) -> None:
+        while persistence.log.pending or persistence.log.in_flight is not None:
             await asyncio.sleep(0.001)
 
     async def play(self) -> dict[str, Any]:
-        keeper = self.opened()
-        keeper.writer.start()
+        persistence = self.opened()
+        persistence.writer.start()
         for event in EVENTS:
-            keeper.note(event["index"], event)
-            await self.settled(keeper)
+            persistence.record_event(event["index"], event)
+            await self.settled(persistence)
         with pytest.MonkeyPatch.context() as patched:
-            patched.setattr(type(keeper.folder), "append", refuse)
-            assert not await keeper.writer.put("bytes", "refused", b"1")
-            failing = keeper.view({})
-        while keeper.writer.is_failing:
+            patched.setattr(type(persistence.directory), "append", refuse)
+            assert not await persistence.writer.put("bytes", "refused", b"1")
+            failing = persistence.view({})
+        while persistence.writer.is_failing:
             await asyncio.sleep(0.01)
-        view = keeper.view({})
-        await keeper.close()
+        view = persistence.view({})
+        await persistence.close()
         files = {one.name: one.read_bytes() for one in (self.folder / "store").glob("*.seg")}
         with (self.folder / "store" / max(files)).open("ab") as file:
             file.write(b"half of a record")
-        keeper = self.opened()
-        keeper.folder.close()
+        persistence = self.opened()
+        persistence.directory.close()
         return {
             "said": self.said, "counters": dict(sorted(self.counters.items())), "view": view,
             "failing": failing, "files": hex_of(files),
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -39,9 +39,7 @@
     until,
 )
 from gladewalk.rehearsal.resolver import Resolver
-from gladewalk.store import dns_lease_rows as leases
-from gladewalk.store import record_format as frames
-from gladewalk.store import warm_start as warm
+from gladewalk.store import dns_lease_rows, record_format, warm_start
 from gladewalk.store.compaction_policy import SegmentUsage, choose_compaction_prefix
 from gladewalk.store.errors import StoreFileError, StoreFullError
 from gladewalk.store.file_system import StoreDirectory
@@ -418,7 +416,7 @@
         for n in range(20):
             old.put("purge", f"k{n}", b"old")
             old.commit()
-        with patch.multiple(frames, FORMAT_VERSION=2, READABLE_VERSIONS=frozenset((1, 2))):
+        with patch.multiple(record_format, FORMAT_VERSION=2, READABLE_VERSIONS=frozenset((1, 2))):
             grown = disk_of(files_of(disk))
             new = SegmentedLog(grown, lambda: NOW, SMALL)
             new.put("purge", "k0", b"new")
@@ -431,7 +429,7 @@
         with self.assertRaisesRegex(StoreFileError, "written in format 2, this program reads 1"):
             SegmentedLog(disk_of(files_of(both)), lambda: NOW, SMALL)
         with patch.multiple(
-            frames, FORMAT_VERSION=2, READABLE_VERSIONS=frozenset((2,))
+            record_format, FORMAT_VERSION=2, READABLE_VERSIONS=frozenset((2,))
         ):  # nothing of the old is left
             self.assertEqual(held(SegmentedLog(disk_of(files_of(both)), lambda: NOW, SMALL)), held(new))
 
@@ -567,13 +565,13 @@
         boxes[0].state = "DRAINING"
         coordinator.tell_list(boxes[0])
         coordinator.tell(evict={"ref": "a1", "unix_ms": unix_ms()})
-        keeper = first.keeper
-        assert keeper is not None
-        await until(lambda: keeper.log.durable_sequence >= 2)
+        persistence = first.persistence
+        assert persistence is not None
+        await until(lambda: persistence.log.durable_sequence >= 2)
         coordinator.stop()
         first.front.close()
         first.follower.close()
-        keeper.folder.close()  # as a kill does: nothing more is written
+        persistence.directory.close()  # as a kill does: nothing more is written
         again = Director(config, loop, None, self.options(folder))
         await again.start()
         self.assertEqual(again.counters["store.purges_restored"], 1)
@@ -591,8 +589,8 @@
             Director(config, loop, None, self.options(folder))
         again.front.close()
         again.follower.close()
-        assert again.keeper is not None
-        await again.keeper.close()
+        assert again.persistence is not None
+        await again.persistence.close()
         for peer in (*boxes, origin):
             peer.stop()
 
@@ -616,8 +614,8 @@
         async def end(director: Director) -> None:
             director.front.close()
             director.follower.close()
-            assert director.keeper is not None
-            await director.keeper.close()
+            assert director.persistence is not None
+            await director.persistence.close()
 
         first = await run(config)
         coordinator.tell_list(boxes[0], boxes[3], whole=True)  # the others are listed no more
@@ -661,13 +659,16 @@
         front = DnsConfig(("127.0.0.1", 0), dns.name.from_text("cdn.example."), "127.0.0.1", 0.01, 1_000.0)
         async with Rehearsal(boxes, dns=front, options=options) as world:
             director = world.director
-            assert director is not None and director.dns is not None and director.keeper is not None
-            resolver, log = Resolver(director.dns.address), director.keeper.log
+            assert director is not None and director.dns is not None and director.persistence is not None
+            resolver, log = Resolver(director.dns.address), director.persistence.log
             found = await resolver.resolve("0.a1.lot-page.cdn.example.")
             self.assertEqual(len(found), 1)
-            lease = next(iter(log.items(leases.SPACE).values()))  # durable before the answer left
+            lease = next(
+                iter(log.items(dns_lease_rows.LEASE_SPACE).values())
+            )  # durable before the answer left
             self.assertGreaterEqual(
-                log.durable_sequence, log.index.entries[leases.SPACE, next(iter(log.items("lease")))].sequence
+                log.durable_sequence,
+                log.index.entries[dns_lease_rows.LEASE_SPACE, next(iter(log.items("lease")))].sequence,
             )
             for n in range(8):
                 await world.ask(f"/invoke/lot-page/{n:x}?nth=0", trace=f"{n + 1:016x}")
@@ -675,14 +676,16 @@
                 lambda: sum(b"c0" in v or b"c1" in v or b"c2" in v for v in log.items("warm").values()) > 6
             )
             await until(lambda: log.durable_sequence >= log.index.last_sequence - 1)
-            director.keeper.folder.close()
+            director.persistence.directory.close()
         again = SegmentedLog(StoreDirectory(folder / "store"), unix_ms)
-        self.assertIn(lease, again.items(leases.SPACE).values())
+        self.assertIn(lease, again.items(dns_lease_rows.LEASE_SPACE).values())
         core = Dispatcher(director.exchange.core.settings, 1)
         servers = tuple(server.info for server in director.exchange.core.servers.values())
         core.handle(unix_ms(), api.ServerList(api.ListKind.LAST, servers))
-        self.assertEqual(leases.restore(core, again.items(leases.SPACE), unix_ms()), 1)
-        objects, _ = warm.restore(core, again.items(warm.SPACE), unix_ms())
+        self.assertEqual(
+            dns_lease_rows.restore_leases(core, again.items(dns_lease_rows.LEASE_SPACE), unix_ms()), 1
+        )
+        objects, _ = warm_start.restore_snapshot(core, again.items(warm_start.SNAPSHOT_SPACE), unix_ms())
         self.assertGreater(objects, 4)
 
 
@@ -700,20 +703,22 @@
     core.memory[8, 0] = {"b": NOW - 40_000.0}
     core.sizes[7, 0] = 55.0
     core.servers["a"].share, core.servers["b"].share = 9.0, 1e9
-    rows = {f"objects-{n}": warm.objects_row(core, n, NOW) for n in range(warm.PARTS)}
-    rows |= {warm.SOURCES: warm.sources_row(core, NOW), "objects-x": b"noise"}
+    rows = {
+        f"objects-{n}": warm_start.encode_objects(core, n, NOW) for n in range(warm_start.PARTITION_COUNT)
+    }
+    rows |= {warm_start.SERVERS_KEY: warm_start.encode_servers(core, NOW), "objects-x": b"noise"}
     later = core_with(NOW + 2_000.0)
-    assert warm.restore(later, rows, NOW + 2_000.0) == (1, 2)
+    assert warm_start.restore_snapshot(later, rows, NOW + 2_000.0) == (1, 2)
     assert later.memory == {(7, 0): {"a": NOW - 1_000.0}} and later.sizes == {(7, 0): 55.0}
     assert (later.servers["a"].share, later.servers["b"].share) == (9.0, 64.0)
     old, back = core_with(NOW + 700_000.0), core_with(NOW - 60_000.0)
-    assert warm.restore(old, rows, NOW + 700_000.0) == (0, 0) and not old.sizes
-    assert warm.restore(back, rows, NOW - 60_000.0) == (
+    assert warm_start.restore_snapshot(old, rows, NOW + 700_000.0) == (0, 0) and not old.sizes
+    assert warm_start.restore_snapshot(back, rows, NOW - 60_000.0) == (
         0,
         0,
     )  # the clock went back: nothing ages as it should
     started = core_with(NOW + 2_000.0, started_ms=NOW + 500.0)
-    assert warm.restore(started, rows, NOW + 2_000.0)[1] == 0
+    assert warm_start.restore_snapshot(started, rows, NOW + 2_000.0)[1] == 0
     request_ = api.Request(1, "page", 7, 3_000.0)
     opened = Pending(request_, started.classes["page"], NOW + 2_000.0)
     started.now = NOW + 2_000.0
@@ -730,15 +735,17 @@
     question = api.Locate(1, "page", 7, 3_000.0, "resolver", weight=0.25)
     core.names().hold("a", "resolver", (7, 0), NOW + 200_000.0, 0.25)
     core.names().hold("a", "r2", (8, 0), NOW + 100.0, 1.0)
-    lease = leases.lease_of(core, question, "a")
-    assert lease is not None and leases.lease_of(core, question, "b") is None
-    rows = {leases.key_of(lease): leases.pack(lease), "noise": b"x"}
+    lease = dns_lease_rows.find_lease(core, question, "a")
+    assert lease is not None and dns_lease_rows.find_lease(core, question, "b") is None
+    rows = {lease.row_key: dns_lease_rows.encode_lease(lease), "noise": b"x"}
     again = core_with(NOW + 1_000.0)
-    assert leases.restore(again, rows, NOW + 1_000.0) == 1
+    assert dns_lease_rows.restore_leases(again, rows, NOW + 1_000.0) == 1
     assert again.names().find("a", "resolver", (7, 0)) == (NOW + 200_000.0, 0.25)
     assert len(again.names()) == 1
-    assert leases.restore(core_with(NOW), rows, NOW + 200_000.0) == 0
+    assert dns_lease_rows.restore_leases(core_with(NOW), rows, NOW + 200_000.0) == 0
     back = core_with(NOW)
-    assert leases.restore(back, rows, NOW - 1e9) == 1  # no clock makes a lease longer than a lease
+    assert (
+        dns_lease_rows.restore_leases(back, rows, NOW - 1e9) == 1
+    )  # no clock makes a lease longer than a lease
     found = back.names().find("a", "resolver", (7, 0))
     assert found is not None and found[0] == NOW - 1e9 + 300_000.0
