--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -25,7 +25,7 @@
 
 import lmdb
 
-from gladewalk.counters import Counters
+from gladewalk.core.counters import Counters
 from gladewalk.store.file_system import StoreDirectory
 from gladewalk.store.maintenance import wall_clock_ms
 from gladewalk.store.segmented_log import LogConfig, SegmentedLog
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -9,11 +9,11 @@
 from typing import Any, cast
 
 from .. import interface as api
-from ..config import Address, Config, ConfigError, finite, read_server
-from ..counters import Counters
-from ..deadlines import Deadlines, Key
-from ..exchange import Exchange
-from ..settings import SettingsError
+from ..config.platform import Address, Config, ConfigError, finite, read_server
+from ..config.policy_settings import SettingsError
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines, Key
+from ..core.exchange import Exchange
 
 SILENCE_MS = 2_500.0  # a line comes each second: after this long without one the connection is taken for dead
 CONNECT_MS = 1_000.0
@@ -127,12 +127,12 @@
             except UNUSABLE:
                 self.counters.add("coordinator.bad_entries")
         bad_entries = len(change["targets"]) - len(read)
-        kind = api.ListKind.CHANGES
+        kind = api.EndpointListKind.DELTA
         if not self._listed or (change.get("all") and not bad_entries):  # else one not understood would go
-            kind = api.ListKind.WHOLE if self._listed else api.ListKind.LAST
+            kind = api.EndpointListKind.COMPLETE if self._listed else api.EndpointListKind.PERSISTED
         self._listed = True
         addresses = {server.name: address for server, address in read}
-        self.exchange.listed(api.ServerList(kind, tuple(server for server, _ in read)), addresses, models)
+        self.exchange.listed(api.EndpointList(kind, tuple(server for server, _ in read)), addresses, models)
         return bad_entries
 
     def _purge(self, evict: dict[str, Any]) -> None:
--- a/gladewalk/store/dns_lease_rows.py
+++ b/gladewalk/store/dns_lease_rows.py
@@ -11,7 +11,6 @@
 
 from .. import interface as api
 from ..policy import Dispatcher
-from ..policy.known import place_of
 from ..policy.naming import LEASE_MS
 
 LEASE_SPACE = "lease"
@@ -41,16 +40,16 @@
 _decoder = msgspec.msgpack.Decoder(DnsLease)
 
 
-def find_lease(core: Dispatcher, question: api.Locate, server: str) -> DnsLease | None:
+def find_lease(core: Dispatcher, question: api.ResolveRequest, server: str) -> DnsLease | None:
     """The lease that the policy module has counted for an answer; None if there is none."""
     known = core.servers.get(server)
     if known is None or core.ledger is None:
         return None
-    place = place_of(known)
-    held = core.ledger.find(place, question.holder, (question.key, question.part))
+    place = known.address
+    held = core.ledger.find(place, question.resolver, (question.key, question.part))
     if held is None:
         return None
-    return DnsLease(place, question.holder, question.key, question.part, *held)
+    return DnsLease(place, question.resolver, question.key, question.part, *held)
 
 
 def encode_lease(lease: DnsLease) -> bytes:
--- a/gladewalk/store/errors.py
+++ b/gladewalk/store/errors.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from ..errors import GladewalkError
 
-class StoreError(Exception):
+
+class StoreError(GladewalkError):
     """Base of all errors that the store raises by itself; the file system's are `OSError`."""
 
 
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -13,12 +13,12 @@
 import msgspec
 
 from .. import interface as api
-from ..config import ConfigError
-from ..counters import Counters
-from ..deadlines import Deadlines
-from ..exchange import Exchange
+from ..config.options import Options
+from ..config.platform import ConfigError
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from ..core.exchange import Exchange
 from ..net.coordinator import Feed
-from ..options import Options
 from ..policy import Dispatcher
 from . import row_codecs, warm_start
 from .dns_lease_rows import LEASE_SPACE, encode_lease, find_lease, restore_leases
@@ -121,7 +121,9 @@
         await self.writer.close()
         self.directory.close()
 
-    def record_leases(self, question: api.Locate, servers: Sequence[str], then: Callable[[], None]) -> None:
+    def record_leases(
+        self, question: api.ResolveRequest, servers: Sequence[str], then: Callable[[], None]
+    ) -> None:
         """Stores the leases of an answer, and calls `then` once they are durable or can't become so."""
         assert self._exchange is not None
         acknowledgements = []
--- a/gladewalk/store/row_codecs.py
+++ b/gladewalk/store/row_codecs.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from .. import interface as api
-from ..config import STATES
+from ..config.platform import STATES
 from .key_index import NEVER_EXPIRES
 
 PURGE_SPACE, SERVER_SPACE, FEED_SPACE = "purge", "server", "feed"
--- a/gladewalk/store/warm_start.py
+++ b/gladewalk/store/warm_start.py
@@ -18,9 +18,9 @@
 
 import msgspec
 
-from ..limits.recovery import SHARE_FLOOR, SHARE_MOST
+from ..limits.backoff import SHARE_FLOOR, SHARE_MOST
 from ..policy import Dispatcher
-from ..remembered import MEMORY_MS
+from ..registry.object_locations import MEMORY_MS
 
 PARTITION_COUNT = 16
 SNAPSHOT_SPACE = "warm"
@@ -46,7 +46,7 @@
 
     name: str
     started_ms: float
-    fill_limit: float
+    fill_quota: float
     first_byte_ms: float
 
 
@@ -88,7 +88,7 @@
 def encode_servers(core: Dispatcher, now_ms: float) -> bytes:
     """Encodes the estimates of all servers."""
     estimates = [
-        ServerEstimate(name, server.started_ms, server.share, server.first_byte_ms)
+        ServerEstimate(name, server.started_ms, server.fill_quota, server.first_byte_ms)
         for name, server in core.servers.items()
     ]
     return _encoder.encode(ServerEstimates(now_ms, estimates))
@@ -139,7 +139,7 @@
         server: Any = core.servers.get(estimate.name)
         if server is None or server.started_ms > estimate.started_ms:  # restarted: nothing of it counts
             continue
-        server.share = min(SHARE_MOST, max(SHARE_FLOOR, estimate.fill_limit))
+        server.fill_quota = min(SHARE_MOST, max(SHARE_FLOOR, estimate.fill_quota))
         server.first_byte_ms = min(MAX_FIRST_BYTE_MS, max(0.0, estimate.first_byte_ms))
         count += 1
     return count
--- a/gladewalk/store/writer.py
+++ b/gladewalk/store/writer.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
-from ..counters import Counters
+from ..core.counters import Counters
 from .errors import StoreFullError
 from .key_index import NEVER_EXPIRES
 from .segmented_log import SegmentedLog
--- a/tests/test_golden_store.py
+++ b/tests/test_golden_store.py
@@ -12,10 +12,10 @@
 from click.testing import CliRunner
 
 from gladewalk import interface as api
-from gladewalk.cli import gladewalk
-from gladewalk.counters import Counters
-from gladewalk.deadlines import Deadlines
-from gladewalk.options import options_of, read_tables
+from gladewalk.cli.commands import gladewalk
+from gladewalk.config.options import options_of, read_tables
+from gladewalk.core.counters import Counters
+from gladewalk.core.deadlines import Deadlines
 from gladewalk.policy import Dispatcher
 from gladewalk.rehearsal.faulty_disk import FaultyDisk, FaultyFile
 from gladewalk.store import dns_lease_rows, maintenance, row_codecs, warm_start
@@ -50,18 +50,18 @@
 
 def core_with_knowledge() -> Dispatcher:
     page = api.RequestClass("page", 400.0, 3_000.0)
-    core = Dispatcher(api.Settings(classes=(page,), zone="e", zones=("e",), hub_of=(0,)), 1)
+    core = Dispatcher(api.Settings(classes=(page,), zone="e", zones=("e",), hub_of_zone=(0,)), 1)
     servers = tuple(
-        api.Server(name, api.Role.CACHE, "e", started_ms=started, place=f"{name}:9")
+        api.Server(name, api.Role.CACHE, "e", started_ms=started, address=f"{name}:9")
         for name, started in (("a", 0.0), ("b", NOW - 50_000.0))
     )
-    core.handle(NOW, api.ServerList(api.ListKind.LAST, servers))
+    core.handle(NOW, api.EndpointList(api.EndpointListKind.PERSISTED, servers))
     core.memory[7, 0] = {"a": NOW - 1_000.0, "b": NOW - 29_000.0}
     core.memory[8, 3] = {"b": NOW - 40_000.0}
     core.memory[2**60, 1] = {"b": NOW - 2.5}
     core.sizes[7, 0] = 55.0
     core.sizes[9, 2] = 1_234.5
-    core.servers["a"].share, core.servers["b"].share = 9.0, 0.25
+    core.servers["a"].fill_quota, core.servers["b"].fill_quota = 9.0, 0.25
     core.servers["b"].first_byte_ms = 17.5
     core.names().hold("a:9", "resolver", (7, 0), NOW + 200_000.0, 0.25)
     core.names().hold("b:9", "10.1.2.3", (2**60, 4), NOW + 60_000.0, 1.0)
@@ -71,8 +71,8 @@
 def lease_rows(core: Dispatcher) -> list[tuple[str, str, bytes, float]]:
     rows = []
     for question, server in (
-        (api.Locate(1, "page", 7, 3_000.0, "resolver", weight=0.25), "a"),
-        (api.Locate(2, "page", 2**60, 3_000.0, "10.1.2.3", part=4), "b"),
+        (api.ResolveRequest(1, "page", 7, 3_000.0, "resolver", transfers=0.25), "a"),
+        (api.ResolveRequest(2, "page", 2**60, 3_000.0, "10.1.2.3", part=4), "b"),
     ):
         lease = dns_lease_rows.find_lease(core, question, server)
         assert lease is not None
@@ -241,7 +241,7 @@
     core = core_with_knowledge()
     core.memory.clear()
     core.sizes.clear()
-    core.servers["b"].share = 1.0
+    core.servers["b"].fill_quota = 1.0
     counts = warm_start.restore_snapshot(core, log.items(warm_start.SNAPSHOT_SPACE), NOW + 1_000.0)
     return {
         "purges": sorted([list(astuple(one)) for one in purges], key=str),
@@ -251,7 +251,7 @@
         "warm": list(counts),
         "memory": [[*key, dict(seen)] for key, seen in sorted(core.memory.items())],
         "sizes": [[*key, took] for key, took in sorted(core.sizes.items())],
-        "shares": [core.servers[name].share for name in "ab"],
+        "shares": [core.servers[name].fill_quota for name in "ab"],
         "leases": dns_lease_rows.restore_leases(core, log.items(dns_lease_rows.LEASE_SPACE), NOW + 61_000.0),
     }
 
