--- /dev/null
+++ b/tests/store/conftest.py
@@ -0,0 +1,21 @@
+"""Fixtures of the store's tests."""
+
+from __future__ import annotations
+
+import pytest
+
+from gladewalk.rehearsal.faulty_disk import FaultyDisk
+
+from .support import History
+
+
+@pytest.fixture
+def disk() -> FaultyDisk:
+    """An empty disk without faults."""
+    return FaultyDisk()
+
+
+@pytest.fixture
+def history() -> History:
+    """A store with every kind of record, and each state that it acknowledged."""
+    return History()
--- a/tests/test_golden_store.py
+++ b/tests/test_golden_store.py
@@ -17,12 +17,13 @@
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.policy import Dispatcher
-from gladewalk.rehearsal.faulty_disk import FaultyDisk, FaultyFile
+from gladewalk.rehearsal.faulty_disk import FaultyDisk
 from gladewalk.store import dns_lease_rows, maintenance, row_codecs, warm_start
 from gladewalk.store.errors import StoreFileError
 from gladewalk.store.persistence import PersistenceService
 from gladewalk.store.recovery import recover_store, salvage_records
 from gladewalk.store.segmented_log import LogConfig, SegmentedLog
+from tests.store.support import disk_with, files_of
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "store.json").read_text())
 NOW = 1_750_000_000_000.0
@@ -154,14 +155,7 @@
     return {name: bytes.fromhex(text) for name, text in GOLDEN["files"].items()}
 
 
-def disk_with(files: dict[str, bytes]) -> FaultyDisk:
-    disk = FaultyDisk()
-    disk.files = {name: FaultyFile(bytearray(data), data) for name, data in files.items()}
-    disk.durable_names = dict(disk.files)
-    return disk
-
-
-def values_in(log: SegmentedLog) -> dict[str, dict[str, str]]:
+def values_by_space(log: SegmentedLog) -> dict[str, dict[str, str]]:
     spaces = sorted({space for space, _ in log.index.entries})
     return {space: {key: value.hex() for key, value in sorted(log.items(space).items())} for space in spaces}
 
@@ -204,7 +198,7 @@
     return {
         **told, "sequence": found.index.last_sequence,
         "dropped": [list(astuple(one)) for one in found.dropped],
-        "useless": found.obsolete_files, "next_number": found.next_number, "values": values_in(log),
+        "useless": found.obsolete_files, "next_number": found.next_number, "values": values_by_space(log),
     }  # fmt: skip
 
 
@@ -221,12 +215,12 @@
 
 
 def test_a_store_is_written_as_it_was_byte_for_byte() -> None:
-    assert hex_of({name: bytes(file.data) for name, file in written().files.items()}) == GOLDEN["files"]
+    assert hex_of(files_of(written())) == GOLDEN["files"]
 
 
 def test_a_store_that_was_written_is_read() -> None:
     log = SegmentedLog(disk_with(golden_files()), lambda: NOW, SMALL)
-    assert values_in(log) == GOLDEN["values"]
+    assert values_by_space(log) == GOLDEN["values"]
     assert [log.index.last_sequence, log.durable_sequence, log.total_bytes, log.next_number] == GOLDEN[
         "figures"
     ]
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -638,5 +638,6 @@
         self.assertEqual(len(report.faults), 13)  # each of the troubles came about
         self.assertLessEqual({"above_goaway", "refused"}, set(report.findings))
         proved = sum(report.findings[reason.value] for reason in PROOFS)
-        self.assertGreater(report.recovered_count, proved // 2)  # the module has a bound of its own on further tries
+        # The decision module has a bound of its own on retries.
+        self.assertGreater(report.recovered_count, proved // 2)
         self.assertGreater(sum(status == 200 for status in report.statuses.values()), 1_500)
