Fault points: FaultPoint, PointPass, SweepReport, Violation, typed errors; the store's scenario in short steps

Point names, fault kinds and the last line of benchmarks.fault_points are as before. Kind and Points keep their names until the scenarios of leases and members, which import them, are done.

--- a/benchmarks/fault_points.py
+++ b/benchmarks/fault_points.py
@@ -3,7 +3,8 @@
     python -m benchmarks.fault_points [--quick] [--table]
 
 Without `--quick` every pass of every point; with it, twelve passes of each, spread over its run. `--table`
-prints a row for each point. What is broken is told a line each; the last line sums up.
+prints a row for each point. Each violation is a line; the last line sums up. Exit code 1 for a violation or a
+point that no run reaches.
 """
 
 from __future__ import annotations
@@ -13,33 +14,36 @@
 
 from gladewalk.faultpoints.points import CATALOGUE
 from gladewalk.faultpoints.scenarios import SCENARIOS
-from gladewalk.faultpoints.sweep import Swept, sweep
+from gladewalk.faultpoints.sweep import SweepReport, sweep
 
-QUICK = 12
+QUICK_PASSES_PER_POINT = 12
 
 
-def table(swept: Swept) -> str:
+def table(report: SweepReport) -> str:
+    """A row for each point in Markdown."""
     rows = ["| point | faults put to it | what held |", "| --- | --- | --- |"]
     for point in CATALOGUE:
         kinds = ", ".join(kind.value for kind in point.kinds)
-        rows.append(f"| `{point.name}` | {swept.by_point[point.name]}: {kinds} | {point.proves} |")
+        faults = report.faults_by_point[point.name]
+        rows.append(f"| `{point.name}` | {faults}: {kinds} | {point.invariant} |")
     return "\n".join(rows)
 
 
 def main() -> int:
+    """Parses the command line and runs the sweep; its exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--table", action="store_true")
-    options = parser.parse_args()
-    swept = sweep(SCENARIOS, QUICK if options.quick else None)
-    for broken in swept.broken:
-        print(broken.line())
-    for name in swept.unreached:
+    arguments = parser.parse_args()
+    report = sweep(SCENARIOS, QUICK_PASSES_PER_POINT if arguments.quick else None)
+    for violation in report.violations:
+        print(violation.line())
+    for name in report.unreached:
         print(f"never reached: {name}")
-    if options.table:
-        print(table(swept))
-    print(swept.line())
-    return 1 if swept.broken or swept.unreached else 0
+    if arguments.table:
+        print(table(report))
+    print(report.line())
+    return 1 if report.violations or report.unreached else 0
 
 
 if __name__ == "__main__":
--- a/gladewalk/faultpoints/points.py
+++ b/gladewalk/faultpoints/points.py
@@ -1,4 +1,4 @@
-"""The catalogue of points, how a run passes them, and the one fault that is put to a run. No I/O."""
+"""Catalogue of fault points, and the injector that counts a run's passes and plays one fault. No I/O."""
 
 from __future__ import annotations
 
@@ -6,16 +6,18 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from ..errors import GladewalkError
+
 
 class Kind(Enum):
     """What may happen at a point."""
 
     KILL = "kill"  # the process is gone before it does what it was about to do
     POWER = "power"  # the machine loses power, and its disk what was not synced
-    REFUSE = "refuse"  # the disk refuses
+    REFUSE = "refuse"  # the disk rejects the call
     LOSE = "lose"  # the message is lost
-    DOUBLE = "double"  # it comes twice
-    LATE = "late"  # it comes much later, after newer ones
+    DOUBLE = "double"  # it arrives twice
+    LATE = "late"  # it arrives much later, after newer ones
     STALL = "stall"  # the process stops there for a while
 
 
@@ -25,21 +27,23 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Point:
-    name: str  # part.act.what
+class FaultPoint:
+    """A named place, `part.act.what`; the faults that can happen there, and what holds whichever does."""
+
+    name: str
     kinds: tuple[Kind, ...]
-    proves: str  # what holds whatever happens there
+    invariant: str
 
 
-def _points(part: str, act: str, whats: str, kinds: tuple[Kind, ...], proves: str) -> list[Point]:
-    return [Point(f"{part}.{act}.{what}", kinds, proves) for what in whats.split()]
+def _points(part: str, act: str, whats: str, kinds: tuple[Kind, ...], invariant: str) -> list[FaultPoint]:
+    return [FaultPoint(f"{part}.{act}.{what}", kinds, invariant) for what in whats.split()]
 
 
 LASTS = "what was acknowledged is there after the start, nothing torn, nothing that was never put"
 ONE = "one holder at a time, no stale token accepted, every duty held again"
 ROSTER = "nobody found dead that was not killed, one roster in the end"
 
-CATALOGUE: tuple[Point, ...] = (
+CATALOGUE: tuple[FaultPoint, ...] = (
     *_points("store", "disk", "create append sync sync_names rename remove read cut", DISK, LASTS),
     *_points("store", "start", "recover", (Kind.KILL, Kind.POWER), LASTS),
     *_points("leases", "save", "grant", (Kind.KILL, Kind.STALL), ONE),
@@ -51,42 +55,45 @@
     *_points("members", "dial", "exchange knock", (Kind.KILL, Kind.LOSE, Kind.STALL), ROSTER),
     *_points("members", "verdict", "suspected died", PROCESS, ROSTER),
 )
-BY_NAME = {point.name: point for point in CATALOGUE}
+_POINTS_BY_NAME = {point.name: point for point in CATALOGUE}
 
 
 @dataclass(slots=True, frozen=True)
-class Passed:
-    """One pass of a point: its number in its run, the point, and how often the run had passed that before."""
+class PointPass:
+    """One pass of a point: its number in the run, and how often the run had passed that point before."""
 
     number: int
-    point: Point
-    times: int
+    point: FaultPoint
+    occurrence: int
 
 
-class Unlisted(Exception):
-    """A run passed a point that the catalogue does not have."""
+class UnlistedPointError(GladewalkError):
+    """A run passed a point that the catalogue doesn't have."""
 
 
 class Points:
-    """What one run passes; the fault that it is put to, if any, happens once."""
+    """Counts what one run passes, and plays fault `kind` once, at pass number `at`; no fault if None."""
 
     def __init__(self, at: int | None = None, kind: Kind | None = None) -> None:
         self.at, self.kind = at, kind
-        self.passed: list[Passed] = []
-        self.times: Counter[str] = Counter()
-        self.happened = False
+        self.passed: list[PointPass] = []
+        self.happened = False  # the fault was played
         self.counting = True  # off once a run is over but for its checks
+        self._occurrences: Counter[str] = Counter()
 
     def reach(self, name: str) -> Kind | None:
-        """To be asked where a part is about to act: the fault that happens there now."""
+        """Passes a point, before the part acts; the fault that happens there now, or None.
+
+        Raises `UnlistedPointError`.
+        """
         if not self.counting:
             return None
-        point = BY_NAME.get(name)
+        point = _POINTS_BY_NAME.get(name)
         if point is None:
-            raise Unlisted(name)
+            raise UnlistedPointError(name)
         number = len(self.passed)
-        self.passed.append(Passed(number, point, self.times[name]))
-        self.times[name] += 1
+        self.passed.append(PointPass(number, point, self._occurrences[name]))
+        self._occurrences[name] += 1
         if number != self.at or self.kind is None:
             return None
         self.happened = True
--- a/gladewalk/faultpoints/scenarios.py
+++ b/gladewalk/faultpoints/scenarios.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from . import leaserun, memberrun
-from . import store_scenario as storerun
+from . import leaserun, memberrun, store_scenario
 from .sweep import Scenario
 
 SCENARIOS: tuple[tuple[str, Scenario], ...] = (
-    ("store", storerun.play),
+    ("store", store_scenario.play),
     ("leases", leaserun.play),
     ("members", memberrun.play),
 )
--- a/gladewalk/faultpoints/store_scenario.py
+++ b/gladewalk/faultpoints/store_scenario.py
@@ -1,21 +1,31 @@
-"""The embedded store at its points: puts, deletes, rollovers, compactions, and a start after each fault."""
+"""Fault points of the store: changes over several segments, compactions, and a start after each fault."""
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import random
 from collections.abc import Callable
 from typing import Any
 
+from ..errors import GladewalkError
 from ..rehearsal.faulty_disk import FaultyDisk
 from ..store.segmented_log import LogConfig, SegmentedLog
 from .points import Kind, Points
 
-STEPS = 18
-TERMS = LogConfig(max_segment_bytes=220, max_total_bytes=700)
+STEP_COUNT = 18
+MAX_START_ATTEMPTS = 4
+CONFIG = LogConfig(max_segment_bytes=220, max_total_bytes=700)
+SPACE = "s"
+KEY_COUNT = 5
+DELETE_PROBABILITY = 0.25
+SEED, POWER_LOSS_SEED = 5, 7
+TORN_RECORD = b"half of a record"
 
+LogType = Callable[..., Any]  # makes a `SegmentedLog`, or a copy of it with a fault
 
-class Killed(Exception):
+
+class ProcessKilledError(GladewalkError):
     """The process is gone; the kind says what becomes of its disk."""
 
     def __init__(self, kind: Kind) -> None:
@@ -23,83 +33,95 @@
         self.kind = kind
 
 
-class Run:
-    """One store, what was put to it, and what of that was acknowledged."""
+class StoreRun:
+    """One store, what was put into it, and how much of that was acknowledged."""
 
-    def __init__(self, points: Points, log: Callable[..., Any] = SegmentedLog) -> None:
-        self.points, self.log_type = points, log
+    def __init__(self, points: Points, log_type: LogType = SegmentedLog) -> None:
         self.disk = FaultyDisk()
-        self.history: list[dict[str, bytes]] = [{}]  # what held after each put or delete
-        self.acknowledged = 0  # how much of the history is promised
-        self.base = 0  # the log's sequence at the history's begin
+        self._points, self._log_type = points, log_type
+        self._history: list[dict[str, bytes]] = [{}]  # the values after each change
+        self._acknowledged = 0  # index into the history, up to which everything is promised
+        self._first_sequence = 0  # of the log, where the history begins
 
-    def fail(self, call: str, name: str, number: int) -> int:
-        kind = self.points.reach(f"store.disk.{call}")
+    def _fault_rule(self, operation: str, name: str, number: int) -> int:
+        kind = self._points.reach(f"store.disk.{operation}")
         if kind in (Kind.KILL, Kind.POWER):
-            raise Killed(kind)
+            raise ProcessKilledError(kind)
         return errno.EIO if kind is Kind.REFUSE else 0
 
-    def restarted(self, kind: Kind) -> None:
-        self.disk = self.disk.after_kill() if kind is Kind.KILL else self.disk.after_power_loss(7)
+    def restart(self, kind: Kind) -> None:
+        """Replaces the disk by what is left of it after a kill or a power loss."""
+        is_killed = kind is Kind.KILL
+        self.disk = self.disk.after_kill() if is_killed else self.disk.after_power_loss(POWER_LOSS_SEED)
+
+    def tear_newest_file(self) -> None:
+        """Leaves a torn write behind, as a kill within an append does."""
+        self.disk.files[max(self.disk.files)].data += TORN_RECORD
 
-    def started(self) -> SegmentedLog:
-        """A start, over a fault in the middle of it if that is where it is put."""
-        for _ in range(4):
+    def start(self) -> SegmentedLog:
+        """Opens the store, again after a fault in the middle of it."""
+        for _ in range(MAX_START_ATTEMPTS):
             try:
-                if (kind := self.points.reach("store.start.recover")) is not None:
-                    raise Killed(kind)
-                self.disk.fault_rule = self.fail
-                log: SegmentedLog = self.log_type(self.disk, lambda: 0.0, TERMS)
-                return log
-            except Killed as killed:
-                self.restarted(killed.kind)
-            except OSError:
-                continue  # a start that the disk refused is tried again
+                return self._open()
+            except ProcessKilledError as killed:
+                self.restart(killed.kind)
+            except OSError:  # a start that the disk rejected is tried again
+                continue
         raise AssertionError("it never starts")
 
+    def _open(self) -> SegmentedLog:
+        kind = self._points.reach("store.start.recover")
+        if kind is not None:
+            raise ProcessKilledError(kind)
+        self.disk.fault_rule = self._fault_rule
+        log: SegmentedLog = self._log_type(self.disk, lambda: 0.0, CONFIG)
+        return log
+
     def check(self, log: SegmentedLog) -> str:
-        """What is held is what held after some put, the last that was acknowledged or a later one."""
-        held = log.items("s")
-        for sequence in range(len(self.history) - 1, self.acknowledged - 1, -1):
-            if self.history[sequence] == held:
-                del self.history[sequence + 1 :]  # what never lasted was never there
-                self.base = log.index.last_sequence - sequence
+        """What is wrong: the values must be those after the last acknowledged change, or a later one."""
+        values = log.items(SPACE)
+        for index in range(len(self._history) - 1, self._acknowledged - 1, -1):
+            if self._history[index] == values:
+                del self._history[index + 1 :]  # what never lasted was never there
+                self._first_sequence = log.index.last_sequence - index
                 return ""
-        return f"acknowledged {self.acknowledged} of {len(self.history) - 1}, found {sorted(held)}"
-
-    def step(self, log: SegmentedLog, n: int, draw: random.Random) -> None:
-        key, now = f"k{draw.randrange(5)}", dict(self.history[-1])
-        if draw.random() < 0.25 and key in now:
-            log.delete("s", key)
-            del now[key]
+        return f"acknowledged {self._acknowledged} of {len(self._history) - 1}, found {sorted(values)}"
+
+    def step(self, log: SegmentedLog, number: int, draw: random.Random) -> None:
+        """Makes a drawn change, commits it and compacts where the policy says so."""
+        key, values = f"k{draw.randrange(KEY_COUNT)}", dict(self._history[-1])
+        if draw.random() < DELETE_PROBABILITY and key in values:
+            log.delete(SPACE, key)
+            del values[key]
         else:
-            now[key] = bytes([n]) * draw.randrange(10, 60)
-            log.put("s", key, now[key])
-        self.history.append(now)
-        self.acknowledged = max(self.acknowledged, log.commit() - self.base)
-        if (upto := log.choose_compaction()) is not None:
-            log.compact(upto)
-
-
-def play(points: Points, log_type: Callable[..., Any] = SegmentedLog) -> str:
-    run, draw = Run(points, log_type), random.Random(5)
-    log = run.started()
-    for n in range(STEPS):
+            values[key] = bytes([number]) * draw.randrange(10, 60)
+            log.put(SPACE, key, values[key])
+        self._history.append(values)
+        self._acknowledged = max(self._acknowledged, log.commit() - self._first_sequence)
+        through_segment = log.choose_compaction()
+        if through_segment is not None:
+            log.compact(through_segment)
+
+
+def play(points: Points, log_type: LogType = SegmentedLog) -> str:
+    """Plays one run; returns what is wrong, or an empty text."""
+    run, draw = StoreRun(points, log_type), random.Random(SEED)
+    log = run.start()
+    for number in range(STEP_COUNT):
         try:
-            if n == STEPS // 2:  # a start in the middle of it, behind a record that was half written
-                run.disk.files[max(run.disk.files)].data += b"half of a record"
-                run.restarted(Kind.KILL)
-                log = run.started()
-                if why := run.check(log):
-                    return why
-            run.step(log, n, draw)
-        except OSError:
-            pass  # what was refused waits, and is written with the next
-        except Killed as killed:
-            run.restarted(killed.kind)
-            log = run.started()
-            if why := run.check(log):
-                return why
+            if number == STEP_COUNT // 2:
+                run.tear_newest_file()
+                run.restart(Kind.KILL)
+                log = run.start()
+                if wrong := run.check(log):
+                    return wrong
+            with contextlib.suppress(OSError):  # what was rejected is pending, and written with the next
+                run.step(log, number, draw)
+        except ProcessKilledError as killed:
+            run.restart(killed.kind)
+            log = run.start()
+            if wrong := run.check(log):
+                return wrong
     points.counting = False
-    run.restarted(Kind.KILL)
-    return run.check(run.started())
+    run.restart(Kind.KILL)
+    return run.check(run.start())
--- a/gladewalk/faultpoints/sweep.py
+++ b/gladewalk/faultpoints/sweep.py
@@ -1,4 +1,4 @@
-"""One fault at each point in turn: count the points of a run, then play it again for each. No I/O."""
+"""Sweep of the fault points: counts those of a run, then plays it again with one fault at each. No I/O."""
 
 from __future__ import annotations
 
@@ -6,87 +6,104 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from .points import CATALOGUE, Kind, Passed, Points, Unlisted
+from ..errors import GladewalkError
+from .points import CATALOGUE, Kind, PointPass, Points, UnlistedPointError
 
-# Plays one run from its first to its last event, and says what does not hold; empty if all does.
+# Plays one run from its first to its last event, and returns what is wrong; an empty text if nothing is.
 Scenario = Callable[[Points], str]
 
 
+class BaselineError(GladewalkError):
+    """A scenario fails without any fault."""
+
+
 @dataclass(slots=True, frozen=True)
-class Broken:
+class Violation:
+    """A run whose invariants did not hold after one fault."""
+
     scenario: str
-    passed: Passed
+    passed: PointPass
     kind: Kind
-    why: str
+    reason: str
 
     def line(self) -> str:
-        return f"{self.scenario} #{self.passed.number} {self.passed.point.name} {self.kind.value}: {self.why}"
+        """The violation as text."""
+        where = f"{self.scenario} #{self.passed.number} {self.passed.point.name}"
+        return f"{where} {self.kind.value}: {self.reason}"
 
 
 @dataclass(slots=True)
-class Swept:
-    points: int = 0
-    runs: int = 0
+class SweepReport:
+    """What a sweep played and found."""
+
+    point_count: int = 0
+    run_count: int = 0
     reached: set[str] = field(default_factory=set)
-    broken: list[Broken] = field(default_factory=list)
-    by_point: dict[str, int] = field(default_factory=lambda: defaultdict(int))  # faults put to each
+    violations: list[Violation] = field(default_factory=list)
+    faults_by_point: dict[str, int] = field(default_factory=lambda: defaultdict(int))
 
     @property
     def unreached(self) -> list[str]:
+        """The points of the catalogue that no run passed."""
         return [point.name for point in CATALOGUE if point.name not in self.reached]
 
     def line(self) -> str:
-        counts = f"points={self.points} runs={self.runs} broken={len(self.broken)}"
+        """The report's last line, whose form other programs read."""
+        counts = f"points={self.point_count} runs={self.run_count} broken={len(self.violations)}"
         return f"{counts} unreached={len(self.unreached)}"
 
 
-def count(scenario: Scenario, name: str) -> list[Passed]:
-    """The points of a run to which no fault is put; it must hold by itself."""
+def count_passes(scenario: Scenario, name: str) -> list[PointPass]:
+    """The passes of a run without a fault. Raises `BaselineError` if it doesn't hold by itself."""
     points = Points()
-    why = scenario(points)
-    if why:
-        raise AssertionError(f"{name} without a fault: {why}")
+    reason = scenario(points)
+    if reason:
+        raise BaselineError(f"{name} without a fault: {reason}")
     return points.passed
 
 
-def thinned(passed: Sequence[Passed], each: int | None) -> list[Passed]:
+def sample_passes(passes: Sequence[PointPass], max_per_point: int | None) -> list[PointPass]:
     """At most so many passes of each point, spread over the run; None: all of them."""
-    if each is None:
-        return list(passed)
-    of_point: dict[str, list[Passed]] = defaultdict(list)
-    for one in passed:
-        of_point[one.point.name].append(one)
+    if max_per_point is None:
+        return list(passes)
+    by_point: dict[str, list[PointPass]] = defaultdict(list)
+    for one in passes:
+        by_point[one.point.name].append(one)
     chosen: set[int] = set()
-    for passes in of_point.values():
-        step = max(1.0, len(passes) / each)
-        chosen.update(passes[int(n * step)].number for n in range(min(each, len(passes))))
-    return [one for one in passed if one.number in chosen]
+    for of_point in by_point.values():
+        step = max(1.0, len(of_point) / max_per_point)
+        sample_size = min(max_per_point, len(of_point))
+        chosen.update(of_point[int(index * step)].number for index in range(sample_size))
+    return [one for one in passes if one.number in chosen]
 
 
-def outcome(scenario: Scenario, points: Points) -> str:
-    """What does not hold; a part that raises what it should not is broken, too."""
-    try:
-        return scenario(points)
-    except Unlisted:
-        raise
-    except Exception as error:
-        return f"{type(error).__name__}: {error}"
+def sweep(scenarios: Iterable[tuple[str, Scenario]], max_per_point: int | None = None) -> SweepReport:
+    """Plays each scenario once for each sampled pass and each fault that can happen there.
 
-
-def sweep(scenarios: Iterable[tuple[str, Scenario]], each: int | None = None) -> Swept:
-    swept = Swept()
+    Raises `BaselineError` and `UnlistedPointError`.
+    """
+    report = SweepReport()
     for name, scenario in scenarios:
-        chosen = thinned(count(scenario, name), each)
-        swept.points += len(chosen)
-        for passed in chosen:
-            swept.reached.add(passed.point.name)
+        sample = sample_passes(count_passes(scenario, name), max_per_point)
+        report.point_count += len(sample)
+        for passed in sample:
+            report.reached.add(passed.point.name)
             for kind in passed.point.kinds:
-                points = Points(passed.number, kind)
-                why = outcome(scenario, points)
-                if not points.happened:
-                    why = why or "the run did not come to its fault"
-                swept.runs += 1
-                swept.by_point[passed.point.name] += 1
-                if why:
-                    swept.broken.append(Broken(name, passed, kind, why))
-    return swept
+                report.run_count += 1
+                report.faults_by_point[passed.point.name] += 1
+                if reason := _play_fault(scenario, Points(passed.number, kind)):
+                    report.violations.append(Violation(name, passed, kind, reason))
+    return report
+
+
+def _play_fault(scenario: Scenario, points: Points) -> str:
+    """Plays one run with its fault; returns what is wrong, or an empty text."""
+    try:
+        reason = scenario(points)
+    except UnlistedPointError:
+        raise
+    except Exception as error:  # the outermost edge of one run: whatever a part raises is a violation
+        reason = f"{type(error).__name__}: {error}"
+    if not points.happened:
+        reason = reason or "the run did not come to its fault"
+    return reason
--- a/tests/test_fault_points.py
+++ b/tests/test_fault_points.py
@@ -1,4 +1,4 @@
-"""One fault at each numbered point: what we ship holds, and each broken copy is found at some point."""
+"""One fault at each numbered point: what we ship holds, and each faulty copy is found at some point."""
 
 import contextlib
 from collections.abc import Callable
@@ -6,11 +6,10 @@
 
 import pytest
 
-from gladewalk.faultpoints import leaserun, memberrun
-from gladewalk.faultpoints import store_scenario as storerun
-from gladewalk.faultpoints.points import CATALOGUE, Kind, Points, Unlisted
+from gladewalk.faultpoints import leaserun, memberrun, store_scenario
+from gladewalk.faultpoints.points import CATALOGUE, Kind, Points, UnlistedPointError
 from gladewalk.faultpoints.scenarios import SCENARIOS
-from gladewalk.faultpoints.sweep import count, sweep, thinned
+from gladewalk.faultpoints.sweep import BaselineError, count_passes, sample_passes, sweep
 from gladewalk.leases.fence import Act, Fence
 from gladewalk.members import swim
 from gladewalk.members.hearing import Hearing
@@ -20,50 +19,50 @@
 
 
 def test_one_fault_at_a_few_passes_of_each_point_breaks_nothing() -> None:
-    swept = sweep(SCENARIOS, each=2)
-    assert [broken.line() for broken in swept.broken] == []
-    assert swept.unreached == []
-    assert swept.runs >= 2 * len(CATALOGUE)
+    report = sweep(SCENARIOS, max_per_point=2)
+    assert [violation.line() for violation in report.violations] == []
+    assert report.unreached == []
+    assert report.run_count >= 2 * len(CATALOGUE)
 
 
 def test_the_points_of_a_run_are_the_same_each_time_and_a_run_stops_at_its_fault() -> None:
     for name, play in SCENARIOS:
-        first = count(play, name)
-        assert first == count(play, name)
+        first = count_passes(play, name)
+        assert first == count_passes(play, name)
         last = first[-1]
         points = Points(last.number, last.point.kinds[0])
         play(points)
         assert points.happened and points.passed[: len(first)] == first
-    with pytest.raises(Unlisted):
+    with pytest.raises(UnlistedPointError):
         Points().reach("store.disk.burn")
 
 
 def test_a_point_that_no_run_reaches_is_told() -> None:
-    swept = sweep(SCENARIOS[:1], each=1)
-    assert "members.dial.knock" in swept.unreached and "store.disk.sync" not in swept.unreached
-    assert swept.line().endswith(f"unreached={len(swept.unreached)}")
+    report = sweep(SCENARIOS[:1], max_per_point=1)
+    assert "members.dial.knock" in report.unreached and "store.disk.sync" not in report.unreached
+    assert report.line().endswith(f"unreached={len(report.unreached)}")
 
 
-def test_passes_are_thinned_over_the_whole_run() -> None:
-    passed = count(storerun.play, "store")
-    some = thinned(passed, 3)
-    syncs = [one.times for one in some if one.point.name == "store.disk.sync"]
+def test_the_sample_of_passes_is_spread_over_the_whole_run() -> None:
+    passed = count_passes(store_scenario.play, "store")
+    some = sample_passes(passed, 3)
+    syncs = [one.occurrence for one in some if one.point.name == "store.disk.sync"]
     assert len(syncs) == 3 and syncs[0] == 0 and syncs[-1] > 10
-    assert thinned(passed, None) == passed
+    assert sample_passes(passed, None) == passed
 
 
-# Broken copies.
+# Copies with a fault.
 
 
-class Hasty(SegmentedLog):
+class UnsyncedLog(SegmentedLog):
     """Acknowledges what was written and not synced."""
 
     def prepare_batch(self, is_synced: bool = True) -> WriteBatch | None:
         return super().prepare_batch(False)
 
 
-class Forgiving(SegmentedLog):
-    """Takes a refusal of the disk for a yes."""
+class ErrorIgnoringLog(SegmentedLog):
+    """Acknowledges what the disk rejected."""
 
     def commit(self) -> int:
         batch = self.prepare_batch()
@@ -74,8 +73,8 @@
         return self.complete_batch(batch)
 
 
-class Nameless(SegmentedLog):
-    """Leaves the names of its files to chance."""
+class UnsyncedDirectoryLog(SegmentedLog):
+    """Never syncs the directory."""
 
     def __init__(self, disk: Any, *more: Any) -> None:
         disk.sync_directory = lambda: None
@@ -107,13 +106,14 @@
     world.pause = pause  # type: ignore[method-assign]
 
 
-def found(scenario: Callable[[Points], str], name: str, each: int) -> set[tuple[str, Kind]]:
-    return {(broken.passed.point.name, broken.kind) for broken in sweep([(name, scenario)], each).broken}
+def found(scenario: Callable[[Points], str], name: str, max_per_point: int) -> set[tuple[str, Kind]]:
+    report = sweep([(name, scenario)], max_per_point)
+    return {(violation.passed.point.name, violation.kind) for violation in report.violations}
 
 
-@pytest.mark.parametrize("log_type", [Hasty, Forgiving, Nameless])
+@pytest.mark.parametrize("log_type", [UnsyncedLog, ErrorIgnoringLog, UnsyncedDirectoryLog])
 def test_a_broken_store_is_found(log_type: type[SegmentedLog]) -> None:
-    assert found(lambda points: storerun.play(points, log_type), "store", 40)
+    assert found(lambda points: store_scenario.play(points, log_type), "store", 40)
 
 
 @pytest.mark.parametrize("change", [open_sink, tireless])
@@ -134,5 +134,5 @@
     monkeypatch.setattr(
         Hearing, "_outweighs", lambda self, new, old: new.run == old.run and outweighs(self, new, old)
     )
-    with pytest.raises(AssertionError, match="without a fault: no one roster"):
+    with pytest.raises(BaselineError, match="without a fault: no one roster"):
         sweep(SCENARIOS[2:], 1)
