--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -144,7 +144,7 @@
         acknowledgements = [self._write(row) for row in rows]
         if not self._is_resumed:
             return
-        # A rejected row must be told again after a restart: from here on the position stands still.
+        # A rejected row must be requested again after a restart: from here on the position stands still.
         if any(future.done() and not future.result() for future in acknowledgements):
             self._has_lost_row = True
         if self._has_lost_row:
--- a/gladewalk/store/record_format.py
+++ b/gladewalk/store/record_format.py
@@ -65,8 +65,7 @@
         return self.covers_through != 0
 
 
-@dataclass(slots=True, frozen=True)
-class Record:
+class Record(NamedTuple):
     """One change of a key. `kind` is a `RecordKind`, as the stored integer."""
 
     kind: int
--- a/gladewalk/store/segmented_log.py
+++ b/gladewalk/store/segmented_log.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from .compaction_policy import SegmentUsage, choose_compaction_prefix, is_segment_full
 from .disk_writes import Compaction, WriteBatch
@@ -128,7 +128,7 @@
 
     def _encode(self, changes: list[Change]) -> list[bytes]:
         durable = self.durable_sequence
-        return [encode_record(replace(change.record, durable_sequence=durable)) for change in changes]
+        return [encode_record(change.record._replace(durable_sequence=durable)) for change in changes]
 
     def complete_batch(self, batch: WriteBatch) -> int:
         """Notes that a batch is on the disk; returns the highest durable sequence."""
--- a/gladewalk/store/writer.py
+++ b/gladewalk/store/writer.py
@@ -7,8 +7,8 @@
     none    at once, without a sync: a power loss may take it
 
 A disk that rejects writes stops nobody: pending changes are retried once in `RETRY_INTERVAL_SECONDS`, within
-the log's bounds, and those who wait for an acknowledgement are told that there is none. One event is logged
-when that begins and one when it ends.
+the log's bounds, and acknowledgements that wait resolve to False. One event is logged when that begins and
+one when it ends.
 """
 
 from __future__ import annotations
