--- a/gladewalk/faultpoints/scenarios.py
+++ b/gladewalk/faultpoints/scenarios.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from . import leaserun, memberrun, store_scenario
+from . import leaserun, membership_scenario, store_scenario
 from .sweep import Scenario
 
 SCENARIOS: tuple[tuple[str, Scenario], ...] = (
     ("store", store_scenario.play),
     ("leases", leaserun.play),
-    ("members", memberrun.play),
+    ("members", membership_scenario.play),
 )
--- a/gladewalk/rehearsal/write_soak.py
+++ b/gladewalk/rehearsal/write_soak.py
@@ -170,9 +170,9 @@
 
     def witness(attempt: Attempt, finding: Finding) -> None:
         report.findings[finding.reason.value] += 1
-        interrupted.add(attempt.taken.ask.trace)
+        interrupted.add(attempt.open_request.request.trace_id)
         if finding.never_ran:
-            proofs[attempt.taken.ask.trace] += 1
+            proofs[attempt.open_request.request.trace_id] += 1
 
     async with make_rehearsal(peers, options) as rehearsal:
         assert rehearsal.director is not None
--- a/gladewalk/store/dns_lease_rows.py
+++ b/gladewalk/store/dns_lease_rows.py
@@ -11,7 +11,7 @@
 
 from .. import interface as api
 from ..policy import Dispatcher
-from ..policy.naming import LEASE_MS
+from ..policy.dns_placement import DNS_LEASE_MS
 
 LEASE_SPACE = "lease"
 MAX_WEIGHT = 1e9  # transfers at a time; a stored weight from here on is none
@@ -42,11 +42,11 @@
 
 def find_lease(core: Dispatcher, question: api.ResolveRequest, server: str) -> DnsLease | None:
     """The lease that the policy module has counted for an answer; None if there is none."""
-    known = core.servers.get(server)
-    if known is None or core.ledger is None:
+    known = core.state.registry.servers.get(server)
+    if known is None or core.state.dns_leases is None:
         return None
     place = known.address
-    held = core.ledger.find(place, question.resolver, (question.key, question.part))
+    held = core.state.dns_leases.find(place, question.resolver, (question.key, question.part))
     if held is None:
         return None
     return DnsLease(place, question.resolver, question.key, question.part, *held)
@@ -68,9 +68,11 @@
             lease = _decoder.decode(value)
         except msgspec.MsgspecError:
             continue
-        expires_at_ms = min(lease.expires_at_ms, now_ms + LEASE_MS)
+        expires_at_ms = min(lease.expires_at_ms, now_ms + DNS_LEASE_MS)
         if expires_at_ms <= now_ms or not 0.0 < lease.weight < MAX_WEIGHT:
             continue
-        core.names().hold(lease.place, lease.holder, (lease.key, lease.part), expires_at_ms, lease.weight)
+        object_id = lease.key, lease.part
+        table = core.state.dns_lease_table()
+        table.grant(lease.place, lease.holder, object_id, expires_at_ms, lease.weight)
         count += 1
     return count
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -18,7 +18,7 @@
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.exchange import Exchange
-from ..net.coordinator import Feed
+from ..net.endpoint_feed import EndpointFeed
 from ..policy import Dispatcher
 from . import row_codecs, warm_start
 from .dns_lease_rows import LEASE_SPACE, encode_lease, find_lease, restore_leases
@@ -79,12 +79,12 @@
             log_event(TORN_WRITE_EVENT, _describe(tail))
         self.writer = StoreWriter(self.log, table.policy, table.group_ms, counters, log_event)
 
-    def restore(self, feed: Feed) -> None:
+    def restore(self, feed: EndpointFeed) -> None:
         """Restores what the last run knew into the feed and the policy module, before anything is served."""
         now_ms = self._clock()
         purges = row_codecs.decode_purges(self.log.items(PURGE_SPACE), now_ms)
         for purge in purges:
-            feed.exchange.purged(purge)
+            feed.exchange.purge(purge)
         server_count = self._restore_servers(feed)
         core = feed.exchange.core
         lease_count = restore_leases(core, self.log.items(LEASE_SPACE), now_ms)
@@ -95,24 +95,24 @@
         self._counters.add("store.objects_restored", restored.objects)
         self._counters.add("store.sources_restored", restored.servers)
 
-    def _restore_servers(self, feed: Feed) -> int:
+    def _restore_servers(self, feed: EndpointFeed) -> int:
         """Feeds the stored endpoints as an event of the feed; returns how many."""
         if self._is_resumed:
             self._position = row_codecs.decode_position(self.log.items(FEED_SPACE))
         full_list_index = self._position.full_list_index
-        if full_list_index <= feed.last:
+        if full_list_index <= feed.last_index:
             full_list_index = 0  # the configuration's list is newer
-        endpoints = row_codecs.decode_servers(self.log.items(SERVER_SPACE), feed.last, full_list_index)
+        endpoints = row_codecs.decode_servers(self.log.items(SERVER_SPACE), feed.last_index, full_list_index)
         if endpoints:
-            feed.event({"endpoints": {"all": bool(full_list_index), "targets": endpoints}})
-        feed.resume(self._position.event_index)
+            feed.apply_event({"endpoints": {"all": bool(full_list_index), "targets": endpoints}})
+        feed.resume_from(self._position.event_index)
         return len(endpoints)
 
-    def start(self, feed: Feed) -> None:
+    def start(self, feed: EndpointFeed) -> None:
         """Starts the writer, and follows the feed and the answers of the DNS front from here on."""
         self.writer.start()
-        feed.noted, self._exchange = self.record_event, feed.exchange
-        feed.exchange.lasting = self.record_leases
+        feed.on_event, self._exchange = self.record_event, feed.exchange
+        feed.exchange.persist_resolution = self.record_leases
         if self._snapshot_interval_ms:
             self._record_partition(feed.exchange.core)
 
--- a/gladewalk/store/warm_start.py
+++ b/gladewalk/store/warm_start.py
@@ -14,13 +14,13 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 
-from ..limits.backoff import SHARE_FLOOR, SHARE_MOST
+from ..limits.backoff import MAX_FILL_QUOTA, MIN_FILL_QUOTA
 from ..policy import Dispatcher
-from ..registry.object_locations import MEMORY_MS
+from ..registry.object_locations import LOCATION_TTL_MS
 
 PARTITION_COUNT = 16
 SNAPSHOT_SPACE = "warm"
@@ -77,11 +77,15 @@
 def encode_objects(core: Dispatcher, partition: int, now_ms: float) -> bytes:
     """Encodes one partition's locations that have not faded, and its transfer times."""
     locations = []
-    for obj, seen in core.memory.items():
-        recent = {name: seen_at for name, seen_at in seen.items() if now_ms - seen_at < MEMORY_MS}
+    for obj, seen in core.state.locations.items():
+        recent = {name: seen_at for name, seen_at in seen.items() if now_ms - seen_at < LOCATION_TTL_MS}
         if recent and partition_of(obj) == partition:
             locations.append((*obj, recent))
-    times = [(*obj, took_ms) for obj, took_ms in core.sizes.items() if partition_of(obj) == partition]
+    times = [
+        (*obj, took_ms)
+        for obj, took_ms in core.state.estimates.by_object.items()
+        if partition_of(obj) == partition
+    ]
     return _encoder.encode(ObjectsPartition(now_ms, locations, times))
 
 
@@ -89,7 +93,7 @@
     """Encodes the estimates of all servers."""
     estimates = [
         ServerEstimate(name, server.started_ms, server.fill_quota, server.first_byte_ms)
-        for name, server in core.servers.items()
+        for name, server in core.state.registry.servers.items()
     ]
     return _encoder.encode(ServerEstimates(now_ms, estimates))
 
@@ -119,15 +123,15 @@
         recent = {
             name: seen_at
             for name, seen_at in seen.items()
-            if name in core.servers and _is_recent(seen_at, now_ms, MEMORY_MS)
+            if name in core.state.registry.servers and _is_recent(seen_at, now_ms, LOCATION_TTL_MS)
         }
         if recent:
-            core.memory[key, part] = {**recent, **core.memory.get((key, part), {})}
+            core.state.locations[key, part] = {**recent, **core.state.locations.get((key, part), {})}
             count += 1
     if _is_recent(partition.taken_at_ms, now_ms, MAX_SNAPSHOT_AGE_MS):
         for key, part, took_ms in partition.transfer_times:
             if 0.0 < took_ms < MAX_SNAPSHOT_AGE_MS:
-                core.sizes.setdefault((key, part), took_ms)
+                core.state.estimates.by_object.setdefault((key, part), took_ms)
     return count
 
 
@@ -136,10 +140,10 @@
         return 0
     count = 0
     for estimate in estimates.servers:
-        server: Any = core.servers.get(estimate.name)
+        server = core.state.registry.servers.get(estimate.name)
         if server is None or server.started_ms > estimate.started_ms:  # restarted: nothing of it counts
             continue
-        server.fill_quota = min(SHARE_MOST, max(SHARE_FLOOR, estimate.fill_quota))
+        server.fill_quota = min(MAX_FILL_QUOTA, max(MIN_FILL_QUOTA, estimate.fill_quota))
         server.first_byte_ms = min(MAX_FIRST_BYTE_MS, max(0.0, estimate.first_byte_ms))
         count += 1
     return count
--- a/tests/store/test_persistence.py
+++ b/tests/store/test_persistence.py
@@ -19,7 +19,7 @@
 from gladewalk.config.platform import Config, ConfigError, read, read_address
 from gladewalk.director import Director
 from gladewalk.dns.settings import DnsConfig
-from gladewalk.net.outside import unix_ms
+from gladewalk.net.environment import unix_ms
 from gladewalk.policy import Dispatcher
 from gladewalk.rehearsal.peers import (
     Coordinator,
@@ -55,7 +55,7 @@
 
 def stop_serving(director: Director) -> None:
     director.front.close()
-    director.follower.close()
+    director.coordinator_watch.close()
 
 
 async def stop_director(director: Director) -> None:
@@ -88,7 +88,7 @@
     persistence.directory.close()  # as a kill does: nothing more is written
     again = await start_director(config, options)
     assert again.counters["store.purges_restored"] == 1
-    assert again.exchange.core.servers["c0"].info.state is api.ServerState.DRAINING
+    assert again.exchange.core.state.registry.servers["c0"].info.state is api.ServerState.DRAINING
     await request_objects(again)
     purged = [heard for peer in peers for heard in peer.heard if "/a1/" in heard.path]
     assert purged and all("no-older-than" in heard.headers for heard in purged)
@@ -123,7 +123,7 @@
     peers[3].state = "DRAINING"
     coordinator.tell_list(peers[3])
     coordinator.tell(evict={"ref": "a1", "unix_ms": unix_ms()})
-    await until(lambda: first.feed.last == 4)
+    await until(lambda: first.endpoint_feed.last_index == 4)
     command = ["store", "status", "--socket", str(tmp_path / "c")]
     result = await asyncio.to_thread(CliRunner().invoke, gladewalk, [*command, "--json"])
     assert (result.exit_code, json.loads(result.output)["feed"]) == (0, 4)
@@ -131,7 +131,7 @@
     assert re.search(r"feed kept up to event\W+4", result.output), result.output
     await stop_director(first)
     again = await start_director(config, options)
-    servers = again.exchange.core.servers
+    servers = again.exchange.core.state.registry.servers
     ready = {name for name, server in servers.items() if server.info.state is api.ServerState.READY}
     assert (ready, servers["c3"].info.state) == ({"c0"}, api.ServerState.DRAINING)
     await until(lambda: len(coordinator.follows) == 2)
@@ -144,7 +144,7 @@
     lost = await start_director(moved, options)
     await until(lambda: other.follows == [4])
     other.write(b"2\n")
-    await until(lambda: lost.feed.last == 2)
+    await until(lambda: lost.endpoint_feed.last_index == 2)
     assert (other.follows, lost.counters["coordinator.numbering_back"]) == ([4, 1], 1)
     await stop_director(lost)
     coordinator.stop()
@@ -180,8 +180,8 @@
         director.persistence.directory.close()
     again = SegmentedLog(StoreDirectory(tmp_path / "store"), unix_ms)
     assert lease in again.items(LEASE_SPACE).values()
-    core = Dispatcher(director.exchange.core.settings, 1)
-    servers = tuple(server.info for server in director.exchange.core.servers.values())
+    core = Dispatcher(director.exchange.core.state.settings, 1)
+    servers = tuple(server.info for server in director.exchange.core.state.registry.servers.values())
     core.handle(unix_ms(), api.EndpointList(api.EndpointListKind.PERSISTED, servers))
     assert restore_leases(core, again.items(LEASE_SPACE), unix_ms()) == 1
     objects, _ = restore_snapshot(core, again.items(SNAPSHOT_SPACE), unix_ms())
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,8 +15,8 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from gladewalk.director import LINGER_MS, Director
-from gladewalk.net.clients import PARTED_MS
+from gladewalk.director import EXIT_DELAY_MS, Director
+from gladewalk.net.clients import FINAL_LINGER_MS
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
@@ -44,7 +44,7 @@
 async def long_after(director: Director) -> None:
     """So long that a director which does not wait would have ended."""
     start = director.clock()
-    await until(lambda: director.clock() > start + PARTED_MS + 10 * LINGER_MS)
+    await until(lambda: director.clock() > start + FINAL_LINGER_MS + 10 * EXIT_DELAY_MS)
 
 
 def ask_at_once(client: socket.socket, data: bytes = b"") -> None:
@@ -69,7 +69,7 @@
             assert director is not None
             client = socket.create_connection(director.front.address)
             before(director, client)
-            director._close()
+            director._stop_accepting()
             reader, writer = await stream_of(client)
             await until(lambda: len(cache.heard) == 1)
             await long_after(director)
@@ -100,7 +100,7 @@
             writer.write(request("/invoke/lot-page/a1"))
             await read_message(reader)
             os.write(writer.get_extra_info("socket").fileno(), request("/invoke/lot-page/a2"))
-            director._close()
+            director._stop_accepting()
             first, fields, body = await read_message(reader)
             self.assertEqual((first.split(" ")[1], fields["connection"], body), ("200", "close", BYTES))
             self.assertEqual(await reader.read(), b"")
@@ -114,8 +114,8 @@
             reader, writer = await world.client()
             whole = request("/invoke/lot-page/a1")
             writer.write(whole[:-9])
-            await until(lambda: any(connection.partial for connection in director.front.owing))
-            director._close()
+            await until(lambda: any(connection.has_partial_request for connection in director.front.awaiting))
+            director._stop_accepting()
             await long_after(director)
             self.assertFalse(director._ended.done())
             writer.write(whole[-9:])
@@ -132,7 +132,7 @@
             reader, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
             await read_message(reader)
-            director._close()
+            director._stop_accepting()
             writer.write(request("/invoke/lot-page/a2"))
             self.assertEqual(await reader.read(), b"")  # an end, and no reset
             writer.close()
@@ -144,8 +144,8 @@
             director = world.director
             assert director is not None
             clients = [await world.client() for _ in range(3)]
-            await until(lambda: len(director.front.owing) == 3)
-            director._close()
+            await until(lambda: len(director.front.awaiting) == 3)
+            director._stop_accepting()
             await director._ended
             for reader, writer in clients:
                 self.assertEqual(await reader.read(), b"")
@@ -170,9 +170,9 @@
             ask_at_once(client)
             await until(lambda: director.counters["answers.served"] == 1)
             self.assertGreater(connection.transport.get_write_buffer_size(), 0)  # owed to nobody's knowledge
-            front._make_room()
-            self.assertFalse(connection.leaving)
-            director._close()
+            front._evict_one()
+            self.assertFalse(connection.is_evicted)
+            director._stop_accepting()
             await long_after(director)
             self.assertFalse(director._ended.done())
             reader, writer = await stream_of(client)
@@ -202,7 +202,7 @@
             self.assertIn(b"Connection: close", await reader.readuntil(b"\r\n\r\n"))
             writer.write(request("/invoke/lot-page/a2"))
             (connection,) = director.front.connections
-            await until(connection.is_quiet)  # it has come, and been read
+            await until(connection.is_input_empty)  # it has come, and been read
             release.set()
             self.assertEqual(await reader.read(), b"abcdef")
             writer.close()
@@ -217,9 +217,10 @@
             _, writer = await world.client()
             for name in ("a1", "a2", "a3"):
                 writer.write(request(f"/invoke/lot-page/{name}"))
-            await until(lambda: any(c.paused for c in director.front.connections) and len(cache.heard) == 1)
+            connections = director.front.connections
+            await until(lambda: any(c.is_reading_paused for c in connections) and len(cache.heard) == 1)
             writer.close()
-            await until(lambda: not director.exchange.taken, 2.0)  # and not once its time is up
+            await until(lambda: not director.exchange.open_requests, 2.0)  # and not once its time is up
             self.assertEqual(director.counters["requests.left_by_client"], 1)
             self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
 
@@ -233,7 +234,7 @@
             await until(lambda: director.counters["clients.left_unread"] == 1)
             await until(lambda: not director.front.connections)
             self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (0, 0))
-            self.assertEqual(director.front.held, 0)
+            self.assertEqual(director.front.descriptor_count, 0)
 
     async def test_a_client_that_leaves_while_its_request_is_held_or_dialled_is_not_sent_on(self) -> None:
         cache = ScriptedPeer(hit)
@@ -242,13 +243,13 @@
             assert director is not None
             _, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
-            await until(lambda: director.exchange.held is not None and len(director.exchange.held) == 1)
+            await until(lambda: len(director.exchange.held_requests or ()) == 1)
             writer.close()
             await until(lambda: not director.front.connections)
             assert world.coordinator.answering is not None
             world.coordinator.answering.set()
-            await until(lambda: director.exchange.held is None)
-            await until(lambda: not director.exchange.taken)
+            await until(lambda: director.exchange.held_requests is None)
+            await until(lambda: not director.exchange.open_requests)
             self.assertEqual((len(cache.heard), director.counters["attempts.written"]), (0, 0))
 
     async def test_nothing_is_said_within_another_answer(self) -> None:
@@ -268,7 +269,7 @@
             behind = request("/invoke/bid/b1", method="PUT", body=b"12", Expect="100-continue")
             writer.write(behind[:-2])
             (connection,) = director.front.connections
-            await until(lambda: connection.partial and connection.headed)
+            await until(lambda: connection.has_partial_request and connection.has_complete_head)
             release.set()
             self.assertEqual(await reader.readexactly(3), b"def")
             writer.close()
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -19,7 +19,7 @@
 from gladewalk.dns.answers import fit
 from gladewalk.dns.names import Routed, Rules, Wanted, labels_of, write_name
 from gladewalk.dns.settings import DnsConfig
-from gladewalk.policy import Dispatcher
+from gladewalk.policy.dns_placement import DnsPlacement
 from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, config_for, until
 from gladewalk.rehearsal.resolver import Resolver
 from tests.world import CACHES, PARENTS, World
@@ -128,19 +128,20 @@
         self.assertEqual(await self.resolver.resolve(name()), [BOX])
         self.cache.state = "DRAINING"
         self.world.coordinator.tell_list(self.cache)
-        await until(lambda: self.director.feed.last == 2)
+        await until(lambda: self.director.endpoint_feed.last_index == 2)
         self.front.config = front(wait_ms=30.0)
         query = dns.message.make_query(name(0xA2), "A")
         self.assertEqual((await self.resolver.query(query)).rcode(), dns.rcode.SERVFAIL)
-        self.assertFalse(self.director.exchange.asked or self.director.exchange.core.unnamed)
+        exchange = self.director.exchange
+        self.assertFalse(exchange.open_resolutions or exchange.core.state.unresolved)
 
     async def test_a_question_that_waits_is_answered_by_what_is_told_meanwhile(self) -> None:
         """A purge and then a box come while it waits: the purged object's box must not be named."""
         self.cache.state = "DRAINING"
         self.world.coordinator.tell_list(self.cache)
-        await until(lambda: self.director.feed.last == 2)
+        await until(lambda: self.director.endpoint_feed.last_index == 2)
         waiting = [asyncio.create_task(self.resolver.resolve(name(key))) for key in (0xB1, 0xB2)]
-        await until(lambda: len(self.director.exchange.asked) == 2)
+        await until(lambda: len(self.director.exchange.open_resolutions) == 2)
         self.world.coordinator.tell(evict={"ref": "b1", "unix_ms": self.director.exchange.clock()})
         self.cache.state = "SERVING"
         self.world.coordinator.tell_list(self.cache)
@@ -183,7 +184,7 @@
                     if restart:
                         box.boot_ms = world.director.exchange.clock()
                         world.coordinator.tell_list(box)
-                        await until(lambda feed=world.director.feed: feed.last == 2)  # type: ignore[misc]
+                        await until(lambda feed=world.director.endpoint_feed: feed.last_index == 2)  # type: ignore[misc]
                     for key in range(20):
                         for resolver in resolvers:
                             await resolver.resolve(name(key + 100 * restart))
@@ -198,7 +199,7 @@
         self.assertLessEqual(held, FALL * COLD_SHARE * self.SIZE)
 
     async def test_without_the_bound_on_leases_the_same_run_breaks_it(self) -> None:
-        with mock.patch.object(Dispatcher, "_lease", lambda *_: True):
+        with mock.patch.object(DnsPlacement, "_lease", lambda *_: True):
             self.assertGreater(await self.held_at_the_box(), FALL * COLD_SHARE * self.SIZE)
 
 
@@ -227,7 +228,7 @@
             for key in range(leases):
                 self.locate(world, key)
             if unknown:  # what the last run gave out
-                world.dispatcher.names().assume_the_worst(world.now + 300_000.0)
+                world.state.dns_lease_table().assume_full(world.now + 300_000.0)
             world.listed(api.Server("c0", api.Role.CACHE, "e1", 8.0, started_ms=world.now))
             sent, count = world.ask(100), 0
             for n in range(60):
--- a/tests/test_golden_store.py
+++ b/tests/test_golden_store.py
@@ -57,15 +57,15 @@
         for name, started in (("a", 0.0), ("b", NOW - 50_000.0))
     )
     core.handle(NOW, api.EndpointList(api.EndpointListKind.PERSISTED, servers))
-    core.memory[7, 0] = {"a": NOW - 1_000.0, "b": NOW - 29_000.0}
-    core.memory[8, 3] = {"b": NOW - 40_000.0}
-    core.memory[2**60, 1] = {"b": NOW - 2.5}
-    core.sizes[7, 0] = 55.0
-    core.sizes[9, 2] = 1_234.5
-    core.servers["a"].fill_quota, core.servers["b"].fill_quota = 9.0, 0.25
-    core.servers["b"].first_byte_ms = 17.5
-    core.names().hold("a:9", "resolver", (7, 0), NOW + 200_000.0, 0.25)
-    core.names().hold("b:9", "10.1.2.3", (2**60, 4), NOW + 60_000.0, 1.0)
+    core.state.locations[7, 0] = {"a": NOW - 1_000.0, "b": NOW - 29_000.0}
+    core.state.locations[8, 3] = {"b": NOW - 40_000.0}
+    core.state.locations[2**60, 1] = {"b": NOW - 2.5}
+    core.state.estimates.by_object[7, 0] = 55.0
+    core.state.estimates.by_object[9, 2] = 1_234.5
+    core.state.registry.servers["a"].fill_quota, core.state.registry.servers["b"].fill_quota = 9.0, 0.25
+    core.state.registry.servers["b"].first_byte_ms = 17.5
+    core.state.dns_lease_table().grant("a:9", "resolver", (7, 0), NOW + 200_000.0, 0.25)
+    core.state.dns_lease_table().grant("b:9", "10.1.2.3", (2**60, 4), NOW + 60_000.0, 1.0)
     return core
 
 
@@ -233,9 +233,9 @@
     position = row_codecs.decode_position(log.items(row_codecs.FEED_SPACE))
     servers = log.items(row_codecs.SERVER_SPACE)
     core = core_with_knowledge()
-    core.memory.clear()
-    core.sizes.clear()
-    core.servers["b"].fill_quota = 1.0
+    core.state.locations.clear()
+    core.state.estimates.by_object.clear()
+    core.state.registry.servers["b"].fill_quota = 1.0
     counts = warm_start.restore_snapshot(core, log.items(warm_start.SNAPSHOT_SPACE), NOW + 1_000.0)
     return {
         "purges": sorted([list(astuple(one)) for one in purges], key=str),
@@ -243,9 +243,9 @@
         "servers": row_codecs.decode_servers(servers, 0, position.full_list_index),
         "servers after 8": row_codecs.decode_servers(servers, 8),
         "warm": list(counts),
-        "memory": [[*key, dict(seen)] for key, seen in sorted(core.memory.items())],
-        "sizes": [[*key, took] for key, took in sorted(core.sizes.items())],
-        "shares": [core.servers[name].fill_quota for name in "ab"],
+        "memory": [[*key, dict(seen)] for key, seen in sorted(core.state.locations.items())],
+        "sizes": [[*key, took] for key, took in sorted(core.state.estimates.by_object.items())],
+        "shares": [core.state.registry.servers[name].fill_quota for name in "ab"],
         "leases": dns_lease_rows.restore_leases(core, log.items(dns_lease_rows.LEASE_SPACE), NOW + 61_000.0),
     }
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -107,7 +107,7 @@
             (connection,) = caches.upstreams["c1"].idle
             caches.upstreams["c1"].idle.clear()
             world.coordinator.tell_list(new)  # the same server at another place
-            await until(lambda: world.director is not None and world.director.feed.last == 2)
+            await until(lambda: world.director is not None and world.director.endpoint_feed.last_index == 2)
             caches.upstreams["c1"].rest(connection)
             await world.ask()
             gone = ScriptedPeer(hit, state="DELETED", address=new.address)
@@ -127,7 +127,7 @@
         async with Rehearsal([ScriptedPeer(hit, state="DRAINING")]) as world:
             status, fields, _ = await world.ask()
             assert world.director is not None
-            self.assertEqual(world.director.exchange.owed, 0)
+            self.assertEqual(world.director.exchange.unanswered_count, 0)
         self.assertEqual((status, fields["retry-after"]), (503, "1"))
 
     async def test_a_silent_cache_costs_no_request_its_final_answer(self) -> None:
@@ -144,6 +144,6 @@
             writer.transport.abort()
             assert world.director is not None
             exchange, counters = world.director.exchange, world.director.counters
-            await until(lambda: not exchange.taken)
+            await until(lambda: not exchange.open_requests)
             self.assertEqual((counters["requests.left_by_client"], counters["attempts.cancelled"]), (1, 1))
-            self.assertFalse(exchange.core.open or exchange.core.flights)
+            self.assertFalse(exchange.core.state.pending or exchange.core.state.attempts)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -10,6 +10,7 @@
 from gladewalk.config.options import options_of, read_tables
 from gladewalk.nginx.table import Box, Site
 from gladewalk.nginx.translate import import_site
+from gladewalk.optional_parts import load_router
 from gladewalk.rehearsal.peers import Heard, until
 from gladewalk.rehearsal.webworld import Answer, WebWorld
 from gladewalk.web.standby import Standby
@@ -80,8 +81,9 @@
             shares = sorted(len(server.heard) for server in world.servers.values())
             self.assertGreater(shares[0], 10)
             balanced = world.director.web.upstreams["a"]  # type: ignore[union-attr]
-            self.assertEqual({server.weight for server in balanced.core.servers.values()}, {1.0})
-            told = balanced.core.settings
+            servers = balanced.core.state.registry.servers.values()
+            self.assertEqual({server.weight for server in servers}, {1.0})
+            told = balanced.core.state.settings
             self.assertEqual(
                 (told.may_join_fills, told.classes[0].freshness_lifetime_ms, told.classes[0].stale_grace_ms),
                 (True, 6e4, 6e4),
@@ -264,16 +266,16 @@
             table = path.read_text()
             other = table.replace('pattern = "/b"', 'pattern = "/c"').replace('name = "b"', 'name = "b2"')
             path.write_text(other.replace('upstream = "b"', 'upstream = "b2"'))
-            router = director._router_of(director.options)
+            router = load_router(director.options)
             assert isinstance(router, Router)
             director.web.reload(director.options, router)
             self.assertEqual((await world.ask("/b")).by, "a/0")
             self.assertIs(director.web.upstreams["a"], kept)
             gate.set()
             self.assertEqual((await task).body, b"old")  # what was open is answered
-            await until(lambda: not old.taken and not old.upstreams.live)  # type: ignore[union-attr]
+            await until(lambda: not old.open_requests and not old.upstreams.live)  # type: ignore[union-attr]
             self.assertEqual((await world.ask("/c")).by, "b/0")
             path.write_text(table.replace("[[servers]]", "[[serverz]]"))
             with self.assertRaisesRegex(Exception, "serverz: no such setting"):
-                director._router_of(director.options)
+                load_router(director.options)
             self.assertEqual((await world.ask("/c")).by, "b/0")
