--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -99,7 +99,7 @@
 
     # Directors.
 
-    def options_of(self, name: str, clock_rate: float) -> dict[str, Any]:
+    def build_options(self, name: str, clock_rate: float) -> dict[str, Any]:
         options: dict[str, Any] = {"control": {"socket": f"{name}.sock"}, **self.more}
         if self.leases is not None:
             options["store"] = {"folder": f"{name}.store", "warm_ms": 0.0}
@@ -134,7 +134,7 @@
         """Its clock runs at `clock_rate`, and after a restart as before."""
         clock_rate = self.rates[name] = self.rates.get(name, 1.0) if clock_rate is None else clock_rate
         options, config = self.folder / f"{name}.toml", self.folder / f"{name}.json"
-        options.write_text(tomli_w.dumps(self.options_of(name, clock_rate)))
+        options.write_text(tomli_w.dumps(self.build_options(name, clock_rate)))
         config.write_text(json.dumps({**self.config, "name": name}))
         log = (self.folder / f"{name}.log").open("ab")
         self.running[name] = await asyncio.create_subprocess_exec(
