--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -8,15 +8,14 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
 
 from .. import interface as api
 from ..config.platform import Address, Config
 from ..ops.figures import final_counter
 from ..policy import Dispatcher
 from .counters import Counters
-from .deadlines import DeadlineKey, Deadlines
+from .deadlines import Deadlines
 from .exchange_types import (
     Attempt,
     AttemptResult,
@@ -28,27 +27,17 @@
     ResponseWriter,
     UpstreamPool,
 )
+from .resolutions import Resolutions
 
 __all__ = [
     "Attempt", "AttemptResult", "ClientRequest", "Exchange", "FinalAnswer", "OpenRequest", "ResolveResponder",
     "ResponseHead", "ResponseWriter", "UpstreamPool",
 ]  # fmt: skip
 
-PersistResolution = Callable[[api.ResolveRequest, Sequence[str], Callable[[], None]], None]
-
 LOOP_TURN_MS = 20.0  # a usual turn of the event loop is shorter: whatever came before it has been read
 ANSWER_MARGIN_MS = 60.0  # a final answer leaves this long before its deadline, as a busy loop may be late
 
 
-@dataclass(slots=True)
-class OpenResolution:
-    """A resolve request without its answer."""
-
-    question: api.ResolveRequest
-    responder: ResolveResponder
-    timer: DeadlineKey
-
-
 class Exchange:
     """Connects client side, server side and decision module; single-threaded, called from the event loop."""
 
@@ -63,11 +52,9 @@
         self.core = Dispatcher(config.settings, config.seed)
         self.clock, self.deadlines, self.counters, self.log = clock, deadlines, counters, log
         self.upstreams: UpstreamPool | None = None
-        # Calls back once what a resolution promises is durable; None: it is answered at once.
-        self.persist_resolution: PersistResolution | None = None
         self.open_requests: dict[int, OpenRequest] = {}
         self.unanswered_count = 0  # requests without their final answer
-        self.open_resolutions: dict[int, OpenResolution] = {}
+        self.resolutions = Resolutions(self.core, clock, deadlines, counters, self.handle_event)
         self._last_number = 0
         self._events: deque[api.Event] = deque()
         self._is_handling = False
@@ -161,45 +148,7 @@
     ) -> None:
         """Asks the module where to fetch an object; `responder` gets one answer, within `max_wait_ms`."""
         self._last_number += 1
-        number, question = self._last_number, make_question(self._last_number)
-        self.counters.add("locates.taken")
-        timer = self.deadlines.add(self.clock() + max_wait_ms, lambda: self._resolution_timed_out(number))
-        self.open_resolutions[number] = OpenResolution(question, responder, timer)
-        self.handle_event(question)
-
-    def _resolution_timed_out(self, number: int) -> None:
-        self.counters.add("locates.late")
-        self._reject_resolution(number)
-        self.handle_event(api.ClientDisconnected(number))
-
-    def _reject_resolution(self, number: int) -> None:
-        resolution = self.open_resolutions.pop(number)
-        self.deadlines.drop(resolution.timer)
-        resolution.responder.rejected()
-
-    def _persist_and_answer(self, action: api.Resolved) -> None:
-        if action.id not in self.open_resolutions:
-            return
-        if self.persist_resolution is None or not action.servers:
-            return self._answer_resolution(action)
-        question = self.open_resolutions[action.id].question
-        self.persist_resolution(question, action.servers, lambda: self._answer_resolution(action))
-
-    def _answer_resolution(self, action: api.Resolved) -> None:
-        if action.id not in self.open_resolutions:  # it timed out while its lease was written
-            return
-        assert self.upstreams is not None
-        resolution = self.open_resolutions[action.id]
-        servers = []
-        for server in action.servers:
-            if not self.core.may_resolve_to(resolution.question, server):
-                return self.handle_event(resolution.question)  # drained or purged since: decided again
-            if (address := self.upstreams.address(server)) is not None:
-                servers.append((server, address))
-        del self.open_resolutions[action.id]
-        self.deadlines.drop(resolution.timer)
-        self.counters.add("locates.named")
-        resolution.responder.resolved(servers, action.ttl_ms)
+        self.resolutions.add(make_question(self._last_number), responder, max_wait_ms)
 
     # Called by the server side.
 
@@ -310,7 +259,7 @@
             case api.Lookup() | api.Fetch():
                 self._start(action)
             case api.Resolved():
-                self._persist_and_answer(action)
+                self._answer_resolution(action)
             case api.Reject():
                 self._reject(action)
             case api.Fail():
@@ -326,9 +275,13 @@
             case api.NotifyPeers() | api.Watch() | api.FetchEndpoints():
                 self.counters.add("module.action_without_use")  # no peers here, and the list is pushed
 
+    def _answer_resolution(self, action: api.Resolved) -> None:
+        assert self.upstreams is not None
+        self.resolutions.answer(action, self.upstreams.address)
+
     def _reject(self, action: api.Reject) -> None:
-        if action.id in self.open_resolutions:
-            self._reject_resolution(action.id)
+        if action.id in self.resolutions.open:
+            self.resolutions.reject(action.id)
         else:
             self._finish(action.id, FinalAnswer.REJECTED, action.retry_after_ms)
 
--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -150,7 +150,7 @@
     async def listen(self) -> None:
         loop, config = asyncio.get_running_loop(), self._config
         # Without a store nobody knows what our last run gave out.
-        if config.assume_worst and self.exchange.persist_resolution is None:
+        if config.assume_worst and self.exchange.resolutions.persist is None:
             self.exchange.core.state.dns_lease_table().assume_full(self.exchange.clock() + DNS_LEASE_MS)
         tcp = await loop.create_server(lambda: self.streams.connection(Via.TCP), *config.listen)
         host, port = tcp.sockets[0].getsockname()[:2]
@@ -232,7 +232,7 @@
         self.reply(asked, sender, self.answers.of_found(asked, found))
 
     def _locate(self, asked: Asked, found: Found, zone: Zone, sender: Sender) -> None:
-        if len(self.exchange.open_resolutions) >= OPEN_MOST:
+        if len(self.exchange.resolutions.open) >= OPEN_MOST:
             self.counters.add("dns.open_most")
             asked.why = NOT_READY
             return self.fail(asked, sender, dns.rcode.SERVFAIL)
--- a/gladewalk/store/keeper.py
+++ b/gladewalk/store/keeper.py
@@ -82,7 +82,7 @@
     def start(self, feed: EndpointFeed) -> None:
         self.writer.start()
         feed.on_event, self.exchange = self.note, feed.exchange
-        feed.exchange.persist_resolution = self.lease
+        feed.exchange.resolutions.persist = self.lease
         if self.warm_ms:
             self._keep_warm()
 
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -133,7 +133,7 @@
         query = dns.message.make_query(name(0xA2), "A")
         self.assertEqual((await self.resolver.query(query)).rcode(), dns.rcode.SERVFAIL)
         exchange = self.director.exchange
-        self.assertFalse(exchange.open_resolutions or exchange.core.state.unresolved)
+        self.assertFalse(exchange.resolutions.open or exchange.core.state.unresolved)
 
     async def test_a_question_that_waits_is_answered_by_what_is_told_meanwhile(self) -> None:
         """A purge and then a box come while it waits: the purged object's box must not be named."""
@@ -141,7 +141,7 @@
         self.world.coordinator.tell_list(self.cache)
         await until(lambda: self.director.endpoint_feed.last_index == 2)
         waiting = [asyncio.create_task(self.resolver.resolve(name(key))) for key in (0xB1, 0xB2)]
-        await until(lambda: len(self.director.exchange.open_resolutions) == 2)
+        await until(lambda: len(self.director.exchange.resolutions.open) == 2)
         self.world.coordinator.tell(evict={"ref": "b1", "unix_ms": self.director.exchange.clock()})
         self.cache.state = "SERVING"
         self.world.coordinator.tell_list(self.cache)
