--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -24,8 +24,8 @@
     from .duties.runner import Runner
     from .leases.transport import Address as LeaseAddress
     from .leases.transport import Leases
-    from .members.seal import Key
-    from .members.transport import Members
+    from .members.authenticator import AuthenticationKey
+    from .members.transport import MembershipTransport
     from .nginx.router import Router
     from .store.keeper import Keeper
     from .upstream.secure import Shapes
@@ -67,7 +67,7 @@
     caches: Caches,
     deadlines: Deadlines,
     counters: Counters,
-) -> tuple[Members | None, Runner | None]:
+) -> tuple[MembershipTransport | None, Runner | None]:
     """Builds the membership and the periodic tasks that members share."""
     if options is None or options.members is None:
         return None, None
@@ -157,13 +157,13 @@
     return configured(options, own_host)
 
 
-def load_member_keys(options: Options) -> tuple[Key, ...]:
+def load_member_keys(options: Options) -> tuple[AuthenticationKey, ...]:
     """Reads the members' key ring; empty if members are off."""
     if options.members is None:
         return ()
-    from .members.seal import load_keys
+    from .members.authenticator import load_key_ring
 
-    return load_keys(options.file(options.members.keys))
+    return load_key_ring(options.file(options.members.keys))
 
 
 def load_router(options: Options) -> Router | None:
@@ -182,7 +182,7 @@
     config: Config
     options: Options | None
     protocols: Shapes | None
-    member_keys: tuple[Key, ...] = ()
+    member_keys: tuple[AuthenticationKey, ...] = ()
     router: Router | None = None
     dns: DnsConfig | None = None
 
