The part in a request's query is read by a pattern: no further call for each request

The pattern and the loop it replaces gave the same on 300,000 random queries.

Run: test_golden_exchange, test_clients, test_deployments passed.

--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -307,7 +307,9 @@
         """
         self._shut_down_unused()
         now = self.clock()
-        has_open = any(c.has_open_request(now) or not c.is_last for c in self.connections)
+        has_open = any(
+            connection.has_open_request(now) or not connection.is_last for connection in self.connections
+        )
         has_recent = any(now - since_ms < FINAL_LINGER_MS for since_ms in self.lingering.values())
         return self._listener is None and not self._setting_up and not has_open and not has_recent
 
--- a/gladewalk/net/requests.py
+++ b/gladewalk/net/requests.py
@@ -11,6 +11,7 @@
 MAX_SIZE_KB = 1e9
 CLASS_NAME = re.compile(r"[A-Za-z0-9._~-]{1,64}\Z")
 OBJECT_NAME = re.compile(r"[0-9A-Fa-f]{1,16}\Z")
+PART_IN_QUERY = re.compile(r"(?:^|&)nth=([^&]*)")  # the last one counts
 PART = re.compile(r"[0-9]{1,9}\Z")
 TRACE_ID = re.compile(r"[0-9A-Fa-f]{16}\Z")
 IDEMPOTENCY_KEY = re.compile(rb"[\x21-\x7e]{1,128}\Z")  # one token, forwarded unchanged
@@ -53,15 +54,6 @@
     return value
 
 
-def _read_part(query: str) -> str:
-    """The part of the object that is asked for: the last `nth` of the query."""
-    part = "0"
-    for pair in query.split("&"):
-        if pair.startswith("nth="):
-            part = pair[4:]
-    return part
-
-
 def parse_request(method: str, path: str, query: str, headers: Headers, body: bytes) -> ClientRequest:
     """Parses a request; raises `BadRequestError` with the status that says what is wrong."""
     if method not in ("GET", "PUT"):
@@ -70,7 +62,8 @@
     if len(segments) != 4 or segments[:2] != ["", "invoke"]:
         raise BadRequestError(404)
     class_name, object_name = segments[2], segments[3]
-    part = _read_part(query)
+    parts = PART_IN_QUERY.findall(query)
+    part = parts[-1] if parts else "0"
     trace_id = headers.get(b"trace-id", b"").decode("latin-1")
     group = _read_number(headers, b"x-batch", 255, 0.0)
     if body and method == "GET":
