--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Mapping
 
 from .. import interface as api
-from ..config.platform import Address, Config
-from ..ops.figures import final_counter
+from ..config.platform import Address, PlatformConfig
+from ..ops.metrics import outcome_counter
 from ..policy import Dispatcher
 from .counters import Counters
 from .deadlines import Deadlines
@@ -43,7 +43,7 @@
 
     def __init__(
         self,
-        config: Config,
+        config: PlatformConfig,
         clock: Callable[[], float],
         deadlines: Deadlines,
         counters: Counters,
@@ -196,7 +196,7 @@
             is_complete = result.status is api.Status.OK
             self.counters.add("answers.served" if is_complete else "answers.cut")
             end = "completed" if is_complete else "failed"
-            self.counters.add(final_counter(opened.request.class_name, end))
+            self.counters.add(outcome_counter(opened.request.class_name, end))
             self._close(opened)
             if is_complete:
                 opened.client.end_response()
@@ -340,12 +340,12 @@
         self._close(opened)
         if opened.serving_attempt is not None:
             self.counters.add("answers.cut")
-            self.counters.add(final_counter(opened.request.class_name, "failed"))
+            self.counters.add(outcome_counter(opened.request.class_name, "failed"))
             opened.client.abort_response()
         else:
             self.counters.add(f"answers.{final.value}")
             end = "rejected" if final is FinalAnswer.REJECTED else "failed"
-            self.counters.add(final_counter(opened.request.class_name, end))
+            self.counters.add(outcome_counter(opened.request.class_name, end))
             opened.client.send_final(final, retry_after_ms)
         self._forget(opened)
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -13,7 +13,7 @@
 
 from . import optional_parts as parts
 from . import signals
-from .config.platform import Config, ConfigError
+from .config.platform import ConfigError, PlatformConfig
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
@@ -21,7 +21,7 @@
 from .net.coordinator import CoordinatorWatch
 from .net.endpoint_feed import EndpointFeed
 from .net.environment import REAL_ENVIRONMENT, Environment
-from .ops.readiness import ACCEPT_MS, SYNC_MOST_MS, Readiness, answered_by_ms
+from .ops.readiness import MAX_SYNC_WAIT_MS, SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
 from .upstream.pool import Caches
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -56,11 +56,11 @@
     Raises `ConfigError` for options that cannot be used, as some are read only here (the store's folder).
     """
 
-    max_sync_wait_ms = SYNC_MOST_MS  # how long requests wait at the start for the coordinator's first answer
+    max_sync_wait_ms = MAX_SYNC_WAIT_MS  # how long requests wait at the start for the first endpoint list
 
     def __init__(
         self,
-        config: Config,
+        config: PlatformConfig,
         loop: asyncio.AbstractEventLoop,
         dns: DnsConfig | None = None,
         options: Options | None = None,
@@ -83,7 +83,7 @@
             self.exchange, connection_limit, clock, deadlines, counters, environment.listen
         )
         self._configure_front(config)
-        self.readiness = self.front.readiness = Readiness(synced=False)
+        self.readiness = self.front.readiness = Readiness(is_synced=False)
         self.admin = self._build_admin(config)
         self.endpoint_feed = EndpointFeed(self.exchange, config, clock, counters)
         self.coordinator_watch = CoordinatorWatch(
@@ -91,14 +91,16 @@
         )
         self._build_optional_parts(config, dns, options)
 
-    def _build_admin(self, config: Config) -> AdminFront | None:
+    def _build_admin(self, config: PlatformConfig) -> AdminFront | None:
         if config.admin is None:
             return None
-        from .ops.calls import admin_front
+        from .ops.routes import build_admin_front
 
-        return admin_front(self)
+        return build_admin_front(self)
 
-    def _build_optional_parts(self, config: Config, dns: DnsConfig | None, options: Options | None) -> None:
+    def _build_optional_parts(
+        self, config: PlatformConfig, dns: DnsConfig | None, options: Options | None
+    ) -> None:
         name, clock, deadlines, counters = config.name, self.clock, self.deadlines, self.counters
         purge_settle_ms = config.settings.purge_settle_ms
         self.dns = parts.build_dns(dns, self.exchange, counters, self._alpn_of)
@@ -116,7 +118,7 @@
 
     async def start(self) -> None:
         """Restores stored state, begins to follow the coordinator, and opens all listeners."""
-        self.endpoint_feed.load_initial(self.config.known_index, self.config.known)
+        self.endpoint_feed.load_initial(self.config.initial_event_index, self.config.initial_events)
         if self.keeper is not None:
             self.keeper.restore(self.endpoint_feed)
             self.keeper.start(self.endpoint_feed)
@@ -129,7 +131,7 @@
         await self._start_optional_parts()
         if self.admin is not None and self.config.admin is not None:
             await self.admin.listen(self.config.admin)
-        self.readiness.started = True
+        self.readiness.is_started = True
 
     async def _start_optional_parts(self) -> None:
         if self.dns is not None:
@@ -176,8 +178,8 @@
 
     def _on_synced(self) -> None:
         """Releases held requests: the coordinator has answered, or was waited for long enough."""
-        if not self.readiness.synced:
-            self.readiness.synced = True
+        if not self.readiness.is_synced:
+            self.readiness.is_synced = True
             self.exchange.release_held()
             has_answered = self.coordinator_watch.on_synced is None
             self.counters.add("coordinator.heard_at_start" if has_answered else "coordinator.late_at_start")
@@ -216,7 +218,7 @@
         if self.members is not None and reloaded.member_keys:
             self.members.authenticator.replace_keys(reloaded.member_keys)
 
-    def apply(self, config: Config) -> None:
+    def apply(self, config: PlatformConfig) -> None:
         """Applies a configuration; open requests keep the settings that they began with."""
         if config.listen != self.config.listen:
             self.log.warning("listen_address_needs_restart", listen=config.listen)
@@ -231,9 +233,9 @@
         last = self.endpoint_feed.last_index
         self.log.info("configuration taken", coordinator=config.coordinator, last=last)
 
-    def _configure_front(self, config: Config) -> None:
+    def _configure_front(self, config: PlatformConfig) -> None:
         self.front.connection_limit = config.settings.client_connection_limit
-        self.front.sends_hold_off = config.hold_off
+        self.front.sends_hold_off = config.sends_hold_off
         self.front.request_timeout_ms = max(FIRST_BYTE_TIMEOUT_MS, self._longest_deadline_ms())
 
     def _longest_deadline_ms(self) -> float:
@@ -252,20 +254,20 @@
     # Graceful shutdown.
 
     def stop(self) -> None:
-        """SIGTERM: drains; requests keep being accepted for `ACCEPT_MS`, and all are answered by a limit."""
+        """SIGTERM: drains; accepts requests for `SHUTDOWN_ACCEPT_MS` more and answers all by a limit."""
         if self._is_stopping:
             return
         self._is_stopping = True
         self.log.info("stopping", owed=self.exchange.unanswered_count)
-        self.readiness.stopping = True
+        self.readiness.is_stopping = True
         self.readiness.start_drain(self.clock())
         if self.leases is not None:  # handed over at once: another may act while this one finishes
             self.leases[0].stop()
         if self.config.inherited_fd is not None:  # the listener's other holders accept what comes now
             self.front.stop_accepting()
-        self._last_answer_ms = answered_by_ms(self.clock(), self._longest_deadline_ms())
+        self._last_answer_ms = shutdown_deadline_ms(self.clock(), self._longest_deadline_ms())
         self.exchange.answer_all_by(self._last_answer_ms)
-        self.deadlines.add(self.clock() + ACCEPT_MS, self._stop_accepting)
+        self.deadlines.add(self.clock() + SHUTDOWN_ACCEPT_MS, self._stop_accepting)
 
     def _stop_accepting(self) -> None:
         self.front.close()
--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -21,14 +21,14 @@
 
 import tomli_w
 
-from ..control.client import ask
-from ..leases.history import Verdict, check_sinks
+from ..control.client import query_director
+from ..leases.history import Verdict, check_resources
 from ..members.authenticator import load_key_ring
-from ..members.history import Seen, from_log
+from ..members.history import ObservedChange, changes_from_log
 from . import relay
+from .fenced_resource import FencedResource
 from .relay import Address, Relay, StreamRelay, free_port
 from .schedule import Pair
-from .sink import Sink
 
 DUTIES = ("purge", "report")
 HUBS = 2
@@ -72,8 +72,8 @@
         self.member_port = {name: free_port() for name in names}
         self.links = {(a, b): Link() for a in names for b in names if a != b}
         keys = load_key_ring(folder / "keys")
-        self.hubs = [Sink(keys) for _ in range(HUBS)]
-        self.collector = Sink(keys)
+        self.hubs = [FencedResource(keys) for _ in range(HUBS)]
+        self.collector = FencedResource(keys)
         self.hubs_at: list[Address] = []
         self.collector_at: Address = ("127.0.0.1", 0)
         self.running: dict[str, asyncio.subprocess.Process] = {}
@@ -164,7 +164,7 @@
 
     async def ask(self, name: str, view: str, **given: Any) -> Any:
         """What a director's control socket tells; `ControlError` where it tells nothing."""
-        return await asyncio.to_thread(ask, self.folder / f"{name}.sock", view, **given)
+        return await asyncio.to_thread(query_director, self.folder / f"{name}.sock", view, **given)
 
     def log_of(self, name: str) -> list[dict[str, Any]]:
         """All lines of a director's log, of its earlier runs too."""
@@ -185,15 +185,15 @@
     # What is to be seen.
 
     @property
-    def sinks(self) -> tuple[Sink, ...]:
+    def sinks(self) -> tuple[FencedResource, ...]:
         return (*self.hubs, self.collector)
 
     def verdict(self, end_ms: float | None = None, excused: tuple[tuple[float, float], ...] = ()) -> Verdict:
-        return check_sinks([sink.fence.acts for sink in self.sinks], end_ms, excused)
+        return check_resources([sink.fence.records for sink in self.sinks], end_ms, excused)
 
-    def members_seen(self) -> list[Seen]:
+    def members_seen(self) -> list[ObservedChange]:
         """What all directors noted of one another, out of their logs."""
-        return [one for name in self.names for one in from_log(name, self.log_of(name))]
+        return [one for name in self.names for one in changes_from_log(name, self.log_of(name))]
 
     async def close(self) -> None:
         for name in list(self.running):
