--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -112,7 +112,7 @@
         """Starts the writer, and follows the feed and the answers of the DNS front from here on."""
         self.writer.start()
         feed.on_event, self._exchange = self.record_event, feed.exchange
-        feed.exchange.persist_resolution = self.record_leases
+        feed.exchange.resolutions.persist = self.record_leases
         if self._snapshot_interval_ms:
             self._record_partition(feed.exchange.core)
 
