--- /dev/null
+++ b/gladewalk/duties/task_types.py
@@ -0,0 +1,58 @@
+"""The types of shared tasks; a further one is a further class here, listed in `start.py`."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .. import interface as api
+from ..core.exchange import Exchange
+from ..upstream.pool import Caches
+from .runner import ResultCallback
+
+
+class ServerQueryTask:
+    """Sends servers of some roles a short request and passes each result to the decision module."""
+
+    kind = ""
+    path = ""
+    roles: frozenset[api.Role] = frozenset()
+
+    def __init__(self, exchange: Exchange, pool: Caches, interval_ms: float) -> None:
+        self.exchange, self.pool, self.interval_ms = exchange, pool, interval_ms
+
+    def targets(self) -> Iterable[str]:
+        """Returns the servers of its roles that the coordinator lists and that are not draining."""
+        for name, server in self.exchange.core.state.registry.servers.items():
+            if server.info.role in self.roles and server.info.state is api.ServerState.READY:
+                yield name
+
+    def perform(self, target: str, on_result: ResultCallback) -> None:
+        """Sends one request to the server."""
+        self.pool.probe(target, on_result, self.path)
+
+    def record_result(
+        self,
+        target: str,
+        status: api.Status,
+        latency_ms: float,
+        load: dict[str, float] | None,
+        age_ms: float,
+    ) -> None:
+        """Passes a finding to the decision module."""
+        self.exchange.handle_event(api.HealthCheckResult(target, status, latency_ms, load, age_ms))
+
+
+class CacheHealthCheck(ServerQueryTask):
+    """Asks every cache server for its load report, where the settings allow health checks."""
+
+    kind, path, roles = "load", "/load", frozenset((api.Role.CACHE,))
+
+    def targets(self) -> Iterable[str]:
+        """Returns the cache servers, or none if the settings forbid health checks."""
+        return super().targets() if self.exchange.core.state.settings.may_check_health else ()
+
+
+class SourceHealthCheck(ServerQueryTask):
+    """Checks whether parents and the origin answer."""
+
+    kind, path, roles = "alive", "/alive", frozenset((api.Role.PARENT, api.Role.ORIGIN))
