--- a/benchmarks/duties_at_size.py
+++ b/benchmarks/duties_at_size.py
@@ -51,7 +51,7 @@
 def kill(network: TaskNetwork, name: str) -> list[float]:
     """Kills a member; returns how long each server that it checked waits for its new owner, in ms."""
     owned = {server for server in network.servers if network.owners(server) == [name]}
-    killed_ms, earlier_count = network.now, len(network.checks)
+    killed_ms, earlier_count = network.now_ms, len(network.checks)
     network.kill(name)
     network.run(MAX_TAKEOVER_MS)
     waits_ms: dict[str, float] = {}
@@ -67,15 +67,15 @@
     network = build_task_network(
         size, size, servers=SERVERS_PER_MEMBER * size, settle_ms=settle_ms, have_met=have_met
     )
-    started_ms = network.now
-    messages_before, bytes_before = sum(network.sent.values()), sum(network.bytes.values())
+    started_ms = network.now_ms
+    messages_before, bytes_before = sum(network.sent_datagrams.values()), sum(network.sent_bytes.values())
     network.run(QUIET_MS)
     member_seconds = size * QUIET_MS / 1_000.0
-    bytes_per_second = (sum(network.bytes.values()) - bytes_before) / member_seconds
-    messages_per_second = (sum(network.sent.values()) - messages_before) / member_seconds
+    bytes_per_second = (sum(network.sent_bytes.values()) - bytes_before) / member_seconds
+    messages_per_second = (sum(network.sent_datagrams.values()) - messages_before) / member_seconds
     servers = draw.sample(network.servers, min(MAX_SAMPLED_SERVERS, len(network.servers)))
     ages_ms = sorted(
-        network.now - network.known_since_ms.get((name, server), started_ms)
+        network.now_ms - network.known_since_ms.get((name, server), started_ms)
         for name in network.nodes
         for server in servers
     )
--- a/benchmarks/member_traffic.py
+++ b/benchmarks/member_traffic.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from gladewalk.rehearsal.member_network import Net
+from gladewalk.rehearsal.member_network import MemberNetwork
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,6 +32,6 @@
         )
 
 
-def count_simulated(net: Net) -> TrafficCount:
+def count_simulated(net: MemberNetwork) -> TrafficCount:
     """Counts what the members of a simulated network have sent up to now."""
-    return TrafficCount(net.now / 1_000.0, sum(net.bytes.values()), sum(net.sent.values()))
+    return TrafficCount(net.now_ms / 1_000.0, sum(net.sent_bytes.values()), sum(net.sent_datagrams.values()))
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -21,7 +21,7 @@
 from benchmarks.member_traffic import Traffic, count_simulated
 from gladewalk.members.actions import MemberChange
 from gladewalk.members.history import ObservedChange
-from gladewalk.rehearsal.member_network import Net, cluster
+from gladewalk.rehearsal.member_network import MemberNetwork, cluster
 
 LOSS_RATES = (0.0, 0.1, 0.3)
 SETTLE_MS = 8_000.0
@@ -57,21 +57,21 @@
     bytes_per_second: float
 
 
-def measure_traffic(net: Net, duration_ms: float) -> Traffic:
+def measure_traffic(net: MemberNetwork, duration_ms: float) -> Traffic:
     """Lets virtual time pass and measures what members send meanwhile."""
     before = count_simulated(net)
     net.run(duration_ms)
     return before.rate_until(count_simulated(net), len(net.nodes))
 
 
-def measure_detection(net: Net, rng: random.Random) -> Detection:
+def measure_detection(net: MemberNetwork, rng: random.Random) -> Detection:
     """Kills a member at a random moment and waits until all others have declared it dead."""
     net.run(rng.uniform(0.0, 1_000.0))
-    killed_ms = net.now
+    killed_ms = net.now_ms
     net.kill("m1")
     observers = len(net.nodes) - 1
     while len(deaths := net.changes(MemberChange.DIED, "m1", killed_ms)) < observers:
-        if net.now >= killed_ms + MAX_DETECTION_MS:
+        if net.now_ms >= killed_ms + MAX_DETECTION_MS:
             break
         net.run(50.0)
     times_ms = [death.at_ms - killed_ms for death in deaths]
@@ -82,8 +82,8 @@
 def measure_false_alarms(size: int, seed: int, loss_rate: float) -> FalseAlarms:
     """Counts suspicions and deaths of members that all live, under loss."""
     net = cluster(size, seed)
-    net.seen.clear()
-    net.loss = loss_rate
+    net.observed.clear()
+    net.loss_rate = loss_rate
     net.run(LOSSY_MS)
     member_minutes = size * LOSSY_MS / MS_PER_MINUTE
     return FalseAlarms(
--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -35,8 +35,8 @@
     detection_times_ms,
     unexpected_deaths,
 )
+from gladewalk.rehearsal.member_faults import play as play_simulated
 from gladewalk.rehearsal.member_network import cluster
-from gladewalk.rehearsal.member_network import play as play_simulated
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
 MAX_STALL_MS = MembershipConfig().max_stall_ms
@@ -151,11 +151,11 @@
 def play_to_simulation(case: FaultCase, size: int, seed: int) -> Result:
     """Plays a case to a simulated network and prints its result."""
     net = cluster(size, seed, settle_ms=SIMULATED_SETTLE_MS)
-    names, begun_ms, before = tuple(net.nodes), net.now, count_simulated(net)
+    names, begun_ms, before = tuple(net.nodes), net.now_ms, count_simulated(net)
     play_simulated(net, case.faults(names))
     traffic = before.rate_until(count_simulated(net), size)
     net.run(SIMULATED_CONVERGE_MS)
-    result = evaluate(case, names, net.seen, begun_ms, traffic)
+    result = evaluate(case, names, net.observed, begun_ms, traffic)
     print(result.line(), flush=True)
     return result
 
--- a/gladewalk/faultpoints/membership_scenario.py
+++ b/gladewalk/faultpoints/membership_scenario.py
@@ -1,4 +1,4 @@
-"""Membership at its points: three members that meet, one that is killed and comes back, and one roster."""
+"""Membership at its fault points: three members meet, one is killed and comes back, all converge."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 from ..members.authenticator import MessageAuthenticator
 from ..members.config import MembershipConfig
 from ..members.messages import Ack, DatagramMessage, Join, Nack, PartialState, Ping, PingRequest, decode
-from ..rehearsal.member_network import KEY, Net, Node
+from ..rehearsal.member_network import CLOCK_WINDOW_MS, KEY, MemberNetwork, MemberNode
 from .points import Kind, Points
 
-STALL_MS = 1_600.0  # longer than a suspicion lasts, shorter than one that is stalled is kept
+STALL_MS = 1_600.0  # longer than a suspicion lasts, shorter than a stalled member is kept
 LATE_MS = 1_500.0
 DOWN_MS = 900.0
 NAMES = ("m0", "m1", "m2")
@@ -25,107 +25,124 @@
 }
 
 
-class FaultNet(Net):
-    """A network whose nodes pass a point where they send, take, dial and change their minds."""
+def point_suffix(data: bytes, now_ms: float) -> str:
+    """Returns the last part of the points of a datagram's message."""
+    # A verifier of its own: the node's would take the datagram for a replay afterwards.
+    verified = MessageAuthenticator((KEY,), CLOCK_WINDOW_MS).verify(data, now_ms)
+    assert isinstance(verified, bytes)
+    return POINT_SUFFIXES[type(decode(verified))]
 
-    def __init__(self, points: Points, seed: int, terms: MembershipConfig | None = None) -> None:
-        super().__init__(seed, terms)
+
+class FaultPointNetwork(MemberNetwork):
+    """Network whose nodes pass a fault point where they send, receive, connect and reach verdicts."""
+
+    def __init__(self, points: Points, seed: int, config: MembershipConfig | None = None) -> None:
+        super().__init__(seed, config)
         self.points = points
-        self.killed_at: dict[str, float] = {}
-        self.on_change = self.noted
+        self.killed_at_ms: dict[str, float] = {}  # first kill of each node
+        self.on_change = self._pass_verdict
 
-    def down(self, node: Node, ms: float = DOWN_MS) -> None:
-        """SIGKILL, and a start under the same name later."""
-        if node.up:
-            self.killed_at.setdefault(node.name, self.now)
+    def kill_for(self, node: MemberNode, down_ms: float = DOWN_MS) -> None:
+        """Kills a node and starts it again under its name after `down_ms`."""
+        if node.is_up:
+            self.killed_at_ms.setdefault(node.name, self.now_ms)
             self.kill(node.name)
-            self.after(ms, lambda: self.back(node.name))
+            self.schedule(down_ms, lambda: self._restart(node.name))
 
-    def back(self, name: str) -> None:
+    def _restart(self, name: str) -> None:
         self.start(name, NAMES[:2])
 
-    def strikes(self, node: Node, name: str) -> Kind | None:
-        """The fault that happens to this node at this point: whether it goes on is the caller's."""
-        kind = self.points.reach(name)
+    def pass_point(self, node: MemberNode, point: str) -> Kind | None:
+        """Passes a point; plays a kill or a stall, and returns any fault for the caller to heed."""
+        kind = self.points.reach(point)
         if kind is Kind.KILL:
-            self.down(node)
+            self.kill_for(node)
         elif kind is Kind.STALL:
-            self.stop(node.name, STALL_MS)
+            self.pause(node.name, STALL_MS)
         return kind
 
-    def what(self, data: bytes) -> str:
-        """The kind of a message, opened apart: who opens one twice takes it for a replay."""
-        opened = MessageAuthenticator((KEY,), 30_000.0).verify(data, self.now)
-        assert isinstance(opened, bytes)
-        return POINT_SUFFIXES[type(decode(opened))]
-
-    def noted(self, node: Node, change: MemberChange, name: str) -> None:
+    def _pass_verdict(self, node: MemberNode, change: MemberChange, name: str) -> None:
         if change in (MemberChange.SUSPECTED, MemberChange.DIED):
-            self.strikes(node, f"members.verdict.{change.value}")
+            self.pass_point(node, f"members.verdict.{change.value}")
 
-    def post(self, node: Node, data: bytes, to: Address) -> None:
-        if not node.up:
+    def send(self, node: MemberNode, data: bytes, to: Address) -> None:
+        """Sends a datagram unless a fault kills the sender or loses, delays or duplicates it."""
+        if not node.is_up:
             return
-        kind = self.strikes(node, f"members.send.{self.what(data)}")
+        kind = self.pass_point(node, f"members.send.{point_suffix(data, self.now_ms)}")
         if kind in (Kind.KILL, Kind.LOSE):
             return
         if kind is Kind.LATE:
-            self.after(LATE_MS, lambda: super(FaultNet, self).post(node, data, to))
+            self.schedule(LATE_MS, lambda: super(FaultPointNetwork, self).send(node, data, to))
             return
         for _ in range(2 if kind is Kind.DOUBLE else 1):
-            super().post(node, data, to)
+            super().send(node, data, to)
 
-    def take(self, node: Node, data: bytes, source: Address) -> None:
-        kind = self.strikes(node, f"members.take.{self.what(data)}")
+    def receive(self, node: MemberNode, data: bytes, source: Address) -> None:
+        """Reads a datagram unless a fault kills or stalls the receiver."""
+        kind = self.pass_point(node, f"members.take.{point_suffix(data, self.now_ms)}")
         if kind is Kind.STALL:
-            node.waiting.append((data, source))
+            node.pending.append((data, source))
         elif kind is not Kind.KILL:
-            super().take(node, data, source)
+            super().receive(node, data, source)
 
-    def exchange(self, node: Node, to: Address) -> None:
-        kind = self.strikes(node, "members.dial.exchange")
+    def start_sync(self, node: MemberNode, peer: Address) -> None:
+        """Starts a synchronization unless a fault kills the node or loses the connection."""
+        kind = self.pass_point(node, "members.dial.exchange")
         if kind is Kind.LOSE:
-            self._exchange_failed(node, to)
+            self.fail_sync(node, peer)
         elif kind is not Kind.KILL:
-            super().exchange(node, to)
+            super().start_sync(node, peer)
 
-    def knock(self, node: Node, wanted: StartConfirmationProbe) -> None:
-        kind = self.strikes(node, "members.dial.knock")
+    def start_probe(self, node: MemberNode, probe: StartConfirmationProbe) -> None:
+        """Starts a confirmation probe unless a fault kills the node or loses the connection."""
+        kind = self.pass_point(node, "members.dial.knock")
         if kind is Kind.LOSE:
-            target = self.by_address.get(wanted.to)
-            self.after(
-                wanted.timeout_ms, lambda: self._knocked(node, target, wanted, ProbeOutcome.UNREACHABLE)
+            target = self.node_at(probe.to)
+            self.schedule(
+                probe.timeout_ms,
+                lambda: self.finish_probe(node, target, probe, ProbeOutcome.UNREACHABLE),
             )
         elif kind is not Kind.KILL:
-            super().knock(node, wanted)
+            super().start_probe(node, probe)
 
-    def carry_out(self, node: Node, out: list[Action]) -> None:
-        if node.up:
-            super().carry_out(node, out)
+    def carry_out(self, node: MemberNode, actions: list[Action]) -> None:
+        """Carries out what a node asks for, unless a fault has killed it."""
+        if node.is_up:
+            super().carry_out(node, actions)
 
 
-def play(points: Points, change: Callable[[FaultNet], None] | None = None) -> str:
-    """They meet; a path is cut one way for a while, one is killed and comes back; what does not hold."""
-    net = FaultNet(points, seed=3)
+def play(points: Points, change: Callable[[FaultPointNetwork], None] | None = None) -> str:
+    """Plays the scenario; returns what does not hold, empty if all does.
+
+    Three members meet; a path is cut one way for a while; one member is killed and comes back. `change` may
+    alter the network first.
+    """
+    network = FaultPointNetwork(points, seed=3)
     if change is not None:
-        change(net)
-    for n, name in enumerate(NAMES):
-        net.start(name, tuple(NAMES[:n]))
-    net.run(1_200.0)
-    net.blocked = lambda source, target: (source, target) == ("m0", "m1")
-    net.run(400.0)  # shorter than any suspicion: a stop within it is one fault, and not two
-    net.blocked = lambda source, target: False
-    net.down(net.nodes["m2"], 1_600.0)
-    net.run(3_700.0)
+        change(network)
+    for number, name in enumerate(NAMES):
+        network.start(name, NAMES[:number])
+    network.run(1_200.0)
+    network.is_blocked = lambda source, target: (source, target) == ("m0", "m1")
+    network.run(400.0)  # shorter than any suspicion: a stall within it is one fault, and not two
+    network.is_blocked = lambda source, target: False
+    network.kill_for(network.nodes["m2"], 1_600.0)
+    network.run(3_700.0)
     points.counting = False
-    net.run(8_000.0)
-    wrong = [
-        f"{seen.observer} held {seen.member} dead"
-        for seen in net.seen
-        if seen.change is MemberChange.DIED and seen.at_ms < net.killed_at.get(seen.member, seen.at_ms + 1.0)
+    network.run(8_000.0)
+    return failure_of(network)
+
+
+def failure_of(network: FaultPointNetwork) -> str:
+    """Describes unexpected deaths or a missing convergence; empty if there is neither."""
+    unexpected = [
+        f"{death.observer} held {death.member} dead"
+        for death in network.changes(MemberChange.DIED)
+        if death.at_ms < network.killed_at_ms.get(death.member, death.at_ms + 1.0)
     ]
-    if wrong:
-        return "; ".join(wrong)
-    if not net.agreed():
-        return f"no one roster: { {name: sorted(net.live_as_seen_by(name)) for name in NAMES} }"
+    if unexpected:
+        return "; ".join(unexpected)
+    if not network.has_converged():
+        return f"no one roster: { {name: sorted(network.live_as_seen_by(name)) for name in NAMES} }"
     return ""
--- /dev/null
+++ b/gladewalk/rehearsal/member_faults.py
@@ -0,0 +1,88 @@
+"""Plays schedules of faults to a simulated network of members, as `faultnet.nemesis` does to processes."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from ..faultnet.schedule import Fault, Pair, pairs_of
+from .member_network import MemberNetwork
+
+END_MS = 1.0  # after the last fault, so that its end has been played
+
+
+class FaultPlayer:
+    """Begins and ends faults in a network. Cuts that overlap end each by itself.
+
+    Loss, duplication and delay hold for all paths, the latest in force.
+    """
+
+    def __init__(self, network: MemberNetwork) -> None:
+        self._network, self._names = network, tuple(network.nodes)
+        self._usual_delay_range_ms = network.delay_range_ms
+        self._cuts: Counter[Pair] = Counter()
+        network.is_blocked = lambda source, target: self._cuts[source, target] > 0
+
+    def begin(self, fault: Fault) -> None:
+        """Begins a fault and schedules its end."""
+        network = self._network
+        match fault.kind:
+            case "pause":
+                network.pause(fault.who[0], fault.ms)
+            case "kill":
+                self._stop(fault.who[0], fault.ms)
+            case "stop":
+                node = network.nodes[fault.who[0]]
+                network.carry_out(node, node.core.leave())
+                self._stop(fault.who[0], fault.ms)
+            case "loss":
+                network.loss_rate = fault.amount
+                network.schedule(fault.ms, self._end_loss)
+            case "double":
+                network.duplicate_rate = fault.amount
+                network.schedule(fault.ms, self._end_duplication)
+            case "delay":
+                network.delay_range_ms = (fault.amount, 2.0 * fault.amount)
+                network.schedule(fault.ms, self._end_delay)
+            case "flap":
+                self._flap(fault, network.now_ms + fault.ms, 1)
+            case _:
+                self._cut(fault, 1)
+                network.schedule(fault.ms, lambda: self._cut(fault, -1))
+
+    def _stop(self, name: str, down_ms: float) -> None:
+        self._network.kill(name)
+        self._network.schedule(down_ms, lambda: self._restart(name))
+
+    def _restart(self, name: str) -> None:
+        self._network.start(name, self._names[:2])
+
+    def _end_loss(self) -> None:
+        self._network.loss_rate = 0.0
+
+    def _end_duplication(self) -> None:
+        self._network.duplicate_rate = 0.0
+
+    def _end_delay(self) -> None:
+        self._network.delay_range_ms = self._usual_delay_range_ms
+
+    def _cut(self, fault: Fault, by: int) -> None:
+        for pair in pairs_of(fault, self._names):
+            self._cuts[pair] += by
+
+    def _flap(self, fault: Fault, end_ms: float, by: int) -> None:
+        if by > 0 and self._network.now_ms >= end_ms:
+            return
+        self._cut(fault, by)
+        self._network.schedule(fault.amount, lambda: self._flap(fault, end_ms, -by))
+
+
+def play(network: MemberNetwork, faults: list[Fault]) -> None:
+    """Plays a schedule from now, until its last fault is over."""
+    player = FaultPlayer(network)
+
+    def schedule(fault: Fault) -> None:
+        network.schedule(fault.at_ms, lambda: player.begin(fault))
+
+    for fault in faults:
+        schedule(fault)
+    network.run(max(fault.at_ms + fault.ms for fault in faults) + END_MS)
--- a/gladewalk/rehearsal/member_network.py
+++ b/gladewalk/rehearsal/member_network.py
@@ -1,7 +1,7 @@
-"""A network in memory with virtual time, for members: it loses, delays, doubles, parts, stops and restarts.
+"""Simulated network of members in virtual time: loss, delay, duplication, partitions, pauses and restarts.
 
 Everything is drawn from one seed: two runs of a seed are the same, event by event. Members run the real
-`Membership`, their messages the real encoding and seal.
+`Membership`, their messages the real encoding and authentication. Time is in ms.
 """
 
 from __future__ import annotations
@@ -13,12 +13,12 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-from ..faultnet.schedule import Fault, pairs_of
 from ..members.actions import (
     Action,
     Address,
     EventReceived,
     MemberChange,
+    MemberChanged,
     ProbeOutcome,
     SendDatagram,
     StartConfirmationProbe,
@@ -34,322 +34,328 @@
 from ..members.config import MembershipConfig
 from ..members.history import ObservedChange
 from ..members.messages import StreamMessage, UserEvent, decode, encode
+from ..members.stream import LENGTH
 from ..members.swim import Membership
 
-STREAM_MS = 2_000.0  # until an exchange over a path that passes nothing is given up
+START_MS = 1_764_576_000_000.0  # Unix time at which a simulation starts
+STREAM_TIMEOUT_MS = 2_000.0  # a synchronization over a path that passes nothing
+REFUSED_MS = 1.0  # a connection that nobody accepts
+SYNC_DELAYS = 3  # one-way delays of a synchronization
+PROBE_DELAYS = 4  # of a confirmation probe that is answered
+REFUSED_PROBE_DELAYS = 2
+MIN_TIMER_MS = 0.05
+MAX_TIMER_MS = 1e9  # a later timer is none: the member is not active
+CLOCK_WINDOW_MS = 30_000.0
+NONCE_BITS = 64
+FIRST_PORT = 1_000
 KEY = key_from_secret(b"a key of the rehearsal's own, 32 bytes or more")
-START_MS = 1_764_576_000_000.0
-
-
-S = TypeVar("S", bound=StreamMessage)
+SomeStreamMessage = TypeVar("SomeStreamMessage", bound=StreamMessage)
 
 
 @dataclass(slots=True, eq=False)
-class Node:
-    """One member: up or down, running or stopped, its clock off by so much."""
+class MemberNode:
+    """One member's process: running, paused or down, its clock off by `clock_offset_ms`."""
 
     name: str
     address: Address
     core: Membership
-    seal: MessageAuthenticator
-    up: bool = True
-    stopped_until: float = 0.0  # its loop stalls, or it was sent SIGSTOP: what comes waits
-    clock_off: float = 0.0
-    waiting: list[tuple[bytes, Address]] = field(default_factory=list)
-    wake: int = 0  # the number of its last timer: older ones are void
+    authenticator: MessageAuthenticator
+    is_up: bool = True
+    paused_until_ms: float = 0.0  # until then datagrams wait in its socket
+    clock_offset_ms: float = 0.0
+    pending: list[tuple[bytes, Address]] = field(default_factory=list)
+    timer_number: int = 0  # of the timer that counts: earlier ones are void
 
 
-class Net:
-    """Nodes and what lies between them."""
+class MemberNetwork:
+    """Nodes and the paths between them.
+
+    To be set at any time: `loss_rate` and `duplicate_rate` of datagrams, `delay_range_ms` of one way,
+    `max_timer_delay_ms` of a busy host, `is_blocked(source, target)`, and `unreachable_machines`: the names
+    of nodes in whose place no system answers.
+    """
 
-    def __init__(self, seed: int, terms: MembershipConfig | None = None) -> None:
+    def __init__(self, seed: int, config: MembershipConfig | None = None) -> None:
         self.random = random.Random(seed)
-        self.terms = terms or MembershipConfig()
-        self.now = START_MS
-        self.queue: list[tuple[float, int, Callable[[], None]]] = []
-        self.count = 0
-        self.nodes: dict[str, Node] = {}
-        self.by_address: dict[Address, Node] = {}
-        self.seen: list[ObservedChange] = []
-        self.bytes: Counter[str] = Counter()
-        self.sent: Counter[str] = Counter()
-        self.refused: Counter[DropReason] = Counter()
-        self.loss = self.double = 0.0
-        self.delay_ms = (0.2, 2.0)
-        self.late_ms = 0.0  # up to so long a busy host's loops run their timers late, and read late
-        self.blocked: Callable[[str, str], bool] = lambda source, target: False
-        self.exchanges: Counter[str] = Counter()
-        self.dark: set[str] = set()  # whose machines are down, so that no system answers in their place
-        self.on_news: Callable[[Node, UserEvent], None] | None = None
-        self.on_change: Callable[[Node, MemberChange, str], None] | None = None
-
-    def after(self, ms: float, call: Callable[[], None]) -> None:
-        self.count += 1
-        heapq.heappush(self.queue, (self.now + ms, self.count, call))
-
-    def run(self, ms: float) -> None:
-        """Let so much virtual time pass."""
-        end = self.now + ms
-        while self.queue and self.queue[0][0] <= end:
-            self.now, _, call = heapq.heappop(self.queue)
+        self.config = config or MembershipConfig()
+        self.now_ms = START_MS
+        self.nodes: dict[str, MemberNode] = {}
+        self.loss_rate = self.duplicate_rate = 0.0
+        self.delay_range_ms = (0.2, 2.0)
+        self.max_timer_delay_ms = 0.0
+        self.is_blocked: Callable[[str, str], bool] = lambda source, target: False
+        self.unreachable_machines: set[str] = set()
+        self.on_event: Callable[[MemberNode, UserEvent], None] | None = None
+        self.on_change: Callable[[MemberNode, MemberChange, str], None] | None = None
+        self.observed: list[ObservedChange] = []
+        self.sent_bytes: Counter[str] = Counter()  # by node, like the next
+        self.sent_datagrams: Counter[str] = Counter()
+        self.dropped: Counter[DropReason] = Counter()
+        self.syncs: Counter[str] = Counter()  # by how they ended: same, whole, failed
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._queued_count = 0
+        self._by_address: dict[Address, MemberNode] = {}
+
+    # Time.
+
+    def schedule(self, delay_ms: float, call: Callable[[], None]) -> None:
+        """Calls a function once so much virtual time has passed."""
+        self._queued_count += 1
+        heapq.heappush(self._queue, (self.now_ms + delay_ms, self._queued_count, call))
+
+    def run(self, duration_ms: float) -> None:
+        """Lets so much virtual time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            self.now_ms, _, call = heapq.heappop(self._queue)
             call()
-        self.now = end
+        self.now_ms = end_ms
+
+    def clock_of(self, node: MemberNode) -> float:
+        """Time by a node's own clock."""
+        return self.now_ms + node.clock_offset_ms
 
     # Nodes.
 
+    def node_at(self, address: Address) -> MemberNode | None:
+        """The node that was started last at an address."""
+        return self._by_address.get(address)
+
     def start(
         self,
         name: str,
         seeds: tuple[str, ...] = (),
         keys: tuple[AuthenticationKey, ...] = (KEY,),
         port: int = 0,
-        clock_off: float = 0.0,
-    ) -> Node:
-        """A node starts, or starts again under its name, knowing no more than its seeds."""
+        clock_offset_ms: float = 0.0,
+    ) -> MemberNode:
+        """Starts a node, or starts it again under its name, knowing no more than its seeds."""
         old = self.nodes.get(name)
         if old is not None:
-            old.up = False  # its address is free again: no two processes have one
-            self.seen += [
-                ObservedChange(self.now, name, MemberChange.LEFT, other)
-                for other in self.nodes
-                if other != name
-            ]
-        address = old.address if old is not None else ("10.0.0.1", port or 1_000 + len(self.nodes))
-        known = tuple(self.nodes[seed].address for seed in seeds)
-        core = Membership(
-            name, address, known, self.terms, random.Random(self.random.random()), self.now + clock_off
-        )
-        node = Node(name, address, core, MessageAuthenticator(keys, 30_000.0), clock_off=clock_off)
-        self.by_address[address] = node
-        self.nodes[name if old is not None or name not in self.nodes else f"{name}'"] = node
-        self.wake(node)
+            old.is_up = False  # its address is free again: no two processes have one
+            others = (other for other in self.nodes if other != name)
+            self.observed += [ObservedChange(self.now_ms, name, MemberChange.LEFT, other) for other in others]
+        address = old.address if old is not None else ("10.0.0.1", port or FIRST_PORT + len(self.nodes))
+        seed_addresses = tuple(self.nodes[seed].address for seed in seeds)
+        rng = random.Random(self.random.random())
+        core = Membership(name, address, seed_addresses, self.config, rng, self.now_ms + clock_offset_ms)
+        authenticator = MessageAuthenticator(keys, CLOCK_WINDOW_MS)
+        node = MemberNode(name, address, core, authenticator, clock_offset_ms=clock_offset_ms)
+        self._by_address[address] = node
+        self.nodes[name] = node
+        self.run_timer(node)
         return node
 
     def kill(self, name: str) -> None:
-        self.nodes[name].up = False
+        """Ends a node's process without a word (SIGKILL)."""
+        self.nodes[name].is_up = False
 
-    def stop(self, name: str, ms: float) -> None:
-        """SIGSTOP and, later, SIGCONT; or a loop that stalls."""
+    def pause(self, name: str, duration_ms: float) -> None:
+        """Pauses a node's process (SIGSTOP, then SIGCONT), or stalls its event loop."""
         node = self.nodes[name]
-        node.stopped_until = self.now + ms
-        self.after(ms, lambda: self.resume(node))
-
-    def resume(self, node: Node) -> None:
-        waiting, node.waiting = node.waiting, []
-        if node.up:
-            self.wake(node)  # a loop that comes back runs its timers first
-            for data, source in waiting:
-                self.take(node, data, source)
-
-    def wake(self, node: Node) -> None:
-        if not node.up or self.now < node.stopped_until:
-            return
-        self.carry_out(node, node.core.tick(self.now + node.clock_off))
-
-    def carry_out(self, node: Node, out: list[Action]) -> None:
-        for action in out:
-            if isinstance(action, SendDatagram):
-                data = node.seal.sign(
-                    encode(action.message), self.now + node.clock_off, self.random.getrandbits(64)
-                )
-                self.post(node, data, action.to)
-            elif isinstance(action, StartSync):
-                self.exchange(node, action.to)
-            elif isinstance(action, StartConfirmationProbe):
-                self.knock(node, action)
-            elif isinstance(action, EventReceived):
-                if self.on_news is not None:
-                    self.on_news(node, action.event)
-            else:
-                self.seen.append(ObservedChange(self.now, node.name, action.change, action.name))
-                if self.on_change is not None:
-                    self.on_change(node, action.change, action.name)
-        node.wake += 1
-        number = node.wake
-        ms = max(0.05, node.core.next_due_ms() - (self.now + node.clock_off))
-        if ms < 1e9:
-            ms += self.random.uniform(0.0, self.late_ms) if self.late_ms else 0.0
-            self.after(ms, lambda: self.wake(node) if node.wake == number else None)
+        node.paused_until_ms = self.now_ms + duration_ms
+        self.schedule(duration_ms, lambda: self._resume(node))
+
+    def _resume(self, node: MemberNode) -> None:
+        pending, node.pending = node.pending, []
+        if node.is_up:
+            self.run_timer(node)  # a loop that comes back runs its timers before it reads
+            for data, source in pending:
+                self.receive(node, data, source)
+
+    def run_timer(self, node: MemberNode) -> None:
+        """Lets a node do what is due."""
+        if node.is_up and self.now_ms >= node.paused_until_ms:
+            self.carry_out(node, node.core.tick(self.clock_of(node)))
+
+    def carry_out(self, node: MemberNode, actions: list[Action]) -> None:
+        """Carries out what a node's protocol asks for, then sets its timer anew."""
+        for action in actions:
+            match action:
+                case SendDatagram(to, message):
+                    nonce = self.random.getrandbits(NONCE_BITS)
+                    signed = node.authenticator.sign(encode(message), self.clock_of(node), nonce)
+                    self.send(node, signed, to)
+                case StartSync(peer):
+                    self.start_sync(node, peer)
+                case StartConfirmationProbe():
+                    self.start_probe(node, action)
+                case EventReceived(event):
+                    if self.on_event is not None:
+                        self.on_event(node, event)
+                case MemberChanged(change, name):
+                    self.observed.append(ObservedChange(self.now_ms, node.name, change, name))
+                    if self.on_change is not None:
+                        self.on_change(node, change, name)
+        self._set_timer(node)
+
+    def _set_timer(self, node: MemberNode) -> None:
+        node.timer_number += 1
+        number = node.timer_number
+        wait_ms = max(MIN_TIMER_MS, node.core.next_due_ms() - self.clock_of(node))
+        if wait_ms < MAX_TIMER_MS:
+            wait_ms += self._timer_delay_ms()
+            self.schedule(wait_ms, lambda: self.run_timer(node) if node.timer_number == number else None)
+
+    def _timer_delay_ms(self) -> float:
+        return self.random.uniform(0.0, self.max_timer_delay_ms) if self.max_timer_delay_ms else 0.0
+
+    def _delay_ms(self) -> float:
+        return self.random.uniform(*self.delay_range_ms)
 
     # Datagrams.
 
-    def post(self, node: Node, data: bytes, to: Address) -> None:
-        self.bytes[node.name] += len(data)
-        self.sent[node.name] += 1
-        target = self.by_address.get(to)
-        if target is None or self.blocked(node.name, target.name) or self.random.random() < self.loss:
+    def send(self, node: MemberNode, data: bytes, to: Address) -> None:
+        """Sends a datagram, which may be lost, delayed or duplicated."""
+        self.sent_bytes[node.name] += len(data)
+        self.sent_datagrams[node.name] += 1
+        target = self.node_at(to)
+        if target is None or self.is_blocked(node.name, target.name):
             return
-        for _ in range(2 if self.random.random() < self.double else 1):
-            ms = self.random.uniform(*self.delay_ms)
-            ms += self.random.uniform(0.0, self.late_ms) if self.late_ms else 0.0
-            self.after(ms, lambda: self.deliver(to, data, node.address))
-
-    # Streams: nothing is lost, but they need a path both ways and somebody at the other end.
-
-    def exchange(self, node: Node, to: Address) -> None:
-        target = self.by_address.get(to)
-        if target is None or not self._passes(node, target):
-            refused = target is not None and not target.up and not self.blocked(node.name, target.name)
-            self.after(1.0 if refused else STREAM_MS, lambda: self._exchange_failed(node, to))
+        if self.random.random() < self.loss_rate:
             return
-        self.after(3 * self.random.uniform(*self.delay_ms), lambda: self._exchange(node, target))
-
-    def knock(self, node: Node, wanted: StartConfirmationProbe) -> None:
-        """What a suspect's system says in its place."""
-        target = self.by_address.get(wanted.to)
-        name = target.name if target is not None else ""
-        dark = name in self.dark or self.blocked(node.name, name) or self.blocked(name, node.name)
-        if target is None or dark:
-            outcome, ms = ProbeOutcome.UNREACHABLE, wanted.timeout_ms
-        elif not target.up:
-            outcome, ms = ProbeOutcome.REFUSED, 2 * self.random.uniform(*self.delay_ms)
-        elif self.now < target.stopped_until:
-            outcome, ms = ProbeOutcome.SILENT, wanted.timeout_ms
-        else:
-            outcome, ms = ProbeOutcome.RESPONDED, 4 * self.random.uniform(*self.delay_ms)
-        self.after(ms, lambda: self._knocked(node, target, wanted, outcome))
-
-    def _knocked(
-        self, node: Node, target: Node | None, wanted: StartConfirmationProbe, outcome: ProbeOutcome
-    ) -> None:
-        if not node.up or self.now < node.stopped_until:
+        for _ in range(2 if self.random.random() < self.duplicate_rate else 1):
+            delay_ms = self._delay_ms()
+            delay_ms += self._timer_delay_ms()
+            self.schedule(delay_ms, lambda: self._deliver(to, data, node.address))
+
+    def _deliver(self, to: Address, data: bytes, source: Address) -> None:
+        node = self._by_address[to]
+        if not node.is_up:
             return
-        if outcome is ProbeOutcome.RESPONDED and target is not None:
-            if not target.up or self.now < target.stopped_until:
-                outcome = ProbeOutcome.SILENT if target.up else ProbeOutcome.REFUSED
-            else:
-                self._count(node, wanted.message)
-                off_ms = abs(node.clock_off - target.clock_off)
-                if off_ms > node.seal.window_ms:  # neither opens what the other seals
-                    return self.carry_out(
-                        node,
-                        node.core.on_probe_outcome(
-                            wanted.name, wanted.run_id, ProbeOutcome.UNREACHABLE, self.now
-                        ),
-                    )
-                here, out = target.core.on_confirmation_probe(wanted.message, self.now + target.clock_off)
-                self.carry_out(target, out)
-                self.carry_out(
-                    node, node.core.receive_streamed(self._count(target, here), self.now + node.clock_off)
-                )
-        self.carry_out(
-            node, node.core.on_probe_outcome(wanted.name, wanted.run_id, outcome, self.now + node.clock_off)
-        )
-
-    def _passes(self, node: Node, target: Node) -> bool:
-        blocked = self.blocked(node.name, target.name) or self.blocked(target.name, node.name)
-        return node.up and target.up and not blocked and self.now >= target.stopped_until
-
-    def _exchange(self, node: Node, target: Node) -> None:
-        if not self._passes(node, target) or not target.core.is_active:
-            return self._exchange_failed(node, target.address)
-        told = target.core.sync_response(self._count(node, node.core.sync_request()))
-        mine, out = node.core.on_sync_response(self._count(target, told), self.now + node.clock_off)
-        self.exchanges["same" if told.is_identical else "whole"] += 1
-        self.carry_out(node, out)
-        if mine is not None:
-            self._count(node, mine)
-            self.carry_out(target, target.core.receive_streamed(mine, self.now + target.clock_off))
-
-    def _exchange_failed(self, node: Node, to: Address) -> None:
-        self.exchanges["failed"] += 1
-        if node.up:
-            self.carry_out(node, node.core.on_sync_failed(to))
-
-    def _count(self, node: Node, message: S) -> S:
-        self.bytes[node.name] += len(encode(message)) + OVERHEAD_BYTES + 4
-        return message
+        if self.now_ms < node.paused_until_ms:
+            node.pending.append((data, source))
+            return
+        self.receive(node, data, source)
 
-    def deliver(self, to: Address, data: bytes, source: Address) -> None:
-        node = self.by_address[to]
-        if not node.up:
+    def receive(self, node: MemberNode, data: bytes, source: Address) -> None:
+        """Lets a node read a datagram."""
+        verified = node.authenticator.verify(data, self.clock_of(node))
+        if isinstance(verified, DropReason):
+            self.dropped[verified] += 1
             return
-        if self.now < node.stopped_until:
-            node.waiting.append((data, source))
+        self.carry_out(node, node.core.receive(decode(verified), source, self.clock_of(node)))
+
+    # Streams: nothing is lost, but they need a path both ways and a process at the other end.
+
+    def start_sync(self, node: MemberNode, peer: Address) -> None:
+        """Synchronizes the state of a node with its peer's, after a while."""
+        target = self.node_at(peer)
+        if target is not None and self._has_stream(node, target):
+            self.schedule(SYNC_DELAYS * self._delay_ms(), lambda: self._sync(node, target))
             return
-        self.take(node, data, source)
+        is_refused = target is not None and not target.is_up and not self.is_blocked(node.name, target.name)
+        self.schedule(REFUSED_MS if is_refused else STREAM_TIMEOUT_MS, lambda: self.fail_sync(node, peer))
+
+    def _has_stream(self, node: MemberNode, target: MemberNode) -> bool:
+        is_cut = self.is_blocked(node.name, target.name) or self.is_blocked(target.name, node.name)
+        return node.is_up and target.is_up and not is_cut and self.now_ms >= target.paused_until_ms
 
-    def take(self, node: Node, data: bytes, source: Address) -> None:
-        opened = node.seal.verify(data, self.now + node.clock_off)
-        if isinstance(opened, DropReason):
-            self.refused[opened] += 1
+    def _sync(self, node: MemberNode, target: MemberNode) -> None:
+        if not self._has_stream(node, target) or not target.core.is_active:
+            self.fail_sync(node, target.address)
+            return
+        request = self._count(node, node.core.sync_request())
+        response = self._count(target, target.core.sync_response(request))
+        reply, actions = node.core.on_sync_response(response, self.clock_of(node))
+        self.syncs["same" if response.is_identical else "whole"] += 1
+        self.carry_out(node, actions)
+        if reply is not None:
+            self._count(node, reply)
+            self.carry_out(target, target.core.receive_streamed(reply, self.clock_of(target)))
+
+    def fail_sync(self, node: MemberNode, peer: Address) -> None:
+        """Reports to a node that its synchronization has failed."""
+        self.syncs["failed"] += 1
+        if node.is_up:
+            self.carry_out(node, node.core.on_sync_failed(peer))
+
+    def start_probe(self, node: MemberNode, probe: StartConfirmationProbe) -> None:
+        """Answers a confirmation probe, after a while, as the suspect's process or system would."""
+        target = self.node_at(probe.to)
+        outcome = self._probe_outcome(node, target)
+        match outcome:
+            case ProbeOutcome.RESPONDED:
+                delay_ms = PROBE_DELAYS * self._delay_ms()
+            case ProbeOutcome.REFUSED:
+                delay_ms = REFUSED_PROBE_DELAYS * self._delay_ms()
+            case _:
+                delay_ms = probe.timeout_ms
+        self.schedule(delay_ms, lambda: self.finish_probe(node, target, probe, outcome))
+
+    def _probe_outcome(self, node: MemberNode, target: MemberNode | None) -> ProbeOutcome:
+        if target is None or target.name in self.unreachable_machines:
+            return ProbeOutcome.UNREACHABLE
+        if self.is_blocked(node.name, target.name) or self.is_blocked(target.name, node.name):
+            return ProbeOutcome.UNREACHABLE
+        return self._outcome_at(target)
+
+    def _outcome_at(self, target: MemberNode) -> ProbeOutcome:
+        if not target.is_up:
+            return ProbeOutcome.REFUSED
+        is_paused = self.now_ms < target.paused_until_ms
+        return ProbeOutcome.SILENT if is_paused else ProbeOutcome.RESPONDED
+
+    def finish_probe(
+        self,
+        node: MemberNode,
+        target: MemberNode | None,
+        probe: StartConfirmationProbe,
+        outcome: ProbeOutcome,
+    ) -> None:
+        """Reports the outcome of a confirmation probe; the target may have been stopped meanwhile."""
+        if not node.is_up or self.now_ms < node.paused_until_ms:
             return
-        self.carry_out(node, node.core.receive(decode(opened), source, self.now + node.clock_off))
+        now_ms = self.clock_of(node)
+        if outcome is ProbeOutcome.RESPONDED and target is not None:
+            outcome = self._outcome_at(target)
+            if outcome is ProbeOutcome.RESPONDED:
+                self._count(node, probe.message)
+                clock_difference_ms = abs(node.clock_offset_ms - target.clock_offset_ms)
+                if clock_difference_ms > node.authenticator.window_ms:  # neither accepts the other's messages
+                    outcome, now_ms = ProbeOutcome.UNREACHABLE, self.now_ms  # by the true time
+                else:
+                    self._answer_probe(node, target, probe)
+        self.carry_out(node, node.core.on_probe_outcome(probe.name, probe.run_id, outcome, now_ms))
+
+    def _answer_probe(self, node: MemberNode, target: MemberNode, probe: StartConfirmationProbe) -> None:
+        ack, actions = target.core.on_confirmation_probe(probe.message, self.clock_of(target))
+        self.carry_out(target, actions)
+        self._count(target, ack)
+        self.carry_out(node, node.core.receive_streamed(ack, self.clock_of(node)))
+
+    def _count(self, node: MemberNode, message: SomeStreamMessage) -> SomeStreamMessage:
+        self.sent_bytes[node.name] += LENGTH.size + len(encode(message)) + OVERHEAD_BYTES
+        return message
 
-    # What is to be seen.
+    # What can be observed.
 
     def live_as_seen_by(self, name: str) -> set[str]:
-        return {other for other, member in self.nodes[name].core.members.by_name.items() if member.is_live}
+        """Names of the other members that a node takes to be live."""
+        return {member.name for member in self.nodes[name].core.members.live()}
 
-    def agreed(self) -> bool:
-        """Whether every running member sees just the running members."""
-        up = {name for name, node in self.nodes.items() if node.up and node.core.is_active}
-        return all(self.live_as_seen_by(name) == up - {name} for name in up)
+    def has_converged(self) -> bool:
+        """Whether every running member takes exactly the running members to be live."""
+        running = {name for name, node in self.nodes.items() if node.is_up and node.core.is_active}
+        return all(self.live_as_seen_by(name) == running - {name} for name in running)
 
     def changes(
-        self, change: MemberChange, name: str | None = None, since_ms: float = 0.0
+        self, change: MemberChange, member: str | None = None, since_ms: float = 0.0
     ) -> list[ObservedChange]:
+        """Returns the observations of one kind of change, of one member or of all."""
         return [
-            seen
-            for seen in self.seen
-            if seen.change is change and seen.at_ms >= since_ms and name in (None, seen.member)
+            observed
+            for observed in self.observed
+            if observed.change is change and observed.at_ms >= since_ms and member in (None, observed.member)
         ]
 
 
-def cluster(count: int, seed: int, terms: MembershipConfig | None = None, settle_ms: float = 5_000.0) -> Net:
-    """Members `m0` to `mN`, who know the first two as seeds, after some time to find one another."""
-    net = Net(seed, terms)
-    for n in range(count):
-        net.start(f"m{n}", tuple(f"m{seed}" for seed in range(min(n, 2))))
-    net.run(settle_ms)
-    return net
-
-
-def play(net: Net, faults: list[Fault]) -> None:
-    """A schedule as `faultnet.nemesis` plays it to processes, from now, until the last fault is over.
-
-    Cuts that overlap end each by itself; loss and delay are of all paths, the latest in force.
-    """
-    names, began = tuple(net.nodes), net.now
-    cuts: Counter[tuple[str, str]] = Counter()
-    net.blocked = lambda source, target: cuts[source, target] > 0
-    usual = net.delay_ms
-
-    def begin(fault: Fault) -> None:
-        match fault.kind:
-            case "pause":
-                net.stop(fault.who[0], fault.ms)
-            case "kill" | "stop":
-                if fault.kind == "stop":
-                    node = net.nodes[fault.who[0]]
-                    net.carry_out(node, node.core.leave())
-                net.kill(fault.who[0])
-                net.after(fault.ms, lambda: restart(fault.who[0]))
-            case "loss" | "double":
-                setattr(net, fault.kind, fault.amount)
-                net.after(fault.ms, lambda: setattr(net, fault.kind, 0.0))
-            case "delay":
-                net.delay_ms = (fault.amount, 2.0 * fault.amount)
-                net.after(fault.ms, lambda: setattr(net, "delay_ms", usual))
-            case "flap":
-                flap(fault, net.now + fault.ms, 1)
-            case _:
-                cut(fault, 1)
-                net.after(fault.ms, lambda: cut(fault, -1))
-
-    def restart(name: str) -> None:
-        net.start(name, names[:2])
-
-    def cut(fault: Fault, by: int) -> None:
-        for pair in pairs_of(fault, names):
-            cuts[pair] += by
-
-    def flap(fault: Fault, end_ms: float, by: int) -> None:
-        if by > 0 and net.now >= end_ms:
-            return
-        cut(fault, by)
-        net.after(fault.amount, lambda: flap(fault, end_ms, -by))
-
-    for fault in faults:
-        net.after(fault.at_ms, lambda fault=fault: begin(fault))  # type: ignore[misc]
-    net.run(max(fault.at_ms + fault.ms for fault in faults) + 1.0 - (net.now - began))
+def cluster(
+    count: int, seed: int, config: MembershipConfig | None = None, settle_ms: float = 5_000.0
+) -> MemberNetwork:
+    """Starts members `m0` to `mN`, which know the first two as seeds, and gives them time to meet."""
+    network = MemberNetwork(seed, config)
+    for number in range(count):
+        network.start(f"m{number}", tuple(f"m{seed_number}" for seed_number in range(min(number, 2))))
+    network.run(settle_ms)
+    return network
--- a/gladewalk/rehearsal/task_simulation.py
+++ b/gladewalk/rehearsal/task_simulation.py
@@ -17,7 +17,7 @@
 from ..members.actions import MemberChange
 from ..members.config import MembershipConfig
 from ..members.messages import UserEvent
-from .member_network import Net, Node
+from .member_network import MemberNetwork, MemberNode
 
 CHECK_LATENCY_MS = 1.0
 CHECK_KIND = "load"
@@ -38,7 +38,7 @@
 class SimulatedPeers:
     """A node's members as `TaskRunner` sees them, as `MembershipTransport` is on sockets."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: MemberNode) -> None:
         self.node, self.core = node, node.core
         self.on_member_change: Callable[[MemberChange, str], None] = lambda change, name: None
         self.on_event: Callable[[UserEvent], None] = lambda event: None
@@ -51,20 +51,20 @@
 class VirtualScheduler:
     """A node's own sweeps: they stand still while it does, and end with it."""
 
-    def __init__(self, network: TaskNetwork, node: Node) -> None:
+    def __init__(self, network: TaskNetwork, node: MemberNode) -> None:
         self.network, self.node = network, node
 
     def add(self, when_ms: float, call: Callable[[], None]) -> None:
         """Calls `call` at a time on the node's clock."""
-        wait_ms = max(0.0, when_ms - (self.network.now + self.node.clock_off))
-        self.network.after(wait_ms, lambda: self._run(call))
+        wait_ms = max(0.0, when_ms - (self.network.now_ms + self.node.clock_offset_ms))
+        self.network.schedule(wait_ms, lambda: self._run(call))
 
     def _run(self, call: Callable[[], None]) -> None:
-        if not self.node.up:
+        if not self.node.is_up:
             return
-        if self.network.now < self.node.stopped_until:
-            wait_ms = self.node.stopped_until - self.network.now + RESUME_DELAY_MS
-            self.network.after(wait_ms, lambda: self._run(call))
+        if self.network.now_ms < self.node.paused_until_ms:
+            wait_ms = self.node.paused_until_ms - self.network.now_ms + RESUME_DELAY_MS
+            self.network.schedule(wait_ms, lambda: self._run(call))
         else:
             call()
 
@@ -99,7 +99,7 @@
 
     kind = CHECK_KIND
 
-    def __init__(self, network: TaskNetwork, node: Node) -> None:
+    def __init__(self, network: TaskNetwork, node: MemberNode) -> None:
         self.network, self.node, self.interval_ms = network, node, network.interval_ms
 
     def targets(self) -> Iterable[str]:
@@ -108,13 +108,13 @@
 
     def perform(self, target: str, on_result: ResultCallback) -> None:
         """Records a check; its answer is lost if the node dies meanwhile."""
-        self.network.checks.append(SentCheck(self.network.now, self.node.name, target))
+        self.network.checks.append(SentCheck(self.network.now_ms, self.node.name, target))
 
         def answer() -> None:
-            if self.node.up:
+            if self.node.is_up:
                 on_result(api.Status.OK, CHECK_LATENCY_MS, None)
 
-        self.network.after(CHECK_LATENCY_MS, answer)
+        self.network.schedule(CHECK_LATENCY_MS, answer)
 
     def record_result(
         self,
@@ -125,10 +125,10 @@
         age_ms: float,
     ) -> None:
         """Records when the latest finding that the node has was made."""
-        self.network.known_since_ms[self.node.name, target] = self.network.now - age_ms
+        self.network.known_since_ms[self.node.name, target] = self.network.now_ms - age_ms
 
 
-class TaskNetwork(Net):
+class TaskNetwork(MemberNetwork):
     """Nodes with shared tasks; `checks` has every health check in its order."""
 
     def __init__(
@@ -147,22 +147,22 @@
         self.runners: dict[str, TaskRunner] = {}
         self.checks: list[SentCheck] = []
         self.known_since_ms: dict[tuple[str, str], float] = {}  # by node and server: the latest finding
-        self.on_news = lambda node, news: self.runners[node.name].peers.on_event(news)
+        self.on_event = lambda node, news: self.runners[node.name].peers.on_event(news)
         self.on_change = self._on_change
 
-    def _on_change(self, node: Node, change: MemberChange, name: str) -> None:
+    def _on_change(self, node: MemberNode, change: MemberChange, name: str) -> None:
         if node.name in self.runners:  # else it is just being made
             self.runners[node.name].peers.on_member_change(change, name)
 
-    def join(self, name: str, seeds: tuple[str, ...] = ()) -> Node:
+    def join(self, name: str, seeds: tuple[str, ...] = ()) -> MemberNode:
         """Starts a node with shared tasks, or starts it again with nothing known."""
         if name in self.nodes:
-            self.nodes[name].up = False
+            self.nodes[name].is_up = False
         node = self.start(name, seeds)
         runner = TaskRunner(
             SimulatedPeers(node),
             [SimulatedHealthCheck(self, node)],
-            lambda: self.now + node.clock_off,
+            lambda: self.now_ms + node.clock_offset_ms,
             VirtualScheduler(self, node),
             Counters(),
             random.Random(self.random.random()),
@@ -181,7 +181,7 @@
         return [
             name
             for name, runner in self.runners.items()
-            if self.nodes[name].up and server in runner.shared[CHECK_KIND].ownership.owned
+            if self.nodes[name].is_up and server in runner.shared[CHECK_KIND].ownership.owned
         ]
 
     def is_divided(self) -> bool:
@@ -190,7 +190,7 @@
 
     def check_rates(self, since_ms: float) -> list[float]:
         """Returns the checks per interval of each server since a time, in rising order."""
-        intervals = (self.now - since_ms) / self.interval_ms
+        intervals = (self.now_ms - since_ms) / self.interval_ms
         counts = dict.fromkeys(self.servers, 0)
         for check in self.checks:
             if check.at_ms >= since_ms:
@@ -205,7 +205,7 @@
             if check.at_ms >= since_ms:
                 longest_ms = max(longest_ms, check.at_ms - last_ms[check.server])
                 last_ms[check.server] = check.at_ms
-        return max([longest_ms, *(self.now - at_ms for at_ms in last_ms.values())])
+        return max([longest_ms, *(self.now_ms - at_ms for at_ms in last_ms.values())])
 
 
 def build_task_network(
@@ -242,7 +242,7 @@
     for node in network.nodes.values():
         for update in updates:
             if update.name != node.name:
-                node.core.gossip.apply(update, network.now)
+                node.core.gossip.apply(update, network.now_ms)
         node.core.dissemination.queued_updates.clear()
         node.core.outbox.take()
         network.runners[node.name].has_membership_changed = True
--- a/tests/test_duties_simulated.py
+++ b/tests/test_duties_simulated.py
@@ -22,7 +22,7 @@
     assert HealthCheckRateLimit(0.0, 0.0).interval_stretch(1e9) == 1.0
     # 160 a second are wanted.
     net = build_task_network(4, 2, servers=40, interval_ms=250.0, checks_per_second=80.0)
-    start = net.now
+    start = net.now_ms
     net.run(10_000.0)
     assert 0.45 < net.check_rates(start)[0] <= net.check_rates(start)[-1] < 0.55
     net.kill("m1")  # its heirs find a quarter of all tasks overdue
@@ -34,9 +34,9 @@
 def settle(net: TaskNetwork, ms: float = 15_000.0) -> None:
     """After a time all agree, each task has one holder and each server is probed as often as it should."""
     net.run(ms)
-    assert net.agreed()
+    assert net.has_converged()
     assert not [(server, net.owners(server)) for server in net.servers if len(net.owners(server)) != 1]
-    start = net.now
+    start = net.now_ms
     net.run(10.0 * net.interval_ms)
     rates = net.check_rates(start)
     assert 0.85 < rates[0] <= rates[-1] < 1.15, rates
@@ -46,7 +46,7 @@
 def test_a_member_that_only_seems_dead_comes_back_and_one_of_both_yields(seed: int, ms: float) -> None:
     net = build_task_network(4, seed)
     held = [server for server in net.servers if net.owners(server) == ["m2"]]
-    net.stop("m2", ms)
+    net.pause("m2", ms)
     net.run(ms - 1.0)
     heirs = [net.owners(server) for server in held]
     if ms > 2_000.0:  # found dead: its tasks have two holders until it is back
@@ -62,7 +62,7 @@
         net = build_task_network(count, seed, interval_ms=500.0)
         net.run(41.0 * seed)
         owned = [server for server in net.servers if net.owners(server) == ["m1"]]
-        killed = net.now
+        killed = net.now_ms
         net.kill("m1")
         net.run(2_000.0)
         found = {done.server for done in net.checks if done.at_ms > killed and done.sender != "m1"}
@@ -73,25 +73,25 @@
 def test_each_side_of_a_partition_probes_all_and_healed_they_divide_again() -> None:
     net = build_task_network(4, 7)
     sides = {"m0": 0, "m2": 0, "m1": 1, "m3": 1}
-    net.blocked = lambda source, target: sides[source] != sides[target]
+    net.is_blocked = lambda source, target: sides[source] != sides[target]
     net.run(6_000.0)
-    start = net.now
+    start = net.now_ms
     net.run(10_000.0)
     rates = net.check_rates(start)
     assert 1.7 < rates[0] <= rates[-1] < 2.3, rates  # nobody knows better on either side
-    net.blocked = lambda source, target: False
+    net.is_blocked = lambda source, target: False
     settle(net, 20_000.0)
 
 
 def test_one_way_loss_moves_no_task_for_long() -> None:
     net = build_task_network(4, 8)
-    net.blocked = lambda source, target: (source, target) == ("m0", "m1")
+    net.is_blocked = lambda source, target: (source, target) == ("m0", "m1")
     settle(net, 20_000.0)
 
 
 def test_all_restart_one_after_the_other_and_one_joins_and_dies() -> None:
     net = build_task_network(4, 9)
-    start = net.now
+    start = net.now_ms
     for n in range(4):
         net.join(f"m{n}", ("m0", "m1"))
         net.run(2_500.0)
@@ -105,7 +105,7 @@
 @pytest.mark.parametrize("jump_ms", [-4_000.0, 4_000.0])
 def test_clocks_that_jump_within_the_window_leave_one_prober(jump_ms: float) -> None:
     net = build_task_network(4, 10)
-    net.nodes["m1"].clock_off = jump_ms
+    net.nodes["m1"].clock_offset_ms = jump_ms
     settle(net)
 
 
@@ -123,24 +123,24 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_under_loss_duplicates_and_reordering_every_server_is_probed(seed: int) -> None:
     net = build_task_network(4, seed)
-    net.loss, net.double, net.delay_ms = 0.3, 0.2, (0.2, 15.0)
-    start = net.now
+    net.loss_rate, net.duplicate_rate, net.delay_range_ms = 0.3, 0.2, (0.2, 15.0)
+    start = net.now_ms
     net.run(60_000.0)
     rates = net.check_rates(start)
     assert 0.8 < rates[0] <= rates[-1] < 1.6, rates
     assert net.longest_gap_ms(start) < 4_000.0
-    net.loss = 0.0
+    net.loss_rate = 0.0
     settle(net)
 
 
 def test_keys_are_rotated_in_the_middle_of_a_takeover() -> None:
     net = build_task_network(4, 12)
-    old, new = net.nodes["m0"].seal.signing_key, key_from_secret(b"n" * 32)
-    start = net.now
+    old, new = net.nodes["m0"].authenticator.signing_key, key_from_secret(b"n" * 32)
+    start = net.now_ms
     net.kill("m3")
     for ring in ((old, new), (new, old), (new,)):
         for name in ("m0", "m1", "m2"):
-            net.nodes[name].seal.replace_keys(ring)
+            net.nodes[name].authenticator.replace_keys(ring)
             net.run(250.0)
     settle(net)
     assert net.longest_gap_ms(start) < 3_000.0
@@ -166,15 +166,15 @@
 
     @rule(name=names, ms=st.sampled_from((100.0, 700.0, 1_500.0, 5_000.0)))
     def stop(self, name: str, ms: float) -> None:
-        self.net.stop(name, ms)
+        self.net.pause(name, ms)
 
     @rule(loss=st.sampled_from((0.0, 0.1, 0.3)), double=st.sampled_from((0.0, 0.3)))
     def lose(self, loss: float, double: float) -> None:
-        self.net.loss, self.net.double = loss, double
+        self.net.loss_rate, self.net.duplicate_rate = loss, double
 
     @rule(name=names, one_way=st.booleans())
     def cut_off(self, name: str, one_way: bool) -> None:
-        self.net.blocked = lambda s, t: s == name or (t == name and not one_way)
+        self.net.is_blocked = lambda s, t: s == name or (t == name and not one_way)
 
     @rule(ms=st.sampled_from((50.0, 400.0, 2_000.0)))
     def wait(self, ms: float) -> None:
@@ -184,13 +184,13 @@
         net = getattr(self, "net", None)
         if net is None:
             return
-        net.loss, net.blocked = 0.0, lambda s, t: False
-        if not any(node.up for node in net.nodes.values()):
+        net.loss_rate, net.is_blocked = 0.0, lambda s, t: False
+        if not any(node.is_up for node in net.nodes.values()):
             net.join("m0", ("m1",))
         net.run(25_000.0)
-        start = net.now
+        start = net.now_ms
         net.run(5_000.0)
-        assert net.agreed(), {name: net.live_as_seen_by(name) for name in net.nodes}
+        assert net.has_converged(), {name: net.live_as_seen_by(name) for name in net.nodes}
         assert net.is_divided(), [(server, net.owners(server)) for server in net.servers]
         assert net.check_rates(start)[0] >= 0.8 and net.check_rates(start)[-1] <= 1.2, net.check_rates(start)
 
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -27,8 +27,8 @@
     detection_times_ms,
     unexpected_deaths,
 )
+from gladewalk.rehearsal.member_faults import play as play_in_memory
 from gladewalk.rehearsal.member_network import cluster
-from gladewalk.rehearsal.member_network import play as play_in_memory
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
 from tests.fleetworld import Fleets, until_true
 from tests.test_fleet_works import command
@@ -161,16 +161,16 @@
         for size, seeds in ((5, range(4)), (40, range(1))):
             for seed in seeds:
                 net = cluster(size, seed)
-                begun, names = net.now, tuple(net.nodes)
+                begun, names = net.now_ms, tuple(net.nodes)
                 faults = case.faults(names)
                 play_in_memory(net, faults)
                 net.run(15_000.0)
-                wrong = unexpected_deaths(net.seen, causes_of(faults, names, begun, STALL_MS))
+                wrong = unexpected_deaths(net.observed, causes_of(faults, names, begun, STALL_MS))
                 assert not wrong, (case.name, size, seed, wrong[:4])
-                assert convergence_time_ms(net.seen, begun, names) is not None, (case.name, size, seed)
+                assert convergence_time_ms(net.observed, begun, names) is not None, (case.name, size, seed)
                 if case.must_be_found_dead:
                     victim = faults[0].who[0]
-                    found = detection_times_ms(net.seen, victim, begun, set(names) - {victim})
+                    found = detection_times_ms(net.observed, victim, begun, set(names) - {victim})
                     assert len(found) == size - 1, (case.name, size, seed, found)
 
 
--- a/tests/test_golden_duties.py
+++ b/tests/test_golden_duties.py
@@ -59,7 +59,7 @@
         tell = runner.peers.publish_event
 
         def note(event: UserEvent, name: str = name, tell: Any = tell) -> None:
-            told.append([round(net.now, 6), name, msgspec.msgpack.encode(event).hex()])
+            told.append([round(net.now_ms, 6), name, msgspec.msgpack.encode(event).hex()])
             tell(event)
 
         runner.peers.publish_event = note  # type: ignore[method-assign]
@@ -73,7 +73,7 @@
     net.run(2_000.0)
     net.kill("m1")
     net.run(4_000.0)
-    net.stop("m2", 3_000.0)
+    net.pause("m2", 3_000.0)
     net.run(6_000.0)
     net.join("m1", ("m0",))
     net.run(6_000.0)
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -44,7 +44,8 @@
 from gladewalk.members.stream import LENGTH
 from gladewalk.members.swim import Membership
 from gladewalk.members.transport import MembershipTransport
-from gladewalk.rehearsal.member_network import Net, cluster, play
+from gladewalk.rehearsal.member_faults import play
+from gladewalk.rehearsal.member_network import MemberNetwork, cluster
 from gladewalk.rehearsal.task_simulation import build_task_network
 
 DATA = Path(__file__).parent / "golden" / "members.json"
@@ -124,10 +125,10 @@
 def view() -> Any:
     """What `gladewalk members --json` shows of a fleet with a stalled and a dead member."""
     net = build_task_network(5, 11)
-    net.stop("m2", 6_000.0)
+    net.pause("m2", 6_000.0)
     net.kill("m3")
     net.run(2_700.0)
-    net.blocked = lambda source, target: "m4" in (source, target)
+    net.is_blocked = lambda source, target: "m4" in (source, target)
     net.run(700.0)
     return json.loads(json.dumps(view_of(net.runners["m0"])))
 
@@ -192,20 +193,20 @@
     return json.loads(json.dumps(asyncio.run(story())))  # type: ignore[no-any-return]
 
 
-def record(net: Net) -> Any:
+def record(net: MemberNetwork) -> Any:
     """Hashes every datagram from now on, with its time, sender and receiver."""
-    recorded, post = hashlib.sha256(), net.post
+    recorded, post = hashlib.sha256(), net.send
 
     def recording(node: Any, data: bytes, to: Any) -> None:
-        recorded.update(repr((net.now, node.name, to)).encode() + data)
+        recorded.update(repr((net.now_ms, node.name, to)).encode() + data)
         post(node, data, to)
 
-    net.post = recording  # type: ignore[method-assign]
+    net.send = recording  # type: ignore[method-assign]
     return recorded
 
 
-def history_of(net: Net) -> str:
-    lines = [f"{seen.at_ms!r} {seen.observer} {seen.change.value} {seen.member}" for seen in net.seen]
+def history_of(net: MemberNetwork) -> str:
+    lines = [f"{seen.at_ms!r} {seen.observer} {seen.change.value} {seen.member}" for seen in net.observed]
     return hashlib.sha256("\n".join(lines).encode()).hexdigest()
 
 
@@ -219,14 +220,14 @@
         if case.kind == kind:
             play(net, case.faults(names_))
             net.run(4_000.0)
-    net.late_ms = 60.0
+    net.max_timer_delay_ms = 60.0
     net.run(2_000.0)
     return [
         recorded.hexdigest(),
         history_of(net),
-        len(net.seen),
-        sum(net.sent.values()),
-        sum(net.bytes.values()),
+        len(net.observed),
+        sum(net.sent_datagrams.values()),
+        sum(net.sent_bytes.values()),
     ]
 
 
@@ -248,7 +249,7 @@
     """The same with user events, of duties that move while members are killed and started."""
     net = build_task_network(4, 12, servers=30, settle_ms=1_000.0)
     recorded = record(net)
-    net.loss = 0.1
+    net.loss_rate = 0.1
     net.run(3_000.0)
     net.kill("m1")
     net.run(3_000.0)
@@ -257,9 +258,9 @@
     return [
         recorded.hexdigest(),
         history_of(net),
-        len(net.seen),
-        sum(net.sent.values()),
-        sum(net.bytes.values()),
+        len(net.observed),
+        sum(net.sent_datagrams.values()),
+        sum(net.sent_bytes.values()),
     ]
 
 
--- a/tests/test_members_authenticator.py
+++ b/tests/test_members_authenticator.py
@@ -24,7 +24,7 @@
     decode,
     encode,
 )
-from gladewalk.rehearsal.member_network import START_MS, Net, cluster
+from gladewalk.rehearsal.member_network import START_MS, MemberNetwork, cluster
 from tests.membership_checks import assert_no_deaths, settle
 
 KEY = key_from_secret(b"k" * 32)
@@ -77,18 +77,18 @@
 
 def test_a_key_rotation_under_loss_causes_no_deaths() -> None:
     old, new = key_from_secret(b"o" * 32), key_from_secret(b"n" * 32)
-    net = Net(4)
+    net = MemberNetwork(4)
     for n in range(4):
         net.start(f"m{n}", ("m0",) if n else (), keys=(old,))
     net.run(4_000.0)
-    net.loss = 0.1
+    net.loss_rate = 0.1
     for ring in ((old, new), (new, old), (new,)):  # known to all, then signing, then alone
         for node in net.nodes.values():
-            node.seal.replace_keys(ring)
+            node.authenticator.replace_keys(ring)
             net.run(1_500.0)
     settle(net)
     assert_no_deaths(net)
-    assert net.refused[DropReason.UNKNOWN_KEY] == 0
+    assert net.dropped[DropReason.UNKNOWN_KEY] == 0
 
 
 def test_no_datagram_is_too_large_whatever_is_known() -> None:
--- a/tests/test_members_busy.py
+++ b/tests/test_members_busy.py
@@ -13,7 +13,8 @@
 from gladewalk.members.history import unexpected_deaths
 from gladewalk.members.loop_delay import GRACE_FACTOR, HALF_LIFE_MS, MIN_DELAY_MS, READ_MS, LoopDelay
 from gladewalk.members.messages import MemberState
-from gladewalk.rehearsal.member_network import cluster, play
+from gladewalk.rehearsal.member_faults import play
+from gladewalk.rehearsal.member_network import cluster
 
 
 def busy_cluster(size: int, seed: int, most_ms: float) -> Any:
@@ -23,9 +24,9 @@
 
     def stall(name: str) -> None:
         node = net.nodes[name]
-        if node.up and net.now >= node.stopped_until:
-            net.stop(name, draw.uniform(0.1, 1.0) * most_ms)
-        net.after(draw.uniform(200.0, 1_200.0), lambda: stall(name))
+        if node.is_up and net.now_ms >= node.paused_until_ms:
+            net.pause(name, draw.uniform(0.1, 1.0) * most_ms)
+        net.schedule(draw.uniform(200.0, 1_200.0), lambda: stall(name))
 
     for name in list(net.nodes):
         stall(name)
@@ -38,12 +39,12 @@
     (case,) = (case for case in CASES if case.kind == "link")
     for seed in range(6):
         net = busy_cluster(5, seed, most_ms)
-        begun, names = net.now, tuple(net.nodes)
+        begun, names = net.now_ms, tuple(net.nodes)
         faults = case.faults(names)
         play(net, faults)
         net.run(12_000.0)
         assert not unexpected_deaths(
-            net.seen, causes_of(faults, names, begun, MembershipConfig().max_stall_ms)
+            net.observed, causes_of(faults, names, begun, MembershipConfig().max_stall_ms)
         ), (
             most_ms,
             seed,
@@ -66,7 +67,7 @@
     core = net.nodes["m0"].core
     victim = core.members.by_name["m1"]
     core.gossip.apply(
-        msgspec.structs.replace(victim.update, state=MemberState.SUSPECT, suspected_by="m0"), net.now
+        msgspec.structs.replace(victim.update, state=MemberState.SUSPECT, suspected_by="m0"), net.now_ms
     )
     core.outbox.take()
     victim.probe_outcome, victim.is_probe_pending, victim.has_consulted_peers = (
@@ -90,13 +91,13 @@
     judge, other = net.nodes["m2"].core, net.nodes["m3"].core
     old = judge.members.by_name["m0"].update
     newer = msgspec.structs.replace(old, incarnation=old.incarnation + 1)
-    judge.gossip.apply(msgspec.structs.replace(old, state=MemberState.SUSPECT, suspected_by="m2"), net.now)
-    other.gossip.apply(newer, net.now)
+    judge.gossip.apply(msgspec.structs.replace(old, state=MemberState.SUSPECT, suspected_by="m2"), net.now_ms)
+    other.gossip.apply(newer, net.now_ms)
     judge.outbox.take()
-    judge.suspicions.consult_peers(judge.members.by_name["m0"], net.now)
+    judge.suspicions.consult_peers(judge.members.by_name["m0"], net.now_ms)
     asked = [out for out in judge.outbox.take() if isinstance(out, SendDatagram)]
     assert len(asked) == 3 and all(judge.members.by_name["m0"].update in out.message.updates for out in asked)
-    told = other.receive(asked[0].message, net.nodes["m2"].address, net.now)
+    told = other.receive(asked[0].message, net.nodes["m2"].address, net.now_ms)
     answers = [
         out.message for out in told if isinstance(out, SendDatagram) and out.to == net.nodes["m2"].address
     ]
--- a/tests/test_members_lifecycle.py
+++ b/tests/test_members_lifecycle.py
@@ -4,7 +4,7 @@
 
 from gladewalk.members.actions import MemberChange
 from gladewalk.members.authenticator import DropReason
-from gladewalk.rehearsal.member_network import Net, Node, cluster
+from gladewalk.rehearsal.member_network import MemberNetwork, MemberNode, cluster
 from tests.membership_checks import assert_no_deaths, settle
 
 
@@ -22,11 +22,11 @@
 def test_a_partition_of_2_and_3_converges_within_five_periods_of_its_end() -> None:
     for seed in range(30):
         net = cluster(5, seed)
-        net.blocked = lambda s, t: (s in ("m0", "m1")) != (t in ("m0", "m1"))
+        net.is_blocked = lambda s, t: (s in ("m0", "m1")) != (t in ("m0", "m1"))
         net.run(20_000.0)
-        net.blocked = lambda s, t: False
-        net.run(5 * net.terms.ping_period_ms)
-        assert net.agreed(), seed
+        net.is_blocked = lambda s, t: False
+        net.run(5 * net.config.ping_period_ms)
+        assert net.has_converged(), seed
         sides = ({"m0", "m1"}, {"m2", "m3", "m4"})
         wrong = [
             s for s in net.changes(MemberChange.DIED) if any({s.observer, s.member} <= side for side in sides)
@@ -38,23 +38,23 @@
     for seed in range(10):
         net = cluster(4, seed)
         sides = {"m0": 0, "m2": 0, "m1": 1, "m3": 1}
-        net.blocked = lambda source, target, sides=sides: sides[source] != sides[target]  # type: ignore[misc]
+        net.is_blocked = lambda source, target, sides=sides: sides[source] != sides[target]  # type: ignore[misc]
         net.run(10_000.0)
         assert net.live_as_seen_by("m0") == {"m2"}
         assert net.live_as_seen_by("m3") == {"m1"}
-        net.blocked = lambda source, target: False
+        net.is_blocked = lambda source, target: False
         settle(net)
 
 
 def test_a_partition_heals_though_all_seeds_have_died_meanwhile() -> None:
     for seed in range(10):
         net = cluster(4, seed)
-        net.blocked = lambda source, target: "m3" in (source, target)
+        net.is_blocked = lambda source, target: "m3" in (source, target)
         net.kill("m0")
         net.kill("m1")
         net.run(10_000.0)
         assert net.live_as_seen_by("m3") | net.live_as_seen_by("m2") == set()
-        net.blocked = lambda source, target: False
+        net.is_blocked = lambda source, target: False
         settle(net)
 
 
@@ -80,22 +80,22 @@
 def test_a_clock_that_jumps_within_the_window_causes_no_deaths() -> None:
     for jump in (-10_000.0, 10_000.0):
         net = cluster(4, 7)
-        net.nodes["m1"].clock_off = jump
+        net.nodes["m1"].clock_offset_ms = jump
         settle(net, 20_000.0)
         assert_no_deaths(net)
 
 
 def test_a_clock_beyond_the_window_isolates_its_member_until_it_is_set_right() -> None:
     net = cluster(4, 8)
-    net.nodes["m1"].clock_off = 3_600_000.0
+    net.nodes["m1"].clock_offset_ms = 3_600_000.0
     net.run(10_000.0)
     assert "m1" not in net.live_as_seen_by("m0")
-    assert net.refused[DropReason.STALE] > 0
-    net.nodes["m1"].clock_off = 0.0
+    assert net.dropped[DropReason.STALE] > 0
+    net.nodes["m1"].clock_offset_ms = 0.0
     settle(net, 30_000.0)
 
 
-def start_twin(net: Net, name: str) -> Node:
+def start_twin(net: MemberNetwork, name: str) -> MemberNode:
     """Another member under a name that is in use, at another address."""
     first = net.nodes.pop(name)
     twin = net.start(name, ("m0",), port=8_888)
@@ -108,7 +108,7 @@
     second = net.start("m2", ("m0", "m1"))
     assert net.nodes["m2"] is second  # it stands at the same address: a restart
     net.run(5_000.0)
-    other = Net.start(net, "m9", ("m0",), port=7_777)
+    other = MemberNetwork.start(net, "m9", ("m0",), port=7_777)
     net.run(3_000.0)
     twin = start_twin(net, "m9")
     net.run(10_000.0)
@@ -120,16 +120,16 @@
 def test_two_runs_of_a_seed_are_the_same() -> None:
     def story(seed: int) -> list[str]:
         net = cluster(6, seed)
-        net.loss = 0.2
+        net.loss_rate = 0.2
         net.kill("m1")
         net.run(10_000.0)
-        return [*map(repr, net.seen), repr(net.bytes)]
+        return [*map(repr, net.observed), repr(net.sent_bytes)]
 
     assert story(5) == story(5)
     assert story(5) != story(6)
 
 
-def play_schedule(seed: int) -> Net:
+def play_schedule(seed: int) -> MemberNetwork:
     draw = random.Random(seed)
     net = cluster(draw.choice((3, 4, 5)), seed, settle_ms=2_000.0)
     names = list(net.nodes)
@@ -141,20 +141,20 @@
             case 1:
                 net.start(name, ("m0", "m1"))
             case 2:
-                net.stop(name, draw.uniform(10.0, 4_000.0))
+                net.pause(name, draw.uniform(10.0, 4_000.0))
             case 3:
-                net.loss = draw.choice((0.0, 0.1, 0.3))
+                net.loss_rate = draw.choice((0.0, 0.1, 0.3))
             case 4:
                 one_way = draw.random() < 0.5
-                net.blocked = lambda s, t, name=name, one_way=one_way: (  # type: ignore[misc]
+                net.is_blocked = lambda s, t, name=name, one_way=one_way: (  # type: ignore[misc]
                     s == name or (t == name and not one_way)
                 )
             case 5:
-                net.blocked = lambda s, t: False
+                net.is_blocked = lambda s, t: False
             case 6:
-                net.nodes[name].clock_off = draw.uniform(-5_000.0, 5_000.0)
+                net.nodes[name].clock_offset_ms = draw.uniform(-5_000.0, 5_000.0)
         net.run(draw.uniform(0.0, 3_000.0))
-    net.loss, net.blocked = 0.0, lambda s, t: False
+    net.loss_rate, net.is_blocked = 0.0, lambda s, t: False
     net.run(25_000.0)
     return net
 
@@ -162,4 +162,4 @@
 def test_any_schedule_of_faults_converges() -> None:
     for seed in range(150):
         net = play_schedule(seed)
-        assert net.agreed(), (seed, {n: net.live_as_seen_by(n) for n in net.nodes})
+        assert net.has_converged(), (seed, {n: net.live_as_seen_by(n) for n in net.nodes})
