--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 
 from .. import interface as api
-from ..config.platform import Address, Config
-from ..ops.figures import final_counter
+from ..config.platform import Address, PlatformConfig
+from ..ops.metrics import outcome_counter
 from ..policy import Dispatcher
 from .counters import Counters
 from .deadlines import DeadlineKey, Deadlines
@@ -54,7 +54,7 @@
 
     def __init__(
         self,
-        config: Config,
+        config: PlatformConfig,
         clock: Callable[[], float],
         deadlines: Deadlines,
         counters: Counters,
@@ -247,7 +247,7 @@
             is_complete = result.status is api.Status.OK
             self.counters.add("answers.served" if is_complete else "answers.cut")
             end = "completed" if is_complete else "failed"
-            self.counters.add(final_counter(opened.request.class_name, end))
+            self.counters.add(outcome_counter(opened.request.class_name, end))
             self._close(opened)
             if is_complete:
                 opened.client.end_response()
@@ -387,12 +387,12 @@
         self._close(opened)
         if opened.serving_attempt is not None:
             self.counters.add("answers.cut")
-            self.counters.add(final_counter(opened.request.class_name, "failed"))
+            self.counters.add(outcome_counter(opened.request.class_name, "failed"))
             opened.client.abort_response()
         else:
             self.counters.add(f"answers.{final.value}")
             end = "rejected" if final is FinalAnswer.REJECTED else "failed"
-            self.counters.add(final_counter(opened.request.class_name, end))
+            self.counters.add(outcome_counter(opened.request.class_name, end))
             opened.client.send_final(final, retry_after_ms)
         self._forget(opened)
 
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .config.platform import Config, load
+from .config.platform import PlatformConfig, load_config
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:  # what is off is not imported
     from .config.options import Options
-    from .control.server import Control
+    from .control.server import ControlServer
     from .dns.front import DnsFront
     from .dns.settings import DnsConfig
     from .duties.runner import TaskRunner
@@ -39,7 +39,7 @@
 
     `previous` keeps what was learned of each server's protocols.
     """
-    if options is None or not options.http2.used:
+    if options is None or not options.http2.is_used:
         return None
     from .upstream.secure import Shapes
 
@@ -78,7 +78,7 @@
 
 def build_web(
     options: Options | None,
-    config: Config,
+    config: PlatformConfig,
     clock: Clock,
     deadlines: Deadlines,
     counters: Counters,
@@ -130,19 +130,19 @@
     duties: TaskRunner | None,
     store: Keeper | None,
     leases: tuple[LeaseService, LeaseAddress] | None,
-) -> Control | None:
+) -> ControlServer | None:
     """Builds the operators' control socket, with a view for each part that is on."""
     if options is None or options.control is None:
         return None
-    from .control.server import Control
+    from .control.server import ControlServer
 
-    control = Control(options.file(options.control.socket), counters)
+    control = ControlServer(options.file(options.control.socket), counters)
     if duties is not None:
         from .duties.view import view_of
 
-        control.views["members"] = lambda given: view_of(duties)
+        control.handlers["members"] = lambda given: view_of(duties)
     if store is not None:
-        control.views["store"] = store.view
+        control.handlers["store"] = store.view
     if leases is not None:
         from .leases.view import add_views
 
@@ -179,7 +179,7 @@
 class Reloaded:
     """Everything read anew on SIGHUP and checked, before any of it takes effect."""
 
-    config: Config
+    config: PlatformConfig
     options: Options | None
     protocols: Shapes | None
     member_keys: tuple[AuthenticationKey, ...] = ()
@@ -196,7 +196,7 @@
     has_web: bool,
 ) -> Reloaded:
     """Reads the platform's configuration and, if there is one, our own options file again."""
-    reloaded = Reloaded(load(environ), options, protocols)
+    reloaded = Reloaded(load_config(environ), options, protocols)
     if options is None:
         return reloaded
     from .config.options import load_options
--- a/tests/test_golden_exchange.py
+++ b/tests/test_golden_exchange.py
@@ -15,7 +15,7 @@
 import structlog
 
 from gladewalk import interface as api
-from gladewalk.config.platform import Address, read
+from gladewalk.config.platform import Address, read_config
 from gladewalk.core.counters import Counters
 from gladewalk.core.exchange import Attempt, ClientRequest, Exchange, OpenRequest
 from gladewalk.net.coordinator import CoordinatorConnection, CoordinatorWatch
@@ -111,7 +111,7 @@
 def read_feed() -> dict[str, Any]:
     """Every line with its result, the last number known then, and the interface events that came of it."""
     exchange, counters = RecordingExchange(), Counters()
-    config = read({**config_for([], Coordinator(address="127.0.0.1:1")), "known": None}, {})
+    config = read_config({**config_for([], Coordinator(address="127.0.0.1:1")), "known": None}, {})
     feed = EndpointFeed(cast(Exchange, exchange), config, lambda: NOW_MS, counters)
     steps: list[Any] = []
     for line in FEED_LINES:
@@ -265,7 +265,7 @@
 async def answer_to(name: str) -> str:
     script, more, asked = EXCHANGES[name]
     async with Rehearsal([ScriptedPeer(script, **more)]) as world:
-        await until(lambda: world.director is not None and world.director.readiness.synced)
+        await until(lambda: world.director is not None and world.director.readiness.is_synced)
         return await answers_of(world, asked)
 
 
@@ -275,7 +275,7 @@
     async with Rehearsal([], coordinator=Coordinator(answering=answering)) as world:
         answer = await answers_of(world, [request("/_health")])
         answering.set()
-        await until(lambda: world.director is not None and world.director.readiness.synced)
+        await until(lambda: world.director is not None and world.director.readiness.is_synced)
         return answer
 
 
@@ -320,7 +320,7 @@
         async with Rehearsal([cache, parent]) as world:
             director = world.director
             assert director is not None
-            await until(lambda: director.readiness.synced)
+            await until(lambda: director.readiness.is_synced)
             assert (await world.ask(PATH))[2] == BYTES
             for path in ("/elsewhere", "/invoke/lot-page/xyz", "/invoke/bid/a1"):
                 await world.ask(path)
@@ -329,7 +329,7 @@
             world.coordinator.cut()
             await until(lambda: len(world.coordinator.follows) == 2)
             raw = config_for([cache, parent], world.coordinator)
-            director.apply(read({**raw, "listen": "127.0.0.1:1"}, {}))
+            director.apply(read_config({**raw, "listen": "127.0.0.1:1"}, {}))
             director.reload()
             director.report()
             director.stop()
