--- a/gladewalk/leases/status.py
+++ b/gladewalk/leases/status.py
@@ -77,3 +77,17 @@
     leases: dict[str, LeaseStatus]
     promises: dict[str, PromiseStatus]
     tasks: HolderTasksStatus
+
+
+class HandOnResult(msgspec.Struct, frozen=True, rename={"task": "duty", "successor": "to"}):
+    """A lease that was given up."""
+
+    task: str
+    term: int  # it was held under
+    successor: str  # empty: anybody
+
+
+class PurgeReceipt(msgspec.Struct, frozen=True, rename={"request_id": "id"}):
+    """A purge that was accepted; its state is asked for by the id."""
+
+    request_id: str
--- a/tests/test_golden_duties.py
+++ b/tests/test_golden_duties.py
@@ -78,7 +78,7 @@
     net.join("m1", ("m0",))
     net.run(6_000.0)
     done = [[round(one.at_ms, 6), one.sender, one.server] for one in net.checks]
-    view = view_of(net.runners["m0"])
+    view = msgspec.to_builtins(view_of(net.runners["m0"]))
     counters = {name: dict(sorted(runner.counters.items())) for name, runner in net.runners.items()}
     return {
         "told": len(told), "told_sha256": hashlib.sha256(json.dumps(told).encode()).hexdigest(),
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 import structlog
 
@@ -129,7 +130,7 @@
     net.run(2_700.0)
     net.blocked = lambda source, target: "m4" in (source, target)
     net.run(700.0)
-    return json.loads(json.dumps(view_of(net.runners["m0"])))
+    return json.loads(msgspec.json.encode(view_of(net.runners["m0"])))
 
 
 def log_and_counters() -> dict[str, Any]:
