Command help in plain terms; fields of the members, duties and leases tables by the field's names

Cause: help texts and table fields were words of our own; examples in docstrings needed an escape that the docstring rules reject. Change: help reworded, examples by a decorator; fields such as max_clock_skew_ms and cache_check_interval_ms keep their keys by rename; ControlError and UnsupportedQueryError derive from GladewalkError.

--- a/gladewalk/cli/commands.py
+++ b/gladewalk/cli/commands.py
@@ -24,14 +24,14 @@
 
 @click.group(invoke_without_command=True, context_settings=CONTEXT)
 @config_option
-@click.option("--dns", "dns_path", type=FILE, help="Turn the DNS front on as this file says.")
+@click.option("--dns", "dns_path", type=FILE, help="Turn the DNS front on, configured by this file.")
 @click.version_option(package_name="gladewalk", message="%(version)s")
 @click.pass_context
 def gladewalk(context: click.Context, options_path: str | None, dns_path: str | None) -> None:
-    """A director in front of caches. Without a command: run one.
+    """Request router in front of caches. Without a command: run one director.
 
-    The director's name, address, servers and classes are in the JSON file at NODE_CONFIG; NODE_NAME and
-    NODE_LISTEN go before what it says.
+    NODE_CONFIG names the JSON file with the director's name, address, servers and classes; NODE_NAME and
+    NODE_LISTEN override it.
     """
     if context.invoked_subcommand is None:
         run_director(options_path, dns_path)
--- a/gladewalk/cli/common.py
+++ b/gladewalk/cli/common.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import inspect
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -31,7 +32,20 @@
 
 def config_option(command: CommandT) -> CommandT:
     """Adds `--config`, the options file."""
-    return click.option("--config", "options_path", type=FILE, help="Our own settings, in TOML.")(command)
+    return click.option("--config", "options_path", type=FILE, help="The options file, in TOML.")(command)
+
+
+def examples(*command_lines: str) -> Callable[[CommandT], CommandT]:
+    """Appends command lines to the help of a command; stands directly above its function."""
+    title = "Example:" if len(command_lines) == 1 else "Examples:"
+
+    def append(command: CommandT) -> CommandT:
+        # \b keeps click from joining the lines of the paragraph.
+        paragraph = "\n".join(("\b", title, *(f"  {line}" for line in command_lines)))
+        command.__doc__ = f"{inspect.cleandoc(command.__doc__ or '')}\n\n{paragraph}"
+        return command
+
+    return append
 
 
 def fail(error: Exception, exit_code: int = ExitCode.UNUSABLE) -> NoReturn:
@@ -100,9 +114,9 @@
     ) -> None:
         command(DirectorQuery(options_path, socket_path, as_json), *arguments, **options)
 
-    add_json = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
-    socket_help = "Its control socket, in place of --config."
+    add_json = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+    socket_help = "The director's control socket, in place of --config."
     add_socket = click.option("--socket", "socket_path", type=FILE, help=socket_help)
-    config_help = "The director's settings, in TOML."
+    config_help = "The director's options file, in TOML."
     add_config = click.option("--config", "options_path", type=FILE, help=config_help)
     return add_config(add_socket(add_json(invoke)))
--- a/gladewalk/cli/dns_commands.py
+++ b/gladewalk/cli/dns_commands.py
@@ -5,23 +5,24 @@
 import click
 
 from ..config.platform import ConfigError
-from .common import ExitCode, exit_with, fail
+from .common import ExitCode, examples, exit_with, fail
 
 
 @click.group("dns")
 def dns_group() -> None:
-    """The DNS front, and others like it."""
+    """DNS servers."""
 
 
 @dns_group.command("conform")
 @click.argument("address")
 @click.argument("zone")
-@click.option("--class", "class_name", required=True, help="A class of its names: 0.OBJECT.CLASS.ZONE.")
+@click.option("--class", "class_name", required=True, help="A class among its names, 0.OBJECT.CLASS.ZONE.")
 @click.option("--object", "object_name", default="a1", show_default=True, help="An object, in hexadecimal.")
 @click.option("--tls", default="", help="HOST:PORT for DNS over TLS.")
-@click.option("--only", multiple=True, metavar="NAME", help="Cases of this name, or that begin so.")
-@click.option("--list", "as_list", is_flag=True, help="Name the cases and run none.")
-@click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
+@click.option("--only", multiple=True, metavar="NAME", help="Cases whose name begins so.")
+@click.option("--list", "as_list", is_flag=True, help="List the cases and run none.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object a line.")
+@examples("gladewalk dns conform 127.0.0.1:5353 cdn.example. --class lot-page")
 def dns_conform(
     address: str,
     zone: str,
@@ -32,12 +33,7 @@
     as_list: bool,
     as_json: bool,
 ) -> None:
-    """Put a server to the RFCs' test. Exit code 1: a case failed.
-
-    \b
-    Example:
-      gladewalk dns conform 127.0.0.1:5353 cdn.example. --class lot-page
-    """
+    """Test the conformance of a DNS server to the RFCs. Exit code 1: a case failed."""
     from ..dns.conform.report import told_by, told_of
     from ..dns.conform.suite import Verdict, run_cases, the_cases
 
--- a/gladewalk/cli/lease_commands.py
+++ b/gladewalk/cli/lease_commands.py
@@ -8,20 +8,16 @@
 import click
 
 from ..control.queries import Query
-from .common import DirectorQuery, ExitCode, exit_with, queries_director
+from .common import DirectorQuery, ExitCode, examples, exit_with, queries_director
 
 POLL_INTERVAL_SECONDS = 0.05
 
 
 @click.command("leases")
 @queries_director
+@examples("gladewalk leases --config deploy/gladewalk.toml")
 def leases_command(director: DirectorQuery) -> None:
-    """Show which duties a running director holds under which token, and what its elector promised.
-
-    \b
-    Example:
-      gladewalk leases --config deploy/gladewalk.toml
-    """
+    """Show the leases of a running director with their tokens, and the promises of its voter."""
     director.show(director.query(Query.LEASES), _print_leases)
 
 
@@ -33,14 +29,13 @@
 
 @click.command("hand-on")
 @click.argument("duty")
-@click.option("--to", default="", metavar="NAME", help="Who may take it first; anybody if not given.")
+@click.option("--to", default="", metavar="NAME", help="The preferred successor; any director by default.")
 @queries_director
+@examples("gladewalk hand-on purge --to n2 --config deploy/gladewalk.toml")
 def hand_on_command(director: DirectorQuery, duty: str, to: str) -> None:
-    """Make a running director give up DUTY now, so that another takes it. Exit code 2: it does not hold it.
+    """Make a running director release the lease of DUTY, so that another acquires it.
 
-    \b
-    Example:
-      gladewalk hand-on purge --to n2 --config deploy/gladewalk.toml
+    Exit code 2: it does not hold the lease.
     """
     answer = director.query(Query.HAND_ON, duty=duty, to=to)
     text = f"{duty}: given up at term {answer['term']}, to {to or 'anybody'}"
@@ -49,17 +44,14 @@
 
 @click.command("purge")
 @click.argument("what")
-@click.option("--wait-s", default=3.0, show_default=True, help="How long to wait for a majority to keep it.")
+@click.option("--wait-s", default=3.0, show_default=True, help="How long to wait for a majority to store it.")
 @queries_director
+@examples("gladewalk purge o:7f3a9c21e0b4d655 --config deploy/gladewalk.toml")
 def purge_command(director: DirectorQuery, what: str, wait_s: float) -> None:
-    """Order a purge of WHAT at every hub cache, forwarded by whichever director holds that duty.
-
-    It is acknowledged once a majority of the directors keeps it: then it is forwarded whoever dies. Exit code
-    1: no majority has said so in time; it is tried further, and may be lost with this director.
+    """Request a purge of WHAT at every hub cache, forwarded by the director that holds the purge lease.
 
-    \b
-    Example:
-      gladewalk purge o:7f3a9c21e0b4d655 --config deploy/gladewalk.toml
+    It is acknowledged once a majority of the directors has stored it: then it is forwarded even if some fail.
+    Exit code 1: no majority has stored it in time; it is retried, and may be lost with this director.
     """
     request_id = director.query(Query.PURGE, what=what)["id"]
     status = _await_acknowledgement(director, request_id, wait_s)
--- a/gladewalk/cli/member_commands.py
+++ b/gladewalk/cli/member_commands.py
@@ -7,18 +7,14 @@
 import click
 
 from ..control.queries import Query
-from .common import DirectorQuery, queries_director
+from .common import DirectorQuery, examples, queries_director
 
 
 @click.command("members")
 @queries_director
+@examples("gladewalk members --config deploy/gladewalk.toml --json")
 def members_command(director: DirectorQuery) -> None:
-    """Show whom a running director takes for members, and who holds which duties.
-
-    \b
-    Example:
-      gladewalk members --config deploy/gladewalk.toml --json
-    """
+    """Show the members that a running director knows, and the tasks that each of them owns."""
     director.show(director.query(Query.MEMBERS), _print_members)
 
 
--- a/gladewalk/cli/nginx_commands.py
+++ b/gladewalk/cli/nginx_commands.py
@@ -7,7 +7,7 @@
 import click
 
 from ..config.platform import ConfigError
-from .common import FILE, ExitCode, exit_with
+from .common import FILE, ExitCode, examples, exit_with
 
 if TYPE_CHECKING:
     from ..nginx.table import Site
@@ -15,20 +15,21 @@
 
 @click.command("import")
 @click.argument("nginx_conf", type=FILE)
-@click.option("--allow", multiple=True, metavar="DIRECTIVE", help="Accept the loss of a directive.")
+@click.option(
+    "--allow", multiple=True, metavar="DIRECTIVE", help="Ignore a directive that cannot be translated."
+)
 @click.option("--diff", "old", type=FILE, help="A table (or nginx's file) to compare with; needs --uris.")
 @click.option("--uris", type=click.File(), help="Lines of the form [METHOD] [HOST] URI.")
+@examples(
+    "gladewalk import /etc/nginx/nginx.conf > site.toml",
+    "gladewalk import new.conf --diff site.toml --uris seen.txt",
+)
 def import_command(nginx_conf: str, allow: tuple[str, ...], old: str | None, uris: TextIO | None) -> None:
-    """Turn nginx's routing into a table for [front.http], on standard output.
-
-    What cannot be carried over faithfully is refused as file:line: directive: why, and nothing is written.
-    With --diff, only the requests of --uris that would land elsewhere than before are told; exit code 1 if
-    there are any.
+    """Translate nginx's routing into a table for [front.http], on standard output.
 
-    \b
-    Examples:
-      gladewalk import /etc/nginx/nginx.conf > site.toml
-      gladewalk import new.conf --diff site.toml --uris seen.txt
+    A directive that cannot be translated faithfully is an error, file:line: directive: why, and nothing is
+    written. With --diff, only the requests of --uris that the table routes elsewhere are printed; exit code 1
+    if there are any.
     """
     from ..nginx.reading import NginxError
     from ..nginx.table import write_site
@@ -65,16 +66,10 @@
 @click.option("--host", default="", help="The Host field.")
 @click.option("--method", default="GET", show_default=True)
 @click.option("--from", "client", default="127.0.0.1", show_default=True, help="The client's address.")
-@click.option(
-    "--listen", default="", help="The listen of the file that it comes in at; the first if not given."
-)
+@click.option("--listen", default="", help="The listen directive that it arrives at; the first by default.")
+@examples("gladewalk route site.conf /lots/7/a.mp4 --host auction.example")
 def route_command(file: str, uri: str, host: str, method: str, client: str, listen: str) -> None:
-    """Say where a request lands, and by which lines: FILE is nginx's own or a table (.toml).
-
-    \b
-    Example:
-      gladewalk route site.conf /lots/7/a.mp4 --host auction.example
-    """
+    """Show where a request is routed, and by which lines; FILE is nginx's own or a table (.toml)."""
     from ..nginx.explain import Asked, explain, load_any
     from ..nginx.router import Router
 
@@ -90,9 +85,9 @@
 @click.argument("uris", nargs=-1, required=True, metavar="URI...")
 @click.option("--host", default="", help="The Host field.")
 def rehearse_command(file: str, uris: tuple[str, ...], host: str) -> None:
-    """Play every server of an imported site on loopback, with the front before them, and ask for each URI.
+    """Simulate every server of a site on loopback, with the front before them, and request each URI.
 
-    FILE is nginx's own or a table (.toml). Exit code 1 if an answer comes from elsewhere than the table says.
+    FILE is nginx's own or a table (.toml). Exit code 1: an answer came from another server than it says.
     """
     from ..nginx.explain import Asked, load_any
     from ..rehearsal.__main__ import run
--- a/gladewalk/cli/run_commands.py
+++ b/gladewalk/cli/run_commands.py
@@ -13,7 +13,7 @@
 
 @click.command("run")
 @config_option
-@click.option("--dns", "dns_path", type=FILE, help="Turn the DNS front on as this file says.")
+@click.option("--dns", "dns_path", type=FILE, help="Turn the DNS front on, configured by this file.")
 def run_command(options_path: str | None, dns_path: str | None) -> None:
     """Run one director until SIGTERM."""
     run_director(options_path, dns_path)
@@ -31,10 +31,10 @@
 
 @click.command("check")
 @config_option
-@click.option("--dns", "dns_path", type=FILE, help="A file with the settings of the DNS front alone.")
-@click.option("--json", "as_json", is_flag=True, help="What was read, as one JSON object.")
+@click.option("--dns", "dns_path", type=FILE, help="The file of the DNS front alone.")
+@click.option("--json", "as_json", is_flag=True, help="Print a summary as one JSON object.")
 def check_command(options_path: str | None, dns_path: str | None, as_json: bool) -> None:
-    """Read all that a director would be told and say whether it can be used; nothing is started."""
+    """Check the configuration that a director would start with; nothing is started."""
     try:
         summary = _summarize(options_path, dns_path)
     except ConfigError as error:
--- a/gladewalk/cli/store_commands.py
+++ b/gladewalk/cli/store_commands.py
@@ -14,13 +14,13 @@
 
 @click.group("store")
 def store_group() -> None:
-    """Ask a running director for its store; look at one that nobody has open, compact it, repair it."""
+    """Show the store of a running director; check, dump, compact or repair one that is not open."""
 
 
 @store_group.command("status")
 @queries_director
 def store_status(director: DirectorQuery) -> None:
-    """Show what a running director keeps and whether its disk takes it. Exit code 1: it does not."""
+    """Show the store of a running director. Exit code 1: its disk rejects writes."""
     answer = director.query(Query.STORE)
     director.show(answer, _print_store)
     exit_with(ExitCode.FINDING if answer["refused_by_disk"] else ExitCode.DONE)
@@ -35,7 +35,7 @@
 @store_group.command("check")
 @click.argument("folder", type=FOLDER)
 def store_check(folder: Path) -> None:
-    """Tell what each file holds. Exit code 1: a write was cut; 2: damaged."""
+    """Check every file of a store. Exit code 1: a write was cut short; 2: it is damaged."""
     from ..store.tools import check
 
     _maintain(lambda: check(folder, click.echo))
@@ -58,7 +58,7 @@
 @store_group.command("compact")
 @click.argument("folder", type=FOLDER)
 def store_compact(folder: Path) -> None:
-    """Write all that counts into one segment."""
+    """Rewrite the live records of a store into one segment."""
     from ..store.tools import compact
 
     _maintain(lambda: compact(folder, click.echo))
@@ -67,10 +67,10 @@
 @store_group.command("repair")
 @click.argument("folder", type=FOLDER)
 @click.option(
-    "--accept-loss", is_flag=True, help="Make a store of what is left; the old files are kept beside."
+    "--accept-loss", is_flag=True, help="Make a store of what is left; the old files are set aside."
 )
 def store_repair(folder: Path, accept_loss: bool) -> None:
-    """Tell what a damaged store has lost and what is left of it."""
+    """Show what a damaged store has lost, and what is left of it."""
     from ..store.tools import repair
 
     _maintain(lambda: repair(folder, accept_loss, click.echo))
--- a/gladewalk/config/option_tables.py
+++ b/gladewalk/config/option_tables.py
@@ -257,7 +257,17 @@
     http: FrontHttpOptions | None = None
 
 
-class MembersOptions(Table, frozen=True):
+class MembersOptions(
+    Table,
+    frozen=True,
+    rename={
+        "max_clock_skew_ms": "window_ms",
+        "dial_addresses": "dial",
+        "ping_period_ms": "period_ms",
+        "max_stall_ms": "stall_ms",
+        "min_suspicion_ms": "suspicion_ms",
+    },
+):
     """`[members]`: the group of directors, and how failures in it are detected.
 
     Attributes:
@@ -265,11 +275,11 @@
         keys: A key ring file, see `load_hex_keys`.
         seeds: Addresses to join through.
         networks: Networks from which datagrams are read at all.
-        window_ms: Clock skew between members that message authentication allows.
-        dial: Addresses that are reached at another than they announce.
-        period_ms: Protocol period (Das et al., 2002).
-        stall_ms: How long a paused member is kept.
-        suspicion_ms: Shortest time from suspicion to failure.
+        max_clock_skew_ms: Clock skew between members that message authentication allows.
+        dial_addresses: Addresses that are reached at another than they announce.
+        ping_period_ms: Protocol period (Das et al., 2002).
+        max_stall_ms: How long a paused member is kept.
+        min_suspicion_ms: Shortest time from suspicion to failure.
         weight: This director's part of the periodic tasks, relative to the other members.
     """
 
@@ -277,31 +287,49 @@
     keys: str
     seeds: list[str] = []
     networks: tuple[str, ...] = ("127.0.0.0/8",)
-    window_ms: DurationMs = 30_000.0
-    dial: dict[str, str] = {}
-    period_ms: Annotated[float, Meta(ge=20.0, le=60_000.0)] = 200.0
-    stall_ms: Annotated[float, Meta(ge=50.0, le=3_600_000.0)] = 10_000.0
-    suspicion_ms: Annotated[float, Meta(ge=50.0, le=600_000.0)] = 500.0
+    max_clock_skew_ms: DurationMs = 30_000.0
+    dial_addresses: dict[str, str] = {}
+    ping_period_ms: Annotated[float, Meta(ge=20.0, le=60_000.0)] = 200.0
+    max_stall_ms: Annotated[float, Meta(ge=50.0, le=3_600_000.0)] = 10_000.0
+    min_suspicion_ms: Annotated[float, Meta(ge=50.0, le=600_000.0)] = 500.0
     weight: Annotated[float, Meta(gt=0.0, le=1e6)] = 1.0
 
 
-class DutiesOptions(Table, frozen=True):
+class DutiesOptions(
+    Table,
+    frozen=True,
+    rename={
+        "cache_check_interval_ms": "probe_ms",
+        "source_check_interval_ms": "check_ms",
+        "max_result_age_ms": "fresh_ms",
+        "max_checks_per_s": "probes_per_s",
+    },
+):
     """`[duties]`: periodic tasks that are divided among the members.
 
     Attributes:
-        probe_ms: Period of each cache's health check, `GET /load`; 0: none.
-        check_ms: Period of each parent's and the origin's, `GET /alive`; 0: none.
-        fresh_ms: Age up to which another member's result is used.
-        probes_per_s: Health checks of all members together; 0: no limit.
+        cache_check_interval_ms: Interval of each cache's health check, `GET /load`; 0: none.
+        source_check_interval_ms: Interval of each parent's and the origin's, `GET /alive`; 0: none.
+        max_result_age_ms: Age up to which another member's result is used.
+        max_checks_per_s: Health checks of all members together; 0: no limit.
     """
 
-    probe_ms: PeriodMs = 1_000.0
-    check_ms: PeriodMs = 1_000.0
-    fresh_ms: DurationMs = 3_000.0
-    probes_per_s: RateLimitPerSecond = 0.0
+    cache_check_interval_ms: PeriodMs = 1_000.0
+    source_check_interval_ms: PeriodMs = 1_000.0
+    max_result_age_ms: DurationMs = 3_000.0
+    max_checks_per_s: RateLimitPerSecond = 0.0
 
 
-class LeasesOptions(Table, frozen=True):
+class LeasesOptions(
+    Table,
+    frozen=True,
+    rename={
+        "report_interval_ms": "report_ms",
+        "max_clock_skew_ms": "window_ms",
+        "max_clock_drift": "drift",
+        "fence_interval_ms": "act_ms",
+    },
+):
     """`[leases]`: tasks that one director alone does at a time, leased by a majority of `peers`.
 
     Attributes:
@@ -311,13 +339,13 @@
         duties: Further leases, each with the fenced resource (HOST:PORT) that gets its token.
         hubs: Where the lease holder forwards purges to.
         report_to: The collector that the lease holder sends the fleet's report to.
-        report_ms: Period of the report.
-        window_ms: Clock skew between directors that message authentication allows.
+        report_interval_ms: Interval of the report.
+        max_clock_skew_ms: Clock skew between directors that message authentication allows.
         lease_ms: Duration of a lease.
-        drift: Largest relative error of a clock's rate.
+        max_clock_drift: Largest relative error of a clock's rate.
         stop_margin_ms: A holder stops this long before its lease ends.
         grant_margin_ms: A voter waits this long past a lease before it votes for another holder.
-        act_ms: Period at which a holder sends its token to the fenced resources.
+        fence_interval_ms: Interval at which a holder sends its token to the fenced resources.
         clock_rate: Rate of the clock, for tests with clocks that drift.
     """
 
@@ -327,13 +355,13 @@
     duties: dict[str, str] = {}
     hubs: list[str] = []
     report_to: str = ""
-    report_ms: DurationMs = 1_000.0
-    window_ms: DurationMs = 30_000.0
+    report_interval_ms: DurationMs = 1_000.0
+    max_clock_skew_ms: DurationMs = 30_000.0
     lease_ms: Annotated[float, Meta(ge=100.0, le=600_000.0)] = 1_000.0
-    drift: Annotated[float, Meta(ge=0.0, lt=0.5)] = 0.02
+    max_clock_drift: Annotated[float, Meta(ge=0.0, lt=0.5)] = 0.02
     stop_margin_ms: Annotated[float, Meta(ge=0.0)] = 100.0
     grant_margin_ms: Annotated[float, Meta(ge=0.0)] = 50.0
-    act_ms: Annotated[float, Meta(ge=1.0, le=600_000.0)] = 100.0
+    fence_interval_ms: Annotated[float, Meta(ge=1.0, le=600_000.0)] = 100.0
     clock_rate: Annotated[float, Meta(gt=0.5, lt=1.5)] = 1.0
 
 
--- a/gladewalk/control/client.py
+++ b/gladewalk/control/client.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..errors import GladewalkError
 from .messages import (
     MAX_RESPONSE_BYTES,
     PROTOCOL_VERSION,
@@ -23,7 +24,7 @@
 RECEIVE_BYTES = 65_536
 
 
-class ControlError(Exception):
+class ControlError(GladewalkError):
     """A query got no data; the text is one line for the operator.
 
     Attributes:
--- a/gladewalk/control/server.py
+++ b/gladewalk/control/server.py
@@ -14,6 +14,7 @@
 
 from ..config.platform import ConfigError
 from ..core.counters import Counters
+from ..errors import GladewalkError
 from .messages import (
     MAX_REQUEST_BYTES,
     PROTOCOL_VERSION,
@@ -36,7 +37,7 @@
 OWNER_ONLY_UMASK = 0o177
 
 
-class UnsupportedQueryError(Exception):
+class UnsupportedQueryError(GladewalkError):
     """A query has no handler here, or its arguments name nothing there is; the text is one line."""
 
 
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -47,12 +47,13 @@
         networks = tuple(ipaddress.ip_network(network) for network in table.networks)
         key = "dial"
         dial_addresses = {
-            read_address(advertised): read_address(dialled) for advertised, dialled in table.dial.items()
+            read_address(advertised): read_address(dialled)
+            for advertised, dialled in table.dial_addresses.items()
         }
     except (ConfigError, ValueError) as error:
         raise ConfigError(f"{options.path}: members.{key}: {error}") from error
     key_ring = load_key_ring(options.file(table.keys))
-    authenticator = MessageAuthenticator(key_ring, table.window_ms)
+    authenticator = MessageAuthenticator(key_ring, table.max_clock_skew_ms)
     return MemberSettings(listen, seeds, networks, authenticator, dial_addresses)
 
 
@@ -72,10 +73,10 @@
     assert table is not None
     settings = read_member_settings(options)
     config = MembershipConfig(
-        ping_period_ms=table.period_ms,
-        ping_timeout_ms=PING_TIMEOUT_PERIODS * table.period_ms,
-        min_suspicion_ms=table.suspicion_ms,
-        max_stall_ms=table.stall_ms,
+        ping_period_ms=table.ping_period_ms,
+        ping_timeout_ms=PING_TIMEOUT_PERIODS * table.ping_period_ms,
+        min_suspicion_ms=table.min_suspicion_ms,
+        max_stall_ms=table.max_stall_ms,
     )
     rng = random.Random(random.SystemRandom().getrandbits(64))
     clock = exchange.clock
@@ -84,9 +85,10 @@
         core, settings.authenticator, settings.networks, clock, deadlines, counters, settings.dial_addresses
     )
     tasks: list[PeriodicTask] = []
-    if duties.probe_ms:
-        tasks.append(CacheHealthCheck(exchange, pool, duties.probe_ms))
-    if duties.check_ms:
-        tasks.append(SourceHealthCheck(exchange, pool, duties.check_ms))
-    runner = TaskRunner(members, tasks, clock, deadlines, counters, rng, duties.fresh_ms, duties.probes_per_s)
+    if duties.cache_check_interval_ms:
+        tasks.append(CacheHealthCheck(exchange, pool, duties.cache_check_interval_ms))
+    if duties.source_check_interval_ms:
+        tasks.append(SourceHealthCheck(exchange, pool, duties.source_check_interval_ms))
+    max_age_ms, max_checks_per_s = duties.max_result_age_ms, duties.max_checks_per_s
+    runner = TaskRunner(members, tasks, clock, deadlines, counters, rng, max_age_ms, max_checks_per_s)
     return members, runner
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -83,7 +83,7 @@
     reader = _Reader(options.path)
     config = LeaseConfig(
         table.lease_ms,
-        table.drift,
+        table.max_clock_drift,
         table.stop_margin_ms,
         table.grant_margin_ms,
         renewal_interval_ms=table.lease_ms * RENEWAL_INTERVAL_LEASES,
@@ -151,7 +151,7 @@
     table, settings = options.leases, read_lease_settings(options, name)
     assert table is not None
     key_ring = load_key_ring(options.file(table.keys))
-    authenticator = MessageAuthenticator(key_ring, table.window_ms)
+    authenticator = MessageAuthenticator(key_ring, table.max_clock_skew_ms)
     clock = LeaseClock(table.clock_rate)
     rng = random.Random(random.SystemRandom().getrandbits(64))
     directors, resources = tuple(sorted(settings.directors)), settings.resource_names()
@@ -167,12 +167,12 @@
             name,
             directors,
             incarnation=int(wall_clock()),  # a later start has the higher number
-            stale_after_ms=STALE_REPORTS * table.report_ms,
+            stale_after_ms=STALE_REPORTS * table.report_interval_ms,
             read_counts=lambda: read_request_counts(counters),
         )
     operations = FencedOperationQueue(name, resources)
     holder_tasks = LeaseHolderTasks(
-        candidate, operations, purges, report, table.act_ms, table.report_ms, now_ms
+        candidate, operations, purges, report, table.fence_interval_ms, table.report_interval_ms, now_ms
     )
     service = LeaseService(
         voter,
