--- a/tests/test_duties_simulated.py
+++ b/tests/test_duties_simulated.py
@@ -52,7 +52,7 @@
     if ms > 2_000.0:  # found dead: its tasks have two holders until it is back
         assert all(len(both) == 2 for both in heirs), heirs
     settle(net)
-    assert not [seen for seen in net.changes(MemberChange.DIED) if seen.by == "m2"]
+    assert not [seen for seen in net.changes(MemberChange.DIED) if seen.observer == "m2"]
     assert held == [server for server in net.servers if net.owners(server) == ["m2"]]
 
 
@@ -144,7 +144,7 @@
             net.run(250.0)
     settle(net)
     assert net.longest_gap_ms(start) < 3_000.0
-    assert {seen.name for seen in net.changes(MemberChange.DIED)} == {"m3"}
+    assert {seen.member for seen in net.changes(MemberChange.DIED)} == {"m3"}
 
 
 class Faults(RuleBasedStateMachine):
