Members' and leases' answers as structs on both sides of the control socket

Cause: the answers were bare maps, put together by hand at one end and read by key at the other. Change: duties/status.py holds MembershipStatus, MemberStatus and OwnedTaskStatus with the keys of the protocol; duties/view.py builds them; the command line decodes them, and the leases' structs, before it prints a table. The golden input of leases gained the key for_ms, which every director sends.

--- a/gladewalk/cli/common.py
+++ b/gladewalk/cli/common.py
@@ -20,6 +20,7 @@
 FOLDER = click.Path(exists=True, file_okay=False, path_type=Path)
 
 CommandT = TypeVar("CommandT", bound=Callable[..., Any])
+StatusT = TypeVar("StatusT")
 
 
 class ExitCode(IntEnum):
@@ -48,6 +49,19 @@
     return append
 
 
+def decode(answer: dict[str, Any], status_type: type[StatusT]) -> StatusT:
+    """Converts an answer; ends the command if another version of the director sent it."""
+    import msgspec
+
+    from ..control.client import VersionMismatchError
+
+    try:
+        return msgspec.convert(answer, status_type)
+    except msgspec.ValidationError as error:
+        mismatch = VersionMismatchError(f"the director's answer is of another version: {error}")
+        fail(mismatch, mismatch.exit_code)
+
+
 def fail(error: Exception, exit_code: int = ExitCode.UNUSABLE) -> NoReturn:
     """Prints an error as one line and ends the command."""
     click.echo(f"gladewalk: {error}", err=True)
@@ -86,7 +100,7 @@
         return answer
 
     def show(self, answer: dict[str, Any], print_text: Callable[[dict[str, Any]], None]) -> None:
-        """Prints an answer: as JSON, or by a function that prints it for people."""
+        """Prints an answer: as JSON, as it came, or by a function that prints it for people."""
         if self.as_json:
             click.echo(json.dumps(answer))
         else:
--- a/gladewalk/cli/lease_commands.py
+++ b/gladewalk/cli/lease_commands.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 
 from ..control.queries import Query
-from .common import DirectorQuery, ExitCode, examples, exit_with, queries_director
+from .common import DirectorQuery, ExitCode, decode, examples, exit_with, queries_director
+
+if TYPE_CHECKING:
+    from ..leases.status import PurgeStatus
 
 POLL_INTERVAL_SECONDS = 0.05
 
@@ -22,9 +25,10 @@
 
 
 def _print_leases(answer: dict[str, Any]) -> None:
+    from ..leases.status import ServiceStatus
     from .terminal_output import print_leases
 
-    print_leases(answer)
+    print_leases(decode(answer, ServiceStatus))
 
 
 @click.command("hand-on")
@@ -54,24 +58,30 @@
     Exit code 1: no majority has stored it in time; it is retried, and may be lost with this director.
     """
     request_id = director.query(Query.PURGE, what=what)["id"]
-    status = _await_acknowledgement(director, request_id, wait_s)
-    director.show(status, lambda _: click.echo(_describe_purge(request_id, status)))
-    exit_with(ExitCode.DONE if status["acknowledged"] else ExitCode.FINDING)
+    answer, status = _await_acknowledgement(director, request_id, wait_s)
+    director.show(answer, lambda _: click.echo(_describe_purge(status)))
+    exit_with(ExitCode.DONE if status.is_acknowledged else ExitCode.FINDING)
 
 
 def _await_acknowledgement(
     director: DirectorQuery, request_id: str, timeout_seconds: float
-) -> dict[str, Any]:
-    """Polls until the purge is acknowledged or the time is up; returns its last status."""
+) -> tuple[dict[str, Any], PurgeStatus]:
+    """Polls until the purge is acknowledged or the time is up; returns the last answer and its status."""
+    from ..leases.status import PurgeStatus
+
     ends = time.monotonic() + timeout_seconds
     while True:
-        status = director.query(Query.PURGE_STATUS, id=request_id)
-        if status["acknowledged"] or time.monotonic() > ends:
-            return status
+        answer = director.query(Query.PURGE_STATUS, id=request_id)
+        status = decode(answer, PurgeStatus)
+        if status.is_acknowledged or time.monotonic() > ends:
+            return answer, status
         time.sleep(POLL_INTERVAL_SECONDS)
 
 
-def _describe_purge(request_id: str, status: dict[str, Any]) -> str:
-    if status["state"] == "finished":
-        return f"{request_id}: every hub has taken it, under token {status['token']}"
-    return f"{request_id}: kept by {', '.join(status['keepers']) or 'nobody'}, on its way to the hubs"
+def _describe_purge(status: PurgeStatus) -> str:
+    from ..leases.status import PurgeState
+
+    if status.state is PurgeState.COMPLETED:
+        return f"{status.request_id}: every hub has taken it, under token {status.token}"
+    replicas = ", ".join(status.replicas) or "nobody"
+    return f"{status.request_id}: kept by {replicas}, on its way to the hubs"
--- a/gladewalk/cli/member_commands.py
+++ b/gladewalk/cli/member_commands.py
@@ -7,7 +7,7 @@
 import click
 
 from ..control.queries import Query
-from .common import DirectorQuery, examples, queries_director
+from .common import DirectorQuery, decode, examples, queries_director
 
 
 @click.command("members")
@@ -19,6 +19,7 @@
 
 
 def _print_members(answer: dict[str, Any]) -> None:
+    from ..duties.status import MembershipStatus
     from .terminal_output import print_members
 
-    print_members(answer)
+    print_members(decode(answer, MembershipStatus))
--- a/gladewalk/cli/terminal_output.py
+++ b/gladewalk/cli/terminal_output.py
@@ -1,16 +1,17 @@
-"""Prints answers for people, as tables by rich; not imported by a running director.
-
-The functions take an answer of the control socket, or a report, as the JSON object that `--json` shows.
-"""
+"""Prints answers for people, as tables by rich; not imported by a running director."""
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from rich.console import Console
 from rich.table import Table
 from rich.text import Text
 
+if TYPE_CHECKING:
+    from ..duties.status import MembershipStatus
+    from ..leases.status import PromiseStatus, ServiceStatus
+
 MEMBER_STYLES = {
     "alive": "green",
     "self": "bold green",
@@ -34,77 +35,77 @@
     return f"{seconds:.1f} s" if seconds < MAX_SECONDS_SHOWN else f"{seconds / 60.0:.0f} min"
 
 
-def print_members(answer: dict[str, Any]) -> None:
+def print_members(status: MembershipStatus) -> None:
     """Prints the members, the tasks, and what is wrong with the director's own membership."""
     console = Console(highlight=False)
-    console.print(_build_members_table(answer))
-    tasks = ", ".join(f"{count} {kind}" for kind, count in answer["duties"].items()) or "none"
-    owned, stretch = len(answer["owned"]), answer["stretch"]
+    console.print(_build_members_table(status))
+    tasks = ", ".join(f"{count} {kind}" for kind, count in status.task_counts.items()) or "none"
+    owned, stretch = len(status.owned_tasks), status.interval_stretch
     console.print(f"duties: {tasks}; held here: {owned}; intervals stretched {stretch:g} times")
-    if answer["health"]:
-        times = answer["health"] + 1
+    if status.health_score:
+        times = status.health_score + 1
         console.print(f"it misses answers and doubts itself: its times are {times}-fold", style="yellow")
-    if not answer["active"]:
+    if not status.is_active:
         text = "another director runs under this name: this one takes no part"
         console.print(text, style="bold red")
 
 
-def _build_members_table(answer: dict[str, Any]) -> Table:
-    table = Table(title=f"members, as {answer['name']} sees them", title_justify="left")
+def _build_members_table(status: MembershipStatus) -> Table:
+    table = Table(title=f"members, as {status.director} sees them", title_justify="left")
     for name in ("member", "address", "state"):
         table.add_column(name)
     for name in ("incarnation", "doubts itself", "weight", "duties", "heard"):
         table.add_column(name, justify="right")
-    for member in answer["members"]:
-        state = "stalled" if member["stalled"] else member["state"]
+    for member in status.members:
+        state = "stalled" if member.is_stalled else member.state
         table.add_row(
-            member["name"],
-            member["address"],
+            member.name,
+            member.address,
             Text(state, MEMBER_STYLES.get(state, "")),
-            str(member["incarnation"]),
-            str(member["health"] or ""),
-            f"{member['weight']:g}",
-            str(member["duties"]),
-            "" if member["state"] == "self" else format_duration(member["heard_ms"]),
+            str(member.incarnation),
+            str(member.health_score or ""),
+            f"{member.weight:g}",
+            str(member.task_count),
+            "" if member.state == "self" else format_duration(member.since_heard_ms),
         )
     return table
 
 
-def print_leases(answer: dict[str, Any]) -> None:
+def print_leases(status: ServiceStatus) -> None:
     """Prints each lease with its token and the director's promise, and the operations that are open."""
     console = Console(highlight=False)
-    console.print(_build_leases_table(answer))
-    tasks = answer["works"]
+    console.print(_build_leases_table(status))
+    tasks = status.tasks
     console.print(
-        f"orders: {tasks['orders_open']} open, {tasks['orders_finished']} finished; "
-        f"acts that wait for their sinks: {tasks['acts_waiting']}"
+        f"orders: {tasks.open_purges} open, {tasks.completed_purges} finished; "
+        f"acts that wait for their sinks: {tasks.pending_operations}"
     )
 
 
-def _build_leases_table(answer: dict[str, Any]) -> Table:
-    table = Table(title=f"duties, as {answer['name']} sees them", title_justify="left")
+def _build_leases_table(status: ServiceStatus) -> Table:
+    table = Table(title=f"duties, as {status.director} sees them", title_justify="left")
     table.add_column("duty")
     for name in ("token held here", "left", "highest term"):
         table.add_column(name, justify="right")
     table.add_column("promised here to")
-    no_promise = {"holder": "", "term": 0, "left_ms": 0.0}
-    for name, lease in answer["holding"].items():
-        token = lease["token"]
+    for task, lease in status.leases.items():
         table.add_row(
-            name,
-            Text(str(token), "bold green") if token else Text("-", "dim"),
-            format_duration(lease["left_ms"]) if token else "",
-            str(lease["highest"]),
-            _describe_promise(answer["granting"].get(name, no_promise)),
+            task,
+            Text(str(lease.token), "bold green") if lease.token else Text("-", "dim"),
+            format_duration(lease.remaining_ms) if lease.token else "",
+            str(lease.highest_term),
+            _describe_promise(status.promises.get(task)),
         )
     return table
 
 
-def _describe_promise(promise: dict[str, Any]) -> str:
-    holder = f"{promise['holder'] or '-'}, term {promise['term']}"
-    if not promise["left_ms"]:
+def _describe_promise(promise: PromiseStatus | None) -> str:
+    if promise is None:
+        return "-, term 0, lapsed"
+    holder = f"{promise.holder or '-'}, term {promise.term}"
+    if not promise.remaining_ms:
         return f"{holder}, lapsed"
-    return f"{holder}, {format_duration(promise['left_ms'])} left"
+    return f"{holder}, {format_duration(promise.remaining_ms)} left"
 
 
 def print_store(answer: dict[str, Any]) -> None:
--- a/gladewalk/duties/view.py
+++ b/gladewalk/duties/view.py
@@ -3,29 +3,29 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import Any
 
 from .runner import TaskRunner
+from .status import MembershipStatus, MemberStatus, OwnedTaskStatus
 
 SHOWN_COUNTERS = ("members.", "duties.")  # prefixes
 
 
-def view_of(runner: TaskRunner) -> dict[str, Any]:
-    """Returns the view as JSON values; times are in ms before now, or until; rows are sorted by name."""
+def membership_status(runner: TaskRunner) -> MembershipStatus:
+    """Returns the view; times are rounded to 0.1 ms."""
     core = runner.peers.core
-    rows = [_own_row(runner), *_member_rows(runner)]
-    return {
-        "name": core.local.name,
-        "active": core.is_active,
-        "health": core.health_score,
-        "stretch": round(runner.stretch, 3),
-        "members": sorted(rows, key=lambda row: str(row["name"])),
-        "owned": sorted(_owned_rows(runner), key=lambda row: str(row["duty"])),
-        "duties": {kind: len(shared.targets) for kind, shared in runner.shared.items()},
-        "counters": {
+    members = [_own_status(runner), *_member_statuses(runner)]
+    return MembershipStatus(
+        director=core.local.name,
+        is_active=core.is_active,
+        health_score=core.health_score,
+        interval_stretch=round(runner.stretch, 3),
+        members=sorted(members, key=lambda member: member.name),
+        owned_tasks=sorted(_owned_tasks(runner), key=lambda owned: owned.task),
+        task_counts={kind: len(shared.targets) for kind, shared in runner.shared.items()},
+        counters={
             name: count for name, count in runner.counters.report().items() if name.startswith(SHOWN_COUNTERS)
         },
-    }
+    )
 
 
 def _owner_counts(runner: TaskRunner) -> Counter[str]:
@@ -36,51 +36,50 @@
     return counts
 
 
-def _own_row(runner: TaskRunner) -> dict[str, Any]:
+def _own_status(runner: TaskRunner) -> MemberStatus:
     core = runner.peers.core
     own = core.local
-    return {
-        "name": own.name,
-        "address": f"{own.host}:{own.port}",
-        "state": "self" if core.is_active else "name taken",
-        "incarnation": own.incarnation,
-        "run": own.run_id,
-        "weight": own.weight,
-        "heard_ms": 0.0,
-        "duties": _owner_counts(runner)[own.name],
-        "health": core.health_score,
-        "stalled": False,
-        "knocked": None,
-    }
+    return MemberStatus(
+        name=own.name,
+        address=f"{own.host}:{own.port}",
+        state="self" if core.is_active else "name taken",
+        incarnation=own.incarnation,
+        run_id=own.run_id,
+        weight=own.weight,
+        since_heard_ms=0.0,
+        task_count=_owner_counts(runner)[own.name],
+        health_score=core.health_score,
+        is_stalled=False,
+        probe_outcome=None,
+    )
 
 
-def _member_rows(runner: TaskRunner) -> list[dict[str, Any]]:
+def _member_statuses(runner: TaskRunner) -> list[MemberStatus]:
     now_ms, owner_counts = runner.clock(), _owner_counts(runner)
-    rows = []
+    statuses = []
     for name, member in runner.peers.core.members.by_name.items():
         latest = member.update
-        rows.append(
-            {
-                "name": name,
-                "address": f"{latest.host}:{latest.port}",
-                "state": latest.state.name.lower(),
-                "incarnation": latest.incarnation,
-                "run": latest.run_id,
-                "weight": latest.weight,
-                "heard_ms": round(now_ms - member.last_heard_ms, 1),
-                "duties": owner_counts[name],
-                "health": member.health_score,
-                "stalled": member.is_stalled,
-                "knocked": member.probe_outcome.value if member.probe_outcome else None,
-            }
+        status = MemberStatus(
+            name=name,
+            address=f"{latest.host}:{latest.port}",
+            state=latest.state.name.lower(),
+            incarnation=latest.incarnation,
+            run_id=latest.run_id,
+            weight=latest.weight,
+            since_heard_ms=round(now_ms - member.last_heard_ms, 1),
+            task_count=owner_counts[name],
+            health_score=member.health_score,
+            is_stalled=member.is_stalled,
+            probe_outcome=member.probe_outcome.value if member.probe_outcome else None,
         )
-    return rows
+        statuses.append(status)
+    return statuses
 
 
-def _owned_rows(runner: TaskRunner) -> list[dict[str, Any]]:
+def _owned_tasks(runner: TaskRunner) -> list[OwnedTaskStatus]:
     now_ms = runner.clock()
     return [
-        {"duty": f"{kind}/{target}", "epoch": owned.claim.epoch, "due_ms": round(owned.due_ms - now_ms, 1)}
+        OwnedTaskStatus(f"{kind}/{target}", owned.claim.epoch, round(owned.due_ms - now_ms, 1))
         for kind, shared in runner.shared.items()
         for target, owned in shared.ownership.owned.items()
     ]
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -138,9 +138,9 @@
 
     control = ControlServer(options.file(options.control.socket), counters)
     if duties is not None:
-        from .duties.view import view_of
+        from .duties.view import membership_status
 
-        control.handlers["members"] = lambda given: view_of(duties)
+        control.handlers["members"] = lambda _: membership_status(duties)
     if store is not None:
         control.handlers["store"] = store.view
     if leases is not None:
--- a/tests/test_golden_control.py
+++ b/tests/test_golden_control.py
@@ -344,9 +344,9 @@
 LEASES = {
     "name": "n1",
     "holding": {
-        "purge": {"token": 5, "left_ms": 812.3, "highest": 5},
-        "report": {"token": 0, "left_ms": 0.0, "highest": 4},
-        "sweep": {"token": 0, "left_ms": 0.0, "highest": 0},
+        "purge": {"token": 5, "left_ms": 812.3, "highest": 5, "for_ms": 9.0},
+        "report": {"token": 0, "left_ms": 0.0, "highest": 4, "for_ms": 8.0},
+        "sweep": {"token": 0, "left_ms": 0.0, "highest": 0, "for_ms": 7.0},
     },
     "granting": {
         "purge": {"holder": "n1", "term": 5, "left_ms": 912.0},
--- a/tests/test_golden_duties.py
+++ b/tests/test_golden_duties.py
@@ -9,7 +9,7 @@
 import pytest
 
 from gladewalk.duties.ownership import owner_of, rendezvous_score
-from gladewalk.duties.view import view_of
+from gladewalk.duties.view import membership_status
 from gladewalk.members.authenticator import MessageAuthenticator, key_from_secret
 from gladewalk.members.messages import UserEvent, decode, encode
 from gladewalk.rehearsal.task_simulation import TaskNetwork, build_task_network
@@ -78,7 +78,7 @@
     net.join("m1", ("m0",))
     net.run(6_000.0)
     done = [[round(one.at_ms, 6), one.sender, one.server] for one in net.checks]
-    view = view_of(net.runners["m0"])
+    view = msgspec.to_builtins(membership_status(net.runners["m0"]))
     counters = {name: dict(sorted(runner.counters.items())) for name, runner in net.runners.items()}
     return {
         "told": len(told), "told_sha256": hashlib.sha256(json.dumps(told).encode()).hexdigest(),
--- a/tests/test_golden_members.py
+++ b/tests/test_golden_members.py
@@ -13,12 +13,13 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 import structlog
 
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
-from gladewalk.duties.view import view_of
+from gladewalk.duties.view import membership_status
 from gladewalk.faultnet.membership_cases import CASES
 from gladewalk.members import messages
 from gladewalk.members.actions import MemberChange, ProbeOutcome
@@ -129,7 +130,7 @@
     net.run(2_700.0)
     net.blocked = lambda source, target: "m4" in (source, target)
     net.run(700.0)
-    return json.loads(json.dumps(view_of(net.runners["m0"])))
+    return json.loads(msgspec.json.encode(membership_status(net.runners["m0"])))
 
 
 def log_and_counters() -> dict[str, Any]:
