--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
-import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -28,7 +26,8 @@
     until,
 )
 
-ROOT = Path(__file__).parent.parent
+from .program import start_program
+
 BODY = b"fish" * 100
 
 
@@ -152,44 +151,23 @@
         self.assertGreaterEqual(self.counters["admin.calls_unfinished"], MAX_CALLERS)
 
 
-def start(
-    config: dict[str, Any], file: str, listener: int | None = None
-) -> "asyncio.Future[asyncio.subprocess.Process]":
-    """The program as the platform starts it; a `listener` given is its descriptor 3, named in `$NODE_FD`."""
-    Path(file).write_text(json.dumps(config))
-    env = {**os.environ, "NODE_CONFIG": file}
-    if listener is not None:
-        env["NODE_FD"] = "3"
-    handed = None if listener is None else lambda: os.dup2(listener, 3)
-    program = asyncio.create_subprocess_exec(
-        sys.executable, "-m", "gladewalk", cwd=ROOT, stderr=asyncio.subprocess.PIPE, env=env,
-        close_fds=listener is None, preexec_fn=handed,
-    )  # fmt: skip
-    return asyncio.ensure_future(program)
-
-
-async def said(program: asyncio.subprocess.Process, event: str) -> dict[str, Any]:
-    assert program.stderr is not None
-    while (line := json.loads(await program.stderr.readline()))["event"] != event:
-        pass
-    return dict(line)
-
-
 class Program(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.cache, self.coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
         self.config = {**config_for([self.cache], self.coordinator), "admin_addr": "127.0.0.1:0"}
-        handle, self.file = tempfile.mkstemp(suffix=".json")
-        os.close(handle)
-        self.addCleanup(os.unlink, self.file)
+        self.file = Path(self.enterContext(tempfile.TemporaryDirectory()), "config.json")
+        self.write(self.config)
 
     async def asyncTearDown(self) -> None:
         self.cache.stop()
         self.coordinator.stop()
 
+    def write(self, config: dict[str, Any]) -> None:
+        self.file.write_text(json.dumps(config))
+
     async def test_a_drain_says_no_serves_kept_connections_closes_them_and_ends_with_a_yes(self) -> None:
-        program = await start(self.config, self.file)
-        serving = await said(program, "serving")
+        program = await start_program(self.file)
+        serving = await program.event("serving")
         admin, listen = serving["admin"], serving["listen"]
         self.assertEqual(await call(admin, request("/ops/readiness")), (200, b"ready\n"))
         kept_reader, kept = await asyncio.open_connection(*listen)
@@ -218,15 +196,13 @@
         self.assertEqual(figures["svc.downstream_requests.lot-page.completed"], "4")  # as the client saw
         self.assertEqual(figures["svc.upstream_requests"], str(len(self.cache.heard)))
         self.assertEqual((figures["svc.pending"], figures["svc.members"]), ("0", "1"))
-        program.send_signal(signal.SIGTERM)
-        await program.communicate()
-        self.assertEqual(program.returncode, 0)
+        self.assertEqual(await program.stop(), 0)
         for writer in (kept, resting):
             writer.close()
 
     async def test_a_broken_file_is_taken_from_not_at_all_and_a_good_one_brings_its_classes(self) -> None:
-        program = await start(self.config, self.file)
-        serving = await said(program, "serving")
+        program = await start_program(self.file)
+        serving = await program.event("serving")
         admin, listen = serving["admin"], serving["listen"]
         settings = self.config["settings"]
         page = settings["classes"][1]
@@ -240,9 +216,9 @@
         ]
         whys = []
         for text in broken:
-            Path(self.file).write_text(text)
-            program.send_signal(signal.SIGHUP)
-            whys.append((await said(program, "configuration kept"))["why"])
+            self.file.write_text(text)
+            program.send(signal.SIGHUP)
+            whys.append((await program.event("configuration kept"))["why"])
         self.assertTrue(all(why.startswith(f"{self.file}: ") for why in whys))
         self.assertIn("settings.classes[0].give_up_ms: not a positive number", whys[3])
         self.assertIn("settings.limits.most_tries: not a positive number", whys[4])
@@ -250,39 +226,35 @@
         figures = figures_of((await call(admin, request("/ops/stats")))[1])
         self.assertEqual((figures["svc.config_reloads"], figures["svc.config_reload_errors"]), ("0", "6"))
         fish = {**page, "name": "fish-auction"}
-        Path(self.file).write_text(json.dumps({**self.config, "settings": {**settings, "classes": [fish]}}))
-        program.send_signal(signal.SIGHUP)
-        await said(program, "configuration taken")
+        self.write({**self.config, "settings": {**settings, "classes": [fish]}})
+        program.send(signal.SIGHUP)
+        await program.event("configuration taken")
         self.assertEqual((await read_message_on(listen, "/invoke/fish-auction/a1?nth=0"))[0], 200)
         self.assertEqual((await read_message_on(listen))[0], 404)  # lot-page is gone
         figures = figures_of((await call(admin, request("/ops/stats")))[1])
         self.assertEqual((figures["svc.config_reloads"], figures["svc.config_reload_errors"]), ("1", "6"))
         self.assertEqual(figures["svc.downstream_requests.fish-auction.completed"], "1")
         self.assertEqual(figures["svc.downstream_requests.lot-page.completed"], "1")  # gone, and kept
-        program.send_signal(signal.SIGTERM)
-        await program.communicate()
-        self.assertEqual(program.returncode, 0)
+        self.assertEqual(await program.stop(), 0)
 
     async def test_the_listener_is_handed_over_as_descriptor_3_and_no_request_is_refused(self) -> None:
         listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.addCleanup(listener.close)
         address = listener.getsockname()
-        old = await start({**self.config, "listen": "127.0.0.1:1"}, self.file, listener.fileno())
-        await said(old, "serving")
+        self.write({**self.config, "listen": "127.0.0.1:1"})
+        old = await start_program(self.file, listener_fd=listener.fileno())
+        await old.event("serving")
         asking = asyncio.ensure_future(keep_asking(address))
         await until(lambda: len(self.cache.heard) >= 5)
-        new = await start({**self.config, "listen": "127.0.0.1:1"}, self.file, listener.fileno())
-        serving = await said(new, "serving")
+        new = await start_program(self.file, listener_fd=listener.fileno())
+        serving = await new.event("serving")
         self.assertEqual(await call(serving["admin"], request("/ops/readiness")), (200, b"ready\n"))
-        old.send_signal(signal.SIGTERM)
-        await old.communicate()
-        self.assertEqual(old.returncode, 0)
+        self.assertEqual(await old.stop(), 0)
         seen = len(self.cache.heard)
         await until(lambda: len(self.cache.heard) >= seen + 5)  # the new one serves from the same queue
         statuses = await stop_asking(asking)
         self.assertEqual(set(statuses), {200})
-        new.send_signal(signal.SIGTERM)
-        await new.communicate()
+        await new.stop()
 
 
 async def read_message_on(
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -4,10 +4,10 @@
 import os
 import subprocess
 import sys
-import tempfile
-import unittest
+from dataclasses import dataclass
 from pathlib import Path
 
+import pytest
 from click.testing import CliRunner
 
 from gladewalk.cli.commands import gladewalk
@@ -35,84 +35,104 @@
 }
 
 
-class Files(unittest.TestCase):
-    def setUp(self) -> None:
-        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
-        self.file = self.folder / "gladewalk.toml"
-
-    def test_a_bad_setting_is_one_line_that_names_file_and_key(self) -> None:
-        for text, why in BAD.items():
-            self.file.write_text(text)
-            with self.assertRaises(ConfigError) as caught:
-                load_options(str(self.file))
-            said = str(caught.exception)
-            self.assertTrue(said.startswith(f"{self.file}: {why}"), (said, why))
-            self.assertEqual(said.count("\n"), 0)
-
-    def test_the_file_that_is_shipped_has_every_default_as_it_is(self) -> None:
-        options = load_options(str(ROOT / "deploy" / "gladewalk.toml"))
-        self.assertEqual((options.http2, options.dns, options.http2.is_used), (Http2Options(), None, False))
-        text = (ROOT / "deploy" / "gladewalk.toml").read_text()
-        self.assertEqual(
-            [name for name in Http2Options.__struct_encode_fields__ if f"\n{name} = " not in text], []
-        )
+@pytest.mark.parametrize(("text", "why"), BAD.items())
+def test_a_bad_setting_is_one_line_that_names_file_and_key(text: str, why: str, tmp_path: Path) -> None:
+    file = tmp_path / "gladewalk.toml"
+    file.write_text(text)
+    with pytest.raises(ConfigError) as caught:
+        load_options(str(file))
+    line = str(caught.value)
+    assert line.startswith(f"{file}: {why}")
+    assert line.count("\n") == 0
 
 
-class Commands(unittest.TestCase):
-    def setUp(self) -> None:
-        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
-        coordinator = Coordinator(address="127.0.0.1:1")
-        config = config_for([ScriptedPeer(None, address="127.0.0.1:1")], coordinator)  # type: ignore[arg-type]
-        (self.folder / "config.json").write_text(json.dumps(config))
-        self.env = {**os.environ, "NODE_CONFIG": str(self.folder / "config.json")}
+def test_the_file_that_is_shipped_has_every_default_as_it_is() -> None:
+    file = ROOT / "deploy" / "gladewalk.toml"
+    options = load_options(str(file))
+    assert (options.http2, options.dns, options.http2.is_used) == (Http2Options(), None, False)
+    text = file.read_text()
+    assert [key for key in Http2Options.__struct_encode_fields__ if f"\n{key} = " not in text] == []
 
-    def options(self, text: str) -> str:
-        (self.folder / "own.toml").write_text(text)
-        return str(self.folder / "own.toml")
 
-    def start(self, *words: str) -> tuple[int, str]:
-        done = subprocess.run(
-            [sys.executable, "-m", "gladewalk", *words],
-            cwd=ROOT, env=self.env, capture_output=True, text=True,
-        )  # fmt: skip
-        return done.returncode, done.stderr
+@dataclass(slots=True, frozen=True)
+class Director:
+    """A platform configuration in a folder, and the command line run with it."""
 
-    def test_a_bad_file_at_the_start_is_one_line_and_exit_2(self) -> None:
-        authority().cert_pem.write_to_path(str(self.folder / "ca.pem"))
-        (self.folder / "bad.pem").write_text("no key")
-        use = "[http2]\nmode = 'tls'\n[tls]\nca = "
-        cases = {
-            "[http2]\nmode = 1": "http2.mode",
-            use + "'none.pem'": "tls.ca: cannot be used: No such file",
-            use + "'bad.pem'": "tls.ca: cannot be used",
-            use + "'ca.pem'\ncertificate = 'bad.pem'\nkey = 'bad.pem'": "tls.certificate: cannot be used",
-            "[dns]\nlisten = 'x'\nzone = 'z.'": "dns.listen: not an address",
-        }
-        for text, why in cases.items():
-            code, said = self.start("run", "--config", self.options(text))
-            self.assertEqual((code, said.count("\n")), (2, 1), said)
-            self.assertIn(f"own.toml: {why}", said)
-        self.assertEqual(self.start("--config", str(self.folder / "none.toml"))[0], 2)
-
-    def test_check_reads_all_and_starts_nothing(self) -> None:
-        runner = CliRunner(env=self.env)
-        path = self.options("[http2]\nmode = 'h2c'\n[dns]\nlisten = '127.0.0.1:0'\nzone = 'z.'\n")
-        done = runner.invoke(gladewalk, ["check", "--json", "--config", path])
-        said = json.loads(done.output)
-        self.assertEqual((done.exit_code, said["http2"], said["dns"]), (0, "h2c", ["127.0.0.1", 0]))
-        self.assertEqual(runner.invoke(gladewalk, ["check", "--config", "nowhere"]).exit_code, 2)
-        self.assertEqual(runner.invoke(gladewalk, ["frobnicate"]).exit_code, 2)
-        for command in ("run", "check", "import", "rehearse"):
-            self.assertEqual(runner.invoke(gladewalk, [command, "--help"]).exit_code, 0)
-
-    def test_what_is_off_is_not_imported(self) -> None:
-        probe = (
-            "import sys, gladewalk.daemon as d; d.load_configuration(None, None)\n"
-            "late = ('h2', 'hpack', 'msgspec', 'click', 'dns', 'tomllib', 'gladewalk.streams',"
-            " 'gladewalk.cli.commands', 'gladewalk.config.options', 'gladewalk.dns', 'gladewalk.rehearsal')\n"
-            "print(sorted(set(late) & set(sys.modules)))"
-        )
+    folder: Path
+    environ: dict[str, str]
+
+    def write_options(self, text: str) -> str:
+        """Writes the options file and returns its path."""
+        file = self.folder / "own.toml"
+        file.write_text(text)
+        return str(file)
+
+    def run(self, *words: str) -> tuple[int, str]:
+        """Runs the program to its end; returns its exit code and standard error."""
+        command = [sys.executable, "-m", "gladewalk", *words]
         done = subprocess.run(
-            [sys.executable, "-c", probe], cwd=ROOT, env=self.env, capture_output=True, text=True
+            command, cwd=ROOT, env=self.environ, capture_output=True, text=True, check=False
         )
-        self.assertEqual(done.stdout.strip(), "[]", done.stderr)
+        return done.returncode, done.stderr
+
+
+@pytest.fixture
+def director(tmp_path: Path) -> Director:
+    cache = ScriptedPeer(None, address="127.0.0.1:1")  # type: ignore[arg-type]
+    config = config_for([cache], Coordinator(address="127.0.0.1:1"))
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    return Director(tmp_path, {**os.environ, "NODE_CONFIG": str(tmp_path / "config.json")})
+
+
+USE_CA = "[http2]\nmode = 'tls'\n[tls]\nca = "
+
+
+@pytest.mark.parametrize(
+    ("text", "why"),
+    [
+        ("[http2]\nmode = 1", "http2.mode"),
+        (USE_CA + "'none.pem'", "tls.ca: cannot be used: No such file"),
+        (USE_CA + "'bad.pem'", "tls.ca: cannot be used"),
+        (
+            USE_CA + "'ca.pem'\ncertificate = 'bad.pem'\nkey = 'bad.pem'",
+            "tls.certificate: cannot be used",
+        ),
+        ("[dns]\nlisten = 'x'\nzone = 'z.'", "dns.listen: not an address"),
+    ],
+)
+def test_a_bad_file_at_the_start_is_one_line_and_exit_2(director: Director, text: str, why: str) -> None:
+    authority().cert_pem.write_to_path(str(director.folder / "ca.pem"))
+    (director.folder / "bad.pem").write_text("no key")
+    exit_code, log = director.run("run", "--config", director.write_options(text))
+    assert (exit_code, log.count("\n")) == (2, 1), log
+    assert f"own.toml: {why}" in log
+
+
+def test_a_file_that_is_not_there_at_the_start_is_exit_2(director: Director) -> None:
+    assert director.run("--config", str(director.folder / "none.toml"))[0] == 2
+
+
+def test_check_reads_all_and_starts_nothing(director: Director) -> None:
+    runner = CliRunner(env=director.environ)
+    path = director.write_options("[http2]\nmode = 'h2c'\n[dns]\nlisten = '127.0.0.1:0'\nzone = 'z.'\n")
+    done = runner.invoke(gladewalk, ["check", "--json", "--config", path])
+    summary = json.loads(done.output)
+    assert (done.exit_code, summary["http2"], summary["dns"]) == (0, "h2c", ["127.0.0.1", 0])
+    assert runner.invoke(gladewalk, ["check", "--config", "nowhere"]).exit_code == 2
+    assert runner.invoke(gladewalk, ["frobnicate"]).exit_code == 2
+    for command in ("run", "check", "import", "rehearse"):
+        assert runner.invoke(gladewalk, [command, "--help"]).exit_code == 0
+
+
+def test_what_is_off_is_not_imported(director: Director) -> None:
+    probe = (
+        "import sys, gladewalk.daemon as d; d.load_configuration(None, None)\n"
+        "late = ('h2', 'hpack', 'msgspec', 'click', 'dns', 'tomllib', 'gladewalk.streams',"
+        " 'gladewalk.cli.commands', 'gladewalk.config.options', 'gladewalk.dns', 'gladewalk.rehearsal')\n"
+        "print(sorted(set(late) & set(sys.modules)))"
+    )
+    command = [sys.executable, "-c", probe]
+    done = subprocess.run(
+        command, cwd=ROOT, env=director.environ, capture_output=True, text=True, check=False
+    )
+    assert done.stdout.strip() == "[]", done.stderr
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,13 +2,10 @@
 
 import asyncio
 import json
-import os
 import signal
-import sys
 import tempfile
 import unittest
 from pathlib import Path
-from typing import Any
 
 from gladewalk.config.platform import read_config
 from gladewalk.rehearsal.peers import (
@@ -22,7 +19,8 @@
     until,
 )
 
-from .peers import BYTES, ROOT, hit
+from .peers import BYTES, hit
+from .program import DirectorProgram, start_program
 
 
 class Following(unittest.IsolatedAsyncioTestCase):
@@ -93,15 +91,15 @@
 
 
 class Program(unittest.IsolatedAsyncioTestCase):
-    async def start(self, config: object) -> asyncio.subprocess.Process:
-        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
-            json.dump(config, file)
-        self.file = file.name
-        self.addCleanup(os.unlink, file.name)
-        return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "gladewalk", cwd=ROOT, env={**os.environ, "NODE_CONFIG": file.name},
-            stderr=asyncio.subprocess.PIPE,
-        )  # fmt: skip
+    def setUp(self) -> None:
+        self.file = Path(self.enterContext(tempfile.TemporaryDirectory()), "config.json")
+
+    async def start(self, config: object) -> DirectorProgram:
+        self.write(config)
+        return await start_program(self.file)
+
+    def write(self, config: object) -> None:
+        self.file.write_text(json.dumps(config))
 
     async def test_it_serves_answers_all_it_took_after_sigterm_and_ends_well(self) -> None:
         release = asyncio.Event()
@@ -112,10 +110,7 @@
 
         cache, coordinator = await ScriptedPeer(held).start(), await Coordinator().start()
         program = await self.start(config_for([cache], coordinator))
-        assert program.stderr is not None
-        while (said := json.loads(await program.stderr.readline()))["event"] != "serving":
-            pass
-        reader, writer = await asyncio.open_connection(*said["listen"])
+        reader, writer = await asyncio.open_connection(*(await program.event("serving"))["listen"])
         healths: list[str] = []
         while not healths or " 503 " in healths[-1]:  # not ready until the coordinator has answered
             writer.write(request("/_health"))
@@ -123,14 +118,13 @@
         self.assertIn(" 200 ", healths[-1])
         writer.write(request("/invoke/lot-video/a1"))
         await until(lambda: len(cache.heard) == 1)
-        program.send_signal(signal.SIGTERM)
-        while json.loads(await program.stderr.readline())["event"] != "stopping":
-            pass
+        program.send(signal.SIGTERM)
+        await program.event("stopping")
         release.set()
         self.assertEqual((await read_message(reader))[2], BYTES)
-        _, rest = await program.communicate()
-        counters = json.loads(rest.splitlines()[-1])
-        self.assertEqual(program.returncode, 0)
+        exit_code, rest = await program.finish()
+        counters = json.loads(rest[-1])
+        self.assertEqual(exit_code, 0)
         self.assertEqual((counters["requests.taken"], counters["answers.served"]), (1, 1))
         writer.close()
         cache.stop()
@@ -147,30 +141,19 @@
         coordinator, other = await Coordinator().start(), await Coordinator().start()
         config = config_for([cache], coordinator)
         program = await self.start(config)
-        assert program.stderr is not None
-        events: list[dict[str, Any]] = []
-
-        async def said(event: str) -> dict[str, Any]:
-            assert program.stderr is not None
-            while not events or events[-1]["event"] != event:
-                events.append(json.loads(await program.stderr.readline()))
-            return events[-1]
-
-        reader, writer = await asyncio.open_connection(*(await said("serving"))["listen"])
+        reader, writer = await asyncio.open_connection(*(await program.event("serving"))["listen"])
         writer.write(request("/invoke/lot-video/a1", wait_ms=5000.0))
         await until(lambda: len(cache.heard) == 1)
-        program.send_signal(signal.SIGTERM)
-        await said("stopping")
+        program.send(signal.SIGTERM)
+        await program.event("stopping")
         other.events = coordinator.events
-        Path(self.file).write_text(json.dumps({**config, "coordinator": other.address}))
-        for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM):  # and a second SIGTERM
-            program.send_signal(number)
-        await said("configuration taken")
+        self.write({**config, "coordinator": other.address})
+        program.send(signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM)  # and a second SIGTERM
+        await program.event("configuration taken")
         release.set()
         first, fields, body = await read_message(reader)
         self.assertEqual((" 200 " in first, fields["connection"], body), (True, "close", BYTES))
-        await program.communicate()
-        self.assertEqual(program.returncode, 0)
+        self.assertEqual((await program.finish())[0], 0)
         writer.close()
         for part in (cache, coordinator, other):
             part.stop()
@@ -186,33 +169,21 @@
         coordinator, other = await Coordinator().start(), await Coordinator().start()
         config = config_for([cache], coordinator)
         program = await self.start(config)
-        stderr = program.stderr
-        assert stderr is not None
-
-        async def said(event: str) -> dict[str, object]:
-            while (line := json.loads(await stderr.readline()))["event"] != event:
-                pass
-            return dict(line)
-
-        listen = (await said("serving"))["listen"]
-        assert isinstance(listen, list)
-        reader, writer = await asyncio.open_connection(*listen)
+        reader, writer = await asyncio.open_connection(*(await program.event("serving"))["listen"])
         writer.write(request("/invoke/lot-video/a1"))
         await until(lambda: len(cache.heard) == 1)
         for bad in ("{", json.dumps({**config, "settings": {"classes": []}})):
-            Path(self.file).write_text(bad)
-            program.send_signal(signal.SIGHUP)
-            await said("configuration kept")
+            self.file.write_text(bad)
+            program.send(signal.SIGHUP)
+            await program.event("configuration kept")
         other.events = list(coordinator.events)
-        Path(self.file).write_text(json.dumps({**config, "coordinator": other.address}))
-        program.send_signal(signal.SIGHUP)
-        await said("configuration taken")
+        self.write({**config, "coordinator": other.address})
+        program.send(signal.SIGHUP)
+        await program.event("configuration taken")
         await until(lambda: other.follows == [1])
         release.set()
         self.assertEqual((await read_message(reader))[2], BYTES)  # the open request lived on
-        program.send_signal(signal.SIGTERM)
-        await program.communicate()
-        self.assertEqual(program.returncode, 0)
+        self.assertEqual(await program.stop(), 0)
         writer.close()
         for peer in (cache, coordinator, other):
             peer.stop()
@@ -220,13 +191,10 @@
     async def test_it_ends_well_though_nobody_reads_its_log(self) -> None:
         cache, coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
         program = await self.start(config_for([cache], coordinator))
-        assert program.stderr is not None
-        while json.loads(await program.stderr.readline())["event"] != "serving":
-            pass
-        program._transport.get_pipe_transport(2).close()  # type: ignore[attr-defined]
-        program.send_signal(signal.SIGHUP)
-        program.send_signal(signal.SIGTERM)
-        self.assertEqual(await asyncio.wait_for(program.wait(), 20.0), 0)
+        await program.event("serving")
+        program.process._transport.get_pipe_transport(2).close()  # type: ignore[attr-defined]
+        program.send(signal.SIGHUP, signal.SIGTERM)
+        self.assertEqual(await asyncio.wait_for(program.process.wait(), 20.0), 0)
         cache.stop()
         coordinator.stop()
 
@@ -235,5 +203,5 @@
         configs: list[object] = [{}, [], no_class]
         for config in configs:
             program = await self.start(config)
-            _, said = await program.communicate()
-            self.assertEqual((program.returncode, len(said.splitlines())), (2, 1), said)
+            exit_code, lines = await program.finish()
+            self.assertEqual((exit_code, len(lines)), (2, 1), lines)
