--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -12,7 +12,7 @@
 from ..core.deadlines import Deadlines
 from ..members.authenticator import MessageAuthenticator, load_key_ring
 from ..ops.metrics import OUTCOMES
-from ..store.keeper import Keeper
+from ..store.persistence import PersistenceService
 from .candidate import LeaseCandidate
 from .configuration import LeaseConfig
 from .fenced_operations import FencedOperationQueue
@@ -139,7 +139,7 @@
 def build_lease_service(
     name: str,
     options: Options,
-    keeper: Keeper,
+    persistence: PersistenceService,
     wall_clock: Clock,
     deadlines: Deadlines,
     counters: Counters,
@@ -156,11 +156,11 @@
     rng = random.Random(random.SystemRandom().getrandbits(64))
     directors, resources = tuple(sorted(settings.directors)), settings.resource_names()
     now_ms = clock()
-    voter = Voter(name, settings.config, now_ms, decode_grants(keeper.log.items(GRANT_SPACE)))
+    voter = Voter(name, settings.config, now_ms, decode_grants(persistence.log.items(GRANT_SPACE)))
     candidate = LeaseCandidate(name, directors, tuple(sorted(resources)), settings.config, rng, now_ms)
     purges = report = None
     if PURGE_TASK in resources and table.hubs:
-        stored = keeper.log.items(PURGE_SPACE)
+        stored = persistence.log.items(PURGE_SPACE)
         purges = PurgeRequests(name, directors, resources[PURGE_TASK], rng, stored)
     if REPORT_TASK in resources and table.report_to:
         report = FleetReport(
@@ -180,7 +180,7 @@
         holder_tasks,
         settings.addresses(),
         authenticator,
-        keeper.writer,
+        persistence.writer,
         clock,
         wall_clock,
         deadlines,
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -27,7 +27,7 @@
     from .members.authenticator import AuthenticationKey
     from .members.transport import MembershipTransport
     from .nginx.router import Router
-    from .store.keeper import Keeper
+    from .store.persistence import PersistenceService
     from .upstream.secure import Shapes
     from .web.start import Web
 
@@ -99,19 +99,19 @@
     counters: Counters,
     log: Callable[[str, str], None],
     deadlines: Deadlines,
-) -> Keeper | None:
+) -> PersistenceService | None:
     """Opens the store of `[store]`."""
     if options is None or options.store is None:
         return None
-    from .store.keeper import Keeper
+    from .store.persistence import PersistenceService
 
-    return Keeper(options, purge_settle_ms, clock, counters, log, deadlines)
+    return PersistenceService(options, purge_settle_ms, clock, counters, log, deadlines)
 
 
 def build_leases(
     name: str,
     options: Options | None,
-    store: Keeper | None,
+    store: PersistenceService | None,
     clock: Clock,
     deadlines: Deadlines,
     counters: Counters,
@@ -128,7 +128,7 @@
     options: Options | None,
     counters: Counters,
     duties: TaskRunner | None,
-    store: Keeper | None,
+    store: PersistenceService | None,
     leases: tuple[LeaseService, LeaseAddress] | None,
 ) -> ControlServer | None:
     """Builds the operators' control socket, with a view for each part that is on."""
