--- a/tests/test_members_authenticator.py
+++ b/tests/test_members_authenticator.py
@@ -68,7 +68,7 @@
 
 def test_a_full_replay_memory_accepts_nothing(signer: MessageAuthenticator) -> None:
     small = MessageAuthenticator((KEY,), 1_000.0, max_replay_tags=2)
-    signed = [signer.sign(PING, START_MS, n) for n in range(3)]
+    signed = [signer.sign(PING, START_MS, nonce) for nonce in range(3)]
     found = [small.verify(data, START_MS) for data in (*signed, signed[0])]
     assert found == [PING, PING, DropReason.REPLAYED, DropReason.REPLAYED]
     late = signer.sign(PING, START_MS + 2_500.0, 9)
@@ -78,8 +78,8 @@
 def test_a_key_rotation_under_loss_causes_no_deaths() -> None:
     old, new = key_from_secret(b"o" * 32), key_from_secret(b"n" * 32)
     net = MemberNetwork(4)
-    for n in range(4):
-        net.start(f"m{n}", ("m0",) if n else (), keys=(old,))
+    for number in range(4):
+        net.start(f"m{number}", ("m0",) if number else (), keys=(old,))
     net.run(4_000.0)
     net.loss_rate = 0.1
     for ring in ((old, new), (new, old), (new,)):  # known to all, then signing, then alone
@@ -101,15 +101,15 @@
 
 
 def test_noise_is_malformed_and_raises_nothing_else() -> None:
-    draw = random.Random(1)
+    rng = random.Random(1)
     update = MemberUpdate("b", "10.0.0.1", 1, 2, 3, MemberState.ALIVE)
     good = encode(Ping(sender="a", run_id=1, target="b", target_run_id=3, updates=[update]))
     for _ in range(3_000):
         data = bytearray(good)
-        for _ in range(draw.randrange(1, 4)):
-            data[draw.randrange(len(data))] = draw.randrange(256)
+        for _ in range(rng.randrange(1, 4)):
+            data[rng.randrange(len(data))] = rng.randrange(256)
         try:
-            decode(bytes(data[: draw.randrange(1, len(data) + 1)]))
+            decode(bytes(data[: rng.randrange(1, len(data) + 1)]))
         except MalformedMessageError:
             continue
 
--- a/tests/test_members_detection.py
+++ b/tests/test_members_detection.py
@@ -35,9 +35,8 @@
         net.pause("m2", 6_000.0)
         net.run(3_000.0)
         assert {seen.observer for seen in net.changes(MemberChange.STALLED, "m2")} == {"m0", "m1", "m3"}
-        assert {n: set(net.nodes[n].core.responsive_weights()) for n in ("m0", "m1", "m3")} == {
-            n: {"m0", "m1", "m3"} for n in ("m0", "m1", "m3")
-        }
+        for name in ("m0", "m1", "m3"):
+            assert set(net.nodes[name].core.responsive_weights()) == {"m0", "m1", "m3"}
         settle(net)
         assert_no_deaths(net)
         assert len(net.nodes["m0"].core.responsive_weights()) == 4
@@ -52,7 +51,7 @@
         net.run(5_000.0)
         assert len(net.changes(MemberChange.DIED, "m2")) == 3
         settle(net)
-        assert [s for s in net.changes(MemberChange.DIED) if s.observer == "m2"] == []
+        assert [death for death in net.changes(MemberChange.DIED) if death.observer == "m2"] == []
 
 
 def test_a_stalled_member_that_is_killed_is_found_dead_before_the_stall_limit() -> None:
@@ -77,13 +76,14 @@
     for out in (True, False):
         for seed in range(10):
             net = cluster(5, seed)
-            net.is_blocked = lambda s, t, out=out: (s if out else t) == "m4"  # type: ignore[misc]
+            net.is_blocked = lambda source, target, out=out: (source if out else target) == "m4"  # type: ignore[misc]
             net.run(10_000.0)
-            wrong = [s for s in net.changes(MemberChange.DIED) if s.member != "m4" and s.observer != "m4"]
+            deaths = net.changes(MemberChange.DIED)
+            wrong = [death for death in deaths if "m4" not in (death.member, death.observer)]
             assert wrong == []
             if out:  # whom all hear and who hears nobody may be held either way
                 assert "m4" not in net.live_as_seen_by("m0")
-            net.is_blocked = lambda s, t: False
+            net.is_blocked = lambda source, target: False
             settle(net)
 
 
--- a/tests/test_members_lifecycle.py
+++ b/tests/test_members_lifecycle.py
@@ -22,14 +22,16 @@
 def test_a_partition_of_2_and_3_converges_within_five_periods_of_its_end() -> None:
     for seed in range(30):
         net = cluster(5, seed)
-        net.is_blocked = lambda s, t: (s in ("m0", "m1")) != (t in ("m0", "m1"))
+        net.is_blocked = lambda source, target: (source in ("m0", "m1")) != (target in ("m0", "m1"))
         net.run(20_000.0)
-        net.is_blocked = lambda s, t: False
+        net.is_blocked = lambda source, target: False
         net.run(5 * net.config.ping_period_ms)
         assert net.has_converged(), seed
         sides = ({"m0", "m1"}, {"m2", "m3", "m4"})
         wrong = [
-            s for s in net.changes(MemberChange.DIED) if any({s.observer, s.member} <= side for side in sides)
+            death
+            for death in net.changes(MemberChange.DIED)
+            if any({death.observer, death.member} <= side for side in sides)
         ]
         assert wrong == []
 
@@ -60,10 +62,10 @@
 
 def test_a_rolling_restart_converges() -> None:
     net = cluster(4, 5)
-    for n in range(4):
-        net.kill(f"m{n}")
+    for number in range(4):
+        net.kill(f"m{number}")
         net.run(300.0)  # before anybody has found it dead: its new run must not be taken for the old one
-        net.start(f"m{n}", ("m0", "m1"))
+        net.start(f"m{number}", ("m0", "m1"))
         net.run(3_000.0)
     settle(net)
 
@@ -146,15 +148,15 @@
                 net.loss_rate = draw.choice((0.0, 0.1, 0.3))
             case 4:
                 one_way = draw.random() < 0.5
-                net.is_blocked = lambda s, t, name=name, one_way=one_way: (  # type: ignore[misc]
-                    s == name or (t == name and not one_way)
+                net.is_blocked = lambda source, target, name=name, one_way=one_way: (  # type: ignore[misc]
+                    source == name or (target == name and not one_way)
                 )
             case 5:
-                net.is_blocked = lambda s, t: False
+                net.is_blocked = lambda source, target: False
             case 6:
                 net.nodes[name].clock_offset_ms = draw.uniform(-5_000.0, 5_000.0)
         net.run(draw.uniform(0.0, 3_000.0))
-    net.loss_rate, net.is_blocked = 0.0, lambda s, t: False
+    net.loss_rate, net.is_blocked = 0.0, lambda source, target: False
     net.run(25_000.0)
     return net
 
@@ -162,4 +164,4 @@
 def test_any_schedule_of_faults_converges() -> None:
     for seed in range(150):
         net = play_schedule(seed)
-        assert net.has_converged(), (seed, {n: net.live_as_seen_by(n) for n in net.nodes})
+        assert net.has_converged(), (seed, {name: net.live_as_seen_by(name) for name in net.nodes})
--- a/tests/test_members_transport.py
+++ b/tests/test_members_transport.py
@@ -35,7 +35,7 @@
         seeds = (("127.0.0.1", first.core.local.port),)
         second, third = await self.start("b", seeds), await self.start("c", seeds)
         all_three = {"a": 1.0, "b": 1.0, "c": 1.0}
-        await until(lambda: all(m.core.live_weights() == all_three for m in (first, second, third)))
+        await until(lambda: all(member.core.live_weights() == all_three for member in (first, second, third)))
         events: list[UserEvent] = []
         third.on_event = events.append
         first.publish_event(UserEvent("load/box-1", "a", 1, unix_ms(), "ok", 1.5, {"util": 0.25}))
@@ -66,8 +66,10 @@
         second = await self.start("b", (("127.0.0.1", first.core.local.port),))
         await until(lambda: len(first.core.live_weights()) == len(second.core.live_weights()) == 2)
         await until(lambda: not second.streams.is_syncing and not first.streams.is_syncing)
-        for n in range(300):  # far more than a datagram holds; none of it is ever gossiped
-            first.core.dissemination.learn_event(UserEvent(f"load/box-{n}", "a", 1, unix_ms(), "ok", 1.0))
+        for number in range(300):  # far more than a datagram holds; none of it is ever gossiped
+            first.core.dissemination.learn_event(
+                UserEvent(f"load/box-{number}", "a", 1, unix_ms(), "ok", 1.0)
+            )
         first.core.dissemination.queued_events.clear()
         events: list[UserEvent] = []
         second.on_event = events.append
