--- a/gladewalk/members/__init__.py
+++ b/gladewalk/members/__init__.py
@@ -1,4 +1,5 @@
-"""Who is there: a SWIM failure detector with suspicion, refutation and Lifeguard's awareness of oneself.
+"""Membership of directors: a SWIM failure detector with Lifeguard's extensions and confirmation probes.
 
-`swim.py` decides and does no I/O; `messages.py` holds what is said, `seal.py` who may say it.
+`swim` is the protocol without I/O and composes the parts; `transport` and `stream` carry it on sockets;
+`messages` is the wire format and `authenticator` guards it. Design note: docs/members.md.
 """
