--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -5,7 +5,7 @@
 Each run starts its directors on loopback with relays between every ordered pair, waits for a holder, then
 plays one fault after the other from a seeded schedule (pause, kill, clean stop, one-way cuts, a minority
 side, loss, delay), each followed by a pause to settle, and orders a purge at a director that is not hit while
-each fault lasts. The sinks' records are checked, and every acknowledged purge must be done at every hub. A
+each fault lasts. The resources' records are checked; every acknowledged purge must be done at every hub. A
 line a run; then the handover time of each kind of fault at each size (from the fault until another acts; a
 clean stop is handed on at once); the last line sums up. `--quick` is 2 runs of 6 faults at 3 and 5.
 """
@@ -39,7 +39,7 @@
 
 
 async def handover_ms(fleet: Fleet, since_ms: float, victim: str) -> float:
-    """From `since_ms` until another than `victim` acts under the purge duty, or nan."""
+    """From `since_ms` until another than `victim` operates under the purge lease, or nan."""
     ends = time.monotonic() + 6.0
     while time.monotonic() < ends:
         for act in fleet.hubs[0].fence.records:  # in the order they arrived
--- a/gladewalk/duties/ownership.py
+++ b/gladewalk/duties/ownership.py
@@ -138,7 +138,7 @@
             self._review_task(task, now_ms)
 
     def take_new_claims(self) -> list[tuple[str, OwnershipClaim]]:
-        """Returns the claims made since the last call, which all members have to be told."""
+        """Returns the claims made since the last call, of which all members have to be notified."""
         claims, self._new_claims = self._new_claims, []
         return claims
 
--- a/gladewalk/faultnet/__init__.py
+++ b/gladewalk/faultnet/__init__.py
@@ -1,2 +1,2 @@
-"""A fault network of our own for several processes on loopback: relays between every ordered pair, a sink
+"""A fault network of our own for several processes on loopback: relays between every ordered pair, a resource
 that fences acts, a launcher, and a nemesis that plays a seeded schedule of faults and signals."""
--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -185,11 +185,11 @@
     # What is to be seen.
 
     @property
-    def sinks(self) -> tuple[FencedResource, ...]:
+    def resources(self) -> tuple[FencedResource, ...]:
         return (*self.hubs, self.collector)
 
     def verdict(self, end_ms: float | None = None, excused: tuple[tuple[float, float], ...] = ()) -> Verdict:
-        return check_resources([sink.fence.records for sink in self.sinks], end_ms, excused)
+        return check_resources([resource.fence.records for resource in self.resources], end_ms, excused)
 
     def members_seen(self) -> list[ObservedChange]:
         """What all directors noted of one another, out of their logs."""
@@ -200,8 +200,8 @@
             await self.kill(name)
         for link in self.links.values():
             link.close()
-        for sink in self.sinks:
-            sink.close()
+        for resource in self.resources:
+            resource.close()
 
 
 def shown(address: Address) -> str:
--- a/gladewalk/leases/candidate.py
+++ b/gladewalk/leases/candidate.py
@@ -299,7 +299,7 @@
     def _release(
         self, task: str, lease: LeaseState, kind: EventKind, now_ms: float, successor: str = ""
     ) -> list[Output]:
-        """Ends a held lease and tells every voter, for its term and those of renewals under way."""
+        """Ends a held lease and notifies every voter, for its term and those of renewals under way."""
         terms = sorted({lease.term, *(renewal.term for renewal in lease.renewals.values())})
         lease.highest_term = max(lease.highest_term, terms[-1])
         outputs: list[Output] = [LeaseEvent(kind, task, lease.term, self.name)]
@@ -329,7 +329,7 @@
         lease.next_election_at_ms = now_ms + delay_ms + self.random.random() * spread_ms
         if election is None or not election.term:  # a pre-vote bound nobody
             return []
-        # A grant may have been given and lost: whoever did not deny is told. A release may arrive after a
+        # A grant may have been given and lost: whoever did not deny is notified. A release may arrive after a
         # later round's grant: that round must be of another term.
         lease.highest_term = max(lease.highest_term, election.term)
         release = LeaseRelease(task, election.term, self.name)
--- a/gladewalk/leases/fenced_operations.py
+++ b/gladewalk/leases/fenced_operations.py
@@ -1,7 +1,7 @@
 """Queue of fenced operations: each is sent with the token of the moment until its resource accepts it.
 
 A resource that does not answer is tried again with an exponential backoff. What a resource rejects was sent
-under a token that a later holder has exceeded: the candidate is told and gives the lease up. An operation
+under a token that a later holder has exceeded: the candidate is notified and gives the lease up. An operation
 with number 0 announces the token alone; every resource gets one now and then, which raises its fence against
 any earlier holder. No I/O.
 """
--- a/gladewalk/leases/messages.py
+++ b/gladewalk/leases/messages.py
@@ -25,7 +25,7 @@
     task: str
     term: int
     candidate: str
-    round_number: int  # answers carry it, so that those to older rounds are told apart
+    round_number: int  # answers carry it, so that those to older rounds are recognised
 
 
 class PreVoteRequest(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/gladewalk/leases/purge_requests.py
+++ b/gladewalk/leases/purge_requests.py
@@ -4,7 +4,7 @@
 majority has it. The lease holder synchronises with the others and forwards what it learns: a majority that
 answers shares a director with the majority that replicated, so no acknowledged request is missed, whichever
 directors have failed. Hub caches get a request at least once and recognise it by its id. Once all of them
-have accepted it, it is completed: every director is told and deletes it. No I/O.
+have accepted it, it is completed: every director is notified and deletes it. No I/O.
 """
 
 from __future__ import annotations
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -12,7 +12,7 @@
 from gladewalk.leases.history import Verdict
 from gladewalk.rehearsal.peers import Coordinator, Peer, config_for
 
-SETTLE_S = 8.0  # at most, until each duty is held: a start is quiet for a promise, then votes may split
+SETTLE_S = 8.0  # at most, until each lease is held: a start is quiet for a promise, then votes may split
 
 
 def wall_ms() -> float:
@@ -55,13 +55,13 @@
     async def start(
         self, n: int, rates: dict[str, float] | None = None, peers: tuple[Peer, ...] = ()
     ) -> Fleet:
-        """With leases, once the purge duty is held."""
+        """With leases, once the purge lease is held."""
         fleet = await self.begin(n, {}, rates=rates, peers=peers)
         await self.held_since(wall_ms())
         return fleet
 
     async def held_since(self, since_ms: float, within_s: float = SETTLE_S) -> str:
-        """Who acts under the purge duty after `since_ms`, waiting at most so long; '' if nobody does."""
+        """Who operates under the purge lease after `since_ms`, waiting at most so long; '' if nobody does."""
         assert self.fleet is not None
         ends = time.monotonic() + within_s
         while time.monotonic() < ends:
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -1,8 +1,8 @@
-"""Exclusive duties across processes: 3 and 5 directors with relays between every ordered pair, and faults.
+"""Leases across processes: 3 and 5 directors with relays between every ordered pair, and faults.
 
-Each case starts its directors, waits for a holder of each duty at the sink, causes its fault and checks the
-sink's record: no two tokens' spans crossing, no stale token accepted, and the duty taken on within bounds
-that hold on a busy machine (a loaded core delays timers by tens of ms; the bounds leave seconds).
+Each case starts its directors, waits for a holder of each lease at the resource, causes its fault and checks
+the resource's record: no two tokens' spans crossing, no stale token accepted, and the lease taken on within
+bounds that hold on a busy machine (a loaded core delays timers by tens of ms; the bounds leave seconds).
 """
 
 import asyncio
@@ -21,7 +21,7 @@
 
 
 class Leases(Fleets):
-    async def test_electors_killed_in_the_middle_of_grants_and_candidates_at_one_moment(self) -> None:
+    async def test_voters_killed_in_the_middle_of_grants_and_candidates_at_one_moment(self) -> None:
         fleet = await self.start(3)
         given_up = 0
         for turn in range(4):
@@ -38,7 +38,7 @@
         assert given_up > 0
         assert self.verdict().is_safe, self.verdict()
 
-    async def test_a_holder_paused_past_its_lease_is_fenced_and_another_takes_the_duty(self) -> None:
+    async def test_a_holder_paused_past_its_lease_is_fenced_and_another_takes_the_lease(self) -> None:
         fleet = await self.start(3)
         victim = await self.held_since(0.0)
         paused_at = wall_ms()
@@ -52,7 +52,7 @@
         assert victim not in self.actors(paused_at + 1_100.0, wall_ms())  # it stopped by its own clock
         assert self.verdict().is_safe, self.verdict()
 
-    async def test_one_sided_cuts_either_way_hand_the_duty_on_and_never_two_act(self) -> None:
+    async def test_one_sided_cuts_either_way_hand_the_lease_on_and_never_two_act(self) -> None:
         fleet = await self.start(3)
         for cut in ("cut_out", "cut_in"):
             victim = await self.held_since(0.0)
@@ -86,7 +86,7 @@
         assert await self.held_since(wall_ms())
         assert self.verdict().is_safe, self.verdict()
 
-    async def test_a_clean_stop_hands_on_at_once_and_a_killed_elector_restarts_with_its_terms(self) -> None:
+    async def test_a_clean_stop_hands_on_at_once_and_a_killed_voter_restarts_with_its_terms(self) -> None:
         fleet = await self.start(3)
         victim = await self.held_since(0.0)
         begun = wall_ms()
@@ -95,7 +95,7 @@
         assert other and other != victim and wall_ms() - begun < 3_000.0
         await fleet.start(victim)
         await asyncio.sleep(1.0)
-        await fleet.kill(other)  # an elector that granted: its saves are read again at its start
+        await fleet.kill(other)  # a voter that granted: its saves are read again at its start
         kept = [line for line in dump_store(Path(self.folder.name) / f"{other}.store") if '"grant"' in line]
         assert len(kept) == len(DUTIES), kept
         await fleet.start(other)
@@ -114,4 +114,6 @@
         assert await self.held_since(wall_ms())
         verdict = self.verdict()
         assert verdict.is_safe and verdict.operations > 200, verdict
-        assert set(DUTIES) == {a.task for sink in fleet.sinks for a in sink.fence.records}
+        assert set(DUTIES) == {
+            record.task for resource in fleet.resources for record in resource.fence.records
+        }
--- a/tests/test_fleet_works.py
+++ b/tests/test_fleet_works.py
@@ -1,4 +1,4 @@
-"""The director's own exclusive duties across processes: purges, the fleet's report, hand-on by name."""
+"""The directors' lease-holder tasks across processes: purges, the fleet's report, hand-on by name."""
 
 import asyncio
 import re
@@ -78,7 +78,7 @@
         assert await self.purged(fleet, [said.partition(":")[0]])
         assert self.verdict().is_safe, self.verdict()
 
-    async def test_a_duty_is_handed_on_by_name_and_only_by_its_holder(self) -> None:
+    async def test_a_lease_is_handed_on_by_name_and_only_by_its_holder(self) -> None:
         fleet = await self.start(3)
         holder = await self.held_since(wall_ms())
         to, third = (name for name in fleet.names if name != holder)
