--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -49,12 +49,12 @@
         counters: Counters,
         log: Callable[[str], None],
     ) -> None:
-        self.core = Dispatcher(config.settings, config.seed)
+        self.dispatcher = Dispatcher(config.settings, config.seed)
         self.clock, self.deadlines, self.counters, self.log = clock, deadlines, counters, log
         self.upstreams: UpstreamPool | None = None
         self.open_requests: dict[int, OpenRequest] = {}
         self.unanswered_count = 0  # requests without their final answer
-        self.resolutions = Resolutions(self.core, clock, deadlines, counters, self.handle_event)
+        self.resolutions = Resolutions(self.dispatcher, clock, deadlines, counters, self.handle_event)
         self._last_number = 0
         self._events: deque[api.Event] = deque()
         self._is_handling = False
@@ -162,7 +162,7 @@
         waited_long = now > opened.received_ms + LOOP_TURN_MS
         if not opened.is_answered and waited_long and opened.client.is_disconnected():
             self.client_disconnected(opened.number)
-        return not opened.is_answered and self.core.may_write(opened.number, attempt.number, now)
+        return not opened.is_answered and self.dispatcher.may_write(opened.number, attempt.number, now)
 
     def response_started(self, attempt: Attempt, head: ResponseHead) -> bool:
         """Begins to pass on a successful response; False if it is not wanted and the attempt was ended."""
@@ -247,7 +247,7 @@
         self._is_handling = True
         try:
             while self._events:
-                for action in self.core.handle(self.clock(), self._events.popleft()):
+                for action in self.dispatcher.handle(self.clock(), self._events.popleft()):
                     self._carry_out(action)
         finally:
             self._is_handling = False
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -223,12 +223,12 @@
         if config.listen != self.config.listen:
             self.log.warning("listen_address_needs_restart", listen=config.listen)
         self.config = config
-        self.exchange.core.configure(config.settings)
+        self.exchange.dispatcher.configure(config.settings)
         self.caches.configure(config)
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
         if self.dns is not None:
-            self.dns.classes = frozenset(self.exchange.core.state.classes)
+            self.dns.classes = frozenset(self.exchange.dispatcher.state.classes)
         self.coordinator_watch.set_address(config.coordinator)
         last = self.endpoint_feed.last_index
         self.log.info("configuration taken", coordinator=config.coordinator, last=last)
@@ -239,7 +239,7 @@
         self.front.request_timeout_ms = max(FIRST_BYTE_TIMEOUT_MS, self._longest_deadline_ms())
 
     def _longest_deadline_ms(self) -> float:
-        return max(cls.deadline_ms for cls in self.exchange.core.state.classes.values())
+        return max(cls.deadline_ms for cls in self.exchange.dispatcher.state.classes.values())
 
     def _alpn_of(self, name: str) -> tuple[bool, tuple[str, ...]]:
         """Returns for a server whether it is spoken to over TLS, and by which protocols (ALPN ids)."""
@@ -302,7 +302,7 @@
             "now.passing": sum(
                 opened.serving_attempt is not None for opened in self.exchange.open_requests.values()
             ),
-            "now.waiting": len(self.exchange.core.state.queue),
+            "now.waiting": len(self.exchange.dispatcher.state.queue),
             "now.clients": len(self.front.connections),
             "now.upstream": len(self.caches.live),
             "late_ms": round(self.deadlines.max_late_ms, 1),
--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -81,7 +81,7 @@
         alpn_of: Callable[[str], tuple[bool, tuple[str, ...]]] = lambda name: (False, ("http/1.1",)),
     ) -> None:  # fmt: skip
         self.exchange, self.counters, self.own_port, self.alpn_of = exchange, counters, own_port, alpn_of
-        self._classes = frozenset(cls.name for cls in exchange.core.state.settings.classes)
+        self._classes = frozenset(cls.name for cls in exchange.dispatcher.state.settings.classes)
         self.streams = Streams(self)
         self.address: Address = config.listen
         self.tls_address: Address | None = None
@@ -104,7 +104,7 @@
         weighs = (config.transfers_per_answer, config.transfers_most)
         if old is None or (old.transfers_per_answer, old.transfers_most) != weighs:
             self.weights = Weights(*weighs)
-        ledger = self.exchange.core.state.dns_lease_table()
+        ledger = self.exchange.dispatcher.state.dns_lease_table()
         ledger.min_ttl_ms, ledger.max_ttl_ms = config.ttl_ms
         if old is None or old.network_per_s != config.network_per_s:
             per_s = config.network_per_s
@@ -139,7 +139,7 @@
 
     def is_box(self, address: str) -> bool:
         """Whether an address is ours to have a name. Guards against a zone that names whatever one likes."""
-        servers, upstreams = self.exchange.core.state.registry.servers, self.exchange.upstreams
+        servers, upstreams = self.exchange.dispatcher.state.registry.servers, self.exchange.upstreams
         if upstreams is None:
             return False
         at = (upstreams.address(name) for name in servers)
@@ -151,7 +151,7 @@
         loop, config = asyncio.get_running_loop(), self._config
         # Without a store nobody knows what our last run gave out.
         if config.assume_worst and self.exchange.resolutions.persist is None:
-            self.exchange.core.state.dns_lease_table().assume_full(self.exchange.clock() + DNS_LEASE_MS)
+            self.exchange.dispatcher.state.dns_lease_table().assume_full(self.exchange.clock() + DNS_LEASE_MS)
         tcp = await loop.create_server(lambda: self.streams.connection(Via.TCP), *config.listen)
         host, port = tcp.sockets[0].getsockname()[:2]
         self.address = (host, port)  # port 0 is chosen once, and UDP takes the same
@@ -240,7 +240,7 @@
         wanted, config, now = found.routed.wanted, self._config, self.exchange.clock()
         name = hash((wanted.class_name, wanted.key, wanted.part))
         self.weights.ask(asked.peer, name, now)
-        transfer_ms = self.exchange.core.state.estimates.mean_ms_by_class[wanted.class_name]
+        transfer_ms = self.exchange.dispatcher.state.estimates.mean_ms_by_class[wanted.class_name]
         weight = self.weights.weight(asked.peer, transfer_ms, now)
         self.exchange.resolve(
             Question(self, asked, found, zone, sender, name),
--- a/gladewalk/duties/task_types.py
+++ b/gladewalk/duties/task_types.py
@@ -22,7 +22,7 @@
 
     def targets(self) -> Iterable[str]:
         """Returns the servers of its roles that the coordinator lists and that are not draining."""
-        for name, server in self.exchange.core.state.registry.servers.items():
+        for name, server in self.exchange.dispatcher.state.registry.servers.items():
             if server.info.role in self.roles and server.info.state is api.ServerState.READY:
                 yield name
 
@@ -49,7 +49,7 @@
 
     def targets(self) -> Iterable[str]:
         """Returns the cache servers, or none if the settings forbid health checks."""
-        return super().targets() if self.exchange.core.state.settings.may_check_health else ()
+        return super().targets() if self.exchange.dispatcher.state.settings.may_check_health else ()
 
 
 class SourceHealthCheck(ServerQueryTask):
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -263,7 +263,7 @@
 
     def rejection_status(self, request: ClientRequest) -> int | None:
         """Returns the status for a request that no server could serve, else None."""
-        cls = self.exchange.core.state.classes.get(request.class_name)
+        cls = self.exchange.dispatcher.state.classes.get(request.class_name)
         if cls is None:
             return 404
         if cls.is_write and request.method != "PUT":
--- a/gladewalk/ops/routes.py
+++ b/gladewalk/ops/routes.py
@@ -33,7 +33,7 @@
         """Requests accepted and not answered yet."""
 
     @property
-    def core(self) -> DispatcherView:
+    def dispatcher(self) -> DispatcherView:
         """The decision module."""
 
     def clock(self) -> float:
@@ -74,7 +74,7 @@
 def read_gauges(exchange: ExchangeView) -> Gauges:
     """Returns the pending requests and the listed caches, with those that take no requests for the moment."""
     now_ms = exchange.clock()
-    servers = exchange.core.state.registry.servers.values()
+    servers = exchange.dispatcher.state.registry.servers.values()
     listed = [server for server in servers if server.info.state is not ServerState.GONE]
     unavailable = [
         server
@@ -106,7 +106,7 @@
 
     def _get_stats(self) -> Response:
         exchange = self._director.exchange
-        classes = exchange.core.state.classes
+        classes = exchange.dispatcher.state.classes
         return Response(200, format_metrics(self._director.counters, classes, read_gauges(exchange)))
 
     def _start_drain(self) -> Response:
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -86,7 +86,7 @@
         for purge in purges:
             feed.exchange.purge(purge)
         server_count = self._restore_servers(feed)
-        core = feed.exchange.core
+        core = feed.exchange.dispatcher
         lease_count = restore_leases(core, self.log.items(LEASE_SPACE), now_ms)
         restored = warm_start.restore_snapshot(core, self.log.items(warm_start.SNAPSHOT_SPACE), now_ms)
         self._counters.add("store.purges_restored", len(purges))
@@ -114,7 +114,7 @@
         feed.on_event, self._exchange = self.record_event, feed.exchange
         feed.exchange.resolutions.persist = self.record_leases
         if self._snapshot_interval_ms:
-            self._record_partition(feed.exchange.core)
+            self._record_partition(feed.exchange.dispatcher)
 
     async def close(self) -> None:
         """Writes what is pending and releases the directory."""
@@ -128,7 +128,7 @@
         assert self._exchange is not None
         acknowledgements = []
         for server in servers:
-            lease = find_lease(self._exchange.core, question, server)
+            lease = find_lease(self._exchange.dispatcher, question, server)
             if lease is not None:
                 row = Row(LEASE_SPACE, lease.row_key, encode_lease(lease), lease.expires_at_ms)
                 acknowledgements.append(self._write(row))
--- a/tests/store/test_persistence.py
+++ b/tests/store/test_persistence.py
@@ -88,7 +88,7 @@
     persistence.directory.close()  # as a kill does: nothing more is written
     again = await start_director(config, options)
     assert again.counters["store.purges_restored"] == 1
-    assert again.exchange.core.state.registry.servers["c0"].info.state is api.ServerState.DRAINING
+    assert again.exchange.dispatcher.state.registry.servers["c0"].info.state is api.ServerState.DRAINING
     await request_objects(again)
     purged = [heard for peer in peers for heard in peer.heard if "/a1/" in heard.path]
     assert purged and all("no-older-than" in heard.headers for heard in purged)
@@ -131,7 +131,7 @@
     assert re.search(r"feed kept up to event\W+4", result.output), result.output
     await stop_director(first)
     again = await start_director(config, options)
-    servers = again.exchange.core.state.registry.servers
+    servers = again.exchange.dispatcher.state.registry.servers
     ready = {name for name, server in servers.items() if server.info.state is api.ServerState.READY}
     assert (ready, servers["c3"].info.state) == ({"c0"}, api.ServerState.DRAINING)
     await until(lambda: len(coordinator.follows) == 2)
@@ -180,8 +180,8 @@
         director.persistence.directory.close()
     again = SegmentedLog(StoreDirectory(tmp_path / "store"), unix_ms)
     assert lease in again.items(LEASE_SPACE).values()
-    core = Dispatcher(director.exchange.core.state.settings, 1)
-    servers = tuple(server.info for server in director.exchange.core.state.registry.servers.values())
+    core = Dispatcher(director.exchange.dispatcher.state.settings, 1)
+    servers = tuple(server.info for server in director.exchange.dispatcher.state.registry.servers.values())
     core.handle(unix_ms(), api.EndpointList(api.EndpointListKind.PERSISTED, servers))
     assert restore_leases(core, again.items(LEASE_SPACE), unix_ms()) == 1
     objects, _ = restore_snapshot(core, again.items(SNAPSHOT_SPACE), unix_ms())
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -271,7 +271,7 @@
         parent = ScriptedPeer(good, "p1", "parent", "north")
         async with Rehearsal([ScriptedPeer(slow), parent]) as world:
             assert world.director is not None
-            world.director.exchange.core.router._sojourn.late_fraction = 1.0
+            world.director.exchange.dispatcher.router._sojourn.late_fraction = 1.0
             status, _, body = await world.ask()
             self.assertEqual((status, body), (200, b"first-last"))
 
@@ -281,7 +281,7 @@
             first, _, _ = await world.ask(BID, method="PUT", body=b"x", trace="0" * 16, Replay_Key=KEY)
             peers[0].script = peers[1].script = good
             assert world.director is not None
-            for server in world.director.exchange.core.state.registry.servers.values():
+            for server in world.director.exchange.dispatcher.state.registry.servers.values():
                 server.consecutive_failures, server.backoff_until_ms = 0, 0.0
             again, _, _ = await world.ask(
                 BID, method="PUT", body=b"x", trace="1" * 16, Replay_Key=KEY, Is_Retry="1"
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -133,7 +133,7 @@
         query = dns.message.make_query(name(0xA2), "A")
         self.assertEqual((await self.resolver.query(query)).rcode(), dns.rcode.SERVFAIL)
         exchange = self.director.exchange
-        self.assertFalse(exchange.resolutions.open or exchange.core.state.unresolved)
+        self.assertFalse(exchange.resolutions.open or exchange.dispatcher.state.unresolved)
 
     async def test_a_question_that_waits_is_answered_by_what_is_told_meanwhile(self) -> None:
         """A purge and then a box come while it waits: the purged object's box must not be named."""
@@ -148,7 +148,7 @@
         self.assertEqual(await asyncio.gather(*waiting), [[OWN], [BOX]])
 
     async def test_a_purge_that_lands_between_decision_and_write_is_heeded(self) -> None:
-        core = self.director.exchange.core
+        core = self.director.exchange.dispatcher
         decide = core.handle
         told: list[api.Event] = []
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -32,7 +32,8 @@
     @property
     def known(self) -> dict[str, ServerState]:
         assert self.director is not None
-        return {name: s.info.state for name, s in self.director.exchange.core.state.registry.servers.items()}
+        servers = self.director.exchange.dispatcher.state.registry.servers
+        return {name: server.info.state for name, server in servers.items()}
 
     async def following(self, times: int) -> None:
         await until(lambda: len(self.coordinator.follows) >= times)
--- a/tests/test_golden_exchange.py
+++ b/tests/test_golden_exchange.py
@@ -291,7 +291,7 @@
             def refuse(now_ms: float, event: api.Event, wait_ms: float = retry_after_ms) -> list[api.Action]:
                 return [api.Reject(event.id, wait_ms)] if isinstance(event, api.Request) else []
 
-            exchange.core.handle = refuse  # type: ignore[method-assign]
+            exchange.dispatcher.handle = refuse  # type: ignore[method-assign]
             told.append(await answers_of(world, [request(PATH)]))
     return told
 
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -517,7 +517,7 @@
             self.assertIsNone(w.director.caches.upstreams["c1"].lane)
             fallbacks["c1"].until_ms = 0.0
             box.script = serve
-            w.director.exchange.core.state.registry.servers["c1"].backoff_until_ms = 0.0
+            w.director.exchange.dispatcher.state.registry.servers["c1"].backoff_until_ms = 0.0
             await until(lambda: len(box.heard) >= 1)
             for n in range(8):
                 await page(w, n, wait_ms=20_000.0)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -146,4 +146,4 @@
             exchange, counters = world.director.exchange, world.director.counters
             await until(lambda: not exchange.open_requests)
             self.assertEqual((counters["requests.left_by_client"], counters["attempts.cancelled"]), (1, 1))
-            self.assertFalse(exchange.core.state.pending or exchange.core.state.attempts)
+            self.assertFalse(exchange.dispatcher.state.pending or exchange.dispatcher.state.attempts)
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -75,7 +75,7 @@
                 first, fields, _ = await read_message(one)
                 self.assertEqual((first.split(" ")[1], fields["connection"]), ("502", "close"))
             exchange = director.exchange
-            self.assertEqual((exchange.unanswered_count, exchange.core.state.pending), (0, {}))
+            self.assertEqual((exchange.unanswered_count, exchange.dispatcher.state.pending), (0, {}))
             writer.close()
             late[1].close()
             await director._ended
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -39,7 +39,7 @@
             self.assertEqual(world.coordinator.follows[:2], [1, 1])
             for key in range(8):
                 self.assertEqual((await world.ask(f"/invoke/lot-page/{key:x}"))[0], 200)
-            self.assertNotIn("c1", world.director.exchange.core.state.registry.servers)
+            self.assertNotIn("c1", world.director.exchange.dispatcher.state.registry.servers)
 
     async def test_a_moved_coordinator_is_asked_at_once_and_the_old_one_heard_no_more(self) -> None:
         old_cache, new_cache = ScriptedPeer(hit), await ScriptedPeer(hit, "c2").start()
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -81,9 +81,9 @@
             shares = sorted(len(server.heard) for server in world.servers.values())
             self.assertGreater(shares[0], 10)
             balanced = world.director.web.upstreams["a"]  # type: ignore[union-attr]
-            servers = balanced.core.state.registry.servers.values()
+            servers = balanced.dispatcher.state.registry.servers.values()
             self.assertEqual({server.weight for server in servers}, {1.0})
-            told = balanced.core.state.settings
+            told = balanced.dispatcher.state.settings
             self.assertEqual(
                 (told.may_join_fills, told.classes[0].freshness_lifetime_ms, told.classes[0].stale_grace_ms),
                 (True, 6e4, 6e4),
