--- a/benchmarks/bids.py
+++ b/benchmarks/bids.py
@@ -19,15 +19,15 @@
 import structlog
 import uvloop
 
-from gladewalk.config.options import Options, options_of, read_tables
+from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.rehearsal.write_soak import SoakReport, play_h2, play_http1
 from gladewalk.streams.ledger import PROOFS
 
 
 def h2c_options() -> Options:
     """Options with HTTP/2 in the clear."""
-    tables = read_tables({"http2": {"mode": "h2c"}})
-    return options_of(tables, "benchmark", Path("."))
+    tables = read_option_tables({"http2": {"mode": "h2c"}})
+    return build_options(tables, "benchmark", Path("."))
 
 
 def run_soak(run: Coroutine[Any, Any, SoakReport]) -> SoakReport:
--- a/benchmarks/director_process.py
+++ b/benchmarks/director_process.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from gladewalk.control.client import ControlError, ask
+from gladewalk.control.client import ControlError, query_director
 from gladewalk.rehearsal.peers import read_message, request
 
 CLIENT_TIMEOUT_SECONDS = 2.0
@@ -63,7 +63,7 @@
 
     async def store_status(self) -> dict[str, Any]:
         """What its control socket says of its store. Raises `ControlError`."""
-        status: dict[str, Any] = await asyncio.to_thread(ask, self.directory / "control", "store")
+        status: dict[str, Any] = await asyncio.to_thread(query_director, self.directory / "control", "store")
         return status
 
     async def durable_purges(self) -> set[str]:
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from . import signals
-from .config.platform import Config, ConfigError, load
+from .config.platform import ConfigError, PlatformConfig, load_config
 from .director import Director
 from .optional_parts import build_protocols, load_dns_settings
 
@@ -67,14 +67,14 @@
 class LoadedConfiguration(NamedTuple):
     """All that a director is configured by; `options` and `dns` are None where they are off."""
 
-    config: Config
+    config: PlatformConfig
     options: Options | None = None
     dns: DnsConfig | None = None
 
 
 def load_configuration(options_path: str | None, dns_path: str | None) -> LoadedConfiguration:
     """Reads and checks all files; raises `ConfigError` with one line that says what is wrong."""
-    config = load(os.environ)
+    config = load_config(os.environ)
     options: Options | None = None
     dns: DnsConfig | None = None
     if options_path:
@@ -91,26 +91,26 @@
     return LoadedConfiguration(config, options, dns)
 
 
-def _check_options(options: Options, config: Config) -> None:
+def _check_options(options: Options, config: PlatformConfig) -> None:
     """Checks each part that is on, so that a bad file is found before anything starts."""
     build_protocols(options)  # certificates and keys are files of their own
     if options.members is not None:
-        from .duties.start import checked as check_members
+        from .duties.start import read_member_settings
 
-        check_members(options)
+        read_member_settings(options)
     if options.leases is not None:
-        from .leases.start import checked as check_leases
+        from .leases.start import read_lease_settings
 
-        check_leases(options, config.name)
+        read_lease_settings(options, config.name)
     if options.front.http is not None:
         from .web.start import checked as check_front
 
         check_front(options)
     if options.control is not None:
-        from .control.server import check_path
+        from .control.server import check_socket_path
 
         try:
-            check_path(options.file(options.control.socket))
+            check_socket_path(options.file(options.control.socket))
         except ConfigError as error:
             raise ConfigError(f"{options.path}: {error}") from error
 
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -67,7 +67,7 @@
         self.evicted_count = 0  # of these, connections told to end
         self.open_by_trace_id: dict[str, ClientRequest] = {}  # the first request that came with an id
         self.is_closing = False
-        self.readiness = Readiness(started=True)  # the director's own, once it has one
+        self.readiness = Readiness(is_started=True)  # the director's own, once it has one
         self.address: Address = ("", 0)
         self._listener: Listener | None = None
         self._is_accepting = False
@@ -165,7 +165,7 @@
         self._sweep_awaiting(now)
         self._sweep_lingering(now)
         self._sweep_idle(now)
-        if self.readiness.draining:
+        if self.readiness.is_draining:
             self._drain_idle(now)
         if self.is_closing:
             self.accept()  # connections that found no room before
@@ -194,7 +194,7 @@
 
     def _drain_idle(self, now: float) -> None:
         for connection in list(self.idle):
-            if not self.readiness.closes_resting(now, connection.is_input_empty()):
+            if not self.readiness.may_close_idle(now, connection.is_input_empty()):
                 continue
             if connection.is_input_empty():  # else it asks within this turn, and that answer is its last
                 self.counters.add("clients.drained")
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .config.platform import Config, load
+from .config.platform import PlatformConfig, load_config
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
@@ -18,12 +18,12 @@
 
 if TYPE_CHECKING:  # what is off is not imported
     from .config.options import Options
-    from .control.server import Control
+    from .control.server import ControlServer
     from .dns.front import DnsFront
     from .dns.settings import DnsConfig
-    from .duties.runner import Runner
+    from .duties.runner import TaskRunner
     from .leases.transport import Address as LeaseAddress
-    from .leases.transport import Leases
+    from .leases.transport import LeaseService
     from .members.authenticator import AuthenticationKey
     from .members.transport import MembershipTransport
     from .nginx.router import Router
@@ -39,7 +39,7 @@
 
     `previous` keeps what was learned of each server's protocols.
     """
-    if options is None or not options.http2.used:
+    if options is None or not options.http2.is_used:
         return None
     from .upstream.secure import Shapes
 
@@ -67,18 +67,18 @@
     caches: Caches,
     deadlines: Deadlines,
     counters: Counters,
-) -> tuple[MembershipTransport | None, Runner | None]:
+) -> tuple[MembershipTransport | None, TaskRunner | None]:
     """Builds the membership and the periodic tasks that members share."""
     if options is None or options.members is None:
         return None, None
-    from .duties.start import start
+    from .duties.start import build_shared_tasks
 
-    return start(name, options, exchange, caches, deadlines, counters)
+    return build_shared_tasks(name, options, exchange, caches, deadlines, counters)
 
 
 def build_web(
     options: Options | None,
-    config: Config,
+    config: PlatformConfig,
     clock: Clock,
     deadlines: Deadlines,
     counters: Counters,
@@ -115,34 +115,34 @@
     clock: Clock,
     deadlines: Deadlines,
     counters: Counters,
-) -> tuple[Leases, LeaseAddress] | None:
+) -> tuple[LeaseService, LeaseAddress] | None:
     """Builds the leases of `[leases]`, which need a store, and tells where they listen."""
     if options is None or options.leases is None or store is None:
         return None
-    from .leases.start import start
+    from .leases.start import build_lease_service
 
-    return start(name, options, store, clock, deadlines, counters)
+    return build_lease_service(name, options, store, clock, deadlines, counters)
 
 
 def build_control(
     options: Options | None,
     counters: Counters,
-    duties: Runner | None,
+    duties: TaskRunner | None,
     store: PersistenceService | None,
-    leases: tuple[Leases, LeaseAddress] | None,
-) -> Control | None:
+    leases: tuple[LeaseService, LeaseAddress] | None,
+) -> ControlServer | None:
     """Builds the operators' control socket, with a view for each part that is on."""
     if options is None or options.control is None:
         return None
-    from .control.server import Control
+    from .control.server import ControlServer
 
-    control = Control(options.file(options.control.socket), counters)
+    control = ControlServer(options.file(options.control.socket), counters)
     if duties is not None:
         from .duties.view import view_of
 
-        control.views["members"] = lambda given: view_of(duties)
+        control.handlers["members"] = lambda given: view_of(duties)
     if store is not None:
-        control.views["store"] = store.view
+        control.handlers["store"] = store.view
     if leases is not None:
         from .leases.view import add_views
 
@@ -179,7 +179,7 @@
 class Reloaded:
     """Everything read anew on SIGHUP and checked, before any of it takes effect."""
 
-    config: Config
+    config: PlatformConfig
     options: Options | None
     protocols: Shapes | None
     member_keys: tuple[AuthenticationKey, ...] = ()
@@ -196,7 +196,7 @@
     has_web: bool,
 ) -> Reloaded:
     """Reads the platform's configuration and, if there is one, our own options file again."""
-    reloaded = Reloaded(load(environ), options, protocols)
+    reloaded = Reloaded(load_config(environ), options, protocols)
     if options is None:
         return reloaded
     from .config.options import load_options
--- /dev/null
+++ b/gladewalk/rehearsal/task_simulation.py
@@ -0,0 +1,248 @@
+"""Shared tasks in virtual time: the real `TaskRunner`, `Ownership` and `Membership` on a network in memory.
+
+Servers to check are names; each health check is recorded with its time. Nodes are killed, stopped, cut off
+and restarted as on `member_network`, and what they own and do can be read at any moment.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+from .. import interface as api
+from ..core.counters import Counters
+from ..duties.ownership import Rank, best_rank, rendezvous_score
+from ..duties.runner import ResultCallback, TaskRunner
+from ..members.actions import MemberChange
+from ..members.config import MembershipConfig
+from ..members.messages import UserEvent
+from .member_network import Net, Node
+
+CHECK_LATENCY_MS = 1.0
+CHECK_KIND = "load"
+MAX_FINDING_AGE_MS = 3_000.0
+RESUME_DELAY_MS = 0.01  # after a stop, so that what was received meanwhile is handled first
+SEED_COUNT = 2
+
+
+@dataclass(slots=True, frozen=True)
+class SentCheck:
+    """A health check, by whom, and of which server."""
+
+    at_ms: float
+    sender: str
+    server: str
+
+
+class SimulatedPeers:
+    """A node's members as `TaskRunner` sees them, as `MembershipTransport` is on sockets."""
+
+    def __init__(self, node: Node) -> None:
+        self.node, self.core = node, node.core
+        self.on_member_change: Callable[[MemberChange, str], None] = lambda change, name: None
+        self.on_event: Callable[[UserEvent], None] = lambda event: None
+
+    def publish_event(self, event: UserEvent) -> None:
+        """Spreads a claim or a finding to all members."""
+        self.core.publish_event(event)
+
+
+class VirtualScheduler:
+    """A node's own sweeps: they stand still while it does, and end with it."""
+
+    def __init__(self, network: TaskNetwork, node: Node) -> None:
+        self.network, self.node = network, node
+
+    def add(self, when_ms: float, call: Callable[[], None]) -> None:
+        """Calls `call` at a time on the node's clock."""
+        wait_ms = max(0.0, when_ms - (self.network.now + self.node.clock_off))
+        self.network.after(wait_ms, lambda: self._run(call))
+
+    def _run(self, call: Callable[[], None]) -> None:
+        if not self.node.up:
+            return
+        if self.network.now < self.node.stopped_until:
+            wait_ms = self.node.stopped_until - self.network.now + RESUME_DELAY_MS
+            self.network.after(wait_ms, lambda: self._run(call))
+        else:
+            call()
+
+
+class SharedRanks:
+    """The nodes' rendezvous hash, computed once for all of them; all members weigh the same.
+
+    A thousand nodes would each hash millions of pairs. The highest `cached_count` ranks of each task are
+    cached; where none of them is among the members asked for, the hash is computed anew.
+    """
+
+    def __init__(self, names: Iterable[str], cached_count: int = 24) -> None:
+        self.names, self.cached_count = list(names), cached_count
+        self._highest: dict[str, list[Rank]] = {}
+
+    def best_rank(self, task: str, members: Mapping[str, float]) -> Rank:
+        """Returns the highest rank among members."""
+        highest = self._highest.get(task)
+        if highest is None:
+            ranks = sorted(
+                (Rank(rendezvous_score(task, name, 1.0), name) for name in self.names), reverse=True
+            )
+            highest = self._highest[task] = ranks[: self.cached_count]
+        for rank in highest:
+            if rank.member in members:
+                return rank
+        return best_rank(task, members)
+
+
+class SimulatedHealthCheck:
+    """A task type of the simulation: every server answers."""
+
+    kind = CHECK_KIND
+
+    def __init__(self, network: TaskNetwork, node: Node) -> None:
+        self.network, self.node, self.interval_ms = network, node, network.interval_ms
+
+    def targets(self) -> Iterable[str]:
+        """Returns the servers."""
+        return self.network.listed
+
+    def perform(self, target: str, on_result: ResultCallback) -> None:
+        """Records a check; its answer is lost if the node dies meanwhile."""
+        self.network.checks.append(SentCheck(self.network.now, self.node.name, target))
+
+        def answer() -> None:
+            if self.node.up:
+                on_result(api.Status.OK, CHECK_LATENCY_MS, None)
+
+        self.network.after(CHECK_LATENCY_MS, answer)
+
+    def record_result(
+        self,
+        target: str,
+        status: api.Status,
+        latency_ms: float,
+        load: dict[str, float] | None,
+        age_ms: float,
+    ) -> None:
+        """Records when the latest finding that the node has was made."""
+        self.network.known_since_ms[self.node.name, target] = self.network.now - age_ms
+
+
+class TaskNetwork(Net):
+    """Nodes with shared tasks; `checks` has every health check in its order."""
+
+    def __init__(
+        self,
+        seed: int,
+        servers: Iterable[str],
+        interval_ms: float = 1_000.0,
+        terms: MembershipConfig | None = None,
+        checks_per_second: float = 0.0,
+    ) -> None:
+        super().__init__(seed, terms)
+        self.servers, self.interval_ms = tuple(servers), interval_ms
+        self.checks_per_second = checks_per_second
+        self.listed = frozenset(self.servers)
+        self.ranks: SharedRanks | None = None
+        self.runners: dict[str, TaskRunner] = {}
+        self.checks: list[SentCheck] = []
+        self.known_since_ms: dict[tuple[str, str], float] = {}  # by node and server: the latest finding
+        self.on_news = lambda node, news: self.runners[node.name].peers.on_event(news)
+        self.on_change = self._on_change
+
+    def _on_change(self, node: Node, change: MemberChange, name: str) -> None:
+        if node.name in self.runners:  # else it is just being made
+            self.runners[node.name].peers.on_member_change(change, name)
+
+    def join(self, name: str, seeds: tuple[str, ...] = ()) -> Node:
+        """Starts a node with shared tasks, or starts it again with nothing known."""
+        if name in self.nodes:
+            self.nodes[name].up = False
+        node = self.start(name, seeds)
+        runner = TaskRunner(
+            SimulatedPeers(node),
+            [SimulatedHealthCheck(self, node)],
+            lambda: self.now + node.clock_off,
+            VirtualScheduler(self, node),
+            Counters(),
+            random.Random(self.random.random()),
+            MAX_FINDING_AGE_MS,
+            self.checks_per_second,
+        )
+        if self.ranks is not None:
+            for shared in runner.shared.values():
+                shared.ownership.best_rank = self.ranks.best_rank
+        self.runners[name] = runner
+        runner.sweep()
+        return node
+
+    def owners(self, server: str) -> list[str]:
+        """Returns the running nodes that own a server's health check."""
+        return [
+            name
+            for name, runner in self.runners.items()
+            if self.nodes[name].up and server in runner.shared[CHECK_KIND].ownership.owned
+        ]
+
+    def is_divided(self) -> bool:
+        """Whether each health check has exactly one owner among the running nodes."""
+        return all(len(self.owners(server)) == 1 for server in self.servers)
+
+    def check_rates(self, since_ms: float) -> list[float]:
+        """Returns the checks per interval of each server since a time, in rising order."""
+        intervals = (self.now - since_ms) / self.interval_ms
+        counts = dict.fromkeys(self.servers, 0)
+        for check in self.checks:
+            if check.at_ms >= since_ms:
+                counts[check.server] += 1
+        return sorted(count / intervals for count in counts.values())
+
+    def longest_gap_ms(self, since_ms: float) -> float:
+        """Returns the longest that any server waited for a check since a time, up to now."""
+        last_ms = dict.fromkeys(self.servers, since_ms)
+        longest_ms = 0.0
+        for check in self.checks:
+            if check.at_ms >= since_ms:
+                longest_ms = max(longest_ms, check.at_ms - last_ms[check.server])
+                last_ms[check.server] = check.at_ms
+        return max([longest_ms, *(self.now - at_ms for at_ms in last_ms.values())])
+
+
+def build_task_network(
+    count: int,
+    seed: int,
+    servers: int = 12,
+    interval_ms: float = 1_000.0,
+    settle_ms: float = 6_000.0,
+    checks_per_second: float = 0.0,
+    terms: MembershipConfig | None = None,
+    have_met: bool = False,
+) -> TaskNetwork:
+    """Builds members m0 to m(count-1), with the first two as seeds, that have divided their servers.
+
+    `have_met`: they know one another from the start, as if a full exchange lay long behind them, and begin
+    with dividing the servers.
+    """
+    names = (f"b{number}" for number in range(servers))
+    network = TaskNetwork(seed, names, interval_ms, terms, checks_per_second)
+    if have_met:
+        network.ranks = SharedRanks(f"m{number}" for number in range(count))
+    for number in range(count):
+        seeds = tuple(f"m{earlier}" for earlier in range(min(number, SEED_COUNT)))
+        network.join(f"m{number}", seeds)
+    if have_met:
+        _introduce(network)
+    network.run(settle_ms)
+    return network
+
+
+def _introduce(network: TaskNetwork) -> None:
+    """Makes all nodes know all others, with no update of it left to send."""
+    updates = [node.core.local for node in network.nodes.values()]
+    for node in network.nodes.values():
+        for update in updates:
+            if update.name != node.name:
+                node.core.gossip.apply(update, network.now)
+        node.core.dissemination.queued_updates.clear()
+        node.core.outbox.take()
+        network.runners[node.name].has_membership_changed = True
--- a/gladewalk/rehearsal/webworld.py
+++ b/gladewalk/rehearsal/webworld.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from ..config.options import options_of, read_tables
-from ..config.platform import read
+from ..config.options import build_options, read_option_tables
+from ..config.platform import read_config
 from ..director import Director
 from ..nginx.table import Site, write_site
 from .peers import Coordinator, Heard, ScriptedPeer, config_for, read_message
@@ -68,9 +68,9 @@
         keys = list(dict.fromkeys(listen.address for s in self.site.servers for listen in s.listens))
         listens = {f"127.0.0.{number + 1}:0": key for number, key in enumerate(keys)}
         front = {"site": "site.toml", "listen": listens, **self.settings}
-        options = options_of(read_tables({"front": {"http": front}}), "t", folder)
+        options = build_options(read_option_tables({"front": {"http": front}}), "t", folder)
         coordinator = await Coordinator().start()
-        config = read(config_for([], coordinator), {})
+        config = read_config(config_for([], coordinator), {})
         self.director = Director(config, asyncio.get_running_loop(), None, options)
         await self.director.start()
         coordinator.stop()
--- a/gladewalk/store/row_codecs.py
+++ b/gladewalk/store/row_codecs.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from .. import interface as api
-from ..config.platform import STATES
+from ..config.platform import ENDPOINT_STATES
 from .key_index import NEVER_EXPIRES
 
 PURGE_SPACE, SERVER_SPACE, FEED_SPACE = "purge", "server", "feed"
@@ -28,7 +28,9 @@
 PURGE_MARGIN_MS = 1_000.0  # purges are remembered so much longer than they take to settle
 MAX_LOCATION_AGE_MS = 30_000.0  # of a remembered holder: one seen before a purge must not outlast it
 SERVER_LIFETIME_MS = 86_400_000.0
-LISTED_STATES = frozenset(name for name, state in STATES.items() if state is not api.ServerState.GONE)
+LISTED_STATES = frozenset(
+    name for name, state in ENDPOINT_STATES.items() if state is not api.ServerState.GONE
+)
 
 
 class ServerRow(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/store/test_persistence.py
+++ b/tests/store/test_persistence.py
@@ -15,8 +15,8 @@
 
 from gladewalk import interface as api
 from gladewalk.cli.commands import gladewalk
-from gladewalk.config.options import Options, options_of, read_tables
-from gladewalk.config.platform import Config, ConfigError, read, read_address
+from gladewalk.config.options import Options, build_options, read_option_tables
+from gladewalk.config.platform import ConfigError, PlatformConfig, read_address, read_config
 from gladewalk.director import Director
 from gladewalk.dns.settings import DnsConfig
 from gladewalk.net.environment import unix_ms
@@ -44,10 +44,10 @@
 
 
 def options_with(folder: Path, **tables: dict[str, Any]) -> Options:
-    return options_of(read_tables(tables), "t.toml", folder)
+    return build_options(read_option_tables(tables), "t.toml", folder)
 
 
-async def start_director(config: Config, options: Options) -> Director:
+async def start_director(config: PlatformConfig, options: Options) -> Director:
     director = Director(config, asyncio.get_running_loop(), None, options)
     await director.start()
     return director
@@ -74,7 +74,7 @@
     peers = await start_peers(3)
     origin = await ScriptedPeer(answer_hit, "o", "origin", "north").start()
     coordinator = await Coordinator().start()
-    config = read(config_for([*peers, origin], coordinator), {})
+    config = read_config(config_for([*peers, origin], coordinator), {})
     first = await start_director(config, options)
     await until(lambda: bool(coordinator.follows))
     peers[0].state = "DRAINING"
@@ -117,7 +117,7 @@
     options = options_with(tmp_path, store={"folder": "s", "resume": True}, control={"socket": "c"})
     peers = await start_peers(4)
     coordinator = await Coordinator().start()
-    config = read(config_for(peers[:3], coordinator), {})
+    config = read_config(config_for(peers[:3], coordinator), {})
     first = await start_director(config, options)
     coordinator.tell_list(peers[0], peers[3], whole=True)  # the others are listed no more
     peers[3].state = "DRAINING"
--- a/tests/test_fault_points.py
+++ b/tests/test_fault_points.py
@@ -10,7 +10,7 @@
 from gladewalk.faultpoints.points import CATALOGUE, Kind, Points, UnlistedPointError
 from gladewalk.faultpoints.scenarios import SCENARIOS
 from gladewalk.faultpoints.sweep import BaselineError, count_passes, sample_passes, sweep
-from gladewalk.leases.fence import Act, Fence
+from gladewalk.leases.fence import Fence, OperationRecord
 from gladewalk.members import gossip_state, suspicion_monitor
 from gladewalk.members.suspicion import SuspicionDecision
 from gladewalk.members.suspicion_monitor import SuspicionMonitor
@@ -84,24 +84,26 @@
 class Open(Fence):
     """A sink that lets every token pass."""
 
-    def offer(self, duty: str, token: int, actor: str, done_ms: float, at_ms: float, **more: Any) -> bool:
-        self.acts.append(Act(duty, token, actor, done_ms, at_ms, True))
+    def admit(
+        self, task: str, token: int, holder: str, performed_at_ms: float, received_at_ms: float, **more: Any
+    ) -> bool:
+        self.records.append(OperationRecord(task, token, holder, performed_at_ms, received_at_ms, True))
         return True
 
 
-def open_sink(world: leaserun.FaultWorld) -> None:
+def open_sink(world: leaserun.FaultPointSimulation) -> None:
     world.fence = Open()
 
 
-def tireless(world: leaserun.FaultWorld) -> None:
+def tireless(world: leaserun.FaultPointSimulation) -> None:
     """Holders that go on acting after a stop without a look at their clock."""
     resume = world.pause
 
-    def pause(name: str, ms: float) -> None:
+    def pause(name: str, duration_ms: float) -> None:
         director = world.directors[name]
-        for held in director.candidate.duties.values():
-            held.until_ms += 2.0 * ms
-        resume(name, ms)
+        for held in director.candidate.leases.values():
+            held.expires_at_ms += 2.0 * duration_ms
+        resume(name, duration_ms)
 
     world.pause = pause  # type: ignore[method-assign]
 
@@ -117,7 +119,7 @@
 
 
 @pytest.mark.parametrize("change", [open_sink, tireless])
-def test_broken_leases_are_found(change: Callable[[leaserun.FaultWorld], None]) -> None:
+def test_broken_leases_are_found(change: Callable[[leaserun.FaultPointSimulation], None]) -> None:
     assert found(lambda points: leaserun.play(points, change), "leases", 12)
 
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -122,7 +122,7 @@
             assert world.director is not None
             director, watch = world.director, world.director.coordinator_watch
             await world.following(1)
-            await until(lambda: director.readiness.synced)
+            await until(lambda: director.readiness.is_synced)
             real, ahead, written = director.endpoint_feed.clock, 0.0, [0]
             director.endpoint_feed.clock = lambda: real() + ahead
             begun = real()
@@ -149,7 +149,7 @@
             coordinator.cut()  # discovery is down
             clients = [await world.client() for _ in range(2 * director.front.connection_limit)]
             await until(lambda: director.counters["coordinator.connects"] >= 3)
-            self.assertLessEqual(director.front.descriptor_count, director.config.sockets)
+            self.assertLessEqual(director.front.descriptor_count, director.config.max_descriptors)
             again = await asyncio.start_server(coordinator._serve, "127.0.0.1", port)
             await until(lambda: len(coordinator.follows) == 2)
             self.assertEqual((await world.ask())[0], 200)
--- a/tests/test_golden_store.py
+++ b/tests/test_golden_store.py
@@ -13,7 +13,7 @@
 
 from gladewalk import interface as api
 from gladewalk.cli.commands import gladewalk
-from gladewalk.config.options import options_of, read_tables
+from gladewalk.config.options import build_options, read_option_tables
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.policy import Dispatcher
@@ -310,8 +310,8 @@
         self.counters = Counters()
 
     def opened(self) -> PersistenceService:
-        tables = read_tables({"store": {"folder": "store", "resume": True, "warm_ms": 0.0}})
-        options = options_of(tables, "own.toml", self.folder)
+        tables = read_option_tables({"store": {"folder": "store", "resume": True, "warm_ms": 0.0}})
+        options = build_options(tables, "own.toml", self.folder)
         return PersistenceService(
             options, SETTLE_MS, lambda: NOW, self.counters, lambda *said: self.said.append([*said]),
             Deadlines(lambda when_ms: None),
