--- a/gladewalk/faultpoints/scenarios.py
+++ b/gladewalk/faultpoints/scenarios.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from . import leaserun, membership_scenario, store_scenario
+from . import lease_scenario, membership_scenario, store_scenario
 from .sweep import Scenario
 
 SCENARIOS: tuple[tuple[str, Scenario], ...] = (
     ("store", store_scenario.play),
-    ("leases", leaserun.play),
+    ("leases", lease_scenario.play),
     ("members", membership_scenario.play),
 )
--- a/tests/test_fault_points.py
+++ b/tests/test_fault_points.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gladewalk.faultpoints import leaserun, membership_scenario, store_scenario
+from gladewalk.faultpoints import lease_scenario, membership_scenario, store_scenario
 from gladewalk.faultpoints.points import CATALOGUE, Kind, Points, UnlistedPointError
 from gladewalk.faultpoints.scenarios import SCENARIOS
 from gladewalk.faultpoints.sweep import BaselineError, count_passes, sample_passes, sweep
@@ -91,11 +91,11 @@
         return True
 
 
-def open_sink(world: leaserun.FaultPointSimulation) -> None:
+def open_sink(world: lease_scenario.FaultPointSimulation) -> None:
     world.fence = Open()
 
 
-def tireless(world: leaserun.FaultPointSimulation) -> None:
+def tireless(world: lease_scenario.FaultPointSimulation) -> None:
     """Holders that go on acting after a stop without a look at their clock."""
     resume = world.pause
 
@@ -119,8 +119,8 @@
 
 
 @pytest.mark.parametrize("change", [open_sink, tireless])
-def test_broken_leases_are_found(change: Callable[[leaserun.FaultPointSimulation], None]) -> None:
-    assert found(lambda points: leaserun.play(points, change), "leases", 12)
+def test_broken_leases_are_found(change: Callable[[lease_scenario.FaultPointSimulation], None]) -> None:
+    assert found(lambda points: lease_scenario.play(points, change), "leases", 12)
 
 
 def test_hasty_verdicts_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
