The store's status in a file of its own, decoded by the command line; fields of its table by the field's names

Cause: the command line read the store's answer by key, and could not import the status without the service. Change: store/status.py with the keys of the protocol by rename; group_commit_ms, max_bytes, snapshot_interval_ms and resumes_feed keep their keys in the file.

--- a/gladewalk/cli/store_commands.py
+++ b/gladewalk/cli/store_commands.py
@@ -9,7 +9,7 @@
 import click
 
 from ..control.queries import Query
-from .common import FOLDER, DirectorQuery, ExitCode, exit_with, fail, queries_director
+from .common import FOLDER, DirectorQuery, ExitCode, decode, exit_with, fail, queries_director
 
 
 @click.group("store")
@@ -27,9 +27,10 @@
 
 
 def _print_store(answer: dict[str, Any]) -> None:
+    from ..store.status import StoreStatus
     from .terminal_output import print_store
 
-    print_store(answer)
+    print_store(decode(answer, StoreStatus))
 
 
 @store_group.command("check")
--- a/gladewalk/cli/terminal_output.py
+++ b/gladewalk/cli/terminal_output.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from ..duties.status import MembershipStatus
     from ..leases.status import PromiseStatus, ServiceStatus
+    from ..store.status import StoreStatus
 
 MEMBER_STYLES = {
     "alive": "green",
@@ -108,26 +109,26 @@
     return f"{holder}, {format_duration(promise.remaining_ms)} left"
 
 
-def print_store(answer: dict[str, Any]) -> None:
+def print_store(status: StoreStatus) -> None:
     """Prints the store's figures, and whether the disk takes no writes."""
     console = Console(highlight=False)
     table = Table(title="store", title_justify="left", show_header=False)
     table.add_column("what")
     table.add_column("figure", justify="right")
     for name, value in (
-        ("acknowledged when", answer["policy"]),
-        ("records written", answer["sequence"]),
-        ("not durable yet", answer["sequence"] - answer["durable"]),
-        ("keys", answer["keys"]),
-        ("bytes on disk", answer["bytes"]),
-        ("segments", answer["segments"]),
-        ("compactions", answer["compactions"]),
-        ("purges in force", len(answer["purges"])),
-        ("feed kept up to event", answer["feed"] or "not kept"),
+        ("acknowledged when", status.policy),
+        ("records written", status.last_sequence),
+        ("not durable yet", status.last_sequence - status.durable_sequence),
+        ("keys", status.key_count),
+        ("bytes on disk", status.size_bytes),
+        ("segments", status.segment_count),
+        ("compactions", status.compaction_count),
+        ("purges in force", len(status.purges)),
+        ("feed kept up to event", status.feed_index or "not kept"),
     ):
         table.add_row(name, str(value))
     console.print(table)
-    if answer["refused_by_disk"]:
+    if status.is_disk_failing:
         text = "the disk refuses: nothing new outlives a restart until it has room"
         console.print(text, style="bold red")
 
--- a/gladewalk/config/option_tables.py
+++ b/gladewalk/config/option_tables.py
@@ -203,25 +203,34 @@
     tls_key: str = ""
 
 
-class StoreOptions(Table, frozen=True):
+class StoreOptions(
+    Table,
+    frozen=True,
+    rename={
+        "group_commit_ms": "group_ms",
+        "max_bytes": "limit_bytes",
+        "snapshot_interval_ms": "warm_ms",
+        "resumes_feed": "resume",
+    },
+):
     """`[store]`: what outlives a restart, and how durably.
 
     Attributes:
         folder: Where the segments are.
         policy: When a write is acknowledged: after its own fsync, after a group's, or at once.
-        group_ms: How long a group waits for further writes.
-        limit_bytes: Size on disk that compaction keeps.
-        warm_ms: Period of the warm-start snapshot; 0: none.
-        resume: Ask the coordinator only for events after the last one stored.
+        group_commit_ms: How long a group waits for further writes.
+        max_bytes: Size on disk that compaction keeps.
+        snapshot_interval_ms: Interval of the warm-start snapshot; 0: none.
+        resumes_feed: Ask the coordinator only for events after the last one stored.
         segment_bytes: Size of a segment.
     """
 
     folder: Annotated[str, Meta(min_length=1)]
     policy: Literal["each", "group", "none"] = "each"
-    group_ms: Annotated[float, Meta(gt=0.0, le=1_000.0)] = 5.0
-    limit_bytes: Annotated[int, Meta(ge=1_048_576, le=2**40)] = 64 * 1024 * 1024
-    warm_ms: Annotated[float, Meta(ge=0.0, le=600_000.0)] = 5_000.0
-    resume: bool = False
+    group_commit_ms: Annotated[float, Meta(gt=0.0, le=1_000.0)] = 5.0
+    max_bytes: Annotated[int, Meta(ge=1_048_576, le=2**40)] = 64 * 1024 * 1024
+    snapshot_interval_ms: Annotated[float, Meta(ge=0.0, le=600_000.0)] = 5_000.0
+    resumes_feed: bool = False
     segment_bytes: Annotated[int, Meta(ge=65_536, le=2**30)] = 1024 * 1024
 
 
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -28,27 +28,13 @@
 from .recovery import DroppedTail
 from .row_codecs import FEED_SPACE, PURGE_SPACE, SERVER_SPACE, FeedPosition, Row
 from .segmented_log import LogConfig, SegmentedLog
+from .status import StoreStatus
 from .writer import LogEvent, StoreWriter
 
 TORN_WRITE_EVENT = "store dropped a cut write"
 MAX_SNAPSHOT_ROW_BYTES = MAX_PAYLOAD_BYTES // 2  # a larger partition is not stored
 
 
-class StoreStatus(msgspec.Struct, frozen=True):
-    """What is stored and how much of it is durable, for the control socket; the field names are its keys."""
-
-    policy: str
-    feed: int
-    durable: int
-    sequence: int
-    keys: int
-    bytes: int
-    segments: int
-    compactions: int
-    refused_by_disk: bool
-    purges: list[str]
-
-
 class PersistenceService:
     """One director's store.
 
@@ -65,19 +51,19 @@
         assert table is not None
         self._settle_ms, self._clock, self._counters, self._deadlines = settle_ms, clock, counters, deadlines
         self._exchange: Exchange | None = None
-        self._snapshot_interval_ms, self._partition = table.warm_ms, -1
-        self._is_resumed, self._position = table.resume, FeedPosition(0)
+        self._snapshot_interval_ms, self._partition = table.snapshot_interval_ms, -1
+        self._is_resumed, self._position = table.resumes_feed, FeedPosition(0)
         self._has_lost_row = False  # the disk rejected a row of the feed, so its position stands still
         path = options.file(table.folder)
         try:
             self.directory = StoreDirectory(path)
-            config = LogConfig(table.segment_bytes, table.limit_bytes)
+            config = LogConfig(table.segment_bytes, table.max_bytes)
             self.log = SegmentedLog(self.directory, clock, config)
         except (StoreFileError, OSError) as error:
             raise ConfigError(f"{options.path}: store.folder: {error}") from error
         for tail in self.log.recovered.dropped:
             log_event(TORN_WRITE_EVENT, _describe(tail))
-        self.writer = StoreWriter(self.log, table.policy, table.group_ms, counters, log_event)
+        self.writer = StoreWriter(self.log, table.policy, table.group_commit_ms, counters, log_event)
 
     def restore(self, feed: EndpointFeed) -> None:
         """Restores what the last run knew into the feed and the policy module, before anything is served."""
@@ -183,14 +169,14 @@
         ]
         status = StoreStatus(
             policy=self.writer.policy,
-            feed=self._position.event_index,
-            durable=log.durable_sequence,
-            sequence=log.index.last_sequence,
-            keys=len(log.index.entries),
-            bytes=log.total_bytes,
-            segments=len(log.segments),
-            compactions=log.compaction_count,
-            refused_by_disk=self.writer.is_failing,
+            feed_index=self._position.event_index,
+            durable_sequence=log.durable_sequence,
+            last_sequence=log.index.last_sequence,
+            key_count=len(log.index.entries),
+            size_bytes=log.total_bytes,
+            segment_count=len(log.segments),
+            compaction_count=log.compaction_count,
+            is_disk_failing=self.writer.is_failing,
             purges=sorted(durable_purges),
         )
         view: dict[str, Any] = msgspec.to_builtins(status)
