--- a/gladewalk/duties/view.py
+++ b/gladewalk/duties/view.py
@@ -1,7 +1,4 @@
-"""What `gladewalk members` shows: this director's view of the members and of who owns which task.
-
-The JSON keys are part of the control protocol.
-"""
+"""What `gladewalk members` shows: this director's view of the members and of who owns which task."""
 
 from __future__ import annotations
 
