--- /dev/null
+++ b/tests/test_golden_rehearsal.py
@@ -0,0 +1,372 @@
+"""What the rehearsal kit and the fault network wrote and played at version 090a370, and do now."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import json
+import os
+import random
+import re
+import subprocess
+import sys
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import pytest
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from h2.events import ConnectionTerminated
+from h2.exceptions import ProtocolError
+
+import gladewalk
+from gladewalk.faultnet import fleet as fleet_module
+from gladewalk.faultnet.causes import causes_of
+from gladewalk.faultnet.fleet import Fleet
+from gladewalk.faultnet.nemesis import effect_of
+from gladewalk.faultnet.relay import Effect
+from gladewalk.faultnet.relay import Path as NetworkPath
+from gladewalk.faultnet.schedule import KINDS, LINKS, Fault, dump, generate, load, pairs_of
+from gladewalk.rehearsal.h2box import Asked, Breaker, H2Box
+from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for, request
+from gladewalk.rehearsal.virtual.hunt import hunt
+from gladewalk.rehearsal.virtual.loop import VirtualLoop, rehearse
+from gladewalk.rehearsal.virtual.play import CLASSES, play
+from gladewalk.rehearsal.virtual.quiet import quiet
+from gladewalk.rehearsal.virtual.scenario import draw
+from gladewalk.rehearsal.virtual.scenario import dump as dump_scenario
+from gladewalk.rehearsal.virtual.scenario import load as load_scenario
+from tests.mutants import all_ready, listing
+
+ROOT = Path(__file__).parent.parent
+GOLDEN = Path(__file__).parent / "golden"
+READY = sorted((ROOT / "scenarios").glob("*.toml"))
+NAMES = ("n0", "n1", "n2", "n3", "n4")
+FINDING_SEED = 1
+SHORT = """
+seconds = 8.0
+[traffic]
+per_s = 30.0
+[[fault]]
+at_s = 2.0
+kind = "surge"
+amount = 2.0
+"""
+SITE = """
+upstream a { server 10.0.0.1:80; }
+server {
+  listen 80;
+  location /a/ { proxy_pass http://a; }
+  location /no { return 403; }
+}
+"""
+ENDS = 4  # lines at the beginning and at the end of a trace
+WALL_TIME = re.compile(r'in [0-9.e-]+ s|"wall_s": [0-9.e-]+')
+
+
+def digest(data: bytes) -> str:
+    return hashlib.sha256(data).hexdigest()
+
+
+# Scenarios as the virtual kit plays them.
+
+
+def play_ready(path: Path) -> dict[str, Any]:
+    """The trace of one scenario with seed 1: its digest, its first and last lines, and the outcomes."""
+    quiet()
+    lines: list[str] = []
+    note = VirtualLoop.note
+
+    def noted(
+        self: VirtualLoop, kind: str, number: int, here: str, there: str, piece: bytes | str = b""
+    ) -> None:
+        note(self, kind, number, here, there, piece)
+        data = piece if isinstance(piece, bytes) else piece.encode()
+        lines.append(f"{self.time():.6f} {kind} {number} {here} {there} {len(data)} {digest(data)[:16]}")
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(VirtualLoop, "note", noted)
+        verdict = play(load_scenario(path, tuple(CLASSES)), 1)
+    report = verdict.report()
+    del report["wall_s"]
+    report["first"], report["last"] = lines[:ENDS], lines[: report["events"]][-ENDS:]
+    return report
+
+
+def play_all_ready() -> dict[str, Any]:
+    with ProcessPoolExecutor(max_workers=4) as pool:
+        return dict(zip((path.name for path in READY), pool.map(play_ready, READY), strict=True))
+
+
+def printed(*words: str) -> list[Any]:
+    """Exit code and output of a command, without how long it took."""
+    done = subprocess.run(
+        [sys.executable, "-m", "gladewalk", *words], cwd=Path(gladewalk.__file__).parent.parent,
+        capture_output=True, text=True, timeout=120, check=False, env={**os.environ, "COLUMNS": "120"},
+    )  # fmt: skip
+    return [done.returncode, WALL_TIME.sub("in TIME", done.stdout + done.stderr)]
+
+
+def commands(folder: Path) -> dict[str, Any]:
+    (folder / "site.conf").write_text(SITE)
+    (folder / "short.toml").write_text(SHORT)
+    short = str(folder / "short.toml")
+    return {
+        "play": printed("play", short, "--seed", "3"),
+        "json": printed("play", short, "--seed", "3", "--json"),
+        "explain": printed("play", short, "--seed", "3", "--explain", f"{100:016x}"),
+        "explain_nobody": printed("play", short, "--seed", "3", "--explain", "nobody"),
+        "rehearse": printed("rehearse", str(folder / "site.conf"), "/a/x", "/no", "/else"),
+        "hunt": printed("hunt", "--first", "5", "--count", "1"),
+    }
+
+
+def findings() -> list[Any]:
+    """What the search finds in a director that ignores drains, and how it shrinks it."""
+    quiet()
+    found = hunt([FINDING_SEED], listing(all_ready))
+    return [[one.seed, one.rule, dump_scenario(one.drawn), dump_scenario(one.shrunk)] for one in found]
+
+
+def drawn() -> list[str]:
+    return [dump_scenario(draw(seed)) for seed in (1, 2, 3)]
+
+
+# Fault schedules, and what they do to paths.
+
+WRITTEN = """
+[[fault]]
+at_ms = 3000
+ms = 2500.5
+kind = "pause"
+who = ["n0"]
+
+[[fault]]
+at_ms = 1000.0
+ms = 500
+kind = "flap"
+who = ["n1", "n2"]
+amount = 80
+"""
+
+
+def plain(value: Any) -> Any:
+    """A value of any class as JSON has it, without the names of its fields."""
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return [plain(getattr(value, field.name)) for field in dataclasses.fields(value)]
+    if isinstance(value, set | frozenset):
+        return sorted(plain(one) for one in value)
+    if isinstance(value, list | tuple):
+        return [plain(one) for one in value]
+    return str(value) if isinstance(value, str) else value
+
+
+def schedules(folder: Path) -> dict[str, Any]:
+    path = folder / "schedule.toml"
+    path.write_text(WRITTEN)
+    faults = [Fault(1_000.0 * n, 700.0, kind, ("n1", "n3"), 0.25) for n, kind in enumerate((*KINDS, *LINKS))]
+    return {
+        "generated": [dump(generate(seed, NAMES, 30_000.0, 8)) for seed in (1, 7)],
+        "generated_links": dump(generate(3, NAMES, 20_000.0, 6, LINKS)),
+        "read": plain(load(path)),
+        "written_again": dump(load(path)),
+        "pairs": [plain(pairs_of(fault, NAMES)) for fault in faults],
+        "effects": [plain(effect_of(fault)) for fault in faults],
+        "expected_failures": plain(causes_of(faults, NAMES, 50_000.0, 300.0)),
+    }
+
+
+def paths() -> dict[str, Any]:
+    """What a path draws out of one seed for each datagram."""
+    rng = random.Random(9)
+    effects = [Effect(loss=0.2), Effect(double=0.3, delay_ms=5.0, jitter_ms=20.0), Effect(delay_ms=1.0)]
+    path = NetworkPath(effects)
+    return {
+        "drops": [path.drops(rng) for _ in range(40)],
+        "copies": [path.copies(rng) for _ in range(40)],
+        "waits": [path.wait_ms(rng) for _ in range(10)],
+        "cut": NetworkPath([*effects, Effect(cut=True)]).drops(rng),
+    }
+
+
+def fleet_options(folder: Path) -> dict[str, Any]:
+    """The files that directors of a fleet are started with; ports counted up, relays not opened."""
+    ports = iter(range(20_001, 21_000))
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(fleet_module, "free_port", lambda: next(ports))
+        fleet = Fleet(folder, NAMES[:3], {}, 5, {"promise_ms": 900.0}, {"period_ms": 200.0}, {"x": {"y": 1}})
+        bare = Fleet(folder, NAMES[:2], {}, 5, None)
+    return {"n1": fleet.options_of("n1", 1.25), "bare": bare.options_of("n0", 1.0)}
+
+
+# Bytes of the stand-in servers, on the virtual loop.
+
+
+async def answer_by_path(heard: Heard) -> None:
+    match heard.path:
+        case "/hit":
+            await heard.answer(200, b"fish" * 20, X_Remark="mem", Made_At="1764576000123")
+        case "/same":
+            await heard.answer(304, Tag="4be0")
+        case "/crowded":
+            await heard.answer(503, X_Shed="1")
+        case "/gone":
+            heard.writer.transport.abort()
+        case _:
+            await heard.answer(404, f"{heard.method} {sorted(heard.headers.items())} {heard.body!r}".encode())
+
+
+async def send_and_read(address: str, data: bytes) -> bytes:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    writer.write_eof()
+    said = b""
+    try:
+        while piece := await reader.read(65_536):
+            said += piece
+    except ConnectionError:
+        said += b"(reset)"
+    writer.close()
+    return said
+
+
+async def http1_bytes(loop: VirtualLoop) -> dict[str, Any]:
+    peer = await ScriptedPeer(answer_by_path, "c7", host="10.2.0.1", boot_ms=5.0).start()
+    asked = [request(path, trace="00ff") for path in ("/hit", "/same", "/crowded", "/else")]
+    asked += [request("/else", "PUT", 1_500.0, b"bid", X_Batch="3"), request("/gone")]
+    said = await send_and_read(peer.address, b"".join(asked))
+    coordinator = await Coordinator().start()
+    config = config_for([peer], coordinator)
+    coordinator.tell(evict={"shard": 3, "unix_ms": 1.5})
+    coordinator.tell_list(peer)
+    follower = await asyncio.open_connection("127.0.0.1", int(coordinator.address.rpartition(":")[2]))
+    follower[1].write(b"FOLLOW 1\n")
+    await asyncio.sleep(1.0)
+    coordinator.tell_list(whole=True)
+    await asyncio.sleep(1.0)
+    coordinator.cut()
+    try:
+        fed = await follower[0].read()
+    except ConnectionError:
+        fed = bytes(follower[0]._buffer)  # type: ignore[attr-defined]
+    return {
+        "asked": [one.decode() for one in asked], "said": said.decode(), "connections": peer.connections,
+        "heard": [[h.method, h.path, h.headers, h.body.decode()] for h in peer.heard],
+        "target": peer.target(), "config": config, "follows": coordinator.follows, "fed": fed.decode(),
+    }  # fmt: skip
+
+
+class Http2Client(asyncio.Protocol):
+    """Sends requests whenever the other side allows, and keeps the bytes that it says."""
+
+    def __init__(self) -> None:
+        self.engine = H2Connection(H2Configuration(client_side=True, header_encoding="utf-8"))
+        self.said, self.over = b"", False
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.engine.initiate_connection()
+        transport.write(self.engine.data_to_send())
+
+    def data_received(self, data: bytes) -> None:
+        self.said += data
+        try:
+            events = self.engine.receive_data(data)
+        except ProtocolError:
+            self.over = True
+            return
+        self.over = self.over or any(isinstance(event, ConnectionTerminated) for event in events)
+        self.transport.write(self.engine.data_to_send())
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.over = True
+
+    def ask(self, ticket: str, path: str, body: bytes = b"") -> None:
+        stream = self.engine.get_next_available_stream_id()
+        head = [(":method", "PUT" if body else "GET"), (":path", path), (":scheme", "http"),
+                (":authority", "app.svc"), ("x-ticket", ticket)]  # fmt: skip
+        self.engine.send_headers(stream, head, end_stream=not body)
+        if body:
+            self.engine.send_data(stream, body, end_stream=True)
+        self.transport.write(self.engine.data_to_send())
+
+
+def answer_http2(asked: Asked) -> None:
+    match asked.path:
+        case "/hit":
+            asked.answer(200, b"fish" * 9_000, tag="77")
+        case "/same":
+            asked.answer(304)
+        case "/reset":
+            asked.reset(8)
+        case "/go":
+            asked.line.goaway(asked.line.highest_run)
+            asked.answer(503, run=False, x_shed="1")
+        case "/settings":
+            asked.line.settings(max_concurrent_streams=7)
+            asked.answer(200, asked.body)
+        case _:
+            asked.head(404, 2)
+            asked.line.send(asked, b"no", True)
+
+
+async def http2_bytes(loop: VirtualLoop) -> dict[str, Any]:
+    box = await H2Box(answer_http2, "c8", host="10.2.0.2", limit=9).start()
+    host, _, port = box.address.rpartition(":")
+    _, client = await loop.create_connection(Http2Client, host, int(port))
+    assert isinstance(client, Http2Client)
+    await asyncio.sleep(1.0)
+    for number, path in enumerate(("/hit", "/same", "/reset", "/settings", "/else", "/go")):
+        client.ask(f"t{number}", path, b"bid" if path == "/settings" else b"")
+        await asyncio.sleep(1.0)
+    box.stop()
+    await asyncio.sleep(1.0)
+    return {
+        "said": [len(client.said), digest(client.said), client.said[:100].hex()], "target": box.target(),
+        "ran": box.times_run(), "heard": [[a.method, a.path, a.ticket, a.body.decode()] for a in box.heard],
+        "counts": [box.connections, box.held_most, box.open_most, box.over_limit, box.resets_heard],
+        "breaches": box.breaches,
+    }  # fmt: skip
+
+
+async def broken_bytes(loop: VirtualLoop) -> dict[str, Any]:
+    """A box that breaks connections by its seed; the client takes a new one whenever its own is over."""
+    breaker = Breaker(4, 0.4)
+    box = await H2Box(breaker, "c9", host="10.2.0.3").start()
+    host, _, port = box.address.rpartition(":")
+    client, said = Http2Client(), hashlib.sha256()
+    client.over = True
+    for number in range(120):
+        if client.over:
+            said.update(client.said)
+            client = Http2Client()
+            await loop.create_connection(lambda client=client: client, host, int(port))  # type: ignore[misc]
+            await asyncio.sleep(0.01)
+        with contextlib.suppress(ProtocolError):  # no stream is to be had now
+            client.ask(f"t{number}", "/a", b"bid" if number % 3 == 0 else b"")
+        await asyncio.sleep(0.003)
+    await asyncio.sleep(1.0)
+    said.update(client.said)
+    return {"said": said.hexdigest(), "met": breaker.met, "shed": breaker.shed, "ran": box.times_run(),
+            "connections": box.connections, "resets": box.resets_heard}  # fmt: skip
+
+
+def servers() -> dict[str, Any]:
+    return {work.__name__: rehearse(1, work)[0] for work in (http1_bytes, http2_bytes, broken_bytes)}
+
+
+CAPTURES: dict[str, Callable[[Path], Any]] = {
+    "ready": lambda folder: play_all_ready(), "commands": commands,
+    "findings": lambda folder: findings(), "drawn": lambda folder: drawn(), "schedules": schedules,
+    "paths": lambda folder: paths(), "fleet": fleet_options, "servers": lambda folder: servers(),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("part", CAPTURES)
+def test_what_was_written_and_played_is_written_and_played_alike(part: str, tmp_path: Path) -> None:
+    golden = json.loads((GOLDEN / "rehearsal.json").read_text(encoding="utf-8"))
+    now = json.loads(json.dumps(CAPTURES[part](tmp_path)))
+    assert now == golden[part]
