--- a/gladewalk/cli/store_commands.py
+++ b/gladewalk/cli/store_commands.py
@@ -36,19 +36,19 @@
 @click.argument("folder", type=FOLDER)
 def store_check(folder: Path) -> None:
     """Tell what each file holds. Exit code 1: a write was cut; 2: damaged."""
-    from ..store.tools import check
+    from ..store.maintenance import check_store
 
-    _maintain(lambda: check(folder, click.echo))
+    _maintain(lambda: check_store(folder, click.echo))
 
 
 @store_group.command("dump")
 @click.argument("folder", type=FOLDER)
 def store_dump(folder: Path) -> None:
     """Print every key as one JSON object a line."""
-    from ..store.tools import dump
+    from ..store.maintenance import dump_store
 
     def print_lines() -> int:
-        for line in dump(folder):
+        for line in dump_store(folder):
             click.echo(line)
         return ExitCode.DONE
 
@@ -59,9 +59,9 @@
 @click.argument("folder", type=FOLDER)
 def store_compact(folder: Path) -> None:
     """Write all that counts into one segment."""
-    from ..store.tools import compact
+    from ..store.maintenance import compact_store
 
-    _maintain(lambda: compact(folder, click.echo))
+    _maintain(lambda: compact_store(folder, click.echo))
 
 
 @store_group.command("repair")
@@ -71,17 +71,17 @@
 )
 def store_repair(folder: Path, accept_loss: bool) -> None:
     """Tell what a damaged store has lost and what is left of it."""
-    from ..store.tools import repair
+    from ..store.maintenance import repair_store
 
-    _maintain(lambda: repair(folder, accept_loss, click.echo))
+    _maintain(lambda: repair_store(folder, accept_loss, click.echo))
 
 
 def _maintain(operation: Callable[[], int]) -> None:
     """Exits with an operation's code; what a store does not allow is one line and exit code 2."""
-    from ..store.frames import Fault
+    from ..store.errors import StoreFileError
 
     try:
         exit_code = operation()
-    except (Fault, OSError) as error:
+    except (StoreFileError, OSError) as error:
         fail(error)
     exit_with(exit_code)
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -108,20 +108,20 @@
             name, options, self.exchange, self.caches, deadlines, counters
         )
         self.web = parts.build_web(options, config, clock, deadlines, counters, self._log_module_line)
-        self.keeper = parts.build_store(
+        self.persistence = parts.build_store(
             options, purge_settle_ms, clock, counters, self._log_store_event, deadlines
         )
-        self.leases = parts.build_leases(name, options, self.keeper, clock, deadlines, counters)
-        self.control = parts.build_control(options, counters, self.duties, self.keeper, self.leases)
+        self.leases = parts.build_leases(name, options, self.persistence, clock, deadlines, counters)
+        self.control = parts.build_control(options, counters, self.duties, self.persistence, self.leases)
 
     # Start and run.
 
     async def start(self) -> None:
         """Restores stored state, begins to follow the coordinator, and opens all listeners."""
         self.endpoint_feed.load_initial(self.config.initial_event_index, self.config.initial_events)
-        if self.keeper is not None:
-            self.keeper.restore(self.endpoint_feed)
-            self.keeper.start(self.endpoint_feed)
+        if self.persistence is not None:
+            self.persistence.restore(self.endpoint_feed)
+            self.persistence.start(self.endpoint_feed)
         self.coordinator_watch.on_synced = self._on_synced
         self.exchange.hold_requests()
         self.deadlines.add(self.clock() + self.max_sync_wait_ms, self._on_synced)
@@ -159,8 +159,8 @@
         self.log.info("serving", servers=len(self.caches.upstreams), **self._listen_addresses())
         await self._ended
         signals.block()  # the loop removes its handlers before the process has ended
-        if self.keeper is not None:
-            await self.keeper.close()
+        if self.persistence is not None:
+            await self.persistence.close()
         self.report()
 
     def _listen_addresses(self) -> dict[str, object]:
@@ -278,7 +278,7 @@
     def _end_when_answered(self) -> None:
         """Ends the director once everything is answered; bounded, as every open request has a deadline."""
         has_open_web_requests = self.web is not None and self.web.owed
-        has_open = self.exchange.unanswered_count or self.exchange.open_resolutions or has_open_web_requests
+        has_open = self.exchange.unanswered_count or self.exchange.resolutions.open or has_open_web_requests
         if has_open or (not self.front.is_done() and self.clock() < self._last_answer_ms):
             self.deadlines.add(self.clock() + EXIT_DELAY_MS, self._end_when_answered)
             return
