--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -24,7 +24,7 @@
 from pathlib import Path
 
 from benchmarks.member_traffic import Traffic, TrafficCount, count_simulated
-from gladewalk.faultnet.causes import causes_of
+from gladewalk.faultnet.expected_failures import causes_of
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.membership_cases import CASES, FaultCase
 from gladewalk.faultnet.nemesis import play
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -12,7 +12,7 @@
 import time
 from pathlib import Path
 
-from gladewalk.faultnet.causes import causes_of
+from gladewalk.faultnet.expected_failures import causes_of
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.membership_cases import CASES, FaultCase
 from gladewalk.faultnet.nemesis import play
--- a/tests/test_golden_rehearsal.py
+++ b/tests/test_golden_rehearsal.py
@@ -23,7 +23,7 @@
 
 import gladewalk
 from gladewalk.faultnet import fleet as fleet_module
-from gladewalk.faultnet.causes import causes_of
+from gladewalk.faultnet.expected_failures import causes_of
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.nemesis import effect_of
 from gladewalk.faultnet.relay import Effect
--- a/tests/test_members_busy.py
+++ b/tests/test_members_busy.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from gladewalk.faultnet.causes import causes_of
+from gladewalk.faultnet.expected_failures import causes_of
 from gladewalk.faultnet.membership_cases import CASES
 from gladewalk.members.actions import ProbeOutcome, SendDatagram
 from gladewalk.members.config import MembershipConfig
