--- a/tests/test_golden_rehearsal.py
+++ b/tests/test_golden_rehearsal.py
@@ -198,7 +198,7 @@
         patch.setattr(fleet_module, "free_port", lambda: next(ports))
         fleet = Fleet(folder, NAMES[:3], {}, 5, {"promise_ms": 900.0}, {"period_ms": 200.0}, {"x": {"y": 1}})
         bare = Fleet(folder, NAMES[:2], {}, 5, None)
-    return {"n1": fleet.options_of("n1", 1.25), "bare": bare.options_of("n0", 1.0)}
+    return {"n1": fleet.build_options("n1", 1.25), "bare": bare.build_options("n0", 1.0)}
 
 
 # Bytes of the stand-in servers, on the virtual loop.
--- a/tests/test_members_history.py
+++ b/tests/test_members_history.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from gladewalk.faultnet.causes import causes_of
+from gladewalk.faultnet.expected_failures import causes_of
 from gladewalk.faultnet.membership_cases import CASES, FaultCase
 from gladewalk.members.actions import MemberChange
 from gladewalk.members.config import MembershipConfig
