Name the modules of dns/ by their transport and product

answers.py -> responses.py, datagrams.py -> udp.py, stream.py -> tcp.py, with the import lines that follow; nothing else.

--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -27,14 +27,14 @@
 from ..core.counters import Counters
 from ..core.exchange import Exchange
 from ..policy.dns_placement import DNS_LEASE_MS
-from .answers import HEAD, Answers, Asked, Point, Via
 from .cookies import Shown
-from .datagrams import UdpSocket
 from .edns import read_edns, trusted_subnet
 from .limits import Buckets, network_of
 from .names import Rules
+from .responses import HEAD, Answers, Asked, Point, Via
 from .settings import DnsConfig
-from .stream import Streams
+from .tcp import Streams
+from .udp import UdpSocket
 from .weights import Weights
 from .zone import Found, Kind, Zone, zone_of
 
--- a/gladewalk/dns/stream.py
+++ b/gladewalk/dns/tcp.py
@@ -11,7 +11,7 @@
 from collections import Counter, deque
 from typing import TYPE_CHECKING, cast
 
-from .answers import Via
+from .responses import Via
 
 if TYPE_CHECKING:
     from .front import DnsFront
--- a/gladewalk/dns/datagrams.py
+++ b/gladewalk/dns/udp.py
@@ -12,8 +12,8 @@
 from typing import TYPE_CHECKING
 
 from ..config.platform import Address
-from .answers import Via
 from .limits import TimeShare
+from .responses import Via
 
 if TYPE_CHECKING:
     from .front import DnsFront
--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -21,11 +21,11 @@
 from click.testing import CliRunner
 
 from gladewalk.cli.commands import gladewalk
-from gladewalk.dns.answers import Via
 from gladewalk.dns.conform.suite import Verdict, run_cases, the_cases
 from gladewalk.dns.conform.target import Target
 from gladewalk.dns.cookies import Cookies
 from gladewalk.dns.front import DnsFront, Sender
+from gladewalk.dns.responses import Via
 from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer
 from tests.test_dns import ZONE, front, hit
 
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -16,8 +16,8 @@
 
 from gladewalk import interface as api
 from gladewalk.config.platform import read_config
-from gladewalk.dns.answers import fit
 from gladewalk.dns.names import Routed, Rules, Wanted, labels_of, write_name
+from gladewalk.dns.responses import fit
 from gladewalk.dns.settings import DnsConfig
 from gladewalk.policy.dns_placement import DnsPlacement
 from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, config_for, until
--- a/tests/test_golden_dns.py
+++ b/tests/test_golden_dns.py
@@ -25,11 +25,11 @@
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.core.exchange import Exchange
-from gladewalk.dns.answers import Via
 from gladewalk.dns.conform.report import told_by
 from gladewalk.dns.conform.suite import run_cases, the_cases
 from gladewalk.dns.conform.target import Skipped, Target
 from gladewalk.dns.front import DnsFront
+from gladewalk.dns.responses import Via
 from gladewalk.dns.settings import load_dns
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -22,11 +22,11 @@
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.core.exchange import Exchange
-from gladewalk.dns.answers import Via, fit
 from gladewalk.dns.cookies import OLDEST_S, Cookies, Shown
 from gladewalk.dns.front import DnsFront
 from gladewalk.dns.limits import Buckets, Fate, ResponseLimit, TimeShare, network_of
 from gladewalk.dns.names import Rules, box_name
+from gladewalk.dns.responses import Via, fit
 from gladewalk.dns.settings import DnsConfig, load_dns, load_records
 from gladewalk.dns.weights import Weights
 from gladewalk.dns.zone import Found, Kind, Zone, zone_of
