--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -135,7 +135,7 @@
 
     async def _start_optional_parts(self) -> None:
         if self.dns is not None:
-            self.dns.own_port = self.front.address[1]
+            self.dns.processor.own_port = self.front.address[1]
             await self.dns.listen()
         if self.members is not None and self.duties is not None:
             await self.members.listen()
@@ -228,7 +228,7 @@
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
         if self.dns is not None:
-            self.dns.classes = frozenset(self.exchange.dispatcher.state.classes)
+            self.dns.set_classes(frozenset(self.exchange.dispatcher.state.classes))
         self.coordinator_watch.set_address(config.coordinator)
         last = self.endpoint_feed.last_index
         self.log.info("configuration taken", coordinator=config.coordinator, last=last)
--- a/gladewalk/dns/__init__.py
+++ b/gladewalk/dns/__init__.py
@@ -1,1 +1,1 @@
-"""The second front: DNS-based request routing, decided by the same core as HTTP."""
+"""DNS front: routes clients by DNS answers that the dispatcher decides, as it does HTTP requests."""
--- a/gladewalk/dns/cookies.py
+++ b/gladewalk/dns/cookies.py
@@ -1,8 +1,8 @@
-"""DNS cookies (RFC 7873, with the server's part as RFC 9018 has it): who shows one is where it says it is.
+"""DNS cookies (RFC 7873) with the interoperable server cookie of RFC 9018: proof of a client's address.
 
-    version 1 (1)  reserved (3)  Unix time in s (4)  SipHash-2-4 over client's part, these and its address (8)
+    version 1 (1)  reserved (3)  Unix time in s (4)  SipHash-2-4 over client cookie, these and its address (8)
 
-No I/O. The first key makes, all keys pass: so they are rotated as others are.
+The first key generates, all keys verify, so that keys can be rotated. No I/O.
 """
 
 from __future__ import annotations
@@ -14,54 +14,78 @@
 from siphash24 import siphash24
 
 VERSION = b"\x01\x00\x00\x00"
-OLDEST_S, NEWEST_S = 3_600, 300  # RFC 9018, 4.3: how far a cookie's time may lie back, and ahead
-RENEW_S = 1_800  # and from when on an asker is given a new one
+MAX_AGE_SECONDS, MAX_CLOCK_SKEW_SECONDS = 3_600, 300  # RFC 9018, section 4.3
+RENEW_AFTER_SECONDS = 1_800  # from which age on a client is sent a new cookie
 KEY_BYTES = 16
+SERVER_COOKIE_BYTES = 16
+TIMESTAMP_MODULUS = 2**32
 
 
-class Shown(Enum):
-    NONE = "none"  # no cookie at all
-    CLIENT = "client"  # the client's part alone
-    BAD = "bad"  # a server's part that we never made, or too long ago
-    GOOD = "good"
+class CookieStatus(Enum):
+    """What a query's COOKIE option shows."""
 
+    ABSENT = "none"
+    CLIENT_ONLY = "client"
+    INVALID = "bad"  # a server cookie that was never generated here, or too long ago
+    VALID = "good"
 
-class Cookies:
-    """What one ring of keys makes and takes."""
+
+class ServerCookies:
+    """Generates and verifies server cookies with a ring of keys.
+
+    Raises:
+        ValueError: There is no key, or one of a wrong length.
+    """
 
     def __init__(self, keys: tuple[bytes, ...]) -> None:
         if not keys or any(len(key) != KEY_BYTES for key in keys):
             raise ValueError(f"cookies need keys of {KEY_BYTES} bytes")
         self.keys = keys
 
-    def make(self, client: bytes, address: str, now_s: float) -> bytes:
-        """The server's part for a client's part of 8 bytes."""
-        head = VERSION + (int(now_s) % 2**32).to_bytes(4, "big")
-        return head + self._hash(self.keys[0], client, head, address)
-
-    def judge(self, client: bytes, server: bytes, address: str, now_s: float) -> Shown:
-        if not client:
-            return Shown.NONE
-        if not server:
-            return Shown.CLIENT
-        if len(server) != 16 or server[:1] != VERSION[:1]:
-            return Shown.BAD
-        if not -NEWEST_S <= self._age(server, now_s) <= OLDEST_S:
-            return Shown.BAD
-        made = (self._hash(key, client, server[:8], address) for key in self.keys)
-        return Shown.GOOD if any(hmac.compare_digest(server[8:], one) for one in made) else Shown.BAD
-
-    def answer(self, client: bytes, server: bytes, shown: Shown, address: str, now_s: float) -> bytes:
-        """The server's part to send back: the one that was shown, unless it is bad or grows old."""
-        young = shown is Shown.GOOD and self._age(server, now_s) < RENEW_S
-        return server if young else self.make(client, address, now_s)
-
-    def _age(self, server: bytes, now_s: float) -> int:
-        """Serial number arithmetic (RFC 1982): the time is of 32 bits."""
-        gone = (int(now_s) - int.from_bytes(server[4:8], "big")) % 2**32
-        return gone - 2**32 if gone >= 2**31 else gone
+    def generate(self, client_cookie: bytes, address: str, now_seconds: float) -> bytes:
+        """Returns the server cookie for a client cookie of 8 bytes."""
+        timestamp = (int(now_seconds) % TIMESTAMP_MODULUS).to_bytes(4, "big")
+        header = VERSION + timestamp
+        return header + self._hash(self.keys[0], client_cookie, header, address)
+
+    def verify(
+        self, client_cookie: bytes, server_cookie: bytes, address: str, now_seconds: float
+    ) -> CookieStatus:
+        """Checks the two halves of a cookie that was received from an address."""
+        if not client_cookie:
+            return CookieStatus.ABSENT
+        if not server_cookie:
+            return CookieStatus.CLIENT_ONLY
+        if len(server_cookie) != SERVER_COOKIE_BYTES or server_cookie[:1] != VERSION[:1]:
+            return CookieStatus.INVALID
+        if not -MAX_CLOCK_SKEW_SECONDS <= _age_seconds(server_cookie, now_seconds) <= MAX_AGE_SECONDS:
+            return CookieStatus.INVALID
+        hashes = (self._hash(key, client_cookie, server_cookie[:8], address) for key in self.keys)
+        is_valid = any(hmac.compare_digest(server_cookie[8:], expected) for expected in hashes)
+        return CookieStatus.VALID if is_valid else CookieStatus.INVALID
+
+    def renew(
+        self,
+        client_cookie: bytes,
+        server_cookie: bytes,
+        status: CookieStatus,
+        address: str,
+        now_seconds: float,
+    ) -> bytes:
+        """Returns the server cookie to respond with: the received one, unless it is invalid or too old."""
+        is_recent = (
+            status is CookieStatus.VALID and _age_seconds(server_cookie, now_seconds) < RENEW_AFTER_SECONDS
+        )
+        return server_cookie if is_recent else self.generate(client_cookie, address, now_seconds)
 
     @staticmethod
-    def _hash(key: bytes, client: bytes, head: bytes, address: str) -> bytes:
-        digest: bytes = siphash24(client + head + ipaddress.ip_address(address).packed, key=key).digest()
+    def _hash(key: bytes, client_cookie: bytes, header: bytes, address: str) -> bytes:
+        packed = ipaddress.ip_address(address).packed
+        digest: bytes = siphash24(client_cookie + header + packed, key=key).digest()
         return digest
+
+
+def _age_seconds(server_cookie: bytes, now_seconds: float) -> int:
+    """Returns the age by serial number arithmetic (RFC 1982); negative if the cookie's clock is ahead."""
+    elapsed = (int(now_seconds) - int.from_bytes(server_cookie[4:8], "big")) % TIMESTAMP_MODULUS
+    return elapsed - TIMESTAMP_MODULUS if elapsed >= TIMESTAMP_MODULUS // 2 else elapsed
--- a/gladewalk/dns/edns.py
+++ b/gladewalk/dns/edns.py
@@ -1,9 +1,9 @@
-"""What a question says beside its name: EDNS (RFC 6891) and its options; and what goes back of it. No I/O.
+"""EDNS (RFC 6891): what a query's options ask for, and the options of its response. No I/O.
 
     cookie 10 (RFC 7873)   NSID 3 (RFC 5001)   client subnet 8 (RFC 7871)   keep-alive 11 (RFC 7828)
     padding 12 (RFC 7830)  extended error 15 (RFC 8914)
 
-Whatever else stands there is ignored, as RFC 6891, 6.1.2 asks.
+Other options are ignored, as RFC 6891, section 6.1.2 asks.
 """
 
 from __future__ import annotations
@@ -16,67 +16,100 @@
 import dns.flags
 import dns.message
 
+from ..errors import GladewalkError
 from .settings import Network
 
-KEEPALIVE, PADDING = dns.edns.OptionType(11), dns.edns.OptionType(12)
-PADDED_TO = 468  # bytes of an answer over TLS (RFC 8467, 4.1)
+TCP_KEEPALIVE, PADDING = dns.edns.OptionType.KEEPALIVE, dns.edns.OptionType.PADDING
+PADDING_BLOCK_BYTES = 468  # of a response over TLS (RFC 8467, section 4.1)
+MIN_SERVER_COOKIE_BYTES, MAX_SERVER_COOKIE_BYTES = 8, 32  # RFC 7873, section 4
+KEEPALIVE_UNIT_MS = 100.0
+MAX_KEEPALIVE_UNITS = 65_535
 
 
-class Malformed(Exception):
-    """An option that its RFC wants to be answered by FORMERR."""
+class MalformedOptionError(GladewalkError):
+    """An option whose RFC requires FORMERR."""
 
 
 @dataclass(slots=True, frozen=True)
-class Edns:
-    """`client` and `server`: the two parts of a cookie."""
-
-    do: bool = False
-    nsid: bool = False
-    subnet: dns.edns.ECSOption | None = None
-    client: bytes = b""
-    server: bytes = b""
-    keepalive: bool = False
-    padding: bool = False
-
-
-def read_edns(query: dns.message.Message) -> Edns:
+class EdnsRequest:
+    """What a query asks for by EDNS; all false or empty without EDNS.
+
+    Attributes:
+        has_do: The DO bit (RFC 3225).
+        wants_nsid: The name server identifier.
+        client_subnet: The network of the resolver's client.
+        client_cookie: The client's half of a cookie.
+        server_cookie: The server's half.
+        wants_keepalive: How long an idle connection stays open.
+        wants_padding: A padded response.
+    """
+
+    has_do: bool = False
+    wants_nsid: bool = False
+    client_subnet: dns.edns.ECSOption | None = None
+    client_cookie: bytes = b""
+    server_cookie: bytes = b""
+    wants_keepalive: bool = False
+    wants_padding: bool = False
+
+
+def read_edns(query: dns.message.Message) -> EdnsRequest:
+    """Reads the options of a query.
+
+    Raises:
+        MalformedOptionError: An option must be answered by FORMERR.
+    """
     if query.edns < 0:
-        return Edns()
+        return EdnsRequest()
     first: dict[int, dns.edns.Option] = {}
     for option in query.options:
-        first.setdefault(int(option.otype), option)  # RFC 7873, 5.2: of several cookies the first counts
-    subnet, cookie = first.get(8), first.get(10)
-    if isinstance(subnet, dns.edns.ECSOption) and subnet.scopelen:
-        raise Malformed("a question's scope is 0 (RFC 7871, 6)")
-    client = server = b""
-    if isinstance(cookie, dns.edns.CookieOption):
-        client, server = cookie.client, cookie.server
-        if server and not 8 <= len(server) <= 32:
-            raise Malformed("a server's cookie has 8 to 32 bytes (RFC 7873, 4)")
-    return Edns(
-        bool(query.ednsflags & dns.flags.DO),
-        3 in first,
-        subnet if isinstance(subnet, dns.edns.ECSOption) else None,
-        client,
-        server,
-        11 in first,
-        12 in first,
+        first.setdefault(
+            int(option.otype), option
+        )  # RFC 7873, section 5.2: of several cookies the first counts
+    client_cookie, server_cookie = _read_cookie(first.get(dns.edns.OptionType.COOKIE))
+    return EdnsRequest(
+        has_do=bool(query.ednsflags & dns.flags.DO),
+        wants_nsid=dns.edns.OptionType.NSID in first,
+        client_subnet=_read_client_subnet(first.get(dns.edns.OptionType.ECS)),
+        client_cookie=client_cookie,
+        server_cookie=server_cookie,
+        wants_keepalive=TCP_KEEPALIVE in first,
+        wants_padding=PADDING in first,
     )
 
 
-def trusted_subnet(edns: Edns, peer: str, trusted: Iterable[Network]) -> dns.edns.ECSOption | None:
-    """A client's network, as far as this resolver may speak for its clients; a /0 tells nothing."""
-    at = ipaddress.ip_address(peer)
-    if edns.subnet is None or not any(at in network for network in trusted):
+def _read_client_subnet(option: dns.edns.Option | None) -> dns.edns.ECSOption | None:
+    if not isinstance(option, dns.edns.ECSOption):
+        return None
+    if option.scopelen:
+        raise MalformedOptionError("a query's scope is 0 (RFC 7871, section 6)")
+    return option
+
+
+def _read_cookie(option: dns.edns.Option | None) -> tuple[bytes, bytes]:
+    if not isinstance(option, dns.edns.CookieOption):
+        return b"", b""
+    if option.server and not MIN_SERVER_COOKIE_BYTES <= len(option.server) <= MAX_SERVER_COOKIE_BYTES:
+        raise MalformedOptionError("a server cookie has 8 to 32 bytes (RFC 7873, section 4)")
+    return option.client, option.server
+
+
+def trusted_subnet(
+    edns: EdnsRequest, client_address: str, trusted: Iterable[Network]
+) -> dns.edns.ECSOption | None:
+    """Returns the client subnet of a query if its resolver is trusted to send one."""
+    address = ipaddress.ip_address(client_address)
+    if edns.client_subnet is None or not any(address in network for network in trusted):
         return None
-    return edns.subnet
+    return edns.client_subnet
 
 
-def subnet_answer(subnet: dns.edns.ECSOption, scope: int) -> dns.edns.ECSOption:
-    """RFC 7871, 7.2.1: family, source and address as asked; the scope says for whom the answer holds."""
-    return dns.edns.ECSOption(subnet.address, subnet.srclen, min(scope, subnet.srclen))
+def subnet_response(subnet: dns.edns.ECSOption) -> dns.edns.ECSOption:
+    """Returns the response's subnet (RFC 7871, section 7.2.1), of scope 0: no answer depends on it."""
+    return dns.edns.ECSOption(subnet.address, subnet.srclen, 0)
 
 
-def keepalive_answer(idle_ms: float) -> dns.edns.Option:
-    """How long a connection may idle, in units of 100 ms."""
-    return dns.edns.GenericOption(KEEPALIVE, min(65_535, int(idle_ms / 100.0)).to_bytes(2, "big"))
+def keepalive_response(idle_timeout_ms: float) -> dns.edns.Option:
+    """Returns the option that tells how long a connection may idle (RFC 7828, section 3.1)."""
+    units = min(MAX_KEEPALIVE_UNITS, int(idle_timeout_ms / KEEPALIVE_UNIT_MS))
+    return dns.edns.GenericOption(TCP_KEEPALIVE, units.to_bytes(2, "big"))
--- a/gladewalk/dns/limits.py
+++ b/gladewalk/dns/limits.py
@@ -1,8 +1,8 @@
-"""Bounds on what askers may cost, by network: budgets of questions, response rate limiting. No I/O.
+"""Bounds on what clients may cost, by network: query budgets and response rate limiting. No I/O.
 
-Response rate limiting (as BIND and NSD have it): like answers to one network are counted, since a forger
-names its victim as the asker. Above the rate answers are dropped; each few of them is sent cut to its head
-instead ("slip"), so that a real asker of that network comes back by TCP, where nobody can forge.
+Response rate limiting (as in BIND and NSD) counts like responses to one network, since a forger names its
+victim as the client. Above the rate responses are dropped; each few of them is sent truncated instead
+("slip"), so that a genuine client of that network returns over TCP, whose addresses cannot be forged.
 """
 
 from __future__ import annotations
@@ -14,89 +14,126 @@
 from enum import Enum
 from functools import lru_cache
 
-KEYS_MOST = 16_384  # networks, or network and answer, that are counted at a time; the longest unseen go first
+MAX_BUCKETS = 16_384  # counted at a time, by network or by network and response; evicted by last use
+NETWORK_BITS_V4, NETWORK_BITS_V6 = 24, 56
 
 
 @lru_cache(4_096)
-def network_of(address: str, v4_bits: int = 24, v6_bits: int = 56) -> str:
-    """The network that an address is counted by: one client can have many addresses of it."""
-    at = ipaddress.ip_address(address)
-    bits = v4_bits if at.version == 4 else v6_bits
-    return str(ipaddress.ip_network((at, bits), strict=False))
+def client_network(address: str, v4_bits: int = NETWORK_BITS_V4, v6_bits: int = NETWORK_BITS_V6) -> str:
+    """Returns the network that an address is counted by: one client can have many addresses of it."""
+    parsed = ipaddress.ip_address(address)
+    bits = v4_bits if parsed.version == 4 else v6_bits
+    return str(ipaddress.ip_network((parsed, bits), strict=False))
 
 
 @dataclass(slots=True)
-class Bucket:
-    left: float
-    at_ms: float
-    refused: int = 0  # since it last gave a token
+class TokenBucket:
+    """The tokens of one key.
 
+    Attributes:
+        tokens: Left at `updated_ms`.
+        updated_ms: When `tokens` was brought up to date.
+        refused_count: Requests refused since it last gave a token.
+    """
 
-class Buckets:
-    """Token buckets by key, each filled at a rate up to a burst; those unseen for longest are forgotten."""
+    tokens: float
+    updated_ms: float
+    refused_count: int = 0
 
-    def __init__(self, per_s: float, burst: float, most: int = KEYS_MOST) -> None:
-        self.per_s, self.burst, self.most = per_s, max(1.0, burst), most
-        self.buckets: OrderedDict[Hashable, Bucket] = OrderedDict()
 
-    def take(self, key: Hashable, now_ms: float) -> bool:
-        """One token; False if there is none."""
-        bucket = self.buckets.get(key)
-        if bucket is None:
-            bucket = self.buckets[key] = Bucket(self.burst, now_ms)
-            if len(self.buckets) > self.most:
-                self.buckets.popitem(last=False)
-        else:
-            self.buckets.move_to_end(key)
-        gone_s = max(0.0, now_ms - bucket.at_ms) / 1_000.0  # a clock that was set back earns nothing
-        bucket.left, bucket.at_ms = min(self.burst, bucket.left + gone_s * self.per_s), now_ms
-        if bucket.left < 1.0:
-            bucket.refused += 1
+class TokenBuckets:
+    """Token buckets by key, each filled at a rate up to a burst; the least recently used are evicted.
+
+    Args:
+        tokens_per_s: The rate.
+        burst: What a bucket holds at most; at least 1.
+        max_buckets: How many keys are counted at a time.
+    """
+
+    def __init__(self, tokens_per_s: float, burst: float, max_buckets: int = MAX_BUCKETS) -> None:
+        self.tokens_per_s, self.burst, self.max_buckets = tokens_per_s, max(1.0, burst), max_buckets
+        self.buckets: OrderedDict[Hashable, TokenBucket] = OrderedDict()
+
+    def try_take(self, key: Hashable, now_ms: float) -> bool:
+        """Takes one token; returns False if there is none."""
+        bucket = self._bucket(key, now_ms)
+        elapsed_s = max(0.0, now_ms - bucket.updated_ms) / 1_000.0  # a clock that was set back earns nothing
+        bucket.tokens = min(self.burst, bucket.tokens + elapsed_s * self.tokens_per_s)
+        bucket.updated_ms = now_ms
+        if bucket.tokens < 1.0:
+            bucket.refused_count += 1
             return False
-        bucket.left, bucket.refused = bucket.left - 1.0, 0
+        bucket.tokens -= 1.0
+        bucket.refused_count = 0
         return True
 
+    def refused_count(self, key: Hashable) -> int:
+        """Returns how many requests of a key were refused since it last got a token."""
+        return self.buckets[key].refused_count
 
-class Fate(Enum):
-    """Of an answer."""
+    def _bucket(self, key: Hashable, now_ms: float) -> TokenBucket:
+        bucket = self.buckets.get(key)
+        if bucket is not None:
+            self.buckets.move_to_end(key)
+            return bucket
+        bucket = self.buckets[key] = TokenBucket(self.burst, now_ms)
+        if len(self.buckets) > self.max_buckets:
+            self.buckets.popitem(last=False)
+        return bucket
+
+
+class RateDecision(Enum):
+    """What response rate limiting does with a response."""
 
     SEND = "send"
-    SLIP = "slip"  # its head alone, cut
+    SLIP = "slip"  # sent truncated
     DROP = "drop"
 
 
-class ResponseLimit:
-    """Like answers to one network: so many a second, with a burst of one second's worth."""
+class ResponseRateLimiter:
+    """Limits like responses to one network to a rate, with a burst of one second's worth.
 
-    def __init__(self, per_s: float, slip: int) -> None:
-        self.buckets, self.slip = Buckets(per_s, per_s), slip
+    Args:
+        responses_per_s: The rate.
+        slip: Each so many of the responses over the rate is sent truncated; 0: none.
+    """
 
-    def judge(self, network: str, what: Hashable, now_ms: float) -> Fate:
-        key = (network, what)
-        if self.buckets.take(key, now_ms):
-            return Fate.SEND
-        count = self.buckets.buckets[key].refused
-        return Fate.SLIP if self.slip and count % self.slip == 0 else Fate.DROP
+    def __init__(self, responses_per_s: float, slip: int) -> None:
+        self._buckets, self._slip = TokenBuckets(responses_per_s, responses_per_s), slip
 
+    def decide(self, network: str, response_key: Hashable, now_ms: float) -> RateDecision:
+        """Counts a response to a network; responses with equal keys are alike."""
+        key = (network, response_key)
+        if self._buckets.try_take(key, now_ms):
+            return RateDecision.SEND
+        is_slipped = self._slip and self._buckets.refused_count(key) % self._slip == 0
+        return RateDecision.SLIP if is_slipped else RateDecision.DROP
 
-class TimeShare:
-    """How much of the loop's time one kind of work may take: a bucket of ms, filled at a share of time.
 
-    Guards against a flood that costs little each and much together: whoever else lives on the loop keeps the
-    rest of it, whatever a question costs on this machine.
-    """
+class LoopTimeBudget:
+    """Bounds the event loop's time that one kind of work may take: a bucket of ms, filled at a fraction.
 
-    def __init__(self, share: float, burst_ms: float = 10.0) -> None:
-        self.share, self.burst_ms = share, burst_ms
-        self.left_ms, self.at_ms = burst_ms, 0.0
+    Guards against a flood of queries that are cheap each: the loop's other work keeps the rest of the time,
+    whatever a query costs on this machine.
 
-    def spend(self, took_ms: float, now_ms: float) -> float:
-        """Note some work that has just ended; for how many ms there may be no more of it."""
-        gone = max(0.0, now_ms - self.at_ms)
-        self.left_ms = min(self.burst_ms, self.left_ms + gone * self.share) - took_ms
-        self.at_ms = now_ms
-        return max(0.0, -self.left_ms / self.share)
+    Args:
+        fraction: Of the loop's time, over 0 and up to 1.
+        burst_ms: What the bucket holds at most.
+    """
 
-    def forgive(self) -> None:
-        """Nobody else wanted that time."""
-        self.left_ms = max(0.0, self.left_ms)
+    def __init__(self, fraction: float, burst_ms: float = 10.0) -> None:
+        self.fraction = fraction
+        self._burst_ms = self._available_ms = burst_ms
+        self._updated_ms = 0.0
+
+    def charge(self, duration_ms: float, now_ms: float) -> float:
+        """Charges work that has just ended; returns for how many ms no more of it may start."""
+        elapsed_ms = max(0.0, now_ms - self._updated_ms)
+        refilled_ms = min(self._burst_ms, self._available_ms + elapsed_ms * self.fraction)
+        self._available_ms = refilled_ms - duration_ms
+        self._updated_ms = now_ms
+        return max(0.0, -self._available_ms / self.fraction)
+
+    def forgive_debt(self) -> None:
+        """Cancels what was overspent, since no other work wanted that time."""
+        self._available_ms = max(0.0, self._available_ms)
--- a/gladewalk/dns/names.py
+++ b/gladewalk/dns/names.py
@@ -1,12 +1,12 @@
-"""The names that the zone has by rule: those that carry a request, and what lies between them and the apex.
+"""Names that a zone has by rule: those that route a request, and the empty ones between them and the apex.
 
     PART.[gGROUP.]OBJECT.CLASS.ZONE        3.g17.7f3a9c21e0b4d655.lot-video.cdn.example.
-    _http._tcp.PART.[gGROUP.]OBJECT.CLASS.ZONE       the same, for SRV
-    b-HEX.ZONE                             the address that the hex digits say, as SRV needs a name for a box
+    _http._tcp.PART.[gGROUP.]OBJECT.CLASS.ZONE       the same, for SRV (RFC 2782)
+    b-HEX.ZONE                             the address that the hex digits spell, as SRV targets need a name
 
-OBJECT is 1 to 16 hex digits, PART a decimal number, GROUP the object's purge group where the asker knows it.
-A name without a group is taken to be in every group that was purged lately. Names between exist and are empty
-(RFC 8020): resolvers that minimise names ask for them first. No I/O.
+OBJECT is 1 to 16 hex digits, PART a decimal number, GROUP the object's purge group if the client knows it.
+A name without a group is assumed to be in every group that was purged lately. The names in between exist and
+are empty (RFC 8020): resolvers that minimise query names (RFC 9156) ask for them first. No I/O.
 """
 
 from __future__ import annotations
@@ -18,17 +18,17 @@
 
 import dns.name
 
-PART = re.compile(rb"[0-9]{1,9}\Z")
-GROUP = re.compile(rb"g([0-9]{1,5})\Z")
-OBJECT = re.compile(rb"[0-9a-f]{1,16}\Z")
-BOX = re.compile(rb"b-([0-9a-f]{8}|[0-9a-f]{32})\Z")
+PART_PATTERN = re.compile(rb"[0-9]{1,9}\Z")
+GROUP_PATTERN = re.compile(rb"g([0-9]{1,5})\Z")
+OBJECT_PATTERN = re.compile(rb"[0-9a-f]{1,16}\Z")
+ADDRESS_PATTERN = re.compile(rb"b-([0-9a-f]{8}|[0-9a-f]{32})\Z")
 
 Labels = tuple[bytes, ...]  # relative to the zone, in lower case, the leftmost first
 
 
 @dataclass(slots=True, frozen=True)
-class Wanted:
-    """What a name asks for."""
+class ObjectName:
+    """The part of an object that a name stands for."""
 
     class_name: str
     key: int
@@ -37,85 +37,106 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Routed:
-    """A name whose address the core decides. `service`: it is asked for by SRV (RFC 2782)."""
+class RoutedName:
+    """A name whose address the dispatcher decides.
 
-    wanted: Wanted
-    service: bool = False
+    Attributes:
+        target: What the name stands for.
+        is_service: The name is the service name that SRV is asked of (RFC 2782).
+    """
+
+    target: ObjectName
+    is_service: bool = False
 
 
 @dataclass(slots=True, frozen=True)
-class Box:
-    """A name for one address."""
+class AddressName:
+    """A name that spells one address."""
 
     address: str
 
 
 @dataclass(slots=True, frozen=True)
-class Own:
-    """Any other name below an open class: the director itself fetches what is asked for there."""
+class DirectorName:
+    """Any other name below an open class: the director itself serves what is asked for there."""
 
 
 @dataclass(slots=True, frozen=True)
-class Empty:
-    """An empty non-terminal: it exists, and has no data."""
+class EmptyNonTerminal:
+    """A name that exists and has no data (RFC 8499, section 7)."""
+
 
+RuleName = RoutedName | AddressName | DirectorName | EmptyNonTerminal
 
-Virtual = Routed | Box | Own | Empty
+
+def _no_address(address: str) -> bool:
+    return False
 
 
 @dataclass(slots=True, frozen=True)
-class Rules:
-    """What the names of a zone depend on."""
+class NamingRules:
+    """What the names of a zone depend on.
+
+    Attributes:
+        classes: Names of the request classes.
+        open_classes: Classes below which any other name is the director itself.
+        is_known_address: Tells whether an address is a server's or the director's.
+    """
 
     classes: frozenset[str]
     open_classes: frozenset[str] = frozenset()
-    is_box: Callable[[str], bool] = lambda address: False  # whether an address is one of ours
+    is_known_address: Callable[[str], bool] = _no_address
 
-    def read(self, labels: Labels) -> Virtual | None:
-        """What a name is by rule; None if by rule there is none."""
+    def classify(self, labels: Labels) -> RuleName | None:
+        """Returns what a name is by rule; None if no rule makes it exist."""
         if labels[:2] == (b"_http", b"_tcp"):
-            inner = self.read(labels[2:])
-            return Routed(inner.wanted, True) if isinstance(inner, Routed) and not inner.service else None
+            inner = self._plain_routed(labels[2:])
+            return RoutedName(inner.target, is_service=True) if inner is not None else None
         if labels[:1] == (b"_tcp",):
-            inner = self.read(labels[1:])
-            return Empty() if isinstance(inner, Routed) and not inner.service else None
-        if len(labels) == 1 and (found := BOX.match(labels[0])):
+            return EmptyNonTerminal() if self._plain_routed(labels[1:]) is not None else None
+        if len(labels) == 1 and (found := ADDRESS_PATTERN.match(labels[0])):
             address = str(ipaddress.ip_address(bytes.fromhex(found[1].decode())))
-            return Box(address) if self.is_box(address) else None
+            return AddressName(address) if self.is_known_address(address) else None
         if not labels or labels[-1].decode("latin-1") not in self.classes:
             return None
-        return self._below_class(labels[:-1], labels[-1].decode("latin-1"))
-
-    def _below_class(self, rest: Labels, class_name: str) -> Virtual | None:
-        if not rest:
-            return Empty()
-        if not OBJECT.match(rest[-1]):
-            return Own() if class_name in self.open_classes else None
-        if len(rest) == 1 or (len(rest) == 2 and GROUP.match(rest[0])):
-            return Empty()
+        return self._classify_below_class(labels[:-1], labels[-1].decode("latin-1"))
+
+    def _plain_routed(self, labels: Labels) -> RoutedName | None:
+        """Returns the routed name that a service name stands above."""
+        inner = self.classify(labels)
+        return inner if isinstance(inner, RoutedName) and not inner.is_service else None
+
+    def _classify_below_class(self, labels: Labels, class_name: str) -> RuleName | None:
+        if not labels:
+            return EmptyNonTerminal()
+        if not OBJECT_PATTERN.match(labels[-1]):
+            return DirectorName() if class_name in self.open_classes else None
+        if len(labels) == 1 or (len(labels) == 2 and GROUP_PATTERN.match(labels[0])):
+            return EmptyNonTerminal()
         group = None
-        if len(rest) == 3:
-            found = GROUP.match(rest[1])
+        if len(labels) == 3:
+            found = GROUP_PATTERN.match(labels[1])
             if found is None:
                 return None
             group = int(found[1])
-        if len(rest) > 3 or not PART.match(rest[0]):
+        if len(labels) > 3 or not PART_PATTERN.match(labels[0]):
             return None
-        return Routed(Wanted(class_name, int(rest[-1], 16), int(rest[0]), group))
+        return RoutedName(ObjectName(class_name, int(labels[-1], 16), int(labels[0]), group))
 
 
-def labels_of(name: dns.name.Name, zone: dns.name.Name) -> Labels:
-    """A name within a zone, relative to it."""
+def relative_labels(name: dns.name.Name, zone: dns.name.Name) -> Labels:
+    """Returns the labels of a name within a zone, relative to the zone and in lower case."""
     return tuple(label.lower() for label in name.relativize(zone).labels)
 
 
-def box_name(address: str, zone: dns.name.Name) -> dns.name.Name:
+def address_name(address: str, zone: dns.name.Name) -> dns.name.Name:
+    """Returns the name in a zone that spells an address."""
     packed = ipaddress.ip_address(address).packed.hex()
     return dns.name.Name((f"b-{packed}".encode(), *zone.labels))
 
 
-def write_name(wanted: Wanted, zone: dns.name.Name) -> dns.name.Name:
-    group = "" if wanted.group is None else f"g{wanted.group}."
-    text = f"{wanted.part}.{group}{wanted.key:016x}.{wanted.class_name}"
+def format_object_name(target: ObjectName, zone: dns.name.Name) -> dns.name.Name:
+    """Returns the name in a zone that routes requests for a part of an object."""
+    group = "" if target.group is None else f"g{target.group}."
+    text = f"{target.part}.{group}{target.key:016x}.{target.class_name}"
     return dns.name.from_text(text, origin=zone)
--- a/gladewalk/dns/responses.py
+++ b/gladewalk/dns/responses.py
@@ -1,12 +1,12 @@
-"""Answers out of what the zone, the core and the limits say, down to the bytes that go out. No I/O.
+"""Response messages from what the zone, the dispatcher and the limits decide, down to their bytes. No I/O.
 
 outside the zones, or not class IN         REFUSED, "not authoritative"
-a transfer (AXFR, IXFR)                    REFUSED, "prohibited": the names below are without end
+a transfer (AXFR, IXFR)                    REFUSED, "prohibited": the zone has names without end
 another opcode                             NOTIMP
 cannot be parsed, not one question         FORMERR
 an EDNS version above 0                    BADVERS
-signed with a key (TSIG)                   NOTAUTH: we have none
-refused by the core, or its time is up     SERVFAIL, "not ready"
+signed with a key (TSIG)                   NOTAUTH: there are no keys
+rejected by the dispatcher, or timed out   SERVFAIL, "not ready"
 """
 
 from __future__ import annotations
@@ -14,7 +14,6 @@
 import ipaddress
 from collections.abc import Sequence
 from dataclasses import dataclass
-from enum import Enum
 
 import dns.edns
 import dns.flags
@@ -24,203 +23,217 @@
 import dns.rdatatype
 import dns.rrset
 
-from .cookies import Shown
-from .edns import PADDED_TO, Edns, keepalive_answer, subnet_answer
-from .limits import Fate, ResponseLimit, network_of
-from .names import box_name
+from .cookies import CookieStatus
+from .edns import PADDING_BLOCK_BYTES, keepalive_response, subnet_response
+from .limits import RateDecision, ResponseRateLimiter, client_network
+from .names import address_name
+from .query import MAX_MESSAGE_BYTES, Query, TransportKind
 from .settings import DnsConfig
-from .zone import Found, Kind, Zone, address_rrsets
+from .zone import LookupResult, LookupStatus, Zone, address_rrsets
 
-UDP_LEAST = 512
-HEAD = 12  # bytes
-
-
-class Via(Enum):
-    UDP = "udp"
-    TCP = "tcp"
-    TLS = "tls"
-
-
-@dataclass(slots=True)
-class Asked:
-    """A question that was understood, and how its answer may leave."""
-
-    query: dns.message.Message
-    edns: Edns
-    shown: Shown
-    peer: str
-    via: Via
-    size: int  # bytes of the question
-    subnet: dns.edns.ECSOption | None = None
-    scope: int = 0
-    why: int | None = None  # an extended error (RFC 8914)
-
-    @property
-    def name(self) -> dns.name.Name:
-        return self.query.question[0].name
-
-    @property
-    def rdtype(self) -> dns.rdatatype.RdataType:
-        return self.query.question[0].rdtype
+MIN_UDP_BYTES = 512  # that every client takes (RFC 1035, section 4.2.1)
+QR_FLAG = 0x8000
+OPCODE_AND_RD_BITS = 0x79  # of the header's third byte
+COUNTS_BYTES = 8
+TC_BIT = 0x02  # of the header's third byte
 
 
 @dataclass(slots=True, frozen=True)
-class Point:
-    """Where the core points: an address and port, by TLS and ALPN where the box speaks so."""
+class ServiceEndpoint:
+    """Where the dispatcher sends a client.
+
+    Attributes:
+        address: IP address.
+        port: TCP port.
+        is_secure: The server speaks TLS there.
+        alpn: Protocols it speaks (RFC 7301).
+    """
 
     address: str
     port: int
-    secure: bool = False
+    is_secure: bool = False
     alpn: tuple[str, ...] = ()
 
 
-class Answers:
+class ResponseBuilder:
+    """Builds responses, and encodes them within the bounds of the settings."""
+
     def __init__(self, config: DnsConfig) -> None:
         self.config = config
-        self.limit = ResponseLimit(config.answers_per_s, config.slip) if config.answers_per_s else None
+        rates = config.rates
+        self._limiter = ResponseRateLimiter(rates.answers_per_s, rates.slip) if rates.answers_per_s else None
 
     # Messages.
 
-    def of_found(self, asked: Asked, found: Found) -> dns.message.Message:
-        """What the zone itself knows."""
-        reply = self._begin(asked.query)
-        if found.kind is Kind.REFERRAL:
-            reply.flags &= ~dns.flags.AA
-        elif found.kind is Kind.NXDOMAIN:
-            reply.set_rcode(dns.rcode.NXDOMAIN)
-        reply.answer, reply.authority = list(found.answer), list(found.authority)
-        reply.additional = list(found.additional)
-        return reply
-
-    def of_box(
-        self, asked: Asked, found: Found, zone: Zone, points: Sequence[Point], ttl_s: int
+    def from_lookup(self, query: Query, result: LookupResult) -> dns.message.Message:
+        """Builds the response to a query that the zone itself answers."""
+        response = self._begin(query.message)
+        if result.status is LookupStatus.REFERRAL:
+            response.flags &= ~dns.flags.AA
+        elif result.status is LookupStatus.NXDOMAIN:
+            response.set_rcode(dns.rcode.NXDOMAIN)
+        response.answer, response.authority = list(result.answer), list(result.authority)
+        response.additional = list(result.additional)
+        return response
+
+    def from_endpoints(
+        self,
+        query: Query,
+        result: LookupResult,
+        zone: Zone,
+        endpoints: Sequence[ServiceEndpoint],
+        ttl_s: int,
     ) -> dns.message.Message:
-        """What the core has decided, for each type that can say it; else no data."""
-        reply = self._begin(asked.query)
-        reply.answer = list(found.answer)
-        match asked.rdtype:
+        """Builds the response with what the dispatcher decided; NODATA if the type cannot express it."""
+        response = self._begin(query.message)
+        response.answer = list(result.answer)
+        owner = result.owner
+        match query.rdtype:
             case dns.rdatatype.SRV:
-                self._service(reply, found.owner, zone, points, ttl_s)
+                _add_srv(response, owner, zone, endpoints, ttl_s)
             case dns.rdatatype.HTTPS:
-                reply.answer += bindings(found.owner, "HTTPS", [p for p in points if p.secure], ttl_s)
+                secure = [endpoint for endpoint in endpoints if endpoint.is_secure]
+                response.answer += service_bindings(owner, "HTTPS", secure, ttl_s)
             case dns.rdatatype.SVCB:
-                reply.answer += bindings(found.owner, "SVCB", points, ttl_s)
+                response.answer += service_bindings(owner, "SVCB", endpoints, ttl_s)
             case dns.rdatatype.A | dns.rdatatype.AAAA:
-                mine = address_rrsets(found.owner, [point.address for point in points], ttl_s)
-                reply.answer += [rrset for rrset in mine if rrset.rdtype == asked.rdtype]
-        if len(reply.answer) == len(found.answer):
-            reply.authority = [zone.soa]
-        return reply
-
-    def _service(
-        self,
-        reply: dns.message.Message,
-        owner: dns.name.Name,
-        zone: Zone,
-        points: Sequence[Point],
-        ttl_s: int,
-    ) -> None:
-        """RFC 2782: a name for each address, whose address goes along."""
-        texts = [f"0 1 {point.port} {box_name(point.address, zone.origin)}" for point in points]
-        reply.answer.append(dns.rrset.from_text(owner, ttl_s, "IN", "SRV", *texts))
-        for address in dict.fromkeys(point.address for point in points):
-            reply.additional += address_rrsets(box_name(address, zone.origin), [address], ttl_s)
-
-    def error(self, query: dns.message.Message, rcode: dns.rcode.Rcode) -> dns.message.Message:
-        reply = self._begin(query)
-        reply.flags &= ~dns.flags.AA
-        reply.set_rcode(rcode)
-        return reply
-
-    def _begin(self, query: dns.message.Message) -> dns.message.Message:
-        reply = dns.message.make_response(query, our_payload=self.config.udp_most)
-        reply.flags |= dns.flags.AA
-        return reply
-
-    @staticmethod
-    def unread(wire: bytes, rcode: dns.rcode.Rcode) -> bytes:
-        """An answer to what was not parsed: its id, opcode and RD, no question."""
-        flags = 0x8000 | (wire[2] & 0x79) << 8 | int(rcode)
-        return wire[:2] + flags.to_bytes(2, "big") + bytes(8)
+                rrsets = address_rrsets(owner, [endpoint.address for endpoint in endpoints], ttl_s)
+                response.answer += [rrset for rrset in rrsets if rrset.rdtype == query.rdtype]
+        if len(response.answer) == len(result.answer):
+            response.authority = [zone.soa]
+        return response
+
+    def error(self, message: dns.message.Message, rcode: dns.rcode.Rcode) -> dns.message.Message:
+        """Builds a response that has a code and no records."""
+        response = self._begin(message)
+        response.flags &= ~dns.flags.AA
+        response.set_rcode(rcode)
+        return response
+
+    def _begin(self, message: dns.message.Message) -> dns.message.Message:
+        response = dns.message.make_response(message, our_payload=self.config.max_udp_bytes)
+        response.flags |= dns.flags.AA
+        return response
 
     # Bytes.
 
-    def options(self, asked: Asked, now_ms: float) -> list[dns.edns.Option]:
-        """What goes back beside the answer: only what was asked for, and nothing without EDNS."""
-        edns = asked.edns
+    def encode(self, query: Query, response: dns.message.Message, now_ms: float) -> bytes | None:
+        """Returns the response's bytes as they may be sent; None if rate limiting drops it."""
+        if query.has_edns:
+            self._set_edns(query, response, now_ms)
+        if query.transport is not TransportKind.UDP:
+            return response.to_wire(max_size=MAX_MESSAGE_BYTES)
+        decision = self._rate_decision(query, response, now_ms)
+        if decision is RateDecision.DROP:
+            return None
+        return self._encode_udp(query, response, decision)
+
+    def _encode_udp(
+        self, query: Query, response: dns.message.Message, decision: RateDecision
+    ) -> bytes:  # fmt: skip
+        client_max_bytes = query.message.payload if query.has_edns else 0
+        max_bytes = max(MIN_UDP_BYTES, min(client_max_bytes, self.config.max_udp_bytes))
+        wire = encode_within(response, max_bytes)
+        max_amplified_bytes = self.config.max_amplification * query.size_bytes
+        is_amplifying = query.cookie_status is not CookieStatus.VALID and len(wire) > max_amplified_bytes
+        if decision is not RateDecision.SLIP and not is_amplifying:
+            return wire
+        if query.edns.client_cookie and self.config.cookies is not None:
+            # RFC 7873, section 5.2.3: the client has its server cookie now, and may come again with it.
+            response.set_rcode(dns.rcode.BADCOOKIE)
+            return encode_header(response, is_truncated=False)
+        return encode_header(response)
+
+    def _set_edns(self, query: Query, response: dns.message.Message, now_ms: float) -> None:
+        rcode = response.rcode()
+        is_padded = query.transport is TransportKind.TLS and query.edns.wants_padding
+        response.use_edns(
+            0,
+            dns.flags.DO if query.edns.has_do else 0,
+            self.config.max_udp_bytes,
+            query.message.payload,
+            self._edns_options(query, now_ms),
+            PADDING_BLOCK_BYTES if is_padded else 0,
+        )
+        response.set_rcode(rcode)  # of 12 bits: the upper ones are in EDNS, which was replaced
+
+    def _edns_options(self, query: Query, now_ms: float) -> list[dns.edns.Option]:
+        """Returns the response's options: only what the query asks for, and an extended error."""
+        edns = query.edns
         options: list[dns.edns.Option] = []
-        if edns.client and self.config.cookies is not None:
-            server = self.config.cookies.answer(
-                edns.client, edns.server, asked.shown, asked.peer, now_ms / 1_000.0
+        if edns.client_cookie and self.config.cookies is not None:
+            server_cookie = self.config.cookies.renew(
+                edns.client_cookie,
+                edns.server_cookie,
+                query.cookie_status,
+                query.client_address,
+                now_ms / 1_000.0,
             )
-            options.append(dns.edns.CookieOption(edns.client, server))
-        if edns.nsid and self.config.nsid:
+            options.append(dns.edns.CookieOption(edns.client_cookie, server_cookie))
+        if edns.wants_nsid and self.config.nsid:
             options.append(dns.edns.NSIDOption(self.config.nsid.encode()))
-        if asked.subnet is not None:
-            options.append(subnet_answer(asked.subnet, asked.scope))
-        if edns.keepalive and asked.via is not Via.UDP:
-            options.append(keepalive_answer(self.config.tcp_idle_ms))
-        if asked.why is not None:
-            options.append(dns.edns.EDEOption(dns.edns.EDECode(asked.why)))
+        if query.trusted_subnet is not None:
+            options.append(subnet_response(query.trusted_subnet))
+        if edns.wants_keepalive and query.transport is not TransportKind.UDP:
+            options.append(keepalive_response(self.config.streams.idle_timeout_ms))
+        if query.extended_error is not None:
+            options.append(dns.edns.EDEOption(query.extended_error))
         return options
 
-    def wire(self, asked: Asked, reply: dns.message.Message, now_ms: float) -> bytes | None:
-        """The answer as it may leave; None: it may not."""
-        if asked.query.edns >= 0:
-            rcode = reply.rcode()
-            reply.use_edns(
-                0,
-                dns.flags.DO if asked.edns.do else 0,
-                self.config.udp_most,
-                asked.query.payload,
-                self.options(asked, now_ms),
-                PADDED_TO if asked.via is Via.TLS and asked.edns.padding else 0,
-            )
-            reply.set_rcode(rcode)  # of 12 bits: its upper part is in EDNS, which was set anew
-        if asked.via is not Via.UDP:
-            return reply.to_wire(max_size=65_535)
-        fate = self._fate(asked, reply, now_ms)
-        if fate is Fate.DROP:
-            return None
-        told = asked.query.payload if asked.query.edns >= 0 else 0
-        wire = fit(reply, max(UDP_LEAST, min(told, self.config.udp_most)))
-        most = self.config.amplification_most * asked.size
-        if fate is Fate.SLIP or (asked.shown is not Shown.GOOD and len(wire) > most):
-            if asked.edns.client and self.config.cookies is not None:  # RFC 7873, 5.2.3: it may show one now
-                reply.set_rcode(dns.rcode.BADCOOKIE)
-                return cut(reply, truncated=False)
-            return cut(reply)
-        return wire
-
-    def _fate(self, asked: Asked, reply: dns.message.Message, now_ms: float) -> Fate:
-        """Like answers are those for one name where it is there, and for one zone where it is not."""
-        if self.limit is None or asked.shown is Shown.GOOD:
-            return Fate.SEND
-        good = reply.rcode() == dns.rcode.NOERROR and reply.answer and reply.question
-        what = reply.question[0].name if good else reply.rcode()
-        return self.limit.judge(network_of(asked.peer), what, now_ms)
-
-
-def fit(reply: dns.message.Message, most: int) -> bytes:
-    """The answer within so many bytes. What is only additional may go without a word (RFC 2181, 9); else its
-    head alone is left, which sends the asker to TCP."""
-    wire = reply.to_wire(max_size=most, prefer_truncation=True)
-    return cut(reply) if wire[2] & 0x02 else wire
-
-
-def cut(reply: dns.message.Message, truncated: bool = True) -> bytes:
-    """The head, the question and EDNS alone."""
-    if truncated:
-        reply.flags |= dns.flags.TC
-    reply.answer, reply.authority, reply.additional = [], [], []
-    return reply.to_wire(max_size=65_535)
-
-
-def bindings(owner: dns.name.Name, kind: str, points: Sequence[Point], ttl_s: int) -> list[dns.rrset.RRset]:
-    """RFC 9460: this very name, at each port, spoken to so; with hints, which save a second question."""
+    def _rate_decision(self, query: Query, response: dns.message.Message, now_ms: float) -> RateDecision:
+        """Counts responses as alike by their name if it has records, otherwise by their code."""
+        if self._limiter is None or query.cookie_status is CookieStatus.VALID:
+            return RateDecision.SEND
+        has_records = response.rcode() == dns.rcode.NOERROR and response.answer and response.question
+        response_key = response.question[0].name if has_records else response.rcode()
+        return self._limiter.decide(client_network(query.client_address), response_key, now_ms)
+
+
+def encode_unparsed_error(wire: bytes, rcode: dns.rcode.Rcode) -> bytes:
+    """Returns the response to a query that was not parsed: its id, opcode and RD, without a question."""
+    flags = QR_FLAG | (wire[2] & OPCODE_AND_RD_BITS) << 8 | int(rcode)
+    return wire[:2] + flags.to_bytes(2, "big") + bytes(COUNTS_BYTES)
+
+
+def encode_within(response: dns.message.Message, max_bytes: int) -> bytes:
+    """Returns the response within a size.
+
+    Additional records are left out without a mark (RFC 2181, section 9). If that is not enough, only the
+    header remains with TC set, which sends the client to TCP.
+    """
+    wire = response.to_wire(max_size=max_bytes, prefer_truncation=True)
+    return encode_header(response) if wire[2] & TC_BIT else wire
+
+
+def encode_header(response: dns.message.Message, is_truncated: bool = True) -> bytes:
+    """Returns the response without its records: header, question and EDNS."""
+    if is_truncated:
+        response.flags |= dns.flags.TC
+    response.answer, response.authority, response.additional = [], [], []
+    return response.to_wire(max_size=MAX_MESSAGE_BYTES)
+
+
+def _add_srv(
+    response: dns.message.Message,
+    owner: dns.name.Name,
+    zone: Zone,
+    endpoints: Sequence[ServiceEndpoint],
+    ttl_s: int,
+) -> None:
+    """Adds SRV records (RFC 2782): each address has a name as its target, whose address is additional."""
+    texts = [f"0 1 {endpoint.port} {address_name(endpoint.address, zone.origin)}" for endpoint in endpoints]
+    response.answer.append(dns.rrset.from_text(owner, ttl_s, "IN", "SRV", *texts))
+    for address in dict.fromkeys(endpoint.address for endpoint in endpoints):
+        response.additional += address_rrsets(address_name(address, zone.origin), [address], ttl_s)
+
+
+def service_bindings(
+    owner: dns.name.Name, rdtype: str, endpoints: Sequence[ServiceEndpoint], ttl_s: int
+) -> list[dns.rrset.RRset]:
+    """Returns SVCB or HTTPS records in service mode (RFC 9460), with address hints that save a query."""
     texts = []
-    for point in points:
-        hint = "ipv6hint" if ipaddress.ip_address(point.address).version == 6 else "ipv4hint"
-        alpn = f"alpn={','.join(point.alpn)} " if point.alpn else ""
-        texts.append(f"1 . {alpn}port={point.port} {hint}={point.address}")
-    return [dns.rrset.from_text(owner, ttl_s, "IN", kind, *texts)] if texts else []
+    for endpoint in endpoints:
+        hint = "ipv6hint" if ipaddress.ip_address(endpoint.address).version == 6 else "ipv4hint"
+        alpn = f"alpn={','.join(endpoint.alpn)} " if endpoint.alpn else ""
+        texts.append(f"1 . {alpn}port={endpoint.port} {hint}={endpoint.address}")
+    return [dns.rrset.from_text(owner, ttl_s, "IN", rdtype, *texts)] if texts else []
--- a/gladewalk/dns/settings.py
+++ b/gladewalk/dns/settings.py
@@ -1,4 +1,4 @@
-"""What the DNS front is told: the table `[dns]`, or a file with the same keys alone, checked and resolved."""
+"""Settings of the DNS front: the table `[dns]`, or a file with the same keys alone, checked and resolved."""
 
 from __future__ import annotations
 
@@ -20,50 +20,166 @@
 from ..config.options import Options
 from ..config.platform import Address, ConfigError, read_address
 from ..config.toml_file import load_toml
-from .cookies import KEY_BYTES, Cookies
+from .cookies import KEY_BYTES, ServerCookies
 
 Network = ipaddress.IPv4Network | ipaddress.IPv6Network
 
+DEFAULT_RECORD_TTL_S = 300  # of records whose line has none
+
+
+@dataclass(slots=True, frozen=True)
+class ZoneRecords:
+    """A set of records of the file `records`, and the zone it belongs to."""
+
+    origin: dns.name.Name
+    rrset: dns.rrset.RRset
+
+
+@dataclass(slots=True, frozen=True)
+class LeaseSettings:
+    """How long resolvers may cache an answer, and what it is assumed to bring.
+
+    Attributes:
+        transfers_per_answer: Concurrent transfers that one answer may bring, of a resolver not known yet.
+        max_transfers_per_answer: Upper bound on what is measured.
+        min_ttl_ms: TTL of answers with a server that is warming up or near its bound.
+        max_ttl_ms: TTL of other answers.
+        is_full_after_restart: A start without a store assumes all lease capacity to be used.
+    """
+
+    transfers_per_answer: float = 1.0
+    max_transfers_per_answer: float = 100.0
+    min_ttl_ms: float = 1_000.0
+    max_ttl_ms: float = 2_000.0
+    is_full_after_restart: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class RateLimits:
+    """Bounds on what clients may ask for; a rate of 0 is no limit.
+
+    Attributes:
+        answers_per_s: Like responses to one network over UDP.
+        slip: Each so many of the responses over that rate is sent truncated; 0: none.
+        network_queries_per_s: Queries of one network.
+        queries_per_s: Queries of all clients.
+        max_loop_fraction: Of the event loop's time that UDP may take.
+    """
+
+    answers_per_s: float = 0.0
+    slip: int = 2
+    network_queries_per_s: float = 0.0
+    queries_per_s: float = 0.0
+    max_loop_fraction: float = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class StreamLimits:
+    """Bounds on connections over TCP and TLS.
+
+    Attributes:
+        max_connections: Open at once.
+        max_connections_per_client: Of them by one client.
+        max_open_queries: Queries of one connection that wait at a time.
+        idle_timeout_ms: After which an idle connection is closed.
+    """
+
+    max_connections: int = 64
+    max_connections_per_client: int = 16
+    max_open_queries: int = 32
+    idle_timeout_ms: float = 10_000.0
+
+
+@dataclass(slots=True, frozen=True)
+class CertificateFiles:
+    """The files that a TLS context was made of."""
+
+    certificate: Path
+    key: Path
+
+
+@dataclass(slots=True, frozen=True)
+class TlsListener:
+    """DNS over TLS (RFC 7858)."""
+
+    address: Address
+    context: ssl.SSLContext
+    files: CertificateFiles | None = None
+
 
 @dataclass(slots=True, frozen=True)
 class DnsConfig:
+    """What the DNS front serves, and where.
+
+    Attributes:
+        listen: Address for UDP and TCP.
+        zone: The zone whose names are routed.
+        own_address: Answered where no server may be named.
+        max_wait_ms: How long a query may wait for its answer.
+        leases: How long answers may be cached, and what they weigh.
+        zones: Further zones, with the same names below them.
+        nameservers: Names of name servers with their addresses as glue; empty: `ns`, at `own_address`.
+        hostmaster: Mailbox of the SOA record.
+        negative_ttl_s: TTL of negative answers (RFC 2308).
+        records: Further records.
+        open_classes: Classes below which any other name is the director itself.
+        nsid: Name server identifier (RFC 5001); empty: none.
+        max_udp_bytes: Of a response over UDP.
+        max_amplification: Size of a UDP response over that of its query, for clients without a cookie.
+        cookies: None if DNS cookies are off.
+        ecs_resolvers: Networks of resolvers whose client subnet (RFC 7871) is believed.
+        rates: Bounds on queries.
+        streams: Bounds on connections.
+        tls: None if DNS over TLS is off.
+    """
+
     listen: Address
     zone: dns.name.Name
-    own_address: str  # answered where the cache box must not be named
-    transfers_per_answer: float  # how many transfers at a time one held answer may bring to a box
-    wait_ms: float  # how long a question may wait for its answer
-    zones: tuple[dns.name.Name, ...] = ()  # more zones, with the same names below them
-    nameservers: Mapping[str, tuple[str, ...]] = field(default_factory=dict)  # with glue; none: `ns`, here
+    own_address: str
+    max_wait_ms: float
+    leases: LeaseSettings = LeaseSettings()
+    zones: tuple[dns.name.Name, ...] = ()
+    nameservers: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
     hostmaster: str = "hostmaster"
     negative_ttl_s: int = 5
-    records: tuple[tuple[dns.name.Name, dns.rrset.RRset], ...] = ()  # each with its zone
+    records: tuple[ZoneRecords, ...] = ()
     open_classes: frozenset[str] = frozenset()
     nsid: str = ""
-    udp_most: int = 1_232
-    amplification_most: float = 10.0
-    cookies: Cookies | None = None
-    answers_per_s: float = 0.0
-    slip: int = 2
-    network_per_s: float = 0.0
-    all_per_s: float = 0.0
-    tcp_most: int = 64
-    tcp_each: int = 16
-    tcp_open: int = 32
-    tcp_idle_ms: float = 10_000.0
-    ecs_from: tuple[Network, ...] = ()
-    tls_listen: Address | None = None
-    tls: ssl.SSLContext | None = None
-    transfers_most: float = 100.0
-    ttl_ms: tuple[float, float] = (1_000.0, 2_000.0)  # least, most
-    assume_worst: bool = False
-    loop_share: float = 1.0
-    certificate: tuple[Path, Path] | None = None  # and its key: what `tls` was made of
+    max_udp_bytes: int = 1_232
+    max_amplification: float = 10.0
+    cookies: ServerCookies | None = None
+    ecs_resolvers: tuple[Network, ...] = ()
+    rates: RateLimits = RateLimits()
+    streams: StreamLimits = StreamLimits()
+    tls: TlsListener | None = None
 
     @property
     def origins(self) -> tuple[dns.name.Name, ...]:
+        """All zones."""
         return (self.zone, *self.zones)
 
 
+def load_dns(path: str, own_host: str) -> DnsConfig | None:
+    """Loads a file that holds the settings of the DNS front alone; None if it turns the front off.
+
+    Raises:
+        ConfigError: The file or a value in it cannot be used.
+    """
+    table = load_toml(path, DnsOptions, syntax_note="")
+    return read_dns(table, own_host, Path(path).parent, path + ": dns")
+
+
+def configured_dns(options: Options, own_host: str) -> DnsConfig | None:
+    """Returns the settings in `[dns]`; None if there is no such table, or it turns the front off.
+
+    Raises:
+        ConfigError: A value cannot be used.
+    """
+    if options.dns is None:
+        return None
+    return read_dns(options.dns, own_host, options.folder, f"{options.path}: dns")
+
+
 def read_dns(table: DnsOptions, own_host: str, folder: Path, where: str) -> DnsConfig | None:
     """Converts `[dns]`; None if it turns the front off.
 
@@ -81,50 +197,26 @@
     with _errors_at(where, "listen"):
         listen = read_address(table.listen)
     zone, zones = _read_zones(table, where)
-    with _errors_at(where, "own_address"):
-        own_address = checked_ip(str(table.own_address or own_host))
-    nameservers = _read_nameservers(table, zone, where)
-    with _errors_at(where, "hostmaster"):
-        dns.name.from_text(table.hostmaster, zone)
-    with _errors_at(where, "ecs_from"):
-        ecs_from = tuple(ipaddress.ip_network(text) for text in table.ecs_from)
-    records = tuple(load_records(folder / table.records, (zone, *zones))) if table.records else ()
-    cookies = read_cookies(folder / table.cookies) if table.cookies else None
-    if table.max_ttl_ms < table.min_ttl_ms:
-        raise ConfigError(f"{where}.ttl_most_ms: less than ttl_least_ms")
-    tls_listen, tls = _read_tls_listener(table, folder, where)
     return DnsConfig(
         listen=listen,
         zone=zone,
-        own_address=own_address,
-        transfers_per_answer=table.transfers_per_answer,
-        wait_ms=table.max_wait_ms,
         zones=zones,
-        nameservers=nameservers,
-        hostmaster=table.hostmaster,
+        own_address=_read_own_address(table, own_host, where),
+        max_wait_ms=table.max_wait_ms,
+        nameservers=_read_nameservers(table, zone, where),
+        hostmaster=_read_hostmaster(table, zone, where),
         negative_ttl_s=table.negative_ttl_s,
-        records=records,
+        ecs_resolvers=_read_ecs_resolvers(table, where),
+        records=tuple(load_records(folder / table.records, (zone, *zones))) if table.records else (),
         open_classes=frozenset(table.open_classes),
         nsid=table.nsid,
-        udp_most=table.max_udp_bytes,
-        amplification_most=table.max_amplification,
-        cookies=cookies,
-        answers_per_s=table.answers_per_s,
-        slip=table.slip,
-        network_per_s=table.network_queries_per_s,
-        all_per_s=table.queries_per_s,
-        tcp_most=table.max_tcp_connections,
-        tcp_each=table.max_tcp_connections_per_client,
-        tcp_open=table.max_tcp_open_queries,
-        tcp_idle_ms=table.tcp_idle_timeout_ms,
-        ecs_from=ecs_from,
-        tls_listen=tls_listen,
-        tls=tls,
-        transfers_most=table.max_transfers_per_answer,
-        ttl_ms=(table.min_ttl_ms, table.max_ttl_ms),
-        assume_worst=table.after_restart == "worst",
-        loop_share=table.max_loop_fraction,
-        certificate=(folder / table.tls_certificate, folder / table.tls_key) if tls else None,
+        max_udp_bytes=table.max_udp_bytes,
+        max_amplification=table.max_amplification,
+        cookies=_load_cookies(folder / table.cookies) if table.cookies else None,
+        leases=_read_leases(table, where),
+        rates=_read_rates(table),
+        streams=_read_streams(table),
+        tls=_read_tls_listener(table, folder, where),
     )
 
 
@@ -147,86 +239,129 @@
     return zone, zones
 
 
+def _read_own_address(table: DnsOptions, own_host: str, where: str) -> str:
+    with _errors_at(where, "own_address"):
+        return _normalized_ip(str(table.own_address or own_host))
+
+
 def _read_nameservers(table: DnsOptions, zone: dns.name.Name, where: str) -> dict[str, tuple[str, ...]]:
     with _errors_at(where, "nameservers"):
-        servers = {name: tuple(map(checked_ip, texts)) for name, texts in table.nameservers.items()}
+        servers = {name: tuple(map(_normalized_ip, texts)) for name, texts in table.nameservers.items()}
         for name in servers:
             dns.name.from_text(name, zone)
     return servers
 
 
-def _read_tls_listener(
-    table: DnsOptions, folder: Path, where: str
-) -> tuple[Address | None, ssl.SSLContext | None]:
-    if not table.tls_listen:
-        return None, None
-    with _errors_at(where, "tls_listen"):
-        address = read_address(table.tls_listen)
-    with _errors_at(where, "tls_certificate"):
-        return address, read_tls(table, folder)
+def _read_hostmaster(table: DnsOptions, zone: dns.name.Name, where: str) -> str:
+    with _errors_at(where, "hostmaster"):
+        dns.name.from_text(table.hostmaster, zone)
+    return table.hostmaster
 
 
-def configured(options: Options, own_host: str) -> DnsConfig | None:
-    """What `[dns]` says; None where there is none, or it is off."""
-    if options.dns is None:
-        return None
-    return read_dns(options.dns, own_host, options.folder, f"{options.path}: dns")
+def _read_ecs_resolvers(table: DnsOptions, where: str) -> tuple[Network, ...]:
+    with _errors_at(where, "ecs_from"):
+        return tuple(ipaddress.ip_network(text) for text in table.ecs_from)
 
 
-def checked_ip(text: str) -> str:
-    return str(ipaddress.ip_address(text))
+def _read_leases(table: DnsOptions, where: str) -> LeaseSettings:
+    if table.max_ttl_ms < table.min_ttl_ms:
+        raise ConfigError(f"{where}.ttl_most_ms: less than ttl_least_ms")
+    return LeaseSettings(
+        transfers_per_answer=table.transfers_per_answer,
+        max_transfers_per_answer=table.max_transfers_per_answer,
+        min_ttl_ms=table.min_ttl_ms,
+        max_ttl_ms=table.max_ttl_ms,
+        is_full_after_restart=table.after_restart == "worst",
+    )
 
 
-def read_cookies(path: Path) -> Cookies:
-    return Cookies(tuple(load_hex_keys(path, "dns.cookies", KEY_BYTES, KEY_BYTES)))
+def _read_rates(table: DnsOptions) -> RateLimits:
+    return RateLimits(
+        answers_per_s=table.answers_per_s,
+        slip=table.slip,
+        network_queries_per_s=table.network_queries_per_s,
+        queries_per_s=table.queries_per_s,
+        max_loop_fraction=table.max_loop_fraction,
+    )
 
 
-def read_tls(table: DnsOptions, folder: Path) -> ssl.SSLContext:
-    """RFC 7858 over TLS 1.2 at least, with its name in ALPN; `ConfigError` for files that can't be used."""
-    if not table.tls_certificate or not table.tls_key:
-        raise ConfigError("is missing, or tls_key is, and tls_listen is set")
+def _read_streams(table: DnsOptions) -> StreamLimits:
+    return StreamLimits(
+        max_connections=table.max_tcp_connections,
+        max_connections_per_client=table.max_tcp_connections_per_client,
+        max_open_queries=table.max_tcp_open_queries,
+        idle_timeout_ms=table.tcp_idle_timeout_ms,
+    )
+
+
+def _read_tls_listener(table: DnsOptions, folder: Path, where: str) -> TlsListener | None:
+    if not table.tls_listen:
+        return None
+    with _errors_at(where, "tls_listen"):
+        address = read_address(table.tls_listen)
+    with _errors_at(where, "tls_certificate"):
+        if not table.tls_certificate or not table.tls_key:
+            raise ConfigError("is missing, or tls_key is, and tls_listen is set")
+        files = CertificateFiles(folder / table.tls_certificate, folder / table.tls_key)
+        return TlsListener(address, _make_tls_context(files), files)
+
+
+def _make_tls_context(files: CertificateFiles) -> ssl.SSLContext:
+    """Makes a context for TLS 1.2 and later with the ALPN token of RFC 7858.
+
+    Raises:
+        ConfigError: The files cannot be used.
+    """
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
     context.options |= ssl.OP_NO_COMPRESSION | ssl.OP_NO_RENEGOTIATION
     context.set_alpn_protocols(["dot"])
     try:
-        context.load_cert_chain(folder / table.tls_certificate, folder / table.tls_key, password="")
-    except (OSError, ValueError) as error:  # SSLError among them
-        why = getattr(error, "strerror", None) or str(error)
-        raise ConfigError(f"cannot be used: {why}") from error
+        load_certificate(context, files)
+    except (OSError, ValueError) as error:  # SSLError is an OSError
+        reason = getattr(error, "strerror", None) or str(error)
+        raise ConfigError(f"cannot be used: {reason}") from error
     return context
 
 
-def load_records(
-    path: Path, origins: tuple[dns.name.Name, ...]
-) -> list[tuple[dns.name.Name, dns.rrset.RRset]]:
-    """A master file (RFC 1035, 5), read once for each zone; its relative names are below that zone.
+def load_certificate(context: ssl.SSLContext, files: CertificateFiles) -> None:
+    """Loads a certificate and its unencrypted key into a context, for its connections from now on."""
+    context.load_cert_chain(files.certificate, files.key, password="")
 
-    The apex has its SOA and NS from the settings. A name that is a CNAME has nothing else (RFC 1034, 3.6.2).
+
+def _normalized_ip(text: str) -> str:
+    return str(ipaddress.ip_address(text))
+
+
+def _load_cookies(path: Path) -> ServerCookies:
+    return ServerCookies(tuple(load_hex_keys(path, "dns.cookies", KEY_BYTES, KEY_BYTES)))
+
+
+def load_records(path: Path, origins: tuple[dns.name.Name, ...]) -> list[ZoneRecords]:
+    """Loads a master file (RFC 1035, section 5) once for each zone; its relative names are below that zone.
+
+    A name with a CNAME has nothing else (RFC 1034, section 3.6.2).
+
+    Raises:
+        ConfigError: The file cannot be read, has a name outside the zone, or an SOA or NS at the apex.
     """
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"{path}: dns.records: {getattr(error, 'strerror', None) or error}") from error
-    found = []
-    for origin in origins:
-        try:
-            # Read below the root: the library drops what is not below its origin without a word.
-            whole = f"$ORIGIN {origin}\n$TTL 300\n{text}"
-            zone = dns.zone.from_text(whole, origin=".", relativize=False, check_origin=False)
-        except (dns.exception.DNSException, ValueError) as error:
-            raise ConfigError(f"{path}: dns.records: {error}") from error
-        for name, rdataset in zone.iterate_rdatasets():
-            rrset = dns.rrset.from_rdata_list(name, rdataset.ttl, list(rdataset))
-            if not rrset.name.is_subdomain(origin):
-                raise ConfigError(f"{path}: dns.records: {rrset.name} is not below {origin}")
-            if rrset.name == origin and rrset.rdtype in (dns.rdatatype.SOA, dns.rdatatype.NS):
-                raise ConfigError(f"{path}: dns.records: the apex has its SOA and NS from the settings")
-            found.append((origin, rrset))
-    return found
+    return [record for origin in origins for record in _parse_records(text, origin, path)]
 
 
-def load_dns(path: str, own_host: str) -> DnsConfig | None:
-    """The settings of a file that holds those of the DNS front alone."""
-    table = load_toml(path, DnsOptions, syntax_note="")
-    return read_dns(table, own_host, Path(path).parent, path + ": dns")
+def _parse_records(text: str, origin: dns.name.Name, path: Path) -> Iterator[ZoneRecords]:
+    try:
+        # Read below the root: the library silently drops what is not below its origin.
+        whole = f"$ORIGIN {origin}\n$TTL {DEFAULT_RECORD_TTL_S}\n{text}"
+        zone = dns.zone.from_text(whole, origin=".", relativize=False, check_origin=False)
+    except (dns.exception.DNSException, ValueError) as error:
+        raise ConfigError(f"{path}: dns.records: {error}") from error
+    for name, rdataset in zone.iterate_rdatasets():
+        if not name.is_subdomain(origin):
+            raise ConfigError(f"{path}: dns.records: {name} is not below {origin}")
+        if name == origin and rdataset.rdtype in (dns.rdatatype.SOA, dns.rdatatype.NS):
+            raise ConfigError(f"{path}: dns.records: the apex has its SOA and NS from the settings")
+        yield ZoneRecords(origin, dns.rrset.from_rdata_list(name, rdataset.ttl, list(rdataset)))
--- a/gladewalk/dns/tcp.py
+++ b/gladewalk/dns/tcp.py
@@ -1,172 +1,228 @@
-"""DNS over TCP (RFC 7766) and TLS (RFC 7858): messages with their length before them.
+"""DNS over TCP (RFC 7766) and TLS (RFC 7858): messages, each after its length.
 
-Questions of one connection are worked on side by side, and answered as their answers come (7766, 6.2.1.1 and
-7). While a connection's client does not read, nothing is decided for it: what is decided then would grow old
-behind a slow reader, past a drain or a purge. A question whose answer comes in such a time is asked anew.
+Queries of one connection are processed concurrently, and answered in the order of their answers (RFC 7766,
+sections 6.2.1.1 and 7). While a connection's client does not read, nothing is decided for it: such a decision
+would grow old behind a slow reader, past a drain or a purge. A query whose response comes in such a time is
+processed again.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections import Counter, deque
-from typing import TYPE_CHECKING, cast
-
-from .responses import Via
-
-if TYPE_CHECKING:
-    from .front import DnsFront
-
-
-class Streams:
-    """All connections of a front, within the bounds of its settings."""
-
-    def __init__(self, front: DnsFront) -> None:
-        self.front = front
-        self.connections: set[Connection] = set()
-        self.by_client: Counter[str] = Counter()
-
-    def connection(self, via: Via) -> Connection:
-        return Connection(self, via)
-
-    def enter(self, connection: Connection) -> bool:
-        config, counters = self.front.config, self.front.counters
-        self.connections.add(connection)
-        self.by_client[connection.peer] += 1
-        if len(self.connections) > config.tcp_most:
-            counters.add("dns.tcp_turned_away")
-        elif self.by_client[connection.peer] > config.tcp_each:
-            counters.add("dns.tcp_turned_away_client")
+from collections.abc import Callable
+from typing import cast
+
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from .query import QueryHandler, TransportKind
+from .settings import StreamLimits
+
+LENGTH_BYTES = 2  # before each message (RFC 1035, section 4.2.2)
+MIN_IDLE_CHECK_MS = 10.0
+
+
+class StreamConnections:
+    """All TCP and TLS connections of a front, within the limits of its settings.
+
+    Args:
+        handler: What queries are handed to.
+        limits: Bounds on connections; may be replaced at any time.
+        counters: Where connections are counted.
+        clock: Returns the present time in ms.
+        deadlines: Runs the checks for idle connections.
+    """
+
+    def __init__(
+        self,
+        handler: QueryHandler,
+        limits: StreamLimits,
+        counters: Counters,
+        clock: Callable[[], float],
+        deadlines: Deadlines,
+    ) -> None:
+        self.handler, self.limits, self.counters = handler, limits, counters
+        self.clock, self.deadlines = clock, deadlines
+        self._connections: set[StreamConnection] = set()
+        self._count_by_client: Counter[str] = Counter()
+
+    def make_connection(self, transport_kind: TransportKind) -> StreamConnection:
+        """Returns the protocol of a new connection."""
+        return StreamConnection(self, transport_kind)
+
+    def admit(self, connection: StreamConnection) -> bool:
+        """Adds a connection; returns False if it is over a limit, and must be closed."""
+        self._connections.add(connection)
+        self._count_by_client[connection.client_address] += 1
+        if len(self._connections) > self.limits.max_connections:
+            self.counters.add("dns.tcp_turned_away")
+        elif self._count_by_client[connection.client_address] > self.limits.max_connections_per_client:
+            self.counters.add("dns.tcp_turned_away_client")
         else:
-            counters.add(f"dns.{connection.via.value}_connections")
+            self.counters.add(f"dns.{connection.transport_kind.value}_connections")
             return True
         return False
 
-    def leave(self, connection: Connection) -> None:
-        self.connections.discard(connection)
-        self.by_client[connection.peer] -= 1
-        if not self.by_client[connection.peer]:
-            del self.by_client[connection.peer]
+    def remove(self, connection: StreamConnection) -> None:
+        """Removes a connection that was lost."""
+        self._connections.discard(connection)
+        self._count_by_client[connection.client_address] -= 1
+        if not self._count_by_client[connection.client_address]:
+            del self._count_by_client[connection.client_address]
 
     def close(self) -> None:
-        for connection in list(self.connections):
+        """Aborts all connections."""
+        for connection in list(self._connections):
             connection.close()
 
 
-class Pending:
-    """One question of a connection."""
+class StreamQuery:
+    """The sender of one query of a connection."""
 
-    __slots__ = ("connection", "ended", "wire")
+    __slots__ = ("connection", "is_answered", "wire")
 
-    def __init__(self, connection: Connection, wire: bytes) -> None:
-        self.connection, self.wire, self.ended = connection, wire, False
+    def __init__(self, connection: StreamConnection, wire: bytes) -> None:
+        self.connection, self.wire, self.is_answered = connection, wire, False
 
     @property
-    def peer(self) -> str:
-        return self.connection.peer
+    def client_address(self) -> str:
+        """The client's IP address."""
+        return self.connection.client_address
 
     @property
-    def via(self) -> Via:
-        return self.connection.via
+    def transport(self) -> TransportKind:
+        """How the query came."""
+        return self.connection.transport_kind
 
     def send(self, wire: bytes) -> None:
-        self.connection.answered(self, wire)
+        """Sends the response."""
+        self.connection.on_answer(self, wire)
 
     def drop(self) -> None:
-        self.connection.answered(self, None)
+        """Ends the query without a response."""
+        self.connection.on_answer(self, None)
 
 
-class Connection(asyncio.Protocol):
-    def __init__(self, streams: Streams, via: Via) -> None:
-        self.streams, self.front, self.via = streams, streams.front, via
-        self.rest = b""
-        self.transport: asyncio.Transport | None = None
-        self.waiting: deque[bytes] = deque()  # not looked at yet
-        self.open = 0  # with the core
-        self.full = self.taking = self.ended = False
-        self.peer = ""
-        self.last_ms = 0.0  # when the last whole question came: one that is dribbled does not count
+class StreamConnection(asyncio.Protocol):
+    """One connection over TCP or TLS."""
+
+    def __init__(self, connections: StreamConnections, transport_kind: TransportKind) -> None:
+        self.transport_kind = transport_kind
+        self.client_address = ""
+        self._connections = connections
+        self._transport: asyncio.Transport | None = None
+        self._buffer = b""
+        self._queued: deque[bytes] = deque()  # whole queries that were not handed on yet
+        self._open_count = 0  # queries that were handed on and not answered yet
+        self._is_write_paused = self._is_dispatching = self._is_half_closed = False
+        self._last_query_ms = 0.0  # when the last whole query came; parts of one do not count
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.peer = str(self.transport.get_extra_info("peername")[0])
+        """Admits the connection, or aborts it if it is over a limit."""
+        self._transport = cast(asyncio.Transport, transport)
+        self.client_address = str(self._transport.get_extra_info("peername")[0])
         # Over TLS a limit of 0 would pause for good; its own buffer is what is bounded there.
-        self.transport.set_write_buffer_limits(high=1 if self.via is Via.TLS else 0)
-        if not self.streams.enter(self):
+        self._transport.set_write_buffer_limits(high=1 if self.transport_kind is TransportKind.TLS else 0)
+        if not self._connections.admit(self):
             return self.close()
-        self.last_ms = self.front.exchange.clock()
-        self._watch()
+        self._last_query_ms = self._connections.clock()
+        self._check_idle()
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.transport = None
-        self.waiting.clear()
-        self.streams.leave(self)
+        """Drops what is queued."""
+        self._transport = None
+        self._queued.clear()
+        self._connections.remove(self)
 
     def pause_writing(self) -> None:
-        self.full = True
+        """Stops handing queries on: the client does not read."""
+        self._is_write_paused = True
 
     def resume_writing(self) -> None:
-        self.full = False
-        self._next()
+        """Hands on what was queued meanwhile."""
+        self._is_write_paused = False
+        self._dispatch_queued()
 
     def data_received(self, data: bytes) -> None:
-        self.rest += data
-        while len(self.rest) >= 2 and len(self.rest) >= (end := 2 + int.from_bytes(self.rest[:2], "big")):
-            self.waiting.append(self.rest[2:end])
-            self.rest = self.rest[end:]
-            self.last_ms = self.front.exchange.clock()
-        self._next()
+        """Queues each whole query, and hands on what the limits permit."""
+        self._buffer += data
+        while (wire := self._take_message()) is not None:
+            self._queued.append(wire)
+            self._last_query_ms = self._connections.clock()
+        self._dispatch_queued()
 
     def eof_received(self) -> bool:
-        """Its client has said all: what is owed is written first (RFC 7766, 6.2.4)."""
-        self.ended = True
-        self._end()
+        """Keeps the connection open until all queries are answered (RFC 7766, section 6.2.4)."""
+        self._is_half_closed = True
+        self._close_if_finished()
         return True
 
-    def _end(self) -> None:
-        if self.ended and not self.open and not self.waiting and self.transport is not None:
-            self.transport.close()
-
     def close(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
+        """Aborts the connection."""
+        if self._transport is not None:
+            self._transport.abort()
 
-    def _next(self) -> None:
-        """Ask what waits, as far as the bounds go; beyond them nothing is read."""
-        if self.taking:
+    def on_answer(self, query: StreamQuery, wire: bytes | None) -> None:
+        """Writes a response, or queues its query again if the client does not read; None: no response."""
+        if query.is_answered:
+            return
+        query.is_answered = True
+        self._open_count -= 1
+        if self._transport is None:
             return
-        self.taking = True  # an answer at once comes back here
-        most = self.front.config.tcp_open
-        while self.waiting and self.open < most and not self.full and self.transport is not None:
-            self.open += 1
-            wire = self.waiting.popleft()
-            self.front.receive(wire, Pending(self, wire))
-        self.taking = False
-        if self.transport is not None:
-            if len(self.waiting) > most:
-                self.transport.pause_reading()
-            else:
-                self.transport.resume_reading()
-            self._end()
-
-    def answered(self, pending: Pending, wire: bytes | None) -> None:
-        if pending.ended:
+        if wire is not None and self._is_write_paused:
+            self._queued.appendleft(query.wire)
+        elif wire is not None and not self._transport.is_closing():
+            self._transport.write(len(wire).to_bytes(LENGTH_BYTES, "big") + wire)
+        self._dispatch_queued()
+
+    def _take_message(self) -> bytes | None:
+        """Removes the first whole message from the buffer; None if there is none."""
+        if len(self._buffer) < LENGTH_BYTES:
+            return None
+        end = LENGTH_BYTES + int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
+        if len(self._buffer) < end:
+            return None
+        wire, self._buffer = self._buffer[LENGTH_BYTES:end], self._buffer[end:]
+        return wire
+
+    def _dispatch_queued(self) -> None:
+        """Hands on queued queries as far as the limits permit, and stops reading beyond them."""
+        if self._is_dispatching:  # called by an answer that came at once
             return
-        pending.ended = True
-        self.open -= 1
-        if self.transport is None:
+        self._is_dispatching = True
+        max_open = self._connections.limits.max_open_queries
+        while (
+            self._queued
+            and self._open_count < max_open
+            and not self._is_write_paused
+            and self._transport is not None
+        ):
+            self._open_count += 1
+            wire = self._queued.popleft()
+            self._connections.handler.handle_query(wire, StreamQuery(self, wire))
+        self._is_dispatching = False
+        if self._transport is None:
             return
-        if wire is not None and self.full:
-            self.waiting.appendleft(pending.wire)
-        elif wire is not None and not self.transport.is_closing():
-            self.transport.write(len(wire).to_bytes(2, "big") + wire)
-        self._next()
-
-    def _watch(self) -> None:
-        """Close when nothing whole has come for long, and nothing is owed."""
-        if self.transport is None:
+        if len(self._queued) > max_open:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+        self._close_if_finished()
+
+    def _close_if_finished(self) -> None:
+        is_finished = self._is_half_closed and not self._open_count and not self._queued
+        if is_finished and self._transport is not None:
+            self._transport.close()
+
+    def _check_idle(self) -> None:
+        """Closes the connection if no whole query has come for long and none is open."""
+        if self._transport is None:
             return
-        now, idle = self.front.exchange.clock(), self.front.config.tcp_idle_ms
-        if now - self.last_ms >= idle and (not self.open or self.full):
-            self.front.counters.add("dns.tcp_idle")
+        now_ms, timeout_ms = self._connections.clock(), self._connections.limits.idle_timeout_ms
+        is_idle = now_ms - self._last_query_ms >= timeout_ms
+        if is_idle and (not self._open_count or self._is_write_paused):
+            self._connections.counters.add("dns.tcp_idle")
             return self.close()
-        self.front.exchange.deadlines.add(max(now + 10.0, self.last_ms + idle), self._watch)
+        next_check_ms = max(now_ms + MIN_IDLE_CHECK_MS, self._last_query_ms + timeout_ms)
+        self._connections.deadlines.add(next_check_ms, self._check_idle)
--- a/gladewalk/dns/udp.py
+++ b/gladewalk/dns/udp.py
@@ -1,7 +1,7 @@
-"""DNS over UDP: a socket that is read a question a turn, and not while its share of time is spent.
+"""DNS over UDP: a socket that is read one query a turn of the loop, within a budget of the loop's time.
 
-The share counts while the HTTP front has had requests open lately. What comes meanwhile waits in the kernel's
-buffer, and is dropped there when that is full: a flood then costs the loop nothing.
+The budget applies while the HTTP front has had open requests lately. Queries that come meanwhile wait in the
+kernel's buffer, and are dropped there when it is full: a flood then costs the loop nothing.
 """
 
 from __future__ import annotations
@@ -9,82 +9,115 @@
 import asyncio
 import socket
 import time
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from ..config.platform import Address
-from .limits import TimeShare
-from .responses import Via
+from ..core.counters import Counters
+from .limits import LoopTimeBudget
+from .query import QueryHandler, TransportKind
 
-if TYPE_CHECKING:
-    from .front import DnsFront
+MAX_QUERY_BYTES = 4_096
+HTTP_BUSY_SECONDS = 0.25  # how long after an open request of the HTTP front the budget still applies
 
-DATAGRAM_MOST = 4_096
-BUSY_S = 0.25  # how long after a request of the HTTP front the share still counts
 
+class UdpQuery:
+    """The sender of one query over UDP."""
 
-class Datagram:
-    """One question by UDP."""
+    transport = TransportKind.UDP
 
-    via = Via.UDP
-
-    def __init__(self, sockets: UdpSocket, address: Address) -> None:
-        self.socket, self.address, self.peer = sockets, address, address[0]
+    def __init__(self, listener: UdpListener, address: Address) -> None:
+        self._listener, self._address, self.client_address = listener, address, address[0]
 
     def send(self, wire: bytes) -> None:
-        self.socket.send(wire, self.address)
-
-    def drop(self) -> None: ...
-
-
-class UdpSocket:
-    def __init__(self, front: DnsFront, address: Address) -> None:
-        self.front, self.loop = front, asyncio.get_running_loop()
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.socket = socket.socket(family, socket.SOCK_DGRAM)
-        try:
-            self.socket.setblocking(False)
-            self.socket.bind(address)
-        except OSError:
-            self.socket.close()
-            raise
-        self.share = TimeShare(front.config.loop_share)
-        self.closed, self.busy_until = False, 0.0
-        self.loop.add_reader(self.socket, self._read)
+        """Sends the response."""
+        self._listener.send(wire, self._address)
+
+    def drop(self) -> None:
+        """Ends the query without a response."""
+
+
+class UdpListener:
+    """Reads queries from a UDP socket and sends responses.
+
+    Args:
+        address: Where to listen.
+        handler: What queries are handed to.
+        counters: Where failed sends and pauses are counted.
+        budget: The loop's time that queries may take.
+        has_open_requests: Tells whether the HTTP front has open requests.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        handler: QueryHandler,
+        counters: Counters,
+        budget: LoopTimeBudget,
+        has_open_requests: Callable[[], bool],
+    ) -> None:
+        self._handler, self._counters, self.budget = handler, counters, budget
+        self._has_open_requests = has_open_requests
+        self._loop = asyncio.get_running_loop()
+        self._socket = _bind(address)
+        self._is_closed, self._http_busy_until_s = False, 0.0
+        self._loop.add_reader(self._socket, self._read)
 
     def close(self) -> None:
-        if not self.closed:
-            self.closed = True
-            self.loop.remove_reader(self.socket)
-            self.socket.close()
+        """Stops listening; may be called again."""
+        if not self._is_closed:
+            self._is_closed = True
+            self._loop.remove_reader(self._socket)
+            self._socket.close()
 
     def send(self, wire: bytes, address: Address) -> None:
-        if self.closed:
+        """Sends a datagram; one that cannot be sent is counted and dropped."""
+        if self._is_closed:
             return
         try:
-            self.socket.sendto(wire, address)
-        except OSError:  # its buffer is full, or the asker has gone: nothing is owed by UDP
-            self.front.counters.add("dns.udp_errors")
+            self._socket.sendto(wire, address)
+        except OSError:  # the send buffer is full, or the client has gone
+            self._counters.add("dns.udp_errors")
 
     def _read(self) -> None:
-        began = time.perf_counter()
+        started_s = time.perf_counter()
         try:
-            data, address = self.socket.recvfrom(DATAGRAM_MOST)
+            wire, address = self._socket.recvfrom(MAX_QUERY_BYTES)
         except BlockingIOError:
             return
-        except OSError:  # an answer that could not be delivered is told here
-            return self.front.counters.add("dns.udp_errors")
-        self.front.receive(data, Datagram(self, address))
-        ended = time.perf_counter()
-        rest = self.share.spend((ended - began) * 1_000.0, ended * 1_000.0)
-        if self.front.exchange.unanswered_count:
-            self.busy_until = ended + BUSY_S
-        if rest > 0.0 and ended > self.busy_until:  # nobody else wants the time
-            self.share.forgive()
-        elif rest > 0.0 and not self.closed:
-            self.front.counters.add("dns.rests")
-            self.loop.remove_reader(self.socket)
-            self.loop.call_later(rest / 1_000.0, self._resume)
+        except OSError:  # reports an earlier response that could not be delivered
+            return self._counters.add("dns.udp_errors")
+        self._handler.handle_query(wire, UdpQuery(self, address))
+        self._charge(started_s, time.perf_counter())
+
+    def _charge(self, started_s: float, ended_s: float) -> None:
+        """Charges one query to the budget, and stops reading for a while if it is overspent."""
+        pause_ms = self.budget.charge((ended_s - started_s) * 1_000.0, ended_s * 1_000.0)
+        if self._has_open_requests():
+            self._http_busy_until_s = ended_s + HTTP_BUSY_SECONDS
+        if pause_ms <= 0.0:
+            return
+        if ended_s > self._http_busy_until_s:
+            self.budget.forgive_debt()
+        elif not self._is_closed:
+            self._counters.add("dns.rests")
+            self._loop.remove_reader(self._socket)
+            self._loop.call_later(pause_ms / 1_000.0, self._resume)
 
     def _resume(self) -> None:
-        if not self.closed:
-            self.loop.add_reader(self.socket, self._read)
+        if not self._is_closed:
+            self._loop.add_reader(self._socket, self._read)
+
+
+def _bind(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        bound.setblocking(False)
+        bound.bind(address)
+    except OSError:
+        bound.close()
+        raise
+    return bound
--- a/gladewalk/dns/zone.py
+++ b/gladewalk/dns/zone.py
@@ -1,12 +1,12 @@
-"""A zone as RFC 1034 has it: what a name and a type come to, out of records, cuts, wildcards and our rules.
+"""Zone lookup (RFC 1034): what a name and a type come to, from records, delegations, wildcards and rules.
 
-    4.3.2 of RFC 1034     the steps of a look-up: cuts first, then the name itself, then wildcards
-    RFC 4592              which wildcard speaks for a name: the one below its closest encloser, no other
-    RFC 8020              a name that has anything below it exists: NODATA, not NXDOMAIN
-    RFC 2308              a negative answer carries the SOA, whose own time to live bounds it
-    RFC 4035, 3.1.4.1     DS at a cut is the parent's to answer
+    RFC 1034, section 4.3.2     the steps of a lookup: delegations first, then the name itself, then wildcards
+    RFC 4592                    which wildcard applies: the one below the closest encloser, no other
+    RFC 8020                    a name that has anything below it exists: NODATA, not NXDOMAIN
+    RFC 2308                    a negative answer carries the SOA, whose own TTL bounds it
+    RFC 4035, section 3.1.4.1   DS at a delegation is the parent's to answer
 
-No I/O and no clock: the same question has the same answer until the zone is another.
+No I/O and no clock: the same query has the same answer for as long as the zone is not replaced.
 """
 
 from __future__ import annotations
@@ -21,205 +21,275 @@
 import dns.rdatatype
 import dns.rrset
 
-from .names import Box, Empty, Labels, Own, Routed, Rules, labels_of
-
-CHAIN_MOST = 8  # CNAMEs followed in one answer
+from .names import (
+    AddressName,
+    DirectorName,
+    EmptyNonTerminal,
+    Labels,
+    NamingRules,
+    RoutedName,
+    RuleName,
+    relative_labels,
+)
+
+MAX_CNAME_CHAIN = 8  # CNAMEs followed in one answer
 NS_TTL_S = 3_600
-ADDRESS_TTL_S = 300  # of nameservers and boxes' own names; not of what the core decides
-WILD = b"*"
+ADDRESS_TTL_S = 300  # of name servers and names that spell an address; not of what the dispatcher decides
+SOA_REFRESH_S, SOA_RETRY_S, SOA_EXPIRE_S = 3_600, 600, 86_400
+WILDCARD = b"*"
+ROUTED_TYPES = frozenset(
+    (dns.rdatatype.A, dns.rdatatype.AAAA, dns.rdatatype.HTTPS, dns.rdatatype.SVCB)
+)  # fmt: skip
+SERVICE_TYPES = frozenset((dns.rdatatype.SRV,))
 
-Type = dns.rdatatype.RdataType
+RdataType = dns.rdatatype.RdataType
 RRset = dns.rrset.RRset
 
 
-class Kind(Enum):
+class LookupStatus(Enum):
+    """What a lookup found."""
+
     ANSWER = "answer"
     NODATA = "nodata"
     NXDOMAIN = "nxdomain"
     REFERRAL = "referral"
-    ROUTED = "routed"  # the core decides
+    ROUTED = "routed"  # the dispatcher decides
 
 
 @dataclass(slots=True)
-class Found:
-    """What a question comes to. `owner`: behind all CNAMEs in `answer`, if there are any."""
-
-    kind: Kind
+class LookupResult:
+    """What a name and a type come to.
+
+    Attributes:
+        status: What was found.
+        owner: The name at the end of the CNAMEs in `answer`, if there are any.
+        answer: Records of the answer section; of a routed name, the CNAMEs that lead to it.
+        authority: Records of the authority section.
+        additional: Records of the additional section.
+        routed: What a routed name stands for.
+    """
+
+    status: LookupStatus
     owner: dns.name.Name
     answer: list[RRset] = field(default_factory=list)
     authority: list[RRset] = field(default_factory=list)
     additional: list[RRset] = field(default_factory=list)
-    routed: Routed | None = None
-
-
-def address_rrsets(owner: dns.name.Name, addresses: Iterable[str], ttl_s: int) -> list[RRset]:
-    """A and AAAA, whichever there are."""
-    by_type: dict[Type, list[dns.rdata.Rdata]] = {}
-    for address in addresses:
-        rdata = address_rdata(address)
-        by_type.setdefault(rdata.rdtype, []).append(rdata)
-    return [dns.rrset.from_rdata_list(owner, ttl_s, rdatas) for rdatas in by_type.values()]
-
-
-@lru_cache(4_096)
-def address_rdata(address: str) -> dns.rdata.Rdata:
-    """Boxes are few, and read from text once each."""
-    return dns.rdata.from_text("IN", "AAAA" if ":" in address else "A", address)
+    routed: RoutedName | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class ZoneApex:
+    """What the records at a zone's apex are made of.
+
+    Attributes:
+        origin: The zone's name.
+        nameservers: Names of name servers, at least one, with their addresses as glue.
+        hostmaster: Mailbox of the SOA record.
+        serial: Of the SOA record.
+        negative_ttl_s: TTL of negative answers.
+    """
+
+    origin: dns.name.Name
+    nameservers: Mapping[str, Iterable[str]]
+    hostmaster: str
+    serial: int
+    negative_ttl_s: int
+
+    def soa(self) -> RRset:
+        """Returns the SOA record; the first name server is its primary."""
+        primary = dns.name.from_text(next(iter(self.nameservers)), self.origin)
+        mailbox = dns.name.from_text(self.hostmaster, self.origin)
+        times = f"{SOA_REFRESH_S} {SOA_RETRY_S} {SOA_EXPIRE_S} {self.negative_ttl_s}"
+        text = f"{primary} {mailbox} {self.serial} {times}"
+        return dns.rrset.from_text(self.origin, self.negative_ttl_s, "IN", "SOA", text)
+
+    def ns_and_glue(self) -> Iterable[RRset]:
+        """Yields the NS records, and the addresses of name servers within the zone."""
+        servers = {
+            dns.name.from_text(name, self.origin): list(addresses)
+            for name, addresses in self.nameservers.items()
+        }
+        yield dns.rrset.from_text(self.origin, NS_TTL_S, "IN", "NS", *map(str, servers))
+        for name, addresses in servers.items():
+            if name.is_subdomain(self.origin):
+                yield from address_rrsets(name, addresses, ADDRESS_TTL_S)
 
 
 class Zone:
-    """One zone. Records of its own are given as sets; the apex and the rules' names are made here."""
+    """One zone: its records, and the names that it has by rule.
+
+    Args:
+        apex: What the apex records are made of.
+        rules: Which names exist by rule.
+        own_address: Of names that are the director itself.
+        records: Further records.
+    """
 
     def __init__(
-        self, origin: dns.name.Name, rules: Rules, own_address: str, nameservers: Mapping[str, Iterable[str]],
-        hostmaster: str, serial: int, negative_ttl_s: int, records: Iterable[RRset] = (),
-    ) -> None:  # fmt: skip
-        self.origin, self.rules, self.own_address = origin, rules, own_address
-        self.data: dict[Labels, dict[Type, RRset]] = {}
-        self.present: set[Labels] = {()}  # names with records at or below them
-        servers = {dns.name.from_text(name, origin): list(texts) for name, texts in nameservers.items()}
-        first = next(iter(servers))
-        mail = dns.name.from_text(hostmaster, origin)
-        soa = f"{first} {mail} {serial} 3600 600 86400 {negative_ttl_s}"
-        self.soa = dns.rrset.from_text(origin, negative_ttl_s, "IN", "SOA", soa)
-        self._add(self.soa)
-        self._add(dns.rrset.from_text(origin, NS_TTL_S, "IN", "NS", *map(str, servers)))
-        for name, addresses in servers.items():
-            if name.is_subdomain(origin):
-                for rrset in address_rrsets(name, addresses, ADDRESS_TTL_S):
-                    self._add(rrset)
-        for rrset in records:
+        self, apex: ZoneApex, rules: NamingRules, own_address: str, records: Iterable[RRset] = ()
+    ) -> None:
+        self.origin, self.rules, self.own_address = apex.origin, rules, own_address
+        self.soa = apex.soa()
+        self._records: dict[Labels, dict[RdataType, RRset]] = {}
+        self._existing: set[Labels] = {()}  # names with records at or below them
+        for rrset in (self.soa, *apex.ns_and_glue(), *records):
             self._add(rrset)
 
     def _add(self, rrset: RRset) -> None:
-        labels = labels_of(rrset.name, self.origin)
-        known = self.data.setdefault(labels, {}).get(rrset.rdtype)
-        if known is not None:
-            rdatas = [*known, *rrset]
-            merged = dns.rrset.from_rdata_list(rrset.name, min(known.ttl, rrset.ttl), rdatas)
-            self.data[labels][rrset.rdtype] = merged
-        else:
-            self.data[labels][rrset.rdtype] = rrset
-        for n in range(len(labels)):
-            self.present.add(labels[n:])
-
-    def find(self, name: dns.name.Name, rdtype: Type) -> Found:
-        """What a name within this zone and a type come to."""
+        labels = relative_labels(rrset.name, self.origin)
+        by_type = self._records.setdefault(labels, {})
+        present = by_type.get(rrset.rdtype)
+        if present is not None:
+            rdatas = [*present, *rrset]
+            rrset = dns.rrset.from_rdata_list(rrset.name, min(present.ttl, rrset.ttl), rdatas)
+        by_type[rrset.rdtype] = rrset
+        for depth in range(len(labels)):
+            self._existing.add(labels[depth:])
+
+    def lookup(self, name: dns.name.Name, rdtype: RdataType) -> LookupResult:
+        """Returns what a name within this zone and a type come to; follows CNAMEs within the zone."""
         chain: list[RRset] = []
         owner = name
-        for _ in range(CHAIN_MOST):
-            found = self._find_one(owner, rdtype)
-            found.answer[:0] = chain
-            last = found.answer[-1] if found.answer else None
-            if (
-                found.kind is not Kind.ANSWER
-                or last is None
-                or last.rdtype != dns.rdatatype.CNAME
-                or rdtype in (dns.rdatatype.CNAME, dns.rdatatype.ANY)
-            ):
-                return found
-            chain, owner = found.answer, last[0].target
+        for _ in range(MAX_CNAME_CHAIN):
+            result = self._lookup_one(owner, rdtype)
+            is_alias = _ends_in_cname(result, rdtype)
+            result.answer[:0] = chain
+            if not is_alias:
+                return result
+            chain, owner = result.answer, result.answer[-1][0].target
             if not owner.is_subdomain(self.origin):
-                return found
-        return found
-
-    def _find_one(self, name: dns.name.Name, rdtype: Type) -> Found:
-        labels = labels_of(name, self.origin)
-        cut = self._cut(labels, rdtype)
-        if cut is not None:
-            return self._referral(name, cut)
-        if labels in self.data:
-            return self._at(name, self.data[labels], rdtype, self.rules.read(labels) if labels else None)
-        virtual = self.rules.read(labels)
-        if virtual is not None and not isinstance(virtual, Own):
-            return self._by_rule(name, virtual, rdtype)
-        if labels in self.present:
+                return result
+        return result
+
+    def _lookup_one(self, name: dns.name.Name, rdtype: RdataType) -> LookupResult:
+        labels = relative_labels(name, self.origin)
+        delegation = self._find_delegation(labels, rdtype)
+        if delegation is not None:
+            return self._referral(name, delegation)
+        if labels in self._records:
+            rule_name = self.rules.classify(labels) if labels else None
+            return self._from_records(name, self._records[labels], rdtype, rule_name)
+        rule_name = self.rules.classify(labels)
+        if rule_name is not None and not isinstance(rule_name, DirectorName):
+            return self._from_rule(name, rule_name, rdtype)
+        if labels in self._existing:
             return self._nodata(name)
-        encloser = next(labels[n:] for n in range(1, len(labels) + 1) if self._exists(labels[n:]))
-        wild = self.data.get((WILD, *encloser))
-        if wild is not None:
-            return self._at(name, wild, rdtype, None)
-        if virtual is not None:
-            return self._by_rule(name, virtual, rdtype)
-        return Found(Kind.NXDOMAIN, name, authority=[self.soa])
+        wildcard = self._records.get((WILDCARD, *self._closest_encloser(labels)))
+        if wildcard is not None:
+            return self._from_records(name, wildcard, rdtype, None)
+        if rule_name is not None:
+            return self._from_rule(name, rule_name, rdtype)
+        return LookupResult(LookupStatus.NXDOMAIN, name, authority=[self.soa])
+
+    def _closest_encloser(self, labels: Labels) -> Labels:
+        """Returns the longest existing ancestor of a name (RFC 4592, section 3.3.1)."""
+        ancestors = (labels[depth:] for depth in range(1, len(labels) + 1))
+        return next(ancestor for ancestor in ancestors if self._exists(ancestor))
 
     def _exists(self, labels: Labels) -> bool:
-        return labels in self.present or not isinstance(self.rules.read(labels), Own | None)
-
-    def _cut(self, labels: Labels, rdtype: Type) -> Labels | None:
-        """The highest delegation at or above a name; DS at the cut itself is answered on this side."""
-        for n in range(len(labels) - 1, -1, -1):
-            place = labels[n:]
-            if dns.rdatatype.NS in self.data.get(place, {}):
-                return None if n == 0 and rdtype == dns.rdatatype.DS else place
+        return labels in self._existing or not isinstance(self.rules.classify(labels), DirectorName | None)
+
+    def _find_delegation(self, labels: Labels, rdtype: RdataType) -> Labels | None:
+        """Returns the highest delegation at or above a name, but for DS at the delegation itself."""
+        for depth in range(len(labels) - 1, -1, -1):
+            ancestor = labels[depth:]
+            if dns.rdatatype.NS in self._records.get(ancestor, {}):
+                return None if depth == 0 and rdtype == dns.rdatatype.DS else ancestor
         return None
 
-    def _referral(self, name: dns.name.Name, cut: Labels) -> Found:
-        servers = self.data[cut][dns.rdatatype.NS]
-        return Found(Kind.REFERRAL, name, authority=[servers], additional=self._glue(servers))
+    def _referral(self, name: dns.name.Name, delegation: Labels) -> LookupResult:
+        servers = self._records[delegation][dns.rdatatype.NS]
+        return LookupResult(LookupStatus.REFERRAL, name, authority=[servers], additional=self._glue(servers))
 
     def _glue(self, servers: RRset) -> list[RRset]:
-        """Addresses of the servers that lie within the zone, below cuts, too."""
-        found = []
+        """Returns the addresses of those name servers that lie within the zone, below delegations as well."""
+        glue = []
         for server in servers:
             if server.target.is_subdomain(self.origin):
-                at = self.data.get(labels_of(server.target, self.origin), {})
-                found += [at[kind] for kind in (dns.rdatatype.A, dns.rdatatype.AAAA) if kind in at]
-        return found
-
-    def _at(self, name: dns.name.Name, at: Mapping[Type, RRset], rdtype: Type, virtual: object) -> Found:
-        """A name that has records; it may be one of the rules' names besides."""
+                by_type = self._records.get(relative_labels(server.target, self.origin), {})
+                families = (dns.rdatatype.A, dns.rdatatype.AAAA)
+                glue += [by_type[family] for family in families if family in by_type]
+        return glue
+
+    def _from_records(
+        self,
+        name: dns.name.Name,
+        by_type: Mapping[RdataType, RRset],
+        rdtype: RdataType,
+        rule_name: RuleName | None,
+    ) -> LookupResult:
+        """Answers for a name that has records, and may exist by rule as well."""
         if rdtype == dns.rdatatype.ANY:
-            return Found(Kind.ANSWER, name, [minimal(name)])
-        if rdtype in at:
-            rrset = copy_as(at[rdtype], name)
+            return LookupResult(LookupStatus.ANSWER, name, [minimal_any_rrset(name)])
+        if rdtype in by_type:
+            rrset = with_owner(by_type[rdtype], name)
             additional = self._glue(rrset) if rdtype == dns.rdatatype.NS else []
-            return Found(Kind.ANSWER, name, [rrset], additional=additional)
-        if dns.rdatatype.CNAME in at:
-            return Found(Kind.ANSWER, name, [copy_as(at[dns.rdatatype.CNAME], name)])
-        if isinstance(virtual, Routed | Box):
-            return self._by_rule(name, virtual, rdtype)
+            return LookupResult(LookupStatus.ANSWER, name, [rrset], additional=additional)
+        if dns.rdatatype.CNAME in by_type:
+            return LookupResult(LookupStatus.ANSWER, name, [with_owner(by_type[dns.rdatatype.CNAME], name)])
+        if isinstance(rule_name, RoutedName | AddressName):
+            return self._from_rule(name, rule_name, rdtype)
         return self._nodata(name)
 
-    def _by_rule(self, name: dns.name.Name, virtual: Routed | Box | Own | Empty, rdtype: Type) -> Found:
-        if rdtype == dns.rdatatype.ANY and not isinstance(virtual, Empty):
-            return Found(Kind.ANSWER, name, [minimal(name)])
-        match virtual:
-            case Routed(service=service) if rdtype in (SERVICE_TYPES if service else ROUTED_TYPES):
-                return Found(Kind.ROUTED, name, routed=virtual)
-            case Box(address=address):
+    def _from_rule(self, name: dns.name.Name, rule_name: RuleName, rdtype: RdataType) -> LookupResult:
+        if rdtype == dns.rdatatype.ANY and not isinstance(rule_name, EmptyNonTerminal):
+            return LookupResult(LookupStatus.ANSWER, name, [minimal_any_rrset(name)])
+        match rule_name:
+            case RoutedName(is_service=is_service) if rdtype in (
+                SERVICE_TYPES if is_service else ROUTED_TYPES
+            ):
+                return LookupResult(LookupStatus.ROUTED, name, routed=rule_name)
+            case AddressName(address=address):
                 return self._address(name, address, rdtype)
-            case Own():
+            case DirectorName():
                 return self._address(name, self.own_address, rdtype)
         return self._nodata(name)
 
-    def _address(self, name: dns.name.Name, address: str, rdtype: Type) -> Found:
+    def _address(self, name: dns.name.Name, address: str, rdtype: RdataType) -> LookupResult:
         for rrset in address_rrsets(name, [address], ADDRESS_TTL_S):
             if rrset.rdtype == rdtype:
-                return Found(Kind.ANSWER, name, [rrset])
+                return LookupResult(LookupStatus.ANSWER, name, [rrset])
         return self._nodata(name)
 
-    def _nodata(self, name: dns.name.Name) -> Found:
-        return Found(Kind.NODATA, name, authority=[self.soa])
+    def _nodata(self, name: dns.name.Name) -> LookupResult:
+        return LookupResult(LookupStatus.NODATA, name, authority=[self.soa])
 
 
-ROUTED_TYPES = frozenset(
-    (dns.rdatatype.A, dns.rdatatype.AAAA, dns.rdatatype.HTTPS, dns.rdatatype.SVCB)
-)  # fmt: skip
-SERVICE_TYPES = frozenset((dns.rdatatype.SRV,))
+def _ends_in_cname(result: LookupResult, rdtype: RdataType) -> bool:
+    """Whether the lookup goes on at the target of a CNAME."""
+    if result.status is not LookupStatus.ANSWER or not result.answer:
+        return False
+    if rdtype in (dns.rdatatype.CNAME, dns.rdatatype.ANY):
+        return False
+    return result.answer[-1].rdtype == dns.rdatatype.CNAME
+
+
+def address_rrsets(owner: dns.name.Name, addresses: Iterable[str], ttl_s: int) -> list[RRset]:
+    """Returns the A and AAAA sets of an owner's addresses."""
+    by_type: dict[RdataType, list[dns.rdata.Rdata]] = {}
+    for address in addresses:
+        rdata = address_rdata(address)
+        by_type.setdefault(rdata.rdtype, []).append(rdata)
+    return [dns.rrset.from_rdata_list(owner, ttl_s, rdatas) for rdatas in by_type.values()]
+
+
+@lru_cache(4_096)
+def address_rdata(address: str) -> dns.rdata.Rdata:
+    """Returns the A or AAAA data of an address; cached, since there are few servers."""
+    return dns.rdata.from_text("IN", "AAAA" if ":" in address else "A", address)
 
 
-def minimal(name: dns.name.Name) -> RRset:
-    """The answer to ANY (RFC 8482, 4.2): no more than shows that the name is there."""
+def minimal_any_rrset(name: dns.name.Name) -> RRset:
+    """Returns the answer to ANY (RFC 8482, section 4.2): one synthesized HINFO record."""
     return dns.rrset.from_text(name, NS_TTL_S, "IN", "HINFO", '"RFC8482" ""')
 
 
-def copy_as(rrset: RRset, name: dns.name.Name) -> RRset:
-    """The same data at a name as it was asked for: its case is kept, and a wildcard's owner is the name."""
+def with_owner(rrset: RRset, name: dns.name.Name) -> RRset:
+    """Returns the same data at a name as it was asked for: in its case, or matched by a wildcard."""
     return dns.rrset.from_rdata_list(name, rrset.ttl, list(rrset))
 
 
-def zone_of(zones: Iterable[Zone], name: dns.name.Name) -> Zone | None:
-    """The deepest of some zones that a name is in."""
-    holding = [zone for zone in zones if name.is_subdomain(zone.origin)]
-    return max(holding, key=lambda zone: len(zone.origin), default=None)
+def closest_zone(zones: Iterable[Zone], name: dns.name.Name) -> Zone | None:
+    """Returns the deepest zone that a name lies in."""
+    enclosing = [zone for zone in zones if name.is_subdomain(zone.origin)]
+    return max(enclosing, key=lambda zone: len(zone.origin), default=None)
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -152,9 +152,9 @@
 
 def load_dns_settings(options: Options, own_host: str) -> DnsConfig | None:
     """Reads the DNS front's settings from `[dns]`; None if they come from a file of their own."""
-    from .dns.settings import configured
+    from .dns.settings import configured_dns
 
-    return configured(options, own_host)
+    return configured_dns(options, own_host)
 
 
 def load_member_keys(options: Options) -> tuple[AuthenticationKey, ...]:
--- a/tests/store/test_persistence.py
+++ b/tests/store/test_persistence.py
@@ -18,7 +18,7 @@
 from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.config.platform import ConfigError, PlatformConfig, read_address, read_config
 from gladewalk.director import Director
-from gladewalk.dns.settings import DnsConfig
+from gladewalk.dns.settings import DnsConfig, LeaseSettings
 from gladewalk.net.environment import unix_ms
 from gladewalk.policy import Dispatcher
 from gladewalk.rehearsal.peers import (
@@ -163,7 +163,9 @@
 async def test_a_lease_counts_over_a_restart_and_what_was_learned_is_there(tmp_path: Path) -> None:
     options = options_with(tmp_path, store={"folder": "store", "warm_ms": 50.0})
     peers = [ScriptedPeer(answer_hit, f"c{number}", host=f"127.0.3.{number + 1}") for number in range(3)]
-    front = DnsConfig(("127.0.0.1", 0), dns.name.from_text("cdn.example."), "127.0.0.1", 0.01, 1_000.0)
+    front = DnsConfig(
+        ("127.0.0.1", 0), dns.name.from_text("cdn.example."), "127.0.0.1", 1_000.0, LeaseSettings(0.01)
+    )
     async with Rehearsal(peers, dns=front, options=options) as world:
         director = world.director
         assert director is not None and director.dns is not None and director.persistence is not None
--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -23,14 +23,17 @@
 from gladewalk.cli.commands import gladewalk
 from gladewalk.dns.conform.suite import Verdict, run_cases, the_cases
 from gladewalk.dns.conform.target import Target
-from gladewalk.dns.cookies import Cookies
-from gladewalk.dns.front import DnsFront, Sender
-from gladewalk.dns.responses import Via
+from gladewalk.dns.cookies import ServerCookies
+from gladewalk.dns.front import DnsFront
+from gladewalk.dns.query import QuerySender, TransportKind
+from gladewalk.dns.settings import StreamLimits, TlsListener
 from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer
 from tests.test_dns import ZONE, front, hit
 
 Message = dns.message.Message
-Break = Callable[[Message, Message, Via], Message | None]  # query, good reply, way: the broken reply
+Break = Callable[
+    [Message, Message, TransportKind], Message | None
+]  # query, good reply, way: the broken reply
 
 
 def server_tls(folder: Path) -> tuple[Path, Path]:
@@ -49,7 +52,7 @@
 
 
 def flag(bit: int, on: bool) -> Break:
-    def change(query: Message, reply: Message, via: Via) -> Message:
+    def change(query: Message, reply: Message, via: TransportKind) -> Message:
         reply.flags = dns.flags.Flag(reply.flags | bit if on else reply.flags & ~bit)
         return reply
 
@@ -61,7 +64,7 @@
 
 
 def code(rcode: dns.rcode.Rcode) -> Break:
-    def change(query: Message, reply: Message, via: Via) -> Message:
+    def change(query: Message, reply: Message, via: TransportKind) -> Message:
         reply.set_rcode(rcode)
         return reply
 
@@ -69,7 +72,7 @@
 
 
 def without(section: str) -> Break:
-    def change(query: Message, reply: Message, via: Via) -> Message:
+    def change(query: Message, reply: Message, via: TransportKind) -> Message:
         setattr(reply, section, [])
         return reply
 
@@ -77,7 +80,7 @@
 
 
 def ttl(section: str, seconds: int) -> Break:
-    def change(query: Message, reply: Message, via: Via) -> Message:
+    def change(query: Message, reply: Message, via: TransportKind) -> Message:
         for rrset in getattr(reply, section):
             rrset.ttl = seconds
         return reply
@@ -90,23 +93,23 @@
     return lambda query, reply: bool(query.question) and query.question[0].rdtype in wanted
 
 
-def renamed(query: Message, reply: Message, via: Via) -> Message:
+def renamed(query: Message, reply: Message, via: TransportKind) -> Message:
     for rrset in reply.question:
         rrset.name = dns.name.from_text(rrset.name.to_text().lower())
     return reply
 
 
-def no_edns(query: Message, reply: Message, via: Via) -> Message:
+def no_edns(query: Message, reply: Message, via: TransportKind) -> Message:
     reply.use_edns(-1)
     return reply
 
 
-def other_id(query: Message, reply: Message, via: Via) -> Message:
+def other_id(query: Message, reply: Message, via: TransportKind) -> Message:
     reply.id ^= 1
     return reply
 
 
-def doubled(query: Message, reply: Message, via: Via) -> Message:
+def doubled(query: Message, reply: Message, via: TransportKind) -> Message:
     reply.answer = [*reply.answer, *reply.answer]
     for n, rrset in enumerate(reply.answer):
         reply.answer[n] = dns.rrset.from_rdata_list(dns.name.from_text(f"n{n}", ZONE), 1, list(rrset))
@@ -175,18 +178,19 @@
 
 def breaking(good: DnsFront, change: Break) -> None:
     """From now on a front's answers are changed on their way out."""
-    receive = good.receive
+    handle_query = good.processor.handle_query
 
     class Changing:
-        def __init__(self, sender: Sender, wire: bytes) -> None:
-            self.sender, self.wire, self.peer, self.via = sender, wire, sender.peer, sender.via
+        def __init__(self, sender: QuerySender, wire: bytes) -> None:
+            self.sender, self.wire = sender, wire
+            self.client_address, self.transport = sender.client_address, sender.transport
 
         def send(self, wire: bytes) -> None:
             try:
                 query, reply = dns.message.from_wire(self.wire), dns.message.from_wire(wire)
             except Exception:
                 return self.sender.send(wire)
-            changed = change(query, reply, self.via)
+            changed = change(query, reply, self.transport)
             return (
                 self.sender.drop() if changed is None else self.sender.send(changed.to_wire(max_size=65_535))
             )
@@ -194,7 +198,8 @@
         def drop(self) -> None:
             self.sender.drop()
 
-    good.receive = lambda wire, sender: receive(wire, Changing(sender, wire))  # type: ignore[method-assign]
+    processor = good.processor
+    processor.handle_query = lambda wire, sender: handle_query(wire, Changing(sender, wire))  # type: ignore[method-assign]
 
 
 class Conformance(unittest.IsolatedAsyncioTestCase):
@@ -204,8 +209,9 @@
         context.load_cert_chain(*server_tls(folder))
         context.set_alpn_protocols(["dot"])
         config = dataclasses.replace(
-            front(), cookies=Cookies((b"k" * 16,)), nsid="n1", tls=context, tls_listen=("127.0.0.1", 0),
-            ecs_from=(ipaddress.ip_network("127.0.0.0/8"),), tcp_each=64,
+            front(), cookies=ServerCookies((b"k" * 16,)), nsid="n1",
+            tls=TlsListener(("127.0.0.1", 0), context), ecs_resolvers=(ipaddress.ip_network("127.0.0.0/8"),),
+            streams=StreamLimits(max_connections_per_client=64),
         )  # fmt: skip
         self.world = Rehearsal([ScriptedPeer(hit, size=50.0)], dns=config)
         await self.world.__aenter__()
@@ -225,11 +231,11 @@
         self.assertEqual(wrong, [])
 
     async def test_each_broken_copy_fails_the_cases_it_breaks(self) -> None:
-        good, self.target.timeout_s = self.front.receive, 0.3
+        handle_query, self.target.timeout_s = self.front.processor.handle_query, 0.3
         for name, (change, cases) in BROKEN.items():
             breaking(self.front, change)
             results = await asyncio.to_thread(run_cases, self.target, cases)
-            self.front.receive = good  # type: ignore[method-assign]
+            self.front.processor.handle_query = handle_query  # type: ignore[method-assign]
             failed = {r.case.name for r in results if r.verdict is Verdict.FAILED}
             self.assertLessEqual(set(cases), failed, name)
 
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -16,9 +16,9 @@
 
 from gladewalk import interface as api
 from gladewalk.config.platform import read_config
-from gladewalk.dns.names import Routed, Rules, Wanted, labels_of, write_name
-from gladewalk.dns.responses import fit
-from gladewalk.dns.settings import DnsConfig
+from gladewalk.dns.names import NamingRules, ObjectName, RoutedName, format_object_name, relative_labels
+from gladewalk.dns.responses import encode_within
+from gladewalk.dns.settings import DnsConfig, LeaseSettings, RateLimits
 from gladewalk.policy.dns_placement import DnsPlacement
 from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, config_for, until
 from gladewalk.rehearsal.resolver import Resolver
@@ -36,11 +36,12 @@
 
 
 def front(**more: Any) -> DnsConfig:
-    return DnsConfig(("127.0.0.1", 0), ZONE, OWN, more.get("weight", 1.0), more.get("wait_ms", 20_000.0))
+    leases = LeaseSettings(transfers_per_answer=more.get("weight", 1.0))
+    return DnsConfig(("127.0.0.1", 0), ZONE, OWN, more.get("wait_ms", 20_000.0), leases)
 
 
 def name(key: int = 0xA1, cls: str = "lot-page", group: int | None = 3) -> str:
-    return write_name(Wanted(cls, key, 0, group), ZONE).to_text()
+    return format_object_name(ObjectName(cls, key, 0, group), ZONE).to_text()
 
 
 class Front(unittest.IsolatedAsyncioTestCase):
@@ -75,19 +76,21 @@
 
     async def test_a_reload_keeps_what_was_measured_and_takes_the_loop_share(self) -> None:
         self.assertEqual(await self.resolver.resolve(name()), [BOX])
-        weights, zones = self.front.weights, self.front.zones
-        self.assertTrue(weights.until)  # the answer given is watched for the question that comes again
+        weights, zones = self.front.processor.weights, self.front.processor.zones
+        self.assertTrue(
+            weights.expiry_by_name
+        )  # the answer given is watched for the question that comes again
         udp = self.front._udp
         assert udp is not None
-        self.front.reload(replace(front(), loop_share=0.25))
-        self.assertIs(self.front.weights, weights)
-        self.assertEqual(udp.share.share, 0.25)
-        self.assertIsNot(self.front.zones, zones)  # made anew, once
-        zones = self.front.zones
-        self.front.classes = self.front.classes
-        self.assertIs(self.front.zones, zones)
+        self.front.reload(replace(front(), rates=RateLimits(max_loop_fraction=0.25)))
+        self.assertIs(self.front.processor.weights, weights)
+        self.assertEqual(udp.budget.fraction, 0.25)
+        self.assertIsNot(self.front.processor.zones, zones)  # made anew, once
+        zones = self.front.processor.zones
+        self.front.set_classes(frozenset(self.director.exchange.dispatcher.state.classes))
+        self.assertIs(self.front.processor.zones, zones)
         self.front.reload(front(weight=2.0))
-        self.assertIsNot(self.front.weights, weights)  # measured against another prior: begun anew
+        self.assertIsNot(self.front.processor.weights, weights)  # measured against another prior: begun anew
 
     async def test_each_kind_of_error_has_its_code(self) -> None:
         def ask(text: str, kind: str = "A", **more: Any) -> bytes:
@@ -119,7 +122,7 @@
         whole = dns.message.from_wire(await self.resolver.exchange_tcp(query.to_wire()))
         for n in range(60):
             whole.answer.append(dns.rrset.from_text(f"x{n}.example.", 1, "IN", "A", BOX))
-        cut = dns.message.from_wire(fit(whole, 512))
+        cut = dns.message.from_wire(encode_within(whole, 512))
         self.assertTrue(cut.flags & dns.flags.TC and not cut.answer)
         self.resolver.exchange_udp = mock.AsyncMock(return_value=cut.to_wire())  # type: ignore[method-assign]
         self.assertEqual(await self.resolver.resolve(name()), [BOX])
@@ -129,7 +132,7 @@
         self.cache.state = "DRAINING"
         self.world.coordinator.tell_list(self.cache)
         await until(lambda: self.director.endpoint_feed.last_index == 2)
-        self.front.config = front(wait_ms=30.0)
+        self.front.apply_config(front(wait_ms=30.0))
         query = dns.message.make_query(name(0xA2), "A")
         self.assertEqual((await self.resolver.query(query)).rcode(), dns.rcode.SERVFAIL)
         exchange = self.director.exchange
@@ -253,9 +256,11 @@
         self.assertTrue(self.locate(world, 2).servers)
 
     def test_names_are_read_as_they_are_written(self) -> None:
-        rules = Rules(frozenset({"lot-page"}))
-        for wanted in (Wanted("lot-page", 0x7F3A, 12, None), Wanted("lot-page", 1, 0, 17)):
-            self.assertEqual(rules.read(labels_of(write_name(wanted, ZONE), ZONE)), Routed(wanted))
+        rules = NamingRules(frozenset({"lot-page"}))
+        for wanted in (ObjectName("lot-page", 0x7F3A, 12, None), ObjectName("lot-page", 1, 0, 17)):
+            self.assertEqual(
+                rules.classify(relative_labels(format_object_name(wanted, ZONE), ZONE)), RoutedName(wanted)
+            )
         for text in ("a1.lot-page", "0.a1.lot-page.x", "0.x3.a1.lot-page", "0.g3.a1", "*.a1.lot-page"):
-            found = rules.read(labels_of(dns.name.from_text(text, ZONE), ZONE))
-            self.assertNotIsInstance(found, Routed, text)
+            found = rules.classify(relative_labels(dns.name.from_text(text, ZONE), ZONE))
+            self.assertNotIsInstance(found, RoutedName, text)
--- a/tests/test_golden_dns.py
+++ b/tests/test_golden_dns.py
@@ -29,7 +29,7 @@
 from gladewalk.dns.conform.suite import run_cases, the_cases
 from gladewalk.dns.conform.target import Skipped, Target
 from gladewalk.dns.front import DnsFront
-from gladewalk.dns.responses import Via
+from gladewalk.dns.query import TransportKind
 from gladewalk.dns.settings import load_dns
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
@@ -89,8 +89,8 @@
 class Recorder:
     """A query's sender that keeps what it is sent."""
 
-    def __init__(self, peer: str, via: Via) -> None:
-        self.peer, self.via, self.sent = peer, via, list[str]()
+    def __init__(self, peer: str, via: TransportKind) -> None:
+        self.client_address, self.transport, self.sent = peer, via, list[str]()
 
     def send(self, wire: bytes) -> None:
         self.sent.append(wire.hex())
@@ -150,13 +150,18 @@
             exchange, loaded, self.counters, 8_080, lambda name: (name == "c1", ("h2", "http/1.1"))
         )
 
-    def send(self, wire: bytes, peer: str = "127.0.0.1", via: Via = Via.UDP) -> list[str]:
+    def send(self, wire: bytes, peer: str = "127.0.0.1", via: TransportKind = TransportKind.UDP) -> list[str]:
         recorder = Recorder(peer, via)
-        self.front.receive(wire, recorder)
+        self.front.processor.handle_query(wire, recorder)
         return recorder.shortened()
 
     def ask(
-        self, text: str, kind: str = "A", peer: str = "127.0.0.1", via: Via = Via.UDP, **more: Any
+        self,
+        text: str,
+        kind: str = "A",
+        peer: str = "127.0.0.1",
+        via: TransportKind = TransportKind.UDP,
+        **more: Any,
     ) -> list[str]:
         query = dns.message.make_query(dns.name.from_text(text, ORIGIN), kind, **more)
         query.id = 0x4321
@@ -176,7 +181,8 @@
     with world() as at:
         found = {f"{name} {kind}": at.ask(name, kind) for name in NAMES for kind in TYPES}
         by_tcp = {
-            f"{name} by tcp": at.ask(name, "TXT" if name == "big" else "A", via=Via.TCP) for name in NAMES
+            f"{name} by tcp": at.ask(name, "TXT" if name == "big" else "A", via=TransportKind.TCP)
+            for name in NAMES
         }
         return [found | by_tcp, at.counts()]
 
@@ -204,7 +210,7 @@
     }
     for label, options in choices.items():
         for peer in ("192.0.2.10", "2001:db9::10"):
-            for via in Via:
+            for via in TransportKind:
                 for name in ("www", "none", "0.a1.lot-page", "big"):
                     yield f"{label} {peer} {via.value} {name}", at.ask(
                         name, "TXT" if name == "big" else "A", peer, via, use_edns=0, options=options,
@@ -215,11 +221,11 @@
 def record_options() -> Any:
     with world() as at:
         found = dict(ask_options(at))
-        asker = Recorder("127.0.0.1", Via.UDP)
+        asker = Recorder("127.0.0.1", TransportKind.UDP)
         first = dns.message.make_query(
             "www.cdn.example.", "A", id=6, use_edns=0, options=[option(10, b"clientxx")]
         )
-        at.front.receive(first.to_wire(), asker)
+        at.front.processor.handle_query(first.to_wire(), asker)
         (given,) = dns.message.from_wire(bytes.fromhex(asker.sent[0])).options
         shown = given.to_wire()
         assert shown is not None
@@ -269,8 +275,8 @@
 def record_core() -> Any:
     """Rejected when its time is up; a host's name instead of an address; no server; leases used up."""
     with world("", names="") as at:
-        late = Recorder("127.0.0.1", Via.UDP)
-        at.front.receive(
+        late = Recorder("127.0.0.1", TransportKind.UDP)
+        at.front.processor.handle_query(
             dns.message.make_query("0.a1.lot-page.cdn.example.", "A", id=9, use_edns=0).to_wire(), late
         )
         at.now_ms += 1_001.0
@@ -305,7 +311,7 @@
         return lambda *args, **more: self.done.append(f"{name} {args} {more}")
 
 
-def record_stream(via: Via) -> Any:
+def record_stream(via: TransportKind) -> Any:
     with world(FULL + "tcp_open = 2\ntcp_most = 2\ntcp_each = 2\n") as at:
         wires = [dns.message.make_query(f"{name}.cdn.example.", "A", id=n).to_wire()
                  for n, name in enumerate(("www", "none", "0.a1.lot-page", "big"))]  # fmt: skip
@@ -313,7 +319,7 @@
         found = []
         for size in (1, 7, len(data)):
             transport: Any = Transport()
-            connection = at.front.streams.connection(via)
+            connection = at.front.streams.make_connection(via)
             connection.connection_made(transport)
             for start in range(0, len(data), size):
                 connection.data_received(data[start : start + size])
@@ -332,8 +338,8 @@
     "nameservers = {n = ['x']}", "nameservers = {'a..b' = []}", "hostmaster = 'a..b'", "ecs_from = ['x']",
     "ecs_from = ['192.0.2.1/24']", "records = 'none'", "records = 'binary'", "records = 'broken'",
     "records = 'apex'", "records = 'far'", "records = 'two'", "cookies = 'none'", "cookies = 'open'",
-    "cookies = 'short'", "cookies = 'empty'", "ttl_least_ms = 3000.0", "tls_listen = 'x'", "tls_listen = '127.0.0.1:0'",
-    "tls_listen = '127.0.0.1:0'\ntls_certificate = 'none'\ntls_key = 'none'",
+    "cookies = 'short'", "cookies = 'empty'", "ttl_least_ms = 3000.0", "tls_listen = 'x'",
+    "tls_listen = '127.0.0.1:0'", "tls_listen = '127.0.0.1:0'\ntls_certificate = 'none'\ntls_key = 'none'",
     "tls_listen = '127.0.0.1:0'\ntls_certificate = 'two'\ntls_key = 'two'",
     "tls_listen = '127.0.0.1:0'\ntls_certificate = 'cert'\ntls_key = 'cert'",
     "nothing = 1", "slip = -1", "enabled = 3", "udp_most = 1", "=",
@@ -380,9 +386,9 @@
 
             def udp_many(_: Any, wires: Iterable[bytes], most: int, sent: list[bytes] = sent) -> list[bytes]:
                 sent += (wires := list(wires))
-                answers = Recorder("127.0.0.1", Via.UDP)
+                answers = Recorder("127.0.0.1", TransportKind.UDP)
                 for wire in wires:
-                    at.front.receive(wire, answers)
+                    at.front.processor.handle_query(wire, answers)
                 return [bytes.fromhex(one) for one in answers.sent if one != "drop"][:most]
 
             def connection(*_: Any, **__: Any) -> Any:
@@ -410,8 +416,8 @@
     "odd": record_odd,
     "limits": record_limits,
     "core": record_core,
-    "tcp": lambda: record_stream(Via.TCP),
-    "tls": lambda: record_stream(Via.TLS),
+    "tcp": lambda: record_stream(TransportKind.TCP),
+    "tls": lambda: record_stream(TransportKind.TLS),
     "messages": record_messages,
     "conform": record_conform,
 }
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -22,14 +22,21 @@
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.core.exchange import Exchange
-from gladewalk.dns.cookies import OLDEST_S, Cookies, Shown
+from gladewalk.dns.cookies import MAX_AGE_SECONDS, CookieStatus, ServerCookies
 from gladewalk.dns.front import DnsFront
-from gladewalk.dns.limits import Buckets, Fate, ResponseLimit, TimeShare, network_of
-from gladewalk.dns.names import Rules, box_name
-from gladewalk.dns.responses import Via, fit
-from gladewalk.dns.settings import DnsConfig, load_dns, load_records
-from gladewalk.dns.weights import Weights
-from gladewalk.dns.zone import Found, Kind, Zone, zone_of
+from gladewalk.dns.limits import (
+    LoopTimeBudget,
+    RateDecision,
+    ResponseRateLimiter,
+    TokenBuckets,
+    client_network,
+)
+from gladewalk.dns.names import NamingRules, address_name
+from gladewalk.dns.query import TransportKind
+from gladewalk.dns.responses import encode_within
+from gladewalk.dns.settings import DnsConfig, RateLimits, load_dns, load_records
+from gladewalk.dns.weights import ResolverWeights
+from gladewalk.dns.zone import LookupResult, LookupStatus, Zone, ZoneApex, closest_zone
 from gladewalk.registry.dns_leases import DnsLeaseTable
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
@@ -58,48 +65,50 @@
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "zone"
         path.write_text(RECORDS)
-        records = [rrset for _, rrset in load_records(path, (origin,))]
-    rules = Rules(frozenset({"lot-page", "bid"}), frozenset({"bid"}), lambda address: address == "192.0.2.77")
+        records = [entry.rrset for entry in load_records(path, (origin,))]
+    rules = NamingRules(
+        frozenset({"lot-page", "bid"}), frozenset({"bid"}), lambda address: address == "192.0.2.77"
+    )
     servers = {"ns1": ["192.0.2.53", "2001:db8::53"], "ns.other.example.": []}
-    return Zone(origin, rules, "192.0.2.99", servers, "hostmaster", 7, 5, records)
+    return Zone(ZoneApex(origin, servers, "hostmaster", 7, 5), rules, "192.0.2.99", records)
 
 
 class Looked(unittest.TestCase):
     zone = make_zone()
 
-    def find(self, text: str, kind: str = "A") -> Found:
-        return self.zone.find(dns.name.from_text(text, ORIGIN), dns.rdatatype.from_text(kind))
+    def find(self, text: str, kind: str = "A") -> LookupResult:
+        return self.zone.lookup(dns.name.from_text(text, ORIGIN), dns.rdatatype.from_text(kind))
 
-    def texts(self, found: Found) -> list[str]:
+    def texts(self, found: LookupResult) -> list[str]:
         return [f"{r.name.relativize(ORIGIN)} {rdata}" for r in found.answer for rdata in r]
 
     def test_names_come_to_what_rfc_1034_says(self) -> None:
         for text, kind, wanted in (
-            ("www", "A", Kind.ANSWER),
-            ("www", "MX", Kind.NODATA),
-            ("er.still", "A", Kind.NODATA),
-            ("still", "A", Kind.NODATA),
-            ("nothing.still", "A", Kind.NXDOMAIN),
-            ("lot-page", "TXT", Kind.ANSWER),
-            ("lot-page", "A", Kind.NODATA),
-            ("a1.lot-page", "A", Kind.NODATA),
-            ("0.a1.lot-page", "A", Kind.ROUTED),
-            ("_http._tcp.0.a1.lot-page", "SRV", Kind.ROUTED),
-            ("0.zz.lot-page", "A", Kind.NXDOMAIN),
-            ("anything.bid", "A", Kind.ANSWER),
-            ("deeper.anything.bid", "A", Kind.ANSWER),
-            ("a1.bid", "A", Kind.NODATA),
-            ("x.a1.bid", "A", Kind.NXDOMAIN),
-            ("b-c000024d", "A", Kind.ANSWER),
-            ("b-c000024e", "A", Kind.NXDOMAIN),
-            ("sub", "A", Kind.REFERRAL),
-            ("a.b.sub", "TXT", Kind.REFERRAL),
-            ("sub", "NS", Kind.REFERRAL),
-            ("sub", "DS", Kind.ANSWER),
-            ("loop1", "A", Kind.ANSWER),
-            ("www", "ANY", Kind.ANSWER),
+            ("www", "A", LookupStatus.ANSWER),
+            ("www", "MX", LookupStatus.NODATA),
+            ("er.still", "A", LookupStatus.NODATA),
+            ("still", "A", LookupStatus.NODATA),
+            ("nothing.still", "A", LookupStatus.NXDOMAIN),
+            ("lot-page", "TXT", LookupStatus.ANSWER),
+            ("lot-page", "A", LookupStatus.NODATA),
+            ("a1.lot-page", "A", LookupStatus.NODATA),
+            ("0.a1.lot-page", "A", LookupStatus.ROUTED),
+            ("_http._tcp.0.a1.lot-page", "SRV", LookupStatus.ROUTED),
+            ("0.zz.lot-page", "A", LookupStatus.NXDOMAIN),
+            ("anything.bid", "A", LookupStatus.ANSWER),
+            ("deeper.anything.bid", "A", LookupStatus.ANSWER),
+            ("a1.bid", "A", LookupStatus.NODATA),
+            ("x.a1.bid", "A", LookupStatus.NXDOMAIN),
+            ("b-c000024d", "A", LookupStatus.ANSWER),
+            ("b-c000024e", "A", LookupStatus.NXDOMAIN),
+            ("sub", "A", LookupStatus.REFERRAL),
+            ("a.b.sub", "TXT", LookupStatus.REFERRAL),
+            ("sub", "NS", LookupStatus.REFERRAL),
+            ("sub", "DS", LookupStatus.ANSWER),
+            ("loop1", "A", LookupStatus.ANSWER),
+            ("www", "ANY", LookupStatus.ANSWER),
         ):
-            self.assertEqual(self.find(text, kind).kind, wanted, (text, kind))
+            self.assertEqual(self.find(text, kind).status, wanted, (text, kind))
 
     def test_a_delegation_names_its_servers_with_glue(self) -> None:
         found = self.find("x.sub")
@@ -109,10 +118,12 @@
     def test_a_wildcard_speaks_below_its_closest_encloser_and_nowhere_else(self) -> None:
         self.assertEqual(self.texts(self.find("some.wild")), ["some.wild 192.0.2.9"])
         self.assertEqual(self.texts(self.find("more.some.wild")), ["more.some.wild 192.0.2.9"])
-        self.assertEqual(self.find("real.wild", "TXT").kind, Kind.NODATA)  # it exists itself
-        self.assertEqual(self.find("b.wild").kind, Kind.NODATA)  # empty, and exists
-        self.assertEqual(self.find("x.b.wild").kind, Kind.NXDOMAIN)  # its closest encloser has no wildcard
-        self.assertEqual(self.find("some.wild", "MX").kind, Kind.NODATA)
+        self.assertEqual(self.find("real.wild", "TXT").status, LookupStatus.NODATA)  # it exists itself
+        self.assertEqual(self.find("b.wild").status, LookupStatus.NODATA)  # empty, and exists
+        self.assertEqual(
+            self.find("x.b.wild").status, LookupStatus.NXDOMAIN
+        )  # its closest encloser has no wildcard
+        self.assertEqual(self.find("some.wild", "MX").status, LookupStatus.NODATA)
 
     def test_aliases_are_followed_within_the_zone_and_no_further(self) -> None:
         www = ["www 192.0.2.1", "www 192.0.2.2"]
@@ -122,15 +133,15 @@
         self.assertEqual(self.texts(self.find("alias", "CNAME")), ["alias www.cdn.example."])
         self.assertLessEqual(len(self.find("loop1").answer), 9)
         routed = self.find("to-lot")
-        self.assertEqual((routed.kind, len(routed.answer)), (Kind.ROUTED, 1))
+        self.assertEqual((routed.status, len(routed.answer)), (LookupStatus.ROUTED, 1))
         self.assertEqual(str(routed.owner), "0.a1.lot-page.cdn.example.")
 
     def test_the_apex_has_its_servers_and_the_deepest_zone_a_name(self) -> None:
         found = self.find("@", "NS")
         self.assertEqual((len(found.answer[0]), len(found.additional)), (2, 2))
         inner = make_zone(dns.name.from_text("in.cdn.example."))
-        self.assertIs(zone_of([self.zone, inner], dns.name.from_text("x.in.cdn.example.")), inner)
-        self.assertIsNone(zone_of([self.zone], dns.name.from_text("example.")))
+        self.assertIs(closest_zone([self.zone, inner], dns.name.from_text("x.in.cdn.example.")), inner)
+        self.assertIsNone(closest_zone([self.zone], dns.name.from_text("example.")))
 
     def test_a_bad_file_of_records_is_one_line(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
@@ -162,59 +173,61 @@
 class CookiesAndLimits(unittest.TestCase):
     def test_the_cookie_of_rfc_9018_is_made_and_taken(self) -> None:
         """Appendix A.1: client 2464c4abcf10c957, 198.51.100.100, 1559731985."""
-        cookies = Cookies((bytes.fromhex("e5e973e5a6b2a43f48e7dc849e37bfcf"),))
+        cookies = ServerCookies((bytes.fromhex("e5e973e5a6b2a43f48e7dc849e37bfcf"),))
         client, at, where = bytes.fromhex("2464c4abcf10c957"), 1_559_731_985.0, "198.51.100.100"
-        made = cookies.make(client, where, at)
+        made = cookies.generate(client, where, at)
         self.assertEqual(made.hex(), "010000005cf79f111f8130c3eee29480")
-        self.assertIs(cookies.judge(client, made, where, at + OLDEST_S), Shown.GOOD)
-        self.assertIs(cookies.judge(client, made, where, at + OLDEST_S + 1), Shown.BAD)
-        self.assertIs(cookies.judge(client, made, where, at - 301), Shown.BAD)
-        self.assertIs(cookies.judge(client, made, "198.51.100.101", at), Shown.BAD)
-        self.assertIs(cookies.judge(client[::-1], made, where, at), Shown.BAD)
-        self.assertEqual(cookies.answer(client, made, Shown.GOOD, where, at + 60), made)
-        self.assertNotEqual(cookies.answer(client, made, Shown.GOOD, where, at + 2_000), made)
-        rotated = Cookies((b"n" * 16, *cookies.keys))
-        self.assertIs(rotated.judge(client, made, where, at), Shown.GOOD)
-        self.assertNotEqual(rotated.make(client, where, at), made)
-        self.assertIs(Cookies((b"n" * 16,)).judge(client, made, where, at), Shown.BAD)
+        self.assertIs(cookies.verify(client, made, where, at + MAX_AGE_SECONDS), CookieStatus.VALID)
+        self.assertIs(cookies.verify(client, made, where, at + MAX_AGE_SECONDS + 1), CookieStatus.INVALID)
+        self.assertIs(cookies.verify(client, made, where, at - 301), CookieStatus.INVALID)
+        self.assertIs(cookies.verify(client, made, "198.51.100.101", at), CookieStatus.INVALID)
+        self.assertIs(cookies.verify(client[::-1], made, where, at), CookieStatus.INVALID)
+        self.assertEqual(cookies.renew(client, made, CookieStatus.VALID, where, at + 60), made)
+        self.assertNotEqual(cookies.renew(client, made, CookieStatus.VALID, where, at + 2_000), made)
+        rotated = ServerCookies((b"n" * 16, *cookies.keys))
+        self.assertIs(rotated.verify(client, made, where, at), CookieStatus.VALID)
+        self.assertNotEqual(rotated.generate(client, where, at), made)
+        self.assertIs(ServerCookies((b"n" * 16,)).verify(client, made, where, at), CookieStatus.INVALID)
 
     def test_a_bucket_holds_its_rate_over_any_time(self) -> None:
-        draw, buckets, now = random.Random(1), Buckets(10.0, 5.0, 3), 0.0
+        draw, buckets, now = random.Random(1), TokenBuckets(10.0, 5.0, 3), 0.0
         taken = 0
         for _ in range(5_000):
             now += draw.expovariate(0.05)
-            taken += buckets.take("a", now)
+            taken += buckets.try_take("a", now)
         self.assertLessEqual(taken, 5 + now / 100.0)
         self.assertGreater(taken, 0.9 * now / 100.0)
         for n in range(10):
-            buckets.take(n, now)
+            buckets.try_take(n, now)
         self.assertEqual(len(buckets.buckets), 3)
 
     def test_a_flood_takes_its_share_of_the_time_and_no_more(self) -> None:
         for cost in (0.1, 0.7, 5.0):
-            share, now, worked = TimeShare(0.3), 1e6, 0.0
+            share, now, worked = LoopTimeBudget(0.3), 1e6, 0.0
             for _ in range(2_000):
                 now += cost
                 worked += cost
-                now += share.spend(cost, now)
+                now += share.charge(cost, now)
             self.assertTrue(0.28 < worked / (now - 1e6) < 0.32, cost)
-        share = TimeShare(0.3)
-        self.assertTrue(all(share.spend(0.7, 1e6 + n * 10.0) == 0.0 for n in range(1_000)))
+        share = LoopTimeBudget(0.3)
+        self.assertTrue(all(share.charge(0.7, 1e6 + n * 10.0) == 0.0 for n in range(1_000)))
 
     def test_like_answers_above_the_rate_are_dropped_and_some_slip(self) -> None:
-        limit = ResponseLimit(5.0, 2)
-        fates = [limit.judge("n", "x", 0.0) for _ in range(9)]
-        self.assertEqual(fates[:5], [Fate.SEND] * 5)
-        self.assertEqual(fates[5:], [Fate.DROP, Fate.SLIP, Fate.DROP, Fate.SLIP])
-        self.assertIs(limit.judge("n", "y", 0.0), Fate.SEND)
-        self.assertIs(limit.judge("m", "x", 0.0), Fate.SEND)
-        self.assertEqual(network_of("192.0.2.200"), "192.0.2.0/24")
-        self.assertEqual(network_of("2001:db8:1:2ff::1"), "2001:db8:1:200::/56")
+        limit = ResponseRateLimiter(5.0, 2)
+        fates = [limit.decide("n", "x", 0.0) for _ in range(9)]
+        self.assertEqual(fates[:5], [RateDecision.SEND] * 5)
+        self.assertEqual(
+            fates[5:], [RateDecision.DROP, RateDecision.SLIP, RateDecision.DROP, RateDecision.SLIP]
+        )
+        self.assertIs(limit.decide("n", "y", 0.0), RateDecision.SEND)
+        self.assertIs(limit.decide("m", "x", 0.0), RateDecision.SEND)
+        self.assertEqual(client_network("192.0.2.200"), "192.0.2.0/24")
+        self.assertEqual(client_network("2001:db8:1:2ff::1"), "2001:db8:1:200::/56")
 
 
 class Sent:
-    def __init__(self, peer: str = "127.0.0.1", via: Via = Via.UDP) -> None:
-        self.peer, self.via, self.sent, self.dropped = peer, via, list[bytes](), 0
+    def __init__(self, peer: str = "127.0.0.1", via: TransportKind = TransportKind.UDP) -> None:
+        self.client_address, self.transport, self.sent, self.dropped = peer, via, list[bytes](), 0
 
     def send(self, wire: bytes) -> None:
         self.sent.append(wire)
@@ -236,23 +249,23 @@
     exchange = Exchange(config, clock, Deadlines(lambda due: None), counters, lambda line: None)
     exchange.upstreams = Nowhere()
     exchange.handle_event(api.EndpointList(api.EndpointListKind.PERSISTED, ()))
-    terms = DnsConfig(("127.0.0.1", 0), ORIGIN, "127.0.0.9", 1.0, 1_000.0)
+    terms = DnsConfig(("127.0.0.1", 0), ORIGIN, "127.0.0.9", 1_000.0)
     return DnsFront(exchange, dataclasses.replace(terms, **more), counters)
 
 
-FRONT = front(cookies=Cookies((b"k" * 16,)), amplification_most=4.0)
+FRONT = front(cookies=ServerCookies((b"k" * 16,)), max_amplification=4.0)
 NAMES = ("cdn.example.", "0.a1.lot-page.cdn.example.", "x.cdn.example.", "example.", "lot-page.cdn.example.")
 
 
 def check(wire: bytes) -> None:
     """No exception; the id and question as asked; never longer than the bounds."""
     sender = Sent()
-    FRONT.receive(wire, sender)
+    FRONT.processor.handle_query(wire, sender)
     if not sender.sent:
         return
     (answer,) = sender.sent
     assert answer[:2] == wire[:2] and answer[2] & 0x80
-    assert len(answer) <= max(FRONT.config.amplification_most * len(wire), 12)
+    assert len(answer) <= max(FRONT.config.max_amplification * len(wire), 12)
     reply = dns.message.from_wire(answer)
     if reply.question:
         asked = dns.message.from_wire(wire).question[0]
@@ -291,12 +304,12 @@
 class Abuse(unittest.TestCase):
     def ask(self, at: DnsFront, peer: str = "127.0.0.1", name: str = "x.cdn.example.", **more: Any) -> Sent:
         sender = Sent(peer)
-        at.receive(dns.message.make_query(name, "A", **more).to_wire(), sender)
+        at.processor.handle_query(dns.message.make_query(name, "A", **more).to_wire(), sender)
         return sender
 
     def test_a_forgers_victim_hears_little_and_a_cookie_or_tcp_passes(self) -> None:
-        cookies = Cookies((b"k" * 16,))
-        at = front(answers_per_s=5.0, slip=2, cookies=cookies)
+        cookies = ServerCookies((b"k" * 16,))
+        at = front(rates=RateLimits(answers_per_s=5.0, slip=2), cookies=cookies)
         heard = [self.ask(at) for _ in range(105)]
         self.assertEqual(sum(bool(one.sent) for one in heard), 5 + 50)
         self.assertTrue(dns.message.from_wire(heard[-1].sent[0]).flags & dns.flags.TC)
@@ -310,7 +323,7 @@
         self.assertTrue(all(one.sent and dns.message.from_wire(one.sent[0]).authority for one in shown))
 
     def test_budgets_of_a_network_and_of_all_are_kept(self) -> None:
-        at = front(network_per_s=10.0, all_per_s=25.0)
+        at = front(rates=RateLimits(network_queries_per_s=10.0, queries_per_s=25.0))
         counts = [sum(bool(self.ask(at, f"192.0.{n}.1").sent) for _ in range(20)) for n in range(4)]
         self.assertEqual(counts, [10, 10, 5, 0])
         self.assertEqual((at.counters["dns.over_network"], at.counters["dns.over_all"]), (40, 15))
@@ -326,7 +339,7 @@
         self.assertEqual((reply.rcode(), int(reply.options[0].otype)), (dns.rcode.SERVFAIL, 15))
 
     def test_a_subnet_is_heard_of_trusted_resolvers_alone(self) -> None:
-        at = front(ecs_from=(ipaddress.ip_network("192.0.2.0/24"),))
+        at = front(ecs_resolvers=(ipaddress.ip_network("192.0.2.0/24"),))
         subnet = dns.edns.ECSOption("203.0.113.0", 24)
         for peer, heard in (("192.0.2.1", 1), ("198.51.100.1", 0)):
             reply = dns.message.from_wire(self.ask(at, peer, use_edns=0, options=[subnet]).sent[0])
@@ -336,12 +349,12 @@
         zone = make_zone()
         query = dns.message.make_query(ORIGIN, "NS")
         reply = dns.message.make_response(query)
-        found = zone.find(ORIGIN, dns.rdatatype.NS)
+        found = zone.lookup(ORIGIN, dns.rdatatype.NS)
         reply.answer, reply.additional = found.answer, found.additional * 30
-        self.assertFalse(dns.message.from_wire(fit(reply, 512)).flags & dns.flags.TC)
-        reply.answer = [dns.rrset.from_text(box_name(f"192.0.2.{n}", ORIGIN), 1, "IN", "TXT", "x" * 40)
+        self.assertFalse(dns.message.from_wire(encode_within(reply, 512)).flags & dns.flags.TC)
+        reply.answer = [dns.rrset.from_text(address_name(f"192.0.2.{n}", ORIGIN), 1, "IN", "TXT", "x" * 40)
                         for n in range(20)]  # fmt: skip
-        cut = dns.message.from_wire(fit(reply, 512))
+        cut = dns.message.from_wire(encode_within(reply, 512))
         self.assertTrue(cut.flags & dns.flags.TC and not cut.answer)
 
 
@@ -374,14 +387,14 @@
 
     def measured(self, clients: float, names: int, heeds: bool = True, farm: int = 1) -> float:
         """The weight of a resolver whose clients want each name so often a second, at 400 ms a transfer."""
-        draw, weights, now, ttl = random.Random(7), Weights(0.02, 100.0), 0.0, 2_000.0
+        draw, weights, now, ttl = random.Random(7), ResolverWeights(0.02, 100.0), 0.0, 2_000.0
         until: dict[tuple[int, int], float] = {}
         while now < 600_000.0:
             now += draw.expovariate(clients * names) * 1_000.0
             name, member = draw.randrange(names), draw.randrange(farm)
             if until.get((name, member), 0.0) <= now:
-                weights.ask("r", name, now)
-                weights.answered("r", name, ttl, now)
+                weights.record_query("r", name, now)
+                weights.record_answer("r", name, ttl, now)
                 until[name, member] = now + (ttl if heeds else 300_000.0)
         return weights.weight("r", 400.0, now)
 
@@ -391,4 +404,4 @@
             self.assertTrue(0.6 * wanted < self.measured(clients, 50) < 1.6 * wanted, clients)
         self.assertGreater(self.measured(2.0, 50, farm=8), 3.0)  # each of its members holds its own
         self.assertEqual(self.measured(0.001, 50, heeds=False), 0.02)  # nothing is seen: as it is set
-        self.assertEqual(Weights(0.02, 100.0).weight("new", 400.0, 0.0), 0.02)
+        self.assertEqual(ResolverWeights(0.02, 100.0).weight("new", 400.0, 0.0), 0.02)
