--- a/tests/peers.py
+++ b/tests/peers.py
@@ -1,9 +1,13 @@
 """Scripts of caches that the stories over loopback share."""
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Any
 
-from gladewalk.rehearsal.peers import Heard
+from gladewalk.director import Director
+from gladewalk.rehearsal.peers import Heard, Peer, Rehearsal, Script
 
 ROOT = Path(__file__).parent.parent
 BYTES = bytes(range(256)) * 64
@@ -33,3 +37,21 @@
 
 async def reset(heard: Heard) -> None:
     heard.writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def running(*peers: Peer, **more: Any) -> AsyncIterator[tuple[Rehearsal, Director]]:
+    """A director in this process with its peers, both started; both are stopped at the end."""
+    async with Rehearsal(peers, **more) as world:
+        assert world.director is not None
+        yield world, world.director
+
+
+def held_until(release: asyncio.Event) -> Script:
+    """A script that answers once `release` is set."""
+
+    async def script(heard: Heard) -> None:
+        await release.wait()
+        await hit(heard)
+
+    return script
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -5,29 +5,23 @@
 import socket
 import unittest
 
+import pytest
+
 from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS, IDLE_TIMEOUT_MS, SPARE_CONNECTIONS
 from gladewalk.net.requests import BadRequestError, parse_request
-from gladewalk.rehearsal.peers import (
-    Heard,
-    Rehearsal,
-    ScriptedPeer,
-    read_message,
-    request,
-    until,
-)
+from gladewalk.rehearsal.peers import ScriptedPeer, read_message, request, until
 
-from .peers import BYTES, hit
+from .peers import BYTES, held_until, hit, running
 
 
 class Clients(unittest.IsolatedAsyncioTestCase):
     async def test_all_clients_that_wait_are_accepted_at_once(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            assert world.director is not None
-            front = world.director.front
+        async with running(ScriptedPeer(hit)) as (_, director):
+            front = director.front
             waiting = [socket.create_connection(front.address) for _ in range(50)]  # no turn of the loop yet
             front.accept()
             await until(lambda: len(front.connections) == 50, 5.0)
-            self.assertEqual((front.counters["clients.connected"], front.descriptor_count), (50, 50))
+            assert (front.counters["clients.connected"], front.descriptor_count) == (50, 50)
             for client in waiting:
                 client.sendall(request("/invoke/lot-page/a1"))
             await until(lambda: len(front.idle) == 50)
@@ -37,16 +31,15 @@
                 front.accept()
                 await asyncio.sleep(0)
             await until(lambda: len(front.connections) == front.connection_limit, 5.0)
-            self.assertEqual(front.descriptor_count, front.connection_limit)
-            self.assertEqual(front.counters["clients.made_room"], 0)
+            assert front.descriptor_count == front.connection_limit
+            assert front.counters["clients.made_room"] == 0
             waiting += more
             for client in waiting:
                 client.close()
 
     async def test_who_rests_or_says_nothing_makes_room_for_who_asks(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            assert world.director is not None
-            front, writers = world.director.front, []
+        async with running(ScriptedPeer(hit)) as (world, director):
+            front, writers = director.front, []
             for number in range(front.connection_limit):
                 reader, writer = await world.client()
                 writers.append(writer)
@@ -54,22 +47,21 @@
                     writer.write(request("/invoke/lot-page/a1"))
                     await read_message(reader)
             for _ in range(front.connection_limit):
-                self.assertEqual((await world.ask())[0], 200)
-            self.assertLessEqual(len(front.connections), front.connection_limit + SPARE_CONNECTIONS)
+                assert (await world.ask())[0] == 200
+            assert len(front.connections) <= front.connection_limit + SPARE_CONNECTIONS
             crowd = [await world.client() for _ in range(3 * front.connection_limit)]
-            self.assertLessEqual(len(front.connections), front.connection_limit + SPARE_CONNECTIONS)
-            self.assertEqual((await world.ask())[0], 200)
-            self.assertLessEqual(len(front.connections), front.connection_limit + SPARE_CONNECTIONS)
-            self.assertGreater(front.counters["clients.made_room"], 0)
+            assert len(front.connections) <= front.connection_limit + SPARE_CONNECTIONS
+            assert (await world.ask())[0] == 200
+            assert len(front.connections) <= front.connection_limit + SPARE_CONNECTIONS
+            assert front.counters["clients.made_room"] > 0
             for _, writer in crowd:
                 writers.append(writer)
             for writer in writers:
                 writer.close()
 
     async def test_a_request_that_lies_unread_keeps_its_connection(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            assert world.director is not None
-            front = world.director.front
+        async with running(ScriptedPeer(hit)) as (world, director):
+            front = director.front
             reader, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
             await read_message(reader)
@@ -77,16 +69,15 @@
             sock = writer.get_extra_info("socket")
             os.write(sock.fileno(), request("/invoke/lot-page/a1"))  # at once: no turn of the loop in between
             front._evict_one()
-            self.assertFalse(connection.is_evicted)
-            self.assertIn(" 200 ", (await read_message(reader))[0])
+            assert not connection.is_evicted
+            assert " 200 " in (await read_message(reader))[0]
             front._evict_one()
-            self.assertTrue(connection.is_evicted)
+            assert connection.is_evicted
             writer.close()
 
     async def test_who_owes_a_request_or_rests_has_a_limit_of_time(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            assert world.director is not None
-            front = world.director.front
+        async with running(ScriptedPeer(hit)) as (world, director):
+            front = director.front
             silent_one, half_one, resting = [await world.client() for _ in range(3)]
             half_one[1].write(request("/invoke/lot-page/a1")[:-9])
             resting[1].write(request("/invoke/lot-page/a1"))
@@ -94,87 +85,57 @@
             await until(lambda: (len(front.awaiting), len(front.idle)) == (2, 1))
             clock = front.clock
             front.clock = lambda: clock() + FIRST_BYTE_TIMEOUT_MS + 1.0
-            self.assertEqual(await silent_one[0].read(), b"")
+            assert await silent_one[0].read() == b""
             front.clock = lambda: clock() + front.request_timeout_ms + 1.0
-            self.assertIn(b" 408 ", await half_one[0].read())
+            assert b" 408 " in await half_one[0].read()
             front.clock = lambda: clock() + max(front.request_timeout_ms, IDLE_TIMEOUT_MS) + 1.0
-            self.assertEqual(await resting[0].read(), b"")
+            assert await resting[0].read() == b""
             for _, writer in (silent_one, half_one, resting):
                 writer.close()
             await until(lambda: not front.connections)
-            self.assertFalse(front.awaiting or front.idle or front.lingering or front.evicted_count)
-
-    async def test_a_body_whose_end_is_in_doubt_is_refused_and_nothing_of_it_passed_on(self) -> None:
-        cache = ScriptedPeer(hit)
-        hidden = request("/invoke/lot-page/a2")
-        cases = {
-            "Content-Length: 4\r\nTransfer-Encoding: chunked": 400,
-            "Transfer-Encoding: chunked\r\nContent-Length: 4": 400,
-            "Content-Length: 4\r\nContent-Length: 300": 400,
-            "Content-Length: -1": 400,
-            "Content-Length: 99999999999999999999999": 400,
-            "Transfer-Encoding: gzip": 400,
-            "Trace-Id: 0000000000000000": 400,  # a second one
-            "Content-Length: 60000000": 413,
-        }
-        async with Rehearsal([cache]) as world:
-            for field, status in cases.items():
-                reader, writer = await world.client()
-                head = request("/invoke/bid/a1", method="PUT").replace(b"\r\n\r\n", b"\r\n")
-                writer.write(head + field.encode() + b"\r\n\r\n0\r\n\r\n" + hidden)
-                said = await reader.read()  # one answer, then the end
-                self.assertTrue(said.startswith(f"HTTP/1.1 {status} ".encode()), (field, said))
-                self.assertEqual(said.count(b"HTTP/1.1"), 1)
-                writer.close()
-        self.assertEqual(cache.heard, [])
+            assert not (front.awaiting or front.idle or front.lingering or front.evicted_count)
 
     async def test_a_head_that_never_ends_is_refused(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with running(ScriptedPeer(hit)) as (world, _):
             reader, writer = await world.client()
             writer.write(b"GET /invoke/lot-page/a1 HTTP/1.1\r\nX-Endless: ")
             for _ in range(40):
                 writer.write(b"x" * 1000)
                 await writer.drain()
                 await asyncio.sleep(0)
-            self.assertIn(b" 431 ", await reader.read())
+            assert b" 431 " in await reader.read()
             writer.close()
 
     async def test_a_refusal_is_read_by_who_still_sends(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with running(ScriptedPeer(hit)) as (world, _):
             reader, writer = await world.client()
             writer.write(request("/invoke/bid/a1", method="PUT", Content_Length="60000000"))
             for _ in range(200):
                 writer.write(b"x" * 50_000)
                 await writer.drain()
-            self.assertIn(b" 413 ", await reader.read())
+            assert b" 413 " in await reader.read()
             writer.close()
 
     async def test_the_id_of_an_open_request_serves_no_other_object(self) -> None:
         release = asyncio.Event()
-
-        async def held(heard: Heard) -> None:
-            await release.wait()
-            await hit(heard)
-
-        cache = ScriptedPeer(held)
-        async with Rehearsal([cache]) as world:
-            assert world.director is not None
+        cache = ScriptedPeer(held_until(release))
+        async with running(cache) as (world, director):
             first = asyncio.create_task(world.ask("/invoke/lot-page/a1"))
             await until(lambda: len(cache.heard) == 1)
-            self.assertEqual((await world.ask("/invoke/lot-page/a2"))[0], 409)
+            assert (await world.ask("/invoke/lot-page/a2"))[0] == 409
             release.set()
-            self.assertEqual((await first)[0], 200)
-            self.assertEqual((await world.ask("/invoke/lot-page/a2"))[0], 200)
-            self.assertEqual(world.director.front.open_by_trace_id, {})
+            assert (await first)[0] == 200
+            assert (await world.ask("/invoke/lot-page/a2"))[0] == 200
+            assert director.front.open_by_trace_id == {}
 
     async def test_one_trace_may_come_twice_and_requests_ahead_wait_their_turn(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with running(ScriptedPeer(hit)) as (world, _):
             reader, writer = await world.client()
             ask = request("/invoke/lot-page/a1")
             writer.write(ask + request("/_health") + ask)
             answers = [await read_message(reader) for _ in range(3)]
             writer.close()
-        self.assertEqual([len(body) for _, _, body in answers], [len(BYTES), 0, len(BYTES)])
+        assert [len(body) for _, _, body in answers] == [len(BYTES), 0, len(BYTES)]
 
     async def test_bad_input_is_answered_and_counted(self) -> None:
         bad = {
@@ -185,20 +146,53 @@
             "/invoke/bid/a1": 405,
             "/invoke/lot-page/a1?nth=1&x=" + "y" * 20_000: 431,
         }
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with running(ScriptedPeer(hit)) as (world, director):
             for path, status in bad.items():
-                self.assertEqual((await world.ask(path))[0], status, path[:40])
-            self.assertEqual((await world.ask(wait_ms=float("nan")))[0], 400)
-            self.assertEqual((await world.ask(method="DELETE"))[0], 405)
-            self.assertEqual((await world.ask(method="PUT", body=b"x" * 70_000))[0], 413)
+                assert (await world.ask(path))[0] == status, path[:40]
+            assert (await world.ask(wait_ms=float("nan")))[0] == 400
+            assert (await world.ask(method="DELETE"))[0] == 405
+            assert (await world.ask(method="PUT", body=b"x" * 70_000))[0] == 413
             reader, writer = await world.client()
             writer.write(b"\x16\x03\x01\r\n\r\n")
-            self.assertIn("400", (await read_message(reader))[0])
+            assert "400" in (await read_message(reader))[0]
             writer.close()
-            assert world.director is not None
-            self.assertEqual(world.director.counters["clients.bad_input_400"], 4)
+            assert director.counters["clients.bad_input_400"] == 4
 
-    def test_a_number_of_no_use_is_bad_input(self) -> None:
-        for value in (b"", b"-1", b"inf", b"1e300", b"1_0", b"9999999"):
-            with self.assertRaises(BadRequestError):
-                parse_request("GET", "/invoke/c/1", "", {b"trace-id": b"1f", b"max-wait-ms": value}, b"")
+
+async def answer_to_field(cache: ScriptedPeer, field: str) -> bytes:
+    """All that a client hears of a write with this field, behind whose head another request is hidden."""
+    async with running(cache) as (world, _):
+        reader, writer = await world.client()
+        head = request("/invoke/bid/a1", method="PUT").replace(b"\r\n\r\n", b"\r\n")
+        hidden = request("/invoke/lot-page/a2")
+        writer.write(head + field.encode() + b"\r\n\r\n0\r\n\r\n" + hidden)
+        answer = await reader.read()  # one answer, then the end
+        writer.close()
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("field", "status"),
+    [
+        ("Content-Length: 4\r\nTransfer-Encoding: chunked", 400),
+        ("Transfer-Encoding: chunked\r\nContent-Length: 4", 400),
+        ("Content-Length: 4\r\nContent-Length: 300", 400),
+        ("Content-Length: -1", 400),
+        ("Content-Length: 99999999999999999999999", 400),
+        ("Transfer-Encoding: gzip", 400),
+        ("Trace-Id: 0000000000000000", 400),  # a second one
+        ("Content-Length: 60000000", 413),
+    ],
+)
+def test_a_body_whose_end_is_in_doubt_is_refused_and_nothing_of_it_passed_on(field: str, status: int) -> None:
+    cache = ScriptedPeer(hit)
+    answer = asyncio.run(answer_to_field(cache, field))
+    assert answer.startswith(f"HTTP/1.1 {status} ".encode())
+    assert answer.count(b"HTTP/1.1") == 1
+    assert cache.heard == []
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"inf", b"1e300", b"1_0", b"9999999"])
+def test_a_number_of_no_use_is_bad_input(value: bytes) -> None:
+    with pytest.raises(BadRequestError):
+        parse_request("GET", "/invoke/c/1", "", {b"trace-id": b"1f", b"max-wait-ms": value}, b"")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,10 +9,9 @@
 import os
 import signal
 import socket
-import sys
 import tempfile
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 
 from gladewalk.director import EXIT_DELAY_MS, Director
@@ -20,7 +19,7 @@
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
-    Rehearsal,
+    Script,
     ScriptedPeer,
     config_for,
     read_message,
@@ -28,15 +27,19 @@
     until,
 )
 
-from .peers import BYTES, ROOT, hit
+from .peers import BYTES, held_until, hit, running
+from .program import start_program
 
 LARGE = bytes(range(256)) * 192  # more than small socket buffers hold, less than makes a writer wait
 
 
-def held_until(release: asyncio.Event) -> Callable[[Heard], Awaitable[None]]:
+def in_two_pieces(release: asyncio.Event) -> Script:
+    """A script whose answer goes on once `release` is set."""
+
     async def script(heard: Heard) -> None:
+        heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
         await release.wait()
-        await hit(heard)
+        heard.writer.write(b"def")
 
     return script
 
@@ -47,6 +50,13 @@
     await until(lambda: director.clock() > start + FINAL_LINGER_MS + 10 * EXIT_DELAY_MS)
 
 
+async def expect_last_answer(reader: asyncio.StreamReader) -> None:
+    """A complete answer, which says that it is the last, and then the connection's end."""
+    first, fields, body = await read_message(reader)
+    assert (first.split(" ")[1], fields["connection"], body) == ("200", "close", BYTES)
+    assert await reader.read() == b""
+
+
 def ask_at_once(client: socket.socket, data: bytes = b"") -> None:
     """Written with no turn of the loop in between: it lies with the system, unread."""
     client.sendall(data or request("/invoke/lot-page/a1"))
@@ -64,20 +74,16 @@
         """`before` is called in the moment in which the accepting time ends, with a client's socket."""
         release = asyncio.Event()
         cache = ScriptedPeer(held_until(release))
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache) as (_, director):
             client = socket.create_connection(director.front.address)
             before(director, client)
             director._stop_accepting()
             reader, writer = await stream_of(client)
             await until(lambda: len(cache.heard) == 1)
             await long_after(director)
-            self.assertFalse(director._ended.done())
+            assert not director._ended.done()
             release.set()
-            first, fields, body = await read_message(reader)
-            self.assertEqual((first.split(" ")[1], fields["connection"], body), ("200", "close", BYTES))
-            self.assertEqual(await reader.read(), b"")
+            await expect_last_answer(reader)
             writer.close()
             await director._ended
 
@@ -93,71 +99,59 @@
 
     async def test_a_request_that_lies_unread_is_answered(self) -> None:
         cache = ScriptedPeer(hit)
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache) as (world, director):
             reader, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
             await read_message(reader)
             os.write(writer.get_extra_info("socket").fileno(), request("/invoke/lot-page/a2"))
             director._stop_accepting()
-            first, fields, body = await read_message(reader)
-            self.assertEqual((first.split(" ")[1], fields["connection"], body), ("200", "close", BYTES))
-            self.assertEqual(await reader.read(), b"")
+            await expect_last_answer(reader)
             writer.close()
             await director._ended
 
     async def test_half_a_request_has_its_time_to_come_whole(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            director = world.director
-            assert director is not None
+        async with running(ScriptedPeer(hit)) as (world, director):
             reader, writer = await world.client()
             whole = request("/invoke/lot-page/a1")
             writer.write(whole[:-9])
             await until(lambda: any(connection.has_partial_request for connection in director.front.awaiting))
             director._stop_accepting()
             await long_after(director)
-            self.assertFalse(director._ended.done())
+            assert not director._ended.done()
             writer.write(whole[-9:])
-            self.assertIn(" 200 ", (await read_message(reader))[0])
-            self.assertEqual(await reader.read(), b"")
+            assert " 200 " in (await read_message(reader))[0]
+            assert await reader.read() == b""
             writer.close()
             await director._ended
 
     async def test_who_rests_sees_an_end_and_what_crosses_it_is_not_taken(self) -> None:
         cache = ScriptedPeer(hit)
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache) as (world, director):
             reader, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
             await read_message(reader)
             director._stop_accepting()
             writer.write(request("/invoke/lot-page/a2"))
-            self.assertEqual(await reader.read(), b"")  # an end, and no reset
+            assert await reader.read() == b""  # an end, and no reset
             writer.close()
             await director._ended
-            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
+            assert (len(cache.heard), director.counters["requests.taken"]) == (1, 1)
 
     async def test_who_says_nothing_more_holds_no_process_up(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            director = world.director
-            assert director is not None
+        async with running(ScriptedPeer(hit)) as (world, director):
             clients = [await world.client() for _ in range(3)]
             await until(lambda: len(director.front.awaiting) == 3)
             director._stop_accepting()
             await director._ended
             for reader, writer in clients:
-                self.assertEqual(await reader.read(), b"")
+                assert await reader.read() == b""
                 writer.close()
 
     async def test_an_answer_that_its_client_reads_slowly_comes_whole(self) -> None:
         async def large(heard: Heard) -> None:
             await heard.answer(200, LARGE)
 
-        async with Rehearsal([ScriptedPeer(large)]) as world:
-            director = world.director
-            assert director is not None
+        async with running(ScriptedPeer(large)) as (_, director):
             front, client = director.front, socket.socket()
             client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             client.setblocking(False)
@@ -169,14 +163,14 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             ask_at_once(client)
             await until(lambda: director.counters["answers.served"] == 1)
-            self.assertGreater(connection.transport.get_write_buffer_size(), 0)  # owed to nobody's knowledge
+            assert connection.transport.get_write_buffer_size() > 0  # owed to nobody's knowledge
             front._evict_one()
-            self.assertFalse(connection.is_evicted)
+            assert not connection.is_evicted
             director._stop_accepting()
             await long_after(director)
-            self.assertFalse(director._ended.done())
+            assert not director._ended.done()
             reader, writer = await stream_of(client)
-            self.assertEqual((await read_message(reader))[2], LARGE)
+            assert (await read_message(reader))[2] == LARGE
             writer.close()
             await director._ended
 
@@ -186,34 +180,24 @@
 
     async def test_a_request_behind_a_last_answer_is_not_taken_and_resets_nothing(self) -> None:
         release = asyncio.Event()
-
-        async def in_two_pieces(heard: Heard) -> None:
-            heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
-            await release.wait()
-            heard.writer.write(b"def")
-
-        cache = ScriptedPeer(in_two_pieces)
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        cache = ScriptedPeer(in_two_pieces(release))
+        async with running(cache) as (world, director):
             director.readiness.start_drain(director.clock())
             reader, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
-            self.assertIn(b"Connection: close", await reader.readuntil(b"\r\n\r\n"))
+            assert b"Connection: close" in await reader.readuntil(b"\r\n\r\n")
             writer.write(request("/invoke/lot-page/a2"))
             (connection,) = director.front.connections
             await until(connection.is_input_empty)  # it has come, and been read
             release.set()
-            self.assertEqual(await reader.read(), b"abcdef")
+            assert await reader.read() == b"abcdef"
             writer.close()
-            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
+            assert (len(cache.heard), director.counters["requests.taken"]) == (1, 1)
 
     async def test_a_client_that_leaves_is_seen_though_it_is_not_read(self) -> None:
         release = asyncio.Event()
         cache = ScriptedPeer(held_until(release))
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache) as (world, director):
             _, writer = await world.client()
             for name in ("a1", "a2", "a3"):
                 writer.write(request(f"/invoke/lot-page/{name}"))
@@ -221,26 +205,22 @@
             await until(lambda: any(c.is_reading_paused for c in connections) and len(cache.heard) == 1)
             writer.close()
             await until(lambda: not director.exchange.open_requests, 2.0)  # and not once its time is up
-            self.assertEqual(director.counters["requests.left_by_client"], 1)
-            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
+            assert director.counters["requests.left_by_client"] == 1
+            assert (len(cache.heard), director.counters["requests.taken"]) == (1, 1)
 
     async def test_a_request_whose_client_has_left_before_it_was_read_is_not_sent_on(self) -> None:
         cache = ScriptedPeer(hit)
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache) as (_, director):
             with socket.create_connection(director.front.address) as client:
                 ask_at_once(client)  # it waits unaccepted, and is closed before the loop's next turn
             await until(lambda: director.counters["clients.left_unread"] == 1)
             await until(lambda: not director.front.connections)
-            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (0, 0))
-            self.assertEqual(director.front.descriptor_count, 0)
+            assert (len(cache.heard), director.counters["requests.taken"]) == (0, 0)
+            assert director.front.descriptor_count == 0
 
     async def test_a_client_that_leaves_while_its_request_is_held_or_dialled_is_not_sent_on(self) -> None:
         cache = ScriptedPeer(hit)
-        async with Rehearsal([cache], coordinator=Coordinator(answering=asyncio.Event())) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache, coordinator=Coordinator(answering=asyncio.Event())) as (world, director):
             _, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
             await until(lambda: len(director.exchange.held_requests or ()) == 1)
@@ -250,19 +230,11 @@
             world.coordinator.answering.set()
             await until(lambda: director.exchange.held_requests is None)
             await until(lambda: not director.exchange.open_requests)
-            self.assertEqual((len(cache.heard), director.counters["attempts.written"]), (0, 0))
+            assert (len(cache.heard), director.counters["attempts.written"]) == (0, 0)
 
     async def test_nothing_is_said_within_another_answer(self) -> None:
         release = asyncio.Event()
-
-        async def in_two_pieces(heard: Heard) -> None:
-            heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
-            await release.wait()
-            heard.writer.write(b"def")
-
-        async with Rehearsal([ScriptedPeer(in_two_pieces)]) as world:
-            director = world.director
-            assert director is not None
+        async with running(ScriptedPeer(in_two_pieces(release))) as (world, director):
             reader, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
             await reader.readuntil(b"abc")
@@ -271,7 +243,7 @@
             (connection,) = director.front.connections
             await until(lambda: connection.has_partial_request and connection.has_complete_head)
             release.set()
-            self.assertEqual(await reader.readexactly(3), b"def")
+            assert await reader.readexactly(3) == b"def"
             writer.close()
 
 
@@ -283,45 +255,38 @@
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "config.json")
             os.mkfifo(path)
-            program = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "gladewalk", cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(path)},
-                stderr=asyncio.subprocess.PIPE,
-            )  # fmt: skip
-            assert program.stderr is not None
+            program = await start_program(path)
             pipe = await asyncio.to_thread(open, path, "w")  # opened: it is about to read
             config = json.dumps(config_for([cache], coordinator))
             Path(folder, "next").write_text(config)
             os.replace(Path(folder, "next"), path)
-            for number in (signal.SIGHUP, signal.SIGUSR1):
-                program.send_signal(number)
+            program.send(signal.SIGHUP, signal.SIGUSR1)
             with pipe:
                 pipe.write(config)
             events: list[str] = []
             while "serving" not in events:
-                line = await program.stderr.readline()
-                self.assertTrue(line, f"ended with {program.returncode} after {events}")
+                line = await program.log.readline()
+                assert line, f"ended with {program.process.returncode} after {events}"
                 events.append(json.loads(line)["event"])
-            program.send_signal(signal.SIGTERM)
-            rest = (await program.communicate())[1].splitlines()
+            program.send(signal.SIGTERM)
+            exit_code, rest = await program.finish()
             events += [json.loads(line)["event"] for line in rest]
-            self.assertEqual(program.returncode, 0)
-            self.assertIn("configuration taken", events)
-            self.assertIn("stopping", events)
+            assert exit_code == 0
+            assert "configuration taken" in events
+            assert "stopping" in events
         cache.stop()
         coordinator.stop()
 
     async def test_what_comes_once_a_stop_is_through_does_not_end_the_process_otherwise(self) -> None:
         before = signal.pthread_sigmask(signal.SIG_BLOCK, ())
         self.addCleanup(signal.pthread_sigmask, signal.SIG_SETMASK, before)
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            director = world.director
-            assert director is not None
+        async with running(ScriptedPeer(hit)) as (_, director):
             director._ended.set_result(None)
             asyncio.get_running_loop().call_soon(director.stop)
             director.start = _nothing  # type: ignore[method-assign]  # it has started
             await director.run()
             mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
-            self.assertTrue({signal.SIGHUP, signal.SIGTERM} <= mask - before)
+            assert {signal.SIGHUP, signal.SIGTERM} <= mask - before
             for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
                 asyncio.get_running_loop().remove_signal_handler(number)
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,7 +11,7 @@
 from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for, read_message, request, until
 from gladewalk.upstream.pool import OWN_DESCRIPTORS, UPSTREAM_PART
 
-from .test_crossings import held_until
+from .peers import held_until
 
 SOCKETS = 256
 
@@ -61,12 +61,12 @@
         most = int(SOCKETS * UPSTREAM_PART) - OWN_DESCRIPTORS
         await until(lambda: self.cache.connections >= most - 1)
         held = sum(len(d.caches.live) for d in self.directors)
-        self.assertLessEqual(held, most)
-        self.assertLessEqual(self.cache.connections, most)
+        assert held <= most
+        assert self.cache.connections <= most
         self.release.set()
         answers = [(await read_message(reader))[0].split(" ")[1] for reader, _ in clients]
-        self.assertLessEqual(set(answers), {"200", "503"})
-        self.assertLessEqual(sum(len(d.caches.live) for d in self.directors), most)
+        assert set(answers) <= {"200", "503"}
+        assert sum(len(d.caches.live) for d in self.directors) <= most
         for _, writer in clients:
             writer.close()
 
@@ -78,4 +78,4 @@
             limit = read_config(raw, {"NODE_FD": "3"})
             director.caches.configure(limit)
             both = 2 * director.caches.most + limit.settings.client_connection_limit + SPARE_CONNECTIONS
-            self.assertLessEqual(both + 2 * 16, sockets)  # listeners, the coordinator, calls, the loop's own
+            assert both + 2 * 16 <= sockets  # listeners, the coordinator, calls, the loop's own
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -6,19 +6,17 @@
 from typing import Any
 
 from gladewalk.core.exchange import LOOP_TURN_MS
-from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer, request, until
+from gladewalk.rehearsal.peers import ScriptedPeer, request, until
 from gladewalk.upstream.http1 import CacheConnection
 from gladewalk.upstream.targets import Dial
 
-from .peers import hit
+from .peers import hit, running
 
 
 class SameTurn(unittest.IsolatedAsyncioTestCase):
     async def test_a_dial_given_up_before_its_first_step_holds_no_descriptor(self) -> None:
         cache = ScriptedPeer(hit)
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache) as (world, director):
             await until(lambda: director.readiness.is_synced)
             _, writer = await world.client()
             await until(lambda: len(director.front.connections) == 1)
@@ -30,21 +28,19 @@
                 connection._release_request()
                 director.exchange.client_disconnected(number)  # no turn of the loop in between
             await until(lambda: not director.exchange.open_requests)
-            self.assertEqual(director.counters["caches.connects"], 5)
+            assert director.counters["caches.connects"] == 5
             await until(lambda: not director.caches.dialling, 2.0)
             writer.close()
-            self.assertEqual((await world.ask())[0], 200)
+            assert (await world.ask())[0] == 200
 
 
 class Left(unittest.IsolatedAsyncioTestCase):
     async def test_a_client_whose_end_lies_unread_is_sent_nothing_more(self) -> None:
         """Its end has come to the machine, and the loop has not read it when the next attempt is due."""
         cache = ScriptedPeer(hit)
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache) as (world, director):
             await until(lambda: director.readiness.is_synced)
-            self.assertEqual((await world.ask())[0], 200)  # its connection to the cache rests
+            assert (await world.ask())[0] == 200  # its connection to the cache rests
             await until(lambda: not director.front.connections)
             client = socket.create_connection(director.front.address)
             await until(lambda: len(director.front.connections) == 1)
@@ -55,19 +51,17 @@
             director.exchange.clock = lambda: real() + LOOP_TURN_MS + 1.0  # it has waited longer than a turn
             (connection,) = director.front.connections
             client.close()  # and no turn of the loop from here on
-            self.assertTrue(connection.is_disconnected())
+            assert connection.is_disconnected()
             director.exchange.release_held()
             await until(lambda: not director.exchange.open_requests and not director.caches.dialling)
             counters = director.counters
-            self.assertEqual((counters["attempts.written"], counters["requests.left_by_client"]), (1, 1))
-            self.assertEqual(len(cache.heard), 1)
-            self.assertEqual((await world.ask())[0], 200)
+            assert (counters["attempts.written"], counters["requests.left_by_client"]) == (1, 1)
+            assert len(cache.heard) == 1
+            assert (await world.ask())[0] == 200
 
     async def test_who_leaves_while_its_dial_is_late_is_sent_nothing(self) -> None:
         cache = ScriptedPeer(hit)
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache) as (_, director):
             await until(lambda: director.readiness.is_synced)
             loop, up = asyncio.get_running_loop(), asyncio.Event()
             real_connect, real = loop.create_connection, director.clock
@@ -88,9 +82,9 @@
             assert isinstance(dial, Dial) and isinstance(upstream, CacheConnection)
             director.exchange.clock = lambda: real() + LOOP_TURN_MS + 1.0
             client.close()
-            self.assertTrue(connection.is_disconnected())
+            assert connection.is_disconnected()
             director.caches.write(upstream, dial.job)  # as the dial's next step does
             up.set()
             await until(lambda: not director.exchange.open_requests and not director.caches.dialling)
-            self.assertEqual(director.counters["attempts.written"], 0)
-            self.assertEqual(len(cache.heard), 0)
+            assert director.counters["attempts.written"] == 0
+            assert len(cache.heard) == 0
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -8,10 +8,10 @@
 from gladewalk.director import Director
 from gladewalk.net.connection import MAX_HEADER_BYTES, ClientConnection
 from gladewalk.net.sockets import MAX_FRAMING_BYTES
-from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, read_message, request, until
+from gladewalk.rehearsal.peers import Heard, ScriptedPeer, read_message, request, until
 from gladewalk.upstream.words import HEAD_MOST, OBJECT_MOST
 
-from .peers import hit
+from .peers import hit, running
 
 PIECE = b"x" * 4096
 AHEAD = 8  # requests that a client sends without reading
@@ -32,9 +32,7 @@
 class FromClients(unittest.IsolatedAsyncioTestCase):
     async def endless(self, start: bytes, piece: bytes, most: int, status: int) -> None:
         """`piece` comes again and again behind `start`: the client is told `status` before `most` bytes."""
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            director = world.director
-            assert director is not None
+        async with running(ScriptedPeer(hit)) as (world, director):
             reader, writer = await world.client()
             writer.write(start)
             sent = 0
@@ -47,11 +45,11 @@
                 (connection,) = director.front.connections
                 await until(lambda c=connection: c.is_last or c.is_input_empty())  # type: ignore[misc]
                 await asyncio.sleep(0)
-            self.assertLessEqual(sent, most + 2 * len(piece))
-            self.assertIn(f" {status} ", (await answer)[0])
-            self.assertEqual(director.counters[f"clients.bad_input_{status}"], 1)
+            assert sent <= most + 2 * len(piece)
+            assert f" {status} " in (await answer)[0]
+            assert director.counters[f"clients.bad_input_{status}"] == 1
             writer.close()
-            self.assertEqual((await world.ask())[0], 200)
+            assert (await world.ask())[0] == 200
 
     async def test_a_trailer_without_end(self) -> None:
         head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
@@ -84,43 +82,36 @@
     async def test_answers_that_a_client_leaves_unread_are_not_made_ahead(self) -> None:
         """A client that asks on and on and reads nothing: its next request waits until it reads."""
         cache = ScriptedPeer(large)
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache) as (_, director):
             client, connection = await self.unread(director, ahead(AHEAD, 3000.0))
             await until(
                 lambda: director.counters["answers.served"] >= 2 and not director.exchange.open_requests
             )
             assert connection.transport is not None
-            self.assertLess(connection.transport.get_write_buffer_size(), 3 * len(LARGE))
-            self.assertLess(len(cache.heard), AHEAD)
+            assert connection.transport.get_write_buffer_size() < 3 * len(LARGE)
+            assert len(cache.heard) < AHEAD
             reader, writer = await asyncio.open_connection(sock=client)
             for _ in range(AHEAD):
-                self.assertEqual((await read_message(reader))[2], LARGE)
-            self.assertEqual(director.counters["answers.served"], AHEAD)
+                assert (await read_message(reader))[2] == LARGE
+            assert director.counters["answers.served"] == AHEAD
             writer.close()
 
     async def test_who_never_reads_is_parted_from_once_its_patience_is_over(self) -> None:
-        async with Rehearsal([ScriptedPeer(large)]) as world:
-            director = world.director
-            assert director is not None
+        async with running(ScriptedPeer(large)) as (_, director):
             client, _ = await self.unread(director, ahead(AHEAD, 400.0))
             await until(lambda: director.counters["clients.never_read"] == 1)
             await until(lambda: not director.front.connections)
-            self.assertEqual(director.front.descriptor_count, 0)
+            assert director.front.descriptor_count == 0
             client.close()
 
-
     async def test_half_a_request_behind_answers_unread_ends_with_its_time(self) -> None:
-        async with Rehearsal([ScriptedPeer(large)]) as world:
-            director = world.director
-            assert director is not None
+        async with running(ScriptedPeer(large)) as (_, director):
             front, real = director.front, director.front.clock
             client, connection = await self.unread(director, ahead(3, 3000.0) + ahead(1, 3000.0)[:-9])
             await until(
                 lambda: director.counters["answers.served"] >= 2 and not director.exchange.open_requests
             )
-            self.assertTrue(connection.is_writing_paused)
+            assert connection.is_writing_paused
             connection.pipelined.clear()  # as once the last whole one has been answered, and reading goes on
             connection.is_reading_paused, connection.has_partial_request = False, True
             connection.request_began_ms = real()
@@ -129,7 +120,7 @@
             front.clock = lambda: real() + front.request_timeout_ms + 1.0
             front.sweep()  # as its deadline calls it
             await until(lambda: not front.connections)
-            self.assertEqual((front.descriptor_count, director.counters["clients.came_too_slowly"]), (0, 1))
+            assert (front.descriptor_count, director.counters["clients.came_too_slowly"]) == (0, 1)
             client.close()
 
 
@@ -145,18 +136,16 @@
                     sent[0] += len(piece)
                     await heard.writer.drain()
 
-        async with Rehearsal([ScriptedPeer(endless)]) as world:
-            director = world.director
-            assert director is not None
+        async with running(ScriptedPeer(endless)) as (world, director):
             reader, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1", Connection="close"))
             with contextlib.suppress(ConnectionError):
                 while await reader.read(65536):
                     pass
-            self.assertGreaterEqual(director.counters["caches.unreadable_answer"], 1)
+            assert director.counters["caches.unreadable_answer"] >= 1
             counters = director.counters  # cut once it had begun, else failed or refused
             ends = ("answers.cut", "answers.failed", "answers.refused")
-            self.assertEqual([counters["answers.served"], sum(counters[end] for end in ends)], [0, 1])
+            assert [counters["answers.served"], sum(counters[end] for end in ends)] == [0, 1]
             writer.close()
 
     async def test_a_trailer_without_end(self) -> None:
@@ -176,12 +165,12 @@
             heard.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             heard.writer.write(b"1\r\nx\r\n" * HEAD_MOST + b"0\r\n\r\n")
 
-        async with Rehearsal([ScriptedPeer(small)]) as world:
+        async with running(ScriptedPeer(small)) as (world, _):
             reader, writer = await world.client()
             writer.write(request("/invoke/lot-page/a1"))
             await reader.readuntil(b"\r\n\r\n")
             whole = 0
             while size := int((await reader.readline()).strip(), 16):
                 whole += len((await reader.readexactly(size + 2))[:-2])
-            self.assertEqual(whole, HEAD_MOST)
+            assert whole == HEAD_MOST
             writer.close()
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -5,12 +5,13 @@
 import unittest
 from typing import Any
 
+from gladewalk.director import Director
 from gladewalk.interface import ServerState
 from gladewalk.net.coordinator import MAX_BACKOFF_MS, MAX_SILENCE_MS, MAX_UNUSABLE_MS, MIN_BACKOFF_MS
 from gladewalk.net.endpoint_feed import MAX_REFETCHES
 from gladewalk.rehearsal.peers import Coordinator, Rehearsal, ScriptedPeer, until
 
-from .peers import hit
+from .peers import hit, running
 
 
 def whole_list(*targets: Any) -> dict[str, Any]:
@@ -30,9 +31,13 @@
         super().__init__([self.cache])
 
     @property
-    def known(self) -> dict[str, ServerState]:
+    def running_director(self) -> Director:
         assert self.director is not None
-        servers = self.director.exchange.dispatcher.state.registry.servers
+        return self.director
+
+    @property
+    def known(self) -> dict[str, ServerState]:
+        servers = self.running_director.exchange.dispatcher.state.registry.servers
         return {name: server.info.state for name, server in servers.items()}
 
     async def following(self, times: int) -> None:
@@ -42,7 +47,6 @@
 class Spoilt(unittest.IsolatedAsyncioTestCase):
     async def test_an_entry_of_no_use_costs_the_others_nothing(self) -> None:
         async with World() as world:
-            assert world.director is not None
             await world.following(1)
             good = {**world.cache.target(), "uid": "c2"}
             drains = {**world.cache.target(), "state": "DRAINING"}
@@ -53,22 +57,21 @@
             ]  # fmt: skip
             world.coordinator.tell(**whole_list(*bad, good, drains))
             await until(lambda: set(world.known) == {"c1", "c2"})
-            self.assertEqual(world.known["c1"], ServerState.DRAINING)
-            counters = world.director.counters
+            assert world.known["c1"] == ServerState.DRAINING
+            counters = world.running_director.counters
             await until(lambda: counters["coordinator.given_up"] == 1)
-            self.assertEqual(counters["coordinator.bad_entries"], len(bad) * (1 + MAX_REFETCHES))
-            self.assertEqual(world.coordinator.follows, [1] * (1 + MAX_REFETCHES))
+            assert counters["coordinator.bad_entries"] == len(bad) * (1 + MAX_REFETCHES)
+            assert world.coordinator.follows == [1] * (1 + MAX_REFETCHES)
             # Asking again did not help: the next such event is asked for once more, not three times.
             world.coordinator.tell(**whole_list(bad[0]))
             await until(lambda: counters["coordinator.given_up"] == 2)
-            self.assertEqual(world.coordinator.follows[1 + MAX_REFETCHES :], [2])
+            assert world.coordinator.follows[1 + MAX_REFETCHES :] == [2]
             world.coordinator.tell(**whole_list({**good, "uid": "c3"}))
             await until(lambda: "c3" in world.known)
-            self.assertEqual(world.director.endpoint_feed.last_index, 4)
+            assert world.running_director.endpoint_feed.last_index == 4
 
     async def test_a_change_spoilt_on_its_way_is_asked_for_again_and_not_lost(self) -> None:
         async with World() as world:
-            assert world.director is not None
             await world.following(1)
             event = {"index": 2, **whole_list({**world.cache.target(), "uid": "c2"})}
             for spoilt in (
@@ -78,27 +81,26 @@
                 {"index": 2, "evict": {"shard": 3, "unix_ms": float("nan")}},
             ):
                 before = len(world.coordinator.follows)
-                world.director.endpoint_feed._refetched = (0, 0)
+                world.running_director.endpoint_feed._refetched = (0, 0)
                 world.coordinator.write(json.dumps(spoilt).encode() + b"\n")
                 await world.following(before + 1)
-            self.assertEqual(set(world.coordinator.follows), {1})
-            self.assertNotIn("c2", world.known)
+            assert set(world.coordinator.follows) == {1}
+            assert "c2" not in world.known
             world.coordinator.events.append(event)
             world.coordinator.cut()
             await until(lambda: "c2" in world.known)
-            self.assertEqual(world.director.endpoint_feed.last_index, 2)
+            assert world.running_director.endpoint_feed.last_index == 2
 
     async def test_lines_that_are_none_leave_the_last_list_in_force(self) -> None:
         async with World() as world:
-            assert world.director is not None
             await world.following(1)
             lines = [b"[" * 200_000, b"{}", b"true", b'{"index":true}', b'{"index":"2"}', b"\xff\xfe", b'"x"']
             for number, line in enumerate(lines):
                 world.coordinator.write(line + b"\n")
                 await world.following(number + 2)
-            self.assertEqual(world.known, {"c1": ServerState.READY})
-            self.assertEqual(world.director.counters["coordinator.bad_lines"], len(lines))
-            self.assertEqual((await world.ask())[0], 200)
+            assert world.known == {"c1": ServerState.READY}
+            assert world.running_director.counters["coordinator.bad_lines"] == len(lines)
+            assert (await world.ask())[0] == 200
 
 
 class Nothing(unittest.IsolatedAsyncioTestCase):
@@ -106,8 +108,7 @@
 
     async def test_bytes_without_a_line_of_use_shorten_no_wait(self) -> None:
         async with World() as world:
-            assert world.director is not None
-            watch = world.director.coordinator_watch
+            watch = world.running_director.coordinator_watch
             await world.following(1)
             noise = await asyncio.start_server(answer_with_noise, "127.0.0.1", 0)
             watch.set_address(noise.sockets[0].getsockname()[:2])
@@ -120,8 +121,7 @@
 
     async def test_half_a_line_keeps_a_connection_alive_for_a_while_only(self) -> None:
         async with World() as world:
-            assert world.director is not None
-            director, watch = world.director, world.director.coordinator_watch
+            director, watch = world.running_director, world.running_director.coordinator_watch
             await world.following(1)
             await until(lambda: director.readiness.is_synced)
             real, ahead, written = director.endpoint_feed.clock, 0.0, [0]
@@ -133,16 +133,14 @@
                 written[0] = step
                 await until(lambda: (c := watch.connection) is None or len(c.partial_line) >= written[0])
                 if watch._timer is not None:
-                    self.assertLessEqual(watch._timer[0], max(real(), begun) + MAX_UNUSABLE_MS)
-            world.director.endpoint_feed.clock = real
+                    assert watch._timer[0] <= max(real(), begun) + MAX_UNUSABLE_MS
+            world.running_director.endpoint_feed.clock = real
 
 
 class Down(unittest.IsolatedAsyncioTestCase):
     async def test_idle_clients_that_fill_their_places_leave_the_feed_its_descriptor(self) -> None:
         coordinator = Coordinator()
-        async with Rehearsal([ScriptedPeer(hit)], coordinator=coordinator) as world:
-            assert world.director is not None
-            director = world.director
+        async with running(ScriptedPeer(hit), coordinator=coordinator) as (world, director):
             await until(lambda: len(coordinator.follows) == 1)
             assert coordinator._server is not None
             port = int(coordinator.address.rpartition(":")[2])
@@ -150,10 +148,10 @@
             coordinator.cut()  # discovery is down
             clients = [await world.client() for _ in range(2 * director.front.connection_limit)]
             await until(lambda: director.counters["coordinator.connects"] >= 3)
-            self.assertLessEqual(director.front.descriptor_count, director.config.max_descriptors)
+            assert director.front.descriptor_count <= director.config.max_descriptors
             again = await asyncio.start_server(coordinator._serve, "127.0.0.1", port)
             await until(lambda: len(coordinator.follows) == 2)
-            self.assertEqual((await world.ask())[0], 200)
+            assert (await world.ask())[0] == 200
             again.close()
             for _, writer in clients:
                 writer.close()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,147 +3,148 @@
 import asyncio
 import unittest
 
-from gladewalk.core.counters import Counters
-from gladewalk.rehearsal.peers import (
-    Heard,
-    Rehearsal,
-    ScriptedPeer,
-    read_message,
-    request,
-    until,
-)
+import pytest
 
-from .peers import BYTES, half, hit, miss_then_fill, reset, silent
+from gladewalk.core.counters import Counters
+from gladewalk.rehearsal.peers import Heard, ScriptedPeer, read_message, request, until
+
+from .peers import BYTES, half, hit, miss_then_fill, reset, running, silent
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+SPOILT_ANSWERS = {
+    "two lengths": HEAD + b"Content-Length: 5\r\nContent-Length: 9\r\n\r\nabcde",
+    "length and chunks": HEAD + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "too long": HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 1000,
+    "noise for a chunk": HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nnoise\r\n",
+    "no length": HEAD + b"\r\nno length, so no end that can be told",
+    "endless head": HEAD + b"X-Pad: pppppppppppppppppppp\r\n" * 2_000,
+    "noise": b"\x00\x01 noise",
+}
+BEHIND_ANSWERS = {
+    "a second answer": HEAD + b"Content-Length: 4\r\n\r\nfake",
+    "noise": b"noise",
+    "half an answer": b"\r\n\r\nHTTP/1.1 200",
+}
+
+
+async def spoilt_by(raw: bytes) -> tuple[Counters, ScriptedPeer]:
+    """One request while its home answers with these bytes, and the other cache as it should."""
+
+    async def script(heard: Heard) -> None:
+        heard.writer.write(raw)
+        await heard.writer.drain()
+        await asyncio.Event().wait()  # the connection stays open
+
+    bad, good = ScriptedPeer(script), ScriptedPeer(hit, "c2", size=1e-6)
+    async with running(bad, good) as (world, director):
+        status, _, body = await world.ask()
+        assert (status, body) == (200, BYTES)
+        return director.counters, bad
+
+
+@pytest.mark.parametrize("raw", SPOILT_ANSWERS.values(), ids=SPOILT_ANSWERS)
+def test_a_spoilt_answer_reaches_no_client_and_another_cache_is_asked(raw: bytes) -> None:
+    counters, bad = asyncio.run(spoilt_by(raw))
+    assert len(bad.heard) == 1
+    assert (counters["caches.unreadable_answer"], counters["answers.cut"]) == (1, 0)
+
+
+async def answers_of(cache: ScriptedPeer, paths: list[str]) -> list[str]:
+    """The bodies of requests that are all sent at once: the next attempt waits for a free connection."""
+    async with running(cache) as (world, _):
+        reader, writer = await world.client()
+        for path in paths:
+            writer.write(request(f"/invoke{path[:-2]}"))
+        answers = [await read_message(reader) for _ in paths]
+        writer.close()
+    return [body.decode() for _, _, body in answers]
+
+
+@pytest.mark.parametrize("behind", BEHIND_ANSWERS.values(), ids=BEHIND_ANSWERS)
+def test_what_lies_behind_an_answer_is_never_taken_for_the_next_one(behind: bytes) -> None:
+    async def script(heard: Heard) -> None:
+        heard.writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n")
+        raw = f"HTTP/1.1 200 OK\r\nContent-Length: {len(heard.path)}\r\n\r\n{heard.path}".encode()
+        heard.writer.write(raw + behind)
+
+    cache, paths = ScriptedPeer(script), [f"/lot-page/{key:x}/0" for key in range(4)]
+    assert asyncio.run(answers_of(cache, paths)) == [f"/o{path}" for path in paths]
+    assert cache.connections == 4
 
 
 class Stories(unittest.IsolatedAsyncioTestCase):
     async def test_a_miss_is_filled_from_the_parent_and_passed_on_unchanged(self) -> None:
         cache, parent = ScriptedPeer(miss_then_fill), ScriptedPeer(hit, "p1", "parent", "north")
-        async with Rehearsal([cache, parent]) as world:
+        async with running(cache, parent) as (world, _):
             path = "/invoke/lot-page/7f3a9c21e0b4d655?nth=3"
             status, _, body = await world.ask(path, trace="00c0ffee00c0ffee")
-        self.assertEqual((status, body), (200, BYTES))
+        assert (status, body) == (200, BYTES)
         lookup, fill = cache.heard
-        self.assertEqual({heard.path for heard in cache.heard}, {"/o/lot-page/7f3a9c21e0b4d655/3"})
-        self.assertEqual(lookup.headers["x-ticket"], "00c0ffee00c0ffee")
-        self.assertNotIn("miss-to", lookup.headers)
-        self.assertEqual((fill.headers["miss-to"], fill.headers["store-as"]), ("p1", "1"))
-        self.assertEqual(cache.connections, 1)  # the second attempt took the first one's connection
+        assert {heard.path for heard in cache.heard} == {"/o/lot-page/7f3a9c21e0b4d655/3"}
+        assert lookup.headers["x-ticket"] == "00c0ffee00c0ffee"
+        assert "miss-to" not in lookup.headers
+        assert (fill.headers["miss-to"], fill.headers["store-as"]) == ("p1", "1")
+        assert cache.connections == 1  # the second attempt took the first one's connection
 
     async def test_a_copy_that_the_client_holds_is_confirmed_without_bytes(self) -> None:
         async def script(heard: Heard) -> None:
             await heard.answer(304 if heard.headers.get("have") == "4be0" else 500, Tag="4be0")
 
-        async with Rehearsal([ScriptedPeer(script)]) as world:
+        async with running(ScriptedPeer(script)) as (world, _):
             status, fields, body = await world.ask(If_None_Match='"4be0"')
-        self.assertEqual((status, fields["etag"], body), (304, '"4be0"', b""))
+        assert (status, fields["etag"], body) == (304, '"4be0"', b"")
 
     async def test_an_answer_that_breaks_off_is_seen_as_cut_by_the_client(self) -> None:
         cache = ScriptedPeer(half)
-        async with Rehearsal([cache]) as world:
-            with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+        async with running(cache) as (world, director):
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
                 await world.ask()
-            assert world.director is not None
-            self.assertEqual(world.director.counters["answers.cut"], 1)
-        self.assertEqual(len(cache.heard), 1)  # begun, so nobody else may serve it
-
-    async def spoilt_by(self, raw: bytes) -> tuple[Counters, ScriptedPeer]:
-        """One request while its home answers with these bytes, and the other cache as it should."""
-
-        async def script(heard: Heard) -> None:
-            heard.writer.write(raw)
-            await heard.writer.drain()
-            await asyncio.Event().wait()  # the connection stays open
-
-        bad, good = ScriptedPeer(script), ScriptedPeer(hit, "c2", size=1e-6)
-        async with Rehearsal([bad, good]) as world:
-            assert world.director is not None
-            status, _, body = await world.ask()
-            self.assertEqual((status, body), (200, BYTES))
-            return world.director.counters, bad
-
-    async def test_a_spoilt_answer_reaches_no_client_and_another_cache_is_asked(self) -> None:
-        head = b"HTTP/1.1 200 OK\r\n"
-        for raw in (
-            head + b"Content-Length: 5\r\nContent-Length: 9\r\n\r\nabcde",
-            head + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-            head + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 1000,
-            head + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nnoise\r\n",
-            head + b"\r\nno length, so no end that can be told",
-            head + b"X-Pad: pppppppppppppppppppp\r\n" * 2_000,
-            b"\x00\x01 noise",
-        ):
-            with self.subTest(raw[:70]):
-                counters, bad = await self.spoilt_by(raw)
-                self.assertEqual(len(bad.heard), 1)
-                self.assertEqual((counters["caches.unreadable_answer"], counters["answers.cut"]), (1, 0))
-
-    async def test_what_lies_behind_an_answer_is_never_taken_for_the_next_one(self) -> None:
-        copy = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"
-        for behind in (copy, b"noise", b"\r\n\r\nHTTP/1.1 200"):
-
-            async def script(heard: Heard, behind: bytes = behind) -> None:
-                heard.writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n")
-                raw = f"HTTP/1.1 200 OK\r\nContent-Length: {len(heard.path)}\r\n\r\n{heard.path}".encode()
-                heard.writer.write(raw + behind)
-
-            cache = ScriptedPeer(script)
-            async with Rehearsal([cache]) as world:
-                reader, writer = await world.client()
-                paths = [f"/lot-page/{key:x}/0" for key in range(4)]
-                for path in paths:  # all at once: the next attempt is ready as soon as a connection is free
-                    writer.write(request(f"/invoke{path[:-2]}"))
-                answers = [await read_message(reader) for _ in paths]
-                writer.close()
-            self.assertEqual([body.decode() for _, _, body in answers], [f"/o{path}" for path in paths])
-            self.assertEqual(cache.connections, 4)
+            assert director.counters["answers.cut"] == 1
+        assert len(cache.heard) == 1  # begun, so nobody else may serve it
 
     async def test_what_was_dialled_at_an_old_address_carries_nothing_for_the_new_one(self) -> None:
         old, new = ScriptedPeer(hit), await ScriptedPeer(hit).start()
-        async with Rehearsal([old]) as world:
-            assert world.director is not None
-            caches = world.director.caches
+        async with running(old) as (world, director):
+            caches = director.caches
             await world.ask()
             (connection,) = caches.upstreams["c1"].idle
             caches.upstreams["c1"].idle.clear()
             world.coordinator.tell_list(new)  # the same server at another place
-            await until(lambda: world.director is not None and world.director.endpoint_feed.last_index == 2)
+            await until(lambda: director.endpoint_feed.last_index == 2)
             caches.upstreams["c1"].rest(connection)
             await world.ask()
             gone = ScriptedPeer(hit, state="DELETED", address=new.address)
             world.coordinator.tell_list(gone)
             await until(lambda: not caches.upstreams)
         new.stop()
-        self.assertEqual((len(old.heard), len(new.heard)), (1, 1))
+        assert (len(old.heard), len(new.heard)) == (1, 1)
 
     async def test_a_bid_that_may_have_run_is_never_sent_again(self) -> None:
         cache, origin = ScriptedPeer(reset), ScriptedPeer(reset, "o", "origin", "north")
-        async with Rehearsal([cache, origin]) as world:
+        async with running(cache, origin) as (world, _):
             status, _, _ = await world.ask("/invoke/bid/b1", method="PUT", body=b"10 boxes of hake")
-        self.assertEqual(status, 502)
-        self.assertEqual([heard.body for heard in cache.heard + origin.heard], [b"10 boxes of hake"])
+        assert status == 502
+        assert [heard.body for heard in cache.heard + origin.heard] == [b"10 boxes of hake"]
 
     async def test_a_refusal_comes_with_the_time_to_come_back(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit, state="DRAINING")]) as world:
+        async with running(ScriptedPeer(hit, state="DRAINING")) as (world, director):
             status, fields, _ = await world.ask()
-            assert world.director is not None
-            self.assertEqual(world.director.exchange.unanswered_count, 0)
-        self.assertEqual((status, fields["retry-after"]), (503, "1"))
+            assert director.exchange.unanswered_count == 0
+        assert (status, fields["retry-after"]) == (503, "1")
 
     async def test_a_silent_cache_costs_no_request_its_final_answer(self) -> None:
-        async with Rehearsal([ScriptedPeer(silent)]) as world:
+        async with running(ScriptedPeer(silent)) as (world, _):
             status, _, _ = await world.ask(wait_ms=300.0)
-        self.assertEqual(status, 502)
+        assert status == 502
 
     async def test_a_client_that_leaves_takes_its_attempt_with_it(self) -> None:
         cache = ScriptedPeer(silent)
-        async with Rehearsal([cache]) as world:
+        async with running(cache) as (world, director):
             _, writer = await world.client()
             writer.write(request("/invoke/lot-video/a1"))
             await until(lambda: len(cache.heard) == 1)
             writer.transport.abort()
-            assert world.director is not None
-            exchange, counters = world.director.exchange, world.director.counters
+            exchange, counters = director.exchange, director.counters
             await until(lambda: not exchange.open_requests)
-            self.assertEqual((counters["requests.left_by_client"], counters["attempts.cancelled"]), (1, 1))
-            self.assertFalse(exchange.dispatcher.state.pending or exchange.dispatcher.state.attempts)
+            assert (counters["requests.left_by_client"], counters["attempts.cancelled"]) == (1, 1)
+            assert not (exchange.dispatcher.state.pending or exchange.dispatcher.state.attempts)
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -5,10 +5,9 @@
 
 from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS
 from gladewalk.ops.readiness import MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS, shutdown_deadline_ms
-from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request, until
+from gladewalk.rehearsal.peers import SETTINGS, Heard, ScriptedPeer, read_message, request, until
 
-from .peers import BYTES, hit
-from .test_crossings import held_until
+from .peers import BYTES, held_until, hit, running
 
 LONGEST_MS = max(cls["give_up_ms"] for cls in SETTINGS["classes"])
 WHOLE = request("/invoke/lot-video/a1", wait_ms=LONGEST_MS)
@@ -17,9 +16,7 @@
 class Arrivals(unittest.IsolatedAsyncioTestCase):
     async def half(self, idle_ms: float, coming_ms: float) -> tuple[str, bytes]:
         """A request that begins `idle_ms` after its connection and takes `coming_ms`; what it is answered."""
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            director = world.director
-            assert director is not None
+        async with running(ScriptedPeer(hit)) as (world, director):
             front, real = director.front, director.front.clock
             reader, writer = await world.client()
             await until(lambda: len(front.awaiting) == 1)
@@ -34,57 +31,53 @@
             return first.split(" ")[1], body
 
     async def test_a_request_may_take_as_long_to_come_as_the_settings_have_patience(self) -> None:
-        self.assertGreater(LONGEST_MS, FIRST_BYTE_TIMEOUT_MS)
-        self.assertEqual(await self.half(0.0, LONGEST_MS - 100.0), ("200", BYTES))
+        assert LONGEST_MS > FIRST_BYTE_TIMEOUT_MS
+        assert await self.half(0.0, LONGEST_MS - 100.0) == ("200", BYTES)
 
     async def test_its_time_begins_with_its_first_byte_and_not_with_its_connection(self) -> None:
-        self.assertEqual(await self.half(FIRST_BYTE_TIMEOUT_MS - 100.0, LONGEST_MS - 100.0), ("200", BYTES))
+        assert await self.half(FIRST_BYTE_TIMEOUT_MS - 100.0, LONGEST_MS - 100.0) == ("200", BYTES)
 
     async def test_one_that_takes_longer_is_told(self) -> None:
-        self.assertEqual((await self.half(0.0, LONGEST_MS + 1.0))[0], "408")
+        assert (await self.half(0.0, LONGEST_MS + 1.0))[0] == "408"
 
     async def test_other_settings_are_other_times(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            director = world.director
-            assert director is not None
-            self.assertEqual(director.front.request_timeout_ms, LONGEST_MS)
+        async with running(ScriptedPeer(hit)) as (_, director):
+            assert director.front.request_timeout_ms == LONGEST_MS
 
 
 class Stop(unittest.IsolatedAsyncioTestCase):
     async def test_who_has_more_patience_than_the_platform_has_an_answer_before_its_kill(self) -> None:
         held = asyncio.Event()
         cache = ScriptedPeer(held_until(held))
-        async with Rehearsal([cache]) as world:
-            director = world.director
-            assert director is not None
+        async with running(cache) as (world, director):
             reader, writer = await world.client()
             writer.write(WHOLE)
             await until(lambda: len(cache.heard) == 1)
             director.stop()
             kill_ms = director.clock() + SHUTDOWN_ACCEPT_MS + MAX_SIGKILL_DELAY_MS
             (taken,) = director.exchange.open_requests.values()
-            self.assertGreater(LONGEST_MS, MAX_SIGKILL_DELAY_MS)
-            self.assertLess(taken.deadline_ms, kill_ms)
+            assert LONGEST_MS > MAX_SIGKILL_DELAY_MS
+            assert taken.deadline_ms < kill_ms
             late = await world.client()  # it comes in the last moment, with all its patience
             late[1].write(request("/invoke/lot-video/a2", trace="00000000000000a2", wait_ms=LONGEST_MS))
             await until(lambda: len(director.exchange.open_requests) == 2)
-            self.assertTrue(all(t.deadline_ms < kill_ms for t in director.exchange.open_requests.values()))
+            assert all(t.deadline_ms < kill_ms for t in director.exchange.open_requests.values())
             director._stop_accepting()
             director.exchange.answer_all_by(director.clock())  # that time has come
             for one in (reader, late[0]):
                 first, fields, _ = await read_message(one)
-                self.assertEqual((first.split(" ")[1], fields["connection"]), ("502", "close"))
+                assert (first.split(" ")[1], fields["connection"]) == ("502", "close")
             exchange = director.exchange
-            self.assertEqual((exchange.unanswered_count, exchange.dispatcher.state.pending), (0, {}))
+            assert (exchange.unanswered_count, exchange.dispatcher.state.pending) == (0, {})
             writer.close()
             late[1].close()
             await director._ended
             held.set()
 
     def test_a_stop_leaves_short_requests_all_their_time(self) -> None:
-        self.assertLess(shutdown_deadline_ms(0.0, 1_500.0), SHUTDOWN_ACCEPT_MS + 1_500.0)
-        self.assertGreater(shutdown_deadline_ms(0.0, 1_500.0), 1_500.0)
-        self.assertEqual(shutdown_deadline_ms(0.0, 8_000.0), shutdown_deadline_ms(0.0, MAX_SIGKILL_DELAY_MS))
+        assert shutdown_deadline_ms(0.0, 1_500.0) < SHUTDOWN_ACCEPT_MS + 1_500.0
+        assert shutdown_deadline_ms(0.0, 1_500.0) > 1_500.0
+        assert shutdown_deadline_ms(0.0, 8_000.0) == shutdown_deadline_ms(0.0, MAX_SIGKILL_DELAY_MS)
 
     async def test_a_write_that_may_have_run_is_failed_and_not_refused_then(self) -> None:
         held = asyncio.Event()
@@ -93,14 +86,12 @@
             await held.wait()
 
         origin = ScriptedPeer(never, uid="o1", model="origin", zone="north")
-        async with Rehearsal([origin]) as world:
-            director = world.director
-            assert director is not None
+        async with running(origin) as (world, director):
             reader, writer = await world.client()
             writer.write(request("/invoke/bid/b1", method="PUT", body=b"12"))
             await until(lambda: len(origin.heard) == 1)
             director.exchange.answer_all_by(director.clock())
-            self.assertIn(" 502 ", (await read_message(reader))[0])
-            self.assertEqual(len(origin.heard), 1)
+            assert " 502 " in (await read_message(reader))[0]
+            assert len(origin.heard) == 1
             writer.close()
             held.set()
