FaultInjector and FaultKind in place of Points and Kind; the store's status is a struct

The scenarios of the store, the leases and the members follow; values of the kinds, which the table prints, are as before. PersistenceService.status returns StoreStatus, which the control server encodes with the same keys.

--- a/gladewalk/faultpoints/lease_scenario.py
+++ b/gladewalk/faultpoints/lease_scenario.py
@@ -11,7 +11,7 @@
 from ..leases.messages import decode, encode
 from ..leases.outputs import Output, Save, Send
 from ..rehearsal.lease_simulation import TASKS, LeaseSimulation, SimulatedDirector
-from .points import Kind, Points
+from .points import FaultInjector, FaultKind
 
 SEED, DIRECTOR_COUNT = 11, 3
 FIRST_KILL_MS, FIRST_DOWN_MS = 2_200.0, 300.0
@@ -32,16 +32,16 @@
     """A simulation that passes a named point wherever a director saves, sends, receives or operates."""
 
     def __init__(
-        self, points: Points, seed: int, director_count: int, config: LeaseConfig | None = None
+        self, injector: FaultInjector, seed: int, director_count: int, config: LeaseConfig | None = None
     ) -> None:
         super().__init__(seed, director_count, config)
-        self.points = points
+        self.injector = injector
         self.operated: set[tuple[str, int]] = set()  # tasks and tokens
 
-    def reach(self, director: SimulatedDirector, point: str) -> Kind | None:
+    def reach(self, director: SimulatedDirector, point: str) -> FaultKind | None:
         """Passes a point; returns the fault to play there, raises `ProcessGoneError` if it is a kill."""
-        kind = self.points.reach(point)
-        if kind is Kind.KILL:
+        kind = self.injector.reach(point)
+        if kind is FaultKind.KILL:
             self.kill(director.name, DOWN_MS)
             raise ProcessGoneError(point)
         return kind
@@ -61,7 +61,7 @@
     def _save(self, director: SimulatedDirector, save: Save) -> None:
         kind = self.reach(director, "leases.save.grant")
         self.save_grant(director, save)
-        if kind is Kind.STALL:  # saved, and stopped before the grant is sent
+        if kind is FaultKind.STALL:  # saved, and stopped before the grant is sent
             self.pause(director.name, STALL_MS)
             self.after(STALL_MS + 0.1, lambda: self.carry_out(director, save.on_durable))
         else:
@@ -70,14 +70,14 @@
     def _send(self, director: SimulatedDirector, send: Send) -> None:
         kind = self.reach(director, f"leases.send.{type(send.message).__name__}")
         payload = encode(send.message)
-        if kind is Kind.LOSE:
+        if kind is FaultKind.DROP:
             return
-        if kind is Kind.LATE:
+        if kind is FaultKind.DELAY:
             self.after(LATE_MS, lambda: self.deliver(send.recipient, payload))
             return
-        for _ in range(2 if kind is Kind.DOUBLE else 1):
+        for _ in range(2 if kind is FaultKind.DUPLICATE else 1):
             self.post(director.name, send.recipient, payload)
-        if kind is Kind.STALL:
+        if kind is FaultKind.STALL:
             self.pause(director.name, STALL_MS)
 
     def deliver(self, target: str, payload: bytes) -> None:
@@ -88,7 +88,7 @@
                 kind = self.reach(director, f"leases.take.{type(decode(payload)).__name__}")
             except ProcessGoneError:
                 return
-            if kind is Kind.STALL:
+            if kind is FaultKind.STALL:
                 self.pause(target, STALL_MS)
         super().deliver(target, payload)
 
@@ -100,18 +100,18 @@
             kind = self.reach(director, f"leases.act.{'begin' if is_first else 'repeat'}")
         except ProcessGoneError:
             return
-        if kind is Kind.LATE:
+        if kind is FaultKind.DELAY:
             send = super().operate
             self.after(LATE_MS, lambda: send(director, task, token, performed_at_ms))
             return
         super().operate(director, task, token, performed_at_ms)
-        if kind is Kind.STALL and self.now_ms >= director.paused_until_ms:
+        if kind is FaultKind.STALL and self.now_ms >= director.paused_until_ms:
             self.pause(director.name, STALL_MS)
 
 
-def play(points: Points, change: Callable[[FaultPointSimulation], None] | None = None) -> str:
+def play(injector: FaultInjector, change: Callable[[FaultPointSimulation], None] | None = None) -> str:
     """Plays one run, changed by `change` before it starts; returns what is wrong, or an empty text."""
-    simulation = FaultPointSimulation(points, SEED, DIRECTOR_COUNT)
+    simulation = FaultPointSimulation(injector, SEED, DIRECTOR_COUNT)
     if change is not None:
         change(simulation)
     simulation.start()
@@ -121,7 +121,7 @@
     simulation.run_until(HAND_ON_MS)
     simulation.hand_on()
     simulation.run_until(END_MS - QUIET_MS)
-    points.counting = False
+    injector.is_counting = False
     simulation.run_until(END_MS)
     records = simulation.fence.records
     verdict, overlaps = check(records, END_MS), simulation.beliefs.count_overlaps()
--- a/gladewalk/faultpoints/membership_scenario.py
+++ b/gladewalk/faultpoints/membership_scenario.py
@@ -9,7 +9,7 @@
 from ..members.config import MembershipConfig
 from ..members.messages import Ack, DatagramMessage, Join, Nack, PartialState, Ping, PingRequest, decode
 from ..rehearsal.member_network import CLOCK_WINDOW_MS, KEY, MemberNetwork, MemberNode
-from .points import Kind, Points
+from .points import FaultInjector, FaultKind
 
 STALL_MS = 1_600.0  # longer than a suspicion lasts, shorter than a stalled member is kept
 LATE_MS = 1_500.0
@@ -36,9 +36,9 @@
 class FaultPointNetwork(MemberNetwork):
     """Network whose nodes pass a fault point where they send, receive, connect and reach verdicts."""
 
-    def __init__(self, points: Points, seed: int, config: MembershipConfig | None = None) -> None:
+    def __init__(self, injector: FaultInjector, seed: int, config: MembershipConfig | None = None) -> None:
         super().__init__(seed, config)
-        self.points = points
+        self.injector = injector
         self.killed_at_ms: dict[str, float] = {}  # first kill of each node
         self.on_change = self._pass_verdict
 
@@ -52,12 +52,12 @@
     def _restart(self, name: str) -> None:
         self.start(name, NAMES[:2])
 
-    def pass_point(self, node: MemberNode, point: str) -> Kind | None:
+    def pass_point(self, node: MemberNode, point: str) -> FaultKind | None:
         """Passes a point; plays a kill or a stall, and returns any fault for the caller to heed."""
-        kind = self.points.reach(point)
-        if kind is Kind.KILL:
+        kind = self.injector.reach(point)
+        if kind is FaultKind.KILL:
             self.kill_for(node)
-        elif kind is Kind.STALL:
+        elif kind is FaultKind.STALL:
             self.pause(node.name, STALL_MS)
         return kind
 
@@ -70,40 +70,40 @@
         if not node.is_up:
             return
         kind = self.pass_point(node, f"members.send.{point_suffix(data, self.now_ms)}")
-        if kind in (Kind.KILL, Kind.LOSE):
+        if kind in (FaultKind.KILL, FaultKind.DROP):
             return
-        if kind is Kind.LATE:
+        if kind is FaultKind.DELAY:
             self.schedule(LATE_MS, lambda: super(FaultPointNetwork, self).send(node, data, to))
             return
-        for _ in range(2 if kind is Kind.DOUBLE else 1):
+        for _ in range(2 if kind is FaultKind.DUPLICATE else 1):
             super().send(node, data, to)
 
     def receive(self, node: MemberNode, data: bytes, source: Address) -> None:
         """Reads a datagram unless a fault kills or stalls the receiver."""
         kind = self.pass_point(node, f"members.take.{point_suffix(data, self.now_ms)}")
-        if kind is Kind.STALL:
+        if kind is FaultKind.STALL:
             node.pending.append((data, source))
-        elif kind is not Kind.KILL:
+        elif kind is not FaultKind.KILL:
             super().receive(node, data, source)
 
     def start_sync(self, node: MemberNode, peer: Address) -> None:
         """Starts a synchronization unless a fault kills the node or loses the connection."""
         kind = self.pass_point(node, "members.dial.exchange")
-        if kind is Kind.LOSE:
+        if kind is FaultKind.DROP:
             self.fail_sync(node, peer)
-        elif kind is not Kind.KILL:
+        elif kind is not FaultKind.KILL:
             super().start_sync(node, peer)
 
     def start_probe(self, node: MemberNode, probe: StartConfirmationProbe) -> None:
         """Starts a confirmation probe unless a fault kills the node or loses the connection."""
         kind = self.pass_point(node, "members.dial.knock")
-        if kind is Kind.LOSE:
+        if kind is FaultKind.DROP:
             target = self.node_at(probe.to)
             self.schedule(
                 probe.timeout_ms,
                 lambda: self.finish_probe(node, target, probe, ProbeOutcome.UNREACHABLE),
             )
-        elif kind is not Kind.KILL:
+        elif kind is not FaultKind.KILL:
             super().start_probe(node, probe)
 
     def carry_out(self, node: MemberNode, actions: list[Action]) -> None:
@@ -112,13 +112,13 @@
             super().carry_out(node, actions)
 
 
-def play(points: Points, change: Callable[[FaultPointNetwork], None] | None = None) -> str:
+def play(injector: FaultInjector, change: Callable[[FaultPointNetwork], None] | None = None) -> str:
     """Plays the scenario; returns what does not hold, empty if all does.
 
     Three members meet; a path is cut one way for a while; one member is killed and comes back. `change` may
     alter the network first.
     """
-    network = FaultPointNetwork(points, seed=3)
+    network = FaultPointNetwork(injector, seed=3)
     if change is not None:
         change(network)
     for number, name in enumerate(NAMES):
@@ -129,7 +129,7 @@
     network.is_blocked = lambda source, target: False
     network.kill_for(network.nodes["m2"], 1_600.0)
     network.run(3_700.0)
-    points.counting = False
+    injector.is_counting = False
     network.run(8_000.0)
     return failure_of(network)
 
--- a/gladewalk/faultpoints/points.py
+++ b/gladewalk/faultpoints/points.py
@@ -9,21 +9,21 @@
 from ..errors import GladewalkError
 
 
-class Kind(Enum):
+class FaultKind(Enum):
     """What may happen at a point."""
 
     KILL = "kill"  # the process is gone before it does what it was about to do
-    POWER = "power"  # the machine loses power, and its disk what was not synced
-    REFUSE = "refuse"  # the disk rejects the call
-    LOSE = "lose"  # the message is lost
-    DOUBLE = "double"  # it arrives twice
-    LATE = "late"  # it arrives much later, after newer ones
+    POWER_LOSS = "power"  # the machine loses power, and its disk what was not synced
+    REJECT = "refuse"  # the disk rejects the call
+    DROP = "lose"  # the message is lost
+    DUPLICATE = "double"  # it arrives twice
+    DELAY = "late"  # it arrives much later, after newer ones
     STALL = "stall"  # the process stops there for a while
 
 
-DISK = (Kind.KILL, Kind.POWER, Kind.REFUSE)
-MESSAGE = (Kind.KILL, Kind.LOSE, Kind.DOUBLE, Kind.LATE, Kind.STALL)
-PROCESS = (Kind.KILL, Kind.STALL)
+DISK = (FaultKind.KILL, FaultKind.POWER_LOSS, FaultKind.REJECT)
+MESSAGE = (FaultKind.KILL, FaultKind.DROP, FaultKind.DUPLICATE, FaultKind.DELAY, FaultKind.STALL)
+PROCESS = (FaultKind.KILL, FaultKind.STALL)
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,11 +31,13 @@
     """A named place, `part.act.what`; the faults that can happen there, and what holds whichever does."""
 
     name: str
-    kinds: tuple[Kind, ...]
+    kinds: tuple[FaultKind, ...]
     invariant: str
 
 
-def _points(part: str, act: str, whats: str, kinds: tuple[Kind, ...], invariant: str) -> list[FaultPoint]:
+def _points(
+    part: str, act: str, whats: str, kinds: tuple[FaultKind, ...], invariant: str
+) -> list[FaultPoint]:
     return [FaultPoint(f"{part}.{act}.{what}", kinds, invariant) for what in whats.split()]
 
 
@@ -46,14 +48,14 @@
 
 CATALOGUE: tuple[FaultPoint, ...] = (
     *_points("store", "disk", "create append sync sync_names rename remove read cut", DISK, LASTS),
-    *_points("store", "start", "recover", (Kind.KILL, Kind.POWER), LASTS),
-    *_points("leases", "save", "grant", (Kind.KILL, Kind.STALL), ONE),
+    *_points("store", "start", "recover", (FaultKind.KILL, FaultKind.POWER_LOSS), LASTS),
+    *_points("leases", "save", "grant", (FaultKind.KILL, FaultKind.STALL), ONE),
     *_points("leases", "send", ELECTION_MESSAGES, MESSAGE, ONE),
     *_points("leases", "take", ELECTION_MESSAGES, PROCESS, ONE),
-    *_points("leases", "act", "begin repeat", (Kind.KILL, Kind.LATE, Kind.STALL), ONE),
+    *_points("leases", "act", "begin repeat", (FaultKind.KILL, FaultKind.DELAY, FaultKind.STALL), ONE),
     *_points("members", "send", "Ping Ack PingFor Join Roster Nack", MESSAGE, ROSTER),
     *_points("members", "take", "Ping Ack PingFor Join Roster Nack", PROCESS, ROSTER),
-    *_points("members", "dial", "exchange knock", (Kind.KILL, Kind.LOSE, Kind.STALL), ROSTER),
+    *_points("members", "dial", "exchange knock", (FaultKind.KILL, FaultKind.DROP, FaultKind.STALL), ROSTER),
     *_points("members", "verdict", "suspected died", PROCESS, ROSTER),
 )
 _POINTS_BY_NAME = {point.name: point for point in CATALOGUE}
@@ -72,30 +74,30 @@
     """A run passed a point that the catalogue doesn't have."""
 
 
-class Points:
+class FaultInjector:
     """Counts what one run passes, and plays fault `kind` once, at pass number `at`; no fault if None."""
 
-    def __init__(self, at: int | None = None, kind: Kind | None = None) -> None:
+    def __init__(self, at: int | None = None, kind: FaultKind | None = None) -> None:
         self.at, self.kind = at, kind
-        self.passed: list[PointPass] = []
-        self.happened = False  # the fault was played
-        self.counting = True  # off once a run is over but for its checks
+        self.passes: list[PointPass] = []
+        self.is_fault_played = False
+        self.is_counting = True  # off once a run is over but for its checks
         self._occurrences: Counter[str] = Counter()
 
-    def reach(self, name: str) -> Kind | None:
+    def reach(self, name: str) -> FaultKind | None:
         """Passes a point, before the part acts; the fault that happens there now, or None.
 
         Raises `UnlistedPointError`.
         """
-        if not self.counting:
+        if not self.is_counting:
             return None
         point = _POINTS_BY_NAME.get(name)
         if point is None:
             raise UnlistedPointError(name)
-        number = len(self.passed)
-        self.passed.append(PointPass(number, point, self._occurrences[name]))
+        number = len(self.passes)
+        self.passes.append(PointPass(number, point, self._occurrences[name]))
         self._occurrences[name] += 1
         if number != self.at or self.kind is None:
             return None
-        self.happened = True
+        self.is_fault_played = True
         return self.kind
--- a/gladewalk/faultpoints/store_scenario.py
+++ b/gladewalk/faultpoints/store_scenario.py
@@ -11,7 +11,7 @@
 from ..errors import GladewalkError
 from ..rehearsal.faulty_disk import FaultyDisk
 from ..store.segmented_log import LogConfig, SegmentedLog
-from .points import Kind, Points
+from .points import FaultInjector, FaultKind
 
 STEP_COUNT = 18
 MAX_START_ATTEMPTS = 4
@@ -28,7 +28,7 @@
 class ProcessKilledError(GladewalkError):
     """The process is gone; the kind says what becomes of its disk."""
 
-    def __init__(self, kind: Kind) -> None:
+    def __init__(self, kind: FaultKind) -> None:
         super().__init__(kind.value)
         self.kind = kind
 
@@ -36,22 +36,22 @@
 class StoreRun:
     """One store, what was put into it, and how much of that was acknowledged."""
 
-    def __init__(self, points: Points, log_type: LogType = SegmentedLog) -> None:
+    def __init__(self, injector: FaultInjector, log_type: LogType = SegmentedLog) -> None:
         self.disk = FaultyDisk()
-        self._points, self._log_type = points, log_type
+        self._injector, self._log_type = injector, log_type
         self._history: list[dict[str, bytes]] = [{}]  # the values after each change
         self._acknowledged = 0  # index into the history, up to which everything is promised
         self._first_sequence = 0  # of the log, where the history begins
 
     def _fault_rule(self, operation: str, name: str, number: int) -> int:
-        kind = self._points.reach(f"store.disk.{operation}")
-        if kind in (Kind.KILL, Kind.POWER):
+        kind = self._injector.reach(f"store.disk.{operation}")
+        if kind in (FaultKind.KILL, FaultKind.POWER_LOSS):
             raise ProcessKilledError(kind)
-        return errno.EIO if kind is Kind.REFUSE else 0
+        return errno.EIO if kind is FaultKind.REJECT else 0
 
-    def restart(self, kind: Kind) -> None:
+    def restart(self, kind: FaultKind) -> None:
         """Replaces the disk by what is left of it after a kill or a power loss."""
-        is_killed = kind is Kind.KILL
+        is_killed = kind is FaultKind.KILL
         self.disk = self.disk.after_kill() if is_killed else self.disk.after_power_loss(POWER_LOSS_SEED)
 
     def tear_newest_file(self) -> None:
@@ -70,7 +70,7 @@
         raise AssertionError("it never starts")
 
     def _open(self) -> SegmentedLog:
-        kind = self._points.reach("store.start.recover")
+        kind = self._injector.reach("store.start.recover")
         if kind is not None:
             raise ProcessKilledError(kind)
         self.disk.fault_rule = self._fault_rule
@@ -103,15 +103,15 @@
             log.compact(through_segment)
 
 
-def play(points: Points, log_type: LogType = SegmentedLog) -> str:
+def play(injector: FaultInjector, log_type: LogType = SegmentedLog) -> str:
     """Plays one run; returns what is wrong, or an empty text."""
-    run, draw = StoreRun(points, log_type), random.Random(SEED)
+    run, draw = StoreRun(injector, log_type), random.Random(SEED)
     log = run.start()
     for number in range(STEP_COUNT):
         try:
             if number == STEP_COUNT // 2:
                 run.tear_newest_file()
-                run.restart(Kind.KILL)
+                run.restart(FaultKind.KILL)
                 log = run.start()
                 if wrong := run.check(log):
                     return wrong
@@ -122,6 +122,6 @@
             log = run.start()
             if wrong := run.check(log):
                 return wrong
-    points.counting = False
-    run.restart(Kind.KILL)
+    injector.is_counting = False
+    run.restart(FaultKind.KILL)
     return run.check(run.start())
--- a/gladewalk/faultpoints/sweep.py
+++ b/gladewalk/faultpoints/sweep.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass, field
 
 from ..errors import GladewalkError
-from .points import CATALOGUE, Kind, PointPass, Points, UnlistedPointError
+from .points import CATALOGUE, FaultInjector, FaultKind, PointPass, UnlistedPointError
 
 # Plays one run from its first to its last event, and returns what is wrong; an empty text if nothing is.
-Scenario = Callable[[Points], str]
+Scenario = Callable[[FaultInjector], str]
 
 
 class BaselineError(GladewalkError):
@@ -22,13 +22,13 @@
     """A run whose invariants did not hold after one fault."""
 
     scenario: str
-    passed: PointPass
-    kind: Kind
+    point_pass: PointPass
+    kind: FaultKind
     reason: str
 
     def line(self) -> str:
         """The violation as text."""
-        where = f"{self.scenario} #{self.passed.number} {self.passed.point.name}"
+        where = f"{self.scenario} #{self.point_pass.number} {self.point_pass.point.name}"
         return f"{where} {self.kind.value}: {self.reason}"
 
 
@@ -55,11 +55,11 @@
 
 def count_passes(scenario: Scenario, name: str) -> list[PointPass]:
     """The passes of a run without a fault. Raises `BaselineError` if it doesn't hold by itself."""
-    points = Points()
-    reason = scenario(points)
+    injector = FaultInjector()
+    reason = scenario(injector)
     if reason:
         raise BaselineError(f"{name} without a fault: {reason}")
-    return points.passed
+    return injector.passes
 
 
 def sample_passes(passes: Sequence[PointPass], max_per_point: int | None) -> list[PointPass]:
@@ -86,24 +86,24 @@
     for name, scenario in scenarios:
         sample = sample_passes(count_passes(scenario, name), max_per_point)
         report.point_count += len(sample)
-        for passed in sample:
-            report.reached.add(passed.point.name)
-            for kind in passed.point.kinds:
+        for point_pass in sample:
+            report.reached.add(point_pass.point.name)
+            for kind in point_pass.point.kinds:
                 report.run_count += 1
-                report.faults_by_point[passed.point.name] += 1
-                if reason := _play_fault(scenario, Points(passed.number, kind)):
-                    report.violations.append(Violation(name, passed, kind, reason))
+                report.faults_by_point[point_pass.point.name] += 1
+                if reason := _play_fault(scenario, FaultInjector(point_pass.number, kind)):
+                    report.violations.append(Violation(name, point_pass, kind, reason))
     return report
 
 
-def _play_fault(scenario: Scenario, points: Points) -> str:
+def _play_fault(scenario: Scenario, injector: FaultInjector) -> str:
     """Plays one run with its fault; returns what is wrong, or an empty text."""
     try:
-        reason = scenario(points)
+        reason = scenario(injector)
     except UnlistedPointError:
         raise
     except Exception as error:  # the outermost edge of one run: whatever a part raises is a violation
         reason = f"{type(error).__name__}: {error}"
-    if not points.happened:
+    if not injector.is_fault_played:
         reason = reason or "the run did not come to its fault"
     return reason
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -142,7 +142,7 @@
 
         control.handlers["members"] = lambda given: view_of(duties)
     if store is not None:
-        control.handlers["store"] = store.view
+        control.handlers["store"] = lambda given: store.status()
     if leases is not None:
         from .leases.view import add_views
 
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -35,7 +35,7 @@
 
 
 class StoreStatus(msgspec.Struct, frozen=True):
-    """What is stored and how much of it is durable, for the control socket; the field names are its keys."""
+    """What is stored and how much of it is durable; the control socket shows the fields as keys."""
 
     policy: str
     feed: int
@@ -173,15 +173,15 @@
             return self.writer.delete(row.space, row.key)
         return self.writer.put(row.space, row.key, row.value, row.expires_at_ms)
 
-    def view(self, given: dict[str, Any]) -> dict[str, Any]:
-        """The control socket's answer to `store`: a `StoreStatus`."""
+    def status(self) -> StoreStatus:
+        """What is stored now, for the control socket."""
         log = self.log
         durable_purges = [
             key
             for (space, key), entry in log.index.entries.items()
             if space == PURGE_SPACE and not entry.is_deleted and entry.sequence <= log.durable_sequence
         ]
-        status = StoreStatus(
+        return StoreStatus(
             policy=self.writer.policy,
             feed=self._position.event_index,
             durable=log.durable_sequence,
@@ -193,8 +193,6 @@
             refused_by_disk=self.writer.is_failing,
             purges=sorted(durable_purges),
         )
-        view: dict[str, Any] = msgspec.to_builtins(status)
-        return view
 
 
 def _describe(tail: DroppedTail) -> str:
--- a/tests/test_fault_points.py
+++ b/tests/test_fault_points.py
@@ -7,7 +7,7 @@
 import pytest
 
 from gladewalk.faultpoints import lease_scenario, membership_scenario, store_scenario
-from gladewalk.faultpoints.points import CATALOGUE, Kind, Points, UnlistedPointError
+from gladewalk.faultpoints.points import CATALOGUE, FaultInjector, FaultKind, UnlistedPointError
 from gladewalk.faultpoints.scenarios import SCENARIOS
 from gladewalk.faultpoints.sweep import BaselineError, count_passes, sample_passes, sweep
 from gladewalk.leases.fence import Fence, OperationRecord
@@ -30,11 +30,11 @@
         first = count_passes(play, name)
         assert first == count_passes(play, name)
         last = first[-1]
-        points = Points(last.number, last.point.kinds[0])
-        play(points)
-        assert points.happened and points.passed[: len(first)] == first
+        injector = FaultInjector(last.number, last.point.kinds[0])
+        play(injector)
+        assert injector.is_fault_played and injector.passes[: len(first)] == first
     with pytest.raises(UnlistedPointError):
-        Points().reach("store.disk.burn")
+        FaultInjector().reach("store.disk.burn")
 
 
 def test_a_point_that_no_run_reaches_is_told() -> None:
@@ -108,19 +108,21 @@
     world.pause = pause  # type: ignore[method-assign]
 
 
-def found(scenario: Callable[[Points], str], name: str, max_per_point: int) -> set[tuple[str, Kind]]:
+def found(
+    scenario: Callable[[FaultInjector], str], name: str, max_per_point: int
+) -> set[tuple[str, FaultKind]]:
     report = sweep([(name, scenario)], max_per_point)
-    return {(violation.passed.point.name, violation.kind) for violation in report.violations}
+    return {(violation.point_pass.point.name, violation.kind) for violation in report.violations}
 
 
 @pytest.mark.parametrize("log_type", [UnsyncedLog, ErrorIgnoringLog, UnsyncedDirectoryLog])
 def test_a_broken_store_is_found(log_type: type[SegmentedLog]) -> None:
-    assert found(lambda points: store_scenario.play(points, log_type), "store", 40)
+    assert found(lambda injector: store_scenario.play(injector, log_type), "store", 40)
 
 
 @pytest.mark.parametrize("change", [open_sink, tireless])
 def test_broken_leases_are_found(change: Callable[[lease_scenario.FaultPointSimulation], None]) -> None:
-    assert found(lambda points: lease_scenario.play(points, change), "leases", 12)
+    assert found(lambda injector: lease_scenario.play(injector, change), "leases", 12)
 
 
 def test_hasty_verdicts_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_golden_store.py
+++ b/tests/test_golden_store.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from click.testing import CliRunner
 
@@ -330,10 +331,10 @@
         with pytest.MonkeyPatch.context() as patched:
             patched.setattr(type(persistence.directory), "append", refuse)
             assert not await persistence.writer.put("bytes", "refused", b"1")
-            failing = persistence.view({})
+            failing = msgspec.to_builtins(persistence.status())
         while persistence.writer.is_failing:
             await asyncio.sleep(0.01)
-        view = persistence.view({})
+        view = msgspec.to_builtins(persistence.status())
         await persistence.close()
         files = {one.name: one.read_bytes() for one in (self.folder / "store").glob("*.seg")}
         with (self.folder / "store" / max(files)).open("ab") as file:
