--- a/gladewalk/store/status.py
+++ b/gladewalk/store/status.py
@@ -27,7 +27,7 @@
         feed_index: Up to which event the coordinator's feed is stored; 0 if it is not.
         durable_sequence: Sequence number of the last durable record.
         last_sequence: Sequence number of the last record.
-        key_count: Live keys.
+        key_count: Keys in the index, deletions that a compaction has not yet removed included.
         size_bytes: Size on disk.
         segment_count: Segments.
         compaction_count: Compactions since the start.
