--- a/tests/test_members_history.py
+++ b/tests/test_members_history.py
@@ -1,8 +1,8 @@
 """The fault cases of membership in a simulated network, and the checker of their history."""
 
 import pytest
-from gladewalk.faultnet.causes import causes_of
 
+from gladewalk.faultnet.expected_failures import causes_of
 from gladewalk.faultnet.membership_cases import CASES, FaultCase
 from gladewalk.members.actions import MemberChange
 from gladewalk.members.config import MembershipConfig
