The outcome of a request is an Enum where it is counted

Cause: the exchange and the leases passed the outcome as a string, or as a place in a tuple. Change: ops.metrics.Outcome; counters' names and svc. figures stay. Three timings of one call on a busy machine: 0.35, 0.58 and 0.35 us; with a plain string 0.14, 0.22 and 0.16 us.

--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -12,7 +12,7 @@
 
 from .. import interface as api
 from ..config.platform import Address, PlatformConfig
-from ..ops.metrics import outcome_counter
+from ..ops.metrics import Outcome, outcome_counter
 from ..policy import Dispatcher
 from .counters import Counters
 from .deadlines import Deadlines
@@ -195,8 +195,8 @@
         if opened.serving_attempt is attempt and not opened.is_answered:
             is_complete = result.status is api.Status.OK
             self.counters.add("answers.served" if is_complete else "answers.cut")
-            end = "completed" if is_complete else "failed"
-            self.counters.add(outcome_counter(opened.request.class_name, end))
+            outcome = Outcome.COMPLETED if is_complete else Outcome.FAILED
+            self.counters.add(outcome_counter(opened.request.class_name, outcome))
             self._close(opened)
             if is_complete:
                 opened.client.end_response()
@@ -340,12 +340,12 @@
         self._close(opened)
         if opened.serving_attempt is not None:
             self.counters.add("answers.cut")
-            self.counters.add(outcome_counter(opened.request.class_name, "failed"))
+            self.counters.add(outcome_counter(opened.request.class_name, Outcome.FAILED))
             opened.client.abort_response()
         else:
             self.counters.add(f"answers.{final.value}")
-            end = "rejected" if final is FinalAnswer.REJECTED else "failed"
-            self.counters.add(outcome_counter(opened.request.class_name, end))
+            outcome = Outcome.REJECTED if final is FinalAnswer.REJECTED else Outcome.FAILED
+            self.counters.add(outcome_counter(opened.request.class_name, outcome))
             opened.client.send_final(final, retry_after_ms)
         self._forget(opened)
 
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -11,7 +11,7 @@
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..members.authenticator import MessageAuthenticator, load_key_ring
-from ..ops.metrics import OUTCOMES
+from ..ops.metrics import Outcome
 from ..store.persistence import PersistenceService
 from .candidate import LeaseCandidate
 from .configuration import LeaseConfig
@@ -24,7 +24,7 @@
 from .voter import Voter, decode_grants
 
 Clock = Callable[[], float]
-REPORTED_OUTCOMES = {"served": OUTCOMES[0], "refused": OUTCOMES[1], "failed": OUTCOMES[2]}
+REPORTED_OUTCOMES = {"served": Outcome.COMPLETED, "refused": Outcome.REJECTED, "failed": Outcome.FAILED}
 RENEWAL_INTERVAL_LEASES = 0.3  # times of an election, in leases
 ROUND_TIMEOUT_LEASES = 0.25
 MAX_RETRY_DELAY_LEASES = 0.2
--- a/gladewalk/ops/metrics.py
+++ b/gladewalk/ops/metrics.py
@@ -4,16 +4,22 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-
-OUTCOMES = ("completed", "rejected", "failed")
-"""How a client's request may end, as the names of its counters say it."""
+from enum import StrEnum
 
 OUTCOME_PREFIX = "downstream_requests."
 
 
-def outcome_counter(class_name: str, outcome: str) -> str:
-    """Returns the name of the counter of final answers of a class; `outcome` is one of `OUTCOMES`."""
-    return f"{OUTCOME_PREFIX}{class_name}.{outcome}"
+class Outcome(StrEnum):
+    """How a client's request ends; counters' names and metrics are made of the values."""
+
+    COMPLETED = "completed"
+    REJECTED = "rejected"
+    FAILED = "failed"
+
+
+def outcome_counter(class_name: str, outcome: Outcome) -> str:
+    """Returns the name of the counter of a class's requests that end so."""
+    return OUTCOME_PREFIX + class_name + "." + outcome  # called for every request: formatting an Enum is slow
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,7 +52,7 @@
     lines = [
         f"svc.{name}={counters.get(name, 0)}"
         for class_name in sorted({*class_names, *_counted_classes(counters)})
-        for name in (outcome_counter(class_name, outcome) for outcome in OUTCOMES)
+        for name in (outcome_counter(class_name, outcome) for outcome in Outcome)
     ]
     lines += [
         f"svc.upstream_requests={counters.get('attempts.written', 0)}",
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -14,7 +14,7 @@
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.director import Director
 from gladewalk.net.admin import CALL_TIMEOUT_MS, MAX_CALLERS, AdminFront, Response
-from gladewalk.ops.metrics import Gauges, format_metrics, outcome_counter
+from gladewalk.ops.metrics import Gauges, Outcome, format_metrics, outcome_counter
 from gladewalk.ops.readiness import IDLE_CLOSE_GRACE_MS, MAX_IDLE_DRAIN_MS, Readiness
 from gladewalk.rehearsal.peers import (
     Coordinator,
@@ -79,8 +79,8 @@
 class Figures(unittest.TestCase):
     def test_every_class_in_use_or_counted_has_each_end(self) -> None:
         counters = Counters()
-        counters.add(outcome_counter("bid", "completed"), 7)
-        counters.add(outcome_counter("gone-class", "failed"))
+        counters.add(outcome_counter("bid", Outcome.COMPLETED), 7)
+        counters.add(outcome_counter("gone-class", Outcome.FAILED))
         counters.add("attempts.written", 9)
         counters.add("reloads.refused", 2)
         text = format_metrics(
