--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -40,64 +40,59 @@
     return dict(line.split("=") for line in text.decode().splitlines())
 
 
-class Decisions(unittest.TestCase):
-    def test_ready_only_once_started_and_neither_draining_nor_stopping(self) -> None:
-        readiness = Readiness()
-        self.assertFalse(readiness.is_ready)
-        readiness.is_started = True
-        self.assertTrue(readiness.is_ready)
-        readiness.start_drain(1_000.0)
-        self.assertFalse(readiness.is_ready)
-        self.assertTrue(readiness.is_draining)
-        readiness.stop_drain()
-        self.assertTrue(readiness.is_ready and not readiness.is_draining)
-        readiness.is_stopping = True
-        self.assertFalse(readiness.is_ready)
-        readiness.stop_drain()  # a drain's end does not undo a SIGTERM
-        self.assertFalse(readiness.is_ready)
-        self.assertTrue(readiness.is_draining)
-
-    def test_no_yes_before_the_coordinator_has_answered_once(self) -> None:
-        readiness = Readiness(is_started=True, is_synced=False)
-        self.assertFalse(readiness.is_ready)
-        readiness.is_synced = True
-        self.assertTrue(readiness.is_ready)
-
-    def test_a_drain_keeps_its_beginning_and_closes_idle_connections_in_time(self) -> None:
-        readiness = Readiness(is_started=True)
-        self.assertFalse(readiness.may_close_idle(0.0, is_quiet=True))
-        readiness.start_drain(10_000.0)
-        readiness.start_drain(11_000.0)
-        self.assertEqual(readiness.drain_since_ms, 10_000.0)
-        self.assertFalse(readiness.may_close_idle(10_000.0 + IDLE_CLOSE_GRACE_MS - 1, is_quiet=True))
-        self.assertTrue(readiness.may_close_idle(10_000.0 + IDLE_CLOSE_GRACE_MS, is_quiet=True))
-        self.assertFalse(readiness.may_close_idle(10_000.0 + IDLE_CLOSE_GRACE_MS, is_quiet=False))
-        self.assertTrue(readiness.may_close_idle(10_000.0 + MAX_IDLE_DRAIN_MS, is_quiet=False))
-        self.assertLess(MAX_IDLE_DRAIN_MS, 4_000.0)  # none is held idle when the front stops coming
-
-
-class Figures(unittest.TestCase):
-    def test_every_class_in_use_or_counted_has_each_end(self) -> None:
-        counters = Counters()
-        counters.add(outcome_counter("bid", Outcome.COMPLETED), 7)
-        counters.add(outcome_counter("gone-class", Outcome.FAILED))
-        counters.add("attempts.written", 9)
-        counters.add("reloads.refused", 2)
-        text = format_metrics(
-            counters, ["bid", "lot-page"], Gauges(pending_requests=3, listed_caches=5, unavailable_caches=1)
-        )
-        lines = figures_of(text)
-        self.assertEqual(lines["svc.downstream_requests.bid.completed"], "7")
-        self.assertEqual(lines["svc.downstream_requests.lot-page.rejected"], "0")
-        self.assertEqual(lines["svc.downstream_requests.gone-class.failed"], "1")
-        self.assertEqual(
-            [
-                lines[f"svc.{name}"]
-                for name in ("upstream_requests", "pending", "members", "members_unavailable")
-            ],
-            ["9", "3", "5", "1"],
-        )
-        self.assertEqual((lines["svc.config_reloads"], lines["svc.config_reload_errors"]), ("0", "2"))
+def test_ready_only_once_started_and_neither_draining_nor_stopping() -> None:
+    readiness = Readiness()
+    assert not readiness.is_ready
+    readiness.is_started = True
+    assert readiness.is_ready
+    readiness.start_drain(1_000.0)
+    assert not readiness.is_ready
+    assert readiness.is_draining
+    readiness.stop_drain()
+    assert readiness.is_ready and not readiness.is_draining
+    readiness.is_stopping = True
+    assert not readiness.is_ready
+    readiness.stop_drain()  # a drain's end does not undo a SIGTERM
+    assert not readiness.is_ready
+    assert readiness.is_draining
+
+
+def test_no_yes_before_the_coordinator_has_answered_once() -> None:
+    readiness = Readiness(is_started=True, is_synced=False)
+    assert not readiness.is_ready
+    readiness.is_synced = True
+    assert readiness.is_ready
+
+
+def test_a_drain_keeps_its_beginning_and_closes_idle_connections_in_time() -> None:
+    readiness = Readiness(is_started=True)
+    assert not readiness.may_close_idle(0.0, is_quiet=True)
+    readiness.start_drain(10_000.0)
+    readiness.start_drain(11_000.0)
+    assert readiness.drain_since_ms == 10_000.0
+    assert not readiness.may_close_idle(10_000.0 + IDLE_CLOSE_GRACE_MS - 1, is_quiet=True)
+    assert readiness.may_close_idle(10_000.0 + IDLE_CLOSE_GRACE_MS, is_quiet=True)
+    assert not readiness.may_close_idle(10_000.0 + IDLE_CLOSE_GRACE_MS, is_quiet=False)
+    assert readiness.may_close_idle(10_000.0 + MAX_IDLE_DRAIN_MS, is_quiet=False)
+    assert MAX_IDLE_DRAIN_MS < 4_000.0  # none is held idle when the front stops coming
+
+
+def test_every_class_in_use_or_counted_has_each_end() -> None:
+    counters = Counters()
+    counters.add(outcome_counter("bid", Outcome.COMPLETED), 7)
+    counters.add(outcome_counter("gone-class", Outcome.FAILED))
+    counters.add("attempts.written", 9)
+    counters.add("reloads.refused", 2)
+    text = format_metrics(
+        counters, ["bid", "lot-page"], Gauges(pending_requests=3, listed_caches=5, unavailable_caches=1)
+    )
+    lines = figures_of(text)
+    assert lines["svc.downstream_requests.bid.completed"] == "7"
+    assert lines["svc.downstream_requests.lot-page.rejected"] == "0"
+    assert lines["svc.downstream_requests.gone-class.failed"] == "1"
+    gauges = ("upstream_requests", "pending", "members", "members_unavailable")
+    assert [lines[f"svc.{name}"] for name in gauges] == ["9", "3", "5", "1"]
+    assert (lines["svc.config_reloads"], lines["svc.config_reload_errors"]) == ("0", "2")
 
 
 async def exchange(address: Any, line: bytes) -> tuple[int, dict[str, str], bytes]:
