--- a/gladewalk/cli/common.py
+++ b/gladewalk/cli/common.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import inspect
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,6 +20,7 @@
 FOLDER = click.Path(exists=True, file_okay=False, path_type=Path)
 
 CommandT = TypeVar("CommandT", bound=Callable[..., Any])
+StatusT = TypeVar("StatusT")
 
 
 class ExitCode(IntEnum):
@@ -31,7 +33,33 @@
 
 def config_option(command: CommandT) -> CommandT:
     """Adds `--config`, the options file."""
-    return click.option("--config", "options_path", type=FILE, help="Our own settings, in TOML.")(command)
+    return click.option("--config", "options_path", type=FILE, help="The options file, in TOML.")(command)
+
+
+def examples(*command_lines: str) -> Callable[[CommandT], CommandT]:
+    """Appends command lines to the help of a command; stands directly above its function."""
+    title = "Example:" if len(command_lines) == 1 else "Examples:"
+
+    def append(command: CommandT) -> CommandT:
+        # \b keeps click from joining the lines of the paragraph.
+        paragraph = "\n".join(("\b", title, *(f"  {line}" for line in command_lines)))
+        command.__doc__ = f"{inspect.cleandoc(command.__doc__ or '')}\n\n{paragraph}"
+        return command
+
+    return append
+
+
+def decode(answer: dict[str, Any], status_type: type[StatusT]) -> StatusT:
+    """Converts an answer; ends the command if another version of the director sent it."""
+    import msgspec
+
+    from ..control.client import VersionMismatchError
+
+    try:
+        return msgspec.convert(answer, status_type)
+    except msgspec.ValidationError as error:
+        mismatch = VersionMismatchError(f"the director's answer is of another version: {error}")
+        fail(mismatch, mismatch.exit_code)
 
 
 def fail(error: Exception, exit_code: int = ExitCode.UNUSABLE) -> NoReturn:
@@ -72,7 +100,7 @@
         return answer
 
     def show(self, answer: dict[str, Any], print_text: Callable[[dict[str, Any]], None]) -> None:
-        """Prints an answer: as JSON, or by a function that prints it for people."""
+        """Prints an answer: as JSON, as it came, or by a function that prints it for people."""
         if self.as_json:
             click.echo(json.dumps(answer))
         else:
@@ -100,9 +128,9 @@
     ) -> None:
         command(DirectorQuery(options_path, socket_path, as_json), *arguments, **options)
 
-    add_json = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
-    socket_help = "Its control socket, in place of --config."
+    add_json = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+    socket_help = "The director's control socket, in place of --config."
     add_socket = click.option("--socket", "socket_path", type=FILE, help=socket_help)
-    config_help = "The director's settings, in TOML."
+    config_help = "The director's options file, in TOML."
     add_config = click.option("--config", "options_path", type=FILE, help=config_help)
     return add_config(add_socket(add_json(invoke)))
