--- a/gladewalk/duties/runner.py
+++ b/gladewalk/duties/runner.py
@@ -54,15 +54,8 @@
     def perform(self, target: str, on_result: ResultCallback) -> None:
         """Does it once and reports the result."""
 
-    def record_result(
-        self,
-        target: str,
-        status: api.Status,
-        latency_ms: float,
-        load: dict[str, float] | None,
-        age_ms: float,
-    ) -> None:
-        """Uses a finding of any member, called once for each; `age_ms` is the time since it was begun."""
+    def record_result(self, result: api.HealthCheckResult) -> None:
+        """Uses a finding of any member, called once for each; its age counts from when it was begun."""
 
 
 @dataclass(slots=True)
@@ -183,7 +176,8 @@
         self.counters.add("duties.done")
 
         def on_result(status: api.Status, latency_ms: float, load: dict[str, float] | None) -> None:
-            task.record_result(target, status, latency_ms, load, max(0.0, self.clock() - started_ms))
+            age_ms = max(0.0, self.clock() - started_ms)
+            task.record_result(api.HealthCheckResult(target, status, latency_ms, load, age_ms))
             name = f"{task.kind}/{target}"
             event = UserEvent(name, claim.owner, claim.epoch, started_ms, status.value, latency_ms, load)
             self.peers.publish_event(event)
@@ -200,7 +194,7 @@
             return self.counters.add("duties.unknown_status")
         self.counters.add("duties.heard")
         age_ms = max(0.0, now_ms - event.executed_at_ms)
-        task.record_result(target, status, event.duration_ms, event.load, age_ms)
+        task.record_result(api.HealthCheckResult(target, status, event.duration_ms, event.load, age_ms))
 
     def _announce_claims(self, shared: SharedTask) -> None:
         for target, claim in shared.ownership.take_new_claims():
--- a/gladewalk/duties/task_types.py
+++ b/gladewalk/duties/task_types.py
@@ -30,16 +30,9 @@
         """Sends one request to the server."""
         self.pool.probe(target, on_result, self.path)
 
-    def record_result(
-        self,
-        target: str,
-        status: api.Status,
-        latency_ms: float,
-        load: dict[str, float] | None,
-        age_ms: float,
-    ) -> None:
+    def record_result(self, result: api.HealthCheckResult) -> None:
         """Passes a finding to the decision module."""
-        self.exchange.handle_event(api.HealthCheckResult(target, status, latency_ms, load, age_ms))
+        self.exchange.handle_event(result)
 
 
 class CacheHealthCheck(ServerQueryTask):
--- a/gladewalk/rehearsal/task_simulation.py
+++ b/gladewalk/rehearsal/task_simulation.py
@@ -116,16 +116,10 @@
 
         self.network.schedule(CHECK_LATENCY_MS, answer)
 
-    def record_result(
-        self,
-        target: str,
-        status: api.Status,
-        latency_ms: float,
-        load: dict[str, float] | None,
-        age_ms: float,
-    ) -> None:
+    def record_result(self, result: api.HealthCheckResult) -> None:
         """Records when the latest finding that the node has was made."""
-        self.network.known_since_ms[self.node.name, target] = self.network.now_ms - age_ms
+        found_at_ms = self.network.now_ms - result.age_ms
+        self.network.known_since_ms[self.node.name, result.server] = found_at_ms
 
 
 class TaskNetwork(MemberNetwork):
