Move the HTTP front's modules to the names of what they hold

balanced, standby, plan and wire become upstream_exchange, passive_health, upstream_config and messages.

--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -11,8 +11,8 @@
 from ..upstream.jobs import Probing
 from ..upstream.targets import Upstream
 from ..upstream.words import OBJECT_MOST, Spoilt, read_length
-from .balanced import Balanced
-from .wire import NOBODY, Fields, WebAsk, WebEnd, WebHead, condition_of, request_bytes
+from .messages import NOBODY, Fields, WebAsk, WebEnd, WebHead, condition_of, request_bytes
+from .upstream_exchange import Balanced
 
 
 class PlainConnection(CacheConnection):
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -20,9 +20,9 @@
 from ..nginx.router import Landing, Router, read_host
 from ..nginx.uri import BadTarget, read_target
 from ..nginx.variables import Request
-from .balanced import Balanced
-from .plan import WHOLE_MOST_MS, key_of, place_key
-from .wire import NOBODY, ONCE, Fields, WebAsk, WebHead, added_fields, answer_fields, reason
+from .messages import NOBODY, ONCE, Fields, WebAsk, WebHead, added_fields, answer_fields, reason
+from .upstream_config import WHOLE_MOST_MS, key_of, place_key
+from .upstream_exchange import Balanced
 
 MISSING = "-"  # the class of a request that is answered here
 CLOSE = 444  # nginx's code for a close without an answer
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -12,10 +12,10 @@
 from ..nginx.router import Router
 from ..nginx.table import Box, Upstream, load_site
 from ..upstream.pool import Caches
-from .balanced import Balanced
 from .connection import PlainConnection
 from .front import WebFront
-from .plan import Plan, plan_of
+from .upstream_config import Plan, plan_of
+from .upstream_exchange import Balanced
 
 # A table that passes nothing on still needs an exchange for its connections; nothing is ever sent to it.
 NOWHERE = Upstream(name="-", at="-", boxes=[Box(address="127.0.0.1:1", at="-", down=True)])
--- a/gladewalk/web/plan.py
+++ b/gladewalk/web/upstream_config.py
@@ -14,7 +14,7 @@
 from ..config.platform import Address, PlatformConfig, read_address
 from ..nginx.router import Landing, Rules
 from ..nginx.table import Box, Place, Site, Upstream
-from .standby import Standby
+from .passive_health import Standby
 
 PARK_MOST_MS = 1_000.0  # a request that no server can take now waits as long at the most
 WHOLE_MOST_MS = 3_600_000.0  # for an answer to come whole; what stalls is found by the location's own times
--- a/gladewalk/web/balanced.py
+++ b/gladewalk/web/upstream_exchange.py
@@ -9,8 +9,8 @@
 from ..core.deadlines import DeadlineKey, Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer
 from ..upstream.pool import Caches
-from .plan import Plan
-from .wire import WebAsk, WebEnd
+from .messages import WebAsk, WebEnd
+from .upstream_config import Plan
 
 CONDITIONS = {
     api.Status.CONNECT_FAILED: "error",
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -13,7 +13,7 @@
 from gladewalk.optional_parts import load_router
 from gladewalk.rehearsal.peers import Heard, until
 from gladewalk.rehearsal.webworld import Answer, WebWorld
-from gladewalk.web.standby import Standby
+from gladewalk.web.passive_health import Standby
 from gladewalk.web.start import checked
 
 from .test_nginx import CORPUS, FILES, expectations
