--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -103,9 +103,9 @@
 
         read_lease_settings(options, config.name)
     if options.front.http is not None:
-        from .web.start import checked as check_front
+        from .web.start import load_routing
 
-        check_front(options)
+        load_routing(options)
     if options.control is not None:
         from .control.server import check_socket_path
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -277,7 +277,7 @@
 
     def _end_when_answered(self) -> None:
         """Ends the director once everything is answered; bounded, as every open request has a deadline."""
-        has_open_web_requests = self.web is not None and self.web.owed
+        has_open_web_requests = self.web is not None and self.web.unanswered_count
         has_open = self.exchange.unanswered_count or self.exchange.resolutions.open or has_open_web_requests
         if has_open or (not self.front.is_done() and self.clock() < self._last_answer_ms):
             self.deadlines.add(self.clock() + EXIT_DELAY_MS, self._end_when_answered)
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -29,7 +29,7 @@
     from .nginx.router import Router
     from .store.persistence import PersistenceService
     from .upstream.secure import Shapes
-    from .web.start import Web
+    from .web.start import HttpProxy
 
 Clock = Callable[[], float]
 
@@ -83,13 +83,13 @@
     deadlines: Deadlines,
     counters: Counters,
     log: Callable[[str], None],
-) -> Web | None:
+) -> HttpProxy | None:
     """Builds the HTTP front of `[front.http]`."""
     if options is None or options.front.http is None:
         return None
-    from .web.start import Web
+    from .web.start import HttpProxy
 
-    return Web(options, config.name, config.seed, clock, deadlines, counters, log)
+    return HttpProxy(options, config.name, config.seed, clock, deadlines, counters, log)
 
 
 def build_store(
@@ -170,9 +170,9 @@
     """Reads the imported routing table; None if the HTTP front is off."""
     if options.front.http is None:
         return None
-    from .web.start import checked
+    from .web.start import load_routing
 
-    return checked(options)[0]
+    return load_routing(options)[0]
 
 
 @dataclass(slots=True)
--- a/gladewalk/web/__init__.py
+++ b/gladewalk/web/__init__.py
@@ -1,1 +1,1 @@
-"""The front for imported routing: ordinary HTTP/1.1, each upstream a location of the core. Off unless set."""
+"""The HTTP front for imported routing: ordinary HTTP/1.1, a core for each upstream. Off unless set."""
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -11,148 +11,188 @@
 from ..upstream.jobs import Probing
 from ..upstream.targets import Upstream
 from ..upstream.words import OBJECT_MOST, Spoilt, read_length
-from .messages import NOBODY, Fields, WebAsk, WebEnd, WebHead, condition_of, request_bytes
-from .upstream_exchange import Balanced
-
-
-class PlainConnection(CacheConnection):
-    """One connection to an ordinary server; the pool's and the exchange's rules are those of its base."""
+from .messages import (
+    BAD_GATEWAY,
+    BODILESS_STATUSES,
+    GATEWAY_TIMEOUT,
+    Fields,
+    ProxyRequest,
+    ProxyResponseHead,
+    ProxyResult,
+    condition_of_status,
+    encode_request,
+)
+from .upstream_exchange import UpstreamExchange
+
+FIRST_FINAL_STATUS = 200  # below are interim responses
+SWITCHING_PROTOCOLS = 101
+MAX_DISCARDED_BYTES = OBJECT_MOST  # of a body that is read only to keep its connection usable
+
+
+class UpstreamConnection(CacheConnection):
+    """A connection to an ordinary server, under the pool's and the exchange's rules for `CacheConnection`."""
 
     def __init__(self, upstream: Upstream) -> None:
         super().__init__(upstream)
         exchange = self.pool.exchange
-        assert isinstance(exchange, Balanced)
-        self.balanced = exchange
+        assert isinstance(exchange, UpstreamExchange)
+        self.upstream_exchange = exchange
         self.fields: Fields = []
-        self.until_close = self.bodiless = False
-        self.heard_ms = 0.0
-        self.paused = False
-        self.due: DeadlineKey | None = None
+        self.is_body_until_close = False  # the response ends with the connection
+        self.is_bodiless = False
+        self.is_paused = False
+        self.last_read_ms = 0.0
+        self.read_timer: DeadlineKey | None = None
 
     @property
-    def ask(self) -> WebAsk | None:
-        """The request that is carried."""
-        ask = self.job.open_request.request if isinstance(self.job, Attempt) else None
-        return ask if isinstance(ask, WebAsk) else None
+    def request(self) -> ProxyRequest | None:
+        """The request that is carried, None while idle."""
+        request = self.job.open_request.request if isinstance(self.job, Attempt) else None
+        return request if isinstance(request, ProxyRequest) else None
 
     def written(self, attempt: Attempt, now_ms: float) -> bytes:
-        ask = attempt.open_request.request
-        assert isinstance(ask, WebAsk)
-        self.fields, self.until_close, self.bodiless, self.paused = [], False, False, False
-        self.heard_ms = now_ms
-        self.balanced.sent(attempt)
-        self._watch(ask.landing.terms.read_ms if ask.landing is not None else 60_000.0)
-        return request_bytes(ask)
+        """Returns the bytes of an attempt's request, which is written next, and starts its read timeout."""
+        request = attempt.open_request.request
+        assert isinstance(request, ProxyRequest)
+        self.fields = []
+        self.is_body_until_close = self.is_bodiless = self.is_paused = False
+        self.last_read_ms = now_ms
+        self.upstream_exchange.request_written(attempt)
+        self._start_read_timer(request.terms.read_ms)
+        return encode_request(request)
 
     # The time between two reads (proxy_read_timeout).
 
-    def _watch(self, read_ms: float) -> None:
-        self.pool.deadlines.drop(self.due)
-        self.due = self.pool.deadlines.add(self.heard_ms + read_ms, lambda: self._silent(read_ms))
+    def _start_read_timer(self, read_timeout_ms: float) -> None:
+        self.pool.deadlines.drop(self.read_timer)
+        self.read_timer = self.pool.deadlines.add(
+            self.last_read_ms + read_timeout_ms, lambda: self._read_timed_out(read_timeout_ms)
+        )
 
-    def _silent(self, read_ms: float) -> None:
-        self.due = None
+    def _read_timed_out(self, read_timeout_ms: float) -> None:
+        self.read_timer = None
         if self.job is None:
             return
-        now = self.pool.clock()
-        if self.paused:  # its bytes wait for the client: that is no silence of the server
-            self.heard_ms = now
-        if now < self.heard_ms + read_ms:
-            return self._watch(read_ms)
+        now_ms = self.pool.clock()
+        if self.is_paused:  # the client is slow, not the server
+            self.last_read_ms = now_ms
+        if now_ms < self.last_read_ms + read_timeout_ms:
+            self._start_read_timer(read_timeout_ms)
+            return
         job = self.job
         self.close()
-        self.pool.over(job, WebEnd(api.Status.TIMEOUT, condition="timeout", code=504))
+        result = ProxyResult(api.Status.TIMEOUT, condition="timeout", response_status=GATEWAY_TIMEOUT)
+        self.pool.over(job, result)
 
     def flow(self, job: Attempt | Probing, on: bool) -> None:
-        self.paused = not on
+        """Resumes (`on`) or pauses reading, which also pauses the read timeout."""
+        self.is_paused = not on
         super().flow(job, on)
 
     def close(self) -> None:
-        self.pool.deadlines.drop(self.due)
+        """Abandons what is carried and aborts the connection."""
+        self.pool.deadlines.drop(self.read_timer)
         super().close()
 
     def data_received(self, data: bytes) -> None:
-        self.heard_ms = self.pool.clock()
+        """Parses what was read."""
+        self.last_read_ms = self.pool.clock()
         super().data_received(data)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.pool.deadlines.drop(self.due)
-        # A close is the end of an answer that told no other (RFC 9112, 6.3).
-        if self.until_close and self.headed and error is None and self.job is not None:
+        """Ends the attempt: a response without a length ends with its connection (RFC 9112, section 6.3)."""
+        self.pool.deadlines.drop(self.read_timer)
+        if self.is_body_until_close and self.headed and error is None and self.job is not None:
             job, self.job = self.job, None
             super().connection_lost(None)
-            return self.pool.over(job, self._end())
+            self.pool.over(job, self._result())
+            return
         super().connection_lost(error)
 
-    # httptools' calls
+    # Called by httptools.
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """A field of the head or the trailer."""
         super().on_header(name, value)
         self.fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
+        """The head is complete: decides how its body ends and whether the response is passed on."""
         self.status = self.parser.get_status_code()
-        if self.status < 200:
-            if self.status == 101:  # nothing asked for it
+        if self.status < FIRST_FINAL_STATUS:
+            if self.status == SWITCHING_PROTOCOLS:  # no upgrade was requested
                 raise Spoilt
             self.fields = []
             return
-        ask = self.ask
-        known = read_length(self.headers)
-        chunked = self.headers.get(b"transfer-encoding", b"").lower() == b"chunked"
-        told = b"content-length" in self.headers
-        if told and (chunked or known is None):  # its end could be seen in two ways
-            raise Spoilt
-        if b"transfer-encoding" in self.headers and not chunked:
-            raise Spoilt
-        self.bodiless = self.status in NOBODY or (ask is not None and ask.verb == "HEAD")
-        self.until_close = not self.bodiless and known is None and not chunked
+        content_length, is_chunked = self._read_framing()
+        request = self.request
+        is_head = request is not None and request.verb == "HEAD"
+        self.is_bodiless = is_head or self.status in BODILESS_STATUSES
+        self.is_body_until_close = not self.is_bodiless and content_length is None and not is_chunked
         self.headed, self.size = True, 0
         self.lasts = self.parser.should_keep_alive()
-        if ask is not None and not self.balanced.wants_another(ask, condition_of(self.status)):
-            self.begun = WebHead(False, known, None, self.status, self.fields)
-        self.whole = self.bodiless
+        condition = condition_of_status(self.status)
+        if request is not None and not self.upstream_exchange.retries_status(request, condition):
+            self.begun = ProxyResponseHead(False, content_length, None, self.status, self.fields)
+        self.whole = self.is_bodiless
+
+    def _read_framing(self) -> tuple[int | None, bool]:
+        """Returns the body's length and whether it is chunked; raises `Spoilt` for an ambiguous end."""
+        content_length = read_length(self.headers)
+        is_chunked = self.headers.get(b"transfer-encoding", b"").lower() == b"chunked"
+        if b"content-length" in self.headers and (is_chunked or content_length is None):
+            raise Spoilt
+        if b"transfer-encoding" in self.headers and not is_chunked:
+            raise Spoilt
+        return content_length, is_chunked
 
     def on_body(self, body: bytes) -> None:
+        """A piece of the body; of a response that is retried elsewhere it is discarded, within a bound."""
         self.frame = 0
-        if self.bodiless:
-            raise Spoilt  # bytes that no HEAD, 204 or 304 has: surplus
+        if self.is_bodiless:  # surplus bytes
+            raise Spoilt
         if self.begun is not None or self.passing:
             self.read.append(body)
-        else:  # of an answer that is tried elsewhere: read for the connection's sake, within bounds
-            self._grow(len(body), OBJECT_MOST)
+        else:
+            self._grow(len(body), MAX_DISCARDED_BYTES)
 
     def on_message_complete(self) -> None:
-        if self.status < 200:
+        """The response is complete, unless it is an interim one or ends with its connection."""
+        if self.status < FIRST_FINAL_STATUS:
             self.headers = {}
-        elif not self.until_close:
+        elif not self.is_body_until_close:
             self.whole = True
 
+    # The response's end.
+
     def _over(self, surplus: bool) -> None:
-        """As the base, but that its end tells which status the server gave."""
+        """Ends the attempt as the base class does, with a result that tells the server's status."""
         job, self.job = self.job, None
         assert job is not None
-        self.pool.deadlines.drop(self.due)
-        if self.bodiless:  # the parser waits for a body that never comes
+        self.pool.deadlines.drop(self.read_timer)
+        if self.is_bodiless:  # the parser would wait for a body
             self.parser = httptools.HttpResponseParser(self)
         if self.transport is not None and self.lasts and not surplus:
             self.transport.resume_reading()
             self.upstream.rest(self)
         else:
             self.close()
-        self.pool.over(job, self._end())
+        self.pool.over(job, self._result())
 
-    def _end(self) -> WebEnd:
-        condition = condition_of(self.status)
+    def _result(self) -> ProxyResult:
+        condition = condition_of_status(self.status)
         if condition and not self.passing:
-            return WebEnd(api.Status.ERROR, condition=condition, code=self.status)
-        # Made, not held: how long it took says what was asked for and not how well the server does, so the
-        # core must not weigh servers by it. Guards against one that answers first being given all there is.
-        return WebEnd(api.Status.OK, api.OutcomeDetail.FILLED, condition=condition, code=self.status)
+            return ProxyResult(api.Status.ERROR, condition=condition, response_status=self.status)
+        # Reported as filled, not as a hit: the duration depends on the request and says nothing of the
+        # server's load. Weighed by it, the core would give all requests to one that answers fast.
+        return ProxyResult(
+            api.Status.OK, api.OutcomeDetail.FILLED, condition=condition, response_status=self.status
+        )
 
     def _spoilt(self) -> None:
         job = self.job
         self.pool.counters.add("web.unreadable_answer")
         self.close()
         if job is not None:
-            self.pool.over(job, WebEnd(api.Status.ERROR, condition="invalid_header", code=502))
+            result = ProxyResult(api.Status.ERROR, condition="invalid_header", response_status=BAD_GATEWAY)
+            self.pool.over(job, result)
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -1,14 +1,14 @@
-"""The front's clients: any HTTP/1.1 request, routed by an imported table, answered by an upstream or here.
+"""The client side: any HTTP/1.1 request, routed by an imported table, answered by an upstream or locally.
 
-The guards against what clients may send are those of the platform's front (`net/clients.py`), which this one
-are made of: bounds on heads, bodies and requests ahead, times to ask in, a connection limit, one answer to
-each request.
+Bounds on heads, bodies, pipelined requests and connections, and the timeouts of clients, are those of the
+platform's front (`net/clients.py`), whose classes these extend.
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import cast
 
 from ..core.counters import Counters
@@ -20,189 +20,260 @@
 from ..nginx.router import Landing, Router, read_host
 from ..nginx.uri import BadTarget, read_target
 from ..nginx.variables import Request
-from .messages import NOBODY, ONCE, Fields, WebAsk, WebHead, added_fields, answer_fields, reason
-from .upstream_config import WHOLE_MOST_MS, key_of, place_key
-from .upstream_exchange import Balanced
+from .messages import (
+    BODILESS_STATUSES,
+    NON_IDEMPOTENT_METHODS,
+    Fields,
+    ProxyRequest,
+    ProxyResponseHead,
+    added_fields,
+    reason_phrase,
+    response_fields,
+)
+from .upstream_config import MAX_RESPONSE_MS, NON_IDEMPOTENT_SUFFIX, location_id, object_key
+from .upstream_exchange import UpstreamExchange
 
-MISSING = "-"  # the class of a request that is answered here
-CLOSE = 444  # nginx's code for a close without an answer
+LOCAL_CLASS = "-"  # of a request that is answered without an upstream
+FIRST_CLASS = "p0"  # of a request whose location is not among its upstream's
+CLOSE_CONNECTION = 444  # nginx's code for a close without a response
+SERVICE_UNAVAILABLE = 503
+MIN_RETRY_AFTER_SECONDS = 1
 
 
-class WebClient(ClientConnection):
+@dataclass(slots=True, kw_only=True)
+class RoutedRequest(ProxyRequest):
+    """A request with the exchange of the upstream where it landed; None: it is answered locally."""
+
+    exchange: UpstreamExchange | None = None
+
+
+class HttpClientConnection(ClientConnection):
     """One client's connection."""
 
     def __init__(self, front: ClientFront) -> None:
         super().__init__(front)
-        self.web = cast(WebFront, front)
-        self.all_fields: Fields = []
-        self.landing: Landing | None = None  # of the request that is open
-        self.bodiless = False
+        self.http_front = cast(HttpFront, front)
+        self.all_fields: Fields = []  # of the request that is being read, repeated ones too
+        self.landing: Landing | None = None  # of the open request
+        self.is_bodiless = False  # the open request is a HEAD
 
     # Reading.
 
     def on_message_begin(self) -> None:
+        """A request's first byte."""
         super().on_message_begin()
         self.all_fields = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """A field of the head or the trailer."""
         super().on_header(name, value)
         self.all_fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def _read_request(self) -> ClientRequest | int:
-        """A request with where it lands; `BadRequestError` for one that can't be read."""
-        verb = self.parser.get_method().decode("latin-1")
-        raw, host = self._target()
-        if verb == "CONNECT" or (b"upgrade" in self.headers and verb == "PRI"):
+        """Returns the complete request with its landing; raises `BadRequestError`."""
+        method = self.parser.get_method().decode("latin-1")
+        raw_target, raw_host = self._split_target()
+        version = self.parser.get_http_version()
+        if method == "CONNECT" or (b"upgrade" in self.headers and method == "PRI"):
             raise BadRequestError(405)
-        if not host and self.parser.get_http_version() == "1.1":
-            raise BadRequestError(400)  # RFC 9112, 3.2
+        if not raw_host and version == "1.1":
+            raise BadRequestError(400)  # RFC 9112, section 3.2
+        front = self.http_front
         try:
-            clean = read_host(host)
-            server = self.web.router.server_of(self.web.listen_key, clean)
-            target = read_target(raw, server.row.merge_slashes)
+            host = read_host(raw_host)
+            server = front.router.server_of(front.listen_key, host)
+            target = read_target(raw_target, server.row.merge_slashes)
         except (BadTarget, ValueError) as error:
             raise BadRequestError(400) from error
-        fields: dict[str, str] = {}
-        for name, value in self.all_fields:
-            lower = name.lower()
-            fields[lower] = f"{fields[lower]}, {value}" if lower in fields else value
         body = b"".join(self.body_pieces)
+        fields = self._joined_fields()
         fields["content-length"] = str(len(body))
-        client = self.transport.get_extra_info("peername") if self.transport is not None else None
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        client, client_port = peer[:2] if peer else ("127.0.0.1", 0)
         request = Request(
-            verb, target, clean, fields, client[0] if client else "127.0.0.1", client[1] if client else 0,
-            server_addr=self.web.address[0], server_port=self.web.port_told,
-            protocol=f"HTTP/{self.parser.get_http_version()}",
-        )  # fmt: skip
-        landing = self.web.router.route(self.web.listen_key, request)
-        return self.ask_of(landing, verb, body)
-
-    def _target(self) -> tuple[str, str]:
-        """The target in origin form and the host: of an absolute target its own (RFC 9112, 3.2.2)."""
+            method,
+            target,
+            host,
+            fields,
+            client,
+            client_port,
+            server_addr=front.address[0],
+            server_port=front.listen_port,
+            protocol=f"HTTP/{version}",
+        )
+        return self._build_request(front.router.route(front.listen_key, request), method, body)
+
+    def _joined_fields(self) -> dict[str, str]:
+        """Returns the fields by name in lower case, the values of repeated ones joined by commas."""
+        fields: dict[str, str] = {}
+        for name, value in self.all_fields:
+            key = name.lower()
+            fields[key] = f"{fields[key]}, {value}" if key in fields else value
+        return fields
+
+    def _split_target(self) -> tuple[str, str]:
+        """Returns the target in origin form and the host; an absolute target's own (RFC 9112, 3.2.2)."""
         raw = self.url.decode("latin-1")
-        host = self.headers.get(b"host", b"").decode("latin-1")
         for scheme in ("http://", "https://"):
             if raw.lower().startswith(scheme):
                 rest = raw[len(scheme) :]
-                cut = next((n for n, sign in enumerate(rest) if sign in "/?"), len(rest))
-                path = rest[cut:]
-                return path if path.startswith("/") else "/" + path, rest[:cut]
-        return raw, host
-
-    def ask_of(self, landing: Landing, verb: str, body: bytes) -> WebAsk:
-        ask = WebAsk(
-            trace_id="", method="GET", class_name=MISSING, object_name="", key=0, part=0,
-            max_wait_ms=WHOLE_MOST_MS, body=body, verb=verb, fields=self.all_fields, landing=landing,
-            since_ms=self.web.clock(),
-        )  # fmt: skip
+                end = next((index for index, char in enumerate(rest) if char in "/?"), len(rest))
+                path = rest[end:]
+                return path if path.startswith("/") else "/" + path, rest[:end]
+        return raw, self.headers.get(b"host", b"").decode("latin-1")
+
+    def _build_request(self, landing: Landing, method: str, body: bytes) -> RoutedRequest:
+        request = RoutedRequest(
+            trace_id="",
+            method="GET",
+            class_name=LOCAL_CLASS,
+            object_name="",
+            key=0,
+            part=0,
+            max_wait_ms=MAX_RESPONSE_MS,
+            body=body,
+            verb=method,
+            fields=self.all_fields,
+            landing=landing,
+            received_ms=self.http_front.clock(),
+        )
         if landing.upstream:
-            balanced = self.web.upstreams[landing.upstream]
-            ask.balanced = balanced
-            name = balanced.plan.classes.get(place_key(landing.place), "p0") if landing.place else "p0"
-            ask.class_name = name + "!" if verb in ONCE else name
-            ask.key = key_of(landing)
-        return ask
+            request.exchange = self.http_front.upstreams[landing.upstream]
+            request.class_name = self._class_name(request.exchange, landing, method)
+            request.key = object_key(landing)
+        return request
+
+    def _class_name(self, exchange: UpstreamExchange, landing: Landing, method: str) -> str:
+        name = FIRST_CLASS
+        if landing.place is not None:
+            name = exchange.config.class_names.get(location_id(landing.place), FIRST_CLASS)
+        return name + NON_IDEMPOTENT_SUFFIX if method in NON_IDEMPOTENT_METHODS else name
 
     # One request at a time.
 
-    def _submit(self, ask: ClientRequest) -> None:
-        assert isinstance(ask, WebAsk) and ask.landing is not None
-        if ask.balanced is not None and ask.balanced.retired:  # it waited while another table was taken
-            request = ask.landing.state.request
-            ask = self.ask_of(self.web.router.route(self.web.listen_key, request), ask.verb, ask.body)
-        landing = self.landing = ask.landing
-        self.bodiless = ask.verb == "HEAD"
-        assert landing is not None
-        if not landing.upstream:
-            return self._answer_here(landing)
-        self.exchange = ask.balanced
-        super()._submit(ask)
-
-    def _answer_here(self, landing: Landing) -> None:
-        """An answer that the table makes: a text, a redirect, a refusal, or a close."""
-        status = landing.shown or landing.status
-        self.web.counters.add("web.answered_here")
-        if landing.status == CLOSE:
+    def _submit(self, request: ClientRequest) -> None:
+        assert isinstance(request, RoutedRequest)
+        if (
+            request.exchange is not None and request.exchange.is_retired
+        ):  # it waited while a table was replaced
+            front = self.http_front
+            landing = front.router.route(front.listen_key, request.landing.state.request)
+            request = self._build_request(landing, request.verb, request.body)
+        self.landing = request.landing
+        self.is_bodiless = request.verb == "HEAD"
+        if request.exchange is None:
+            self._answer_locally(request.landing)
+            return
+        self.exchange = request.exchange
+        super()._submit(request)
+
+    def _answer_locally(self, landing: Landing) -> None:
+        """Writes the response that the table itself gives: a text, a redirect, a rejection, or a close."""
+        self.http_front.counters.add("web.answered_here")
+        if landing.status == CLOSE_CONNECTION:
             self.open_number = None
             self._release_request()
             if self.transport is not None:
                 self.transport.abort()
             return
+        status = landing.shown or landing.status
         fields = added_fields(landing, status)
         if landing.redirect:
             fields.append(("Location", landing.redirect))
         if landing.text:
             fields.append(("Content-Type", "text/plain"))
-        self._whole(status, fields, landing.text.encode("latin-1", "replace"))
+        self._write_response(status, fields, landing.text.encode("latin-1", "replace"))
         self._response_finished()
 
-    def _whole(self, status: int, fields: Fields, body: bytes = b"") -> None:
-        lines = [f"HTTP/1.1 {status} {reason(status)}"]
-        if status not in NOBODY:
+    def _write_response(self, status: int, fields: Fields, body: bytes = b"") -> None:
+        """Writes a complete response."""
+        lines = [f"HTTP/1.1 {status} {reason_phrase(status)}"]
+        if status not in BODILESS_STATUSES:
             lines.append(f"Content-Length: {len(body)}")
         lines += [f"{name}: {value}" for name, value in fields]
-        shown = b"" if self.bodiless or status in NOBODY else body
-        self._write(self._encode_head(lines) + shown)
+        sent_body = b"" if self.is_bodiless or status in BODILESS_STATUSES else body
+        self._write(self._encode_head(lines) + sent_body)
 
     def _write_status(self, status: int, fields: list[str] | None = None) -> None:
         pairs = [(name, value) for name, _, value in (line.partition(": ") for line in fields or ())]
-        self._whole(status, pairs)
+        self._write_response(status, pairs)
 
-    # The exchange's calls
+    # Called by the exchange: the response.
 
     def start_response(self, head: ResponseHead) -> None:
-        assert isinstance(head, WebHead) and self.landing is not None
+        """Writes the head of a server's response."""
+        assert isinstance(head, ProxyResponseHead) and self.landing is not None
         status = self.landing.shown or head.status
-        lines = [f"HTTP/1.1 {status} {reason(status)}"]
-        without = self.bodiless or status in NOBODY
-        self.is_chunked = head.content_length is None and not without
+        lines = [f"HTTP/1.1 {status} {reason_phrase(status)}"]
+        has_body = not self.is_bodiless and status not in BODILESS_STATUSES
+        self.is_chunked = has_body and head.content_length is None
         if self.is_chunked:
             lines.append("Transfer-Encoding: chunked")
         elif head.content_length is not None and status != 204:
             lines.append(f"Content-Length: {head.content_length}")
-        for name, value in answer_fields(self.landing, head.status, head.fields):
+        for name, value in response_fields(self.landing, head.status, head.fields):
             lines.append(f"{name}: {value}")
         self._write(self._encode_head(lines))
 
     def write_body(self, data: bytes) -> None:
-        if not self.bodiless:
+        """Writes a piece of the body, unless the request is a HEAD."""
+        if not self.is_bodiless:
             super().write_body(data)
 
     def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
-        ask, landing = self.open_request, self.landing
-        assert isinstance(ask, WebAsk) and landing is not None
-        status = 503 if final is FinalAnswer.REJECTED else ask.failed
-        if not landing.from_error and self.web.router.on_error(landing, status).from_error:
-            return self._elsewhere(ask, landing)
-        seconds = max(1, math.ceil(retry_after_ms / 1000.0))
-        more = [("Retry-After", str(seconds))] if final is FinalAnswer.REJECTED else []
-        self._whole(status, more + added_fields(landing, status))
+        """Answers a request that gets no server's response, by its `error_page` if there is one."""
+        request, landing = self.open_request, self.landing
+        assert isinstance(request, RoutedRequest) and landing is not None
+        is_rejected = final is FinalAnswer.REJECTED
+        status = SERVICE_UNAVAILABLE if is_rejected else request.failure_status
+        if not landing.from_error and self.http_front.router.on_error(landing, status).from_error:
+            self._submit_to_error_page(request, landing)
+            return
+        fields: Fields = []
+        if is_rejected:
+            seconds = max(MIN_RETRY_AFTER_SECONDS, math.ceil(retry_after_ms / 1000.0))
+            fields.append(("Retry-After", str(seconds)))
+        self._write_response(status, fields + added_fields(landing, status))
         self._response_finished()
 
-    def _elsewhere(self, ask: WebAsk, landing: Landing) -> None:
-        """An `error_page` sends the request on: it is another request of its exchange."""
-        self.web.counters.add("web.error_pages")
+    def _submit_to_error_page(self, request: RoutedRequest, landing: Landing) -> None:
+        """Submits the request again where `error_page` sends it: a new request for its exchange."""
+        self.http_front.counters.add("web.error_pages")
         self.open_number = None
         self._release_request()
-        self._submit(self.ask_of(landing, landing.state.request.method, ask.body))
+        self._submit(self._build_request(landing, landing.state.request.method, request.body))
+
 
+class HttpFront(ClientFront):
+    """One listener, which stands for one `listen` of the table.
 
-class WebFront(ClientFront):
-    """One of our listeners, which stands for one of the table's."""
+    Attributes:
+        router: The table in force.
+        listen_key: The table's `listen`, `HOST:PORT`.
+        upstreams: The exchange of each upstream, by its name.
+        listen_port: The port of `listen_key`, which redirects and variables tell.
+    """
 
     def __init__(
-        self, router: Router, listen_key: str, upstreams: Mapping[str, Balanced],
-        connection_limit: int, body_most: int,
-        clock: Callable[[], float], deadlines: Deadlines, counters: Counters,
-    ) -> None:  # fmt: skip
-        first = next(iter(upstreams.values()))
-        super().__init__(first, connection_limit, clock, deadlines, counters)
+        self,
+        router: Router,
+        listen_key: str,
+        upstreams: Mapping[str, UpstreamExchange],
+        connection_limit: int,
+        max_body_bytes: int,
+        clock: Callable[[], float],
+        deadlines: Deadlines,
+        counters: Counters,
+    ) -> None:
+        first_exchange = next(iter(upstreams.values()))
+        super().__init__(first_exchange, connection_limit, clock, deadlines, counters)
         self.router, self.listen_key, self.upstreams = router, listen_key, upstreams
-        self.connection_type, self.max_body_bytes = WebClient, body_most
-        self.port_told = int(listen_key.rpartition(":")[2])
+        self.connection_type, self.max_body_bytes = HttpClientConnection, max_body_bytes
+        self.listen_port = int(listen_key.rpartition(":")[2])
 
-    def claim_trace_id(self, ask: ClientRequest) -> bool:
-        return True  # ids of requests are the platform's
+    def claim_trace_id(self, request: ClientRequest) -> bool:
+        """Returns True: trace ids are the platform's, requests here have none."""
+        return True
 
-    def release_trace_id(self, ask: ClientRequest) -> None:
-        pass
+    def release_trace_id(self, request: ClientRequest) -> None:
+        """Does nothing: there are no trace ids here."""
--- a/gladewalk/web/messages.py
+++ b/gladewalk/web/messages.py
@@ -1,6 +1,6 @@
-"""HTTP messages between the front and an upstream's servers: which fields pass, and how. No I/O.
+"""HTTP messages between the front and an upstream's servers: which fields are forwarded, and how. No I/O.
 
-RFC 9110, 7.6 (fields of a connection are not passed on); RFC 9112, 6 (how a body's end is told).
+RFC 9110, section 7.6 (connection fields are not forwarded); RFC 9112, section 6 (message body length).
 """
 
 from __future__ import annotations
@@ -8,127 +8,157 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any
 
 from ..core.exchange import AttemptResult, ClientRequest, ResponseHead
 from ..nginx.router import Landing, Rules, redirect_of
+from ..nginx.table import Terms
 
 Fields = list[tuple[str, str]]
-HOP = frozenset({
+
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+HOP_BY_HOP_FIELDS = frozenset({
     "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
 })  # fmt: skip
-OWN = HOP | {"content-length", "expect", "host"}
-ONCE = ("POST", "LOCK", "PATCH")  # nginx's methods that are not sent again once they were sent
-ADDED_ON = frozenset({200, 201, 204, 206, 301, 302, 303, 304, 307, 308})  # ngx_http_headers_module
-NOBODY = frozenset({204, 304})
-
-
-@dataclass(slots=True)
-class WebAsk(ClientRequest):
-    """An ordinary request. The core knows it by its class and key; the rest is for the wire."""
-
+REWRITTEN_FIELDS = HOP_BY_HOP_FIELDS | {"content-length", "expect", "host"}  # of a request
+METHODS_WITH_BODY = ("POST", "PUT", "PATCH")  # they get a Content-Length even for an empty body
+NON_IDEMPOTENT_METHODS = ("POST", "LOCK", "PATCH")  # those that nginx does not send again
+ADD_HEADER_STATUSES = frozenset({200, 201, 204, 206, 301, 302, 303, 304, 307, 308})  # ngx_http_headers_module
+BODILESS_STATUSES = frozenset({204, 304})
+RETRYABLE_STATUSES = frozenset({500, 502, 503, 504, 403, 404, 429})  # those of `proxy_next_upstream`
+
+
+@dataclass(slots=True, kw_only=True)
+class ProxyRequest(ClientRequest):
+    """An ordinary HTTP request; the core knows it by its class and its key.
+
+    Attributes:
+        verb: The request's method (`method` is the core's own).
+        fields: The client's fields, in order.
+        landing: Where the routing table sends it.
+        received_ms: When it was complete.
+        failure_status: The status for the client if no attempt succeeds.
+        sent_count: Attempts whose request has been written.
+    """
+
+    landing: Landing
     verb: str = "GET"
     fields: Fields = field(default_factory=list)
-    landing: Landing | None = None
-    since_ms: float = 0.0
-    balanced: Any = None  # the `Balanced` of the upstream where it landed
-    failed: int = 502  # what the client is told if no attempt succeeds
-    sends: int = 0
+    received_ms: float = 0.0
+    failure_status: int = BAD_GATEWAY
+    sent_count: int = 0
+
+    @property
+    def terms(self) -> Terms:
+        """The proxy settings of the location."""
+        return self.landing.terms
 
 
 @dataclass(slots=True)
-class WebHead(ResponseHead):
-    """The start of any answer that is passed on, whatever its status."""
+class ProxyResponseHead(ResponseHead):
+    """The head of a response that is passed on, whatever its status."""
 
     status: int = 200
     fields: Fields = field(default_factory=list)
 
 
 @dataclass(slots=True)
-class WebEnd(AttemptResult):
-    """`condition`: the word that `proxy_next_upstream` has for this end; `code` what the client is told."""
+class ProxyResult(AttemptResult):
+    """The result of an attempt at an ordinary server.
+
+    Attributes:
+        condition: The word of `proxy_next_upstream` for this end, empty if it is never a failure.
+        response_status: The status for the client if this is the last attempt.
+    """
 
     condition: str = "error"
-    code: int = 502
+    response_status: int = BAD_GATEWAY
 
 
-def reason(status: int) -> str:
+def reason_phrase(status: int) -> str:
+    """Returns the registered reason phrase of a status, empty for an unknown one."""
     try:
         return HTTPStatus(status).phrase
     except ValueError:
         return ""
 
 
-def clean(value: str) -> str:
-    """Guards against a decoded line end that a variable would put into a message."""
-    return "".join(sign if ord(sign) >= 0x20 and ord(sign) != 0x7F else " " for sign in value)
+def sanitize_value(value: str) -> str:
+    """Replaces control characters by blanks.
+
+    A variable may hold a decoded line end, which would put a field of its own into the message.
+    """
+    return "".join(char if ord(char) >= 0x20 and ord(char) != 0x7F else " " for char in value)
 
 
-def named_by_connection(fields: Iterable[tuple[str, str]]) -> frozenset[str]:
-    """The fields that the Connection field names: of this connection alone."""
+def connection_options(fields: Iterable[tuple[str, str]]) -> frozenset[str]:
+    """Returns the names that the Connection field lists, in lower case: fields of this connection alone."""
     names: set[str] = set()
     for name, value in fields:
         if name.lower() == "connection":
-            names.update(word.strip().lower() for word in value.split(","))
+            names.update(option.strip().lower() for option in value.split(","))
     return frozenset(names)
 
 
-def request_bytes(ask: WebAsk) -> bytes:
-    """A request as it goes to a server: the client's fields but its connection's, and the file's own."""
-    landing = ask.landing
-    assert landing is not None
+def encode_request(request: ProxyRequest) -> bytes:
+    """Encodes a request for a server: the client's fields that are forwarded, and the location's own."""
+    landing = request.landing
     rules = landing.location.rules if landing.location is not None else None
     own: Fields = []
     replaced: set[str] = set()
     if isinstance(rules, Rules):
         for name, template in rules.fields:
             replaced.add(name.lower())
-            value = clean(template.fill(landing.state))
+            value = sanitize_value(template.fill(landing.state))
             if value:
                 own.append((name, value))
-    left = OWN | replaced | named_by_connection(ask.fields)
-    lines = [f"{ask.verb} {landing.target} HTTP/1.1"]
+    dropped = REWRITTEN_FIELDS | replaced | connection_options(request.fields)
+    lines = [f"{request.verb} {landing.target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in own]
     if not any(name.lower() == "host" for name, _ in own):
         lines.append(f"Host: {landing.upstream}")
-    lines += [f"{name}: {value}" for name, value in ask.fields if name.lower() not in left]
-    if ask.body or ask.verb in ("POST", "PUT", "PATCH"):
-        lines.append(f"Content-Length: {len(ask.body)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace") + ask.body
+    lines += [f"{name}: {value}" for name, value in request.fields if name.lower() not in dropped]
+    if request.body or request.verb in METHODS_WITH_BODY:
+        lines.append(f"Content-Length: {len(request.body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace") + request.body
 
 
-def answer_fields(landing: Landing, status: int, fields: Fields) -> Fields:
-    """The fields of an answer that go to the client."""
-    left = HOP | {"content-length"} | named_by_connection(fields) | set(landing.terms.hide_fields)
-    passed = [(name, value) for name, value in fields if name.lower() not in left]
+def response_fields(landing: Landing, status: int, fields: Fields) -> Fields:
+    """Returns the fields of a server's response that go to the client, and the location's own."""
+    hidden = set(landing.terms.hide_fields)
+    dropped = HOP_BY_HOP_FIELDS | {"content-length"} | connection_options(fields) | hidden
+    passed = [(name, value) for name, value in fields if name.lower() not in dropped]
     if landing.terms.redirect == "default":
-        passed = [(n, redirected(landing, v) if n.lower() == "location" else v) for n, v in passed]
+        passed = [
+            (name, rewrite_location(landing, value) if name.lower() == "location" else value)
+            for name, value in passed
+        ]
     return passed + added_fields(landing, status)
 
 
 def added_fields(landing: Landing, status: int) -> Fields:
-    """`add_header` of the location where the request landed, or of its server if it came to none."""
+    """Returns the fields that `add_header` sets at the request's location, or at its server without one."""
     rules = landing.location.rules if landing.location is not None else None
     found = []
-    for name, template, always in rules.added if isinstance(rules, Rules) else landing.server.added:
-        value = clean(template.fill(landing.state))
-        if value and (always or status in ADDED_ON):
+    for name, template, is_always in rules.added if isinstance(rules, Rules) else landing.server.added:
+        value = sanitize_value(template.fill(landing.state))
+        if value and (is_always or status in ADD_HEADER_STATUSES):
             found.append((name, value))
     return found
 
 
-def redirected(landing: Landing, location: str) -> str:
-    """`proxy_redirect default`: what names the upstream names the location again."""
+def rewrite_location(landing: Landing, location: str) -> str:
+    """Rewrites a Location field that names the upstream (`proxy_redirect default`)."""
     place = landing.place
     if place is None or place.kind in ("~", "~*", "@") or "$" in place.upstream + (place.uri or ""):
         return location
-    begin = f"http://{place.upstream}{place.uri or ''}"
-    if not location.startswith(begin) or (not place.uri and location[len(begin) :][:1] not in ("/", "")):
+    prefix = f"http://{place.upstream}{place.uri or ''}"
+    rest = location[len(prefix) :]
+    if not location.startswith(prefix) or (not place.uri and rest[:1] not in ("/", "")):
         return location
-    path = (place.pattern if place.uri else "") + location[len(begin) :]
-    return redirect_of(landing, path)
+    return redirect_of(landing, (place.pattern if place.uri else "") + rest)
 
 
-def condition_of(status: int) -> str:
-    """The word of `proxy_next_upstream` for a whole answer; empty: it is never a failure."""
-    return f"http_{status}" if status in (500, 502, 503, 504, 403, 404, 429) else ""
+def condition_of_status(status: int) -> str:
+    """Returns the word of `proxy_next_upstream` for a complete response, empty if it is never a failure."""
+    return f"http_{status}" if status in RETRYABLE_STATUSES else ""
--- a/gladewalk/web/passive_health.py
+++ b/gladewalk/web/passive_health.py
@@ -1,77 +1,106 @@
-"""Which servers of an upstream may be sent requests, as nginx's parameters have it. Decided without I/O.
+"""Passive health checks: which servers of an upstream may be sent requests.
 
-ngx_http_upstream_module, "server": `max_fails` failures within `fail_timeout` make a server unavailable for
-as long; `max_conns` bounds what is out at it; a `backup` is used while no other server is available; one that
-is `down` is never used. A server that is alone is never taken for failed. What is available here is listed as
-ready to the core, which decides all the rest.
+ngx_http_upstream_module, `server`: `max_fails` failures within `fail_timeout` make a server unavailable for
+as long; `max_conns` bounds the requests in flight at it; a `backup` is used while no other server is
+available; one that is `down` is never used. The only server of an upstream never counts as failed. Decides
+without I/O; the core routes among the available servers.
 """
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from ..nginx.table import Box
 
 
 @dataclass(slots=True)
-class _Health:
-    box: Box
-    out: int = 0
-    failed_at: list[float] = field(default_factory=list)
-    off_until: float = 0.0
-
-
-class Standby:
-    """One upstream's servers. Times in ms, taken as arguments."""
-
-    def __init__(self, boxes: list[Box]) -> None:
-        self.health = {box.address: _Health(box) for box in boxes}
-        self.alone = len(boxes) == 1
-        self.told: dict[str, bool] = {}
-
-    def sent(self, address: str) -> None:
-        """A request has been written to it."""
-        self.health[address].out += 1
-
-    def ended(self, address: str, failed: bool, now_ms: float) -> None:
-        """It has answered, or has failed to; `failed` as `proxy_next_upstream` counts it."""
-        known = self.health[address]
-        known.out = max(0, known.out - 1)
-        self.note(address, failed, now_ms)
-
-    def note(self, address: str, failed: bool, now_ms: float) -> None:
-        """An answer or a failure of one that nothing was written to."""
-        known = self.health[address]
-        box = known.box
-        if not failed:
-            known.failed_at.clear()
+class _ServerHealth:
+    server: Box
+    in_flight: int = 0
+    failure_times_ms: list[float] = field(default_factory=list)
+    unavailable_until_ms: float = 0.0
+
+
+class PassiveHealthCheck:
+    """The availability of one upstream's servers, by address.
+
+    All instants are milliseconds of one clock and given as arguments.
+
+    Attributes:
+        is_single_server: Whether the upstream has one server, which then never counts as failed.
+    """
+
+    def __init__(self, servers: Sequence[Box]) -> None:
+        self._health = {server.address: _ServerHealth(server) for server in servers}
+        self.is_single_server = len(servers) == 1
+        self._reported: dict[str, bool] = {}  # as `availability_changes` returned it last
+
+    def knows(self, address: str) -> bool:
+        """Returns whether the address is a server of this upstream."""
+        return address in self._health
+
+    def request_sent(self, address: str) -> None:
+        """Counts a request that has been written to a server."""
+        self._health[address].in_flight += 1
+
+    def request_ended(self, address: str, has_failed: bool, now_ms: float) -> None:
+        """Counts the end of a request that was written; a failure is one by `proxy_next_upstream`."""
+        health = self._health[address]
+        health.in_flight = max(0, health.in_flight - 1)
+        self.record_result(address, has_failed, now_ms)
+
+    def record_result(self, address: str, has_failed: bool, now_ms: float) -> None:
+        """Counts a success, which clears earlier failures, or a failure, also of a request never written."""
+        health = self._health[address]
+        server = health.server
+        if not has_failed:
+            health.failure_times_ms.clear()
             return
-        if self.alone or not box.max_fails:
+        if self.is_single_server or not server.max_fails:
             return
-        known.failed_at = [at for at in known.failed_at if now_ms - at <= box.fail_ms] + [now_ms]
-        if len(known.failed_at) >= box.max_fails:
-            known.off_until = now_ms + box.fail_ms
-            known.failed_at.clear()
+        recent = [at_ms for at_ms in health.failure_times_ms if now_ms - at_ms <= server.fail_ms]
+        health.failure_times_ms = [*recent, now_ms]
+        if len(health.failure_times_ms) >= server.max_fails:
+            health.unavailable_until_ms = now_ms + server.fail_ms
+            health.failure_times_ms.clear()
 
     def is_available(self, address: str, now_ms: float) -> bool:
-        known = self.health[address]
-        box = known.box
-        full = box.max_conns and known.out >= box.max_conns
-        return not box.down and not full and now_ms >= known.off_until
-
-    def ready(self, now_ms: float) -> dict[str, bool]:
-        """Who is to be listed as ready: those available, and backups only while nobody else is."""
-        able = {address: self.is_available(address, now_ms) for address in self.health}
-        first = any(able[address] and not known.box.backup for address, known in self.health.items())
-        return {a: able[a] and not (first and known.box.backup) for a, known in self.health.items()}
-
-    def changes(self, now_ms: float) -> dict[str, bool]:
-        """What is to be listed otherwise than it was told last; told with this."""
-        ready = self.ready(now_ms)
-        changed = {address: on for address, on in ready.items() if self.told.get(address) != on}
-        self.told = ready
+        """Returns whether a server may be sent a request, apart from the rule for backups."""
+        health = self._health[address]
+        server = health.server
+        is_full = server.max_conns > 0 and health.in_flight >= server.max_conns
+        return not server.down and not is_full and now_ms >= health.unavailable_until_ms
+
+    def ready_servers(self, now_ms: float) -> dict[str, bool]:
+        """Returns of every address whether it is ready: a backup only while no other server is available."""
+        available = {address: self.is_available(address, now_ms) for address in self._health}
+        has_primary = any(
+            available[address] and not health.server.backup for address, health in self._health.items()
+        )
+        return {
+            address: available[address] and not (has_primary and health.server.backup)
+            for address, health in self._health.items()
+        }
+
+    def availability_changes(self, now_ms: float) -> dict[str, bool]:
+        """Returns what has changed since the last call of this method; at the first, all addresses."""
+        ready = self.ready_servers(now_ms)
+        changed = {
+            address: is_ready
+            for address, is_ready in ready.items()
+            if self._reported.get(address) != is_ready
+        }
+        self._reported = ready
         return changed
 
-    def next_ms(self, now_ms: float) -> float | None:
-        """When a server comes back by itself, if one does."""
-        return min((k.off_until for k in self.health.values() if k.off_until > now_ms), default=None)
+    def next_recovery_ms(self, now_ms: float) -> float | None:
+        """Returns the instant at which the next failed server becomes available, None if there is none."""
+        return min(
+            (
+                health.unavailable_until_ms
+                for health in self._health.values()
+                if health.unavailable_until_ms > now_ms
+            ),
+            default=None,
+        )
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -1,4 +1,4 @@
-"""The front of `[front.http]` put together: a router, a core and a pool for each upstream, our listeners."""
+"""Builds the front of `[front.http]`: a router, a core and a pool for each upstream, and the listeners."""
 
 from __future__ import annotations
 
@@ -12,107 +12,145 @@
 from ..nginx.router import Router
 from ..nginx.table import Box, Upstream, load_site
 from ..upstream.pool import Caches
-from .connection import PlainConnection
-from .front import WebFront
-from .upstream_config import Plan, plan_of
-from .upstream_exchange import Balanced
+from .connection import UpstreamConnection
+from .front import HttpFront
+from .upstream_config import UpstreamConfig, build_upstream_config
+from .upstream_exchange import UpstreamExchange
 
-# A table that passes nothing on still needs an exchange for its connections; nothing is ever sent to it.
-NOWHERE = Upstream(name="-", at="-", boxes=[Box(address="127.0.0.1:1", at="-", down=True)])
+MIN_CONNECTIONS_PER_UPSTREAM = 4
+MIN_CONNECTIONS_PER_LISTENER = 1
+# A table that proxies nothing still needs an exchange for its connections; nothing is ever sent to it.
+UNUSED_UPSTREAM = Upstream(name="-", at="-", boxes=[Box(address="127.0.0.1:1", at="-", down=True)])
 
 
-def checked(options: Options) -> tuple[Router, dict[Address, str]]:
-    """The table and where to listen, or `ConfigError` with the one line that says what can't be used."""
+def load_routing(options: Options) -> tuple[Router, dict[Address, str]]:
+    """Loads the routing table, and where to listen: each address with the `listen` that it stands for.
+
+    Raises:
+        ConfigError: The table or a listener cannot be used.
+    """
     table = options.front.http
     assert table is not None
+    site_path = options.file(table.site)
     try:
-        router = Router(load_site(options.file(table.site)))
+        router = Router(load_site(site_path))
     except ValueError as error:
-        raise ConfigError(f"{options.file(table.site)}: {error}") from error
-    listens: dict[Address, str] = {}
-    for ours, theirs in table.listen.items():
+        raise ConfigError(f"{site_path}: {error}") from error
+    listeners: dict[Address, str] = {}
+    for text, listen_key in table.listen.items():
         try:
-            address = read_address(ours)
+            address = read_address(text)
         except ConfigError as error:
             raise ConfigError(f"{options.path}: front.http.listen: {error}") from error
-        if theirs not in router.listeners:
+        if listen_key not in router.listeners:
             known = ", ".join(router.listeners)
-            raise ConfigError(f"{options.path}: front.http.listen: {theirs} is none of the table's: {known}")
-        listens[address] = theirs
-    if not listens:
+            raise ConfigError(
+                f"{options.path}: front.http.listen: {listen_key} is none of the table's: {known}"
+            )
+        listeners[address] = listen_key
+    if not listeners:
         raise ConfigError(f"{options.path}: front.http.listen: names no address")
-    return router, listens
+    return router, listeners
+
 
+class HttpProxy:
+    """The whole front: the exchanges of its upstreams and its listeners.
 
-class Web:
-    """All of the front: its upstreams and its listeners."""
+    Attributes:
+        upstreams: The exchange of each upstream, by its name.
+        fronts: The listeners.
+    """
 
     def __init__(
-        self, options: Options, name: str, seed: int, clock: Callable[[], float], deadlines: Deadlines,
-        counters: Counters, log: Callable[[str], None],
-    ) -> None:  # fmt: skip
-        self.name, self.seed = name, seed
-        self.clock, self.deadlines, self.counters, self.log = clock, deadlines, counters, log
-        self.upstreams: dict[str, Balanced] = {}
+        self,
+        options: Options,
+        name: str,
+        seed: int,
+        clock: Callable[[], float],
+        deadlines: Deadlines,
+        counters: Counters,
+        log: Callable[[str], None],
+    ) -> None:
+        """Builds everything but opens nothing; raises `ConfigError`."""
+        self._name, self._seed, self._clock = name, seed, clock
+        self._deadlines, self._counters, self._log = deadlines, counters, log
+        self.upstreams: dict[str, UpstreamExchange] = {}
         table = options.front.http
         assert table is not None
-        router, self.listens = checked(options)
-        self._shape(router, table)
-        each = max(1, table.max_client_connections // len(self.listens))
+        router, self._listeners = load_routing(options)
+        self._replace_upstreams(router, table)
+        connection_limit = max(
+            MIN_CONNECTIONS_PER_LISTENER, table.max_client_connections // len(self._listeners)
+        )
         self.fronts = [
-            WebFront(router, key, self.upstreams, each, table.max_body_bytes, clock, deadlines, counters)
-            for key in self.listens.values()
+            HttpFront(
+                router,
+                listen_key,
+                self.upstreams,
+                connection_limit,
+                table.max_body_bytes,
+                clock,
+                deadlines,
+                counters,
+            )
+            for listen_key in self._listeners.values()
         ]
 
-    def _shape(self, router: Router, table: FrontHttpOptions) -> list[Balanced]:
-        """Take a table: what is as before goes on with all it has learned; the new ones are given back."""
-        rows = router.site.upstreams or [NOWHERE]
-        share = max(4, table.max_upstream_connections // len(rows))
-        before, self.upstreams = self.upstreams, {}
-        fresh = []
+    def _replace_upstreams(self, router: Router, table: FrontHttpOptions) -> list[UpstreamExchange]:
+        """Takes a table's upstreams; one that is unchanged keeps its core. Returns the new exchanges."""
+        rows = router.site.upstreams or [UNUSED_UPSTREAM]
+        connection_share = max(MIN_CONNECTIONS_PER_UPSTREAM, table.max_upstream_connections // len(rows))
+        previous, self.upstreams = self.upstreams, {}
+        added = []
         for number, row in enumerate(rows):
-            seed, max_clients = self.seed + number, table.max_client_connections
-            plan = plan_of(router.site, row, self.name, seed, max_clients, share)
-            known = before.get(row.name)
-            if known is not None and same(known.plan, plan):
-                known.plan.classes = plan.classes
-                self.upstreams[row.name] = before.pop(row.name)
+            config = build_upstream_config(
+                router.site,
+                row,
+                director_name=self._name,
+                seed=self._seed + number,
+                max_client_connections=table.max_client_connections,
+                max_upstream_connections=connection_share,
+            )
+            known = previous.get(row.name)
+            if known is not None and known.config.is_equivalent(config):
+                known.config.class_names = config.class_names
+                self.upstreams[row.name] = previous.pop(row.name)
                 continue
-            balanced = Balanced(plan, self.clock, self.deadlines, self.counters, self.log)
-            pool = Caches(balanced, plan.config, self.clock, self.deadlines, self.counters)
-            pool.connection, pool.most = PlainConnection, share
-            balanced.upstreams = pool
-            self.upstreams[row.name] = balanced
-            fresh.append(balanced)
-        for gone in before.values():  # its open requests are answered; nothing new comes
-            gone.retire()
-        return fresh
+            exchange = self.upstreams[row.name] = self._build_exchange(config, connection_share)
+            added.append(exchange)
+        for exchange in previous.values():
+            exchange.retire()
+        return added
+
+    def _build_exchange(self, config: UpstreamConfig, max_connections: int) -> UpstreamExchange:
+        exchange = UpstreamExchange(config, self._clock, self._deadlines, self._counters, self._log)
+        pool = Caches(exchange, config.platform, self._clock, self._deadlines, self._counters)
+        pool.connection, pool.most = UpstreamConnection, max_connections
+        exchange.upstreams = pool
+        return exchange
 
     def start(self) -> None:
-        for balanced in self.upstreams.values():
-            balanced.start()
-        for front, address in zip(self.fronts, self.listens, strict=True):
+        """Starts the exchanges and listens."""
+        for exchange in self.upstreams.values():
+            exchange.start()
+        for front, address in zip(self.fronts, self._listeners, strict=True):
             front.listen(address)
 
     def reload(self, options: Options, router: Router) -> None:
-        """Another table, from one request to the next; other listeners are taken up at a restart."""
+        """Replaces the table from the next request on; other listeners need a restart."""
         table = options.front.http
         assert table is not None
-        fresh = self._shape(router, table)
-        for balanced in fresh:
-            balanced.start()
+        for exchange in self._replace_upstreams(router, table):
+            exchange.start()
         for front in self.fronts:
             front.router, front.upstreams = router, self.upstreams
 
     @property
-    def owed(self) -> int:
-        return sum(balanced.unanswered_count for balanced in self.upstreams.values())
+    def unanswered_count(self) -> int:
+        """Requests without their final answer."""
+        return sum(exchange.unanswered_count for exchange in self.upstreams.values())
 
     def close(self) -> None:
+        """Closes the listeners and their connections."""
         for front in self.fronts:
             front.close()
-
-
-def same(one: Plan, other: Plan) -> bool:
-    """Whether a core for one would do for the other: its servers, classes and limits are the same."""
-    return (one.upstream.boxes, one.config.settings) == (other.upstream.boxes, other.config.settings)
--- a/gladewalk/web/upstream_config.py
+++ b/gladewalk/web/upstream_config.py
@@ -1,11 +1,13 @@
-"""What the core is told of an upstream: its classes, its servers, its limits. No I/O.
+"""Configuration of an upstream for its core and its connection pool: request classes, servers, limits.
 
-Each upstream is a location of its own, with a core of its own; each of nginx's locations that passes to it is
-a class, once for methods that may be sent again and once for those that may not.
+Each upstream has a core of its own. Each nginx location that proxies to it is a request class, once for
+methods that may be retried and once, under the name with `NON_IDEMPOTENT_SUFFIX`, for those that may not.
+No I/O.
 """
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import xxhash
@@ -14,105 +16,169 @@
 from ..config.platform import Address, PlatformConfig, read_address
 from ..nginx.router import Landing, Rules
 from ..nginx.table import Box, Place, Site, Upstream
-from .passive_health import Standby
-
-PARK_MOST_MS = 1_000.0  # a request that no server can take now waits as long at the most
-WHOLE_MOST_MS = 3_600_000.0  # for an answer to come whole; what stalls is found by the location's own times
-WORTH = 6.0  # of each request: so that places that run out shed some of them and not all at once
-IDLE_MS = 5_000.0  # after which servers are taken to close an idle connection
+from .passive_health import PassiveHealthCheck
+
+MAX_QUEUE_MS = 1_000.0  # for which a request waits if no server can take it now
+MAX_RESPONSE_MS = 3_600_000.0  # for a complete response; the location's own timeouts find what stalls
+PRIORITY_WEIGHT = 6.0  # of each request: locations without capacity shed a part of them, not all at once
+SERVER_IDLE_TIMEOUT_MS = 5_000.0  # after which servers are assumed to close an idle connection
+DEFAULT_CONNECT_TIMEOUT_MS = 60_000.0  # of nginx's proxy_connect_timeout
+MAX_RETRY_AFTER_MS = 1_000.0
 ZONE = "upstream"
+NON_IDEMPOTENT_SUFFIX = "!"
+DEFAULT_CLASS = "p"  # of an upstream that no location proxies to
 
 
 @dataclass(slots=True)
-class Plan:
-    """One upstream as the core and the pool take it."""
+class UpstreamConfig:
+    """One upstream as its core and its connection pool are configured.
+
+    Attributes:
+        upstream: The row of the routing table.
+        platform: The core's configuration.
+        health: Which servers may be sent requests.
+        addresses: Where each server is dialled, by its name.
+        class_names: The request class for methods that may be retried, by `location_id`.
+    """
 
     upstream: Upstream
-    config: PlatformConfig
-    standby: Standby
+    platform: PlatformConfig
+    health: PassiveHealthCheck
     addresses: dict[str, Address]
-    classes: dict[str, str]  # by `place_key`: the class's name for methods that may be sent again
+    class_names: dict[str, str]
 
-    def servers(self, ready: dict[str, bool]) -> tuple[api.Server, ...]:
-        """The list's entries for these servers; one that may not be sent to now counts as draining."""
+    def endpoints(self, ready: Mapping[str, bool]) -> tuple[api.Server, ...]:
+        """Returns the endpoint list's entries of the servers named; one that is not ready is draining."""
         return tuple(
-            server_of(box, ready[box.address]) for box in self.upstream.boxes if box.address in ready
+            build_endpoint(server, ready[server.address])
+            for server in self.upstream.boxes
+            if server.address in ready
+        )
+
+    def is_equivalent(self, other: UpstreamConfig) -> bool:
+        """Returns whether a core for one would do for the other: servers, classes and limits are equal."""
+        return (self.upstream.boxes, self.platform.settings) == (
+            other.upstream.boxes,
+            other.platform.settings,
         )
 
 
-def server_of(box: Box, ready: bool) -> api.Server:
-    state = api.ServerState.READY if ready else api.ServerState.DRAINING
+def build_endpoint(server: Box, is_ready: bool) -> api.Server:
+    """Builds the endpoint list's entry of a server."""
     return api.Server(
-        box.address, api.Role.CACHE, ZONE, capacity=float(box.weight), state=state, address=box.address
+        server.address,
+        api.Role.CACHE,
+        ZONE,
+        capacity=float(server.weight),
+        state=api.ServerState.READY if is_ready else api.ServerState.DRAINING,
+        address=server.address,
     )
 
 
-def places_of(site: Site) -> list[Place]:
-    """All locations of a site that pass requests on, nested ones too."""
+def proxying_locations(site: Site) -> list[Place]:
+    """Returns all locations of a site that proxy requests, nested ones too, in the order of the file."""
     found: list[Place] = []
 
-    def walk(places: list[Place]) -> None:
-        for place in places:
-            if place.upstream:
-                found.append(place)
-            walk(place.places)
+    def collect(locations: list[Place]) -> None:
+        for location in locations:
+            if location.upstream:
+                found.append(location)
+            collect(location.places)
 
     for server in site.servers:
-        walk(server.places)
+        collect(server.places)
     return found
 
 
-def place_key(place: Place) -> str:
-    """What tells a location from all others, in this table and in one that was read again."""
-    return f"{place.at} {place.said}"
-
-
-def plan_of(
-    site: Site, upstream: Upstream, name: str, seed: int, connection_limit: int, sockets: int
-) -> Plan:
-    """`connection_limit`: connections of clients; `sockets`: connections to this upstream at the most."""
-    ours = [place for place in places_of(site) if place.upstream == upstream.name or "$" in place.upstream]
+def location_id(location: Place) -> str:
+    """Returns what identifies a location in its table, and in a table that is imported again."""
+    return f"{location.at} {location.said}"
+
+
+def build_upstream_config(
+    site: Site,
+    upstream: Upstream,
+    *,
+    director_name: str,
+    seed: int,
+    max_client_connections: int,
+    max_upstream_connections: int,
+) -> UpstreamConfig:
+    """Builds the configuration of one upstream of a site.
+
+    Args:
+        site: The routing table.
+        upstream: The row of the upstream.
+        director_name: The name of this process on the platform.
+        seed: Of the core's random choices.
+        max_client_connections: Connections of clients to the whole front.
+        max_upstream_connections: Connections to this upstream.
+    """
+    locations = [
+        location
+        for location in proxying_locations(site)
+        if location.upstream == upstream.name or "$" in location.upstream
+    ]
     classes: list[api.RequestClass] = []
-    names: dict[str, str] = {}
-    for number, place in enumerate(ours):
-        names[place_key(place)] = f"p{number}"
-        classes += classes_of(f"p{number}", place)
+    class_names: dict[str, str] = {}
+    for number, location in enumerate(locations):
+        class_names[location_id(location)] = f"{DEFAULT_CLASS}{number}"
+        classes += build_request_classes(f"{DEFAULT_CLASS}{number}", location)
     if not classes:
-        classes = [api.RequestClass("p", PARK_MOST_MS, WHOLE_MOST_MS)]
-    connect = max((place.terms.connect_ms for place in ours), default=60_000.0)
-    count = len(upstream.boxes)
+        classes = [api.RequestClass(DEFAULT_CLASS, MAX_QUEUE_MS, MAX_RESPONSE_MS)]
     settings = api.Settings(
-        classes=tuple(classes), zone=ZONE, zones=(ZONE,), hub_of_zone=(0,), capacities_listed=False,
-        client_connection_limit=connection_limit,
-        max_attempts=max([count, *(place.terms.tries for place in ours)]), may_cancel=True,
+        classes=tuple(classes),
+        zone=ZONE,
+        zones=(ZONE,),
+        hub_of_zone=(0,),
+        capacities_listed=False,
+        client_connection_limit=max_client_connections,
+        max_attempts=max([len(upstream.boxes), *(location.terms.tries for location in locations)]),
+        may_cancel=True,
         sends_retry_after=True,
-        max_retry_after_ms=1_000.0, may_join_fills=any(place.terms.join for place in ours),
-    )  # fmt: skip
-    addresses = {box.address: read_address(box.address) for box in upstream.boxes}
-    config = PlatformConfig(
-        name=name, listen=("127.0.0.1", 0), coordinator=("127.0.0.1", 0), seed=seed, max_descriptors=sockets,
-        connect_timeout_ms=connect, idle_timeout_ms=IDLE_MS, settings=settings, roles={},
-        initial_event_index=0, initial_events=(),
-    )  # fmt: skip
-    return Plan(upstream, config, Standby(upstream.boxes), addresses, names)
-
-
-def classes_of(name: str, place: Place) -> list[api.RequestClass]:
-    aim = min(PARK_MOST_MS, place.terms.read_ms)
-    grace = place.terms.fresh_ms if place.terms.stale_on else 0.0
-    both = []
-    for suffix, effect in (("", api.Idempotency.IDEMPOTENT), ("!", api.Idempotency.NON_IDEMPOTENT)):
-        if suffix and "non_idempotent" in place.terms.again_on:
-            effect = api.Idempotency.IDEMPOTENT
-        both.append(api.RequestClass(
-            name + suffix, aim, WHOLE_MOST_MS, priority_weight=WORTH, idempotency=effect,
-            freshness_lifetime_ms=place.terms.fresh_ms, stale_grace_ms=grace,
-        ))  # fmt: skip
-    return both
-
-
-def key_of(landing: Landing) -> int:
-    """What tells objects apart: `proxy_cache_key`, or the upstream and what it is asked for."""
+        max_retry_after_ms=MAX_RETRY_AFTER_MS,
+        may_join_fills=any(location.terms.join for location in locations),
+    )
+    connect_timeouts_ms = (location.terms.connect_ms for location in locations)
+    platform = PlatformConfig(
+        name=director_name,
+        listen=("127.0.0.1", 0),
+        coordinator=("127.0.0.1", 0),
+        seed=seed,
+        max_descriptors=max_upstream_connections,
+        connect_timeout_ms=max(connect_timeouts_ms, default=DEFAULT_CONNECT_TIMEOUT_MS),
+        idle_timeout_ms=SERVER_IDLE_TIMEOUT_MS,
+        settings=settings,
+        roles={},
+        initial_event_index=0,
+        initial_events=(),
+    )
+    addresses = {server.address: read_address(server.address) for server in upstream.boxes}
+    return UpstreamConfig(upstream, platform, PassiveHealthCheck(upstream.boxes), addresses, class_names)
+
+
+def build_request_classes(name: str, location: Place) -> list[api.RequestClass]:
+    """Builds a location's two classes: for methods that may be retried, and for those that may not."""
+    terms = location.terms
+    classes = []
+    for suffix in ("", NON_IDEMPOTENT_SUFFIX):
+        may_retry = not suffix or "non_idempotent" in terms.again_on
+        classes.append(
+            api.RequestClass(
+                name + suffix,
+                min(MAX_QUEUE_MS, terms.read_ms),
+                MAX_RESPONSE_MS,
+                priority_weight=PRIORITY_WEIGHT,
+                idempotency=api.Idempotency.IDEMPOTENT if may_retry else api.Idempotency.NON_IDEMPOTENT,
+                freshness_lifetime_ms=terms.fresh_ms,
+                stale_grace_ms=terms.fresh_ms if terms.stale_on else 0.0,
+            )
+        )
+    return classes
+
+
+def object_key(landing: Landing) -> int:
+    """Returns an object's key: the hash of `proxy_cache_key`, else of the upstream and the target."""
     rules = landing.location.rules if landing.location is not None else None
     if isinstance(rules, Rules) and rules.key is not None:
         text = rules.key.fill(landing.state)
--- a/gladewalk/web/upstream_exchange.py
+++ b/gladewalk/web/upstream_exchange.py
@@ -1,4 +1,4 @@
-"""One upstream's exchange: its core, its pool, and nginx's words on what is tried again and who is left."""
+"""The exchange of one upstream: its core and pool, with nginx's retry rules and passive health checks."""
 
 from __future__ import annotations
 
@@ -8,137 +8,177 @@
 from ..core.counters import Counters
 from ..core.deadlines import DeadlineKey, Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer
+from ..nginx.table import Terms
 from ..upstream.pool import Caches
-from .messages import WebAsk, WebEnd
-from .upstream_config import Plan
+from .messages import BAD_GATEWAY, GATEWAY_TIMEOUT, ProxyRequest, ProxyResult
+from .upstream_config import NON_IDEMPOTENT_SUFFIX, UpstreamConfig
 
+# The conditions of `proxy_next_upstream` for attempts that ended without a complete response.
 CONDITIONS = {
     api.Status.CONNECT_FAILED: "error",
     api.Status.RESET: "error",
     api.Status.TIMEOUT: "timeout",
     api.Status.ERROR: "invalid_header",
 }
-COUNTED = ("error", "timeout", "invalid_header")  # failures whatever `proxy_next_upstream` says
+ALWAYS_FAILURES = frozenset({"error", "timeout", "invalid_header"})  # whatever `proxy_next_upstream` lists
+NEVER_FAILURES = frozenset({"", "http_403", "http_404"})
 
 
-class Balanced(Exchange):
-    """The exchange of one upstream. The core decides; what nginx's terms rule out is ended here at once."""
+class UpstreamExchange(Exchange):
+    """Routes one upstream's requests by a core of its own.
+
+    The core decides where a request goes and whether it is retried; what `proxy_next_upstream` and its limits
+    rule out is ended here before the core hears of the failure.
+
+    Attributes:
+        config: Servers, request classes and limits.
+        is_retired: Whether another table has replaced this upstream: open requests are answered, none is new.
+    """
 
     def __init__(
-        self, plan: Plan, clock: Callable[[], float], deadlines: Deadlines, counters: Counters,
+        self,
+        config: UpstreamConfig,
+        clock: Callable[[], float],
+        deadlines: Deadlines,
+        counters: Counters,
         log: Callable[[str], None],
-    ) -> None:  # fmt: skip
-        super().__init__(plan.config, clock, deadlines, counters, log)
-        self.plan = plan
-        self.written: set[int] = set()  # `id`s of attempts that a server has been sent
-        self._due: DeadlineKey | None = None
-        self.retired = False
+    ) -> None:
+        super().__init__(config.platform, clock, deadlines, counters, log)
+        self.config = config
+        self.is_retired = False
+        self._written: set[int] = set()  # `id`s of the attempts whose request has been written
+        self._recovery_timer: DeadlineKey | None = None
 
     def start(self) -> None:
-        """List the servers and begin."""
+        """Lists the servers to the core and starts the pool's maintenance."""
         assert isinstance(self.upstreams, Caches)
-        ready = self.plan.standby.changes(self.clock())
-        servers = self.plan.servers(ready)
-        event = api.EndpointList(api.EndpointListKind.PERSISTED, servers)
-        self.update_servers(event, dict(self.plan.addresses), {})
+        endpoints = self.config.endpoints(self.config.health.availability_changes(self.clock()))
+        event = api.EndpointList(api.EndpointListKind.PERSISTED, endpoints)
+        self.update_servers(event, dict(self.config.addresses), {})
         self.upstreams.sweep()
 
     def retire(self) -> None:
-        """Answer what is open and end: no timer of it stays once its last request has gone."""
+        """Lets open requests end; no timer of this upstream remains after the last of them."""
         assert isinstance(self.upstreams, Caches)
-        self.retired = self.upstreams.closing = True
-        self.deadlines.drop(self._due)
+        self.is_retired = self.upstreams.closing = True
+        self.deadlines.drop(self._recovery_timer)
 
     def handle_event(self, event: api.Event) -> None:
-        if not (self.retired and not self.open_requests and isinstance(event, api.Timer)):
+        """Passes an event to the core, except for a timer after the last request of a retired upstream."""
+        if not (self.is_retired and not self.open_requests and isinstance(event, api.Timer)):
             super().handle_event(event)
 
-    def sent(self, attempt: Attempt) -> None:
-        self.written.add(id(attempt))
-        self.plan.standby.sent(attempt.order.server)
-        ask = attempt.open_request.request
-        if isinstance(ask, WebAsk):
-            ask.sends += 1
-        self._relist()
-
-    def wants_another(self, ask: WebAsk, condition: str) -> bool:
-        """Whether an answer of this status is to be tried elsewhere and not to be passed on."""
-        terms = ask.landing.terms if ask.landing is not None else None
-        return terms is not None and condition in terms.again_on and self._may_again(ask, condition)
-
-    def _may_again(self, ask: WebAsk, condition: str) -> bool:
-        """`proxy_next_upstream` with its tries and its time, and whether there is anybody else."""
-        landing = ask.landing
-        if landing is None or condition not in landing.terms.again_on:
+    def request_written(self, attempt: Attempt) -> None:
+        """Notes that an attempt's request is being written: its server may execute it from now on."""
+        self._written.add(id(attempt))
+        self.config.health.request_sent(attempt.order.server)
+        request = attempt.open_request.request
+        if isinstance(request, ProxyRequest):
+            request.sent_count += 1
+        self._update_availability()
+
+    # Retries.
+
+    def retries_status(self, request: ProxyRequest, condition: str) -> bool:
+        """Returns whether a response of this condition is discarded and the request retried elsewhere."""
+        return condition in request.terms.again_on and self._may_retry(request, condition)
+
+    def _may_retry(self, request: ProxyRequest, condition: str) -> bool:
+        """Applies `proxy_next_upstream`, its limits, and whether there is another server."""
+        terms = request.terms
+        if condition not in terms.again_on:
             return False
-        terms = landing.terms
-        if terms.tries and ask.sends >= terms.tries:
+        if terms.tries and request.sent_count >= terms.tries:
             return False
-        if terms.tries_ms and self.clock() - ask.since_ms >= terms.tries_ms:
+        if self._is_retry_time_over(request, terms):
             return False
-        once = ask.class_name.endswith("!") and "non_idempotent" not in terms.again_on
-        return not once and ask.sends < len(self.plan.upstream.boxes)
-
-    def attempt_ended(self, attempt: Attempt, end: AttemptResult) -> None:
-        taken, ask = attempt.open_request, attempt.open_request.request
-        if attempt.number in taken.attempts and isinstance(ask, WebAsk):
-            self._note(attempt, end)
-            failed = end.status in CONDITIONS
-            if failed and not taken.is_answered and taken.serving_attempt is None:
-                condition = end.condition if isinstance(end, WebEnd) else CONDITIONS[end.status]
-                ask.failed = end.code if isinstance(end, WebEnd) else 504 if condition == "timeout" else 502
-                never_sent = end.status is api.Status.CONNECT_FAILED and id(attempt) not in self.written
-                again = self._may_again(ask, condition) or (
-                    never_sent and "error" in self._again_on(ask) and self._tries_left(ask)
-                )
-                if not again:
-                    self._final(attempt)
-        self.written.discard(id(attempt))
-        super().attempt_ended(attempt, end)
-
-    def _again_on(self, ask: WebAsk) -> tuple[str, ...]:
-        return ask.landing.terms.again_on if ask.landing is not None else ()
-
-    def _tries_left(self, ask: WebAsk) -> bool:
-        """What was never sent may go elsewhere whatever its method; the core knows whom it has tried."""
-        terms = ask.landing.terms if ask.landing is not None else None
-        if terms is None or (terms.tries and ask.sends + 1 >= terms.tries):
+        is_unsafe = request.class_name.endswith(NON_IDEMPOTENT_SUFFIX)
+        if is_unsafe and "non_idempotent" not in terms.again_on:
             return False
-        return not terms.tries_ms or self.clock() - ask.since_ms < terms.tries_ms
+        return request.sent_count < len(self.config.upstream.boxes)
 
-    def _final(self, attempt: Attempt) -> None:
-        """The file lets nobody try again: the client hears so now, and the core by the attempt's end."""
-        taken = attempt.open_request
-        self._close(taken)
+    def _may_retry_unsent(self, request: ProxyRequest) -> bool:
+        """Returns whether a request that was never written may go elsewhere, whatever its method.
+
+        The core knows which servers it has attempted.
+        """
+        terms = request.terms
+        if "error" not in terms.again_on:
+            return False
+        if terms.tries and request.sent_count + 1 >= terms.tries:
+            return False
+        return not self._is_retry_time_over(request, terms)
+
+    def _is_retry_time_over(self, request: ProxyRequest, terms: Terms) -> bool:
+        return terms.tries_ms > 0 and self.clock() - request.received_ms >= terms.tries_ms
+
+    def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Records the result for the server's health and ends the request if nginx's rules allow no retry."""
+        opened, request = attempt.open_request, attempt.open_request.request
+        if attempt.number in opened.attempts and isinstance(request, ProxyRequest):
+            self._record_health(attempt, request, result)
+            is_unanswered = not opened.is_answered and opened.serving_attempt is None
+            if result.status in CONDITIONS and is_unanswered:
+                self._retry_or_fail(attempt, request, result)
+        self._written.discard(id(attempt))
+        super().attempt_ended(attempt, result)
+
+    def _retry_or_fail(self, attempt: Attempt, request: ProxyRequest, result: AttemptResult) -> None:
+        condition = _condition_of(result)
+        if isinstance(result, ProxyResult):
+            request.failure_status = result.response_status
+        else:
+            request.failure_status = GATEWAY_TIMEOUT if condition == "timeout" else BAD_GATEWAY
+        if self._may_retry(request, condition):
+            return
+        was_never_sent = result.status is api.Status.CONNECT_FAILED and id(attempt) not in self._written
+        if not (was_never_sent and self._may_retry_unsent(request)):
+            self._fail_request(attempt)
+
+    def _fail_request(self, attempt: Attempt) -> None:
+        """Answers the client now; the core learns of it by the attempt's end."""
+        opened = attempt.open_request
+        self._close(opened)
         self.counters.add("answers.failed")
-        taken.client.send_final(FinalAnswer.FAILED, 0.0)
+        opened.client.send_final(FinalAnswer.FAILED, 0.0)
+
+    # Health.
 
-    def _note(self, attempt: Attempt, end: AttemptResult) -> None:
-        """What this says of the server, before the core is asked for another: a backup may be wanted now."""
-        standby, now, name = self.plan.standby, self.clock(), attempt.order.server
-        if name not in standby.health:
+    def _record_health(self, attempt: Attempt, request: ProxyRequest, result: AttemptResult) -> None:
+        """Records a result before the core is asked for a retry, which may need a backup now."""
+        health, server, now_ms = self.config.health, attempt.order.server, self.clock()
+        if not health.knows(server):
             return
-        ask = attempt.open_request.request
-        condition = end.condition if isinstance(end, WebEnd) else CONDITIONS.get(end.status, "")
-        counted = condition in COUNTED or (
-            condition not in ("", "http_403", "http_404") and isinstance(ask, WebAsk)
-            and condition in self._again_on(ask)
-        )  # fmt: skip
-        failed = end.status in CONDITIONS and counted
-        if id(attempt) in self.written:
-            standby.ended(name, failed, now)
-        elif end.status in CONDITIONS:
-            standby.note(name, failed, now)
-        self._relist()
-
-    def _relist(self) -> None:
-        """Tell the core who may be sent requests, where that has changed."""
-        now = self.clock()
-        changed = self.plan.standby.changes(now)
+        has_failed = result.status in CONDITIONS and _is_failure(_condition_of(result), request.terms)
+        if id(attempt) in self._written:
+            health.request_ended(server, has_failed, now_ms)
+        elif result.status in CONDITIONS:
+            health.record_result(server, has_failed, now_ms)
+        self._update_availability()
+
+    def _update_availability(self) -> None:
+        """Tells the core which servers may be sent requests, where that has changed."""
+        now_ms = self.clock()
+        health = self.config.health
+        changed = health.availability_changes(now_ms)
         if changed:
-            servers = self.plan.servers(changed)
-            places = {server.name: self.plan.addresses[server.name] for server in servers}
-            self.update_servers(api.EndpointList(api.EndpointListKind.DELTA, servers), dict(places), {})
-        self.deadlines.drop(self._due)
-        back = self.plan.standby.next_ms(now)
-        self._due = self.deadlines.add(back, self._relist) if back is not None else None
+            endpoints = self.config.endpoints(changed)
+            addresses = {endpoint.name: self.config.addresses[endpoint.name] for endpoint in endpoints}
+            self.update_servers(api.EndpointList(api.EndpointListKind.DELTA, endpoints), dict(addresses), {})
+        self.deadlines.drop(self._recovery_timer)
+        recovery_ms = health.next_recovery_ms(now_ms)
+        self._recovery_timer = None
+        if recovery_ms is not None:
+            self._recovery_timer = self.deadlines.add(recovery_ms, self._update_availability)
+
+
+def _condition_of(result: AttemptResult) -> str:
+    """Returns the condition of `proxy_next_upstream` for a result, empty for a success."""
+    return result.condition if isinstance(result, ProxyResult) else CONDITIONS.get(result.status, "")
+
+
+def _is_failure(condition: str, terms: Terms) -> bool:
+    """Returns whether a condition counts as an unsuccessful attempt at a server (`max_fails`)."""
+    if condition in ALWAYS_FAILURES:
+        return True
+    return condition not in NEVER_FAILURES and condition in terms.again_on
--- a/tests/test_golden_nginx.py
+++ b/tests/test_golden_nginx.py
@@ -22,7 +22,7 @@
 from gladewalk.nginx.table import read_site, write_site
 from gladewalk.nginx.translate import import_site
 from gladewalk.rehearsal.peers import Heard
-from gladewalk.rehearsal.webworld import WebWorld
+from gladewalk.rehearsal.webworld import Script, WebWorld
 
 from .test_nginx import CORPUS, FILES, expectations, landing
 
@@ -179,7 +179,7 @@
     with chdir(folder):
         site = import_site("f.conf")
     found: dict[str, Any] = {}
-    scripts = {"a/0": answer, "b/0": answer}
+    scripts: dict[str, Script] = {"a/0": answer, "b/0": answer}
     scripts |= {f"broken{number}/0": abort for number in ("", 2, 3, 4)}  # each rests once it has failed
     async with WebWorld(site, scripts) as world:
         for name, data in REQUESTS.items():
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -13,8 +13,8 @@
 from gladewalk.optional_parts import load_router
 from gladewalk.rehearsal.peers import Heard, until
 from gladewalk.rehearsal.webworld import Answer, WebWorld
-from gladewalk.web.passive_health import Standby
-from gladewalk.web.start import checked
+from gladewalk.web.passive_health import PassiveHealthCheck
+from gladewalk.web.start import load_routing
 
 from .test_nginx import CORPUS, FILES, expectations
 
@@ -201,31 +201,35 @@
             self.assertLessEqual(sum(server.connections for server in world.servers.values()), 2)
 
 
-def test_standby_counts_failures_in_their_time_and_gives_back() -> None:
+def test_passive_health_counts_failures_in_their_time_and_gives_back() -> None:
     def box(n: int, **more: object) -> Box:
         return Box(address=f"s{n}", at="-", **more)  # type: ignore[arg-type]
 
     def ready(now: float) -> list[str]:
-        return [address for address, on in standby.ready(now).items() if on]
+        return [address for address, on in health.ready_servers(now).items() if on]
 
-    standby = Standby([box(1, max_fails=2, fail_ms=1_000.0), box(2, max_fails=0), box(3, backup=True)])
+    health = PassiveHealthCheck(
+        [box(1, max_fails=2, fail_ms=1_000.0), box(2, max_fails=0), box(3, backup=True)]
+    )
     assert ready(0.0) == ["s1", "s2"]
-    standby.note("s1", True, 0.0)
-    standby.note("s1", True, 1_500.0)  # not within its time of the first
+    health.record_result("s1", True, 0.0)
+    health.record_result("s1", True, 1_500.0)  # not within its time of the first
     assert ready(1_500.0) == ["s1", "s2"]
-    standby.note("s1", True, 1_600.0)
-    assert (ready(1_600.0), standby.next_ms(1_600.0)) == (["s2"], 2_600.0)
+    health.record_result("s1", True, 1_600.0)
+    assert (ready(1_600.0), health.next_recovery_ms(1_600.0)) == (["s2"], 2_600.0)
     for _ in range(9):
-        standby.note("s2", True, 1_700.0)  # max_fails=0: never
+        health.record_result("s2", True, 1_700.0)  # max_fails=0: never
     assert ready(1_700.0) == ["s2"]
     assert ready(2_600.0) == ["s1", "s2"]
-    both = Standby([box(1), box(2, backup=True)])
-    both.note("s1", True, 0.0)
-    assert [a for a, on in both.ready(1.0).items() if on] == ["s2"]
-    assert both.changes(1.0) == {"s1": False, "s2": True} and both.changes(2.0) == {}
-    alone = Standby([box(1)])
-    alone.note("s1", True, 0.0)
-    assert alone.ready(1.0) == {"s1": True}
+    both = PassiveHealthCheck([box(1), box(2, backup=True)])
+    both.record_result("s1", True, 0.0)
+    assert [a for a, on in both.ready_servers(1.0).items() if on] == ["s2"]
+    assert (
+        both.availability_changes(1.0) == {"s1": False, "s2": True} and both.availability_changes(2.0) == {}
+    )
+    alone = PassiveHealthCheck([box(1)])
+    alone.record_result("s1", True, 0.0)
+    assert alone.ready_servers(1.0) == {"s1": True}
 
 
 def test_a_front_that_cannot_be_is_one_line(tmp_path: Path) -> None:
@@ -240,7 +244,7 @@
         ({"site": "site.toml", "listen": {"127.0.0.1:0": "*:1"}}, r"\*:1 is none of the table's: \*:8081"),
     ):
         with pytest.raises(ConfigError, match=why):
-            checked(build_options(read_option_tables({"front": {"http": front}}), "t.toml", tmp_path))
+            load_routing(build_options(read_option_tables({"front": {"http": front}}), "t.toml", tmp_path))
 
 
 class Reloads(unittest.IsolatedAsyncioTestCase):
