--- a/gladewalk/cli/nginx_commands.py
+++ b/gladewalk/cli/nginx_commands.py
@@ -31,7 +31,7 @@
     written. With --diff, only the requests of --uris that the table routes elsewhere are printed; exit code 1
     if there are any.
     """
-    from ..nginx.reading import NginxError
+    from ..nginx.parser import NginxError
     from ..nginx.table import write_site
     from ..nginx.translate import import_site
 
--- a/gladewalk/nginx/explain.py
+++ b/gladewalk/nginx/explain.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from ..config.platform import ConfigError
-from .reading import NginxError
+from .parser import NginxError
 from .router import Landing, Router, read_host
 from .table import Site, load_site
 from .translate import import_site
--- a/gladewalk/nginx/locations.py
+++ b/gladewalk/nginx/locations.py
@@ -5,11 +5,11 @@
 import re
 from typing import TYPE_CHECKING
 
-from .reading import Node
+from .parser import Node
+from .proxy_settings import Refusal, Scope, access_of, check_satisfy, code_of, errors_of, narrowed, terms_of
 from .regexes import BadRegex
-from .rules import REDIRECTS, TESTS
+from .rewrite import REDIRECTS, TESTS
 from .table import Box, Place, Step, Upstream
-from .terms import Refusal, Scope, access_of, check_satisfy, code_of, errors_of, narrowed, terms_of
 from .upstreams import read_pass
 from .values import BadValue, read_endpoint
 from .variables import UnknownVariable
--- a/gladewalk/nginx/terms.py
+++ b/gladewalk/nginx/proxy_settings.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from .reading import Node
+from .parser import Node
 from .table import Access, ErrorPage, Terms
 from .values import BadValue, read_count, read_flag, read_ms, read_network, read_size
 
--- a/gladewalk/nginx/router.py
+++ b/gladewalk/nginx/router.py
@@ -11,10 +11,10 @@
 from dataclasses import dataclass, field
 
 from .hosts import HostNames, clean_host
+from .location_search import Found, Level, Location, Search
 from .maps import Map, Split, split_ends
-from .matching import Found, Level, Location, Search
 from .regexes import Regex, TooCostly
-from .rules import REDIRECTS, Reply, Rule, compile_steps, run_rules
+from .rewrite import REDIRECTS, Reply, Rule, compile_steps, run_rules
 from .table import Access, ErrorPage, MapTable, Place, Server, Site, SplitTable, Step, Terms
 from .uri import UNSAFE, escape
 from .values import Network
--- a/gladewalk/nginx/translate.py
+++ b/gladewalk/nginx/translate.py
@@ -12,11 +12,11 @@
 from .hosts import BadName, HostNames
 from .locations import Locations
 from .maps import split_ends
-from .reading import NginxError, Node, read_tree
+from .parser import NginxError, Node, read_tree
+from .proxy_settings import Refusal, Scope, added, check_satisfy, errors_of, last, narrowed, read
 from .regexes import BadRegex, Regex
 from .router import Router
 from .table import Box, Listen, MapTable, Server, Site, SplitTable, Upstream
-from .terms import Refusal, Scope, added, check_satisfy, errors_of, last, narrowed, read
 from .upstreams import HASHED, read_box
 from .values import BadValue, read_flag
 from .variables import UnknownVariable, read_template
--- a/gladewalk/nginx/upstreams.py
+++ b/gladewalk/nginx/upstreams.py
@@ -5,9 +5,9 @@
 import re
 from dataclasses import dataclass
 
-from .reading import Node
+from .parser import Node
+from .proxy_settings import Refusal
 from .table import Box
-from .terms import Refusal
 from .values import BadValue, read_count, read_endpoint, read_ms
 
 HASHED = ("hash", "ip_hash", "least_conn", "least_time", "random")
--- a/tests/test_golden_nginx.py
+++ b/tests/test_golden_nginx.py
@@ -17,7 +17,7 @@
 
 from gladewalk.nginx.directives import page
 from gladewalk.nginx.explain import Asked, explain
-from gladewalk.nginx.reading import NginxError
+from gladewalk.nginx.parser import NginxError
 from gladewalk.nginx.router import Router
 from gladewalk.nginx.table import read_site, write_site
 from gladewalk.nginx.translate import import_site
--- a/tests/test_nginx.py
+++ b/tests/test_nginx.py
@@ -15,9 +15,9 @@
 from gladewalk.config.platform import ConfigError
 from gladewalk.nginx.directives import DIRECTIVES, Answer, page
 from gladewalk.nginx.explain import Asked, diff, explain, land, read_requests, told
+from gladewalk.nginx.location_search import Search
 from gladewalk.nginx.maps import murmur2
-from gladewalk.nginx.matching import Search
-from gladewalk.nginx.reading import NginxError
+from gladewalk.nginx.parser import NginxError
 from gladewalk.nginx.router import Router, read_host
 from gladewalk.nginx.table import Listen, Place, Server, Site, Step, read_site, write_site
 from gladewalk.nginx.translate import import_site
