Say in the DNS tests' names what they test

Change: names, docstrings and comments of test_dns.py, test_zone.py, test_conform.py; lambdas over broken responses became named functions. No assert changed but for names.

--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -1,4 +1,4 @@
-"""The conformance suite against our front, and against copies of it that are broken on purpose."""
+"""The conformance suite against the DNS front, and against copies of it that are broken on purpose."""
 
 import asyncio
 import dataclasses
@@ -28,15 +28,14 @@
 from gladewalk.dns.query import QuerySender, TransportKind
 from gladewalk.dns.settings import StreamLimits, TlsListener
 from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer
-from tests.test_dns import ZONE, front, hit
+from tests.test_dns import ZONE, dns_config, serve_hit
 
 Message = dns.message.Message
-Break = Callable[
-    [Message, Message, TransportKind], Message | None
-]  # query, good reply, way: the broken reply
+# Turns a query and its good response into the broken response.
+ResponseChange = Callable[[Message, Message, TransportKind], Message | None]
 
 
-def server_tls(folder: Path) -> tuple[Path, Path]:
+def write_certificate(folder: Path) -> tuple[Path, Path]:
     authority = trustme.CA()
     certificate = authority.issue_cert("dns.example")
     certificate.private_key_pem.write_to_path(str(folder / "key.pem"))
@@ -44,176 +43,225 @@
     return folder / "cert.pem", folder / "key.pem"
 
 
-def opt(reply: Message, *options: dns.edns.Option, flags: int = 0) -> Message:
-    rcode = reply.rcode()
-    reply.use_edns(0, flags, 1232, options=list(options))
-    reply.set_rcode(rcode)
-    return reply
+def with_opt(response: Message, *options: dns.edns.Option, flags: int = 0) -> Message:
+    rcode = response.rcode()
+    response.use_edns(0, flags, 1232, options=list(options))
+    response.set_rcode(rcode)
+    return response
 
 
-def flag(bit: int, on: bool) -> Break:
-    def change(query: Message, reply: Message, via: TransportKind) -> Message:
-        reply.flags = dns.flags.Flag(reply.flags | bit if on else reply.flags & ~bit)
-        return reply
+def set_flag(bit: int, on: bool) -> ResponseChange:
+    def change(query: Message, response: Message, transport: TransportKind) -> Message:
+        response.flags = dns.flags.Flag(response.flags | bit if on else response.flags & ~bit)
+        return response
 
     return change
 
 
-def when(true: Callable[[Message, Message], bool], then: Break) -> Break:
-    return lambda query, reply, via: then(query, reply, via) if true(query, reply) else reply
+def only_if(condition: Callable[[Message, Message], bool], then: ResponseChange) -> ResponseChange:
+    def change(query: Message, response: Message, transport: TransportKind) -> Message | None:
+        return then(query, response, transport) if condition(query, response) else response
+
+    return change
 
 
-def code(rcode: dns.rcode.Rcode) -> Break:
-    def change(query: Message, reply: Message, via: TransportKind) -> Message:
-        reply.set_rcode(rcode)
-        return reply
+def set_rcode(rcode: dns.rcode.Rcode) -> ResponseChange:
+    def change(query: Message, response: Message, transport: TransportKind) -> Message:
+        response.set_rcode(rcode)
+        return response
 
     return change
 
 
-def without(section: str) -> Break:
-    def change(query: Message, reply: Message, via: TransportKind) -> Message:
-        setattr(reply, section, [])
-        return reply
+def without_section(section: str) -> ResponseChange:
+    def change(query: Message, response: Message, transport: TransportKind) -> Message:
+        setattr(response, section, [])
+        return response
 
     return change
 
 
-def ttl(section: str, seconds: int) -> Break:
-    def change(query: Message, reply: Message, via: TransportKind) -> Message:
-        for rrset in getattr(reply, section):
+def set_ttl(section: str, seconds: int) -> ResponseChange:
+    def change(query: Message, response: Message, transport: TransportKind) -> Message:
+        for rrset in getattr(response, section):
             rrset.ttl = seconds
-        return reply
+        return response
 
     return change
 
 
-def asks(*kinds: str) -> Callable[[Message, Message], bool]:
+def has_type(*kinds: str) -> Callable[[Message, Message], bool]:
     wanted = {dns.rdatatype.from_text(kind) for kind in kinds}
-    return lambda query, reply: bool(query.question) and query.question[0].rdtype in wanted
+    return lambda query, response: bool(query.question) and query.question[0].rdtype in wanted
 
 
-def renamed(query: Message, reply: Message, via: TransportKind) -> Message:
-    for rrset in reply.question:
+def lower_question(query: Message, response: Message, transport: TransportKind) -> Message:
+    for rrset in response.question:
         rrset.name = dns.name.from_text(rrset.name.to_text().lower())
-    return reply
+    return response
+
+
+def without_edns(query: Message, response: Message, transport: TransportKind) -> Message:
+    response.use_edns(-1)
+    return response
+
+
+def flip_id(query: Message, response: Message, transport: TransportKind) -> Message:
+    response.id ^= 1
+    return response
+
+
+def double_answer(query: Message, response: Message, transport: TransportKind) -> Message:
+    response.answer = [*response.answer, *response.answer]
+    for place, rrset in enumerate(response.answer):
+        owner = dns.name.from_text(f"n{place}", ZONE)
+        response.answer[place] = dns.rrset.from_rdata_list(owner, 1, list(rrset))
+    return response
+
+
+def add_opt(query: Message, response: Message, transport: TransportKind) -> Message:
+    return with_opt(response)
+
 
+def replace_opt(*options: dns.edns.Option) -> ResponseChange:
+    def change(query: Message, response: Message, transport: TransportKind) -> Message:
+        return with_opt(response, *options) if response.edns >= 0 else response
+
+    return change
+
+
+def echo_options(query: Message, response: Message, transport: TransportKind) -> Message:
+    return with_opt(response, *query.options) if response.edns >= 0 else response
+
+
+def lose_odd_ids(query: Message, response: Message, transport: TransportKind) -> Message | None:
+    return None if query.id % 2 else response
 
-def no_edns(query: Message, reply: Message, via: TransportKind) -> Message:
-    reply.use_edns(-1)
-    return reply
 
+def empty_response(query: Message, response: Message, transport: TransportKind) -> Message:
+    return dns.message.make_response(query)
 
-def other_id(query: Message, reply: Message, via: TransportKind) -> Message:
-    reply.id ^= 1
-    return reply
 
+def has_other_version(query: Message, response: Message) -> bool:
+    return query.edns > 0
 
-def doubled(query: Message, reply: Message, via: TransportKind) -> Message:
-    reply.answer = [*reply.answer, *reply.answer]
-    for n, rrset in enumerate(reply.answer):
-        reply.answer[n] = dns.rrset.from_rdata_list(dns.name.from_text(f"n{n}", ZONE), 1, list(rrset))
-    return reply
 
+def is_refused(query: Message, response: Message) -> bool:
+    return response.rcode() == dns.rcode.REFUSED
 
-def is_empty(query: Message, reply: Message) -> bool:
+
+def is_empty_name(query: Message, response: Message) -> bool:
     return bool(query.question) and query.question[0].name == dns.name.from_text("lot-page", ZONE)
 
 
-def negative(query: Message, reply: Message) -> bool:
-    return not reply.answer and bool(reply.authority)
+def is_negative(query: Message, response: Message) -> bool:
+    return not response.answer and bool(response.authority)
 
 
-CLIENT_ONLY = dns.edns.GenericOption(dns.edns.OptionType.COOKIE, bytes(8))
-ONE_FOR_ALL = dns.edns.GenericOption(dns.edns.OptionType.COOKIE, bytes(8) + b"\1\0\0\0" + bytes(12))
-BROKEN: dict[str, tuple[Break, tuple[str, ...]]] = {
-    "no AA": (flag(dns.flags.AA, False), ("aa-apex", "aa-routed", "aa-nxdomain")),
-    "AA on refusals": (flag(dns.flags.AA, True), ("aa-refused",)),
-    "RA": (flag(dns.flags.RA, True), ("rd-apex",)),
-    "no RD back": (flag(dns.flags.RD, False), ("rd-routed",)),
-    "AD": (flag(dns.flags.AD, True), ("security-nodata",)),
-    "TC": (flag(dns.flags.TC, True), ("bits-apex", "tcp-not-cut")),
-    "another id": (other_id, ("ids-of-all-kinds", "code-apex")),
+CLIENT_COOKIE_ONLY = dns.edns.GenericOption(dns.edns.OptionType.COOKIE, bytes(8))
+LONG_SCOPE = dns.edns.ECSOption("192.0.2.0", 24, 32)
+SAME_COOKIE = dns.edns.GenericOption(dns.edns.OptionType.COOKIE, bytes(8) + b"\1\0\0\0" + bytes(12))
+BROKEN_FRONTS: dict[str, tuple[ResponseChange, tuple[str, ...]]] = {
+    "no AA": (set_flag(dns.flags.AA, False), ("aa-apex", "aa-routed", "aa-nxdomain")),
+    "AA on refusals": (set_flag(dns.flags.AA, True), ("aa-refused",)),
+    "RA": (set_flag(dns.flags.RA, True), ("rd-apex",)),
+    "no RD back": (set_flag(dns.flags.RD, False), ("rd-routed",)),
+    "AD": (set_flag(dns.flags.AD, True), ("security-nodata",)),
+    "TC": (set_flag(dns.flags.TC, True), ("bits-apex", "tcp-not-cut")),
+    "another id": (flip_id, ("ids-of-all-kinds", "code-apex")),
     "NXDOMAIN for what is empty": (
-        when(is_empty, code(dns.rcode.NXDOMAIN)), ("empty-class", "minimised-a", "code-empty"),
+        only_if(is_empty_name, set_rcode(dns.rcode.NXDOMAIN)),
+        ("empty-class", "minimised-a", "code-empty"),
+    ),
+    "the case not kept": (lower_question, ("question-routed", "question-nxdomain")),
+    "no SOA": (only_if(is_negative, without_section("authority")), ("nxdomain-apex", "apex-nodata")),
+    "negatives for a day": (
+        only_if(is_negative, set_ttl("authority", 86_400)),
+        ("nxdomain-apex", "nodata-type-txt"),
     ),
-    "the case not kept": (renamed, ("question-routed", "question-nxdomain")),
-    "no SOA": (when(negative, without("authority")), ("nxdomain-apex", "apex-nodata")),
-    "negatives for a day": (when(negative, ttl("authority", 86_400)), ("nxdomain-apex", "nodata-type-txt")),
-    "no OPT": (no_edns, ("opt-in-answer-soa", "opt-in-answer-refused")),
-    "OPT unasked": (lambda q, r, v: opt(r), ("no-opt-unasked",)),
+    "no OPT": (without_edns, ("opt-in-answer-soa", "opt-in-answer-refused")),
+    "OPT unasked": (add_opt, ("no-opt-unasked",)),
     "any version will do": (
-        when(lambda q, r: q.edns > 0, code(dns.rcode.NOERROR)), ("badvers-1", "badvers-255"),
+        only_if(has_other_version, set_rcode(dns.rcode.NOERROR)),
+        ("badvers-1", "badvers-255"),
     ),
-    "DO lost": (when(lambda q, r: r.edns >= 0, lambda q, r, v: opt(r)), ("do-copied",)),
+    "DO lost": (replace_opt(), ("do-copied",)),
     "options sent back": (
-        when(lambda q, r: r.edns >= 0, lambda q, r, v: opt(r, *q.options)),
+        echo_options,
         ("option-unknown-65001", "keepalive-by-udp", "padding-by-udp"),
     ),
     "a cookie without the server's part": (
-        when(lambda q, r: r.edns >= 0, lambda q, r, v: opt(r, CLIENT_ONLY)),
+        replace_opt(CLIENT_COOKIE_ONLY),
         ("cookie-given", "cookie-unasked"),
     ),
     "one cookie for all": (
-        when(lambda q, r: r.edns >= 0, lambda q, r, v: opt(r, ONE_FOR_ALL)), ("cookie-by-client",),
+        replace_opt(SAME_COOKIE),
+        ("cookie-by-client",),
     ),
     "a scope that is too long": (
-        when(lambda q, r: r.edns >= 0, lambda q, r, v: opt(r, dns.edns.ECSOption("192.0.2.0", 24, 32))),
+        replace_opt(LONG_SCOPE),
         ("ecs-echoed", "ecs-unasked"),
     ),
     "NXDOMAIN for what is not ours": (
-        when(lambda q, r: r.rcode() == dns.rcode.REFUSED, code(dns.rcode.NXDOMAIN)),
+        only_if(is_refused, set_rcode(dns.rcode.NXDOMAIN)),
         ("outside-parent", "outside-root", "axfr"),
     ),
-    "ANY gives all": (when(asks("ANY"), doubled), ("any-is-small",)),
-    "no glue": (without("additional"), ("apex-ns-glue", "srv-target")),
-    "NXDOMAIN for the other family": (when(asks("AAAA"), code(dns.rcode.NXDOMAIN)), ("routed-other-family",)),
-    "addresses for a day": (when(asks("A"), ttl("answer", 86_400)), ("routed-ttl",)),
-    "half of all lost": (lambda q, r, v: None if q.id % 2 else r, ("many-from-one-socket", "tcp-pipelined")),
+    "ANY gives all": (only_if(has_type("ANY"), double_answer), ("any-is-small",)),
+    "no glue": (without_section("additional"), ("apex-ns-glue", "srv-target")),
+    "NXDOMAIN for the other family": (
+        only_if(has_type("AAAA"), set_rcode(dns.rcode.NXDOMAIN)),
+        ("routed-other-family",),
+    ),
+    "addresses for a day": (only_if(has_type("A"), set_ttl("answer", 86_400)), ("routed-ttl",)),
+    "half of all lost": (lose_odd_ids, ("many-from-one-socket", "tcp-pipelined")),
     "TXT for everybody": (
-        when(asks("TXT"), lambda q, r, v: dns.message.make_response(q)), ("nodata-type-txt", "apex-nodata"),
+        only_if(has_type("TXT"), empty_response),
+        ("nodata-type-txt", "apex-nodata"),
     ),
-}  # fmt: skip
+}
 
 
-def breaking(good: DnsFront, change: Break) -> None:
-    """From now on a front's answers are changed on their way out."""
+def break_responses(good: DnsFront, change: ResponseChange) -> None:
+    """Changes a front's responses from now on."""
     handle_query = good.processor.handle_query
 
-    class Changing:
+    class ChangingSender:
         def __init__(self, sender: QuerySender, wire: bytes) -> None:
             self.sender, self.wire = sender, wire
             self.client_address, self.transport = sender.client_address, sender.transport
 
         def send(self, wire: bytes) -> None:
             try:
-                query, reply = dns.message.from_wire(self.wire), dns.message.from_wire(wire)
+                query, response = dns.message.from_wire(self.wire), dns.message.from_wire(wire)
             except Exception:
                 return self.sender.send(wire)
-            changed = change(query, reply, self.transport)
-            return (
-                self.sender.drop() if changed is None else self.sender.send(changed.to_wire(max_size=65_535))
-            )
+            changed = change(query, response, self.transport)
+            if changed is None:
+                return self.sender.drop()
+            return self.sender.send(changed.to_wire(max_size=65_535))
 
         def drop(self) -> None:
             self.sender.drop()
 
     processor = good.processor
-    processor.handle_query = lambda wire, sender: handle_query(wire, Changing(sender, wire))  # type: ignore[method-assign]
+    processor.handle_query = lambda wire, sender: handle_query(wire, ChangingSender(sender, wire))  # type: ignore[method-assign]
 
 
-class Conformance(unittest.IsolatedAsyncioTestCase):
+class ConformanceTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        context.load_cert_chain(*server_tls(folder))
+        context.load_cert_chain(*write_certificate(folder))
         context.set_alpn_protocols(["dot"])
         config = dataclasses.replace(
-            front(), cookies=ServerCookies((b"k" * 16,)), nsid="n1",
-            tls=TlsListener(("127.0.0.1", 0), context), ecs_resolvers=(ipaddress.ip_network("127.0.0.0/8"),),
+            dns_config(),
+            cookies=ServerCookies((b"k" * 16,)),
+            nsid="n1",
+            tls=TlsListener(("127.0.0.1", 0), context),
+            ecs_resolvers=(ipaddress.ip_network("127.0.0.0/8"),),
             streams=StreamLimits(max_connections_per_client=64),
-        )  # fmt: skip
-        self.world = Rehearsal([ScriptedPeer(hit, size=50.0)], dns=config)
+        )
+        self.world = Rehearsal([ScriptedPeer(serve_hit, size=50.0)], dns=config)
         await self.world.__aenter__()
         assert self.world.director is not None and self.world.director.dns is not None
         self.front = self.world.director.dns
@@ -224,31 +272,35 @@
     async def asyncTearDown(self) -> None:
         await self.world.__aexit__()
 
-    async def test_our_front_passes_every_case(self) -> None:
+    async def test_the_front_passes_every_case(self) -> None:
         results = await asyncio.to_thread(run_cases, self.target)
         self.assertGreater(len(results), 200)
-        wrong = [(r.case.name, r.observation) for r in results if r.verdict is not Verdict.PASSED]
-        self.assertEqual(wrong, [])
-
-    async def test_each_broken_copy_fails_the_cases_it_breaks(self) -> None:
+        failures = [
+            (result.case.name, result.observation)
+            for result in results
+            if result.verdict is not Verdict.PASSED
+        ]
+        self.assertEqual(failures, [])
+
+    async def test_each_broken_front_fails_its_cases(self) -> None:
         handle_query, self.target.timeout_s = self.front.processor.handle_query, 0.3
-        for name, (change, cases) in BROKEN.items():
-            breaking(self.front, change)
+        for name, (change, cases) in BROKEN_FRONTS.items():
+            break_responses(self.front, change)
             results = await asyncio.to_thread(run_cases, self.target, cases)
             self.front.processor.handle_query = handle_query  # type: ignore[method-assign]
-            failed = {r.case.name for r in results if r.verdict is Verdict.FAILED}
+            failed = {result.case.name for result in results if result.verdict is Verdict.FAILED}
             self.assertLessEqual(set(cases), failed, name)
 
-    async def test_the_command_tells_what_failed(self) -> None:
+    async def test_the_command_reports_failures(self) -> None:
         address = "{}:{}".format(*self.front.address)
-        shown = ["dns", "conform", address, ZONE.to_text(), "--class", "lot-page"]
-        told = await asyncio.to_thread(CliRunner().invoke, gladewalk, [*shown, "--only", "apex-", "--json"])
-        rows = [json.loads(line) for line in told.output.splitlines()]
-        self.assertEqual((told.exit_code, {row["verdict"] for row in rows}), (0, {"passed"}))
-        breaking(self.front, flag(dns.flags.AA, False))
-        told = await asyncio.to_thread(CliRunner().invoke, gladewalk, [*shown, "--only", "aa-apex"])
-        self.assertEqual(told.exit_code, 1)
-        self.assertIn("failed aa-apex (RFC 1035, 4.1.1)", told.output)
+        command = ["dns", "conform", address, ZONE.to_text(), "--class", "lot-page"]
+        ran = await asyncio.to_thread(CliRunner().invoke, gladewalk, [*command, "--only", "apex-", "--json"])
+        rows = [json.loads(line) for line in ran.output.splitlines()]
+        self.assertEqual((ran.exit_code, {row["verdict"] for row in rows}), (0, {"passed"}))
+        break_responses(self.front, set_flag(dns.flags.AA, False))
+        ran = await asyncio.to_thread(CliRunner().invoke, gladewalk, [*command, "--only", "aa-apex"])
+        self.assertEqual(ran.exit_code, 1)
+        self.assertIn("failed aa-apex (RFC 1035, 4.1.1)", ran.output)
         bad = CliRunner().invoke(gladewalk, ["dns", "conform", "nowhere", ".", "--class", "x"])
         self.assertEqual(bad.exit_code, 2)
         self.assertGreater(len(select_cases()), 200)
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -1,4 +1,4 @@
-"""The zone, cookies and limits without sockets; and a front fed with whatever bytes there are."""
+"""The zone, cookies, limits and weights without sockets, and a front that is fed arbitrary bytes."""
 
 import dataclasses
 import ipaddress
@@ -73,7 +73,7 @@
     return Zone(ZoneApex(origin, servers, "hostmaster", 7, 5), rules, "192.0.2.99", records)
 
 
-class Looked(unittest.TestCase):
+class ZoneLookupTest(unittest.TestCase):
     zone = make_zone()
 
     def find(self, text: str, kind: str = "A") -> LookupResult:
@@ -82,8 +82,8 @@
     def texts(self, found: LookupResult) -> list[str]:
         return [f"{r.name.relativize(ORIGIN)} {rdata}" for r in found.answer for rdata in r]
 
-    def test_names_come_to_what_rfc_1034_says(self) -> None:
-        for text, kind, wanted in (
+    def test_lookups_follow_rfc_1034(self) -> None:
+        for text, kind, expected in (
             ("www", "A", LookupStatus.ANSWER),
             ("www", "MX", LookupStatus.NODATA),
             ("er.still", "A", LookupStatus.NODATA),
@@ -108,24 +108,24 @@
             ("loop1", "A", LookupStatus.ANSWER),
             ("www", "ANY", LookupStatus.ANSWER),
         ):
-            self.assertEqual(self.find(text, kind).status, wanted, (text, kind))
+            self.assertEqual(self.find(text, kind).status, expected, (text, kind))
 
-    def test_a_delegation_names_its_servers_with_glue(self) -> None:
+    def test_a_referral_has_servers_and_glue(self) -> None:
         found = self.find("x.sub")
         self.assertEqual([str(r.name) for r in found.authority], ["sub.cdn.example."])
         self.assertEqual([str(r.name) for r in found.additional], ["ns.sub.cdn.example."])
 
-    def test_a_wildcard_speaks_below_its_closest_encloser_and_nowhere_else(self) -> None:
+    def test_a_wildcard_applies_below_its_closest_encloser_only(self) -> None:
         self.assertEqual(self.texts(self.find("some.wild")), ["some.wild 192.0.2.9"])
         self.assertEqual(self.texts(self.find("more.some.wild")), ["more.some.wild 192.0.2.9"])
-        self.assertEqual(self.find("real.wild", "TXT").status, LookupStatus.NODATA)  # it exists itself
-        self.assertEqual(self.find("b.wild").status, LookupStatus.NODATA)  # empty, and exists
+        self.assertEqual(self.find("real.wild", "TXT").status, LookupStatus.NODATA)  # the name itself exists
+        self.assertEqual(self.find("b.wild").status, LookupStatus.NODATA)  # an empty non-terminal
         self.assertEqual(
             self.find("x.b.wild").status, LookupStatus.NXDOMAIN
         )  # its closest encloser has no wildcard
         self.assertEqual(self.find("some.wild", "MX").status, LookupStatus.NODATA)
 
-    def test_aliases_are_followed_within_the_zone_and_no_further(self) -> None:
+    def test_cnames_are_followed_within_the_zone_only(self) -> None:
         www = ["www 192.0.2.1", "www 192.0.2.2"]
         self.assertEqual(self.texts(self.find("alias"))[:1] + sorted(self.texts(self.find("alias"))[1:]),
                          ["alias www.cdn.example.", *www])  # fmt: skip
@@ -136,14 +136,14 @@
         self.assertEqual((routed.status, len(routed.answer)), (LookupStatus.ROUTED, 1))
         self.assertEqual(str(routed.owner), "0.a1.lot-page.cdn.example.")
 
-    def test_the_apex_has_its_servers_and_the_deepest_zone_a_name(self) -> None:
+    def test_the_apex_has_ns_records_and_the_deepest_zone_answers(self) -> None:
         found = self.find("@", "NS")
         self.assertEqual((len(found.answer[0]), len(found.additional)), (2, 2))
         inner = make_zone(dns.name.from_text("in.cdn.example."))
         self.assertIs(closest_zone([self.zone, inner], dns.name.from_text("x.in.cdn.example.")), inner)
         self.assertIsNone(closest_zone([self.zone], dns.name.from_text("example.")))
 
-    def test_a_bad_file_of_records_is_one_line(self) -> None:
+    def test_a_bad_file_is_reported_in_one_line(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "zone"
             for text, why in (
@@ -170,8 +170,8 @@
                     load_dns(str(own), "127.0.0.1")
 
 
-class CookiesAndLimits(unittest.TestCase):
-    def test_the_cookie_of_rfc_9018_is_made_and_taken(self) -> None:
+class CookiesAndLimitsTest(unittest.TestCase):
+    def test_the_cookie_of_rfc_9018_is_generated_and_verified(self) -> None:
         """Appendix A.1: client 2464c4abcf10c957, 198.51.100.100, 1559731985."""
         cookies = ServerCookies((bytes.fromhex("e5e973e5a6b2a43f48e7dc849e37bfcf"),))
         client, at, where = bytes.fromhex("2464c4abcf10c957"), 1_559_731_985.0, "198.51.100.100"
@@ -189,11 +189,11 @@
         self.assertNotEqual(rotated.generate(client, where, at), made)
         self.assertIs(ServerCookies((b"n" * 16,)).verify(client, made, where, at), CookieStatus.INVALID)
 
-    def test_a_bucket_holds_its_rate_over_any_time(self) -> None:
-        draw, buckets, now = random.Random(1), TokenBuckets(10.0, 5.0, 3), 0.0
+    def test_a_token_bucket_keeps_its_rate(self) -> None:
+        rng, buckets, now = random.Random(1), TokenBuckets(10.0, 5.0, 3), 0.0
         taken = 0
         for _ in range(5_000):
-            now += draw.expovariate(0.05)
+            now += rng.expovariate(0.05)
             taken += buckets.try_take("a", now)
         self.assertLessEqual(taken, 5 + now / 100.0)
         self.assertGreater(taken, 0.9 * now / 100.0)
@@ -201,7 +201,7 @@
             buckets.try_take(n, now)
         self.assertEqual(len(buckets.buckets), 3)
 
-    def test_a_flood_takes_its_share_of_the_time_and_no_more(self) -> None:
+    def test_a_flood_is_bounded_by_the_loop_time_budget(self) -> None:
         for cost in (0.1, 0.7, 5.0):
             share, now, worked = LoopTimeBudget(0.3), 1e6, 0.0
             for _ in range(2_000):
@@ -212,7 +212,7 @@
         share = LoopTimeBudget(0.3)
         self.assertTrue(all(share.charge(0.7, 1e6 + n * 10.0) == 0.0 for n in range(1_000)))
 
-    def test_like_answers_above_the_rate_are_dropped_and_some_slip(self) -> None:
+    def test_like_responses_above_the_rate_are_dropped_or_slipped(self) -> None:
         limit = ResponseRateLimiter(5.0, 2)
         fates = [limit.decide("n", "x", 0.0) for _ in range(9)]
         self.assertEqual(fates[:5], [RateDecision.SEND] * 5)
@@ -225,7 +225,7 @@
         self.assertEqual(client_network("2001:db8:1:2ff::1"), "2001:db8:1:200::/56")
 
 
-class Sent:
+class RecordingSender:
     def __init__(self, peer: str = "127.0.0.1", via: TransportKind = TransportKind.UDP) -> None:
         self.client_address, self.transport, self.sent, self.dropped = peer, via, list[bytes](), 0
 
@@ -236,36 +236,36 @@
         self.dropped += 1
 
 
-class Nowhere:
-    """No servers: each question is answered by the front itself, or waits."""
+class NoUpstreams:
+    """Knows no servers: each query is answered by the front itself, or waits."""
 
     def __getattr__(self, name: str) -> Any:
         return lambda *args, **more: None
 
 
-def front(clock: Any = lambda: 1_000.0, **more: Any) -> DnsFront:
+def make_front(clock: Any = lambda: 1_000.0, **more: Any) -> DnsFront:
     config = read_config(config_for([], Coordinator(address="127.0.0.1:9")), {})
     counters = Counters()
     exchange = Exchange(config, clock, Deadlines(lambda due: None), counters, lambda line: None)
-    exchange.upstreams = Nowhere()
+    exchange.upstreams = NoUpstreams()
     exchange.handle_event(api.EndpointList(api.EndpointListKind.PERSISTED, ()))
     terms = DnsConfig(("127.0.0.1", 0), ORIGIN, "127.0.0.9", 1_000.0)
     return DnsFront(exchange, dataclasses.replace(terms, **more), counters)
 
 
-FRONT = front(cookies=ServerCookies((b"k" * 16,)), max_amplification=4.0)
+FUZZED_FRONT = make_front(cookies=ServerCookies((b"k" * 16,)), max_amplification=4.0)
 NAMES = ("cdn.example.", "0.a1.lot-page.cdn.example.", "x.cdn.example.", "example.", "lot-page.cdn.example.")
 
 
-def check(wire: bytes) -> None:
-    """No exception; the id and question as asked; never longer than the bounds."""
-    sender = Sent()
-    FRONT.processor.handle_query(wire, sender)
+def check_response(wire: bytes) -> None:
+    """Requires no exception, the id and question of the query, and a bounded size."""
+    sender = RecordingSender()
+    FUZZED_FRONT.processor.handle_query(wire, sender)
     if not sender.sent:
         return
     (answer,) = sender.sent
     assert answer[:2] == wire[:2] and answer[2] & 0x80
-    assert len(answer) <= max(FRONT.config.max_amplification * len(wire), 12)
+    assert len(answer) <= max(FUZZED_FRONT.config.max_amplification * len(wire), 12)
     reply = dns.message.from_wire(answer)
     if reply.question:
         asked = dns.message.from_wire(wire).question[0]
@@ -275,8 +275,8 @@
 
 @given(st.binary(max_size=200))
 @profile(max_examples=400, deadline=None, derandomize=True)
-def test_noise_ends_in_an_answer_or_a_counter(data: bytes) -> None:
-    check(data)
+def test_random_bytes_are_answered_or_counted(data: bytes) -> None:
+    check_response(data)
 
 
 @given(
@@ -284,32 +284,34 @@
     st.integers(0, 4),
 )  # fmt: skip
 @profile(max_examples=800, deadline=None, derandomize=True)
-def test_good_questions_with_bytes_changed_do_so_too(
-    name: str, kind: int, edns: int, draw: random.Random, changes: int
+def test_mutated_queries_are_answered_or_counted(
+    name: str, kind: int, edns: int, rng: random.Random, changes: int
 ) -> None:
     query = dns.message.make_query(name, dns.rdatatype.RdataType.make(kind), use_edns=edns)
     wire = bytearray(query.to_wire())
     for _ in range(changes):
-        place = draw.randrange(len(wire))
-        match draw.randrange(3):
+        place = rng.randrange(len(wire))
+        match rng.randrange(3):
             case 0:
-                wire[place] = draw.randrange(256)
+                wire[place] = rng.randrange(256)
             case 1:
                 del wire[place]
             case 2:
-                wire.insert(place, draw.randrange(256))
-    check(bytes(wire))
+                wire.insert(place, rng.randrange(256))
+    check_response(bytes(wire))
 
 
-class Abuse(unittest.TestCase):
-    def ask(self, at: DnsFront, peer: str = "127.0.0.1", name: str = "x.cdn.example.", **more: Any) -> Sent:
-        sender = Sent(peer)
+class AbuseTest(unittest.TestCase):
+    def ask(
+        self, at: DnsFront, peer: str = "127.0.0.1", name: str = "x.cdn.example.", **more: Any
+    ) -> RecordingSender:
+        sender = RecordingSender(peer)
         at.processor.handle_query(dns.message.make_query(name, "A", **more).to_wire(), sender)
         return sender
 
-    def test_a_forgers_victim_hears_little_and_a_cookie_or_tcp_passes(self) -> None:
+    def test_a_forged_client_is_sent_little_and_a_cookie_passes(self) -> None:
         cookies = ServerCookies((b"k" * 16,))
-        at = front(rates=RateLimits(answers_per_s=5.0, slip=2), cookies=cookies)
+        at = make_front(rates=RateLimits(answers_per_s=5.0, slip=2), cookies=cookies)
         heard = [self.ask(at) for _ in range(105)]
         self.assertEqual(sum(bool(one.sent) for one in heard), 5 + 50)
         self.assertTrue(dns.message.from_wire(heard[-1].sent[0]).flags & dns.flags.TC)
@@ -322,15 +324,15 @@
         shown = [self.ask(at, use_edns=0, options=[bad.options[0]]) for _ in range(50)]
         self.assertTrue(all(one.sent and dns.message.from_wire(one.sent[0]).authority for one in shown))
 
-    def test_budgets_of_a_network_and_of_all_are_kept(self) -> None:
-        at = front(rates=RateLimits(network_queries_per_s=10.0, queries_per_s=25.0))
+    def test_query_budgets_of_a_network_and_of_all_clients_are_kept(self) -> None:
+        at = make_front(rates=RateLimits(network_queries_per_s=10.0, queries_per_s=25.0))
         counts = [sum(bool(self.ask(at, f"192.0.{n}.1").sent) for _ in range(20)) for n in range(4)]
         self.assertEqual(counts, [10, 10, 5, 0])
         self.assertEqual((at.counters["dns.over_network"], at.counters["dns.over_all"]), (40, 15))
 
-    def test_a_question_that_waits_is_ended_by_its_time(self) -> None:
+    def test_a_waiting_query_fails_by_its_deadline(self) -> None:
         now = 1_000.0
-        at = front(lambda: now)
+        at = make_front(lambda: now)
         waiting = self.ask(at, name="0.a1.lot-page.cdn.example.", use_edns=0)
         self.assertFalse(waiting.sent)
         now += 1_001.0
@@ -338,14 +340,14 @@
         reply = dns.message.from_wire(waiting.sent[0])
         self.assertEqual((reply.rcode(), int(reply.options[0].otype)), (dns.rcode.SERVFAIL, 15))
 
-    def test_a_subnet_is_heard_of_trusted_resolvers_alone(self) -> None:
-        at = front(ecs_resolvers=(ipaddress.ip_network("192.0.2.0/24"),))
+    def test_a_client_subnet_is_believed_of_trusted_resolvers_only(self) -> None:
+        at = make_front(ecs_resolvers=(ipaddress.ip_network("192.0.2.0/24"),))
         subnet = dns.edns.ECSOption("203.0.113.0", 24)
         for peer, heard in (("192.0.2.1", 1), ("198.51.100.1", 0)):
             reply = dns.message.from_wire(self.ask(at, peer, use_edns=0, options=[subnet]).sent[0])
             self.assertEqual(len(reply.options), heard)
 
-    def test_what_does_not_fit_is_cut_and_what_is_only_additional_goes_first(self) -> None:
+    def test_additional_records_are_left_out_before_truncation(self) -> None:
         zone = make_zone()
         query = dns.message.make_query(ORIGIN, "NS")
         reply = dns.message.make_response(query)
@@ -358,25 +360,25 @@
         self.assertTrue(cut.flags & dns.flags.TC and not cut.answer)
 
 
-class Held(unittest.TestCase):
-    def test_sums_are_those_of_what_has_not_ended_whatever_the_order(self) -> None:
-        draw, ledger, now = random.Random(5), DnsLeaseTable(), 1e12
+class LeasesAndWeightsTest(unittest.TestCase):
+    def test_lease_totals_are_those_of_unexpired_leases(self) -> None:
+        rng, ledger, now = random.Random(5), DnsLeaseTable(), 1e12
         held: dict[tuple[str, str, int], tuple[float, float]] = {}
         for _ in range(4_000):
-            now += draw.expovariate(0.01)
-            place, holder, key = draw.choice("ab"), draw.choice("xyz"), draw.randrange(40)
-            until, weight = now + draw.choice((900.0, 5_000.0, 60_000.0)), draw.choice((0.5, 1.0))
+            now += rng.expovariate(0.01)
+            place, holder, key = rng.choice("ab"), rng.choice("xyz"), rng.randrange(40)
+            until, weight = now + rng.choice((900.0, 5_000.0, 60_000.0)), rng.choice((0.5, 1.0))
             ledger.grant(place, holder, (key, 0), until, weight)
             held[place, holder, key] = (-(-until // 1_000.0) * 1_000.0, weight)
             held = {k: v for k, v in held.items() if v[0] // 1_000.0 > now // 1_000.0}
             for at in "ab":
-                wanted = sum(weight for (p, _, _), (_, weight) in held.items() if p == at)
-                self.assertAlmostEqual(ledger.total_weight(at, 0.0, now), wanted)
+                expected = sum(weight for (p, _, _), (_, weight) in held.items() if p == at)
+                self.assertAlmostEqual(ledger.total_weight(at, 0.0, now), expected)
         self.assertEqual(len(ledger), len(held))
         ledger.total_weight("a", 0.0, now + 1e6)
         self.assertEqual((len(ledger), ledger._expiring), (0, {}))
 
-    def test_a_start_that_knows_nothing_takes_the_bound_for_used_up(self) -> None:
+    def test_a_start_without_a_store_assumes_full_leases(self) -> None:
         ledger = DnsLeaseTable()
         ledger.assume_full(10_000.0)
         self.assertEqual(ledger.available_weight("a", "x", (1, 0), 5.0, 9_000.0), 0.0)
@@ -385,23 +387,24 @@
         self.assertEqual(ledger.ttl_ms("a", 5.0, False, 10_000.0), ledger.max_ttl_ms)
         self.assertEqual(ledger.ttl_ms("a", 5.0, True, 10_000.0), ledger.min_ttl_ms)
 
-    def measured(self, clients: float, names: int, heeds: bool = True, farm: int = 1) -> float:
-        """The weight of a resolver whose clients want each name so often a second, at 400 ms a transfer."""
-        draw, weights, now, ttl = random.Random(7), ResolverWeights(0.02, 100.0), 0.0, 2_000.0
+    def measured(self, clients: float, names: int, obeys_ttl: bool = True, farm: int = 1) -> float:
+        """Returns a resolver's weight; its clients want each name at a rate per second, for 400 ms each."""
+        rng, weights, now, ttl = random.Random(7), ResolverWeights(0.02, 100.0), 0.0, 2_000.0
         until: dict[tuple[int, int], float] = {}
         while now < 600_000.0:
-            now += draw.expovariate(clients * names) * 1_000.0
-            name, member = draw.randrange(names), draw.randrange(farm)
+            now += rng.expovariate(clients * names) * 1_000.0
+            name, member = rng.randrange(names), rng.randrange(farm)
             if until.get((name, member), 0.0) <= now:
                 weights.record_query("r", name, now)
                 weights.record_answer("r", name, ttl, now)
-                until[name, member] = now + (ttl if heeds else 300_000.0)
+                until[name, member] = now + (ttl if obeys_ttl else 300_000.0)
         return weights.weight("r", 400.0, now)
 
-    def test_a_resolver_weighs_what_its_clients_bring(self) -> None:
-        for clients in (0.02, 0.2, 2.0):  # of each name, a second; a transfer takes 0.4 s
-            wanted = max(0.02, clients * 0.4)
-            self.assertTrue(0.6 * wanted < self.measured(clients, 50) < 1.6 * wanted, clients)
-        self.assertGreater(self.measured(2.0, 50, farm=8), 3.0)  # each of its members holds its own
-        self.assertEqual(self.measured(0.001, 50, heeds=False), 0.02)  # nothing is seen: as it is set
+    def test_a_resolvers_weight_is_its_clients_concurrent_transfers(self) -> None:
+        for clients in (0.02, 0.2, 2.0):  # queries of each name per second
+            expected = max(0.02, clients * 0.4)
+            self.assertTrue(0.6 * expected < self.measured(clients, 50) < 1.6 * expected, clients)
+        self.assertGreater(self.measured(2.0, 50, farm=8), 3.0)  # each member caches its own answers
+        # Nothing is observed: the configured weight.
+        self.assertEqual(self.measured(0.001, 50, obeys_ttl=False), 0.02)
         self.assertEqual(ResolverWeights(0.02, 100.0).weight("new", 400.0, 0.0), 0.02)
