Name the parts of the DNS load test

Cause: names and tuples of benchmarks/dns_load.py said little. Change: Way, Throughput and Latencies in place of tuples and flags, one stream reader for both sides, a context manager starts and stops the director; arguments and printed lines as before.

--- a/benchmarks/dns_load.py
+++ b/benchmarks/dns_load.py
@@ -1,11 +1,11 @@
-"""Questions a second of one director by UDP, TCP and TLS, and its HTTP front under a flood of DNS.
+"""Load test of the DNS front by UDP, TCP and TLS, and of the HTTP front under a flood of DNS queries.
 
     python -m benchmarks.dns_load [--seconds 3] [--rounds 3]
 
-Each way beside a bare responder, a process of its own that sends back each question with one fixed record
-behind it and looks at nothing. Clients are two processes that keep some questions open each. Then HTTP
-requests at a fixed rate to the same director, without a flood and under one of as many questions as one
-process can send, with the budget `all_per_s` set and without: p50 and p99, in turn.
+Each transport is measured beside a bare responder, a process of its own that returns each query with one
+fixed record and looks at nothing. Clients are two processes, each with a fixed number of open queries. Then
+HTTP requests are sent at a fixed rate to the same director, without a flood and under one of as many queries
+as one process can send, with the budget `all_per_s` and without it: p50 and p99 are printed.
 """
 
 from __future__ import annotations
@@ -22,7 +22,8 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -36,54 +37,112 @@
 from .store_served import serve
 
 ZONE = "cdn.example."
-OPEN = 16  # questions of one client at a time
+OPEN_QUERIES = 16  # of one client at a time
 CLIENTS = 2
-FIXED = b"\xc0\x0c\0\1\0\1\0\0\0\2\0\4\x7f\0\0\1"  # A 127.0.0.1 for the name that was asked for
+DISTINCT_QUERIES = 512  # of one client
+RECORD = b"\xc0\x0c\0\1\0\1\0\0\0\2\0\4\x7f\0\0\1"  # A 127.0.0.1 for the name in the question
+HTTP_REQUESTS_PER_S = 200.0
+QUANTILE = 0.99
+TLS_SETTINGS = "tls_listen = '127.0.0.1:0'\ntls_certificate = 'cert.pem'\ntls_key = 'key.pem'\n"
 
 
-def question(draw: random.Random, cookie: bool) -> bytes:
-    name = f"0.{draw.getrandbits(16):x}.lot-page.{ZONE}"
-    options: list[dns.edns.Option] = [dns.edns.CookieOption(b"c" * 8, b"")] if cookie else []
-    return dns.message.make_query(name, "A", use_edns=0 if cookie else -1, options=options).to_wire()
+@dataclass(slots=True, frozen=True)
+class Way:
+    """How queries are sent."""
 
+    transport: str
+    has_cookie: bool = False
 
-def answer(wire: bytes) -> bytes:
-    """The bare responder's: the question with one record behind it."""
-    end = wire.index(b"\0", 12) + 5
-    return wire[:2] + b"\x84\0\0\1\0\1\0\0\0\0" + wire[12:end] + FIXED
+    @property
+    def label(self) -> str:
+        """The name in the table that is printed."""
+        return self.transport + (" cookie" if self.has_cookie else "")
+
+
+WAYS = (Way("udp"), Way("udp", has_cookie=True), Way("tcp"), Way("tls"))
+
+
+@dataclass(slots=True, frozen=True)
+class Throughput:
+    """What clients measured of one server."""
+
+    answers_per_s: float
+    p99_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Latencies:
+    """What HTTP requests took."""
+
+    p50_ms: float
+    p99_ms: float
+
+
+def make_query(rng: random.Random, has_cookie: bool) -> bytes:
+    """Returns a query for an object drawn from 65,536."""
+    name = f"0.{rng.getrandbits(16):x}.lot-page.{ZONE}"
+    options: list[dns.edns.Option] = [dns.edns.CookieOption(b"c" * 8, b"")] if has_cookie else []
+    edns = 0 if has_cookie else -1
+    return dns.message.make_query(name, "A", use_edns=edns, options=options).to_wire()
+
+
+# The bare responder.
+
+
+def bare_response(wire: bytes) -> bytes:
+    """Returns a query's question with one fixed record."""
+    question_end = wire.index(b"\0", 12) + 5
+    return wire[:2] + b"\x84\0\0\1\0\1\0\0\0\0" + wire[12:question_end] + RECORD
 
 
 class BareDatagrams(asyncio.DatagramProtocol):
+    """The bare responder by UDP."""
+
     transport: asyncio.DatagramTransport
 
     def connection_made(self, transport: Any) -> None:
+        """Keeps the transport."""
         self.transport = transport
 
     def datagram_received(self, data: bytes, address: Any) -> None:
-        self.transport.sendto(answer(data), address)
+        """Responds at once."""
+        self.transport.sendto(bare_response(data), address)
 
 
 class BareStream(asyncio.Protocol):
-    rest = b""
+    """The bare responder by TCP and TLS."""
+
     transport: asyncio.Transport
 
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
     def connection_made(self, transport: Any) -> None:
+        """Keeps the transport."""
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
-        self.rest += data
-        out = b""
-        while len(self.rest) >= 2 and len(self.rest) >= (end := 2 + int.from_bytes(self.rest[:2], "big")):
-            reply = answer(self.rest[2:end])
-            out, self.rest = out + len(reply).to_bytes(2, "big") + reply, self.rest[end:]
-        if out:
-            self.transport.write(out)
+        """Responds to each whole query, in one write."""
+        self._buffer += data
+        responses = [bare_response(wire) for wire in take_messages(self._buffer)]
+        if responses:
+            framed = (len(response).to_bytes(2, "big") + response for response in responses)
+            self.transport.write(b"".join(framed))
+
+
+def take_messages(buffer: bytearray) -> Iterator[bytes]:
+    """Removes whole messages from the start of a stream's buffer, and yields them without their lengths."""
+    while len(buffer) >= 2 and len(buffer) >= (end := 2 + int.from_bytes(buffer[:2], "big")):
+        wire = bytes(buffer[2:end])
+        del buffer[:end]
+        yield wire
 
 
-def bare(folder: str, ready: Any) -> None:
+def run_bare_responder(folder: str, ports: Any) -> None:
+    """Serves in this process for good; puts its port for UDP and TCP and that for TLS into a queue."""
     import uvloop
 
-    async def serve() -> None:
+    async def serve_all() -> None:
         loop = asyncio.get_running_loop()
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
         context.load_cert_chain(f"{folder}/cert.pem", f"{folder}/key.pem")
@@ -91,185 +150,217 @@
         port = tcp.sockets[0].getsockname()[1]
         await loop.create_datagram_endpoint(BareDatagrams, local_addr=("127.0.0.1", port))
         tls = await loop.create_server(BareStream, "127.0.0.1", 0, ssl=context)
-        ready.put((port, tls.sockets[0].getsockname()[1]))
+        ports.put((port, tls.sockets[0].getsockname()[1]))
         await asyncio.Event().wait()
 
-    uvloop.run(serve())
+    uvloop.run(serve_all())
 
 
-def connect(way: str, port: int) -> socket.socket:
-    if way == "udp":
+# Clients.
+
+
+def connect(transport: str, port: int) -> socket.socket:
+    """Connects a socket to a port of this machine by UDP, TCP or TLS."""
+    if transport == "udp":
         plain = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         plain.connect(("127.0.0.1", port))
     else:
         plain = socket.create_connection(("127.0.0.1", port))
         plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     plain.settimeout(1.0)
-    if way != "tls":
+    if transport != "tls":
         return plain
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
     return context.wrap_socket(plain)
 
 
-def receive(way: str, sock: socket.socket, rest: bytearray) -> Iterator[int]:
-    """The ids of the answers that came."""
+def receive_ids(transport: str, sock: socket.socket, buffer: bytearray) -> Iterator[int]:
+    """Yields the ids of the responses that one read brings."""
     data = sock.recv(65_535)
-    if way == "udp":
+    if transport == "udp":
         yield int.from_bytes(data[:2], "big")
         return
-    rest += data
-    while len(rest) >= 2 and len(rest) >= (end := 2 + int.from_bytes(rest[:2], "big")):
-        yield int.from_bytes(rest[2:4], "big")
-        del rest[:end]
-
-
-def client(way: str, port: int, seconds: float, seed: int, cookie: bool, told: Any) -> None:
-    """Some questions open at a time, each answer followed by the next question."""
-    draw = random.Random(seed)
-    wires = [question(draw, cookie) for _ in range(512)]
-    sock, rest, sent, waits = connect(way, port), bytearray(), dict[int, float](), list[float]()
-    number, until = 0, time.perf_counter() + seconds
-    while time.perf_counter() < until:
-        while len(sent) < OPEN:
-            number = (number + 1) % 65_536
-            wire = number.to_bytes(2, "big") + wires[number % 512][2:]
-            sent[number] = time.perf_counter()
-            sock.sendall(wire if way == "udp" else len(wire).to_bytes(2, "big") + wire)
+    buffer += data
+    for wire in take_messages(buffer):
+        yield int.from_bytes(wire[:2], "big")
+
+
+def run_client(way: Way, port: int, seconds: float, seed: int, results: Any) -> None:
+    """Keeps a number of queries open for some time; puts the latencies in ms into a queue."""
+    rng = random.Random(seed)
+    wires = [make_query(rng, way.has_cookie) for _ in range(DISTINCT_QUERIES)]
+    sock, buffer = connect(way.transport, port), bytearray()
+    sent_at: dict[int, float] = {}
+    latencies_ms: list[float] = []
+    query_id, ends_at = 0, time.perf_counter() + seconds
+    while time.perf_counter() < ends_at:
+        while len(sent_at) < OPEN_QUERIES:
+            query_id = (query_id + 1) % 65_536
+            wire = query_id.to_bytes(2, "big") + wires[query_id % DISTINCT_QUERIES][2:]
+            sent_at[query_id] = time.perf_counter()
+            sock.sendall(wire if way.transport == "udp" else len(wire).to_bytes(2, "big") + wire)
         try:
-            for known in receive(way, sock, rest):
-                if known in sent:
-                    waits.append((time.perf_counter() - sent.pop(known)) * 1e3)
+            for answered_id in receive_ids(way.transport, sock, buffer):
+                if answered_id in sent_at:
+                    latencies_ms.append((time.perf_counter() - sent_at.pop(answered_id)) * 1e3)
         except TimeoutError:
-            sent.clear()  # lost
-    told.put(waits)
+            sent_at.clear()  # the datagrams were lost
+    results.put(latencies_ms)
 
 
-def measure(way: str, port: int, seconds: float, cookie: bool) -> tuple[float, float]:
-    """Answers a second, and their p99 in ms."""
-    told: Any = multiprocessing.Queue()
+def measure(way: Way, port: int, seconds: float) -> Throughput:
+    """Runs all clients against one server."""
+    results: Any = multiprocessing.Queue()
     clients = [
-        multiprocessing.Process(target=client, args=(way, port, seconds, n, cookie, told))
-        for n in range(CLIENTS)
+        multiprocessing.Process(target=run_client, args=(way, port, seconds, seed, results))
+        for seed in range(CLIENTS)
     ]
-    for one in clients:
-        one.start()
-    waits = sorted(wait for _ in clients for wait in told.get())
-    for one in clients:
-        one.join()
-    return len(waits) / seconds, waits[int(len(waits) * 0.99)]
+    for client in clients:
+        client.start()
+    latencies_ms = sorted(latency_ms for _ in clients for latency_ms in results.get())
+    for client in clients:
+        client.join()
+    return Throughput(len(latencies_ms) / seconds, quantile(latencies_ms, QUANTILE))
+
+
+def quantile(values: list[float], fraction: float) -> float:
+    """Returns a quantile of sorted values."""
+    return values[int(len(values) * fraction)]
 
 
 def flood(port: int, seconds: float) -> None:
-    sock, draw = connect("udp", port), random.Random(3)
+    """Sends queries by UDP as fast as one process can, and reads no responses."""
+    sock, rng = connect("udp", port), random.Random(3)
     sock.setblocking(False)
-    wires, until, n = [question(draw, False) for _ in range(512)], time.perf_counter() + seconds, 0
-    while time.perf_counter() < until:
-        n += 1
+    wires = [make_query(rng, has_cookie=False) for _ in range(DISTINCT_QUERIES)]
+    sent_count, ends_at = 0, time.perf_counter() + seconds
+    while time.perf_counter() < ends_at:
+        sent_count += 1
         with contextlib.suppress(OSError):
-            sock.send(wires[n % 512])
+            sock.send(wires[sent_count % DISTINCT_QUERIES])
 
 
-async def http(run: DirectorProcess, seconds: float, rate: float) -> list[float]:
-    draw, waits, begun = random.Random(4), list[float](), time.monotonic()
+async def send_http_requests(director: DirectorProcess, seconds: float) -> Latencies:
+    """Sends HTTP requests at a fixed rate, whether or not earlier ones were answered."""
+    rng, latencies_ms, started_at = random.Random(4), list[float](), time.monotonic()
 
-    async def one() -> None:
-        began = time.perf_counter()
-        await run.request_object(f"{draw.randrange(64):x}", draw.getrandbits(60))
-        waits.append((time.perf_counter() - began) * 1e3)
+    async def send_one() -> None:
+        sent_at = time.perf_counter()
+        await director.request_object(f"{rng.randrange(64):x}", rng.getrandbits(60))
+        latencies_ms.append((time.perf_counter() - sent_at) * 1e3)
 
     tasks = []
-    for n in range(int(seconds * rate)):
-        await asyncio.sleep(max(0.0, begun + n / rate - time.monotonic()))
-        tasks.append(asyncio.create_task(one()))
+    for number in range(int(seconds * HTTP_REQUESTS_PER_S)):
+        await asyncio.sleep(max(0.0, started_at + number / HTTP_REQUESTS_PER_S - time.monotonic()))
+        tasks.append(asyncio.create_task(send_one()))
     await asyncio.gather(*tasks)
-    return sorted(waits)
+    latencies_ms.sort()
+    return Latencies(latencies_ms[len(latencies_ms) // 2], quantile(latencies_ms, QUANTILE))
+
 
+# Runs.
 
-async def with_director(folder: Path, more: str) -> tuple[DirectorProcess, list[ScriptedPeer], Coordinator]:
+
+@contextlib.asynccontextmanager
+async def running_director(folder: Path, dns_settings: str) -> AsyncIterator[DirectorProcess]:
+    """Starts a director with a DNS front and three caches, and stops them all at the end."""
     coordinator = await Coordinator().start()
-    peers = [await ScriptedPeer(serve, f"c{n}", size=1e6, host=f"127.0.0.{n + 2}").start() for n in range(3)]
-    run = DirectorProcess(folder, "none")
+    peers = [
+        await ScriptedPeer(serve, f"c{number}", size=1e6, host=f"127.0.0.{number + 2}").start()
+        for number in range(3)
+    ]
+    director = DirectorProcess(folder, "none")
     (folder / "own.toml").write_text(
         f"[dns]\nlisten = '127.0.0.1:0'\nzone = '{ZONE}'\nown_address = '127.0.0.1'\n"
-        f"after_restart = 'none'\n{more}"
+        f"after_restart = 'none'\n{dns_settings}"
     )
-    await run.start(json.loads(json.dumps(config_for(peers, coordinator, SETTINGS))))
-    return run, peers, coordinator
+    await director.start(json.loads(json.dumps(config_for(peers, coordinator, SETTINGS))))
+    try:
+        yield director
+    finally:
+        await director.kill()
+        coordinator.stop()
+        for peer in peers:
+            peer.stop()
 
 
-async def ways(folder: Path, seconds: float, rounds: int) -> None:
-    ready: Any = multiprocessing.Queue()
-    responder = multiprocessing.Process(target=bare, args=(str(folder), ready), daemon=True)
+async def measure_ways(folder: Path, seconds: float, rounds: int) -> None:
+    """Prints the throughput of each way beside that of the bare responder, the median of all rounds."""
+    ports: Any = multiprocessing.Queue()
+    responder = multiprocessing.Process(target=run_bare_responder, args=(str(folder), ports), daemon=True)
     responder.start()
-    plain, secure = await asyncio.to_thread(ready.get)
+    bare_port, bare_tls_port = await asyncio.to_thread(ports.get)
     (folder / "keys").write_text("ab" * 16)
     (folder / "keys").chmod(0o600)
-    tls = "tls_listen = '127.0.0.1:0'\ntls_certificate = 'cert.pem'\ntls_key = 'key.pem'\ncookies = 'keys'\n"
-    run, peers, coordinator = await with_director(folder, tls)
-    print("way        answers/s   bare/s   ratio    p99 ms  bare p99")
-    for way, cookie in (("udp", False), ("udp", True), ("tcp", False), ("tls", False)):
-        mine, others = [], []
-        for _ in range(rounds):
-            port = run.dns_tls[1] if way == "tls" else run.dns[1]
-            mine.append(await asyncio.to_thread(measure, way, port, seconds, cookie))
-            port = secure if way == "tls" else plain
-            others.append(await asyncio.to_thread(measure, way, port, seconds, cookie))
-        (rate, p99), (bare_rate, bare_p99) = (
-            [statistics.median(row[n] for row in rows) for n in (0, 1)] for rows in (mine, others)
-        )
-        label = way + (" cookie" if cookie else "")
-        ratio = rate / bare_rate
-        print(
-            f"{label:10} {rate:9.0f} {bare_rate:8.0f}  {ratio:6.3f}  {p99:8.2f}  {bare_p99:8.2f}", flush=True
-        )
-    responder.terminate()
-    await run.kill()
-    coordinator.stop()
-    for peer in peers:
-        peer.stop()
-
-
-async def under_flood(folder: Path, seconds: float, rounds: int) -> None:
+    async with running_director(folder, TLS_SETTINGS + "cookies = 'keys'\n") as director:
+        print("way        answers/s   bare/s   ratio    p99 ms  bare p99")
+        for way in WAYS:
+            is_tls = way.transport == "tls"
+            own_port = director.dns_tls[1] if is_tls else director.dns[1]
+            other_port = bare_tls_port if is_tls else bare_port
+            own, bare = [], []
+            for _ in range(rounds):
+                own.append(await asyncio.to_thread(measure, way, own_port, seconds))
+                bare.append(await asyncio.to_thread(measure, way, other_port, seconds))
+            print(format_way(way, median_throughput(own), median_throughput(bare)), flush=True)
+        responder.terminate()
+
+
+def median_throughput(rounds: list[Throughput]) -> Throughput:
+    """Returns the median of each figure."""
+    return Throughput(
+        statistics.median(result.answers_per_s for result in rounds),
+        statistics.median(result.p99_ms for result in rounds),
+    )
+
+
+def format_way(way: Way, own: Throughput, bare: Throughput) -> str:
+    """Returns a line of the table."""
+    ratio = own.answers_per_s / bare.answers_per_s
+    rates = f"{own.answers_per_s:9.0f} {bare.answers_per_s:8.0f}  {ratio:6.3f}"
+    return f"{way.label:10} {rates}  {own.p99_ms:8.2f}  {bare.p99_ms:8.2f}"
+
+
+async def measure_under_flood(folder: Path, seconds: float, rounds: int) -> None:
+    """Prints the latencies of HTTP requests without and under a flood, with a query budget and without."""
     print("HTTP at 200/s     p50 ms    p99 ms   over quiet")
-    for label, more in (("all_per_s = 500", "all_per_s = 500.0\n"), ("no budget", "")):
-        run, peers, coordinator = await with_director(folder, more)
-        rows: dict[bool, list[tuple[float, float]]] = {False: [], True: []}
-        for _ in range(rounds):
-            for flooded in (False, True):
-                storm = multiprocessing.Process(target=flood, args=(run.dns[1], seconds + 1.0))
-                if flooded:
-                    storm.start()
-                    await asyncio.sleep(0.5)
-                waits = await http(run, seconds, 200.0)
-                rows[flooded].append((waits[len(waits) // 2], waits[int(len(waits) * 0.99)]))
-                if flooded:
-                    await asyncio.to_thread(storm.join)
-        quiet = statistics.median(row[1] for row in rows[False])
-        for flooded in (False, True):
-            p50, p99 = (statistics.median(row[n] for row in rows[flooded]) for n in (0, 1))
-            print(
-                f"{label}, {'flood' if flooded else 'quiet'}: {p50:7.2f}  {p99:8.2f}  {p99 / quiet:9.2f}",
-                flush=True,
-            )
-        await run.kill()
-        coordinator.stop()
-        for peer in peers:
-            peer.stop()
+    for label, settings in (("all_per_s = 500", "all_per_s = 500.0\n"), ("no budget", "")):
+        quiet, flooded = [], []
+        async with running_director(folder, settings) as director:
+            for _ in range(rounds):
+                quiet.append(await send_http_requests(director, seconds))
+                flooded.append(await measure_flooded(director, seconds))
+        quiet_p99_ms = statistics.median(latencies.p99_ms for latencies in quiet)
+        for state, results in (("quiet", quiet), ("flood", flooded)):
+            p50_ms = statistics.median(latencies.p50_ms for latencies in results)
+            p99_ms = statistics.median(latencies.p99_ms for latencies in results)
+            print(f"{label}, {state}: {p50_ms:7.2f}  {p99_ms:8.2f}  {p99_ms / quiet_p99_ms:9.2f}", flush=True)
+
+
+async def measure_flooded(director: DirectorProcess, seconds: float) -> Latencies:
+    """Sends HTTP requests while a process floods the DNS front."""
+    flooder = multiprocessing.Process(target=flood, args=(director.dns[1], seconds + 1.0))
+    flooder.start()
+    await asyncio.sleep(0.5)
+    latencies = await send_http_requests(director, seconds)
+    await asyncio.to_thread(flooder.join)
+    return latencies
 
 
 def main() -> int:
+    """Runs both measurements; returns the exit code."""
     parser = argparse.ArgumentParser(description="DNS under load.")
     parser.add_argument("--seconds", type=float, default=3.0)
     parser.add_argument("--rounds", type=int, default=3)
-    given = parser.parse_args()
+    options = parser.parse_args()
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         certificate = trustme.CA().issue_cert("dns.example")
         certificate.private_key_pem.write_to_path(str(folder / "key.pem"))
         certificate.cert_chain_pems[0].write_to_path(str(folder / "cert.pem"))
-        asyncio.run(ways(folder, given.seconds, given.rounds))
-        asyncio.run(under_flood(folder, given.seconds, given.rounds))
+        asyncio.run(measure_ways(folder, options.seconds, options.rounds))
+        asyncio.run(measure_under_flood(folder, options.seconds, options.rounds))
     return 0
 
 
