Golden tests of the server side: answers read, HTTP/2 frames, counter names

Cause: the server side is about to get the field's terms; its bytes, results and counters must stay.

--- /dev/null
+++ b/tests/test_golden_upstream.py
@@ -0,0 +1,385 @@
+"""The caches' protocol byte for byte, as version 090a370 has it: answers read, frames sent, counters.
+
+The data in `golden/upstream_*.json` was written by that version. Requests over HTTP/1.1 are held by
+`test_golden_exchange`.
+"""
+
+import asyncio
+import json
+import socket
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from h2.errors import ErrorCodes
+from h2.events import RequestReceived
+
+from gladewalk import interface as api
+from gladewalk.core.counters import Counters
+from gladewalk.core.exchange import Attempt, AttemptResult, ClientRequest, OpenRequest, ResponseHead
+from gladewalk.upstream.http1 import CacheConnection, write_probe
+from gladewalk.upstream.http2 import Http2Connection
+from gladewalk.upstream.jobs import Probing
+from gladewalk.upstream.lane import Lane
+from gladewalk.upstream.words import read_end
+
+from .h2world import options_for
+
+GOLDEN = Path(__file__).parent / "golden"
+NOW_MS = 1_764_576_000_000.0
+METER = b"inflight:7;util:0.61;queue:3"
+GOOD = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTag: 4be0\r\nX-Remark: mem\r\nX-Meter: "
+    + METER
+    + b"\r\n\r\nabc"
+)
+
+
+def golden(name: str) -> Any:
+    return json.loads((GOLDEN / f"upstream_{name}.json").read_text(encoding="utf-8"))
+
+
+def result_row(end: AttemptResult) -> list[Any]:
+    detail = list(api.OutcomeDetail).index(end.detail)
+    return [end.status.value, detail, end.source_wait_ms, end.load_report]
+
+
+def attempt(method: str = "GET", body: bytes = b"", order: api.Fetch | None = None) -> Attempt:
+    client_request = ClientRequest(
+        "9b1f03aa5c7e2d41", method, "lot-page", "7F3a", 0x7F3A, 3, 3000.0, body=body,
+        idempotency_key="k;1" if body else "",
+    )  # fmt: skip
+    opened = OpenRequest(1, client_request, cast(Any, None), NOW_MS, NOW_MS + 3000.0)
+    return Attempt(opened, 0, order or api.Fetch(1, "c1", "p1"), NOW_MS, NOW_MS + 2500.4)
+
+
+# What a complete answer says of its attempt.
+
+FIELDS: list[dict[str, str]] = [
+    {},
+    *({"x-remark": word} for word in (
+        "mem", "parent", "origin", "shared", "old", "denied", "unreached", "absent", "crowded", "behind", "?",
+    )),
+    {"x-shed": "1"},
+    {"x-shed": "0", "fill-wait": "12.5"},
+    {"fill-wait": "soon", "x-meter": METER.decode()},
+    {"fill-wait": "0", "x-meter": "inflight:7;util:x; hit_ratio : 0.5;;a"},
+    {"x-meter": ""},
+]  # fmt: skip
+
+
+def ends() -> list[Any]:
+    return [
+        [status, fields, result_row(read_end(status, {k.encode(): v.encode() for k, v in fields.items()}))]
+        for status in (200, 304, 404, 400, 429, 500, 503, 504)
+        for fields in FIELDS
+    ]
+
+
+def test_complete_answers_are_read_as_before() -> None:
+    assert json.loads(json.dumps(ends())) == golden("ends")
+
+
+# Answers over HTTP/1.1, whole and broken.
+
+
+class RecordingExchange:
+    """Notes what of an answer is passed on."""
+
+    def __init__(self, events: list[Any]) -> None:
+        self.events = events
+
+    def response_started(self, attempt: Attempt, head: ResponseHead) -> bool:
+        self.events.append(["head", head.is_not_modified, head.content_length, head.etag])
+        return True
+
+    def response_body(self, attempt: Attempt, body: bytes) -> None:
+        self.events.append(["body", body.decode("latin-1")])
+
+
+class RecordingPool:
+    """Stands for the pool and for the one server behind it."""
+
+    def __init__(self) -> None:
+        self.events: list[Any] = []
+        self.exchange = RecordingExchange(self.events)
+        self.counters = Counters()
+        self.live: set[Any] = set()
+        self.idle: list[Any] = []
+        self.pool, self.address, self.name, self.gone = self, ("127.0.0.1", 1), "c1", False
+        self.lane: Any = None
+        self.witness = None
+
+    def clock(self) -> float:
+        return NOW_MS
+
+    def pump(self) -> None:
+        pass
+
+    def rest(self, connection: CacheConnection) -> None:
+        self.events.append(["rests"])
+
+    def over(self, job: Any, end: AttemptResult) -> None:
+        self.events.append(["end", *result_row(end)])
+
+    def fall_back(self, upstream: Any, why: str) -> None:
+        self.events.append(["speaks HTTP/1.1"])
+
+
+class RecordingTransport:
+    """Takes what is written, all of it at once or none."""
+
+    def __init__(self, events: list[Any]) -> None:
+        self.events, self.written, self.unsent = events, b"", 0
+        self.socket, self.other = socket.socketpair()
+
+    def get_extra_info(self, name: str) -> Any:
+        return self.socket if name == "socket" else None
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def set_write_buffer_limits(self, high: int, low: int) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return False
+
+    def abort(self) -> None:
+        self.events.append(["abort"])
+
+    def close(self) -> None:
+        self.events.append(["close"])
+
+    def pause_reading(self) -> None:
+        self.events.append(["pause"])
+
+    def resume_reading(self) -> None:
+        self.events.append(["resume"])
+
+
+def length_head(length: int) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTag: 4be0\r\n\r\n"
+ANSWERS: dict[str, list[bytes]] = {
+    "whole": [GOOD],
+    "byte by byte": [bytes([byte]) for byte in GOOD],
+    "chunked": [CHUNKED, b"3\r\nabc\r\n", b"0\r\n\r\n"],
+    "unchanged": [b"HTTP/1.1 304 Not Modified\r\nTag: 4be0\r\n\r\n"],
+    "missing": [b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nX-Remark: absent\r\n\r\n"],
+    "shed": [b"HTTP/1.1 503 Busy\r\nX-Shed: 1\r\nContent-Length: 0\r\nX-Meter: util:0.99\r\n\r\n"],
+    "shed unsent": [b"HTTP/1.1 504 Late\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n"],
+    "an error with a body": [b"HTTP/1.1 500 No\r\nContent-Length: 3\r\n\r\nabc"],
+    "an interim answer": [b"HTTP/1.1 100 Continue\r\nTag: 1\r\n\r\n", GOOD],
+    "the last": [GOOD.replace(b"Tag", b"Connection: close\r\nTag")],
+    "surplus in one read": [GOOD + b"HTTP/1.1 200 OK\r\n"],
+    "surplus later": [GOOD, b"x"],
+    "no length": [b"HTTP/1.1 200 OK\r\n\r\nabc"],
+    "length and chunked": [CHUNKED.replace(b"Tag: 4be0", b"Content-Length: 3")],
+    "two lengths": [GOOD.replace(b"Tag", b"Content-Length: 3\r\nTag")],
+    "length that is none": [b"HTTP/1.1 200 OK\r\nContent-Length: 3x\r\n\r\nabc"],
+    "length too great": [length_head(240_001)],
+    "chunks too great": [CHUNKED, b"3A980\r\n" + b"x" * 240_000 + b"\r\n", b"1\r\nx\r\n"],
+    "a head without end": [b"HTTP/1.1 200 OK\r\n", *[b"X-A: " + b"y" * 8_000 + b"\r\n"] * 3],
+    "noise": [b"\x16\x03\x01\x00\x00"],
+    "chunk that is none": [CHUNKED, b"zz\r\n"],
+    "framing without end": [CHUNKED, *[b"3;" + b"e" * 30_000] * 4],
+    "upgrade": [b"HTTP/1.1 101 Switching\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\nabc"],
+    "cut": [length_head(3), b"ab", b""],
+    "cut before the head": [b"HTTP/1.1 2", b""],
+    "lost": [b""],
+}
+
+
+def read_answer(reads: list[bytes], probe: bool = False, unsent: int = 0) -> Any:
+    """What comes of an answer that is read in these parts; an empty one stands for the connection's end."""
+    pool = RecordingPool()
+    transport = RecordingTransport(pool.events)
+    connection = CacheConnection(cast(Any, pool))
+    connection.connection_made(cast(Any, transport))
+    probing = Probing(lambda status, ms, load: None, NOW_MS, "/load")
+    connection.carry(probing if probe else attempt())
+    transport.unsent = unsent
+    for part in reads:
+        if part:
+            connection.data_received(part)
+        else:
+            connection.connection_lost(None)
+    events = [["body", len(e[1])] if e[0] == "body" and len(e[1]) > 99 else e for e in pool.events]
+    return {"events": events, "counters": dict(pool.counters)}
+
+
+def http1_answers() -> dict[str, Any]:
+    found = {name: read_answer(reads) for name, reads in ANSWERS.items()}
+    found["lost, not all written"] = read_answer([b""], unsent=1)
+    found["probe"] = read_answer([GOOD], probe=True)
+    found["probe shed"] = read_answer(ANSWERS["shed"], probe=True)
+    return found
+
+
+def test_answers_over_http1_are_read_as_before() -> None:
+    assert json.loads(json.dumps(http1_answers())) == golden("http1_answers")
+
+
+def test_a_probe_is_asked_as_before() -> None:
+    probing = Probing(lambda status, ms, load: None, NOW_MS, "/load")
+    assert write_probe(probing).decode() == golden("probe")
+
+
+# Frames over HTTP/2.
+
+
+class Http2Server:
+    """The server's side of one connection, in memory."""
+
+    def __init__(self, **options: Any) -> None:
+        self.pool = RecordingPool()
+        self.transport = RecordingTransport(self.pool.events)
+        options = {"cancels_burst": 8, **options}
+        self.lane = Lane(cast(Any, self.pool), cast(Any, self.pool), options_for(**options).http2)
+        self.pool.lane = self.lane
+        self.lane.sharing.dial_begun()
+        self.connection = Http2Connection(self.lane, secure=False)
+        self.lane.opened(self.connection)
+        self.connection.connection_made(cast(Any, self.transport))
+        self.server = H2Connection(H2Configuration(client_side=False, header_encoding=None))
+        self.server.initiate_connection()
+        self.seen = b""
+
+    def told(self) -> bytes:
+        """What the director has written since the last call."""
+        new, self.transport.written = self.transport.written, b""
+        self.seen += new
+        return new
+
+    def hear(self) -> list[Any]:
+        return self.server.receive_data(self.told())
+
+    def say(self) -> None:
+        self.connection.data_received(self.server.data_to_send())
+
+
+REQUESTS: dict[str, Attempt | None] = {
+    "read": attempt(),
+    "write": attempt("PUT", b"12 boxes"),
+    "fetch": attempt(order=api.Fetch(1, "c1", "c2", cache_rank=3, max_age_ms=20_000.7, join_fill=True)),
+    "probe": None,
+}
+
+
+async def frames() -> dict[str, Any]:
+    """What each request is on the wire, after the greeting; and the second of its kind, from the table."""
+    found = {}
+    for name, made in REQUESTS.items():
+        peer = Http2Server()
+        steps = [peer.told().hex()]
+        peer.server.receive_data(peer.seen)
+        peer.say()
+        steps.append(peer.told().hex())
+        for _ in range(2):
+            job = made or Probing(lambda status, ms, load: None, NOW_MS, "/load")
+            peer.connection.carry(job)
+            steps.append(peer.told().hex())
+        found[name] = steps
+    return found
+
+
+def test_requests_over_http2_are_the_same_frames() -> None:
+    assert asyncio.run(frames()) == golden("http2_frames")
+
+
+def good_head(server: H2Connection, stream: int, *more: tuple[str, str]) -> None:
+    server.send_headers(stream, [(":status", "200"), ("content-length", "3"), ("tag", "4be0"), *more])
+
+
+def whole(server: H2Connection, stream: int) -> None:
+    good_head(server, stream, ("x-remark", "mem"), ("x-meter", METER.decode()))
+    server.send_data(stream, b"abc", end_stream=True)
+
+
+def bad_length(server: H2Connection, stream: int) -> None:
+    server.send_headers(stream, [(":status", "200"), ("content-length", "3x")])
+
+
+def too_great(server: H2Connection, stream: int) -> None:
+    server.send_headers(stream, [(":status", "200"), ("content-length", "240001")])
+
+
+def shed(server: H2Connection, stream: int) -> None:
+    server.send_headers(stream, [(":status", "503"), ("x-shed", "1")], end_stream=True)
+
+
+def reset_with(code: int) -> Any:
+    return lambda server, stream: server.reset_stream(stream, code)
+
+
+def goaway(last: int, code: int) -> Any:
+    return lambda server, stream: server.close_connection(code, last_stream_id=last)
+
+
+def begun_then_refused(server: H2Connection, stream: int) -> None:
+    good_head(server, stream)
+    server.reset_stream(stream, ErrorCodes.REFUSED_STREAM)
+
+
+HTTP2_ANSWERS: dict[str, Any] = {
+    "whole": whole,
+    "bad length": bad_length,
+    "too great": too_great,
+    "shed": shed,
+    "refused": reset_with(ErrorCodes.REFUSED_STREAM),
+    "cancelled": reset_with(ErrorCodes.CANCEL),
+    "failed": reset_with(ErrorCodes.INTERNAL_ERROR),
+    "calm": reset_with(ErrorCodes.ENHANCE_YOUR_CALM),
+    "HTTP/1.1": reset_with(ErrorCodes.HTTP_1_1_REQUIRED),
+    "begun then refused": begun_then_refused,
+    "above the goaway": goaway(0, ErrorCodes.NO_ERROR),
+    "below the goaway": goaway(2**31 - 1, ErrorCodes.NO_ERROR),
+}
+
+
+async def http2_answers() -> dict[str, Any]:
+    found = {}
+    for name, script in HTTP2_ANSWERS.items():
+        peer = Http2Server()
+        peer.hear()
+        peer.say()
+        peer.connection.carry(attempt())
+        (asked,) = (event for event in peer.hear() if isinstance(event, RequestReceived))
+        script(peer.server, asked.stream_id)
+        peer.say()
+        reply = peer.told().hex()
+        peer.connection.connection_lost(None)
+        found[name] = {"events": peer.pool.events, "counters": dict(peer.pool.counters), "reply": reply}
+    for name, noise in {"not HTTP/2": b"HTTP/1.1 400 No\r\n\r\n", "flood": b""}.items():
+        peer = Http2Server(control_burst=4)
+        peer.hear()
+        if not noise:
+            peer.say()
+            peer.connection.carry(attempt())
+            peer.hear()
+            for _ in range(9):
+                peer.server.ping(b"12345678")
+            peer.say()
+        else:
+            peer.connection.data_received(noise)
+        reply = peer.told().hex()
+        peer.connection.connection_lost(None)
+        found[name] = {"events": peer.pool.events, "counters": dict(peer.pool.counters), "reply": reply}
+    return found
+
+
+def test_answers_over_http2_are_read_as_before() -> None:
+    assert json.loads(json.dumps(asyncio.run(http2_answers()))) == golden("http2_answers")
+
+
+@pytest.mark.parametrize("name", ["ends", "http1_answers", "http2_answers", "http2_frames"])
+def test_the_golden_data_is_not_empty(name: str) -> None:
+    assert len(golden(name)) >= 4
