Files of the server side and of the stream decisions get the field's names

Cause: words, jobs, lane, secure, ledger, sharing and the like have to be explained. Change: renamed by git mv, with the import lines that follow; no other change.

--- a/benchmarks/bids.py
+++ b/benchmarks/bids.py
@@ -20,7 +20,7 @@
 
 from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.rehearsal.bidsoak import Report, play_h2, play_http1
-from gladewalk.streams.ledger import PROOFS
+from gladewalk.streams.stream_tracker import PROOFS
 
 
 def options() -> Options:
--- a/benchmarks/h2_engine.py
+++ b/benchmarks/h2_engine.py
@@ -18,7 +18,7 @@
 
 from gladewalk.config.option_tables import Http2Options
 from gladewalk.rehearsal.h2box import HEAD
-from gladewalk.upstream.engine import Engine
+from gladewalk.upstream.http2_engine import Engine
 
 
 def main() -> int:
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -28,7 +28,7 @@
     from .members.transport import MembershipTransport
     from .nginx.router import Router
     from .store.keeper import Keeper
-    from .upstream.secure import Shapes
+    from .upstream.connection_factory import Shapes
     from .web.start import Web
 
 Clock = Callable[[], float]
@@ -41,7 +41,7 @@
     """
     if options is None or not options.http2.is_used:
         return None
-    from .upstream.secure import Shapes
+    from .upstream.connection_factory import Shapes
 
     return Shapes(options, previous.negotiation if previous is not None else None)
 
--- a/gladewalk/rehearsal/bidsoak.py
+++ b/gladewalk/rehearsal/bidsoak.py
@@ -15,7 +15,7 @@
 
 from ..config.options import Options
 from ..core.exchange import Attempt
-from ..streams.ledger import Finding
+from ..streams.stream_tracker import Finding
 from .h2box import Breaker, H2Box
 from .peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request
 
--- a/gladewalk/upstream/secure.py
+++ b/gladewalk/upstream/connection_factory.py
@@ -10,13 +10,13 @@
 from ..config.options import Options
 from ..config.platform import ConfigError
 from ..streams.negotiation import Negotiation, Offer
+from .connection_group import Lane
 from .http1 import CacheConnection
 from .http2 import Http2Connection
-from .lane import Lane
 
 if TYPE_CHECKING:
     from .pool import Caches
-    from .targets import Upstream
+    from .upstream_server import Upstream
 
 ALPN = {Offer.TLS: ["h2", "http/1.1"], Offer.TLS_HTTP1: ["http/1.1"]}
 
--- a/gladewalk/upstream/lane.py
+++ b/gladewalk/upstream/connection_group.py
@@ -8,13 +8,13 @@
 from .. import interface as api
 from ..config.option_tables import Http2Options
 from ..core.exchange import AttemptResult
-from ..streams.sharing import Next, Shared, Sharing
+from ..streams.stream_allocator import Next, Shared, Sharing
 from .http2 import Http2Connection
-from .jobs import Job
+from .work_items import Job
 
 if TYPE_CHECKING:
     from .pool import Caches
-    from .targets import Dial, Upstream
+    from .upstream_server import Dial, Upstream
 
 
 UNHEARD_MOST = 2  # once may be a restart; a server that does it again does not know our preface
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -10,8 +10,7 @@
 from .. import interface as api
 from ..core.exchange import Attempt, AttemptResult, ResponseHead
 from ..net.sockets import MAX_FRAMING_BYTES, socket_poll
-from .jobs import Probing
-from .words import (
+from .protocol_fields import (
     AUTHORITY,
     HEAD_MOST,
     OBJECT_MOST,
@@ -21,9 +20,10 @@
     request_fields,
     request_path,
 )
+from .work_items import Probing
 
 if TYPE_CHECKING:
-    from .targets import Upstream
+    from .upstream_server import Upstream
 
 
 def write_probe(probing: Probing) -> bytes:
--- a/gladewalk/upstream/http2.py
+++ b/gladewalk/upstream/http2.py
@@ -12,11 +12,10 @@
 
 from .. import interface as api
 from ..core.exchange import Attempt, AttemptResult, ResponseHead
-from ..streams.ledger import ENHANCE_YOUR_CALM, HTTP_1_1_REQUIRED, Finding, Reason
-from .http2wire import Http2Wire
-from .jobs import Job
-from .stream import Stream, status_of
-from .words import (
+from ..streams.stream_tracker import ENHANCE_YOUR_CALM, HTTP_1_1_REQUIRED, Finding, Reason
+from .http2_stream import Stream, status_of
+from .http2_transport import Http2Wire
+from .protocol_fields import (
     AUTHORITY,
     OBJECT_MOST,
     Spoilt,
@@ -25,6 +24,7 @@
     request_fields,
     request_path,
 )
+from .work_items import Job
 
 SLICE = 16 * 1024  # bytes that are read between two looks at what they brought about
 # Different with each request: in the table of fields (RFC 7541, 7.1.3) they would push out what is not.
--- a/gladewalk/upstream/engine.py
+++ b/gladewalk/upstream/http2_engine.py
@@ -16,8 +16,8 @@
 from hyperframe.frame import DataFrame, Frame, GoAwayFrame, HeadersFrame
 
 from ..config.option_tables import Http2Options
-from ..streams.bounds import Bucket
-from .words import HEAD_MOST
+from ..streams.keep_alive import Bucket
+from .protocol_fields import HEAD_MOST
 
 if TYPE_CHECKING:
     from h2._typing import Buffer
--- a/gladewalk/upstream/stream.py
+++ b/gladewalk/upstream/http2_stream.py
@@ -7,8 +7,8 @@
 from h2.errors import ErrorCodes
 
 from .. import interface as api
-from ..streams.ledger import Finding, Reason
-from .jobs import Job
+from ..streams.stream_tracker import Finding, Reason
+from .work_items import Job
 
 if TYPE_CHECKING:
     from .http2 import Http2Connection
--- a/gladewalk/upstream/http2wire.py
+++ b/gladewalk/upstream/http2_transport.py
@@ -7,14 +7,14 @@
 
 from h2.errors import ErrorCodes
 
-from ..streams.bounds import Bucket, Liveness, Pulse
-from ..streams.ledger import Ledger, Reason
-from ..streams.sharing import Shared
-from .engine import Engine
-from .stream import Stream
+from ..streams.keep_alive import Bucket, Liveness, Pulse
+from ..streams.stream_allocator import Shared
+from ..streams.stream_tracker import Ledger, Reason
+from .http2_engine import Engine
+from .http2_stream import Stream
 
 if TYPE_CHECKING:
-    from .lane import Lane
+    from .connection_group import Lane
 
 
 class Http2Wire(asyncio.Protocol):
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -18,15 +18,15 @@
 from ..core.deadlines import Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange
 from .http1 import CacheConnection
-from .jobs import Job, Probing
-from .targets import IDLE_PART, Dial, LaneDial, Upstream
-from .words import PROBE_PATH
+from .protocol_fields import PROBE_PATH
+from .upstream_server import IDLE_PART, Dial, LaneDial, Upstream
+from .work_items import Job, Probing
 
 if TYPE_CHECKING:  # what is off is not imported
-    from ..streams.ledger import Finding
+    from ..streams.stream_tracker import Finding
+    from .connection_factory import Shapes
+    from .connection_group import Lane
     from .http2 import Http2Connection
-    from .lane import Lane
-    from .secure import Shapes
 
 OWN_DESCRIPTORS = 48  # left to the program itself: listeners, the coordinator, logs, connects that overlap
 UPSTREAM_PART = 0.6  # of the descriptors; clients hold up to a third
--- a/gladewalk/upstream/targets.py
+++ b/gladewalk/upstream/upstream_server.py
@@ -9,10 +9,10 @@
 from ..config.platform import Address
 from ..core.deadlines import DeadlineKey
 from .http1 import CacheConnection
-from .jobs import Job
+from .work_items import Job
 
 if TYPE_CHECKING:
-    from .lane import Lane
+    from .connection_group import Lane
     from .pool import Caches
 
 IDLE_PART = 0.6  # of the time after which a cache closes an idle connection: ours closes first
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -8,9 +8,9 @@
 from ..core.deadlines import DeadlineKey
 from ..core.exchange import Attempt
 from ..upstream.http1 import CacheConnection
-from ..upstream.jobs import Probing
-from ..upstream.targets import Upstream
-from ..upstream.words import OBJECT_MOST, Spoilt, read_length
+from ..upstream.protocol_fields import OBJECT_MOST, Spoilt, read_length
+from ..upstream.upstream_server import Upstream
+from ..upstream.work_items import Probing
 from .balanced import Balanced
 from .wire import NOBODY, Fields, WebAsk, WebEnd, WebHead, condition_of, request_bytes
 
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -8,7 +8,7 @@
 from gladewalk.core.exchange import LOOP_TURN_MS
 from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer, request, until
 from gladewalk.upstream.http1 import CacheConnection
-from gladewalk.upstream.targets import Dial
+from gladewalk.upstream.upstream_server import Dial
 
 from .peers import hit
 
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -9,7 +9,7 @@
 from gladewalk.net.connection import MAX_HEADER_BYTES, ClientConnection
 from gladewalk.net.sockets import MAX_FRAMING_BYTES
 from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, read_message, request, until
-from gladewalk.upstream.words import HEAD_MOST, OBJECT_MOST
+from gladewalk.upstream.protocol_fields import HEAD_MOST, OBJECT_MOST
 
 from .peers import hit
 
--- a/tests/test_golden_upstream.py
+++ b/tests/test_golden_upstream.py
@@ -19,11 +19,11 @@
 from gladewalk import interface as api
 from gladewalk.core.counters import Counters
 from gladewalk.core.exchange import Attempt, AttemptResult, ClientRequest, OpenRequest, ResponseHead
+from gladewalk.upstream.connection_group import Lane
 from gladewalk.upstream.http1 import CacheConnection, write_probe
 from gladewalk.upstream.http2 import Http2Connection
-from gladewalk.upstream.jobs import Probing
-from gladewalk.upstream.lane import Lane
-from gladewalk.upstream.words import read_end
+from gladewalk.upstream.protocol_fields import read_end
+from gladewalk.upstream.work_items import Probing
 
 from .h2world import options_for
 
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -42,9 +42,9 @@
     request,
     until,
 )
-from gladewalk.streams import sharing
-from gladewalk.streams.ledger import PROOFS, Finding, Reason
-from gladewalk.upstream.secure import Shapes
+from gladewalk.streams import stream_allocator
+from gladewalk.streams.stream_tracker import PROOFS, Finding, Reason
+from gladewalk.upstream.connection_factory import Shapes
 from tests.h2world import BYTES, authority, bid, options_for, page, serve, server_context, world
 
 ROOT = Path(__file__).parent.parent
@@ -101,7 +101,7 @@
 
     async def test_when_its_ids_are_used_up_a_connection_gives_way_to_another(self) -> None:
         box = H2Box(serve)
-        with mock.patch.object(sharing, "IDS_END", 5):
+        with mock.patch.object(stream_allocator, "IDS_END", 5):
             async with world(box) as w:
                 for n in range(7):
                     self.assertEqual((await page(w, n))[0], 200)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -7,8 +7,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from gladewalk.config.option_tables import Http2Options
-from gladewalk.streams.bounds import Bucket, Liveness, Pulse
-from gladewalk.streams.ledger import (
+from gladewalk.streams.keep_alive import Bucket, Liveness, Pulse
+from gladewalk.streams.negotiation import Negotiation, Offer
+from gladewalk.streams.stream_allocator import Next, Shared, Sharing
+from gladewalk.streams.stream_tracker import (
     ENHANCE_YOUR_CALM,
     NO_ERROR,
     PROOFS,
@@ -18,8 +20,6 @@
     Reached,
     Reason,
 )
-from gladewalk.streams.negotiation import Negotiation, Offer
-from gladewalk.streams.sharing import Next, Shared, Sharing
 
 PROFILE = settings(
     max_examples=120, stateful_step_count=40, derandomize=True, deadline=None, database=None,
