--- a/benchmarks/bids.py
+++ b/benchmarks/bids.py
@@ -20,7 +20,7 @@
 
 from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.rehearsal.bidsoak import Report, play_h2, play_http1
-from gladewalk.streams.stream_tracker import PROOFS
+from gladewalk.streams.stream_tracker import UNPROCESSED_REASONS
 
 
 def options() -> Options:
@@ -52,7 +52,7 @@
           f"{sum(len(r.breaches) for r in reports)}")  # fmt: skip
     print(f"  met a break: {broken}; served all the same: {saved} ({saved / max(1, broken):.1%})")
     if findings:
-        proved = sum(findings[reason.value] for reason in PROOFS)
+        proved = sum(findings[reason.value] for reason in UNPROCESSED_REASONS)
         print(f"  streams lost {sum(findings.values())}, of these with proof {proved}: {dict(findings)}")
     if met:
         print(f"  troubles: {dict(sorted(met.items()))}")
--- a/benchmarks/h2_engine.py
+++ b/benchmarks/h2_engine.py
@@ -18,7 +18,7 @@
 
 from gladewalk.config.option_tables import Http2Options
 from gladewalk.rehearsal.h2box import HEAD
-from gladewalk.upstream.http2_engine import Engine
+from gladewalk.upstream.http2_engine import Http2Engine
 
 
 def main() -> int:
@@ -26,7 +26,7 @@
     parser.add_argument("--count", type=int, default=3_000)
     parser.add_argument("--bytes", type=int, default=16_384)
     given = parser.parse_args()
-    client = Engine(Http2Options(), lambda: 0.0, lambda name: None)
+    client = Http2Engine(Http2Options(), lambda: 0.0, lambda name: None)
     server = H2Connection(H2Configuration(client_side=False, header_encoding="utf-8"))
     server.initiate_connection()
     body = bytes(given.bytes)
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -22,7 +22,7 @@
 from .net.endpoint_feed import EndpointFeed
 from .net.environment import REAL_ENVIRONMENT, Environment
 from .ops.readiness import MAX_SYNC_WAIT_MS, SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
-from .upstream.pool import Caches
+from .upstream.pool import ConnectionPool
 
 if TYPE_CHECKING:  # what is off is not imported
     from .config.options import Options
@@ -76,8 +76,8 @@
 
         self.exchange = Exchange(config, clock, deadlines, counters, self._log_module_line)
         protocols = parts.build_protocols(options)
-        self.caches = Caches(self.exchange, config, clock, deadlines, counters, protocols)
-        self.exchange.upstreams = self.caches
+        self.connection_pool = ConnectionPool(self.exchange, config, clock, deadlines, counters, protocols)
+        self.exchange.upstreams = self.connection_pool
         connection_limit = config.settings.client_connection_limit
         self.front = ClientFront(
             self.exchange, connection_limit, clock, deadlines, counters, environment.listen
@@ -105,7 +105,7 @@
         purge_settle_ms = config.settings.purge_settle_ms
         self.dns = parts.build_dns(dns, self.exchange, counters, self._alpn_of)
         self.members, self.duties = parts.build_members(
-            name, options, self.exchange, self.caches, deadlines, counters
+            name, options, self.exchange, self.connection_pool, deadlines, counters
         )
         self.web = parts.build_web(options, config, clock, deadlines, counters, self._log_module_line)
         self.keeper = parts.build_store(
@@ -126,7 +126,7 @@
         self.exchange.hold_requests()
         self.deadlines.add(self.clock() + self.max_sync_wait_ms, self._on_synced)
         self.coordinator_watch.connect()
-        self.caches.sweep()
+        self.connection_pool.sweep()
         self.front.listen(self.config.listen, self.config.inherited_fd)
         await self._start_optional_parts()
         if self.admin is not None and self.config.admin is not None:
@@ -156,7 +156,7 @@
             self.loop.add_signal_handler(number, handler)
         await self.start()
         signals.unblock()
-        self.log.info("serving", servers=len(self.caches.upstreams), **self._listen_addresses())
+        self.log.info("serving", servers=len(self.connection_pool.servers), **self._listen_addresses())
         await self._ended
         signals.block()  # the loop removes its handlers before the process has ended
         if self.keeper is not None:
@@ -192,7 +192,7 @@
             reloaded = parts.read_reloaded(
                 os.environ,
                 self.options,
-                self.caches.shapes,
+                self.connection_pool.connection_factory,
                 has_dns=self.dns is not None,
                 has_members=self.members is not None,
                 has_web=self.web is not None,
@@ -210,7 +210,7 @@
         self.log.error("configuration kept", why=str(error))
 
     def _apply_options(self, options: Options, reloaded: parts.Reloaded) -> None:
-        self.caches.shape(reloaded.protocols)
+        self.connection_pool.set_connection_factory(reloaded.protocols)
         if self.web is not None and reloaded.router is not None:
             self.web.reload(options, reloaded.router)
         if self.dns is not None and reloaded.dns is not None:
@@ -224,7 +224,7 @@
             self.log.warning("listen_address_needs_restart", listen=config.listen)
         self.config = config
         self.exchange.core.configure(config.settings)
-        self.caches.configure(config)
+        self.connection_pool.configure(config)
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
         if self.dns is not None:
@@ -243,13 +243,13 @@
 
     def _alpn_of(self, name: str) -> tuple[bool, tuple[str, ...]]:
         """Returns for a server whether it is spoken to over TLS, and by which protocols (ALPN ids)."""
-        shapes, upstream = self.caches.shapes, self.caches.upstreams.get(name)
-        if shapes is None or upstream is None:
+        factory, server = self.connection_pool.connection_factory, self.connection_pool.servers.get(name)
+        if factory is None or server is None:
             return False, ("http/1.1",)
-        offer = shapes.offer(upstream, self.clock())
-        if offer.secure:
-            return True, ("h2", "http/1.1") if offer.shared else ("http/1.1",)
-        return False, ("h2c",) if offer.shared else ("http/1.1",)
+        offer = factory.offer(server, self.clock())
+        if offer.is_tls:
+            return True, ("h2", "http/1.1") if offer.is_multiplexed else ("http/1.1",)
+        return False, ("h2c",) if offer.is_multiplexed else ("http/1.1",)
 
     # Graceful shutdown.
 
@@ -304,7 +304,7 @@
             ),
             "now.waiting": len(self.exchange.core.state.queue),
             "now.clients": len(self.front.connections),
-            "now.upstream": len(self.caches.live),
+            "now.upstream": len(self.connection_pool.open_connections),
             "late_ms": round(self.deadlines.max_late_ms, 1),
         }
         self.log.info("counters", **now, **self.counters.report())
--- a/gladewalk/duties/start.py
+++ b/gladewalk/duties/start.py
@@ -16,7 +16,7 @@
 from ..members.config import MembershipConfig
 from ..members.swim import Membership
 from ..members.transport import MembershipTransport, Network
-from ..upstream.pool import Caches
+from ..upstream.pool import ConnectionPool
 from .runner import PeriodicTask, TaskRunner
 from .task_types import CacheHealthCheck, SourceHealthCheck
 
@@ -60,7 +60,7 @@
     name: str,
     options: Options,
     exchange: Exchange,
-    pool: Caches,
+    pool: ConnectionPool,
     deadlines: Deadlines,
     counters: Counters,
 ) -> tuple[MembershipTransport, TaskRunner]:
--- a/gladewalk/duties/task_types.py
+++ b/gladewalk/duties/task_types.py
@@ -6,7 +6,7 @@
 
 from .. import interface as api
 from ..core.exchange import Exchange
-from ..upstream.pool import Caches
+from ..upstream.pool import ConnectionPool
 from .runner import ResultCallback
 
 
@@ -17,7 +17,7 @@
     path = ""
     roles: frozenset[api.Role] = frozenset()
 
-    def __init__(self, exchange: Exchange, pool: Caches, interval_ms: float) -> None:
+    def __init__(self, exchange: Exchange, pool: ConnectionPool, interval_ms: float) -> None:
         self.exchange, self.pool, self.interval_ms = exchange, pool, interval_ms
 
     def targets(self) -> Iterable[str]:
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -14,7 +14,7 @@
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
-from .upstream.pool import Caches
+from .upstream.pool import ConnectionPool
 
 if TYPE_CHECKING:  # what is off is not imported
     from .config.options import Options
@@ -28,22 +28,24 @@
     from .members.transport import MembershipTransport
     from .nginx.router import Router
     from .store.keeper import Keeper
-    from .upstream.connection_factory import Shapes
+    from .upstream.connection_factory import ConnectionFactory
     from .web.start import Web
 
 Clock = Callable[[], float]
 
 
-def build_protocols(options: Options | None, previous: Shapes | None = None) -> Shapes | None:
+def build_protocols(
+    options: Options | None, previous: ConnectionFactory | None = None
+) -> ConnectionFactory | None:
     """Builds what is needed to speak HTTP/2 or TLS to servers; None: HTTP/1.1 in the clear for all.
 
     `previous` keeps what was learned of each server's protocols.
     """
     if options is None or not options.http2.is_used:
         return None
-    from .upstream.connection_factory import Shapes
+    from .upstream.connection_factory import ConnectionFactory
 
-    return Shapes(options, previous.negotiation if previous is not None else None)
+    return ConnectionFactory(options, previous.negotiation if previous is not None else None)
 
 
 def build_dns(
@@ -64,7 +66,7 @@
     name: str,
     options: Options | None,
     exchange: Exchange,
-    caches: Caches,
+    caches: ConnectionPool,
     deadlines: Deadlines,
     counters: Counters,
 ) -> tuple[MembershipTransport | None, TaskRunner | None]:
@@ -181,7 +183,7 @@
 
     config: PlatformConfig
     options: Options | None
-    protocols: Shapes | None
+    protocols: ConnectionFactory | None
     member_keys: tuple[AuthenticationKey, ...] = ()
     router: Router | None = None
     dns: DnsConfig | None = None
@@ -190,7 +192,7 @@
 def read_reloaded(
     environ: Mapping[str, str],
     options: Options | None,
-    protocols: Shapes | None,
+    protocols: ConnectionFactory | None,
     has_dns: bool,
     has_members: bool,
     has_web: bool,
--- a/gladewalk/rehearsal/bidsoak.py
+++ b/gladewalk/rehearsal/bidsoak.py
@@ -15,7 +15,7 @@
 
 from ..config.options import Options
 from ..core.exchange import Attempt
-from ..streams.stream_tracker import Finding
+from ..streams.stream_tracker import StreamOutcome
 from .h2box import Breaker, H2Box
 from .peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request
 
@@ -110,15 +110,15 @@
     proofs: Counter[str] = Counter()
     lost: set[str] = set()
 
-    def witness(attempt: Attempt, finding: Finding) -> None:
+    def witness(attempt: Attempt, finding: StreamOutcome) -> None:
         report.findings[finding.reason.value] += 1
         lost.add(attempt.open_request.request.trace_id)
-        if finding.never_ran:
+        if finding.is_unprocessed:
             proofs[attempt.open_request.request.trace_id] += 1
 
     async with rehearsal(peers, options) as world:
         assert world.director is not None
-        world.director.caches.witness = witness
+        world.director.connection_pool.on_stream_ended = witness
         parts = [range(n, count, LANES) for n in range(LANES)]
         for found in await asyncio.gather(*(ask_in_turn(world, part) for part in parts)):
             report.statuses |= found
--- a/gladewalk/streams/__init__.py
+++ b/gladewalk/streams/__init__.py
@@ -1,4 +1,6 @@
-"""Decisions on HTTP/2 upstream that do no I/O: what ran, which connection is next, what a peer may do.
+"""Decisions on HTTP/2 connections to servers that need no I/O (RFC 9113).
 
-Times are Unix milliseconds given by the caller. Nothing here imports a protocol library or the event loop.
+Whether a request was processed, which connection takes the next one, which protocol is offered, and limits on
+what a server may send. Times are Unix milliseconds given by the caller. Nothing here imports a protocol
+library or the event loop.
 """
--- a/gladewalk/streams/keep_alive.py
+++ b/gladewalk/streams/keep_alive.py
@@ -1,58 +1,51 @@
-"""Bounds in time: what a peer may send that carries nothing, how often we cancel, how long silence lasts."""
+"""Keep-alive of a connection: when to send a PING, and when its server counts as dead."""
 
 from __future__ import annotations
 
 from enum import Enum
 
 
-class Bucket:
-    """So many at once, and so many a second."""
+class KeepAliveAction(Enum):
+    """What a keep-alive check asks for."""
 
-    def __init__(self, burst: float, per_s: float, now_ms: float) -> None:
-        self.burst, self.per_s = float(burst), per_s
-        self._left, self._at = float(burst), now_ms
+    NONE = "none"
+    PING = "ping"
+    CLOSE = "close"  # the server counts as dead
 
-    def take(self, now_ms: float) -> bool:
-        """Whether one more is within the bound; if so it is counted."""
-        if now_ms > self._at:
-            self._left = min(self.burst, self._left + (now_ms - self._at) / 1000.0 * self.per_s)
-            self._at = now_ms
-        if self._left < 1.0:
-            return False
-        self._left -= 1.0
-        return True
 
+class KeepAlive:
+    """Detects a dead connection: a PING after silence, and a limit for any reply to it.
 
-class Pulse(Enum):
-    QUIET = "quiet"  # nothing to do
-    PING = "ping"  # ask whether it still lives
-    DEAD = "dead"  # it does not
+    Any byte is a sign of life, as a busy server need not answer a PING first. A connection on which no
+    response is outstanding is not checked.
 
-
-class Liveness:
-    """Whether a connection lives: with nothing heard it is asked, and with no word after that it is dead.
-
-    Any byte counts as a word: a server that is busy sending need not answer a PING first. A connection that
-    is owed nothing is not asked.
+    Attributes:
+        ping_after_ms: Silence before a PING is sent.
+        timeout_ms: Silence after the PING before the connection counts as dead.
+        received_ms: When the last byte was received.
+        pinged_ms: When the PING that waits for its reply was sent; None where none does.
     """
 
-    def __init__(self, after_ms: float, wait_ms: float, now_ms: float) -> None:
-        self.after_ms, self.wait_ms = after_ms, wait_ms
-        self.heard_ms = now_ms
-        self.asked_ms: float | None = None
-
-    def heard(self, now_ms: float) -> None:
-        self.heard_ms, self.asked_ms = now_ms, None
-
-    def woke(self, now_ms: float) -> None:
-        """It had nothing to say; from now on it has."""
-        if self.asked_ms is None:
-            self.heard_ms = max(self.heard_ms, now_ms)
-
-    def pulse(self, owed: bool, now_ms: float) -> Pulse:
-        if self.asked_ms is not None:
-            return Pulse.DEAD if now_ms - self.asked_ms >= self.wait_ms else Pulse.QUIET
-        if not owed or now_ms - self.heard_ms < self.after_ms:
-            return Pulse.QUIET
-        self.asked_ms = now_ms
-        return Pulse.PING
+    def __init__(self, ping_after_ms: float, timeout_ms: float, now_ms: float) -> None:
+        self.ping_after_ms, self.timeout_ms = ping_after_ms, timeout_ms
+        self.received_ms = now_ms
+        self.pinged_ms: float | None = None
+
+    def data_received(self, now_ms: float) -> None:
+        """Records a sign of life."""
+        self.received_ms, self.pinged_ms = now_ms, None
+
+    def request_sent(self, now_ms: float) -> None:
+        """Starts the time of silence: the server had no reason to send anything before."""
+        if self.pinged_ms is None:
+            self.received_ms = max(self.received_ms, now_ms)
+
+    def check(self, is_outstanding: bool, now_ms: float) -> KeepAliveAction:
+        """Returns what is to be done now; `is_outstanding`: the server owes a response or its settings."""
+        if self.pinged_ms is not None:
+            is_dead = now_ms - self.pinged_ms >= self.timeout_ms
+            return KeepAliveAction.CLOSE if is_dead else KeepAliveAction.NONE
+        if not is_outstanding or now_ms - self.received_ms < self.ping_after_ms:
+            return KeepAliveAction.NONE
+        self.pinged_ms = now_ms
+        return KeepAliveAction.PING
--- a/gladewalk/streams/negotiation.py
+++ b/gladewalk/streams/negotiation.py
@@ -1,4 +1,4 @@
-"""Which protocol a server is offered, by its name and model, and what it has shown that it speaks."""
+"""Which protocol a server is offered, by its name and model, and by what it has shown to speak."""
 
 from __future__ import annotations
 
@@ -8,53 +8,57 @@
 from ..config.option_tables import Http2Options
 
 
-class Offer(Enum):
+class ProtocolOffer(Enum):
     """How a server's next connection is opened."""
 
-    HTTP1 = "http1"  # in the clear, one request at a time
-    H2C = "h2c"  # HTTP/2 in the clear with prior knowledge (RFC 9113, 3.3)
-    TLS = "tls"  # ALPN offers `h2` before `http/1.1` (RFC 9113, 3.2)
-    TLS_HTTP1 = "tls_http1"  # ALPN offers `http/1.1` alone
+    HTTP1 = "http1"  # without TLS
+    H2C = "h2c"  # HTTP/2 without TLS, with prior knowledge (RFC 9113, section 3.3)
+    TLS = "tls"  # ALPN offers `h2` before `http/1.1` (RFC 9113, section 3.2)
+    TLS_HTTP1 = "tls_http1"  # ALPN offers only `http/1.1`
 
     @property
-    def secure(self) -> bool:
-        return self in (Offer.TLS, Offer.TLS_HTTP1)
+    def is_tls(self) -> bool:
+        """Whether the connection is opened with TLS."""
+        return self in (ProtocolOffer.TLS, ProtocolOffer.TLS_HTTP1)
 
     @property
-    def shared(self) -> bool:
-        """Whether its connections are expected to be shared."""
-        return self in (Offer.H2C, Offer.TLS)
+    def is_multiplexed(self) -> bool:
+        """Whether HTTP/2 is offered."""
+        return self in (ProtocolOffer.H2C, ProtocolOffer.TLS)
 
 
 @dataclass(slots=True)
-class Fallback:
+class Http1Fallback:
+    """A server's fallback to HTTP/1.1, with its reason."""
+
     until_ms: float
-    why: str
+    reason: str
 
 
-class Negotiation:
-    """Offers for all servers; a fallback is remembered for the stated time, then HTTP/2 is tried again."""
+class ProtocolNegotiation:
+    """The offers for all servers; a fallback lasts `http1_fallback_ms`, then HTTP/2 is offered again."""
 
-    def __init__(self, terms: Http2Options) -> None:
-        self.terms = terms
-        self.fallbacks: dict[str, Fallback] = {}
+    def __init__(self, options: Http2Options) -> None:
+        self.options = options
+        self.fallbacks: dict[str, Http1Fallback] = {}
 
-    def offer(self, uid: str, model: str, now_ms: float) -> Offer:
-        mode = self.terms.mode_of(uid, model)
+    def offer(self, uid: str, model: str, now_ms: float) -> ProtocolOffer:
+        """Returns how the next connection of a server is opened."""
+        mode = self.options.mode_of(uid, model)
         if mode == "off":
-            return Offer.HTTP1
+            return ProtocolOffer.HTTP1
         fallback = self.fallbacks.get(uid)
         if fallback is not None and now_ms >= fallback.until_ms:
             del self.fallbacks[uid]
             fallback = None
         if mode == "tls":
-            return Offer.TLS if fallback is None else Offer.TLS_HTTP1
-        return Offer.H2C if fallback is None else Offer.HTTP1
+            return ProtocolOffer.TLS if fallback is None else ProtocolOffer.TLS_HTTP1
+        return ProtocolOffer.H2C if fallback is None else ProtocolOffer.HTTP1
 
-    def speaks_http1(self, uid: str, why: str, now_ms: float) -> None:
-        """By ALPN, by HTTP_1_1_REQUIRED, or by an answer to our preface that is none of HTTP/2."""
-        self.fallbacks[uid] = Fallback(now_ms + self.terms.http1_fallback_ms, why)
+    def fall_back(self, uid: str, reason: str, now_ms: float) -> None:
+        """Records that a server speaks HTTP/1.1: by ALPN, HTTP_1_1_REQUIRED or its reply to our preface."""
+        self.fallbacks[uid] = Http1Fallback(now_ms + self.options.http1_fallback_ms, reason)
 
     def forget(self, uid: str) -> None:
-        """The server is gone, or has moved: who stands there now is asked anew."""
+        """Forgets a server that is removed or has moved: HTTP/2 is offered again."""
         self.fallbacks.pop(uid, None)
--- a/gladewalk/streams/stream_tracker.py
+++ b/gladewalk/streams/stream_tracker.py
@@ -1,9 +1,9 @@
-"""The stream ledger of a connection: what of each request the server can have seen, and what it said of it.
+"""Tracks how much of each request a server can have received, and decides whether it was processed.
 
-When a stream ends without a whole answer, the question is whether the server may have run the request. Only
-two things prove that it did not (RFC 9113, 8.7): a GOAWAY whose last stream id is lower than the stream's own
-(6.8), and RST_STREAM with REFUSED_STREAM. To these comes what needs no word of the server's: a head that the
-kernel never took whole can't have reached it. Everything else may have run.
+When a stream ends without a complete response, the request may be sent again only if it was certainly not
+processed. The server proves that in two ways (RFC 9113, section 8.7): by a GOAWAY whose last stream id is
+lower than the stream's (section 6.8), and by RST_STREAM with REFUSED_STREAM. It is also certain where the
+kernel did not take the request's whole head. In every other case the request may have been processed.
 """
 
 from __future__ import annotations
@@ -11,140 +11,176 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
-NO_ERROR = 0x0
-REFUSED_STREAM = 0x7  # RFC 9113, section 7
+NO_ERROR = 0x0  # error codes of RFC 9113, section 7
+REFUSED_STREAM = 0x7
 ENHANCE_YOUR_CALM = 0xB
 HTTP_1_1_REQUIRED = 0xD
 
 
-class Reached(IntEnum):
-    """How much of a request the kernel has taken; more than it took can't have reached the server."""
+class TransmissionProgress(IntEnum):
+    """How much of a request the kernel has taken; no more than that can have reached the server."""
 
     NOTHING = 0
-    PART_OF_HEAD = 1
+    PARTIAL_HEAD = 1
     HEAD = 2
-    WHOLE = 3
+    COMPLETE = 3
 
 
-class Reason(Enum):
-    """Why a stream ended without its answer; the first four prove that it never ran."""
+class EndReason(Enum):
+    """Why a stream ended without its response; counter names are made of the values."""
 
-    NOT_TAKEN = "not_taken"  # the kernel took nothing of its head
-    HEAD_NOT_WHOLE = "head_not_whole"  # or not all of it
-    ABOVE_GOAWAY = "above_goaway"  # RFC 9113, 6.8: above the last stream that the server has acted on
-    REFUSED = "refused"  # RFC 9113, 8.7: REFUSED_STREAM, before any processing
+    NOT_TRANSMITTED = "not_taken"  # the kernel took nothing of the head
+    HEAD_INCOMPLETE = "head_not_whole"  # the kernel did not take all of the head
+    ABOVE_GOAWAY = "above_goaway"  # RFC 9113, section 6.8
+    REFUSED = "refused"  # RFC 9113, section 8.7: REFUSED_STREAM, before any processing
     RESET = "reset"  # RST_STREAM with any other code
-    LOST = "lost"  # the connection ended, whatever the last GOAWAY had let stand
-    SILENT = "silent"  # nothing came in time
-    BROKE_RULES = "broke_rules"  # the server broke the protocol, so its words prove nothing more
-    GIVEN_UP = "given_up"  # we did not want it any longer
+    CONNECTION_LOST = "lost"  # with a stream that no GOAWAY excludes
+    KEEP_ALIVE_TIMEOUT = "silent"
+    PROTOCOL_ERROR = "broke_rules"  # the server broke the protocol, so its frames prove nothing more
+    CANCELLED = "given_up"  # by this side
 
 
-PROOFS = frozenset((Reason.NOT_TAKEN, Reason.HEAD_NOT_WHOLE, Reason.ABOVE_GOAWAY, Reason.REFUSED))
+UNPROCESSED_REASONS = frozenset(
+    (EndReason.NOT_TRANSMITTED, EndReason.HEAD_INCOMPLETE, EndReason.ABOVE_GOAWAY, EndReason.REFUSED)
+)
 
 
 @dataclass(slots=True, frozen=True)
-class Finding:
-    """The verdict on one stream; `code` is the server's error code where it gave one."""
+class StreamOutcome:
+    """How a stream ended; `code` is the server's error code where it sent one."""
 
-    stream: int
-    reason: Reason
-    reached: Reached
+    stream_id: int
+    reason: EndReason
+    progress: TransmissionProgress
     code: int = NO_ERROR
 
     @property
-    def never_ran(self) -> bool:
-        return self.reason in PROOFS
+    def is_unprocessed(self) -> bool:
+        """Whether the server certainly has not processed the request."""
+        return self.reason in UNPROCESSED_REASONS
 
 
 @dataclass(slots=True)
-class Line:
-    """One open stream. Offsets count the connection's bytes as they were handed to the kernel's side."""
+class TrackedStream:
+    """An open stream, by offsets in the bytes that the connection has sent.
+
+    Attributes:
+        start: Where its head begins.
+        head_end: Where its head ends.
+        end: Where its body ends; None while a part of it has not been sent.
+        has_response: Whether its response has begun.
+    """
 
     start: int
     head_end: int
-    end: int | None  # None: some of its body is still held back here
-    answered: bool = False
+    end: int | None
+    has_response: bool = False
+
 
+class StreamTracker:
+    """The open streams of one connection.
 
-class Ledger:
-    """Streams of one connection from their first byte to their end."""
+    Attributes:
+        last_allowed_id: The last stream id of the GOAWAY in force, None where there is none.
+        raised_goaways: GOAWAYs whose last stream id was higher than that of the one before.
+    """
 
     def __init__(self) -> None:
-        self.lines: dict[int, Line] = {}
-        self.last_allowed: int | None = None  # by the last GOAWAY
-        self.raised = 0  # GOAWAYs that took an earlier promise back
-
-    def opened(self, stream: int, start: int, head_end: int, whole: bool) -> None:
-        """A head was written as the connection's bytes `start` to `head_end`; `whole`: no body follows."""
-        self.lines[stream] = Line(start, head_end, head_end if whole else None)
-
-    def body_ended(self, stream: int, end: int) -> None:
-        """The last byte of a request's body was written as the connection's byte `end`."""
-        if stream in self.lines:
-            self.lines[stream].end = end
-
-    def answer_began(self, stream: int) -> None:
-        """Whatever the server says from now on: it has run this one."""
-        if stream in self.lines:
-            self.lines[stream].answered = True
-
-    def answered(self, stream: int) -> None:
-        self.lines.pop(stream, None)
-
-    def reached(self, stream: int, taken: int) -> Reached:
-        """How much of a stream is among the first `taken` bytes of the connection."""
-        line = self.lines[stream]
-        if line.answered:
-            return Reached.WHOLE
-        if taken <= line.start:
-            return Reached.NOTHING
-        if taken < line.head_end:
-            return Reached.PART_OF_HEAD
-        return Reached.WHOLE if line.end is not None and taken >= line.end else Reached.HEAD
-
-    def reset(self, stream: int, code: int, taken: int) -> Finding | None:
-        """The server reset a stream; None: one that is not open."""
-        if stream not in self.lines:
+        self.streams: dict[int, TrackedStream] = {}
+        self.last_allowed_id: int | None = None
+        self.raised_goaways = 0
+
+    def open_stream(self, stream_id: int, start: int, head_end: int, is_complete: bool) -> None:
+        """Records a head, sent as the bytes `start` to `head_end`; `is_complete`: no body follows."""
+        self.streams[stream_id] = TrackedStream(start, head_end, head_end if is_complete else None)
+
+    def body_ended(self, stream_id: int, end: int) -> None:
+        """Records that the request's body ends at the connection's byte `end`."""
+        if stream_id in self.streams:
+            self.streams[stream_id].end = end
+
+    def response_started(self, stream_id: int) -> None:
+        """Records that the server has processed the request, whatever it may still send."""
+        if stream_id in self.streams:
+            self.streams[stream_id].has_response = True
+
+    def response_completed(self, stream_id: int) -> None:
+        """Forgets a stream that has its complete response."""
+        self.streams.pop(stream_id, None)
+
+    def progress(self, stream_id: int, taken_bytes: int) -> TransmissionProgress:
+        """Returns how much of a stream is among the first `taken_bytes` bytes of the connection."""
+        stream = self.streams[stream_id]
+        if stream.has_response:
+            return TransmissionProgress.COMPLETE
+        if taken_bytes <= stream.start:
+            return TransmissionProgress.NOTHING
+        if taken_bytes < stream.head_end:
+            return TransmissionProgress.PARTIAL_HEAD
+        is_complete = stream.end is not None and taken_bytes >= stream.end
+        return TransmissionProgress.COMPLETE if is_complete else TransmissionProgress.HEAD
+
+    def reset(self, stream_id: int, code: int, taken_bytes: int) -> StreamOutcome | None:
+        """Ends a stream that the server has reset; returns None for one that is not open."""
+        if stream_id not in self.streams:
             return None
-        # A server that has begun to answer contradicts itself if it then says that nothing ran.
-        refused = code == REFUSED_STREAM and not self.lines[stream].answered
-        return self._end(stream, Reason.REFUSED if refused else Reason.RESET, taken, code)
+        # REFUSED_STREAM after a response has begun is a contradiction, and proves nothing.
+        is_refused = code == REFUSED_STREAM and not self.streams[stream_id].has_response
+        reason = EndReason.REFUSED if is_refused else EndReason.RESET
+        return self._end(stream_id, reason, taken_bytes, code)
 
-    def goaway(self, last: int, code: int, taken: int) -> list[Finding]:
-        """The server goes: the streams above `last` end now, and never ran. Those up to it may go on.
+    def goaway(self, last_id: int, code: int, taken_bytes: int) -> list[StreamOutcome]:
+        """Ends the streams above a GOAWAY's last stream id, as unprocessed; the others go on.
 
-        A graceful end has two steps, the first with the highest id there is (6.8). A last id that rises again
-        takes a promise back: it counts as broken, and the lower one stays in force.
+        A graceful shutdown has two GOAWAYs, the first with the highest possible id (RFC 9113, section 6.8).
+        One with a higher id than the one before breaks the protocol: it is counted, and the lower id stays
+        in force.
         """
-        if self.last_allowed is not None and last > self.last_allowed:
-            self.raised += 1
+        if self.last_allowed_id is not None and last_id > self.last_allowed_id:
+            self.raised_goaways += 1
             return []
-        self.last_allowed = last
-        above = [n for n, line in self.lines.items() if n > last and not line.answered]
-        return [self._end(n, Reason.ABOVE_GOAWAY, taken, code) for n in sorted(above)]
-
-    def given_up(self, stream: int, taken: int) -> Finding | None:
-        return self._end(stream, Reason.GIVEN_UP, taken) if stream in self.lines else None
-
-    def broke_rules(self, stream: int, taken: int) -> Finding | None:
-        """The server broke a rule on one stream: its words prove nothing more about that one."""
-        return self._end(stream, Reason.BROKE_RULES, taken) if stream in self.lines else None
-
-    def closed(self, reason: Reason, taken: int, code: int = NO_ERROR) -> list[Finding]:
-        """The connection is over: everything still open ends.
-
-        `taken` is how many of its bytes the kernel took, at the most: who can't know must give all that were
-        written, for a figure too low would prove what is not so.
+        self.last_allowed_id = last_id
+        excluded = [
+            stream_id
+            for stream_id, stream in self.streams.items()
+            if stream_id > last_id and not stream.has_response
+        ]
+        return [
+            self._end(stream_id, EndReason.ABOVE_GOAWAY, taken_bytes, code) for stream_id in sorted(excluded)
+        ]
+
+    def cancel(self, stream_id: int, taken_bytes: int) -> StreamOutcome | None:
+        """Ends a stream whose response is not wanted any more."""
+        return self._end_if_open(stream_id, EndReason.CANCELLED, taken_bytes)
+
+    def protocol_error(self, stream_id: int, taken_bytes: int) -> StreamOutcome | None:
+        """Ends a stream on which the server broke the protocol: its frames prove nothing about this one."""
+        return self._end_if_open(stream_id, EndReason.PROTOCOL_ERROR, taken_bytes)
+
+    def connection_closed(
+        self, reason: EndReason, taken_bytes: int, code: int = NO_ERROR
+    ) -> list[StreamOutcome]:
+        """Ends all open streams.
+
+        `taken_bytes` is how many of the connection's bytes the kernel has taken at most. Where that is
+        unknown, it must be all that were sent: a figure that is too low would prove what is not true.
         """
-        found = []
-        for stream in sorted(self.lines):
-            reached = self.reached(stream, taken)
-            own = {Reached.NOTHING: Reason.NOT_TAKEN, Reached.PART_OF_HEAD: Reason.HEAD_NOT_WHOLE}
-            found.append(self._end(stream, own.get(reached, reason), taken, code))
-        return found
-
-    def _end(self, stream: int, reason: Reason, taken: int, code: int = NO_ERROR) -> Finding:
-        reached = self.reached(stream, taken)
-        del self.lines[stream]
-        return Finding(stream, reason, reached, code)
+        outcomes = []
+        for stream_id in sorted(self.streams):
+            progress = self.progress(stream_id, taken_bytes)
+            own_reason = {
+                TransmissionProgress.NOTHING: EndReason.NOT_TRANSMITTED,
+                TransmissionProgress.PARTIAL_HEAD: EndReason.HEAD_INCOMPLETE,
+            }.get(progress, reason)
+            outcomes.append(self._end(stream_id, own_reason, taken_bytes, code))
+        return outcomes
+
+    def _end_if_open(self, stream_id: int, reason: EndReason, taken_bytes: int) -> StreamOutcome | None:
+        return self._end(stream_id, reason, taken_bytes) if stream_id in self.streams else None
+
+    def _end(
+        self, stream_id: int, reason: EndReason, taken_bytes: int, code: int = NO_ERROR
+    ) -> StreamOutcome:
+        progress = self.progress(stream_id, taken_bytes)
+        del self.streams[stream_id]
+        return StreamOutcome(stream_id, reason, progress, code)
--- a/gladewalk/upstream/__init__.py
+++ b/gladewalk/upstream/__init__.py
@@ -1,1 +1,1 @@
-"""The server side: one pool of connections to caches, parents and the origin, over HTTP/1.1 and HTTP/2."""
+"""The server side: connections to caches, parents and origins, over HTTP/1.1 and HTTP/2."""
--- a/gladewalk/upstream/connection_factory.py
+++ b/gladewalk/upstream/connection_factory.py
@@ -1,89 +1,102 @@
-"""How a server's connections are opened: the protocol it is offered, and TLS with its files."""
+"""The protocols and TLS contexts by which connections to servers are opened, from our own options."""
 
 from __future__ import annotations
 
 import asyncio
 import ssl
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, cast
 
 from ..config.option_tables import TlsOptions
 from ..config.options import Options
 from ..config.platform import ConfigError
-from ..streams.negotiation import Negotiation, Offer
-from .connection_group import Lane
-from .http1 import CacheConnection
+from ..streams.negotiation import ProtocolNegotiation, ProtocolOffer
+from .connection_group import ConnectionGroup, GroupPool
+from .http1 import Http1Connection
 from .http2 import Http2Connection
+from .upstream_server import UpstreamServer
 
-if TYPE_CHECKING:
-    from .pool import Caches
-    from .upstream_server import Upstream
+ALPN_PROTOCOLS = {ProtocolOffer.TLS: ["h2", "http/1.1"], ProtocolOffer.TLS_HTTP1: ["http/1.1"]}
 
-ALPN = {Offer.TLS: ["h2", "http/1.1"], Offer.TLS_HTTP1: ["http/1.1"]}
 
+class ProtocolSelector(asyncio.Protocol):
+    """Stands in on a new connection until the server has chosen its protocol by ALPN (RFC 7301).
 
-class First(asyncio.Protocol):
-    """Stands in until TLS has shown which protocol the server chose (RFC 7301)."""
+    Attributes:
+        connection: What speaks the chosen protocol, from `connection_made` on.
+    """
 
-    def __init__(self, lane: Lane) -> None:
-        self.lane = lane
-        self.chosen: Http2Connection | CacheConnection | None = None
+    def __init__(self, group: ConnectionGroup) -> None:
+        self.group = group
+        self.connection: Http2Connection | Http1Connection | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        made = cast(asyncio.Transport, transport)
-        session = made.get_extra_info("ssl_object")
-        if session is not None and session.selected_alpn_protocol() != "h2":
-            self.chosen = CacheConnection(self.lane.upstream)
+        """The connection is open, TLS included; without TLS, HTTP/2 is spoken with prior knowledge."""
+        opened = cast(asyncio.Transport, transport)
+        tls = opened.get_extra_info("ssl_object")
+        if tls is not None and tls.selected_alpn_protocol() != "h2":
+            self.connection = Http1Connection(self.group.server)
         else:
-            self.chosen = Http2Connection(self.lane, session is not None)
-            self.lane.opened(self.chosen)
-        made.set_protocol(self.chosen)
-        self.chosen.connection_made(made)
+            self.connection = Http2Connection(self.group, tls is not None)
+            self.group.connection_opened(self.connection)
+        opened.set_protocol(self.connection)
+        self.connection.connection_made(opened)
 
 
-def make_context(options: Options, offer: Offer) -> ssl.SSLContext:
-    """TLS 1.2 at least, the server's name checked against the named CAs; `ConfigError` names the bad file."""
+def build_tls_context(options: Options, offer: ProtocolOffer) -> ssl.SSLContext:
+    """Returns a client's TLS context, 1.2 or later, that checks names against the configured CAs.
+
+    Raises `ConfigError`, which names the option whose file cannot be used.
+    """
     tls: TlsOptions = options.tls
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.set_alpn_protocols(ALPN[offer])
-    # RFC 9113, 9.2.1: neither compression nor renegotiation.
+    context.set_alpn_protocols(ALPN_PROTOCOLS[offer])
+    # RFC 9113, section 9.2.1: neither compression nor renegotiation.
     context.options |= ssl.OP_NO_COMPRESSION | ssl.OP_NO_RENEGOTIATION
     key = "tls.ca"
     try:
         context.load_verify_locations(options.file(tls.ca))
         if tls.certificate:
             key = "tls.certificate"
-            # No passphrase: guards against a prompt on the terminal of a daemon.
+            # An empty passphrase, as a daemon must not prompt for one on its terminal.
             context.load_cert_chain(options.file(tls.certificate), options.file(tls.key), password="")
-    except (OSError, ValueError) as error:  # SSLError among them
-        why = getattr(error, "strerror", None) or str(error)
-        raise ConfigError(f"{options.path}: {key}: cannot be used: {why}") from error
+    except (OSError, ValueError) as error:  # SSLError is an OSError
+        reason = getattr(error, "strerror", None) or str(error)
+        raise ConfigError(f"{options.path}: {key}: cannot be used: {reason}") from error
     return context
 
 
-class Shapes:
-    """Terms, negotiation and TLS contexts that are in force together."""
-
-    def __init__(self, options: Options, negotiation: Negotiation | None = None) -> None:
-        self.options, self.terms = options, options.http2
-        self.contexts: dict[Offer, ssl.SSLContext] = {}
-        if options.tls.ca:
-            self.contexts = {offer: make_context(options, offer) for offer in ALPN}
-        self.negotiation = negotiation or Negotiation(self.terms)
-        self.negotiation.terms = self.terms  # only once nothing can fail any more: the old stay in force
+class ConnectionFactory:
+    """The HTTP/2 options, the negotiation and the TLS contexts that are in force together.
 
-    def offer(self, upstream: Upstream, now_ms: float) -> Offer:
-        return self.negotiation.offer(upstream.name, upstream.model, now_ms)
+    `negotiation` is the former factory's, whose fallbacks stay remembered. Raises `ConfigError` for a file
+    that cannot be used; the former options then stay in force.
+    """
 
-    def security(self, upstream: Upstream, now_ms: float) -> dict[str, Any]:
-        offer = self.offer(upstream, now_ms)
-        if not offer.secure:
+    def __init__(self, options: Options, negotiation: ProtocolNegotiation | None = None) -> None:
+        self.options, self.http2_options = options, options.http2
+        self.tls_contexts: dict[ProtocolOffer, ssl.SSLContext] = {}
+        if options.tls.ca:
+            self.tls_contexts = {offer: build_tls_context(options, offer) for offer in ALPN_PROTOCOLS}
+        self.negotiation = negotiation or ProtocolNegotiation(self.http2_options)
+        self.negotiation.options = self.http2_options  # last, when nothing can fail any more
+
+    def offer(self, server: UpstreamServer, now_ms: float) -> ProtocolOffer:
+        """Returns how the server's next connection is opened."""
+        return self.negotiation.offer(server.name, server.model, now_ms)
+
+    def tls_arguments(self, server: UpstreamServer, now_ms: float) -> dict[str, Any]:
+        """Returns what `create_connection` needs for TLS; nothing for a server without it."""
+        offer = self.offer(server, now_ms)
+        if not offer.is_tls:
             return {}
-        name = self.options.tls.name.format(uid=upstream.name, model=upstream.model)
-        return {"ssl": self.contexts[offer], "server_hostname": name}
+        name = self.options.tls.name.format(uid=server.name, model=server.model)
+        return {"ssl": self.tls_contexts[offer], "server_hostname": name}
 
-    def first(self, lane: Lane) -> First:
-        return First(lane)
+    def new_selector(self, group: ConnectionGroup) -> ProtocolSelector:
+        """Returns the protocol of a new connection of a group."""
+        return ProtocolSelector(group)
 
-    def lane(self, pool: Caches, upstream: Upstream) -> Lane:
-        return Lane(pool, upstream, self.terms)
+    def new_group(self, pool: GroupPool, server: UpstreamServer) -> ConnectionGroup:
+        """Returns the group of a server to which HTTP/2 is spoken from now on."""
+        return ConnectionGroup(pool, server, self.http2_options)
--- /dev/null
+++ b/gladewalk/upstream/connection_opener.py
@@ -0,0 +1,132 @@
+"""Opens connections to servers, over TLS where that is set, and hands them to the work items that wait."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from typing import TYPE_CHECKING, Any, Protocol
+
+from .http1 import Http1Connection
+from .upstream_server import ConnectionRequest, ServerPool, UpstreamServer
+from .work_items import WorkItem
+
+if TYPE_CHECKING:  # HTTP/2 and its library are not imported while they are off
+    from .connection_factory import ConnectionFactory
+    from .connection_group import ConnectionGroup
+    from .http2 import Http2Connection
+
+
+class GroupConnectionRequest:
+    """A connection that a server's group asks for; no single work item waits for it."""
+
+    def __init__(self, group: ConnectionGroup) -> None:
+        self.group, self.server = group, group.server
+        self.task: asyncio.Task[None] | None = None
+
+
+class OpenerPool(ServerPool, Protocol):
+    """What the opener needs of the pool."""
+
+    @property
+    def http1_class(self) -> type[Http1Connection]:
+        """What speaks HTTP/1.1 to the servers."""
+
+    @property
+    def connection_factory(self) -> ConnectionFactory | None:
+        """Protocols and TLS; None: HTTP/1.1 without TLS for every server."""
+
+    def write(self, connection: Http1Connection | Http2Connection, item: WorkItem) -> None:
+        """Sends a work item on an open connection."""
+
+    def fail_request(self, request: ConnectionRequest) -> None:
+        """Ends a work item that gets no connection."""
+
+    def fall_back(self, server: UpstreamServer, reason: str) -> None:
+        """Speaks HTTP/1.1 to a server from now on."""
+
+
+class ConnectionOpener:
+    """Dials servers; each connection that is being opened counts against the pool's limit."""
+
+    def __init__(self, pool: OpenerPool) -> None:
+        self.pool = pool
+        self.opening: set[ConnectionRequest | GroupConnectionRequest] = set()
+
+    def open(self, request: ConnectionRequest | GroupConnectionRequest) -> None:
+        """Begins to open the connection that a request asks for."""
+        self.pool.counters.add("caches.connects")
+        self.opening.add(request)
+        if isinstance(request, ConnectionRequest):
+            request.queue = None
+            steps = self._connect(request)
+        else:
+            steps = self._connect_group(request)
+        request.task = asyncio.get_running_loop().create_task(steps)
+        # A task that is cancelled before its first step runs none of its `finally` blocks.
+        request.task.add_done_callback(lambda _: self._finish(request))
+
+    def _finish(self, request: ConnectionRequest | GroupConnectionRequest) -> None:
+        """The connection is open, or is not being opened any more."""
+        if request in self.opening:
+            self.opening.remove(request)
+            self.pool.serve_waiting()
+
+    async def _connect(self, request: ConnectionRequest) -> None:
+        connection: Http1Connection | None = None
+        pool, server = self.pool, request.server
+        try:
+            # Dials again if the server was given another address in the meantime.
+            while connection is None or connection.address != server.address:
+                if connection is not None:
+                    connection.close()
+                _, connection = await asyncio.get_running_loop().create_connection(
+                    lambda: pool.http1_class(server), *server.address, **self._tls_arguments(server)
+                )
+        except (OSError, ValueError) as error:  # ValueError: a name that cannot be looked up
+            connection = None
+            self._count_tls_failure(error)
+        finally:
+            self._finish(request)
+        if request.item.carrier is not request:  # cancelled meanwhile: the connection may serve another
+            if connection is not None and connection.transport is not None:
+                server.release(connection)
+        elif connection is None or connection.transport is None:
+            pool.fail_request(request)
+        else:
+            pool.deadlines.drop(request.timer)
+            pool.write(connection, request.item)
+
+    async def _connect_group(self, request: GroupConnectionRequest) -> None:
+        """Opens an HTTP/2 connection, or an HTTP/1.1 one if the server chooses that by ALPN."""
+        pool, group, server = self.pool, request.group, request.server
+        factory = pool.connection_factory
+        assert factory is not None
+        opened: Http2Connection | Http1Connection | None = None
+        try:
+            async with asyncio.timeout(pool.config.connect_timeout_ms / 1000.0):
+                _, selector = await asyncio.get_running_loop().create_connection(
+                    lambda: factory.new_selector(group), *server.address, **self._tls_arguments(server)
+                )
+            opened = selector.connection
+        except (OSError, ValueError) as error:
+            self._count_tls_failure(error)
+        finally:
+            self._finish(request)
+        if opened is None or opened.transport is None:
+            pool.counters.add("caches.connects_failed")
+            group.connection_failed()
+        elif isinstance(opened, Http1Connection):
+            group.allocator.dial_ended()
+            pool.fall_back(server, "ALPN")
+            server.release(opened)
+
+    def _tls_arguments(self, server: UpstreamServer) -> dict[str, Any]:
+        """Returns what `create_connection` needs for TLS; nothing for a server without it."""
+        factory = self.pool.connection_factory
+        return {} if factory is None else factory.tls_arguments(server, self.pool.clock())
+
+    def _count_tls_failure(self, error: Exception) -> None:
+        if isinstance(error, ssl.SSLError):
+            self.pool.counters.add("tls.handshakes_failed")
+            if isinstance(error, ssl.SSLCertVerificationError):
+                self.pool.counters.add("tls.certificates_refused")
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -1,101 +1,134 @@
-"""HTTP/1.1 to a cache: one attempt or probe at a time on a connection."""
+"""HTTP/1.1 to a server (RFC 9112): one attempt or health check at a time on a connection."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, cast
+from typing import Protocol, cast
 
 import httptools
 
 from .. import interface as api
+from ..config.platform import Address
 from ..core.exchange import Attempt, AttemptResult, ResponseHead
 from ..net.sockets import MAX_FRAMING_BYTES, socket_poll
 from .protocol_fields import (
     AUTHORITY,
-    HEAD_MOST,
-    OBJECT_MOST,
-    Spoilt,
-    read_end,
-    read_length,
+    MAX_HEAD_BYTES,
+    MAX_OBJECT_BYTES,
+    InvalidResponseError,
+    read_content_length,
+    read_result,
     request_fields,
     request_path,
 )
-from .work_items import Probing
+from .work_items import ConnectionOwner, HealthCheck, WorkItem
 
-if TYPE_CHECKING:
-    from .upstream_server import Upstream
 
+class Http1Server(Protocol):
+    """What an HTTP/1.1 connection needs of the server that it leads to."""
 
-def write_probe(probing: Probing) -> bytes:
-    return f"GET {probing.path} HTTP/1.1\r\nHost: {AUTHORITY}\r\n\r\n".encode()
+    @property
+    def pool(self) -> ConnectionOwner:
+        """The pool that owns the server's connections."""
 
+    @property
+    def address(self) -> Address:
+        """Where the server is dialled now."""
 
-def write_request(attempt: Attempt, now_ms: float) -> bytes:
-    """An attempt as an HTTP/1.1 message."""
-    ask = attempt.open_request.request
-    lines = [f"{ask.method} {request_path(attempt)} HTTP/1.1", f"Host: {AUTHORITY}"]
+    def release(self, connection: Http1Connection) -> None:
+        """Takes a connection back that has nothing in flight any more."""
+
+    def forget(self, connection: Http1Connection) -> None:
+        """Removes a connection that is closed from the idle ones, if it is among them."""
+
+
+def encode_health_check(check: HealthCheck) -> bytes:
+    """Returns a health check as an HTTP/1.1 message."""
+    return f"GET {check.path} HTTP/1.1\r\nHost: {AUTHORITY}\r\n\r\n".encode()
+
+
+def encode_request(attempt: Attempt, now_ms: float) -> bytes:
+    """Returns an attempt as an HTTP/1.1 message."""
+    request = attempt.open_request.request
+    lines = [f"{request.method} {request_path(attempt)} HTTP/1.1", f"Host: {AUTHORITY}"]
     lines += [f"{name}: {value}" for name, value in request_fields(attempt, now_ms)]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + ask.body
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + request.body
 
 
-class CacheConnection(asyncio.Protocol):
-    """One connection, carrying one attempt or probe at a time, or idle."""
+class Http1Connection(asyncio.Protocol):
+    """One connection to a server, with one work item in flight or idle.
 
-    def __init__(self, upstream: Upstream) -> None:
-        self.upstream, self.pool, self.address = upstream, upstream.pool, upstream.address
+    Attributes:
+        item: The attempt or health check in flight.
+        address: Where the connection was dialled; the server may have moved since.
+        idle_until_ms: Until when it may be used while it is idle, Unix milliseconds.
+        read_bytes: Bytes of the response's head, then of its body.
+        framing_bytes: Bytes read since the last ones of a body (chunk sizes, extensions, trailers).
+        is_forwarded: Whether the response goes to a client.
+        pending_head: A head that was parsed in this read and not yet forwarded.
+        pending_body: The same of the body.
+    """
+
+    def __init__(self, server: Http1Server) -> None:
+        self.server, self.pool, self.address = server, server.pool, server.address
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
-        self.job: Attempt | Probing | None = None
-        self.idle_until = 0.0
-        self.status = self.size = 0  # bytes of the head, then of the body
-        self.frame = 0  # bytes read since the last of a body
-        self.headed = self.passing = self.whole = self.lasts = False
+        self.item: WorkItem | None = None
+        self.idle_until_ms = 0.0
+        self.status = self.read_bytes = 0
+        self.framing_bytes = 0
+        self.has_complete_head = self.is_forwarded = self.is_complete = self.is_reusable = False
         self.headers: dict[bytes, bytes] = {}
-        self.begun: ResponseHead | None = None  # read, but not yet passed on; and so the bytes of its body
-        self.read: list[bytes] = []
+        self.pending_head: ResponseHead | None = None
+        self.pending_body: list[bytes] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
-        self.unread = socket_poll(self.transport)
-        self.pool.live.add(self)
+        """The connection is open."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's does not inherit from it
+        self.poll = socket_poll(self.transport)
+        self.pool.open_connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """The connection is closed; ends the work item in flight."""
         transport, self.transport = self.transport, None
-        self.pool.live.discard(self)
-        if self in self.upstream.idle:
-            self.upstream.idle.remove(self)
-        job, self.job = self.job, None
-        if job is not None:
-            # What was not written whole never ran; after that it may have, whatever the connection says.
-            whole = transport is not None and transport.get_write_buffer_size() == 0
-            self.pool.over(job, AttemptResult(api.Status.RESET if whole else api.Status.CONNECT_FAILED))
-        self.pool.pump()
-
-    def carry(self, job: Attempt | Probing) -> None:
+        self.pool.open_connections.discard(self)
+        self.server.forget(self)
+        item, self.item = self.item, None
+        if item is not None:
+            # A request that was not written completely never ran; a complete one may have, in any case.
+            is_written = transport is not None and transport.get_write_buffer_size() == 0
+            status = api.Status.RESET if is_written else api.Status.CONNECT_FAILED
+            self.pool.finish(item, AttemptResult(status))
+        self.pool.serve_waiting()
+
+    def send(self, item: WorkItem) -> None:
+        """Sends a work item's request; the connection must be open and idle."""
         assert self.transport is not None
-        job.carrier = self
-        now = self.pool.clock()
-        request = self.written(job, now) if isinstance(job, Attempt) else write_probe(job)
-        self.job, self.status, self.size, self.frame, self.headers = job, 0, 0, 0, {}
-        self.headed = self.passing = self.whole = self.lasts = False
-        self.begun = None
-        self.read.clear()
+        item.carrier = self
+        now_ms = self.pool.clock()
+        request = self.encode(item, now_ms) if isinstance(item, Attempt) else encode_health_check(item)
+        self.item, self.status, self.read_bytes, self.framing_bytes, self.headers = item, 0, 0, 0, {}
+        self.has_complete_head = self.is_forwarded = self.is_complete = self.is_reusable = False
+        self.pending_head = None
+        self.pending_body.clear()
         self.transport.write(request)
 
-    def written(self, attempt: Attempt, now_ms: float) -> bytes:
-        """What an attempt's request looks like here; another front's servers may want another."""
-        return write_request(attempt, now_ms)
+    def encode(self, attempt: Attempt, now_ms: float) -> bytes:
+        """Returns an attempt's request as bytes; a subclass may speak another dialect of HTTP/1.1."""
+        return encode_request(attempt, now_ms)
 
-    def drop(self, job: Attempt | Probing) -> None:
+    def cancel(self, item: WorkItem) -> None:
+        """Abandons the work item in flight by closing the connection."""
         self.close()
 
     def close(self) -> None:
-        """Give up what is carried, if anything, without a word."""
-        self.job = None
+        """Closes the connection at once; a work item in flight gets no result."""
+        self.item = None
         if self.transport is not None:
             self.transport.abort()
 
-    def flow(self, job: Attempt | Probing, on: bool) -> None:
+    def flow(self, item: WorkItem, on: bool) -> None:
+        """Resumes (`on`) or pauses reading the response."""
         if self.transport is not None:
             if on:
                 self.transport.resume_reading()
@@ -103,109 +136,120 @@
                 self.transport.pause_reading()
 
     def is_quiet(self) -> bool:
-        """Whether the other end has neither said anything since its last answer nor closed.
+        """Whether the server has neither sent anything since its last response nor closed.
 
-        Guards against bytes behind an answer that still lie unread: they would be taken for the next one's.
+        Unread bytes after a response would be taken for the next request's response.
         """
-        return self.transport is not None and not self.transport.is_closing() and not self.unread.poll(0)
+        return self.transport is not None and not self.transport.is_closing() and not self.poll.poll(0)
 
     def data_received(self, data: bytes) -> None:
-        if self.job is None:  # nothing was asked: no peer that keeps the protocol says anything now
+        """Parses a piece of the response and forwards what is valid of it."""
+        if self.item is None:  # no request is in flight: a correct server sends nothing now
             self.pool.counters.add("caches.surplus")
             return self.close()
-        surplus = False
-        self.frame += len(data)
+        has_surplus = False
+        self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
-            if not self.headed:
-                self._grow(len(data), HEAD_MOST)
-            if self.headed and not self.whole and self.frame > MAX_FRAMING_BYTES:
-                raise Spoilt
-        except (Spoilt, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if not self.has_complete_head:
+                self._count_bytes(len(data), MAX_HEAD_BYTES)
+        except (InvalidResponseError, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if isinstance(error, httptools.HttpParserCallbackError) and not isinstance(
-                error.__context__, Spoilt
+                error.__context__, InvalidResponseError
             ):
                 raise
-            surplus = self.whole
-            if not surplus:
-                return self._spoilt()
-        if self.read or self.begun is not None:
-            self._pass_on()
-        if self.whole and self.job is not None:
-            self._over(surplus)
-
-    def _pass_on(self) -> None:
-        """Guards against an answer that a read shows to be spoilt: of that read the client gets nothing."""
-        head, self.begun = self.begun, None
-        if head is not None and isinstance(self.job, Attempt):
-            self.passing = self.pool.exchange.response_started(self.job, head)
-        for body in self.read:
-            if self.passing and isinstance(self.job, Attempt):  # a client that leaves ends it in between
-                self.pool.exchange.response_body(self.job, body)
-        self.read.clear()
-
-    def _spoilt(self) -> None:
-        job = self.job
+            has_surplus = self.is_complete
+            if not has_surplus:
+                return self._fail()
+        if self.has_complete_head and not self.is_complete and self.framing_bytes > MAX_FRAMING_BYTES:
+            return self._fail()
+        if self.pending_body or self.pending_head is not None:
+            self._forward()
+        if self.is_complete and self.item is not None:
+            self._finish(has_surplus)
+
+    def _forward(self) -> None:
+        """Forwards what this read gave, once all of it has proved valid."""
+        head, self.pending_head = self.pending_head, None
+        if head is not None and isinstance(self.item, Attempt):
+            self.is_forwarded = self.pool.exchange.response_started(self.item, head)
+        for body in self.pending_body:
+            if self.is_forwarded and isinstance(self.item, Attempt):  # a client may disconnect in between
+                self.pool.exchange.response_body(self.item, body)
+        self.pending_body.clear()
+
+    def _fail(self) -> None:
+        """Ends the work item in flight and the connection: the response is invalid."""
+        item = self.item
         self.pool.counters.add("caches.unreadable_answer")
         self.close()
-        if job is not None:
-            self.pool.over(job, AttemptResult(api.Status.ERROR))
-
-    def _over(self, surplus: bool) -> None:
-        """The whole read has been looked at: only now may the connection carry another job."""
-        job, self.job = self.job, None
-        assert job is not None
-        if surplus:
+        if item is not None:
+            self.pool.finish(item, AttemptResult(api.Status.ERROR))
+
+    def _finish(self, has_surplus: bool) -> None:
+        """Ends the work item: its response is complete and the whole read has been checked.
+
+        Only now may the connection be used again; bytes after the response end it.
+        """
+        item, self.item = self.item, None
+        assert item is not None
+        if has_surplus:
             self.pool.counters.add("caches.surplus")
-        if self.transport is not None and self.lasts and not surplus:
+        if self.transport is not None and self.is_reusable and not has_surplus:
             self.transport.resume_reading()
-            self.upstream.rest(self)
+            self.server.release(self)
         else:
             self.close()
-        self.pool.over(job, read_end(self.status, self.headers))
+        self.pool.finish(item, read_result(self.status, self.headers))
 
-    def _grow(self, by: int, most: int) -> None:
-        self.size += by
-        if self.size > most:
-            raise Spoilt
+    def _count_bytes(self, count: int, maximum: int) -> None:
+        self.read_bytes += count
+        if self.read_bytes > maximum:
+            raise InvalidResponseError(f"{self.read_bytes} bytes, at most {maximum} are read")
 
-    # httptools' calls
+    # Called by httptools.
 
     def on_message_begin(self) -> None:
-        if self.whole:  # a second answer, or noise that looks like one
-            raise Spoilt
+        """The first byte of a response."""
+        if self.is_complete:
+            raise InvalidResponseError("a second response to one request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """A field of the head or the trailer."""
         name = name.lower()
         if name == b"content-length" and name in self.headers:
-            raise Spoilt
+            raise InvalidResponseError("two Content-Length fields")
         self.headers[name] = value
 
     def on_headers_complete(self) -> None:
+        """The head is complete; rejects a body whose end is ambiguous (RFC 9112, section 6.3)."""
         self.status = self.parser.get_status_code()
         if self.status < 200:
             return
-        known = read_length(self.headers)
-        chunked = self.headers.get(b"transfer-encoding", b"").lower() == b"chunked"
-        # Guards against an answer whose end cannot be told: before anything of it reaches the client.
-        if self.status != 304 and (known is None) != chunked:
-            raise Spoilt
-        if known is not None and known > OBJECT_MOST:
-            raise Spoilt
-        self.headed, self.size = True, 0
-        if self.status in (200, 304) and isinstance(self.job, Attempt):
-            tag = self.headers.get(b"tag")
-            self.begun = ResponseHead(self.status == 304, known, tag.decode("latin-1") if tag else None)
+        length = read_content_length(self.headers)
+        is_chunked = self.headers.get(b"transfer-encoding", b"").lower() == b"chunked"
+        # Here, before anything of it reaches the client.
+        if self.status != 304 and (length is None) != is_chunked:
+            raise InvalidResponseError("a body whose end is ambiguous")
+        if length is not None and length > MAX_OBJECT_BYTES:
+            raise InvalidResponseError(f"a body of {length} bytes is announced")
+        self.has_complete_head, self.read_bytes = True, 0
+        if self.status in (200, 304) and isinstance(self.item, Attempt):
+            etag = self.headers.get(b"tag")
+            decoded_etag = etag.decode("latin-1") if etag else None
+            self.pending_head = ResponseHead(self.status == 304, length, decoded_etag)
 
     def on_body(self, body: bytes) -> None:
-        self.frame = 0
-        self.size += len(body)
-        if self.size > OBJECT_MOST:
-            raise Spoilt
-        self.read.append(body)
+        """A piece of the body."""
+        self.framing_bytes = 0
+        self.read_bytes += len(body)
+        if self.read_bytes > MAX_OBJECT_BYTES:
+            raise InvalidResponseError(f"a body of more than {MAX_OBJECT_BYTES} bytes")
+        self.pending_body.append(body)
 
     def on_message_complete(self) -> None:
-        if self.status < 200:  # an interim answer: the real one follows
+        """The response is complete, or an interim one that the final one follows."""
+        if self.status < 200:
             self.headers = {}
         else:
-            self.whole, self.lasts = True, self.parser.should_keep_alive()
+            self.is_complete, self.is_reusable = True, self.parser.should_keep_alive()
--- a/gladewalk/upstream/http2.py
+++ b/gladewalk/upstream/http2.py
@@ -1,335 +1,391 @@
-"""HTTP/2 to a cache: many attempts on one connection, each a stream of its own."""
+"""HTTP/2 to a server (RFC 9113): many attempts on one connection, each on a stream of its own."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any, cast
+from collections.abc import Callable
+from typing import Protocol, cast
 
-from h2 import events as ev
+from h2 import events
 from h2.errors import ErrorCodes
 from h2.exceptions import ProtocolError
-from hpack import NeverIndexedHeaderTuple
 
 from .. import interface as api
-from ..core.exchange import Attempt, AttemptResult, ResponseHead
-from ..streams.stream_tracker import ENHANCE_YOUR_CALM, HTTP_1_1_REQUIRED, Finding, Reason
-from .http2_stream import Stream, status_of
-from .http2_transport import Http2Wire
-from .protocol_fields import (
-    AUTHORITY,
-    OBJECT_MOST,
-    Spoilt,
-    read_end,
-    read_length,
-    request_fields,
-    request_path,
+from ..config.option_tables import Http2Options
+from ..core.exchange import Attempt, AttemptResult
+from ..streams.keep_alive import KeepAlive, KeepAliveAction
+from ..streams.stream_allocator import ConnectionSlots, StreamAllocator
+from ..streams.stream_tracker import (
+    ENHANCE_YOUR_CALM,
+    HTTP_1_1_REQUIRED,
+    EndReason,
+    StreamOutcome,
+    StreamTracker,
 )
-from .work_items import Job
+from ..streams.token_bucket import TokenBucket
+from .http2_engine import Http2Engine, violation_name
+from .http2_stream import Http2Stream, attempt_status, encode_fields
+from .http2_transport import Http2Transport
+from .protocol_fields import MAX_OBJECT_BYTES, InvalidResponseError, read_result
+from .upstream_server import UpstreamServer
+from .work_items import ConnectionOwner, WorkItem
 
-SLICE = 16 * 1024  # bytes that are read between two looks at what they brought about
-# Different with each request: in the table of fields (RFC 7541, 7.1.3) they would push out what is not.
-OWN_FIELDS = frozenset(("X-Ticket", "X-Max-Ms", "X-Nonce", "No-Older-Than", "Have", "Content-Length"))
-WRITE_HIGH = 64 * 1024  # bytes that wait to be written, over which nothing more is added
-WRITE_LOW = 16 * 1024  # until they are fewer than this
+READ_SLICE_BYTES = 16 * 1024  # parsed between two looks at the events that they brought about
+PING_DATA = b"gladewlk"
 
 
-class Http2Connection(Http2Wire):
-    """One shared connection; it takes requests once the server's settings have come.
+class Http2Pool(ConnectionOwner, Protocol):
+    """What an HTTP/2 connection needs of the pool that owns it."""
 
-    Guards against a server that does not speak HTTP/2 after all: it shows before anything was asked of it.
+    on_stream_ended: Callable[[Attempt, StreamOutcome], None] | None
+
+
+class Http2Group(Protocol):
+    """What an HTTP/2 connection needs of the group that it belongs to."""
+
+    options: Http2Options
+    allocator: StreamAllocator
+    server: UpstreamServer
+
+    @property
+    def pool(self) -> Http2Pool:
+        """The pool that owns the connection."""
+
+    def settings_received(self, connection: Http2Connection, max_streams: int) -> ConnectionSlots:
+        """The server has sent its settings: returns the connection's slots."""
+
+    def connection_closed(self, connection: Http2Connection) -> None:
+        """The connection is closed."""
+
+    def serve_waiting(self) -> None:
+        """Gives waiting work items the streams that are available now."""
+
+    def calm_requested(self) -> None:
+        """The server has sent ENHANCE_YOUR_CALM."""
+
+    def fall_back(self, reason: str) -> None:
+        """Speaks HTTP/1.1 to the server from now on."""
+
+
+class Http2Connection(asyncio.Protocol):
+    """One connection; it takes requests once the server's settings have come.
+
+    Before that it is not known whether the server speaks HTTP/2 at all, and nothing has been sent to it.
+
+    Attributes:
+        address: Where the connection was dialled; the server may have moved since.
+        slots: What the allocator knows of the connection; None before the server's settings.
+        streams: The open streams by their ids.
+        resets: Limits the resets that are sent, which otherwise may look like a rapid-reset attack.
+        has_received: Whether the server has sent any valid byte.
+        end_reason: Why streams that are open at the connection's end have ended.
     """
 
-    # asyncio's calls
+    def __init__(self, group: Http2Group, is_tls: bool) -> None:
+        self.group, self.pool = group, group.pool
+        self.address = group.server.address
+        options, now_ms = group.options, self.pool.clock()
+        self.engine = Http2Engine(options, self.pool.clock, self.pool.counters.add)
+        self.tracker = StreamTracker()
+        self.output = Http2Transport(self.engine, self.tracker, options, is_tls)
+        self.streams: dict[int, Http2Stream] = {}
+        self.slots: ConnectionSlots | None = None
+        self.resets = TokenBucket(options.reset_burst, options.resets_per_s, now_ms)
+        self.keep_alive = KeepAlive(options.ping_after_ms, options.ping_timeout_ms, now_ms)
+        self.has_received = False
+        self.end_reason = EndReason.CONNECTION_LOST
+
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """The socket's transport; None before the connection is open and after it is closed."""
+        return self.output.transport
+
+    # Called by asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is none by inheritance
-        self.transport.set_write_buffer_limits(WRITE_HIGH, WRITE_LOW)
-        self.pool.live.add(self)
-        self.flush()
+        """The connection is open, over TLS where that is set."""
+        self.pool.open_connections.add(self)
+        self.output.open(cast(asyncio.Transport, transport))  # uvloop's does not inherit from it
 
     def connection_lost(self, error: Exception | None) -> None:
-        taken = self.taken() if self.taken_in_the_end is None else self.taken_in_the_end
-        self.transport = None
-        self.pool.live.discard(self)
-        self.lane.left(self)
-        for finding in self.ledger.closed(self.reason, taken):
-            self.ended_without_answer(finding)
+        """The connection is closed; ends the work items of all open streams."""
+        taken_bytes = self.output.final_taken_bytes()
+        self.output.transport = None
+        self.pool.open_connections.discard(self)
+        self.group.connection_closed(self)
+        for outcome in self.tracker.connection_closed(self.end_reason, taken_bytes):
+            self._end_without_response(outcome)
         self.streams.clear()
-        self.lane.pump()
-        self.pool.pump()
+        self.group.serve_waiting()
+        self.pool.serve_waiting()
 
     def pause_writing(self) -> None:
-        self.writable = False
-        if self.shared is not None:
-            self.shared.stalled = True
+        """The transport's buffer is full: nothing new is sent."""
+        self.output.is_writable = False
+        if self.slots is not None:
+            self.slots.is_stalled = True
 
     def resume_writing(self) -> None:
-        self.writable = True
-        if self.shared is not None:
-            self.shared.stalled = False
-        self.upload()
-        self.flush()
-        self.lane.pump()
+        """The transport's buffer has been emptied."""
+        self.output.is_writable = True
+        if self.slots is not None:
+            self.slots.is_stalled = False
+        self._continue()
 
     def eof_received(self) -> bool:
+        """Closes the connection: a server that has closed its side answers nothing more."""
         return False
 
     def data_received(self, data: bytes) -> None:
-        self.liveness.heard(self.pool.clock())
-        self.busy = True
+        """Parses frames and handles their events; all that follows is written at the end, together."""
+        self.keep_alive.data_received(self.pool.clock())
+        self.output.is_corked = True
         try:
-            for start in range(0, len(data), SLICE):
-                found = self.engine.receive_data(data[start : start + SLICE] if len(data) > SLICE else data)
-                self.heard_any = True
+            for start in range(0, len(data), READ_SLICE_BYTES):
+                is_short = len(data) <= READ_SLICE_BYTES
+                found = self.engine.receive_data(data if is_short else data[start : start + READ_SLICE_BYTES])
+                self.has_received = True
                 for event in found:
-                    self.heard(event)
+                    self._handle_event(event)
                 if self.transport is None:
                     return
         except ProtocolError as error:
-            return self.broke_rules(error)
+            return self._close_by_violation(error)
         finally:
-            self.busy = False
-        self.upload()
-        self.flush()
-        self.lane.pump()
+            self.output.is_corked = False
+        self._continue()
 
-    # What the server's frames say.
+    def _continue(self) -> None:
+        self.output.continue_uploads()
+        self.output.flush()
+        self.group.serve_waiting()
 
-    def heard(self, event: ev.Event) -> None:
+    # The server's frames.
+
+    def _handle_event(self, event: events.Event) -> None:
         match event:
-            case ev.DataReceived():
-                self.on_data(event)
-            case ev.ResponseReceived():
-                self.on_head(event)
-            case ev.StreamEnded():
-                self.on_end(event.stream_id)
-            case ev.StreamReset() if event.remote_reset:
-                self.on_reset(event.stream_id, int(event.error_code or 0))
-            case ev.StreamReset():
-                self.on_own_reset(event.stream_id)
-            case ev.RemoteSettingsChanged():
-                self.on_settings()
-            case ev.ConnectionTerminated():
-                self.on_goaway(event.last_stream_id or 0, int(event.error_code or 0))
-
-    def on_settings(self) -> None:
-        limit = self.engine.remote_settings.max_concurrent_streams
-        if self.shared is None:
-            self.shared = self.lane.joined(self, limit)
+            case events.DataReceived():
+                self._on_data(event)
+            case events.ResponseReceived():
+                self._on_head(event)
+            case events.StreamEnded():
+                self._on_end(event.stream_id)
+            case events.StreamReset() if event.remote_reset:
+                self._on_reset(event.stream_id, int(event.error_code or 0))
+            case events.StreamReset():
+                self._on_stream_violation(event.stream_id)
+            case events.RemoteSettingsChanged():
+                self._on_settings()
+            case events.ConnectionTerminated():
+                self._on_goaway(event.last_stream_id or 0, int(event.error_code or 0))
+
+    def _on_settings(self) -> None:
+        max_streams = self.engine.remote_settings.max_concurrent_streams
+        if self.slots is None:
+            self.slots = self.group.settings_received(self, max_streams)
         else:
-            self.lane.sharing.limited(self.shared, limit)
+            self.group.allocator.set_max_streams(self.slots, max_streams)
 
-    def on_head(self, event: ev.ResponseReceived) -> None:
+    def _on_head(self, event: events.ResponseReceived) -> None:
         stream = self.streams.get(event.stream_id)
-        if stream is None or stream.job is None:
+        if stream is None or stream.item is None:
             return
         try:
-            head = self.read_head(stream, event.headers or [])
-        except (Spoilt, ValueError):
-            return self.spoilt(stream)
-        self.ledger.answer_began(stream.number)
-        if head is not None and isinstance(stream.job, Attempt):
-            stream.passing = self.pool.exchange.response_started(stream.job, head)
-
-    def read_head(self, stream: Stream, fields: list[tuple[bytes, bytes]]) -> ResponseHead | None:
-        """The head of an answer; None where its body goes to no client."""
-        headers: dict[bytes, bytes] = {}
-        for name, value in fields:
-            if name == b"content-length" and name in headers:
-                raise Spoilt
-            headers[name] = value
-        stream.headers, stream.status = headers, int(headers[b":status"])
-        length = read_length(headers)
-        if (length is None and b"content-length" in headers) or (length or 0) > OBJECT_MOST:
-            raise Spoilt
-        if stream.status not in (200, 304):
-            return None
-        tag = headers.get(b"tag")
-        return ResponseHead(stream.status == 304, length, tag.decode("latin-1") if tag else None)
-
-    def on_data(self, event: ev.DataReceived) -> None:
-        size = event.flow_controlled_length or 0
-        self.credit_connection(size)
+            head = stream.read_head(event.headers or [])
+        except (InvalidResponseError, ValueError):
+            return self._fail(stream)
+        self.tracker.response_started(stream.stream_id)
+        if head is not None and isinstance(stream.item, Attempt):
+            stream.is_forwarded = self.pool.exchange.response_started(stream.item, head)
+
+    def _on_data(self, event: events.DataReceived) -> None:
+        received_bytes = event.flow_controlled_length or 0
+        self.output.credit_connection(received_bytes)
         stream = self.streams.get(event.stream_id)
         if stream is None:
             return
-        stream.uncredited += size
-        if stream.job is None:
+        stream.uncredited_bytes += received_bytes
+        if stream.item is None:
             return
-        stream.size += len(event.data or b"")
-        if stream.size > OBJECT_MOST or not stream.status:
-            return self.spoilt(stream)
-        if stream.passing and isinstance(stream.job, Attempt) and event.data:
-            self.pool.exchange.response_body(stream.job, event.data)
-        if event.stream_ended is None:
-            self.credit(stream)
-
-    def on_end(self, number: int) -> None:
-        stream = self.streams.get(number)
+        stream.body_bytes += len(event.data or b"")
+        if stream.body_bytes > MAX_OBJECT_BYTES or not stream.status:
+            return self._fail(stream)
+        if stream.is_forwarded and isinstance(stream.item, Attempt) and event.data:
+            self.pool.exchange.response_body(stream.item, event.data)
+        if event.stream_ended is None and event.stream_id in self.streams:
+            self.output.credit_stream(stream)
+
+    def _on_end(self, stream_id: int) -> None:
+        stream = self.streams.get(stream_id)
         if stream is None:
             return
-        if stream.job is not None and not stream.status:  # an end without a head
-            return self.spoilt(stream)
-        job, stream.job = stream.job, None
-        self.ledger.answered(number)
-        if stream.body:  # the server needed no more of it
-            self.reset(number, ErrorCodes.NO_ERROR)
-        self.forget(stream, abandoned=job is None)
-        if job is not None:
-            self.lane.sharing.answered(self.pool.clock())
-            self.pool.over(job, read_end(stream.status, stream.headers))
-
-    def on_reset(self, number: int, code: int) -> None:
-        finding = self.ledger.reset(number, code, self.taken())
+        if stream.item is not None and not stream.status:  # an end without a head
+            return self._fail(stream)
+        item, stream.item = stream.item, None
+        self.tracker.response_completed(stream_id)
+        if stream.unsent_body:  # the server needs no more of the request
+            self._reset(stream_id, ErrorCodes.NO_ERROR)
+        self._forget(stream, was_abandoned=item is None)
+        if item is not None:
+            self.group.allocator.response_completed(self.pool.clock())
+            self.pool.finish(item, read_result(stream.status, stream.headers))
+
+    def _on_reset(self, stream_id: int, code: int) -> None:
+        outcome = self.tracker.reset(stream_id, code, self.output.taken_bytes())
         self.pool.counters.add("h2.resets_heard")
-        self.heed(code)
-        if finding is not None:
-            self.ended_without_answer(finding)
+        self._apply_error_code(code)
+        if outcome is not None:
+            self._end_without_response(outcome)
 
-    def heed(self, code: int) -> None:
-        """What an error code asks for beside the end that it tells of, on a stream or in a GOAWAY."""
-        if code == ENHANCE_YOUR_CALM:
-            self.lane.calm()
-        if code == HTTP_1_1_REQUIRED:
-            self.lane.speaks_http1("HTTP_1_1_REQUIRED")
-
-    def on_own_reset(self, number: int) -> None:
-        """The engine reset a stream on which the server broke a rule that costs no more than that."""
+    def _on_stream_violation(self, stream_id: int) -> None:
+        """The engine has reset a stream for a violation that concerns only the stream (RFC 9113, 5.4.2)."""
         self.pool.counters.add("h2.broke_rules")
         self.pool.counters.add("h2.broke_rules.on_a_stream")
-        finding = self.ledger.broke_rules(number, self.taken())
-        if finding is not None:
-            self.ended_without_answer(finding)
+        outcome = self.tracker.protocol_error(stream_id, self.output.taken_bytes())
+        if outcome is not None:
+            self._end_without_response(outcome)
 
-    def on_goaway(self, last: int, code: int) -> None:
+    def _on_goaway(self, last_id: int, code: int) -> None:
         self.pool.counters.add("h2.goaways")
-        self.heed(code)
-        raised = self.ledger.raised
-        found = self.ledger.goaway(last, code, self.taken())
-        if self.shared is not None:
-            self.lane.sharing.drain(self.shared, self.pool.clock())
-        if self.ledger.raised > raised:
+        self._apply_error_code(code)
+        raised_before = self.tracker.raised_goaways
+        outcomes = self.tracker.goaway(last_id, code, self.output.taken_bytes())
+        if self.slots is not None:
+            self.group.allocator.drain(self.slots, self.pool.clock())
+        if self.tracker.raised_goaways > raised_before:
             self.pool.counters.add("h2.goaways_raised")
-        for finding in found:
-            self.ended_without_answer(finding)
-        if not self.streams:
-            self.close(ErrorCodes.NO_ERROR)
+        for outcome in outcomes:
+            self._end_without_response(outcome)
+        self.close_if_idle()
 
-    def broke_rules(self, error: ProtocolError) -> None:
-        """The server broke the protocol: its connection goes, with the code that says why (RFC 9113, 5.4)."""
+    def _apply_error_code(self, code: int) -> None:
+        """Applies what an error code asks of the whole server, in RST_STREAM and in GOAWAY."""
+        if code == ENHANCE_YOUR_CALM:
+            self.group.calm_requested()
+        if code == HTTP_1_1_REQUIRED:
+            self.group.fall_back("HTTP_1_1_REQUIRED")
+
+    def _close_by_violation(self, error: ProtocolError) -> None:
+        """Closes the connection after a violation, with its code in a GOAWAY (RFC 9113, section 5.4.1)."""
         self.pool.counters.add("h2.broke_rules")
-        self.pool.counters.add(f"h2.broke_rules.{type(error).__name__}")
-        if not self.heard_any or self.shared is None:  # no settings, so no HTTP/2
-            self.lane.speaks_http1("no HTTP/2 preface")
-        self.flush()  # the engine has put its GOAWAY there
-        self.reason = Reason.BROKE_RULES
-        if self.transport is not None and self.writable:
+        self.pool.counters.add(f"h2.broke_rules.{violation_name(error)}")
+        if not self.has_received or self.slots is None:  # no settings, so no HTTP/2
+            self.group.fall_back("no HTTP/2 preface")
+        self.output.flush()  # the engine has prepared the GOAWAY
+        self.end_reason = EndReason.PROTOCOL_ERROR
+        if self.transport is not None and self.output.is_writable:
             self.transport.close()
-        else:  # nobody reads what would be said
-            self.abort(Reason.BROKE_RULES)
+        else:  # the server does not read
+            self.output.abort()
+
+    # Requests and their ends.
+
+    def send(self, item: WorkItem) -> None:
+        """Opens a stream for a work item; the allocator must have found capacity for it."""
+        assert self.slots is not None and self.transport is not None
+        stream_id = self.group.allocator.open_stream(self.slots)
+        stream = self.streams[stream_id] = Http2Stream(self, stream_id, item)
+        item.carrier = stream
+        now_ms = self.pool.clock()
+        body = item.open_request.request.body if isinstance(item, Attempt) else b""
+        fields = encode_fields(item, "https" if self.output.is_tls else "http", now_ms)
+        start = self.output.position()
+        self.keep_alive.request_sent(now_ms)
+        self.engine.send_headers(stream_id, fields, end_stream=not body)
+        self.tracker.open_stream(stream_id, start, self.output.position(), is_complete=not body)
+        if body:
+            self.output.upload(stream, body)
+        self.output.flush()
 
-    def spoilt(self, stream: Stream) -> None:
-        """What came on a stream is no good answer: it costs the stream."""
-        job, stream.job = stream.job, None
-        self.pool.counters.add("caches.unreadable_answer")
-        self.give_up(stream)
-        if job is not None:
-            self.pool.over(job, AttemptResult(api.Status.ERROR))
+    def abandon(self, stream: Http2Stream) -> None:
+        """Ends a stream whose response is not wanted any more, by a reset if the limit of resets allows it.
 
-    def ended_without_answer(self, finding: Finding) -> None:
-        stream = self.streams.get(finding.stream)
-        if stream is None:
-            return
-        job, stream.job = stream.job, None
-        self.forget(stream, abandoned=job is None)
-        if job is None:
-            return
-        self.pool.counters.add(f"h2.ended.{finding.reason.value}")
-        if self.pool.witness is not None and isinstance(job, Attempt):
-            self.pool.witness(job, finding)
-        self.pool.over(job, AttemptResult(status_of(finding)))
-
-    # Requests.
-
-    def carry(self, job: Job) -> None:
-        """Open a stream for a job; the caller has seen that there is room."""
-        assert self.shared is not None and self.transport is not None
-        number = self.lane.sharing.started(self.shared)
-        stream = self.streams[number] = Stream(self, number, job)
-        job.carrier = stream
-        method, path, body = "GET", "", b""
-        fields: list[Any] = []
-        if isinstance(job, Attempt):
-            request = job.open_request.request
-            method, path, body = request.method, request_path(job), request.body
-            fields = [
-                NeverIndexedHeaderTuple(name.lower(), value) if name in OWN_FIELDS else (name.lower(), value)
-                for name, value in request_fields(job, self.pool.clock())
-            ]
-        else:
-            path = job.path
-        head: list[Any] = [
-            (":method", method), (":scheme", "https" if self.secure else "http"), (":authority", AUTHORITY),
-            NeverIndexedHeaderTuple(":path", path), *fields,
-        ]  # fmt: skip
-        start = self.position()
-        self.liveness.woke(self.pool.clock())
-        self.engine.send_headers(number, head, end_stream=not body)
-        self.ledger.opened(number, start, self.position(), not body)
-        if body:
-            stream.body = memoryview(body)
-            self.uploads.add(stream)
-            self.upload()
-        self.flush()
-
-    def upload(self) -> None:
-        """Request bodies, as far as the server's windows and our buffer allow, in the order of streams."""
-        for stream in sorted(self.uploads, key=lambda s: s.number) if self.uploads else ():
-            while stream.body and self.writable:
-                # Either window may be negative after the server has lowered it (RFC 9113, 6.9.2).
-                room = self.engine.local_flow_control_window(stream.number)
-                size = min(room, self.engine.max_outbound_frame_size, len(stream.body))
-                if size <= 0:
-                    break
-                piece, stream.body = stream.body[:size], stream.body[size:]
-                self.engine.send_data(stream.number, bytes(piece), end_stream=not stream.body)
-            if not stream.body:
-                self.uploads.discard(stream)
-                self.ledger.body_ended(stream.number, self.position())
-
-    def give_up(self, stream: Stream) -> None:
-        """Nobody wants the answer: a reset, if the bound on resets allows one more.
-
-        Guards against looking like an attack by rapid reset: beyond the bound the stream runs out unheard,
-        its window closed, and counts against the limit as it does at the server.
+        Otherwise the stream goes on unread with its window closed, and counts against the limit of streams as
+        it does at the server: more resets could look like an attack by rapid reset.
         """
-        self.ledger.given_up(stream.number, self.taken())
-        if self.transport is None or self.streams.get(stream.number) is not stream:
+        self.tracker.cancel(stream.stream_id, self.output.taken_bytes())
+        if self.transport is None or self.streams.get(stream.stream_id) is not stream:
             return
-        if self.cancels.take(self.pool.clock()):
-            self.reset(stream.number, ErrorCodes.CANCEL)
-            self.forget(stream)
-            if not self.busy:
-                self.lane.pump()
+        if self.resets.take(self.pool.clock()):
+            self._reset(stream.stream_id, ErrorCodes.CANCEL)
+            self._forget(stream)
+            if not self.output.is_corked:
+                self.group.serve_waiting()
         else:
             self.pool.counters.add("h2.cancels_held_back")
-            assert self.shared is not None
-            self.lane.sharing.abandoned(self.shared, self.pool.clock())
+            assert self.slots is not None
+            self.group.allocator.abandon_stream(self.slots, self.pool.clock())
+
+    def resume(self, stream: Http2Stream) -> None:
+        """Opens a stream's window again after a pause."""
+        if stream.stream_id in self.streams:
+            self.output.credit_stream(stream)
+        self.output.flush()
+
+    def _fail(self, stream: Http2Stream) -> None:
+        """Ends a stream whose response is invalid."""
+        item, stream.item = stream.item, None
+        self.pool.counters.add("caches.unreadable_answer")
+        self.abandon(stream)
+        if item is not None:
+            self.pool.finish(item, AttemptResult(api.Status.ERROR))
+
+    def _end_without_response(self, outcome: StreamOutcome) -> None:
+        stream = self.streams.get(outcome.stream_id)
+        if stream is None:
+            return
+        item, stream.item = stream.item, None
+        self._forget(stream, was_abandoned=item is None)
+        if item is None:
+            return
+        self.pool.counters.add(f"h2.ended.{outcome.reason.value}")
+        if self.pool.on_stream_ended is not None and isinstance(item, Attempt):
+            self.pool.on_stream_ended(item, outcome)
+        self.pool.finish(item, AttemptResult(attempt_status(outcome)))
 
-    def reset(self, number: int, code: ErrorCodes) -> None:
-        if self.transport is not None and self.engine.streams[number].open:
+    def _reset(self, stream_id: int, code: ErrorCodes) -> None:
+        if self.transport is not None and self.engine.streams[stream_id].open:
             self.pool.counters.add("h2.resets_sent")
-            self.engine.reset_stream(number, code)
-            self.flush()
-
-    def forget(self, stream: Stream, abandoned: bool = False) -> None:
-        self.uploads.discard(stream)
-        stream.body = memoryview(b"")
-        if self.streams.pop(stream.number, None) is not None and self.shared is not None:
-            self.lane.sharing.ended(self.shared, self.pool.clock(), abandoned)
-            if self.shared.draining_since is not None and not self.streams:
-                asyncio.get_running_loop().call_soon(self.close_if_empty)
-
-    def close_if_empty(self) -> None:
+            self.engine.reset_stream(stream_id, code)
+            self.output.flush()
+
+    def _forget(self, stream: Http2Stream, was_abandoned: bool = False) -> None:
+        self.output.stop_upload(stream)
+        if self.streams.pop(stream.stream_id, None) is not None and self.slots is not None:
+            self.group.allocator.close_stream(self.slots, self.pool.clock(), was_abandoned)
+            if self.slots.draining_since_ms is not None and not self.streams:
+                asyncio.get_running_loop().call_soon(self.close_if_idle)
+
+    # The end of the connection.
+
+    def check_keep_alive(self, now_ms: float) -> None:
+        """Sends a PING after silence, and closes the connection if nothing follows."""
+        is_outstanding = bool(self.streams) or self.slots is None
+        match self.keep_alive.check(is_outstanding, now_ms):
+            case KeepAliveAction.PING:
+                self.pool.counters.add("h2.pings")
+                self.engine.ping(PING_DATA)
+                self.output.flush()
+            case KeepAliveAction.CLOSE:
+                self.pool.counters.add("h2.silent")
+                self.end_reason = EndReason.KEEP_ALIVE_TIMEOUT
+                self.output.abort()
+            case KeepAliveAction.NONE:
+                pass
+
+    def close_if_idle(self) -> None:
+        """Closes the connection if no stream is open."""
         if not self.streams:
-            self.close(ErrorCodes.NO_ERROR)
+            self.close()
+
+    def close(self) -> None:
+        """Closes the connection with a GOAWAY; streams that are still open end with it."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.engine.close_connection(ErrorCodes.NO_ERROR)
+        self.output.write_out()
+        if self.streams:
+            self.end_reason = EndReason.CONNECTION_LOST
+            self.output.abort()
+        else:
+            self.transport.close()
--- a/gladewalk/upstream/http2_engine.py
+++ b/gladewalk/upstream/http2_engine.py
@@ -1,4 +1,4 @@
-"""The protocol engine: `h2`'s client side, held to our bounds and kept going through a graceful GOAWAY."""
+"""The HTTP/2 protocol engine: the `h2` library's client side, with our limits and a graceful GOAWAY."""
 
 from __future__ import annotations
 
@@ -16,39 +16,53 @@
 from hyperframe.frame import DataFrame, Frame, GoAwayFrame, HeadersFrame
 
 from ..config.option_tables import Http2Options
-from ..streams.keep_alive import Bucket
-from .protocol_fields import HEAD_MOST
+from ..errors import GladewalkError
+from ..streams.token_bucket import TokenBucket
+from .protocol_fields import MAX_HEAD_BYTES
 
 if TYPE_CHECKING:
     from h2._typing import Buffer
 
-logging.getLogger("hpack.hpack").disabled = True  # it has a line for each field, written or not
-CLOSED_REMEMBERED = 4_096  # closed streams whose late frames are told from lies; bounds memory
+logging.getLogger("hpack.hpack").disabled = True  # it prepares a line for each field, logged or not
+MAX_CLOSED_STREAMS = 4_096  # closed streams that late frames may still belong to; limits memory
+OPEN_STREAM_SWEEP_INTERVAL = 64  # opened streams between two sweeps of the library's closed ones
+PREFIX_LENGTH_BYTES = 3  # of a frame: its length (RFC 9113, section 4.1)
 
 
-class Flood(ProtocolError):
-    """More frames that carry nothing than a server that means well ever sends."""
+class FrameFloodError(GladewalkError, ProtocolError):
+    """More frames without payload than a correct server ever sends."""
 
     error_code = ErrorCodes.ENHANCE_YOUR_CALM
 
 
+def violation_name(error: ProtocolError) -> str:
+    """Returns the name of a violation in the counters `h2.broke_rules.NAME`."""
+    return "Flood" if isinstance(error, FrameFloodError) else type(error).__name__
+
+
 class PlainEncoder(Encoder):
-    """The library's encoder without Huffman's code, which costs more time than its bytes are worth here."""
+    """The library's HPACK encoder without Huffman coding, whose time costs more than its bytes save here."""
 
     def encode(self, headers: Any, huffman: bool = False) -> bytes:
+        """Returns a block of fields as literals without Huffman coding."""
         return super().encode(headers, huffman=False)
 
 
-class Engine(H2Connection):
-    """`h2` as a client of a cache: no push, bounded heads, bounded noise.
+class Http2Engine(H2Connection):
+    """`h2` as a client: no push, limited heads, limited frames without payload.
 
-    Two of the library's inner methods are replaced, and one property, for what its public side does not have;
-    `tests/test_http2.py` fails if a new version no longer calls them.
+    Two of the library's inner methods and one property are replaced where its public interface does not
+    suffice; a test fails if a new version of the library no longer calls them.
+
+    Attributes:
+        control_frames: Limits the frames without payload that the server may send.
     """
 
-    MAX_CLOSED_STREAMS = CLOSED_REMEMBERED
+    MAX_CLOSED_STREAMS = MAX_CLOSED_STREAMS
 
-    def __init__(self, terms: Http2Options, clock: Callable[[], float], count: Callable[[str], None]) -> None:
+    def __init__(
+        self, options: Http2Options, clock: Callable[[], float], count: Callable[[str], None]
+    ) -> None:
         super().__init__(
             H2Configuration(
                 client_side=True,
@@ -60,34 +74,36 @@
         )
         self.encoder = PlainEncoder()
         self.clock, self.count = clock, count
-        self.noise = Bucket(terms.control_frame_burst, terms.control_frames_per_s, clock())
+        self._opened_since_sweep = 0
+        self.control_frames = TokenBucket(options.control_frame_burst, options.control_frames_per_s, clock())
         self.local_settings = Settings(
             client=True,
             initial_values={
                 SettingCodes.ENABLE_PUSH: 0,
-                SettingCodes.MAX_HEADER_LIST_SIZE: HEAD_MOST,
-                SettingCodes.INITIAL_WINDOW_SIZE: terms.stream_window_bytes,
+                SettingCodes.MAX_HEADER_LIST_SIZE: MAX_HEAD_BYTES,
+                SettingCodes.INITIAL_WINDOW_SIZE: options.stream_window_bytes,
             },
         )
-        self.decoder.max_header_list_size = HEAD_MOST
+        self.decoder.max_header_list_size = MAX_HEAD_BYTES
         self.initiate_connection()
-        extra = terms.connection_window_bytes - self.inbound_flow_control_window
+        extra = options.connection_window_bytes - self.inbound_flow_control_window
         if extra > 0:
             self.increment_flow_control_window(extra)
 
     def receive_data(self, data: Buffer) -> list[Event]:
-        """Guards against a frame that announces megabytes, and a head that goes on and on.
+        """Returns the events of received bytes; raises `ProtocolError` for a violation.
 
-        The library looks at a frame's length once all of it is here, and at a head once its last part is.
+        Rejects a frame that announces megabytes, and an endless head: the library checks a frame's length
+        once all of the frame is received, and a head once its last part is.
         """
         events = super().receive_data(data)
         buffer = self.incoming_buffer
-        announced = int.from_bytes(buffer._data[:3], "big")  # RFC 9113, 4.1
+        announced_bytes = int.from_bytes(buffer._data[:PREFIX_LENGTH_BYTES], "big")
         parts = buffer._headers_buffer
-        if announced > self.max_inbound_frame_size:
-            error: ProtocolError = FrameTooLargeError(f"a frame of {announced} bytes is announced")
-        elif parts and sum(len(part.data) for part in parts) > HEAD_MOST:
-            error = DenialOfServiceError("a head without end")
+        if announced_bytes > self.max_inbound_frame_size:
+            error: ProtocolError = FrameTooLargeError(f"a frame of {announced_bytes} bytes is announced")
+        elif parts and sum(len(part.data) for part in parts) > MAX_HEAD_BYTES:
+            error = DenialOfServiceError(f"a head of more than {MAX_HEAD_BYTES} bytes")
         else:
             return events
         self._terminate_connection(error.error_code)
@@ -95,46 +111,44 @@
 
     @property
     def open_outbound_streams(self) -> int:
-        """Nothing: `Sharing` has counted before a stream is opened.
+        """A number below any limit: `StreamAllocator` counts streams before they are opened.
 
-        The library walks through all streams here with each one that it opens, to compare their number with a
-        limit that may have been lowered below it.
+        The library calls this with each stream that it opens, walks through all streams, and compares their
+        number with a limit that the server may have lowered below it.
         """
-        self.sweep_due += 1
-        if self.sweep_due >= 64:  # the walk also forgets closed streams: now and then it must take place
-            self.sweep_due = 0
+        self._opened_since_sweep += 1
+        if self._opened_since_sweep >= OPEN_STREAM_SWEEP_INTERVAL:  # the walk also forgets closed streams
+            self._opened_since_sweep = 0
             self._open_streams(1)
         return -1
 
-    sweep_due = 0
-
     def _receive_frame(self, frame: Frame) -> list[Event]:
-        """Guards against floods of SETTINGS, PING, empty DATA, resets and the like.
+        """Handles a frame; raises `FrameFloodError` for too many SETTINGS, PING, empty DATA, resets and such.
 
-        Each costs the sender nothing and us an answer or a turn. DATA with content and HEADERS of open
-        streams are what we asked for: they cost nothing here.
+        Such a frame costs its sender nothing and this side a reply or a turn. DATA with payload and HEADERS
+        of open streams are not counted.
         """
         stream = self.streams.get(frame.stream_id)
-        live = stream is not None and stream.open
-        content = isinstance(frame, HeadersFrame) or (
+        is_open = stream is not None and stream.open
+        has_payload = isinstance(frame, HeadersFrame) or (
             isinstance(frame, DataFrame) and (frame.data or "END_STREAM" in frame.flags)
         )
-        if not (live and content):
-            if content and not live:
-                self.count("h2.stray_frames")  # on a stream that has ended, or never was
-            if not self.noise.take(self.clock()):
-                raise Flood(f"too many frames without content, the last of them {type(frame).__name__}")
-        elif isinstance(frame, DataFrame):  # the library's own way begins with all its bytes in hexadecimal
+        if not (is_open and has_payload):
+            if has_payload and not is_open:
+                self.count("h2.stray_frames")  # on a stream that has ended, or never was opened
+            if not self.control_frames.take(self.clock()):
+                raise FrameFloodError(f"too many frames without payload, the last is {type(frame).__name__}")
+        elif isinstance(frame, DataFrame):  # the library's own handler formats all bytes for a log line first
             frames, events = self._receive_data_frame(frame)
             self._prepare_for_sending(frames)
             return events
         return super()._receive_frame(frame)
 
     def _receive_goaway_frame(self, frame: GoAwayFrame) -> tuple[list[Frame], list[Event]]:
-        """RFC 9113, 6.8: the streams up to the last id go on, both ways, until they end.
+        """Lets the streams up to the last id go on, both ways, until they end (RFC 9113, section 6.8).
 
-        The library closes its connection state at once and drops what it had yet to send; it would then take
-        the rest of a good answer for a breach.
+        The library closes its connection state at once and drops what it has not sent; the rest of a valid
+        response would then be a violation.
         """
         event = ConnectionTerminated()
         event.error_code = frame.error_code
--- a/gladewalk/upstream/http2_stream.py
+++ b/gladewalk/upstream/http2_stream.py
@@ -1,64 +1,133 @@
-"""One request and its answer on a shared connection, and what its end means in the module's words."""
+"""One request and its response on an HTTP/2 connection, and what its end means to the dispatcher."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from h2.errors import ErrorCodes
+from hpack import NeverIndexedHeaderTuple
 
 from .. import interface as api
-from ..streams.stream_tracker import Finding, Reason
-from .work_items import Job
-
-if TYPE_CHECKING:
-    from .http2 import Http2Connection
-
-STATUSES = {  # of an attempt whose stream ended without an answer, where nothing proves that it never ran
-    Reason.RESET: api.Status.RESET,
-    Reason.LOST: api.Status.RESET,
-    Reason.SILENT: api.Status.RESET,
-    Reason.BROKE_RULES: api.Status.ERROR,
-    Reason.GIVEN_UP: api.Status.CANCELLED,
+from ..core.exchange import Attempt, ResponseHead
+from ..streams.stream_tracker import EndReason, StreamOutcome
+from .protocol_fields import (
+    AUTHORITY,
+    MAX_OBJECT_BYTES,
+    InvalidResponseError,
+    read_content_length,
+    request_fields,
+    request_path,
+)
+from .work_items import WorkItem
+
+# Fields that differ with each request: in HPACK's table (RFC 7541, section 7.1.3) they would evict others.
+UNINDEXED_FIELDS = frozenset(("X-Ticket", "X-Max-Ms", "X-Nonce", "No-Older-Than", "Have", "Content-Length"))
+STATUS_BY_REASON = {  # of an attempt whose request may have been processed
+    EndReason.RESET: api.Status.RESET,
+    EndReason.CONNECTION_LOST: api.Status.RESET,
+    EndReason.KEEP_ALIVE_TIMEOUT: api.Status.RESET,
+    EndReason.PROTOCOL_ERROR: api.Status.ERROR,
+    EndReason.CANCELLED: api.Status.CANCELLED,
 }
 
 
-def status_of(finding: Finding) -> api.Status:
-    """How an attempt has ended, in the module's words: with proof, it never ran and may be sent anew."""
-    if finding.reason is Reason.REFUSED:
-        return api.Status.REJECTED  # the server lives, and has no room
-    if finding.never_ran:
+def attempt_status(outcome: StreamOutcome) -> api.Status:
+    """Returns how an attempt without a response has ended; an unprocessed one may be sent again."""
+    if outcome.reason is EndReason.REFUSED:
+        return api.Status.REJECTED  # the server is up and at its capacity
+    if outcome.is_unprocessed:
         return api.Status.NOT_SENT
-    if finding.reason is Reason.RESET and finding.code == ErrorCodes.INTERNAL_ERROR:
+    if outcome.reason is EndReason.RESET and outcome.code == ErrorCodes.INTERNAL_ERROR:
         return api.Status.ERROR
-    return STATUSES[finding.reason]
+    return STATUS_BY_REASON[outcome.reason]
+
+
+class StreamOwner(Protocol):
+    """What a stream needs of the connection that it is on."""
+
+    def abandon(self, stream: Http2Stream) -> None:
+        """Ends a stream whose response is not wanted any more."""
+
+    def resume(self, stream: Http2Stream) -> None:
+        """Opens a stream's window again after a pause."""
+
 
+class Http2Stream:
+    """One request and its response; a `Carrier` of its work item.
 
-class Stream:
-    """One request and its answer."""
+    Attributes:
+        item: The attempt or health check; None once its response is not wanted any more.
+        unsent_body: What has not been sent of the request's body.
+        status: The response's status, 0 before its head.
+        body_bytes: Received bytes of the response's body.
+        is_forwarded: Whether the response goes to a client.
+        is_paused: Whether the client is slow, so that the stream's window is not opened again.
+        uncredited_bytes: Received bytes for which the stream's window has not been opened again.
+    """
 
     __slots__ = (
-        "body", "connection", "headers", "job", "number", "passing", "size", "status", "uncredited",
-        "withheld",
+        "body_bytes", "connection", "headers", "is_forwarded", "is_paused", "item", "status", "stream_id",
+        "uncredited_bytes", "unsent_body",
     )  # fmt: skip
 
-    def __init__(self, connection: Http2Connection, number: int, job: Job) -> None:
-        self.connection, self.number = connection, number
-        self.job: Job | None = job
-        self.body = memoryview(b"")  # of the request, what has not been sent
-        self.status = self.size = 0
+    def __init__(self, connection: StreamOwner, stream_id: int, item: WorkItem) -> None:
+        self.connection, self.stream_id = connection, stream_id
+        self.item: WorkItem | None = item
+        self.unsent_body = memoryview(b"")
+        self.status = self.body_bytes = 0
         self.headers: dict[bytes, bytes] = {}
-        self.passing = False
-        self.withheld = False  # the client is slow: its window is not opened again
-        self.uncredited = 0  # bytes received for which the window has not been opened again
+        self.is_forwarded = self.is_paused = False
+        self.uncredited_bytes = 0
 
-    # The pool's calls: a stream is a carrier.
+    def cancel(self, item: WorkItem) -> None:
+        """Abandons the response."""
+        self.item = None
+        self.connection.abandon(self)
 
-    def drop(self, job: Job) -> None:
-        self.job = None
-        self.connection.give_up(self)
-
-    def flow(self, job: Job, on: bool) -> None:
-        self.withheld = not on
+    def flow(self, item: WorkItem, on: bool) -> None:
+        """Resumes (`on`) or pauses the response by the stream's window."""
+        self.is_paused = not on
         if on:
-            self.connection.credit(self)
-            self.connection.flush()
+            self.connection.resume(self)
+
+    def read_head(self, fields: list[tuple[bytes, bytes]]) -> ResponseHead | None:
+        """Takes the response's head; returns it for the client, None where the response goes to no client.
+
+        Raises `InvalidResponseError`, or `ValueError` for a status that is no number.
+        """
+        headers: dict[bytes, bytes] = {}
+        for name, value in fields:
+            if name == b"content-length" and name in headers:
+                raise InvalidResponseError("two Content-Length fields")
+            headers[name] = value
+        self.headers, self.status = headers, int(headers[b":status"])
+        length = read_content_length(headers)
+        if (length is None and b"content-length" in headers) or (length or 0) > MAX_OBJECT_BYTES:
+            raise InvalidResponseError("a Content-Length that is invalid or too large")
+        if self.status not in (200, 304):
+            return None
+        etag = headers.get(b"tag")
+        return ResponseHead(self.status == 304, length, etag.decode("latin-1") if etag else None)
+
+
+def encode_fields(item: WorkItem, scheme: str, now_ms: float) -> list[Any]:
+    """Returns the fields of a work item's request, pseudo-fields first (RFC 9113, section 8.3)."""
+    method = "GET"
+    fields: list[Any] = []
+    if isinstance(item, Attempt):
+        method, path = item.open_request.request.method, request_path(item)
+        fields = [
+            NeverIndexedHeaderTuple(name.lower(), value)
+            if name in UNINDEXED_FIELDS
+            else (name.lower(), value)
+            for name, value in request_fields(item, now_ms)
+        ]
+    else:
+        path = item.path
+    return [
+        (":method", method),
+        (":scheme", scheme),
+        (":authority", AUTHORITY),
+        NeverIndexedHeaderTuple(":path", path),
+        *fields,
+    ]
--- a/gladewalk/upstream/http2_transport.py
+++ b/gladewalk/upstream/http2_transport.py
@@ -1,124 +1,135 @@
-"""The bytes of a shared HTTP/2 connection: what was handed over, windows, and whether it still lives."""
+"""The sending side of an HTTP/2 connection: bytes given to the kernel, request bodies and receive windows."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
-from h2.errors import ErrorCodes
+from ..config.option_tables import Http2Options
+from ..streams.stream_tracker import StreamTracker
+from .http2_engine import Http2Engine
+from .http2_stream import Http2Stream
 
-from ..streams.keep_alive import Bucket, Liveness, Pulse
-from ..streams.stream_allocator import Shared
-from ..streams.stream_tracker import Ledger, Reason
-from .http2_engine import Engine
-from .http2_stream import Stream
+MAX_UNSENT_BYTES = 64 * 1024  # in the transport's buffer: above it, nothing more is added
+RESUME_UNSENT_BYTES = 16 * 1024  # until no more than this is left
 
-if TYPE_CHECKING:
-    from .connection_group import Lane
 
+class Http2Transport:
+    """Writes the engine's frames to the socket, and knows how many bytes the kernel has taken at most.
 
-class Http2Wire(asyncio.Protocol):
-    """What every part of a connection writes through."""
+    Attributes:
+        transport: The socket's; None before the connection is open and after it is closed.
+        is_tls: Whether the connection is over TLS.
+        sent_bytes: Bytes handed to the transport.
+        is_writable: Whether the transport's buffer is below its limit.
+        is_corked: Whether writing waits for the end of a read, so that all frames go out together.
+        taken_bytes_at_abort: `taken_bytes` at the time of an abort by this side.
+    """
 
-    def __init__(self, lane: Lane, secure: bool) -> None:
-        self.lane, self.pool = lane, lane.pool
-        self.address = lane.upstream.address
-        terms, now = lane.terms, self.pool.clock()
+    def __init__(
+        self, engine: Http2Engine, tracker: StreamTracker, options: Http2Options, is_tls: bool
+    ) -> None:
+        self.engine, self.tracker, self.is_tls = engine, tracker, is_tls
         self.transport: asyncio.Transport | None = None
-        self.secure = secure
-        self.engine = Engine(terms, self.pool.clock, self.pool.counters.add)
-        self.ledger = Ledger()
-        self.streams: dict[int, Stream] = {}
-        self.uploads: set[Stream] = set()
-        self.shared: Shared | None = None  # once the server's settings have come
-        self.cancels = Bucket(terms.reset_burst, terms.resets_per_s, now)
-        self.liveness = Liveness(terms.ping_after_ms, terms.ping_timeout_ms, now)
-        self.written = 0  # bytes handed to the transport
-        self.out = bytearray()  # and those that are about to be
-        self.writable = True
-        self.taken_in_the_end: int | None = None  # of the bytes written, where we ended it ourselves
-        self.heard_any = False
-        self.reason = Reason.LOST  # why it ends, once it does
-        self.window_step = terms.stream_window_bytes // 2
-        self.uncredited = 0  # bytes of the connection's own window
-        self.busy = False  # within a read: what is to be written goes out at its end
-
-    def credit_connection(self, size: int) -> None:
-        """The connection's window opens whatever clients do: a slow one must not stall its neighbours."""
-        self.uncredited += size
-        if self.uncredited >= self.lane.terms.connection_window_bytes // 4:
-            self.engine.increment_flow_control_window(self.uncredited)
-            self.uncredited = 0
-
-    def credit(self, stream: Stream) -> None:
-        """A stream's window opens again as its client takes the bytes."""
-        wanted = stream.job is not None and not stream.withheld and stream.number in self.streams
-        if wanted and stream.uncredited >= self.window_step:
-            if self.engine.streams[stream.number].open:
-                self.engine.increment_flow_control_window(stream.uncredited, stream.number)
-            stream.uncredited = 0
+        self.sent_bytes = 0
+        self.is_writable = True
+        self.is_corked = False
+        self.taken_bytes_at_abort: int | None = None
+        self._pending = bytearray()  # frames that are not handed to the transport yet
+        self._uploads: set[Http2Stream] = set()
+        self._stream_credit_step = options.stream_window_bytes // 2
+        self._connection_credit_step = options.connection_window_bytes // 4
+        self._uncredited_bytes = 0  # of the connection's own window
+
+    def open(self, transport: asyncio.Transport) -> None:
+        """Takes the transport of a connection that is open, and sends the preface."""
+        self.transport = transport
+        transport.set_write_buffer_limits(MAX_UNSENT_BYTES, RESUME_UNSENT_BYTES)
+        self.flush()
 
     def position(self) -> int:
-        """Bytes of this connection so far, with those that are about to be written."""
-        self.out += self.engine.data_to_send()
-        return self.written + len(self.out)
+        """Returns how many bytes the connection has sent, including those about to be written."""
+        self._pending += self.engine.data_to_send()
+        return self.sent_bytes + len(self._pending)
 
-    def taken(self) -> int:
-        """Bytes that the kernel has taken, at the most.
+    def taken_bytes(self) -> int:
+        """Returns how many bytes the kernel has taken at most.
 
-        Over TLS what the transport still holds is not told, so all that was written counts as taken: that
-        proves less, and nothing that is not so. The same where a transport is lost and has thrown its buffer
-        away: it tells of none. What waits here, in `out`, was never handed over at all.
+        All that were sent, where it is unknown what the transport still holds: over TLS, and once the
+        transport is lost with its buffer. That proves less, but nothing that is not true.
         """
-        if self.transport is None or self.secure:
-            return self.written
-        return self.written - self.transport.get_write_buffer_size()
+        if self.transport is None or self.is_tls:
+            return self.sent_bytes
+        return self.sent_bytes - self.transport.get_write_buffer_size()
 
-    def abort(self, reason: Reason) -> None:
-        """End at once: what the kernel has not taken by now it never will."""
-        self.reason, self.taken_in_the_end = reason, self.taken()
+    def final_taken_bytes(self) -> int:
+        """Returns `taken_bytes` for a connection that is closed now."""
+        return self.taken_bytes() if self.taken_bytes_at_abort is None else self.taken_bytes_at_abort
+
+    def abort(self) -> None:
+        """Closes the connection at once: what the kernel has not taken by now it never will."""
+        self.taken_bytes_at_abort = self.taken_bytes()
         if self.transport is not None:
             self.transport.abort()
 
     def flush(self) -> None:
-        if not self.busy:
+        """Writes the engine's frames, unless a read is being handled, which ends with a flush."""
+        if not self.is_corked:
             self.write_out()
 
     def write_out(self) -> None:
-        if not self.writable:  # it stays in our hands: so it is known that the server can't have seen it
-            self.out += self.engine.data_to_send()
+        """Writes the engine's frames, as far as the transport takes them."""
+        if not self.is_writable:  # kept here: so it is known that the server cannot have received it
+            self._pending += self.engine.data_to_send()
             return
-        data = bytes(self.out) + self.engine.data_to_send() if self.out else self.engine.data_to_send()
-        self.out.clear()
+        data = self.engine.data_to_send()
+        if self._pending:
+            data = bytes(self._pending) + data
+        self._pending.clear()
         if data and self.transport is not None:
-            self.written += len(data)
+            self.sent_bytes += len(data)
             self.transport.write(data)
 
-    # Its life.
-
-    def pulse(self, now_ms: float) -> None:
-        """Now and then: whether it still lives."""
-        match self.liveness.pulse(bool(self.streams) or self.shared is None, now_ms):
-            case Pulse.PING:
-                self.pool.counters.add("h2.pings")
-                self.engine.ping(b"gladewlk")
-                self.flush()
-            case Pulse.DEAD:
-                self.pool.counters.add("h2.silent")
-                self.abort(Reason.SILENT)
-            case Pulse.QUIET:
-                pass
-
-    def is_quiet(self) -> bool:
-        return self.transport is not None and not self.transport.is_closing()
-
-    def close(self, code: ErrorCodes = ErrorCodes.NO_ERROR) -> None:
-        """Say so and go; what is still open ends with the connection."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        self.engine.close_connection(code)
-        self.write_out()
-        if self.streams:
-            self.abort(Reason.LOST)
-        else:
-            self.transport.close()
+    # Request bodies.
+
+    def upload(self, stream: Http2Stream, body: bytes) -> None:
+        """Begins to send a request's body after its head."""
+        stream.unsent_body = memoryview(body)
+        self._uploads.add(stream)
+        self.continue_uploads()
+
+    def continue_uploads(self) -> None:
+        """Sends request bodies in the order of streams, as far as windows and the buffer allow."""
+        for stream in sorted(self._uploads, key=lambda upload: upload.stream_id) if self._uploads else ():
+            while stream.unsent_body and self.is_writable:
+                # Either window may be negative after the server has lowered it (RFC 9113, section 6.9.2).
+                window_bytes = self.engine.local_flow_control_window(stream.stream_id)
+                size = min(window_bytes, self.engine.max_outbound_frame_size, len(stream.unsent_body))
+                if size <= 0:
+                    break
+                piece, stream.unsent_body = stream.unsent_body[:size], stream.unsent_body[size:]
+                self.engine.send_data(stream.stream_id, bytes(piece), end_stream=not stream.unsent_body)
+            if not stream.unsent_body:
+                self._uploads.discard(stream)
+                self.tracker.body_ended(stream.stream_id, self.position())
+
+    def stop_upload(self, stream: Http2Stream) -> None:
+        """Sends nothing more of a request's body."""
+        self._uploads.discard(stream)
+        stream.unsent_body = memoryview(b"")
+
+    # Receive windows (RFC 9113, section 5.2).
+
+    def credit_connection(self, received_bytes: int) -> None:
+        """Opens the connection's window again, so that a slow client does not stall the other streams."""
+        self._uncredited_bytes += received_bytes
+        if self._uncredited_bytes >= self._connection_credit_step:
+            self.engine.increment_flow_control_window(self._uncredited_bytes)
+            self._uncredited_bytes = 0
+
+    def credit_stream(self, stream: Http2Stream) -> None:
+        """Opens an open stream's window again, as its client takes the bytes."""
+        is_wanted = stream.item is not None and not stream.is_paused
+        if is_wanted and stream.uncredited_bytes >= self._stream_credit_step:
+            if self.engine.streams[stream.stream_id].open:
+                self.engine.increment_flow_control_window(stream.uncredited_bytes, stream.stream_id)
+            stream.uncredited_bytes = 0
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -1,13 +1,12 @@
-"""The pool: every connection to caches, parents and the origin, within our part of the descriptors.
+"""The connection pool: all connections to caches, parents and origins, within a share of the descriptors.
 
-A server is spoken to over HTTP/1.1, one job at a time on a connection, or has a `Lane` of shared connections.
-Which it is, `Negotiation` says; both are dialled here, so that one budget holds for all.
+A server is spoken to over HTTP/1.1, with one work item at a time on a connection, or has a `ConnectionGroup`
+of multiplexed HTTP/2 connections. `ProtocolNegotiation` decides which; one limit holds for both kinds.
 """
 
 from __future__ import annotations
 
 import asyncio
-import ssl
 from collections import deque
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING, Any
@@ -17,26 +16,39 @@
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange
-from .http1 import CacheConnection
-from .protocol_fields import PROBE_PATH
-from .upstream_server import IDLE_PART, Dial, LaneDial, Upstream
-from .work_items import Job, Probing
-
-if TYPE_CHECKING:  # what is off is not imported
-    from ..streams.stream_tracker import Finding
-    from .connection_factory import Shapes
-    from .connection_group import Lane
+from .connection_opener import ConnectionOpener, GroupConnectionRequest
+from .http1 import Http1Connection
+from .protocol_fields import HEALTH_CHECK_PATH
+from .upstream_server import IDLE_TIMEOUT_FRACTION, ConnectionRequest, UpstreamServer, WaitQueue
+from .work_items import HealthCheck, WorkItem
+
+if TYPE_CHECKING:  # HTTP/2 and its library are not imported while they are off
+    from ..streams.stream_tracker import StreamOutcome
+    from .connection_factory import ConnectionFactory
+    from .connection_group import ConnectionGroup
     from .http2 import Http2Connection
 
-OWN_DESCRIPTORS = 48  # left to the program itself: listeners, the coordinator, logs, connects that overlap
-UPSTREAM_PART = 0.6  # of the descriptors; clients hold up to a third
-IDLE_SWEEP_MS = 1_000.0
-LANE_SWEEP_MS = 100.0  # while there are shared connections: so exact are the times for a silent one
-PROBE_TIMEOUT_MS = 250.0
+RESERVED_DESCRIPTORS = 48  # for the program itself: listeners, the coordinator, logs, overlapping connects
+UPSTREAM_DESCRIPTOR_FRACTION = 0.6  # of the descriptors; clients hold up to a third
+MIN_CONNECTIONS = 8  # however few descriptors there are
+IDLE_SWEEP_INTERVAL_MS = 1_000.0
+GROUP_SWEEP_INTERVAL_MS = 100.0  # while there are HTTP/2 connections: the precision of their keep-alive times
+HEALTH_CHECK_TIMEOUT_MS = 250.0
 
 
-class Caches:
-    """All upstream connections."""
+class ConnectionPool:
+    """All connections to servers, and the work items that wait for one (implements `UpstreamPool`).
+
+    Attributes:
+        connection_factory: Protocols and TLS; None: HTTP/1.1 without TLS for every server.
+        servers: The servers of the endpoint list, by name.
+        waiting: Requests for connections, in their order, until one may be opened.
+        groups: The groups of servers to which HTTP/2 is spoken, or was until lately.
+        max_connections: Open and opening ones together.
+        is_retired: Whether nothing new comes: the pool empties with the last open request.
+        http1_class: What speaks HTTP/1.1 to the servers.
+        on_stream_ended: Called with each HTTP/2 attempt that ended without its response, if set.
+    """
 
     def __init__(
         self,
@@ -45,298 +57,248 @@
         clock: Callable[[], float],
         deadlines: Deadlines,
         counters: Counters,
-        shapes: Shapes | None = None,
+        connection_factory: ConnectionFactory | None = None,
     ) -> None:
         self.exchange, self.clock = exchange, clock
         self.deadlines, self.counters = deadlines, counters
-        self.shapes = shapes  # None: HTTP/1.1 in the clear for all
-        self.upstreams: dict[str, Upstream] = {}
+        self.connection_factory = connection_factory
+        self.servers: dict[str, UpstreamServer] = {}
         self.configure(config)
-        self.live: set[CacheConnection | Http2Connection] = set()
-        self.dialling: set[Dial | LaneDial] = set()
-        self.queue: deque[Dial | LaneDial] = deque()  # until a connection may be opened
-        self.lanes: list[Lane] = []  # of servers spoken to over HTTP/2, or that were until lately
-        self.closing = False  # nothing new comes: it ends with its last request
-        self.connection: type[CacheConnection] = CacheConnection  # what speaks HTTP/1.1 to a server
-        self.witness: Callable[[Attempt, Finding], None] | None = None  # hears each verdict of a ledger
+        self.open_connections: set[asyncio.Protocol] = set()
+        self.opener = ConnectionOpener(self)
+        self.waiting: deque[ConnectionRequest | GroupConnectionRequest] = deque()
+        self.groups: list[ConnectionGroup] = []
+        self.is_retired = False
+        self.http1_class: type[Http1Connection] = Http1Connection
+        self.on_stream_ended: Callable[[Attempt, StreamOutcome], None] | None = None
 
     def configure(self, config: PlatformConfig) -> None:
+        """Applies the platform's configuration; connections that are open stay open."""
         self.config = config
-        # Guards against two processes of a hand-over that hold more than the limit together, which is one
-        # director's: who has its listener from the platform may at any time be one of two.
+        # A director whose listener is inherited may be one of two processes of a handover, and the limit of
+        # descriptors is for both together.
         sharers = 1 if config.inherited_fd is None else 2
-        self.most = max(8, (int(config.max_descriptors * UPSTREAM_PART) - OWN_DESCRIPTORS) // sharers)
+        available = int(config.max_descriptors * UPSTREAM_DESCRIPTOR_FRACTION) - RESERVED_DESCRIPTORS
+        self.max_connections = max(MIN_CONNECTIONS, available // sharers)
 
-    def shape(self, shapes: Shapes | None) -> None:
-        """Other terms for protocols: what is open goes on under the old ones and takes nothing new."""
-        self.shapes = shapes
-        for upstream in self.upstreams.values():
-            self._reshape(upstream)
-            if upstream.lane is not None:  # other certificates may be in force: what is open is replaced
-                upstream.lane.close_idle()
+    def set_connection_factory(self, factory: ConnectionFactory | None) -> None:
+        """Applies other protocol options; what is in flight goes on under the former ones."""
+        self.connection_factory = factory
+        for server in self.servers.values():
+            self._update_group(server)
+            if server.group is not None:  # other certificates may be in force: open connections are replaced
+                server.group.close_idle()
 
     def sweep(self) -> None:
-        """Once a second: what has been idle for long closes from this side first."""
-        now = self.clock()
-        if self.closing and not self.exchange.open_requests:
+        """Closes what has been idle for too long, before the servers do; calls itself from then on."""
+        now_ms = self.clock()
+        if self.is_retired and not self.exchange.open_requests:
             return self.keep_only(())
-        idle_ms = self.config.idle_timeout_ms * IDLE_PART
-        for upstream in self.upstreams.values():
-            upstream.close_stale(now)
-        for lane in list(self.lanes):
-            lane.sweep(now, idle_ms)
-            if lane.upstream.lane is not lane and not lane.connections and not lane.greeting:
-                self.lanes.remove(lane)
-        self.deadlines.add(now + (LANE_SWEEP_MS if self.lanes else IDLE_SWEEP_MS), self.sweep)
-
-    # The exchange's calls.
+        max_idle_ms = self.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
+        for server in self.servers.values():
+            server.close_stale(now_ms)
+        for group in list(self.groups):
+            group.sweep(now_ms, max_idle_ms)
+            if group.server.group is not group and not group.connections and not group.handshaking:
+                self.groups.remove(group)
+        interval_ms = GROUP_SWEEP_INTERVAL_MS if self.groups else IDLE_SWEEP_INTERVAL_MS
+        self.deadlines.add(now_ms + interval_ms, self.sweep)
+
+    # Called by the exchange.
 
     def set_address(self, name: str, address: Address | None, model: str = "") -> None:
-        known = self.upstreams.get(name)
-        if known is not None and known.address != address:
-            known.close_idle()
-            if self.shapes is not None:
-                self.shapes.negotiation.forget(name)
-        if known is None and address is not None:
-            known = self.upstreams[name] = Upstream(self, name, address)
-        elif known is not None and address is not None:
-            known.address = address
-        elif known is not None:
-            known.gone = True  # what it still carries goes on; nothing rests there any more
-            del self.upstreams[name]
-        if known is not None and model:
-            known.model = model
+        """Sets where a server of this model is dialled from now on; None removes it."""
+        server = self.servers.get(name)
+        if server is not None and server.address != address:
+            server.close_idle()
+            if self.connection_factory is not None:
+                self.connection_factory.negotiation.forget(name)
+        if server is None and address is not None:
+            server = self.servers[name] = UpstreamServer(self, name, address)
+        elif server is not None and address is not None:
+            server.address = address
+        elif server is not None:
+            server.is_removed = True
+            del self.servers[name]
+        if server is not None and model:
+            server.model = model
 
     def keep_only(self, names: Collection[str]) -> None:
-        for name in [name for name in self.upstreams if name not in names]:
+        """Removes every server that is not named."""
+        for name in [name for name in self.servers if name not in names]:
             self.set_address(name, None)
 
     def address(self, name: str) -> Address | None:
-        return self.upstreams[name].address if name in self.upstreams else None
+        """Returns where a server is dialled, None for an unknown one."""
+        return self.servers[name].address if name in self.servers else None
 
     def start(self, attempt: Attempt) -> None:
+        """Sends an attempt's request, at once or as soon as it has a connection."""
         self._begin(attempt, attempt.order.server)
 
     def cancel(self, attempt: Attempt) -> None:
-        self._release(attempt)
+        """Abandons an attempt silently: the exchange is not called about it any more."""
+        self._cancel(attempt)
 
     def flow(self, attempt: Attempt, on: bool) -> None:
+        """Resumes (`on`) or pauses reading an attempt's response."""
         if attempt.carrier is not None:
             attempt.carrier.flow(attempt, on)
 
     def probe(
-        self, name: str, done: Callable[[api.Status, float, Any], None], path: str = PROBE_PATH
+        self,
+        name: str,
+        done: Callable[[api.Status, float, Any], None],
+        path: str = HEALTH_CHECK_PATH,
     ) -> None:
-        probing = Probing(done, self.clock(), path)
-        probing.due = self.deadlines.add(probing.started_ms + PROBE_TIMEOUT_MS, lambda: self._late(probing))
-        self._begin(probing, name)
+        """Sends a health check; `done` gets its status, duration in ms and load report."""
+        check = HealthCheck(done, self.clock(), path)
+        timeout_ms = check.started_ms + HEALTH_CHECK_TIMEOUT_MS
+        check.timer = self.deadlines.add(timeout_ms, lambda: self._time_out(check))
+        self._begin(check, name)
 
     def close_idle(self, name: str) -> None:
-        if name in self.upstreams:
-            self.upstreams[name].close_idle()
-
-    # Jobs and their connections.
-
-    def over(self, job: Job, end: AttemptResult) -> None:
-        job.carrier = None
-        if isinstance(job, Attempt):
-            return self.exchange.attempt_ended(job, end)
-        self.deadlines.drop(job.due)
-        status = api.Status.ERROR if end.status is api.Status.MISS else end.status
-        job.done(status, self.clock() - job.started_ms, end.load_report)
-
-    def pump(self) -> None:
-        """Give waiting jobs what connections there are now, first come first served."""
-        while self.queue:
-            dial = self.queue[0]
-            connection = dial.upstream.wake() if isinstance(dial, Dial) else None
-            if connection is not None and isinstance(dial, Dial):
-                self.write(connection, self.hang_up(dial).job)
-            elif len(self.live) + len(self.dialling) < self.most:
-                self.queue.popleft()
-                self._dial(dial)
+        """Closes a server's idle connections."""
+        if name in self.servers:
+            self.servers[name].close_idle()
+
+    # Work items and their connections.
+
+    def finish(self, item: WorkItem, result: AttemptResult) -> None:
+        """Ends a work item with its result."""
+        item.carrier = None
+        if isinstance(item, Attempt):
+            return self.exchange.attempt_ended(item, result)
+        self.deadlines.drop(item.timer)
+        status = api.Status.ERROR if result.status is api.Status.MISS else result.status
+        item.on_result(status, self.clock() - item.started_ms, result.load_report)
+
+    def write(self, connection: Http1Connection | Http2Connection, item: WorkItem) -> None:
+        """Sends a work item on an open connection, unless a drain or purge has overtaken it in the queue."""
+        if isinstance(item, Attempt):
+            if not self.exchange.may_write(item):
+                if isinstance(connection, Http1Connection):
+                    connection.server.release(connection)
+                self.counters.add("attempts.held_back")
+                return self.finish(item, AttemptResult(api.Status.NOT_SENT))
+            self.counters.add("attempts.written")
+        connection.send(item)
+
+    def serve_waiting(self) -> None:
+        """Gives waiting work items the connections that are available now, first come first served."""
+        while self.waiting:
+            request = self.waiting[0]
+            connection = request.server.acquire() if isinstance(request, ConnectionRequest) else None
+            if connection is not None and isinstance(request, ConnectionRequest):
+                self.write(connection, self.withdraw(request).item)
+            elif len(self.open_connections) + len(self.opener.opening) < self.max_connections:
+                self.waiting.popleft()
+                self.opener.open(request)
             else:
-                return self._close_an_idle_one()
-
-    def wait_for(self, job: Job, upstream: Upstream, queue: deque[Any]) -> Dial:
-        """A job that waits in a queue until it has a connection, or until the time for one is up."""
-        dial = job.carrier = Dial(self, job, upstream, queue)
-        until = self.clock() + self.config.connect_timeout_ms
-        dial.due = self.deadlines.add(until, lambda: self.no_connection(dial))
-        return dial
-
-    def open_for(self, lane: Lane) -> None:
-        """Open a connection for a lane, as soon as there is a descriptor for it."""
-        self.queue.append(LaneDial(lane))
-        self.pump()
-
-    def _late(self, probing: Probing) -> None:
-        self._release(probing)
-        self.over(probing, AttemptResult(api.Status.TIMEOUT))
-
-    def _release(self, job: Job) -> None:
-        carrier, job.carrier = job.carrier, None
-        if carrier is not None:
-            carrier.drop(job)
-
-    def _begin(self, job: Job, name: str) -> None:
-        upstream = self.upstreams.get(name)
-        if upstream is None:
-            return self.over(job, AttemptResult(api.Status.CONNECT_FAILED))
-        if self.shapes is not None:
-            self._reshape(upstream)
-            if upstream.lane is not None:
-                return upstream.lane.begin(job)
-        connection = upstream.wake()
-        if connection is not None:
-            return self.write(connection, job)
-        self.queue.append(self.wait_for(job, upstream, self.queue))
-        self.pump()
-
-    def _dial(self, dial: Dial | LaneDial) -> None:
-        self.counters.add("caches.connects")
-        self.dialling.add(dial)
-        if isinstance(dial, Dial):
-            dial.queue = None
-        steps = self._connect(dial) if isinstance(dial, Dial) else self._connect_lane(dial)
-        dial.task = asyncio.get_running_loop().create_task(steps)
-        # Guards against a place that is never given back: a task called off before its first step runs none.
-        dial.task.add_done_callback(lambda _: self._dialled(dial))
-
-    def _dialled(self, dial: Dial | LaneDial) -> None:
-        """Its connection is open, or none is being opened any more."""
-        if dial in self.dialling:
-            self.dialling.remove(dial)
-            self.pump()
-
-    async def _connect(self, dial: Dial) -> None:
-        connection: CacheConnection | None = None
-        upstream = dial.upstream
-        try:
-            # Guards against a server that was given another address while its old one was being dialled.
-            while connection is None or connection.address != upstream.address:
-                if connection is not None:
-                    connection.close()
-                _, connection = await asyncio.get_running_loop().create_connection(
-                    lambda: self.connection(upstream), *upstream.address, **self._security(upstream)
-                )
-        except (OSError, ValueError) as error:  # the latter: no name that can be looked up
-            connection = None
-            self._note_tls(upstream, error)
-        finally:
-            self._dialled(dial)
-        if dial.job.carrier is not dial:  # given up meanwhile: the connection may serve another
-            if connection is not None and connection.transport is not None:
-                upstream.rest(connection)
-        elif connection is None or connection.transport is None:
-            self.no_connection(dial)
+                return self._close_longest_idle()
+
+    def enqueue(self, item: WorkItem, server: UpstreamServer, queue: WaitQueue) -> ConnectionRequest:
+        """Returns a work item's request for a connection, which `connect_timeout_ms` limits.
+
+        The caller appends it to the queue.
+        """
+        request = item.carrier = ConnectionRequest(self, item, server, queue)
+        until_ms = self.clock() + self.config.connect_timeout_ms
+        request.timer = self.deadlines.add(until_ms, lambda: self.fail_request(request))
+        return request
+
+    def withdraw(self, request: ConnectionRequest) -> ConnectionRequest:
+        """Ends the wait of a work item for its connection, and returns its request."""
+        self.deadlines.drop(request.timer)
+        if request.queue is not None:
+            request.queue.remove(request)
+            request.queue = None
+        elif request.task is not None and request.task is not asyncio.current_task():
+            request.task.cancel()
+        return request
+
+    def fail_request(self, request: ConnectionRequest) -> None:
+        """Ends a work item that gets no connection: refused, unreachable, too late, or over a limit.
+
+        Nothing of the work item was sent.
+        """
+        is_queued = request.queue is not None
+        group = request.server.group
+        if is_queued and group is not None and request.queue is group.waiting:
+            is_queued = group.has_connections  # without any, none could be opened
+            self.counters.add("h2.no_stream" if is_queued else "caches.connects_failed")
         else:
-            self.deadlines.drop(dial.due)
-            self.write(connection, dial.job)
-
-    async def _connect_lane(self, dial: LaneDial) -> None:
-        """A connection that is to be shared; if its server chooses HTTP/1.1, it is not."""
-        assert self.shapes is not None
-        lane, upstream = dial.lane, dial.upstream
-        opened: Http2Connection | CacheConnection | None = None
-        try:
-            async with asyncio.timeout(self.config.connect_timeout_ms / 1000.0):
-                _, first = await asyncio.get_running_loop().create_connection(
-                    lambda: self.shapes.first(lane) if self.shapes else asyncio.Protocol(),
-                    *upstream.address, **self._security(upstream),
-                )  # fmt: skip
-            opened = getattr(first, "chosen", None)
-        except (OSError, ValueError) as error:
-            self._note_tls(upstream, error)
-        finally:
-            self._dialled(dial)
-        if opened is None or opened.transport is None:
-            self.counters.add("caches.connects_failed")
-            lane.failed()
-        elif isinstance(opened, CacheConnection):
-            lane.sharing.dial_ended()
-            self.fall_back(upstream, "ALPN")
-            upstream.rest(opened)
-
-    def _security(self, upstream: Upstream) -> dict[str, Any]:
-        """What `create_connection` is told of TLS, if the server is spoken to over it."""
-        return {} if self.shapes is None else self.shapes.security(upstream, self.clock())
-
-    def _note_tls(self, upstream: Upstream, error: Exception) -> None:
-        if isinstance(error, ssl.SSLError):
-            self.counters.add("tls.handshakes_failed")
-            if isinstance(error, ssl.SSLCertVerificationError):
-                self.counters.add("tls.certificates_refused")
-
-    # Servers spoken to over HTTP/2.
-
-    def _reshape(self, upstream: Upstream) -> None:
-        """Give a server its lane, or take it away, as the terms and what it has shown say now."""
-        shared = self.shapes is not None and self.shapes.offer(upstream, self.clock()).shared
-        lane = upstream.lane
-        if lane is not None and (not shared or self.shapes is None or lane.terms != self.shapes.terms):
-            upstream.lane = None
-            lane.close_idle()
-            for dial in list(lane.waiting):  # nothing of them was sent: they go over what comes next
-                self._begin(self.hang_up(dial).job, upstream.name)
-        if shared and upstream.lane is None and self.shapes is not None:
-            upstream.lane = self.shapes.lane(self, upstream)
-            self.lanes.append(upstream.lane)
-            upstream.idle, idle = [], upstream.idle
-            for connection in idle:
-                connection.close()
+            self.counters.add("caches.no_descriptor" if is_queued else "caches.connects_failed")
+        self.withdraw(request)
+        status = api.Status.NOT_SENT if is_queued else api.Status.CONNECT_FAILED
+        self.finish(request.item, AttemptResult(status))
+
+    def _begin(self, item: WorkItem, name: str) -> None:
+        server = self.servers.get(name)
+        if server is None:
+            return self.finish(item, AttemptResult(api.Status.CONNECT_FAILED))
+        if self.connection_factory is not None:
+            self._update_group(server)
+            if server.group is not None:
+                return server.group.send(item)
+        connection = server.acquire()
+        if connection is not None:
+            return self.write(connection, item)
+        self.waiting.append(self.enqueue(item, server, self.waiting))
+        self.serve_waiting()
 
-    def fall_back(self, upstream: Upstream, why: str) -> None:
-        """A server that does not want HTTP/2: what waits goes over HTTP/1.1, since nothing of it was sent."""
-        assert self.shapes is not None
-        self.counters.add("h2.fallbacks")
-        self.shapes.negotiation.speaks_http1(upstream.name, why, self.clock())
-        if self.upstreams.get(upstream.name) is upstream:
-            self._reshape(upstream)
-
-    def no_connection(self, dial: Dial) -> None:
-        """Refused, unreachable, too slow, or no descriptor or stream left for it: nothing of the job ran."""
-        queued = dial.queue is not None
-        lane = dial.upstream.lane
-        if queued and lane is not None and dial.queue is lane.waiting:
-            queued = bool(lane.connections)  # else there is none because none came up
-            self.counters.add("h2.no_stream" if queued else "caches.connects_failed")
-        else:
-            self.counters.add("caches.no_descriptor" if queued else "caches.connects_failed")
-        self.hang_up(dial)
-        self.over(dial.job, AttemptResult(api.Status.NOT_SENT if queued else api.Status.CONNECT_FAILED))
-
-    def hang_up(self, dial: Dial) -> Dial:
-        """A job waits no longer."""
-        self.deadlines.drop(dial.due)
-        if dial.queue is not None:
-            dial.queue.remove(dial)
-            dial.queue = None
-        elif dial.task is not None and dial.task is not asyncio.current_task():
-            dial.task.cancel()
-        return dial
-
-    def write(self, connection: CacheConnection | Http2Connection, job: Job) -> None:
-        if isinstance(job, Attempt) and not self.exchange.may_write(job):
-            # Guards against a drain or purge that was told while the attempt waited for its connection.
-            if isinstance(connection, CacheConnection):
-                connection.upstream.rest(connection)
-            self.counters.add("attempts.held_back")
-            return self.over(job, AttemptResult(api.Status.NOT_SENT))
-        if isinstance(job, Attempt):
-            self.counters.add("attempts.written")
-        connection.carry(job)
-
-    def _close_an_idle_one(self) -> None:
-        """Make room for a connection elsewhere: the one that has been idle longest goes."""
-        idle: list[tuple[float, CacheConnection | Http2Connection]] = []
-        for upstream in self.upstreams.values():
-            if upstream.idle:
-                idle.append((upstream.idle[0].idle_until, upstream.idle[0]))
-        for lane in self.lanes:
-            for connection in lane.connections.values():
-                if not connection.streams and connection.shared is not None:
-                    until = connection.shared.idle_since + self.config.idle_timeout_ms * IDLE_PART
-                    idle.append((until, connection))
+    def _cancel(self, item: WorkItem) -> None:
+        carrier, item.carrier = item.carrier, None
+        if carrier is not None:
+            carrier.cancel(item)
+
+    def _time_out(self, check: HealthCheck) -> None:
+        self._cancel(check)
+        self.finish(check, AttemptResult(api.Status.TIMEOUT))
+
+    def _close_longest_idle(self) -> None:
+        """Closes the connection that has been idle for longest, so that another can be opened elsewhere."""
+        idle: list[tuple[float, Http1Connection | Http2Connection]] = []
+        for server in self.servers.values():
+            if server.idle:
+                idle.append((server.idle[0].idle_until_ms, server.idle[0]))
+        max_idle_ms = self.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
+        for group in self.groups:
+            for connection in group.connections.values():
+                if not connection.streams and connection.slots is not None:
+                    idle.append((connection.slots.idle_since_ms + max_idle_ms, connection))
         if idle:
-            min(idle, key=lambda c: c[0])[1].close()
+            min(idle, key=lambda entry: entry[0])[1].close()
+
+    # Servers to which HTTP/2 is spoken.
+
+    def open_group_connection(self, group: ConnectionGroup) -> None:
+        """Opens a connection for a group, as soon as the limit allows one more."""
+        self.waiting.append(GroupConnectionRequest(group))
+        self.serve_waiting()
+
+    def fall_back(self, server: UpstreamServer, reason: str) -> None:
+        """Speaks HTTP/1.1 to a server from now on; what waits there was not sent and goes over HTTP/1.1."""
+        assert self.connection_factory is not None
+        self.counters.add("h2.fallbacks")
+        self.connection_factory.negotiation.fall_back(server.name, reason, self.clock())
+        if self.servers.get(server.name) is server:
+            self._update_group(server)
+
+    def _update_group(self, server: UpstreamServer) -> None:
+        """Gives a server its group or takes it away, by the options and by what it has shown to speak."""
+        factory, group = self.connection_factory, server.group
+        is_multiplexed = factory is not None and factory.offer(server, self.clock()).is_multiplexed
+        is_outdated = factory is not None and group is not None and group.options != factory.http2_options
+        if group is not None and (not is_multiplexed or is_outdated):
+            server.group = None
+            group.close_idle()
+            for request in list(group.waiting):  # not sent: they go over what comes next
+                self._begin(self.withdraw(request).item, server.name)
+        if is_multiplexed and server.group is None and factory is not None:
+            new_group = factory.new_group(self, server)
+            server.group = new_group
+            self.groups.append(new_group)
+            server.idle, idle = [], server.idle
+            for connection in idle:
+                connection.close()
--- a/gladewalk/upstream/upstream_server.py
+++ b/gladewalk/upstream/upstream_server.py
@@ -1,82 +1,134 @@
-"""What the pool holds of one server: its idle connections, and the dials that wait for new ones."""
+"""What the pool holds of one server: its idle connections, and the requests for new ones."""
 
 from __future__ import annotations
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from ..config.platform import Address
+from ..config.option_tables import Http2Options
+from ..config.platform import Address, PlatformConfig
 from ..core.deadlines import DeadlineKey
-from .http1 import CacheConnection
-from .work_items import Job
+from .http1 import Http1Connection
+from .work_items import ConnectionOwner, WorkItem
 
-if TYPE_CHECKING:
-    from .connection_group import Lane
-    from .pool import Caches
+IDLE_TIMEOUT_FRACTION = 0.6  # of the time after which a cache closes an idle connection: ours closes first
 
-IDLE_PART = 0.6  # of the time after which a cache closes an idle connection: ours closes first
 
+class ServerPool(ConnectionOwner, Protocol):
+    """What a server's record needs of the pool that it belongs to."""
 
-class Upstream:
-    """One server of the list under its lasting name; its address is only where to dial."""
+    @property
+    def config(self) -> PlatformConfig:
+        """The platform's configuration in force."""
 
-    def __init__(self, pool: Caches, name: str, address: Address) -> None:
+    def withdraw(self, request: ConnectionRequest) -> ConnectionRequest:
+        """Ends the wait of a work item for its connection."""
+
+
+class WaitQueue(Protocol):
+    """A queue that work items wait in for their connections."""
+
+    def remove(self, request: ConnectionRequest, /) -> None:
+        """Removes a request from the queue."""
+
+
+class SharedConnections(Protocol):
+    """What a server's record and the pool need of the server's HTTP/2 connections."""
+
+    options: Http2Options
+    waiting: deque[ConnectionRequest]
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether any connection is open whose server has sent its settings."""
+
+    def send(self, item: WorkItem) -> None:
+        """Sends a work item as soon as there is a stream for it."""
+
+    def close_idle(self) -> None:
+        """Closes the connections as soon as nothing is in flight on them; nothing new is sent on them."""
+
+
+class UpstreamServer:
+    """One server of the endpoint list, by a name that outlives its address.
+
+    Attributes:
+        model: The model that the endpoint list gives.
+        idle: Its idle HTTP/1.1 connections, the one used last at the end.
+        group: Its HTTP/2 connections; None while HTTP/1.1 is spoken.
+        is_removed: Whether the endpoint list has removed it: what is in flight goes on, nothing stays idle.
+    """
+
+    def __init__(self, pool: ServerPool, name: str, address: Address) -> None:
         self.pool, self.name, self.address = pool, name, address
         self.model = ""
-        self.idle: list[CacheConnection] = []
-        self.lane: Lane | None = None  # its shared connections, where it is spoken to over HTTP/2
-        self.gone = False
+        self.idle: list[Http1Connection] = []
+        self.group: SharedConnections | None = None
+        self.is_removed = False
 
-    def rest(self, connection: CacheConnection) -> None:
+    def release(self, connection: Http1Connection) -> None:
+        """Takes a connection back as idle, or closes one that leads to a former address."""
         pool = self.pool
-        if self.gone or connection.address != self.address:  # it leads to where this server was
+        if self.is_removed or connection.address != self.address:
             return connection.close()
         self.idle.append(connection)
-        connection.idle_until = pool.clock() + pool.config.idle_timeout_ms * IDLE_PART
-        pool.pump()
+        connection.idle_until_ms = pool.clock() + pool.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
+        pool.serve_waiting()
 
-    def wake(self) -> CacheConnection | None:
-        """The connection that was used last, if one is idle and its other end is still quiet."""
-        now = self.pool.clock()
+    def acquire(self) -> Http1Connection | None:
+        """Returns the idle connection that was used last and is still usable, None if there is none."""
+        now_ms = self.pool.clock()
         while self.idle:
             connection = self.idle.pop()
-            if connection.idle_until >= now and connection.is_quiet():
+            if connection.idle_until_ms >= now_ms and connection.is_quiet():
                 return connection
-            connection.close()  # its other end has closed or spoken, or may be closing it just now
+            connection.close()  # the server has closed it or sent something, or may be closing it just now
         return None
 
+    def forget(self, connection: Http1Connection) -> None:
+        """Removes a connection that is closed from the idle ones, if it is among them."""
+        if connection in self.idle:
+            self.idle.remove(connection)
+
     def close_stale(self, now_ms: float) -> None:
-        while self.idle and self.idle[0].idle_until < now_ms:
+        """Closes the connections that have been idle for too long."""
+        while self.idle and self.idle[0].idle_until_ms < now_ms:
             self.idle.pop(0).close()
 
     def close_idle(self) -> None:
+        """Closes all idle connections; HTTP/2 ones as soon as nothing is in flight on them."""
         for connection in list(self.idle):
             connection.close()
         self.idle.clear()
-        if self.lane is not None:
-            self.lane.close_idle()
-
-
-class Dial:
-    """A job that waits for its connection; it waits in a queue, or its connection is being opened."""
-
-    def __init__(self, pool: Caches, job: Job, upstream: Upstream, queue: deque[Dial]) -> None:
-        self.pool, self.job, self.upstream = pool, job, upstream
-        self.queue: deque[Dial] | None = queue
+        if self.group is not None:
+            self.group.close_idle()
+
+
+class ConnectionRequest:
+    """A work item that waits for a connection: in a queue, or while its connection is being opened.
+
+    Attributes:
+        queue: The queue that it waits in; None once its connection is being opened.
+        task: Opens its connection.
+        timer: When the wait ends without a connection.
+    """
+
+    def __init__(
+        self,
+        pool: ServerPool,
+        item: WorkItem,
+        server: UpstreamServer,
+        queue: WaitQueue,
+    ) -> None:
+        self.pool, self.item, self.server = pool, item, server
+        self.queue: WaitQueue | None = queue
         self.task: asyncio.Task[None] | None = None
-        self.due: DeadlineKey | None = None
-
-    def drop(self, job: Job) -> None:
-        self.pool.hang_up(self)
-
-    def flow(self, job: Job, on: bool) -> None:
-        pass
+        self.timer: DeadlineKey | None = None
 
+    def cancel(self, item: WorkItem) -> None:
+        """Ends the wait; the work item gets no result."""
+        self.pool.withdraw(self)
 
-class LaneDial:
-    """A connection that a lane wants, and that no job waits for by itself."""
-
-    def __init__(self, lane: Lane) -> None:
-        self.lane, self.upstream = lane, lane.upstream
-        self.task: asyncio.Task[None] | None = None
+    def flow(self, item: WorkItem, on: bool) -> None:
+        """Does nothing: there is no response yet."""
--- a/gladewalk/upstream/work_items.py
+++ b/gladewalk/upstream/work_items.py
@@ -1,32 +1,73 @@
-"""What the pool carries: attempts of the exchange, and probes in the place of one."""
+"""What the pool sends to servers, attempts and health checks, and the interfaces around such a work item."""
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from .. import interface as api
-from ..core.deadlines import DeadlineKey
-from ..core.exchange import Attempt
+from ..core.counters import Counters
+from ..core.deadlines import DeadlineKey, Deadlines
+from ..core.exchange import Attempt, AttemptResult, Exchange
 
 
-class Probing:
-    """A probe in the place of an attempt."""
+class HealthCheck:
+    """A health check of one server: a GET without a client.
 
-    def __init__(self, done: Callable[[api.Status, float, Any], None], started_ms: float, path: str) -> None:
-        self.done, self.started_ms, self.path = done, started_ms, path
+    Attributes:
+        on_result: Called once with the status, the duration in ms and the server's load report.
+        started_ms: When it was asked for, Unix milliseconds.
+        path: The path of its request.
+        carrier: As an attempt's.
+        timer: When it times out.
+    """
+
+    def __init__(
+        self, on_result: Callable[[api.Status, float, Any], None], started_ms: float, path: str
+    ) -> None:
+        self.on_result, self.started_ms, self.path = on_result, started_ms, path
         self.carrier: Carrier | None = None
-        self.due: DeadlineKey | None = None
+        self.timer: DeadlineKey | None = None
 
 
-Job = Attempt | Probing
+WorkItem = Attempt | HealthCheck
 
 
 class Carrier(Protocol):
-    """What a job is on: a connection, a stream of one, or the wait for either."""
+    """What a work item is on: an HTTP/1.1 connection, a stream of an HTTP/2 one, or the wait for either."""
+
+    def cancel(self, item: WorkItem) -> None:
+        """Abandons the work item silently: the pool is not called about it any more."""
+
+    def flow(self, item: WorkItem, on: bool) -> None:
+        """Resumes (`on`) or pauses reading the response."""
+
+
+class ConnectionOwner(Protocol):
+    """What a connection needs of the pool that owns it."""
+
+    @property
+    def exchange(self) -> Exchange:
+        """Where heads and bodies of responses go."""
+
+    @property
+    def counters(self) -> Counters:
+        """The program's counters."""
+
+    @property
+    def deadlines(self) -> Deadlines:
+        """The program's timers."""
+
+    @property
+    def open_connections(self) -> set[asyncio.Protocol]:
+        """Every open connection of the pool; a connection adds and removes itself."""
+
+    def clock(self) -> float:
+        """Returns the time, Unix milliseconds."""
 
-    def drop(self, job: Attempt | Probing) -> None:
-        """Give the job up without a word; nothing of it is heard any more."""
+    def finish(self, item: WorkItem, result: AttemptResult) -> None:
+        """Ends a work item with its result."""
 
-    def flow(self, job: Attempt | Probing, on: bool) -> None:
-        """Hold the answer's bytes back, or let them come again."""
+    def serve_waiting(self) -> None:
+        """Gives waiting work items the connections that are available now."""
--- a/gladewalk/web/balanced.py
+++ b/gladewalk/web/balanced.py
@@ -8,7 +8,7 @@
 from ..core.counters import Counters
 from ..core.deadlines import DeadlineKey, Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer
-from ..upstream.pool import Caches
+from ..upstream.pool import ConnectionPool
 from .plan import Plan
 from .wire import WebAsk, WebEnd
 
@@ -36,7 +36,7 @@
 
     def start(self) -> None:
         """List the servers and begin."""
-        assert isinstance(self.upstreams, Caches)
+        assert isinstance(self.upstreams, ConnectionPool)
         ready = self.plan.standby.changes(self.clock())
         servers = self.plan.servers(ready)
         event = api.EndpointList(api.EndpointListKind.PERSISTED, servers)
@@ -45,8 +45,8 @@
 
     def retire(self) -> None:
         """Answer what is open and end: no timer of it stays once its last request has gone."""
-        assert isinstance(self.upstreams, Caches)
-        self.retired = self.upstreams.closing = True
+        assert isinstance(self.upstreams, ConnectionPool)
+        self.retired = self.upstreams.is_retired = True
         self.deadlines.drop(self._due)
 
     def handle_event(self, event: api.Event) -> None:
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -11,7 +11,7 @@
 from ..core.deadlines import Deadlines
 from ..nginx.router import Router
 from ..nginx.table import Box, Upstream, load_site
-from ..upstream.pool import Caches
+from ..upstream.pool import ConnectionPool
 from .balanced import Balanced
 from .connection import PlainConnection
 from .front import WebFront
@@ -79,8 +79,8 @@
                 self.upstreams[row.name] = before.pop(row.name)
                 continue
             balanced = Balanced(plan, self.clock, self.deadlines, self.counters, self.log)
-            pool = Caches(balanced, plan.config, self.clock, self.deadlines, self.counters)
-            pool.connection, pool.most = PlainConnection, share
+            pool = ConnectionPool(balanced, plan.config, self.clock, self.deadlines, self.counters)
+            pool.http1_class, pool.max_connections = PlainConnection, share
             balanced.upstreams = pool
             self.upstreams[row.name] = balanced
             fresh.append(balanced)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -9,7 +9,7 @@
 from gladewalk.director import Director
 from gladewalk.net.clients import SPARE_CONNECTIONS
 from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for, read_message, request, until
-from gladewalk.upstream.pool import OWN_DESCRIPTORS, UPSTREAM_PART
+from gladewalk.upstream.pool import RESERVED_DESCRIPTORS, UPSTREAM_DESCRIPTOR_FRACTION
 
 from .test_crossings import held_until
 
@@ -58,15 +58,15 @@
                 clients.append((reader, writer))
             asked = director.counters
             await until(lambda c=asked, d=director: c["requests.taken"] == d.front.connection_limit)  # type: ignore[misc]
-        most = int(SOCKETS * UPSTREAM_PART) - OWN_DESCRIPTORS
+        most = int(SOCKETS * UPSTREAM_DESCRIPTOR_FRACTION) - RESERVED_DESCRIPTORS
         await until(lambda: self.cache.connections >= most - 1)
-        held = sum(len(d.caches.live) for d in self.directors)
+        held = sum(len(d.connection_pool.open_connections) for d in self.directors)
         self.assertLessEqual(held, most)
         self.assertLessEqual(self.cache.connections, most)
         self.release.set()
         answers = [(await read_message(reader))[0].split(" ")[1] for reader, _ in clients]
         self.assertLessEqual(set(answers), {"200", "503"})
-        self.assertLessEqual(sum(len(d.caches.live) for d in self.directors), most)
+        self.assertLessEqual(sum(len(d.connection_pool.open_connections) for d in self.directors), most)
         for _, writer in clients:
             writer.close()
 
@@ -76,6 +76,7 @@
         for sockets in (256, 384, 640, 1024):
             raw = {**config_for([self.cache], self.coordinator), "limits": {"sockets": sockets}}
             limit = read_config(raw, {"NODE_FD": "3"})
-            director.caches.configure(limit)
-            both = 2 * director.caches.most + limit.settings.client_connection_limit + SPARE_CONNECTIONS
+            pool = director.connection_pool
+            pool.configure(limit)
+            both = 2 * pool.max_connections + limit.settings.client_connection_limit + SPARE_CONNECTIONS
             self.assertLessEqual(both + 2 * 16, sockets)  # listeners, the coordinator, calls, the loop's own
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -7,8 +7,8 @@
 
 from gladewalk.core.exchange import LOOP_TURN_MS
 from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer, request, until
-from gladewalk.upstream.http1 import CacheConnection
-from gladewalk.upstream.upstream_server import Dial
+from gladewalk.upstream.http1 import Http1Connection
+from gladewalk.upstream.upstream_server import ConnectionRequest
 
 from .peers import hit
 
@@ -19,6 +19,7 @@
         async with Rehearsal([cache]) as world:
             director = world.director
             assert director is not None
+            pool = director.connection_pool
             await until(lambda: director.readiness.is_synced)
             _, writer = await world.client()
             await until(lambda: len(director.front.connections) == 1)
@@ -31,7 +32,7 @@
                 director.exchange.client_disconnected(number)  # no turn of the loop in between
             await until(lambda: not director.exchange.open_requests)
             self.assertEqual(director.counters["caches.connects"], 5)
-            await until(lambda: not director.caches.dialling, 2.0)
+            await until(lambda: not pool.opener.opening, 2.0)
             writer.close()
             self.assertEqual((await world.ask())[0], 200)
 
@@ -43,6 +44,7 @@
         async with Rehearsal([cache]) as world:
             director = world.director
             assert director is not None
+            pool = director.connection_pool
             await until(lambda: director.readiness.is_synced)
             self.assertEqual((await world.ask())[0], 200)  # its connection to the cache rests
             await until(lambda: not director.front.connections)
@@ -57,7 +59,7 @@
             client.close()  # and no turn of the loop from here on
             self.assertTrue(connection.is_disconnected())
             director.exchange.release_held()
-            await until(lambda: not director.exchange.open_requests and not director.caches.dialling)
+            await until(lambda: not director.exchange.open_requests and not pool.opener.opening)
             counters = director.counters
             self.assertEqual((counters["attempts.written"], counters["requests.left_by_client"]), (1, 1))
             self.assertEqual(len(cache.heard), 1)
@@ -68,6 +70,7 @@
         async with Rehearsal([cache]) as world:
             director = world.director
             assert director is not None
+            pool = director.connection_pool
             await until(lambda: director.readiness.is_synced)
             loop, up = asyncio.get_running_loop(), asyncio.Event()
             real_connect, real = loop.create_connection, director.clock
@@ -82,15 +85,15 @@
             (connection,) = director.front.connections
             loop.create_connection = late  # type: ignore[method-assign]
             client.sendall(request("/invoke/lot-page/a1"))
-            await until(lambda: len(director.caches.live) == 1)  # it is up, and its dial has not heard of it
-            (upstream,) = director.caches.live
-            (dial,) = director.caches.dialling
-            assert isinstance(dial, Dial) and isinstance(upstream, CacheConnection)
+            await until(lambda: len(pool.open_connections) == 1)  # it is open, and its dial has not taken it
+            (upstream,) = pool.open_connections
+            (dial,) = pool.opener.opening
+            assert isinstance(dial, ConnectionRequest) and isinstance(upstream, Http1Connection)
             director.exchange.clock = lambda: real() + LOOP_TURN_MS + 1.0
             client.close()
             self.assertTrue(connection.is_disconnected())
-            director.caches.write(upstream, dial.job)  # as the dial's next step does
+            pool.write(upstream, dial.item)  # as the dial's next step does
             up.set()
-            await until(lambda: not director.exchange.open_requests and not director.caches.dialling)
+            await until(lambda: not director.exchange.open_requests and not pool.opener.opening)
             self.assertEqual(director.counters["attempts.written"], 0)
             self.assertEqual(len(cache.heard), 0)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -9,7 +9,7 @@
 from gladewalk.net.connection import MAX_HEADER_BYTES, ClientConnection
 from gladewalk.net.sockets import MAX_FRAMING_BYTES
 from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, read_message, request, until
-from gladewalk.upstream.protocol_fields import HEAD_MOST, OBJECT_MOST
+from gladewalk.upstream.protocol_fields import MAX_HEAD_BYTES, MAX_OBJECT_BYTES
 
 from .peers import hit
 
@@ -140,7 +140,7 @@
         async def endless(heard: Heard) -> None:
             heard.writer.write(start)
             with contextlib.suppress(ConnectionError):
-                while sent[0] <= 8 * OBJECT_MOST:
+                while sent[0] <= 8 * MAX_OBJECT_BYTES:
                     heard.writer.write(piece)
                     sent[0] += len(piece)
                     await heard.writer.drain()
@@ -174,7 +174,7 @@
     async def test_small_chunks_are_an_answer_like_any_other(self) -> None:
         async def small(heard: Heard) -> None:
             heard.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            heard.writer.write(b"1\r\nx\r\n" * HEAD_MOST + b"0\r\n\r\n")
+            heard.writer.write(b"1\r\nx\r\n" * MAX_HEAD_BYTES + b"0\r\n\r\n")
 
         async with Rehearsal([ScriptedPeer(small)]) as world:
             reader, writer = await world.client()
@@ -183,5 +183,5 @@
             whole = 0
             while size := int((await reader.readline()).strip(), 16):
                 whole += len((await reader.readexactly(size + 2))[:-2])
-            self.assertEqual(whole, HEAD_MOST)
+            self.assertEqual(whole, MAX_HEAD_BYTES)
             writer.close()
--- a/tests/test_golden_exchange.py
+++ b/tests/test_golden_exchange.py
@@ -30,7 +30,7 @@
     request,
     until,
 )
-from gladewalk.upstream.http1 import write_request
+from gladewalk.upstream.http1 import encode_request
 
 from .peers import BYTES, half, hit, miss_then_fill, reset, silent
 
@@ -184,7 +184,7 @@
     for ask, order in orders:
         taken = OpenRequest(1, ask, cast(Any, None), NOW_MS, NOW_MS + 3000.0)
         attempt = Attempt(taken, 0, order, NOW_MS, NOW_MS + 2500.4)
-        written += [write_request(attempt, now_ms).decode() for now_ms in (NOW_MS, NOW_MS + 9000.0)]
+        written += [encode_request(attempt, now_ms).decode() for now_ms in (NOW_MS, NOW_MS + 9000.0)]
     return written
 
 
--- a/tests/test_golden_upstream.py
+++ b/tests/test_golden_upstream.py
@@ -19,11 +19,11 @@
 from gladewalk import interface as api
 from gladewalk.core.counters import Counters
 from gladewalk.core.exchange import Attempt, AttemptResult, ClientRequest, OpenRequest, ResponseHead
-from gladewalk.upstream.connection_group import Lane
-from gladewalk.upstream.http1 import CacheConnection, write_probe
+from gladewalk.upstream.connection_group import ConnectionGroup
+from gladewalk.upstream.http1 import Http1Connection, encode_health_check
 from gladewalk.upstream.http2 import Http2Connection
-from gladewalk.upstream.protocol_fields import read_end
-from gladewalk.upstream.work_items import Probing
+from gladewalk.upstream.protocol_fields import read_result
+from gladewalk.upstream.work_items import HealthCheck
 
 from .h2world import options_for
 
@@ -72,7 +72,7 @@
 
 def ends() -> list[Any]:
     return [
-        [status, fields, result_row(read_end(status, {k.encode(): v.encode() for k, v in fields.items()}))]
+        [status, fields, result_row(read_result(status, {k.encode(): v.encode() for k, v in fields.items()}))]
         for status in (200, 304, 404, 400, 429, 500, 503, 504)
         for fields in FIELDS
     ]
@@ -106,22 +106,25 @@
         self.events: list[Any] = []
         self.exchange = RecordingExchange(self.events)
         self.counters = Counters()
-        self.live: set[Any] = set()
+        self.open_connections: set[Any] = set()
         self.idle: list[Any] = []
-        self.pool, self.address, self.name, self.gone = self, ("127.0.0.1", 1), "c1", False
-        self.lane: Any = None
-        self.witness = None
+        self.pool, self.address, self.name, self.is_removed = self, ("127.0.0.1", 1), "c1", False
+        self.group: Any = None
+        self.on_stream_ended = None
 
     def clock(self) -> float:
         return NOW_MS
 
-    def pump(self) -> None:
+    def serve_waiting(self) -> None:
         pass
 
-    def rest(self, connection: CacheConnection) -> None:
+    def release(self, connection: Http1Connection) -> None:
         self.events.append(["rests"])
 
-    def over(self, job: Any, end: AttemptResult) -> None:
+    def forget(self, connection: Http1Connection) -> None:
+        pass
+
+    def finish(self, item: Any, end: AttemptResult) -> None:
         self.events.append(["end", *result_row(end)])
 
     def fall_back(self, upstream: Any, why: str) -> None:
@@ -202,10 +205,10 @@
     """What comes of an answer that is read in these parts; an empty one stands for the connection's end."""
     pool = RecordingPool()
     transport = RecordingTransport(pool.events)
-    connection = CacheConnection(cast(Any, pool))
+    connection = Http1Connection(cast(Any, pool))
     connection.connection_made(cast(Any, transport))
-    probing = Probing(lambda status, ms, load: None, NOW_MS, "/load")
-    connection.carry(probing if probe else attempt())
+    check = HealthCheck(lambda status, ms, load: None, NOW_MS, "/load")
+    connection.send(check if probe else attempt())
     transport.unsent = unsent
     for part in reads:
         if part:
@@ -229,8 +232,8 @@
 
 
 def test_a_probe_is_asked_as_before() -> None:
-    probing = Probing(lambda status, ms, load: None, NOW_MS, "/load")
-    assert write_probe(probing).decode() == golden("probe")
+    check = HealthCheck(lambda status, ms, load: None, NOW_MS, "/load")
+    assert encode_health_check(check).decode() == golden("probe")
 
 
 # Frames over HTTP/2.
@@ -243,11 +246,11 @@
         self.pool = RecordingPool()
         self.transport = RecordingTransport(self.pool.events)
         options = {"cancels_burst": 8, **options}
-        self.lane = Lane(cast(Any, self.pool), cast(Any, self.pool), options_for(**options).http2)
-        self.pool.lane = self.lane
-        self.lane.sharing.dial_begun()
-        self.connection = Http2Connection(self.lane, secure=False)
-        self.lane.opened(self.connection)
+        self.group = ConnectionGroup(cast(Any, self.pool), cast(Any, self.pool), options_for(**options).http2)
+        self.pool.group = self.group
+        self.group.allocator.dial_begun()
+        self.connection = Http2Connection(self.group, is_tls=False)
+        self.group.connection_opened(self.connection)
         self.connection.connection_made(cast(Any, self.transport))
         self.server = H2Connection(H2Configuration(client_side=False, header_encoding=None))
         self.server.initiate_connection()
@@ -284,8 +287,8 @@
         peer.say()
         steps.append(peer.told().hex())
         for _ in range(2):
-            job = made or Probing(lambda status, ms, load: None, NOW_MS, "/load")
-            peer.connection.carry(job)
+            job = made or HealthCheck(lambda status, ms, load: None, NOW_MS, "/load")
+            peer.connection.send(job)
             steps.append(peer.told().hex())
         found[name] = steps
     return found
@@ -351,7 +354,7 @@
         peer = Http2Server()
         peer.hear()
         peer.say()
-        peer.connection.carry(attempt())
+        peer.connection.send(attempt())
         (asked,) = (event for event in peer.hear() if isinstance(event, RequestReceived))
         script(peer.server, asked.stream_id)
         peer.say()
@@ -363,7 +366,7 @@
         peer.hear()
         if not noise:
             peer.say()
-            peer.connection.carry(attempt())
+            peer.connection.send(attempt())
             peer.hear()
             for _ in range(9):
                 peer.server.ping(b"12345678")
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -119,8 +119,8 @@
             await until(lambda: director.counters["coordinator.connects"] >= 3)
             watch.address = good
             await until(lambda: len(world.coordinator.follows) == 2)
-            director.caches.upstreams["c1"].address = ("a..b", 80)
+            director.connection_pool.servers["c1"].address = ("a..b", 80)
             status, _, _ = await world.ask()
             self.assertEqual(status, 503)
             self.assertEqual(director.counters["caches.connects_failed"] > 0, True)
-            self.assertFalse(director.caches.dialling)
+            self.assertFalse(director.connection_pool.opener.opening)
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -43,8 +43,8 @@
     until,
 )
 from gladewalk.streams import stream_allocator
-from gladewalk.streams.stream_tracker import PROOFS, Finding, Reason
-from gladewalk.upstream.connection_factory import Shapes
+from gladewalk.streams.stream_tracker import UNPROCESSED_REASONS, EndReason, StreamOutcome
+from gladewalk.upstream.connection_factory import ConnectionFactory
 from tests.h2world import BYTES, authority, bid, options_for, page, serve, server_context, world
 
 ROOT = Path(__file__).parent.parent
@@ -84,9 +84,9 @@
             await until(lambda: len(held) == 4)
             line = box.lines[0]
             line.settings(max_concurrent_streams=0)
-            await until(lambda: w.director is not None and any(
-                s.limit == 0 for lane in w.director.caches.lanes for s in lane.sharing.connections.values()
-            ))  # fmt: skip
+            assert w.director is not None
+            (group,) = w.director.connection_pool.groups
+            await until(lambda: any(s.max_streams == 0 for s in group.allocator.connections.values()))
             more = [asyncio.create_task(page(w, n)) for n in range(4, 8)]
             for asked in held[:4]:
                 asked.answer(200, BYTES)
@@ -101,7 +101,7 @@
 
     async def test_when_its_ids_are_used_up_a_connection_gives_way_to_another(self) -> None:
         box = H2Box(serve)
-        with mock.patch.object(stream_allocator, "IDS_END", 5):
+        with mock.patch.object(stream_allocator, "MAX_STREAM_ID", 5):
             async with world(box) as w:
                 for n in range(7):
                     self.assertEqual((await page(w, n))[0], 200)
@@ -145,7 +145,9 @@
             first = asyncio.create_task(page(w, 1))
             await until(lambda: len(held) == 1)
             second = asyncio.create_task(page(w, 2))
-            await until(lambda: w.director is not None and len(w.director.caches.lanes[0].waiting) == 1)
+            await until(
+                lambda: w.director is not None and len(w.director.connection_pool.groups[0].waiting) == 1
+            )
             box.state = "DRAINING"
             w.coordinator.tell_list(box)
             await until(lambda: w.director is not None and w.director.endpoint_feed.last_index == 2)
@@ -439,10 +441,10 @@
         shared, single = H2Box(serve), ScriptedPeer(hit, "c2", size=1_000.0)
         async with world(shared, single, options=options_for("h2c", by_uid={"c2": "off"})) as w:
             assert w.director is not None
-            w.director.caches.most = 1
+            w.director.connection_pool.max_connections = 1
             for n in range(10):  # some have their home here, some there: each time the idle one makes room
                 self.assertEqual((await page(w, n))[2], BYTES)
-                self.assertLessEqual(len(w.director.caches.live), 1)
+                self.assertLessEqual(len(w.director.connection_pool.open_connections), 1)
         self.assertGreater(min(shared.connections, single.connections), 0)
 
     async def test_other_terms_on_a_reload_drain_what_is_open(self) -> None:
@@ -452,7 +454,9 @@
             assert w.director is not None
             asking = asyncio.create_task(page(w, 1))
             await until(lambda: len(held) == 1)
-            w.director.caches.shape(Shapes(options_for("h2c", streams_most=1)))
+            w.director.connection_pool.set_connection_factory(
+                ConnectionFactory(options_for("h2c", streams_most=1))
+            )
             later = asyncio.create_task(page(w, 2))
             await until(lambda: len(held) == 2)
             self.assertIsNot(held[0].line, held[1].line)
@@ -468,29 +472,31 @@
 
         large: dict[SettingCodes | int, int] = {SettingCodes.INITIAL_WINDOW_SIZE: 2**24}
         box, origin = H2Box(serve, settings=large, on_head=stall), H2Box(serve, "o", "origin", "north")
-        found: list[Finding] = []
+        found: list[StreamOutcome] = []
         terms = options_for("h2c", connections_most=1, ping_after_ms=1_500.0, ping_wait_ms=500.0)
         async with world(box, origin, options=terms, wait_ms=20_000.0) as w:
             assert w.director is not None
-            w.director.caches.witness = lambda _, finding: found.append(finding)
+            w.director.connection_pool.on_stream_ended = lambda _, finding: found.append(finding)
             asking = [asyncio.create_task(bid(w, 0, body=b"x" * 48_000, wait_ms=20_000.0))]
             await until(lambda: len(box.heard) == 1)
-            (connection,) = w.director.caches.lanes[0].connections.values()
+            (connection,) = w.director.connection_pool.groups[0].connections.values()
             for transport in (box.lines[0].transport, connection.transport):
                 assert transport is not None
                 for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
                     transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, option, 4_096)
             box.lines[0].put(WindowUpdateFrame(0, window_increment=2**30))
-            while connection.writable and len(asking) < 80:
+            while connection.output.is_writable and len(asking) < 80:
                 asking.append(asyncio.create_task(bid(w, len(asking), body=b"x" * 48_000, wait_ms=20_000.0)))
                 await asyncio.sleep(0.01)
-            self.assertFalse(connection.writable)
-            self.assertTrue(connection.shared is not None and connection.shared.stalled)
+            self.assertFalse(connection.output.is_writable)
+            self.assertTrue(connection.slots is not None and connection.slots.is_stalled)
             box.on_head = None
             statuses = await asyncio.gather(*asking)
             self.assertEqual(statuses.count(200) + statuses.count(502), len(asking))
-        self.assertIn(Reason.SILENT, {f.reason for f in found})
-        self.assertTrue({Reason.NOT_TAKEN, Reason.HEAD_NOT_WHOLE} & {f.reason for f in found}, found)
+        self.assertIn(EndReason.KEEP_ALIVE_TIMEOUT, {f.reason for f in found})
+        self.assertTrue(
+            {EndReason.NOT_TRANSMITTED, EndReason.HEAD_INCOMPLETE} & {f.reason for f in found}, found
+        )
         runs = Counter(asked.ticket for asked in (*box.ran, *origin.ran))
         self.assertEqual({name: times for name, times in runs.items() if times > 1}, {})
         self.assertEqual(len(runs), statuses.count(200))
@@ -510,18 +516,18 @@
         box = H2Box(lambda a: a.reset(ErrorCodes.HTTP_1_1_REQUIRED))
         other = H2Box(serve, "c2", size=1e-6)
         async with world(box, other) as w:
-            assert w.director is not None and w.director.caches.shapes is not None
+            assert w.director is not None and w.director.connection_pool.connection_factory is not None
             self.assertEqual((await w.ask(wait_ms=20_000.0))[0], 200)
-            fallbacks = w.director.caches.shapes.negotiation.fallbacks
-            self.assertEqual(fallbacks["c1"].why, "HTTP_1_1_REQUIRED")
-            self.assertIsNone(w.director.caches.upstreams["c1"].lane)
+            fallbacks = w.director.connection_pool.connection_factory.negotiation.fallbacks
+            self.assertEqual(fallbacks["c1"].reason, "HTTP_1_1_REQUIRED")
+            self.assertIsNone(w.director.connection_pool.servers["c1"].group)
             fallbacks["c1"].until_ms = 0.0
             box.script = serve
             w.director.exchange.core.state.registry.servers["c1"].backoff_until_ms = 0.0
             await until(lambda: len(box.heard) >= 1)
             for n in range(8):
                 await page(w, n, wait_ms=20_000.0)
-            self.assertIsNotNone(w.director.caches.upstreams["c1"].lane)
+            self.assertIsNotNone(w.director.connection_pool.servers["c1"].group)
 
     async def test_modes_go_by_uid_before_model(self) -> None:
         one, two = H2Box(serve), ScriptedPeer(hit, "c2")
@@ -637,6 +643,6 @@
         self.assertEqual(len(report.statuses), 2_000)
         self.assertEqual(len(report.met), 13)  # each of the troubles came about
         self.assertLessEqual({"above_goaway", "refused"}, set(report.findings))
-        proved = sum(report.findings[reason.value] for reason in PROOFS)
+        proved = sum(report.findings[reason.value] for reason in UNPROCESSED_REASONS)
         self.assertGreater(report.saved, proved // 2)  # the module has a bound of its own on further tries
         self.assertGreater(sum(status == 200 for status in report.statuses.values()), 1_500)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -102,17 +102,17 @@
         old, new = ScriptedPeer(hit), await ScriptedPeer(hit).start()
         async with Rehearsal([old]) as world:
             assert world.director is not None
-            caches = world.director.caches
+            caches = world.director.connection_pool
             await world.ask()
-            (connection,) = caches.upstreams["c1"].idle
-            caches.upstreams["c1"].idle.clear()
+            (connection,) = caches.servers["c1"].idle
+            caches.servers["c1"].idle.clear()
             world.coordinator.tell_list(new)  # the same server at another place
             await until(lambda: world.director is not None and world.director.endpoint_feed.last_index == 2)
-            caches.upstreams["c1"].rest(connection)
+            caches.servers["c1"].release(connection)
             await world.ask()
             gone = ScriptedPeer(hit, state="DELETED", address=new.address)
             world.coordinator.tell_list(gone)
-            await until(lambda: not caches.upstreams)
+            await until(lambda: not caches.servers)
         new.stop()
         self.assertEqual((len(old.heard), len(new.heard)), (1, 1))
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -58,7 +58,7 @@
             world.coordinator.cut()
             other.tell_list(ScriptedPeer(hit, "c3", address=new_cache.address))
             await until(lambda: feed.last_index == 3)
-            self.assertEqual(set(director.caches.upstreams), {"c1", "c2", "c3"})
+            self.assertEqual(set(director.connection_pool.servers), {"c1", "c2", "c3"})
             self.assertEqual((other.follows, len(world.coordinator.follows)), ([1], 1))
         new_cache.stop()
         other.stop()
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -273,7 +273,7 @@
             self.assertIs(director.web.upstreams["a"], kept)
             gate.set()
             self.assertEqual((await task).body, b"old")  # what was open is answered
-            await until(lambda: not old.open_requests and not old.upstreams.live)  # type: ignore[union-attr]
+            await until(lambda: not old.open_requests and not old.upstreams.open_connections)  # type: ignore[union-attr]
             self.assertEqual((await world.ask("/c")).by, "b/0")
             path.write_text(table.replace("[[servers]]", "[[serverz]]"))
             with self.assertRaisesRegex(Exception, "serverz: no such setting"):
--- a/tests/test_web_failures.py
+++ b/tests/test_web_failures.py
@@ -37,7 +37,7 @@
             self.assertGreater(ran, 0)
             self.assertEqual(len(world.servers["a/1"].heard), 12 - ran)
             world.servers["a/0"].stop()
-            for connection in list(world.director.web.upstreams["a"].upstreams.live):  # type: ignore
+            for connection in list(world.director.web.upstreams["a"].upstreams.open_connections):  # type: ignore
                 connection.close()
             statuses = [(await world.ask(f"/x{n}", method="POST", body=b"bid")).status for n in range(12)]
             self.assertEqual(set(statuses), {200})
