--- a/benchmarks/lease_kills.py
+++ b/benchmarks/lease_kills.py
@@ -27,7 +27,7 @@
 from gladewalk.rehearsal.peers import SETTINGS, Coordinator, Heard, ScriptedPeer, config_for
 from gladewalk.rehearsal.resolver import Resolver
 
-from .store_kills import Run
+from .director_process import DirectorProcess
 
 RUNS_PER_ROUND = 4
 CAPACITY = 64.0  # transfers at a time of the server once it is warm
@@ -76,10 +76,10 @@
     await request.answer(200, b"copy", X_Remark="mem")
 
 
-async def resolve(run: Run, server: SlowStartServer, draw: random.Random, source: str) -> None:
+async def resolve(run: DirectorProcess, server: SlowStartServer, draw: random.Random, source: str) -> None:
     """Asks for ever new names as a resolver that caches whatever it receives, until the run ends."""
     resolver = Resolver(run.dns, hold_s=3_600.0, source=source)
-    while run.up:
+    while run.is_up:
         name = f"0.{draw.getrandbits(40):x}.lot-page.cdn.example."
         with contextlib.suppress(OSError, TimeoutError):
             if SLOW_START_HOST in await resolver.resolve(name):
@@ -87,13 +87,13 @@
         await asyncio.sleep(0.002)
 
 
-async def send_requests(run: Run, draw: random.Random) -> None:
+async def send_requests(run: DirectorProcess, draw: random.Random) -> None:
     """Asks for ever new objects as a client, until the run ends."""
-    while run.up:
-        await run.ask(f"{draw.getrandbits(40):x}", draw.getrandbits(60))
+    while run.is_up:
+        await run.request_object(f"{draw.getrandbits(40):x}", draw.getrandbits(60))
 
 
-async def play_run(run: Run, server: SlowStartServer, draw: random.Random) -> None:
+async def play_run(run: DirectorProcess, server: SlowStartServer, draw: random.Random) -> None:
     """Lets resolvers and clients ask a director that runs, and kills it."""
     tasks = [
         asyncio.create_task(resolve(run, server, random.Random(draw.random()), f"127.0.1.{number}"))
@@ -121,7 +121,7 @@
         peers.append(await ScriptedPeer(serve_warm, f"c{number}", size=CAPACITY, host=host).start())
     peers.append(await ScriptedPeer(serve_warm, "p1", "parent", "north", CAPACITY).start())
     config = json.loads(json.dumps(config_for(peers, coordinator, SETTINGS)))
-    run = Run(folder, "each")
+    run = DirectorProcess(folder, "each")
     options_path = folder / "own.toml"
     options_path.write_text(options_path.read_text() + DNS)
     for _ in range(runs):
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -108,20 +108,20 @@
             name, options, self.exchange, self.connection_pool, deadlines, counters
         )
         self.web = parts.build_web(options, config, clock, deadlines, counters, self._log_module_line)
-        self.keeper = parts.build_store(
+        self.persistence = parts.build_store(
             options, purge_settle_ms, clock, counters, self._log_store_event, deadlines
         )
-        self.leases = parts.build_leases(name, options, self.keeper, clock, deadlines, counters)
-        self.control = parts.build_control(options, counters, self.duties, self.keeper, self.leases)
+        self.leases = parts.build_leases(name, options, self.persistence, clock, deadlines, counters)
+        self.control = parts.build_control(options, counters, self.duties, self.persistence, self.leases)
 
     # Start and run.
 
     async def start(self) -> None:
         """Restores stored state, begins to follow the coordinator, and opens all listeners."""
         self.endpoint_feed.load_initial(self.config.initial_event_index, self.config.initial_events)
-        if self.keeper is not None:
-            self.keeper.restore(self.endpoint_feed)
-            self.keeper.start(self.endpoint_feed)
+        if self.persistence is not None:
+            self.persistence.restore(self.endpoint_feed)
+            self.persistence.start(self.endpoint_feed)
         self.coordinator_watch.on_synced = self._on_synced
         self.exchange.hold_requests()
         self.deadlines.add(self.clock() + self.max_sync_wait_ms, self._on_synced)
@@ -159,8 +159,8 @@
         self.log.info("serving", servers=len(self.connection_pool.servers), **self._listen_addresses())
         await self._ended
         signals.block()  # the loop removes its handlers before the process has ended
-        if self.keeper is not None:
-            await self.keeper.close()
+        if self.persistence is not None:
+            await self.persistence.close()
         self.report()
 
     def _listen_addresses(self) -> dict[str, object]:
@@ -223,12 +223,12 @@
         if config.listen != self.config.listen:
             self.log.warning("listen_address_needs_restart", listen=config.listen)
         self.config = config
-        self.exchange.core.configure(config.settings)
+        self.exchange.dispatcher.configure(config.settings)
         self.connection_pool.configure(config)
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
         if self.dns is not None:
-            self.dns.classes = frozenset(self.exchange.core.state.classes)
+            self.dns.classes = frozenset(self.exchange.dispatcher.state.classes)
         self.coordinator_watch.set_address(config.coordinator)
         last = self.endpoint_feed.last_index
         self.log.info("configuration taken", coordinator=config.coordinator, last=last)
@@ -239,7 +239,7 @@
         self.front.request_timeout_ms = max(FIRST_BYTE_TIMEOUT_MS, self._longest_deadline_ms())
 
     def _longest_deadline_ms(self) -> float:
-        return max(cls.deadline_ms for cls in self.exchange.core.state.classes.values())
+        return max(cls.deadline_ms for cls in self.exchange.dispatcher.state.classes.values())
 
     def _alpn_of(self, name: str) -> tuple[bool, tuple[str, ...]]:
         """Returns for a server whether it is spoken to over TLS, and by which protocols (ALPN ids)."""
@@ -278,7 +278,7 @@
     def _end_when_answered(self) -> None:
         """Ends the director once everything is answered; bounded, as every open request has a deadline."""
         has_open_web_requests = self.web is not None and self.web.owed
-        has_open = self.exchange.unanswered_count or self.exchange.open_resolutions or has_open_web_requests
+        has_open = self.exchange.unanswered_count or self.exchange.resolutions.open or has_open_web_requests
         if has_open or (not self.front.is_done() and self.clock() < self._last_answer_ms):
             self.deadlines.add(self.clock() + EXIT_DELAY_MS, self._end_when_answered)
             return
@@ -302,7 +302,7 @@
             "now.passing": sum(
                 opened.serving_attempt is not None for opened in self.exchange.open_requests.values()
             ),
-            "now.waiting": len(self.exchange.core.state.queue),
+            "now.waiting": len(self.exchange.dispatcher.state.queue),
             "now.clients": len(self.front.connections),
             "now.upstream": len(self.connection_pool.open_connections),
             "late_ms": round(self.deadlines.max_late_ms, 1),
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -12,7 +12,7 @@
 from ..core.deadlines import Deadlines
 from ..members.authenticator import MessageAuthenticator, load_key_ring
 from ..ops.metrics import OUTCOMES
-from ..store.keeper import Keeper
+from ..store.persistence import PersistenceService
 from .candidate import LeaseCandidate
 from .configuration import LeaseConfig
 from .fenced_operations import FencedOperationQueue
@@ -83,7 +83,7 @@
     reader = _Reader(options.path)
     config = LeaseConfig(
         table.lease_ms,
-        table.drift,
+        table.max_clock_drift,
         table.stop_margin_ms,
         table.grant_margin_ms,
         renewal_interval_ms=table.lease_ms * RENEWAL_INTERVAL_LEASES,
@@ -139,7 +139,7 @@
 def build_lease_service(
     name: str,
     options: Options,
-    keeper: Keeper,
+    persistence: PersistenceService,
     wall_clock: Clock,
     deadlines: Deadlines,
     counters: Counters,
@@ -151,28 +151,28 @@
     table, settings = options.leases, read_lease_settings(options, name)
     assert table is not None
     key_ring = load_key_ring(options.file(table.keys))
-    authenticator = MessageAuthenticator(key_ring, table.window_ms)
+    authenticator = MessageAuthenticator(key_ring, table.max_clock_skew_ms)
     clock = LeaseClock(table.clock_rate)
     rng = random.Random(random.SystemRandom().getrandbits(64))
     directors, resources = tuple(sorted(settings.directors)), settings.resource_names()
     now_ms = clock()
-    voter = Voter(name, settings.config, now_ms, decode_grants(keeper.log.items(GRANT_SPACE)))
+    voter = Voter(name, settings.config, now_ms, decode_grants(persistence.log.items(GRANT_SPACE)))
     candidate = LeaseCandidate(name, directors, tuple(sorted(resources)), settings.config, rng, now_ms)
     purges = report = None
     if PURGE_TASK in resources and table.hubs:
-        stored = keeper.log.items(PURGE_SPACE)
+        stored = persistence.log.items(PURGE_SPACE)
         purges = PurgeRequests(name, directors, resources[PURGE_TASK], rng, stored)
     if REPORT_TASK in resources and table.report_to:
         report = FleetReport(
             name,
             directors,
             incarnation=int(wall_clock()),  # a later start has the higher number
-            stale_after_ms=STALE_REPORTS * table.report_ms,
+            stale_after_ms=STALE_REPORTS * table.report_interval_ms,
             read_counts=lambda: read_request_counts(counters),
         )
     operations = FencedOperationQueue(name, resources)
     holder_tasks = LeaseHolderTasks(
-        candidate, operations, purges, report, table.act_ms, table.report_ms, now_ms
+        candidate, operations, purges, report, table.fence_interval_ms, table.report_interval_ms, now_ms
     )
     service = LeaseService(
         voter,
@@ -180,7 +180,7 @@
         holder_tasks,
         settings.addresses(),
         authenticator,
-        keeper.writer,
+        persistence.writer,
         clock,
         wall_clock,
         deadlines,
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -27,7 +27,7 @@
     from .members.authenticator import AuthenticationKey
     from .members.transport import MembershipTransport
     from .nginx.router import Router
-    from .store.keeper import Keeper
+    from .store.persistence import PersistenceService
     from .upstream.connection_factory import ConnectionFactory
     from .web.start import Web
 
@@ -101,19 +101,19 @@
     counters: Counters,
     log: Callable[[str, str], None],
     deadlines: Deadlines,
-) -> Keeper | None:
+) -> PersistenceService | None:
     """Opens the store of `[store]`."""
     if options is None or options.store is None:
         return None
-    from .store.keeper import Keeper
+    from .store.persistence import PersistenceService
 
-    return Keeper(options, purge_settle_ms, clock, counters, log, deadlines)
+    return PersistenceService(options, purge_settle_ms, clock, counters, log, deadlines)
 
 
 def build_leases(
     name: str,
     options: Options | None,
-    store: Keeper | None,
+    store: PersistenceService | None,
     clock: Clock,
     deadlines: Deadlines,
     counters: Counters,
@@ -130,7 +130,7 @@
     options: Options | None,
     counters: Counters,
     duties: TaskRunner | None,
-    store: Keeper | None,
+    store: PersistenceService | None,
     leases: tuple[LeaseService, LeaseAddress] | None,
 ) -> ControlServer | None:
     """Builds the operators' control socket, with a view for each part that is on."""
@@ -140,9 +140,9 @@
 
     control = ControlServer(options.file(options.control.socket), counters)
     if duties is not None:
-        from .duties.view import view_of
+        from .duties.view import membership_status
 
-        control.handlers["members"] = lambda given: view_of(duties)
+        control.handlers["members"] = lambda _: membership_status(duties)
     if store is not None:
         control.handlers["store"] = store.view
     if leases is not None:
