The options' library is not imported on the platform again

Cause: an interface in upstream_server.py named Http2Options, whose module imports msgspec; nothing of it is needed there at run time. Change: the import is for type checking only. Run: test_what_is_off_is_not_imported failed before and passes now; no h2, hpack, msgspec, click, dns or gladewalk.streams among the modules that python -m gladewalk imports.

--- a/gladewalk/upstream/upstream_server.py
+++ b/gladewalk/upstream/upstream_server.py
@@ -4,14 +4,16 @@
 
 import asyncio
 from collections import deque
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
-from ..config.option_tables import Http2Options
 from ..config.platform import Address, PlatformConfig
 from ..core.deadlines import DeadlineKey
 from .http1 import Http1Connection
 from .work_items import ConnectionOwner, WorkItem
 
+if TYPE_CHECKING:  # the options' library is not imported without a file of options
+    from ..config.option_tables import Http2Options
+
 IDLE_TIMEOUT_FRACTION = 0.6  # of the time after which a cache closes an idle connection: ours closes first
 
 
