--- a/tests/http2_rehearsal.py
+++ b/tests/http2_rehearsal.py
@@ -1,57 +1,98 @@
-"""What the tests of HTTP/2 upstream share: settings, a rehearsal, bids and certificates."""
+"""What the tests of HTTP/2 share: options, a director with its servers, requests and certificates."""
 
 from __future__ import annotations
 
+import asyncio
 import ssl
-from functools import cache
+from collections.abc import Callable, Coroutine
+from functools import cache, wraps
 from pathlib import Path
-from typing import Any
+from typing import Any, ParamSpec
 
 import trustme
 
 from gladewalk.config.options import Options, build_options, read_option_tables
+from gladewalk.director import Director
 from gladewalk.rehearsal.h2box import Asked
-from gladewalk.rehearsal.peers import SETTINGS, Peer, Rehearsal
+from gladewalk.rehearsal.peers import SETTINGS, Heard, Peer, Rehearsal
 from gladewalk.rehearsal.write_soak import ticket
+from gladewalk.upstream.pool import ConnectionPool
 
 BYTES = bytes(range(256)) * 64
+PATIENT_MS = 20_000.0  # a client's wait that no busy machine uses up
+
+Parameters = ParamSpec("Parameters")
+
+
+def async_test(test: Callable[Parameters, Coroutine[Any, Any, None]]) -> Callable[Parameters, None]:
+    """Runs a coroutine function as a test, in an event loop of its own."""
+
+    @wraps(test)
+    def run(*args: Parameters.args, **kwargs: Parameters.kwargs) -> None:
+        asyncio.run(test(*args, **kwargs))
+
+    return run
 
 
 def options_for(mode: str = "h2c", tls: dict[str, Any] | None = None, **http2: Any) -> Options:
+    """Options as they are read from a file with these tables."""
     tables = read_option_tables({"http2": {"mode": mode, **http2}, "tls": tls or {}})
     return build_options(tables, "test.toml", Path("."))
 
 
-def world(*peers: Peer, options: Options | None = None, wait_ms: float = 2_000.0, **http2: Any) -> Rehearsal:
-    """A director that speaks HTTP/2 to these peers; a busy machine gets time to connect."""
-    settings = {**SETTINGS, "limits": {**SETTINGS["limits"], "connect_timeout_ms": wait_ms}}
-    return Rehearsal(peers, settings=settings, options=options or options_for(**http2))
+def rehearse(
+    *servers: Peer, options: Options | None = None, connect_timeout_ms: float = 2_000.0, **http2: Any
+) -> Rehearsal:
+    """A director that speaks HTTP/2 to these servers; a busy machine gets time to connect."""
+    limits = {**SETTINGS["limits"], "connect_timeout_ms": connect_timeout_ms}
+    settings = {**SETTINGS, "limits": limits}
+    return Rehearsal(servers, settings=settings, options=options or options_for(**http2))
+
+
+def director_of(rehearsal: Rehearsal) -> Director:
+    assert rehearsal.director is not None
+    return rehearsal.director
+
+
+def counters_of(rehearsal: Rehearsal) -> dict[str, int]:
+    return director_of(rehearsal).counters
+
+
+def pool_of(rehearsal: Rehearsal) -> ConnectionPool:
+    return director_of(rehearsal).connection_pool
 
 
 def serve(asked: Asked) -> None:
+    """Answers a request at a server over HTTP/2."""
     asked.answer(200, BYTES)
 
 
-async def bid(world: Rehearsal, number: int, body: bytes = b"10 boxes of hake", **more: Any) -> int:
-    """One bid with a trace of its own: the status of its final answer."""
+async def serve_http1(heard: Heard) -> None:
+    """Answers a request at a server over HTTP/1.1."""
+    await heard.answer(200, BYTES, X_Remark="mem")
+
+
+async def write(rehearsal: Rehearsal, number: int, body: bytes = b"10 boxes of hake", **more: Any) -> int:
+    """Sends a non-idempotent write with a trace id of its own; returns the status of its final answer."""
     path = f"/invoke/bid/{number:x}"
-    return (await world.ask(path, method="PUT", body=body, trace=ticket(number), **more))[0]
+    return (await rehearsal.ask(path, method="PUT", body=body, trace=ticket(number), **more))[0]
 
 
-async def page(world: Rehearsal, number: int, **more: Any) -> tuple[int, dict[str, str], bytes]:
-    """One read with a trace of its own, as several that are open at a time must have."""
-    return await world.ask(f"/invoke/lot-page/{number:x}?nth=2", trace=ticket(number), **more)
+async def read(rehearsal: Rehearsal, number: int, **more: Any) -> tuple[int, dict[str, str], bytes]:
+    """Sends a read with a trace id of its own, as requests that are open at the same time must have."""
+    return await rehearsal.ask(f"/invoke/lot-page/{number:x}?nth=2", trace=ticket(number), **more)
 
 
 @cache
 def authority() -> trustme.CA:
+    """The test certificates' CA."""
     return trustme.CA()
 
 
 def server_context(
     *names: str, alpn: tuple[str, ...] = ("h2", "http/1.1"), client: bool = False
 ) -> ssl.SSLContext:
-    """A box's TLS, with a certificate for these names; `client`: it asks for the other side's."""
+    """A server's TLS context with a certificate for these names; `client`: it asks for the client's."""
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     authority().issue_cert(*names).configure_cert(context)
     context.set_alpn_protocols(list(alpn))
--- a/tests/test_golden_upstream.py
+++ b/tests/test_golden_upstream.py
@@ -25,7 +25,7 @@
 from gladewalk.upstream.protocol_fields import read_result
 from gladewalk.upstream.work_items import HealthCheck
 
-from .h2world import options_for
+from .http2_rehearsal import options_for
 
 GOLDEN = Path(__file__).parent / "golden"
 NOW_MS = 1_764_576_000_000.0
--- /dev/null
+++ b/tests/test_http2_allocation.py
@@ -0,0 +1,173 @@
+"""Allocation of streams to connections, limits and replacement, over loopback."""
+
+import asyncio
+from unittest import mock
+
+from h2.errors import ErrorCodes
+
+from gladewalk.rehearsal.h2box import Asked, H2Box
+from gladewalk.rehearsal.peers import ScriptedPeer, request, until
+from gladewalk.rehearsal.write_soak import ticket
+from gladewalk.streams import stream_allocator
+from gladewalk.upstream.connection_factory import ConnectionFactory
+
+from .http2_rehearsal import (
+    BYTES,
+    async_test,
+    counters_of,
+    director_of,
+    options_for,
+    pool_of,
+    read,
+    rehearse,
+    serve,
+    serve_http1,
+)
+
+
+@async_test
+async def test_many_requests_share_few_connections_unchanged() -> None:
+    received: list[Asked] = []
+    server = H2Box(received.append, limit=64)
+    async with rehearse(server) as rehearsal:
+        requests = [asyncio.create_task(read(rehearsal, n)) for n in range(80)]
+        await until(lambda: len(received) == 80)
+        assert (server.connections, server.over_limit) == (2, 0)
+        assert server.open_most <= 64
+        for asked in received:
+            asked.answer(200, BYTES)
+        answers = await asyncio.gather(*requests)
+    assert {(status, body) for status, _, body in answers} == {(200, BYTES)}
+    assert {asked.path.rsplit("/", 1)[1] for asked in received} == {"2"}
+    assert {asked.fields[":authority"] for asked in received} == {"app.svc"}
+    assert server.breaches == []
+
+
+@async_test
+async def test_a_lowered_stream_limit_holds_down_to_0_and_is_used_again_when_it_rises() -> None:
+    received: list[Asked] = []
+    server = H2Box(received.append, limit=4)
+    async with rehearse(server, connections_most=1) as rehearsal:
+        first = [asyncio.create_task(read(rehearsal, n)) for n in range(4)]
+        await until(lambda: len(received) == 4)
+        connection = server.lines[0]
+        connection.settings(max_concurrent_streams=0)
+        (group,) = pool_of(rehearsal).groups
+        await until(lambda: any(s.max_streams == 0 for s in group.allocator.connections.values()))
+        more = [asyncio.create_task(read(rehearsal, n)) for n in range(4, 8)]
+        for asked in received[:4]:
+            asked.answer(200, BYTES)
+        await asyncio.gather(*first)
+        assert len(received) == 4  # nothing new under a limit of 0
+        connection.settings(max_concurrent_streams=1)
+        for n in range(4, 8):
+            await until(lambda n=n: len(received) == n + 1)  # type: ignore[misc]
+            received[n].answer(200, BYTES)
+        assert [status for status, _, _ in await asyncio.gather(*more)] == [200] * 4
+    assert (server.connections, server.over_limit) == (1, 0)
+
+
+@async_test
+async def test_a_connection_whose_stream_ids_are_used_up_is_replaced() -> None:
+    server = H2Box(serve)
+    with mock.patch.object(stream_allocator, "MAX_STREAM_ID", 5):
+        async with rehearse(server) as rehearsal:
+            for n in range(7):
+                assert (await read(rehearsal, n))[0] == 200
+    assert (server.connections, server.breaches) == (3, [])
+
+
+@async_test
+async def test_a_server_that_asks_for_calm_gets_no_new_requests_during_the_backoff() -> None:
+    calm = H2Box(lambda asked: asked.reset(ErrorCodes.ENHANCE_YOUR_CALM))
+    other = H2Box(serve, "c2", size=1e-6)
+    async with rehearse(calm, other, calm_ms=600_000.0) as rehearsal:
+        for n in range(5):
+            assert (await read(rehearsal, n))[0] == 200
+        assert counters_of(rehearsal)["h2.calm_asked"] == 1
+        assert counters_of(rehearsal)["h2.calm_kept"] > 0
+    assert len(calm.heard) == 1
+
+
+@async_test
+async def test_resets_are_limited_and_streams_abandoned_beyond_go_on_unread() -> None:
+    received: list[Asked] = []
+    server = H2Box(received.append, limit=100)
+    async with rehearse(server, cancels_burst=3, cancels_per_s=0.0001, connections_most=1) as rehearsal:
+        writers = []
+        for n in range(8):
+            _, writer = await rehearsal.client()
+            writer.write(request(f"/invoke/lot-video/{n:x}", trace=ticket(n)))
+            writers.append(writer)
+        await until(lambda: len(received) == 8)
+        for writer in writers:
+            writer.transport.abort()
+        await until(lambda: counters_of(rehearsal)["attempts.cancelled"] == 8)
+        await until(lambda: server.resets_heard == 3)
+        assert counters_of(rehearsal)["h2.cancels_held_back"] == 5
+        for asked in received:
+            asked.answer(200, BYTES)
+        server.script = serve
+        assert (await rehearsal.ask("/invoke/lot-page/ff"))[0] == 200  # on the same connection
+    assert (server.connections, server.resets_heard) == (1, 3)
+
+
+@async_test
+async def test_a_drain_stops_a_request_that_waits_for_a_stream() -> None:
+    received: list[Asked] = []
+    server = H2Box(received.append, limit=1)
+    async with rehearse(server, connections_most=1, connect_timeout_ms=5_000.0) as rehearsal:
+        first = asyncio.create_task(read(rehearsal, 1))
+        await until(lambda: len(received) == 1)
+        second = asyncio.create_task(read(rehearsal, 2))
+        await until(lambda: len(pool_of(rehearsal).groups[0].waiting) == 1)
+        server.state = "DRAINING"
+        rehearsal.coordinator.tell_list(server)
+        await until(lambda: director_of(rehearsal).endpoint_feed.last_index == 2)
+        received[0].answer(200, BYTES)
+        assert (await first)[0] == 200
+        assert (await second)[0] == 503
+        assert counters_of(rehearsal)["attempts.held_back"] == 1
+    assert len(server.heard) == 1
+
+
+@async_test
+async def test_a_server_that_moves_gets_nothing_more_at_its_former_address() -> None:
+    old = H2Box(serve)
+    new = await H2Box(serve).start()
+    async with rehearse(old) as rehearsal:
+        assert (await rehearsal.ask())[0] == 200
+        rehearsal.coordinator.tell_list(new)
+        await until(lambda: director_of(rehearsal).endpoint_feed.last_index == 2)
+        assert (await rehearsal.ask())[0] == 200
+        await until(lambda: not old.lines)
+    new.stop()
+    assert (len(old.heard), len(new.heard)) == (1, 1)
+
+
+@async_test
+async def test_one_limit_of_connections_holds_for_both_protocols() -> None:
+    shared, single = H2Box(serve), ScriptedPeer(serve_http1, "c2", size=1_000.0)
+    async with rehearse(shared, single, options=options_for("h2c", by_uid={"c2": "off"})) as rehearsal:
+        pool_of(rehearsal).max_connections = 1
+        for n in range(10):  # each server is home to some of them: the idle connection is closed each time
+            assert (await read(rehearsal, n))[2] == BYTES
+            assert len(pool_of(rehearsal).open_connections) <= 1
+    assert min(shared.connections, single.connections) > 0
+
+
+@async_test
+async def test_other_options_on_a_reload_drain_open_connections() -> None:
+    received: list[Asked] = []
+    server = H2Box(received.append)
+    async with rehearse(server) as rehearsal:
+        earlier = asyncio.create_task(read(rehearsal, 1))
+        await until(lambda: len(received) == 1)
+        pool_of(rehearsal).set_connection_factory(ConnectionFactory(options_for("h2c", streams_most=1)))
+        later = asyncio.create_task(read(rehearsal, 2))
+        await until(lambda: len(received) == 2)
+        assert received[0].line is not received[1].line
+        for asked in received:
+            asked.answer(200, BYTES)
+        assert [(await earlier)[0], (await later)[0]] == [200, 200]
+        await until(lambda: len(server.lines) == 1)
--- /dev/null
+++ b/tests/test_http2_negotiation.py
@@ -0,0 +1,61 @@
+"""Which protocol a server is offered, and fallbacks to HTTP/1.1, over loopback."""
+
+from h2.errors import ErrorCodes
+
+from gladewalk.rehearsal.h2box import H2Box
+from gladewalk.rehearsal.peers import ScriptedPeer, until
+
+from .http2_rehearsal import (
+    PATIENT_MS,
+    async_test,
+    counters_of,
+    director_of,
+    options_for,
+    pool_of,
+    read,
+    rehearse,
+    serve,
+    serve_http1,
+    write,
+)
+
+
+@async_test
+async def test_a_server_that_speaks_only_http1_is_detected_before_any_request() -> None:
+    server, origin = ScriptedPeer(serve_http1), ScriptedPeer(serve_http1, "o", "origin", "north")
+    async with rehearse(server, origin) as rehearsal:
+        assert await write(rehearsal, 1) == 200
+        assert counters_of(rehearsal)["h2.fallbacks"] == 1
+        assert await write(rehearsal, 2) == 200
+        assert counters_of(rehearsal)["h2.fallbacks"] == 1  # remembered
+    assert [heard.method for heard in server.heard if heard.method != "PRI"] == ["PUT", "PUT"]
+
+
+@async_test
+async def test_http_1_1_required_causes_a_fallback_for_its_time() -> None:
+    server = H2Box(lambda asked: asked.reset(ErrorCodes.HTTP_1_1_REQUIRED))
+    other = H2Box(serve, "c2", size=1e-6)
+    async with rehearse(server, other) as rehearsal:
+        assert (await rehearsal.ask(wait_ms=PATIENT_MS))[0] == 200
+        factory = pool_of(rehearsal).connection_factory
+        assert factory is not None
+        fallbacks = factory.negotiation.fallbacks
+        assert fallbacks["c1"].reason == "HTTP_1_1_REQUIRED"
+        assert pool_of(rehearsal).servers["c1"].group is None
+        fallbacks["c1"].until_ms = 0.0
+        server.script = serve
+        director_of(rehearsal).exchange.dispatcher.state.registry.servers["c1"].backoff_until_ms = 0.0
+        await until(lambda: len(server.heard) >= 1)
+        for n in range(8):
+            await read(rehearsal, n, wait_ms=PATIENT_MS)
+        assert pool_of(rehearsal).servers["c1"].group is not None
+
+
+@async_test
+async def test_modes_are_chosen_by_uid_before_model() -> None:
+    one, two = H2Box(serve), ScriptedPeer(serve_http1, "c2")
+    options = options_for("off", by_model={"standard": "h2c"}, by_uid={"c2": "off"})
+    async with rehearse(one, two, options=options) as rehearsal:
+        for n in range(12):
+            assert (await read(rehearsal, n))[0] == 200
+        assert "h2.fallbacks" not in counters_of(rehearsal)
--- /dev/null
+++ b/tests/test_http2_retries.py
@@ -0,0 +1,222 @@
+"""Which requests are retried after a stream or connection ended, over loopback."""
+
+import asyncio
+import socket
+from collections import Counter
+from collections.abc import Callable
+
+import pytest
+import uvloop
+from h2.errors import ErrorCodes
+from h2.settings import SettingCodes
+from hyperframe.frame import WindowUpdateFrame
+
+from gladewalk.rehearsal.h2box import GRACEFUL, Asked, H2Box, Script
+from gladewalk.rehearsal.peers import until
+from gladewalk.rehearsal.write_soak import play_h2, ticket
+from gladewalk.streams.stream_tracker import UNPROCESSED_REASONS, EndReason, StreamOutcome
+
+from .http2_rehearsal import (
+    PATIENT_MS,
+    async_test,
+    counters_of,
+    options_for,
+    pool_of,
+    rehearse,
+    serve,
+    write,
+)
+
+
+async def write_to(script: Script) -> tuple[int, H2Box, H2Box, dict[str, int]]:
+    """Sends one write: its first attempts meet the script, what follows is served by the origin."""
+    server = H2Box(script, "c1")
+    origin = H2Box(lambda asked: asked.answer(200, b"taken"), "o", "origin", "north")
+    async with rehearse(server, origin) as rehearsal:
+        status = await write(rehearsal, 1)
+        return status, server, origin, counters_of(rehearsal)
+
+
+@async_test
+async def test_a_refused_write_is_retried() -> None:
+    status, server, origin, _ = await write_to(lambda asked: asked.reset(ErrorCodes.REFUSED_STREAM))
+    assert (status, len(server.heard), len(origin.ran)) == (200, 1, 1)
+
+
+@pytest.mark.parametrize("code", [ErrorCodes.NO_ERROR, ErrorCodes.INTERNAL_ERROR, 4_000])
+@async_test
+async def test_a_write_above_the_goaway_is_retried_whatever_the_code(code: int) -> None:
+    status, server, origin, counts = await write_to(lambda asked: asked.line.goaway(0, code))
+    # Its home server once more, then the origin: each GOAWAY proves that the write was not processed.
+    assert (status, len(server.heard), len(origin.ran)) == (200, 2, 1)
+    assert counts["h2.ended.above_goaway"] == 2
+
+
+def process_then(end: Callable[[Asked], object]) -> Script:
+    """Processes a request and ends it in this way without a response."""
+
+    def script(asked: Asked) -> None:
+        asked.run()
+        end(asked)
+
+    return script
+
+
+def refuse_begun(asked: Asked) -> None:
+    """A contradiction: the response has begun."""
+    asked.head(500, 10)
+    asked.reset(ErrorCodes.REFUSED_STREAM)
+
+
+def close_within_goaway(asked: Asked) -> None:
+    asked.line.goaway(asked.stream)
+    asked.line.close()
+
+
+def raise_goaway(asked: Asked) -> None:
+    """The second GOAWAY has a higher last stream id: the first stays in force."""
+    asked.line.goaway(asked.stream)
+    asked.line.goaway(asked.stream + 40)
+    asked.line.close()
+
+
+def close_after_first_goaway(asked: Asked) -> None:
+    """Ends a graceful shutdown after the first of its two GOAWAYs."""
+    asked.line.goaway(GRACEFUL)
+    asked.line.close()
+
+
+ENDS: dict[str, Callable[[Asked], object]] = {
+    "internal error": lambda asked: asked.reset(ErrorCodes.INTERNAL_ERROR),
+    "cancel": lambda asked: asked.reset(ErrorCodes.CANCEL),
+    "no error": lambda asked: asked.reset(ErrorCodes.NO_ERROR),
+    "HTTP/1.1 required": lambda asked: asked.reset(ErrorCodes.HTTP_1_1_REQUIRED),
+    "a TCP reset": lambda asked: asked.line.abort(),
+    "a close": lambda asked: asked.line.close(),
+    "begun, then refused": refuse_begun,
+    "within the GOAWAY": close_within_goaway,
+    "a GOAWAY raised": raise_goaway,
+    "a first GOAWAY, then a close": close_after_first_goaway,
+}
+
+
+@pytest.mark.parametrize("name", ENDS)
+@async_test
+async def test_a_write_that_may_have_been_processed_is_not_retried(name: str) -> None:
+    status, server, origin, counts = await write_to(process_then(ENDS[name]))
+    assert (status, len(server.ran), len(origin.heard)) == (502, 1, 0)
+    assert counts["h2.goaways_raised"] == int(name == "a GOAWAY raised")
+
+
+@async_test
+async def test_streams_below_a_graceful_goaway_complete_beside_the_successor() -> None:
+    received: list[Asked] = []
+    server, origin = H2Box(received.append), H2Box(serve, "o", "origin", "north")
+    async with rehearse(server, origin, connections_most=1) as rehearsal:
+        requests = [asyncio.create_task(write(rehearsal, n)) for n in range(6)]
+        await until(lambda: len(received) == 6)
+        connection = server.lines[0]
+        connection.goaway(GRACEFUL)
+        late = asyncio.create_task(write(rehearsal, 9))
+        await until(lambda: len(received) == 7)
+        assert (len(server.lines), received[6].line is connection) == (2, False)
+        for asked in received[:4]:
+            asked.run()
+        assert [asked.stream for asked in received[:6]] == [1, 3, 5, 7, 9, 11]
+        connection.goaway(connection.highest_run)  # the fifth and the sixth were not processed
+        await until(lambda: len(received) == 9)  # retried over the successor
+        for asked in (*received[:4], *received[6:]):
+            asked.answer(200, b"taken")
+        assert await asyncio.gather(*requests, late) == [200] * 7
+        await until(lambda: len(server.lines) == 1)  # the first is closed when its last stream has ended
+    assert sorted(a.ticket for a in received if a.ran) == [ticket(n) for n in (*range(6), 9)]
+    assert (len(server.ran), origin.heard, server.over_limit, server.breaches) == (7, [], 0, [])
+
+
+@async_test
+async def test_an_incomplete_response_is_seen_as_incomplete_by_the_client() -> None:
+    def send_half(asked: Asked) -> None:
+        asked.head(200, 1_000)
+        asked.line.send(asked, b"x" * 300, False)
+        asked.reset(ErrorCodes.INTERNAL_ERROR)
+
+    server = H2Box(send_half)
+    async with rehearse(server) as rehearsal:
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await rehearsal.ask()
+        assert counters_of(rehearsal)["answers.cut"] == 1
+    assert len(server.heard) == 1
+
+
+@async_test
+async def test_a_silent_connection_is_detected_by_ping_and_not_used_any_more() -> None:
+    def fall_silent(asked: Asked) -> None:
+        asked.line.silent = True
+
+    server = H2Box(fall_silent)
+    async with rehearse(server, ping_after_ms=50.0, ping_wait_ms=50.0) as rehearsal:
+        # Both attempts get no response, long before the request's deadline.
+        status, _, _ = await rehearsal.ask(wait_ms=PATIENT_MS)
+        assert status in (502, 503)
+        assert counters_of(rehearsal)["h2.silent"] == len(server.heard)
+        assert counters_of(rehearsal)["h2.pings"] >= 1
+        server.script = serve
+        await until(lambda: not server.lines)
+
+
+@async_test
+async def test_a_server_that_accepts_and_sends_nothing_fails_no_request() -> None:
+    mute, other = H2Box(serve, greets=False), H2Box(serve, "c2", size=1e-6)
+    async with rehearse(mute, other, connect_timeout_ms=100.0) as rehearsal:
+        assert (await rehearsal.ask(wait_ms=PATIENT_MS))[0] == 200
+    assert (mute.heard, len(other.heard)) == ([], 1)
+
+
+@async_test
+async def test_what_a_stalled_server_never_took_is_retried() -> None:
+    def stall(asked: Asked) -> None:
+        assert asked.line.transport is not None
+        asked.line.transport.pause_reading()
+
+    large: dict[SettingCodes | int, int] = {SettingCodes.INITIAL_WINDOW_SIZE: 2**24}
+    server, origin = H2Box(serve, settings=large, on_head=stall), H2Box(serve, "o", "origin", "north")
+    outcomes: list[StreamOutcome] = []
+    options = options_for("h2c", connections_most=1, ping_after_ms=1_500.0, ping_wait_ms=500.0)
+    async with rehearse(server, origin, options=options, connect_timeout_ms=PATIENT_MS) as rehearsal:
+        pool_of(rehearsal).on_stream_ended = lambda _, outcome: outcomes.append(outcome)
+        requests = [asyncio.create_task(write(rehearsal, 0, body=b"x" * 48_000, wait_ms=PATIENT_MS))]
+        await until(lambda: len(server.heard) == 1)
+        (connection,) = pool_of(rehearsal).groups[0].connections.values()
+        for transport in (server.lines[0].transport, connection.transport):
+            assert transport is not None
+            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, option, 4_096)
+        server.lines[0].put(WindowUpdateFrame(0, window_increment=2**30))
+        while connection.output.is_writable and len(requests) < 80:
+            next_write = write(rehearsal, len(requests), body=b"x" * 48_000, wait_ms=PATIENT_MS)
+            requests.append(asyncio.create_task(next_write))
+            await asyncio.sleep(0.01)
+        assert not connection.output.is_writable
+        assert connection.slots is not None and connection.slots.is_stalled
+        server.on_head = None
+        statuses = await asyncio.gather(*requests)
+        assert statuses.count(200) + statuses.count(502) == len(requests)
+    reasons = {outcome.reason for outcome in outcomes}
+    assert EndReason.KEEP_ALIVE_TIMEOUT in reasons
+    assert {EndReason.NOT_TRANSMITTED, EndReason.HEAD_INCOMPLETE} & reasons, outcomes
+    runs = Counter(asked.ticket for asked in (*server.ran, *origin.ran))
+    assert {name: times for name, times in runs.items() if times > 1} == {}
+    assert len(runs) == statuses.count(200)
+
+
+def test_2000_writes_with_random_faults_are_processed_once_at_most_and_retried_with_proof() -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        report = runner.run(play_h2(11, 2_000, 0.12, options_for("h2c")))
+    assert not report.has_violation, report
+    assert len(report.statuses) == 2_000
+    assert len(report.faults) == 13  # each kind of fault occurred
+    assert {"above_goaway", "refused"} <= set(report.findings)
+    proved = sum(report.findings[reason.value] for reason in UNPROCESSED_REASONS)
+    # The decision module has a bound of its own on retries.
+    assert report.recovered_count > proved // 2
+    assert sum(status == 200 for status in report.statuses.values()) > 1_500
--- /dev/null
+++ b/tests/test_http2_tls.py
@@ -0,0 +1,148 @@
+"""HTTP/2 over TLS: ALPN, certificates and their reload, over loopback."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trustme
+
+from gladewalk.config.options import Options
+from gladewalk.rehearsal.h2box import Asked, H2Box
+from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for, read_message, request
+from gladewalk.rehearsal.write_soak import ticket
+
+from .http2_rehearsal import (
+    BYTES,
+    PATIENT_MS,
+    async_test,
+    authority,
+    counters_of,
+    options_for,
+    read,
+    rehearse,
+    serve,
+    serve_http1,
+    server_context,
+    write,
+)
+
+ROOT = Path(__file__).parent.parent
+
+
+class TlsFiles:
+    """A folder with the CA's certificate, and the options of `[tls]` that name it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.ca = folder / "ca.pem"
+        authority().cert_pem.write_to_path(str(self.ca))
+
+    def options(self, **more: str) -> Options:
+        return options_for("tls", {"ca": str(self.ca), "name": "{uid}.caches.example", **more})
+
+
+@pytest.fixture
+def tls(tmp_path: Path) -> TlsFiles:
+    return TlsFiles(tmp_path)
+
+
+@async_test
+async def test_alpn_selects_h2_and_the_certificates_name_is_checked(tls: TlsFiles) -> None:
+    good = H2Box(serve, tls=server_context("c1.caches.example"))
+    async with rehearse(good, options=tls.options()) as rehearsal:
+        assert (await rehearsal.ask())[2] == BYTES
+    assert (good.connections, good.heard[0].fields[":scheme"]) == (1, "https")
+    bad = H2Box(serve, tls=server_context("c2.caches.example"))
+    async with rehearse(bad, options=tls.options()) as rehearsal:
+        assert (await rehearsal.ask())[0] == 503
+        assert counters_of(rehearsal)["tls.certificates_refused"] >= 1
+    assert bad.heard == []
+
+
+@async_test
+async def test_a_server_that_selects_http1_is_spoken_to_over_tls(tls: TlsFiles) -> None:
+    server = ScriptedPeer(serve_http1, tls=server_context("c1.caches.example", alpn=("http/1.1",)))
+    async with rehearse(server, options=tls.options()) as rehearsal:
+        for n in range(3):
+            assert (await read(rehearsal, n))[2] == BYTES
+        assert counters_of(rehearsal)["h2.fallbacks"] == 1
+    assert len(server.heard) == 3
+
+
+@async_test
+async def test_a_client_certificate_is_sent_where_it_is_set(tls: TlsFiles) -> None:
+    own = authority().issue_cert("director.example")
+    own.private_key_pem.write_to_path(str(tls.folder / "key.pem"))
+    own.cert_chain_pems[0].write_to_path(str(tls.folder / "own.pem"))
+    with_certificate = tls.options(certificate=str(tls.folder / "own.pem"), key=str(tls.folder / "key.pem"))
+    for options, status in ((with_certificate, 200), (tls.options(), 503)):
+        server = H2Box(serve, tls=server_context("c1.caches.example", client=True))
+        async with rehearse(server, options=options, connect_timeout_ms=1_000.0) as rehearsal:
+            assert (await rehearsal.ask(wait_ms=PATIENT_MS))[0] == status
+
+
+@async_test
+async def test_sighup_reads_the_files_again_and_a_bad_one_changes_nothing(tls: TlsFiles) -> None:
+    server = await H2Box(serve, tls=server_context("c1.caches.example")).start()
+    coordinator = await Coordinator().start()
+    (tls.folder / "config.json").write_text(json.dumps(config_for([server], coordinator)))
+    own_settings, other = tls.folder / "own.toml", trustme.CA()
+    own_settings.write_text("[http2]\nmode = 'tls'\n[tls]\nca = 'ca.pem'\nname = '{uid}.caches.example'\n")
+    program = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "gladewalk", "run", "--config", str(own_settings), cwd=ROOT,
+        env={**os.environ, "NODE_CONFIG": str(tls.folder / "config.json")},
+        stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    stderr = program.stderr
+    assert stderr is not None
+
+    async def logged(event: str) -> dict[str, Any]:
+        while (line := json.loads(await stderr.readline()))["event"] != event:
+            pass
+        return dict(line)
+
+    host, port = (await logged("serving"))["listen"]
+
+    async def status(number: int) -> int:
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(request(f"/invoke/lot-page/{number:x}", trace=ticket(number)))
+        found = int((await read_message(reader))[0].split(" ")[1])
+        writer.close()
+        return found
+
+    assert await status(1) == 200
+    for bad_certificate in (b"no certificate", b""):
+        tls.ca.write_bytes(bad_certificate)
+        program.send_signal(signal.SIGHUP)
+        assert "tls.ca" in (await logged("configuration kept"))["why"]
+        assert await status(2) == 200
+    assert server.connections == 1  # the former files are in force, and the connection stays open
+    other.cert_pem.write_to_path(str(tls.ca))  # good, and not the server's
+    program.send_signal(signal.SIGHUP)
+    await logged("configuration taken")
+    assert await status(3) == 503
+    program.send_signal(signal.SIGTERM)
+    counters = await logged("counters")
+    assert await program.wait() == 0
+    assert (counters["reloads.refused"], counters["reloads.done"]) == (2, 1)
+    assert counters["tls.certificates_refused"] >= 1
+    server.stop()
+    coordinator.stop()
+
+
+@async_test
+async def test_writes_over_tls_are_retried_only_with_proof(tls: TlsFiles) -> None:
+    def run_and_drop(asked: Asked) -> None:
+        asked.run()
+        asked.line.abort()
+
+    server = H2Box(run_and_drop, tls=server_context("c1.caches.example"))
+    origin = H2Box(serve, "o", "origin", "north", tls=server_context("o.caches.example"))
+    async with rehearse(server, origin, options=tls.options()) as rehearsal:
+        assert await write(rehearsal, 1) == 502
+    assert len(server.heard) == 1
--- /dev/null
+++ b/tests/test_http2_violations.py
@@ -0,0 +1,99 @@
+"""Servers that violate the protocol, over loopback."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from hyperframe.frame import (
+    ContinuationFrame,
+    DataFrame,
+    Frame,
+    HeadersFrame,
+    PingFrame,
+    PushPromiseFrame,
+    RstStreamFrame,
+    SettingsFrame,
+    WindowUpdateFrame,
+)
+
+from gladewalk.rehearsal.h2box import H2Box
+
+from .http2_rehearsal import BYTES, PATIENT_MS, async_test, counters_of, rehearse, serve
+
+
+def serialize(*frames: Frame) -> bytes:
+    return b"".join(frame.serialize() for frame in frames)
+
+
+def endless_head() -> bytes:
+    head = HeadersFrame(1, data=b"\x88")
+    return serialize(head, *(ContinuationFrame(1, data=b"") for _ in range(200)))
+
+
+def header_bomb() -> bytes:
+    """Puts a field of 4,000 bytes into the table, then its index a thousand times (RFC 7541, section 6.1)."""
+    field = b"\x40\x01a\x7f" + bytes([0xA1, 0x1E]) + b"x" * 4_000
+    data = b"\x88" + field + b"\xbe" * 1_000
+    return serialize(HeadersFrame(1, data=data, flags=["END_HEADERS"]))
+
+
+OK_HEAD = HeadersFrame(1, data=b"\x88", flags=["END_HEADERS"])  # `:status: 200`
+CONTROL_FRAME_LIMITS: dict[str, Any] = {"control_burst": 500, "control_per_s": 1.0}
+VIOLATION_COUNTERS = ("h2.broke_rules", "caches.unreadable_answer", "h2.stray_frames")
+VIOLATIONS = {
+    "endless CONTINUATION": endless_head(),
+    "a header bomb": header_bomb(),
+    "a head above the limit": serialize(
+        HeadersFrame(1, data=b"\x88\x00\x01a\x7f\xa1\x9c\x01" + b"x" * 16_000),
+        ContinuationFrame(1, data=b"x" * 16_000),
+        ContinuationFrame(1, data=b"x" * 16_000, flags=["END_HEADERS"]),
+    ),
+    "a flood of SETTINGS": serialize(*(SettingsFrame(0, settings={1: 4_096}) for _ in range(600))),
+    "a flood of PING": serialize(*(PingFrame(0, opaque_data=b"12345678") for _ in range(600))),
+    "a flood of empty DATA": serialize(OK_HEAD, *(DataFrame(1) for _ in range(600))),
+    "a flood of window updates": serialize(*(WindowUpdateFrame(0, window_increment=1) for _ in range(600))),
+    "a flood of resets": serialize(*(RstStreamFrame(1, error_code=8) for _ in range(600))),
+    "a push promise": serialize(
+        PushPromiseFrame(1, promised_stream_id=2, data=b"\x88", flags=["END_HEADERS"])
+    ),
+    "a frame on a stream that was never opened": serialize(DataFrame(77, data=b"x")),
+    "DATA on a closed stream": serialize(
+        HeadersFrame(1, data=b"\x88", flags=["END_HEADERS", "END_STREAM"]), DataFrame(1, data=b"x")
+    ),
+    "DATA before the head": serialize(DataFrame(1, data=b"x")),
+    "the connection's window overflows": serialize(WindowUpdateFrame(0, window_increment=2**31 - 1)),
+    "the stream's window overflows": serialize(WindowUpdateFrame(1, window_increment=2**31 - 1)),
+    "a body beyond its length": serialize(
+        HeadersFrame(1, data=b"\x88\x5c\x01" + b"3", flags=["END_HEADERS"]), DataFrame(1, data=b"four")
+    ),
+    "a frame too large": b"\xff\xff\xff\x00\x00\x00\x00\x00\x01",
+    "noise": b"\x00\x01 noise " * 60,
+    "a GOAWAY on a stream": b"\x00\x00\x08\x07\x00\x00\x00\x00\x01" + bytes(8),
+}
+
+
+@pytest.mark.parametrize("name", VIOLATIONS)
+@async_test
+async def test_a_violation_ends_the_connection_and_another_server_serves(name: str) -> None:
+    bad = H2Box(lambda asked: asked.line.raw(VIOLATIONS[name]))
+    good = H2Box(serve, "c2", size=1e-6)
+    async with rehearse(bad, good, **CONTROL_FRAME_LIMITS) as rehearsal:
+        # A response of which nothing was forwarded is replaced by another server's; else it is cut.
+        try:
+            status, _, body = await rehearsal.ask(wait_ms=PATIENT_MS)
+            assert (status, body) == (200, b"" if "closed" in name else BYTES)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            assert counters_of(rehearsal)["answers.cut"] == 1
+        counts = counters_of(rehearsal)
+        detected = sum(counts[counter] for counter in VIOLATION_COUNTERS)
+        assert detected >= 1, counts
+        assert (await rehearsal.ask("/invoke/lot-page/5", wait_ms=PATIENT_MS))[0] // 100 == 2
+
+
+@async_test
+async def test_a_flood_of_frames_is_stopped_while_it_goes_on() -> None:
+    bad = H2Box(lambda asked: asked.line.raw(serialize(*(PingFrame(0) for _ in range(20_000)))))
+    good = H2Box(serve, "c2", size=1e-6)
+    async with rehearse(bad, good, **CONTROL_FRAME_LIMITS) as rehearsal:
+        assert (await rehearsal.ask(wait_ms=PATIENT_MS))[0] == 200
+        assert counters_of(rehearsal)["h2.broke_rules.Flood"] == 1
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -15,7 +15,7 @@
 from gladewalk.config.options import load_options
 from gladewalk.config.platform import ConfigError
 from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for
-from tests.h2world import authority
+from tests.http2_rehearsal import authority
 
 ROOT = Path(__file__).parent.parent
 BAD = {
