The HTTP/2 and silent-cache benchmarks in the field's terms

Cause: box, aim, probe, waits and one-letter names; functions without a word on what they do. Change: names, docstrings, the printed words; commands, options and what is measured stay.

--- a/benchmarks/h2_engine.py
+++ b/benchmarks/h2_engine.py
@@ -1,4 +1,4 @@
-"""What the protocol library itself costs: one request and its answer through the engine, without sockets.
+"""CPU of the protocol library alone: one request and its response through the engine, without sockets.
 
     python -m benchmarks.h2_engine [--count 3000] [--bytes 16384]
 
@@ -22,7 +22,8 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description="What one request costs in the protocol library.")
+    """Runs the benchmark by its command line."""
+    parser = argparse.ArgumentParser(description="CPU of one request in the protocol library.")
     parser.add_argument("--count", type=int, default=3_000)
     parser.add_argument("--bytes", type=int, default=16_384)
     given = parser.parse_args()
@@ -30,36 +31,36 @@
     server = H2Connection(H2Configuration(client_side=False, header_encoding="utf-8"))
     server.initiate_connection()
     body = bytes(given.bytes)
-    spent = {"request": 0.0, "answer": 0.0}
+    spent_seconds = {"request": 0.0, "answer": 0.0}
     server.receive_data(client.data_to_send())
     client.receive_data(server.data_to_send())
-    for n in range(given.count):
-        stream = 2 * n + 1
+    for number in range(given.count):
+        stream_id = 2 * number + 1
         started = time.perf_counter()
         client.send_headers(
-            stream,
+            stream_id,
             [(":method", "GET"), (":scheme", "http"), (":authority", "app.svc"),
-             NeverIndexedHeaderTuple(":path", f"/o/lot-page/{n:x}/0"),
-             NeverIndexedHeaderTuple("x-ticket", f"{n:016x}"),
+             NeverIndexedHeaderTuple(":path", f"/o/lot-page/{number:x}/0"),
+             NeverIndexedHeaderTuple("x-ticket", f"{number:016x}"),
              NeverIndexedHeaderTuple("x-max-ms", "2940")],
             end_stream=True,
         )  # fmt: skip
-        out = client.data_to_send()
-        spent["request"] += time.perf_counter() - started
-        for event in server.receive_data(out):
+        request = client.data_to_send()
+        spent_seconds["request"] += time.perf_counter() - started
+        for event in server.receive_data(request):
             if isinstance(event, RequestReceived):
                 head = [(":status", "200"), *HEAD.items(), ("content-length", str(len(body)))]
-                server.send_headers(stream, head)
+                server.send_headers(stream_id, head)
                 for start in range(0, len(body), 16_384):
                     piece = body[start : start + 16_384]
-                    server.send_data(stream, piece, end_stream=start + 16_384 >= len(body))
-        data = server.data_to_send()
+                    server.send_data(stream_id, piece, end_stream=start + 16_384 >= len(body))
+        response = server.data_to_send()
         started = time.perf_counter()
-        client.receive_data(data)
+        client.receive_data(response)
         client.increment_flow_control_window(len(body))
-        spent["answer"] += time.perf_counter() - started
+        spent_seconds["answer"] += time.perf_counter() - started
         server.receive_data(client.data_to_send())
-    for part, seconds in spent.items():
+    for part, seconds in spent_seconds.items():
         print(f"{part}: {seconds / given.count * 1e6:.0f} us")
     return 0
 
--- a/benchmarks/silent_box.py
+++ b/benchmarks/silent_box.py
@@ -1,11 +1,11 @@
-"""What the decisions gain by shared probes: a box goes silent under light traffic.
+"""Requests sent to a cache that stops answering under light traffic, with shared health checks and without.
 
     python -m benchmarks.silent_box [--rounds 10] [--directors 4] [--rate 4] [--seed 1]
 
-Four directors in one process, twelve boxes; each director is asked `rate` times a second for objects of its
-own. At a drawn moment one box takes connections and answers nothing any more. Counted from then on, with
-shared duties and without, in turn: attempts sent to the silent box, requests answered late or not at all, and
-when a director last sent it any. Boxes are probed each 250 ms by one director of all.
+Four directors in one process, twelve caches; each director gets `rate` requests a second for objects of its
+own. At a random time one cache accepts connections and answers nothing any more. Counted from then on, with
+shared tasks and without, in turn: attempts sent to the silent cache, requests answered late or never, and
+when a director last sent it one. With shared tasks, one director of all checks each cache every 250 ms.
 """
 
 from __future__ import annotations
@@ -36,109 +36,131 @@
     until,
 )
 
-BOXES = 12
-AIM_MS = 250.0  # as the rehearsal's settings have it for `lot-page`
-WATCH_S = 8.0
+CACHE_COUNT = 12
+LATENCY_OBJECTIVE_MS = 250.0  # of `lot-page` in the rehearsal's settings
+OBSERVED_SECONDS = 8.0
+SILENT_SECONDS = 60.0  # for which a silent cache keeps a request
+COUNTS = ("requests", "attempts", "late", "failed", "last_attempt_seconds", "health_checks")
 
 
 @dataclass(slots=True)
 class Round:
-    shared: bool
+    """One round and what was counted in it from the silence on.
+
+    Attributes:
+        is_shared: Whether the directors share health checks.
+        silent: The name of the silent cache; empty before.
+        silent_since: When it became silent, seconds of the monotonic clock.
+        attempts: Attempts sent to the silent cache, health checks not included.
+        last_attempt_seconds: When the last of them was sent, from the silence on.
+        late: Requests that were served after their latency objective.
+        failed: Requests that were not served.
+    """
+
+    is_shared: bool
     directors: list[Director] = field(default_factory=list)
     silent: str = ""
-    since: float = 0.0
-    sent: int = 0
-    sent_last: float = 0.0
+    silent_since: float = 0.0
+    attempts: int = 0
+    last_attempt_seconds: float = 0.0
     late: int = 0
-    lost: int = 0
-    asked: int = 0
-    probes: int = 0
+    failed: int = 0
+    requests: int = 0
+    health_checks: int = 0
 
-    async def script(self, heard: Heard) -> None:
+    async def answer(self, heard: Heard) -> None:
+        """Answers a request at a cache, unless that is silent."""
         if heard.path == "/load":
-            self.probes += 1
+            self.health_checks += 1
         if heard.peer.uid != self.silent:
             return await heard.answer(200, b"page", X_Remark="mem", X_Meter="util:0.1;x0:0.9")
         if heard.path != "/load":
-            self.sent += 1
-            self.sent_last = time.monotonic() - self.since
-        await asyncio.sleep(60.0)  # it took the request and says nothing
+            self.attempts += 1
+            self.last_attempt_seconds = time.monotonic() - self.silent_since
+        await asyncio.sleep(SILENT_SECONDS)
 
 
-async def start(round_: Round, count: int, peers: list[ScriptedPeer], coordinator: Coordinator) -> None:
+async def start_directors(
+    round_: Round, count: int, caches: list[ScriptedPeer], coordinator: Coordinator
+) -> None:
+    """Starts the directors, and waits until they are members of one fleet where they share tasks."""
     folder = Path(tempfile.mkdtemp())
     (folder / "keys").write_text("ab" * 32)
     (folder / "keys").chmod(0o600)
     seeds: list[str] = []
     for number in range(count):
         options = None
-        if round_.shared:
+        if round_.is_shared:
             options = build_options(read_option_tables({
                 "members": {"listen": "127.0.0.1:0", "seeds": seeds, "keys": "keys"},
                 "duties": {"probe_ms": 250.0, "check_ms": 0.0},
             }), "t", folder)  # fmt: skip
-        raw = {**config_for(peers, coordinator), "name": f"n{number}", "seed": f"{number + 1:x}"}
+        raw = {**config_for(caches, coordinator), "name": f"n{number}", "seed": f"{number + 1:x}"}
         director = Director(read_config(raw, {}), asyncio.get_running_loop(), None, options)
         await director.start()
         if director.members is not None:
             seeds = [f"127.0.0.1:{director.members.core.local.port}"]
         round_.directors.append(director)
-    if round_.shared:
-        everywhere = [d.members.core for d in round_.directors if d.members is not None]
-        await until(lambda: all(len(core.live_weights()) == count for core in everywhere))
+    if round_.is_shared:
+        fleet = [director.members.core for director in round_.directors if director.members is not None]
+        await until(lambda: all(len(core.live_weights()) == count for core in fleet))
 
 
-async def ask(round_: Round, director: Director, key: int) -> None:
-    began = time.monotonic()
+async def send_request(round_: Round, director: Director, key: int) -> None:
+    """Sends one request for an object and counts its end."""
+    started = time.monotonic()
     reader, writer = await asyncio.open_connection(*director.front.address)
     try:
         writer.write(request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
-        first, _, _ = await read_message(reader)
-        status = int(first.split(" ")[1])
+        status_line, _, _ = await read_message(reader)
+        status = int(status_line.split(" ")[1])
     except (OSError, asyncio.IncompleteReadError):
         status = 0
     finally:
         writer.close()
     if round_.silent:
-        round_.asked += 1
-        round_.lost += status != 200
-        round_.late += status == 200 and time.monotonic() - began > AIM_MS / 1_000.0
+        is_late = time.monotonic() - started > LATENCY_OBJECTIVE_MS / 1_000.0
+        round_.requests += 1
+        round_.failed += status != 200
+        round_.late += status == 200 and is_late
 
 
-async def load(round_: Round, draw: random.Random, rate: float) -> None:
-    """Open arrivals at each director in turn; each object is asked for once."""
+async def send_load(round_: Round, generator: random.Random, rate: float) -> None:
+    """Sends requests to each director by a Poisson process of this rate; each object is requested once."""
     tasks = set()
     while True:
         for director in round_.directors:
-            task = asyncio.create_task(ask(round_, director, draw.getrandbits(63)))
+            task = asyncio.create_task(send_request(round_, director, generator.getrandbits(63)))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-        await asyncio.sleep(draw.expovariate(rate))
+        await asyncio.sleep(generator.expovariate(rate))
 
 
-async def play(shared: bool, directors: int, rate: float, seed: int) -> Round:
-    draw, round_ = random.Random(seed), Round(shared)
+async def run_round(is_shared: bool, director_count: int, rate: float, seed: int) -> Round:
+    """Runs one round and returns its counts."""
+    generator, round_ = random.Random(seed), Round(is_shared)
     coordinator = await Coordinator().start()
-    peers = [await ScriptedPeer(round_.script, f"c{n}").start() for n in range(BOXES)]
-    await start(round_, directors, peers, coordinator)
-    traffic = asyncio.create_task(load(round_, draw, rate))
-    await asyncio.sleep(2.0 + draw.random())
-    round_.since, round_.silent = time.monotonic(), f"c{draw.randrange(BOXES)}"
-    await asyncio.sleep(WATCH_S)
-    traffic.cancel()
+    caches = [await ScriptedPeer(round_.answer, f"c{number}").start() for number in range(CACHE_COUNT)]
+    await start_directors(round_, director_count, caches, coordinator)
+    load = asyncio.create_task(send_load(round_, generator, rate))
+    await asyncio.sleep(2.0 + generator.random())
+    round_.silent_since, round_.silent = time.monotonic(), f"c{generator.randrange(CACHE_COUNT)}"
+    await asyncio.sleep(OBSERVED_SECONDS)
+    load.cancel()
     for director in round_.directors:
         director.front.close()
         director.coordinator_watch.close()
         if director.members is not None:
             director.members.leave()
-    for peer in peers:
-        peer.stop()
+    for server in caches:
+        server.stop()
     coordinator.stop()
     return round_
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description="A silent box, with shared probes and without.")
+    """Runs the benchmark by its command line."""
+    parser = argparse.ArgumentParser(description="A silent cache, with shared health checks and without.")
     parser.add_argument("--rounds", type=int, default=10)
     parser.add_argument("--directors", type=int, default=4)
     parser.add_argument("--rate", type=float, default=4.0)
@@ -146,19 +168,19 @@
     given = parser.parse_args()
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
     rounds = [
-        asyncio.run(play(shared, given.directors, given.rate, given.seed + number))
+        asyncio.run(run_round(is_shared, given.directors, given.rate, given.seed + number))
         for number in range(given.rounds)
-        for shared in (False, True)
+        for is_shared in (False, True)
     ]
-    print(f"{given.rounds} rounds each; {WATCH_S:.0f} s from the silence on; a round's mean")
-    for shared in (False, True):
-        part = [r for r in rounds if r.shared is shared]
-        mean = {name: statistics.mean(getattr(r, name) for r in part)
-                for name in ("asked", "sent", "late", "lost", "sent_last", "probes")}  # fmt: skip
+    print(f"{given.rounds} rounds each; {OBSERVED_SECONDS:.0f} s from the silence on; a round's mean")
+    for is_shared in (False, True):
+        selected = [round_ for round_ in rounds if round_.is_shared is is_shared]
+        mean = {name: statistics.mean(getattr(round_, name) for round_ in selected) for name in COUNTS}
         print(
-            f"{'shared duties' if shared else 'each alone':>14}: asked {mean['asked']:.0f}, "
-            f"sent to the silent box {mean['sent']:.1f}, late {mean['late']:.1f}, lost {mean['lost']:.2f}, "
-            f"last sent to it after {mean['sent_last']:.2f} s; {mean['probes']:.0f} probes"
+            f"{'shared tasks' if is_shared else 'each alone':>14}: {mean['requests']:.0f} requests, "
+            f"{mean['attempts']:.1f} attempts at the silent cache, the last after "
+            f"{mean['last_attempt_seconds']:.2f} s; {mean['late']:.1f} late, {mean['failed']:.2f} failed; "
+            f"{mean['health_checks']:.0f} health checks"
         )
     return 0
 
--- a/benchmarks/web_cost.py
+++ b/benchmarks/web_cost.py
@@ -61,11 +61,11 @@
 async def play(stage: Stage, levels: list[int], seconds: float, size: int, locations: int) -> None:
     fronts: dict[str, tuple[int, str, set[int]]] = {}
     for kind in KINDS:
-        boxes, coordinator = stage.boxes("h1", size), await Coordinator().start()
+        boxes, coordinator = stage.start_servers("h1", size), await Coordinator().start()
         if kind == "relay":
-            at = stage.relay(boxes)
+            at = stage.start_relay(boxes)
         elif kind == "platform":
-            at = await asyncio.to_thread(stage.director, "http1", boxes, coordinator)
+            at = await asyncio.to_thread(stage.start_director, "http1", boxes, coordinator)
         else:
             at = await asyncio.to_thread(web, stage, boxes, coordinator, locations)
         fronts[kind] = (*at, {int(box.split(":")[1]) for box in boxes})
@@ -77,7 +77,7 @@
                 await measure(found[kind], pid, front, ports, level, seconds)
         cost = {kind: sum(s.cpu_us) / len(s.cpu_us) for kind, s in found.items()}
         for kind, s in found.items():
-            p50, p99 = (s.waits.get_value_at_percentile(p) / 1e3 for p in (50, 99))
+            p50, p99 = (s.latencies_us.get_value_at_percentile(p) / 1e3 for p in (50, 99))
             print(
                 f"{level:4}  {kind:8}  {cost[kind]:10.0f}  {cost[kind] / cost['platform']:11.2f}  "
                 f"{p50:6.1f}  {p99:6.1f}  {s.rss_mb:6.1f}  {s.served:6}  {s.failed:6}",
@@ -100,7 +100,7 @@
             levels = [int(level) for level in given.open.split(",")]
             uvloop.run(play(stage, levels, given.seconds, given.bytes, given.locations))
         finally:
-            stage.end()
+            stage.close()
     return 0
 
 
