--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -7,10 +7,10 @@
 from .. import interface as api
 from ..core.deadlines import DeadlineKey
 from ..core.exchange import Attempt
-from ..upstream.http1 import CacheConnection
-from ..upstream.jobs import Probing
-from ..upstream.targets import Upstream
-from ..upstream.words import OBJECT_MOST, Spoilt, read_length
+from ..upstream.http1 import Http1Connection
+from ..upstream.protocol_fields import MAX_OBJECT_BYTES, InvalidResponseError, read_content_length
+from ..upstream.upstream_server import UpstreamServer
+from ..upstream.work_items import WorkItem
 from .messages import (
     BAD_GATEWAY,
     BODILESS_STATUSES,
@@ -26,14 +26,14 @@
 
 FIRST_FINAL_STATUS = 200  # below are interim responses
 SWITCHING_PROTOCOLS = 101
-MAX_DISCARDED_BYTES = OBJECT_MOST  # of a body that is read only to keep its connection usable
+MAX_DISCARDED_BYTES = MAX_OBJECT_BYTES  # of a body that is read only to keep its connection usable
 
 
-class UpstreamConnection(CacheConnection):
-    """A connection to an ordinary server, under the pool's and the exchange's rules for `CacheConnection`."""
+class UpstreamConnection(Http1Connection):
+    """A connection to an ordinary server, under the pool's and the exchange's rules for `Http1Connection`."""
 
-    def __init__(self, upstream: Upstream) -> None:
-        super().__init__(upstream)
+    def __init__(self, server: UpstreamServer) -> None:
+        super().__init__(server)
         exchange = self.pool.exchange
         assert isinstance(exchange, UpstreamExchange)
         self.upstream_exchange = exchange
@@ -47,10 +47,10 @@
     @property
     def request(self) -> ProxyRequest | None:
         """The request that is carried, None while idle."""
-        request = self.job.open_request.request if isinstance(self.job, Attempt) else None
+        request = self.item.open_request.request if isinstance(self.item, Attempt) else None
         return request if isinstance(request, ProxyRequest) else None
 
-    def written(self, attempt: Attempt, now_ms: float) -> bytes:
+    def encode(self, attempt: Attempt, now_ms: float) -> bytes:
         """Returns the bytes of an attempt's request, which is written next, and starts its read timeout."""
         request = attempt.open_request.request
         assert isinstance(request, ProxyRequest)
@@ -71,7 +71,7 @@
 
     def _read_timed_out(self, read_timeout_ms: float) -> None:
         self.read_timer = None
-        if self.job is None:
+        if self.item is None:
             return
         now_ms = self.pool.clock()
         if self.is_paused:  # the client is slow, not the server
@@ -79,15 +79,15 @@
         if now_ms < self.last_read_ms + read_timeout_ms:
             self._start_read_timer(read_timeout_ms)
             return
-        job = self.job
+        item = self.item
         self.close()
         result = ProxyResult(api.Status.TIMEOUT, condition="timeout", response_status=GATEWAY_TIMEOUT)
-        self.pool.over(job, result)
+        self.pool.finish(item, result)
 
-    def flow(self, job: Attempt | Probing, on: bool) -> None:
+    def flow(self, item: WorkItem, on: bool) -> None:
         """Resumes (`on`) or pauses reading, which also pauses the read timeout."""
         self.is_paused = not on
-        super().flow(job, on)
+        super().flow(item, on)
 
     def close(self) -> None:
         """Abandons what is carried and aborts the connection."""
@@ -102,10 +102,10 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Ends the attempt: a response without a length ends with its connection (RFC 9112, section 6.3)."""
         self.pool.deadlines.drop(self.read_timer)
-        if self.is_body_until_close and self.headed and error is None and self.job is not None:
-            job, self.job = self.job, None
+        if self.is_body_until_close and self.has_complete_head and error is None and self.item is not None:
+            item, self.item = self.item, None
             super().connection_lost(None)
-            self.pool.over(job, self._result())
+            self.pool.finish(item, self._result())
             return
         super().connection_lost(error)
 
@@ -121,7 +121,7 @@
         self.status = self.parser.get_status_code()
         if self.status < FIRST_FINAL_STATUS:
             if self.status == SWITCHING_PROTOCOLS:  # no upgrade was requested
-                raise Spoilt
+                raise InvalidResponseError("an unrequested switch of protocols")
             self.fields = []
             return
         content_length, is_chunked = self._read_framing()
@@ -129,59 +129,63 @@
         is_head = request is not None and request.verb == "HEAD"
         self.is_bodiless = is_head or self.status in BODILESS_STATUSES
         self.is_body_until_close = not self.is_bodiless and content_length is None and not is_chunked
-        self.headed, self.size = True, 0
-        self.lasts = self.parser.should_keep_alive()
+        self.has_complete_head, self.read_bytes = True, 0
+        self.is_reusable = self.parser.should_keep_alive()
         condition = condition_of_status(self.status)
         if request is not None and not self.upstream_exchange.retries_status(request, condition):
-            self.begun = ProxyResponseHead(False, content_length, None, self.status, self.fields)
-        self.whole = self.is_bodiless
+            self.pending_head = ProxyResponseHead(False, content_length, None, self.status, self.fields)
+        self.is_complete = self.is_bodiless
 
     def _read_framing(self) -> tuple[int | None, bool]:
-        """Returns the body's length and whether it is chunked; raises `Spoilt` for an ambiguous end."""
-        content_length = read_length(self.headers)
+        """Returns the body's length and whether it is chunked.
+
+        Raises:
+            InvalidResponseError: Its end is ambiguous.
+        """
+        content_length = read_content_length(self.headers)
         is_chunked = self.headers.get(b"transfer-encoding", b"").lower() == b"chunked"
         if b"content-length" in self.headers and (is_chunked or content_length is None):
-            raise Spoilt
+            raise InvalidResponseError("a length that is ambiguous")
         if b"transfer-encoding" in self.headers and not is_chunked:
-            raise Spoilt
+            raise InvalidResponseError("a transfer coding that is not supported")
         return content_length, is_chunked
 
     def on_body(self, body: bytes) -> None:
         """A piece of the body; of a response that is retried elsewhere it is discarded, within a bound."""
-        self.frame = 0
+        self.framing_bytes = 0
         if self.is_bodiless:  # surplus bytes
-            raise Spoilt
-        if self.begun is not None or self.passing:
-            self.read.append(body)
+            raise InvalidResponseError("a body with HEAD, 204 or 304")
+        if self.pending_head is not None or self.is_forwarded:
+            self.pending_body.append(body)
         else:
-            self._grow(len(body), MAX_DISCARDED_BYTES)
+            self._count_bytes(len(body), MAX_DISCARDED_BYTES)
 
     def on_message_complete(self) -> None:
         """The response is complete, unless it is an interim one or ends with its connection."""
         if self.status < FIRST_FINAL_STATUS:
             self.headers = {}
         elif not self.is_body_until_close:
-            self.whole = True
+            self.is_complete = True
 
     # The response's end.
 
-    def _over(self, surplus: bool) -> None:
+    def _finish(self, has_surplus: bool) -> None:
         """Ends the attempt as the base class does, with a result that tells the server's status."""
-        job, self.job = self.job, None
-        assert job is not None
+        item, self.item = self.item, None
+        assert item is not None
         self.pool.deadlines.drop(self.read_timer)
         if self.is_bodiless:  # the parser would wait for a body
             self.parser = httptools.HttpResponseParser(self)
-        if self.transport is not None and self.lasts and not surplus:
+        if self.transport is not None and self.is_reusable and not has_surplus:
             self.transport.resume_reading()
-            self.upstream.rest(self)
+            self.server.release(self)
         else:
             self.close()
-        self.pool.over(job, self._result())
+        self.pool.finish(item, self._result())
 
     def _result(self) -> ProxyResult:
         condition = condition_of_status(self.status)
-        if condition and not self.passing:
+        if condition and not self.is_forwarded:
             return ProxyResult(api.Status.ERROR, condition=condition, response_status=self.status)
         # Reported as filled, not as a hit: the duration depends on the request and says nothing of the
         # server's load. Weighed by it, the core would give all requests to one that answers fast.
@@ -189,10 +193,10 @@
             api.Status.OK, api.OutcomeDetail.FILLED, condition=condition, response_status=self.status
         )
 
-    def _spoilt(self) -> None:
-        job = self.job
+    def _fail(self) -> None:
+        item = self.item
         self.pool.counters.add("web.unreadable_answer")
         self.close()
-        if job is not None:
+        if item is not None:
             result = ProxyResult(api.Status.ERROR, condition="invalid_header", response_status=BAD_GATEWAY)
-            self.pool.over(job, result)
+            self.pool.finish(item, result)
--- a/gladewalk/web/upstream_exchange.py
+++ b/gladewalk/web/upstream_exchange.py
@@ -9,7 +9,7 @@
 from ..core.deadlines import DeadlineKey, Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer
 from ..nginx.table import Terms
-from ..upstream.pool import Caches
+from ..upstream.pool import ConnectionPool
 from .messages import BAD_GATEWAY, GATEWAY_TIMEOUT, ProxyRequest, ProxyResult
 from .upstream_config import NON_IDEMPOTENT_SUFFIX, UpstreamConfig
 
@@ -51,7 +51,7 @@
 
     def start(self) -> None:
         """Lists the servers to the core and starts the pool's maintenance."""
-        assert isinstance(self.upstreams, Caches)
+        assert isinstance(self.upstreams, ConnectionPool)
         endpoints = self.config.endpoints(self.config.health.availability_changes(self.clock()))
         event = api.EndpointList(api.EndpointListKind.PERSISTED, endpoints)
         self.update_servers(event, dict(self.config.addresses), {})
@@ -59,8 +59,8 @@
 
     def retire(self) -> None:
         """Lets open requests end; no timer of this upstream remains after the last of them."""
-        assert isinstance(self.upstreams, Caches)
-        self.is_retired = self.upstreams.closing = True
+        assert isinstance(self.upstreams, ConnectionPool)
+        self.is_retired = self.upstreams.is_retired = True
         self.deadlines.drop(self._recovery_timer)
 
     def handle_event(self, event: api.Event) -> None:
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -7,8 +7,8 @@
 
 from gladewalk.core.exchange import LOOP_TURN_MS
 from gladewalk.rehearsal.peers import ScriptedPeer, request, until
-from gladewalk.upstream.http1 import CacheConnection
-from gladewalk.upstream.targets import Dial
+from gladewalk.upstream.http1 import Http1Connection
+from gladewalk.upstream.upstream_server import ConnectionRequest
 
 from .peers import hit, running
 
@@ -29,7 +29,7 @@
                 director.exchange.client_disconnected(number)  # no turn of the loop in between
             await until(lambda: not director.exchange.open_requests)
             assert director.counters["caches.connects"] == 5
-            await until(lambda: not director.caches.dialling, 2.0)
+            await until(lambda: not director.connection_pool.opener.opening, 2.0)
             writer.close()
             assert (await world.ask())[0] == 200
 
@@ -53,7 +53,9 @@
             client.close()  # and no turn of the loop from here on
             assert connection.is_disconnected()
             director.exchange.release_held()
-            await until(lambda: not director.exchange.open_requests and not director.caches.dialling)
+            await until(
+                lambda: not director.exchange.open_requests and not director.connection_pool.opener.opening
+            )
             counters = director.counters
             assert (counters["attempts.written"], counters["requests.left_by_client"]) == (1, 1)
             assert len(cache.heard) == 1
@@ -76,15 +78,18 @@
             (connection,) = director.front.connections
             loop.create_connection = late  # type: ignore[method-assign]
             client.sendall(request("/invoke/lot-page/a1"))
-            await until(lambda: len(director.caches.live) == 1)  # it is up, and its dial has not heard of it
-            (upstream,) = director.caches.live
-            (dial,) = director.caches.dialling
-            assert isinstance(dial, Dial) and isinstance(upstream, CacheConnection)
+            # It is open, and its dial has not taken it.
+            await until(lambda: len(director.connection_pool.open_connections) == 1)
+            (upstream,) = director.connection_pool.open_connections
+            (dial,) = director.connection_pool.opener.opening
+            assert isinstance(dial, ConnectionRequest) and isinstance(upstream, Http1Connection)
             director.exchange.clock = lambda: real() + LOOP_TURN_MS + 1.0
             client.close()
             assert connection.is_disconnected()
-            director.caches.write(upstream, dial.job)  # as the dial's next step does
+            director.connection_pool.write(upstream, dial.item)  # as the dial's next step does
             up.set()
-            await until(lambda: not director.exchange.open_requests and not director.caches.dialling)
+            await until(
+                lambda: not director.exchange.open_requests and not director.connection_pool.opener.opening
+            )
             assert director.counters["attempts.written"] == 0
             assert len(cache.heard) == 0
