Readiness and outcome counters belong to core: net and core no longer import ops

Cause: core, net and ops imported one another in a circle. Change: core/readiness.py and core/outcome_counters.py, with the import lines that follow.

--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -12,7 +12,6 @@
 
 from .. import interface as api
 from ..config.platform import Address, PlatformConfig
-from ..ops.metrics import Outcome, outcome_counter
 from ..policy import Dispatcher
 from .counters import Counters
 from .deadlines import Deadlines
@@ -27,6 +26,7 @@
     ResponseWriter,
     UpstreamPool,
 )
+from .outcome_counters import Outcome, outcome_counter
 from .resolutions import Resolutions
 
 __all__ = [
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -17,11 +17,11 @@
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
+from .core.readiness import MAX_SYNC_WAIT_MS, SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
 from .net.clients import FIRST_BYTE_TIMEOUT_MS, ClientFront
 from .net.coordinator import CoordinatorWatch
 from .net.endpoint_feed import EndpointFeed
 from .net.environment import REAL_ENVIRONMENT, Environment
-from .ops.readiness import MAX_SYNC_WAIT_MS, SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
 from .upstream.pool import ConnectionPool
 
 if TYPE_CHECKING:  # what is off is not imported
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -10,8 +10,8 @@
 from ..config.platform import ConfigError, read_address
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
+from ..core.outcome_counters import Outcome
 from ..members.authenticator import MessageAuthenticator, load_key_ring
-from ..ops.metrics import Outcome
 from ..store.persistence import PersistenceService
 from .candidate import LeaseCandidate
 from .configuration import LeaseConfig
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -12,8 +12,8 @@
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.exchange import ClientRequest, Exchange
+from ..core.readiness import Readiness
 from ..interface import Idempotency
-from ..ops.readiness import Readiness
 from .connection import ClientConnection
 from .environment import Listener, open_listener
 
--- a/gladewalk/net/connection_owner.py
+++ b/gladewalk/net/connection_owner.py
@@ -7,7 +7,7 @@
 
 from ..core.counters import Counters
 from ..core.exchange import ClientRequest, Exchange
-from ..ops.readiness import Readiness
+from ..core.readiness import Readiness
 
 Connection = TypeVar("Connection", contravariant=True)
 
--- a/gladewalk/ops/metrics.py
+++ b/gladewalk/ops/metrics.py
@@ -4,22 +4,8 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from enum import StrEnum
 
-OUTCOME_PREFIX = "downstream_requests."
-
-
-class Outcome(StrEnum):
-    """How a client's request ends; counters' names and metrics are made of the values."""
-
-    COMPLETED = "completed"
-    REJECTED = "rejected"
-    FAILED = "failed"
-
-
-def outcome_counter(class_name: str, outcome: Outcome) -> str:
-    """Returns the name of the counter of a class's requests that end so."""
-    return OUTCOME_PREFIX + class_name + "." + outcome  # called for every request: formatting an Enum is slow
+from ..core.outcome_counters import OUTCOME_PREFIX, Outcome, outcome_counter
 
 
 @dataclass(slots=True, frozen=True)
--- a/gladewalk/ops/routes.py
+++ b/gladewalk/ops/routes.py
@@ -10,11 +10,11 @@
 
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
+from ..core.readiness import Readiness
 from ..interface import ServerState
 from ..net.admin import AdminFront, Handler, Response
 from ..registry.state import RoutingState
 from .metrics import Gauges, format_metrics
-from .readiness import Readiness
 
 
 class DispatcherView(Protocol):
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -12,10 +12,11 @@
 from gladewalk.config.platform import read_config
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
+from gladewalk.core.outcome_counters import Outcome, outcome_counter
+from gladewalk.core.readiness import IDLE_CLOSE_GRACE_MS, MAX_IDLE_DRAIN_MS, Readiness
 from gladewalk.director import Director
 from gladewalk.net.admin import CALL_TIMEOUT_MS, MAX_CALLERS, AdminFront, Response
-from gladewalk.ops.metrics import Gauges, Outcome, format_metrics, outcome_counter
-from gladewalk.ops.readiness import IDLE_CLOSE_GRACE_MS, MAX_IDLE_DRAIN_MS, Readiness
+from gladewalk.ops.metrics import Gauges, format_metrics
 from gladewalk.rehearsal.peers import (
     Coordinator,
     Heard,
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -3,8 +3,8 @@
 import asyncio
 import unittest
 
+from gladewalk.core.readiness import MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS, shutdown_deadline_ms
 from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS
-from gladewalk.ops.readiness import MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS, shutdown_deadline_ms
 from gladewalk.rehearsal.peers import SETTINGS, Heard, ScriptedPeer, read_message, request, until
 
 from .peers import BYTES, held_until, hit, running
