--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,9 @@
 	touch $@
 
 lint: .ci-venv/ready
+	$(PY) -m ruff format --check gladewalk tests benchmarks
 	$(PY) -m ruff check gladewalk tests benchmarks
+	.ci-venv/bin/lint-imports --no-cache
 	$(PY) -m mypy
 
 test: lint
--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -96,7 +96,7 @@
             verdict = fleet.verdict(time.time() * 1000.0)
             ids = {id for id in acknowledged if id}
             ends = time.monotonic() + WAIT_S
-            while (lost := [id for id in ids if any(id not in hub.purges for hub in fleet.hubs)]):
+            while lost := [id for id in ids if any(id not in hub.purges for hub in fleet.hubs)]:
                 if time.monotonic() > ends:
                     break
                 await asyncio.sleep(0.05)
--- a/gladewalk/faultpoints/sweep.py
+++ b/gladewalk/faultpoints/sweep.py
@@ -102,7 +102,7 @@
         reason = scenario(injector)
     except UnlistedPointError:
         raise
-    except Exception as error:  # the outermost edge of one run: whatever a part raises is a violation
+    except Exception as error:  # noqa: BLE001 - the outermost edge of one run: what a part raises is a violation
         reason = f"{type(error).__name__}: {error}"
     if not injector.is_fault_played:
         reason = reason or "the run did not come to its fault"
--- a/gladewalk/policy/dispatcher.py
+++ b/gladewalk/policy/dispatcher.py
@@ -32,7 +32,7 @@
         """Take new settings; raises `InvalidSettingsError` and changes nothing for contradictory ones."""
         self.state.configure(settings)
 
-    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:  # noqa: C901 - a case an event
         """Take an event; returns the actions that answer it, in their order."""
         state = self.state
         state.now_ms, state.actions = max(now_ms, state.now_ms), []
--- a/gladewalk/simulator_adapter.py
+++ b/gladewalk/simulator_adapter.py
@@ -220,7 +220,7 @@
             actions = self._dispatch(name, number, message)
         except InvalidMessageError:
             raise
-        except Exception as error:
+        except Exception as error:  # noqa: BLE001 - the outermost edge: a fault of this instance alone
             line = f"{name}: {type(error).__name__}: {error}"
             return [{"op": "bug", "dispatcher_id": number, "line": line}]
         replies = [WRITERS[type(action)](action) for action in actions]
