--- a/benchmarks/bids.py
+++ b/benchmarks/bids.py
@@ -21,7 +21,7 @@
 
 from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.rehearsal.write_soak import SoakReport, play_h2, play_http1
-from gladewalk.streams.ledger import PROOFS
+from gladewalk.streams.stream_tracker import UNPROCESSED_REASONS
 
 
 def h2c_options() -> Options:
@@ -54,7 +54,7 @@
     ratio = recovered / max(1, interrupted)
     print(f"  met a break: {interrupted}; served all the same: {recovered} ({ratio:.1%})")
     if findings:
-        proved = sum(findings[reason.value] for reason in PROOFS)
+        proved = sum(findings[reason.value] for reason in UNPROCESSED_REASONS)
         print(f"  streams lost {sum(findings.values())}, of these with proof {proved}: {dict(findings)}")
     if faults:
         print(f"  troubles: {dict(sorted(faults.items()))}")
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -11,7 +11,7 @@
 from ..core.deadlines import Deadlines
 from ..nginx.router import Router
 from ..nginx.table import Box, Upstream, load_site
-from ..upstream.pool import Caches
+from ..upstream.pool import ConnectionPool
 from .connection import UpstreamConnection
 from .front import HttpFront
 from .upstream_config import UpstreamConfig, build_upstream_config
@@ -124,8 +124,8 @@
 
     def _build_exchange(self, config: UpstreamConfig, max_connections: int) -> UpstreamExchange:
         exchange = UpstreamExchange(config, self._clock, self._deadlines, self._counters, self._log)
-        pool = Caches(exchange, config.platform, self._clock, self._deadlines, self._counters)
-        pool.connection, pool.most = UpstreamConnection, max_connections
+        pool = ConnectionPool(exchange, config.platform, self._clock, self._deadlines, self._counters)
+        pool.http1_class, pool.max_connections = UpstreamConnection, max_connections
         exchange.upstreams = pool
         return exchange
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -105,17 +105,17 @@
     async def test_what_was_dialled_at_an_old_address_carries_nothing_for_the_new_one(self) -> None:
         old, new = ScriptedPeer(hit), await ScriptedPeer(hit).start()
         async with running(old) as (world, director):
-            caches = director.caches
+            caches = director.connection_pool
             await world.ask()
-            (connection,) = caches.upstreams["c1"].idle
-            caches.upstreams["c1"].idle.clear()
+            (connection,) = caches.servers["c1"].idle
+            caches.servers["c1"].idle.clear()
             world.coordinator.tell_list(new)  # the same server at another place
             await until(lambda: director.endpoint_feed.last_index == 2)
-            caches.upstreams["c1"].rest(connection)
+            caches.servers["c1"].release(connection)
             await world.ask()
             gone = ScriptedPeer(hit, state="DELETED", address=new.address)
             world.coordinator.tell_list(gone)
-            await until(lambda: not caches.upstreams)
+            await until(lambda: not caches.servers)
         new.stop()
         assert (len(old.heard), len(new.heard)) == (1, 1)
 
