--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -17,11 +17,11 @@
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
+from .core.readiness import MAX_SYNC_WAIT_MS, SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
 from .net.clients import FIRST_BYTE_TIMEOUT_MS, ClientFront
 from .net.coordinator import CoordinatorWatch
 from .net.endpoint_feed import EndpointFeed
 from .net.environment import REAL_ENVIRONMENT, Environment
-from .ops.readiness import MAX_SYNC_WAIT_MS, SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
 from .upstream.pool import ConnectionPool
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -135,7 +135,7 @@
 
     async def _start_optional_parts(self) -> None:
         if self.dns is not None:
-            self.dns.own_port = self.front.address[1]
+            self.dns.processor.own_port = self.front.address[1]
             await self.dns.listen()
         if self.members is not None and self.duties is not None:
             await self.members.listen()
@@ -228,7 +228,7 @@
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
         if self.dns is not None:
-            self.dns.classes = frozenset(self.exchange.dispatcher.state.classes)
+            self.dns.set_classes(frozenset(self.exchange.dispatcher.state.classes))
         self.coordinator_watch.set_address(config.coordinator)
         last = self.endpoint_feed.last_index
         self.log.info("configuration taken", coordinator=config.coordinator, last=last)
@@ -277,7 +277,7 @@
 
     def _end_when_answered(self) -> None:
         """Ends the director once everything is answered; bounded, as every open request has a deadline."""
-        has_open_web_requests = self.web is not None and self.web.owed
+        has_open_web_requests = self.web is not None and self.web.unanswered_count
         has_open = self.exchange.unanswered_count or self.exchange.resolutions.open or has_open_web_requests
         if has_open or (not self.front.is_done() and self.clock() < self._last_answer_ms):
             self.deadlines.add(self.clock() + EXIT_DELAY_MS, self._end_when_answered)
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -29,7 +29,7 @@
     from .nginx.router import Router
     from .store.persistence import PersistenceService
     from .upstream.connection_factory import ConnectionFactory
-    from .web.start import Web
+    from .web.start import HttpProxy
 
 Clock = Callable[[], float]
 
@@ -85,13 +85,13 @@
     deadlines: Deadlines,
     counters: Counters,
     log: Callable[[str], None],
-) -> Web | None:
+) -> HttpProxy | None:
     """Builds the HTTP front of `[front.http]`."""
     if options is None or options.front.http is None:
         return None
-    from .web.start import Web
+    from .web.start import HttpProxy
 
-    return Web(options, config.name, config.seed, clock, deadlines, counters, log)
+    return HttpProxy(options, config.name, config.seed, clock, deadlines, counters, log)
 
 
 def build_store(
@@ -144,7 +144,7 @@
 
         control.handlers["members"] = lambda _: membership_status(duties)
     if store is not None:
-        control.handlers["store"] = store.view
+        control.handlers["store"] = lambda given: store.status()
     if leases is not None:
         from .leases.view import add_views
 
@@ -154,9 +154,9 @@
 
 def load_dns_settings(options: Options, own_host: str) -> DnsConfig | None:
     """Reads the DNS front's settings from `[dns]`; None if they come from a file of their own."""
-    from .dns.settings import configured
+    from .dns.settings import configured_dns
 
-    return configured(options, own_host)
+    return configured_dns(options, own_host)
 
 
 def load_member_keys(options: Options) -> tuple[AuthenticationKey, ...]:
@@ -172,9 +172,9 @@
     """Reads the imported routing table; None if the HTTP front is off."""
     if options.front.http is None:
         return None
-    from .web.start import checked
+    from .web.start import load_routing
 
-    return checked(options)[0]
+    return load_routing(options)[0]
 
 
 @dataclass(slots=True)
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-import msgspec
-
 from .. import interface as api
 from ..config.options import Options
 from ..config.platform import ConfigError
@@ -159,15 +157,15 @@
             return self.writer.delete(row.space, row.key)
         return self.writer.put(row.space, row.key, row.value, row.expires_at_ms)
 
-    def view(self, given: dict[str, Any]) -> dict[str, Any]:
-        """The control socket's answer to `store`: a `StoreStatus`."""
+    def status(self) -> StoreStatus:
+        """What is stored now, for the control socket."""
         log = self.log
         durable_purges = [
             key
             for (space, key), entry in log.index.entries.items()
             if space == PURGE_SPACE and not entry.is_deleted and entry.sequence <= log.durable_sequence
         ]
-        status = StoreStatus(
+        return StoreStatus(
             policy=self.writer.policy,
             feed_index=self._position.event_index,
             durable_sequence=log.durable_sequence,
@@ -179,8 +177,6 @@
             is_disk_failing=self.writer.is_failing,
             purges=sorted(durable_purges),
         )
-        view: dict[str, Any] = msgspec.to_builtins(status)
-        return view
 
 
 def _describe(tail: DroppedTail) -> str:
