Keep the suite's message sizes in one place

MAX_PLAIN_UDP_BYTES stood twice, HEADER_BYTES beside the target's own sizes; both are in conform/target.py now. Run: pytest tests/test_golden_dns.py test_conform.py: 12 passed; ruff, mypy strict: clean.

--- a/gladewalk/dns/conform/cases_edns.py
+++ b/gladewalk/dns/conform/cases_edns.py
@@ -13,14 +13,13 @@
 
 from .checks import CheckSkippedError, expect
 from .registry import CaseRegistry
-from .target import Target
+from .target import MAX_PLAIN_UDP_BYTES, Target
 
 CASES = CaseRegistry()
 
 ECS, COOKIE, NSID = dns.edns.OptionType.ECS, dns.edns.OptionType.COOKIE, dns.edns.OptionType.NSID
 KEEPALIVE, PADDING = dns.edns.OptionType.KEEPALIVE, dns.edns.OptionType.PADDING
 OPT_TYPE = 41
-MAX_PLAIN_UDP_BYTES = 512
 CLIENT_COOKIE = bytes.fromhex("2464c4abcf10c957")
 
 
--- a/gladewalk/dns/conform/cases_header.py
+++ b/gladewalk/dns/conform/cases_header.py
@@ -14,11 +14,10 @@
 
 from .checks import expect
 from .registry import CaseRegistry
-from .target import Target
+from .target import MAX_PLAIN_UDP_BYTES, Target
 
 CASES = CaseRegistry()
 
-MAX_PLAIN_UDP_BYTES = 512  # without EDNS
 RESERVED_BIT = 0x0040  # Z (RFC 1035, section 4.1.1)
 
 
--- a/gladewalk/dns/conform/cases_messages.py
+++ b/gladewalk/dns/conform/cases_messages.py
@@ -13,11 +13,10 @@
 
 from .checks import expect
 from .registry import CaseRegistry
-from .target import RCODE_MASK, Target
+from .target import HEADER_BYTES, RCODE_MASK, Target
 
 CASES = CaseRegistry()
 
-HEADER_BYTES = 12
 QR_BIT, OPCODE_SHIFT, OPCODE_MASK = 0x80, 3, 0x0F  # of the header's third byte
 MAX_NAME_BYTES, MAX_LABEL_BYTES = 255, 63
 UNUSED_ID = b"\xaa\x55"  # told apart from the id of the query that follows
--- a/gladewalk/dns/conform/target.py
+++ b/gladewalk/dns/conform/target.py
@@ -19,6 +19,8 @@
 from .checks import CheckFailedError, CheckSkippedError, expect
 
 MAX_MESSAGE_BYTES = 65_535
+MAX_PLAIN_UDP_BYTES = 512  # without EDNS (RFC 1035, section 4.2.1)
+HEADER_BYTES = 12
 LENGTH_BYTES = 2  # before each message on a stream
 RCODE_MASK = 0x0F  # of the header's fourth byte
 
