--- a/gladewalk/policy/dispatcher.py
+++ b/gladewalk/policy/dispatcher.py
@@ -1,4 +1,4 @@
-"""The decision module's entry: events come in, actions go out (`gladewalk/interface.py`)."""
+"""The decision module's entry: events come in, actions go out (`gladewalk/interface/`)."""
 
 from __future__ import annotations
 
