--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -14,16 +14,17 @@
 
 import argparse
 import asyncio
-import dataclasses
 import tempfile
 import time
 from collections import defaultdict
 from pathlib import Path
 
+import msgspec
+
 from gladewalk.control.client import ControlError
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.nemesis import apply
-from gladewalk.faultnet.schedule import Fault, generate
+from gladewalk.faultnet.nemesis import play_fault
+from gladewalk.faultnet.schedule import Fault, FaultKind, generate_schedule
 from gladewalk.leases.history import Verdict
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
@@ -52,9 +53,9 @@
 async def order(fleet: Fleet, name: str) -> str:
     """A purge's id once it is acknowledged; empty if it is not in time."""
     try:
-        id = str((await fleet.ask(name, "purge", what="o:1"))["id"])
+        id = str((await fleet.query(name, "purge", what="o:1"))["id"])
         for _ in range(100):
-            if (await fleet.ask(name, "order", id=id))["acknowledged"]:
+            if (await fleet.query(name, "order", id=id))["acknowledged"]:
                 return id
             await asyncio.sleep(0.05)
     except ControlError:
@@ -65,13 +66,15 @@
 async def play_one(fleet: Fleet, fault: Fault, times: Times, acknowledged: list[str]) -> None:
     """One fault on the holder, for its whole length."""
     holder = holder_of(fleet)
-    who = fault.who if fault.kind == "partition" and holder in fault.who else (holder, *fault.who[1:])
-    fault = dataclasses.replace(fault, at_ms=0.0, ms=FAULT_MS, who=who)
+    targets = fault.targets
+    if fault.kind is not FaultKind.PARTITION or holder not in targets:
+        targets = (holder, *targets[1:])
+    fault = msgspec.structs.replace(fault, at_ms=0.0, duration_ms=FAULT_MS, targets=targets)
     begun = time.time() * 1000.0
-    applied = asyncio.ensure_future(apply(fleet, fault))
+    applied = asyncio.ensure_future(play_fault(fleet, fault))
     well = next(name for name in fleet.names if name not in who)
     ordered = asyncio.ensure_future(order(fleet, well))
-    if fault.kind not in ("loss", "delay"):
+    if fault.kind not in (FaultKind.LOSS, FaultKind.DELAY):
         times[fault.kind, len(fleet.names)].append(await handover_ms(fleet, begun, holder))
     await applied
     acknowledged.append(await ordered)
@@ -91,12 +94,12 @@
             while not holder_of(fleet) and time.monotonic() < ends:
                 await asyncio.sleep(0.05)
             await asyncio.sleep(1.0)
-            for fault in generate(seed, names, 60_000.0, faults):
+            for fault in generate_schedule(seed, names, 60_000.0, faults):
                 await play_one(fleet, fault, times, acknowledged)
             verdict = fleet.verdict(time.time() * 1000.0)
             ids = {id for id in acknowledged if id}
             ends = time.monotonic() + WAIT_S
-            while (lost := [id for id in ids if any(id not in hub.purges for hub in fleet.hubs)]):
+            while lost := [id for id in ids if any(id not in hub.purges for hub in fleet.hubs)]:
                 if time.monotonic() > ends:
                     break
                 await asyncio.sleep(0.05)
--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -24,10 +24,11 @@
 from pathlib import Path
 
 from benchmarks.member_traffic import Traffic, TrafficCount, count_simulated
-from gladewalk.faultnet.expected_failures import causes_of
+from gladewalk.faultnet.expected_failures import expected_failures
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.membership_cases import CASES, FaultCase
-from gladewalk.faultnet.nemesis import play
+from gladewalk.faultnet.nemesis import play_schedule
+from gladewalk.faultnet.schedule import FaultKind
 from gladewalk.members.config import MembershipConfig
 from gladewalk.members.history import (
     ObservedChange,
@@ -79,11 +80,11 @@
 ) -> Result:
     """Checks the history of a fleet to which a case was played from `begun_ms` on."""
     faults = case.faults(names)
-    ended_ms = begun_ms + max(fault.at_ms + fault.ms for fault in faults)
-    expected = causes_of(faults, names, begun_ms, MAX_STALL_MS)
+    ended_ms = begun_ms + max(fault.at_ms + fault.duration_ms for fault in faults)
+    expected = expected_failures(faults, names, begun_ms, MAX_STALL_MS)
     detection_ms: tuple[float, ...] = ()
     if case.must_be_found_dead:
-        victim = faults[0].who[0]
+        victim = faults[0].targets[0]
         observers = set(names) - {victim}
         found = detection_times_ms(changes, victim, begun_ms, observers)
         detection_ms = (*found.values(), *[math.inf] * (len(observers) - len(found)))
@@ -101,14 +102,14 @@
 def count_traffic(fleet: Fleet) -> TrafficCount:
     """Counts what directors have sent, as the relays saw it."""
     relays = [link.members for link in fleet.links.values() if link.members is not None]
-    sent_bytes = sum(relay.bytes for relay in relays)
-    return TrafficCount(time.monotonic(), sent_bytes, sum(relay.taken for relay in relays))
+    sent_bytes = sum(relay.received_bytes for relay in relays)
+    return TrafficCount(time.monotonic(), sent_bytes, sum(relay.received_datagrams for relay in relays))
 
 
 async def has_converged(fleet: Fleet, within_seconds: float) -> bool:
     """Waits until all hold all for members; returns whether they do in time."""
     ends = time.monotonic() + within_seconds
-    while convergence_time_ms(fleet.members_seen(), 0.0, fleet.names) is None:
+    while convergence_time_ms(fleet.observed_changes(), 0.0, fleet.names) is None:
         if time.monotonic() > ends:
             return False
         await asyncio.sleep(0.1)
@@ -141,11 +142,11 @@
     await has_converged(fleet, MAX_CONVERGE_SECONDS)
     await asyncio.sleep(SETTLE_SECONDS)
     before, begun_ms = count_traffic(fleet), time.time() * 1000.0
-    await play(fleet, case.faults(fleet.names))
+    await play_schedule(fleet, case.faults(fleet.names))
     traffic = before.rate_until(count_traffic(fleet), len(fleet.names))
     await has_converged(fleet, MAX_CONVERGE_SECONDS)
     await asyncio.sleep(SETTLE_SECONDS)
-    return evaluate(case, fleet.names, fleet.members_seen(), begun_ms, traffic)
+    return evaluate(case, fleet.names, fleet.observed_changes(), begun_ms, traffic)
 
 
 def play_to_simulation(case: FaultCase, size: int, seed: int) -> Result:
@@ -162,9 +163,11 @@
 
 def summary(results: list[Result]) -> str:
     """Text of the last line."""
-    times_ms = sorted(ms for result in results if result.case.kind == "kill" for ms in result.detection_ms)
+    times_ms = sorted(
+        ms for result in results if result.case.kind == FaultKind.KILL for ms in result.detection_ms
+    )
     p99_ms = times_ms[min(len(times_ms) - 1, math.ceil(0.99 * len(times_ms)) - 1)] if times_ms else math.nan
-    partitions_ms = (result.convergence_ms for result in results if result.case.kind == "partition")
+    partitions_ms = (result.convergence_ms for result in results if result.case.kind == FaultKind.PARTITION)
     return (
         f"wrong_deaths={sum(result.unexpected_deaths for result in results)} detect_p99_ms={p99_ms:.0f} "
         f"converge_max_ms={max(partitions_ms, default=math.nan):.0f} runs={len(results)}"
--- a/gladewalk/faultnet/__init__.py
+++ b/gladewalk/faultnet/__init__.py
@@ -1,2 +1,6 @@
-"""A fault network of our own for several processes on loopback: relays between every ordered pair, a sink
-that fences acts, a launcher, and a nemesis that plays a seeded schedule of faults and signals."""
+"""Fault injection for a fleet of directors that run as processes on loopback.
+
+Relays stand between every ordered pair of directors (`relay`), a fenced resource records what lease holders
+do (`fenced_resource`), `fleet` starts and stops the processes, and `nemesis` plays a seeded `schedule` of
+network faults and signals against them.
+"""
--- a/gladewalk/faultnet/expected_failures.py
+++ b/gladewalk/faultnet/expected_failures.py
@@ -1,28 +1,41 @@
-"""What a schedule of faults accounts for: who may rightly find whom dead, and when. No I/O."""
+"""Derives from a fault schedule which members may be declared dead, by whom and when. No I/O."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
 from ..members.history import ExpectedFailure
-from .schedule import Fault
+from .schedule import Fault, FaultKind
 
-SLACK_MS = 2_500.0  # after a fault's end: a suspicion that runs out just then, and the last words of it
+SLACK_MS = 2_500.0  # after a fault's end: a suspicion may expire just then, and its last gossip still arrives
 
 
-def causes_of(
-    faults: Sequence[Fault], names: tuple[str, ...], begun_ms: float, stall_ms: float
+def expected_failures(
+    faults: Sequence[Fault], names: tuple[str, ...], started_at_ms: float, max_stall_ms: float
 ) -> list[ExpectedFailure]:
-    """`begun_ms`: when the schedule's time 0 was. Loss, delay, doubling and faults on one link between two
-    account for nothing, nor does a pause shorter than `stall_ms`."""
-    everybody, causes = frozenset(names), []
+    """Returns the failures that a schedule accounts for.
+
+    Loss, delay, duplication and faults on one link account for none, nor does a pause of at most
+    `max_stall_ms`.
+
+    Args:
+        faults: The schedule.
+        names: All members of the fleet.
+        started_at_ms: When the schedule began, on the clock of the observations.
+        max_stall_ms: How long a member may be unresponsive without being declared dead.
+    """
+    expected: list[ExpectedFailure] = []
     for fault in faults:
-        who, begin = frozenset(fault.who), begun_ms + fault.at_ms
-        others, end = everybody - who, begun_ms + fault.at_ms + fault.ms + SLACK_MS
-        if fault.kind in ("kill", "stop"):
-            causes.append(ExpectedFailure(begin, end, others, who))
-        elif fault.kind == "pause" and fault.ms > stall_ms:
-            causes.append(ExpectedFailure(begin + stall_ms, end, others, who))
-        elif fault.kind in ("cut_out", "cut_in", "partition"):
-            causes += [ExpectedFailure(begin, end, others, who), ExpectedFailure(begin, end, who, others)]
-    return causes
+        targets = frozenset(fault.targets)
+        others = frozenset(names) - targets
+        begin_ms = started_at_ms + fault.at_ms
+        end_ms = begin_ms + fault.duration_ms + SLACK_MS
+        match fault.kind:
+            case FaultKind.KILL | FaultKind.STOP:
+                expected.append(ExpectedFailure(begin_ms, end_ms, others, targets))
+            case FaultKind.PAUSE if fault.duration_ms > max_stall_ms:
+                expected.append(ExpectedFailure(begin_ms + max_stall_ms, end_ms, others, targets))
+            case FaultKind.CUT_OUT | FaultKind.CUT_IN | FaultKind.PARTITION:
+                expected.append(ExpectedFailure(begin_ms, end_ms, others, targets))
+                expected.append(ExpectedFailure(begin_ms, end_ms, targets, others))
+    return expected
--- a/gladewalk/faultnet/fleet.py
+++ b/gladewalk/faultnet/fleet.py
@@ -1,9 +1,9 @@
-"""Directors as processes on loopback, each pair of them joined by relays in each direction.
+"""A fleet of directors as processes on loopback, each ordered pair of them joined by relays.
 
-A director dials every other at the relay of that ordered pair, so each direction can be cut, made lossy or
-slow alone; leases, members' datagrams and their exchanges over TCP obey one path. Signals are real: SIGSTOP
-and SIGCONT, SIGKILL, SIGTERM; a start again keeps the name, the ports and the embedded store. Each director's
-lease clock may run fast or slow (`clock_rate`).
+A director dials every other one at the relay of that ordered pair, so each direction can be cut, made lossy
+or slow alone; lease messages, membership datagrams and membership's exchanges over TCP obey one path. Signals
+are real: SIGSTOP and SIGCONT, SIGKILL, SIGTERM. A restart keeps the name, the ports and the store. Each
+director's lease clock may run fast or slow (`clock_rate`).
 """
 
 from __future__ import annotations
@@ -15,194 +15,251 @@
 import secrets
 import signal
 import sys
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import tomli_w
 
+from ..config.platform import Address
 from ..control.client import query_director
 from ..leases.history import Verdict, check_resources
 from ..members.authenticator import load_key_ring
 from ..members.history import ObservedChange, changes_from_log
-from . import relay
 from .fenced_resource import FencedResource
-from .relay import Address, Relay, StreamRelay, free_port
+from .relay import LOOPBACK, DatagramRelay, NetworkPath, StreamRelay, free_port
 from .schedule import Pair
 
-DUTIES = ("purge", "report")
-HUBS = 2
+LEASE_NAMES = ("purge", "report")
+HUB_COUNT = 2
+SEED_COUNT = 2
+KEY_BYTES = 32
 
 
 @dataclass(slots=True)
 class Link:
-    """One ordered pair: its path, and the relays that obey it."""
+    """The path of one ordered pair and the relays that obey it."""
 
-    path: relay.Path = field(default_factory=relay.Path)
-    leases: Relay | None = None
-    members: Relay | None = None
+    path: NetworkPath = field(default_factory=NetworkPath)
+    leases: DatagramRelay | None = None
+    members: DatagramRelay | None = None
     streams: StreamRelay | None = None
-    leases_at: Address = ("", 0)
-    members_at: Address = ("", 0)
+    leases_address: Address = ("", 0)
+    members_address: Address = ("", 0)
 
     def close(self) -> None:
-        for one in (self.leases, self.members, self.streams):
-            if one is not None:
-                one.close()
+        """Closes the relays."""
+        for relay in (self.leases, self.members, self.streams):
+            if relay is not None:
+                relay.close()
 
 
 class Fleet:
-    """`names` directors in `folder`; `config` is the director's own file (`NODE_CONFIG`) less its name.
-
-    `leases` and `members` are what their tables get beside what the fleet sets itself; None: that is off.
-    `more`: further tables of the directors' settings, as they are.
+    """Starts, signals and queries directors that run as processes with their files in one folder.
+
+    Args:
+        folder: Where option files, logs, sockets and stores of the directors are.
+        names: The directors.
+        config: The platform configuration (`NODE_CONFIG`) without the name.
+        seed: Of the relays' random draws.
+        leases: What the directors' table `leases` has beside what the fleet sets itself; None: it is off.
+        members: The same for the table `members`.
+        more: Further tables of the directors' settings.
     """
 
     def __init__(
-        self, folder: Path, names: tuple[str, ...], config: dict[str, Any], seed: int,
-        leases: dict[str, Any] | None, members: dict[str, Any] | None = None,
+        self,
+        folder: Path,
+        names: tuple[str, ...],
+        config: dict[str, Any],
+        seed: int,
+        leases: dict[str, Any] | None,
+        members: dict[str, Any] | None = None,
         more: dict[str, Any] | None = None,
-    ) -> None:  # fmt: skip
-        self.folder, self.names, self.config = folder, names, config
-        self.leases, self.members, self.more = leases, members, more or {}
-        self.random = random.Random(seed)
-        (folder / "keys").write_text(secrets.token_hex(32))
-        (folder / "keys").chmod(0o600)
-        self.lease_port = {name: free_port() for name in names}
-        self.member_port = {name: free_port() for name in names}
-        self.links = {(a, b): Link() for a in names for b in names if a != b}
-        keys = load_key_ring(folder / "keys")
-        self.hubs = [FencedResource(keys) for _ in range(HUBS)]
+    ) -> None:
+        self.folder, self.names = folder, names
+        self._config = config
+        self._leases_table, self._members_table, self._more_tables = leases, members, more or {}
+        self._rng = random.Random(seed)
+        keys_path = folder / "keys"
+        keys_path.write_text(secrets.token_hex(KEY_BYTES))
+        keys_path.chmod(0o600)
+        self._lease_ports = {name: free_port() for name in names}
+        self._member_ports = {name: free_port() for name in names}
+        self.links = {
+            (sender, receiver): Link() for sender in names for receiver in names if sender != receiver
+        }
+        keys = load_key_ring(keys_path)
+        self.hubs = [FencedResource(keys) for _ in range(HUB_COUNT)]
         self.collector = FencedResource(keys)
-        self.hubs_at: list[Address] = []
-        self.collector_at: Address = ("127.0.0.1", 0)
-        self.running: dict[str, asyncio.subprocess.Process] = {}
-        self.rates: dict[str, float] = {}
+        self._hub_addresses: list[Address] = []
+        self._collector_address: Address = (LOOPBACK, 0)
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._clock_rates: dict[str, float] = {}
 
     async def open(self) -> Fleet:
-        if self.leases is not None:
-            self.hubs_at = [await hub.open() for hub in self.hubs]
-            self.collector_at = await self.collector.open()
-        for (source, target), link in self.links.items():
-            if self.leases is not None:
-                at = ("127.0.0.1", self.lease_port[target])
-                link.leases = Relay(at, random.Random(self.random.random()), link.path)
-                link.leases_at = await link.leases.open()
-            if self.members is not None:
-                at = ("127.0.0.1", self.member_port[target])
-                link.members = Relay(at, random.Random(self.random.random()), link.path)
-                link.members_at = await link.members.open(free_port())
-                back = self.links[target, source].path
-                link.streams = StreamRelay(at, link.path, back, random.Random(self.random.random()))
-                await link.streams.open(link.members_at[1])
+        """Opens the fenced resources and all relays; no director is started."""
+        if self._leases_table is not None:
+            self._hub_addresses = [await hub.open() for hub in self.hubs]
+            self._collector_address = await self.collector.open()
+        for pair, link in self.links.items():
+            if self._leases_table is not None:
+                await self._open_lease_relay(pair, link)
+            if self._members_table is not None:
+                await self._open_member_relays(pair, link)
         return self
 
+    async def _open_lease_relay(self, pair: Pair, link: Link) -> None:
+        target = (LOOPBACK, self._lease_ports[pair[1]])
+        link.leases = DatagramRelay(target, self._new_rng(), link.path)
+        link.leases_address = await link.leases.open()
+
+    async def _open_member_relays(self, pair: Pair, link: Link) -> None:
+        sender, receiver = pair
+        target = (LOOPBACK, self._member_ports[receiver])
+        link.members = DatagramRelay(target, self._new_rng(), link.path)
+        link.members_address = await link.members.open(free_port())
+        backward_path = self.links[receiver, sender].path
+        link.streams = StreamRelay(target, link.path, backward_path, self._new_rng())
+        await link.streams.open(link.members_address[1])
+
+    def _new_rng(self) -> random.Random:
+        return random.Random(self._rng.random())
+
     # Directors.
 
     def build_options(self, name: str, clock_rate: float) -> dict[str, Any]:
-        options: dict[str, Any] = {"control": {"socket": f"{name}.sock"}, **self.more}
-        if self.leases is not None:
+        """Returns the tables of a director's option file."""
+        options: dict[str, Any] = {"control": {"socket": f"{name}.sock"}, **self._more_tables}
+        if self._leases_table is not None:
             options["store"] = {"folder": f"{name}.store", "warm_ms": 0.0}
-            options["leases"] = self._leases_of(name, clock_rate)
-        if self.members is not None:
-            options["members"] = self._members_of(name)
+            options["leases"] = self._build_leases_table(name, clock_rate)
+        if self._members_table is not None:
+            options["members"] = self._build_members_table(name)
         return options
 
-    def _leases_of(self, name: str, clock_rate: float) -> dict[str, Any]:
-        peers = {other: shown(self.links[name, other].leases_at) for other in self.names if other != name}
-        own = f"127.0.0.1:{self.lease_port[name]}"
+    def _build_leases_table(self, name: str, clock_rate: float) -> dict[str, Any]:
+        peers = {
+            other: format_address(self.links[name, other].leases_address)
+            for other in self.names
+            if other != name
+        }
+        own_address = format_address((LOOPBACK, self._lease_ports[name]))
         return {
-            "listen": own, "keys": "keys", "clock_rate": clock_rate, "act_ms": 50.0, "report_ms": 200.0,
-            "peers": {**peers, name: own}, "hubs": [shown(at) for at in self.hubs_at],
-            "report_to": shown(self.collector_at), **(self.leases or {}),
-        }  # fmt: skip
-
-    def _members_of(self, name: str) -> dict[str, Any]:
+            "listen": own_address,
+            "keys": "keys",
+            "clock_rate": clock_rate,
+            "act_ms": 50.0,
+            "report_ms": 200.0,
+            "peers": {**peers, name: own_address},
+            "hubs": [format_address(address) for address in self._hub_addresses],
+            "report_to": format_address(self._collector_address),
+            **(self._leases_table or {}),
+        }
+
+    def _build_members_table(self, name: str) -> dict[str, Any]:
+        own_addresses = {
+            member: format_address((LOOPBACK, port)) for member, port in self._member_ports.items()
+        }
         dial = {}
         for other in self.names:
             if other != name:
-                there = shown(self.links[name, other].members_at)
-                dial[f"127.0.0.1:{self.member_port[other]}"] = there
-                dial[shown(self.links[other, name].members_at)] = there  # to answer what came by a relay
+                relay_address = format_address(self.links[name, other].members_address)
+                dial[own_addresses[other]] = relay_address
+                # What comes by a relay is answered through the relay of the other direction.
+                dial[format_address(self.links[other, name].members_address)] = relay_address
         return {
-            "listen": f"127.0.0.1:{self.member_port[name]}", "keys": "keys", "dial": dial,
-            "seeds": [f"127.0.0.1:{self.member_port[seed]}" for seed in self.names[:2]],
-            **(self.members or {}),
-        }  # fmt: skip
+            "listen": own_addresses[name],
+            "keys": "keys",
+            "dial": dial,
+            "seeds": [own_addresses[seed] for seed in self.names[:SEED_COUNT]],
+            **(self._members_table or {}),
+        }
 
     async def start(self, name: str, clock_rate: float | None = None) -> None:
-        """Its clock runs at `clock_rate`, and after a restart as before."""
-        clock_rate = self.rates[name] = self.rates.get(name, 1.0) if clock_rate is None else clock_rate
-        options, config = self.folder / f"{name}.toml", self.folder / f"{name}.json"
-        options.write_text(tomli_w.dumps(self.build_options(name, clock_rate)))
-        config.write_text(json.dumps({**self.config, "name": name}))
-        log = (self.folder / f"{name}.log").open("ab")
-        self.running[name] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "gladewalk", "run", "--config", str(options),
-            env={**os.environ, "NODE_CONFIG": str(config)}, stderr=log, stdout=asyncio.subprocess.DEVNULL,
-        )  # fmt: skip
-        log.close()
+        """Starts a director whose lease clock runs at `clock_rate`; a restart keeps the rate."""
+        clock_rate = self._clock_rates.get(name, 1.0) if clock_rate is None else clock_rate
+        self._clock_rates[name] = clock_rate
+        options_path, config_path = self.folder / f"{name}.toml", self.folder / f"{name}.json"
+        options_path.write_text(tomli_w.dumps(self.build_options(name, clock_rate)))
+        config_path.write_text(json.dumps({**self._config, "name": name}))
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self._processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *("-m", "gladewalk", "run", "--config", str(options_path)),
+                env={**os.environ, "NODE_CONFIG": str(config_path)},
+                stderr=log,
+                stdout=asyncio.subprocess.DEVNULL,
+            )
 
     def signal(self, name: str, number: signal.Signals) -> None:
-        process = self.running.get(name)
+        """Sends a signal to a director if it runs."""
+        process = self._processes.get(name)
         if process is not None and process.returncode is None:
             process.send_signal(number)
 
     async def kill(self, name: str) -> None:
-        process = self.running.pop(name, None)
+        """Ends a director by SIGKILL."""
+        process = self._processes.pop(name, None)
         if process is not None:
             if process.returncode is None:
-                process.send_signal(signal.SIGCONT)  # a stopped one dies as well
+                process.send_signal(signal.SIGCONT)  # a stopped process dies as well
                 process.kill()
             await process.wait()
 
     async def stop(self, name: str) -> int:
-        """SIGTERM, and the exit code."""
-        process = self.running.pop(name)
+        """Ends a director by SIGTERM and returns its exit code."""
+        process = self._processes.pop(name)
         process.terminate()
         return await process.wait()
 
-    async def ask(self, name: str, view: str, **given: Any) -> Any:
-        """What a director's control socket tells; `ControlError` where it tells nothing."""
-        return await asyncio.to_thread(query_director, self.folder / f"{name}.sock", view, **given)
+    async def query(self, name: str, view: str, **arguments: Any) -> Any:
+        """Returns the answer of a director's control socket; raises `ControlError` if there is none."""
+        return await asyncio.to_thread(query_director, self.folder / f"{name}.sock", view, **arguments)
 
-    def log_of(self, name: str) -> list[dict[str, Any]]:
-        """All lines of a director's log, of its earlier runs too."""
+    def read_log(self, name: str) -> list[dict[str, Any]]:
+        """Returns all events of a director's log, those of its earlier runs included."""
         lines = (self.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace").splitlines()
-        told = []
+        events = []
         for line in lines:
             try:
-                told.append(json.loads(line))
-            except ValueError:  # a line that a kill has cut short
+                events.append(json.loads(line))
+            except ValueError:  # a line that a kill cut short
                 continue
-        return told
+        return events
 
     # Paths.
 
-    def paths(self, pairs: set[Pair]) -> list[relay.Path]:
+    def select_paths(self, pairs: Iterable[Pair]) -> list[NetworkPath]:
+        """Returns the paths of those pairs that belong to the fleet, in a fixed order."""
         return [self.links[pair].path for pair in sorted(pairs) if pair in self.links]
 
-    # What is to be seen.
+    # Observations.
 
     @property
-    def sinks(self) -> tuple[FencedResource, ...]:
+    def resources(self) -> tuple[FencedResource, ...]:
+        """All fenced resources: the hubs, then the collector of reports."""
         return (*self.hubs, self.collector)
 
     def verdict(self, end_ms: float | None = None, excused: tuple[tuple[float, float], ...] = ()) -> Verdict:
-        return check_resources([sink.fence.records for sink in self.sinks], end_ms, excused)
+        """Checks the operations that the fenced resources recorded (see `check_resources`)."""
+        return check_resources([resource.fence.records for resource in self.resources], end_ms, excused)
 
-    def members_seen(self) -> list[ObservedChange]:
-        """What all directors noted of one another, out of their logs."""
-        return [one for name in self.names for one in changes_from_log(name, self.log_of(name))]
+    def observed_changes(self) -> list[ObservedChange]:
+        """Returns what all directors logged about one another's state."""
+        return [change for name in self.names for change in changes_from_log(name, self.read_log(name))]
 
     async def close(self) -> None:
-        for name in list(self.running):
+        """Kills all directors and closes relays and resources."""
+        for name in list(self._processes):
             await self.kill(name)
         for link in self.links.values():
             link.close()
-        for sink in self.sinks:
-            sink.close()
+        for resource in self.resources:
+            resource.close()
 
 
-def shown(address: Address) -> str:
+def format_address(address: Address) -> str:
+    """Renders an address as `host:port`."""
     return f"{address[0]}:{address[1]}"
--- a/gladewalk/faultnet/membership_cases.py
+++ b/gladewalk/faultnet/membership_cases.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from .schedule import Fault
+from .schedule import Fault, FaultKind
 
 
 @dataclass(slots=True, frozen=True)
@@ -16,7 +16,7 @@
     """One fault of `duration_ms`; `kind` and `amount` are those of `schedule.Fault`."""
 
     name: str
-    kind: str
+    kind: FaultKind
     duration_ms: float
     victims: tuple[int, ...] = ()
     amount: float = 0.0
@@ -32,16 +32,16 @@
 
 
 CASES = (
-    FaultCase("loss of 10 %", "loss", 12_000.0, amount=0.1),
-    FaultCase("loss of 30 %", "loss", 12_000.0, amount=0.3),
-    FaultCase("one link, one way", "link", 8_000.0, (0, 2)),
-    FaultCase("a flapping link", "flap", 9_000.0, (1, 2), amount=700.0),
-    FaultCase("200 ms and jitter", "delay", 12_000.0, amount=200.0),
-    FaultCase("heard by nobody", "cut_out", 7_000.0, (2,), must_be_found_dead=True),
-    FaultCase("a pause of 5 s", "pause", 5_000.0, (2,)),
-    FaultCase("a pause of 15 s", "pause", 15_000.0, (2,), must_be_found_dead=True),
-    FaultCase("a crash", "kill", 5_000.0, (2,), must_be_found_dead=True),
-    FaultCase("a crash of a seed", "kill", 5_000.0, (0,), must_be_found_dead=True),
-    FaultCase("a restart at once", "kill", 150.0, (2,)),
-    FaultCase("two sides", "partition", 20_000.0, is_partition=True),
+    FaultCase("loss of 10 %", FaultKind.LOSS, 12_000.0, amount=0.1),
+    FaultCase("loss of 30 %", FaultKind.LOSS, 12_000.0, amount=0.3),
+    FaultCase("one link, one way", FaultKind.LINK, 8_000.0, (0, 2)),
+    FaultCase("a flapping link", FaultKind.FLAP, 9_000.0, (1, 2), amount=700.0),
+    FaultCase("200 ms and jitter", FaultKind.DELAY, 12_000.0, amount=200.0),
+    FaultCase("heard by nobody", FaultKind.CUT_OUT, 7_000.0, (2,), must_be_found_dead=True),
+    FaultCase("a pause of 5 s", FaultKind.PAUSE, 5_000.0, (2,)),
+    FaultCase("a pause of 15 s", FaultKind.PAUSE, 15_000.0, (2,), must_be_found_dead=True),
+    FaultCase("a crash", FaultKind.KILL, 5_000.0, (2,), must_be_found_dead=True),
+    FaultCase("a crash of a seed", FaultKind.KILL, 5_000.0, (0,), must_be_found_dead=True),
+    FaultCase("a restart at once", FaultKind.KILL, 150.0, (2,)),
+    FaultCase("two sides", FaultKind.PARTITION, 20_000.0, is_partition=True),
 )
--- a/gladewalk/faultnet/relay.py
+++ b/gladewalk/faultnet/relay.py
@@ -1,207 +1,233 @@
-"""One ordered pair's path: what is sent to a relay's port goes on to the target, or is dropped, doubled,
-delayed or held back as the faults in force on the path say. A cut in one direction alone is one path's."""
+"""Relays that stand between two directors and apply the faults in force on the path between them.
+
+A relay passes on what is sent to its port, or drops, duplicates, delays or holds it back. Each direction has
+a path of its own, so that one can be cut alone.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import socket
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any, cast
 
-Address = tuple[str, int]
+from ..config.platform import Address
+
+WATCH_INTERVAL_S = 0.01
+CUT_POLL_S = 0.02
+BACKLOG = 100  # connections
+READ_BYTES = 65_536
+LOOPBACK = "127.0.0.1"
+PORT_RANGE = (20_000, 32_000)  # below the range out of which the system gives ports
 
 
 @dataclass(slots=True, frozen=True)
-class Effect:
-    """What one fault does to a path. Faults that overlap on a path add up and end each by itself."""
+class PathEffect:
+    """What one fault does to a path. Effects that overlap on a path add up and end each by itself."""
 
-    cut: bool = False
-    loss: float = 0.0  # a part of datagrams dropped
-    double: float = 0.0  # a part of datagrams sent twice
+    is_cut: bool = False
+    loss_rate: float = 0.0  # fraction of datagrams that are dropped
+    duplicate_rate: float = 0.0  # fraction of datagrams that are sent twice
     delay_ms: float = 0.0
-    jitter_ms: float = 0.0  # drawn anew for each datagram, so that some pass others
+    jitter_ms: float = 0.0  # drawn for each datagram from 0 to here, so that datagrams are reordered
 
 
 @dataclass(slots=True)
-class Path:
-    """How one direction between two directors behaves now, for all that passes between them."""
+class NetworkPath:
+    """One direction between two directors, with the effects in force on all that passes."""
 
-    effects: list[Effect] = field(default_factory=list)
+    effects: list[PathEffect] = field(default_factory=list)
 
     @property
-    def cut(self) -> bool:
-        return any(effect.cut for effect in self.effects)
+    def is_cut(self) -> bool:
+        """Whether any effect cuts the path."""
+        return any(effect.is_cut for effect in self.effects)
 
-    def drops(self, rng: random.Random) -> bool:
-        return any(effect.cut or rng.random() < effect.loss for effect in self.effects)
+    def draw_loss(self, rng: random.Random) -> bool:
+        """Draws whether a datagram is dropped."""
+        return any(effect.is_cut or rng.random() < effect.loss_rate for effect in self.effects)
 
-    def copies(self, rng: random.Random) -> int:
-        return 1 + sum(rng.random() < effect.double for effect in self.effects)
+    def draw_copies(self, rng: random.Random) -> int:
+        """Draws how often a datagram is sent."""
+        return 1 + sum(rng.random() < effect.duplicate_rate for effect in self.effects)
 
-    def wait_ms(self, rng: random.Random) -> float:
+    def draw_delay_ms(self, rng: random.Random) -> float:
+        """Draws how long a datagram or a piece of a stream takes."""
         return sum(effect.delay_ms + rng.uniform(0.0, effect.jitter_ms) for effect in self.effects)
 
 
-class Relay(asyncio.DatagramProtocol):
-    """Listens at a port of its own and sends on to `target` from it."""
+class DatagramRelay(asyncio.DatagramProtocol):
+    """Passes datagrams from a port of its own to `target`, as `path` allows."""
 
-    def __init__(self, target: Address, rng: random.Random, path: Path) -> None:
-        self.target, self.random, self.path = target, rng, path
-        self.transport: asyncio.DatagramTransport | None = None
-        self.taken = self.passed = self.dropped = self.bytes = 0
+    def __init__(self, target: Address, rng: random.Random, path: NetworkPath) -> None:
+        self._target, self._rng, self._path = target, rng, path
+        self._transport: asyncio.DatagramTransport | None = None
+        self.received_datagrams = self.forwarded_datagrams = self.dropped_datagrams = 0
+        self.received_bytes = 0
 
     async def open(self, port: int = 0) -> Address:
+        """Listens at a port, or at any free one, and returns the address."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", port))
-        assert self.transport is not None
-        return cast(Address, self.transport.get_extra_info("sockname")[:2])
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(LOOPBACK, port))
+        return cast(Address, transport.get_extra_info("sockname")[:2])
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.DatagramTransport, transport)
+        """Keeps the transport (asyncio's callback)."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
-        self.taken += 1
-        self.bytes += len(data)
-        if self.path.drops(self.random):
-            self.dropped += 1
+        """Drops a datagram, or sends each of its copies on after its delay (asyncio's callback)."""
+        self.received_datagrams += 1
+        self.received_bytes += len(data)
+        if self._path.draw_loss(self._rng):
+            self.dropped_datagrams += 1
             return
-        for _ in range(self.path.copies(self.random)):
-            wait = self.path.wait_ms(self.random)
-            if wait <= 0.0:
+        for _ in range(self._path.draw_copies(self._rng)):
+            delay_ms = self._path.draw_delay_ms(self._rng)
+            if delay_ms <= 0.0:
                 self._send(data)
             else:
-                asyncio.get_running_loop().call_later(wait / 1000.0, self._send, data)
+                asyncio.get_running_loop().call_later(delay_ms / 1000.0, self._send, data)
 
     def _send(self, data: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.passed += 1
-            self.transport.sendto(data, self.target)
+        if self._transport is not None and not self._transport.is_closing():
+            self.forwarded_datagrams += 1
+            self._transport.sendto(data, self._target)
 
     def close(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
+        """Stops listening."""
+        if self._transport is not None:
+            self._transport.close()
 
 
 class StreamRelay:
-    """Connections from one director to another: each direction's bytes obey that direction's path.
+    """Passes TCP connections to `target`; the bytes of each direction obey that direction's path.
 
-    A cut holds bytes back and loses none, as TCP does; who waits for them gives up by itself. While either
-    direction is cut nobody can connect, nor is refused: the system drops what comes to a full queue of
-    connections, as a path that loses all would. Where nobody listens at the target, who connects is cut off
-    at once.
+    A cut holds bytes back and loses none, as TCP does; the endpoints' own timeouts end the connection. While
+    either direction is cut nobody can connect, and nobody is refused: the accept queue is full, and the
+    kernel drops what comes to a full queue, as a path that loses everything would. Where nobody listens at
+    the target, a connection is closed at once.
     """
 
-    def __init__(self, target: Address, there: Path, back: Path, rng: random.Random) -> None:
-        self.target, self.there, self.back, self.random = target, there, back, rng
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.filler: socket.socket | None = None  # fills the queue while it is dark
+    def __init__(
+        self, target: Address, forward_path: NetworkPath, backward_path: NetworkPath, rng: random.Random
+    ) -> None:
+        self._target, self._rng = target, rng
+        self._forward_path, self._backward_path = forward_path, backward_path
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._queue_filler: socket.socket | None = None  # takes the one place of the accept queue
 
     async def open(self, port: int) -> None:
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind(("127.0.0.1", port))
-        self.socket.setblocking(False)
-        self._lighten()
-        self._spawn(self._watch())
+        """Listens at a port."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((LOOPBACK, port))
+        self._socket.setblocking(False)
+        self._start_accepting()
+        self._spawn(self._watch_paths())
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-    async def _watch(self) -> None:
+    async def _watch_paths(self) -> None:
         while True:
-            cut = self.there.cut or self.back.cut
-            if cut and self.filler is None:
-                self._darken()
-            elif not cut and self.filler is not None:
-                self._lighten()
-            await asyncio.sleep(0.01)
-
-    def _darken(self) -> None:
-        asyncio.get_running_loop().remove_reader(self.socket.fileno())
-        self.socket.listen(0)  # a queue of one, which the filler takes
-        self.filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.filler.setblocking(False)
-        self.filler.connect_ex(self.socket.getsockname())
-
-    def _lighten(self) -> None:
-        if self.filler is not None:
-            self.filler.close()
-            self.filler = None
-            while self._take() is not None:
-                pass  # whoever came while it was dark has given up
-        self.socket.listen(100)
-        asyncio.get_running_loop().add_reader(self.socket.fileno(), self._accept)
-
-    def _take(self) -> socket.socket | None:
+            is_cut = self._forward_path.is_cut or self._backward_path.is_cut
+            if is_cut and self._queue_filler is None:
+                self._stop_accepting()
+            elif not is_cut and self._queue_filler is not None:
+                self._start_accepting()
+            await asyncio.sleep(WATCH_INTERVAL_S)
+
+    def _stop_accepting(self) -> None:
+        asyncio.get_running_loop().remove_reader(self._socket.fileno())
+        self._socket.listen(0)  # a queue of one, which the filler takes
+        self._queue_filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._queue_filler.setblocking(False)
+        self._queue_filler.connect_ex(self._socket.getsockname())
+
+    def _start_accepting(self) -> None:
+        if self._queue_filler is not None:
+            self._queue_filler.close()
+            self._queue_filler = None
+            while self._accept_next() is not None:
+                pass  # whoever connected during the cut has given up
+        self._socket.listen(BACKLOG)
+        asyncio.get_running_loop().add_reader(self._socket.fileno(), self._accept)
+
+    def _accept_next(self) -> socket.socket | None:
         try:
-            return self.socket.accept()[0]
+            return self._socket.accept()[0]
         except (BlockingIOError, ConnectionAbortedError):
             return None
 
     def _accept(self) -> None:
-        if (connection := self._take()) is not None:
+        if (connection := self._accept_next()) is not None:
             connection.setblocking(False)
             self._spawn(self._serve(connection))
 
     async def _serve(self, connection: socket.socket) -> None:
         reader, writer = await asyncio.open_connection(sock=connection)
-        onward: asyncio.StreamWriter | None = None
+        target_writer: asyncio.StreamWriter | None = None
         try:
-            answers, onward = await asyncio.open_connection(*self.target)
-            await asyncio.gather(
-                self._pump(reader, onward, self.there), self._pump(answers, writer, self.back)
-            )
-        except OSError:
-            pass  # nobody listens there, or either end has gone
+            with contextlib.suppress(OSError):  # nobody listens there, or either end is gone
+                target_reader, target_writer = await asyncio.open_connection(*self._target)
+                await asyncio.gather(
+                    self._copy(reader, target_writer, self._forward_path),
+                    self._copy(target_reader, writer, self._backward_path),
+                )
         finally:
             writer.close()
-            if onward is not None:
-                onward.close()
-
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, path: Path) -> None:
-        while data := await reader.read(65_536):
-            await self._passable(path)
-            await asyncio.sleep(path.wait_ms(self.random) / 1000.0)
+            if target_writer is not None:
+                target_writer.close()
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, path: NetworkPath
+    ) -> None:
+        while data := await reader.read(READ_BYTES):
+            while path.is_cut:
+                await asyncio.sleep(CUT_POLL_S)
+            await asyncio.sleep(path.draw_delay_ms(self._rng) / 1000.0)
             writer.write(data)
             await writer.drain()
         writer.close()
 
-    async def _passable(self, path: Path) -> None:
-        while path.cut:
-            await asyncio.sleep(0.02)
-
     def close(self) -> None:
-        if not self.filler:
-            asyncio.get_running_loop().remove_reader(self.socket.fileno())
-        for task in self.tasks:
+        """Stops listening and ends all connections."""
+        if not self._queue_filler:
+            asyncio.get_running_loop().remove_reader(self._socket.fileno())
+        else:
+            self._queue_filler.close()
+        for task in self._tasks:
             task.cancel()
-        for one in (self.socket, self.filler):
-            if one is not None:
-                one.close()
+        self._socket.close()
 
 
-GIVEN: set[int] = set()  # ports handed out by this process: some are bound by a director that is yet to start
+_assigned_ports: set[int] = set()  # by this process: some are bound by a director that is yet to start
 
 
 def free_port() -> int:
-    """A port free for datagrams and streams, outside the range that the system gives to others."""
+    """Returns a port that is free for datagrams and streams and that this process has not returned before."""
     rng = random.SystemRandom()
     while True:
-        port = rng.randrange(20_000, 32_000)
-        if port in GIVEN:
-            continue
-        with (
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as streams,
-        ):
-            try:
-                datagrams.bind(("127.0.0.1", port))
-                streams.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            GIVEN.add(port)
+        port = rng.randrange(*PORT_RANGE)
+        if port not in _assigned_ports and _is_free(port):
+            _assigned_ports.add(port)
             return port
+
+
+def _is_free(port: int) -> bool:
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
+        socket.socket(socket.AF_INET, socket.SOCK_STREAM) as streams,
+    ):
+        try:
+            datagrams.bind((LOOPBACK, port))
+            streams.bind((LOOPBACK, port))
+        except OSError:
+            return False
+        return True
--- a/gladewalk/faultnet/schedule.py
+++ b/gladewalk/faultnet/schedule.py
@@ -1,16 +1,16 @@
-"""A seeded schedule of faults, kept as TOML: `nemesis` plays it against processes, rehearsals in memory.
+"""Seeded schedules of faults, stored as TOML; `nemesis` plays them to processes, simulations in memory.
 
     [[fault]]
-    at_ms = 3000.0      # from the start of the play
-    ms = 2500.0         # how long it lasts
-    kind = "pause"      # see KINDS
+    at_ms = 3000.0      # from the start of the schedule
+    ms = 2500.0         # duration
+    kind = "pause"      # see FaultKind
     who = ["n0"]
-    amount = 0.3        # loss, double: the part concerned; delay: ms, with as much jitter; flap: ms a half
+    amount = 0.3        # fraction of datagrams, ms of delay and of jitter, or ms of half a flap
 
-    pause       SIGSTOP, then SIGCONT          cut_out    it hears all, nobody hears it
-    kill        SIGKILL, then a start          cut_in     all hear it, it hears nobody
+    pause       SIGSTOP, then SIGCONT          cut_out    receives, but nothing that it sends arrives
+    kill        SIGKILL, then a start          cut_in     sends, but receives nothing
     stop        SIGTERM, then a start          link       from the first of `who` to the second, one way
-    partition   `who` against the others       flap       the same, both ways, cut and whole by turns
+    partition   `who` against the others       flap       both ways between two, cut and restored in turns
     loss, double, delay   on every path
 
 The same seed gives the same schedule. Faults may overlap: each ends by itself.
@@ -19,70 +19,125 @@
 from __future__ import annotations
 
 import random
-import tomllib
-from dataclasses import asdict, dataclass
+from enum import StrEnum
 from pathlib import Path
 
+import msgspec
 import tomli_w
 
-KINDS = ("pause", "kill", "stop", "cut_out", "cut_in", "partition", "loss", "delay")
-LINKS = ("link", "flap", "double")
+from ..config.toml_file import load_toml
+
+MIN_START_MS = 2_000.0
+END_MARGIN_MS = 4_000.0  # no fault begins later than this before the end of a schedule
+DURATION_RANGE_MS = (500.0, 3_000.0)
+FRACTION_RANGE = (0.05, 0.3)  # of datagrams lost or duplicated
+DELAY_RANGE_MS = (20.0, 200.0)
+
 Pair = tuple[str, str]
 
 
-@dataclass(slots=True, frozen=True)
-class Fault:
+class FaultKind(StrEnum):
+    """What a fault does; the values stand in schedule files."""
+
+    PAUSE = "pause"
+    KILL = "kill"
+    STOP = "stop"
+    CUT_OUT = "cut_out"
+    CUT_IN = "cut_in"
+    PARTITION = "partition"
+    LOSS = "loss"
+    DELAY = "delay"
+    LINK = "link"
+    FLAP = "flap"
+    DUPLICATE = "double"
+
+
+GENERATED_KINDS = (
+    FaultKind.PAUSE,
+    FaultKind.KILL,
+    FaultKind.STOP,
+    FaultKind.CUT_OUT,
+    FaultKind.CUT_IN,
+    FaultKind.PARTITION,
+    FaultKind.LOSS,
+    FaultKind.DELAY,
+)
+
+
+class Fault(msgspec.Struct, frozen=True, rename={"duration_ms": "ms", "targets": "who"}):
+    """One fault from `at_ms` after the schedule's start, for `duration_ms`, on the directors `targets`."""
+
     at_ms: float
-    ms: float
-    kind: str
-    who: tuple[str, ...]
+    duration_ms: float
+    kind: FaultKind
+    targets: tuple[str, ...]
     amount: float = 0.0
 
 
-def generate(seed: int, names: tuple[str, ...], length_ms: float, count: int,
-             kinds: tuple[str, ...] = KINDS) -> list[Fault]:  # fmt: skip
+class Schedule(msgspec.Struct, frozen=True):
+    """A schedule file: one table `fault` for each fault."""
+
+    fault: list[Fault] = []
+
+
+def generate_schedule(
+    seed: int,
+    names: tuple[str, ...],
+    length_ms: float,
+    count: int,
+    kinds: tuple[FaultKind, ...] = GENERATED_KINDS,
+) -> list[Fault]:
+    """Draws `count` faults on the directors `names`, in the order of their start."""
     rng = random.Random(seed)
-    faults = []
-    for _ in range(count):
-        kind = rng.choice(kinds)
-        concerned = 2 if kind in ("link", "flap") else 1
-        if kind == "partition":
-            concerned = rng.randint(1, (len(names) - 1) // 2)
-        who = tuple(rng.sample(names, concerned))
-        amount = rng.uniform(0.05, 0.3) if kind in ("loss", "double") else rng.uniform(20.0, 200.0)
-        faults.append(Fault(rng.uniform(2_000.0, length_ms - 4_000.0), rng.uniform(500.0, 3_000.0), kind, who,
-                            round(amount, 3)))  # fmt: skip
+    faults = [_draw_fault(rng, names, length_ms, kinds) for _ in range(count)]
     return sorted(faults, key=lambda fault: fault.at_ms)
 
 
-def dump(faults: list[Fault]) -> str:
-    return tomli_w.dumps({"fault": [{**asdict(fault), "who": list(fault.who)} for fault in faults]})
+def _draw_fault(
+    rng: random.Random, names: tuple[str, ...], length_ms: float, kinds: tuple[FaultKind, ...]
+) -> Fault:
+    kind = rng.choice(kinds)
+    target_count = 2 if kind in (FaultKind.LINK, FaultKind.FLAP) else 1
+    if kind is FaultKind.PARTITION:
+        target_count = rng.randint(1, (len(names) - 1) // 2)
+    targets = tuple(rng.sample(names, target_count))
+    amount_range = FRACTION_RANGE if kind in (FaultKind.LOSS, FaultKind.DUPLICATE) else DELAY_RANGE_MS
+    amount = rng.uniform(*amount_range)
+    at_ms = rng.uniform(MIN_START_MS, length_ms - END_MARGIN_MS)
+    duration_ms = rng.uniform(*DURATION_RANGE_MS)
+    return Fault(at_ms, duration_ms, kind, targets, round(amount, 3))
 
 
-def load(path: Path) -> list[Fault]:
-    """A schedule from its file; `KeyError`, `TypeError` or `ValueError` for one that is no schedule."""
-    table = tomllib.loads(path.read_text(encoding="utf-8"))
-    faults = [Fault(float(f["at_ms"]), float(f["ms"]), str(f["kind"]), tuple(map(str, f["who"])),
-                    float(f.get("amount", 0.0))) for f in table.get("fault", [])]  # fmt: skip
-    if unknown := {fault.kind for fault in faults} - {*KINDS, *LINKS}:
-        raise ValueError(f"no such kind of fault: {sorted(unknown)}")
-    return sorted(faults, key=lambda fault: fault.at_ms)
+def encode_schedule(faults: list[Fault]) -> str:
+    """Renders a schedule as the text of its file."""
+    return tomli_w.dumps(msgspec.to_builtins(Schedule(faults)))
+
+
+def load_schedule(path: Path) -> list[Fault]:
+    """Reads a schedule's file; the faults come in the order of their start.
+
+    Raises:
+        ConfigError: The file cannot be read or is no schedule.
+    """
+    return sorted(load_toml(path, Schedule).fault, key=lambda fault: fault.at_ms)
 
 
-def pairs_of(fault: Fault, names: tuple[str, ...]) -> set[Pair]:
-    """The ordered pairs of directors whose paths a fault is on."""
-    who, every = fault.who, {(a, b) for a in names for b in names if a != b}
+def affected_pairs(fault: Fault, names: tuple[str, ...]) -> set[Pair]:
+    """Returns the ordered pairs (sender, receiver) of directors whose paths a fault changes."""
+    targets = fault.targets
+    every = {(sender, receiver) for sender in names for receiver in names if sender != receiver}
     match fault.kind:
-        case "cut_out":
-            return {(a, b) for a, b in every if a == who[0]}
-        case "cut_in":
-            return {(a, b) for a, b in every if b == who[0]}
-        case "partition":
-            return {(a, b) for a, b in every if (a in who) != (b in who)}
-        case "link":
-            return {(who[0], who[1])}
-        case "flap":
-            return {(who[0], who[1]), (who[1], who[0])}
-        case "loss" | "double" | "delay":
+        case FaultKind.CUT_OUT:
+            return {pair for pair in every if pair[0] == targets[0]}
+        case FaultKind.CUT_IN:
+            return {pair for pair in every if pair[1] == targets[0]}
+        case FaultKind.PARTITION:
+            return {pair for pair in every if (pair[0] in targets) != (pair[1] in targets)}
+        case FaultKind.LINK:
+            return {(targets[0], targets[1])}
+        case FaultKind.FLAP:
+            return {(targets[0], targets[1]), (targets[1], targets[0])}
+        case FaultKind.LOSS | FaultKind.DUPLICATE | FaultKind.DELAY:
             return every
-    return set()
+        case FaultKind.PAUSE | FaultKind.KILL | FaultKind.STOP:
+            return set()
--- a/gladewalk/rehearsal/member_faults.py
+++ b/gladewalk/rehearsal/member_faults.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from ..faultnet.schedule import Fault, Pair, pairs_of
+from ..faultnet.schedule import Fault, FaultKind, Pair, affected_pairs
 from .member_network import MemberNetwork
 
 END_MS = 1.0  # after the last fault, so that its end has been played
@@ -26,28 +26,28 @@
         """Begins a fault and schedules its end."""
         network = self._network
         match fault.kind:
-            case "pause":
-                network.pause(fault.who[0], fault.ms)
-            case "kill":
-                self._stop(fault.who[0], fault.ms)
-            case "stop":
-                node = network.nodes[fault.who[0]]
+            case FaultKind.PAUSE:
+                network.pause(fault.targets[0], fault.duration_ms)
+            case FaultKind.KILL:
+                self._stop(fault.targets[0], fault.duration_ms)
+            case FaultKind.STOP:
+                node = network.nodes[fault.targets[0]]
                 network.carry_out(node, node.core.leave())
-                self._stop(fault.who[0], fault.ms)
-            case "loss":
+                self._stop(fault.targets[0], fault.duration_ms)
+            case FaultKind.LOSS:
                 network.loss_rate = fault.amount
-                network.schedule(fault.ms, self._end_loss)
-            case "double":
+                network.schedule(fault.duration_ms, self._end_loss)
+            case FaultKind.DUPLICATE:
                 network.duplicate_rate = fault.amount
-                network.schedule(fault.ms, self._end_duplication)
-            case "delay":
+                network.schedule(fault.duration_ms, self._end_duplication)
+            case FaultKind.DELAY:
                 network.delay_range_ms = (fault.amount, 2.0 * fault.amount)
-                network.schedule(fault.ms, self._end_delay)
-            case "flap":
-                self._flap(fault, network.now_ms + fault.ms, 1)
+                network.schedule(fault.duration_ms, self._end_delay)
+            case FaultKind.FLAP:
+                self._flap(fault, network.now_ms + fault.duration_ms, 1)
             case _:
                 self._cut(fault, 1)
-                network.schedule(fault.ms, lambda: self._cut(fault, -1))
+                network.schedule(fault.duration_ms, lambda: self._cut(fault, -1))
 
     def _stop(self, name: str, down_ms: float) -> None:
         self._network.kill(name)
@@ -66,7 +66,7 @@
         self._network.delay_range_ms = self._usual_delay_range_ms
 
     def _cut(self, fault: Fault, by: int) -> None:
-        for pair in pairs_of(fault, self._names):
+        for pair in affected_pairs(fault, self._names):
             self._cuts[pair] += by
 
     def _flap(self, fault: Fault, end_ms: float, by: int) -> None:
@@ -85,4 +85,4 @@
 
     for fault in faults:
         schedule(fault)
-    network.run(max(fault.at_ms + fault.ms for fault in faults) + END_MS)
+    network.run(max(fault.at_ms + fault.duration_ms for fault in faults) + END_MS)
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -11,13 +11,19 @@
 from pathlib import Path
 
 from gladewalk.control.client import ControlError
-from gladewalk.faultnet.fleet import DUTIES
-from gladewalk.faultnet.nemesis import apply, play
-from gladewalk.faultnet.schedule import Fault, dump, generate, load
+from gladewalk.faultnet.fleet import LEASE_NAMES
+from gladewalk.faultnet.nemesis import play_fault, play_schedule
+from gladewalk.faultnet.schedule import Fault, FaultKind, encode_schedule, generate_schedule, load_schedule
 from gladewalk.store.maintenance import dump_store
 from tests.fleetworld import Fleets, wall_ms
 
-KINDS = ("loss", "double", "delay", "pause", "cut_out")  # of the schedule that is played from its file
+KINDS = (  # of the schedule that is played from its file
+    FaultKind.LOSS,
+    FaultKind.DUPLICATE,
+    FaultKind.DELAY,
+    FaultKind.PAUSE,
+    FaultKind.CUT_OUT,
+)
 
 
 class Leases(Fleets):
@@ -27,7 +33,7 @@
         for turn in range(4):
             holder = await self.held_since(wall_ms())
             victim = next(name for name in fleet.names if name != holder)
-            given = asyncio.ensure_future(fleet.ask(holder, "hand_on", duty="purge"))
+            given = asyncio.ensure_future(fleet.query(holder, "hand_on", duty="purge"))
             # The others become candidates at one moment; one of them dies while it grants or is granted.
             await asyncio.sleep(0.004 * turn)
             await fleet.kill(victim)
@@ -54,10 +60,10 @@
 
     async def test_one_sided_cuts_either_way_hand_the_duty_on_and_never_two_act(self) -> None:
         fleet = await self.start(3)
-        for cut in ("cut_out", "cut_in"):
+        for cut in (FaultKind.CUT_OUT, FaultKind.CUT_IN):
             victim = await self.held_since(0.0)
             begun = wall_ms()
-            await apply(fleet, Fault(0.0, 4_000.0, cut, (victim,)))
+            await play_fault(fleet, Fault(0.0, 4_000.0, cut, (victim,)))
             assert victim not in self.actors(begun + 2_500.0, begun + 4_000.0), cut
             assert self.actors(begun + 2_500.0, begun + 4_000.0), cut
             await self.held_since(wall_ms())
@@ -68,7 +74,7 @@
         victim = await self.held_since(0.0)
         side = (victim, next(name for name in fleet.names if name != victim))
         begun = wall_ms()
-        await apply(fleet, Fault(0.0, 5_000.0, "partition", side))
+        await play_fault(fleet, Fault(0.0, 5_000.0, FaultKind.PARTITION, side))
         during = self.actors(begun + 2_500.0, begun + 5_000.0)
         assert during and not during & set(side), during
         assert self.verdict().is_safe, self.verdict()
@@ -97,7 +103,7 @@
         await asyncio.sleep(1.0)
         await fleet.kill(other)  # an elector that granted: its saves are read again at its start
         kept = [line for line in dump_store(Path(self.folder.name) / f"{other}.store") if '"grant"' in line]
-        assert len(kept) == len(DUTIES), kept
+        assert len(kept) == len(LEASE_NAMES), kept
         await fleet.start(other)
         assert await self.held_since(wall_ms())
         assert self.verdict().is_safe, self.verdict()
@@ -106,12 +112,12 @@
         self,
     ) -> None:
         fleet = await self.start(5, rates={"n0": 1.01, "n1": 0.99})
-        faults = generate(7, fleet.names, 12_000.0, 4, kinds=KINDS)
+        faults = generate_schedule(7, fleet.names, 12_000.0, 4, kinds=KINDS)
         path = Path(self.folder.name) / "schedule.toml"
-        path.write_text(dump(faults))
-        assert load(path) == faults == generate(7, fleet.names, 12_000.0, 4, kinds=KINDS)
-        await play(fleet, load(path))
+        path.write_text(encode_schedule(faults))
+        assert load_schedule(path) == faults == generate_schedule(7, fleet.names, 12_000.0, 4, kinds=KINDS)
+        await play_schedule(fleet, load_schedule(path))
         assert await self.held_since(wall_ms())
         verdict = self.verdict()
         assert verdict.is_safe and verdict.operations > 200, verdict
-        assert set(DUTIES) == {a.task for sink in fleet.sinks for a in sink.fence.records}
+        assert set(LEASE_NAMES) == {a.task for sink in fleet.resources for a in sink.fence.records}
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -12,11 +12,11 @@
 import time
 from pathlib import Path
 
-from gladewalk.faultnet.expected_failures import causes_of
+from gladewalk.faultnet.expected_failures import expected_failures
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.membership_cases import CASES, FaultCase
-from gladewalk.faultnet.nemesis import play
-from gladewalk.faultnet.schedule import Fault
+from gladewalk.faultnet.nemesis import play_schedule
+from gladewalk.faultnet.schedule import Fault, FaultKind
 from gladewalk.members.actions import MemberChange
 from gladewalk.members.config import MembershipConfig
 from gladewalk.members.history import (
@@ -38,11 +38,11 @@
 
 
 def all_met(fleet: Fleet) -> bool:
-    return convergence_time_ms(fleet.members_seen(), 0.0, fleet.names) is not None
+    return convergence_time_ms(fleet.observed_changes(), 0.0, fleet.names) is not None
 
 
 def starts(fleet: Fleet, name: str) -> int:
-    return sum(line["event"] == "members_listening" for line in fleet.log_of(name))
+    return sum(line["event"] == "members_listening" for line in fleet.read_log(name))
 
 
 async def run_case(case: FaultCase, n: int = 5) -> str:
@@ -58,15 +58,15 @@
                 return f"{case.name}: they never met"
             await asyncio.sleep(1.0)
             begun, faults = time.time() * 1000.0, case.faults(fleet.names)
-            await play(fleet, faults)
-            if case.kind == "kill":  # a busy machine takes its time to start it; until then all agree
-                await until_true(lambda: starts(fleet, faults[0].who[0]) == 2, 60.0)
+            await play_schedule(fleet, faults)
+            if case.kind == FaultKind.KILL:  # a busy machine takes its time to start it; until then all agree
+                await until_true(lambda: starts(fleet, faults[0].targets[0]) == 2, 60.0)
             if not await until_true(lambda: all_met(fleet), 30.0):
-                return f"{case.name}: no one roster afterwards: {told(fleet.members_seen())}"
+                return f"{case.name}: no one roster afterwards: {told(fleet.observed_changes())}"
             await asyncio.sleep(1.0)  # and it stays so
-            seen = fleet.members_seen()
-            wrong = unexpected_deaths(seen, causes_of(faults, fleet.names, begun, STALL_MS))
-            victim = faults[0].who[0] if faults[0].who else ""
+            seen = fleet.observed_changes()
+            wrong = unexpected_deaths(seen, expected_failures(faults, fleet.names, begun, STALL_MS))
+            victim = faults[0].targets[0] if faults[0].targets else ""
             found = detection_times_ms(seen, victim, begun, set(fleet.names) - {victim})
             if wrong or (case.must_be_found_dead and len(found) < n - 1) or not all_met(fleet):
                 return f"{case.name}: wrong {wrong}, found dead by {found}: {told(seen)}"
@@ -96,7 +96,7 @@
         try:
             assert await until_true(
                 lambda: any(
-                    s.change is MemberChange.STALLED and s.observer == "n0" for s in fleet.members_seen()
+                    s.change is MemberChange.STALLED and s.observer == "n0" for s in fleet.observed_changes()
                 )
             )
             code, said = await asyncio.to_thread(command, fleet, "members", "--json", "n0")
@@ -108,11 +108,11 @@
         cleared = [MemberChange.CLEARED]
         assert await until_true(
             lambda: (
-                [s.change for s in fleet.members_seen() if (s.observer, s.member) == ("n0", "n2")][-1:]
+                [s.change for s in fleet.observed_changes() if (s.observer, s.member) == ("n0", "n2")][-1:]
                 == cleared
             )
         )
-        (line,) = [x for x in fleet.log_of("n0") if x["event"] == "member_stalled" and x["member"] == "n2"]
+        (line,) = [x for x in fleet.read_log("n0") if x["event"] == "member_stalled" and x["member"] == "n2"]
         assert line["knocked"] == "silent" and "n0" in line["accusers"] + ["n0"]
 
 
@@ -135,8 +135,8 @@
             assert await until_true(lambda: all_met(fleet) and len(probed) == len(boxes), 30.0)
             await asyncio.sleep(2.0)
             begun = time.monotonic() * 1000.0
-            for kind in ("pause", "kill", "cut_out"):
-                await play(fleet, [Fault(0.0, 5_000.0, kind, ("n2",))])
+            for kind in (FaultKind.PAUSE, FaultKind.KILL, FaultKind.CUT_OUT):
+                await play_schedule(fleet, [Fault(0.0, 5_000.0, kind, ("n2",))])
                 assert await until_true(lambda: all_met(fleet), 30.0), kind
             ended = time.monotonic() * 1000.0
             gaps = {
@@ -165,11 +165,11 @@
                 faults = case.faults(names)
                 play_in_memory(net, faults)
                 net.run(15_000.0)
-                wrong = unexpected_deaths(net.observed, causes_of(faults, names, begun, STALL_MS))
+                wrong = unexpected_deaths(net.observed, expected_failures(faults, names, begun, STALL_MS))
                 assert not wrong, (case.name, size, seed, wrong[:4])
                 assert convergence_time_ms(net.observed, begun, names) is not None, (case.name, size, seed)
                 if case.must_be_found_dead:
-                    victim = faults[0].who[0]
+                    victim = faults[0].targets[0]
                     found = detection_times_ms(net.observed, victim, begun, set(names) - {victim})
                     assert len(found) == size - 1, (case.name, size, seed, found)
 
--- a/tests/test_fleet_works.py
+++ b/tests/test_fleet_works.py
@@ -7,8 +7,8 @@
 
 from gladewalk.control.client import ControlError
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.nemesis import apply
-from gladewalk.faultnet.schedule import Fault
+from gladewalk.faultnet.nemesis import play_fault
+from gladewalk.faultnet.schedule import Fault, FaultKind
 from gladewalk.rehearsal.peers import ScriptedPeer, read_message, request
 from tests.fleetworld import Fleets, until_true, wall_ms
 from tests.test_ops import hit
@@ -40,11 +40,11 @@
         # the director that took the order right after its acknowledgement.
         for hub in fleet.hubs:
             hub.is_deaf = True
-        ids = [(await fleet.ask(other, "purge", what=f"g:{n}"))["id"] for n in range(9)]
+        ids = [(await fleet.query(other, "purge", what=f"g:{n}"))["id"] for n in range(9)]
 
         async def acknowledged() -> None:
             for id in ids:
-                while not (await fleet.ask(other, "order", id=id))["acknowledged"]:
+                while not (await fleet.query(other, "order", id=id))["acknowledged"]:
                     await asyncio.sleep(0.02)
 
         await asyncio.wait_for(acknowledged(), 8.0)
@@ -61,7 +61,7 @@
         while open_orders:
             await asyncio.sleep(0.1)
             try:
-                open_orders = (await fleet.ask(other, "leases"))["works"]["orders_open"]
+                open_orders = (await fleet.query(other, "leases"))["works"]["orders_open"]
             except ControlError:
                 continue
         assert self.verdict().is_safe, self.verdict()
@@ -70,7 +70,7 @@
         fleet = await self.start(3)
         holder = await self.held_since(wall_ms())  # it could forward at once: what hubs took needs no keepers
         alone = next(name for name in fleet.names if name != holder)
-        parted = asyncio.ensure_future(apply(fleet, Fault(0.0, 4_000.0, "partition", (alone,))))
+        parted = asyncio.ensure_future(play_fault(fleet, Fault(0.0, 4_000.0, FaultKind.PARTITION, (alone,))))
         await asyncio.sleep(0.2)
         code, said = await asyncio.to_thread(command, fleet, "purge", "--wait-s", "1", "o:1", alone)
         assert code == 1 and f"kept by {alone}" in said, said
@@ -103,7 +103,7 @@
         try:
             fleet = await self.start(3, peers=(cache,))
             for name, count in (("n0", 7), ("n1", 5)):
-                serving = next(line for line in fleet.log_of(name) if line["event"] == "serving")
+                serving = next(line for line in fleet.read_log(name) if line["event"] == "serving")
                 for n in range(count):
                     reader, writer = await asyncio.open_connection(*serving["listen"])
                     writer.write(request(f"/invoke/lot-page/a{n}?nth=0"))
--- a/tests/test_golden_rehearsal.py
+++ b/tests/test_golden_rehearsal.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from h2.config import H2Configuration
 from h2.connection import H2Connection
@@ -23,12 +24,19 @@
 
 import gladewalk
 from gladewalk.faultnet import fleet as fleet_module
-from gladewalk.faultnet.expected_failures import causes_of
+from gladewalk.faultnet.expected_failures import expected_failures
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.nemesis import effect_of
-from gladewalk.faultnet.relay import Effect
-from gladewalk.faultnet.relay import Path as NetworkPath
-from gladewalk.faultnet.schedule import KINDS, LINKS, Fault, dump, generate, load, pairs_of
+from gladewalk.faultnet.nemesis import path_effect
+from gladewalk.faultnet.relay import NetworkPath, PathEffect
+from gladewalk.faultnet.schedule import (
+    GENERATED_KINDS,
+    Fault,
+    FaultKind,
+    affected_pairs,
+    encode_schedule,
+    generate_schedule,
+    load_schedule,
+)
 from gladewalk.rehearsal.h2box import Asked, Breaker, H2Box
 from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for, request
 from gladewalk.rehearsal.virtual.hunt import hunt
@@ -43,6 +51,7 @@
 ROOT = Path(__file__).parent.parent
 GOLDEN = Path(__file__).parent / "golden"
 READY = sorted((ROOT / "scenarios").glob("*.toml"))
+LINK_KINDS = (FaultKind.LINK, FaultKind.FLAP, FaultKind.DUPLICATE)
 NAMES = ("n0", "n1", "n2", "n3", "n4")
 FINDING_SEED = 1
 SHORT = """
@@ -154,6 +163,8 @@
 
 def plain(value: Any) -> Any:
     """A value of any class as JSON has it, without the names of its fields."""
+    if isinstance(value, msgspec.Struct):
+        return [plain(one) for one in msgspec.structs.astuple(value)]
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return [plain(getattr(value, field.name)) for field in dataclasses.fields(value)]
     if isinstance(value, set | frozenset):
@@ -166,28 +177,35 @@
 def schedules(folder: Path) -> dict[str, Any]:
     path = folder / "schedule.toml"
     path.write_text(WRITTEN)
-    faults = [Fault(1_000.0 * n, 700.0, kind, ("n1", "n3"), 0.25) for n, kind in enumerate((*KINDS, *LINKS))]
+    faults = [
+        Fault(1_000.0 * n, 700.0, kind, ("n1", "n3"), 0.25)
+        for n, kind in enumerate((*GENERATED_KINDS, *LINK_KINDS))
+    ]
     return {
-        "generated": [dump(generate(seed, NAMES, 30_000.0, 8)) for seed in (1, 7)],
-        "generated_links": dump(generate(3, NAMES, 20_000.0, 6, LINKS)),
-        "read": plain(load(path)),
-        "written_again": dump(load(path)),
-        "pairs": [plain(pairs_of(fault, NAMES)) for fault in faults],
-        "effects": [plain(effect_of(fault)) for fault in faults],
-        "expected_failures": plain(causes_of(faults, NAMES, 50_000.0, 300.0)),
+        "generated": [encode_schedule(generate_schedule(seed, NAMES, 30_000.0, 8)) for seed in (1, 7)],
+        "generated_links": encode_schedule(generate_schedule(3, NAMES, 20_000.0, 6, LINK_KINDS)),
+        "read": plain(load_schedule(path)),
+        "written_again": encode_schedule(load_schedule(path)),
+        "pairs": [plain(affected_pairs(fault, NAMES)) for fault in faults],
+        "effects": [plain(path_effect(fault)) for fault in faults],
+        "expected_failures": plain(expected_failures(faults, NAMES, 50_000.0, 300.0)),
     }
 
 
 def paths() -> dict[str, Any]:
     """What a path draws out of one seed for each datagram."""
     rng = random.Random(9)
-    effects = [Effect(loss=0.2), Effect(double=0.3, delay_ms=5.0, jitter_ms=20.0), Effect(delay_ms=1.0)]
+    effects = [
+        PathEffect(loss_rate=0.2),
+        PathEffect(duplicate_rate=0.3, delay_ms=5.0, jitter_ms=20.0),
+        PathEffect(delay_ms=1.0),
+    ]
     path = NetworkPath(effects)
     return {
-        "drops": [path.drops(rng) for _ in range(40)],
-        "copies": [path.copies(rng) for _ in range(40)],
-        "waits": [path.wait_ms(rng) for _ in range(10)],
-        "cut": NetworkPath([*effects, Effect(cut=True)]).drops(rng),
+        "drops": [path.draw_loss(rng) for _ in range(40)],
+        "copies": [path.draw_copies(rng) for _ in range(40)],
+        "waits": [path.draw_delay_ms(rng) for _ in range(10)],
+        "cut": NetworkPath([*effects, PathEffect(is_cut=True)]).draw_loss(rng),
     }
 
 
@@ -198,7 +216,7 @@
         patch.setattr(fleet_module, "free_port", lambda: next(ports))
         fleet = Fleet(folder, NAMES[:3], {}, 5, {"promise_ms": 900.0}, {"period_ms": 200.0}, {"x": {"y": 1}})
         bare = Fleet(folder, NAMES[:2], {}, 5, None)
-    return {"n1": fleet.options_of("n1", 1.25), "bare": bare.options_of("n0", 1.0)}
+    return {"n1": fleet.build_options("n1", 1.25), "bare": bare.build_options("n0", 1.0)}
 
 
 # Bytes of the stand-in servers, on the virtual loop.
--- a/tests/test_members_busy.py
+++ b/tests/test_members_busy.py
@@ -6,8 +6,9 @@
 import msgspec
 import pytest
 
-from gladewalk.faultnet.expected_failures import causes_of
+from gladewalk.faultnet.expected_failures import expected_failures
 from gladewalk.faultnet.membership_cases import CASES
+from gladewalk.faultnet.schedule import FaultKind
 from gladewalk.members.actions import ProbeOutcome, SendDatagram
 from gladewalk.members.config import MembershipConfig
 from gladewalk.members.history import unexpected_deaths
@@ -36,7 +37,7 @@
 
 @pytest.mark.parametrize("most_ms", [200.0, 400.0, 580.0])
 def test_a_link_cut_one_way_costs_nobody_its_place_on_a_busy_host(most_ms: float) -> None:
-    (case,) = (case for case in CASES if case.kind == "link")
+    (case,) = (case for case in CASES if case.kind == FaultKind.LINK)
     for seed in range(6):
         net = busy_cluster(5, seed, most_ms)
         begun, names = net.now_ms, tuple(net.nodes)
@@ -44,7 +45,7 @@
         play(net, faults)
         net.run(12_000.0)
         assert not unexpected_deaths(
-            net.observed, causes_of(faults, names, begun, MembershipConfig().max_stall_ms)
+            net.observed, expected_failures(faults, names, begun, MembershipConfig().max_stall_ms)
         ), (
             most_ms,
             seed,
