--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -72,7 +72,7 @@
     fault = msgspec.structs.replace(fault, at_ms=0.0, duration_ms=FAULT_MS, targets=targets)
     begun = time.time() * 1000.0
     applied = asyncio.ensure_future(play_fault(fleet, fault))
-    well = next(name for name in fleet.names if name not in who)
+    well = next(name for name in fleet.names if name not in targets)
     ordered = asyncio.ensure_future(order(fleet, well))
     if fault.kind not in (FaultKind.LOSS, FaultKind.DELAY):
         times[fault.kind, len(fleet.names)].append(await handover_ms(fleet, begun, holder))
