--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -28,27 +28,13 @@
 from .recovery import DroppedTail
 from .row_codecs import FEED_SPACE, PURGE_SPACE, SERVER_SPACE, FeedPosition, Row
 from .segmented_log import LogConfig, SegmentedLog
+from .status import StoreStatus
 from .writer import LogEvent, StoreWriter
 
 TORN_WRITE_EVENT = "store dropped a cut write"
 MAX_SNAPSHOT_ROW_BYTES = MAX_PAYLOAD_BYTES // 2  # a larger partition is not stored
 
 
-class StoreStatus(msgspec.Struct, frozen=True):
-    """What is stored and how much of it is durable, for the control socket; the field names are its keys."""
-
-    policy: str
-    feed: int
-    durable: int
-    sequence: int
-    keys: int
-    bytes: int
-    segments: int
-    compactions: int
-    refused_by_disk: bool
-    purges: list[str]
-
-
 class PersistenceService:
     """One director's store.
 
@@ -65,19 +51,19 @@
         assert table is not None
         self._settle_ms, self._clock, self._counters, self._deadlines = settle_ms, clock, counters, deadlines
         self._exchange: Exchange | None = None
-        self._snapshot_interval_ms, self._partition = table.warm_ms, -1
-        self._is_resumed, self._position = table.resume, FeedPosition(0)
+        self._snapshot_interval_ms, self._partition = table.snapshot_interval_ms, -1
+        self._is_resumed, self._position = table.resumes_feed, FeedPosition(0)
         self._has_lost_row = False  # the disk rejected a row of the feed, so its position stands still
         path = options.file(table.folder)
         try:
             self.directory = StoreDirectory(path)
-            config = LogConfig(table.segment_bytes, table.limit_bytes)
+            config = LogConfig(table.segment_bytes, table.max_bytes)
             self.log = SegmentedLog(self.directory, clock, config)
         except (StoreFileError, OSError) as error:
             raise ConfigError(f"{options.path}: store.folder: {error}") from error
         for tail in self.log.recovered.dropped:
             log_event(TORN_WRITE_EVENT, _describe(tail))
-        self.writer = StoreWriter(self.log, table.policy, table.group_ms, counters, log_event)
+        self.writer = StoreWriter(self.log, table.policy, table.group_commit_ms, counters, log_event)
 
     def restore(self, feed: EndpointFeed) -> None:
         """Restores what the last run knew into the feed and the policy module, before anything is served."""
@@ -86,7 +72,7 @@
         for purge in purges:
             feed.exchange.purge(purge)
         server_count = self._restore_servers(feed)
-        core = feed.exchange.core
+        core = feed.exchange.dispatcher
         lease_count = restore_leases(core, self.log.items(LEASE_SPACE), now_ms)
         restored = warm_start.restore_snapshot(core, self.log.items(warm_start.SNAPSHOT_SPACE), now_ms)
         self._counters.add("store.purges_restored", len(purges))
@@ -114,7 +100,7 @@
         feed.on_event, self._exchange = self.record_event, feed.exchange
         feed.exchange.resolutions.persist = self.record_leases
         if self._snapshot_interval_ms:
-            self._record_partition(feed.exchange.core)
+            self._record_partition(feed.exchange.dispatcher)
 
     async def close(self) -> None:
         """Writes what is pending and releases the directory."""
@@ -128,7 +114,7 @@
         assert self._exchange is not None
         acknowledgements = []
         for server in servers:
-            lease = find_lease(self._exchange.core, question, server)
+            lease = find_lease(self._exchange.dispatcher, question, server)
             if lease is not None:
                 row = Row(LEASE_SPACE, lease.row_key, encode_lease(lease), lease.expires_at_ms)
                 acknowledgements.append(self._write(row))
@@ -183,14 +169,14 @@
         ]
         status = StoreStatus(
             policy=self.writer.policy,
-            feed=self._position.event_index,
-            durable=log.durable_sequence,
-            sequence=log.index.last_sequence,
-            keys=len(log.index.entries),
-            bytes=log.total_bytes,
-            segments=len(log.segments),
-            compactions=log.compaction_count,
-            refused_by_disk=self.writer.is_failing,
+            feed_index=self._position.event_index,
+            durable_sequence=log.durable_sequence,
+            last_sequence=log.index.last_sequence,
+            key_count=len(log.index.entries),
+            size_bytes=log.total_bytes,
+            segment_count=len(log.segments),
+            compaction_count=log.compaction_count,
+            is_disk_failing=self.writer.is_failing,
             purges=sorted(durable_purges),
         )
         view: dict[str, Any] = msgspec.to_builtins(status)
