--- a/benchmarks/box.py
+++ b/benchmarks/box.py
@@ -12,7 +12,7 @@
 import httptools
 import uvloop
 
-from gladewalk.rehearsal.h2box import Asked, H2Box
+from gladewalk.rehearsal.scripted_http2_server import Http2Request, ScriptedHttp2Server
 
 
 class PlainBox(asyncio.Protocol):
@@ -46,7 +46,7 @@
         address = f"{host}:{port}"
     else:
 
-        def later(asked: Asked) -> None:
+        def later(asked: Http2Request) -> None:
             loop.call_later(delay_s, lambda: asked.answer(200, body))
 
         context = None
@@ -54,7 +54,11 @@
             context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
             context.load_cert_chain(f"{folder}/box.pem", f"{folder}/box.key")
             context.set_alpn_protocols(["h2"])
-        address = (await H2Box(later, uid, limit=256, tls=context, keeps=False).start()).address
+        address = (
+            await ScriptedHttp2Server(
+                later, uid, max_concurrent_streams=256, tls=context, keeps_records=False
+            ).start()
+        ).address
     print(address, flush=True)
     await asyncio.Event().wait()
 
--- a/benchmarks/director_process.py
+++ b/benchmarks/director_process.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from gladewalk.control.client import ControlError, query_director
-from gladewalk.rehearsal.peers import read_message, request
+from gladewalk.rehearsal.http_messages import encode_request, read_message
 
 CLIENT_TIMEOUT_SECONDS = 2.0
 REQUEST_TIMEOUT_MS = 500.0
@@ -79,7 +79,7 @@
             reader, writer = await asyncio.open_connection(*self.address)
             try:
                 path, trace = f"/invoke/lot-page/{name}?nth=0", f"{number:016x}"
-                writer.write(request(path, trace=trace, wait_ms=REQUEST_TIMEOUT_MS))
+                writer.write(encode_request(path, trace=trace, wait_ms=REQUEST_TIMEOUT_MS))
                 await asyncio.wait_for(read_message(reader), CLIENT_TIMEOUT_SECONDS)
             finally:
                 writer.close()
--- a/benchmarks/dns_load.py
+++ b/benchmarks/dns_load.py
@@ -30,7 +30,9 @@
 import dns.message
 import trustme
 
-from gladewalk.rehearsal.peers import SETTINGS, Coordinator, ScriptedPeer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import SETTINGS, config_for
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 
 from .director_process import DirectorProcess
 from .store_served import serve
@@ -186,9 +188,11 @@
     return sorted(waits)
 
 
-async def with_director(folder: Path, more: str) -> tuple[DirectorProcess, list[ScriptedPeer], Coordinator]:
+async def with_director(folder: Path, more: str) -> tuple[DirectorProcess, list[ScriptedServer], Coordinator]:
     coordinator = await Coordinator().start()
-    peers = [await ScriptedPeer(serve, f"c{n}", size=1e6, host=f"127.0.0.{n + 2}").start() for n in range(3)]
+    peers = [
+        await ScriptedServer(serve, f"c{n}", capacity=1e6, host=f"127.0.0.{n + 2}").start() for n in range(3)
+    ]
     run = DirectorProcess(folder, "none")
     (folder / "own.toml").write_text(
         f"[dns]\nlisten = '127.0.0.1:0'\nzone = '{ZONE}'\nown_address = '127.0.0.1'\n"
--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -26,7 +26,9 @@
 
 from gladewalk.control.client import query_director
 from gladewalk.faultnet.relay import free_port
-from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 QUIET_SECONDS = 30.0
 SETTLE_SECONDS = 3.0  # after a start, until all know one another and each task has one owner
@@ -49,10 +51,10 @@
     def __init__(self) -> None:
         self.checks: dict[str, list[ReceivedCheck]] = {}  # by server
 
-    async def answer(self, request: Heard) -> None:
+    async def answer(self, request: ReceivedRequest) -> None:
         """Records a check and answers it."""
         check = ReceivedCheck(time.monotonic(), request.writer)
-        self.checks.setdefault(request.peer.uid, []).append(check)
+        self.checks.setdefault(request.server.uid, []).append(check)
         await request.answer(200, X_Meter="util:0.2")
 
 
@@ -169,7 +171,7 @@
 async def play(directors: int, servers: int, kills: int, interval_ms: float, loss: float) -> None:
     """Starts the fleet, measures it quiet and over the kills, and prints the figures."""
     recorder, coordinator = CheckRecorder(), await Coordinator().start()
-    peers = [await ScriptedPeer(recorder.answer, f"c{number}").start() for number in range(servers)]
+    peers = [await ScriptedServer(recorder.answer, f"c{number}").start() for number in range(servers)]
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(Path(folder), config_for(peers, coordinator), interval_ms, loss)
         takeovers_ms: list[float] = []
--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -26,7 +26,8 @@
 from gladewalk.faultnet.nemesis import play_fault
 from gladewalk.faultnet.schedule import Fault, FaultKind, generate_schedule
 from gladewalk.leases.history import Verdict
-from gladewalk.rehearsal.peers import Coordinator, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
 
 SETTLE_S = 2.0
 FAULT_MS = 2_500.0
--- a/benchmarks/h2_engine.py
+++ b/benchmarks/h2_engine.py
@@ -17,7 +17,7 @@
 from hpack import NeverIndexedHeaderTuple
 
 from gladewalk.config.option_tables import Http2Options
-from gladewalk.rehearsal.h2box import HEAD
+from gladewalk.rehearsal.scripted_http2_server import RESPONSE_HEADERS
 from gladewalk.upstream.engine import Engine
 
 
@@ -48,7 +48,7 @@
         spent["request"] += time.perf_counter() - started
         for event in server.receive_data(out):
             if isinstance(event, RequestReceived):
-                head = [(":status", "200"), *HEAD.items(), ("content-length", str(len(body)))]
+                head = [(":status", "200"), *RESPONSE_HEADERS.items(), ("content-length", str(len(body)))]
                 server.send_headers(stream, head)
                 for start in range(0, len(body), 16_384):
                     piece = body[start : start + 16_384]
--- a/benchmarks/http2_cost.py
+++ b/benchmarks/http2_cost.py
@@ -29,7 +29,9 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
-from gladewalk.rehearsal.peers import SETTINGS, Coordinator, ScriptedPeer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import SETTINGS, config_for
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 
 DELAY_MS = 25.0
 BOXES = 3
@@ -154,7 +156,7 @@
     def director(self, kind: str, boxes: list[str], coordinator: Coordinator) -> tuple[int, str]:
         # Sizes that no load here crowds: what is measured is the way, not the module's guards.
         peers = [
-            ScriptedPeer(None, f"c{n}", size=10_000.0, address=box)  # type: ignore[arg-type]
+            ScriptedServer(None, f"c{n}", capacity=10_000.0, address=box)  # type: ignore[arg-type]
             for n, box in enumerate(boxes)
         ]
         config = config_for(peers, coordinator, SETTINGS)
--- a/benchmarks/lease_kills.py
+++ b/benchmarks/lease_kills.py
@@ -24,8 +24,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from gladewalk.rehearsal.peers import SETTINGS, Coordinator, Heard, ScriptedPeer, config_for
-from gladewalk.rehearsal.resolver import Resolver
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import SETTINGS, config_for
+from gladewalk.rehearsal.resolver import StubResolver
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 from .director_process import DirectorProcess
 
@@ -51,7 +53,7 @@
     requests_ms: list[float] = field(default_factory=list)
     answers_ms: dict[tuple[str, str], float] = field(default_factory=dict)  # by resolver and name
 
-    async def serve(self, request: Heard) -> None:
+    async def serve(self, request: ReceivedRequest) -> None:
         """Records a request and answers it."""
         self.requests_ms.append(wall_ms())
         await serve_warm(request)
@@ -70,7 +72,7 @@
         return highest
 
 
-async def serve_warm(request: Heard) -> None:
+async def serve_warm(request: ReceivedRequest) -> None:
     """Answers as a server at full capacity does."""
     await asyncio.sleep(TRANSFER_MS / 1_000.0)
     await request.answer(200, b"copy", X_Remark="mem")
@@ -78,7 +80,7 @@
 
 async def resolve(run: DirectorProcess, server: SlowStartServer, draw: random.Random, source: str) -> None:
     """Asks for ever new names as a resolver that caches whatever it receives, until the run ends."""
-    resolver = Resolver(run.dns, hold_s=3_600.0, source=source)
+    resolver = StubResolver(run.dns, min_cache_s=3_600.0, source_host=source)
     while run.is_up:
         name = f"0.{draw.getrandbits(40):x}.lot-page.cdn.example."
         with contextlib.suppress(OSError, TimeoutError):
@@ -112,14 +114,14 @@
 async def play_round(folder: Path, draw: random.Random, runs: int, forget: bool) -> SlowStartServer:
     """Plays some runs of one director over one slow start."""
     server, coordinator = SlowStartServer(wall_ms()), await Coordinator().start()
-    starting = ScriptedPeer(
-        server.serve, "c0", size=CAPACITY, host=SLOW_START_HOST, boot_ms=server.started_at_ms
+    starting = ScriptedServer(
+        server.serve, "c0", capacity=CAPACITY, host=SLOW_START_HOST, boot_ms=server.started_at_ms
     )
     peers = [await starting.start()]
     for number in (1, 2):
         host = f"127.0.0.{number + 2}"
-        peers.append(await ScriptedPeer(serve_warm, f"c{number}", size=CAPACITY, host=host).start())
-    peers.append(await ScriptedPeer(serve_warm, "p1", "parent", "north", CAPACITY).start())
+        peers.append(await ScriptedServer(serve_warm, f"c{number}", capacity=CAPACITY, host=host).start())
+    peers.append(await ScriptedServer(serve_warm, "p1", "parent", "north", CAPACITY).start())
     config = json.loads(json.dumps(config_for(peers, coordinator, SETTINGS)))
     run = DirectorProcess(folder, "each")
     options_path = folder / "own.toml"
--- a/benchmarks/members_faults.py
+++ b/benchmarks/members_faults.py
@@ -36,9 +36,10 @@
     detection_times_ms,
     unexpected_deaths,
 )
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
 from gladewalk.rehearsal.member_faults import play as play_simulated
 from gladewalk.rehearsal.member_network import cluster
-from gladewalk.rehearsal.peers import Coordinator, config_for
 
 MAX_STALL_MS = MembershipConfig().max_stall_ms
 MAX_CONCURRENT_FLEETS = 4
--- a/benchmarks/silent_box.py
+++ b/benchmarks/silent_box.py
@@ -26,15 +26,10 @@
 from gladewalk.config.options import build_options, read_option_tables
 from gladewalk.config.platform import read_config
 from gladewalk.director import Director
-from gladewalk.rehearsal.peers import (
-    Coordinator,
-    Heard,
-    ScriptedPeer,
-    config_for,
-    read_message,
-    request,
-    until,
-)
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 BOXES = 12
 AIM_MS = 250.0  # as the rehearsal's settings have it for `lot-page`
@@ -54,10 +49,10 @@
     asked: int = 0
     probes: int = 0
 
-    async def script(self, heard: Heard) -> None:
+    async def script(self, heard: ReceivedRequest) -> None:
         if heard.path == "/load":
             self.probes += 1
-        if heard.peer.uid != self.silent:
+        if heard.server.uid != self.silent:
             return await heard.answer(200, b"page", X_Remark="mem", X_Meter="util:0.1;x0:0.9")
         if heard.path != "/load":
             self.sent += 1
@@ -65,7 +60,7 @@
         await asyncio.sleep(60.0)  # it took the request and says nothing
 
 
-async def start(round_: Round, count: int, peers: list[ScriptedPeer], coordinator: Coordinator) -> None:
+async def start(round_: Round, count: int, peers: list[ScriptedServer], coordinator: Coordinator) -> None:
     folder = Path(tempfile.mkdtemp())
     (folder / "keys").write_text("ab" * 32)
     (folder / "keys").chmod(0o600)
@@ -85,14 +80,14 @@
         round_.directors.append(director)
     if round_.shared:
         everywhere = [d.members.core for d in round_.directors if d.members is not None]
-        await until(lambda: all(len(core.live_weights()) == count for core in everywhere))
+        await wait_until(lambda: all(len(core.live_weights()) == count for core in everywhere))
 
 
 async def ask(round_: Round, director: Director, key: int) -> None:
     began = time.monotonic()
     reader, writer = await asyncio.open_connection(*director.front.address)
     try:
-        writer.write(request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
+        writer.write(encode_request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
         first, _, _ = await read_message(reader)
         status = int(first.split(" ")[1])
     except (OSError, asyncio.IncompleteReadError):
@@ -119,7 +114,7 @@
 async def play(shared: bool, directors: int, rate: float, seed: int) -> Round:
     draw, round_ = random.Random(seed), Round(shared)
     coordinator = await Coordinator().start()
-    peers = [await ScriptedPeer(round_.script, f"c{n}").start() for n in range(BOXES)]
+    peers = [await ScriptedServer(round_.script, f"c{n}").start() for n in range(BOXES)]
     await start(round_, directors, peers, coordinator)
     traffic = asyncio.create_task(load(round_, draw, rate))
     await asyncio.sleep(2.0 + draw.random())
--- a/benchmarks/store_kills.py
+++ b/benchmarks/store_kills.py
@@ -26,7 +26,9 @@
 from pathlib import Path
 from typing import Any
 
-from gladewalk.rehearsal.peers import SETTINGS, Coordinator, Heard, ScriptedPeer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import SETTINGS, config_for
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 from .director_process import DirectorProcess
 
@@ -44,7 +46,7 @@
     request_count: int = 0
     violation_count: int = 0
 
-    async def serve(self, heard: Heard) -> None:
+    async def serve(self, heard: ReceivedRequest) -> None:
         """Answers a request after a look at its bound."""
         name = heard.path.split("/")[3] if heard.path.count("/") > 3 else ""
         if name in self.purged_at_ms:
@@ -83,7 +85,7 @@
         self.restart_seconds: list[float] = []
         self.acknowledged_count = 0
 
-    async def play(self, peers: list[ScriptedPeer]) -> None:
+    async def play(self, peers: list[ScriptedServer]) -> None:
         """Plays one round."""
         coordinator = await Coordinator().start()
         config = json.loads(json.dumps(config_for(peers, coordinator, SETTINGS)))  # as before any purge
@@ -105,7 +107,7 @@
         for _ in range(self.draw.randrange(1, MAX_PURGES)):
             name = f"{self.draw.randrange(OBJECT_COUNT):x}"
             purged_at_ms[name] = time.time() * 1000.0
-            coordinator.tell(evict={"ref": name, "unix_ms": purged_at_ms[name]})
+            coordinator.publish(evict={"ref": name, "unix_ms": purged_at_ms[name]})
             await asyncio.sleep(self.draw.random() * 0.03)
         durable: set[str] = set()
         while not durable & set(purged_at_ms):
@@ -126,7 +128,7 @@
 async def run_rounds(kills: int, policy: str, seed: int, directory: Path, is_forgetting: bool) -> int:
     """Runs the benchmark and prints its result; its exit code."""
     rounds = KillRounds(DirectorProcess(directory, policy), random.Random(seed), is_forgetting)
-    peers = [await ScriptedPeer(rounds.check.serve, f"c{number}").start() for number in range(SERVER_COUNT)]
+    peers = [await ScriptedServer(rounds.check.serve, f"c{number}").start() for number in range(SERVER_COUNT)]
     for _ in range(kills // 2):
         await rounds.play(peers)
     for peer in peers:
--- a/benchmarks/store_served.py
+++ b/benchmarks/store_served.py
@@ -21,7 +21,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from gladewalk.rehearsal.peers import SETTINGS, Coordinator, Heard, ScriptedPeer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import SETTINGS, config_for
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 from .director_process import DirectorProcess
 from .store_kills import OBJECT_COUNT, SERVER_COUNT
@@ -42,7 +44,7 @@
     compactions: int
 
 
-async def serve(heard: Heard) -> None:
+async def serve(heard: ReceivedRequest) -> None:
     """Answers as a cache that has every object."""
     await heard.answer(200, b"copy", X_Remark="mem")
 
@@ -64,14 +66,14 @@
     while time.monotonic() < until:
         for _ in range(max(1, int(purges_per_second / TICKS_PER_SECOND))):
             name = f"{FIRST_PURGED_OBJECT + draw.randrange(PURGED_OBJECT_COUNT):x}"
-            coordinator.tell(evict={"ref": name, "unix_ms": time.time() * 1000.0})
+            coordinator.publish(evict={"ref": name, "unix_ms": time.time() * 1000.0})
         await asyncio.sleep(TICK_SECONDS)
 
 
 async def play_round(kind: str, seconds: float, purges_per_second: float, directory: Path) -> RoundResult:
     """Plays one director's turn."""
     coordinator, draw = await Coordinator().start(), random.Random(1)
-    peers = [await ScriptedPeer(serve, f"c{number}").start() for number in range(SERVER_COUNT)]
+    peers = [await ScriptedServer(serve, f"c{number}").start() for number in range(SERVER_COUNT)]
     director = DirectorProcess(directory, "each")
     options = (directory / "own.toml").read_text()
     segment_bytes = f"segment_bytes = {SEGMENT_BYTES[kind]}\npolicy"
--- a/benchmarks/warm_start.py
+++ b/benchmarks/warm_start.py
@@ -25,7 +25,9 @@
 from pathlib import Path
 from typing import Any
 
-from gladewalk.rehearsal.peers import SETTINGS, Coordinator, Heard, ScriptedPeer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import SETTINGS, config_for
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 from .director_process import DirectorProcess
 
@@ -54,9 +56,9 @@
     is_counting: bool = False
     seen: Counter[str] = field(default_factory=Counter)
 
-    async def serve_cache(self, heard: Heard) -> None:
+    async def serve_cache(self, heard: ReceivedRequest) -> None:
         """Answers a cache's request from its own objects or, where it is told one, from a source."""
-        name, own = heard.path, self.held.setdefault(heard.peer.uid, {})
+        name, own = heard.path, self.held.setdefault(heard.server.uid, {})
         source = heard.headers.get("miss-to")
         if name in own:
             self._keep(own, name, self.capacity)
@@ -71,7 +73,7 @@
         else:
             await self._answer(heard, "holder lacks", "absent", 404)
 
-    async def _fill_from_parent(self, heard: Heard, name: str, own: dict[str, None]) -> None:
+    async def _fill_from_parent(self, heard: ReceivedRequest, name: str, own: dict[str, None]) -> None:
         await asyncio.sleep(PARENT_DELAY_SECONDS)
         parent = self.held.setdefault(PARENT, {})
         is_held = name in parent
@@ -93,11 +95,11 @@
             return name in self.held.get(source, ())
         return random.Random(name).random() < NEIGHBOUR_HIT_RATIO
 
-    async def serve_parent(self, heard: Heard) -> None:
+    async def serve_parent(self, heard: ReceivedRequest) -> None:
         """Answers a request sent straight to the parent, where no cache could take it."""
         await self._answer(heard, "passed by to a parent", "mem")
 
-    async def _answer(self, heard: Heard, what: str, remark: str = "", status: int = 200) -> None:
+    async def _answer(self, heard: ReceivedRequest, what: str, remark: str = "", status: int = 200) -> None:
         self.seen[what] += self.is_counting
         if remark:
             body = b"copy" if status == 200 else b""
@@ -120,13 +122,13 @@
             tasks.create_task(director.request_object(f"{name:x}", draw.getrandbits(60)))
 
 
-async def start_peers(caches: SimulatedCaches) -> list[ScriptedPeer]:
+async def start_peers(caches: SimulatedCaches) -> list[ScriptedServer]:
     """The location's caches, its neighbours' and the parent."""
-    own = [await ScriptedPeer(caches.serve_cache, f"c{n}").start() for n in range(CACHE_COUNT)]
+    own = [await ScriptedServer(caches.serve_cache, f"c{n}").start() for n in range(CACHE_COUNT)]
     neighbours = [
-        await ScriptedPeer(caches.serve_cache, f"d{n}", zone="edge-2").start() for n in range(CACHE_COUNT)
+        await ScriptedServer(caches.serve_cache, f"d{n}", zone="edge-2").start() for n in range(CACHE_COUNT)
     ]
-    parent = await ScriptedPeer(caches.serve_parent, PARENT, "parent", "north").start()
+    parent = await ScriptedServer(caches.serve_parent, PARENT, "parent", "north").start()
     return [*own, *neighbours, parent]
 
 
--- a/benchmarks/web_cost.py
+++ b/benchmarks/web_cost.py
@@ -21,7 +21,8 @@
 import uvloop
 
 from gladewalk.nginx.table import Box, Listen, Place, Server, Site, Terms, Upstream, write_site
-from gladewalk.rehearsal.peers import Coordinator, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
 
 from .http2_cost import Sample, Stage, measure
 
--- a/gladewalk/cli/nginx_commands.py
+++ b/gladewalk/cli/nginx_commands.py
@@ -90,10 +90,10 @@
     FILE is nginx's own or a table (.toml). Exit code 1: an answer came from another server than it says.
     """
     from ..nginx.explain import Asked, load_any
-    from ..rehearsal.__main__ import run
+    from ..rehearsal.site_check import check_site
 
     try:
-        lines, good = run(load_any(file), [Asked(uri, host) for uri in uris])
+        lines, good = check_site(load_any(file), [Asked(uri, host) for uri in uris])
     except ConfigError as error:
         _fail_with(error)
     click.echo("\n".join(lines))
--- a/gladewalk/rehearsal/__init__.py
+++ b/gladewalk/rehearsal/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for rehearsals on loopback: scripted caches, a coordinator, a director's process, a resolver."""
+"""Stand-ins for tests and rehearsals: scripted servers, coordinator, resolver, simulated networks."""
--- /dev/null
+++ b/gladewalk/rehearsal/coordinator.py
@@ -0,0 +1,65 @@
+"""A stand-in coordinator: a watch feed whose events are published by the test or rehearsal."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from .scripted_servers import StandInServer
+
+
+@dataclass(slots=True, eq=False)
+class Coordinator:
+    """Serves the events published so far to each follower, and further ones as they are published."""
+
+    events: list[dict[str, Any]] = field(default_factory=list)
+    followed_from: list[int] = field(default_factory=list)  # the index each follower had, in their order
+    address: str = ""
+    _writers: list[asyncio.StreamWriter] = field(default_factory=list)
+    _server: asyncio.Server | None = None
+    may_answer: asyncio.Event | None = None  # where given, followers are answered once it is set
+
+    async def start(self) -> Coordinator:
+        """Listens on a port of the system's choice; `address` then has it."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    def publish(self, **event: Any) -> None:
+        """Adds an event with the next index and sends it to all followers."""
+        self.events.append({"index": len(self.events) + 1, **event})
+        self.send_raw(json.dumps(self.events[-1]).encode() + b"\n")
+
+    def publish_endpoints(self, *servers: StandInServer[Any], is_complete: bool = False) -> None:
+        """Publishes a change of the endpoint list, or a complete list."""
+        targets = [server.target() for server in servers]
+        self.publish(endpoints={"rev": 1, "all": is_complete, "targets": targets})
+
+    def send_raw(self, data: bytes) -> None:
+        """Sends any bytes to all followers, whether or not they are lines of the protocol."""
+        for writer in self._writers:
+            writer.write(data)
+
+    def disconnect(self) -> None:
+        """Aborts the connections of all followers."""
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    def stop(self) -> None:
+        """Disconnects all followers and stops listening."""
+        self.disconnect()
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        last_index = int((await reader.readline()).split()[1])
+        self.followed_from.append(last_index)
+        if self.may_answer is not None:
+            await self.may_answer.wait()
+        for event in self.events[last_index:]:
+            writer.write(json.dumps(event).encode() + b"\n")
+        writer.write(b"%d\n" % len(self.events))  # the last index, which the platform also sends each second
+        self._writers.append(writer)
--- /dev/null
+++ b/gladewalk/rehearsal/http2_fault_script.py
@@ -0,0 +1,151 @@
+"""A script for `ScriptedHttp2Server` that breaks requests and connections at random, by a seed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from h2.errors import ErrorCodes
+
+from .scripted_http2_server import GRACEFUL_LAST_STREAM_ID, Http2Request
+
+DELAYED_ANSWER_RATE = 0.5
+MAX_BYTES_UNTIL_ABORT = 120
+LOWERED_STREAM_LIMITS = (0, 1, 2, 5)
+SHRUNK_WINDOWS = (0, 1, 100)  # bytes
+DEFAULT_WINDOW = 65_535  # bytes (RFC 9113, section 6.5.2)
+
+
+class Http2FaultScript:
+    """Meets a fraction of the requests with a fault, always within the protocol.
+
+    The other requests are answered, some after a while. A GOAWAY names the highest stream that was processed
+    or may yet be; a refused stream is never processed.
+
+    Args:
+        seed: Of all draws.
+        fault_rate: The fraction of requests that meet a fault.
+        body: Of the answers.
+        max_delay_s: The longest delay of what is done later.
+    """
+
+    def __init__(
+        self, seed: int, fault_rate: float, body: bytes = b"done", max_delay_s: float = 0.004
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._fault_rate, self._body, self._max_delay_s = fault_rate, body, max_delay_s
+        self.fault_counts: dict[str, int] = {}
+        self.shed_tickets: list[str] = []  # of requests answered 503 with X-Shed
+        # The names are those that figures and recorded counts use.
+        self._faults: tuple[tuple[str, Callable[[Http2Request], None]], ...] = (
+            ("drop_before", self._abort_unprocessed),
+            ("cut_within", self._abort_within_request),
+            ("drop_after", self._abort_processed),
+            ("drop_within_answer", self._abort_within_response),
+            ("refuse", self._refuse),
+            ("go_before", self._go_away_unprocessed),
+            ("go_after", self._go_away_processed),
+            ("go_gracefully", self._shut_down_gracefully),
+            ("lower_limit", self._lower_stream_limit),
+            ("shrink_windows", self._shrink_windows),
+            ("reset_unrun", self._cancel_unprocessed),
+            ("reset_run", self._reset_processed),
+            ("refuse_crowd", self._shed),
+        )
+
+    def __call__(self, request: Http2Request) -> None:
+        """Answers a request, or meets it with a fault."""
+        connection = request.connection
+        if connection.is_going_away and request.stream_id > connection.last_processed_id:
+            return  # beyond the GOAWAY: it is never looked at
+        if self._rng.random() >= self._fault_rate:
+            self._answer(request)
+            return
+        name, fault = self._rng.choice(self._faults)
+        self.fault_counts[name] = self.fault_counts.get(name, 0) + 1
+        fault(request)
+
+    def _answer(self, request: Http2Request) -> None:
+        if self._rng.random() < DELAYED_ANSWER_RATE:
+            request.answer(200, self._body)
+            return
+        request.connection.note_processing(request.stream_id)  # it may be processed, and a GOAWAY says so
+        self._later(lambda: self._answer_if_open(request))
+
+    def _answer_if_open(self, request: Http2Request) -> None:
+        if not request.is_closed and not request.connection.is_closed:
+            request.answer(200, self._body)
+
+    def _later(self, call: Callable[[], None]) -> None:
+        asyncio.get_running_loop().call_later(self._rng.random() * self._max_delay_s, call)
+
+    def _abort_unprocessed(self, request: Http2Request) -> None:
+        request.connection.abort()
+
+    def _abort_within_request(self, request: Http2Request) -> None:
+        byte_count = self._rng.randrange(1, MAX_BYTES_UNTIL_ABORT)
+        if request.connection.bytes_until_abort is None:  # else bytes are missing: what follows is noise
+            request.connection.bytes_until_abort = byte_count
+        self._answer(request)
+
+    def _abort_processed(self, request: Http2Request) -> None:
+        request.process()
+        request.connection.abort()
+
+    def _abort_within_response(self, request: Http2Request) -> None:
+        request.process()
+        request.send_headers(200, len(self._body) + 1)
+        request.connection.send_body(request, self._body, False)
+        self._later(request.connection.abort)
+
+    def _refuse(self, request: Http2Request) -> None:
+        request.reset(ErrorCodes.REFUSED_STREAM)
+
+    def _shed(self, request: Http2Request) -> None:
+        self.shed_tickets.append(request.ticket)
+        request.answer(503, may_process=False, x_shed="1")
+
+    def _go_away_unprocessed(self, request: Http2Request) -> None:
+        """This stream and all above it were never looked at; those below go on."""
+        request.connection.send_goaway(request.connection.last_processed_id)
+        request.connection.is_going_away = True
+
+    def _go_away_processed(self, request: Http2Request) -> None:
+        connection = request.connection
+        request.process()
+        connection.send_goaway(connection.last_processed_id)
+        connection.is_going_away = True
+        self._later(connection.close)
+
+    def _shut_down_gracefully(self, request: Http2Request) -> None:
+        connection = request.connection
+        connection.send_goaway(GRACEFUL_LAST_STREAM_ID)
+        self._answer(request)
+
+        def send_final_goaway() -> None:
+            if not connection.is_going_away:
+                connection.send_goaway(connection.last_processed_id)
+                connection.is_going_away = True
+
+        self._later(send_final_goaway)
+
+    def _lower_stream_limit(self, request: Http2Request) -> None:
+        connection = request.connection
+        connection.update_settings(max_concurrent_streams=self._rng.choice(LOWERED_STREAM_LIMITS))
+        usual = connection.server.max_concurrent_streams
+        self._later(lambda: connection.update_settings(max_concurrent_streams=usual))
+        self._answer(request)
+
+    def _shrink_windows(self, request: Http2Request) -> None:
+        connection = request.connection
+        connection.update_settings(initial_window_size=self._rng.choice(SHRUNK_WINDOWS))
+        self._later(lambda: connection.update_settings(initial_window_size=DEFAULT_WINDOW))
+        self._answer(request)
+
+    def _cancel_unprocessed(self, request: Http2Request) -> None:
+        request.reset(ErrorCodes.CANCEL)
+
+    def _reset_processed(self, request: Http2Request) -> None:
+        request.process()
+        request.reset(ErrorCodes.INTERNAL_ERROR)
--- a/gladewalk/rehearsal/resolver.py
+++ b/gladewalk/rehearsal/resolver.py
@@ -1,9 +1,11 @@
-"""A stand-in resolver: asks by UDP, then TCP when an answer is cut; holds answers as long as it likes."""
+"""A stand-in DNS resolver: queries by UDP, then by TCP if the answer is truncated, and caches answers."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
+from typing import NamedTuple
 
 import dns.flags
 import dns.message
@@ -11,55 +13,84 @@
 
 from ..config.platform import Address
 
+QUERY_TIMEOUT_S = 20.0
+LENGTH_BYTES = 2  # before each message over TCP (RFC 1035, section 4.2.2)
 
-class Resolver:
-    """`hold_s` is the least time for which an answer is kept, whatever its TTL says: 0 keeps to the TTL."""
 
-    def __init__(self, front: Address, hold_s: float = 0.0, source: str = "127.0.0.1") -> None:
-        self.front, self.hold_s, self.source = front, hold_s, source
-        self.held: dict[tuple[str, str], tuple[float, list[str]]] = {}
-        self.asked = 0
+class CachedAnswer(NamedTuple):
+    """Addresses and until when they may be used, on the monotonic clock."""
 
-    async def resolve(self, name: str, kind: str = "A") -> list[str]:
-        """The addresses, out of what is held where that has not run out."""
-        until, addresses = self.held.get((name, kind), (0.0, []))
-        if time.monotonic() < until:
-            return addresses
-        reply = await self.query(dns.message.make_query(name, kind))
+    expires_at_s: float
+    addresses: list[str]
+
+
+class _AnswerProtocol(asyncio.DatagramProtocol):
+    """Resolves a future with the first datagram."""
+
+    def __init__(self, answer: asyncio.Future[bytes]) -> None:
+        self._answer = answer
+
+    def datagram_received(self, data: bytes, address: object) -> None:
+        if not self._answer.done():
+            self._answer.set_result(data)
+
+
+class StubResolver:
+    """Asks one name server (RFC 1034, section 5.3.1), as resolvers of clients do.
+
+    Args:
+        server: The name server's address.
+        min_cache_s: The least time for which an answer is used, whatever its TTL says; 0 keeps to the TTL.
+        source_host: The address that queries are sent from.
+    """
+
+    def __init__(self, server: Address, min_cache_s: float = 0.0, source_host: str = "127.0.0.1") -> None:
+        self.server, self._min_cache_s, self._source_host = server, min_cache_s, source_host
+        self.cache: dict[tuple[str, str], CachedAnswer] = {}
+        self.query_count = 0
+
+    async def resolve(self, name: str, record_type: str = "A") -> list[str]:
+        """Returns the addresses of a name, out of the cache while the answer is fresh."""
+        cached = self.cache.get((name, record_type))
+        if cached is not None and time.monotonic() < cached.expires_at_s:
+            return cached.addresses
+        reply = await self.query(dns.message.make_query(name, record_type))
         addresses = [item.to_text() for rrset in reply.answer for item in rrset]
-        ttl = min((rrset.ttl for rrset in reply.answer), default=0)
-        self.held[name, kind] = (time.monotonic() + max(ttl, self.hold_s), addresses)
+        ttl_s = min((rrset.ttl for rrset in reply.answer), default=0)
+        expires_at_s = time.monotonic() + max(ttl_s, self._min_cache_s)
+        self.cache[name, record_type] = CachedAnswer(expires_at_s, addresses)
         return addresses
 
-    async def query(self, query: dns.message.Message, timeout_s: float = 20.0) -> dns.message.Message:
-        self.asked += 1
+    async def query(
+        self, query: dns.message.Message, timeout_s: float = QUERY_TIMEOUT_S
+    ) -> dns.message.Message:
+        """Sends a query and returns the reply, over TCP if the one over UDP is truncated.
+
+        Raises:
+            TimeoutError: There is no reply in `timeout_s`.
+        """
+        self.query_count += 1
         reply = dns.message.from_wire(await self.exchange_udp(query.to_wire(), timeout_s))
         if reply.flags & dns.flags.TC:
             reply = dns.message.from_wire(await self.exchange_tcp(query.to_wire(), timeout_s))
         return reply
 
-    async def exchange_udp(self, wire: bytes, timeout_s: float = 20.0) -> bytes:
-        answer: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-
-        class Socket(asyncio.DatagramProtocol):
-            def datagram_received(self, data: bytes, address: object) -> None:
-                if not answer.done():
-                    answer.set_result(data)
-
-        transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            Socket, local_addr=(self.source, 0), remote_addr=self.front
+    async def exchange_udp(self, wire: bytes, timeout_s: float = QUERY_TIMEOUT_S) -> bytes:
+        """Sends one datagram and returns the first that comes back."""
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[bytes] = loop.create_future()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _AnswerProtocol(answer), local_addr=(self._source_host, 0), remote_addr=self.server
         )
-        try:
+        with contextlib.closing(transport):
             transport.sendto(wire)
             return await asyncio.wait_for(answer, timeout_s)
-        finally:
-            transport.close()
 
-    async def exchange_tcp(self, wire: bytes, timeout_s: float = 20.0) -> bytes:
+    async def exchange_tcp(self, wire: bytes, timeout_s: float = QUERY_TIMEOUT_S) -> bytes:
+        """Sends one message on a connection of its own and returns the answer."""
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(*self.front, local_addr=(self.source, 0))
-            try:
-                writer.write(len(wire).to_bytes(2, "big") + wire)
-                return await reader.readexactly(int.from_bytes(await reader.readexactly(2), "big"))
-            finally:
-                writer.close()
+            reader, writer = await asyncio.open_connection(*self.server, local_addr=(self._source_host, 0))
+            with contextlib.closing(writer):
+                writer.write(len(wire).to_bytes(LENGTH_BYTES, "big") + wire)
+                size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
+                return await reader.readexactly(size)
--- a/gladewalk/rehearsal/virtual/play.py
+++ b/gladewalk/rehearsal/virtual/play.py
@@ -14,7 +14,9 @@
 
 from ...config.platform import read_config
 from ...director import Director
-from ..peers import SETTINGS, Coordinator, config_for, request
+from ..coordinator import Coordinator
+from ..director_harness import SETTINGS, config_for
+from ..http_messages import encode_request
 from .loop import VirtualLoop, rehearse
 from .rules import LATE_MS, Broken, Record, Request, broken_rules
 from .scenario import GROUPS, Fault, Scenario
@@ -111,7 +113,7 @@
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(1.0)
-            self.coordinator.write(b"%d\n" % len(self.coordinator.events))
+            self.coordinator.send_raw(b"%d\n" % len(self.coordinator.events))
 
     # Traffic.
 
@@ -141,7 +143,7 @@
         director = self.directors[asked.director]
         write = CLASSES[asked.cls]["repeat"] == "once"
         path = f"/invoke/{asked.cls}/{asked.object}?nth={asked.part}"
-        sent = request(path, "PUT" if write else "GET", asked.wait_ms, b"bid" if write else b"",
+        sent = encode_request(path, "PUT" if write else "GET", asked.wait_ms, b"bid" if write else b"",
                        trace=asked.id, X_Batch=str(asked.group))  # fmt: skip
         writer = None
         try:
@@ -239,23 +241,23 @@
             setattr(server, fault.kind, max(0.0, getattr(server, fault.kind) - fault.amount))
         elif fault.kind == "drain":
             server.peer.state = "DRAINING"
-            self.coordinator.tell_list(server.peer)
+            self.coordinator.publish_endpoints(server.peer)
             self.record.leaving[server.name] = self._told_ms(), float("inf")
             await asyncio.sleep(fault.for_s)
             server.peer.state = "SERVING"
             self.record.leaving[server.name] = self.record.leaving[server.name][0], self.clock()
-            self.coordinator.tell_list(server.peer)
+            self.coordinator.publish_endpoints(server.peer)
         elif fault.kind == "restart":
             server.crash()
             await asyncio.sleep(fault.for_s)
             await self.loop.as_party(server.name, server.start_again())
-            self.coordinator.tell_list(server.peer)
+            self.coordinator.publish_endpoints(server.peer)
 
     async def _purge(self, part: float) -> None:
         """A part of all groups: told at once, and dropped by every server in a time of its own."""
         for group in self.random.sample(range(GROUPS), max(1, round(part * GROUPS))):
             made_ms = self.clock()
-            self.coordinator.tell(evict={"shard": group, "unix_ms": made_ms})
+            self.coordinator.publish(evict={"shard": group, "unix_ms": made_ms})
             self.record.purges.append((self._told_ms(), group, made_ms))
             for server in self.servers.values():
                 self.loop.call_later(self.random.uniform(0.0, PURGE_DONE_S), server.purge, group, made_ms)
--- a/gladewalk/rehearsal/virtual/servers.py
+++ b/gladewalk/rehearsal/virtual/servers.py
@@ -14,7 +14,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..peers import Heard, ScriptedPeer, read_message
+from ..http_messages import read_message
+from ..scripted_servers import ReceivedRequest, ScriptedServer
 from .rules import Made, Record, Sent
 
 WORK_MS = (4.0, 20.0)
@@ -46,7 +47,7 @@
     ) -> None:  # fmt: skip
         self.name, self.slots, self.keeps, self.servers = name, slots, keeps, servers
         self.record, self.clock, self.random = record, clock, rng
-        self.peer = ScriptedPeer(self.answer, uid=name, model=model, host=host, zone="edge-1", size=4.0)
+        self.peer = ScriptedServer(self.answer, uid=name, model=model, host=host, zone="edge-1", capacity=4.0)
         if model != "standard":
             self.peer.zone = "north"
         self.copies: OrderedDict[Key, Copy] = OrderedDict()
@@ -84,7 +85,7 @@
 
     # Requests.
 
-    async def answer(self, heard: Heard) -> None:
+    async def answer(self, heard: ReceivedRequest) -> None:
         self.writers[heard.writer] = None
         ticket = heard.headers.get("x-ticket", "")
         if heard.path in ("/load", "/alive"):
@@ -108,7 +109,7 @@
         crowded = max(1.0, self.busy / self.slots)
         await asyncio.sleep(self.random.uniform(*span) * self.slow * crowded / 1000.0)
 
-    async def _write(self, heard: Heard, ticket: str) -> None:
+    async def _write(self, heard: ReceivedRequest, ticket: str) -> None:
         """A write runs at the store, and nowhere else; a box passes it on."""
         if self.is_store:
             if ticket != FILL:
@@ -124,7 +125,7 @@
                 return await heard.answer(500)
         await self._give(heard, ticket, Copy(body, self.clock()), "origin")
 
-    async def _read(self, heard: Heard, ticket: str) -> None:
+    async def _read(self, heard: ReceivedRequest, ticket: str) -> None:
         _, _, cls, object_name, part = heard.path.split("/")
         key = cls, object_name, int(part)
         if self.is_store:
@@ -198,7 +199,7 @@
             raise Gone("crowded" if " 503 " in first else "unreached")
         return told, answered
 
-    async def _give(self, heard: Heard, ticket: str, copy: Copy, remark: str) -> None:
+    async def _give(self, heard: ReceivedRequest, ticket: str, copy: Copy, remark: str) -> None:
         if ticket != FILL:
             self.record.made.append(Made(ticket, self.name, copy.body, copy.made_ms))
         if self.reset and self.random.random() < self.reset:  # it has run, and nothing is said
--- a/gladewalk/rehearsal/write_soak.py
+++ b/gladewalk/rehearsal/write_soak.py
@@ -18,8 +18,11 @@
 from ..config.options import Options
 from ..core.exchange import Attempt
 from ..streams.ledger import Finding
-from .h2box import Breaker, H2Box
-from .peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request
+from .director_harness import SETTINGS, DirectorHarness
+from .http2_fault_script import Http2FaultScript
+from .http_messages import encode_request, read_message
+from .scripted_http2_server import ScriptedHttp2Server
+from .scripted_servers import ReceivedRequest, ScriptedServer
 
 BODY = b"10 boxes of hake"
 CLIENT_COUNT = 16  # that send at the same time
@@ -46,7 +49,7 @@
     NONE = "none"
 
 
-# As many of each kind as `Breaker` draws from.
+# As many of each kind as `Http2FaultScript` draws from.
 HTTP1_FAULTS = (
     *(Http1Fault.DROP_BEFORE_EXECUTION,) * 6,
     *(Http1Fault.DROP_AFTER_EXECUTION,) * 3,
@@ -57,14 +60,14 @@
 
 
 class Http1Breaker:
-    """The faults of `Breaker` as HTTP/1.1 can have them; `fault_fraction` of the requests meet one."""
+    """The faults of `Http2FaultScript` that HTTP/1.1 allows; `fault_fraction` of the requests meet one."""
 
     def __init__(self, seed: int, fault_fraction: float, body: bytes = b"done") -> None:
         self.executed: Counter[str] = Counter()  # by ticket
         self._random = random.Random(seed)
         self._fault_fraction, self._body = fault_fraction, body
 
-    async def __call__(self, heard: Heard) -> None:
+    async def __call__(self, heard: ReceivedRequest) -> None:
         """Answers one request, or breaks its connection."""
         fault = Http1Fault.NONE
         if self._random.random() < self._fault_fraction:
@@ -106,23 +109,23 @@
         return any(violations)
 
 
-async def send_in_turn(rehearsal: Rehearsal, numbers: Sequence[int]) -> dict[str, int]:
+async def send_in_turn(rehearsal: DirectorHarness, numbers: Sequence[int]) -> dict[str, int]:
     """Sends writes one after another on one client's connection, reopened when it was cut.
 
     Returns the status of each by ticket.
     """
-    reader, writer = await rehearsal.client()
+    reader, writer = await rehearsal.connect()
     statuses = {}
     for number in numbers:
         trace, path = ticket(number), f"/invoke/bid/{number:x}"
-        writer.write(request(path, "PUT", wait_ms=REQUEST_TIMEOUT_MS, body=BODY, trace=trace))
+        writer.write(encode_request(path, "PUT", wait_ms=REQUEST_TIMEOUT_MS, body=BODY, trace=trace))
         try:
             status_line, _, _ = await read_message(reader)
             statuses[trace] = int(status_line.split(" ")[1])
         except (asyncio.IncompleteReadError, ConnectionError):
             statuses[trace] = STATUS_CUT
             writer.close()
-            reader, writer = await rehearsal.client()
+            reader, writer = await rehearsal.connect()
     writer.close()
     return statuses
 
@@ -141,13 +144,15 @@
     return [*caches, ServerSpec("o", "origin", "north")]
 
 
-def make_rehearsal(peers: Sequence[H2Box] | Sequence[ScriptedPeer], options: Options | None) -> Rehearsal:
+def make_rehearsal(
+    peers: Sequence[ScriptedHttp2Server] | Sequence[ScriptedServer], options: Options | None
+) -> DirectorHarness:
     """A director in front of these servers, with patience to connect."""
     settings = {**SETTINGS, "limits": {**SETTINGS["limits"], "connect_timeout_ms": CONNECT_TIMEOUT_MS}}
-    return Rehearsal(peers, settings=settings, options=options)
+    return DirectorHarness(peers, settings=settings, options=options)
 
 
-async def _send_all(rehearsal: Rehearsal, count: int) -> dict[str, int]:
+async def _send_all(rehearsal: DirectorHarness, count: int) -> dict[str, int]:
     shares = [range(client, count, CLIENT_COUNT) for client in range(CLIENT_COUNT)]
     statuses: dict[str, int] = {}
     for found in await asyncio.gather(*(send_in_turn(rehearsal, share) for share in shares)):
@@ -160,10 +165,13 @@
 ) -> SoakReport:
     """Plays `count` writes over HTTP/2, `fault_fraction` of which meet a fault at each server."""
     report = SoakReport(seed)
-    breakers = [Breaker(seed * SEED_STRIDE + number, fault_fraction) for number in range(cache_count + 1)]
+    breakers = [
+        Http2FaultScript(seed * SEED_STRIDE + number, fault_fraction) for number in range(cache_count + 1)
+    ]
     specs = server_specs(cache_count)
     peers = [
-        H2Box(breaker, *spec, limit=H2_STREAM_LIMIT) for breaker, spec in zip(breakers, specs, strict=True)
+        ScriptedHttp2Server(breaker, *spec, max_concurrent_streams=H2_STREAM_LIMIT)
+        for breaker, spec in zip(breakers, specs, strict=True)
     ]
     proofs: Counter[str] = Counter()
     interrupted: set[str] = set()
@@ -181,13 +189,15 @@
     executed: Counter[str] = Counter()
     sent: Counter[str] = Counter()
     for peer, breaker in zip(peers, breakers, strict=True):
-        executed.update(peer.times_run())
-        sent.update(asked.ticket for asked in peer.heard)
-        proofs.update(breaker.shed)  # 503 with X-Shed: the cache protocol's own signal for `never executed`
-        interrupted.update(breaker.shed)
-        report.faults.update(breaker.met)
-        report.streams_over_limit += peer.over_limit
-        report.protocol_violations += peer.breaches
+        executed.update(peer.process_counts())
+        sent.update(asked.ticket for asked in peer.received)
+        proofs.update(
+            breaker.shed_tickets
+        )  # 503 with X-Shed: the cache protocol's own signal for `never executed`
+        interrupted.update(breaker.shed_tickets)
+        report.faults.update(breaker.fault_counts)
+        report.streams_over_limit += peer.streams_over_limit
+        report.protocol_violations += peer.protocol_errors
     report.retried_without_proof = [name for name, times in sent.items() if times - 1 > proofs[name]]
     _judge(report, executed, interrupted)
     return report
@@ -203,14 +213,15 @@
     ]
     specs = server_specs(cache_count)
     peers = [
-        ScriptedPeer(breaker, *spec, size=1_000.0) for breaker, spec in zip(breakers, specs, strict=True)
+        ScriptedServer(breaker, *spec, capacity=1_000.0)
+        for breaker, spec in zip(breakers, specs, strict=True)
     ]
     async with make_rehearsal(peers, None) as rehearsal:
         report.statuses = await _send_all(rehearsal, count)
     executed: Counter[str] = Counter()
     for breaker in breakers:
         executed.update(breaker.executed)
-    sent = Counter(heard.headers["x-ticket"] for peer in peers for heard in peer.heard)
+    sent = Counter(heard.headers["x-ticket"] for peer in peers for heard in peer.received)
     interrupted = {name for name, status in report.statuses.items() if status != 200 or sent[name] > 1}
     _judge(report, executed, interrupted)
     return report
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -10,7 +10,9 @@
 
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.leases.history import Verdict
-from gladewalk.rehearsal.peers import Coordinator, Peer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
+from gladewalk.rehearsal.scripted_servers import StandInServer
 
 SETTLE_S = 8.0  # at most, until each lease is held: a start is quiet for a promise, then votes may split
 
@@ -43,7 +45,7 @@
 
     async def begin(
         self, n: int, leases: dict[str, Any] | None, members: dict[str, Any] | None = None,
-        rates: dict[str, float] | None = None, peers: tuple[Peer, ...] = (),
+        rates: dict[str, float] | None = None, peers: tuple[StandInServer[Any], ...] = (),
         more: dict[str, Any] | None = None,
     ) -> Fleet:  # fmt: skip
         names, config = tuple(f"n{i}" for i in range(n)), config_for(peers, self.coordinator)
@@ -53,7 +55,7 @@
         return self.fleet
 
     async def start(
-        self, n: int, rates: dict[str, float] | None = None, peers: tuple[Peer, ...] = ()
+        self, n: int, rates: dict[str, float] | None = None, peers: tuple[StandInServer[Any], ...] = ()
     ) -> Fleet:
         """With leases, once the purge lease is held."""
         fleet = await self.begin(n, {}, rates=rates, peers=peers)
--- a/tests/h2world.py
+++ b/tests/h2world.py
@@ -10,8 +10,9 @@
 import trustme
 
 from gladewalk.config.options import Options, build_options, read_option_tables
-from gladewalk.rehearsal.h2box import Asked
-from gladewalk.rehearsal.peers import SETTINGS, Peer, Rehearsal
+from gladewalk.rehearsal.director_harness import SETTINGS, DirectorHarness
+from gladewalk.rehearsal.scripted_http2_server import Http2Request
+from gladewalk.rehearsal.scripted_servers import StandInServer
 from gladewalk.rehearsal.write_soak import ticket
 
 BYTES = bytes(range(256)) * 64
@@ -22,25 +23,27 @@
     return build_options(tables, "test.toml", Path("."))
 
 
-def world(*peers: Peer, options: Options | None = None, wait_ms: float = 2_000.0, **http2: Any) -> Rehearsal:
+def world(
+    *peers: StandInServer[Any], options: Options | None = None, wait_ms: float = 2_000.0, **http2: Any
+) -> DirectorHarness:
     """A director that speaks HTTP/2 to these peers; a busy machine gets time to connect."""
     settings = {**SETTINGS, "limits": {**SETTINGS["limits"], "connect_timeout_ms": wait_ms}}
-    return Rehearsal(peers, settings=settings, options=options or options_for(**http2))
+    return DirectorHarness(peers, settings=settings, options=options or options_for(**http2))
 
 
-def serve(asked: Asked) -> None:
+def serve(asked: Http2Request) -> None:
     asked.answer(200, BYTES)
 
 
-async def bid(world: Rehearsal, number: int, body: bytes = b"10 boxes of hake", **more: Any) -> int:
+async def bid(world: DirectorHarness, number: int, body: bytes = b"10 boxes of hake", **more: Any) -> int:
     """One bid with a trace of its own: the status of its final answer."""
     path = f"/invoke/bid/{number:x}"
-    return (await world.ask(path, method="PUT", body=body, trace=ticket(number), **more))[0]
+    return (await world.fetch(path, method="PUT", body=body, trace=ticket(number), **more))[0]
 
 
-async def page(world: Rehearsal, number: int, **more: Any) -> tuple[int, dict[str, str], bytes]:
+async def page(world: DirectorHarness, number: int, **more: Any) -> tuple[int, dict[str, str], bytes]:
     """One read with a trace of its own, as several that are open at a time must have."""
-    return await world.ask(f"/invoke/lot-page/{number:x}?nth=2", trace=ticket(number), **more)
+    return await world.fetch(f"/invoke/lot-page/{number:x}?nth=2", trace=ticket(number), **more)
 
 
 @cache
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -13,7 +13,7 @@
 from gladewalk.core.exchange import ClientRequest, FinalAnswer
 from gladewalk.director import Director
 from gladewalk.net.connection import ClientConnection
-from gladewalk.rehearsal.peers import SETTINGS
+from gladewalk.rehearsal.director_harness import SETTINGS
 from gladewalk.rehearsal.virtual.scenario import Fault, Fleet, Scenario, Traffic
 
 Change = Callable[[Director], None]
--- a/tests/program.py
+++ b/tests/program.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from .peers import ROOT
+from .server_scripts import ROOT
 
 INHERITED_FD = 3
 
--- a/tests/store/test_persistence.py
+++ b/tests/store/test_persistence.py
@@ -21,16 +21,11 @@
 from gladewalk.dns.settings import DnsConfig
 from gladewalk.net.environment import unix_ms
 from gladewalk.policy import Dispatcher
-from gladewalk.rehearsal.peers import (
-    Coordinator,
-    Heard,
-    Rehearsal,
-    ScriptedPeer,
-    config_for,
-    request,
-    until,
-)
-from gladewalk.rehearsal.resolver import Resolver
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import DirectorHarness, config_for, wait_until
+from gladewalk.rehearsal.http_messages import encode_request
+from gladewalk.rehearsal.resolver import StubResolver
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from gladewalk.store.dns_lease_rows import LEASE_SPACE, restore_leases
 from gladewalk.store.file_system import StoreDirectory
 from gladewalk.store.segmented_log import SegmentedLog
@@ -39,7 +34,7 @@
 from .support import async_test
 
 
-async def answer_hit(heard: Heard) -> None:
+async def answer_hit(heard: ReceivedRequest) -> None:
     await heard.answer(200, b"copy", X_Remark="mem")
 
 
@@ -64,25 +59,25 @@
     await director.persistence.close()
 
 
-async def start_peers(count: int) -> list[ScriptedPeer]:
-    return [await ScriptedPeer(answer_hit, f"c{number}").start() for number in range(count)]
+async def start_peers(count: int) -> list[ScriptedServer]:
+    return [await ScriptedServer(answer_hit, f"c{number}").start() for number in range(count)]
 
 
 @async_test
 async def test_a_purge_and_a_drain_outlast_a_kill_though_the_coordinator_is_gone(tmp_path: Path) -> None:
     options = options_with(tmp_path, store={"folder": "store"})
     peers = await start_peers(3)
-    origin = await ScriptedPeer(answer_hit, "o", "origin", "north").start()
+    origin = await ScriptedServer(answer_hit, "o", "origin", "north").start()
     coordinator = await Coordinator().start()
     config = read_config(config_for([*peers, origin], coordinator), {})
     first = await start_director(config, options)
-    await until(lambda: bool(coordinator.follows))
+    await wait_until(lambda: bool(coordinator.followed_from))
     peers[0].state = "DRAINING"
-    coordinator.tell_list(peers[0])
-    coordinator.tell(evict={"ref": "a1", "unix_ms": unix_ms()})
+    coordinator.publish_endpoints(peers[0])
+    coordinator.publish(evict={"ref": "a1", "unix_ms": unix_ms()})
     persistence = first.persistence
     assert persistence is not None
-    await until(lambda: persistence.log.durable_sequence >= 2)
+    await wait_until(lambda: persistence.log.durable_sequence >= 2)
     coordinator.stop()
     stop_serving(first)
     persistence.directory.close()  # as a kill does: nothing more is written
@@ -90,9 +85,9 @@
     assert again.counters["store.purges_restored"] == 1
     assert again.exchange.dispatcher.state.registry.servers["c0"].info.state is api.ServerState.DRAINING
     await request_objects(again)
-    purged = [heard for peer in peers for heard in peer.heard if "/a1/" in heard.path]
+    purged = [heard for peer in peers for heard in peer.received if "/a1/" in heard.path]
     assert purged and all("no-older-than" in heard.headers for heard in purged)
-    assert peers[0].heard == []
+    assert peers[0].received == []
     with pytest.raises(ConfigError, match=r"t.toml: store.folder: .*another process holds this store"):
         Director(config, asyncio.get_running_loop(), None, options)
     await stop_director(again)
@@ -105,7 +100,7 @@
     for number in range(20):
         reader, writer = await asyncio.open_connection(*director.front.address)
         name = f"{number:x}" if number else "a1"
-        writer.write(request(f"/invoke/lot-page/{name}?nth=0", trace=f"{number + 1:016x}"))
+        writer.write(encode_request(f"/invoke/lot-page/{name}?nth=0", trace=f"{number + 1:016x}"))
         await reader.readuntil(b"\r\n\r\n")
         writer.close()
 
@@ -119,11 +114,11 @@
     coordinator = await Coordinator().start()
     config = read_config(config_for(peers[:3], coordinator), {})
     first = await start_director(config, options)
-    coordinator.tell_list(peers[0], peers[3], whole=True)  # the others are listed no more
+    coordinator.publish_endpoints(peers[0], peers[3], is_complete=True)  # the others are listed no more
     peers[3].state = "DRAINING"
-    coordinator.tell_list(peers[3])
-    coordinator.tell(evict={"ref": "a1", "unix_ms": unix_ms()})
-    await until(lambda: first.endpoint_feed.last_index == 4)
+    coordinator.publish_endpoints(peers[3])
+    coordinator.publish(evict={"ref": "a1", "unix_ms": unix_ms()})
+    await wait_until(lambda: first.endpoint_feed.last_index == 4)
     command = ["store", "status", "--socket", str(tmp_path / "c")]
     result = await asyncio.to_thread(CliRunner().invoke, gladewalk, [*command, "--json"])
     assert (result.exit_code, json.loads(result.output)["feed"]) == (0, 4)
@@ -134,18 +129,18 @@
     servers = again.exchange.dispatcher.state.registry.servers
     ready = {name for name, server in servers.items() if server.info.state is api.ServerState.READY}
     assert (ready, servers["c3"].info.state) == ({"c0"}, api.ServerState.DRAINING)
-    await until(lambda: len(coordinator.follows) == 2)
-    assert coordinator.follows == [1, 4]
+    await wait_until(lambda: len(coordinator.followed_from) == 2)
+    assert coordinator.followed_from == [1, 4]
     await stop_director(again)
     other = await Coordinator().start()  # it counts from the beginning, and knows of three servers
-    other.tell_list(*peers[:3], whole=True)
-    other.tell_list(peers[1])
+    other.publish_endpoints(*peers[:3], is_complete=True)
+    other.publish_endpoints(peers[1])
     moved = dataclasses.replace(config, coordinator=read_address(other.address))
     lost = await start_director(moved, options)
-    await until(lambda: other.follows == [4])
-    other.write(b"2\n")
-    await until(lambda: lost.endpoint_feed.last_index == 2)
-    assert (other.follows, lost.counters["coordinator.numbering_back"]) == ([4, 1], 1)
+    await wait_until(lambda: other.followed_from == [4])
+    other.send_raw(b"2\n")
+    await wait_until(lambda: lost.endpoint_feed.last_index == 2)
+    assert (other.followed_from, lost.counters["coordinator.numbering_back"]) == ([4, 1], 1)
     await stop_director(lost)
     coordinator.stop()
     other.stop()
@@ -162,21 +157,21 @@
 @async_test
 async def test_a_lease_counts_over_a_restart_and_what_was_learned_is_there(tmp_path: Path) -> None:
     options = options_with(tmp_path, store={"folder": "store", "warm_ms": 50.0})
-    peers = [ScriptedPeer(answer_hit, f"c{number}", host=f"127.0.3.{number + 1}") for number in range(3)]
+    peers = [ScriptedServer(answer_hit, f"c{number}", host=f"127.0.3.{number + 1}") for number in range(3)]
     front = DnsConfig(("127.0.0.1", 0), dns.name.from_text("cdn.example."), "127.0.0.1", 0.01, 1_000.0)
-    async with Rehearsal(peers, dns=front, options=options) as world:
+    async with DirectorHarness(peers, dns=front, options=options) as world:
         director = world.director
         assert director is not None and director.dns is not None and director.persistence is not None
-        resolver, log = Resolver(director.dns.address), director.persistence.log
+        resolver, log = StubResolver(director.dns.address), director.persistence.log
         found = await resolver.resolve("0.a1.lot-page.cdn.example.")
         assert len(found) == 1
         key, lease = next(iter(log.items(LEASE_SPACE).items()))
         # Durable before the answer left.
         assert log.durable_sequence >= log.index.entries[LEASE_SPACE, key].sequence
         for number in range(8):
-            await world.ask(f"/invoke/lot-page/{number:x}?nth=0", trace=f"{number + 1:016x}")
-        await until(lambda: partitions_with_locations(log) > 6)
-        await until(lambda: log.durable_sequence >= log.index.last_sequence - 1)
+            await world.fetch(f"/invoke/lot-page/{number:x}?nth=0", trace=f"{number + 1:016x}")
+        await wait_until(lambda: partitions_with_locations(log) > 6)
+        await wait_until(lambda: log.durable_sequence >= log.index.last_sequence - 1)
         director.persistence.directory.close()
     again = SegmentedLog(StoreDirectory(tmp_path / "store"), unix_ms)
     assert lease in again.items(LEASE_SPACE).values()
--- a/tests/store/test_writer.py
+++ b/tests/store/test_writer.py
@@ -9,8 +9,8 @@
 import pytest
 
 from gladewalk.core.counters import Counters
+from gladewalk.rehearsal.director_harness import wait_until
 from gladewalk.rehearsal.faulty_disk import FaultyDisk, never_fail
-from gladewalk.rehearsal.peers import until
 from gladewalk.store import writer as writer_module
 from gladewalk.store.segmented_log import LogConfig
 from gladewalk.store.writer import StoreWriter, SyncPolicy
@@ -62,7 +62,7 @@
     assert await writer.put("s", "c", b"3") is False
     assert writer.log.get("s", "c") == b"3"  # in memory it takes effect all the same
     disk.fault_rule = never_fail
-    await until(lambda: not writer.is_failing)
+    await wait_until(lambda: not writer.is_failing)
     assert writers.events == ["store can't write", "store is back"]
     assert len(open_log(disk.after_power_loss(2)).items("s")) == 3
     assert await writer.put("s", "d", b"4") is True
@@ -77,7 +77,7 @@
         if number % 10 == 0:
             await future
     await future
-    await until(lambda: writer.counters["store.compactions"] > 2)
+    await wait_until(lambda: writer.counters["store.compactions"] > 2)
     await writer.close()
     found = open_log(disk.after_power_loss(3)).items("s")
     assert found == writer.log.items("s")
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,36 +7,31 @@
 
 from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS, IDLE_TIMEOUT_MS, SPARE_CONNECTIONS
 from gladewalk.net.requests import BadRequestError, parse_request
-from gladewalk.rehearsal.peers import (
-    Heard,
-    Rehearsal,
-    ScriptedPeer,
-    read_message,
-    request,
-    until,
-)
+from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
-from .peers import BYTES, hit
+from .server_scripts import BYTES, hit
 
 
 class Clients(unittest.IsolatedAsyncioTestCase):
     async def test_all_clients_that_wait_are_accepted_at_once(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             assert world.director is not None
             front = world.director.front
             waiting = [socket.create_connection(front.address) for _ in range(50)]  # no turn of the loop yet
             front.accept()
-            await until(lambda: len(front.connections) == 50, 5.0)
+            await wait_until(lambda: len(front.connections) == 50, 5.0)
             self.assertEqual((front.counters["clients.connected"], front.descriptor_count), (50, 50))
             for client in waiting:
-                client.sendall(request("/invoke/lot-page/a1"))
-            await until(lambda: len(front.idle) == 50)
+                client.sendall(encode_request("/invoke/lot-page/a1"))
+            await wait_until(lambda: len(front.idle) == 50)
             more = [socket.create_connection(front.address) for _ in range(front.connection_limit - 50)]
             front.accept()
             for _ in range(4):  # as long as the loop takes to make their transports
                 front.accept()
                 await asyncio.sleep(0)
-            await until(lambda: len(front.connections) == front.connection_limit, 5.0)
+            await wait_until(lambda: len(front.connections) == front.connection_limit, 5.0)
             self.assertEqual(front.descriptor_count, front.connection_limit)
             self.assertEqual(front.counters["clients.made_room"], 0)
             waiting += more
@@ -44,21 +39,21 @@
                 client.close()
 
     async def test_who_rests_or_says_nothing_makes_room_for_who_asks(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             assert world.director is not None
             front, writers = world.director.front, []
             for number in range(front.connection_limit):
-                reader, writer = await world.client()
+                reader, writer = await world.connect()
                 writers.append(writer)
                 if number % 2:
-                    writer.write(request("/invoke/lot-page/a1"))
+                    writer.write(encode_request("/invoke/lot-page/a1"))
                     await read_message(reader)
             for _ in range(front.connection_limit):
-                self.assertEqual((await world.ask())[0], 200)
+                self.assertEqual((await world.fetch())[0], 200)
             self.assertLessEqual(len(front.connections), front.connection_limit + SPARE_CONNECTIONS)
-            crowd = [await world.client() for _ in range(3 * front.connection_limit)]
+            crowd = [await world.connect() for _ in range(3 * front.connection_limit)]
             self.assertLessEqual(len(front.connections), front.connection_limit + SPARE_CONNECTIONS)
-            self.assertEqual((await world.ask())[0], 200)
+            self.assertEqual((await world.fetch())[0], 200)
             self.assertLessEqual(len(front.connections), front.connection_limit + SPARE_CONNECTIONS)
             self.assertGreater(front.counters["clients.made_room"], 0)
             for _, writer in crowd:
@@ -67,15 +62,17 @@
                 writer.close()
 
     async def test_a_request_that_lies_unread_keeps_its_connection(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             assert world.director is not None
             front = world.director.front
-            reader, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1"))
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1"))
             await read_message(reader)
             (connection,) = front.idle
             sock = writer.get_extra_info("socket")
-            os.write(sock.fileno(), request("/invoke/lot-page/a1"))  # at once: no turn of the loop in between
+            os.write(
+                sock.fileno(), encode_request("/invoke/lot-page/a1")
+            )  # at once: no turn of the loop in between
             front._evict_one()
             self.assertFalse(connection.is_evicted)
             self.assertIn(" 200 ", (await read_message(reader))[0])
@@ -84,14 +81,14 @@
             writer.close()
 
     async def test_who_owes_a_request_or_rests_has_a_limit_of_time(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             assert world.director is not None
             front = world.director.front
-            silent_one, half_one, resting = [await world.client() for _ in range(3)]
-            half_one[1].write(request("/invoke/lot-page/a1")[:-9])
-            resting[1].write(request("/invoke/lot-page/a1"))
+            silent_one, half_one, resting = [await world.connect() for _ in range(3)]
+            half_one[1].write(encode_request("/invoke/lot-page/a1")[:-9])
+            resting[1].write(encode_request("/invoke/lot-page/a1"))
             await read_message(resting[0])
-            await until(lambda: (len(front.awaiting), len(front.idle)) == (2, 1))
+            await wait_until(lambda: (len(front.awaiting), len(front.idle)) == (2, 1))
             clock = front.clock
             front.clock = lambda: clock() + FIRST_BYTE_TIMEOUT_MS + 1.0
             self.assertEqual(await silent_one[0].read(), b"")
@@ -101,12 +98,12 @@
             self.assertEqual(await resting[0].read(), b"")
             for _, writer in (silent_one, half_one, resting):
                 writer.close()
-            await until(lambda: not front.connections)
+            await wait_until(lambda: not front.connections)
             self.assertFalse(front.awaiting or front.idle or front.lingering or front.evicted_count)
 
     async def test_a_body_whose_end_is_in_doubt_is_refused_and_nothing_of_it_passed_on(self) -> None:
-        cache = ScriptedPeer(hit)
-        hidden = request("/invoke/lot-page/a2")
+        cache = ScriptedServer(hit)
+        hidden = encode_request("/invoke/lot-page/a2")
         cases = {
             "Content-Length: 4\r\nTransfer-Encoding: chunked": 400,
             "Transfer-Encoding: chunked\r\nContent-Length: 4": 400,
@@ -117,20 +114,20 @@
             "Trace-Id: 0000000000000000": 400,  # a second one
             "Content-Length: 60000000": 413,
         }
-        async with Rehearsal([cache]) as world:
+        async with DirectorHarness([cache]) as world:
             for field, status in cases.items():
-                reader, writer = await world.client()
-                head = request("/invoke/bid/a1", method="PUT").replace(b"\r\n\r\n", b"\r\n")
+                reader, writer = await world.connect()
+                head = encode_request("/invoke/bid/a1", method="PUT").replace(b"\r\n\r\n", b"\r\n")
                 writer.write(head + field.encode() + b"\r\n\r\n0\r\n\r\n" + hidden)
                 said = await reader.read()  # one answer, then the end
                 self.assertTrue(said.startswith(f"HTTP/1.1 {status} ".encode()), (field, said))
                 self.assertEqual(said.count(b"HTTP/1.1"), 1)
                 writer.close()
-        self.assertEqual(cache.heard, [])
+        self.assertEqual(cache.received, [])
 
     async def test_a_head_that_never_ends_is_refused(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            reader, writer = await world.client()
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
+            reader, writer = await world.connect()
             writer.write(b"GET /invoke/lot-page/a1 HTTP/1.1\r\nX-Endless: ")
             for _ in range(40):
                 writer.write(b"x" * 1000)
@@ -140,9 +137,9 @@
             writer.close()
 
     async def test_a_refusal_is_read_by_who_still_sends(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            reader, writer = await world.client()
-            writer.write(request("/invoke/bid/a1", method="PUT", Content_Length="60000000"))
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/bid/a1", method="PUT", Content_Length="60000000"))
             for _ in range(200):
                 writer.write(b"x" * 50_000)
                 await writer.drain()
@@ -152,26 +149,26 @@
     async def test_the_id_of_an_open_request_serves_no_other_object(self) -> None:
         release = asyncio.Event()
 
-        async def held(heard: Heard) -> None:
+        async def held(heard: ReceivedRequest) -> None:
             await release.wait()
             await hit(heard)
 
-        cache = ScriptedPeer(held)
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(held)
+        async with DirectorHarness([cache]) as world:
             assert world.director is not None
-            first = asyncio.create_task(world.ask("/invoke/lot-page/a1"))
-            await until(lambda: len(cache.heard) == 1)
-            self.assertEqual((await world.ask("/invoke/lot-page/a2"))[0], 409)
+            first = asyncio.create_task(world.fetch("/invoke/lot-page/a1"))
+            await wait_until(lambda: len(cache.received) == 1)
+            self.assertEqual((await world.fetch("/invoke/lot-page/a2"))[0], 409)
             release.set()
             self.assertEqual((await first)[0], 200)
-            self.assertEqual((await world.ask("/invoke/lot-page/a2"))[0], 200)
+            self.assertEqual((await world.fetch("/invoke/lot-page/a2"))[0], 200)
             self.assertEqual(world.director.front.open_by_trace_id, {})
 
     async def test_one_trace_may_come_twice_and_requests_ahead_wait_their_turn(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
-            reader, writer = await world.client()
-            ask = request("/invoke/lot-page/a1")
-            writer.write(ask + request("/_health") + ask)
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
+            reader, writer = await world.connect()
+            ask = encode_request("/invoke/lot-page/a1")
+            writer.write(ask + encode_request("/_health") + ask)
             answers = [await read_message(reader) for _ in range(3)]
             writer.close()
         self.assertEqual([len(body) for _, _, body in answers], [len(BYTES), 0, len(BYTES)])
@@ -185,13 +182,13 @@
             "/invoke/bid/a1": 405,
             "/invoke/lot-page/a1?nth=1&x=" + "y" * 20_000: 431,
         }
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             for path, status in bad.items():
-                self.assertEqual((await world.ask(path))[0], status, path[:40])
-            self.assertEqual((await world.ask(wait_ms=float("nan")))[0], 400)
-            self.assertEqual((await world.ask(method="DELETE"))[0], 405)
-            self.assertEqual((await world.ask(method="PUT", body=b"x" * 70_000))[0], 413)
-            reader, writer = await world.client()
+                self.assertEqual((await world.fetch(path))[0], status, path[:40])
+            self.assertEqual((await world.fetch(wait_ms=float("nan")))[0], 400)
+            self.assertEqual((await world.fetch(method="DELETE"))[0], 405)
+            self.assertEqual((await world.fetch(method="PUT", body=b"x" * 70_000))[0], 413)
+            reader, writer = await world.connect()
             writer.write(b"\x16\x03\x01\r\n\r\n")
             self.assertIn("400", (await read_message(reader))[0])
             writer.close()
--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -26,7 +26,8 @@
 from gladewalk.dns.conform.target import Target
 from gladewalk.dns.cookies import Cookies
 from gladewalk.dns.front import DnsFront, Sender
-from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer
+from gladewalk.rehearsal.director_harness import DirectorHarness
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 from tests.test_dns import ZONE, front, hit
 
 Message = dns.message.Message
@@ -207,7 +208,7 @@
             front(), cookies=Cookies((b"k" * 16,)), nsid="n1", tls=context, tls_listen=("127.0.0.1", 0),
             ecs_from=(ipaddress.ip_network("127.0.0.0/8"),), tcp_each=64,
         )  # fmt: skip
-        self.world = Rehearsal([ScriptedPeer(hit, size=50.0)], dns=config)
+        self.world = DirectorHarness([ScriptedServer(hit, capacity=50.0)], dns=config)
         await self.world.__aenter__()
         assert self.world.director is not None and self.world.director.dns is not None
         self.front = self.world.director.dns
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -25,10 +25,11 @@
 )
 from gladewalk.control.server import ControlServer, UnsupportedQueryError, check_socket_path
 from gladewalk.core.counters import Counters
-from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, until
+from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 
-async def answer(heard: Heard) -> None:
+async def answer(heard: ReceivedRequest) -> None:
     await heard.answer(200, X_Meter="util:0.1")
 
 
@@ -71,7 +72,7 @@
         writer.write(b"x" * 200_000)
         self.assertEqual(await reader.read(), b"")
         self.assertEqual(control.counters["control.malformed"], 1)
-        await until(lambda: not control.connections)
+        await wait_until(lambda: not control.connections)
 
     async def test_each_way_to_have_no_answer_has_its_code(self) -> None:
         def code(wait_s: float = 3.0) -> int:
@@ -123,12 +124,12 @@
         tables = read_option_tables({
             "control": {"socket": "c.sock"}, "members": {"listen": "127.0.0.1:0", "keys": "keys"},
         })  # fmt: skip
-        boxes = [ScriptedPeer(answer, f"c{n}") for n in range(3)]
-        async with Rehearsal(boxes, options=build_options(tables, "t", folder)) as world:
+        boxes = [ScriptedServer(answer, f"c{n}") for n in range(3)]
+        async with DirectorHarness(boxes, options=build_options(tables, "t", folder)) as world:
             director = world.director
             assert director is not None and director.duties is not None and director.members is not None
             duties = director.duties
-            await until(lambda: len(duties.owned_tasks()) == 3)
+            await wait_until(lambda: len(duties.owned_tasks()) == 3)
 
             def run(*words: str) -> tuple[int, str]:
                 told = ["members", "--config", str(folder / "g.toml"), *words]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,24 +17,18 @@
 
 from gladewalk.director import EXIT_DELAY_MS, Director
 from gladewalk.net.clients import FINAL_LINGER_MS
-from gladewalk.rehearsal.peers import (
-    Coordinator,
-    Heard,
-    Rehearsal,
-    ScriptedPeer,
-    config_for,
-    read_message,
-    request,
-    until,
-)
-
-from .peers import BYTES, ROOT, hit
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import DirectorHarness, config_for, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
+
+from .server_scripts import BYTES, ROOT, hit
 
 LARGE = bytes(range(256)) * 192  # more than small socket buffers hold, less than makes a writer wait
 
 
-def held_until(release: asyncio.Event) -> Callable[[Heard], Awaitable[None]]:
-    async def script(heard: Heard) -> None:
+def held_until(release: asyncio.Event) -> Callable[[ReceivedRequest], Awaitable[None]]:
+    async def script(heard: ReceivedRequest) -> None:
         await release.wait()
         await hit(heard)
 
@@ -44,12 +38,12 @@
 async def long_after(director: Director) -> None:
     """So long that a director which does not wait would have ended."""
     start = director.clock()
-    await until(lambda: director.clock() > start + FINAL_LINGER_MS + 10 * EXIT_DELAY_MS)
+    await wait_until(lambda: director.clock() > start + FINAL_LINGER_MS + 10 * EXIT_DELAY_MS)
 
 
 def ask_at_once(client: socket.socket, data: bytes = b"") -> None:
     """Written with no turn of the loop in between: it lies with the system, unread."""
-    client.sendall(data or request("/invoke/lot-page/a1"))
+    client.sendall(data or encode_request("/invoke/lot-page/a1"))
 
 
 async def stream_of(client: socket.socket) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -63,15 +57,15 @@
     async def asked_at_the_end(self, before: Callable[[Director, socket.socket], None]) -> None:
         """`before` is called in the moment in which the accepting time ends, with a client's socket."""
         release = asyncio.Event()
-        cache = ScriptedPeer(held_until(release))
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(held_until(release))
+        async with DirectorHarness([cache]) as world:
             director = world.director
             assert director is not None
             client = socket.create_connection(director.front.address)
             before(director, client)
             director._stop_accepting()
             reader, writer = await stream_of(client)
-            await until(lambda: len(cache.heard) == 1)
+            await wait_until(lambda: len(cache.received) == 1)
             await long_after(director)
             self.assertFalse(director._ended.done())
             release.set()
@@ -92,14 +86,14 @@
         await self.asked_at_the_end(before)
 
     async def test_a_request_that_lies_unread_is_answered(self) -> None:
-        cache = ScriptedPeer(hit)
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(hit)
+        async with DirectorHarness([cache]) as world:
             director = world.director
             assert director is not None
-            reader, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1"))
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1"))
             await read_message(reader)
-            os.write(writer.get_extra_info("socket").fileno(), request("/invoke/lot-page/a2"))
+            os.write(writer.get_extra_info("socket").fileno(), encode_request("/invoke/lot-page/a2"))
             director._stop_accepting()
             first, fields, body = await read_message(reader)
             self.assertEqual((first.split(" ")[1], fields["connection"], body), ("200", "close", BYTES))
@@ -108,13 +102,15 @@
             await director._ended
 
     async def test_half_a_request_has_its_time_to_come_whole(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             director = world.director
             assert director is not None
-            reader, writer = await world.client()
-            whole = request("/invoke/lot-page/a1")
+            reader, writer = await world.connect()
+            whole = encode_request("/invoke/lot-page/a1")
             writer.write(whole[:-9])
-            await until(lambda: any(connection.has_partial_request for connection in director.front.awaiting))
+            await wait_until(
+                lambda: any(connection.has_partial_request for connection in director.front.awaiting)
+            )
             director._stop_accepting()
             await long_after(director)
             self.assertFalse(director._ended.done())
@@ -125,26 +121,26 @@
             await director._ended
 
     async def test_who_rests_sees_an_end_and_what_crosses_it_is_not_taken(self) -> None:
-        cache = ScriptedPeer(hit)
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(hit)
+        async with DirectorHarness([cache]) as world:
             director = world.director
             assert director is not None
-            reader, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1"))
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1"))
             await read_message(reader)
             director._stop_accepting()
-            writer.write(request("/invoke/lot-page/a2"))
+            writer.write(encode_request("/invoke/lot-page/a2"))
             self.assertEqual(await reader.read(), b"")  # an end, and no reset
             writer.close()
             await director._ended
-            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
+            self.assertEqual((len(cache.received), director.counters["requests.taken"]), (1, 1))
 
     async def test_who_says_nothing_more_holds_no_process_up(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             director = world.director
             assert director is not None
-            clients = [await world.client() for _ in range(3)]
-            await until(lambda: len(director.front.awaiting) == 3)
+            clients = [await world.connect() for _ in range(3)]
+            await wait_until(lambda: len(director.front.awaiting) == 3)
             director._stop_accepting()
             await director._ended
             for reader, writer in clients:
@@ -152,23 +148,23 @@
                 writer.close()
 
     async def test_an_answer_that_its_client_reads_slowly_comes_whole(self) -> None:
-        async def large(heard: Heard) -> None:
+        async def large(heard: ReceivedRequest) -> None:
             await heard.answer(200, LARGE)
 
-        async with Rehearsal([ScriptedPeer(large)]) as world:
+        async with DirectorHarness([ScriptedServer(large)]) as world:
             director = world.director
             assert director is not None
             front, client = director.front, socket.socket()
             client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             client.setblocking(False)
             await asyncio.get_running_loop().sock_connect(client, front.address)
-            await until(lambda: len(front.connections) == 1)
+            await wait_until(lambda: len(front.connections) == 1)
             (connection,) = front.connections
             assert connection.transport is not None
             sock = connection.transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             ask_at_once(client)
-            await until(lambda: director.counters["answers.served"] == 1)
+            await wait_until(lambda: director.counters["answers.served"] == 1)
             self.assertGreater(connection.transport.get_write_buffer_size(), 0)  # owed to nobody's knowledge
             front._evict_one()
             self.assertFalse(connection.is_evicted)
@@ -187,89 +183,91 @@
     async def test_a_request_behind_a_last_answer_is_not_taken_and_resets_nothing(self) -> None:
         release = asyncio.Event()
 
-        async def in_two_pieces(heard: Heard) -> None:
+        async def in_two_pieces(heard: ReceivedRequest) -> None:
             heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
             await release.wait()
             heard.writer.write(b"def")
 
-        cache = ScriptedPeer(in_two_pieces)
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(in_two_pieces)
+        async with DirectorHarness([cache]) as world:
             director = world.director
             assert director is not None
             director.readiness.start_drain(director.clock())
-            reader, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1"))
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1"))
             self.assertIn(b"Connection: close", await reader.readuntil(b"\r\n\r\n"))
-            writer.write(request("/invoke/lot-page/a2"))
+            writer.write(encode_request("/invoke/lot-page/a2"))
             (connection,) = director.front.connections
-            await until(connection.is_input_empty)  # it has come, and been read
+            await wait_until(connection.is_input_empty)  # it has come, and been read
             release.set()
             self.assertEqual(await reader.read(), b"abcdef")
             writer.close()
-            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
+            self.assertEqual((len(cache.received), director.counters["requests.taken"]), (1, 1))
 
     async def test_a_client_that_leaves_is_seen_though_it_is_not_read(self) -> None:
         release = asyncio.Event()
-        cache = ScriptedPeer(held_until(release))
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(held_until(release))
+        async with DirectorHarness([cache]) as world:
             director = world.director
             assert director is not None
-            _, writer = await world.client()
+            _, writer = await world.connect()
             for name in ("a1", "a2", "a3"):
-                writer.write(request(f"/invoke/lot-page/{name}"))
+                writer.write(encode_request(f"/invoke/lot-page/{name}"))
             connections = director.front.connections
-            await until(lambda: any(c.is_reading_paused for c in connections) and len(cache.heard) == 1)
+            await wait_until(
+                lambda: any(c.is_reading_paused for c in connections) and len(cache.received) == 1
+            )
             writer.close()
-            await until(lambda: not director.exchange.open_requests, 2.0)  # and not once its time is up
+            await wait_until(lambda: not director.exchange.open_requests, 2.0)  # and not once its time is up
             self.assertEqual(director.counters["requests.left_by_client"], 1)
-            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (1, 1))
+            self.assertEqual((len(cache.received), director.counters["requests.taken"]), (1, 1))
 
     async def test_a_request_whose_client_has_left_before_it_was_read_is_not_sent_on(self) -> None:
-        cache = ScriptedPeer(hit)
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(hit)
+        async with DirectorHarness([cache]) as world:
             director = world.director
             assert director is not None
             with socket.create_connection(director.front.address) as client:
                 ask_at_once(client)  # it waits unaccepted, and is closed before the loop's next turn
-            await until(lambda: director.counters["clients.left_unread"] == 1)
-            await until(lambda: not director.front.connections)
-            self.assertEqual((len(cache.heard), director.counters["requests.taken"]), (0, 0))
+            await wait_until(lambda: director.counters["clients.left_unread"] == 1)
+            await wait_until(lambda: not director.front.connections)
+            self.assertEqual((len(cache.received), director.counters["requests.taken"]), (0, 0))
             self.assertEqual(director.front.descriptor_count, 0)
 
     async def test_a_client_that_leaves_while_its_request_is_held_or_dialled_is_not_sent_on(self) -> None:
-        cache = ScriptedPeer(hit)
-        async with Rehearsal([cache], coordinator=Coordinator(answering=asyncio.Event())) as world:
+        cache = ScriptedServer(hit)
+        async with DirectorHarness([cache], coordinator=Coordinator(may_answer=asyncio.Event())) as world:
             director = world.director
             assert director is not None
-            _, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1"))
-            await until(lambda: len(director.exchange.held_requests or ()) == 1)
+            _, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1"))
+            await wait_until(lambda: len(director.exchange.held_requests or ()) == 1)
             writer.close()
-            await until(lambda: not director.front.connections)
-            assert world.coordinator.answering is not None
-            world.coordinator.answering.set()
-            await until(lambda: director.exchange.held_requests is None)
-            await until(lambda: not director.exchange.open_requests)
-            self.assertEqual((len(cache.heard), director.counters["attempts.written"]), (0, 0))
+            await wait_until(lambda: not director.front.connections)
+            assert world.coordinator.may_answer is not None
+            world.coordinator.may_answer.set()
+            await wait_until(lambda: director.exchange.held_requests is None)
+            await wait_until(lambda: not director.exchange.open_requests)
+            self.assertEqual((len(cache.received), director.counters["attempts.written"]), (0, 0))
 
     async def test_nothing_is_said_within_another_answer(self) -> None:
         release = asyncio.Event()
 
-        async def in_two_pieces(heard: Heard) -> None:
+        async def in_two_pieces(heard: ReceivedRequest) -> None:
             heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
             await release.wait()
             heard.writer.write(b"def")
 
-        async with Rehearsal([ScriptedPeer(in_two_pieces)]) as world:
+        async with DirectorHarness([ScriptedServer(in_two_pieces)]) as world:
             director = world.director
             assert director is not None
-            reader, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1"))
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1"))
             await reader.readuntil(b"abc")
-            behind = request("/invoke/bid/b1", method="PUT", body=b"12", Expect="100-continue")
+            behind = encode_request("/invoke/bid/b1", method="PUT", body=b"12", Expect="100-continue")
             writer.write(behind[:-2])
             (connection,) = director.front.connections
-            await until(lambda: connection.has_partial_request and connection.has_complete_head)
+            await wait_until(lambda: connection.has_partial_request and connection.has_complete_head)
             release.set()
             self.assertEqual(await reader.readexactly(3), b"def")
             writer.close()
@@ -279,7 +277,7 @@
     """A signal finds its handler, whenever it comes."""
 
     async def test_what_comes_while_the_configuration_is_read_waits_for_its_handler(self) -> None:
-        cache, coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
+        cache, coordinator = await ScriptedServer(hit).start(), await Coordinator().start()
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "config.json")
             os.mkfifo(path)
@@ -313,7 +311,7 @@
     async def test_what_comes_once_a_stop_is_through_does_not_end_the_process_otherwise(self) -> None:
         before = signal.pthread_sigmask(signal.SIG_BLOCK, ())
         self.addCleanup(signal.pthread_sigmask, signal.SIG_SETMASK, before)
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             director = world.director
             assert director is not None
             director._ended.set_result(None)
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -11,7 +11,9 @@
 from gladewalk import interface as api
 from gladewalk.config.policy_settings import read_settings
 from gladewalk.net.requests import BadRequestError, parse_request
-from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, request
+from gladewalk.rehearsal.director_harness import SETTINGS, DirectorHarness
+from gladewalk.rehearsal.http_messages import encode_request
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 from .world import CACHES, ORIGIN, PAGE, PARENTS, World, finals
 
@@ -205,62 +207,62 @@
 KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 
 
-async def good(heard: Heard) -> None:
+async def good(heard: ReceivedRequest) -> None:
     await heard.answer(200, b"done", X_Remark="origin")
 
 
-async def failing(heard: Heard) -> None:
+async def failing(heard: ReceivedRequest) -> None:
     await heard.answer(500)
 
 
-async def shedding(heard: Heard) -> None:
+async def shedding(heard: ReceivedRequest) -> None:
     await heard.answer(503, X_Shed="1")
 
 
 def fleet(script: Any) -> list[Any]:
-    return [ScriptedPeer(script), ScriptedPeer(good, "o", "origin", "north")]
+    return [ScriptedServer(script), ScriptedServer(good, "o", "origin", "north")]
 
 
 class OnSockets(unittest.IsolatedAsyncioTestCase):
     async def test_a_key_goes_on_unchanged_with_every_attempt(self) -> None:
-        peers = [ScriptedPeer(failing), *fleet(failing)[1:]]
-        async with Rehearsal(peers, settings=shaped()) as world:
-            await world.ask(BID, method="PUT", body=b"x", Replay_Key=KEY, Is_Retry="1")
-            sends = [heard.headers for peer in peers for heard in peer.heard]
+        peers = [ScriptedServer(failing), *fleet(failing)[1:]]
+        async with DirectorHarness(peers, settings=shaped()) as world:
+            await world.fetch(BID, method="PUT", body=b"x", Replay_Key=KEY, Is_Retry="1")
+            sends = [heard.headers for peer in peers for heard in peer.received]
         self.assertGreaterEqual(len(sends), 1)
         self.assertEqual({headers.get("x-nonce") for headers in sends}, {KEY})
 
     async def test_a_keyed_class_without_a_key_is_answered_400_and_sent_nowhere(self) -> None:
         peers = fleet(good)
-        async with Rehearsal(peers, settings=shaped()) as world:
+        async with DirectorHarness(peers, settings=shaped()) as world:
             assert world.director is not None
-            status, _, _ = await world.ask(BID, method="PUT", body=b"x")
+            status, _, _ = await world.fetch(BID, method="PUT", body=b"x")
             self.assertEqual(status, 400)
             for bad in ("", "two words", "x" * 129, "caf\u00e9"):
-                status, _, _ = await world.ask(BID, method="PUT", body=b"x", Replay_Key=bad)
+                status, _, _ = await world.fetch(BID, method="PUT", body=b"x", Replay_Key=bad)
                 self.assertEqual(status, 400)
             counters = world.director.counters
             self.assertEqual(counters["clients.bad_input_400"], 5)
             self.assertEqual(counters["clients.key_missing"], 1)
-        self.assertEqual([peer.heard for peer in peers], [[], []])
+        self.assertEqual([peer.received for peer in peers], [[], []])
 
     async def test_two_keys_in_one_request_are_none(self) -> None:
-        async with Rehearsal(fleet(good), settings=shaped()) as world:
-            reader, writer = await world.client()
-            raw = request(BID, "PUT", body=b"x", Replay_Key=KEY)
+        async with DirectorHarness(fleet(good), settings=shaped()) as world:
+            reader, writer = await world.connect()
+            raw = encode_request(BID, "PUT", body=b"x", Replay_Key=KEY)
             writer.write(raw.replace(b"Replay-Key", b"Replay-Key: other\r\nReplay-Key", 1))
             self.assertIn(b" 400 ", await reader.readline())
             writer.close()
 
     async def test_a_refusal_tells_the_wait_in_ms_where_the_settings_have_it(self) -> None:
         for settings, told in ((shaped(), "500"), (SETTINGS, None)):
-            async with Rehearsal([ScriptedPeer(shedding)], settings=settings) as world:
-                status, fields, _ = await world.ask()
+            async with DirectorHarness([ScriptedServer(shedding)], settings=settings) as world:
+                status, fields, _ = await world.fetch()
             self.assertEqual((status, fields.get("hold-off-ms")), (503, told))
             self.assertEqual(fields["retry-after"], "1")
 
     async def test_a_fill_that_has_begun_is_not_cut_for_its_age(self) -> None:
-        async def slow(heard: Heard) -> None:
+        async def slow(heard: ReceivedRequest) -> None:
             if "miss-to" not in heard.headers:
                 return await heard.answer(404)
             heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfirst")
@@ -268,22 +270,22 @@
             await asyncio.sleep(1.2)  # its time was up after 0.5 s
             heard.writer.write(b"-last")
 
-        parent = ScriptedPeer(good, "p1", "parent", "north")
-        async with Rehearsal([ScriptedPeer(slow), parent]) as world:
+        parent = ScriptedServer(good, "p1", "parent", "north")
+        async with DirectorHarness([ScriptedServer(slow), parent]) as world:
             assert world.director is not None
             world.director.exchange.dispatcher.router._sojourn.late_fraction = 1.0
-            status, _, body = await world.ask()
+            status, _, body = await world.fetch()
             self.assertEqual((status, body), (200, b"first-last"))
 
     async def test_a_retry_with_its_key_reaches_the_store_within_its_time(self) -> None:
-        peers = [ScriptedPeer(failing), ScriptedPeer(failing, "o", "origin", "north")]
-        async with Rehearsal(peers, settings=shaped()) as world:
-            first, _, _ = await world.ask(BID, method="PUT", body=b"x", trace="0" * 16, Replay_Key=KEY)
+        peers = [ScriptedServer(failing), ScriptedServer(failing, "o", "origin", "north")]
+        async with DirectorHarness(peers, settings=shaped()) as world:
+            first, _, _ = await world.fetch(BID, method="PUT", body=b"x", trace="0" * 16, Replay_Key=KEY)
             peers[0].script = peers[1].script = good
             assert world.director is not None
             for server in world.director.exchange.dispatcher.state.registry.servers.values():
                 server.consecutive_failures, server.backoff_until_ms = 0, 0.0
-            again, _, _ = await world.ask(
+            again, _, _ = await world.fetch(
                 BID, method="PUT", body=b"x", trace="1" * 16, Replay_Key=KEY, Is_Retry="1"
             )
         self.assertEqual((first in (502, 503), again), (True, 200))
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -8,7 +8,10 @@
 from gladewalk.config.platform import PlatformConfig, read_config
 from gladewalk.director import Director
 from gladewalk.net.clients import SPARE_CONNECTIONS
-from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for, read_message, request, until
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 from gladewalk.upstream.pool import OWN_DESCRIPTORS, UPSTREAM_PART
 
 from .test_crossings import held_until
@@ -19,7 +22,10 @@
 class HandOver(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.release = asyncio.Event()
-        self.cache, self.coordinator = ScriptedPeer(held_until(self.release), size=4000.0), Coordinator()
+        self.cache, self.coordinator = (
+            ScriptedServer(held_until(self.release), capacity=4000.0),
+            Coordinator(),
+        )
         await self.coordinator.start()
         await self.cache.start()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
@@ -41,7 +47,7 @@
         director = Director(config, asyncio.get_running_loop())
         self.directors.append(director)
         await director.start()
-        await until(lambda: director.readiness.is_synced)
+        await wait_until(lambda: director.readiness.is_synced)
         return director
 
     async def test_both_together_hold_no_more_connections_to_caches_than_one_may(self) -> None:
@@ -54,12 +60,14 @@
                 reader, writer = await asyncio.open_connection(*self.listener.getsockname()[:2])
                 trace = f"{number:08x}{n:08x}"
                 path = f"/invoke/lot-page/{number * 1000 + n + 1:x}"
-                writer.write(request(path, trace=trace, wait_ms=60_000.0))  # a busy machine takes its time
+                writer.write(
+                    encode_request(path, trace=trace, wait_ms=60_000.0)
+                )  # a busy machine takes its time
                 clients.append((reader, writer))
             asked = director.counters
-            await until(lambda c=asked, d=director: c["requests.taken"] == d.front.connection_limit)  # type: ignore[misc]
+            await wait_until(lambda c=asked, d=director: c["requests.taken"] == d.front.connection_limit)  # type: ignore[misc]
         most = int(SOCKETS * UPSTREAM_PART) - OWN_DESCRIPTORS
-        await until(lambda: self.cache.connections >= most - 1)
+        await wait_until(lambda: self.cache.connections >= most - 1)
         held = sum(len(d.caches.live) for d in self.directors)
         self.assertLessEqual(held, most)
         self.assertLessEqual(self.cache.connections, most)
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -20,8 +20,9 @@
 from gladewalk.dns.names import Routed, Rules, Wanted, labels_of, write_name
 from gladewalk.dns.settings import DnsConfig
 from gladewalk.policy.dns_placement import DnsPlacement
-from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, config_for, until
-from gladewalk.rehearsal.resolver import Resolver
+from gladewalk.rehearsal.director_harness import SETTINGS, DirectorHarness, config_for, wait_until
+from gladewalk.rehearsal.resolver import StubResolver
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from tests.world import CACHES, PARENTS, World
 
 ZONE = dns.name.from_text("cdn.example.")
@@ -31,7 +32,7 @@
 FALL = 3.0
 
 
-async def hit(heard: Heard) -> None:
+async def hit(heard: ReceivedRequest) -> None:
     await heard.answer(200, b"x", X_Remark="mem")
 
 
@@ -45,12 +46,12 @@
 
 class Front(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.cache = ScriptedPeer(hit, size=50.0)
-        self.world = Rehearsal([self.cache], dns=front())
+        self.cache = ScriptedServer(hit, capacity=50.0)
+        self.world = DirectorHarness([self.cache], dns=front())
         await self.world.__aenter__()
         assert self.world.director is not None and self.world.director.dns is not None
         self.director, self.front = self.world.director, self.world.director.dns
-        self.resolver = Resolver(self.front.address)
+        self.resolver = StubResolver(self.front.address)
 
     async def asyncTearDown(self) -> None:
         await self.world.__aexit__()
@@ -127,8 +128,8 @@
     async def test_a_drained_box_is_not_named_and_its_refusal_comes_by_the_deadline(self) -> None:
         self.assertEqual(await self.resolver.resolve(name()), [BOX])
         self.cache.state = "DRAINING"
-        self.world.coordinator.tell_list(self.cache)
-        await until(lambda: self.director.endpoint_feed.last_index == 2)
+        self.world.coordinator.publish_endpoints(self.cache)
+        await wait_until(lambda: self.director.endpoint_feed.last_index == 2)
         self.front.config = front(wait_ms=30.0)
         query = dns.message.make_query(name(0xA2), "A")
         self.assertEqual((await self.resolver.query(query)).rcode(), dns.rcode.SERVFAIL)
@@ -138,13 +139,13 @@
     async def test_a_question_that_waits_is_answered_by_what_is_told_meanwhile(self) -> None:
         """A purge and then a box come while it waits: the purged object's box must not be named."""
         self.cache.state = "DRAINING"
-        self.world.coordinator.tell_list(self.cache)
-        await until(lambda: self.director.endpoint_feed.last_index == 2)
+        self.world.coordinator.publish_endpoints(self.cache)
+        await wait_until(lambda: self.director.endpoint_feed.last_index == 2)
         waiting = [asyncio.create_task(self.resolver.resolve(name(key))) for key in (0xB1, 0xB2)]
-        await until(lambda: len(self.director.exchange.resolutions.open) == 2)
-        self.world.coordinator.tell(evict={"ref": "b1", "unix_ms": self.director.exchange.clock()})
+        await wait_until(lambda: len(self.director.exchange.resolutions.open) == 2)
+        self.world.coordinator.publish(evict={"ref": "b1", "unix_ms": self.director.exchange.clock()})
         self.cache.state = "SERVING"
-        self.world.coordinator.tell_list(self.cache)
+        self.world.coordinator.publish_endpoints(self.cache)
         self.assertEqual(await asyncio.gather(*waiting), [[OWN], [BOX]])
 
     async def test_a_purge_that_lands_between_decision_and_write_is_heeded(self) -> None:
@@ -175,22 +176,22 @@
         settings["n_instances"] = 2
         held = 0
         for _ in range(2):  # the directors share nothing: each is asked by its own resolvers
-            box = ScriptedPeer(hit, size=self.SIZE)
-            async with Rehearsal([box], settings=settings, dns=front()) as world:
+            box = ScriptedServer(hit, capacity=self.SIZE)
+            async with DirectorHarness([box], settings=settings, dns=front()) as world:
                 assert world.director is not None and world.director.dns is not None
                 address = world.director.dns.address
-                resolvers = [Resolver(address, 3600.0, f"127.0.1.{n}") for n in (1, 2, 3)]
+                resolvers = [StubResolver(address, 3600.0, f"127.0.1.{n}") for n in (1, 2, 3)]
                 for restart in (False, True):
                     if restart:
                         box.boot_ms = world.director.exchange.clock()
-                        world.coordinator.tell_list(box)
-                        await until(lambda feed=world.director.endpoint_feed: feed.last_index == 2)  # type: ignore[misc]
+                        world.coordinator.publish_endpoints(box)
+                        await wait_until(lambda feed=world.director.endpoint_feed: feed.last_index == 2)  # type: ignore[misc]
                     for key in range(20):
                         for resolver in resolvers:
                             await resolver.resolve(name(key + 100 * restart))
                 for resolver in resolvers:
-                    self.assertEqual(resolver.asked, 40)
-                    held += sum(addresses == [BOX] for _, addresses in resolver.held.values())
+                    self.assertEqual(resolver.query_count, 40)
+                    held += sum(addresses == [BOX] for _, addresses in resolver.cache.values())
         return held
 
     async def test_no_cold_box_is_held_at_more_than_it_can_bear(self) -> None:
--- a/tests/test_duties_directors.py
+++ b/tests/test_duties_directors.py
@@ -11,7 +11,9 @@
 from gladewalk.config.platform import read_config
 from gladewalk.director import Director
 from gladewalk.duties.runner import TaskRunner
-from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for, until
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for, wait_until
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 DIRECTORS = ("n0", "n1", "n2")
 CHECK_INTERVAL_MS = 200.0
@@ -57,8 +59,8 @@
 class SharedTasks(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.checks: Counter[str] = Counter()  # by server and path
-        self.servers = [ScriptedPeer(self.answer, f"c{number}") for number in range(4)]
-        self.servers.append(ScriptedPeer(self.answer, "p", "parent", "north"))
+        self.servers = [ScriptedServer(self.answer, f"c{number}") for number in range(4)]
+        self.servers.append(ScriptedServer(self.answer, "p", "parent", "north"))
         for server in self.servers:
             await server.start()
         self.coordinator = await Coordinator().start()
@@ -79,8 +81,8 @@
             server.stop()
         self.coordinator.stop()
 
-    async def answer(self, request: Heard) -> None:
-        self.checks[f"{request.peer.uid}{request.path}"] += 1
+    async def answer(self, request: ReceivedRequest) -> None:
+        self.checks[f"{request.server.uid}{request.path}"] += 1
         await request.answer(200, X_Meter="util:0.25;x0:0.5")
 
     async def start_director(self, name: str, folder: Path) -> None:
@@ -95,8 +97,8 @@
 
     async def test_one_check_serves_all_and_a_dead_directors_share_is_taken_over(self) -> None:
         runners = [runner_of(director) for director in self.directors]
-        await until(lambda: all(len(runner.peers.core.live_weights()) == 3 for runner in runners))
-        await until(lambda: owned_by(runners) == EVERY_TASK)
+        await wait_until(lambda: all(len(runner.peers.core.live_weights()) == 3 for runner in runners))
+        await wait_until(lambda: owned_by(runners) == EVERY_TASK)
         self.checks.clear()
         for results in self.results:
             results.clear()
@@ -115,6 +117,6 @@
         self.silent = lost
         runner_of(lost).shared.clear()
         rest = [runner for runner in runners if runner is not runner_of(lost)]
-        await until(lambda: owned_by(rest) == EVERY_TASK)
+        await wait_until(lambda: owned_by(rest) == EVERY_TASK)
         self.checks.clear()
-        await until(lambda: len(self.checks) == len(EVERY_TASK))
+        await wait_until(lambda: len(self.checks) == len(EVERY_TASK))
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -8,23 +8,26 @@
 from gladewalk.director import Director
 from gladewalk.net.connection import MAX_HEADER_BYTES, ClientConnection
 from gladewalk.net.sockets import MAX_FRAMING_BYTES
-from gladewalk.rehearsal.peers import Heard, Rehearsal, ScriptedPeer, read_message, request, until
+from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from gladewalk.upstream.words import HEAD_MOST, OBJECT_MOST
 
-from .peers import hit
+from .server_scripts import hit
 
 PIECE = b"x" * 4096
 AHEAD = 8  # requests that a client sends without reading
 LARGE = bytes(48 * 1024)  # more than small socket buffers hold, less than makes a writer wait by itself
 
 
-async def large(heard: Heard) -> None:
+async def large(heard: ReceivedRequest) -> None:
     await heard.answer(200, LARGE)
 
 
 def ahead(number: int, wait_ms: float) -> bytes:
     asks = (
-        request(f"/invoke/lot-page/{n + 1:x}", trace=f"{n + 1:016x}", wait_ms=wait_ms) for n in range(number)
+        encode_request(f"/invoke/lot-page/{n + 1:x}", trace=f"{n + 1:016x}", wait_ms=wait_ms)
+        for n in range(number)
     )
     return b"".join(asks)
 
@@ -32,10 +35,10 @@
 class FromClients(unittest.IsolatedAsyncioTestCase):
     async def endless(self, start: bytes, piece: bytes, most: int, status: int) -> None:
         """`piece` comes again and again behind `start`: the client is told `status` before `most` bytes."""
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             director = world.director
             assert director is not None
-            reader, writer = await world.client()
+            reader, writer = await world.connect()
             writer.write(start)
             sent = 0
             answer = asyncio.ensure_future(read_message(reader))
@@ -45,25 +48,25 @@
                 with contextlib.suppress(ConnectionError):
                     await writer.drain()
                 (connection,) = director.front.connections
-                await until(lambda c=connection: c.is_last or c.is_input_empty())  # type: ignore[misc]
+                await wait_until(lambda c=connection: c.is_last or c.is_input_empty())  # type: ignore[misc]
                 await asyncio.sleep(0)
             self.assertLessEqual(sent, most + 2 * len(piece))
             self.assertIn(f" {status} ", (await answer)[0])
             self.assertEqual(director.counters[f"clients.bad_input_{status}"], 1)
             writer.close()
-            self.assertEqual((await world.ask())[0], 200)
+            self.assertEqual((await world.fetch())[0], 200)
 
     async def test_a_trailer_without_end(self) -> None:
-        head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
+        head = encode_request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
         most = MAX_FRAMING_BYTES
         await self.endless(head + b"2\r\nab\r\n0\r\nX: ", PIECE, most, 413)
 
     async def test_many_fields_of_a_trailer(self) -> None:
-        head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
+        head = encode_request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
         await self.endless(head + b"2\r\nab\r\n0\r\n", b"x-y: z\r\n" * 500, 2 * MAX_HEADER_BYTES, 431)
 
     async def test_a_chunks_extension_without_end(self) -> None:
-        head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
+        head = encode_request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
         most = MAX_FRAMING_BYTES
         await self.endless(head + b"2;", PIECE, most, 413)
 
@@ -73,7 +76,7 @@
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         client.setblocking(False)
         await asyncio.get_running_loop().sock_connect(client, director.front.address)
-        await until(lambda: len(director.front.connections) == 1)
+        await wait_until(lambda: len(director.front.connections) == 1)
         (connection,) = director.front.connections
         assert connection.transport is not None
         sock = connection.transport.get_extra_info("socket")
@@ -83,17 +86,17 @@
 
     async def test_answers_that_a_client_leaves_unread_are_not_made_ahead(self) -> None:
         """A client that asks on and on and reads nothing: its next request waits until it reads."""
-        cache = ScriptedPeer(large)
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(large)
+        async with DirectorHarness([cache]) as world:
             director = world.director
             assert director is not None
             client, connection = await self.unread(director, ahead(AHEAD, 3000.0))
-            await until(
+            await wait_until(
                 lambda: director.counters["answers.served"] >= 2 and not director.exchange.open_requests
             )
             assert connection.transport is not None
             self.assertLess(connection.transport.get_write_buffer_size(), 3 * len(LARGE))
-            self.assertLess(len(cache.heard), AHEAD)
+            self.assertLess(len(cache.received), AHEAD)
             reader, writer = await asyncio.open_connection(sock=client)
             for _ in range(AHEAD):
                 self.assertEqual((await read_message(reader))[2], LARGE)
@@ -101,23 +104,22 @@
             writer.close()
 
     async def test_who_never_reads_is_parted_from_once_its_patience_is_over(self) -> None:
-        async with Rehearsal([ScriptedPeer(large)]) as world:
+        async with DirectorHarness([ScriptedServer(large)]) as world:
             director = world.director
             assert director is not None
             client, _ = await self.unread(director, ahead(AHEAD, 400.0))
-            await until(lambda: director.counters["clients.never_read"] == 1)
-            await until(lambda: not director.front.connections)
+            await wait_until(lambda: director.counters["clients.never_read"] == 1)
+            await wait_until(lambda: not director.front.connections)
             self.assertEqual(director.front.descriptor_count, 0)
             client.close()
 
-
     async def test_half_a_request_behind_answers_unread_ends_with_its_time(self) -> None:
-        async with Rehearsal([ScriptedPeer(large)]) as world:
+        async with DirectorHarness([ScriptedServer(large)]) as world:
             director = world.director
             assert director is not None
             front, real = director.front, director.front.clock
             client, connection = await self.unread(director, ahead(3, 3000.0) + ahead(1, 3000.0)[:-9])
-            await until(
+            await wait_until(
                 lambda: director.counters["answers.served"] >= 2 and not director.exchange.open_requests
             )
             self.assertTrue(connection.is_writing_paused)
@@ -128,7 +130,7 @@
             front.update_state(connection)
             front.clock = lambda: real() + front.request_timeout_ms + 1.0
             front.sweep()  # as its deadline calls it
-            await until(lambda: not front.connections)
+            await wait_until(lambda: not front.connections)
             self.assertEqual((front.descriptor_count, director.counters["clients.came_too_slowly"]), (0, 1))
             client.close()
 
@@ -137,7 +139,7 @@
     async def spoilt(self, start: bytes, piece: bytes) -> None:
         sent = [0]
 
-        async def endless(heard: Heard) -> None:
+        async def endless(heard: ReceivedRequest) -> None:
             heard.writer.write(start)
             with contextlib.suppress(ConnectionError):
                 while sent[0] <= 8 * OBJECT_MOST:
@@ -145,11 +147,11 @@
                     sent[0] += len(piece)
                     await heard.writer.drain()
 
-        async with Rehearsal([ScriptedPeer(endless)]) as world:
+        async with DirectorHarness([ScriptedServer(endless)]) as world:
             director = world.director
             assert director is not None
-            reader, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1", Connection="close"))
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1", Connection="close"))
             with contextlib.suppress(ConnectionError):
                 while await reader.read(65536):
                     pass
@@ -172,13 +174,13 @@
         await self.spoilt(head, PIECE)
 
     async def test_small_chunks_are_an_answer_like_any_other(self) -> None:
-        async def small(heard: Heard) -> None:
+        async def small(heard: ReceivedRequest) -> None:
             heard.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             heard.writer.write(b"1\r\nx\r\n" * HEAD_MOST + b"0\r\n\r\n")
 
-        async with Rehearsal([ScriptedPeer(small)]) as world:
-            reader, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1"))
+        async with DirectorHarness([ScriptedServer(small)]) as world:
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1"))
             await reader.readuntil(b"\r\n\r\n")
             whole = 0
             while size := int((await reader.readline()).strip(), 16):
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -8,9 +8,11 @@
 from gladewalk.interface import ServerState
 from gladewalk.net.coordinator import MAX_BACKOFF_MS, MAX_SILENCE_MS, MAX_UNUSABLE_MS, MIN_BACKOFF_MS
 from gladewalk.net.endpoint_feed import MAX_REFETCHES
-from gladewalk.rehearsal.peers import Coordinator, Rehearsal, ScriptedPeer, until
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 
-from .peers import hit
+from .server_scripts import hit
 
 
 def whole_list(*targets: Any) -> dict[str, Any]:
@@ -22,11 +24,11 @@
     writer.write(b"noise\n")
 
 
-class World(Rehearsal):
+class World(DirectorHarness):
     """A director that follows, with one cache."""
 
     def __init__(self) -> None:
-        self.cache = ScriptedPeer(hit)
+        self.cache = ScriptedServer(hit)
         super().__init__([self.cache])
 
     @property
@@ -36,7 +38,7 @@
         return {name: server.info.state for name, server in servers.items()}
 
     async def following(self, times: int) -> None:
-        await until(lambda: len(self.coordinator.follows) >= times)
+        await wait_until(lambda: len(self.coordinator.followed_from) >= times)
 
 
 class Spoilt(unittest.IsolatedAsyncioTestCase):
@@ -51,19 +53,19 @@
                 {**good, "uid": "x3", "capacity_hint": "much"}, {**good, "uid": "x4", "capacity_hint": -1},
                 {**good, "uid": "x5", "boot_ms": float("inf")}, {**good, "uid": 3}, None,
             ]  # fmt: skip
-            world.coordinator.tell(**whole_list(*bad, good, drains))
-            await until(lambda: set(world.known) == {"c1", "c2"})
+            world.coordinator.publish(**whole_list(*bad, good, drains))
+            await wait_until(lambda: set(world.known) == {"c1", "c2"})
             self.assertEqual(world.known["c1"], ServerState.DRAINING)
             counters = world.director.counters
-            await until(lambda: counters["coordinator.given_up"] == 1)
+            await wait_until(lambda: counters["coordinator.given_up"] == 1)
             self.assertEqual(counters["coordinator.bad_entries"], len(bad) * (1 + MAX_REFETCHES))
-            self.assertEqual(world.coordinator.follows, [1] * (1 + MAX_REFETCHES))
+            self.assertEqual(world.coordinator.followed_from, [1] * (1 + MAX_REFETCHES))
             # Asking again did not help: the next such event is asked for once more, not three times.
-            world.coordinator.tell(**whole_list(bad[0]))
-            await until(lambda: counters["coordinator.given_up"] == 2)
-            self.assertEqual(world.coordinator.follows[1 + MAX_REFETCHES :], [2])
-            world.coordinator.tell(**whole_list({**good, "uid": "c3"}))
-            await until(lambda: "c3" in world.known)
+            world.coordinator.publish(**whole_list(bad[0]))
+            await wait_until(lambda: counters["coordinator.given_up"] == 2)
+            self.assertEqual(world.coordinator.followed_from[1 + MAX_REFETCHES :], [2])
+            world.coordinator.publish(**whole_list({**good, "uid": "c3"}))
+            await wait_until(lambda: "c3" in world.known)
             self.assertEqual(world.director.endpoint_feed.last_index, 4)
 
     async def test_a_change_spoilt_on_its_way_is_asked_for_again_and_not_lost(self) -> None:
@@ -77,15 +79,15 @@
                 {"index": 2, "evict": {"ref": "xyz", "unix_ms": 1.0}},
                 {"index": 2, "evict": {"shard": 3, "unix_ms": float("nan")}},
             ):
-                before = len(world.coordinator.follows)
+                before = len(world.coordinator.followed_from)
                 world.director.endpoint_feed._refetched = (0, 0)
-                world.coordinator.write(json.dumps(spoilt).encode() + b"\n")
+                world.coordinator.send_raw(json.dumps(spoilt).encode() + b"\n")
                 await world.following(before + 1)
-            self.assertEqual(set(world.coordinator.follows), {1})
+            self.assertEqual(set(world.coordinator.followed_from), {1})
             self.assertNotIn("c2", world.known)
             world.coordinator.events.append(event)
-            world.coordinator.cut()
-            await until(lambda: "c2" in world.known)
+            world.coordinator.disconnect()
+            await wait_until(lambda: "c2" in world.known)
             self.assertEqual(world.director.endpoint_feed.last_index, 2)
 
     async def test_lines_that_are_none_leave_the_last_list_in_force(self) -> None:
@@ -94,11 +96,11 @@
             await world.following(1)
             lines = [b"[" * 200_000, b"{}", b"true", b'{"index":true}', b'{"index":"2"}', b"\xff\xfe", b'"x"']
             for number, line in enumerate(lines):
-                world.coordinator.write(line + b"\n")
+                world.coordinator.send_raw(line + b"\n")
                 await world.following(number + 2)
             self.assertEqual(world.known, {"c1": ServerState.READY})
             self.assertEqual(world.director.counters["coordinator.bad_lines"], len(lines))
-            self.assertEqual((await world.ask())[0], 200)
+            self.assertEqual((await world.fetch())[0], 200)
 
 
 class Nothing(unittest.IsolatedAsyncioTestCase):
@@ -111,27 +113,27 @@
             await world.following(1)
             noise = await asyncio.start_server(answer_with_noise, "127.0.0.1", 0)
             watch.set_address(noise.sockets[0].getsockname()[:2])
-            await until(lambda: watch.backoff_ms == MAX_BACKOFF_MS)
+            await wait_until(lambda: watch.backoff_ms == MAX_BACKOFF_MS)
             noise.close()
             host, _, port = world.coordinator.address.rpartition(":")
             watch.address = (host, int(port))  # and not `set_address`, which begins anew
             await world.following(2)
-            await until(lambda: watch.backoff_ms == MIN_BACKOFF_MS)
+            await wait_until(lambda: watch.backoff_ms == MIN_BACKOFF_MS)
 
     async def test_half_a_line_keeps_a_connection_alive_for_a_while_only(self) -> None:
         async with World() as world:
             assert world.director is not None
             director, watch = world.director, world.director.coordinator_watch
             await world.following(1)
-            await until(lambda: director.readiness.is_synced)
+            await wait_until(lambda: director.readiness.is_synced)
             real, ahead, written = director.endpoint_feed.clock, 0.0, [0]
             director.endpoint_feed.clock = lambda: real() + ahead
             begun = real()
             for step in range(1, 4):  # half a line goes on and on, always before the time of a silence
                 ahead = step * 0.9 * MAX_SILENCE_MS
-                world.coordinator.write(b" ")
+                world.coordinator.send_raw(b" ")
                 written[0] = step
-                await until(lambda: (c := watch.connection) is None or len(c.partial_line) >= written[0])
+                await wait_until(lambda: (c := watch.connection) is None or len(c.partial_line) >= written[0])
                 if watch._timer is not None:
                     self.assertLessEqual(watch._timer[0], max(real(), begun) + MAX_UNUSABLE_MS)
             world.director.endpoint_feed.clock = real
@@ -140,20 +142,20 @@
 class Down(unittest.IsolatedAsyncioTestCase):
     async def test_idle_clients_that_fill_their_places_leave_the_feed_its_descriptor(self) -> None:
         coordinator = Coordinator()
-        async with Rehearsal([ScriptedPeer(hit)], coordinator=coordinator) as world:
+        async with DirectorHarness([ScriptedServer(hit)], coordinator=coordinator) as world:
             assert world.director is not None
             director = world.director
-            await until(lambda: len(coordinator.follows) == 1)
+            await wait_until(lambda: len(coordinator.followed_from) == 1)
             assert coordinator._server is not None
             port = int(coordinator.address.rpartition(":")[2])
             coordinator._server.close()
-            coordinator.cut()  # discovery is down
-            clients = [await world.client() for _ in range(2 * director.front.connection_limit)]
-            await until(lambda: director.counters["coordinator.connects"] >= 3)
+            coordinator.disconnect()  # discovery is down
+            clients = [await world.connect() for _ in range(2 * director.front.connection_limit)]
+            await wait_until(lambda: director.counters["coordinator.connects"] >= 3)
             self.assertLessEqual(director.front.descriptor_count, director.config.max_descriptors)
             again = await asyncio.start_server(coordinator._serve, "127.0.0.1", port)
-            await until(lambda: len(coordinator.follows) == 2)
-            self.assertEqual((await world.ask())[0], 200)
+            await wait_until(lambda: len(coordinator.followed_from) == 2)
+            self.assertEqual((await world.fetch())[0], 200)
             again.close()
             for _, writer in clients:
                 writer.close()
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -25,7 +25,9 @@
     detection_times_ms,
     unexpected_deaths,
 )
-from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from tests.fleetworld import Fleets, until_true
 from tests.test_fleet_works import command
 
@@ -131,11 +133,11 @@
     async def test_no_cache_goes_unchecked_while_a_member_is_paused_killed_or_cut_off(self) -> None:
         checked_ms: dict[str, list[float]] = {}
 
-        async def answer(heard: Heard) -> None:
-            checked_ms.setdefault(heard.peer.uid, []).append(time.monotonic() * 1000.0)
+        async def answer(heard: ReceivedRequest) -> None:
+            checked_ms.setdefault(heard.server.uid, []).append(time.monotonic() * 1000.0)
             await heard.answer(200, b"", X_Load="util=0.1")
 
-        caches = tuple([await ScriptedPeer(answer, uid=f"c{number}").start() for number in range(8)])
+        caches = tuple([await ScriptedServer(answer, uid=f"c{number}").start() for number in range(8)])
         try:
             more = {"duties": {"probe_ms": CHECK_INTERVAL_MS, "check_ms": 0.0}}
             fleet = await self.begin(3, None, {}, peers=caches, more=more)
--- a/tests/test_fleet_works.py
+++ b/tests/test_fleet_works.py
@@ -9,7 +9,8 @@
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.nemesis import play_fault
 from gladewalk.faultnet.schedule import Fault, FaultKind
-from gladewalk.rehearsal.peers import ScriptedPeer, read_message, request
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 from tests.fleetworld import Fleets, until_true, wall_ms
 from tests.test_ops import hit
 
@@ -99,14 +100,14 @@
         assert self.verdict().is_safe, self.verdict()
 
     async def test_the_fleets_report_counts_what_was_served_and_names_who_is_missing(self) -> None:
-        cache = await ScriptedPeer(hit).start()
+        cache = await ScriptedServer(hit).start()
         try:
             fleet = await self.start(3, peers=(cache,))
             for name, count in (("n0", 7), ("n1", 5)):
                 serving = next(line for line in fleet.read_log(name) if line["event"] == "serving")
                 for n in range(count):
                     reader, writer = await asyncio.open_connection(*serving["listen"])
-                    writer.write(request(f"/invoke/lot-page/a{n}?nth=0"))
+                    writer.write(encode_request(f"/invoke/lot-page/a{n}?nth=0"))
                     first, _, _ = await read_message(reader)
                     writer.close()
                     assert " 200 " in f"{first} ", first
--- a/tests/test_golden_control.py
+++ b/tests/test_golden_control.py
@@ -30,7 +30,7 @@
 from gladewalk.cli.commands import gladewalk
 from gladewalk.config import options, policy_settings
 from gladewalk.config.platform import read_config
-from gladewalk.rehearsal.peers import SETTINGS
+from gladewalk.rehearsal.director_harness import SETTINGS
 
 ROOT = Path(__file__).parent.parent
 GOLDEN = Path(__file__).parent / "golden" / "control.json"
--- a/tests/test_golden_exchange.py
+++ b/tests/test_golden_exchange.py
@@ -20,19 +20,13 @@
 from gladewalk.core.exchange import Attempt, ClientRequest, Exchange, OpenRequest
 from gladewalk.net.coordinator import CoordinatorConnection, CoordinatorWatch
 from gladewalk.net.endpoint_feed import EndpointFeed
-from gladewalk.rehearsal.peers import (
-    Coordinator,
-    Heard,
-    Rehearsal,
-    ScriptedPeer,
-    config_for,
-    read_message,
-    request,
-    until,
-)
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import DirectorHarness, config_for, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from gladewalk.upstream.http1 import write_request
 
-from .peers import BYTES, half, hit, miss_then_fill, reset, silent
+from .server_scripts import BYTES, half, hit, miss_then_fill, reset, silent
 
 GOLDEN = Path(__file__).parent / "golden"
 NOW_MS = 1_764_576_000_000.0
@@ -195,55 +189,68 @@
 # Answers to clients.
 
 
-async def chunked(heard: Heard) -> None:
+async def chunked(heard: ReceivedRequest) -> None:
     heard.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTag: 4be0\r\n\r\n")
     heard.writer.write(b"3\r\nabc\r\n")
     await heard.writer.drain()
     heard.writer.write(b"0\r\n\r\n")
 
 
-async def short(heard: Heard) -> None:
+async def short(heard: ReceivedRequest) -> None:
     await heard.answer(200, b"abc", Tag="4be0")
 
 
-async def bare(heard: Heard) -> None:
+async def bare(heard: ReceivedRequest) -> None:
     await heard.answer(200, b"abc")
 
 
-async def unchanged(heard: Heard) -> None:
+async def unchanged(heard: ReceivedRequest) -> None:
     await heard.answer(304, Tag="4be0")
 
 
 EXCHANGES: dict[str, tuple[Any, dict[str, Any], list[bytes]]] = {
-    "200": (short, {}, [request(PATH)]),
-    "200 without a tag": (bare, {}, [request(PATH)]),
-    "200 chunked": (chunked, {}, [request(PATH)]),
-    "200 and the last": (short, {}, [request(PATH, Connection="close")]),
-    "304": (unchanged, {}, [request(PATH, If_None_Match='W/"4be0"')]),
-    "refused": (hit, {"state": "DRAINING"}, [request(PATH)]),
-    "failed": (silent, {}, [request(PATH, wait_ms=150.0)]),
-    "cut": (half, {}, [request(PATH)]),
-    "health": (hit, {}, [request("/_health")]),
-    "400 object": (hit, {}, [request("/invoke/lot-page/xyz")]),
-    "400 part": (hit, {}, [request("/invoke/lot-page/a1?nth=-1")]),
-    "400 trace": (hit, {}, [request(PATH, trace="12")]),
-    "400 patience": (hit, {}, [request(PATH, wait_ms=float("nan"))]),
+    "200": (short, {}, [encode_request(PATH)]),
+    "200 without a tag": (bare, {}, [encode_request(PATH)]),
+    "200 chunked": (chunked, {}, [encode_request(PATH)]),
+    "200 and the last": (short, {}, [encode_request(PATH, Connection="close")]),
+    "304": (unchanged, {}, [encode_request(PATH, If_None_Match='W/"4be0"')]),
+    "refused": (hit, {"state": "DRAINING"}, [encode_request(PATH)]),
+    "failed": (silent, {}, [encode_request(PATH, wait_ms=150.0)]),
+    "cut": (half, {}, [encode_request(PATH)]),
+    "health": (hit, {}, [encode_request("/_health")]),
+    "400 object": (hit, {}, [encode_request("/invoke/lot-page/xyz")]),
+    "400 part": (hit, {}, [encode_request("/invoke/lot-page/a1?nth=-1")]),
+    "400 trace": (hit, {}, [encode_request(PATH, trace="12")]),
+    "400 patience": (hit, {}, [encode_request(PATH, wait_ms=float("nan"))]),
     "400 noise": (hit, {}, [b"\x16\x03\x01\r\n\r\n"]),
-    "400 two lengths": (hit, {}, [request(PATH, Content_Length="4", content_length="5")]),
-    "404 path": (hit, {}, [request("/elsewhere")]),
-    "404 class": (hit, {}, [request("/invoke/no-such-class/a1")]),
-    "405 method": (hit, {}, [request(PATH, method="DELETE")]),
-    "405 read of a write": (hit, {}, [request("/invoke/bid/a1")]),
-    "413": (hit, {}, [request("/invoke/bid/b1", method="PUT", body=b"x" * 70_000)]),
-    "431": (hit, {}, [request(PATH + "&x=" + "y" * 20_000)]),
-    "several": (short, {}, [request(PATH), request("/_health"), request("/elsewhere"), request(PATH)]),
-    "100": (reset, {}, [request("/invoke/bid/b1", method="PUT", Content_Length="2", Expect="100-continue")]),
+    "400 two lengths": (hit, {}, [encode_request(PATH, Content_Length="4", content_length="5")]),
+    "404 path": (hit, {}, [encode_request("/elsewhere")]),
+    "404 class": (hit, {}, [encode_request("/invoke/no-such-class/a1")]),
+    "405 method": (hit, {}, [encode_request(PATH, method="DELETE")]),
+    "405 read of a write": (hit, {}, [encode_request("/invoke/bid/a1")]),
+    "413": (hit, {}, [encode_request("/invoke/bid/b1", method="PUT", body=b"x" * 70_000)]),
+    "431": (hit, {}, [encode_request(PATH + "&x=" + "y" * 20_000)]),
+    "several": (
+        short,
+        {},
+        [
+            encode_request(PATH),
+            encode_request("/_health"),
+            encode_request("/elsewhere"),
+            encode_request(PATH),
+        ],
+    ),
+    "100": (
+        reset,
+        {},
+        [encode_request("/invoke/bid/b1", method="PUT", Content_Length="2", Expect="100-continue")],
+    ),
 }
 
 
-async def answers_of(world: Rehearsal, asked: list[bytes]) -> str:
+async def answers_of(world: DirectorHarness, asked: list[bytes]) -> str:
     """All that comes back on one connection, until as many answers have come as were asked for."""
-    reader, writer = await world.client()
+    reader, writer = await world.connect()
     writer.write(b"".join(asked))
     told = b""
     try:
@@ -264,25 +271,25 @@
 
 async def answer_to(name: str) -> str:
     script, more, asked = EXCHANGES[name]
-    async with Rehearsal([ScriptedPeer(script, **more)]) as world:
-        await until(lambda: world.director is not None and world.director.readiness.is_synced)
+    async with DirectorHarness([ScriptedServer(script, **more)]) as world:
+        await wait_until(lambda: world.director is not None and world.director.readiness.is_synced)
         return await answers_of(world, asked)
 
 
 async def answer_before_the_feed() -> str:
     """A health check's answer while the coordinator has not said anything yet."""
     answering = asyncio.Event()
-    async with Rehearsal([], coordinator=Coordinator(answering=answering)) as world:
-        answer = await answers_of(world, [request("/_health")])
+    async with DirectorHarness([], coordinator=Coordinator(may_answer=answering)) as world:
+        answer = await answers_of(world, [encode_request("/_health")])
         answering.set()
-        await until(lambda: world.director is not None and world.director.readiness.is_synced)
+        await wait_until(lambda: world.director is not None and world.director.readiness.is_synced)
         return answer
 
 
 async def refusals(hold_off: bool) -> list[str]:
     """Refusals, each with the time after which the module says that it is worth coming back."""
     told = []
-    async with Rehearsal([ScriptedPeer(hit)]) as world:
+    async with DirectorHarness([ScriptedServer(hit)]) as world:
         assert world.director is not None
         exchange, front = world.director.exchange, world.director.front
         front.sends_hold_off = hold_off
@@ -292,7 +299,7 @@
                 return [api.Reject(event.id, wait_ms)] if isinstance(event, api.Request) else []
 
             exchange.dispatcher.handle = refuse  # type: ignore[method-assign]
-            told.append(await answers_of(world, [request(PATH)]))
+            told.append(await answers_of(world, [encode_request(PATH)]))
     return told
 
 
@@ -315,19 +322,19 @@
 
 async def story() -> dict[str, Any]:
     """What a director writes to its log over a short life, and the names in its line of counters."""
-    cache, parent = ScriptedPeer(miss_then_fill), ScriptedPeer(hit, "p1", "parent", "north")
+    cache, parent = ScriptedServer(miss_then_fill), ScriptedServer(hit, "p1", "parent", "north")
     with structlog.testing.capture_logs() as lines:
-        async with Rehearsal([cache, parent]) as world:
+        async with DirectorHarness([cache, parent]) as world:
             director = world.director
             assert director is not None
-            await until(lambda: director.readiness.is_synced)
-            assert (await world.ask(PATH))[2] == BYTES
+            await wait_until(lambda: director.readiness.is_synced)
+            assert (await world.fetch(PATH))[2] == BYTES
             for path in ("/elsewhere", "/invoke/lot-page/xyz", "/invoke/bid/a1"):
-                await world.ask(path)
-            world.coordinator.tell(evict={"ref": "a1", "unix_ms": 1.0})
-            await until(lambda: director.endpoint_feed.last_index == 2)
-            world.coordinator.cut()
-            await until(lambda: len(world.coordinator.follows) == 2)
+                await world.fetch(path)
+            world.coordinator.publish(evict={"ref": "a1", "unix_ms": 1.0})
+            await wait_until(lambda: director.endpoint_feed.last_index == 2)
+            world.coordinator.disconnect()
+            await wait_until(lambda: len(world.coordinator.followed_from) == 2)
             raw = config_for([cache, parent], world.coordinator)
             director.apply(read_config({**raw, "listen": "127.0.0.1:1"}, {}))
             director.reload()
@@ -335,13 +342,13 @@
             director.stop()
             for state in ("DRAINING", "DRAINING"):
                 cache.state = parent.state = state
-            world.coordinator.tell_list(cache, parent)
-            await until(lambda: director.endpoint_feed.last_index == 3)
-            reader, writer = await world.client()
-            writer.write(request(PATH))
+            world.coordinator.publish_endpoints(cache, parent)
+            await wait_until(lambda: director.endpoint_feed.last_index == 3)
+            reader, writer = await world.connect()
+            writer.write(encode_request(PATH))
             await read_message(reader)
             writer.close()
-            await until(lambda: not director.front.connections)
+            await wait_until(lambda: not director.front.connections)
             director.report()
     return {
         "events": [
--- a/tests/test_golden_rehearsal.py
+++ b/tests/test_golden_rehearsal.py
@@ -37,8 +37,12 @@
     generate_schedule,
     load_schedule,
 )
-from gladewalk.rehearsal.h2box import Asked, Breaker, H2Box
-from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for, request
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
+from gladewalk.rehearsal.http2_fault_script import Http2FaultScript
+from gladewalk.rehearsal.http_messages import encode_request
+from gladewalk.rehearsal.scripted_http2_server import Http2Request, ScriptedHttp2Server
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from gladewalk.rehearsal.virtual.hunt import hunt
 from gladewalk.rehearsal.virtual.loop import VirtualLoop, rehearse
 from gladewalk.rehearsal.virtual.play import CLASSES, play
@@ -222,7 +226,7 @@
 # Bytes of the stand-in servers, on the virtual loop.
 
 
-async def answer_by_path(heard: Heard) -> None:
+async def answer_by_path(heard: ReceivedRequest) -> None:
     match heard.path:
         case "/hit":
             await heard.answer(200, b"fish" * 20, X_Remark="mem", Made_At="1764576000123")
@@ -252,28 +256,28 @@
 
 
 async def http1_bytes(loop: VirtualLoop) -> dict[str, Any]:
-    peer = await ScriptedPeer(answer_by_path, "c7", host="10.2.0.1", boot_ms=5.0).start()
-    asked = [request(path, trace="00ff") for path in ("/hit", "/same", "/crowded", "/else")]
-    asked += [request("/else", "PUT", 1_500.0, b"bid", X_Batch="3"), request("/gone")]
+    peer = await ScriptedServer(answer_by_path, "c7", host="10.2.0.1", boot_ms=5.0).start()
+    asked = [encode_request(path, trace="00ff") for path in ("/hit", "/same", "/crowded", "/else")]
+    asked += [encode_request("/else", "PUT", 1_500.0, b"bid", X_Batch="3"), encode_request("/gone")]
     said = await send_and_read(peer.address, b"".join(asked))
     coordinator = await Coordinator().start()
     config = config_for([peer], coordinator)
-    coordinator.tell(evict={"shard": 3, "unix_ms": 1.5})
-    coordinator.tell_list(peer)
+    coordinator.publish(evict={"shard": 3, "unix_ms": 1.5})
+    coordinator.publish_endpoints(peer)
     follower = await asyncio.open_connection("127.0.0.1", int(coordinator.address.rpartition(":")[2]))
     follower[1].write(b"FOLLOW 1\n")
     await asyncio.sleep(1.0)
-    coordinator.tell_list(whole=True)
+    coordinator.publish_endpoints(is_complete=True)
     await asyncio.sleep(1.0)
-    coordinator.cut()
+    coordinator.disconnect()
     try:
         fed = await follower[0].read()
     except ConnectionError:
         fed = bytes(follower[0]._buffer)  # type: ignore[attr-defined]
     return {
         "asked": [one.decode() for one in asked], "said": said.decode(), "connections": peer.connections,
-        "heard": [[h.method, h.path, h.headers, h.body.decode()] for h in peer.heard],
-        "target": peer.target(), "config": config, "follows": coordinator.follows, "fed": fed.decode(),
+        "heard": [[h.method, h.path, h.headers, h.body.decode()] for h in peer.received],
+        "target": peer.target(), "config": config, "follows": coordinator.followed_from, "fed": fed.decode(),
     }  # fmt: skip
 
 
@@ -312,7 +316,7 @@
         self.transport.write(self.engine.data_to_send())
 
 
-def answer_http2(asked: Asked) -> None:
+def answer_http2(asked: Http2Request) -> None:
     match asked.path:
         case "/hit":
             asked.answer(200, b"fish" * 9_000, tag="77")
@@ -321,18 +325,18 @@
         case "/reset":
             asked.reset(8)
         case "/go":
-            asked.line.goaway(asked.line.highest_run)
-            asked.answer(503, run=False, x_shed="1")
+            asked.connection.send_goaway(asked.connection.last_processed_id)
+            asked.answer(503, may_process=False, x_shed="1")
         case "/settings":
-            asked.line.settings(max_concurrent_streams=7)
+            asked.connection.update_settings(max_concurrent_streams=7)
             asked.answer(200, asked.body)
         case _:
-            asked.head(404, 2)
-            asked.line.send(asked, b"no", True)
+            asked.send_headers(404, 2)
+            asked.connection.send_body(asked, b"no", True)
 
 
 async def http2_bytes(loop: VirtualLoop) -> dict[str, Any]:
-    box = await H2Box(answer_http2, "c8", host="10.2.0.2", limit=9).start()
+    box = await ScriptedHttp2Server(answer_http2, "c8", host="10.2.0.2", max_concurrent_streams=9).start()
     host, _, port = box.address.rpartition(":")
     _, client = await loop.create_connection(Http2Client, host, int(port))
     assert isinstance(client, Http2Client)
@@ -343,17 +347,25 @@
     box.stop()
     await asyncio.sleep(1.0)
     return {
-        "said": [len(client.said), digest(client.said), client.said[:100].hex()], "target": box.target(),
-        "ran": box.times_run(), "heard": [[a.method, a.path, a.ticket, a.body.decode()] for a in box.heard],
-        "counts": [box.connections, box.held_most, box.open_most, box.over_limit, box.resets_heard],
-        "breaches": box.breaches,
-    }  # fmt: skip
+        "said": [len(client.said), digest(client.said), client.said[:100].hex()],
+        "target": box.target(),
+        "ran": box.process_counts(),
+        "heard": [[a.method, a.path, a.ticket, a.body.decode()] for a in box.received],
+        "counts": [
+            box.connections,
+            box.max_connections,
+            box.max_streams,
+            box.streams_over_limit,
+            box.resets_received,
+        ],
+        "breaches": box.protocol_errors,
+    }
 
 
 async def broken_bytes(loop: VirtualLoop) -> dict[str, Any]:
     """A box that breaks connections by its seed; the client takes a new one whenever its own is over."""
-    breaker = Breaker(4, 0.4)
-    box = await H2Box(breaker, "c9", host="10.2.0.3").start()
+    breaker = Http2FaultScript(4, 0.4)
+    box = await ScriptedHttp2Server(breaker, "c9", host="10.2.0.3").start()
     host, _, port = box.address.rpartition(":")
     client, said = Http2Client(), hashlib.sha256()
     client.over = True
@@ -368,8 +380,14 @@
         await asyncio.sleep(0.003)
     await asyncio.sleep(1.0)
     said.update(client.said)
-    return {"said": said.hexdigest(), "met": breaker.met, "shed": breaker.shed, "ran": box.times_run(),
-            "connections": box.connections, "resets": box.resets_heard}  # fmt: skip
+    return {
+        "said": said.hexdigest(),
+        "met": breaker.fault_counts,
+        "shed": breaker.shed_tickets,
+        "ran": box.process_counts(),
+        "connections": box.connections,
+        "resets": box.resets_received,
+    }
 
 
 def servers() -> dict[str, Any]:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -13,17 +13,12 @@
 from gladewalk.config.platform import ConfigError, read_address
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.daemon import NonBlockingLog
-from gladewalk.rehearsal.peers import (
-    Coordinator,
-    Rehearsal,
-    ScriptedPeer,
-    config_for,
-    read_message,
-    request,
-    until,
-)
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import DirectorHarness, config_for, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 
-from .peers import BYTES, ROOT, hit
+from .server_scripts import BYTES, ROOT, hit
 
 
 def filled() -> tuple[int, int]:
@@ -40,7 +35,7 @@
 
 class Logs(unittest.IsolatedAsyncioTestCase):
     async def test_a_log_that_stands_still_holds_nothing_up(self) -> None:
-        cache, coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
+        cache, coordinator = await ScriptedServer(hit).start(), await Coordinator().start()
         listener = socket.create_server(("127.0.0.1", 0))
         reading, writing = filled()
         with tempfile.TemporaryDirectory() as folder:
@@ -52,7 +47,7 @@
                 preexec_fn=lambda: os.dup2(listener.fileno(), 3),
             )  # fmt: skip
             reader, writer = await asyncio.open_connection(*listener.getsockname()[:2])
-            writer.write(request("/invoke/lot-page/a1"))
+            writer.write(encode_request("/invoke/lot-page/a1"))
             self.assertEqual((await asyncio.wait_for(read_message(reader), 30.0))[2], BYTES)
             program.send_signal(signal.SIGUSR1)
             program.send_signal(signal.SIGTERM)
@@ -110,17 +105,17 @@
         self.assertEqual(read_address("[::1]:80"), ("::1", 80))
 
     async def test_a_dial_of_a_bad_name_is_a_failed_one_and_the_feed_goes_on(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             director = world.director
             assert director is not None
             watch, good = director.coordinator_watch, director.coordinator_watch.address
-            await until(lambda: len(world.coordinator.follows) == 1)
+            await wait_until(lambda: len(world.coordinator.followed_from) == 1)
             watch.set_address(("a..b", 80))
-            await until(lambda: director.counters["coordinator.connects"] >= 3)
+            await wait_until(lambda: director.counters["coordinator.connects"] >= 3)
             watch.address = good
-            await until(lambda: len(world.coordinator.follows) == 2)
+            await wait_until(lambda: len(world.coordinator.followed_from) == 2)
             director.caches.upstreams["c1"].address = ("a..b", 80)
-            status, _, _ = await world.ask()
+            status, _, _ = await world.fetch()
             self.assertEqual(status, 503)
             self.assertEqual(director.counters["caches.connects_failed"] > 0, True)
             self.assertFalse(director.caches.dialling)
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -30,17 +30,16 @@
     WindowUpdateFrame,
 )
 
-from gladewalk.rehearsal.h2box import GRACEFUL, Asked, H2Box, Script
-from gladewalk.rehearsal.peers import (
-    Coordinator,
-    Heard,
-    Rehearsal,
-    ScriptedPeer,
-    config_for,
-    read_message,
-    request,
-    until,
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import DirectorHarness, config_for, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_http2_server import (
+    GRACEFUL_LAST_STREAM_ID,
+    Http2Request,
+    Http2Script,
+    ScriptedHttp2Server,
 )
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from gladewalk.rehearsal.write_soak import play_h2, ticket
 from gladewalk.streams import sharing
 from gladewalk.streams.ledger import PROOFS, Finding, Reason
@@ -50,41 +49,41 @@
 ROOT = Path(__file__).parent.parent
 
 
-async def hit(heard: Heard) -> None:
+async def hit(heard: ReceivedRequest) -> None:
     await heard.answer(200, BYTES, X_Remark="mem")
 
 
-def counters(w: Rehearsal) -> dict[str, int]:
+def counters(w: DirectorHarness) -> dict[str, int]:
     assert w.director is not None
     return w.director.counters
 
 
 class Sharing(unittest.IsolatedAsyncioTestCase):
     async def test_many_requests_share_few_connections_and_go_unchanged(self) -> None:
-        held: list[Asked] = []
-        box = H2Box(held.append, limit=64)
+        held: list[Http2Request] = []
+        box = ScriptedHttp2Server(held.append, max_concurrent_streams=64)
         async with world(box) as w:
             asking = [asyncio.create_task(page(w, n)) for n in range(80)]
-            await until(lambda: len(held) == 80)
-            self.assertEqual((box.connections, box.over_limit), (2, 0))
-            self.assertLessEqual(box.open_most, 64)
+            await wait_until(lambda: len(held) == 80)
+            self.assertEqual((box.connections, box.streams_over_limit), (2, 0))
+            self.assertLessEqual(box.max_streams, 64)
             for asked in held:
                 asked.answer(200, BYTES)
             answers = await asyncio.gather(*asking)
         self.assertEqual({(status, body) for status, _, body in answers}, {(200, BYTES)})
         self.assertEqual({asked.path.rsplit("/", 1)[1] for asked in held}, {"2"})
-        self.assertEqual({asked.fields[":authority"] for asked in held}, {"app.svc"})
-        self.assertEqual(box.breaches, [])
+        self.assertEqual({asked.headers[":authority"] for asked in held}, {"app.svc"})
+        self.assertEqual(box.protocol_errors, [])
 
     async def test_a_lowered_limit_is_kept_down_to_0_and_used_again_when_it_rises(self) -> None:
-        held: list[Asked] = []
-        box = H2Box(held.append, limit=4)
+        held: list[Http2Request] = []
+        box = ScriptedHttp2Server(held.append, max_concurrent_streams=4)
         async with world(box, connections_most=1) as w:
             first = [asyncio.create_task(page(w, n)) for n in range(4)]
-            await until(lambda: len(held) == 4)
-            line = box.lines[0]
-            line.settings(max_concurrent_streams=0)
-            await until(lambda: w.director is not None and any(
+            await wait_until(lambda: len(held) == 4)
+            line = box.open_connections[0]
+            line.update_settings(max_concurrent_streams=0)
+            await wait_until(lambda: w.director is not None and any(
                 s.limit == 0 for lane in w.director.caches.lanes for s in lane.sharing.connections.values()
             ))  # fmt: skip
             more = [asyncio.create_task(page(w, n)) for n in range(4, 8)]
@@ -92,141 +91,145 @@
                 asked.answer(200, BYTES)
             await asyncio.gather(*first)
             self.assertEqual(len(held), 4)  # nothing new under a limit of 0
-            line.settings(max_concurrent_streams=1)
+            line.update_settings(max_concurrent_streams=1)
             for n in range(4, 8):
-                await until(lambda n=n: len(held) == n + 1)  # type: ignore[misc]
+                await wait_until(lambda n=n: len(held) == n + 1)  # type: ignore[misc]
                 held[n].answer(200, BYTES)
             self.assertEqual([status for status, _, _ in await asyncio.gather(*more)], [200] * 4)
-        self.assertEqual((box.connections, box.over_limit), (1, 0))
+        self.assertEqual((box.connections, box.streams_over_limit), (1, 0))
 
     async def test_when_its_ids_are_used_up_a_connection_gives_way_to_another(self) -> None:
-        box = H2Box(serve)
+        box = ScriptedHttp2Server(serve)
         with mock.patch.object(sharing, "IDS_END", 5):
             async with world(box) as w:
                 for n in range(7):
                     self.assertEqual((await page(w, n))[0], 200)
-        self.assertEqual((box.connections, box.breaches), (3, []))
+        self.assertEqual((box.connections, box.protocol_errors), (3, []))
 
     async def test_a_box_that_asks_for_calm_gets_nothing_new_for_a_while(self) -> None:
-        calm = H2Box(lambda asked: asked.reset(ErrorCodes.ENHANCE_YOUR_CALM))
-        other = H2Box(serve, "c2", size=1e-6)
+        calm = ScriptedHttp2Server(lambda asked: asked.reset(ErrorCodes.ENHANCE_YOUR_CALM))
+        other = ScriptedHttp2Server(serve, "c2", capacity=1e-6)
         async with world(calm, other, calm_ms=600_000.0) as w:
             for n in range(5):
                 self.assertEqual((await page(w, n))[0], 200)
             self.assertEqual(counters(w)["h2.calm_asked"], 1)
             self.assertGreater(counters(w)["h2.calm_kept"], 0)
-        self.assertEqual(len(calm.heard), 1)
+        self.assertEqual(len(calm.received), 1)
 
     async def test_cancels_are_bounded_and_what_is_given_up_beyond_runs_out_unheard(self) -> None:
-        held: list[Asked] = []
-        box = H2Box(held.append, limit=100)
+        held: list[Http2Request] = []
+        box = ScriptedHttp2Server(held.append, max_concurrent_streams=100)
         async with world(box, cancels_burst=3, cancels_per_s=0.0001, connections_most=1) as w:
             writers = []
             for n in range(8):
-                _, writer = await w.client()
-                writer.write(request(f"/invoke/lot-video/{n:x}", trace=ticket(n)))
+                _, writer = await w.connect()
+                writer.write(encode_request(f"/invoke/lot-video/{n:x}", trace=ticket(n)))
                 writers.append(writer)
-            await until(lambda: len(held) == 8)
+            await wait_until(lambda: len(held) == 8)
             for writer in writers:
                 writer.transport.abort()
-            await until(lambda: counters(w)["attempts.cancelled"] == 8)
-            await until(lambda: box.resets_heard == 3)
+            await wait_until(lambda: counters(w)["attempts.cancelled"] == 8)
+            await wait_until(lambda: box.resets_received == 3)
             self.assertEqual(counters(w)["h2.cancels_held_back"], 5)
             for asked in held:
                 asked.answer(200, BYTES)
             box.script = serve
-            self.assertEqual((await w.ask("/invoke/lot-page/ff"))[0], 200)  # on the same connection
-        self.assertEqual((box.connections, box.resets_heard), (1, 3))
+            self.assertEqual((await w.fetch("/invoke/lot-page/ff"))[0], 200)  # on the same connection
+        self.assertEqual((box.connections, box.resets_received), (1, 3))
 
     async def test_a_drain_told_while_a_request_waits_for_a_stream_is_kept(self) -> None:
-        held: list[Asked] = []
-        box = H2Box(held.append, limit=1)
+        held: list[Http2Request] = []
+        box = ScriptedHttp2Server(held.append, max_concurrent_streams=1)
         async with world(box, connections_most=1, wait_ms=5_000.0) as w:
             first = asyncio.create_task(page(w, 1))
-            await until(lambda: len(held) == 1)
+            await wait_until(lambda: len(held) == 1)
             second = asyncio.create_task(page(w, 2))
-            await until(lambda: w.director is not None and len(w.director.caches.lanes[0].waiting) == 1)
+            await wait_until(lambda: w.director is not None and len(w.director.caches.lanes[0].waiting) == 1)
             box.state = "DRAINING"
-            w.coordinator.tell_list(box)
-            await until(lambda: w.director is not None and w.director.endpoint_feed.last_index == 2)
+            w.coordinator.publish_endpoints(box)
+            await wait_until(lambda: w.director is not None and w.director.endpoint_feed.last_index == 2)
             held[0].answer(200, BYTES)
             self.assertEqual((await first)[0], 200)
             self.assertEqual((await second)[0], 503)
             self.assertEqual(counters(w)["attempts.held_back"], 1)
-        self.assertEqual(len(box.heard), 1)
+        self.assertEqual(len(box.received), 1)
 
     async def test_a_box_that_moves_gets_nothing_more_at_its_old_address(self) -> None:
-        old = H2Box(serve)
-        new = await H2Box(serve).start()
+        old = ScriptedHttp2Server(serve)
+        new = await ScriptedHttp2Server(serve).start()
         async with world(old) as w:
-            self.assertEqual((await w.ask())[0], 200)
-            w.coordinator.tell_list(new)
-            await until(lambda: w.director is not None and w.director.endpoint_feed.last_index == 2)
-            self.assertEqual((await w.ask())[0], 200)
-            await until(lambda: not old.lines)
+            self.assertEqual((await w.fetch())[0], 200)
+            w.coordinator.publish_endpoints(new)
+            await wait_until(lambda: w.director is not None and w.director.endpoint_feed.last_index == 2)
+            self.assertEqual((await w.fetch())[0], 200)
+            await wait_until(lambda: not old.open_connections)
         new.stop()
-        self.assertEqual((len(old.heard), len(new.heard)), (1, 1))
+        self.assertEqual((len(old.received), len(new.received)), (1, 1))
 
 
 class Closes(unittest.IsolatedAsyncioTestCase):
-    async def bid_met_by(self, script: Script) -> tuple[int, H2Box, H2Box, dict[str, int]]:
+    async def bid_met_by(
+        self, script: Http2Script
+    ) -> tuple[int, ScriptedHttp2Server, ScriptedHttp2Server, dict[str, int]]:
         """One bid: the first attempts meet the script, what follows is served by the origin."""
-        box = H2Box(script, "c1")
-        origin = H2Box(lambda asked: asked.answer(200, b"taken"), "o", "origin", "north")
+        box = ScriptedHttp2Server(script, "c1")
+        origin = ScriptedHttp2Server(lambda asked: asked.answer(200, b"taken"), "o", "origin", "north")
         async with world(box, origin) as w:
             status = await bid(w, 1)
             return status, box, origin, counters(w)
 
     async def test_a_refused_bid_is_sent_again(self) -> None:
         status, box, origin, _ = await self.bid_met_by(lambda a: a.reset(ErrorCodes.REFUSED_STREAM))
-        self.assertEqual((status, len(box.heard), len(origin.ran)), (200, 1, 1))
+        self.assertEqual((status, len(box.received), len(origin.processed)), (200, 1, 1))
 
     async def test_a_bid_above_the_goaway_is_sent_again_whatever_the_code(self) -> None:
         for code in (ErrorCodes.NO_ERROR, ErrorCodes.INTERNAL_ERROR, 4_000):
 
-            def go(asked: Asked, code: int = code) -> None:
-                asked.line.goaway(0, code)
+            def go(asked: Http2Request, code: int = code) -> None:
+                asked.connection.send_goaway(0, code)
 
             status, box, origin, told = await self.bid_met_by(go)
             # Its home once more, then the origin: each time the GOAWAY says that nothing ran.
-            self.assertEqual((status, len(box.heard), len(origin.ran)), (200, 2, 1), code)
+            self.assertEqual((status, len(box.received), len(origin.processed)), (200, 2, 1), code)
             self.assertEqual(told["h2.ended.above_goaway"], 2)
 
     async def test_a_bid_that_may_have_run_is_not_sent_again(self) -> None:
-        def begun_then_refused(asked: Asked) -> None:  # a contradiction: it has begun to answer
-            asked.run()
-            asked.head(500, 10)
+        def begun_then_refused(asked: Http2Request) -> None:  # a contradiction: it has begun to answer
+            asked.process()
+            asked.send_headers(500, 10)
             asked.reset(ErrorCodes.REFUSED_STREAM)
 
-        def within_goaway(asked: Asked) -> None:
-            asked.run()
-            asked.line.goaway(asked.stream)
-            asked.line.close()
-
-        def raised(asked: Asked) -> None:  # the second takes the first's promise back: the lower one holds
-            asked.run()
-            asked.line.goaway(asked.stream)
-            asked.line.goaway(asked.stream + 40)
-            asked.line.close()
-
-        def run_then(end: Callable[[Asked], object]) -> Script:
-            def script(asked: Asked) -> None:
-                asked.run()
+        def within_goaway(asked: Http2Request) -> None:
+            asked.process()
+            asked.connection.send_goaway(asked.stream_id)
+            asked.connection.close()
+
+        def raised(
+            asked: Http2Request,
+        ) -> None:  # the second takes the first's promise back: the lower one holds
+            asked.process()
+            asked.connection.send_goaway(asked.stream_id)
+            asked.connection.send_goaway(asked.stream_id + 40)
+            asked.connection.close()
+
+        def run_then(end: Callable[[Http2Request], object]) -> Http2Script:
+            def script(asked: Http2Request) -> None:
+                asked.process()
                 end(asked)
 
             return script
 
-        def graceful(asked: Asked) -> None:
-            asked.line.goaway(GRACEFUL)
-            asked.line.close()
+        def graceful(asked: Http2Request) -> None:
+            asked.connection.send_goaway(GRACEFUL_LAST_STREAM_ID)
+            asked.connection.close()
 
         scripts = {
             "internal error": run_then(lambda a: a.reset(ErrorCodes.INTERNAL_ERROR)),
             "cancel": run_then(lambda a: a.reset(ErrorCodes.CANCEL)),
             "no error": run_then(lambda a: a.reset(ErrorCodes.NO_ERROR)),
             "http/1.1 wanted": run_then(lambda a: a.reset(ErrorCodes.HTTP_1_1_REQUIRED)),
-            "a reset": run_then(lambda a: a.line.abort()),
-            "a close": run_then(lambda a: a.line.close()),
+            "a reset": run_then(lambda a: a.connection.abort()),
+            "a close": run_then(lambda a: a.connection.close()),
             "begun, then refused": begun_then_refused,
             "within the goaway": within_goaway,
             "a goaway raised": raised,
@@ -235,89 +238,100 @@
         for name, script in scripts.items():
             with self.subTest(name):
                 status, box, origin, told = await self.bid_met_by(script)
-                self.assertEqual((status, len(box.ran), len(origin.heard)), (502, 1, 0))
+                self.assertEqual((status, len(box.processed), len(origin.received)), (502, 1, 0))
                 self.assertEqual(told["h2.goaways_raised"], int(name == "a goaway raised"))
 
     async def test_what_a_graceful_goaway_lets_stand_ends_well_beside_its_successor(self) -> None:
-        held: list[Asked] = []
-        box, origin = H2Box(held.append), H2Box(serve, "o", "origin", "north")
+        held: list[Http2Request] = []
+        box, origin = ScriptedHttp2Server(held.append), ScriptedHttp2Server(serve, "o", "origin", "north")
         async with world(box, origin, connections_most=1) as w:
             asking = [asyncio.create_task(bid(w, n)) for n in range(6)]
-            await until(lambda: len(held) == 6)
-            line = box.lines[0]
-            line.goaway(GRACEFUL)
+            await wait_until(lambda: len(held) == 6)
+            line = box.open_connections[0]
+            line.send_goaway(GRACEFUL_LAST_STREAM_ID)
             late = asyncio.create_task(bid(w, 9))
-            await until(lambda: len(held) == 7)
-            self.assertEqual((len(box.lines), held[6].line is line), (2, False))
+            await wait_until(lambda: len(held) == 7)
+            self.assertEqual((len(box.open_connections), held[6].connection is line), (2, False))
             for asked in held[:4]:
-                asked.run()
-            self.assertEqual([asked.stream for asked in held[:6]], [1, 3, 5, 7, 9, 11])
-            line.goaway(line.highest_run)  # the fifth and the sixth were not run, and never will be
-            await until(lambda: len(held) == 9)  # sent again, over the successor
+                asked.process()
+            self.assertEqual([asked.stream_id for asked in held[:6]], [1, 3, 5, 7, 9, 11])
+            line.send_goaway(
+                line.last_processed_id
+            )  # the fifth and the sixth were not run, and never will be
+            await wait_until(lambda: len(held) == 9)  # sent again, over the successor
             for asked in (*held[:4], *held[6:]):
                 asked.answer(200, b"taken")
             self.assertEqual(await asyncio.gather(*asking, late), [200] * 7)
-            await until(lambda: len(box.lines) == 1)  # the first is closed when its last stream has ended
-        self.assertEqual(sorted(a.ticket for a in held if a.ran), [ticket(n) for n in (*range(6), 9)])
-        self.assertEqual((len(box.ran), origin.heard, box.over_limit, box.breaches), (7, [], 0, []))
+            await wait_until(
+                lambda: len(box.open_connections) == 1
+            )  # the first is closed when its last stream has ended
+        self.assertEqual(
+            sorted(a.ticket for a in held if a.is_processed), [ticket(n) for n in (*range(6), 9)]
+        )
+        self.assertEqual(
+            (len(box.processed), origin.received, box.streams_over_limit, box.protocol_errors), (7, [], 0, [])
+        )
 
     async def test_an_answer_that_breaks_off_is_seen_as_cut_by_the_client(self) -> None:
-        def half(asked: Asked) -> None:
-            asked.head(200, 1_000)
-            asked.line.send(asked, b"x" * 300, False)
+        def half(asked: Http2Request) -> None:
+            asked.send_headers(200, 1_000)
+            asked.connection.send_body(asked, b"x" * 300, False)
             asked.reset(ErrorCodes.INTERNAL_ERROR)
 
-        box = H2Box(half)
+        box = ScriptedHttp2Server(half)
         async with world(box) as w:
             with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
-                await w.ask()
+                await w.fetch()
             self.assertEqual(counters(w)["answers.cut"], 1)
-        self.assertEqual(len(box.heard), 1)
+        self.assertEqual(len(box.received), 1)
 
     async def test_a_silent_connection_is_found_by_ping_and_used_no_more(self) -> None:
-        def fall_silent(asked: Asked) -> None:
-            asked.line.silent = True
+        def fall_silent(asked: Http2Request) -> None:
+            asked.connection.is_silent = True
 
-        box = H2Box(fall_silent)
+        box = ScriptedHttp2Server(fall_silent)
         async with world(box, ping_after_ms=50.0, ping_wait_ms=50.0) as w:
-            status, _, _ = await w.ask(wait_ms=20_000.0)  # both its tries fall silent, long before its time
+            status, _, _ = await w.fetch(wait_ms=20_000.0)  # both its tries fall silent, long before its time
             self.assertIn(status, (502, 503))
-            self.assertEqual(counters(w)["h2.silent"], len(box.heard))
+            self.assertEqual(counters(w)["h2.silent"], len(box.received))
             self.assertGreaterEqual(counters(w)["h2.pings"], 1)
             box.script = serve
-            await until(lambda: not box.lines)
+            await wait_until(lambda: not box.open_connections)
 
     async def test_a_box_that_accepts_and_says_nothing_costs_no_request_its_answer(self) -> None:
-        mute, other = H2Box(serve, greets=False), H2Box(serve, "c2", size=1e-6)
+        mute, other = (
+            ScriptedHttp2Server(serve, sends_preface=False),
+            ScriptedHttp2Server(serve, "c2", capacity=1e-6),
+        )
         async with world(mute, other, wait_ms=100.0) as w:
-            self.assertEqual((await w.ask(wait_ms=20_000.0))[0], 200)
-        self.assertEqual((mute.heard, len(other.heard)), ([], 1))
+            self.assertEqual((await w.fetch(wait_ms=20_000.0))[0], 200)
+        self.assertEqual((mute.received, len(other.received)), ([], 1))
 
 
 class Windows(unittest.IsolatedAsyncioTestCase):
     async def test_a_slow_client_holds_up_its_own_stream_alone(self) -> None:
         big = bytes(240_000)
-        box = H2Box(lambda a: a.answer(200, big))
+        box = ScriptedHttp2Server(lambda a: a.answer(200, big))
         async with world(box, connections_most=1, stream_window=16_384) as w:
             slow = []
             for n in range(6):
                 reader, writer = await asyncio.open_connection(*w.director.front.address, limit=1_024)  # type: ignore[union-attr]
-                writer.write(request(f"/invoke/lot-video/{n:x}", trace=ticket(n)))
+                writer.write(encode_request(f"/invoke/lot-video/{n:x}", trace=ticket(n)))
                 slow.append((reader, writer))
-            await until(lambda: len(box.heard) == 6)
+            await wait_until(lambda: len(box.received) == 6)
             for n in range(20, 32):  # the neighbours on the one connection
                 self.assertEqual(len((await page(w, n))[2]), len(big))
             for reader, writer in slow:
                 await reader.readuntil(b"\r\n\r\n")
                 self.assertEqual(len(await reader.readexactly(len(big))), len(big))
                 writer.close()
-        self.assertEqual((box.connections, box.breaches), (1, []))
+        self.assertEqual((box.connections, box.protocol_errors), (1, []))
 
     async def test_a_paused_stream_gets_no_more_than_its_window(self) -> None:
-        box = H2Box(lambda a: a.answer(200, bytes(240_000)))
+        box = ScriptedHttp2Server(lambda a: a.answer(200, bytes(240_000)))
         async with world(box, stream_window=8_192) as w:
             assert w.director is not None
-            reader, writer = await w.client()
+            reader, writer = await w.connect()
             exchange = w.director.exchange
             real = exchange.response_started
 
@@ -327,37 +341,39 @@
                 return good
 
             exchange.response_started = head_then_pause  # type: ignore[method-assign]
-            writer.write(request("/invoke/lot-video/1"))
+            writer.write(encode_request("/invoke/lot-video/1"))
             await reader.readuntil(b"\r\n\r\n")
             (taken,) = exchange.open_requests.values()
             self.assertEqual(len(await reader.readexactly(8_192)), 8_192)
             await asyncio.sleep(0.05)
             self.assertEqual(len(reader._buffer), 0)  # type: ignore[attr-defined]
-            self.assertEqual(list(box.lines[0].unsent), [1])
+            self.assertEqual(list(box.open_connections[0].unsent_bodies), [1])
             exchange.flow(taken.number, True)
             self.assertEqual(len(await reader.readexactly(240_000 - 8_192)), 240_000 - 8_192)
             writer.close()
 
     async def test_a_large_bid_goes_out_through_small_changing_and_negative_windows(self) -> None:
         body = random.Random(3).randbytes(48_000)
-        box = H2Box(lambda a: a.answer(200, b"taken"), settings={SettingCodes.INITIAL_WINDOW_SIZE: 1_000})
-        box.withholds = True
-        async with world(box, H2Box(serve, "o", "origin", "north")) as w:
+        box = ScriptedHttp2Server(
+            lambda a: a.answer(200, b"taken"), settings={SettingCodes.INITIAL_WINDOW_SIZE: 1_000}
+        )
+        box.withholds_window = True
+        async with world(box, ScriptedHttp2Server(serve, "o", "origin", "north")) as w:
             asking = asyncio.create_task(bid(w, 1, body=body, wait_ms=30_000.0))
-            await until(lambda: bool(box.heard) and len(box.heard[0].body) == 1_000)
-            line = box.lines[0]
-            line.settings(initial_window_size=100)  # 1,000 are used: the window is now 900 below 0
+            await wait_until(lambda: bool(box.received) and len(box.received[0].body) == 1_000)
+            line = box.open_connections[0]
+            line.update_settings(initial_window_size=100)  # 1,000 are used: the window is now 900 below 0
             line.engine.increment_flow_control_window(950, 1)
             line.flush()
-            await until(lambda: len(box.heard[0].body) == 1_050)
+            await wait_until(lambda: len(box.received[0].body) == 1_050)
             for step in (1, 333, 16_384):
                 line.engine.increment_flow_control_window(step, 1)
                 line.flush()
                 have = 1_050 + sum((1, 333, 16_384)[: (1, 333, 16_384).index(step) + 1])
-                await until(lambda have=have: len(box.heard[0].body) == have)  # type: ignore[misc]
-            line.settings(initial_window_size=65_535)
+                await wait_until(lambda have=have: len(box.received[0].body) == have)  # type: ignore[misc]
+            line.update_settings(initial_window_size=65_535)
             self.assertEqual(await asking, 200)
-            self.assertEqual(box.ran[0].body, body)
+            self.assertEqual(box.processed[0].body, body)
 
 
 def frames(*of: object) -> bytes:
@@ -411,12 +427,12 @@
     async def test_a_breach_costs_the_connection_and_another_box_serves(self) -> None:
         for name, raw in BREACHES.items():
             with self.subTest(name):
-                bad = H2Box(lambda asked, raw=raw: asked.line.raw(raw))  # type: ignore[misc]
-                good = H2Box(serve, "c2", size=1e-6)
+                bad = ScriptedHttp2Server(lambda asked, raw=raw: asked.connection.send_raw(raw))  # type: ignore[misc]
+                good = ScriptedHttp2Server(serve, "c2", capacity=1e-6)
                 async with world(bad, good, control_burst=500, control_per_s=1.0) as w:
                     # What the breach spoilt before anything of it went on is asked elsewhere; else it is cut.
                     try:
-                        status, _, body = await w.ask(wait_ms=20_000.0)
+                        status, _, body = await w.fetch(wait_ms=20_000.0)
                         self.assertEqual((status, body), (200, b"" if "closed" in name else BYTES))
                     except (asyncio.IncompleteReadError, ConnectionError):
                         self.assertEqual(counters(w)["answers.cut"], 1)
@@ -424,19 +440,21 @@
                     told_of = ("h2.broke_rules", "caches.unreadable_answer", "h2.stray_frames")
                     found = sum(told[counter] for counter in told_of)
                     self.assertGreaterEqual(found, 1, told)
-                    self.assertEqual((await w.ask("/invoke/lot-page/5", wait_ms=20_000.0))[0] // 100, 2)
+                    self.assertEqual((await w.fetch("/invoke/lot-page/5", wait_ms=20_000.0))[0] // 100, 2)
 
     async def test_floods_are_bounded_at_the_flood_and_not_after_it(self) -> None:
-        bad = H2Box(lambda asked: asked.line.raw(frames(*(PingFrame(0) for _ in range(20_000)))))
-        good = H2Box(serve, "c2", size=1e-6)
+        bad = ScriptedHttp2Server(
+            lambda asked: asked.connection.send_raw(frames(*(PingFrame(0) for _ in range(20_000))))
+        )
+        good = ScriptedHttp2Server(serve, "c2", capacity=1e-6)
         async with world(bad, good, control_burst=500, control_per_s=1.0) as w:
-            self.assertEqual((await w.ask(wait_ms=20_000.0))[0], 200)
+            self.assertEqual((await w.fetch(wait_ms=20_000.0))[0], 200)
             self.assertEqual(counters(w)["h2.broke_rules.Flood"], 1)
 
 
 class Budget(unittest.IsolatedAsyncioTestCase):
     async def test_one_budget_of_descriptors_holds_for_both_transports(self) -> None:
-        shared, single = H2Box(serve), ScriptedPeer(hit, "c2", size=1_000.0)
+        shared, single = ScriptedHttp2Server(serve), ScriptedServer(hit, "c2", capacity=1_000.0)
         async with world(shared, single, options=options_for("h2c", by_uid={"c2": "off"})) as w:
             assert w.director is not None
             w.director.caches.most = 1
@@ -446,85 +464,88 @@
         self.assertGreater(min(shared.connections, single.connections), 0)
 
     async def test_other_terms_on_a_reload_drain_what_is_open(self) -> None:
-        held: list[Asked] = []
-        box = H2Box(held.append)
+        held: list[Http2Request] = []
+        box = ScriptedHttp2Server(held.append)
         async with world(box) as w:
             assert w.director is not None
             asking = asyncio.create_task(page(w, 1))
-            await until(lambda: len(held) == 1)
+            await wait_until(lambda: len(held) == 1)
             w.director.caches.shape(Shapes(options_for("h2c", streams_most=1)))
             later = asyncio.create_task(page(w, 2))
-            await until(lambda: len(held) == 2)
-            self.assertIsNot(held[0].line, held[1].line)
+            await wait_until(lambda: len(held) == 2)
+            self.assertIsNot(held[0].connection, held[1].connection)
             for asked in held:
                 asked.answer(200, BYTES)
             self.assertEqual([(await asking)[0], (await later)[0]], [200, 200])
-            await until(lambda: len(box.lines) == 1)
+            await wait_until(lambda: len(box.open_connections) == 1)
 
     async def test_what_a_stalled_server_never_took_is_sent_again(self) -> None:
-        def stall(asked: Asked) -> None:
-            assert asked.line.transport is not None
-            asked.line.transport.pause_reading()
+        def stall(asked: Http2Request) -> None:
+            assert asked.connection.transport is not None
+            asked.connection.transport.pause_reading()
 
         large: dict[SettingCodes | int, int] = {SettingCodes.INITIAL_WINDOW_SIZE: 2**24}
-        box, origin = H2Box(serve, settings=large, on_head=stall), H2Box(serve, "o", "origin", "north")
+        box, origin = (
+            ScriptedHttp2Server(serve, settings=large, on_headers=stall),
+            ScriptedHttp2Server(serve, "o", "origin", "north"),
+        )
         found: list[Finding] = []
         terms = options_for("h2c", connections_most=1, ping_after_ms=1_500.0, ping_wait_ms=500.0)
         async with world(box, origin, options=terms, wait_ms=20_000.0) as w:
             assert w.director is not None
             w.director.caches.witness = lambda _, finding: found.append(finding)
             asking = [asyncio.create_task(bid(w, 0, body=b"x" * 48_000, wait_ms=20_000.0))]
-            await until(lambda: len(box.heard) == 1)
+            await wait_until(lambda: len(box.received) == 1)
             (connection,) = w.director.caches.lanes[0].connections.values()
-            for transport in (box.lines[0].transport, connection.transport):
+            for transport in (box.open_connections[0].transport, connection.transport):
                 assert transport is not None
                 for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
                     transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, option, 4_096)
-            box.lines[0].put(WindowUpdateFrame(0, window_increment=2**30))
+            box.open_connections[0].send_frames(WindowUpdateFrame(0, window_increment=2**30))
             while connection.writable and len(asking) < 80:
                 asking.append(asyncio.create_task(bid(w, len(asking), body=b"x" * 48_000, wait_ms=20_000.0)))
                 await asyncio.sleep(0.01)
             self.assertFalse(connection.writable)
             self.assertTrue(connection.shared is not None and connection.shared.stalled)
-            box.on_head = None
+            box.on_headers = None
             statuses = await asyncio.gather(*asking)
             self.assertEqual(statuses.count(200) + statuses.count(502), len(asking))
         self.assertIn(Reason.SILENT, {f.reason for f in found})
         self.assertTrue({Reason.NOT_TAKEN, Reason.HEAD_NOT_WHOLE} & {f.reason for f in found}, found)
-        runs = Counter(asked.ticket for asked in (*box.ran, *origin.ran))
+        runs = Counter(asked.ticket for asked in (*box.processed, *origin.processed))
         self.assertEqual({name: times for name, times in runs.items() if times > 1}, {})
         self.assertEqual(len(runs), statuses.count(200))
 
 
 class Negotiating(unittest.IsolatedAsyncioTestCase):
     async def test_a_box_that_knows_http1_alone_is_found_out_before_anything_is_asked(self) -> None:
-        box, origin = ScriptedPeer(hit), ScriptedPeer(hit, "o", "origin", "north")
+        box, origin = ScriptedServer(hit), ScriptedServer(hit, "o", "origin", "north")
         async with world(box, origin) as w:
             self.assertEqual(await bid(w, 1), 200)
             self.assertEqual(counters(w)["h2.fallbacks"], 1)
             self.assertEqual(await bid(w, 2), 200)
             self.assertEqual(counters(w)["h2.fallbacks"], 1)  # remembered
-        self.assertEqual([heard.method for heard in box.heard if heard.method != "PRI"], ["PUT", "PUT"])
+        self.assertEqual([heard.method for heard in box.received if heard.method != "PRI"], ["PUT", "PUT"])
 
     async def test_http11_required_is_heeded_and_tried_again_after_its_time(self) -> None:
-        box = H2Box(lambda a: a.reset(ErrorCodes.HTTP_1_1_REQUIRED))
-        other = H2Box(serve, "c2", size=1e-6)
+        box = ScriptedHttp2Server(lambda a: a.reset(ErrorCodes.HTTP_1_1_REQUIRED))
+        other = ScriptedHttp2Server(serve, "c2", capacity=1e-6)
         async with world(box, other) as w:
             assert w.director is not None and w.director.caches.shapes is not None
-            self.assertEqual((await w.ask(wait_ms=20_000.0))[0], 200)
+            self.assertEqual((await w.fetch(wait_ms=20_000.0))[0], 200)
             fallbacks = w.director.caches.shapes.negotiation.fallbacks
             self.assertEqual(fallbacks["c1"].why, "HTTP_1_1_REQUIRED")
             self.assertIsNone(w.director.caches.upstreams["c1"].lane)
             fallbacks["c1"].until_ms = 0.0
             box.script = serve
             w.director.exchange.dispatcher.state.registry.servers["c1"].backoff_until_ms = 0.0
-            await until(lambda: len(box.heard) >= 1)
+            await wait_until(lambda: len(box.received) >= 1)
             for n in range(8):
                 await page(w, n, wait_ms=20_000.0)
             self.assertIsNotNone(w.director.caches.upstreams["c1"].lane)
 
     async def test_modes_go_by_uid_before_model(self) -> None:
-        one, two = H2Box(serve), ScriptedPeer(hit, "c2")
+        one, two = ScriptedHttp2Server(serve), ScriptedServer(hit, "c2")
         options = options_for("off", by_model={"standard": "h2c"}, by_uid={"c2": "off"})
         async with world(one, two, options=options) as w:
             for n in range(12):
@@ -542,23 +563,23 @@
         return {"ca": str(self.ca), "name": "{uid}.boxes.example", **more}
 
     async def test_alpn_chooses_h2_and_the_name_is_checked(self) -> None:
-        good = H2Box(serve, tls=server_context("c1.boxes.example"))
+        good = ScriptedHttp2Server(serve, tls=server_context("c1.boxes.example"))
         async with world(good, options=options_for("tls", self.tls())) as w:
-            self.assertEqual((await w.ask())[2], BYTES)
-        self.assertEqual((good.connections, good.heard[0].fields[":scheme"]), (1, "https"))
-        bad = H2Box(serve, tls=server_context("c2.boxes.example"))
+            self.assertEqual((await w.fetch())[2], BYTES)
+        self.assertEqual((good.connections, good.received[0].headers[":scheme"]), (1, "https"))
+        bad = ScriptedHttp2Server(serve, tls=server_context("c2.boxes.example"))
         async with world(bad, options=options_for("tls", self.tls())) as w:
-            self.assertEqual((await w.ask())[0], 503)
+            self.assertEqual((await w.fetch())[0], 503)
             self.assertGreaterEqual(counters(w)["tls.certificates_refused"], 1)
-        self.assertEqual(bad.heard, [])
+        self.assertEqual(bad.received, [])
 
     async def test_a_box_that_chooses_http1_is_spoken_to_over_tls_all_the_same(self) -> None:
-        box = ScriptedPeer(hit, tls=server_context("c1.boxes.example", alpn=("http/1.1",)))
+        box = ScriptedServer(hit, tls=server_context("c1.boxes.example", alpn=("http/1.1",)))
         async with world(box, options=options_for("tls", self.tls())) as w:
             for n in range(3):
                 self.assertEqual((await page(w, n))[2], BYTES)
             self.assertEqual(counters(w)["h2.fallbacks"], 1)
-        self.assertEqual(len(box.heard), 3)
+        self.assertEqual(len(box.received), 3)
 
     async def test_a_client_certificate_is_shown_where_it_is_set(self) -> None:
         own = authority().issue_cert("director.example")
@@ -566,12 +587,12 @@
         own.cert_chain_pems[0].write_to_path(str(self.folder / "own.pem"))
         shown = self.tls(certificate=str(self.folder / "own.pem"), key=str(self.folder / "key.pem"))
         for tls, status in ((shown, 200), (self.tls(), 503)):
-            box = H2Box(serve, tls=server_context("c1.boxes.example", client=True))
+            box = ScriptedHttp2Server(serve, tls=server_context("c1.boxes.example", client=True))
             async with world(box, options=options_for("tls", tls), wait_ms=1_000.0) as w:
-                self.assertEqual((await w.ask(wait_ms=20_000.0))[0], status)
+                self.assertEqual((await w.fetch(wait_ms=20_000.0))[0], status)
 
     async def test_sighup_reads_the_files_again_and_a_bad_one_changes_nothing(self) -> None:
-        box = await H2Box(serve, tls=server_context("c1.boxes.example")).start()
+        box = await ScriptedHttp2Server(serve, tls=server_context("c1.boxes.example")).start()
         coordinator = await Coordinator().start()
         (self.folder / "config.json").write_text(json.dumps(config_for([box], coordinator)))
         own, other = self.folder / "own.toml", trustme.CA()
@@ -593,7 +614,7 @@
 
         async def status(number: int) -> int:
             reader, writer = await asyncio.open_connection(host, port)
-            writer.write(request(f"/invoke/lot-page/{number:x}", trace=ticket(number)))
+            writer.write(encode_request(f"/invoke/lot-page/{number:x}", trace=ticket(number)))
             found = int((await read_message(reader))[0].split(" ")[1])
             writer.close()
             return found
@@ -618,15 +639,15 @@
         coordinator.stop()
 
     async def test_bids_over_tls_are_resent_only_with_proof(self) -> None:
-        def run_and_drop(asked: Asked) -> None:
-            asked.run()
-            asked.line.abort()
+        def run_and_drop(asked: Http2Request) -> None:
+            asked.process()
+            asked.connection.abort()
 
-        box = H2Box(run_and_drop, tls=server_context("c1.boxes.example"))
-        origin = H2Box(serve, "o", "origin", "north", tls=server_context("o.boxes.example"))
+        box = ScriptedHttp2Server(run_and_drop, tls=server_context("c1.boxes.example"))
+        origin = ScriptedHttp2Server(serve, "o", "origin", "north", tls=server_context("o.boxes.example"))
         async with world(box, origin, options=options_for("tls", self.tls())) as w:
             self.assertEqual(await bid(w, 1), 502)
-        self.assertEqual(len(box.heard), 1)
+        self.assertEqual(len(box.received), 1)
 
 
 class Soak(unittest.TestCase):
