--- a/tests/test_members_transport.py
+++ b/tests/test_members_transport.py
@@ -14,7 +14,7 @@
 from gladewalk.members.swim import Membership
 from gladewalk.members.transport import MembershipTransport
 from gladewalk.net.environment import unix_ms
-from gladewalk.rehearsal.peers import until
+from gladewalk.rehearsal.director_harness import wait_until
 
 
 class Loopback(unittest.IsolatedAsyncioTestCase):
@@ -35,27 +35,31 @@
         seeds = (("127.0.0.1", first.core.local.port),)
         second, third = await self.start("b", seeds), await self.start("c", seeds)
         all_three = {"a": 1.0, "b": 1.0, "c": 1.0}
-        await until(lambda: all(member.core.live_weights() == all_three for member in (first, second, third)))
+        await wait_until(
+            lambda: all(member.core.live_weights() == all_three for member in (first, second, third))
+        )
         events: list[UserEvent] = []
         third.on_event = events.append
         first.publish_event(UserEvent("load/box-1", "a", 1, unix_ms(), "ok", 1.5, {"util": 0.25}))
-        await until(lambda: bool(events))
+        await wait_until(lambda: bool(events))
         assert (events[0].task, events[0].load) == ("load/box-1", {"util": 0.25})
         second.leave()
-        await until(lambda: first.core.live_weights() == third.core.live_weights() == {"a": 1.0, "c": 1.0})
+        await wait_until(
+            lambda: first.core.live_weights() == third.core.live_weights() == {"a": 1.0, "c": 1.0}
+        )
         assert first.counters["members.left"] == 1
         assert third._transport is not None
         third.close()  # without a word
-        await until(lambda: first.core.live_weights() == {"a": 1.0})
+        await wait_until(lambda: first.core.live_weights() == {"a": 1.0})
         assert first.counters["members.died"] == 1
         first.leave()
 
     async def test_strangers_without_a_key_or_from_another_network_get_no_answer(self) -> None:
         member = await self.start("a", ())
         stranger = await self.start("b", (("127.0.0.1", member.core.local.port),), key=b"x" * 32)
-        await until(lambda: member.counters["members.dropped.unknown_key"] > 0)
+        await wait_until(lambda: member.counters["members.dropped.unknown_key"] > 0)
         member.networks = (ipaddress.ip_network("10.0.0.0/8"),)
-        await until(lambda: member.counters["members.dropped.network"] > 0)
+        await wait_until(lambda: member.counters["members.dropped.network"] > 0)
         assert stranger.counters["members.datagrams"] == 0
         assert member.core.live_weights() == {"a": 1.0}
         member.leave()
@@ -64,8 +68,8 @@
     async def test_a_synchronization_delivers_what_datagrams_lost(self) -> None:
         first = await self.start("a", ())
         second = await self.start("b", (("127.0.0.1", first.core.local.port),))
-        await until(lambda: len(first.core.live_weights()) == len(second.core.live_weights()) == 2)
-        await until(lambda: not second.streams.is_syncing and not first.streams.is_syncing)
+        await wait_until(lambda: len(first.core.live_weights()) == len(second.core.live_weights()) == 2)
+        await wait_until(lambda: not second.streams.is_syncing and not first.streams.is_syncing)
         for number in range(300):  # far more than a datagram holds; none of it is ever gossiped
             first.core.dissemination.learn_event(
                 UserEvent(f"load/box-{number}", "a", 1, unix_ms(), "ok", 1.0)
@@ -74,11 +78,11 @@
         events: list[UserEvent] = []
         second.on_event = events.append
         second.streams.start_sync(("127.0.0.1", first.core.local.port))
-        await until(lambda: len(events) == 300)
-        await until(lambda: not second.streams.is_syncing)
+        await wait_until(lambda: len(events) == 300)
+        await wait_until(lambda: not second.streams.is_syncing)
         before = second.counters["members.exchanges_same"]
         second.streams.start_sync(("127.0.0.1", first.core.local.port))
-        await until(lambda: second.counters["members.exchanges_same"] == before + 1)
+        await wait_until(lambda: second.counters["members.exchanges_same"] == before + 1)
         assert len(events) == 300
         first.leave()
         second.leave()
@@ -103,7 +107,7 @@
         writer.write(LENGTH.pack(len(good)) + good)
         assert len(await reader.read(4)) > 0
         writer.close()  # in the middle of an exchange
-        await until(lambda: member.counters["members.exchanges_broken"] == 1)
+        await wait_until(lambda: member.counters["members.exchanges_broken"] == 1)
         again, writer = await asyncio.open_connection("127.0.0.1", member.core.local.port)
         writer.write(LENGTH.pack(len(good)) + good)  # somebody who has recorded it says it once more
         assert await again.read() == b""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,61 +4,56 @@
 import unittest
 
 from gladewalk.core.counters import Counters
-from gladewalk.rehearsal.peers import (
-    Heard,
-    Rehearsal,
-    ScriptedPeer,
-    read_message,
-    request,
-    until,
-)
+from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
-from .peers import BYTES, half, hit, miss_then_fill, reset, silent
+from .server_scripts import BYTES, half, hit, miss_then_fill, reset, silent
 
 
 class Stories(unittest.IsolatedAsyncioTestCase):
     async def test_a_miss_is_filled_from_the_parent_and_passed_on_unchanged(self) -> None:
-        cache, parent = ScriptedPeer(miss_then_fill), ScriptedPeer(hit, "p1", "parent", "north")
-        async with Rehearsal([cache, parent]) as world:
+        cache, parent = ScriptedServer(miss_then_fill), ScriptedServer(hit, "p1", "parent", "north")
+        async with DirectorHarness([cache, parent]) as world:
             path = "/invoke/lot-page/7f3a9c21e0b4d655?nth=3"
-            status, _, body = await world.ask(path, trace="00c0ffee00c0ffee")
+            status, _, body = await world.fetch(path, trace="00c0ffee00c0ffee")
         self.assertEqual((status, body), (200, BYTES))
-        lookup, fill = cache.heard
-        self.assertEqual({heard.path for heard in cache.heard}, {"/o/lot-page/7f3a9c21e0b4d655/3"})
+        lookup, fill = cache.received
+        self.assertEqual({heard.path for heard in cache.received}, {"/o/lot-page/7f3a9c21e0b4d655/3"})
         self.assertEqual(lookup.headers["x-ticket"], "00c0ffee00c0ffee")
         self.assertNotIn("miss-to", lookup.headers)
         self.assertEqual((fill.headers["miss-to"], fill.headers["store-as"]), ("p1", "1"))
         self.assertEqual(cache.connections, 1)  # the second attempt took the first one's connection
 
     async def test_a_copy_that_the_client_holds_is_confirmed_without_bytes(self) -> None:
-        async def script(heard: Heard) -> None:
+        async def script(heard: ReceivedRequest) -> None:
             await heard.answer(304 if heard.headers.get("have") == "4be0" else 500, Tag="4be0")
 
-        async with Rehearsal([ScriptedPeer(script)]) as world:
-            status, fields, body = await world.ask(If_None_Match='"4be0"')
+        async with DirectorHarness([ScriptedServer(script)]) as world:
+            status, fields, body = await world.fetch(If_None_Match='"4be0"')
         self.assertEqual((status, fields["etag"], body), (304, '"4be0"', b""))
 
     async def test_an_answer_that_breaks_off_is_seen_as_cut_by_the_client(self) -> None:
-        cache = ScriptedPeer(half)
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(half)
+        async with DirectorHarness([cache]) as world:
             with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
-                await world.ask()
+                await world.fetch()
             assert world.director is not None
             self.assertEqual(world.director.counters["answers.cut"], 1)
-        self.assertEqual(len(cache.heard), 1)  # begun, so nobody else may serve it
+        self.assertEqual(len(cache.received), 1)  # begun, so nobody else may serve it
 
-    async def spoilt_by(self, raw: bytes) -> tuple[Counters, ScriptedPeer]:
+    async def spoilt_by(self, raw: bytes) -> tuple[Counters, ScriptedServer]:
         """One request while its home answers with these bytes, and the other cache as it should."""
 
-        async def script(heard: Heard) -> None:
+        async def script(heard: ReceivedRequest) -> None:
             heard.writer.write(raw)
             await heard.writer.drain()
             await asyncio.Event().wait()  # the connection stays open
 
-        bad, good = ScriptedPeer(script), ScriptedPeer(hit, "c2", size=1e-6)
-        async with Rehearsal([bad, good]) as world:
+        bad, good = ScriptedServer(script), ScriptedServer(hit, "c2", capacity=1e-6)
+        async with DirectorHarness([bad, good]) as world:
             assert world.director is not None
-            status, _, body = await world.ask()
+            status, _, body = await world.fetch()
             self.assertEqual((status, body), (200, BYTES))
             return world.director.counters, bad
 
@@ -75,75 +70,77 @@
         ):
             with self.subTest(raw[:70]):
                 counters, bad = await self.spoilt_by(raw)
-                self.assertEqual(len(bad.heard), 1)
+                self.assertEqual(len(bad.received), 1)
                 self.assertEqual((counters["caches.unreadable_answer"], counters["answers.cut"]), (1, 0))
 
     async def test_what_lies_behind_an_answer_is_never_taken_for_the_next_one(self) -> None:
         copy = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"
         for behind in (copy, b"noise", b"\r\n\r\nHTTP/1.1 200"):
 
-            async def script(heard: Heard, behind: bytes = behind) -> None:
+            async def script(heard: ReceivedRequest, behind: bytes = behind) -> None:
                 heard.writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n")
                 raw = f"HTTP/1.1 200 OK\r\nContent-Length: {len(heard.path)}\r\n\r\n{heard.path}".encode()
                 heard.writer.write(raw + behind)
 
-            cache = ScriptedPeer(script)
-            async with Rehearsal([cache]) as world:
-                reader, writer = await world.client()
+            cache = ScriptedServer(script)
+            async with DirectorHarness([cache]) as world:
+                reader, writer = await world.connect()
                 paths = [f"/lot-page/{key:x}/0" for key in range(4)]
                 for path in paths:  # all at once: the next attempt is ready as soon as a connection is free
-                    writer.write(request(f"/invoke{path[:-2]}"))
+                    writer.write(encode_request(f"/invoke{path[:-2]}"))
                 answers = [await read_message(reader) for _ in paths]
                 writer.close()
             self.assertEqual([body.decode() for _, _, body in answers], [f"/o{path}" for path in paths])
             self.assertEqual(cache.connections, 4)
 
     async def test_what_was_dialled_at_an_old_address_carries_nothing_for_the_new_one(self) -> None:
-        old, new = ScriptedPeer(hit), await ScriptedPeer(hit).start()
-        async with Rehearsal([old]) as world:
+        old, new = ScriptedServer(hit), await ScriptedServer(hit).start()
+        async with DirectorHarness([old]) as world:
             assert world.director is not None
             caches = world.director.caches
-            await world.ask()
+            await world.fetch()
             (connection,) = caches.upstreams["c1"].idle
             caches.upstreams["c1"].idle.clear()
-            world.coordinator.tell_list(new)  # the same server at another place
-            await until(lambda: world.director is not None and world.director.endpoint_feed.last_index == 2)
+            world.coordinator.publish_endpoints(new)  # the same server at another place
+            await wait_until(
+                lambda: world.director is not None and world.director.endpoint_feed.last_index == 2
+            )
             caches.upstreams["c1"].rest(connection)
-            await world.ask()
-            gone = ScriptedPeer(hit, state="DELETED", address=new.address)
-            world.coordinator.tell_list(gone)
-            await until(lambda: not caches.upstreams)
+            await world.fetch()
+            gone = ScriptedServer(hit, state="DELETED", address=new.address)
+            world.coordinator.publish_endpoints(gone)
+            await wait_until(lambda: not caches.upstreams)
         new.stop()
-        self.assertEqual((len(old.heard), len(new.heard)), (1, 1))
+        self.assertEqual((len(old.received), len(new.received)), (1, 1))
 
     async def test_a_bid_that_may_have_run_is_never_sent_again(self) -> None:
-        cache, origin = ScriptedPeer(reset), ScriptedPeer(reset, "o", "origin", "north")
-        async with Rehearsal([cache, origin]) as world:
-            status, _, _ = await world.ask("/invoke/bid/b1", method="PUT", body=b"10 boxes of hake")
+        cache, origin = ScriptedServer(reset), ScriptedServer(reset, "o", "origin", "north")
+        async with DirectorHarness([cache, origin]) as world:
+            status, _, _ = await world.fetch("/invoke/bid/b1", method="PUT", body=b"10 boxes of hake")
         self.assertEqual(status, 502)
-        self.assertEqual([heard.body for heard in cache.heard + origin.heard], [b"10 boxes of hake"])
+        self.assertEqual([heard.body for heard in cache.received + origin.received], [b"10 boxes of hake"])
 
     async def test_a_refusal_comes_with_the_time_to_come_back(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit, state="DRAINING")]) as world:
-            status, fields, _ = await world.ask()
+        async with DirectorHarness([ScriptedServer(hit, state="DRAINING")]) as world:
+            status, fields, _ = await world.fetch()
             assert world.director is not None
             self.assertEqual(world.director.exchange.unanswered_count, 0)
         self.assertEqual((status, fields["retry-after"]), (503, "1"))
 
     async def test_a_silent_cache_costs_no_request_its_final_answer(self) -> None:
-        async with Rehearsal([ScriptedPeer(silent)]) as world:
-            status, _, _ = await world.ask(wait_ms=300.0)
+        async with DirectorHarness([ScriptedServer(silent)]) as world:
+            status, _, _ = await world.fetch(wait_ms=300.0)
         self.assertEqual(status, 502)
 
     async def test_a_client_that_leaves_takes_its_attempt_with_it(self) -> None:
-        cache = ScriptedPeer(silent)
-        async with Rehearsal([cache]) as world:
-            _, writer = await world.client()
-            writer.write(request("/invoke/lot-video/a1"))
-            await until(lambda: len(cache.heard) == 1)
+        cache = ScriptedServer(silent)
+        async with DirectorHarness([cache]) as world:
+            _, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-video/a1"))
+            await wait_until(lambda: len(cache.received) == 1)
             writer.transport.abort()
             assert world.director is not None
             exchange, counters = world.director.exchange, world.director.counters
-            await until(lambda: not exchange.open_requests)
+            await wait_until(lambda: not exchange.open_requests)
             self.assertEqual((counters["requests.left_by_client"], counters["attempts.cancelled"]), (1, 1))
             self.assertFalse(exchange.dispatcher.state.pending or exchange.dispatcher.state.attempts)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -16,22 +16,17 @@
 from gladewalk.net.admin import CALL_TIMEOUT_MS, MAX_CALLERS, AdminFront, Response
 from gladewalk.ops.metrics import Gauges, format_metrics, outcome_counter
 from gladewalk.ops.readiness import IDLE_CLOSE_GRACE_MS, MAX_IDLE_DRAIN_MS, Readiness
-from gladewalk.rehearsal.peers import (
-    Coordinator,
-    Heard,
-    ScriptedPeer,
-    config_for,
-    read_message,
-    request,
-    until,
-)
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 from .program import start_program
 
 BODY = b"fish" * 100
 
 
-async def hit(heard: Heard) -> None:
+async def hit(heard: ReceivedRequest) -> None:
     await heard.answer(200, BODY, X_Remark="mem")
 
 
@@ -130,9 +125,9 @@
 
     async def test_calls_are_answered_by_path_and_method_and_bad_ones_are_refused(self) -> None:
         address = self.admin.address
-        self.assertEqual(await call(address, request("/ops/readiness")), (200, b"ready\n"))
-        self.assertEqual((await call(address, request("/ops/nothing")))[0], 404)
-        self.assertEqual((await call(address, request("/ops/readiness", method="PUT")))[0], 405)
+        self.assertEqual(await call(address, encode_request("/ops/readiness")), (200, b"ready\n"))
+        self.assertEqual((await call(address, encode_request("/ops/nothing")))[0], 404)
+        self.assertEqual((await call(address, encode_request("/ops/readiness", method="PUT")))[0], 405)
         self.assertEqual((await call(address, b"\x00\x01 nonsense\r\n\r\n"))[0], 400)
         self.assertEqual((self.counters["admin.unknown_path"], self.counters["admin.wrong_method"]), (1, 1))
 
@@ -140,11 +135,11 @@
         silent = [await asyncio.open_connection(*self.admin.address) for _ in range(MAX_CALLERS + 8)]
         half = silent[0][1]
         half.write(b"GET /ops/read")
-        self.assertEqual(await call(self.admin.address, request("/ops/readiness")), (200, b"ready\n"))
-        await until(lambda: len(self.admin.calls) <= MAX_CALLERS)
+        self.assertEqual(await call(self.admin.address, encode_request("/ops/readiness")), (200, b"ready\n"))
+        await wait_until(lambda: len(self.admin.calls) <= MAX_CALLERS)
         self.now += CALL_TIMEOUT_MS
         self.deadlines.sweep(self.now)
-        await until(lambda: not self.admin.calls)
+        await wait_until(lambda: not self.admin.calls)
         for reader, writer in silent:
             self.assertEqual(await reader.read(), b"")  # closed, unanswered
             writer.close()
@@ -153,7 +148,7 @@
 
 class Program(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.cache, self.coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
+        self.cache, self.coordinator = await ScriptedServer(hit).start(), await Coordinator().start()
         self.config = {**config_for([self.cache], self.coordinator), "admin_addr": "127.0.0.1:0"}
         self.file = Path(self.enterContext(tempfile.TemporaryDirectory()), "config.json")
         self.write(self.config)
@@ -169,32 +164,36 @@
         program = await start_program(self.file)
         serving = await program.event("serving")
         admin, listen = serving["admin"], serving["listen"]
-        self.assertEqual(await call(admin, request("/ops/readiness")), (200, b"ready\n"))
+        self.assertEqual(await call(admin, encode_request("/ops/readiness")), (200, b"ready\n"))
         kept_reader, kept = await asyncio.open_connection(*listen)
         resting_reader, resting = await asyncio.open_connection(*listen)
         for writer, reader in ((kept, kept_reader), (resting, resting_reader)):
-            writer.write(request("/invoke/lot-page/a1?nth=0"))
+            writer.write(encode_request("/invoke/lot-page/a1?nth=0"))
             self.assertEqual((await read_message(reader))[2], BODY)
-        self.assertEqual((await call(admin, request("/ops/drain/start", method="PUT")))[0], 200)
-        self.assertEqual((await call(admin, request("/ops/readiness")))[0], 503)
+        self.assertEqual((await call(admin, encode_request("/ops/drain/start", method="PUT")))[0], 200)
+        self.assertEqual((await call(admin, encode_request("/ops/readiness")))[0], 503)
         health_reader, health = await asyncio.open_connection(*listen)
-        health.write(request("/_health"))  # the front's own check says no as well, and when to ask again
+        health.write(
+            encode_request("/_health")
+        )  # the front's own check says no as well, and when to ask again
         first, fields, _ = await read_message(health_reader)
         self.assertEqual((first.split(" ")[1], fields.get("retry-after")), ("503", "1"))
         health.close()
-        kept.write(request("/invoke/lot-page/a1?nth=0"))  # a kept connection is still served, then closed
+        kept.write(
+            encode_request("/invoke/lot-page/a1?nth=0")
+        )  # a kept connection is still served, then closed
         first, fields, body = await read_message(kept_reader)
         self.assertEqual((" 200 " in first, fields.get("connection"), body), (True, "close", BODY))
         self.assertEqual(await kept_reader.read(), b"")
         self.assertEqual(await resting_reader.read(), b"")  # one at rest is closed within the drain
         status, fields, body = await read_message_on(listen)  # a new connection is served, too
         self.assertEqual((status, body), (200, BODY))
-        self.assertEqual((await call(admin, request("/ops/drain/stop", method="PUT")))[0], 200)
-        self.assertEqual(await call(admin, request("/ops/readiness")), (200, b"ready\n"))
-        self.assertEqual((await call(listen, request("/_health")))[0], 200)
-        figures = figures_of((await call(admin, request("/ops/stats")))[1])
+        self.assertEqual((await call(admin, encode_request("/ops/drain/stop", method="PUT")))[0], 200)
+        self.assertEqual(await call(admin, encode_request("/ops/readiness")), (200, b"ready\n"))
+        self.assertEqual((await call(listen, encode_request("/_health")))[0], 200)
+        figures = figures_of((await call(admin, encode_request("/ops/stats")))[1])
         self.assertEqual(figures["svc.downstream_requests.lot-page.completed"], "4")  # as the client saw
-        self.assertEqual(figures["svc.upstream_requests"], str(len(self.cache.heard)))
+        self.assertEqual(figures["svc.upstream_requests"], str(len(self.cache.received)))
         self.assertEqual((figures["svc.pending"], figures["svc.members"]), ("0", "1"))
         self.assertEqual(await program.stop(), 0)
         for writer in (kept, resting):
@@ -223,7 +222,7 @@
         self.assertIn("settings.classes[0].give_up_ms: not a positive number", whys[3])
         self.assertIn("settings.limits.most_tries: not a positive number", whys[4])
         self.assertEqual((await read_message_on(listen))[0], 200)  # lot-page, as before
-        figures = figures_of((await call(admin, request("/ops/stats")))[1])
+        figures = figures_of((await call(admin, encode_request("/ops/stats")))[1])
         self.assertEqual((figures["svc.config_reloads"], figures["svc.config_reload_errors"]), ("0", "6"))
         fish = {**page, "name": "fish-auction"}
         self.write({**self.config, "settings": {**settings, "classes": [fish]}})
@@ -231,7 +230,7 @@
         await program.event("configuration taken")
         self.assertEqual((await read_message_on(listen, "/invoke/fish-auction/a1?nth=0"))[0], 200)
         self.assertEqual((await read_message_on(listen))[0], 404)  # lot-page is gone
-        figures = figures_of((await call(admin, request("/ops/stats")))[1])
+        figures = figures_of((await call(admin, encode_request("/ops/stats")))[1])
         self.assertEqual((figures["svc.config_reloads"], figures["svc.config_reload_errors"]), ("1", "6"))
         self.assertEqual(figures["svc.downstream_requests.fish-auction.completed"], "1")
         self.assertEqual(figures["svc.downstream_requests.lot-page.completed"], "1")  # gone, and kept
@@ -245,13 +244,15 @@
         old = await start_program(self.file, listener_fd=listener.fileno())
         await old.event("serving")
         asking = asyncio.ensure_future(keep_asking(address))
-        await until(lambda: len(self.cache.heard) >= 5)
+        await wait_until(lambda: len(self.cache.received) >= 5)
         new = await start_program(self.file, listener_fd=listener.fileno())
         serving = await new.event("serving")
-        self.assertEqual(await call(serving["admin"], request("/ops/readiness")), (200, b"ready\n"))
+        self.assertEqual(await call(serving["admin"], encode_request("/ops/readiness")), (200, b"ready\n"))
         self.assertEqual(await old.stop(), 0)
-        seen = len(self.cache.heard)
-        await until(lambda: len(self.cache.heard) >= seen + 5)  # the new one serves from the same queue
+        seen = len(self.cache.received)
+        await wait_until(
+            lambda: len(self.cache.received) >= seen + 5
+        )  # the new one serves from the same queue
         statuses = await stop_asking(asking)
         self.assertEqual(set(statuses), {200})
         await new.stop()
@@ -260,7 +261,7 @@
 async def read_message_on(
     address: Any, path: str = "/invoke/lot-page/a1?nth=0"
 ) -> tuple[int, dict[str, str], bytes]:
-    return await exchange(address, request(path))
+    return await exchange(address, encode_request(path))
 
 
 STOP = asyncio.Event()
@@ -283,8 +284,8 @@
 
 class Start(unittest.IsolatedAsyncioTestCase):
     async def test_requests_wait_for_the_coordinator_and_miss_a_cache_drained_meanwhile(self) -> None:
-        first, second = ScriptedPeer(hit, "c1"), ScriptedPeer(hit, "c2")
-        coordinator = await Coordinator(answering=asyncio.Event()).start()
+        first, second = ScriptedServer(hit, "c1"), ScriptedServer(hit, "c2")
+        coordinator = await Coordinator(may_answer=asyncio.Event()).start()
         for peer in (first, second):
             await peer.start()
         config = read_config(config_for([first, second], coordinator), {})  # it knows both as ready
@@ -296,15 +297,15 @@
         self.assertFalse(director.readiness.is_ready)
         clients = [await asyncio.open_connection(*director.front.address) for _ in range(8)]
         for key, (_, writer) in enumerate(clients, 1):  # homes on both caches, by hash
-            writer.write(request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
-        await until(lambda: len(director.exchange.held_requests or ()) == 8)
-        self.assertEqual((first.heard, second.heard), ([], []))
-        assert coordinator.answering is not None
-        coordinator.answering.set()
+            writer.write(encode_request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
+        await wait_until(lambda: len(director.exchange.held_requests or ()) == 8)
+        self.assertEqual((first.received, second.received), ([], []))
+        assert coordinator.may_answer is not None
+        coordinator.may_answer.set()
         for reader, writer in clients:
             self.assertEqual((await read_message(reader))[2], BODY)
             writer.close()
-        self.assertEqual((len(first.heard), len(second.heard)), (0, 8))
+        self.assertEqual((len(first.received), len(second.received)), (0, 8))
         self.assertTrue(director.readiness.is_ready)
         director.front.close()
         director.coordinator_watch.close()
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -14,7 +14,9 @@
 from gladewalk.config.option_tables import Http2Options
 from gladewalk.config.options import load_options
 from gladewalk.config.platform import ConfigError
-from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 from tests.h2world import authority
 
 ROOT = Path(__file__).parent.parent
@@ -78,7 +80,7 @@
 
 @pytest.fixture
 def director(tmp_path: Path) -> Director:
-    cache = ScriptedPeer(None, address="127.0.0.1:1")  # type: ignore[arg-type]
+    cache = ScriptedServer(None, address="127.0.0.1:1")  # type: ignore[arg-type]
     config = config_for([cache], Coordinator(address="127.0.0.1:1"))
     (tmp_path / "config.json").write_text(json.dumps(config))
     return Director(tmp_path, {**os.environ, "NODE_CONFIG": str(tmp_path / "config.json")})
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -5,27 +5,29 @@
 
 from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS
 from gladewalk.ops.readiness import MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS, shutdown_deadline_ms
-from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request, until
+from gladewalk.rehearsal.director_harness import SETTINGS, DirectorHarness, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
-from .peers import BYTES, hit
+from .server_scripts import BYTES, hit
 from .test_crossings import held_until
 
 LONGEST_MS = max(cls["give_up_ms"] for cls in SETTINGS["classes"])
-WHOLE = request("/invoke/lot-video/a1", wait_ms=LONGEST_MS)
+WHOLE = encode_request("/invoke/lot-video/a1", wait_ms=LONGEST_MS)
 
 
 class Arrivals(unittest.IsolatedAsyncioTestCase):
     async def half(self, idle_ms: float, coming_ms: float) -> tuple[str, bytes]:
         """A request that begins `idle_ms` after its connection and takes `coming_ms`; what it is answered."""
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             director = world.director
             assert director is not None
             front, real = director.front, director.front.clock
-            reader, writer = await world.client()
-            await until(lambda: len(front.awaiting) == 1)
+            reader, writer = await world.connect()
+            await wait_until(lambda: len(front.awaiting) == 1)
             front.clock = lambda: real() + idle_ms
             writer.write(WHOLE[:-9])
-            await until(lambda: any(connection.has_partial_request for connection in front.awaiting))
+            await wait_until(lambda: any(connection.has_partial_request for connection in front.awaiting))
             front.clock = lambda: real() + idle_ms + coming_ms
             front.sweep()  # as its deadline calls it
             writer.write(WHOLE[-9:])
@@ -44,7 +46,7 @@
         self.assertEqual((await self.half(0.0, LONGEST_MS + 1.0))[0], "408")
 
     async def test_other_settings_are_other_times(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             director = world.director
             assert director is not None
             self.assertEqual(director.front.request_timeout_ms, LONGEST_MS)
@@ -53,21 +55,23 @@
 class Stop(unittest.IsolatedAsyncioTestCase):
     async def test_who_has_more_patience_than_the_platform_has_an_answer_before_its_kill(self) -> None:
         held = asyncio.Event()
-        cache = ScriptedPeer(held_until(held))
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(held_until(held))
+        async with DirectorHarness([cache]) as world:
             director = world.director
             assert director is not None
-            reader, writer = await world.client()
+            reader, writer = await world.connect()
             writer.write(WHOLE)
-            await until(lambda: len(cache.heard) == 1)
+            await wait_until(lambda: len(cache.received) == 1)
             director.stop()
             kill_ms = director.clock() + SHUTDOWN_ACCEPT_MS + MAX_SIGKILL_DELAY_MS
             (taken,) = director.exchange.open_requests.values()
             self.assertGreater(LONGEST_MS, MAX_SIGKILL_DELAY_MS)
             self.assertLess(taken.deadline_ms, kill_ms)
-            late = await world.client()  # it comes in the last moment, with all its patience
-            late[1].write(request("/invoke/lot-video/a2", trace="00000000000000a2", wait_ms=LONGEST_MS))
-            await until(lambda: len(director.exchange.open_requests) == 2)
+            late = await world.connect()  # it comes in the last moment, with all its patience
+            late[1].write(
+                encode_request("/invoke/lot-video/a2", trace="00000000000000a2", wait_ms=LONGEST_MS)
+            )
+            await wait_until(lambda: len(director.exchange.open_requests) == 2)
             self.assertTrue(all(t.deadline_ms < kill_ms for t in director.exchange.open_requests.values()))
             director._stop_accepting()
             director.exchange.answer_all_by(director.clock())  # that time has come
@@ -89,18 +93,18 @@
     async def test_a_write_that_may_have_run_is_failed_and_not_refused_then(self) -> None:
         held = asyncio.Event()
 
-        async def never(heard: Heard) -> None:
+        async def never(heard: ReceivedRequest) -> None:
             await held.wait()
 
-        origin = ScriptedPeer(never, uid="o1", model="origin", zone="north")
-        async with Rehearsal([origin]) as world:
+        origin = ScriptedServer(never, uid="o1", model="origin", zone="north")
+        async with DirectorHarness([origin]) as world:
             director = world.director
             assert director is not None
-            reader, writer = await world.client()
-            writer.write(request("/invoke/bid/b1", method="PUT", body=b"12"))
-            await until(lambda: len(origin.heard) == 1)
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/bid/b1", method="PUT", body=b"12"))
+            await wait_until(lambda: len(origin.received) == 1)
             director.exchange.answer_all_by(director.clock())
             self.assertIn(" 502 ", (await read_message(reader))[0])
-            self.assertEqual(len(origin.heard), 1)
+            self.assertEqual(len(origin.received), 1)
             writer.close()
             held.set()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,86 +8,80 @@
 from pathlib import Path
 
 from gladewalk.config.platform import read_config
-from gladewalk.rehearsal.peers import (
-    Coordinator,
-    Heard,
-    Rehearsal,
-    ScriptedPeer,
-    config_for,
-    read_message,
-    request,
-    until,
-)
-
-from .peers import BYTES, hit
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import DirectorHarness, config_for, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
+
 from .program import DirectorProgram, start_program
+from .server_scripts import BYTES, hit
 
 
 class Following(unittest.IsolatedAsyncioTestCase):
     async def test_the_feed_goes_on_from_the_last_event_after_a_cut(self) -> None:
-        old, new = ScriptedPeer(hit), ScriptedPeer(hit, "c2")
-        async with Rehearsal([old, new]) as world:
+        old, new = ScriptedServer(hit), ScriptedServer(hit, "c2")
+        async with DirectorHarness([old, new]) as world:
             assert world.director is not None
             feed = world.director.endpoint_feed
-            await until(lambda: world.coordinator.follows == [1])
+            await wait_until(lambda: world.coordinator.followed_from == [1])
             old.state, new.address = "DELETED", old.address  # the newcomer stands where the old one stood
-            world.coordinator.cut()
-            world.coordinator.tell_list(old, new)
-            await until(lambda: feed.last_index == 2)
-            self.assertEqual(world.coordinator.follows[:2], [1, 1])
+            world.coordinator.disconnect()
+            world.coordinator.publish_endpoints(old, new)
+            await wait_until(lambda: feed.last_index == 2)
+            self.assertEqual(world.coordinator.followed_from[:2], [1, 1])
             for key in range(8):
-                self.assertEqual((await world.ask(f"/invoke/lot-page/{key:x}"))[0], 200)
+                self.assertEqual((await world.fetch(f"/invoke/lot-page/{key:x}"))[0], 200)
             self.assertNotIn("c1", world.director.exchange.dispatcher.state.registry.servers)
 
     async def test_a_moved_coordinator_is_asked_at_once_and_the_old_one_heard_no_more(self) -> None:
-        old_cache, new_cache = ScriptedPeer(hit), await ScriptedPeer(hit, "c2").start()
+        old_cache, new_cache = ScriptedServer(hit), await ScriptedServer(hit, "c2").start()
         other = await Coordinator().start()
-        async with Rehearsal([old_cache]) as world:
+        async with DirectorHarness([old_cache]) as world:
             assert world.director is not None
             director, feed = world.director, world.director.endpoint_feed
-            await until(lambda: world.coordinator.follows == [1])
+            await wait_until(lambda: world.coordinator.followed_from == [1])
             other.events = list(world.coordinator.events)
-            other.tell_list(new_cache)
+            other.publish_endpoints(new_cache)
             raw = config_for([old_cache], world.coordinator)
             director.apply(read_config({**raw, "coordinator": other.address}, {}))
-            await until(lambda: feed.last_index == 2)
-            self.assertEqual(other.follows, [1])
-            world.coordinator.tell_list(old_cache)  # its number 2 is not the one that counts
-            world.coordinator.cut()
-            other.tell_list(ScriptedPeer(hit, "c3", address=new_cache.address))
-            await until(lambda: feed.last_index == 3)
+            await wait_until(lambda: feed.last_index == 2)
+            self.assertEqual(other.followed_from, [1])
+            world.coordinator.publish_endpoints(old_cache)  # its number 2 is not the one that counts
+            world.coordinator.disconnect()
+            other.publish_endpoints(ScriptedServer(hit, "c3", address=new_cache.address))
+            await wait_until(lambda: feed.last_index == 3)
             self.assertEqual(set(director.caches.upstreams), {"c1", "c2", "c3"})
-            self.assertEqual((other.follows, len(world.coordinator.follows)), ([1], 1))
+            self.assertEqual((other.followed_from, len(world.coordinator.followed_from)), ([1], 1))
         new_cache.stop()
         other.stop()
 
     async def test_half_a_line_a_repeat_and_a_number_ahead_are_made_good(self) -> None:
-        cache = ScriptedPeer(hit)
-        async with Rehearsal([cache]) as world:
+        cache = ScriptedServer(hit)
+        async with DirectorHarness([cache]) as world:
             assert world.director is not None
             feed, coordinator = world.director.endpoint_feed, world.coordinator
-            await until(lambda: coordinator.follows == [1])
+            await wait_until(lambda: coordinator.followed_from == [1])
             purge = {"evict": {"ref": "a1", "unix_ms": 1.0}}
             line = json.dumps({"index": 2, **purge}).encode() + b"\n"
             coordinator.events.append({"index": 2, **purge})
-            coordinator.write(line[:20])
-            coordinator.cut()
-            await until(lambda: feed.last_index == 2 and coordinator.follows == [1, 1])
-            coordinator.write(line + line)
-            coordinator.tell(**purge)
-            await until(lambda: feed.last_index == 3)
+            coordinator.send_raw(line[:20])
+            coordinator.disconnect()
+            await wait_until(lambda: feed.last_index == 2 and coordinator.followed_from == [1, 1])
+            coordinator.send_raw(line + line)
+            coordinator.publish(**purge)
+            await wait_until(lambda: feed.last_index == 3)
             self.assertEqual(feed.counters["coordinator.events"], 3)  # the list, and two purges
             coordinator.events.append({"index": 4, **purge})
-            coordinator.write(b"4\n")  # the number of one that never came
-            await until(lambda: feed.last_index == 4)
-            self.assertEqual(coordinator.follows, [1, 1, 3])
+            coordinator.send_raw(b"4\n")  # the number of one that never came
+            await wait_until(lambda: feed.last_index == 4)
+            self.assertEqual(coordinator.followed_from, [1, 1, 3])
 
     async def test_a_silent_coordinator_is_asked_again(self) -> None:
-        async with Rehearsal([ScriptedPeer(hit)]) as world:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
             assert world.director is not None
-            await until(lambda: world.coordinator.follows == [1])
+            await wait_until(lambda: world.coordinator.followed_from == [1])
             world.director.coordinator_watch._on_silence()  # what the deadline calls
-            await until(lambda: world.coordinator.follows == [1, 1])
+            await wait_until(lambda: world.coordinator.followed_from == [1, 1])
 
 
 class Program(unittest.IsolatedAsyncioTestCase):
@@ -104,20 +98,20 @@
     async def test_it_serves_answers_all_it_took_after_sigterm_and_ends_well(self) -> None:
         release = asyncio.Event()
 
-        async def held(heard: Heard) -> None:
+        async def held(heard: ReceivedRequest) -> None:
             await release.wait()
             await hit(heard)
 
-        cache, coordinator = await ScriptedPeer(held).start(), await Coordinator().start()
+        cache, coordinator = await ScriptedServer(held).start(), await Coordinator().start()
         program = await self.start(config_for([cache], coordinator))
         reader, writer = await asyncio.open_connection(*(await program.event("serving"))["listen"])
         healths: list[str] = []
         while not healths or " 503 " in healths[-1]:  # not ready until the coordinator has answered
-            writer.write(request("/_health"))
+            writer.write(encode_request("/_health"))
             healths.append((await read_message(reader))[0])
         self.assertIn(" 200 ", healths[-1])
-        writer.write(request("/invoke/lot-video/a1"))
-        await until(lambda: len(cache.heard) == 1)
+        writer.write(encode_request("/invoke/lot-video/a1"))
+        await wait_until(lambda: len(cache.received) == 1)
         program.send(signal.SIGTERM)
         await program.event("stopping")
         release.set()
@@ -133,17 +127,17 @@
     async def test_a_new_configuration_within_a_stop_is_taken_and_ends_nothing(self) -> None:
         release = asyncio.Event()
 
-        async def held(heard: Heard) -> None:
+        async def held(heard: ReceivedRequest) -> None:
             await release.wait()
             await hit(heard)
 
-        cache = await ScriptedPeer(held).start()
+        cache = await ScriptedServer(held).start()
         coordinator, other = await Coordinator().start(), await Coordinator().start()
         config = config_for([cache], coordinator)
         program = await self.start(config)
         reader, writer = await asyncio.open_connection(*(await program.event("serving"))["listen"])
-        writer.write(request("/invoke/lot-video/a1", wait_ms=5000.0))
-        await until(lambda: len(cache.heard) == 1)
+        writer.write(encode_request("/invoke/lot-video/a1", wait_ms=5000.0))
+        await wait_until(lambda: len(cache.received) == 1)
         program.send(signal.SIGTERM)
         await program.event("stopping")
         other.events = coordinator.events
@@ -161,17 +155,17 @@
     async def test_sighup_takes_a_new_configuration_and_a_bad_one_changes_nothing(self) -> None:
         release = asyncio.Event()
 
-        async def held(heard: Heard) -> None:
+        async def held(heard: ReceivedRequest) -> None:
             await release.wait()
             await hit(heard)
 
-        cache = await ScriptedPeer(held).start()
+        cache = await ScriptedServer(held).start()
         coordinator, other = await Coordinator().start(), await Coordinator().start()
         config = config_for([cache], coordinator)
         program = await self.start(config)
         reader, writer = await asyncio.open_connection(*(await program.event("serving"))["listen"])
-        writer.write(request("/invoke/lot-video/a1"))
-        await until(lambda: len(cache.heard) == 1)
+        writer.write(encode_request("/invoke/lot-video/a1"))
+        await wait_until(lambda: len(cache.received) == 1)
         for bad in ("{", json.dumps({**config, "settings": {"classes": []}})):
             self.file.write_text(bad)
             program.send(signal.SIGHUP)
@@ -180,7 +174,7 @@
         self.write({**config, "coordinator": other.address})
         program.send(signal.SIGHUP)
         await program.event("configuration taken")
-        await until(lambda: other.follows == [1])
+        await wait_until(lambda: other.followed_from == [1])
         release.set()
         self.assertEqual((await read_message(reader))[2], BYTES)  # the open request lived on
         self.assertEqual(await program.stop(), 0)
@@ -189,7 +183,7 @@
             peer.stop()
 
     async def test_it_ends_well_though_nobody_reads_its_log(self) -> None:
-        cache, coordinator = await ScriptedPeer(hit).start(), await Coordinator().start()
+        cache, coordinator = await ScriptedServer(hit).start(), await Coordinator().start()
         program = await self.start(config_for([cache], coordinator))
         await program.event("serving")
         program.process._transport.get_pipe_transport(2).close()  # type: ignore[attr-defined]
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -13,15 +13,10 @@
 
 from gladewalk.config.platform import read_config
 from gladewalk.director import Director
-from gladewalk.rehearsal.peers import (
-    SETTINGS,
-    Coordinator,
-    Heard,
-    ScriptedPeer,
-    config_for,
-    read_message,
-    request,
-)
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import SETTINGS, config_for
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from gladewalk.rehearsal.virtual.loop import Stuck, VirtualLoop, rehearse
 from gladewalk.rehearsal.virtual.streams import SPLIT_CHANCE
 
@@ -149,14 +144,14 @@
     """A director, three boxes of which one falls silent for a while, clients with a request each."""
     served: Counter[str] = Counter()
 
-    async def answer(heard: Heard) -> None:
-        served[heard.peer.uid] += 1
+    async def answer(heard: ReceivedRequest) -> None:
+        served[heard.server.uid] += 1
         await asyncio.sleep(loop.random.uniform(0.005, 0.05))
         await heard.answer(200, BODY, X_Remark="mem")
 
     coordinator = Coordinator()
     await loop.as_party("coordinator", coordinator.start())
-    boxes = [ScriptedPeer(answer, uid=f"c{n}", host=f"10.2.0.{n}") for n in range(3)]
+    boxes = [ScriptedServer(answer, uid=f"c{n}", host=f"10.2.0.{n}") for n in range(3)]
     for box in boxes:
         await loop.as_party(box.uid, box.start())
     config = read_config({**config_for(boxes, coordinator, SETTINGS), "listen": "10.1.0.1:7001"}, {})
@@ -166,7 +161,7 @@
 
     async def one(n: int) -> None:
         reader, writer = await asyncio.open_connection("10.1.0.1", 7001)
-        writer.write(request(f"/invoke/lot-page/a{n % 50:x}?nth=0", trace=f"{n:016x}"))
+        writer.write(encode_request(f"/invoke/lot-page/a{n % 50:x}?nth=0", trace=f"{n:016x}"))
         try:
             first, _, body = await read_message(reader)
             status = int(first.split(" ")[1])
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -11,8 +11,9 @@
 from gladewalk.nginx.table import Box, Site
 from gladewalk.nginx.translate import import_site
 from gladewalk.optional_parts import load_router
-from gladewalk.rehearsal.peers import Heard, until
-from gladewalk.rehearsal.webworld import Answer, WebWorld
+from gladewalk.rehearsal.director_harness import wait_until
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest
+from gladewalk.rehearsal.site_harness import SiteHarness, SiteResponse
 from gladewalk.web.standby import Standby
 from gladewalk.web.start import checked
 
@@ -26,12 +27,12 @@
         return import_site(str(path))
 
 
-def told(answer: Answer) -> str:
+def told(answer: SiteResponse) -> str:
     """An answer as the corpus writes landings."""
-    if answer.by:
+    if answer.server:
         _, _, target = answer.body.decode().split(" ", 2)
-        return f"upstream {answer.by.rpartition('/')[0]} {target}"
-    return f"answer {answer.status} {answer.fields.get('location') or answer.body.decode()}".rstrip()
+        return f"upstream {answer.server.rpartition('/')[0]} {target}"
+    return f"answer {answer.status} {answer.headers.get('location') or answer.body.decode()}".rstrip()
 
 
 @pytest.mark.parametrize("path", [p for p in FILES if list(expectations(p))], ids=lambda path: path.stem)
@@ -40,7 +41,7 @@
 
     async def play() -> None:
         site = import_site(str(path))
-        async with WebWorld(site) as world:
+        async with SiteHarness(site) as world:
             for each in expectations(path):
                 asked = each.asked
                 if asked.client != "127.0.0.1" or "content-length" in each.fields:
@@ -50,9 +51,9 @@
                 if asked.host == "":
                     data = f"{asked.method} {asked.uri} HTTP/1.0\r\n".encode()
                     data += b"".join(f"{k}: {v}\r\n".encode() for k, v in each.fields.items()) + b"\r\n"
-                    call = world.say(data, listen=asked.listen)
+                    call = world.send(data, listen=asked.listen)
                 else:
-                    call = world.ask(asked.uri, asked.host, asked.method, b"", asked.listen, **each.fields)
+                    call = world.fetch(asked.uri, asked.host, asked.method, b"", asked.listen, **each.fields)
                 if each.landing == "answer 444":
                     with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
                         await call
@@ -70,15 +71,15 @@
     async def test_a_server_that_answers_faster_is_not_given_all(self) -> None:
         """The core weighs caches by the time that hits take; what servers make has no such measure."""
 
-        async def slow(heard: Heard) -> None:
+        async def slow(heard: ReceivedRequest) -> None:
             await asyncio.sleep(0.02)
-            await heard.answer(200, b"", X_Server=heard.peer.uid)
+            await heard.answer(200, b"", X_Server=heard.server.uid)
 
         words = "proxy_cache_lock on; proxy_cache_valid 200 1m; proxy_cache_use_stale error;"
-        async with WebWorld(site_of(TWO % words), {"a/0": slow}) as world:
+        async with SiteHarness(site_of(TWO % words), {"a/0": slow}) as world:
             for n in range(60):
-                self.assertEqual((await world.ask(f"/{n}")).status, 200)
-            shares = sorted(len(server.heard) for server in world.servers.values())
+                self.assertEqual((await world.fetch(f"/{n}")).status, 200)
+            shares = sorted(len(server.received) for server in world.servers.values())
             self.assertGreater(shares[0], 10)
             balanced = world.director.web.upstreams["a"]  # type: ignore[union-attr]
             servers = balanced.dispatcher.state.registry.servers.values()
@@ -92,9 +93,9 @@
 
 class Messages(unittest.IsolatedAsyncioTestCase):
     async def test_fields_bodies_and_ranges_pass_as_http_asks(self) -> None:
-        seen: list[Heard] = []
+        seen: list[ReceivedRequest] = []
 
-        async def answer(heard: Heard) -> None:
+        async def answer(heard: ReceivedRequest) -> None:
             seen.append(heard)
             if heard.path == "/chunked":
                 heard.writer.write(
@@ -120,35 +121,42 @@
                 proxy_set_header X-Real $remote_addr;
                 proxy_set_header X-Forwarded-For $proxy_add_x_forwarded_for; proxy_set_header Accept ""; }
               location /p/ { proxy_pass http://a/s/; } }""")
-        async with WebWorld(site, {"a/0": answer}) as world:
-            got = await world.ask("/x", method="PUT", body=b"body", Accept="a/b", Cookie="c=d", TE="trailers",
-                                  X_Forwarded_For="10.0.0.9")  # fmt: skip
+        async with SiteHarness(site, {"a/0": answer}) as world:
+            got = await world.fetch(
+                "/x",
+                method="PUT",
+                body=b"body",
+                Accept="a/b",
+                Cookie="c=d",
+                TE="trailers",
+                X_Forwarded_For="10.0.0.9",
+            )
             heard = seen[-1]
-            self.assertEqual((got.status, got.body, got.fields["set-cookie"]), (201, b"body", "a=1"))
-            self.assertEqual((got.fields["x-from"], "server" in got.fields), ("example.com", False))
+            self.assertEqual((got.status, got.body, got.headers["set-cookie"]), (201, b"body", "a=1"))
+            self.assertEqual((got.headers["x-from"], "server" in got.headers), ("example.com", False))
             wanted = {"host": "example.com", "x-real": "127.0.0.1", "x-forwarded-for": "10.0.0.9, 127.0.0.1",
                       "cookie": "c=d", "content-length": "4"}  # fmt: skip
             self.assertEqual(heard.headers, wanted)
-            got = await world.ask("/p/y", method="POST", body=b"z")
+            got = await world.fetch("/p/y", method="POST", body=b"z")
             self.assertEqual((seen[-1].path, seen[-1].headers["host"]), ("/s/y", "a"))
-            self.assertEqual(got.fields["location"], "http://example.com:8080/p/there")
-            got = await world.ask("/x", Range="bytes=0-3")
+            self.assertEqual(got.headers["location"], "http://example.com:8080/p/there")
+            got = await world.fetch("/x", Range="bytes=0-3")
             self.assertEqual(
-                (got.status, got.body, got.fields["content-range"]), (206, b"part", "bytes 0-3/9")
+                (got.status, got.body, got.headers["content-range"]), (206, b"part", "bytes 0-3/9")
             )
-            self.assertNotIn("x-hop", got.fields)
-            got = await world.ask("/x", If_None_Match='"e"')
-            self.assertEqual((got.status, got.fields["etag"], got.body), (304, '"e"', b""))
-            got = await world.ask("/x", method="HEAD")
-            self.assertEqual((got.status, got.fields["content-length"], got.body), (200, "7", b""))
-            self.assertEqual((await world.ask("/chunked")).body, b"abc")
-            self.assertEqual((await world.ask("/close")).body, b"to the end")
-            self.assertEqual((await world.ask("/x", method="POST", body=b"x" * 1_025)).status, 413)
+            self.assertNotIn("x-hop", got.headers)
+            got = await world.fetch("/x", If_None_Match='"e"')
+            self.assertEqual((got.status, got.headers["etag"], got.body), (304, '"e"', b""))
+            got = await world.fetch("/x", method="HEAD")
+            self.assertEqual((got.status, got.headers["content-length"], got.body), (200, "7", b""))
+            self.assertEqual((await world.fetch("/chunked")).body, b"abc")
+            self.assertEqual((await world.fetch("/close")).body, b"to the end")
+            self.assertEqual((await world.fetch("/x", method="POST", body=b"x" * 1_025)).status, 413)
 
     async def test_a_large_answer_streams_at_the_clients_pace(self) -> None:
         sent = 0
 
-        async def pour(heard: Heard) -> None:
+        async def pour(heard: ReceivedRequest) -> None:
             nonlocal sent
             heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n")
             for _ in range(300):
@@ -156,7 +164,7 @@
                 await heard.writer.drain()
                 sent += 100_000
 
-        async with WebWorld(site_of(TWO % ""), {"a/0": pour, "a/1": pour}) as world:
+        async with SiteHarness(site_of(TWO % ""), {"a/0": pour, "a/1": pour}) as world:
             reader, writer = await asyncio.open_connection(*world.address())
             writer.write(b"GET /x HTTP/1.1\r\nHost: example.com\r\n\r\n")
             await reader.readuntil(b"\r\n\r\n")
@@ -169,7 +177,7 @@
             writer.close()
 
     async def test_noise_and_doubtful_messages_get_a_4xx_and_reach_no_server(self) -> None:
-        async with WebWorld(site_of(TWO % "")) as world:
+        async with SiteHarness(site_of(TWO % "")) as world:
             for data, status in (
                 (b"GET /x HTTP/1.1\r\n\r\n", 400),  # no Host
                 (b"GET /x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
@@ -185,13 +193,13 @@
                 (b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n", 405),
                 (b"\x16\x03\x01\x02\x00\x01", 400),
             ):
-                self.assertEqual((await world.say(data)).status, status, data[:60])
-            self.assertEqual(sum(len(server.heard) for server in world.servers.values()), 0)
-            answer = await world.say(b"GET http://example.com/abs?q HTTP/1.1\r\nHost: other\r\n\r\n")
+                self.assertEqual((await world.send(data)).status, status, data[:60])
+            self.assertEqual(sum(len(server.received) for server in world.servers.values()), 0)
+            answer = await world.send(b"GET http://example.com/abs?q HTTP/1.1\r\nHost: other\r\n\r\n")
             self.assertTrue(answer.body.endswith(b"GET /abs?q"), answer.body)
 
     async def test_requests_behind_one_another_on_a_connection_are_answered_in_order(self) -> None:
-        async with WebWorld(site_of(TWO % "")) as world:
+        async with SiteHarness(site_of(TWO % "")) as world:
             reader, writer = await asyncio.open_connection(*world.address())
             writer.write(b"".join(b"GET /%d HTTP/1.1\r\nHost: example.com\r\n\r\n" % n for n in range(6)))
             for n in range(6):
@@ -251,16 +259,16 @@
             server { location / { proxy_pass http://a; } location /b { proxy_pass http://b; } }""")
         gate = asyncio.Event()
 
-        async def wait(heard: Heard) -> None:
+        async def wait(heard: ReceivedRequest) -> None:
             await gate.wait()
-            await heard.answer(200, b"old", X_Server=heard.peer.uid)
+            await heard.answer(200, b"old", X_Server=heard.server.uid)
 
-        async with WebWorld(site, {"b/0": wait}) as world:
+        async with SiteHarness(site, {"b/0": wait}) as world:
             director = world.director
             assert director is not None and director.web is not None and director.options is not None
-            self.assertEqual((await world.ask("/x")).by, "a/0")
-            task = asyncio.create_task(world.ask("/b"))
-            await until(lambda: len(world.servers["b/0"].heard) == 1)
+            self.assertEqual((await world.fetch("/x")).server, "a/0")
+            task = asyncio.create_task(world.fetch("/b"))
+            await wait_until(lambda: len(world.servers["b/0"].received) == 1)
             path = Path(world._folder.name) / "site.toml"  # type: ignore[union-attr]
             kept, old = director.web.upstreams["a"], director.web.upstreams["b"]
             table = path.read_text()
@@ -269,13 +277,13 @@
             router = load_router(director.options)
             assert isinstance(router, Router)
             director.web.reload(director.options, router)
-            self.assertEqual((await world.ask("/b")).by, "a/0")
+            self.assertEqual((await world.fetch("/b")).server, "a/0")
             self.assertIs(director.web.upstreams["a"], kept)
             gate.set()
             self.assertEqual((await task).body, b"old")  # what was open is answered
-            await until(lambda: not old.open_requests and not old.upstreams.live)  # type: ignore[union-attr]
-            self.assertEqual((await world.ask("/c")).by, "b/0")
+            await wait_until(lambda: not old.open_requests and not old.upstreams.live)  # type: ignore[union-attr]
+            self.assertEqual((await world.fetch("/c")).server, "b/0")
             path.write_text(table.replace("[[servers]]", "[[serverz]]"))
             with self.assertRaisesRegex(Exception, "serverz: no such setting"):
                 load_router(director.options)
-            self.assertEqual((await world.ask("/c")).by, "b/0")
+            self.assertEqual((await world.fetch("/c")).server, "b/0")
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -31,7 +31,8 @@
 from gladewalk.dns.weights import Weights
 from gladewalk.dns.zone import Found, Kind, Zone, zone_of
 from gladewalk.registry.dns_leases import DnsLeaseTable
-from gladewalk.rehearsal.peers import Coordinator, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
 
 ORIGIN = dns.name.from_text("cdn.example.")
 RECORDS = """
