--- a/benchmarks/rehearsal_speed.py
+++ b/benchmarks/rehearsal_speed.py
@@ -14,19 +14,18 @@
 from concurrent.futures import ProcessPoolExecutor
 from multiprocessing import get_context
 
-from gladewalk.rehearsal.virtual.play import play
-from gladewalk.rehearsal.virtual.quiet import quiet
-from gladewalk.rehearsal.virtual.scenario import Fleet, Scenario, Traffic
+from gladewalk.rehearsal.virtual.play import play, silence_logs
+from gladewalk.rehearsal.virtual.scenario import FleetTable, Scenario, TrafficTable
 
 
 def one(directors: int, boxes: int, seconds: float, per_director: float) -> tuple[float, int, int, float]:
     """Virtual seconds a second, requests, violations, MB at the most."""
-    quiet()
-    fleet = Fleet(directors=directors, boxes=boxes, hubs=max(1, boxes // 4))
-    traffic = Traffic(per_s=per_director * directors, objects=50 * boxes)
-    verdict = play(Scenario(seconds=seconds, fleet=fleet, traffic=traffic), 1)
+    silence_logs()
+    fleet = FleetTable(directors=directors, caches=boxes, parents=max(1, boxes // 4))
+    traffic = TrafficTable(requests_per_s=per_director * directors, objects=50 * boxes)
+    verdict = play(Scenario(duration_s=seconds, fleet=fleet, traffic=traffic), 1)
     most_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
-    return verdict.virtual_s / verdict.wall_s, len(verdict.record.requests), len(verdict.broken), most_mb
+    return verdict.virtual_s / verdict.wall_s, len(verdict.history.requests), len(verdict.violations), most_mb
 
 
 def main() -> int:
--- a/gladewalk/cli/rehearsal_commands.py
+++ b/gladewalk/cli/rehearsal_commands.py
@@ -21,19 +21,19 @@
 @examples("gladewalk play scenarios/morning-auction.toml --seed 7")
 def play_command(file: str, seed: int, explain: str, as_json: bool) -> None:
     """Run a scenario against the real director in virtual time. Exit code 1: a rule was violated."""
-    from ..rehearsal.virtual.play import CLASSES, play
-    from ..rehearsal.virtual.quiet import quiet
-    from ..rehearsal.virtual.rules import story
-    from ..rehearsal.virtual.scenario import load
+    from ..rehearsal.virtual.clients import REQUEST_CLASSES
+    from ..rehearsal.virtual.play import play, silence_logs
+    from ..rehearsal.virtual.rules import describe_request
+    from ..rehearsal.virtual.scenario import load_scenario
 
-    quiet()
+    silence_logs()
     try:
-        scenario = load(Path(file), tuple(CLASSES))
+        scenario = load_scenario(Path(file), tuple(REQUEST_CLASSES))
     except ConfigError as error:
         fail(error)
     verdict = play(scenario, seed)
     if explain:
-        click.echo("\n".join(story(verdict.record, explain)) or f"no request {explain}")
+        click.echo("\n".join(describe_request(verdict.history, explain)) or f"no request {explain}")
     elif as_json:
         click.echo(json.dumps(verdict.report()))
     else:
@@ -57,15 +57,15 @@
 def hunt_command(first: int, count: int, folder: str) -> None:
     """Generate scenarios and write those that violate a rule, minimized. Exit code 1: some do."""
     from ..rehearsal.virtual.hunt import hunt
-    from ..rehearsal.virtual.quiet import quiet
-    from ..rehearsal.virtual.scenario import dump
+    from ..rehearsal.virtual.play import silence_logs
+    from ..rehearsal.virtual.scenario import encode_scenario
 
-    quiet()
+    silence_logs()
     findings = hunt(range(first, first + count))
     for finding in findings:
         path = Path(folder) / f"hunt-{finding.seed}.toml"
-        path.write_text(dump(finding.shrunk), encoding="utf-8")
-        faults = f"{len(finding.shrunk.fault)} of {len(finding.drawn.fault)} faults"
+        path.write_text(encode_scenario(finding.minimized), encoding="utf-8")
+        faults = f"{len(finding.minimized.faults)} of {len(finding.generated.faults)} faults"
         click.echo(f"seed {finding.seed}: {finding.rule}; {faults}: {path}")
     click.echo(f"{count} scenarios, {len(findings)} that break a rule")
     exit_with(ExitCode.FINDING if findings else ExitCode.DONE)
--- a/gladewalk/rehearsal/virtual/__init__.py
+++ b/gladewalk/rehearsal/virtual/__init__.py
@@ -1,1 +1,1 @@
-"""The director's own code under a virtual clock: an event loop, connections in memory, one seed for all."""
+"""The director's own code in virtual time: an event loop, connections in memory, one seed for every draw."""
--- a/gladewalk/rehearsal/virtual/hunt.py
+++ b/gladewalk/rehearsal/virtual/hunt.py
@@ -1,62 +1,72 @@
-"""A search for scenarios that break a rule, and their shrinking to the fewest faults that still do."""
+"""Searches for scenarios that break a rule, and minimizes them to the faults that are needed for it."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
 
-from .play import Change, Verdict, play
-from .scenario import Scenario, draw
+from .play import DirectorChange, play
+from .scenario import Scenario, generate_scenario
 
-Say = Callable[[int, Verdict], None]
+MIN_FAULT_S = 0.25
 
 
 @dataclass(slots=True, frozen=True)
-class Found:
-    """A drawn scenario that breaks a rule, as it was drawn and as it was shrunk; both fail with `seed`."""
+class Finding:
+    """A scenario that breaks a rule with `seed`, as generated and as minimized."""
 
     seed: int
     rule: str
-    drawn: Scenario
-    shrunk: Scenario
+    generated: Scenario
+    minimized: Scenario
 
 
-def breaks(scenario: Scenario, seed: int, rule: str, change: Change | None) -> bool:
-    return any(one.rule == rule for one in play(scenario, seed, change).broken)
+def breaks_rule(scenario: Scenario, seed: int, rule: str, change: DirectorChange | None) -> bool:
+    """Whether a run of the scenario violates the rule."""
+    return any(violation.rule == rule for violation in play(scenario, seed, change).violations)
 
 
-def shrink(scenario: Scenario, seed: int, rule: str, change: Change | None = None) -> Scenario:
-    """Without every fault that is not needed for the rule to break, then with the rest as short as may be.
+def minimize(scenario: Scenario, seed: int, rule: str, change: DirectorChange | None = None) -> Scenario:
+    """Removes faults that the violation does not need, then halves the others while it persists.
 
-    Each step plays the whole scenario anew: a fault left out changes all that follows, so that what fails is
-    what was found, and no likeness of it.
+    Each step runs the whole scenario anew, since a fault left out changes all that follows.
     """
-    for fault in list(scenario.fault):
-        fewer = msgspec.structs.replace(scenario, fault=[f for f in scenario.fault if f is not fault])
-        if breaks(fewer, seed, rule, change):
-            scenario = fewer
-    for n in range(len(scenario.fault)):
-        while (for_s := scenario.fault[n].for_s / 2.0) >= 0.25:
-            faults = list(scenario.fault)
-            faults[n] = msgspec.structs.replace(faults[n], for_s=for_s)
-            shorter = msgspec.structs.replace(scenario, fault=faults)
-            if not breaks(shorter, seed, rule, change):
+    return _shorten_faults(_remove_faults(scenario, seed, rule, change), seed, rule, change)
+
+
+def _remove_faults(scenario: Scenario, seed: int, rule: str, change: DirectorChange | None) -> Scenario:
+    for fault in list(scenario.faults):
+        remaining = [one for one in scenario.faults if one is not fault]
+        smaller = msgspec.structs.replace(scenario, faults=remaining)
+        if breaks_rule(smaller, seed, rule, change):
+            scenario = smaller
+    return scenario
+
+
+def _shorten_faults(scenario: Scenario, seed: int, rule: str, change: DirectorChange | None) -> Scenario:
+    for number in range(len(scenario.faults)):
+        while (duration_s := scenario.faults[number].duration_s / 2.0) >= MIN_FAULT_S:
+            faults = list(scenario.faults)
+            faults[number] = msgspec.structs.replace(faults[number], duration_s=duration_s)
+            shorter = msgspec.structs.replace(scenario, faults=faults)
+            if not breaks_rule(shorter, seed, rule, change):
                 break
             scenario = shorter
     return scenario
 
 
-def hunt(seeds: Iterable[int], change: Change | None = None, say: Say | None = None) -> list[Found]:
-    """One finding for each seed whose scenario breaks a rule: its first broken rule."""
-    found = []
+def hunt(seeds: Iterable[int], change: DirectorChange | None = None) -> list[Finding]:
+    """Generates and runs a scenario for each seed; returns a finding for each that breaks a rule.
+
+    A finding is about the first violation of its run.
+    """
+    findings = []
     for seed in seeds:
-        scenario = draw(seed)
+        scenario = generate_scenario(seed)
         verdict = play(scenario, seed, change)
-        if say is not None:
-            say(seed, verdict)
         if not verdict.passed:
-            rule = verdict.broken[0].rule
-            found.append(Found(seed, rule, scenario, shrink(scenario, seed, rule, change)))
-    return found
+            rule = verdict.violations[0].rule
+            findings.append(Finding(seed, rule, scenario, minimize(scenario, seed, rule, change)))
+    return findings
--- a/gladewalk/rehearsal/virtual/loop.py
+++ b/gladewalk/rehearsal/virtual/loop.py
@@ -1,235 +1,299 @@
 """An asyncio event loop whose time is virtual and whose network is memory.
 
 Time stands still while anything can run, and then jumps to the next timer: minutes take as long as their work
-does. Whatever is random comes from one seed, and each thing that happens on the network goes into a hash: two
-runs of a seed have the same one, in whatever process and on however busy a machine. Code runs in the name of
-a party (`party`, which tasks and timers inherit), so that paths can differ by who speaks to whom.
+does. Every random draw comes from one seed, and each event of the network goes into a hash, the trace: two
+runs of a seed have the same trace, in any process and on any machine. Code runs in the name of a host
+(`current_host`, which tasks and timers inherit), so that conditions can differ by sender and receiver.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextvars
+import errno
 import hashlib
+import os
 import random
 import selectors
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, TypeVar
 
 from ...config.platform import Address
+from ...errors import GladewalkError
 from ...net.environment import Environment
-from .paths import Paths
-from .streams import Piece, VirtualListener, Waiting, connect
+from .network import NetworkConditions
+from .streams import PendingConnection, Piece, VirtualListener, VirtualTransport, open_connection_pair
 
-START_MS = 1_764_576_000_000.0  # Unix ms at which every rehearsal begins
+START_UNIX_MS = 1_764_576_000_000.0  # when every run begins
 FIRST_PORT = 10_000
-T = TypeVar("T")
-Factory = Callable[[], asyncio.BaseProtocol]
-party: contextvars.ContextVar[str] = contextvars.ContextVar("party", default="")
+CLIENT_HOST = "127.0.0.1"
+CONNECT_RETRY_S = 1.0  # as the kernel sends SYN again
 
+ResultT = TypeVar("ResultT")
+ProtocolFactory = Callable[[], asyncio.BaseProtocol]
+current_host: contextvars.ContextVar[str] = contextvars.ContextVar("current_host", default="")
 
-class Stuck(RuntimeError):
-    """Nothing is left that could ever happen, and what was waited for has not."""
 
+class DeadlockError(GladewalkError, RuntimeError):
+    """Every task waits and no timer is set: what is waited for can never happen."""
 
-class Jump(selectors.BaseSelector):
-    """Waits by moving the loop's time on."""
+
+class VirtualSelector(selectors.BaseSelector):
+    """Waits by moving the loop's time on; `now_s` is the loop's time."""
 
     def __init__(self) -> None:
-        self.now = 0.0
-        self.keys: dict[Any, selectors.SelectorKey] = {}
+        self.now_s = 0.0
+        self._keys: dict[Any, selectors.SelectorKey] = {}
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        """Moves time on by `timeout` seconds.
+
+        Raises:
+            DeadlockError: There is no timeout.
+        """
         if timeout is None:
-            raise Stuck("every task waits, and no timer is set")
-        self.now += max(0.0, timeout)
+            raise DeadlockError("every task waits, and no timer is set")
+        self.now_s += max(0.0, timeout)
         return []
 
     def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
-        self.keys[fileobj] = key = selectors.SelectorKey(fileobj, 0, events, data)
+        """Keeps a key for the event loop's own wake-up socket."""
+        self._keys[fileobj] = key = selectors.SelectorKey(fileobj, 0, events, data)
         return key
 
     def unregister(self, fileobj: Any) -> selectors.SelectorKey:
-        return self.keys.pop(fileobj)
+        """Removes a key."""
+        return self._keys.pop(fileobj)
 
     def get_map(self) -> Mapping[Any, selectors.SelectorKey]:
-        return self.keys
+        """Returns all keys."""
+        return self._keys
 
 
 class VirtualServer:
-    """What `create_server` returns; its one socket tells its address and no more."""
+    """What `create_server` returns; its one socket has an address and no more."""
 
-    def __init__(self, loop: VirtualLoop, address: Address, factory: Factory) -> None:
-        self.loop, self.address, self.factory = loop, address, factory
-        self.party = party.get()
+    def __init__(self, loop: VirtualLoop, address: Address, factory: ProtocolFactory) -> None:
+        self._loop, self._address = loop, address
+        self.factory = factory
+        self.host = current_host.get()
         self.context = contextvars.copy_context()
         self.sockets = (VirtualListener(address),)
 
     def close(self) -> None:
-        if self.loop.servers.get(self.address) is self:
-            del self.loop.servers[self.address]
+        """Stops listening."""
+        if self._loop.servers.get(self._address) is self:
+            del self._loop.servers[self._address]
 
     async def wait_closed(self) -> None:
-        """At once: it waits for nobody."""
+        """Returns at once: connections do not hold up the end of a run."""
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    def __init__(self, seed: int, paths: Paths | None = None) -> None:
-        self.jump = Jump()
-        super().__init__(self.jump)
+    """Runs a director and its stand-ins in virtual time.
+
+    Args:
+        seed: Of every random draw.
+        network: Delays and cuts; the default ones if None.
+    """
+
+    def __init__(self, seed: int, network: NetworkConditions | None = None) -> None:
+        self._virtual_selector = VirtualSelector()
+        super().__init__(self._virtual_selector)
         self.random = random.Random(seed)
-        self.paths = paths or Paths(random.Random(self.random.random()))
+        self.network = network or NetworkConditions(random.Random(self.random.random()))
         self.servers: dict[Address, VirtualServer] = {}
-        self.listeners: dict[Address, tuple[VirtualListener, str]] = {}
-        self.hash = hashlib.sha256()
-        self.over = False  # what is left is being swept away, in no order
-        self.events = self.connections = 0
-        self.port = FIRST_PORT
+        self.event_count = 0
+        self.is_finished = False  # what is left is being cancelled, in no particular order
+        self._listeners: dict[Address, tuple[VirtualListener, str]] = {}
+        self._trace = hashlib.sha256()
+        self._connection_count = 0
+        self._last_port = FIRST_PORT
 
     def time(self) -> float:
-        return self.jump.now
+        """Returns the virtual time in seconds since the loop's start."""
+        return self._virtual_selector.now_s
 
     def unix_ms(self) -> float:
-        return START_MS + self.jump.now * 1000.0
+        """Returns the virtual Unix time in ms."""
+        return START_UNIX_MS + self.time() * 1000.0
 
     def environment(self) -> Environment:
-        """What a director in this loop takes from outside."""
+        """Returns what a director in this loop takes from its environment."""
         return Environment(self.unix_ms, self.listen, lambda: random.Random(self.random.random()))
 
-    def note(self, kind: str, number: int, here: str, there: str, piece: Piece = b"") -> None:
-        """One event of the network goes into the trace's hash."""
-        if self.over:
+    def record_event(
+        self, kind: str, connection_id: int, sender: str, receiver: str, piece: Piece = b""
+    ) -> None:
+        """Adds one event of the network to the trace."""
+        if self.is_finished:
             return
-        self.events += 1
-        at_us = round(self.jump.now * 1e6)
-        self.hash.update(f"{at_us} {kind} {number} {here} {there} ".encode())
-        self.hash.update(piece if isinstance(piece, bytes) else piece.encode())
-        self.hash.update(b"\n")
+        self.event_count += 1
+        now_us = round(self.time() * 1e6)
+        self._trace.update(f"{now_us} {kind} {connection_id} {sender} {receiver} ".encode())
+        self._trace.update(piece if isinstance(piece, bytes) else piece.encode())
+        self._trace.update(b"\n")
 
     def trace(self) -> str:
-        return self.hash.hexdigest()
+        """Returns the hash of all events so far, in hexadecimal digits."""
+        return self._trace.hexdigest()
 
-    def as_party(self, name: str, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
-        """A task in the name of a party, and so all that it begins."""
+    def run_as(self, host: str, work: Coroutine[Any, Any, ResultT]) -> asyncio.Task[ResultT]:
+        """Starts a task in the name of a host, and so all that the task starts."""
         context = contextvars.copy_context()
-        context.run(party.set, name)
+        context.run(current_host.set, host)
         return self.create_task(work, context=context)
 
     # Listening.
 
-    def _address(self, host: str, port: int) -> Address:
+    def _assign_port(self, host: str, port: int) -> Address:
         if not port:
-            self.port += 1
-            port = self.port
+            self._last_port += 1
+            port = self._last_port
         return host, port
 
     def listen(self, address: Address, backlog: int, inherited_fd: int | None) -> VirtualListener:
-        assert inherited_fd is None, "no descriptor is handed on in memory"
-        listener = VirtualListener(self._address(*address))
-        if listener.address in self.listeners and not self.listeners[listener.address][0].closed:
-            raise OSError(98, "Address already in use")
-        self.listeners[listener.address] = listener, party.get()
+        """Opens a listener in memory (`Environment.listen`).
+
+        Raises:
+            OSError: The address is in use.
+        """
+        assert inherited_fd is None, "no descriptor is inherited in memory"
+        listener = VirtualListener(self._assign_port(*address))
+        current = self._listeners.get(listener.address)
+        if current is not None and not current[0].is_closed:
+            raise _address_in_use()
+        self._listeners[listener.address] = listener, current_host.get()
         return listener
 
     def add_reader(self, fd: Any, callback: Callable[..., Any], *args: Any) -> None:  # type: ignore[override]
+        """Calls back in the caller's context whenever a virtual listener has connections."""
         if not isinstance(fd, VirtualListener):
             return super().add_reader(fd, callback, *args)
         context = contextvars.copy_context()
 
-        def ready() -> None:
+        def on_ready() -> None:
             self.call_soon(callback, *args, context=context)
 
-        fd.ready = ready
+        fd.on_ready = on_ready
         if fd.queue:
-            ready()
+            on_ready()
 
     def remove_reader(self, fd: Any) -> bool:
+        """Ends the callbacks of a virtual listener."""
         if not isinstance(fd, VirtualListener):
             return super().remove_reader(fd)
-        fd.ready = None
+        fd.on_ready = None
         return True
 
     async def connect_accepted_socket(  # type: ignore[override]
-        self, protocol_factory: Factory, sock: Waiting, **given: Any
+        self, protocol_factory: ProtocolFactory, sock: PendingConnection, **options: Any
     ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
+        """Gives a connection that a virtual listener accepted its protocol."""
         protocol = protocol_factory()
-        sock.far.start(protocol)
-        return sock.far, protocol
+        sock.transport.start(protocol)
+        return sock.transport, protocol
 
     async def create_server(  # type: ignore[override]
-        self, protocol_factory: Factory, host: str = "", port: int = 0, **given: Any
+        self, protocol_factory: ProtocolFactory, host: str = "", port: int = 0, **options: Any
     ) -> VirtualServer:
-        address = self._address(host, port)
+        """Listens in memory.
+
+        Raises:
+            OSError: The address is in use.
+        """
+        address = self._assign_port(host, port)
         if address in self.servers:
-            raise OSError(98, "Address already in use")
+            raise _address_in_use()
         server = self.servers[address] = VirtualServer(self, address, protocol_factory)
         return server
 
     # Connecting.
 
     async def create_connection(  # type: ignore[override]
-        self, protocol_factory: Factory, host: str = "", port: int = 0, **given: Any
+        self, protocol_factory: ProtocolFactory, host: str = "", port: int = 0, **options: Any
     ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
-        """`ConnectionRefusedError` where nobody listens; a path that passes nothing keeps it waiting."""
-        here, address = party.get(), (host, port)
-        while True:
-            there = self._who_is_at(address)
-            await asyncio.sleep((self.paths.wait_ms(here, there) + self.paths.wait_ms(there, here)) / 1000.0)
-            if not self.paths.cut(here, there) and not self.paths.cut(there, here):
-                break
-            await asyncio.sleep(1.0)  # the system asks again
-        self.connections += 1
-        number = self.connections
-        self.note("connect", number, here, there)
-        self.port += 1
-        near, far = connect(self, number, here, there, address, ("127.0.0.1", self.port))
-        if (server := self.servers.get(address)) is not None:
-            self.call_soon(far.start, server.factory(), context=server.context)
-        elif (entry := self.listeners.get(address)) is not None and not entry[0].closed:
-            entry[0].queue.append(Waiting(far))
-            if entry[0].ready is not None:
-                entry[0].ready()
-        else:
-            raise ConnectionRefusedError(111, "Connection refused")
+        """Connects to a listener in memory; waits for as long as either direction is cut.
+
+        Raises:
+            ConnectionRefusedError: Nobody listens at the address.
+        """
+        client, address = current_host.get(), (host, port)
+        server = await self._wait_for_handshake(client, address)
+        self._connection_count += 1
+        connection_id = self._connection_count
+        self.record_event("connect", connection_id, client, server)
+        source = self._assign_port(CLIENT_HOST, 0)
+        near, far = open_connection_pair(self, connection_id, client, server, address, source)
+        self._deliver(far, address)
         protocol = protocol_factory()
         near.start(protocol)
         return near, protocol
 
-    def _who_is_at(self, address: Address) -> str:
+    async def _wait_for_handshake(self, client: str, address: Address) -> str:
+        """Waits for a round trip in which neither direction is cut; returns the host at the address."""
+        while True:
+            server = self._host_at(address)
+            request_ms = self.network.draw_delay_ms(client, server)
+            response_ms = self.network.draw_delay_ms(server, client)
+            await asyncio.sleep((request_ms + response_ms) / 1000.0)
+            if not self.network.is_cut(client, server) and not self.network.is_cut(server, client):
+                return server
+            await asyncio.sleep(CONNECT_RETRY_S)
+
+    def _deliver(self, far: VirtualTransport, address: Address) -> None:
+        """Hands the far end of a new connection to who listens at the address."""
         if (server := self.servers.get(address)) is not None:
-            return server.party
-        entry = self.listeners.get(address)
+            self.call_soon(far.start, server.factory(), context=server.context)
+            return
+        listener, _ = self._listeners.get(address, (None, ""))
+        if listener is None or listener.is_closed:
+            raise ConnectionRefusedError(errno.ECONNREFUSED, os.strerror(errno.ECONNREFUSED))
+        listener.queue.append(PendingConnection(far))
+        if listener.on_ready is not None:
+            listener.on_ready()
+
+    def _host_at(self, address: Address) -> str:
+        if (server := self.servers.get(address)) is not None:
+            return server.host
+        entry = self._listeners.get(address)
         return entry[1] if entry is not None else ""
 
-    # What else would reach outside.
+    # What else would reach the operating system.
 
     def run_in_executor(self, executor: Any, func: Callable[..., Any], *args: Any) -> asyncio.Future[Any]:  # type: ignore[override]
-        """At once and in this thread: a disk takes no virtual time."""
+        """Runs a function at once in this thread: a disk takes no virtual time."""
         future: asyncio.Future[Any] = self.create_future()
         try:
             future.set_result(func(*args))
-        except Exception as error:
+        except Exception as error:  # an executor hands any error to whoever awaits the future
             future.set_exception(error)
         return future
 
     def add_signal_handler(self, sig: int, callback: Callable[..., Any], *args: Any) -> None:  # type: ignore[override]
-        """A rehearsal calls what a signal would have called."""
+        """Does nothing: no signal arrives in a simulation."""
+
+
+def _address_in_use() -> OSError:
+    return OSError(errno.EADDRINUSE, os.strerror(errno.EADDRINUSE))
 
 
-def rehearse(
-    seed: int, work: Callable[[VirtualLoop], Coroutine[Any, Any, T]], paths: Paths | None = None
-) -> tuple[T, VirtualLoop]:
-    """Run `work` to its end in a loop of its own: what it returns, and the loop with its trace."""
-    loop = VirtualLoop(seed, paths)
+def run_virtually(
+    seed: int,
+    work: Callable[[VirtualLoop], Coroutine[Any, Any, ResultT]],
+    network: NetworkConditions | None = None,
+) -> tuple[ResultT, VirtualLoop]:
+    """Runs `work` to its end in a loop of its own; returns its result and the loop with its trace."""
+    loop = VirtualLoop(seed, network)
     try:
         asyncio.set_event_loop(loop)
-        done = loop.run_until_complete(work(loop))
-        loop.over = True
-        left = asyncio.all_tasks(loop)
-        for task in left:
+        result = loop.run_until_complete(work(loop))
+        loop.is_finished = True
+        remaining = asyncio.all_tasks(loop)
+        for task in remaining:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
-        return done, loop
+        loop.run_until_complete(asyncio.gather(*remaining, return_exceptions=True))
+        return result, loop
     finally:
         asyncio.set_event_loop(None)
         loop.close()
--- a/gladewalk/rehearsal/virtual/play.py
+++ b/gladewalk/rehearsal/virtual/play.py
@@ -1,270 +1,214 @@
-"""A scenario played to the real director in virtual time: peers, clients, faults, the verdict."""
+"""Plays a scenario to real directors in virtual time and checks what was observed against the rules."""
 
 from __future__ import annotations
 
 import asyncio
-import bisect
-import itertools
+import logging
 import random
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any
 
+import structlog
+
 from ...config.platform import read_config
 from ...director import Director
 from ..coordinator import Coordinator
 from ..director_harness import SETTINGS, config_for
-from ..http_messages import encode_request
-from .loop import VirtualLoop, rehearse
-from .rules import LATE_MS, Broken, Record, Request, broken_rules
-from .scenario import GROUPS, Fault, Scenario
-from .servers import PURGE_DONE_S, ModelServer
+from .clients import REQUEST_CLASSES, ClientTraffic
+from .faults import COORDINATOR_HOST, FaultPlayer
+from .loop import VirtualLoop, run_virtually
+from .rules import RETRY_AFTER_STATUSES, History, ObservedRequest, Violation, find_violations
+from .scenario import CACHE_PREFIX, PARENT_PREFIX, STORE_NAME, FleetTable, Scenario
+from .servers import CACHE_MODEL, PARENT_MODEL, STORE_MODEL, ModelServer
+
+HEARTBEAT_S = 1.0  # of the coordinator's feed
+PARENT_COPIES_FACTOR = 10  # times the parts that a cache holds
+UNLIMITED_SLOTS_FACTOR = 50  # parents and the store work on so many times a cache's requests
+SUCCESS_STATUSES = (200, 304)
+
+DirectorChange = Callable[[Director], None]
+
+
+class Outcome(StrEnum):
+    """What became of a request; the values stand in reports."""
+
+    SERVED = "served"  # within its class's latency objective
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+    BROKEN = "broken"  # its connection ended without a complete response
+    LOST = "lost"
+
 
-CLASSES: dict[str, dict[str, Any]] = {str(cls["name"]): cls for cls in SETTINGS["classes"]}
-AGAIN_MS = 20.0  # how long a client listens for a second answer
-TOLD_LATE_MS = 7_000.0  # after this, an event counts as told though the feed is broken
-Change = Callable[[Director], None]
+def classify(request: ObservedRequest) -> Outcome:
+    """Returns what became of a request, by its first response."""
+    if not request.responses:
+        return Outcome.LOST if request.broken_at_ms is None else Outcome.BROKEN
+    first = request.responses[0]
+    if first.status not in SUCCESS_STATUSES:
+        return Outcome.REFUSED if first.status in RETRY_AFTER_STATUSES else Outcome.FAILED
+    objective_ms = float(REQUEST_CLASSES[request.class_name]["promise_ms"])
+    return Outcome.LATE if first.at_ms - request.sent_at_ms > objective_ms else Outcome.SERVED
 
 
 @dataclass(slots=True)
 class Verdict:
-    """`outcomes`: by class, how many were served in time, late, refused, failed, broken."""
+    """The result of one run: violations, outcomes by class, the trace, and the history behind them."""
 
-    broken: list[Broken]
-    outcomes: dict[str, Counter[str]]
+    violations: list[Violation]
+    outcomes: dict[str, Counter[Outcome]]
     trace: str
-    events: int
+    event_count: int
     virtual_s: float
     wall_s: float
-    record: Record
+    history: History
 
     @property
     def passed(self) -> bool:
-        return not self.broken
+        """Whether no rule is broken."""
+        return not self.violations
 
     def report(self) -> dict[str, Any]:
+        """Returns the verdict as `gladewalk play --json` prints it."""
         return {
-            "passed": self.passed, "trace": self.trace, "events": self.events, "virtual_s": self.virtual_s,
+            "passed": self.passed,
+            "trace": self.trace,
+            "events": self.event_count,
+            "virtual_s": self.virtual_s,
             "wall_s": round(self.wall_s, 2),
-            "outcomes": {cls: dict(sorted(ends.items())) for cls, ends in sorted(self.outcomes.items())},
-            "broken": [{"rule": b.rule, "request": b.request, "at_ms": round(b.at_ms, 1), "why": b.why}
-                       for b in self.broken],
-        }  # fmt: skip
-
-
-class Morning:
-    """One playing of a scenario; `change` is done to every director before it starts (a mutant's doing)."""
+            "outcomes": {
+                name: dict(sorted(counts.items())) for name, counts in sorted(self.outcomes.items())
+            },
+            "broken": [
+                {"rule": one.rule, "request": one.request_id, "at_ms": round(one.at_ms, 1), "why": one.reason}
+                for one in self.violations
+            ],
+        }
+
+
+class ScenarioRun:
+    """One run of a scenario.
+
+    Args:
+        loop: Gives time, network and the seed.
+        scenario: What is played.
+        change: Is done to every director before it starts (by tests that break it).
+        settings: The platform's settings.
+    """
 
     def __init__(
-        self, loop: VirtualLoop, scenario: Scenario, change: Change | None = None,
-        settings: dict[str, Any] | None = None,
-    ) -> None:  # fmt: skip
-        self.loop, self.scenario, self.change = loop, scenario, change
-        self.settings = settings or SETTINGS
-        self.record, self.clock = Record(), loop.unix_ms
-        self.random = random.Random(loop.random.random())
-        self.coordinator = Coordinator()
-        self.servers: dict[str, ModelServer] = {}
-        self.directors: dict[str, Director] = {}
-        self.surge = 1.0
-        self.feed_cut = 0
-        weights = [1.0 / (n + 1) ** scenario.traffic.zipf for n in range(scenario.traffic.objects)]
-        self.sums = list(itertools.accumulate(weights))
+        self,
+        loop: VirtualLoop,
+        scenario: Scenario,
+        change: DirectorChange | None = None,
+        settings: Mapping[str, Any] | None = None,
+    ) -> None:
+        self._loop, self._scenario, self._change = loop, scenario, change
+        self._settings = settings or SETTINGS
+        self._history = History()
+        self._rng = random.Random(loop.random.random())
+        self._coordinator = Coordinator()
+        self._servers: dict[str, ModelServer] = {}
+        self._directors: dict[str, Director] = {}
+        self._traffic = ClientTraffic(loop, scenario, self._directors, self._history, self._rng)
 
     async def run(self) -> Verdict:
-        began = time.perf_counter()
-        await self._start()
-        faults = [asyncio.ensure_future(self._fault(fault)) for fault in self.scenario.fault]
-        beats = asyncio.ensure_future(self._beat())
-        await self._traffic()
+        """Starts the fleet, plays traffic and faults to their ends, and checks the history."""
+        started_s = time.perf_counter()
+        await self._start_servers()
+        await self._start_directors()
+        player = FaultPlayer(
+            self._loop,
+            self._servers,
+            list(self._directors),
+            self._coordinator,
+            self._traffic,
+            self._history,
+            self._rng,
+        )
+        faults = [asyncio.ensure_future(player.play(fault)) for fault in self._scenario.faults]
+        heartbeat = asyncio.ensure_future(self._send_heartbeats())
+        await self._traffic.run()
         await asyncio.gather(*faults)
-        beats.cancel()
+        heartbeat.cancel()
         return Verdict(
-            broken_rules(self.record), self._outcomes(), self.loop.trace(), self.loop.events,
-            self.loop.time(), time.perf_counter() - began, self.record,
-        )  # fmt: skip
-
-    async def _start(self) -> None:
-        fleet, loop = self.scenario.fleet, self.loop
-        for n, (kind, count) in enumerate((("box", fleet.boxes), ("hub", fleet.hubs), ("store", 1))):
-            model = ("standard", "parent", "origin")[n]
-            for i in range(count):
-                name = kind if kind == "store" else f"{kind}-{i}"
-                slots = fleet.slots if kind == "box" else 50 * fleet.slots
-                server = self.servers[name] = ModelServer(
-                    name, model, f"10.{2 + n}.{i // 250}.{i % 250 + 1}", slots,
-                    fleet.keeps * (10 if kind == "hub" else 1), self.servers, self.record, self.clock,
-                    random.Random(self.random.random()),
-                )  # fmt: skip
-                await loop.as_party(name, server.peer.start())
-        await loop.as_party("coordinator", self.coordinator.start())
-        told = config_for([s.peer for s in self.servers.values()], self.coordinator, self.settings)
-        for n in range(fleet.directors):
-            name = f"director-{n}"
-            own = {"name": name, "listen": f"10.1.0.{n + 1}:7001", "seed": f"{self.random.getrandbits(32):x}"}
-            director = Director(read_config({**told, **own}, {}), loop, environment=loop.environment())
-            if self.change is not None:
-                self.change(director)
-            self.directors[name] = director
-            await loop.as_party(name, director.start())
-
-    async def _beat(self) -> None:
+            violations=find_violations(self._history),
+            outcomes=self._count_outcomes(),
+            trace=self._loop.trace(),
+            event_count=self._loop.event_count,
+            virtual_s=self._loop.time(),
+            wall_s=time.perf_counter() - started_s,
+            history=self._history,
+        )
+
+    async def _start_servers(self) -> None:
+        fleet = self._scenario.fleet
+        for number in range(fleet.caches):
+            host = f"10.2.{number // 250}.{number % 250 + 1}"
+            await self._start_server(f"{CACHE_PREFIX}{number}", CACHE_MODEL, host, fleet)
+        for number in range(fleet.parents):
+            host = f"10.3.{number // 250}.{number % 250 + 1}"
+            await self._start_server(f"{PARENT_PREFIX}{number}", PARENT_MODEL, host, fleet)
+        await self._start_server(STORE_NAME, STORE_MODEL, "10.4.0.1", fleet)
+
+    async def _start_server(self, name: str, model: str, host: str, fleet: FleetTable) -> None:
+        server = self._servers[name] = ModelServer(
+            name,
+            model,
+            host,
+            fleet.slots * (1 if model == CACHE_MODEL else UNLIMITED_SLOTS_FACTOR),
+            fleet.cache_objects * (PARENT_COPIES_FACTOR if model == PARENT_MODEL else 1),
+            self._servers,
+            self._history,
+            self._loop.unix_ms,
+            random.Random(self._rng.random()),
+        )
+        await self._loop.run_as(name, server.stand_in.start())
+
+    async def _start_directors(self) -> None:
+        await self._loop.run_as(COORDINATOR_HOST, self._coordinator.start())
+        stand_ins = [server.stand_in for server in self._servers.values()]
+        shared = config_for(stand_ins, self._coordinator, self._settings)
+        for number in range(self._scenario.fleet.directors):
+            name = f"director-{number}"
+            own = {
+                "name": name,
+                "listen": f"10.1.0.{number + 1}:7001",
+                "seed": f"{self._rng.getrandbits(32):x}",
+            }
+            config = read_config({**shared, **own}, {})
+            director = Director(config, self._loop, environment=self._loop.environment())
+            if self._change is not None:
+                self._change(director)
+            self._directors[name] = director
+            await self._loop.run_as(name, director.start())
+
+    async def _send_heartbeats(self) -> None:
         while True:
-            await asyncio.sleep(1.0)
-            self.coordinator.send_raw(b"%d\n" % len(self.coordinator.events))
-
-    # Traffic.
-
-    async def _traffic(self) -> None:
-        traffic, clients = self.scenario.traffic, []
-        names = list(traffic.shares)
-        shares = list(itertools.accumulate(traffic.shares.values()))
-        number = 0
-        while self.loop.time() < self.scenario.seconds:
-            await asyncio.sleep(self.random.expovariate(traffic.per_s * self.surge))
-            number += 1
-            cls = names[bisect.bisect(shares, self.random.random() * shares[-1])]
-            clients.append(self.loop.as_party("client", self._client(self._ask(number, cls))))
-        await asyncio.gather(*clients)
+            await asyncio.sleep(HEARTBEAT_S)
+            self._coordinator.send_raw(b"%d\n" % len(self._coordinator.events))
 
-    def _ask(self, number: int, cls: str) -> Request:
-        obj = bisect.bisect(self.sums, self.random.random() * self.sums[-1])
-        part = self.random.randrange(4) if cls == "lot-video" else 0
-        wait_ms = float(CLASSES[cls]["give_up_ms"]) * self.random.uniform(0.5, 1.0)
-        name = self.random.choice(list(self.directors))
-        asked = Request(f"{number:016x}", cls, f"{obj + 1:x}", part, (obj + 1) % GROUPS, name,
-                        self.clock(), round(wait_ms))  # fmt: skip
-        self.record.requests[asked.id] = asked
-        return asked
-
-    async def _client(self, asked: Request) -> None:
-        director = self.directors[asked.director]
-        write = CLASSES[asked.cls]["repeat"] == "once"
-        path = f"/invoke/{asked.cls}/{asked.object}?nth={asked.part}"
-        sent = encode_request(path, "PUT" if write else "GET", asked.wait_ms, b"bid" if write else b"",
-                       trace=asked.id, X_Batch=str(asked.group))  # fmt: skip
-        writer = None
-        try:
-            async with asyncio.timeout((asked.wait_ms + LATE_MS) / 1000.0):
-                reader, writer = await asyncio.open_connection(*director.front.address)
-                asked.at_ms = self.clock()
-                writer.write(sent)
-                await self._listen(asked, reader)
-        except TimeoutError:
-            pass  # it goes; if it has heard nothing, that is a rule's affair
-        except (OSError, asyncio.IncompleteReadError) as error:
-            asked.broken_ms = self.clock()
-            asked.begun = asked.begun or bool(getattr(error, "partial", b""))
-        finally:
-            if writer is not None:
-                writer.close()
-
-    async def _listen(self, asked: Request, reader: asyncio.StreamReader) -> None:
-        while True:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-            asked.begun = True
-            lines = dict(line.partition(": ")[::2] for line in head.split("\r\n")[1:] if line)
-            body = await reader.readexactly(int(lines.get("content-length", "0")))
-            asked.ends.append((self.clock(), int(head.split(" ")[1]), body))
-            asked.retry_after = asked.retry_after or "retry-after" in lines
-            try:
-                async with asyncio.timeout(AGAIN_MS / 1000.0):
-                    more = await reader.read(1)
-            except TimeoutError:
-                return
-            if not more:
-                return
-            asked.ends.append((self.clock(), 0, more))
-            return
-
-    def _outcomes(self) -> dict[str, Counter[str]]:
-        outcomes: dict[str, Counter[str]] = {}
-        for r in self.record.requests.values():
-            ends = outcomes.setdefault(r.cls, Counter())
-            if not r.ends:
-                ends["broken" if r.broken_ms is not None else "lost"] += 1
-                continue
-            at_ms, status, _ = r.ends[0]
-            good = status in (200, 304)
-            late = at_ms - r.at_ms > float(CLASSES[r.cls]["promise_ms"])
-            refused = "refused" if status in (429, 503) else "failed"
-            ends[("late" if late else "served") if good else refused] += 1
+    def _count_outcomes(self) -> dict[str, Counter[Outcome]]:
+        outcomes: dict[str, Counter[Outcome]] = {}
+        for request in self._history.requests.values():
+            outcomes.setdefault(request.class_name, Counter())[classify(request)] += 1
         return outcomes
 
-    # Faults.
-
-    def _told_ms(self) -> float:
-        return self.clock() + (TOLD_LATE_MS if self.feed_cut else 0.0)
-
-    async def _fault(self, fault: Fault) -> None:
-        await asyncio.sleep(fault.at_s)
-        server = self.servers.get(fault.who)
-        match fault.kind:
-            case "surge":
-                self.surge *= fault.amount
-                await asyncio.sleep(fault.for_s)
-                self.surge /= fault.amount
-            case "purge":
-                await self._purge(fault.amount)
-            case "feed":
-                pairs = [("coordinator", name) for name in self.directors]
-                self.feed_cut += 1
-                await self._cut(pairs, fault.for_s)
-                self.feed_cut -= 1
-            case "cut":
-                parties = [*self.directors, *self.servers]
-                await self._cut([p for x in parties for p in ((fault.who, x), (x, fault.who))], fault.for_s)
-            case _ if server is not None:
-                await self._at_server(fault, server)
-
-    async def _cut(self, pairs: list[tuple[str, str]], for_s: float) -> None:
-        for pair in pairs:
-            self.loop.paths.cuts[pair] += 1
-        await asyncio.sleep(for_s)
-        for pair in pairs:
-            self.loop.paths.cuts[pair] -= 1
-
-    async def _at_server(self, fault: Fault, server: ModelServer) -> None:
-        if fault.kind == "silent":
-            server.silent += 1
-            await asyncio.sleep(fault.for_s)
-            server.silent -= 1
-        elif fault.kind == "slow":
-            server.slow *= fault.amount
-            await asyncio.sleep(fault.for_s)
-            server.slow /= fault.amount
-        elif fault.kind in ("spoil", "reset"):
-            setattr(server, fault.kind, getattr(server, fault.kind) + fault.amount)
-            await asyncio.sleep(fault.for_s)
-            setattr(server, fault.kind, max(0.0, getattr(server, fault.kind) - fault.amount))
-        elif fault.kind == "drain":
-            server.peer.state = "DRAINING"
-            self.coordinator.publish_endpoints(server.peer)
-            self.record.leaving[server.name] = self._told_ms(), float("inf")
-            await asyncio.sleep(fault.for_s)
-            server.peer.state = "SERVING"
-            self.record.leaving[server.name] = self.record.leaving[server.name][0], self.clock()
-            self.coordinator.publish_endpoints(server.peer)
-        elif fault.kind == "restart":
-            server.crash()
-            await asyncio.sleep(fault.for_s)
-            await self.loop.as_party(server.name, server.start_again())
-            self.coordinator.publish_endpoints(server.peer)
-
-    async def _purge(self, part: float) -> None:
-        """A part of all groups: told at once, and dropped by every server in a time of its own."""
-        for group in self.random.sample(range(GROUPS), max(1, round(part * GROUPS))):
-            made_ms = self.clock()
-            self.coordinator.publish(evict={"shard": group, "unix_ms": made_ms})
-            self.record.purges.append((self._told_ms(), group, made_ms))
-            for server in self.servers.values():
-                self.loop.call_later(self.random.uniform(0.0, PURGE_DONE_S), server.purge, group, made_ms)
-
 
 def play(
-    scenario: Scenario, seed: int, change: Change | None = None, settings: dict[str, Any] | None = None
+    scenario: Scenario,
+    seed: int,
+    change: DirectorChange | None = None,
+    settings: Mapping[str, Any] | None = None,
 ) -> Verdict:
-    """The verdict on the director as it is, or as `change` and `settings` make it."""
-    return rehearse(seed, lambda loop: Morning(loop, scenario, change, settings).run())[0]
+    """Runs a scenario; `change` and `settings` alter the directors (see `ScenarioRun`)."""
+    return run_virtually(seed, lambda loop: ScenarioRun(loop, scenario, change, settings).run())[0]
+
+
+def silence_logs() -> None:
+    """Turns off what directors log below `critical`: the verdict is what a run is for."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
--- a/gladewalk/rehearsal/virtual/rules.py
+++ b/gladewalk/rehearsal/virtual/rules.py
@@ -1,172 +1,249 @@
-"""The rules of the protocol page, checked over what stand-ins saw. No code is shared with the director.
+"""The rules of the protocol page, checked over what clients and stand-ins observed.
 
-Clients, servers and the coordinator write down what happened (`Record`); after the run each rule reads it and
-names the request, the time and what led to it. Times are virtual, in ms; the page's limits are 50 ms longer
-on sockets.
+Clients, servers and the coordinator write a history; after the run each rule reads it and names the request,
+the time and the reason of every violation. No code is shared with the director. Times are virtual Unix time
+in ms; the page's limits are 50 ms longer on sockets.
 """
 
 from __future__ import annotations
 
 from collections import Counter, defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-SLACK_MS = 50.0
-LATE_MS = 500.0  # up to here after its time an answer is late; later or never, it is lost
+SOCKET_TOLERANCE_MS = 50.0
+MAX_LATENESS_MS = 500.0  # after its deadline an answer is late for so long; then, or never, it is lost
+DRAIN_GRACE_MS = 250.0
+PURGE_GRACE_MS = 500.0
+MAX_ATTEMPTS = 6
+RETRY_AFTER_STATUSES = (429, 503)
+
+
+@dataclass(slots=True, frozen=True)
+class ObservedResponse:
+    """One response as its client read it whole; status 0 stands for bytes that follow a complete response."""
+
+    at_ms: float
+    status: int
+    body: bytes
 
 
 @dataclass(slots=True)
-class Request:
+class ObservedRequest:
     """One request as its client saw it."""
 
     id: str
-    cls: str
-    object: str
+    class_name: str
+    object_name: str
     part: int
     group: int
     director: str
-    at_ms: float
+    sent_at_ms: float
     wait_ms: float
-    ends: list[tuple[float, int, bytes]] = field(default_factory=list)  # when, status, body; whole ones alone
-    broken_ms: float | None = None  # its connection ended without a whole answer
-    begun: bool = False  # something of an answer came
-    retry_after: bool = False
+    responses: list[ObservedResponse] = field(default_factory=list)
+    broken_at_ms: float | None = None  # its connection ended without a complete response
+    has_response_begun: bool = False
+    has_retry_after: bool = False
 
 
 @dataclass(slots=True, frozen=True)
-class Sent:
-    """One attempt as a server read it whole."""
+class ObservedAttempt:
+    """One attempt as a server read it."""
 
     at_ms: float
-    ticket: str
+    request_id: str
     server: str
-    source: str
+    source: str  # where a miss was to be filled from; empty for none
     method: str
 
 
 @dataclass(slots=True, frozen=True)
-class Made:
-    """What a server gave out: `version_ms` is when the store made this copy."""
+class ProducedResponse:
+    """What a server sent for a request; `version_ms` is when the store made this copy."""
 
-    ticket: str
+    request_id: str
     server: str
     body: bytes
     version_ms: float
 
 
-@dataclass(slots=True)
-class Record:
-    requests: dict[str, Request] = field(default_factory=dict)
-    sent: list[Sent] = field(default_factory=list)
-    made: list[Made] = field(default_factory=list)
-    ran: Counter[str] = field(default_factory=Counter)  # writes that took effect, by the client's id
-    leaving: dict[str, tuple[float, float]] = field(default_factory=dict)  # server -> told at, until
-    purges: list[tuple[float, int, float]] = field(default_factory=list)  # told at, group, made at
-
-
 @dataclass(slots=True, frozen=True)
-class Broken:
-    rule: str
-    request: str
-    at_ms: float
-    why: str
-
-
-def one_final_answer(record: Record) -> list[Broken]:
-    broken = []
-    for r in record.requests.values():
-        if len(r.ends) > 1:
-            broken.append(Broken("one final answer", r.id, r.ends[1][0], f"{len(r.ends)} answers"))
-        if not r.ends and r.broken_ms is not None and not r.begun:
-            why = f"{r.director} closed without a word"
-            broken.append(Broken("one final answer", r.id, r.broken_ms, why))
-        if not r.ends and r.broken_ms is None:
-            late = r.at_ms + r.wait_ms + LATE_MS
-            broken.append(Broken("one final answer", r.id, late, f"none from {r.director} in its time"))
-    return broken
-
-
-def no_double_effect(record: Record) -> list[Broken]:
-    times = {s.ticket: s.at_ms for s in record.sent}
-    return [Broken("no double effect", id, times.get(id, 0.0), f"a write ran {count} times")
-            for id, count in record.ran.items() if count > 1]  # fmt: skip
-
-
-def drains_kept(record: Record, grace_ms: float = 250.0) -> list[Broken]:
-    broken = []
-    for s in record.sent:
-        for name in (s.server, s.source):
-            told, until = record.leaving.get(name, (float("inf"), 0.0))
-            if told + grace_ms + SLACK_MS < s.at_ms < until:
-                why = f"{name} was told to drain {s.at_ms - told:.0f} ms before"
-                broken.append(Broken("drains kept", s.ticket, s.at_ms, why))
-    return broken
-
-
-def purges_kept(record: Record, obey_ms: float = 500.0) -> list[Broken]:
-    """What was sent later than `obey_ms` after a purge was told is not answered from an older copy."""
-    first_sent = {s.ticket: s.at_ms for s in reversed(record.sent)}
-    version = {(m.ticket, m.body): m.version_ms for m in record.made}
-    broken = []
-    for r in record.requests.values():
-        for at_ms, status, body in r.ends:
-            if status != 200 or (r.id, body) not in version:
-                continue
-            for told_ms, group, made_ms in record.purges:
-                late = first_sent.get(r.id, 0.0) > told_ms + obey_ms + SLACK_MS
-                if group == r.group and late and version[r.id, body] < made_ms:
-                    why = f"a copy of {made_ms - version[r.id, body]:.0f} ms before the purge"
-                    broken.append(Broken("purges kept", r.id, at_ms, why))
-                    break
-    return broken
+class DrainPeriod:
+    """From when a server was published as draining until it serves again."""
 
+    published_at_ms: float
+    until_ms: float = float("inf")
 
-def attempts_bounded(record: Record, most: int = 6) -> list[Broken]:
-    count, last = Counter(s.ticket for s in record.sent), {s.ticket: s.at_ms for s in record.sent}
-    return [Broken("attempts bounded", id, last[id], f"{n} attempts") for id, n in count.items() if n > most]
-
-
-def answers_were_made(record: Record) -> list[Broken]:
-    made: dict[str, set[bytes]] = defaultdict(set)
-    for m in record.made:
-        made[m.ticket].add(m.body)
-    return [Broken("answers were made", r.id, at_ms, "no server made these bytes for it")
-            for r in record.requests.values() for at_ms, status, body in r.ends
-            if status == 200 and body not in made[r.id]]  # fmt: skip
-
-
-def refusals_worded(record: Record) -> list[Broken]:
-    return [Broken("refusals worded", r.id, at_ms, f"{status} without Retry-After")
-            for r in record.requests.values() for at_ms, status, _ in r.ends
-            if status in (429, 503) and not r.retry_after]  # fmt: skip
 
+@dataclass(slots=True, frozen=True)
+class PublishedPurge:
+    """A purge of a group: copies made before `made_before_ms` may not be served any more."""
 
-def nothing_invented(record: Record) -> list[Broken]:
-    return [Broken("nothing invented", s.ticket, s.at_ms, f"{s.server} got what no client asked for")
-            for s in record.sent if s.ticket not in record.requests]  # fmt: skip
+    published_at_ms: float
+    group: int
+    made_before_ms: float
 
 
-RULES = (one_final_answer, no_double_effect, drains_kept, purges_kept, attempts_bounded, answers_were_made,
-         refusals_worded, nothing_invented)  # fmt: skip
+@dataclass(slots=True)
+class History:
+    """Everything that clients, servers and the coordinator observed."""
 
+    requests: dict[str, ObservedRequest] = field(default_factory=dict)
+    attempts: list[ObservedAttempt] = field(default_factory=list)
+    produced: list[ProducedResponse] = field(default_factory=list)
+    write_counts: Counter[str] = field(default_factory=Counter)  # writes that took effect, by request
+    drains: dict[str, DrainPeriod] = field(default_factory=dict)  # by server
+    purges: list[PublishedPurge] = field(default_factory=list)
 
-def broken_rules(record: Record) -> list[Broken]:
-    """Every violation, the earliest first."""
-    found = [one for rule in RULES for one in rule(record)]
-    return sorted(found, key=lambda one: (one.at_ms, one.rule, one.request))
 
+@dataclass(slots=True, frozen=True)
+class Violation:
+    """A request that breaks a rule."""
 
-def story(record: Record, id: str) -> list[str]:
-    """All that is known of one request, in its order."""
-    r = record.requests.get(id)
-    lines: list[tuple[float, str]] = []
-    if r is not None:
-        asked = f"asked of {r.director}: {r.cls} {r.object}/{r.part}, waits {r.wait_ms:.0f} ms"
-        lines.append((r.at_ms, asked))
-        lines += [(at_ms, f"answered {status}, {len(body)} bytes") for at_ms, status, body in r.ends]
-        if r.broken_ms is not None:
-            lines.append((r.broken_ms, "its connection ended without a whole answer"))
-    for s in record.sent:
-        if s.ticket == id:
-            filled = f", a miss filled from {s.source}" if s.source else ""
-            lines.append((s.at_ms, f"{s.method} at {s.server}{filled}"))
-    return [f"{at_ms / 1000.0:9.3f} s  {text}" for at_ms, text in sorted(lines)]
+    rule: str
+    request_id: str
+    at_ms: float
+    reason: str
+
+
+def one_final_answer(history: History) -> Iterator[Violation]:
+    """A request has exactly one response, at the latest `MAX_LATENESS_MS` after its deadline."""
+    rule = "one final answer"
+    for request in history.requests.values():
+        if len(request.responses) > 1:
+            second = request.responses[1]
+            yield Violation(rule, request.id, second.at_ms, f"{len(request.responses)} answers")
+        if request.responses:
+            continue
+        if request.broken_at_ms is None:
+            deadline_ms = request.sent_at_ms + request.wait_ms + MAX_LATENESS_MS
+            yield Violation(rule, request.id, deadline_ms, f"none from {request.director} in its time")
+        elif not request.has_response_begun:
+            reason = f"{request.director} closed without a word"
+            yield Violation(rule, request.id, request.broken_at_ms, reason)
+
+
+def no_double_effect(history: History) -> Iterator[Violation]:
+    """A write takes effect once."""
+    last_at_ms = _last_attempts_ms(history)
+    for request_id, count in history.write_counts.items():
+        if count > 1:
+            at_ms = last_at_ms.get(request_id, 0.0)
+            yield Violation("no double effect", request_id, at_ms, f"a write ran {count} times")
+
+
+def drains_kept(history: History) -> Iterator[Violation]:
+    """A server gets no work, and is no fill's source, from `DRAIN_GRACE_MS` after its drain on."""
+    for attempt in history.attempts:
+        for name in (attempt.server, attempt.source):
+            drain = history.drains.get(name)
+            if drain is None:
+                continue
+            in_force_ms = drain.published_at_ms + DRAIN_GRACE_MS + SOCKET_TOLERANCE_MS
+            if in_force_ms < attempt.at_ms < drain.until_ms:
+                since_ms = attempt.at_ms - drain.published_at_ms
+                reason = f"{name} was told to drain {since_ms:.0f} ms before"
+                yield Violation("drains kept", attempt.request_id, attempt.at_ms, reason)
+
+
+def purges_kept(history: History) -> Iterator[Violation]:
+    """What is sent later than `PURGE_GRACE_MS` after a purge is not answered from an older copy."""
+    first_at_ms = {attempt.request_id: attempt.at_ms for attempt in reversed(history.attempts)}
+    versions_ms = {(one.request_id, one.body): one.version_ms for one in history.produced}
+    for request in history.requests.values():
+        sent_at_ms = first_at_ms.get(request.id, 0.0)
+        for response in request.responses:
+            version_ms = versions_ms.get((request.id, response.body))
+            if response.status != 200 or version_ms is None:
+                continue
+            purge = _find_broken_purge(history, request.group, sent_at_ms, version_ms)
+            if purge is not None:
+                reason = f"a copy of {purge.made_before_ms - version_ms:.0f} ms before the purge"
+                yield Violation("purges kept", request.id, response.at_ms, reason)
+
+
+def _find_broken_purge(
+    history: History, group: int, sent_at_ms: float, version_ms: float
+) -> PublishedPurge | None:
+    for purge in history.purges:
+        is_in_force = sent_at_ms > purge.published_at_ms + PURGE_GRACE_MS + SOCKET_TOLERANCE_MS
+        if purge.group == group and is_in_force and version_ms < purge.made_before_ms:
+            return purge
+    return None
+
+
+def attempts_bounded(history: History) -> Iterator[Violation]:
+    """A request is attempted `MAX_ATTEMPTS` times at most."""
+    last_at_ms = _last_attempts_ms(history)
+    for request_id, count in Counter(attempt.request_id for attempt in history.attempts).items():
+        if count > MAX_ATTEMPTS:
+            yield Violation("attempts bounded", request_id, last_at_ms[request_id], f"{count} attempts")
+
+
+def answers_were_made(history: History) -> Iterator[Violation]:
+    """The body of a 200 is one that some server sent for this request."""
+    bodies: dict[str, set[bytes]] = defaultdict(set)
+    for produced in history.produced:
+        bodies[produced.request_id].add(produced.body)
+    for request in history.requests.values():
+        for response in request.responses:
+            if response.status == 200 and response.body not in bodies[request.id]:
+                reason = "no server made these bytes for it"
+                yield Violation("answers were made", request.id, response.at_ms, reason)
+
+
+def refusals_worded(history: History) -> Iterator[Violation]:
+    """A 429 or 503 has `Retry-After`."""
+    for request in history.requests.values():
+        for response in request.responses:
+            if response.status in RETRY_AFTER_STATUSES and not request.has_retry_after:
+                reason = f"{response.status} without Retry-After"
+                yield Violation("refusals worded", request.id, response.at_ms, reason)
+
+
+def nothing_invented(history: History) -> Iterator[Violation]:
+    """Servers get only what some client requested."""
+    for attempt in history.attempts:
+        if attempt.request_id not in history.requests:
+            reason = f"{attempt.server} got what no client asked for"
+            yield Violation("nothing invented", attempt.request_id, attempt.at_ms, reason)
+
+
+RULES = (
+    one_final_answer,
+    no_double_effect,
+    drains_kept,
+    purges_kept,
+    attempts_bounded,
+    answers_were_made,
+    refusals_worded,
+    nothing_invented,
+)
+
+
+def _last_attempts_ms(history: History) -> dict[str, float]:
+    return {attempt.request_id: attempt.at_ms for attempt in history.attempts}
+
+
+def find_violations(history: History) -> list[Violation]:
+    """Returns every violation of every rule, the earliest first."""
+    violations = [violation for rule in RULES for violation in rule(history)]
+    return sorted(violations, key=lambda one: (one.at_ms, one.rule, one.request_id))
+
+
+def describe_request(history: History, request_id: str) -> list[str]:
+    """Returns one line for each thing that is known of a request, in order of time."""
+    events: list[tuple[float, str]] = []
+    request = history.requests.get(request_id)
+    if request is not None:
+        what = f"{request.class_name} {request.object_name}/{request.part}"
+        asked = f"asked of {request.director}: {what}, waits {request.wait_ms:.0f} ms"
+        events.append((request.sent_at_ms, asked))
+        events += [(one.at_ms, f"answered {one.status}, {len(one.body)} bytes") for one in request.responses]
+        if request.broken_at_ms is not None:
+            events.append((request.broken_at_ms, "its connection ended without a whole answer"))
+    for attempt in history.attempts:
+        if attempt.request_id == request_id:
+            source = f", a miss filled from {attempt.source}" if attempt.source else ""
+            events.append((attempt.at_ms, f"{attempt.method} at {attempt.server}{source}"))
+    return [f"{at_ms / 1000.0:9.3f} s  {text}" for at_ms, text in sorted(events)]
--- a/gladewalk/rehearsal/virtual/scenario.py
+++ b/gladewalk/rehearsal/virtual/scenario.py
@@ -1,135 +1,200 @@
-"""A rehearsal's scenario as TOML: the fleet, the traffic and a timeline of faults.
+"""Scenarios as TOML: the fleet, its traffic and a timeline of faults.
 
     seconds = 60.0
     [fleet]
     directors = 2
-    boxes = 6
-    hubs = 2
+    boxes = 6                                   # cache servers
+    hubs = 2                                    # parent caches
     [traffic]
     per_s = 40.0
     objects = 400
-    zipf = 1.0                                  # how unevenly they are asked for
+    zipf = 1.0                                  # how unevenly they are requested
     shares = { lot-video = 0.5, lot-page = 0.45, bid = 0.05 }
     [[fault]]
     at_s = 20.0
     for_s = 10.0
-    kind = "silent"                             # see Kind
+    kind = "silent"                             # see ScenarioFaultKind
     who = "box-1"                               # box-N, hub-N, store; none for surge, purge and feed
-    amount = 2.0                                # surge, slow: times; purge, spoil, reset: a part
+    amount = 2.0                                # surge, slow: a factor; purge, spoil, reset: a fraction
 
-Faults may overlap; each ends by itself. The same seed plays the same morning.
+Faults may overlap; each ends by itself. The same seed gives the same run.
 """
 
 from __future__ import annotations
 
 import random
+from enum import StrEnum
 from pathlib import Path
-from typing import Annotated, Literal, get_args
+from typing import Annotated
 
 import msgspec
+import tomli_w
 from msgspec import Meta
 
 from ...config.platform import ConfigError
 from ...config.toml_file import errors_in, load_toml
 
-Kind = Literal["silent", "drain", "restart", "cut", "slow", "spoil", "reset", "surge", "purge", "feed"]
-KINDS: tuple[Kind, ...] = get_args(Kind)
-AT_SERVERS = ("silent", "drain", "restart", "cut", "slow", "spoil", "reset")
-PARTS = ("purge", "spoil", "reset")  # whose amount is a part of the whole
-GROUPS = 256
-SHARES = {"lot-video": 0.5, "lot-page": 0.45, "bid": 0.05}
+GROUP_COUNT = 256  # purge groups
+DEFAULT_CLASS_SHARES = {"lot-video": 0.5, "lot-page": 0.45, "bid": 0.05}
+CACHE_PREFIX, PARENT_PREFIX, STORE_NAME = "box-", "hub-", "store"
+MAX_DRAWN_FAULTS = 4
+
+
+class ScenarioFaultKind(StrEnum):
+    """What a fault does; the values stand in scenario files."""
+
+    SILENT = "silent"  # the server reads requests and answers none
+    DRAIN = "drain"  # the cache is listed as draining, then as serving again
+    RESTART = "restart"  # the cache ends and starts again empty
+    CUT = "cut"  # nothing passes to or from the server
+    SLOW = "slow"  # the server's work takes `amount` times as long
+    TRUNCATE = "spoil"  # a fraction of responses breaks off in the middle
+    RESET = "reset"  # a fraction of requests is processed and then reset
+    SURGE = "surge"  # `amount` times the traffic
+    PURGE = "purge"  # a fraction of all groups is purged
+    FEED = "feed"  # the coordinator's feed passes nothing
+
+
+SERVER_FAULTS = (
+    ScenarioFaultKind.SILENT,
+    ScenarioFaultKind.DRAIN,
+    ScenarioFaultKind.RESTART,
+    ScenarioFaultKind.CUT,
+    ScenarioFaultKind.SLOW,
+    ScenarioFaultKind.TRUNCATE,
+    ScenarioFaultKind.RESET,
+)
+CACHE_FAULTS = (ScenarioFaultKind.DRAIN, ScenarioFaultKind.RESTART)
+FRACTION_FAULTS = (ScenarioFaultKind.PURGE, ScenarioFaultKind.TRUNCATE, ScenarioFaultKind.RESET)
 
 
 class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """A table of the file."""
+    """A table of the file; a key that it does not have is an error."""
 
 
-class Fleet(Table, frozen=True):
+class FleetTable(Table, frozen=True, rename={"caches": "boxes", "parents": "hubs", "cache_objects": "keeps"}):
+    """How many directors and servers there are, and what a cache server can do."""
+
     directors: Annotated[int, Meta(ge=1, le=64)] = 2
-    boxes: Annotated[int, Meta(ge=1, le=400)] = 6
-    hubs: Annotated[int, Meta(ge=1, le=64)] = 2
-    slots: Annotated[int, Meta(ge=1, le=1_000)] = 16  # of a box: requests in work at a time
-    keeps: Annotated[int, Meta(ge=1, le=1_000_000)] = 400  # parts that a box holds
+    caches: Annotated[int, Meta(ge=1, le=400)] = 6
+    parents: Annotated[int, Meta(ge=1, le=64)] = 2
+    slots: Annotated[int, Meta(ge=1, le=1_000)] = 16  # requests that a cache works on at a time
+    cache_objects: Annotated[int, Meta(ge=1, le=1_000_000)] = 400  # parts of objects that a cache holds
+
 
+class TrafficTable(
+    Table,
+    frozen=True,
+    rename={"requests_per_s": "per_s", "zipf_exponent": "zipf", "class_shares": "shares"},
+):
+    """The clients' requests: a Poisson process over objects whose popularity follows Zipf's law."""
 
-class Traffic(Table, frozen=True):
-    per_s: Annotated[float, Meta(gt=0.0, le=100_000.0)] = 40.0
+    requests_per_s: Annotated[float, Meta(gt=0.0, le=100_000.0)] = 40.0
     objects: Annotated[int, Meta(ge=1, le=10_000_000)] = 400
-    zipf: Annotated[float, Meta(ge=0.0, le=3.0)] = 1.0
-    shares: dict[str, Annotated[float, Meta(ge=0.0)]] = msgspec.field(default_factory=lambda: dict(SHARES))
+    zipf_exponent: Annotated[float, Meta(ge=0.0, le=3.0)] = 1.0
+    class_shares: dict[str, Annotated[float, Meta(ge=0.0)]] = msgspec.field(
+        default_factory=lambda: dict(DEFAULT_CLASS_SHARES)
+    )
 
 
-class Fault(Table, frozen=True):
+class ScenarioFault(Table, frozen=True, rename={"duration_s": "for_s", "target": "who"}):
+    """One fault from `at_s` on, for `duration_s`; `target` is a server, or empty."""
+
     at_s: Annotated[float, Meta(ge=0.0)]
-    kind: Kind
-    for_s: Annotated[float, Meta(ge=0.0)] = 5.0
-    who: str = ""
+    kind: ScenarioFaultKind
+    duration_s: Annotated[float, Meta(ge=0.0)] = 5.0
+    target: str = ""
     amount: Annotated[float, Meta(gt=0.0, le=100.0)] = 1.0
 
 
-class Scenario(Table, frozen=True):
-    seconds: Annotated[float, Meta(gt=0.0, le=86_400.0)] = 60.0
-    fleet: Fleet = Fleet()
-    traffic: Traffic = Traffic()
-    fault: list[Fault] = []
+class Scenario(Table, frozen=True, rename={"duration_s": "seconds", "faults": "fault"}):
+    """A scenario file; requests are sent for `duration_s`."""
+
+    duration_s: Annotated[float, Meta(gt=0.0, le=86_400.0)] = 60.0
+    fleet: FleetTable = FleetTable()
+    traffic: TrafficTable = TrafficTable()
+    faults: list[ScenarioFault] = []
 
 
-def names_of(fleet: Fleet) -> list[str]:
-    """Every server by name: boxes, hubs, the store."""
-    return [f"box-{n}" for n in range(fleet.boxes)] + [f"hub-{n}" for n in range(fleet.hubs)] + ["store"]
+def server_names(fleet: FleetTable) -> list[str]:
+    """Returns every server's name: caches, parents, the store."""
+    caches = [f"{CACHE_PREFIX}{number}" for number in range(fleet.caches)]
+    parents = [f"{PARENT_PREFIX}{number}" for number in range(fleet.parents)]
+    return [*caches, *parents, STORE_NAME]
 
 
-def check(scenario: Scenario, classes: tuple[str, ...]) -> None:
+def check_scenario(scenario: Scenario, class_names: tuple[str, ...]) -> None:
     """Checks what no single key shows.
 
     Raises:
         ConfigError: The scenario cannot be played; the text is `key: why`.
     """
-    known = names_of(scenario.fleet)
-    for name in scenario.traffic.shares:
-        if name not in classes:
-            raise ConfigError(f"traffic.shares.{name}: no such class; there are {', '.join(classes)}")
-    if not sum(scenario.traffic.shares.values()):
+    for name in scenario.traffic.class_shares:
+        if name not in class_names:
+            raise ConfigError(f"traffic.shares.{name}: no such class; there are {', '.join(class_names)}")
+    if not sum(scenario.traffic.class_shares.values()):
         raise ConfigError("traffic.shares: nothing is asked for")
-    for n, fault in enumerate(scenario.fault):
-        where = f"fault[{n}]"
-        if fault.kind in AT_SERVERS and fault.who not in known:
-            raise ConfigError(f"{where}.who: no server {fault.who!r}; there are box-N, hub-N and store")
-        if fault.kind in ("drain", "restart") and not fault.who.startswith("box-"):
-            raise ConfigError(f"{where}.who: only a box is drained or restarted")
-        if fault.kind in PARTS and fault.amount > 1.0:
-            raise ConfigError(f"{where}.amount: a part, at most 1")
-        if fault.at_s + fault.for_s > scenario.seconds:
-            raise ConfigError(f"{where}.for_s: it would last longer than the scenario")
-
-
-def load(path: Path, classes: tuple[str, ...]) -> Scenario:
-    """Loads a file; `ConfigError` with the one line `file: key: why` if it cannot be played."""
+    names = server_names(scenario.fleet)
+    for number, fault in enumerate(scenario.faults):
+        _check_fault(fault, f"fault[{number}]", names, scenario.duration_s)
+
+
+def _check_fault(fault: ScenarioFault, where: str, names: list[str], scenario_s: float) -> None:
+    if fault.kind in SERVER_FAULTS and fault.target not in names:
+        raise ConfigError(f"{where}.who: no server {fault.target!r}; there are box-N, hub-N and store")
+    if fault.kind in CACHE_FAULTS and not fault.target.startswith(CACHE_PREFIX):
+        raise ConfigError(f"{where}.who: only a box is drained or restarted")
+    if fault.kind in FRACTION_FAULTS and fault.amount > 1.0:
+        raise ConfigError(f"{where}.amount: a part, at most 1")
+    if fault.at_s + fault.duration_s > scenario_s:
+        raise ConfigError(f"{where}.for_s: it would last longer than the scenario")
+
+
+def load_scenario(path: Path, class_names: tuple[str, ...]) -> Scenario:
+    """Reads a scenario's file.
+
+    Args:
+        path: The file.
+        class_names: The request classes that the settings have.
+
+    Raises:
+        ConfigError: The scenario cannot be played; the text is one line, `file: key: why`.
+    """
     scenario = load_toml(path, Scenario, syntax_note="")
     with errors_in(path):
-        check(scenario, classes)
+        check_scenario(scenario, class_names)
     return scenario
 
 
-def dump(scenario: Scenario) -> str:
-    import tomli_w
-
+def encode_scenario(scenario: Scenario) -> str:
+    """Renders a scenario as the text of its file."""
     return tomli_w.dumps(msgspec.to_builtins(scenario))
 
 
-def draw(seed: int, seconds: float = 30.0) -> Scenario:
-    """A scenario out of ranges: a small fleet with up to four faults, overlapping as they come."""
+def generate_scenario(seed: int, duration_s: float = 30.0) -> Scenario:
+    """Draws a small fleet with up to four faults, which may overlap."""
     rng = random.Random(seed)
-    fleet = Fleet(directors=rng.randint(1, 3), boxes=rng.randint(3, 8), hubs=rng.randint(1, 3))
-    faults = []
-    for _ in range(rng.randint(1, 4)):
-        kind = rng.choice(KINDS)
-        names = [n for n in names_of(fleet) if n.startswith("box-") or kind not in ("drain", "restart")]
-        who = rng.choice(names) if kind in AT_SERVERS else ""
-        amount = rng.uniform(0.05, 1.0) if kind in PARTS else rng.uniform(1.3, 4.0)
-        at_s = rng.uniform(2.0, seconds * 0.6)
-        for_s = rng.uniform(1.0, seconds * 0.3)
-        fault = Fault(at_s=round(at_s, 2), kind=kind, for_s=round(for_s, 2), who=who, amount=round(amount, 2))
-        faults.append(fault)
-    traffic = Traffic(per_s=round(rng.uniform(10.0, 50.0), 1), objects=rng.randint(50, 600))
-    return Scenario(seconds=seconds, fleet=fleet, traffic=traffic, fault=sorted(faults, key=lambda f: f.at_s))
+    fleet = FleetTable(directors=rng.randint(1, 3), caches=rng.randint(3, 8), parents=rng.randint(1, 3))
+    faults = [_draw_fault(rng, fleet, duration_s) for _ in range(rng.randint(1, MAX_DRAWN_FAULTS))]
+    requests_per_s = round(rng.uniform(10.0, 50.0), 1)
+    traffic = TrafficTable(requests_per_s=requests_per_s, objects=rng.randint(50, 600))
+    faults.sort(key=lambda fault: fault.at_s)
+    return Scenario(duration_s=duration_s, fleet=fleet, traffic=traffic, faults=faults)
+
+
+def _draw_fault(rng: random.Random, fleet: FleetTable, scenario_s: float) -> ScenarioFault:
+    kind = rng.choice(tuple(ScenarioFaultKind))
+    names = [
+        name for name in server_names(fleet) if name.startswith(CACHE_PREFIX) or kind not in CACHE_FAULTS
+    ]
+    target = rng.choice(names) if kind in SERVER_FAULTS else ""
+    amount = rng.uniform(0.05, 1.0) if kind in FRACTION_FAULTS else rng.uniform(1.3, 4.0)
+    at_s = rng.uniform(2.0, scenario_s * 0.6)
+    duration_s = rng.uniform(1.0, scenario_s * 0.3)
+    return ScenarioFault(
+        at_s=round(at_s, 2),
+        kind=kind,
+        duration_s=round(duration_s, 2),
+        target=target,
+        amount=round(amount, 2),
+    )
--- a/gladewalk/rehearsal/virtual/servers.py
+++ b/gladewalk/rehearsal/virtual/servers.py
@@ -1,8 +1,8 @@
-"""Model servers: cache boxes, hub caches, the auction store, as the protocol page has them, in our own words.
+"""Model servers after the protocol page: cache servers, parent caches and the store that makes every copy.
 
-A box holds what it was told to keep, the longest unused goes first; fills a miss from the source it is told;
-works on so many requests at a time and turns others away; drops older copies within some seconds of a purge.
-A hub fetches once for all who wait. The store makes every copy, and runs writes.
+A cache holds what it is told to store and evicts the least recently used part; it fills a miss from the
+source it is told; it works on a limited number of requests and sheds the others; it drops older copies within
+some seconds of a purge. Concurrent misses share one fill. The store makes every copy, and executes writes.
 """
 
 from __future__ import annotations
@@ -12,203 +12,286 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import NamedTuple
 
-from ..http_messages import read_message
+from ...errors import GladewalkError
+from ..http_messages import Http1Message, encode_message, header_names, read_message
 from ..scripted_servers import ReceivedRequest, ScriptedServer
-from .rules import Made, Record, Sent
+from .rules import History, ObservedAttempt, ProducedResponse
+from .scenario import GROUP_COUNT, STORE_NAME
 
-WORK_MS = (4.0, 20.0)
-STORE_MS = (25.0, 60.0)
-FILL_WAIT_S = 3.0
-QUEUE_PART = 1.0  # of the slots: so many more may wait
-PURGE_DONE_S = 6.0  # after a purge, within this, a box has dropped what is older
-FILL = "fill"  # the ticket of one server's request to another
+CACHE_WORK_MS = (4.0, 20.0)
+STORE_WORK_MS = (25.0, 60.0)
+FILL_TIMEOUT_S = 3.0
+QUEUE_FRACTION = 1.0  # of the slots: so many more requests may wait
+MAX_PURGE_DELAY_S = 6.0  # within this time of a purge a cache has dropped what is older
+BREAK_OFF_DELAY_S = 0.01
+FILL_REQUEST_ID = "fill"  # of one server's request to another
+CACHE_MODEL, PARENT_MODEL, STORE_MODEL = "standard", "parent", "origin"
+PROBE_PATHS = ("/load", "/alive")
 
-Key = tuple[str, str, int]
+
+class ObjectKey(NamedTuple):
+    """A part of an object; the name is a hexadecimal number."""
+
+    class_name: str
+    object_name: str
+    part: int
+
+    @property
+    def group(self) -> int:
+        """The purge group."""
+        return int(self.object_name, 16) % GROUP_COUNT
 
 
 @dataclass(slots=True, frozen=True)
-class Copy:
+class ObjectCopy:
+    """A copy of a part; the store made it at `made_ms`."""
+
     body: bytes
-    made_ms: float  # when the store gave it out
+    made_ms: float
+
 
+class FillError(GladewalkError):
+    """A fill has failed; the text is the header `X-Remark` of the answer."""
 
-class Gone(Exception):
-    """A fill came to nothing; the text is the remark."""
+
+FILL_ERRORS = (FillError, OSError, asyncio.IncompleteReadError)
 
 
 class ModelServer:
-    """One server of the fleet; `servers` has all of them by name."""
+    """One server of the fleet.
+
+    Args:
+        name: The server's name in the scenario.
+        model: `standard`, `parent` or `origin`.
+        host: Its address.
+        slots: The requests that it works on at a time.
+        max_copies: The parts that it holds.
+        servers: All servers of the fleet by name; fills are sent to them.
+        history: What happens is written here.
+        clock: Unix time in ms.
+        rng: Of its own draws.
+    """
 
     def __init__(
-        self, name: str, model: str, host: str, slots: int, keeps: int, servers: dict[str, ModelServer],
-        record: Record, clock: Callable[[], float], rng: random.Random,
-    ) -> None:  # fmt: skip
-        self.name, self.slots, self.keeps, self.servers = name, slots, keeps, servers
-        self.record, self.clock, self.random = record, clock, rng
-        self.peer = ScriptedServer(self.answer, uid=name, model=model, host=host, zone="edge-1", capacity=4.0)
-        if model != "standard":
-            self.peer.zone = "north"
-        self.copies: OrderedDict[Key, Copy] = OrderedDict()
-        self.purged: dict[int, float] = {}  # group -> of when the oldest copy may be
-        self.fills: dict[Key, asyncio.Task[Copy]] = {}
-        self.writers: dict[asyncio.StreamWriter, None] = {}
-        self.busy = 0
-        self.silent, self.slow, self.spoil, self.reset = 0, 1.0, 0.0, 0.0
+        self,
+        name: str,
+        model: str,
+        host: str,
+        slots: int,
+        max_copies: int,
+        servers: dict[str, ModelServer],
+        history: History,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self._slots, self._max_copies = slots, max_copies
+        self._servers, self._history, self._clock, self._rng = servers, history, clock, rng
+        zone = "edge-1" if model == CACHE_MODEL else "north"
+        self.stand_in = ScriptedServer(self.answer, uid=name, model=model, host=host, zone=zone, capacity=4.0)
+        self._copies: OrderedDict[ObjectKey, ObjectCopy] = OrderedDict()
+        self._purged_before_ms: dict[int, float] = {}  # by group
+        self._fills: dict[tuple[ObjectKey, float], asyncio.Task[ObjectCopy]] = {}
+        self._writers: dict[asyncio.StreamWriter, None] = {}  # a set in the order of insertion
+        self._busy_slots = 0
+        # Faults in force.
+        self.silent_count = 0
+        self.slowdown = 1.0
+        self.truncation_rate = self.reset_rate = 0.0
 
     @property
     def is_store(self) -> bool:
-        return self.peer.model == "origin"
+        """Whether this is the store."""
+        return self.stand_in.model == STORE_MODEL
 
-    # Its life.
+    # Life cycle.
 
     def crash(self) -> None:
-        """Its process ends: connections are reset, what it held is gone."""
-        self.peer.stop()
-        for writer in self.writers:
+        """Ends the server: connections are reset and its copies are lost."""
+        self.stand_in.stop()
+        for writer in self._writers:
             writer.transport.abort()
-        self.writers.clear()
-        self.copies.clear()
+        self._writers.clear()
+        self._copies.clear()
 
-    async def start_again(self) -> None:
-        await self.peer.start()
-        self.peer.boot_ms = self.clock()
+    async def restart(self) -> None:
+        """Starts the server again, empty."""
+        await self.stand_in.start()
+        self.stand_in.boot_ms = self._clock()
 
-    def purge(self, group: int, made_ms: float) -> None:
-        """Drop what the store made before then, and keep none of it again: others may still hold it."""
-        self.purged[group] = max(made_ms, self.purged.get(group, 0.0))
-        old = [key for key, copy in self.copies.items()
-               if int(key[1], 16) % 256 == group and copy.made_ms < made_ms]  # fmt: skip
-        for key in old:
-            del self.copies[key]
+    def purge(self, group: int, made_before_ms: float) -> None:
+        """Drops older copies of a group, and stores none of them again: other caches may still hold them."""
+        self._purged_before_ms[group] = max(made_before_ms, self._purged_before_ms.get(group, 0.0))
+        stale_keys = [
+            key for key, copy in self._copies.items() if key.group == group and copy.made_ms < made_before_ms
+        ]
+        for key in stale_keys:
+            del self._copies[key]
 
     # Requests.
 
-    async def answer(self, heard: ReceivedRequest) -> None:
-        self.writers[heard.writer] = None
-        ticket = heard.headers.get("x-ticket", "")
-        if heard.path in ("/load", "/alive"):
-            return await heard.answer(200) if not self.silent else None
-        if ticket != FILL:
-            source = heard.headers.get("miss-to", "")
-            self.record.sent.append(Sent(self.clock(), ticket, self.name, source, heard.method))
-        if self.silent:
-            return None
-        if self.busy >= self.slots * (1.0 + QUEUE_PART):
-            return await heard.answer(503, X_Shed="1")
-        self.busy += 1
+    async def answer(self, request: ReceivedRequest) -> None:
+        """Answers a request as the protocol page has it; the stand-in's script."""
+        self._writers[request.writer] = None
+        request_id = request.headers.get("x-ticket", "")
+        if request.path in PROBE_PATHS:
+            if not self.silent_count:
+                await request.answer(200)
+            return
+        if request_id != FILL_REQUEST_ID:
+            source = request.headers.get("miss-to", "")
+            attempt = ObservedAttempt(self._clock(), request_id, self.name, source, request.method)
+            self._history.attempts.append(attempt)
+        if self.silent_count:
+            return
+        if self._busy_slots >= self._slots * (1.0 + QUEUE_FRACTION):
+            await request.answer(503, X_Shed="1")
+            return
+        self._busy_slots += 1
         try:
             await self._work()
-            await (self._write(heard, ticket) if heard.method == "PUT" else self._read(heard, ticket))
+            await (self._write(request) if request.method == "PUT" else self._read(request))
         finally:
-            self.busy -= 1
+            self._busy_slots -= 1
 
     async def _work(self) -> None:
-        span = STORE_MS if self.is_store else WORK_MS
-        crowded = max(1.0, self.busy / self.slots)
-        await asyncio.sleep(self.random.uniform(*span) * self.slow * crowded / 1000.0)
+        work_ms = self._rng.uniform(*(STORE_WORK_MS if self.is_store else CACHE_WORK_MS))
+        queueing_factor = max(1.0, self._busy_slots / self._slots)
+        await asyncio.sleep(work_ms * self.slowdown * queueing_factor / 1000.0)
 
-    async def _write(self, heard: ReceivedRequest, ticket: str) -> None:
-        """A write runs at the store, and nowhere else; a box passes it on."""
+    async def _write(self, request: ReceivedRequest) -> None:
+        """Executes a write at the store; a cache passes it on."""
+        request_id = request.headers.get("x-ticket", "")
         if self.is_store:
-            if ticket != FILL:
-                self.record.ran[ticket] += 1
-            else:
-                self.record.ran[heard.headers.get("x-for", "")] += 1
-            body = b"taken " + heard.body
+            is_passed_on = request_id == FILL_REQUEST_ID
+            original_id = request.headers.get("x-for", "") if is_passed_on else request_id
+            self._history.write_counts[original_id] += 1
+            body = b"taken " + request.body
         else:
+            source = request.headers.get("miss-to", "")
             try:
-                store = heard.headers.get("miss-to", "")
-                body = (await self._ask(store, "PUT", heard.path, heard.body, {"X-For": ticket}))[0]
-            except (Gone, OSError, asyncio.IncompleteReadError):
-                return await heard.answer(500)
-        await self._give(heard, ticket, Copy(body, self.clock()), "origin")
-
-    async def _read(self, heard: ReceivedRequest, ticket: str) -> None:
-        _, _, cls, object_name, part = heard.path.split("/")
-        key = cls, object_name, int(part)
+                response = await self._send(source, "PUT", request.path, request.body, X_For=request_id)
+            except FILL_ERRORS:
+                await request.answer(500)
+                return
+            body = response.body
+        await self._respond(request, ObjectCopy(body, self._clock()), "origin")
+
+    async def _read(self, request: ReceivedRequest) -> None:
+        _, _, class_name, object_name, part = request.path.split("/")
+        key = ObjectKey(class_name, object_name, int(part))
         if self.is_store:
-            return await self._give(heard, ticket, self._make(key), "origin")
-        held = self.copies.get(key)
-        oldest = float(heard.headers.get("no-older-than", "0") or 0)
-        if held is not None and (not oldest or self.clock() - held.made_ms <= oldest):
-            self.copies.move_to_end(key)
-            return await self._give(heard, ticket, held, "mem")
-        words = heard.headers.get("handling", "").split("+")
-        source = "store" if self.peer.model == "parent" else heard.headers.get("miss-to", "")
-        if not source or "have-only" in words:
-            return await heard.answer(404, X_Remark="absent")
+            await self._respond(request, self._make_copy(key), "origin")
+            return
+        held = self._copies.get(key)
+        max_age_ms = float(request.headers.get("no-older-than", "0") or 0)
+        if held is not None and (not max_age_ms or self._clock() - held.made_ms <= max_age_ms):
+            self._copies.move_to_end(key)
+            await self._respond(request, held, "mem")
+            return
+        await self._answer_miss(request, key, max_age_ms)
+
+    async def _answer_miss(self, request: ReceivedRequest, key: ObjectKey, max_age_ms: float) -> None:
+        is_parent = self.stand_in.model == PARENT_MODEL
+        source = STORE_NAME if is_parent else request.headers.get("miss-to", "")
+        if not source or "have-only" in request.headers.get("handling", "").split("+"):
+            await request.answer(404, X_Remark="absent")
+            return
         try:
-            copy = await asyncio.shield(self._fill(key, heard.path, source, oldest))
-        except (Gone, OSError, asyncio.IncompleteReadError) as error:
-            return await heard.answer(404, X_Remark=str(error) if isinstance(error, Gone) else "unreached")
-        if heard.headers.get("store-as", "0") != "0" or self.peer.model == "parent":
-            self._keep(key, copy)
-        await self._give(heard, ticket, copy, "origin" if source == "store" else "parent")
-
-    def _make(self, key: Key) -> Copy:
-        made = self.clock()
-        text = f"{key[0]}/{key[1]}/{key[2]} made at {made:.3f} ".encode()
-        return Copy(text * (2 + int(key[1], 16) % 20), made)
-
-    def _keep(self, key: Key, copy: Copy) -> None:
-        held = self.copies.get(key)
-        if copy.made_ms < self.purged.get(int(key[1], 16) % 256, 0.0):
+            copy = await asyncio.shield(self._fill(key, request.path, source, max_age_ms))
+        except FILL_ERRORS as error:
+            remark = str(error) if isinstance(error, FillError) else "unreached"
+            await request.answer(404, X_Remark=remark)
+            return
+        if is_parent or request.headers.get("store-as", "0") != "0":
+            self._store(key, copy)
+        await self._respond(request, copy, "origin" if source == STORE_NAME else "parent")
+
+    def _make_copy(self, key: ObjectKey) -> ObjectCopy:
+        made_ms = self._clock()
+        text = f"{key.class_name}/{key.object_name}/{key.part} made at {made_ms:.3f} ".encode()
+        return ObjectCopy(text * (2 + int(key.object_name, 16) % 20), made_ms)
+
+    def _store(self, key: ObjectKey, copy: ObjectCopy) -> None:
+        held = self._copies.get(key)
+        if copy.made_ms < self._purged_before_ms.get(key.group, 0.0):
             return
         if held is None or held.made_ms < copy.made_ms:
-            self.copies[key] = copy
-        self.copies.move_to_end(key)
-        while len(self.copies) > self.keeps:
-            self.copies.popitem(last=False)
-
-    async def _fill(self, key: Key, path: str, source: str, oldest_ms: float) -> Copy:
-        """Once for all who wait, where nobody wants it newer than another does."""
-        slot = key if not oldest_ms else (f"{key[0]}<{oldest_ms}", *key[1:])
-        task = self.fills.get(slot)
+            self._copies[key] = copy
+        self._copies.move_to_end(key)
+        while len(self._copies) > self._max_copies:
+            self._copies.popitem(last=False)
+
+    # Fills.
+
+    async def _fill(self, key: ObjectKey, path: str, source: str, max_age_ms: float) -> ObjectCopy:
+        """Fetches a part once for all who wait for it with the same limit of its age."""
+        slot = key, max_age_ms
+        task = self._fills.get(slot)
         if task is None:
-            task = self.fills[slot] = asyncio.get_running_loop().create_task(
-                self._fetch(path, source, oldest_ms)
-            )
-            task.add_done_callback(lambda done: self.fills.pop(slot, None) and done.exception())
+            work = self._fetch(path, source, max_age_ms)
+            task = self._fills[slot] = asyncio.get_running_loop().create_task(work)
+            task.add_done_callback(lambda done: self._end_fill(slot, done))
         return await asyncio.shield(task)
 
-    async def _fetch(self, path: str, source: str, oldest_ms: float) -> Copy:
-        body, fields = await self._ask(source, "GET", path, b"", {"No-Older-Than": f"{oldest_ms:.0f}"})
-        return Copy(body, float(fields["made-at"]))
+    def _end_fill(self, slot: tuple[ObjectKey, float], done: asyncio.Task[ObjectCopy]) -> None:
+        del self._fills[slot]
+        if not done.cancelled():
+            done.exception()  # marks it as retrieved: those who waited may have gone
+
+    async def _fetch(self, path: str, source: str, max_age_ms: float) -> ObjectCopy:
+        response = await self._send(source, "GET", path, b"", No_Older_Than=f"{max_age_ms:.0f}")
+        return ObjectCopy(response.body, float(response.headers["made-at"]))
 
-    async def _ask(
-        self, source: str, method: str, path: str, body: bytes, more: dict[str, str]
-    ) -> tuple[bytes, dict[str, str]]:
-        server = self.servers.get(source)
+    async def _send(self, source: str, method: str, path: str, body: bytes, **fields: str) -> Http1Message:
+        """Sends a request to another server of the fleet.
+
+        Raises:
+            FillError: There is no such server, or it does not answer 200.
+        """
+        server = self._servers.get(source)
         if server is None:
-            raise Gone("denied")
-        host, _, port = server.peer.address.rpartition(":")
-        writer = None
-        try:
-            async with asyncio.timeout(FILL_WAIT_S):
-                reader, writer = await asyncio.open_connection(host, int(port))
-                fields = {"X-Ticket": FILL, "Store-As": "1", "Content-Length": str(len(body)), **more}
-                lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in fields.items())]
-                writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-                first, answered, told = await read_message(reader)
-        finally:
-            if writer is not None:
-                writer.close()
-        if " 200 " not in f"{first} ":
-            raise Gone("crowded" if " 503 " in first else "unreached")
-        return told, answered
-
-    async def _give(self, heard: ReceivedRequest, ticket: str, copy: Copy, remark: str) -> None:
-        if ticket != FILL:
-            self.record.made.append(Made(ticket, self.name, copy.body, copy.made_ms))
-        if self.reset and self.random.random() < self.reset:  # it has run, and nothing is said
-            return heard.writer.transport.abort()
-        if self.spoil and self.random.random() < self.spoil:  # it breaks off in the middle
-            heard.writer.write(f"HTTP/1.1 200 X\r\nContent-Length: {len(copy.body)}\r\n\r\n".encode()
-                               + copy.body[: len(copy.body) // 2])  # fmt: skip
-            await asyncio.sleep(0.01)
-            return heard.writer.transport.abort()
-        fields: dict[str, Any] = {"X_Remark": remark, "Made_At": f"{copy.made_ms:.3f}"}
-        fields["Tag"] = f"{copy.made_ms:.0f}"
-        await heard.answer(200, copy.body, **fields)
+            raise FillError("denied")
+        own_headers = {"X-Ticket": FILL_REQUEST_ID, "Store-As": "1", "Content-Length": str(len(body))}
+        data = encode_message(f"{method} {path} HTTP/1.1", {**own_headers, **header_names(fields)}, body)
+        async with asyncio.timeout(FILL_TIMEOUT_S):
+            response = await exchange(server.stand_in.address, data)
+        if response.status != 200:
+            raise FillError("crowded" if response.status == 503 else "unreached")
+        return response
+
+    # Responses.
+
+    async def _respond(self, request: ReceivedRequest, copy: ObjectCopy, remark: str) -> None:
+        request_id = request.headers.get("x-ticket", "")
+        if request_id != FILL_REQUEST_ID:
+            produced = ProducedResponse(request_id, self.name, copy.body, copy.made_ms)
+            self._history.produced.append(produced)
+        if self.reset_rate and self._rng.random() < self.reset_rate:  # processed, and not answered
+            request.writer.transport.abort()
+            return
+        if self.truncation_rate and self._rng.random() < self.truncation_rate:
+            await self._break_off(request, copy.body)
+            return
+        made_at = f"{copy.made_ms:.3f}"
+        await request.answer(200, copy.body, X_Remark=remark, Made_At=made_at, Tag=f"{copy.made_ms:.0f}")
+
+    async def _break_off(self, request: ReceivedRequest, body: bytes) -> None:
+        """Resets the connection in the middle of the body."""
+        headers = {"Content-Length": len(body)}
+        request.writer.write(encode_message("HTTP/1.1 200 X", headers, body[: len(body) // 2]))
+        await asyncio.sleep(BREAK_OFF_DELAY_S)
+        request.writer.transport.abort()
+
+
+async def exchange(address: str, data: bytes) -> Http1Message:
+    """Sends a request on a connection of its own and returns the response."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(data)
+        return await read_message(reader)
+    finally:
+        writer.close()
--- a/gladewalk/rehearsal/virtual/streams.py
+++ b/gladewalk/rehearsal/virtual/streams.py
@@ -1,7 +1,7 @@
-"""Byte streams in memory that split, delay, stall, reset and half-close as sockets do.
+"""Byte streams in memory that split, delay, stall, reset and half-close as TCP connections do.
 
-What is written leaves in pieces of any size, comes in order after the path's time, waits with the receiver
-while it does not read, and counts against the writer's buffer until it has been read.
+What is written leaves in pieces of any size, arrives in order after the network's delay, waits at the
+receiver while it does not read, and counts against the writer's buffer until it has been read.
 """
 
 from __future__ import annotations
@@ -13,239 +13,292 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, cast
 
+from ...config.platform import Address
 from ...net.sockets import READABLE_EVENTS
 
 if TYPE_CHECKING:
     from .loop import VirtualLoop
 
-HIGH, LOW = 64 * 1024, 16 * 1024  # bytes that a writer may have out before it is paused, and is resumed
-WINDOW = 256 * 1024  # bytes of the system's own buffers, which a writer does not see
-APART_S = 1e-6  # pieces come one by one
-PIECE_MOST = 64 * 1024  # bytes that come at once
-SPLIT_CHANCE = 0.2  # that a write comes in two pieces
+HIGH_WATER_BYTES = 64 * 1024  # unread bytes at which a writer is paused
+LOW_WATER_BYTES = 16 * 1024  # unread bytes at which it is resumed
+KERNEL_BUFFER_BYTES = 256 * 1024  # of both sockets, which a writer does not see
+MAX_PIECE_BYTES = 64 * 1024  # that arrive at once
+SPLIT_PROBABILITY = 0.2  # that a write arrives in two pieces
+MIN_SPACING_S = 1e-6  # between two pieces
+RETRANSMIT_S = 0.05  # while the direction is cut
 
 EOF, RESET = "eof", "reset"
-Piece = bytes | str
+Piece = bytes | str  # data, or one of the two ends
 
 
-class Unread:
-    """`net.sockets.SocketPoll` of a virtual transport."""
+class VirtualSocketPoll:
+    """The readiness of a virtual transport, as `net.sockets.SocketPoll`."""
 
     def __init__(self, transport: VirtualTransport) -> None:
-        self.transport = transport
+        self._transport = transport
 
     def poll(self, timeout: float | None = None, /) -> list[tuple[int, int]]:
-        inbox = self.transport.inbox
-        if self.transport.ended or EOF in inbox or RESET in inbox:
+        """Returns what the transport's socket would be ready for."""
+        inbox = self._transport.inbox
+        if self._transport.is_lost or EOF in inbox or RESET in inbox:
             return [(0, READABLE_EVENTS)]
         return [(0, select.POLLIN)] if inbox else []
 
 
 class VirtualTransport(asyncio.Transport):
-    """One end of a connection; `other` is its other end once both are there."""
-
-    def __init__(self, loop: VirtualLoop, number: int, here: str, there: str, names: dict[str, Any]) -> None:
-        super().__init__({**names, "unread": Unread(self)})
-        self.loop, self.number, self.here, self.there = loop, number, here, there
-        self.other: VirtualTransport | None = None
-        self.protocol: asyncio.BaseProtocol | None = None
-        self.context = contextvars.copy_context()  # in which its protocol is called: its own party's
-        self.inbox: deque[Piece] = deque()  # has come, and is not read yet
-        self.held: deque[Piece] = deque()  # sent, and held back by a path that is cut
-        self.out = 0  # bytes written that the other end has not read
-        self.arrives = 0.0  # when the last piece that was sent comes, so that none passes another
-        self.reading, self.writing = True, True
-        self.closing = self.ended = self.lost = self.half = self.full = False
-        self.high, self.low = HIGH, LOW
+    """One end of a connection; `peer` is its other end.
+
+    Args:
+        loop: Gives time, delays and the trace.
+        connection_id: The connection's number in the trace.
+        sender: The host at this end.
+        receiver: The host at the other end.
+        extra: What `get_extra_info` returns.
+    """
+
+    def __init__(
+        self, loop: VirtualLoop, connection_id: int, sender: str, receiver: str, extra: dict[str, Any]
+    ) -> None:
+        super().__init__({**extra, "unread": VirtualSocketPoll(self)})
+        self._loop, self._connection_id = loop, connection_id
+        self._sender, self._receiver = sender, receiver
+        self.peer: VirtualTransport | None = None
+        self.inbox: deque[Piece] = deque()  # arrived and unread
+        self.is_lost = False  # the protocol has been told of the end
+        self._protocol: asyncio.BaseProtocol | None = None
+        self._context = contextvars.copy_context()  # of the protocol's callbacks: its own host's
+        self._in_flight: deque[Piece] = deque()  # sent, and held back while the direction is cut
+        self._unread_bytes = 0  # written, and not yet read by the other end
+        self._last_arrival_s = 0.0  # of what was sent, so that no piece overtakes another
+        self._is_reading = True
+        self._is_closing = self._has_written_eof = self._is_writing_paused = False
+        self._high_water, self._low_water = HIGH_WATER_BYTES, LOW_WATER_BYTES
 
     def start(self, protocol: asyncio.BaseProtocol) -> None:
-        self.protocol, self.context = protocol, contextvars.copy_context()
+        """Connects the protocol, which is called in the caller's context from now on."""
+        self._protocol, self._context = protocol, contextvars.copy_context()
         protocol.connection_made(self)
-        self._read()
+        self._read_inbox()
 
-    # What is written.
+    # Writing.
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
-        if self.half:
+        """Sends bytes in pieces, and pauses the writer over the high-water mark.
+
+        Raises:
+            RuntimeError: The end has been written.
+        """
+        if self._has_written_eof:
             raise RuntimeError("Cannot call write() after write_eof()")
-        if self.closing or not data:
+        if self._is_closing or not data:
             return
-        whole = bytes(data)
-        self.out += len(whole)
-        while whole:
-            most = min(len(whole), PIECE_MOST)
-            cut = self.loop.random.randrange(1, most) if self._splits(most) else most
-            self._post(whole[:cut])
-            whole = whole[cut:]
-        if not self.full and self.get_write_buffer_size() > self.high:
-            self.full = True
-            cast(asyncio.Protocol, self.protocol).pause_writing()
-
-    def _splits(self, size: int) -> bool:
-        return size > 1 and self.loop.random.random() < SPLIT_CHANCE
-
-    def _post(self, piece: Piece) -> None:
-        wait = self.loop.paths.wait_ms(self.here, self.there) / 1000.0
-        self.arrives = max(self.arrives + APART_S, self.loop.time() + wait)
-        self.loop.note("sent", self.number, self.here, self.there, piece)
-        self.loop.call_at(self.arrives, self._arrive, piece)
-
-    def _arrive(self, piece: Piece) -> None:
-        """It comes to the other end, or once the path passes anything again; who is there reads it."""
-        self.held.append(piece)
-        if len(self.held) == 1:
-            self._pass()
-
-    def _pass(self) -> None:
-        if self.loop.paths.cut(self.here, self.there):
-            self.loop.call_later(0.05, self._pass)  # as a system that sends it again
+        unsent = bytes(data)
+        self._unread_bytes += len(unsent)
+        while unsent:
+            size = self._draw_piece_size(min(len(unsent), MAX_PIECE_BYTES))
+            self._send(unsent[:size])
+            unsent = unsent[size:]
+        if not self._is_writing_paused and self.get_write_buffer_size() > self._high_water:
+            self._is_writing_paused = True
+            cast(asyncio.Protocol, self._protocol).pause_writing()
+
+    def _draw_piece_size(self, max_size: int) -> int:
+        rng = self._loop.random
+        if max_size > 1 and rng.random() < SPLIT_PROBABILITY:
+            return rng.randrange(1, max_size)
+        return max_size
+
+    def _send(self, piece: Piece) -> None:
+        delay_s = self._loop.network.draw_delay_ms(self._sender, self._receiver) / 1000.0
+        self._last_arrival_s = max(self._last_arrival_s + MIN_SPACING_S, self._loop.time() + delay_s)
+        self._record("sent", piece)
+        self._loop.call_at(self._last_arrival_s, self._on_arrival, piece)
+
+    def _record(self, kind: str, piece: Piece) -> None:
+        self._loop.record_event(kind, self._connection_id, self._sender, self._receiver, piece)
+
+    def _on_arrival(self, piece: Piece) -> None:
+        self._in_flight.append(piece)
+        if len(self._in_flight) == 1:
+            self._deliver_in_flight()
+
+    def _deliver_in_flight(self) -> None:
+        if self._loop.network.is_cut(self._sender, self._receiver):
+            self._loop.call_later(RETRANSMIT_S, self._deliver_in_flight)
             return
-        assert self.other is not None
-        while self.held:
-            self.loop.call_soon(self._land, self.held.popleft(), context=self.other.context)
-
-    def _land(self, piece: Piece) -> None:
-        other = self.other
-        assert other is not None
-        if other.ended or other.lost:
-            if isinstance(piece, bytes):  # nobody is there to read it
-                error = ConnectionResetError("reset by peer")
-                self.loop.call_soon(self._break, error, context=self.context)
-        else:
-            self.loop.note("came", self.number, self.here, self.there, piece)
-            other.inbox.append(piece)
-            other._read()
-
-    # What is read.
-
-    def _read(self) -> None:
-        while self.inbox and self.protocol is not None and not self.lost:
+        peer = self._connected_peer()
+        while self._in_flight:
+            self._loop.call_soon(self._deliver, self._in_flight.popleft(), context=peer._context)
+
+    def _deliver(self, piece: Piece) -> None:
+        peer = self._connected_peer()
+        if not peer.is_lost:
+            self._record("came", piece)
+            peer.inbox.append(piece)
+            peer._read_inbox()
+        elif isinstance(piece, bytes):  # nobody is there to read it
+            error = ConnectionResetError("reset by peer")
+            self._loop.call_soon(self._lose_connection, error, context=self._context)
+
+    def _connected_peer(self) -> VirtualTransport:
+        assert self.peer is not None, "both ends are made by open_connection_pair"
+        return self.peer
+
+    # Reading.
+
+    def _read_inbox(self) -> None:
+        while self.inbox and self._protocol is not None and not self.is_lost:
             piece = self.inbox[0]
             if piece == RESET:
-                return self._break(ConnectionResetError("reset by peer"))
-            if not self.reading or self.closing:
+                self._lose_connection(ConnectionResetError("reset by peer"))
+                return
+            if not self._is_reading or self._is_closing:
                 return
             self.inbox.popleft()
             if isinstance(piece, bytes):
-                if self.other is not None:
-                    self.other._taken(len(piece))
-                cast(asyncio.Protocol, self.protocol).data_received(piece)
-            elif not cast(asyncio.Protocol, self.protocol).eof_received():
+                if self.peer is not None:
+                    self.peer._on_peer_read(len(piece))
+                cast(asyncio.Protocol, self._protocol).data_received(piece)
+            elif not cast(asyncio.Protocol, self._protocol).eof_received():
                 self.close()
 
-    def _taken(self, size: int) -> None:
-        self.out -= size
-        if self.full and self.get_write_buffer_size() <= self.low and not self.lost:
-            self.full = False
-            resume = cast(asyncio.Protocol, self.protocol).resume_writing
-            self.loop.call_soon(resume, context=self.context)
+    def _on_peer_read(self, size: int) -> None:
+        self._unread_bytes -= size
+        if self._is_writing_paused and self.get_write_buffer_size() <= self._low_water and not self.is_lost:
+            self._is_writing_paused = False
+            resume = cast(asyncio.Protocol, self._protocol).resume_writing
+            self._loop.call_soon(resume, context=self._context)
 
     def pause_reading(self) -> None:
-        self.reading = False
+        """Leaves what arrives unread."""
+        self._is_reading = False
 
     def resume_reading(self) -> None:
-        if not self.reading:
-            self.reading = True
-            self.loop.call_soon(self._read, context=self.context)
+        """Reads what has arrived meanwhile, and what arrives."""
+        if not self._is_reading:
+            self._is_reading = True
+            self._loop.call_soon(self._read_inbox, context=self._context)
 
     def is_reading(self) -> bool:
-        return self.reading
+        """Whether the protocol is given what arrives."""
+        return self._is_reading
 
     # Ends.
 
     def can_write_eof(self) -> bool:
+        """Returns True: a connection can be half-closed."""
         return True
 
     def write_eof(self) -> None:
-        if not self.half and not self.closing:
-            self.half = True
-            self._post(EOF)
+        """Ends this direction; the other one stays open."""
+        if not self._has_written_eof and not self._is_closing:
+            self._has_written_eof = True
+            self._send(EOF)
 
     def close(self) -> None:
-        if self.closing:
+        """Closes the connection; one with unread input is reset, as by the kernel."""
+        if self._is_closing:
             return
-        if not self.half:
-            self._post(RESET if any(isinstance(p, bytes) for p in self.inbox) else EOF)
-        self.closing = True
-        self.loop.call_soon(self._break, None, context=self.context)
+        if not self._has_written_eof:
+            self._send(RESET if any(isinstance(piece, bytes) for piece in self.inbox) else EOF)
+        self._is_closing = True
+        self._loop.call_soon(self._lose_connection, None, context=self._context)
 
     def abort(self) -> None:
-        if not self.closing:
-            self.closing = True
-            self._post(RESET)
-        self.loop.call_soon(self._break, None, context=self.context)
-
-    def _break(self, error: Exception | None) -> None:
-        if self.lost:
+        """Resets the connection."""
+        if not self._is_closing:
+            self._is_closing = True
+            self._send(RESET)
+        self._loop.call_soon(self._lose_connection, None, context=self._context)
+
+    def _lose_connection(self, error: Exception | None) -> None:
+        if self.is_lost:
             return
-        self.closing = self.ended = self.lost = True
-        self.loop.note("lost", self.number, self.here, self.there, type(error).__name__)
-        if self.protocol is not None:
-            self.protocol.connection_lost(error)
+        self._is_closing = self.is_lost = True
+        self._record("lost", type(error).__name__)
+        if self._protocol is not None:
+            self._protocol.connection_lost(error)
 
     def is_closing(self) -> bool:
-        return self.closing
+        """Whether the transport is closed or being closed."""
+        return self._is_closing
 
     def get_write_buffer_size(self) -> int:
-        return max(0, self.out - WINDOW)
+        """Returns the unread bytes beyond those that the kernel's buffers hold."""
+        return max(0, self._unread_bytes - KERNEL_BUFFER_BYTES)
 
     def get_write_buffer_limits(self) -> tuple[int, int]:
-        return self.low, self.high
+        """Returns the low-water and high-water marks in bytes."""
+        return self._low_water, self._high_water
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
-        self.high = HIGH if high is None else high
-        self.low = self.high // 4 if low is None else low
+        """Sets the marks in bytes; the low one is a quarter of the high one by default."""
+        self._high_water = HIGH_WATER_BYTES if high is None else high
+        self._low_water = self._high_water // 4 if low is None else low
 
     def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
-        self.protocol = protocol
+        """Replaces the protocol."""
+        self._protocol = protocol
 
     def get_protocol(self) -> asyncio.BaseProtocol:
-        assert self.protocol is not None
-        return self.protocol
-
-
-def connect(
-    loop: VirtualLoop, number: int, here: str, there: str, address: tuple[str, int], source: tuple[str, int]
+        """Returns the protocol."""
+        assert self._protocol is not None, "the transport has not been started"
+        return self._protocol
+
+
+def open_connection_pair(
+    loop: VirtualLoop,
+    connection_id: int,
+    client: str,
+    server: str,
+    address: Address,
+    source: Address,
 ) -> tuple[VirtualTransport, VirtualTransport]:
-    """Both ends of a new connection; neither has its protocol yet."""
-    near = VirtualTransport(loop, number, here, there, {"peername": address, "sockname": source})
-    far = VirtualTransport(loop, number, there, here, {"peername": source, "sockname": address})
-    near.other, far.other = far, near
+    """Returns the client's and the server's end of a new connection, both without a protocol."""
+    near_extra = {"peername": address, "sockname": source}
+    far_extra = {"peername": source, "sockname": address}
+    near = VirtualTransport(loop, connection_id, client, server, near_extra)
+    far = VirtualTransport(loop, connection_id, server, client, far_extra)
+    near.peer, far.peer = far, near
     return near, far
 
 
-class Waiting:
+class PendingConnection:
     """A connection that waits to be accepted; stands for the socket that `accept` returns."""
 
-    def __init__(self, far: VirtualTransport) -> None:
-        self.far = far
+    def __init__(self, transport: VirtualTransport) -> None:
+        self.transport = transport
 
-    def setsockopt(self, *given: Any) -> None:
-        """There is no Nagle here."""
+    def setsockopt(self, *arguments: Any) -> None:
+        """Does nothing: there is no Nagle algorithm here."""
 
 
 class VirtualListener:
-    """`net.environment.Listener` in memory: a queue of those who connected."""
+    """A listener in memory (`net.environment.Listener`) with its queue of pending connections."""
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(self, address: Address) -> None:
         self.address = address
-        self.queue: deque[Waiting] = deque()
-        self.ready: Callable[[], None] | None = None  # what the loop calls while somebody waits
-        self.closed = False
+        self.queue: deque[PendingConnection] = deque()
+        self.on_ready: Callable[[], None] | None = None  # called by the loop for each new connection
+        self.is_closed = False
 
-    def accept(self) -> tuple[Waiting, tuple[str, int]]:
+    def accept(self) -> tuple[PendingConnection, Address]:
+        """Returns a connection and its peer's address; raises `BlockingIOError` if none waits."""
         if not self.queue:
             raise BlockingIOError
-        waiting = self.queue.popleft()
-        return waiting, waiting.far.get_extra_info("peername")
+        connection = self.queue.popleft()
+        return connection, connection.transport.get_extra_info("peername")
 
     def close(self) -> None:
-        self.closed = True
+        """Stops listening and resets the connections that wait."""
+        self.is_closed = True
         while self.queue:
-            self.queue.popleft().far.abort()
+            self.queue.popleft().transport.abort()
 
-    def getsockname(self) -> tuple[str, int]:
+    def getsockname(self) -> Address:
+        """Returns the address that is listened at."""
         return self.address
 
     def fileno(self) -> int:
+        """Returns -1: there is no descriptor."""
         return -1
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -14,17 +14,31 @@
 from gladewalk.director import Director
 from gladewalk.net.connection import ClientConnection
 from gladewalk.rehearsal.director_harness import SETTINGS
-from gladewalk.rehearsal.virtual.scenario import Fault, Fleet, Scenario, Traffic
-
-Change = Callable[[Director], None]
-TRAFFIC = Traffic(per_s=30.0, objects=60)
-DRAIN = [Fault(at_s=5.0 + n, kind="drain", for_s=8.0, who=f"box-{n}") for n in range(2)]
-PURGE = [Fault(at_s=at, kind="purge", for_s=0.0, amount=0.9) for at in (5.0, 8.0, 11.0)]
-FULL = Fleet(boxes=3, hubs=1, slots=1)
-
-
-def scenario(faults: list[Fault], fleet: Fleet | None = None, traffic: Traffic = TRAFFIC) -> Scenario:
-    return Scenario(seconds=15.0, fleet=fleet or Fleet(boxes=4), traffic=traffic, fault=faults)
+from gladewalk.rehearsal.virtual.play import DirectorChange
+from gladewalk.rehearsal.virtual.scenario import (
+    FleetTable,
+    Scenario,
+    ScenarioFault,
+    ScenarioFaultKind,
+    TrafficTable,
+)
+
+TRAFFIC = TrafficTable(requests_per_s=30.0, objects=60)
+DRAIN = [
+    ScenarioFault(at_s=5.0 + n, kind=ScenarioFaultKind.DRAIN, duration_s=8.0, target=f"box-{n}")
+    for n in range(2)
+]
+PURGE = [
+    ScenarioFault(at_s=at, kind=ScenarioFaultKind.PURGE, duration_s=0.0, amount=0.9)
+    for at in (5.0, 8.0, 11.0)
+]
+FULL = FleetTable(caches=3, parents=1, slots=1)
+
+
+def build_scenario(
+    faults: list[ScenarioFault], fleet: FleetTable | None = None, traffic: TrafficTable = TRAFFIC
+) -> Scenario:
+    return Scenario(duration_s=15.0, fleet=fleet or FleetTable(caches=4), traffic=traffic, faults=faults)
 
 
 @dataclass(frozen=True)
@@ -32,7 +46,7 @@
     name: str
     rule: str
     scenario: Scenario
-    change: Change | None = None
+    change: DirectorChange | None = None
     settings: dict[str, Any] | None = None
 
 
@@ -42,8 +56,8 @@
     return settings
 
 
-def connection(**methods: Any) -> Change:
-    """A front whose connections have some methods replaced."""
+def change_connections(**methods: Any) -> DirectorChange:
+    """A listener whose connections have some methods replaced."""
     kind: Any = type("Mutated", (ClientConnection,), methods)
 
     def change(director: Director) -> None:
@@ -52,8 +66,10 @@
     return change
 
 
-def listing(change: Callable[[api.EndpointList], api.EndpointList], late_s: float = 0.0) -> Change:
-    """What is told of servers, changed or late."""
+def change_endpoint_list(
+    change: Callable[[api.EndpointList], api.EndpointList], late_s: float = 0.0
+) -> DirectorChange:
+    """Endpoint lists changed on their way to the director, or delayed."""
 
     def patch(director: Director) -> None:
         told = director.exchange.update_servers
@@ -74,7 +90,7 @@
     return dataclasses.replace(told, servers=servers)
 
 
-def purges(late_s: float | None) -> Change:
+def delay_purges(late_s: float | None) -> DirectorChange:
     def patch(director: Director) -> None:
         told = director.exchange.purge
 
@@ -87,75 +103,75 @@
     return patch
 
 
-def mute(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
+def omit_rejection(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
     self._response_finished()
 
 
-def twice(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
+def reject_twice(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
     self._write_status(503, ["Retry-After: 1"])
     ClientConnection.send_final(self, final, retry_after_ms)
 
 
-def unworded(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
+def reject_without_retry_after(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
     self._write_status(503 if final is FinalAnswer.REJECTED else 502)
     self._response_finished()
 
 
-def altered(self: ClientConnection, data: bytes) -> None:
+def alter_first_byte(self: ClientConnection, data: bytes) -> None:
     ClientConnection.write_body(self, b"?" + data[1:])
 
 
-def swallowed(self: ClientConnection, data: bytes) -> None:
-    """The client waits for what was promised, and never comes."""
+def drop_body(self: ClientConnection, data: bytes) -> None:
+    """The client waits for the rest of the announced length."""
 
 
-def cut_twice(self: ClientConnection, data: bytes) -> None:
+def repeat_first_half(self: ClientConnection, data: bytes) -> None:
     ClientConnection.write_body(self, data[: len(data) // 2] * 2 + data[len(data) // 2 * 2 :])
 
 
-def other_ticket(self: ClientConnection, ask: ClientRequest) -> None:
+def change_trace_id(self: ClientConnection, ask: ClientRequest) -> None:
     ClientConnection._submit(self, dataclasses.replace(ask, trace_id=ask.trace_id[::-1].replace("0", "f")))
 
 
-def delayed(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
-    """A refusal sat upon until its request's time is long over."""
+def delay_rejection(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
+    """A rejection that is sent long after its request's deadline."""
     asyncio.get_running_loop().call_later(9.0, ClientConnection.send_final, self, final, retry_after_ms)
 
 
-def closed(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
-    """A refusal that its client has to guess."""
+def close_without_rejection(self: ClientConnection, final: FinalAnswer, retry_after_ms: float) -> None:
+    """A close in place of a rejection."""
     assert self.transport is not None
     self.transport.close()
 
 
-def padded(self: ClientConnection) -> None:
-    """An answer that broke off, passed off as whole."""
+def pad_truncated_response(self: ClientConnection) -> None:
+    """A truncated response passed off as complete."""
     self._write(bytes(100_000))
     self._response_finished()
 
 
-def end_twice(self: ClientConnection) -> None:
+def send_second_response(self: ClientConnection) -> None:
     ClientConnection.end_response(self)
     self._write(b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n")
 
 
-def patient(self: ClientConnection, ask: ClientRequest) -> None:
-    """A request that is waited for three times as long as its client does."""
+def extend_deadline(self: ClientConnection, ask: ClientRequest) -> None:
+    """A deadline three times as late as the client's."""
     ClientConnection._submit(self, dataclasses.replace(ask, max_wait_ms=3.0 * ask.max_wait_ms))
 
 
 LAST: dict[int, bytes] = {}
 
 
-def anothers(self: ClientConnection, data: bytes) -> None:
-    """The bytes that the one before was given, where they are as many."""
+def swap_bodies(self: ClientConnection, data: bytes) -> None:
+    """The body of the response before, if it is as long."""
     before = LAST.get(len(data), data)
     LAST[len(data)] = data
     ClientConnection.write_body(self, before)
 
 
-def undone(director: Director) -> None:
-    """A drain that is taken back a second after it was told."""
+def revoke_drains(director: Director) -> None:
+    """A drain that is revoked a second after it was published."""
     told = director.exchange.update_servers
 
     def listed(servers: api.EndpointList, *more: Any) -> None:
@@ -166,51 +182,130 @@
     director.exchange.update_servers = listed  # type: ignore[method-assign, assignment]
 
 
-def bids_repeat(settings: dict[str, Any]) -> None:
+def make_bids_idempotent(settings: dict[str, Any]) -> None:
     next(cls for cls in settings["classes"] if cls["name"] == "bid")["repeat"] = "repeatable"
 
 
-def tries(settings: dict[str, Any]) -> None:
+def raise_max_attempts(settings: dict[str, Any]) -> None:
     settings["limits"]["most_tries"] = 60
 
 
-STORE_BREAKS = [Fault(at_s=3.0, kind="reset", for_s=10.0, who="store", amount=0.7)]
-ALL_RESET = [Fault(at_s=3.0, kind="reset", for_s=10.0, who=f"box-{n}", amount=1.0) for n in range(12)]
-BOXES_BREAK = [Fault(at_s=3.0, kind="spoil", for_s=10.0, who=f"box-{n}", amount=0.5) for n in range(4)]
-ALL_SILENT = [Fault(at_s=4.0, kind="silent", for_s=10.0, who=name) for name in
-              (*(f"box-{n}" for n in range(4)), "hub-0", "hub-1", "store")]  # fmt: skip
-CROWD = Traffic(per_s=120.0, objects=60)
-BIDS = Traffic(per_s=30.0, objects=60, shares={"bid": 1.0})
+STORE_BREAKS = [
+    ScenarioFault(at_s=3.0, kind=ScenarioFaultKind.RESET, duration_s=10.0, target="store", amount=0.7)
+]
+ALL_RESET = [
+    ScenarioFault(at_s=3.0, kind=ScenarioFaultKind.RESET, duration_s=10.0, target=f"box-{n}", amount=1.0)
+    for n in range(12)
+]
+BOXES_BREAK = [
+    ScenarioFault(at_s=3.0, kind=ScenarioFaultKind.TRUNCATE, duration_s=10.0, target=f"box-{n}", amount=0.5)
+    for n in range(4)
+]
+ALL_SILENT = [
+    ScenarioFault(at_s=4.0, kind=ScenarioFaultKind.SILENT, duration_s=10.0, target=name)
+    for name in (*(f"box-{n}" for n in range(4)), "hub-0", "hub-1", "store")
+]
+CROWD = TrafficTable(requests_per_s=120.0, objects=60)
+BIDS = TrafficTable(requests_per_s=30.0, objects=60, class_shares={"bid": 1.0})
 
 MUTANTS = (
-    Mutant("a drain ignored", "drains kept", scenario(DRAIN), listing(all_ready)),
-    Mutant("a drain heard late", "drains kept", scenario(DRAIN), listing(lambda told: told, 2.0)),
-    Mutant("a purge forgotten", "purges kept", scenario(PURGE), purges(None)),
-    Mutant("a purge heard late", "purges kept", scenario(PURGE), purges(3.0)),
-    Mutant("a bid sent again", "no double effect", scenario(STORE_BREAKS, traffic=BIDS), None,
-           with_settings(bids_repeat)),
-    Mutant("a refusal not said", "one final answer", scenario([], FULL, CROWD), connection(send_final=mute)),
-    Mutant("a refusal said twice", "one final answer", scenario([], FULL, CROWD),
-           connection(send_final=twice)),
-    Mutant("a refusal held back", "one final answer", scenario([], FULL, CROWD),
-           connection(send_final=delayed)),
-    Mutant("a refusal without Retry-After", "refusals worded", scenario([], FULL, CROWD),
-           connection(send_final=unworded)),
-    Mutant("an answer altered", "answers were made", scenario([]), connection(write_body=altered)),
-    Mutant("an answer out of two halves", "answers were made", scenario([]),
-           connection(write_body=cut_twice)),
-    Mutant("an answer without its body", "one final answer", scenario([]), connection(write_body=swallowed)),
-    Mutant("a drain taken back", "drains kept", scenario(DRAIN), undone),
-    Mutant("a refusal as a close", "one final answer", scenario([], FULL, CROWD),
-           connection(send_final=closed)),
-    Mutant("a broken answer passed off as whole", "answers were made", scenario(BOXES_BREAK),
-           connection(abort_response=padded)),
-    Mutant("two answers to one request", "one final answer", scenario([]),
-           connection(end_response=end_twice)),
-    Mutant("a client's patience overrated", "one final answer", scenario(ALL_SILENT),
-           connection(_submit=patient)),
-    Mutant("another's answer", "answers were made", scenario([]), connection(write_body=anothers)),
-    Mutant("another's id", "nothing invented", scenario([]), connection(_submit=other_ticket)),
-    Mutant("attempts without end", "attempts bounded", scenario(ALL_RESET, Fleet(boxes=12)), None,
-           with_settings(tries)),
-)  # fmt: skip
+    Mutant("a drain ignored", "drains kept", build_scenario(DRAIN), change_endpoint_list(all_ready)),
+    Mutant(
+        "a drain applied late",
+        "drains kept",
+        build_scenario(DRAIN),
+        change_endpoint_list(lambda told: told, 2.0),
+    ),
+    Mutant("a purge forgotten", "purges kept", build_scenario(PURGE), delay_purges(None)),
+    Mutant("a purge applied late", "purges kept", build_scenario(PURGE), delay_purges(3.0)),
+    Mutant(
+        "a bid sent again",
+        "no double effect",
+        build_scenario(STORE_BREAKS, traffic=BIDS),
+        None,
+        with_settings(make_bids_idempotent),
+    ),
+    Mutant(
+        "a rejection not sent",
+        "one final answer",
+        build_scenario([], FULL, CROWD),
+        change_connections(send_final=omit_rejection),
+    ),
+    Mutant(
+        "a rejection sent twice",
+        "one final answer",
+        build_scenario([], FULL, CROWD),
+        change_connections(send_final=reject_twice),
+    ),
+    Mutant(
+        "a rejection delayed",
+        "one final answer",
+        build_scenario([], FULL, CROWD),
+        change_connections(send_final=delay_rejection),
+    ),
+    Mutant(
+        "a rejection without Retry-After",
+        "refusals worded",
+        build_scenario([], FULL, CROWD),
+        change_connections(send_final=reject_without_retry_after),
+    ),
+    Mutant(
+        "an answer altered",
+        "answers were made",
+        build_scenario([]),
+        change_connections(write_body=alter_first_byte),
+    ),
+    Mutant(
+        "an answer out of two halves",
+        "answers were made",
+        build_scenario([]),
+        change_connections(write_body=repeat_first_half),
+    ),
+    Mutant(
+        "an answer without its body",
+        "one final answer",
+        build_scenario([]),
+        change_connections(write_body=drop_body),
+    ),
+    Mutant("a drain taken back", "drains kept", build_scenario(DRAIN), revoke_drains),
+    Mutant(
+        "a close in place of a rejection",
+        "one final answer",
+        build_scenario([], FULL, CROWD),
+        change_connections(send_final=close_without_rejection),
+    ),
+    Mutant(
+        "a truncated response passed off as complete",
+        "answers were made",
+        build_scenario(BOXES_BREAK),
+        change_connections(abort_response=pad_truncated_response),
+    ),
+    Mutant(
+        "two answers to one request",
+        "one final answer",
+        build_scenario([]),
+        change_connections(end_response=send_second_response),
+    ),
+    Mutant(
+        "a deadline overrated",
+        "one final answer",
+        build_scenario(ALL_SILENT),
+        change_connections(_submit=extend_deadline),
+    ),
+    Mutant(
+        "another's answer",
+        "answers were made",
+        build_scenario([]),
+        change_connections(write_body=swap_bodies),
+    ),
+    Mutant(
+        "another's id", "nothing invented", build_scenario([]), change_connections(_submit=change_trace_id)
+    ),
+    Mutant(
+        "attempts without end",
+        "attempts bounded",
+        build_scenario(ALL_RESET, FleetTable(caches=12)),
+        None,
+        with_settings(raise_max_attempts),
+    ),
+)
--- a/tests/test_golden_rehearsal.py
+++ b/tests/test_golden_rehearsal.py
@@ -43,14 +43,12 @@
 from gladewalk.rehearsal.http_messages import encode_request
 from gladewalk.rehearsal.scripted_http2_server import Http2Request, ScriptedHttp2Server
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
+from gladewalk.rehearsal.virtual.clients import REQUEST_CLASSES
 from gladewalk.rehearsal.virtual.hunt import hunt
-from gladewalk.rehearsal.virtual.loop import VirtualLoop, rehearse
-from gladewalk.rehearsal.virtual.play import CLASSES, play
-from gladewalk.rehearsal.virtual.quiet import quiet
-from gladewalk.rehearsal.virtual.scenario import draw
-from gladewalk.rehearsal.virtual.scenario import dump as dump_scenario
-from gladewalk.rehearsal.virtual.scenario import load as load_scenario
-from tests.mutants import all_ready, listing
+from gladewalk.rehearsal.virtual.loop import VirtualLoop, run_virtually
+from gladewalk.rehearsal.virtual.play import play, silence_logs
+from gladewalk.rehearsal.virtual.scenario import encode_scenario, generate_scenario, load_scenario
+from tests.mutants import all_ready, change_endpoint_list
 
 ROOT = Path(__file__).parent.parent
 GOLDEN = Path(__file__).parent / "golden"
@@ -88,20 +86,20 @@
 
 def play_ready(path: Path) -> dict[str, Any]:
     """The trace of one scenario with seed 1: its digest, its first and last lines, and the outcomes."""
-    quiet()
+    silence_logs()
     lines: list[str] = []
-    note = VirtualLoop.note
+    record_event = VirtualLoop.record_event
 
     def noted(
         self: VirtualLoop, kind: str, number: int, here: str, there: str, piece: bytes | str = b""
     ) -> None:
-        note(self, kind, number, here, there, piece)
+        record_event(self, kind, number, here, there, piece)
         data = piece if isinstance(piece, bytes) else piece.encode()
         lines.append(f"{self.time():.6f} {kind} {number} {here} {there} {len(data)} {digest(data)[:16]}")
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(VirtualLoop, "note", noted)
-        verdict = play(load_scenario(path, tuple(CLASSES)), 1)
+        patch.setattr(VirtualLoop, "record_event", noted)
+        verdict = play(load_scenario(path, tuple(REQUEST_CLASSES)), 1)
     report = verdict.report()
     del report["wall_s"]
     report["first"], report["last"] = lines[:ENDS], lines[: report["events"]][-ENDS:]
@@ -138,13 +136,15 @@
 
 def findings() -> list[Any]:
     """What the search finds in a director that ignores drains, and how it shrinks it."""
-    quiet()
-    found = hunt([FINDING_SEED], listing(all_ready))
-    return [[one.seed, one.rule, dump_scenario(one.drawn), dump_scenario(one.shrunk)] for one in found]
+    silence_logs()
+    found = hunt([FINDING_SEED], change_endpoint_list(all_ready))
+    return [
+        [one.seed, one.rule, encode_scenario(one.generated), encode_scenario(one.minimized)] for one in found
+    ]
 
 
 def drawn() -> list[str]:
-    return [dump_scenario(draw(seed)) for seed in (1, 2, 3)]
+    return [encode_scenario(generate_scenario(seed)) for seed in (1, 2, 3)]
 
 
 # Fault schedules, and what they do to paths.
@@ -391,7 +391,7 @@
 
 
 def servers() -> dict[str, Any]:
-    return {work.__name__: rehearse(1, work)[0] for work in (http1_bytes, http2_bytes, broken_bytes)}
+    return {work.__name__: run_virtually(1, work)[0] for work in (http1_bytes, http2_bytes, broken_bytes)}
 
 
 CAPTURES: dict[str, Callable[[Path], Any]] = {
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -17,14 +17,14 @@
 from gladewalk.rehearsal.director_harness import SETTINGS, config_for
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
-from gladewalk.rehearsal.virtual.loop import Stuck, VirtualLoop, rehearse
-from gladewalk.rehearsal.virtual.streams import SPLIT_CHANCE
+from gladewalk.rehearsal.virtual.loop import DeadlockError, VirtualLoop, run_virtually
+from gladewalk.rehearsal.virtual.streams import SPLIT_PROBABILITY
 
 BODY = b"fish" * 5_000
 
 
 def told(work: Any, seed: int = 1) -> Any:
-    return rehearse(seed, work)[0]
+    return run_virtually(seed, work)[0]
 
 
 # The loop and its streams.
@@ -46,8 +46,8 @@
     async def work(loop: VirtualLoop) -> None:
         await loop.create_future()
 
-    with pytest.raises(Stuck):
-        rehearse(1, work)
+    with pytest.raises(DeadlockError):
+        run_virtually(1, work)
 
 
 def test_bytes_come_whole_and_in_order_in_pieces_and_an_end_comes_after_them() -> None:
@@ -71,7 +71,7 @@
 
     whole, pieces = told(work)
     assert whole == b"".join(bytes([n]) * 50 for n in range(200))
-    assert pieces > 200 * (1 + SPLIT_CHANCE / 2)
+    assert pieces > 200 * (1 + SPLIT_PROBABILITY / 2)
 
 
 def test_a_reader_that_stalls_holds_its_writer_back_and_a_reset_reaches_both() -> None:
@@ -115,22 +115,22 @@
             reader, _ = await asyncio.open_connection("10.0.0.1", port)
             return await reader.readexactly(4)
 
-        await loop.as_party("box", listen())
+        await loop.run_as("box", listen())
         try:
-            await loop.as_party("n1", come(8))
+            await loop.run_as("n1", come(8))
             nobody = "answered"
         except ConnectionRefusedError:
             nobody = "refused"
-        loop.paths.cuts["n1", "box"] += 1
+        loop.network.cut_counts["n1", "box"] += 1
         try:
             async with asyncio.timeout(0.4):
-                await loop.as_party("n1", come(7))
+                await loop.run_as("n1", come(7))
             dark = "answered"
         except TimeoutError:
             dark = "silent"
         began = loop.time()
-        loop.call_later(3.0, lambda: loop.paths.cuts.clear())
-        await loop.as_party("n1", come(7))
+        loop.call_later(3.0, lambda: loop.network.cut_counts.clear())
+        await loop.run_as("n1", come(7))
         return nobody, dark, loop.time() - began
 
     nobody, dark, took_s = told(work)
@@ -150,13 +150,13 @@
         await heard.answer(200, BODY, X_Remark="mem")
 
     coordinator = Coordinator()
-    await loop.as_party("coordinator", coordinator.start())
+    await loop.run_as("coordinator", coordinator.start())
     boxes = [ScriptedServer(answer, uid=f"c{n}", host=f"10.2.0.{n}") for n in range(3)]
     for box in boxes:
-        await loop.as_party(box.uid, box.start())
+        await loop.run_as(box.uid, box.start())
     config = read_config({**config_for(boxes, coordinator, SETTINGS), "listen": "10.1.0.1:7001"}, {})
     director = Director(config, loop, environment=loop.environment())
-    await loop.as_party("n1", director.start())
+    await loop.run_as("n1", director.start())
     ends: Counter[int] = Counter()
 
     async def one(n: int) -> None:
@@ -172,12 +172,12 @@
 
     clients = []
     for n in range(int(seconds * per_s)):
-        clients.append(loop.as_party("client", one(n)))
+        clients.append(loop.run_as("client", one(n)))
         await asyncio.sleep(loop.random.expovariate(per_s))
         if n == int(seconds * per_s / 3):
-            loop.paths.cuts["c1", "n1"] += 1
+            loop.network.cut_counts["c1", "n1"] += 1
         if n == int(seconds * per_s / 2):
-            loop.paths.cuts["c1", "n1"] -= 1
+            loop.network.cut_counts["c1", "n1"] -= 1
     await asyncio.gather(*clients)
     figures = {name: count for name, count in director.counters.report().items() if "." in name}
     director.front.close()
@@ -199,8 +199,10 @@
 
 
 def trace_of(seed: int) -> str:
-    seen, loop = rehearse(seed, morning)
-    return f"{loop.trace()} {loop.events} {hashlib.sha256(repr(sorted(seen.items())).encode()).hexdigest()}"
+    seen, loop = run_virtually(seed, morning)
+    return (
+        f"{loop.trace()} {loop.event_count} {hashlib.sha256(repr(sorted(seen.items())).encode()).hexdigest()}"
+    )
 
 
 def test_a_seed_gives_one_trace_in_this_process_and_in_others_and_another_seed_another() -> None:
