--- a/gladewalk/duties/task_types.py
+++ b/gladewalk/duties/task_types.py
@@ -6,7 +6,7 @@
 
 from .. import interface as api
 from ..core.exchange import Exchange
-from ..upstream.pool import Caches
+from ..upstream.pool import ConnectionPool
 from .runner import ResultCallback
 
 
@@ -17,7 +17,7 @@
     path = ""
     roles: frozenset[api.Role] = frozenset()
 
-    def __init__(self, exchange: Exchange, pool: Caches, interval_ms: float) -> None:
+    def __init__(self, exchange: Exchange, pool: ConnectionPool, interval_ms: float) -> None:
         self.exchange, self.pool, self.interval_ms = exchange, pool, interval_ms
 
     def targets(self) -> Iterable[str]:
@@ -30,16 +30,9 @@
         """Sends one request to the server."""
         self.pool.probe(target, on_result, self.path)
 
-    def record_result(
-        self,
-        target: str,
-        status: api.Status,
-        latency_ms: float,
-        load: dict[str, float] | None,
-        age_ms: float,
-    ) -> None:
+    def record_result(self, result: api.HealthCheckResult) -> None:
         """Passes a finding to the decision module."""
-        self.exchange.handle_event(api.HealthCheckResult(target, status, latency_ms, load, age_ms))
+        self.exchange.handle_event(result)
 
 
 class CacheHealthCheck(ServerQueryTask):
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -14,7 +14,7 @@
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
-from .upstream.pool import Caches
+from .upstream.pool import ConnectionPool
 
 if TYPE_CHECKING:  # what is off is not imported
     from .config.options import Options
@@ -28,22 +28,24 @@
     from .members.transport import MembershipTransport
     from .nginx.router import Router
     from .store.persistence import PersistenceService
-    from .upstream.secure import Shapes
-    from .web.start import Web
+    from .upstream.connection_factory import ConnectionFactory
+    from .web.start import HttpProxy
 
 Clock = Callable[[], float]
 
 
-def build_protocols(options: Options | None, previous: Shapes | None = None) -> Shapes | None:
+def build_protocols(
+    options: Options | None, previous: ConnectionFactory | None = None
+) -> ConnectionFactory | None:
     """Builds what is needed to speak HTTP/2 or TLS to servers; None: HTTP/1.1 in the clear for all.
 
     `previous` keeps what was learned of each server's protocols.
     """
     if options is None or not options.http2.is_used:
         return None
-    from .upstream.secure import Shapes
+    from .upstream.connection_factory import ConnectionFactory
 
-    return Shapes(options, previous.negotiation if previous is not None else None)
+    return ConnectionFactory(options, previous.negotiation if previous is not None else None)
 
 
 def build_dns(
@@ -64,7 +66,7 @@
     name: str,
     options: Options | None,
     exchange: Exchange,
-    caches: Caches,
+    caches: ConnectionPool,
     deadlines: Deadlines,
     counters: Counters,
 ) -> tuple[MembershipTransport | None, TaskRunner | None]:
@@ -83,13 +85,13 @@
     deadlines: Deadlines,
     counters: Counters,
     log: Callable[[str], None],
-) -> Web | None:
+) -> HttpProxy | None:
     """Builds the HTTP front of `[front.http]`."""
     if options is None or options.front.http is None:
         return None
-    from .web.start import Web
+    from .web.start import HttpProxy
 
-    return Web(options, config.name, config.seed, clock, deadlines, counters, log)
+    return HttpProxy(options, config.name, config.seed, clock, deadlines, counters, log)
 
 
 def build_store(
@@ -142,7 +144,7 @@
 
         control.handlers["members"] = lambda _: membership_status(duties)
     if store is not None:
-        control.handlers["store"] = store.view
+        control.handlers["store"] = lambda given: store.status()
     if leases is not None:
         from .leases.view import add_views
 
@@ -152,9 +154,9 @@
 
 def load_dns_settings(options: Options, own_host: str) -> DnsConfig | None:
     """Reads the DNS front's settings from `[dns]`; None if they come from a file of their own."""
-    from .dns.settings import configured
+    from .dns.settings import configured_dns
 
-    return configured(options, own_host)
+    return configured_dns(options, own_host)
 
 
 def load_member_keys(options: Options) -> tuple[AuthenticationKey, ...]:
@@ -170,9 +172,9 @@
     """Reads the imported routing table; None if the HTTP front is off."""
     if options.front.http is None:
         return None
-    from .web.start import checked
+    from .web.start import load_routing
 
-    return checked(options)[0]
+    return load_routing(options)[0]
 
 
 @dataclass(slots=True)
@@ -181,7 +183,7 @@
 
     config: PlatformConfig
     options: Options | None
-    protocols: Shapes | None
+    protocols: ConnectionFactory | None
     member_keys: tuple[AuthenticationKey, ...] = ()
     router: Router | None = None
     dns: DnsConfig | None = None
@@ -190,7 +192,7 @@
 def read_reloaded(
     environ: Mapping[str, str],
     options: Options | None,
-    protocols: Shapes | None,
+    protocols: ConnectionFactory | None,
     has_dns: bool,
     has_members: bool,
     has_web: bool,
--- a/gladewalk/rehearsal/write_soak.py
+++ b/gladewalk/rehearsal/write_soak.py
@@ -17,7 +17,7 @@
 
 from ..config.options import Options
 from ..core.exchange import Attempt
-from ..streams.ledger import Finding
+from ..streams.stream_tracker import StreamOutcome
 from .director_harness import SETTINGS, DirectorHarness
 from .http2_fault_script import Http2FaultScript
 from .http_messages import encode_request, read_message
@@ -176,24 +176,23 @@
     proofs: Counter[str] = Counter()
     interrupted: set[str] = set()
 
-    def witness(attempt: Attempt, finding: Finding) -> None:
+    def witness(attempt: Attempt, finding: StreamOutcome) -> None:
         report.findings[finding.reason.value] += 1
         interrupted.add(attempt.open_request.request.trace_id)
-        if finding.never_ran:
+        if finding.is_unprocessed:
             proofs[attempt.open_request.request.trace_id] += 1
 
     async with make_rehearsal(peers, options) as rehearsal:
         assert rehearsal.director is not None
-        rehearsal.director.caches.witness = witness
+        rehearsal.director.connection_pool.on_stream_ended = witness
         report.statuses = await _send_all(rehearsal, count)
     executed: Counter[str] = Counter()
     sent: Counter[str] = Counter()
     for peer, breaker in zip(peers, breakers, strict=True):
         executed.update(peer.process_counts())
         sent.update(asked.ticket for asked in peer.received)
-        proofs.update(
-            breaker.shed_tickets
-        )  # 503 with X-Shed: the cache protocol's own signal for `never executed`
+        # 503 with X-Shed: the cache protocol's own signal for `never executed`.
+        proofs.update(breaker.shed_tickets)
         interrupted.update(breaker.shed_tickets)
         report.faults.update(breaker.fault_counts)
         report.streams_over_limit += peer.streams_over_limit
--- a/tests/server_scripts.py
+++ b/tests/server_scripts.py
@@ -1,9 +1,14 @@
 """Scripts of caches that the stories over loopback share."""
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Any
 
-from gladewalk.rehearsal.scripted_servers import ReceivedRequest
+from gladewalk.director import Director
+from gladewalk.rehearsal.director_harness import DirectorHarness
+from gladewalk.rehearsal.scripted_servers import Http1Script, ReceivedRequest, StandInServer
 
 ROOT = Path(__file__).parent.parent
 BYTES = bytes(range(256)) * 64
@@ -33,3 +38,21 @@
 
 async def reset(heard: ReceivedRequest) -> None:
     heard.writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def running(*peers: StandInServer[Any], **more: Any) -> AsyncIterator[tuple[DirectorHarness, Director]]:
+    """A director in this process with its peers, both started; both are stopped at the end."""
+    async with DirectorHarness(peers, **more) as world:
+        assert world.director is not None
+        yield world, world.director
+
+
+def held_until(release: asyncio.Event) -> Http1Script:
+    """A script that answers once `release` is set."""
+
+    async def script(heard: ReceivedRequest) -> None:
+        await release.wait()
+        await hit(heard)
+
+    return script
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -12,9 +12,9 @@
 from gladewalk.rehearsal.director_harness import config_for, wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ScriptedServer
-from gladewalk.upstream.pool import OWN_DESCRIPTORS, UPSTREAM_PART
+from gladewalk.upstream.pool import RESERVED_DESCRIPTORS, UPSTREAM_DESCRIPTOR_FRACTION
 
-from .test_crossings import held_until
+from .server_scripts import held_until
 
 SOCKETS = 256
 
@@ -60,21 +60,20 @@
                 reader, writer = await asyncio.open_connection(*self.listener.getsockname()[:2])
                 trace = f"{number:08x}{n:08x}"
                 path = f"/invoke/lot-page/{number * 1000 + n + 1:x}"
-                writer.write(
-                    encode_request(path, trace=trace, wait_ms=60_000.0)
-                )  # a busy machine takes its time
+                # A busy machine takes its time.
+                writer.write(encode_request(path, trace=trace, wait_ms=60_000.0))
                 clients.append((reader, writer))
             asked = director.counters
             await wait_until(lambda c=asked, d=director: c["requests.taken"] == d.front.connection_limit)  # type: ignore[misc]
-        most = int(SOCKETS * UPSTREAM_PART) - OWN_DESCRIPTORS
+        most = int(SOCKETS * UPSTREAM_DESCRIPTOR_FRACTION) - RESERVED_DESCRIPTORS
         await wait_until(lambda: self.cache.connections >= most - 1)
-        held = sum(len(d.caches.live) for d in self.directors)
-        self.assertLessEqual(held, most)
-        self.assertLessEqual(self.cache.connections, most)
+        held = sum(len(d.connection_pool.open_connections) for d in self.directors)
+        assert held <= most
+        assert self.cache.connections <= most
         self.release.set()
         answers = [(await read_message(reader))[0].split(" ")[1] for reader, _ in clients]
-        self.assertLessEqual(set(answers), {"200", "503"})
-        self.assertLessEqual(sum(len(d.caches.live) for d in self.directors), most)
+        assert set(answers) <= {"200", "503"}
+        assert sum(len(d.connection_pool.open_connections) for d in self.directors) <= most
         for _, writer in clients:
             writer.close()
 
@@ -84,6 +83,10 @@
         for sockets in (256, 384, 640, 1024):
             raw = {**config_for([self.cache], self.coordinator), "limits": {"sockets": sockets}}
             limit = read_config(raw, {"NODE_FD": "3"})
-            director.caches.configure(limit)
-            both = 2 * director.caches.most + limit.settings.client_connection_limit + SPARE_CONNECTIONS
-            self.assertLessEqual(both + 2 * 16, sockets)  # listeners, the coordinator, calls, the loop's own
+            director.connection_pool.configure(limit)
+            both = (
+                2 * director.connection_pool.max_connections
+                + limit.settings.client_connection_limit
+                + SPARE_CONNECTIONS
+            )
+            assert both + 2 * 16 <= sockets  # listeners, the coordinator, calls, the loop's own
--- a/tests/test_golden_exchange.py
+++ b/tests/test_golden_exchange.py
@@ -24,7 +24,7 @@
 from gladewalk.rehearsal.director_harness import DirectorHarness, config_for, wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
-from gladewalk.upstream.http1 import write_request
+from gladewalk.upstream.http1 import encode_request as encode_attempt
 
 from .server_scripts import BYTES, half, hit, miss_then_fill, reset, silent
 
@@ -178,7 +178,7 @@
     for ask, order in orders:
         taken = OpenRequest(1, ask, cast(Any, None), NOW_MS, NOW_MS + 3000.0)
         attempt = Attempt(taken, 0, order, NOW_MS, NOW_MS + 2500.4)
-        written += [write_request(attempt, now_ms).decode() for now_ms in (NOW_MS, NOW_MS + 9000.0)]
+        written += [encode_attempt(attempt, now_ms).decode() for now_ms in (NOW_MS, NOW_MS + 9000.0)]
     return written
 
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -114,8 +114,8 @@
             await wait_until(lambda: director.counters["coordinator.connects"] >= 3)
             watch.address = good
             await wait_until(lambda: len(world.coordinator.followed_from) == 2)
-            director.caches.upstreams["c1"].address = ("a..b", 80)
+            director.connection_pool.servers["c1"].address = ("a..b", 80)
             status, _, _ = await world.fetch()
             self.assertEqual(status, 503)
             self.assertEqual(director.counters["caches.connects_failed"] > 0, True)
-            self.assertFalse(director.caches.dialling)
+            self.assertFalse(director.connection_pool.opener.opening)
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -17,7 +17,7 @@
 from gladewalk.rehearsal.coordinator import Coordinator
 from gladewalk.rehearsal.director_harness import config_for
 from gladewalk.rehearsal.scripted_servers import ScriptedServer
-from tests.h2world import authority
+from tests.http2_rehearsal import authority
 
 ROOT = Path(__file__).parent.parent
 BAD = {
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -50,7 +50,7 @@
             world.coordinator.disconnect()
             other.publish_endpoints(ScriptedServer(hit, "c3", address=new_cache.address))
             await wait_until(lambda: feed.last_index == 3)
-            self.assertEqual(set(director.caches.upstreams), {"c1", "c2", "c3"})
+            self.assertEqual(set(director.connection_pool.servers), {"c1", "c2", "c3"})
             self.assertEqual((other.followed_from, len(world.coordinator.followed_from)), ([1], 1))
         new_cache.stop()
         other.stop()
