--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -12,10 +12,11 @@
 from gladewalk.config.platform import read_config
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
+from gladewalk.core.outcome_counters import Outcome, outcome_counter
+from gladewalk.core.readiness import IDLE_CLOSE_GRACE_MS, MAX_IDLE_DRAIN_MS, Readiness
 from gladewalk.director import Director
 from gladewalk.net.admin import CALL_TIMEOUT_MS, MAX_CALLERS, AdminFront, Response
-from gladewalk.ops.metrics import Gauges, Outcome, format_metrics, outcome_counter
-from gladewalk.ops.readiness import IDLE_CLOSE_GRACE_MS, MAX_IDLE_DRAIN_MS, Readiness
+from gladewalk.ops.metrics import Gauges, format_metrics
 from gladewalk.rehearsal.coordinator import Coordinator
 from gladewalk.rehearsal.director_harness import config_for, wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
@@ -168,15 +169,13 @@
         self.assertEqual((await call(admin, encode_request("/ops/drain/start", method="PUT")))[0], 200)
         self.assertEqual((await call(admin, encode_request("/ops/readiness")))[0], 503)
         health_reader, health = await asyncio.open_connection(*listen)
-        health.write(
-            encode_request("/_health")
-        )  # the front's own check says no as well, and when to ask again
+        # The front's own check says no as well, and when to ask again.
+        health.write(encode_request("/_health"))
         first, fields, _ = await read_message(health_reader)
         self.assertEqual((first.split(" ")[1], fields.get("retry-after")), ("503", "1"))
         health.close()
-        kept.write(
-            encode_request("/invoke/lot-page/a1?nth=0")
-        )  # a kept connection is still served, then closed
+        # A kept connection is still served, then closed.
+        kept.write(encode_request("/invoke/lot-page/a1?nth=0"))
         first, fields, body = await read_message(kept_reader)
         self.assertEqual((" 200 " in first, fields.get("connection"), body), (True, "close", BODY))
         self.assertEqual(await kept_reader.read(), b"")
@@ -245,9 +244,8 @@
         self.assertEqual(await call(serving["admin"], encode_request("/ops/readiness")), (200, b"ready\n"))
         self.assertEqual(await old.stop(), 0)
         seen = len(self.cache.received)
-        await wait_until(
-            lambda: len(self.cache.received) >= seen + 5
-        )  # the new one serves from the same queue
+        # The new one serves from the same queue.
+        await wait_until(lambda: len(self.cache.received) >= seen + 5)
         statuses = await stop_asking(asking)
         self.assertEqual(set(statuses), {200})
         await new.stop()
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -3,8 +3,8 @@
 import asyncio
 import unittest
 
+from gladewalk.core.readiness import MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS, shutdown_deadline_ms
 from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS
-from gladewalk.ops.readiness import MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS, shutdown_deadline_ms
 from gladewalk.rehearsal.director_harness import SETTINGS, wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
