--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -15,7 +15,7 @@
 from gladewalk.faultnet.nemesis import play_fault, play_schedule
 from gladewalk.faultnet.schedule import Fault, FaultKind, encode_schedule, generate_schedule, load_schedule
 from gladewalk.store.maintenance import dump_store
-from tests.fleetworld import Fleets, wall_ms
+from tests.fleet_test_case import Fleets, wall_ms
 
 KINDS = (  # of the schedule that is played from its file
     FaultKind.LOSS,
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -28,7 +28,7 @@
 from gladewalk.rehearsal.coordinator import Coordinator
 from gladewalk.rehearsal.director_harness import config_for
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
-from tests.fleetworld import Fleets, until_true
+from tests.fleet_test_case import Fleets, until_true
 from tests.test_fleet_works import command
 
 MAX_STALL_MS = MembershipConfig().max_stall_ms
--- a/tests/test_fleet_works.py
+++ b/tests/test_fleet_works.py
@@ -11,7 +11,7 @@
 from gladewalk.faultnet.schedule import Fault, FaultKind
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ScriptedServer
-from tests.fleetworld import Fleets, until_true, wall_ms
+from tests.fleet_test_case import Fleets, until_true, wall_ms
 from tests.test_ops import hit
 
 
