--- a/benchmarks/http2_cost.py
+++ b/benchmarks/http2_cost.py
@@ -30,7 +30,9 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
-from gladewalk.rehearsal.peers import SETTINGS, Coordinator, ScriptedPeer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import SETTINGS, config_for
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 
 DELAY_MS = 25.0
 SERVER_COUNT = 3
@@ -179,7 +181,7 @@
         """Starts a director in front of these servers; returns its process id and address."""
         # Capacities that no load here reaches: admission control is not what is measured.
         peers = [
-            ScriptedPeer(None, f"c{number}", size=10_000.0, address=address)  # type: ignore[arg-type]
+            ScriptedServer(None, f"c{number}", capacity=10_000.0, address=address)  # type: ignore[arg-type]
             for number, address in enumerate(servers)
         ]
         config = config_for(peers, coordinator, SETTINGS)
--- a/benchmarks/silent_box.py
+++ b/benchmarks/silent_box.py
@@ -26,15 +26,10 @@
 from gladewalk.config.options import build_options, read_option_tables
 from gladewalk.config.platform import read_config
 from gladewalk.director import Director
-from gladewalk.rehearsal.peers import (
-    Coordinator,
-    Heard,
-    ScriptedPeer,
-    config_for,
-    read_message,
-    request,
-    until,
-)
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 CACHE_COUNT = 12
 LATENCY_OBJECTIVE_MS = 250.0  # of `lot-page` in the rehearsal's settings
@@ -68,11 +63,11 @@
     requests: int = 0
     health_checks: int = 0
 
-    async def answer(self, heard: Heard) -> None:
+    async def answer(self, heard: ReceivedRequest) -> None:
         """Answers a request at a cache, unless that is silent."""
         if heard.path == "/load":
             self.health_checks += 1
-        if heard.peer.uid != self.silent:
+        if heard.server.uid != self.silent:
             return await heard.answer(200, b"page", X_Remark="mem", X_Meter="util:0.1;x0:0.9")
         if heard.path != "/load":
             self.attempts += 1
@@ -81,7 +76,7 @@
 
 
 async def start_directors(
-    round_: Round, count: int, caches: list[ScriptedPeer], coordinator: Coordinator
+    round_: Round, count: int, caches: list[ScriptedServer], coordinator: Coordinator
 ) -> None:
     """Starts the directors, and waits until they are members of one fleet where they share tasks."""
     folder = Path(tempfile.mkdtemp())
@@ -103,7 +98,7 @@
         round_.directors.append(director)
     if round_.is_shared:
         fleet = [director.members.core for director in round_.directors if director.members is not None]
-        await until(lambda: all(len(core.live_weights()) == count for core in fleet))
+        await wait_until(lambda: all(len(core.live_weights()) == count for core in fleet))
 
 
 async def send_request(round_: Round, director: Director, key: int) -> None:
@@ -111,7 +106,7 @@
     started = time.monotonic()
     reader, writer = await asyncio.open_connection(*director.front.address)
     try:
-        writer.write(request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
+        writer.write(encode_request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
         status_line, _, _ = await read_message(reader)
         status = int(status_line.split(" ")[1])
     except (OSError, asyncio.IncompleteReadError):
@@ -140,7 +135,7 @@
     """Runs one round and returns its counts."""
     generator, round_ = random.Random(seed), Round(is_shared)
     coordinator = await Coordinator().start()
-    caches = [await ScriptedPeer(round_.answer, f"c{number}").start() for number in range(CACHE_COUNT)]
+    caches = [await ScriptedServer(round_.answer, f"c{number}").start() for number in range(CACHE_COUNT)]
     await start_directors(round_, director_count, caches, coordinator)
     load = asyncio.create_task(send_load(round_, generator, rate))
     await asyncio.sleep(2.0 + generator.random())
--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -27,7 +27,8 @@
 from gladewalk.dns.front import DnsFront
 from gladewalk.dns.query import QuerySender, TransportKind
 from gladewalk.dns.settings import StreamLimits, TlsListener
-from gladewalk.rehearsal.peers import Rehearsal, ScriptedPeer
+from gladewalk.rehearsal.director_harness import DirectorHarness
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 from tests.test_dns import ZONE, dns_config, serve_hit
 
 Message = dns.message.Message
@@ -261,7 +262,7 @@
             ecs_resolvers=(ipaddress.ip_network("127.0.0.0/8"),),
             streams=StreamLimits(max_connections_per_client=64),
         )
-        self.world = Rehearsal([ScriptedPeer(serve_hit, size=50.0)], dns=config)
+        self.world = DirectorHarness([ScriptedServer(serve_hit, capacity=50.0)], dns=config)
         await self.world.__aenter__()
         assert self.world.director is not None and self.world.director.dns is not None
         self.front = self.world.director.dns
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -20,8 +20,9 @@
 from gladewalk.dns.responses import encode_within
 from gladewalk.dns.settings import DnsConfig, LeaseSettings, RateLimits
 from gladewalk.policy.dns_placement import DnsPlacement
-from gladewalk.rehearsal.peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, config_for, until
-from gladewalk.rehearsal.resolver import Resolver
+from gladewalk.rehearsal.director_harness import SETTINGS, DirectorHarness, config_for, wait_until
+from gladewalk.rehearsal.resolver import StubResolver
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from tests.world import CACHES, PARENTS, World
 
 ZONE = dns.name.from_text("cdn.example.")
@@ -31,7 +32,7 @@
 OVERLOAD_MULTIPLE = 3.0
 
 
-async def serve_hit(heard: Heard) -> None:
+async def serve_hit(heard: ReceivedRequest) -> None:
     await heard.answer(200, b"x", X_Remark="mem")
 
 
@@ -46,12 +47,12 @@
 
 class DnsFrontTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.cache = ScriptedPeer(serve_hit, size=50.0)
-        self.world = Rehearsal([self.cache], dns=dns_config())
+        self.cache = ScriptedServer(serve_hit, capacity=50.0)
+        self.world = DirectorHarness([self.cache], dns=dns_config())
         await self.world.__aenter__()
         assert self.world.director is not None and self.world.director.dns is not None
         self.director, self.front = self.world.director, self.world.director.dns
-        self.resolver = Resolver(self.front.address)
+        self.resolver = StubResolver(self.front.address)
 
     async def asyncTearDown(self) -> None:
         await self.world.__aexit__()
@@ -130,8 +131,8 @@
     async def test_a_draining_cache_is_not_returned_and_the_query_fails_by_its_deadline(self) -> None:
         self.assertEqual(await self.resolver.resolve(object_name()), [CACHE_ADDRESS])
         self.cache.state = "DRAINING"
-        self.world.coordinator.tell_list(self.cache)
-        await until(lambda: self.director.endpoint_feed.last_index == 2)
+        self.world.coordinator.publish_endpoints(self.cache)
+        await wait_until(lambda: self.director.endpoint_feed.last_index == 2)
         self.front.apply_config(dns_config(wait_ms=30.0))
         query = dns.message.make_query(object_name(0xA2), "A")
         self.assertEqual((await self.resolver.query(query)).rcode(), dns.rcode.SERVFAIL)
@@ -141,13 +142,13 @@
     async def test_a_waiting_query_is_answered_by_later_events(self) -> None:
         """A purge and then a cache come while it waits: the purged object is not sent to that cache."""
         self.cache.state = "DRAINING"
-        self.world.coordinator.tell_list(self.cache)
-        await until(lambda: self.director.endpoint_feed.last_index == 2)
+        self.world.coordinator.publish_endpoints(self.cache)
+        await wait_until(lambda: self.director.endpoint_feed.last_index == 2)
         waiting = [asyncio.create_task(self.resolver.resolve(object_name(key))) for key in (0xB1, 0xB2)]
-        await until(lambda: len(self.director.exchange.resolutions.open) == 2)
-        self.world.coordinator.tell(evict={"ref": "b1", "unix_ms": self.director.exchange.clock()})
+        await wait_until(lambda: len(self.director.exchange.resolutions.open) == 2)
+        self.world.coordinator.publish(evict={"ref": "b1", "unix_ms": self.director.exchange.clock()})
         self.cache.state = "SERVING"
-        self.world.coordinator.tell_list(self.cache)
+        self.world.coordinator.publish_endpoints(self.cache)
         self.assertEqual(await asyncio.gather(*waiting), [[DIRECTOR_ADDRESS], [CACHE_ADDRESS]])
 
     async def test_a_purge_between_decision_and_response_is_obeyed(self) -> None:
@@ -178,22 +179,22 @@
         settings["n_instances"] = 2
         leased = 0
         for _ in range(2):  # the directors share nothing: each is asked by its own resolvers
-            cache = ScriptedPeer(serve_hit, size=self.SIZE)
-            async with Rehearsal([cache], settings=settings, dns=dns_config()) as world:
+            cache = ScriptedServer(serve_hit, capacity=self.SIZE)
+            async with DirectorHarness([cache], settings=settings, dns=dns_config()) as world:
                 assert world.director is not None and world.director.dns is not None
                 address = world.director.dns.address
-                resolvers = [Resolver(address, 3600.0, f"127.0.1.{n}") for n in (1, 2, 3)]
+                resolvers = [StubResolver(address, 3600.0, f"127.0.1.{n}") for n in (1, 2, 3)]
                 for restart in (False, True):
                     if restart:
                         cache.boot_ms = world.director.exchange.clock()
-                        world.coordinator.tell_list(cache)
-                        await until(lambda feed=world.director.endpoint_feed: feed.last_index == 2)  # type: ignore[misc]
+                        world.coordinator.publish_endpoints(cache)
+                        await wait_until(lambda feed=world.director.endpoint_feed: feed.last_index == 2)  # type: ignore[misc]
                     for key in range(20):
                         for resolver in resolvers:
                             await resolver.resolve(object_name(key + 100 * restart))
                 for resolver in resolvers:
-                    self.assertEqual(resolver.asked, 40)
-                    leased += sum(addresses == [CACHE_ADDRESS] for _, addresses in resolver.held.values())
+                    self.assertEqual(resolver.query_count, 40)
+                    leased += sum(addresses == [CACHE_ADDRESS] for _, addresses in resolver.cache.values())
         return leased
 
     async def test_cached_answers_stay_within_a_cold_caches_capacity(self) -> None:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -8,23 +8,26 @@
 from gladewalk.director import Director
 from gladewalk.net.connection import MAX_HEADER_BYTES, ClientConnection
 from gladewalk.net.sockets import MAX_FRAMING_BYTES
-from gladewalk.rehearsal.peers import Heard, ScriptedPeer, read_message, request, until
+from gladewalk.rehearsal.director_harness import wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from gladewalk.upstream.protocol_fields import MAX_HEAD_BYTES, MAX_OBJECT_BYTES
 
-from .peers import hit, running
+from .server_scripts import hit, running
 
 PIECE = b"x" * 4096
 AHEAD = 8  # requests that a client sends without reading
 LARGE = bytes(48 * 1024)  # more than small socket buffers hold, less than makes a writer wait by itself
 
 
-async def large(heard: Heard) -> None:
+async def large(heard: ReceivedRequest) -> None:
     await heard.answer(200, LARGE)
 
 
 def ahead(number: int, wait_ms: float) -> bytes:
     asks = (
-        request(f"/invoke/lot-page/{n + 1:x}", trace=f"{n + 1:016x}", wait_ms=wait_ms) for n in range(number)
+        encode_request(f"/invoke/lot-page/{n + 1:x}", trace=f"{n + 1:016x}", wait_ms=wait_ms)
+        for n in range(number)
     )
     return b"".join(asks)
 
@@ -32,8 +35,8 @@
 class FromClients(unittest.IsolatedAsyncioTestCase):
     async def endless(self, start: bytes, piece: bytes, most: int, status: int) -> None:
         """`piece` comes again and again behind `start`: the client is told `status` before `most` bytes."""
-        async with running(ScriptedPeer(hit)) as (world, director):
-            reader, writer = await world.client()
+        async with running(ScriptedServer(hit)) as (world, director):
+            reader, writer = await world.connect()
             writer.write(start)
             sent = 0
             answer = asyncio.ensure_future(read_message(reader))
@@ -43,25 +46,25 @@
                 with contextlib.suppress(ConnectionError):
                     await writer.drain()
                 (connection,) = director.front.connections
-                await until(lambda c=connection: c.is_last or c.is_input_empty())  # type: ignore[misc]
+                await wait_until(lambda c=connection: c.is_last or c.is_input_empty())  # type: ignore[misc]
                 await asyncio.sleep(0)
             assert sent <= most + 2 * len(piece)
             assert f" {status} " in (await answer)[0]
             assert director.counters[f"clients.bad_input_{status}"] == 1
             writer.close()
-            assert (await world.ask())[0] == 200
+            assert (await world.fetch())[0] == 200
 
     async def test_a_trailer_without_end(self) -> None:
-        head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
+        head = encode_request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
         most = MAX_FRAMING_BYTES
         await self.endless(head + b"2\r\nab\r\n0\r\nX: ", PIECE, most, 413)
 
     async def test_many_fields_of_a_trailer(self) -> None:
-        head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
+        head = encode_request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
         await self.endless(head + b"2\r\nab\r\n0\r\n", b"x-y: z\r\n" * 500, 2 * MAX_HEADER_BYTES, 431)
 
     async def test_a_chunks_extension_without_end(self) -> None:
-        head = request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
+        head = encode_request("/invoke/bid/b1", method="PUT", transfer_encoding="chunked")
         most = MAX_FRAMING_BYTES
         await self.endless(head + b"2;", PIECE, most, 413)
 
@@ -71,7 +74,7 @@
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         client.setblocking(False)
         await asyncio.get_running_loop().sock_connect(client, director.front.address)
-        await until(lambda: len(director.front.connections) == 1)
+        await wait_until(lambda: len(director.front.connections) == 1)
         (connection,) = director.front.connections
         assert connection.transport is not None
         sock = connection.transport.get_extra_info("socket")
@@ -81,15 +84,15 @@
 
     async def test_answers_that_a_client_leaves_unread_are_not_made_ahead(self) -> None:
         """A client that asks on and on and reads nothing: its next request waits until it reads."""
-        cache = ScriptedPeer(large)
+        cache = ScriptedServer(large)
         async with running(cache) as (_, director):
             client, connection = await self.unread(director, ahead(AHEAD, 3000.0))
-            await until(
+            await wait_until(
                 lambda: director.counters["answers.served"] >= 2 and not director.exchange.open_requests
             )
             assert connection.transport is not None
             assert connection.transport.get_write_buffer_size() < 3 * len(LARGE)
-            assert len(cache.heard) < AHEAD
+            assert len(cache.received) < AHEAD
             reader, writer = await asyncio.open_connection(sock=client)
             for _ in range(AHEAD):
                 assert (await read_message(reader))[2] == LARGE
@@ -97,18 +100,18 @@
             writer.close()
 
     async def test_who_never_reads_is_parted_from_once_its_patience_is_over(self) -> None:
-        async with running(ScriptedPeer(large)) as (_, director):
+        async with running(ScriptedServer(large)) as (_, director):
             client, _ = await self.unread(director, ahead(AHEAD, 400.0))
-            await until(lambda: director.counters["clients.never_read"] == 1)
-            await until(lambda: not director.front.connections)
+            await wait_until(lambda: director.counters["clients.never_read"] == 1)
+            await wait_until(lambda: not director.front.connections)
             assert director.front.descriptor_count == 0
             client.close()
 
     async def test_half_a_request_behind_answers_unread_ends_with_its_time(self) -> None:
-        async with running(ScriptedPeer(large)) as (_, director):
+        async with running(ScriptedServer(large)) as (_, director):
             front, real = director.front, director.front.clock
             client, connection = await self.unread(director, ahead(3, 3000.0) + ahead(1, 3000.0)[:-9])
-            await until(
+            await wait_until(
                 lambda: director.counters["answers.served"] >= 2 and not director.exchange.open_requests
             )
             assert connection.is_writing_paused
@@ -119,7 +122,7 @@
             front.update_state(connection)
             front.clock = lambda: real() + front.request_timeout_ms + 1.0
             front.sweep()  # as its deadline calls it
-            await until(lambda: not front.connections)
+            await wait_until(lambda: not front.connections)
             assert (front.descriptor_count, director.counters["clients.came_too_slowly"]) == (0, 1)
             client.close()
 
@@ -128,7 +131,7 @@
     async def spoilt(self, start: bytes, piece: bytes) -> None:
         sent = [0]
 
-        async def endless(heard: Heard) -> None:
+        async def endless(heard: ReceivedRequest) -> None:
             heard.writer.write(start)
             with contextlib.suppress(ConnectionError):
                 while sent[0] <= 8 * MAX_OBJECT_BYTES:
@@ -136,9 +139,9 @@
                     sent[0] += len(piece)
                     await heard.writer.drain()
 
-        async with running(ScriptedPeer(endless)) as (world, director):
-            reader, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1", Connection="close"))
+        async with running(ScriptedServer(endless)) as (world, director):
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1", Connection="close"))
             with contextlib.suppress(ConnectionError):
                 while await reader.read(65536):
                     pass
@@ -161,13 +164,13 @@
         await self.spoilt(head, PIECE)
 
     async def test_small_chunks_are_an_answer_like_any_other(self) -> None:
-        async def small(heard: Heard) -> None:
+        async def small(heard: ReceivedRequest) -> None:
             heard.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             heard.writer.write(b"1\r\nx\r\n" * MAX_HEAD_BYTES + b"0\r\n\r\n")
 
-        async with running(ScriptedPeer(small)) as (world, _):
-            reader, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1"))
+        async with running(ScriptedServer(small)) as (world, _):
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1"))
             await reader.readuntil(b"\r\n\r\n")
             whole = 0
             while size := int((await reader.readline()).strip(), 16):
--- a/tests/test_golden_nginx.py
+++ b/tests/test_golden_nginx.py
@@ -21,8 +21,8 @@
 from gladewalk.nginx.router import Router
 from gladewalk.nginx.table import read_site, write_site
 from gladewalk.nginx.translate import import_site
-from gladewalk.rehearsal.peers import Heard
-from gladewalk.rehearsal.webworld import Script, WebWorld
+from gladewalk.rehearsal.scripted_servers import Http1Script, ReceivedRequest
+from gladewalk.rehearsal.site_harness import SiteHarness
 
 from .test_nginx import CORPUS, FILES, expectations, landing
 
@@ -130,7 +130,7 @@
     return found
 
 
-async def answer(heard: Heard) -> None:
+async def answer(heard: ReceivedRequest) -> None:
     """A server that answers by what it is asked for."""
     writer, path = heard.writer, heard.path
     if path.startswith("/chunked"):
@@ -157,7 +157,7 @@
         await heard.answer(200, b"<" + heard.body + b">", Set_Cookie="a=1", Server="x", X_Hidden="1")
 
 
-async def abort(heard: Heard) -> None:
+async def abort(heard: ReceivedRequest) -> None:
     heard.writer.transport.abort()
 
 
@@ -179,17 +179,17 @@
     with chdir(folder):
         site = import_site("f.conf")
     found: dict[str, Any] = {}
-    scripts: dict[str, Script] = {"a/0": answer, "b/0": answer}
+    scripts: dict[str, Http1Script] = {"a/0": answer, "b/0": answer}
     scripts |= {f"broken{number}/0": abort for number in ("", 2, 3, 4)}  # each rests once it has failed
-    async with WebWorld(site, scripts) as world:
+    async with SiteHarness(site, scripts) as world:
         for name, data in REQUESTS.items():
             for server in world.servers.values():
-                server.heard.clear()
+                server.received.clear()
             text = await exchange_with(world.address(), data)
             sent = [
                 [server.uid, heard.method, heard.path, [*heard.headers.items()], heard.body.decode("latin-1")]
                 for server in world.servers.values()
-                for heard in server.heard
+                for heard in server.received
             ]
             found[name] = {"answer": text, "sent": sent}
         assert world.director is not None
--- a/tests/test_members_history.py
+++ b/tests/test_members_history.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from gladewalk.faultnet.expected_failures import causes_of
+from gladewalk.faultnet.expected_failures import expected_failures
 from gladewalk.faultnet.membership_cases import CASES, FaultCase
 from gladewalk.members.actions import MemberChange
 from gladewalk.members.config import MembershipConfig
@@ -29,11 +29,13 @@
         faults = case.faults(names)
         play(network, faults)
         network.run(15_000.0)
-        unexpected = unexpected_deaths(network.observed, causes_of(faults, names, begun_ms, MAX_STALL_MS))
+        unexpected = unexpected_deaths(
+            network.observed, expected_failures(faults, names, begun_ms, MAX_STALL_MS)
+        )
         assert not unexpected, (seed, unexpected[:4])
         assert convergence_time_ms(network.observed, begun_ms, names) is not None, seed
         if case.must_be_found_dead:
-            victim = faults[0].who[0]
+            victim = faults[0].targets[0]
             found = detection_times_ms(network.observed, victim, begun_ms, set(names) - {victim})
             assert len(found) == size - 1, (seed, found)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -6,9 +6,11 @@
 import pytest
 
 from gladewalk.core.counters import Counters
-from gladewalk.rehearsal.peers import Heard, ScriptedPeer, read_message, request, until
+from gladewalk.rehearsal.director_harness import wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
-from .peers import BYTES, half, hit, miss_then_fill, reset, running, silent
+from .server_scripts import BYTES, half, hit, miss_then_fill, reset, running, silent
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 SPOILT_ANSWERS = {
@@ -27,17 +29,17 @@
 }
 
 
-async def spoilt_by(raw: bytes) -> tuple[Counters, ScriptedPeer]:
+async def spoilt_by(raw: bytes) -> tuple[Counters, ScriptedServer]:
     """One request while its home answers with these bytes, and the other cache as it should."""
 
-    async def script(heard: Heard) -> None:
+    async def script(heard: ReceivedRequest) -> None:
         heard.writer.write(raw)
         await heard.writer.drain()
         await asyncio.Event().wait()  # the connection stays open
 
-    bad, good = ScriptedPeer(script), ScriptedPeer(hit, "c2", size=1e-6)
+    bad, good = ScriptedServer(script), ScriptedServer(hit, "c2", capacity=1e-6)
     async with running(bad, good) as (world, director):
-        status, _, body = await world.ask()
+        status, _, body = await world.fetch()
         assert (status, body) == (200, BYTES)
         return director.counters, bad
 
@@ -45,16 +47,16 @@
 @pytest.mark.parametrize("raw", SPOILT_ANSWERS.values(), ids=SPOILT_ANSWERS)
 def test_a_spoilt_answer_reaches_no_client_and_another_cache_is_asked(raw: bytes) -> None:
     counters, bad = asyncio.run(spoilt_by(raw))
-    assert len(bad.heard) == 1
+    assert len(bad.received) == 1
     assert (counters["caches.unreadable_answer"], counters["answers.cut"]) == (1, 0)
 
 
-async def answers_of(cache: ScriptedPeer, paths: list[str]) -> list[str]:
+async def answers_of(cache: ScriptedServer, paths: list[str]) -> list[str]:
     """The bodies of requests that are all sent at once: the next attempt waits for a free connection."""
     async with running(cache) as (world, _):
-        reader, writer = await world.client()
+        reader, writer = await world.connect()
         for path in paths:
-            writer.write(request(f"/invoke{path[:-2]}"))
+            writer.write(encode_request(f"/invoke{path[:-2]}"))
         answers = [await read_message(reader) for _ in paths]
         writer.close()
     return [body.decode() for _, _, body in answers]
@@ -62,89 +64,89 @@
 
 @pytest.mark.parametrize("behind", BEHIND_ANSWERS.values(), ids=BEHIND_ANSWERS)
 def test_what_lies_behind_an_answer_is_never_taken_for_the_next_one(behind: bytes) -> None:
-    async def script(heard: Heard) -> None:
+    async def script(heard: ReceivedRequest) -> None:
         heard.writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n")
         raw = f"HTTP/1.1 200 OK\r\nContent-Length: {len(heard.path)}\r\n\r\n{heard.path}".encode()
         heard.writer.write(raw + behind)
 
-    cache, paths = ScriptedPeer(script), [f"/lot-page/{key:x}/0" for key in range(4)]
+    cache, paths = ScriptedServer(script), [f"/lot-page/{key:x}/0" for key in range(4)]
     assert asyncio.run(answers_of(cache, paths)) == [f"/o{path}" for path in paths]
     assert cache.connections == 4
 
 
 class Stories(unittest.IsolatedAsyncioTestCase):
     async def test_a_miss_is_filled_from_the_parent_and_passed_on_unchanged(self) -> None:
-        cache, parent = ScriptedPeer(miss_then_fill), ScriptedPeer(hit, "p1", "parent", "north")
+        cache, parent = ScriptedServer(miss_then_fill), ScriptedServer(hit, "p1", "parent", "north")
         async with running(cache, parent) as (world, _):
             path = "/invoke/lot-page/7f3a9c21e0b4d655?nth=3"
-            status, _, body = await world.ask(path, trace="00c0ffee00c0ffee")
+            status, _, body = await world.fetch(path, trace="00c0ffee00c0ffee")
         assert (status, body) == (200, BYTES)
-        lookup, fill = cache.heard
-        assert {heard.path for heard in cache.heard} == {"/o/lot-page/7f3a9c21e0b4d655/3"}
+        lookup, fill = cache.received
+        assert {heard.path for heard in cache.received} == {"/o/lot-page/7f3a9c21e0b4d655/3"}
         assert lookup.headers["x-ticket"] == "00c0ffee00c0ffee"
         assert "miss-to" not in lookup.headers
         assert (fill.headers["miss-to"], fill.headers["store-as"]) == ("p1", "1")
         assert cache.connections == 1  # the second attempt took the first one's connection
 
     async def test_a_copy_that_the_client_holds_is_confirmed_without_bytes(self) -> None:
-        async def script(heard: Heard) -> None:
+        async def script(heard: ReceivedRequest) -> None:
             await heard.answer(304 if heard.headers.get("have") == "4be0" else 500, Tag="4be0")
 
-        async with running(ScriptedPeer(script)) as (world, _):
-            status, fields, body = await world.ask(If_None_Match='"4be0"')
+        async with running(ScriptedServer(script)) as (world, _):
+            status, fields, body = await world.fetch(If_None_Match='"4be0"')
         assert (status, fields["etag"], body) == (304, '"4be0"', b"")
 
     async def test_an_answer_that_breaks_off_is_seen_as_cut_by_the_client(self) -> None:
-        cache = ScriptedPeer(half)
+        cache = ScriptedServer(half)
         async with running(cache) as (world, director):
             with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
-                await world.ask()
+                await world.fetch()
             assert director.counters["answers.cut"] == 1
-        assert len(cache.heard) == 1  # begun, so nobody else may serve it
+        assert len(cache.received) == 1  # begun, so nobody else may serve it
 
     async def test_what_was_dialled_at_an_old_address_carries_nothing_for_the_new_one(self) -> None:
-        old, new = ScriptedPeer(hit), await ScriptedPeer(hit).start()
+        old, new = ScriptedServer(hit), await ScriptedServer(hit).start()
         async with running(old) as (world, director):
             caches = director.connection_pool
-            await world.ask()
+            await world.fetch()
             (connection,) = caches.servers["c1"].idle
             caches.servers["c1"].idle.clear()
-            world.coordinator.tell_list(new)  # the same server at another place
-            await until(lambda: director.endpoint_feed.last_index == 2)
+            world.coordinator.publish_endpoints(new)  # the same server at another place
+            await wait_until(lambda: director.endpoint_feed.last_index == 2)
             caches.servers["c1"].release(connection)
-            await world.ask()
-            gone = ScriptedPeer(hit, state="DELETED", address=new.address)
-            world.coordinator.tell_list(gone)
-            await until(lambda: not caches.servers)
+            await world.fetch()
+            gone = ScriptedServer(hit, state="DELETED", address=new.address)
+            world.coordinator.publish_endpoints(gone)
+            await wait_until(lambda: not caches.servers)
         new.stop()
-        assert (len(old.heard), len(new.heard)) == (1, 1)
+        assert (len(old.received), len(new.received)) == (1, 1)
 
     async def test_a_bid_that_may_have_run_is_never_sent_again(self) -> None:
-        cache, origin = ScriptedPeer(reset), ScriptedPeer(reset, "o", "origin", "north")
+        cache, origin = ScriptedServer(reset), ScriptedServer(reset, "o", "origin", "north")
         async with running(cache, origin) as (world, _):
-            status, _, _ = await world.ask("/invoke/bid/b1", method="PUT", body=b"10 boxes of hake")
+            status, _, _ = await world.fetch("/invoke/bid/b1", method="PUT", body=b"10 boxes of hake")
         assert status == 502
-        assert [heard.body for heard in cache.heard + origin.heard] == [b"10 boxes of hake"]
+        assert [heard.body for heard in cache.received + origin.received] == [b"10 boxes of hake"]
 
     async def test_a_refusal_comes_with_the_time_to_come_back(self) -> None:
-        async with running(ScriptedPeer(hit, state="DRAINING")) as (world, director):
-            status, fields, _ = await world.ask()
+        async with running(ScriptedServer(hit, state="DRAINING")) as (world, director):
+            status, fields, _ = await world.fetch()
             assert director.exchange.unanswered_count == 0
         assert (status, fields["retry-after"]) == (503, "1")
 
     async def test_a_silent_cache_costs_no_request_its_final_answer(self) -> None:
-        async with running(ScriptedPeer(silent)) as (world, _):
-            status, _, _ = await world.ask(wait_ms=300.0)
+        async with running(ScriptedServer(silent)) as (world, _):
+            status, _, _ = await world.fetch(wait_ms=300.0)
         assert status == 502
 
     async def test_a_client_that_leaves_takes_its_attempt_with_it(self) -> None:
-        cache = ScriptedPeer(silent)
+        cache = ScriptedServer(silent)
         async with running(cache) as (world, director):
-            _, writer = await world.client()
-            writer.write(request("/invoke/lot-video/a1"))
-            await until(lambda: len(cache.heard) == 1)
+            _, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-video/a1"))
+            await wait_until(lambda: len(cache.received) == 1)
             writer.transport.abort()
             exchange, counters = director.exchange, director.counters
-            await until(lambda: not exchange.open_requests)
+            await wait_until(lambda: not exchange.open_requests)
             assert (counters["requests.left_by_client"], counters["attempts.cancelled"]) == (1, 1)
             assert not (exchange.dispatcher.state.pending or exchange.dispatcher.state.attempts)
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -38,7 +38,8 @@
 from gladewalk.dns.weights import ResolverWeights
 from gladewalk.dns.zone import LookupResult, LookupStatus, Zone, ZoneApex, closest_zone
 from gladewalk.registry.dns_leases import DnsLeaseTable
-from gladewalk.rehearsal.peers import Coordinator, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
 
 ORIGIN = dns.name.from_text("cdn.example.")
 RECORDS = """
