Finish the names in the DNS tests

Locals and parameters of test_zone.py, test_dns.py and test_conform.py in the field's words; no assert changed but for names.

--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -90,9 +90,9 @@
     return change
 
 
-def has_type(*kinds: str) -> Callable[[Message, Message], bool]:
-    wanted = {dns.rdatatype.from_text(kind) for kind in kinds}
-    return lambda query, response: bool(query.question) and query.question[0].rdtype in wanted
+def has_type(*texts: str) -> Callable[[Message, Message], bool]:
+    rdtypes = {dns.rdatatype.from_text(text) for text in texts}
+    return lambda query, response: bool(query.question) and query.question[0].rdtype in rdtypes
 
 
 def lower_question(query: Message, response: Message, transport: TransportKind) -> Message:
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -177,7 +177,7 @@
         settings["specifics"]["instances_by_zone"] = [0, 2]
         settings["n_instances"] = 2
         leased = 0
-        for _ in range(2):  # the directors share nothing: each is asked by its own resolvers
+        for _ in range(2):  # the directors share nothing: each is queried by its own resolvers
             cache = ScriptedPeer(serve_hit, size=self.SIZE)
             async with Rehearsal([cache], settings=settings, dns=dns_config()) as world:
                 assert world.director is not None and world.director.dns is not None
@@ -260,9 +260,9 @@
 
     def test_names_are_classified_as_they_are_formatted(self) -> None:
         rules = NamingRules(frozenset({"lot-page"}))
-        for wanted in (ObjectName("lot-page", 0x7F3A, 12, None), ObjectName("lot-page", 1, 0, 17)):
+        for target in (ObjectName("lot-page", 0x7F3A, 12, None), ObjectName("lot-page", 1, 0, 17)):
             self.assertEqual(
-                rules.classify(relative_labels(format_object_name(wanted, ZONE), ZONE)), RoutedName(wanted)
+                rules.classify(relative_labels(format_object_name(target, ZONE), ZONE)), RoutedName(target)
             )
         for text in ("a1.lot-page", "0.a1.lot-page.x", "0.x3.a1.lot-page", "0.g3.a1", "*.a1.lot-page"):
             found = rules.classify(relative_labels(dns.name.from_text(text, ZONE), ZONE))
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -174,20 +174,40 @@
     def test_the_cookie_of_rfc_9018_is_generated_and_verified(self) -> None:
         """Appendix A.1: client 2464c4abcf10c957, 198.51.100.100, 1559731985."""
         cookies = ServerCookies((bytes.fromhex("e5e973e5a6b2a43f48e7dc849e37bfcf"),))
-        client, at, where = bytes.fromhex("2464c4abcf10c957"), 1_559_731_985.0, "198.51.100.100"
-        made = cookies.generate(client, where, at)
-        self.assertEqual(made.hex(), "010000005cf79f111f8130c3eee29480")
-        self.assertIs(cookies.verify(client, made, where, at + MAX_AGE_SECONDS), CookieStatus.VALID)
-        self.assertIs(cookies.verify(client, made, where, at + MAX_AGE_SECONDS + 1), CookieStatus.INVALID)
-        self.assertIs(cookies.verify(client, made, where, at - 301), CookieStatus.INVALID)
-        self.assertIs(cookies.verify(client, made, "198.51.100.101", at), CookieStatus.INVALID)
-        self.assertIs(cookies.verify(client[::-1], made, where, at), CookieStatus.INVALID)
-        self.assertEqual(cookies.renew(client, made, CookieStatus.VALID, where, at + 60), made)
-        self.assertNotEqual(cookies.renew(client, made, CookieStatus.VALID, where, at + 2_000), made)
+        client_cookie, now_s, address = bytes.fromhex("2464c4abcf10c957"), 1_559_731_985.0, "198.51.100.100"
+        server_cookie = cookies.generate(client_cookie, address, now_s)
+        self.assertEqual(server_cookie.hex(), "010000005cf79f111f8130c3eee29480")
+        self.assertIs(
+            cookies.verify(client_cookie, server_cookie, address, now_s + MAX_AGE_SECONDS), CookieStatus.VALID
+        )
+        self.assertIs(
+            cookies.verify(client_cookie, server_cookie, address, now_s + MAX_AGE_SECONDS + 1),
+            CookieStatus.INVALID,
+        )
+        self.assertIs(
+            cookies.verify(client_cookie, server_cookie, address, now_s - 301), CookieStatus.INVALID
+        )
+        self.assertIs(
+            cookies.verify(client_cookie, server_cookie, "198.51.100.101", now_s), CookieStatus.INVALID
+        )
+        self.assertIs(
+            cookies.verify(client_cookie[::-1], server_cookie, address, now_s), CookieStatus.INVALID
+        )
+        self.assertEqual(
+            cookies.renew(client_cookie, server_cookie, CookieStatus.VALID, address, now_s + 60),
+            server_cookie,
+        )
+        self.assertNotEqual(
+            cookies.renew(client_cookie, server_cookie, CookieStatus.VALID, address, now_s + 2_000),
+            server_cookie,
+        )
         rotated = ServerCookies((b"n" * 16, *cookies.keys))
-        self.assertIs(rotated.verify(client, made, where, at), CookieStatus.VALID)
-        self.assertNotEqual(rotated.generate(client, where, at), made)
-        self.assertIs(ServerCookies((b"n" * 16,)).verify(client, made, where, at), CookieStatus.INVALID)
+        self.assertIs(rotated.verify(client_cookie, server_cookie, address, now_s), CookieStatus.VALID)
+        self.assertNotEqual(rotated.generate(client_cookie, address, now_s), server_cookie)
+        self.assertIs(
+            ServerCookies((b"n" * 16,)).verify(client_cookie, server_cookie, address, now_s),
+            CookieStatus.INVALID,
+        )
 
     def test_a_token_bucket_keeps_its_rate(self) -> None:
         rng, buckets, now = random.Random(1), TokenBuckets(10.0, 5.0, 3), 0.0
@@ -226,14 +246,18 @@
 
 
 class RecordingSender:
-    def __init__(self, peer: str = "127.0.0.1", via: TransportKind = TransportKind.UDP) -> None:
-        self.client_address, self.transport, self.sent, self.dropped = peer, via, list[bytes](), 0
+    def __init__(
+        self, client_address: str = "127.0.0.1", transport: TransportKind = TransportKind.UDP
+    ) -> None:
+        self.client_address, self.transport = client_address, transport
+        self.sent: list[bytes] = []
+        self.dropped_count = 0
 
     def send(self, wire: bytes) -> None:
         self.sent.append(wire)
 
     def drop(self) -> None:
-        self.dropped += 1
+        self.dropped_count += 1
 
 
 class NoUpstreams:
@@ -303,89 +327,93 @@
 
 class AbuseTest(unittest.TestCase):
     def ask(
-        self, at: DnsFront, peer: str = "127.0.0.1", name: str = "x.cdn.example.", **more: Any
+        self, front: DnsFront, client_address: str = "127.0.0.1", name: str = "x.cdn.example.", **more: Any
     ) -> RecordingSender:
-        sender = RecordingSender(peer)
-        at.processor.handle_query(dns.message.make_query(name, "A", **more).to_wire(), sender)
+        sender = RecordingSender(client_address)
+        front.processor.handle_query(dns.message.make_query(name, "A", **more).to_wire(), sender)
         return sender
 
     def test_a_forged_client_is_sent_little_and_a_cookie_passes(self) -> None:
         cookies = ServerCookies((b"k" * 16,))
-        at = make_front(rates=RateLimits(answers_per_s=5.0, slip=2), cookies=cookies)
-        heard = [self.ask(at) for _ in range(105)]
-        self.assertEqual(sum(bool(one.sent) for one in heard), 5 + 50)
-        self.assertTrue(dns.message.from_wire(heard[-1].sent[0]).flags & dns.flags.TC)
-        self.assertEqual(at.counters["dns.limited_dropped"], 50)
+        front = make_front(rates=RateLimits(answers_per_s=5.0, slip=2), cookies=cookies)
+        senders = [self.ask(front) for _ in range(105)]
+        self.assertEqual(sum(bool(sender.sent) for sender in senders), 5 + 50)
+        self.assertTrue(dns.message.from_wire(senders[-1].sent[0]).flags & dns.flags.TC)
+        self.assertEqual(front.counters["dns.limited_dropped"], 50)
         client = b"c" * 8
-        alone = dns.edns.CookieOption(client, b"")
-        told = [self.ask(at, use_edns=0, options=[alone]) for _ in range(2)]
-        (bad,) = [dns.message.from_wire(one.sent[0]) for one in told if one.sent]
-        self.assertEqual(bad.rcode(), dns.rcode.BADCOOKIE)
-        shown = [self.ask(at, use_edns=0, options=[bad.options[0]]) for _ in range(50)]
-        self.assertTrue(all(one.sent and dns.message.from_wire(one.sent[0]).authority for one in shown))
+        client_only = dns.edns.CookieOption(client, b"")
+        senders = [self.ask(front, use_edns=0, options=[client_only]) for _ in range(2)]
+        (bad_cookie,) = [dns.message.from_wire(sender.sent[0]) for sender in senders if sender.sent]
+        self.assertEqual(bad_cookie.rcode(), dns.rcode.BADCOOKIE)
+        with_cookie = [self.ask(front, use_edns=0, options=[bad_cookie.options[0]]) for _ in range(50)]
+        self.assertTrue(
+            all(sender.sent and dns.message.from_wire(sender.sent[0]).authority for sender in with_cookie)
+        )
 
     def test_query_budgets_of_a_network_and_of_all_clients_are_kept(self) -> None:
-        at = make_front(rates=RateLimits(network_queries_per_s=10.0, queries_per_s=25.0))
-        counts = [sum(bool(self.ask(at, f"192.0.{n}.1").sent) for _ in range(20)) for n in range(4)]
+        front = make_front(rates=RateLimits(network_queries_per_s=10.0, queries_per_s=25.0))
+        counts = [sum(bool(self.ask(front, f"192.0.{n}.1").sent) for _ in range(20)) for n in range(4)]
         self.assertEqual(counts, [10, 10, 5, 0])
-        self.assertEqual((at.counters["dns.over_network"], at.counters["dns.over_all"]), (40, 15))
+        self.assertEqual((front.counters["dns.over_network"], front.counters["dns.over_all"]), (40, 15))
 
     def test_a_waiting_query_fails_by_its_deadline(self) -> None:
         now = 1_000.0
-        at = make_front(lambda: now)
-        waiting = self.ask(at, name="0.a1.lot-page.cdn.example.", use_edns=0)
+        front = make_front(lambda: now)
+        waiting = self.ask(front, name="0.a1.lot-page.cdn.example.", use_edns=0)
         self.assertFalse(waiting.sent)
         now += 1_001.0
-        at.exchange.deadlines.sweep(now)
-        reply = dns.message.from_wire(waiting.sent[0])
-        self.assertEqual((reply.rcode(), int(reply.options[0].otype)), (dns.rcode.SERVFAIL, 15))
+        front.exchange.deadlines.sweep(now)
+        response = dns.message.from_wire(waiting.sent[0])
+        self.assertEqual((response.rcode(), int(response.options[0].otype)), (dns.rcode.SERVFAIL, 15))
 
     def test_a_client_subnet_is_believed_of_trusted_resolvers_only(self) -> None:
-        at = make_front(ecs_resolvers=(ipaddress.ip_network("192.0.2.0/24"),))
+        front = make_front(ecs_resolvers=(ipaddress.ip_network("192.0.2.0/24"),))
         subnet = dns.edns.ECSOption("203.0.113.0", 24)
-        for peer, heard in (("192.0.2.1", 1), ("198.51.100.1", 0)):
-            reply = dns.message.from_wire(self.ask(at, peer, use_edns=0, options=[subnet]).sent[0])
-            self.assertEqual(len(reply.options), heard)
+        for client_address, option_count in (("192.0.2.1", 1), ("198.51.100.1", 0)):
+            response = dns.message.from_wire(
+                self.ask(front, client_address, use_edns=0, options=[subnet]).sent[0]
+            )
+            self.assertEqual(len(response.options), option_count)
 
     def test_additional_records_are_left_out_before_truncation(self) -> None:
         zone = make_zone()
         query = dns.message.make_query(ORIGIN, "NS")
-        reply = dns.message.make_response(query)
+        response = dns.message.make_response(query)
         found = zone.lookup(ORIGIN, dns.rdatatype.NS)
-        reply.answer, reply.additional = found.answer, found.additional * 30
-        self.assertFalse(dns.message.from_wire(encode_within(reply, 512)).flags & dns.flags.TC)
-        reply.answer = [dns.rrset.from_text(address_name(f"192.0.2.{n}", ORIGIN), 1, "IN", "TXT", "x" * 40)
+        response.answer, response.additional = found.answer, found.additional * 30
+        self.assertFalse(dns.message.from_wire(encode_within(response, 512)).flags & dns.flags.TC)
+        response.answer = [dns.rrset.from_text(address_name(f"192.0.2.{n}", ORIGIN), 1, "IN", "TXT", "x" * 40)
                         for n in range(20)]  # fmt: skip
-        cut = dns.message.from_wire(encode_within(reply, 512))
+        cut = dns.message.from_wire(encode_within(response, 512))
         self.assertTrue(cut.flags & dns.flags.TC and not cut.answer)
 
 
 class LeasesAndWeightsTest(unittest.TestCase):
     def test_lease_totals_are_those_of_unexpired_leases(self) -> None:
-        rng, ledger, now = random.Random(5), DnsLeaseTable(), 1e12
-        held: dict[tuple[str, str, int], tuple[float, float]] = {}
+        rng, table, now = random.Random(5), DnsLeaseTable(), 1e12
+        leases: dict[tuple[str, str, int], tuple[float, float]] = {}
         for _ in range(4_000):
             now += rng.expovariate(0.01)
-            place, holder, key = rng.choice("ab"), rng.choice("xyz"), rng.randrange(40)
+            address, resolver, key = rng.choice("ab"), rng.choice("xyz"), rng.randrange(40)
             until, weight = now + rng.choice((900.0, 5_000.0, 60_000.0)), rng.choice((0.5, 1.0))
-            ledger.grant(place, holder, (key, 0), until, weight)
-            held[place, holder, key] = (-(-until // 1_000.0) * 1_000.0, weight)
-            held = {k: v for k, v in held.items() if v[0] // 1_000.0 > now // 1_000.0}
-            for at in "ab":
-                expected = sum(weight for (p, _, _), (_, weight) in held.items() if p == at)
-                self.assertAlmostEqual(ledger.total_weight(at, 0.0, now), expected)
-        self.assertEqual(len(ledger), len(held))
-        ledger.total_weight("a", 0.0, now + 1e6)
-        self.assertEqual((len(ledger), ledger._expiring), (0, {}))
+            table.grant(address, resolver, (key, 0), until, weight)
+            leases[address, resolver, key] = (-(-until // 1_000.0) * 1_000.0, weight)
+            leases = {lease: value for lease, value in leases.items() if value[0] // 1_000.0 > now // 1_000.0}
+            for address in "ab":
+                expected = sum(weight for (leased, _, _), (_, weight) in leases.items() if leased == address)
+                self.assertAlmostEqual(table.total_weight(address, 0.0, now), expected)
+        self.assertEqual(len(table), len(leases))
+        table.total_weight("a", 0.0, now + 1e6)
+        self.assertEqual((len(table), table._expiring), (0, {}))
 
     def test_a_start_without_a_store_assumes_full_leases(self) -> None:
-        ledger = DnsLeaseTable()
-        ledger.assume_full(10_000.0)
-        self.assertEqual(ledger.available_weight("a", "x", (1, 0), 5.0, 9_000.0), 0.0)
-        self.assertEqual(ledger.available_weight("a", "x", (1, 0), 5.0, 10_000.0), 5.0)
-        self.assertEqual(ledger.ttl_ms("a", 5.0, False, 9_000.0), ledger.min_ttl_ms)
-        self.assertEqual(ledger.ttl_ms("a", 5.0, False, 10_000.0), ledger.max_ttl_ms)
-        self.assertEqual(ledger.ttl_ms("a", 5.0, True, 10_000.0), ledger.min_ttl_ms)
+        table = DnsLeaseTable()
+        table.assume_full(10_000.0)
+        self.assertEqual(table.available_weight("a", "x", (1, 0), 5.0, 9_000.0), 0.0)
+        self.assertEqual(table.available_weight("a", "x", (1, 0), 5.0, 10_000.0), 5.0)
+        self.assertEqual(table.ttl_ms("a", 5.0, False, 9_000.0), table.min_ttl_ms)
+        self.assertEqual(table.ttl_ms("a", 5.0, False, 10_000.0), table.max_ttl_ms)
+        self.assertEqual(table.ttl_ms("a", 5.0, True, 10_000.0), table.min_ttl_ms)
 
     def measured(self, clients: float, names: int, obeys_ttl: bool = True, farm: int = 1) -> float:
         """Returns a resolver's weight; its clients want each name at a rate per second, for 400 ms each."""
