A violation's close says what it does: the engine's GOAWAY is not written

Cause: the flush before the close did nothing, as the output is corked within a read; the comment said otherwise. Change: the call goes, the docstring says what happens; what is sent stays (golden test). Run: tests/test_golden_upstream.py and test_http2_violations.py 28 passed.

--- a/gladewalk/upstream/http2.py
+++ b/gladewalk/upstream/http2.py
@@ -266,12 +266,15 @@
             self.group.fall_back("HTTP_1_1_REQUIRED")
 
     def _close_by_violation(self, error: ProtocolError) -> None:
-        """Closes the connection after a violation, with its code in a GOAWAY (RFC 9113, section 5.4.1)."""
+        """Closes the connection after a violation (RFC 9113, section 5.4.1).
+
+        The GOAWAY that the engine has prepared with the violation's code is not written: the output is corked
+        while a read is handled.
+        """
         self.pool.counters.add("h2.broke_rules")
         self.pool.counters.add(f"h2.broke_rules.{violation_name(error)}")
         if not self.has_received or self.slots is None:  # no settings, so no HTTP/2
             self.group.fall_back("no HTTP/2 preface")
-        self.output.flush()  # the engine has prepared the GOAWAY
         self.end_reason = EndReason.PROTOCOL_ERROR
         if self.transport is not None and self.output.is_writable:
             self.transport.close()
