--- a/tests/fleet_test_case.py
+++ b/tests/fleet_test_case.py
@@ -1,4 +1,4 @@
-"""Fleets of directors as processes, for tests: started, asked and checked on loopback."""
+"""Fleets of directors as processes on loopback: started, queried and checked by tests."""
 
 import asyncio
 import tempfile
@@ -14,24 +14,27 @@
 from gladewalk.rehearsal.director_harness import config_for
 from gladewalk.rehearsal.scripted_servers import StandInServer
 
-SETTLE_S = 8.0  # at most, until each lease is held: a start is quiet for a promise, then votes may split
+SETTLE_S = 8.0  # until each lease is held: a new director denies votes for a promise, then votes may split
+POLL_INTERVAL_S = 0.05
 
 
-def wall_ms() -> float:
+def unix_now_ms() -> float:
     return time.time() * 1000.0
 
 
-async def until_true(true: Callable[[], bool], within_s: float = SETTLE_S) -> bool:
-    """Whether it comes to hold in time."""
-    ends = time.monotonic() + within_s
-    while not true():
-        if time.monotonic() > ends:
+async def becomes_true(is_true: Callable[[], bool], within_s: float = SETTLE_S) -> bool:
+    """Whether a condition comes to hold in time."""
+    end_s = time.monotonic() + within_s
+    while not is_true():
+        if time.monotonic() > end_s:
             return False
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(POLL_INTERVAL_S)
     return True
 
 
-class Fleets(unittest.IsolatedAsyncioTestCase):
+class FleetTestCase(unittest.IsolatedAsyncioTestCase):
+    """A coordinator, a folder and, once started, a fleet; all end with the test."""
+
     async def asyncSetUp(self) -> None:
         self.coordinator = await Coordinator().start()
         self.folder = tempfile.TemporaryDirectory()
@@ -43,43 +46,56 @@
         self.coordinator.stop()
         self.folder.cleanup()
 
-    async def begin(
-        self, n: int, leases: dict[str, Any] | None, members: dict[str, Any] | None = None,
-        rates: dict[str, float] | None = None, peers: tuple[StandInServer[Any], ...] = (),
+    async def start_fleet(
+        self,
+        director_count: int,
+        leases: dict[str, Any] | None,
+        members: dict[str, Any] | None = None,
+        clock_rates: dict[str, float] | None = None,
+        servers: tuple[StandInServer[Any], ...] = (),
         more: dict[str, Any] | None = None,
-    ) -> Fleet:  # fmt: skip
-        names, config = tuple(f"n{i}" for i in range(n)), config_for(peers, self.coordinator)
-        self.fleet = await Fleet(Path(self.folder.name), names, config, n, leases, members, more).open()
+    ) -> Fleet:
+        """Starts directors `n0`, `n1`, ... (see `Fleet`); the number of directors is the seed."""
+        names = tuple(f"n{number}" for number in range(director_count))
+        config = config_for(servers, self.coordinator)
+        folder = Path(self.folder.name)
+        self.fleet = await Fleet(folder, names, config, director_count, leases, members, more).open()
         for name in names:
-            await self.fleet.start(name, (rates or {}).get(name, 1.0))
+            await self.fleet.start(name, (clock_rates or {}).get(name, 1.0))
         return self.fleet
 
-    async def start(
-        self, n: int, rates: dict[str, float] | None = None, peers: tuple[StandInServer[Any], ...] = ()
+    async def start_lease_fleet(
+        self,
+        director_count: int,
+        clock_rates: dict[str, float] | None = None,
+        servers: tuple[StandInServer[Any], ...] = (),
     ) -> Fleet:
-        """With leases, once the purge lease is held."""
-        fleet = await self.begin(n, {}, rates=rates, peers=peers)
-        await self.held_since(wall_ms())
+        """Starts a fleet with leases, and waits until the purge lease is held."""
+        fleet = await self.start_fleet(director_count, {}, clock_rates=clock_rates, servers=servers)
+        await self.holder_since(unix_now_ms())
         return fleet
 
-    async def held_since(self, since_ms: float, within_s: float = SETTLE_S) -> str:
-        """Who operates under the purge lease after `since_ms`, waiting at most so long; '' if nobody does."""
-        assert self.fleet is not None
-        ends = time.monotonic() + within_s
-        while time.monotonic() < ends:
-            late = [
-                a for a in self.fleet.hubs[0].fence.records if a.is_accepted and a.received_at_ms > since_ms
-            ]
-            if late:
-                return late[-1].holder
-            await asyncio.sleep(0.05)
+    async def holder_since(self, since_ms: float, within_s: float = SETTLE_S) -> str:
+        """Waits for an operation under the purge lease after `since_ms`: its holder, or '' for none."""
+        end_s = time.monotonic() + within_s
+        while time.monotonic() < end_s:
+            records = self._running().hubs[0].fence.records
+            later = [one for one in records if one.is_accepted and one.received_at_ms > since_ms]
+            if later:
+                return later[-1].holder
+            await asyncio.sleep(POLL_INTERVAL_S)
         return ""
 
     def verdict(self) -> Verdict:
-        assert self.fleet is not None
-        return self.fleet.verdict()
+        return self._running().verdict()
 
-    def actors(self, after_ms: float, before_ms: float) -> set[str]:
-        assert self.fleet is not None
-        acts = self.fleet.hubs[0].fence.records
-        return {a.holder for a in acts if a.is_accepted and after_ms < a.received_at_ms < before_ms}
+    def holders_between(self, after_ms: float, before_ms: float) -> set[str]:
+        """Whose operations under the purge lease were accepted in a time."""
+        operations = self._running().hubs[0].fence.records
+        return {
+            one.holder for one in operations if one.is_accepted and after_ms < one.received_at_ms < before_ms
+        }
+
+    def _running(self) -> Fleet:
+        assert self.fleet is not None, "the test starts its fleet first"
+        return self.fleet
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -15,7 +15,7 @@
 from gladewalk.faultnet.nemesis import play_fault, play_schedule
 from gladewalk.faultnet.schedule import Fault, FaultKind, encode_schedule, generate_schedule, load_schedule
 from gladewalk.store.maintenance import dump_store
-from tests.fleet_test_case import Fleets, wall_ms
+from tests.fleet_test_case import FleetTestCase, unix_now_ms
 
 KINDS = (  # of the schedule that is played from its file
     FaultKind.LOSS,
@@ -26,12 +26,12 @@
 )
 
 
-class Leases(Fleets):
+class Leases(FleetTestCase):
     async def test_voters_killed_in_the_middle_of_grants_and_candidates_at_one_moment(self) -> None:
-        fleet = await self.start(3)
+        fleet = await self.start_lease_fleet(3)
         given_up = 0
         for turn in range(4):
-            holder = await self.held_since(wall_ms())
+            holder = await self.holder_since(unix_now_ms())
             victim = next(name for name in fleet.names if name != holder)
             given = asyncio.ensure_future(fleet.query(holder, "hand_on", duty="purge"))
             # The others become candidates at one moment; one of them dies while it grants or is granted.
@@ -40,84 +40,86 @@
             with contextlib.suppress(ControlError):  # on a busy machine it may have lost it just then
                 given_up += (await given)["duty"] == "purge"
             await fleet.start(victim)
-            assert await self.held_since(wall_ms(), within_s=10.0)
+            assert await self.holder_since(unix_now_ms(), within_s=10.0)
         assert given_up > 0
         assert self.verdict().is_safe, self.verdict()
 
     async def test_a_holder_paused_past_its_lease_is_fenced_and_another_takes_the_lease(self) -> None:
-        fleet = await self.start(3)
-        victim = await self.held_since(0.0)
-        paused_at = wall_ms()
+        fleet = await self.start_lease_fleet(3)
+        victim = await self.holder_since(0.0)
+        paused_at = unix_now_ms()
         fleet.signal(victim, signal.SIGSTOP)
-        other = await self.held_since(paused_at, within_s=20.0)  # how soon: in virtual time, test_leases.py
-        taken_ms = wall_ms() - paused_at
+        other = await self.holder_since(paused_at, within_s=20.0)  # how soon: in virtual time, test_leases.py
+        taken_ms = unix_now_ms() - paused_at
         await asyncio.sleep(max(0.0, 3.0 - taken_ms / 1000.0))
         fleet.signal(victim, signal.SIGCONT)
         await asyncio.sleep(2.0)
         assert other and other != victim
-        assert victim not in self.actors(paused_at + 1_100.0, wall_ms())  # it stopped by its own clock
+        assert victim not in self.holders_between(
+            paused_at + 1_100.0, unix_now_ms()
+        )  # it stopped by its own clock
         assert self.verdict().is_safe, self.verdict()
 
     async def test_one_sided_cuts_either_way_hand_the_lease_on_and_never_two_act(self) -> None:
-        fleet = await self.start(3)
+        fleet = await self.start_lease_fleet(3)
         for cut in (FaultKind.CUT_OUT, FaultKind.CUT_IN):
-            victim = await self.held_since(0.0)
-            begun = wall_ms()
+            victim = await self.holder_since(0.0)
+            begun = unix_now_ms()
             await play_fault(fleet, Fault(0.0, 4_000.0, cut, (victim,)))
-            assert victim not in self.actors(begun + 2_500.0, begun + 4_000.0), cut
-            assert self.actors(begun + 2_500.0, begun + 4_000.0), cut
-            await self.held_since(wall_ms())
+            assert victim not in self.holders_between(begun + 2_500.0, begun + 4_000.0), cut
+            assert self.holders_between(begun + 2_500.0, begun + 4_000.0), cut
+            await self.holder_since(unix_now_ms())
         assert self.verdict().is_safe, self.verdict()
 
     async def test_a_minority_side_keeps_no_holder_while_the_majority_elects_one(self) -> None:
-        fleet = await self.start(5)
-        victim = await self.held_since(0.0)
+        fleet = await self.start_lease_fleet(5)
+        victim = await self.holder_since(0.0)
         side = (victim, next(name for name in fleet.names if name != victim))
-        begun = wall_ms()
+        begun = unix_now_ms()
         await play_fault(fleet, Fault(0.0, 5_000.0, FaultKind.PARTITION, side))
-        during = self.actors(begun + 2_500.0, begun + 5_000.0)
+        during = self.holders_between(begun + 2_500.0, begun + 5_000.0)
         assert during and not during & set(side), during
         assert self.verdict().is_safe, self.verdict()
 
     async def test_with_a_majority_gone_no_one_holds_and_after_it_returns_one_does(self) -> None:
-        fleet = await self.start(3)
-        victim = await self.held_since(0.0)
+        fleet = await self.start_lease_fleet(3)
+        victim = await self.holder_since(0.0)
         other = next(name for name in fleet.names if name != victim)
-        begun = wall_ms()
+        begun = unix_now_ms()
         await fleet.kill(victim)
         await fleet.kill(other)
         await asyncio.sleep(3.0)
-        assert not self.actors(begun + 1_100.0, wall_ms())  # the one left cannot hold alone
+        assert not self.holders_between(begun + 1_100.0, unix_now_ms())  # the one left cannot hold alone
         await fleet.start(victim)
-        assert await self.held_since(wall_ms())
+        assert await self.holder_since(unix_now_ms())
         assert self.verdict().is_safe, self.verdict()
 
     async def test_a_clean_stop_hands_on_at_once_and_a_killed_voter_restarts_with_its_terms(self) -> None:
-        fleet = await self.start(3)
-        victim = await self.held_since(0.0)
-        begun = wall_ms()
+        fleet = await self.start_lease_fleet(3)
+        victim = await self.holder_since(0.0)
+        begun = unix_now_ms()
         assert await fleet.stop(victim) == 0
-        other = await self.held_since(begun, within_s=3.0)
-        assert other and other != victim and wall_ms() - begun < 3_000.0
+        other = await self.holder_since(begun, within_s=3.0)
+        assert other and other != victim and unix_now_ms() - begun < 3_000.0
         await fleet.start(victim)
         await asyncio.sleep(1.0)
         await fleet.kill(other)  # a voter that granted: its saves are read again at its start
         kept = [line for line in dump_store(Path(self.folder.name) / f"{other}.store") if '"grant"' in line]
         assert len(kept) == len(LEASE_NAMES), kept
         await fleet.start(other)
-        assert await self.held_since(wall_ms())
+        assert await self.holder_since(unix_now_ms())
         assert self.verdict().is_safe, self.verdict()
 
     async def test_a_fast_clock_loss_and_delay_keep_one_holder_and_a_schedule_plays_from_its_file(
         self,
     ) -> None:
-        fleet = await self.start(5, rates={"n0": 1.01, "n1": 0.99})
+        fleet = await self.start_lease_fleet(5, clock_rates={"n0": 1.01, "n1": 0.99})
         faults = generate_schedule(7, fleet.names, 12_000.0, 4, kinds=KINDS)
         path = Path(self.folder.name) / "schedule.toml"
         path.write_text(encode_schedule(faults))
         assert load_schedule(path) == faults == generate_schedule(7, fleet.names, 12_000.0, 4, kinds=KINDS)
         await play_schedule(fleet, load_schedule(path))
-        assert await self.held_since(wall_ms())
+        assert await self.holder_since(unix_now_ms())
         verdict = self.verdict()
         assert verdict.is_safe and verdict.operations > 200, verdict
         assert set(LEASE_NAMES) == {
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -28,7 +28,7 @@
 from gladewalk.rehearsal.coordinator import Coordinator
 from gladewalk.rehearsal.director_harness import config_for
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
-from tests.fleet_test_case import Fleets, until_true
+from tests.fleet_test_case import FleetTestCase, becomes_true
 from tests.test_fleet_works import command
 
 MAX_STALL_MS = MembershipConfig().max_stall_ms
@@ -66,14 +66,14 @@
 async def play_case(fleet: Fleet, case: FaultCase) -> str:
     for name in fleet.names:
         await fleet.start(name)
-    if not await until_true(lambda: has_converged(fleet), CONVERGE_SECONDS):
+    if not await becomes_true(lambda: has_converged(fleet), CONVERGE_SECONDS):
         return "they never met"
     await asyncio.sleep(STAY_SECONDS)
     begun_ms, faults = time.time() * 1000.0, case.faults(fleet.names)
     await play_schedule(fleet, faults)
     if case.kind == FaultKind.KILL:  # until it has started again, all agree
-        await until_true(lambda: start_count(fleet, faults[0].targets[0]) == 2, RESTART_SECONDS)
-    if not await until_true(lambda: has_converged(fleet), CONVERGE_SECONDS):
+        await becomes_true(lambda: start_count(fleet, faults[0].targets[0]) == 2, RESTART_SECONDS)
+    if not await becomes_true(lambda: has_converged(fleet), CONVERGE_SECONDS):
         return f"no convergence afterwards: {history_of(fleet.observed_changes())}"
     await asyncio.sleep(STAY_SECONDS)  # and it stays so
     changes = fleet.observed_changes()
@@ -101,10 +101,10 @@
     assert asyncio.run(play_all()) == []
 
 
-class MembersView(Fleets):
+class MembersView(FleetTestCase):
     async def test_a_paused_member_is_shown_and_logged_as_stalled_and_stays_a_member(self) -> None:
-        fleet = await self.begin(3, None, {})
-        assert await until_true(lambda: has_converged(fleet), CONVERGE_SECONDS)
+        fleet = await self.start_fleet(3, None, {})
+        assert await becomes_true(lambda: has_converged(fleet), CONVERGE_SECONDS)
 
         def changes_at_n0(member: str) -> list[MemberChange]:
             changes = fleet.observed_changes()
@@ -113,14 +113,14 @@
 
         fleet.signal("n2", signal.SIGSTOP)
         try:
-            assert await until_true(lambda: MemberChange.STALLED in changes_at_n0("n2"))
+            assert await becomes_true(lambda: MemberChange.STALLED in changes_at_n0("n2"))
             code, output = await asyncio.to_thread(command, fleet, "members", "--json", "n0")
             (row,) = [row for row in json.loads(output)["members"] if row["name"] == "n2"]
             assert code == 0 and row["state"] == "suspect" and row["stalled"], row
             assert row["knocked"] == "silent" and row["heard_ms"] > 0.0 and "health" in row
         finally:
             fleet.signal("n2", signal.SIGCONT)
-        assert await until_true(lambda: changes_at_n0("n2")[-1:] == [MemberChange.CLEARED])
+        assert await becomes_true(lambda: changes_at_n0("n2")[-1:] == [MemberChange.CLEARED])
         (line,) = [
             line
             for line in fleet.read_log("n0")
@@ -129,7 +129,7 @@
         assert line["knocked"] == "silent" and "n0" in line["accusers"] + ["n0"]
 
 
-class SharedTasks(Fleets):
+class SharedTasks(FleetTestCase):
     async def test_no_cache_goes_unchecked_while_a_member_is_paused_killed_or_cut_off(self) -> None:
         checked_ms: dict[str, list[float]] = {}
 
@@ -140,15 +140,15 @@
         caches = tuple([await ScriptedServer(answer, uid=f"c{number}").start() for number in range(8)])
         try:
             more = {"duties": {"probe_ms": CHECK_INTERVAL_MS, "check_ms": 0.0}}
-            fleet = await self.begin(3, None, {}, peers=caches, more=more)
-            assert await until_true(
+            fleet = await self.start_fleet(3, None, {}, servers=caches, more=more)
+            assert await becomes_true(
                 lambda: has_converged(fleet) and len(checked_ms) == len(caches), CONVERGE_SECONDS
             )
             await asyncio.sleep(2.0)
             begun_ms = time.monotonic() * 1000.0
             for kind in (FaultKind.PAUSE, FaultKind.KILL, FaultKind.CUT_OUT):
                 await play_schedule(fleet, [Fault(0.0, 5_000.0, kind, ("n2",))])
-                assert await until_true(lambda: has_converged(fleet), CONVERGE_SECONDS), kind
+                assert await becomes_true(lambda: has_converged(fleet), CONVERGE_SECONDS), kind
             ended_ms = time.monotonic() * 1000.0
             times_ms = {uid: [at for at in times if at >= begun_ms] for uid, times in checked_ms.items()}
             gaps_ms = {
--- a/tests/test_fleet_works.py
+++ b/tests/test_fleet_works.py
@@ -11,7 +11,7 @@
 from gladewalk.faultnet.schedule import Fault, FaultKind
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ScriptedServer
-from tests.fleet_test_case import Fleets, until_true, wall_ms
+from tests.fleet_test_case import FleetTestCase, becomes_true, unix_now_ms
 from tests.test_ops import hit
 
 
@@ -25,14 +25,14 @@
     return done.returncode, (done.stdout + done.stderr).strip()
 
 
-class Works(Fleets):
+class Works(FleetTestCase):
     async def purged(self, fleet: Fleet, ids: list[str], within_s: float = 8.0) -> bool:
         """Whether every hub has done every one of these purges."""
-        return await until_true(lambda: all(set(ids) <= set(hub.purges) for hub in fleet.hubs), within_s)
+        return await becomes_true(lambda: all(set(ids) <= set(hub.purges) for hub in fleet.hubs), within_s)
 
     async def test_a_purge_ordered_anywhere_is_done_once_at_every_hub_whoever_dies(self) -> None:
-        fleet = await self.start(3)
-        holder = await self.held_since(wall_ms())
+        fleet = await self.start_lease_fleet(3)
+        holder = await self.holder_since(unix_now_ms())
         other = next(name for name in fleet.names if name != holder)
         code, said = await asyncio.to_thread(command, fleet, "purge", "o:7f3a9c21", other)
         assert code == 0, said
@@ -68,8 +68,10 @@
         assert self.verdict().is_safe, self.verdict()
 
     async def test_an_order_that_a_minority_alone_can_keep_is_not_acknowledged_until_it_heals(self) -> None:
-        fleet = await self.start(3)
-        holder = await self.held_since(wall_ms())  # it could forward at once: what hubs took needs no keepers
+        fleet = await self.start_lease_fleet(3)
+        holder = await self.holder_since(
+            unix_now_ms()
+        )  # it could forward at once: what hubs took needs no keepers
         alone = next(name for name in fleet.names if name != holder)
         parted = asyncio.ensure_future(play_fault(fleet, Fault(0.0, 4_000.0, FaultKind.PARTITION, (alone,))))
         await asyncio.sleep(0.2)
@@ -80,24 +82,24 @@
         assert self.verdict().is_safe, self.verdict()
 
     async def test_a_lease_is_handed_on_by_name_and_only_by_its_holder(self) -> None:
-        fleet = await self.start(3)
-        holder = await self.held_since(wall_ms())
+        fleet = await self.start_lease_fleet(3)
+        holder = await self.holder_since(unix_now_ms())
         to, third = (name for name in fleet.names if name != holder)
         code, said = await asyncio.to_thread(command, fleet, "hand-on", "purge", "--to", to, third)
         assert code == 2 and f"purge is not held by {third}" in said, said
         code, said = await asyncio.to_thread(command, fleet, "hand-on", "purge", "--to", "n9", holder)
         assert code == 2 and "'n9' is no other director" in said, said
-        begun = wall_ms()
+        begun = unix_now_ms()
         code, said = await asyncio.to_thread(command, fleet, "hand-on", "purge", "--to", to, holder)
         assert code == 0 and f"to {to}" in said, said
         records = fleet.hubs[0].fence.records
-        assert await until_true(
+        assert await becomes_true(
             lambda: any(
                 record.holder == to and record.is_accepted and record.received_at_ms > begun
                 for record in records
             )
         )
-        assert self.actors(begun, float("inf")) <= {holder, to}
+        assert self.holders_between(begun, float("inf")) <= {holder, to}
         code, said = await asyncio.to_thread(command, fleet, "leases", to)
         assert code == 0 and re.search(r"purge .*\b[1-9]", said), said
         assert self.verdict().is_safe, self.verdict()
@@ -105,7 +107,7 @@
     async def test_the_fleets_report_counts_what_was_served_and_names_who_is_missing(self) -> None:
         cache = await ScriptedServer(hit).start()
         try:
-            fleet = await self.start(3, peers=(cache,))
+            fleet = await self.start_lease_fleet(3, servers=(cache,))
             for name, count in (("n0", 7), ("n1", 5)):
                 serving = next(line for line in fleet.read_log(name) if line["event"] == "serving")
                 for number in range(count):
@@ -120,12 +122,12 @@
                 return bool(reports) and reports[-1]["totals"].get("served") == served \
                     and reports[-1]["missing"] == missing  # fmt: skip
 
-            assert await until_true(lambda: told(12, [])), reports[-1:]
+            assert await becomes_true(lambda: told(12, [])), reports[-1:]
             assert fleet.collector.rows["n0"]["served"] == 7 and fleet.collector.rows["n1"]["served"] == 5
             await fleet.kill("n0")  # what it served was served; after its start it counts anew
-            assert await until_true(lambda: told(12, ["n0"])), reports[-1:]
+            assert await becomes_true(lambda: told(12, ["n0"])), reports[-1:]
             await fleet.start("n0")
-            assert await until_true(lambda: told(12, [])), reports[-1:]
+            assert await becomes_true(lambda: told(12, [])), reports[-1:]
             assert self.verdict().is_safe, self.verdict()
         finally:
             cache.stop()
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -1,4 +1,4 @@
-"""The real director under a virtual clock: its own code, peers and clients on connections in memory."""
+"""The virtual event loop and its streams; the director on it with stand-in servers and clients in memory."""
 
 import asyncio
 import hashlib
@@ -23,7 +23,7 @@
 BODY = b"fish" * 5_000
 
 
-def told(work: Any, seed: int = 1) -> Any:
+def run(work: Any, seed: int = 1) -> Any:
     return run_virtually(seed, work)[0]
 
 
@@ -39,7 +39,7 @@
         return [*came, loop.unix_ms() - loop.environment().clock(), loop.time()]
 
     began = time.monotonic()
-    assert told(work) == [1.0, 2.0, 3.0, 0.0, 4 * 3600.0] and time.monotonic() - began < 60.0
+    assert run(work) == [1.0, 2.0, 3.0, 0.0, 4 * 3600.0] and time.monotonic() - began < 60.0
 
 
 def test_who_waits_for_what_never_comes_is_told_so() -> None:
@@ -69,7 +69,7 @@
         assert await reader.read() == b"thanks"  # half-closed: it still hears
         return b"".join(pieces), len(pieces)
 
-    whole, pieces = told(work)
+    whole, pieces = run(work)
     assert whole == b"".join(bytes([n]) * 50 for n in range(200))
     assert pieces > 200 * (1 + SPLIT_PROBABILITY / 2)
 
@@ -100,7 +100,7 @@
             end = "reset"
         return held, end, served[0]
 
-    assert told(work) == (True, "reset", "read late")
+    assert run(work) == (True, "reset", "read late")
 
 
 def test_nobody_at_an_address_refuses_and_a_cut_path_keeps_waiting_until_it_is_whole() -> None:
@@ -133,21 +133,21 @@
         await loop.run_as("n1", come(7))
         return nobody, dark, loop.time() - began
 
-    nobody, dark, took_s = told(work)
+    nobody, dark, took_s = run(work)
     assert (nobody, dark) == ("refused", "silent") and 3.0 <= took_s < 5.0
 
 
 # The director in it.
 
 
-async def morning(loop: VirtualLoop, seconds: float = 20.0, per_s: float = 30.0) -> dict[str, Any]:
+async def serve_traffic(loop: VirtualLoop, seconds: float = 20.0, per_s: float = 30.0) -> dict[str, Any]:
     """A director, three boxes of which one falls silent for a while, clients with a request each."""
     served: Counter[str] = Counter()
 
-    async def answer(heard: ReceivedRequest) -> None:
-        served[heard.server.uid] += 1
+    async def answer(request: ReceivedRequest) -> None:
+        served[request.server.uid] += 1
         await asyncio.sleep(loop.random.uniform(0.005, 0.05))
-        await heard.answer(200, BODY, X_Remark="mem")
+        await request.answer(200, BODY, X_Remark="mem")
 
     coordinator = Coordinator()
     await loop.run_as("coordinator", coordinator.start())
@@ -185,8 +185,8 @@
     return {"ends": dict(ends), "served": dict(served), "figures": figures, "seconds": loop.time()}
 
 
-def test_the_real_director_serves_a_virtual_morning_and_counts_what_its_clients_saw() -> None:
-    seen = told(morning, 3)
+def test_the_real_director_serves_a_virtual_run_and_counts_what_its_clients_saw() -> None:
+    seen = run(serve_traffic, 3)
     figures, ends = seen["figures"], seen["ends"]
     assert set(ends) == {200, 503} and sum(ends.values()) == 600, ends  # one final answer each, none spoilt
     assert ends[200] == figures["downstream_requests.lot-page.completed"] > 450
@@ -199,7 +199,7 @@
 
 
 def trace_of(seed: int) -> str:
-    seen, loop = run_virtually(seed, morning)
+    seen, loop = run_virtually(seed, serve_traffic)
     return (
         f"{loop.trace()} {loop.event_count} {hashlib.sha256(repr(sorted(seen.items())).encode()).hexdigest()}"
     )
