--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -25,8 +25,8 @@
 
 TRAFFIC = TrafficTable(requests_per_s=30.0, objects=60)
 DRAIN = [
-    ScenarioFault(at_s=5.0 + n, kind=ScenarioFaultKind.DRAIN, duration_s=8.0, target=f"box-{n}")
-    for n in range(2)
+    ScenarioFault(at_s=5.0 + number, kind=ScenarioFaultKind.DRAIN, duration_s=8.0, target=f"box-{number}")
+    for number in range(2)
 ]
 PURGE = [
     ScenarioFault(at_s=at, kind=ScenarioFaultKind.PURGE, duration_s=0.0, amount=0.9)
@@ -86,7 +86,7 @@
 
 
 def all_ready(told: api.EndpointList) -> api.EndpointList:
-    servers = tuple(dataclasses.replace(s, state=api.ServerState.READY) for s in told.servers)
+    servers = tuple(dataclasses.replace(server, state=api.ServerState.READY) for server in told.servers)
     return dataclasses.replace(told, servers=servers)
 
 
@@ -194,16 +194,18 @@
     ScenarioFault(at_s=3.0, kind=ScenarioFaultKind.RESET, duration_s=10.0, target="store", amount=0.7)
 ]
 ALL_RESET = [
-    ScenarioFault(at_s=3.0, kind=ScenarioFaultKind.RESET, duration_s=10.0, target=f"box-{n}", amount=1.0)
-    for n in range(12)
+    ScenarioFault(at_s=3.0, kind=ScenarioFaultKind.RESET, duration_s=10.0, target=f"box-{number}", amount=1.0)
+    for number in range(12)
 ]
 BOXES_BREAK = [
-    ScenarioFault(at_s=3.0, kind=ScenarioFaultKind.TRUNCATE, duration_s=10.0, target=f"box-{n}", amount=0.5)
-    for n in range(4)
+    ScenarioFault(
+        at_s=3.0, kind=ScenarioFaultKind.TRUNCATE, duration_s=10.0, target=f"box-{number}", amount=0.5
+    )
+    for number in range(4)
 ]
 ALL_SILENT = [
     ScenarioFault(at_s=4.0, kind=ScenarioFaultKind.SILENT, duration_s=10.0, target=name)
-    for name in (*(f"box-{n}" for n in range(4)), "hub-0", "hub-1", "store")
+    for name in (*(f"box-{number}" for number in range(4)), "hub-0", "hub-1", "store")
 ]
 CROWD = TrafficTable(requests_per_s=120.0, objects=60)
 BIDS = TrafficTable(requests_per_s=30.0, objects=60, class_shares={"bid": 1.0})
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -7,7 +7,10 @@
 import sys
 import time
 from collections import Counter
-from typing import Any
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
 
 import pytest
 
@@ -23,7 +26,10 @@
 BODY = b"fish" * 5_000
 
 
-def run(work: Any, seed: int = 1) -> Any:
+ResultT = TypeVar("ResultT")
+
+
+def run(work: Callable[[VirtualLoop], Coroutine[Any, Any, ResultT]], seed: int = 1) -> ResultT:
     return run_virtually(seed, work)[0]
 
 
@@ -62,15 +68,15 @@
 
         await asyncio.start_server(serve, "10.0.0.1", 7)
         reader, writer = await asyncio.open_connection("10.0.0.1", 7)
-        for n in range(200):
-            writer.write(bytes([n]) * 50)
+        for number in range(200):
+            writer.write(bytes([number]) * 50)
             await asyncio.sleep(0.002)
         writer.write_eof()
         assert await reader.read() == b"thanks"  # half-closed: it still hears
         return b"".join(pieces), len(pieces)
 
     whole, pieces = run(work)
-    assert whole == b"".join(bytes([n]) * 50 for n in range(200))
+    assert whole == b"".join(bytes([number]) * 50 for number in range(200))
     assert pieces > 200 * (1 + SPLIT_PROBABILITY / 2)
 
 
@@ -137,11 +143,23 @@
     assert (nobody, dark) == ("refused", "silent") and 3.0 <= took_s < 5.0
 
 
-# The director in it.
+# The director on it.
+
+SILENT_FROM, SILENT_UNTIL = 200, 300  # requests between which one cache's answers do not arrive
+
+
+@dataclass(frozen=True)
+class TrafficResult:
+    """What clients, caches and the director counted; a status of 0 is a wrong body, -1 no response."""
+
+    statuses: dict[int, int]
+    served: dict[str, int]
+    counters: dict[str, int]
+    virtual_s: float
 
 
-async def serve_traffic(loop: VirtualLoop, seconds: float = 20.0, per_s: float = 30.0) -> dict[str, Any]:
-    """A director, three boxes of which one falls silent for a while, clients with a request each."""
+async def serve_traffic(loop: VirtualLoop, count: int = 600, per_s: float = 30.0) -> TrafficResult:
+    """A director, three caches of which one falls silent for a while, clients with a request each."""
     served: Counter[str] = Counter()
 
     async def answer(request: ReceivedRequest) -> None:
@@ -151,67 +169,71 @@
 
     coordinator = Coordinator()
     await loop.run_as("coordinator", coordinator.start())
-    boxes = [ScriptedServer(answer, uid=f"c{n}", host=f"10.2.0.{n}") for n in range(3)]
-    for box in boxes:
-        await loop.run_as(box.uid, box.start())
-    config = read_config({**config_for(boxes, coordinator, SETTINGS), "listen": "10.1.0.1:7001"}, {})
+    caches = [ScriptedServer(answer, uid=f"c{number}", host=f"10.2.0.{number}") for number in range(3)]
+    for cache in caches:
+        await loop.run_as(cache.uid, cache.start())
+    config = read_config({**config_for(caches, coordinator, SETTINGS), "listen": "10.1.0.1:7001"}, {})
     director = Director(config, loop, environment=loop.environment())
     await loop.run_as("n1", director.start())
-    ends: Counter[int] = Counter()
-
-    async def one(n: int) -> None:
-        reader, writer = await asyncio.open_connection("10.1.0.1", 7001)
-        writer.write(encode_request(f"/invoke/lot-page/a{n % 50:x}?nth=0", trace=f"{n:016x}"))
-        try:
-            first, _, body = await read_message(reader)
-            status = int(first.split(" ")[1])
-            ends[status if status != 200 or body == BODY else 0] += 1
-        except (asyncio.IncompleteReadError, ConnectionError):
-            ends[-1] += 1
-        writer.close()
-
+    statuses: Counter[int] = Counter()
     clients = []
-    for n in range(int(seconds * per_s)):
-        clients.append(loop.run_as("client", one(n)))
+    for number in range(count):
+        clients.append(loop.run_as("client", send_request(number, statuses)))
         await asyncio.sleep(loop.random.expovariate(per_s))
-        if n == int(seconds * per_s / 3):
+        if number == SILENT_FROM:
             loop.network.cut_counts["c1", "n1"] += 1
-        if n == int(seconds * per_s / 2):
+        if number == SILENT_UNTIL:
             loop.network.cut_counts["c1", "n1"] -= 1
     await asyncio.gather(*clients)
-    figures = {name: count for name, count in director.counters.report().items() if "." in name}
+    counters = {name: value for name, value in director.counters.report().items() if "." in name}
     director.front.close()
     director.coordinator_watch.close()
-    return {"ends": dict(ends), "served": dict(served), "figures": figures, "seconds": loop.time()}
+    return TrafficResult(dict(statuses), dict(served), counters, loop.time())
+
+
+async def send_request(number: int, statuses: Counter[int]) -> None:
+    reader, writer = await asyncio.open_connection("10.1.0.1", 7001)
+    writer.write(encode_request(f"/invoke/lot-page/a{number % 50:x}?nth=0", trace=f"{number:016x}"))
+    try:
+        response = await read_message(reader)
+        is_right = response.status != 200 or response.body == BODY
+        statuses[response.status if is_right else 0] += 1
+    except (asyncio.IncompleteReadError, ConnectionError):
+        statuses[-1] += 1
+    writer.close()
 
 
 def test_the_real_director_serves_a_virtual_run_and_counts_what_its_clients_saw() -> None:
-    seen = run(serve_traffic, 3)
-    figures, ends = seen["figures"], seen["ends"]
-    assert set(ends) == {200, 503} and sum(ends.values()) == 600, ends  # one final answer each, none spoilt
-    assert ends[200] == figures["downstream_requests.lot-page.completed"] > 450
-    assert ends[503] == figures["downstream_requests.lot-page.rejected"]  # while a third of the boxes is gone
-    assert figures["attempts.written"] == sum(seen["served"].values()) > figures["attempts.ok"]
-    assert 0 < seen["served"]["c1"] < min(seen["served"]["c0"], seen["served"]["c2"])  # it was left alone
+    result = run(serve_traffic, 3)
+    statuses, served, counters = result.statuses, result.served, result.counters
+    assert set(statuses) == {200, 503}, statuses  # no wrong body, no connection without a response
+    assert sum(statuses.values()) == 600, statuses
+    assert statuses[200] == counters["downstream_requests.lot-page.completed"] > 450
+    assert statuses[503] == counters["downstream_requests.lot-page.rejected"]  # while a cache is silent
+    assert counters["attempts.written"] == sum(served.values()) > counters["attempts.ok"]
+    assert 0 < served["c1"] < min(served["c0"], served["c2"])  # it was bypassed
 
 
-SCRIPT = "from tests.test_virtual import trace_of; print(trace_of(5))"
+SCRIPT = "from tests.test_virtual import describe_run; print(describe_run(5))"
 
 
-def trace_of(seed: int) -> str:
-    seen, loop = run_virtually(seed, serve_traffic)
-    return (
-        f"{loop.trace()} {loop.event_count} {hashlib.sha256(repr(sorted(seen.items())).encode()).hexdigest()}"
-    )
+def describe_run(seed: int) -> str:
+    """The trace of a run and a digest of its result."""
+    result, loop = run_virtually(seed, serve_traffic)
+    return f"{loop.trace()} {loop.event_count} {hashlib.sha256(repr(result).encode()).hexdigest()}"
 
 
 def test_a_seed_gives_one_trace_in_this_process_and_in_others_and_another_seed_another() -> None:
-    here = trace_of(5)
-    assert here == trace_of(5) and here != trace_of(6)
-    root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-    for hash_seed in ("0", "1"):  # sets of texts in another order each
+    here = describe_run(5)
+    assert here == describe_run(5) and here != describe_run(6)
+    for hash_seed in ("0", "1"):  # each gives sets of strings another order
         done = subprocess.run(
-            [sys.executable, "-c", SCRIPT], cwd=root, capture_output=True, text=True, timeout=120, check=True,
+            [sys.executable, "-c", SCRIPT],
+            cwd=Path(__file__).parent.parent,
+            capture_output=True,
+            text=True,
+            timeout=120,
+            check=True,
             env={**os.environ, "PYTHONHASHSEED": hash_seed},
-        )  # fmt: skip
+        )
         assert done.stdout.splitlines()[-1] == here
