--- a/benchmarks/nginx_agreement.py
+++ b/benchmarks/nginx_agreement.py
@@ -12,20 +12,20 @@
 import random
 import sys
 
-from gladewalk.nginx.table import Place, Step
+from gladewalk.nginx.table import LocationRow, StepRow
 from tests.test_nginx import check_agreement
 
 PARTS = ("a", "b", "ab", "A", "a.x", "b.y", "")
 REGEXES = (r"\.x$", "a", "^/a", "^/ab/", r"\.(x|y)$", "b/", "A", "^/$", "a.*b", "//")
-STEPS = [Step(op="return", at="-", code=200, to="x")]
+STEPS = [StepRow(op="return", defined_at="-", status=200, value="x")]
 
 
 def path(draw: random.Random) -> str:
     return "/" + "/".join(draw.choice(PARTS) for _ in range(draw.randrange(5)))
 
 
-def tree(draw: random.Random, depth: int, below: str = "/", in_regex: bool = False) -> list[Place]:
-    places: list[Place] = []
+def tree(draw: random.Random, depth: int, below: str = "/", in_regex: bool = False) -> list[LocationRow]:
+    places: list[LocationRow] = []
     seen: set[tuple[str, str]] = set()
     for number in range(draw.randrange(6)):
         kind = draw.choice(("~", "~*") if in_regex else ("", "", "=", "^~", "~", "~*"))
@@ -37,7 +37,9 @@
         seen.add(slot)
         inner = tree(draw, depth - 1, pattern, is_regex) if depth and kind != "=" else []
         at = f"{depth}:{number}:{kind}{pattern}"
-        places.append(Place(at=at, kind=kind, pattern=pattern, steps=STEPS, places=inner))
+        places.append(
+            LocationRow(defined_at=at, modifier=kind, pattern=pattern, steps=STEPS, locations=inner)
+        )
     return places
 
 
--- a/benchmarks/nginx_routes.py
+++ b/benchmarks/nginx_routes.py
@@ -17,10 +17,11 @@
 
 import pcre2
 
-from gladewalk.nginx.regexes import STEPS_MOST, Regex, TooCostly
+from gladewalk.nginx.errors import MatchLimitError
+from gladewalk.nginx.regexes import MAX_MATCH_STEPS, Regex
 from gladewalk.nginx.router import Router
-from gladewalk.nginx.table import Box, Listen, Place, Server, Site, Upstream
-from gladewalk.nginx.uri import read_target
+from gladewalk.nginx.table import ListenRow, LocationRow, ServerRow, Site, UpstreamRow, UpstreamServerRow
+from gladewalk.nginx.uri import parse_target
 from gladewalk.nginx.variables import Request
 
 REQUESTS = 3_000
@@ -34,11 +35,16 @@
 def table(prefixes: int, regexes: int, draw: random.Random) -> tuple[Router, list[str]]:
     """A table with so many locations, and URIs that land all over it."""
     names = [f"/s{n % 97}/d{n}/" for n in range(prefixes)]
-    places = [Place(at="-", pattern=name, upstream="u") for name in names]
-    places += [Place(at="-", kind="~", pattern=rf"^/r{n}/.*\.x$", upstream="u") for n in range(regexes)]
-    places.append(Place(at="-", pattern="/", upstream="u"))
-    upstream = Upstream(name="u", at="-", boxes=[Box(address="127.0.0.1:1", at="-")])
-    server = Server(at="-", listens=[Listen(address="*:80")], places=places)
+    places = [LocationRow(defined_at="-", pattern=name, upstream="u") for name in names]
+    places += [
+        LocationRow(defined_at="-", modifier="~", pattern=rf"^/r{n}/.*\.x$", upstream="u")
+        for n in range(regexes)
+    ]
+    places.append(LocationRow(defined_at="-", pattern="/", upstream="u"))
+    upstream = UpstreamRow(
+        name="u", defined_at="-", servers=[UpstreamServerRow(address="127.0.0.1:1", defined_at="-")]
+    )
+    server = ServerRow(defined_at="-", listens=[ListenRow(address="*:80")], locations=places)
     uris = [
         draw.choice(names) + f"a/{draw.randrange(1_000)}.jpg?q={draw.random():.3f}" for _ in range(REQUESTS)
     ]
@@ -50,7 +56,7 @@
     spent = []
     for uri in uris:
         began = time.perf_counter_ns()
-        target = read_target(uri)
+        target = parse_target(uri)
         landing = router.route("*:80", Request("GET", target, "example.com"))
         spent.append((time.perf_counter_ns() - began) / 1_000.0)
         assert landing.upstream == "u"
@@ -65,7 +71,7 @@
     try:
         regex.match(text)
         ended = "matched or not"
-    except TooCostly:
+    except MatchLimitError:
         ended = "given up"
     bounded = (time.perf_counter() - began) * 1_000.0
     free = pcre2.compile(pattern.encode())
@@ -87,7 +93,7 @@
         router, uris = table(prefixes, regexes, draw)
         median, most = cost(router, uris)
         print(f"{prefixes:8}  {regexes:7}  {median:7.1f}  {most:7.1f}", flush=True)
-    print(f"regexes bounded at {STEPS_MOST} steps:")
+    print(f"regexes bounded at {MAX_MATCH_STEPS} steps:")
     for pattern, text in WORST:
         print(f"  {pattern} on {len(text)} signs: {worst(pattern, text)[1]}", flush=True)
     return 0
--- a/benchmarks/web_cost.py
+++ b/benchmarks/web_cost.py
@@ -20,7 +20,16 @@
 
 import uvloop
 
-from gladewalk.nginx.table import Box, Listen, Place, Server, Site, Terms, Upstream, write_site
+from gladewalk.nginx.table import (
+    ListenRow,
+    LocationRow,
+    ProxySettings,
+    ServerRow,
+    Site,
+    UpstreamRow,
+    UpstreamServerRow,
+    write_site,
+)
 from gladewalk.rehearsal.peers import Coordinator, config_for
 
 from .http2_cost import Sample, Stage, measure
@@ -29,13 +38,17 @@
 
 
 def table(boxes: list[str], locations: int) -> Site:
-    rows = [Box(address=box, at="-") for box in boxes]
-    terms = Terms(set_fields=[["Host", "$host"], ["X-Real-IP", "$remote_addr"]])
-    places = [Place(at="-", pattern="/", upstream="u", terms=terms)]
-    places += [Place(at="-", pattern=f"/s{n}/", upstream="u") for n in range(max(0, locations - 11))]
-    places += [Place(at="-", kind="~", pattern=rf"^/r{n}/.*\.x$", upstream="u") for n in range(10)]
-    server = Server(at="-", listens=[Listen(address="*:80")], places=places)
-    return Site(upstreams=[Upstream(name="u", at="-", boxes=rows)], servers=[server])
+    rows = [UpstreamServerRow(address=box, defined_at="-") for box in boxes]
+    terms = ProxySettings(set_fields=[["Host", "$host"], ["X-Real-IP", "$remote_addr"]])
+    places = [LocationRow(defined_at="-", pattern="/", upstream="u", proxy=terms)]
+    places += [
+        LocationRow(defined_at="-", pattern=f"/s{n}/", upstream="u") for n in range(max(0, locations - 11))
+    ]
+    places += [
+        LocationRow(defined_at="-", modifier="~", pattern=rf"^/r{n}/.*\.x$", upstream="u") for n in range(10)
+    ]
+    server = ServerRow(defined_at="-", listens=[ListenRow(address="*:80")], locations=places)
+    return Site(upstreams=[UpstreamRow(name="u", defined_at="-", servers=rows)], servers=[server])
 
 
 def web(stage: Stage, boxes: list[str], coordinator: Coordinator, locations: int) -> tuple[int, str]:
--- a/gladewalk/cli/nginx_commands.py
+++ b/gladewalk/cli/nginx_commands.py
@@ -31,7 +31,7 @@
     written. With --diff, only the requests of --uris that the table routes elsewhere are printed; exit code 1
     if there are any.
     """
-    from ..nginx.parser import NginxError
+    from ..nginx.errors import NginxConfigError
     from ..nginx.table import write_site
     from ..nginx.translate import import_site
 
@@ -42,7 +42,7 @@
         if old is not None and uris is not None:
             _print_differences(old, site, uris)
             return
-    except (NginxError, ConfigError) as error:
+    except (NginxConfigError, ConfigError) as error:
         _fail_with(error)
     for line in (*site.losses, *site.notes):
         click.echo(line, err=True)
@@ -51,12 +51,12 @@
 
 def _print_differences(old: str, site: Site, uris: TextIO) -> None:
     """Prints the requests that another table would route elsewhere; exits with 1 if there are any."""
-    from ..nginx.explain import diff, load_any, read_requests
+    from ..nginx.explain import load_site_or_import, moved_requests, parse_requests
     from ..nginx.router import Router
 
-    moved = diff(Router(load_any(old)), Router(site), read_requests(uris))
-    for request, before, after in moved:
-        click.echo(f"{request}: {before} -> {after}")
+    moved = moved_requests(Router(load_site_or_import(old)), Router(site), parse_requests(uris))
+    for each in moved:
+        click.echo(f"{each.request}: {each.previous} -> {each.current}")
     exit_with(ExitCode.FINDING if moved else ExitCode.DONE)
 
 
@@ -70,11 +70,12 @@
 @examples("gladewalk route site.conf /lots/7/a.mp4 --host auction.example")
 def route_command(file: str, uri: str, host: str, method: str, client: str, listen: str) -> None:
     """Show where a request is routed, and by which lines; FILE is nginx's own or a table (.toml)."""
-    from ..nginx.explain import Asked, explain, load_any
+    from ..nginx.explain import RequestDescription, explain, load_site_or_import
     from ..nginx.router import Router
 
     try:
-        lines = explain(Router(load_any(file)), Asked(uri, host, method.upper(), client, listen))
+        request = RequestDescription(uri, host, method.upper(), client, listen)
+        lines = explain(Router(load_site_or_import(file)), request)
     except (ConfigError, ValueError) as error:
         _fail_with(error)
     click.echo("\n".join(lines))
@@ -89,11 +90,11 @@
 
     FILE is nginx's own or a table (.toml). Exit code 1: an answer came from another server than it says.
     """
-    from ..nginx.explain import Asked, load_any
+    from ..nginx.explain import RequestDescription, load_site_or_import
     from ..rehearsal.__main__ import run
 
     try:
-        lines, good = run(load_any(file), [Asked(uri, host) for uri in uris])
+        lines, good = run(load_site_or_import(file), [RequestDescription(uri, host) for uri in uris])
     except ConfigError as error:
         _fail_with(error)
     click.echo("\n".join(lines))
--- a/gladewalk/nginx/__init__.py
+++ b/gladewalk/nginx/__init__.py
@@ -1,4 +1,6 @@
-"""nginx's routing, read and run as written: `parser`, `translate` to a `table`, `router`, and `explain`.
+"""nginx's routing, imported and executed.
 
-Nothing here does I/O but `parser`. What cannot be carried over faithfully is refused by file and line.
+`parser` and `translate` import a file to a `table`; `compiler` and `router` route requests by it; `explain`
+tells why a request lands where it does. Only `parser` and the loading of a table do I/O. What cannot be
+carried over faithfully is refused by file and line.
 """
--- a/gladewalk/nginx/explain.py
+++ b/gladewalk/nginx/explain.py
@@ -7,100 +7,126 @@
 from pathlib import Path
 
 from ..config.platform import ConfigError
-from .parser import NginxError
-from .router import Landing, Router, read_host
+from .errors import MalformedRequestError, NginxConfigError
+from .hosts import normalise_optional_host
+from .landing import Landing
+from .router import Router
 from .table import Site, load_site
 from .translate import import_site
-from .uri import BadTarget, read_target
+from .uri import parse_target
 from .variables import Request
 
+MAX_WORDS = 3  # of a line that names a request
+
 
 @dataclass(slots=True, frozen=True)
-class Asked:
-    """A request as an operator names it."""
+class RequestDescription:
+    """A request as an operator names it; `listen` "": the table's first."""
 
     uri: str
     host: str = ""
     method: str = "GET"
-    client: str = "127.0.0.1"
+    client_address: str = "127.0.0.1"
     listen: str = ""
 
     def __str__(self) -> str:
         return f"{self.method} {self.host or '-'} {self.uri}"
 
 
-def load_any(path: str) -> Site:
-    """A table that was written (`.toml`), or nginx's own file, imported; `ConfigError` for what can't be."""
+@dataclass(slots=True, frozen=True)
+class MovedRequest:
+    """A request that would land elsewhere, with both landings in one line each."""
+
+    request: RequestDescription
+    previous: str
+    current: str
+
+
+def load_site_or_import(path: str) -> Site:
+    """Loads a table (`.toml`), or imports nginx's own file; raises `ConfigError`."""
     if path.endswith(".toml"):
         return load_site(Path(path))
     try:
         return import_site(path)
-    except NginxError as error:
+    except NginxConfigError as error:
         raise ConfigError(str(error)) from error
 
 
-def listen_of(router: Router, wanted: str) -> str:
-    """The listen that is named, or the only one, or the first."""
+def _choose_listen(router: Router, wanted: str) -> str:
+    """Returns the listen that is named, or the first; raises `ConfigError`."""
     if wanted and wanted not in router.listeners:
         raise ConfigError(f"listen: {wanted} is none of {', '.join(router.listeners)}")
     return wanted or next(iter(router.listeners))
 
 
-def land(router: Router, asked: Asked, trace: list[str] | None = None) -> Landing:
-    """Route one request; `ConfigError` for one that would be answered 400 before any routing."""
-    listen = listen_of(router, asked.listen)
+def route_request(router: Router, asked: RequestDescription, trace: list[str] | None = None) -> Landing:
+    """Routes one request.
+
+    Raises:
+        ConfigError: It would be answered 400 before any routing, or its listen is unknown.
+    """
+    listen = _choose_listen(router, asked.listen)
     port = int(listen.rpartition(":")[2])
     try:
-        host = read_host(asked.host)
-        server = router.server_of(listen, host)
-        target = read_target(asked.uri, server.row.merge_slashes)
-    except (BadTarget, ValueError) as error:
+        host = normalise_optional_host(asked.host)
+        target = parse_target(asked.uri, router.server_of(listen, host).row.merge_slashes)
+    except (MalformedRequestError, UnicodeEncodeError) as error:
         raise ConfigError(f"{asked.uri}: 400: {error}") from error
-    request = Request(asked.method, target, host, {"host": host}, asked.client, server_port=port)
+    request = Request(asked.method, target, host, {"host": host}, asked.client_address, server_port=port)
     return router.route(listen, request, trace)
 
 
-def told(landing: Landing) -> str:
-    """A landing in one line."""
+def describe_landing(landing: Landing) -> str:
+    """Returns a landing in one line."""
     if landing.upstream:
         return f"upstream {landing.upstream} {landing.target}"
     return f"answer {landing.status} {landing.redirect or landing.text}".rstrip()
 
 
-def explain(router: Router, asked: Asked) -> list[str]:
-    """Every step of the way, in order, and where it ends."""
+def explain(router: Router, asked: RequestDescription) -> list[str]:
+    """Returns every step of a request's way, in order, and where it ends; raises `ConfigError`."""
     trace = [str(asked)]
-    landing = land(router, asked, trace)
-    place = landing.place
-    where = f" by {place.said}  [{place.at}]" if place is not None else ""
-    return [*trace, f"=> {told(landing)}{where}"]
+    landing = route_request(router, asked, trace)
+    row = landing.location_row
+    where = f" by {row.directive}  [{row.defined_at}]" if row is not None else ""
+    return [*trace, f"=> {describe_landing(landing)}{where}"]
 
 
-def diff(old: Router, new: Router, requests: Iterable[Asked]) -> list[tuple[Asked, str, str]]:
-    """The requests that would land elsewhere, with where they did and where they would."""
-    found = []
+def moved_requests(
+    previous: Router, current: Router, requests: Iterable[RequestDescription]
+) -> list[MovedRequest]:
+    """Returns the requests that land elsewhere by `current`."""
+    moved = []
     for asked in requests:
-        ends = []
-        for router in (old, new):
-            try:
-                ends.append(told(land(router, asked)))
-            except ConfigError as error:
-                ends.append(str(error))
-        if ends[0] != ends[1]:
-            found.append((asked, ends[0], ends[1]))
-    return found
-
-
-def read_requests(lines: Iterable[str]) -> list[Asked]:
-    """`[METHOD] [HOST] URI` a line; a URI begins with `/`, what is empty or a comment is passed over."""
-    found = []
+        before, after = _landing_or_error(previous, asked), _landing_or_error(current, asked)
+        if before != after:
+            moved.append(MovedRequest(asked, before, after))
+    return moved
+
+
+def _landing_or_error(router: Router, asked: RequestDescription) -> str:
+    try:
+        return describe_landing(route_request(router, asked))
+    except ConfigError as error:
+        return str(error)
+
+
+def parse_requests(lines: Iterable[str]) -> list[RequestDescription]:
+    """Parses lines of the form `[METHOD] [HOST] URI`; empty ones and comments are skipped.
+
+    Raises:
+        ConfigError: A line is of another form.
+    """
+    requests = []
     for number, line in enumerate(lines, 1):
         words = line.split()
         if not words or words[0].startswith("#"):
             continue
-        if not words[-1].startswith("/") or len(words) > 3:
+        *rest, uri = words
+        if not uri.startswith("/") or len(words) > MAX_WORDS:
             raise ConfigError(f"line {number}: not of the form [METHOD] [HOST] URI")
-        method = words[0] if len(words) > 1 and words[0].isupper() else "GET"
-        host = words[-2] if len(words) == 3 or (len(words) == 2 and not words[0].isupper()) else ""
-        found.append(Asked(words[-1], "" if host == "-" else host, method))
-    return found
+        method = rest[0] if rest and rest[0].isupper() else "GET"
+        has_host = len(rest) == 2 or (len(rest) == 1 and not rest[0].isupper())
+        host = rest[-1] if has_host and rest[-1] != "-" else ""
+        requests.append(RequestDescription(uri, host, method))
+    return requests
--- a/gladewalk/nginx/hosts.py
+++ b/gladewalk/nginx/hosts.py
@@ -1,88 +1,104 @@
-"""Names of hosts in nginx's order: exact, longest `*.name`, longest `name.*`, first regex.
+"""Host names in nginx's order of precedence (ngx_http_core_module, `server_name`).
 
-ngx_http_core_module, "server_name".
-
-`.example.com` stands for `example.com` and `*.example.com`.
+Exact, longest `*.name`, longest `name.*`, first regex. `.example.com` stands for `example.com` and
+`*.example.com`.
 """
 
 from __future__ import annotations
 
 from typing import Generic, TypeVar
 
+from .errors import HostError, ServerNameError
 from .regexes import Regex
 
-T = TypeVar("T")
-
+ValueT = TypeVar("ValueT")
+FORBIDDEN_IN_HOST = "/\\ \t\0"
 
-class BadName(ValueError):
-    """A name that can't be a server's, or that is given twice."""
 
+class HostNameMap(Generic[ValueT]):
+    """Values by host names and wildcards.
 
-class HostNames(Generic[T]):
-    """Values by names of hosts, found in a time that grows with the name's labels alone, but for regexes."""
+    A lookup takes time proportional to the name's labels; regexes are tried one by one.
+    """
 
     def __init__(self) -> None:
-        self.exact: dict[str, T] = {}
-        self.heads: dict[str, T] = {}  # by what follows `*.`
-        self.tails: dict[str, T] = {}  # by what stands before `.*`
-        self.regexes: list[tuple[Regex, T]] = []
-
-    def add(self, name: str, value: T) -> None:
-        """`BadName` for a mask in the middle; a name that is there already stays: the first wins."""
+        self._exact: dict[str, ValueT] = {}
+        self._leading_wildcards: dict[str, ValueT] = {}  # by what follows `*.`
+        self._trailing_wildcards: dict[str, ValueT] = {}  # by what stands before `.*`
+        self._regexes: list[tuple[Regex, ValueT]] = []
+
+    def add(self, name: str, value: ValueT) -> None:
+        """Adds a name, a wildcard or `~regex`; of two equal names the first stays.
+
+        Raises:
+            ServerNameError: The name has a wildcard elsewhere than at one end.
+            RegexError: The regex does not compile.
+        """
         if name.startswith("~"):
-            return self.regexes.append((Regex(name[1:]), value))
+            self._regexes.append((Regex(name[1:]), value))
+            return
         lower = name.lower().rstrip(".")
         if lower.startswith("."):
-            self.exact.setdefault(lower[1:], value)
-            self.heads.setdefault(lower[1:], value)
+            self._exact.setdefault(lower[1:], value)
+            self._leading_wildcards.setdefault(lower[1:], value)
         elif lower.startswith("*."):
-            self._masked(lower[2:])
-            self.heads.setdefault(lower[2:], value)
+            self._leading_wildcards.setdefault(_without_wildcard(lower[2:]), value)
         elif lower.endswith(".*"):
-            self._masked(lower[:-2])
-            self.tails.setdefault(lower[:-2], value)
+            self._trailing_wildcards.setdefault(_without_wildcard(lower[:-2]), value)
         else:
-            self._masked(lower)
-            self.exact.setdefault(lower, value)
+            self._exact.setdefault(_without_wildcard(lower), value)
 
-    def _masked(self, rest: str) -> None:
-        if "*" in rest:
-            raise BadName(f"'{rest}': a mask stands for whole labels at one end alone")
+    def find(self, name: str) -> ValueT | None:
+        """Returns the value for a host name, which is in lower case and without a port."""
+        found = self.find_name(name)
+        return found if found is not None else self.find_regex(name)[0]
 
-    def find(self, name: str, regexes: bool = True) -> T | None:
-        """What a host's name, in lower case and without a port, belongs to."""
-        if name in self.exact:
-            return self.exact[name]
+    def find_name(self, name: str) -> ValueT | None:
+        """Returns the value for a host name by exact names and wildcards alone."""
+        if name in self._exact:
+            return self._exact[name]
         labels = name.split(".")
-        for number in range(1, len(labels)):
-            rest = ".".join(labels[number:])
-            if rest in self.heads:
-                return self.heads[rest]
-        for number in range(len(labels) - 1, 0, -1):
-            rest = ".".join(labels[:number])
-            if rest in self.tails:
-                return self.tails[rest]
-        return self.find_regex(name)[0] if regexes else None
-
-    def find_regex(self, name: str) -> tuple[T | None, dict[str, str]]:
-        for regex, value in self.regexes:
+        for count in range(1, len(labels)):
+            rest = ".".join(labels[count:])
+            if rest in self._leading_wildcards:
+                return self._leading_wildcards[rest]
+        for count in range(len(labels) - 1, 0, -1):
+            rest = ".".join(labels[:count])
+            if rest in self._trailing_wildcards:
+                return self._trailing_wildcards[rest]
+        return None
+
+    def find_regex(self, name: str) -> tuple[ValueT | None, dict[str, str]]:
+        """Returns the value of the first regex that matches, with its named groups."""
+        for regex, value in self._regexes:
             matched = regex.match(name)
             if matched is not None:
                 return value, matched[1]
         return None, {}
 
 
-def clean_host(raw: str) -> str:
-    """A Host field without its port and last dot, in lower case; `ValueError` for one that can't be."""
+def _without_wildcard(rest: str) -> str:
+    if "*" in rest:
+        raise ServerNameError(f"'{rest}': a mask stands for whole labels at one end alone")
+    return rest
+
+
+def normalise_host(raw: str) -> str:
+    """Returns a Host field in lower case, without its port and last dot; raises `HostError`."""
     text = raw.strip()
-    if not text or any(sign in text for sign in "/\\ \t\0") or ".." in text:
-        raise ValueError(f"no host: {raw!r}")
+    if not text or any(char in text for char in FORBIDDEN_IN_HOST) or ".." in text:
+        raise HostError(f"no host: {raw!r}")
     if text.startswith("["):
         host, bracket, rest = text.partition("]")
         if not bracket or (rest and not rest[1:].isdigit()):
-            raise ValueError(f"no host: {raw!r}")
+            raise HostError(f"no host: {raw!r}")
         return (host + "]").lower()
     host, _, port = text.partition(":")
     if not host or (port and not port.isdigit()):
-        raise ValueError(f"no host: {raw!r}")
+        raise HostError(f"no host: {raw!r}")
     return host.rstrip(".").lower()
+
+
+def normalise_optional_host(raw: str) -> str:
+    """Returns a Host field as `normalise_host` does, and an empty one as it is."""
+    return normalise_host(raw) if raw else ""
--- a/gladewalk/nginx/maps.py
+++ b/gladewalk/nginx/maps.py
@@ -1,88 +1,99 @@
-"""`map` and `split_clients`: variables whose values are chosen by other variables.
+"""The variables of `map` and `split_clients`, whose values other variables choose.
 
 nginx.org, ngx_http_map_module and ngx_http_split_clients_module.
 """
 
 from __future__ import annotations
 
-from .hosts import HostNames
+from collections.abc import Sequence
+
+from .hosts import HostNameMap
 from .regexes import Regex
-from .variables import MapRule, State, Template
+from .variables import RequestState, Template
 
-MASK = 0xFFFFFFFF
+UINT32_MAX = 0xFFFFFFFF
+MURMUR2_MULTIPLIER = 0x5BD1E995
+MURMUR2_SHIFT = 24
+WHOLE_IN_HUNDREDTHS = 10_000  # of a per cent
+REST = 0  # the end of the range that `*` stands for
 
 
-class Map(MapRule):
-    """Exact values (in whichever case), or names with a mask if `hostnames`; then regexes in order."""
+class MapVariable:
+    """A variable of `map`: exact values in any case, or host names with wildcards; then regexes in order."""
 
     def __init__(
-        self, source: Template, exact: dict[str, Template], hosts: HostNames[Template] | None,
-        regexes: tuple[tuple[Regex, Template], ...], default: Template,
-    ) -> None:  # fmt: skip
-        self.source, self.exact, self.hosts = source, exact, hosts
-        self.regexes, self.default = regexes, default
-
-    def value(self, state: State) -> str:
-        text = self.source.fill(state)
-        return self._chosen(text, state).fill(state)
-
-    def _chosen(self, text: str, state: State) -> Template:
+        self,
+        source: Template,
+        exact: dict[str, Template],
+        host_names: HostNameMap[Template] | None,
+        regexes: tuple[tuple[Regex, Template], ...],
+        default: Template,
+    ) -> None:
+        """Takes the compiled rows; `host_names` replaces `exact` for a map with `hostnames`."""
+        self._source, self._exact, self._host_names = source, exact, host_names
+        self._regexes, self._default = regexes, default
+
+    def value(self, state: RequestState) -> str:
+        """Returns the value for a request."""
+        return self._choose(self._source.render(state), state).render(state)
+
+    def _choose(self, text: str, state: RequestState) -> Template:
         lower = text.lower()
-        if self.hosts is not None:
-            found = self.hosts.find(lower.rstrip("."), regexes=False)
+        if self._host_names is not None:
+            found = self._host_names.find_name(lower.rstrip("."))
             if found is not None:
                 return found
-        elif lower in self.exact:
-            return self.exact[lower]
-        for regex, template in self.regexes:
+        elif lower in self._exact:
+            return self._exact[lower]
+        for regex, template in self._regexes:
             matched = regex.match(text)
             if matched is not None:
-                state.captured(*matched)
+                state.set_captures(*matched)
                 return template
-        return self.default
+        return self._default
 
 
-class Split(MapRule):
-    """Parts of a 32-bit hash's range, in order; what no part takes is empty."""
+class SplitVariable:
+    """A variable of `split_clients`: parts of a 32-bit hash's range, in order; a gap gives an empty value."""
 
     def __init__(self, source: Template, parts: tuple[tuple[int, Template], ...]) -> None:
-        self.source, self.parts = source, parts  # each with the value under which its range ends; 0: the rest
-
-    def value(self, state: State) -> str:
-        hashed = murmur2(self.source.fill(state).encode("latin-1", "replace"))
-        for end, template in self.parts:
-            if hashed < end or end == 0:
-                return template.fill(state)
+        """Takes the parts as the exclusive end of each range, or `REST`, with its value."""
+        self._source, self._parts = source, parts
+
+    def value(self, state: RequestState) -> str:
+        """Returns the value for a request."""
+        hashed = murmur2(self._source.render(state).encode("latin-1", "replace"))
+        for end, template in self._parts:
+            if hashed < end or end == REST:
+                return template.render(state)
         return ""
 
 
-def split_ends(percents: list[int | None]) -> list[int]:
-    """The ends of ranges for parts in hundredths of a per cent; None stands for `*`, the rest."""
+def split_range_ends(hundredths: Sequence[int | None]) -> list[int]:
+    """Returns the ends of the hash ranges for parts in hundredths of a per cent; None stands for the rest."""
     total, ends = 0, []
-    for percent in percents:
-        if percent is None:
-            ends.append(0)
+    for part in hundredths:
+        if part is None:
+            ends.append(REST)
             continue
-        total += percent
-        ends.append((0xFFFFFFFF * total) // 10_000)
+        total += part
+        ends.append((UINT32_MAX * total) // WHOLE_IN_HUNDREDTHS)
     return ends
 
 
 def murmur2(data: bytes) -> int:
-    """MurmurHash2 of 32 bits with the length as its seed, which is what `split_clients` hashes by."""
-    length = len(data)
-    hashed, place = length & MASK, 0
-    while length >= 4:
-        k = int.from_bytes(data[place : place + 4], "little")
-        k = (k * 0x5BD1E995) & MASK
-        k ^= k >> 24
-        k = (k * 0x5BD1E995) & MASK
-        hashed = ((hashed * 0x5BD1E995) & MASK) ^ k
-        place += 4
-        length -= 4
-    if length:
-        hashed ^= int.from_bytes(data[place:], "little")
-        hashed = (hashed * 0x5BD1E995) & MASK
+    """Returns the 32-bit MurmurHash2 with the length as its seed, as `split_clients` hashes."""
+    hashed = len(data) & UINT32_MAX
+    aligned_length = len(data) - len(data) % 4
+    for position in range(0, aligned_length, 4):
+        word = int.from_bytes(data[position : position + 4], "little")
+        word = (word * MURMUR2_MULTIPLIER) & UINT32_MAX
+        word ^= word >> MURMUR2_SHIFT
+        word = (word * MURMUR2_MULTIPLIER) & UINT32_MAX
+        hashed = ((hashed * MURMUR2_MULTIPLIER) & UINT32_MAX) ^ word
+    if aligned_length < len(data):
+        hashed ^= int.from_bytes(data[aligned_length:], "little")
+        hashed = (hashed * MURMUR2_MULTIPLIER) & UINT32_MAX
     hashed ^= hashed >> 13
-    hashed = (hashed * 0x5BD1E995) & MASK
+    hashed = (hashed * MURMUR2_MULTIPLIER) & UINT32_MAX
     return hashed ^ (hashed >> 15)
--- a/gladewalk/nginx/parser.py
+++ b/gladewalk/nginx/parser.py
@@ -1,17 +1,14 @@
-"""A configuration's text as a tree, each node with its file and line; includes are followed (crossplane)."""
+"""Parses a configuration and what it includes to a tree of directives with file and line (crossplane)."""
 
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
 import crossplane
 
-
-class NginxError(Exception):
-    """Errors in the files, one `file:line: directive: why` a line."""
+from .errors import NginxConfigError
 
 
 @dataclass(slots=True, frozen=True)
@@ -25,61 +22,73 @@
     block: tuple[Node, ...] | None = None
 
     @property
-    def where(self) -> str:
+    def location(self) -> str:
+        """Where it is written, `file:line`."""
         return f"{self.file}:{self.line}"
 
-    def named(self, *names: str) -> Iterator[Node]:
-        return (node for node in self.block or () if node.name in names)
+    @property
+    def children(self) -> tuple[Node, ...]:
+        """The directives of its block, none without one."""
+        return self.block or ()
 
     def __str__(self) -> str:
         return " ".join((self.name, *self.args))
 
 
-def read_tree(path: str) -> tuple[Node, ...]:
-    """The file with all that it includes, as one tree; `NginxError` names every fault of its text."""
+def parse_file(path: str) -> tuple[Node, ...]:
+    """Parses a file with all that it includes to one tree.
+
+    Raises:
+        NginxConfigError: A file cannot be read or its syntax is wrong; names every fault.
+    """
     try:
         parsed = crossplane.parse(path, combine=True, check_ctx=False, check_args=False, strict=False)
         files = [each["file"] for each in crossplane.parse(path, check_ctx=False, check_args=False)["config"]]
     except RecursionError as error:
-        raise NginxError(f"{path}:1: file: blocks are nested too deeply") from error
+        raise NginxConfigError(f"{path}:1: file: blocks are nested too deeply") from error
     except (OSError, UnicodeDecodeError) as error:
-        why = getattr(error, "strerror", None) or str(error)
-        raise NginxError(f"{path}:1: file: {why}") from error
-    faults = [fault_of(problem) for problem in parsed["errors"]]
+        reason = getattr(error, "strerror", None) or str(error)
+        raise NginxConfigError(f"{path}:1: file: {reason}") from error
+    faults = [_describe_fault(fault) for fault in parsed["errors"]]
     for file in files:
-        faults += lost_ends(file)
+        faults += _missing_semicolons(file)
     if faults:
-        raise NginxError("\n".join(dict.fromkeys(faults)))
-    return tuple(node_of(each) for config in parsed["config"] for each in config["parsed"] if kept(each))
+        raise NginxConfigError("\n".join(dict.fromkeys(faults)))
+    return tuple(
+        _build_node(raw) for config in parsed["config"] for raw in config["parsed"] if not _is_comment(raw)
+    )
 
 
-def kept(raw: dict[str, Any]) -> bool:
-    return not str(raw["directive"]).startswith("#")
+def _is_comment(raw: dict[str, Any]) -> bool:
+    return str(raw["directive"]).startswith("#")
 
 
-def node_of(raw: dict[str, Any]) -> Node:
+def _build_node(raw: dict[str, Any]) -> Node:
     block = raw.get("block")
-    inner = None if block is None else tuple(node_of(each) for each in block if kept(each))
-    return Node(raw["directive"], tuple(raw["args"]), raw["file"], raw["line"], inner)
+    nodes = None if block is None else tuple(_build_node(each) for each in block if not _is_comment(each))
+    return Node(raw["directive"], tuple(raw["args"]), raw["file"], raw["line"], nodes)
+
 
+def _describe_fault(fault: dict[str, Any]) -> str:
+    """Returns the parser's message with file and line in front of it."""
+    line = fault.get("line") or 1
+    reason = str(fault["error"]).removesuffix(f" in {fault['file']}:{fault.get('line')}")
+    return f"{fault['file']}:{line}: syntax: {reason}"
 
-def fault_of(problem: dict[str, Any]) -> str:
-    """The parser's words with the place in front of them."""
-    line = problem.get("line") or 1
-    why = str(problem["error"]).removesuffix(f" in {problem['file']}:{problem.get('line')}")
-    return f"{problem['file']}:{line}: syntax: {why}"
 
+def _missing_semicolons(path: str) -> list[str]:
+    """Returns a fault for each directive that a `}` ends.
 
-def lost_ends(path: str) -> list[str]:
-    """Guards against a lost `;`: the parser takes `}` for one where it doesn't know the block around."""
-    found: list[str] = []
+    The parser accepts that where it does not know the block around.
+    """
+    faults: list[str] = []
     first: tuple[str, int] | None = None
     with contextlib.suppress(crossplane.errors.NgxParserSyntaxError, OSError, UnicodeDecodeError):
-        for token, line, quoted in crossplane.lex(path):
-            if quoted or token not in (";", "{", "}"):
+        for token, line, is_quoted in crossplane.lex(path):
+            if is_quoted or token not in (";", "{", "}"):
                 first = first or (token, line)
                 continue
             if token == "}" and first is not None:
-                found.append(f"{path}:{first[1]}: {first[0]}: not ended by ';'")
+                faults.append(f"{path}:{first[1]}: {first[0]}: not ended by ';'")
             first = None
-    return found
+    return faults
--- a/gladewalk/nginx/proxy_settings.py
+++ b/gladewalk/nginx/proxy_settings.py
@@ -1,175 +1,171 @@
-"""How requests are passed on, out of the directives that are in force at a place: values read and checked."""
+"""Translates the directives in force at a location to its proxy settings, access rules and error pages.
+
+All functions raise `DirectiveRefusedError` for a directive that cannot be translated.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Any
 
+from .errors import DirectiveValueError
 from .parser import Node
-from .table import Access, ErrorPage, Terms
-from .values import BadValue, read_count, read_flag, read_ms, read_network, read_size
+from .scope import DirectiveRefusedError, Scope, parse_argument, single_argument
+from .table import AccessRow, ErrorPageRow, ProxySettings
+from .values import parse_count, parse_duration_ms, parse_flag, parse_network, parse_size_bytes
 
-AGAIN = frozenset({
+RETRY_CONDITIONS = frozenset({
     "error", "timeout", "invalid_header", "http_500", "http_502", "http_503", "http_504", "http_403",
     "http_404", "http_429", "non_idempotent",
 })  # fmt: skip
-STALE = (AGAIN - {"non_idempotent"}) | {"updating"}
-# What a level has of its own takes the place of all that an outer one has, lists too.
-GROUPS = {"allow": "access", "deny": "access", "proxy_pass_header": "proxy_hide_header"}
-HIDDEN = ["date", "server", "x-pad", "x-accel-expires", "x-accel-redirect", "x-accel-limit-rate",
-          "x-accel-buffering", "x-accel-charset"]  # fmt: skip
-OWN_FIELDS = [["Host", "$proxy_host"]]  # nginx's other one, `Connection: close`, is this program's affair
-
-Scope = dict[str, list[Node]]
-
-
-class Refusal(ValueError):
-    """A directive that can't be carried over; the text says why."""
-
-    def __init__(self, node: Node, why: str) -> None:
-        super().__init__(why)
-        self.node = node
-
-
-def narrowed(scope: Scope, block: tuple[Node, ...]) -> Scope:
-    """What is in force within a block: its own directives, and of the outer ones what it doesn't replace."""
-    own: Scope = {}
-    for node in block:
-        own.setdefault(GROUPS.get(node.name, node.name), []).append(node)
-    return {**scope, **own}
-
-
-def last(scope: Scope, name: str) -> Node | None:
-    found = scope.get(name)
-    return found[-1] if found else None
-
-
-def one(node: Node) -> str:
-    if len(node.args) != 1:
-        raise Refusal(node, f"takes one value, not {len(node.args)}")
-    return node.args[0]
-
-
-def read(node: Node, reader: Callable[[str], object]) -> object:
-    try:
-        return reader(one(node))
-    except BadValue as error:
-        raise Refusal(node, str(error)) from error
-
-
-PLAIN = (
-    ("proxy_connect_timeout", "connect_ms", read_ms),
-    ("proxy_read_timeout", "read_ms", read_ms),
-    ("proxy_send_timeout", "send_ms", read_ms),
-    ("proxy_next_upstream_tries", "tries", read_count),
-    ("proxy_next_upstream_timeout", "tries_ms", read_ms),
-    ("proxy_cache_lock", "join", read_flag),
-    ("proxy_cache_key", "key", str),
-    ("client_max_body_size", "body_most", read_size),
+STALE_CONDITIONS = (RETRY_CONDITIONS - {"non_idempotent"}) | {"updating"}
+HIDDEN_FIELDS = (  # nginx's own (proxy_hide_header)
+    "date", "server", "x-pad", "x-accel-expires", "x-accel-redirect", "x-accel-limit-rate",
+    "x-accel-buffering", "x-accel-charset",
+)  # fmt: skip
+DEFAULT_FIELDS = (
+    ("Host", "$proxy_host"),
+)  # nginx's other one is `Connection: close`, which the pool decides
+CONNECTION_FIELDS = frozenset({"connection", "upgrade", "transfer-encoding", "content-length", "te"})
+STATUS_DIGITS = 3
+SINGLE_VALUES: tuple[tuple[str, str, Callable[[str], object]], ...] = (
+    ("proxy_connect_timeout", "connect_timeout_ms", parse_duration_ms),
+    ("proxy_read_timeout", "read_timeout_ms", parse_duration_ms),
+    ("proxy_send_timeout", "send_timeout_ms", parse_duration_ms),
+    ("proxy_next_upstream_tries", "max_attempts", parse_count),
+    ("proxy_next_upstream_timeout", "retry_timeout_ms", parse_duration_ms),
+    ("proxy_cache_lock", "joins_fills", parse_flag),
+    ("proxy_cache_key", "cache_key", str),
+    ("client_max_body_size", "max_body_bytes", parse_size_bytes),
 )
 
 
-def terms_of(scope: Scope) -> Terms:
-    """`Refusal` for a value that can't be read."""
-    values: dict[str, object] = {}
-    for name, key, reader in PLAIN:
-        node = last(scope, name)
-        if node is not None:
-            values[key] = read(node, reader)
-    if node := last(scope, "proxy_next_upstream"):
-        values["again_on"] = words(node, AGAIN)
-    if node := last(scope, "proxy_cache_use_stale"):
-        values["stale_on"] = words(node, STALE)
-    if node := last(scope, "proxy_redirect"):
+def translate_proxy_settings(scope: Scope) -> ProxySettings:
+    """Translates the proxy directives in force."""
+    values: dict[str, Any] = {}
+    for directive, name, parse in SINGLE_VALUES:
+        if node := scope.last(directive):
+            values[name] = parse_argument(node, parse)
+    if node := scope.last("proxy_next_upstream"):
+        values["retry_on"] = _parse_conditions(node, RETRY_CONDITIONS)
+    if node := scope.last("proxy_cache_use_stale"):
+        values["use_stale_on"] = _parse_conditions(node, STALE_CONDITIONS)
+    if node := scope.last("proxy_redirect"):
         if node.args not in (("off",), ("default",)):
-            raise Refusal(node, "only `default` and `off` are carried over")
+            raise DirectiveRefusedError(node, "only `default` and `off` are carried over")
         values["redirect"] = node.args[0]
-    for node in scope.get("proxy_cache_valid", ()):
-        *codes, time = node.args or ("",)
+    lifetime_ms = _freshness_lifetime_ms(scope)
+    if lifetime_ms is not None:
+        values["freshness_lifetime_ms"] = lifetime_ms
+    values["set_fields"] = _set_fields(scope)
+    values["hide_fields"] = _hidden_fields(scope)
+    values["add_fields"] = translate_added_fields(scope)
+    return ProxySettings(**values)
+
+
+def _freshness_lifetime_ms(scope: Scope) -> float | None:
+    """Returns the first `proxy_cache_valid` that holds for a 200; the others are checked as well."""
+    lifetime_ms = None
+    for node in scope.all("proxy_cache_valid"):
+        *statuses, duration = node.args or ("",)
         try:
-            fresh = read_ms(time)
-        except BadValue as error:
-            raise Refusal(node, str(error)) from error
-        if not codes or "200" in codes or "any" in codes:
-            values.setdefault("fresh_ms", fresh)
-    values["set_fields"] = set_fields(scope)
-    values["hide_fields"] = hidden(scope)
-    values["add_fields"] = added(scope)
-    return Terms(**values)  # type: ignore[arg-type]
-
-
-def words(node: Node, known: frozenset[str]) -> tuple[str, ...]:
+            duration_ms = parse_duration_ms(duration)
+        except DirectiveValueError as error:
+            raise DirectiveRefusedError(node, str(error)) from error
+        holds_for_200 = not statuses or "200" in statuses or "any" in statuses
+        if holds_for_200 and lifetime_ms is None:
+            lifetime_ms = duration_ms
+    return lifetime_ms
+
+
+def _parse_conditions(node: Node, known: frozenset[str]) -> tuple[str, ...]:
     if node.args == ("off",):
         return ()
-    for word in node.args:
-        if word not in known:
-            raise Refusal(node, f"'{word}' is no condition that is known")
+    for condition in node.args:
+        if condition not in known:
+            raise DirectiveRefusedError(node, f"'{condition}' is no condition that is known")
     if not node.args:
-        raise Refusal(node, "names no condition")
+        raise DirectiveRefusedError(node, "names no condition")
     return node.args
 
 
-def set_fields(scope: Scope) -> list[list[str]]:
-    """Fields sent on, in order; nginx's own `Host` where the file sets none (an empty value: not sent)."""
+def _set_fields(scope: Scope) -> list[list[str]]:
+    """Returns the fields to send, in order; nginx's own `Host` where the file sets none.
+
+    A field with an empty value is not sent.
+    """
     fields = []
-    for node in scope.get("proxy_set_header", ()):
+    for node in scope.all("proxy_set_header"):
         if len(node.args) != 2:
-            raise Refusal(node, "takes a field and a value")
+            raise DirectiveRefusedError(node, "takes a field and a value")
         name, value = node.args
         if name.lower() == "upgrade" and value:
-            raise Refusal(node, "upgraded connections (WebSocket) are not carried")
-        if name.lower() not in ("connection", "upgrade", "transfer-encoding", "content-length", "te"):
+            raise DirectiveRefusedError(node, "upgraded connections (WebSocket) are not carried")
+        if name.lower() not in CONNECTION_FIELDS:
             fields.append([name, value])
     names = {name.lower() for name, _ in fields}
-    return [each for each in OWN_FIELDS if each[0].lower() not in names] + fields
+    return [[name, value] for name, value in DEFAULT_FIELDS if name.lower() not in names] + fields
 
 
-def hidden(scope: Scope) -> list[str]:
-    names = list(HIDDEN)
-    for node in scope.get("proxy_hide_header", ()):
-        name = one(node).lower()
+def _hidden_fields(scope: Scope) -> list[str]:
+    names = list(HIDDEN_FIELDS)
+    for node in scope.all("proxy_hide_header"):
+        name = single_argument(node).lower()
         if node.name == "proxy_pass_header":
-            names = [each for each in names if each != name]
+            names = [hidden for hidden in names if hidden != name]
         elif name not in names:
             names.append(name)
     return names
 
 
-def added(scope: Scope) -> list[list[str]]:
+def translate_added_fields(scope: Scope) -> list[list[str]]:
+    """Translates `add_header` to rows of name, value and `always` or ""."""
     fields = []
-    for node in scope.get("add_header", ()):
+    for node in scope.all("add_header"):
         if len(node.args) not in (2, 3) or node.args[2:] not in ((), ("always",)):
-            raise Refusal(node, "takes a field, a value and perhaps `always`")
-        fields.append([node.args[0], node.args[1], *node.args[2:]] + [""] * (3 - len(node.args)))
+            raise DirectiveRefusedError(node, "takes a field, a value and perhaps `always`")
+        condition = node.args[2] if len(node.args) == 3 else ""
+        fields.append([node.args[0], node.args[1], condition])
     return fields
 
 
 def check_satisfy(node: Node) -> None:
+    """Refuses `satisfy any`."""
     if node.args != ("all",):
-        raise Refusal(node, "`any` would let in by an address whom nginx asks for more")
+        raise DirectiveRefusedError(node, "`any` would let in by an address whom nginx asks for more")
 
 
-def access_of(nodes: list[Node]) -> list[Access]:
-    rules = []
-    for node in nodes:
-        rules.append(Access(allow=node.name == "allow", network=str(read(node, read_network))))
-    return rules
+def translate_access(nodes: Sequence[Node]) -> list[AccessRow]:
+    """Translates `allow` and `deny`."""
+    return [
+        AccessRow(is_allowed=node.name == "allow", network=parse_argument(node, parse_network))
+        for node in nodes
+    ]
 
 
-def errors_of(scope: Scope) -> list[ErrorPage]:
+def translate_error_pages(scope: Scope) -> list[ErrorPageRow]:
+    """Translates `error_page`."""
     pages = []
-    for node in scope.get("error_page", ()):
-        *rest, to = node.args or ("",)
-        status: int | None = None
-        if rest and rest[-1].startswith("="):
-            text = rest.pop()[1:]
-            status = code_of(node, text) if text else 0
-        if not rest or not to.startswith(("/", "@", "http://", "https://", "$")):
-            raise Refusal(node, "takes statuses and where to go")
-        pages.append(ErrorPage(codes=[code_of(node, code) for code in rest], to=to, status=status))
+    for node in scope.all("error_page"):
+        *statuses, target = node.args or ("",)
+        response_status: int | None = None
+        if statuses and statuses[-1].startswith("="):
+            text = statuses.pop()[1:]
+            response_status = parse_status(node, text) if text else 0
+        if not statuses or not target.startswith(("/", "@", "http://", "https://", "$")):
+            raise DirectiveRefusedError(node, "takes statuses and where to go")
+        pages.append(
+            ErrorPageRow(
+                statuses=[parse_status(node, status) for status in statuses],
+                target=target,
+                response_status=response_status,
+            )
+        )
     return pages
 
 
-def code_of(node: Node, text: str) -> int:
-    if not (text.isascii() and text.isdigit() and len(text) == 3):
-        raise Refusal(node, f"'{text}' is no status")
+def parse_status(node: Node, text: str) -> int:
+    """Parses a status of three digits, an argument of `node`."""
+    if not (text.isascii() and text.isdigit() and len(text) == STATUS_DIGITS):
+        raise DirectiveRefusedError(node, f"'{text}' is no status")
     return int(text)
--- a/gladewalk/nginx/router.py
+++ b/gladewalk/nginx/router.py
@@ -1,441 +1,237 @@
-"""A table at work: from a request to where it lands, phase by phase as nginx goes through them.
+"""Routes requests by a compiled table, phase by phase as nginx goes through them.
 
-server by listen and host; the server's rewrites; the location; its rewrites, and back to the location as long
-as they change the URI, ten times at the most; access; then an answer made here, or an upstream and what it is
-asked for. No I/O, nothing random: the same request lands at the same place.
+The server by listen and host; the server's rewrites; the location; its rewrites, and back to the search as
+long as they change the URI, ten times at most; access; then a local response, or an upstream and its target.
+No I/O, nothing random: the same request lands at the same place.
 """
 
 from __future__ import annotations
 
-import ipaddress
-from dataclasses import dataclass, field
+from .compiler import VirtualServer, compile_site
+from .errors import MatchLimitError
+from .landing import Landing, redirect_location, upstream_target
+from .location_rules import ErrorPage, LocationRules
+from .location_search import Location, LocationSearch, SearchResult
+from .rewrite import REDIRECT_STATUSES, LocalResponse, execute_instructions
+from .table import LocationRow, Site, UpstreamRow
+from .uri import percent_encode
+from .variables import Request, RequestState
 
-from .hosts import HostNames, clean_host
-from .location_search import Found, Level, Location, Search
-from .maps import Map, Split, split_ends
-from .regexes import Regex, TooCostly
-from .rewrite import REDIRECTS, Reply, Rule, compile_steps, run_rules
-from .table import Access, ErrorPage, MapTable, Place, Server, Site, SplitTable, Step, Terms
-from .uri import UNSAFE, escape
-from .values import Network
-from .variables import MapRule, Request, State, Template, read_template
+Trace = list[str] | None  # where a line is added for each step of the way; None: nowhere
 
-CHANGES_MOST = 10  # of a request's URI (NGX_HTTP_MAX_URI_CHANGES)
 
+class Router:
+    """A compiled table.
 
-@dataclass(slots=True)
-class Landing:
-    """Where a request lands: an `upstream` that is asked for `target`, or an answer made here.
-
-    `status` 444: the connection is closed without an answer. `shown`: the status that the client is told
-    instead of the answer's own, set by `error_page`.
+    Attributes:
+        site: The table.
+        upstreams: Its upstreams by name.
+        listeners: Its listeners by `HOST:PORT`.
     """
 
-    server: VirtualServer
-    state: State
-    location: Location | None = None
-    upstream: str = ""
-    target: str = ""
-    status: int = 0
-    text: str = ""
-    redirect: str = ""
-    shown: int | None = None
-    from_error: bool = False
-    changes: int = CHANGES_MOST
-
-    @property
-    def place(self) -> Place | None:
-        return self.location.place if self.location is not None else None
-
-    @property
-    def terms(self) -> Terms:
-        return self.location.place.terms if self.location is not None else Terms()
-
-
-@dataclass(slots=True)
-class Gate:
-    """`allow` and `deny`: the first rule that fits counts."""
-
-    rules: list[tuple[bool, Network | None]]
-
-    def lets(self, client: str) -> bool:
-        address = ipaddress.ip_address(client)
-        for allow, network in self.rules:
-            if network is None or address in network:
-                return allow
-        return True
-
-
-@dataclass(slots=True)
-class Rules:
-    """What is compiled of one location."""
-
-    steps: tuple[Rule, ...]
-    gate: Gate
-    methods_gate: Gate
-    upstream: Template
-    uri: Template | None
-    fallback: Template | None
-    errors: dict[int, tuple[ErrorPage, Template]]
-    fields: tuple[tuple[str, Template], ...] = ()
-    added: tuple[tuple[str, Template, bool], ...] = ()
-    key: Template | None = None
-
-
-@dataclass(slots=True, eq=False)
-class VirtualServer:
-    row: Server
-    level: Level
-    named: dict[str, Location]
-    steps: tuple[Rule, ...]
-    errors: dict[int, tuple[ErrorPage, Template]]
-    added: tuple[tuple[str, Template, bool], ...] = ()
-    name: str = ""
-
-
-@dataclass(slots=True)
-class Listener:
-    """The servers behind one `listen` of the file."""
-
-    names: HostNames[VirtualServer] = field(default_factory=HostNames)
-    default: VirtualServer | None = None
-
-
-class Router:
-    """A compiled table. `ValueError` names what of it cannot be."""
-
     def __init__(self, site: Site) -> None:
+        """Compiles a table; raises `RoutingTableError`."""
+        compiled = compile_site(site)
         self.site = site
-        self.own = variables_of(site)
         self.upstreams = {upstream.name: upstream for upstream in site.upstreams}
-        self.maps: dict[str, MapRule] = {}
-        for row in site.maps:
-            self.maps[row.name] = compile_map(row, self.own)
-        for split in site.splits:
-            self.maps[split.name] = compile_split(split, self.own)
-        self.listeners: dict[str, Listener] = {}
-        for server in site.servers:
-            self._server(server)
-
-    # Compilation.
-
-    def _server(self, row: Server) -> None:
-        named: dict[str, Location] = {}
-        level = self._level(row.places, named)
-        server = VirtualServer(
-            row, level, named, compile_steps(row.steps, self.own), self._errors(row.errors)
-        )
-        server.added = self._added(row.add_fields, self.own)
-        server.name = next((name for name in row.names if not name.startswith(("~", "*"))), "")
-        for listen in row.listens:
-            listener = self.listeners.setdefault(listen.address, Listener())
-            if listener.default is None or listen.default:
-                listener.default = server
-            for name in row.names or [""]:
-                listener.names.add(name, server)
-
-    def _level(self, places: list[Place], named: dict[str, Location]) -> Level:
-        level = Level()
-        for place in places:
-            regex = Regex(place.pattern, place.kind == "~*") if place.kind in ("~", "~*") else None
-            location = Location(place, regex, self._level(place.places, named))
-            location.rules = self._rules(place, frozenset(regex.names) if regex is not None else frozenset())
-            if place.kind == "@":
-                named[place.pattern] = location
-            else:
-                level.add(location)
-        level.close()
-        return level
-
-    def _rules(self, place: Place, names: frozenset[str]) -> Rules:
-        own, terms = self.own | names, place.terms
-        return Rules(
-            steps=compile_steps(place.steps, own),
-            gate=gate_of(place.access),
-            methods_gate=gate_of(place.methods_access),
-            upstream=read_template(place.upstream, own),
-            uri=read_template(place.uri, own) if place.uri is not None else None,
-            fallback=read_template(place.fallback, own) if place.fallback else None,
-            errors=self._errors(place.errors),
-            fields=tuple((name, read_template(value, own)) for name, value in terms.set_fields),
-            added=self._added(terms.add_fields, own),
-            key=read_template(terms.key, own) if terms.key else None,
-        )  # fmt: skip
-
-    def _added(self, rows: list[list[str]], own: frozenset[str]) -> tuple[tuple[str, Template, bool], ...]:
-        return tuple((name, read_template(value, own), kind == "always") for name, value, kind in rows)
-
-    def _errors(self, rows: list[ErrorPage]) -> dict[int, tuple[ErrorPage, Template]]:
-        found: dict[int, tuple[ErrorPage, Template]] = {}
-        for row in rows:
-            for code in row.codes:
-                found.setdefault(code, (row, read_template(row.to, self.own)))
-        return found
-
-    # Routing.
+        self.listeners = compiled.listeners
+        self._computed = compiled.computed
 
     def server_of(self, listen: str, host: str) -> VirtualServer:
-        """By the Host; who asks for none of the names gets the listen's default server."""
+        """Returns the server for a normalised host, by default that of the listen."""
         listener = self.listeners[listen]
-        assert listener.default is not None
-        return listener.names.find(host) or listener.default
+        assert listener.default_server is not None
+        return listener.servers.find(host) or listener.default_server
 
-    def route(self, listen: str, request: Request, trace: list[str] | None = None) -> Landing:
-        """Where a request lands. The listen is one of the file's; `request.host` is a clean host."""
+    def route(self, listen: str, request: Request, trace: Trace = None) -> Landing:
+        """Returns where a request lands.
+
+        Args:
+            listen: One of `listeners`.
+            request: With a normalised host.
+            trace: Where a line is added for each step of the way.
+        """
         server = self.server_of(listen, request.host)
-        state = State(
-            request, request.target.path, request.target.args, server_name=server.name, maps=self.maps
+        state = RequestState(
+            request,
+            request.target.path,
+            request.target.args,
+            server_name=server.primary_name,
+            computed=self._computed,
         )
-        state.own.update(self.listeners[listen].names.find_regex(request.host)[1])
-        landing = Landing(server, state)
+        state.variables.update(self.listeners[listen].servers.find_regex(request.host)[1])
         if trace is not None:
             names = " ".join(server.row.names) or "no name"
-            trace.append(f"server {names}, listen {listen}  [{server.row.at}]")
-        return self._from_server(landing, trace)
+            trace.append(f"server {names}, listen {listen}  [{server.row.defined_at}]")
+        return self._run_server_phase(Landing(server, state), trace)
 
-    def _from_server(self, landing: Landing, trace: list[str] | None) -> Landing:
+    def _run_server_phase(self, landing: Landing, trace: Trace) -> Landing:
         try:
-            course = run_rules(landing.server.steps, landing.state, trace)
-            if course.reply is not None:
-                return self._replied(landing, course.reply, trace)
-            return self._locate(landing, trace)
-        except TooCostly as error:
+            outcome = execute_instructions(landing.server.instructions, landing.state, trace)
+            if outcome.response is not None:
+                return self._respond(landing, outcome.response, trace)
+            return self._find_location(landing, trace)
+        except MatchLimitError as error:
             if trace is not None:
                 trace.append(f"  given up: {error}")
-            return self._replied(landing, Reply(500), trace, final=True)
+            return self._respond(landing, LocalResponse(500), trace, is_final=True)
 
-    def _locate(self, landing: Landing, trace: list[str] | None) -> Landing:
+    def _find_location(self, landing: Landing, trace: Trace) -> Landing:
+        """Searches the location and enters it, anew as long as its rewrites change the URI."""
+        state = landing.state
         while True:
             if trace is not None:
-                trace.append(f"location for {landing.state.uri}:")
-            search = Search(landing.state, trace)
-            found = search.run(landing.server.level)
+                trace.append(f"location for {state.uri}:")
+            search = LocationSearch(state, trace)
+            result = search.run(landing.server.locations)
             landing.location = search.best
-            if found is Found.NOTHING or search.best is None:
-                return self._replied(landing, Reply(404), trace)
-            if found is Found.WITH_SLASH:
-                uri = escape(landing.state.uri) + "/"
-                args = f"?{landing.state.args}" if landing.state.args else ""
-                return self._replied(landing, Reply(301, location=uri + args), trace)
-            if search.best.place.internal and not landing.state.internal:
-                return self._replied(landing, Reply(404), trace)
-            if not self._enter(landing, trace):
+            if result is SearchResult.NOT_FOUND or search.best is None:
+                return self._respond(landing, LocalResponse(404), trace)
+            if result is SearchResult.MISSING_SLASH:
+                args = f"?{state.args}" if state.args else ""
+                response = LocalResponse(301, location=percent_encode(state.uri) + "/" + args)
+                return self._respond(landing, response, trace)
+            if search.best.row.is_internal and not state.is_internal:
+                return self._respond(landing, LocalResponse(404), trace)
+            if not self._enter_location(landing, search.best, trace):
                 return landing
 
-    def _enter(self, landing: Landing, trace: list[str] | None) -> bool:
-        """Go through a location's phases; True: its rewrites want another location."""
-        location, state = landing.location, landing.state
-        assert location is not None
-        rules = location.rules
-        assert isinstance(rules, Rules)
-        if self._too_large(landing):
-            self._replied(landing, Reply(413), trace)
+    def _enter_location(self, landing: Landing, location: Location, trace: Trace) -> bool:
+        """Goes through a location's phases; returns whether the location is to be searched anew."""
+        state, row, rules = landing.state, location.row, location.rules
+        if _is_body_too_large(landing):
+            self._respond(landing, LocalResponse(413), trace)
             return False
-        course = run_rules(rules.steps, state, trace)
-        if course.reply is not None:
-            self._replied(landing, course.reply, trace)
+        outcome = execute_instructions(rules.instructions, state, trace)
+        if outcome.response is not None:
+            self._respond(landing, outcome.response, trace)
             return False
-        if course.changed:
-            landing.changes -= 1
-            if landing.changes < 0:
-                self._replied(landing, Reply(500), trace, final=True)
-                return False
-            return True
+        if outcome.is_uri_changed:
+            return self._count_uri_change(landing, trace)
         method = "GET" if state.request.method == "HEAD" else state.request.method
-        methods = location.place.methods
-        gate = rules.methods_gate if methods and method not in methods else rules.gate
-        if not gate.lets(state.request.client):
-            self._replied(landing, Reply(403), trace)
+        is_excepted = bool(row.excepted_methods) and method not in row.excepted_methods
+        access = rules.excepted_access if is_excepted else rules.access
+        if not access.allows(state.request.client_address):
+            self._respond(landing, LocalResponse(403), trace)
             return False
-        if location.place.fallback:
-            return self._fall_back(landing, rules, trace)
-        self._pass(landing, rules, course.whole, trace)
+        if rules.fallback is not None:
+            return self._fall_back(landing, rules.fallback.render(state), trace)
+        self._proxy(landing, row, rules, outcome.is_uri_final, trace)
+        return False
+
+    def _count_uri_change(self, landing: Landing, trace: Trace) -> bool:
+        """Counts a change of the URI; returns whether it is within the limit, else ends the request."""
+        landing.uri_changes_left -= 1
+        if landing.uri_changes_left >= 0:
+            return True
+        self._respond(landing, LocalResponse(500), trace, is_final=True)
         return False
 
-    def _fall_back(self, landing: Landing, rules: Rules, trace: list[str] | None) -> bool:
-        """ngx_http_core_module, try_files: an internal redirect to the last, or its code."""
-        assert rules.fallback is not None
-        to, state = rules.fallback.fill(landing.state), landing.state
+    def _fall_back(self, landing: Landing, target: str, trace: Trace) -> bool:
+        """Follows the last target of `try_files`, an internal redirect or a status (ngx_http_core_module)."""
         if trace is not None:
-            trace.append(f"try_files -> {to}")
-        if to.startswith("="):
-            self._replied(landing, Reply(int(to[1:])), trace)
+            trace.append(f"try_files -> {target}")
+        if target.startswith("="):
+            self._respond(landing, LocalResponse(int(target[1:])), trace)
             return False
-        landing.changes -= 1
-        if landing.changes < 0:
-            self._replied(landing, Reply(500), trace, final=True)
+        if not self._count_uri_change(landing, trace):
             return False
-        state.internal = True
-        if to.startswith("@"):
-            self._to_named(landing, to, trace)
+        if target.startswith("@"):
+            landing.state.is_internal = True
+            self._enter_named(landing, target, trace)
             return False
-        state.unparsed = False
-        state.uri, question, args = to.partition("?")
-        state.args = args if question else state.args
+        landing.state.redirect_internally(target, keeps_args=True)
         return True
 
-    def _too_large(self, landing: Landing) -> bool:
-        most = landing.terms.body_most
-        length = landing.state.request.fields.get("content-length", "0")
-        return 0 < most < (int(length) if length.isdigit() else 0)
-
-    def _pass(self, landing: Landing, rules: Rules, whole: bool, trace: list[str] | None) -> None:
-        state, place = landing.state, landing.place
-        assert place is not None
-        name = rules.upstream.fill(state)
+    def _enter_named(self, landing: Landing, name: str, trace: Trace) -> Landing:
+        location = landing.server.named_locations.get(name)
+        if location is None:
+            return self._respond(landing, LocalResponse(500), trace, is_final=True)
+        landing.location = location
+        must_search = self._enter_location(landing, location, trace)
+        return self._find_location(landing, trace) if must_search else landing
+
+    def _proxy(
+        self, landing: Landing, row: LocationRow, rules: LocationRules, is_uri_final: bool, trace: Trace
+    ) -> None:
+        state = landing.state
+        name = rules.upstream.render(state)
         upstream = self.upstreams.get(name)
         if upstream is None:  # a variable's value that no upstream has: nginx would look the name up
-            self._replied(landing, Reply(404 if not place.upstream else 502), trace)
+            self._respond(landing, LocalResponse(502 if row.upstream else 404), trace)
             return
         state.proxy_host = name
         landing.upstream, landing.status = name, 0
-        landing.target = target_of(state, place, rules, whole)
+        landing.target = upstream_target(state, row, rules, is_uri_final)
         if trace is not None:
-            trace.append(f"upstream {name}, asked for {landing.target}  [{upstream.at}]")
-            for box in upstream.boxes:
-                words = [word for word, on in (("down", box.down), ("backup", box.backup)) if on]
-                trace.append(
-                    f"  {box.address} weight {box.weight} {' '.join(words)}".rstrip() + f"  [{box.at}]"
-                )
+            trace += _describe_upstream(upstream, landing.target)
 
-    # Answers made here, and the pages for them.
+    # Local responses and error pages.
 
-    def _replied(
-        self, landing: Landing, reply: Reply, trace: list[str] | None, final: bool = False
+    def _respond(
+        self, landing: Landing, response: LocalResponse, trace: Trace, is_final: bool = False
     ) -> Landing:
-        landing.upstream, landing.status, landing.text = "", reply.status, reply.text
-        landing.redirect = redirect_of(landing, reply.location) if reply.status in REDIRECTS else ""
+        """Ends with a local response, or by its `error_page` unless it has a text or `is_final`."""
+        is_redirect = response.status in REDIRECT_STATUSES
+        landing.upstream, landing.status, landing.text = "", response.status, response.text
+        landing.redirect = redirect_location(landing, response.location) if is_redirect else ""
         if trace is not None:
-            trace.append(f"answer {reply.status} {landing.redirect or reply.text}".rstrip())
-        if final or reply.text or reply.status in REDIRECTS:
+            trace.append(f"answer {response.status} {landing.redirect or response.text}".rstrip())
+        if is_final or response.text or is_redirect:
             return landing
-        return self.on_error(landing, reply.status, trace)
+        return self.apply_error_page(landing, response.status, trace)
 
-    def on_error(self, landing: Landing, status: int, trace: list[str] | None = None) -> Landing:
-        """What `error_page` makes of a status: another landing of the same request, once, or the same."""
-        rules = landing.location.rules if landing.location is not None else None
-        errors = rules.errors if isinstance(rules, Rules) else {}
-        page = (errors or landing.server.errors).get(status)
-        if page is None or landing.from_error or landing.changes <= 0:
+    def apply_error_page(self, landing: Landing, status: int, trace: Trace = None) -> Landing:
+        """Routes a request whose response has this status by `error_page`.
+
+        Without a page for the status, or the second time for a request, nothing changes.
+        """
+        page = _error_page(landing, status)
+        if page is None or landing.is_from_error_page or landing.uri_changes_left <= 0:
             return landing
-        row, template = page
-        landing.from_error, landing.changes = True, landing.changes - 1
-        landing.shown = status if row.status is None else row.status or None
-        state, to = landing.state, template.fill(landing.state)
+        landing.is_from_error_page = True
+        landing.uri_changes_left -= 1
+        shown_status = page.row.response_status
+        landing.shown_status = status if shown_status is None else shown_status or None
+        state, target = landing.state, page.target.render(landing.state)
         if trace is not None:
-            trace.append(f"error_page {status} -> {to}")
-        if to.startswith(("http://", "https://")):
-            landing.status = row.status if row.status in REDIRECTS else 302
-            landing.redirect, landing.shown, landing.text = to, None, ""
+            trace.append(f"error_page {status} -> {target}")
+        if target.startswith(("http://", "https://")):
+            landing.status = 302
+            if shown_status is not None and shown_status in REDIRECT_STATUSES:
+                landing.status = shown_status
+            landing.redirect, landing.shown_status, landing.text = target, None, ""
             return landing
-        state.internal = True
         try:
-            if to.startswith("@"):
-                return self._to_named(landing, to, trace)
+            if target.startswith("@"):
+                state.is_internal = True
+                return self._enter_named(landing, target, trace)
             if state.request.method != "HEAD":
                 state.request.method = "GET"
-            state.unparsed = False
-            state.uri, _, args = to.partition("?")
-            state.args = args
-            return self._from_server(landing, trace)
-        except TooCostly:
+            state.redirect_internally(target)
+            return self._run_server_phase(landing, trace)
+        except MatchLimitError:
             landing.status, landing.upstream = 500, ""
             return landing
 
-    def _to_named(self, landing: Landing, name: str, trace: list[str] | None) -> Landing:
-        location = landing.server.named.get(name)
-        if location is None:
-            return self._replied(landing, Reply(500), trace, final=True)
-        landing.location = location
-        return self._locate(landing, trace) if self._enter(landing, trace) else landing
-
-
-def target_of(state: State, place: Place, rules: Rules, whole: bool) -> str:
-    """What the upstream is asked for (`ngx_http_proxy_create_request`)."""
-    args = f"?{state.args}" if state.args else ""
-    if rules.uri is None or (not rules.uri.plain and rules.uri.text == ""):
-        if state.unparsed:
-            return state.request.target.raw.partition("#")[0]
-        return escape(state.uri) + args
-    if not rules.uri.plain or not rules.upstream.plain:  # with variables it is passed as it comes out
-        # Guards against a decoded line end that nginx would write into the request: a smuggled second one.
-        return escape(rules.uri.fill(state), UNSAFE)
-    escaped = state.request.target.quoted or state.internal
-    if whole:
-        return (escape(state.uri) if escaped else state.uri) + args
-    rest = state.uri[len(place.pattern) :] if place.kind in ("", "^~", "=") else ""
-    return rules.uri.text + (escape(rest) if escaped else rest) + args
-
-
-def redirect_of(landing: Landing, location: str) -> str:
-    """A Location field: absolute, unless the file has `absolute_redirect off` or it already is."""
-    row, request = landing.server.row, landing.state.request
-    location = escape(location, UNSAFE)
-    if not location.startswith("/") or not row.absolute_redirect:
-        return location
-    host = landing.server.name if row.name_in_redirect else request.host or landing.server.name
-    usual = 443 if request.scheme == "https" else 80
-    port = f":{request.server_port}" if row.port_in_redirect and request.server_port != usual else ""
-    return f"{request.scheme}://{host or request.server_addr}{port}{location}"
-
-
-def gate_of(rows: list[Access]) -> Gate:
-    every = [(r.allow, None if r.network == "all" else ipaddress.ip_network(r.network)) for r in rows]
-    return Gate(every)
-
-
-def variables_of(site: Site) -> frozenset[str]:
-    """The file's own variables: of maps, splits, `set`, and the named groups of all its regexes."""
-    names = {row.name for row in site.maps} | {row.name for row in site.splits}
-
-    def regex(pattern: str) -> None:
-        names.update(Regex(pattern).names if "(?" in pattern else ())
-
-    def steps(rows: list[Step]) -> None:
-        for row in rows:
-            names.update({row.name} - {""})
-            for pattern in (row.regex, row.test[2] if len(row.test) > 2 and "~" in row.test[1] else ""):
-                regex(pattern)
-            steps(row.then)
-
-    def places(rows: list[Place]) -> None:
-        for place in rows:
-            regex(place.pattern if "~" in place.kind[:1] else "")
-            steps(place.steps)
-            places(place.places)
-
-    for server in site.servers:
-        steps(server.steps)
-        places(server.places)
-        for name in server.names:
-            regex(name[1:] if name.startswith("~") else "")
-    for row in site.maps:
-        for key, _ in row.entries:
-            regex(key.lstrip("~*") if key.startswith("~") else "")
-    return frozenset(names)
-
 
-def compile_map(row: MapTable, own: frozenset[str]) -> Map:
-    exact: dict[str, Template] = {}
-    hosts: HostNames[Template] | None = HostNames() if row.hostnames else None
-    regexes: list[tuple[Regex, Template]] = []
-    for key, value in row.entries:
-        if key.startswith("~"):
-            regex = Regex(key[2:], True) if key.startswith("~*") else Regex(key[1:])
-            regexes.append((regex, read_template(value, own | frozenset(regex.names))))
-        elif hosts is not None:
-            hosts.add(key.removeprefix("\\"), read_template(value, own))
-        else:
-            exact.setdefault(key.removeprefix("\\").lower(), read_template(value, own))
-    default = read_template(row.default, own)
-    return Map(read_template(row.source, own), exact, hosts, tuple(regexes), default)
+def _error_page(landing: Landing, status: int) -> ErrorPage | None:
+    """Returns the page of the location, whose pages replace those of the server."""
+    pages = landing.location.rules.error_pages if landing.location is not None else {}
+    return (pages or landing.server.error_pages).get(status)
 
 
-def compile_split(row: SplitTable, own: frozenset[str]) -> Split:
-    ends = split_ends([None if part == "*" else int(part) for part, _ in row.parts])
-    parts = tuple(zip(ends, (read_template(value, own) for _, value in row.parts), strict=True))
-    return Split(read_template(row.source, own), parts)
+def _is_body_too_large(landing: Landing) -> bool:
+    length = landing.state.request.fields.get("content-length", "0")
+    return 0 < landing.proxy.max_body_bytes < (int(length) if length.isdigit() else 0)
 
 
-def read_host(raw: str) -> str:
-    return clean_host(raw) if raw else ""
+def _describe_upstream(upstream: UpstreamRow, target: str) -> list[str]:
+    """Returns the lines of a trace for an upstream and its servers."""
+    lines = [f"upstream {upstream.name}, asked for {target}  [{upstream.defined_at}]"]
+    for server in upstream.servers:
+        states = (("down", server.is_down), ("backup", server.is_backup))
+        flags = " ".join(word for word, is_set in states if is_set)
+        description = f"  {server.address} weight {server.weight} {flags}".rstrip()
+        lines.append(f"{description}  [{server.defined_at}]")
+    return lines
--- a/gladewalk/nginx/upstreams.py
+++ b/gladewalk/nginx/upstreams.py
@@ -1,72 +1,120 @@
-"""Servers of an upstream, and what `proxy_pass` names (ngx_http_upstream_module, ngx_http_proxy_module)."""
+"""Translates `upstream` blocks and `proxy_pass` (ngx_http_upstream_module, ngx_http_proxy_module)."""
 
 from __future__ import annotations
 
 import re
 from dataclasses import dataclass
+from typing import Any
 
+from .context import TranslationContext
+from .errors import DirectiveValueError
 from .parser import Node
-from .proxy_settings import Refusal
-from .table import Box
-from .values import BadValue, read_count, read_endpoint, read_ms
+from .scope import DirectiveRefusedError
+from .table import UpstreamRow, UpstreamServerRow
+from .values import parse_count, parse_duration_ms, parse_server_address
 
-HASHED = ("hash", "ip_hash", "least_conn", "least_time", "random")
-NAME = re.compile(r"[A-Za-z0-9._-]+(?::\d+)?|\[[0-9a-fA-F:.]+\](?::\d+)?")
+ROUND_ROBIN = "round robin"
+BALANCING_DIRECTIVES = ("hash", "ip_hash", "least_conn", "least_time", "random")
+WITHOUT_BACKUP = ("hash", "ip_hash", "random")
+UPSTREAM_NAME = re.compile(r"[A-Za-z0-9._-]+(?::\d+)?|\[[0-9a-fA-F:.]+\](?::\d+)?")
+UPSTREAM_VARIABLE = re.compile(r"\$(?:\{[A-Za-z0-9_]+\}|[A-Za-z0-9_]+)(?=/|\Z)")
 URI_VARIABLES = ("$request_uri", "$uri", "$document_uri", "${request_uri}", "${uri}", "${document_uri}")
 
 
-def read_box(node: Node) -> Box:
-    """`server ADDRESS [parameters]`; `Refusal` or `BadValue` for what can't be."""
+def translate_upstream(node: Node, context: TranslationContext) -> UpstreamRow:
+    """Translates an `upstream` block; raises `DirectiveRefusedError`."""
+    if len(node.args) != 1 or node.args[0] in context.upstreams:
+        raise DirectiveRefusedError(node, "an upstream has one name, and each its own")
+    servers: list[UpstreamServerRow] = []
+    balancing = ROUND_ROBIN
+    for child in node.children:
+        if child.name == "server":
+            context.guard(child, lambda each: servers.append(translate_upstream_server(each)))
+        elif child.name in BALANCING_DIRECTIVES:
+            balancing = str(child)
+            context.note(child, "the core's hash by object takes its place: one copy a location")
+    method = balancing.split()[0]
+    if method in WITHOUT_BACKUP and any(server.is_backup for server in servers):
+        context.refuse(node, f"nginx takes no backup with {method}")
+    if all(server.is_backup for server in servers):
+        context.refuse(node, "has no server that is not a backup")
+    if balancing == ROUND_ROBIN:
+        context.note(node, "in the place of round robin the core hashes each object to one server by weight")
+    if any(server.slow_start_ms for server in servers):
+        context.note(node, "slow_start: the core's own warm-up rule holds for a server that comes back")
+    return UpstreamRow(name=node.args[0], defined_at=node.location, servers=servers, balancing=balancing)
+
+
+def translate_upstream_server(node: Node) -> UpstreamServerRow:
+    """Translates `server ADDRESS [parameters]`.
+
+    Raises:
+        DirectiveRefusedError: A parameter cannot be translated.
+        DirectiveValueError: A value has the wrong form.
+    """
     if not node.args:
-        raise Refusal(node, "takes an address")
-    values: dict[str, object] = {"address": read_endpoint(node.args[0]), "at": node.where}
-    for word in node.args[1:]:
-        key, equals, value = word.partition("=")
-        if word in ("backup", "down"):
-            values[word] = True
+        raise DirectiveRefusedError(node, "takes an address")
+    values: dict[str, Any] = {"address": parse_server_address(node.args[0]), "defined_at": node.location}
+    for parameter in node.args[1:]:
+        key, equals, value = parameter.partition("=")
+        if parameter in ("backup", "down"):
+            values[f"is_{parameter}"] = True
         elif key == "weight" and equals:
-            values["weight"] = read_count(value)
-            if not values["weight"]:
-                raise BadValue("a weight is a whole number above 0")
+            values["weight"] = _parse_weight(value)
         elif key in ("max_conns", "max_fails") and equals:
-            values[key] = read_count(value)
+            values[key] = parse_count(value)
         elif key == "fail_timeout" and equals:
-            values["fail_ms"] = read_ms(value)
+            values["fail_timeout_ms"] = parse_duration_ms(value)
         elif key == "slow_start" and equals:
-            values["slow_start_ms"] = read_ms(value)
+            values["slow_start_ms"] = parse_duration_ms(value)
         else:
-            raise Refusal(node, f"parameter '{word}' can't be carried over")
-    return Box(**values)  # type: ignore[arg-type]
+            raise DirectiveRefusedError(node, f"parameter '{parameter}' can't be carried over")
+    return UpstreamServerRow(**values)
+
+
+def _parse_weight(text: str) -> int:
+    weight = parse_count(text)
+    if not weight:
+        raise DirectiveValueError("a weight is a whole number above 0")
+    return weight
 
 
 @dataclass(slots=True, frozen=True)
-class Passed:
-    """What a `proxy_pass` names: an upstream, or a variable that chooses one, and the URI if it has one."""
+class ProxyTarget:
+    """What a `proxy_pass` names.
+
+    Attributes:
+        upstream: An upstream's name, a literal address, or a variable that chooses an upstream.
+        uri: None without one.
+    """
 
     upstream: str
     uri: str | None
 
 
-def read_pass(node: Node) -> Passed:
-    """`Refusal` for TLS, Unix sockets and what can't be parted into an upstream and a URI."""
+def parse_proxy_pass(node: Node) -> ProxyTarget:
+    """Splits the URL of a `proxy_pass`.
+
+    Raises:
+        DirectiveRefusedError: It is TLS, a Unix socket, or has no upstream that can be known.
+    """
     if len(node.args) != 1:
-        raise Refusal(node, "takes one address")
-    text = node.args[0]
-    if text.startswith("https://"):
-        raise Refusal(node, "TLS to an upstream is not spoken here")
-    if not text.startswith("http://") or text.startswith("http://unix:"):
-        raise Refusal(node, f"'{text}' is no http address of an upstream")
-    rest = text.removeprefix("http://")
-    variable = re.match(r"\$(?:\{[A-Za-z0-9_]+\}|[A-Za-z0-9_]+)(?=/|\Z)", rest)
+        raise DirectiveRefusedError(node, "takes one address")
+    url = node.args[0]
+    if url.startswith("https://"):
+        raise DirectiveRefusedError(node, "TLS to an upstream is not spoken here")
+    if not url.startswith("http://") or url.startswith("http://unix:"):
+        raise DirectiveRefusedError(node, f"'{url}' is no http address of an upstream")
+    rest = url.removeprefix("http://")
+    variable = UPSTREAM_VARIABLE.match(rest)
     if variable is not None:
-        name, uri = rest[: variable.end()], rest[variable.end() :]
-        return Passed(name, uri or None)
-    found = NAME.match(rest)
-    if found is None:
-        raise Refusal(node, f"'{text}' names no upstream that can be known")
-    uri = rest[found.end() :]
+        return ProxyTarget(variable[0], rest[variable.end() :] or None)
+    name = UPSTREAM_NAME.match(rest)
+    if name is None:
+        raise DirectiveRefusedError(node, f"'{url}' names no upstream that can be known")
+    uri = rest[name.end() :]
     if uri.startswith("$") and not uri.startswith(URI_VARIABLES):
-        raise Refusal(node, f"'{text}': which upstream that is can't be known beforehand")
+        raise DirectiveRefusedError(node, f"'{url}': which upstream that is can't be known beforehand")
     if uri and not uri.startswith(("/", "$", "?")):
-        raise Refusal(node, f"'{text}' names no upstream that can be known")
-    return Passed(found[0], uri or None)
+        raise DirectiveRefusedError(node, f"'{url}' names no upstream that can be known")
+    return ProxyTarget(name[0], uri or None)
--- a/gladewalk/nginx/uri.py
+++ b/gladewalk/nginx/uri.py
@@ -1,98 +1,105 @@
-"""Request targets as nginx reads them: decoded, dots and doubled slashes resolved, before any location is
-sought.
+"""Request targets, parsed and normalised as nginx does before it searches a location.
 
 nginx.org, ngx_http_core_module, "location": "The matching is performed against a normalized URI, after
 decoding the text encoded in the '%XX' form, resolving references to relative path components '.' and '..',
-and possible compression of two or more adjacent slashes into a single slash."
+and possible compression of two or more adjacent slashes into a single slash." Texts stand for bytes in
+latin-1.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-HEX = frozenset(b"0123456789abcdefABCDEF")
-ESCAPED = frozenset({*range(0x21), 0x7F, *range(0x80, 0x100), ord("#"), ord("%"), ord("?")})
+from .errors import RequestTargetError
+
+HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
 # What no request line and no field may hold, whatever the rules made of a decoded path.
-UNSAFE = frozenset({*range(0x21), 0x7F})
+UNSAFE_CHARS = frozenset({*range(0x21), 0x7F})
+ESCAPED_IN_URI = frozenset({*UNSAFE_CHARS, *range(0x80, 0x100), ord("#"), ord("%"), ord("?")})
 # In a query's parameter or anything else put into a new query: `&` and `+` as well (NGX_ESCAPE_ARGS).
-ESCAPED_ARGS = ESCAPED | {ord("&"), ord("+")}
-TARGET_MOST = 16 * 1024
-
-
-class BadTarget(ValueError):
-    """A target that nginx answers with 400."""
+ESCAPED_IN_ARGS = ESCAPED_IN_URI | {ord("&"), ord("+")}
+MAX_TARGET_BYTES = 16 * 1024
+PERCENT = ord("%")
 
 
 @dataclass(slots=True, frozen=True)
 class Target:
-    """`raw` as it came, `path` decoded (bytes in latin-1), `args` as they came, without the `?`."""
+    """A request target.
+
+    Attributes:
+        raw: As it was received.
+        path: Decoded and normalised.
+        args: As received, without the `?`.
+        is_encoded: Whether the path had encoded characters; then it is encoded again when it is forwarded.
+    """
 
     raw: str
     path: str
     args: str
-    quoted: bool  # something in the path was encoded: what is sent on is encoded anew
+    is_encoded: bool
 
 
-def read_target(raw: str, merge_slashes: bool = True) -> Target:
-    """A target in origin form, `/path?args`; `BadTarget` for one that can't be read."""
-    if not raw.startswith("/") or len(raw) > TARGET_MOST:
-        raise BadTarget("a target begins with '/'")
-    if any(ord(sign) <= 0x20 or ord(sign) == 0x7F for sign in raw):
-        raise BadTarget("a sign that no target may have")
-    whole, _, _ = raw.partition("#")
-    text, _, args = whole.partition("?")
-    decoded = decode(text)
-    return Target(raw, resolve(decoded, merge_slashes), args, "%" in text)
+def parse_target(raw: str, merge_slashes: bool = True) -> Target:
+    """Parses a target in origin form, `/path?args`; raises `RequestTargetError`."""
+    if not raw.startswith("/") or len(raw) > MAX_TARGET_BYTES:
+        raise RequestTargetError("a target begins with '/'")
+    if any(ord(char) in UNSAFE_CHARS for char in raw):
+        raise RequestTargetError("a sign that no target may have")
+    without_fragment, _, _ = raw.partition("#")
+    path, _, args = without_fragment.partition("?")
+    normalised = normalise_path(percent_decode(path), merge_slashes)
+    return Target(raw, normalised, args, "%" in path)
 
 
-def decode(text: str) -> str:
-    """`%XX` as the byte it stands for. `%00` and what is no pair of digits are faults."""
+def percent_decode(text: str) -> str:
+    """Decodes `%XX`; raises `RequestTargetError` for `%00` and for a `%` without two digits."""
     if "%" not in text:
         return text
-    data, out, place = text.encode("latin-1"), bytearray(), 0
-    while place < len(data):
-        sign = data[place]
-        if sign != 0x25:
-            out.append(sign)
-            place += 1
+    data, decoded, position = text.encode("latin-1"), bytearray(), 0
+    while position < len(data):
+        if data[position] != PERCENT:
+            decoded.append(data[position])
+            position += 1
             continue
-        pair = data[place + 1 : place + 3]
-        if len(pair) < 2 or not HEX.issuperset(pair):
-            raise BadTarget("'%' without two digits behind it")
-        value = int(pair, 16)
+        digits = data[position + 1 : position + 3]
+        if len(digits) < 2 or not HEX_DIGITS.issuperset(digits):
+            raise RequestTargetError("'%' without two digits behind it")
+        value = int(digits, 16)
         if value == 0:
-            raise BadTarget("'%00' in a path")
-        out.append(value)
-        place += 3
-    return out.decode("latin-1")
+            raise RequestTargetError("'%00' in a path")
+        decoded.append(value)
+        position += 3
+    return decoded.decode("latin-1")
+
 
+def normalise_path(path: str, merge_slashes: bool = True) -> str:
+    """Resolves `.` and `..` and, if wanted, merges slashes.
 
-def resolve(path: str, merge_slashes: bool = True) -> str:
-    """Dots and, if wanted, doubled slashes resolved; a path that leaves the root is a fault."""
+    Raises:
+        RequestTargetError: The path leaves the root.
+    """
     if "//" not in path and "/." not in path:
         return path
-    parts = path.split("/")[1:]
-    out: list[str] = []
-    last = len(parts) - 1
-    for number, part in enumerate(parts):
-        if part == "" and merge_slashes and number < last:
+    segments = path.split("/")[1:]
+    resolved: list[str] = []
+    last = len(segments) - 1
+    for index, segment in enumerate(segments):
+        if segment == "" and merge_slashes and index < last:
+            continue
+        if segment not in (".", ".."):
+            resolved.append(segment)
             continue
-        if part == ".":
-            if number == last:
-                out.append("")
-        elif part == "..":
-            if not out:
-                raise BadTarget("a path that leaves the root")
-            out.pop()
-            if number == last:
-                out.append("")
-        else:
-            out.append(part)
-    return "/" + "/".join(out)
-
-
-def escape(path: str, signs: frozenset[int] = ESCAPED) -> str:
-    """A decoded path as it may stand in a request line again (NGX_ESCAPE_URI)."""
-    if not any(ord(sign) in signs for sign in path):
+        if segment == "..":
+            if not resolved:
+                raise RequestTargetError("a path that leaves the root")
+            resolved.pop()
+        if index == last:
+            resolved.append("")
+    return "/" + "/".join(resolved)
+
+
+def percent_encode(path: str, escaped: frozenset[int] = ESCAPED_IN_URI) -> str:
+    """Encodes a decoded path so that it may stand in a request line again (NGX_ESCAPE_URI)."""
+    if not any(ord(char) in escaped for char in path):
         return path
-    return "".join(f"%{ord(sign):02X}" if ord(sign) in signs else sign for sign in path)
+    return "".join(f"%{ord(char):02X}" if ord(char) in escaped else char for char in path)
--- a/gladewalk/nginx/variables.py
+++ b/gladewalk/nginx/variables.py
@@ -1,146 +1,172 @@
-"""Strings with variables: parsed once, known ones alone, evaluated for a request.
+"""Strings with variables: parsed once, evaluated for each request.
 
-A template is a tuple of texts and variable names. Which variables can be known is a closed list: an unknown
-one is a fault at import, never an empty string at run time.
+Which variables can be known is a closed list: an unknown one is an error at import, never an empty string at
+run time.
 """
 
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
+from .errors import UnknownVariableError
 from .uri import Target
 
 VARIABLE = re.compile(r"\$(?:\{([A-Za-z0-9_]+)\}|([A-Za-z0-9_]+))")
 CAPTURE = re.compile(r"[0-9]\Z")
-PLAIN = frozenset({
-    "uri", "document_uri", "request_uri", "args", "query_string", "is_args", "host", "request_method",
-    "scheme", "https", "request", "remote_addr", "binary_remote_addr", "realip_remote_addr", "remote_port",
-    "server_name", "server_port", "server_addr", "server_protocol", "content_type", "content_length",
-    "proxy_host", "proxy_port", "proxy_add_x_forwarded_for",
-})  # fmt: skip
-PREFIXED = ("arg_", "http_", "cookie_")
-ROUNDS_MOST = 16  # a map's value may name another map, and so on: nginx, too, ends such a circle
-
-
-class UnknownVariable(ValueError):
-    """A variable that cannot be known here."""
+VARIABLE_PREFIXES = ("arg_", "http_", "cookie_")
+MAX_EVALUATION_DEPTH = 16  # of maps whose values name other maps; nginx, too, ends such a circle
+DEFAULT_PROXY_PORT = "80"
 
 
 @dataclass(slots=True)
 class Request:
-    """What is known of a request as it is routed. Field names are in lower case, with dashes."""
+    """A request as the router sees it; names of fields are in lower case, with dashes."""
 
     method: str
     target: Target
     host: str = ""
     fields: Mapping[str, str] = field(default_factory=dict)
-    client: str = "127.0.0.1"
+    client_address: str = "127.0.0.1"
     client_port: int = 0
     scheme: str = "http"
-    server_addr: str = ""
+    server_address: str = ""
     server_port: int = 80
     protocol: str = "HTTP/1.1"
 
 
+class ComputedVariable(Protocol):
+    """A variable whose value is computed from others: of `map` or `split_clients`."""
+
+    def value(self, state: RequestState) -> str:
+        """Returns the value for a request."""
+
+
 @dataclass(slots=True)
-class State:
-    """A request on its way through the rules: what rewrites change, what regexes captured."""
+class RequestState:
+    """The state of one request while it is routed: what rewrites change and what regexes capture.
+
+    Attributes:
+        request: The request itself.
+        uri: The current path, decoded.
+        args: The current query.
+        server_name: The first plain name of the virtual server.
+        proxy_host: The upstream that was chosen last.
+        is_internal: Whether an internal redirect has taken place.
+        is_uri_unchanged: Whether no rule has changed the URI, so that the raw target still stands for it.
+        variables: Set by `set`, and named captures.
+        captures: `$0`, `$1` ... of the last regex that matched.
+        computed: The variables of `map` and `split_clients`.
+    """
 
     request: Request
     uri: str
     args: str
     server_name: str = ""
     proxy_host: str = ""
-    internal: bool = False
-    unparsed: bool = True  # the target as it came still stands for the URI: no rule has changed that
-    own: dict[str, str] = field(default_factory=dict)  # by `set`, and named captures
-    captures: tuple[str, ...] = ()  # $0, $1 ... of the last regex that matched
-    maps: Mapping[str, MapRule] = field(default_factory=dict)
-    depth: int = 0
-
-    def captured(self, groups: tuple[str, ...], names: Mapping[str, str]) -> None:
+    is_internal: bool = False
+    is_uri_unchanged: bool = True
+    variables: dict[str, str] = field(default_factory=dict)
+    captures: tuple[str, ...] = ()
+    computed: Mapping[str, ComputedVariable] = field(default_factory=dict)
+    _depth: int = 0
+
+    def set_captures(self, groups: tuple[str, ...], names: Mapping[str, str]) -> None:
+        """Takes over the groups of a regex that has matched."""
         self.captures = groups
-        self.own.update(names)
+        self.variables.update(names)
+
+    def redirect_internally(self, target: str, keeps_args: bool = False) -> None:
+        """Replaces URI and query by those of an internal redirect.
+
+        With `keeps_args` a target without a query leaves the current one in force.
+        """
+        self.is_internal, self.is_uri_unchanged = True, False
+        self.uri, question_mark, args = target.partition("?")
+        if question_mark or not keeps_args:
+            self.args = args
 
     def value(self, name: str) -> str:
-        """A variable's value; what is not there in this request is empty, as in nginx."""
+        """Returns a variable's value; what the request does not have is empty, as in nginx."""
         if CAPTURE.match(name):
             return self.captures[int(name)] if int(name) < len(self.captures) else ""
-        if name in self.own:
-            return self.own[name]
-        if name in self.maps:
-            if self.depth >= ROUNDS_MOST:
-                return ""
-            self.depth += 1
-            try:
-                return self.maps[name].value(self)
-            finally:
-                self.depth -= 1
-        return self._known(name)
-
-    def _known(self, name: str) -> str:
-        r = self.request
-        match name:
-            case "uri" | "document_uri":
-                return self.uri
-            case "request_uri":
-                return r.target.raw
-            case "args" | "query_string":
-                return self.args
-            case "is_args":
-                return "?" if self.args else ""
-            case "host":
-                return r.host or self.server_name
-            case "request_method":
-                return r.method
-            case "scheme":
-                return r.scheme
-            case "https":
-                return "on" if r.scheme == "https" else ""
-            case "remote_addr" | "realip_remote_addr" | "binary_remote_addr":
-                return r.client
-            case "remote_port":
-                return str(r.client_port)
-            case "server_name":
-                return self.server_name
-            case "server_port":
-                return str(r.server_port)
-            case "server_addr":
-                return r.server_addr
-            case "server_protocol":
-                return r.protocol
-            case "request":
-                return f"{r.method} {r.target.raw} {r.protocol}"
-            case "content_type" | "content_length":
-                return r.fields.get(name.replace("_", "-"), "")
-            case "proxy_host":
-                return self.proxy_host
-            case "proxy_port":
-                _, colon, port = self.proxy_host.rpartition(":")
-                return port if colon and port.isdigit() else "80"
-            case "proxy_add_x_forwarded_for":
-                before = r.fields.get("x-forwarded-for", "")
-                return f"{before}, {r.client}" if before else r.client
-        return self._prefixed(name)
-
-    def _prefixed(self, name: str) -> str:
+        if name in self.variables:
+            return self.variables[name]
+        if name in self.computed:
+            return self._compute(name)
+        if name in BUILTIN_VARIABLES:
+            return BUILTIN_VARIABLES[name](self)
+        return self._prefixed_value(name)
+
+    def _compute(self, name: str) -> str:
+        if self._depth >= MAX_EVALUATION_DEPTH:
+            return ""
+        self._depth += 1
+        try:
+            return self.computed[name].value(self)
+        finally:
+            self._depth -= 1
+
+    def _prefixed_value(self, name: str) -> str:
         kind, _, rest = name.partition("_")
         if kind == "http":
             return self.request.fields.get(rest.replace("_", "-").lower(), "")
         if kind == "arg":
-            return argument(self.args, rest)
+            return query_argument(self.args, rest)
         if kind == "cookie":
-            for pair in self.request.fields.get("cookie", "").split(";"):
-                key, _, value = pair.strip().partition("=")
-                if key == rest:
-                    return value
+            return cookie_value(self.request.fields.get("cookie", ""), rest)
         return ""
 
 
-def argument(args: str, name: str) -> str:
-    """The first of a query's arguments of that name, in whichever case, as it stands there."""
+def _proxy_port(state: RequestState) -> str:
+    _, colon, port = state.proxy_host.rpartition(":")
+    return port if colon and port.isdigit() else DEFAULT_PROXY_PORT
+
+
+def _proxy_add_x_forwarded_for(state: RequestState) -> str:
+    received = state.request.fields.get("x-forwarded-for", "")
+    client = state.request.client_address
+    return f"{received}, {client}" if received else client
+
+
+def _request_line(state: RequestState) -> str:
+    request = state.request
+    return f"{request.method} {request.target.raw} {request.protocol}"
+
+
+# ngx_http_core_module, "Embedded Variables", and those of ngx_http_proxy_module.
+BUILTIN_VARIABLES: dict[str, Callable[[RequestState], str]] = {
+    "uri": lambda state: state.uri,
+    "document_uri": lambda state: state.uri,
+    "request_uri": lambda state: state.request.target.raw,
+    "args": lambda state: state.args,
+    "query_string": lambda state: state.args,
+    "is_args": lambda state: "?" if state.args else "",
+    "host": lambda state: state.request.host or state.server_name,
+    "request_method": lambda state: state.request.method,
+    "scheme": lambda state: state.request.scheme,
+    "https": lambda state: "on" if state.request.scheme == "https" else "",
+    "request": _request_line,
+    "remote_addr": lambda state: state.request.client_address,
+    "binary_remote_addr": lambda state: state.request.client_address,
+    "realip_remote_addr": lambda state: state.request.client_address,
+    "remote_port": lambda state: str(state.request.client_port),
+    "server_name": lambda state: state.server_name,
+    "server_port": lambda state: str(state.request.server_port),
+    "server_addr": lambda state: state.request.server_address,
+    "server_protocol": lambda state: state.request.protocol,
+    "content_type": lambda state: state.request.fields.get("content-type", ""),
+    "content_length": lambda state: state.request.fields.get("content-length", ""),
+    "proxy_host": lambda state: state.proxy_host,
+    "proxy_port": _proxy_port,
+    "proxy_add_x_forwarded_for": _proxy_add_x_forwarded_for,
+}
+
+
+def query_argument(args: str, name: str) -> str:
+    """Returns the first argument of a query with that name, in whichever case, undecoded."""
     for pair in args.split("&"):
         key, equals, value = pair.partition("=")
         if equals and key.lower() == name.lower():
@@ -148,57 +174,63 @@
     return ""
 
 
-class MapRule:
-    """What gives a variable of `map` or `split_clients` its value; see `maps`."""
-
-    def value(self, state: State) -> str:
-        raise NotImplementedError
+def cookie_value(cookies: str, name: str) -> str:
+    """Returns the first cookie of that name in a Cookie field."""
+    for pair in cookies.split(";"):
+        key, _, value = pair.strip().partition("=")
+        if key == name:
+            return value
+    return ""
 
 
 @dataclass(slots=True, frozen=True)
 class Template:
-    """A string with variables. `parts` has texts at even places and variables' names at odd ones."""
+    """A string with variables.
+
+    Attributes:
+        text: As it is written.
+        parts: Texts at even indexes, names of variables at odd ones.
+    """
 
     text: str
     parts: tuple[str, ...]
 
     @property
-    def plain(self) -> bool:
+    def is_constant(self) -> bool:
+        """Whether it has no variables."""
         return len(self.parts) == 1
 
-    @property
-    def names(self) -> tuple[str, ...]:
-        return self.parts[1::2]
-
-    def fill(self, state: State) -> str:
-        if self.plain:
+    def render(self, state: RequestState) -> str:
+        """Returns the string with the variables' values."""
+        if self.is_constant:
             return self.parts[0]
-        return "".join(state.value(part) if number % 2 else part for number, part in enumerate(self.parts))
+        return "".join(state.value(part) if index % 2 else part for index, part in enumerate(self.parts))
 
 
-def is_known(name: str, own: frozenset[str]) -> bool:
-    """Whether a variable is one that can be known here, or one of the file's own."""
-    if name in own or name in PLAIN or CAPTURE.match(name):
+def is_known_variable(name: str, custom: frozenset[str]) -> bool:
+    """Returns whether a variable can be known here; `custom` are those that the file itself defines."""
+    if name in custom or name in BUILTIN_VARIABLES or CAPTURE.match(name):
         return True
-    return any(name.startswith(prefix) and len(name) > len(prefix) for prefix in PREFIXED)
+    return any(name.startswith(prefix) and len(name) > len(prefix) for prefix in VARIABLE_PREFIXES)
+
 
+def parse_template(text: str, custom: frozenset[str] = frozenset()) -> Template:
+    """Parses a string with variables.
 
-def read_template(text: str, own: frozenset[str] = frozenset()) -> Template:
-    """Parse a string; `UnknownVariable` for a variable that cannot be known, or a lone `$`."""
+    Raises:
+        UnknownVariableError: A variable cannot be known here, or a `$` stands alone.
+    """
     parts: list[str] = []
-    place = 0
+    position = 0
     for found in VARIABLE.finditer(text):
-        name = found[1] or found[2]
+        name, end = found[1] or found[2], found.end()
         if found[1] is None and name[0].isdigit():  # `$12` is `$1` and a 2
-            end = found.start() + 2
-            name = name[0]
-        else:
-            end = found.end()
-        if not is_known(name, own):
-            raise UnknownVariable(f"the variable ${name} can't be known here")
-        parts += [text[place : found.start()], name]
-        place = end
-    rest = text[place:]
+            name, end = name[0], found.start() + 2
+        if not is_known_variable(name, custom):
+            raise UnknownVariableError(f"the variable ${name} can't be known here")
+        parts += [text[position : found.start()], name]
+        position = end
+    rest = text[position:]
     if "$" in rest or any("$" in part for part in parts[::2]):
-        raise UnknownVariable(f"'{text}': a lone '$'")
+        raise UnknownVariableError(f"'{text}': a lone '$'")
     return Template(text, (*parts, rest))
--- a/gladewalk/rehearsal/__main__.py
+++ b/gladewalk/rehearsal/__main__.py
@@ -10,7 +10,7 @@
 import asyncio
 from collections.abc import Iterable
 
-from ..nginx.explain import Asked, land, told
+from ..nginx.explain import RequestDescription, describe_landing, route_request
 from ..nginx.router import Router
 from ..nginx.table import Site
 from .webworld import Answer, WebWorld
@@ -18,7 +18,7 @@
 CLOSED = Answer(444, {}, b"")
 
 
-async def ask(world: WebWorld, asked: Asked) -> Answer:
+async def ask(world: WebWorld, asked: RequestDescription) -> Answer:
     """The answer to one request; a close without one as nginx's 444."""
     try:
         return await world.ask(asked.uri, asked.host or "localhost", asked.method, listen=asked.listen)
@@ -26,20 +26,22 @@
         return CLOSED
 
 
-async def rehearse(site: Site, requests: Iterable[Asked]) -> tuple[list[str], bool]:
+async def rehearse(site: Site, requests: Iterable[RequestDescription]) -> tuple[list[str], bool]:
     """One line for each request, and whether each answer came from where its landing says."""
     router, lines, good = Router(site), [], True
     async with WebWorld(site) as world:
         for asked in requests:
-            landing = land(router, asked)
+            landing = route_request(router, asked)
             answer = await ask(world, asked)
             upstream = answer.by.rpartition("/")[0]
             agrees = upstream == landing.upstream and (bool(upstream) or answer.status == landing.status)
             who = f"{answer.status} from {answer.by or 'the director'}"
-            lines.append(f"{asked}: {told(landing)}; {who}{'' if agrees else ' -- NOT AS THE TABLE SAYS'}")
+            lines.append(
+                f"{asked}: {describe_landing(landing)}; {who}{'' if agrees else ' -- NOT AS THE TABLE SAYS'}"
+            )
             good = good and agrees
     return lines, good
 
 
-def run(site: Site, requests: Iterable[Asked]) -> tuple[list[str], bool]:
+def run(site: Site, requests: Iterable[RequestDescription]) -> tuple[list[str], bool]:
     return asyncio.run(rehearse(site, requests))
--- a/gladewalk/rehearsal/webworld.py
+++ b/gladewalk/rehearsal/webworld.py
@@ -55,12 +55,12 @@
         upstreams = []
         for upstream in self.site.upstreams:
             boxes = []
-            for number, box in enumerate(upstream.boxes):
+            for number, box in enumerate(upstream.servers):
                 name = f"{upstream.name}/{number}"
                 server = ScriptedPeer(self.scripts.get(name, name_itself), name)
                 self.servers[name] = await server.start()
                 boxes.append(msgspec.structs.replace(box, address=server.address))
-            upstreams.append(msgspec.structs.replace(upstream, boxes=boxes))
+            upstreams.append(msgspec.structs.replace(upstream, servers=boxes))
         self._folder = tempfile.TemporaryDirectory()
         folder = Path(self._folder.name)
         moved = msgspec.structs.replace(self.site, upstreams=upstreams)
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -58,7 +58,7 @@
         self.is_body_until_close = self.is_bodiless = self.is_paused = False
         self.last_read_ms = now_ms
         self.upstream_exchange.request_written(attempt)
-        self._start_read_timer(request.terms.read_ms)
+        self._start_read_timer(request.proxy.read_timeout_ms)
         return encode_request(request)
 
     # The time between two reads (proxy_read_timeout).
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -17,8 +17,11 @@
 from ..net.clients import ClientFront
 from ..net.connection import ClientConnection
 from ..net.requests import BadRequestError
-from ..nginx.router import Landing, Router, read_host
-from ..nginx.uri import BadTarget, read_target
+from ..nginx.errors import MalformedRequestError
+from ..nginx.hosts import normalise_optional_host
+from ..nginx.landing import CLOSE_CONNECTION, Landing
+from ..nginx.router import Router
+from ..nginx.uri import parse_target
 from ..nginx.variables import Request
 from .messages import (
     BODILESS_STATUSES,
@@ -35,7 +38,6 @@
 
 LOCAL_CLASS = "-"  # of a request that is answered without an upstream
 FIRST_CLASS = "p0"  # of a request whose location is not among its upstream's
-CLOSE_CONNECTION = 444  # nginx's code for a close without a response
 SERVICE_UNAVAILABLE = 503
 MIN_RETRY_AFTER_SECONDS = 1
 
@@ -80,10 +82,10 @@
             raise BadRequestError(400)  # RFC 9112, section 3.2
         front = self.http_front
         try:
-            host = read_host(raw_host)
+            host = normalise_optional_host(raw_host)
             server = front.router.server_of(front.listen_key, host)
-            target = read_target(raw_target, server.row.merge_slashes)
-        except (BadTarget, ValueError) as error:
+            target = parse_target(raw_target, server.row.merge_slashes)
+        except MalformedRequestError as error:
             raise BadRequestError(400) from error
         body = b"".join(self.body_pieces)
         fields = self._joined_fields()
@@ -97,7 +99,7 @@
             fields,
             client,
             client_port,
-            server_addr=front.address[0],
+            server_address=front.address[0],
             server_port=front.listen_port,
             protocol=f"HTTP/{version}",
         )
@@ -145,8 +147,8 @@
 
     def _class_name(self, exchange: UpstreamExchange, landing: Landing, method: str) -> str:
         name = FIRST_CLASS
-        if landing.place is not None:
-            name = exchange.config.class_names.get(location_id(landing.place), FIRST_CLASS)
+        if landing.location_row is not None:
+            name = exchange.config.class_names.get(location_id(landing.location_row), FIRST_CLASS)
         return name + NON_IDEMPOTENT_SUFFIX if method in NON_IDEMPOTENT_METHODS else name
 
     # One request at a time.
@@ -176,7 +178,7 @@
             if self.transport is not None:
                 self.transport.abort()
             return
-        status = landing.shown or landing.status
+        status = landing.shown_status or landing.status
         fields = added_fields(landing, status)
         if landing.redirect:
             fields.append(("Location", landing.redirect))
@@ -203,7 +205,7 @@
     def start_response(self, head: ResponseHead) -> None:
         """Writes the head of a server's response."""
         assert isinstance(head, ProxyResponseHead) and self.landing is not None
-        status = self.landing.shown or head.status
+        status = self.landing.shown_status or head.status
         lines = [f"HTTP/1.1 {status} {reason_phrase(status)}"]
         has_body = not self.is_bodiless and status not in BODILESS_STATUSES
         self.is_chunked = has_body and head.content_length is None
@@ -226,7 +228,10 @@
         assert isinstance(request, RoutedRequest) and landing is not None
         is_rejected = final is FinalAnswer.REJECTED
         status = SERVICE_UNAVAILABLE if is_rejected else request.failure_status
-        if not landing.from_error and self.http_front.router.on_error(landing, status).from_error:
+        if (
+            not landing.is_from_error_page
+            and self.http_front.router.apply_error_page(landing, status).is_from_error_page
+        ):
             self._submit_to_error_page(request, landing)
             return
         fields: Fields = []
--- a/gladewalk/web/messages.py
+++ b/gladewalk/web/messages.py
@@ -10,8 +10,8 @@
 from http import HTTPStatus
 
 from ..core.exchange import AttemptResult, ClientRequest, ResponseHead
-from ..nginx.router import Landing, Rules, redirect_of
-from ..nginx.table import Terms
+from ..nginx.landing import Landing, redirect_location
+from ..nginx.table import ProxySettings
 
 Fields = list[tuple[str, str]]
 
@@ -49,9 +49,9 @@
     sent_count: int = 0
 
     @property
-    def terms(self) -> Terms:
+    def proxy(self) -> ProxySettings:
         """The proxy settings of the location."""
-        return self.landing.terms
+        return self.landing.proxy
 
 
 @dataclass(slots=True)
@@ -106,10 +106,10 @@
     rules = landing.location.rules if landing.location is not None else None
     own: Fields = []
     replaced: set[str] = set()
-    if isinstance(rules, Rules):
-        for name, template in rules.fields:
+    if rules is not None:
+        for name, template in rules.set_fields:
             replaced.add(name.lower())
-            value = sanitize_value(template.fill(landing.state))
+            value = sanitize_value(template.render(landing.state))
             if value:
                 own.append((name, value))
     dropped = REWRITTEN_FIELDS | replaced | connection_options(request.fields)
@@ -125,10 +125,10 @@
 
 def response_fields(landing: Landing, status: int, fields: Fields) -> Fields:
     """Returns the fields of a server's response that go to the client, and the location's own."""
-    hidden = set(landing.terms.hide_fields)
+    hidden = set(landing.proxy.hide_fields)
     dropped = HOP_BY_HOP_FIELDS | {"content-length"} | connection_options(fields) | hidden
     passed = [(name, value) for name, value in fields if name.lower() not in dropped]
-    if landing.terms.redirect == "default":
+    if landing.proxy.redirect == "default":
         passed = [
             (name, rewrite_location(landing, value) if name.lower() == "location" else value)
             for name, value in passed
@@ -140,23 +140,23 @@
     """Returns the fields that `add_header` sets at the request's location, or at its server without one."""
     rules = landing.location.rules if landing.location is not None else None
     found = []
-    for name, template, is_always in rules.added if isinstance(rules, Rules) else landing.server.added:
-        value = sanitize_value(template.fill(landing.state))
-        if value and (is_always or status in ADD_HEADER_STATUSES):
-            found.append((name, value))
+    for added in rules.added_fields if rules is not None else landing.server.added_fields:
+        value = sanitize_value(added.value.render(landing.state))
+        if value and (added.is_always or status in ADD_HEADER_STATUSES):
+            found.append((added.name, value))
     return found
 
 
 def rewrite_location(landing: Landing, location: str) -> str:
     """Rewrites a Location field that names the upstream (`proxy_redirect default`)."""
-    place = landing.place
-    if place is None or place.kind in ("~", "~*", "@") or "$" in place.upstream + (place.uri or ""):
+    row = landing.location_row
+    if row is None or row.is_regex or row.is_named or "$" in row.upstream + (row.uri or ""):
         return location
-    prefix = f"http://{place.upstream}{place.uri or ''}"
+    prefix = f"http://{row.upstream}{row.uri or ''}"
     rest = location[len(prefix) :]
-    if not location.startswith(prefix) or (not place.uri and rest[:1] not in ("/", "")):
+    if not location.startswith(prefix) or (not row.uri and rest[:1] not in ("/", "")):
         return location
-    return redirect_of(landing, (place.pattern if place.uri else "") + rest)
+    return redirect_location(landing, (row.pattern if row.uri else "") + rest)
 
 
 def condition_of_status(status: int) -> str:
--- a/gladewalk/web/passive_health.py
+++ b/gladewalk/web/passive_health.py
@@ -11,12 +11,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from ..nginx.table import Box
+from ..nginx.table import UpstreamServerRow
 
 
 @dataclass(slots=True)
 class _ServerHealth:
-    server: Box
+    server: UpstreamServerRow
     in_flight: int = 0
     failure_times_ms: list[float] = field(default_factory=list)
     unavailable_until_ms: float = 0.0
@@ -31,7 +31,7 @@
         is_single_server: Whether the upstream has one server, which then never counts as failed.
     """
 
-    def __init__(self, servers: Sequence[Box]) -> None:
+    def __init__(self, servers: Sequence[UpstreamServerRow]) -> None:
         self._health = {server.address: _ServerHealth(server) for server in servers}
         self.is_single_server = len(servers) == 1
         self._reported: dict[str, bool] = {}  # as `availability_changes` returned it last
@@ -59,10 +59,10 @@
             return
         if self.is_single_server or not server.max_fails:
             return
-        recent = [at_ms for at_ms in health.failure_times_ms if now_ms - at_ms <= server.fail_ms]
+        recent = [at_ms for at_ms in health.failure_times_ms if now_ms - at_ms <= server.fail_timeout_ms]
         health.failure_times_ms = [*recent, now_ms]
         if len(health.failure_times_ms) >= server.max_fails:
-            health.unavailable_until_ms = now_ms + server.fail_ms
+            health.unavailable_until_ms = now_ms + server.fail_timeout_ms
             health.failure_times_ms.clear()
 
     def is_available(self, address: str, now_ms: float) -> bool:
@@ -70,16 +70,16 @@
         health = self._health[address]
         server = health.server
         is_full = server.max_conns > 0 and health.in_flight >= server.max_conns
-        return not server.down and not is_full and now_ms >= health.unavailable_until_ms
+        return not server.is_down and not is_full and now_ms >= health.unavailable_until_ms
 
     def ready_servers(self, now_ms: float) -> dict[str, bool]:
         """Returns of every address whether it is ready: a backup only while no other server is available."""
         available = {address: self.is_available(address, now_ms) for address in self._health}
         has_primary = any(
-            available[address] and not health.server.backup for address, health in self._health.items()
+            available[address] and not health.server.is_backup for address, health in self._health.items()
         )
         return {
-            address: available[address] and not (has_primary and health.server.backup)
+            address: available[address] and not (has_primary and health.server.is_backup)
             for address, health in self._health.items()
         }
 
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -9,8 +9,9 @@
 from ..config.platform import Address, ConfigError, read_address
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
+from ..nginx.errors import RoutingTableError
 from ..nginx.router import Router
-from ..nginx.table import Box, Upstream, load_site
+from ..nginx.table import UpstreamRow, UpstreamServerRow, load_site
 from ..upstream.pool import Caches
 from .connection import UpstreamConnection
 from .front import HttpFront
@@ -20,7 +21,9 @@
 MIN_CONNECTIONS_PER_UPSTREAM = 4
 MIN_CONNECTIONS_PER_LISTENER = 1
 # A table that proxies nothing still needs an exchange for its connections; nothing is ever sent to it.
-UNUSED_UPSTREAM = Upstream(name="-", at="-", boxes=[Box(address="127.0.0.1:1", at="-", down=True)])
+UNUSED_UPSTREAM = UpstreamRow(
+    name="-", defined_at="-", servers=[UpstreamServerRow(address="127.0.0.1:1", defined_at="-", is_down=True)]
+)
 
 
 def load_routing(options: Options) -> tuple[Router, dict[Address, str]]:
@@ -34,7 +37,7 @@
     site_path = options.file(table.site)
     try:
         router = Router(load_site(site_path))
-    except ValueError as error:
+    except RoutingTableError as error:
         raise ConfigError(f"{site_path}: {error}") from error
     listeners: dict[Address, str] = {}
     for text, listen_key in table.listen.items():
--- a/gladewalk/web/upstream_config.py
+++ b/gladewalk/web/upstream_config.py
@@ -14,8 +14,8 @@
 
 from .. import interface as api
 from ..config.platform import Address, PlatformConfig, read_address
-from ..nginx.router import Landing, Rules
-from ..nginx.table import Box, Place, Site, Upstream
+from ..nginx.landing import Landing
+from ..nginx.table import LocationRow, Site, UpstreamRow, UpstreamServerRow
 from .passive_health import PassiveHealthCheck
 
 MAX_QUEUE_MS = 1_000.0  # for which a request waits if no server can take it now
@@ -41,7 +41,7 @@
         class_names: The request class for methods that may be retried, by `location_id`.
     """
 
-    upstream: Upstream
+    upstream: UpstreamRow
     platform: PlatformConfig
     health: PassiveHealthCheck
     addresses: dict[str, Address]
@@ -51,19 +51,19 @@
         """Returns the endpoint list's entries of the servers named; one that is not ready is draining."""
         return tuple(
             build_endpoint(server, ready[server.address])
-            for server in self.upstream.boxes
+            for server in self.upstream.servers
             if server.address in ready
         )
 
     def is_equivalent(self, other: UpstreamConfig) -> bool:
         """Returns whether a core for one would do for the other: servers, classes and limits are equal."""
-        return (self.upstream.boxes, self.platform.settings) == (
-            other.upstream.boxes,
+        return (self.upstream.servers, self.platform.settings) == (
+            other.upstream.servers,
             other.platform.settings,
         )
 
 
-def build_endpoint(server: Box, is_ready: bool) -> api.Server:
+def build_endpoint(server: UpstreamServerRow, is_ready: bool) -> api.Server:
     """Builds the endpoint list's entry of a server."""
     return api.Server(
         server.address,
@@ -75,29 +75,29 @@
     )
 
 
-def proxying_locations(site: Site) -> list[Place]:
+def proxying_locations(site: Site) -> list[LocationRow]:
     """Returns all locations of a site that proxy requests, nested ones too, in the order of the file."""
-    found: list[Place] = []
+    found: list[LocationRow] = []
 
-    def collect(locations: list[Place]) -> None:
+    def collect(locations: list[LocationRow]) -> None:
         for location in locations:
             if location.upstream:
                 found.append(location)
-            collect(location.places)
+            collect(location.locations)
 
     for server in site.servers:
-        collect(server.places)
+        collect(server.locations)
     return found
 
 
-def location_id(location: Place) -> str:
+def location_id(location: LocationRow) -> str:
     """Returns what identifies a location in its table, and in a table that is imported again."""
-    return f"{location.at} {location.said}"
+    return f"{location.defined_at} {location.directive}"
 
 
 def build_upstream_config(
     site: Site,
-    upstream: Upstream,
+    upstream: UpstreamRow,
     *,
     director_name: str,
     seed: int,
@@ -133,13 +133,13 @@
         hub_of_zone=(0,),
         capacities_listed=False,
         client_connection_limit=max_client_connections,
-        max_attempts=max([len(upstream.boxes), *(location.terms.tries for location in locations)]),
+        max_attempts=max([len(upstream.servers), *(location.proxy.max_attempts for location in locations)]),
         may_cancel=True,
         sends_retry_after=True,
         max_retry_after_ms=MAX_RETRY_AFTER_MS,
-        may_join_fills=any(location.terms.join for location in locations),
+        may_join_fills=any(location.proxy.joins_fills for location in locations),
     )
-    connect_timeouts_ms = (location.terms.connect_ms for location in locations)
+    connect_timeouts_ms = (location.proxy.connect_timeout_ms for location in locations)
     platform = PlatformConfig(
         name=director_name,
         listen=("127.0.0.1", 0),
@@ -153,25 +153,25 @@
         initial_event_index=0,
         initial_events=(),
     )
-    addresses = {server.address: read_address(server.address) for server in upstream.boxes}
-    return UpstreamConfig(upstream, platform, PassiveHealthCheck(upstream.boxes), addresses, class_names)
+    addresses = {server.address: read_address(server.address) for server in upstream.servers}
+    return UpstreamConfig(upstream, platform, PassiveHealthCheck(upstream.servers), addresses, class_names)
 
 
-def build_request_classes(name: str, location: Place) -> list[api.RequestClass]:
+def build_request_classes(name: str, location: LocationRow) -> list[api.RequestClass]:
     """Builds a location's two classes: for methods that may be retried, and for those that may not."""
-    terms = location.terms
+    proxy = location.proxy
     classes = []
     for suffix in ("", NON_IDEMPOTENT_SUFFIX):
-        may_retry = not suffix or "non_idempotent" in terms.again_on
+        may_retry = not suffix or "non_idempotent" in proxy.retry_on
         classes.append(
             api.RequestClass(
                 name + suffix,
-                min(MAX_QUEUE_MS, terms.read_ms),
+                min(MAX_QUEUE_MS, proxy.read_timeout_ms),
                 MAX_RESPONSE_MS,
                 priority_weight=PRIORITY_WEIGHT,
                 idempotency=api.Idempotency.IDEMPOTENT if may_retry else api.Idempotency.NON_IDEMPOTENT,
-                freshness_lifetime_ms=terms.fresh_ms,
-                stale_grace_ms=terms.fresh_ms if terms.stale_on else 0.0,
+                freshness_lifetime_ms=proxy.freshness_lifetime_ms,
+                stale_grace_ms=proxy.freshness_lifetime_ms if proxy.use_stale_on else 0.0,
             )
         )
     return classes
@@ -180,8 +180,8 @@
 def object_key(landing: Landing) -> int:
     """Returns an object's key: the hash of `proxy_cache_key`, else of the upstream and the target."""
     rules = landing.location.rules if landing.location is not None else None
-    if isinstance(rules, Rules) and rules.key is not None:
-        text = rules.key.fill(landing.state)
+    if rules is not None and rules.cache_key is not None:
+        text = rules.cache_key.render(landing.state)
     else:
         text = f"{landing.upstream}{landing.target}"
     return xxhash.xxh3_64_intdigest(text.encode("latin-1", "replace"))
--- a/gladewalk/web/upstream_exchange.py
+++ b/gladewalk/web/upstream_exchange.py
@@ -8,7 +8,7 @@
 from ..core.counters import Counters
 from ..core.deadlines import DeadlineKey, Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer
-from ..nginx.table import Terms
+from ..nginx.table import ProxySettings
 from ..upstream.pool import Caches
 from .messages import BAD_GATEWAY, GATEWAY_TIMEOUT, ProxyRequest, ProxyResult
 from .upstream_config import NON_IDEMPOTENT_SUFFIX, UpstreamConfig
@@ -81,36 +81,36 @@
 
     def retries_status(self, request: ProxyRequest, condition: str) -> bool:
         """Returns whether a response of this condition is discarded and the request retried elsewhere."""
-        return condition in request.terms.again_on and self._may_retry(request, condition)
+        return condition in request.proxy.retry_on and self._may_retry(request, condition)
 
     def _may_retry(self, request: ProxyRequest, condition: str) -> bool:
         """Applies `proxy_next_upstream`, its limits, and whether there is another server."""
-        terms = request.terms
-        if condition not in terms.again_on:
+        proxy = request.proxy
+        if condition not in proxy.retry_on:
             return False
-        if terms.tries and request.sent_count >= terms.tries:
+        if proxy.max_attempts and request.sent_count >= proxy.max_attempts:
             return False
-        if self._is_retry_time_over(request, terms):
+        if self._is_retry_time_over(request, proxy):
             return False
         is_unsafe = request.class_name.endswith(NON_IDEMPOTENT_SUFFIX)
-        if is_unsafe and "non_idempotent" not in terms.again_on:
+        if is_unsafe and "non_idempotent" not in proxy.retry_on:
             return False
-        return request.sent_count < len(self.config.upstream.boxes)
+        return request.sent_count < len(self.config.upstream.servers)
 
     def _may_retry_unsent(self, request: ProxyRequest) -> bool:
         """Returns whether a request that was never written may go elsewhere, whatever its method.
 
         The core knows which servers it has attempted.
         """
-        terms = request.terms
-        if "error" not in terms.again_on:
+        proxy = request.proxy
+        if "error" not in proxy.retry_on:
             return False
-        if terms.tries and request.sent_count + 1 >= terms.tries:
+        if proxy.max_attempts and request.sent_count + 1 >= proxy.max_attempts:
             return False
-        return not self._is_retry_time_over(request, terms)
+        return not self._is_retry_time_over(request, proxy)
 
-    def _is_retry_time_over(self, request: ProxyRequest, terms: Terms) -> bool:
-        return terms.tries_ms > 0 and self.clock() - request.received_ms >= terms.tries_ms
+    def _is_retry_time_over(self, request: ProxyRequest, proxy: ProxySettings) -> bool:
+        return proxy.retry_timeout_ms > 0 and self.clock() - request.received_ms >= proxy.retry_timeout_ms
 
     def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
         """Records the result for the server's health and ends the request if nginx's rules allow no retry."""
@@ -149,7 +149,7 @@
         health, server, now_ms = self.config.health, attempt.order.server, self.clock()
         if not health.knows(server):
             return
-        has_failed = result.status in CONDITIONS and _is_failure(_condition_of(result), request.terms)
+        has_failed = result.status in CONDITIONS and _is_failure(_condition_of(result), request.proxy)
         if id(attempt) in self._written:
             health.request_ended(server, has_failed, now_ms)
         elif result.status in CONDITIONS:
@@ -177,8 +177,8 @@
     return result.condition if isinstance(result, ProxyResult) else CONDITIONS.get(result.status, "")
 
 
-def _is_failure(condition: str, terms: Terms) -> bool:
+def _is_failure(condition: str, proxy: ProxySettings) -> bool:
     """Returns whether a condition counts as an unsuccessful attempt at a server (`max_fails`)."""
     if condition in ALWAYS_FAILURES:
         return True
-    return condition not in NEVER_FAILURES and condition in terms.again_on
+    return condition not in NEVER_FAILURES and condition in proxy.retry_on
--- a/tests/test_golden_nginx.py
+++ b/tests/test_golden_nginx.py
@@ -15,16 +15,16 @@
 
 import pytest
 
-from gladewalk.nginx.directives import page
-from gladewalk.nginx.explain import Asked, explain
-from gladewalk.nginx.parser import NginxError
+from gladewalk.nginx.directives import directives_page
+from gladewalk.nginx.errors import NginxConfigError
+from gladewalk.nginx.explain import RequestDescription, explain
 from gladewalk.nginx.router import Router
 from gladewalk.nginx.table import read_site, write_site
 from gladewalk.nginx.translate import import_site
 from gladewalk.rehearsal.peers import Heard
 from gladewalk.rehearsal.webworld import Script, WebWorld
 
-from .test_nginx import CORPUS, FILES, expectations, landing
+from .test_nginx import CORPUS, FILES, expectations, land
 
 GOLDEN = Path(__file__).parent / "golden" / "nginx.json"
 ALLOWED = (
@@ -110,7 +110,7 @@
     with chdir(path.parent):
         try:
             site = import_site(path.name, allowed)
-        except NginxError as error:
+        except NginxConfigError as error:
             return {"refused": str(error)}
     return {"table": write_site(site)}
 
@@ -120,13 +120,13 @@
     with chdir(path.parent):
         try:
             router = Router(import_site(path.name))
-        except NginxError:
+        except NginxConfigError:
             return {}
     found: dict[str, list[str]] = {}
     for number, each in enumerate(expectations(path)):
         asked = each.asked
-        named = Asked(asked.uri, asked.host, asked.method, asked.client, asked.listen)
-        found[f"{number} {asked}"] = [landing(router, each), *explain(router, named)]
+        named = RequestDescription(asked.uri, asked.host, asked.method, asked.client_address, asked.listen)
+        found[f"{number} {asked}"] = [land(router, each), *explain(router, named)]
     return found
 
 
@@ -226,7 +226,7 @@
 
 
 def test_the_page_of_directives_is_the_same() -> None:
-    assert page() == golden()["page"]
+    assert directives_page() == golden()["page"]
 
 
 def test_the_front_answers_and_sends_the_same_bytes(tmp_path: Path) -> None:
@@ -238,7 +238,7 @@
         "imported": {path.name: imported(path) for path in FILES},
         "imported with losses": {path.name: imported(path, ALLOWED) for path in FILES},
         "landings": {path.name: landings(path) for path in FILES},
-        "page": page(),
+        "page": directives_page(),
         "front": asyncio.run(play_front(folder)),
     }
 
--- a/tests/test_nginx.py
+++ b/tests/test_nginx.py
@@ -5,7 +5,7 @@
 import sys
 import tempfile
 from collections.abc import Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
@@ -13,16 +13,25 @@
 from hypothesis import strategies as st
 
 from gladewalk.config.platform import ConfigError
-from gladewalk.nginx.directives import DIRECTIVES, Answer, page
-from gladewalk.nginx.explain import Asked, diff, explain, land, read_requests, told
-from gladewalk.nginx.location_search import Search
+from gladewalk.nginx.directive_groups import Handling
+from gladewalk.nginx.directives import DIRECTIVES, directives_page
+from gladewalk.nginx.errors import NginxConfigError, RequestTargetError
+from gladewalk.nginx.explain import (
+    RequestDescription,
+    describe_landing,
+    explain,
+    moved_requests,
+    parse_requests,
+    route_request,
+)
+from gladewalk.nginx.hosts import normalise_optional_host
+from gladewalk.nginx.location_search import LocationSearch
 from gladewalk.nginx.maps import murmur2
-from gladewalk.nginx.parser import NginxError
-from gladewalk.nginx.router import Router, read_host
-from gladewalk.nginx.table import Listen, Place, Server, Site, Step, read_site, write_site
+from gladewalk.nginx.router import Router
+from gladewalk.nginx.table import ListenRow, LocationRow, ServerRow, Site, StepRow, read_site, write_site
 from gladewalk.nginx.translate import import_site
-from gladewalk.nginx.uri import BadTarget, read_target
-from gladewalk.nginx.variables import Request, State
+from gladewalk.nginx.uri import parse_target
+from gladewalk.nginx.variables import Request, RequestState
 
 CORPUS = Path(__file__).parent.parent / "corpus" / "nginx"
 FILES = sorted(CORPUS.glob("*.conf"))
@@ -31,7 +40,7 @@
 
 @dataclass
 class Expected:
-    asked: Asked
+    asked: RequestDescription
     fields: dict[str, str]
     landing: str
 
@@ -48,18 +57,18 @@
         fields = dict(value.split("=", 1) for word, value in given_words if word == "with")
         client = next((value for word, value in given_words if word == "from"), "127.0.0.1")
         listen = next((value for word, value in given_words if word == "at"), "")
-        asked = Asked(uri, "" if host == "-" else host, method or "GET", client, listen)
+        asked = RequestDescription(uri, "" if host == "-" else host, method or "GET", client, listen)
         yield Expected(asked, {name.lower(): value for name, value in fields.items()}, landing)
 
 
-def landing(router: Router, expected: Expected) -> str:
+def land(router: Router, expected: Expected) -> str:
     asked = expected.asked
     listen = asked.listen or next(iter(router.listeners))
-    host = read_host(asked.host)
-    target = read_target(asked.uri, router.server_of(listen, host).row.merge_slashes)
+    host = normalise_optional_host(asked.host)
+    target = parse_target(asked.uri, router.server_of(listen, host).row.merge_slashes)
     port = int(listen.rpartition(":")[2])
-    request = Request(asked.method, target, host, expected.fields, asked.client, server_port=port)
-    return told(router.route(listen, request))
+    request = Request(asked.method, target, host, expected.fields, asked.client_address, server_port=port)
+    return describe_landing(router.route(listen, request))
 
 
 @pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
@@ -68,7 +77,7 @@
     expected = list(expectations(path))
     assert bool(refused) != bool(expected), "a file has landings or refusals"
     if refused:
-        with pytest.raises(NginxError) as caught:
+        with pytest.raises(NginxConfigError) as caught:
             import_site(str(path))
         lines = str(caught.value).splitlines()
         said = {tuple(line.removeprefix(f"{path}:").split(": ")[:2]) for line in lines}
@@ -77,7 +86,7 @@
     site = import_site(str(path))
     assert read_site(write_site(site)) == site
     router = Router(site)
-    found = [(str(each.asked), landing(router, each)) for each in expected]
+    found = [(str(each.asked), land(router, each)) for each in expected]
     assert found == [(str(each.asked), each.landing) for each in expected]
 
 
@@ -90,91 +99,107 @@
 
 
 @dataclass
-class Literal:
+class LiteralSearch:
     """ngx_http_core_module, "location", read literally."""
 
     uri: str
-    regexes: dict[str, re.Pattern[str]] = field(default_factory=dict)
-
-    def search(self, places: list[Place]) -> tuple[Place | None, bool]:
-        """The location, and whether the search is over (an exact match, or a regex)."""
-        for place in places:
-            if place.kind == "=" and place.pattern == self.uri:
-                return place, True
-        best: Place | None = None
-        for place in places:
-            if place.kind in ("", "^~") and self.uri.startswith(place.pattern):
-                best = place if best is None or len(place.pattern) > len(best.pattern) else best
-        remembered = best
-        if best is not None:
-            inner, over = self.search(best.places)
-            if over:
+
+    def search(self, rows: list[LocationRow]) -> tuple[LocationRow | None, bool]:
+        """Returns the location, and whether the search is over (an exact match, or a regex)."""
+        for row in rows:
+            if row.modifier == "=" and row.pattern == self.uri:
+                return row, True
+        prefix = self.longest_prefix(rows)
+        remembered = prefix
+        if prefix is not None:
+            inner, is_over = self.search(prefix.locations)
+            if is_over:
                 return inner, True
-            remembered = inner or best
-        if best is not None and best.kind == "^~":
+            remembered = inner or prefix
+        if prefix is not None and prefix.modifier == "^~":
             return remembered, False
-        for place in places:
-            if place.kind in ("~", "~*"):
-                flags = re.IGNORECASE if place.kind == "~*" else 0
-                if re.search(place.pattern, self.uri, flags):
-                    inner, _ = self.search(place.places)
-                    return inner or place, True
+        for row in rows:
+            if row.modifier in ("~", "~*") and self.matches(row):
+                inner, _ = self.search(row.locations)
+                return inner or row, True
         return remembered, False
 
+    def longest_prefix(self, rows: list[LocationRow]) -> LocationRow | None:
+        longest: LocationRow | None = None
+        for row in rows:
+            if row.modifier in ("", "^~") and self.uri.startswith(row.pattern):
+                longest = row if longest is None or len(row.pattern) > len(longest.pattern) else longest
+        return longest
+
+    def matches(self, row: LocationRow) -> bool:
+        flags = re.IGNORECASE if row.modifier == "~*" else 0
+        return re.search(row.pattern, self.uri, flags) is not None
 
-PARTS = st.sampled_from(("a", "b", "ab", "A", "a.x", "b.y", ""))
-PATHS = st.lists(PARTS, min_size=0, max_size=4).map(lambda parts: "/" + "/".join(parts))
+
+SEGMENTS = st.sampled_from(("a", "b", "ab", "A", "a.x", "b.y", ""))
+PATHS = st.lists(SEGMENTS, min_size=0, max_size=4).map(lambda segments: "/" + "/".join(segments))
 REGEXES = st.sampled_from((r"\.x$", "a", "^/a", "^/ab/", r"\.(x|y)$", "b/", "A", "^/$", "a.*b", "//"))
 
 
-def tree(depth: int, below: str = "/", in_regex: bool = False) -> st.SearchStrategy[list[Place]]:
-    def built(rows: list[tuple[str, str, str, list[Place]]]) -> list[Place]:
-        seen, places = set(), list[Place]()
-        for kind, path, regex, inner in rows:
-            is_regex = kind in ("~", "~*")
+def location_trees(
+    depth: int, below: str = "/", in_regex: bool = False
+) -> st.SearchStrategy[list[LocationRow]]:
+    def build(drawn: list[tuple[str, str, str, list[LocationRow]]]) -> list[LocationRow]:
+        seen, rows = set(), list[LocationRow]()
+        for modifier, path, regex, inner in drawn:
+            is_regex = modifier in ("~", "~*")
             pattern = regex if is_regex else below + path[1:]
-            slot = ("" if kind == "^~" else kind, pattern)
-            if (in_regex and not is_regex) or (not is_regex and slot in seen):
+            identity = ("" if modifier == "^~" else modifier, pattern)
+            if (in_regex and not is_regex) or (not is_regex and identity in seen):
                 continue
-            seen.add(slot)
-            own = [
-                p for p in inner if p.kind in ("~", "~*") or (not is_regex and p.pattern.startswith(pattern))
+            seen.add(identity)
+            nested = [
+                row
+                for row in inner
+                if row.modifier in ("~", "~*") or (not is_regex and row.pattern.startswith(pattern))
             ]
-            step = Step(op="return", at="-", code=200, to="x")
-            places.append(Place(
-                at=f"{depth}:{len(places)}:{kind}{pattern}", kind=kind, pattern=pattern, steps=[step],
-                places=[] if kind == "=" else own,
-            ))  # fmt: skip
-        return places
-
-    inner = tree(depth - 1) if depth else st.just([])
+            step = StepRow(op="return", defined_at="-", status=200, value="x")
+            rows.append(
+                LocationRow(
+                    defined_at=f"{depth}:{len(rows)}:{modifier}{pattern}",
+                    modifier=modifier,
+                    pattern=pattern,
+                    steps=[step],
+                    locations=[] if modifier == "=" else nested,
+                )
+            )
+        return rows
+
+    inner = location_trees(depth - 1) if depth else st.just([])
     row = st.tuples(st.sampled_from(("", "", "=", "^~", "~", "~*")), PATHS, REGEXES, inner)
-    return st.lists(row, max_size=5).map(built)
+    return st.lists(row, max_size=5).map(build)
 
 
-def check_agreement(places: list[Place], uri: str) -> None:
-    server = Server(at="-", listens=[Listen(address="*:80")], places=places)
+def check_agreement(locations: list[LocationRow], uri: str) -> None:
+    server = ServerRow(defined_at="-", listens=[ListenRow(address="*:80")], locations=locations)
     router = Router(Site(servers=[server]))
-    listener = router.listeners["*:80"].default
-    assert listener is not None
-    target = read_target(uri)
-    search = Search(State(Request("GET", target), target.path, ""))
-    search.run(listener.level)
-    wanted, _ = Literal(target.path).search(places)
-    assert (search.best.place if search.best else None) == wanted, (uri, places)
+    compiled = router.listeners["*:80"].default_server
+    assert compiled is not None
+    target = parse_target(uri)
+    search = LocationSearch(RequestState(Request("GET", target), target.path, ""))
+    search.run(compiled.locations)
+    wanted, _ = LiteralSearch(target.path).search(locations)
+    assert (search.best.row if search.best else None) == wanted, (uri, locations)
 
 
 @settings(max_examples=400, deadline=None, derandomize=True)
-@given(places=tree(2), uris=st.lists(PATHS, min_size=1, max_size=4))
-def test_the_compiled_search_agrees_with_the_literal_one(places: list[Place], uris: list[str]) -> None:
+@given(locations=location_trees(2), uris=st.lists(PATHS, min_size=1, max_size=4))
+def test_the_compiled_search_agrees_with_the_literal_one(
+    locations: list[LocationRow], uris: list[str]
+) -> None:
     for uri in uris:
-        check_agreement(places, uri)
+        check_agreement(locations, uri)
 
 
 def test_the_literal_search_can_disagree() -> None:
     """So the check above can fail: with the regexes turned, it does."""
-    rows = [Place(at=p, kind="~", pattern=p, upstream="u") for p in ("a", "b")]
-    assert Literal("/ab").search(rows)[0] != Literal("/ab").search(rows[::-1])[0]
+    rows = [LocationRow(defined_at=p, modifier="~", pattern=p, upstream="u") for p in ("a", "b")]
+    assert LiteralSearch("/ab").search(rows)[0] != LiteralSearch("/ab").search(rows[::-1])[0]
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
@@ -195,7 +220,7 @@
         path.write_bytes(text.encode("latin-1", "replace"))
         try:
             Router(import_site(str(path)))
-        except NginxError as error:
+        except NginxConfigError as error:
             assert all(re.match(r".+:\d+: \S+", line) for line in str(error).splitlines()), str(error)
 
 
@@ -203,8 +228,8 @@
 @given(raw=st.text(st.sampled_from("/.%2ef0aA?#\x00\x7f b"), max_size=12))
 def test_a_target_is_read_or_refused_and_then_stays_as_it_is(raw: str) -> None:
     try:
-        target = read_target("/" + raw)
-    except BadTarget:
+        target = parse_target("/" + raw)
+    except RequestTargetError:
         return
     parts = target.path.split("/")
     assert target.path.startswith("/") and "." not in parts and ".." not in parts and "//" not in target.path
@@ -242,7 +267,7 @@
             "server {\n listen 80;\n location / { root /x; }\n location /a { expires 1d; return 200; }\n}\n"
         )
         with pytest.raises(
-            NginxError, match=r"f\.conf:3: files: .*\n.*f\.conf:4: expires: .*--allow expires"
+            NginxConfigError, match=r"f\.conf:3: files: .*\n.*f\.conf:4: expires: .*--allow expires"
         ):
             import_site(str(path))
         site = import_site(str(path), ["files", "expires"])
@@ -254,10 +279,12 @@
             " location /d { try_files $uri /x?y=$uri; }\n location /x { proxy_pass http://a/z; }\n}\n"
         )
         router = Router(import_site(str(path), ["try_files"]))
-        ends = [told(land(router, Asked(uri))) for uri in ("/q?r=1", "/c", "/d")]
+        ends = [
+            describe_landing(route_request(router, RequestDescription(uri))) for uri in ("/q?r=1", "/c", "/d")
+        ]
         assert ends == ["upstream a /q?r=1", "answer 410", "upstream a /z?y=/d"]
         path.write_text("server {\n location / { auth_basic x; return 200; }\n}\n")
-        with pytest.raises(NginxError, match="its loss can't be accepted"):
+        with pytest.raises(NginxConfigError, match="its loss can't be accepted"):
             import_site(str(path), ["auth_basic"])
 
 
@@ -278,7 +305,7 @@
 def test_explain_tells_the_way_and_diff_what_moves() -> None:
     site = import_site(str(CORPUS / "64-auction-site.conf"))
     router = Router(site)
-    lines = explain(router, Asked("/sale/7/a.mp4", "auction.example"))
+    lines = explain(router, RequestDescription("/sale/7/a.mp4", "auction.example"))
     told_places = [line.partition("  [")[0].strip() for line in lines if line.startswith("  location")]
     assert told_places == [
         "location /sale/: the longest prefix here", "location /lots/: the longest prefix here",
@@ -286,26 +313,28 @@
     ]  # fmt: skip
     assert lines[-1].startswith("=> upstream media /lots/7/a.mp4 by location ~ \\.(?:mp4|webm)$")
     server = site.servers[0]
-    moved = replace_place(server, "/api/bid", "pages")
-    other = Router(site_with(site, moved))
-    asked = read_requests(["# bids", "POST auction.example /api/bid/1", "auction.example /lots/1", "/health"])
-    assert [(each.uri, was, now) for each, was, now in diff(router, other, asked)] == [
-        ("/api/bid/1", "upstream bids /api/bid/1", "upstream pages /api/bid/1")
-    ]
+    moved = with_upstream(server, "/api/bid", "pages")
+    other = Router(with_first_server(site, moved))
+    asked = parse_requests(
+        ["# bids", "POST auction.example /api/bid/1", "auction.example /lots/1", "/health"]
+    )
+    assert [
+        (each.request.uri, each.previous, each.current) for each in moved_requests(router, other, asked)
+    ] == [("/api/bid/1", "upstream bids /api/bid/1", "upstream pages /api/bid/1")]
     with pytest.raises(ConfigError, match="line 1"):
-        read_requests(["GET example.com /a more"])
+        parse_requests(["GET example.com /a more"])
 
 
-def replace_place(server: Server, pattern: str, upstream: str) -> Server:
+def with_upstream(server: ServerRow, pattern: str, upstream: str) -> ServerRow:
     import msgspec
 
     places = [
-        msgspec.structs.replace(p, upstream=upstream) if p.pattern == pattern else p for p in server.places
+        msgspec.structs.replace(p, upstream=upstream) if p.pattern == pattern else p for p in server.locations
     ]
-    return msgspec.structs.replace(server, places=places)
+    return msgspec.structs.replace(server, locations=places)
 
 
-def site_with(site: Site, server: Server) -> Site:
+def with_first_server(site: Site, server: ServerRow) -> Site:
     import msgspec
 
     return msgspec.structs.replace(site, servers=[server, *site.servers[1:]])
@@ -313,8 +342,8 @@
 
 def test_every_directive_has_its_answer_and_the_page_is_made_from_the_table() -> None:
     text = (CORPUS.parent.parent / "docs" / "nginx-directives.md").read_text()
-    assert page() in text, "python -m gladewalk.nginx.directives makes it anew"
-    assert {directive.answer for directive in DIRECTIVES.values()} == set(Answer)
+    assert directives_page() in text, "python -m gladewalk.nginx.directives makes it anew"
+    assert {policy.handling for policy in DIRECTIVES.values()} == set(Handling)
 
 
 def test_the_command_line_routes_imports_and_compares() -> None:
@@ -352,6 +381,3 @@
     assert [line.rpartition("; ")[2][:14] for line in out.splitlines()] == [
         "200 from media", "403 from the d", "200 from the d",
     ]  # fmt: skip
-
-
-_ = replace
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -8,7 +8,7 @@
 import pytest
 
 from gladewalk.config.options import build_options, read_option_tables
-from gladewalk.nginx.table import Box, Site
+from gladewalk.nginx.table import Site, UpstreamServerRow
 from gladewalk.nginx.translate import import_site
 from gladewalk.optional_parts import load_router
 from gladewalk.rehearsal.peers import Heard, until
@@ -43,7 +43,7 @@
         async with WebWorld(site) as world:
             for each in expectations(path):
                 asked = each.asked
-                if asked.client != "127.0.0.1" or "content-length" in each.fields:
+                if asked.client_address != "127.0.0.1" or "content-length" in each.fields:
                     continue
                 if asked.method == "HEAD":
                     continue
@@ -202,14 +202,14 @@
 
 
 def test_passive_health_counts_failures_in_their_time_and_gives_back() -> None:
-    def box(n: int, **more: object) -> Box:
-        return Box(address=f"s{n}", at="-", **more)  # type: ignore[arg-type]
+    def box(n: int, **more: object) -> UpstreamServerRow:
+        return UpstreamServerRow(address=f"s{n}", defined_at="-", **more)  # type: ignore[arg-type]
 
     def ready(now: float) -> list[str]:
         return [address for address, on in health.ready_servers(now).items() if on]
 
     health = PassiveHealthCheck(
-        [box(1, max_fails=2, fail_ms=1_000.0), box(2, max_fails=0), box(3, backup=True)]
+        [box(1, max_fails=2, fail_timeout_ms=1_000.0), box(2, max_fails=0), box(3, is_backup=True)]
     )
     assert ready(0.0) == ["s1", "s2"]
     health.record_result("s1", True, 0.0)
@@ -221,7 +221,7 @@
         health.record_result("s2", True, 1_700.0)  # max_fails=0: never
     assert ready(1_700.0) == ["s2"]
     assert ready(2_600.0) == ["s1", "s2"]
-    both = PassiveHealthCheck([box(1), box(2, backup=True)])
+    both = PassiveHealthCheck([box(1), box(2, is_backup=True)])
     both.record_result("s1", True, 0.0)
     assert [a for a, on in both.ready_servers(1.0).items() if on] == ["s2"]
     assert (
