--- a/gladewalk/rehearsal/write_soak.py
+++ b/gladewalk/rehearsal/write_soak.py
@@ -17,7 +17,7 @@
 
 from ..config.options import Options
 from ..core.exchange import Attempt
-from ..streams.ledger import Finding
+from ..streams.stream_tracker import StreamOutcome
 from .h2box import Breaker, H2Box
 from .peers import SETTINGS, Heard, Rehearsal, ScriptedPeer, read_message, request
 
@@ -168,15 +168,15 @@
     proofs: Counter[str] = Counter()
     interrupted: set[str] = set()
 
-    def witness(attempt: Attempt, finding: Finding) -> None:
+    def witness(attempt: Attempt, finding: StreamOutcome) -> None:
         report.findings[finding.reason.value] += 1
         interrupted.add(attempt.open_request.request.trace_id)
-        if finding.never_ran:
+        if finding.is_unprocessed:
             proofs[attempt.open_request.request.trace_id] += 1
 
     async with make_rehearsal(peers, options) as rehearsal:
         assert rehearsal.director is not None
-        rehearsal.director.caches.witness = witness
+        rehearsal.director.connection_pool.on_stream_ended = witness
         report.statuses = await _send_all(rehearsal, count)
     executed: Counter[str] = Counter()
     sent: Counter[str] = Counter()
