--- a/benchmarks/nginx_routes.py
+++ b/benchmarks/nginx_routes.py
@@ -1,10 +1,10 @@
-"""What routing costs: tables of 10, 1,000 and 10,000 locations, and the worst regexes against their bound.
+"""The cost of routing: tables of 10, 1,000 and 10,000 locations, and the worst regexes against their bound.
 
     python -m benchmarks.nginx_routes [--seed 1]
 
-Printed are microseconds a request, the median of some thousand drawn URIs: prefixes alone, prefixes with
-regexes behind them (all of which a URI that none fits goes through), and regexes made to backtrack, with what
-they take under nginx's own limit. Whole requests, from the target's text to the landing.
+Prints microseconds for each request, the median of some thousand random URIs: prefixes alone, prefixes with
+regexes behind them (all of which a URI that none matches goes through), and regexes made to backtrack, with
+their cost under nginx's own limit. Whole requests, from the target's text to the landing.
 """
 
 from __future__ import annotations
@@ -25,77 +25,82 @@
 from gladewalk.nginx.variables import Request
 
 REQUESTS = 3_000
-WORST = (
+LISTEN = "*:80"
+TABLE_SIZES = ((10, 0), (1_000, 0), (10_000, 0), (10, 10), (10, 100), (10, 1_000))  # prefixes, regexes
+WORST_REGEXES = (
     (r"^/(\w+\s?)+$", "/" + "a" * 40 + "!"),
     (r"^/(a|aa)+(\1)?$", "/" + "a" * 44 + "!"),
     (r"^/(x+x+)+y$", "/" + "x" * 40),
 )
 
 
-def table(prefixes: int, regexes: int, draw: random.Random) -> tuple[Router, list[str]]:
-    """A table with so many locations, and URIs that land all over it."""
-    names = [f"/s{n % 97}/d{n}/" for n in range(prefixes)]
-    places = [LocationRow(defined_at="-", pattern=name, upstream="u") for name in names]
-    places += [
-        LocationRow(defined_at="-", modifier="~", pattern=rf"^/r{n}/.*\.x$", upstream="u")
-        for n in range(regexes)
+def build_table(prefix_count: int, regex_count: int, rng: random.Random) -> tuple[Router, list[str]]:
+    """Returns a router with so many locations, and URIs that land all over it."""
+    prefixes = [f"/s{number % 97}/d{number}/" for number in range(prefix_count)]
+    locations = [LocationRow(defined_at="-", pattern=prefix, upstream="u") for prefix in prefixes]
+    locations += [
+        LocationRow(defined_at="-", modifier="~", pattern=rf"^/r{number}/.*\.x$", upstream="u")
+        for number in range(regex_count)
     ]
-    places.append(LocationRow(defined_at="-", pattern="/", upstream="u"))
+    locations.append(LocationRow(defined_at="-", pattern="/", upstream="u"))
     upstream = UpstreamRow(
         name="u", defined_at="-", servers=[UpstreamServerRow(address="127.0.0.1:1", defined_at="-")]
     )
-    server = ServerRow(defined_at="-", listens=[ListenRow(address="*:80")], locations=places)
+    server = ServerRow(defined_at="-", listens=[ListenRow(address=LISTEN)], locations=locations)
     uris = [
-        draw.choice(names) + f"a/{draw.randrange(1_000)}.jpg?q={draw.random():.3f}" for _ in range(REQUESTS)
+        rng.choice(prefixes) + f"a/{rng.randrange(1_000)}.jpg?q={rng.random():.3f}" for _ in range(REQUESTS)
     ]
     return Router(Site(upstreams=[upstream], servers=[server])), uris
 
 
-def cost(router: Router, uris: list[str]) -> tuple[float, float]:
-    """Microseconds a request: the median and the 99th of a hundred."""
-    spent = []
+def measure_routing_us(router: Router, uris: list[str]) -> tuple[float, float]:
+    """Returns the median and the 99th percentile of a request's cost in microseconds."""
+    costs_us = []
     for uri in uris:
-        began = time.perf_counter_ns()
-        target = parse_target(uri)
-        landing = router.route("*:80", Request("GET", target, "example.com"))
-        spent.append((time.perf_counter_ns() - began) / 1_000.0)
+        started_ns = time.perf_counter_ns()
+        landing = router.route(LISTEN, Request("GET", parse_target(uri), "example.com"))
+        costs_us.append((time.perf_counter_ns() - started_ns) / 1_000.0)
         assert landing.upstream == "u"
-    spent.sort()
-    return statistics.median(spent), spent[int(len(spent) * 0.99)]
+    costs_us.sort()
+    return statistics.median(costs_us), costs_us[int(len(costs_us) * 0.99)]
 
 
-def worst(pattern: str, text: str) -> tuple[float, str]:
-    """Milliseconds until a match is given up, and until it would end without its bound."""
+def describe_worst_case(pattern: str, text: str) -> str:
+    """Returns how long a match takes until it is abandoned, and under nginx's own limit."""
     regex = Regex(pattern)
-    began = time.perf_counter()
+    started = time.perf_counter()
     try:
         regex.match(text)
-        ended = "matched or not"
+        verdict = "matched or not"
     except MatchLimitError:
-        ended = "given up"
-    bounded = (time.perf_counter() - began) * 1_000.0
-    free = pcre2.compile(pattern.encode())
-    began = time.perf_counter()
+        verdict = "given up"
+    bounded_ms = (time.perf_counter() - started) * 1_000.0
+    unbounded = pcre2.compile(pattern.encode())
+    started = time.perf_counter()
     try:
-        free.search(text.encode())
-        left = f"{(time.perf_counter() - began) * 1_000.0:.0f} ms"
+        unbounded.search(text.encode())
+        unbounded_verdict = ""
     except pcre2.LibraryError:
-        left = f"given up after {(time.perf_counter() - began) * 1_000.0:.0f} ms"
-    return bounded, f"{ended} after {bounded:.3f} ms; under nginx's own limit {left}"
+        unbounded_verdict = "given up after "
+    unbounded_ms = (time.perf_counter() - started) * 1_000.0
+    return (
+        f"{verdict} after {bounded_ms:.3f} ms; "
+        f"under nginx's own limit {unbounded_verdict}{unbounded_ms:.0f} ms"
+    )
 
 
 def main() -> int:
+    """Runs all measurements; returns the exit code."""
     parser = argparse.ArgumentParser(description="What routing costs.")
     parser.add_argument("--seed", type=int, default=1)
-    draw = random.Random(parser.parse_args().seed)
+    rng = random.Random(parser.parse_args().seed)
     print("prefixes  regexes  us a request: median, 99 of 100")
-    for prefixes, regexes in ((10, 0), (1_000, 0), (10_000, 0), (10, 10), (10, 100), (10, 1_000)):
-        router, uris = table(prefixes, regexes, draw)
-        median, most = cost(router, uris)
-        print(f"{prefixes:8}  {regexes:7}  {median:7.1f}  {most:7.1f}", flush=True)
+    for prefix_count, regex_count in TABLE_SIZES:
+        median_us, p99_us = measure_routing_us(*build_table(prefix_count, regex_count, rng))
+        print(f"{prefix_count:8}  {regex_count:7}  {median_us:7.1f}  {p99_us:7.1f}", flush=True)
     print(f"regexes bounded at {MAX_MATCH_STEPS} steps:")
-    for pattern, text in WORST:
-        print(f"  {pattern} on {len(text)} signs: {worst(pattern, text)[1]}", flush=True)
+    for pattern, text in WORST_REGEXES:
+        print(f"  {pattern} on {len(text)} signs: {describe_worst_case(pattern, text)}", flush=True)
     return 0
 
 
--- a/gladewalk/nginx/landing.py
+++ b/gladewalk/nginx/landing.py
@@ -50,6 +50,11 @@
         """The row of the location."""
         return self.location.row if self.location is not None else None
 
+    @property
+    def rules(self) -> LocationRules | None:
+        """The rules of the location."""
+        return self.location.rules if self.location is not None else None
+
     @property
     def proxy(self) -> ProxySettings:
         """The proxy settings of the location, nginx's defaults without one."""
--- a/gladewalk/nginx/router.py
+++ b/gladewalk/nginx/router.py
@@ -217,7 +217,7 @@
 
 def _error_page(landing: Landing, status: int) -> ErrorPage | None:
     """Returns the page of the location, whose pages replace those of the server."""
-    pages = landing.location.rules.error_pages if landing.location is not None else {}
+    pages = landing.rules.error_pages if landing.rules is not None else {}
     return (pages or landing.server.error_pages).get(status)
 
 
--- a/gladewalk/web/messages.py
+++ b/gladewalk/web/messages.py
@@ -103,7 +103,7 @@
 def encode_request(request: ProxyRequest) -> bytes:
     """Encodes a request for a server: the client's fields that are forwarded, and the location's own."""
     landing = request.landing
-    rules = landing.location.rules if landing.location is not None else None
+    rules = landing.rules
     own: Fields = []
     replaced: set[str] = set()
     if rules is not None:
@@ -138,7 +138,7 @@
 
 def added_fields(landing: Landing, status: int) -> Fields:
     """Returns the fields that `add_header` sets at the request's location, or at its server without one."""
-    rules = landing.location.rules if landing.location is not None else None
+    rules = landing.rules
     found = []
     for added in rules.added_fields if rules is not None else landing.server.added_fields:
         value = sanitize_value(added.value.render(landing.state))
--- a/gladewalk/web/upstream_config.py
+++ b/gladewalk/web/upstream_config.py
@@ -179,7 +179,7 @@
 
 def object_key(landing: Landing) -> int:
     """Returns an object's key: the hash of `proxy_cache_key`, else of the upstream and the target."""
-    rules = landing.location.rules if landing.location is not None else None
+    rules = landing.rules
     if rules is not None and rules.cache_key is not None:
         text = rules.cache_key.render(landing.state)
     else:
