--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,4 +1,4 @@
-"""The front for imported routing, end to end: the corpus on loopback, failures, backups, bad manners."""
+"""The HTTP front for imported routing, end to end on loopback: the corpus, messages, health, reloads."""
 
 import asyncio
 import tempfile
@@ -26,8 +26,8 @@
         return import_site(str(path))
 
 
-def told(answer: Answer) -> str:
-    """An answer as the corpus writes landings."""
+def describe_answer(answer: Answer) -> str:
+    """Returns an answer as the corpus writes landings."""
     if answer.by:
         _, _, target = answer.body.decode().split(" ", 2)
         return f"upstream {answer.by.rpartition('/')[0]} {target}"
@@ -35,10 +35,10 @@
 
 
 @pytest.mark.parametrize("path", [p for p in FILES if list(expectations(p))], ids=lambda path: path.stem)
-def test_the_corpus_lands_at_its_stand_in_servers(path: Path) -> None:
-    """Every expectation that a client on loopback can make: from its own address, with a body if any."""
+def test_the_corpus_lands_at_its_simulated_servers(path: Path) -> None:
+    """Every expectation that a client on loopback can request: from its own address, with a body if any."""
 
-    async def play() -> None:
+    async def request_all() -> None:
         site = import_site(str(path))
         async with WebWorld(site) as world:
             for each in expectations(path):
@@ -57,41 +57,45 @@
                     with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
                         await call
                     continue
-                assert told(await call) == each.landing, str(asked)
+                assert describe_answer(await call) == each.landing, str(asked)
 
-    asyncio.run(play())
+    asyncio.run(request_all())
 
 
-TWO = """upstream a { server 127.0.0.1:1; server 127.0.0.1:2; }
+TWO_SERVERS = """upstream a { server 127.0.0.1:1; server 127.0.0.1:2; }
 server { listen 8080; server_name example.com; location / { proxy_pass http://a; %s } }"""
 
 
-class Shares(unittest.IsolatedAsyncioTestCase):
-    async def test_a_server_that_answers_faster_is_not_given_all(self) -> None:
-        """The core weighs caches by the time that hits take; what servers make has no such measure."""
+class LoadShares(unittest.IsolatedAsyncioTestCase):
+    async def test_a_server_that_answers_faster_does_not_get_all_requests(self) -> None:
+        """The core weighs caches by the duration of hits; a generated response has no such measure."""
 
         async def slow(heard: Heard) -> None:
             await asyncio.sleep(0.02)
             await heard.answer(200, b"", X_Server=heard.peer.uid)
 
-        words = "proxy_cache_lock on; proxy_cache_valid 200 1m; proxy_cache_use_stale error;"
-        async with WebWorld(site_of(TWO % words), {"a/0": slow}) as world:
-            for n in range(60):
-                self.assertEqual((await world.ask(f"/{n}")).status, 200)
+        directives = "proxy_cache_lock on; proxy_cache_valid 200 1m; proxy_cache_use_stale error;"
+        async with WebWorld(site_of(TWO_SERVERS % directives), {"a/0": slow}) as world:
+            for number in range(60):
+                self.assertEqual((await world.ask(f"/{number}")).status, 200)
             shares = sorted(len(server.heard) for server in world.servers.values())
             self.assertGreater(shares[0], 10)
-            balanced = world.director.web.upstreams["a"]  # type: ignore[union-attr]
-            servers = balanced.dispatcher.state.registry.servers.values()
+            exchange = world.director.web.upstreams["a"]  # type: ignore[union-attr]
+            servers = exchange.dispatcher.state.registry.servers.values()
             self.assertEqual({server.weight for server in servers}, {1.0})
-            told = balanced.dispatcher.state.settings
+            core_settings = exchange.dispatcher.state.settings
             self.assertEqual(
-                (told.may_join_fills, told.classes[0].freshness_lifetime_ms, told.classes[0].stale_grace_ms),
+                (
+                    core_settings.may_join_fills,
+                    core_settings.classes[0].freshness_lifetime_ms,
+                    core_settings.classes[0].stale_grace_ms,
+                ),
                 (True, 6e4, 6e4),
             )
 
 
 class Messages(unittest.IsolatedAsyncioTestCase):
-    async def test_fields_bodies_and_ranges_pass_as_http_asks(self) -> None:
+    async def test_fields_bodies_and_ranges_are_forwarded_as_http_requires(self) -> None:
         seen: list[Heard] = []
 
         async def answer(heard: Heard) -> None:
@@ -145,10 +149,10 @@
             self.assertEqual((await world.ask("/close")).body, b"to the end")
             self.assertEqual((await world.ask("/x", method="POST", body=b"x" * 1_025)).status, 413)
 
-    async def test_a_large_answer_streams_at_the_clients_pace(self) -> None:
+    async def test_a_large_response_streams_at_the_clients_pace(self) -> None:
         sent = 0
 
-        async def pour(heard: Heard) -> None:
+        async def stream(heard: Heard) -> None:
             nonlocal sent
             heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n")
             for _ in range(300):
@@ -156,20 +160,20 @@
                 await heard.writer.drain()
                 sent += 100_000
 
-        async with WebWorld(site_of(TWO % ""), {"a/0": pour, "a/1": pour}) as world:
+        async with WebWorld(site_of(TWO_SERVERS % ""), {"a/0": stream, "a/1": stream}) as world:
             reader, writer = await asyncio.open_connection(*world.address())
             writer.write(b"GET /x HTTP/1.1\r\nHost: example.com\r\n\r\n")
             await reader.readuntil(b"\r\n\r\n")
-            before = -1
-            while sent != before:  # it stands still long before all is sent: nobody reads it
-                before = sent
+            previous = -1
+            while sent != previous:  # it stops long before all is sent: nobody reads
+                previous = sent
                 await asyncio.sleep(0.3)
             self.assertLess(sent, 25_000_000)
             self.assertEqual(len(await reader.readexactly(30_000_000)), 30_000_000)
             writer.close()
 
-    async def test_noise_and_doubtful_messages_get_a_4xx_and_reach_no_server(self) -> None:
-        async with WebWorld(site_of(TWO % "")) as world:
+    async def test_noise_and_ambiguous_messages_get_a_4xx_and_reach_no_server(self) -> None:
+        async with WebWorld(site_of(TWO_SERVERS % "")) as world:
             for data, status in (
                 (b"GET /x HTTP/1.1\r\n\r\n", 400),  # no Host
                 (b"GET /x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
@@ -190,8 +194,8 @@
             answer = await world.say(b"GET http://example.com/abs?q HTTP/1.1\r\nHost: other\r\n\r\n")
             self.assertTrue(answer.body.endswith(b"GET /abs?q"), answer.body)
 
-    async def test_requests_behind_one_another_on_a_connection_are_answered_in_order(self) -> None:
-        async with WebWorld(site_of(TWO % "")) as world:
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        async with WebWorld(site_of(TWO_SERVERS % "")) as world:
             reader, writer = await asyncio.open_connection(*world.address())
             writer.write(b"".join(b"GET /%d HTTP/1.1\r\nHost: example.com\r\n\r\n" % n for n in range(6)))
             for n in range(6):
@@ -201,19 +205,19 @@
             self.assertLessEqual(sum(server.connections for server in world.servers.values()), 2)
 
 
-def test_passive_health_counts_failures_in_their_time_and_gives_back() -> None:
-    def box(n: int, **more: object) -> UpstreamServerRow:
-        return UpstreamServerRow(address=f"s{n}", defined_at="-", **more)  # type: ignore[arg-type]
+def test_passive_health_counts_failures_within_their_time_and_recovers() -> None:
+    def server(number: int, **settings: object) -> UpstreamServerRow:
+        return UpstreamServerRow(address=f"s{number}", defined_at="-", **settings)  # type: ignore[arg-type]
 
-    def ready(now: float) -> list[str]:
-        return [address for address, on in health.ready_servers(now).items() if on]
+    def ready(now_ms: float) -> list[str]:
+        return [address for address, is_ready in health.ready_servers(now_ms).items() if is_ready]
 
     health = PassiveHealthCheck(
-        [box(1, max_fails=2, fail_timeout_ms=1_000.0), box(2, max_fails=0), box(3, is_backup=True)]
+        [server(1, max_fails=2, fail_timeout_ms=1_000.0), server(2, max_fails=0), server(3, is_backup=True)]
     )
     assert ready(0.0) == ["s1", "s2"]
     health.record_result("s1", True, 0.0)
-    health.record_result("s1", True, 1_500.0)  # not within its time of the first
+    health.record_result("s1", True, 1_500.0)  # not within fail_timeout of the first
     assert ready(1_500.0) == ["s1", "s2"]
     health.record_result("s1", True, 1_600.0)
     assert (ready(1_600.0), health.next_recovery_ms(1_600.0)) == (["s2"], 2_600.0)
@@ -221,18 +225,18 @@
         health.record_result("s2", True, 1_700.0)  # max_fails=0: never
     assert ready(1_700.0) == ["s2"]
     assert ready(2_600.0) == ["s1", "s2"]
-    both = PassiveHealthCheck([box(1), box(2, is_backup=True)])
-    both.record_result("s1", True, 0.0)
-    assert [a for a, on in both.ready_servers(1.0).items() if on] == ["s2"]
+    pair = PassiveHealthCheck([server(1), server(2, is_backup=True)])
+    pair.record_result("s1", True, 0.0)
+    assert [address for address, is_ready in pair.ready_servers(1.0).items() if is_ready] == ["s2"]
     assert (
-        both.availability_changes(1.0) == {"s1": False, "s2": True} and both.availability_changes(2.0) == {}
+        pair.availability_changes(1.0) == {"s1": False, "s2": True} and pair.availability_changes(2.0) == {}
     )
-    alone = PassiveHealthCheck([box(1)])
-    alone.record_result("s1", True, 0.0)
-    assert alone.ready_servers(1.0) == {"s1": True}
+    single = PassiveHealthCheck([server(1)])
+    single.record_result("s1", True, 0.0)
+    assert single.ready_servers(1.0) == {"s1": True}
 
 
-def test_a_front_that_cannot_be_is_one_line(tmp_path: Path) -> None:
+def test_a_front_that_cannot_be_configured_is_one_line(tmp_path: Path) -> None:
     from gladewalk.config.platform import ConfigError
     from gladewalk.nginx.table import write_site
 
@@ -248,25 +252,27 @@
 
 
 class Reloads(unittest.IsolatedAsyncioTestCase):
-    async def test_another_table_holds_from_the_next_request_on_and_a_bad_one_changes_nothing(self) -> None:
+    async def test_a_reloaded_table_holds_from_the_next_request_on_and_a_bad_one_changes_nothing(
+        self,
+    ) -> None:
         from gladewalk.nginx.router import Router
 
         site = site_of("""upstream a { server 127.0.0.1:1; } upstream b { server 127.0.0.1:2; }
             server { location / { proxy_pass http://a; } location /b { proxy_pass http://b; } }""")
         gate = asyncio.Event()
 
-        async def wait(heard: Heard) -> None:
+        async def answer_at_gate(heard: Heard) -> None:
             await gate.wait()
             await heard.answer(200, b"old", X_Server=heard.peer.uid)
 
-        async with WebWorld(site, {"b/0": wait}) as world:
+        async with WebWorld(site, {"b/0": answer_at_gate}) as world:
             director = world.director
             assert director is not None and director.web is not None and director.options is not None
             self.assertEqual((await world.ask("/x")).by, "a/0")
             task = asyncio.create_task(world.ask("/b"))
             await until(lambda: len(world.servers["b/0"].heard) == 1)
             path = Path(world._folder.name) / "site.toml"  # type: ignore[union-attr]
-            kept, old = director.web.upstreams["a"], director.web.upstreams["b"]
+            unchanged, replaced = director.web.upstreams["a"], director.web.upstreams["b"]
             table = path.read_text()
             other = table.replace('pattern = "/b"', 'pattern = "/c"').replace('name = "b"', 'name = "b2"')
             path.write_text(other.replace('upstream = "b"', 'upstream = "b2"'))
@@ -274,10 +280,10 @@
             assert isinstance(router, Router)
             director.web.reload(director.options, router)
             self.assertEqual((await world.ask("/b")).by, "a/0")
-            self.assertIs(director.web.upstreams["a"], kept)
+            self.assertIs(director.web.upstreams["a"], unchanged)
             gate.set()
             self.assertEqual((await task).body, b"old")  # what was open is answered
-            await until(lambda: not old.open_requests and not old.upstreams.open_connections)  # type: ignore[union-attr]
+            await until(lambda: not replaced.open_requests and not replaced.upstreams.open_connections)  # type: ignore[union-attr]
             self.assertEqual((await world.ask("/c")).by, "b/0")
             path.write_text(table.replace("[[servers]]", "[[serverz]]"))
             with self.assertRaisesRegex(Exception, "serverz: no such setting"):
