--- a/benchmarks/dns_load.py
+++ b/benchmarks/dns_load.py
@@ -31,7 +31,9 @@
 import dns.message
 import trustme
 
-from gladewalk.rehearsal.peers import SETTINGS, Coordinator, ScriptedPeer, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import SETTINGS, config_for
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 
 from .director_process import DirectorProcess
 from .store_served import serve
@@ -267,7 +269,7 @@
     """Starts a director with a DNS front and three caches, and stops them all at the end."""
     coordinator = await Coordinator().start()
     peers = [
-        await ScriptedPeer(serve, f"c{number}", size=1e6, host=f"127.0.0.{number + 2}").start()
+        await ScriptedServer(serve, f"c{number}", capacity=1e6, host=f"127.0.0.{number + 2}").start()
         for number in range(3)
     ]
     director = DirectorProcess(folder, "none")
--- a/benchmarks/web_cost.py
+++ b/benchmarks/web_cost.py
@@ -31,7 +31,8 @@
     UpstreamServerRow,
     write_site,
 )
-from gladewalk.rehearsal.peers import Coordinator, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
 
 from .http2_cost import Sample, Stage, measure
 
--- a/gladewalk/cli/nginx_commands.py
+++ b/gladewalk/cli/nginx_commands.py
@@ -91,10 +91,10 @@
     FILE is nginx's own or a table (.toml). Exit code 1: an answer came from another server than it says.
     """
     from ..nginx.explain import RequestDescription, load_site_or_import
-    from ..rehearsal.__main__ import run
+    from ..rehearsal.site_check import check_site
 
     try:
-        lines, good = run(load_site_or_import(file), [RequestDescription(uri, host) for uri in uris])
+        lines, good = check_site(load_site_or_import(file), [RequestDescription(uri, host) for uri in uris])
     except ConfigError as error:
         _fail_with(error)
     click.echo("\n".join(lines))
--- a/tests/http2_rehearsal.py
+++ b/tests/http2_rehearsal.py
@@ -13,8 +13,9 @@
 
 from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.director import Director
-from gladewalk.rehearsal.h2box import Asked
-from gladewalk.rehearsal.peers import SETTINGS, Heard, Peer, Rehearsal
+from gladewalk.rehearsal.director_harness import SETTINGS, DirectorHarness
+from gladewalk.rehearsal.scripted_http2_server import Http2Request
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, StandInServer
 from gladewalk.rehearsal.write_soak import ticket
 from gladewalk.upstream.pool import ConnectionPool
 
@@ -41,46 +42,51 @@
 
 
 def rehearse(
-    *servers: Peer, options: Options | None = None, connect_timeout_ms: float = 2_000.0, **http2: Any
-) -> Rehearsal:
+    *servers: StandInServer[Any],
+    options: Options | None = None,
+    connect_timeout_ms: float = 2_000.0,
+    **http2: Any,
+) -> DirectorHarness:
     """A director that speaks HTTP/2 to these servers; a busy machine gets time to connect."""
     limits = {**SETTINGS["limits"], "connect_timeout_ms": connect_timeout_ms}
     settings = {**SETTINGS, "limits": limits}
-    return Rehearsal(servers, settings=settings, options=options or options_for(**http2))
+    return DirectorHarness(servers, settings=settings, options=options or options_for(**http2))
 
 
-def director_of(rehearsal: Rehearsal) -> Director:
+def director_of(rehearsal: DirectorHarness) -> Director:
     assert rehearsal.director is not None
     return rehearsal.director
 
 
-def counters_of(rehearsal: Rehearsal) -> dict[str, int]:
+def counters_of(rehearsal: DirectorHarness) -> dict[str, int]:
     return director_of(rehearsal).counters
 
 
-def pool_of(rehearsal: Rehearsal) -> ConnectionPool:
+def pool_of(rehearsal: DirectorHarness) -> ConnectionPool:
     return director_of(rehearsal).connection_pool
 
 
-def serve(asked: Asked) -> None:
+def serve(asked: Http2Request) -> None:
     """Answers a request at a server over HTTP/2."""
     asked.answer(200, BYTES)
 
 
-async def serve_http1(heard: Heard) -> None:
+async def serve_http1(heard: ReceivedRequest) -> None:
     """Answers a request at a server over HTTP/1.1."""
     await heard.answer(200, BYTES, X_Remark="mem")
 
 
-async def write(rehearsal: Rehearsal, number: int, body: bytes = b"10 boxes of hake", **more: Any) -> int:
+async def write(
+    rehearsal: DirectorHarness, number: int, body: bytes = b"10 boxes of hake", **more: Any
+) -> int:
     """Sends a non-idempotent write with a trace id of its own; returns the status of its final answer."""
     path = f"/invoke/bid/{number:x}"
-    return (await rehearsal.ask(path, method="PUT", body=body, trace=ticket(number), **more))[0]
+    return (await rehearsal.fetch(path, method="PUT", body=body, trace=ticket(number), **more))[0]
 
 
-async def read(rehearsal: Rehearsal, number: int, **more: Any) -> tuple[int, dict[str, str], bytes]:
+async def read(rehearsal: DirectorHarness, number: int, **more: Any) -> tuple[int, dict[str, str], bytes]:
     """Sends a read with a trace id of its own, as requests that are open at the same time must have."""
-    return await rehearsal.ask(f"/invoke/lot-page/{number:x}?nth=2", trace=ticket(number), **more)
+    return await rehearsal.fetch(f"/invoke/lot-page/{number:x}?nth=2", trace=ticket(number), **more)
 
 
 @cache
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -9,28 +9,30 @@
 
 from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS, IDLE_TIMEOUT_MS, SPARE_CONNECTIONS
 from gladewalk.net.requests import BadRequestError, parse_request
-from gladewalk.rehearsal.peers import ScriptedPeer, read_message, request, until
+from gladewalk.rehearsal.director_harness import wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 
-from .peers import BYTES, held_until, hit, running
+from .server_scripts import BYTES, held_until, hit, running
 
 
 class Clients(unittest.IsolatedAsyncioTestCase):
     async def test_all_clients_that_wait_are_accepted_at_once(self) -> None:
-        async with running(ScriptedPeer(hit)) as (_, director):
+        async with running(ScriptedServer(hit)) as (_, director):
             front = director.front
             waiting = [socket.create_connection(front.address) for _ in range(50)]  # no turn of the loop yet
             front.accept()
-            await until(lambda: len(front.connections) == 50, 5.0)
+            await wait_until(lambda: len(front.connections) == 50, 5.0)
             assert (front.counters["clients.connected"], front.descriptor_count) == (50, 50)
             for client in waiting:
-                client.sendall(request("/invoke/lot-page/a1"))
-            await until(lambda: len(front.idle) == 50)
+                client.sendall(encode_request("/invoke/lot-page/a1"))
+            await wait_until(lambda: len(front.idle) == 50)
             more = [socket.create_connection(front.address) for _ in range(front.connection_limit - 50)]
             front.accept()
             for _ in range(4):  # as long as the loop takes to make their transports
                 front.accept()
                 await asyncio.sleep(0)
-            await until(lambda: len(front.connections) == front.connection_limit, 5.0)
+            await wait_until(lambda: len(front.connections) == front.connection_limit, 5.0)
             assert front.descriptor_count == front.connection_limit
             assert front.counters["clients.made_room"] == 0
             waiting += more
@@ -38,20 +40,20 @@
                 client.close()
 
     async def test_who_rests_or_says_nothing_makes_room_for_who_asks(self) -> None:
-        async with running(ScriptedPeer(hit)) as (world, director):
+        async with running(ScriptedServer(hit)) as (world, director):
             front, writers = director.front, []
             for number in range(front.connection_limit):
-                reader, writer = await world.client()
+                reader, writer = await world.connect()
                 writers.append(writer)
                 if number % 2:
-                    writer.write(request("/invoke/lot-page/a1"))
+                    writer.write(encode_request("/invoke/lot-page/a1"))
                     await read_message(reader)
             for _ in range(front.connection_limit):
-                assert (await world.ask())[0] == 200
+                assert (await world.fetch())[0] == 200
             assert len(front.connections) <= front.connection_limit + SPARE_CONNECTIONS
-            crowd = [await world.client() for _ in range(3 * front.connection_limit)]
+            crowd = [await world.connect() for _ in range(3 * front.connection_limit)]
             assert len(front.connections) <= front.connection_limit + SPARE_CONNECTIONS
-            assert (await world.ask())[0] == 200
+            assert (await world.fetch())[0] == 200
             assert len(front.connections) <= front.connection_limit + SPARE_CONNECTIONS
             assert front.counters["clients.made_room"] > 0
             for _, writer in crowd:
@@ -60,14 +62,15 @@
                 writer.close()
 
     async def test_a_request_that_lies_unread_keeps_its_connection(self) -> None:
-        async with running(ScriptedPeer(hit)) as (world, director):
+        async with running(ScriptedServer(hit)) as (world, director):
             front = director.front
-            reader, writer = await world.client()
-            writer.write(request("/invoke/lot-page/a1"))
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1"))
             await read_message(reader)
             (connection,) = front.idle
             sock = writer.get_extra_info("socket")
-            os.write(sock.fileno(), request("/invoke/lot-page/a1"))  # at once: no turn of the loop in between
+            # At once: no turn of the loop in between.
+            os.write(sock.fileno(), encode_request("/invoke/lot-page/a1"))
             front._evict_one()
             assert not connection.is_evicted
             assert " 200 " in (await read_message(reader))[0]
@@ -76,13 +79,13 @@
             writer.close()
 
     async def test_who_owes_a_request_or_rests_has_a_limit_of_time(self) -> None:
-        async with running(ScriptedPeer(hit)) as (world, director):
+        async with running(ScriptedServer(hit)) as (world, director):
             front = director.front
-            silent_one, half_one, resting = [await world.client() for _ in range(3)]
-            half_one[1].write(request("/invoke/lot-page/a1")[:-9])
-            resting[1].write(request("/invoke/lot-page/a1"))
+            silent_one, half_one, resting = [await world.connect() for _ in range(3)]
+            half_one[1].write(encode_request("/invoke/lot-page/a1")[:-9])
+            resting[1].write(encode_request("/invoke/lot-page/a1"))
             await read_message(resting[0])
-            await until(lambda: (len(front.awaiting), len(front.idle)) == (2, 1))
+            await wait_until(lambda: (len(front.awaiting), len(front.idle)) == (2, 1))
             clock = front.clock
             front.clock = lambda: clock() + FIRST_BYTE_TIMEOUT_MS + 1.0
             assert await silent_one[0].read() == b""
@@ -92,12 +95,12 @@
             assert await resting[0].read() == b""
             for _, writer in (silent_one, half_one, resting):
                 writer.close()
-            await until(lambda: not front.connections)
+            await wait_until(lambda: not front.connections)
             assert not (front.awaiting or front.idle or front.lingering or front.evicted_count)
 
     async def test_a_head_that_never_ends_is_refused(self) -> None:
-        async with running(ScriptedPeer(hit)) as (world, _):
-            reader, writer = await world.client()
+        async with running(ScriptedServer(hit)) as (world, _):
+            reader, writer = await world.connect()
             writer.write(b"GET /invoke/lot-page/a1 HTTP/1.1\r\nX-Endless: ")
             for _ in range(40):
                 writer.write(b"x" * 1000)
@@ -107,9 +110,9 @@
             writer.close()
 
     async def test_a_refusal_is_read_by_who_still_sends(self) -> None:
-        async with running(ScriptedPeer(hit)) as (world, _):
-            reader, writer = await world.client()
-            writer.write(request("/invoke/bid/a1", method="PUT", Content_Length="60000000"))
+        async with running(ScriptedServer(hit)) as (world, _):
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/bid/a1", method="PUT", Content_Length="60000000"))
             for _ in range(200):
                 writer.write(b"x" * 50_000)
                 await writer.drain()
@@ -118,21 +121,21 @@
 
     async def test_the_id_of_an_open_request_serves_no_other_object(self) -> None:
         release = asyncio.Event()
-        cache = ScriptedPeer(held_until(release))
+        cache = ScriptedServer(held_until(release))
         async with running(cache) as (world, director):
-            first = asyncio.create_task(world.ask("/invoke/lot-page/a1"))
-            await until(lambda: len(cache.heard) == 1)
-            assert (await world.ask("/invoke/lot-page/a2"))[0] == 409
+            first = asyncio.create_task(world.fetch("/invoke/lot-page/a1"))
+            await wait_until(lambda: len(cache.received) == 1)
+            assert (await world.fetch("/invoke/lot-page/a2"))[0] == 409
             release.set()
             assert (await first)[0] == 200
-            assert (await world.ask("/invoke/lot-page/a2"))[0] == 200
+            assert (await world.fetch("/invoke/lot-page/a2"))[0] == 200
             assert director.front.open_by_trace_id == {}
 
     async def test_one_trace_may_come_twice_and_requests_ahead_wait_their_turn(self) -> None:
-        async with running(ScriptedPeer(hit)) as (world, _):
-            reader, writer = await world.client()
-            ask = request("/invoke/lot-page/a1")
-            writer.write(ask + request("/_health") + ask)
+        async with running(ScriptedServer(hit)) as (world, _):
+            reader, writer = await world.connect()
+            ask = encode_request("/invoke/lot-page/a1")
+            writer.write(ask + encode_request("/_health") + ask)
             answers = [await read_message(reader) for _ in range(3)]
             writer.close()
         assert [len(body) for _, _, body in answers] == [len(BYTES), 0, len(BYTES)]
@@ -146,25 +149,25 @@
             "/invoke/bid/a1": 405,
             "/invoke/lot-page/a1?nth=1&x=" + "y" * 20_000: 431,
         }
-        async with running(ScriptedPeer(hit)) as (world, director):
+        async with running(ScriptedServer(hit)) as (world, director):
             for path, status in bad.items():
-                assert (await world.ask(path))[0] == status, path[:40]
-            assert (await world.ask(wait_ms=float("nan")))[0] == 400
-            assert (await world.ask(method="DELETE"))[0] == 405
-            assert (await world.ask(method="PUT", body=b"x" * 70_000))[0] == 413
-            reader, writer = await world.client()
+                assert (await world.fetch(path))[0] == status, path[:40]
+            assert (await world.fetch(wait_ms=float("nan")))[0] == 400
+            assert (await world.fetch(method="DELETE"))[0] == 405
+            assert (await world.fetch(method="PUT", body=b"x" * 70_000))[0] == 413
+            reader, writer = await world.connect()
             writer.write(b"\x16\x03\x01\r\n\r\n")
             assert "400" in (await read_message(reader))[0]
             writer.close()
             assert director.counters["clients.bad_input_400"] == 4
 
 
-async def answer_to_field(cache: ScriptedPeer, field: str) -> bytes:
+async def answer_to_field(cache: ScriptedServer, field: str) -> bytes:
     """All that a client hears of a write with this field, behind whose head another request is hidden."""
     async with running(cache) as (world, _):
-        reader, writer = await world.client()
-        head = request("/invoke/bid/a1", method="PUT").replace(b"\r\n\r\n", b"\r\n")
-        hidden = request("/invoke/lot-page/a2")
+        reader, writer = await world.connect()
+        head = encode_request("/invoke/bid/a1", method="PUT").replace(b"\r\n\r\n", b"\r\n")
+        hidden = encode_request("/invoke/lot-page/a2")
         writer.write(head + field.encode() + b"\r\n\r\n0\r\n\r\n" + hidden)
         answer = await reader.read()  # one answer, then the end
         writer.close()
@@ -185,11 +188,11 @@
     ],
 )
 def test_a_body_whose_end_is_in_doubt_is_refused_and_nothing_of_it_passed_on(field: str, status: int) -> None:
-    cache = ScriptedPeer(hit)
+    cache = ScriptedServer(hit)
     answer = asyncio.run(answer_to_field(cache, field))
     assert answer.startswith(f"HTTP/1.1 {status} ".encode())
     assert answer.count(b"HTTP/1.1") == 1
-    assert cache.heard == []
+    assert cache.received == []
 
 
 @pytest.mark.parametrize("value", [b"", b"-1", b"inf", b"1e300", b"1_0", b"9999999"])
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -12,11 +12,11 @@
 import time
 from pathlib import Path
 
-from gladewalk.faultnet.expected_failures import causes_of
+from gladewalk.faultnet.expected_failures import expected_failures
 from gladewalk.faultnet.fleet import Fleet
 from gladewalk.faultnet.membership_cases import CASES, FaultCase
-from gladewalk.faultnet.nemesis import play
-from gladewalk.faultnet.schedule import Fault
+from gladewalk.faultnet.nemesis import play_schedule
+from gladewalk.faultnet.schedule import Fault, FaultKind
 from gladewalk.members.actions import MemberChange
 from gladewalk.members.config import MembershipConfig
 from gladewalk.members.history import (
@@ -25,8 +25,10 @@
     detection_times_ms,
     unexpected_deaths,
 )
-from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for
-from tests.fleetworld import Fleets, until_true
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
+from tests.fleet_test_case import Fleets, until_true
 from tests.test_fleet_works import command
 
 MAX_STALL_MS = MembershipConfig().max_stall_ms
@@ -40,11 +42,11 @@
 
 
 def has_converged(fleet: Fleet) -> bool:
-    return convergence_time_ms(fleet.members_seen(), 0.0, fleet.names) is not None
+    return convergence_time_ms(fleet.observed_changes(), 0.0, fleet.names) is not None
 
 
 def start_count(fleet: Fleet, name: str) -> int:
-    return sum(line["event"] == "members_listening" for line in fleet.log_of(name))
+    return sum(line["event"] == "members_listening" for line in fleet.read_log(name))
 
 
 async def run_case(case: FaultCase) -> str:
@@ -68,15 +70,15 @@
         return "they never met"
     await asyncio.sleep(STAY_SECONDS)
     begun_ms, faults = time.time() * 1000.0, case.faults(fleet.names)
-    await play(fleet, faults)
-    if case.kind == "kill":  # until it has started again, all agree
-        await until_true(lambda: start_count(fleet, faults[0].who[0]) == 2, RESTART_SECONDS)
+    await play_schedule(fleet, faults)
+    if case.kind == FaultKind.KILL:  # until it has started again, all agree
+        await until_true(lambda: start_count(fleet, faults[0].targets[0]) == 2, RESTART_SECONDS)
     if not await until_true(lambda: has_converged(fleet), CONVERGE_SECONDS):
-        return f"no convergence afterwards: {history_of(fleet.members_seen())}"
+        return f"no convergence afterwards: {history_of(fleet.observed_changes())}"
     await asyncio.sleep(STAY_SECONDS)  # and it stays so
-    changes = fleet.members_seen()
-    unexpected = unexpected_deaths(changes, causes_of(faults, fleet.names, begun_ms, MAX_STALL_MS))
-    victim = faults[0].who[0] if faults[0].who else ""
+    changes = fleet.observed_changes()
+    unexpected = unexpected_deaths(changes, expected_failures(faults, fleet.names, begun_ms, MAX_STALL_MS))
+    victim = faults[0].targets[0] if faults[0].targets else ""
     found = detection_times_ms(changes, victim, begun_ms, set(fleet.names) - {victim})
     is_missed = case.must_be_found_dead and len(found) < len(fleet.names) - 1
     if unexpected or is_missed or not has_converged(fleet):
@@ -105,7 +107,7 @@
         assert await until_true(lambda: has_converged(fleet), CONVERGE_SECONDS)
 
         def changes_at_n0(member: str) -> list[MemberChange]:
-            changes = fleet.members_seen()
+            changes = fleet.observed_changes()
             pair = ("n0", member)
             return [observed.change for observed in changes if (observed.observer, observed.member) == pair]
 
@@ -121,7 +123,7 @@
         assert await until_true(lambda: changes_at_n0("n2")[-1:] == [MemberChange.CLEARED])
         (line,) = [
             line
-            for line in fleet.log_of("n0")
+            for line in fleet.read_log("n0")
             if line["event"] == "member_stalled" and line["member"] == "n2"
         ]
         assert line["knocked"] == "silent" and "n0" in line["accusers"] + ["n0"]
@@ -131,11 +133,11 @@
     async def test_no_cache_goes_unchecked_while_a_member_is_paused_killed_or_cut_off(self) -> None:
         checked_ms: dict[str, list[float]] = {}
 
-        async def answer(heard: Heard) -> None:
-            checked_ms.setdefault(heard.peer.uid, []).append(time.monotonic() * 1000.0)
+        async def answer(heard: ReceivedRequest) -> None:
+            checked_ms.setdefault(heard.server.uid, []).append(time.monotonic() * 1000.0)
             await heard.answer(200, b"", X_Load="util=0.1")
 
-        caches = tuple([await ScriptedPeer(answer, uid=f"c{number}").start() for number in range(8)])
+        caches = tuple([await ScriptedServer(answer, uid=f"c{number}").start() for number in range(8)])
         try:
             more = {"duties": {"probe_ms": CHECK_INTERVAL_MS, "check_ms": 0.0}}
             fleet = await self.begin(3, None, {}, peers=caches, more=more)
@@ -144,8 +146,8 @@
             )
             await asyncio.sleep(2.0)
             begun_ms = time.monotonic() * 1000.0
-            for kind in ("pause", "kill", "cut_out"):
-                await play(fleet, [Fault(0.0, 5_000.0, kind, ("n2",))])
+            for kind in (FaultKind.PAUSE, FaultKind.KILL, FaultKind.CUT_OUT):
+                await play_schedule(fleet, [Fault(0.0, 5_000.0, kind, ("n2",))])
                 assert await until_true(lambda: has_converged(fleet), CONVERGE_SECONDS), kind
             ended_ms = time.monotonic() * 1000.0
             times_ms = {uid: [at for at in times if at >= begun_ms] for uid, times in checked_ms.items()}
--- a/tests/test_fleet_works.py
+++ b/tests/test_fleet_works.py
@@ -7,10 +7,11 @@
 
 from gladewalk.control.client import ControlError
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.nemesis import apply
-from gladewalk.faultnet.schedule import Fault
-from gladewalk.rehearsal.peers import ScriptedPeer, read_message, request
-from tests.fleetworld import Fleets, until_true, wall_ms
+from gladewalk.faultnet.nemesis import play_fault
+from gladewalk.faultnet.schedule import Fault, FaultKind
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
+from tests.fleet_test_case import Fleets, until_true, wall_ms
 from tests.test_ops import hit
 
 
@@ -40,11 +41,11 @@
         # the director that took the order right after its acknowledgement.
         for hub in fleet.hubs:
             hub.is_deaf = True
-        ids = [(await fleet.ask(other, "purge", what=f"g:{number}"))["id"] for number in range(9)]
+        ids = [(await fleet.query(other, "purge", what=f"g:{number}"))["id"] for number in range(9)]
 
         async def acknowledged() -> None:
             for id in ids:
-                while not (await fleet.ask(other, "order", id=id))["acknowledged"]:
+                while not (await fleet.query(other, "order", id=id))["acknowledged"]:
                     await asyncio.sleep(0.02)
 
         await asyncio.wait_for(acknowledged(), 8.0)
@@ -61,7 +62,7 @@
         while open_orders:
             await asyncio.sleep(0.1)
             try:
-                open_orders = (await fleet.ask(other, "leases"))["works"]["orders_open"]
+                open_orders = (await fleet.query(other, "leases"))["works"]["orders_open"]
             except ControlError:
                 continue
         assert self.verdict().is_safe, self.verdict()
@@ -70,7 +71,7 @@
         fleet = await self.start(3)
         holder = await self.held_since(wall_ms())  # it could forward at once: what hubs took needs no keepers
         alone = next(name for name in fleet.names if name != holder)
-        parted = asyncio.ensure_future(apply(fleet, Fault(0.0, 4_000.0, "partition", (alone,))))
+        parted = asyncio.ensure_future(play_fault(fleet, Fault(0.0, 4_000.0, FaultKind.PARTITION, (alone,))))
         await asyncio.sleep(0.2)
         code, said = await asyncio.to_thread(command, fleet, "purge", "--wait-s", "1", "o:1", alone)
         assert code == 1 and f"kept by {alone}" in said, said
@@ -102,14 +103,14 @@
         assert self.verdict().is_safe, self.verdict()
 
     async def test_the_fleets_report_counts_what_was_served_and_names_who_is_missing(self) -> None:
-        cache = await ScriptedPeer(hit).start()
+        cache = await ScriptedServer(hit).start()
         try:
             fleet = await self.start(3, peers=(cache,))
             for name, count in (("n0", 7), ("n1", 5)):
-                serving = next(line for line in fleet.log_of(name) if line["event"] == "serving")
+                serving = next(line for line in fleet.read_log(name) if line["event"] == "serving")
                 for number in range(count):
                     reader, writer = await asyncio.open_connection(*serving["listen"])
-                    writer.write(request(f"/invoke/lot-page/a{number}?nth=0"))
+                    writer.write(encode_request(f"/invoke/lot-page/a{number}?nth=0"))
                     first, _, _ = await read_message(reader)
                     writer.close()
                     assert " 200 " in f"{first} ", first
--- a/tests/test_golden_dns.py
+++ b/tests/test_golden_dns.py
@@ -32,7 +32,8 @@
 from gladewalk.dns.front import DnsFront
 from gladewalk.dns.query import TransportKind
 from gladewalk.dns.settings import load_dns
-from gladewalk.rehearsal.peers import Coordinator, config_for
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
 
 PATH = Path(__file__).parent / "golden" / "dns.json"
 GOLDEN: dict[str, Any] = json.loads(PATH.read_text()) if PATH.exists() else {}
--- a/tests/test_golden_nginx.py
+++ b/tests/test_golden_nginx.py
@@ -21,8 +21,8 @@
 from gladewalk.nginx.router import Router
 from gladewalk.nginx.table import read_site, write_site
 from gladewalk.nginx.translate import import_site
-from gladewalk.rehearsal.peers import Heard
-from gladewalk.rehearsal.webworld import Script, WebWorld
+from gladewalk.rehearsal.scripted_servers import Http1Script, ReceivedRequest
+from gladewalk.rehearsal.site_harness import SiteHarness
 
 from .test_nginx import CORPUS, FILES, expectations, land
 
@@ -130,9 +130,9 @@
     return found
 
 
-async def answer(heard: Heard) -> None:
+async def answer(received: ReceivedRequest) -> None:
     """A server that answers by what it is asked for."""
-    writer, path = heard.writer, heard.path
+    writer, path = received.writer, received.path
     if path.startswith("/chunked"):
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
     elif path.startswith("/close"):
@@ -142,23 +142,23 @@
     elif path.startswith("/204"):
         writer.write(b"HTTP/1.1 204 No Content\r\nX-Empty: 1\r\n\r\n")
     elif path.startswith("/404"):
-        await heard.answer(404, b"none", Server="x")
+        await received.answer(404, b"none", Server="x")
     elif path.endswith("/503"):
-        await heard.answer(503, b"busy", Retry_After="9")
+        await received.answer(503, b"busy", Retry_After="9")
     elif path.endswith("/redirect"):
-        await heard.answer(302, b"", Location="http://a/s/there")
-    elif "range" in heard.headers:
-        await heard.answer(206, b"part", Content_Range="bytes 0-3/9", Connection="X-Hop", X_Hop="1")
-    elif "if-none-match" in heard.headers:
+        await received.answer(302, b"", Location="http://a/s/there")
+    elif "range" in received.headers:
+        await received.answer(206, b"part", Content_Range="bytes 0-3/9", Connection="X-Hop", X_Hop="1")
+    elif "if-none-match" in received.headers:
         writer.write(b'HTTP/1.1 304 Not Modified\r\nETag: "e"\r\n\r\n')
-    elif heard.method == "HEAD":
+    elif received.method == "HEAD":
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n")
     else:
-        await heard.answer(200, b"<" + heard.body + b">", Set_Cookie="a=1", Server="x", X_Hidden="1")
+        await received.answer(200, b"<" + received.body + b">", Set_Cookie="a=1", Server="x", X_Hidden="1")
 
 
-async def abort(heard: Heard) -> None:
-    heard.writer.transport.abort()
+async def abort(received: ReceivedRequest) -> None:
+    received.writer.transport.abort()
 
 
 async def exchange_with(address: tuple[str, int], data: bytes) -> str:
@@ -179,17 +179,23 @@
     with chdir(folder):
         site = import_site("f.conf")
     found: dict[str, Any] = {}
-    scripts: dict[str, Script] = {"a/0": answer, "b/0": answer}
+    scripts: dict[str, Http1Script] = {"a/0": answer, "b/0": answer}
     scripts |= {f"broken{number}/0": abort for number in ("", 2, 3, 4)}  # each rests once it has failed
-    async with WebWorld(site, scripts) as world:
+    async with SiteHarness(site, scripts) as world:
         for name, data in REQUESTS.items():
             for server in world.servers.values():
-                server.heard.clear()
+                server.received.clear()
             text = await exchange_with(world.address(), data)
             sent = [
-                [server.uid, heard.method, heard.path, [*heard.headers.items()], heard.body.decode("latin-1")]
+                [
+                    server.uid,
+                    received.method,
+                    received.path,
+                    [*received.headers.items()],
+                    received.body.decode("latin-1"),
+                ]
                 for server in world.servers.values()
-                for heard in server.heard
+                for received in server.received
             ]
             found[name] = {"answer": text, "sent": sent}
         assert world.director is not None
--- a/tests/test_golden_rehearsal.py
+++ b/tests/test_golden_rehearsal.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from h2.config import H2Configuration
 from h2.connection import H2Connection
@@ -23,26 +24,36 @@
 
 import gladewalk
 from gladewalk.faultnet import fleet as fleet_module
-from gladewalk.faultnet.expected_failures import causes_of
+from gladewalk.faultnet.expected_failures import expected_failures
 from gladewalk.faultnet.fleet import Fleet
-from gladewalk.faultnet.nemesis import effect_of
-from gladewalk.faultnet.relay import Effect
-from gladewalk.faultnet.relay import Path as NetworkPath
-from gladewalk.faultnet.schedule import KINDS, LINKS, Fault, dump, generate, load, pairs_of
-from gladewalk.rehearsal.h2box import Asked, Breaker, H2Box
-from gladewalk.rehearsal.peers import Coordinator, Heard, ScriptedPeer, config_for, request
+from gladewalk.faultnet.nemesis import path_effect
+from gladewalk.faultnet.relay import NetworkPath, PathEffect
+from gladewalk.faultnet.schedule import (
+    GENERATED_KINDS,
+    Fault,
+    FaultKind,
+    affected_pairs,
+    encode_schedule,
+    generate_schedule,
+    load_schedule,
+)
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
+from gladewalk.rehearsal.http2_fault_script import Http2FaultScript
+from gladewalk.rehearsal.http_messages import encode_request
+from gladewalk.rehearsal.scripted_http2_server import Http2Request, ScriptedHttp2Server
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
+from gladewalk.rehearsal.virtual.clients import REQUEST_CLASSES
 from gladewalk.rehearsal.virtual.hunt import hunt
-from gladewalk.rehearsal.virtual.loop import VirtualLoop, rehearse
-from gladewalk.rehearsal.virtual.play import CLASSES, play
-from gladewalk.rehearsal.virtual.quiet import quiet
-from gladewalk.rehearsal.virtual.scenario import draw
-from gladewalk.rehearsal.virtual.scenario import dump as dump_scenario
-from gladewalk.rehearsal.virtual.scenario import load as load_scenario
-from tests.mutants import all_ready, listing
+from gladewalk.rehearsal.virtual.loop import VirtualLoop, run_virtually
+from gladewalk.rehearsal.virtual.play import play, silence_logs
+from gladewalk.rehearsal.virtual.scenario import encode_scenario, generate_scenario, load_scenario
+from tests.mutants import all_ready, change_endpoint_list
 
 ROOT = Path(__file__).parent.parent
 GOLDEN = Path(__file__).parent / "golden"
 READY = sorted((ROOT / "scenarios").glob("*.toml"))
+LINK_KINDS = (FaultKind.LINK, FaultKind.FLAP, FaultKind.DUPLICATE)
 NAMES = ("n0", "n1", "n2", "n3", "n4")
 FINDING_SEED = 1
 SHORT = """
@@ -75,20 +86,20 @@
 
 def play_ready(path: Path) -> dict[str, Any]:
     """The trace of one scenario with seed 1: its digest, its first and last lines, and the outcomes."""
-    quiet()
+    silence_logs()
     lines: list[str] = []
-    note = VirtualLoop.note
+    record_event = VirtualLoop.record_event
 
     def noted(
         self: VirtualLoop, kind: str, number: int, here: str, there: str, piece: bytes | str = b""
     ) -> None:
-        note(self, kind, number, here, there, piece)
+        record_event(self, kind, number, here, there, piece)
         data = piece if isinstance(piece, bytes) else piece.encode()
         lines.append(f"{self.time():.6f} {kind} {number} {here} {there} {len(data)} {digest(data)[:16]}")
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(VirtualLoop, "note", noted)
-        verdict = play(load_scenario(path, tuple(CLASSES)), 1)
+        patch.setattr(VirtualLoop, "record_event", noted)
+        verdict = play(load_scenario(path, tuple(REQUEST_CLASSES)), 1)
     report = verdict.report()
     del report["wall_s"]
     report["first"], report["last"] = lines[:ENDS], lines[: report["events"]][-ENDS:]
@@ -125,13 +136,15 @@
 
 def findings() -> list[Any]:
     """What the search finds in a director that ignores drains, and how it shrinks it."""
-    quiet()
-    found = hunt([FINDING_SEED], listing(all_ready))
-    return [[one.seed, one.rule, dump_scenario(one.drawn), dump_scenario(one.shrunk)] for one in found]
+    silence_logs()
+    found = hunt([FINDING_SEED], change_endpoint_list(all_ready))
+    return [
+        [one.seed, one.rule, encode_scenario(one.generated), encode_scenario(one.minimized)] for one in found
+    ]
 
 
 def drawn() -> list[str]:
-    return [dump_scenario(draw(seed)) for seed in (1, 2, 3)]
+    return [encode_scenario(generate_scenario(seed)) for seed in (1, 2, 3)]
 
 
 # Fault schedules, and what they do to paths.
@@ -154,6 +167,8 @@
 
 def plain(value: Any) -> Any:
     """A value of any class as JSON has it, without the names of its fields."""
+    if isinstance(value, msgspec.Struct):
+        return [plain(one) for one in msgspec.structs.astuple(value)]
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return [plain(getattr(value, field.name)) for field in dataclasses.fields(value)]
     if isinstance(value, set | frozenset):
@@ -166,28 +181,35 @@
 def schedules(folder: Path) -> dict[str, Any]:
     path = folder / "schedule.toml"
     path.write_text(WRITTEN)
-    faults = [Fault(1_000.0 * n, 700.0, kind, ("n1", "n3"), 0.25) for n, kind in enumerate((*KINDS, *LINKS))]
+    faults = [
+        Fault(1_000.0 * n, 700.0, kind, ("n1", "n3"), 0.25)
+        for n, kind in enumerate((*GENERATED_KINDS, *LINK_KINDS))
+    ]
     return {
-        "generated": [dump(generate(seed, NAMES, 30_000.0, 8)) for seed in (1, 7)],
-        "generated_links": dump(generate(3, NAMES, 20_000.0, 6, LINKS)),
-        "read": plain(load(path)),
-        "written_again": dump(load(path)),
-        "pairs": [plain(pairs_of(fault, NAMES)) for fault in faults],
-        "effects": [plain(effect_of(fault)) for fault in faults],
-        "expected_failures": plain(causes_of(faults, NAMES, 50_000.0, 300.0)),
+        "generated": [encode_schedule(generate_schedule(seed, NAMES, 30_000.0, 8)) for seed in (1, 7)],
+        "generated_links": encode_schedule(generate_schedule(3, NAMES, 20_000.0, 6, LINK_KINDS)),
+        "read": plain(load_schedule(path)),
+        "written_again": encode_schedule(load_schedule(path)),
+        "pairs": [plain(affected_pairs(fault, NAMES)) for fault in faults],
+        "effects": [plain(path_effect(fault)) for fault in faults],
+        "expected_failures": plain(expected_failures(faults, NAMES, 50_000.0, 300.0)),
     }
 
 
 def paths() -> dict[str, Any]:
     """What a path draws out of one seed for each datagram."""
     rng = random.Random(9)
-    effects = [Effect(loss=0.2), Effect(double=0.3, delay_ms=5.0, jitter_ms=20.0), Effect(delay_ms=1.0)]
+    effects = [
+        PathEffect(loss_rate=0.2),
+        PathEffect(duplicate_rate=0.3, delay_ms=5.0, jitter_ms=20.0),
+        PathEffect(delay_ms=1.0),
+    ]
     path = NetworkPath(effects)
     return {
-        "drops": [path.drops(rng) for _ in range(40)],
-        "copies": [path.copies(rng) for _ in range(40)],
-        "waits": [path.wait_ms(rng) for _ in range(10)],
-        "cut": NetworkPath([*effects, Effect(cut=True)]).drops(rng),
+        "drops": [path.draw_loss(rng) for _ in range(40)],
+        "copies": [path.draw_copies(rng) for _ in range(40)],
+        "waits": [path.draw_delay_ms(rng) for _ in range(10)],
+        "cut": NetworkPath([*effects, PathEffect(is_cut=True)]).draw_loss(rng),
     }
 
 
@@ -204,7 +226,7 @@
 # Bytes of the stand-in servers, on the virtual loop.
 
 
-async def answer_by_path(heard: Heard) -> None:
+async def answer_by_path(heard: ReceivedRequest) -> None:
     match heard.path:
         case "/hit":
             await heard.answer(200, b"fish" * 20, X_Remark="mem", Made_At="1764576000123")
@@ -234,28 +256,28 @@
 
 
 async def http1_bytes(loop: VirtualLoop) -> dict[str, Any]:
-    peer = await ScriptedPeer(answer_by_path, "c7", host="10.2.0.1", boot_ms=5.0).start()
-    asked = [request(path, trace="00ff") for path in ("/hit", "/same", "/crowded", "/else")]
-    asked += [request("/else", "PUT", 1_500.0, b"bid", X_Batch="3"), request("/gone")]
+    peer = await ScriptedServer(answer_by_path, "c7", host="10.2.0.1", boot_ms=5.0).start()
+    asked = [encode_request(path, trace="00ff") for path in ("/hit", "/same", "/crowded", "/else")]
+    asked += [encode_request("/else", "PUT", 1_500.0, b"bid", X_Batch="3"), encode_request("/gone")]
     said = await send_and_read(peer.address, b"".join(asked))
     coordinator = await Coordinator().start()
     config = config_for([peer], coordinator)
-    coordinator.tell(evict={"shard": 3, "unix_ms": 1.5})
-    coordinator.tell_list(peer)
+    coordinator.publish(evict={"shard": 3, "unix_ms": 1.5})
+    coordinator.publish_endpoints(peer)
     follower = await asyncio.open_connection("127.0.0.1", int(coordinator.address.rpartition(":")[2]))
     follower[1].write(b"FOLLOW 1\n")
     await asyncio.sleep(1.0)
-    coordinator.tell_list(whole=True)
+    coordinator.publish_endpoints(is_complete=True)
     await asyncio.sleep(1.0)
-    coordinator.cut()
+    coordinator.disconnect()
     try:
         fed = await follower[0].read()
     except ConnectionError:
         fed = bytes(follower[0]._buffer)  # type: ignore[attr-defined]
     return {
         "asked": [one.decode() for one in asked], "said": said.decode(), "connections": peer.connections,
-        "heard": [[h.method, h.path, h.headers, h.body.decode()] for h in peer.heard],
-        "target": peer.target(), "config": config, "follows": coordinator.follows, "fed": fed.decode(),
+        "heard": [[h.method, h.path, h.headers, h.body.decode()] for h in peer.received],
+        "target": peer.target(), "config": config, "follows": coordinator.followed_from, "fed": fed.decode(),
     }  # fmt: skip
 
 
@@ -294,7 +316,7 @@
         self.transport.write(self.engine.data_to_send())
 
 
-def answer_http2(asked: Asked) -> None:
+def answer_http2(asked: Http2Request) -> None:
     match asked.path:
         case "/hit":
             asked.answer(200, b"fish" * 9_000, tag="77")
@@ -303,18 +325,18 @@
         case "/reset":
             asked.reset(8)
         case "/go":
-            asked.line.goaway(asked.line.highest_run)
-            asked.answer(503, run=False, x_shed="1")
+            asked.connection.send_goaway(asked.connection.last_processed_id)
+            asked.answer(503, may_process=False, x_shed="1")
         case "/settings":
-            asked.line.settings(max_concurrent_streams=7)
+            asked.connection.update_settings(max_concurrent_streams=7)
             asked.answer(200, asked.body)
         case _:
-            asked.head(404, 2)
-            asked.line.send(asked, b"no", True)
+            asked.send_headers(404, 2)
+            asked.connection.send_body(asked, b"no", True)
 
 
 async def http2_bytes(loop: VirtualLoop) -> dict[str, Any]:
-    box = await H2Box(answer_http2, "c8", host="10.2.0.2", limit=9).start()
+    box = await ScriptedHttp2Server(answer_http2, "c8", host="10.2.0.2", max_concurrent_streams=9).start()
     host, _, port = box.address.rpartition(":")
     _, client = await loop.create_connection(Http2Client, host, int(port))
     assert isinstance(client, Http2Client)
@@ -325,17 +347,25 @@
     box.stop()
     await asyncio.sleep(1.0)
     return {
-        "said": [len(client.said), digest(client.said), client.said[:100].hex()], "target": box.target(),
-        "ran": box.times_run(), "heard": [[a.method, a.path, a.ticket, a.body.decode()] for a in box.heard],
-        "counts": [box.connections, box.held_most, box.open_most, box.over_limit, box.resets_heard],
-        "breaches": box.breaches,
-    }  # fmt: skip
+        "said": [len(client.said), digest(client.said), client.said[:100].hex()],
+        "target": box.target(),
+        "ran": box.process_counts(),
+        "heard": [[a.method, a.path, a.ticket, a.body.decode()] for a in box.received],
+        "counts": [
+            box.connections,
+            box.max_connections,
+            box.max_streams,
+            box.streams_over_limit,
+            box.resets_received,
+        ],
+        "breaches": box.protocol_errors,
+    }
 
 
 async def broken_bytes(loop: VirtualLoop) -> dict[str, Any]:
     """A box that breaks connections by its seed; the client takes a new one whenever its own is over."""
-    breaker = Breaker(4, 0.4)
-    box = await H2Box(breaker, "c9", host="10.2.0.3").start()
+    breaker = Http2FaultScript(4, 0.4)
+    box = await ScriptedHttp2Server(breaker, "c9", host="10.2.0.3").start()
     host, _, port = box.address.rpartition(":")
     client, said = Http2Client(), hashlib.sha256()
     client.over = True
@@ -350,12 +380,18 @@
         await asyncio.sleep(0.003)
     await asyncio.sleep(1.0)
     said.update(client.said)
-    return {"said": said.hexdigest(), "met": breaker.met, "shed": breaker.shed, "ran": box.times_run(),
-            "connections": box.connections, "resets": box.resets_heard}  # fmt: skip
+    return {
+        "said": said.hexdigest(),
+        "met": breaker.fault_counts,
+        "shed": breaker.shed_tickets,
+        "ran": box.process_counts(),
+        "connections": box.connections,
+        "resets": box.resets_received,
+    }
 
 
 def servers() -> dict[str, Any]:
-    return {work.__name__: rehearse(1, work)[0] for work in (http1_bytes, http2_bytes, broken_bytes)}
+    return {work.__name__: run_virtually(1, work)[0] for work in (http1_bytes, http2_bytes, broken_bytes)}
 
 
 CAPTURES: dict[str, Callable[[Path], Any]] = {
--- a/tests/test_http2_flow_control.py
+++ b/tests/test_http2_flow_control.py
@@ -6,8 +6,9 @@
 from h2.settings import SettingCodes
 
 from gladewalk.core.exchange import Attempt, ResponseHead
-from gladewalk.rehearsal.h2box import H2Box
-from gladewalk.rehearsal.peers import request, until
+from gladewalk.rehearsal.director_harness import wait_until
+from gladewalk.rehearsal.http_messages import encode_request
+from gladewalk.rehearsal.scripted_http2_server import ScriptedHttp2Server
 from gladewalk.rehearsal.write_soak import ticket
 
 from .http2_rehearsal import async_test, director_of, read, rehearse, serve, write
@@ -16,29 +17,29 @@
 @async_test
 async def test_a_slow_client_delays_only_its_own_stream() -> None:
     big = bytes(240_000)
-    server = H2Box(lambda asked: asked.answer(200, big))
+    server = ScriptedHttp2Server(lambda asked: asked.answer(200, big))
     async with rehearse(server, connections_most=1, stream_window=16_384) as rehearsal:
         slow = []
         for n in range(6):
             address = director_of(rehearsal).front.address
             reader, writer = await asyncio.open_connection(*address, limit=1_024)
-            writer.write(request(f"/invoke/lot-video/{n:x}", trace=ticket(n)))
+            writer.write(encode_request(f"/invoke/lot-video/{n:x}", trace=ticket(n)))
             slow.append((reader, writer))
-        await until(lambda: len(server.heard) == 6)
+        await wait_until(lambda: len(server.received) == 6)
         for n in range(20, 32):  # over the same connection
             assert len((await read(rehearsal, n))[2]) == len(big)
         for reader, writer in slow:
             await reader.readuntil(b"\r\n\r\n")
             assert len(await reader.readexactly(len(big))) == len(big)
             writer.close()
-    assert (server.connections, server.breaches) == (1, [])
+    assert (server.connections, server.protocol_errors) == (1, [])
 
 
 @async_test
 async def test_a_paused_stream_receives_no_more_than_its_window() -> None:
-    server = H2Box(lambda asked: asked.answer(200, bytes(240_000)))
+    server = ScriptedHttp2Server(lambda asked: asked.answer(200, bytes(240_000)))
     async with rehearse(server, stream_window=8_192) as rehearsal:
-        reader, writer = await rehearsal.client()
+        reader, writer = await rehearsal.connect()
         exchange = director_of(rehearsal).exchange
         real = exchange.response_started
 
@@ -48,13 +49,13 @@
             return is_forwarded
 
         exchange.response_started = start_then_pause  # type: ignore[method-assign]
-        writer.write(request("/invoke/lot-video/1"))
+        writer.write(encode_request("/invoke/lot-video/1"))
         await reader.readuntil(b"\r\n\r\n")
         (opened,) = exchange.open_requests.values()
         assert len(await reader.readexactly(8_192)) == 8_192
         await asyncio.sleep(0.05)
         assert len(reader._buffer) == 0  # type: ignore[attr-defined]
-        assert list(server.lines[0].unsent) == [1]
+        assert list(server.open_connections[0].unsent_bodies) == [1]
         exchange.flow(opened.number, True)
         assert len(await reader.readexactly(240_000 - 8_192)) == 240_000 - 8_192
         writer.close()
@@ -63,24 +64,24 @@
 @async_test
 async def test_a_large_write_is_sent_through_small_changing_and_negative_windows() -> None:
     body = random.Random(3).randbytes(48_000)
-    server = H2Box(
+    server = ScriptedHttp2Server(
         lambda asked: asked.answer(200, b"taken"), settings={SettingCodes.INITIAL_WINDOW_SIZE: 1_000}
     )
-    server.withholds = True
-    async with rehearse(server, H2Box(serve, "o", "origin", "north")) as rehearsal:
+    server.withholds_window = True
+    async with rehearse(server, ScriptedHttp2Server(serve, "o", "origin", "north")) as rehearsal:
         status = asyncio.create_task(write(rehearsal, 1, body=body, wait_ms=30_000.0))
-        await until(lambda: bool(server.heard) and len(server.heard[0].body) == 1_000)
-        connection = server.lines[0]
-        connection.settings(initial_window_size=100)  # 1,000 are used: the window is now 900 below 0
+        await wait_until(lambda: bool(server.received) and len(server.received[0].body) == 1_000)
+        connection = server.open_connections[0]
+        connection.update_settings(initial_window_size=100)  # 1,000 are used: the window is now 900 below 0
         connection.engine.increment_flow_control_window(950, 1)
         connection.flush()
-        await until(lambda: len(server.heard[0].body) == 1_050)
+        await wait_until(lambda: len(server.received[0].body) == 1_050)
         received_bytes = 1_050
         for step in (1, 333, 16_384):
             connection.engine.increment_flow_control_window(step, 1)
             connection.flush()
             received_bytes += step
-            await until(lambda: len(server.heard[0].body) == received_bytes)  # noqa: B023 - awaited here
-        connection.settings(initial_window_size=65_535)
+            await wait_until(lambda: len(server.received[0].body) == received_bytes)  # noqa: B023 - awaited here
+        connection.update_settings(initial_window_size=65_535)
         assert await status == 200
-        assert server.ran[0].body == body
+        assert server.processed[0].body == body
--- a/tests/test_http2_negotiation.py
+++ b/tests/test_http2_negotiation.py
@@ -2,8 +2,9 @@
 
 from h2.errors import ErrorCodes
 
-from gladewalk.rehearsal.h2box import H2Box
-from gladewalk.rehearsal.peers import ScriptedPeer, until
+from gladewalk.rehearsal.director_harness import wait_until
+from gladewalk.rehearsal.scripted_http2_server import ScriptedHttp2Server
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 
 from .http2_rehearsal import (
     PATIENT_MS,
@@ -22,21 +23,21 @@
 
 @async_test
 async def test_a_server_that_speaks_only_http1_is_detected_before_any_request() -> None:
-    server, origin = ScriptedPeer(serve_http1), ScriptedPeer(serve_http1, "o", "origin", "north")
+    server, origin = ScriptedServer(serve_http1), ScriptedServer(serve_http1, "o", "origin", "north")
     async with rehearse(server, origin) as rehearsal:
         assert await write(rehearsal, 1) == 200
         assert counters_of(rehearsal)["h2.fallbacks"] == 1
         assert await write(rehearsal, 2) == 200
         assert counters_of(rehearsal)["h2.fallbacks"] == 1  # remembered
-    assert [heard.method for heard in server.heard if heard.method != "PRI"] == ["PUT", "PUT"]
+    assert [heard.method for heard in server.received if heard.method != "PRI"] == ["PUT", "PUT"]
 
 
 @async_test
 async def test_http_1_1_required_causes_a_fallback_for_its_time() -> None:
-    server = H2Box(lambda asked: asked.reset(ErrorCodes.HTTP_1_1_REQUIRED))
-    other = H2Box(serve, "c2", size=1e-6)
+    server = ScriptedHttp2Server(lambda asked: asked.reset(ErrorCodes.HTTP_1_1_REQUIRED))
+    other = ScriptedHttp2Server(serve, "c2", capacity=1e-6)
     async with rehearse(server, other) as rehearsal:
-        assert (await rehearsal.ask(wait_ms=PATIENT_MS))[0] == 200
+        assert (await rehearsal.fetch(wait_ms=PATIENT_MS))[0] == 200
         factory = pool_of(rehearsal).connection_factory
         assert factory is not None
         fallbacks = factory.negotiation.fallbacks
@@ -45,7 +46,7 @@
         fallbacks["c1"].until_ms = 0.0
         server.script = serve
         director_of(rehearsal).exchange.dispatcher.state.registry.servers["c1"].backoff_until_ms = 0.0
-        await until(lambda: len(server.heard) >= 1)
+        await wait_until(lambda: len(server.received) >= 1)
         for n in range(8):
             await read(rehearsal, n, wait_ms=PATIENT_MS)
         assert pool_of(rehearsal).servers["c1"].group is not None
@@ -53,7 +54,7 @@
 
 @async_test
 async def test_modes_are_chosen_by_uid_before_model() -> None:
-    one, two = H2Box(serve), ScriptedPeer(serve_http1, "c2")
+    one, two = ScriptedHttp2Server(serve), ScriptedServer(serve_http1, "c2")
     options = options_for("off", by_model={"standard": "h2c"}, by_uid={"c2": "off"})
     async with rehearse(one, two, options=options) as rehearsal:
         for n in range(12):
--- a/tests/test_http2_tls.py
+++ b/tests/test_http2_tls.py
@@ -12,8 +12,11 @@
 import trustme
 
 from gladewalk.config.options import Options
-from gladewalk.rehearsal.h2box import Asked, H2Box
-from gladewalk.rehearsal.peers import Coordinator, ScriptedPeer, config_for, read_message, request
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_http2_server import Http2Request, ScriptedHttp2Server
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
 from gladewalk.rehearsal.write_soak import ticket
 
 from .http2_rehearsal import (
@@ -53,25 +56,25 @@
 
 @async_test
 async def test_alpn_selects_h2_and_the_certificates_name_is_checked(tls: TlsFiles) -> None:
-    good = H2Box(serve, tls=server_context("c1.caches.example"))
+    good = ScriptedHttp2Server(serve, tls=server_context("c1.caches.example"))
     async with rehearse(good, options=tls.options()) as rehearsal:
-        assert (await rehearsal.ask())[2] == BYTES
-    assert (good.connections, good.heard[0].fields[":scheme"]) == (1, "https")
-    bad = H2Box(serve, tls=server_context("c2.caches.example"))
+        assert (await rehearsal.fetch())[2] == BYTES
+    assert (good.connections, good.received[0].headers[":scheme"]) == (1, "https")
+    bad = ScriptedHttp2Server(serve, tls=server_context("c2.caches.example"))
     async with rehearse(bad, options=tls.options()) as rehearsal:
-        assert (await rehearsal.ask())[0] == 503
+        assert (await rehearsal.fetch())[0] == 503
         assert counters_of(rehearsal)["tls.certificates_refused"] >= 1
-    assert bad.heard == []
+    assert bad.received == []
 
 
 @async_test
 async def test_a_server_that_selects_http1_is_spoken_to_over_tls(tls: TlsFiles) -> None:
-    server = ScriptedPeer(serve_http1, tls=server_context("c1.caches.example", alpn=("http/1.1",)))
+    server = ScriptedServer(serve_http1, tls=server_context("c1.caches.example", alpn=("http/1.1",)))
     async with rehearse(server, options=tls.options()) as rehearsal:
         for n in range(3):
             assert (await read(rehearsal, n))[2] == BYTES
         assert counters_of(rehearsal)["h2.fallbacks"] == 1
-    assert len(server.heard) == 3
+    assert len(server.received) == 3
 
 
 @async_test
@@ -81,14 +84,14 @@
     own.cert_chain_pems[0].write_to_path(str(tls.folder / "own.pem"))
     with_certificate = tls.options(certificate=str(tls.folder / "own.pem"), key=str(tls.folder / "key.pem"))
     for options, status in ((with_certificate, 200), (tls.options(), 503)):
-        server = H2Box(serve, tls=server_context("c1.caches.example", client=True))
+        server = ScriptedHttp2Server(serve, tls=server_context("c1.caches.example", client=True))
         async with rehearse(server, options=options, connect_timeout_ms=1_000.0) as rehearsal:
-            assert (await rehearsal.ask(wait_ms=PATIENT_MS))[0] == status
+            assert (await rehearsal.fetch(wait_ms=PATIENT_MS))[0] == status
 
 
 @async_test
 async def test_sighup_reads_the_files_again_and_a_bad_one_changes_nothing(tls: TlsFiles) -> None:
-    server = await H2Box(serve, tls=server_context("c1.caches.example")).start()
+    server = await ScriptedHttp2Server(serve, tls=server_context("c1.caches.example")).start()
     coordinator = await Coordinator().start()
     (tls.folder / "config.json").write_text(json.dumps(config_for([server], coordinator)))
     own_settings, other = tls.folder / "own.toml", trustme.CA()
@@ -110,7 +113,7 @@
 
     async def status(number: int) -> int:
         reader, writer = await asyncio.open_connection(host, port)
-        writer.write(request(f"/invoke/lot-page/{number:x}", trace=ticket(number)))
+        writer.write(encode_request(f"/invoke/lot-page/{number:x}", trace=ticket(number)))
         found = int((await read_message(reader))[0].split(" ")[1])
         writer.close()
         return found
@@ -137,12 +140,12 @@
 
 @async_test
 async def test_writes_over_tls_are_retried_only_with_proof(tls: TlsFiles) -> None:
-    def run_and_drop(asked: Asked) -> None:
-        asked.run()
-        asked.line.abort()
+    def run_and_drop(asked: Http2Request) -> None:
+        asked.process()
+        asked.connection.abort()
 
-    server = H2Box(run_and_drop, tls=server_context("c1.caches.example"))
-    origin = H2Box(serve, "o", "origin", "north", tls=server_context("o.caches.example"))
+    server = ScriptedHttp2Server(run_and_drop, tls=server_context("c1.caches.example"))
+    origin = ScriptedHttp2Server(serve, "o", "origin", "north", tls=server_context("o.caches.example"))
     async with rehearse(server, origin, options=tls.options()) as rehearsal:
         assert await write(rehearsal, 1) == 502
-    assert len(server.heard) == 1
+    assert len(server.received) == 1
--- a/tests/test_http2_violations.py
+++ b/tests/test_http2_violations.py
@@ -16,7 +16,7 @@
     WindowUpdateFrame,
 )
 
-from gladewalk.rehearsal.h2box import H2Box
+from gladewalk.rehearsal.scripted_http2_server import ScriptedHttp2Server
 
 from .http2_rehearsal import BYTES, PATIENT_MS, async_test, counters_of, rehearse, serve
 
@@ -75,25 +75,27 @@
 @pytest.mark.parametrize("name", VIOLATIONS)
 @async_test
 async def test_a_violation_ends_the_connection_and_another_server_serves(name: str) -> None:
-    bad = H2Box(lambda asked: asked.line.raw(VIOLATIONS[name]))
-    good = H2Box(serve, "c2", size=1e-6)
+    bad = ScriptedHttp2Server(lambda asked: asked.connection.send_raw(VIOLATIONS[name]))
+    good = ScriptedHttp2Server(serve, "c2", capacity=1e-6)
     async with rehearse(bad, good, **CONTROL_FRAME_LIMITS) as rehearsal:
         # A response of which nothing was forwarded is replaced by another server's; else it is cut.
         try:
-            status, _, body = await rehearsal.ask(wait_ms=PATIENT_MS)
+            status, _, body = await rehearsal.fetch(wait_ms=PATIENT_MS)
             assert (status, body) == (200, b"" if "closed" in name else BYTES)
         except (asyncio.IncompleteReadError, ConnectionError):
             assert counters_of(rehearsal)["answers.cut"] == 1
         counts = counters_of(rehearsal)
         detected = sum(counts[counter] for counter in VIOLATION_COUNTERS)
         assert detected >= 1, counts
-        assert (await rehearsal.ask("/invoke/lot-page/5", wait_ms=PATIENT_MS))[0] // 100 == 2
+        assert (await rehearsal.fetch("/invoke/lot-page/5", wait_ms=PATIENT_MS))[0] // 100 == 2
 
 
 @async_test
 async def test_a_flood_of_frames_is_stopped_while_it_goes_on() -> None:
-    bad = H2Box(lambda asked: asked.line.raw(serialize(*(PingFrame(0) for _ in range(20_000)))))
-    good = H2Box(serve, "c2", size=1e-6)
+    bad = ScriptedHttp2Server(
+        lambda asked: asked.connection.send_raw(serialize(*(PingFrame(0) for _ in range(20_000))))
+    )
+    good = ScriptedHttp2Server(serve, "c2", capacity=1e-6)
     async with rehearse(bad, good, **CONTROL_FRAME_LIMITS) as rehearsal:
-        assert (await rehearsal.ask(wait_ms=PATIENT_MS))[0] == 200
+        assert (await rehearsal.fetch(wait_ms=PATIENT_MS))[0] == 200
         assert counters_of(rehearsal)["h2.broke_rules.Flood"] == 1
--- a/tests/test_members_busy.py
+++ b/tests/test_members_busy.py
@@ -5,8 +5,9 @@
 import msgspec
 import pytest
 
-from gladewalk.faultnet.expected_failures import causes_of
+from gladewalk.faultnet.expected_failures import expected_failures
 from gladewalk.faultnet.membership_cases import CASES
+from gladewalk.faultnet.schedule import FaultKind
 from gladewalk.members.actions import ProbeOutcome, SendDatagram
 from gladewalk.members.config import MembershipConfig
 from gladewalk.members.history import unexpected_deaths
@@ -35,14 +36,14 @@
 
 @pytest.mark.parametrize("max_stall_ms", [200.0, 400.0, 580.0])
 def test_a_link_cut_one_way_causes_no_deaths_on_a_busy_host(max_stall_ms: float) -> None:
-    (case,) = (case for case in CASES if case.kind == "link")
+    (case,) = (case for case in CASES if case.kind == FaultKind.LINK)
     for seed in range(6):
         net = busy_cluster(5, seed, max_stall_ms)
         begun_ms, names = net.now_ms, tuple(net.nodes)
         faults = case.faults(names)
         play(net, faults)
         net.run(12_000.0)
-        expected = causes_of(faults, names, begun_ms, MembershipConfig().max_stall_ms)
+        expected = expected_failures(faults, names, begun_ms, MembershipConfig().max_stall_ms)
         assert not unexpected_deaths(net.observed, expected), seed
 
 
