--- a/gladewalk/nginx/hosts.py
+++ b/gladewalk/nginx/hosts.py
@@ -73,7 +73,7 @@
         for regex, value in self._regexes:
             matched = regex.match(name)
             if matched is not None:
-                return value, matched[1]
+                return value, matched.names
         return None, {}
 
 
--- a/gladewalk/nginx/location_search.py
+++ b/gladewalk/nginx/location_search.py
@@ -136,7 +136,7 @@
             verdict = "matches" if matched else "no"
             self._add_line(f"  {location.row.directive}: {verdict}  [{location.row.defined_at}]")
             if matched is not None:
-                self.state.set_captures(*matched)
+                self.state.set_captures(matched)
                 self.best = location
                 self._search_nested(location)
                 return True
--- a/gladewalk/nginx/locations.py
+++ b/gladewalk/nginx/locations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from .context import TranslationContext
 from .errors import DirectiveValueError, RoutingTableError, UnknownVariableError
@@ -27,7 +28,22 @@
 NO_TARGET = "serves files of nginx's own disk, or nothing (--allow files answers 404)"
 FILES = "files"  # the name by which that loss is allowed
 
-Pattern = tuple[str, str]  # a location's modifier and pattern
+
+class LocationPattern(NamedTuple):
+    """A location's pattern with its modifier, as in `LocationRow`."""
+
+    modifier: str
+    pattern: str
+
+    @property
+    def is_regex(self) -> bool:
+        """Whether the pattern is a regex."""
+        return self.modifier in REGEX_MODIFIERS
+
+    @property
+    def identity(self) -> LocationPattern:
+        """What two locations beside one another must differ in."""
+        return LocationPattern("", self.pattern) if self.modifier == "^~" else self
 
 
 class LocationTranslator:
@@ -37,17 +53,17 @@
         self._context = context
 
     def translate_level(
-        self, block: Iterable[Node], scope: Scope, enclosing: Pattern | None = None
+        self, block: Iterable[Node], scope: Scope, enclosing: LocationPattern | None = None
     ) -> list[LocationRow]:
         """Translates the locations that stand in a block; refusals are noted.
 
         Args:
             block: The directives of a server or location.
             scope: The directives in force there.
-            enclosing: Modifier and pattern of the location around them, if there is one.
+            enclosing: The pattern of the location around them, if there is one.
         """
         rows: list[LocationRow] = []
-        seen: set[Pattern] = set()
+        seen: set[LocationPattern] = set()
         for node in block:
             if node.name != "location":
                 continue
@@ -62,23 +78,22 @@
         return rows
 
     def _translate(
-        self, node: Node, outer: Scope, enclosing: Pattern | None, seen: set[Pattern]
+        self, node: Node, outer: Scope, enclosing: LocationPattern | None, seen: set[LocationPattern]
     ) -> LocationRow:
-        """Translates one location; `seen` are the patterns beside it so far, its own is added."""
-        modifier, pattern = parse_pattern(node)
-        _check_pattern(node, modifier, pattern, enclosing)
-        identity = ("" if modifier == "^~" else modifier, pattern)
-        if modifier not in REGEX_MODIFIERS and identity in seen:
-            raise DirectiveRefusedError(node, f"duplicate location '{pattern}'")
-        seen.add(identity)
+        """Translates one location; `seen` are the identities beside it so far, its own is added."""
+        pattern = parse_pattern(node)
+        _check_pattern(node, pattern, enclosing)
+        if not pattern.is_regex and pattern.identity in seen:
+            raise DirectiveRefusedError(node, f"duplicate location '{pattern.pattern}'")
+        seen.add(pattern.identity)
         scope = outer.enter(node.children)
-        upstream, uri = self._translate_proxy_pass(node, modifier)
+        upstream, uri = self._translate_proxy_pass(node, pattern)
         steps = translate_steps(node.children, self._context)
         access = translate_access(scope.all(ACCESS_GROUP))
         excepted_methods, excepted_access = _translate_limit_except(node, scope)
-        nested = self.translate_level(node.children, scope, (modifier, pattern))
+        nested = self.translate_level(node.children, scope, pattern)
         fallback = self._translate_try_files(node)
-        has_target = upstream or fallback or ends_every_request(steps, modifier, pattern)
+        has_target = upstream or fallback or ends_every_request(steps, pattern.modifier, pattern.pattern)
         if not has_target and not _denies_all(access):
             self._context.refuse(node, NO_TARGET, FILES)
         for child in node.children:
@@ -86,8 +101,8 @@
                 check_satisfy(child)
         return LocationRow(
             defined_at=node.location,
-            modifier=modifier,
-            pattern=pattern,
+            modifier=pattern.modifier,
+            pattern=pattern.pattern,
             upstream=upstream,
             uri=uri,
             steps=steps,
@@ -123,7 +138,7 @@
 
     # proxy_pass.
 
-    def _translate_proxy_pass(self, node: Node, modifier: str) -> tuple[str, str | None]:
+    def _translate_proxy_pass(self, node: Node, pattern: LocationPattern) -> tuple[str, str | None]:
         """Returns the upstream, "" without one, and the URI of a location's `proxy_pass`."""
         directives = [child for child in node.children if child.name == "proxy_pass"]
         if not directives:
@@ -140,7 +155,7 @@
             except UnknownVariableError as error:
                 raise DirectiveRefusedError(directive, str(error)) from error
             is_constant = "$" not in target.uri + target.upstream
-            if is_constant and modifier in (*REGEX_MODIFIERS, "@"):
+            if is_constant and (pattern.is_regex or pattern.modifier == "@"):
                 raise DirectiveRefusedError(
                     directive, "nginx takes no URI here: the location is a regex or named"
                 )
@@ -179,8 +194,8 @@
                 self._context.note(node, f"${variable} may be empty: then 502, as nginx says 500")
 
 
-def parse_pattern(node: Node) -> Pattern:
-    """Returns a location's modifier and pattern, whether they are two words or one.
+def parse_pattern(node: Node) -> LocationPattern:
+    """Returns a location's pattern, whether its modifier is a word of its own or not.
 
     Raises:
         DirectiveRefusedError: There is no pattern, or the modifier is unknown.
@@ -189,32 +204,31 @@
         modifier, pattern = node.args
         if modifier not in MODIFIERS:
             raise DirectiveRefusedError(node, f"'{modifier}' is no kind of location")
-        return modifier, pattern
+        return LocationPattern(modifier, pattern)
     if len(node.args) != 1 or not node.args[0]:
         raise DirectiveRefusedError(node, "takes a pattern")
     text = node.args[0]
     for modifier in MODIFIERS_IN_ONE_WORD:
         if text.startswith(modifier):
-            return modifier, text if modifier == "@" else text.removeprefix(modifier)
-    return "", text
+            return LocationPattern(modifier, text if modifier == "@" else text.removeprefix(modifier))
+    return LocationPattern("", text)
 
 
-def _check_pattern(node: Node, modifier: str, pattern: str, enclosing: Pattern | None) -> None:
-    """Refuses what nginx itself does not take."""
-    is_regex = modifier in REGEX_MODIFIERS
-    if is_regex:
-        Regex(pattern, modifier == "~*")
-    elif modifier and not pattern.startswith(("/", "@")):
-        raise DirectiveRefusedError(node, f"'{pattern}' fits no URI")
+def _check_pattern(node: Node, pattern: LocationPattern, enclosing: LocationPattern | None) -> None:
+    """Refuses what nginx itself does not take; raises `RegexError` too."""
+    text = pattern.pattern
+    if pattern.is_regex:
+        Regex(text, pattern.modifier == "~*")
+    elif pattern.modifier and not text.startswith(("/", "@")):
+        raise DirectiveRefusedError(node, f"'{text}' fits no URI")
     if enclosing is None:
         return
-    enclosing_modifier, enclosing_pattern = enclosing
-    if enclosing_modifier in ("=", "@") or modifier == "@":
+    if enclosing.modifier in ("=", "@") or pattern.modifier == "@":
         raise DirectiveRefusedError(
             node, "nginx takes no location within an exact or a named one, and no named one within"
         )
-    if not is_regex and not pattern.startswith(enclosing_pattern):
-        raise DirectiveRefusedError(node, f"'{pattern}' is outside location '{enclosing_pattern}'")
+    if not pattern.is_regex and not text.startswith(enclosing.pattern):
+        raise DirectiveRefusedError(node, f"'{text}' is outside location '{enclosing.pattern}'")
 
 
 def _translate_limit_except(node: Node, scope: Scope) -> tuple[list[str], list[AccessRow]]:
--- a/gladewalk/nginx/maps.py
+++ b/gladewalk/nginx/maps.py
@@ -48,7 +48,7 @@
         for regex, template in self._regexes:
             matched = regex.match(text)
             if matched is not None:
-                state.set_captures(*matched)
+                state.set_captures(matched)
                 return template
         return self._default
 
--- a/gladewalk/nginx/regexes.py
+++ b/gladewalk/nginx/regexes.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import pcre2
 
 from .errors import MatchLimitError, RegexError
@@ -17,6 +19,18 @@
 LIMITS = f"(*LIMIT_MATCH={MAX_MATCH_STEPS})(*LIMIT_DEPTH={MAX_MATCH_DEPTH})".encode()
 
 
+class RegexMatch(NamedTuple):
+    """A match; groups that took no part are empty.
+
+    Attributes:
+        groups: The whole match, then the groups by number.
+        names: The named groups.
+    """
+
+    groups: tuple[str, ...]
+    names: dict[str, str]
+
+
 class Regex:
     """A compiled pattern over texts in latin-1, which stand for bytes.
 
@@ -45,11 +59,8 @@
             raise RegexError(f"'{pattern}' at {position}: {reason}") from error
         self.names = tuple(self._program.groupindex)
 
-    def match(self, text: str) -> tuple[tuple[str, ...], dict[str, str]] | None:
-        """Searches a text for the pattern.
-
-        Returns:
-            The whole match with its groups, and the named groups; None if the pattern is not found.
+    def match(self, text: str) -> RegexMatch | None:
+        """Searches a text for the pattern; None if it is not found.
 
         Raises:
             MatchLimitError: The search was abandoned at its limit.
@@ -62,4 +73,5 @@
             return None
         groups = tuple((group or b"").decode("latin-1") for group in (found.group(0), *found.groups()))
         named = found.groupdict() if self.names else {}
-        return groups, {name: (value or b"").decode("latin-1") for name, value in named.items()}
+        names = {name: (value or b"").decode("latin-1") for name, value in named.items()}
+        return RegexMatch(groups, names)
--- a/gladewalk/nginx/rewrite.py
+++ b/gladewalk/nginx/rewrite.py
@@ -107,7 +107,7 @@
         matched = self.regex.match(state.uri)
         if matched is None:
             return
-        state.set_captures(*matched)
+        state.set_captures(matched)
         if self.redirect_status:
             outcome.response = LocalResponse(self.redirect_status, location=self._redirect_target(state))
             return
@@ -216,7 +216,7 @@
         if self.regex is not None:
             matched = self.regex.match(value)
             if matched is not None:
-                state.set_captures(*matched)
+                state.set_captures(matched)
             return (matched is None) == self.operator.startswith("!")
         if self.operand is None:
             return value not in ("", "0")
--- a/gladewalk/nginx/variables.py
+++ b/gladewalk/nginx/variables.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from .errors import UnknownVariableError
+from .regexes import RegexMatch
 from .uri import Target
 
 VARIABLE = re.compile(r"\$(?:\{([A-Za-z0-9_]+)\}|([A-Za-z0-9_]+))")
@@ -73,10 +74,10 @@
     computed: Mapping[str, ComputedVariable] = field(default_factory=dict)
     _depth: int = 0
 
-    def set_captures(self, groups: tuple[str, ...], names: Mapping[str, str]) -> None:
+    def set_captures(self, matched: RegexMatch) -> None:
         """Takes over the groups of a regex that has matched."""
-        self.captures = groups
-        self.variables.update(names)
+        self.captures = matched.groups
+        self.variables.update(matched.names)
 
     def redirect_internally(self, target: str, keeps_args: bool = False) -> None:
         """Replaces URI and query by those of an internal redirect.
