--- a/gladewalk/rehearsal/site_check.py
+++ b/gladewalk/rehearsal/site_check.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ..nginx.explain import Asked, land, told
+from ..nginx.explain import RequestDescription, describe_landing, route_request
 from ..nginx.router import Router
 from ..nginx.table import Site
 from .site_harness import SiteHarness, SiteResponse
@@ -26,7 +26,7 @@
     agrees: bool
 
 
-async def _fetch(site: SiteHarness, request: Asked) -> SiteResponse:
+async def _fetch(site: SiteHarness, request: RequestDescription) -> SiteResponse:
     try:
         return await site.fetch(
             request.uri, request.host or "localhost", request.method, listen=request.listen
@@ -35,20 +35,21 @@
         return CLOSED
 
 
-async def _check_site(site: Site, requests: Iterable[Asked]) -> SiteCheck:
+async def _check_site(site: Site, requests: Iterable[RequestDescription]) -> SiteCheck:
     router, lines, all_agree = Router(site), [], True
     async with SiteHarness(site) as harness:
         for request in requests:
-            landing = land(router, request)
+            landing = route_request(router, request)
             response = await _fetch(harness, request)
             upstream = response.server.rpartition("/")[0]
             agrees = upstream == landing.upstream and (bool(upstream) or response.status == landing.status)
             who = f"{response.status} from {response.server or 'the director'}"
-            lines.append(f"{request}: {told(landing)}; {who}{'' if agrees else ' -- NOT AS THE TABLE SAYS'}")
+            verdict = "" if agrees else " -- NOT AS THE TABLE SAYS"
+            lines.append(f"{request}: {describe_landing(landing)}; {who}{verdict}")
             all_agree = all_agree and agrees
     return SiteCheck(lines, all_agree)
 
 
-def check_site(site: Site, requests: Iterable[Asked]) -> SiteCheck:
+def check_site(site: Site, requests: Iterable[RequestDescription]) -> SiteCheck:
     """Requests each URI of a site played on loopback, in an event loop of its own."""
     return asyncio.run(_check_site(site, requests))
--- a/gladewalk/rehearsal/site_harness.py
+++ b/gladewalk/rehearsal/site_harness.py
@@ -18,7 +18,7 @@
 from ..config.platform import Address, read_config
 from ..director import Director
 from ..errors import GladewalkError
-from ..nginx.table import Site, Upstream, write_site
+from ..nginx.table import Site, UpstreamRow, write_site
 from .coordinator import Coordinator
 from .director_harness import config_for
 from .http_messages import encode_message, header_names, parse_status, read_head, read_message
@@ -76,17 +76,17 @@
         coordinator.stop()
         return self
 
-    async def _start_upstream(self, upstream: Upstream) -> Upstream:
+    async def _start_upstream(self, upstream: UpstreamRow) -> UpstreamRow:
         """Starts stand-ins for an upstream's servers and returns the upstream at their addresses."""
-        boxes = []
-        for number, box in enumerate(upstream.boxes):
+        servers = []
+        for number, row in enumerate(upstream.servers):
             name = f"{upstream.name}/{number}"
             server = ScriptedServer(self.scripts.get(name, answer_with_name), name)
             self.servers[name] = await server.start()
-            boxes.append(msgspec.structs.replace(box, address=server.address))
-        return msgspec.structs.replace(upstream, boxes=boxes)
+            servers.append(msgspec.structs.replace(row, address=server.address))
+        return msgspec.structs.replace(upstream, servers=servers)
 
-    def _write_options(self, folder: Path, upstreams: list[Upstream]) -> Options:
+    def _write_options(self, folder: Path, upstreams: list[UpstreamRow]) -> Options:
         moved_site = msgspec.structs.replace(self.site, upstreams=upstreams)
         (folder / "site.toml").write_text(write_site(moved_site), encoding="utf-8")
         keys = list(
--- a/tests/test_golden_nginx.py
+++ b/tests/test_golden_nginx.py
@@ -15,16 +15,16 @@
 
 import pytest
 
-from gladewalk.nginx.directives import page
-from gladewalk.nginx.explain import Asked, explain
-from gladewalk.nginx.parser import NginxError
+from gladewalk.nginx.directives import directives_page
+from gladewalk.nginx.errors import NginxConfigError
+from gladewalk.nginx.explain import RequestDescription, explain
 from gladewalk.nginx.router import Router
 from gladewalk.nginx.table import read_site, write_site
 from gladewalk.nginx.translate import import_site
 from gladewalk.rehearsal.scripted_servers import Http1Script, ReceivedRequest
 from gladewalk.rehearsal.site_harness import SiteHarness
 
-from .test_nginx import CORPUS, FILES, expectations, landing
+from .test_nginx import CORPUS, FILES, expectations, land
 
 GOLDEN = Path(__file__).parent / "golden" / "nginx.json"
 ALLOWED = (
@@ -110,7 +110,7 @@
     with chdir(path.parent):
         try:
             site = import_site(path.name, allowed)
-        except NginxError as error:
+        except NginxConfigError as error:
             return {"refused": str(error)}
     return {"table": write_site(site)}
 
@@ -120,19 +120,19 @@
     with chdir(path.parent):
         try:
             router = Router(import_site(path.name))
-        except NginxError:
+        except NginxConfigError:
             return {}
     found: dict[str, list[str]] = {}
     for number, each in enumerate(expectations(path)):
         asked = each.asked
-        named = Asked(asked.uri, asked.host, asked.method, asked.client, asked.listen)
-        found[f"{number} {asked}"] = [landing(router, each), *explain(router, named)]
+        named = RequestDescription(asked.uri, asked.host, asked.method, asked.client_address, asked.listen)
+        found[f"{number} {asked}"] = [land(router, each), *explain(router, named)]
     return found
 
 
-async def answer(heard: ReceivedRequest) -> None:
+async def answer(received: ReceivedRequest) -> None:
     """A server that answers by what it is asked for."""
-    writer, path = heard.writer, heard.path
+    writer, path = received.writer, received.path
     if path.startswith("/chunked"):
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
     elif path.startswith("/close"):
@@ -142,23 +142,23 @@
     elif path.startswith("/204"):
         writer.write(b"HTTP/1.1 204 No Content\r\nX-Empty: 1\r\n\r\n")
     elif path.startswith("/404"):
-        await heard.answer(404, b"none", Server="x")
+        await received.answer(404, b"none", Server="x")
     elif path.endswith("/503"):
-        await heard.answer(503, b"busy", Retry_After="9")
+        await received.answer(503, b"busy", Retry_After="9")
     elif path.endswith("/redirect"):
-        await heard.answer(302, b"", Location="http://a/s/there")
-    elif "range" in heard.headers:
-        await heard.answer(206, b"part", Content_Range="bytes 0-3/9", Connection="X-Hop", X_Hop="1")
-    elif "if-none-match" in heard.headers:
+        await received.answer(302, b"", Location="http://a/s/there")
+    elif "range" in received.headers:
+        await received.answer(206, b"part", Content_Range="bytes 0-3/9", Connection="X-Hop", X_Hop="1")
+    elif "if-none-match" in received.headers:
         writer.write(b'HTTP/1.1 304 Not Modified\r\nETag: "e"\r\n\r\n')
-    elif heard.method == "HEAD":
+    elif received.method == "HEAD":
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n")
     else:
-        await heard.answer(200, b"<" + heard.body + b">", Set_Cookie="a=1", Server="x", X_Hidden="1")
+        await received.answer(200, b"<" + received.body + b">", Set_Cookie="a=1", Server="x", X_Hidden="1")
 
 
-async def abort(heard: ReceivedRequest) -> None:
-    heard.writer.transport.abort()
+async def abort(received: ReceivedRequest) -> None:
+    received.writer.transport.abort()
 
 
 async def exchange_with(address: tuple[str, int], data: bytes) -> str:
@@ -187,9 +187,15 @@
                 server.received.clear()
             text = await exchange_with(world.address(), data)
             sent = [
-                [server.uid, heard.method, heard.path, [*heard.headers.items()], heard.body.decode("latin-1")]
+                [
+                    server.uid,
+                    received.method,
+                    received.path,
+                    [*received.headers.items()],
+                    received.body.decode("latin-1"),
+                ]
                 for server in world.servers.values()
-                for heard in server.received
+                for received in server.received
             ]
             found[name] = {"answer": text, "sent": sent}
         assert world.director is not None
@@ -226,7 +232,7 @@
 
 
 def test_the_page_of_directives_is_the_same() -> None:
-    assert page() == golden()["page"]
+    assert directives_page() == golden()["page"]
 
 
 def test_the_front_answers_and_sends_the_same_bytes(tmp_path: Path) -> None:
@@ -238,7 +244,7 @@
         "imported": {path.name: imported(path) for path in FILES},
         "imported with losses": {path.name: imported(path, ALLOWED) for path in FILES},
         "landings": {path.name: landings(path) for path in FILES},
-        "page": page(),
+        "page": directives_page(),
         "front": asyncio.run(play_front(folder)),
     }
 
--- a/tests/test_web_failures.py
+++ b/tests/test_web_failures.py
@@ -1,4 +1,4 @@
-"""The front for imported routing when servers fail: retries, backups, turns kept, and what is told then."""
+"""The HTTP front for imported routing when servers fail: retries, backups, error pages, final answers."""
 
 import asyncio
 import unittest
@@ -7,36 +7,36 @@
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest
 from gladewalk.rehearsal.site_harness import SiteHarness
 
-from .test_web import TWO, site_of
+from .test_web import TWO_SERVERS, site_of
 
 
 class Failures(unittest.IsolatedAsyncioTestCase):
-    def answering(self, status: int, body: bytes = b"", **fields: str):  # type: ignore[no-untyped-def]
-        async def script(heard: ReceivedRequest) -> None:
-            await heard.answer(status, body, X_Server=heard.server.uid, **fields)
+    def answer_with(self, status: int, body: bytes = b"", **fields: str):  # type: ignore[no-untyped-def]
+        async def script(received: ReceivedRequest) -> None:
+            await received.answer(status, body, X_Server=received.server.uid, **fields)
 
         return script
 
-    async def refuse(self, heard: ReceivedRequest) -> None:
-        heard.writer.transport.abort()
+    async def abort(self, received: ReceivedRequest) -> None:
+        received.writer.transport.abort()
 
-    async def hang(self, heard: ReceivedRequest) -> None:
+    async def hang(self, received: ReceivedRequest) -> None:
         await asyncio.sleep(30.0)
 
-    async def test_a_failure_is_tried_elsewhere_once_and_each_request_gets_one_answer(self) -> None:
-        async with SiteHarness(site_of(TWO % ""), {"a/0": self.refuse}) as world:
+    async def test_a_failure_is_retried_elsewhere_once_and_each_request_gets_one_answer(self) -> None:
+        async with SiteHarness(site_of(TWO_SERVERS % ""), {"a/0": self.abort}) as world:
             answers = [await world.fetch(f"/{n}") for n in range(24)]
             self.assertEqual({(answer.status, answer.server) for answer in answers}, {(200, "a/1")})
             self.assertGreater(len(world.servers["a/0"].received), 0)
 
-    async def test_what_may_have_run_is_not_sent_again_and_what_never_ran_is(self) -> None:
-        async with SiteHarness(site_of(TWO % "")) as world:
-            world.servers["a/0"].script = self.refuse
+    async def test_what_may_have_been_executed_is_not_retried_and_what_was_never_sent_is(self) -> None:
+        async with SiteHarness(site_of(TWO_SERVERS % "")) as world:
+            world.servers["a/0"].script = self.abort
             statuses = [(await world.fetch(f"/{n}", method="POST", body=b"bid")).status for n in range(12)]
-            ran = len(world.servers["a/0"].received)
-            self.assertEqual(statuses.count(502), ran)
-            self.assertGreater(ran, 0)
-            self.assertEqual(len(world.servers["a/1"].received), 12 - ran)
+            executed = len(world.servers["a/0"].received)
+            self.assertEqual(statuses.count(502), executed)
+            self.assertGreater(executed, 0)
+            self.assertEqual(len(world.servers["a/1"].received), 12 - executed)
             world.servers["a/0"].stop()
             for connection in list(world.director.web.upstreams["a"].upstreams.open_connections):  # type: ignore
                 connection.close()
@@ -44,39 +44,47 @@
             self.assertEqual(set(statuses), {200})
 
     async def test_next_upstream_off_and_a_list_without_the_condition_end_it_at_once(self) -> None:
-        for words, status in (("proxy_next_upstream off;", 502), ("proxy_next_upstream http_500;", 502)):
-            async with SiteHarness(site_of(TWO % words), {"a/0": self.refuse, "a/1": self.refuse}) as world:
+        for directive, status in (("proxy_next_upstream off;", 502), ("proxy_next_upstream http_500;", 502)):
+            async with SiteHarness(
+                site_of(TWO_SERVERS % directive), {"a/0": self.abort, "a/1": self.abort}
+            ) as world:
                 self.assertEqual((await world.fetch("/x")).status, status)
                 self.assertEqual(sum(len(server.received) for server in world.servers.values()), 1)
 
-    async def test_a_status_is_tried_elsewhere_only_where_the_file_says(self) -> None:
-        busy = self.answering(503, b"busy")
-        async with SiteHarness(site_of(TWO % ""), {"a/0": busy, "a/1": busy}) as world:
+    async def test_a_status_is_retried_elsewhere_only_where_the_file_says(self) -> None:
+        busy = self.answer_with(503, b"busy")
+        async with SiteHarness(site_of(TWO_SERVERS % ""), {"a/0": busy, "a/1": busy}) as world:
             answer = await world.fetch("/x")
             self.assertEqual((answer.status, answer.body), (503, b"busy"))
-        async with SiteHarness(site_of(TWO % "proxy_next_upstream http_503;"), {"a/0": busy}) as world:
+        async with SiteHarness(
+            site_of(TWO_SERVERS % "proxy_next_upstream http_503;"), {"a/0": busy}
+        ) as world:
             answers = {(await world.fetch(f"/{n}")).server for n in range(12)}
             self.assertEqual(answers, {"a/1"})
         both = {"a/0": busy, "a/1": busy}
-        async with SiteHarness(site_of(TWO % "proxy_next_upstream http_503;"), both) as world:
-            self.assertEqual((await world.fetch("/x")).status, 503)  # the last answer, when all were tried
-
-    async def test_a_silent_server_runs_into_the_locations_own_time(self) -> None:
-        words = "proxy_read_timeout 150ms; proxy_next_upstream off;"
-        async with SiteHarness(site_of(TWO % words), {"a/0": self.hang, "a/1": self.hang}) as world:
+        async with SiteHarness(site_of(TWO_SERVERS % "proxy_next_upstream http_503;"), both) as world:
+            self.assertEqual(
+                (await world.fetch("/x")).status, 503
+            )  # the last answer, when all were attempted
+
+    async def test_a_silent_server_runs_into_the_locations_read_timeout(self) -> None:
+        directives = "proxy_read_timeout 150ms; proxy_next_upstream off;"
+        async with SiteHarness(
+            site_of(TWO_SERVERS % directives), {"a/0": self.hang, "a/1": self.hang}
+        ) as world:
             self.assertEqual((await world.fetch("/x")).status, 504)
 
-    async def test_an_answer_that_breaks_off_is_cut_for_the_client_too(self) -> None:
-        async def half(heard: ReceivedRequest) -> None:
-            heard.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
-            await heard.writer.drain()
-            heard.writer.transport.abort()
+    async def test_a_truncated_response_is_truncated_for_the_client_too(self) -> None:
+        async def half(received: ReceivedRequest) -> None:
+            received.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+            await received.writer.drain()
+            received.writer.transport.abort()
 
-        async with SiteHarness(site_of(TWO % ""), {"a/0": half, "a/1": half}) as world:
+        async with SiteHarness(site_of(TWO_SERVERS % ""), {"a/0": half, "a/1": half}) as world:
             with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
                 await world.fetch("/x")
 
-    async def test_a_backup_takes_over_and_gives_back(self) -> None:
+    async def test_a_backup_takes_over_until_a_primary_recovers(self) -> None:
         site = site_of("""upstream a { server 127.0.0.1:1 max_fails=1 fail_timeout=2s;
             server 127.0.0.1:2 max_fails=1 fail_timeout=2s; server 127.0.0.1:3 backup;
             server 127.0.0.1:4 down; }
@@ -84,23 +92,23 @@
         async with SiteHarness(site) as world:
             first = {(await world.fetch(f"/{n}")).server for n in range(16)}
             self.assertEqual(first, {"a/0", "a/1"})
-            world.servers["a/0"].script = world.servers["a/1"].script = self.refuse
+            world.servers["a/0"].script = world.servers["a/1"].script = self.abort
             answers = [await world.fetch(f"/b{n}") for n in range(8)]
             self.assertEqual({answer.server for answer in answers}, {"a/2"})
             for number in (0, 1):
                 world.servers[f"a/{number}"].script = world.servers["a/2"].script
 
-            async def back() -> set[str]:
+            async def answering_servers() -> set[str]:
                 return {(await world.fetch(f"/c{n}")).server for n in range(8)}
 
             for _ in range(200):
-                if await back() == {"a/0", "a/1"}:
+                if await answering_servers() == {"a/0", "a/1"}:
                     break
                 await asyncio.sleep(0.05)
-            self.assertEqual(await back(), {"a/0", "a/1"})
+            self.assertEqual(await answering_servers(), {"a/0", "a/1"})
             self.assertEqual(len(world.servers["a/3"].received), 0)
 
-    async def test_all_down_is_refused_at_once_with_retry_after(self) -> None:
+    async def test_all_down_is_rejected_at_once_with_retry_after(self) -> None:
         site = site_of("upstream a { server 127.0.0.1:1 down; server 127.0.0.1:2 down; }\n"
                        "server { location / { proxy_pass http://a; } }")  # fmt: skip
         async with SiteHarness(site) as world:
@@ -111,13 +119,13 @@
     async def test_max_conns_sends_the_rest_elsewhere(self) -> None:
         gate = asyncio.Event()
 
-        async def wait(heard: ReceivedRequest) -> None:
+        async def answer_at_gate(received: ReceivedRequest) -> None:
             await gate.wait()
-            await heard.answer(200, b"", X_Server=heard.server.uid)
+            await received.answer(200, b"", X_Server=received.server.uid)
 
         site = site_of("upstream a { server 127.0.0.1:1 max_conns=2; server 127.0.0.1:2; }\n"
                        "server { location / { proxy_pass http://a; } }")  # fmt: skip
-        async with SiteHarness(site, {"a/0": wait, "a/1": wait}) as world:
+        async with SiteHarness(site, {"a/0": answer_at_gate, "a/1": answer_at_gate}) as world:
             tasks = [asyncio.create_task(world.fetch(f"/{n}")) for n in range(16)]
             await wait_until(lambda: sum(len(server.received) for server in world.servers.values()) == 16)
             self.assertEqual(len(world.servers["a/0"].received), 2)
@@ -136,14 +144,14 @@
                 "x-where", (await world.fetch("/no", "b")).headers
             )  # not on a 404 without always
 
-    async def test_an_error_page_sends_a_failure_elsewhere(self) -> None:
+    async def test_an_error_page_routes_a_failure_elsewhere(self) -> None:
         site = site_of("""upstream a { server 127.0.0.1:1; } upstream b { server 127.0.0.1:2; }
             server { server_name example.com;
               location / { proxy_pass http://a; error_page 502 504 = @over; }
               location @over { proxy_pass http://b; }
               location /kept { proxy_pass http://a; error_page 502 /sorry; }
               location /sorry { internal; proxy_pass http://b; } }""")
-        async with SiteHarness(site, {"a/0": self.refuse}) as world:
+        async with SiteHarness(site, {"a/0": self.abort}) as world:
             answer = await world.fetch("/x?y=1")
             self.assertEqual((answer.status, answer.body), (200, b"b/0 GET /x?y=1"))
             answer = await world.fetch("/kept")
