--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, each a module to run with `python -m benchmarks.NAME`."""
--- a/benchmarks/box.py
+++ b/benchmarks/box.py
@@ -1,4 +1,4 @@
-"""One stand-in box as a process: prints its address and answers every request after a while.
+"""A stand-in cache as a process: prints its address and answers every request after a delay.
 
 python -m benchmarks.box h1|h2|tls DELAY_MS BYTES UID [CERTIFICATE_FOLDER]
 """
@@ -15,39 +15,47 @@
 from gladewalk.rehearsal.scripted_http2_server import Http2Request, ScriptedHttp2Server
 
 
-class PlainBox(asyncio.Protocol):
-    """HTTP/1.1 with as little as it takes: the measured side is the one in front."""
+class MinimalHttp1Server(asyncio.Protocol):
+    """HTTP/1.1 server with the least work for a request, since the director before it is measured."""
 
-    def __init__(self, answer: bytes, delay_s: float) -> None:
-        self.answer, self.delay_s = answer, delay_s
+    def __init__(self, response: bytes, delay_seconds: float) -> None:
+        self.response, self.delay_seconds = response, delay_seconds
         self.parser = httptools.HttpRequestParser(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """Parses requests."""
         self.parser.feed_data(data)
 
     def on_message_complete(self) -> None:
-        asyncio.get_running_loop().call_later(self.delay_s, self.say)
+        """Answers after the delay."""
+        asyncio.get_running_loop().call_later(self.delay_seconds, self._respond)
 
-    def say(self) -> None:
+    def _respond(self) -> None:
         if not self.transport.is_closing():
-            self.transport.write(self.answer)  # type: ignore[attr-defined]
+            self.transport.write(self.response)  # type: ignore[attr-defined]
 
 
-async def serve(kind: str, delay_s: float, size: int, uid: str, folder: str) -> None:
+async def serve(kind: str, delay_seconds: float, body_bytes: int, uid: str, folder: str) -> None:
+    """Serves until the process is ended; `kind` is h1, h2 or tls, `folder` holds the certificate of tls."""
     loop = asyncio.get_running_loop()
-    body = bytes(size)
+    body = bytes(body_bytes)
     if kind == "h1":
-        head = f"HTTP/1.1 200 OK\r\nX-Remark: mem\r\nTag: 4be0\r\nContent-Length: {size}\r\n\r\n".encode()
-        server = await loop.create_server(lambda: PlainBox(head + body, delay_s), "127.0.0.1", 0)
+        head = (
+            f"HTTP/1.1 200 OK\r\nX-Remark: mem\r\nTag: 4be0\r\nContent-Length: {body_bytes}\r\n\r\n".encode()
+        )
+        server = await loop.create_server(
+            lambda: MinimalHttp1Server(head + body, delay_seconds), "127.0.0.1", 0
+        )
         host, port = server.sockets[0].getsockname()[:2]
         address = f"{host}:{port}"
     else:
 
-        def later(asked: Http2Request) -> None:
-            loop.call_later(delay_s, lambda: asked.answer(200, body))
+        def respond_later(request: Http2Request) -> None:
+            loop.call_later(delay_seconds, lambda: request.answer(200, body))
 
         context = None
         if kind == "tls":
@@ -56,7 +64,7 @@
             context.set_alpn_protocols(["h2"])
         address = (
             await ScriptedHttp2Server(
-                later, uid, max_concurrent_streams=256, tls=context, keeps_records=False
+                respond_later, uid, max_concurrent_streams=256, tls=context, keeps_records=False
             ).start()
         ).address
     print(address, flush=True)
--- a/benchmarks/fleet_faults.py
+++ b/benchmarks/fleet_faults.py
@@ -36,17 +36,18 @@
 
 
 def holder_of(fleet: Fleet) -> str:
-    acts = [act for act in fleet.hubs[0].fence.records if act.is_accepted]
-    return acts[-1].holder if acts else ""
+    """Returns the holder of the last operation that the first hub accepted; empty without one."""
+    accepted = [record for record in fleet.hubs[0].fence.records if record.is_accepted]
+    return accepted[-1].holder if accepted else ""
 
 
 async def handover_ms(fleet: Fleet, since_ms: float, victim: str) -> float:
     """From `since_ms` until another than `victim` operates under the purge lease, or nan."""
     ends = time.monotonic() + 6.0
     while time.monotonic() < ends:
-        for act in fleet.hubs[0].fence.records:  # in the order they arrived
-            if act.is_accepted and act.holder != victim and act.received_at_ms > since_ms:
-                return act.received_at_ms - since_ms
+        for record in fleet.hubs[0].fence.records:  # in the order they arrived
+            if record.is_accepted and record.holder != victim and record.received_at_ms > since_ms:
+                return record.received_at_ms - since_ms
         await asyncio.sleep(0.02)
     return float("nan")
 
@@ -83,6 +84,7 @@
 
 
 async def one(n: int, seed: int, faults: int, times: Times) -> Verdict:
+    """Plays one fleet of `n` directors under drawn faults; handover times go into `times`."""
     coordinator = await Coordinator().start()
     names = tuple(f"n{i}" for i in range(n))
     acknowledged: list[str] = []
@@ -114,6 +116,7 @@
 
 
 async def main_async(sizes: list[int], runs: int, seed: int, faults: int, plot: str | None) -> None:
+    """Plays all runs and prints their figures."""
     times: Times = defaultdict(list)
     verdicts = [await one(n, seed + run, faults, times) for n in sizes for run in range(runs)]
     for (kind, n), all_of_them in sorted(times.items()):
@@ -128,6 +131,7 @@
 
 
 def draw(times: Times, path: str) -> None:
+    """Plots handover times by kind of fault and number of directors."""
     import matplotlib
 
     matplotlib.use("Agg")
@@ -151,6 +155,7 @@
 
 
 def main() -> int:
+    """Runs the benchmark; returns its exit code."""
     parser = argparse.ArgumentParser(description="Exclusive duties across processes under seeded faults.")
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--directors", type=int, nargs="+", default=[3, 5, 7])
--- a/benchmarks/lossy_director.py
+++ b/benchmarks/lossy_director.py
@@ -1,8 +1,8 @@
-"""A director whose datagrams to other members are lost at random: what a bad network makes of shared duties.
+"""A director whose datagrams to other members are lost at random, for shared tasks on a bad network.
 
-    python -m benchmarks.lossy_director PART SETTINGS.toml
+    python -m benchmarks.lossy_director FRACTION SETTINGS.toml
 
-The part is lost on the way out, so between two lossy directors each direction loses as much.
+The fraction is lost on the way out, so between two lossy directors each direction loses as much.
 """
 
 from __future__ import annotations
@@ -16,13 +16,14 @@
 
 
 def main() -> int:
-    part, draw, send = float(sys.argv[1]), random.Random(), MembershipTransport.send
+    """Runs the director; returns its exit code."""
+    loss_fraction, rng, send = float(sys.argv[1]), random.Random(), MembershipTransport.send
 
-    def lossy(self: MembershipTransport, to: Address, message: bytes) -> None:
-        if draw.random() >= part:
+    def send_lossy(self: MembershipTransport, to: Address, message: bytes) -> None:
+        if rng.random() >= loss_fraction:
             send(self, to, message)
 
-    MembershipTransport.send = lossy  # type: ignore[method-assign]
+    MembershipTransport.send = send_lossy  # type: ignore[method-assign]
     return run(sys.argv[2])
 
 
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -1,6 +1,6 @@
 """A bare relay as a process: httptools on uvloop, no decision but a hash, HTTP/1.1 on both sides.
 
-python -m benchmarks.relay BOX_ADDRESS...
+python -m benchmarks.relay CACHE_ADDRESS...
 """
 
 from __future__ import annotations
@@ -13,22 +13,25 @@
 import uvloop
 
 
-class Box(asyncio.Protocol):
-    """One connection to a box; it carries one request at a time."""
+class CacheConnection(asyncio.Protocol):
+    """One connection to a cache; it carries one request at a time."""
 
     def __init__(self) -> None:
-        self.client: Client | None = None
-        self.rest: deque[Box] = deque()
+        self.client: ClientConnection | None = None
+        self.idle: deque[CacheConnection] = deque()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
         self.transport = transport
 
-    def carry(self, client: Client, request: bytes) -> None:
+    def send(self, client: ClientConnection, request: bytes) -> None:
+        """Sends a request and forwards its response to the client."""
         self.client = client
         self.parser = httptools.HttpResponseParser(self)
         self.transport.write(request)  # type: ignore[attr-defined]
 
     def data_received(self, data: bytes) -> None:
+        """Forwards a part of the response to the client."""
         client = self.client
         assert client is not None
         if not client.transport.is_closing():
@@ -36,10 +39,13 @@
         self.parser.feed_data(data)
 
     def on_message_complete(self) -> None:
-        self.rest.append(self)
+        """The connection can carry the next request."""
+        self.idle.append(self)
 
 
-class Client(asyncio.Protocol):
+class ClientConnection(asyncio.Protocol):
+    """One client's connection."""
+
     def __init__(self, relay: Relay) -> None:
         self.relay = relay
         self.parser = httptools.HttpRequestParser(self)
@@ -47,47 +53,58 @@
         self.headers: list[bytes] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """Parses requests."""
         self.parser.feed_data(data)
 
     def on_message_begin(self) -> None:
+        """A request begins."""
         self.url, self.headers = b"", []
 
     def on_url(self, url: bytes) -> None:
+        """A part of the request's target."""
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """A header field."""
         self.headers.append(name + b": " + value)
 
     def on_message_complete(self) -> None:
+        """Forwards the request."""
         head = b"\r\n".join([b"GET " + self.url + b" HTTP/1.1", *self.headers])
-        self.relay.send(self, head + b"\r\n\r\n")
+        self.relay.forward(self, head + b"\r\n\r\n")
 
 
 class Relay:
-    def __init__(self, boxes: list[tuple[str, int]]) -> None:
-        self.boxes = boxes
-        self.idle: list[deque[Box]] = [deque() for _ in boxes]
-
-    def send(self, client: Client, request: bytes) -> None:
-        place = hash(client.url) % len(self.boxes)
-        if self.idle[place]:
-            self.idle[place].pop().carry(client, request)
+    """Forwards requests to caches by a hash of the URL, on connections that are kept."""
+
+    def __init__(self, caches: list[tuple[str, int]]) -> None:
+        self.caches = caches
+        self.idle: list[deque[CacheConnection]] = [deque() for _ in caches]
+
+    def forward(self, client: ClientConnection, request: bytes) -> None:
+        """Sends a client's request on an idle connection, or on a new one."""
+        index = hash(client.url) % len(self.caches)
+        if self.idle[index]:
+            self.idle[index].pop().send(client, request)
         else:
-            asyncio.get_running_loop().create_task(self.dial(place, client, request))
+            asyncio.get_running_loop().create_task(self._connect(index, client, request))
 
-    async def dial(self, place: int, client: Client, request: bytes) -> None:
-        _, box = await asyncio.get_running_loop().create_connection(Box, *self.boxes[place])
-        box.rest = self.idle[place]
-        box.carry(client, request)
+    async def _connect(self, index: int, client: ClientConnection, request: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(CacheConnection, *self.caches[index])
+        connection.idle = self.idle[index]
+        connection.send(client, request)
 
 
-async def serve(boxes: list[str]) -> None:
-    relay = Relay([(host, int(port)) for host, port in (box.split(":") for box in boxes)])
+async def serve(addresses: list[str]) -> None:
+    """Serves on a free port, which it prints, until the process is ended."""
+    relay = Relay([(host, int(port)) for host, port in (address.split(":") for address in addresses)])
     server = await asyncio.get_running_loop().create_server(
-        lambda: Client(relay), "127.0.0.1", 0, backlog=1_024
+        lambda: ClientConnection(relay), "127.0.0.1", 0, backlog=1_024
     )
     host, port = server.sockets[0].getsockname()[:2]
     print(f"{host}:{port}", flush=True)
--- a/gladewalk/dns/conform/suite.py
+++ b/gladewalk/dns/conform/suite.py
@@ -79,6 +79,6 @@
         verdict, observation = Verdict.FAILED, str(error)
     except CheckSkippedError as error:
         verdict, observation = Verdict.SKIPPED, str(error)
-    except Exception as error:  # a response of a form that no check foresaw is a failure as well
+    except Exception as error:  # noqa: BLE001 - the outermost edge of a case: an unforeseen response fails it
         verdict, observation = Verdict.FAILED, f"{type(error).__name__}: {error}"
     return Result(case, verdict, observation, (time.monotonic() - started_s) * 1_000.0)
--- a/gladewalk/dns/processor.py
+++ b/gladewalk/dns/processor.py
@@ -129,7 +129,7 @@
             query = Query(message, read_edns(message), sender, len(wire))
         except dns.message.UnknownTSIGKey:
             return self._fail_unparsed(wire, sender, dns.rcode.NOTAUTH)
-        except Exception:  # the parser raises more types than it documents; each means malformed bytes
+        except Exception:  # noqa: BLE001 - the parser raises more types than it documents; all mean malformed
             return self._fail_unparsed(wire, sender, dns.rcode.FORMERR)
         self._verify_cookie(query, now_ms)
         self._answer(query)
--- a/gladewalk/rehearsal/virtual/loop.py
+++ b/gladewalk/rehearsal/virtual/loop.py
@@ -266,7 +266,7 @@
         future: asyncio.Future[Any] = self.create_future()
         try:
             future.set_result(func(*args))
-        except Exception as error:  # an executor hands any error to whoever awaits the future
+        except Exception as error:  # noqa: BLE001 - an executor hands any error to whoever awaits the future
             future.set_exception(error)
         return future
 
--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -234,7 +234,7 @@
         def send(self, wire: bytes) -> None:
             try:
                 query, response = dns.message.from_wire(self.wire), dns.message.from_wire(wire)
-            except Exception:
+            except Exception:  # noqa: BLE001 - what no parser reads is passed on as it is
                 return self.sender.send(wire)
             changed = change(query, response, self.transport)
             if changed is None:
