--- a/tests/test_golden_rehearsal.py
+++ b/tests/test_golden_rehearsal.py
@@ -17,9 +17,6 @@
 
 import msgspec
 import pytest
-from h2.config import H2Configuration
-from h2.connection import H2Connection
-from h2.events import ConnectionTerminated
 from h2.exceptions import ProtocolError
 
 import gladewalk
@@ -50,6 +47,8 @@
 from gladewalk.rehearsal.virtual.scenario import encode_scenario, generate_scenario, load_scenario
 from tests.mutants import all_ready, change_endpoint_list
 
+from .golden_http2_client import Http2Client
+
 ROOT = Path(__file__).parent.parent
 GOLDEN = Path(__file__).parent / "golden"
 READY = sorted((ROOT / "scenarios").glob("*.toml"))
@@ -281,41 +280,6 @@
     }  # fmt: skip
 
 
-class Http2Client(asyncio.Protocol):
-    """Sends requests whenever the other side allows, and keeps the bytes that it says."""
-
-    def __init__(self) -> None:
-        self.engine = H2Connection(H2Configuration(client_side=True, header_encoding="utf-8"))
-        self.said, self.over = b"", False
-
-    def connection_made(self, transport: Any) -> None:
-        self.transport = transport
-        self.engine.initiate_connection()
-        transport.write(self.engine.data_to_send())
-
-    def data_received(self, data: bytes) -> None:
-        self.said += data
-        try:
-            events = self.engine.receive_data(data)
-        except ProtocolError:
-            self.over = True
-            return
-        self.over = self.over or any(isinstance(event, ConnectionTerminated) for event in events)
-        self.transport.write(self.engine.data_to_send())
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self.over = True
-
-    def ask(self, ticket: str, path: str, body: bytes = b"") -> None:
-        stream = self.engine.get_next_available_stream_id()
-        head = [(":method", "PUT" if body else "GET"), (":path", path), (":scheme", "http"),
-                (":authority", "app.svc"), ("x-ticket", ticket)]  # fmt: skip
-        self.engine.send_headers(stream, head, end_stream=not body)
-        if body:
-            self.engine.send_data(stream, body, end_stream=True)
-        self.transport.write(self.engine.data_to_send())
-
-
 def answer_http2(asked: Http2Request) -> None:
     match asked.path:
         case "/hit":
