Log the steps of requests that end badly and the reason of each close

The log had no line about a request, so that it could not tell why the director closed a client's connection over a response that had begun. Change: requests note their steps (attempts, heads, ends, deadline); a line request_ended for each that ends without a server's response, client_closed for a connection closed over a request or unread input, both limited to 20 a second.

--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -27,6 +27,7 @@
     UpstreamPool,
 )
 from .outcome_counters import Outcome, outcome_counter
+from .request_log import RequestLog
 from .resolutions import Resolutions
 
 __all__ = [
@@ -61,6 +62,7 @@
         self._finished: list[int] = []
         self.final_deadline_ms = math.inf  # when every request is answered, whatever its client's patience
         self.held_requests: list[OpenRequest] | None = None  # accepted, not yet shown to the module
+        self.request_log = RequestLog(clock, counters)
 
     # Called by the client side.
 
@@ -171,6 +173,7 @@
             self._cancel(attempt)
             return False
         opened.serving_attempt = attempt
+        self.request_log.note(opened, "response_started", attempt.number, head.content_length)
         # The attempt's own timeout must not cut a response midway: it has until its client's deadline.
         self.deadlines.drop(attempt.timer)
         attempt.timer = None
@@ -192,6 +195,7 @@
             return
         self.deadlines.drop(attempt.timer)
         self.counters.add(f"attempts.{result.status.value}")
+        self.request_log.note(opened, "attempt_ended", attempt.number, result.status.value)
         if opened.serving_attempt is attempt and not opened.is_answered:
             is_complete = result.status is api.Status.OK
             self.counters.add("answers.served" if is_complete else "answers.cut")
@@ -201,6 +205,7 @@
             if is_complete:
                 opened.client.end_response()
             else:
+                self.request_log.ended(opened, "cut", f"attempt ended: {result.status.value}")
                 opened.client.abort_response()
         self._forget(opened)
         self.handle_event(
@@ -263,7 +268,7 @@
             case api.Reject():
                 self._reject(action)
             case api.Fail():
-                self._finish(action.id, FinalAnswer.FAILED)
+                self._finish(action.id, FinalAnswer.FAILED, "decided")
             case api.Cancel():
                 self._cancel_attempt(action)
             case api.SetTimer():
@@ -283,7 +288,7 @@
         if action.id in self.resolutions.open:
             self.resolutions.reject(action.id)
         else:
-            self._finish(action.id, FinalAnswer.REJECTED, action.retry_after_ms)
+            self._finish(action.id, FinalAnswer.REJECTED, "decided", action.retry_after_ms)
 
     def _cancel_attempt(self, action: api.Cancel) -> None:
         opened = self.open_requests.get(action.id)
@@ -317,6 +322,7 @@
         attempt = Attempt(opened, opened.attempt_count, order, now, deadline_ms)
         opened.attempt_count += 1
         opened.attempts[attempt.number] = attempt
+        self.request_log.note(opened, "attempt", attempt.number, order.server, type(order).__name__)
         if opened.is_answered:  # its end is among the events that the module has yet to see
             return self.attempt_ended(attempt, AttemptResult(api.Status.NOT_SENT))
         if has_own_timeout:  # else the request's own deadline ends it
@@ -333,7 +339,7 @@
 
     # The end of a request.
 
-    def _finish(self, number: int, final: FinalAnswer, retry_after_ms: float = 0.0) -> None:
+    def _finish(self, number: int, final: FinalAnswer, reason: str, retry_after_ms: float = 0.0) -> None:
         opened = self.open_requests.get(number)
         if opened is None or opened.is_answered:
             return
@@ -341,8 +347,10 @@
         if opened.serving_attempt is not None:
             self.counters.add("answers.cut")
             self.counters.add(outcome_counter(opened.request.class_name, Outcome.FAILED))
+            self.request_log.ended(opened, "cut", reason)
             opened.client.abort_response()
         else:
+            self.request_log.ended(opened, final.name.lower(), reason)
             self.counters.add(f"answers.{final.value}")
             outcome = Outcome.REJECTED if final is FinalAnswer.REJECTED else Outcome.FAILED
             self.counters.add(outcome_counter(opened.request.class_name, outcome))
@@ -353,7 +361,7 @@
         """Fails a request at shutdown, before the deadline that the module knows and would retry until."""
         if not opened.is_answered:
             self.counters.add("requests.ended_by_stop")
-            self._finish(opened.number, FinalAnswer.FAILED)
+            self._finish(opened.number, FinalAnswer.FAILED, "shutdown")
             self._cancel_all(opened)
 
     def _cancel_all(self, opened: OpenRequest) -> None:
@@ -367,11 +375,12 @@
 
         A request that is still unanswered then is failed here: every request gets an answer.
         """
+        self.request_log.note(opened, "deadline")
         for attempt in list(opened.attempts.values()):
             self._stop(attempt, api.Status.TIMEOUT)
         if not opened.is_answered:
             self.counters.add("requests.ended_as_last_resort")
-            self._finish(opened.number, FinalAnswer.FAILED)
+            self._finish(opened.number, FinalAnswer.FAILED, "deadline")
             self.handle_event(api.ClientDisconnected(opened.number))
 
     def _close(self, opened: OpenRequest) -> None:
--- a/gladewalk/core/exchange_types.py
+++ b/gladewalk/core/exchange_types.py
@@ -138,6 +138,8 @@
     serving_attempt: Attempt | None = None  # whose response is being passed on
     attempt_count: int = 0
     attempts: dict[int, Attempt] = field(default_factory=dict)  # in flight, by number
+    # What happened to it: ms since its arrival, the step, and what the step concerns.
+    steps: list[tuple[float, str, tuple[object, ...]]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -75,6 +75,7 @@
         self._is_stopping, self._last_answer_ms = False, math.inf  # by when a stop ends, whatever clients do
 
         self.exchange = Exchange(config, clock, deadlines, counters, self._log_module_line)
+        self.exchange.request_log.emit = self.log.info
         protocols = parts.build_protocols(options)
         self.connection_pool = ConnectionPool(self.exchange, config, clock, deadlines, counters, protocols)
         self.exchange.upstreams = self.connection_pool
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -127,13 +127,13 @@
                 is_unused = table is self.lingering or connection.is_input_empty()
                 if now - since_ms >= grace_ms and is_unused and not connection.is_sending(now):
                     self.counters.add("clients.made_room")
-                    return self._evict(connection)
+                    return self._evict(connection, "made_room")
 
-    def _evict(self, connection: ClientConnection) -> None:
+    def _evict(self, connection: ClientConnection, reason: str) -> None:
         self._set_state(connection, None)
         if not connection.is_evicted:
             self.evicted_count += 1
-            connection.evict()
+            connection.evict(reason)
 
     def _all_accepted(self) -> None:
         """Closes the listener once closing: only now, as connections waiting at it would be reset."""
@@ -177,7 +177,7 @@
         for connection in _older_than(self.awaiting, now, FIRST_BYTE_TIMEOUT_MS):
             if not connection.has_partial_request:
                 self.counters.add("clients.asked_nothing")
-                self._evict(connection)
+                self._evict(connection, "asked_nothing")
             elif now - connection.request_began_ms > self.request_timeout_ms:
                 self.counters.add("clients.came_too_slowly")
                 connection.request_timed_out()
@@ -185,7 +185,7 @@
     def _sweep_lingering(self, now: float) -> None:
         for connection in _older_than(self.lingering, now, LINGER_MS):
             if not connection.is_sending(now):
-                self._evict(connection)
+                self._evict(connection, "lingered")
 
     def _sweep_idle(self, now: float) -> None:
         for connection in _older_than(self.idle, now, IDLE_TIMEOUT_MS):
@@ -245,11 +245,11 @@
             elif connection.is_disconnected():
                 del self._paused[connection]
                 self.counters.add("clients.left_unread")
-                connection.abort()
+                connection.abort("left_by_client")
             elif connection.is_writing_paused and now > connection.client_deadline_ms + LINGER_MS:
                 del self._paused[connection]
                 self.counters.add("clients.never_read")
-                connection.abort()
+                connection.abort("answers_unread")
         if self._paused:
             self.deadlines.add(self.clock() + PAUSED_CHECK_INTERVAL_MS, self._check_paused)
 
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -198,7 +198,7 @@
         self._reject_input(408)
         self._advance()
         if self.pipelined:  # it has not even read its answers: nothing else would ever end it
-            self.abort()
+            self.abort("answers_unread")
 
     # State.
 
@@ -246,16 +246,24 @@
             self.transport.write_eof()
             self.front.start_lingering(self)
 
-    def evict(self) -> None:
+    def evict(self, reason: str) -> None:
         """Ends the connection at once to make room for another."""
         self.is_evicted = True
-        self.abort()
+        self.abort(reason)
 
-    def abort(self) -> None:
+    def abort(self, reason: str) -> None:
         """Ends the connection at once, and with it what is open here."""
         if self.transport is not None:
+            self._log_close(reason)
             self.transport.abort()
 
+    def _log_close(self, reason: str) -> None:
+        """Logs a close that leaves something of the client's unanswered."""
+        is_open = self.open_number is not None or bool(self.pipelined) or self.has_partial_request
+        if is_open or not self.is_input_empty():
+            trace_id = self.open_request.trace_id if self.open_request is not None else None
+            self.exchange.request_log.connection_closed(reason, trace_id, len(self.pipelined))
+
     # One request at a time.
 
     def _advance(self) -> None:
@@ -275,7 +283,7 @@
             if self.is_disconnected():
                 self.front.counters.add("clients.left_unread")
                 self.pipelined.clear()
-                self.abort()
+                self.abort("left_by_client")
                 break
             request = self.pipelined.popleft()
             if not isinstance(request, int) and not self.front.claim_trace_id(request):
@@ -337,9 +345,9 @@
 
     def abort_response(self) -> None:
         """Aborts the connection, so that the client sees an incomplete response."""
+        self.abort("response_incomplete")
         self.open_number = None
         self._release_request()
-        self.abort()
 
     def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
         """Writes a 503 with Retry-After (RFC 9110, section 10.2.3), or a 502."""
