Hold each response whole before its first byte goes to the client

Once a byte was out no other answer could be given: the director's own deadline, a margin before the client's, then cut the connection, as did a body that broke off. Class: an irrevocable act before its completion is certain. Change: the exchange owns the invariant that bytes of a response go out only when it can be finished. ResponseWriter has send_response in place of start, write, end and abort; attempts hold what has arrived in a ResponseBuffer; ResponseBudget bounds all of it by the memory limit (limits.memory_mb) and pauses servers when it is used up. A body that breaks off is an outcome like any other. A response that is arriving has the client's whole time, without the margin. Hedged requests end with the first complete response.

--- a/gladewalk/config/platform.py
+++ b/gladewalk/config/platform.py
@@ -17,6 +17,7 @@
 """A host, by its literal address or its name, and a port."""
 
 DEFAULT_MAX_DESCRIPTORS = 1_024
+DEFAULT_MEMORY_LIMIT_MB = 64.0
 DEFAULT_CONNECT_TIMEOUT_MS = 400.0
 DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
 MAX_PORT = 65_535
@@ -47,6 +48,7 @@
         coordinator: Where endpoint lists and purges come from.
         seed: Seed of the decision module's random numbers.
         max_descriptors: File descriptors that connections may use.
+        memory_limit_mb: Memory that the process may use.
         connect_timeout_ms: How long a connection to a server may take to open.
         idle_timeout_ms: After how long servers close an idle connection.
         settings: The decision module's settings.
@@ -72,6 +74,7 @@
     admin: Address | None = None
     inherited_fd: int | None = None
     sends_hold_off: bool = False
+    memory_limit_mb: float = DEFAULT_MEMORY_LIMIT_MB
 
 
 class Endpoint(NamedTuple):
@@ -133,7 +136,8 @@
     known = value_or(raw.get("known"), {})
     limits = value_or(raw_settings.get("limits"), {})
     initial_events = _read_events(known)
-    max_descriptors = int(value_or(value_or(raw.get("limits"), {}).get("sockets"), DEFAULT_MAX_DESCRIPTORS))
+    process_limits = value_or(raw.get("limits"), {})
+    max_descriptors = int(value_or(process_limits.get("sockets"), DEFAULT_MAX_DESCRIPTORS))
     settings = read_settings(raw_settings)
     return PlatformConfig(
         name=environ.get("NODE_NAME") or str(raw.get("name", "director")),
@@ -150,6 +154,7 @@
         admin=_read_optional_address(environ.get("NODE_ADMIN_ADDR") or raw.get("admin_addr")),
         inherited_fd=_read_descriptor(environ.get("NODE_FD")),
         sends_hold_off=settings.sends_retry_after,
+        memory_limit_mb=float(value_or(process_limits.get("memory_mb"), DEFAULT_MEMORY_LIMIT_MB)),
     )
 
 
--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -1,7 +1,8 @@
 """The exchange: open requests, their attempts, and the calls of the decision module.
 
 The exchange knows no wire format. It hands events to the module, carries out the module's actions, keeps the
-deadlines, and guarantees by itself that every accepted request gets exactly one final answer.
+deadlines, and guarantees by itself that every accepted request gets exactly one final answer. It owns the
+invariant of `response_buffer`: bytes of a response go to a client only when the director can finish it.
 """
 
 from __future__ import annotations
@@ -29,6 +30,8 @@
 from .outcome_counters import Outcome, outcome_counter
 from .request_log import RequestLog
 from .resolutions import Resolutions
+from .response_buffer import ResponseBudget, ResponseBuffer, budget_bytes
+from .server_maintenance import maintain_server
 
 __all__ = [
     "Attempt", "AttemptResult", "ClientRequest", "Exchange", "FinalAnswer", "OpenRequest", "ResolveResponder",
@@ -63,6 +66,7 @@
         self.final_deadline_ms = math.inf  # when every request is answered, whatever its client's patience
         self.held_requests: list[OpenRequest] | None = None  # accepted, not yet shown to the module
         self.request_log = RequestLog(clock, counters)
+        self.response_budget = ResponseBudget(budget_bytes(config.memory_limit_mb), self._set_flow)
 
     # Called by the client side.
 
@@ -136,12 +140,6 @@
         self._forget(opened)
         self._cancel_all(opened)
 
-    def flow(self, number: int, on: bool) -> None:
-        """Pauses or resumes (`on`) the response that is being passed on, as the client's buffer fills."""
-        opened = self.open_requests.get(number)
-        if opened is not None and opened.serving_attempt is not None and self.upstreams is not None:
-            self.upstreams.flow(opened.serving_attempt, on)
-
     def resolve(
         self,
         responder: ResolveResponder,
@@ -167,46 +165,35 @@
         return not opened.is_answered and self.dispatcher.may_write(opened.number, attempt.number, now)
 
     def response_started(self, attempt: Attempt, head: ResponseHead) -> bool:
-        """Begins to pass on a successful response; False if it is not wanted and the attempt was ended."""
+        """Begins to hold a successful response; False if it is not wanted and the attempt was ended."""
         opened = attempt.open_request
-        if opened.is_answered or opened.serving_attempt is not None:
+        if opened.is_answered:
             self._cancel(attempt)
             return False
-        opened.serving_attempt = attempt
+        response = attempt.response = ResponseBuffer(head)
         self.request_log.note(opened, "response_started", attempt.number, head.content_length)
-        # The attempt's own timeout must not cut a response midway: it has until its client's deadline.
+        # The attempt's own timeout must not end a response midway: it has until its client's deadline.
         self.deadlines.drop(attempt.timer)
         attempt.timer = None
-        opened.client.start_response(head)
-        elapsed_ms = self.clock() - attempt.started_ms
-        self.handle_event(api.FirstByte(opened.number, attempt.number, attempt.order.server, elapsed_ms))
+        if not self.response_budget.admit(attempt, response):
+            self.counters.add("responses.paused")
+            self.request_log.note(opened, "response_paused", attempt.number)
         return True
 
     def response_body(self, attempt: Attempt, data: bytes) -> None:
-        """Passes on a piece of the body, if this attempt's response is the one that is passed on."""
-        opened = attempt.open_request
-        if opened.serving_attempt is attempt and not opened.is_answered:
-            opened.client.write_body(data)
+        """Holds a piece of the body."""
+        if attempt.response is not None:
+            attempt.response.pieces.append(data)
 
     def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
-        """Records an attempt's end, ends the response that it served, and reports it to the module."""
+        """Records an attempt's end, answers its client if its response is whole, and tells the module."""
         opened = attempt.open_request
         if opened.attempts.pop(attempt.number, None) is None:
             return
         self.deadlines.drop(attempt.timer)
         self.counters.add(f"attempts.{result.status.value}")
         self.request_log.note(opened, "attempt_ended", attempt.number, result.status.value)
-        if opened.serving_attempt is attempt and not opened.is_answered:
-            is_complete = result.status is api.Status.OK
-            self.counters.add("answers.served" if is_complete else "answers.cut")
-            outcome = Outcome.COMPLETED if is_complete else Outcome.FAILED
-            self.counters.add(outcome_counter(opened.request.class_name, outcome))
-            self._close(opened)
-            if is_complete:
-                opened.client.end_response()
-            else:
-                self.request_log.ended(opened, "cut", f"attempt ended: {result.status.value}")
-                opened.client.abort_response()
+        self._take_response(attempt, result.status)
         self._forget(opened)
         self.handle_event(
             api.Outcome(
@@ -222,6 +209,28 @@
             )
         )
 
+    def _take_response(self, attempt: Attempt, status: api.Status) -> None:
+        """Sends the response of an attempt that has ended to its client if it is whole, else drops it."""
+        opened, response = attempt.open_request, attempt.response
+        attempt.response = None
+        if response is None:
+            return
+        self.response_budget.withdraw(attempt)
+        if status is api.Status.OK and not opened.is_answered:
+            self._deliver(opened, response)
+        else:
+            self.counters.add("responses.dropped")
+            self.request_log.note(opened, "response_dropped", attempt.number, response.received_bytes())
+            self.response_budget.release(response)
+
+    def _deliver(self, opened: OpenRequest, response: ResponseBuffer) -> None:
+        """Answers a request by a response that is complete."""
+        self.counters.add("answers.served")
+        self.counters.add(outcome_counter(opened.request.class_name, Outcome.COMPLETED))
+        self._close(opened)
+        body = b"".join(response.pieces)
+        opened.client.send_response(response.head, body, lambda: self.response_budget.release(response))
+
     # Called by the coordinator's feed.
 
     def update_servers(
@@ -276,7 +285,8 @@
             case api.Log():
                 self.log(action.line)
             case api.HealthCheck() | api.CloseIdle():
-                self._maintain_server(action)
+                assert self.upstreams is not None
+                maintain_server(action, self.upstreams, self.counters, self.handle_event)
             case api.NotifyPeers() | api.Watch() | api.FetchEndpoints():
                 self.counters.add("module.action_without_use")  # no peers here, and the list is pushed
 
@@ -299,19 +309,6 @@
         timer = api.Timer(action.token)
         self.deadlines.add(self.clock() + action.delay_ms, lambda: self.handle_event(timer))
 
-    def _maintain_server(self, action: api.HealthCheck | api.CloseIdle) -> None:
-        assert self.upstreams is not None
-        server = action.server
-        if isinstance(action, api.CloseIdle):
-            return self.upstreams.close_idle(server)
-        self.counters.add("probes.sent")
-        self.upstreams.probe(
-            server,
-            lambda status, elapsed_ms, load: self.handle_event(
-                api.HealthCheckResult(server, status, elapsed_ms, load)
-            ),
-        )
-
     def _start(self, order: api.Lookup | api.Fetch) -> None:
         assert self.upstreams is not None
         opened, now = self.open_requests[order.id], self.clock()
@@ -329,6 +326,10 @@
             attempt.timer = self.deadlines.add(deadline_ms, lambda: self._stop(attempt, api.Status.TIMEOUT))
         self.upstreams.start(attempt)
 
+    def _set_flow(self, attempt: Attempt, on: bool) -> None:
+        assert self.upstreams is not None
+        self.upstreams.flow(attempt, on)
+
     def _cancel(self, attempt: Attempt) -> None:
         self._stop(attempt, api.Status.CANCELLED)
 
@@ -344,17 +345,11 @@
         if opened is None or opened.is_answered:
             return
         self._close(opened)
-        if opened.serving_attempt is not None:
-            self.counters.add("answers.cut")
-            self.counters.add(outcome_counter(opened.request.class_name, Outcome.FAILED))
-            self.request_log.ended(opened, "cut", reason)
-            opened.client.abort_response()
-        else:
-            self.request_log.ended(opened, final.name.lower(), reason)
-            self.counters.add(f"answers.{final.value}")
-            outcome = Outcome.REJECTED if final is FinalAnswer.REJECTED else Outcome.FAILED
-            self.counters.add(outcome_counter(opened.request.class_name, outcome))
-            opened.client.send_final(final, retry_after_ms)
+        self.request_log.ended(opened, final.name.lower(), reason)
+        self.counters.add(f"answers.{final.value}")
+        outcome = Outcome.REJECTED if final is FinalAnswer.REJECTED else Outcome.FAILED
+        self.counters.add(outcome_counter(opened.request.class_name, outcome))
+        opened.client.send_final(final, retry_after_ms)
         self._forget(opened)
 
     def _cut_short(self, opened: OpenRequest) -> None:
@@ -373,9 +368,16 @@
     def _request_timed_out(self, opened: OpenRequest) -> None:
         """Ends all attempts at the client's deadline, on which the module gives its final answer.
 
-        A request that is still unanswered then is failed here: every request gets an answer.
+        A request that is still unanswered then is failed here: every request gets an answer. A response that
+        is arriving has the client's whole time, without the margin.
         """
         self.request_log.note(opened, "deadline")
+        last_ms = min(opened.received_ms + opened.request.max_wait_ms, self.final_deadline_ms)
+        is_arriving = any(attempt.response is not None for attempt in opened.attempts.values())
+        if is_arriving and self.clock() < last_ms:
+            opened.deadline_ms = last_ms
+            opened.timer = self.deadlines.add(last_ms, lambda: self._request_timed_out(opened))
+            return
         for attempt in list(opened.attempts.values()):
             self._stop(attempt, api.Status.TIMEOUT)
         if not opened.is_answered:
@@ -391,5 +393,4 @@
     def _forget(self, opened: OpenRequest) -> None:
         """Marks a request whose attempts have ended; it is removed once the module has handled its events."""
         if opened.is_answered and not opened.attempts:
-            opened.serving_attempt = None  # the two refer to each other: no work for the garbage collector
             self._finished.append(opened.number)
--- a/gladewalk/core/exchange_types.py
+++ b/gladewalk/core/exchange_types.py
@@ -14,6 +14,7 @@
 from .. import interface as api
 from ..config.platform import Address
 from .deadlines import DeadlineKey
+from .response_buffer import ResponseBuffer
 
 
 @dataclass(slots=True)
@@ -45,7 +46,7 @@
 
 
 class FinalAnswer(Enum):
-    """How a request ends of which no server's response was passed on; counted as `answers.<value>`."""
+    """How a request ends that gets no server's response; counted as `answers.<value>`."""
 
     REJECTED = "refused"
     FAILED = "failed"
@@ -54,17 +55,12 @@
 class ResponseWriter(Protocol):
     """The client side of one open request: where its response is written."""
 
-    def start_response(self, head: ResponseHead) -> None:
-        """Sends the head of a server's response."""
+    def send_response(self, head: ResponseHead, body: bytes, on_sent: Callable[[], None]) -> None:
+        """Sends a server's complete response.
 
-    def write_body(self, data: bytes) -> None:
-        """Sends a piece of the response's body."""
-
-    def end_response(self) -> None:
-        """Ends a complete response."""
-
-    def abort_response(self) -> None:
-        """Closes the connection: the client must see that a response that has begun is incomplete."""
+        `on_sent` is called once, as soon as no more of it than usual is buffered for a slow client, or its
+        connection has ended.
+        """
 
     def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
         """Answers a request that gets no server's response; 0 stands for no advice when to retry."""
@@ -102,7 +98,7 @@
         """Abandons an attempt silently: the exchange is not called about it any more."""
 
     def flow(self, attempt: Attempt, on: bool) -> None:
-        """Resumes (`on`) or pauses reading an attempt's response: flow control towards a slow client."""
+        """Resumes (`on`) or pauses reading an attempt's response, while there is no room to hold it."""
 
     def probe(self, name: str, done: Callable[[api.Status, float, Any], None], path: str = ...) -> None:
         """Sends a health check; `done` gets its status, duration in ms and load report."""
@@ -122,6 +118,7 @@
     deadline_ms: float
     timer: DeadlineKey | None = None
     carrier: Any = None  # the pool's own: the connection or queue entry that carries it
+    response: ResponseBuffer | None = None  # what has arrived of its response, once its head has
 
 
 @dataclass(slots=True, eq=False)
@@ -135,7 +132,6 @@
     deadline_ms: float
     timer: DeadlineKey | None = None
     is_answered: bool = False
-    serving_attempt: Attempt | None = None  # whose response is being passed on
     attempt_count: int = 0
     attempts: dict[int, Attempt] = field(default_factory=dict)  # in flight, by number
     # What happened to it: ms since its arrival, the step, and what the step concerns.
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -18,6 +18,7 @@
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
 from .core.readiness import MAX_SYNC_WAIT_MS, SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
+from .core.response_buffer import budget_bytes
 from .net.clients import FIRST_BYTE_TIMEOUT_MS, ClientFront
 from .net.coordinator import CoordinatorWatch
 from .net.endpoint_feed import EndpointFeed
@@ -226,6 +227,7 @@
         self.config = config
         self.exchange.dispatcher.configure(config.settings)
         self.connection_pool.configure(config)
+        self.exchange.response_budget.limit_bytes = budget_bytes(config.memory_limit_mb)
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
         if self.dns is not None:
@@ -301,7 +303,8 @@
         now = {
             "now.owed": self.exchange.unanswered_count,
             "now.passing": sum(
-                opened.serving_attempt is not None for opened in self.exchange.open_requests.values()
+                any(attempt.response is not None for attempt in opened.attempts.values())
+                for opened in self.exchange.open_requests.values()
             ),
             "now.waiting": len(self.exchange.dispatcher.state.queue),
             "now.clients": len(self.front.connections),
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -191,6 +191,10 @@
         for connection in _older_than(self.idle, now, IDLE_TIMEOUT_MS):
             if connection.is_input_empty() and not connection.is_sending(now):  # else it is about to ask
                 connection.shut_down()
+        for connection in list(self.idle):
+            if connection.is_writing_paused and now > connection.client_deadline_ms + LINGER_MS:
+                self.counters.add("clients.never_read")  # its answer takes up memory for nothing
+                connection.abort("answers_unread")
 
     def _drain_idle(self, now: float) -> None:
         for connection in list(self.idle):
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from collections import deque
+from collections.abc import Callable
 from typing import cast
 
 import httptools
@@ -22,6 +23,12 @@
 HEALTHY, UNREADY = 200, -503  # a health check's answer; the second is told from the statuses of bad input
 
 
+def encode_chunked(body: bytes) -> bytes:
+    """Returns a complete body in the chunked transfer coding (RFC 9112, section 7.1)."""
+    chunk = b"%x\r\n%b\r\n" % (len(body), body) if body else b""
+    return chunk + b"0\r\n\r\n"
+
+
 class ClientConnection(asyncio.Protocol):
     """One client's connection; it is the `ResponseWriter` of the request that it has open."""
 
@@ -39,7 +46,7 @@
         self.open_number: int | None = None
         self.open_request: ClientRequest | None = None
         self.client_deadline_ms = 0.0  # until when the client of the last request waits for its answer
-        self.is_chunked = False
+        self._on_sent: Callable[[], None] | None = None  # called once the last response is not buffered here
         # Requests read but not submitted; an int is a status to answer.
         self.pipelined: deque[ClientRequest | int] = deque()
         self.has_received_request = False
@@ -66,6 +73,7 @@
         """Ends the open request: its client has gone."""
         self.transport = None
         self.pipelined.clear()
+        self._response_sent()
         if self.open_number is not None:
             number, self.open_number = self.open_number, None
             self._release_request()
@@ -104,16 +112,13 @@
         return False
 
     def pause_writing(self) -> None:
-        """Stops the open request's response at its server while the client does not read."""
+        """Notes that the client does not read: the next request waits."""
         self.is_writing_paused = True
-        if self.open_number is not None:
-            self.exchange.flow(self.open_number, False)
 
     def resume_writing(self) -> None:
-        """Lets the response go on, and the next request begin."""
+        """The client has taken its answer: lets the next request begin."""
         self.is_writing_paused = False
-        if self.open_number is not None:
-            self.exchange.flow(self.open_number, True)
+        self._response_sent()
         self._advance()
 
     # Called by httptools.
@@ -321,33 +326,29 @@
 
     # Called by the exchange: the response.
 
-    def start_response(self, head: ResponseHead) -> None:
-        """Writes the head of a 200 or 304."""
+    def send_response(self, head: ResponseHead, body: bytes, on_sent: Callable[[], None]) -> None:
+        """Writes a complete 200 or 304; `on_sent` is called once no more of it is buffered than usual."""
         lines = ["HTTP/1.1 304 Not Modified" if head.is_not_modified else "HTTP/1.1 200 OK"]
-        self.is_chunked = head.content_length is None and not head.is_not_modified
-        if self.is_chunked:
+        if head.content_length is None and not head.is_not_modified:
             lines.append("Transfer-Encoding: chunked")
+            body = encode_chunked(body)
         elif not head.is_not_modified:
-            lines.append(f"Content-Length: {head.content_length}")
+            lines.append(f"Content-Length: {len(body)}")
         if head.etag is not None:
             lines.append(f'ETag: "{head.etag}"')
-        self._write(self._encode_head(lines))
-
-    def write_body(self, data: bytes) -> None:
-        """Writes a piece of the body."""
-        self._write(b"%x\r\n%b\r\n" % (len(data), data) if self.is_chunked else data)
-
-    def end_response(self) -> None:
-        """Ends a complete response."""
-        if self.is_chunked:
-            self._write(b"0\r\n\r\n")
+        self._write(self._encode_head(lines) + body)
+        self._await_sent(on_sent)
         self._response_finished()
 
-    def abort_response(self) -> None:
-        """Aborts the connection, so that the client sees an incomplete response."""
-        self.abort("response_incomplete")
-        self.open_number = None
-        self._release_request()
+    def _await_sent(self, on_sent: Callable[[], None]) -> None:
+        self._on_sent = on_sent
+        if not self.is_writing_paused:
+            self._response_sent()
+
+    def _response_sent(self) -> None:
+        on_sent, self._on_sent = self._on_sent, None
+        if on_sent is not None:
+            on_sent()
 
     def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
         """Writes a 503 with Retry-After (RFC 9110, section 10.2.3), or a 502."""
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -58,6 +58,8 @@
         self.all_fields: Fields = []  # of the request that is being read, repeated ones too
         self.landing: Landing | None = None  # of the open request
         self.is_bodiless = False  # the open request is a HEAD
+        self.is_chunked = False  # its response has no length
+        self.upstream_exchange: UpstreamExchange | None = None  # of the open request
 
     # Reading.
 
@@ -166,7 +168,7 @@
         if request.exchange is None:
             self._answer_locally(request.landing)
             return
-        self.exchange = request.exchange
+        self.exchange = self.upstream_exchange = request.exchange
         super()._submit(request)
 
     def _answer_locally(self, landing: Landing) -> None:
@@ -202,6 +204,13 @@
 
     # Called by the exchange: the response.
 
+    def send_response(self, head: ResponseHead, body: bytes, on_sent: Callable[[], None]) -> None:
+        """Writes a complete response of a server."""
+        self.start_response(head)
+        self.write_body(body)
+        self._await_sent(on_sent)
+        self._response_finished()
+
     def start_response(self, head: ResponseHead) -> None:
         """Writes the head of a server's response."""
         assert isinstance(head, ProxyResponseHead) and self.landing is not None
@@ -220,7 +229,31 @@
     def write_body(self, data: bytes) -> None:
         """Writes a piece of the body, unless the request is a HEAD."""
         if not self.is_bodiless:
-            super().write_body(data)
+            self._write(b"%x\r\n%b\r\n" % (len(data), data) if self.is_chunked else data)
+
+    def end_response(self) -> None:
+        """Ends a response that was passed on piece by piece."""
+        if self.is_chunked:
+            self._write(b"0\r\n\r\n")
+        self._response_finished()
+
+    def abort_response(self) -> None:
+        """Aborts the connection, so that the client sees an incomplete response."""
+        self.abort("response_incomplete")
+        self.open_number = None
+        self._release_request()
+
+    def pause_writing(self) -> None:
+        """Pauses the response that is being passed on, while the client does not read."""
+        super().pause_writing()
+        if self.open_number is not None and self.upstream_exchange is not None:
+            self.upstream_exchange.flow(self.open_number, False)
+
+    def resume_writing(self) -> None:
+        """Lets the response go on, and the next request begin."""
+        if self.open_number is not None and self.upstream_exchange is not None:
+            self.upstream_exchange.flow(self.open_number, True)
+        super().resume_writing()
 
     def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
         """Answers a request that gets no server's response, by its `error_page` if there is one."""
--- /dev/null
+++ b/gladewalk/web/streaming.py
@@ -0,0 +1,133 @@
+"""Responses that are too large to be held: passed on piece by piece, as nginx does beyond its buffers.
+
+A response of known length up to `MAX_RESPONSE_BYTES` is held whole by the exchange. A larger one, or one
+whose length shows only at its end, has no bound: it goes to the client as it comes, and one that breaks off
+ends the client's connection.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol, cast
+
+from .. import interface as api
+from ..config.platform import PlatformConfig
+from ..core.counters import Counters
+from ..core.deadlines import Deadlines
+from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer, OpenRequest, ResponseHead
+from ..core.outcome_counters import Outcome, outcome_counter
+from ..core.response_buffer import MAX_RESPONSE_BYTES
+from .messages import BODILESS_STATUSES, ProxyRequest, ProxyResponseHead
+
+
+class StreamWriter(Protocol):
+    """The client side of a response that is passed on piece by piece."""
+
+    def start_response(self, head: ResponseHead) -> None:
+        """Sends the head of a server's response."""
+
+    def write_body(self, data: bytes) -> None:
+        """Sends a piece of the response's body."""
+
+    def end_response(self) -> None:
+        """Ends a complete response."""
+
+    def abort_response(self) -> None:
+        """Closes the connection: the client must see that a response that has begun is incomplete."""
+
+
+class StreamingExchange(Exchange):
+    """An exchange that passes on what is too large to be held.
+
+    Attributes:
+        streams: The attempts whose responses are being passed on, by the numbers of their requests.
+    """
+
+    def __init__(
+        self,
+        config: PlatformConfig,
+        clock: Callable[[], float],
+        deadlines: Deadlines,
+        counters: Counters,
+        log: Callable[[str], None],
+    ) -> None:
+        super().__init__(config, clock, deadlines, counters, log)
+        self.streams: dict[int, Attempt] = {}
+
+    def is_streaming(self, opened: OpenRequest) -> bool:
+        """Whether a part of a response has gone to the request's client."""
+        return opened.number in self.streams
+
+    def flow(self, number: int, on: bool) -> None:
+        """Pauses or resumes (`on`) the response that is being passed on, as the client's buffer fills."""
+        attempt = self.streams.get(number)
+        if attempt is not None:
+            self._set_flow(attempt, on)
+
+    def response_started(self, attempt: Attempt, head: ResponseHead) -> bool:
+        """Holds a response, or begins to pass it on; False if it is not wanted and the attempt was ended."""
+        opened = attempt.open_request
+        if opened.is_answered or self.is_streaming(opened):
+            self._cancel(attempt)
+            return False
+        if _is_bounded(opened, head):
+            return super().response_started(attempt, head)
+        self.streams[opened.number] = attempt
+        self.deadlines.drop(attempt.timer)
+        attempt.timer = None
+        _writer(opened).start_response(head)
+        elapsed_ms = self.clock() - attempt.started_ms
+        self.handle_event(api.FirstByte(opened.number, attempt.number, attempt.order.server, elapsed_ms))
+        for other in [other for other in opened.attempts.values() if other is not attempt]:
+            self._cancel(other)
+        return True
+
+    def response_body(self, attempt: Attempt, data: bytes) -> None:
+        """Holds a piece of the body, or passes it on."""
+        opened = attempt.open_request
+        if self.streams.get(opened.number) is not attempt:
+            super().response_body(attempt, data)
+        elif not opened.is_answered:
+            _writer(opened).write_body(data)
+
+    def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Ends the response that the attempt passed on, and goes on as the base class does."""
+        opened = attempt.open_request
+        if self.streams.get(opened.number) is attempt:
+            del self.streams[opened.number]
+            if not opened.is_answered:
+                self._end_stream(opened, result.status)
+        super().attempt_ended(attempt, result)
+
+    def _end_stream(self, opened: OpenRequest, status: api.Status) -> None:
+        is_complete = status is api.Status.OK
+        self.counters.add("answers.served" if is_complete else "answers.cut")
+        outcome = Outcome.COMPLETED if is_complete else Outcome.FAILED
+        self.counters.add(outcome_counter(opened.request.class_name, outcome))
+        self._close(opened)
+        if is_complete:
+            _writer(opened).end_response()
+        else:
+            self.request_log.ended(opened, "cut", f"attempt ended: {status.value}")
+            _writer(opened).abort_response()
+
+    def _finish(self, number: int, final: FinalAnswer, reason: str, retry_after_ms: float = 0.0) -> None:
+        opened = self.open_requests.get(number)
+        if opened is not None and not opened.is_answered and self.is_streaming(opened):
+            self._end_stream(opened, api.Status.CANCELLED)
+            self._forget(opened)
+        else:
+            super()._finish(number, final, reason, retry_after_ms)
+
+
+def _is_bounded(opened: OpenRequest, head: ResponseHead) -> bool:
+    request = opened.request
+    is_head_request = isinstance(request, ProxyRequest) and request.verb == "HEAD"
+    is_bodiless_status = isinstance(head, ProxyResponseHead) and head.status in BODILESS_STATUSES
+    if is_head_request or is_bodiless_status:
+        return True
+    return head.content_length is not None and head.content_length <= MAX_RESPONSE_BYTES
+
+
+def _writer(opened: OpenRequest) -> StreamWriter:
+    return cast(StreamWriter, opened.client)
--- a/gladewalk/web/upstream_exchange.py
+++ b/gladewalk/web/upstream_exchange.py
@@ -7,10 +7,11 @@
 from .. import interface as api
 from ..core.counters import Counters
 from ..core.deadlines import DeadlineKey, Deadlines
-from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer
+from ..core.exchange import Attempt, AttemptResult, FinalAnswer
 from ..nginx.table import ProxySettings
 from ..upstream.pool import ConnectionPool
 from .messages import BAD_GATEWAY, GATEWAY_TIMEOUT, ProxyRequest, ProxyResult
+from .streaming import StreamingExchange
 from .upstream_config import NON_IDEMPOTENT_SUFFIX, UpstreamConfig
 
 # The conditions of `proxy_next_upstream` for attempts that ended without a complete response.
@@ -24,7 +25,7 @@
 NEVER_FAILURES = frozenset({"", "http_403", "http_404"})
 
 
-class UpstreamExchange(Exchange):
+class UpstreamExchange(StreamingExchange):
     """Routes one upstream's requests by a core of its own.
 
     The core decides where a request goes and whether it is retried; what `proxy_next_upstream` and its limits
@@ -117,7 +118,7 @@
         opened, request = attempt.open_request, attempt.open_request.request
         if attempt.number in opened.attempts and isinstance(request, ProxyRequest):
             self._record_health(attempt, request, result)
-            is_unanswered = not opened.is_answered and opened.serving_attempt is None
+            is_unanswered = not opened.is_answered and not self.is_streaming(opened)
             if result.status in CONDITIONS and is_unanswered:
                 self._retry_or_fail(attempt, request, result)
         self._written.discard(id(attempt))
