Measure every span with a steady clock; convert other machines' instants in one place

Cause: net/environment.py's wall clock was the clock of every deadline. Stepped forward by an hour it failed what was in flight, stepped back it answered nobody; purges and starts of caches were dated by it. Change: core/clocks.py has a steady clock, anchored once to Unix time, for all spans; the wall clock gives UnixInstants, a type that does not add to steady readings (mypy). InstantConverter takes an instant as young as either clock says, never in the future, and the same instant to the same time whenever it is told. Leases' timers were armed by their wall clock and are armed by the steady one; a DNS serial never goes back.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -69,6 +69,7 @@
     ) -> None:
         self.config, self.options, self.loop = config, options, loop
         self.clock = clock = environment.clock
+        self.wall_clock = environment.wall_clock
         self.counters = counters = Counters()
         self.log = structlog.get_logger().bind(node=config.name)
         self.deadlines = deadlines = LoopTimer(loop, clock).deadlines
@@ -87,7 +88,7 @@
         self._configure_front(config)
         self.readiness = self.front.readiness = Readiness(is_synced=False)
         self.admin = self._build_admin(config)
-        self.endpoint_feed = EndpointFeed(self.exchange, config, clock, counters)
+        self.endpoint_feed = EndpointFeed(self.exchange, config, clock, counters, environment.wall_clock)
         self.coordinator_watch = CoordinatorWatch(
             self.endpoint_feed, config.coordinator, deadlines, self.log.info, environment.new_random()
         )
@@ -113,7 +114,9 @@
         self.persistence = parts.build_store(
             options, purge_settle_ms, clock, counters, self._log_store_event, deadlines
         )
-        self.leases = parts.build_leases(name, options, self.persistence, clock, deadlines, counters)
+        self.leases = parts.build_leases(
+            name, options, self.persistence, clock, self.endpoint_feed.instants, deadlines, counters
+        )
         self.control = parts.build_control(options, counters, self.duties, self.persistence, self.leases)
 
     # Start and run.
--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import replace
 
 from ..config.platform import Address
+from ..core.clocks import read_wall_clock
 from ..core.counters import Counters
 from ..core.exchange import Exchange
 from ..policy.dns_placement import DNS_LEASE_MS
@@ -48,6 +48,7 @@
     ) -> None:
         self.exchange, self.counters, self._config = exchange, counters, config
         self._classes = frozenset(cls.name for cls in exchange.dispatcher.state.settings.classes)
+        self._serial = 0
         self.processor = QueryProcessor(exchange, counters, config, self._make_zones(), own_port, alpn_of)
         self.streams = StreamConnections(
             self.processor, config.streams, counters, exchange.clock, exchange.deadlines
@@ -103,7 +104,9 @@
     # Zones.
 
     def _make_zones(self) -> list[Zone]:
-        config, serial = self._config, int(time.time()) % SERIAL_MODULUS
+        config = self._config
+        # A wall clock that was set back must not take the serial back, or secondaries keep the former zone.
+        self._serial = serial = max(self._serial, int(read_wall_clock().unix_ms / 1_000.0)) % SERIAL_MODULUS
         rules = NamingRules(self._classes, config.open_classes, self._is_known_address)
         nameservers = config.nameservers or {DEFAULT_NAMESERVER: (config.own_address,)}
         return [
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -8,6 +8,7 @@
 
 from ..config.options import Options
 from ..config.platform import ConfigError, read_address
+from ..core.clocks import InstantConverter, SteadyClock
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.outcome_counters import Outcome
@@ -140,7 +141,8 @@
     name: str,
     options: Options,
     persistence: PersistenceService,
-    wall_clock: Clock,
+    steady_clock: SteadyClock,
+    instants: InstantConverter,
     deadlines: Deadlines,
     counters: Counters,
 ) -> tuple[LeaseService, Address]:
@@ -166,7 +168,7 @@
         report = FleetReport(
             name,
             directors,
-            incarnation=int(wall_clock()),  # a later start has the higher number
+            incarnation=int(instants.present().unix_ms),  # a later start has the higher number
             stale_after_ms=STALE_REPORTS * table.report_interval_ms,
             read_counts=lambda: read_request_counts(counters),
         )
@@ -182,7 +184,8 @@
         authenticator,
         persistence.writer,
         clock,
-        wall_clock,
+        steady_clock,
+        instants,
         deadlines,
         counters,
     )
--- a/gladewalk/leases/transport.py
+++ b/gladewalk/leases/transport.py
@@ -11,12 +11,13 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Any, Protocol, cast
 
 import msgspec
 import structlog
 
+from ..core.clocks import InstantConverter, SteadyClock
 from ..core.counters import Counters
 from ..core.deadlines import DeadlineKey, Deadlines
 from ..members.authenticator import DropReason, MessageAuthenticator
@@ -68,13 +69,14 @@
         authenticator: MessageAuthenticator,
         rows: RowWriter,
         clock: LeaseClock,
-        wall_clock: Callable[[], float],
+        steady_clock: SteadyClock,
+        instants: InstantConverter,
         deadlines: Deadlines,
         counters: Counters,
     ) -> None:
         self.voter, self.candidate, self.holder_tasks = voter, candidate, holder_tasks
         self.addresses, self.authenticator, self.rows = addresses, authenticator, rows
-        self.clock, self.wall_clock = clock, wall_clock
+        self.clock, self.steady_clock, self.instants = clock, steady_clock, instants
         self.deadlines, self.counters = deadlines, counters
         self.transport: asyncio.DatagramTransport | None = None
         self.random = random.SystemRandom()
@@ -92,7 +94,7 @@
 
     def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
         """Handles one datagram; whatever is not a sealed lease message is counted and dropped."""
-        verified = self.authenticator.verify(data, self.wall_clock())
+        verified = self.authenticator.verify(data, self.steady_clock())
         if isinstance(verified, DropReason):
             return self.counters.add(f"leases.dropped.{verified.value}")
         try:
@@ -120,7 +122,8 @@
 
     def request_purge(self, target: str) -> str:
         """Accepts an operator's purge and returns its id; raises `PurgeRejectedError` with the reason."""
-        request_id, outputs = self.holder_tasks.request_purge(target, self.clock(), self.wall_clock())
+        wall_ms = self.instants.present().unix_ms
+        request_id, outputs = self.holder_tasks.request_purge(target, self.clock(), wall_ms)
         self._carry_out(outputs)
         return request_id
 
@@ -191,7 +194,7 @@
         if address is None or self.transport is None or self.transport.is_closing():
             return
         nonce = self.random.getrandbits(NONCE_BITS)
-        sealed = self.authenticator.sign(payload, self.wall_clock(), nonce, MAX_DATAGRAM_BYTES)
+        sealed = self.authenticator.sign(payload, self.steady_clock(), nonce, MAX_DATAGRAM_BYTES)
         self.transport.sendto(sealed, address)
 
     def _schedule_tick(self) -> None:
@@ -201,7 +204,7 @@
         now_ms = self.clock()
         due_ms = min(self.candidate.next_due_ms(), self.holder_tasks.next_due_ms(now_ms))
         wait_ms = max(due_ms - now_ms, 0.0) / self.clock.rate
-        self._timer = self.deadlines.add(self.wall_clock() + wait_ms, self._tick)
+        self._timer = self.deadlines.add(self.steady_clock() + wait_ms, self._tick)
 
     def _cancel_timer(self) -> None:
         self.deadlines.drop(self._timer)
@@ -212,5 +215,5 @@
         now_ms = self.clock()
         # The holder's tasks read each token after the candidate has expired what is over.
         outputs = self.candidate.tick(now_ms)
-        outputs += self.holder_tasks.tick(now_ms, self.wall_clock())
+        outputs += self.holder_tasks.tick(now_ms, self.instants.present().unix_ms)
         self._carry_out(outputs)
--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -4,11 +4,13 @@
 
 import json
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Any
 
 from .. import interface as api
 from ..config.platform import Address, ConfigError, PlatformConfig, read_endpoint, read_finite
 from ..config.policy_settings import InvalidMessageError
+from ..core.clocks import InstantConverter, SteadyClock, UnixInstant, WallClock, read_wall_clock
 from ..core.counters import Counters
 from ..core.exchange import Exchange
 
@@ -23,9 +25,15 @@
     """Applies each event of the feed once and in order, however often a connection delivers it."""
 
     def __init__(
-        self, exchange: Exchange, config: PlatformConfig, clock: Callable[[], float], counters: Counters
+        self,
+        exchange: Exchange,
+        config: PlatformConfig,
+        clock: SteadyClock,
+        counters: Counters,
+        wall_clock: WallClock = read_wall_clock,
     ) -> None:
         self.exchange, self.roles, self.clock, self.counters = exchange, config.roles, clock, counters
+        self.instants = InstantConverter(clock, wall_clock)
         self.last_index = self.initial_index = 0
         self.is_resumed = False  # `last_index` comes from a run before this one
         self.on_event: Callable[[int, FeedMessage], None] | None = None  # called after each complete event
@@ -133,11 +141,18 @@
             kind = api.EndpointListKind.COMPLETE if self._has_list else api.EndpointListKind.PERSISTED
         self._has_list = True
         addresses = {server.name: address for server, address in entries}
-        servers = tuple(server for server, _ in entries)
+        servers = tuple(self._with_steady_start(server) for server, _ in entries)
         self.exchange.update_servers(api.EndpointList(kind, servers), addresses, models)
         return bad_entries
 
+    def _with_steady_start(self, server: api.Server) -> api.Server:
+        """Returns a listed server with the start of its process in steady time; 0 stands for long ago."""
+        if server.started_ms <= 0.0:
+            return server
+        return replace(server, started_ms=self.instants.to_steady(UnixInstant(server.started_ms)))
+
     def _apply_purge(self, evict: FeedMessage) -> None:
         key = int(evict["ref"], 16) if "ref" in evict else None
-        age_ms = max(0.0, self.clock() - read_finite(evict["unix_ms"]))
+        purged_ms = self.instants.to_steady(UnixInstant(read_finite(evict["unix_ms"])))
+        age_ms = max(0.0, self.clock() - purged_ms)
         self.exchange.purge(api.Purge(key, int(evict.get("shard", -1)), age_ms))
--- a/gladewalk/net/environment.py
+++ b/gladewalk/net/environment.py
@@ -1,18 +1,18 @@
-"""What a director takes from its environment beside the event loop: the clock, listening sockets, randomness.
+"""What a director takes from its environment beside the event loop: clocks, listening sockets, randomness.
 
-Simulation replaces all three: a virtual clock, listeners in memory, seeded random numbers.
+Simulation replaces all of it: virtual clocks, listeners in memory, seeded random numbers.
 """
 
 from __future__ import annotations
 
 import random
 import socket
-import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from ..config.platform import Address
+from ..core.clocks import AnchoredClock, SteadyClock, WallClock, read_wall_clock
 
 
 class Listener(Protocol):
@@ -31,11 +31,6 @@
         """Returns the descriptor, for the event loop."""
 
 
-def unix_ms() -> float:
-    """Returns the current Unix time in milliseconds."""
-    return time.time() * 1000.0
-
-
 def open_listener(address: Address, backlog: int, inherited_fd: int | None) -> Listener:
     """Binds `address`, or adopts the listener inherited as `inherited_fd`, which is never bound again."""
     if inherited_fd is not None:
@@ -49,11 +44,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Environment:
-    """The operating system's clock, sockets and randomness, unless replaced."""
+    """The operating system's clocks, sockets and randomness, unless replaced."""
 
-    clock: Callable[[], float] = unix_ms  # Unix ms
+    clock: SteadyClock = field(default_factory=AnchoredClock)  # steady ms, never stepped
     listen: Callable[[Address, int, int | None], Listener] = open_listener
     new_random: Callable[[], random.Random] = random.Random  # each seeded by the system
+    wall_clock: WallClock = read_wall_clock  # for instants of other machines alone
 
 
 REAL_ENVIRONMENT = Environment()
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from .config.platform import PlatformConfig, load_config
+from .core.clocks import InstantConverter
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
@@ -115,6 +116,7 @@
     options: Options | None,
     store: PersistenceService | None,
     clock: Clock,
+    instants: InstantConverter,
     deadlines: Deadlines,
     counters: Counters,
 ) -> tuple[LeaseService, LeaseAddress] | None:
@@ -123,7 +125,7 @@
         return None
     from .leases.start import build_lease_service
 
-    return build_lease_service(name, options, store, clock, deadlines, counters)
+    return build_lease_service(name, options, store, clock, instants, deadlines, counters)
 
 
 def build_control(
--- a/gladewalk/rehearsal/virtual/loop.py
+++ b/gladewalk/rehearsal/virtual/loop.py
@@ -19,6 +19,7 @@
 from typing import Any, TypeVar
 
 from ...config.platform import Address
+from ...core.clocks import UnixInstant
 from ...errors import GladewalkError
 from ...net.environment import Environment
 from .network import NetworkConditions
@@ -120,7 +121,12 @@
 
     def environment(self) -> Environment:
         """Returns what a director in this loop takes from its environment."""
-        return Environment(self.unix_ms, self.listen, lambda: random.Random(self.random.random()))
+        return Environment(
+            self.unix_ms,
+            self.listen,
+            lambda: random.Random(self.random.random()),
+            lambda: UnixInstant(self.unix_ms()),
+        )
 
     def record_event(
         self, kind: str, connection_id: int, sender: str, receiver: str, piece: Piece = b""
--- a/tests/store/test_persistence.py
+++ b/tests/store/test_persistence.py
@@ -17,9 +17,9 @@
 from gladewalk.cli.commands import gladewalk
 from gladewalk.config.options import Options, build_options, read_option_tables
 from gladewalk.config.platform import ConfigError, PlatformConfig, read_address, read_config
+from gladewalk.core.clocks import AnchoredClock, read_wall_clock
 from gladewalk.director import Director
 from gladewalk.dns.settings import DnsConfig, LeaseSettings
-from gladewalk.net.environment import unix_ms
 from gladewalk.policy import Dispatcher
 from gladewalk.rehearsal.coordinator import Coordinator
 from gladewalk.rehearsal.director_harness import DirectorHarness, config_for, wait_until
@@ -74,7 +74,7 @@
     await wait_until(lambda: bool(coordinator.followed_from))
     peers[0].state = "DRAINING"
     coordinator.publish_endpoints(peers[0])
-    coordinator.publish(evict={"ref": "a1", "unix_ms": unix_ms()})
+    coordinator.publish(evict={"ref": "a1", "unix_ms": read_wall_clock().unix_ms})
     persistence = first.persistence
     assert persistence is not None
     await wait_until(lambda: persistence.log.durable_sequence >= 2)
@@ -117,7 +117,7 @@
     coordinator.publish_endpoints(peers[0], peers[3], is_complete=True)  # the others are listed no more
     peers[3].state = "DRAINING"
     coordinator.publish_endpoints(peers[3])
-    coordinator.publish(evict={"ref": "a1", "unix_ms": unix_ms()})
+    coordinator.publish(evict={"ref": "a1", "unix_ms": read_wall_clock().unix_ms})
     await wait_until(lambda: first.endpoint_feed.last_index == 4)
     command = ["store", "status", "--socket", str(tmp_path / "c")]
     result = await asyncio.to_thread(CliRunner().invoke, gladewalk, [*command, "--json"])
@@ -175,11 +175,12 @@
         await wait_until(lambda: partitions_with_locations(log) > 6)
         await wait_until(lambda: log.durable_sequence >= log.index.last_sequence - 1)
         director.persistence.directory.close()
-    again = SegmentedLog(StoreDirectory(tmp_path / "store"), unix_ms)
+    steady_ms = AnchoredClock()
+    again = SegmentedLog(StoreDirectory(tmp_path / "store"), steady_ms)
     assert lease in again.items(LEASE_SPACE).values()
     core = Dispatcher(director.exchange.dispatcher.state.settings, 1)
     servers = tuple(server.info for server in director.exchange.dispatcher.state.registry.servers.values())
-    core.handle(unix_ms(), api.EndpointList(api.EndpointListKind.PERSISTED, servers))
-    assert restore_leases(core, again.items(LEASE_SPACE), unix_ms()) == 1
-    objects, _ = restore_snapshot(core, again.items(SNAPSHOT_SPACE), unix_ms())
+    core.handle(steady_ms(), api.EndpointList(api.EndpointListKind.PERSISTED, servers))
+    assert restore_leases(core, again.items(LEASE_SPACE), steady_ms()) == 1
+    objects, _ = restore_snapshot(core, again.items(SNAPSHOT_SPACE), steady_ms())
     assert objects > 4
--- a/tests/test_golden_leases.py
+++ b/tests/test_golden_leases.py
@@ -13,6 +13,7 @@
 import pytest
 import structlog
 
+from gladewalk.core.clocks import InstantConverter, UnixInstant
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.faultnet.fenced_resource import FencedResource
@@ -206,7 +207,8 @@
             new_authenticator(),
             self.rows,
             self.clock,
-            lambda: WALL_MS + self.clock.now,
+            self.steady_ms,
+            InstantConverter(self.steady_ms, lambda: UnixInstant(self.steady_ms())),
             cast(Deadlines, NoDeadlines()),
             self.counters,
         )
@@ -217,6 +219,9 @@
         self.datagrams: list[str] = []
         self.views: dict[str, object] = {}
 
+    def steady_ms(self) -> float:
+        return WALL_MS + self.clock.now
+
     def receive(self, message: messages.Message, nonce: int, port: int) -> None:
         sealed = sign(messages.encode(message), WALL_MS + self.clock.now, nonce)
         self.leases.datagram_received(sealed, ("x", port))
--- a/tests/test_members_transport.py
+++ b/tests/test_members_transport.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 
+from gladewalk.core.clocks import AnchoredClock
 from gladewalk.core.counters import Counters
 from gladewalk.director import LoopTimer
 from gladewalk.members.authenticator import MessageAuthenticator, key_from_secret
@@ -13,20 +14,21 @@
 from gladewalk.members.stream import LENGTH
 from gladewalk.members.swim import Membership
 from gladewalk.members.transport import MembershipTransport
-from gladewalk.net.environment import unix_ms
 from gladewalk.rehearsal.director_harness import wait_until
 
+steady_ms = AnchoredClock()
+
 
 class Loopback(unittest.IsolatedAsyncioTestCase):
     async def start(
         self, name: str, seeds: tuple[tuple[str, int], ...], key: bytes = b"k" * 32
     ) -> MembershipTransport:
-        deadlines = LoopTimer(asyncio.get_running_loop(), unix_ms).deadlines
+        deadlines = LoopTimer(asyncio.get_running_loop(), steady_ms).deadlines
         address = ("127.0.0.1", 0)
-        core = Membership(name, address, seeds, MembershipConfig(), random.Random(name), unix_ms())
+        core = Membership(name, address, seeds, MembershipConfig(), random.Random(name), steady_ms())
         networks = (ipaddress.ip_network("127.0.0.0/8"),)
         authenticator = MessageAuthenticator((key_from_secret(key),), 30_000.0)
-        members = MembershipTransport(core, authenticator, networks, unix_ms, deadlines, Counters())
+        members = MembershipTransport(core, authenticator, networks, steady_ms, deadlines, Counters())
         await members.listen()
         return members
 
@@ -40,7 +42,7 @@
         )
         events: list[UserEvent] = []
         third.on_event = events.append
-        first.publish_event(UserEvent("load/box-1", "a", 1, unix_ms(), "ok", 1.5, {"util": 0.25}))
+        first.publish_event(UserEvent("load/box-1", "a", 1, steady_ms(), "ok", 1.5, {"util": 0.25}))
         await wait_until(lambda: bool(events))
         assert (events[0].task, events[0].load) == ("load/box-1", {"util": 0.25})
         second.leave()
@@ -72,7 +74,7 @@
         await wait_until(lambda: not second.streams.is_syncing and not first.streams.is_syncing)
         for number in range(300):  # far more than a datagram holds; none of it is ever gossiped
             first.core.dissemination.learn_event(
-                UserEvent(f"load/box-{number}", "a", 1, unix_ms(), "ok", 1.0)
+                UserEvent(f"load/box-{number}", "a", 1, steady_ms(), "ok", 1.0)
             )
         first.core.dissemination.queued_events.clear()
         events: list[UserEvent] = []
@@ -91,11 +93,11 @@
         member = await self.start("a", ())
         stranger = MessageAuthenticator((key_from_secret(b"x" * 32),), 30_000.0)
         digest = encode(Digest(sender="b", run_id=1, digest=2))
-        good = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0).sign(digest, unix_ms(), 1)
+        good = MessageAuthenticator((key_from_secret(b"k" * 32),), 30_000.0).sign(digest, steady_ms(), 1)
         for data, why in (
             (b"\xff\xff\xff\xff", "oversized"),
             (LENGTH.pack(4) + b"noise", "malformed"),
-            (LENGTH.pack(len(good)) + stranger.sign(digest, unix_ms(), 1), "unknown_key"),
+            (LENGTH.pack(len(good)) + stranger.sign(digest, steady_ms(), 1), "unknown_key"),
             (LENGTH.pack(len(good)) + bytes([*good[:-1], good[-1] ^ 1]), "forged"),
         ):
             reader, writer = await asyncio.open_connection("127.0.0.1", member.core.local.port)
