--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -14,6 +14,7 @@
 from ..core.exchange import ClientRequest, Exchange
 from ..core.readiness import Readiness
 from ..interface import Idempotency
+from .accept_errors import AcceptBackoff, error_name
 from .connection import ClientConnection
 from .environment import Listener, open_listener
 
@@ -71,6 +72,7 @@
         self.address: Address = ("", 0)
         self._listener: Listener | None = None
         self._is_accepting = False
+        self._accept_backoff = AcceptBackoff()
         self._setting_up: dict[asyncio.Task[object], ClientConnection] = {}
         self._paused: dict[ClientConnection, None] = {}  # not read at the moment: nothing reports their end
 
@@ -91,7 +93,7 @@
         some milliseconds, requests would stay unread past their deadlines. Accepting stops at the limit of
         descriptors, as the loop would spin on a listener that stays readable.
         """
-        loop = asyncio.get_running_loop()
+        self._accept_backoff.start_turn()
         while self._listener is not None:
             if self.descriptor_count >= self.connection_limit + SPARE_CONNECTIONS:
                 return self._pause_accepting()
@@ -99,19 +101,38 @@
                 peer, _ = self._listener.accept()
             except BlockingIOError:
                 return self._all_accepted()
-            except OSError:  # no descriptor left, or the peer has gone: the next sweep tries again
-                self.counters.add("clients.accept_failed")
-                return self._pause_accepting()
-            self.descriptor_count += 1
-            if self.descriptor_count - self.evicted_count > self.connection_limit + SPARE_CONNECTIONS // 2:
-                self._evict_one()
+            except OSError as error:
+                if self._has_paused_for(error):
+                    return
+                continue
+            self._accept_backoff.accepted()
+            self._take_connection(peer)
+
+    def _has_paused_for(self, error: OSError) -> bool:
+        """Counts an error of `accept`; pauses for one of the process, and returns whether it did."""
+        self.counters.add("clients.accept_failed")
+        self.counters.add(f"clients.accept_failed.{error_name(error)}")
+        pause_ms = self._accept_backoff.pause_ms(error)
+        if pause_ms <= 0.0:
+            return False
+        self._pause_accepting()
+        self.deadlines.add(self.clock() + pause_ms, self._resume_accepting)
+        return True
+
+    def _take_connection(self, peer: socket.socket) -> None:
+        """Makes a transport for a connection that was accepted, and makes room for it."""
+        loop = asyncio.get_running_loop()
+        self.descriptor_count += 1
+        if self.descriptor_count - self.evicted_count > self.connection_limit + SPARE_CONNECTIONS // 2:
+            self._evict_one()
+        try:
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = self.connection_type(self)
-            task = loop.create_task(
-                loop.connect_accepted_socket(partial(_return_connection, connection), peer)
-            )
-            self._setting_up[task] = connection
-            task.add_done_callback(self._set_up)
+        except OSError as error:  # it is served all the same, or its end is read
+            self.counters.add(f"clients.option_failed.{error_name(error)}")
+        connection = self.connection_type(self)
+        task = loop.create_task(loop.connect_accepted_socket(partial(_return_connection, connection), peer))
+        self._setting_up[task] = connection
+        task.add_done_callback(self._set_up)
 
     def _set_up(self, task: asyncio.Task[object]) -> None:
         has_failed = task.cancelled() or task.exception() is not None
@@ -176,8 +197,9 @@
     def _sweep_awaiting(self, now: float) -> None:
         for connection in _older_than(self.awaiting, now, FIRST_BYTE_TIMEOUT_MS):
             if not connection.has_partial_request:
-                self.counters.add("clients.asked_nothing")
-                self._evict(connection, "asked_nothing")
+                if connection.is_input_empty():  # else its request has come and is about to be read
+                    self.counters.add("clients.asked_nothing")
+                    self._evict(connection, "asked_nothing")
             elif now - connection.request_began_ms > self.request_timeout_ms:
                 self.counters.add("clients.came_too_slowly")
                 connection.request_timed_out()
--- a/gladewalk/upstream/connection_opener.py
+++ b/gladewalk/upstream/connection_opener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import ssl
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -16,6 +17,12 @@
     from .http2 import Http2Connection
 
 
+# Errors of this process or machine: they tell nothing of the server (Linux, socket(2) and connect(2)).
+LOCAL_ERRORS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR}
+)
+
+
 class GroupConnectionRequest:
     """A connection that a server's group asks for; no single work item waits for it."""
 
@@ -84,6 +91,7 @@
                 )
         except (OSError, ValueError) as error:  # ValueError: a name that cannot be looked up
             connection = None
+            request.is_local_failure = isinstance(error, OSError) and error.errno in LOCAL_ERRORS
             self._count_tls_failure(error)
         finally:
             self._finish(request)
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -230,7 +230,10 @@
         else:
             self.counters.add("caches.no_descriptor" if is_queued else "caches.connects_failed")
         self.withdraw(request)
-        status = api.Status.NOT_SENT if is_queued else api.Status.CONNECT_FAILED
+        is_local = is_queued or request.is_local_failure
+        if request.is_local_failure:
+            self.counters.add("caches.connects_failed_here")
+        status = api.Status.NOT_SENT if is_local else api.Status.CONNECT_FAILED
         self.finish(request.item, AttemptResult(status))
 
     def _begin(self, item: WorkItem, name: str) -> None:
--- a/gladewalk/upstream/upstream_server.py
+++ b/gladewalk/upstream/upstream_server.py
@@ -114,6 +114,7 @@
         queue: The queue that it waits in; None once its connection is being opened.
         task: Opens its connection.
         timer: When the wait ends without a connection.
+        is_local_failure: Whether its connection failed for a reason that is not the server's.
     """
 
     def __init__(
@@ -127,6 +128,7 @@
         self.queue: WaitQueue | None = queue
         self.task: asyncio.Task[None] | None = None
         self.timer: DeadlineKey | None = None
+        self.is_local_failure = False
 
     def cancel(self, item: WorkItem) -> None:
         """Ends the wait; the work item gets no result."""
--- /dev/null
+++ b/tests/test_system_errors.py
@@ -0,0 +1,206 @@
+"""Errors of system calls: one of a connection stops nobody else, one of the process passes by itself."""
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+import pytest
+
+from gladewalk.director import Director
+from gladewalk.net.accept_errors import CONNECTION_ERRORS, MAX_CONNECTION_ERRORS
+from gladewalk.net.environment import Listener
+from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
+from gladewalk.upstream.connection_opener import LOCAL_ERRORS
+
+from .server_scripts import BYTES, hit
+
+PROCESS_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+REMOTE_ERRORS = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET)
+
+
+class FaultyListener:
+    """A listening socket whose `accept` fails by a script before it works again."""
+
+    def __init__(self, listener: Listener, errors: list[int]) -> None:
+        self.listener, self.errors, self.calls = listener, errors, 0
+
+    def accept(self) -> tuple[Any, Any]:
+        self.calls += 1
+        if self.errors:
+            raise OSError(self.errors.pop(0), "injected")
+        return self.listener.accept()
+
+    def close(self) -> None:
+        self.listener.close()
+
+    def getsockname(self) -> Any:
+        return self.listener.getsockname()
+
+    def fileno(self) -> int:
+        return self.listener.fileno()
+
+
+def break_listener(director: Director, errors: list[int]) -> FaultyListener:
+    front = director.front
+    assert front._listener is not None
+    front._pause_accepting()
+    front._listener = faulty = FaultyListener(front._listener, errors)
+    front._resume_accepting()
+    return faulty
+
+
+async def answered_under(errors: list[int]) -> tuple[Director, FaultyListener]:
+    """One request whose connection is accepted behind these errors."""
+    async with DirectorHarness([ScriptedServer(hit)]) as world:
+        assert world.director is not None
+        faulty = break_listener(world.director, errors)
+        status, _, body = await world.fetch()
+        assert (status, body, errors) == (200, BYTES, [])
+        await wait_until(lambda: not cast(Director, world.director).front.connections)
+        assert world.director.front.descriptor_count == 0
+        return world.director, faulty
+
+
+@pytest.mark.parametrize("number", sorted(CONNECTION_ERRORS))
+def test_an_error_of_one_connection_stops_no_other(number: int) -> None:
+    async def story() -> None:
+        director, _ = await answered_under([number])
+        name = errno.errorcode[number]
+        assert director.counters[f"clients.accept_failed.{name}"] == 1
+
+    asyncio.run(story())
+
+
+def test_the_connection_behind_a_failed_one_is_accepted_in_the_same_turn() -> None:
+    async def story() -> int:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
+            assert world.director is not None
+            front = world.director.front
+            front._pause_accepting()
+            _, writer = await world.connect()
+            break_listener(world.director, [errno.ECONNABORTED] * 3)
+            front._pause_accepting()
+            front.accept()
+            writer.close()
+            return front.descriptor_count
+
+    assert asyncio.run(story()) == 1
+
+
+@pytest.mark.parametrize("number", PROCESS_ERRORS)
+def test_an_error_of_the_process_passes_without_a_spin(number: int) -> None:
+    async def story() -> None:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
+            assert world.director is not None
+            errors = [number] * 100_000
+            faulty = break_listener(world.director, errors)
+            request = asyncio.ensure_future(world.fetch())
+            await asyncio.sleep(0.5)
+            assert 2 <= faulty.calls <= 40
+            errors.clear()
+            assert (await request)[0] == 200
+
+    asyncio.run(story())
+
+
+def test_an_error_of_a_connection_that_does_not_end_is_no_spin_either() -> None:
+    async def story() -> int:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
+            assert world.director is not None
+            errors = [errno.ECONNABORTED] * 100_000
+            faulty = break_listener(world.director, errors)
+            request = asyncio.ensure_future(world.fetch())
+            await asyncio.sleep(0.5)
+            calls = faulty.calls
+            errors.clear()
+            assert (await request)[0] == 200
+            return calls
+
+    assert asyncio.run(story()) <= 40 * (MAX_CONNECTION_ERRORS + 1)
+
+
+def test_a_socket_option_that_fails_costs_no_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    errors = [errno.EINVAL]  # the front's own call; the event loop makes one after it
+
+    def fail(self: socket.socket, *arguments: Any) -> None:
+        if errors:
+            raise OSError(errors.pop(), "injected")
+
+    async def story() -> tuple[int, int, int]:
+        async with DirectorHarness([ScriptedServer(hit)]) as world:
+            assert world.director is not None
+            front = world.director.front
+            monkeypatch.setattr(FailingOptionSocket, "setsockopt", fail)
+            assert front._listener is not None
+            real = front._listener.accept
+
+            def accept() -> tuple[Any, Any]:
+                peer, address = real()
+                return FailingOptionSocket(fileno=peer.detach()), address
+
+            faulty = break_listener(world.director, [])
+            faulty.accept = accept  # type: ignore[method-assign]
+            status, _, _ = await world.fetch()
+            await wait_until(lambda: not front.connections)
+            return status, front.descriptor_count, front.counters["clients.option_failed.EINVAL"]
+
+    assert asyncio.run(story()) == (200, 0, 1)
+
+
+class FailingOptionSocket(socket.socket):
+    """A socket whose options a test breaks."""
+
+
+def failing_connects(numbers: list[int]) -> Callable[..., Any]:
+    """Returns a `create_connection` that fails by a script before it works again."""
+    loop = asyncio.get_running_loop()
+    real = loop.create_connection
+
+    async def create_connection(*arguments: Any, **more: Any) -> Any:
+        if numbers:
+            raise OSError(numbers.pop(0), "injected")
+        return await real(*arguments, **more)
+
+    return create_connection
+
+
+@pytest.mark.parametrize("number", sorted(LOCAL_ERRORS) + list(REMOTE_ERRORS))
+def test_a_connect_that_fails_is_retried_and_a_local_error_is_not_held_against_the_server(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with DirectorHarness([ScriptedServer(hit), ScriptedServer(hit, "c2")]) as world:
+            assert world.director is not None
+            await wait_until(lambda: world.coordinator.followed_from == [1])
+            loop = asyncio.get_running_loop()
+            reader, writer = await world.connect()
+            monkeypatch.setattr(loop, "create_connection", failing_connects([number]))
+            writer.write(encode_request("/invoke/lot-page/a1"))
+            assert (await read_message(reader)).status == 200
+            writer.close()
+            registry = world.director.exchange.dispatcher.state.registry
+            failures = sum(server.consecutive_failures for server in registry.servers.values())
+            is_local = number in LOCAL_ERRORS
+            assert (failures == 0) == is_local
+            assert world.director.counters["caches.connects_failed_here"] == is_local
+
+    asyncio.run(story())
+
+
+def test_a_write_whose_connect_fails_here_is_sent_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story() -> int:
+        cache = ScriptedServer(hit)
+        async with DirectorHarness([cache, ScriptedServer(hit, "o", "origin", "north")]) as world:
+            loop = asyncio.get_running_loop()
+            reader, writer = await world.connect()
+            monkeypatch.setattr(loop, "create_connection", failing_connects([errno.EMFILE]))
+            writer.write(encode_request("/invoke/bid/b1", method="PUT", body=b"12 boxes"))
+            assert (await read_message(reader)).status == 200
+            writer.close()
+            return len(cache.received)
+
+    assert asyncio.run(story()) <= 1
