--- a/tests/program.py
+++ b/tests/program.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -49,10 +50,13 @@
 
 
 async def start_program(
-    config_file: Path | str, *words: str, listener_fd: int | None = None
+    config_file: Path | str,
+    *words: str,
+    listener_fd: int | None = None,
+    environ: Mapping[str, str] | None = None,
 ) -> DirectorProgram:
     """Starts a director with this file as `NODE_CONFIG`; a listener given is its descriptor 3 (`NODE_FD`)."""
-    environ = {**os.environ, "NODE_CONFIG": str(config_file)}
+    environ = {**(environ or os.environ), "NODE_CONFIG": str(config_file)}
     hand_over = None
     if listener_fd is not None:
         environ["NODE_FD"] = str(INHERITED_FD)
