--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,6 +9,7 @@
 from gladewalk.rehearsal.director_harness import wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
+from gladewalk.upstream.http1 import Http1Connection
 
 from .server_scripts import BYTES, half, hit, miss_then_fill, reset, running, silent
 
@@ -158,3 +159,44 @@
             await wait_until(lambda: not exchange.open_requests)
             assert (counters["requests.left_by_client"], counters["attempts.cancelled"]) == (1, 1)
             assert not (exchange.dispatcher.state.pending or exchange.dispatcher.state.attempts)
+
+
+def test_a_server_that_sent_a_second_answer_late_gets_no_connection_twice() -> None:
+    """HTTP/1.1 does not tell whose answer it is that comes while the next request is under way."""
+
+    async def doubled(heard: ReceivedRequest) -> None:
+        raw = HEAD + b"Content-Length: %d\r\n\r\n%b" % (len(heard.path), heard.path.encode())
+        heard.writer.write(raw)
+        await asyncio.sleep(0.01)
+        heard.writer.write(HEAD + b"Content-Length: 4\r\n\r\nfake")
+        await asyncio.sleep(0.02)
+
+    async def story() -> list[bytes]:
+        async with running(ScriptedServer(doubled)) as (world, director):
+            await world.fetch("/invoke/lot-page/1")
+            await wait_until(lambda: director.counters["caches.surplus"] >= 1)
+            reader, writer = await world.connect()
+            for key in range(2, 8):
+                writer.write(encode_request(f"/invoke/lot-page/{key:x}"))
+            bodies = [(await read_message(reader)).body for _ in range(2, 8)]
+            writer.close()
+            return bodies
+
+    assert asyncio.run(story()) == [f"/o/lot-page/{key:x}/0".encode() for key in range(2, 8)]
+
+
+def test_a_connection_that_has_rested_is_used_before_one_that_was_just_used() -> None:
+    async def story() -> list[bool]:
+        async with running(ScriptedServer(hit)) as (_, director):
+            server = director.connection_pool.servers["c1"]
+            loop = asyncio.get_running_loop()
+            rested, fresh = [
+                (await loop.create_connection(lambda: Http1Connection(server), *server.address))[1]
+                for _ in range(2)
+            ]
+            server.release(rested)
+            await asyncio.sleep(0.02)
+            server.release(fresh)
+            return [server.acquire() is rested, server.acquire() is fresh]
+
+    assert asyncio.run(story()) == [True, True]
--- a/tests/test_system_errors.py
+++ b/tests/test_system_errors.py
@@ -204,3 +204,28 @@
             return len(cache.received)
 
     assert asyncio.run(story()) <= 1
+
+
+def test_what_a_request_waited_at_the_listener_is_taken_off_its_time() -> None:
+    """The deadline that a server is told is at most what the client has left."""
+
+    async def story() -> tuple[float, float]:
+        cache = ScriptedServer(hit)
+        async with DirectorHarness([cache]) as world:
+            assert world.director is not None
+            front = world.director.front
+            await wait_until(lambda: world.coordinator.followed_from == [1])
+            faulty = break_listener(world.director, [errno.EMFILE] * 100_000)
+            request = asyncio.ensure_future(world.fetch(wait_ms=2_000.0))
+            await asyncio.sleep(0.6)
+            faulty.errors.clear()
+            assert (await request)[0] == 200
+            told_ms = float(cache.received[0].headers["x-max-ms"])
+            await wait_until(lambda: not front.connections)
+            cache.received.clear()
+            await world.fetch(wait_ms=2_000.0)
+            return told_ms, float(cache.received[0].headers["x-max-ms"])
+
+    told_ms, told_after_ms = asyncio.run(story())
+    assert told_ms <= 2_000.0 - 600.0 + 100.0
+    assert told_after_ms > 1_800.0
