Use no connection twice of a server that sends second answers; count waits at the listener

Cause: nothing in HTTP/1.1 ties a response to its request, so that bytes behind a response which come once the next request is under way were taken for its response. A request's time began when it was read, though it may have waited at a listener that was paused (crowd, EMFILE). Change: a server that has sent surplus bytes gets a new connection for each request for 60 s; a connection that has rested for 5 ms is preferred to one that was just used. The first late second answer of a server can't be told; so it stays.

--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -19,6 +19,7 @@
 from .sockets import MAX_FRAMING_BYTES, SocketPoll, is_peer_closed, socket_poll
 
 MAX_HEADER_BYTES = 16 * 1024
+MIN_WAIT_MS = 1.0  # what is left to a request whose time was up before it was read
 MAX_PIPELINED = 8  # requests that a client may have sent ahead on one connection
 HEALTHY, UNREADY = 200, -503  # a health check's answer; the second is told from the statuses of bad input
 
@@ -41,6 +42,7 @@
         # State kept by the owner.
         self.is_open = False  # its transport has been made
         self.is_evicted = False  # it makes room for another
+        self.accept_delay_ms = 0.0  # how long its first request had waited before it was accepted
         self.state_table: dict[ClientConnection, float] | None = None  # the owner's table that it stands in
         # The open request.
         self.open_number: int | None = None
@@ -296,6 +298,8 @@
             if isinstance(request, int):
                 self._answer_status(request)
             else:
+                request.max_wait_ms = max(MIN_WAIT_MS, request.max_wait_ms - self.accept_delay_ms)
+                self.accept_delay_ms = 0.0
                 self.client_deadline_ms = self.front.clock() + request.max_wait_ms
                 self._submit(request)
         self._is_advancing = False
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import select
+import socket
+import struct
 from typing import Protocol
 
 PEER_CLOSED_EVENTS = select.POLLERR | select.POLLHUP | getattr(select, "POLLRDHUP", 0)
@@ -11,6 +13,10 @@
 # Bytes that may come without one of a body among them: chunk framing or a trailer. Bounds what the parser
 # buffers silently while they go on.
 MAX_FRAMING_BYTES = 32 * 1024
+# `tcpi_last_data_recv` in `struct tcp_info` (linux/tcp.h): ms since the last data came.
+LAST_DATA_RECEIVED = struct.Struct("=I")
+LAST_DATA_RECEIVED_OFFSET = 52
+TCP_INFO_BYTES = 104
 
 
 class SocketPoll(Protocol):
@@ -30,6 +36,24 @@
     return poll
 
 
+def unread_age_ms(connection: socket.socket) -> float:
+    """Returns how long ago the last bytes came that wait to be read on a connection; 0 if none do.
+
+    Linux tells it in `tcp_info` (tcp(7)); 0 where it does not.
+    """
+    try:
+        poll = select.poll()
+        poll.register(connection.fileno(), select.POLLIN)
+        if not poll.poll(0):
+            return 0.0
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except (OSError, ValueError, AttributeError):
+        return 0.0
+    if len(info) < TCP_INFO_BYTES:
+        return 0.0
+    return float(LAST_DATA_RECEIVED.unpack_from(info, LAST_DATA_RECEIVED_OFFSET)[0])
+
+
 def is_peer_closed(poll: SocketPoll) -> bool:
     """Whether the peer has closed or reset the connection, even if its last input is still unread."""
     return any(events & PEER_CLOSED_EVENTS for _, events in poll.poll(0))
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -41,6 +41,9 @@
     def forget(self, connection: Http1Connection) -> None:
         """Removes a connection that is closed from the idle ones, if it is among them."""
 
+    def distrust(self) -> None:
+        """The server has sent bytes behind a complete response."""
+
 
 def encode_health_check(check: HealthCheck) -> bytes:
     """Returns a health check as an HTTP/1.1 message."""
@@ -61,7 +64,8 @@
     Attributes:
         item: The attempt or health check in flight.
         address: Where the connection was dialled; the server may have moved since.
-        idle_until_ms: Until when it may be used while it is idle, Unix milliseconds.
+        idle_until_ms: Until when it may be used while it is idle, steady milliseconds.
+        has_carried: Whether a request was sent on it.
         read_bytes: Bytes of the response's head, then of its body.
         framing_bytes: Bytes read since the last ones of a body (chunk sizes, extensions, trailers).
         is_forwarded: Whether the response goes to a client.
@@ -75,6 +79,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.item: WorkItem | None = None
         self.idle_until_ms = 0.0
+        self.has_carried = False
         self.status = self.read_bytes = 0
         self.framing_bytes = 0
         self.has_complete_head = self.is_forwarded = self.is_complete = self.is_reusable = False
@@ -105,6 +110,7 @@
         """Sends a work item's request; the connection must be open and idle."""
         assert self.transport is not None
         item.carrier = self
+        self.has_carried = True
         now_ms = self.pool.clock()
         request = self.encode(item, now_ms) if isinstance(item, Attempt) else encode_health_check(item)
         self.item, self.status, self.read_bytes, self.framing_bytes, self.headers = item, 0, 0, 0, {}
@@ -146,6 +152,7 @@
         """Parses a piece of the response and forwards what is valid of it."""
         if self.item is None:  # no request is in flight: a correct server sends nothing now
             self.pool.counters.add("caches.surplus")
+            self.server.distrust()
             return self.close()
         has_surplus = False
         self.framing_bytes += len(data)
@@ -195,6 +202,7 @@
         assert item is not None
         if has_surplus:
             self.pool.counters.add("caches.surplus")
+            self.server.distrust()
         if self.transport is not None and self.is_reusable and not has_surplus:
             self.transport.resume_reading()
             self.server.release(self)
--- a/gladewalk/upstream/upstream_server.py
+++ b/gladewalk/upstream/upstream_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
@@ -15,6 +16,8 @@
     from ..config.option_tables import Http2Options
 
 IDLE_TIMEOUT_FRACTION = 0.6  # of the time after which a cache closes an idle connection: ours closes first
+RESTED_MS = 5.0  # bytes behind a response mostly come within this: a connection idle for longer is preferred
+DISTRUST_MS = 60_000.0  # how long a server that sent such bytes gets a new connection for each request
 
 
 class ServerPool(ConnectionOwner, Protocol):
@@ -60,6 +63,8 @@
         idle: Its idle HTTP/1.1 connections, the one used last at the end.
         group: Its HTTP/2 connections; None while HTTP/1.1 is spoken.
         is_removed: Whether the endpoint list has removed it: what is in flight goes on, nothing stays idle.
+        distrusted_until_ms: Until when no connection is used twice, as bytes behind a response that come late
+            would be taken for the response to the next request; nothing in HTTP/1.1 tells them apart.
     """
 
     def __init__(self, pool: ServerPool, name: str, address: Address) -> None:
@@ -68,26 +73,46 @@
         self.idle: list[Http1Connection] = []
         self.group: SharedConnections | None = None
         self.is_removed = False
+        self.distrusted_until_ms = -math.inf
 
     def release(self, connection: Http1Connection) -> None:
         """Takes a connection back as idle, or closes one that leads to a former address."""
         pool = self.pool
-        if self.is_removed or connection.address != self.address:
-            return connection.close()
+        is_distrusted = connection.has_carried and pool.clock() < self.distrusted_until_ms
+        if self.is_removed or connection.address != self.address or is_distrusted:
+            connection.close()
+            return pool.serve_waiting() if is_distrusted else None
         self.idle.append(connection)
         connection.idle_until_ms = pool.clock() + pool.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
         pool.serve_waiting()
 
     def acquire(self) -> Http1Connection | None:
-        """Returns the idle connection that was used last and is still usable, None if there is none."""
+        """Returns a usable idle connection, None if there is none.
+
+        Of those that have rested it is the one used last, else the one used last of all.
+        """
         now_ms = self.pool.clock()
         while self.idle:
-            connection = self.idle.pop()
+            connection = self.idle.pop(self._choose(now_ms))
             if connection.idle_until_ms >= now_ms and connection.is_quiet():
                 return connection
             connection.close()  # the server has closed it or sent something, or may be closing it just now
         return None
 
+    def _choose(self, now_ms: float) -> int:
+        rested_until_ms = now_ms - RESTED_MS + self.pool.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
+        for index in range(len(self.idle) - 1, -1, -1):
+            if self.idle[index].idle_until_ms <= rested_until_ms:
+                return index
+        return len(self.idle) - 1
+
+    def distrust(self) -> None:
+        """The server has sent bytes behind a complete response: none of its connections is used again."""
+        self.distrusted_until_ms = self.pool.clock() + DISTRUST_MS
+        for connection in [connection for connection in self.idle if connection.has_carried]:
+            connection.close()
+        self.idle = [connection for connection in self.idle if not connection.has_carried]
+
     def forget(self, connection: Http1Connection) -> None:
         """Removes a connection that is closed from the idle ones, if it is among them."""
         if connection in self.idle:
--- a/tests/test_golden_upstream.py
+++ b/tests/test_golden_upstream.py
@@ -121,6 +121,9 @@
     def release(self, connection: Http1Connection) -> None:
         self.events.append(["rests"])
 
+    def distrust(self) -> None:
+        pass
+
     def forget(self, connection: Http1Connection) -> None:
         pass
 
