Make room for new connections also while accepting is paused

Cause: eviction came with each accept alone; a burst of idle connections, none of them old enough to be evicted, reached the limit, accepting paused, and nothing was evicted until the 2 s for a first byte were up. Requests on connections behind the burst waited at the listener past their time.

--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -149,15 +149,22 @@
             self.descriptor_count -= 1
             self._resume_accepting()
 
-    def _evict_one(self) -> None:
-        """Ends the longest idle connection, never one with a request that is open or unread."""
+    def _make_room(self) -> None:
+        """Ends idle connections while accepting is paused: else nothing would until they time out."""
+        while self.descriptor_count - self.evicted_count > self.connection_limit and self._evict_one():
+            pass
+
+    def _evict_one(self) -> bool:
+        """Ends the longest idle connection, none with an open or unread request; False if there is none."""
         now = self.clock()
         for table, grace_ms in ((self.lingering, 0.0), (self.idle, 0.0), (self.awaiting, EVICTION_GRACE_MS)):
             for connection, since_ms in itertools.islice(table.items(), EVICTION_CANDIDATES):
                 is_unused = table is self.lingering or connection.is_input_empty()
                 if now - since_ms >= grace_ms and is_unused and not connection.is_sending(now):
                     self.counters.add("clients.made_room")
-                    return self._evict(connection, "made_room")
+                    self._evict(connection, "made_room")
+                    return True
+        return False
 
     def _evict(self, connection: ClientConnection, reason: str) -> None:
         self._set_state(connection, None)
@@ -203,6 +210,8 @@
         if self.is_closing:
             self.accept()  # connections that found no room before
             self._shut_down_unused()
+        if not self._is_accepting:
+            self._make_room()
         self._resume_accepting()
         self.deadlines.add(now + SWEEP_INTERVAL_MS, self.sweep)
 
