--- /dev/null
+++ b/benchmarks/soak/checker.py
@@ -0,0 +1,219 @@
+"""Judges a recorded history by the protocol's rules; shares no code with the director.
+
+A request is lost unless it gets one whole answer within its time plus half a second. Excused are a client
+that went first, a kill without notice, and one that crosses the end of a resting connection within 50 ms.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from .history import AttemptRecord, Effect, End, History, RequestRecord, StopRecord
+from .objects import version_of
+
+LATE_S = 0.5  # an answer that comes so long after its time only earns nothing
+CROSSING_S = 0.05  # a request that crosses the end of a resting connection for so long is excused
+LEFT_SLACK_S = 0.1  # an attempt may begin so long after its client has gone
+MAX_WAIT_SLACK_MS = 150.0  # what a server is told may exceed what the client has left by so much
+DRAIN_GRACE_S = 0.25 + 0.05
+PURGE_GRACE_S = 0.5 + 0.05
+TIMER_SLACK_S = 0.1  # of the soak's own event loop
+SURPLUS_LEARNED_S = 1.0
+SECOND_ANSWER = b"second answer"
+REJECTIONS, FAILURES = (429, 503), (500, 502, 504)
+
+
+@dataclass
+class Verdict:
+    """Broken rules by kind, each with the ids that they concern."""
+
+    requests: int = 0
+    lost: list[str] = field(default_factory=list)
+    duplicates: list[str] = field(default_factory=list)
+    late_attempts: list[str] = field(default_factory=list)
+    wrong: list[str] = field(default_factory=list)
+    over_budget: list[str] = field(default_factory=list)
+    crashes: list[str] = field(default_factory=list)
+    leaks: list[str] = field(default_factory=list)
+    served: int = 0
+    ends: Counter[str] = field(default_factory=Counter)
+
+    def counts(self) -> dict[str, int]:
+        """Returns the numbers of the last line."""
+        names = ("lost", "duplicates", "late_attempts", "wrong", "over_budget", "crashes", "leaks")
+        return {"requests": self.requests, **{name: len(getattr(self, name)) for name in names}}
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether no rule is broken."""
+        return not any(count for name, count in self.counts().items() if name != "requests")
+
+
+def check(history: History) -> Verdict:
+    """Judges a history."""
+    verdict = Verdict()
+    attempts: dict[str, list[AttemptRecord]] = defaultdict(list)
+    for attempt in history.attempts:
+        attempts[attempt.trace_id].append(attempt)
+    stops = {stop.director: stop for stop in history.stops}
+    for request in history.requests:
+        if request.end is End.UNSENT:
+            continue
+        verdict.requests += 1
+        _check_request(verdict, request, attempts[request.trace_id], history, stops)
+    known = {request.trace_id for request in history.requests}
+    verdict.wrong += [
+        f"{trace_id} forwarded, but sent by no client" for trace_id in attempts if trace_id not in known
+    ]
+    _check_drains(verdict, history)
+    for stop in history.stops:
+        _check_stop(verdict, stop)
+    verdict.leaks += [f"{leak.director[0]} {leak.what}" for leak in history.leaks]
+    return verdict
+
+
+def _check_request(
+    verdict: Verdict,
+    request: RequestRecord,
+    attempts: list[AttemptRecord],
+    history: History,
+    stops: dict[tuple[str, int], StopRecord],
+) -> None:
+    verdict.ends[request.end.value] += 1
+    if _is_lost(request, stops.get(request.director)) and not _is_crowded_out(request, history):
+        after_ms = 1000.0 * (request.ended_s - request.sent_s)
+        verdict.lost.append(f"{request.trace_id} {request.end.value} after {after_ms:.0f} ms")
+    if request.end is End.ANSWERED:
+        _check_answer(verdict, request, attempts, history)
+    _check_attempts(verdict, request, attempts, history)
+
+
+def _is_lost(request: RequestRecord, stop: StopRecord | None) -> bool:
+    if request.end is End.LEFT:
+        return False
+    if request.end is End.ANSWERED:
+        return request.ended_s > request.sent_s + request.wait_s + LATE_S + TIMER_SLACK_S
+    was_killed = stop is not None and stop.term_s is None and stop.kill_s is not None
+    if was_killed and stop is not None and stop.kill_s is not None and request.ended_s >= stop.kill_s - 0.01:
+        return False
+    is_crossing = request.end is End.CLOSED and not request.is_first and not request.received
+    return not (is_crossing and request.ended_s - request.sent_s <= CROSSING_S)
+
+
+def _is_crowded_out(request: RequestRecord, history: History) -> bool:
+    """Whether a new connection was shut unread, to make room, while idle clients filled the descriptors."""
+    if request.end is not End.CLOSED or not request.is_first or request.received:
+        return False
+    name = request.director[0]
+    return any(who == name and begin <= request.ended_s <= end for who, begin, end in history.crowds)
+
+
+def _check_answer(
+    verdict: Verdict, request: RequestRecord, attempts: list[AttemptRecord], history: History
+) -> None:
+    if request.surplus:
+        verdict.wrong.append(f"{request.trace_id} {request.surplus} bytes behind its answer")
+    if request.status == 200:
+        verdict.served += 1
+        _check_body(verdict, request, attempts, history)
+    elif request.status in REJECTIONS:
+        if not request.has_retry_after:
+            verdict.wrong.append(f"{request.trace_id} rejected without Retry-After")
+        if request.effect is Effect.ONCE and any(attempt.may_have_run for attempt in attempts):
+            verdict.duplicates.append(f"{request.trace_id} rejected, though it may have run")
+    elif request.status not in FAILURES:
+        verdict.wrong.append(f"{request.trace_id} answered {request.status}")
+
+
+def _is_first_surplus(request: RequestRecord, attempts: list[AttemptRecord], history: History) -> bool:
+    """Whether a second answer was taken for this one before the director could know the server.
+
+    HTTP/1.1 does not tell whose answer comes late on a connection; after the first, none may be used twice.
+    """
+    if request.body != SECOND_ANSWER:
+        return False
+    owners = {one.trace_id: one.director for one in history.requests}
+    servers = {attempt.server for attempt in attempts}
+    first_s = min(
+        one.began_s
+        for one in history.attempts
+        if one.end == "double" and one.server in servers and owners.get(one.trace_id) == request.director
+    )
+    return request.sent_s < first_s + SURPLUS_LEARNED_S
+
+
+def _check_body(
+    verdict: Verdict, request: RequestRecord, attempts: list[AttemptRecord], history: History
+) -> None:
+    if _is_first_surplus(request, attempts, history):
+        verdict.ends["first surplus"] += 1
+        return
+    if request.effect is not Effect.REPEATABLE:
+        if request.body != b"done":
+            verdict.wrong.append(f"{request.trace_id} a write's answer of {len(request.body)} bytes")
+        return
+    version = version_of(request.object_id, request.body)
+    if version is None:
+        verdict.wrong.append(f"{request.trace_id} a body that is not its object's")
+        return
+    name = request.object_id.split("/")[0]
+    for purge in history.purges:
+        is_told = request.sent_s > purge.told_s + PURGE_GRACE_S
+        if purge.object_name == name and is_told and version < purge.version:
+            verdict.wrong.append(
+                f"{request.trace_id} a copy of before a purge (v{version} of v{purge.version})"
+            )
+
+
+def _stalled_s(history: History, at_s: float) -> float:
+    """Returns how much earlier a thing noted at `at_s` may have happened, as the soak's loop was late."""
+    return max(
+        (at_s - begin for begin, end in history.stalls if begin <= at_s <= end + CROSSING_S), default=0.0
+    )
+
+
+def _check_attempts(
+    verdict: Verdict, request: RequestRecord, attempts: list[AttemptRecord], history: History
+) -> None:
+    over_s = request.left_s if request.end is End.LEFT else request.ended_s
+    for attempt in attempts:
+        began_s = attempt.began_s - _stalled_s(history, attempt.began_s)
+        if over_s is not None and began_s > over_s + LEFT_SLACK_S:
+            late_ms = 1000.0 * (attempt.began_s - over_s)
+            verdict.late_attempts.append(
+                f"{request.trace_id} at {attempt.server}, {late_ms:.0f} ms after its end"
+            )
+        left_ms = 1000.0 * (request.sent_s + request.wait_s - attempt.began_s)
+        stall_ms = 1000.0 * _stalled_s(history, attempt.began_s)
+        if attempt.max_wait_ms > max(1.0, left_ms + stall_ms) + MAX_WAIT_SLACK_MS:
+            verdict.over_budget.append(
+                f"{request.trace_id} told {attempt.server} {attempt.max_wait_ms:.0f} ms of {left_ms:.0f}"
+            )
+    _check_repeats(verdict, request, attempts)
+
+
+def _check_repeats(verdict: Verdict, request: RequestRecord, attempts: list[AttemptRecord]) -> None:
+    if request.effect is Effect.REPEATABLE:
+        return
+    ran = sorted((attempt for attempt in attempts if attempt.may_have_run), key=lambda one: one.began_s)
+    for attempt in ran[1:]:
+        age_s = attempt.began_s - ran[0].began_s
+        if request.effect is Effect.ONCE or age_s > request.window_s + CROSSING_S:
+            verdict.duplicates.append(f"{request.trace_id} again at {attempt.server} after {age_s:.3f} s")
+
+
+def _check_drains(verdict: Verdict, history: History) -> None:
+    told = {drain.server: drain.told_s for drain in history.drains}
+    for attempt in history.attempts:
+        told_s = told.get(attempt.server)
+        if told_s is not None and attempt.began_s > told_s + DRAIN_GRACE_S + TIMER_SLACK_S:
+            verdict.wrong.append(f"{attempt.trace_id} sent to {attempt.server}, which is draining")
+
+
+def _check_stop(verdict: Verdict, stop: StopRecord) -> None:
+    name, start = stop.director
+    if stop.log_errors:
+        verdict.crashes.append(f"{name}.{start} logged {stop.log_errors} exceptions")
+    if stop.exit_code not in (0, None) and stop.kill_s is None:
+        verdict.crashes.append(f"{name}.{start} ended with {stop.exit_code}")
--- /dev/null
+++ b/benchmarks/soak/directors.py
@@ -0,0 +1,188 @@
+"""Directors of the soak as processes: started, signalled as the platform does, looked at when quiet."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import re
+import signal
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from gladewalk.faultnet.syscall_faults import FaultSchedule, SyscallFault
+
+from .history import History, LeakRecord, StopRecord
+
+ACCEPT_S = 0.3  # new connections keep coming for so long after SIGTERM
+KILL_S = 0.7  # SIGKILL comes so long after SIGTERM, and the longest deadline
+START_TIMEOUT_S = 20.0
+MAX_RSS_MB = 64.0
+RESERVED_FILES = 24  # a director's own: listeners, the loop's, the log, the feed
+EMPTY_WHEN_QUIET = ("now.owed", "now.passing", "now.waiting", "now.clients")
+CRASH_PATTERN = re.compile(r"Traceback|exception was never retrieved")
+
+
+@dataclass
+class DirectorProcess:
+    """One director over its restarts.
+
+    Attributes:
+        is_admitted: The front sends it new connections.
+        connections_end: Set once its present process has been told to stop: clients then rest on none.
+    """
+
+    name: str
+    folder: Path
+    config: dict[str, Any]
+    history: History
+    faults: tuple[SyscallFault, ...]
+    library: Path | None
+    seed: int
+    epoch_ns: int
+    broken: str = ""
+    start_count: int = 0
+    address: tuple[str, int] = ("", 0)
+    is_admitted: bool = False
+    process: asyncio.subprocess.Process | None = None
+    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Name and number of the present process."""
+        return self.name, self.start_count
+
+    @property
+    def config_file(self) -> Path:
+        """Its `NODE_CONFIG`."""
+        return self.folder / f"{self.name}.json"
+
+    @property
+    def log_file(self) -> Path:
+        """The present process's log."""
+        return self.folder / f"{self.name}.{self.start_count}.log"
+
+    async def start(self) -> None:
+        """Starts a process and waits until it says that it is healthy."""
+        self.start_count += 1
+        self.write_config()
+        environ = dict(os.environ)
+        if self.library is not None and self.faults:
+            schedule = FaultSchedule(self.folder, self.name, self.seed, self.faults, self.epoch_ns)
+            environ = schedule.environment(self.library)
+        words = ["-m", "gladewalk"]
+        if self.broken:
+            words = ["-m", "benchmarks.soak.broken_director", self.broken]
+        with self.log_file.open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, *words, env={**environ, "NODE_CONFIG": str(self.config_file)}, stderr=log
+            )
+        self.address = await self._serving_address()
+        await self._become_admitted()
+        self.history.note(time.monotonic(), f"{self.name} started ({self.start_count})")
+
+    def write_config(self) -> None:
+        """Writes its configuration file anew, as the platform does before a SIGHUP."""
+        text = json.dumps({**self.config, "name": self.name})
+        fresh = self.config_file.with_suffix(".next")
+        fresh.write_text(text, encoding="utf-8")
+        fresh.replace(self.config_file)
+
+    async def _serving_address(self) -> tuple[str, int]:
+        end_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end_s:
+            for line in self.log_file.read_text(encoding="utf-8", errors="replace").splitlines():
+                with contextlib.suppress(ValueError):
+                    event = json.loads(line)
+                    if event.get("event") == "serving":
+                        return event["listen"][0], event["listen"][1]
+            await asyncio.sleep(0.02)
+        raise TimeoutError(f"{self.name} does not serve after {START_TIMEOUT_S:g} s")
+
+    async def _become_admitted(self) -> None:
+        end_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end_s:
+            with contextlib.suppress(OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                async with asyncio.timeout(1.0):
+                    reader, writer = await asyncio.open_connection(*self.address)
+                    writer.write(b"GET /_health HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")
+                    status = await reader.readline()
+                    writer.close()
+                    if b" 200 " in status:
+                        self.is_admitted = True
+                        return
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"{self.name} is not healthy after {START_TIMEOUT_S:g} s")
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the present process, if it still runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+            self.history.note(time.monotonic(), f"{self.name} gets {number.name}")
+
+    async def stop(self, longest_deadline_s: float) -> StopRecord:
+        """SIGTERM, and SIGKILL at the earliest that the platform allows."""
+        process = self.process
+        assert process is not None
+        term_s = time.monotonic()
+        record = StopRecord(self.key, term_s, None)
+        self.send(signal.SIGTERM)
+        kill_s = term_s + KILL_S + longest_deadline_s
+        await asyncio.sleep(ACCEPT_S)
+        self.is_admitted = False
+        try:
+            async with asyncio.timeout(max(0.0, kill_s - time.monotonic())):
+                await process.wait()
+        except TimeoutError:
+            record.kill_s = time.monotonic()
+            self.send(signal.SIGKILL)
+            await process.wait()
+        self._finish(record)
+        return record
+
+    async def kill(self) -> None:
+        """SIGKILL without notice; the front notices it late."""
+        assert self.process is not None
+        record = StopRecord(self.key, None, time.monotonic())
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+        self.is_admitted = False
+        self._finish(record)
+
+    def _finish(self, record: StopRecord) -> None:
+        assert self.process is not None
+        record.exit_code = self.process.returncode
+        text = self.log_file.read_text(encoding="utf-8", errors="replace")
+        record.log_errors = len(CRASH_PATTERN.findall(text))
+        self.history.stops.append(record)
+
+    async def check_quiet(self) -> None:
+        """Records what is still open though no client has a connection any more."""
+        if self.process is None or self.process.returncode is not None:
+            self.history.stops.append(StopRecord(self.key, None, None, exit_code=-1))
+            return
+        self.send(signal.SIGUSR1)
+        counters: dict[str, Any] = {}
+        end_s = time.monotonic() + 5.0
+        while not counters and time.monotonic() < end_s:
+            await asyncio.sleep(0.05)
+            for line in self.log_file.read_text(encoding="utf-8", errors="replace").splitlines():
+                if '"event": "counters"' in line:
+                    counters = json.loads(line)
+        leaks = [f"{name}={counters.get(name)}" for name in EMPTY_WHEN_QUIET if counters.get(name) != 0]
+        files = len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        if files > RESERVED_FILES + int(counters.get("now.upstream", 0)):
+            leaks.append(f"files={files} upstream={counters.get('now.upstream')}")
+        rss_mb = _resident_mb(self.process.pid)
+        if rss_mb > MAX_RSS_MB:
+            leaks.append(f"rss={rss_mb:.0f} MB")
+        self.history.leaks += [LeakRecord(self.key, leak) for leak in leaks]
+
+
+def _resident_mb(pid: int) -> float:
+    pages = int(Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
--- /dev/null
+++ b/benchmarks/soak/run.py
@@ -0,0 +1,278 @@
+"""Plays one plan: servers, a coordinator, directors as processes, clients, and faults as they fall due."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import tempfile
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from gladewalk.faultnet.syscall_faults import build_library
+
+from .clients import Client
+from .coordinator import SoakCoordinator
+from .directors import DirectorProcess
+from .history import DrainRecord, History, PurgeRecord
+from .plan import SERVER_FAULTS, FaultName, Plan, PlannedFault
+from .servers import PURGE_SETTLES_S, Origin, SoakServer
+
+TOLD_S, TOLD_AT_THE_LATEST_S = 0.3, 7.0
+DRAIN_TO_GONE_S = 2.5
+QUIET_S = 0.6  # between the last client's end and the look at what is still open
+CROWD_CONNECTIONS = 150
+CROWD_AFTERMATH_S = 2.5
+HOT_OBJECTS = 6
+MIN_CACHES = 2
+STALL_CHECK_S, MIN_STALL_S = 0.01, 0.02
+
+
+class SoakRun:
+    """One run; `play` returns its history."""
+
+    def __init__(self, plan: Plan, folder: Path, broken: str = "") -> None:
+        self.plan, self.folder, self.broken = plan, folder, broken
+        self.rng = random.Random(plan.seed ^ 0x50AC)
+        self.history = History()
+        self.origin, self.coordinator = Origin(), SoakCoordinator()
+        self.servers: dict[str, SoakServer] = {}
+        self.directors: list[DirectorProcess] = []
+        self.begin_s = 0.0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def play(self) -> History:
+        """Plays the whole run and ends all that it started."""
+        try:
+            await self._start()
+            await self._play_clients()
+            await asyncio.sleep(QUIET_S)
+            for director in self.directors:
+                await director.check_quiet()
+            await asyncio.gather(*(self._stop(director) for director in self.directors))
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await self._end_processes()
+            self.coordinator.close()
+            for server in self.servers.values():
+                server.go_down()
+        return self.history
+
+    async def _start(self) -> None:
+        names = [("standard", f"s-{number}") for number in range(self.plan.cache_count)]
+        for role, name in [*names, ("parent", "p-0"), ("origin", "o-0")]:
+            self._add_server(name, role)
+        for server in self.servers.values():
+            await server.listen()
+        await self.coordinator.listen()
+        self.coordinator.publish_endpoints(
+            [server.target() for server in self.servers.values()], is_complete=True
+        )
+        library = build_library(self.folder) if self.plan.syscalls else None
+        epoch_ns = time.monotonic_ns()
+        self.directors = [
+            DirectorProcess(
+                f"n{number}", self.folder, self._config(), self.history,
+                self.plan.syscalls.get(number, ()), library, self.plan.seed + number, epoch_ns, self.broken,
+            )
+            for number in range(self.plan.director_count)
+        ]  # fmt: skip
+        await asyncio.gather(*(director.start() for director in self.directors))
+        self.begin_s = time.monotonic()
+        for server in self.servers.values():
+            server.begin_s = self.begin_s
+        self._plan_server_faults()
+
+    def _config(self) -> dict[str, object]:
+        return {
+            "listen": "127.0.0.1:0",
+            "seed": "1f",
+            "limits": {"sockets": 256, "memory_mb": 64},
+            "coordinator": f"127.0.0.1:{self.coordinator.port}",
+            "settings": self.plan.settings,
+            "known": self.coordinator.known(),
+        }
+
+    def _add_server(self, name: str, role: str) -> SoakServer:
+        server = SoakServer(name, role, self.origin, self.history, random.Random(f"{self.plan.seed} {name}"))
+        server.peers, server.begin_s = self.servers, self.begin_s
+        self.servers[name] = server
+        return server
+
+    def _plan_server_faults(self) -> None:
+        ordered = list(self.servers.values())
+        for fault in self.plan.faults:
+            if fault.name in SERVER_FAULTS:
+                ordered[fault.target % len(ordered)].faults.append(fault)
+
+    async def _play_clients(self) -> None:
+        end_s = self.begin_s + self.plan.duration_s
+        clients = [
+            Client(number, self.plan, self.directors, self.history, lambda: time.monotonic() >= end_s)
+            for number in range(self.plan.client_count)
+        ]
+        self._spawn(self._watch_own_stalls())
+        for fault in self.plan.faults:
+            self._spawn(self._play_fault(fault))
+        await asyncio.gather(*(client.run() for client in clients))
+        for director in self.directors:  # a restart that is under way ends before the look
+            pending = [task for task in director.tasks if not task.done()]
+            if pending:
+                await asyncio.wait(pending)
+
+    def _spawn(self, steps: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(steps)
+        self.tasks.add(task)
+        return task
+
+    async def _watch_own_stalls(self) -> None:
+        """Records when the soak's own loop was late: what it notes then happened earlier."""
+        while True:
+            due_s = time.monotonic() + STALL_CHECK_S
+            await asyncio.sleep(STALL_CHECK_S)
+            now_s = time.monotonic()
+            if now_s - due_s > MIN_STALL_S:
+                self.history.stalls.append((due_s - STALL_CHECK_S, now_s))
+
+    # Faults.
+
+    async def _play_fault(self, fault: PlannedFault) -> None:
+        await asyncio.sleep(max(0.0, self.begin_s + fault.at_s - time.monotonic()))
+        self.history.note(time.monotonic(), f"fault: {fault.describe()}")
+        match fault.name:
+            case FaultName.REFUSE:
+                await self._refuse(fault)
+            case FaultName.DRAIN:
+                await self._drain(fault)
+            case FaultName.PURGE:
+                await self._purge(fault)
+            case FaultName.FEED_CUT:
+                self.coordinator.go_down()
+                await asyncio.sleep(fault.duration_s)
+                await self.coordinator.listen()
+            case FaultName.FEED_SILENT:
+                self.coordinator.is_silent = True
+                await asyncio.sleep(fault.duration_s)
+                self.coordinator.is_silent = False
+                self.coordinator.go_down()  # followers ask again for what they missed
+                await self.coordinator.listen()
+            case FaultName.CROWD:
+                await self._crowd(fault)
+            case FaultName.STOP | FaultName.STOP_SERIES | FaultName.RELOADS | FaultName.KILL:
+                await self._signal(fault)
+
+    async def _refuse(self, fault: PlannedFault) -> None:
+        server = list(self.servers.values())[fault.target % len(self.servers)]
+        server.go_down()
+        await asyncio.sleep(fault.duration_s)
+        if server.state != "DELETED":
+            with contextlib.suppress(OSError):
+                await server.listen()
+
+    def _told_s(self) -> float:
+        """Returns when each director counts as told of what is published now."""
+        now_s = time.monotonic()
+        is_feed_hurt = bool(self.plan.syscalls) or any(
+            fault.name in (FaultName.FEED_CUT, FaultName.FEED_SILENT) for fault in self.plan.faults
+        )
+        return now_s + (TOLD_AT_THE_LATEST_S if is_feed_hurt else TOLD_S)
+
+    async def _drain(self, fault: PlannedFault) -> None:
+        caches = [one for one in self.servers.values() if one.role == "standard" and one.state == "SERVING"]
+        if len(caches) <= MIN_CACHES:
+            return
+        old = caches[fault.target % len(caches)]
+        old.state = "DRAINING"
+        self.coordinator.publish_endpoints([old.target()])
+        self.history.drains.append(DrainRecord(old.name, self._told_s()))
+        new = self._add_server(f"{old.name}x", "standard")
+        await new.listen()
+        new.boot_ms = time.time() * 1000.0
+        self.coordinator.publish_endpoints([new.target()])
+        await asyncio.sleep(DRAIN_TO_GONE_S)
+        old.state = "DELETED"
+        self.coordinator.publish_endpoints([old.target()])
+        old.go_down()
+
+    async def _purge(self, fault: PlannedFault) -> None:
+        name = f"{1 + fault.target % HOT_OBJECTS:x}"
+        version = self.origin.versions[name] = self.origin.versions.get(name, 1) + 1
+        self.coordinator.publish(evict={"ref": name, "unix_ms": time.time() * 1000.0})
+        self.history.purges.append(PurgeRecord(name, version, self._told_s()))
+        for server in list(self.servers.values()):
+            self._spawn(self._settle(server, name))
+
+    async def _settle(self, server: SoakServer, name: str) -> None:
+        await asyncio.sleep(self.rng.uniform(0.1, PURGE_SETTLES_S))
+        server.forget(name)
+
+    async def _crowd(self, fault: PlannedFault) -> None:
+        director = self.directors[fault.target % len(self.directors)]
+        begin_s = time.monotonic()
+        self.history.crowds.append((director.name, begin_s, begin_s + fault.duration_s + CROWD_AFTERMATH_S))
+        writers = []
+        for _ in range(CROWD_CONNECTIONS):
+            with contextlib.suppress(OSError, asyncio.TimeoutError):
+                async with asyncio.timeout(0.5):
+                    writers.append((await asyncio.open_connection(*director.address))[1])
+        await asyncio.sleep(fault.duration_s)
+        for writer in writers:
+            writer.transport.abort()
+
+    async def _signal(self, fault: PlannedFault) -> None:
+        director = self.directors[fault.target % len(self.directors)]
+        if any(not task.done() for task in director.tasks) or not director.is_admitted:
+            return
+        if fault.name is FaultName.RELOADS:
+            for _ in range(self.rng.randint(2, 5)):
+                director.config["known"] = self.coordinator.known()
+                director.write_config()
+                director.send(signal.SIGHUP)
+                await asyncio.sleep(self.rng.choice((0.0, 0.01, 0.1)))
+            return
+        task = self._spawn(self._restart(director, fault))
+        director.tasks.add(task)
+
+    async def _restart(self, director: DirectorProcess, fault: PlannedFault) -> None:
+        if fault.name is FaultName.KILL:
+            await director.kill()
+            await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        elif fault.name is FaultName.STOP_SERIES:
+            for number in self.rng.choices((signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1), k=3):
+                if number is signal.SIGTERM:
+                    break
+                director.send(number)
+                await asyncio.sleep(self.rng.choice((0.0, 0.005)))
+            stop = asyncio.ensure_future(self._stop(director))
+            await asyncio.sleep(0.05)
+            for number in (signal.SIGHUP, signal.SIGTERM):
+                director.send(number)
+                await asyncio.sleep(0.05)
+            await stop
+        else:
+            await self._stop(director)
+        director.config["known"] = self.coordinator.known()
+        await director.start()
+
+    async def _stop(self, director: DirectorProcess) -> None:
+        if director.process is not None and director.process.returncode is None:
+            await director.stop(self.plan.longest_deadline_s())
+
+    async def _end_processes(self) -> None:
+        for director in self.directors:
+            if director.process is not None and director.process.returncode is None:
+                director.process.kill()
+                await director.process.wait()
+
+
+def play(plan: Plan, keep: Path | None = None, broken: str = "") -> History:
+    """Plays a plan in an event loop of its own; `keep` is where logs stay."""
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = keep or Path(temporary)
+        os.makedirs(folder, exist_ok=True)
+        return asyncio.run(SoakRun(plan, folder, broken).play())
