--- a/benchmarks/soak/coordinator.py
+++ b/benchmarks/soak/coordinator.py
@@ -67,7 +67,7 @@
             self._send(b"%d\n" % len(self.events))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(ConnectionError, ValueError, IndexError):
+        with contextlib.suppress(ConnectionError, ValueError, IndexError, asyncio.CancelledError):
             last = int((await reader.readline()).split()[1])
             while self.is_silent:  # nothing is lost by a silence, it is only late
                 await asyncio.sleep(0.05)
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -21,6 +21,7 @@
     FaultKind.ACCEPT, FaultKind.SOCKET, FaultKind.CONNECT, FaultKind.WAIT, FaultKind.READ, FaultKind.WRITE,
     FaultKind.READ_SHORT, FaultKind.WRITE_SHORT, FaultKind.CLOCK_STEP,
 )  # fmt: skip
+ALL_SHORT = 0.3  # of the deployments have short deadlines alone
 CLOCK_STEPS_MS = (3_600_000, -3_600_000, 5_000, -5_000, 700, -700)
 
 
@@ -131,6 +132,12 @@
 def _draw_classes(rng: random.Random) -> tuple[TrafficClass, ...]:
     names = rng.sample(WORDS, 3)
     write_effect = rng.choice((Effect.ONCE, Effect.BY_KEY))
+    if rng.random() < ALL_SHORT:  # SIGKILL then comes soon after SIGTERM
+        return (
+            TrafficClass(names[0], Effect.REPEATABLE, rng.uniform(60.0, 200.0), 0.0),
+            TrafficClass(names[1], Effect.REPEATABLE, rng.uniform(60.0, 300.0), 0.0),
+            TrafficClass(names[2], write_effect, rng.uniform(80.0, 300.0), rng.uniform(100.0, 600.0)),
+        )
     return (
         TrafficClass(names[0], Effect.REPEATABLE, rng.choice((60.0, 150.0, 400.0, 1_200.0)), 0.0),
         TrafficClass(names[1], Effect.REPEATABLE, rng.uniform(300.0, 3_000.0), 0.0),
