The soak fails fourteen broken directors, each by its rule

benchmarks/soak/broken_director.py takes one rule out of a director; tests/test_soak.py plays each on one run, which a whole director passes, and judges single records.

--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -18,6 +18,7 @@
 GIVE_UP_S = 1.2  # a client waits so long past its time before it calls an answer missing
 SHORT_WAITS_MS = (20.0, 150.0)
 CONNECT_TIMEOUT_S = 1.0
+EARLY_LEAVING = 4.0  # the exponent of the drawn part of its time after which a client goes
 
 
 class AnswerParser:
@@ -199,9 +200,9 @@
     async def _read(self, connection: Connection, record: RequestRecord) -> None:
         parser = AnswerParser()
         patience_s = record.wait_s + GIVE_UP_S
-        leaves = self.rng.random() < 0.05
+        leaves = self.rng.random() < self.plan.leaving
         if leaves:
-            patience_s = self.rng.uniform(0.0, record.wait_s)
+            patience_s = record.wait_s * self.rng.random() ** EARLY_LEAVING  # mostly while it is under way
         try:
             async with asyncio.timeout(patience_s):
                 while not parser.is_whole:
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -102,6 +102,7 @@
     faults: tuple[PlannedFault, ...]
     syscalls: dict[int, tuple[SyscallFault, ...]]  # by director
     duration_s: float = DURATION_S
+    leaving: float = 0.05  # the part of the requests whose clients go before their time is up
 
     def longest_deadline_s(self) -> float:
         """Returns the longest deadline of a class, counted as 3 s at most."""
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,145 @@
+"""The soak's checker fails directors that have one rule taken out, and passes a whole one on the same run."""
+
+from dataclasses import replace
+
+import pytest
+
+from benchmarks.soak.broken_director import BROKEN
+from benchmarks.soak.checker import Verdict, check
+from benchmarks.soak.history import AttemptRecord, Effect, End, History, RequestRecord
+from benchmarks.soak.objects import object_bytes, version_of
+from benchmarks.soak.plan import FaultName, Plan, PlannedFault, draw_plan
+from benchmarks.soak.run import play
+
+DURATION_S = 4.0
+RULE_OF = {
+    "cut_broken_responses": "lost",
+    "forget_deadlines": "lost",
+    "delay_failures": "lost",
+    "resend_writes": "duplicates",
+    "reject_writes_that_ran": "duplicates",
+    "serve_departed_clients": "late_attempts",
+    "swap_bodies": "wrong",
+    "omit_retry_after": "wrong",
+    "answer_twice": "wrong",
+    "exceed_deadlines": "over_budget",
+    "ignore_drains": "wrong",
+    "ignore_purges": "wrong",
+    "crash_on_reload": "crashes",
+    "leak_descriptors": "leaks",
+}
+SERVERS = 6  # four caches, the parent and the origin
+
+
+def plan_with_all_faults() -> Plan:
+    """A run without failing system calls, in which each broken rule has its occasion."""
+    at_every_server = (FaultName.RESET_BODY, FaultName.RESET_HEAD, FaultName.STALL_BODY, FaultName.ERROR)
+    faults = [
+        PlannedFault(0.3 + 0.6 * number, 0.6, name, server, 0.3)
+        for number, name in enumerate(at_every_server)
+        for server in range(SERVERS)
+    ]
+    faults += [
+        PlannedFault(0.5, 0.5, FaultName.RELOADS, 0, 0.0),
+        PlannedFault(0.6, 0.5, FaultName.DRAIN, 1, 0.0),
+        *(PlannedFault(0.3 + 0.1 * number, 0.5, FaultName.PURGE, number, 0.0) for number in range(6)),
+        *(PlannedFault(0.2, 3.5, FaultName.SHED, server, 0.08) for server in range(SERVERS)),
+        *(PlannedFault(0.2, 3.5, FaultName.SLOW, server, 0.3) for server in range(SERVERS)),
+    ]
+    plan = draw_plan(3)
+    assert any(cls.effect is Effect.ONCE for cls in plan.classes)
+    return replace(
+        plan, director_count=2, cache_count=4, client_count=60, duration_s=DURATION_S, leaving=0.2,
+        faults=tuple(sorted(faults, key=lambda fault: fault.at_s)), syscalls={},
+    )  # fmt: skip
+
+
+def test_each_broken_director_has_its_rule() -> None:
+    assert set(RULE_OF) == set(BROKEN)
+
+
+@pytest.mark.parametrize("name", RULE_OF)
+def test_a_broken_director_fails_by_its_rule(name: str) -> None:
+    verdict = check(play(plan_with_all_faults(), broken=name))
+    assert verdict.requests > 0
+    assert verdict.counts()[RULE_OF[name]] > 0, verdict.counts()
+
+
+def test_a_whole_director_passes_the_same_run() -> None:
+    verdict = check(play(plan_with_all_faults()))
+    assert verdict.served > 0
+    assert verdict.is_clean, verdict
+
+
+# The checker by itself.
+
+
+def request(**changes: object) -> RequestRecord:
+    """A request that was answered as it should be."""
+    record = RequestRecord(
+        "1", ("n0", 1), "page", Effect.REPEATABLE, 0.0, "1/0", 1.0, sent_s=10.0, ended_s=10.1,
+        end=End.ANSWERED, status=200, body=object_bytes("1/0", 1), received=100,
+    )  # fmt: skip
+    for name, value in changes.items():
+        setattr(record, name, value)
+    return record
+
+
+def judge(record: RequestRecord, *attempts: AttemptRecord) -> Verdict:
+    return check(History(requests=[record], attempts=list(attempts)))
+
+
+@pytest.mark.parametrize(
+    ("changes", "rule"),
+    [
+        ({}, ""),
+        ({"ended_s": 11.7}, "lost"),
+        ({"end": End.SILENT}, "lost"),
+        ({"end": End.CLOSED, "ended_s": 10.04, "received": 0}, ""),  # it crosses the end of a resting one
+        ({"end": End.CLOSED, "ended_s": 10.04, "received": 0, "is_first": True}, "lost"),
+        ({"end": End.CLOSED, "ended_s": 10.04}, "lost"),  # a part of an answer had come
+        ({"end": End.CLOSED, "ended_s": 10.2, "received": 0}, "lost"),
+        ({"end": End.LEFT, "left_s": 10.1}, ""),
+        ({"body": object_bytes("2/0", 1)}, "wrong"),
+        ({"body": object_bytes("1/0", 1)[:-1]}, "wrong"),
+        ({"status": 503}, "wrong"),
+        ({"status": 503, "has_retry_after": True}, ""),
+        ({"status": 302}, "wrong"),
+        ({"surplus": 3}, "wrong"),
+    ],
+)
+def test_the_checker_judges_a_request_by_its_end(changes: dict[str, object], rule: str) -> None:
+    counts = judge(request(**changes)).counts()
+    assert [name for name, count in counts.items() if count and name != "requests"] == (
+        [rule] if rule else []
+    )
+
+
+@pytest.mark.parametrize(
+    ("effect", "second_s", "rule"),
+    [
+        (Effect.REPEATABLE, 10.05, ""),
+        (Effect.ONCE, 10.05, "duplicates"),
+        (Effect.BY_KEY, 10.05, ""),
+        (Effect.BY_KEY, 10.6, "duplicates"),
+    ],
+)
+def test_the_checker_judges_a_second_run_by_its_effect(effect: Effect, second_s: float, rule: str) -> None:
+    record = request(effect=effect, window_s=0.4, body=b"done", ended_s=10.9)
+    if effect is Effect.REPEATABLE:
+        record.body = object_bytes("1/0", 1)
+    attempts = [AttemptRecord("1", "s-0", at_s, 100.0, "/o/page/1/0") for at_s in (10.0, second_s)]
+    counts = judge(record, *attempts).counts()
+    assert counts["duplicates"] == (rule == "duplicates")
+
+
+def test_the_checker_judges_attempts_after_the_end_and_deadlines_that_are_too_long() -> None:
+    late = AttemptRecord("1", "s-0", 10.3, 100.0, "/o/page/1/0")
+    assert judge(request(end=End.LEFT, left_s=10.1), late).counts()["late_attempts"] == 1
+    eager = AttemptRecord("1", "s-0", 10.05, 1_200.0, "/o/page/1/0")
+    assert judge(request(), eager).counts()["over_budget"] == 1
+
+
+def test_an_objects_bytes_tell_its_version() -> None:
+    assert version_of("1/0", object_bytes("1/0", 7)) == 7
+    assert version_of("1/1", object_bytes("1/0", 7)) is None
