--- a/gladewalk/upstream/upstream_server.py
+++ b/gladewalk/upstream/upstream_server.py
@@ -17,7 +17,8 @@
 
 IDLE_TIMEOUT_FRACTION = 0.6  # of the time after which a cache closes an idle connection: ours closes first
 RESTED_MS = 5.0  # bytes behind a response mostly come within this: a connection idle for longer is preferred
-DISTRUST_MS = 60_000.0  # how long a server that sent such bytes gets a new connection for each request
+DISTRUST_MS = 60_000.0  # how long a server that sent such bytes is distrusted
+DISTRUSTED_REST_MS = 50.0  # how long each of its connections rests, unused, after a response
 
 
 class ServerPool(ConnectionOwner, Protocol):
@@ -63,8 +64,8 @@
         idle: Its idle HTTP/1.1 connections, the one used last at the end.
         group: Its HTTP/2 connections; None while HTTP/1.1 is spoken.
         is_removed: Whether the endpoint list has removed it: what is in flight goes on, nothing stays idle.
-        distrusted_until_ms: Until when no connection is used twice, as bytes behind a response that come late
-            would be taken for the response to the next request; nothing in HTTP/1.1 tells them apart.
+        distrusted_until_ms: Until when a connection rests after each response: bytes behind it that come late
+            would be taken for the response to the next request, as nothing in HTTP/1.1 tells them apart.
     """
 
     def __init__(self, pool: ServerPool, name: str, address: Address) -> None:
@@ -78,10 +79,8 @@
     def release(self, connection: Http1Connection) -> None:
         """Takes a connection back as idle, or closes one that leads to a former address."""
         pool = self.pool
-        is_distrusted = connection.has_carried and pool.clock() < self.distrusted_until_ms
-        if self.is_removed or connection.address != self.address or is_distrusted:
-            connection.close()
-            return pool.serve_waiting() if is_distrusted else None
+        if self.is_removed or connection.address != self.address:
+            return connection.close()
         self.idle.append(connection)
         connection.idle_until_ms = pool.clock() + pool.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
         pool.serve_waiting()
@@ -89,29 +88,31 @@
     def acquire(self) -> Http1Connection | None:
         """Returns a usable idle connection, None if there is none.
 
-        Of those that have rested it is the one used last, else the one used last of all.
+        Of those that have rested it is the one used last, else the one used last of all, unless the server is
+        distrusted.
         """
         now_ms = self.pool.clock()
-        while self.idle:
-            connection = self.idle.pop(self._choose(now_ms))
+        while (index := self._choose(now_ms)) is not None:
+            connection = self.idle.pop(index)
             if connection.idle_until_ms >= now_ms and connection.is_quiet():
                 return connection
             connection.close()  # the server has closed it or sent something, or may be closing it just now
         return None
 
-    def _choose(self, now_ms: float) -> int:
-        rested_until_ms = now_ms - RESTED_MS + self.pool.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
+    def _choose(self, now_ms: float) -> int | None:
+        """Returns the place of the idle connection to use, None for none."""
+        is_distrusted = now_ms < self.distrusted_until_ms
+        rest_ms = DISTRUSTED_REST_MS if is_distrusted else RESTED_MS
+        rested_until_ms = now_ms - rest_ms + self.pool.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
         for index in range(len(self.idle) - 1, -1, -1):
-            if self.idle[index].idle_until_ms <= rested_until_ms:
+            connection = self.idle[index]
+            if connection.idle_until_ms <= rested_until_ms or not connection.has_carried:
                 return index
-        return len(self.idle) - 1
+        return len(self.idle) - 1 if self.idle and not is_distrusted else None
 
     def distrust(self) -> None:
-        """The server has sent bytes behind a complete response: none of its connections is used again."""
+        """The server has sent bytes behind a complete response."""
         self.distrusted_until_ms = self.pool.clock() + DISTRUST_MS
-        for connection in [connection for connection in self.idle if connection.has_carried]:
-            connection.close()
-        self.idle = [connection for connection in self.idle if not connection.has_carried]
 
     def forget(self, connection: Http1Connection) -> None:
         """Removes a connection that is closed from the idle ones, if it is among them."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -194,6 +194,7 @@
                 (await loop.create_connection(lambda: Http1Connection(server), *server.address))[1]
                 for _ in range(2)
             ]
+            rested.has_carried = fresh.has_carried = True
             server.release(rested)
             await asyncio.sleep(0.02)
             server.release(fresh)
