--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	$(PY) -m mypy
 
 test: lint
+	$(PY) -m benchmarks.soak --quick
 	$(PY) -m pytest -q -n $(JOBS) --dist worksteal
 
 run: build
--- a/benchmarks/response_latency.py
+++ b/benchmarks/response_latency.py
@@ -39,15 +39,18 @@
         await request.writer.drain()
 
 
-async def ask(address: tuple[str, int], size: int, count: int, latencies_us: HdrHistogram) -> None:
+async def ask(
+    address: tuple[str, int], client: int, size: int, count: int, latencies_us: HdrHistogram
+) -> None:
     """Sends requests one after another on one connection."""
     reader, writer = await asyncio.open_connection(*address, limit=1_000_000)
     for number in range(count):
         began_s = time.perf_counter()
-        writer.write(encode_request(f"/invoke/lot-video/{number % 50:x}?nth={size}"))
+        trace_id = f"{client:08x}{number:08x}"
+        writer.write(encode_request(f"/invoke/lot-video/{number % 50:x}?nth={size}", trace=trace_id))
         message = await read_message(reader)
         if message.status != 200 or len(message.body) != size:
-            raise SystemExit(f"{message.start_line}: {len(message.body)} bytes of {size}")
+            raise RuntimeError(f"{message.start_line}: {len(message.body)} bytes of {size}")
         latencies_us.record_value(int(1e6 * (time.perf_counter() - began_s)))
     writer.close()
 
@@ -79,7 +82,8 @@
         for size in SIZES:
             latencies_us, before_s = HdrHistogram(1, 60_000_000, 3), cpu_s(process.pid)
             count = requests // open_requests
-            await asyncio.gather(*(ask(address, size, count, latencies_us) for _ in range(open_requests)))
+            clients = (ask(address, client, size, count, latencies_us) for client in range(open_requests))
+            await asyncio.gather(*clients)
             cpu_us = 1e6 * (cpu_s(process.pid) - before_s) / (count * open_requests)
             p50, p99 = (latencies_us.get_value_at_percentile(one) / 1000.0 for one in (50, 99))
             memory = peak_mb(process.pid)
