--- a/benchmarks/response_latency.py
+++ b/benchmarks/response_latency.py
@@ -67,8 +67,26 @@
     return int(text.split("VmHWM:")[1].split()[0]) / 1000.0
 
 
+async def measure_sizes(
+    process: asyncio.subprocess.Process, name: str, requests: int, open_requests: int
+) -> None:
+    """Measures each size through a running director, and prints a line for each."""
+    assert process.stderr is not None
+    address = tuple(json.loads(await process.stderr.readline())["listen"])
+    for size in SIZES:
+        latencies_us, before_s = HdrHistogram(1, 60_000_000, 3), cpu_s(process.pid)
+        count = requests // open_requests
+        clients = (ask(address, client, size, count, latencies_us) for client in range(open_requests))
+        await asyncio.gather(*clients)
+        cpu_us = 1e6 * (cpu_s(process.pid) - before_s) / (count * open_requests)
+        p50, p99 = (latencies_us.get_value_at_percentile(one) / 1000.0 for one in (50, 99))
+        memory = peak_mb(process.pid)
+        latency = f"p50 {p50:6.2f} ms  p99 {p99:6.2f} ms"
+        print(f"{name:8} {size:7} bytes  {latency}  CPU {cpu_us:5.0f} us  peak {memory:5.1f} MB")
+
+
 async def measure(tree: Path, requests: int, open_requests: int) -> None:
-    """Starts a tree's director, measures each size, and prints a line for each."""
+    """Starts a tree's director and measures it."""
     coordinator, cache = await Coordinator().start(), await ScriptedServer(serve).start()
     with tempfile.TemporaryDirectory() as folder:
         config_file = Path(folder, "director.json")
@@ -77,20 +95,11 @@
             sys.executable, "-m", "gladewalk", cwd=tree, stderr=asyncio.subprocess.PIPE,
             env={**os.environ, "NODE_CONFIG": str(config_file)},
         )  # fmt: skip
-        assert process.stderr is not None
-        address = tuple(json.loads(await process.stderr.readline())["listen"])
-        for size in SIZES:
-            latencies_us, before_s = HdrHistogram(1, 60_000_000, 3), cpu_s(process.pid)
-            count = requests // open_requests
-            clients = (ask(address, client, size, count, latencies_us) for client in range(open_requests))
-            await asyncio.gather(*clients)
-            cpu_us = 1e6 * (cpu_s(process.pid) - before_s) / (count * open_requests)
-            p50, p99 = (latencies_us.get_value_at_percentile(one) / 1000.0 for one in (50, 99))
-            memory = peak_mb(process.pid)
-            latency = f"p50 {p50:6.2f} ms  p99 {p99:6.2f} ms"
-            print(f"{tree.name:8} {size:7} bytes  {latency}  CPU {cpu_us:5.0f} us  peak {memory:5.1f} MB")
-        process.terminate()
-        await process.wait()
+        try:
+            await measure_sizes(process, tree.name, requests, open_requests)
+        finally:
+            process.kill()
+            await process.wait()
     coordinator.stop()
     cache.stop()
 
