A member hears nobody before it has its port

Trace: the restarted n2 logged 'joined n4' in the same millisecond as its start, before members_listening; a start counts as the departure of all that were known, so that n4 stayed departed. Cause: the datagram socket is open while the listener is still being bound, and what came was handled before the member had its port and had logged its start. Change: nothing is read until the port is bound.

--- a/gladewalk/members/transport.py
+++ b/gladewalk/members/transport.py
@@ -64,11 +64,16 @@
         self._random = random.SystemRandom()
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: DeadlineKey | None = None
+        self._is_binding = False  # what comes now would be heard before this member has its port
 
     async def listen(self) -> None:
         """Listens at one port for datagrams and streams; raises `OSError` if it is not to be had."""
         host, port = self.core.local.host, self.core.local.port
-        self.core.bind_port(await self._bind(host, port))
+        self._is_binding = True
+        try:
+            self.core.bind_port(await self._bind(host, port))
+        finally:
+            self._is_binding = False
         local = self.core.local
         log.info("members_listening", by=local.name, host=local.host, port=local.port, run=local.run_id)
         self._tick()
@@ -134,7 +139,9 @@
     # Interface to `StreamTransport`.
 
     def is_allowed(self, host: str) -> bool:
-        """Whether anything from this host is read."""
+        """Whether anything from this host is read now."""
+        if self._is_binding:
+            return False
         sender = ipaddress.ip_address(host)
         return any(sender in network for network in self.networks)
 
--- a/tests/test_members_transport.py
+++ b/tests/test_members_transport.py
@@ -56,6 +56,23 @@
         assert first.counters["members.died"] == 1
         first.leave()
 
+    async def test_nobody_is_heard_before_a_member_has_its_port(self) -> None:
+        """What is logged of a member before its own start would be taken for the run before."""
+        member = await self.start("a", ())
+        heard_while_binding: list[bool] = []
+        member.close()
+        bind = member._bind
+
+        async def bind_and_ask(host: str, port: int) -> int:
+            bound_port = await bind(host, 0)
+            heard_while_binding.append(member.is_allowed("127.0.0.1"))
+            return bound_port
+
+        member._bind = bind_and_ask  # type: ignore[method-assign]
+        await member.listen()
+        assert (heard_while_binding, member.is_allowed("127.0.0.1")) == ([False], True)
+        member.close()
+
     async def test_strangers_without_a_key_or_from_another_network_get_no_answer(self) -> None:
         member = await self.start("a", ())
         stranger = await self.start("b", (("127.0.0.1", member.core.local.port),), key=b"x" * 32)
