One token bucket, one bound on an object's size, one chunked coding; dead names out

The request log had written a token bucket that streams/ had: it moves to limits/token_bucket.py, and the log uses it. MAX_RESPONSE_BYTES repeated protocol_fields.MAX_OBJECT_BYTES: the bound stands in core/response_buffer.py alone. net/connection.py and web/front.py each encoded chunks: encode_chunk and LAST_CHUNK serve both. Director.wall_clock and leases.start.Clock were read by nobody; the names of the soak's rules stood twice. Behaviour stays; tests change two imports.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from .checker import Verdict, check
+from .checker import RULES, Verdict, check
 from .history import History
 from .plan import draw_plan
 from .run import play
@@ -25,7 +25,6 @@
 LONG_SEEDS = 50
 JOBS = 3
 SHRINK_TRIES = 2
-RULES = ("lost", "duplicates", "late_attempts", "wrong", "over_budget", "crashes", "leaks")
 
 
 @dataclass
--- a/benchmarks/soak/checker.py
+++ b/benchmarks/soak/checker.py
@@ -21,6 +21,7 @@
 TIMER_SLACK_S = 0.1  # of the soak's own event loop
 SURPLUS_LEARNED_S = 1.0
 SECOND_ANSWER = b"second answer"
+RULES = ("lost", "duplicates", "late_attempts", "wrong", "over_budget", "crashes", "leaks")
 REJECTIONS, FAILURES = (429, 503), (500, 502, 504)
 
 
@@ -41,13 +42,12 @@
 
     def counts(self) -> dict[str, int]:
         """Returns the numbers of the last line."""
-        names = ("lost", "duplicates", "late_attempts", "wrong", "over_budget", "crashes", "leaks")
-        return {"requests": self.requests, **{name: len(getattr(self, name)) for name in names}}
+        return {"requests": self.requests, **{name: len(getattr(self, name)) for name in RULES}}
 
     @property
     def is_clean(self) -> bool:
         """Whether no rule is broken."""
-        return not any(count for name, count in self.counts().items() if name != "requests")
+        return not any(getattr(self, name) for name in RULES)
 
 
 def check(history: History) -> Verdict:
--- a/gladewalk/core/request_log.py
+++ b/gladewalk/core/request_log.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..limits.token_bucket import TokenBucket
 from .counters import Counters
 from .exchange_types import OpenRequest
 
@@ -33,8 +34,7 @@
     def __init__(self, clock: Callable[[], float], counters: Counters) -> None:
         self.emit: Callable[..., Any] | None = None
         self._clock, self._counters = clock, counters
-        self._tokens = MAX_BURST_LINES
-        self._refilled_ms = clock()
+        self._lines = TokenBucket(MAX_BURST_LINES, LINES_PER_S, clock())
 
     def note(self, opened: OpenRequest, step: str, *details: object) -> None:
         """Notes a step of a request: what happened, and to which attempt, server or status."""
@@ -75,15 +75,10 @@
             self.emit("client_closed", reason=reason, id=trace_id, unanswered=unanswered)
 
     def _take_token(self) -> bool:
-        now_ms = self._clock()
-        gained = (now_ms - self._refilled_ms) * LINES_PER_S / 1000.0
-        self._tokens = min(MAX_BURST_LINES, self._tokens + max(0.0, gained))
-        self._refilled_ms = now_ms
-        if self._tokens < 1.0:
+        is_admitted = self._lines.take(self._clock())
+        if not is_admitted:
             self._counters.add("log.request_lines_dropped")
-            return False
-        self._tokens -= 1.0
-        return True
+        return is_admitted
 
 
 def _format_step(elapsed_ms: float, step: str, details: tuple[object, ...]) -> str:
--- a/gladewalk/core/response_buffer.py
+++ b/gladewalk/core/response_buffer.py
@@ -18,8 +18,8 @@
 if TYPE_CHECKING:
     from .exchange_types import Attempt, ResponseHead
 
-MAX_RESPONSE_BYTES = 240_000
-"""The largest object of the platform; what is reserved for a response of unknown length."""
+MAX_OBJECT_BYTES = 240_000
+"""The largest object: a longer response is invalid, one of unknown length reserves as much of the budget."""
 
 PROGRAM_MB = 30.0
 """Memory that a director needs beside the responses it holds."""
@@ -57,7 +57,7 @@
         if self.head.is_not_modified:
             return 0
         length = self.head.content_length
-        return MAX_RESPONSE_BYTES if length is None else length
+        return MAX_OBJECT_BYTES if length is None else length
 
     def received_bytes(self) -> int:
         """Returns how many bytes of the body have arrived."""
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -69,7 +69,6 @@
     ) -> None:
         self.config, self.options, self.loop = config, options, loop
         self.clock = clock = environment.clock
-        self.wall_clock = environment.wall_clock
         self.counters = counters = Counters()
         self.log = structlog.get_logger().bind(node=config.name)
         self.deadlines = deadlines = LoopTimer(loop, clock).deadlines
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ..config.options import Options
@@ -24,7 +24,6 @@
 from .transport import Address, LeaseClock, LeaseService
 from .voter import Voter, decode_grants
 
-Clock = Callable[[], float]
 REPORTED_OUTCOMES = {"served": Outcome.COMPLETED, "refused": Outcome.REJECTED, "failed": Outcome.FAILED}
 RENEWAL_INTERVAL_LEASES = 0.3  # times of an election, in leases
 ROUND_TIMEOUT_LEASES = 0.25
--- a/gladewalk/streams/token_bucket.py
+++ b/gladewalk/limits/token_bucket.py
@@ -1,4 +1,4 @@
-"""A token bucket, for control frames that a server may send and resets that are sent."""
+"""A token bucket: control frames that a server may send, resets that are sent, lines of the request log."""
 
 from __future__ import annotations
 
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -21,13 +21,13 @@
 MAX_HEADER_BYTES = 16 * 1024
 MIN_WAIT_MS = 1.0  # what is left to a request whose time was up before it was read
 MAX_PIPELINED = 8  # requests that a client may have sent ahead on one connection
+LAST_CHUNK = b"0\r\n\r\n"  # ends a body in the chunked transfer coding
 HEALTHY, UNREADY = 200, -503  # a health check's answer; the second is told from the statuses of bad input
 
 
-def encode_chunked(body: bytes) -> bytes:
-    """Returns a complete body in the chunked transfer coding (RFC 9112, section 7.1)."""
-    chunk = b"%x\r\n%b\r\n" % (len(body), body) if body else b""
-    return chunk + b"0\r\n\r\n"
+def encode_chunk(data: bytes) -> bytes:
+    """Returns a piece of a body, which must not be empty, as a chunk (RFC 9112, section 7.1)."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -335,7 +335,7 @@
         lines = ["HTTP/1.1 304 Not Modified" if head.is_not_modified else "HTTP/1.1 200 OK"]
         if head.content_length is None and not head.is_not_modified:
             lines.append("Transfer-Encoding: chunked")
-            body = encode_chunked(body)
+            body = (encode_chunk(body) if body else b"") + LAST_CHUNK
         elif not head.is_not_modified:
             lines.append(f"Content-Length: {len(body)}")
         if head.etag is not None:
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -10,11 +10,11 @@
 from .. import interface as api
 from ..config.platform import Address
 from ..core.exchange import Attempt, AttemptResult, ResponseHead
+from ..core.response_buffer import MAX_OBJECT_BYTES
 from ..net.sockets import MAX_FRAMING_BYTES, socket_poll
 from .protocol_fields import (
     AUTHORITY,
     MAX_HEAD_BYTES,
-    MAX_OBJECT_BYTES,
     InvalidResponseError,
     read_content_length,
     read_result,
--- a/gladewalk/upstream/http2.py
+++ b/gladewalk/upstream/http2.py
@@ -13,6 +13,8 @@
 from .. import interface as api
 from ..config.option_tables import Http2Options
 from ..core.exchange import Attempt, AttemptResult
+from ..core.response_buffer import MAX_OBJECT_BYTES
+from ..limits.token_bucket import TokenBucket
 from ..streams.keep_alive import KeepAlive, KeepAliveAction
 from ..streams.stream_allocator import ConnectionSlots, StreamAllocator
 from ..streams.stream_tracker import (
@@ -22,11 +24,10 @@
     StreamOutcome,
     StreamTracker,
 )
-from ..streams.token_bucket import TokenBucket
 from .http2_engine import Http2Engine, violation_name
 from .http2_stream import Http2Stream, attempt_status, encode_fields
 from .http2_transport import Http2Transport
-from .protocol_fields import MAX_OBJECT_BYTES, InvalidResponseError, read_result
+from .protocol_fields import InvalidResponseError, read_result
 from .upstream_server import UpstreamServer
 from .work_items import ConnectionOwner, WorkItem
 
--- a/gladewalk/upstream/http2_engine.py
+++ b/gladewalk/upstream/http2_engine.py
@@ -17,7 +17,7 @@
 
 from ..config.option_tables import Http2Options
 from ..errors import GladewalkError
-from ..streams.token_bucket import TokenBucket
+from ..limits.token_bucket import TokenBucket
 from .protocol_fields import MAX_HEAD_BYTES
 
 if TYPE_CHECKING:
--- a/gladewalk/upstream/http2_stream.py
+++ b/gladewalk/upstream/http2_stream.py
@@ -9,10 +9,10 @@
 
 from .. import interface as api
 from ..core.exchange import Attempt, ResponseHead
+from ..core.response_buffer import MAX_OBJECT_BYTES
 from ..streams.stream_tracker import EndReason, StreamOutcome
 from .protocol_fields import (
     AUTHORITY,
-    MAX_OBJECT_BYTES,
     InvalidResponseError,
     read_content_length,
     request_fields,
--- a/gladewalk/upstream/protocol_fields.py
+++ b/gladewalk/upstream/protocol_fields.py
@@ -12,7 +12,6 @@
 AUTHORITY = "app.svc"
 HEALTH_CHECK_PATH = "/load"
 MAX_HEAD_BYTES = 16 * 1024  # before a response's body, interim responses included
-MAX_OBJECT_BYTES = 240_000  # a response that announces or sends more is invalid
 DETAIL_BY_REMARK = dict(
     zip(
         (
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -7,8 +7,9 @@
 from .. import interface as api
 from ..core.deadlines import DeadlineKey
 from ..core.exchange import Attempt
+from ..core.response_buffer import MAX_OBJECT_BYTES
 from ..upstream.http1 import Http1Connection
-from ..upstream.protocol_fields import MAX_OBJECT_BYTES, InvalidResponseError, read_content_length
+from ..upstream.protocol_fields import InvalidResponseError, read_content_length
 from ..upstream.upstream_server import UpstreamServer
 from ..upstream.work_items import WorkItem
 from .messages import (
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -15,7 +15,7 @@
 from ..core.deadlines import Deadlines
 from ..core.exchange import ClientRequest, FinalAnswer, ResponseHead
 from ..net.clients import ClientFront
-from ..net.connection import ClientConnection
+from ..net.connection import LAST_CHUNK, ClientConnection, encode_chunk
 from ..net.requests import BadRequestError
 from ..nginx.errors import MalformedRequestError
 from ..nginx.hosts import normalise_optional_host
@@ -229,12 +229,12 @@
     def write_body(self, data: bytes) -> None:
         """Writes a piece of the body, unless the request is a HEAD."""
         if not self.is_bodiless:
-            self._write(b"%x\r\n%b\r\n" % (len(data), data) if self.is_chunked else data)
+            self._write(encode_chunk(data) if self.is_chunked else data)
 
     def end_response(self) -> None:
         """Ends a response that was passed on piece by piece."""
         if self.is_chunked:
-            self._write(b"0\r\n\r\n")
+            self._write(LAST_CHUNK)
         self._response_finished()
 
     def abort_response(self) -> None:
--- a/gladewalk/web/streaming.py
+++ b/gladewalk/web/streaming.py
@@ -1,6 +1,6 @@
 """Responses that are too large to be held: passed on piece by piece, as nginx does beyond its buffers.
 
-A response of known length up to `MAX_RESPONSE_BYTES` is held whole by the exchange. A larger one, or one
+A response of known length up to `MAX_OBJECT_BYTES` is held whole by the exchange. A larger one, or one
 whose length shows only at its end, has no bound: it goes to the client as it comes, and one that breaks off
 ends the client's connection.
 """
@@ -16,7 +16,7 @@
 from ..core.deadlines import Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer, OpenRequest, ResponseHead
 from ..core.outcome_counters import Outcome, outcome_counter
-from ..core.response_buffer import MAX_RESPONSE_BYTES
+from ..core.response_buffer import MAX_OBJECT_BYTES
 from .messages import BODILESS_STATUSES, ProxyRequest, ProxyResponseHead
 
 
@@ -126,7 +126,7 @@
     is_bodiless_status = isinstance(head, ProxyResponseHead) and head.status in BODILESS_STATUSES
     if is_head_request or is_bodiless_status:
         return True
-    return head.content_length is not None and head.content_length <= MAX_RESPONSE_BYTES
+    return head.content_length is not None and head.content_length <= MAX_OBJECT_BYTES
 
 
 def _writer(opened: OpenRequest) -> StreamWriter:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -5,13 +5,14 @@
 import socket
 import unittest
 
+from gladewalk.core.response_buffer import MAX_OBJECT_BYTES
 from gladewalk.director import Director
 from gladewalk.net.connection import MAX_HEADER_BYTES, ClientConnection
 from gladewalk.net.sockets import MAX_FRAMING_BYTES
 from gladewalk.rehearsal.director_harness import wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
-from gladewalk.upstream.protocol_fields import MAX_HEAD_BYTES, MAX_OBJECT_BYTES
+from gladewalk.upstream.protocol_fields import MAX_HEAD_BYTES
 
 from .server_scripts import hit, running
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -7,6 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from gladewalk.config.option_tables import Http2Options
+from gladewalk.limits.token_bucket import TokenBucket
 from gladewalk.streams.keep_alive import KeepAlive, KeepAliveAction
 from gladewalk.streams.negotiation import ProtocolNegotiation, ProtocolOffer
 from gladewalk.streams.stream_allocator import ConnectionSlots, NextStep, StreamAllocator
@@ -20,7 +21,6 @@
     StreamTracker,
     TransmissionProgress,
 )
-from gladewalk.streams.token_bucket import TokenBucket
 
 PROFILE = settings(
     max_examples=120, stateful_step_count=40, derandomize=True, deadline=None, database=None,
