--- a/benchmarks/soak/broken_director.py
+++ b/benchmarks/soak/broken_director.py
@@ -16,6 +16,7 @@
 from gladewalk.policy.retries import RetryPolicy
 from gladewalk.registry.servers import ServerRegistry
 from gladewalk.upstream import http1, protocol_fields
+from gladewalk.upstream.connection_rest import ConnectionRest
 
 LATE_ANSWER_S = 1.5
 EXTRA_WAIT_MS = 1_000
@@ -86,6 +87,11 @@
     _replace(ClientConnection, "send_response", send_other)
 
 
+def reuse_connections_at_once() -> None:
+    """Connections do not rest: late second responses are taken for the next requests'."""
+    _replace(ConnectionRest, "duration_ms", lambda self, now_ms: 0.0)
+
+
 def omit_retry_after() -> None:
     """Rejections do not say when to come back."""
     write = ClientConnection._write_status
@@ -160,7 +166,7 @@
     for change in (
         cut_broken_responses, forget_deadlines, delay_failures, resend_writes, reject_writes_that_ran,
         serve_departed_clients, swap_bodies, omit_retry_after, answer_twice, exceed_deadlines, ignore_drains,
-        ignore_purges, crash_on_reload, leak_descriptors,
+        ignore_purges, crash_on_reload, leak_descriptors, reuse_connections_at_once,
     )
 }  # fmt: skip
 
--- a/benchmarks/soak/checker.py
+++ b/benchmarks/soak/checker.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from .history import AttemptRecord, Effect, End, History, RequestRecord, StopRecord
-from .objects import version_of
+from .objects import owner_of, version_of, write_answer
 
 LATE_S = 0.5  # an answer that comes so long after its time only earns nothing
 CROSSING_S = 0.05  # a request that crosses the end of a resting connection for so long is excused
@@ -19,8 +19,6 @@
 DRAIN_GRACE_S = 0.25 + 0.05
 PURGE_GRACE_S = 0.5 + 0.05
 TIMER_SLACK_S = 0.1  # of the soak's own event loop
-SURPLUS_LEARNED_S = 1.0
-SECOND_ANSWER = b"second answer"
 RULES = ("lost", "duplicates", "late_attempts", "wrong", "over_budget", "crashes", "leaks")
 REJECTIONS, FAILURES = (429, 503), (500, 502, 504)
 
@@ -116,7 +114,7 @@
         verdict.wrong.append(f"{request.trace_id} {request.surplus} bytes behind its answer")
     if request.status == 200:
         verdict.served += 1
-        _check_body(verdict, request, attempts, history)
+        _check_body(verdict, request, history)
     elif request.status in REJECTIONS:
         if not request.has_retry_after:
             verdict.wrong.append(f"{request.trace_id} rejected without Retry-After")
@@ -126,36 +124,14 @@
         verdict.wrong.append(f"{request.trace_id} answered {request.status}")
 
 
-def _is_first_surplus(request: RequestRecord, attempts: list[AttemptRecord], history: History) -> bool:
-    """Whether a second answer was taken for this one before the director could know the server.
-
-    HTTP/1.1 does not tell whose answer comes late on a connection; after the first, none may be used twice.
-    """
-    if request.body != SECOND_ANSWER:
-        return False
-    owners = {one.trace_id: one.director for one in history.requests}
-    servers = {attempt.server for attempt in attempts}
-    first_s = min(
-        one.began_s
-        for one in history.attempts
-        if one.end == "double" and one.server in servers and owners.get(one.trace_id) == request.director
-    )
-    return request.sent_s < first_s + SURPLUS_LEARNED_S
-
-
-def _check_body(
-    verdict: Verdict, request: RequestRecord, attempts: list[AttemptRecord], history: History
-) -> None:
-    if _is_first_surplus(request, attempts, history):
-        verdict.ends["first surplus"] += 1
-        return
+def _check_body(verdict: Verdict, request: RequestRecord, history: History) -> None:
     if request.effect is not Effect.REPEATABLE:
-        if request.body != b"done":
-            verdict.wrong.append(f"{request.trace_id} a write's answer of {len(request.body)} bytes")
+        if request.body != write_answer(request.trace_id):
+            verdict.wrong.append(f"{request.trace_id} a write's answer that is {owner_of(request.body)}")
         return
     version = version_of(request.object_id, request.body)
     if version is None:
-        verdict.wrong.append(f"{request.trace_id} a body that is not its object's")
+        verdict.wrong.append(f"{request.trace_id} a body that is {owner_of(request.body)}")
         return
     name = request.object_id.split("/")[0]
     for purge in history.purges:
--- a/benchmarks/soak/objects.py
+++ b/benchmarks/soak/objects.py
@@ -26,3 +26,15 @@
     if not separator or name != object_id or not version.isdigit():
         return None
     return int(version) if object_bytes(object_id, int(version)) == body else None
+
+
+def write_answer(trace_id: str) -> bytes:
+    """Returns the answer to a write, which tells whose it is."""
+    return f"done {trace_id}".encode()
+
+
+def owner_of(body: bytes) -> str:
+    """Returns whose answer a body is, as far as its head tells, with its length."""
+    head, separator, _ = body.partition(b";")
+    owner = head.decode("latin-1") if separator else repr(body[:MIN_BYTES])
+    return f"{owner}'s, {len(body)} bytes"
--- a/benchmarks/soak/servers.py
+++ b/benchmarks/soak/servers.py
@@ -11,11 +11,15 @@
 import httptools
 
 from .history import AttemptRecord, History
-from .objects import object_bytes
+from .objects import object_bytes, write_answer
 from .plan import FaultName, PlannedFault
 
 HIT_S, FILL_S, WRITE_S = (0.001, 0.012), (0.008, 0.06), (0.004, 0.04)
 PURGE_SETTLES_S = 5.0
+DOUBLE_DELAYS_S = (0.0, 0.03, 0.08)  # before an answer that a second one follows: connections are then busy
+SECOND_ANSWER_S = (0.0, 0.003, 0.01, 0.03, 0.045)  # behind the first answer
+MAX_SECOND_ANSWER_S = 0.05
+REPEATED_FRACTION = 0.5  # of the second answers repeat the first
 # What no client may ever see a byte of; a body of the right length with wrong bytes could not be told.
 NOISE = (
     b"\x00\x01noise\r\n\r\n",
@@ -193,6 +197,8 @@
         attempt.end = fault.value if fault is not None else "answered"
         if fault is FaultName.SLOW:
             await asyncio.sleep(rng.uniform(0.05, 0.4))
+        if fault is FaultName.DOUBLE:
+            await asyncio.sleep(rng.choice(DOUBLE_DELAYS_S))
         if fault in (FaultName.SHED, FaultName.LATE):
             attempt.may_have_run = False
             return self.write(503 if fault is FaultName.SHED else 504, b"", "X-Shed: 1")
@@ -200,7 +206,7 @@
             await asyncio.Event().wait()
         if method != "GET":
             await asyncio.sleep(rng.uniform(*WRITE_S))
-            return await self._send(b"done", "Tag: w", fault, attempt)
+            return await self._send(write_answer(attempt.trace_id), "Tag: w", fault, attempt)
         _, _, _, name, part = attempt.path.split("/")
         object_id, bound = f"{name}/{part}", headers.get("no-older-than")
         have_only = "have-only" in headers.get("handling", "")
@@ -242,11 +248,17 @@
                 self.transport.write(data)
 
     async def _send_twice(self, data: bytes) -> None:
+        """Sends an answer, and a second one behind it, often while the next request is under way."""
         assert self.transport is not None
         self.transport.write(data)
-        await asyncio.sleep(self.server.rng.choice((0.0, 0.003, 0.03)))
-        if self.transport is not None:
-            self.transport.write(_encode(200, b"second answer"))
+        sent_s, rng = time.monotonic(), self.server.rng
+        late_s = rng.choice(SECOND_ANSWER_S)
+        second = data if rng.random() < REPEATED_FRACTION else _encode(200, b"second answer")
+        await asyncio.sleep(late_s)
+        if time.monotonic() - sent_s > MAX_SECOND_ANSWER_S:  # this loop was late: it is left out
+            self.server.history.note(time.monotonic(), f"{self.server.name} sends no second answer: too late")
+        elif self.transport is not None:
+            self.transport.write(second)
 
     async def _drip(self, data: bytes, head_bytes: int, duration_s: float) -> None:
         steps = 8
--- a/gladewalk/core/request_log.py
+++ b/gladewalk/core/request_log.py
@@ -74,6 +74,17 @@
         if self.emit is not None and self._take_token():
             self.emit("client_closed", reason=reason, id=trace_id, unanswered=unanswered)
 
+    def surplus_read(self, server: str, trace_id: str, lateness_ms: float) -> None:
+        """Writes the line of bytes that a server sent behind a complete response.
+
+        Args:
+            server: The server's name.
+            trace_id: Of the request that the response answered; empty: a health check.
+            lateness_ms: How long after the response's end they were read.
+        """
+        if self.emit is not None and self._take_token():
+            self.emit("surplus_read", server=server, id=trace_id, late_ms=round(lateness_ms, 1))
+
     def _take_token(self) -> bool:
         is_admitted = self._lines.take(self._clock())
         if not is_admitted:
--- /dev/null
+++ b/gladewalk/upstream/connection_rest.py
@@ -0,0 +1,38 @@
+"""How long a server's HTTP/1.1 connections rest, unused, between a response and the next request.
+
+Nothing in HTTP/1.1 ties a response to its request (RFC 9112, section 9.3): a second response that comes once
+the connection carries its next request is taken for that one's, and each later response for the one after.
+What comes while a connection rests belongs to no request, and ends the connection.
+"""
+
+from __future__ import annotations
+
+import math
+
+REST_MS = 100.0  # twice the lateness at which second responses are expected
+MAX_REST_MS = 500.0
+LATENESS_MARGIN = 2.0  # a server's rest is the lateness that it may have shown, times this
+LATENESS_MEMORY_MS = 60_000.0
+
+
+class ConnectionRest:
+    """The rest of one server's connections: `REST_MS`, or longer while later surplus bytes are remembered."""
+
+    def __init__(self) -> None:
+        self._learned_ms = REST_MS
+        self._learned_until_ms = -math.inf
+
+    def duration_ms(self, now_ms: float) -> float:
+        """Returns how long a connection rests after a response, in milliseconds."""
+        return self._learned_ms if now_ms < self._learned_until_ms else REST_MS
+
+    def surplus_read(self, now_ms: float, max_lateness_ms: float) -> None:
+        """Learns that bytes have come behind a complete response.
+
+        Args:
+            now_ms: The present, steady milliseconds.
+            max_lateness_ms: The most by which a response of the server may have come late by this sign.
+        """
+        wanted_ms = min(MAX_REST_MS, LATENESS_MARGIN * max_lateness_ms)
+        self._learned_ms = max(self.duration_ms(now_ms), wanted_ms)
+        self._learned_until_ms = now_ms + LATENESS_MEMORY_MS
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -12,6 +12,7 @@
 from ..core.exchange import Attempt, AttemptResult, ResponseHead
 from ..core.response_buffer import MAX_OBJECT_BYTES
 from ..net.sockets import MAX_FRAMING_BYTES, socket_poll
+from .connection_rest import ConnectionRest
 from .protocol_fields import (
     AUTHORITY,
     MAX_HEAD_BYTES,
@@ -41,8 +42,13 @@
     def forget(self, connection: Http1Connection) -> None:
         """Removes a connection that is closed from the idle ones, if it is among them."""
 
-    def distrust(self) -> None:
-        """The server has sent bytes behind a complete response."""
+    @property
+    def name(self) -> str:
+        """The server's name in the endpoint list."""
+
+    @property
+    def rest(self) -> ConnectionRest:
+        """How long its connections rest after each response."""
 
 
 def encode_health_check(check: HealthCheck) -> bytes:
@@ -64,7 +70,10 @@
     Attributes:
         item: The attempt or health check in flight.
         address: Where the connection was dialled; the server may have moved since.
+        released_ms: When its last response was complete, steady milliseconds.
+        reused_after_ms: How long it had rested when it was used again; 0 on its first use.
         idle_until_ms: Until when it may be used while it is idle, steady milliseconds.
+        last_trace_id: Of the attempt that it carried last; empty: a health check, or none.
         has_carried: Whether a request was sent on it.
         read_bytes: Bytes of the response's head, then of its body.
         framing_bytes: Bytes read since the last ones of a body (chunk sizes, extensions, trailers).
@@ -78,7 +87,8 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.item: WorkItem | None = None
-        self.idle_until_ms = 0.0
+        self.released_ms = self.idle_until_ms = self.reused_after_ms = 0.0
+        self.last_trace_id = ""
         self.has_carried = False
         self.status = self.read_bytes = 0
         self.framing_bytes = 0
@@ -110,8 +120,10 @@
         """Sends a work item's request; the connection must be open and idle."""
         assert self.transport is not None
         item.carrier = self
-        self.has_carried = True
         now_ms = self.pool.clock()
+        self.reused_after_ms = now_ms - self.released_ms if self.has_carried else 0.0
+        self.has_carried = True
+        self.last_trace_id = item.open_request.request.trace_id if isinstance(item, Attempt) else ""
         request = self.encode(item, now_ms) if isinstance(item, Attempt) else encode_health_check(item)
         self.item, self.status, self.read_bytes, self.framing_bytes, self.headers = item, 0, 0, 0, {}
         self.has_complete_head = self.is_forwarded = self.is_complete = self.is_reusable = False
@@ -151,8 +163,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses a piece of the response and forwards what is valid of it."""
         if self.item is None:  # no request is in flight: a correct server sends nothing now
-            self.pool.counters.add("caches.surplus")
-            self.server.distrust()
+            self._note_surplus(self.pool.clock() - self.released_ms)
             return self.close()
         has_surplus = False
         self.framing_bytes += len(data)
@@ -201,8 +212,7 @@
         item, self.item = self.item, None
         assert item is not None
         if has_surplus:
-            self.pool.counters.add("caches.surplus")
-            self.server.distrust()
+            self._note_surplus(0.0)
         if self.transport is not None and self.is_reusable and not has_surplus:
             self.transport.resume_reading()
             self.server.release(self)
@@ -210,6 +220,16 @@
             self.close()
         self.pool.finish(item, read_result(self.status, self.headers))
 
+    def _note_surplus(self, lateness_ms: float) -> None:
+        """Counts and logs bytes behind a complete response.
+
+        They are a second response, or the right one to a request that was answered by a second response to
+        the request before, which then came after the connection had rested.
+        """
+        self.pool.counters.add("caches.surplus")
+        self.server.rest.surplus_read(self.pool.clock(), max(lateness_ms, self.reused_after_ms))
+        self.pool.exchange.request_log.surplus_read(self.server.name, self.last_trace_id, lateness_ms)
+
     def _count_bytes(self, count: int, maximum: int) -> None:
         self.read_bytes += count
         if self.read_bytes > maximum:
--- a/gladewalk/upstream/upstream_server.py
+++ b/gladewalk/upstream/upstream_server.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
 from ..config.platform import Address, PlatformConfig
 from ..core.deadlines import DeadlineKey
+from .connection_rest import ConnectionRest
 from .http1 import Http1Connection
 from .work_items import ConnectionOwner, WorkItem
 
@@ -16,9 +16,6 @@
     from ..config.option_tables import Http2Options
 
 IDLE_TIMEOUT_FRACTION = 0.6  # of the time after which a cache closes an idle connection: ours closes first
-RESTED_MS = 5.0  # bytes behind a response mostly come within this: a connection idle for longer is preferred
-DISTRUST_MS = 60_000.0  # how long a server that sent such bytes is distrusted
-DISTRUSTED_REST_MS = 50.0  # how long each of its connections rests, unused, after a response
 
 
 class ServerPool(ConnectionOwner, Protocol):
@@ -64,8 +61,7 @@
         idle: Its idle HTTP/1.1 connections, the one used last at the end.
         group: Its HTTP/2 connections; None while HTTP/1.1 is spoken.
         is_removed: Whether the endpoint list has removed it: what is in flight goes on, nothing stays idle.
-        distrusted_until_ms: Until when a connection rests after each response: bytes behind it that come late
-            would be taken for the response to the next request, as nothing in HTTP/1.1 tells them apart.
+        rest: How long a connection rests after each response before it carries the next request.
     """
 
     def __init__(self, pool: ServerPool, name: str, address: Address) -> None:
@@ -74,7 +70,7 @@
         self.idle: list[Http1Connection] = []
         self.group: SharedConnections | None = None
         self.is_removed = False
-        self.distrusted_until_ms = -math.inf
+        self.rest = ConnectionRest()
 
     def release(self, connection: Http1Connection) -> None:
         """Takes a connection back as idle, or closes one that leads to a former address."""
@@ -82,37 +78,30 @@
         if self.is_removed or connection.address != self.address:
             return connection.close()
         self.idle.append(connection)
-        connection.idle_until_ms = pool.clock() + pool.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
+        connection.released_ms = pool.clock()
+        connection.idle_until_ms = (
+            connection.released_ms + pool.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
+        )
         pool.serve_waiting()
 
     def acquire(self) -> Http1Connection | None:
-        """Returns a usable idle connection, None if there is none.
-
-        Of those that have rested it is the one used last, else the one used last of all, unless the server is
-        distrusted.
-        """
+        """Returns the usable idle connection that was used last, None if there is none."""
         now_ms = self.pool.clock()
-        while (index := self._choose(now_ms)) is not None:
+        while (index := self._last_rested(now_ms)) is not None:
             connection = self.idle.pop(index)
             if connection.idle_until_ms >= now_ms and connection.is_quiet():
                 return connection
             connection.close()  # the server has closed it or sent something, or may be closing it just now
         return None
 
-    def _choose(self, now_ms: float) -> int | None:
-        """Returns the place of the idle connection to use, None for none."""
-        is_distrusted = now_ms < self.distrusted_until_ms
-        rest_ms = DISTRUSTED_REST_MS if is_distrusted else RESTED_MS
-        rested_until_ms = now_ms - rest_ms + self.pool.config.idle_timeout_ms * IDLE_TIMEOUT_FRACTION
+    def _last_rested(self, now_ms: float) -> int | None:
+        """Returns the place of the idle connection to use, None while each still rests."""
+        max_released_ms = now_ms - self.rest.duration_ms(now_ms)
         for index in range(len(self.idle) - 1, -1, -1):
             connection = self.idle[index]
-            if connection.idle_until_ms <= rested_until_ms or not connection.has_carried:
+            if connection.released_ms <= max_released_ms or not connection.has_carried:
                 return index
-        return len(self.idle) - 1 if self.idle and not is_distrusted else None
-
-    def distrust(self) -> None:
-        """The server has sent bytes behind a complete response."""
-        self.distrusted_until_ms = self.pool.clock() + DISTRUST_MS
+        return None
 
     def forget(self, connection: Http1Connection) -> None:
         """Removes a connection that is closed from the idle ones, if it is among them."""
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -177,6 +177,8 @@
         self.pool.deadlines.drop(self.read_timer)
         if self.is_bodiless:  # the parser would wait for a body
             self.parser = httptools.HttpResponseParser(self)
+        if has_surplus:
+            self._note_surplus(0.0)
         if self.transport is not None and self.is_reusable and not has_surplus:
             self.transport.resume_reading()
             self.server.release(self)
--- a/tests/test_golden_upstream.py
+++ b/tests/test_golden_upstream.py
@@ -19,7 +19,9 @@
 from gladewalk import interface as api
 from gladewalk.core.counters import Counters
 from gladewalk.core.exchange import Attempt, AttemptResult, ClientRequest, OpenRequest, ResponseHead
+from gladewalk.core.request_log import RequestLog
 from gladewalk.upstream.connection_group import ConnectionGroup
+from gladewalk.upstream.connection_rest import ConnectionRest
 from gladewalk.upstream.http1 import Http1Connection, encode_health_check
 from gladewalk.upstream.http2 import Http2Connection
 from gladewalk.upstream.protocol_fields import read_result
@@ -90,6 +92,7 @@
 
     def __init__(self, events: list[Any]) -> None:
         self.events = events
+        self.request_log: RequestLog
 
     def response_started(self, attempt: Attempt, head: ResponseHead) -> bool:
         self.events.append(["head", head.is_not_modified, head.content_length, head.etag])
@@ -106,6 +109,8 @@
         self.events: list[Any] = []
         self.exchange = RecordingExchange(self.events)
         self.counters = Counters()
+        self.exchange.request_log = RequestLog(self.clock, self.counters)
+        self.rest = ConnectionRest()
         self.open_connections: set[Any] = set()
         self.idle: list[Any] = []
         self.pool, self.address, self.name, self.is_removed = self, ("127.0.0.1", 1), "c1", False
@@ -121,9 +126,6 @@
     def release(self, connection: Http1Connection) -> None:
         self.events.append(["rests"])
 
-    def distrust(self) -> None:
-        pass
-
     def forget(self, connection: Http1Connection) -> None:
         pass
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,6 +9,7 @@
 from gladewalk.rehearsal.director_harness import wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
+from gladewalk.upstream.connection_rest import REST_MS
 from gladewalk.upstream.http1 import Http1Connection
 
 from .server_scripts import BYTES, half, hit, miss_then_fill, reset, running, silent
@@ -87,7 +88,7 @@
         assert lookup.headers["x-ticket"] == "00c0ffee00c0ffee"
         assert "miss-to" not in lookup.headers
         assert (fill.headers["miss-to"], fill.headers["store-as"]) == ("p1", "1")
-        assert cache.connections == 1  # the second attempt took the first one's connection
+        assert cache.connections == 2  # the first attempt's connection rested
 
     async def test_a_copy_that_the_client_holds_is_confirmed_without_bytes(self) -> None:
         async def script(heard: ReceivedRequest) -> None:
@@ -185,7 +186,9 @@
     assert asyncio.run(story()) == [f"/o/lot-page/{key:x}/0".encode() for key in range(2, 8)]
 
 
-def test_a_connection_that_has_rested_is_used_before_one_that_was_just_used() -> None:
+def test_a_connection_is_used_again_once_it_has_rested_and_not_before() -> None:
+    """Guards against a server's late bytes that are read as the next request's response."""
+
     async def story() -> list[bool]:
         async with running(ScriptedServer(hit)) as (_, director):
             server = director.connection_pool.servers["c1"]
@@ -196,8 +199,11 @@
             ]
             rested.has_carried = fresh.has_carried = True
             server.release(rested)
-            await asyncio.sleep(0.02)
+            found = [server.acquire() is None]
+            await asyncio.sleep(REST_MS / 1000.0)
             server.release(fresh)
-            return [server.acquire() is rested, server.acquire() is fresh]
+            found += [server.acquire() is rested, server.acquire() is None]
+            await asyncio.sleep(REST_MS / 1000.0)
+            return [*found, server.acquire() is fresh]
 
-    assert asyncio.run(story()) == [True, True]
+    assert asyncio.run(story()) == [True, True, True, True]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 from benchmarks.soak.broken_director import BROKEN
 from benchmarks.soak.checker import Verdict, check
 from benchmarks.soak.history import AttemptRecord, Effect, End, History, RequestRecord
-from benchmarks.soak.objects import object_bytes, version_of
+from benchmarks.soak.objects import object_bytes, owner_of, version_of, write_answer
 from benchmarks.soak.plan import FaultName, Plan, PlannedFault, draw_plan
 from benchmarks.soak.run import play
 
@@ -27,6 +27,7 @@
     "ignore_purges": "wrong",
     "crash_on_reload": "crashes",
     "leak_descriptors": "leaks",
+    "reuse_connections_at_once": "wrong",
 }
 SERVERS = 6  # four caches, the parent and the origin
 
@@ -45,6 +46,7 @@
         *(PlannedFault(0.3 + 0.1 * number, 0.5, FaultName.PURGE, number, 0.0) for number in range(6)),
         *(PlannedFault(0.2, 3.5, FaultName.SHED, server, 0.08) for server in range(SERVERS)),
         *(PlannedFault(0.2, 3.5, FaultName.SLOW, server, 0.3) for server in range(SERVERS)),
+        *(PlannedFault(0.2, 3.5, FaultName.DOUBLE, server, 0.2) for server in range(SERVERS)),
     ]
     plan = draw_plan(3)
     assert any(cls.effect is Effect.ONCE for cls in plan.classes)
@@ -101,6 +103,9 @@
         ({"end": End.CLOSED, "ended_s": 10.2, "received": 0}, "lost"),
         ({"end": End.LEFT, "left_s": 10.1}, ""),
         ({"body": object_bytes("2/0", 1)}, "wrong"),
+        ({"body": b"second answer"}, "wrong"),
+        ({"effect": Effect.ONCE, "body": write_answer("1")}, ""),
+        ({"effect": Effect.ONCE, "body": write_answer("2")}, "wrong"),
         ({"body": object_bytes("1/0", 1)[:-1]}, "wrong"),
         ({"status": 503}, "wrong"),
         ({"status": 503, "has_retry_after": True}, ""),
@@ -125,7 +130,7 @@
     ],
 )
 def test_the_checker_judges_a_second_run_by_its_effect(effect: Effect, second_s: float, rule: str) -> None:
-    record = request(effect=effect, window_s=0.4, body=b"done", ended_s=10.9)
+    record = request(effect=effect, window_s=0.4, body=write_answer("1"), ended_s=10.9)
     if effect is Effect.REPEATABLE:
         record.body = object_bytes("1/0", 1)
     attempts = [AttemptRecord("1", "s-0", at_s, 100.0, "/o/page/1/0") for at_s in (10.0, second_s)]
@@ -143,3 +148,8 @@
 def test_an_objects_bytes_tell_its_version() -> None:
     assert version_of("1/0", object_bytes("1/0", 7)) == 7
     assert version_of("1/1", object_bytes("1/0", 7)) is None
+
+
+def test_a_body_tells_whose_it_is() -> None:
+    assert owner_of(object_bytes("1/0", 7)).startswith("1/0 v7's, ")
+    assert owner_of(write_answer("2")) == "b'done 2''s, 6 bytes"
