--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -18,14 +18,16 @@
 
 from ..known_red import KnownRed, describe, listed, soak_case
 from .checker import RULES, Verdict, check
-from .history import History
+from .history import History, RequestRecord
 from .plan import draw_plan
 from .run import play
+from .scheduling import SELF, ProcessorWait
 
 QUICK_SEEDS = 12
 LONG_SEEDS = 50
 JOBS = 3
 SHRINK_TRIES = 2
+AFTER_S = 0.6  # around a request that failed, waits for a processor are told
 
 
 @dataclass
@@ -72,15 +74,27 @@
     events += [
         (
             attempt.began_s,
-            f"{attempt.trace_id}: at {attempt.server}, {attempt.max_wait_ms:.0f} ms, {attempt.end}",
+            f"{attempt.trace_id}: at {attempt.server}, {attempt.max_wait_ms:.0f} ms, {attempt.end}, came"
+            f" at most {1000.0 * (attempt.began_s - attempt.came_after_s):.0f} ms before",
         )
         for attempt in history.attempts
         if attempt.trace_id in wanted
     ]
+    events += [(wait.until_s, wait.describe()) for wait in history.waits if _concerns(wait, requests)]
     begin_s = min((at_s for at_s, _ in events), default=0.0)
     return [f"    {at_s - begin_s:8.3f} {text}" for at_s, text in sorted(events)]
 
 
+def _concerns(wait: ProcessorWait, requests: list[RequestRecord]) -> bool:
+    """Whether a wait for a processor, of the request's director or the soak, overlaps one of the requests."""
+    return any(
+        wait.name in (SELF, request.director[0])
+        and wait.from_s <= max(request.ended_s, request.sent_s + request.wait_s) + AFTER_S
+        and wait.until_s >= request.sent_s - AFTER_S
+        for request in requests
+    )
+
+
 def shrink(seed: int) -> frozenset[int]:
     """Leaves out faults one by one for as long as the run still fails; -1 stands for all of system calls."""
     without: frozenset[int] = frozenset()
--- a/benchmarks/soak/checker.py
+++ b/benchmarks/soak/checker.py
@@ -79,32 +79,46 @@
     stops: dict[tuple[str, int], StopRecord],
 ) -> None:
     verdict.ends[request.end.value] += 1
-    if _is_lost(request, stops.get(request.director)) and not _is_crowded_out(request, history):
-        after_ms = 1000.0 * (request.ended_s - request.sent_s)
+    if _is_lost(request, stops.get(request.director), history) and not _is_crowded_out(request, history):
+        after_ms = 1000.0 * (request.end_came_after_s - request.sent_s)
         verdict.lost.append(f"{request.trace_id} {request.end.value} after {after_ms:.0f} ms")
     if request.end is End.ANSWERED:
         _check_answer(verdict, request, attempts, history)
-    _check_attempts(verdict, request, attempts, history)
+    _check_attempts(verdict, request, attempts)
 
 
-def _is_lost(request: RequestRecord, stop: StopRecord | None) -> bool:
+def _not_run_s(request: RequestRecord, history: History) -> float:
+    """Returns how long a request's director was ready to run, and not run, while it had the request."""
+    return sum(
+        wait.within_s(request.sent_s, request.ended_s)
+        for wait in history.waits
+        if wait.name == request.director[0]
+    )
+
+
+def _is_lost(request: RequestRecord, stop: StopRecord | None, history: History) -> bool:
     if request.end is End.LEFT:
         return False
     if request.end is End.ANSWERED:
-        return request.ended_s > request.sent_s + request.wait_s + LATE_S + TIMER_SLACK_S
+        late_s = request.end_came_after_s - (request.sent_s + request.wait_s)
+        return (
+            late_s > LATE_S + TIMER_SLACK_S and late_s - _not_run_s(request, history) > LATE_S + TIMER_SLACK_S
+        )
     was_killed = stop is not None and stop.term_s is None and stop.kill_s is not None
     if was_killed and stop is not None and stop.kill_s is not None and request.ended_s >= stop.kill_s - 0.01:
         return False
     is_crossing = request.end is End.CLOSED and not request.is_first and not request.received
-    return not (is_crossing and request.ended_s - request.sent_s <= CROSSING_S)
+    return not (is_crossing and request.end_came_after_s - request.sent_s <= CROSSING_S)
 
 
 def _is_crowded_out(request: RequestRecord, history: History) -> bool:
     """Whether a new connection was shut unread, to make room, while idle clients filled the descriptors."""
     if request.end is not End.CLOSED or not request.is_first or request.received:
         return False
-    name = request.director[0]
-    return any(who == name and begin <= request.ended_s <= end for who, begin, end in history.crowds)
+    return any(
+        crowd.director == request.director[0] and crowd.from_s <= request.ended_s <= crowd.until_s
+        for crowd in history.crowds
+    )
 
 
 def _check_answer(
@@ -142,27 +156,16 @@
             )
 
 
-def _stalled_s(history: History, at_s: float) -> float:
-    """Returns how much earlier a thing noted at `at_s` may have happened, as the soak's loop was late."""
-    return max(
-        (at_s - begin for begin, end in history.stalls if begin <= at_s <= end + CROSSING_S), default=0.0
-    )
-
-
-def _check_attempts(
-    verdict: Verdict, request: RequestRecord, attempts: list[AttemptRecord], history: History
-) -> None:
+def _check_attempts(verdict: Verdict, request: RequestRecord, attempts: list[AttemptRecord]) -> None:
     over_s = request.left_s if request.end is End.LEFT else request.ended_s
     for attempt in attempts:
-        began_s = attempt.began_s - _stalled_s(history, attempt.began_s)
-        if over_s is not None and began_s > over_s + LEFT_SLACK_S:
-            late_ms = 1000.0 * (attempt.began_s - over_s)
+        if over_s is not None and attempt.came_after_s > over_s + LEFT_SLACK_S:
+            late_ms = 1000.0 * (attempt.came_after_s - over_s)
             verdict.late_attempts.append(
                 f"{request.trace_id} at {attempt.server}, {late_ms:.0f} ms after its end"
             )
-        left_ms = 1000.0 * (request.sent_s + request.wait_s - attempt.began_s)
-        stall_ms = 1000.0 * _stalled_s(history, attempt.began_s)
-        if attempt.max_wait_ms > max(1.0, left_ms + stall_ms) + MAX_WAIT_SLACK_MS:
+        left_ms = 1000.0 * (request.sent_s + request.wait_s - attempt.came_after_s)
+        if attempt.max_wait_ms > max(1.0, left_ms) + MAX_WAIT_SLACK_MS:
             verdict.over_budget.append(
                 f"{request.trace_id} told {attempt.server} {attempt.max_wait_ms:.0f} ms of {left_ms:.0f}"
             )
@@ -183,7 +186,7 @@
     told = {drain.server: drain.told_s for drain in history.drains}
     for attempt in history.attempts:
         told_s = told.get(attempt.server)
-        if told_s is not None and attempt.began_s > told_s + DRAIN_GRACE_S + TIMER_SLACK_S:
+        if told_s is not None and attempt.came_after_s > told_s + DRAIN_GRACE_S + TIMER_SLACK_S:
             verdict.wrong.append(f"{attempt.trace_id} sent to {attempt.server}, which is draining")
 
 
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,6 +15,7 @@
 from .directors import DirectorProcess
 from .history import Effect, End, History, RequestRecord
 from .plan import Plan, TrafficClass
+from .scheduling import TimedReader, open_timed_connection
 
 OBJECT_COUNT = 120
 GIVE_UP_S = 1.2  # a client waits so long past its time before it calls an answer missing
@@ -69,7 +72,7 @@
     """A client's connection to one process of a director."""
 
     director: tuple[str, int]
-    reader: asyncio.StreamReader
+    reader: TimedReader
     writer: asyncio.StreamWriter
     used: int = 0
 
@@ -113,7 +116,10 @@
             await asyncio.sleep(min(0.1, max(0.0, end_s - time.monotonic())))
 
     def _drop(self) -> None:
+        """Closes the connection at once: the transport alone would do so a turn of the loop later."""
         if self.connection is not None:
+            with contextlib.suppress(OSError):
+                self.connection.writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             self.connection.writer.transport.abort()
             self.connection = None
 
@@ -121,15 +127,18 @@
         if self.connection is not None and not self.connection.reader.at_eof():
             return self.connection
         self._drop()
-        admitted = [director for director in self.directors if director.is_admitted]
+        admitted = [director for director in self.directors if director.gets_new_connections()]
         if not admitted:
             return None
         director = self.rng.choice(admitted)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(*director.address)
+                reader, writer = await open_timed_connection(*director.address)
         except (TimeoutError, OSError):
             return None
+        if not director.gets_new_connections():  # the front has given it up in the meantime
+            writer.transport.abort()
+            return None
         self.connection = Connection(director.key, reader, writer)
         return self.connection
 
@@ -144,6 +153,7 @@
             await self._read(connection, record)
         except (ConnectionError, OSError):
             record.end, record.ended_s = End.CLOSED, time.monotonic()
+            record.end_came_after_s = connection.reader.came_after_s
         if record.sent_s == 0.0:  # it never was taken: its last byte did not leave
             record.end = End.UNSENT
         connection.used += 1
@@ -212,13 +222,13 @@
                     record.surplus += parser.feed(data)
         except TimeoutError:
             record.end = End.LEFT if leaves else End.SILENT
-            record.left_s = record.ended_s = time.monotonic()
-            record.received = parser.received
             self._drop()
+            record.left_s = record.ended_s = record.end_came_after_s = time.monotonic()
+            record.received = parser.received
             return
         except ConnectionError:
             pass
-        record.ended_s = time.monotonic()
+        record.ended_s, record.end_came_after_s = time.monotonic(), connection.reader.came_after_s
         record.end = End.ANSWERED if parser.is_whole else End.CLOSED
         record.status, record.body, record.received = parser.status, b"".join(parser.body), parser.received
         record.has_retry_after = parser.has_retry_after
--- a/benchmarks/soak/directors.py
+++ b/benchmarks/soak/directors.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import re
 import signal
@@ -18,7 +19,7 @@
 
 from .history import History, LeakRecord, StopRecord
 
-ACCEPT_S = 0.3  # new connections keep coming for so long after SIGTERM
+ACCEPT_S, MAX_ACCEPT_S = 0.3, 0.4  # new connections keep coming for so long after SIGTERM
 KILL_S = 0.7  # SIGKILL comes so long after SIGTERM, and the longest deadline
 START_TIMEOUT_S = 20.0
 MAX_RSS_MB = 64.0
@@ -48,6 +49,7 @@
     start_count: int = 0
     address: tuple[str, int] = ("", 0)
     is_admitted: bool = False
+    term_s: float = math.inf  # when the present process was told to stop
     process: asyncio.subprocess.Process | None = None
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
@@ -69,6 +71,7 @@
     async def start(self) -> None:
         """Starts a process and waits until it says that it is healthy."""
         self.start_count += 1
+        self.term_s = math.inf
         self.write_config()
         environ = dict(os.environ)
         if self.library is not None and self.faults:
@@ -118,6 +121,10 @@
             await asyncio.sleep(0.05)
         raise TimeoutError(f"{self.name} is not healthy after {START_TIMEOUT_S:g} s")
 
+    def gets_new_connections(self) -> bool:
+        """Whether the front sends it new connections now, however late this loop is."""
+        return self.is_admitted and time.monotonic() <= self.term_s + MAX_ACCEPT_S
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the present process, if it still runs."""
         if self.process is not None and self.process.returncode is None:
@@ -128,7 +135,7 @@
         """SIGTERM, and SIGKILL at the earliest that the platform allows."""
         process = self.process
         assert process is not None
-        term_s = time.monotonic()
+        self.term_s = term_s = time.monotonic()
         record = StopRecord(self.key, term_s, None)
         self.send(signal.SIGTERM)
         kill_s = term_s + KILL_S + longest_deadline_s
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
+from .scheduling import ProcessorWait
+
 
 class Effect(Enum):
     """What a second run of a request does."""
@@ -40,6 +43,7 @@
         is_first: It was the first on its connection.
         left_s: When its client went.
         ended_s: When its end was seen.
+        end_came_after_s: The earliest time at which its end can have come.
         status: Of its answer.
         body: Of its answer.
         has_retry_after: Whether the answer says when to come back.
@@ -58,6 +62,7 @@
     is_first: bool = False
     left_s: float | None = None
     ended_s: float = 0.0
+    end_came_after_s: float = 0.0
     end: End = End.UNSENT
     status: int = 0
     body: bytes = b""
@@ -72,11 +77,13 @@
 
     trace_id: str
     server: str
-    began_s: float  # its first byte
+    began_s: float  # its first byte was read
     max_wait_ms: float
     path: str
     may_have_run: bool = True
     end: str = ""
+    came_after_s: float = 0.0  # the earliest time at which its first byte can have come
+    ended_s: float = 0.0  # its answer, or what stood for it, was written
 
 
 @dataclass(slots=True)
@@ -115,6 +122,15 @@
     what: str
 
 
+@dataclass(slots=True)
+class CrowdRecord:
+    """A crowd of idle clients at a director, until some time after the last of them has left."""
+
+    director: str
+    from_s: float
+    until_s: float = math.inf
+
+
 @dataclass(slots=True)
 class History:
     """All records of a run."""
@@ -125,8 +141,8 @@
     purges: list[PurgeRecord] = field(default_factory=list)
     stops: list[StopRecord] = field(default_factory=list)
     leaks: list[LeakRecord] = field(default_factory=list)
-    crowds: list[tuple[str, float, float]] = field(default_factory=list)  # director, from, until
-    stalls: list[tuple[float, float]] = field(default_factory=list)  # of the soak's own loop, from and until
+    crowds: list[CrowdRecord] = field(default_factory=list)
+    waits: list[ProcessorWait] = field(default_factory=list)  # of the directors and the soak
     notes: list[tuple[float, str]] = field(default_factory=list)  # faults, signals, events of the feed
 
     def note(self, at_s: float, text: str) -> None:
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -18,8 +18,9 @@
 from .clients import Client
 from .coordinator import SoakCoordinator
 from .directors import DirectorProcess
-from .history import DrainRecord, History, PurgeRecord
+from .history import CrowdRecord, DrainRecord, History, PurgeRecord
 from .plan import SERVER_FAULTS, FaultName, Plan, PlannedFault
+from .scheduling import SchedulingMonitor, SoakLoop
 from .servers import PURGE_SETTLES_S, Origin, SoakServer
 
 TOLD_S, TOLD_AT_THE_LATEST_S = 0.3, 7.0
@@ -29,7 +30,6 @@
 CROWD_AFTERMATH_S = 2.5
 HOT_OBJECTS = 6
 MIN_CACHES = 2
-STALL_CHECK_S, MIN_STALL_S = 0.01, 0.02
 
 
 class SoakRun:
@@ -47,14 +47,19 @@
 
     async def play(self) -> History:
         """Plays the whole run and ends all that it started."""
+        monitor = SchedulingMonitor(self._process_ids)
+        monitor.start()
         try:
             await self._start()
             await self._play_clients()
             await asyncio.sleep(QUIET_S)
             for director in self.directors:
+                self.history.note(time.monotonic(), f"{director.name} should be quiet")
                 await director.check_quiet()
             await asyncio.gather(*(self._stop(director) for director in self.directors))
         finally:
+            monitor.finish()
+            self.history.waits = monitor.waits
             for task in self.tasks:
                 task.cancel()
             await self._end_processes()
@@ -63,6 +68,15 @@
                 server.go_down()
         return self.history
 
+    def _process_ids(self) -> dict[str, int]:
+        """Returns the running directors' process ids by their names."""
+        processes = {director.name: director.process for director in self.directors}
+        return {
+            name: process.pid
+            for name, process in processes.items()
+            if process is not None and process.returncode is None
+        }
+
     async def _start(self) -> None:
         names = [("standard", f"s-{number}") for number in range(self.plan.cache_count)]
         for role, name in [*names, ("parent", "p-0"), ("origin", "o-0")]:
@@ -116,10 +130,10 @@
             Client(number, self.plan, self.directors, self.history, lambda: time.monotonic() >= end_s)
             for number in range(self.plan.client_count)
         ]
-        self._spawn(self._watch_own_stalls())
-        for fault in self.plan.faults:
-            self._spawn(self._play_fault(fault))
+        faults = {fault: self._spawn(self._play_fault(fault)) for fault in self.plan.faults}
         await asyncio.gather(*(client.run() for client in clients))
+        # A crowd counts as clients until it has left.
+        await asyncio.gather(*(task for fault, task in faults.items() if fault.name is FaultName.CROWD))
         for director in self.directors:  # a restart that is under way ends before the look
             pending = [task for task in director.tasks if not task.done()]
             if pending:
@@ -130,15 +144,6 @@
         self.tasks.add(task)
         return task
 
-    async def _watch_own_stalls(self) -> None:
-        """Records when the soak's own loop was late: what it notes then happened earlier."""
-        while True:
-            due_s = time.monotonic() + STALL_CHECK_S
-            await asyncio.sleep(STALL_CHECK_S)
-            now_s = time.monotonic()
-            if now_s - due_s > MIN_STALL_S:
-                self.history.stalls.append((due_s - STALL_CHECK_S, now_s))
-
     # Faults.
 
     async def _play_fault(self, fault: PlannedFault) -> None:
@@ -212,17 +217,21 @@
         server.forget(name)
 
     async def _crowd(self, fault: PlannedFault) -> None:
+        """Fills a director's descriptors with idle clients; how long that takes depends on the machine."""
         director = self.directors[fault.target % len(self.directors)]
-        begin_s = time.monotonic()
-        self.history.crowds.append((director.name, begin_s, begin_s + fault.duration_s + CROWD_AFTERMATH_S))
+        crowd = CrowdRecord(director.name, time.monotonic())
+        self.history.crowds.append(crowd)
         writers = []
         for _ in range(CROWD_CONNECTIONS):
             with contextlib.suppress(OSError, asyncio.TimeoutError):
                 async with asyncio.timeout(0.5):
                     writers.append((await asyncio.open_connection(*director.address))[1])
+        self.history.note(time.monotonic(), f"crowd of {len(writers)} at {director.name} is open")
         await asyncio.sleep(fault.duration_s)
         for writer in writers:
             writer.transport.abort()
+        crowd.until_s = time.monotonic() + CROWD_AFTERMATH_S
+        self.history.note(time.monotonic(), f"crowd at {director.name} leaves")
 
     async def _signal(self, fault: PlannedFault) -> None:
         director = self.directors[fault.target % len(self.directors)]
@@ -275,4 +284,5 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = keep or Path(temporary)
         os.makedirs(folder, exist_ok=True)
-        return asyncio.run(SoakRun(plan, folder, broken).play())
+        with asyncio.Runner(loop_factory=SoakLoop) as runner:
+            return runner.run(SoakRun(plan, folder, broken).play())
--- a/benchmarks/soak/servers.py
+++ b/benchmarks/soak/servers.py
@@ -13,6 +13,7 @@
 from .history import AttemptRecord, History
 from .objects import object_bytes, write_answer
 from .plan import FaultName, PlannedFault
+from .scheduling import accepted_after_s, came_after_s
 
 HIT_S, FILL_S, WRITE_S = (0.001, 0.012), (0.008, 0.06), (0.004, 0.04)
 PURGE_SETTLES_S = 5.0
@@ -135,13 +136,16 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
-        self.began_s, self.url, self.headers = 0.0, b"", dict[str, str]()
+        self.began_s = self.came_after_s = self.accepted_after_s = 0.0
+        self.is_first = True  # the request that is read or comes next
+        self.url, self.headers = b"", dict[str, str]()
         self.task: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The director has opened a connection."""
         self.transport = cast(asyncio.Transport, transport)
         self.server.connections.add(self)
+        self.accepted_after_s = accepted_after_s()
 
     def connection_lost(self, error: Exception | None) -> None:
         """It has ended: an answer under way is given up."""
@@ -165,7 +169,10 @@
 
     def on_message_begin(self) -> None:
         """The first byte of a request."""
-        self.began_s, self.url, self.headers = time.monotonic(), b"", {}
+        self.began_s = time.monotonic()
+        self.came_after_s = self.accepted_after_s if self.is_first else came_after_s()
+        self.is_first = False
+        self.url, self.headers = b"", {}
 
     def on_url(self, url: bytes) -> None:
         """A piece of the target."""
@@ -182,7 +189,7 @@
             return self.write(200, b"")
         attempt = AttemptRecord(
             self.headers.get("x-ticket", ""), self.server.name, self.began_s,
-            float(self.headers.get("x-max-ms", "0")), path,
+            float(self.headers.get("x-max-ms", "0")), path, came_after_s=self.came_after_s,
         )  # fmt: skip
         self.server.history.attempts.append(attempt)
         self.task = asyncio.get_running_loop().create_task(self._answer(attempt, method, dict(self.headers)))
@@ -220,6 +227,7 @@
         made_ms = round(time.time() * 1000.0 - 1000.0 * (time.monotonic() - copy.made_s))
         fields = f"Tag: v{copy.version}\r\nMade-At: {made_ms}\r\nX-Remark: {'mem' if was_held else 'origin'}"
         await self._send(object_bytes(object_id, copy.version), fields, fault, attempt)
+        attempt.ended_s = time.monotonic()
 
     async def _send(self, body: bytes, fields: str, fault: FaultName | None, attempt: AttemptRecord) -> None:
         rng, data = self.server.rng, _encode(200, body, fields)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from benchmarks.soak.objects import object_bytes, owner_of, version_of, write_answer
 from benchmarks.soak.plan import FaultName, Plan, PlannedFault, draw_plan
 from benchmarks.soak.run import play
+from benchmarks.soak.scheduling import ProcessorWait
 
 DURATION_S = 4.0
 RULE_OF = {
@@ -84,9 +85,15 @@
     )  # fmt: skip
     for name, value in changes.items():
         setattr(record, name, value)
+    record.end_came_after_s = float(changes.get("end_came_after_s", record.ended_s))  # type: ignore[arg-type]
     return record
 
 
+def attempt(server: str, came_s: float, max_wait_ms: float = 100.0) -> AttemptRecord:
+    """An attempt at the request above, read as soon as it came."""
+    return AttemptRecord("1", server, came_s, max_wait_ms, "/o/page/1/0", came_after_s=came_s)
+
+
 def judge(record: RequestRecord, *attempts: AttemptRecord) -> Verdict:
     return check(History(requests=[record], attempts=list(attempts)))
 
@@ -96,6 +103,8 @@
     [
         ({}, ""),
         ({"ended_s": 11.7}, "lost"),
+        ({"ended_s": 11.9, "end_came_after_s": 11.55}, ""),  # read late, on a busy machine
+        ({"ended_s": 11.9, "end_came_after_s": 11.65}, "lost"),
         ({"end": End.SILENT}, "lost"),
         ({"end": End.CLOSED, "ended_s": 10.04, "received": 0}, ""),  # it crosses the end of a resting one
         ({"end": End.CLOSED, "ended_s": 10.04, "received": 0, "is_first": True}, "lost"),
@@ -133,15 +142,15 @@
     record = request(effect=effect, window_s=0.4, body=write_answer("1"), ended_s=10.9)
     if effect is Effect.REPEATABLE:
         record.body = object_bytes("1/0", 1)
-    attempts = [AttemptRecord("1", "s-0", at_s, 100.0, "/o/page/1/0") for at_s in (10.0, second_s)]
+    attempts = [attempt("s-0", at_s) for at_s in (10.0, second_s)]
     counts = judge(record, *attempts).counts()
     assert counts["duplicates"] == (rule == "duplicates")
 
 
 def test_the_checker_judges_attempts_after_the_end_and_deadlines_that_are_too_long() -> None:
-    late = AttemptRecord("1", "s-0", 10.3, 100.0, "/o/page/1/0")
+    late = attempt("s-0", 10.3)
     assert judge(request(end=End.LEFT, left_s=10.1), late).counts()["late_attempts"] == 1
-    eager = AttemptRecord("1", "s-0", 10.05, 1_200.0, "/o/page/1/0")
+    eager = attempt("s-0", 10.05, 1_200.0)
     assert judge(request(), eager).counts()["over_budget"] == 1
 
 
@@ -153,3 +162,24 @@
 def test_a_body_tells_whose_it_is() -> None:
     assert owner_of(object_bytes("1/0", 7)).startswith("1/0 v7's, ")
     assert owner_of(write_answer("2")) == "b'done 2''s, 6 bytes"
+
+
+@pytest.mark.parametrize(
+    ("wait", "is_lost"),
+    [
+        (ProcessorWait("n0", 10.2, 10.9, 0.7, 0.0), False),
+        (ProcessorWait("n0", 10.2, 10.9, 0.1, 0.6), True),  # it held itself up
+        (ProcessorWait("n1", 10.2, 10.9, 0.7, 0.0), True),  # another director
+        (ProcessorWait("n0", 9.0, 10.1, 1.1, 0.0), True),  # for the most part before the request
+    ],
+)
+def test_a_late_answer_is_lost_unless_its_director_was_not_run(wait: ProcessorWait, is_lost: bool) -> None:
+    verdict = check(History(requests=[request(ended_s=12.0)], waits=[wait]))
+    assert bool(verdict.lost) == is_lost
+
+
+def test_an_attempt_that_is_read_late_counts_from_when_it_can_have_come() -> None:
+    """Guards against a verdict that depends on how busy the machine is."""
+    read_late = attempt("s-0", 10.3, 1_000.0)
+    read_late.came_after_s = 10.05
+    assert judge(request(end=End.LEFT, left_s=10.1), read_late).is_clean
