--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -20,6 +20,7 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 MIN_WAIT_MS = 1.0  # what is left to a request whose time was up before it was read
+MAX_LATENESS_MS = 500.0  # an answer that comes so long after its client's time still is one
 MAX_PIPELINED = 8  # requests that a client may have sent ahead on one connection
 LAST_CHUNK = b"0\r\n\r\n"  # ends a body in the chunked transfer coding
 HEALTHY, UNREADY = 200, -503  # a health check's answer; the second is told from the statuses of bad input
@@ -225,8 +226,8 @@
         return self.transport is None or self.transport.is_closing()
 
     def is_sending(self, now_ms: float) -> bool:
-        """Whether a part of the last answer is still buffered here, and its client may wait for it."""
-        if self.transport is None or now_ms >= self.client_deadline_ms:
+        """Whether a part of the last answer is still buffered here, and its client may take it as one."""
+        if self.transport is None or now_ms >= self.client_deadline_ms + MAX_LATENESS_MS:
             return False
         return self.transport.get_write_buffer_size() > 0
 
