--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -16,7 +16,7 @@
 from ..core.exchange import ClientRequest, FinalAnswer, ResponseHead
 from .connection_owner import ConnectionOwner
 from .requests import REASONS, SINGLE_FIELDS, BadRequestError, parse_request
-from .sockets import MAX_FRAMING_BYTES, SocketPoll, is_peer_closed, socket_poll
+from .sockets import MAX_FRAMING_BYTES, SocketPoll, end_sending, is_peer_closed, socket_poll
 
 MAX_HEADER_BYTES = 16 * 1024
 MIN_WAIT_MS = 1.0  # what is left to a request whose time was up before it was read
@@ -250,10 +250,19 @@
         """
         self.is_last = True
         if self.transport is not None and not self.transport.is_closing():
+            self._end_sending_now()
             self.transport.resume_reading()
             self.transport.write_eof()
             self.front.start_lingering(self)
 
+    def _end_sending_now(self) -> None:
+        """Lets the client see the end at once, unless a part of an answer is still buffered here.
+
+        The transport would tell it a turn of the loop later; a request that comes in between gets no answer.
+        """
+        if self.transport is not None and self.transport.get_write_buffer_size() == 0:
+            end_sending(self.transport)
+
     def evict(self, reason: str) -> None:
         """Ends the connection at once to make room for another."""
         self.is_evicted = True
@@ -263,6 +272,7 @@
         """Ends the connection at once, and with it what is open here."""
         if self.transport is not None:
             self._log_close(reason)
+            self._end_sending_now()
             self.transport.abort()
 
     def _log_close(self, reason: str) -> None:
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -57,3 +57,20 @@
 def is_peer_closed(poll: SocketPoll) -> bool:
     """Whether the peer has closed or reset the connection, even if its last input is still unread."""
     return any(events & PEER_CLOSED_EVENTS for _, events in poll.poll(0))
+
+
+def end_sending(transport: asyncio.Transport) -> None:
+    """Shuts down the sending side of a transport's connection in this very call (shutdown(2))."""
+    unconnected = transport.get_extra_info("unread") is not None  # a transport in memory has no socket
+    if unconnected or transport.is_closing():
+        return
+    try:
+        connection = socket.socket(fileno=transport.get_extra_info("socket").fileno())
+    except OSError:
+        return  # closed by now
+    try:
+        connection.shutdown(socket.SHUT_WR)
+    except OSError:
+        pass  # reset by its peer
+    finally:
+        connection.detach()  # the descriptor stays the transport's
--- a/tests/test_client_crowd.py
+++ b/tests/test_client_crowd.py
@@ -4,6 +4,8 @@
 import socket
 import time
 
+import pytest
+
 from gladewalk.director import Director
 from gladewalk.net.clients import SPARE_CONNECTIONS
 from gladewalk.net.connection import MAX_LATENESS_MS, ClientConnection
@@ -41,6 +43,25 @@
     return client, next(iter(director.front.connections))
 
 
+@pytest.mark.parametrize("end", ["evict", "shut_down"])
+def test_a_client_sees_the_end_of_its_connection_in_the_moment_in_which_it_is_decided(end: str) -> None:
+    """Guards against requests that come between the decision to close and the close, and get no answer."""
+
+    async def story() -> bytes:
+        async with running(ScriptedServer(hit)) as (_, director):
+            client, connection = await connected(director)
+            if end == "evict":
+                connection.evict("made_room")
+            else:
+                connection.shut_down()
+            client.setblocking(False)  # the loop has not turned: without an end this raises
+            received = client.recv(1)
+            client.close()
+            return received
+
+    assert asyncio.run(story()) == b""
+
+
 def test_an_answer_that_is_late_by_less_than_counts_is_not_cut_to_make_room() -> None:
     """Guards against a late answer that is cut by eviction for room once its client's time is up."""
 
