--- a/gladewalk/core/exchange_types.py
+++ b/gladewalk/core/exchange_types.py
@@ -34,6 +34,7 @@
     body: bytes = b""
     idempotency_key: str = ""  # the same for all of a client's attempts of one request
     is_retry: bool = False
+    arrived_ms: float = 0.0  # when its last byte came, steady milliseconds
 
 
 @dataclass(slots=True)
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -17,7 +17,7 @@
 from .accept_errors import AcceptBackoff, error_name
 from .connection import ClientConnection
 from .environment import Listener, open_listener
-from .sockets import unread_age_ms
+from .read_turns import ReadTurns
 
 MAX_BODY_BYTES = 64 * 1024  # a write carries at most 48,000 bytes
 LISTEN_BACKLOG = 1024
@@ -74,7 +74,7 @@
         self._listener: Listener | None = None
         self._is_accepting = False
         self._accept_backoff = AcceptBackoff()
-        self._paused_since_ms: float | None = None  # since when connections may wait at the listener
+        self.read_turns = ReadTurns(clock)
         self._setting_up: dict[asyncio.Task[object], ClientConnection] = {}
         self._paused: dict[ClientConnection, None] = {}  # not read at the moment: nothing reports their end
 
@@ -132,17 +132,10 @@
         except OSError as error:  # it is served all the same, or its end is read
             self.counters.add(f"clients.option_failed.{error_name(error)}")
         connection = self.connection_type(self)
-        connection.accept_delay_ms = self._accept_delay_ms(peer)
         task = loop.create_task(loop.connect_accepted_socket(partial(_return_connection, connection), peer))
         self._setting_up[task] = connection
         task.add_done_callback(self._set_up)
 
-    def _accept_delay_ms(self, peer: socket.socket) -> float:
-        """Returns how long a request has waited at the listener while accepting was paused."""
-        if self._paused_since_ms is None:
-            return 0.0
-        return min(self.clock() - self._paused_since_ms, unread_age_ms(peer))
-
     def _set_up(self, task: asyncio.Task[object]) -> None:
         has_failed = task.cancelled() or task.exception() is not None
         if not self._setting_up.pop(task).is_open and has_failed:  # else it is counted until it is lost
@@ -174,7 +167,6 @@
 
     def _all_accepted(self) -> None:
         """Closes the listener once closing: only now, as connections waiting at it would be reset."""
-        self._paused_since_ms = None
         if self.is_closing:
             self.stop_accepting()
 
@@ -188,8 +180,6 @@
     def _pause_accepting(self) -> None:
         if self._is_accepting and self._listener is not None:
             self._is_accepting = False
-            if self._paused_since_ms is None:
-                self._paused_since_ms = self.clock()
             asyncio.get_running_loop().remove_reader(self._listener)
 
     def _resume_accepting(self) -> None:
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -15,10 +15,10 @@
 
 from ..core.exchange import ClientRequest, FinalAnswer, ResponseHead
 from .connection_owner import ConnectionOwner
-from .requests import REASONS, SINGLE_FIELDS, BadRequestError, parse_request
-from .sockets import MAX_FRAMING_BYTES, SocketPoll, end_sending, is_peer_closed, socket_poll
+from .request_reader import MAX_HEADER_BYTES, RequestReader
+from .requests import REASONS, BadRequestError, parse_request
+from .sockets import MAX_FRAMING_BYTES, SocketPoll, data_age_ms, end_sending, is_peer_closed, socket_poll
 
-MAX_HEADER_BYTES = 16 * 1024
 MIN_WAIT_MS = 1.0  # what is left to a request whose time was up before it was read
 MAX_LATENESS_MS = 500.0  # an answer that comes so long after its client's time still is one
 MAX_PIPELINED = 8  # requests that a client may have sent ahead on one connection
@@ -31,19 +31,18 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(RequestReader, asyncio.Protocol):
     """One client's connection; it is the `ResponseWriter` of the request that it has open."""
 
     def __init__(self, front: ConnectionOwner[ClientConnection]) -> None:
+        super().__init__(front.clock, front.max_body_bytes)
         self.front = front
         self.exchange = front.exchange  # where requests are submitted
         self.transport: asyncio.Transport | None = None
         self.socket_poll: SocketPoll | None = None
-        self.parser = httptools.HttpRequestParser(self)
         # State kept by the owner.
         self.is_open = False  # its transport has been made
         self.is_evicted = False  # it makes room for another
-        self.accept_delay_ms = 0.0  # how long its first request had waited before it was accepted
         self.state_table: dict[ClientConnection, float] | None = None  # the owner's table that it stands in
         # The open request.
         self.open_number: int | None = None
@@ -56,13 +55,8 @@
         self.is_last = False  # the last request or answer of this connection: further input is discarded
         self.is_reading_paused = self.is_writing_paused = False
         self._is_advancing = False
-        # The request that is being read.
-        self.has_partial_request = self.has_complete_head = False
-        self.request_began_ms = 0.0  # when its first byte was read
-        self.url, self.read_bytes = b"", 0
-        self.framing_bytes = 0  # read since the last byte of a body
-        self.headers: dict[bytes, bytes] = {}
-        self.body_pieces: list[bytes] = []
+        self._came_ms = math.inf  # when the last bytes came, as far as that is asked
+        self._may_read_late = True  # what is read next may have waited at the listener, or for a pause's end
 
     # Called by asyncio.
 
@@ -87,6 +81,9 @@
         """Parses input, within bounds, and submits a request that is complete."""
         if self.is_last:
             return
+        is_late = self.front.read_turns.is_late() or self._may_read_late
+        self._may_read_late = False
+        self._came_ms = self.front.clock() - self._data_age_ms() if is_late else math.inf
         in_head = self.has_partial_request and not self.has_complete_head
         self.framing_bytes += len(data)
         try:
@@ -110,6 +107,9 @@
             self.transport.pause_reading()
             self.front.watch_paused(self)
 
+    def _data_age_ms(self) -> float:
+        return 0.0 if self.transport is None else data_age_ms(self.transport)
+
     def eof_received(self) -> bool:
         """Closes the connection: a client that has closed its side waits for nothing."""
         return False
@@ -124,56 +124,21 @@
         self._response_sent()
         self._advance()
 
-    # Called by httptools.
-
-    def on_message_begin(self) -> None:
-        """A request's first byte."""
-        self.url, self.read_bytes, self.framing_bytes, self.headers, self.body_pieces = b"", 0, 0, {}, []
-        self.has_partial_request, self.has_complete_head = True, False
-        self.request_began_ms = self.front.clock()
-
-    def on_url(self, url: bytes) -> None:
-        """A piece of the target."""
-        self._count_bytes(len(url), MAX_HEADER_BYTES, 431)
-        self.url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """A field of the head or the trailer."""
-        self.read_bytes += len(name) + len(value)
-        if self.read_bytes > MAX_HEADER_BYTES:
-            raise BadRequestError(431)
-        name = name.lower()
-        if name in self.headers and name in SINGLE_FIELDS:  # others may see the other one as the valid one
-            raise BadRequestError(400)
-        self.headers[name] = value
-
-    def on_headers_complete(self) -> None:
-        """The head is complete; rejects a body whose length is ambiguous (RFC 9112, section 6.3)."""
-        self.read_bytes, self.has_complete_head = 0, True
-        length, coding = self.headers.get(b"content-length"), self.headers.get(b"transfer-encoding")
-        # A body whose end can be read in two ways may hide another request (request smuggling).
-        if coding is not None and (length is not None or coding.lower() != b"chunked"):
-            raise BadRequestError(400)
-        if length is not None and (not length.isdigit() or len(length) > 15):
-            raise BadRequestError(400)
-        self._count_bytes(int(length or b"0"), self.front.max_body_bytes, 413)
-        self.read_bytes = 0
-        is_alone = self.open_number is None and not self.pipelined  # else it lands within another answer
-        if is_alone and self.headers.get(b"expect", b"").lower() == b"100-continue":
-            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # Called by httptools, as the callbacks of `RequestReader`.
 
-    def on_body(self, body: bytes) -> None:
-        """A piece of the body."""
-        self._count_bytes(len(body), self.front.max_body_bytes, 413)
-        self.framing_bytes = 0
-        self.body_pieces.append(body)
+    def _continue_expected(self) -> None:
+        if self.open_number is None and not self.pipelined:  # else it lands within another answer
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_message_complete(self) -> None:
         """The request is complete: it joins the queue of this connection."""
         self.is_last = not self.parser.should_keep_alive()
         self.has_partial_request, self.has_received_request = False, True
         try:
-            self.pipelined.append(self._read_request())
+            request = self._read_request()
+            if not isinstance(request, int):
+                request.arrived_ms = min(self._came_ms, self.front.clock())
+            self.pipelined.append(request)
         except BadRequestError as error:
             self.pipelined.append(error.status)
         except httptools.HttpParserError:
@@ -191,11 +156,6 @@
         request = parse_request(method, path, query, self.headers, b"".join(self.body_pieces))
         return self.front.rejection_status(request) or request
 
-    def _count_bytes(self, count: int, maximum: int, status: int) -> None:
-        self.read_bytes += count
-        if self.read_bytes > maximum:
-            raise BadRequestError(status)
-
     def _reject_input(self, status: int) -> None:
         """Answers input that cannot be parsed further; the connection closes after that."""
         self.pipelined.append(status)
@@ -309,8 +269,8 @@
             if isinstance(request, int):
                 self._answer_status(request)
             else:
-                request.max_wait_ms = max(MIN_WAIT_MS, request.max_wait_ms - self.accept_delay_ms)
-                self.accept_delay_ms = 0.0
+                waited_ms = self.front.clock() - request.arrived_ms
+                request.max_wait_ms = max(MIN_WAIT_MS, request.max_wait_ms - waited_ms)
                 self.client_deadline_ms = self.front.clock() + request.max_wait_ms
                 self._submit(request)
         self._is_advancing = False
@@ -406,5 +366,6 @@
                 self.shut_down()
             elif self.is_reading_paused:
                 self.is_reading_paused = False
+                self._may_read_late = True
                 self.transport.resume_reading()
         self._advance()
--- a/gladewalk/net/connection_owner.py
+++ b/gladewalk/net/connection_owner.py
@@ -8,6 +8,7 @@
 from ..core.counters import Counters
 from ..core.exchange import ClientRequest, Exchange
 from ..core.readiness import Readiness
+from .read_turns import ReadTurns
 
 Connection = TypeVar("Connection", contravariant=True)
 
@@ -22,6 +23,7 @@
     max_body_bytes: int
     is_closing: bool
     sends_hold_off: bool
+    read_turns: ReadTurns
 
     def connection_opened(self, connection: Connection) -> None:
         """Registers a connection whose transport has been made."""
--- /dev/null
+++ b/gladewalk/net/request_reader.py
@@ -0,0 +1,84 @@
+"""Reads requests through the callbacks of httptools, within bounds, up to the end of each."""
+
+from __future__ import annotations
+
+from abc import abstractmethod
+from collections.abc import Callable
+
+import httptools
+
+from .requests import SINGLE_FIELDS, BadRequestError
+
+MAX_HEADER_BYTES = 16 * 1024
+
+
+class RequestReader:
+    """The request that is being read; what is invalid in it raises `BadRequestError`.
+
+    Attributes:
+        has_partial_request: Its first byte has been read, its last one has not.
+        has_complete_head: Its head is complete.
+        request_began_ms: When its first byte was read, steady milliseconds.
+        read_bytes: Of its head, then of its body.
+        framing_bytes: Read since the last byte of a body.
+    """
+
+    def __init__(self, clock: Callable[[], float], max_body_bytes: int) -> None:
+        self.parser = httptools.HttpRequestParser(self)
+        self.has_partial_request = self.has_complete_head = False
+        self.request_began_ms = 0.0
+        self.url, self.read_bytes = b"", 0
+        self.framing_bytes = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body_pieces: list[bytes] = []
+        self._clock, self._max_body_bytes = clock, max_body_bytes
+
+    @abstractmethod
+    def _continue_expected(self) -> None:
+        """The client waits for `100 Continue` before it sends the body (RFC 9110, section 10.1.1)."""
+
+    def on_message_begin(self) -> None:
+        """A request's first byte."""
+        self.url, self.read_bytes, self.framing_bytes, self.headers, self.body_pieces = b"", 0, 0, {}, []
+        self.has_partial_request, self.has_complete_head = True, False
+        self.request_began_ms = self._clock()
+
+    def on_url(self, url: bytes) -> None:
+        """A piece of the target."""
+        self._count_bytes(len(url), MAX_HEADER_BYTES, 431)
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A field of the head or the trailer."""
+        self.read_bytes += len(name) + len(value)
+        if self.read_bytes > MAX_HEADER_BYTES:
+            raise BadRequestError(431)
+        name = name.lower()
+        if name in self.headers and name in SINGLE_FIELDS:  # others may see the other one as the valid one
+            raise BadRequestError(400)
+        self.headers[name] = value
+
+    def on_headers_complete(self) -> None:
+        """The head is complete; rejects a body whose length is ambiguous (RFC 9112, section 6.3)."""
+        self.read_bytes, self.has_complete_head = 0, True
+        length, coding = self.headers.get(b"content-length"), self.headers.get(b"transfer-encoding")
+        # A body whose end can be read in two ways may hide another request (request smuggling).
+        if coding is not None and (length is not None or coding.lower() != b"chunked"):
+            raise BadRequestError(400)
+        if length is not None and (not length.isdigit() or len(length) > 15):
+            raise BadRequestError(400)
+        self._count_bytes(int(length or b"0"), self._max_body_bytes, 413)
+        self.read_bytes = 0
+        if self.headers.get(b"expect", b"").lower() == b"100-continue":
+            self._continue_expected()
+
+    def on_body(self, body: bytes) -> None:
+        """A piece of the body."""
+        self._count_bytes(len(body), self._max_body_bytes, 413)
+        self.framing_bytes = 0
+        self.body_pieces.append(body)
+
+    def _count_bytes(self, count: int, maximum: int, status: int) -> None:
+        self.read_bytes += count
+        if self.read_bytes > maximum:
+            raise BadRequestError(status)
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -36,18 +36,16 @@
     return poll
 
 
-def unread_age_ms(connection: socket.socket) -> float:
-    """Returns how long ago the last bytes came that wait to be read on a connection; 0 if none do.
+def data_age_ms(transport: asyncio.Transport) -> float:
+    """Returns how long ago the last bytes came on a transport's connection, read or not, in milliseconds.
 
     Linux tells it in `tcp_info` (tcp(7)); 0 where it does not.
     """
     try:
-        poll = select.poll()
-        poll.register(connection.fileno(), select.POLLIN)
-        if not poll.poll(0):
-            return 0.0
-        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-    except (OSError, ValueError, AttributeError):
+        info = transport.get_extra_info("socket").getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+    except (OSError, AttributeError):
         return 0.0
     if len(info) < TCP_INFO_BYTES:
         return 0.0
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -7,7 +7,8 @@
 
 from gladewalk.core.response_buffer import MAX_OBJECT_BYTES
 from gladewalk.director import Director
-from gladewalk.net.connection import MAX_HEADER_BYTES, ClientConnection
+from gladewalk.net.connection import ClientConnection
+from gladewalk.net.request_reader import MAX_HEADER_BYTES
 from gladewalk.net.sockets import MAX_FRAMING_BYTES
 from gladewalk.rehearsal.director_harness import wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
--- a/tests/test_system_errors.py
+++ b/tests/test_system_errors.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+import time
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -13,7 +14,7 @@
 from gladewalk.net.environment import Listener
 from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
-from gladewalk.rehearsal.scripted_servers import ScriptedServer
+from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from gladewalk.upstream.connection_opener import LOCAL_ERRORS
 
 from .server_scripts import BYTES, hit
@@ -229,3 +230,40 @@
     told_ms, told_after_ms = asyncio.run(story())
     assert told_ms <= 2_000.0 - 600.0 + 100.0
     assert told_after_ms > 1_800.0
+
+
+def test_what_a_request_waited_for_a_loop_that_was_held_up_is_taken_off_its_time() -> None:
+    """Guards against a deadline told to a server that is longer than what the client has left."""
+
+    async def story() -> float:
+        cache = ScriptedServer(hit)
+        async with DirectorHarness([cache]) as world:
+            reader, writer = await world.connect()
+            for held_up_s in (0.0, 0.5):
+                writer.write(encode_request("/invoke/lot-page/a1", wait_ms=2_000.0))
+                time.sleep(held_up_s)
+                assert (await read_message(reader)).status == 200
+            writer.close()
+        return float(cache.received[-1].headers["x-max-ms"])
+
+    assert asyncio.run(story()) <= 2_000.0 - 500.0 + 100.0
+
+
+def test_what_a_request_waited_behind_another_one_is_taken_off_its_time() -> None:
+    """Guards against a request that was sent ahead and has its whole time anew once its turn comes."""
+
+    async def slow(request: ReceivedRequest) -> None:
+        await asyncio.sleep(0.5)
+        await hit(request)
+
+    async def story() -> float:
+        cache = ScriptedServer(slow)
+        async with DirectorHarness([cache]) as world:
+            reader, writer = await world.connect()
+            writer.write(encode_request("/invoke/lot-page/a1", wait_ms=2_000.0) * 2)
+            for _ in range(2):
+                assert (await read_message(reader)).status == 200
+            writer.close()
+        return float(cache.received[-1].headers["x-max-ms"])
+
+    assert asyncio.run(story()) <= 2_000.0 - 500.0 + 100.0
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -14,6 +14,7 @@
 from gladewalk.rehearsal.director_harness import wait_until
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest
 from gladewalk.rehearsal.site_harness import SiteHarness, SiteResponse
+from gladewalk.upstream.connection_rest import REST_MS
 from gladewalk.web.passive_health import PassiveHealthCheck
 from gladewalk.web.start import load_routing
 
@@ -214,6 +215,13 @@
                 await reader.readuntil(b"\r\n\r\n")
                 self.assertTrue((await reader.readexactly(len("a/0 GET /0"))).endswith(b"GET /%d" % n))
             writer.close()
+            self.assertLessEqual(sum(server.connections for server in world.servers.values()), 6)
+
+    async def test_connections_to_servers_are_used_again_once_they_have_rested(self) -> None:
+        async with SiteHarness(site_of(TWO_SERVERS % "")) as world:
+            for n in range(6):
+                await world.send(b"GET /%d HTTP/1.1\r\nHost: example.com\r\n\r\n" % n)
+                await asyncio.sleep(REST_MS / 1000.0)
             self.assertLessEqual(sum(server.connections for server in world.servers.values()), 2)
 
 
