--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -18,6 +18,7 @@
 
 from ..known_red import KnownRed, describe, listed, soak_case
 from .checker import RULES, Verdict, check
+from .directors import StartError
 from .history import History, RequestRecord
 from .plan import draw_plan
 from .run import play
@@ -50,7 +51,11 @@
     seed: int, without: frozenset[int] = frozenset(), keep: Path | None = None, broken: str = ""
 ) -> Played:
     """Plays a seed and judges it."""
-    history = play(draw_plan(seed, without), keep, broken)
+    try:
+        history = play(draw_plan(seed, without), keep, broken)
+    except StartError as error:
+        counts = {"requests": 0, **dict.fromkeys(RULES, 0), "crashes": 1}
+        return Played(seed, counts, {}, 0, [f"  crashes: {error}"], [])
     verdict = check(history)
     lines = [f"  {rule}: {line}" for rule in RULES for line in getattr(verdict, rule)]
     timeline = [] if verdict.is_clean else _timeline(history, verdict)
--- a/benchmarks/soak/directors.py
+++ b/benchmarks/soak/directors.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any
 
+from gladewalk.errors import GladewalkError
 from gladewalk.faultnet.syscall_faults import FaultSchedule, SyscallFault
 
 from .history import History, LeakRecord, StopRecord
@@ -28,6 +29,10 @@
 CRASH_PATTERN = re.compile(r"Traceback|exception was never retrieved")
 
 
+class StartError(GladewalkError):
+    """A director has ended at its start, or is not ready in time."""
+
+
 @dataclass
 class DirectorProcess:
     """One director over its restarts.
@@ -98,13 +103,18 @@
     async def _serving_address(self) -> tuple[str, int]:
         end_s = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < end_s:
-            for line in self.log_file.read_text(encoding="utf-8", errors="replace").splitlines():
+            for line in self._log_text().splitlines():
                 with contextlib.suppress(ValueError):
                     event = json.loads(line)
                     if event.get("event") == "serving":
                         return event["listen"][0], event["listen"][1]
+            if self.process is not None and self.process.returncode is not None:
+                raise StartError(f"{self.name} ended at its start: {self._log_text().strip()[-200:]}")
             await asyncio.sleep(0.02)
-        raise TimeoutError(f"{self.name} does not serve after {START_TIMEOUT_S:g} s")
+        raise StartError(f"{self.name} does not serve after {START_TIMEOUT_S:g} s")
+
+    def _log_text(self) -> str:
+        return self.log_file.read_text(encoding="utf-8", errors="replace")
 
     async def _become_admitted(self) -> None:
         end_s = time.monotonic() + START_TIMEOUT_S
@@ -119,7 +129,7 @@
                         self.is_admitted = True
                         return
             await asyncio.sleep(0.05)
-        raise TimeoutError(f"{self.name} is not healthy after {START_TIMEOUT_S:g} s")
+        raise StartError(f"{self.name} is not healthy after {START_TIMEOUT_S:g} s")
 
     def gets_new_connections(self) -> bool:
         """Whether the front sends it new connections now, however late this loop is."""
@@ -163,8 +173,7 @@
     def _finish(self, record: StopRecord) -> None:
         assert self.process is not None
         record.exit_code = self.process.returncode
-        text = self.log_file.read_text(encoding="utf-8", errors="replace")
-        record.log_errors = len(CRASH_PATTERN.findall(text))
+        record.log_errors = len(CRASH_PATTERN.findall(self._log_text()))
         self.history.stops.append(record)
 
     async def check_quiet(self) -> None:
@@ -177,7 +186,7 @@
         end_s = time.monotonic() + 5.0
         while not counters and time.monotonic() < end_s:
             await asyncio.sleep(0.05)
-            for line in self.log_file.read_text(encoding="utf-8", errors="replace").splitlines():
+            for line in self._log_text().splitlines():
                 if '"event": "counters"' in line:
                     counters = json.loads(line)
         leaks = [f"{name}={counters.get(name)}" for name in EMPTY_WHEN_QUIET if counters.get(name) != 0]
--- a/benchmarks/soak/scheduling.py
+++ b/benchmarks/soak/scheduling.py
@@ -168,5 +168,6 @@
         now = (time.monotonic(), int(waited) / NS_PER_S, int(ran) / NS_PER_S)
         before = self._last.get((name, pid))
         self._last[name, pid] = now
-        if before is not None and now[1] - before[1] >= MIN_WAIT_S:
-            self.waits.append(ProcessorWait(name, before[0], now[0], now[1] - before[1], now[2] - before[2]))
+        if before is not None and (waited_s := now[1] - before[1]) >= MIN_WAIT_S:
+            from_s, ran_s = min(before[0], now[0] - waited_s), now[2] - before[2]
+            self.waits.append(ProcessorWait(name, from_s, now[0], waited_s, ran_s))
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -23,6 +23,7 @@
 from .net.coordinator import CoordinatorWatch
 from .net.endpoint_feed import EndpointFeed
 from .net.environment import REAL_ENVIRONMENT, Environment
+from .net.listening import retry_listening
 from .upstream.pool import ConnectionPool
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -131,11 +132,17 @@
         self.deadlines.add(self.clock() + self.max_sync_wait_ms, self._on_synced)
         self.coordinator_watch.connect()
         self.connection_pool.sweep()
-        self.front.listen(self.config.listen, self.config.inherited_fd)
+        await retry_listening(self._listen, self.clock, self.counters)
         await self._start_optional_parts()
+        await retry_listening(self._listen_for_operators, self.clock, self.counters)
+        self.readiness.is_started = True
+
+    async def _listen(self) -> None:
+        self.front.listen(self.config.listen, self.config.inherited_fd)
+
+    async def _listen_for_operators(self) -> None:
         if self.admin is not None and self.config.admin is not None:
             await self.admin.listen(self.config.admin)
-        self.readiness.is_started = True
 
     async def _start_optional_parts(self) -> None:
         if self.dns is not None:
--- a/tests/test_system_errors.py
+++ b/tests/test_system_errors.py
@@ -9,10 +9,13 @@
 
 import pytest
 
+from gladewalk.config.platform import Address, read_config
 from gladewalk.director import Director
 from gladewalk.net.accept_errors import CONNECTION_ERRORS, MAX_CONNECTION_ERRORS
-from gladewalk.net.environment import Listener
-from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
+from gladewalk.net.environment import Environment, Listener, open_listener
+from gladewalk.net.listening import TRANSIENT_ERRORS
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import DirectorHarness, config_for, wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from gladewalk.upstream.connection_opener import LOCAL_ERRORS
@@ -267,3 +270,43 @@
         return float(cache.received[-1].headers["x-max-ms"])
 
     assert asyncio.run(story()) <= 2_000.0 - 500.0 + 100.0
+
+
+async def start_behind(errors: list[int]) -> tuple[Director, int]:
+    """A director whose first attempts to listen fail by these errors, and how many attempts there were."""
+    attempts = 0
+
+    def listen(address: Address, backlog: int, inherited_fd: int | None) -> Listener:
+        nonlocal attempts
+        attempts += 1
+        if errors:
+            raise OSError(errors.pop(0), "injected")
+        return open_listener(address, backlog, inherited_fd)
+
+    coordinator = await Coordinator().start()
+    config = read_config(config_for([], coordinator), {})
+    director = Director(config, asyncio.get_running_loop(), environment=Environment(listen=listen))
+    try:
+        await director.start()
+    finally:
+        director.front.close()
+        director.coordinator_watch.close()
+        coordinator.stop()
+    return director, attempts
+
+
+@pytest.mark.parametrize("number", sorted(TRANSIENT_ERRORS))
+def test_a_director_starts_though_the_system_lacks_a_socket_for_a_moment(number: int) -> None:
+    """Guards against a director that ends at its start for an error that passes."""
+    director, attempts = asyncio.run(start_behind([number] * 3))
+    assert attempts == 4
+    assert director.readiness.is_started
+    assert sum(count for name, count in director.counters.items() if name.startswith("listen.failed.")) == 3
+
+
+@pytest.mark.parametrize("number", [errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES])
+def test_a_director_that_can_not_listen_where_it_is_told_to_ends_at_once(number: int) -> None:
+    errors = [number] * 3
+    with pytest.raises(OSError, match="injected"):
+        asyncio.run(start_behind(errors))
+    assert len(errors) == 2
