--- a/benchmarks/soak/checker.py
+++ b/benchmarks/soak/checker.py
@@ -99,7 +99,7 @@
 def _is_lost(request: RequestRecord, stop: StopRecord | None, history: History) -> bool:
     if request.end is End.LEFT:
         return False
-    if request.end is End.ANSWERED:
+    if request.end in (End.ANSWERED, End.SILENT):
         late_s = request.end_came_after_s - (request.sent_s + request.wait_s)
         return (
             late_s > LATE_S + TIMER_SLACK_S and late_s - _not_run_s(request, history) > LATE_S + TIMER_SLACK_S
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -15,7 +15,7 @@
 from .directors import DirectorProcess
 from .history import Effect, End, History, RequestRecord
 from .plan import Plan, TrafficClass
-from .scheduling import TimedReader, open_timed_connection
+from .scheduling import TimedReader, came_after_s, open_timed_connection
 
 OBJECT_COUNT = 120
 GIVE_UP_S = 1.2  # a client waits so long past its time before it calls an answer missing
@@ -222,8 +222,10 @@
                     record.surplus += parser.feed(data)
         except TimeoutError:
             record.end = End.LEFT if leaves else End.SILENT
+            silent_until_s = came_after_s()
             self._drop()
-            record.left_s = record.ended_s = record.end_came_after_s = time.monotonic()
+            record.left_s = record.ended_s = time.monotonic()
+            record.end_came_after_s = record.left_s if leaves else silent_until_s
             record.received = parser.received
             return
         except ConnectionError:
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -43,7 +43,7 @@
         is_first: It was the first on its connection.
         left_s: When its client went.
         ended_s: When its end was seen.
-        end_came_after_s: The earliest time at which its end can have come.
+        end_came_after_s: The earliest time at which its end can have come; up to then nothing had.
         status: Of its answer.
         body: Of its answer.
         has_retry_after: Whether the answer says when to come back.
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -1,13 +1,16 @@
-"""Socket state beyond what asyncio reports: unread input, and whether the peer has closed."""
+"""Sockets beyond what asyncio offers: unread input, the peer's end, writes and ends within the call."""
 
 from __future__ import annotations
 
 import asyncio
+import os
 import select
 import socket
 import struct
 from typing import Protocol
 
+from uvloop.loop import TCPTransport  # type: ignore[attr-defined]  # its stubs lack it
+
 PEER_CLOSED_EVENTS = select.POLLERR | select.POLLHUP | getattr(select, "POLLRDHUP", 0)
 READABLE_EVENTS = select.POLLIN | PEER_CLOSED_EVENTS
 # Bytes that may come without one of a body among them: chunk framing or a trailer. Bounds what the parser
@@ -57,6 +60,26 @@
     return any(events & PEER_CLOSED_EVENTS for _, events in poll.poll(0))
 
 
+def write_now(transport: asyncio.Transport, data: bytes) -> None:
+    """Writes data in this very call as far as the system takes it; a transport keeps the rest.
+
+    uvloop's TCP transport would write all of it when its turn ends, and by then what the data say of time may
+    be wrong.
+    """
+    is_deferring = isinstance(transport, TCPTransport) and not transport.is_closing()
+    if is_deferring and transport.get_write_buffer_size() == 0:
+        data = data[_send_some(transport, data) :]
+    if data:
+        transport.write(data)
+
+
+def _send_some(transport: asyncio.Transport, data: bytes) -> int:
+    try:
+        return os.write(transport.get_extra_info("socket").fileno(), data)
+    except OSError:
+        return 0  # the transport meets the same error, and handles it
+
+
 def end_sending(transport: asyncio.Transport) -> None:
     """Shuts down the sending side of a transport's connection in this very call (shutdown(2))."""
     unconnected = transport.get_extra_info("unread") is not None  # a transport in memory has no socket
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -11,7 +11,7 @@
 from ..config.platform import Address
 from ..core.exchange import Attempt, AttemptResult, ResponseHead
 from ..core.response_buffer import MAX_OBJECT_BYTES
-from ..net.sockets import MAX_FRAMING_BYTES, socket_poll
+from ..net.sockets import MAX_FRAMING_BYTES, socket_poll, write_now
 from .connection_rest import ConnectionRest
 from .protocol_fields import (
     AUTHORITY,
@@ -129,7 +129,7 @@
         self.has_complete_head = self.is_forwarded = self.is_complete = self.is_reusable = False
         self.pending_head = None
         self.pending_body.clear()
-        self.transport.write(request)
+        write_now(self.transport, request)
 
     def encode(self, attempt: Attempt, now_ms: float) -> bytes:
         """Returns an attempt's request as bytes; a subclass may speak another dialect of HTTP/1.1."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,11 +1,14 @@
 """Stories over loopback: a director in this process against scripted caches, parents and an origin."""
 
 import asyncio
+import socket
 import unittest
 
 import pytest
+import uvloop
 
 from gladewalk.core.counters import Counters
+from gladewalk.net.sockets import write_now
 from gladewalk.rehearsal.director_harness import wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
@@ -207,3 +210,33 @@
             return [*found, server.acquire() is fresh]
 
     assert asyncio.run(story()) == [True, True, True, True]
+
+
+def test_a_request_is_written_in_the_moment_in_which_its_deadline_is_computed() -> None:
+    """Guards against a deadline told to a server that is too long by the rest of the loop's turn."""
+    large = bytes(8_000_000)  # more than the system takes at once
+
+    async def story() -> list[bool]:
+        listener = socket.create_server(("127.0.0.1", 0))
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_connection(asyncio.Protocol, *listener.getsockname())
+        server, _ = listener.accept()
+        write_now(transport, b"at once")
+        server.setblocking(False)
+        found = [server.recv(100) == b"at once"]  # the loop has not turned
+        write_now(transport, large)
+        write_now(transport, b"behind it")
+        server.setblocking(True)
+        expected = large + b"behind it"
+        received = await loop.run_in_executor(None, receive, server, len(expected))
+        transport.abort()
+        return [*found, received == expected]
+
+    assert uvloop.run(story()) == [True, True]
+
+
+def receive(connection: socket.socket, size: int) -> bytes:
+    received = b""
+    while len(received) < size and (data := connection.recv(1_000_000)):
+        received += data
+    return received
