--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -18,13 +18,14 @@
 from gladewalk.net.admin import CALL_TIMEOUT_MS, MAX_CALLERS, AdminFront, Response
 from gladewalk.ops.metrics import Gauges, format_metrics
 from gladewalk.rehearsal.coordinator import Coordinator
-from gladewalk.rehearsal.director_harness import config_for, wait_until
+from gladewalk.rehearsal.director_harness import SETTINGS, config_for, wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 
 from .program import start_program
 
 BODY = b"fish" * 100
+PATIENCE_MS = 60_000.0  # a test that is not about times waits so long, on a busy machine, too
 
 
 async def hit(heard: ReceivedRequest) -> None:
@@ -281,7 +282,8 @@
         coordinator = await Coordinator(may_answer=asyncio.Event()).start()
         for peer in (first, second):
             await peer.start()
-        config = read_config(config_for([first, second], coordinator), {})  # it knows both as ready
+        patient = {**SETTINGS, "limits": {**SETTINGS["limits"], "connect_timeout_ms": PATIENCE_MS}}
+        config = read_config(config_for([first, second], coordinator, patient), {})  # it knows both as ready
         drained = {**first.target(), "state": "DRAINING"}
         coordinator.events.append({"index": 2, "endpoints": {"rev": 2, "all": False, "targets": [drained]}})
         director = Director(config, asyncio.get_running_loop())
@@ -290,7 +292,8 @@
         self.assertFalse(director.readiness.is_ready)
         clients = [await asyncio.open_connection(*director.front.address) for _ in range(8)]
         for key, (_, writer) in enumerate(clients, 1):  # homes on both caches, by hash
-            writer.write(encode_request(f"/invoke/lot-page/{key:x}?nth=0", trace=f"{key:016x}"))
+            path = f"/invoke/lot-page/{key:x}?nth=0"
+            writer.write(encode_request(path, trace=f"{key:016x}", wait_ms=PATIENCE_MS))
         await wait_until(lambda: len(director.exchange.held_requests or ()) == 8)
         self.assertEqual((first.received, second.received), ([], []))
         assert coordinator.may_answer is not None
