--- a/gladewalk/upstream/connection_opener.py
+++ b/gladewalk/upstream/connection_opener.py
@@ -95,7 +95,8 @@
             self._count_tls_failure(error)
         finally:
             self._finish(request)
-        if request.item.carrier is not request:  # cancelled meanwhile: the connection may serve another
+        if request.item.carrier is not request:  # cancelled, or sent on another: it may serve others
+            pool.deadlines.drop(request.timer)
             if connection is not None and connection.transport is not None:
                 server.release(connection)
         elif connection is None or connection.transport is None:
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -194,9 +194,31 @@
             elif len(self.open_connections) + len(self.opener.opening) < self.max_connections:
                 self.waiting.popleft()
                 self.opener.open(request)
+                if isinstance(request, ConnectionRequest):
+                    self._watch_rested(request)
             else:
                 return self._close_longest_idle()
 
+    def _watch_rested(self, request: ConnectionRequest) -> None:
+        """Looks for a connection that has rested by then, while one is being opened for a work item."""
+        self.deadlines.add(request.server.next_rested_ms(), lambda: self._take_rested(request))
+
+    def _take_rested(self, request: ConnectionRequest) -> None:
+        """Sends a work item whose connection is still being opened on one that has rested meanwhile.
+
+        The one that is being opened becomes idle once it is open, or is given up at its time.
+        """
+        if request.item.carrier is not request:
+            return
+        connection = request.server.acquire()
+        if connection is None:
+            return self._watch_rested(request)
+        self.deadlines.drop(request.timer)
+        until_ms = self.clock() + self.config.connect_timeout_ms
+        request.timer = self.deadlines.add(until_ms, request.give_up)
+        self.counters.add("caches.rested_first")
+        self.write(connection, request.item)
+
     def enqueue(self, item: WorkItem, server: UpstreamServer, queue: WaitQueue) -> ConnectionRequest:
         """Returns a work item's request for a connection, which `connect_timeout_ms` limits.
 
--- a/gladewalk/upstream/upstream_server.py
+++ b/gladewalk/upstream/upstream_server.py
@@ -103,6 +103,12 @@
                 return index
         return None
 
+    def next_rested_ms(self) -> float:
+        """Returns when to look for a rested connection next, steady milliseconds: one may be in use now."""
+        now_ms = self.pool.clock()
+        released_ms = min((connection.released_ms for connection in self.idle), default=now_ms)
+        return released_ms + self.rest.duration_ms(now_ms)
+
     def forget(self, connection: Http1Connection) -> None:
         """Removes a connection that is closed from the idle ones, if it is among them."""
         if connection in self.idle:
@@ -145,6 +151,11 @@
         self.timer: DeadlineKey | None = None
         self.is_local_failure = False
 
+    def give_up(self) -> None:
+        """Ends the opening of a connection that nothing waits for any more."""
+        if self.task is not None:
+            self.task.cancel()
+
     def cancel(self, item: WorkItem) -> None:
         """Ends the wait; the work item gets no result."""
         self.pool.withdraw(self)
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -20,6 +20,7 @@
 LATENESSES_S = (0.0, 0.003, 0.01, 0.025, 0.045, 0.05)  # of the second answer behind the first
 PIECE_PAUSE_S = 0.005
 ON_NEXT_REQUEST_S = 0.05  # a second answer that waits for the server's next request is at most so late
+SLOW_CONNECT_S = 0.3
 MAX_CONNECTIONS, BATCH, KEYS, ROUNDS = 2, 4, 41, 4
 FORMS = ("whole", "repeated", "cut", "in pieces")
 
@@ -216,3 +217,38 @@
     is_wrong, surplus = ask_of_late_server(None)
     assert not any(is_wrong[2 * REQUESTS :])
     assert surplus > 0
+
+
+def test_a_request_does_not_wait_for_a_slow_connection_once_another_has_rested(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that wait for a new connection, which comes up late, beside a rested one."""
+
+    async def story() -> tuple[list[bytes], int, float]:
+        server = DoublingServer(0.0, 0.0, doubled=frozenset())
+        async with running(ScriptedServer(server.script)) as (harness, director):
+            loop = asyncio.get_running_loop()
+            reader, writer = await harness.connect()
+            bodies = []
+            for key in (1, 2):
+                began_s = loop.time()
+                writer.write(encode_request(f"/invoke/lot-page/{key:x}"))
+                bodies.append((await read_message(reader)).body)
+                monkeypatch.setattr(loop, "create_connection", slow_connects(loop.create_connection))
+            took_s = loop.time() - began_s
+            writer.close()
+            await wait_until(lambda: len(director.connection_pool.servers["c1"].idle) == 2)
+            return bodies, director.counters["caches.rested_first"], took_s
+
+    bodies, rested_first, took_s = asyncio.run(story())
+    assert bodies == own_bodies()[:2]
+    assert rested_first == 1
+    assert took_s < SLOW_CONNECT_S
+
+
+def slow_connects(connect: Any) -> Any:
+    async def connect_slowly(*arguments: Any, **more: Any) -> Any:
+        await asyncio.sleep(SLOW_CONNECT_S)
+        return await connect(*arguments, **more)
+
+    return connect_slowly
