--- a/gladewalk/upstream/connection_rest.py
+++ b/gladewalk/upstream/connection_rest.py
@@ -10,9 +10,9 @@
 import math
 
 REST_MS = 60.0  # second responses are expected up to 50 ms late; the rest is for the path's jitter
-MAX_REST_MS = 500.0
+MAX_REST_MS = 200.0
 LATENESS_MARGIN = 2.0  # a server's rest is the lateness that it may have shown, times this
-LATENESS_MEMORY_MS = 60_000.0
+LATENESS_MEMORY_MS = 15_000.0
 
 
 class ConnectionRest:
