--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -35,7 +35,7 @@
     """One client's connection; it is the `ResponseWriter` of the request that it has open."""
 
     def __init__(self, front: ConnectionOwner[ClientConnection]) -> None:
-        super().__init__(front.clock, front.max_body_bytes)
+        super().__init__(front)
         self.front = front
         self.exchange = front.exchange  # where requests are submitted
         self.transport: asyncio.Transport | None = None
--- a/gladewalk/net/request_reader.py
+++ b/gladewalk/net/request_reader.py
@@ -4,6 +4,7 @@
 
 from abc import abstractmethod
 from collections.abc import Callable
+from typing import Protocol
 
 import httptools
 
@@ -12,6 +13,13 @@
 MAX_HEADER_BYTES = 16 * 1024
 
 
+class ReadLimits(Protocol):
+    """What a reader needs of the listener: its clock, and the bound of a body."""
+
+    clock: Callable[[], float]
+    max_body_bytes: int
+
+
 class RequestReader:
     """The request that is being read; what is invalid in it raises `BadRequestError`.
 
@@ -23,7 +31,7 @@
         framing_bytes: Read since the last byte of a body.
     """
 
-    def __init__(self, clock: Callable[[], float], max_body_bytes: int) -> None:
+    def __init__(self, limits: ReadLimits) -> None:
         self.parser = httptools.HttpRequestParser(self)
         self.has_partial_request = self.has_complete_head = False
         self.request_began_ms = 0.0
@@ -31,7 +39,7 @@
         self.framing_bytes = 0
         self.headers: dict[bytes, bytes] = {}
         self.body_pieces: list[bytes] = []
-        self._clock, self._max_body_bytes = clock, max_body_bytes
+        self._limits = limits
 
     @abstractmethod
     def _continue_expected(self) -> None:
@@ -41,7 +49,7 @@
         """A request's first byte."""
         self.url, self.read_bytes, self.framing_bytes, self.headers, self.body_pieces = b"", 0, 0, {}, []
         self.has_partial_request, self.has_complete_head = True, False
-        self.request_began_ms = self._clock()
+        self.request_began_ms = self._limits.clock()
 
     def on_url(self, url: bytes) -> None:
         """A piece of the target."""
@@ -67,14 +75,14 @@
             raise BadRequestError(400)
         if length is not None and (not length.isdigit() or len(length) > 15):
             raise BadRequestError(400)
-        self._count_bytes(int(length or b"0"), self._max_body_bytes, 413)
+        self._count_bytes(int(length or b"0"), self._limits.max_body_bytes, 413)
         self.read_bytes = 0
         if self.headers.get(b"expect", b"").lower() == b"100-continue":
             self._continue_expected()
 
     def on_body(self, body: bytes) -> None:
         """A piece of the body."""
-        self._count_bytes(len(body), self._max_body_bytes, 413)
+        self._count_bytes(len(body), self._limits.max_body_bytes, 413)
         self.framing_bytes = 0
         self.body_pieces.append(body)
 
