--- a/benchmarks/soak/checker.py
+++ b/benchmarks/soak/checker.py
@@ -20,6 +20,7 @@
 PURGE_GRACE_S = 0.5 + 0.05
 TIMER_SLACK_S = 0.1  # of the soak's own event loop
 RULES = ("lost", "duplicates", "late_attempts", "wrong", "over_budget", "crashes", "leaks")
+REQUEST_TIMEOUT, REQUEST_TIME_S = 408, 2.0  # a request that takes longer to come is told so
 REJECTIONS, FAILURES = (429, 503), (500, 502, 504)
 
 
@@ -134,6 +135,8 @@
             verdict.wrong.append(f"{request.trace_id} rejected without Retry-After")
         if request.effect is Effect.ONCE and any(attempt.may_have_run for attempt in attempts):
             verdict.duplicates.append(f"{request.trace_id} rejected, though it may have run")
+    elif request.status == REQUEST_TIMEOUT and request.sent_s > request.first_byte_s + REQUEST_TIME_S:
+        verdict.ends["sent too slowly"] += 1
     elif request.status not in FAILURES:
         verdict.wrong.append(f"{request.trace_id} answered {request.status}")
 
@@ -177,7 +180,7 @@
         return
     ran = sorted((attempt for attempt in attempts if attempt.may_have_run), key=lambda one: one.began_s)
     for attempt in ran[1:]:
-        age_s = attempt.began_s - ran[0].began_s
+        age_s = attempt.came_after_s - ran[0].began_s  # at least
         if request.effect is Effect.ONCE or age_s > request.window_s + CROSSING_S:
             verdict.duplicates.append(f"{request.trace_id} again at {attempt.server} after {age_s:.3f} s")
 
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -15,7 +15,7 @@
 from .directors import DirectorProcess
 from .history import Effect, End, History, RequestRecord
 from .plan import Plan, TrafficClass
-from .scheduling import TimedReader, came_after_s, open_timed_connection
+from .scheduling import TimedReader, came_after_s, has_ended, open_timed_connection
 
 OBJECT_COUNT = 120
 GIVE_UP_S = 1.2  # a client waits so long past its time before it calls an answer missing
@@ -197,6 +197,9 @@
 
     async def _send(self, connection: Connection, data: bytes, record: RequestRecord) -> None:
         writer = connection.writer
+        if has_ended(writer):  # a client that is not late sees it
+            raise ConnectionResetError
+        record.first_byte_s = time.monotonic()
         if self.rng.random() < 0.1:  # in two pieces
             cut = self.rng.randrange(1, len(data))
             writer.write(data[:cut])
@@ -221,6 +224,10 @@
                         break
                     record.surplus += parser.feed(data)
         except TimeoutError:
+            if not leaves and connection.reader.has_unread:  # this loop was late, not the answer
+                record.surplus += parser.feed(await connection.reader.read(1_000_000))
+            if parser.is_whole:
+                return self._note_end(connection, record, parser)
             record.end = End.LEFT if leaves else End.SILENT
             silent_until_s = came_after_s()
             self._drop()
@@ -230,13 +237,17 @@
             return
         except ConnectionError:
             pass
+        self._note_end(connection, record, parser)
+        if parser.closes and connection is self.connection:
+            await self._read_surplus(connection, record)
+            self._drop()
+
+    def _note_end(self, connection: Connection, record: RequestRecord, parser: AnswerParser) -> None:
+        """Records a whole answer, or the connection's end without one."""
         record.ended_s, record.end_came_after_s = time.monotonic(), connection.reader.came_after_s
         record.end = End.ANSWERED if parser.is_whole else End.CLOSED
         record.status, record.body, record.received = parser.status, b"".join(parser.body), parser.received
         record.has_retry_after = parser.has_retry_after
-        if parser.closes and connection is self.connection:
-            await self._read_surplus(connection, record)
-            self._drop()
 
     async def _read_surplus(self, connection: Connection, record: RequestRecord) -> None:
         """Reads what comes behind an answer that says that it is the last."""
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -39,6 +39,7 @@
         window_s: For a keyed one: how long a repeat is dropped by the servers.
         object_id: Object and part.
         wait_s: How long the client waits.
+        first_byte_s: When its first byte was written.
         sent_s: When its last byte was written.
         is_first: It was the first on its connection.
         left_s: When its client went.
@@ -58,6 +59,7 @@
     window_s: float
     object_id: str
     wait_s: float
+    first_byte_s: float = 0.0
     sent_s: float = 0.0
     is_first: bool = False
     left_s: float | None = None
