--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from gladewalk.faultnet.syscall_faults import ERRORS_BY_KIND, FaultKind, SyscallFault
-from gladewalk.rehearsal.director_harness import SETTINGS
+from gladewalk.rehearsal.director_harness import SETTINGS, class_settings
 
 from .history import Effect
 
@@ -149,13 +149,9 @@
 def _settings(classes: tuple[TrafficClass, ...], director_count: int) -> dict[str, Any]:
     settings: dict[str, Any] = copy.deepcopy(SETTINGS)
     settings["classes"] = [
-        {
-            "name": cls.name,
-            "promise_ms": cls.deadline_ms / 3.0,
-            "give_up_ms": cls.deadline_ms,
-            "repeat": cls.effect.value,
-            **({"window_ms": cls.window_ms, "key_scope": "all"} if cls.effect is Effect.BY_KEY else {}),
-        }
+        class_settings(
+            cls.name, cls.deadline_ms / 3.0, cls.deadline_ms, cls.effect.value, window_ms=cls.window_ms
+        )
         for cls in classes
     ]
     settings["n_instances"] = director_count
--- a/benchmarks/two_builds.py
+++ b/benchmarks/two_builds.py
@@ -78,9 +78,7 @@
 def compare_commands(other: Path, folder: Path) -> list[str]:
     """Returns the commands whose output or exit code differs between the builds."""
     node = folder / "node.json"
-    node.write_text(
-        json.dumps({"name": "n", "listen": "127.0.0.1:0", "coordinator": "127.0.0.1:9", "settings": SETTINGS})
-    )
+    node.write_text(json.dumps(config_for([], Coordinator(address="127.0.0.1:9"), SETTINGS)))
     options, dns = str(THIS_TREE / "deploy/gladewalk.toml"), str(THIS_TREE / "deploy/dns.toml")
     rows: list[tuple[str, ...]] = [
         ("check", "--json", "--config", options),
--- a/gladewalk/config/platform.py
+++ b/gladewalk/config/platform.py
@@ -11,6 +11,7 @@
 
 from .. import interface as api
 from ..errors import GladewalkError
+from .file_keys import check_keys_kept, check_required_keys, unused_keys
 from .policy_settings import read_roles, read_settings, require_field, value_or
 
 Address = tuple[str, int]
@@ -58,6 +59,7 @@
         admin: The second address, for operators' requests; None if there is none.
         inherited_fd: Descriptor of the clients' listening socket if the platform opened it, else None.
         sends_hold_off: Whether a rejection tells the retry delay in ms, in addition to `Retry-After`.
+        unused_keys: Paths of the documented keys that the file has and the director can do without.
     """
 
     name: str
@@ -75,6 +77,7 @@
     inherited_fd: int | None = None
     sends_hold_off: bool = False
     memory_limit_mb: float = DEFAULT_MEMORY_LIMIT_MB
+    unused_keys: tuple[str, ...] = ()
 
 
 class Endpoint(NamedTuple):
@@ -103,12 +106,12 @@
     return host.strip("[]"), int(port)
 
 
-def load_config(environ: Mapping[str, str]) -> PlatformConfig:
-    """Loads the file that `NODE_CONFIG` names.
+def load_config(environ: Mapping[str, str], in_use: PlatformConfig | None = None) -> PlatformConfig:
+    """Loads the file that `NODE_CONFIG` names; at a reload, `in_use` is the configuration to replace.
 
     Raises:
-        ConfigError: `NODE_CONFIG` is not set; or the file cannot be read, is not valid JSON or cannot be
-            used, and then the text begins with its path.
+        ConfigError: `NODE_CONFIG` is not set; or the file cannot be read, is not valid JSON, lacks a key or
+            cannot be used, and then the text begins with its path.
     """
     path = environ.get("NODE_CONFIG")
     if not path:
@@ -120,7 +123,11 @@
     except (ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: not valid JSON: {error}") from error
     try:
-        return read_config(raw, environ)
+        config = read_config(raw, environ)
+        check_required_keys(raw)
+        if in_use is not None:
+            check_keys_kept(raw, in_use.unused_keys)
+        return replace(config, unused_keys=unused_keys(raw))
     except (GladewalkError, *CONVERSION_ERRORS) as error:
         raise ConfigError(f"{path}: {error}") from error
 
@@ -147,8 +154,8 @@
     return PlatformConfig(
         name=environ.get("NODE_NAME") or str(raw.get("name", "director")),
         settings=_adapt_settings(settings, max_descriptors),
-        listen=read_address(environ.get("NODE_LISTEN") or raw.get("listen")),
-        coordinator=read_address(raw.get("coordinator")),
+        listen=_read_address_of("listen", environ.get("NODE_LISTEN") or raw.get("listen")),
+        coordinator=_read_address_of("coordinator", raw.get("coordinator")),
         seed=int(str(value_or(raw.get("seed"), "0")), 16),
         max_descriptors=max_descriptors,
         connect_timeout_ms=float(value_or(limits.get("connect_timeout_ms"), DEFAULT_CONNECT_TIMEOUT_MS)),
@@ -156,7 +163,7 @@
         roles=read_roles(raw_settings),
         initial_event_index=int(value_or(known.get("index"), 0)),
         initial_events=initial_events,
-        admin=_read_optional_address(environ.get("NODE_ADMIN_ADDR") or raw.get("admin_addr")),
+        admin=_read_optional_address("admin_addr", environ.get("NODE_ADMIN_ADDR") or raw.get("admin_addr")),
         inherited_fd=_read_descriptor(environ.get("NODE_FD")),
         sends_hold_off=settings.sends_retry_after,
         memory_limit_mb=float(value_or(process_limits.get("memory_mb"), DEFAULT_MEMORY_LIMIT_MB)),
@@ -181,8 +188,15 @@
     return adapted
 
 
-def _read_optional_address(text: Any) -> Address | None:
-    return None if text in (None, "") else read_address(text)
+def _read_address_of(key: str, text: Any) -> Address:
+    try:
+        return read_address(text)
+    except ConfigError as error:
+        raise ConfigError(f"{key}: {error}") from error
+
+
+def _read_optional_address(key: str, text: Any) -> Address | None:
+    return None if text in (None, "") else _read_address_of(key, text)
 
 
 def _read_descriptor(text: str | None) -> int | None:
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -204,6 +204,7 @@
         try:
             reloaded = parts.read_reloaded(
                 os.environ,
+                self.config,
                 self.options,
                 self.connection_pool.connection_factory,
                 has_dns=self.dns is not None,
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -205,6 +205,7 @@
 
 def read_reloaded(
     environ: Mapping[str, str],
+    in_use: PlatformConfig,
     options: Options | None,
     upstream_factory: ConnectionFactory | None,
     has_dns: bool,
@@ -213,10 +214,12 @@
 ) -> Reloaded:
     """Reads the platform's configuration again and, if there is one, the director's options file.
 
+    `in_use` is the platform's configuration that the director has now.
+
     Raises:
         ConfigError: A file cannot be used.
     """
-    reloaded = Reloaded(load_config(environ), options, upstream_factory)
+    reloaded = Reloaded(load_config(environ, in_use), options, upstream_factory)
     if options is None:
         return reloaded
     from .config.options import load_options
--- a/gladewalk/rehearsal/director_harness.py
+++ b/gladewalk/rehearsal/director_harness.py
@@ -22,25 +22,52 @@
 POLL_INTERVAL_S = 0.005
 DEFAULT_PATH = "/invoke/lot-page/a1?nth=0"
 
+
+def class_settings(
+    name: str, promise_ms: float, give_up_ms: float, repeat: str, **changes: Any
+) -> dict[str, Any]:
+    """Returns the settings of a request class; `changes` replaces or adds keys."""
+    return {
+        "name": name,
+        "promise_ms": promise_ms,
+        "give_up_ms": give_up_ms,
+        "repeat": repeat,
+        "importance": 1.0,
+        "late_worth": 0.0,
+        "key_scope": "all",
+        "window_ms": 0.0,
+        "streaming": False,
+        **changes,
+    }
+
+
 SETTINGS: dict[str, Any] = {
     "classes": [
-        {"name": "lot-video", "promise_ms": 600.0, "give_up_ms": 5000.0, "repeat": "repeatable"},
-        {"name": "lot-page", "promise_ms": 250.0, "give_up_ms": 3000.0, "repeat": "repeatable"},
-        {"name": "bid", "promise_ms": 800.0, "give_up_ms": 3000.0, "repeat": "once", "importance": 3.0},
+        class_settings("lot-video", 600.0, 5000.0, "repeatable"),
+        class_settings("lot-page", 250.0, 3000.0, "repeatable"),
+        class_settings("bid", 800.0, 3000.0, "once", importance=3.0),
     ],
+    "discovery": "automatic",
+    "feedback": {"how": "silent"},
     "kinds": ["standard", "parent", "origin"],
-    "zones": ["north", "edge-1"],
+    "me": -1,  # no number of its own: its place among the directors is drawn
     "my_zone": "edge-1",
     "n_instances": 1,
+    "weights": "nominal",
+    "zones": ["north", "edge-1"],
     "limits": {
         "most_tries": 6,
         "may_duplicate": True,
         "cancel": True,
+        "conn_idle_ms": 15000.0,
         "connect_timeout_ms": 400.0,
         "max_retry_after_ms": 1000.0,
         "may_probe": True,
+        "peers": False,
+        "retry_after": False,
     },
     "invariants": {
+        "answer_slack_ms": 0.0,
         "drain_grace_ms": 250.0,
         "cold_from": 0.16,
         "ramp_time_ms": 18000.0,
@@ -48,18 +75,32 @@
         "tip_after_ms": 2000.0,
     },
     "specifics": {
-        "upper_kind": 1,
-        "origin_kind": 2,
+        "byte_fee": 0.0,
+        "class_grace_ms": [0.0, 0.0, 0.0],
+        "class_parts": [False, False, False],
+        "client_kb_per_s": 0.0,
         "hub_of": [0, 0],
         "instances_by_zone": [0, 1],
-        "uncached": [False, False, True],
+        "joins": False,
+        "lateral": "silent",
         "lifetime_by_class_ms": [0.0, 20000.0, 0.0],
+        "link_in_kb_per_s": [0.0, 0.0],
         "may_pass_by": True,
         "note_level": "all",
         "obey_after_ms": 500.0,
+        "origin_kind": 2,
+        "origin_limit_factor": 0.0,
+        "parent_cold_ms": 0.0,
+        "parent_fall_multiple": 1.0,
+        "parent_floor": 1.0,
         "purge_settles_ms": 6000.0,
+        "root_fall_ms": 0.0,
+        "stale_earns": [0.0, 0.0, 0.0],
+        "uncached": [False, False, True],
+        "upper_kind": 1,
     },
 }
+"""Settings of a small deployment, with every key that a director needs."""
 
 
 class WaitExpiredError(GladewalkError, TimeoutError):
@@ -76,7 +117,7 @@
         "name": "n1",
         "listen": "127.0.0.1:0",
         "seed": "1f",
-        "limits": {"sockets": 256},
+        "limits": {"sockets": 256, "memory_mb": 64},
         "coordinator": coordinator.address,
         "settings": settings,
         "known": {"index": len(coordinator.events), "updates": coordinator.events},
--- a/tests/golden_control_data.py
+++ b/tests/golden_control_data.py
@@ -25,8 +25,9 @@
     "name": "n1",
     "listen": "127.0.0.1:0",
     "seed": "1f",
-    "limits": {"sockets": 256},
+    "limits": {"sockets": 256, "memory_mb": 64},
     "coordinator": "127.0.0.1:1",
+    "known": {"index": 0, "updates": []},
     "settings": SETTINGS,
 }
 FULL_SETTINGS: dict[str, Any] = {
