--- a/gladewalk/registry/execution_log.py
+++ b/gladewalk/registry/execution_log.py
@@ -18,15 +18,20 @@
 
     def start(self, pending: PendingRequest, now_ms: float) -> None:
         """Initialize a request with the first execution of earlier requests with the same idempotency key."""
-        request_class, key = pending.request_class, pending.request.idempotency_key
-        if request_class.idempotency is Idempotency.KEYED and key:
-            max_age_ms = request_class.deduplication_window_ms + request_class.deadline_ms
-            pending.first_execution = self._keys.first_execution(key, now_ms, max_age_ms)
+        key = pending.request.idempotency_key
+        if pending.request_class.idempotency is Idempotency.KEYED and key:
+            pending.first_execution = self._keys.first_execution(key, now_ms)
 
     def record_sent(self, pending: PendingRequest, endpoint: api.Server, now_ms: float) -> None:
-        """Record that an attempt is sent and may run from now on."""
+        """Record that an attempt is sent and may run from now on.
+
+        Its key is kept for the window in which the class's repeats are dropped, and for the deadline of a
+        retry that arrives at the end of this window.
+        """
+        request_class = pending.request_class
         if key := pending.request.idempotency_key:
-            self._keys.record_sent(key, now_ms, endpoint)
+            retention_ms = request_class.deduplication_window_ms + request_class.deadline_ms
+            self._keys.record_sent(key, now_ms, endpoint, retention_ms)
 
     def record_outcome(self, status: Status, attempt: Attempt, pending: PendingRequest) -> None:
         """Record by the status of an ended attempt whether it has not run or may have run."""
--- /dev/null
+++ b/tests/test_idempotency_keys.py
@@ -0,0 +1,57 @@
+"""What the decision module remembers of idempotency keys beside requests of other classes."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from gladewalk import interface as api
+
+from .test_deployments import KEYED, send_keyed_write
+from .world import SETTINGS, DispatcherEnvironment, final_answers
+
+ERROR = api.Status.ERROR
+SHORT = replace(KEYED, name="short", deadline_ms=800.0, deduplication_window_ms=500.0)
+SHORT_RETENTION_MS = SHORT.deadline_ms + SHORT.deduplication_window_ms
+
+
+def send_other(environment: DispatcherEnvironment, class_name: str, key: str, **fields: Any) -> list[Any]:
+    """Sends a request of another class."""
+    environment.next_id += 1
+    request = api.Request(environment.next_id, class_name, 2, 800.0, idempotency_key=key, **fields)
+    return environment.handle_event(request)
+
+
+def fail_keyed_write(environment: DispatcherEnvironment) -> None:
+    """Sends a keyed write whose only attempt may have run, and which therefore fails."""
+    (first,) = send_keyed_write(environment)
+    assert final_answers(environment.end_attempt(first, ERROR, after_ms=100.0))
+
+
+def assert_retry_is_not_sent(environment: DispatcherEnvironment, after_ms: float) -> None:
+    answers = send_keyed_write(environment, after_ms=after_ms)
+    assert answers == [api.Fail(environment.next_id)]
+
+
+def test_a_key_outlives_requests_of_a_class_with_a_shorter_window() -> None:
+    # Guards against a second execution: a class with a shorter window dropped the keys of all other classes.
+    environment = DispatcherEnvironment(classes=(KEYED, SHORT), max_attempts=1)
+    fail_keyed_write(environment)
+    environment.sweep(after_ms=SHORT_RETENTION_MS)
+    assert send_other(environment, "short", "other", is_write=True)
+    assert_retry_is_not_sent(environment, KEYED.deduplication_window_ms - SHORT_RETENTION_MS)
+
+
+@pytest.mark.parametrize("window_ms", [500.0, 9_000.0])
+def test_a_key_is_kept_for_the_window_it_was_sent_under_after_a_reload(window_ms: float) -> None:
+    # Guards against a key that is forgotten as new settings have another window for its class.
+    environment = DispatcherEnvironment(classes=(KEYED,), max_attempts=1)
+    fail_keyed_write(environment)
+    changed = replace(KEYED, deduplication_window_ms=window_ms, deadline_ms=800.0)
+    environment.dispatcher.configure(replace(SETTINGS, classes=(changed,), max_attempts=1))
+    if window_ms < KEYED.deduplication_window_ms:
+        assert_retry_is_not_sent(environment, KEYED.deduplication_window_ms)
+    else:  # the window of the new settings has not ended
+        assert isinstance(send_keyed_write(environment, after_ms=KEYED.deduplication_window_ms)[0], api.Fetch)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -132,23 +132,40 @@
     assert 0.45 < sum(random_positions) / 1_000 < 0.55 and len(set(random_positions)) == 1_000
 
 
+def known_keys(keys: IdempotencyKeys[str], now_ms: float) -> list[int]:
+    return [n for n in range(5) if keys.first_execution(f"{n}", now_ms) is not None]
+
+
 def test_a_key_is_recorded_when_first_sent_and_dropped_if_it_has_not_run_or_expires() -> None:
     keys: IdempotencyKeys[str] = IdempotencyKeys(3)
-    keys.record_sent("k", 10.0, "a")
-    keys.record_sent("k", 20.0, "b")
-    assert keys.first_execution("k", 30.0, 1_000.0) == PossibleExecution(10.0, "a")
+    keys.record_sent("k", 10.0, "a", 1_000.0)
+    keys.record_sent("k", 20.0, "b", 1_000.0)
+    assert keys.first_execution("k", 30.0) == PossibleExecution(10.0, "a")
+    keys.record_not_run("k", 10.0, "a")
     keys.record_not_run("k", 10.0, "a")
     # The second attempt may still have run.
-    assert keys.first_execution("k", 30.0, 1_000.0) == PossibleExecution(20.0, "b")
+    assert keys.first_execution("k", 30.0) == PossibleExecution(20.0, "b")
     keys.record_not_run("k", 10.0, "a")
     keys.record_not_run("k", 20.0, "b")
-    assert keys.first_execution("k", 30.0, 1_000.0) is None and not keys.executions
+    assert keys.first_execution("k", 30.0) is None and not len(keys)
     for n in range(5):
-        keys.record_sent(f"{n}", 40.0 + n, "a")
-    assert list(keys.executions) == ["2", "3", "4"]
-    assert keys.first_execution("4", 1_043.5, 1_000.0) == PossibleExecution(44.0, "a")
-    assert list(keys.executions) == ["4"]
-    assert keys.first_execution("4", 1_044.5, 1_000.0) is None and not keys.executions
+        keys.record_sent(f"{n}", 40.0 + n, "a", 1_000.0)
+    assert known_keys(keys, 44.0) == [2, 3, 4] and len(keys) == 3
+    assert keys.first_execution("4", 1_043.5) == PossibleExecution(44.0, "a")
+    assert known_keys(keys, 1_043.5) == [4] and len(keys) == 1
+    assert keys.first_execution("4", 1_044.5) is None and not len(keys)
+
+
+def test_each_key_expires_by_its_own_time_whichever_was_sent_first() -> None:
+    # Guards against an expiry by the time that another key needs.
+    keys: IdempotencyKeys[str] = IdempotencyKeys()
+    keys.record_sent("0", 0.0, "a", 5_000.0)
+    keys.record_sent("1", 10.0, "a", 1_300.0)
+    keys.record_sent("2", 20.0, "a", 9_000.0)
+    assert known_keys(keys, 1_311.0) == [0, 2]
+    keys.record_sent("0", 4_000.0, "b", 1_300.0)  # a later send keeps the key for longer, never for less
+    assert known_keys(keys, 5_300.0) == [0, 2]
+    assert known_keys(keys, 5_301.0) == [2]
 
 
 def test_the_retry_budget_grows_with_requests() -> None:
