Reject a keyed write whose key can't be remembered in place of forgetting another one's

Callers would see: a keyed write that runs twice, as its key was dropped within its window.

Cause: with 8,192 keys the next key was dropped to make room, whichever class's it was and however much time it had left. Evidence: the new test; 8,191 writes of a class with a shorter window and one more of it dropped a key, and its request was sent. 950 writes a second under a window and a deadline of 5 s each need 9,500 keys.

Change: RetryPolicy.may_send asks whether the key can be recorded. If not, the request is rejected, which is harmless, as it never ran. Only requests of keyed classes count. Why it works: no key is dropped before its expiry any more. The bound on memory stays.

--- a/gladewalk/limits/idempotency_keys.py
+++ b/gladewalk/limits/idempotency_keys.py
@@ -48,11 +48,15 @@
     def __len__(self) -> int:
         return len(self._records)
 
+    def has_room(self, key: str, now_ms: float) -> bool:
+        """Whether a send of this key can be recorded: no key is dropped before its time to make room."""
+        self._expire(now_ms)
+        return key in self._records or len(self._records) < self.max_keys
+
     def record_sent(self, key: str, now_ms: float, place: Place, retention_ms: float) -> None:
         """Record a sent attempt, which may have run unless `record_not_run` is called for it.
 
-        The key is kept for at least `retention_ms` from now. With too many keys the next one to expire is
-        dropped.
+        The key is kept for at least `retention_ms` from now. The caller has asked `has_room` for it before.
         """
         self._expire(now_ms)
         record = self._records.setdefault(key, KeyRecord())
@@ -60,8 +64,6 @@
         self._expiries.discard((record.expires_ms, key))
         record.expires_ms = max(record.expires_ms, now_ms + retention_ms)
         self._expiries.add((record.expires_ms, key))
-        if len(self._records) > self.max_keys:
-            self._drop(self._expiries[0][1])
 
     def record_not_run(self, key: str, sent_ms: float, place: Place) -> None:
         """Drop the attempt that was sent at this time, which is now known not to have run."""
--- a/gladewalk/policy/retries.py
+++ b/gladewalk/policy/retries.py
@@ -29,12 +29,12 @@
         self.budget = RetryBudget()
 
     def may_send(self, pending: PendingRequest) -> bool:
-        """Whether another attempt of a request may be sent to any server."""
+        """Whether another attempt of a request may be sent to any server, and its key be remembered."""
         if pending.has_response_begun:
             return False
         if pending.is_idempotent:
             return not pending.in_flight or self._state.settings.hedging
-        return not pending.in_flight and self.is_harmless(pending)
+        return not pending.in_flight and self.is_harmless(pending) and self._state.may_record(pending)
 
     def is_harmless(self, pending: PendingRequest, after_ms: float = 0.0) -> bool:
         """Whether sending the request again in `after_ms`, to where it may have run, has no second effect."""
--- a/gladewalk/registry/state.py
+++ b/gladewalk/registry/state.py
@@ -95,6 +95,10 @@
         """When the request's object was last purged; minus infinity if never."""
         return self.purges.last_ms(pending.request.key, pending.request.group)
 
+    def may_record(self, pending: PendingRequest) -> bool:
+        """Whether an attempt of the request can be recorded; else its retries could not be told from it."""
+        return self.executions.has_room(pending, self.now_ms)
+
     def start_attempt(self, pending: PendingRequest, host: ServerRecord, source: ServerRecord | None) -> None:
         """Record an attempt as sent to `host`, and as filled from `source` unless that is None."""
         key = (pending.request.id, pending.attempts_sent)
--- a/tests/test_idempotency_keys.py
+++ b/tests/test_idempotency_keys.py
@@ -8,9 +8,10 @@
 import pytest
 
 from gladewalk import interface as api
+from gladewalk.limits.idempotency_keys import MAX_KEYS
 
 from .test_deployments import KEYED, send_keyed_write
-from .world import SETTINGS, DispatcherEnvironment, final_answers
+from .world import PAGE, SETTINGS, DispatcherEnvironment, final_answers
 
 ERROR = api.Status.ERROR
 SHORT = replace(KEYED, name="short", deadline_ms=800.0, deduplication_window_ms=500.0)
@@ -55,3 +56,28 @@
         assert_retry_is_not_sent(environment, KEYED.deduplication_window_ms)
     else:  # the window of the new settings has not ended
         assert isinstance(send_keyed_write(environment, after_ms=KEYED.deduplication_window_ms)[0], api.Fetch)
+
+
+def test_as_many_keys_of_another_class_as_are_kept_drop_no_key() -> None:
+    # Guards against a second execution: a key was dropped within its window when others were too many.
+    environment = DispatcherEnvironment(classes=(KEYED, SHORT), max_attempts=1)
+    fail_keyed_write(environment)
+    for number in range(MAX_KEYS - 1):
+        (sent,) = send_other(environment, "short", f"other {number}", is_write=True)
+        environment.end_attempt(sent, api.Status.OK, after_ms=0.0)
+    rejected = send_other(environment, "short", "one too many", is_write=True)
+    assert [type(action) for action in rejected] == [api.Reject]  # it never ran: a retry is harmless
+    assert_retry_is_not_sent(environment, KEYED.deduplication_window_ms)
+    (sent,) = send_other(environment, "short", "after the others have expired", is_write=True)
+    assert isinstance(sent, api.Fetch)
+
+
+def test_keys_of_classes_that_are_not_keyed_take_no_room() -> None:
+    # Guards against writes that are rejected for the keys that clients send with plain reads.
+    environment = DispatcherEnvironment(classes=(KEYED, replace(PAGE, name="read")), max_attempts=1)
+    fail_keyed_write(environment)
+    for number in range(MAX_KEYS):
+        sent = send_other(environment, "read", f"read {number}")[0]
+        environment.end_attempt(sent, api.Status.OK, after_ms=0.0)
+    assert isinstance(send_keyed_write(environment, "k2")[0], api.Fetch)
+    assert_retry_is_not_sent(environment, KEYED.deduplication_window_ms)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -148,12 +148,15 @@
     keys.record_not_run("k", 10.0, "a")
     keys.record_not_run("k", 20.0, "b")
     assert keys.first_execution("k", 30.0) is None and not len(keys)
-    for n in range(5):
-        keys.record_sent(f"{n}", 40.0 + n, "a", 1_000.0)
-    assert known_keys(keys, 44.0) == [2, 3, 4] and len(keys) == 3
-    assert keys.first_execution("4", 1_043.5) == PossibleExecution(44.0, "a")
-    assert known_keys(keys, 1_043.5) == [4] and len(keys) == 1
-    assert keys.first_execution("4", 1_044.5) is None and not len(keys)
+    for n in range(3):
+        assert keys.has_room(f"{n}", 42.0 + n)
+        keys.record_sent(f"{n}", 42.0 + n, "a", 1_000.0)
+    assert not keys.has_room("3", 44.0) and keys.has_room("0", 44.0)  # no key is dropped before its time
+    assert known_keys(keys, 44.0) == [0, 1, 2] and len(keys) == 3
+    assert keys.has_room("3", 1_042.5)
+    assert keys.first_execution("2", 1_043.5) == PossibleExecution(44.0, "a")
+    assert known_keys(keys, 1_043.5) == [2] and len(keys) == 1
+    assert keys.first_execution("2", 1_044.5) is None and not len(keys)
 
 
 def test_each_key_expires_by_its_own_time_whichever_was_sent_first() -> None:
