--- a/gladewalk/core/readiness.py
+++ b/gladewalk/core/readiness.py
@@ -22,9 +22,6 @@
 SIGKILL_MARGIN_MS = 80.0
 """Final answers are due this long before SIGKILL, so that they can be sent and the process can exit."""
 
-MAX_SYNC_WAIT_MS = 1_000.0
-"""After the start, the director waits at most this long for the coordinator's first lines."""
-
 
 def shutdown_deadline_ms(sigterm_ms: float, longest_deadline_ms: float) -> float:
     """Returns the time by which every accepted request must have its final answer after a SIGTERM.
@@ -42,7 +39,8 @@
 
     Attributes:
         is_started: The director accepts and serves requests.
-        is_synced: The coordinator has sent its first lines, or `MAX_SYNC_WAIT_MS` has passed without any.
+        is_synced: All events that the coordinator had at the start are applied, or the wait for them was
+            given up.
         drain_since_ms: When the current drain began; None without a drain.
         is_stopping: SIGTERM was received; never becomes false again.
     """
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -15,14 +15,15 @@
 from . import signals
 from .config.platform import ConfigError, PlatformConfig
 from .core.counters import Counters
-from .core.deadlines import Deadlines
+from .core.deadlines import DeadlineKey, Deadlines
 from .core.exchange import Exchange
-from .core.readiness import MAX_SYNC_WAIT_MS, SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
+from .core.readiness import SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
 from .core.response_buffer import budget_bytes
 from .net.clients import FIRST_BYTE_TIMEOUT_MS, ClientFront
 from .net.coordinator import CoordinatorWatch
 from .net.endpoint_feed import EndpointFeed
 from .net.environment import REAL_ENVIRONMENT, Environment
+from .net.feed_sync import SYNC_LIMITS, UPGRADE_SYNC_LIMITS, FeedSync
 from .net.listening import retry_listening
 from .upstream.pool import ConnectionPool
 
@@ -58,8 +59,6 @@
     Raises `ConfigError` for options that cannot be used; some are checked only here (the store's folder).
     """
 
-    max_sync_wait_ms = MAX_SYNC_WAIT_MS  # how long requests wait at start for the first endpoint list
-
     def __init__(
         self,
         config: PlatformConfig,
@@ -73,6 +72,8 @@
         self.counters = counters = Counters()
         self.log = structlog.get_logger().bind(node=config.name)
         self.deadlines = deadlines = LoopTimer(loop, clock).deadlines
+        self.sync_limits = SYNC_LIMITS if config.inherited_fd is None else UPGRADE_SYNC_LIMITS
+        self._sync_timer: DeadlineKey | None = None
         self._ended: asyncio.Future[None] = loop.create_future()
         self._is_stopping, self._shutdown_deadline_ms = False, math.inf
 
@@ -129,9 +130,10 @@
         if self.persistence is not None:
             self.persistence.restore(self.endpoint_feed)
             self.persistence.start(self.endpoint_feed)
-        self.coordinator_watch.on_synced = self._on_synced
         self.exchange.buffer_requests()
-        self.deadlines.add(self.clock() + self.max_sync_wait_ms, self._on_synced)
+        self.endpoint_feed.sync = FeedSync(self.clock(), self.sync_limits)
+        self.coordinator_watch.on_progress = self._check_sync
+        self._check_sync()
         self.coordinator_watch.connect()
         self.connection_pool.sweep()
         await retry_listening(self._listen, self.clock, self.counters)
@@ -141,6 +143,8 @@
 
     async def _listen(self) -> None:
         self.front.listen(self.config.listen, self.config.inherited_fd)
+        if self.config.inherited_fd is None or self.readiness.is_synced:
+            self.front.start_accepting()  # a request to an inherited listener can go to another process
 
     async def _listen_for_operators(self) -> None:
         if self.admin is not None and self.config.admin is not None:
@@ -189,13 +193,26 @@
             addresses["admin"] = self.admin.address
         return addresses
 
-    def _on_synced(self) -> None:
-        """Releases buffered requests once the coordinator has responded or `max_sync_wait_ms` has passed."""
-        if not self.readiness.is_synced:
-            self.readiness.is_synced = True
-            self.exchange.release_buffered_requests()
-            has_responded = self.coordinator_watch.on_synced is None
-            self.counters.add("coordinator.heard_at_start" if has_responded else "coordinator.late_at_start")
+    def _check_sync(self) -> None:
+        """Serves once the coordinator's events of the start are applied or the wait for them is given up."""
+        sync, now = self.endpoint_feed.sync, self.clock()
+        self.deadlines.drop(self._sync_timer)
+        if sync is None:
+            return
+        if not sync.is_complete(now) and not sync.has_given_up(now):
+            self._sync_timer = self.deadlines.add(sync.next_check_ms(), self._check_sync)
+            return
+        self.endpoint_feed.sync = self.coordinator_watch.on_progress = None
+        self._serve_clients(sync, now)
+
+    def _serve_clients(self, sync: FeedSync, now: float) -> None:
+        self.readiness.is_synced = True
+        self.front.start_accepting()
+        self.exchange.release_buffered_requests()
+        is_complete = sync.is_complete(now)
+        self.counters.add("coordinator.heard_at_start" if is_complete else "coordinator.late_at_start")
+        wait_ms = round(now - sync.started_ms, 1)
+        self.log.info("feed_synced", complete=is_complete, wait_ms=wait_ms, events=sync.event_count)
 
     # Reload.
 
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -72,7 +72,7 @@
         self.readiness = Readiness(is_started=True)  # replaced by the director's own
         self.address: Address = ("", 0)
         self._listener: Listener | None = None
-        self._is_accepting = False
+        self._has_started = self._is_accepting = False
         self._accept_backoff = AcceptBackoff()
         self.read_iterations = ReadIterations(clock)
         self._setting_up: dict[asyncio.Task[object], ClientConnection] = {}
@@ -81,12 +81,20 @@
     # Accepting.
 
     def listen(self, address: Address, inherited_fd: int | None = None) -> None:
-        """Binds `address`, or uses the inherited listener `inherited_fd`, which is bound already."""
+        """Binds `address`, or uses the inherited listener `inherited_fd`, which is bound already.
+
+        Connections are accepted from `start_accepting` on.
+        """
         self._listener = self.open_listener(address, LISTEN_BACKLOG, inherited_fd)
         host, port = self._listener.getsockname()[:2]
         self.address = (host, port)
-        self._resume_accepting()
-        self.sweep()
+
+    def start_accepting(self) -> None:
+        """Accepts the connections of clients; without a listener, or the second time, it does nothing."""
+        if self._listener is not None and not self._has_started:
+            self._has_started = True
+            self._resume_accepting()
+            self.sweep()
 
     def accept(self) -> None:
         """Accepts all waiting connections, up to the limit.
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -45,8 +45,6 @@
         is_valid = all(self.watch.feed.read_line(line) for line in lines if line.strip())
         is_usable = is_valid and bool(lines)
         self.watch.data_received(is_usable)
-        if is_usable:
-            self.watch.notify_synced()
         if (not is_valid or len(self.partial_line) > MAX_LINE_BYTES) and self.transport is not None:
             self.transport.abort()
 
@@ -74,7 +72,7 @@
         self.connection: CoordinatorConnection | None = None
         self.backoff_ms = MIN_BACKOFF_MS
         self.is_closing = False
-        self.on_synced: Callable[[], None] | None = None  # called once, after the first complete lines
+        self.on_progress: Callable[[], None] | None = None  # called on a new connection and after its lines
         self._last_usable_ms = 0.0  # when the connection began, or last sent complete valid lines
         self._timer: DeadlineKey | None = None
         self._task: asyncio.Task[None] | None = None
@@ -115,18 +113,15 @@
             return False
         self.connection, self._last_usable_ms = connection, self.feed.clock()
         self._restart_timer()
+        if self.feed.sync is not None:
+            self.feed.sync.connected(self._last_usable_ms)
+        self._report_progress()
         return True
 
     def is_current(self, connection: CoordinatorConnection) -> bool:
         """Whether the connection is the current one, whose data is applied."""
         return connection is self.connection
 
-    def notify_synced(self) -> None:
-        """Calls `on_synced` once, when all events that the coordinator had at the start have been applied."""
-        if self.on_synced is not None:
-            call, self.on_synced = self.on_synced, None
-            call()
-
     def data_received(self, is_usable: bool) -> None:
         """Restarts the heartbeat timer; `is_usable`: the data had complete lines and no invalid one.
 
@@ -137,6 +132,12 @@
         if is_usable:
             self.backoff_ms, self._last_usable_ms = MIN_BACKOFF_MS, self.feed.clock()
         self._restart_timer()
+        if is_usable:
+            self._report_progress()
+
+    def _report_progress(self) -> None:
+        if self.on_progress is not None:
+            self.on_progress()
 
     def connection_lost(self, connection: CoordinatorConnection) -> None:
         """Reconnects after the current connection has ended."""
--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -13,6 +13,7 @@
 from ..core.clocks import InstantConverter, SteadyClock, UnixInstant, WallClock, read_wall_clock
 from ..core.counters import Counters
 from ..core.exchange import Exchange
+from .feed_sync import FeedSync
 
 MAX_REFETCHES = 3  # how often an event with an unusable part is fetched again
 MIN_REFETCHES = 1  # the same, after fetching an earlier event again has not helped
@@ -36,6 +37,7 @@
         self.instants = InstantConverter(clock, wall_clock)
         self.last_index = self.initial_index = 0
         self.is_resumed = False  # `last_index` was stored by a previous run
+        self.sync: FeedSync | None = None  # while the director waits for the events of its start
         self.on_event: Callable[[int, FeedMessage], None] | None = None  # called after each complete event
         self._refetched = (0, 0)  # the last event with an unusable part, and how often it was fetched again
         self._max_refetches = MAX_REFETCHES
@@ -65,6 +67,8 @@
             self.counters.add("coordinator.numbering_back")
             return False
         if index <= self.last_index:  # already applied
+            if is_heartbeat and self.sync is not None:
+                self.sync.heartbeat_received(self.clock())
             return True
         if is_heartbeat or index != self.last_index + 1:
             self.counters.add("coordinator.gaps")
@@ -90,6 +94,8 @@
         if is_complete and self._refetched[0] == index:
             self._max_refetches = MAX_REFETCHES  # the event was only damaged in transit
         self.last_index = index
+        if self.sync is not None:
+            self.sync.event_applied(self.clock())
         if is_complete and self.on_event is not None:
             self.on_event(index, message)
         return True
--- a/gladewalk/rehearsal/coordinator.py
+++ b/gladewalk/rehearsal/coordinator.py
@@ -20,6 +20,7 @@
     _writers: list[asyncio.StreamWriter] = field(default_factory=list)
     _server: asyncio.Server | None = None
     responses_allowed: asyncio.Event | None = None  # if given, followers get no data before it is set
+    backlog_interval_s: float = 0.0  # before each event that a new follower lacks
 
     async def start(self) -> Coordinator:
         """Listens on a port that the system assigns; `address` contains it afterwards."""
@@ -59,7 +60,10 @@
         self.followed_from.append(last_index)
         if self.responses_allowed is not None:
             await self.responses_allowed.wait()
-        for event in self.events[last_index:]:
-            writer.write(json.dumps(event).encode() + b"\n")
+        while last_index < len(self.events):
+            if self.backlog_interval_s:
+                await asyncio.sleep(self.backlog_interval_s)
+            writer.write(json.dumps(self.events[last_index]).encode() + b"\n")
+            last_index += 1
         writer.write(b"%d\n" % len(self.events))  # the last index; the platform also sends it every second
         self._writers.append(writer)
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -148,6 +148,7 @@
             exchange.start()
         for front, address in zip(self.fronts, self._listeners, strict=True):
             front.listen(address)
+            front.start_accepting()
 
     def reload(self, options: Options, router: Router) -> None:
         """Replaces the table for requests read from now on; changed listeners take effect at a restart."""
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -16,6 +16,7 @@
 from gladewalk.core.readiness import IDLE_CLOSE_GRACE_MS, MAX_IDLE_DRAIN_MS, Readiness
 from gladewalk.director import Director
 from gladewalk.net.admin import CALL_TIMEOUT_MS, MAX_ADMIN_CONNECTIONS, AdminFront, Response
+from gladewalk.net.feed_sync import SYNC_LIMITS, SyncLimits
 from gladewalk.ops.metrics import Gauges, format_metrics
 from gladewalk.rehearsal.coordinator import Coordinator
 from gladewalk.rehearsal.director_harness import SETTINGS, config_for, wait_until
@@ -298,7 +299,8 @@
             {"index": 2, "endpoints": {"rev": 2, "all": False, "targets": [draining_entry]}}
         )
         director = Director(config, asyncio.get_running_loop())
-        director.max_sync_wait_ms = 600_000.0  # only the coordinator's response ends the wait
+        # Only the coordinator's response ends the wait.
+        director.sync_limits = SyncLimits(600_000.0, 600_000.0, 600_000.0, SYNC_LIMITS.quiet_ms)
         await director.start()
         self.assertFalse(director.readiness.is_ready)
         clients = [await asyncio.open_connection(*director.front.address) for _ in range(8)]
