Resolve names after a start only once the coordinator's events are applied

Callers would see: a resolver that keeps a cache's address for minutes, for an object that was purged or a cache that was draining before the director started.

Cause: at a start the exchange held HTTP requests until the coordinator was heard, but passed resolve requests on at once. Evidence: the new test gets the cache's address for an object that the coordinator's backlog purges.

Change: Resolutions buffers its requests with the exchange's; their time passes meanwhile, so that one that waits too long gets SERVFAIL as before. Why it works: the decision module decides with the same events as for HTTP requests.

--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -103,6 +103,7 @@
 
         Their deadlines apply meanwhile: a request that reaches its deadline in the buffer fails as usual.
         """
+        self.resolutions.buffer()
         if self.buffered_requests is None:
             self.buffered_requests = []
 
@@ -113,6 +114,7 @@
         for opened in buffered:
             if not opened.is_answered:
                 self._pass_to_module(opened, now)
+        self.resolutions.release()
 
     def _pass_to_module(self, opened: OpenRequest, now: float) -> None:
         request = opened.request
--- a/gladewalk/core/resolutions.py
+++ b/gladewalk/core/resolutions.py
@@ -41,14 +41,33 @@
         # Makes the leases of an answer durable, then calls back; None: answers are sent at once.
         self.persist: PersistResolution | None = None
         self._handle_event = handle_event
+        self._buffered: list[int] | None = None  # numbers of requests not yet passed to the decision module
 
     def add(self, request: api.ResolveRequest, responder: ResolveResponder, max_wait_ms: float) -> None:
-        """Passes a request to the decision module; `responder` gets one answer within `max_wait_ms`."""
+        """Passes a request to the decision module; `responder` gets one answer within `max_wait_ms`.
+
+        While requests are buffered, the module gets it at their release; its time passes meanwhile.
+        """
         number = request.id
         self.counters.add("locates.taken")
         timer = self.deadlines.add(self.clock() + max_wait_ms, lambda: self._timed_out(number))
         self.open[number] = OpenResolution(request, responder, timer)
-        self._handle_event(request)
+        if self._buffered is not None:
+            self._buffered.append(number)
+        else:
+            self._handle_event(request)
+
+    def buffer(self) -> None:
+        """Buffers new requests until `release`, as the module may have a stale server list."""
+        if self._buffered is None:
+            self._buffered = []
+
+    def release(self) -> None:
+        """Passes the buffered requests that are still open to the module, in order of arrival."""
+        buffered, self._buffered = self._buffered or [], None
+        for number in buffered:
+            if number in self.open:
+                self._handle_event(self.open[number].request)
 
     def answer(self, action: api.Resolved, address_of: AddressOf) -> None:
         """Sends the module's answer; if there is a store, only after the answer has been persisted."""
--- a/tests/test_feed_sync.py
+++ b/tests/test_feed_sync.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -12,16 +13,19 @@
 
 from gladewalk.net.feed_sync import SYNC_LIMITS, UPGRADE_SYNC_LIMITS, FeedSync
 from gladewalk.rehearsal.coordinator import Coordinator
-from gladewalk.rehearsal.director_harness import config_for, wait_until
+from gladewalk.rehearsal.director_harness import DirectorHarness, config_for, wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.resolver import StubResolver
 from gladewalk.rehearsal.scripted_servers import ScriptedServer
 
 from .program import DirectorProgram, start_program
 from .server_scripts import hit
+from .test_dns import DIRECTOR_ADDRESS, dns_config, object_name, serve_hit
 
 STARTED_MS = 1_000.0
 PURGES = 12  # a backlog that takes a slow coordinator longer than `quiet_ms`, shorter than the limits
 BACKLOG_INTERVAL_S = 0.1
+PURGED_KEY = 0xA1
 
 
 def sync_after(*received: tuple[float, str]) -> FeedSync:
@@ -129,3 +133,24 @@
 def test_a_director_that_is_not_ready_leaves_connections_to_the_process_it_replaces(tmp_path: Path) -> None:
     # Guards against requests that wait in the new process while the old one could serve them.
     asyncio.run(check_inherited_listener(tmp_path))
+
+
+async def check_resolution() -> None:
+    cache = ScriptedServer(serve_hit, capacity=50.0)
+    coordinator = Coordinator(responses_allowed=asyncio.Event())
+    async with DirectorHarness([cache], coordinator, dns=dns_config()) as harness:
+        assert harness.director is not None and harness.director.dns is not None
+        resolver = StubResolver(harness.director.dns.address)
+        query = asyncio.ensure_future(resolver.resolve(object_name(PURGED_KEY)))
+        await wait_until(lambda: len(coordinator.followed_from) == 1)
+        await asyncio.sleep(BACKLOG_INTERVAL_S)
+        purge = {"ref": f"{PURGED_KEY:x}", "unix_ms": round(time.time() * 1000.0)}
+        coordinator.events.append({"index": 2, "evict": purge})
+        assert coordinator.responses_allowed is not None
+        coordinator.responses_allowed.set()
+        assert await query == [DIRECTOR_ADDRESS]
+
+
+def test_a_name_is_resolved_only_with_the_events_of_the_coordinator() -> None:
+    # Guards against a resolver that keeps a cache's address for an object which was purged already.
+    asyncio.run(check_resolution())
