Leave the line feed_synced out where a start had nothing to wait for

Change: it is written with events received or with a wait given up; the counters coordinator.heard_at_start and late_at_start tell of every start, as before.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -211,8 +211,9 @@
         self.exchange.release_buffered_requests()
         is_complete = sync.is_complete(now)
         self.counters.add("coordinator.heard_at_start" if is_complete else "coordinator.late_at_start")
-        wait_ms = round(now - sync.started_ms, 1)
-        self.log.info("feed_synced", complete=is_complete, wait_ms=wait_ms, events=sync.event_count)
+        if sync.event_count or not is_complete:
+            wait_ms = round(now - sync.started_ms, 1)
+            self.log.info("feed_synced", complete=is_complete, wait_ms=wait_ms, events=sync.event_count)
 
     # Reload.
 
--- a/tests/test_feed_sync.py
+++ b/tests/test_feed_sync.py
@@ -127,7 +127,7 @@
             listener.accept()[0].close()  # as the process does that is replaced
         assert coordinator.responses_allowed is not None
         coordinator.responses_allowed.set()
-        await program.event("feed_synced")
+        assert (await program.event("feed_synced"))["complete"]
 
 
 def test_a_director_that_is_not_ready_leaves_connections_to_the_process_it_replaces(tmp_path: Path) -> None:
