Turn the log off for a virtual run alone, not for the rest of the process

Cause: silence_logs configured structlog for the whole process, and a test that ran behind a play in the same pytest worker logged nothing. Evidence: tests/test_rehearsal.py before the golden tests in one process fails 3 of 3 of them each time ('log': []).

Change: run_scenario turns the log off and restores the configuration at its end; its callers no longer do so. Why it works: no configuration outlives the run.

--- a/benchmarks/rehearsal_speed.py
+++ b/benchmarks/rehearsal_speed.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from gladewalk.rehearsal.virtual.scenario import FleetTable, Scenario, TrafficTable
-from gladewalk.rehearsal.virtual.scenario_run import run_scenario, silence_logs
+from gladewalk.rehearsal.virtual.scenario_run import run_scenario
 
 CACHES_PER_PARENT = 4
 OBJECTS_PER_CACHE = 50
@@ -33,7 +33,6 @@
 
 def measure(directors: int, caches: int, duration_s: float, requests_per_director_s: float) -> Measurement:
     """Runs a scenario without faults; measures its speed and the peak memory of this process."""
-    silence_logs()
     fleet = FleetTable(directors=directors, caches=caches, parents=max(1, caches // CACHES_PER_PARENT))
     requests_per_s = requests_per_director_s * directors
     traffic = TrafficTable(requests_per_s=requests_per_s, objects=OBJECTS_PER_CACHE * caches)
--- a/gladewalk/cli/rehearsal_commands.py
+++ b/gladewalk/cli/rehearsal_commands.py
@@ -24,9 +24,8 @@
     from ..rehearsal.virtual.clients import REQUEST_CLASSES
     from ..rehearsal.virtual.rules import describe_request
     from ..rehearsal.virtual.scenario import load_scenario
-    from ..rehearsal.virtual.scenario_run import run_scenario, silence_logs
+    from ..rehearsal.virtual.scenario_run import run_scenario
 
-    silence_logs()
     try:
         scenario = load_scenario(Path(file), tuple(REQUEST_CLASSES))
     except ConfigError as error:
@@ -57,10 +56,8 @@
 def hunt_command(first: int, count: int, folder: str) -> None:
     """Generate scenarios and write those that violate a rule, minimized. Exit code 1: some do."""
     from ..rehearsal.virtual.scenario import encode_scenario
-    from ..rehearsal.virtual.scenario_run import silence_logs
     from ..rehearsal.virtual.scenario_search import find_failing_scenarios
 
-    silence_logs()
     findings = find_failing_scenarios(range(first, first + count))
     for finding in findings:
         path = Path(folder) / f"hunt-{finding.seed}.toml"
--- a/gladewalk/rehearsal/virtual/scenario_run.py
+++ b/gladewalk/rehearsal/virtual/scenario_run.py
@@ -7,7 +7,8 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
@@ -199,16 +200,23 @@
         return outcomes
 
 
+@contextmanager
+def _silenced_logs() -> Iterator[None]:
+    """Turns off log messages below `critical` meanwhile; a run reports by its verdict alone."""
+    configuration = structlog.get_config()
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    try:
+        yield
+    finally:
+        structlog.configure(**configuration)
+
+
 def run_scenario(
     scenario: Scenario,
     seed: int,
     change: DirectorChange | None = None,
     settings: Mapping[str, Any] | None = None,
 ) -> Verdict:
-    """Runs a scenario; `change` and `settings` alter the directors (see `ScenarioRun`)."""
-    return run_virtually(seed, lambda loop: ScenarioRun(loop, scenario, change, settings).run())[0]
-
-
-def silence_logs() -> None:
-    """Turns off log messages below `critical`; a run reports by its verdict alone."""
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    """Runs a scenario without a log; `change` and `settings` alter the directors (see `ScenarioRun`)."""
+    with _silenced_logs():
+        return run_virtually(seed, lambda loop: ScenarioRun(loop, scenario, change, settings).run())[0]
--- a/tests/golden_control_data.py
+++ b/tests/golden_control_data.py
@@ -13,7 +13,6 @@
 from pathlib import Path
 from typing import Any
 
-import structlog
 from click.testing import CliRunner
 
 from gladewalk.cli.commands import gladewalk
@@ -269,12 +268,8 @@
     def run(self, *arguments: str) -> list[Any]:
         """Returns exit code, standard output and standard error, with the folder's path replaced by `DIR`."""
         env = {"NODE_CONFIG": str(self.path / "node.json"), "COLUMNS": "110"}
-        log_config = structlog.get_config()
-        try:
-            with chdir(self.path):
-                result = CliRunner(env=env).invoke(gladewalk, list(arguments))
-        finally:
-            structlog.configure(**log_config)  # `play` disables the log of its process
+        with chdir(self.path):
+            result = CliRunner(env=env).invoke(gladewalk, list(arguments))
         return [
             result.exit_code,
             *(text.replace(str(self.path), "DIR") for text in (result.stdout, result.stderr)),
--- a/tests/test_golden_rehearsal.py
+++ b/tests/test_golden_rehearsal.py
@@ -43,7 +43,7 @@
 from gladewalk.rehearsal.virtual.clients import REQUEST_CLASSES
 from gladewalk.rehearsal.virtual.loop import VirtualLoop, run_virtually
 from gladewalk.rehearsal.virtual.scenario import encode_scenario, generate_scenario, load_scenario
-from gladewalk.rehearsal.virtual.scenario_run import run_scenario, silence_logs
+from gladewalk.rehearsal.virtual.scenario_run import run_scenario
 from gladewalk.rehearsal.virtual.scenario_search import find_failing_scenarios
 from tests.mutants import change_endpoint_list, mark_all_ready
 
@@ -91,7 +91,6 @@
 
 def run_scenario_file(path: Path) -> dict[str, Any]:
     """Returns a scenario's trace with seed 1: its digest, its first and last lines, and the outcomes."""
-    silence_logs()
     lines: list[str] = []
     record_event = VirtualLoop.record_event
 
@@ -147,7 +146,6 @@
 
 def findings() -> list[Any]:
     """Returns what the search finds in a director that ignores drains: generated and minimized scenarios."""
-    silence_logs()
     found = find_failing_scenarios([FINDING_SEED], change_endpoint_list(mark_all_ready))
     return [
         [one.seed, one.rule, encode_scenario(one.generated), encode_scenario(one.minimized)] for one in found
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -9,6 +9,7 @@
 
 import msgspec
 import pytest
+import structlog
 
 from gladewalk.config.platform import ConfigError
 from gladewalk.rehearsal.virtual.clients import REQUEST_CLASSES
@@ -32,7 +33,7 @@
     generate_scenario,
     load_scenario,
 )
-from gladewalk.rehearsal.virtual.scenario_run import run_scenario, silence_logs
+from gladewalk.rehearsal.virtual.scenario_run import run_scenario
 from gladewalk.rehearsal.virtual.scenario_search import find_failing_scenarios, minimize
 from tests.mutants import DRAIN_FAULTS, MUTANTS, build_scenario, change_endpoint_list, mark_all_ready
 
@@ -44,7 +45,6 @@
 
 
 def rules_violated_by_mutant(number: int, seed: int) -> set[str]:
-    silence_logs()
     mutant = MUTANTS[number]
     return {
         one.rule for one in run_scenario(mutant.scenario, seed, mutant.change, mutant.settings).violations
@@ -53,17 +53,14 @@
 
 def rules_violated_by_director(number: int, seed: int) -> set[str]:
     """Returns the rules that the unchanged director violates in the mutant's scenario."""
-    silence_logs()
     return {one.rule for one in run_scenario(MUTANTS[number].scenario, seed).violations}
 
 
 def violations_of_generated(seed: int) -> list[str]:
-    silence_logs()
     return [f"{seed}: {one}" for one in run_scenario(generate_scenario(seed), seed).violations]
 
 
 def violations_of_file(path: Path) -> list[str]:
-    silence_logs()
     verdict = run_scenario(load_scenario(path, CLASS_NAMES), 1)
     outcome_count = sum(counts.total() for counts in verdict.outcomes.values())
     assert outcome_count == len(verdict.history.requests) > 300
@@ -98,7 +95,6 @@
 
 
 def test_a_failing_scenario_is_minimized_to_the_fault_that_causes_the_violation() -> None:
-    silence_logs()
     faults_to_minimize = [
         ScenarioFault(at_s=2.0, kind=ScenarioFaultKind.SLOW, duration_s=3.0, target="store", amount=2.0),
         ScenarioFault(at_s=4.0, kind=ScenarioFaultKind.UNRESPONSIVE, duration_s=3.0, target="hub-0"),
@@ -228,3 +224,10 @@
     }
     assert len(describe_request(history, "old")) == 3 and describe_request(history, "nobody") == []
     assert find_violations(History()) == [] and Scenario().faults == []
+
+
+def test_a_run_leaves_the_log_of_its_process_as_it_was() -> None:
+    # Guards against a process whose log stays turned off after a run: a later test captured no event.
+    before = structlog.get_config()
+    violations_of_generated(GENERATED_SEEDS[0])
+    assert structlog.get_config() == before
