Reject a configuration file with a value of the wrong kind before any of it takes effect

Callers would see: after SIGHUP with such a file, decisions by a mixture of old and new settings, or by a text in place of a number.

Cause: read_settings takes most values as they are. Evidence, each with load_config and a Dispatcher on a complete file with one value replaced: of the values 'x', [], {}, true, -1, NaN and Infinity most were taken for most keys; my_zone: [] and n_instances: 'x' raised a TypeError in the dispatcher's configure, when a reload has counted the file as taken and replaced the settings.

Change: config/file_keys.py has the kind of each value, and of the entries of lists by class and zone. Numbers are finite, amounts not negative. Why it works: the check is done before Director.apply, on the whole file, at the start as at SIGHUP. Unknown words are taken as before.

--- a/gladewalk/config/platform.py
+++ b/gladewalk/config/platform.py
@@ -11,7 +11,7 @@
 
 from .. import interface as api
 from ..errors import GladewalkError
-from .file_keys import check_keys_kept, check_required_keys, unused_keys
+from .file_keys import check_keys_kept, check_values, unused_keys
 from .policy_settings import read_roles, read_settings, require_field, value_or
 
 Address = tuple[str, int]
@@ -124,7 +124,7 @@
         raise ConfigError(f"{path}: not valid JSON: {error}") from error
     try:
         config = read_config(raw, environ)
-        check_required_keys(raw)
+        check_values(raw)
         if in_use is not None:
             check_keys_kept(raw, in_use.unused_keys)
         return replace(config, unused_keys=unused_keys(raw))
--- a/tests/test_file_keys.py
+++ b/tests/test_file_keys.py
@@ -5,6 +5,7 @@
 import asyncio
 import copy
 import json
+import math
 import signal
 from collections.abc import Iterator
 from pathlib import Path
@@ -12,13 +13,13 @@
 
 import pytest
 
-from gladewalk.config.file_keys import CLASS_KEYS, OBJECTS, check_required_keys
+from gladewalk.config.file_keys import CLASS_KEYS, OBJECTS, check_values
 from gladewalk.config.platform import ConfigError, PlatformConfig, load_config
 from gladewalk.config.policy_settings import read_roles, read_settings
 from gladewalk.rehearsal.coordinator import Coordinator
 from gladewalk.rehearsal.director_harness import SETTINGS, config_for
 
-from .program import start_program
+from .program import DirectorProgram, start_program
 
 KeyPath = tuple[str | int, ...]
 FILE: dict[str, Any] = {
@@ -81,6 +82,33 @@
         assert why.startswith(path_text(path)) or f"'{path[-1]}'" in why
 
 
+def values_of_other_kinds(value: Any) -> list[Any]:
+    if isinstance(value, bool):
+        return ["yes", 1, [], {}]
+    if isinstance(value, int | float):
+        return ["3s", True, [], {}, math.nan, math.inf]
+    others: list[Any] = [1, True, "x", [], {}]
+    return [other for other in others if not isinstance(other, type(value))]
+
+
+@pytest.mark.parametrize("path", REQUIRED, ids=path_text)
+def test_a_value_of_another_kind_is_rejected(path: KeyPath, tmp_path: Path) -> None:
+    # Guards against a value that is found unusable only while a reload has been applied in part.
+    value: Any = FILE
+    for key in path:
+        value = value[key]
+    for other in values_of_other_kinds(value):
+        with pytest.raises(ConfigError, match=r"config\.json: "):
+            load(tmp_path, with_change(path, value=other))
+
+
+@pytest.mark.parametrize("key", ["sockets", "memory_mb"])
+def test_a_negative_amount_is_rejected(key: str, tmp_path: Path) -> None:
+    # Guards against a limit that no connection or response could keep.
+    with pytest.raises(ConfigError, match=rf"limits\.{key}: not a finite number of at least 0: -1"):
+        load(tmp_path, with_change(("limits", key), value=-1))
+
+
 @pytest.mark.parametrize("key", ["uncached", "lifetime_by_class_ms", "hub_of", "instances_by_zone"])
 def test_a_list_without_an_entry_for_each_class_or_zone_is_rejected(key: str, tmp_path: Path) -> None:
     # Guards against a default in place of a missing entry: a class that writes was taken for one that reads.
@@ -148,7 +176,15 @@
     required = {f"{path}.{key}" for path, keys in tables.items() for key in keys.required}
     optional = {"settings.prices", "settings.classes[].aim_stretch", "settings.specifics.root_fall_ms"}
     assert read - required == optional
-    check_required_keys({**FILE, "settings": raw})
+    check_values({**FILE, "settings": raw})
+
+
+async def reload_and_fail(program: DirectorProgram, file: Path, raw: Any) -> str:
+    """Sends SIGHUP with an unusable file; returns why it was rejected."""
+    file.write_text(json.dumps(raw))
+    program.send(signal.SIGHUP)
+    kept = await program.event("configuration kept")
+    return str(kept["why"]).removeprefix(f"{file}: ")
 
 
 async def reload_incomplete_files(file: Path) -> None:
@@ -156,10 +192,9 @@
     program = await start_program(file)
     await program.event("serving")
     for path in (("settings", "specifics"), ("settings", "invariants"), ("settings", "limits", "most_tries")):
-        file.write_text(json.dumps(with_change(path)))
-        program.send(signal.SIGHUP)
-        kept = await program.event("configuration kept")
-        assert kept["why"] == f"{file}: {'.'.join(path)}: missing"
+        assert await reload_and_fail(program, file, with_change(path)) == f"{'.'.join(path)}: missing"
+    wrong_zone = with_change(("settings", "my_zone"), value=["edge-1"])
+    assert await reload_and_fail(program, file, wrong_zone) == "settings.my_zone: not a text: ['edge-1']"
     assert await program.stop() == 0
 
 
