Read what arrived while the event loop stood still before its deadlines are swept

Cause: an event loop that was held up runs its timers before it has handled what came meanwhile.

Change: a timer that fires over 100 ms late is armed once more for 5 ms later. Why it works: the loop polls in between, so an open connection or a complete answer is handled first; a deadline that has passed in truth is swept 5 ms later. A loop that runs on time never takes this way.

--- a/gladewalk/core/deadlines.py
+++ b/gladewalk/core/deadlines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from sortedcontainers import SortedDict
@@ -36,13 +37,16 @@
         if key is not None:
             self._due.pop(key, None)
 
+    def delay_ms(self, now_ms: float) -> float:
+        """How long the earliest call is past its due time; negative before it, and without any call."""
+        return now_ms - self._due.peekitem(0)[0][0] if self._due else -math.inf
+
     def sweep(self, now_ms: float) -> None:
         """Runs all calls that are due; calls added meanwhile run in the next sweep, even if already due.
 
         An exception from one call propagates; the other calls stay scheduled and the timer is armed for them.
         """
-        if self._due and (delay_ms := now_ms - self._due.peekitem(0)[0][0]) > self.max_call_delay_ms:
-            self.max_call_delay_ms = delay_ms
+        self.max_call_delay_ms = max(self.max_call_delay_ms, self.delay_ms(now_ms))
         try:
             for key in list(self._due.irange(maximum=(now_ms, self._last_serial))):
                 call = self._due.pop(key, None)
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -33,13 +33,20 @@
     from .net.admin import AdminFront
 
 EXIT_DELAY_MS = 20.0  # time for the last responses to be sent before the process exits
+HELD_UP_MS = 100.0  # a timer that fires later than this shows that the event loop stood still
+READ_FIRST_MS = 5.0  # time to handle what has arrived while the event loop stood still
 
 
 class LoopTimer:
-    """Owns a set of deadlines and arms one event-loop timer for the earliest of them."""
+    """Owns a set of deadlines and arms one event-loop timer for the earliest of them.
+
+    An event loop that stood still runs its timers before it has handled what arrived in time: a connection
+    that is open, a complete response. So a timer that fires late is armed once more, for a moment later.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float]) -> None:
         self.loop, self.clock = loop, clock
+        self._has_read_first = False
         self.deadlines = Deadlines(self.arm)
         self._handle: asyncio.TimerHandle | None = None
 
@@ -50,7 +57,13 @@
         self._handle = self.loop.call_later(max(0.0, when_ms - self.clock()) / 1000.0, self._sweep)
 
     def _sweep(self) -> None:
-        self.deadlines.sweep(self.clock())
+        now = self.clock()
+        if self.deadlines.delay_ms(now) > HELD_UP_MS and not self._has_read_first:
+            self._has_read_first = True
+            self.arm(now + READ_FIRST_MS)
+            return
+        self._has_read_first = False
+        self.deadlines.sweep(now)
 
 
 class Director:
