Let a pause end the wait for the coordinator where clients wait, and no events near a heartbeat

Change: without an inherited listener a pause of 250 ms and four times the longest pause before it ends the backlog as well, with no line begun. With an inherited listener the heartbeat alone does, as the other process serves meanwhile.

--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -42,6 +42,8 @@
         *lines, self.partial_line = (self.partial_line + data).split(b"\n")
         if not self.watch.is_current(self):
             return
+        if self.watch.feed.sync is not None:
+            self.watch.feed.sync.data_received(self.watch.feed.clock(), bool(self.partial_line))
         is_valid = all(self.watch.feed.read_line(line) for line in lines if line.strip())
         is_usable = is_valid and bool(lines)
         self.watch.data_received(is_usable)
@@ -72,7 +74,7 @@
         self.connection: CoordinatorConnection | None = None
         self.backoff_ms = MIN_BACKOFF_MS
         self.is_closing = False
-        self.on_progress: Callable[[], None] | None = None  # called on a new connection and after its lines
+        self.on_progress: Callable[[], None] | None = None  # called on a new connection and after its data
         self._last_usable_ms = 0.0  # when the connection began, or last sent complete valid lines
         self._timer: DeadlineKey | None = None
         self._task: asyncio.Task[None] | None = None
@@ -132,8 +134,7 @@
         if is_usable:
             self.backoff_ms, self._last_usable_ms = MIN_BACKOFF_MS, self.feed.clock()
         self._restart_timer()
-        if is_usable:
-            self._report_progress()
+        self._report_progress()
 
     def _report_progress(self) -> None:
         if self.on_progress is not None:
--- a/gladewalk/net/feed_sync.py
+++ b/gladewalk/net/feed_sync.py
@@ -2,9 +2,9 @@
 
 A director that serves before that may send requests to caches that are draining, or accept copies from before
 a purge. Events arrive one after another, slowly from a coordinator with many followers, so that neither the
-first line nor a fixed time shows that they are complete. Only a heartbeat does, which has the number of the
-last event. A coordinator that numbers its heartbeats by what it has sent also writes them between two events
-of a backlog; therefore no event may arrive shortly before or after the one that counts.
+first line nor a fixed time shows that they are complete. A heartbeat does, which has the number of the last
+event. It is sent each second, which is long for clients whose requests wait: for them a pause ends the
+backlog as well, if it is long compared with all pauses before it.
 """
 
 from __future__ import annotations
@@ -12,6 +12,8 @@
 import math
 from dataclasses import dataclass
 
+PAUSE_FACTOR = 4.0  # by which a pause that ends the backlog exceeds the longest one within it
+
 
 @dataclass(frozen=True, slots=True)
 class SyncLimits:
@@ -21,25 +23,28 @@
         max_wait_ms: From the start until the director serves in any case.
         max_unconnected_ms: From the start without a connection to the coordinator.
         max_silence_ms: Without a line on a connection.
-        quiet_ms: Without an event before or after a heartbeat for it to end the backlog.
+        min_pause_ms: The shortest pause after events that ends the backlog without a heartbeat.
     """
 
     max_wait_ms: float
     max_unconnected_ms: float
     max_silence_ms: float
-    quiet_ms: float
+    min_pause_ms: float
 
 
 SYNC_LIMITS = SyncLimits(
     max_wait_ms=5_000.0,  # the platform expects a new process to be ready within 6 s
     max_unconnected_ms=1_000.0,
     max_silence_ms=2_500.0,  # a heartbeat is due each second
-    quiet_ms=250.0,
+    min_pause_ms=250.0,  # longer than the system waits before it sends a lost segment again
 )
 """The limits of a director whose clients have nobody else to serve them."""
 
 UPGRADE_SYNC_LIMITS = SyncLimits(
-    SYNC_LIMITS.max_wait_ms, SYNC_LIMITS.max_wait_ms, SYNC_LIMITS.max_wait_ms, SYNC_LIMITS.quiet_ms
+    max_wait_ms=SYNC_LIMITS.max_wait_ms,
+    max_unconnected_ms=SYNC_LIMITS.max_wait_ms,
+    max_silence_ms=SYNC_LIMITS.max_wait_ms,
+    min_pause_ms=math.inf,
 )
 """The limits of a director that inherits its listener: another process may serve until this one is ready."""
 
@@ -50,23 +55,31 @@
     def __init__(self, started_ms: float, limits: SyncLimits = SYNC_LIMITS) -> None:
         self.started_ms, self.limits = started_ms, limits
         self.event_count = 0  # applied since the start
-        self._last_activity_ms: float | None = None  # of a connection: its begin or its last valid line
-        self._last_event_ms = -math.inf
-        self._heartbeat_ms: float | None = None  # of the last heartbeat, unless an event has followed it
+        self._has_heartbeat = False  # with the number of the last applied event
+        self._is_line_open = False  # the last data ended within a line
+        self._has_events = False  # on the current connection
+        self._last_data_ms: float | None = None  # of the current connection, or when it began
+        self._longest_pause_ms = 0.0  # between its begin and its events
 
     def connected(self, now_ms: float) -> None:
         """Records that a connection to the coordinator has begun."""
-        self._last_activity_ms = now_ms
+        self._last_data_ms, self._longest_pause_ms = now_ms, 0.0
+        self._has_events = self._is_line_open = False
+
+    def data_received(self, now_ms: float, is_line_open: bool) -> None:
+        """Records data of the current connection, before its lines; it ends within a line or with one."""
+        if self._last_data_ms is not None:
+            self._longest_pause_ms = max(self._longest_pause_ms, now_ms - self._last_data_ms)
+        self._last_data_ms, self._is_line_open = now_ms, is_line_open
 
-    def event_applied(self, now_ms: float) -> None:
+    def event_applied(self) -> None:
         """Records that an event was received which had not been applied before."""
         self.event_count += 1
-        self._last_activity_ms = self._last_event_ms = now_ms
-        self._heartbeat_ms = None
+        self._has_events = True
 
-    def heartbeat_received(self, now_ms: float) -> None:
+    def heartbeat_received(self) -> None:
         """Records a heartbeat with the number of the last applied event, or a lower one."""
-        self._last_activity_ms = self._heartbeat_ms = now_ms
+        self._has_heartbeat = True
 
     def is_complete(self, now_ms: float) -> bool:
         """Whether all events that the coordinator had have been applied."""
@@ -81,13 +94,14 @@
         return min(self._complete_at_ms(), self._give_up_at_ms())
 
     def _complete_at_ms(self) -> float:
-        if self._heartbeat_ms is None:
+        if self._has_heartbeat:
+            return -math.inf
+        if self._last_data_ms is None or self._is_line_open or not self._has_events:
             return math.inf
-        was_quiet = self._heartbeat_ms - self._last_event_ms >= self.limits.quiet_ms
-        return self._heartbeat_ms if was_quiet else self._heartbeat_ms + self.limits.quiet_ms
+        return self._last_data_ms + max(self.limits.min_pause_ms, PAUSE_FACTOR * self._longest_pause_ms)
 
     def _give_up_at_ms(self) -> float:
         latest_ms = self.started_ms + self.limits.max_wait_ms
-        if self._last_activity_ms is None:
+        if self._last_data_ms is None:
             return min(latest_ms, self.started_ms + self.limits.max_unconnected_ms)
-        return min(latest_ms, self._last_activity_ms + self.limits.max_silence_ms)
+        return min(latest_ms, self._last_data_ms + self.limits.max_silence_ms)
