In an upgrade, let only a heartbeat that no event follows end the wait for the coordinator

Cause: a heartbeat was taken for the end of the backlog in any case. A coordinator that numbers its heartbeats by what it has sent to this follower writes them between two events of a backlog as well, and the new process would say yes too early.

Change: with an inherited listener the heartbeat counts once 1.5 times the longest pause between events has passed without an event, as the other process serves meanwhile.

--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -68,7 +68,7 @@
             return False
         if index <= self.last_index:  # already applied
             if is_heartbeat and self.sync is not None:
-                self.sync.heartbeat_received()
+                self.sync.heartbeat_received(self.clock())
             return True
         if is_heartbeat or index != self.last_index + 1:
             self.counters.add("coordinator.gaps")
@@ -95,7 +95,7 @@
             self._max_refetches = MAX_REFETCHES  # the event was only damaged in transit
         self.last_index = index
         if self.sync is not None:
-            self.sync.event_applied()
+            self.sync.event_applied(self.clock())
         if is_complete and self.on_event is not None:
             self.on_event(index, message)
         return True
--- a/tests/test_feed_sync.py
+++ b/tests/test_feed_sync.py
@@ -35,9 +35,9 @@
     for at_ms, line in received:
         sync.data_received(STARTED_MS + at_ms, is_line_open=line == "part of a line")
         if line == "event":
-            sync.event_applied()
+            sync.event_applied(STARTED_MS + at_ms)
         if line == "heartbeat":
-            sync.heartbeat_received()
+            sync.heartbeat_received(STARTED_MS + at_ms)
     return sync
 
 
@@ -59,11 +59,17 @@
 
 def test_a_heartbeat_completes_the_backlog_and_the_first_line_does_not() -> None:
     # Guards against a start that takes the first line for all that the coordinator has to say.
+    assert not sync_after(*events_at(100.0, 200.0)).is_complete(STARTED_MS + 200.0)
+    assert sync_after(*events_at(100.0, 200.0), (200.0, "heartbeat")).is_complete(STARTED_MS + 200.0)
     for limits in (SYNC_LIMITS, UPGRADE_SYNC_LIMITS):
-        sync = sync_after(*events_at(100.0, 200.0), limits=limits)
-        assert not sync.is_complete(STARTED_MS + 200.0)
-        sync.heartbeat_received()
-        assert sync.is_complete(STARTED_MS + 200.0)
+        assert sync_after((2.0, "heartbeat"), limits=limits).is_complete(STARTED_MS + 2.0)
+
+
+def test_where_nobody_waits_a_heartbeat_between_two_events_does_not_complete_the_backlog() -> None:
+    # Guards against a heartbeat with the number of the last event sent that is taken for the last event.
+    heard = [*events_at(100.0, 200.0), (210.0, "heartbeat")]
+    assert complete_at(sync_after(*heard, limits=UPGRADE_SYNC_LIMITS)) == 210.0 + 150.0
+    assert complete_at(sync_after(*heard, (300.0, "event"), limits=UPGRADE_SYNC_LIMITS)) is None
 
 
 def test_only_a_pause_that_is_long_for_this_coordinator_completes_the_backlog_without_a_heartbeat() -> None:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -300,7 +300,7 @@
         )
         director = Director(config, asyncio.get_running_loop())
         # Only the coordinator's response ends the wait.
-        director.sync_limits = SyncLimits(600_000.0, 600_000.0, 600_000.0, 600_000.0)
+        director.sync_limits = SyncLimits(600_000.0, 600_000.0, 600_000.0, 600_000.0, 0.0)
         await director.start()
         self.assertFalse(director.readiness.is_ready)
         clients = [await asyncio.open_connection(*director.front.address) for _ in range(8)]
