Store purges by the settling time of the settings in force, not of the start

Callers would see: after a reload with a longer purges_settle_ms and a restart, copies from before a purge, as the store had dropped it.

Cause: PersistenceService kept the settling time of its construction. Evidence: the new test; the stored purge has expired before it has settled by the new settings. Change: Director.apply gives the store the new time.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -273,6 +273,8 @@
         self.exchange.response_budget.limit_bytes = budget_bytes(config.memory_limit_mb)
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
+        if self.persistence is not None:
+            self.persistence.settle_ms = config.settings.purge_settle_ms
         if self.dns is not None:
             self.dns.set_classes(frozenset(self.exchange.dispatcher.state.classes))
         self.coordinator_watch.set_address(config.coordinator)
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -47,7 +47,8 @@
     ) -> None:  # fmt: skip
         table = options.store
         assert table is not None
-        self._settle_ms, self._clock, self._counters, self._deadlines = settle_ms, clock, counters, deadlines
+        self.settle_ms = settle_ms  # of the settings in force; a reload may change it
+        self._clock, self._counters, self._deadlines = clock, counters, deadlines
         self._exchange: Exchange | None = None
         self._snapshot_interval_ms, self._partition = table.snapshot_interval_ms, -1
         self._resumes_feed, self._position = table.resumes_feed, FeedPosition(0)
@@ -123,7 +124,7 @@
 
     def record_event(self, event_index: int, event: dict[str, Any]) -> None:
         """Stores a valid event of the feed."""
-        rows = row_codecs.encode_event(event_index, event, self._settle_ms, self._clock(), self._resumes_feed)
+        rows = row_codecs.encode_event(event_index, event, self.settle_ms, self._clock(), self._resumes_feed)
         if self._resumes_feed and row_codecs.has_full_list(event):
             rows += row_codecs.delete_unlisted(event, self.log.items(SERVER_SPACE))
         acknowledgements = [self._write(row) for row in rows]
--- a/tests/store/test_persistence.py
+++ b/tests/store/test_persistence.py
@@ -28,6 +28,7 @@
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
 from gladewalk.store.dns_lease_rows import LEASE_SPACE, restore_leases
 from gladewalk.store.file_system import StoreDirectory
+from gladewalk.store.row_codecs import MAX_LOCATION_AGE_MS, PURGE_SPACE
 from gladewalk.store.segmented_log import SegmentedLog
 from gladewalk.store.warm_start import SNAPSHOT_SPACE, restore_snapshot
 
@@ -107,6 +108,28 @@
         writer.close()
 
 
+@async_test
+async def test_a_purge_is_stored_for_as_long_as_it_takes_to_settle_by_the_settings_of_a_reload(
+    tmp_path: Path,
+) -> None:
+    # Guards against a purge that a restart forgets, as it was stored by the settings of the start.
+    settle_ms = 10.0 * MAX_LOCATION_AGE_MS
+    coordinator = await Coordinator().start()
+    config = read_config(config_for([], coordinator), {})
+    director = await start_director(config, options_with(tmp_path, store={"folder": "store"}))
+    settings = dataclasses.replace(config.settings, purge_settle_ms=settle_ms)
+    director.apply(dataclasses.replace(config, settings=settings))
+    await wait_until(lambda: bool(coordinator.followed_from))
+    coordinator.publish(evict={"ref": "a1", "unix_ms": read_wall_clock().unix_ms})
+    persistence = director.persistence
+    assert persistence is not None
+    await wait_until(lambda: bool(persistence.log.items(PURGE_SPACE)))
+    later_ms = director.clock() + settle_ms
+    assert len(persistence.log.index.items(PURGE_SPACE, later_ms)) == 1
+    await stop_director(director)
+    coordinator.stop()
+
+
 @async_test
 async def test_the_feed_continues_after_the_last_stored_event_but_not_with_another_coordinator(
     tmp_path: Path,
