Spread the answers due at a stop, so that each is sent before the SIGKILL

Change: core/final_deadlines.py gives each shortened deadline a millisecond of its own before the latest one. Requests that end before are not touched.

--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from collections.abc import Callable, Mapping
 
@@ -28,6 +27,7 @@
     ResponseWriter,
     UpstreamPool,
 )
+from .final_deadlines import FinalDeadlines
 from .outcome_counters import Outcome, outcome_counter
 from .request_log import RequestLog
 from .resolutions import Resolutions
@@ -60,11 +60,10 @@
         self.open_requests: dict[int, OpenRequest] = {}
         self.unanswered_count = 0  # requests that have no final answer yet
         self.resolutions = Resolutions(self.dispatcher, clock, deadlines, counters, self.handle_event)
-        self._last_number = 0
         self._events: deque[api.Event] = deque()
-        self._is_handling = False
+        self._last_number, self._is_handling = 0, False
         self._finished: list[int] = []
-        self.final_deadline_ms = math.inf  # the latest time for any final answer, set at shutdown
+        self.final_deadlines = FinalDeadlines()
         self.buffered_requests: list[OpenRequest] | None = None  # accepted, not yet passed to the module
         self.request_log = RequestLog(clock, counters)
         self.response_budget = ResponseBudget(budget_bytes(config.memory_limit_mb), self._set_reading)
@@ -81,7 +80,7 @@
         self.unanswered_count += 1
         self.counters.add("requests.taken")
         margin_ms = min(ANSWER_MARGIN_MS, request.max_wait_ms / 8.0)
-        opened.deadline_ms = min(self.final_deadline_ms, opened.deadline_ms - margin_ms)
+        opened.deadline_ms = self.final_deadlines.limit(opened.deadline_ms - margin_ms)
         opened.timer = self.deadlines.add(opened.deadline_ms, lambda: self._request_timed_out(opened))
         if self.buffered_requests is not None:
             self.buffered_requests.append(opened)
@@ -90,13 +89,14 @@
         return number
 
     def answer_all_by(self, when_ms: float) -> None:
-        """Shortens the deadline of every open and future request to `when_ms`."""
-        self.final_deadline_ms = when_ms
+        """Shortens the deadline of every open and future request to `when_ms` or some time before it."""
+        self.final_deadlines.latest_ms = when_ms
         for opened in [opened for opened in self.open_requests.values() if not opened.is_answered]:
-            if opened.deadline_ms > when_ms:
-                opened.deadline_ms = when_ms
+            due_ms = self.final_deadlines.limit(opened.deadline_ms)
+            if opened.deadline_ms > due_ms:
+                opened.deadline_ms = due_ms
                 self.deadlines.drop(opened.timer)
-                opened.timer = self.deadlines.add(when_ms, lambda opened=opened: self._fail_at_stop(opened))  # type: ignore[misc]
+                opened.timer = self.deadlines.add(due_ms, lambda opened=opened: self._fail_at_stop(opened))  # type: ignore[misc]
 
     def buffer_requests(self) -> None:
         """Buffers new requests until `release_buffered_requests`, as the module may have a stale server list.
@@ -376,7 +376,7 @@
         that is being received has the client's whole time, without `ANSWER_MARGIN_MS`.
         """
         self.request_log.note(opened, "deadline")
-        last_ms = min(opened.received_ms + opened.request.max_wait_ms, self.final_deadline_ms)
+        last_ms = min(opened.received_ms + opened.request.max_wait_ms, self.final_deadlines.latest_ms)
         is_receiving = any(attempt.response is not None for attempt in opened.attempts.values())
         if is_receiving and self.clock() < last_ms:
             opened.deadline_ms = last_ms
