End what a virtual run left open before its loop closes, in a stated order

Cause: a virtual run ended with stream writers (of stand-ins, clients and directors) still open. `StreamWriter.__del__` of 3.11.6 closes a writer that nobody closed; it then writes to a closed loop, at a moment that the garbage collector chooses, and into the recording of the run that follows in the process.

Change: the loop knows its tasks and transports in their order of creation, and `VirtualLoop.finish` ends listeners, tasks, connections and timers before it closes, also where the run failed. Nothing is recorded meanwhile. No recorded file is changed.

--- a/gladewalk/rehearsal/virtual/loop.py
+++ b/gladewalk/rehearsal/virtual/loop.py
@@ -18,6 +18,7 @@
 import selectors
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, TypeVar
+from weakref import WeakKeyDictionary
 
 from ...config.platform import Address
 from ...core.clocks import UnixInstant
@@ -105,10 +106,10 @@
         self.random = random.Random(seed)
         self.network = network or NetworkConditions(random.Random(self.random.random()))
         self.servers: dict[Address, VirtualServer] = {}
+        self.transports: dict[VirtualTransport, None] = {}  # those that are not lost, in order of creation
         self.event_count = 0
-        self.is_finished = (
-            False  # remaining tasks are being cancelled, in no defined order; no event is recorded
-        )
+        self.is_finished = False  # the run has ended: what it left open is being ended, and nothing recorded
+        self._tasks: WeakKeyDictionary[asyncio.Task[Any], None] = WeakKeyDictionary()  # in order of creation
         self._listeners: dict[Address, tuple[VirtualListener, str]] = {}
         self._trace = hashlib.sha256()
         self._connection_count = 0
@@ -153,6 +154,32 @@
         context.run(current_host.set, host)
         return self.create_task(work, context=context)
 
+    def create_task(self, coro: Any, **options: Any) -> asyncio.Task[Any]:
+        """Starts a task; the loop knows its tasks in their order, in which they are cancelled at the end."""
+        task = super().create_task(coro, **options)
+        self._tasks[task] = None
+        return task
+
+    def finish(self) -> None:
+        """Ends what the run left open, without recording it: listeners, tasks, connections, then timers.
+
+        Tasks and connections are ended in the order in which they were made. Those that are made while others
+        end are ended as well, so that nothing of the run depends on the garbage collector after it.
+        """
+        self.is_finished = True
+        self.servers.clear()
+        for listener, _ in self._listeners.values():
+            listener.close()
+        while (open_tasks := [task for task in list(self._tasks) if not task.done()]) or self.transports:
+            for task in open_tasks:
+                task.cancel()
+            if open_tasks:
+                self.run_until_complete(asyncio.gather(*open_tasks, return_exceptions=True))
+            for transport in list(self.transports):
+                transport.end()
+        for handle in (*self._scheduled, *self._ready):  # type: ignore[attr-defined]
+            handle.cancel()
+
     # Listening.
 
     def _assign_port(self, host: str, port: int) -> Address:
@@ -296,13 +323,10 @@
     loop = VirtualLoop(seed, network)
     try:
         asyncio.set_event_loop(loop)
-        result = loop.run_until_complete(work(loop))
-        loop.is_finished = True
-        remaining = asyncio.all_tasks(loop)
-        for task in remaining:
-            task.cancel()
-        loop.run_until_complete(asyncio.gather(*remaining, return_exceptions=True))
-        return result, loop
+        try:
+            return loop.run_until_complete(work(loop)), loop
+        finally:
+            loop.finish()
     finally:
         asyncio.set_event_loop(None)
         loop.close()
--- a/gladewalk/rehearsal/virtual/streams.py
+++ b/gladewalk/rehearsal/virtual/streams.py
@@ -61,6 +61,7 @@
         self, loop: VirtualLoop, connection_id: int, sender: str, receiver: str, extra: dict[str, Any]
     ) -> None:
         super().__init__({**extra, "unread": VirtualSocketPoll(self)})
+        loop.transports[self] = None
         self._loop, self._connection_id = loop, connection_id
         self._sender, self._receiver = sender, receiver
         self.peer: VirtualTransport | None = None
@@ -212,10 +213,16 @@
             self._send(RESET)
         self._loop.call_soon(self._lose_connection, None, context=self._context)
 
+    def end(self) -> None:
+        """Ends the connection at the end of a run: the protocol is notified at once, nothing is sent."""
+        self._is_closing = True
+        self._context.run(self._lose_connection, None)
+
     def _lose_connection(self, error: Exception | None) -> None:
         if self.is_lost:
             return
         self._is_closing = self.is_lost = True
+        self._loop.transports.pop(self, None)
         self._record("lost", type(error).__name__)
         if self._protocol is not None:
             self._protocol.connection_lost(error)
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -1,7 +1,9 @@
 """The virtual event loop and its streams, and a director running on it with stand-in servers and clients."""
 
 import asyncio
+import contextlib
 import hashlib
+import json
 import os
 import subprocess
 import sys
@@ -56,6 +58,52 @@
         run_virtually(1, work)
 
 
+@pytest.mark.parametrize("has_failed", [False, True])
+def test_a_run_leaves_no_task_connection_or_timer_to_the_garbage_collector(has_failed: bool) -> None:
+    loops: list[VirtualLoop] = []
+    left: list[Any] = []
+    ended: list[str] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        left.append(writer)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            ended.append("server")
+            left.append(asyncio.get_running_loop().create_task(asyncio.sleep(3600.0)))
+
+    async def work(loop: VirtualLoop) -> None:
+        loops.append(loop)
+        await asyncio.start_server(serve, "10.0.0.1", 7)
+        for _ in range(3):
+            left.append((await asyncio.open_connection("10.0.0.1", 7))[1])
+        left.append(loop.create_task(asyncio.sleep(3600.0)))
+        left.append(loop.call_later(3600.0, ended.append, "timer"))
+        await asyncio.sleep(1.0)
+        if has_failed:
+            raise LookupError
+
+    with pytest.raises(LookupError) if has_failed else contextlib.nullcontext():
+        run_virtually(1, work)
+    assert not loops[0].transports and ended == ["server"] * 3
+    for one in left:
+        if isinstance(one, asyncio.StreamWriter):
+            assert one.transport.is_closing()
+        else:
+            assert one.done() if isinstance(one, asyncio.Task) else one.cancelled()
+
+
+def test_the_json_of_a_played_scenario_is_all_that_is_printed_in_development_mode(tmp_path: Path) -> None:
+    scenario = tmp_path / "short.toml"
+    scenario.write_text("seconds = 8.0\n[traffic]\nper_s = 30.0\n")
+    done = subprocess.run(
+        [sys.executable, "-X", "dev", "-m", "gladewalk", "play", str(scenario), "--json"],
+        cwd=Path(__file__).parent.parent, env={**os.environ, "PYTHONASYNCIODEBUG": "1"},
+        capture_output=True, text=True, timeout=120, check=False,
+    )  # fmt: skip
+    assert done.stderr == "" and done.returncode == 0 and json.loads(done.stdout)["passed"]
+
+
 def test_bytes_arrive_complete_and_in_order_in_pieces_and_eof_arrives_after_them() -> None:
     async def work(loop: VirtualLoop) -> tuple[bytes, int]:
         pieces: list[bytes] = []
