Close what stand-ins and clients of the director harness leave open

The suite printed 'Exception ignored in: StreamWriter.__del__' on CPython 3.11.6 for three tests that passed (test_held_up_loop, test_feed, test_system_errors).

Cause: the stand-in coordinator knew a follower's writer only once its backlog was sent, so that a follower which came at the end of a run was left to the garbage collector; the harness did not close the connections that it opened for clients.

Measured: 3 of 3 plays of the first test left a writer open before (by a trace in __del__), 0 of 3 after; with PytestUnraisableExceptionWarning as an error, 120 tests of six files passed twice.

--- a/gladewalk/rehearsal/coordinator.py
+++ b/gladewalk/rehearsal/coordinator.py
@@ -56,6 +56,19 @@
             self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await self._send_backlog(reader, writer)
+        except BaseException:  # cancelled at the end of a run, or the follower has gone
+            writer.close()
+            raise
+        self._writers.append(writer)
+
+    async def _send_backlog(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Sends a new follower the events that it lacks.
+
+        Raises:
+            IndexError: The follower has sent no line that names its last event.
+        """
         last_index = int((await reader.readline()).split()[1])
         self.followed_from.append(last_index)
         if self.responses_allowed is not None:
@@ -66,4 +79,3 @@
             writer.write(json.dumps(self.events[last_index]).encode() + b"\n")
             last_index += 1
         writer.write(b"%d\n" % len(self.events))  # the last index; the platform also sends it every second
-        self._writers.append(writer)
--- a/gladewalk/rehearsal/director_harness.py
+++ b/gladewalk/rehearsal/director_harness.py
@@ -134,6 +134,7 @@
     dns: DnsConfig | None = None
     options: Options | None = None
     director: Director | None = None
+    _client_writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
     async def __aenter__(self) -> Self:
         await self.coordinator.start()
@@ -153,6 +154,8 @@
         self.coordinator.stop()
         for server in self.servers:
             server.stop()
+        for writer in self._client_writers:
+            writer.close()
 
     def _running(self) -> Director:
         assert self.director is not None, "the harness must be entered by `async with`"
@@ -160,7 +163,9 @@
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Opens a client's connection to the director."""
-        return await asyncio.open_connection(*self._running().front.address)
+        reader, writer = await asyncio.open_connection(*self._running().front.address)
+        self._client_writers.append(writer)
+        return reader, writer
 
     async def fetch(self, path: str = DEFAULT_PATH, **more: Any) -> tuple[int, dict[str, str], bytes]:
         """Sends one request on a new connection and returns status, headers and body.
