Bound what a director holds for its peers by one ledger over all connections

Cause: limits counted the bytes of a payload, each for itself and on each connection. Nothing bounded what the bytes cost as objects (a field of two bytes some 150, a chunk of two bytes 40), and nothing added them up over connections; a response gave its bytes back while up to 64 KB of it were still unsent.

Change: - limits/memory_plan.py divides the memory limit: program and tables, connections, clients' input, responses, a line of the feed; two processes of a handover share it. core/memory_ledger.py keeps the accounts, one ledger for a process; SIGHUP applies changed limits at once. - Clients' input is charged as it costs. Over the share, the connection that holds the most input that no server has got is rejected: 503 with Retry-After. - At most 100 fields (431; servers: an invalid response). Fields that are not used are not kept, nothing of a head is kept after parsing, bodies are held in one piece. More than 1,024 bytes of empty lines end the connection with a 400. - One read holds at most 16 KB of a client and 64 KB of a server (net/bounded_reads); a connection whose read was full waits for its turn. - A response counts until it has left the write buffer (net/unsent_responses). - The counters' log line has memory.client_input and memory.responses: held, peak, limit.

The probe after a crowd waited as long as its request might take; it now asks with 1 s and waits 3 s as before.

--- a/benchmarks/hostile/crowds.py
+++ b/benchmarks/hostile/crowds.py
@@ -13,6 +13,7 @@
 from .process import DirectorUnderLimits, director_under_limits
 
 CROWD_S = 3.0  # how long each client stays
+PROBE_WAIT_MS = 1_000.0  # of a request after the crowd, which gets a final answer in time
 SERVER_COUNT = 3
 SERVER_CAPACITY = 64.0
 TARGET_FRACTION = 0.8  # of the memory limit: what the peak may reach
@@ -58,7 +59,7 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
             async with asyncio.timeout(CROWD_S):
                 reader, writer = await asyncio.open_connection(*director.address)
-                writer.write(read_of_one_object(clients))
+                writer.write(read_of_one_object(clients, PROBE_WAIT_MS))
                 serves = bool(await reader.readline())
                 writer.close()
         return CrowdResult(director.peak_mb, director.was_over_limit, director.has_ended, serves)
--- a/benchmarks/hostile/forms.py
+++ b/benchmarks/hostile/forms.py
@@ -67,9 +67,9 @@
     return _open_head(peer) + b"Transfer-Encoding: chunked\r\n\r\n" + TINY_CHUNK * CHUNKS_OF_A_WRITE
 
 
-def read_of_one_object(peer: int) -> bytes:
+def read_of_one_object(peer: int, wait_ms: float = WAIT_MS) -> bytes:
     """Returns an ordinary read."""
-    return encode_request(f"/invoke/lot-page/{peer + 1:x}?nth=0", wait_ms=WAIT_MS, trace=_trace_id(peer))
+    return encode_request(f"/invoke/lot-page/{peer + 1:x}?nth=0", wait_ms=wait_ms, trace=_trace_id(peer))
 
 
 CROWDS: dict[str, ClientInput] = {
--- a/gladewalk/config/platform.py
+++ b/gladewalk/config/platform.py
@@ -11,6 +11,7 @@
 
 from .. import interface as api
 from ..errors import GladewalkError
+from ..limits.memory_plan import MemoryPlan, plan_memory
 from .file_keys import check_keys_kept, check_values, unused_keys
 from .policy_settings import read_roles, read_settings, require_field, value_or
 
@@ -79,6 +80,15 @@
     memory_limit_mb: float = DEFAULT_MEMORY_LIMIT_MB
     unused_keys: tuple[str, ...] = ()
 
+    def memory_plan(self) -> MemoryPlan:
+        """Returns what the process may hold; with an inherited listener two processes share the limit."""
+        return plan_memory(self.memory_limit_mb, self.max_descriptors, self.process_count)
+
+    @property
+    def process_count(self) -> int:
+        """How many processes share the limits: during a handover of an inherited listener there are two."""
+        return 1 if self.inherited_fd is None else 2
+
 
 class Endpoint(NamedTuple):
     """An entry of the coordinator's list: the server and its address, which is None for a deleted server."""
@@ -150,10 +160,12 @@
     initial_events = _read_events(known)
     process_limits = value_or(raw.get("limits"), {})
     max_descriptors = int(value_or(process_limits.get("sockets"), DEFAULT_MAX_DESCRIPTORS))
+    memory_limit_mb = float(value_or(process_limits.get("memory_mb"), DEFAULT_MEMORY_LIMIT_MB))
+    inherited_fd = _read_descriptor(environ.get("NODE_FD"))
     settings = read_settings(raw_settings)
-    return PlatformConfig(
+    config = PlatformConfig(
         name=environ.get("NODE_NAME") or str(raw.get("name", "director")),
-        settings=_adapt_settings(settings, max_descriptors),
+        settings=settings,
         listen=_read_address_of("listen", environ.get("NODE_LISTEN") or raw.get("listen")),
         coordinator=_read_address_of("coordinator", raw.get("coordinator")),
         seed=int(str(value_or(raw.get("seed"), "0")), 16),
@@ -164,10 +176,11 @@
         initial_event_index=int(value_or(known.get("index"), 0)),
         initial_events=initial_events,
         admin=_read_optional_address("admin_addr", environ.get("NODE_ADMIN_ADDR") or raw.get("admin_addr")),
-        inherited_fd=_read_descriptor(environ.get("NODE_FD")),
+        inherited_fd=inherited_fd,
         sends_hold_off=settings.sends_retry_after,
-        memory_limit_mb=float(value_or(process_limits.get("memory_mb"), DEFAULT_MEMORY_LIMIT_MB)),
+        memory_limit_mb=memory_limit_mb,
     )
+    return replace(config, settings=_adapt_settings(settings, config.memory_plan()))
 
 
 def _read_events(known: dict[str, Any]) -> tuple[dict[str, Any], ...]:
@@ -177,13 +190,13 @@
     return tuple(events)
 
 
-def _adapt_settings(settings: api.Settings, max_descriptors: int) -> api.Settings:
+def _adapt_settings(settings: api.Settings, plan: MemoryPlan) -> api.Settings:
     """Sets what is the same for every running director, unlike in the simulator.
 
-    Rejections always carry a retry delay, as HTTP has a field for it (`Retry-After`). Client connections may
-    use at most a third of the descriptors, with one request on each connection.
+    Rejections always carry a retry delay, as HTTP has a field for it (`Retry-After`). Clients have one
+    request on each connection.
     """
-    adapted = replace(settings, sends_retry_after=True, client_connection_limit=max_descriptors // 3)
+    adapted = replace(settings, sends_retry_after=True, client_connection_limit=plan.client_connections)
     api.validate_settings(adapted)
     return adapted
 
--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -28,10 +28,11 @@
     UpstreamPool,
 )
 from .final_deadlines import FinalDeadlines
+from .memory_ledger import MemoryLedger
 from .outcome_counters import Outcome, outcome_counter
 from .request_log import RequestLog
 from .resolutions import Resolutions
-from .response_buffer import ResponseBudget, ResponseBuffer, budget_bytes
+from .response_buffer import ResponseBudget, ResponseBuffer
 from .server_maintenance import maintain_server
 
 __all__ = [
@@ -53,7 +54,10 @@
         deadlines: Deadlines,
         counters: Counters,
         log: Callable[[str], None],
+        memory: MemoryLedger | None = None,
     ) -> None:
+        """Without a ledger to share, the exchange has one of its own."""
+        self.memory = memory or MemoryLedger(config.memory_plan())
         self.dispatcher = Dispatcher(config.settings, config.seed)
         self.clock, self.deadlines, self.counters, self.log = clock, deadlines, counters, log
         self.upstreams: UpstreamPool | None = None
@@ -66,7 +70,7 @@
         self.final_deadlines = FinalDeadlines()
         self.buffered_requests: list[OpenRequest] | None = None  # accepted, not yet passed to the module
         self.request_log = RequestLog(clock, counters)
-        self.response_budget = ResponseBudget(budget_bytes(config.memory_limit_mb), self._set_reading)
+        self.response_budget = ResponseBudget(self.memory.responses, self._set_reading)
 
     # Called by the client side.
 
@@ -117,21 +121,7 @@
         self.resolutions.release()
 
     def _pass_to_module(self, opened: OpenRequest, now: float) -> None:
-        request = opened.request
-        self.handle_event(
-            api.Request(
-                id=opened.number,
-                class_name=request.class_name,
-                key=request.key,
-                time_left_ms=opened.deadline_ms - now,
-                size_kb=request.size_kb,
-                group=request.group,
-                part=request.part,
-                is_client_retry=request.is_retry,
-                is_write=request.method == "PUT",
-                idempotency_key=request.idempotency_key,
-            )
-        )
+        self.handle_event(opened.to_event(now))
 
     def client_disconnected(self, number: int) -> None:
         """Ends a request whose client has disconnected: it gets no answer and its attempts are cancelled."""
@@ -187,7 +177,7 @@
     def response_body(self, attempt: Attempt, data: bytes) -> None:
         """Buffers a piece of the body."""
         if attempt.response is not None:
-            attempt.response.pieces.append(data)
+            attempt.response.body += data
 
     def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
         """Records an attempt's end, sends the response if it is complete, and notifies the module."""
@@ -232,8 +222,9 @@
         self.counters.add("answers.served")
         self.counters.add(outcome_counter(opened.request.class_name, Outcome.COMPLETED))
         self._close(opened)
-        body = b"".join(response.pieces)
-        opened.client.send_response(response.head, body, lambda: self.response_budget.release(response))
+        opened.client.send_response(
+            response.head, response.take_body(), lambda: self.response_budget.release(response)
+        )
 
     # Called by the coordinator's feed.
 
--- a/gladewalk/core/exchange_types.py
+++ b/gladewalk/core/exchange_types.py
@@ -59,8 +59,7 @@
     def send_response(self, head: ResponseHead, body: bytes, on_sent: Callable[[], None]) -> None:
         """Sends a server's complete response.
 
-        `on_sent` is called once: when the client has read so much of it that the write buffer is below its
-        usual limit, or when the connection has ended.
+        `on_sent` is called once: when it has left the write buffer, or when the connection has ended.
         """
 
     def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
@@ -140,6 +139,22 @@
     # The steps of its processing: ms since it was received, the step's name and the step's details.
     steps: list[tuple[float, str, tuple[object, ...]]] = field(default_factory=list)
 
+    def to_event(self, now_ms: float) -> api.Request:
+        """Returns the request as the decision module gets it, with the time that it has left."""
+        request = self.request
+        return api.Request(
+            id=self.number,
+            class_name=request.class_name,
+            key=request.key,
+            time_left_ms=self.deadline_ms - now_ms,
+            size_kb=request.size_kb,
+            group=request.group,
+            part=request.part,
+            is_client_retry=request.is_retry,
+            is_write=request.method == "PUT",
+            idempotency_key=request.idempotency_key,
+        )
+
 
 @dataclass(slots=True)
 class AttemptResult:
--- a/gladewalk/core/response_buffer.py
+++ b/gladewalk/core/response_buffer.py
@@ -15,28 +15,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .memory_ledger import MemoryAccount
+
 if TYPE_CHECKING:
     from .exchange_types import Attempt, ResponseHead
 
 MAX_OBJECT_BYTES = 240_000
 """The largest object. A longer response is invalid; a response of unknown length reserves this size."""
 
-BASE_MEMORY_MB = 30.0
-"""Memory that a director needs apart from buffered responses."""
-
-BUDGET_FRACTION = 0.25
-"""Fraction of the memory beyond `BASE_MEMORY_MB` that buffered responses may use."""
-
-MIN_BUDGET_BYTES = 1_000_000
-MAX_BUDGET_BYTES = 64_000_000
-BYTES_PER_MB = 1_000_000
-
-
-def budget_bytes(memory_limit_mb: float) -> int:
-    """Returns how many bytes of responses may be buffered, given the limit on the process's memory."""
-    spare_bytes = (memory_limit_mb - BASE_MEMORY_MB) * BYTES_PER_MB * BUDGET_FRACTION
-    return int(min(MAX_BUDGET_BYTES, max(MIN_BUDGET_BYTES, spare_bytes)))
-
 
 @dataclass(slots=True, eq=False)
 class ResponseBuffer:
@@ -44,12 +30,12 @@
 
     Attributes:
         head: The head of the response.
-        pieces: The body, in pieces as received.
+        body: The body as far as it was received, in one piece however it arrived.
         reserved_bytes: Bytes reserved in the budget; 0 while the response waits for room.
     """
 
     head: ResponseHead
-    pieces: list[bytes] = field(default_factory=list)
+    body: bytearray = field(default_factory=bytearray)
     reserved_bytes: int = 0
 
     def needed_bytes(self) -> int:
@@ -61,18 +47,26 @@
 
     def received_bytes(self) -> int:
         """Returns how many bytes of the body have been received."""
-        return sum(map(len, self.pieces))
+        return len(self.body)
+
+    def take_body(self) -> bytes:
+        """Returns the body and keeps nothing of it."""
+        body, self.body = bytes(self.body), bytearray()
+        return body
 
 
 class ResponseBudget:
-    """Limits the total size of buffered responses; a response counts until its client has read it."""
+    """Limits the total size of buffered responses; a response counts until its client has taken it.
 
-    def __init__(self, limit_bytes: int, set_reading: Callable[[Attempt, bool], None]) -> None:
+    Several exchanges may share one account.
+    """
+
+    def __init__(self, account: MemoryAccount, set_reading: Callable[[Attempt, bool], None]) -> None:
         """`set_reading` pauses (False) or resumes (True) reading an attempt's response."""
-        self.limit_bytes = limit_bytes
-        self.used_bytes = 0
         self.waiting: dict[Attempt, ResponseBuffer] = {}  # paused responses, in order of arrival
         self._set_reading = set_reading
+        self.account = account
+        account.on_release.append(self._resume_waiting)
 
     def admit(self, attempt: Attempt, response: ResponseBuffer) -> bool:
         """Reserves a response's size, or pauses the response until there is room; True if it was admitted."""
@@ -87,9 +81,11 @@
         self.waiting.pop(attempt, None)
 
     def release(self, response: ResponseBuffer) -> None:
-        """Returns a response's bytes to the budget and resumes waiting responses that now have room."""
-        self.used_bytes -= response.reserved_bytes
-        response.reserved_bytes = 0
+        """Returns a response's bytes to the account and resumes waiting responses that now have room."""
+        count, response.reserved_bytes = response.reserved_bytes, 0
+        self.account.release(count)
+
+    def _resume_waiting(self) -> None:
         while self.waiting:
             attempt, next_response = next(iter(self.waiting.items()))
             if not self._reserve(next_response):
@@ -99,8 +95,8 @@
 
     def _reserve(self, response: ResponseBuffer) -> bool:
         needed = response.needed_bytes()
-        if self.used_bytes + needed > self.limit_bytes and self.used_bytes > 0:
+        if not self.account.has_room(needed):
             return False  # a response of any size is admitted if no other is buffered
-        self.used_bytes += needed
+        self.account.charge(needed)
         response.reserved_bytes = needed
         return True
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -18,7 +18,6 @@
 from .core.deadlines import DeadlineKey, Deadlines
 from .core.exchange import Exchange
 from .core.readiness import SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
-from .core.response_buffer import budget_bytes
 from .net.clients import FIRST_BYTE_TIMEOUT_MS, ClientFront
 from .net.coordinator import CoordinatorWatch
 from .net.endpoint_feed import EndpointFeed
@@ -270,7 +269,7 @@
         self.config = config
         self.exchange.dispatcher.configure(config.settings)
         self.connection_pool.configure(config)
-        self.exchange.response_budget.limit_bytes = budget_bytes(config.memory_limit_mb)
+        self.exchange.memory.configure(config.memory_plan())
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
         if self.persistence is not None:
@@ -363,7 +362,7 @@
             "now.upstream": len(self.connection_pool.open_connections),
             "late_ms": round(self.deadlines.max_call_delay_ms, 1),
         }
-        self.log.info("counters", **gauges, **self.counters.report())
+        self.log.info("counters", **gauges, **self.exchange.memory.report(), **self.counters.report())
 
     def _log_store_event(self, event: str, why: str) -> None:
         self.log.warning(event, why=why)
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -15,9 +15,11 @@
 from ..core.readiness import Readiness
 from ..interface import Idempotency
 from .accept_errors import AcceptBackoff, error_name
+from .bounded_reads import ReadTurns
 from .connection import ClientConnection
 from .environment import Listener, open_listener
 from .read_turns import ReadIterations
+from .unsent_responses import UnsentResponses
 
 MAX_BODY_BYTES = 64 * 1024  # a write carries at most 48,000 bytes
 LISTEN_BACKLOG = 1024
@@ -75,6 +77,9 @@
         self._has_started = self._is_accepting = False
         self._accept_backoff = AcceptBackoff()
         self.read_iterations = ReadIterations(clock)
+        self.read_turns = ReadTurns()
+        self.unsent_responses = UnsentResponses(clock, deadlines)
+        self._is_freeing_memory = False
         self._setting_up: dict[asyncio.Task[object], ClientConnection] = {}
         self._paused: dict[ClientConnection, None] = {}  # while reading is paused, no event reports their end
 
@@ -263,6 +268,22 @@
         self.evicted_count -= connection.is_evicted
         self._resume_accepting()
 
+    def charge_input(self, change: int) -> None:
+        """Records a change of the memory that clients' input takes; over the limit, rejects the largest."""
+        account = self.exchange.memory.client_input
+        account.charge(change)
+        if self._is_freeing_memory or not account.is_over:
+            return
+        self._is_freeing_memory = True  # rejecting input changes the charge of its connection
+        while account.is_over and (largest := self._largest_input()) is not None:
+            largest.reject_input()
+        self._is_freeing_memory = False
+
+    def _largest_input(self) -> ClientConnection | None:
+        """Returns the connection with the most input that can be rejected; of equal ones the oldest."""
+        candidates = [connection for connection in self.connections if connection.can_reject_input()]
+        return max(candidates, key=lambda connection: connection.charged_bytes, default=None)
+
     def update_state(self, connection: ClientConnection) -> None:
         """Records whether a connection has an open request, awaits one or is idle."""
         if connection.open_number is not None or connection.pipelined:
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -14,31 +14,34 @@
 import httptools
 
 from ..core.exchange import ClientRequest, FinalAnswer, ResponseHead
+from .bounded_reads import BoundedReads
 from .connection_owner import ConnectionOwner
-from .request_reader import MAX_HEADER_BYTES, RequestReader
-from .requests import REASONS, BadRequestError, parse_request
-from .sockets import MAX_FRAMING_BYTES, SocketPoll, data_age_ms, end_sending, is_peer_closed, socket_poll
+from .request_reader import RequestReader
+from .requests import BadRequestError, parse_request
+from .response_encoding import (
+    RETRY_AT_ONCE,
+    rejection_fields,
+    response_body,
+    response_lines,
+    status_lines,
+)
+from .sockets import SocketPoll, data_age_ms, end_sending, is_peer_closed, socket_poll
 
 MIN_WAIT_MS = 1.0  # the time given to a request whose deadline passed before it was read
 MAX_LATENESS_MS = 500.0  # a response up to this long past the client's deadline still counts
 MAX_PIPELINED = 8  # number of pipelined requests that one connection may have queued
-LAST_CHUNK = b"0\r\n\r\n"  # the end of a body in the chunked transfer coding
 HEALTHY, UNREADY = 200, -503  # health check results; the second differs from any status of bad input
+NO_MEMORY = -507  # the request is rejected, as clients' input takes too much memory
 
 
-def encode_chunk(data: bytes) -> bytes:
-    """Returns a non-empty piece of a body as a chunk (RFC 9112, section 7.1)."""
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-class ClientConnection(RequestReader, asyncio.Protocol):
+class ClientConnection(RequestReader, BoundedReads):
     """One client's connection, which is also the `ResponseWriter` of its open request."""
 
     def __init__(self, front: ConnectionOwner[ClientConnection]) -> None:
-        super().__init__(front)
+        RequestReader.__init__(self, front)
+        BoundedReads.__init__(self, front.read_turns)
         self.front = front
         self.exchange = front.exchange  # where requests are submitted
-        self.transport: asyncio.Transport | None = None
         self.socket_poll: SocketPoll | None = None
         # State kept by the owner.
         self.is_open = False  # its transport has been created
@@ -48,12 +51,12 @@
         self.open_number: int | None = None
         self.open_request: ClientRequest | None = None
         self.client_deadline_ms = 0.0  # the client's deadline for the last submitted request
-        self._on_sent: Callable[[], None] | None = None  # called once the last response has left the buffer
         # Requests read but not submitted; an int is a status to respond with.
         self.pipelined: deque[ClientRequest | int] = deque()
         self.has_received_request = False
         self.is_ending = False  # input is discarded: the last request was read or the last response begun
         self.is_reading_paused = self.is_writing_paused = False
+        self.charged_bytes = 0  # of its input, in the ledger
         self._is_advancing = False
         self._input_received_ms = math.inf  # when the last input was received; inf if read without delay
         self._may_be_delayed = True  # the next input may have waited for the accept or the end of a pause
@@ -68,13 +71,16 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Ends the open request, as its client has disconnected."""
-        self.transport = None
+        transport, self.transport = self.transport, None
         self.pipelined.clear()
-        self._response_sent()
+        self.front.unsent_responses.end(transport)
         if self.open_number is not None:
             number, self.open_number = self.open_number, None
             self._release_request()
             self.exchange.client_disconnected(number)
+        self.forget_request()
+        self.has_partial_request = False
+        self._update_charge()
         self.front.connection_closed(self)
 
     def data_received(self, data: bytes) -> None:
@@ -84,29 +90,50 @@
         is_delayed = self.front.read_iterations.may_be_delayed() or self._may_be_delayed
         self._may_be_delayed = False
         self._input_received_ms = self.front.clock() - self._data_age_ms() if is_delayed else math.inf
-        in_head = self.has_partial_request and not self.has_complete_head
-        self.framing_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-            if in_head and self.has_partial_request and not self.has_complete_head:  # limits field size
-                self._count_bytes(len(data), MAX_HEADER_BYTES, 431)
-            if self.has_partial_request and self.framing_bytes > MAX_FRAMING_BYTES:
-                self._reject_input(413)
-        except BadRequestError as error:
-            self._reject_input(error.status)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__ or error.__cause__
-            if not isinstance(cause, BadRequestError):
-                raise
-            self._reject_input(cause.status)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reject_input(400)
+        status = self.parse(data)
+        if status is not None:
+            self._reject_input(status)
         self._advance()
+        self._update_charge()
         if self.pipelined and self.transport is not None:  # limits memory: further requests stay unread
             self.is_reading_paused = True
             self.transport.pause_reading()
             self.front.watch_paused(self)
 
+    def wants_input(self) -> bool:
+        """Whether further requests are read now."""
+        return not self.is_reading_paused
+
+    def _update_charge(self) -> None:
+        """Charges the memory that the client's input takes; over the limit, some input is rejected."""
+        held = self.held_bytes()
+        if self.pipelined:
+            held += sum(self.request_bytes(item) for item in self.pipelined if not isinstance(item, int))
+        if self.open_request is not None:
+            held += self.request_bytes(self.open_request)
+        if held != self.charged_bytes:
+            change, self.charged_bytes = held - self.charged_bytes, held
+            self.front.charge_input(change)
+
+    def request_bytes(self, request: ClientRequest) -> int:
+        """Returns about how much memory a read request takes, beyond that of its connection."""
+        return len(request.body)
+
+    def can_reject_input(self) -> bool:
+        """Whether it holds input that no server has been asked for: it can be rejected without harm."""
+        is_receiving = self.has_partial_request and not self.is_ending
+        return is_receiving or any(not isinstance(request, int) for request in self.pipelined)
+
+    def reject_input(self) -> None:
+        """Rejects the requests that are read in part or wait, to free the memory that they take."""
+        waiting = len(self.pipelined)
+        self.pipelined.clear()
+        self.pipelined.extend([NO_MEMORY] * waiting)
+        if self.has_partial_request and not self.is_ending:
+            self._reject_input(NO_MEMORY)
+        self._advance()
+        self._update_charge()
+
     def _data_age_ms(self) -> float:
         return 0.0 if self.transport is None else data_age_ms(self.transport)
 
@@ -121,7 +148,6 @@
     def resume_writing(self) -> None:
         """Starts the next request, as the client has read its response."""
         self.is_writing_paused = False
-        self._response_sent()
         self._advance()
 
     # Called by httptools, as the callbacks of `RequestReader`.
@@ -131,7 +157,7 @@
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_message_complete(self) -> None:
-        """Adds the complete request to the queue of this connection."""
+        """Adds the complete request to the queue of this connection, and keeps nothing else of it."""
         self.is_ending = not self.parser.should_keep_alive()
         self.has_partial_request, self.has_received_request = False, True
         try:
@@ -143,6 +169,7 @@
             self.pipelined.append(error.status)
         except httptools.HttpParserError:
             self.pipelined.append(400)
+        self.forget_request()
         if len(self.pipelined) > MAX_PIPELINED:
             raise BadRequestError(400)
 
@@ -153,13 +180,15 @@
         method = self.parser.get_method().decode("latin-1")
         if path == "/_health" and method == "GET":
             return HEALTHY if self.front.readiness.is_ready else UNREADY
-        request = parse_request(method, path, query, self.headers, b"".join(self.body_pieces))
+        request = parse_request(method, path, query, self.headers, bytes(self.body))
         return self.front.rejection_status(request) or request
 
     def _reject_input(self, status: int) -> None:
-        """Queues a status for input that cannot be parsed further; the connection then closes."""
+        """Queues a status for input that is not parsed further; the connection then closes."""
         self.pipelined.append(status)
         self.is_ending = True
+        self.has_partial_request = False
+        self.forget_request()
 
     def request_timed_out(self) -> None:
         """Responds with 408, as a request was not received completely within its time limit."""
@@ -211,7 +240,8 @@
         self.is_ending = True
         if self.transport is not None and not self.transport.is_closing():
             self._end_sending_now()
-            self.transport.resume_reading()
+            self.is_reading_paused = False
+            self.resume_reading()
             self.transport.write_eof()
             self.front.start_lingering(self)
 
@@ -281,7 +311,10 @@
         """Responds to a health check or a bad request."""
         if status == UNREADY:
             self.front.counters.add("clients.health_unready")
-            self._write_status(503, ["Retry-After: 1"])
+            self._write_status(503, RETRY_AT_ONCE)
+        elif status == NO_MEMORY:
+            self.front.counters.add("clients.rejected_for_memory")
+            self._write_status(503, RETRY_AT_ONCE)
         else:
             if status != HEALTHY:
                 self.front.counters.add(f"clients.bad_input_{status}")
@@ -303,36 +336,17 @@
     # Called by the exchange: the response.
 
     def send_response(self, head: ResponseHead, body: bytes, on_sent: Callable[[], None]) -> None:
-        """Writes a complete 200 or 304; calls `on_sent` once the write buffer is below its usual limit."""
-        lines = ["HTTP/1.1 304 Not Modified" if head.is_not_modified else "HTTP/1.1 200 OK"]
-        if head.content_length is None and not head.is_not_modified:
-            lines.append("Transfer-Encoding: chunked")
-            body = (encode_chunk(body) if body else b"") + LAST_CHUNK
-        elif not head.is_not_modified:
-            lines.append(f"Content-Length: {len(body)}")
-        if head.etag is not None:
-            lines.append(f'ETag: "{head.etag}"')
-        self._write(self._encode_head(lines) + body)
-        self._await_sent(on_sent)
+        """Writes a complete 200 or 304; calls `on_sent` once it has left the write buffer."""
+        lines = response_lines(head, len(body))
+        self._write(self._encode_head(lines) + response_body(head, body))
+        self.front.unsent_responses.add(self.transport, len(body), on_sent)
         self._response_finished()
 
-    def _await_sent(self, on_sent: Callable[[], None]) -> None:
-        self._on_sent = on_sent
-        if not self.is_writing_paused:
-            self._response_sent()
-
-    def _response_sent(self) -> None:
-        on_sent, self._on_sent = self._on_sent, None
-        if on_sent is not None:
-            on_sent()
-
     def send_final(self, final: FinalAnswer, retry_after_ms: float) -> None:
-        """Writes a 503 with Retry-After (RFC 9110, section 10.2.3), or a 502."""
-        if final is FinalAnswer.REJECTED:  # HTTP has whole seconds; 0 would mean 'at once'
-            fields = [f"Retry-After: {max(1, math.ceil(retry_after_ms / 1000.0))}"]
-            if retry_after_ms and self.front.sends_hold_off:
-                fields.append(f"Hold-Off-Ms: {round(retry_after_ms)}")
-            self._write_status(503, fields)
+        """Writes a 503 with Retry-After, or a 502."""
+        if final is FinalAnswer.REJECTED:
+            has_hold_off = self.front.sends_hold_off
+            self._write_status(503, rejection_fields(retry_after_ms, has_hold_off=has_hold_off))
         else:
             self._write_status(502)
         self._response_finished()
@@ -355,9 +369,7 @@
         return is_shutting_down and not self.has_partial_request and self.is_input_empty()
 
     def _write_status(self, status: int, fields: list[str] | None = None) -> None:
-        reason = b"OK" if status == 200 else REASONS[status]
-        lines = [f"HTTP/1.1 {status} {reason.decode()}", "Content-Length: 0", *(fields or ())]
-        self._write(self._encode_head(lines))
+        self._write(self._encode_head(status_lines(status, fields)))
 
     def _response_finished(self) -> None:
         self.open_number = None
@@ -368,5 +380,6 @@
             elif self.is_reading_paused:
                 self.is_reading_paused = False
                 self._may_be_delayed = True
-                self.transport.resume_reading()
+                self.resume_reading()
         self._advance()
+        self._update_charge()
--- a/gladewalk/net/connection_owner.py
+++ b/gladewalk/net/connection_owner.py
@@ -8,7 +8,9 @@
 from ..core.counters import Counters
 from ..core.exchange import ClientRequest, Exchange
 from ..core.readiness import Readiness
+from .bounded_reads import ReadTurns
 from .read_turns import ReadIterations
+from .unsent_responses import UnsentResponses
 
 Connection = TypeVar("Connection", contravariant=True)
 
@@ -24,6 +26,11 @@
     is_closing: bool
     sends_hold_off: bool
     read_iterations: ReadIterations
+    read_turns: ReadTurns
+    unsent_responses: UnsentResponses
+
+    def charge_input(self, change: int) -> None:
+        """Records that a connection's input takes so many bytes more (or fewer) of memory."""
 
     def connection_opened(self, connection: Connection) -> None:
         """Registers a connection whose transport has been made."""
--- a/gladewalk/net/requests.py
+++ b/gladewalk/net/requests.py
@@ -22,6 +22,8 @@
     b"host", b"content-length", b"transfer-encoding", b"trace-id", b"max-wait-ms", b"x-batch", b"replay-key",
     b"is-retry",
 }  # fmt: skip
+# All fields that are used; a request's other fields are not kept.
+USED_FIELDS = SINGLE_FIELDS | {b"reserve-kb", b"if-none-match", b"expect", b"connection", b"upgrade"}
 REASONS = {
     400: b"Bad Request",
     404: b"Not Found",
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -11,9 +11,11 @@
 from ..config.platform import Address
 from ..core.exchange import Attempt, AttemptResult, ResponseHead
 from ..core.response_buffer import MAX_OBJECT_BYTES
+from ..net.bounded_reads import BoundedReads
 from ..net.sockets import MAX_FRAMING_BYTES, socket_poll, write_now
 from .protocol_fields import (
     AUTHORITY,
+    MAX_FIELDS,
     MAX_HEAD_BYTES,
     InvalidResponseError,
     read_content_length,
@@ -64,7 +66,10 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + request.body
 
 
-class Http1Connection(asyncio.Protocol):
+READ_BYTES = 64 * 1024  # of one read; most objects take few reads
+
+
+class Http1Connection(BoundedReads):
     """One connection to a server, with one work item in flight or idle.
 
     Attributes:
@@ -81,18 +86,23 @@
         is_forwarded: Whether the response is forwarded to a client.
         pending_head: A response head that was parsed in this read and is not forwarded yet.
         pending_body: Pieces of the body that were parsed in this read and are not forwarded yet.
+        field_count: Number of fields of the response's head and trailer.
+        has_room: Whether there is room in memory for the response, so that it is read.
     """
 
+    read_buffer = memoryview(bytearray(READ_BYTES))
+
     def __init__(self, server: Http1Server) -> None:
+        super().__init__(server.pool.read_turns)
         self.server, self.pool, self.address = server, server.pool, server.address
-        self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.item: WorkItem | None = None
         self.released_ms = self.idle_until_ms = self.reused_after_ms = 0.0
         self.last_trace_id = ""
         self.has_carried = False
         self.status = self.read_bytes = 0
-        self.framing_bytes = 0
+        self.framing_bytes = self.field_count = 0
+        self.has_room = True
         self.has_complete_head = self.is_forwarded = self.is_complete = self.is_reusable = False
         self.headers: dict[bytes, bytes] = {}
         self.pending_head: ResponseHead | None = None
@@ -127,6 +137,7 @@
         self.last_trace_id = item.open_request.request.trace_id if isinstance(item, Attempt) else ""
         request = self.encode(item, now_ms) if isinstance(item, Attempt) else encode_health_check(item)
         self.item, self.status, self.read_bytes, self.framing_bytes, self.headers = item, 0, 0, 0, {}
+        self.field_count = 0
         self.has_complete_head = self.is_forwarded = self.is_complete = self.is_reusable = False
         self.pending_head = None
         self.pending_body.clear()
@@ -148,11 +159,15 @@
 
     def set_reading(self, item: WorkItem, on: bool) -> None:
         """Resumes (`on`) or pauses reading the response."""
-        if self.transport is not None:
-            if on:
-                self.transport.resume_reading()
-            else:
-                self.transport.pause_reading()
+        self.has_room = on
+        if on:
+            self.resume_reading()
+        elif self.transport is not None:
+            self.transport.pause_reading()
+
+    def wants_input(self) -> bool:
+        """Whether there is room for what is read."""
+        return self.has_room
 
     def is_input_empty(self) -> bool:
         """Whether the server has neither sent anything since its last response nor closed the connection.
@@ -216,7 +231,8 @@
         if has_surplus:
             self._note_surplus(0.0)
         if self.transport is not None and self.is_reusable and not has_surplus:
-            self.transport.resume_reading()
+            self.has_room = True
+            self.resume_reading()
             self.server.release(self)
         else:
             self.close()
@@ -249,6 +265,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called with a field of the head or the trailer."""
+        self.field_count += 1
+        if self.field_count > MAX_FIELDS:
+            raise InvalidResponseError(f"more than {MAX_FIELDS} fields")
         name = name.lower()
         if name == b"content-length" and name in self.headers:
             raise InvalidResponseError("two Content-Length fields")
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -17,6 +17,7 @@
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange
+from ..net.bounded_reads import ReadTurns
 from .connection_opener import ConnectionOpener, GroupConnectionRequest
 from .http1 import Http1Connection
 from .protocol_fields import HEALTH_CHECK_PATH
@@ -65,7 +66,8 @@
         self.connection_factory = connection_factory
         self.servers: dict[str, UpstreamServer] = {}
         self.configure(config)
-        self.open_connections: set[asyncio.Protocol] = set()
+        self.open_connections: set[asyncio.BaseProtocol] = set()
+        self.read_turns = ReadTurns()
         self.opener = ConnectionOpener(self)
         self.waiting: deque[ConnectionRequest | GroupConnectionRequest] = deque()
         self.groups: list[ConnectionGroup] = []
--- a/gladewalk/upstream/protocol_fields.py
+++ b/gladewalk/upstream/protocol_fields.py
@@ -12,6 +12,7 @@
 AUTHORITY = "app.svc"
 HEALTH_CHECK_PATH = "/load"
 MAX_HEAD_BYTES = 16 * 1024  # of a response's head, together with interim responses before it
+MAX_FIELDS = 100  # of a response's head and trailer, together with interim responses before it
 DETAIL_BY_REMARK = dict(
     zip(
         (
--- a/gladewalk/upstream/work_items.py
+++ b/gladewalk/upstream/work_items.py
@@ -10,6 +10,7 @@
 from ..core.counters import Counters
 from ..core.deadlines import DeadlineKey, Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange
+from ..net.bounded_reads import ReadTurns
 
 
 class HealthCheck:
@@ -60,7 +61,11 @@
         """The program's timers."""
 
     @property
-    def open_connections(self) -> set[asyncio.Protocol]:
+    def read_turns(self) -> ReadTurns:
+        """Where connections wait for their turns to read."""
+
+    @property
+    def open_connections(self) -> set[asyncio.BaseProtocol]:
         """Every open connection of the pool; a connection adds and removes itself."""
 
     def clock(self) -> float:
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -196,7 +196,8 @@
         if has_surplus:
             self._note_surplus(0.0)
         if self.transport is not None and self.is_reusable and not has_surplus:
-            self.transport.resume_reading()
+            self.has_room = True
+            self.resume_reading()
             self.server.release(self)
         else:
             self.close()
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -15,8 +15,10 @@
 from ..core.deadlines import Deadlines
 from ..core.exchange import ClientRequest, FinalAnswer, ResponseHead
 from ..net.clients import ClientFront
-from ..net.connection import LAST_CHUNK, ClientConnection, encode_chunk
+from ..net.connection import ClientConnection
+from ..net.request_reader import FIELD_BYTES
 from ..net.requests import BadRequestError
+from ..net.response_encoding import LAST_CHUNK, encode_chunk
 from ..nginx.errors import MalformedRequestError
 from ..nginx.hosts import normalise_optional_host
 from ..nginx.landing import CLOSE_CONNECTION, Landing
@@ -65,6 +67,8 @@
         upstream_exchange: The exchange of the open request.
     """
 
+    keeps_all_fields = True
+
     def __init__(self, front: ClientFront) -> None:
         super().__init__(front)
         self.http_front = cast(HttpFront, front)
@@ -76,16 +80,21 @@
 
     # Reading.
 
-    def on_message_begin(self) -> None:
-        """Prepares for the fields of a new request."""
-        super().on_message_begin()
-        self.all_fields = []
-
     def on_header(self, name: bytes, value: bytes) -> None:
         """Records a field of the head or the trailer."""
         super().on_header(name, value)
         self.all_fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
+    def forget_request(self) -> None:
+        """Keeps nothing of a request that was read or rejected."""
+        super().forget_request()
+        self.all_fields = []
+
+    def request_bytes(self, request: ClientRequest) -> int:
+        """Returns about how much memory a read request takes, its fields included."""
+        assert isinstance(request, RoutedRequest)
+        return len(request.body) + len(request.fields) * FIELD_BYTES
+
     def _read_request(self) -> ClientRequest | int:
         """Returns the complete request with its landing.
 
@@ -106,7 +115,7 @@
             target = parse_target(raw_target, server.row.merge_slashes)
         except MalformedRequestError as error:
             raise BadRequestError(400) from error
-        body = b"".join(self.body_pieces)
+        body = bytes(self.body)
         fields = self._joined_fields()
         fields["content-length"] = str(len(body))
         peer = self.transport.get_extra_info("peername") if self.transport is not None else None
@@ -227,7 +236,7 @@
         """Writes a server's complete, buffered response."""
         self.start_response(head)
         self.write_body(body)
-        self._await_sent(on_sent)
+        self.front.unsent_responses.add(self.transport, len(body), on_sent)
         self._response_finished()
 
     def start_response(self, head: ResponseHead) -> None:
--- a/tests/test_golden_upstream.py
+++ b/tests/test_golden_upstream.py
@@ -20,6 +20,7 @@
 from gladewalk.core.counters import Counters
 from gladewalk.core.exchange import Attempt, AttemptResult, ClientRequest, OpenRequest, ResponseHead
 from gladewalk.core.request_log import RequestLog
+from gladewalk.net.bounded_reads import ReadTurns
 from gladewalk.upstream.connection_group import ConnectionGroup
 from gladewalk.upstream.http1 import Http1Connection, encode_health_check
 from gladewalk.upstream.http2 import Http2Connection
@@ -112,6 +113,7 @@
         self.exchange.request_log = RequestLog(self.clock, self.counters)
         self.reuse_delay = ReuseDelay()
         self.open_connections: set[Any] = set()
+        self.read_turns = ReadTurns()
         self.idle: list[Any] = []
         self.pool, self.address, self.name, self.is_removed = self, ("127.0.0.1", 1), "c1", False
         self.group: Any = None
--- a/tests/test_http2_flow_control.py
+++ b/tests/test_http2_flow_control.py
@@ -43,9 +43,11 @@
         reader, writer = await rehearsal.connect()
         exchange = director_of(rehearsal).exchange
         buffered = ResponseBuffer(
-            ResponseHead(False, 1, None), reserved_bytes=exchange.response_budget.limit_bytes
+            ResponseHead(False, 1, None), reserved_bytes=exchange.memory.responses.limit_bytes
         )
-        exchange.response_budget.used_bytes = buffered.reserved_bytes  # the budget has no room for a response
+        exchange.memory.responses.used_bytes = (
+            buffered.reserved_bytes
+        )  # the budget has no room for a response
         writer.write(encode_request("/invoke/lot-video/1"))
         await wait_until(lambda: bool(exchange.response_budget.waiting))
         ((attempt, response),) = exchange.response_budget.waiting.items()
@@ -56,7 +58,7 @@
         exchange.response_budget.release(buffered)
         await reader.readuntil(b"\r\n\r\n")
         assert len(await reader.readexactly(240_000)) == 240_000
-        assert (attempt.response, exchange.response_budget.used_bytes) == (None, 0)
+        assert (attempt.response, exchange.memory.responses.used_bytes) == (None, 0)
         writer.close()
 
 
--- /dev/null
+++ b/tests/test_input_bounds.py
@@ -0,0 +1,116 @@
+"""What a director holds of its clients' input, over all connections, and what it rejects beyond that."""
+
+import asyncio
+
+import pytest
+
+from gladewalk.limits.memory_plan import BYTES_PER_MB, TARGET_FRACTION, plan_memory
+from gladewalk.net.bounded_reads import READ_BYTES
+from gladewalk.net.request_reader import MAX_BLANK_BYTES, MAX_FIELDS
+from gladewalk.rehearsal.director_harness import wait_until
+from gladewalk.rehearsal.http_messages import encode_request, read_message
+from gladewalk.rehearsal.scripted_servers import ScriptedServer
+
+from .server_scripts import hit, running
+
+BODY = b"x" * 40_000
+OPEN_WRITE = encode_request("/invoke/bid/b1", "PUT")[:-2] + b"Content-Length: 60000\r\n\r\n"
+
+
+def servers() -> list[ScriptedServer]:
+    return [ScriptedServer(hit), ScriptedServer(hit, uid="o", model="origin", zone="north")]
+
+
+def test_a_large_write_in_two_pieces_gets_one_response() -> None:
+    """Guards against counting a body's second piece as empty lines."""
+
+    async def scenario() -> tuple[list[int], bytes]:
+        async with running(*servers()) as (harness, _):
+            reader, writer = await harness.connect()
+            statuses = []
+            for number in (1, 2):
+                request = encode_request(f"/invoke/bid/b{number}", "PUT", body=BODY, trace=f"{number:016x}")
+                writer.write(request[:50])
+                await asyncio.sleep(0.05)
+                writer.write(request[50:])
+                statuses.append((await read_message(reader)).status)
+            await asyncio.sleep(0.05)
+            writer.write_eof()
+            return statuses, await reader.read()
+
+    assert asyncio.run(scenario()) == ([200, 200], b"")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\r\n" * MAX_BLANK_BYTES, 400),
+        (OPEN_WRITE[:-2] + b"".join(b"f%d: x\r\n" % number for number in range(MAX_FIELDS)), 431),
+    ],
+)
+def test_input_that_costs_more_than_its_bytes_is_rejected(data: bytes, status: int) -> None:
+    async def scenario() -> tuple[int, int]:
+        async with running(*servers()) as (harness, director):
+            reader, writer = await harness.connect()
+            writer.write(data)
+            return (await read_message(reader)).status, director.counters[f"clients.bad_input_{status}"]
+
+    assert asyncio.run(scenario()) == (status, 1)
+
+
+def test_the_largest_unfinished_write_is_rejected_first_when_input_takes_too_much_memory() -> None:
+    async def scenario() -> tuple[int, str, int, list[int]]:
+        async with running(*servers()) as (harness, director):
+            account = director.exchange.memory.client_input
+            account.limit_bytes = 3 * len(BODY)
+            large_reader, large = await harness.connect()
+            large.write(OPEN_WRITE + b"x" * 59_000)
+            await wait_until(lambda: account.used_bytes >= 59_000)
+            small_reader, small = await harness.connect()
+            small.write(encode_request("/invoke/bid/b2", "PUT", body=BODY, trace=f"{2:016x}")[:-1])
+            await wait_until(lambda: account.used_bytes >= 59_000 + len(BODY) - 1)
+            other_reader, other = await harness.connect()
+            other.write(encode_request("/invoke/bid/b3", "PUT", body=BODY, trace=f"{3:016x}")[:-1])
+            rejected = await read_message(large_reader)
+            small.write(b"x")
+            other.write(b"x")
+            served = [(await read_message(reader)).status for reader in (small_reader, other_reader)]
+            await wait_until(lambda: not account.used_bytes)
+            count = director.counters["clients.rejected_for_memory"]
+            return (rejected.status, rejected.headers["retry-after"], count, served)
+
+    assert asyncio.run(scenario()) == (503, "1", 1, [200, 200])
+
+
+def test_one_read_of_a_flooding_client_is_bounded() -> None:
+    async def scenario() -> int:
+        async with running(*servers()) as (harness, director):
+            sizes: list[int] = []
+            connection_type = director.front.connection_type
+
+            class Watched(connection_type):  # type: ignore[misc, valid-type]
+                def data_received(self, data: bytes) -> None:
+                    sizes.append(len(data))
+                    super().data_received(data)
+
+            director.front.connection_type = Watched
+            reader, writer = await harness.connect()
+            writer.write(encode_request("/invoke/bid/b1", "PUT", body=BODY))
+            await read_message(reader)
+            return max(sizes)
+
+    assert asyncio.run(scenario()) <= READ_BYTES
+
+
+@pytest.mark.parametrize("process_count", [1, 2])
+@pytest.mark.parametrize("descriptors", [64, 256, 1_024, 4_096])
+@pytest.mark.parametrize("memory_mb", [32, 48, 64, 96, 192, 2_048])
+def test_the_shares_of_the_memory_fit_its_target(
+    memory_mb: int, descriptors: int, process_count: int
+) -> None:
+    plan = plan_memory(memory_mb, descriptors, process_count)
+    shares = plan.client_input_bytes + plan.response_bytes + plan.feed_line_bytes
+    assert plan.target_bytes * process_count <= TARGET_FRACTION * memory_mb * BYTES_PER_MB
+    assert 8 <= plan.client_connections <= descriptors // 3
+    if memory_mb / process_count >= 64:
+        assert 30 * BYTES_PER_MB + shares <= plan.target_bytes
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -108,7 +108,7 @@
             counters = director.counters
             assert (status, body, counters["answers.refused"]) == (503, b"", 1)
             assert counters["attempts.reset"] == len(cache.received) > 1  # it was retried
-            assert director.exchange.response_budget.used_bytes == 0
+            assert director.exchange.memory.responses.used_bytes == 0
 
     async def test_a_write_with_a_truncated_response_fails_and_is_not_retried(self) -> None:
         cache, origin = ScriptedServer(reset_mid_body), ScriptedServer(reset_mid_body, "o", "origin", "north")
