Bound what one peer's input costs the others in time, and what dead connections keep

Cause, by trace: a transport reads its socket up to 32 times 256 KB in one loop iteration; first reads of hundreds of clients fell into one iteration (a timer was 198 ms late); all waiting connections were accepted and set up in one callback, also those that had closed already, so that a caller waited behind a thousand of them. Besides, a connection and its parser refer to each other, and a variable of the parsing function to its own traceback: each broken connection kept its input until the next collection, which is rare here (one flooding connection of health checks took the version before past 192 MB, where the platform kills the process).

Change: full reads of one iteration have 3 ms together; what was read beyond waits for its connection's turn. Accepting has 3 ms of an iteration; a connection that was closed unused is closed at once (clients.left_unused). A connection whose client has left is ended at its turn. The cycles are cut when a connection ends.

--- a/benchmarks/hostile/flood.py
+++ b/benchmarks/hostile/flood.py
@@ -30,7 +30,8 @@
 
 def _repeat(start: bytes, piece: bytes) -> Pieces:
     def pieces() -> Iterator[bytes]:
-        yield start
+        if start:
+            yield start
         yield from itertools.repeat(piece * (PIECE_BYTES // len(piece)))
 
     return pieces
--- a/gladewalk/net/bounded_reads.py
+++ b/gladewalk/net/bounded_reads.py
@@ -9,17 +9,38 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from abc import abstractmethod
 from collections import deque
 
 READ_BYTES = 16 * 1024
 
 
+FULL_READS_MS = 3.0  # time for full reads in one event-loop iteration, until further ones wait for their turn
+
+
 class ReadTurns:
-    """The connections that wait for their turn to read."""
+    """The connections that wait for their turn to read, and the time that full reads take."""
 
     def __init__(self) -> None:
         self._waiting: deque[BoundedReads] = deque()
+        self._used_s = 0.0
+        self._is_measuring = False
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether full reads have taken their time in this event-loop iteration."""
+        return self._used_s * 1_000.0 > FULL_READS_MS
+
+    def record_full_read(self, duration_s: float) -> None:
+        """Adds the time that a full read has taken."""
+        self._used_s += duration_s
+        if not self._is_measuring:
+            self._is_measuring = True
+            asyncio.get_running_loop().call_soon(self._end_iteration)
+
+    def _end_iteration(self) -> None:
+        self._used_s, self._is_measuring = 0.0, False
 
     def wait(self, connection: BoundedReads) -> None:
         """Has a connection wait for its turn; it is called by `continue_reading`."""
@@ -28,10 +49,10 @@
             asyncio.get_running_loop().call_soon(self._give_turn)
 
     def _give_turn(self) -> None:
-        self._waiting[0].take_turn()
-        self._waiting.popleft()
+        connection = self._waiting.popleft()
         if self._waiting:
             asyncio.get_running_loop().call_soon(self._give_turn)
+        connection.take_turn()
 
 
 class BoundedReads(asyncio.BufferedProtocol):
@@ -48,6 +69,7 @@
         self.transport: asyncio.Transport | None = None
         self.is_waiting_for_turn = False
         self._read_turns = read_turns
+        self._unhandled = b""  # a full read that waits for the connection's turn
 
     @abstractmethod
     def data_received(self, data: bytes) -> None:
@@ -57,15 +79,31 @@
     def wants_input(self) -> bool:
         """Whether the connection reads, apart from its turn."""
 
+    @property
+    def has_unhandled_read(self) -> bool:
+        """Whether something was read that waits for the connection's turn."""
+        return bool(self._unhandled)
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer that the transport reads into."""
         return self.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes on what was read; after a full read the connection waits for its turn."""
-        self.data_received(bytes(self.read_buffer[:nbytes]))
-        if nbytes == len(self.read_buffer):
-            self.wait_for_turn()
+        data = bytes(self.read_buffer[:nbytes])
+        if nbytes < len(self.read_buffer):
+            self.data_received(data)
+            return
+        if self._read_turns.is_exhausted:
+            self._unhandled = data
+        else:
+            self._handle_full_read(data)
+        self.wait_for_turn()
+
+    def _handle_full_read(self, data: bytes) -> None:
+        started_s = time.perf_counter()
+        self.data_received(data)
+        self._read_turns.record_full_read(time.perf_counter() - started_s)
 
     def wait_for_turn(self) -> None:
         """Pauses reading until the other connections that wait have had their turns."""
@@ -78,7 +116,12 @@
     def take_turn(self) -> None:
         """Continues to read."""
         self.is_waiting_for_turn = False
-        self.resume_reading()
+        data, self._unhandled = self._unhandled, b""
+        if data:
+            self._handle_full_read(data)
+            self.wait_for_turn()
+        else:
+            self.resume_reading()
 
     def resume_reading(self) -> None:
         """Has the transport read, unless the connection waits for its turn or wants no input."""
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import socket
 from collections.abc import Callable
 from functools import partial
@@ -18,15 +19,19 @@
 from .bounded_reads import ReadTurns
 from .connection import ClientConnection
 from .environment import Listener, open_listener
+from .input_limit import InputLimit
 from .read_turns import ReadIterations
+from .sockets import has_left_unused
 from .unsent_responses import UnsentResponses
 
 MAX_BODY_BYTES = 64 * 1024  # a write carries at most 48,000 bytes
 LISTEN_BACKLOG = 1024
+ACCEPT_BUDGET_MS = 3.0  # for accepting in one event-loop iteration; the others' input is read in between
 FIRST_BYTE_TIMEOUT_MS = 2_000.0  # the first byte of a request must be received by this long after the connect
 IDLE_TIMEOUT_MS = 4_500.0  # clients close idle connections after 4 s; the director closes the remaining ones
 LINGER_MS = 1_000.0  # how long input after the last response is discarded; a reset would lose the response
 EVICTION_GRACE_MS = 100.0  # a new connection has this long to send its first bytes before it may be evicted
+SLOW_REQUEST_MS = 500.0  # a request that takes longer to arrive may be rejected to make room for another
 EVICTION_CANDIDATES = 8  # how many connections of each state are examined for an eviction
 SWEEP_INTERVAL_MS = 100.0
 PAUSED_CHECK_INTERVAL_MS = 50.0  # interval of checks whether a paused client has disconnected
@@ -79,7 +84,7 @@
         self.read_iterations = ReadIterations(clock)
         self.read_turns = ReadTurns()
         self.unsent_responses = UnsentResponses(clock, deadlines)
-        self._is_freeing_memory = False
+        self.input_limit = InputLimit(exchange.memory.client_input, self.connections)
         self._setting_up: dict[asyncio.Task[object], ClientConnection] = {}
         self._paused: dict[ClientConnection, None] = {}  # while reading is paused, no event reports their end
 
@@ -102,14 +107,15 @@
             self.sweep()
 
     def accept(self) -> None:
-        """Accepts all waiting connections, up to the limit.
+        """Accepts waiting connections, up to the limit and for `ACCEPT_BUDGET_MS`; all of them at shutdown.
 
         The event loop's own server accepts one connection per iteration. With hundreds of simultaneous
         clients and iterations of several milliseconds, requests would stay unread past their deadlines. At
         the limit of descriptors accepting is paused, as the loop would spin on a readable listener.
         """
         self._accept_backoff.start_iteration()
-        while self._listener is not None:
+        end_ms = math.inf if self.is_closing else self.clock() + ACCEPT_BUDGET_MS
+        while self._listener is not None and self.clock() < end_ms:
             if self.descriptor_count >= self.connection_limit + SPARE_CONNECTIONS:
                 return self._pause_accepting()
             try:
@@ -121,7 +127,11 @@
                     return
                 continue
             self._accept_backoff.accepted()
-            self._set_up_connection(peer)
+            if has_left_unused(peer):
+                self.counters.add("clients.left_unused")
+                peer.close()
+            else:
+                self._set_up_connection(peer)
 
     def _handle_accept_error(self, error: OSError) -> bool:
         """Counts an error of `accept`; True if accepting was paused, as the error concerns the process."""
@@ -139,7 +149,7 @@
         loop = asyncio.get_running_loop()
         self.descriptor_count += 1
         if self.descriptor_count - self.evicted_count > self.connection_limit + SPARE_CONNECTIONS // 2:
-            self._evict_one()
+            self._make_room()
         try:
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:  # the connection is served without the option, or a read reports its end
@@ -157,8 +167,9 @@
 
     def _make_room(self) -> None:
         """Evicts connections while accepting is paused, as they would otherwise stay until they time out."""
-        while self.descriptor_count - self.evicted_count > self.connection_limit and self._evict_one():
-            pass
+        while self.descriptor_count - self.evicted_count > self.connection_limit:
+            if not self._evict_one() and not self._reject_slow_request():
+                return
 
     def _evict_one(self) -> bool:
         """Evicts the longest idle connection without an open or unread request; False if there is none."""
@@ -172,6 +183,17 @@
                     return True
         return False
 
+    def _reject_slow_request(self) -> bool:
+        """Rejects the largest of the oldest requests that take long to arrive; False if there is none."""
+        latest_ms = self.clock() - SLOW_REQUEST_MS
+        oldest = itertools.islice(self.awaiting, EVICTION_CANDIDATES)
+        slow = [one for one in oldest if one.can_reject_input() and one.request_began_ms < latest_ms]
+        if not slow:
+            return False
+        self.counters.add("clients.rejected_for_room")
+        max(slow, key=lambda connection: connection.charged_bytes).reject_input()
+        return True
+
     def _evict(self, connection: ClientConnection, reason: str) -> None:
         self._set_state(connection, None)
         if not connection.is_evicted:
@@ -268,22 +290,6 @@
         self.evicted_count -= connection.is_evicted
         self._resume_accepting()
 
-    def charge_input(self, change: int) -> None:
-        """Records a change of the memory that clients' input takes; over the limit, rejects the largest."""
-        account = self.exchange.memory.client_input
-        account.charge(change)
-        if self._is_freeing_memory or not account.is_over:
-            return
-        self._is_freeing_memory = True  # rejecting input changes the charge of its connection
-        while account.is_over and (largest := self._largest_input()) is not None:
-            largest.reject_input()
-        self._is_freeing_memory = False
-
-    def _largest_input(self) -> ClientConnection | None:
-        """Returns the connection with the most input that can be rejected; of equal ones the oldest."""
-        candidates = [connection for connection in self.connections if connection.can_reject_input()]
-        return max(candidates, key=lambda connection: connection.charged_bytes, default=None)
-
     def update_state(self, connection: ClientConnection) -> None:
         """Records whether a connection has an open request, awaits one or is idle."""
         if connection.open_number is not None or connection.pipelined:
--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -81,11 +81,12 @@
         self.forget_request()
         self.has_partial_request = False
         self._update_charge()
+        self.close_parser()
         self.front.connection_closed(self)
 
     def data_received(self, data: bytes) -> None:
         """Parses input, within limits, and submits a complete request."""
-        if self.is_ending:
+        if self.is_ending or self.parser is None:
             return
         is_delayed = self.front.read_iterations.may_be_delayed() or self._may_be_delayed
         self._may_be_delayed = False
@@ -104,6 +105,15 @@
         """Whether further requests are read now."""
         return not self.is_reading_paused
 
+    def take_turn(self) -> None:
+        """Continues to read, unless the client has left: what it sent before is not worth reading."""
+        if self.open_number is None and self.is_disconnected():
+            self.is_waiting_for_turn = False
+            self.front.counters.add("clients.left_unread")
+            self.abort("left_by_client")
+        else:
+            super().take_turn()
+
     def _update_charge(self) -> None:
         """Charges the memory that the client's input takes; over the limit, some input is rejected."""
         held = self.held_bytes()
@@ -113,7 +123,7 @@
             held += self.request_bytes(self.open_request)
         if held != self.charged_bytes:
             change, self.charged_bytes = held - self.charged_bytes, held
-            self.front.charge_input(change)
+            self.front.input_limit.charge(change)
 
     def request_bytes(self, request: ClientRequest) -> int:
         """Returns about how much memory a read request takes, beyond that of its connection."""
@@ -158,6 +168,7 @@
 
     def on_message_complete(self) -> None:
         """Adds the complete request to the queue of this connection, and keeps nothing else of it."""
+        assert self.parser is not None
         self.is_ending = not self.parser.should_keep_alive()
         self.has_partial_request, self.has_received_request = False, True
         try:
@@ -175,6 +186,7 @@
 
     def _read_request(self) -> ClientRequest | int:
         """Returns the complete request, or a status to respond with; raises `BadRequestError`."""
+        assert self.parser is not None
         url = httptools.parse_url(self.url)
         path, query = (url.path or b"").decode("latin-1"), (url.query or b"").decode("latin-1")
         method = self.parser.get_method().decode("latin-1")
@@ -201,7 +213,9 @@
 
     def is_input_empty(self) -> bool:
         """Whether there is no unread input from the client."""
-        return self._has_ended() or self.socket_poll is None or not self.socket_poll.poll(0)
+        if self._has_ended() or self.socket_poll is None:
+            return True
+        return not self.has_unhandled_read and not self.socket_poll.poll(0)
 
     def is_disconnected(self) -> bool:
         """Whether the client has disconnected, even if its last input is still unread.
--- a/gladewalk/net/connection_owner.py
+++ b/gladewalk/net/connection_owner.py
@@ -9,6 +9,7 @@
 from ..core.exchange import ClientRequest, Exchange
 from ..core.readiness import Readiness
 from .bounded_reads import ReadTurns
+from .input_limit import InputLimit
 from .read_turns import ReadIterations
 from .unsent_responses import UnsentResponses
 
@@ -28,9 +29,7 @@
     read_iterations: ReadIterations
     read_turns: ReadTurns
     unsent_responses: UnsentResponses
-
-    def charge_input(self, change: int) -> None:
-        """Records that a connection's input takes so many bytes more (or fewer) of memory."""
+    input_limit: InputLimit
 
     def connection_opened(self, connection: Connection) -> None:
         """Registers a connection whose transport has been made."""
--- a/gladewalk/net/request_reader.py
+++ b/gladewalk/net/request_reader.py
@@ -43,7 +43,7 @@
     """Whether fields are kept that the platform's protocol does not know."""
 
     def __init__(self, limits: ReadLimits) -> None:
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.has_partial_request = self.has_complete_head = False
         self.request_began_ms = 0.0
         self.url, self.read_bytes = b"", 0
@@ -57,8 +57,9 @@
     def parse(self, data: bytes) -> int | None:
         """Parses a piece of input; returns a 4xx status if it is invalid or over a limit.
 
-        No further input may be parsed then.
+        No further input may be parsed then, nor after `close_parser`.
         """
+        assert self.parser is not None
         in_head = self.has_partial_request and not self.has_complete_head
         self.framing_bytes += len(data)
         self.blank_bytes = 0 if self.has_partial_request else self.blank_bytes + len(data)
@@ -69,16 +70,20 @@
         except BadRequestError as error:
             return error.status
         except httptools.HttpParserCallbackError as error:
-            cause = error.__context__ or error.__cause__
-            if not isinstance(cause, BadRequestError):
+            status = _status_of(error)
+            if status is None:
                 raise
-            return cause.status
+            return status
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return 400
         if self.has_partial_request and self.framing_bytes > MAX_FRAMING_BYTES:
             return 413
         return 400 if self.blank_bytes > MAX_BLANK_BYTES and not self.has_partial_request else None
 
+    def close_parser(self) -> None:
+        """Drops the parser, which refers to its reader: the cycle would stay until the next collection."""
+        self.parser = None
+
     def held_bytes(self) -> int:
         """Returns about how much memory the request that is being read takes."""
         if not self.has_partial_request:
@@ -142,3 +147,12 @@
         self.read_bytes += count
         if self.read_bytes > maximum:
             raise BadRequestError(status)
+
+
+def _status_of(error: httptools.HttpParserCallbackError) -> int | None:
+    """Returns the status of an invalid request that a callback has found; None for any other error.
+
+    A variable of `parse` that held the cause would form a cycle with its traceback, and keep the input.
+    """
+    cause = error.__context__ or error.__cause__
+    return cause.status if isinstance(cause, BadRequestError) else None
--- a/gladewalk/net/sockets.py
+++ b/gladewalk/net/sockets.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import struct
+from collections.abc import Callable
 from typing import Protocol
 
 from uvloop.loop import TCPTransport  # type: ignore[attr-defined]  # missing in its stubs
@@ -60,6 +61,19 @@
     return any(events & PEER_CLOSED_EVENTS for _, events in poll.poll(0))
 
 
+def has_left_unused(peer: socket.socket) -> bool:
+    """Whether the peer of an accepted connection has closed or reset it without having sent anything."""
+    peek: Callable[..., bytes] | None = getattr(peer, "recv", None)  # an in-memory connection has no socket
+    if peek is None:
+        return False
+    try:
+        return not peek(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def write_now(transport: asyncio.Transport, data: bytes) -> None:
     """Writes as much data as the system accepts before returning; the transport buffers the rest.
 
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -95,7 +95,7 @@
     def __init__(self, server: Http1Server) -> None:
         super().__init__(server.pool.read_turns)
         self.server, self.pool, self.address = server, server.pool, server.address
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.item: WorkItem | None = None
         self.released_ms = self.idle_until_ms = self.reused_after_ms = 0.0
         self.last_trace_id = ""
@@ -119,6 +119,7 @@
         transport, self.transport = self.transport, None
         self.pool.open_connections.discard(self)
         self.server.forget(self)
+        self.parser = None  # it refers to the connection: the cycle would stay until the next collection
         item, self.item = self.item, None
         if item is not None:
             # An incompletely written request cannot have been processed; a complete one may have been.
@@ -174,13 +175,16 @@
 
         Unread bytes after a response would be taken for the next request's response.
         """
-        return self.transport is not None and not self.transport.is_closing() and not self.poll.poll(0)
+        if self.transport is None or self.transport.is_closing() or self.has_unhandled_read:
+            return False
+        return not self.poll.poll(0)
 
     def data_received(self, data: bytes) -> None:
         """Parses a piece of the response and forwards what is valid of it."""
         if self.item is None:  # without a request in flight, a correct server sends nothing
             self._note_surplus(self.pool.clock() - self.released_ms)
             return self.close()
+        assert self.parser is not None
         has_surplus = False
         self.framing_bytes += len(data)
         try:
@@ -275,6 +279,7 @@
 
     def on_headers_complete(self) -> None:
         """Called when the head is complete; rejects a body with an ambiguous end (RFC 9112, section 6.3)."""
+        assert self.parser is not None
         self.status = self.parser.get_status_code()
         if self.status < 200:
             return
@@ -301,6 +306,7 @@
 
     def on_message_complete(self) -> None:
         """Called when a response is complete: the final one, or an interim one before it."""
+        assert self.parser is not None
         if self.status < 200:
             self.headers = {}
         else:
--- a/gladewalk/web/connection.py
+++ b/gladewalk/web/connection.py
@@ -135,6 +135,7 @@
 
     def on_headers_complete(self) -> None:
         """Decides, at the end of the head, how the body ends and whether the response is forwarded."""
+        assert self.parser is not None
         self.status = self.parser.get_status_code()
         if self.status < FIRST_FINAL_STATUS:
             if self.status == SWITCHING_PROTOCOLS:  # no upgrade was requested
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -101,6 +101,7 @@
         Raises:
             BadRequestError: The request is malformed or its method is not supported.
         """
+        assert self.parser is not None
         method = self.parser.get_method().decode("latin-1")
         raw_target, raw_host = self._split_target()
         version = self.parser.get_http_version()
--- a/tests/test_input_bounds.py
+++ b/tests/test_input_bounds.py
@@ -1,11 +1,16 @@
 """What a director holds of its clients' input, over all connections, and what it rejects beyond that."""
 
 import asyncio
+import gc
+import socket
+import time
+import weakref
 
 import pytest
 
 from gladewalk.limits.memory_plan import BYTES_PER_MB, TARGET_FRACTION, plan_memory
 from gladewalk.net.bounded_reads import READ_BYTES
+from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS, SPARE_CONNECTIONS
 from gladewalk.net.request_reader import MAX_BLANK_BYTES, MAX_FIELDS
 from gladewalk.rehearsal.director_harness import wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
@@ -102,6 +107,65 @@
     assert asyncio.run(scenario()) <= READ_BYTES
 
 
+@pytest.mark.parametrize("data", [b"GET /x HTTP/1.1\r\nbroken", b"\r\n" * MAX_BLANK_BYTES, OPEN_WRITE])
+def test_a_closed_connection_leaves_nothing_to_the_garbage_collector(data: bytes) -> None:
+    """Guards against reference cycles, which keep the input of thousands of connections for a while."""
+
+    async def scenario() -> list[object]:
+        async with running(*servers()) as (harness, director):
+            _, writer = await harness.connect()
+            writer.write(data)
+            await wait_until(lambda: len(director.front.connections) == 1)
+            seen = [weakref.ref(connection) for connection in director.front.connections]
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+            await wait_until(lambda: not director.front.connections)
+            await asyncio.sleep(0.05)
+            return [one() for one in seen]
+
+    gc.disable()
+    try:
+        assert asyncio.run(scenario()) == [None]
+    finally:
+        gc.enable()
+
+
+def test_connections_full_of_slow_requests_make_room_for_another_request() -> None:
+    async def scenario() -> tuple[int, int]:
+        async with running(*servers()) as (harness, director):
+            front = director.front
+            connection_type = front.connection_type
+
+            class Sending(connection_type):  # type: ignore[misc, valid-type]
+                def is_input_empty(self) -> bool:
+                    return not self.has_partial_request and super().is_input_empty()
+
+            front.connection_type = Sending
+            for _ in range(front.connection_limit + SPARE_CONNECTIONS):
+                _, writer = await harness.connect()
+                writer.write(OPEN_WRITE + b"x")
+            await wait_until(lambda: not front._is_accepting)
+            started_s = time.monotonic()
+            status, _, _ = await harness.fetch()
+            assert time.monotonic() - started_s < FIRST_BYTE_TIMEOUT_MS / 1000.0
+            return status, min(1, front.counters["clients.rejected_for_room"])
+
+    assert asyncio.run(scenario()) == (200, 1)
+
+
+def test_a_connection_that_was_closed_unused_takes_no_place() -> None:
+    async def scenario() -> tuple[int, int]:
+        async with running(*servers()) as (harness, director):
+            front = director.front
+            for _ in range(20):
+                socket.create_connection(front.address).close()
+            await wait_until(lambda: front.counters["clients.left_unused"] == 20)
+            assert (await harness.fetch())[0] == 200
+            return front.descriptor_count, front.counters["clients.connected"]
+
+    assert asyncio.run(scenario())[1] == 1
+
+
 @pytest.mark.parametrize("process_count", [1, 2])
 @pytest.mark.parametrize("descriptors", [64, 256, 1_024, 4_096])
 @pytest.mark.parametrize("memory_mb", [32, 48, 64, 96, 192, 2_048])
