Remember the id of a write that must not be repeated, so that it runs once

Cause: what may have run was remembered per open request, and per key for keyed classes alone. A request that comes again under its id is a new request to the decision module, which knew nothing of the attempt of the first one.

--- a/gladewalk/core/exchange_types.py
+++ b/gladewalk/core/exchange_types.py
@@ -153,6 +153,7 @@
             is_client_retry=request.is_retry,
             is_write=request.method == "PUT",
             idempotency_key=request.idempotency_key,
+            trace_id=request.trace_id,
         )
 
 
--- a/gladewalk/interface/events.py
+++ b/gladewalk/interface/events.py
@@ -109,6 +109,7 @@
     is_client_retry: bool = False
     is_write: bool = False
     idempotency_key: str = ""  # the same in all of a client's retries of one keyed request; empty: unknown
+    trace_id: str = ""  # new with each request; the same if a request is sent again as it was; empty: unknown
 
 
 @dataclass(slots=True)
--- a/gladewalk/policy/routing.py
+++ b/gladewalk/policy/routing.py
@@ -51,7 +51,7 @@
         state.estimates.record_request(request, request_class)
         self._retries.budget.deposit()
         pending = state.pending[request.id] = PendingRequest(request, request_class, state.now_ms)
-        state.executions.start(pending, state.now_ms)
+        state.executions.recall(pending, state.now_ms)
         # While the origin fails no fill completes in time, but a stale copy can be served.
         pending.accepts_stale = request_class.stale_grace_ms > 0 and not self._health.may_reach_origin()
         transfer_ms = state.estimates.transfer_ms(pending)
--- a/gladewalk/registry/execution_log.py
+++ b/gladewalk/registry/execution_log.py
@@ -1,4 +1,9 @@
-"""Where keyed requests may have run: per pending request and, across requests, per idempotency key."""
+"""Where writes may have run: per pending request and, across requests, per idempotency key or id.
+
+A keyed request is known by its key, which all retries of its client carry. A request of a class that must not
+be repeated is known by its id: it comes again under the same id where a client sends it on another connection
+because the first one ended.
+"""
 
 from __future__ import annotations
 
@@ -15,37 +20,45 @@
 
     def __init__(self) -> None:
         self._keys: IdempotencyKeys[api.Server] = IdempotencyKeys()
+        self._ids: IdempotencyKeys[api.Server] = IdempotencyKeys()
 
-    def start(self, pending: PendingRequest, now_ms: float) -> None:
-        """Initialize a request with the first execution of earlier requests with the same idempotency key."""
-        if _is_keyed(pending):
-            pending.first_execution = self._keys.first_execution(pending.request.idempotency_key, now_ms)
+    def recall(self, pending: PendingRequest, now_ms: float) -> None:
+        """Give a request the first execution of earlier requests that have its key or id, if it has none."""
+        table, name = self._identity(pending)
+        if name and pending.first_execution is None and not pending.in_flight:
+            pending.first_execution = table.first_execution(name, now_ms)
 
     def has_room(self, pending: PendingRequest, now_ms: float) -> bool:
         """Whether a send of this request can be recorded; true for requests whose sends are not recorded."""
-        return not _is_keyed(pending) or self._keys.has_room(pending.request.idempotency_key, now_ms)
+        table, name = self._identity(pending)
+        return not name or table.has_room(name, now_ms)
 
     def record_sent(self, pending: PendingRequest, endpoint: api.Server, now_ms: float) -> None:
         """Record that an attempt is sent and may run from now on.
 
-        Its key is kept for the window in which the class's repeats are dropped, and for the deadline of a
-        retry that arrives at the end of this window.
+        Its key or id is kept for the window of the class, in which repeats of a key are dropped, and for the
+        deadline of a request that arrives at the end of this window.
         """
-        if _is_keyed(pending):
+        table, name = self._identity(pending)
+        if name:
             request_class = pending.request_class
             retention_ms = request_class.deduplication_window_ms + request_class.deadline_ms
-            self._keys.record_sent(pending.request.idempotency_key, now_ms, endpoint, retention_ms)
+            table.record_sent(name, now_ms, endpoint, retention_ms)
 
     def record_outcome(self, status: Status, attempt: Attempt, pending: PendingRequest) -> None:
         """Record by the status of an ended attempt whether it has not run or may have run."""
         if status in NOT_RUN_STATUSES:
-            key = pending.request.idempotency_key
-            self._keys.record_not_run(key, attempt.sent_ms, attempt.endpoint)
+            table, name = self._identity(pending)
+            table.record_not_run(name, attempt.sent_ms, attempt.endpoint)
         elif pending.first_execution is None:
             pending.first_execution = PossibleExecution(attempt.sent_ms, attempt.endpoint)
 
-
-def _is_keyed(pending: PendingRequest) -> bool:
-    """Whether the request's class is keyed and its client has given a key."""
-    is_keyed_class = pending.request_class.idempotency is Idempotency.KEYED
-    return is_keyed_class and bool(pending.request.idempotency_key)
+    def _identity(self, pending: PendingRequest) -> tuple[IdempotencyKeys[api.Server], str]:
+        """Returns what a request is known by, and the table of it; empty: its sends are not recorded."""
+        match pending.request_class.idempotency:
+            case Idempotency.KEYED:
+                return self._keys, pending.request.idempotency_key
+            case Idempotency.NON_IDEMPOTENT:
+                return self._ids, pending.request.trace_id
+            case _:
+                return self._keys, ""
--- a/tests/test_idempotency_keys.py
+++ b/tests/test_idempotency_keys.py
@@ -81,3 +81,55 @@
         environment.end_attempt(sent, api.Status.OK, after_ms=0.0)
     assert isinstance(send_keyed_write(environment, "k2")[0], api.Fetch)
     assert_retry_is_not_sent(environment, KEYED.deduplication_window_ms)
+
+
+ONCE = replace(
+    KEYED, name="once", idempotency=api.Idempotency.NON_IDEMPOTENT, deduplication_window_ms=5_000.0
+)
+RETENTION_MS = ONCE.deadline_ms + ONCE.deduplication_window_ms
+NOT_RUN = (api.Status.REJECTED, api.Status.CONNECT_FAILED, api.Status.NOT_SENT, api.Status.MISS)
+
+
+def send_once(environment: DispatcherEnvironment, trace_id: str) -> list[Any]:
+    return send_other(environment, "once", "", is_write=True, trace_id=trace_id)
+
+
+@pytest.mark.parametrize("status", [None, *(status for status in api.Status if status not in NOT_RUN)])
+def test_a_write_that_may_have_run_is_not_sent_again_under_its_id(status: api.Status | None) -> None:
+    # Guards against a second execution when a write comes again on another connection.
+    environment = DispatcherEnvironment(classes=(ONCE,), max_attempts=1)
+    (first,) = send_once(environment, "a")
+    if status is not None:
+        environment.end_attempt(first, status, after_ms=100.0)
+    assert send_once(environment, "a") == [api.Fail(environment.next_id)]
+    assert isinstance(send_once(environment, "b")[0], api.Fetch)
+
+
+@pytest.mark.parametrize("status", NOT_RUN)
+def test_a_write_that_did_not_run_is_sent_again_under_its_id(status: api.Status) -> None:
+    environment = DispatcherEnvironment(classes=(ONCE,), max_attempts=1)
+    (first,) = send_once(environment, "a")
+    environment.end_attempt(first, status, after_ms=100.0)
+    assert isinstance(send_once(environment, "a")[0], api.Fetch)
+
+
+def test_an_id_is_kept_for_the_window_and_the_deadline_of_its_class() -> None:
+    environment = DispatcherEnvironment(classes=(ONCE,), max_attempts=1)
+    (first,) = send_once(environment, "a")
+    environment.end_attempt(first, ERROR, after_ms=0.0)
+    environment.sweep(after_ms=RETENTION_MS)
+    assert send_once(environment, "a") == [api.Fail(environment.next_id)]
+    environment.sweep(after_ms=1.0)
+    assert isinstance(send_once(environment, "a")[0], api.Fetch)
+
+
+def test_a_write_whose_id_can_not_be_remembered_is_rejected() -> None:
+    environment = DispatcherEnvironment(classes=(ONCE,), max_attempts=1)
+    for number in range(MAX_KEYS):
+        environment.end_attempt(send_once(environment, f"{number:x}")[0], api.Status.OK, after_ms=0.0)
+    assert [type(action) for action in send_once(environment, "one too many")] == [api.Reject]
+
+
+def test_requests_without_an_id_are_not_taken_for_each_other() -> None:
+    environment = DispatcherEnvironment(classes=(ONCE,), max_attempts=1)
+    assert all(isinstance(send_once(environment, "")[0], api.Fetch) for _ in range(2))
