Share between the two processes of a handover which writes may have run

Change: with an inherited listener (NODE_FD) a process makes a name in a folder of $TMPDIR, which both processes share, before it writes a write to a server. A write whose name another process has made is not sent (502), a keyed one only within the window of its first send. A name goes when nothing ran or its time is over. The decision module gets the earlier send with the request. Without NODE_FD nothing of this is loaded. Not known to a process: sends whose name could not be made (the folder is full or read-only; executions.share_failed): its own memory remains then.

--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -10,10 +10,12 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
 
 from .. import interface as api
 from ..config.platform import Address, PlatformConfig
 from ..policy import Dispatcher
+from ..registry.execution_log import NOT_RUN_STATUSES
 from .counters import Counters
 from .deadlines import Deadlines
 from .exchange_types import (
@@ -35,6 +37,9 @@
 from .response_buffer import ResponseBudget, ResponseBuffer
 from .server_maintenance import maintain_server
 
+if TYPE_CHECKING:  # loaded only where another process may serve as well
+    from .shared_executions import SharedExecutions
+
 __all__ = [
     "Attempt", "AttemptResult", "ClientRequest", "Exchange", "FinalAnswer", "OpenRequest", "ResolveResponder",
     "ResponseHead", "ResponseWriter", "UpstreamPool",
@@ -70,6 +75,7 @@
         self.final_deadlines = FinalDeadlines()
         self.buffered_requests: list[OpenRequest] | None = None  # accepted, not yet passed to the module
         self.request_log = RequestLog(clock, counters)
+        self.shared_executions: SharedExecutions | None = None  # with another process that may serve
         self.response_budget = ResponseBudget(self.memory.responses, self._set_reading)
 
     # Called by the client side.
@@ -121,7 +127,13 @@
         self.resolutions.release()
 
     def _pass_to_module(self, opened: OpenRequest, now: float) -> None:
-        self.handle_event(opened.to_event(now))
+        event = opened.to_event(now)
+        if self.shared_executions is not None:
+            event.earlier_execution = self.shared_executions.find(opened.request, self._class_of(opened))
+        self.handle_event(event)
+
+    def _class_of(self, opened: OpenRequest) -> api.RequestClass | None:
+        return self.dispatcher.state.classes.get(opened.request.class_name)
 
     def client_disconnected(self, number: int) -> None:
         """Ends a request whose client has disconnected: it gets no answer and its attempts are cancelled."""
@@ -158,6 +170,13 @@
             self.client_disconnected(opened.number)
         return not opened.is_answered and self.dispatcher.may_write(opened.number, attempt.number, now)
 
+    def claim_execution(self, attempt: Attempt) -> bool:
+        """Records that an attempt is written now; False if its request may run at another process."""
+        if self.shared_executions is None:
+            return True
+        opened = attempt.open_request
+        return self.shared_executions.claim(opened.request, self._class_of(opened), attempt.decision.server)
+
     def response_started(self, attempt: Attempt, head: ResponseHead) -> bool:
         """Begins to buffer a successful response; False if it is not needed and its attempt was cancelled."""
         opened = attempt.open_request
@@ -189,19 +208,9 @@
         self.request_log.note(opened, "attempt_ended", attempt.number, result.status.value)
         self._take_response(attempt, result.status)
         self._forget(opened)
-        self.handle_event(
-            api.Outcome(
-                id=opened.number,
-                attempt=attempt.number,
-                server=attempt.decision.server,
-                status=result.status,
-                elapsed_ms=self.clock() - attempt.started_ms,
-                is_answered=opened.is_answered,
-                detail=result.detail,
-                source_wait_ms=result.source_wait_ms,
-                load_report=result.load_report,
-            )
-        )
+        if self.shared_executions is not None and result.status in NOT_RUN_STATUSES:
+            self.shared_executions.withdraw(opened.request, self._class_of(opened))
+        self.handle_event(attempt.to_outcome(result, self.clock()))
 
     def _take_response(self, attempt: Attempt, status: api.Status) -> None:
         """Sends an ended attempt's response to the client if it is complete, otherwise discards it."""
--- a/gladewalk/core/exchange_types.py
+++ b/gladewalk/core/exchange_types.py
@@ -122,6 +122,21 @@
         None  # the part of the response received so far, once its head is complete
     )
 
+    def to_outcome(self, result: AttemptResult, now_ms: float) -> api.Outcome:
+        """Returns its end as the decision module gets it."""
+        opened = self.open_request
+        return api.Outcome(
+            id=opened.number,
+            attempt=self.number,
+            server=self.decision.server,
+            status=result.status,
+            elapsed_ms=now_ms - self.started_ms,
+            is_answered=opened.is_answered,
+            detail=result.detail,
+            source_wait_ms=result.source_wait_ms,
+            load_report=result.load_report,
+        )
+
 
 @dataclass(slots=True, eq=False)
 class OpenRequest:
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -91,6 +91,7 @@
 
         self.exchange = Exchange(config, clock, deadlines, counters, self._log_module_line)
         self.exchange.request_log.emit = self.log.info
+        self.exchange.shared_executions = parts.build_shared_executions(config, os.environ, counters)
         upstream_factory = parts.build_connection_factory(options)
         self.connection_pool = ConnectionPool(
             self.exchange, config, clock, deadlines, counters, upstream_factory
--- a/gladewalk/interface/__init__.py
+++ b/gladewalk/interface/__init__.py
@@ -24,6 +24,7 @@
 from .events import (
     SOURCE_RESPONSE_DETAILS,
     ClientDisconnected,
+    EarlierExecution,
     EndpointList,
     EndpointListKind,
     Event,
@@ -60,6 +61,7 @@
     "CloseIdle",
     "DeduplicationScope",
     "DetailLevel",
+    "EarlierExecution",
     "EndpointList",
     "EndpointListKind",
     "Event",
--- a/gladewalk/interface/events.py
+++ b/gladewalk/interface/events.py
@@ -94,6 +94,14 @@
     servers: tuple[Server, ...] = ()
 
 
+@dataclass(slots=True, frozen=True)
+class EarlierExecution:
+    """A send of a write by another process, which may have run."""
+
+    age_ms: float  # the time since the send
+    server: str  # where it was sent
+
+
 @dataclass(slots=True)
 class Request:
     """A client's request was received and needs a final answer."""
@@ -110,6 +118,7 @@
     is_write: bool = False
     idempotency_key: str = ""  # the same in all of a client's retries of one keyed request; empty: unknown
     trace_id: str = ""  # new with each request; the same if a request is sent again as it was; empty: unknown
+    earlier_execution: EarlierExecution | None = None  # at another process of this dispatcher
 
 
 @dataclass(slots=True)
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from .config.platform import PlatformConfig, load_config
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:  # at run time, parts that are not configured are not imported
     from .config.options import Options
     from .control.server import ControlServer
+    from .core.shared_executions import SharedExecutions
     from .dns.front import DnsFront
     from .dns.settings import DnsConfig
     from .duties.runner import TaskRunner
@@ -88,6 +90,18 @@
     return build_shared_tasks(name, options, exchange, caches, deadlines, counters)
 
 
+def build_shared_executions(
+    config: PlatformConfig, environ: Mapping[str, str], counters: Counters
+) -> SharedExecutions | None:
+    """Builds what two processes of a handover share of their writes, if there may be another process."""
+    folder = environ.get("TMPDIR")
+    if config.inherited_fd is None or not folder:
+        return None
+    from .core.shared_executions import FOLDER_PREFIX, SharedExecutions
+
+    return SharedExecutions(Path(folder) / (FOLDER_PREFIX + config.name.encode().hex()), counters)
+
+
 def build_web(
     options: Options | None,
     config: PlatformConfig,
--- a/gladewalk/registry/execution_log.py
+++ b/gladewalk/registry/execution_log.py
@@ -28,6 +28,12 @@
         if name and pending.first_execution is None and not pending.in_flight:
             pending.first_execution = table.first_execution(name, now_ms)
 
+    def recall_elsewhere(self, pending: PendingRequest, place: api.Server, now_ms: float) -> None:
+        """Give a request its first execution at another process, which sent it to `place`."""
+        earlier = pending.request.earlier_execution
+        if earlier is not None:
+            pending.first_execution = PossibleExecution(now_ms - earlier.age_ms, place)
+
     def has_room(self, pending: PendingRequest, now_ms: float) -> bool:
         """Whether a send of this request can be recorded; true for requests whose sends are not recorded."""
         table, name = self._identity(pending)
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -180,13 +180,20 @@
         """Sends a work item on an open connection, unless a drain or purge has forbidden it meanwhile."""
         if isinstance(item, Attempt):
             if not self.exchange.may_write(item):
-                if isinstance(connection, Http1Connection):
-                    connection.server.release(connection)
-                self.counters.add("attempts.held_back")
-                return self.finish(item, AttemptResult(api.Status.NOT_SENT))
+                return self._hold_back(connection, item, api.Status.NOT_SENT)
+            if not self.exchange.claim_execution(item):  # another process may have run it
+                return self._hold_back(connection, item, api.Status.CANCELLED)
             self.counters.add("attempts.written")
         connection.send(item)
 
+    def _hold_back(
+        self, connection: Http1Connection | Http2Connection, item: Attempt, status: api.Status
+    ) -> None:
+        if isinstance(connection, Http1Connection):
+            connection.server.release(connection)
+        self.counters.add("attempts.held_back")
+        self.finish(item, AttemptResult(status))
+
     def serve_waiting(self) -> None:
         """Assigns available connections to waiting work items, in the order in which they were queued."""
         while self.waiting:
--- a/tests/test_idempotency_keys.py
+++ b/tests/test_idempotency_keys.py
@@ -133,3 +133,25 @@
 def test_requests_without_an_id_are_not_taken_for_each_other() -> None:
     environment = DispatcherEnvironment(classes=(ONCE,), max_attempts=1)
     assert all(isinstance(send_once(environment, "")[0], api.Fetch) for _ in range(2))
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "is_sent"), [(KEYED.deduplication_window_ms - 100.0, True), (3_000.0, False)]
+)
+def test_a_keyed_write_that_another_process_sent_is_sent_within_its_window_alone(
+    age_ms: float, is_sent: bool
+) -> None:
+    environment = DispatcherEnvironment(classes=(KEYED,), max_attempts=1)
+    earlier = api.EarlierExecution(age_ms, environment.find_home(1))
+    actions = environment.send_request(1, is_write=True, idempotency_key="k", earlier_execution=earlier)
+    assert isinstance(actions[0], api.Fetch if is_sent else api.Fail)
+
+
+@pytest.mark.parametrize("server", ["a listed one", "an unknown one"])
+def test_a_write_that_another_process_sent_is_not_sent_again(server: str) -> None:
+    environment = DispatcherEnvironment(classes=(ONCE,), max_attempts=1)
+    name = environment.find_home(1) if server == "a listed one" else "unknown"
+    earlier = api.EarlierExecution(10.0, name)
+    environment.next_id += 1
+    request = api.Request(environment.next_id, "once", 1, 800.0, is_write=True, earlier_execution=earlier)
+    assert environment.handle_event(request) == [api.Fail(environment.next_id)]
