--- a/gladewalk/policy/retries.py
+++ b/gladewalk/policy/retries.py
@@ -34,8 +34,7 @@
             return False
         if pending.is_idempotent:
             return not pending.in_flight or self._state.settings.hedging
-        # Another request with its key or id may have been sent while this one waited.
-        self._state.executions.recall(pending, self._state.now_ms)
+        self._state.recall_executions(pending)  # its key or id may have been sent while it waited
         return not pending.in_flight and self.is_harmless(pending) and self._state.may_record(pending)
 
     def is_harmless(self, pending: PendingRequest, after_ms: float = 0.0) -> bool:
--- a/gladewalk/policy/routing.py
+++ b/gladewalk/policy/routing.py
@@ -51,7 +51,7 @@
         state.estimates.record_request(request, request_class)
         self._retries.budget.deposit()
         pending = state.pending[request.id] = PendingRequest(request, request_class, state.now_ms)
-        self._recall_executions(pending)
+        state.recall_executions(pending)
         # While the origin fails no fill completes in time, but a stale copy can be served.
         pending.accepts_stale = request_class.stale_grace_ms > 0 and not self._health.may_reach_origin()
         transfer_ms = state.estimates.transfer_ms(pending)
@@ -60,16 +60,6 @@
         else:
             self._route(pending)
 
-    def _recall_executions(self, pending: PendingRequest) -> None:
-        """Give a request what is known of earlier sends of it, here or by another process."""
-        state, earlier = self._state, pending.request.earlier_execution
-        if earlier is not None:
-            server = state.registry.get(earlier.server)
-            unknown_place = api.Server(earlier.server, Role.CACHE, zone="")
-            place = server.info if server is not None else unknown_place
-            state.executions.recall_elsewhere(pending, place, state.now_ms)
-        state.executions.recall(pending, state.now_ms)
-
     # Attempts.
 
     def _route(self, pending: PendingRequest) -> None:
--- a/gladewalk/registry/execution_log.py
+++ b/gladewalk/registry/execution_log.py
@@ -31,7 +31,7 @@
     def recall_elsewhere(self, pending: PendingRequest, place: api.Server, now_ms: float) -> None:
         """Give a request its first execution at another process, which sent it to `place`."""
         earlier = pending.request.earlier_execution
-        if earlier is not None:
+        if earlier is not None and pending.first_execution is None:
             pending.first_execution = PossibleExecution(now_ms - earlier.age_ms, place)
 
     def has_room(self, pending: PendingRequest, now_ms: float) -> bool:
--- a/gladewalk/registry/state.py
+++ b/gladewalk/registry/state.py
@@ -95,6 +95,16 @@
         """When the request's object was last purged; minus infinity if never."""
         return self.purges.last_ms(pending.request.key, pending.request.group)
 
+    def recall_executions(self, pending: PendingRequest) -> None:
+        """Give a request what is known of earlier sends of it, here or by another process."""
+        earlier = pending.request.earlier_execution
+        if earlier is not None:
+            server = self.registry.get(earlier.server)
+            unknown_place = api.Server(earlier.server, api.Role.CACHE, zone="")
+            place = server.info if server is not None else unknown_place
+            self.executions.recall_elsewhere(pending, place, pending.arrived_ms)
+        self.executions.recall(pending, self.now_ms)
+
     def may_record(self, pending: PendingRequest) -> bool:
         """Whether an attempt of the request can be recorded; else its retries could not be told from it."""
         return self.executions.has_room(pending, self.now_ms)
--- a/tests/test_idempotency_keys.py
+++ b/tests/test_idempotency_keys.py
@@ -142,7 +142,7 @@
     age_ms: float, is_sent: bool
 ) -> None:
     environment = DispatcherEnvironment(classes=(KEYED,), max_attempts=1)
-    earlier = api.EarlierExecution(age_ms, environment.find_home(1))
+    earlier = api.EarlierExecution(age_ms, environment.own_caches[0].info.name)
     actions = environment.send_request(1, is_write=True, idempotency_key="k", earlier_execution=earlier)
     assert isinstance(actions[0], api.Fetch if is_sent else api.Fail)
 
@@ -150,7 +150,7 @@
 @pytest.mark.parametrize("server", ["a listed one", "an unknown one"])
 def test_a_write_that_another_process_sent_is_not_sent_again(server: str) -> None:
     environment = DispatcherEnvironment(classes=(ONCE,), max_attempts=1)
-    name = environment.find_home(1) if server == "a listed one" else "unknown"
+    name = environment.own_caches[0].info.name if server == "a listed one" else "unknown"
     earlier = api.EarlierExecution(10.0, name)
     environment.next_id += 1
     request = api.Request(environment.next_id, "once", 1, 800.0, is_write=True, earlier_execution=earlier)
