Count a server as gone once another one is listed at its address

Cause: a server is known by its uid, its address only says where to connect. When a new server was listed at the address before the former one was listed as gone, both stayed ready, and requests for the former one reached the new one. Idle connections were kept when the list told of another start of a server's process.

Change: net/address_holders.py finds the servers whose addresses others have taken; the feed passes them on as gone (coordinator.addresses_taken). A server that moves, swaps or comes back is not affected, a draining one stays as it is. Idle connections of a server whose process has started again are closed.

Evidence: test_server_lives, three of six cases failed before: the former server was used and credited, a write with key scope `cell` ran at the successor of its cache, an idle connection to the former life was reused. All pass after; test_feed and the recorded feed bytes as before.

--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -35,7 +35,7 @@
 from .request_log import RequestLog
 from .resolutions import Resolutions
 from .response_buffer import ResponseBudget, ResponseBuffer
-from .server_maintenance import maintain_server
+from .server_maintenance import maintain_server, update_pool
 
 if TYPE_CHECKING:  # loaded only where another process may serve as well
     from .shared_executions import SharedExecutions
@@ -242,10 +242,7 @@
     ) -> None:
         """Applies a watch event: addresses go to the connection pool, servers to the module."""
         if self.upstreams is not None:
-            if event.kind is not api.EndpointListKind.DELTA:
-                self.upstreams.keep_only(addresses)
-            for name, address in addresses.items():
-                self.upstreams.set_address(name, address, models.get(name, ""))
+            update_pool(self.upstreams, self.dispatcher.state.registry, event, addresses, models)
         self.handle_event(event)
 
     def purge(self, event: api.Purge) -> None:
--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -13,6 +13,7 @@
 from ..core.clocks import InstantConverter, SteadyClock, UnixInstant, WallClock, read_wall_clock
 from ..core.counters import Counters
 from ..core.exchange import Exchange
+from .address_holders import AddressHolders
 from .feed_sync import FeedSync
 
 MAX_REFETCHES = 3  # how often an event with an unusable part is fetched again
@@ -42,6 +43,7 @@
         self._refetched = (0, 0)  # the last event with an unusable part, and how often it was fetched again
         self._max_refetches = MAX_REFETCHES
         self._has_list = False
+        self._holders = AddressHolders()
 
     def load_initial(self, index: int, events: Iterable[FeedMessage]) -> None:
         """Applies the configuration's events up to `index`; unusable parts cannot be fetched again."""
@@ -146,8 +148,15 @@
         if not self._has_list or (change.get("all") and not bad_entries):
             kind = api.EndpointListKind.COMPLETE if self._has_list else api.EndpointListKind.PERSISTED
         self._has_list = True
+        is_complete = kind is not api.EndpointListKind.DELTA
+        listed = [self._with_steady_start(server) for server, _ in entries]
+        servers = self._holders.resolve(listed, is_complete=is_complete)
+        taken_count = sum(server.state is api.ServerState.GONE for server in servers)
+        taken_count -= sum(server.state is api.ServerState.GONE for server in listed)
+        if taken_count:
+            self.counters.add("coordinator.addresses_taken", taken_count)
         addresses = {server.name: address for server, address in entries}
-        servers = tuple(self._with_steady_start(server) for server, _ in entries)
+        addresses |= {server.name: None for server in servers if server.state is api.ServerState.GONE}
         self.exchange.update_servers(api.EndpointList(kind, servers), addresses, models)
         return bad_entries
 
--- a/gladewalk/registry/servers.py
+++ b/gladewalk/registry/servers.py
@@ -43,6 +43,15 @@
         """Whether a server is listed ready."""
         return name in self.servers and self.servers[name].info.state is ServerState.READY
 
+    def restarted_by(self, event: api.EndpointList) -> list[str]:
+        """The names of known servers whose processes have started again by this list or change."""
+        known = ((info, self.servers.get(info.name)) for info in event.servers)
+        return [
+            info.name
+            for info, server in known
+            if server is not None and info.started_ms != server.info.started_ms
+        ]
+
     def apply(self, event: api.EndpointList) -> None:
         """Apply an endpoint list: reset restarted servers, remove those that are gone once they are idle."""
         for info in event.servers:
