Read the feed in bounded turns, and let a server without its address drain

What callers would see: a coordinator that sends lines at full speed, or one line without end, held up all clients for as long as it did so; a line could take 4 MB and its parsed form several times that in a process of 64 MB.

Cause: all complete lines of a read of 256 KB were applied at once, each piece of a long line was copied again, and the limit of a line knew nothing of the memory. Change: reads of 64 KB; lines are applied for 3 ms at a time, the next ones in the connection's turn; a line is bounded by the plan of the memory, at least 1 MB (a whole list of 3,200 servers), at most 4 MB; a partial line is searched once.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -108,6 +108,7 @@
         self.coordinator_watch = CoordinatorWatch(
             self.endpoint_feed, config.coordinator, deadlines, self.log.info, environment.new_random()
         )
+        self.coordinator_watch.max_line_bytes = self.exchange.memory.plan.feed_line_bytes
         self._build_optional_parts(config, dns, options)
 
     def _build_admin(self, config: PlatformConfig) -> AdminFront | None:
@@ -271,6 +272,7 @@
         self.exchange.dispatcher.configure(config.settings)
         self.connection_pool.configure(config)
         self.exchange.memory.configure(config.memory_plan())
+        self.coordinator_watch.max_line_bytes = self.exchange.memory.plan.feed_line_bytes
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
         if self.persistence is not None:
--- a/gladewalk/limits/memory_plan.py
+++ b/gladewalk/limits/memory_plan.py
@@ -39,7 +39,7 @@
 MIN_CONNECTIONS = 85  # a third of 256 descriptors
 MAX_RESPONSES_BYTES = 64_000_000
 MAX_LINE_BYTES = 4 * 1024 * 1024
-MIN_LINE_BYTES = 256 * 1024
+MIN_LINE_BYTES = 1024 * 1024  # a whole list of 3,200 servers has some 0.75 MB
 
 
 @dataclass(frozen=True, slots=True)
--- a/gladewalk/net/address_holders.py
+++ b/gladewalk/net/address_holders.py
@@ -2,7 +2,7 @@
 
 A server is known by its uid; its address only says where to connect. A new server may be listed at the
 address of one that has gone before the list says so. What listens there is the new one, so that the former
-one has to count as gone: work that is meant for it would reach the wrong process.
+one may get nothing more: work that is meant for it would reach the wrong process.
 """
 
 from __future__ import annotations
@@ -15,11 +15,9 @@
 
 @dataclass(slots=True)
 class _Holder:
-    """A server at an address; the highest serial number came last. A draining one gets nothing new anyway."""
+    """A server as it was listed last; of those at an address the highest serial number came last."""
 
-    address: str
-    is_ready: bool
-    started_ms: float
+    server: api.Server
     serial: int
 
 
@@ -32,7 +30,7 @@
         self._last_serial = 0
 
     def resolve(self, servers: Iterable[api.Server], *, is_complete: bool) -> tuple[api.Server, ...]:
-        """Returns a list or change of it in which servers whose addresses others have taken are gone.
+        """Returns a list or change of it in which servers whose addresses others have taken are draining.
 
         A server takes an address by being listed there anew, or with another start of its process. Entries
         for servers that are not in the change but have lost their addresses by it are added.
@@ -43,43 +41,41 @@
                 self._drop(name)
         for server in listed.values():
             self._update(server)
-        addresses = {self._holders[name].address for name in listed if name in self._holders}
+        addresses = {self._holders[name].server.address for name in listed if name in self._holders}
         displaced = {name for address in addresses for name in self._displaced(address)}
-        entries = [_gone(server) if server.name in displaced else server for server in listed.values()]
-        unlisted = [_gone_at(name, self._holders[name].address) for name in sorted(displaced - set(listed))]
-        return (*entries, *unlisted)
+        unlisted = [self._holders[name].server for name in sorted(displaced - set(listed))]
+        return tuple(
+            replace(server, state=api.ServerState.DRAINING) if server.name in displaced else server
+            for server in (*listed.values(), *unlisted)
+        )
 
     def _update(self, server: api.Server) -> None:
         if server.state is api.ServerState.GONE or not server.address:
             return self._drop(server.name)
         known = self._holders.get(server.name)
-        is_ready = server.state is api.ServerState.READY
-        if known is not None and (known.address, known.started_ms) == (server.address, server.started_ms):
-            known.is_ready = is_ready
-            return
-        self._drop(server.name)
-        self._last_serial += 1
-        self._holders[server.name] = _Holder(server.address, is_ready, server.started_ms, self._last_serial)
-        self._names.setdefault(server.address, set()).add(server.name)
+        if known is None or _life_of(known.server) != _life_of(server):
+            self._drop(server.name)
+            self._last_serial += 1
+            known = self._holders[server.name] = _Holder(server, self._last_serial)
+            self._names.setdefault(server.address, set()).add(server.name)
+        known.server = server
 
     def _drop(self, name: str) -> None:
         known = self._holders.pop(name, None)
         if known is not None:
-            self._names[known.address].discard(name)
-            if not self._names[known.address]:
-                del self._names[known.address]
+            names = self._names[known.server.address]
+            names.discard(name)
+            if not names:
+                del self._names[known.server.address]
 
     def _displaced(self, address: str) -> set[str]:
         """Returns the servers listed ready at an address but for the one that came last."""
         names = self._names[address]
         latest = max(names, key=lambda name: self._holders[name].serial)
-        return {name for name in names if name != latest and self._holders[name].is_ready}
+        ready = api.ServerState.READY
+        return {name for name in names if name != latest and self._holders[name].server.state is ready}
 
 
-def _gone(server: api.Server) -> api.Server:
-    return replace(server, state=api.ServerState.GONE)
-
-
-def _gone_at(name: str, address: str) -> api.Server:
-    """Returns the entry of a server that has lost its address; a gone server's other fields are not used."""
-    return api.Server(name, api.Role.CACHE, "", state=api.ServerState.GONE, address=address)
+def _life_of(server: api.Server) -> tuple[str, float]:
+    """Returns what tells one life of a server from another: its address and the start of its process."""
+    return server.address, server.started_ms
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -12,6 +12,8 @@
 
 from ..config.platform import Address
 from ..core.deadlines import DeadlineKey, Deadlines
+from ..limits.memory_plan import MAX_LINE_BYTES
+from .bounded_reads import BoundedReads, ReadTurns
 from .endpoint_feed import EndpointFeed
 
 HEARTBEAT_TIMEOUT_MS = 2_500.0  # the coordinator sends a heartbeat each second
@@ -19,16 +21,27 @@
 MIN_BACKOFF_MS = 50.0
 MAX_BACKOFF_MS = 400.0  # short, as 2 s after a disconnect an event counts as received even if it was not
 USABLE_LINE_TIMEOUT_MS = 5_000.0  # a connection that has sent no complete, valid line for this long is closed
-MAX_LINE_BYTES = 4 * 1024 * 1024
+READ_BYTES = 64 * 1024  # of one read
+LINES_BUDGET_MS = 3.0  # for applying lines at once; others are served before the next ones are applied
 
 
-class CoordinatorConnection(asyncio.Protocol):
-    """One connection to the coordinator; splits received data into lines."""
+class CoordinatorConnection(BoundedReads):
+    """One connection to the coordinator; splits received data into lines.
 
-    def __init__(self, watch: CoordinatorWatch, address: Address) -> None:
+    Attributes:
+        partial_line: What was received and not applied: lines that wait for their turn, a partial one.
+    """
+
+    read_buffer = memoryview(bytearray(READ_BYTES))
+
+    def __init__(
+        self, watch: CoordinatorWatch, address: Address, max_line_bytes: int = MAX_LINE_BYTES
+    ) -> None:
+        super().__init__(ReadTurns())
         self.watch, self.address = watch, address
-        self.transport: asyncio.Transport | None = None
-        self.partial_line = b""
+        self.partial_line = bytearray()
+        self._max_line_bytes = max_line_bytes
+        self._searched_bytes = 0  # of the partial line, without a line feed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Requests the events after the last one known."""
@@ -39,15 +52,54 @@
 
     def data_received(self, data: bytes) -> None:
         """Applies complete lines; an invalid one ends the connection, and the next one fetches it again."""
-        *lines, self.partial_line = (self.partial_line + data).split(b"\n")
+        self.partial_line += data
         if not self.watch.is_current(self):
             return
         if self.watch.feed.sync is not None:
-            self.watch.feed.sync.data_received(self.watch.feed.clock(), bool(self.partial_line))
-        is_valid = all(self.watch.feed.read_line(line) for line in lines if line.strip())
-        is_usable = is_valid and bool(lines)
-        self.watch.data_received(is_usable)
-        if (not is_valid or len(self.partial_line) > MAX_LINE_BYTES) and self.transport is not None:
+            is_line_open = not self.partial_line.endswith(b"\n")
+            self.watch.feed.sync.data_received(self.watch.feed.clock(), is_line_open)
+        self._apply_lines()
+
+    def wants_input(self) -> bool:
+        """Returns True: further lines are read whenever it is this connection's turn."""
+        return True
+
+    def take_turn(self) -> None:
+        """Applies the lines that wait, and reads on once there are none."""
+        if self.watch.is_current(self) and self._has_line():
+            self.is_waiting_for_turn = False
+            self._apply_lines()
+            if not self.is_waiting_for_turn:
+                self.resume_reading()
+        else:
+            super().take_turn()
+
+    def _has_line(self) -> bool:
+        return self.partial_line.find(b"\n", self._searched_bytes) >= 0
+
+    def _apply_lines(self) -> None:
+        """Applies complete lines for `LINES_BUDGET_MS`; further ones wait for the connection's turn."""
+        clock = self.watch.feed.clock
+        end_ms = clock() + LINES_BUDGET_MS
+        is_valid, is_usable, begin = True, False, 0
+        while is_valid and (end := self.partial_line.find(b"\n", max(begin, self._searched_bytes))) >= 0:
+            line = bytes(self.partial_line[begin:end])
+            begin, self._searched_bytes = end + 1, 0
+            is_valid = not line.strip() or self.watch.feed.read_line(line)
+            is_usable = True
+            if clock() >= end_ms and is_valid:
+                break
+        del self.partial_line[:begin]
+        has_more = is_valid and self._has_line()
+        self._searched_bytes = 0 if has_more else len(self.partial_line)
+        self.watch.data_received(is_usable and is_valid)
+        if not is_valid or (len(self.partial_line) > self._max_line_bytes and not has_more):
+            self._abort()
+        elif has_more:
+            self.wait_for_turn()
+
+    def _abort(self) -> None:
+        if self.transport is not None:
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -74,6 +126,7 @@
         self.connection: CoordinatorConnection | None = None
         self.backoff_ms = MIN_BACKOFF_MS
         self.is_closing = False
+        self.max_line_bytes = MAX_LINE_BYTES
         self.on_progress: Callable[[], None] | None = None  # called on a new connection and after its data
         self._last_usable_ms = 0.0  # when the connection began, or last sent complete valid lines
         self._timer: DeadlineKey | None = None
@@ -89,7 +142,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):
                 await asyncio.get_running_loop().create_connection(
-                    lambda: CoordinatorConnection(self, address), *address
+                    lambda: CoordinatorConnection(self, address, self.max_line_bytes), *address
                 )
         except (OSError, ValueError):  # OSError includes a timeout; ValueError: an invalid name
             self._reconnect_later()
--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -151,12 +151,11 @@
         is_complete = kind is not api.EndpointListKind.DELTA
         listed = [self._with_steady_start(server) for server, _ in entries]
         servers = self._holders.resolve(listed, is_complete=is_complete)
-        taken_count = sum(server.state is api.ServerState.GONE for server in servers)
-        taken_count -= sum(server.state is api.ServerState.GONE for server in listed)
-        if taken_count:
-            self.counters.add("coordinator.addresses_taken", taken_count)
+        listed_states = {server.name: server.state for server in listed}
+        taken = sum(listed_states.get(server.name) is not server.state for server in servers)
+        if taken:
+            self.counters.add("coordinator.addresses_taken", taken)
         addresses = {server.name: address for server, address in entries}
-        addresses |= {server.name: None for server in servers if server.state is api.ServerState.GONE}
         self.exchange.update_servers(api.EndpointList(kind, servers), addresses, models)
         return bad_entries
 
