Take a write for the same one only if its object is the same, too

A request that is sent again as it was names the same object; ids that clients use twice for other requests say nothing of those. The identity is the id with object and part, in the process and in the folder that two processes share.

--- a/gladewalk/core/shared_executions.py
+++ b/gladewalk/core/shared_executions.py
@@ -131,7 +131,7 @@
         case Idempotency.KEYED if request.idempotency_key:
             identity = f"key {request.idempotency_key}"
         case Idempotency.NON_IDEMPOTENT if request.trace_id:
-            identity = f"id {request.trace_id}"
+            identity = f"id {request.trace_id} {request.key:x} {request.part}"
         case _:
             return ""
     return hashlib.blake2b(identity.encode("latin-1", "replace"), digest_size=16).hexdigest()
--- a/gladewalk/policy/retries.py
+++ b/gladewalk/policy/retries.py
@@ -29,13 +29,12 @@
         self.budget = RetryBudget()
 
     def may_send(self, pending: PendingRequest) -> bool:
-        """Whether another attempt of a request may be sent to any server, and its key be remembered."""
+        """Whether another attempt of a request may be sent to any server, and its key or id be remembered."""
         if pending.has_response_begun:
             return False
         if pending.is_idempotent:
             return not pending.in_flight or self._state.settings.hedging
-        self._state.recall_executions(pending)  # its key or id may have been sent while it waited
-        return not pending.in_flight and self.is_harmless(pending) and self._state.may_record(pending)
+        return not pending.in_flight and self._state.may_record(pending) and self.is_harmless(pending)
 
     def is_harmless(self, pending: PendingRequest, after_ms: float = 0.0) -> bool:
         """Whether sending the request again in `after_ms`, to where it may have run, has no second effect."""
--- a/gladewalk/registry/execution_log.py
+++ b/gladewalk/registry/execution_log.py
@@ -1,8 +1,8 @@
 """Where writes may have run: per pending request and, across requests, per idempotency key or id.
 
 A keyed request is known by its key, which all retries of its client carry. A request of a class that must not
-be repeated is known by its id: it comes again under the same id where a client sends it on another connection
-because the first one ended.
+be repeated is known by its id and object: it comes again as it was where a client sends it on another
+connection because the first one ended.
 """
 
 from __future__ import annotations
@@ -64,7 +64,8 @@
         match pending.request_class.idempotency:
             case Idempotency.KEYED:
                 return self._keys, pending.request.idempotency_key
-            case Idempotency.NON_IDEMPOTENT:
-                return self._ids, pending.request.trace_id
+            case Idempotency.NON_IDEMPOTENT if pending.request.trace_id:
+                request = pending.request
+                return self._ids, f"{request.trace_id} {request.key:x} {request.part}"
             case _:
                 return self._keys, ""
--- a/gladewalk/registry/state.py
+++ b/gladewalk/registry/state.py
@@ -106,7 +106,11 @@
         self.executions.recall(pending, self.now_ms)
 
     def may_record(self, pending: PendingRequest) -> bool:
-        """Whether an attempt of the request can be recorded; else its retries could not be told from it."""
+        """Whether an attempt of the request can be recorded; else its retries could not be told from it.
+
+        Looks up again what has been sent under its key or id, as it may have waited.
+        """
+        self.recall_executions(pending)
         return self.executions.has_room(pending, self.now_ms)
 
     def start_attempt(self, pending: PendingRequest, host: ServerRecord, source: ServerRecord | None) -> None:
