Log what is held when the memory nears its limit; reject a limit that is too small

A director process now logs one line `memory_high` when its resident memory reaches 0.7 and 0.9 of its limit: clients, connections to servers, open requests, the largest inputs, and the accounts of the ledger. A limit under 24 MB, under which a director would be killed before it serves, is a line and exit code 2 (`limits: memory_mb: ...`).

--- a/gladewalk/config/platform.py
+++ b/gladewalk/config/platform.py
@@ -20,6 +20,7 @@
 
 DEFAULT_MAX_DESCRIPTORS = 1_024
 DEFAULT_MEMORY_LIMIT_MB = 64.0
+MIN_MEMORY_LIMIT_MB = 24.0  # below, a director would be killed before it serves
 DEFAULT_CONNECT_TIMEOUT_MS = 400.0
 DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
 MAX_PORT = 65_535
@@ -161,6 +162,8 @@
     process_limits = value_or(raw.get("limits"), {})
     max_descriptors = int(value_or(process_limits.get("sockets"), DEFAULT_MAX_DESCRIPTORS))
     memory_limit_mb = float(value_or(process_limits.get("memory_mb"), DEFAULT_MEMORY_LIMIT_MB))
+    if memory_limit_mb < MIN_MEMORY_LIMIT_MB:
+        raise ConfigError(f"limits: memory_mb: {memory_limit_mb:g} is less than {MIN_MEMORY_LIMIT_MB:g}")
     inherited_fd = _read_descriptor(environ.get("NODE_FD"))
     settings = read_settings(raw_settings)
     config = PlatformConfig(
--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -125,7 +125,9 @@
 
 async def serve(loaded: LoadedConfiguration) -> None:
     """Runs a director until it receives SIGTERM or SIGINT and has stopped."""
-    await Director(loaded.config, asyncio.get_running_loop(), loaded.dns, loaded.options).run()
+    director = Director(loaded.config, asyncio.get_running_loop(), loaded.dns, loaded.options)
+    director.watch_memory()
+    await director.run()
 
 
 def run(options_path: str | None = None, dns_path: str | None = None) -> int:
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -17,6 +17,7 @@
 from .core.counters import Counters
 from .core.deadlines import DeadlineKey, Deadlines
 from .core.exchange import Exchange
+from .core.memory_watch import MemoryWatch, read_resident_bytes
 from .core.readiness import SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
 from .net.clients import FIRST_BYTE_TIMEOUT_MS, ClientFront
 from .net.coordinator import CoordinatorWatch
@@ -91,6 +92,9 @@
 
         self.exchange = Exchange(config, clock, deadlines, counters, self._log_module_line)
         self.exchange.request_log.emit = self.log.info
+        self._memory_watch = MemoryWatch(
+            config.memory_limit_mb, read_resident_bytes, self._describe_memory, self.log.warning
+        )
         self.exchange.shared_executions = parts.build_shared_executions(config, os.environ, counters)
         upstream_factory = parts.build_connection_factory(options)
         self.connection_pool = ConnectionPool(
@@ -272,6 +276,7 @@
         self.exchange.dispatcher.configure(config.settings)
         self.connection_pool.configure(config)
         self.exchange.memory.configure(config.memory_plan())
+        self._memory_watch.limit_mb = config.memory_limit_mb
         self.coordinator_watch.max_line_bytes = self.exchange.memory.plan.feed_line_bytes
         self._configure_front(config)
         self.endpoint_feed.roles = config.roles
@@ -367,6 +372,19 @@
         }
         self.log.info("counters", **gauges, **self.exchange.memory.report(), **self.counters.report())
 
+    def watch_memory(self) -> None:
+        """Starts to log when the memory of the process, which is this director's alone, nears its limit."""
+        self._memory_watch.start(self.clock, self.deadlines)
+
+    def _describe_memory(self) -> dict[str, object]:
+        return {
+            "clients": len(self.front.connections),
+            "upstream": len(self.connection_pool.open_connections),
+            "requests": len(self.exchange.open_requests),
+            "largest_inputs": self.front.input_limit.largest_inputs(),
+            **self.exchange.memory.report(),
+        }
+
     def _log_store_event(self, event: str, why: str) -> None:
         self.log.warning(event, why=why)
 
--- a/gladewalk/net/input_limit.py
+++ b/gladewalk/net/input_limit.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Collection
 from typing import Protocol
 
 from ..core.memory_ledger import MemoryAccount
 
+LARGEST_COUNT = 3
+
 
 class InputHolder(Protocol):
     """A connection as far as its input takes memory."""
@@ -37,6 +40,11 @@
             largest.reject_input()
         self._is_freeing = False
 
+    def largest_inputs(self) -> list[int]:
+        """Returns the bytes that the connections with the most input hold, the largest first."""
+        held = (connection.charged_bytes for connection in self._connections)
+        return heapq.nlargest(LARGEST_COUNT, held)
+
     def _largest(self) -> InputHolder | None:
         """Returns the connection with the most input that can be rejected; of equal ones the oldest."""
         candidates = [connection for connection in self._connections if connection.can_reject_input()]
--- a/tests/test_input_bounds.py
+++ b/tests/test_input_bounds.py
@@ -5,14 +5,18 @@
 import socket
 import time
 import weakref
+from typing import Any
 
 import pytest
 
+from gladewalk.config.platform import ConfigError, read_config
+from gladewalk.core.memory_watch import MemoryWatch
 from gladewalk.limits.memory_plan import BYTES_PER_MB, TARGET_FRACTION, plan_memory
 from gladewalk.net.bounded_reads import READ_BYTES
 from gladewalk.net.clients import FIRST_BYTE_TIMEOUT_MS, SPARE_CONNECTIONS
 from gladewalk.net.request_reader import MAX_BLANK_BYTES, MAX_FIELDS
-from gladewalk.rehearsal.director_harness import wait_until
+from gladewalk.rehearsal.coordinator import Coordinator
+from gladewalk.rehearsal.director_harness import config_for, wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ScriptedServer
 
@@ -178,3 +182,24 @@
     assert 8 <= plan.client_connections <= descriptors // 3
     if memory_mb / process_count >= 64:
         assert 30 * BYTES_PER_MB + shares <= plan.target_bytes
+
+
+def test_a_line_names_what_is_held_when_the_memory_reaches_each_warning_fraction() -> None:
+    lines: list[dict[str, Any]] = []
+    resident_mb = [0.0]
+    watch = MemoryWatch(
+        100.0,
+        lambda: int(resident_mb[0] * BYTES_PER_MB),
+        lambda: {"clients": 3},
+        lambda event, **fields: lines.append({"event": event, **fields}),
+    )
+    for resident_mb[0] in (50.0, 71.0, 69.0, 72.0, 91.0, 92.0, 60.0, 75.0):
+        watch.check()
+    assert [line["resident_mb"] for line in lines] == [71.0, 91.0, 75.0]
+    assert lines[0] == {"event": "memory_high", "resident_mb": 71.0, "limit_mb": 100.0, "clients": 3}
+
+
+def test_a_memory_limit_that_no_director_fits_in_is_rejected_with_its_key() -> None:
+    raw = config_for([], Coordinator([{"index": 1}], address="127.0.0.1:1"))
+    with pytest.raises(ConfigError, match="^limits: memory_mb: 23 is less than 24$"):
+        read_config({**raw, "limits": {"sockets": 256, "memory_mb": 23}}, {})
