--- a/gladewalk/config/platform.py
+++ b/gladewalk/config/platform.py
@@ -162,7 +162,7 @@
     process_limits = value_or(raw.get("limits"), {})
     max_descriptors = int(value_or(process_limits.get("sockets"), DEFAULT_MAX_DESCRIPTORS))
     memory_limit_mb = float(value_or(process_limits.get("memory_mb"), DEFAULT_MEMORY_LIMIT_MB))
-    if memory_limit_mb < MIN_MEMORY_LIMIT_MB:
+    if 0.0 <= memory_limit_mb < MIN_MEMORY_LIMIT_MB:
         raise ConfigError(f"limits: memory_mb: {memory_limit_mb:g} is less than {MIN_MEMORY_LIMIT_MB:g}")
     inherited_fd = _read_descriptor(environ.get("NODE_FD"))
     settings = read_settings(raw_settings)
--- a/tests/test_input_bounds.py
+++ b/tests/test_input_bounds.py
@@ -201,5 +201,5 @@
 
 def test_a_memory_limit_that_no_director_fits_in_is_rejected_with_its_key() -> None:
     raw = config_for([], Coordinator([{"index": 1}], address="127.0.0.1:1"))
-    with pytest.raises(ConfigError, match="^limits: memory_mb: 23 is less than 24$"):
+    with pytest.raises(ConfigError, match=r"^limits: memory_mb: 23 is less than 24$"):
         read_config({**raw, "limits": {"sockets": 256, "memory_mb": 23}}, {})
