Draw hostile crowds, the platform's limits and kills over memory in the soak

The soak gave each director 64 MB and 256 descriptors, played idle crowds alone, and nobody killed a process over its memory. The least share of responses and of clients' input is 0.5 MB each, for limits near 32 MB.

--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -50,6 +50,7 @@
     RELOADS = "reloads"  # SIGHUPs in quick succession
     KILL = "kill"  # SIGKILL without notice, and a restart
     CROWD = "crowd"  # idle connections use up the file descriptors
+    HOSTILE_CROWD = "hostile_crowd"  # connections with slow, half written or costly requests
 
 
 SERVER_FAULTS = (
@@ -89,6 +90,18 @@
     window_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """The limits of each director: file descriptors, and memory, over which it is killed."""
+
+    sockets: int
+    memory_mb: float
+
+
+LIMITS = (Limits(256, 64.0), Limits(1_024, 192.0), Limits(512, 96.0))
+HOSTILE_FRACTION = 0.5  # of the runs have hostile crowds
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """The deployment, traffic and faults of one run."""
@@ -103,6 +116,7 @@
     syscalls: dict[int, tuple[SyscallFault, ...]]  # by director
     duration_s: float = DURATION_S
     leaving_fraction: float = 0.05  # of the clients disconnect before the deadline of their request
+    limits: Limits = LIMITS[0]
 
     def longest_deadline_s(self) -> float:
         """Returns the longest deadline of all classes, but at most 3 s."""
@@ -118,6 +132,9 @@
     client_count = 60 if rng.random() < 0.8 else 120
     faults = _draw_faults(rng, director_count, cache_count)
     syscalls = {director: _draw_syscalls(rng) for director in range(director_count) if rng.random() < 0.6}
+    # Drawn from a source of their own, so that each seed keeps the faults that it had without them.
+    hostile_rng = random.Random(f"hostile {seed}")
+    faults = sorted([*faults, *_draw_hostile(hostile_rng, director_count)], key=lambda fault: fault.at_s)
     return Plan(
         seed,
         director_count,
@@ -127,6 +144,7 @@
         _settings(classes, director_count),
         tuple(fault for number, fault in enumerate(faults) if number not in without),
         syscalls if -1 not in without else {},
+        limits=hostile_rng.choice(LIMITS),
     )
 
 
@@ -177,6 +195,20 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _draw_hostile(rng: random.Random, director_count: int) -> list[PlannedFault]:
+    if rng.random() >= HOSTILE_FRACTION:
+        return []
+    faults = []
+    for _ in range(rng.randint(1, 3)):
+        begin_s, target = rng.uniform(WARM_UP_S, DURATION_S - 2.0), rng.randrange(director_count)
+        faults.append(
+            PlannedFault(begin_s, rng.choice((0.5, 2.0)), FaultName.HOSTILE_CROWD, target, rng.random())
+        )
+        if rng.random() < 0.3:  # SIGKILL in series, as in report 6c5607
+            faults.append(PlannedFault(begin_s + 0.4, 0.5, FaultName.KILL, target, 0.0))
+    return faults
+
+
 def _draw_syscalls(rng: random.Random) -> tuple[SyscallFault, ...]:
     syscall_faults = []
     for _ in range(rng.randint(1, 4)):
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -13,12 +13,14 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks.hostile.forms import CROWDS, ClientInput
+from benchmarks.hostile.process import MEMORY_CHECK_INTERVAL_S, peak_memory_mb
 from gladewalk.faultnet.syscall_faults import build_library
 
 from .clients import Client
 from .coordinator import SoakCoordinator
 from .directors import DirectorProcess
-from .history import BurstRecord, DrainRecord, History, PurgeRecord
+from .history import BurstRecord, DrainRecord, History, PurgeRecord, StopRecord
 from .plan import SERVER_FAULTS, FaultName, Plan, PlannedFault
 from .scheduling import SchedulingMonitor, SoakLoop
 from .servers import MAX_PURGE_DELAY_S, Origin, SoakServer
@@ -27,6 +29,7 @@
 DRAIN_TO_DELETED_S = 2.5
 QUIET_S = 0.6  # from the end of the last client until the check for leaks
 BURST_CONNECTIONS = 150
+HOSTILE_ID = 900_000  # ids of hostile clients begin here; their classes do not exist in the soak
 BURST_AFTERMATH_S = 2.5
 HOT_OBJECTS = 6
 MIN_CACHES = 2
@@ -106,7 +109,7 @@
         return {
             "listen": "127.0.0.1:0",
             "seed": "1f",
-            "limits": {"sockets": 256, "memory_mb": 64},
+            "limits": {"sockets": self.plan.limits.sockets, "memory_mb": self.plan.limits.memory_mb},
             "coordinator": f"127.0.0.1:{self.coordinator.port}",
             "settings": self.plan.settings,
             "known": self.coordinator.known(),
@@ -130,10 +133,12 @@
             Client(number, self.plan, self.directors, self.history, lambda: time.monotonic() >= end_s)
             for number in range(self.plan.client_count)
         ]
+        self._spawn(self._watch_memory())
         faults = {fault: self._spawn(self._inject_fault(fault)) for fault in self.plan.faults}
         await asyncio.gather(*(client.run() for client in clients))
         # The idle connections of a burst count as clients until they are closed.
-        await asyncio.gather(*(task for fault, task in faults.items() if fault.name is FaultName.CROWD))
+        bursts = (FaultName.CROWD, FaultName.HOSTILE_CROWD)
+        await asyncio.gather(*(task for fault, task in faults.items() if fault.name in bursts))
         for director in self.directors:  # a restart in progress ends before the check for leaks
             pending = [task for task in director.tasks if not task.done()]
             if pending:
@@ -144,6 +149,18 @@
         self.tasks.add(task)
         return task
 
+    async def _watch_memory(self) -> None:
+        """Kills a director whose memory is over its limit, as the platform does; this counts as a crash."""
+        while True:
+            process_ids = self._process_ids()
+            for director in self.directors:
+                pid = process_ids.get(director.name)
+                if pid is not None and peak_memory_mb(pid) > self.plan.limits.memory_mb:
+                    self.history.note(time.monotonic(), f"{director.name} is killed, over its memory limit")
+                    self.history.stops.append(StopRecord(director.key, None, None, -signal.SIGKILL))
+                    director.send(signal.SIGKILL)
+            await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
+
     # Faults.
 
     async def _inject_fault(self, fault: PlannedFault) -> None:
@@ -168,6 +185,9 @@
                 await self.coordinator.listen()
             case FaultName.CROWD:
                 await self._open_burst(fault)
+            case FaultName.HOSTILE_CROWD:
+                forms = list(CROWDS.values())
+                await self._open_burst(fault, forms[int(fault.fraction * len(forms))])
             case FaultName.STOP | FaultName.STOP_SERIES | FaultName.RELOADS | FaultName.KILL:
                 await self._signal(fault)
 
@@ -216,16 +236,21 @@
         await asyncio.sleep(self.rng.uniform(0.1, MAX_PURGE_DELAY_S))
         server.forget(name)
 
-    async def _open_burst(self, fault: PlannedFault) -> None:
-        """Uses up a director's descriptors with idle connections, which takes longer on a slow machine."""
+    async def _open_burst(self, fault: PlannedFault, client_input: ClientInput | None = None) -> None:
+        """Uses up a director's descriptors with connections, idle ones or with some input.
+
+        It takes longer on a slow machine.
+        """
         director = self.directors[fault.target % len(self.directors)]
         burst = BurstRecord(director.name, time.monotonic())
         self.history.bursts.append(burst)
         writers = []
-        for _ in range(BURST_CONNECTIONS):
+        for number in range(BURST_CONNECTIONS):
             with contextlib.suppress(OSError, asyncio.TimeoutError):
                 async with asyncio.timeout(0.5):
                     writers.append((await asyncio.open_connection(*director.address))[1])
+                    if client_input is not None:
+                        writers[-1].write(client_input(HOSTILE_ID + number))
         self.history.note(time.monotonic(), f"burst of {len(writers)} connections to {director.name} is open")
         await asyncio.sleep(fault.duration_s)
         for writer in writers:
--- a/gladewalk/limits/memory_plan.py
+++ b/gladewalk/limits/memory_plan.py
@@ -35,7 +35,7 @@
 FEED_EXPANSION = 8
 """Memory that a line of the feed takes once it is parsed, as a multiple of its length."""
 
-MIN_SHARE_BYTES = 1_000_000
+MIN_SHARE_BYTES = 500_000
 MIN_CONNECTIONS = 85  # a third of 256 descriptors
 MAX_RESPONSES_BYTES = 64_000_000
 MAX_LINE_BYTES = 4 * 1024 * 1024
