Let the two processes of a handover share a director's places for clients

Cause: with NODE_FD only the pool for servers was halved; each process took a third of the descriptors and 32 more for clients, for as long as both ran. Change: processes leave their ids in the folder of $TMPDIR that they share (core/process_presence.py), look five times a second how many there are, and divide clients' places and spare ones among them; what is over is made room as usual. A process that is alone has all of them. LoopTimer has a module of its own.

--- a/gladewalk/core/shared_executions.py
+++ b/gladewalk/core/shared_executions.py
@@ -23,7 +23,8 @@
 from .counters import Counters
 from .exchange_types import ClientRequest
 
-FOLDER_PREFIX = "gladewalk-writes-"
+FOLDER_PREFIX = "gladewalk-"
+NAME_LENGTH = 32  # hexadecimal digits
 MAX_NAMES = 4_096  # that one process makes; some 0.7 KB of memory each
 CLEANUP_INTERVAL_MS = 30_000.0  # between removals of names that processes left which have ended
 
@@ -117,7 +118,7 @@
         self._next_cleanup_ms = now_ms + CLEANUP_INTERVAL_MS
         with contextlib.suppress(OSError):
             for name in os.listdir(self._folder):
-                if name not in self._own:
+                if name not in self._own and len(name) == NAME_LENGTH:
                     self._check_validity(name, now_ms)
 
     def _remove(self, name: str) -> None:
@@ -134,4 +135,4 @@
             identity = f"id {request.trace_id} {request.key:x} {request.part}"
         case _:
             return ""
-    return hashlib.blake2b(identity.encode("latin-1", "replace"), digest_size=16).hexdigest()
+    return hashlib.blake2b(identity.encode("latin-1", "replace"), digest_size=NAME_LENGTH // 2).hexdigest()
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -6,7 +6,6 @@
 import math
 import os
 import signal
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import structlog
@@ -15,8 +14,9 @@
 from . import signals
 from .config.platform import ConfigError, PlatformConfig
 from .core.counters import Counters
-from .core.deadlines import DeadlineKey, Deadlines
+from .core.deadlines import DeadlineKey
 from .core.exchange import Exchange
+from .core.loop_timer import LoopTimer
 from .core.memory_watch import MemoryWatch, read_resident_bytes
 from .core.readiness import SHUTDOWN_ACCEPT_MS, Readiness, shutdown_deadline_ms
 from .net.clients import FIRST_BYTE_TIMEOUT_MS, ClientFront
@@ -33,37 +33,7 @@
     from .net.admin import AdminFront
 
 EXIT_DELAY_MS = 20.0  # time for the last responses to be sent before the process exits
-HELD_UP_MS = 100.0  # a timer that fires later than this shows that the event loop stood still
-READ_FIRST_MS = 5.0  # time to handle what has arrived while the event loop stood still
-
-
-class LoopTimer:
-    """Owns a set of deadlines and arms one event-loop timer for the earliest of them.
-
-    An event loop that stood still runs its timers before it has handled what arrived in time: a connection
-    that is open, a complete response. So a timer that fires late is armed once more, for a moment later.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float]) -> None:
-        self.loop, self.clock = loop, clock
-        self._has_read_first = False
-        self.deadlines = Deadlines(self.arm)
-        self._handle: asyncio.TimerHandle | None = None
-
-    def arm(self, when_ms: float) -> None:
-        """Replaces the armed timer with one that fires at `when_ms`."""
-        if self._handle is not None:
-            self._handle.cancel()
-        self._handle = self.loop.call_later(max(0.0, when_ms - self.clock()) / 1000.0, self._sweep)
-
-    def _sweep(self) -> None:
-        now = self.clock()
-        if self.deadlines.delay_ms(now) > HELD_UP_MS and not self._has_read_first:
-            self._has_read_first = True
-            self.arm(now + READ_FIRST_MS)
-            return
-        self._has_read_first = False
-        self.deadlines.sweep(now)
+PROCESS_CHECK_INTERVAL_MS = 200.0
 
 
 class Director:
@@ -95,7 +65,9 @@
         self._memory_watch = MemoryWatch(
             config.memory_limit_mb, read_resident_bytes, self._describe_memory, self.log.warning
         )
-        self.exchange.shared_executions = parts.build_shared_executions(config, os.environ, counters)
+        self._handover = parts.build_handover(config, os.environ, counters)
+        if self._handover is not None:
+            self.exchange.shared_executions = self._handover[0]
         upstream_factory = parts.build_connection_factory(options)
         self.connection_pool = ConnectionPool(
             self.exchange, config, clock, deadlines, counters, upstream_factory
@@ -154,11 +126,18 @@
         self._check_sync()
         self.coordinator_watch.connect()
         self.connection_pool.sweep()
+        self._count_processes()
         await retry_listening(self._listen, self.clock, self.counters)
         await self._start_optional_parts()
         await retry_listening(self._listen_for_operators, self.clock, self.counters)
         self.readiness.is_started = True
 
+    def _count_processes(self) -> None:
+        """Looks whether another process serves as this director, too, which then has half of the places."""
+        if self._handover is not None:
+            self.front.process_count = self._handover[1].count()
+            self.deadlines.add(self.clock() + PROCESS_CHECK_INTERVAL_MS, self._count_processes)
+
     async def _listen(self) -> None:
         self.front.listen(self.config.listen, self.config.inherited_fd)
         if self.config.inherited_fd is None or self.readiness.is_synced:
--- a/gladewalk/net/clients.py
+++ b/gladewalk/net/clients.py
@@ -63,6 +63,7 @@
         self.exchange, self.clock, self.open_listener = exchange, clock, listen
         self.connection_limit = connection_limit
         self.deadlines, self.counters = deadlines, counters
+        self.process_count = 1  # that share the limit of connections
         self.connection_type: type[ClientConnection] = ClientConnection
         self.max_body_bytes = MAX_BODY_BYTES
         self.request_timeout_ms = FIRST_BYTE_TIMEOUT_MS  # from a request's first byte to its last
@@ -88,6 +89,15 @@
         self._setting_up: dict[asyncio.Task[object], ClientConnection] = {}
         self._paused: dict[ClientConnection, None] = {}  # while reading is paused, no event reports their end
 
+    @property
+    def _own_limit(self) -> int:
+        """This process's share of the clients' descriptors."""
+        return self.connection_limit // self.process_count
+
+    @property
+    def _own_spare(self) -> int:
+        return SPARE_CONNECTIONS // self.process_count
+
     # Accepting.
 
     def listen(self, address: Address, inherited_fd: int | None = None) -> None:
@@ -116,7 +126,7 @@
         self._accept_backoff.start_iteration()
         end_ms = math.inf if self.is_closing else self.clock() + ACCEPT_BUDGET_MS
         while self._listener is not None and self.clock() < end_ms:
-            if self.descriptor_count >= self.connection_limit + SPARE_CONNECTIONS:
+            if self.descriptor_count >= self._own_limit + self._own_spare:
                 return self._pause_accepting()
             try:
                 peer, _ = self._listener.accept()
@@ -148,7 +158,7 @@
         """Creates the transport of an accepted connection and evicts another one if necessary."""
         loop = asyncio.get_running_loop()
         self.descriptor_count += 1
-        if self.descriptor_count - self.evicted_count > self.connection_limit + SPARE_CONNECTIONS // 2:
+        if self.descriptor_count - self.evicted_count > self._own_limit + self._own_spare // 2:
             self._make_room()
         try:
             peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -167,7 +177,7 @@
 
     def _make_room(self) -> None:
         """Evicts connections while accepting is paused, as they would otherwise stay until they time out."""
-        while self.descriptor_count - self.evicted_count > self.connection_limit:
+        while self.descriptor_count - self.evicted_count > self._own_limit:
             if not self._evict_one() and not self._reject_slow_request():
                 return
 
@@ -235,7 +245,7 @@
         if self.is_closing:
             self.accept()  # connections for which there was no room before
             self._shut_down_unused()
-        if not self._is_accepting:
+        if not self._is_accepting or self.process_count > 1:
             self._make_room()
         self._resume_accepting()
         self.deadlines.add(now + SWEEP_INTERVAL_MS, self.sweep)
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -22,6 +23,7 @@
 if TYPE_CHECKING:  # at run time, parts that are not configured are not imported
     from .config.options import Options
     from .control.server import ControlServer
+    from .core.process_presence import ProcessPresence
     from .core.shared_executions import SharedExecutions
     from .dns.front import DnsFront
     from .dns.settings import DnsConfig
@@ -90,16 +92,18 @@
     return build_shared_tasks(name, options, exchange, caches, deadlines, counters)
 
 
-def build_shared_executions(
+def build_handover(
     config: PlatformConfig, environ: Mapping[str, str], counters: Counters
-) -> SharedExecutions | None:
-    """Builds what two processes of a handover share of their writes, if there may be another process."""
-    folder = environ.get("TMPDIR")
-    if config.inherited_fd is None or not folder:
+) -> tuple[SharedExecutions, ProcessPresence] | None:
+    """Builds what the processes of a handover know of each other, if there may be another process."""
+    temporary = environ.get("TMPDIR")
+    if config.inherited_fd is None or not temporary:
         return None
+    from .core.process_presence import ProcessPresence
     from .core.shared_executions import FOLDER_PREFIX, SharedExecutions
 
-    return SharedExecutions(Path(folder) / (FOLDER_PREFIX + config.name.encode().hex()), counters)
+    folder = Path(temporary) / (FOLDER_PREFIX + config.name.encode().hex())
+    return SharedExecutions(folder, counters), ProcessPresence(folder, counters, os.getpid())
 
 
 def build_web(
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -1,11 +1,17 @@
 """The two processes of a handover together stay within the descriptor limit of one director."""
 
 import asyncio
+import contextlib
+import json
 import os
+import signal
 import socket
 import unittest
+from pathlib import Path
 
 from gladewalk.config.platform import PlatformConfig, read_config
+from gladewalk.core.counters import Counters
+from gladewalk.core.process_presence import ProcessPresence
 from gladewalk.director import Director
 from gladewalk.net.clients import SPARE_CONNECTIONS
 from gladewalk.rehearsal.coordinator import Coordinator
@@ -14,7 +20,8 @@
 from gladewalk.rehearsal.scripted_servers import ScriptedServer
 from gladewalk.upstream.pool import RESERVED_DESCRIPTORS, UPSTREAM_DESCRIPTOR_FRACTION
 
-from .server_scripts import hit_after
+from .program import start_program
+from .server_scripts import hit, hit_after
 
 SOCKETS = 256
 
@@ -90,3 +97,59 @@
                 + SPARE_CONNECTIONS
             )
             assert descriptor_count + 2 * 16 <= sockets  # listeners, coordinator, admin calls, event loop
+
+
+async def hold_idle_connections(address: tuple[str, int], count: int) -> list[socket.socket]:
+    """Opens connections that send nothing, as many as are accepted."""
+    clients = []
+    for _ in range(count):
+        client = socket.socket()
+        client.setblocking(False)
+        with contextlib.suppress(OSError):
+            async with asyncio.timeout(0.05):
+                await asyncio.get_running_loop().sock_connect(client, address)
+        clients.append(client)
+    return clients
+
+
+def test_idle_clients_of_both_processes_of_a_handover_stay_within_the_limit_of_one(tmp_path: Path) -> None:
+    """Guards against two processes that each take a director's share of the descriptors for clients."""
+
+    async def scenario() -> tuple[list[int], int]:
+        cache, coordinator = await ScriptedServer(hit).start(), await Coordinator().start()
+        raw = {**config_for([cache], coordinator), "limits": {"sockets": 384, "memory_mb": 192}}
+        (tmp_path / "node.json").write_text(json.dumps(raw))
+        environ = {**os.environ, "TMPDIR": str(tmp_path)}
+        programs, clients = [], []
+        with socket.create_server(("127.0.0.1", 0), backlog=512) as listener:
+            for _ in range(2):
+                program = await start_program(
+                    tmp_path / "node.json", listener_fd=listener.fileno(), environ=environ
+                )
+                await program.event("serving")
+                programs.append(program)
+                clients += await hold_idle_connections(listener.getsockname(), 256)
+                await asyncio.sleep(0.5)
+            counts = [len(os.listdir(f"/proc/{program.process.pid}/fd")) for program in programs]
+            for program in programs:
+                program.send(signal.SIGKILL)
+                await program.finish()
+        for client in clients:
+            client.close()
+        coordinator.stop()
+        cache.stop()
+        return counts, 384 // 3
+
+    counts, client_limit = asyncio.run(scenario())
+    own_descriptors = 16  # of each process: listener, coordinator, event loop, log
+    assert sum(counts) <= client_limit + SPARE_CONNECTIONS + 2 * own_descriptors
+
+
+def test_processes_of_a_handover_are_counted_while_they_run(tmp_path: Path) -> None:
+    alive = {1, 2, 3}
+    presences = [ProcessPresence(tmp_path, Counters(), pid, alive.__contains__) for pid in (1, 2)]
+    assert [presence.count() for presence in presences] == [2, 2]
+    alive.remove(1)
+    assert presences[1].count() == 1
+    assert [path.name for path in tmp_path.iterdir()] == ["process-2"]
+    assert ProcessPresence(tmp_path / "no" / "folder", Counters(), 3, alive.__contains__).count() == 1
--- a/tests/test_members_transport.py
+++ b/tests/test_members_transport.py
@@ -7,7 +7,7 @@
 
 from gladewalk.core.clocks import AnchoredClock
 from gladewalk.core.counters import Counters
-from gladewalk.director import LoopTimer
+from gladewalk.core.loop_timer import LoopTimer
 from gladewalk.members.authenticator import MessageAuthenticator, key_from_secret
 from gladewalk.members.config import MembershipConfig
 from gladewalk.members.messages import Digest, UserEvent, encode
