Read less at a time from servers where memory is tight; one ledger with the front's

At 32 MB servers that answer in chunks of two bytes took a process to 33.9 MB, at 40 to 37.0: each of its connections to servers kept up to 48 KB of a read of 64 KB until its turn. Where the target is under 50 MB, a read of a server has 16 KB. The nginx front's upstreams charge their responses to the process's ledger, in place of one of their own for each.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -103,7 +103,9 @@
         self.members, self.task_runner = parts.build_members(
             name, options, self.exchange, self.connection_pool, deadlines, counters
         )
-        self.web = parts.build_web(options, config, clock, deadlines, counters, self._log_module_line)
+        self.web = parts.build_web(
+            options, config, clock, deadlines, counters, self._log_module_line, self.exchange.memory
+        )
         self.persistence = parts.build_store(
             options, purge_settle_ms, clock, counters, self._log_store_event, deadlines
         )
--- a/gladewalk/limits/memory_plan.py
+++ b/gladewalk/limits/memory_plan.py
@@ -35,6 +35,11 @@
 FEED_EXPANSION = 8
 """Memory that a line of the feed takes once it is parsed, as a multiple of its length."""
 
+ROOMY_TARGET_BYTES = 50_000_000
+"""From this target on, each connection to a server may hold a large read."""
+
+LARGE_READ_BYTES = 64 * 1024
+SMALL_READ_BYTES = 16 * 1024
 MIN_SHARE_BYTES = 500_000
 MIN_CONNECTIONS = 85  # a third of 256 descriptors
 MAX_RESPONSES_BYTES = 64_000_000
@@ -52,6 +57,7 @@
         client_input_bytes: Input of clients: heads, bodies, requests that wait or are open.
         response_bytes: Responses of servers, until their clients have taken them.
         feed_line_bytes: The longest line of the feed.
+        server_read_bytes: The size of one read from a server, which may wait on each connection.
     """
 
     target_bytes: int
@@ -59,6 +65,7 @@
     client_input_bytes: int
     response_bytes: int
     feed_line_bytes: int
+    server_read_bytes: int
 
 
 def plan_memory(limit_mb: float, max_descriptors: int, process_count: int = 1) -> MemoryPlan:
@@ -81,4 +88,5 @@
         client_input_bytes=max(MIN_SHARE_BYTES, int(spare_bytes * CLIENT_INPUT_FRACTION)),
         response_bytes=min(MAX_RESPONSES_BYTES, max(MIN_SHARE_BYTES, int(spare_bytes * RESPONSES_FRACTION))),
         feed_line_bytes=min(MAX_LINE_BYTES, max(MIN_LINE_BYTES, line_bytes)),
+        server_read_bytes=LARGE_READ_BYTES if target_bytes >= ROOMY_TARGET_BYTES else SMALL_READ_BYTES,
     )
--- a/gladewalk/net/bounded_reads.py
+++ b/gladewalk/net/bounded_reads.py
@@ -22,7 +22,9 @@
 class ReadTurns:
     """The connections that wait for their turn to read, and the time that large reads take."""
 
-    def __init__(self) -> None:
+    def __init__(self, read_bytes: int = READ_BYTES) -> None:
+        """`read_bytes` is the size of one read of each connection."""
+        self.buffer = memoryview(bytearray(read_bytes))  # shared: a read is copied before the next one begins
         self._waiting: deque[BoundedReads] = deque()
         self._used_s = 0.0
         self._is_measuring = False
@@ -70,8 +72,6 @@
         is_waiting_for_turn: Whether reading is paused until the connection's turn comes.
     """
 
-    read_buffer = memoryview(bytearray(READ_BYTES))  # shared: a read is copied before the next one begins
-
     def __init__(self, read_turns: ReadTurns) -> None:
         self.transport: asyncio.Transport | None = None
         self.is_waiting_for_turn = False
@@ -93,7 +93,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer that the transport reads into."""
-        return self.read_buffer
+        return self._read_turns.buffer
 
     def slice_bytes(self) -> int:
         """Returns how much of a large read is handled before the time is looked at."""
@@ -101,7 +101,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes on what was read; what has no time in this iteration waits for the connection's turn."""
-        data = bytes(self.read_buffer[:nbytes])
+        data = bytes(self._read_turns.buffer[:nbytes])
         if nbytes < SLICE_BYTES:
             self.data_received(data)
         elif self._read_turns.is_exhausted:
--- a/gladewalk/net/coordinator.py
+++ b/gladewalk/net/coordinator.py
@@ -32,12 +32,10 @@
         partial_line: What was received and not applied: lines that wait for their turn, a partial one.
     """
 
-    read_buffer = memoryview(bytearray(READ_BYTES))
-
     def __init__(
         self, watch: CoordinatorWatch, address: Address, max_line_bytes: int = MAX_LINE_BYTES
     ) -> None:
-        super().__init__(ReadTurns())
+        super().__init__(ReadTurns(READ_BYTES))
         self.watch, self.address = watch, address
         self.partial_line = bytearray()
         self._max_line_bytes = max_line_bytes
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -18,6 +18,7 @@
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
+from .core.memory_ledger import MemoryLedger
 from .upstream.pool import ConnectionPool
 
 if TYPE_CHECKING:  # at run time, parts that are not configured are not imported
@@ -113,13 +114,14 @@
     deadlines: Deadlines,
     counters: Counters,
     log: Callable[[str], None],
+    memory: MemoryLedger,
 ) -> HttpProxy | None:
     """Builds the HTTP proxy of `[front.http]`."""
     if options is None or options.front.http is None:
         return None
     from .web.start import HttpProxy
 
-    return HttpProxy(options, config.name, config.seed, clock, deadlines, counters, log)
+    return HttpProxy(options, config.name, config.seed, clock, deadlines, counters, log, memory)
 
 
 def build_store(
--- a/gladewalk/upstream/http1.py
+++ b/gladewalk/upstream/http1.py
@@ -11,6 +11,7 @@
 from ..config.platform import Address
 from ..core.exchange import Attempt, AttemptResult, ResponseHead
 from ..core.response_buffer import MAX_OBJECT_BYTES
+from ..limits.memory_plan import LARGE_READ_BYTES
 from ..net.bounded_reads import SLICE_BYTES, BoundedReads
 from ..net.sockets import MAX_FRAMING_BYTES, socket_poll, write_now
 from .protocol_fields import (
@@ -66,9 +67,6 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + request.body
 
 
-READ_BYTES = 64 * 1024  # of one read; most objects take few reads
-
-
 class Http1Connection(BoundedReads):
     """One connection to a server, with one work item in flight or idle.
 
@@ -90,8 +88,6 @@
         has_room: Whether there is room in memory for the response, so that it is read.
     """
 
-    read_buffer = memoryview(bytearray(READ_BYTES))
-
     def __init__(self, server: Http1Server) -> None:
         super().__init__(server.pool.read_turns)
         self.server, self.pool, self.address = server, server.pool, server.address
@@ -172,7 +168,7 @@
 
     def slice_bytes(self) -> int:
         """Returns a whole read for a body of known length, which takes few calls of the parser."""
-        return READ_BYTES if b"content-length" in self.headers else SLICE_BYTES
+        return LARGE_READ_BYTES if b"content-length" in self.headers else SLICE_BYTES
 
     def is_input_empty(self) -> bool:
         """Whether the server has neither sent anything since its last response nor closed the connection.
--- a/gladewalk/upstream/pool.py
+++ b/gladewalk/upstream/pool.py
@@ -67,7 +67,7 @@
         self.servers: dict[str, UpstreamServer] = {}
         self.configure(config)
         self.open_connections: set[asyncio.BaseProtocol] = set()
-        self.read_turns = ReadTurns()
+        self.read_turns = ReadTurns(exchange.memory.plan.server_read_bytes)
         self.opener = ConnectionOpener(self)
         self.waiting: deque[ConnectionRequest | GroupConnectionRequest] = deque()
         self.groups: list[ConnectionGroup] = []
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -9,6 +9,7 @@
 from ..config.platform import Address, ConfigError, read_address
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
+from ..core.memory_ledger import MemoryLedger
 from ..nginx.errors import RoutingTableError
 from ..nginx.router import Router
 from ..nginx.table import UpstreamRow, UpstreamServerRow, load_site
@@ -76,6 +77,7 @@
         deadlines: Deadlines,
         counters: Counters,
         log: Callable[[str], None],
+        memory: MemoryLedger,
     ) -> None:
         """Builds exchanges and listeners without opening a socket.
 
@@ -84,6 +86,7 @@
         """
         self._name, self._seed, self._clock = name, seed, clock
         self._deadlines, self._counters, self._log = deadlines, counters, log
+        self._memory = memory
         self.upstreams: dict[str, UpstreamExchange] = {}
         table = options.front.http
         assert table is not None
@@ -136,7 +139,9 @@
         return added
 
     def _build_exchange(self, config: UpstreamConfig, max_connections: int) -> UpstreamExchange:
-        exchange = UpstreamExchange(config, self._clock, self._deadlines, self._counters, self._log)
+        exchange = UpstreamExchange(
+            config, self._clock, self._deadlines, self._counters, self._log, self._memory
+        )
         pool = ConnectionPool(exchange, config.platform, self._clock, self._deadlines, self._counters)
         pool.http1_class, pool.max_connections = UpstreamConnection, max_connections
         exchange.upstreams = pool
--- a/gladewalk/web/streaming.py
+++ b/gladewalk/web/streaming.py
@@ -15,6 +15,7 @@
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer, OpenRequest, ResponseHead
+from ..core.memory_ledger import MemoryLedger
 from ..core.outcome_counters import Outcome, outcome_counter
 from ..core.response_buffer import MAX_OBJECT_BYTES
 from .messages import BODILESS_STATUSES, ProxyRequest, ProxyResponseHead
@@ -50,8 +51,9 @@
         deadlines: Deadlines,
         counters: Counters,
         log: Callable[[str], None],
+        memory: MemoryLedger | None = None,
     ) -> None:
-        super().__init__(config, clock, deadlines, counters, log)
+        super().__init__(config, clock, deadlines, counters, log, memory)
         self.streams: dict[int, Attempt] = {}
 
     def is_streaming(self, opened: OpenRequest) -> bool:
--- a/gladewalk/web/upstream_exchange.py
+++ b/gladewalk/web/upstream_exchange.py
@@ -8,6 +8,7 @@
 from ..core.counters import Counters
 from ..core.deadlines import DeadlineKey, Deadlines
 from ..core.exchange import Attempt, AttemptResult, FinalAnswer
+from ..core.memory_ledger import MemoryLedger
 from ..nginx.table import ProxySettings
 from ..upstream.pool import ConnectionPool
 from .messages import BAD_GATEWAY, GATEWAY_TIMEOUT, ProxyRequest, ProxyResult
@@ -45,8 +46,9 @@
         deadlines: Deadlines,
         counters: Counters,
         log: Callable[[str], None],
+        memory: MemoryLedger | None = None,
     ) -> None:
-        super().__init__(config.platform, clock, deadlines, counters, log)
+        super().__init__(config.platform, clock, deadlines, counters, log, memory)
         self.config = config
         self.is_retired = False
         self._written: set[int] = set()  # `id`s of the attempts whose request has been written
