--- a/benchmarks/hostile/crowds.py
+++ b/benchmarks/hostile/crowds.py
@@ -49,9 +49,12 @@
     yield ScriptedServer(crowd.script, uid="o", model="origin", zone="north", capacity=SERVER_CAPACITY)
 
 
-async def play_crowd(crowd: Crowd, clients: int, memory_mb: float, descriptors: int) -> CrowdResult:
+async def play_crowd(
+    crowd: Crowd, clients: int, memory_mb: float, descriptors: int, broken: str = ""
+) -> CrowdResult:
     """Has `clients` clients send their input at once to a director with these limits."""
-    async with director_under_limits(list(stand_in_servers(crowd)), memory_mb, descriptors) as director:
+    servers = list(stand_in_servers(crowd))
+    async with director_under_limits(servers, memory_mb, descriptors, broken=broken) as director:
         sends = [_stay(director, crowd.client_input(peer)) for peer in range(clients)]
         await asyncio.gather(*sends)
         director.check_memory()
--- a/benchmarks/hostile/process.py
+++ b/benchmarks/hostile/process.py
@@ -49,6 +49,7 @@
     Attributes:
         address: Where it listens for clients.
         memory_limit_mb: Its limit, of which files in its `TMPDIR` are a part.
+        coordinator: The stand-in coordinator, which it follows unless another address was given.
         peak_mb: The most memory that was seen.
         was_over_limit: Whether it was killed for its memory.
         log: The events that it has logged since its start.
@@ -58,6 +59,7 @@
     address: tuple[str, int]
     memory_limit_mb: float
     temporary_folder: Path
+    coordinator: Coordinator
     peak_mb: float = 0.0
     was_over_limit: bool = False
     log: list[dict[str, Any]] = field(default_factory=list)
@@ -119,10 +121,11 @@
     descriptors: int,
     coordinator_address: str = "",
     settings: Mapping[str, Any] = SETTINGS,
+    broken: str = "",
 ) -> AsyncIterator[DirectorUnderLimits]:
     """Starts the servers, a coordinator and a director with these limits; ends them all at the end.
 
-    With `coordinator_address` the director follows that coordinator.
+    With `coordinator_address` the director follows that coordinator; `broken` names a broken director.
 
     Raises:
         DirectorStartError: The director ended before it served.
@@ -147,12 +150,13 @@
             "NODE_CONFIG": str(folder / "node.json"),
             "TMPDIR": str(temporary_folder),
         }
+        module = ["benchmarks.hostile.broken_director", broken] if broken else ["gladewalk"]
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "gladewalk", env=environ, stderr=asyncio.subprocess.PIPE
+            sys.executable, "-m", *module, env=environ, stderr=asyncio.subprocess.PIPE
         )
         try:
             address = await _listen_address(process)
-            director = DirectorUnderLimits(process, address, memory_mb, temporary_folder)
+            director = DirectorUnderLimits(process, address, memory_mb, temporary_folder, coordinator)
             tasks.append(asyncio.create_task(director.watch_memory()))
             tasks.append(asyncio.create_task(director.read_log()))
             yield director
