--- a/gladewalk/net/connection.py
+++ b/gladewalk/net/connection.py
@@ -18,13 +18,7 @@
 from .connection_owner import ConnectionOwner
 from .request_reader import RequestReader
 from .requests import BadRequestError, parse_request
-from .response_encoding import (
-    RETRY_AT_ONCE,
-    rejection_fields,
-    response_body,
-    response_lines,
-    status_lines,
-)
+from .response_encoding import RETRY_AT_ONCE, rejection_fields, response_body, response_lines, status_lines
 from .sockets import SocketPoll, data_age_ms, end_sending, is_peer_closed, socket_poll
 
 MIN_WAIT_MS = 1.0  # the time given to a request whose deadline passed before it was read
