Divide retries, origin trials and load shedding among an upgrade's processes

Change: the saved retries follow the process's share; after a trial fill a process waits as many backoffs as there are processes; the price of admission looks at the process's own part of the connections.

Failing before (the event ignored, no factor in the backoff): 3 of 3 new tests; 12 saved retries in place of 6, 302 trial fills in a minute where one process sends 151, a price that stays at its minimum. After: they pass, with 152 trial fills by two processes.

--- a/gladewalk/limits/origin_breaker.py
+++ b/gladewalk/limits/origin_breaker.py
@@ -31,16 +31,22 @@
         """Whether a fill that may reach the origin may be sent now."""
         return self.failures <= TOLERATED_FAILURES or now_ms >= self.open_until_ms
 
-    def record_sent(self, now_ms: float) -> None:
-        """Record a fill that may reach the origin: while the origin fails, this starts the next backoff."""
+    def record_sent(self, now_ms: float, process_count: int = 1) -> None:
+        """Record a fill that may reach the origin: while the origin fails, this starts the next backoff.
+
+        `process_count` processes serve as this dispatcher and send its trial fills in turn.
+        """
         if self.failures > TOLERATED_FAILURES:
             doublings = min(self.failures - TOLERATED_FAILURES - 1, MAX_DOUBLINGS)
-            self.open_until_ms = now_ms + min(self.max_backoff_ms, BACKOFF_MS * 2.0**doublings)
+            backoff_ms = min(self.max_backoff_ms, BACKOFF_MS * 2.0**doublings)
+            self.open_until_ms = now_ms + process_count * backoff_ms
 
-    def record_outcome(self, now_ms: float, status: Status, elapsed_ms: float, objective_ms: float) -> None:
+    def record_outcome(
+        self, now_ms: float, status: Status, elapsed_ms: float, objective_ms: float, process_count: int = 1
+    ) -> None:
         """Record the end of a write or fill that reached the origin; `elapsed_ms` counts from its arrival."""
         if status is Status.OK and elapsed_ms <= objective_ms:
             self.failures //= 2  # in steps, so that not all dispatchers resume their fills at the same time
         elif status in FAILURES and now_ms >= self.open_until_ms:  # attempts sent together count once
             self.failures += 1
-            self.record_sent(now_ms)
+            self.record_sent(now_ms, process_count)
--- a/gladewalk/limits/retry_budget.py
+++ b/gladewalk/limits/retry_budget.py
@@ -7,14 +7,17 @@
 
 
 class RetryBudget:
-    """A token bucket: every request adds a fraction of a token, every retry or hedge takes one."""
+    """A token bucket: every request adds a fraction of a token, every retry or hedge takes one.
+
+    Processes that serve as one director divide the tokens that it may save up.
+    """
 
     def __init__(self) -> None:
         self.tokens = MAX_SAVED_RETRIES
 
-    def deposit(self) -> None:
-        """Add a request's fraction of a token."""
-        self.tokens = min(MAX_SAVED_RETRIES, self.tokens + RETRIES_PER_REQUEST)
+    def deposit(self, share: float = 1.0) -> None:
+        """Add a request's fraction of a token; `share` is this process's part of the saved tokens."""
+        self.tokens = min(MAX_SAVED_RETRIES * share, self.tokens + RETRIES_PER_REQUEST)
 
     def withdraw(self) -> bool:
         """Take the token of one retry; False if there is none."""
--- a/gladewalk/policy/routing.py
+++ b/gladewalk/policy/routing.py
@@ -49,7 +49,7 @@
             state.emit(api.Reject(request.id))  # the request was never sent anywhere: a retry is harmless
             return
         state.estimates.record_request(request, request_class)
-        self._retries.budget.deposit()
+        self._retries.budget.deposit(state.process_share)
         pending = state.pending[request.id] = PendingRequest(request, request_class, state.now_ms)
         state.recall_executions(pending)
         # While the origin fails no fill completes in time, but a stale copy can be served.
@@ -126,7 +126,7 @@
         is_parent_without_origin = named_source.role is Role.PARENT and not self._health.may_reach_origin()
         cached_only = is_fill and (named_source.role is Role.CACHE or is_parent_without_origin)
         if is_fill and not cached_only:
-            self._health.origin_breaker.record_sent(state.now_ms)
+            self._health.origin_breaker.record_sent(state.now_ms, state.process_count)
         fetch = api.Fetch(pending.request.id, host.info.name, named_source.name, max_age_ms)
         fetch.join_fill, fetch.cached_only = join_fill, cached_only
         fetch.cache_rank = UNCACHED_RANK if pending.is_write else CACHED_RANK
@@ -258,6 +258,6 @@
                 state.emit(api.Cancel(request_id, attempt))
 
     def update_admission(self) -> None:
-        """Adjust the admission price to the client connections in use; called once per sweep."""
-        limit = self._state.settings.client_connection_limit or math.inf
+        """Adjust the admission price to the use of this process's client connections, once per sweep."""
+        limit = (self._state.settings.client_connection_limit or math.inf) / self._state.process_count
         self._admission.update(len(self._state.pending) / limit)
--- a/gladewalk/registry/outcome_recorder.py
+++ b/gladewalk/registry/outcome_recorder.py
@@ -52,7 +52,9 @@
         state = self._state
         waited_ms = state.now_ms - pending.arrived_ms
         objective_ms = state.estimates.objective_ms(pending)
-        self._health.origin_breaker.record_outcome(state.now_ms, outcome.status, waited_ms, objective_ms)
+        self._health.origin_breaker.record_outcome(
+            state.now_ms, outcome.status, waited_ms, objective_ms, state.process_count
+        )
 
     def _record_host(self, outcome: api.Outcome, host: ServerRecord) -> None:
         status = outcome.status
--- a/tests/test_process_sharing.py
+++ b/tests/test_process_sharing.py
@@ -19,7 +19,11 @@
 from gladewalk.core.deadlines import Deadlines
 from gladewalk.core.process_presence import UNKNOWN_CLAIM, ProcessPresence
 from gladewalk.core.process_sharing import CHECK_INTERVAL_MS, ProcessSharing
+from gladewalk.interface import Status
+from gladewalk.limits.admission_price import MIN_PRICE
+from gladewalk.limits.origin_breaker import TOLERATED_FAILURES, OriginBreaker
 from gladewalk.limits.process_share import EQUAL_FRACTION, ProcessClaim, ProcessShare
+from gladewalk.limits.retry_budget import MAX_SAVED_RETRIES
 from gladewalk.rehearsal.coordinator import Coordinator
 from gladewalk.rehearsal.director_harness import SETTINGS, config_for
 from gladewalk.rehearsal.http_messages import encode_request, read_message
@@ -174,6 +178,48 @@
     assert whole / 2.0 <= half <= whole / 2.0 + random_part + 1.0
 
 
+def test_two_processes_save_up_as_many_retries_as_one() -> None:
+    """Guards against twice the retries at once when servers fail during an upgrade."""
+    saved = []
+    for share in (1.0, 0.5):
+        env = environment_with_share(share, *CACHES, PARENTS[0], ORIGIN)
+        env.send_request(1)
+        saved.append(env.dispatcher.router._retries.budget.tokens)
+    assert saved == [MAX_SAVED_RETRIES, MAX_SAVED_RETRIES / 2.0]
+
+
+def count_trial_fills(process_count: int) -> int:
+    """The fills that processes of one director send in 60 s to an origin that rejects them all."""
+    breakers = [OriginBreaker() for _ in range(process_count)]
+    count = 0
+    for now_ms in range(0, 60_000, 10):
+        for breaker in breakers:
+            if breaker.allows(now_ms):
+                breaker.record_sent(now_ms, process_count)
+                breaker.record_outcome(now_ms + 1.0, Status.REJECTED, 1.0, 400.0, process_count)
+                count += 1
+    return count
+
+
+def test_two_processes_try_a_failing_origin_as_often_as_one() -> None:
+    """Guards against twice the trial fills at an origin that fails, which would keep it down."""
+    assert count_trial_fills(1) > 10
+    assert count_trial_fills(2) <= count_trial_fills(1) + 2 * (TOLERATED_FAILURES + 1)
+
+
+def test_a_process_sheds_load_by_its_own_part_of_the_client_connections() -> None:
+    """Guards against a price of admission that stays low while a process has no connection left."""
+    prices = []
+    for share in (1.0, 0.5):
+        env = environment_with_share(share, *CACHES, PARENTS[0], ORIGIN, client_connection_limit=40)
+        for key in range(20):
+            env.send_request(key)
+        for _ in range(10):
+            env.sweep()
+        prices.append(env.dispatcher.router._admission.price)
+    assert prices[0] == MIN_PRICE < prices[1]
+
+
 # Two processes under load.
 
 RATE_PER_S, LOAD_S, SIZE_KB, CLIENT_KB_PER_S = 200.0, 3.5, 500.0, 10_000.0
