--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -58,7 +58,7 @@
         self.sync_limits = SYNC_LIMITS if config.inherited_fd is None else UPGRADE_SYNC_LIMITS
         self._sync_timer: DeadlineKey | None = None
         self._ended: asyncio.Future[None] = loop.create_future()
-        self._is_stopping, self._shutdown_deadline_ms = False, math.inf
+        self._is_stopping, self._clients_deadline_ms = False, math.inf
 
         self.exchange = Exchange(config, clock, deadlines, counters, self._log_module_line)
         self.exchange.request_log.emit = self.log.info
@@ -105,7 +105,7 @@
             name, options, self.exchange, self.connection_pool, deadlines, counters
         )
         self.web = parts.build_web(
-            options, config, clock, deadlines, counters, self._log_module_line, self.exchange.memory
+            options, config, clock, deadlines, counters, self._log_module_line, self.exchange
         )
         self.persistence = parts.build_store(
             options, purge_settle_ms, clock, counters, self._log_store_event, deadlines
@@ -297,20 +297,23 @@
     def stop(self) -> None:
         """Handles SIGTERM: drains, and accepts requests for another `SHUTDOWN_ACCEPT_MS`.
 
-        Every accepted request gets its final answer by `shutdown_deadline_ms`.
+        Every accepted request of every front gets its final answer by `shutdown_deadline_ms`.
         """
         if self._is_stopping:
             return
         self._is_stopping = True
-        self.log.info("stopping", owed=self.exchange.unanswered_count)
+        self.log.info("stopping", owed=self._unanswered_count())
         self.readiness.is_stopping = True
         self.readiness.start_drain(self.clock())
         if self.leases is not None:  # released at once, so that another director can take over the tasks
             self.leases[0].stop()
         if self.config.inherited_fd is not None:  # other processes with the listener accept new connections
             self.front.stop_accepting()
-        self._shutdown_deadline_ms = shutdown_deadline_ms(self.clock(), self._longest_deadline_ms())
-        self.exchange.answer_all_by(self._shutdown_deadline_ms)
+        deadline_ms = shutdown_deadline_ms(self.clock(), self._longest_deadline_ms())
+        self._clients_deadline_ms = deadline_ms
+        self.exchange.answer_all_by(deadline_ms)
+        if self.web is not None:
+            self.web.answer_all_by(deadline_ms)
         self.deadlines.add(self.clock() + SHUTDOWN_ACCEPT_MS, self._stop_accepting)
 
     def _stop_accepting(self) -> None:
@@ -322,17 +325,22 @@
     def _end_when_answered(self) -> None:
         """Ends the director once no request is open, and retries after `EXIT_DELAY_MS` until then.
 
-        The retries end because every open request has a deadline; clients' connections are waited for until
-        the shutdown deadline at most.
+        The retries end because every open request has a deadline, or streams a response that makes progress;
+        clients' connections are waited for until the shutdown deadline at most.
         """
-        has_open_web_requests = self.web is not None and self.web.unanswered_count
-        has_open = self.exchange.unanswered_count or self.exchange.resolutions.open or has_open_web_requests
-        if has_open or (not self.front.is_done() and self.clock() < self._shutdown_deadline_ms):
-            self.deadlines.add(self.clock() + EXIT_DELAY_MS, self._end_when_answered)
+        now = self.clock()
+        has_open = self._unanswered_count() or self.exchange.resolutions.open
+        if has_open or (not self.front.is_done() and now < self._clients_deadline_ms):
+            self.deadlines.add(now + EXIT_DELAY_MS, self._end_when_answered)
             return
         self._close_parts()
         self.deadlines.add(self.clock() + EXIT_DELAY_MS, lambda: self._ended.set_result(None))
 
+    def _unanswered_count(self) -> int:
+        """The number of requests, of every front, that have no final answer yet."""
+        web_count = self.web.unanswered_count if self.web is not None else 0
+        return self.exchange.unanswered_count + web_count
+
     def _close_parts(self) -> None:
         self.coordinator_watch.close()
         if self.members is not None:
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -19,7 +19,6 @@
 from .core.counters import Counters
 from .core.deadlines import Deadlines
 from .core.exchange import Exchange
-from .core.memory_ledger import MemoryLedger
 from .upstream.pool import ConnectionPool
 
 if TYPE_CHECKING:  # at run time, parts that are not configured are not imported
@@ -123,14 +122,24 @@
     deadlines: Deadlines,
     counters: Counters,
     log: Callable[[str], None],
-    memory: MemoryLedger,
+    exchange: Exchange,
 ) -> HttpProxy | None:
-    """Builds the HTTP proxy of `[front.http]`."""
+    """Builds the HTTP proxy of `[front.http]`, which shares the memory and the stop of `exchange`."""
     if options is None or options.front.http is None:
         return None
     from .web.start import HttpProxy
 
-    return HttpProxy(options, config.name, config.seed, clock, deadlines, counters, log, memory)
+    return HttpProxy(
+        options,
+        config.name,
+        config.seed,
+        clock,
+        deadlines,
+        counters,
+        log,
+        exchange.memory,
+        exchange.final_deadlines,
+    )
 
 
 def build_store(
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -9,6 +9,7 @@
 from ..config.platform import Address, ConfigError, read_address
 from ..core.counters import Counters
 from ..core.deadlines import Deadlines
+from ..core.final_deadlines import FinalDeadlines
 from ..core.memory_ledger import MemoryLedger
 from ..nginx.errors import RoutingTableError
 from ..nginx.router import Router
@@ -78,16 +79,20 @@
         counters: Counters,
         log: Callable[[str], None],
         memory: MemoryLedger,
+        final_deadlines: FinalDeadlines,
     ) -> None:
         """Builds exchanges and listeners without opening a socket.
 
+        `memory` and `final_deadlines` are shared with the director's other exchanges.
+
         Raises:
             ConfigError: The table or a listener cannot be used.
         """
         self._name, self._seed, self._clock = name, seed, clock
         self._deadlines, self._counters, self._log = deadlines, counters, log
-        self._memory = memory
+        self._memory, self._final_deadlines = memory, final_deadlines
         self.upstreams: dict[str, UpstreamExchange] = {}
+        self._retired: list[UpstreamExchange] = []  # replaced by a reload; some may have open requests
         table = options.front.http
         assert table is not None
         router, self._listeners = load_routing(options)
@@ -136,6 +141,8 @@
             added.append(exchange)
         for exchange in previous.values():
             exchange.retire()
+        self._retired = [exchange for exchange in self._retired if exchange.open_requests]
+        self._retired += previous.values()
         return added
 
     def _build_exchange(self, config: UpstreamConfig, max_connections: int) -> UpstreamExchange:
@@ -144,7 +151,7 @@
         )
         pool = ConnectionPool(exchange, config.platform, self._clock, self._deadlines, self._counters)
         pool.http1_class, pool.max_connections = UpstreamConnection, max_connections
-        exchange.upstreams = pool
+        exchange.upstreams, exchange.final_deadlines = pool, self._final_deadlines
         return exchange
 
     def start(self) -> None:
@@ -164,12 +171,22 @@
         for front in self.fronts:
             front.router, front.upstreams = router, self.upstreams
 
+    # Graceful shutdown.
+
     @property
     def unanswered_count(self) -> int:
-        """The number of requests that have not had their final answer."""
-        return sum(exchange.unanswered_count for exchange in self.upstreams.values())
+        """The number of requests that have not had their final answer, at replaced upstreams too."""
+        return sum(exchange.unanswered_count for exchange in self._all_exchanges())
+
+    def answer_all_by(self, when_ms: float) -> None:
+        """Shortens the deadline of every open and future request to `when_ms` or some time before it."""
+        for exchange in self._all_exchanges():
+            exchange.answer_all_by(when_ms)
 
     def close(self) -> None:
         """Closes the listeners and their connections."""
         for front in self.fronts:
             front.close()
+
+    def _all_exchanges(self) -> list[UpstreamExchange]:
+        return [*self.upstreams.values(), *self._retired]
--- a/gladewalk/web/streaming.py
+++ b/gladewalk/web/streaming.py
@@ -3,10 +3,14 @@
 The exchange buffers a response completely if its length is known and at most `MAX_OBJECT_BYTES`. A larger
 response, or one whose length is not known before its end, is streamed: each piece is forwarded to the client
 when it is received. If the server's response breaks off, the client's connection is closed.
+
+A stop does not cut a streamed response while bytes arrive: its client would lose what it can still get before
+the process is killed, if it is killed at all. One that stalls ends with the stop.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Protocol, cast
 
@@ -20,6 +24,8 @@
 from ..core.response_buffer import MAX_OBJECT_BYTES
 from .messages import BODILESS_STATUSES, ProxyRequest, ProxyResponseHead
 
+STALL_MS = 500.0  # at a stop: a streamed response ends if its server sent nothing for this long
+
 
 class StreamWriter(Protocol):
     """The client side of a streamed response."""
@@ -42,6 +48,7 @@
 
     Attributes:
         streams: The attempts whose responses are being streamed, by the numbers of their requests.
+        last_data_ms: When data of each streamed response was last received, by the number of its request.
     """
 
     def __init__(
@@ -55,6 +62,7 @@
     ) -> None:
         super().__init__(config, clock, deadlines, counters, log, memory)
         self.streams: dict[int, Attempt] = {}
+        self.last_data_ms: dict[int, float] = {}
 
     def is_streaming(self, opened: OpenRequest) -> bool:
         """Whether a response to the request is being streamed: part of it has been sent to the client."""
@@ -80,6 +88,7 @@
         if _is_bounded(opened, head):
             return super().response_started(attempt, head)
         self.streams[opened.number] = attempt
+        self.last_data_ms[opened.number] = self.clock()
         self.deadlines.drop(attempt.timer)
         attempt.timer = None
         _writer(opened).start_response(head)
@@ -95,13 +104,14 @@
         if self.streams.get(opened.number) is not attempt:
             super().response_body(attempt, data)
         elif not opened.is_answered:
+            self.last_data_ms[opened.number] = self.clock()
             _writer(opened).write_body(data)
 
     def attempt_ended(self, attempt: Attempt, result: AttemptResult) -> None:
         """Ends the response that the attempt streamed, if any, and then the attempt itself."""
         opened = attempt.open_request
         if self.streams.get(opened.number) is attempt:
-            del self.streams[opened.number]
+            del self.streams[opened.number], self.last_data_ms[opened.number]
             if not opened.is_answered:
                 self._end_stream(opened, result.status)
         super().attempt_ended(attempt, result)
@@ -126,6 +136,25 @@
         else:
             super()._finish(number, final, reason, retry_after_ms)
 
+    def _fail_at_stop(self, opened: OpenRequest) -> None:
+        if not self._outlasts_stop(opened, self._fail_at_stop):
+            super()._fail_at_stop(opened)
+
+    def _request_timed_out(self, opened: OpenRequest) -> None:
+        if not self._outlasts_stop(opened, self._request_timed_out):
+            super()._request_timed_out(opened)
+
+    def _outlasts_stop(self, opened: OpenRequest, end: Callable[[OpenRequest], None]) -> bool:
+        """Whether a stop lets a streamed response go on; `end` is called once it may have stalled."""
+        is_stopping = self.final_deadlines.latest_ms < math.inf
+        if not is_stopping or opened.is_answered or not self.is_streaming(opened):
+            return False
+        stalled_ms = self.last_data_ms[opened.number] + STALL_MS
+        if self.clock() >= stalled_ms:
+            return False
+        opened.timer = self.deadlines.add(stalled_ms, lambda: end(opened))
+        return True
+
 
 def _is_bounded(opened: OpenRequest, head: ResponseHead) -> bool:
     request = opened.request
--- a/gladewalk/web/upstream_exchange.py
+++ b/gladewalk/web/upstream_exchange.py
@@ -7,7 +7,7 @@
 from .. import interface as api
 from ..core.counters import Counters
 from ..core.deadlines import DeadlineKey, Deadlines
-from ..core.exchange import Attempt, AttemptResult, FinalAnswer
+from ..core.exchange import Attempt, AttemptResult, FinalAnswer, OpenRequest
 from ..core.memory_ledger import MemoryLedger
 from ..nginx.table import ProxySettings
 from ..upstream.pool import ConnectionPool
@@ -150,6 +150,12 @@
         self.counters.add("answers.failed")
         opened.client.send_final(FinalAnswer.FAILED, 0.0)
 
+    def _fail_at_stop(self, opened: OpenRequest) -> None:
+        request = opened.request
+        if isinstance(request, ProxyRequest) and request.sent_count:
+            request.failure_status = GATEWAY_TIMEOUT  # a server has it and did not respond in time
+        super()._fail_at_stop(opened)
+
     # Health.
 
     def _record_health(self, attempt: Attempt, request: ProxyRequest, result: AttemptResult) -> None:
