Wait at a stop until clients of the nginx front have their responses

What callers saw: a client that reads slowly lost the end of a response of the nginx front when the director was stopped.

Cause: a request counts as answered once its response is written to the transport; only the platform's front was asked whether its buffers are empty before the process ends. Evidence: a response of 200,000 bytes through buffers of 4 KB; the director had ended 0.7 s after SIGTERM, before the client had read anything.

Change: the fronts of the site are asked as well, until the shutdown deadline at most; after a streamed response that outlasts it, for another second.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -34,6 +34,7 @@
     from .net.admin import AdminFront
 
 EXIT_DELAY_MS = 20.0  # time for the last responses to be sent before the process exits
+STREAM_END_MS = 1_000.0  # time for clients to read the end of a response that outlasted the shutdown deadline
 
 
 class Director:
@@ -330,7 +331,10 @@
         """
         now = self.clock()
         has_open = self._unanswered_count() or self.exchange.resolutions.open
-        if has_open or (not self.front.is_done() and now < self._clients_deadline_ms):
+        if has_open and now > self._clients_deadline_ms:
+            self._clients_deadline_ms = now + STREAM_END_MS
+        are_fronts_done = self.front.is_done() and (self.web is None or self.web.is_done())
+        if has_open or (not are_fronts_done and now < self._clients_deadline_ms):
             self.deadlines.add(now + EXIT_DELAY_MS, self._end_when_answered)
             return
         self._close_parts()
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -184,9 +184,13 @@
             exchange.answer_all_by(when_ms)
 
     def close(self) -> None:
-        """Closes the listeners and their connections."""
+        """Closes the listeners and their connections; `is_done` reports the end."""
         for front in self.fronts:
             front.close()
 
+    def is_done(self) -> bool:
+        """Whether no response is outstanding at any listener, not even in part."""
+        return all(front.is_done() for front in self.fronts)
+
     def _all_exchanges(self) -> list[UpstreamExchange]:
         return [*self.upstreams.values(), *self._retired]
--- a/tests/test_stop_of_fronts.py
+++ b/tests/test_stop_of_fronts.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from pathlib import Path
 
 import pytest
 
+from gladewalk.config.platform import Address
 from gladewalk.core.readiness import MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS
 from gladewalk.nginx.router import Router
 from gladewalk.rehearsal.director_harness import wait_until
@@ -176,6 +178,52 @@
 # Responses that have begun.
 
 
+async def read_slowly(address: Address, rest_s: float) -> bytes:
+    """Reads a response through small buffers, after a rest; returns what came until the connection ended."""
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    client.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(client, address)
+    await loop.sock_sendall(client, b"GET /page HTTP/1.1\r\nHost: example.com\r\n\r\n")
+    await asyncio.sleep(rest_s)
+    received = b""
+    with contextlib.closing(client):
+        while data := await loop.sock_recv(client, 65_536):
+            received += data
+    return received
+
+
+def test_a_stop_waits_until_a_slow_client_of_the_nginx_front_has_taken_its_response() -> None:
+    """Guards against a process that ends with responses of the nginx front in its own buffers."""
+    body = b"x" * 200_000
+
+    harness = SiteHarness(site_of(SITE))
+
+    async def answer_with_small_buffer(request: ReceivedRequest) -> None:
+        assert harness.director is not None and harness.director.web is not None
+        for connection in harness.director.web.fronts[0].connections:
+            assert connection.transport is not None
+            peer = connection.transport.get_extra_info("socket")
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        await request.respond(200, body)
+
+    async def scenario() -> None:
+        harness.scripts["a/0"] = answer_with_small_buffer
+        async with harness:
+            site = StoppableSite(harness)
+            reading = asyncio.create_task(read_slowly(harness.address(), 2.0))
+            await wait_until(lambda: site.director.counters["answers.served"] == 1)
+            site.stop()
+            while not reading.done():
+                assert not site.director._ended.done()
+                await asyncio.sleep(0.01)
+            assert reading.result().endswith(b"\r\n\r\n" + body)
+            await wait_until(site.director._ended.done)
+
+    play(scenario)
+
+
 def stream_of(pieces: int, interval_s: float) -> Http1Script:
     """A script whose response is too large to buffer, and stalls after so many pieces of it."""
 
