Answer DNS queries that wait for a server before the SIGKILL of a stop

What callers saw: while no server is usable, a query of the DNS front that may wait longer than a stop takes ([dns] wait_ms) had no answer at SIGKILL, and held the process.

Cause: the same as of the nginx front's requests: answer_all_by reached requests alone, while the end of the process waits for resolve requests too. Change: resolve requests take their deadlines from the stop as well (SERVFAIL then).

Failing before: test_resolve_requests_that_wait_for_a_server_are_answered_before_the_ sigkill, neither of two was answered. After: both are, and the process has ended.

--- a/gladewalk/core/exchange.py
+++ b/gladewalk/core/exchange.py
@@ -68,11 +68,13 @@
         self.upstreams: UpstreamPool | None = None
         self.open_requests: dict[int, OpenRequest] = {}
         self.unanswered_count = 0  # requests that have no final answer yet
-        self.resolutions = Resolutions(self.dispatcher, clock, deadlines, counters, self.handle_event)
+        self.final_deadlines = FinalDeadlines()
+        self.resolutions = Resolutions(
+            self.dispatcher, clock, deadlines, counters, self.handle_event, self.final_deadlines
+        )
         self._events: deque[api.Event] = deque()
         self._last_number, self._is_handling = 0, False
         self._finished: list[int] = []
-        self.final_deadlines = FinalDeadlines()
         self.buffered_requests: list[OpenRequest] | None = None  # accepted, not yet passed to the module
         self.request_log = RequestLog(clock, counters)
         self.shared_executions: SharedExecutions | None = None  # with another process that may serve
@@ -101,6 +103,7 @@
     def answer_all_by(self, when_ms: float) -> None:
         """Shortens the deadline of every open and future request to `when_ms` or some time before it."""
         self.final_deadlines.latest_ms = when_ms
+        self.resolutions.limit_deadlines()
         for opened in [opened for opened in self.open_requests.values() if not opened.is_answered]:
             due_ms = self.final_deadlines.limit(opened.deadline_ms)
             if opened.deadline_ms > due_ms:
--- a/gladewalk/core/resolutions.py
+++ b/gladewalk/core/resolutions.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 from .. import interface as api
 from ..config.platform import Address
@@ -11,6 +12,7 @@
 from .counters import Counters
 from .deadlines import DeadlineKey, Deadlines
 from .exchange_types import ResolveResponder
+from .final_deadlines import FinalDeadlines
 
 PersistResolution = Callable[[api.ResolveRequest, Sequence[str], Callable[[], None]], None]
 AddressOf = Callable[[str], Address | None]
@@ -35,12 +37,13 @@
         deadlines: Deadlines,
         counters: Counters,
         handle_event: Callable[[api.Event], None],
+        final_deadlines: FinalDeadlines,
     ) -> None:
         self.dispatcher, self.clock, self.deadlines, self.counters = dispatcher, clock, deadlines, counters
         self.open: dict[int, OpenResolution] = {}
         # Makes the leases of an answer durable, then calls back; None: answers are sent at once.
         self.persist: PersistResolution | None = None
-        self._handle_event = handle_event
+        self._handle_event, self._final_deadlines = handle_event, final_deadlines
         self._buffered: list[int] | None = None  # numbers of requests not yet passed to the decision module
 
     def add(self, request: api.ResolveRequest, responder: ResolveResponder, max_wait_ms: float) -> None:
@@ -50,13 +53,23 @@
         """
         number = request.id
         self.counters.add("locates.taken")
-        timer = self.deadlines.add(self.clock() + max_wait_ms, lambda: self._timed_out(number))
+        due_ms = self._final_deadlines.limit(self.clock() + max_wait_ms)
+        timer = self.deadlines.add(due_ms, lambda: self._timed_out(number))
         self.open[number] = OpenResolution(request, responder, timer)
         if self._buffered is not None:
             self._buffered.append(number)
         else:
             self._handle_event(request)
 
+    def limit_deadlines(self) -> None:
+        """Shortens the deadline of every open request to the final deadlines of a stop."""
+        for number, resolution in self.open.items():
+            due_ms = resolution.timer[0]
+            limited_ms = self._final_deadlines.limit(due_ms)
+            if limited_ms < due_ms:
+                self.deadlines.drop(resolution.timer)
+                resolution.timer = self.deadlines.add(limited_ms, partial(self._timed_out, number))
+
     def buffer(self) -> None:
         """Buffers new requests until `release`, as the module may have a stale server list."""
         if self._buffered is None:
--- a/tests/test_stop_of_fronts.py
+++ b/tests/test_stop_of_fronts.py
@@ -9,10 +9,12 @@
 
 import pytest
 
+from gladewalk import interface as api
 from gladewalk.config.platform import Address
 from gladewalk.core.readiness import MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS
+from gladewalk.director import Director
 from gladewalk.nginx.router import Router
-from gladewalk.rehearsal.director_harness import wait_until
+from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
 from gladewalk.rehearsal.http_messages import read_message
 from gladewalk.rehearsal.scripted_servers import Http1Script, ReceivedRequest
 from gladewalk.rehearsal.site_harness import SiteHarness, SiteResponse
@@ -275,6 +277,47 @@
     play(scenario)
 
 
+# Requests of the DNS front.
+
+
+class RecordingResponder:
+    """Records how a resolve request was answered."""
+
+    def __init__(self) -> None:
+        self.answers: list[str] = []
+
+    def resolved(self, servers: Sequence[tuple[str, Address]], ttl_ms: float) -> None:
+        self.answers.append("resolved")
+
+    def rejected(self) -> None:
+        self.answers.append("rejected")
+
+
+def test_resolve_requests_that_wait_for_a_server_are_answered_before_the_sigkill() -> None:
+    """Guards against a stop that waits as long as a DNS query may, which is a setting of its own."""
+
+    async def resolve(director: Director) -> RecordingResponder:
+        responder = RecordingResponder()
+        director.exchange.resolve(
+            responder, 60_000.0, lambda number: api.ResolveRequest(number, "lot-page", 1, 60_000.0, "r")
+        )
+        return responder
+
+    async def scenario() -> None:
+        async with DirectorHarness([]) as harness:
+            director = harness.director
+            assert director is not None
+            stopped_s = time.monotonic()
+            before = await resolve(director)
+            director.stop()
+            after = await resolve(director)
+            await asyncio.sleep(max(0.0, stopped_s + SIGKILL_S - time.monotonic()))
+            assert (before.answers, after.answers) == (["rejected"], ["rejected"])
+            assert director._ended.done()
+
+    play(scenario)
+
+
 def test_requests_of_the_platform_and_of_the_nginx_front_share_the_last_moments() -> None:
     """Guards against answers of two fronts that are due at the same moments and written after the SIGKILL."""
 
