Drain the connections of the nginx front too, at a stop and by an operator

Cause: each listener of a site had a Readiness of its own, which nothing changes. Change: they follow the director's.

Failing before: both forms of test_a_stop_and_a_drain_close_connections_of_the_nginx_ front_with_their_answers.

--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -108,6 +108,8 @@
         self.web = parts.build_web(
             options, config, clock, deadlines, counters, self._log_module_line, self.exchange
         )
+        if self.web is not None:
+            self.web.set_readiness(self.readiness)
         self.persistence = parts.build_store(
             options, purge_settle_ms, clock, counters, self._log_store_event, deadlines
         )
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -11,6 +11,7 @@
 from ..core.deadlines import Deadlines
 from ..core.final_deadlines import FinalDeadlines
 from ..core.memory_ledger import MemoryLedger
+from ..core.readiness import Readiness
 from ..nginx.errors import RoutingTableError
 from ..nginx.router import Router
 from ..nginx.table import UpstreamRow, UpstreamServerRow, load_site
@@ -154,6 +155,11 @@
         exchange.upstreams, exchange.final_deadlines = pool, self._final_deadlines
         return exchange
 
+    def set_readiness(self, readiness: Readiness) -> None:
+        """Has the listeners follow the director's drains and its stop, as the platform's front does."""
+        for front in self.fronts:
+            front.readiness = readiness
+
     def start(self) -> None:
         """Starts the exchanges and opens the listeners."""
         for exchange in self.upstreams.values():
--- a/tests/test_stop_of_fronts.py
+++ b/tests/test_stop_of_fronts.py
@@ -11,13 +11,13 @@
 
 from gladewalk import interface as api
 from gladewalk.config.platform import Address
-from gladewalk.core.readiness import MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS
+from gladewalk.core.readiness import MAX_IDLE_DRAIN_MS, MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS
 from gladewalk.director import Director
 from gladewalk.nginx.router import Router
 from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
 from gladewalk.rehearsal.http_messages import read_message
 from gladewalk.rehearsal.scripted_servers import Http1Script, ReceivedRequest
-from gladewalk.rehearsal.site_harness import SiteHarness, SiteResponse
+from gladewalk.rehearsal.site_harness import SiteHarness, SiteResponse, respond_with_name
 from gladewalk.web.start import load_routing
 
 from .server_scripts import never_respond
@@ -177,6 +177,35 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("is_stop", [True, False])
+def test_a_stop_and_a_drain_close_connections_of_the_nginx_front_with_their_answers(is_stop: bool) -> None:
+    """Guards against clients that go on with a connection until it is closed under their next request."""
+
+    async def scenario() -> None:
+        async with running_site(respond_with_name) as site:
+            address = site.harness.address()
+            busy_reader, busy_writer = await asyncio.open_connection(*address)
+            idle_reader, idle_writer = await asyncio.open_connection(*address)
+            request = b"GET /page HTTP/1.1\r\nHost: example.com\r\n\r\n"
+            for reader, writer in ((busy_reader, busy_writer), (idle_reader, idle_writer)):
+                writer.write(request)
+                assert "connection" not in (await read_message(reader)).headers
+            if is_stop:
+                site.stop()
+            else:
+                site.director.readiness.start_drain(site.director.clock())
+            busy_writer.write(request)
+            message = await read_message(busy_reader)
+            assert (message.status, message.headers.get("connection")) == (200, "close")
+            began_s = time.monotonic()
+            assert await idle_reader.read() == b""
+            assert time.monotonic() - began_s < MAX_IDLE_DRAIN_MS / 1_000.0
+            for writer in (busy_writer, idle_writer):
+                writer.close()
+
+    play(scenario)
+
+
 # Responses that have begun.
 
 
