Hand the site's exchanges what they share in one object

Cleaning: HttpProxy, UpstreamExchange and StreamingExchange each repeated the constructor of Exchange, which the shared final deadlines had made longer still. SharedServices has clock, timers, counters, log, accounts and final deadlines of the process.

--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -127,19 +127,11 @@
     """Builds the HTTP proxy of `[front.http]`, which shares the memory and the stop of `exchange`."""
     if options is None or options.front.http is None:
         return None
+    from .web.shared_services import SharedServices
     from .web.start import HttpProxy
 
-    return HttpProxy(
-        options,
-        config.name,
-        config.seed,
-        clock,
-        deadlines,
-        counters,
-        log,
-        exchange.memory,
-        exchange.final_deadlines,
-    )
+    services = SharedServices(clock, deadlines, counters, log, exchange.memory, exchange.final_deadlines)
+    return HttpProxy(options, config.name, config.seed, services)
 
 
 def build_store(
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -2,15 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from ..config.option_tables import FrontHttpOptions
 from ..config.options import Options
 from ..config.platform import Address, ConfigError, read_address
-from ..core.counters import Counters
-from ..core.deadlines import Deadlines
-from ..core.final_deadlines import FinalDeadlines
-from ..core.memory_ledger import MemoryLedger
 from ..core.readiness import Readiness
 from ..nginx.errors import RoutingTableError
 from ..nginx.router import Router
@@ -18,6 +12,7 @@
 from ..upstream.pool import ConnectionPool
 from .connection import UpstreamConnection
 from .front import HttpFront
+from .shared_services import SharedServices
 from .upstream_config import UpstreamConfig, build_upstream_config
 from .upstream_exchange import UpstreamExchange
 
@@ -70,28 +65,13 @@
         fronts: The listeners.
     """
 
-    def __init__(
-        self,
-        options: Options,
-        name: str,
-        seed: int,
-        clock: Callable[[], float],
-        deadlines: Deadlines,
-        counters: Counters,
-        log: Callable[[str], None],
-        memory: MemoryLedger,
-        final_deadlines: FinalDeadlines,
-    ) -> None:
+    def __init__(self, options: Options, name: str, seed: int, services: SharedServices) -> None:
         """Builds exchanges and listeners without opening a socket.
 
-        `memory` and `final_deadlines` are shared with the director's other exchanges.
-
         Raises:
             ConfigError: The table or a listener cannot be used.
         """
-        self._name, self._seed, self._clock = name, seed, clock
-        self._deadlines, self._counters, self._log = deadlines, counters, log
-        self._memory, self._final_deadlines = memory, final_deadlines
+        self._name, self._seed, self._services = name, seed, services
         self.upstreams: dict[str, UpstreamExchange] = {}
         self._retired: list[UpstreamExchange] = []  # replaced by a reload; some may have open requests
         table = options.front.http
@@ -108,9 +88,9 @@
                 self.upstreams,
                 connection_limit,
                 table.max_body_bytes,
-                clock,
-                deadlines,
-                counters,
+                services.clock,
+                services.deadlines,
+                services.counters,
             )
             for listen_key in self._listeners.values()
         ]
@@ -147,12 +127,13 @@
         return added
 
     def _build_exchange(self, config: UpstreamConfig, max_connections: int) -> UpstreamExchange:
-        exchange = UpstreamExchange(
-            config, self._clock, self._deadlines, self._counters, self._log, self._memory
+        services = self._services
+        exchange = UpstreamExchange(config, services)
+        pool = ConnectionPool(
+            exchange, config.platform, services.clock, services.deadlines, services.counters
         )
-        pool = ConnectionPool(exchange, config.platform, self._clock, self._deadlines, self._counters)
         pool.http1_class, pool.max_connections = UpstreamConnection, max_connections
-        exchange.upstreams, exchange.final_deadlines = pool, self._final_deadlines
+        exchange.upstreams = pool
         return exchange
 
     def set_readiness(self, readiness: Readiness) -> None:
--- a/gladewalk/web/streaming.py
+++ b/gladewalk/web/streaming.py
@@ -16,13 +16,11 @@
 
 from .. import interface as api
 from ..config.platform import PlatformConfig
-from ..core.counters import Counters
-from ..core.deadlines import Deadlines
 from ..core.exchange import Attempt, AttemptResult, Exchange, FinalAnswer, OpenRequest, ResponseHead
-from ..core.memory_ledger import MemoryLedger
 from ..core.outcome_counters import Outcome, outcome_counter
 from ..core.response_buffer import MAX_OBJECT_BYTES
 from .messages import BODILESS_STATUSES, ProxyRequest, ProxyResponseHead
+from .shared_services import SharedServices
 
 STALL_MS = 500.0  # at a stop: a streamed response ends if its server sent nothing for this long
 
@@ -51,16 +49,11 @@
         last_data_ms: When data of each streamed response was last received, by the number of its request.
     """
 
-    def __init__(
-        self,
-        config: PlatformConfig,
-        clock: Callable[[], float],
-        deadlines: Deadlines,
-        counters: Counters,
-        log: Callable[[str], None],
-        memory: MemoryLedger | None = None,
-    ) -> None:
-        super().__init__(config, clock, deadlines, counters, log, memory)
+    def __init__(self, config: PlatformConfig, services: SharedServices) -> None:
+        super().__init__(
+            config, services.clock, services.deadlines, services.counters, services.log, services.memory
+        )
+        self.final_deadlines = services.final_deadlines
         self.streams: dict[int, Attempt] = {}
         self.last_data_ms: dict[int, float] = {}
 
--- a/gladewalk/web/upstream_exchange.py
+++ b/gladewalk/web/upstream_exchange.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from .. import interface as api
-from ..core.counters import Counters
-from ..core.deadlines import DeadlineKey, Deadlines
+from ..core.deadlines import DeadlineKey
 from ..core.exchange import Attempt, AttemptResult, FinalAnswer, OpenRequest
-from ..core.memory_ledger import MemoryLedger
 from ..nginx.table import ProxySettings
 from ..upstream.pool import ConnectionPool
 from .messages import BAD_GATEWAY, GATEWAY_TIMEOUT, ProxyRequest, ProxyResult
+from .shared_services import SharedServices
 from .streaming import StreamingExchange
 from .upstream_config import NON_IDEMPOTENT_SUFFIX, UpstreamConfig
 
@@ -39,16 +36,8 @@
             are submitted.
     """
 
-    def __init__(
-        self,
-        config: UpstreamConfig,
-        clock: Callable[[], float],
-        deadlines: Deadlines,
-        counters: Counters,
-        log: Callable[[str], None],
-        memory: MemoryLedger | None = None,
-    ) -> None:
-        super().__init__(config.platform, clock, deadlines, counters, log, memory)
+    def __init__(self, config: UpstreamConfig, services: SharedServices) -> None:
+        super().__init__(config.platform, services)
         self.config = config
         self.is_retired = False
         self._written: set[int] = set()  # `id`s of the attempts whose request has been written
