Take a killed process that nobody has waited for as ended

What callers saw (by the test alone): after SIGKILL of one process of an upgrade the other keeps its part of the places and budgets until the killed one's parent waits for it.

Cause: kill(2) finds a zombie, so that its name counted as a process that serves. Change: the state in /proc/PID/stat is looked at as well.

Failing before: test_a_killed_process_that_nobody_has_waited_for_does_not_serve (10 s without the process being taken as ended). After: it passes.

--- a/gladewalk/core/process_presence.py
+++ b/gladewalk/core/process_presence.py
@@ -22,14 +22,24 @@
 
 
 def is_process_alive(pid: int) -> bool:
-    """Whether a process of this user runs (kill(2) with signal 0)."""
+    """Whether a process runs: it has an id (kill(2) with signal 0) and is no zombie."""
     try:
         os.kill(pid, 0)
     except ProcessLookupError:
         return False
     except PermissionError:
         pass  # it is another user's, so it runs
-    return True
+    return not _is_zombie(pid)
+
+
+def _is_zombie(pid: int) -> bool:
+    """Whether a process has ended but its parent has not waited for it yet (proc_pid_stat(5))."""
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text(encoding="latin-1")
+    except OSError:
+        return False
+    state = stat.rpartition(")")[2].split()[0]  # after the name, which may contain anything
+    return state == "Z"
 
 
 class ProcessPresence:
--- a/tests/test_process_sharing.py
+++ b/tests/test_process_sharing.py
@@ -5,6 +5,8 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
 import time
 from dataclasses import replace
 from pathlib import Path
@@ -17,7 +19,7 @@
 from gladewalk import interface as api
 from gladewalk.core.counters import Counters
 from gladewalk.core.deadlines import Deadlines
-from gladewalk.core.process_presence import UNKNOWN_CLAIM, ProcessPresence
+from gladewalk.core.process_presence import UNKNOWN_CLAIM, ProcessPresence, is_process_alive
 from gladewalk.core.process_sharing import CHECK_INTERVAL_MS, ProcessSharing
 from gladewalk.interface import Status
 from gladewalk.limits.admission_price import MIN_PRICE
@@ -94,6 +96,18 @@
     assert (unusable.claims_of_others(), counters["processes.unpublished"]) == ([], 1)
 
 
+def test_a_killed_process_that_nobody_has_waited_for_does_not_serve() -> None:
+    """Guards against budgets that stay divided with a process that was killed, until its parent looks."""
+    with subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE) as process:
+        assert is_process_alive(process.pid)
+        process.kill()
+        end_s = time.monotonic() + 10.0
+        while is_process_alive(process.pid) and time.monotonic() < end_s:
+            time.sleep(0.01)
+        assert not is_process_alive(process.pid)
+        assert process.returncode is None  # it has not been waited for
+
+
 def test_a_process_tells_its_director_when_its_share_changes(tmp_path: Path) -> None:
     now_ms = 0.0
     changes: list[api.ProcessShareChanged] = []
