--- a/gladewalk/daemon.py
+++ b/gladewalk/daemon.py
@@ -111,9 +111,9 @@
 
         read_lease_settings(options, config.name)
     if options.front.http is not None:
-        from .web.start import load_routing
+        from .web.start import prepare_site
 
-        load_routing(options)
+        prepare_site(options, config.name, config.seed)
     if options.control is not None:
         from .control.server import check_socket_path
 
--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -232,9 +232,9 @@
                 self.config,
                 self.options,
                 self.connection_pool.connection_factory,
+                self.web,
                 has_dns=self.dns is not None,
                 has_members=self.members is not None,
-                has_web=self.web is not None,
             )
         except ConfigError as error:
             return self._keep_configuration(error)
@@ -242,16 +242,16 @@
         self.options = reloaded.options
         self.apply(reloaded.config)
         if reloaded.options is not None:
-            self._apply_options(reloaded.options, reloaded)
+            self._apply_options(reloaded)
 
     def _keep_configuration(self, error: ConfigError) -> None:
         self.counters.add("reloads.refused")
         self.log.error("configuration kept", why=str(error))
 
-    def _apply_options(self, options: Options, reloaded: parts.Reloaded) -> None:
+    def _apply_options(self, reloaded: parts.Reloaded) -> None:
         self.connection_pool.set_connection_factory(reloaded.upstream_factory)
-        if self.web is not None and reloaded.router is not None:
-            self.web.reload(options, reloaded.router)
+        if self.web is not None and reloaded.site is not None:
+            self.web.switch(reloaded.site)
         if self.dns is not None and reloaded.dns is not None:
             self.dns.reload(reloaded.dns)
         if self.members is not None and reloaded.member_keys:
--- a/gladewalk/optional_parts.py
+++ b/gladewalk/optional_parts.py
@@ -33,10 +33,9 @@
     from .leases.transport import LeaseService
     from .members.authenticator import AuthenticationKey
     from .members.transport import MembershipTransport
-    from .nginx.router import Router
     from .store.persistence import PersistenceService
     from .upstream.connection_factory import ConnectionFactory
-    from .web.start import HttpProxy
+    from .web.start import HttpProxy, SiteGeneration
 
 Clock = Callable[[], float]
 
@@ -212,15 +211,6 @@
     return load_key_ring(options.resolve_path(options.members.keys))
 
 
-def load_router(options: Options) -> Router | None:
-    """Reads the imported routing table of `[front.http]`; returns None if the table is absent."""
-    if options.front.http is None:
-        return None
-    from .web.start import load_routing
-
-    return load_routing(options)[0]
-
-
 @dataclass(slots=True)
 class Reloaded:
     """The configuration that SIGHUP reloads: all of it is read and checked before any of it takes effect."""
@@ -229,7 +219,7 @@
     options: Options | None
     upstream_factory: ConnectionFactory | None
     member_keys: tuple[AuthenticationKey, ...] = ()
-    router: Router | None = None
+    site: SiteGeneration | None = None
     dns: DnsConfig | None = None
 
 
@@ -238,13 +228,14 @@
     in_use: PlatformConfig,
     options: Options | None,
     upstream_factory: ConnectionFactory | None,
+    web: HttpProxy | None,
+    *,
     has_dns: bool,
     has_members: bool,
-    has_web: bool,
 ) -> Reloaded:
     """Reads the platform's configuration again and, if there is one, the director's options file.
 
-    `in_use` is the platform's configuration that the director has now.
+    `in_use` is the platform's configuration that the director has now, `web` its front of `[front.http]`.
 
     Raises:
         ConfigError: A file cannot be used.
@@ -258,8 +249,8 @@
     reloaded.upstream_factory = build_connection_factory(options, upstream_factory)
     if has_members:
         reloaded.member_keys = load_member_keys(options)
-    if has_web:
-        reloaded.router = load_router(options)
+    if web is not None and options.front.http is not None:
+        reloaded.site = web.prepare(options)
     if has_dns:
         reloaded.dns = load_dns_settings(options, reloaded.config.listen[0])
     return reloaded
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from ..config.option_tables import FrontHttpOptions
+from dataclasses import dataclass
+
 from ..config.options import Options
 from ..config.platform import Address, ConfigError, read_address
 from ..core.readiness import Readiness
+from ..errors import GladewalkError
+from ..interface import validate_settings
 from ..nginx.errors import RoutingTableError
 from ..nginx.router import Router
 from ..nginx.table import UpstreamRow, UpstreamServerRow, load_site
@@ -57,6 +60,60 @@
     return router, listeners
 
 
+@dataclass(frozen=True, slots=True)
+class SiteGeneration:
+    """A checked routing table with what is built from it, ready to replace the one in use.
+
+    Attributes:
+        router: The router of the table.
+        listen_keys: The `listen` of the table that is served at each address.
+        configs: The configuration of each upstream.
+        upstream_connections: Limit of connections to each upstream.
+    """
+
+    router: Router
+    listen_keys: dict[Address, str]
+    configs: tuple[UpstreamConfig, ...]
+    upstream_connections: int
+
+
+def prepare_site(options: Options, name: str, seed: int) -> SiteGeneration:
+    """Reads and checks the table of `[front.http]` and the configurations of its upstreams.
+
+    Args:
+        options: The director's options.
+        name: The director's name.
+        seed: The seed of the upstreams' random choices.
+
+    Raises:
+        ConfigError: The table, a listener or an upstream cannot be used.
+    """
+    table = options.front.http
+    assert table is not None
+    router, listen_keys = load_routing(options)
+    rows = router.site.upstreams or [UNUSED_UPSTREAM]
+    connection_share = max(MIN_CONNECTIONS_PER_UPSTREAM, table.max_upstream_connections // len(rows))
+    configs = []
+    for number, row in enumerate(rows):
+        try:
+            if not row.servers:
+                raise ConfigError("it has no servers")
+            config = build_upstream_config(
+                router.site,
+                row,
+                director_name=name,
+                seed=seed + number,
+                max_client_connections=table.max_client_connections,
+                max_upstream_connections=connection_share,
+            )
+            validate_settings(config.platform.settings)
+        except GladewalkError as error:
+            site_path = options.resolve_path(table.site)
+            raise ConfigError(f"{site_path}: upstreams: {row.name}: {error}") from error
+        configs.append(config)
+    return SiteGeneration(router, listen_keys, tuple(configs), connection_share)
+
+
 class HttpProxy:
     """The HTTP front: its listeners and the exchanges of its upstreams.
 
@@ -72,18 +129,19 @@
             ConfigError: The table or a listener cannot be used.
         """
         self._name, self._seed, self._services = name, seed, services
+        generation = prepare_site(options, name, seed)
         self.upstreams: dict[str, UpstreamExchange] = {}
         self._retired: list[UpstreamExchange] = []  # replaced by a reload; some may have open requests
         table = options.front.http
         assert table is not None
-        router, self._listeners = load_routing(options)
-        self._replace_upstreams(router, table)
+        self._listeners = generation.listen_keys
+        self._replace_upstreams(generation)
         connection_limit = max(
             MIN_CONNECTIONS_PER_LISTENER, table.max_client_connections // len(self._listeners)
         )
         self.fronts = [
             HttpFront(
-                router,
+                generation.router,
                 listen_key,
                 self.upstreams,
                 connection_limit,
@@ -95,30 +153,22 @@
             for listen_key in self._listeners.values()
         ]
 
-    def _replace_upstreams(self, router: Router, table: FrontHttpOptions) -> list[UpstreamExchange]:
-        """Replaces the upstreams by those of a table and returns the new exchanges.
+    def _replace_upstreams(self, generation: SiteGeneration) -> list[UpstreamExchange]:
+        """Replaces the upstreams by those of a generation and returns the new exchanges.
 
         An unchanged upstream keeps its exchange and core; one that was changed or removed is retired.
         """
-        rows = router.site.upstreams or [UNUSED_UPSTREAM]
-        connection_share = max(MIN_CONNECTIONS_PER_UPSTREAM, table.max_upstream_connections // len(rows))
         previous, self.upstreams = self.upstreams, {}
         added = []
-        for number, row in enumerate(rows):
-            config = build_upstream_config(
-                router.site,
-                row,
-                director_name=self._name,
-                seed=self._seed + number,
-                max_client_connections=table.max_client_connections,
-                max_upstream_connections=connection_share,
-            )
-            known = previous.get(row.name)
+        for config in generation.configs:
+            name = config.upstream.name
+            known = previous.get(name)
             if known is not None and known.config.is_equivalent(config):
                 known.config.class_names = config.class_names
-                self.upstreams[row.name] = previous.pop(row.name)
+                self.upstreams[name] = previous.pop(name)
                 continue
-            exchange = self.upstreams[row.name] = self._build_exchange(config, connection_share)
+            exchange = self._build_exchange(config, generation.upstream_connections)
+            self.upstreams[name] = exchange
             added.append(exchange)
         for exchange in previous.values():
             exchange.retire()
@@ -149,14 +199,22 @@
             front.listen(address)
             front.start_accepting()
 
-    def reload(self, options: Options, router: Router) -> None:
-        """Replaces the table for requests read from now on; changed listeners take effect at a restart."""
-        table = options.front.http
-        assert table is not None
-        for exchange in self._replace_upstreams(router, table):
+    # Reload.
+
+    def prepare(self, options: Options) -> SiteGeneration:
+        """Reads and checks the successor of the table in use, and changes nothing.
+
+        Raises:
+            ConfigError: The table, a listener or an upstream cannot be used.
+        """
+        return prepare_site(options, self._name, self._seed)
+
+    def switch(self, generation: SiteGeneration) -> None:
+        """Replaces the table for requests read from now on; added and removed addresses need a restart."""
+        for exchange in self._replace_upstreams(generation):
             exchange.start()
         for front in self.fronts:
-            front.router, front.upstreams = router, self.upstreams
+            front.router, front.upstreams = generation.router, self.upstreams
 
     # Graceful shutdown.
 
--- a/tests/test_stop_of_fronts.py
+++ b/tests/test_stop_of_fronts.py
@@ -13,12 +13,10 @@
 from gladewalk.config.platform import Address
 from gladewalk.core.readiness import MAX_IDLE_DRAIN_MS, MAX_SIGKILL_DELAY_MS, SHUTDOWN_ACCEPT_MS
 from gladewalk.director import Director
-from gladewalk.nginx.router import Router
 from gladewalk.rehearsal.director_harness import DirectorHarness, wait_until
 from gladewalk.rehearsal.http_messages import read_message
 from gladewalk.rehearsal.scripted_servers import Http1Script, ReceivedRequest
 from gladewalk.rehearsal.site_harness import SiteHarness, SiteResponse, respond_with_name
-from gladewalk.web.start import load_routing
 
 from .server_scripts import never_respond
 from .test_web import site_of
@@ -68,8 +66,7 @@
             assert old in table
             table = table.replace(old, new)
         path.write_text(table, encoding="utf-8")
-        router: Router = load_routing(director.options)[0]
-        director.web.reload(director.options, router)
+        director.web.switch(director.web.prepare(director.options))
 
 
 REPLACED = ('name = "a"', 'name = "b"'), ('upstream = "a"', 'upstream = "b"')  # of the routing table
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -10,7 +10,6 @@
 from gladewalk.config.options import build_options, read_option_tables
 from gladewalk.nginx.table import Site, UpstreamServerRow
 from gladewalk.nginx.translate import import_site
-from gladewalk.optional_parts import load_router
 from gladewalk.rehearsal.director_harness import wait_until
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest
 from gladewalk.rehearsal.site_harness import SiteHarness, SiteResponse
@@ -296,8 +295,6 @@
     async def test_a_reload_applies_to_the_next_request_and_an_invalid_table_changes_nothing(
         self,
     ) -> None:
-        from gladewalk.nginx.router import Router
-
         site = site_of("""upstream a { server 127.0.0.1:1; } upstream b { server 127.0.0.1:2; }
             server { location / { proxy_pass http://a; } location /b { proxy_pass http://b; } }""")
         is_released = asyncio.Event()
@@ -317,9 +314,7 @@
             table = path.read_text()
             other = table.replace('pattern = "/b"', 'pattern = "/c"').replace('name = "b"', 'name = "b2"')
             path.write_text(other.replace('upstream = "b"', 'upstream = "b2"'))
-            router = load_router(director.options)
-            assert isinstance(router, Router)
-            director.web.reload(director.options, router)
+            director.web.switch(director.web.prepare(director.options))
             self.assertEqual((await harness.fetch("/b")).server, "a/0")
             self.assertIs(director.web.upstreams["a"], unchanged)
             is_released.set()
@@ -329,5 +324,5 @@
             self.assertEqual((await harness.fetch("/c")).server, "b/0")
             path.write_text(table.replace("[[servers]]", "[[serverz]]"))
             with self.assertRaisesRegex(Exception, "serverz: no such setting"):
-                load_router(director.options)
+                director.web.prepare(director.options)
             self.assertEqual((await harness.fetch("/c")).server, "b/0")
