--- a/gladewalk/director.py
+++ b/gladewalk/director.py
@@ -251,6 +251,8 @@
     def _apply_options(self, reloaded: parts.Reloaded) -> None:
         self.connection_pool.set_connection_factory(reloaded.upstream_factory)
         if self.web is not None and reloaded.site is not None:
+            for address in self.web.addresses_that_need_a_restart(reloaded.site):
+                self.log.warning("listen_address_needs_restart", listen=address)
             self.web.switch(reloaded.site)
         if self.dns is not None and reloaded.dns is not None:
             self.dns.reload(reloaded.dns)
--- a/gladewalk/web/front.py
+++ b/gladewalk/web/front.py
@@ -334,8 +334,12 @@
     ) -> None:
         first_exchange = next(iter(upstreams.values()))
         super().__init__(first_exchange, connection_limit, clock, deadlines, counters)
-        self.router, self.listen_key, self.upstreams = router, listen_key, upstreams
+        self.set_table(router, listen_key, upstreams)
         self.connection_type, self.max_body_bytes = HttpClientConnection, max_body_bytes
+
+    def set_table(self, router: Router, listen_key: str, upstreams: Mapping[str, UpstreamExchange]) -> None:
+        """Serves requests that are read from now on by this `listen` of this table."""
+        self.router, self.listen_key, self.upstreams = router, listen_key, upstreams
         self.listen_port = int(listen_key.rpartition(":")[2])
 
     def claim_trace_id(self, request: ClientRequest) -> bool:
--- a/gladewalk/web/start.py
+++ b/gladewalk/web/start.py
@@ -204,17 +204,39 @@
     def prepare(self, options: Options) -> SiteGeneration:
         """Reads and checks the successor of the table in use, and changes nothing.
 
+        An address that the options name no more is served until a restart, by the `listen` that it had.
+
         Raises:
-            ConfigError: The table, a listener or an upstream cannot be used.
+            ConfigError: The table, a listener or an upstream cannot be used, or the table has no `listen` for
+                an address that is served.
         """
-        return prepare_site(options, self._name, self._seed)
+        generation = prepare_site(options, self._name, self._seed)
+        for address, listen_key in self._listen_keys(generation).items():
+            if listen_key not in generation.router.listeners:
+                raise ConfigError(
+                    f"{options.path}: front.http.listen: {address[0]}:{address[1]} is served as {listen_key},"
+                    " which the table no longer has"
+                )
+        return generation
 
     def switch(self, generation: SiteGeneration) -> None:
-        """Replaces the table for requests read from now on; added and removed addresses need a restart."""
+        """Replaces the table for requests read from now on, on open connections too."""
+        self._listeners = self._listen_keys(generation)
         for exchange in self._replace_upstreams(generation):
             exchange.start()
-        for front in self.fronts:
-            front.router, front.upstreams = generation.router, self.upstreams
+        for front, listen_key in zip(self.fronts, self._listeners.values(), strict=True):
+            front.set_table(generation.router, listen_key, self.upstreams)
+
+    def addresses_that_need_a_restart(self, generation: SiteGeneration) -> list[Address]:
+        """The addresses that a generation adds or no longer names; sockets are opened at a start alone."""
+        return sorted(generation.listen_keys.keys() ^ self._listeners.keys())
+
+    def _listen_keys(self, generation: SiteGeneration) -> dict[Address, str]:
+        """The `listen` of a generation for each address that is served, in the order of the listeners."""
+        return {
+            address: generation.listen_keys.get(address, listen_key)
+            for address, listen_key in self._listeners.items()
+        }
 
     # Graceful shutdown.
 
--- a/tests/test_site_reload.py
+++ b/tests/test_site_reload.py
@@ -26,7 +26,6 @@
 
 SITE = """upstream a {{ server {a}; }} upstream b {{ server {b}; }}
     server {{ listen 80; location / {{ proxy_pass http://a; }} location /b/ {{ proxy_pass http://b; }} }}"""
-OPTIONS = '[front.http]\nsite = "site.toml"\nlisten = { "127.0.0.1:0" = "*:80" }\n'
 
 
 @dataclass
@@ -56,6 +55,19 @@
         """Replaces the file with the routing table."""
         (self.folder / "site.toml").write_text(write_site(table), encoding="utf-8")
 
+    def write_listens(self, **keys: str) -> None:
+        """Writes the options file; `keys` has a `listen` of the table for the address 127.0.0.N as `nN`."""
+        listens = ", ".join(f'"127.0.0.{name[1:]}:0" = "{key}"' for name, key in keys.items())
+        text = f'[front.http]\nsite = "site.toml"\nlisten = {{ {listens} }}\n'
+        (self.folder / "options.toml").write_text(text)
+
+    def rename_listen(self) -> None:
+        """Replaces the table's `listen 80` by `listen 8080`."""
+        text = SITE.format(
+            a=self.table.upstreams[0].servers[0].address, b=self.table.upstreams[1].servers[0].address
+        )
+        self.write_table(site_of(text.replace("listen 80;", "listen 8080;")))
+
     async def reload(self, event: str) -> str:
         """Sends SIGHUP and waits for this event; returns why, if the configuration was kept."""
         self.program.send(signal.SIGHUP)
@@ -70,7 +82,9 @@
     (folder / "node.json").write_text(json.dumps(config_for([cache], coordinator)))
     table = site_of(SITE.format(a=servers["a"].address, b=servers["b"].address))
     (folder / "site.toml").write_text(write_site(table), encoding="utf-8")
-    (folder / "options.toml").write_text(OPTIONS)
+    (folder / "options.toml").write_text(
+        '[front.http]\nsite = "site.toml"\nlisten = { "127.0.0.1:0" = "*:80" }\n'
+    )
     program = await start_program(folder / "node.json", "--config", str(folder / "options.toml"))
     host, port = (await program.event("serving"))["web"][0]
     site = RunningSite(program, folder, table, (host, port))
@@ -121,3 +135,53 @@
     options = build_options(read_option_tables({"front": {"http": front}}), "t.toml", tmp_path)
     with pytest.raises(ConfigError, match=r"site\.toml: upstreams: a: not an address"):
         prepare_site(options, "n1", 1)
+
+
+# Listeners.
+
+
+def test_a_listener_whose_listen_was_renamed_serves_by_the_new_one(tmp_path: Path) -> None:
+    """Guards against a listener that looks its old name up in a table which no longer has it."""
+
+    async def scenario() -> None:
+        async with running_site(tmp_path) as site:
+            reader, writer = await asyncio.open_connection(*site.address)
+            assert await site.ask_on(reader, writer, "/x") == (200, "a")
+            site.rename_listen()
+            site.write_listens(n1="*:8080")
+            await site.reload("configuration taken")
+            assert await site.ask("/b/x") == (200, "b")
+            assert await site.ask_on(reader, writer, "/b/x") == (200, "b")  # on the old connection, too
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_table_without_the_listen_of_a_served_address_is_refused(tmp_path: Path) -> None:
+    """Guards against a listener that goes on with a name which the table no longer has."""
+
+    async def scenario() -> None:
+        async with running_site(tmp_path) as site:
+            site.rename_listen()
+            site.write_listens(n2="*:8080")  # the served address is removed, and can't be closed
+            why = await site.reload("configuration kept")
+            assert why.endswith(
+                "front.http.listen: 127.0.0.1:0 is served as *:80, which the table no longer has"
+            )
+            assert await site.ask("/x") == (200, "a")
+
+    asyncio.run(scenario())
+
+
+def test_addresses_that_a_reload_adds_or_removes_are_said_to_need_a_restart(tmp_path: Path) -> None:
+    """Guards against a reload that seems to open or close a listener and does not."""
+
+    async def scenario() -> None:
+        async with running_site(tmp_path) as site:
+            site.write_listens(n2="*:80")
+            site.program.send(signal.SIGHUP)
+            events = [await site.program.event("listen_address_needs_restart") for _ in range(2)]
+            assert [event["listen"] for event in events] == [["127.0.0.1", 0], ["127.0.0.2", 0]]
+            assert await site.ask("/x") == (200, "a")
+
+    asyncio.run(scenario())
