--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -295,6 +295,8 @@
     async def test_a_reload_applies_to_the_next_request_and_an_invalid_table_changes_nothing(
         self,
     ) -> None:
+        from gladewalk.nginx.router import Router
+
         site = site_of("""upstream a { server 127.0.0.1:1; } upstream b { server 127.0.0.1:2; }
             server { location / { proxy_pass http://a; } location /b { proxy_pass http://b; } }""")
         is_released = asyncio.Event()
@@ -314,7 +316,9 @@
             table = path.read_text()
             other = table.replace('pattern = "/b"', 'pattern = "/c"').replace('name = "b"', 'name = "b2"')
             path.write_text(other.replace('upstream = "b"', 'upstream = "b2"'))
-            director.web.switch(director.web.prepare(director.options))
+            generation = director.web.prepare(director.options)
+            assert isinstance(generation.router, Router)
+            director.web.switch(generation)
             self.assertEqual((await harness.fetch("/b")).server, "a/0")
             self.assertIs(director.web.upstreams["a"], unchanged)
             is_released.set()
