Return restored servers that the coordinator does not tell again to the configuration

Seen by callers: a director with [store] that is killed and started again with the same file, while its coordinator begins to count anew, kept a cache as draining (or as listed) for as long as nobody spoke of it again, and again after each further kill.

Cause: by the same file the epoch of the numbers lasts, and the restored servers stayed in force when the coordinator had sent all that it has and none of their events was among it.

Change: the feed remembers the restored servers whose events are to be sent again. The heartbeat that says that nothing is missing returns those that were not sent to the configuration's list, and their rows are deleted. Under one count this changes nothing, since all of them are sent again before that heartbeat (a test of its own). Counter coordinator.not_told_again.

--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
-from typing import Any
+from typing import Any, Protocol
 
 from .. import interface as api
 from ..config.platform import Address, ConfigError, PlatformConfig, read_endpoint, read_finite
@@ -23,6 +23,16 @@
 FeedMessage = dict[str, Any]  # one line of the feed, decoded from JSON
 
 
+class FeedRecorder(Protocol):
+    """Stores what the feed has applied, for the director's next start."""
+
+    def record_event(self, event_index: int, event: FeedMessage) -> None:
+        """Stores a complete event."""
+
+    def forget_servers(self, uids: Iterable[str]) -> None:
+        """Deletes stored servers that the coordinator has not told again."""
+
+
 class EndpointFeed:
     """Applies each event of the feed once and in order, however often it is received."""
 
@@ -39,7 +49,10 @@
         self.last_index = self.initial_index = 0
         self.is_resumed = False  # `last_index` was stored by a previous run
         self.sync: FeedSync | None = None  # while the director waits for the events of its start
-        self.on_event: Callable[[int, FeedMessage], None] | None = None  # called after each complete event
+        self.recorder: FeedRecorder | None = None
+        self._initial_entries: dict[str, Any] = {}  # of the configuration's list, by uid
+        # Servers restored from events that the coordinator sends again, and has not sent yet.
+        self._untold: set[str] = set()
         self._refetched = (0, 0)  # the last event with an unusable part, and how often it was fetched again
         self._max_refetches = MAX_REFETCHES
         self._has_list = False
@@ -49,12 +62,25 @@
         """Applies the configuration's events up to `index`; unusable parts cannot be fetched again."""
         for event in events:
             self.apply_event(event)
+            self._initial_entries = entries_after(self._initial_entries, event, self.roles)
         self.last_index = self.initial_index = max(self.last_index, index)
 
-    def resume_from(self, index: int) -> None:
-        """Continues after `index`, up to which a previous run has stored all events."""
-        if index > self.last_index:
-            self.last_index, self.is_resumed = index, True
+    def restore(self, endpoints: Mapping[int, list[Any]], last_index: int, *, is_complete: bool) -> None:
+        """Applies the list that a previous run stored, and continues after its last event, if it stored that.
+
+        Args:
+            endpoints: Entries of the list by the number of their event, which the configuration lacks.
+            last_index: Number up to which the previous run stored all events; 0 if it stored none completely.
+            is_complete: Whether these are all servers, so that others of the configuration are gone.
+        """
+        targets = [entry for index in sorted(endpoints) for entry in endpoints[index]]
+        if targets:
+            self.apply_event({"endpoints": {"all": is_complete, "targets": targets}})
+        if last_index > self.last_index:
+            self.last_index, self.is_resumed = last_index, True
+        self._untold = {
+            str(entry["uid"]) for index in endpoints if index > self.last_index for entry in endpoints[index]
+        }
 
     def read_line(self, data: bytes) -> bool:
         """Applies one line of the feed; False if it is malformed or leaves a gap, to be fetched again."""
@@ -69,8 +95,8 @@
             self.counters.add("coordinator.numbering_back")
             return False
         if index <= self.last_index:  # already applied
-            if is_heartbeat and self.sync is not None:
-                self.sync.heartbeat_received(self.clock())
+            if is_heartbeat:
+                self._handle_caught_up()
             return True
         if is_heartbeat or index != self.last_index + 1:
             self.counters.add("coordinator.gaps")
@@ -89,6 +115,26 @@
             return None
         return message
 
+    def _handle_caught_up(self) -> None:
+        """Handles a heartbeat by which no event is missing."""
+        if self.sync is not None:
+            self.sync.heartbeat_received(self.clock())
+        if self._untold:
+            self._drop_untold()
+
+    def _drop_untold(self) -> None:
+        """Returns restored servers to the configuration's list, as the coordinator has not told them again.
+
+        Their events are of a coordinator that has begun to count anew, since this one sends all that it has.
+        """
+        uids, self._untold = self._untold, set()
+        gone = {"state": "DELETED"}
+        targets = [self._initial_entries.get(uid, {"uid": uid, **gone}) for uid in sorted(uids)]
+        self.apply_event({"endpoints": {"targets": targets}})
+        self.counters.add("coordinator.not_told_again", len(uids))
+        if self.recorder is not None:
+            self.recorder.forget_servers(uids)
+
     def _apply_next(self, index: int, message: FeedMessage) -> bool:
         is_complete = self.apply_event(message)
         if not is_complete and self._should_refetch(index):
@@ -98,8 +144,8 @@
         self.last_index = index
         if self.sync is not None:
             self.sync.event_applied(self.clock())
-        if is_complete and self.on_event is not None:
-            self.on_event(index, message)
+        if is_complete and self.recorder is not None:
+            self.recorder.record_event(index, message)
         return True
 
     def _should_refetch(self, index: int) -> bool:
@@ -149,6 +195,7 @@
             kind = api.EndpointListKind.COMPLETE if self._has_list else api.EndpointListKind.PERSISTED
         self._has_list = True
         is_complete = kind is not api.EndpointListKind.DELTA
+        self._untold = set() if is_complete else self._untold.difference(models)
         listed = [self._with_steady_start(server) for server, _ in entries]
         servers = self._holders.resolve(listed, is_complete=is_complete)
         listed_states = {server.name: server.state for server in listed}
@@ -170,3 +217,23 @@
         purged_ms = self.instants.to_steady(UnixInstant(read_finite(evict["unix_ms"])))
         age_ms = max(0.0, self.clock() - purged_ms)
         self.exchange.purge(api.Purge(key, int(evict.get("shard", -1)), age_ms))
+
+
+def entries_after(
+    entries: Mapping[str, Any], event: FeedMessage, roles: Mapping[Any, api.Role]
+) -> dict[str, Any]:
+    """Returns the entries of a list by uid after an event; entries that cannot be used are left out."""
+    change = event.get("endpoints")
+    if not isinstance(change, dict) or not isinstance(change.get("targets"), list):
+        return dict(entries)
+    usable = {str(entry["uid"]): entry for entry in change["targets"] if is_usable(entry, roles)}
+    return usable if change.get("all") else {**entries, **usable}
+
+
+def is_usable(entry: Any, roles: Mapping[Any, api.Role]) -> bool:
+    """Returns whether an entry of the endpoint list can be used."""
+    try:
+        read_endpoint(entry, roles)
+    except INVALID:
+        return False
+    return True
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Any
 
 from .. import interface as api
@@ -104,13 +104,13 @@
         if full_list_index <= feed.last_index:
             full_list_index = 0  # the endpoint list of the configuration is newer
         servers = row_codecs.newer_servers(stored, self._epoch, feed.last_index, full_list_index)
-        endpoints = [server.endpoint for server in servers]
-        if endpoints:
-            feed.apply_event({"endpoints": {"all": bool(full_list_index), "targets": endpoints}})
-        feed.resume_from(self._position.event_index)
+        endpoints: dict[int, list[Any]] = {}
+        for server in servers:
+            endpoints.setdefault(server.event_index, []).append(server.endpoint)
+        feed.restore(endpoints, self._position.event_index, is_complete=bool(full_list_index))
         outdated_count = sum(server.epoch != self._epoch for server in stored)
         self._counters.add("store.servers_outdated", outdated_count)
-        return len(endpoints)
+        return len(servers)
 
     def _stored_servers(self) -> dict[str, ServerRow]:
         return row_codecs.decode_servers(self.log.items(SERVER_SPACE))
@@ -128,7 +128,7 @@
         self.writer.start()
         self._delete_outdated_servers()
         self._record_epoch(config)
-        feed.on_event, self._exchange = self.record_event, feed.exchange
+        feed.recorder, self._exchange = self, feed.exchange
         feed.exchange.resolutions.persist = self.record_leases
         if self._snapshot_interval_ms:
             self._record_partition(feed.exchange.dispatcher)
@@ -189,6 +189,11 @@
         self._position = row_codecs.next_position(event_index, event, self._position)
         self._write(row_codecs.encode_position(self._position))
 
+    def forget_servers(self, uids: Iterable[str]) -> None:
+        """Deletes stored servers that the coordinator has not told again."""
+        for uid in uids:
+            self._write(Row(SERVER_SPACE, uid, None))
+
     def _record_partition(self, core: Dispatcher) -> None:
         """Stores the next partition, or after the last one the servers; schedules the one after it."""
         now_ms = self._clock()
--- a/tests/store/test_epochs.py
+++ b/tests/store/test_epochs.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 from pathlib import Path
 
 import msgspec
 import pytest
 
+from gladewalk.config.platform import read_address
+from gladewalk.rehearsal.director_harness import wait_until
 from gladewalk.store.file_system import StoreDirectory
 from gladewalk.store.row_codecs import FEED_POSITION_KEY, FEED_SPACE, SERVER_SPACE
 from gladewalk.store.segmented_log import SegmentedLog
@@ -100,3 +103,40 @@
         expected = "draining" if resumes_feed else "ready"
         assert servers_of(director)["c1"].info.state.value == expected
         assert director.endpoint_feed.last_index == (7 if resumes_feed else 1)
+
+
+@async_test
+async def test_a_stored_server_that_the_coordinator_does_not_tell_again_is_as_in_the_configuration(
+    tmp_path: Path,
+) -> None:
+    # Guards against a drain of another count that lasts for good under the file of the run before.
+    async with StoredRuns(tmp_path) as runs:
+        first, coordinator = await runs.start_anew(*FIRST_LIST)
+        config = first.config
+        await publish_and_apply(first, coordinator, target("c1", "DRAINING"), target("c2"))
+        await runs.kill_when_stored(first)
+        anew = await runs.coordinator_with(*FIRST_LIST)
+        second = await runs.start(dataclasses.replace(config, coordinator=read_address(anew.address)))
+        assert servers_of(second)["c1"].info.state.value == "draining"  # until the coordinator is heard
+        await wait_until(lambda: second.readiness.is_synced)
+        ready = {"c0": ("ready", "127.0.4.1:9", 0.0), "c1": ("ready", "127.0.4.2:9", 0.0)}
+        assert list_of(second) == ready
+        assert second.counters["coordinator.not_told_again"] == 2
+        await runs.kill_when_stored(second)
+        third = await runs.start(without_coordinator(config))
+        assert list_of(third) == ready
+
+
+@async_test
+async def test_a_stored_server_that_the_coordinator_tells_again_stays_as_it_was_told(tmp_path: Path) -> None:
+    # Guards against a drain that is taken back by the first heartbeat after a kill.
+    async with StoredRuns(tmp_path) as runs:
+        first, coordinator = await runs.start_anew(*FIRST_LIST)
+        await publish_and_apply(first, coordinator, target("c1", "DRAINING"))
+        await runs.kill_when_stored(first)
+        second = await runs.start(first.config)
+        await wait_until(lambda: second.readiness.is_synced)
+        coordinator.send_raw(b"2\n")
+        await publish_and_apply(second, coordinator, target("c2"))
+        assert servers_of(second)["c1"].info.state.value == "draining"
+        assert second.counters["coordinator.not_told_again"] == 0
