Take the configuration's list again where a coordinator counts anew under resume

Seen by callers: with [store] resume, a director that met a coordinator with lower numbers than the stored one followed it from the configuration's number, but kept the list of the run before: a cache that was deleted there stayed out of use, one that nobody lists any more was sent work, and the next start brought the same rows back.

Cause: `numbering_back` reset the position of the feed alone, neither the list in force nor the stored rows and position.

Evidence: tests/store/test_epochs.py, with_resume_a_coordinator_that_counts_ anew: failed before (c1 draining, c2 listed, c0 missing; 1 failed, 14 passed).

Change: the feed applies the configuration's events again, as a whole list, and the store begins a new epoch, in which the earlier rows and the earlier position do not count, also where the disk rejects their deletion.

--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -32,6 +32,9 @@
     def forget_servers(self, uids: Iterable[str]) -> None:
         """Deletes stored servers that the coordinator has not told again."""
 
+    def begin_epoch(self) -> None:
+        """Forgets all stored servers and numbers: the coordinator has begun to count anew."""
+
 
 class EndpointFeed:
     """Applies each event of the feed once and in order, however often it is received."""
@@ -50,6 +53,7 @@
         self.is_resumed = False  # `last_index` was stored by a previous run
         self.sync: FeedSync | None = None  # while the director waits for the events of its start
         self.recorder: FeedRecorder | None = None
+        self._initial_events: tuple[FeedMessage, ...] = ()
         self._initial_entries: dict[str, Any] = {}  # of the configuration's list, by uid
         # Servers restored from events that the coordinator sends again, and has not sent yet.
         self._untold: set[str] = set()
@@ -60,7 +64,8 @@
 
     def load_initial(self, index: int, events: Iterable[FeedMessage]) -> None:
         """Applies the configuration's events up to `index`; unusable parts cannot be fetched again."""
-        for event in events:
+        self._initial_events = tuple(events)
+        for event in self._initial_events:
             self.apply_event(event)
             self._initial_entries = entries_after(self._initial_entries, event, self.roles)
         self.last_index = self.initial_index = max(self.last_index, index)
@@ -90,9 +95,7 @@
         index = message["index"]
         is_heartbeat = len(message) == 1  # the number of the last event, sent each second
         if self.is_resumed and is_heartbeat and index < self.last_index:
-            # This is not the coordinator of the previous run: it numbers its events independently.
-            self.last_index, self.is_resumed = self.initial_index, False
-            self.counters.add("coordinator.numbering_back")
+            self._restart_numbering()
             return False
         if index <= self.last_index:  # already applied
             if is_heartbeat:
@@ -115,6 +118,19 @@
             return None
         return message
 
+    def _restart_numbering(self) -> None:
+        """Goes back to the configuration: this coordinator does not continue the previous run's count."""
+        self.last_index, self.is_resumed = self.initial_index, False
+        self._untold = set()
+        self._has_list = False  # the configuration's list replaces the one in force
+        if not self._initial_entries:
+            self.apply_event({"endpoints": {"all": True, "targets": []}})
+        for event in self._initial_events:
+            self.apply_event(event)
+        self.counters.add("coordinator.numbering_back")
+        if self.recorder is not None:
+            self.recorder.begin_epoch()
+
     def _handle_caught_up(self) -> None:
         """Handles a heartbeat by which no event is missing."""
         if self.sync is not None:
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -62,6 +62,7 @@
         self._snapshot_interval_ms, self._partition = table.snapshot_interval_ms, -1
         self._resumes_feed, self._position = table.resumes_feed, FeedPosition(0)
         self._epoch = UNKNOWN_EPOCH  # of the coordinator's event numbers
+        self._known: KnownEvents | None = None  # of the configuration in force
         # Whether the disk has rejected a row of the feed: from then on the stored position doesn't advance.
         self._has_rejected_row = False
         path = options.resolve_path(table.folder)
@@ -126,8 +127,9 @@
     def start(self, feed: EndpointFeed, config: PlatformConfig) -> None:
         """Starts the writer, and from now on stores events of the feed and leases of the DNS front."""
         self.writer.start()
+        self._known = _describe_events(config)
         self._delete_outdated_servers()
-        self._record_epoch(config)
+        self._record_epoch()
         feed.recorder, self._exchange = self, feed.exchange
         feed.exchange.resolutions.persist = self.record_leases
         if self._snapshot_interval_ms:
@@ -136,11 +138,20 @@
     def configure(self, config: PlatformConfig) -> None:
         """Applies a reloaded configuration, whose numbers are those of the one before."""
         self.settle_ms = config.settings.purge_settle_ms
-        self._record_epoch(config)
+        self._known = _describe_events(config)
+        self._record_epoch()
 
-    def _record_epoch(self, config: PlatformConfig) -> None:
+    def begin_epoch(self) -> None:
+        """Forgets all stored servers and numbers: the coordinator has begun to count anew."""
+        self._epoch += 1
+        self._position, self._has_rejected_row = FeedPosition(0, epoch=self._epoch), False
+        self._delete_outdated_servers()
+        self._record_epoch()
+
+    def _record_epoch(self) -> None:
         """Stores the epoch with the configuration in force, from which the next start sees if it lasts."""
-        row = encode_epoch(Epoch(self._epoch, _describe_events(config)))
+        assert self._known is not None
+        row = encode_epoch(Epoch(self._epoch, self._known))
         if self.log.items(row.space).get(row.key) != row.value:
             self._write(row)
 
--- a/tests/store/test_epochs.py
+++ b/tests/store/test_epochs.py
@@ -140,3 +140,27 @@
         await publish_and_apply(second, coordinator, target("c2"))
         assert servers_of(second)["c1"].info.state.value == "draining"
         assert second.counters["coordinator.not_told_again"] == 0
+
+
+@async_test
+async def test_with_resume_a_coordinator_that_counts_anew_brings_back_the_list_of_the_configuration(
+    tmp_path: Path,
+) -> None:
+    # Guards against the list of a run before that stays when its numbers turn out to be another count's.
+    async with StoredRuns(tmp_path, resume=True) as runs:
+        first, coordinator = await runs.start_anew(*FIRST_LIST)
+        for entry in (target("c1", "DRAINING"), target("c0", "DELETED"), target("c2")):
+            await publish_and_apply(first, coordinator, entry)
+        await runs.kill_when_stored(first)
+        anew = await runs.coordinator_with(*FIRST_LIST)
+        config = dataclasses.replace(first.config, coordinator=read_address(anew.address))
+        second = await runs.start(config)
+        assert anew.followed_from == [] and set(list_of(second)) == {"c1", "c2"}
+        await wait_until(lambda: second.endpoint_feed.last_index == 1)
+        ready = {"c0": ("ready", "127.0.4.1:9", 0.0), "c1": ("ready", "127.0.4.2:9", 0.0)}
+        assert list_of(second) == ready
+        await publish_and_apply(second, anew, target("c1", "DRAINING"))
+        await runs.kill_when_stored(second)
+        third = await runs.start(without_coordinator(config))
+        assert list_of(third) == {**ready, "c1": ("draining", "127.0.4.2:9", 0.0)}
+        assert third.endpoint_feed.last_index == 2
