Tell a new count of event numbers under resume by the configuration's events

Seen by callers: with [store] resume, a director whose next start has a coordinator that counts anew and is already past the stored number asked for the events after that number. A drain among the earlier ones was never told: the cache got work for good. Heartbeats with a lower number, the only sign that was looked for, never come then.

Cause: the stored position was taken for one in the new count.

Change: under resume the epoch ends too if the configuration's last or first number is lower than the last run's, if an event has the number of one in the last run's configuration and other content, or if one with the number of a stored server says something else of it. The last holds for folders without an epoch as well.

--- a/gladewalk/store/epochs.py
+++ b/gladewalk/store/epochs.py
@@ -6,7 +6,9 @@
 
 - The director starts with the very configuration that the last run had: that file lists the servers as they
   were before the stored events. A new start is given a new file, with another seed.
-- The operator has set `resume`, by which the coordinator's numbers outlast a director.
+- The operator has set `resume`, by which the coordinator's numbers outlast a director, and nothing in the
+  new configuration contradicts it: its last number is not lower, and no event differs from the one that had
+  the same number before.
 
 In all other cases the list of the new configuration holds, and what an earlier run stored does not.
 """
@@ -15,12 +17,12 @@
 
 import hashlib
 import json
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 import msgspec
 
-from .row_codecs import FEED_SPACE, Row
+from .row_codecs import FEED_SPACE, Row, ServerRow
 
 EPOCH_KEY = "epoch"
 UNKNOWN_EPOCH = 0  # of rows that a version without epochs wrote
@@ -56,11 +58,45 @@
     return KnownEvents(identity, first_index, last_index, _digest(events))
 
 
-def begins_epoch(stored: Epoch | None, known: KnownEvents, *, resumes_feed: bool) -> bool:
-    """Returns whether the numbers of a configuration are those of a new epoch; `stored` is the last one."""
+def begins_epoch(
+    stored: Epoch | None,
+    rows: Iterable[ServerRow],
+    known: KnownEvents,
+    events: Sequence[Event],
+    *,
+    resumes_feed: bool,
+) -> bool:
+    """Returns whether the numbers of a configuration, whose events are `events`, are those of a new epoch.
+
+    `stored` and `rows` are the last run's epoch and its servers, None and empty without one.
+    """
     if stored is not None and stored.known.identity == known.identity:
         return False
-    return not resumes_feed
+    if not resumes_feed:
+        return True
+    if stored is not None and not _can_continue(stored.known, known, events):
+        return True
+    return _contradicts(rows, events)
+
+
+def _can_continue(earlier: KnownEvents, known: KnownEvents, events: Sequence[Event]) -> bool:
+    """Returns whether the events of a configuration can be those of an earlier one and later ones."""
+    if known.last_index < earlier.last_index or known.first_index < earlier.first_index:
+        return False
+    if known.first_index > earlier.first_index:  # the coordinator no longer has the earlier events
+        return True
+    common = [event for event in events if _index_of(event) <= earlier.last_index]
+    return _digest(common) == earlier.events_digest
+
+
+def _contradicts(rows: Iterable[ServerRow], events: Sequence[Event]) -> bool:
+    """Returns whether an event has the number of a stored one that said something else of a server."""
+    events_by_index = {_index_of(event): event for event in events}
+    for row in rows:
+        event = events_by_index.get(row.event_index)
+        if event is not None and row.endpoint not in _targets_of(event):
+            return True
+    return False
 
 
 def encode_epoch(epoch: Epoch) -> Row:
@@ -81,5 +117,11 @@
     return index if type(index) is int else NO_EVENT
 
 
+def _targets_of(event: Event) -> Sequence[Any]:
+    endpoints = event.get("endpoints")
+    targets = endpoints.get("targets") if isinstance(endpoints, dict) else None
+    return targets if isinstance(targets, list) else ()
+
+
 def _digest(content: Any) -> bytes:
     return hashlib.sha256(json.dumps(content, sort_keys=True).encode()).digest()
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -120,7 +120,9 @@
         """Returns the epoch of the event numbers of a start, which may be that of the last run."""
         last = decode_epoch(self.log.items(FEED_SPACE))
         last_number = last.number if last is not None else UNKNOWN_EPOCH
-        if begins_epoch(last, _describe_events(config), resumes_feed=self._resumes_feed):
+        known, events = _describe_events(config), config.initial_events
+        last_servers = [server for server in stored if server.epoch == last_number]
+        if begins_epoch(last, last_servers, known, events, resumes_feed=self._resumes_feed):
             return max(last_number, *(server.epoch for server in stored), UNKNOWN_EPOCH) + 1
         return last_number
 
--- a/tests/store/test_epochs.py
+++ b/tests/store/test_epochs.py
@@ -4,14 +4,16 @@
 
 import dataclasses
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import pytest
 
 from gladewalk.config.platform import read_address
 from gladewalk.rehearsal.director_harness import wait_until
+from gladewalk.store.epochs import Epoch, begins_epoch, describe_events
 from gladewalk.store.file_system import StoreDirectory
-from gladewalk.store.row_codecs import FEED_POSITION_KEY, FEED_SPACE, SERVER_SPACE
+from gladewalk.store.row_codecs import FEED_POSITION_KEY, FEED_SPACE, SERVER_SPACE, ServerRow
 from gladewalk.store.segmented_log import SegmentedLog
 
 from .runs import StoredRuns, Target, list_of, publish_and_apply, servers_of, target, without_coordinator
@@ -164,3 +166,51 @@
         third = await runs.start(without_coordinator(config))
         assert list_of(third) == {**ready, "c1": ("draining", "127.0.4.2:9", 0.0)}
         assert third.endpoint_feed.last_index == 2
+
+
+NEXT_EVENT = {"index": 2, "endpoints": {"rev": 2, "all": False, "targets": [target("c1", "DRAINING")]}}
+FIRST_EVENT = {"index": 1, "endpoints": {"rev": 1, "all": True, "targets": FIRST_LIST}}
+OTHER_FIRST_EVENT = {"index": 1, "endpoints": {"rev": 1, "all": True, "targets": FIRST_LIST[:1]}}
+OTHER_NEXT_EVENT = {"index": 2, "endpoints": {"rev": 2, "all": False, "targets": [target("c1")]}}
+FULL_LIST_EVENT = {**FIRST_EVENT, "index": 9}
+
+
+@pytest.mark.parametrize(
+    ("last_index", "events", "begins"),
+    [
+        (1, [FIRST_EVENT], False),
+        (2, [FIRST_EVENT, NEXT_EVENT], False),
+        (9, [FULL_LIST_EVENT], False),  # the coordinator no longer has the first events
+        (1, [OTHER_FIRST_EVENT], True),
+        (9, [OTHER_FIRST_EVENT], True),
+        (2, [FIRST_EVENT, OTHER_NEXT_EVENT], True),  # the stored server has number 2, and another state
+        (0, [], True),
+    ],
+)
+def test_with_resume_a_count_goes_on_unless_a_number_has_another_event(
+    last_index: int, events: list[dict[str, Any]], begins: bool
+) -> None:
+    # Guards against a position in one count that is taken for one in another.
+    stored = Epoch(3, describe_events(5, 1, [FIRST_EVENT]))
+    servers = [ServerRow(2, target("c1", "DRAINING"), epoch=3)]
+    known = describe_events(6, last_index, events)
+    assert begins_epoch(stored, servers, known, events, resumes_feed=True) is begins
+    assert begins_epoch(stored, servers, known, events, resumes_feed=False)
+
+
+@async_test
+async def test_with_resume_a_position_of_another_count_is_not_followed_from(tmp_path: Path) -> None:
+    # Guards against events 2 to 4 of a new count that are never requested, as the old one had got to 4.
+    async with StoredRuns(tmp_path, resume=True) as runs:
+        first, coordinator = await runs.start_anew(*FIRST_LIST)
+        for _ in range(3):
+            await publish_and_apply(first, coordinator, target("c1"))
+        await runs.kill_when_stored(first)
+        anew = await runs.coordinator_with(target("c0"), target("c1"), target("c2"))
+        config = runs.new_configuration(anew)
+        for entry in (target("c1", "DRAINING"), target("c2"), target("c2"), target("c0")):
+            anew.publish(endpoints={"rev": 2, "all": False, "targets": [entry]})
+        second = await runs.start(config)
+        await wait_until(lambda: second.endpoint_feed.last_index == 5)
+        assert anew.followed_from == [1]
+        assert servers_of(second)["c1"].info.state.value == "draining"
