Store the purges that the configuration tells, for the start after a kill

Seen by callers: a director with [store] that was told of a purge by its configuration, and killed, answered from copies older than the purge after its next start, as that configuration counts anew and need not have it.

Cause: only events of the feed were stored; those of the configuration were taken for known to every later start.

Evidence: tests/store/test_stored_purges.py, a_purge_of_the_configuration_ outlasts_a_kill: failed before (the restarted director knows no purge of the object). It kills twice.

Change: a start stores the purges of its configuration that have not settled, those that can be used at all, with their own times.

--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -20,6 +20,8 @@
 MIN_REFETCHES = 1  # the same, after fetching an earlier event again has not helped
 INVALID = (ConfigError, InvalidMessageError, TypeError, ValueError, KeyError, AttributeError, OverflowError)
 
+NO_GROUP = -1  # the group of a purge of one object, or of all objects
+
 FeedMessage = dict[str, Any]  # one line of the feed, decoded from JSON
 
 
@@ -53,6 +55,7 @@
         self.is_resumed = False  # `last_index` was stored by a previous run
         self.sync: FeedSync | None = None  # while the director waits for the events of its start
         self.recorder: FeedRecorder | None = None
+        self.initial_purges: list[FeedMessage] = []  # of the configuration's events, as these have them
         self._initial_events: tuple[FeedMessage, ...] = ()
         self._initial_entries: dict[str, Any] = {}  # of the configuration's list, by uid
         # Servers restored from events that the coordinator sends again, and has not sent yet.
@@ -68,6 +71,8 @@
         for event in self._initial_events:
             self.apply_event(event)
             self._initial_entries = entries_after(self._initial_entries, event, self.roles)
+            if "evict" in event and is_usable_purge(event["evict"]):
+                self.initial_purges.append(event["evict"])
         self.last_index = self.initial_index = max(self.last_index, index)
 
     def restore(self, endpoints: Mapping[int, list[Any]], last_index: int, *, is_complete: bool) -> None:
@@ -229,10 +234,9 @@
         return replace(server, started_ms=self.instants.to_steady(UnixInstant(server.started_ms)))
 
     def _apply_purge(self, evict: FeedMessage) -> None:
-        key = int(evict["ref"], 16) if "ref" in evict else None
-        purged_ms = self.instants.to_steady(UnixInstant(read_finite(evict["unix_ms"])))
-        age_ms = max(0.0, self.clock() - purged_ms)
-        self.exchange.purge(api.Purge(key, int(evict.get("shard", -1)), age_ms))
+        key, group, purged_at = read_purge(evict)
+        age_ms = max(0.0, self.clock() - self.instants.to_steady(purged_at))
+        self.exchange.purge(api.Purge(key, group, age_ms))
 
 
 def entries_after(
@@ -253,3 +257,18 @@
     except INVALID:
         return False
     return True
+
+
+def read_purge(evict: FeedMessage) -> tuple[int | None, int, UnixInstant]:
+    """Returns the object, the group and the time of a purge; raises one of `INVALID` if it cannot be used."""
+    key = int(evict["ref"], 16) if "ref" in evict else None
+    return key, int(evict.get("shard", NO_GROUP)), UnixInstant(read_finite(evict["unix_ms"]))
+
+
+def is_usable_purge(evict: Any) -> bool:
+    """Returns whether a purge can be used."""
+    try:
+        read_purge(evict)
+    except INVALID:
+        return False
+    return True
--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -132,6 +132,7 @@
         self._known = _describe_events(config)
         self._delete_outdated_servers()
         self._record_epoch()
+        self._record_purges(feed.initial_purges)
         feed.recorder, self._exchange = self, feed.exchange
         feed.exchange.resolutions.persist = self.record_leases
         if self._snapshot_interval_ms:
@@ -157,6 +158,14 @@
         if self.log.items(row.space).get(row.key) != row.value:
             self._write(row)
 
+    def _record_purges(self, purges: Iterable[dict[str, Any]]) -> None:
+        """Stores purges of the configuration, which the next one need not have, until they have settled."""
+        now_ms = self._clock()
+        for evict in purges:
+            row = row_codecs.encode_purge(evict, self.settle_ms, now_ms)
+            if row.expires_at_ms > now_ms:
+                self._write(row)
+
     def _delete_outdated_servers(self) -> None:
         """Deletes the servers of other epochs, which no later start may restore."""
         for uid, server in self._stored_servers().items():
--- a/gladewalk/store/row_codecs.py
+++ b/gladewalk/store/row_codecs.py
@@ -84,7 +84,7 @@
     """
     rows = []
     if "evict" in event:
-        rows.append(_encode_purge(event["evict"], settle_ms, now_ms))
+        rows.append(encode_purge(event["evict"], settle_ms, now_ms))
     if "endpoints" in event:
         for endpoint in event["endpoints"]["targets"]:
             is_kept = resumes_feed and endpoint.get("state") in LISTED_STATES
@@ -98,7 +98,8 @@
     return _encoder.encode((*fields, epoch) if epoch else fields)
 
 
-def _encode_purge(evict: Mapping[str, Any], settle_ms: float, now_ms: float) -> Row:
+def encode_purge(evict: Mapping[str, Any], settle_ms: float, now_ms: float) -> Row:
+    """Returns the row of a valid purge, which expires once older locations have and the purge has settled."""
     purged_at_ms = min(now_ms, float(evict["unix_ms"]))
     if "ref" in evict:
         key = f"{OBJECT_PREFIX}{int(evict['ref'], 16):x}"
