Keep the later one of two stored purges, in whichever order they are told

Seen by callers: after a purge, an older purge of the same object told later (a coordinator that sends its events again, another count) replaced the row in the store; after a kill, copies from between the two were accepted.

Cause: a row of a purge was replaced by the next event's, whatever its time; the decision module keeps the later one.

Change: a purge is merged with the row of its key: the later time counts, with the life of a row that the settings in force give it.

--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -232,6 +232,8 @@
         self._deadlines.add(next_at_ms, lambda: self._record_partition(core))
 
     def _write(self, row: Row) -> asyncio.Future[bool]:
+        if row.space == PURGE_SPACE:
+            row = row_codecs.merge_purge(row, self.log.get(row.space, row.key))
         if row.value is None:
             return self.writer.delete(row.space, row.key)
         return self.writer.put(row.space, row.key, row.value, row.expires_at_ms)
--- a/gladewalk/store/row_codecs.py
+++ b/gladewalk/store/row_codecs.py
@@ -109,6 +109,20 @@
     return Row(PURGE_SPACE, key, _encoder.encode(purged_at_ms), purged_at_ms + lifetime_ms)
 
 
+def merge_purge(row: Row, stored: bytes | None) -> Row:
+    """Returns the row of the later one of two purges, as one that is told later may be older.
+
+    `row` is the one to be stored, `stored` the value that its key has.
+    """
+    if row.value is None or stored is None:
+        return row
+    try:
+        lead_ms = _time_decoder.decode(stored) - _time_decoder.decode(row.value)
+    except msgspec.MsgspecError:  # written by another version
+        return row
+    return Row(row.space, row.key, stored, row.expires_at_ms + lead_ms) if lead_ms > 0.0 else row
+
+
 def has_full_list(event: Mapping[str, Any]) -> bool:
     """Returns whether an event has the full endpoint list."""
     return bool(event.get("endpoints", {}).get("all"))
