Keep under resume the deletion of a server that the configuration lists

Change: under resume such a row is kept while a configuration of the run, of its start or of a reload, lists the server, and deleted at a start whose configuration does not. Other deletions expire as before, so that servers that come and go do not fill the store.

--- a/gladewalk/store/persistence.py
+++ b/gladewalk/store/persistence.py
@@ -63,6 +63,7 @@
         self._resumes_feed, self._position = table.resumes_feed, FeedPosition(0)
         self._epoch = UNKNOWN_EPOCH  # of the coordinator's event numbers
         self._known: KnownEvents | None = None  # of the configuration in force
+        self._configured_uids = set[str]()  # servers of the configurations that this run had
         # Whether the disk has rejected a row of the feed: from then on the stored position doesn't advance.
         self._has_rejected_row = False
         path = options.resolve_path(table.folder)
@@ -129,7 +130,7 @@
     def start(self, feed: EndpointFeed, config: PlatformConfig) -> None:
         """Starts the writer, and from now on stores events of the feed and leases of the DNS front."""
         self.writer.start()
-        self._known = _describe_events(config)
+        self._set_configuration(config)
         self._delete_outdated_servers()
         self._record_epoch()
         self._record_purges(feed.initial_purges)
@@ -141,9 +142,13 @@
     def configure(self, config: PlatformConfig) -> None:
         """Applies a reloaded configuration, whose numbers are those of the one before."""
         self.settle_ms = config.settings.purge_settle_ms
-        self._known = _describe_events(config)
+        self._set_configuration(config)
         self._record_epoch()
 
+    def _set_configuration(self, config: PlatformConfig) -> None:
+        self._known = _describe_events(config)
+        self._configured_uids |= row_codecs.uids_in(config.initial_events)
+
     def begin_epoch(self) -> None:
         """Forgets all stored servers and numbers: the coordinator has begun to count anew."""
         self._epoch += 1
@@ -167,9 +172,10 @@
                 self._write(row)
 
     def _delete_outdated_servers(self) -> None:
-        """Deletes the servers of other epochs, which no later start may restore."""
+        """Deletes the servers of other epochs, and those that are gone and that no configuration lists."""
         for uid, server in self._stored_servers().items():
-            if server.epoch != self._epoch:
+            is_listed = server.endpoint.get("state") in row_codecs.LISTED_STATES
+            if server.epoch != self._epoch or not (is_listed or uid in self._configured_uids):
                 self._write(Row(SERVER_SPACE, uid, None))
 
     async def close(self) -> None:
@@ -195,7 +201,13 @@
     def record_event(self, event_index: int, event: dict[str, Any]) -> None:
         """Stores a valid event of the feed."""
         rows = row_codecs.encode_event(
-            event_index, event, self.settle_ms, self._clock(), self._resumes_feed, self._epoch
+            event_index,
+            event,
+            self.settle_ms,
+            self._clock(),
+            self._resumes_feed,
+            self._epoch,
+            self._configured_uids,
         )
         if self._resumes_feed and row_codecs.has_full_list(event):
             rows += row_codecs.delete_unlisted(event, self.log.items(SERVER_SPACE))
--- a/gladewalk/store/row_codecs.py
+++ b/gladewalk/store/row_codecs.py
@@ -2,7 +2,7 @@
 
     space     key                 value                       expires
     purge     o:OBJECT, g:GROUP   time of it, Unix ms         once settled, and older locations have expired
-    server    uid                 event number, endpoint      after a day; with `resume` once unlisted
+    server    uid                 event number, endpoint      after a day; see `encode_event`
     feed      last                the last event's number     never (only stored with `resume`)
     feed      epoch               which numbers belong together (`epochs.py`)   never
 
@@ -16,7 +16,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from typing import Any
 
 import msgspec
@@ -76,21 +76,24 @@
     now_ms: float,
     resumes_feed: bool = False,
     epoch: int = 0,
+    configured: Container[str] = (),
 ) -> list[Row]:
     """Returns the rows of a valid event of the feed: its purge and its endpoints.
 
     `settle_ms` is how long a purge takes to settle. With `resumes_feed` the feed doesn't send a server again
-    after a restart, so that a server is stored for as long as it is listed.
+    after a restart, so that a server is stored for as long as it is listed, and for good if it is gone while
+    the configuration lists it (`configured`), which would bring it back.
     """
     rows = []
     if "evict" in event:
         rows.append(encode_purge(event["evict"], settle_ms, now_ms))
     if "endpoints" in event:
         for endpoint in event["endpoints"]["targets"]:
-            is_kept = resumes_feed and endpoint.get("state") in LISTED_STATES
+            uid = str(endpoint["uid"])
+            is_kept = resumes_feed and (endpoint.get("state") in LISTED_STATES or uid in configured)
             expires_at_ms = NEVER_EXPIRES if is_kept else now_ms + SERVER_LIFETIME_MS
             value = _encode_with_epoch((event_index, dict(endpoint)), epoch)
-            rows.append(Row(SERVER_SPACE, str(endpoint["uid"]), value, expires_at_ms))
+            rows.append(Row(SERVER_SPACE, uid, value, expires_at_ms))
     return rows
 
 
@@ -123,6 +126,14 @@
     return Row(row.space, row.key, stored, row.expires_at_ms + lead_ms) if lead_ms > 0.0 else row
 
 
+def uids_in(events: Iterable[Mapping[str, Any]]) -> set[str]:
+    """Returns the uids of all servers that events of a configuration name; unusable parts are skipped."""
+    changes = [event["endpoints"] for event in events if isinstance(event.get("endpoints"), dict)]
+    targets = [change["targets"] for change in changes if isinstance(change.get("targets"), list)]
+    entries = [entry for listed in targets for entry in listed if isinstance(entry, dict)]
+    return {str(entry["uid"]) for entry in entries if "uid" in entry}
+
+
 def has_full_list(event: Mapping[str, Any]) -> bool:
     """Returns whether an event has the full endpoint list."""
     return bool(event.get("endpoints", {}).get("all"))
--- a/tests/store/test_epochs.py
+++ b/tests/store/test_epochs.py
@@ -214,3 +214,25 @@
         await wait_until(lambda: second.endpoint_feed.last_index == 5)
         assert anew.followed_from == [1]
         assert servers_of(second)["c1"].info.state.value == "draining"
+
+
+DAY_MS = 86_400_000.0
+
+
+@async_test
+async def test_with_resume_a_deleted_server_of_the_configuration_is_gone_for_longer_than_a_day(
+    tmp_path: Path,
+) -> None:
+    # Guards against a cache of an old file that serves again because its deletion has expired in the store.
+    async with StoredRuns(tmp_path, resume=True) as runs:
+        first, coordinator = await runs.start_anew(*FIRST_LIST)
+        reloaded = runs.new_configuration(coordinator)
+        await publish_and_apply(first, coordinator, target("c1", "DELETED"), target("c2"))
+        await publish_and_apply(first, coordinator, target("c2", "DELETED"))
+        first.apply(reloaded)
+        await runs.kill_when_stored(first)
+        directory = StoreDirectory(tmp_path / "store")
+        later = SegmentedLog(directory, lambda: first.clock() + 2.0 * DAY_MS)
+        assert set(later.items(SERVER_SPACE)) == {"c1"}  # the configuration does not list c2
+        directory.close()
+        assert set(list_of(await runs.start(without_coordinator(reloaded)))) == {"c0"}
