Store the usable part of an event that is given up, before the position passes it

Seen by callers: with [store] resume, a director that took a drain from an event with another, unusable entry sent work to that cache again after a kill, for good: the event is not told again.

Cause: an event with an unusable part is given up after three fetches; its usable parts are applied, but only complete events were stored, and the next event's position is past it.

Change: what is applied of an event is what is stored of it.

--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -29,7 +29,7 @@
     """Stores what the feed has applied, for the director's next start."""
 
     def record_event(self, event_index: int, event: FeedMessage) -> None:
-        """Stores a complete event."""
+        """Stores an event, without the parts that could not be used."""
 
     def forget_servers(self, uids: Iterable[str]) -> None:
         """Deletes stored servers that the coordinator has not told again."""
@@ -165,8 +165,9 @@
         self.last_index = index
         if self.sync is not None:
             self.sync.event_applied(self.clock())
-        if is_complete and self.recorder is not None:
-            self.recorder.record_event(index, message)
+        if self.recorder is not None:
+            applied = message if is_complete else usable_part(message, self.roles)
+            self.recorder.record_event(index, applied)
         return True
 
     def _should_refetch(self, index: int) -> bool:
@@ -239,6 +240,22 @@
         self.exchange.purge(api.Purge(key, group, age_ms))
 
 
+def usable_part(event: FeedMessage, roles: Mapping[Any, api.Role]) -> FeedMessage:
+    """Returns what `EndpointFeed.apply_event` applies of an event with an unusable part."""
+    usable: FeedMessage = {}
+    try:
+        if "endpoints" in event:
+            targets = event["endpoints"]["targets"]
+            entries = [entry for entry in targets if is_usable(entry, roles)]
+            is_complete = bool(event["endpoints"].get("all")) and len(entries) == len(targets)
+            usable["endpoints"] = {"all": is_complete, "targets": entries}
+        if "evict" in event and is_usable_purge(event["evict"]):
+            usable["evict"] = event["evict"]
+    except INVALID:
+        pass
+    return usable
+
+
 def entries_after(
     entries: Mapping[str, Any], event: FeedMessage, roles: Mapping[Any, api.Role]
 ) -> dict[str, Any]:
--- a/tests/store/test_epochs.py
+++ b/tests/store/test_epochs.py
@@ -236,3 +236,20 @@
         assert set(later.items(SERVER_SPACE)) == {"c1"}  # the configuration does not list c2
         directory.close()
         assert set(list_of(await runs.start(without_coordinator(reloaded)))) == {"c0"}
+
+
+@async_test
+async def test_with_resume_the_usable_part_of_an_event_that_is_given_up_outlasts_a_kill(
+    tmp_path: Path,
+) -> None:
+    # Guards against a drain that is never told again, as the position is past its event.
+    async with StoredRuns(tmp_path, resume=True) as runs:
+        first, coordinator = await runs.start_anew(*FIRST_LIST)
+        unusable = target("c2", "UNKNOWN STATE")
+        await publish_and_apply(first, coordinator, unusable, target("c1", "DRAINING"))
+        await publish_and_apply(first, coordinator, target("c3"))
+        await runs.kill_when_stored(first)
+        second = await runs.start(without_coordinator(first.config))
+        assert second.endpoint_feed.last_index == 3
+        states = {uid: state for uid, (state, _, _) in list_of(second).items()}
+        assert states == {"c0": "ready", "c1": "draining", "c3": "ready"}
