Count a run's operations, synchronisations and votes from a number of its own

Seen by callers: after a kill, a hub's late response to an operation of the run before was taken for one to another purge with the same number: that purge counted as accepted by a hub which never got it, and was completed without it.

Cause: the numbers of fenced operations begin at 1 with each start, as do those of synchronisations (an old page counted for the majority that must know every acknowledged purge) and of election rounds (a vote for the run before, whose promise ends earlier, could count in a new round of the term).

Change: a run counts from random numbers of 48 bits, drawn where the service is built; the state machines take them as arguments and count from 0 without them, so the golden data of leases stand as they were.

--- a/gladewalk/leases/candidate.py
+++ b/gladewalk/leases/candidate.py
@@ -88,7 +88,11 @@
 
 
 class LeaseCandidate:
-    """One director's leases; `voters` are names of directors, usually including this one."""
+    """One director's leases; `voters` are names of directors, usually including this one.
+
+    The numbers of rounds follow `last_round_number`, which differs from run to run: the promise behind a vote
+    for the run before ends earlier than one for a new round.
+    """
 
     def __init__(
         self,
@@ -98,11 +102,12 @@
         config: LeaseConfig,
         rng: random.Random,
         now_ms: float,
+        last_round_number: int = 0,
     ) -> None:
         self.name, self.voters, self.config, self.random = name, voters, config, rng
         self.needed_votes = majority(len(voters))
         self.blocking_votes = len(voters) - self.needed_votes + 1  # this many denials rule out a majority
-        self.last_round_number = 0
+        self.last_round_number = last_round_number
         self.response_timer = ResponseTimer()
         self.leases = {
             task: LeaseState(
--- a/gladewalk/leases/fenced_operations.py
+++ b/gladewalk/leases/fenced_operations.py
@@ -33,13 +33,17 @@
 
 
 class FencedOperationQueue:
-    """One director's pending operations; `resources` has the names of each task's resources."""
+    """One director's pending operations; `resources` has the names of each task's resources.
 
-    def __init__(self, director: str, resources: dict[str, tuple[str, ...]]) -> None:
+    The numbers of operations follow `last_number`, which differs from run to run: a response to an operation
+    of the run before must not be taken for one to another operation.
+    """
+
+    def __init__(self, director: str, resources: dict[str, tuple[str, ...]], last_number: int = 0) -> None:
         self.director, self.resources = director, resources
         self.pending: dict[int, PendingOperation] = {}  # by number
         self._pending_resources: Counter[tuple[str, str]] = Counter()  # by task and operation id
-        self._last_number = 0
+        self._last_number = last_number
 
     def is_pending(self, task: str, operation_id: str) -> bool:
         """Returns whether some resource has not accepted this operation yet."""
--- a/gladewalk/leases/purge_requests.py
+++ b/gladewalk/leases/purge_requests.py
@@ -65,7 +65,11 @@
 
 
 class PurgeRequests:
-    """One director's purge requests; `directors` names all (with this one), `hubs` the hub caches."""
+    """One director's purge requests; `directors` names all (with this one), `hubs` the hub caches.
+
+    The numbers of synchronisations follow `last_sync_number`, which differs from run to run: a page that was
+    requested by the run before may lack requests that have been acknowledged since.
+    """
 
     def __init__(
         self,
@@ -74,6 +78,7 @@
         hubs: tuple[str, ...],
         rng: random.Random,
         restored: dict[str, bytes],
+        last_sync_number: int = 0,
     ) -> None:
         self.name, self.hubs, self.random = name, hubs, rng
         self.directors = directors
@@ -83,7 +88,7 @@
         self.completed: OrderedDict[str, int] = OrderedDict()  # id -> token under which it was completed
         self.sync_round: SyncRound | None = None
         self.synced_at_ms = float("-inf")
-        self._last_sync_number = 0
+        self._last_sync_number = last_sync_number
         self._restore(restored)
 
     def _restore(self, rows: dict[str, bytes]) -> None:
--- a/gladewalk/leases/start.py
+++ b/gladewalk/leases/start.py
@@ -30,6 +30,7 @@
 MAX_RETRY_DELAY_LEASES = 0.2
 STALE_REPORT_INTERVALS = 5.0  # report intervals without a director's metrics until it is listed as missing
 MAX_NAME_CHARACTERS = 64
+RUN_NUMBER_BITS = 48  # of the random numbers from which a run counts; far below a message's 63 bits
 RESOURCE_PREFIX = "@"  # of the names of fenced resources; no director's name begins with it
 
 
@@ -158,11 +159,16 @@
     directors, resources = tuple(sorted(settings.directors)), settings.resource_names()
     now_ms = clock()
     voter = Voter(name, settings.config, now_ms, decode_grants(persistence.log.items(GRANT_SPACE)))
-    candidate = LeaseCandidate(name, directors, tuple(sorted(resources)), settings.config, rng, now_ms)
+    last_round_number, last_sync_number, last_operation_number = (
+        rng.getrandbits(RUN_NUMBER_BITS) for _ in range(3)
+    )
+    candidate = LeaseCandidate(
+        name, directors, tuple(sorted(resources)), settings.config, rng, now_ms, last_round_number
+    )
     purges = report = None
     if PURGE_TASK in resources and table.hubs:
         stored = persistence.log.items(PURGE_SPACE)
-        purges = PurgeRequests(name, directors, resources[PURGE_TASK], rng, stored)
+        purges = PurgeRequests(name, directors, resources[PURGE_TASK], rng, stored, last_sync_number)
     if REPORT_TASK in resources and table.report_to:
         report = FleetReport(
             name,
@@ -171,7 +177,7 @@
             stale_after_ms=STALE_REPORT_INTERVALS * table.report_interval_ms,
             read_counts=lambda: read_request_counts(counters),
         )
-    operations = FencedOperationQueue(name, resources)
+    operations = FencedOperationQueue(name, resources, last_operation_number)
     holder_tasks = LeaseHolderTasks(
         candidate, operations, purges, report, table.fence_interval_ms, table.report_interval_ms, now_ms
     )
