--- a/tests/test_lifecycle_soak.py
+++ b/tests/test_lifecycle_soak.py
@@ -1,7 +1,8 @@
-"""A few seeds of the stops and upgrades that `python -m benchmarks.lifecycle` plays in numbers."""
+"""A few seeds of the stops, upgrades and restarts that `python -m benchmarks.lifecycle` plays in numbers."""
 
 import pytest
 
+from benchmarks.lifecycle.restarts import run_restarts
 from benchmarks.lifecycle.stops import run_stop
 from benchmarks.lifecycle.upgrades import run_upgrade
 
@@ -20,3 +21,11 @@
     statuses, worst_ratio = run_upgrade(seed)
     assert statuses[200] > 0
     assert worst_ratio <= 1.0
+
+
+@pytest.mark.parametrize("seed", [3, 5, 10, 14, 16])
+def test_kills_with_a_store_leave_no_list_purge_or_number_of_another_count_in_force(seed: int) -> None:
+    """Guards against state of a run before that replaces the list of a start, or that is lost by a kill."""
+    observed = run_restarts(seed)
+    assert observed.requests > 0
+    assert observed.violations == []
