Give an address that a list names twice to the server that started last

Seen by callers: where the list of a start has a cache and its cold successor at one address, and the successor first, the successor drained and the former one was sent work there, without a slow start.

Cause: AddressHolders gave the address to whichever came last in the list.

Evidence: tests/test_server_lives.py, of_two_servers_at_one_address: failed before for one of the two orders (1 failed, 7 passed).

--- a/gladewalk/net/address_holders.py
+++ b/gladewalk/net/address_holders.py
@@ -32,14 +32,15 @@
     def resolve(self, servers: Iterable[api.Server], *, is_complete: bool) -> tuple[api.Server, ...]:
         """Returns a list or change of it in which servers whose addresses others have taken are draining.
 
-        A server takes an address by being listed there anew, or with another start of its process. Entries
-        for servers that are not in the change but have lost their addresses by it are added.
+        A server takes an address by being listed there anew, or with another start of its process; of those
+        in one list the one that started last does, as the order of a list says nothing. Entries for servers
+        that are not in the change but have lost their addresses by it are added.
         """
         listed = {server.name: server for server in servers}
         if is_complete:
             for name in [name for name in self._holders if name not in listed]:
                 self._drop(name)
-        for server in listed.values():
+        for server in sorted(listed.values(), key=lambda server: server.started_ms):
             self._update(server)
         addresses = {self._holders[name].server.address for name in listed if name in self._holders}
         displaced = {name for address in addresses for name in self._displaced(address)}
--- a/tests/test_server_lives.py
+++ b/tests/test_server_lives.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from gladewalk import interface as api
 from gladewalk.director import Director
+from gladewalk.net.address_holders import AddressHolders
 from gladewalk.rehearsal.director_harness import SETTINGS, DirectorHarness, class_settings, wait_until
 from gladewalk.rehearsal.http_messages import encode_request, read_message
 from gladewalk.rehearsal.scripted_servers import ReceivedRequest, ScriptedServer
@@ -123,3 +125,19 @@
             return server.connections
 
     assert asyncio.run(scenario()) == 1 + has_restarted
+
+
+@pytest.mark.parametrize("is_successor_first", [False, True])
+def test_of_two_servers_at_one_address_in_a_list_the_one_that_started_last_holds_it(
+    is_successor_first: bool,
+) -> None:
+    """Guards against a cold successor without a slow start: the list of a new start may have any order."""
+    servers = [
+        api.Server("c1", api.Role.CACHE, "edge-1", started_ms=0.0, address="127.0.0.1:9"),
+        api.Server("c2", api.Role.CACHE, "edge-1", started_ms=5_000.0, address="127.0.0.1:9"),
+    ]
+    listed = servers[::-1] if is_successor_first else servers
+    for is_complete in (True, False):
+        resolved = AddressHolders().resolve(listed, is_complete=is_complete)
+        states = {server.name: server.state for server in resolved}
+        assert states == {"c1": api.ServerState.DRAINING, "c2": api.ServerState.READY}
