Give out no address of a cache that drains in DNS

Cause: the name's address was answered wherever a listed server has it, in whichever state.

Change: while it drains the name exists without an address (NODATA), once it is gone the name does not exist (as before), and when it serves again it is answered again. Bytes and TTLs of all other answers are as they were.

--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -107,7 +107,9 @@
         config = self._config
         # The serial must not decrease if the wall clock is set back, or secondaries would keep the old zone.
         self._serial = serial = max(self._serial, int(read_wall_clock().unix_ms / 1_000.0)) % SERIAL_MODULUS
-        rules = NamingRules(self._classes, config.open_classes, self._is_known_address)
+        rules = NamingRules(
+            self._classes, config.open_classes, self._is_known_address, self._is_ready_address
+        )
         nameservers = config.nameservers or {DEFAULT_NAMESERVER: (config.own_address,)}
         return [
             Zone(
@@ -121,14 +123,22 @@
 
     def _is_known_address(self, address: str) -> bool:
         """Whether an address is a server's or the director's: address names must not resolve to any other."""
+        return address == self._config.own_address or any(True for _ in self._servers_at(address))
+
+    def _is_ready_address(self, address: str) -> bool:
+        """Whether an address may be given out: the director's, or that of a server that does not drain."""
+        is_ready = self.exchange.dispatcher.state.registry.is_ready
+        return address == self._config.own_address or any(map(is_ready, self._servers_at(address)))
+
+    def _servers_at(self, address: str) -> Iterator[str]:
+        """Yields the names of the servers at an address, whatever their ports."""
         upstreams = self.exchange.upstreams
         if upstreams is None:
-            return False
-        if address == self._config.own_address:
-            return True
-        servers = self.exchange.dispatcher.state.registry.servers
-        addresses = (upstreams.address(name) for name in servers)
-        return any(known is not None and known[0] == address for known in addresses)
+            return
+        for name in self.exchange.dispatcher.state.registry.servers:
+            known = upstreams.address(name)
+            if known is not None and known[0] == address:
+                yield name
 
     # Sockets.
 
--- a/gladewalk/dns/names.py
+++ b/gladewalk/dns/names.py
@@ -74,6 +74,10 @@
     return False
 
 
+def _any_address(address: str) -> bool:
+    return True
+
+
 @dataclass(slots=True, frozen=True)
 class NamingRules:
     """The rules by which names exist in a zone.
@@ -81,12 +85,14 @@
     Attributes:
         classes: Names of the request classes.
         open_classes: Classes below which any name but those of objects resolves to the director itself.
-        is_known_address: Returns whether an address is a server's or the director's.
+        is_known_address: Returns whether an address is a server's or the director's: its name exists.
+        is_ready_address: Returns whether a known address may be given out: not while its server drains.
     """
 
     classes: frozenset[str]
     open_classes: frozenset[str] = frozenset()
     is_known_address: Callable[[str], bool] = _no_address
+    is_ready_address: Callable[[str], bool] = _any_address
 
     def classify(self, labels: Labels) -> RuleName | None:
         """Returns the kind of a name; None if the name does not exist by rule."""
--- a/gladewalk/dns/zone.py
+++ b/gladewalk/dns/zone.py
@@ -240,7 +240,7 @@
                 SERVICE_TYPES if is_service else ROUTED_TYPES
             ):
                 return LookupResult(LookupStatus.ROUTED, name, routed=rule_name)
-            case AddressName(address=address):
+            case AddressName(address=address) if self.rules.is_ready_address(address):
                 return self._address(name, address, rdtype)
             case DirectorName():
                 return self._address(name, self.own_address, rdtype)
