--- a/gladewalk/dns/front.py
+++ b/gladewalk/dns/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import replace
 
 from ..config.platform import Address
