Reject a list or an object among settings.zones before a reload applies it

Seen by callers: SIGHUP with such a file raised while it was applied, with a part of the settings in force; a start ended with a traceback.

Cause: check_values looked at the kind of `zones`, not of its entries, and the decision module keys a table by them.

Change: each zone has to be a text, or the file is rejected whole with the path of the entry.

--- a/gladewalk/config/file_keys.py
+++ b/gladewalk/config/file_keys.py
@@ -158,6 +158,7 @@
             _check_object(section, path, keys)
     settings = raw["settings"]
     _check_origin_overload(settings["specifics"])
+    _check_list("settings.zones", settings["zones"], Kind.TEXT, 0)
     for index, entry in enumerate(settings["classes"]):
         _check_object(entry, f"{CLASS_LIST}[{index}]", CLASS_KEYS)
     for lists, subjects in ((LISTS_BY_CLASS, settings["classes"]), (LISTS_BY_ZONE, settings["zones"])):
--- a/tests/test_file_keys.py
+++ b/tests/test_file_keys.py
@@ -13,9 +13,11 @@
 
 import pytest
 
+from gladewalk import interface as api
 from gladewalk.config.file_keys import CLASS_KEYS, OBJECTS, check_values
 from gladewalk.config.platform import ConfigError, PlatformConfig, load_config
 from gladewalk.config.policy_settings import read_roles, read_settings
+from gladewalk.policy import Dispatcher
 from gladewalk.rehearsal.coordinator import Coordinator
 from gladewalk.rehearsal.director_harness import SETTINGS, config_for
 
@@ -49,9 +51,10 @@
     target: Any = changed
     for key in path[:-1]:
         target = target[key]
-    del target[path[-1]]
     if change:
         target[path[-1]] = change["value"]
+    else:
+        del target[path[-1]]
     return changed
 
 
@@ -102,6 +105,51 @@
             load(tmp_path, with_change(path, value=other))
 
 
+VALUES: tuple[Any, ...] = (
+    None,
+    0,
+    -1,
+    -1.5,
+    1e300,
+    2**70,
+    math.nan,
+    True,
+    "text",
+    [],
+    {},
+    ["x"],
+    [[1]],
+    {"a": 1},
+)
+
+
+def value_paths(value: Any, path: KeyPath = ()) -> Iterator[KeyPath]:
+    """The paths of all keys and list entries in a JSON value, at any depth."""
+    entries = (
+        value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    )
+    for key, item in entries:
+        yield (*path, key)
+        yield from value_paths(item, (*path, key))
+
+
+@pytest.mark.parametrize("path", list(value_paths(FILE)), ids=path_text)
+def test_a_file_with_any_other_value_is_rejected_or_can_be_applied(path: KeyPath, tmp_path: Path) -> None:
+    # Guards against a reload that raises half way, as with a list or an object among the zones.
+    server = api.Server("c1", api.Role.CACHE, "edge-1", address="127.0.0.1:9")
+    servers = api.EndpointList(api.EndpointListKind.PERSISTED, (server,))
+    for value in VALUES:
+        try:
+            config = load(tmp_path, with_change(path, value=value))
+        except ConfigError:
+            continue
+        for settings in (load(tmp_path, FILE).settings, config.settings):
+            core = Dispatcher(settings, 1)
+            core.handle(1_000.0, servers)
+            core.configure(config.settings)
+            core.handle(2_000.0, api.Request(1, "lot-page", 5, 3_000.0))
+
+
 @pytest.mark.parametrize("key", ["sockets", "memory_mb"])
 def test_a_negative_amount_is_rejected(key: str, tmp_path: Path) -> None:
     # Guards against a limit that no connection or response could keep.
