Count a purge in the played kills only once the director reports it as durable

The model took a purge that was told 0.5 s before a kill for durable, which a slow sync of the disk could break; the promise is the one of `store status`, which each run now asks before its kill.

--- a/benchmarks/lifecycle/restarts.py
+++ b/benchmarks/lifecycle/restarts.py
@@ -20,6 +20,7 @@
 from pathlib import Path
 from typing import Any
 
+from gladewalk.control.client import query_director
 from gladewalk.rehearsal.coordinator import Coordinator
 from gladewalk.rehearsal.director_harness import SETTINGS, config_for
 from gladewalk.rehearsal.http_messages import encode_request, read_message
@@ -30,7 +31,7 @@
 GRACE_S = SETTINGS["invariants"]["drain_grace_ms"] / 1000.0 + 0.05  # on sockets limits are 50 ms longer
 PURGE_GRACE_S = SETTINGS["specifics"]["obey_after_ms"] / 1000.0 + 0.05
 PURGE_SETTLE_S = SETTINGS["specifics"]["purge_settles_ms"] / 1000.0
-DURABLE_AFTER_S = 0.5  # a purge that was told for less time before a kill need not outlast it
+TAKEN_AFTER_S = 0.5  # a purge that was told for less time before a kill may not have been taken
 HEARTBEAT_S = 1.0
 CLIENTS, CROWD, READS, OBJECTS = 4, 120, 96, 64
 OBJECT_PREFIX = "/o/"  # of requests for objects; others are health checks
@@ -74,7 +75,7 @@
 
 @dataclass(slots=True)
 class Purge:
-    """A purge: its wall time, and when it was told."""
+    """A purge: its wall time, when it was told, and whether it has to outlast the next kill."""
 
     at_ms: float
     told_s: float
@@ -123,7 +124,9 @@
         origin = await ScriptedServer(lambda request: request.respond(200), "o", "origin", "north").start()
         self._origin_target = origin.target()
         resume = str(self.plan.resumes_feed).lower()
-        (self.folder / "options.toml").write_text(f'[store]\nfolder = "store"\nresume = {resume}\n')
+        (self.folder / "options.toml").write_text(
+            f'[store]\nfolder = "store"\nresume = {resume}\n[control]\nsocket = "control"\n'
+        )
         heartbeats = asyncio.create_task(self._send_heartbeats())
         for number, start in enumerate(self.plan.starts):
             await self._prepare_start(start)
@@ -189,14 +192,20 @@
         host, port = director.serving["listen"]
         if not is_killed_early:
             await self._use(director, (host, port))
+            durable = await self._durable_purges()
+            for name, purge in self._purges.items():
+                is_taken = time.monotonic() - purge.told_s > TAKEN_AFTER_S
+                purge.is_binding &= is_taken and name in durable
         self._is_up = False
         director.process.send_signal(signal.SIGKILL)
-        killed_s = time.monotonic()
         code = await director.finish()
         if code != -signal.SIGKILL or director.has_traceback():
             self.observed.violations.append(f"crash: exit code {code}, or a traceback in the log")
-        for purge in self._purges.values():
-            purge.is_binding &= killed_s - purge.told_s > DURABLE_AFTER_S
+
+    async def _durable_purges(self) -> set[str]:
+        """Returns the objects whose purges the director reports as durable."""
+        status = await asyncio.to_thread(query_director, self.folder / "control", "store")
+        return {key.partition(":")[2] for key in status["purges"]}
 
     async def _use(self, director: LoggedProcess, address: tuple[str, int]) -> None:
         """Sends requests, checks that each cache that serves gets some, and changes the list."""
@@ -212,7 +221,7 @@
         for _ in range(self._rng.randint(MIN_CHANGES, MAX_CHANGES)):
             await self._change(director)
         await self._check_use(address)
-        await asyncio.sleep(self._rng.uniform(0.0, 2.0 * DURABLE_AFTER_S))
+        await asyncio.sleep(self._rng.uniform(0.0, 2.0 * TAKEN_AFTER_S))
         for client in clients:
             client.cancel()
         for _, writer in crowd:
