--- a/gladewalk/store/writer.py
+++ b/gladewalk/store/writer.py
@@ -23,6 +23,7 @@
 from ..core.counters import Counters
 from .errors import StoreFullError
 from .key_index import NEVER_EXPIRES
+from .row_codecs import Row
 from .segmented_log import SegmentedLog
 
 SyncPolicy = Literal["each", "group", "none"]
@@ -76,6 +77,12 @@
         """Removes a value; returns the same as `put`."""
         return self._change(lambda: self.log.delete(space, key))
 
+    def write(self, row: Row) -> asyncio.Future[bool]:
+        """Sets or removes the value of a row; returns the same as `put`."""
+        if row.value is None:
+            return self.delete(row.space, row.key)
+        return self.put(row.space, row.key, row.value, row.expires_at_ms)
+
     def _change(self, change: Callable[[], int]) -> asyncio.Future[bool]:
         acknowledged: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         try:
--- a/tests/test_golden_store.py
+++ b/tests/test_golden_store.py
@@ -341,7 +341,7 @@
         persistence = self.open_service()
         persistence.writer.start()
         for event in EVENTS:
-            persistence.record_event(event["index"], event)
+            persistence.feed.record_event(event["index"], event)
             await self.wait_until_written(persistence)
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(type(persistence.directory), "append", reject_append)
