Hold the feed's position at an event that cannot be stored

Seen by callers: with [store], an entry of the list with an integer of over 64 bits ended the connection to the coordinator ("Fatal error: protocol. buffer_updated() call failed"), and under resume its event was lost by a kill, as the next event's position is past it: a drained cache got work.

Cause: encoding the row raised OverflowError in the connection's callback, after the event had counted as applied.

Change: such an event is applied and counted (store.unstorable), and the position stands still, as when the disk rejects a row, so that the next start requests it again.

--- a/gladewalk/store/stored_feed.py
+++ b/gladewalk/store/stored_feed.py
@@ -27,6 +27,8 @@
 from .segmented_log import SegmentedLog
 from .writer import StoreWriter
 
+UNSTORABLE = (OverflowError, UnicodeEncodeError)  # raised for JSON that msgpack cannot hold
+
 
 class StoredFeed:
     """Records the feed of one director (`net.endpoint_feed.FeedRecorder`) and restores it at a start.
@@ -52,7 +54,7 @@
         self._epoch = UNKNOWN_EPOCH  # of the coordinator's event numbers
         self._known: KnownEvents | None = None  # of the configuration in force
         self._configured_uids = set[str]()  # servers of the configurations that this run had
-        # Whether the disk has rejected a row of the feed: from then on the stored position doesn't advance.
+        # Whether a row of the feed could not be stored: from then on the stored position doesn't advance.
         self._has_rejected_row = False
 
     # Start and reload.
@@ -137,15 +139,12 @@
 
     def record_event(self, event_index: int, event: dict[str, Any]) -> None:
         """Stores an event of the feed, without the parts that could not be used."""
-        rows = row_codecs.encode_event(
-            event_index,
-            event,
-            self._settle_ms,
-            self._clock(),
-            self._resumes_feed,
-            self._epoch,
-            self._configured_uids,
-        )
+        try:
+            rows = self._encode(event_index, event)
+        except UNSTORABLE:
+            self._counters.add("store.unstorable")
+            self._has_rejected_row = True
+            return
         if self._resumes_feed and row_codecs.has_full_list(event):
             rows += row_codecs.delete_unlisted(event, self._log.items(SERVER_SPACE))
         acknowledgements = [self._write(row) for row in rows]
@@ -160,6 +159,17 @@
         self.position = row_codecs.next_position(event_index, event, self.position)
         self._writer.write(row_codecs.encode_position(self.position))
 
+    def _encode(self, event_index: int, event: dict[str, Any]) -> list[Row]:
+        return row_codecs.encode_event(
+            event_index,
+            event,
+            self._settle_ms,
+            self._clock(),
+            self._resumes_feed,
+            self._epoch,
+            self._configured_uids,
+        )
+
     def forget_servers(self, uids: Iterable[str]) -> None:
         """Deletes stored servers that the coordinator has not told again."""
         for uid in uids:
--- a/tests/store/test_epochs.py
+++ b/tests/store/test_epochs.py
@@ -253,3 +253,20 @@
         assert second.endpoint_feed.last_index == 3
         states = {uid: state for uid, (state, _, _) in list_of(second).items()}
         assert states == {"c0": "ready", "c1": "draining", "c3": "ready"}
+
+
+@async_test
+async def test_an_event_that_cannot_be_stored_is_requested_again_after_a_kill_and_ends_no_connection(
+    tmp_path: Path,
+) -> None:
+    # Guards against a drain that is lost by a kill because its entry has a number that no row can hold.
+    async with StoredRuns(tmp_path, resume=True) as runs:
+        first, coordinator = await runs.start_anew(*FIRST_LIST)
+        await publish_and_apply(first, coordinator, target("c1", "DRAINING", note=2**70))
+        await publish_and_apply(first, coordinator, target("c3"))
+        assert coordinator.followed_from == [1]
+        await runs.kill_when_stored(first)
+        second = await runs.start(first.config)
+        await wait_until(lambda: second.endpoint_feed.last_index == 3)
+        assert coordinator.followed_from == [1, 1]
+        assert servers_of(second)["c1"].info.state.value == "draining"
