Read the configuration's list again only where the store needs it

The feed read each entry of the configuration twice at every start, also without a store, for entries that only a coordinator that counts anew asks for.

--- a/gladewalk/net/endpoint_feed.py
+++ b/gladewalk/net/endpoint_feed.py
@@ -55,9 +55,7 @@
         self.is_resumed = False  # `last_index` was stored by a previous run
         self.sync: FeedSync | None = None  # while the director waits for the events of its start
         self.recorder: FeedRecorder | None = None
-        self.initial_purges: list[FeedMessage] = []  # of the configuration's events, as these have them
-        self._initial_events: tuple[FeedMessage, ...] = ()
-        self._initial_entries: dict[str, Any] = {}  # of the configuration's list, by uid
+        self._initial_events: tuple[FeedMessage, ...] = ()  # of the configuration
         # Servers restored from events that the coordinator sends again, and has not sent yet.
         self._untold: set[str] = set()
         self._refetched = (0, 0)  # the last event with an unusable part, and how often it was fetched again
@@ -70,11 +68,20 @@
         self._initial_events = tuple(events)
         for event in self._initial_events:
             self.apply_event(event)
-            self._initial_entries = entries_after(self._initial_entries, event, self.roles)
-            if "evict" in event and is_usable_purge(event["evict"]):
-                self.initial_purges.append(event["evict"])
         self.last_index = self.initial_index = max(self.last_index, index)
 
+    def initial_purges(self) -> list[FeedMessage]:
+        """Returns the usable purges of the configuration, as its events have them."""
+        purges = [event["evict"] for event in self._initial_events if "evict" in event]
+        return [evict for evict in purges if is_usable_purge(evict)]
+
+    def _initial_entries(self) -> dict[str, Any]:
+        """Returns the usable entries of the configuration's list by uid."""
+        entries: dict[str, Any] = {}
+        for event in self._initial_events:
+            entries = entries_after(entries, event, self.roles)
+        return entries
+
     def restore(self, endpoints: Mapping[int, list[Any]], last_index: int, *, is_complete: bool) -> None:
         """Applies the list that a previous run stored, and continues after its last event, if it stored that.
 
@@ -128,7 +135,7 @@
         self.last_index, self.is_resumed = self.initial_index, False
         self._untold = set()
         self._has_list = False  # the configuration's list replaces the one in force
-        if not self._initial_entries:
+        if not self._initial_entries():
             self.apply_event({"endpoints": {"all": True, "targets": []}})
         for event in self._initial_events:
             self.apply_event(event)
@@ -149,8 +156,8 @@
         Their events are of a coordinator that has begun to count anew, since this one sends all that it has.
         """
         uids, self._untold = self._untold, set()
-        gone = {"state": "DELETED"}
-        targets = [self._initial_entries.get(uid, {"uid": uid, **gone}) for uid in sorted(uids)]
+        entries, gone = self._initial_entries(), {"state": "DELETED"}
+        targets = [entries.get(uid, {"uid": uid, **gone}) for uid in sorted(uids)]
         self.apply_event({"endpoints": {"targets": targets}})
         self.counters.add("coordinator.not_told_again", len(uids))
         if self.recorder is not None:
--- a/gladewalk/store/stored_feed.py
+++ b/gladewalk/store/stored_feed.py
@@ -100,7 +100,7 @@
         self._set_configuration(config)
         self._delete_outdated_servers()
         self._record_epoch()
-        self._record_purges(feed.initial_purges)
+        self._record_purges(feed.initial_purges())
         feed.recorder = self
 
     def configure(self, config: PlatformConfig) -> None:
